--- /dev/null
+++ b/crates/cloverpier_admit/src/lib.rs
@@ -0,0 +1,23 @@
+//! Limits of client accounts and the queue for places at upstreams.
+//!
+//! ```
+//! use cloverpier_admit::prelude::*;
+//! use std::time::Instant;
+//!
+//! let now = Instant::now();
+//! let mut bucket = Bucket::full(10.0, now);
+//! assert!(bucket.take(1.0, now).is_ok());
+//! ```
+
+mod bucket;
+mod demand;
+mod queue;
+
+/// What users of the crate need daily.
+pub mod prelude {
+    pub use crate::bucket::{Bucket, Short};
+    pub use crate::demand::{Demand, Demands};
+    pub use crate::queue::{Queue, QueueStep, Ticket, Waiting};
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/cloverpier_answer/src/event_id.rs
@@ -0,0 +1,43 @@
+//! The identifier of a server-sent event: what a caller has, and who holds the copy.
+
+use cloverpier_core::{Chain, MemberId};
+use std::fmt;
+
+/// What a caller sends back as `Last-Event-ID` to go on where it stopped.
+///
+/// Written as `tokens.chain.holder`; the holder may be missing where a
+/// service keeps no copies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventId {
+    /// Tokens that the caller has.
+    pub tokens: u64,
+    /// Their digest.
+    pub chain: Chain,
+    /// The member that held the copy when the event was sent.
+    pub holder: Option<MemberId>,
+}
+
+impl EventId {
+    /// Reads an identifier, or says that the text isn't one.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.trim().splitn(3, '.');
+        let tokens = parts.next()?.parse().ok()?;
+        let chain = Chain::parse(parts.next()?)?;
+        let holder = parts.next().filter(|h| !h.is_empty()).map(MemberId::new);
+        Some(Self {
+            tokens,
+            chain,
+            holder,
+        })
+    }
+}
+
+impl fmt::Display for EventId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.tokens, self.chain)?;
+        match &self.holder {
+            Some(holder) => write!(f, ".{holder}"),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_client/src/caller.rs
@@ -0,0 +1,416 @@
+//! The caller's side.
+
+use crate::events::{Event, Events};
+use cloverpier_core::Chain;
+use reqwest::{Client, Method, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use snafu::Snafu;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const HEADERS_TIMEOUT: Duration = Duration::from_secs(15);
+const PAUSE: Duration = Duration::from_millis(100);
+/// A stream that says nothing for so long is given up and opened elsewhere.
+const SILENCE: Duration = Duration::from_secs(8);
+
+/// One address that callers may use.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Address {
+    /// The VM.
+    pub vm: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where to connect.
+    pub address: SocketAddr,
+}
+
+/// Which addresses to use, and for how long.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Addresses {
+    /// Seconds to keep the answer.
+    pub ttl_s: u64,
+    /// The addresses.
+    pub addresses: Vec<Address>,
+}
+
+/// What to generate.
+#[derive(Clone, Debug)]
+pub struct Generate {
+    /// The service.
+    pub service: String,
+    /// The prompt.
+    pub prompt: String,
+    /// The most tokens.
+    pub max_tokens: u32,
+    /// The priority.
+    pub priority: u8,
+    /// The idempotency key; one is made up by the router when empty.
+    pub key: String,
+    /// How long to go on trying.
+    pub patience: Duration,
+}
+
+impl Generate {
+    /// An ask with priority 0 and a minute of patience.
+    pub fn new(service: &str, prompt: &str, max_tokens: u32) -> Self {
+        Self {
+            service: service.to_owned(),
+            prompt: prompt.to_owned(),
+            max_tokens,
+            priority: 0,
+            key: String::new(),
+            patience: Duration::from_secs(60),
+        }
+    }
+}
+
+/// A token as it arrived.
+#[derive(Clone, Debug)]
+pub struct Got {
+    /// Its text.
+    pub text: Arc<str>,
+    /// When it arrived.
+    pub at: Instant,
+    /// The router that sent it.
+    pub from: SocketAddr,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Tokens in order.
+    pub tokens: Vec<Got>,
+    /// Whether count and digest are those that the router told.
+    pub proved: bool,
+    /// Tokens that arrived again after they had arrived already.
+    pub repeated: u64,
+    /// Connections that it took.
+    pub connections: u32,
+}
+
+impl Answer {
+    /// The text.
+    pub fn text(&self) -> String {
+        self.tokens.iter().map(|t| &*t.text).collect()
+    }
+}
+
+/// Why there is no answer.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// A router refused the request.
+    #[snafu(display("refused with status {status}: {body}"))]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// Whether it was run, as the router says.
+        run: String,
+        /// The body.
+        body: String,
+    },
+    /// No router could be reached in time.
+    #[snafu(display("no router could be reached in time"))]
+    NoRouter,
+}
+
+/// A reply of a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainReply {
+    /// The HTTP status.
+    pub status: u16,
+    /// Whether it was run, as the router says; empty when it answered.
+    pub run: String,
+    /// The body.
+    pub body: String,
+}
+
+/// A caller of the routers.
+#[derive(Debug)]
+pub struct Caller {
+    http: Client,
+    key: String,
+    known: Mutex<Vec<SocketAddr>>,
+    next: Mutex<usize>,
+}
+
+/// What one connection came to.
+enum Connection {
+    Done,
+    Broken,
+    Refused(CallError),
+}
+
+impl Caller {
+    /// A caller that knows one address to ask.
+    pub fn new(ask: SocketAddr, key: &str) -> Self {
+        let http = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .build();
+        Self {
+            http: http.unwrap_or_default(),
+            key: key.to_owned(),
+            known: Mutex::new(vec![ask]),
+            next: Mutex::new(0),
+        }
+    }
+
+    /// Asks which addresses to use and keeps them.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::NoRouter`] when no known address answers.
+    pub async fn addresses(&self) -> Result<Addresses, CallError> {
+        for address in self.all_known() {
+            let url = format!("http://{address}/v1/addresses");
+            let res = self.http.get(url).timeout(CONNECT_TIMEOUT * 2).send().await;
+            let Ok(res) = res else {
+                continue;
+            };
+            if let Ok(found) = res.json::<Addresses>().await
+                && !found.addresses.is_empty()
+            {
+                let known = found.addresses.iter().map(|a| a.address).collect();
+                *cloverpier_core::lock(&self.known) = known;
+                return Ok(found);
+            }
+        }
+        NoRouterSnafu.fail()
+    }
+
+    fn all_known(&self) -> Vec<SocketAddr> {
+        cloverpier_core::lock(&self.known).clone()
+    }
+
+    fn pick(&self) -> SocketAddr {
+        let known = self.all_known();
+        let mut next = cloverpier_core::lock(&self.next);
+        *next += 1;
+        known[*next % known.len()]
+    }
+
+    /// Streams an answer to its end, over as many connections as it takes.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] when it is refused for good or the patience is over.
+    pub async fn generate(
+        &self,
+        ask: &Generate,
+        mut on_token: impl FnMut(&Got),
+    ) -> Result<Answer, CallError> {
+        let until = Instant::now() + ask.patience;
+        let mut progress = Progress::new(ask);
+        loop {
+            let router = self.pick();
+            progress.connections += 1;
+            let outcome = self.connect(ask, router, &mut progress, &mut on_token);
+            match outcome.await {
+                Connection::Done => return Ok(progress.answer()),
+                Connection::Refused(error) => {
+                    if Instant::now() >= until || !may_come_back(&error) {
+                        return Err(error);
+                    }
+                }
+                Connection::Broken => {}
+            }
+            if Instant::now() >= until {
+                return NoRouterSnafu.fail();
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn connect(
+        &self,
+        ask: &Generate,
+        router: SocketAddr,
+        progress: &mut Progress,
+        on_token: &mut impl FnMut(&Got),
+    ) -> Connection {
+        let body = json!({
+            "model": ask.service, "prompt": ask.prompt, "max_tokens": ask.max_tokens,
+            "priority": ask.priority, "stream": true,
+        });
+        let url = format!("http://{router}/v1/completions");
+        let mut req = self.http.post(url).bearer_auth(&self.key).json(&body);
+        if !progress.key.is_empty() {
+            req = req.header("Idempotency-Key", &progress.key);
+        }
+        if let Some(last) = &progress.last {
+            req = req.header("Last-Event-ID", last);
+        }
+        let sent = tokio::time::timeout(HEADERS_TIMEOUT, req.send()).await;
+        let Ok(Ok(res)) = sent else {
+            return Connection::Broken;
+        };
+        if res.status() != StatusCode::OK {
+            return Connection::Refused(refusal(res).await);
+        }
+        if let Some(key) = res.headers().get("Idempotency-Key") {
+            progress.key = key.to_str().unwrap_or_default().to_owned();
+        }
+        let mut events = Events::new(res);
+        loop {
+            let event = tokio::time::timeout(SILENCE, events.next()).await;
+            let Ok(Some(event)) = event else {
+                return Connection::Broken;
+            };
+            match progress.take(&event, router) {
+                Step::Token => {
+                    if let Some(token) = progress.tokens.last() {
+                        on_token(token);
+                    }
+                }
+                Step::Nothing => {}
+                Step::Done => return Connection::Done,
+                Step::Failed(error) => {
+                    return error.map_or(Connection::Broken, Connection::Refused);
+                }
+            }
+        }
+    }
+
+    /// Calls a plain service once, at one router.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::NoRouter`] when the router gave no reply.
+    pub async fn call(
+        &self,
+        router: SocketAddr,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<PlainReply, CallError> {
+        let url = format!("http://{router}/services/{path}");
+        let mut req = self.http.request(method, url).bearer_auth(&self.key);
+        if let Some(key) = key {
+            req = req.header("Idempotency-Key", key);
+        }
+        let sent = req.body(body.to_owned()).timeout(HEADERS_TIMEOUT).send();
+        let Ok(res) = sent.await else {
+            return NoRouterSnafu.fail();
+        };
+        let status = res.status().as_u16();
+        let run = run_of(&res);
+        match res.text().await {
+            Ok(body) => Ok(PlainReply { status, run, body }),
+            Err(_) => NoRouterSnafu.fail(),
+        }
+    }
+}
+
+fn run_of(res: &Response) -> String {
+    let run = res.headers().get("cloverpier-run");
+    run.and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+async fn refusal(res: Response) -> CallError {
+    let status = res.status().as_u16();
+    let run = run_of(&res);
+    let body = res.text().await.unwrap_or_default();
+    CallError::Refused { status, run, body }
+}
+
+fn may_come_back(error: &CallError) -> bool {
+    match error {
+        CallError::Refused { status, .. } => *status == 503 || *status == 429,
+        CallError::NoRouter => true,
+    }
+}
+
+#[derive(Debug)]
+struct Progress {
+    key: String,
+    tokens: Vec<Got>,
+    last: Option<String>,
+    chain: Chain,
+    proved: bool,
+    repeated: u64,
+    connections: u32,
+}
+
+enum Step {
+    Token,
+    Nothing,
+    Done,
+    Failed(Option<CallError>),
+}
+
+impl Progress {
+    fn new(ask: &Generate) -> Self {
+        Self {
+            key: ask.key.clone(),
+            tokens: Vec::new(),
+            last: None,
+            chain: Chain::EMPTY,
+            proved: false,
+            repeated: 0,
+            connections: 0,
+        }
+    }
+
+    fn answer(self) -> Answer {
+        Answer {
+            tokens: self.tokens,
+            proved: self.proved,
+            repeated: self.repeated,
+            connections: self.connections,
+        }
+    }
+
+    fn take(&mut self, event: &Event, from: SocketAddr) -> Step {
+        if event.data == "[DONE]" {
+            return Step::Done;
+        }
+        let data: Value = serde_json::from_str(&event.data).unwrap_or_default();
+        if event.kind.as_deref() == Some("error") {
+            return self.failed(&data);
+        }
+        if let Some(id) = &event.id {
+            return self.token(id, &data, from);
+        }
+        let told = &data["cloverpier"];
+        if told.is_object() {
+            let count = told["tokens"].as_u64() == Some(self.tokens.len() as u64);
+            let digest = told["digest"].as_str() == Some(&self.chain.to_string());
+            self.proved = count && digest;
+        }
+        Step::Nothing
+    }
+
+    fn token(&mut self, id: &str, data: &Value, from: SocketAddr) -> Step {
+        let text = data["choices"][0]["text"].as_str().unwrap_or_default();
+        let number = id.split('.').next().and_then(|n| n.parse::<u64>().ok());
+        if number.is_some_and(|n| n <= self.tokens.len() as u64) {
+            self.repeated += 1;
+        }
+        self.chain = self.chain.push(text);
+        self.tokens.push(Got {
+            text: Arc::from(text),
+            at: Instant::now(),
+            from,
+        });
+        self.last = Some(id.to_owned());
+        Step::Token
+    }
+
+    fn failed(&self, data: &Value) -> Step {
+        let error = &data["error"];
+        if error["code"] == "moved" || error["retry_after_ms"].is_u64() {
+            return Step::Failed(None);
+        }
+        Step::Failed(Some(CallError::Refused {
+            status: StatusCode::OK.as_u16(),
+            run: error["run"].as_str().unwrap_or_default().to_owned(),
+            body: data.to_string(),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_core/src/lib.rs
@@ -0,0 +1,36 @@
+//! Names, clock, digests and seeded choices that every other crate builds on.
+//!
+//! Nothing here performs I/O. Everything that varies between runs (time and
+//! randomness) is passed in, so that decisions can be replayed.
+//!
+//! ```
+//! use cloverpier_core::prelude::*;
+//! use std::time::Duration;
+//!
+//! let clock = ManualClock::new();
+//! let start = clock.now();
+//! clock.advance(Duration::from_millis(5));
+//! assert_eq!(clock.now() - start, Duration::from_millis(5));
+//! ```
+
+mod chain;
+mod clock;
+mod name;
+mod secret;
+mod sync;
+mod weigh;
+
+/// The items that most crates of the workspace need.
+pub mod prelude {
+    pub use crate::chain::Chain;
+    pub use crate::clock::{Clock, ManualClock, SystemClock, wall_ms};
+    pub use crate::name::{
+        AccountName, AdapterName, DataCentre, MemberId, ModelName, RequestKey, ServiceName,
+        UpstreamName, VmName,
+    };
+    pub use crate::secret::{KeyDigest, Secret, same_secret};
+    pub use crate::sync::lock;
+    pub use crate::weigh::{hash_of, jitter, rank};
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/cloverpier_core/src/sync.rs
@@ -0,0 +1,11 @@
+//! Locks that a panic elsewhere doesn't poison.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks a mutex, also when a holder panicked.
+///
+/// State is changed by whole steps of plain state machines under the lock, so
+/// what a panicking holder left is consistent.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/answers/live.rs
@@ -0,0 +1,280 @@
+//! One answer that this router owns.
+
+use crate::error::ApiError;
+use cloverpier_answer::{Answer, AppendReply, EventId, Finish, Source};
+use cloverpier_core::{
+    AccountName, AdapterName, MemberId, ModelName, RequestKey, ServiceName, lock,
+};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// What a caller asked for.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// The account.
+    pub account: AccountName,
+    /// The service.
+    pub service: ServiceName,
+    /// The model that its engines load.
+    pub model: ModelName,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// The most tokens of the answer.
+    pub max_tokens: u32,
+    /// The priority.
+    pub priority: u8,
+    /// The adapter.
+    pub adapter: Option<AdapterName>,
+    /// Copies before a token is released.
+    pub copies: u8,
+    /// Silence of an engine that ends an attempt.
+    pub silence: Duration,
+    /// How long the generation runs on without a reader.
+    pub linger: Duration,
+    /// Whether it may be run again after a failure.
+    pub repeatable: bool,
+}
+
+/// How an answer ended other than by its last token.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// Another router has it.
+    TakenOver,
+    /// It can't go on.
+    Failed(ApiError),
+}
+
+/// The copy as its owner sees it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CopyState {
+    pub(super) holder: Option<MemberId>,
+    pub(super) sent: u64,
+    pub(super) finish_sent: bool,
+    pub(super) queued: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) answer: Answer,
+    pub(super) copy: CopyState,
+    pub(super) source: Option<Source>,
+    end: Option<End>,
+    idle_since: Instant,
+    over_since: Option<Instant>,
+}
+
+/// An answer that this router owns.
+#[derive(Debug)]
+pub struct Live {
+    /// The request.
+    pub key: RequestKey,
+    /// Digest of the request's body.
+    pub body: u64,
+    /// What the caller asked for.
+    pub spec: Spec,
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+    readers: AtomicUsize,
+    /// Whether a task generates it.
+    pub(super) running: AtomicBool,
+}
+
+/// What a reader sends next.
+#[derive(Debug)]
+pub enum Reading {
+    /// These tokens, the first at the given offset.
+    Tokens {
+        /// Offset of the first token.
+        offset: u64,
+        /// The tokens, each with the identifier of its event.
+        tokens: Vec<(Arc<str>, EventId)>,
+    },
+    /// The end of the answer.
+    Finish(Finish),
+    /// It ended another way.
+    End(End),
+    /// Nothing yet.
+    Wait,
+}
+
+impl Live {
+    /// An answer at its start or as it was taken over.
+    pub fn new(key: RequestKey, body: u64, spec: Spec, answer: Answer, now: Instant) -> Arc<Self> {
+        Arc::new(Self {
+            key,
+            body,
+            spec,
+            state: Mutex::new(State {
+                answer,
+                copy: CopyState::default(),
+                source: None,
+                end: None,
+                idle_since: now,
+                over_since: None,
+            }),
+            changed: watch::Sender::new(0),
+            readers: AtomicUsize::new(0),
+            running: AtomicBool::new(false),
+        })
+    }
+
+    /// Changes the answer and wakes its readers.
+    pub(super) fn change<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+        let result = f(&mut lock(&self.state));
+        self.changed.send_modify(|n| *n += 1);
+        result
+    }
+
+    /// Looks at the answer.
+    pub(super) fn look<T>(&self, f: impl FnOnce(&State) -> T) -> T {
+        f(&lock(&self.state))
+    }
+
+    /// Ends the answer other than by its last token.
+    pub fn end(&self, end: End, now: Instant) {
+        self.change(|s| {
+            if matches!(end, End::TakenOver) {
+                s.answer.on_taken_over();
+            }
+            s.end.get_or_insert(end);
+            s.over_since.get_or_insert(now);
+        });
+    }
+
+    /// Takes a holder's reply; says whether something must be sent again.
+    pub(super) fn on_append(&self, reply: AppendReply, now: Instant) -> bool {
+        match reply {
+            AppendReply::Held { tokens, finished } => self.change(|s| {
+                s.answer.on_copied(tokens);
+                if finished {
+                    s.answer.on_finish_copied();
+                    s.over_since.get_or_insert(now);
+                }
+                false
+            }),
+            AppendReply::Gap { tokens } => self.change(|s| {
+                s.copy.sent = tokens;
+                s.copy.finish_sent = false;
+                true
+            }),
+            AppendReply::Sealed { .. } => {
+                self.end(End::TakenOver, now);
+                false
+            }
+        }
+    }
+
+    /// Notes that nothing more will happen to it.
+    pub(super) fn mark_over(&self, now: Instant) {
+        self.change(|s| s.over_since.get_or_insert(now).to_owned());
+    }
+
+    /// Whether it ended, one way or the other.
+    pub fn is_ended(&self) -> bool {
+        self.look(|s| s.end.is_some() || s.answer.released_finish().is_some())
+    }
+
+    /// Whether another router has it, or it failed.
+    pub fn is_useless(&self) -> bool {
+        self.look(|s| s.end.is_some())
+    }
+
+    /// Whether somebody reads it or it is still being generated.
+    pub fn is_busy(&self) -> bool {
+        self.readers.load(Ordering::Relaxed) > 0 || self.running.load(Ordering::Relaxed)
+    }
+
+    /// Whether nobody has read it for longer than the service lets it run on.
+    pub fn is_abandoned(&self, now: Instant) -> bool {
+        let unread = self.readers.load(Ordering::Relaxed) == 0;
+        unread && self.look(|s| now.saturating_duration_since(s.idle_since) >= self.spec.linger)
+    }
+
+    /// Whether it can be forgotten.
+    pub fn is_over(&self, now: Instant, keep: Duration) -> bool {
+        let over = self.look(|s| s.over_since);
+        let stale = over.is_some_and(|at| now.saturating_duration_since(at) >= keep);
+        !self.is_busy() && stale
+    }
+
+    /// Begins to read from an offset.
+    pub fn read(self: &Arc<Self>, offset: u64, now: Instant) -> Reader {
+        self.readers.fetch_add(1, Ordering::Relaxed);
+        self.change(|s| s.idle_since = now);
+        Reader {
+            changed: self.changed.subscribe(),
+            live: Arc::clone(self),
+            offset,
+        }
+    }
+}
+
+/// One connection that reads an answer.
+#[derive(Debug)]
+pub struct Reader {
+    live: Arc<Live>,
+    changed: watch::Receiver<u64>,
+    offset: u64,
+}
+
+impl Reader {
+    /// The answer.
+    pub fn live(&self) -> &Arc<Live> {
+        &self.live
+    }
+
+    /// What to send next, waiting for it.
+    pub async fn next(&mut self) -> Reading {
+        loop {
+            self.changed.mark_unchanged();
+            match self.ready() {
+                Reading::Wait => {}
+                ready => return ready,
+            }
+            // The sender lives as long as the answer that this reader holds.
+            let _ = self.changed.changed().await;
+        }
+    }
+
+    /// What to send next, if it is there.
+    pub fn ready(&mut self) -> Reading {
+        let offset = self.offset;
+        let reading = self.live.look(|s| ready_at(s, offset));
+        if let Reading::Tokens { tokens, .. } = &reading {
+            self.offset += tokens.len() as u64;
+        }
+        reading
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.live.readers.fetch_sub(1, Ordering::Relaxed);
+        self.live.change(|s| s.idle_since = Instant::now());
+    }
+}
+
+fn ready_at(s: &State, offset: u64) -> Reading {
+    let tokens = s.answer.released_from(offset);
+    if !tokens.is_empty() {
+        let event = |i: u64| EventId {
+            tokens: offset + i + 1,
+            chain: s.answer.chain_at(offset + i + 1).unwrap_or_default(),
+            holder: s.copy.holder.clone(),
+        };
+        let tokens = (0..).zip(tokens).map(|(i, t)| (Arc::clone(t), event(i)));
+        return Reading::Tokens {
+            offset,
+            tokens: tokens.collect(),
+        };
+    }
+    if let Some(end) = &s.end {
+        return Reading::End(end.clone());
+    }
+    match s.answer.released_finish() {
+        Some(finish) => Reading::Finish(finish),
+        None => Reading::Wait,
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/answers/open.rs
@@ -0,0 +1,240 @@
+//! Opens an answer for a caller: a new one, one that runs here, or one that is taken over.
+
+use crate::answers::directory::asked;
+use crate::answers::live::{Live, Spec};
+use crate::answers::run::{Start, spawn};
+use crate::app::App;
+use crate::error::{ApiError, Run};
+use cloverpier_answer::{Answer, EventId, HeldAnswer, Resume, SealReply};
+use cloverpier_core::{MemberId, RequestKey, lock};
+use cloverpier_peer::{PeerReply, PeerRequest};
+use futures_util::future::join_all;
+use salvo::http::StatusCode;
+use serde::Serialize;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+const SEAL_TIMEOUT: Duration = Duration::from_millis(600);
+const SEAL_TRIES: u32 = 4;
+const COME_BACK: Duration = Duration::from_millis(700);
+
+/// What opening an answer came to.
+#[derive(Debug)]
+pub enum Opened {
+    /// The answer is here; the caller goes on at this offset.
+    Here {
+        /// The answer.
+        live: Arc<Live>,
+        /// Tokens that the caller has.
+        offset: u64,
+    },
+    /// Nothing is known of it: it is new, in this term.
+    New {
+        /// The first term that no other router uses.
+        term: u64,
+    },
+}
+
+#[derive(Serialize)]
+struct TakenOver<'a> {
+    request: &'a str,
+    from: &'a MemberId,
+    term: u64,
+    tokens: u64,
+}
+
+/// Opens the answer to a request; `retry` says that the caller may have sent it before.
+///
+/// # Errors
+///
+/// [`ApiError`] when the caller has tokens that can't be found, or others than those known.
+pub async fn open(
+    app: &Arc<App>,
+    key: &RequestKey,
+    body: u64,
+    spec: &Spec,
+    last: Option<&EventId>,
+    retry: bool,
+) -> Result<Opened, ApiError> {
+    if let Some(live) = usable_here(app, key) {
+        check_body(live.body, body)?;
+        let offset = match last {
+            Some(last) => go_on(live.look(|s| s.answer.resume_at(last.tokens, last.chain)))?,
+            None => 0,
+        };
+        return Ok(Opened::Here { live, offset });
+    }
+    if !retry {
+        return Ok(Opened::New { term: 1 });
+    }
+    let holders = holders_of(app, key, last).await;
+    let sealed = seal_all(app, key, &holders).await;
+    let Some(held) = sealed.held else {
+        return match last {
+            Some(last) if last.tokens > 0 => Err(not_found(sealed.unheard)),
+            _ => Ok(Opened::New { term: sealed.term }),
+        };
+    };
+    check_body(held.body, body)?;
+    take_over(app, key, spec, held, sealed.term, last)
+}
+
+fn usable_here(app: &App, key: &RequestKey) -> Option<Arc<Live>> {
+    let mut live = lock(&app.answers.live);
+    let found = live.get(key)?;
+    if found.is_useless() {
+        live.remove(key);
+        return None;
+    }
+    Some(Arc::clone(found))
+}
+
+fn check_body(known: u64, body: u64) -> Result<(), ApiError> {
+    if known == body {
+        return Ok(());
+    }
+    let message = "the key was used for another request";
+    let error = ApiError::not_run(StatusCode::UNPROCESSABLE_ENTITY, "key_reused", message);
+    Err(error.at("Idempotency-Key"))
+}
+
+fn go_on(resume: Resume) -> Result<u64, ApiError> {
+    match resume {
+        Resume::From(offset) => Ok(offset),
+        Resume::Behind { .. } => Err(not_found(true)),
+        Resume::Diverged => {
+            let message = "the tokens that the caller has are not those of this answer";
+            let error = ApiError::not_run(StatusCode::CONFLICT, "answer_diverged", message);
+            Err(error.at("Last-Event-ID").with_run(Run::Unknown))
+        }
+    }
+}
+
+/// The rest of an answer isn't known here: it may come back, or it is gone.
+fn not_found(may_come_back: bool) -> ApiError {
+    if may_come_back {
+        let message = "a router that holds the rest of the answer can't be reached";
+        let error = ApiError::busy("answer_unreachable", message, COME_BACK);
+        return error.with_run(Run::Unknown);
+    }
+    let message = "the rest of the answer is not known any more; ask without Last-Event-ID";
+    let error = ApiError::not_run(StatusCode::GONE, "answer_unknown", message);
+    error.at("Last-Event-ID").with_run(Run::Unknown)
+}
+
+/// Members that may hold a copy: as the caller says, as the directory says, and this one.
+async fn holders_of(app: &App, key: &RequestKey, last: Option<&EventId>) -> BTreeSet<MemberId> {
+    let mut holders = BTreeSet::new();
+    holders.extend(last.and_then(|l| l.holder.clone()));
+    holders.extend(lock(&app.answers.directory).holder(key));
+    holders.insert(app.me.id.clone());
+    let list = app.members();
+    let request = PeerRequest::Locate { key: key.clone() };
+    let others = asked(&list, key);
+    let others = others.iter().filter(|id| **id != app.me.id);
+    let replies = others.map(|id| app.ask(id, &request, ASK_TIMEOUT));
+    for reply in join_all(replies).await {
+        if let Some(PeerReply::Located { holder }) = reply {
+            holders.extend(holder);
+        }
+    }
+    holders
+}
+
+struct Sealed {
+    term: u64,
+    held: Option<HeldAnswer>,
+    /// Whether a holder did not answer.
+    unheard: bool,
+}
+
+/// Seals all earlier terms at every holder, and finds the newest copy.
+async fn seal_all(app: &App, key: &RequestKey, holders: &BTreeSet<MemberId>) -> Sealed {
+    let mut term = 2;
+    for _ in 0..SEAL_TRIES {
+        let replies = join_all(holders.iter().map(|h| seal(app, key, term, h))).await;
+        let refused = replies.iter().flatten().filter_map(|r| match r {
+            SealReply::Refused { term } => Some(*term),
+            _ => None,
+        });
+        if let Some(highest) = refused.max() {
+            term = highest + 1;
+            continue;
+        }
+        let unheard = replies.iter().any(Option::is_none);
+        let any_known = replies
+            .iter()
+            .flatten()
+            .any(|r| matches!(r, SealReply::Sealed { .. }));
+        let held = replies.into_iter().flatten().filter_map(|r| match r {
+            SealReply::Sealed { held } => held,
+            _ => None,
+        });
+        let newest = held.max_by_key(|h| (h.term, h.tokens.len()));
+        return Sealed {
+            term: if any_known { term } else { 1 },
+            held: newest,
+            unheard,
+        };
+    }
+    Sealed {
+        term,
+        held: None,
+        unheard: true,
+    }
+}
+
+async fn seal(app: &App, key: &RequestKey, term: u64, holder: &MemberId) -> Option<SealReply> {
+    if *holder == app.me.id {
+        let now = app.now();
+        let mut copies = lock(&app.answers.copies);
+        return Some(copies.seal(key, term, &app.me.id, now));
+    }
+    let request = PeerRequest::Seal {
+        key: key.clone(),
+        term,
+        owner: app.me.id.clone(),
+    };
+    match app.ask(holder, &request, SEAL_TIMEOUT).await? {
+        PeerReply::Seal(reply) => Some(reply),
+        _ => None,
+    }
+}
+
+fn take_over(
+    app: &Arc<App>,
+    key: &RequestKey,
+    spec: &Spec,
+    held: HeldAnswer,
+    term: u64,
+    last: Option<&EventId>,
+) -> Result<Opened, ApiError> {
+    let answer = Answer::resumed(term, held.tokens, held.finish);
+    let offset = match last {
+        Some(last) => go_on(answer.resume_at(last.tokens, last.chain))?,
+        None => 0,
+    };
+    app.metrics.count("answer.taken_over", 1);
+    app.log.info(
+        "answer.taken_over",
+        &TakenOver {
+            request: key.as_str(),
+            from: &held.owner,
+            term,
+            tokens: answer.len(),
+        },
+    );
+    let finished = answer.finish().is_some();
+    let live = Live::new(key.clone(), held.body, spec.clone(), answer, app.now());
+    lock(&app.answers.live).insert(key.clone(), Arc::clone(&live));
+    if finished {
+        live.mark_over(app.now());
+    } else {
+        super::outbox::send_news(app, &live);
+        let start = held.source.map_or(Start::Anywhere, Start::Resume);
+        spawn(app, &live, start);
+    }
+    Ok(Opened::Here { live, offset })
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/answers/run.rs
@@ -0,0 +1,327 @@
+//! Runs a generation to its end, through as many attempts as it takes.
+
+use crate::admission::{choose, log_choice, nobody, release};
+use crate::answers::live::{End, Live};
+use crate::answers::outbox::send_news;
+use crate::app::App;
+use crate::error::{ApiError, Run};
+use cloverpier_answer::{AttemptId, FinishReason, Source, TokenStep};
+use cloverpier_core::{UpstreamName, hash_of, lock};
+use cloverpier_route::{Ask, Choice, Chosen};
+use cloverpier_upstream::{
+    EngineEvent, EventStream, GenerateBody, GenerationBody, StartError, StreamError,
+};
+use serde::Serialize;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// The first token may take so many times the silence that ends an attempt: it waits for a
+/// place in the batch and for its prefill.
+const FIRST_TOKEN_FACTOR: u32 = 4;
+/// How long an answer waits for an engine that can go on with it.
+const GO_ON_WITHIN: Duration = Duration::from_secs(20);
+const GO_ON_PAUSE: Duration = Duration::from_millis(50);
+/// Attempts in a row without a token after which an answer is given up.
+const BARREN: u32 = 8;
+const ABANDON_CHECK: Duration = Duration::from_millis(500);
+
+/// How a generation starts.
+#[derive(Debug)]
+pub enum Start {
+    /// At an upstream whose place is taken.
+    At(Chosen),
+    /// With a stream that an engine still runs for an earlier owner.
+    Resume(Source),
+    /// Wherever there is an engine.
+    Anywhere,
+}
+
+/// Why an attempt is over.
+#[derive(Debug)]
+enum Over {
+    Finished,
+    Moved,
+    Abandoned,
+    Failed { why: &'static str, ran: bool },
+}
+
+#[derive(Serialize)]
+struct AttemptOver<'a> {
+    request: &'a str,
+    attempt: AttemptId,
+    upstream: &'a UpstreamName,
+    why: &'a str,
+    tokens: u64,
+}
+
+/// Generates an answer in a task of its own.
+pub fn spawn(app: &Arc<App>, live: &Arc<Live>, start: Start) {
+    live.running.store(true, Ordering::Relaxed);
+    let (app, live) = (Arc::clone(app), Arc::clone(live));
+    tokio::spawn(async move {
+        run(&app, &live, start).await;
+        live.running.store(false, Ordering::Relaxed);
+        let used = live.look(|s| s.answer.len());
+        let unused = u64::from(live.spec.max_tokens).saturating_sub(used);
+        app.admission.give_back(&live.spec.account, unused);
+    });
+}
+
+async fn run(app: &Arc<App>, live: &Arc<Live>, start: Start) {
+    let mut failed = Vec::new();
+    let mut barren = 0;
+    let mut next = match start {
+        Start::At(chosen) => Some(chosen),
+        Start::Anywhere => None,
+        Start::Resume(source) => match resume(app, live, &source).await {
+            Some(over) if !matches!(over, Over::Failed { .. }) => {
+                return conclude(app, live, &source.upstream, &over).await;
+            }
+            _ => None,
+        },
+    };
+    loop {
+        let chosen = match next.take() {
+            Some(chosen) => chosen,
+            None => match go_on_at(app, live, &failed).await {
+                Ok(chosen) => chosen,
+                Err(error) => return live.end(End::Failed(error), app.now()),
+            },
+        };
+        let before = live.look(|s| s.answer.len());
+        let over = attempt(app, live, &chosen).await;
+        release(app, &chosen);
+        let Over::Failed { why, ran } = over else {
+            return conclude(app, live, &chosen.upstream, &over).await;
+        };
+        on_failed(app, live, &chosen.upstream, why);
+        if ran && !live.spec.repeatable {
+            let error = ApiError::unknown("the engine failed and the request may not be repeated");
+            return live.end(End::Failed(error), app.now());
+        }
+        let progressed = live.look(|s| s.answer.len()) > before;
+        barren = if progressed { 0 } else { barren + 1 };
+        if barren >= BARREN {
+            return give_up(app, live);
+        }
+        failed.push(chosen.upstream);
+    }
+}
+
+fn on_failed(app: &App, live: &Live, upstream: &UpstreamName, why: &'static str) {
+    lock(&app.view).on_failure(upstream, app.now());
+    app.metrics.count("attempt.failed", 1);
+    let (attempt, tokens) = live.look(|s| (s.answer.attempt(), s.answer.len()));
+    app.log.warn(
+        "attempt.failed",
+        &AttemptOver {
+            request: live.key.as_str(),
+            attempt,
+            upstream,
+            why,
+            tokens,
+        },
+    );
+}
+
+fn give_up(app: &App, live: &Live) {
+    let mut error = nobody(app, &live.spec.service);
+    let tokens = live.look(|s| s.answer.len());
+    if tokens > 0 {
+        error = error.with_run(Run::Unknown);
+    }
+    live.end(End::Failed(error), app.now());
+}
+
+async fn conclude(app: &Arc<App>, live: &Arc<Live>, upstream: &UpstreamName, over: &Over) {
+    match over {
+        Over::Finished => {
+            lock(&app.view).on_success(upstream);
+            app.metrics.count("answer.finished", 1);
+        }
+        Over::Abandoned => {
+            let attempt = live.look(|s| s.answer.attempt());
+            if let Some(address) = address_of(app, upstream) {
+                let engine = app.engines.engine(address);
+                engine.cancel(&generation_name(live, attempt)).await;
+            }
+            let error = ApiError::unknown("no caller read the answer");
+            live.end(End::Failed(error), app.now());
+        }
+        // The new owner may go on with the stream of the same engine: leave it alone.
+        Over::Moved | Over::Failed { .. } => {}
+    }
+}
+
+fn address_of(app: &App, upstream: &UpstreamName) -> Option<std::net::SocketAddr> {
+    lock(&app.view).upstream(upstream).map(|u| u.address)
+}
+
+/// Finds an engine for an answer that has to go on: ahead of new work, full ones included.
+async fn go_on_at(app: &App, live: &Live, failed: &[UpstreamName]) -> Result<Chosen, ApiError> {
+    let until = app.now() + GO_ON_WITHIN;
+    let mut ask = Ask::new(live.spec.service.clone());
+    ask.prefix = Some(hash_of(&live.spec.prompt));
+    ask.failed = failed.to_vec();
+    ask.overcommit = true;
+    loop {
+        if let Choice::Chosen(chosen) = choose(app, &ask) {
+            log_choice(app, live.key.as_str(), &live.spec.service, &chosen);
+            return Ok(chosen);
+        }
+        if app.now() >= until || live.is_ended() {
+            return Err(nobody(app, &live.spec.service));
+        }
+        tokio::time::sleep(GO_ON_PAUSE).await;
+    }
+}
+
+fn generation_name(live: &Live, attempt: AttemptId) -> String {
+    format!("{}#{}.{}", live.key, attempt.term, attempt.number)
+}
+
+/// One attempt at one engine, from the accepted prefix on.
+async fn attempt(app: &Arc<App>, live: &Arc<Live>, chosen: &Chosen) -> Over {
+    let (attempt, prefix) = live.change(|s| {
+        let attempt = s.answer.open_attempt();
+        s.source = Some(Source {
+            upstream: chosen.upstream.clone(),
+            attempt,
+        });
+        (attempt, s.answer.tokens_from(0).to_vec())
+    });
+    let body = GenerateBody {
+        generation: generation_name(live, attempt),
+        model: live.spec.model.clone(),
+        prompt: Arc::clone(&live.spec.prompt),
+        prefix,
+        max_tokens: live.spec.max_tokens,
+        priority: live.spec.priority,
+        adapter: live.spec.adapter.clone(),
+    };
+    let engine = app.engines.engine(chosen.address);
+    let limit = live.spec.silence * FIRST_TOKEN_FACTOR;
+    let started = tokio::time::timeout(limit, engine.generate(&body)).await;
+    match started {
+        Err(_) => Over::Failed {
+            why: "no answer to the order",
+            ran: true,
+        },
+        Ok(Err(error)) => Over::Failed {
+            why: start_failure(&error),
+            ran: !error.not_run(),
+        },
+        Ok(Ok(stream)) => follow(app, live, attempt, stream).await,
+    }
+}
+
+fn start_failure(error: &StartError) -> &'static str {
+    match error {
+        StartError::NotReached { .. } => "not reached",
+        StartError::Refused { .. } => "refused",
+        StartError::Broken { .. } => "broken before the stream",
+    }
+}
+
+/// Goes on with the stream of an earlier owner's engine; `None` when it isn't there any more.
+async fn resume(app: &Arc<App>, live: &Arc<Live>, source: &Source) -> Option<Over> {
+    let address = address_of(app, &source.upstream)?;
+    let offset = live.look(|s| s.answer.len());
+    let body = GenerationBody {
+        generation: generation_name(live, source.attempt),
+        offset,
+    };
+    let engine = app.engines.engine(address);
+    let started = tokio::time::timeout(live.spec.silence, engine.resume(&body)).await;
+    let stream = started.ok()?.ok()?;
+    live.change(|s| {
+        s.answer.adopt_attempt(source.attempt);
+        s.source = Some(source.clone());
+    });
+    app.metrics.count("attempt.resumed", 1);
+    let now = app.now();
+    lock(&app.view).on_started(&source.upstream, None, now);
+    let over = follow(app, live, source.attempt, stream).await;
+    lock(&app.view).on_ended(&source.upstream);
+    if let Over::Failed { why, .. } = over {
+        on_failed(app, live, &source.upstream, why);
+    }
+    Some(over)
+}
+
+/// Takes a stream's events until it ends, fails, falls silent or nobody wants them any more.
+async fn follow(
+    app: &Arc<App>,
+    live: &Arc<Live>,
+    attempt: AttemptId,
+    mut stream: EventStream,
+) -> Over {
+    let silence = live.spec.silence;
+    let mut heard = Instant::now();
+    let mut limit = silence * FIRST_TOKEN_FACTOR;
+    loop {
+        let left = limit.saturating_sub(heard.elapsed());
+        let event = tokio::time::timeout(left.min(ABANDON_CHECK), stream.next()).await;
+        if live.is_useless() {
+            return Over::Moved;
+        }
+        if live.is_abandoned(app.now()) {
+            return Over::Abandoned;
+        }
+        let Ok(event) = event else {
+            if heard.elapsed() >= limit {
+                return failed("silent");
+            }
+            continue;
+        };
+        heard = Instant::now();
+        limit = silence;
+        match take(live, attempt, event) {
+            Taken::GoOn => {
+                if !stream.has_buffered() {
+                    send_news(app, live);
+                }
+            }
+            Taken::Over(over) => {
+                send_news(app, live);
+                return over;
+            }
+        }
+    }
+}
+
+enum Taken {
+    GoOn,
+    Over(Over),
+}
+
+fn failed(why: &'static str) -> Over {
+    Over::Failed { why, ran: true }
+}
+
+fn take(live: &Live, attempt: AttemptId, event: Result<Option<EngineEvent>, StreamError>) -> Taken {
+    let event = match event {
+        Ok(Some(event)) => event,
+        Ok(None) => return Taken::Over(failed("closed before the end")),
+        Err(StreamError::Lost { .. }) => return Taken::Over(failed("connection broken")),
+        Err(_) => return Taken::Over(failed("unreadable")),
+    };
+    let (step, last) = live.change(|s| match event {
+        EngineEvent::Token { offset, text } => (s.answer.on_token(attempt, offset, text), false),
+        EngineEvent::Finish { at, length } => {
+            let reason = if length {
+                FinishReason::Length
+            } else {
+                FinishReason::Stop
+            };
+            (s.answer.on_finish(attempt, at, reason), true)
+        }
+    });
+    match step {
+        TokenStep::Accepted if last => Taken::Over(Over::Finished),
+        TokenStep::Accepted | TokenStep::Repeated => Taken::GoOn,
+        TokenStep::Gap => Taken::Over(failed("tokens missing in the stream")),
+        TokenStep::Late | TokenStep::Closed => Taken::Over(Over::Moved),
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/app.rs
@@ -0,0 +1,184 @@
+//! The state of one router process.
+
+use crate::admission::Admission;
+use crate::answers::Answers;
+use crate::members::Cluster;
+use cloverpier_config::{Applied, Config};
+use cloverpier_core::{Clock, SystemClock, lock, wall_ms};
+use cloverpier_member::{Member, MemberList};
+use cloverpier_observe::{Log, Metrics};
+use cloverpier_peer::{PeerError, PeerReply, PeerRequest, Peers, Versions};
+use cloverpier_platform::Platform;
+use cloverpier_record::{Horizon, Records};
+use cloverpier_route::View;
+use cloverpier_settings::Settings;
+use cloverpier_upstream::Engines;
+use reqwest::Client;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// The state of one router process, shared by its tasks.
+///
+/// Each lock guards one plain state machine and is never held across a wait.
+#[derive(Debug)]
+pub struct App {
+    /// The settings.
+    pub settings: Settings,
+    /// This process as a member.
+    pub me: Member,
+    /// Where log lines go.
+    pub log: Log,
+    /// Where metrics go.
+    pub metrics: Metrics,
+    /// Monotonic time.
+    pub clock: Arc<dyn Clock>,
+    /// The platform.
+    pub platform: Platform,
+    /// Connections to peers.
+    pub peers: Peers,
+    /// Connections to engines.
+    pub engines: Engines,
+    /// Connections to plain services; none is kept, so that a call is never
+    /// sent into a connection that is closing.
+    pub plain: Client,
+    /// Members, and the detector of silent ones.
+    pub cluster: Mutex<Cluster>,
+    /// The configuration in force.
+    pub applied: Mutex<Applied>,
+    /// Upstreams as this router sees them.
+    pub view: Mutex<View>,
+    /// Seeded choices.
+    pub rng: Mutex<fastrand::Rng>,
+    /// Answers: those that this router owns, and copies that it holds.
+    pub answers: Answers,
+    /// Records of requests that may not be repeated.
+    pub records: Mutex<Records>,
+    /// Limits and queues.
+    pub admission: Admission,
+    /// Wakes the heartbeats when there is news to pass on.
+    pub news: Notify,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+    /// Whether the configuration was learned since the process started.
+    pub learned: AtomicBool,
+    numbers: AtomicU64,
+}
+
+impl App {
+    /// The state of a process that has just started.
+    pub fn new(settings: Settings) -> Arc<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let incarnation = wall_ms();
+        let me = Member::new(
+            settings.vm.as_str(),
+            incarnation,
+            settings.data_centre.as_str(),
+            settings.peers_at,
+            settings.callers_at,
+        );
+        let now = clock.now();
+        Arc::new(Self {
+            log: Log::new(settings.vm.as_str()),
+            metrics: Metrics::new(settings.statsd),
+            platform: Platform::new(settings.platform),
+            peers: Peers::new(settings.peer_secret.clone()),
+            engines: Engines::new(),
+            plain: plain_client(),
+            cluster: Mutex::new(Cluster::new(&me, now)),
+            applied: Mutex::default(),
+            view: Mutex::new(View::new(settings.data_centre.clone(), &settings.vm)),
+            rng: Mutex::new(fastrand::Rng::with_seed(incarnation)),
+            answers: Answers::default(),
+            records: Mutex::new(Records::new(
+                me.id.clone(),
+                Horizon(settings.record_horizon),
+            )),
+            admission: Admission::default(),
+            news: Notify::new(),
+            stopping: AtomicBool::new(false),
+            learned: AtomicBool::new(false),
+            numbers: AtomicU64::new(1),
+            clock,
+            me,
+            settings,
+        })
+    }
+
+    /// The present moment.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// A number that this process uses once.
+    pub fn number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Arc<Config> {
+        lock(&self.applied).config()
+    }
+
+    /// The list of members that this router acts on.
+    pub fn members(&self) -> Arc<MemberList> {
+        lock(&self.cluster).list()
+    }
+
+    /// What this router acts on.
+    pub fn versions(&self) -> Versions {
+        Versions {
+            member: self.me.id.clone(),
+            epoch: self.members().epoch,
+            config: lock(&self.applied).version(),
+            marks: lock(&self.view).marks().digest(),
+        }
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether the configuration was learned since the process started.
+    pub fn has_learned(&self) -> bool {
+        self.learned.load(Ordering::Relaxed)
+    }
+
+    /// Calls a peer.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`]; the peer may have acted on the request all the same.
+    pub async fn call(
+        &self,
+        peers_at: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        self.peers.call(peers_at, request, timeout).await
+    }
+
+    /// Calls a member by its name; `None` when it isn't one or doesn't answer.
+    pub async fn ask(
+        &self,
+        member: &cloverpier_core::MemberId,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Option<PeerReply> {
+        let peers_at = self.members().get(member)?.peers_at;
+        self.call(peers_at, request, timeout).await.ok()
+    }
+}
+
+fn plain_client() -> Client {
+    let client = Client::builder()
+        .connect_timeout(Duration::from_millis(500))
+        .pool_max_idle_per_host(0)
+        .redirect(reqwest::redirect::Policy::none())
+        .tcp_nodelay(true)
+        .build();
+    client.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/config/change.rs
@@ -0,0 +1,321 @@
+//! Changes of the configuration: plan, confirm, and who acts on the result.
+
+use crate::app::App;
+use crate::config::learn::offer;
+use crate::config::{PART_PREFIX, PLAN_PREFIX, ROOT_KEY};
+use crate::error::ApiError;
+use cloverpier_config::{
+    Applied, ApplyStep, Config, Fault, Intent, Item, Part, Plan, PlanError, PlanId, Root, plan,
+    rebase, split,
+};
+use cloverpier_core::{UpstreamName, VmName, lock};
+use cloverpier_member::Member;
+use cloverpier_peer::{PeerReply, PeerRequest};
+use cloverpier_platform::{Found, WriteError};
+use futures_util::future::join_all;
+use salvo::http::StatusCode;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+const TRIES: u32 = 6;
+const PAUSE: Duration = Duration::from_millis(100);
+const ASK_TIMEOUT: Duration = Duration::from_millis(900);
+const ACCEPT_WITHIN: Duration = Duration::from_secs(5);
+
+/// A plan as it is stored and shown.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlanReport {
+    /// Its name.
+    pub id: PlanId,
+    /// The plan.
+    pub plan: Plan,
+}
+
+/// Whether one router acts on a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterVersion {
+    /// The VM.
+    pub vm: VmName,
+    /// The version that it acts on; `None` when it can't be reached.
+    pub version: Option<u64>,
+}
+
+/// What came of a confirmed plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConfirmOutcome {
+    /// It is in force at every router.
+    Accepted,
+    /// It is stored for good; some routers don't act on it yet or can't be asked.
+    Pending,
+}
+
+/// The answer to a confirmation.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ConfirmReport {
+    /// Whether it is in force everywhere.
+    pub outcome: ConfirmOutcome,
+    /// The configuration's version.
+    pub version: u64,
+    /// Routers that don't act on it yet or can't be asked.
+    pub waiting: Vec<RouterVersion>,
+}
+
+fn platform_down(why: impl ToString) -> ApiError {
+    ApiError::busy(
+        "platform_unavailable",
+        format!("nothing was changed: {}", why.to_string()),
+        Duration::from_secs(2),
+    )
+}
+
+fn plan_error(error: &PlanError) -> ApiError {
+    match error {
+        PlanError::Faulty { faults } => {
+            let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+            let mut api = ApiError::field(
+                faults.first().map_or("", |f| f.field.as_str()),
+                lines.join("; "),
+            );
+            api.code = "invalid_intent";
+            api
+        }
+        PlanError::Moved { items, .. } => {
+            let names: Vec<String> = items.iter().map(Item::to_string).collect();
+            let message = format!("{error}: {}", names.join(", "));
+            ApiError::not_run(StatusCode::CONFLICT, "plan_moved", message)
+        }
+    }
+}
+
+/// Reads the configuration as the platform holds it.
+async fn read_config(app: &App) -> Result<(u64, Root, Config), ApiError> {
+    let read = app.platform.read::<Root>(ROOT_KEY).await;
+    let Found { version, value } = read.map_err(platform_down)?.unwrap_or(Found {
+        version: 0,
+        value: Root::default(),
+    });
+    let known = lock(&app.applied).parts(&value.parts);
+    let mut applied = Applied::default();
+    let mut fetched = known;
+    if let ApplyStep::Lacks { parts } = applied.offer(&value, fetched.clone()) {
+        for digest in parts {
+            let key = format!("{PART_PREFIX}{}", digest.as_str());
+            let part = app.platform.read::<Part>(&key).await;
+            let part = part.map_err(platform_down)?;
+            fetched.extend(part.map(|f| f.value));
+        }
+        applied.offer(&value, fetched);
+    }
+    Ok((version, value, (*applied.config()).clone()))
+}
+
+/// Answers an intent with a plan and stores it.
+///
+/// # Errors
+///
+/// [`ApiError`] when the intent can't stand or the platform is unavailable.
+pub async fn make_plan(app: &App, intent: &Intent) -> Result<PlanReport, ApiError> {
+    let (_, root, config) = read_config(app).await?;
+    let plan = plan(&config, root.version, intent).map_err(|e| plan_error(&e))?;
+    let id = PlanId::new(format!("{}-{}", app.me.id, app.number()).replace('~', "-"));
+    let report = PlanReport { id, plan };
+    let key = format!("{PLAN_PREFIX}{}", report.id);
+    match app.platform.write(&key, 0, &report).await {
+        Ok(_) => Ok(report),
+        Err(WriteError::Conflict { .. }) => Ok(report),
+        Err(e) => Err(platform_down(e)),
+    }
+}
+
+/// Reads a stored plan.
+///
+/// # Errors
+///
+/// [`ApiError`] when there is none or the platform is unavailable.
+pub async fn read_plan(app: &App, id: &PlanId) -> Result<PlanReport, ApiError> {
+    let key = format!("{PLAN_PREFIX}{id}");
+    let read = app.platform.read::<PlanReport>(&key).await;
+    let found = read.map_err(platform_down)?;
+    found.map(|f| f.value).ok_or_else(|| {
+        let message = format!("no plan {id}");
+        ApiError::not_run(StatusCode::NOT_FOUND, "no_such_plan", message)
+    })
+}
+
+/// What a try to confirm came to.
+enum Try {
+    Done(u64),
+    Again,
+    Failed(ApiError),
+}
+
+/// Confirms a plan and waits until every router acts on it, for seconds at most.
+///
+/// The plan's name is stored with its result, so that a lost answer is settled
+/// by reading; a second confirmation of the same plan changes nothing.
+///
+/// # Errors
+///
+/// [`ApiError`] when the plan moved or nothing is known to have been stored.
+pub async fn confirm(app: &Arc<App>, id: &PlanId) -> Result<ConfirmReport, ApiError> {
+    let report = read_plan(app, id).await?;
+    for _ in 0..TRIES {
+        match try_confirm(app, &report).await {
+            Try::Done(version) => return Ok(wait_in_force(app, version).await),
+            Try::Failed(error) => return Err(error),
+            Try::Again => tokio::time::sleep(PAUSE).await,
+        }
+    }
+    Err(ApiError::unknown(
+        "the platform did not tell whether the plan took effect; confirm it again to find out",
+    ))
+}
+
+async fn try_confirm(app: &App, report: &PlanReport) -> Try {
+    let (stored, root, config) = match read_config(app).await {
+        Ok(read) => read,
+        Err(_) => return Try::Again,
+    };
+    if root.has_plan(&report.id) {
+        return Try::Done(root.version);
+    }
+    let next = match rebase(&report.plan, &config, root.version) {
+        Ok(next) => next,
+        Err(e) => return Try::Failed(plan_error(&e)),
+    };
+    let parts = split(&next);
+    let root = root.next(&report.id, &parts);
+    if !store_parts(app, &parts, &config).await {
+        return Try::Again;
+    }
+    match app.platform.write(ROOT_KEY, stored, &root).await {
+        Ok(_) => {
+            offer(app, &root, parts, "confirm");
+            Try::Done(root.version)
+        }
+        // Whether it took effect is settled by reading the root again.
+        Err(_) => Try::Again,
+    }
+}
+
+/// Stores the parts that changed; each has its content's digest as its name.
+async fn store_parts(app: &App, parts: &[Part], before: &Config) -> bool {
+    let known: BTreeSet<_> = split(before).iter().map(Part::digest).collect();
+    for part in parts {
+        let digest = part.digest();
+        let first_of_all = before == &Config::default();
+        if known.contains(&digest) && !first_of_all {
+            continue;
+        }
+        let key = format!("{PART_PREFIX}{}", digest.as_str());
+        match app.platform.write(&key, 0, part).await {
+            Ok(_) | Err(WriteError::Conflict { .. }) => {}
+            Err(_) => return false,
+        }
+    }
+    true
+}
+
+async fn wait_in_force(app: &Arc<App>, version: u64) -> ConfirmReport {
+    let until = tokio::time::Instant::now() + ACCEPT_WITHIN;
+    loop {
+        let report = in_force(app, version).await;
+        let late = tokio::time::Instant::now() >= until;
+        if late || report.outcome == ConfirmOutcome::Accepted {
+            return report;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Asks every router which version it acts on.
+///
+/// Routers that were taken for dead of late count, too: one that was only cut
+/// off may still act on an earlier version. Where no process listens any
+/// more, none does.
+pub async fn in_force(app: &App, version: u64) -> ConfirmReport {
+    let list = app.members();
+    let lost = list.history.iter().flat_map(|c| c.left.iter());
+    let lost = lost.filter(|m| !m.stopping && list.members.iter().all(|n| n.vm != m.vm));
+    let mut routers: Vec<Member> = list.members.clone();
+    for member in lost {
+        if routers.iter().all(|m| m.vm != member.vm) {
+            routers.push(member.clone());
+        }
+    }
+    let asked = routers.iter().map(|m| ask_version(app, m));
+    let answers = join_all(asked).await;
+    let waiting: Vec<RouterVersion> = answers
+        .into_iter()
+        .flatten()
+        .filter(|r| r.version.is_none_or(|v| v < version))
+        .collect();
+    let outcome = if waiting.is_empty() {
+        ConfirmOutcome::Accepted
+    } else {
+        ConfirmOutcome::Pending
+    };
+    ConfirmReport {
+        outcome,
+        version,
+        waiting,
+    }
+}
+
+/// The version that a router acts on; `None` when no process listens there any more.
+async fn ask_version(app: &App, member: &Member) -> Option<RouterVersion> {
+    if member.id == app.me.id {
+        return Some(RouterVersion {
+            vm: member.vm.clone(),
+            version: Some(lock(&app.applied).version()),
+        });
+    }
+    let request = PeerRequest::Heartbeat {
+        versions: app.versions(),
+        demands: Vec::new(),
+    };
+    let version = match app.call(member.peers_at, &request, ASK_TIMEOUT).await {
+        Ok(PeerReply::Here(versions)) => Some(versions.config),
+        Err(e) if e.nobody_listens() => return None,
+        _ => None,
+    };
+    Some(RouterVersion {
+        vm: member.vm.clone(),
+        version,
+    })
+}
+
+/// Marks an upstream to take no new work, at this router and at all that it reaches.
+///
+/// It needs no platform: routers pass the mark on.
+///
+/// # Errors
+///
+/// [`ApiError`] when there is no such upstream.
+pub async fn leave_upstream(
+    app: &Arc<App>,
+    name: &UpstreamName,
+) -> Result<Vec<RouterVersion>, ApiError> {
+    let mark = lock(&app.view).mark_leaving(name);
+    if mark.is_none() {
+        let message = format!("no upstream {name}");
+        let error = ApiError::not_run(StatusCode::NOT_FOUND, "no_such_upstream", message);
+        return Err(error.at("upstream"));
+    }
+    let marks = lock(&app.view).marks().clone();
+    let request = PeerRequest::Marks { marks };
+    let list = app.members();
+    let others = list.members.iter().filter(|m| m.id != app.me.id);
+    let told = others.map(|m| async {
+        let reply = app.call(m.peers_at, &request, ASK_TIMEOUT).await;
+        reply.is_err().then(|| RouterVersion {
+            vm: m.vm.clone(),
+            version: None,
+        })
+    });
+    app.news.notify_one();
+    Ok(join_all(told).await.into_iter().flatten().collect())
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/config/learn.rs
@@ -0,0 +1,173 @@
+//! How a router learns the configuration: from the platform, or from peers.
+
+use crate::app::App;
+use crate::config::{MARKS_KEY, PART_PREFIX, ROOT_KEY};
+use crate::members;
+use cloverpier_config::{ApplyStep, Part, PartDigest, Root};
+use cloverpier_core::{jitter, lock};
+use cloverpier_peer::{PeerReply, PeerRequest};
+use cloverpier_platform::{Found, WriteError};
+use cloverpier_route::LeaveMarks;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+const WATCH: Duration = Duration::from_secs(20);
+const LOOK: Duration = Duration::from_secs(30);
+const RETRY: Duration = Duration::from_secs(1);
+const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
+const MARKS_PERIOD: Duration = Duration::from_secs(1);
+
+#[derive(Serialize)]
+struct InForce {
+    version: u64,
+    from: &'static str,
+}
+
+/// Watches the root, or looks at it now and then where others watch.
+pub(super) async fn watch(app: Arc<App>) {
+    loop {
+        let after = lock(&app.applied).version();
+        let watches = lock(&app.cluster).is_watcher() || !app.has_learned();
+        let read = if !app.has_learned() {
+            app.platform.read::<Root>(ROOT_KEY).await
+        } else if watches {
+            // The object's version is the root's: each update adds one to both.
+            app.platform.watch::<Root>(ROOT_KEY, after, WATCH).await
+        } else {
+            let wait = jitter(&mut lock(&app.rng), LOOK);
+            tokio::time::sleep(wait).await;
+            app.platform.read::<Root>(ROOT_KEY).await
+        };
+        match read {
+            Ok(found) => {
+                lock(&app.cluster).on_platform(app.now());
+                let learned = match found {
+                    Some(root) => apply_from_platform(&app, &root.value).await,
+                    None => true,
+                };
+                if learned {
+                    note_learned(&app);
+                }
+            }
+            Err(_) => {
+                let wait = jitter(&mut lock(&app.rng), RETRY);
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+}
+
+fn note_learned(app: &App) {
+    app.learned.store(true, Ordering::Relaxed);
+}
+
+/// While the platform is down, a starting router learns from peers: the
+/// newest version that any seed acts on.
+pub(super) async fn learn_from_seeds(app: Arc<App>) {
+    while !app.has_learned() {
+        let mut heard = 0;
+        for seed in app.settings.seeds.clone() {
+            if pull_from_peer(&app, seed).await {
+                heard += 1;
+            }
+        }
+        // One peer may have slept; more than half of the seeds can't all have.
+        if heard > 0 && heard * 2 > app.settings.seeds.len() {
+            note_learned(&app);
+        }
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+/// Takes the configuration that a peer acts on; says whether the peer answered.
+pub async fn pull_from_peer(app: &App, peers_at: SocketAddr) -> bool {
+    let reply = app
+        .call(peers_at, &PeerRequest::PullRoot, PULL_TIMEOUT)
+        .await;
+    let Ok(PeerReply::Root(root)) = reply else {
+        return false;
+    };
+    let digests = match offer(app, &root, Vec::new(), "peer") {
+        ApplyStep::Lacks { parts } => parts,
+        _ => return true,
+    };
+    let request = PeerRequest::PullParts { digests };
+    let reply = app.call(peers_at, &request, PULL_TIMEOUT).await;
+    if let Ok(PeerReply::Parts(parts)) = reply {
+        let step = offer(app, &root, parts, "peer");
+        return !matches!(step, ApplyStep::Lacks { .. });
+    }
+    false
+}
+
+async fn apply_from_platform(app: &App, root: &Root) -> bool {
+    let lacks = match offer(app, root, Vec::new(), "platform") {
+        ApplyStep::Lacks { parts } => parts,
+        _ => return true,
+    };
+    let mut parts = Vec::new();
+    for digest in lacks {
+        match read_part(app, &digest).await {
+            Some(part) => parts.push(part),
+            None => return false,
+        }
+    }
+    let step = offer(app, root, parts, "platform");
+    !matches!(step, ApplyStep::Lacks { .. })
+}
+
+async fn read_part(app: &App, digest: &PartDigest) -> Option<Part> {
+    let key = format!("{PART_PREFIX}{}", digest.as_str());
+    let found = app.platform.read::<Part>(&key).await.ok()??;
+    Some(found.value)
+}
+
+/// Offers a root to this router and puts it in force when nothing is lacking.
+pub(super) fn offer(app: &App, root: &Root, parts: Vec<Part>, from: &'static str) -> ApplyStep {
+    let (step, config) = {
+        let mut applied = lock(&app.applied);
+        let step = applied.offer(root, parts);
+        (step, applied.config())
+    };
+    if let ApplyStep::InForce { version } = step {
+        lock(&app.view).apply(&config);
+        app.admission.apply(&config, app.now());
+        app.log.info("config.in_force", &InForce { version, from });
+        app.metrics.gauge("config.version", version);
+        app.news.notify_one();
+    }
+    step
+}
+
+/// Keeps the marks to leave on the platform, for routers that start later.
+pub(super) async fn keep_marks(app: Arc<App>) {
+    let mut stored = LeaveMarks::default();
+    loop {
+        let ours = lock(&app.view).marks().clone();
+        if ours != stored || !app.has_learned() {
+            stored = store_marks(&app).await.unwrap_or(stored);
+        }
+        tokio::time::sleep(MARKS_PERIOD).await;
+    }
+}
+
+/// Joins the stored marks with this router's; `None` when the platform didn't answer.
+async fn store_marks(app: &App) -> Option<LeaveMarks> {
+    let read = app.platform.read::<LeaveMarks>(MARKS_KEY).await.ok()?;
+    let found = read.unwrap_or(Found {
+        version: 0,
+        value: LeaveMarks::default(),
+    });
+    let all = members::push_marks(app, &found.value);
+    if all == found.value {
+        return Some(all);
+    }
+    match app.platform.write(MARKS_KEY, found.version, &all).await {
+        Ok(_) => Some(all),
+        Err(WriteError::Conflict { .. } | WriteError::NotDone { .. }) => None,
+        Err(WriteError::Unknown { .. }) => None,
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/main.rs
@@ -0,0 +1,47 @@
+//! `cloverpierd`: the router daemon, the same on every VM.
+
+use argh::FromArgs;
+use cloverpier_daemon::prelude::*;
+use cloverpier_observe::init_logs;
+use cloverpier_settings::Settings;
+use std::process::ExitCode;
+
+const EXIT_SETTINGS: u8 = 2;
+
+/// Router of a serving system for long generations on engines that fail.
+#[derive(FromArgs)]
+struct Args {
+    /// check the settings and exit: 0 when they can stand, 2 when not
+    #[argh(switch)]
+    check: bool,
+    /// the settings, a TOML file
+    #[argh(positional)]
+    settings: String,
+}
+
+fn read(path: &str) -> Result<Settings, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    Settings::parse(&text).map_err(|faults| {
+        let lines = faults.faults.iter().map(|f| format!("{path}: {f}"));
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let settings = match read(&args.settings) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: the settings can stand", args.settings);
+        return ExitCode::SUCCESS;
+    }
+    init_logs(settings.log_level.parse().unwrap_or(log::LevelFilter::Info));
+    run(App::new(settings)).await;
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/members/cluster.rs
@@ -0,0 +1,120 @@
+//! What a router knows of its fellow members, and how it stands among them.
+
+use cloverpier_core::{MemberId, hash_of, rank};
+use cloverpier_member::{Detector, DetectorParams, Member, MemberList};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Contact older than this leaves a router alone.
+const ALONE_AFTER: Duration = Duration::from_secs(4);
+/// Members of each data centre that watch the platform for all.
+const WATCHERS: usize = 2;
+
+/// Whether a router may take new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may.
+    Good,
+    /// Neither a peer nor the platform was heard from for seconds: a newer
+    /// configuration may be in force elsewhere.
+    Alone,
+}
+
+/// Members, the detector, and when others were last heard from.
+#[derive(Debug)]
+pub struct Cluster {
+    list: Arc<MemberList>,
+    /// The detector of silent members.
+    pub detector: Detector,
+    me: MemberId,
+    peer_heard: Instant,
+    platform_heard: Instant,
+}
+
+impl Cluster {
+    /// A process that knows nobody.
+    pub fn new(me: &Member, now: Instant) -> Self {
+        Self {
+            list: Arc::default(),
+            detector: Detector::new(me.id.clone(), DetectorParams::default()),
+            me: me.id.clone(),
+            peer_heard: now,
+            platform_heard: now,
+        }
+    }
+
+    /// The list of members.
+    pub fn list(&self) -> Arc<MemberList> {
+        Arc::clone(&self.list)
+    }
+
+    /// Takes a list if its epoch is later; says whether it is.
+    pub fn adopt(&mut self, list: &MemberList, now: Instant) -> bool {
+        if list.epoch <= self.list.epoch {
+            return false;
+        }
+        self.list = Arc::new(list.clone());
+        self.detector.set_members(list, now);
+        true
+    }
+
+    /// Whether this process is on the list.
+    pub fn is_member(&self) -> bool {
+        self.list.contains(&self.me)
+    }
+
+    /// Notes that a peer was heard from.
+    pub fn on_peer(&mut self, from: &MemberId, now: Instant) {
+        self.peer_heard = now;
+        self.detector.on_heard(from, now);
+    }
+
+    /// Notes that the platform answered.
+    pub fn on_platform(&mut self, now: Instant) {
+        self.platform_heard = now;
+    }
+
+    /// How long ago a peer was heard from.
+    pub fn peer_silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.peer_heard)
+    }
+
+    /// Whether this router may take new requests.
+    ///
+    /// One that hears neither peers nor the platform can't learn of a newer
+    /// configuration, so it stops taking new work; alone on the list it can't
+    /// miss one that was confirmed elsewhere.
+    pub fn standing(&self, now: Instant) -> Standing {
+        let others = self.list.members.iter().any(|m| m.id != self.me);
+        let last = self.peer_heard.max(self.platform_heard);
+        let silent = now.saturating_duration_since(last) >= ALONE_AFTER;
+        if others && silent {
+            Standing::Alone
+        } else {
+            Standing::Good
+        }
+    }
+
+    /// Whether this member watches the platform on behalf of its data centre.
+    pub fn is_watcher(&self) -> bool {
+        let Some(me) = self.list.get(&self.me) else {
+            return true;
+        };
+        let home = &me.data_centre;
+        let near: Vec<&Member> = self
+            .list
+            .members
+            .iter()
+            .filter(|m| m.data_centre == *home)
+            .collect();
+        let ranked = rank(hash_of(home.as_str()), &near, |m| m.id.as_str());
+        let mut first = ranked.iter().take(WATCHERS);
+        first.any(|m| m.id == self.me)
+    }
+
+    /// Members that this one suspects.
+    pub fn suspected(&self, now: Instant) -> BTreeSet<MemberId> {
+        self.detector.suspected(now)
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/members/join.rs
@@ -0,0 +1,177 @@
+//! The list of members on the platform: joining it, leaving it, watching it.
+
+use crate::app::App;
+use crate::members::MEMBERS_KEY;
+use cloverpier_core::{MemberId, jitter, lock};
+use cloverpier_member::MemberList;
+use cloverpier_peer::{PeerReply, PeerRequest};
+use cloverpier_platform::{Found, WriteError};
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+const TRIES: u32 = 12;
+const RETRY: Duration = Duration::from_millis(120);
+const WATCH: Duration = Duration::from_secs(20);
+const LOOK: Duration = Duration::from_secs(30);
+const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+const NOT_JOINED_PAUSE: Duration = Duration::from_millis(500);
+
+#[derive(Serialize)]
+struct Epoch<'a> {
+    epoch: u64,
+    members: usize,
+    cause: &'a str,
+}
+
+#[derive(Serialize)]
+struct Failed<'a> {
+    what: &'a str,
+    why: String,
+}
+
+/// What came of a try to change the list.
+enum Try {
+    Done(MemberList),
+    Again,
+}
+
+/// Takes a list of members if its epoch is later.
+pub fn adopt(app: &App, list: &MemberList, cause: &str) {
+    let now = app.now();
+    if !lock(&app.cluster).adopt(list, now) {
+        return;
+    }
+    lock(&app.records).enter(list, now);
+    app.log.info(
+        "members.epoch",
+        &Epoch {
+            epoch: list.epoch,
+            members: list.members.len(),
+            cause,
+        },
+    );
+    app.metrics.gauge("members.epoch", list.epoch);
+    app.news.notify_one();
+}
+
+/// Changes the list by conditional updates until one takes effect.
+///
+/// `change` gives the next list, or `None` when the list is as wanted, which
+/// also settles an update whose answer was lost.
+pub async fn update(
+    app: &App,
+    cause: &str,
+    change: impl Fn(&MemberList) -> Option<MemberList>,
+) -> bool {
+    for _ in 0..TRIES {
+        match try_update(app, &change).await {
+            Try::Done(list) => {
+                adopt(app, &list, cause);
+                return true;
+            }
+            Try::Again => {
+                let wait = jitter(&mut lock(&app.rng), RETRY);
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+    false
+}
+
+async fn try_update(app: &App, change: &impl Fn(&MemberList) -> Option<MemberList>) -> Try {
+    let read = app.platform.read::<MemberList>(MEMBERS_KEY).await;
+    let found = match read {
+        Ok(found) => found.unwrap_or(Found {
+            version: 0,
+            value: MemberList::default(),
+        }),
+        Err(_) => return Try::Again,
+    };
+    lock(&app.cluster).on_platform(app.now());
+    let Some(next) = change(&found.value) else {
+        return Try::Done(found.value);
+    };
+    match app.platform.write(MEMBERS_KEY, found.version, &next).await {
+        Ok(_) => Try::Done(next),
+        Err(e @ (WriteError::NotDone { .. } | WriteError::Unknown { .. })) => {
+            let why = e.to_string();
+            let what = "update of the members";
+            app.log.warn("platform.failed", &Failed { what, why });
+            Try::Again
+        }
+        Err(WriteError::Conflict { .. }) => Try::Again,
+    }
+}
+
+/// Puts this process on the list.
+pub async fn join(app: &App) -> bool {
+    let me = app.me.clone();
+    update(app, "join", |list| {
+        let on_it = list.contains(&me.id);
+        (!on_it).then(|| list.with_joined(me.clone()))
+    })
+    .await
+}
+
+/// Takes members off the list.
+pub async fn leave(app: &App, gone: std::collections::BTreeSet<MemberId>, cause: &str) -> bool {
+    update(app, cause, |list| {
+        let any = gone.iter().any(|id| list.contains(id));
+        any.then(|| list.without(&gone))
+    })
+    .await
+}
+
+/// Joins, and joins again whenever this process was taken for dead.
+pub(super) async fn keep_joined(app: Arc<App>) {
+    loop {
+        let on_it = lock(&app.cluster).is_member();
+        if !on_it && !app.is_stopping() && !join(&app).await {
+            ask_seeds(&app).await;
+        }
+        tokio::time::sleep(NOT_JOINED_PAUSE).await;
+    }
+}
+
+/// While the platform is down, seeds tell who the members are.
+async fn ask_seeds(app: &App) {
+    for seed in &app.settings.seeds {
+        let reply = app
+            .call(*seed, &PeerRequest::PullMembers, PEER_TIMEOUT)
+            .await;
+        if let Ok(PeerReply::Members(list)) = reply {
+            adopt(app, &list, "seed");
+        }
+    }
+}
+
+/// Watches the list, or looks at it now and then where others watch.
+pub(super) async fn watch(app: Arc<App>) {
+    loop {
+        let after = lock(&app.cluster).list().epoch;
+        let watches = lock(&app.cluster).is_watcher();
+        let read = if watches {
+            // The object's version is its epoch: each update adds one to both.
+            app.platform
+                .watch::<MemberList>(MEMBERS_KEY, after, WATCH)
+                .await
+        } else {
+            let wait = jitter(&mut lock(&app.rng), LOOK);
+            tokio::time::sleep(wait).await;
+            app.platform.read::<MemberList>(MEMBERS_KEY).await
+        };
+        match read {
+            Ok(found) => {
+                lock(&app.cluster).on_platform(app.now());
+                if let Some(found) = found {
+                    adopt(&app, &found.value, "platform");
+                }
+            }
+            Err(_) => {
+                let wait = jitter(&mut lock(&app.rng), Duration::from_secs(1));
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/members/news.rs
@@ -0,0 +1,56 @@
+//! News from peers: who acts on something later than this router does.
+
+use crate::app::App;
+use crate::config;
+use crate::members::adopt;
+use cloverpier_core::lock;
+use cloverpier_peer::{PeerReply, PeerRequest, Versions};
+use cloverpier_route::LeaveMarks;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Pulls from a peer whatever it has that is newer.
+pub async fn on_versions(app: &Arc<App>, theirs: Versions, peers_at: SocketAddr) {
+    let ours = app.versions();
+    if theirs.epoch > ours.epoch {
+        let reply = app
+            .call(peers_at, &PeerRequest::PullMembers, PULL_TIMEOUT)
+            .await;
+        if let Ok(PeerReply::Members(list)) = reply {
+            adopt(app, &list, "peer");
+        }
+    }
+    if theirs.config > ours.config {
+        config::pull_from_peer(app, peers_at).await;
+    }
+    if theirs.marks != ours.marks {
+        pull_marks(app, peers_at).await;
+    }
+}
+
+/// Exchanges marks to leave with a peer.
+pub async fn pull_marks(app: &App, peers_at: SocketAddr) {
+    let marks = lock(&app.view).marks().clone();
+    let request = PeerRequest::Marks { marks };
+    let reply = app.call(peers_at, &request, PULL_TIMEOUT).await;
+    if let Ok(PeerReply::Marks(marks)) = reply {
+        merge(app, &marks);
+    }
+}
+
+/// Takes marks to leave; passes them on when they are news.
+pub fn push_marks(app: &App, marks: &LeaveMarks) -> LeaveMarks {
+    merge(app, marks);
+    lock(&app.view).marks().clone()
+}
+
+fn merge(app: &App, marks: &LeaveMarks) {
+    let news = lock(&app.view).merge_marks(marks);
+    if news {
+        app.log.info("upstreams.leaving", marks);
+        app.news.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_daemon/src/plain.rs
@@ -0,0 +1,201 @@
+//! Calls to plain services: repeatable ones, and ones that run at most once.
+
+use crate::admission::{choose, log_choice, nobody, release};
+use crate::app::App;
+use crate::claims::{self, Written};
+use crate::error::{ApiError, Run};
+use cloverpier_config::Repeatable;
+use cloverpier_core::{RequestKey, ServiceName, UpstreamName, hash_of, lock};
+use cloverpier_record::{Outcome, Record, Refusal, StoredAnswer};
+use cloverpier_route::{Ask, Choice, Chosen};
+use cloverpier_upstream::{PlainAnswer, PlainCall, PlainError, call_plain};
+use reqwest::Method;
+use salvo::http::StatusCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Tries of a call that may be repeated.
+const TRIES: u32 = 3;
+/// The largest answer that is kept for a caller that asks again, in bytes.
+const KEEP_BODY: usize = 64 << 10;
+
+/// Whether a call may be run again when its outcome is unknown.
+pub fn may_repeat(rule: Repeatable, method: &Method, header: Option<bool>) -> bool {
+    let by_rule = match rule {
+        Repeatable::All => true,
+        Repeatable::None => false,
+        Repeatable::Reads => matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS),
+    };
+    // A caller can forbid what the service allows, never the other way round.
+    by_rule && header.unwrap_or(true)
+}
+
+/// Passes a call on.
+///
+/// # Errors
+///
+/// [`ApiError`] says whether the call was run.
+pub async fn call(
+    app: &Arc<App>,
+    service: &ServiceName,
+    key: &RequestKey,
+    req: &PlainCall,
+    repeatable: bool,
+) -> Result<PlainAnswer, ApiError> {
+    if repeatable {
+        call_repeatable(app, service, key, req).await
+    } else {
+        call_once(app, service, key, req).await
+    }
+}
+
+fn place(
+    app: &App,
+    service: &ServiceName,
+    key: &RequestKey,
+    failed: &[UpstreamName],
+) -> Result<Chosen, ApiError> {
+    let mut ask = Ask::new(service.clone());
+    ask.failed = failed.to_vec();
+    // Lookups are over at once: they never wait in line.
+    ask.overcommit = true;
+    match choose(app, &ask) {
+        Choice::Chosen(chosen) => {
+            log_choice(app, key.as_str(), service, &chosen);
+            Ok(chosen)
+        }
+        Choice::Full | Choice::Nobody => Err(nobody(app, service)),
+    }
+}
+
+async fn try_at(app: &App, chosen: &Chosen, req: &PlainCall) -> Result<PlainAnswer, PlainError> {
+    let result = call_plain(&app.plain, chosen.address, req).await;
+    match &result {
+        Ok(_) => lock(&app.view).on_success(&chosen.upstream),
+        Err(_) => lock(&app.view).on_failure(&chosen.upstream, app.now()),
+    }
+    release(app, chosen);
+    result
+}
+
+async fn call_repeatable(
+    app: &Arc<App>,
+    service: &ServiceName,
+    key: &RequestKey,
+    req: &PlainCall,
+) -> Result<PlainAnswer, ApiError> {
+    let mut failed = Vec::new();
+    for _ in 0..TRIES {
+        let chosen = place(app, service, key, &failed)?;
+        match try_at(app, &chosen, req).await {
+            Ok(answer) => return Ok(answer),
+            Err(_) => failed.push(chosen.upstream),
+        }
+    }
+    let message = format!("no upstream of {service} answered");
+    let error = ApiError::busy("upstream_failed", message, Duration::from_secs(1));
+    Err(error.with_run(Run::Unknown))
+}
+
+fn body_digest(req: &PlainCall) -> u64 {
+    let body = String::from_utf8_lossy(&req.body);
+    hash_of(&format!("{} {}\n{body}", req.method, req.path))
+}
+
+/// Claims the key, dispatches once, and writes down what became of it.
+async fn call_once(
+    app: &Arc<App>,
+    service: &ServiceName,
+    key: &RequestKey,
+    req: &PlainCall,
+) -> Result<PlainAnswer, ApiError> {
+    let body = body_digest(req);
+    let written = match claims::claim(app, key, body).await {
+        Ok(written) => written,
+        Err(Refusal::NotWritten { retry_ms }) => return Err(not_written(retry_ms)),
+        Err(Refusal::Taken(record)) => return from_record(record, body),
+    };
+    // From here on the outcome is written down even if the caller goes away.
+    let task = dispatch(Arc::clone(app), service.clone(), written, req.clone());
+    let done = tokio::spawn(task).await;
+    done.unwrap_or_else(|_| Err(ApiError::unknown("the dispatch failed")))
+}
+
+async fn dispatch(
+    app: Arc<App>,
+    service: ServiceName,
+    written: Written,
+    req: PlainCall,
+) -> Result<PlainAnswer, ApiError> {
+    let mut failed = Vec::new();
+    for _ in 0..TRIES {
+        let chosen = match place(&app, &service, &written.key, &failed) {
+            Ok(chosen) => chosen,
+            Err(error) => {
+                claims::release(&app, &written).await;
+                return Err(error);
+            }
+        };
+        match try_at(&app, &chosen, &req).await {
+            Ok(answer) => {
+                let outcome = Outcome::Done(stored(&answer));
+                claims::settle(&app, &written, &outcome).await;
+                return Ok(answer);
+            }
+            // No byte can have reached it: another one may be tried.
+            Err(PlainError::NeverSent { .. }) => failed.push(chosen.upstream),
+            Err(PlainError::NoReply { .. }) => {
+                claims::settle(&app, &written, &Outcome::Unknown).await;
+                return Err(ApiError::unknown(
+                    "the upstream did not answer; it may have run the call",
+                ));
+            }
+        }
+    }
+    claims::release(&app, &written).await;
+    Err(nobody(&app, &service))
+}
+
+fn stored(answer: &PlainAnswer) -> StoredAnswer {
+    let keep = answer.body.len() <= KEEP_BODY;
+    StoredAnswer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: keep.then(|| answer.body.to_vec()),
+    }
+}
+
+/// The claim could not be written everywhere: nothing was run.
+pub fn not_written(retry_ms: u64) -> ApiError {
+    let wait = Duration::from_millis(retry_ms.max(100));
+    let message = "the request could not be written down at all holders";
+    ApiError::busy("not_written", message, wait)
+}
+
+/// Answers a key that was claimed before.
+fn from_record(record: Record, body: u64) -> Result<PlainAnswer, ApiError> {
+    if record.body != body {
+        let message = "the key was used for another request";
+        let error = ApiError::not_run(StatusCode::UNPROCESSABLE_ENTITY, "key_reused", message);
+        return Err(error.at("Idempotency-Key"));
+    }
+    match record.outcome {
+        Outcome::Claimed | Outcome::Unknown => Err(ApiError::unknown(
+            "the request was sent before and its outcome isn't known",
+        )),
+        Outcome::Done(StoredAnswer {
+            status,
+            content_type,
+            body: Some(body),
+        }) => Ok(PlainAnswer {
+            status,
+            content_type,
+            body: body.into(),
+        }),
+        Outcome::Done(_) => {
+            let message = "the request was run before; its answer was too large to keep";
+            let error = ApiError::not_run(StatusCode::CONFLICT, "already_done", message);
+            Err(error.with_run(Run::Done))
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_observe/src/metrics.rs
@@ -0,0 +1,52 @@
+//! Counters, gauges and timers over statsd.
+
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, QueuingMetricSink, StatsdClient, Timed};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+const PREFIX: &str = "cloverpier";
+
+/// Metrics of one process; without an address they go nowhere.
+#[derive(Clone, Debug, Default)]
+pub struct Metrics {
+    client: Option<Arc<StatsdClient>>,
+}
+
+impl Metrics {
+    /// Metrics that go to a statsd server, or nowhere.
+    pub fn new(statsd: Option<SocketAddr>) -> Self {
+        Self {
+            client: statsd.and_then(client).map(Arc::new),
+        }
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, name: &'static str, by: i64) {
+        if let Some(client) = &self.client {
+            // Metrics are best effort: a lost one is no fault of the request.
+            let _ = client.count(name, by);
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &'static str, value: u64) {
+        if let Some(client) = &self.client {
+            let _ = client.gauge(name, value);
+        }
+    }
+
+    /// Notes how long something took.
+    pub fn time(&self, name: &'static str, took: Duration) {
+        if let Some(client) = &self.client {
+            let _ = client.time(name, took);
+        }
+    }
+}
+
+fn client(statsd: SocketAddr) -> Option<StatsdClient> {
+    let socket = UdpSocket::bind("127.0.0.1:0").ok()?;
+    let sink = BufferedUdpMetricSink::from(statsd, socket).ok()?;
+    let sink = QueuingMetricSink::from(sink);
+    Some(StatsdClient::from_sink(PREFIX, sink))
+}
--- /dev/null
+++ b/crates/cloverpier_peer/src/client.rs
@@ -0,0 +1,110 @@
+//! Calls to peers.
+
+use crate::message::{CodecError, PeerReply, PeerRequest, decode, encode};
+use cloverpier_core::Secret;
+use reqwest::{Client, StatusCode};
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// The header that carries the peers' secret.
+pub const PEER_HEADER: &str = "cloverpier-peer";
+
+/// Why a call to a peer has no reply.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// The peer can't be reached or did not answer in time.
+    #[snafu(display("no reply: {source}"))]
+    NoReply {
+        /// What the call ran into.
+        source: reqwest::Error,
+    },
+    /// The peer refused the call.
+    #[snafu(display("refused with status {status}"))]
+    Rejected {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The reply can't be read, or the request can't be written.
+    #[snafu(display("{source}"), context(false))]
+    Codec {
+        /// Why.
+        source: CodecError,
+    },
+    /// The reply is of another kind than the request asks for.
+    #[snafu(display("a reply of another kind"))]
+    OtherKind,
+}
+
+impl PeerError {
+    /// Whether the peer's machine answered that no process listens there.
+    pub fn nobody_listens(&self) -> bool {
+        matches!(self, Self::NoReply { source } if source.is_connect() && !source.is_timeout())
+    }
+}
+
+/// Connections to peers, and the bytes that went over them.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    http: Client,
+    secret: Secret,
+    sent: Arc<AtomicU64>,
+    received: Arc<AtomicU64>,
+}
+
+impl Peers {
+    /// A pool without connections.
+    pub fn new(secret: Secret) -> Self {
+        let http = Client::builder()
+            .connect_timeout(Duration::from_millis(300))
+            .tcp_nodelay(true)
+            .redirect(reqwest::redirect::Policy::none())
+            .build();
+        Self {
+            http: http.unwrap_or_default(),
+            secret,
+            sent: Arc::default(),
+            received: Arc::default(),
+        }
+    }
+
+    /// Sends a request and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`]; the peer may have acted on the request all the same.
+    pub async fn call(
+        &self,
+        peers_at: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let body = encode(request)?;
+        self.sent.fetch_add(body.len() as u64, Ordering::Relaxed);
+        let req = self
+            .http
+            .post(format!("http://{peers_at}/peer"))
+            .header(PEER_HEADER, self.secret.reveal())
+            .timeout(timeout)
+            .body(body);
+        let res = req.send().await.context(NoReplySnafu)?;
+        if res.status() != StatusCode::OK {
+            return RejectedSnafu {
+                status: res.status().as_u16(),
+            }
+            .fail();
+        }
+        let body = res.bytes().await.context(NoReplySnafu)?;
+        self.received
+            .fetch_add(body.len() as u64, Ordering::Relaxed);
+        Ok(decode(&body)?)
+    }
+
+    /// Bytes of bodies sent and received so far.
+    pub fn bytes(&self) -> (u64, u64) {
+        let sent = self.sent.load(Ordering::Relaxed);
+        (sent, self.received.load(Ordering::Relaxed))
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_route/src/view.rs
@@ -0,0 +1,238 @@
+//! What a router knows of its upstreams.
+
+use crate::marks::{LeaveMark, LeaveMarks};
+use cloverpier_config::{Config, Upstream, UpstreamState};
+use cloverpier_core::{DataCentre, ServiceName, UpstreamName, VmName, hash_of, rank};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Prefixes remembered for each upstream.
+const PREFIXES_KEPT: usize = 512;
+/// The first time that a failed upstream is avoided; doubles with each failure in a row.
+const AVOID_FIRST: Duration = Duration::from_millis(500);
+/// The longest time that a failed upstream is avoided.
+const AVOID_MOST: Duration = Duration::from_secs(16);
+/// Upstreams of a service that a router knows closely: it asks these for their load and
+/// chooses among them. With more, load reports alone would outgrow the budget for control.
+pub const CLOSE: usize = 24;
+/// A report older than this says nothing any more.
+const REPORT_STALE: Duration = Duration::from_secs(10);
+
+/// A load report as it was taken in.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadReport {
+    /// Generations that ran.
+    pub running: u32,
+    /// Generations that waited.
+    pub waiting: u32,
+    /// When it was true.
+    pub at: Instant,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    pub(crate) upstream: Upstream,
+    pub(crate) report: Option<LoadReport>,
+    /// This router's own work there when the report was true.
+    pub(crate) own_at_report: u32,
+    pub(crate) own: u32,
+    pub(crate) failures: u32,
+    pub(crate) avoid_until: Option<Instant>,
+    pub(crate) prefixes: VecDeque<u64>,
+    /// The last starts of own work, to know how much of it a report includes.
+    starts: VecDeque<Instant>,
+}
+
+impl Known {
+    fn new(upstream: Upstream) -> Self {
+        Self {
+            upstream,
+            report: None,
+            own_at_report: 0,
+            own: 0,
+            failures: 0,
+            avoid_until: None,
+            prefixes: VecDeque::new(),
+            starts: VecDeque::new(),
+        }
+    }
+
+    /// Work there by the best estimate: others' as reported, and this router's own exactly.
+    pub(crate) fn load(&self, now: Instant) -> u32 {
+        let fresh = |r: &&LoadReport| now.saturating_duration_since(r.at) < REPORT_STALE;
+        match self.report.as_ref().filter(fresh) {
+            Some(r) => {
+                let others = (r.running + r.waiting).saturating_sub(self.own_at_report);
+                others + self.own
+            }
+            // Unknown isn't idle: assume that others use half of it.
+            None => self.upstream.slots / 2 + self.own,
+        }
+    }
+
+    pub(crate) fn has_prefix(&self, prefix: u64) -> bool {
+        self.prefixes.contains(&prefix)
+    }
+
+    pub(crate) fn avoided(&self, now: Instant) -> bool {
+        self.avoid_until.is_some_and(|until| now < until)
+    }
+}
+
+/// A router's view of its upstreams.
+#[derive(Debug)]
+pub struct View {
+    pub(crate) home: DataCentre,
+    spread: u64,
+    pub(crate) known: BTreeMap<UpstreamName, Known>,
+    pub(crate) by_service: HashMap<ServiceName, Vec<UpstreamName>>,
+    marks: LeaveMarks,
+}
+
+impl View {
+    /// The view of a router on a VM in a data centre.
+    ///
+    /// The VM's name decides which upstreams it knows closely where there are many.
+    pub fn new(home: DataCentre, vm: &VmName) -> Self {
+        Self {
+            home,
+            spread: hash_of(vm.as_str()),
+            known: BTreeMap::new(),
+            by_service: HashMap::new(),
+            marks: LeaveMarks::default(),
+        }
+    }
+
+    /// Takes a configuration; what is known of upstreams that stay is kept.
+    pub fn apply(&mut self, config: &Config) {
+        self.known.retain(|name, known| {
+            let same = |u: &Upstream| {
+                u.incarnation == known.upstream.incarnation && u.address == known.upstream.address
+            };
+            config.upstreams.get(name).is_some_and(same)
+        });
+        self.by_service.clear();
+        for (name, upstream) in &config.upstreams {
+            let known = self.known.entry(name.clone());
+            let known = known.or_insert_with(|| Known::new(upstream.clone()));
+            known.upstream = upstream.clone();
+            let names = self.by_service.entry(upstream.service.clone());
+            names.or_default().push(name.clone());
+        }
+        for names in self.by_service.values_mut() {
+            let ranked = rank(self.spread, names, |n| n.as_str());
+            *names = ranked.into_iter().cloned().collect();
+        }
+    }
+
+    /// Upstreams that this router knows closely.
+    pub fn close(&self) -> BTreeSet<UpstreamName> {
+        let close = self.by_service.values().flat_map(|n| n.iter().take(CLOSE));
+        close.cloned().collect()
+    }
+
+    /// Takes marks to leave; says whether any was news.
+    pub fn merge_marks(&mut self, marks: &LeaveMarks) -> bool {
+        self.marks.merge(marks)
+    }
+
+    /// Marks the present incarnation of an upstream to leave.
+    pub fn mark_leaving(&mut self, name: &UpstreamName) -> Option<LeaveMark> {
+        let known = self.known.get(name)?;
+        let mark = LeaveMark {
+            upstream: name.clone(),
+            incarnation: known.upstream.incarnation,
+        };
+        self.marks.add(&mark);
+        Some(mark)
+    }
+
+    /// The marks to leave.
+    pub fn marks(&self) -> &LeaveMarks {
+        &self.marks
+    }
+
+    /// Whether an upstream takes new work.
+    pub fn takes_work(&self, name: &UpstreamName) -> bool {
+        self.known.get(name).is_some_and(|k| {
+            let marked = self.marks.covers(name, k.upstream.incarnation);
+            k.upstream.state == UpstreamState::Active && !marked
+        })
+    }
+
+    /// An upstream's configuration.
+    pub fn upstream(&self, name: &UpstreamName) -> Option<&Upstream> {
+        self.known.get(name).map(|k| &k.upstream)
+    }
+
+    /// This router's own work at an upstream.
+    pub fn own_work(&self, name: &UpstreamName) -> u32 {
+        self.known.get(name).map_or(0, |k| k.own)
+    }
+
+    /// All upstreams with the estimated load of each.
+    pub fn loads(&self, now: Instant) -> Vec<(UpstreamName, u32)> {
+        let all = self.known.iter();
+        all.map(|(name, k)| (name.clone(), k.load(now))).collect()
+    }
+
+    /// Notes that work of this router starts at an upstream.
+    pub fn on_started(&mut self, name: &UpstreamName, prefix: Option<u64>, now: Instant) {
+        let Some(known) = self.known.get_mut(name) else {
+            return;
+        };
+        known.own += 1;
+        known.starts.push_back(now);
+        if known.starts.len() > PREFIXES_KEPT {
+            known.starts.pop_front();
+        }
+        if let Some(prefix) = prefix {
+            known.prefixes.retain(|p| *p != prefix);
+            known.prefixes.push_back(prefix);
+            if known.prefixes.len() > PREFIXES_KEPT {
+                known.prefixes.pop_front();
+            }
+        }
+    }
+
+    /// Notes that work of this router ended at an upstream.
+    pub fn on_ended(&mut self, name: &UpstreamName) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.own = known.own.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an upstream answered as it should.
+    pub fn on_success(&mut self, name: &UpstreamName) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.failures = 0;
+            known.avoid_until = None;
+        }
+    }
+
+    /// Notes that an upstream failed; it is avoided for a while that doubles.
+    pub fn on_failure(&mut self, name: &UpstreamName, now: Instant) {
+        if let Some(known) = self.known.get_mut(name) {
+            let factor = 1 << known.failures.min(5);
+            known.failures += 1;
+            known.avoid_until = Some(now + (AVOID_FIRST * factor).min(AVOID_MOST));
+            known.prefixes.clear();
+        }
+    }
+
+    /// Takes a load report.
+    ///
+    /// Own work that started after the report was true is not in it.
+    pub fn on_report(&mut self, name: &UpstreamName, report: LoadReport) {
+        let Some(known) = self.known.get_mut(name) else {
+            return;
+        };
+        if known.report.is_some_and(|r| r.at > report.at) {
+            return;
+        }
+        let later = known.starts.iter().filter(|at| **at > report.at).count();
+        let later = u32::try_from(later).unwrap_or(u32::MAX);
+        known.own_at_report = known.own.saturating_sub(later);
+        known.report = Some(report);
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_upstream/src/engine.rs
@@ -0,0 +1,259 @@
+//! Calls to a model engine.
+
+use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody, OrderBody};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use futures_util::stream::BoxStream;
+use reqwest::{Client, Response, StatusCode};
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
+/// A line of an engine's stream is never longer; a longer one ends the stream.
+const MAX_LINE: usize = 1 << 20;
+
+/// Why a generation did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The engine was never reached: the generation did not run.
+    #[snafu(display("no connection: {source}"))]
+    NotReached {
+        /// What the call ran into.
+        source: reqwest::Error,
+    },
+    /// The engine refused it: the generation did not run.
+    #[snafu(display("refused with status {status}"))]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The connection broke after the order may have arrived.
+    #[snafu(display("broken: {source}"))]
+    Broken {
+        /// What the call ran into.
+        source: reqwest::Error,
+    },
+}
+
+impl StartError {
+    /// Whether the generation certainly did not run.
+    pub fn not_run(&self) -> bool {
+        !matches!(self, Self::Broken { .. })
+    }
+}
+
+/// Why a stream ended before its end.
+#[derive(Debug, Snafu)]
+pub enum StreamError {
+    /// The connection broke.
+    #[snafu(display("broken: {source}"))]
+    Lost {
+        /// What the stream ran into.
+        source: reqwest::Error,
+    },
+    /// A line is not of the expected shape.
+    #[snafu(display("a line can't be read: {source}"))]
+    Line {
+        /// What is wrong.
+        source: serde_json::Error,
+    },
+    /// A line is longer than any token.
+    #[snafu(display("a line is longer than {MAX_LINE} bytes"))]
+    LongLine,
+}
+
+/// Why an order did not take effect, or may not have.
+#[derive(Debug, Snafu)]
+pub enum OrderError {
+    /// The engine saw a higher fence.
+    #[snafu(display("the upstream has seen a higher fence"))]
+    Fenced,
+    /// The engine refused for another reason.
+    #[snafu(display("refused with status {status}"))]
+    Declined {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// No answer came: read the state and compare.
+    #[snafu(display("no answer: {source}"))]
+    NoAnswer {
+        /// What the call ran into.
+        source: reqwest::Error,
+    },
+}
+
+/// Connections to engines.
+#[derive(Clone, Debug)]
+pub struct Engines {
+    http: Client,
+}
+
+impl Engines {
+    /// A pool without connections.
+    pub fn new() -> Self {
+        // The builder fails only where TLS can't be set up, and none is in use.
+        let http = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .build();
+        Self {
+            http: http.unwrap_or_default(),
+        }
+    }
+
+    /// The engine at an address.
+    pub fn engine(&self, address: SocketAddr) -> Engine {
+        Engine {
+            http: self.http.clone(),
+            base: format!("http://{address}"),
+        }
+    }
+}
+
+impl Default for Engines {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    http: Client,
+    base: String,
+}
+
+impl Engine {
+    /// Starts a generation.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] says whether it certainly did not run.
+    pub async fn generate(&self, body: &GenerateBody) -> Result<EventStream, StartError> {
+        self.start("generate", body).await
+    }
+
+    /// Goes on with the stream of a generation that the engine still runs.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError::Refused`] when the engine doesn't know it or no longer has the tokens.
+    pub async fn resume(&self, body: &GenerationBody) -> Result<EventStream, StartError> {
+        self.start("resume", body).await
+    }
+
+    async fn start<T: Serialize>(&self, call: &str, body: &T) -> Result<EventStream, StartError> {
+        let req = self
+            .http
+            .post(format!("{}/v1/{call}", self.base))
+            .json(body);
+        let res = req.send().await.map_err(start_error)?;
+        if res.status() != StatusCode::OK {
+            return RefusedSnafu {
+                status: res.status().as_u16(),
+            }
+            .fail();
+        }
+        Ok(EventStream::new(res))
+    }
+
+    /// Ends a generation whose answer nobody wants any more.
+    pub async fn cancel(&self, generation: &str) {
+        let body = GenerationBody {
+            generation: generation.to_owned(),
+            offset: 0,
+        };
+        let req = self.http.post(format!("{}/v1/cancel", self.base));
+        // A lost cancel costs the engine some tokens and the caller nothing.
+        let _ = req.timeout(QUERY_TIMEOUT).json(&body).send().await;
+    }
+
+    /// Asks for the engine's load.
+    ///
+    /// # Errors
+    ///
+    /// The error of the call; an engine that doesn't answer isn't idle.
+    pub async fn load(&self) -> Result<LoadBody, reqwest::Error> {
+        let req = self.http.get(format!("{}/v1/load", self.base));
+        let res = req.timeout(QUERY_TIMEOUT).send().await?;
+        res.error_for_status()?.json().await
+    }
+
+    /// Gives an order.
+    ///
+    /// # Errors
+    ///
+    /// [`OrderError`]; after [`OrderError::NoAnswer`] it may have taken effect.
+    pub async fn order(&self, order: &OrderBody) -> Result<(), OrderError> {
+        let req = self.http.post(format!("{}/v1/orders", self.base));
+        let sent = req.timeout(QUERY_TIMEOUT).json(order).send().await;
+        let res = sent.context(NoAnswerSnafu)?;
+        match res.status() {
+            StatusCode::OK => Ok(()),
+            StatusCode::CONFLICT => FencedSnafu.fail(),
+            status => DeclinedSnafu {
+                status: status.as_u16(),
+            }
+            .fail(),
+        }
+    }
+}
+
+fn start_error(source: reqwest::Error) -> StartError {
+    if source.is_connect() {
+        StartError::NotReached { source }
+    } else {
+        StartError::Broken { source }
+    }
+}
+
+/// The events of a generation.
+pub struct EventStream {
+    body: BoxStream<'static, Result<Bytes, reqwest::Error>>,
+    buf: BytesMut,
+}
+
+impl fmt::Debug for EventStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EventStream").finish_non_exhaustive()
+    }
+}
+
+impl EventStream {
+    fn new(res: Response) -> Self {
+        Self {
+            body: res.bytes_stream().boxed(),
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// The next event; `None` when the stream was closed.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamError`] when the connection breaks or a line makes no sense.
+    pub async fn next(&mut self) -> Result<Option<EngineEvent>, StreamError> {
+        loop {
+            if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
+                let line = self.buf.split_to(end + 1);
+                return serde_json::from_slice(&line).map(Some).context(LineSnafu);
+            }
+            if self.buf.len() > MAX_LINE {
+                return LongLineSnafu.fail();
+            }
+            match self.body.next().await {
+                None => return Ok(None),
+                Some(chunk) => self.buf.extend_from_slice(&chunk.context(LostSnafu)?),
+            }
+        }
+    }
+
+    /// Whether a whole event is buffered already.
+    pub fn has_buffered(&self) -> bool {
+        self.buf.contains(&b'\n')
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_upstream/src/lib.rs
@@ -0,0 +1,32 @@
+//! Model engines and plain services, met through their protocols.
+//!
+//! All knowledge of an upstream's wire shapes is here. Failures are told
+//! apart by what they mean for the request: whether it can have run.
+//!
+//! ```no_run
+//! # async fn example(order: cloverpier_upstream::GenerateBody) {
+//! use cloverpier_upstream::prelude::*;
+//!
+//! let engine = Engines::new().engine("127.0.0.1:9000".parse().unwrap());
+//! let mut stream = engine.generate(&order).await.unwrap();
+//! while let Ok(Some(event)) = stream.next().await {
+//!     println!("{event:?}");
+//! }
+//! # }
+//! ```
+
+mod engine;
+mod plain;
+mod wire;
+
+/// What users of the crate need daily.
+pub mod prelude {
+    pub use crate::engine::{Engine, Engines, EventStream, OrderError, StartError, StreamError};
+    pub use crate::plain::{PlainAnswer, PlainCall, PlainError, call_plain};
+    pub use crate::wire::{
+        CacheEvent, EngineEvent, GenerateBody, GenerationBody, LoadBody, OrderBody, OrderKind,
+        PrefixBody,
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/cloverpier_upstream/src/plain.rs
@@ -0,0 +1,94 @@
+//! Calls to a plain service.
+
+use bytes::Bytes;
+use reqwest::{Client, Method};
+use snafu::Snafu;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A call as it is passed on.
+#[derive(Clone, Debug)]
+pub struct PlainCall {
+    /// The method.
+    pub method: Method,
+    /// Path and query, with the leading slash.
+    pub path: String,
+    /// The content type of the body.
+    pub content_type: Option<String>,
+    /// The request's key, passed on as `Idempotency-Key`.
+    pub key: String,
+    /// The body.
+    pub body: Bytes,
+    /// The longest wait for an answer.
+    pub timeout: Duration,
+}
+
+/// A plain service's answer.
+#[derive(Clone, Debug)]
+pub struct PlainAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: Option<Arc<str>>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Snafu)]
+pub enum PlainError {
+    /// The server was never reached: the call did not run.
+    #[snafu(display("no connection: {source}"))]
+    NeverSent {
+        /// What the call ran into.
+        source: reqwest::Error,
+    },
+    /// The connection broke or no answer came in time: the call may have run.
+    #[snafu(display("no answer: {source}"))]
+    NoReply {
+        /// What the call ran into.
+        source: reqwest::Error,
+    },
+}
+
+/// Passes a call on.
+///
+/// # Errors
+///
+/// [`PlainError`] says whether the call certainly did not run: only a
+/// connection that was never made proves it.
+pub async fn call_plain(
+    http: &Client,
+    address: SocketAddr,
+    call: &PlainCall,
+) -> Result<PlainAnswer, PlainError> {
+    let url = format!("http://{address}{}", call.path);
+    let mut req = http
+        .request(call.method.clone(), url)
+        .timeout(call.timeout)
+        .header("Idempotency-Key", &call.key)
+        .body(call.body.clone());
+    if let Some(kind) = &call.content_type {
+        req = req.header("Content-Type", kind);
+    }
+    let res = req.send().await.map_err(|source| {
+        if source.is_connect() {
+            PlainError::NeverSent { source }
+        } else {
+            PlainError::NoReply { source }
+        }
+    })?;
+    let status = res.status().as_u16();
+    let kind = res.headers().get("Content-Type");
+    let content_type = kind.and_then(|v| v.to_str().ok()).map(Arc::from);
+    let body = res
+        .bytes()
+        .await
+        .map_err(|source| PlainError::NoReply { source })?;
+    Ok(PlainAnswer {
+        status,
+        content_type,
+        body,
+    })
+}
--- /dev/null
+++ b/tools/src/lib.rs
@@ -0,0 +1,10 @@
+//! What maintainers run: the demo, the measurements, and the fleet of processes under both.
+//!
+//! Everything here counts from the callers' and the stand-ins' side; the
+//! routers' own word is used only for the bytes between them.
+
+pub mod fleet;
+pub mod load;
+pub mod process;
+pub mod report;
+pub mod scenarios;
--- /dev/null
+++ b/tools/src/scenarios/mod.rs
@@ -0,0 +1,82 @@
+//! Scenarios that the measurements run, each against processes of its own.
+
+mod basic;
+mod meter;
+
+use crate::report::Figures;
+use std::io;
+
+/// A scenario by its name.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    /// The name.
+    pub name: &'static str,
+    /// What it shows.
+    pub about: &'static str,
+    run: Runner,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Runner {
+    Basic(basic::Kind),
+}
+
+/// All scenarios.
+pub const ALL: &[Scenario] = &[
+    basic_scenario("plain", "recovery off, no fault", basic::Kind::Plain),
+    basic_scenario("copied", "recovery on, no fault", basic::Kind::Copied),
+    basic_scenario(
+        "engine-killed",
+        "an engine dies mid-output",
+        basic::Kind::EngineKilled,
+    ),
+    basic_scenario(
+        "engine-frozen",
+        "an engine falls silent mid-output",
+        basic::Kind::EngineFrozen,
+    ),
+    basic_scenario(
+        "router-killed",
+        "a router dies mid-output",
+        basic::Kind::RouterKilled,
+    ),
+    basic_scenario(
+        "engine-and-router-killed",
+        "both die within one batch",
+        basic::Kind::EngineAndRouterKilled,
+    ),
+    basic_scenario(
+        "drain",
+        "an upstream and a router leave under load",
+        basic::Kind::Drain,
+    ),
+    basic_scenario(
+        "overload",
+        "three times as many requests as places",
+        basic::Kind::Overload,
+    ),
+];
+
+const fn basic_scenario(name: &'static str, about: &'static str, kind: basic::Kind) -> Scenario {
+    Scenario {
+        name,
+        about,
+        run: Runner::Basic(kind),
+    }
+}
+
+impl Scenario {
+    /// Runs the scenario.
+    ///
+    /// # Errors
+    ///
+    /// The error of a process, or what did not come up in time.
+    pub async fn run(&self, seed: u64) -> io::Result<Figures> {
+        let mut figures = match self.run {
+            Runner::Basic(kind) => basic::run(kind).await?,
+        };
+        self.name.clone_into(&mut figures.scenario);
+        figures.seed = seed;
+        Ok(figures)
+    }
+}
