Tell apart the attempts of two owners of one term; fence where nothing is held

Cause 1: random faults over owners, holders and engines showed a mixed answer: after all copies were lost, or when two routers start one request at once, two owners have term 1 and number 1, and the stream of the one was accepted by the other. An attempt now carries its opener, which no two owners share. Cause 2: a caller that hops between two owners was told that its tokens have diverged, as an owner that gave its holder up went on at one which the later owner had not sealed. A seal now stands where nothing is held, and an owner to which a caller comes back asks whether it is one still. Excluded: the batches themselves (a late or doubled batch is written once).

Conclusion: copying and takeover moved into the decision crate (Shipping, Takeover) so that the tests drive the code that the daemon runs.

--- a/crates/cloverpier_answer/src/answer.rs
+++ b/crates/cloverpier_answer/src/answer.rs
@@ -4,14 +4,17 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// One run of an engine for an answer: the owner's term and a number within it.
+/// One run of an engine for an answer: the owner's term, the owner, and a number.
 ///
-/// Terms rise with each router that takes the answer over, so an attempt of
-/// an earlier owner never equals one of a later owner.
+/// Terms rise with each router that takes the answer over. Where all copies
+/// are lost, or two routers start one request at once, two owners can have
+/// the same term; what tells their attempts apart is the opener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
     /// The owner's term.
     pub term: u64,
+    /// A number that no other owner of any answer uses.
+    pub opener: u64,
     /// The number of the attempt within the term, from 1.
     pub number: u32,
 }
@@ -73,6 +76,7 @@
 #[derive(Clone, Debug)]
 pub struct Answer {
     term: u64,
+    opener: u64,
     current: AttemptId,
     tokens: Vec<Arc<str>>,
     chains: Vec<Chain>,
@@ -83,16 +87,16 @@
 }
 
 impl Answer {
-    /// An answer without tokens, owned in a term.
-    pub fn fresh(term: u64) -> Self {
-        Self::resumed(term, Vec::new(), None)
+    /// An answer without tokens, owned in a term by an opener that no other answer has.
+    pub fn fresh(term: u64, opener: u64) -> Self {
+        Self::resumed(term, opener, Vec::new(), None)
     }
 
     /// An answer that goes on from tokens that an earlier owner accepted.
     ///
     /// The tokens count as released only once the new owner has them copied,
     /// unless the answer is finished: then nothing can change it any more.
-    pub fn resumed(term: u64, tokens: Vec<Arc<str>>, finish: Option<Finish>) -> Self {
+    pub fn resumed(term: u64, opener: u64, tokens: Vec<Arc<str>>, finish: Option<Finish>) -> Self {
         let mut chains = Vec::with_capacity(tokens.len() + 1);
         chains.push(Chain::EMPTY);
         for token in &tokens {
@@ -101,7 +105,12 @@
         }
         Self {
             term,
-            current: AttemptId { term, number: 0 },
+            opener,
+            current: AttemptId {
+                term,
+                opener,
+                number: 0,
+            },
             copied: if finish.is_some() {
                 tokens.len() as u64
             } else {
@@ -117,10 +126,11 @@
 
     /// Seals the current attempt and opens the next one, always in the owner's own term.
     pub fn open_attempt(&mut self) -> AttemptId {
-        let adopted = self.current.term != self.term;
+        let adopted = self.current.opener != self.opener;
         let number = if adopted { 1 } else { self.current.number + 1 };
         self.current = AttemptId {
             term: self.term,
+            opener: self.opener,
             number,
         };
         self.current
--- a/crates/cloverpier_answer/src/copies.rs
+++ b/crates/cloverpier_answer/src/copies.rs
@@ -82,8 +82,6 @@
 /// What a holder answers to a router that wants to take an answer over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SealReply {
-    /// No copy and no term is known.
-    Unknown,
     /// The term is sealed: owners of lower terms are refused from now on.
     Sealed {
         /// The copy, when there is one.
@@ -156,6 +154,10 @@
     }
 
     /// Seals all terms below the given one and hands out what is held.
+    ///
+    /// The fence stands also where nothing is held, so that an earlier owner
+    /// that looks for another holder can't go on here. An owner that seals
+    /// its own term again learns whether it still is the owner.
     pub fn seal(
         &mut self,
         key: &RequestKey,
@@ -163,9 +165,12 @@
         owner: &MemberId,
         now: Instant,
     ) -> SealReply {
-        let Some(copy) = self.by_key.get_mut(key) else {
-            return SealReply::Unknown;
-        };
+        let copy = self.by_key.entry(key.clone()).or_insert_with(|| Copy {
+            fence: term,
+            fence_owner: owner.clone(),
+            held: None,
+            touched: now,
+        });
         let own = term == copy.fence && *owner == copy.fence_owner;
         if term < copy.fence || (term == copy.fence && !own) {
             return SealReply::Refused { term: copy.fence };
@@ -178,9 +183,9 @@
         }
     }
 
-    /// The term that holds for a request here, 0 when none is known.
-    pub fn term(&self, key: &RequestKey) -> u64 {
-        self.by_key.get(key).map_or(0, |c| c.fence)
+    /// Whether tokens of a request are held here.
+    pub fn holds(&self, key: &RequestKey) -> bool {
+        self.by_key.get(key).is_some_and(|c| c.held.is_some())
     }
 
     /// Drops what has outlived its retention.
--- a/crates/cloverpier_answer/src/lib.rs
+++ b/crates/cloverpier_answer/src/lib.rs
@@ -9,7 +9,7 @@
 //! ```
 //! use cloverpier_answer::prelude::*;
 //!
-//! let mut answer = Answer::fresh(1);
+//! let mut answer = Answer::fresh(1, 77);
 //! let attempt = answer.open_attempt();
 //! assert_eq!(answer.on_token(attempt, 0, "Hola".into()), TokenStep::Accepted);
 //! assert_eq!(answer.on_token(attempt, 0, "Hola".into()), TokenStep::Repeated);
@@ -21,12 +21,16 @@
 mod answer;
 mod copies;
 mod event_id;
+mod shipping;
+mod takeover;
 
 /// What users of the crate need daily.
 pub mod prelude {
     pub use crate::answer::{Answer, AttemptId, Finish, FinishReason, Resume, TokenStep};
     pub use crate::copies::{AppendReply, Copies, Entry, HeldAnswer, Retention, SealReply, Source};
     pub use crate::event_id::EventId;
+    pub use crate::shipping::{ShipStep, Shipping};
+    pub use crate::takeover::{Takeover, TakeoverStep};
 }
 
 pub use prelude::*;
--- a/crates/cloverpier_daemon/src/answers/live.rs
+++ b/crates/cloverpier_daemon/src/answers/live.rs
@@ -1,10 +1,8 @@
 //! One answer that this router owns.
 
 use crate::error::ApiError;
-use cloverpier_answer::{Answer, AppendReply, EventId, Finish, Source};
-use cloverpier_core::{
-    AccountName, AdapterName, MemberId, ModelName, RequestKey, ServiceName, lock,
-};
+use cloverpier_answer::{Answer, AppendReply, EventId, Finish, ShipStep, Shipping, Source};
+use cloverpier_core::{AccountName, AdapterName, ModelName, RequestKey, ServiceName, lock};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -46,19 +44,12 @@
     Failed(ApiError),
 }
 
-/// The copy as its owner sees it.
-#[derive(Clone, Debug, Default)]
-pub(super) struct CopyState {
-    pub(super) holder: Option<MemberId>,
-    pub(super) sent: u64,
-    pub(super) finish_sent: bool,
-    pub(super) queued: bool,
-}
-
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) answer: Answer,
-    pub(super) copy: CopyState,
+    pub(super) copy: Shipping,
+    /// Whether the answer is in its holder's queue.
+    pub(super) queued: bool,
     pub(super) source: Option<Source>,
     end: Option<End>,
     idle_since: Instant,
@@ -108,7 +99,8 @@
             spec,
             state: Mutex::new(State {
                 answer,
-                copy: CopyState::default(),
+                copy: Shipping::default(),
+                queued: false,
                 source: None,
                 end: None,
                 idle_since: now,
@@ -143,23 +135,19 @@
         });
     }
 
-    /// Takes a holder's reply; says whether something must be sent again.
+    /// Takes a holder's reply; says whether something more must be sent.
     pub(super) fn on_append(&self, reply: AppendReply, now: Instant) -> bool {
-        match reply {
-            AppendReply::Held { tokens, finished } => self.change(|s| {
-                s.answer.on_copied(tokens);
-                if finished {
-                    s.answer.on_finish_copied();
-                    s.over_since.get_or_insert(now);
-                }
-                false
-            }),
-            AppendReply::Gap { tokens } => self.change(|s| {
-                s.copy.sent = tokens;
-                s.copy.finish_sent = false;
-                true
-            }),
-            AppendReply::Sealed { .. } => {
+        let step = self.change(|s| {
+            let step = s.copy.on_reply(&mut s.answer, reply);
+            if s.answer.released_finish().is_some() {
+                s.over_since.get_or_insert(now);
+            }
+            step
+        });
+        match step {
+            ShipStep::Rest => false,
+            ShipStep::Send => true,
+            ShipStep::TakenOver => {
                 self.end(End::TakenOver, now);
                 false
             }
@@ -262,7 +250,7 @@
         let event = |i: u64| EventId {
             tokens: offset + i + 1,
             chain: s.answer.chain_at(offset + i + 1).unwrap_or_default(),
-            holder: s.copy.holder.clone(),
+            holder: s.copy.holder().cloned(),
         };
         let tokens = (0..).zip(tokens).map(|(i, t)| (Arc::clone(t), event(i)));
         return Reading::Tokens {
--- a/crates/cloverpier_daemon/src/answers/open.rs
+++ b/crates/cloverpier_daemon/src/answers/open.rs
@@ -1,11 +1,11 @@
 //! Opens an answer for a caller: a new one, one that runs here, or one that is taken over.
 
 use crate::answers::directory::asked;
-use crate::answers::live::{Live, Spec};
+use crate::answers::live::{End, Live, Spec};
 use crate::answers::run::{Start, spawn};
 use crate::app::App;
 use crate::error::{ApiError, Run};
-use cloverpier_answer::{Answer, EventId, HeldAnswer, Resume, SealReply};
+use cloverpier_answer::{Answer, EventId, HeldAnswer, Resume, SealReply, Takeover, TakeoverStep};
 use cloverpier_core::{MemberId, RequestKey, lock};
 use cloverpier_peer::{PeerReply, PeerRequest};
 use futures_util::future::join_all;
@@ -17,7 +17,6 @@
 
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 const SEAL_TIMEOUT: Duration = Duration::from_millis(600);
-const SEAL_TRIES: u32 = 4;
 const COME_BACK: Duration = Duration::from_millis(700);
 
 /// What opening an answer came to.
@@ -58,7 +57,7 @@
     last: Option<&EventId>,
     retry: bool,
 ) -> Result<Opened, ApiError> {
-    if let Some(live) = usable_here(app, key) {
+    if let Some(live) = usable_here(app, key).await {
         check_body(live.body, body)?;
         let offset = match last {
             Some(last) => go_on(live.look(|s| s.answer.resume_at(last.tokens, last.chain)))?,
@@ -70,7 +69,7 @@
         return Ok(Opened::New { term: 1 });
     }
     let holders = holders_of(app, key, last).await;
-    let sealed = seal_all(app, key, &holders).await;
+    let sealed = seal_all(app, key, &holders).await?;
     let Some(held) = sealed.held else {
         return match last {
             Some(last) if last.tokens > 0 => Err(not_found(sealed.unheard)),
@@ -81,14 +80,29 @@
     take_over(app, key, spec, held, sealed.term, last)
 }
 
-fn usable_here(app: &App, key: &RequestKey) -> Option<Arc<Live>> {
-    let mut live = lock(&app.answers.live);
-    let found = live.get(key)?;
-    if found.is_useless() {
-        live.remove(key);
+/// An answer that this router owns still.
+///
+/// A caller that comes back may have been at another router meanwhile, which
+/// took the answer over at a holder that this one gave up: ask before it goes
+/// on here.
+async fn usable_here(app: &App, key: &RequestKey) -> Option<Arc<Live>> {
+    let live = app.answers.get(key)?;
+    if !live.is_useless() && live.spec.copies > 0 {
+        let term = live.look(|s| s.answer.term());
+        let mut holders = holders_of(app, key, None).await;
+        holders.extend(live.look(|s| s.copy.holder().cloned()));
+        let replies = holders.iter().map(|h| seal(app, key, term, h));
+        let replies = join_all(replies).await;
+        let refused = |r: &SealReply| matches!(r, SealReply::Refused { .. });
+        if replies.iter().flatten().any(refused) {
+            live.end(End::TakenOver, app.now());
+        }
+    }
+    if live.is_useless() {
+        lock(&app.answers.live).remove(key);
         return None;
     }
-    Some(Arc::clone(found))
+    Some(live)
 }
 
 fn check_body(known: u64, body: u64) -> Result<(), ApiError> {
@@ -151,38 +165,35 @@
 }
 
 /// Seals all earlier terms at every holder, and finds the newest copy.
-async fn seal_all(app: &App, key: &RequestKey, holders: &BTreeSet<MemberId>) -> Sealed {
-    let mut term = 2;
-    for _ in 0..SEAL_TRIES {
-        let replies = join_all(holders.iter().map(|h| seal(app, key, term, h))).await;
-        let refused = replies.iter().flatten().filter_map(|r| match r {
-            SealReply::Refused { term } => Some(*term),
-            _ => None,
-        });
-        if let Some(highest) = refused.max() {
-            term = highest + 1;
-            continue;
+async fn seal_all(
+    app: &App,
+    key: &RequestKey,
+    holders: &BTreeSet<MemberId>,
+) -> Result<Sealed, ApiError> {
+    let mut takeover = Takeover::new();
+    let mut step = takeover.start();
+    loop {
+        match step {
+            TakeoverStep::Seal { term } => {
+                let replies = holders.iter().map(|h| seal(app, key, term, h));
+                step = takeover.on_replies(join_all(replies).await);
+            }
+            TakeoverStep::Own {
+                term,
+                held,
+                unheard,
+            } => {
+                return Ok(Sealed {
+                    term,
+                    held,
+                    unheard,
+                });
+            }
+            TakeoverStep::Contended => {
+                let message = "another router is taking the answer over";
+                return Err(ApiError::busy("contended", message, COME_BACK));
+            }
         }
-        let unheard = replies.iter().any(Option::is_none);
-        let any_known = replies
-            .iter()
-            .flatten()
-            .any(|r| matches!(r, SealReply::Sealed { .. }));
-        let held = replies.into_iter().flatten().filter_map(|r| match r {
-            SealReply::Sealed { held } => held,
-            _ => None,
-        });
-        let newest = held.max_by_key(|h| (h.term, h.tokens.len()));
-        return Sealed {
-            term: if any_known { term } else { 1 },
-            held: newest,
-            unheard,
-        };
-    }
-    Sealed {
-        term,
-        held: None,
-        unheard: true,
     }
 }
 
@@ -211,7 +222,7 @@
     term: u64,
     last: Option<&EventId>,
 ) -> Result<Opened, ApiError> {
-    let answer = Answer::resumed(term, held.tokens, held.finish);
+    let answer = Answer::resumed(term, app.opener(), held.tokens, held.finish);
     let offset = match last {
         Some(last) => go_on(answer.resume_at(last.tokens, last.chain))?,
         None => 0,
--- a/crates/cloverpier_daemon/src/answers/outbox.rs
+++ b/crates/cloverpier_daemon/src/answers/outbox.rs
@@ -5,7 +5,7 @@
 //! the number of messages grows with peers, not with answers.
 
 use crate::answers::directory::noted_at;
-use crate::answers::live::{Live, State};
+use crate::answers::live::Live;
 use crate::app::App;
 use cloverpier_answer::Entry;
 use cloverpier_core::{MemberId, hash_of, lock, rank};
@@ -53,7 +53,7 @@
         release_uncopied(app, live);
         return;
     }
-    let holder = live.look(|s| s.copy.holder.clone());
+    let holder = live.look(|s| s.copy.holder().cloned());
     let holder = holder.or_else(|| assign(app, live));
     match holder {
         Some(holder) => enqueue(app, &holder, live),
@@ -78,11 +78,7 @@
 /// Chooses a holder for an answer and tells where it is.
 fn assign(app: &Arc<App>, live: &Arc<Live>) -> Option<MemberId> {
     let holder = choose_holder(app, live);
-    live.change(|s| {
-        s.copy.holder.clone_from(&holder);
-        s.copy.sent = 0;
-        s.copy.finish_sent = false;
-    });
+    live.change(|s| s.copy.assign(holder.clone()));
     app.log.info(
         "copy.holder",
         &HolderChosen {
@@ -147,7 +143,7 @@
 }
 
 fn enqueue(app: &Arc<App>, holder: &MemberId, live: &Arc<Live>) {
-    let already = live.change(|s| std::mem::replace(&mut s.copy.queued, true));
+    let already = live.change(|s| std::mem::replace(&mut s.queued, true));
     if already {
         return;
     }
@@ -181,6 +177,11 @@
             if batch.is_empty() {
                 break;
             }
+            // One that was given another holder meanwhile is in that one's queue.
+            let batch: Vec<Arc<Live>> = batch
+                .into_iter()
+                .filter(|live| live.look(|s| s.copy.holder() == Some(&holder)))
+                .collect();
             send_batch(&app, &holder, batch).await;
         }
         let gone = !app.members().contains(&holder);
@@ -194,6 +195,9 @@
 }
 
 async fn send_batch(app: &Arc<App>, holder: &MemberId, batch: Vec<Arc<Live>>) {
+    if batch.is_empty() {
+        return;
+    }
     let entries: Vec<Entry> = batch.iter().map(|live| entry_of(app, live)).collect();
     let request = PeerRequest::Append { entries };
     let reply = app.ask(holder, &request, APPEND_TIMEOUT).await;
@@ -201,9 +205,7 @@
     match reply {
         Some(PeerReply::Appended(replies)) if replies.len() == batch.len() => {
             for (live, reply) in batch.into_iter().zip(replies) {
-                let again = live.on_append(reply, now);
-                let more = live.look(has_news);
-                if again || more {
+                if live.on_append(reply, now) {
                     send_news(app, &live);
                 }
             }
@@ -216,37 +218,22 @@
 fn on_holder_failed(app: &Arc<App>, holder: &MemberId, batch: Vec<Arc<Live>>, now: Instant) {
     lock(&app.answers.outbox.failed).insert(holder.clone(), now);
     app.metrics.count("copy.holder_failed", 1);
-    for live in batch {
+    // Those that wait in line would run into the same failure.
+    let waiting = std::mem::take(&mut *lock(&queue_of(app, holder).waiting));
+    for live in batch.into_iter().chain(waiting) {
         live.change(|s| {
-            s.copy.holder = None;
-            s.copy.queued = false;
+            s.copy.assign(None);
+            s.queued = false;
         });
         send_news(app, &live);
     }
 }
 
-fn has_news(s: &State) -> bool {
-    let tokens = s.copy.sent < s.answer.len();
-    let finish = s.answer.finish().is_some() && !s.copy.finish_sent;
-    tokens || finish
-}
-
 fn entry_of(app: &App, live: &Live) -> Entry {
     live.change(|s| {
-        s.copy.queued = false;
-        let offset = s.copy.sent;
-        s.copy.sent = s.answer.len();
-        let finish = s.answer.finish();
-        s.copy.finish_sent = finish.is_some();
-        Entry {
-            key: live.key.clone(),
-            term: s.answer.term(),
-            owner: app.me.id.clone(),
-            body: live.body,
-            source: s.source.clone(),
-            offset,
-            tokens: s.answer.tokens_from(offset).to_vec(),
-            finish,
-        }
+        s.queued = false;
+        let source = s.source.clone();
+        s.copy
+            .next_entry(&s.answer, &live.key, &app.me.id, live.body, source)
     })
 }
--- a/crates/cloverpier_daemon/src/answers/run.rs
+++ b/crates/cloverpier_daemon/src/answers/run.rs
@@ -178,7 +178,12 @@
 }
 
 fn generation_name(live: &Live, attempt: AttemptId) -> String {
-    format!("{}#{}.{}", live.key, attempt.term, attempt.number)
+    let AttemptId {
+        term,
+        opener,
+        number,
+    } = attempt;
+    format!("{}#{term}.{opener:x}.{number}", live.key)
 }
 
 /// One attempt at one engine, from the accepted prefix on.
--- a/crates/cloverpier_daemon/src/app.rs
+++ b/crates/cloverpier_daemon/src/app.rs
@@ -4,7 +4,7 @@
 use crate::answers::Answers;
 use crate::members::Cluster;
 use cloverpier_config::{Applied, Config};
-use cloverpier_core::{Clock, SystemClock, lock, wall_ms};
+use cloverpier_core::{Clock, SystemClock, hash_of, lock, wall_ms};
 use cloverpier_member::{Member, MemberList};
 use cloverpier_observe::{Log, Metrics};
 use cloverpier_peer::{PeerError, PeerReply, PeerRequest, Peers, Versions};
@@ -117,6 +117,11 @@
         self.numbers.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// A number that no owner of any answer uses twice, at this router or another.
+    pub fn opener(&self) -> u64 {
+        hash_of(&format!("{}/{}", self.me.id, self.number()))
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Arc<Config> {
         lock(&self.applied).config()
--- a/crates/cloverpier_daemon/src/web/completions.rs
+++ b/crates/cloverpier_daemon/src/web/completions.rs
@@ -164,7 +164,7 @@
         keyed.key.clone(),
         ask.body,
         spec,
-        Answer::fresh(term),
+        Answer::fresh(term, app.opener()),
         app.now(),
     );
     let mut all = lock(&app.answers.live);
--- a/crates/cloverpier_daemon/src/web/peers.rs
+++ b/crates/cloverpier_daemon/src/web/peers.rs
@@ -87,7 +87,7 @@
             PeerReply::Done
         }
         PeerRequest::Locate { key } => {
-            let holds = lock(&app.answers.copies).term(&key) > 0;
+            let holds = lock(&app.answers.copies).holds(&key);
             let noted = lock(&app.answers.directory).holder(&key);
             let holder = if holds {
                 Some(app.me.id.clone())
