--- a/crates/cloverpier_settings/src/reader.rs
+++ b/crates/cloverpier_settings/src/reader.rs
@@ -119,7 +119,7 @@
     pub(crate) fn finish(mut self) -> Result<(), SettingFaults> {
         let unknown: Vec<String> = self.table.keys().cloned().collect();
         for key in unknown {
-            self.fault(&key, "no such key");
+            self.fault(&key, "a known key");
         }
         if self.faults.is_empty() {
             return Ok(());
