--- a/tools/src/bin/measure.rs
+++ b/tools/src/bin/measure.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use cloverpier_tools::process::build_programs;
-use cloverpier_tools::scenarios::ALL;
+use cloverpier_tools::scenarios::{ALL, Options};
 use std::process::ExitCode;
 
 /// Runs scenarios against real processes: one JSON object a line, a table on standard error.
@@ -14,6 +14,9 @@
     /// the seed of random choices
     #[argh(option, default = "1")]
     seed: u64,
+    /// how long a scenario without an end of its own runs
+    #[argh(option, default = "25")]
+    seconds: u64,
     /// print the scenarios
     #[argh(switch)]
     list: bool,
@@ -38,9 +41,13 @@
         eprintln!("{e}");
         return ExitCode::FAILURE;
     }
+    let options = Options {
+        seed: args.seed,
+        seconds: args.seconds,
+    };
     let mut failed = false;
     for scenario in chosen {
-        match scenario.run(args.seed).await {
+        match scenario.run(options).await {
             Ok(figures) => figures.print(),
             Err(e) => {
                 eprintln!("{}: {e}", scenario.name);
--- a/tools/src/fleet.rs
+++ b/tools/src/fleet.rs
@@ -378,6 +378,29 @@
             .map_err(io::Error::other)
     }
 
+    /// Lets an upstream that left take work again, as its next incarnation.
+    pub async fn bring_back(&self, engine: usize) -> bool {
+        let name = self.engines[engine].name.as_str().into();
+        for router in &self.routers {
+            let operator = self.operator_at(router);
+            let Ok(config) = operator.config().await else {
+                continue;
+            };
+            let mut intent = Intent::default();
+            if let Some(mut upstream) = self.intent().upstreams.remove(&name) {
+                let known = config["upstreams"][name.as_str()]["incarnation"].as_u64();
+                upstream.incarnation = known.unwrap_or(1) + 1;
+                intent.upstreams.insert(name.clone(), upstream);
+            }
+            if let Ok(planned) = operator.plan(&intent).await
+                && operator.confirm(&planned.id).await.is_ok()
+            {
+                return true;
+            }
+        }
+        false
+    }
+
     /// An operator at the first router that runs.
     pub fn operator(&self) -> Operator {
         self.operator_at(&self.routers[0])
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -1,6 +1,7 @@
 //! Scenarios that the measurements run, each against processes of its own.
 
 mod basic;
+mod chaos;
 mod meter;
 
 use crate::report::Figures;
@@ -19,6 +20,16 @@
 #[derive(Clone, Copy, Debug)]
 enum Runner {
     Basic(basic::Kind),
+    Chaos,
+}
+
+/// What the caller of a scenario can set.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// The seed of random choices.
+    pub seed: u64,
+    /// Seconds for which a scenario without an end of its own runs.
+    pub seconds: u64,
 }
 
 /// All scenarios.
@@ -55,6 +66,11 @@
         "three times as many requests as places",
         basic::Kind::Overload,
     ),
+    Scenario {
+        name: "chaos",
+        about: "random faults for a stated time; all counts of wrongs must be 0",
+        run: Runner::Chaos,
+    },
 ];
 
 const fn basic_scenario(name: &'static str, about: &'static str, kind: basic::Kind) -> Scenario {
@@ -71,12 +87,13 @@
     /// # Errors
     ///
     /// The error of a process, or what did not come up in time.
-    pub async fn run(&self, seed: u64) -> io::Result<Figures> {
+    pub async fn run(&self, options: Options) -> io::Result<Figures> {
         let mut figures = match self.run {
             Runner::Basic(kind) => basic::run(kind).await?,
+            Runner::Chaos => chaos::run(options).await?,
         };
         self.name.clone_into(&mut figures.scenario);
-        figures.seed = seed;
+        figures.seed = options.seed;
         Ok(figures)
     }
 }
