Look for a slot's records behind epochs without claims

Five routers joined within 120 ms; a slot whose holders of the epoch before had had no time to learn was taken for lost and closed for the retry horizon (600 s). Safe, but a data centre that comes back at once would meet it every time. Excluded: lost messages and lists (logs show epochs 1 to 5 at every member).

Now a member that held a slot without ever taking a claim in an epoch says so; as a claim needs every holder, none was completed in that epoch, and the learner goes one epoch further back, up to 32.

--- a/crates/cloverpier_daemon/src/claims.rs
+++ b/crates/cloverpier_daemon/src/claims.rs
@@ -182,15 +182,16 @@
     for source in &step.sources {
         let request = PeerRequest::Sync {
             slot: step.slot,
+            level: step.level,
             epoch,
         };
         let reply = app.ask(source, &request, CLAIM_TIMEOUT).await;
         let Some(PeerReply::Sync(reply)) = reply else {
             continue;
         };
-        let learned = matches!(reply, SyncReply::Records(_));
+        let learned = matches!(reply, SyncReply::Records(_) | SyncReply::NoClaims);
         let now = app.now();
-        lock(&app.records).on_sync_reply(step.slot, epoch, source, reply, now);
+        lock(&app.records).on_sync_reply(step, epoch, source, reply, now);
         if learned {
             return;
         }
--- a/crates/cloverpier_daemon/src/members/join.rs
+++ b/crates/cloverpier_daemon/src/members/join.rs
@@ -42,7 +42,7 @@
     if !lock(&app.cluster).adopt(list, now) {
         return;
     }
-    lock(&app.records).enter(list, now);
+    lock(&app.records).enter(list);
     app.log.info(
         "members.epoch",
         &Epoch {
--- a/crates/cloverpier_daemon/src/web/peers.rs
+++ b/crates/cloverpier_daemon/src/web/peers.rs
@@ -117,8 +117,8 @@
             lock(&app.records).on_release(&key, &claim);
             PeerReply::Done
         }
-        PeerRequest::Sync { slot, epoch } => {
-            PeerReply::Sync(lock(&app.records).on_sync(slot, epoch, now))
+        PeerRequest::Sync { slot, level, epoch } => {
+            PeerReply::Sync(lock(&app.records).on_sync(slot, level, epoch, now))
         }
         PeerRequest::PullMembers => PeerReply::Members((*app.members()).clone()),
         PeerRequest::PullRoot => PeerReply::Root(lock(&app.applied).root().clone()),
--- a/crates/cloverpier_daemon/src/web/request.rs
+++ b/crates/cloverpier_daemon/src/web/request.rs
@@ -6,6 +6,7 @@
 use cloverpier_answer::EventId;
 use cloverpier_config::{Account, Config, Service, ServiceKind};
 use cloverpier_core::{AccountName, ModelName, RequestKey, ServiceName, hash_of, jitter, lock};
+use futures_util::StreamExt;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde_json::{Map, Value};
@@ -14,6 +15,8 @@
 
 /// The largest body of a caller, in bytes.
 const MAX_BODY: usize = 4 << 20;
+/// What is read of a body that is too large, in bytes, before the connection is closed on it.
+const DISCARD_MOST: usize = 64 << 20;
 const MAX_KEY: usize = 200;
 const DEFAULT_TOKENS: u64 = 256;
 
@@ -185,6 +188,7 @@
         error.at("body")
     };
     if declared > MAX_BODY {
+        discard(req).await;
         return Err(too_large());
     }
     match req.payload_with_max_size(MAX_BODY).await {
@@ -193,6 +197,19 @@
     }
 }
 
+/// Reads on without keeping anything: a caller that is still sending when the connection is
+/// closed never sees the error.
+async fn discard(req: &mut Request) {
+    let mut body = req.take_body();
+    let mut read = 0;
+    while let Some(Ok(chunk)) = body.next().await {
+        read += chunk.into_data().map_or(0, |data| data.len());
+        if read > DISCARD_MOST {
+            return;
+        }
+    }
+}
+
 /// A completion request after its checks.
 #[derive(Clone, Debug)]
 pub struct Completion {
--- a/crates/cloverpier_member/src/list.rs
+++ b/crates/cloverpier_member/src/list.rs
@@ -149,6 +149,12 @@
         Some(members)
     }
 
+    /// Member lists as far back as the history reaches, oldest first.
+    pub fn as_far_back(&self) -> Vec<MemberList> {
+        let oldest = self.history.first().map_or(self.epoch, |c| c.epoch);
+        self.since(oldest).unwrap_or_else(|| vec![self.clone()])
+    }
+
     /// Member lists from a given epoch on, oldest first, as far as the history reaches.
     ///
     /// The last one is this list's own. `None` when the history doesn't reach back that far.
--- a/crates/cloverpier_peer/src/message.rs
+++ b/crates/cloverpier_peer/src/message.rs
@@ -104,6 +104,8 @@
     Sync {
         /// The slot.
         slot: Slot,
+        /// The epoch up to which records are asked for.
+        level: u64,
         /// The epoch that the asker acts on.
         epoch: u64,
     },
--- a/crates/cloverpier_record/src/holder.rs
+++ b/crates/cloverpier_record/src/holder.rs
@@ -4,10 +4,15 @@
 use cloverpier_core::{MemberId, RequestKey};
 use cloverpier_member::MemberList;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Epochs that a member remembers; a slot that has to look further back is closed.
+const EPOCHS_KEPT: usize = MemberList::HISTORY_KEPT;
+/// When to come back to a slot that is being learned, in milliseconds.
+const NOT_READY_RETRY_MS: u64 = 500;
+
 /// One try of one router to run a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClaimId {
@@ -76,10 +81,13 @@
 /// What a member answers to another that must learn a slot's records.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SyncReply {
-    /// All records that any claim in an earlier epoch wrote.
+    /// All records that any claim up to the asked epoch wrote.
     Records(Vec<Record>),
-    /// The member doesn't know all of them.
-    NotReady,
+    /// The member held the slot in the asked epoch and never took a claim in
+    /// it; as every holder must, nobody's claim was completed in it.
+    NoClaims,
+    /// The member knows nothing of the slot in that epoch.
+    Unknown,
     /// The member acts on an earlier epoch still; ask again.
     Behind,
 }
@@ -89,6 +97,8 @@
 pub struct SyncStep {
     /// The slot.
     pub slot: Slot,
+    /// The epoch whose holders are asked.
+    pub level: u64,
     /// Whom to ask.
     pub sources: Vec<MemberId>,
 }
@@ -103,17 +113,44 @@
     }
 }
 
-/// Whether a holder knows all records of a slot.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Whether this member knows all records of a slot.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 enum SlotState {
-    /// It does, and did as a holder in every epoch up to this one.
-    Ready { epoch: u64 },
-    /// It asks the holders of the epoch before; those that said they don't know are noted.
-    Learning { denied: Vec<MemberId> },
+    /// It doesn't hold the slot.
+    #[default]
+    NotHeld,
+    /// It does.
+    Ready,
+    /// It asks the holders of an earlier epoch; no claim was completed in any
+    /// epoch between that one and the present.
+    Learning { level: u64, denied: Vec<MemberId> },
     /// Nobody is left who knows: closed until no retry can come any more.
     Closed { since: Instant },
 }
 
+/// What a member remembers of a slot through epochs.
+#[derive(Clone, Debug, Default)]
+struct SlotMemory {
+    state: SlotState,
+    /// The last epoch that it left as a holder that knew all records.
+    ready_at: Option<u64>,
+    /// Epochs that it left as a holder that had not taken any claim.
+    unready_at: Vec<u64>,
+}
+
+impl SlotMemory {
+    /// Notes how an epoch was left.
+    fn close_epoch(&mut self, epoch: u64) {
+        match self.state {
+            SlotState::NotHeld => {}
+            SlotState::Ready => self.ready_at = Some(epoch),
+            SlotState::Learning { .. } | SlotState::Closed { .. } => self.unready_at.push(epoch),
+        }
+        let excess = self.unready_at.len().saturating_sub(EPOCHS_KEPT);
+        self.unready_at.drain(..excess);
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Kept {
     record: Record,
@@ -126,9 +163,9 @@
     me: MemberId,
     horizon: Horizon,
     list: MemberList,
-    map: SlotMap,
-    before: Option<SlotMap>,
-    slots: BTreeMap<Slot, SlotState>,
+    /// Holders in the last epochs, the present one last.
+    maps: VecDeque<SlotMap>,
+    slots: BTreeMap<Slot, SlotMemory>,
     kept: HashMap<RequestKey, Kept>,
 }
 
@@ -139,8 +176,7 @@
             me,
             horizon,
             list: MemberList::default(),
-            map: SlotMap::default(),
-            before: None,
+            maps: VecDeque::from([SlotMap::default()]),
             slots: BTreeMap::new(),
             kept: HashMap::new(),
         }
@@ -148,169 +184,166 @@
 
     /// The epoch that the member acts on.
     pub fn epoch(&self) -> u64 {
-        self.map.epoch()
+        self.map().epoch()
     }
 
     /// The holders in that epoch.
     pub fn map(&self) -> &SlotMap {
-        &self.map
+        // There is always a present epoch: the list begins with one and is cut at its front.
+        &self.maps[self.maps.len() - 1]
     }
 
     /// Enters a later epoch; claims of the earlier one are refused from here on.
-    pub fn enter(&mut self, list: &MemberList, now: Instant) {
-        if list.epoch <= self.map.epoch() {
+    ///
+    /// Epochs that were missed are gone through one by one, as each may have
+    /// moved a slot away and back.
+    pub fn enter(&mut self, list: &MemberList) {
+        if list.epoch <= self.epoch() {
             return;
         }
-        let steps = list.since(self.map.epoch().max(1));
-        match steps {
-            Some(lists) => {
-                for step in lists {
-                    if step.epoch > self.map.epoch() {
-                        self.enter_one(step, now);
-                    }
-                }
-            }
+        let missed = list.since(self.epoch() + 1);
+        if missed.is_none() {
             // The history doesn't reach back: what was known may lack claims.
-            None => {
-                self.slots.clear();
-                self.before = list.previous().map(|members| previous_map(list, members));
-                self.settle_on(list.clone(), now);
-            }
+            self.slots.clear();
+            self.maps = VecDeque::from([SlotMap::default()]);
+        }
+        for step in missed.unwrap_or_else(|| list.as_far_back()) {
+            self.enter_one(step);
         }
     }
 
-    fn enter_one(&mut self, list: MemberList, now: Instant) {
-        let followed = self.map.epoch() + 1 == list.epoch && self.map.epoch() > 0;
-        self.before = if followed {
-            Some(self.map.clone())
-        } else {
-            list.previous().map(|members| previous_map(&list, members))
-        };
-        self.settle_on(list, now);
-    }
-
-    fn settle_on(&mut self, list: MemberList, now: Instant) {
-        self.map = SlotMap::of(&list);
-        self.list = list;
-        let epoch = self.map.epoch();
+    fn enter_one(&mut self, list: MemberList) {
+        let before = self.epoch();
+        let map = SlotMap::of(&list);
         for slot in Slot::all() {
-            let state = self.state_in(slot, epoch, now);
-            match state {
-                Some(state) => drop(self.slots.insert(slot, state)),
-                None => self.leave_slot(slot, epoch),
+            let holds = map.holds(slot, &self.me);
+            if !holds && !self.slots.contains_key(&slot) {
+                continue;
             }
+            let memory = self.slots.entry(slot).or_default();
+            memory.close_epoch(before);
+            memory.state = next_state(&memory.state, holds, list.epoch);
         }
-    }
-
-    /// The state of a slot that this member holds in an epoch.
-    fn state_in(&self, slot: Slot, epoch: u64, now: Instant) -> Option<SlotState> {
-        if !self.map.holds(slot, &self.me) {
-            return None;
-        }
-        let nobody_before = self
-            .before
-            .as_ref()
-            .is_none_or(|b| b.holders(slot).is_empty());
-        let first = epoch == 1 || (self.list.previous().is_some_and(|m| m.is_empty()));
-        match self.slots.get(&slot) {
-            Some(SlotState::Ready { epoch: at }) if *at + 1 == epoch => {
-                Some(SlotState::Ready { epoch })
-            }
-            Some(SlotState::Closed { since }) => Some(SlotState::Closed { since: *since }),
-            // The first members ever find no earlier claims.
-            _ if epoch == 1 => Some(SlotState::Ready { epoch }),
-            _ if nobody_before || first => Some(SlotState::Closed { since: now }),
-            _ => Some(SlotState::Learning { denied: Vec::new() }),
+        self.maps.push_back(map);
+        if self.maps.len() > EPOCHS_KEPT {
+            self.maps.pop_front();
         }
+        self.list = list;
     }
 
-    /// A slot that moved away is kept for one epoch, for its new holders to learn from.
-    fn leave_slot(&mut self, slot: Slot, epoch: u64) {
-        let stale = match self.slots.get(&slot) {
-            Some(SlotState::Ready { epoch: at }) => *at + 1 < epoch,
-            _ => true,
-        };
-        if stale {
-            self.slots.remove(&slot);
-        }
+    fn map_of(&self, epoch: u64) -> Option<&SlotMap> {
+        self.maps.iter().find(|m| m.epoch() == epoch)
     }
 
     /// What has to be learned, and from whom.
     pub fn to_learn(&mut self, now: Instant) -> Vec<SyncStep> {
-        let mut steps = Vec::new();
+        let is_learning = |m: &SlotMemory| matches!(m.state, SlotState::Learning { .. });
         let learning: Vec<Slot> = self
             .slots
             .iter()
-            .filter(|(_, s)| matches!(s, SlotState::Learning { .. }))
+            .filter(|(_, memory)| is_learning(memory))
             .map(|(slot, _)| *slot)
             .collect();
-        for slot in learning {
-            let sources = self.sources(slot);
+        let steps = learning.into_iter().filter_map(|s| self.learn_step(s, now));
+        steps.collect()
+    }
+
+    /// Goes back through epochs without claims to one whose holders can be asked.
+    fn learn_step(&mut self, slot: Slot, now: Instant) -> Option<SyncStep> {
+        loop {
+            let memory = self.slots.get(&slot)?;
+            let SlotState::Learning { level, denied } = &memory.state else {
+                return None;
+            };
+            let level = *level;
+            if level == 0 || memory.ready_at == Some(level) {
+                // There was no claim before the first epoch, or this member knows them all.
+                self.set_state(slot, SlotState::Ready);
+                return None;
+            }
+            if memory.unready_at.contains(&level) {
+                self.go_back(slot, level);
+                continue;
+            }
+            let holders = self.map_of(level).map_or(&[][..], |m| m.holders(slot));
+            let able =
+                |id: &&MemberId| **id != self.me && self.list.contains(id) && !denied.contains(id);
+            let sources: Vec<MemberId> = holders.iter().filter(able).cloned().collect();
             if sources.is_empty() {
-                self.slots.insert(slot, SlotState::Closed { since: now });
-            } else {
-                steps.push(SyncStep { slot, sources });
+                self.set_state(slot, SlotState::Closed { since: now });
+                return None;
             }
+            return Some(SyncStep {
+                slot,
+                level,
+                sources,
+            });
+        }
+    }
+
+    fn set_state(&mut self, slot: Slot, state: SlotState) {
+        if let Some(memory) = self.slots.get_mut(&slot) {
+            memory.state = state;
         }
-        steps
     }
 
-    /// Holders of the epoch before that are members still and haven't said that they don't know.
-    fn sources(&self, slot: Slot) -> Vec<MemberId> {
-        let Some(SlotState::Learning { denied }) = self.slots.get(&slot) else {
-            return Vec::new();
+    fn go_back(&mut self, slot: Slot, from: u64) {
+        let state = SlotState::Learning {
+            level: from - 1,
+            denied: Vec::new(),
         };
-        let before = self.before.as_ref().map_or(&[][..], |b| b.holders(slot));
-        before
-            .iter()
-            .filter(|id| **id != self.me && self.list.contains(id) && !denied.contains(id))
-            .cloned()
-            .collect()
+        self.set_state(slot, state);
     }
 
-    /// Answers a member that must learn a slot's records for an epoch.
+    /// Answers a member that acts on an epoch and asks for a slot's records up to a level.
     ///
     /// Only a member that has entered that epoch answers: from then on no
     /// claim of an earlier epoch can be completed without its refusal.
-    pub fn on_sync(&self, slot: Slot, epoch: u64, now: Instant) -> SyncReply {
-        if self.map.epoch() < epoch {
+    pub fn on_sync(&self, slot: Slot, level: u64, epoch: u64, now: Instant) -> SyncReply {
+        if self.epoch() < epoch {
             return SyncReply::Behind;
         }
-        let knows = match self.slots.get(&slot) {
-            Some(SlotState::Ready { epoch: at }) => *at + 1 >= epoch,
-            _ => false,
+        let Some(memory) = self.slots.get(&slot) else {
+            return SyncReply::Unknown;
         };
-        if !knows {
-            return SyncReply::NotReady;
+        let knows_all = memory.state == SlotState::Ready;
+        if knows_all || memory.ready_at.is_some_and(|at| at >= level) {
+            let of_slot = |k: &&Kept| Slot::of(k.record.key.as_str()) == slot;
+            let kept = self.kept.values().filter(of_slot);
+            return SyncReply::Records(kept.map(|k| handed_on(k, now)).collect());
         }
-        let of_slot = |k: &&Kept| Slot::of(k.record.key.as_str()) == slot;
-        let kept = self.kept.values().filter(of_slot);
-        SyncReply::Records(kept.map(|k| handed_on(k, now)).collect())
+        if memory.unready_at.contains(&level) {
+            return SyncReply::NoClaims;
+        }
+        SyncReply::Unknown
     }
 
-    /// Takes what another member answered.
+    /// Takes what another member answered to a step.
     pub fn on_sync_reply(
         &mut self,
-        slot: Slot,
+        step: &SyncStep,
         epoch: u64,
         from: &MemberId,
         reply: SyncReply,
         now: Instant,
     ) {
-        if epoch != self.map.epoch() {
-            return;
-        }
-        let Some(SlotState::Learning { denied }) = self.slots.get_mut(&slot) else {
+        let current = epoch == self.epoch();
+        let state = self.slots.get_mut(&step.slot).map(|m| &mut m.state);
+        let Some(SlotState::Learning { level, denied }) = state else {
             return;
         };
+        if !current || *level != step.level {
+            return;
+        }
         match reply {
             SyncReply::Behind => {}
-            SyncReply::NotReady => denied.push(from.clone()),
+            SyncReply::Unknown => denied.push(from.clone()),
+            SyncReply::NoClaims => self.go_back(step.slot, step.level),
             SyncReply::Records(records) => {
                 for record in records {
                     self.learn(record, now);
                 }
-                self.slots.insert(slot, SlotState::Ready { epoch });
+                self.set_state(step.slot, SlotState::Ready);
             }
         }
     }
@@ -334,9 +367,9 @@
         claim: &ClaimId,
         now: Instant,
     ) -> ClaimReply {
-        if epoch != self.map.epoch() {
+        if epoch != self.epoch() {
             return ClaimReply::OtherEpoch {
-                epoch: self.map.epoch(),
+                epoch: self.epoch(),
             };
         }
         if let Some(retry_ms) = self.not_ready(Slot::of(key.as_str()), now) {
@@ -361,20 +394,19 @@
 
     /// How long until a slot takes claims, in milliseconds; `None` when it takes them now.
     fn not_ready(&mut self, slot: Slot, now: Instant) -> Option<u64> {
-        let epoch = self.map.epoch();
-        let holds = self.map.holds(slot, &self.me);
-        match self.slots.get(&slot) {
-            Some(SlotState::Ready { epoch: at }) if *at == epoch && holds => None,
+        let state = self.slots.get(&slot).map(|m| &m.state);
+        match state {
+            Some(SlotState::Ready) => None,
             Some(SlotState::Closed { since }) => {
                 let closed = now.saturating_duration_since(*since);
                 let left = self.horizon.0.saturating_sub(closed);
-                if left.is_zero() && holds {
-                    self.slots.insert(slot, SlotState::Ready { epoch });
+                if left.is_zero() {
+                    self.set_state(slot, SlotState::Ready);
                     return None;
                 }
                 Some(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
             }
-            _ => Some(500),
+            _ => Some(NOT_READY_RETRY_MS),
         }
     }
 
@@ -414,17 +446,26 @@
 
     /// Slots that this member holds but can't take claims for.
     pub fn slots_not_ready(&self) -> usize {
-        let ready = |s: &&SlotState| !matches!(s, SlotState::Ready { .. });
-        self.slots.values().filter(ready).count()
+        let held = |m: &&SlotMemory| !matches!(m.state, SlotState::NotHeld | SlotState::Ready);
+        self.slots.values().filter(held).count()
     }
 }
 
-fn previous_map(list: &MemberList, members: Vec<cloverpier_member::Member>) -> SlotMap {
-    SlotMap::of(&MemberList {
-        epoch: list.epoch.saturating_sub(1),
-        members,
-        history: Vec::new(),
-    })
+/// The state of a slot in the epoch that is entered.
+fn next_state(before: &SlotState, holds: bool, epoch: u64) -> SlotState {
+    if !holds {
+        return SlotState::NotHeld;
+    }
+    match before {
+        SlotState::Ready => SlotState::Ready,
+        SlotState::Closed { since } => SlotState::Closed { since: *since },
+        // The first members ever find no earlier claims.
+        _ if epoch <= 1 => SlotState::Ready,
+        SlotState::NotHeld | SlotState::Learning { .. } => SlotState::Learning {
+            level: epoch - 1,
+            denied: Vec::new(),
+        },
+    }
 }
 
 fn handed_on(kept: &Kept, now: Instant) -> Record {
--- a/crates/cloverpier_record/tests/at_most_once.rs
+++ b/crates/cloverpier_record/tests/at_most_once.rs
@@ -182,14 +182,14 @@
         };
         let list = self.lists[at].clone();
         if let Some(records) = self.processes.get_mut(&id) {
-            records.enter(&list, self.now);
+            records.enter(&list);
         }
     }
 
     fn all_enter(&mut self) {
         let list = self.list.clone();
         for records in self.processes.values_mut() {
-            records.enter(&list, self.now);
+            records.enter(&list);
         }
     }
 
@@ -219,15 +219,15 @@
         steps.retain(|step| used.contains(&step.slot));
         self.rng.shuffle(&mut steps);
         for step in steps.into_iter().take(most) {
-            let source = self.rng.choice(step.sources);
+            let source = self.rng.choice(step.sources.clone());
             let Some(source) = source else {
                 continue;
             };
             let Some(other) = self.processes.get(&source) else {
                 continue;
             };
-            let reply = other.on_sync(step.slot, epoch, self.now);
-            records.on_sync_reply(step.slot, epoch, &source, reply, self.now);
+            let reply = other.on_sync(step.slot, step.level, epoch, self.now);
+            records.on_sync_reply(&step, epoch, &source, reply, self.now);
         }
         self.processes.insert(id.clone(), records);
     }
--- a/crates/cloverpier_record/tests/orders.rs
+++ b/crates/cloverpier_record/tests/orders.rs
@@ -31,17 +31,17 @@
 }
 
 /// A member that was there from the first epoch on.
-fn founder(name: &str, now: Instant) -> (Records, MemberList) {
+fn founder(name: &str) -> (Records, MemberList) {
     let list = list_of(&[name]);
     let mut records = Records::new(member(name, "dc-0").id, Horizon::default());
-    records.enter(&list, now);
+    records.enter(&list);
     (records, list)
 }
 
 #[test]
 fn a_claim_is_written_once_and_told_to_others() {
     let now = Instant::now();
-    let (mut records, _) = founder("vm-a", now);
+    let (mut records, _) = founder("vm-a");
     let first = records.on_claim(1, &key(), 7, &claim(1), now);
     assert_eq!(first, ClaimReply::Written);
     let again = records.on_claim(1, &key(), 7, &claim(1), now);
@@ -53,8 +53,8 @@
 #[test]
 fn a_holder_that_entered_the_next_epoch_refuses_claims_of_the_earlier_one() {
     let now = Instant::now();
-    let (mut records, list) = founder("vm-a", now);
-    records.enter(&list.with_joined(member("vm-b", "dc-1")), now);
+    let (mut records, list) = founder("vm-a");
+    records.enter(&list.with_joined(member("vm-b", "dc-1")));
     let late = records.on_claim(1, &key(), 7, &claim(1), now);
     assert_eq!(late, ClaimReply::OtherEpoch { epoch: 2 });
 }
@@ -62,20 +62,22 @@
 #[test]
 fn a_new_holder_takes_no_claim_before_it_knows_the_slots_records() {
     let now = Instant::now();
-    let (mut old, list) = founder("vm-a", now);
+    let (mut old, list) = founder("vm-a");
     old.on_claim(1, &key(), 7, &claim(1), now);
     let list = list.with_joined(member("vm-b", "dc-1"));
     let mut new = Records::new(member("vm-b", "dc-1").id, Horizon::default());
-    new.enter(&list, now);
+    new.enter(&list);
     let early = new.on_claim(2, &key(), 7, &claim(2), now);
     assert!(matches!(early, ClaimReply::NotReady { .. }));
 
     let slot = Slot::of(key().as_str());
     // The source must have entered the epoch itself, or it could take more claims.
-    assert_eq!(old.on_sync(slot, 2, now), SyncReply::Behind);
-    old.enter(&list, now);
-    let reply = old.on_sync(slot, 2, now);
-    new.on_sync_reply(slot, 2, &member("vm-a", "dc-0").id, reply, now);
+    let step = new.to_learn(now).into_iter().find(|s| s.slot == slot);
+    let step = step.expect("the slot has to be learned");
+    assert_eq!(old.on_sync(slot, step.level, 2, now), SyncReply::Behind);
+    old.enter(&list);
+    let reply = old.on_sync(slot, step.level, 2, now);
+    new.on_sync_reply(&step, 2, &member("vm-a", "dc-0").id, reply, now);
     let known = new.on_claim(2, &key(), 7, &claim(2), now);
     assert!(matches!(known, ClaimReply::Taken(_)));
 }
@@ -83,11 +85,11 @@
 #[test]
 fn a_slot_all_of_whose_holders_are_lost_is_closed_for_the_horizon() {
     let start = Instant::now();
-    let (_, list) = founder("vm-a", start);
+    let (_, list) = founder("vm-a");
     let gone = BTreeSet::from([member("vm-a", "dc-0").id]);
     let list = list.without(&gone).with_joined(member("vm-b", "dc-1"));
     let mut records = Records::new(member("vm-b", "dc-1").id, Horizon::default());
-    records.enter(&list, start);
+    records.enter(&list);
     assert!(records.to_learn(start).is_empty());
     let soon = start + Duration::from_secs(599);
     let closed = records.on_claim(list.epoch, &key(), 7, &claim(1), soon);
@@ -100,7 +102,7 @@
 #[test]
 fn only_the_claims_own_router_writes_its_outcome_or_gives_it_free() {
     let now = Instant::now();
-    let (mut records, _) = founder("vm-a", now);
+    let (mut records, _) = founder("vm-a");
     records.on_claim(1, &key(), 7, &claim(1), now);
     records.on_release(&key(), &claim(2));
     records.on_outcome(&key(), &claim(2), Outcome::Unknown);
@@ -149,7 +151,6 @@
 
 #[test]
 fn a_stopping_member_hands_its_slots_over_before_it_leaves() {
-    let now = Instant::now();
     let list = list_of(&["vm-a", "vm-b", "vm-c", "vm-d"]);
     let stopping = list.with_stopping(&list.members[0].id);
     let map = SlotMap::of(&stopping);
@@ -159,6 +160,79 @@
     let previous = stopping.previous().unwrap_or_default();
     assert!(previous.iter().all(|m| !m.stopping));
     let mut records = Records::new(list.members[0].id.clone(), Horizon::default());
-    records.enter(&stopping, now);
+    records.enter(&stopping);
     assert_eq!(records.slots_not_ready(), 0);
 }
+
+/// Lets every member learn from the others until nothing changes.
+fn learn_all(all: &mut [Records], ids: &[MemberId], now: Instant) {
+    for _ in 0..20 {
+        for i in 0..all.len() {
+            let epoch = all[i].epoch();
+            for step in all[i].to_learn(now) {
+                let source = ids.iter().position(|id| *id == step.sources[0]);
+                let source = source.expect("the source is a member");
+                let reply = all[source].on_sync(step.slot, step.level, epoch, now);
+                all[i].on_sync_reply(&step, epoch, &ids[source], reply, now);
+            }
+        }
+    }
+}
+
+#[test]
+fn members_that_join_faster_than_they_learn_close_no_slot() {
+    let now = Instant::now();
+    let mut list = MemberList::default();
+    let mut all: Vec<Records> = Vec::new();
+    let mut ids = Vec::new();
+    for i in 0..5 {
+        let one = member(&format!("vm-{i}"), &format!("dc-{i}"));
+        ids.push(one.id.clone());
+        list = list.with_joined(one.clone());
+        all.push(Records::new(one.id, Horizon::default()));
+        for records in &mut all {
+            records.enter(&list);
+        }
+    }
+    learn_all(&mut all, &ids, now);
+    let not_ready: Vec<usize> = all.iter().map(Records::slots_not_ready).collect();
+    assert_eq!(not_ready, vec![0; 5]);
+}
+
+#[test]
+fn a_record_is_found_again_behind_epochs_without_claims() {
+    let now = Instant::now();
+    let (mut founder, mut list) = founder("vm-a");
+    founder.on_claim(1, &key(), 7, &claim(1), now);
+    let mut all = vec![founder];
+    let mut ids = vec![list.members[0].id.clone()];
+    for name in ["vm-b", "vm-c", "vm-d"] {
+        let one = member(name, name);
+        ids.push(one.id.clone());
+        list = list.with_joined(one.clone());
+        all.push(Records::new(one.id, Horizon::default()));
+    }
+    for records in &mut all {
+        records.enter(&list);
+    }
+    learn_all(&mut all, &ids, now);
+    let slot = Slot::of(key().as_str());
+    let holders = SlotMap::of(&list).holders(slot).to_vec();
+    for holder in holders {
+        let at = ids.iter().position(|id| *id == holder).unwrap();
+        let reply = all[at].on_claim(list.epoch, &key(), 7, &claim(2), now);
+        assert!(matches!(reply, ClaimReply::Taken(_)), "{holder}: {reply:?}");
+    }
+}
+
+#[test]
+fn a_member_that_was_not_there_does_not_vouch_for_an_epoch() {
+    let now = Instant::now();
+    let list = list_of(&["vm-a", "vm-b"]);
+    let mut late = Records::new(member("vm-b", "dc-1").id, Horizon::default());
+    late.enter(&list);
+    for slot in Slot::all() {
+        let reply = late.on_sync(slot, 1, list.epoch, now);
+        assert_eq!(reply, SyncReply::Unknown);
+    }
+}
