Lend out accounts' limits; space the joins of members that others can't reach

Cause: each heartbeat carried the demand of every member for its accounts: at 390 members far over 10 KB/s, and an account seen at one router only had its whole limit at each. Also, a router that others can't reach joined again as soon as it was removed, an epoch change each time.

Chosen: a lender per account lends a second's demand at a time; joins wait longer each time, up to a minute. Weighed: bounded gossip (a share for what is not told can't be right), a call to the lender per request (a round trip each).

Before: demands unbounded (worked out, not measured). Conclusion: control no longer grows with accounts times members.

--- a/crates/cloverpier_admit/src/lib.rs
+++ b/crates/cloverpier_admit/src/lib.rs
@@ -10,13 +10,13 @@
 //! ```
 
 mod bucket;
-mod demand;
+mod loan;
 mod queue;
 
 /// What users of the crate need daily.
 pub mod prelude {
     pub use crate::bucket::{Bucket, Short};
-    pub use crate::demand::{Demand, Demands};
+    pub use crate::loan::{Borrowed, Lender, Loan, Quota, SpendStep};
     pub use crate::queue::{Queue, QueueStep, Ticket, Waiting};
 }
 
--- a/crates/cloverpier_daemon/src/admission.rs
+++ b/crates/cloverpier_daemon/src/admission.rs
@@ -2,9 +2,12 @@
 
 use crate::app::App;
 use crate::error::ApiError;
-use cloverpier_admit::{Bucket, Demand, Demands, Queue, QueueStep, Ticket, Waiting};
-use cloverpier_config::{Account, Config};
-use cloverpier_core::{AccountName, MemberId, ServiceName, jitter, lock};
+use cloverpier_admit::{
+    Borrowed, Lender, Loan, Queue, QueueStep, Quota, SpendStep, Ticket, Waiting,
+};
+use cloverpier_config::Account;
+use cloverpier_core::{AccountName, ServiceName, hash_of, jitter, lock, rank};
+use cloverpier_peer::{PeerReply, PeerRequest};
 use cloverpier_route::{Ask, Choice, Chosen};
 use salvo::http::StatusCode;
 use serde::Serialize;
@@ -14,14 +17,10 @@
 use tokio::sync::oneshot;
 
 const PUMP: Duration = Duration::from_millis(20);
+const BORROW_TIMEOUT: Duration = Duration::from_millis(250);
+const UNKNOWN_ACCOUNT_MS: u64 = 300;
 const LEAST_RETRY: Duration = Duration::from_millis(500);
 
-#[derive(Debug)]
-struct Buckets {
-    requests: Bucket,
-    tokens: Bucket,
-}
-
 #[derive(Debug)]
 struct Waiter {
     ask: Ask,
@@ -37,8 +36,10 @@
 /// Limits and queues of one router.
 #[derive(Debug, Default)]
 pub struct Admission {
-    buckets: Mutex<HashMap<AccountName, Buckets>>,
-    demands: Mutex<Demands>,
+    borrowed: Mutex<Borrowed>,
+    lender: Mutex<Lender>,
+    /// Lenders that did not answer, replaced by this router's even share for a while.
+    alone: Mutex<Lender>,
     lines: Mutex<HashMap<ServiceName, Line>>,
 }
 
@@ -66,9 +67,25 @@
     loop {
         tokio::time::sleep(PUMP).await;
         app.admission.pump(&app);
+        lock(&app.admission.borrowed).sweep(app.now());
+    }
+}
+
+fn limit_of(account: &Account, part: f64) -> Quota {
+    Quota {
+        requests: f64::from(account.requests_per_s) * part,
+        tokens: f64::from(account.tokens_per_s) * part,
     }
 }
 
+fn limited(app: &App, name: &AccountName, wait_ms: u64) -> ApiError {
+    app.metrics.count("admit.limited", 1);
+    let wait = Duration::from_millis(wait_ms).max(LEAST_RETRY);
+    let wait = jitter(&mut lock(&app.rng), wait * 2);
+    let message = format!("account {name} has used up its limit");
+    ApiError::not_run(StatusCode::TOO_MANY_REQUESTS, "account_limited", message).after(wait)
+}
+
 /// Writes the log line of a routing decision.
 pub fn log_choice(app: &App, request: &str, service: &ServiceName, chosen: &Chosen) {
     app.metrics.count("route.chosen", 1);
@@ -87,75 +104,86 @@
 }
 
 impl Admission {
-    /// Takes a configuration: limits change, what is in the buckets stays.
-    pub fn apply(&self, config: &Config, now: Instant) {
-        let mut buckets = lock(&self.buckets);
-        buckets.retain(|name, _| config.accounts.contains_key(name));
-        for (name, bucket) in buckets.iter_mut() {
-            if let Some(account) = config.accounts.get(name) {
-                bucket
-                    .requests
-                    .set_rate(f64::from(account.requests_per_s), now);
-                bucket.tokens.set_rate(f64::from(account.tokens_per_s), now);
-            }
-        }
-    }
-
     /// Takes a request and its tokens from an account's limits.
     ///
+    /// Most requests are covered by what was borrowed; now and then one waits
+    /// for a loan. While the lender can't be reached this router serves its
+    /// even share of the limit.
+    ///
     /// # Errors
     ///
-    /// [`ApiError`] when this router's share of a limit is used up.
-    pub fn charge(
+    /// [`ApiError`] when the limit is used up.
+    pub async fn charge(
         &self,
         app: &App,
         name: &AccountName,
         account: &Account,
         tokens: u32,
     ) -> Result<(), ApiError> {
-        let now = app.now();
-        let routers = app.members().members.len();
-        let share = {
-            let mut demands = lock(&self.demands);
-            demands.on_asked(name, f64::from(tokens), now);
-            demands.share(name, routers, now)
+        let need = Quota::of_request(tokens);
+        let step = lock(&self.borrowed).spend(name, need, app.now());
+        let SpendStep::Borrow { need, want } = step else {
+            return Ok(());
+        };
+        let loan = match self.borrow(app, name, need, want).await {
+            Some(loan) => loan,
+            None => self.even_share(app, name, account, need),
         };
-        let requests = f64::from(account.requests_per_s) * share;
-        let per_s = f64::from(account.tokens_per_s) * share;
-        let mut all = lock(&self.buckets);
-        let bucket = all.entry(name.clone()).or_insert_with(|| Buckets {
-            requests: Bucket::full(requests, now),
-            tokens: Bucket::full(per_s, now),
-        });
-        bucket.requests.set_rate(requests, now);
-        bucket.tokens.set_rate(per_s, now);
-        let taken = bucket
-            .requests
-            .take(1.0, now)
-            .and_then(|()| bucket.tokens.take(f64::from(tokens), now));
-        taken.map_err(|short| {
-            app.metrics.count("admit.limited", 1);
-            let wait = jitter(&mut lock(&app.rng), short.wait.max(LEAST_RETRY) * 2);
-            let message = format!("account {name} has used up its limit");
-            ApiError::not_run(StatusCode::TOO_MANY_REQUESTS, "account_limited", message).after(wait)
-        })
+        match loan {
+            Loan::Lent(lent) => {
+                lock(&self.borrowed).on_lent(name, lent, need, app.now());
+                Ok(())
+            }
+            Loan::Short { wait_ms } => Err(limited(app, name, wait_ms)),
+        }
     }
 
-    /// Gives back tokens that were charged and not generated.
-    pub fn give_back(&self, name: &AccountName, tokens: u64) {
-        if let Some(bucket) = lock(&self.buckets).get_mut(name) {
-            bucket.tokens.give_back(tokens as f64);
+    /// Asks the account's lender; `None` when it doesn't answer.
+    async fn borrow(
+        &self,
+        app: &App,
+        name: &AccountName,
+        need: Quota,
+        want: Quota,
+    ) -> Option<Loan> {
+        let list = app.members();
+        let ranked = rank(hash_of(name.as_str()), &list.members, |m| m.id.as_str());
+        let lender = ranked.first()?;
+        if lender.id == app.me.id {
+            return Some(self.lend(app, name, need, want));
+        }
+        let request = PeerRequest::Borrow {
+            account: name.clone(),
+            need,
+            want,
+        };
+        match app.ask(&lender.id, &request, BORROW_TIMEOUT).await? {
+            PeerReply::Loan(loan) => Some(loan),
+            _ => None,
         }
     }
 
-    /// What this router tells others of its demand.
-    pub fn to_tell(&self, me: &MemberId, now: Instant) -> Vec<Demand> {
-        lock(&self.demands).to_tell(me, now)
+    /// Lends some of an account's limit to a router.
+    pub fn lend(&self, app: &App, name: &AccountName, need: Quota, want: Quota) -> Loan {
+        let config = app.config();
+        let Some(account) = config.accounts.get(name) else {
+            // The account is newer than this router's configuration, or gone from the other's.
+            return Loan::Short {
+                wait_ms: UNKNOWN_ACCOUNT_MS,
+            };
+        };
+        lock(&self.lender).lend(name, limit_of(account, 1.0), need, want, app.now())
     }
 
-    /// Takes what another router told of its demand.
-    pub fn on_told(&self, me: &MemberId, demands: Vec<Demand>, now: Instant) {
-        lock(&self.demands).on_told(me, demands, now);
+    fn even_share(&self, app: &App, name: &AccountName, account: &Account, need: Quota) -> Loan {
+        let routers = app.members().members.len().max(1) as f64;
+        let limit = limit_of(account, 1.0 / routers);
+        lock(&self.alone).lend(name, limit, need, need, app.now())
+    }
+
+    /// Gives back tokens that were charged and not generated.
+    pub fn give_back(&self, name: &AccountName, tokens: u64) {
+        lock(&self.borrowed).give_back(name, tokens as f64);
     }
 
     /// Finds a place at an upstream, waiting in line where all are full.
--- a/crates/cloverpier_daemon/src/config/change.rs
+++ b/crates/cloverpier_daemon/src/config/change.rs
@@ -275,7 +275,6 @@
     }
     let request = PeerRequest::Heartbeat {
         versions: app.versions(),
-        demands: Vec::new(),
     };
     let version = match app.call(member.peers_at, &request, ASK_TIMEOUT).await {
         Ok(PeerReply::Here(versions)) => Some(versions.config),
--- a/crates/cloverpier_daemon/src/config/learn.rs
+++ b/crates/cloverpier_daemon/src/config/learn.rs
@@ -134,7 +134,6 @@
     };
     if let ApplyStep::InForce { version } = step {
         lock(&app.view).apply(&config);
-        app.admission.apply(&config, app.now());
         app.log.info("config.in_force", &InForce { version, from });
         app.metrics.gauge("config.version", version);
         app.news.notify_one();
--- a/crates/cloverpier_daemon/src/members/join.rs
+++ b/crates/cloverpier_daemon/src/members/join.rs
@@ -3,7 +3,7 @@
 use crate::app::App;
 use crate::members::MEMBERS_KEY;
 use cloverpier_core::{MemberId, jitter, lock};
-use cloverpier_member::MemberList;
+use cloverpier_member::{MemberList, Rejoin};
 use cloverpier_peer::{PeerReply, PeerRequest};
 use cloverpier_platform::{Found, WriteError};
 use serde::Serialize;
@@ -15,7 +15,7 @@
 const WATCH: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_secs(30);
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
-const NOT_JOINED_PAUSE: Duration = Duration::from_millis(500);
+const NOT_JOINED_PAUSE: Duration = Duration::from_millis(250);
 
 #[derive(Serialize)]
 struct Epoch<'a> {
@@ -123,11 +123,15 @@
     .await
 }
 
-/// Joins, and joins again whenever this process was taken for dead.
+/// Joins, and joins again when this process was taken for dead.
 pub(super) async fn keep_joined(app: Arc<App>) {
+    let mut rejoin = Rejoin::new();
     loop {
         let on_it = lock(&app.cluster).is_member();
-        if !on_it && !app.is_stopping() && !join(&app).await {
+        let now = app.now();
+        if on_it {
+            rejoin.on_member(now);
+        } else if !app.is_stopping() && rejoin.may_join(now) && !join(&app).await {
             ask_seeds(&app).await;
         }
         tokio::time::sleep(NOT_JOINED_PAUSE).await;
--- a/crates/cloverpier_daemon/src/members/tick.rs
+++ b/crates/cloverpier_daemon/src/members/tick.rs
@@ -91,10 +91,8 @@
 }
 
 async fn heartbeat(app: Arc<App>, to: MemberId) {
-    let now = app.now();
     let request = PeerRequest::Heartbeat {
         versions: app.versions(),
-        demands: app.admission.to_tell(&app.me.id, now),
     };
     let Some(peers_at) = app.members().get(&to).map(|m| m.peers_at) else {
         return;
--- a/crates/cloverpier_daemon/src/web/completions.rs
+++ b/crates/cloverpier_daemon/src/web/completions.rs
@@ -134,7 +134,8 @@
 ) -> Result<Arc<Live>, ApiError> {
     let account = &caller.account;
     app.admission
-        .charge(app, &caller.name, account, ask.max_tokens)?;
+        .charge(app, &caller.name, account, ask.max_tokens)
+        .await?;
     let mut route = Ask::new(ask.service.clone());
     route.prefix = Some(hash_of(&ask.prompt));
     let waiting = Waiting {
--- a/crates/cloverpier_daemon/src/web/operators.rs
+++ b/crates/cloverpier_daemon/src/web/operators.rs
@@ -28,6 +28,7 @@
     copied_tokens: usize,
     records: usize,
     slots_not_ready: usize,
+    peer_calls: u64,
     peer_bytes_sent: u64,
     peer_bytes_received: u64,
 }
@@ -196,7 +197,7 @@
         let records = lock(&app.records);
         (records.len(), records.slots_not_ready())
     };
-    let (peer_bytes_sent, peer_bytes_received) = app.peers.bytes();
+    let traffic = app.peers.traffic();
     Status {
         vm: app.me.vm.clone(),
         data_centre: app.me.data_centre.clone(),
@@ -211,7 +212,8 @@
         copied_tokens,
         records,
         slots_not_ready,
-        peer_bytes_sent,
-        peer_bytes_received,
+        peer_calls: traffic.calls,
+        peer_bytes_sent: traffic.sent,
+        peer_bytes_received: traffic.received,
     }
 }
--- a/crates/cloverpier_daemon/src/web/peers.rs
+++ b/crates/cloverpier_daemon/src/web/peers.rs
@@ -66,7 +66,12 @@
 async fn answer(app: &Arc<App>, request: PeerRequest) -> PeerReply {
     let now = app.now();
     match request {
-        PeerRequest::Heartbeat { versions, demands } => on_heartbeat(app, versions, demands),
+        PeerRequest::Heartbeat { versions } => on_heartbeat(app, versions),
+        PeerRequest::Borrow {
+            account,
+            need,
+            want,
+        } => PeerReply::Loan(app.admission.lend(app, &account, need, want)),
         PeerRequest::Probe { peers_at } => PeerReply::Probed {
             reached: probe(app, peers_at).await,
         },
@@ -127,14 +132,9 @@
     }
 }
 
-fn on_heartbeat(
-    app: &Arc<App>,
-    versions: Versions,
-    demands: Vec<cloverpier_admit::Demand>,
-) -> PeerReply {
+fn on_heartbeat(app: &Arc<App>, versions: Versions) -> PeerReply {
     let now = app.now();
     lock(&app.cluster).on_peer(&versions.member, now);
-    app.admission.on_told(&app.me.id, demands, now);
     let sender = app.members().get(&versions.member).map(|m| m.peers_at);
     if let Some(peers_at) = sender {
         let app = Arc::clone(app);
@@ -146,7 +146,6 @@
 async fn probe(app: &App, peers_at: SocketAddr) -> bool {
     let request = PeerRequest::Heartbeat {
         versions: app.versions(),
-        demands: Vec::new(),
     };
     app.call(peers_at, &request, PROBE_TIMEOUT).await.is_ok()
 }
--- a/crates/cloverpier_daemon/src/web/services.rs
+++ b/crates/cloverpier_daemon/src/web/services.rs
@@ -48,7 +48,8 @@
     }
     let body = raw_body(req).await?;
     app.admission
-        .charge(app, &caller.name, &caller.account, 0)?;
+        .charge(app, &caller.name, &caller.account, 0)
+        .await?;
     let rest = req.param::<String>("rest").unwrap_or_default();
     let query = req.uri().query().map(|q| format!("?{q}"));
     let call = PlainCall {
--- a/crates/cloverpier_member/src/lib.rs
+++ b/crates/cloverpier_member/src/lib.rs
@@ -19,11 +19,13 @@
 
 mod detector;
 mod list;
+mod rejoin;
 
 /// What users of the crate need daily.
 pub mod prelude {
     pub use crate::detector::{Detector, DetectorParams, DetectorStep, ProbeResult};
     pub use crate::list::{Member, MemberChange, MemberList};
+    pub use crate::rejoin::Rejoin;
 }
 
 pub use prelude::*;
--- a/crates/cloverpier_member/tests/detector.rs
+++ b/crates/cloverpier_member/tests/detector.rs
@@ -212,3 +212,27 @@
     }
     assert!(long.since(1).is_none());
 }
+
+#[test]
+fn a_member_that_others_cannot_reach_joins_less_and_less_often() {
+    let clock = ManualClock::new();
+    let mut rejoin = Rejoin::new();
+    let mut waits = Vec::new();
+    for _ in 0..10 {
+        assert!(rejoin.may_join(clock.now()));
+        rejoin.on_member(clock.now());
+        clock.advance(Duration::from_secs(3));
+        // It was removed.
+        let removed = clock.now();
+        while !rejoin.may_join(clock.now()) {
+            clock.advance(Duration::from_millis(500));
+        }
+        waits.push((clock.now() - removed).as_secs());
+    }
+    assert_eq!(waits, vec![1, 2, 4, 8, 16, 32, 60, 60, 60, 60]);
+    rejoin.on_member(clock.now());
+    clock.advance(Duration::from_secs(100));
+    assert!(!rejoin.may_join(clock.now()));
+    clock.advance(Duration::from_millis(500));
+    assert!(rejoin.may_join(clock.now()));
+}
--- a/crates/cloverpier_peer/src/client.rs
+++ b/crates/cloverpier_peer/src/client.rs
@@ -50,8 +50,25 @@
 pub struct Peers {
     http: Client,
     secret: Secret,
-    sent: Arc<AtomicU64>,
-    received: Arc<AtomicU64>,
+    traffic: Arc<Counters>,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    calls: AtomicU64,
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+/// What went to peers and came back so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Calls.
+    pub calls: u64,
+    /// Bytes of bodies sent.
+    pub sent: u64,
+    /// Bytes of bodies received.
+    pub received: u64,
 }
 
 impl Peers {
@@ -65,8 +82,7 @@
         Self {
             http: http.unwrap_or_default(),
             secret,
-            sent: Arc::default(),
-            received: Arc::default(),
+            traffic: Arc::default(),
         }
     }
 
@@ -82,7 +98,9 @@
         timeout: Duration,
     ) -> Result<PeerReply, PeerError> {
         let body = encode(request)?;
-        self.sent.fetch_add(body.len() as u64, Ordering::Relaxed);
+        let traffic = &self.traffic;
+        traffic.calls.fetch_add(1, Ordering::Relaxed);
+        traffic.sent.fetch_add(body.len() as u64, Ordering::Relaxed);
         let req = self
             .http
             .post(format!("http://{peers_at}/peer"))
@@ -97,14 +115,17 @@
             .fail();
         }
         let body = res.bytes().await.context(NoReplySnafu)?;
-        self.received
-            .fetch_add(body.len() as u64, Ordering::Relaxed);
+        let received = &traffic.received;
+        received.fetch_add(body.len() as u64, Ordering::Relaxed);
         Ok(decode(&body)?)
     }
 
-    /// Bytes of bodies sent and received so far.
-    pub fn bytes(&self) -> (u64, u64) {
-        let sent = self.sent.load(Ordering::Relaxed);
-        (sent, self.received.load(Ordering::Relaxed))
+    /// What went to peers and came back so far.
+    pub fn traffic(&self) -> Traffic {
+        Traffic {
+            calls: self.traffic.calls.load(Ordering::Relaxed),
+            sent: self.traffic.sent.load(Ordering::Relaxed),
+            received: self.traffic.received.load(Ordering::Relaxed),
+        }
     }
 }
--- a/crates/cloverpier_peer/src/lib.rs
+++ b/crates/cloverpier_peer/src/lib.rs
@@ -15,7 +15,7 @@
 
 /// What users of the crate need daily.
 pub mod prelude {
-    pub use crate::client::{PEER_HEADER, PeerError, Peers};
+    pub use crate::client::{PEER_HEADER, PeerError, Peers, Traffic};
     pub use crate::message::{
         CodecError, LocateNote, PeerReply, PeerRequest, Versions, decode, encode,
     };
--- a/crates/cloverpier_peer/src/message.rs
+++ b/crates/cloverpier_peer/src/message.rs
@@ -1,9 +1,9 @@
 //! The messages and their codec.
 
-use cloverpier_admit::Demand;
+use cloverpier_admit::{Loan, Quota};
 use cloverpier_answer::{AppendReply, Entry, SealReply};
 use cloverpier_config::{Part, PartDigest, Root};
-use cloverpier_core::{MemberId, RequestKey};
+use cloverpier_core::{AccountName, MemberId, RequestKey};
 use cloverpier_member::MemberList;
 use cloverpier_record::{ClaimId, ClaimReply, Outcome, Slot, SyncReply};
 use cloverpier_route::LeaveMarks;
@@ -41,8 +41,15 @@
     Heartbeat {
         /// What the sender acts on.
         versions: Versions,
-        /// Demand for accounts, the sender's own and what it heard.
-        demands: Vec<Demand>,
+    },
+    /// Lend me some of an account's limit.
+    Borrow {
+        /// The account.
+        account: AccountName,
+        /// What a request needs.
+        need: Quota,
+        /// What will soon be needed.
+        want: Quota,
     },
     /// Do you reach this member?
     Probe {
@@ -130,6 +137,8 @@
 pub enum PeerReply {
     /// To a heartbeat: what the receiver acts on.
     Here(Versions),
+    /// To a borrow.
+    Loan(Loan),
     /// To a probe: whether the member answered.
     Probed {
         /// Whether it did.
--- a/tools/src/fleet.rs
+++ b/tools/src/fleet.rs
@@ -4,8 +4,8 @@
 use cloverpier_client::{Caller, Confirmed, Operator};
 use cloverpier_config::{Account, Intent, Repeatable, Service, Upstream};
 use cloverpier_standin::{
-    EngineCounts, EngineFaults, EngineModel, PlatformCounts, PlatformFaults, ServiceCounts,
-    ServiceFaults,
+    EngineCounts, EngineFaults, EngineModel, LinkFaults, PlatformCounts, PlatformFaults,
+    ServiceCounts, ServiceFaults,
 };
 use reqwest::Client;
 use serde::Serialize;
@@ -34,6 +34,8 @@
     service: Service,
     account: Account,
     horizon_s: u64,
+    accounts: usize,
+    links: bool,
 }
 
 impl FleetSpec {
@@ -52,6 +54,8 @@
             service: Service::model("draft-7b"),
             account,
             horizon_s: 600,
+            accounts: 1,
+            links: false,
         }
     }
 
@@ -83,6 +87,21 @@
         self
     }
 
+    /// Puts links that can be cut before each router's port for peers, and between it and the
+    /// platform.
+    #[must_use]
+    pub fn links(mut self) -> Self {
+        self.links = true;
+        self
+    }
+
+    /// Sets the number of client accounts; only the first is used.
+    #[must_use]
+    pub fn accounts(mut self, accounts: usize) -> Self {
+        self.accounts = accounts;
+        self
+    }
+
     /// Sets how long keys that may not be repeated are remembered, in seconds.
     #[must_use]
     pub fn horizon_s(mut self, horizon_s: u64) -> Self {
@@ -124,6 +143,35 @@
     args: Vec<String>,
 }
 
+/// A link process.
+#[derive(Debug)]
+pub struct Link {
+    /// The process.
+    pub process: Process,
+    /// Where it listens.
+    pub address: SocketAddr,
+    control: SocketAddr,
+}
+
+fn link(dir: &Path, name: &str, to: SocketAddr) -> io::Result<Link> {
+    let free = free_addresses(2)?;
+    let (address, control) = (free[0], free[1]);
+    let args = [
+        "link",
+        "--listen",
+        &address.to_string(),
+        "--to",
+        &to.to_string(),
+    ];
+    let mut args: Vec<String> = args.iter().map(|a| (*a).to_owned()).collect();
+    args.extend(["--control".to_owned(), control.to_string()]);
+    Ok(Link {
+        process: Process::start("standin", &args, &dir.join(format!("{name}.log")))?,
+        address,
+        control,
+    })
+}
+
 /// A fleet of processes.
 #[derive(Debug)]
 pub struct Fleet {
@@ -131,6 +179,10 @@
     pub routers: Vec<Router>,
     /// Engines.
     pub engines: Vec<Standin>,
+    /// Links to each router's port for peers, where the fleet has links.
+    pub peer_links: Vec<Link>,
+    /// Links of each router to the platform, where the fleet has links.
+    pub platform_links: Vec<Link>,
     /// Servers of the plain service.
     pub services: Vec<Standin>,
     /// The platform.
@@ -196,6 +248,8 @@
         }
         let mut fleet = Self {
             routers: Vec::new(),
+            peer_links: Vec::new(),
+            platform_links: Vec::new(),
             engines,
             services,
             platform,
@@ -215,25 +269,34 @@
     }
 
     fn start_routers(&mut self, ports: &[(SocketAddr, SocketAddr)]) -> io::Result<()> {
-        let seeds: Vec<String> = ports.iter().map(|(_, p)| format!("\"{p}\"")).collect();
+        if self.spec.links {
+            for (i, (_, peers_listen)) in ports.iter().enumerate() {
+                let to_peer = link(&self.dir, &format!("peer-link-{i}"), *peers_listen)?;
+                let to_platform = link(
+                    &self.dir,
+                    &format!("platform-link-{i}"),
+                    self.platform.address,
+                )?;
+                self.peer_links.push(to_peer);
+                self.platform_links.push(to_platform);
+            }
+        }
+        let reached_at = |i: usize| self.peer_links.get(i).map_or(ports[i].1, |l| l.address);
         for (i, (callers_at, peers_at)) in ports.iter().enumerate() {
             let vm = format!("vm-{}", i + 1);
             let dc = DATA_CENTRES[i % DATA_CENTRES.len()];
-            let others: Vec<&String> = seeds
-                .iter()
-                .filter(|s| !s.contains(&peers_at.to_string()))
-                .collect();
-            let others = others
-                .iter()
-                .map(|s| s.as_str())
-                .collect::<Vec<_>>()
-                .join(", ");
+            let others = (0..ports.len()).filter(|j| *j != i);
+            let others: Vec<String> = others.map(|j| format!("\"{}\"", reached_at(j))).collect();
+            let links = self.platform_links.get(i);
+            let platform = links.map_or(self.platform.address, |l| l.address);
             let text = format!(
                 "vm = \"{vm}\"\ndata_centre = \"{dc}\"\ncallers_listen = \"{callers_at}\"\n\
-                 peers_listen = \"{peers_at}\"\nplatform = \"{}\"\nseeds = [{others}]\n\
-                 peer_secret = \"{PEER_SECRET}\"\noperator_key = \"{OPERATOR_KEY}\"\n\
+                 peers_listen = \"{peers_at}\"\npeers_at = \"{}\"\nplatform = \"{platform}\"\n\
+                 seeds = [{}]\npeer_secret = \"{PEER_SECRET}\"\noperator_key = \"{OPERATOR_KEY}\"\n\
                  record_horizon_s = {}\n",
-                self.platform.address, self.spec.horizon_s,
+                reached_at(i),
+                others.join(", "),
+                self.spec.horizon_s,
             );
             let settings = self.dir.join(format!("{vm}.toml"));
             std::fs::write(&settings, text)?;
@@ -437,6 +500,12 @@
         self.post(&url, faults).await
     }
 
+    /// Switches faults of a link.
+    pub async fn link_faults(&self, link: &Link, faults: LinkFaults) -> bool {
+        let url = format!("http://{}/faults", link.control);
+        self.post(&url, &faults).await
+    }
+
     /// Switches faults of the platform.
     pub async fn platform_faults(&self, faults: &PlatformFaults) -> bool {
         let url = format!("http://{}/faults", self.platform.address);
@@ -486,17 +555,22 @@
         sum
     }
 
-    /// Bytes that the routers that run have sent to peers, by their own count.
-    pub async fn peer_bytes(&self) -> u64 {
+    /// A count of each router's own status, added up.
+    pub async fn status_sum(&self, field: &str) -> u64 {
         let mut sum = 0;
         for router in &self.routers {
             if let Ok(status) = self.operator_at(router).status().await {
-                sum += status["peer_bytes_sent"].as_u64().unwrap_or(0);
+                sum += status[field].as_u64().unwrap_or(0);
             }
         }
         sum
     }
 
+    /// Bytes that the routers that run have sent to peers, by their own count.
+    pub async fn peer_bytes(&self) -> u64 {
+        self.status_sum("peer_bytes_sent").await
+    }
+
     /// The folder of logs and settings.
     pub fn dir(&self) -> &Path {
         &self.dir
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -3,6 +3,7 @@
 mod basic;
 mod chaos;
 mod meter;
+mod slopes;
 
 use crate::report::Figures;
 use std::io;
@@ -21,6 +22,7 @@
 enum Runner {
     Basic(basic::Kind),
     Chaos,
+    Slopes,
 }
 
 /// What the caller of a scenario can set.
@@ -71,6 +73,11 @@
         about: "random faults for a stated time; all counts of wrongs must be 0",
         run: Runner::Chaos,
     },
+    Scenario {
+        name: "slopes",
+        about: "costs at three or more sizes each, for docs/CAPACITY.md",
+        run: Runner::Slopes,
+    },
 ];
 
 const fn basic_scenario(name: &'static str, about: &'static str, kind: basic::Kind) -> Scenario {
@@ -91,6 +98,7 @@
         let mut figures = match self.run {
             Runner::Basic(kind) => basic::run(kind).await?,
             Runner::Chaos => chaos::run(options).await?,
+            Runner::Slopes => slopes::run().await?,
         };
         self.name.clone_into(&mut figures.scenario);
         figures.seed = options.seed;
