--- a/crates/cloverpier_daemon/src/members/cluster.rs
+++ b/crates/cloverpier_daemon/src/members/cluster.rs
@@ -30,6 +30,7 @@
     me: MemberId,
     peer_heard: Instant,
     platform_heard: Instant,
+    joining: Vec<Member>,
 }
 
 impl Cluster {
@@ -41,6 +42,7 @@
             me: me.id.clone(),
             peer_heard: now,
             platform_heard: now,
+            joining: Vec::new(),
         }
     }
 
@@ -59,6 +61,17 @@
         true
     }
 
+    /// Notes that a process asked to be put on the list.
+    pub fn on_join_asked(&mut self, member: Member) {
+        self.joining.retain(|m| m.vm != member.vm);
+        self.joining.push(member);
+    }
+
+    /// Takes the processes that asked since the last time.
+    pub fn take_joining(&mut self) -> Vec<Member> {
+        std::mem::take(&mut self.joining)
+    }
+
     /// Whether this process is on the list.
     pub fn is_member(&self) -> bool {
         self.list.contains(&self.me)
--- a/crates/cloverpier_daemon/src/members/join.rs
+++ b/crates/cloverpier_daemon/src/members/join.rs
@@ -2,8 +2,8 @@
 
 use crate::app::App;
 use crate::members::MEMBERS_KEY;
-use cloverpier_core::{MemberId, jitter, lock};
-use cloverpier_member::{MemberList, Rejoin};
+use cloverpier_core::{MemberId, hash_of, jitter, lock, rank};
+use cloverpier_member::{Member, MemberList, Rejoin};
 use cloverpier_peer::{PeerReply, PeerRequest};
 use cloverpier_platform::{Found, WriteError};
 use serde::Serialize;
@@ -15,6 +15,9 @@
 const WATCH: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_secs(30);
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which those that want to join are collected.
+const COLLECT: Duration = Duration::from_millis(400);
+const COLLECTED_WITHIN: Duration = Duration::from_millis(2_000);
 const NOT_JOINED_PAUSE: Duration = Duration::from_millis(250);
 
 #[derive(Serialize)]
@@ -105,15 +108,65 @@
 }
 
 /// Puts this process on the list.
+///
+/// One member collects those that ask at the same time, so that a data centre
+/// which comes back is a few changes of epoch, not one for each of its VMs.
+/// Where nobody collects, the process puts itself on the list.
 pub async fn join(app: &App) -> bool {
-    let me = app.me.clone();
+    if ask_to_join(app).await && wait_to_be_member(app).await {
+        return true;
+    }
+    put_on_list(app, vec![app.me.clone()]).await
+}
+
+async fn put_on_list(app: &App, joining: Vec<Member>) -> bool {
     update(app, "join", |list| {
-        let on_it = list.contains(&me.id);
-        (!on_it).then(|| list.with_joined(me.clone()))
+        let mut new = joining.clone();
+        new.retain(|m| !list.contains(&m.id));
+        (!new.is_empty()).then(|| list.with_all_joined(new))
     })
     .await
 }
 
+async fn ask_to_join(app: &App) -> bool {
+    let Ok(Some(found)) = app.platform.read::<MemberList>(MEMBERS_KEY).await else {
+        return false;
+    };
+    lock(&app.cluster).on_platform(app.now());
+    let members = &found.value.members;
+    let ranked = rank(hash_of(MEMBERS_KEY), members, |m| m.id.as_str());
+    let mut others = ranked.into_iter().filter(|m| m.vm != app.me.vm);
+    let Some(collector) = others.next() else {
+        return false;
+    };
+    let member = app.me.clone();
+    let request = PeerRequest::Join { member };
+    let reply = app.call(collector.peers_at, &request, PEER_TIMEOUT).await;
+    reply.is_ok()
+}
+
+async fn wait_to_be_member(app: &App) -> bool {
+    let until = app.now() + COLLECTED_WITHIN;
+    while app.now() < until {
+        if lock(&app.cluster).is_member() {
+            return true;
+        }
+        tokio::time::sleep(COLLECT / 4).await;
+    }
+    false
+}
+
+/// Puts those on the list that asked this member, all in one change.
+pub(super) async fn collect(app: Arc<App>) {
+    loop {
+        tokio::time::sleep(COLLECT).await;
+        let joining = lock(&app.cluster).take_joining();
+        if !joining.is_empty() {
+            put_on_list(&app, joining).await;
+        }
+    }
+}
+
 /// Takes members off the list.
 pub async fn leave(app: &App, gone: std::collections::BTreeSet<MemberId>, cause: &str) -> bool {
     update(app, cause, |list| {
--- a/crates/cloverpier_daemon/src/members/mod.rs
+++ b/crates/cloverpier_daemon/src/members/mod.rs
@@ -18,6 +18,7 @@
 /// Starts the part.
 pub fn start(app: &Arc<App>) {
     tokio::spawn(join::keep_joined(Arc::clone(app)));
+    tokio::spawn(join::collect(Arc::clone(app)));
     tokio::spawn(join::watch(Arc::clone(app)));
     tokio::spawn(tick::run(Arc::clone(app)));
 }
--- a/crates/cloverpier_daemon/src/web/peers.rs
+++ b/crates/cloverpier_daemon/src/web/peers.rs
@@ -67,6 +67,10 @@
     let now = app.now();
     match request {
         PeerRequest::Heartbeat { versions } => on_heartbeat(app, versions),
+        PeerRequest::Join { member } => {
+            lock(&app.cluster).on_join_asked(member);
+            PeerReply::Done
+        }
         PeerRequest::Borrow {
             account,
             need,
--- a/crates/cloverpier_member/src/list.rs
+++ b/crates/cloverpier_member/src/list.rs
@@ -70,14 +70,23 @@
 
 impl MemberList {
     /// Changes that a list remembers.
-    pub const HISTORY_KEPT: usize = 32;
+    pub const HISTORY_KEPT: usize = 64;
 
-    /// The list after a member joined; earlier runs on the same VM leave by it.
+    /// The list after a member joined.
     #[must_use]
     pub fn with_joined(&self, member: Member) -> Self {
-        let earlier = self.members.iter().filter(|m| m.vm == member.vm);
+        self.with_all_joined(vec![member])
+    }
+
+    /// The list after members joined, in one change however many there are.
+    ///
+    /// Earlier runs on the same VMs leave by it.
+    #[must_use]
+    pub fn with_all_joined(&self, joined: Vec<Member>) -> Self {
+        let replaced = |m: &&Member| joined.iter().any(|j| j.vm == m.vm);
+        let earlier = self.members.iter().filter(replaced);
         let left: BTreeSet<MemberId> = earlier.map(|m| m.id.clone()).collect();
-        self.changed(&left, vec![member])
+        self.changed(&left, joined)
     }
 
     /// The list without some members; one change however many there are.
--- a/crates/cloverpier_member/tests/detector.rs
+++ b/crates/cloverpier_member/tests/detector.rs
@@ -236,3 +236,13 @@
     clock.advance(Duration::from_millis(500));
     assert!(rejoin.may_join(clock.now()));
 }
+
+#[test]
+fn a_data_centre_that_comes_back_is_one_change_of_epoch() {
+    let list = list_of(9);
+    let at = ([127, 0, 0, 1], 1).into();
+    let back = [1, 4, 7].map(|i| Member::new(&format!("vm-{i}"), 2, "dc-1", at, at));
+    let again = list.with_all_joined(back.to_vec());
+    assert_eq!((again.epoch, again.members.len()), (list.epoch + 1, 9));
+    assert_eq!(again.previous(), Some(list.members));
+}
--- a/crates/cloverpier_peer/src/message.rs
+++ b/crates/cloverpier_peer/src/message.rs
@@ -4,7 +4,7 @@
 use cloverpier_answer::{AppendReply, Entry, SealReply};
 use cloverpier_config::{Part, PartDigest, Root};
 use cloverpier_core::{AccountName, MemberId, RequestKey};
-use cloverpier_member::MemberList;
+use cloverpier_member::{Member, MemberList};
 use cloverpier_record::{ClaimId, ClaimReply, Outcome, Slot, SyncReply};
 use cloverpier_route::LeaveMarks;
 use serde::de::DeserializeOwned;
@@ -42,6 +42,11 @@
         /// What the sender acts on.
         versions: Versions,
     },
+    /// Put me on the list of members, together with others that ask now.
+    Join {
+        /// The new member.
+        member: Member,
+    },
     /// Lend me some of an account's limit.
     Borrow {
         /// The account.
