--- a/crates/cloverpier_answer/src/copies.rs
+++ b/crates/cloverpier_answer/src/copies.rs
@@ -19,24 +19,40 @@
     pub attempt: AttemptId,
 }
 
+/// What a holder has to know of an answer besides its tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryHead {
+    /// Digest of the request's body, so that a key isn't used for two requests.
+    #[serde(rename = "b")]
+    pub body: u64,
+    /// Where the tokens come from.
+    #[serde(rename = "s")]
+    pub source: Option<Source>,
+}
+
 /// A batch of tokens of one answer, from its owner to a holder.
+///
+/// Most hold one token, so the names on the wire are short, and what doesn't
+/// change is sent once.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The request.
+    #[serde(rename = "k")]
     pub key: RequestKey,
     /// The owner's term.
+    #[serde(rename = "t")]
     pub term: u64,
-    /// The owner.
-    pub owner: MemberId,
-    /// Digest of the request's body, so that a key isn't used for two requests.
-    pub body: u64,
-    /// Where the tokens come from.
-    pub source: Option<Source>,
+    /// Sent with the first batch to a holder and whenever it has changed.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub head: Option<EntryHead>,
     /// Offset of the first token of the batch.
+    #[serde(rename = "o")]
     pub offset: u64,
     /// The tokens.
+    #[serde(rename = "x")]
     pub tokens: Vec<Arc<str>>,
     /// The end, when the batch reaches it.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub finish: Option<Finish>,
 }
 
@@ -133,24 +149,23 @@
     /// A term belongs to the first owner that uses it here; a second owner of
     /// the same term is refused, so that two routers that start the same
     /// request at once can't both release tokens.
-    pub fn append(&mut self, entry: Entry, now: Instant) -> AppendReply {
+    pub fn append(&mut self, owner: &MemberId, entry: Entry, now: Instant) -> AppendReply {
         let copy = self
             .by_key
             .entry(entry.key.clone())
             .or_insert_with(|| Copy {
                 fence: entry.term,
-                fence_owner: entry.owner.clone(),
+                fence_owner: owner.clone(),
                 held: None,
                 touched: now,
             });
-        if entry.term < copy.fence || (entry.term == copy.fence && entry.owner != copy.fence_owner)
-        {
+        if entry.term < copy.fence || (entry.term == copy.fence && *owner != copy.fence_owner) {
             return AppendReply::Sealed { term: copy.fence };
         }
         copy.fence = entry.term;
-        copy.fence_owner = entry.owner.clone();
+        copy.fence_owner = owner.clone();
         copy.touched = now;
-        write(&mut copy.held, entry)
+        write(&mut copy.held, owner, entry)
     }
 
     /// Seals all terms below the given one and hands out what is held.
@@ -219,18 +234,18 @@
 }
 
 /// Writes a batch whose term the fence has let through.
-fn write(held: &mut Option<HeldAnswer>, entry: Entry) -> AppendReply {
+fn write(held: &mut Option<HeldAnswer>, owner: &MemberId, entry: Entry) -> AppendReply {
     let same_term = held.as_ref().is_some_and(|h| h.term == entry.term);
-    if !same_term && entry.offset > 0 {
+    if !same_term {
         // The first batch of a term carries the whole prefix: tokens of an
         // earlier owner are never joined with those of a later one.
-        return AppendReply::Gap { tokens: 0 };
-    }
-    if !same_term {
+        let Some(head) = entry.head.as_ref().filter(|_| entry.offset == 0) else {
+            return AppendReply::Gap { tokens: 0 };
+        };
         *held = Some(HeldAnswer {
             term: entry.term,
-            owner: entry.owner.clone(),
-            body: entry.body,
+            owner: owner.clone(),
+            body: head.body,
             source: None,
             tokens: Vec::new(),
             finish: None,
@@ -245,7 +260,9 @@
     }
     let skip = usize::try_from(known - entry.offset).unwrap_or(usize::MAX);
     copy.tokens.extend(entry.tokens.into_iter().skip(skip));
-    copy.source = entry.source.or(copy.source.take());
+    if let Some(head) = entry.head {
+        copy.source = head.source.or(copy.source.take());
+    }
     copy.finish = copy.finish.or(entry.finish);
     AppendReply::Held {
         tokens: copy.tokens.len() as u64,
--- a/crates/cloverpier_answer/src/lib.rs
+++ b/crates/cloverpier_answer/src/lib.rs
@@ -27,7 +27,9 @@
 /// What users of the crate need daily.
 pub mod prelude {
     pub use crate::answer::{Answer, AttemptId, Finish, FinishReason, Resume, TokenStep};
-    pub use crate::copies::{AppendReply, Copies, Entry, HeldAnswer, Retention, SealReply, Source};
+    pub use crate::copies::{
+        AppendReply, Copies, Entry, EntryHead, HeldAnswer, Retention, SealReply, Source,
+    };
     pub use crate::event_id::EventId;
     pub use crate::shipping::{ShipStep, Shipping};
     pub use crate::takeover::{Takeover, TakeoverStep};
--- a/crates/cloverpier_answer/src/shipping.rs
+++ b/crates/cloverpier_answer/src/shipping.rs
@@ -1,7 +1,7 @@
 //! The owner's side of copying: what the holder has, and what it needs next.
 
 use crate::answer::Answer;
-use crate::copies::{AppendReply, Entry, Source};
+use crate::copies::{AppendReply, Entry, EntryHead};
 use cloverpier_core::{MemberId, RequestKey};
 
 /// What an owner does after a holder's reply.
@@ -24,6 +24,7 @@
     holder: Option<MemberId>,
     sent: u64,
     finish_sent: bool,
+    head_sent: Option<EntryHead>,
 }
 
 impl Shipping {
@@ -48,24 +49,19 @@
     }
 
     /// The next batch.
-    pub fn next_entry(
-        &mut self,
-        answer: &Answer,
-        key: &RequestKey,
-        owner: &MemberId,
-        body: u64,
-        source: Option<Source>,
-    ) -> Entry {
+    pub fn next_entry(&mut self, answer: &Answer, key: &RequestKey, head: EntryHead) -> Entry {
         let offset = self.sent;
         let finish = answer.finish();
         self.sent = answer.len();
         self.finish_sent = finish.is_some();
+        let known = self.head_sent.as_ref() == Some(&head);
+        if !known {
+            self.head_sent = Some(head.clone());
+        }
         Entry {
             key: key.clone(),
             term: answer.term(),
-            owner: owner.clone(),
-            body,
-            source,
+            head: (!known).then_some(head),
             offset,
             tokens: answer.tokens_from(offset).to_vec(),
             finish,
@@ -84,6 +80,7 @@
             AppendReply::Gap { tokens } => {
                 self.sent = tokens;
                 self.finish_sent = false;
+                self.head_sent = None;
             }
             AppendReply::Sealed { .. } => {
                 answer.on_taken_over();
--- a/crates/cloverpier_answer/tests/faults.rs
+++ b/crates/cloverpier_answer/tests/faults.rs
@@ -71,7 +71,7 @@
     copies: Vec<Copies>,
     generations: Vec<Generation>,
     /// Batches that were given up as lost but arrive all the same.
-    late: Vec<(usize, Entry)>,
+    late: Vec<(usize, MemberId, Entry)>,
     client: Client,
     openers: u64,
     finished: u64,
@@ -224,9 +224,11 @@
             owner.copy.assign(Some(holder_name));
         }
         if owner.under_way.is_none() && owner.copy.has_news(&owner.answer) {
-            let entry = owner
-                .copy
-                .next_entry(&owner.answer, &self.key, &name, 7, None);
+            let head = EntryHead {
+                body: 7,
+                source: None,
+            };
+            let entry = owner.copy.next_entry(&owner.answer, &self.key, head);
             owner.under_way = Some(entry);
             return;
         }
@@ -235,20 +237,21 @@
         };
         let holder = owner.copy.holder().cloned();
         let at = self.names.iter().position(|n| Some(n) == holder.as_ref());
-        let reply = self.copies[at.unwrap_or(0)].append(entry, self.now);
+        let reply = self.copies[at.unwrap_or(0)].append(&name, entry, self.now);
         owner.copy.on_reply(&mut owner.answer, reply);
     }
 
     /// No reply came: the owner takes another holder, and the batch may arrive later.
     fn batch_is_given_up(&mut self) {
         let i = self.router();
+        let name = self.run_of(i);
         let Some(owner) = &mut self.owners[i] else {
             return;
         };
         let holder = owner.copy.holder().cloned();
         let at = self.names.iter().position(|n| Some(n) == holder.as_ref());
         if let (Some(entry), Some(at)) = (owner.under_way.take(), at) {
-            self.late.push((at, entry));
+            self.late.push((at, name, entry));
         }
         owner.copy.assign(None);
     }
@@ -258,8 +261,8 @@
             return;
         }
         let i = self.rng.usize(0..self.late.len());
-        let (at, entry) = self.late.swap_remove(i);
-        self.copies[at].append(entry, self.now);
+        let (at, owner, entry) = self.late.swap_remove(i);
+        self.copies[at].append(&owner, entry, self.now);
     }
 
     fn owner_dies(&mut self) {
--- a/crates/cloverpier_answer/tests/orders.rs
+++ b/crates/cloverpier_answer/tests/orders.rs
@@ -13,17 +13,28 @@
     MemberId::new(name)
 }
 
-fn entry(owner: &str, term: u64, offset: u64, tokens: &[&str]) -> Entry {
-    Entry {
-        key: key(),
-        term,
-        owner: member(owner),
+/// Appends a batch that carries its head.
+fn append(
+    copies: &mut Copies,
+    owner: &str,
+    term: u64,
+    offset: u64,
+    tokens: &[&str],
+    now: Instant,
+) -> AppendReply {
+    let head = EntryHead {
         body: 1,
         source: None,
+    };
+    let entry = Entry {
+        key: key(),
+        term,
+        head: Some(head),
         offset,
         tokens: tokens.iter().map(|t| Arc::from(*t)).collect(),
         finish: None,
-    }
+    };
+    copies.append(&member(owner), entry, now)
 }
 
 #[test]
@@ -92,7 +103,7 @@
 fn two_routers_that_start_one_request_at_once_cannot_both_release() {
     let now = Instant::now();
     let mut copies = Copies::default();
-    let held = copies.append(entry("r1", 1, 0, &["a"]), now);
+    let held = append(&mut copies, "r1", 1, 0, &["a"], now);
     assert_eq!(
         held,
         AppendReply::Held {
@@ -100,7 +111,7 @@
             finished: false
         }
     );
-    let refused = copies.append(entry("r2", 1, 0, &["b"]), now);
+    let refused = append(&mut copies, "r2", 1, 0, &["b"], now);
     assert_eq!(refused, AppendReply::Sealed { term: 1 });
 }
 
@@ -108,10 +119,10 @@
 fn an_owner_that_was_sealed_cannot_write_any_more() {
     let now = Instant::now();
     let mut copies = Copies::default();
-    copies.append(entry("r1", 1, 0, &["a"]), now);
+    append(&mut copies, "r1", 1, 0, &["a"], now);
     let reply = copies.seal(&key(), 2, &member("r2"), now);
     assert!(matches!(reply, SealReply::Sealed { held: Some(h) } if h.tokens.len() == 1));
-    let late = copies.append(entry("r1", 1, 1, &["x"]), now);
+    let late = append(&mut copies, "r1", 1, 1, &["x"], now);
     assert_eq!(late, AppendReply::Sealed { term: 2 });
     let third = copies.seal(&key(), 2, &member("r3"), now);
     assert_eq!(third, SealReply::Refused { term: 2 });
@@ -121,11 +132,11 @@
 fn a_new_term_brings_its_whole_prefix_or_is_asked_for_it() {
     let now = Instant::now();
     let mut copies = Copies::default();
-    copies.append(entry("r1", 1, 0, &["a", "b"]), now);
+    append(&mut copies, "r1", 1, 0, &["a", "b"], now);
     copies.seal(&key(), 2, &member("r2"), now);
-    let gap = copies.append(entry("r2", 2, 2, &["c"]), now);
+    let gap = append(&mut copies, "r2", 2, 2, &["c"], now);
     assert_eq!(gap, AppendReply::Gap { tokens: 0 });
-    let held = copies.append(entry("r2", 2, 0, &["a", "z"]), now);
+    let held = append(&mut copies, "r2", 2, 0, &["a", "z"], now);
     assert_eq!(
         held,
         AppendReply::Held {
@@ -139,8 +150,8 @@
 fn a_batch_that_comes_twice_is_written_once() {
     let now = Instant::now();
     let mut copies = Copies::default();
-    copies.append(entry("r1", 1, 0, &["a", "b"]), now);
-    let again = copies.append(entry("r1", 1, 0, &["a", "b"]), now);
+    append(&mut copies, "r1", 1, 0, &["a", "b"], now);
+    let again = append(&mut copies, "r1", 1, 0, &["a", "b"], now);
     assert_eq!(
         again,
         AppendReply::Held {
@@ -148,7 +159,7 @@
             finished: false
         }
     );
-    let overlap = copies.append(entry("r1", 1, 1, &["b", "c"]), now);
+    let overlap = append(&mut copies, "r1", 1, 1, &["b", "c"], now);
     assert_eq!(
         overlap,
         AppendReply::Held {
@@ -219,7 +230,7 @@
     let start = Instant::now();
     let keep = Retention::default();
     let mut copies = Copies::default();
-    copies.append(entry("r1", 1, 0, &["a"]), start);
+    append(&mut copies, "r1", 1, 0, &["a"], start);
     copies.sweep(start + keep.finished, keep);
     assert_eq!(copies.len(), 1);
     copies.sweep(start + keep.unfinished, keep);
@@ -245,12 +256,48 @@
 fn an_owner_that_gave_its_holder_up_cannot_go_on_where_a_later_one_has_sealed() {
     let now = Instant::now();
     let (mut first, mut second) = (Copies::default(), Copies::default());
-    first.append(entry("r1", 1, 0, &["a"]), now);
+    append(&mut first, "r1", 1, 0, &["a"], now);
     for holder in [&mut first, &mut second] {
         holder.seal(&key(), 2, &member("r2"), now);
     }
-    let elsewhere = second.append(entry("r1", 1, 0, &["a", "x"]), now);
+    let elsewhere = append(&mut second, "r1", 1, 0, &["a", "x"], now);
     assert_eq!(elsewhere, AppendReply::Sealed { term: 2 });
     let asks = second.seal(&key(), 1, &member("r1"), now);
     assert_eq!(asks, SealReply::Refused { term: 2 });
 }
+
+#[test]
+fn a_batch_without_a_head_opens_nothing_and_needs_none_later() {
+    let now = Instant::now();
+    let mut answer = Answer::fresh(1, 77);
+    let attempt = answer.open_attempt();
+    answer.on_token(attempt, 0, "a".into());
+    let head = EntryHead {
+        body: 1,
+        source: None,
+    };
+    let mut shipping = Shipping::default();
+    shipping.assign(Some(member("h")));
+    let first = shipping.next_entry(&answer, &key(), head.clone());
+    assert_eq!(first.head, Some(head.clone()));
+    answer.on_token(attempt, 1, "b".into());
+    let second = shipping.next_entry(&answer, &key(), head.clone());
+    assert_eq!(second.head, None);
+    let (mut knows, mut fresh) = (Copies::default(), Copies::default());
+    knows.append(&member("r1"), first, now);
+    let held = knows.append(&member("r1"), second.clone(), now);
+    assert_eq!(
+        held,
+        AppendReply::Held {
+            tokens: 2,
+            finished: false
+        }
+    );
+    let gap = fresh.append(&member("r1"), second, now);
+    assert_eq!(gap, AppendReply::Gap { tokens: 0 });
+    shipping.on_reply(&mut answer, gap);
+    assert_eq!(
+        shipping.next_entry(&answer, &key(), head.clone()).head,
+        Some(head)
+    );
+}
--- a/crates/cloverpier_daemon/src/answers/outbox.rs
+++ b/crates/cloverpier_daemon/src/answers/outbox.rs
@@ -7,7 +7,7 @@
 use crate::answers::directory::noted_at;
 use crate::answers::live::Live;
 use crate::app::App;
-use cloverpier_answer::Entry;
+use cloverpier_answer::{Entry, EntryHead};
 use cloverpier_core::{MemberId, hash_of, lock, rank};
 use cloverpier_member::Member;
 use cloverpier_peer::{LocateNote, PeerReply, PeerRequest};
@@ -198,8 +198,11 @@
     if batch.is_empty() {
         return;
     }
-    let entries: Vec<Entry> = batch.iter().map(|live| entry_of(app, live)).collect();
-    let request = PeerRequest::Append { entries };
+    let entries: Vec<Entry> = batch.iter().map(|live| entry_of(live)).collect();
+    let request = PeerRequest::Append {
+        owner: app.me.id.clone(),
+        entries,
+    };
     let reply = app.ask(holder, &request, APPEND_TIMEOUT).await;
     let now = app.now();
     match reply {
@@ -229,11 +232,13 @@
     }
 }
 
-fn entry_of(app: &App, live: &Live) -> Entry {
+fn entry_of(live: &Live) -> Entry {
     live.change(|s| {
         s.queued = false;
-        let source = s.source.clone();
-        s.copy
-            .next_entry(&s.answer, &live.key, &app.me.id, live.body, source)
+        let head = EntryHead {
+            body: live.body,
+            source: s.source.clone(),
+        };
+        s.copy.next_entry(&s.answer, &live.key, head)
     })
 }
--- a/crates/cloverpier_daemon/src/config/change.rs
+++ b/crates/cloverpier_daemon/src/config/change.rs
@@ -19,6 +19,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The largest plan, in bytes; the platform's values hold a megabyte.
+const PLAN_MOST: usize = 1_000_000;
 const TRIES: u32 = 6;
 const PAUSE: Duration = Duration::from_millis(100);
 const ASK_TIMEOUT: Duration = Duration::from_millis(900);
@@ -122,6 +124,7 @@
     let plan = plan(&config, root.version, intent).map_err(|e| plan_error(&e))?;
     let id = PlanId::new(format!("{}-{}", app.me.id, app.number()).replace('~', "-"));
     let report = PlanReport { id, plan };
+    check_size(&report)?;
     let key = format!("{PLAN_PREFIX}{}", report.id);
     match app.platform.write(&key, 0, &report).await {
         Ok(_) => Ok(report),
@@ -130,6 +133,19 @@
     }
 }
 
+/// A plan is one value of the platform.
+fn check_size(report: &PlanReport) -> Result<(), ApiError> {
+    let size = serde_json::to_vec(report).map_or(usize::MAX, |text| text.len());
+    if size <= PLAN_MOST {
+        return Ok(());
+    }
+    let message = format!(
+        "the plan takes {size} bytes of at most {PLAN_MOST}; split the intent into several"
+    );
+    let status = StatusCode::PAYLOAD_TOO_LARGE;
+    Err(ApiError::not_run(status, "intent_too_large", message).at("body"))
+}
+
 /// Reads a stored plan.
 ///
 /// # Errors
--- a/crates/cloverpier_daemon/src/loads.rs
+++ b/crates/cloverpier_daemon/src/loads.rs
@@ -8,18 +8,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The least time between two questions: 20 a second are 0.9% of a core and 7 KB/s at most.
+const BETWEEN_REPORTS: Duration = Duration::from_millis(50);
+
 /// Starts the part.
 pub fn start(app: &Arc<App>) {
     tokio::spawn(run(Arc::clone(app)));
 }
 
+/// Asks the engines in turn, evenly spread, so that the cost stays bounded however many there
+/// are: with many, each one's report is older.
 async fn run(app: Arc<App>) {
     loop {
-        for (name, address) in engines(&app) {
+        let engines = engines(&app);
+        let count = u32::try_from(engines.len()).unwrap_or(u32::MAX);
+        let pause = app.settings.load_period / count.max(1);
+        let pause = pause.max(BETWEEN_REPORTS);
+        for (name, address) in engines {
             tokio::spawn(ask(Arc::clone(&app), name, address));
+            let wait = jitter(&mut lock(&app.rng), pause * 4 / 3);
+            tokio::time::sleep(wait).await;
+        }
+        if count == 0 {
+            tokio::time::sleep(app.settings.load_period).await;
         }
-        let wait = jitter(&mut lock(&app.rng), app.settings.load_period * 4 / 3);
-        tokio::time::sleep(wait).await;
     }
 }
 
--- a/crates/cloverpier_daemon/src/web/peers.rs
+++ b/crates/cloverpier_daemon/src/web/peers.rs
@@ -79,9 +79,9 @@
         PeerRequest::Probe { peers_at } => PeerReply::Probed {
             reached: probe(app, peers_at).await,
         },
-        PeerRequest::Append { entries } => {
+        PeerRequest::Append { owner, entries } => {
             let mut copies = lock(&app.answers.copies);
-            let replies = entries.into_iter().map(|e| copies.append(e, now));
+            let replies = entries.into_iter().map(|e| copies.append(&owner, e, now));
             PeerReply::Appended(replies.collect())
         }
         PeerRequest::Seal { key, term, owner } => {
--- a/crates/cloverpier_daemon/tests/sessions.rs
+++ b/crates/cloverpier_daemon/tests/sessions.rs
@@ -288,3 +288,28 @@
         "connections": connections,
     }));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_intent_that_makes_too_large_a_plan_is_refused_by_its_size() {
+    let site = Site::start().await;
+    site.configure(&site.intent()).await;
+    let mut intent = cloverpier_config::Intent::default();
+    let account = cloverpier_config::Account::new("a.b", vec!["drafts".into()]);
+    for i in 0..4_000 {
+        let name = format!("account-{i}");
+        intent
+            .accounts
+            .insert(name.as_str().into(), account.clone());
+    }
+    let refused = site
+        .operator(0)
+        .plan(&intent)
+        .await
+        .unwrap_err()
+        .to_string();
+    assert!(
+        refused.contains("413") && refused.contains("intent_too_large"),
+        "{refused}"
+    );
+    assert!(refused.contains("\"field\":\"body\""), "{refused}");
+}
--- a/crates/cloverpier_peer/src/client.rs
+++ b/crates/cloverpier_peer/src/client.rs
@@ -9,6 +9,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+/// Connections that nobody used for so long are closed: a confirmation asks every member, and
+/// must not leave a connection to each.
+const IDLE_CONNECTION: Duration = Duration::from_secs(5);
+const IDLE_CONNECTIONS: usize = 4;
+
 /// The header that carries the peers' secret.
 pub const PEER_HEADER: &str = "cloverpier-peer";
 
@@ -77,6 +82,8 @@
         let http = Client::builder()
             .connect_timeout(Duration::from_millis(300))
             .tcp_nodelay(true)
+            .pool_idle_timeout(IDLE_CONNECTION)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .redirect(reqwest::redirect::Policy::none())
             .build();
         Self {
--- a/crates/cloverpier_peer/src/message.rs
+++ b/crates/cloverpier_peer/src/message.rs
@@ -63,6 +63,8 @@
     },
     /// Hold these tokens.
     Append {
+        /// The owner of all the answers.
+        owner: MemberId,
         /// Batches of several answers.
         entries: Vec<Entry>,
     },
--- a/tools/src/fleet.rs
+++ b/tools/src/fleet.rs
@@ -21,6 +21,8 @@
 const OPERATOR_KEY: &str = "operators-of-the-demo";
 const PEER_SECRET: &str = "peers-of-the-demo-only";
 const DATA_CENTRES: [&str; 3] = ["hall-a", "hall-b", "kacyiru"];
+/// Accounts whose plan still fits into one value of the platform.
+const ACCOUNTS_A_PLAN: usize = 1_500;
 const READY_WITHIN: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -423,22 +425,32 @@
                 .upstreams
                 .insert(standin.name.as_str().into(), upstream);
         }
-        intent
-            .accounts
-            .insert("lab".into(), self.spec.account.clone());
+        let accounts = &mut intent.accounts;
+        accounts.insert("lab".into(), self.spec.account.clone());
+        for i in 1..self.spec.accounts {
+            let name = format!("account-{i}");
+            let account = Account::new(&format!("{name}.secret"), vec!["drafts".into()]);
+            accounts.insert(name.as_str().into(), account);
+        }
         intent
     }
 
+    /// Puts the intent in force, accounts in several plans where one would be too large.
     async fn configure(&self) -> io::Result<Confirmed> {
-        let operator = self.operator();
-        let planned = operator
-            .plan(&self.intent())
-            .await
-            .map_err(io::Error::other)?;
-        operator
-            .confirm(&planned.id)
-            .await
-            .map_err(io::Error::other)
+        let mut rest = self.intent();
+        let mut accounts = std::mem::take(&mut rest.accounts).into_iter().peekable();
+        loop {
+            rest.accounts
+                .extend(accounts.by_ref().take(ACCOUNTS_A_PLAN));
+            let operator = self.operator();
+            let planned = operator.plan(&rest).await.map_err(io::Error::other)?;
+            let confirmed = operator.confirm(&planned.id).await;
+            let confirmed = confirmed.map_err(io::Error::other)?;
+            if accounts.peek().is_none() {
+                return Ok(confirmed);
+            }
+            rest = Intent::default();
+        }
     }
 
     /// Lets an upstream that left take work again, as its next incarnation.
@@ -555,6 +567,15 @@
         sum
     }
 
+    /// The most memory that the router in the middle held, in megabytes.
+    pub fn router_rss_median_mb(&self) -> f64 {
+        let usage = self.routers.iter().map(|r| r.process.usage().rss_kb);
+        let mut all: Vec<u64> = usage.collect();
+        all.sort_unstable();
+        let middle = all.get(all.len() / 2).copied().unwrap_or(0);
+        middle as f64 / 1_024.0
+    }
+
     /// A count of each router's own status, added up.
     pub async fn status_sum(&self, field: &str) -> u64 {
         let mut sum = 0;
--- a/tools/src/scenarios/slopes.rs
+++ b/tools/src/scenarios/slopes.rs
@@ -79,6 +79,7 @@
         "cpu_percent_a_node": per_node(cpu as f64 / seconds / 10.0, routers),
         "peer_calls_a_node_s": per_node(calls as f64 / seconds, routers),
         "peer_body_bytes_a_node_s": per_node((sent + received) as f64 / seconds, routers),
+        "rss_mb_median": fleet.router_rss_median_mb(),
         "rss_mb_most": fleet.router_usage().rss_kb as f64 / 1_024.0,
         "platform_reads_s": (after.reads - platform.reads) as f64 / seconds,
         "platform_watches_s": (after.watches - platform.watches) as f64 / seconds,
@@ -120,6 +121,7 @@
         "peer_calls_a_token": calls / tokens,
         "gap_p50_ms": gaps.p50,
         "gap_p95_ms": gaps.p95,
+        "rss_mb_median": fleet.router_rss_median_mb(),
         "rss_mb_most": fleet.router_usage().rss_kb as f64 / 1_024.0,
     });
     fleet.forget_logs();
@@ -157,6 +159,7 @@
         "change_platform_writes": after.writes - before.writes,
         "change_platform_reads": after.reads - before.reads,
         "largest_part_bytes": largest.unwrap_or(0),
+        "rss_mb_median": fleet.router_rss_median_mb(),
         "rss_mb_most": fleet.router_usage().rss_kb as f64 / 1_024.0,
     });
     fleet.forget_logs();
