Share accounts between the configuration and its parts

Cause: each account stood twice in a router's memory, in its part and in the configuration; memory at 35,000 accounts was over the budget of 64 MB. Excluded: the platform's answers (parts are 30 KB each).

--- a/crates/cloverpier_config/src/apply.rs
+++ b/crates/cloverpier_config/src/apply.rs
@@ -56,8 +56,7 @@
             return ApplyStep::Lacks { parts: lacks };
         }
         self.parts.retain(|d, _| root.parts.contains(d));
-        let parts: Vec<Part> = self.parts.values().cloned().collect();
-        self.config = Arc::new(join(&parts));
+        self.config = Arc::new(join(self.parts.values()));
         self.root = root.clone();
         ApplyStep::InForce {
             version: root.version,
--- a/crates/cloverpier_config/src/model.rs
+++ b/crates/cloverpier_config/src/model.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Whether a service's calls may be run again when their outcome is unknown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -217,7 +218,7 @@
     /// Upstreams by name.
     #[serde(default)]
     pub upstreams: BTreeMap<UpstreamName, Upstream>,
-    /// Client accounts by name.
+    /// Client accounts by name; shared with the parts that they came in, as there are many.
     #[serde(default)]
-    pub accounts: BTreeMap<AccountName, Account>,
+    pub accounts: BTreeMap<AccountName, Arc<Account>>,
 }
--- a/crates/cloverpier_config/src/parts.rs
+++ b/crates/cloverpier_config/src/parts.rs
@@ -41,7 +41,7 @@
     /// Upstreams by name.
     pub upstreams: BTreeMap<UpstreamName, Upstream>,
     /// Client accounts by name.
-    pub accounts: BTreeMap<AccountName, Account>,
+    pub accounts: BTreeMap<AccountName, Arc<Account>>,
 }
 
 impl Part {
@@ -113,12 +113,12 @@
 }
 
 /// Joins parts into a configuration.
-pub fn join(parts: &[Part]) -> Config {
+pub fn join<'a>(parts: impl IntoIterator<Item = &'a Part>) -> Config {
     let mut config = Config::default();
-    for part in parts.iter().cloned() {
-        config.services.extend(part.services);
-        config.upstreams.extend(part.upstreams);
-        config.accounts.extend(part.accounts);
+    for part in parts {
+        config.services.extend(part.services.clone());
+        config.upstreams.extend(part.upstreams.clone());
+        config.accounts.extend(part.accounts.clone());
     }
     config
 }
--- a/crates/cloverpier_config/src/plan.rs
+++ b/crates/cloverpier_config/src/plan.rs
@@ -155,7 +155,9 @@
         let mut next = config.clone();
         next.services.extend(self.services.clone());
         next.upstreams.extend(self.upstreams.clone());
-        next.accounts.extend(self.accounts.clone());
+        let accounts = self.accounts.iter();
+        next.accounts
+            .extend(accounts.map(|(name, a)| (name.clone(), Arc::new(a.clone()))));
         for name in &self.leave {
             if let Some(upstream) = next.upstreams.get_mut(name) {
                 upstream.state = UpstreamState::Leaving;
--- a/crates/cloverpier_daemon/src/web/completions.rs
+++ b/crates/cloverpier_daemon/src/web/completions.rs
@@ -41,8 +41,9 @@
     match caller(&app_of(depot), req) {
         Err(error) => error.render(res),
         Ok(caller) => {
-            let data = caller.account.services.into_iter().map(|id| Model {
-                id,
+            let services = caller.account.services.iter();
+            let data = services.map(|id| Model {
+                id: id.clone(),
                 object: "model",
             });
             res.render(Json(Models {
--- a/crates/cloverpier_daemon/src/web/request.rs
+++ b/crates/cloverpier_daemon/src/web/request.rs
@@ -26,7 +26,7 @@
     /// Its account.
     pub name: AccountName,
     /// The account's rules.
-    pub account: Account,
+    pub account: Arc<Account>,
     /// The configuration that it was checked against.
     pub config: Arc<Config>,
 }
@@ -78,7 +78,7 @@
     if !account.key_sha256.matches(key) {
         return Err(wrong());
     }
-    let account = account.clone();
+    let account = Arc::clone(account);
     Ok(Caller {
         name,
         account,
--- a/tools/src/bin/measure.rs
+++ b/tools/src/bin/measure.rs
@@ -31,7 +31,9 @@
         }
         return ExitCode::SUCCESS;
     }
-    let wanted = |name: &str| args.scenario.as_deref().is_none_or(|s| s == name);
+    // The parts of the slopes are run by their own names only.
+    let in_all = |name: &str| !name.starts_with("slopes-");
+    let wanted = |name: &str| args.scenario.as_deref().map_or(in_all(name), |s| s == name);
     let chosen: Vec<_> = ALL.iter().filter(|s| wanted(s.name)).collect();
     if chosen.is_empty() {
         eprintln!("--scenario: expected one of those that --list prints");
--- a/tools/src/fleet.rs
+++ b/tools/src/fleet.rs
@@ -567,13 +567,15 @@
         sum
     }
 
-    /// The most memory that the router in the middle held, in megabytes.
-    pub fn router_rss_median_mb(&self) -> f64 {
-        let usage = self.routers.iter().map(|r| r.process.usage().rss_kb);
-        let mut all: Vec<u64> = usage.collect();
-        all.sort_unstable();
-        let middle = all.get(all.len() / 2).copied().unwrap_or(0);
-        middle as f64 / 1_024.0
+    /// The memory that the router in the middle held at most and holds now, in megabytes.
+    pub fn router_rss_median_mb(&self) -> (f64, f64) {
+        let median = |of: fn(&Usage) -> u64| {
+            let usage = self.routers.iter().map(|r| of(&r.process.usage()));
+            let mut all: Vec<u64> = usage.collect();
+            all.sort_unstable();
+            all.get(all.len() / 2).copied().unwrap_or(0) as f64 / 1_024.0
+        };
+        (median(|u| u.rss_kb), median(|u| u.rss_now_kb))
     }
 
     /// A count of each router's own status, added up.
--- a/tools/src/process.rs
+++ b/tools/src/process.rs
@@ -20,6 +20,8 @@
     pub cpu_ms: u64,
     /// The most memory that it held, in kilobytes.
     pub rss_kb: u64,
+    /// The memory that it holds now, in kilobytes.
+    pub rss_now_kb: u64,
 }
 
 impl Process {
@@ -84,7 +86,8 @@
     pub fn usage(&self) -> Usage {
         Usage {
             cpu_ms: cpu_ms(self.id()).unwrap_or(0),
-            rss_kb: peak_rss_kb(self.id()).unwrap_or(0),
+            rss_kb: status_kb(self.id(), "VmHWM:").unwrap_or(0),
+            rss_now_kb: status_kb(self.id(), "VmRSS:").unwrap_or(0),
         }
     }
 }
@@ -154,8 +157,8 @@
     Some((user + system) * 1_000 / TICKS_PER_S)
 }
 
-fn peak_rss_kb(id: u32) -> Option<u64> {
+fn status_kb(id: u32, field: &str) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-    let line = status.lines().find(|l| l.starts_with("VmHWM:"))?;
+    let line = status.lines().find(|l| l.starts_with(field))?;
     line.split_whitespace().nth(1)?.parse().ok()
 }
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -22,7 +22,7 @@
 enum Runner {
     Basic(basic::Kind),
     Chaos,
-    Slopes,
+    Slopes(slopes::Kind),
 }
 
 /// What the caller of a scenario can set.
@@ -73,11 +73,31 @@
         about: "random faults for a stated time; all counts of wrongs must be 0",
         run: Runner::Chaos,
     },
-    Scenario {
-        name: "slopes",
-        about: "costs at three or more sizes each, for docs/CAPACITY.md",
-        run: Runner::Slopes,
-    },
+    slopes_scenario(
+        "slopes",
+        "all costs for docs/CAPACITY.md",
+        slopes::Kind::All,
+    ),
+    slopes_scenario(
+        "slopes-decisions",
+        "decisions by size of fleet",
+        slopes::Kind::Decisions,
+    ),
+    slopes_scenario(
+        "slopes-idle",
+        "idle routers by routers and engines",
+        slopes::Kind::Idle,
+    ),
+    slopes_scenario(
+        "slopes-tokens",
+        "tokens by live answers",
+        slopes::Kind::Tokens,
+    ),
+    slopes_scenario(
+        "slopes-config",
+        "the configuration by accounts",
+        slopes::Kind::Config,
+    ),
 ];
 
 const fn basic_scenario(name: &'static str, about: &'static str, kind: basic::Kind) -> Scenario {
@@ -88,6 +108,14 @@
     }
 }
 
+const fn slopes_scenario(name: &'static str, about: &'static str, kind: slopes::Kind) -> Scenario {
+    Scenario {
+        name,
+        about,
+        run: Runner::Slopes(kind),
+    }
+}
+
 impl Scenario {
     /// Runs the scenario.
     ///
@@ -98,7 +126,7 @@
         let mut figures = match self.run {
             Runner::Basic(kind) => basic::run(kind).await?,
             Runner::Chaos => chaos::run(options).await?,
-            Runner::Slopes => slopes::run().await?,
+            Runner::Slopes(kind) => slopes::run(kind).await?,
         };
         self.name.clone_into(&mut figures.scenario);
         figures.seed = options.seed;
--- a/tools/src/scenarios/slopes.rs
+++ b/tools/src/scenarios/slopes.rs
@@ -16,35 +16,59 @@
 
 const IDLE: Duration = Duration::from_secs(6);
 
-/// Measures all slopes.
+/// Which slopes are measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// All of them.
+    All,
+    /// Decisions whose cost grows with the fleet, in this process.
+    Decisions,
+    /// Routers that nobody calls, by their number and by that of the engines.
+    Idle,
+    /// Tokens on their way, by live answers.
+    Tokens,
+    /// The configuration, by accounts.
+    Config,
+}
+
+/// Measures slopes.
 ///
 /// # Errors
 ///
 /// The error of a process.
-pub async fn run() -> io::Result<Figures> {
+pub async fn run(kind: Kind) -> io::Result<Figures> {
+    let wanted = |one| kind == Kind::All || kind == one;
     let mut figures = Figures::default();
-    figures.count("decisions", decisions());
-    let mut idle = Vec::new();
-    for routers in [3, 12, 36, 72] {
-        idle.push(idle_cost(routers, 4).await?);
+    if wanted(Kind::Decisions) {
+        figures.count("decisions", decisions());
     }
-    figures.count("idle_by_routers", idle);
-    let mut loads = Vec::new();
-    for engines in [4, 12, 24] {
-        loads.push(idle_cost(3, engines).await?);
+    if wanted(Kind::Idle) {
+        let mut by_routers = Vec::new();
+        for routers in [3, 12, 36, 72] {
+            by_routers.push(idle_cost(routers, 4).await?);
+        }
+        figures.count("idle_by_routers", by_routers);
+        let mut by_engines = Vec::new();
+        for engines in [4, 12, 24, 48] {
+            by_engines.push(idle_cost(3, engines).await?);
+        }
+        figures.count("idle_by_engines", by_engines);
     }
-    figures.count("idle_by_engines", loads);
-    let mut journal = Vec::new();
-    for live in [30, 90, 240] {
-        journal.push(journal_cost(live, 1).await?);
-        journal.push(journal_cost(live, 0).await?);
+    if wanted(Kind::Tokens) {
+        let mut tokens = Vec::new();
+        for live in [30, 90, 240] {
+            tokens.push(journal_cost(live, 1).await?);
+            tokens.push(journal_cost(live, 0).await?);
+        }
+        figures.count("tokens", tokens);
     }
-    figures.count("tokens", journal);
-    let mut config = Vec::new();
-    for accounts in [500, 2_000, 8_000] {
-        config.push(config_cost(accounts).await?);
+    if wanted(Kind::Config) {
+        let mut config = Vec::new();
+        for accounts in [500, 2_000, 8_000] {
+            config.push(config_cost(accounts).await?);
+        }
+        figures.count("config_by_accounts", config);
     }
-    figures.count("config_by_accounts", config);
     Ok(figures)
 }
 
@@ -79,7 +103,8 @@
         "cpu_percent_a_node": per_node(cpu as f64 / seconds / 10.0, routers),
         "peer_calls_a_node_s": per_node(calls as f64 / seconds, routers),
         "peer_body_bytes_a_node_s": per_node((sent + received) as f64 / seconds, routers),
-        "rss_mb_median": fleet.router_rss_median_mb(),
+        "rss_mb_median_peak": fleet.router_rss_median_mb().0,
+        "rss_mb_median_now": fleet.router_rss_median_mb().1,
         "rss_mb_most": fleet.router_usage().rss_kb as f64 / 1_024.0,
         "platform_reads_s": (after.reads - platform.reads) as f64 / seconds,
         "platform_watches_s": (after.watches - platform.watches) as f64 / seconds,
@@ -121,7 +146,8 @@
         "peer_calls_a_token": calls / tokens,
         "gap_p50_ms": gaps.p50,
         "gap_p95_ms": gaps.p95,
-        "rss_mb_median": fleet.router_rss_median_mb(),
+        "rss_mb_median_peak": fleet.router_rss_median_mb().0,
+        "rss_mb_median_now": fleet.router_rss_median_mb().1,
         "rss_mb_most": fleet.router_usage().rss_kb as f64 / 1_024.0,
     });
     fleet.forget_logs();
@@ -159,7 +185,8 @@
         "change_platform_writes": after.writes - before.writes,
         "change_platform_reads": after.reads - before.reads,
         "largest_part_bytes": largest.unwrap_or(0),
-        "rss_mb_median": fleet.router_rss_median_mb(),
+        "rss_mb_median_peak": fleet.router_rss_median_mb().0,
+        "rss_mb_median_now": fleet.router_rss_median_mb().1,
         "rss_mb_most": fleet.router_usage().rss_kb as f64 / 1_024.0,
     });
     fleet.forget_logs();
@@ -256,6 +283,7 @@
 fn accounts(count: usize) -> Config {
     let mut config = Config::default();
     let account = cloverpier_config::Account::new("a.b", vec!["drafts".into()]);
+    let account = std::sync::Arc::new(account);
     for i in 0..count {
         let name = format!("account-{i}");
         config
