Learn the bound on silence from each stream; let callers come back sooner

Cause 1: of the wait after an engine falls silent, the bound (silence_ms, 1 s) was all but the whole. Cause 2: of the wait after a router's death, the command line's client slept 100 ms before it tried another address; now 10 ms, doubling. Excluded: the takeover itself (locate, seal, resume at the engine: 7 ms).

--- a/crates/cloverpier_client/src/caller.rs
+++ b/crates/cloverpier_client/src/caller.rs
@@ -12,7 +12,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const HEADERS_TIMEOUT: Duration = Duration::from_secs(15);
-const PAUSE: Duration = Duration::from_millis(100);
+/// The pause before another address is tried; doubles until something arrives again.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// A stream that says nothing for so long is given up and opened elsewhere.
 const SILENCE: Duration = Duration::from_secs(8);
 
@@ -204,11 +206,17 @@
     ) -> Result<Answer, CallError> {
         let until = Instant::now() + ask.patience;
         let mut progress = Progress::new(ask);
+        let mut pause = FIRST_PAUSE;
         loop {
             let router = self.pick();
             progress.connections += 1;
+            let before = progress.tokens.len();
             let outcome = self.connect(ask, router, &mut progress, &mut on_token);
-            match outcome.await {
+            let outcome = outcome.await;
+            if progress.tokens.len() > before {
+                pause = FIRST_PAUSE;
+            }
+            match outcome {
                 Connection::Done => return Ok(progress.answer()),
                 Connection::Refused(error) => {
                     if Instant::now() >= until || !may_come_back(&error) {
@@ -220,7 +228,8 @@
             if Instant::now() >= until {
                 return NoRouterSnafu.fail();
             }
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
         }
     }
 
--- a/crates/cloverpier_config/src/model.rs
+++ b/crates/cloverpier_config/src/model.rs
@@ -50,6 +50,9 @@
     /// Silence of an engine, in milliseconds, after which its generation goes on elsewhere.
     #[serde(default = "default_silence_ms")]
     pub silence_ms: u64,
+    /// Whether a steady stream is given up sooner than that, by the gaps that it had.
+    #[serde(default)]
+    pub adaptive_silence: bool,
     /// How long a generation runs on without its caller, in milliseconds.
     #[serde(default = "default_linger_ms")]
     pub linger_ms: u64,
@@ -95,6 +98,7 @@
             kind,
             copies: default_copies(),
             silence_ms: default_silence_ms(),
+            adaptive_silence: false,
             linger_ms: default_linger_ms(),
             max_tokens: default_max_tokens(),
             queue_ms: default_queue_ms(),
--- a/crates/cloverpier_daemon/src/answers/live.rs
+++ b/crates/cloverpier_daemon/src/answers/live.rs
@@ -29,6 +29,8 @@
     pub copies: u8,
     /// Silence of an engine that ends an attempt.
     pub silence: Duration,
+    /// Whether a steady stream is given up sooner.
+    pub adaptive_silence: bool,
     /// How long the generation runs on without a reader.
     pub linger: Duration,
     /// Whether it may be run again after a failure.
--- a/crates/cloverpier_daemon/src/answers/run.rs
+++ b/crates/cloverpier_daemon/src/answers/run.rs
@@ -7,7 +7,7 @@
 use crate::error::{ApiError, Run};
 use cloverpier_answer::{AttemptId, FinishReason, Source, TokenStep};
 use cloverpier_core::{UpstreamName, hash_of, lock};
-use cloverpier_route::{Ask, Choice, Chosen};
+use cloverpier_route::{Ask, Choice, Chosen, Silence};
 use cloverpier_upstream::{
     EngineEvent, EventStream, GenerateBody, GenerationBody, StartError, StreamError,
 };
@@ -16,9 +16,6 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// The first token may take so many times the silence that ends an attempt: it waits for a
-/// place in the batch and for its prefill.
-const FIRST_TOKEN_FACTOR: u32 = 4;
 /// How long an answer waits for an engine that can go on with it.
 const GO_ON_WITHIN: Duration = Duration::from_secs(20);
 const GO_ON_PAUSE: Duration = Duration::from_millis(50);
@@ -206,7 +203,7 @@
         adapter: live.spec.adapter.clone(),
     };
     let engine = app.engines.engine(chosen.address);
-    let limit = live.spec.silence * FIRST_TOKEN_FACTOR;
+    let limit = Silence::new(live.spec.silence, false).first_token();
     let started = tokio::time::timeout(limit, engine.generate(&body)).await;
     match started {
         Err(_) => Over::Failed {
@@ -262,9 +259,10 @@
     attempt: AttemptId,
     mut stream: EventStream,
 ) -> Over {
-    let silence = live.spec.silence;
+    let mut silence = Silence::new(live.spec.silence, live.spec.adaptive_silence);
     let mut heard = Instant::now();
-    let mut limit = silence * FIRST_TOKEN_FACTOR;
+    let mut limit = silence.first_token();
+    let mut first = true;
     loop {
         let left = limit.saturating_sub(heard.elapsed());
         let event = tokio::time::timeout(left.min(ABANDON_CHECK), stream.next()).await;
@@ -280,8 +278,11 @@
             }
             continue;
         };
+        if !std::mem::take(&mut first) {
+            silence.on_gap(heard.elapsed());
+        }
         heard = Instant::now();
-        limit = silence;
+        limit = silence.next_token();
         match take(live, attempt, event) {
             Taken::GoOn => {
                 if !stream.has_buffered() {
--- a/crates/cloverpier_daemon/src/web/completions.rs
+++ b/crates/cloverpier_daemon/src/web/completions.rs
@@ -119,6 +119,7 @@
         adapter: ask.adapter.clone(),
         copies: ask.config.copies,
         silence: Duration::from_millis(ask.config.silence_ms),
+        adaptive_silence: ask.config.adaptive_silence,
         linger: Duration::from_millis(ask.config.linger_ms),
         repeatable,
     }
--- a/crates/cloverpier_route/src/lib.rs
+++ b/crates/cloverpier_route/src/lib.rs
@@ -24,12 +24,14 @@
 
 mod choose;
 mod marks;
+mod silence;
 mod view;
 
 /// What users of the crate need daily.
 pub mod prelude {
     pub use crate::choose::{Ask, Choice, Chosen, Weighed, Why};
     pub use crate::marks::{LeaveMark, LeaveMarks};
+    pub use crate::silence::Silence;
     pub use crate::view::{CLOSE, LoadReport, View};
 }
 
--- a/tools/src/scenarios/basic.rs
+++ b/tools/src/scenarios/basic.rs
@@ -24,6 +24,8 @@
     EngineKilled,
     /// An engine makes no more steps; its connections stay open.
     EngineFrozen,
+    /// The same, with the bound on silence learned from each stream.
+    EngineFrozenAdaptive,
     /// A router is killed.
     RouterKilled,
     /// Both are killed at once.
@@ -42,7 +44,10 @@
 pub async fn run(kind: Kind) -> io::Result<Figures> {
     let load = load_of(kind);
     let plain = plain_cost(&load).await?;
-    let spec = FleetSpec::new().service(|s| s.copies = u8::from(kind != Kind::Plain));
+    let spec = FleetSpec::new().service(|s| {
+        s.copies = u8::from(kind != Kind::Plain);
+        s.adaptive_silence = kind == Kind::EngineFrozenAdaptive;
+    });
     let mut fleet = Fleet::start(spec).await?;
     let before = Cost::now(&fleet).await;
     let (outcomes, fault, lost) = with_fault(&mut fleet, kind, &load).await?;
@@ -105,7 +110,7 @@
             fleet.engines[0].process.kill();
             return counts.into_iter().take(1).collect();
         }
-        Kind::EngineFrozen => {
+        Kind::EngineFrozen | Kind::EngineFrozenAdaptive => {
             let freeze = EngineFaults {
                 freeze: true,
                 ..EngineFaults::default()
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -48,6 +48,11 @@
         "an engine falls silent mid-output",
         basic::Kind::EngineFrozen,
     ),
+    basic_scenario(
+        "engine-frozen-adaptive",
+        "the same, silence learned",
+        basic::Kind::EngineFrozenAdaptive,
+    ),
     basic_scenario(
         "router-killed",
         "a router dies mid-output",
