--- a/tools/src/scenarios/basic.rs
+++ b/tools/src/scenarios/basic.rs
@@ -32,8 +32,6 @@
     EngineAndRouterKilled,
     /// An upstream is drained and a router stopped.
     Drain,
-    /// Three times as many requests as there are places.
-    Overload,
 }
 
 /// Runs the scenario.
@@ -42,7 +40,7 @@
 ///
 /// The error of a process.
 pub async fn run(kind: Kind) -> io::Result<Figures> {
-    let load = load_of(kind);
+    let load = Load::new("load", REQUESTS, TOKENS);
     let plain = plain_cost(&load).await?;
     let spec = FleetSpec::new().service(|s| {
         s.copies = u8::from(kind != Kind::Plain);
@@ -59,18 +57,6 @@
     Ok(figures)
 }
 
-fn load_of(kind: Kind) -> Load {
-    match kind {
-        Kind::Overload => {
-            let mut load = Load::new("overload", 192, 60);
-            load.spacing = Duration::from_millis(2);
-            load.patience = Duration::from_secs(20);
-            load
-        }
-        _ => Load::new("load", REQUESTS, TOKENS),
-    }
-}
-
 /// The cost of the same load without copies and without faults.
 async fn plain_cost(load: &Load) -> io::Result<Cost> {
     let fleet = Fleet::start(FleetSpec::new().service(|s| s.copies = 0)).await?;
@@ -92,7 +78,7 @@
     };
     let mut lost = Vec::new();
     let mut fault = None;
-    if !matches!(kind, Kind::Plain | Kind::Copied | Kind::Overload) {
+    if !matches!(kind, Kind::Plain | Kind::Copied) {
         tokio::time::sleep(FAULT_AFTER).await;
         let counts = fleet.engine_counts().await;
         fault = Some(Instant::now());
@@ -129,7 +115,7 @@
             let _ = operator.leave("e1").await;
             let _ = fleet.operator_at(&fleet.routers[last]).stop().await;
         }
-        Kind::Plain | Kind::Copied | Kind::Overload => {}
+        Kind::Plain | Kind::Copied => {}
     }
     Vec::new()
 }
@@ -138,18 +124,6 @@
     let counts = fleet.engine_counts().await;
     let resumed: u64 = counts.iter().map(|c| c.resumed).sum();
     figures.count("streams_resumed", resumed);
-    if kind == Kind::Overload {
-        let refused = outcomes.iter().filter(|o| o.answer.is_err()).count();
-        let longest = outcomes
-            .iter()
-            .map(|o| (o.ended - o.asked).as_millis())
-            .max();
-        figures.count("refused_for_good", refused as u64);
-        figures.count(
-            "longest_ms",
-            u64::try_from(longest.unwrap_or(0)).unwrap_or(0),
-        );
-    }
     if kind == Kind::Drain {
         let stayed = outcomes
             .iter()
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -3,6 +3,7 @@
 mod basic;
 mod chaos;
 mod meter;
+mod overload;
 mod slopes;
 
 use crate::report::Figures;
@@ -22,6 +23,7 @@
 enum Runner {
     Basic(basic::Kind),
     Chaos,
+    Overload,
     Slopes(slopes::Kind),
 }
 
@@ -68,11 +70,11 @@
         "an upstream and a router leave under load",
         basic::Kind::Drain,
     ),
-    basic_scenario(
-        "overload",
-        "three times as many requests as places",
-        basic::Kind::Overload,
-    ),
+    Scenario {
+        name: "overload",
+        about: "1 to 3 times the capacity, one account flooding",
+        run: Runner::Overload,
+    },
     Scenario {
         name: "chaos",
         about: "random faults for a stated time; all counts of wrongs must be 0",
@@ -131,6 +133,7 @@
         let mut figures = match self.run {
             Runner::Basic(kind) => basic::run(kind).await?,
             Runner::Chaos => chaos::run(options).await?,
+            Runner::Overload => overload::run().await?,
             Runner::Slopes(kind) => slopes::run(kind).await?,
         };
         self.name.clone_into(&mut figures.scenario);
