Share free places with the routers that see them too

Cause: three routers filled each free place between two load reports; work waited at engines, where accounts' weights don't hold. Chosen: what a router adds after a report counts once for each router that knows the upstream closely. Weighed: reports more often (cost grows with routers times upstreams), a fixed part of the places per router (idle ones).

--- a/crates/cloverpier_daemon/src/config/learn.rs
+++ b/crates/cloverpier_daemon/src/config/learn.rs
@@ -133,7 +133,11 @@
         (step, applied.config())
     };
     if let ApplyStep::InForce { version } = step {
-        lock(&app.view).apply(&config);
+        let routers = app.members().members.len();
+        let mut view = lock(&app.view);
+        view.apply(&config);
+        view.set_routers(routers);
+        drop(view);
         app.log.info("config.in_force", &InForce { version, from });
         app.metrics.gauge("config.version", version);
         app.news.notify_one();
--- a/crates/cloverpier_daemon/src/members/join.rs
+++ b/crates/cloverpier_daemon/src/members/join.rs
@@ -46,6 +46,7 @@
         return;
     }
     lock(&app.records).enter(list);
+    lock(&app.view).set_routers(list.members.len());
     app.log.info(
         "members.epoch",
         &Epoch {
--- a/crates/cloverpier_route/src/view.rs
+++ b/crates/cloverpier_route/src/view.rs
@@ -39,6 +39,8 @@
     pub(crate) failures: u32,
     pub(crate) avoid_until: Option<Instant>,
     pub(crate) prefixes: VecDeque<u64>,
+    /// Routers that know it closely.
+    sharers: u32,
     /// The last starts of own work, to know how much of it a report includes.
     starts: VecDeque<Instant>,
 }
@@ -53,17 +55,21 @@
             failures: 0,
             avoid_until: None,
             prefixes: VecDeque::new(),
+            sharers: 1,
             starts: VecDeque::new(),
         }
     }
 
-    /// Work there by the best estimate: others' as reported, and this router's own exactly.
+    /// Work there by the best estimate: as reported, less what this router has ended since,
+    /// plus what it has added since for each router that sees the same free places.
     pub(crate) fn load(&self, now: Instant) -> u32 {
         let fresh = |r: &&LoadReport| now.saturating_duration_since(r.at) < REPORT_STALE;
         match self.report.as_ref().filter(fresh) {
             Some(r) => {
-                let others = (r.running + r.waiting).saturating_sub(self.own_at_report);
-                others + self.own
+                let reported = (r.running + r.waiting).max(self.own_at_report);
+                let ended = self.own_at_report.saturating_sub(self.own);
+                let added = self.own.saturating_sub(self.own_at_report);
+                (reported - ended).saturating_add(added.saturating_mul(self.sharers))
             }
             // Unknown isn't idle: assume that others use half of it.
             None => self.upstream.slots / 2 + self.own,
@@ -125,6 +131,19 @@
         }
     }
 
+    /// Takes the number of routers, which share the places of what they know closely.
+    pub fn set_routers(&mut self, routers: usize) {
+        for names in self.by_service.values() {
+            let close = routers * names.len().min(CLOSE);
+            let sharers = u32::try_from(close.div_ceil(names.len().max(1))).unwrap_or(u32::MAX);
+            for name in names {
+                if let Some(known) = self.known.get_mut(name) {
+                    known.sharers = sharers.max(1);
+                }
+            }
+        }
+    }
+
     /// Upstreams that this router knows closely.
     pub fn close(&self) -> BTreeSet<UpstreamName> {
         let close = self.by_service.values().flat_map(|n| n.iter().take(CLOSE));
--- a/crates/cloverpier_route/tests/choice.rs
+++ b/crates/cloverpier_route/tests/choice.rs
@@ -196,3 +196,21 @@
         forward == backward && forward.digest() == backward.digest()
     }
 }
+
+#[test]
+fn free_places_are_shared_with_routers_that_see_them_too() {
+    let now = Instant::now();
+    let mut view = view_of(1);
+    view.set_routers(4);
+    view.on_report(&name(1), report(0, now));
+    let ask = Ask::new("drafts".into());
+    let mut taken = 0;
+    while choose(&view, &ask, now, 1).is_some() {
+        taken += 1;
+        view.on_started(&name(1), None, now + Duration::from_millis(taken));
+    }
+    assert_eq!(taken, 4);
+    // The next report tells what the others really did.
+    view.on_report(&name(1), report(6, now + Duration::from_secs(1)));
+    assert!(choose(&view, &ask, now, 1).is_some());
+}
