Tell the wait by the rate over bursts, so that refusals come at once

Cause: the queue took the gap between the last places that came free for the rate; they come in bursts, with each load report, so the wait looked short and requests waited their 2 s out before they were refused. Excluded: patience itself (queue_ms is the service's setting). A test of 40 places a second in one burst failed before.

--- a/crates/cloverpier_admit/src/queue.rs
+++ b/crates/cloverpier_admit/src/queue.rs
@@ -1,11 +1,12 @@
 //! The queue for places: by priority, then fair among accounts by weight.
 
 use cloverpier_core::AccountName;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Rate of places that came free is averaged over about so many of them.
-const RATE_SAMPLES: f64 = 16.0;
+/// The rate at which places come free is taken over so many of them: they come in bursts, with
+/// each load report.
+const RATE_SAMPLES: usize = 48;
 
 /// Names a request in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -57,15 +58,14 @@
     places: HashMap<Ticket, Place>,
     finish: HashMap<AccountName, u64>,
     virtual_now: u64,
-    gap_s: Option<f64>,
-    last_pop: Option<Instant>,
+    pops: VecDeque<Instant>,
 }
 
 impl Queue {
     /// Puts a request in line, or says that it would wait too long.
     pub fn push(&mut self, ticket: Ticket, req: &Waiting, now: Instant) -> QueueStep {
         let place = self.place_of(ticket, req);
-        let wait = self.expected_wait(&place);
+        let wait = self.expected_wait(&place, now);
         if wait > req.patience {
             return QueueStep::TooLong { wait };
         }
@@ -86,10 +86,15 @@
         }
     }
 
-    fn expected_wait(&self, place: &Place) -> Duration {
+    /// Requests ahead, at the rate at which places came free of late.
+    fn expected_wait(&self, place: &Place, now: Instant) -> Duration {
         let ahead = self.order.range(..place).count();
-        let gap = self.gap_s.unwrap_or(0.0);
-        Duration::from_secs_f64((ahead as f64 * gap).min(3_600.0))
+        let Some(first) = self.pops.front() else {
+            return Duration::ZERO;
+        };
+        let passed = now.saturating_duration_since(*first).as_secs_f64();
+        let gap_s = passed / self.pops.len() as f64;
+        Duration::from_secs_f64((ahead as f64 * gap_s).min(3_600.0))
     }
 
     /// The next request in line, now that a place is free.
@@ -107,13 +112,15 @@
     }
 
     fn note_pop(&mut self, now: Instant) {
-        let still_busy = !self.order.is_empty();
-        if let (Some(last), true) = (self.last_pop, still_busy) {
-            let gap = now.saturating_duration_since(last).as_secs_f64();
-            let old = self.gap_s.unwrap_or(gap);
-            self.gap_s = Some(old + (gap - old) / RATE_SAMPLES);
+        if self.order.is_empty() {
+            // Nobody waits any more: how fast places come free isn't known from here on.
+            self.pops.clear();
+            return;
+        }
+        self.pops.push_back(now);
+        if self.pops.len() > RATE_SAMPLES {
+            self.pops.pop_front();
         }
-        self.last_pop = still_busy.then_some(now);
     }
 
     /// Takes a request out of line whose caller went away.
--- a/crates/cloverpier_admit/tests/limits.rs
+++ b/crates/cloverpier_admit/tests/limits.rs
@@ -84,6 +84,24 @@
     assert_eq!(urgent, QueueStep::Waits);
 }
 
+#[test]
+fn places_that_come_free_in_bursts_are_not_taken_for_a_higher_rate() {
+    let start = Instant::now();
+    let mut queue = Queue::default();
+    for i in 0..270 {
+        queue.push(Ticket(i), &waiting("a", 0), start);
+    }
+    // Forty at once, each second; 110 are left, which take more than two seconds.
+    for burst in 0..4 {
+        for _ in 0..40 {
+            queue.pop(start + Duration::from_secs(burst));
+        }
+    }
+    let now = start + Duration::from_secs(3);
+    let step = queue.push(Ticket(300), &waiting("a", 0), now);
+    assert!(matches!(step, QueueStep::TooLong { .. }), "{step:?}");
+}
+
 #[test]
 fn those_whose_time_is_over_are_taken_out() {
     let now = Instant::now();
