Show that a generation that may not be repeated runs again (fails)

Cause, to be mended next: the golden file of the new session shows a 200 and a run at another engine when the key is sent again after the engine's death: the copy is taken over, and its stream can't be resumed, so a new attempt begins.

--- a/crates/cloverpier_daemon/tests/requests.rs
+++ b/crates/cloverpier_daemon/tests/requests.rs
@@ -145,3 +145,28 @@
     assert_eq!(whole["choices"], same["choices"]);
     assert_eq!(refused["error"]["code"], "key_reused");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_accounts_that_use_one_key_get_their_own_answers() {
+    let site = Site::start().await;
+    let mut intent = site.intent();
+    let other = cloverpier_config::Account::new("other.secret", vec!["drafts".into()]);
+    intent.accounts.insert("other".into(), other);
+    site.configure(&intent).await;
+    let body = |prompt: &str, tokens: u32| {
+        json!({"model": "drafts", "prompt": prompt, "max_tokens": tokens}).to_string()
+    };
+    let good = format!("Bearer {KEY}");
+    let mine = [("Authorization", good.as_str()), ("Idempotency-Key", "k")];
+    let theirs = [
+        ("Authorization", "Bearer other.secret"),
+        ("Idempotency-Key", "k"),
+    ];
+    let path = "/v1/completions";
+    let (mine_body, theirs_body) = (body("mine", 30), body("theirs", 20));
+    let first = site.raw(path, &mine, &mine_body);
+    let second = site.raw(path, &theirs, &theirs_body);
+    let ((_, mine), (_, theirs)) = tokio::join!(first, second);
+    let tokens = |answer: &Value| answer["usage"]["completion_tokens"].as_u64();
+    assert_eq!((tokens(&mine), tokens(&theirs)), (Some(30), Some(20)));
+}
--- a/crates/cloverpier_daemon/tests/sessions.rs
+++ b/crates/cloverpier_daemon/tests/sessions.rs
@@ -313,3 +313,41 @@
     );
     assert!(refused.contains("\"field\":\"body\""), "{refused}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_that_may_not_be_repeated_is_not_tried_again() {
+    let mut site = Site::start().await;
+    site.configure(&site.intent()).await;
+    let good = format!("Bearer {}", support::KEY);
+    let headers = [
+        ("Authorization", good.as_str()),
+        ("Idempotency-Key", "once"),
+        ("Cloverpier-Repeatable", "false"),
+    ];
+    let body = json!({"model": "drafts", "prompt": "once only", "max_tokens": 1_500}).to_string();
+    let first = site.post_raw("/v1/completions", &headers, &body);
+    let first = tokio::spawn(first);
+    let mut runs_at = None;
+    site.until("the generation to start", || async {
+        (site.started(0).await + site.started(1).await + site.started(2).await) > 0
+    })
+    .await;
+    for i in 0..3 {
+        if site.started(i).await > 0 {
+            runs_at = Some(i);
+        }
+    }
+    let runs_at = runs_at.expect("it runs somewhere");
+    site.engines[runs_at].kill();
+    let (status, answer) = first.await.unwrap();
+    let (again, told) = site.raw("/v1/completions", &headers, &body).await;
+    let mut elsewhere = 0;
+    for i in (0..3).filter(|i| *i != runs_at) {
+        elsewhere += site.started(i).await;
+    }
+    insta::assert_json_snapshot!(json!({
+        "its engine dies": [status, answer["error"]["code"], answer["error"]["run"]],
+        "the same key again": [again, told["error"]["code"], told["error"]["run"]],
+        "started elsewhere": elsewhere,
+    }));
+}
--- a/crates/cloverpier_daemon/tests/support/mod.rs
+++ b/crates/cloverpier_daemon/tests/support/mod.rs
@@ -236,14 +236,26 @@
 
     /// Sends a body to a router's port for callers and gives status and JSON.
     pub async fn raw(&self, path: &str, headers: &[(&str, &str)], body: &str) -> (u16, Value) {
+        self.post_raw(path, headers, body).await
+    }
+
+    /// The same as something that can be waited for elsewhere.
+    pub fn post_raw(
+        &self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> impl Future<Output = (u16, Value)> + Send + 'static {
         let url = format!("http://{}{path}", self.routers[0].callers_at);
         let mut req = self.http.post(url).body(body.to_owned());
         for (name, value) in headers {
             req = req.header(*name, *value);
         }
-        let res = req.send().await.unwrap();
-        let status = res.status().as_u16();
-        (status, res.json().await.unwrap_or_default())
+        async move {
+            let res = req.send().await.unwrap();
+            let status = res.status().as_u16();
+            (status, res.json().await.unwrap_or_default())
+        }
     }
 
     /// Runs of a request key at the plain service.
