Run a generation that may not be repeated once, also after a takeover

Cause: a key sent again after its engine's death found the copy, took it over, failed to resume the stream and began a new attempt: the request ran twice. Only the loop of attempts looked at whether it may be repeated, not what comes before. Now what was taken over goes on with its own stream or ends as unknown, and whether it may be repeated is part of the request, so that a retry without the header is refused as another request. Excluded: the claim, which was written and held.

--- a/crates/cloverpier_daemon/src/answers/open.rs
+++ b/crates/cloverpier_daemon/src/answers/open.rs
@@ -244,8 +244,7 @@
         live.mark_over(app.now());
     } else {
         super::outbox::send_news(app, &live);
-        let start = held.source.map_or(Start::Anywhere, Start::Resume);
-        spawn(app, &live, start);
+        spawn(app, &live, Start::TakenOver(held.source));
     }
     Ok(Opened::Here { live, offset })
 }
--- a/crates/cloverpier_daemon/src/answers/run.rs
+++ b/crates/cloverpier_daemon/src/answers/run.rs
@@ -28,10 +28,8 @@
 pub enum Start {
     /// At an upstream whose place is taken.
     At(Chosen),
-    /// With a stream that an engine still runs for an earlier owner.
-    Resume(Source),
-    /// Wherever there is an engine.
-    Anywhere,
+    /// After an earlier owner: with the stream that an engine may still run for it.
+    TakenOver(Option<Source>),
 }
 
 /// Why an attempt is over.
@@ -70,12 +68,9 @@
     let mut barren = 0;
     let mut next = match start {
         Start::At(chosen) => Some(chosen),
-        Start::Anywhere => None,
-        Start::Resume(source) => match resume(app, live, &source).await {
-            Some(over) if !matches!(over, Over::Failed { .. }) => {
-                return conclude(app, live, &source.upstream, &over).await;
-            }
-            _ => None,
+        Start::TakenOver(source) => match go_on_there(app, live, source).await {
+            GoOn::Ended => return,
+            GoOn::Elsewhere => None,
         },
     };
     loop {
@@ -94,8 +89,7 @@
         };
         on_failed(app, live, &chosen.upstream, why);
         if ran && !live.spec.repeatable {
-            let error = ApiError::unknown("the engine failed and the request may not be repeated");
-            return live.end(End::Failed(error), app.now());
+            return end_unknown(app, live);
         }
         let progressed = live.look(|s| s.answer.len()) > before;
         barren = if progressed { 0 } else { barren + 1 };
@@ -106,6 +100,36 @@
     }
 }
 
+/// Whether an answer that was taken over has to go on at another engine.
+enum GoOn {
+    Ended,
+    Elsewhere,
+}
+
+/// Goes on with the stream of an earlier owner, if its engine still runs it.
+///
+/// What may not be repeated goes on nowhere else: the earlier owner has
+/// dispatched it.
+async fn go_on_there(app: &Arc<App>, live: &Arc<Live>, source: Option<Source>) -> GoOn {
+    if let Some(source) = source {
+        let over = resume(app, live, &source).await;
+        if let Some(over) = over.filter(|o| !matches!(o, Over::Failed { .. })) {
+            conclude(app, live, &source.upstream, &over).await;
+            return GoOn::Ended;
+        }
+    }
+    if live.spec.repeatable {
+        return GoOn::Elsewhere;
+    }
+    end_unknown(app, live);
+    GoOn::Ended
+}
+
+fn end_unknown(app: &App, live: &Live) {
+    let error = ApiError::unknown("the engine failed and the request may not be repeated");
+    live.end(End::Failed(error), app.now());
+}
+
 fn on_failed(app: &App, live: &Live, upstream: &UpstreamName, why: &'static str) {
     lock(&app.view).on_failure(upstream, app.now());
     app.metrics.count("attempt.failed", 1);
--- a/crates/cloverpier_daemon/src/web/completions.rs
+++ b/crates/cloverpier_daemon/src/web/completions.rs
@@ -89,7 +89,9 @@
     let last = last_event(req)?;
     let repeatable = repeatable(req)?.unwrap_or(true);
     let body = raw_body(req).await?;
-    let ask = completion(&caller, &body, shape == Shape::Chat)?;
+    let mut ask = completion(&caller, &body, shape == Shape::Chat)?;
+    // Whether it may be repeated is part of the request: a retry can't change it.
+    ask.body = hash_of(&format!("{repeatable}/{}", ask.body));
     let spec = spec_of(&caller, &ask, repeatable);
     // A caller that comes back for its answer is served while this router stops.
     if app.answers.get(&keyed.key).is_none() {
