Wait for a port that is taken; 256 parts; tell accounts their lender's address first

Cause 1: a router whose port was still taken (a run that is about to end) lost that port for good while the rest of it ran: salvo panics in the task. Now it waits and says so (port.taken); a test takes the port and gives it back. Cause 2: a change moved a part of 109 KB at 35,000 accounts (worked out from the measured 200 bytes an account); with 256 parts it is 27 KB and a root of 13 KB. Equal parts are stored once. Cause 3: small accounts ask about every 6 s each, so nearly every request would borrow; a caller that shows its key is now told its lender first.

--- a/crates/cloverpier_client/src/caller.rs
+++ b/crates/cloverpier_client/src/caller.rs
@@ -34,6 +34,8 @@
 pub struct Addresses {
     /// Seconds to keep the answer.
     pub ttl_s: u64,
+    /// How many of the first addresses to spread requests over.
+    pub spread: usize,
     /// The addresses.
     pub addresses: Vec<Address>,
 }
@@ -134,8 +136,14 @@
 pub struct Caller {
     http: Client,
     key: String,
-    known: Mutex<Vec<SocketAddr>>,
-    next: Mutex<usize>,
+    known: Mutex<Known>,
+}
+
+#[derive(Debug)]
+struct Known {
+    addresses: Vec<SocketAddr>,
+    spread: usize,
+    next: usize,
 }
 
 /// What one connection came to.
@@ -155,8 +163,11 @@
         Self {
             http: http.unwrap_or_default(),
             key: key.to_owned(),
-            known: Mutex::new(vec![ask]),
-            next: Mutex::new(0),
+            known: Mutex::new(Known {
+                addresses: vec![ask],
+                spread: 1,
+                next: 0,
+            }),
         }
     }
 
@@ -168,15 +179,18 @@
     pub async fn addresses(&self) -> Result<Addresses, CallError> {
         for address in self.all_known() {
             let url = format!("http://{address}/v1/addresses");
-            let res = self.http.get(url).timeout(CONNECT_TIMEOUT * 2).send().await;
+            let req = self.http.get(url).bearer_auth(&self.key);
+            let res = req.timeout(CONNECT_TIMEOUT * 2).send().await;
             let Ok(res) = res else {
                 continue;
             };
             if let Ok(found) = res.json::<Addresses>().await
                 && !found.addresses.is_empty()
             {
-                let known = found.addresses.iter().map(|a| a.address).collect();
-                *cloverpier_core::lock(&self.known) = known;
+                let mut known = cloverpier_core::lock(&self.known);
+                known.addresses = found.addresses.iter().map(|a| a.address).collect();
+                known.spread = found.spread.clamp(1, known.addresses.len());
+                drop(known);
                 return Ok(found);
             }
         }
@@ -184,14 +198,21 @@
     }
 
     fn all_known(&self) -> Vec<SocketAddr> {
-        cloverpier_core::lock(&self.known).clone()
+        cloverpier_core::lock(&self.known).addresses.clone()
+    }
+
+    /// Where a request goes first: its turn among the first addresses.
+    fn first_turn(&self) -> usize {
+        let mut known = cloverpier_core::lock(&self.known);
+        known.next += 1;
+        known.next % known.spread
     }
 
-    fn pick(&self) -> SocketAddr {
-        let known = self.all_known();
-        let mut next = cloverpier_core::lock(&self.next);
-        *next += 1;
-        known[*next % known.len()]
+    /// Where it goes after so many connections that did not end it.
+    fn pick(&self, first: usize, connections: u32) -> SocketAddr {
+        let known = cloverpier_core::lock(&self.known);
+        let turn = first + usize::try_from(connections).unwrap_or(0);
+        known.addresses[turn % known.addresses.len()]
     }
 
     /// Streams an answer to its end, over as many connections as it takes.
@@ -207,8 +228,9 @@
         let until = Instant::now() + ask.patience;
         let mut progress = Progress::new(ask);
         let mut pause = FIRST_PAUSE;
+        let first = self.first_turn();
         loop {
-            let router = self.pick();
+            let router = self.pick(first, progress.connections);
             progress.connections += 1;
             let before = progress.tokens.len();
             let outcome = self.connect(ask, router, &mut progress, &mut on_token);
--- a/crates/cloverpier_config/src/parts.rs
+++ b/crates/cloverpier_config/src/parts.rs
@@ -13,7 +13,10 @@
 use std::sync::Arc;
 
 /// Parts that a configuration is split into.
-pub const PART_COUNT: usize = 64;
+///
+/// A change moves one part and the root: at 35,000 accounts 27 KB and 13 KB; with 64 parts it
+/// was 109 KB and 6 KB.
+pub const PART_COUNT: usize = 256;
 
 /// The digest of a part's content.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -67,7 +70,7 @@
 
 impl Root {
     /// Plans that a root remembers.
-    pub const PLANS_KEPT: usize = 128;
+    pub const PLANS_KEPT: usize = 64;
 
     /// The root that follows this one when a plan is confirmed.
     #[must_use]
--- a/crates/cloverpier_daemon/src/admission.rs
+++ b/crates/cloverpier_daemon/src/admission.rs
@@ -7,6 +7,7 @@
 };
 use cloverpier_config::Account;
 use cloverpier_core::{AccountName, ServiceName, hash_of, jitter, lock, rank};
+use cloverpier_member::Member;
 use cloverpier_peer::{PeerReply, PeerRequest};
 use cloverpier_route::{Ask, Choice, Chosen};
 use salvo::http::StatusCode;
@@ -71,6 +72,11 @@
     }
 }
 
+/// Members in the order in which they lend out an account's limit: the first one does.
+pub fn lenders<'a>(name: &AccountName, members: &'a [Member]) -> Vec<&'a Member> {
+    rank(hash_of(name.as_str()), members, |m| m.id.as_str())
+}
+
 fn limit_of(account: &Account, part: f64) -> Quota {
     Quota {
         requests: f64::from(account.requests_per_s) * part,
@@ -147,8 +153,7 @@
         want: Quota,
     ) -> Option<Loan> {
         let list = app.members();
-        let ranked = rank(hash_of(name.as_str()), &list.members, |m| m.id.as_str());
-        let lender = ranked.first()?;
+        let lender = *lenders(name, &list.members).first()?;
         if lender.id == app.me.id {
             return Some(self.lend(app, name, need, want));
         }
--- a/crates/cloverpier_daemon/src/config/change.rs
+++ b/crates/cloverpier_daemon/src/config/change.rs
@@ -15,7 +15,7 @@
 use futures_util::future::join_all;
 use salvo::http::StatusCode;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -219,11 +219,11 @@
 
 /// Stores the parts that changed; each has its content's digest as its name.
 async fn store_parts(app: &App, parts: &[Part], before: &Config) -> bool {
+    let stored = *before != Config::default();
     let known: BTreeSet<_> = split(before).iter().map(Part::digest).collect();
-    for part in parts {
-        let digest = part.digest();
-        let first_of_all = before == &Config::default();
-        if known.contains(&digest) && !first_of_all {
+    let new: BTreeMap<_, _> = parts.iter().map(|p| (p.digest(), p)).collect();
+    for (digest, part) in new {
+        if stored && known.contains(&digest) {
             continue;
         }
         let key = format!("{PART_PREFIX}{}", digest.as_str());
--- a/crates/cloverpier_daemon/src/web/callers.rs
+++ b/crates/cloverpier_daemon/src/web/callers.rs
@@ -1,15 +1,24 @@
 //! The port for callers.
 
+use crate::admission::lenders;
 use crate::app::App;
+use crate::web::request::caller;
 use crate::web::{app_of, completions, serve, services};
+use cloverpier_core::lock;
+use cloverpier_member::Member;
 use salvo::prelude::*;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Tokens a second of one account that one router is expected to carry.
+const TOKENS_A_ROUTER: u32 = 2_000;
+
 #[derive(Serialize)]
 struct Addresses {
     ttl_s: u64,
+    /// How many of the first addresses to spread requests over.
+    spread: usize,
     addresses: Vec<Address>,
 }
 
@@ -31,28 +40,48 @@
         .hoop(salvo::affix_state::inject(Arc::clone(app)))
         .push(v1)
         .push(Router::with_path("services/{service}/{**rest}").goal(services::pass_call));
-    tokio::spawn(serve(app.settings.callers_listen, router));
+    let listen = app.settings.callers_listen;
+    tokio::spawn(serve(Arc::clone(app), listen, router));
 }
 
-/// Which addresses to use, and for how long to keep the answer.
+/// Which addresses to use, in which order, and for how long to keep the answer.
+///
+/// A caller that shows its key is told the lender of its account first, where
+/// its requests need no loan; a large account is spread over as many routers
+/// as it needs.
 #[handler]
-async fn which_addresses(depot: &mut Depot, res: &mut Response) {
+async fn which_addresses(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let app = app_of(depot);
-    let suspected = cloverpier_core::lock(&app.cluster).suspected(app.now());
+    let suspected = lock(&app.cluster).suspected(app.now());
     let list = app.members();
     let able = list.members.iter().filter(|m| !m.stopping);
     let able = able.filter(|m| m.id != app.me.id || !app.is_stopping());
-    let mut addresses: Vec<Address> = able
-        .filter(|m| !suspected.contains(&m.id))
-        .map(|m| Address {
-            vm: m.vm.clone(),
-            data_centre: m.data_centre.clone(),
-            address: m.callers_at,
-        })
-        .collect();
-    cloverpier_core::lock(&app.rng).shuffle(&mut addresses);
+    let able = able.filter(|m| !suspected.contains(&m.id)).cloned();
+    let (ordered, spread) = in_order(&app, req, able.collect());
+    let addresses = ordered.into_iter().map(|m| Address {
+        vm: m.vm,
+        data_centre: m.data_centre,
+        address: m.callers_at,
+    });
     res.render(Json(Addresses {
         ttl_s: app.settings.addresses_ttl.as_secs(),
-        addresses,
+        spread,
+        addresses: addresses.collect(),
     }));
 }
+
+/// Members in the order in which a caller should use them, and over how many to spread.
+fn in_order(app: &App, req: &Request, mut members: Vec<Member>) -> (Vec<Member>, usize) {
+    let Ok(caller) = caller(app, req) else {
+        lock(&app.rng).shuffle(&mut members);
+        let all = members.len();
+        return (members, all);
+    };
+    let ranked = lenders(&caller.name, &members);
+    let mut ordered: Vec<Member> = ranked.into_iter().cloned().collect();
+    let needed = 1 + caller.account.tokens_per_s / TOKENS_A_ROUTER;
+    let needed = usize::try_from(needed).unwrap_or(usize::MAX);
+    let spread = needed.min(ordered.len());
+    lock(&app.rng).shuffle(&mut ordered[..spread]);
+    (ordered, spread)
+}
--- a/crates/cloverpier_daemon/src/web/mod.rs
+++ b/crates/cloverpier_daemon/src/web/mod.rs
@@ -10,8 +10,12 @@
 
 use crate::app::App;
 use salvo::prelude::*;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+
+const PORT_RETRY: Duration = Duration::from_millis(250);
 
 /// The state that is injected into every route.
 fn app_of(depot: &Depot) -> Arc<App> {
@@ -19,7 +23,23 @@
     Arc::clone(found.expect("the state is injected into every route"))
 }
 
-async fn serve(listen: SocketAddr, router: Router) {
-    let acceptor = TcpListener::new(listen).bind().await;
-    Server::new(acceptor).serve(router).await;
+#[derive(Serialize)]
+struct Taken {
+    listen: SocketAddr,
+    why: String,
+}
+
+/// Serves a port, waiting for it while another process still has it: an earlier run may
+/// be about to end.
+async fn serve(app: Arc<App>, listen: SocketAddr, router: Router) {
+    loop {
+        match TcpListener::new(listen).try_bind().await {
+            Ok(acceptor) => return Server::new(acceptor).serve(router).await,
+            Err(e) => {
+                let why = e.to_string();
+                app.log.warn("port.taken", &Taken { listen, why });
+                tokio::time::sleep(PORT_RETRY).await;
+            }
+        }
+    }
 }
--- a/crates/cloverpier_daemon/src/web/peers.rs
+++ b/crates/cloverpier_daemon/src/web/peers.rs
@@ -22,7 +22,8 @@
         .push(Router::with_path("peer").post(peer))
         .push(Router::with_path("healthz").get(health))
         .push(operators::router());
-    tokio::spawn(serve(app.settings.peers_listen, router));
+    let listen = app.settings.peers_listen;
+    tokio::spawn(serve(Arc::clone(app), listen, router));
 }
 
 #[handler]
--- a/crates/cloverpier_daemon/tests/sessions.rs
+++ b/crates/cloverpier_daemon/tests/sessions.rs
@@ -351,3 +351,29 @@
         "started elsewhere": elsewhere,
     }));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_whose_port_is_taken_serves_once_it_is_free() {
+    let mut site = Site::start().await;
+    site.configure(&site.intent()).await;
+    site.routers[2].process.kill();
+    let at = site.routers[2].callers_at;
+    let mut squatter = None;
+    while squatter.is_none() {
+        // The killed router's own socket may take a moment to close.
+        squatter = std::net::TcpListener::bind(at).ok();
+        tokio::task::yield_now().await;
+    }
+    site.restart(2);
+    let again = site.operator(2);
+    site.until("the restarted router to be ready", || async {
+        again.status().await.is_ok_and(|s| s["ready"] == true)
+    })
+    .await;
+    drop(squatter);
+    let caller = site.caller(2);
+    site.until("callers to be served", || async {
+        caller.addresses().await.is_ok()
+    })
+    .await;
+}
--- a/tools/src/fleet.rs
+++ b/tools/src/fleet.rs
@@ -38,6 +38,7 @@
     horizon_s: u64,
     accounts: usize,
     links: bool,
+    copy_interval_ms: u64,
 }
 
 impl FleetSpec {
@@ -58,6 +59,7 @@
             horizon_s: 600,
             accounts: 1,
             links: false,
+            copy_interval_ms: 2,
         }
     }
 
@@ -97,6 +99,13 @@
         self
     }
 
+    /// Sets how long tokens are collected before they are copied, in milliseconds.
+    #[must_use]
+    pub fn copy_interval_ms(mut self, copy_interval_ms: u64) -> Self {
+        self.copy_interval_ms = copy_interval_ms;
+        self
+    }
+
     /// Sets the number of client accounts; only the first is used.
     #[must_use]
     pub fn accounts(mut self, accounts: usize) -> Self {
@@ -295,10 +304,11 @@
                 "vm = \"{vm}\"\ndata_centre = \"{dc}\"\ncallers_listen = \"{callers_at}\"\n\
                  peers_listen = \"{peers_at}\"\npeers_at = \"{}\"\nplatform = \"{platform}\"\n\
                  seeds = [{}]\npeer_secret = \"{PEER_SECRET}\"\noperator_key = \"{OPERATOR_KEY}\"\n\
-                 record_horizon_s = {}\n",
+                 record_horizon_s = {}\ncopy_interval_ms = {}\n",
                 reached_at(i),
                 others.join(", "),
                 self.spec.horizon_s,
+                self.spec.copy_interval_ms,
             );
             let settings = self.dir.join(format!("{vm}.toml"));
             std::fs::write(&settings, text)?;
--- a/tools/src/scenarios/slopes.rs
+++ b/tools/src/scenarios/slopes.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{Fleet, FleetSpec};
 use crate::load::{Load, between_tokens, faults, run as run_load};
 use crate::report::{Figures, Spread};
+use cloverpier_client::Confirmed;
 use cloverpier_config::{Config, Intent, Service, Upstream, join, split};
 use cloverpier_core::{ManualClock, ServiceName, VmName};
 use cloverpier_member::{Detector, DetectorParams, Member, MemberList};
@@ -57,8 +58,11 @@
     if wanted(Kind::Tokens) {
         let mut tokens = Vec::new();
         for live in [30, 90, 240] {
-            tokens.push(journal_cost(live, 1).await?);
-            tokens.push(journal_cost(live, 0).await?);
+            tokens.push(journal_cost(live, 1, 2).await?);
+            tokens.push(journal_cost(live, 0, 2).await?);
+        }
+        for interval_ms in [0, 8, 20] {
+            tokens.push(journal_cost(240, 1, interval_ms).await?);
         }
         figures.count("tokens", tokens);
     }
@@ -97,8 +101,11 @@
     let sent = fleet.status_sum("peer_bytes_sent").await - sent;
     let received = fleet.status_sum("peer_bytes_received").await - received;
     let after = fleet.platform_counts().await;
+    let (confirmed, change) = change_one_account(&fleet).await?;
     let result = json!({
         "routers": routers,
+        "change_outcome": confirmed.outcome,
+        "change_to_accepted_ms": u64::try_from(change.as_millis()).unwrap_or(0),
         "engines": engines,
         "cpu_percent_a_node": per_node(cpu as f64 / seconds / 10.0, routers),
         "peer_calls_a_node_s": per_node(calls as f64 / seconds, routers),
@@ -115,13 +122,14 @@
 }
 
 /// What tokens cost on their way, with and without copies.
-async fn journal_cost(live: usize, copies: u8) -> io::Result<Value> {
+async fn journal_cost(live: usize, copies: u8, interval_ms: u64) -> io::Result<Value> {
     let model = EngineModel {
         slots: 64,
         step_us: 36_000,
         ..EngineModel::default()
     };
     let spec = FleetSpec::new().engines(6).model(model);
+    let spec = spec.copy_interval_ms(interval_ms);
     let fleet = Fleet::start(spec.service(|s| s.copies = copies)).await?;
     let (cpu, calls) = (
         fleet.router_usage().cpu_ms,
@@ -140,6 +148,7 @@
     let result = json!({
         "live": live,
         "copies": copies,
+        "copy_interval_ms": interval_ms,
         "whole": wrong.whole,
         "router_us_a_token": cpu * 1_000.0 / tokens,
         "peer_bytes_sent_a_token": sent / tokens,
@@ -154,24 +163,29 @@
     Ok(result)
 }
 
-/// What accounts cost: the first configuration, one change, memory.
-async fn config_cost(accounts: usize) -> io::Result<Value> {
-    let started = Instant::now();
-    let fleet = Fleet::start(FleetSpec::new().accounts(accounts)).await?;
-    let start = started.elapsed();
+/// Changes one account and tells how long it took until the change was accepted.
+async fn change_one_account(fleet: &Fleet) -> io::Result<(Confirmed, Duration)> {
     let mut intent = Intent::default();
     if let Some((name, mut account)) = fleet.intent().accounts.pop_last() {
-        account.weight = 7;
+        account.weight += 1;
         intent.accounts.insert(name, account);
     }
-    let cpu = fleet.router_usage().cpu_ms;
-    let before = fleet.platform_counts().await;
     let operator = fleet.operator();
     let planned = operator.plan(&intent).await.map_err(io::Error::other)?;
     let changed = Instant::now();
     let confirmed = operator.confirm(&planned.id).await;
     let confirmed = confirmed.map_err(io::Error::other)?;
-    let change = changed.elapsed();
+    Ok((confirmed, changed.elapsed()))
+}
+
+/// What accounts cost: the first configuration, one change, memory.
+async fn config_cost(accounts: usize) -> io::Result<Value> {
+    let started = Instant::now();
+    let fleet = Fleet::start(FleetSpec::new().accounts(accounts)).await?;
+    let start = started.elapsed();
+    let cpu = fleet.router_usage().cpu_ms;
+    let before = fleet.platform_counts().await;
+    let (confirmed, change) = change_one_account(&fleet).await?;
     let after = fleet.platform_counts().await;
     let cpu = fleet.router_usage().cpu_ms - cpu;
     let parts = split(&fleet.intent().apply(&Config::default()));
