Accept a version only after routers that start and guests act on it

Cause: worked out while looking for the cause of one chaos count. A router that starts could learn a version before it was on the list of members, so that a confirmation did not ask it; and one that serves without the platform (a guest) was asked by nobody. Now a router learns after it is on the list, a confirmation reads the list after it has stored its version, and members tell of guests whose heartbeats they had. If the list can't be read it is pending. The check now leaves stopping routers out, as they act on no version; what it demands of all others is unchanged.

--- a/crates/cloverpier_daemon/src/app.rs
+++ b/crates/cloverpier_daemon/src/app.rs
@@ -136,6 +136,7 @@
     pub fn versions(&self) -> Versions {
         Versions {
             member: self.me.id.clone(),
+            peers_at: self.me.peers_at,
             epoch: self.members().epoch,
             config: lock(&self.applied).version(),
             marks: lock(&self.view).marks().digest(),
--- a/crates/cloverpier_daemon/src/config/change.rs
+++ b/crates/cloverpier_daemon/src/config/change.rs
@@ -4,18 +4,20 @@
 use crate::config::learn::offer;
 use crate::config::{PART_PREFIX, PLAN_PREFIX, ROOT_KEY};
 use crate::error::ApiError;
+use crate::members::{self, MEMBERS_KEY};
 use cloverpier_config::{
     Applied, ApplyStep, Config, Fault, Intent, Item, Part, Plan, PlanError, PlanId, Root, plan,
     rebase, split,
 };
 use cloverpier_core::{UpstreamName, VmName, lock};
-use cloverpier_member::Member;
-use cloverpier_peer::{PeerReply, PeerRequest};
+use cloverpier_member::{Member, MemberList};
+use cloverpier_peer::{Guest, PeerReply, PeerRequest};
 use cloverpier_platform::{Found, WriteError};
 use futures_util::future::join_all;
 use salvo::http::StatusCode;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -249,26 +251,36 @@
 
 /// Asks every router which version it acts on.
 ///
-/// Routers that were taken for dead of late count, too: one that was only cut
-/// off may still act on an earlier version. Where no process listens any
-/// more, none does.
+/// The list of members is read from the platform, after the version was
+/// stored: a router that joins later reads the version itself. Routers that
+/// were taken for dead of late count, too: one that was only cut off may
+/// still act on an earlier version; and so do guests, which members tell of.
+/// Where no process listens any more, none acts on anything.
 pub async fn in_force(app: &App, version: u64) -> ConfirmReport {
-    let list = app.members();
-    let lost = list.history.iter().flat_map(|c| c.left.iter());
-    let lost = lost.filter(|m| !m.stopping && list.members.iter().all(|n| n.vm != m.vm));
-    let mut routers: Vec<Member> = list.members.clone();
-    for member in lost {
-        if routers.iter().all(|m| m.vm != member.vm) {
-            routers.push(member.clone());
-        }
+    let read = app.platform.read::<MemberList>(MEMBERS_KEY).await;
+    let mut waiting = Vec::new();
+    match read {
+        Ok(Some(found)) => members::adopt(app, &found.value, "confirm"),
+        _ => waiting.push(RouterVersion {
+            vm: VmName::new("(the platform's list of members)"),
+            version: None,
+        }),
     }
-    let asked = routers.iter().map(|m| ask_version(app, m));
+    let routers = who_may_serve(&app.members());
+    let asked = routers.iter().map(|m| ask_version(app, &m.vm, m.peers_at));
     let answers = join_all(asked).await;
-    let waiting: Vec<RouterVersion> = answers
-        .into_iter()
-        .flatten()
-        .filter(|r| r.version.is_none_or(|v| v < version))
+    let guests: BTreeMap<SocketAddr, Guest> = answers
+        .iter()
+        .flat_map(|a| a.guests.iter().map(|g| (g.peers_at, g.clone())))
+        .filter(|(at, _)| routers.iter().all(|m| m.peers_at != *at))
         .collect();
+    let asked = guests.values().map(|guest| async {
+        let vm = VmName::new(guest.member.as_str());
+        ask_version(app, &vm, guest.peers_at).await
+    });
+    let answers = answers.into_iter().chain(join_all(asked).await);
+    let behind = |r: &RouterVersion| r.version.is_none_or(|v| v < version);
+    waiting.extend(answers.filter_map(|a| a.router).filter(behind));
     let outcome = if waiting.is_empty() {
         ConfirmOutcome::Accepted
     } else {
@@ -281,26 +293,52 @@
     }
 }
 
-/// The version that a router acts on; `None` when no process listens there any more.
-async fn ask_version(app: &App, member: &Member) -> Option<RouterVersion> {
-    if member.id == app.me.id {
-        return Some(RouterVersion {
-            vm: member.vm.clone(),
-            version: Some(lock(&app.applied).version()),
-        });
+/// Members, and those that were taken off the list of late without a planned stop.
+fn who_may_serve(list: &MemberList) -> Vec<Member> {
+    let mut routers = list.members.clone();
+    for member in list.history.iter().flat_map(|c| &c.left) {
+        let known = routers.iter().any(|m| m.vm == member.vm);
+        if !known && !member.stopping {
+            routers.push(member.clone());
+        }
+    }
+    routers
+}
+
+/// What a router answered; no router where no process listens any more.
+struct Asked {
+    router: Option<RouterVersion>,
+    guests: Vec<Guest>,
+}
+
+async fn ask_version(app: &App, vm: &VmName, peers_at: SocketAddr) -> Asked {
+    let router = |version| RouterVersion {
+        vm: vm.clone(),
+        version,
+    };
+    if peers_at == app.me.peers_at {
+        return Asked {
+            router: Some(router(Some(lock(&app.applied).version()))),
+            guests: lock(&app.cluster).guests(app.now()),
+        };
     }
     let request = PeerRequest::Heartbeat {
         versions: app.versions(),
     };
-    let version = match app.call(member.peers_at, &request, ASK_TIMEOUT).await {
-        Ok(PeerReply::Here(versions)) => Some(versions.config),
-        Err(e) if e.nobody_listens() => return None,
-        _ => None,
-    };
-    Some(RouterVersion {
-        vm: member.vm.clone(),
-        version,
-    })
+    match app.call(peers_at, &request, ASK_TIMEOUT).await {
+        Ok(PeerReply::Here { versions, guests }) => Asked {
+            router: Some(router(Some(versions.config))),
+            guests,
+        },
+        Err(e) if e.nobody_listens() => Asked {
+            router: None,
+            guests: Vec::new(),
+        },
+        _ => Asked {
+            router: Some(router(None)),
+            guests: Vec::new(),
+        },
+    }
 }
 
 /// Marks an upstream to take no new work, at this router and at all that it reaches.
--- a/crates/cloverpier_daemon/src/config/learn.rs
+++ b/crates/cloverpier_daemon/src/config/learn.rs
@@ -17,6 +17,7 @@
 const WATCH: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_secs(30);
 const RETRY: Duration = Duration::from_secs(1);
+const JOIN_LOOK: Duration = Duration::from_millis(20);
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
 const MARKS_PERIOD: Duration = Duration::from_secs(1);
 
@@ -29,6 +30,7 @@
 /// Watches the root, or looks at it now and then where others watch.
 pub(super) async fn watch(app: Arc<App>) {
     loop {
+        wait_to_learn(&app).await;
         let after = lock(&app.applied).version();
         let watches = lock(&app.cluster).is_watcher() || !app.has_learned();
         let read = if !app.has_learned() {
@@ -60,6 +62,15 @@
     }
 }
 
+/// A router that starts learns only after it is on the list of members: a confirmation reads the
+/// list after it has stored its version, so it either finds this router there and asks it, or
+/// this router reads the new version.
+async fn wait_to_learn(app: &App) {
+    while !app.has_learned() && !lock(&app.cluster).is_member() {
+        tokio::time::sleep(JOIN_LOOK).await;
+    }
+}
+
 fn note_learned(app: &App) {
     app.learned.store(true, Ordering::Relaxed);
 }
@@ -68,6 +79,10 @@
 /// newest version that any seed acts on.
 pub(super) async fn learn_from_seeds(app: Arc<App>) {
     while !app.has_learned() {
+        tokio::time::sleep(RETRY).await;
+        if app.platform.read::<Root>(ROOT_KEY).await.is_ok() {
+            continue;
+        }
         let mut heard = 0;
         for seed in app.settings.seeds.clone() {
             if pull_from_peer(&app, seed).await {
@@ -78,7 +93,6 @@
         if heard > 0 && heard * 2 > app.settings.seeds.len() {
             note_learned(&app);
         }
-        tokio::time::sleep(RETRY).await;
     }
 }
 
--- a/crates/cloverpier_daemon/src/members/cluster.rs
+++ b/crates/cloverpier_daemon/src/members/cluster.rs
@@ -2,12 +2,16 @@
 
 use cloverpier_core::{MemberId, hash_of, rank};
 use cloverpier_member::{Detector, DetectorParams, Member, MemberList};
-use std::collections::BTreeSet;
+use cloverpier_peer::Guest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Contact older than this leaves a router alone.
 const ALONE_AFTER: Duration = Duration::from_secs(4);
+/// Time for which a guest is remembered.
+const GUEST_KEPT: Duration = Duration::from_secs(6);
 /// Members of each data centre that watch the platform for all.
 const WATCHERS: usize = 2;
 
@@ -31,6 +35,7 @@
     peer_heard: Instant,
     platform_heard: Instant,
     joining: Vec<Member>,
+    guests: BTreeMap<SocketAddr, (Guest, Instant)>,
 }
 
 impl Cluster {
@@ -43,6 +48,7 @@
             peer_heard: now,
             platform_heard: now,
             joining: Vec::new(),
+            guests: BTreeMap::new(),
         }
     }
 
@@ -83,6 +89,33 @@
         self.detector.on_heard(from, now);
     }
 
+    /// Notes a heartbeat; one of a router that is not on the list is a guest's.
+    pub fn on_heartbeat(&mut self, from: &MemberId, peers_at: SocketAddr, now: Instant) {
+        self.on_peer(from, now);
+        if !self.list.contains(from) {
+            let guest = Guest {
+                member: from.clone(),
+                peers_at,
+            };
+            self.guests.insert(peers_at, (guest, now));
+        }
+    }
+
+    /// Guests that were heard from of late.
+    ///
+    /// They are remembered for longer than one may serve that hears nobody.
+    pub fn guests(&mut self, now: Instant) -> Vec<Guest> {
+        let list = Arc::clone(&self.list);
+        self.guests.retain(|_, (guest, at)| {
+            let fresh = now.saturating_duration_since(*at) < GUEST_KEPT;
+            fresh && !list.contains(&guest.member)
+        });
+        self.guests
+            .values()
+            .map(|(guest, _)| guest.clone())
+            .collect()
+    }
+
     /// Notes that the platform answered.
     pub fn on_platform(&mut self, now: Instant) {
         self.platform_heard = now;
--- a/crates/cloverpier_daemon/src/web/peers.rs
+++ b/crates/cloverpier_daemon/src/web/peers.rs
@@ -138,14 +138,18 @@
 }
 
 fn on_heartbeat(app: &Arc<App>, versions: Versions) -> PeerReply {
-    let now = app.now();
-    lock(&app.cluster).on_peer(&versions.member, now);
-    let sender = app.members().get(&versions.member).map(|m| m.peers_at);
-    if let Some(peers_at) = sender {
-        let app = Arc::clone(app);
-        tokio::spawn(async move { members::on_versions(&app, versions, peers_at).await });
+    let guests = {
+        let mut cluster = lock(&app.cluster);
+        cluster.on_heartbeat(&versions.member, versions.peers_at, app.now());
+        cluster.guests(app.now())
+    };
+    let peers_at = versions.peers_at;
+    let pulls = Arc::clone(app);
+    tokio::spawn(async move { members::on_versions(&pulls, versions, peers_at).await });
+    PeerReply::Here {
+        versions: app.versions(),
+        guests,
     }
-    PeerReply::Here(app.versions())
 }
 
 async fn probe(app: &App, peers_at: SocketAddr) -> bool {
--- a/crates/cloverpier_daemon/tests/sessions.rs
+++ b/crates/cloverpier_daemon/tests/sessions.rs
@@ -377,3 +377,33 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_started_without_the_platform_counts_before_a_version_is_accepted() {
+    let mut site = Site::start().await;
+    site.configure(&site.intent()).await;
+    for round in 0..4 {
+        platform_is(&site, true).await;
+        site.routers[2].process.kill();
+        site.restart(2);
+        let guest = site.operator(2);
+        site.until("the guest", || async {
+            guest.status().await.is_ok_and(|s| s["ready"] == true)
+        })
+        .await;
+        platform_is(&site, false).await;
+        let mut intent = cloverpier_config::Intent::default();
+        let mut account = site.intent().accounts.remove(&"lab".into()).unwrap();
+        account.weight = 10 + round;
+        intent.accounts.insert("lab".into(), account);
+        let planned = site.operator(0).plan(&intent).await.unwrap();
+        let confirmed = site.operator(0).confirm(&planned.id).await.unwrap();
+        let status = guest.status().await.unwrap();
+        let acts_on = status["version"].as_u64().unwrap_or(0);
+        let accepted = confirmed.outcome == "accepted";
+        assert!(
+            !accepted || acts_on >= confirmed.version,
+            "{confirmed:?}: {acts_on}"
+        );
+    }
+}
--- a/crates/cloverpier_peer/src/lib.rs
+++ b/crates/cloverpier_peer/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod prelude {
     pub use crate::client::{PEER_HEADER, PeerError, Peers, Traffic};
     pub use crate::message::{
-        CodecError, LocateNote, PeerReply, PeerRequest, Versions, decode, encode,
+        CodecError, Guest, LocateNote, PeerReply, PeerRequest, Versions, decode, encode,
     };
 }
 
--- a/crates/cloverpier_peer/src/message.rs
+++ b/crates/cloverpier_peer/src/message.rs
@@ -17,6 +17,8 @@
 pub struct Versions {
     /// Who acts on it.
     pub member: MemberId,
+    /// Where it is reached.
+    pub peers_at: SocketAddr,
     /// The epoch.
     pub epoch: u64,
     /// The configuration's version.
@@ -25,6 +27,16 @@
     pub marks: u64,
 }
 
+/// A router that serves though it is not on the list of members: it started, or was taken off,
+/// while it could not reach the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Guest {
+    /// Its run.
+    pub member: MemberId,
+    /// Where it is reached.
+    pub peers_at: SocketAddr,
+}
+
 /// Where the copy of an answer is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LocateNote {
@@ -142,8 +154,13 @@
 /// A reply.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// To a heartbeat: what the receiver acts on.
-    Here(Versions),
+    /// To a heartbeat.
+    Here {
+        /// What the receiver acts on.
+        versions: Versions,
+        /// Guests that it heard from of late.
+        guests: Vec<Guest>,
+    },
     /// To a borrow.
     Loan(Loan),
     /// To a probe: whether the member answered.
--- a/tools/src/scenarios/chaos.rs
+++ b/tools/src/scenarios/chaos.rs
@@ -9,6 +9,7 @@
 use crate::report::{Figures, Spread};
 use crate::scenarios::Options;
 use cloverpier_standin::EngineModel;
+use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -117,6 +118,9 @@
         between_tokens_ms: Spread::of(&crate::load::between_tokens(outcomes)),
         ..Figures::default()
     };
+    for (why, count) in failures(outcomes) {
+        eprintln!("{count} generations failed: {why}");
+    }
     let calls = calls::judge(calls, executed);
     figures.count("calls", calls.calls);
     figures.count("calls_done", calls.done);
@@ -134,6 +138,15 @@
     figures
 }
 
+/// Why generations failed, and how many.
+fn failures(outcomes: &[Outcome]) -> BTreeMap<String, u64> {
+    let mut by_reason = BTreeMap::new();
+    for error in outcomes.iter().filter_map(|o| o.answer.as_ref().err()) {
+        *by_reason.entry(error.to_string()).or_default() += 1;
+    }
+    by_reason
+}
+
 /// Counts that must all be 0.
 const MUST_BE_ZERO: [&str; 6] = [
     "executed_twice",
--- a/tools/src/scenarios/chaos/operators.rs
+++ b/tools/src/scenarios/chaos/operators.rs
@@ -129,7 +129,8 @@
 async fn read(vm: &str, operator: &Operator) -> Option<(String, u64)> {
     let status = tokio::time::timeout(ANSWER_WITHIN, operator.status()).await;
     let status = status.ok()?.ok()?;
-    let serves = status["ready"] == true;
+    // One that is stopping takes no new requests, so it acts on no version.
+    let serves = status["ready"] == true && status["stopping"] == false;
     let version = status["version"].as_u64()?;
     serves.then(|| (vm.to_owned(), version))
 }
