--- a/crates/cloverpier_daemon/src/app.rs
+++ b/crates/cloverpier_daemon/src/app.rs
@@ -7,14 +7,13 @@
 use cloverpier_core::{Clock, SystemClock, hash_of, lock, wall_ms};
 use cloverpier_member::{Member, MemberList};
 use cloverpier_observe::{Log, Metrics};
-use cloverpier_peer::{PeerError, PeerReply, PeerRequest, Peers, Versions};
+use cloverpier_peer::{PeerReply, PeerRequest, Peers, Versions};
 use cloverpier_platform::Platform;
 use cloverpier_record::{Horizon, Records};
 use cloverpier_route::View;
 use cloverpier_settings::Settings;
 use cloverpier_upstream::Engines;
 use reqwest::Client;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -153,20 +152,6 @@
         self.learned.load(Ordering::Relaxed)
     }
 
-    /// Calls a peer.
-    ///
-    /// # Errors
-    ///
-    /// [`PeerError`]; the peer may have acted on the request all the same.
-    pub async fn call(
-        &self,
-        peers_at: SocketAddr,
-        request: &PeerRequest,
-        timeout: Duration,
-    ) -> Result<PeerReply, PeerError> {
-        self.peers.call(peers_at, request, timeout).await
-    }
-
     /// Calls a member by its name; `None` when it isn't one or doesn't answer.
     pub async fn ask(
         &self,
@@ -175,7 +160,7 @@
         timeout: Duration,
     ) -> Option<PeerReply> {
         let peers_at = self.members().get(member)?.peers_at;
-        self.call(peers_at, request, timeout).await.ok()
+        self.peers.call(peers_at, request, timeout).await.ok()
     }
 }
 
--- a/crates/cloverpier_daemon/src/config/change.rs
+++ b/crates/cloverpier_daemon/src/config/change.rs
@@ -325,7 +325,7 @@
     let request = PeerRequest::Heartbeat {
         versions: app.versions(),
     };
-    match app.call(peers_at, &request, ASK_TIMEOUT).await {
+    match app.peers.call(peers_at, &request, ASK_TIMEOUT).await {
         Ok(PeerReply::Here { versions, guests }) => Asked {
             router: Some(router(Some(versions.config))),
             guests,
@@ -363,7 +363,7 @@
     let list = app.members();
     let others = list.members.iter().filter(|m| m.id != app.me.id);
     let told = others.map(|m| async {
-        let reply = app.call(m.peers_at, &request, ASK_TIMEOUT).await;
+        let reply = app.peers.call(m.peers_at, &request, ASK_TIMEOUT).await;
         reply.is_err().then(|| RouterVersion {
             vm: m.vm.clone(),
             version: None,
--- a/crates/cloverpier_daemon/src/config/learn.rs
+++ b/crates/cloverpier_daemon/src/config/learn.rs
@@ -99,6 +99,7 @@
 /// Takes the configuration that a peer acts on; says whether the peer answered.
 pub async fn pull_from_peer(app: &App, peers_at: SocketAddr) -> bool {
     let reply = app
+        .peers
         .call(peers_at, &PeerRequest::PullRoot, PULL_TIMEOUT)
         .await;
     let Ok(PeerReply::Root(root)) = reply else {
@@ -109,7 +110,7 @@
         _ => return true,
     };
     let request = PeerRequest::PullParts { digests };
-    let reply = app.call(peers_at, &request, PULL_TIMEOUT).await;
+    let reply = app.peers.call(peers_at, &request, PULL_TIMEOUT).await;
     if let Ok(PeerReply::Parts(parts)) = reply {
         let step = offer(app, &root, parts, "peer");
         return !matches!(step, ApplyStep::Lacks { .. });
--- a/crates/cloverpier_daemon/src/members/join.rs
+++ b/crates/cloverpier_daemon/src/members/join.rs
@@ -142,7 +142,10 @@
     };
     let member = app.me.clone();
     let request = PeerRequest::Join { member };
-    let reply = app.call(collector.peers_at, &request, PEER_TIMEOUT).await;
+    let reply = app
+        .peers
+        .call(collector.peers_at, &request, PEER_TIMEOUT)
+        .await;
     reply.is_ok()
 }
 
@@ -196,6 +199,7 @@
 async fn ask_seeds(app: &App) {
     for seed in &app.settings.seeds {
         let reply = app
+            .peers
             .call(*seed, &PeerRequest::PullMembers, PEER_TIMEOUT)
             .await;
         if let Ok(PeerReply::Members(list)) = reply {
--- a/crates/cloverpier_daemon/src/members/news.rs
+++ b/crates/cloverpier_daemon/src/members/news.rs
@@ -17,6 +17,7 @@
     let ours = app.versions();
     if theirs.epoch > ours.epoch {
         let reply = app
+            .peers
             .call(peers_at, &PeerRequest::PullMembers, PULL_TIMEOUT)
             .await;
         if let Ok(PeerReply::Members(list)) = reply {
@@ -35,7 +36,7 @@
 pub async fn pull_marks(app: &App, peers_at: SocketAddr) {
     let marks = lock(&app.view).marks().clone();
     let request = PeerRequest::Marks { marks };
-    let reply = app.call(peers_at, &request, PULL_TIMEOUT).await;
+    let reply = app.peers.call(peers_at, &request, PULL_TIMEOUT).await;
     if let Ok(PeerReply::Marks(marks)) = reply {
         merge(app, &marks);
     }
--- a/crates/cloverpier_daemon/src/members/tick.rs
+++ b/crates/cloverpier_daemon/src/members/tick.rs
@@ -97,7 +97,7 @@
     let Some(peers_at) = app.members().get(&to).map(|m| m.peers_at) else {
         return;
     };
-    let reply = app.call(peers_at, &request, HEARTBEAT_TIMEOUT).await;
+    let reply = app.peers.call(peers_at, &request, HEARTBEAT_TIMEOUT).await;
     if let Ok(PeerReply::Here { versions, .. }) = reply {
         // Another run on the same VM is not the member that was asked for.
         if versions.member == to {
--- a/crates/cloverpier_daemon/src/web/peers.rs
+++ b/crates/cloverpier_daemon/src/web/peers.rs
@@ -156,5 +156,8 @@
     let request = PeerRequest::Heartbeat {
         versions: app.versions(),
     };
-    app.call(peers_at, &request, PROBE_TIMEOUT).await.is_ok()
+    app.peers
+        .call(peers_at, &request, PROBE_TIMEOUT)
+        .await
+        .is_ok()
 }
--- a/crates/cloverpier_member/src/detector.rs
+++ b/crates/cloverpier_member/src/detector.rs
@@ -24,7 +24,7 @@
     fn default() -> Self {
         Self {
             period: Duration::from_millis(400),
-            suspect_after: Duration::from_millis(1_600),
+            suspect_after: Duration::from_millis(2_400),
             fan_out: 4,
             helpers: 3,
             settle: Duration::from_millis(400),
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -2,6 +2,7 @@
 
 mod basic;
 mod chaos;
+mod detection;
 mod meter;
 mod overload;
 mod slopes;
@@ -23,6 +24,7 @@
 enum Runner {
     Basic(basic::Kind),
     Chaos,
+    Detection,
     Overload,
     Slopes(slopes::Kind),
 }
@@ -75,6 +77,11 @@
         about: "1 to 3 times the capacity, one account flooding",
         run: Runner::Overload,
     },
+    Scenario {
+        name: "detection",
+        about: "time to detect a death, and false alarms, over a sweep; in simulated time",
+        run: Runner::Detection,
+    },
     Scenario {
         name: "chaos",
         about: "random faults for a stated time; all counts of wrongs must be 0",
@@ -133,6 +140,7 @@
         let mut figures = match self.run {
             Runner::Basic(kind) => basic::run(kind).await?,
             Runner::Chaos => chaos::run(options).await?,
+            Runner::Detection => detection::run(options.seed),
             Runner::Overload => overload::run().await?,
             Runner::Slopes(kind) => slopes::run(kind).await?,
         };
