Take out shapes of the engine's protocol that nothing used

Cause: read as a newcomer, cache events, prefixes and a sequence number looked met; no code sends or reads them. They come back with what uses them.

--- a/crates/cloverpier_standin/src/engine/batch.rs
+++ b/crates/cloverpier_standin/src/engine/batch.rs
@@ -203,7 +203,6 @@
         slots: model.slots,
         leaving: inner.leaving,
         age_ms: 0,
-        cache_seq: inner.counts.started,
     };
     inner.reports.push_back((Instant::now(), report));
     let lag = Duration::from_millis(inner.faults.report_lag_ms);
--- a/crates/cloverpier_upstream/src/lib.rs
+++ b/crates/cloverpier_upstream/src/lib.rs
@@ -24,8 +24,7 @@
     pub use crate::engine::{Engine, Engines, EventStream, OrderError, StartError, StreamError};
     pub use crate::plain::{PlainAnswer, PlainCall, PlainError, call_plain};
     pub use crate::wire::{
-        CacheEvent, EngineEvent, GenerateBody, GenerationBody, LoadBody, OrderBody, OrderKind,
-        PrefixBody,
+        EngineEvent, GenerateBody, GenerationBody, LoadBody, OrderBody, OrderKind,
     };
 }
 
--- a/crates/cloverpier_upstream/src/wire.rs
+++ b/crates/cloverpier_upstream/src/wire.rs
@@ -66,28 +66,6 @@
     pub leaving: bool,
     /// Age of the report, in milliseconds.
     pub age_ms: u64,
-    /// Number of the newest cache event.
-    pub cache_seq: u64,
-}
-
-/// A change in an engine's prefix cache.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// Rises by one with each event; a gap means that events were lost.
-    pub seq: u64,
-    /// Digest of the prefix.
-    pub prefix: u64,
-    /// Whether it was stored, or dropped.
-    pub stored: bool,
-}
-
-/// A prefix whose KV cache is exported or imported.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PrefixBody {
-    /// The generation whose cache it is.
-    pub generation: String,
-    /// Tokens that the cache covers.
-    pub tokens: u64,
 }
 
 /// What an order asks for.
