Give servers that left nothing while others of their service are listed

Vanished entries are a last resort now only where the whole list of the service is empty. Excluded: a late watch (the entry's end was taken 1.9 s before).

--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -98,18 +98,23 @@
     cheapest(&pool, cost, rng).map(|s| s.server.clone())
 }
 
+/// Usable servers; else suspects; else, where the whole list is empty, those
+/// whose entries vanished: the platform's outages do that to living servers.
 fn candidates<'a>(fleet: &'a Fleet, demand: &Demand<'_>) -> Vec<&'a ServerState> {
-    let untried = |s: &&ServerState| !demand.tried.contains(&s.server.name);
-    let usable: Vec<&ServerState> = fleet
-        .of_service(demand.service)
-        .filter(untried)
-        .filter(|s| s.is_usable())
-        .collect();
+    let untried = |states: Vec<&'a ServerState>| -> Vec<&'a ServerState> {
+        let untried = |s: &&ServerState| !demand.tried.contains(&s.server.name);
+        states.into_iter().filter(untried).collect()
+    };
+    let of_service = || fleet.of_service(demand.service);
+    let usable = untried(of_service().filter(|s| s.is_usable()).collect());
     if !usable.is_empty() {
         return usable;
     }
-    let last = fleet.of_service(demand.service).filter(untried);
-    last.filter(|s| s.is_last_resort()).collect()
+    let listed: Vec<&ServerState> = of_service().filter(|s| s.is_listed()).collect();
+    if !listed.is_empty() {
+        return untried(listed);
+    }
+    untried(of_service().filter(|s| s.has_not_left()).collect())
 }
 
 fn has_place(fleet: &Fleet, demand: &Demand<'_>, state: &ServerState) -> bool {
--- a/crates/cloverpier_relay/src/fleet.rs
+++ b/crates/cloverpier_relay/src/fleet.rs
@@ -95,13 +95,16 @@
 
     /// Whether it is listed, takes new work and answers, as far as known.
     pub fn is_usable(&self) -> bool {
-        self.gone.is_none() && !self.server.draining && !self.replaced && self.suspicion.is_none()
+        self.is_listed() && self.suspicion.is_none()
     }
 
-    /// Whether it may be tried when no server is usable.
-    ///
-    /// The platform's outages make entries of living servers vanish.
-    pub fn is_last_resort(&self) -> bool {
+    /// Whether it is listed, not leaving, and the newest start at its address.
+    pub fn is_listed(&self) -> bool {
+        self.gone.is_none() && self.has_not_left()
+    }
+
+    /// Whether nothing but its missing entry says that it left.
+    pub fn has_not_left(&self) -> bool {
         !self.server.draining && !self.replaced
     }
 
--- /dev/null
+++ b/crates/cloverpier_relay/tests/fleet.rs
@@ -0,0 +1,133 @@
+//! Which servers get requests as the platform's list changes.
+
+use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
+use cloverpier_relay::prelude::*;
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+const SERVICE: &str = "lookups";
+
+fn server(name: &str, port: u16) -> Server {
+    Server {
+        name: UpstreamName::new(name),
+        service: ServiceName::new(SERVICE),
+        address: ([127, 0, 0, 1], port).into(),
+        data_centre: DataCentre::new("hall-a"),
+        slots: 4,
+        draining: false,
+    }
+}
+
+fn fleet_of(names: &[&str], now: Instant) -> Fleet {
+    let mut fleet = Fleet::default();
+    let servers = names.iter().zip(9_000..).map(|(name, port)| server(name, port));
+    fleet.apply_list(servers.collect(), 1, now);
+    fleet
+}
+
+fn choose(fleet: &Fleet, tried: &[UpstreamName]) -> Option<String> {
+    let demand = Demand {
+        service: &ServiceName::new(SERVICE),
+        home: &DataCentre::new("hall-a"),
+        work: Work {
+            requests: 1,
+            ..Work::default()
+        },
+        engine_memory: None,
+        tried,
+        connected: &HashSet::new(),
+        overcommit: false,
+    };
+    match choose_server(fleet, &demand, &mut fastrand::Rng::with_seed(1)) {
+        Choice::Server(server) => Some(server.name.to_string()),
+        Choice::Full | Choice::Nobody => None,
+    }
+}
+
+#[test]
+fn a_server_that_left_gets_nothing_while_others_are_listed() {
+    let now = Instant::now();
+    let mut fleet = fleet_of(&["leaves", "suspected", "tried"], now);
+    fleet.apply_changes(vec![ServerChange::Gone("leaves".into())], 2, now);
+    fleet.suspect(&"suspected".into(), now);
+    // The suspect is the only one left: better a doubtful server than one that leaves.
+    let chosen = choose(&fleet, &["tried".into()]);
+    assert_eq!(chosen.as_deref(), Some("suspected"));
+    // With that one tried, too, nobody is left.
+    assert_eq!(choose(&fleet, &["tried".into(), "suspected".into()]), None);
+}
+
+#[test]
+fn a_draining_server_gets_nothing_even_as_the_last_one() {
+    let now = Instant::now();
+    let mut fleet = fleet_of(&["drains"], now);
+    let mut drains = server("drains", 9_000);
+    drains.draining = true;
+    fleet.apply_changes(vec![ServerChange::Listed(drains)], 2, now);
+    assert_eq!(choose(&fleet, &[]), None);
+}
+
+#[test]
+fn servers_serve_on_when_an_outage_empties_the_list() {
+    let now = Instant::now();
+    let mut fleet = fleet_of(&["one", "two"], now);
+    let gone = ["one", "two"].map(|name| ServerChange::Gone(name.into()));
+    fleet.apply_changes(gone.to_vec(), 2, now);
+    assert!(choose(&fleet, &[]).is_some());
+}
+
+#[test]
+fn a_replaced_server_is_never_chosen() {
+    let now = Instant::now();
+    let mut fleet = fleet_of(&["before"], now);
+    fleet.apply_changes(vec![ServerChange::Listed(server("after", 9_000))], 2, now);
+    assert_eq!(choose(&fleet, &[]).as_deref(), Some("after"));
+    assert_eq!(choose(&fleet, &["after".into()]), None);
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let now = Instant::now();
+    let mut fleet = fleet_of(&["one"], now);
+    fleet.apply_changes(vec![ServerChange::Listed(server("two", 9_001))], 5, now);
+    assert!(!fleet.apply_list(vec![server("one", 9_000)], 4, now));
+    assert!(fleet.get(&"two".into()).is_some_and(ServerState::is_usable));
+}
+
+#[test]
+fn a_suspect_is_probed_with_growing_pauses_until_it_answers() {
+    let start = Instant::now();
+    let mut fleet = fleet_of(&["one"], start);
+    assert!(fleet.suspect(&"one".into(), start));
+    assert!(!fleet.suspect(&"one".into(), start), "it is suspected already");
+    let mut probes = Vec::new();
+    for ms in (0..4_000).step_by(50) {
+        let now = start + Duration::from_millis(ms);
+        if !fleet.take_due_probes(now).is_empty() {
+            probes.push(ms);
+        }
+    }
+    assert_eq!(probes, [0, 150, 450, 1_050, 2_050, 3_050]);
+    assert!(fleet.on_alive(&"one".into(), start).is_some());
+    assert_eq!(choose(&fleet, &[]).as_deref(), Some("one"));
+}
+
+#[test]
+fn reports_of_peers_count_until_they_are_old() {
+    let now = Instant::now();
+    let mut fleet = fleet_of(&["one", "two"], now);
+    let key = ServerKey::of(&"one".into());
+    let work = Work {
+        requests: 3,
+        ..Work::default()
+    };
+    let peer = ([127, 0, 0, 1], 7_000).into();
+    fleet.peer_work.on_report(peer, vec![(key, work)], now);
+    assert_eq!(choose(&fleet, &[]).as_deref(), Some("two"));
+    fleet.peer_work.on_report(peer, Vec::new(), now);
+    assert_eq!(fleet.peer_work.at(key), Work::default());
+    fleet.peer_work.on_report(peer, vec![(key, work)], now);
+    let later = now + Duration::from_secs(5);
+    fleet.peer_work.forget_old(later, Duration::from_secs(1));
+    assert_eq!(fleet.peer_work.at(key), Work::default());
+}
