--- a/crates/cloverpier_front/src/links.rs
+++ b/crates/cloverpier_front/src/links.rs
@@ -1,12 +1,17 @@
 //! What was heard from each server last, shared by all who wait for it.
 
+use crate::connection::Caller;
 use cloverpier_core::UpstreamName;
+use cloverpier_relay::prelude::Server;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// How long a connection for questions may take to come up.
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Signs of life of one server.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -18,11 +23,14 @@
     pub dead: Cell<bool>,
     /// Wakes those who wait when it is found dead.
     pub found_dead: Notify,
+    /// Asks it questions, over a connection of their own.
+    pub caller: Caller,
 }
 
 impl Link {
-    fn new(now: Instant) -> Self {
+    fn new(server: &Server, now: Instant) -> Self {
         Self {
+            caller: Caller::new(server.address, CONNECT_PATIENCE),
             heard: Cell::new(now),
             asked: Cell::new(None),
             dead: Cell::new(false),
@@ -50,21 +58,21 @@
 
 impl Links {
     /// The link of a server.
-    pub fn of(&self, server: &UpstreamName, now: Instant) -> Rc<Link> {
+    pub fn of(&self, server: &Server, now: Instant) -> Rc<Link> {
         let mut links = self.by_server.borrow_mut();
-        let link = links.entry(server.clone());
-        Rc::clone(link.or_insert_with(|| Rc::new(Link::new(now))))
+        let link = links.entry(server.name.clone());
+        Rc::clone(link.or_insert_with(|| Rc::new(Link::new(server, now))))
     }
 
     /// Gives a server a new link, as after it was found dead.
-    pub fn renew(&self, server: &UpstreamName, now: Instant) {
+    pub fn renew(&self, server: &Server, now: Instant) {
         let mut links = self.by_server.borrow_mut();
-        links.insert(server.clone(), Rc::new(Link::new(now)));
+        links.insert(server.name.clone(), Rc::new(Link::new(server, now)));
     }
 
-    /// Forgets links that nobody holds.
-    pub fn forget_unused(&self) {
+    /// Forgets the links of servers that aren't known any more.
+    pub fn retain(&self, is_known: impl Fn(&UpstreamName) -> bool) {
         let mut links = self.by_server.borrow_mut();
-        links.retain(|_, link| Rc::strong_count(link) > 1);
+        links.retain(|server, link| Rc::strong_count(link) > 1 || is_known(server));
     }
 }
--- a/crates/cloverpier_front/src/probe.rs
+++ b/crates/cloverpier_front/src/probe.rs
@@ -25,8 +25,7 @@
     let (front, server, link) = (Rc::clone(front), server.clone(), Rc::clone(link));
     tokio::task::spawn_local(async move {
         let path = front.dialect.paths.engine_report;
-        let caller = Caller::new(server.address, ANSWER_PATIENCE);
-        let answer = caller.get(path, ANSWER_PATIENCE).await;
+        let answer = link.caller.get(path, ANSWER_PATIENCE).await;
         let now = Instant::now();
         link.asked.set(None);
         match answer {
@@ -45,7 +44,7 @@
 
 /// Takes a server for dead: its runs go on elsewhere, and it gets nothing new until it answers.
 pub(crate) fn on_server_dead(front: &Front, server: &Server, reason: &str, now: Instant) {
-    let link = front.links.of(&server.name, now);
+    let link = front.links.of(server, now);
     let is_new = front.fleet.borrow_mut().suspect(&server.name, now);
     front.pool.borrow_mut().close_all(&server.name);
     if !is_new {
@@ -55,7 +54,7 @@
     front.metrics.detection.observe(silent);
     log_belief(front, "server.suspected", server, reason, ms(silent));
     link.on_dead();
-    front.links.renew(&server.name, now);
+    front.links.renew(server, now);
 }
 
 fn log_belief(front: &Front, event: &'static str, server: &Server, reason: &str, silent_ms: u64) {
--- a/crates/cloverpier_front/src/send.rs
+++ b/crates/cloverpier_front/src/send.rs
@@ -170,7 +170,7 @@
     extras: &SendExtras,
     liveness: &mut Liveness,
 ) -> Result<Opened, SendError> {
-    let link = front.links.of(&server.name, Instant::now());
+    let link = front.links.of(server, Instant::now());
     loop {
         let mut connection = connect(front, request, server).await?;
         let is_kept = connection.requests > 0;
--- a/crates/cloverpier_front/src/start.rs
+++ b/crates/cloverpier_front/src/start.rs
@@ -8,6 +8,7 @@
 use crate::sync::{self, ConfigurationSource};
 use crate::web::{bind, on_caller, on_directory, on_metrics, on_ready, serve};
 use cloverpier_observe::{DroppedLines, NoFields};
+use cloverpier_relay::prelude::ServerState;
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::SocketAddr;
@@ -105,7 +106,9 @@
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         front.pool.borrow_mut().close_stale(Instant::now());
-        front.links.forget_unused();
+        let fleet = front.fleet.borrow();
+        front.links.retain(|server| fleet.get(server).is_some_and(ServerState::is_listed));
+        drop(fleet);
         let lines = i64::try_from(dropped.count()).unwrap_or(i64::MAX);
         front.metrics.dropped_lines.set(lines);
     }
