Weigh running streams by the delay that a prompt costs them; tell peers at once

Cause: reading a prompt of 8,000 tokens holds up every stream beside it for about 0.8 s, so a running stream weighs as much as 6,000 unread tokens, not 300. Engines that cost about the same are told apart by the prompt's hash: spreads routers, and a prompt that comes back finds its engine. The log line that ends a stream tells its first event and longest pause.

--- a/crates/cloverpier_front/src/decision_log.rs
+++ b/crates/cloverpier_front/src/decision_log.rs
@@ -54,6 +54,8 @@
     pub end: &'a str,
     pub sent: u32,
     pub events: u64,
+    pub first_event_ms: Option<u64>,
+    pub longest_pause_ms: u64,
     pub age_ms: u64,
 }
 
--- a/crates/cloverpier_front/src/dialect.rs
+++ b/crates/cloverpier_front/src/dialect.rs
@@ -38,6 +38,8 @@
     pub last_event: HeaderName,
     /// Tokens of prompt and answer.
     pub prompt_size: HeaderName,
+    /// The parts of the prompt.
+    pub prompt_parts: HeaderName,
     /// Where a run's memory is copied to as it grows.
     pub backup_at: HeaderName,
     /// Where the copy of a run's memory lies.
@@ -86,6 +88,7 @@
                 priority: HeaderName::from_static("cloverpier-priority"),
                 last_event: HeaderName::from_static("last-event-id"),
                 prompt_size: HeaderName::from_static("cloverpier-tokens"),
+                prompt_parts: HeaderName::from_static("cloverpier-prompt"),
                 backup_at: HeaderName::from_static("cloverpier-backup"),
                 resume_from: HeaderName::from_static("cloverpier-resume"),
             },
--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// A peer that was silent for longer isn't taken for alive.
 pub(crate) const PEER_SILENCE: Duration = Duration::from_millis(1_100);
@@ -35,6 +36,8 @@
     /// When the planned stop began.
     pub(crate) stopping: Cell<Option<Instant>>,
     pub(crate) in_flight: Cell<usize>,
+    /// Wakes the sender of heartbeats: peers should hear of a change at once.
+    pub(crate) news: Notify,
     /// Distinguishes this start from others at the same address.
     pub(crate) incarnation: u64,
 }
@@ -54,6 +57,7 @@
             pool: RefCell::new(Pool::default()),
             links: Links::default(),
             budgets: RefCell::new(HashMap::new()),
+            news: Notify::new(),
             incarnation: rng.u64(..),
             rng: RefCell::new(rng),
             stopping: Cell::new(None),
--- a/crates/cloverpier_front/src/gossip.rs
+++ b/crates/cloverpier_front/src/gossip.rs
@@ -32,6 +32,8 @@
 const FETCH_PATIENCE: Duration = Duration::from_millis(1_000);
 /// Bytes of the longest datagram.
 const DATAGRAM: usize = 8_192;
+/// Heartbeats that carry news are at least this far apart.
+const LEAST_PAUSE: Duration = Duration::from_millis(10);
 /// Seeds are tried again this often.
 const SEED_PERIODS: u32 = 10;
 
@@ -87,7 +89,17 @@
             }
         }
         period = period.wrapping_add(1);
-        tokio::time::sleep(settings.heartbeat).await;
+        wait_for_turn(&front, settings.heartbeat).await;
+    }
+}
+
+/// Waits for the next period, or for news that peers should hear at once.
+async fn wait_for_turn(front: &Front, period: Duration) {
+    tokio::time::sleep(LEAST_PAUSE).await;
+    let rest = period.saturating_sub(LEAST_PAUSE);
+    tokio::select! {
+        () = front.news.notified() => {}
+        () = tokio::time::sleep(rest) => {}
     }
 }
 
--- a/crates/cloverpier_front/src/intake.rs
+++ b/crates/cloverpier_front/src/intake.rs
@@ -5,6 +5,7 @@
 use crate::front::Front;
 use crate::reply::{Reply, own_reply, refusal, strip_hop_by_hop};
 use bytes::Bytes;
+use cloverpier_core::hash_of;
 use cloverpier_relay::prelude::*;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -47,6 +48,8 @@
     pub last_event: Option<u64>,
     /// Its tokens.
     pub size: PromptSize,
+    /// A hash of its prompt's parts.
+    pub prompt: Option<u64>,
     /// Its rank, 0 the highest.
     pub priority: u8,
 }
@@ -145,6 +148,7 @@
         deadline: now + allowed_time(front, &head.headers, &route),
         last_event: text_of(&head.headers, &names.last_event).and_then(|t| t.trim().parse().ok()),
         size: prompt_size(front, &head.headers),
+        prompt: text_of(&head.headers, &names.prompt_parts).map(hash_of),
         headers: forwarded_headers(front, head.headers, tenant.as_deref()),
         priority: priority.min(LOWEST_PRIORITY),
         service,
--- a/crates/cloverpier_front/src/plain.rs
+++ b/crates/cloverpier_front/src/plain.rs
@@ -1,7 +1,7 @@
 //! Requests whose answer is one body.
 
 use crate::body::{AnswerBroken, ReplyBody};
-use crate::decision_log::{RequestEnded, SendFailed, ServerChosen, ms_since};
+use crate::decision_log::{RequestEnded, SendFailed, ServerChosen, ms, ms_since};
 use crate::front::{Front, WorkGuard};
 use crate::intake::RelayRequest;
 use crate::reply::{Reply, ServerAnswer, own_reply, refusal, streamed_reply};
@@ -41,10 +41,35 @@
         Ok(reply) => (reply, "answered"),
         Err(given_up) => give_up_reply(request, &given_up),
     };
-    log_end(front, request, &run.attempts, reply.status(), end, 0);
+    log_end(front, request, &run.attempts, reply.status(), end, &Progress::default());
     reply
 }
 
+/// How a stream went, for its last log line.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Progress {
+    /// Events passed on.
+    pub events: u64,
+    /// When the first one was.
+    pub first_event: Option<Instant>,
+    /// When the last one was.
+    pub last_event: Option<Instant>,
+    /// The longest pause between two.
+    pub longest_pause: Duration,
+}
+
+impl Progress {
+    /// Notes that events were passed on.
+    pub fn on_events(&mut self, count: u64, now: Instant) {
+        self.events += count;
+        self.first_event.get_or_insert(now);
+        if let Some(last) = self.last_event.replace(now) {
+            let pause = now.saturating_duration_since(last);
+            self.longest_pause = self.longest_pause.max(pause);
+        }
+    }
+}
+
 /// Writes the line that ends a request.
 pub(crate) fn log_end(
     front: &Front,
@@ -52,7 +77,7 @@
     attempts: &Attempts,
     status: StatusCode,
     end: &'static str,
-    events: u64,
+    progress: &Progress,
 ) {
     let now = Instant::now();
     front.metrics.requests.count(end);
@@ -64,7 +89,9 @@
             status: status.as_u16(),
             end,
             sent: attempts.sent(),
-            events,
+            events: progress.events,
+            first_event_ms: progress.first_event.map(|at| ms_since(request.arrived, at)),
+            longest_pause_ms: ms(progress.longest_pause),
             age_ms: ms_since(request.arrived, now),
         },
     );
@@ -152,6 +179,8 @@
             home: &settings.data_centre,
             work: work_of(self.request),
             engine_memory: self.request.service.engine.map(|e| e.memory_tokens),
+            affinity: self.request.prompt,
+            is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
             connected: &connected,
             overcommit: false,
--- a/crates/cloverpier_front/src/stream.rs
+++ b/crates/cloverpier_front/src/stream.rs
@@ -6,7 +6,7 @@
 use crate::front::{Front, WorkGuard};
 use crate::intake::RelayRequest;
 use crate::links::Link;
-use crate::plain::{GivenUp, give_up_reply, log_end, outcome_name, silence_error, work_of};
+use crate::plain::{GivenUp, Progress, give_up_reply, log_end, outcome_name, silence_error, work_of};
 use crate::probe;
 use crate::reply::{Reply, ServerAnswer, streamed_reply};
 use crate::send::{Awaited, Opened, SendError, SendExtras, keep, send, while_alive};
@@ -104,7 +104,7 @@
     copy: Option<Server>,
     splitter: EventSplitter,
     last_event: Option<u64>,
-    events: u64,
+    progress: Progress,
     head: Option<Parts>,
     server_failure: Option<ServerAnswer>,
     /// Since when events are missing because a run was lost.
@@ -132,7 +132,7 @@
             copy: None,
             splitter: EventSplitter::default(),
             last_event: request.last_event,
-            events: 0,
+            progress: Progress::default(),
             head: None,
             server_failure: None,
             lost_since: None,
@@ -148,7 +148,7 @@
             &self.attempts,
             status,
             end,
-            self.events,
+            &self.progress,
         );
     }
 
@@ -238,6 +238,7 @@
     /// Takes all whole events that were received, in order, each once.
     fn take_events(&mut self) -> Option<Bytes> {
         let mut piece = BytesMut::new();
+        let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
             if let Some(id) = event.id {
                 if self.last_event.is_some_and(|last| id <= last) {
@@ -245,13 +246,15 @@
                 }
                 self.last_event = Some(id);
             }
-            self.events += 1;
+            count += 1;
             piece.extend_from_slice(&event.bytes);
         }
         if piece.is_empty() {
             return None;
         }
-        self.on_progress(Instant::now());
+        let now = Instant::now();
+        self.progress.on_events(count, now);
+        self.on_progress(now);
         Some(piece.freeze())
     }
 
@@ -345,7 +348,7 @@
     fn log_failure(&self, interruption: &Interruption, next: NextStep, now: Instant) {
         let name = outcome_name(interruption.outcome);
         self.front.metrics.sends.count(name);
-        if self.events > 0 && next == NextStep::SendAgain {
+        if self.progress.events > 0 && next == NextStep::SendAgain {
             self.front.metrics.resumed.count(name);
         }
         self.front.log.info(
@@ -396,9 +399,11 @@
             home: &settings.data_centre,
             work: work_of(&self.request),
             engine_memory: self.request.service.engine.map(|e| e.memory_tokens),
+            affinity: self.request.prompt,
+            is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
             connected: &connected,
-            overcommit: self.events > 0,
+            overcommit: self.progress.events > 0,
         };
         let mut rng = front.rng.borrow_mut();
         let copy = self.copy.take().filter(|server| {
@@ -423,7 +428,7 @@
 
     fn extras(&self, server: &Server, backup: Option<Server>, from_copy: bool) -> SendExtras {
         let copy_name = self.front.dialect.copy_name;
-        let is_repeat = self.events > 0;
+        let is_repeat = self.progress.events > 0;
         SendExtras {
             backup,
             resume_from: from_copy.then(|| copy_name(server.address, &self.request.id)),
@@ -466,6 +471,7 @@
             work.unread_tokens = 0;
         }
         let work = WorkGuard::begin(&self.front, &server.name, work);
+        self.front.news.notify_one();
         let backup = extras.backup.clone().map(|backup| {
             let copied = Work {
                 memory_tokens: work_of(&self.request).memory_tokens,
@@ -478,7 +484,7 @@
         let mut liveness = Liveness::new(self.waiting_bounds(), now);
         let opened = send(&self.front, &self.request, server, &extras, &mut liveness).await?;
         let opened = self.judge_status(opened, server).await?;
-        if self.events == 0 {
+        if self.progress.events == 0 {
             self.head = Some(opened.head);
         }
         self.source = Some(Source {
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -6,12 +6,12 @@
 
 use crate::fleet::{Fleet, Server, ServerState};
 use crate::work::Work;
-use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
+use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
 use serde::Serialize;
 use std::collections::HashSet;
 
 /// A running request slows a newcomer as much as so many unread tokens.
-const TOKENS_PER_RUNNING: f64 = 300.0;
+const TOKENS_PER_RUNNING: f64 = 6_000.0;
 /// A failure rate of one costs as much as so many requests.
 const FAILURE_REQUESTS: f64 = 12.0;
 /// Another data centre costs as much as so many requests at a plain service.
@@ -22,6 +22,8 @@
 const FILLED_PART: f64 = 0.92;
 /// Cost, in tokens, of an engine whose memory would overflow.
 const OVERFULL_TOKENS: f64 = 200_000.0;
+/// Engines whose costs differ by less are taken for equal.
+const ABOUT_THE_SAME_TOKENS: f64 = 3000.0;
 /// Requests that may wait at a plain server, for each of its slots.
 const WAITING_PER_SLOT: u32 = 2;
 /// A pace below this many milliseconds tells nothing.
@@ -38,6 +40,10 @@
     pub work: Work,
     /// Tokens that fit into an engine's memory; `None` at a plain service.
     pub engine_memory: Option<u64>,
+    /// A hash of the prompt: the same prompt prefers the same engine.
+    pub affinity: Option<u64>,
+    /// Whether an engine may have read the prompt already, for an earlier request.
+    pub is_continuation: bool,
     /// Servers that this request was sent to already.
     pub tried: &'a [UpstreamName],
     /// Servers to which a connection is at hand.
@@ -58,6 +64,10 @@
 }
 
 /// Chooses the server with the lowest cost; equal ones by chance.
+///
+/// Engines that cost about the same are told apart by the prompt's hash, so
+/// that routers that see the same don't all choose the same engine, and a
+/// prompt that comes back finds the engine that has read it.
 pub fn choose_server(fleet: &Fleet, demand: &Demand<'_>, rng: &mut fastrand::Rng) -> Choice {
     let able = candidates(fleet, demand);
     if able.is_empty() {
@@ -69,7 +79,11 @@
         .collect();
     let best_pace = best_pace(&open);
     let cost = |s: &ServerState| cost(fleet, demand, s, best_pace);
-    match cheapest(&open, cost, rng) {
+    let chosen = match (demand.engine_memory, demand.affinity) {
+        (Some(_), Some(prompt)) => by_prompt(&open, cost, prompt, tolerance(demand)),
+        _ => cheapest(&open, cost, rng),
+    };
+    match chosen {
         Some(state) => Choice::Server(state.server.clone()),
         None => Choice::Full,
     }
@@ -184,6 +198,30 @@
     cost
 }
 
+/// How much more than the cheapest an engine may cost, in tokens.
+fn tolerance(demand: &Demand<'_>) -> f64 {
+    if demand.is_continuation {
+        f64::from(demand.work.unread_tokens).max(ABOUT_THE_SAME_TOKENS)
+    } else {
+        ABOUT_THE_SAME_TOKENS
+    }
+}
+
+/// Among the engines that cost about the least, the one that the prompt's hash prefers.
+fn by_prompt<'a>(
+    states: &[&'a ServerState],
+    cost: impl Fn(&ServerState) -> f64,
+    prompt: u64,
+    tolerance: f64,
+) -> Option<&'a ServerState> {
+    let costs: Vec<f64> = states.iter().map(|s| cost(s)).collect();
+    let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
+    let near = states.iter().zip(&costs).filter(|(_, c)| **c <= least + tolerance);
+    let near: Vec<&ServerState> = near.map(|(s, _)| *s).collect();
+    let ranked = rank(prompt, &near, |s| s.server.name.as_str());
+    ranked.first().map(|s| **s)
+}
+
 fn cheapest<'a>(
     states: &[&'a ServerState],
     cost: impl Fn(&ServerState) -> f64,
--- a/crates/cloverpier_relay/tests/fleet.rs
+++ b/crates/cloverpier_relay/tests/fleet.rs
@@ -34,6 +34,8 @@
             ..Work::default()
         },
         engine_memory: None,
+        affinity: None,
+        is_continuation: false,
         tried,
         connected: &HashSet::new(),
         overcommit: false,
@@ -131,3 +133,71 @@
     fleet.peer_work.forget_old(later, Duration::from_secs(1));
     assert_eq!(fleet.peer_work.at(key), Work::default());
 }
+
+fn choose_engine(fleet: &Fleet, affinity: u64, seed: u64) -> Option<String> {
+    let demand = Demand {
+        service: &ServiceName::new(SERVICE),
+        home: &DataCentre::new("hall-a"),
+        work: Work {
+            requests: 1,
+            unread_tokens: 8_000,
+            memory_tokens: 8_800,
+        },
+        engine_memory: Some(88_000),
+        affinity: Some(affinity),
+        is_continuation: false,
+        tried: &[],
+        connected: &HashSet::new(),
+        overcommit: false,
+    };
+    match choose_server(fleet, &demand, &mut fastrand::Rng::with_seed(seed)) {
+        Choice::Server(server) => Some(server.name.to_string()),
+        Choice::Full | Choice::Nobody => None,
+    }
+}
+
+/// Engines that run a request each; one has slightly less to read than the others.
+fn busy_engines(now: Instant) -> Fleet {
+    let names: Vec<String> = (0..24).map(|n| format!("engine-{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut fleet = fleet_of(&names, now);
+    for (index, name) in names.iter().enumerate() {
+        let running = Work {
+            requests: 1,
+            unread_tokens: if index == 0 { 0 } else { 1_000 },
+            memory_tokens: 8_800,
+        };
+        fleet.begin(&UpstreamName::new(name), running);
+    }
+    fleet
+}
+
+#[test]
+fn routers_that_see_the_same_do_not_all_choose_the_same_engine() {
+    let fleet = busy_engines(Instant::now());
+    let chosen: HashSet<_> = (0..12).filter_map(|n| choose_engine(&fleet, n, n)).collect();
+    assert!(chosen.len() >= 7, "12 prompts went to {chosen:?}");
+}
+
+#[test]
+fn an_engine_that_a_peer_has_just_chosen_is_left_to_it() {
+    let now = Instant::now();
+    let mut fleet = busy_engines(now);
+    let first = choose_engine(&fleet, 5, 1).unwrap();
+    let begun = Work {
+        requests: 1,
+        unread_tokens: 8_000,
+        memory_tokens: 8_800,
+    };
+    let key = ServerKey::of(&UpstreamName::new(&first));
+    let peer = ([127, 0, 0, 1], 7_000).into();
+    fleet.peer_work.on_report(peer, vec![(key, begun)], now);
+    assert_ne!(choose_engine(&fleet, 5, 1).unwrap(), first);
+}
+
+#[test]
+fn a_prompt_that_comes_back_finds_the_engine_that_read_it() {
+    let fleet = busy_engines(Instant::now());
+    let first = choose_engine(&fleet, 77, 1);
+    assert_eq!(first, choose_engine(&fleet, 77, 2), "whoever chooses");
+}
