Let three fronts follow the store for all; tell peers at once of starts and suspicions

Three fronts by rank follow the store, ping it with its cheapest call, and say how old its last word is; the others fetch changes from them, and follow it themselves when nobody has a fresh word. Excluded: longer pauses between watches alone (a change has 2 s to apply).

--- a/crates/cloverpier_front/src/decision_log.rs
+++ b/crates/cloverpier_front/src/decision_log.rs
@@ -85,6 +85,14 @@
     pub reason: &'a str,
 }
 
+/// This front begins or ends to follow the store.
+#[derive(Serialize)]
+pub(crate) struct FollowingChanged {
+    pub follows: bool,
+    pub live_peers: usize,
+    pub reason: Following,
+}
+
 /// A version was taken over.
 #[derive(Serialize)]
 pub(crate) struct VersionTaken<'a> {
--- a/crates/cloverpier_front/src/directory.rs
+++ b/crates/cloverpier_front/src/directory.rs
@@ -1,6 +1,6 @@
 //! Answers which routers callers should use.
 
-use crate::front::{Front, PEER_SILENCE};
+use crate::front::Front;
 use cloverpier_relay::prelude::*;
 use std::time::Instant;
 
@@ -8,7 +8,7 @@
 pub(crate) fn directory_answer(front: &Front, now: Instant) -> Option<Vec<u8>> {
     let settings = front.settings();
     let own = (front.state() == PeerState::Ready).then_some(settings.listen.callers);
-    let listed = front.directory.borrow().listed(own, now, PEER_SILENCE);
+    let listed = front.directory.borrow().listed(own, now, front.peer_silence());
     if listed.is_empty() {
         return None;
     }
--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -1,5 +1,6 @@
 //! What the parts of a front share.
 
+use crate::decision_log::FollowingChanged;
 use crate::dialect::Dialect;
 use crate::links::Links;
 use crate::metrics::Metrics;
@@ -14,8 +15,14 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// A peer that was silent for longer isn't taken for alive.
-pub(crate) const PEER_SILENCE: Duration = Duration::from_millis(1_100);
+/// A peer that was silent for longer isn't taken for alive, in a small fleet.
+const LEAST_PEER_SILENCE: Duration = Duration::from_millis(1_100);
+/// Heartbeats of a peer that may be lost one after the other.
+const HEARTBEATS_LOST: u32 = 3;
+/// Peers that hear of each heartbeat; with more of them they take turns.
+pub(crate) const PEERS_A_TURN: usize = 16;
+/// A follower's word from the store is fresh for this long.
+const STORE_WORD_FRESH: Duration = Duration::from_millis(1_300);
 
 /// The state of one front; one thread uses it.
 #[derive(Debug)]
@@ -38,6 +45,14 @@
     pub(crate) in_flight: Cell<usize>,
     /// Wakes the sender of heartbeats: peers should hear of a change at once.
     pub(crate) news: Notify,
+    /// Servers of which peers should hear at once.
+    pub(crate) changed: RefCell<Vec<UpstreamName>>,
+    /// Wakes whoever fetches newer versions from peers.
+    pub(crate) newer: Notify,
+    /// When the store answered last.
+    pub(crate) store_heard: Cell<Option<Instant>>,
+    /// Whether this front follows the store.
+    pub(crate) follows_store: Cell<bool>,
     /// Distinguishes this start from others at the same address.
     pub(crate) incarnation: u64,
 }
@@ -58,6 +73,10 @@
             links: Links::default(),
             budgets: RefCell::new(HashMap::new()),
             news: Notify::new(),
+            changed: RefCell::new(Vec::new()),
+            newer: Notify::new(),
+            store_heard: Cell::new(None),
+            follows_store: Cell::new(true),
             incarnation: rng.u64(..),
             rng: RefCell::new(rng),
             stopping: Cell::new(None),
@@ -80,6 +99,47 @@
         self.fleet_known.get() && self.catalog.borrow().is_some()
     }
 
+    /// How long a peer may be silent before it isn't taken for alive.
+    pub(crate) fn peer_silence(&self) -> Duration {
+        let peers = self.directory.borrow().addresses().len();
+        let turns = u32::try_from(peers.div_ceil(PEERS_A_TURN)).unwrap_or(u32::MAX);
+        let interval = self.settings().heartbeat * turns.max(1);
+        (interval * HEARTBEATS_LOST).max(LEAST_PEER_SILENCE)
+    }
+
+    /// Decides whether this front follows the store, and notes a change.
+    pub(crate) fn decide_following(&self, now: Instant) -> bool {
+        let silence = self.peer_silence();
+        let directory = self.directory.borrow();
+        let live: Vec<Candidate> = directory
+            .heard()
+            .filter(|(_, e)| e.state == PeerState::Ready)
+            .filter(|(_, e)| now.saturating_duration_since(e.heard) <= silence)
+            .map(|(peer, e)| Candidate {
+                peer: *peer,
+                // What was heard has aged since.
+                store_age: e.store_age.map(|a| a + now.saturating_duration_since(e.heard)),
+            })
+            .collect();
+        let own = self.settings().listen.peers;
+        let following = should_follow(own, &live, STORE_WORD_FRESH);
+        if self.follows_store.replace(following.is_due()) != following.is_due() {
+            let line = FollowingChanged {
+                follows: following.is_due(),
+                live_peers: live.len(),
+                reason: following,
+            };
+            self.log.info("store.following", &line);
+        }
+        following.is_due()
+    }
+
+    /// Has peers hear at once of the work at a server, or that it is suspected.
+    pub(crate) fn tell_peers(&self, server: &UpstreamName) {
+        self.changed.borrow_mut().push(server.clone());
+        self.news.notify_one();
+    }
+
     /// What peers and the platform are told.
     pub(crate) fn state(&self) -> PeerState {
         if self.stopping.get().is_some() {
@@ -103,7 +163,7 @@
 
     /// Takes a repeat at a service from this front's share of the budget.
     pub(crate) fn take_repeat(&self, service: &ServiceName, now: Instant) -> bool {
-        let alive = self.directory.borrow().alive(now, PEER_SILENCE);
+        let alive = self.directory.borrow().alive(now, self.peer_silence());
         self.with_budget(service, |budget| budget.take_repeat(now, alive))
     }
 
--- a/crates/cloverpier_front/src/gossip.rs
+++ b/crates/cloverpier_front/src/gossip.rs
@@ -1,45 +1,31 @@
-//! Heartbeats between fronts: who lives, who has which work, who knows newer versions.
+//! Messages between fronts: who lives, who has which work, who knows newer versions.
 //!
-//! Heartbeats are datagrams: a lost one costs nothing, as the next one says it
-//! all again. Versions are fetched over HTTP. Both are MessagePack.
+//! Heartbeats and changes are datagrams: a lost one costs little, as the next
+//! heartbeat says it all again. All are MessagePack.
 
-use crate::connection::Caller;
-use crate::front::Front;
-use crate::reply::{Reply, own_reply};
-use crate::body::ReplyBody;
-use crate::sync::{FleetList, take_catalog, take_fleet};
+use crate::front::{Front, PEERS_A_TURN};
 use cloverpier_core::DataCentre;
 use cloverpier_relay::prelude::*;
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 
-/// Heartbeats sent in one period at most; with more peers they take turns.
-const MOST_A_PERIOD: usize = 16;
+/// Changes are told to all peers up to this many, to so many of them beyond.
+const MOST_TOLD_OF_CHANGES: usize = 96;
 /// Peers named in one heartbeat.
 const NAMED: usize = 8;
-/// Servers told of in one heartbeat.
-const MOST_TOLD: usize = 64;
-/// A report of work counts for this long.
+/// Servers told of in one message.
+const MOST_SERVERS: usize = 64;
+/// A report of work counts for this long, in a small fleet.
 const WORK_COUNTS_FOR: Duration = Duration::from_millis(1_500);
-/// A peer's newer version is fetched after this pause, as the store mostly tells it first.
-const FETCH_AFTER: Duration = Duration::from_millis(400);
-/// How long a fetch may take.
-const FETCH_PATIENCE: Duration = Duration::from_millis(1_000);
 /// Bytes of the longest datagram.
 const DATAGRAM: usize = 8_192;
-/// Heartbeats that carry news are at least this far apart.
+/// Messages that carry news are at least this far apart.
 const LEAST_PAUSE: Duration = Duration::from_millis(10);
-/// Seeds are tried again this often.
-const SEED_PERIODS: u32 = 10;
-
-/// Paths of the versions that a front hands to peers.
-const CATALOG_PATH: &str = "/versions/catalog";
-const FLEET_PATH: &str = "/versions/fleet";
+/// Seeds are named again this often.
+const SEED_PERIOD: Duration = Duration::from_secs(2);
 
 /// Work at one server, in few bytes.
 #[derive(Debug, Serialize, Deserialize)]
@@ -50,7 +36,27 @@
     memory_tokens: u32,
 }
 
-/// What a front tells its peers.
+impl WorkReport {
+    fn new((server, work): (ServerKey, Work)) -> Self {
+        Self {
+            server,
+            requests: work.requests,
+            unread_tokens: work.unread_tokens,
+            memory_tokens: work.memory_tokens,
+        }
+    }
+
+    fn into_work(self) -> (ServerKey, Work) {
+        let work = Work {
+            requests: self.requests,
+            unread_tokens: self.unread_tokens,
+            memory_tokens: self.memory_tokens,
+        };
+        (self.server, work)
+    }
+}
+
+/// All that a front tells its peers, every period.
 #[derive(Debug, Serialize, Deserialize)]
 struct Heartbeat {
     sender: SocketAddr,
@@ -59,47 +65,67 @@
     state: PeerState,
     catalog_version: u64,
     fleet_revision: u64,
+    store_age_ms: Option<u32>,
     work: Vec<WorkReport>,
+    suspects: Vec<ServerKey>,
     named: Vec<SocketAddr>,
 }
 
-/// A list of servers as it travels.
+/// What peers should hear at once.
+#[derive(Debug, Serialize, Deserialize)]
+struct Change {
+    sender: SocketAddr,
+    work: Vec<WorkReport>,
+    suspects: Vec<ServerKey>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
-struct FleetMessage {
-    servers: Vec<Server>,
-    revision: u64,
+enum Message {
+    Heartbeat(Heartbeat),
+    Change(Change),
 }
 
-/// Sends heartbeats for as long as the process runs.
-pub(crate) async fn send_heartbeats(front: Rc<Front>, socket: Rc<UdpSocket>) {
-    let mut period = 0u32;
-    let mut turn = 0usize;
+/// Sends heartbeats and changes for as long as the process runs.
+pub(crate) async fn send_messages(front: Rc<Front>, socket: Rc<UdpSocket>) {
+    let mut turn = 0;
+    let mut next_heartbeat = Instant::now();
+    let mut next_seeds = next_heartbeat;
     loop {
-        let settings = front.settings();
         let now = Instant::now();
-        front.fleet.borrow_mut().peer_work.forget_old(now, WORK_COUNTS_FOR);
-        front.directory.borrow_mut().forget_old(now);
-        if period.is_multiple_of(SEED_PERIODS) {
+        if now >= next_seeds {
             name_seeds(&front, now);
+            next_seeds = now + SEED_PERIOD;
         }
-        if let Ok(bytes) = rmp_serde::to_vec(&heartbeat(&front)) {
-            for peer in next_peers(&front, &mut turn) {
-                // A heartbeat that can't be sent is as one that was lost.
-                let _ = socket.try_send_to(&bytes, peer);
-            }
+        if now >= next_heartbeat {
+            forget_old(&front, now);
+            front.decide_following(now);
+            let peers = heartbeat_peers(&front, &mut turn);
+            send(&socket, &Message::Heartbeat(heartbeat(&front, now)), &peers);
+            next_heartbeat = now + front.settings().heartbeat;
         }
-        period = period.wrapping_add(1);
-        wait_for_turn(&front, settings.heartbeat).await;
+        if let Some(change) = take_change(&front) {
+            send(&socket, &Message::Change(change), &change_peers(&front));
+        }
+        wait_for_news(&front, next_heartbeat).await;
     }
 }
 
-/// Waits for the next period, or for news that peers should hear at once.
-async fn wait_for_turn(front: &Front, period: Duration) {
+/// Waits for the next heartbeat, or for news that peers should hear at once.
+async fn wait_for_news(front: &Front, next_heartbeat: Instant) {
     tokio::time::sleep(LEAST_PAUSE).await;
-    let rest = period.saturating_sub(LEAST_PAUSE);
     tokio::select! {
         () = front.news.notified() => {}
-        () = tokio::time::sleep(rest) => {}
+        () = tokio::time::sleep_until(next_heartbeat.into()) => {}
+    }
+}
+
+fn send(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
+    let Ok(bytes) = rmp_serde::to_vec(message) else {
+        return;
+    };
+    for peer in peers {
+        // A message that can't be sent is as one that was lost.
+        let _ = socket.try_send_to(&bytes, *peer);
     }
 }
 
@@ -113,24 +139,42 @@
     }
 }
 
-fn next_peers(front: &Front, turn: &mut usize) -> Vec<SocketAddr> {
+fn forget_old(front: &Front, now: Instant) {
+    let counts_for = front.peer_silence().max(WORK_COUNTS_FOR);
+    front.fleet.borrow_mut().peer_work.forget_old(now, counts_for);
+    front.directory.borrow_mut().forget_old(now);
+}
+
+/// The peers whose turn it is; all of them hear a front that follows the store.
+fn heartbeat_peers(front: &Front, turn: &mut usize) -> Vec<SocketAddr> {
     let mut all = front.directory.borrow().addresses();
-    if all.len() <= MOST_A_PERIOD {
+    if all.len() <= PEERS_A_TURN || front.follows_store.get() {
         return all;
     }
     all.sort_unstable();
     let start = *turn % all.len();
-    *turn = turn.wrapping_add(MOST_A_PERIOD);
+    *turn = turn.wrapping_add(PEERS_A_TURN);
     all.rotate_left(start);
-    all.truncate(MOST_A_PERIOD);
+    all.truncate(PEERS_A_TURN);
     all
 }
 
-fn heartbeat(front: &Front) -> Heartbeat {
+fn change_peers(front: &Front) -> Vec<SocketAddr> {
+    let all = front.directory.borrow().addresses();
+    if all.len() <= MOST_TOLD_OF_CHANGES {
+        return all;
+    }
+    let mut rng = front.rng.borrow_mut();
+    rng.choose_multiple(all, MOST_TOLD_OF_CHANGES)
+}
+
+fn heartbeat(front: &Front, now: Instant) -> Heartbeat {
     let settings = front.settings();
     let fleet = front.fleet.borrow();
     let mut work = fleet.own_work();
-    work.truncate(MOST_TOLD);
+    work.truncate(MOST_SERVERS);
+    let mut suspects = fleet.suspects();
+    suspects.truncate(MOST_SERVERS);
     let named = front.directory.borrow().addresses();
     let named = front.rng.borrow_mut().choose_multiple(named, NAMED);
     Heartbeat {
@@ -140,49 +184,79 @@
         state: front.state(),
         catalog_version: front.catalog().map_or(0, |c| c.version()),
         fleet_revision: fleet.revision(),
-        work: work.into_iter().map(report).collect(),
+        store_age_ms: store_age_ms(front, now),
+        work: work.into_iter().map(WorkReport::new).collect(),
+        suspects,
         named,
     }
 }
 
-fn report((server, work): (ServerKey, Work)) -> WorkReport {
-    WorkReport {
-        server,
-        requests: work.requests,
-        unread_tokens: work.unread_tokens,
-        memory_tokens: work.memory_tokens,
+fn store_age_ms(front: &Front, now: Instant) -> Option<u32> {
+    let heard = front.store_heard.get().filter(|_| front.follows_store.get())?;
+    let age = now.saturating_duration_since(heard).as_millis();
+    u32::try_from(age).ok()
+}
+
+fn take_change(front: &Front) -> Option<Change> {
+    let mut changed = std::mem::take(&mut *front.changed.borrow_mut());
+    if changed.is_empty() {
+        return None;
     }
+    changed.sort_unstable();
+    changed.dedup();
+    changed.truncate(MOST_SERVERS);
+    let fleet = front.fleet.borrow();
+    let states: Vec<&ServerState> = changed.iter().filter_map(|name| fleet.get(name)).collect();
+    let suspects = states.iter().filter(|s| s.is_suspect());
+    Some(Change {
+        sender: front.settings().listen.peers,
+        suspects: suspects.map(|s| s.key).collect(),
+        work: states.iter().map(|s| WorkReport::new((s.key, s.own))).collect(),
+    })
 }
 
-/// Takes heartbeats for as long as the process runs.
-pub(crate) async fn receive_heartbeats(front: Rc<Front>, socket: Rc<UdpSocket>) {
+/// Takes messages for as long as the process runs.
+pub(crate) async fn receive_messages(front: Rc<Front>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
             // Reports of unreachable peers arrive here; they need no answer.
             continue;
         };
-        if let Ok(heartbeat) = rmp_serde::from_slice::<Heartbeat>(&buffer[..length]) {
-            on_heartbeat(&front, heartbeat, Instant::now());
+        let now = Instant::now();
+        match rmp_serde::from_slice(&buffer[..length]) {
+            Ok(Message::Heartbeat(heartbeat)) => on_heartbeat(&front, heartbeat, now),
+            Ok(Message::Change(change)) => on_change(&front, change, now),
+            // Of another release, or cut off: the next one may be read.
+            Err(_) => {}
         }
     }
 }
 
+fn on_change(front: &Front, change: Change, now: Instant) {
+    let mut fleet = front.fleet.borrow_mut();
+    for report in change.work {
+        let (key, work) = report.into_work();
+        fleet.peer_work.on_change(change.sender, key, work, now);
+    }
+    for key in change.suspects {
+        fleet.on_doubt(key, now);
+    }
+}
+
 fn on_heartbeat(front: &Front, heartbeat: Heartbeat, now: Instant) {
     let own = front.settings().listen.peers;
     if heartbeat.sender == own {
         return;
     }
-    let work = heartbeat.work.into_iter().map(|report| {
-        let work = Work {
-            requests: report.requests,
-            unread_tokens: report.unread_tokens,
-            memory_tokens: report.memory_tokens,
-        };
-        (report.server, work)
-    });
     let mut fleet = front.fleet.borrow_mut();
+    let work = heartbeat.work.into_iter().map(WorkReport::into_work);
     fleet.peer_work.on_report(heartbeat.sender, work.collect(), now);
+    for key in heartbeat.suspects {
+        fleet.on_doubt(key, now);
+    }
+    let is_newer = heartbeat.fleet_revision > fleet.revision()
+        || heartbeat.catalog_version > front.catalog().map_or(0, |c| c.version());
     drop(fleet);
     let mut directory = front.directory.borrow_mut();
     for peer in heartbeat.named {
@@ -190,6 +264,7 @@
             directory.on_named(peer, now);
         }
     }
+    let store_age = heartbeat.store_age_ms.map(|ms| Duration::from_millis(ms.into()));
     directory.on_heard(
         heartbeat.sender,
         PeerEntry {
@@ -199,82 +274,10 @@
             heard: now,
             catalog_version: heartbeat.catalog_version,
             fleet_revision: heartbeat.fleet_revision,
+            store_age,
         },
     );
-}
-
-/// Fetches versions that peers have and the store hasn't told, for as long as the process runs.
-pub(crate) async fn fetch_newer(front: Rc<Front>) {
-    loop {
-        let behind_catalog = newest(&front, |e| e.catalog_version);
-        let behind_fleet = newest(&front, |e| e.fleet_revision);
-        tokio::time::sleep(FETCH_AFTER).await;
-        if let Some((peer, version)) = behind_catalog
-            && front.catalog().map_or(0, |c| c.version()) < version
-        {
-            fetch_catalog(&front, peer).await;
-        }
-        if let Some((peer, revision)) = behind_fleet
-            && front.fleet.borrow().revision() < revision
-        {
-            fetch_fleet(&front, peer).await;
-        }
-    }
-}
-
-/// A live peer that knows the newest version.
-fn newest(front: &Front, version: impl Fn(&PeerEntry) -> u64) -> Option<(SocketAddr, u64)> {
-    let directory = front.directory.borrow();
-    let now = Instant::now();
-    let live = directory
-        .heard()
-        .filter(|(_, e)| now.saturating_duration_since(e.heard) < crate::front::PEER_SILENCE);
-    let versions = live.map(|(peer, entry)| (*peer, version(entry)));
-    versions.max_by_key(|(_, version)| *version)
-}
-
-async fn fetch_catalog(front: &Front, peer: SocketAddr) {
-    let caller = Caller::new(peer, FETCH_PATIENCE);
-    let Ok(answer) = caller.get(CATALOG_PATH, FETCH_PATIENCE).await else {
-        return;
-    };
-    if let Ok(parts) = rmp_serde::from_slice::<CatalogParts>(&answer.body) {
-        take_catalog(front, parts, &format!("peer {peer}"));
-    }
-}
-
-async fn fetch_fleet(front: &Front, peer: SocketAddr) {
-    let caller = Caller::new(peer, FETCH_PATIENCE);
-    let Ok(answer) = caller.get(FLEET_PATH, FETCH_PATIENCE).await else {
-        return;
-    };
-    if let Ok(message) = rmp_serde::from_slice::<FleetMessage>(&answer.body) {
-        let list = FleetList {
-            servers: message.servers,
-            revision: message.revision,
-        };
-        take_fleet(front, list, &format!("peer {peer}"));
+    if is_newer {
+        front.newer.notify_one();
     }
 }
-
-/// Hands versions to peers.
-pub(crate) async fn on_peer(front: Rc<Front>, request: Request<Incoming>) -> Reply {
-    let packed = match request.uri().path() {
-        CATALOG_PATH => front.catalog().and_then(|c| rmp_serde::to_vec(c.parts()).ok()),
-        FLEET_PATH if front.fleet_known.get() => pack_fleet(&front),
-        _ => None,
-    };
-    match packed {
-        Some(bytes) => Response::new(ReplyBody::whole(bytes)),
-        None => own_reply(StatusCode::NOT_FOUND, "no such version"),
-    }
-}
-
-fn pack_fleet(front: &Front) -> Option<Vec<u8>> {
-    let fleet = front.fleet.borrow();
-    let message = FleetMessage {
-        servers: fleet.listed(),
-        revision: fleet.revision(),
-    };
-    rmp_serde::to_vec(&message).ok()
-}
--- a/crates/cloverpier_front/src/lib.rs
+++ b/crates/cloverpier_front/src/lib.rs
@@ -36,6 +36,7 @@
 mod stop;
 mod stream;
 mod sync;
+mod versions;
 mod web;
 
 /// What users of the crate need daily.
--- a/crates/cloverpier_front/src/plain.rs
+++ b/crates/cloverpier_front/src/plain.rs
@@ -183,6 +183,7 @@
             is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
             connected: &connected,
+            now,
             overcommit: false,
         };
         let choice = choose_server(&fleet, &demand, &mut self.front.rng.borrow_mut());
--- a/crates/cloverpier_front/src/probe.rs
+++ b/crates/cloverpier_front/src/probe.rs
@@ -54,6 +54,7 @@
     front.metrics.detection.observe(silent);
     log_belief(front, "server.suspected", server, reason, ms(silent));
     link.on_dead();
+    front.tell_peers(&server.name);
     front.links.renew(server, now);
 }
 
--- a/crates/cloverpier_front/src/start.rs
+++ b/crates/cloverpier_front/src/start.rs
@@ -5,6 +5,7 @@
 use crate::gossip;
 use crate::probe;
 use crate::stop;
+use crate::versions;
 use crate::sync::{self, ConfigurationSource};
 use crate::web::{bind, on_caller, on_directory, on_metrics, on_ready, serve};
 use cloverpier_observe::{DroppedLines, NoFields};
@@ -58,8 +59,9 @@
     let terminate = stop::terminate_signal().context(SignalsSnafu)?;
     listen(&front).await?;
     spawn_local(sync::follow_catalog(Rc::clone(&front), Rc::clone(&source)));
-    spawn_local(sync::follow_fleet(Rc::clone(&front), source));
-    spawn_local(gossip::fetch_newer(Rc::clone(&front)));
+    spawn_local(sync::follow_fleet(Rc::clone(&front), Rc::clone(&source)));
+    spawn_local(sync::ping_store(Rc::clone(&front), Rc::clone(&source)));
+    spawn_local(versions::fetch_newer(Rc::clone(&front)));
     spawn_local(probe::check_suspects(Rc::clone(&front)));
     spawn_local(sweep(Rc::clone(&front), dropped));
     if let Some(path) = settings_path {
@@ -76,9 +78,9 @@
     let address = listen.peers;
     let socket = UdpSocket::bind(address).await;
     let socket = Rc::new(socket.context(ListenSnafu { address })?);
-    spawn_local(gossip::receive_heartbeats(Rc::clone(front), Rc::clone(&socket)));
-    spawn_local(gossip::send_heartbeats(Rc::clone(front), socket));
-    spawn_local(serve(Rc::clone(front), at(address).await?, gossip::on_peer));
+    spawn_local(gossip::receive_messages(Rc::clone(front), Rc::clone(&socket)));
+    spawn_local(gossip::send_messages(Rc::clone(front), socket));
+    spawn_local(serve(Rc::clone(front), at(address).await?, versions::on_peer));
     spawn_local(serve(Rc::clone(front), at(listen.ready).await?, on_ready));
     spawn_local(serve(Rc::clone(front), at(listen.directory).await?, on_directory));
     if let Some(address) = listen.metrics {
--- a/crates/cloverpier_front/src/stream.rs
+++ b/crates/cloverpier_front/src/stream.rs
@@ -403,6 +403,7 @@
             is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
             connected: &connected,
+            now,
             overcommit: self.progress.events > 0,
         };
         let mut rng = front.rng.borrow_mut();
@@ -471,7 +472,7 @@
             work.unread_tokens = 0;
         }
         let work = WorkGuard::begin(&self.front, &server.name, work);
-        self.front.news.notify_one();
+        self.front.tell_peers(&server.name);
         let backup = extras.backup.clone().map(|backup| {
             let copied = Work {
                 memory_tokens: work_of(&self.request).memory_tokens,
--- a/crates/cloverpier_front/src/sync.rs
+++ b/crates/cloverpier_front/src/sync.rs
@@ -14,6 +14,11 @@
 /// First and longest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// A front that doesn't follow the store looks this often whether it should.
+const IDLE_PERIOD: Duration = Duration::from_millis(100);
+/// How often a follower makes sure that the store still answers, and how long that may take.
+const PING_PERIOD: Duration = Duration::from_millis(400);
+const PING_PATIENCE: Duration = Duration::from_millis(500);
 /// Changes that come close together are read by one call.
 const GATHER: Duration = Duration::from_millis(100);
 
@@ -76,6 +81,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<CatalogChange, SourceError>>;
 
+    /// Makes sure that the store answers, as cheaply as it allows.
+    fn ping(&self, patience: Duration) -> impl Future<Output = Result<(), SourceError>>;
+
     /// Reads all servers.
     fn read_fleet(&self) -> impl Future<Output = Result<FleetList, SourceError>>;
 
@@ -105,6 +113,7 @@
 
     fn on_success(&mut self, front: &Front) {
         front.metrics.store_calls.count("answered");
+        front.store_heard.set(Some(Instant::now()));
         self.pause = FIRST_PAUSE;
         if std::mem::take(&mut self.lost) {
             self.log(front, "dependency.regained", "it answers");
@@ -132,6 +141,10 @@
     let mut backoff = Backoff::new("configuration");
     let mut revision: Option<u64> = None;
     loop {
+        if front.catalog().is_some() && !front.follows_store.get() {
+            tokio::time::sleep(IDLE_PERIOD).await;
+            continue;
+        }
         let change = match revision {
             None => source.read_catalog().await,
             Some(at) => source.watch_catalog(at, WATCH_WAIT).await,
@@ -158,6 +171,7 @@
 pub(crate) fn take_catalog(front: &Front, parts: CatalogParts, from: &str) {
     let version = parts.version;
     if front.apply_catalog(parts) {
+        front.news.notify_one();
         log_version(front, "configuration", version, from);
     }
 }
@@ -189,6 +203,14 @@
     let mut backoff = Backoff::new("servers");
     let mut revision: Option<u64> = None;
     loop {
+        if front.fleet_known.get() {
+            if !front.follows_store.get() {
+                tokio::time::sleep(IDLE_PERIOD).await;
+                continue;
+            }
+            // Peers may have told more than the last watch did.
+            revision = revision.map(|at| at.max(front.fleet.borrow().revision()));
+        }
         let done = match revision {
             None => source.read_fleet().await.map(|list| {
                 let at = list.revision;
@@ -220,10 +242,37 @@
     let at = change.revision;
     if !change.changes.is_empty() {
         let count = change.changes.len();
-        let mut fleet = front.fleet.borrow_mut();
-        fleet.apply_changes(change.changes, at, Instant::now());
-        drop(fleet);
-        log_version(front, "servers", at, &format!("store, {count} changes"));
+        take_changes(front, change, &format!("store, {count} changes"));
     }
     at
 }
+
+/// Takes over changes of servers if they are new.
+pub(crate) fn take_changes(front: &Front, change: FleetChange, from: &str) {
+    let revision = change.revision;
+    let applied = {
+        let mut fleet = front.fleet.borrow_mut();
+        fleet.apply_changes(change.changes, revision, Instant::now())
+    };
+    if applied {
+        front.news.notify_one();
+        log_version(front, "servers", revision, from);
+    }
+}
+
+/// Makes sure that the store still answers while a watch waits, for as long as the process runs.
+pub(crate) async fn ping_store(front: Rc<Front>, source: Rc<impl ConfigurationSource>) {
+    loop {
+        tokio::time::sleep(PING_PERIOD).await;
+        if !front.follows_store.get() {
+            continue;
+        }
+        match source.ping(PING_PATIENCE).await {
+            Ok(()) => {
+                front.metrics.store_calls.count("ping-answered");
+                front.store_heard.set(Some(Instant::now()));
+            }
+            Err(_) => front.metrics.store_calls.count("ping-failed"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_front/src/versions.rs
@@ -0,0 +1,161 @@
+//! Configuration and servers, handed from front to front over HTTP.
+
+use crate::body::ReplyBody;
+use crate::connection::Caller;
+use crate::front::Front;
+use crate::reply::{Reply, own_reply};
+use crate::sync::{FleetChange, FleetList, take_catalog, take_changes, take_fleet};
+use cloverpier_relay::prelude::*;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A front that follows the store gives it this much time to tell a version first.
+const STORE_FIRST: Duration = Duration::from_millis(400);
+/// How long a fetch may take.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// Versions are compared at least this often.
+const PERIOD: Duration = Duration::from_millis(500);
+/// After a fetch that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+const CATALOG_PATH: &str = "/versions/catalog";
+const FLEET_PATH: &str = "/versions/fleet";
+
+/// Servers as they travel between fronts.
+#[derive(Debug, Serialize, Deserialize)]
+enum FleetMessage {
+    /// The whole list.
+    List { servers: Vec<Server>, revision: u64 },
+    /// What has changed since the revision that was asked for.
+    Changes {
+        changes: Vec<ServerChange>,
+        revision: u64,
+    },
+}
+
+/// A peer that knows a newer version.
+struct Newer {
+    peer: SocketAddr,
+    version: u64,
+}
+
+/// Fetches versions that peers have and this front lacks, for as long as the process runs.
+pub(crate) async fn fetch_newer(front: Rc<Front>) {
+    let mut callers = HashMap::new();
+    loop {
+        tokio::select! {
+            () = front.newer.notified() => {}
+            () = tokio::time::sleep(PERIOD) => {}
+        }
+        if front.follows_store.get() && front.is_serving() {
+            tokio::time::sleep(STORE_FIRST).await;
+        }
+        let fetched = fetch_catalog(&front, &mut callers).await && fetch_fleet(&front, &mut callers).await;
+        if !fetched {
+            callers.clear();
+            tokio::time::sleep(FAILURE_PAUSE).await;
+        }
+    }
+}
+
+/// A live peer that knows a version above `known`; one of the newest, by chance.
+fn newer_at(front: &Front, known: u64, version: impl Fn(&PeerEntry) -> u64) -> Option<Newer> {
+    let silence = front.peer_silence();
+    let now = Instant::now();
+    let directory = front.directory.borrow();
+    let live = directory
+        .heard()
+        .filter(|(_, e)| now.saturating_duration_since(e.heard) <= silence);
+    let versions: Vec<Newer> = live
+        .map(|(peer, entry)| Newer {
+            peer: *peer,
+            version: version(entry),
+        })
+        .collect();
+    let newest = versions.iter().map(|n| n.version).max()?;
+    let newest = versions.into_iter().filter(|n| n.version == newest && newest > known);
+    front.rng.borrow_mut().choice(newest.collect::<Vec<_>>())
+}
+
+fn caller_of(callers: &mut HashMap<SocketAddr, Rc<Caller>>, peer: SocketAddr) -> Rc<Caller> {
+    let caller = callers.entry(peer);
+    Rc::clone(caller.or_insert_with(|| Rc::new(Caller::new(peer, PATIENCE))))
+}
+
+/// Fetches a newer configuration; false when that failed.
+async fn fetch_catalog(front: &Front, callers: &mut HashMap<SocketAddr, Rc<Caller>>) -> bool {
+    let known = front.catalog().map_or(0, |c| c.version());
+    let Some(newer) = newer_at(front, known, |e| e.catalog_version) else {
+        return true;
+    };
+    let answer = caller_of(callers, newer.peer).get(CATALOG_PATH, PATIENCE).await;
+    let Ok(answer) = answer else { return false };
+    match rmp_serde::from_slice::<CatalogParts>(&answer.body) {
+        Ok(parts) => take_catalog(front, parts, &format!("peer {}", newer.peer)),
+        Err(_) => return false,
+    }
+    true
+}
+
+/// Fetches newer servers; false when that failed.
+async fn fetch_fleet(front: &Front, callers: &mut HashMap<SocketAddr, Rc<Caller>>) -> bool {
+    let known = front.fleet.borrow().revision();
+    let Some(newer) = newer_at(front, known, |e| e.fleet_revision) else {
+        return true;
+    };
+    let path = if front.fleet_known.get() {
+        format!("{FLEET_PATH}?after={known}")
+    } else {
+        FLEET_PATH.to_owned()
+    };
+    let answer = caller_of(callers, newer.peer).get(&path, PATIENCE).await;
+    let Ok(answer) = answer else { return false };
+    let from = format!("peer {}", newer.peer);
+    match rmp_serde::from_slice::<FleetMessage>(&answer.body) {
+        Ok(FleetMessage::List { servers, revision }) => {
+            take_fleet(front, FleetList { servers, revision }, &from);
+        }
+        Ok(FleetMessage::Changes { changes, revision }) => {
+            take_changes(front, FleetChange { changes, revision }, &from);
+        }
+        Err(_) => return false,
+    }
+    true
+}
+
+/// Hands versions to peers.
+pub(crate) async fn on_peer(front: Rc<Front>, request: Request<Incoming>) -> Reply {
+    let packed = match request.uri().path() {
+        CATALOG_PATH => front.catalog().and_then(|c| rmp_serde::to_vec(c.parts()).ok()),
+        FLEET_PATH if front.fleet_known.get() => pack_fleet(&front, asked_after(&request)),
+        _ => None,
+    };
+    match packed {
+        Some(bytes) => Response::new(ReplyBody::whole(bytes)),
+        None => own_reply(StatusCode::NOT_FOUND, "no such version"),
+    }
+}
+
+fn asked_after(request: &Request<Incoming>) -> Option<u64> {
+    let query = request.uri().query()?;
+    query.strip_prefix("after=")?.parse().ok()
+}
+
+fn pack_fleet(front: &Front, after: Option<u64>) -> Option<Vec<u8>> {
+    let fleet = front.fleet.borrow();
+    let revision = fleet.revision();
+    let changes = after.and_then(|after| fleet.changes_after(after));
+    let message = match changes {
+        Some(changes) => FleetMessage::Changes { changes, revision },
+        None => FleetMessage::List {
+            servers: fleet.listed(),
+            revision,
+        },
+    };
+    rmp_serde::to_vec(&message).ok()
+}
--- a/crates/cloverpier_relay/src/attempts.rs
+++ b/crates/cloverpier_relay/src/attempts.rs
@@ -52,7 +52,7 @@
 }
 
 /// Sends that never reached a server may be repeated so often.
-const MOST_UNSENT: u32 = 4;
+const MOST_UNSENT: u32 = 12;
 
 /// The sends of one request.
 #[derive(Clone, Debug)]
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -9,6 +9,7 @@
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
 use serde::Serialize;
 use std::collections::HashSet;
+use std::time::Instant;
 
 /// A running request slows a newcomer as much as so many unread tokens.
 const TOKENS_PER_RUNNING: f64 = 6_000.0;
@@ -50,6 +51,8 @@
     pub connected: &'a HashSet<UpstreamName>,
     /// Whether a full server will do.
     pub overcommit: bool,
+    /// The present moment.
+    pub now: Instant,
 }
 
 /// What came of a choice.
@@ -100,6 +103,7 @@
     let roomy: Vec<&ServerState> = fleet
         .of_service(demand.service)
         .filter(|s| s.is_usable() && s.server.name != primary.name)
+        .filter(|s| !s.is_doubted(demand.now))
         .filter(|s| fits(fleet, s, demand.work, memory))
         .collect();
     let far: Vec<&ServerState> = roomy
@@ -121,6 +125,14 @@
     };
     let of_service = || fleet.of_service(demand.service);
     let usable = untried(of_service().filter(|s| s.is_usable()).collect());
+    let undoubted: Vec<&ServerState> = usable
+        .iter()
+        .copied()
+        .filter(|s| !s.is_doubted(demand.now))
+        .collect();
+    if !undoubted.is_empty() {
+        return undoubted;
+    }
     if !usable.is_empty() {
         return usable;
     }
--- a/crates/cloverpier_relay/src/fleet.rs
+++ b/crates/cloverpier_relay/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::work::{PeerWork, Work};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, hash_of};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,10 @@
 /// First pause between two probes of a suspect; it doubles up to the longest.
 const FIRST_PROBE_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long a peer's doubt about a server counts.
+const DOUBT_COUNTS_FOR: Duration = Duration::from_millis(1_000);
+/// Changes of the list that are remembered for peers.
+const REMEMBERED_CHANGES: usize = 1_024;
 /// How long a server that vanished from the list is remembered.
 const REMEMBERED: Duration = Duration::from_secs(20);
 
@@ -45,7 +49,7 @@
 }
 
 /// A change of the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerChange {
     /// The server is listed, or listed otherwise.
     Listed(Server),
@@ -77,6 +81,8 @@
     gone: Option<Instant>,
     replaced: bool,
     suspicion: Option<Suspicion>,
+    /// When a peer said last that it suspects the server.
+    doubted: Option<Instant>,
 }
 
 impl ServerState {
@@ -90,9 +96,16 @@
             gone: None,
             replaced: false,
             suspicion: None,
+            doubted: None,
         }
     }
 
+    /// Whether a peer suspects it.
+    pub fn is_doubted(&self, now: Instant) -> bool {
+        self.doubted
+            .is_some_and(|at| now.saturating_duration_since(at) <= DOUBT_COUNTS_FOR)
+    }
+
     /// Whether it is listed, takes new work and answers, as far as known.
     pub fn is_usable(&self) -> bool {
         self.is_listed() && self.suspicion.is_none()
@@ -123,6 +136,10 @@
     /// Work that other routers have in flight.
     pub peer_work: PeerWork,
     revision: u64,
+    /// The newest changes, each with the revision that its batch reached.
+    changes: VecDeque<(u64, ServerChange)>,
+    /// The revision from which on `changes` is complete.
+    changes_since: u64,
 }
 
 impl Fleet {
@@ -186,16 +203,41 @@
             self.apply(ServerChange::Listed(server), now);
         }
         self.revision = revision;
+        self.changes.clear();
+        self.changes_since = revision;
         true
     }
 
-    /// Takes over changes up to a revision.
-    pub fn apply_changes(&mut self, changes: Vec<ServerChange>, revision: u64, now: Instant) {
+    /// Takes over changes up to a revision; older ones than known change nothing.
+    pub fn apply_changes(&mut self, changes: Vec<ServerChange>, revision: u64, now: Instant) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
         for change in changes {
+            self.changes.push_back((revision, change.clone()));
             self.apply(change, now);
         }
-        self.revision = self.revision.max(revision);
+        self.revision = revision;
+        self.forget_old_changes();
         self.forget_gone(now);
+        true
+    }
+
+    fn forget_old_changes(&mut self) {
+        while self.changes.len() > REMEMBERED_CHANGES {
+            if let Some((revision, _)) = self.changes.pop_front() {
+                self.changes_since = revision;
+            }
+        }
+    }
+
+    /// The changes after a revision; `None` when they are forgotten.
+    pub fn changes_after(&self, revision: u64) -> Option<Vec<ServerChange>> {
+        if revision < self.changes_since {
+            return None;
+        }
+        let newer = self.changes.iter().filter(|(at, _)| *at > revision);
+        Some(newer.map(|(_, change)| change.clone()).collect())
     }
 
     fn apply(&mut self, change: ServerChange, now: Instant) {
@@ -307,6 +349,22 @@
         true
     }
 
+    /// Notes that a peer suspects a server.
+    pub fn on_doubt(&mut self, key: ServerKey, now: Instant) {
+        let Some(name) = self.by_key.get(&key) else {
+            return;
+        };
+        if let Some(state) = self.servers.get_mut(name) {
+            state.doubted = Some(now);
+        }
+    }
+
+    /// The servers that this router suspects.
+    pub fn suspects(&self) -> Vec<ServerKey> {
+        let suspects = self.servers.values().filter(|s| s.is_listed() && s.is_suspect());
+        suspects.map(|s| s.key).collect()
+    }
+
     /// Notes that another server answers at a server's address.
     pub fn on_replaced(&mut self, name: &UpstreamName) {
         if let Some(state) = self.servers.get_mut(name) {
--- a/crates/cloverpier_relay/src/lib.rs
+++ b/crates/cloverpier_relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod choice;
 mod events;
 mod fleet;
+mod following;
 mod liveness;
 mod peers;
 mod work;
@@ -36,6 +37,7 @@
     pub use crate::choice::{Choice, Demand, choose_backup, choose_server};
     pub use crate::events::{EventError, EventSplitter, StreamEvent};
     pub use crate::fleet::{Fleet, Server, ServerChange, ServerKey, ServerState};
+    pub use crate::following::{Candidate, Following, should_follow};
     pub use crate::liveness::{Liveness, LivenessBounds, LivenessStep};
     pub use crate::peers::{Directory, PeerEntry, PeerState};
     pub use crate::work::{PeerWork, Work};
--- a/crates/cloverpier_relay/src/peers.rs
+++ b/crates/cloverpier_relay/src/peers.rs
@@ -38,6 +38,8 @@
     pub catalog_version: u64,
     /// The revision of its list of servers.
     pub fleet_revision: u64,
+    /// The age of its last word from the store, when it follows it.
+    pub store_age: Option<Duration>,
 }
 
 /// The routers that a router has heard of, by their peer addresses.
--- a/crates/cloverpier_relay/src/work.rs
+++ b/crates/cloverpier_relay/src/work.rs
@@ -61,6 +61,24 @@
         self.reports.insert(peer, Report { at: now, work });
     }
 
+    /// Replaces what a peer reported of one server.
+    pub fn on_change(&mut self, peer: SocketAddr, key: ServerKey, work: Work, now: Instant) {
+        let report = self.reports.entry(peer).or_insert_with(|| Report {
+            at: now,
+            work: Vec::new(),
+        });
+        let before = match report.work.iter_mut().find(|(k, _)| *k == key) {
+            Some((_, known)) => std::mem::replace(known, work),
+            None => {
+                report.work.push((key, work));
+                Work::default()
+            }
+        };
+        let total = self.totals.entry(key).or_default();
+        total.subtract(before);
+        total.add(work);
+    }
+
     /// Forgets reports that are older than `most`.
     pub fn forget_old(&mut self, now: Instant, most: Duration) {
         let old: Vec<SocketAddr> = self
--- a/crates/cloverpier_relay/tests/fleet.rs
+++ b/crates/cloverpier_relay/tests/fleet.rs
@@ -39,6 +39,7 @@
         tried,
         connected: &HashSet::new(),
         overcommit: false,
+        now: Instant::now(),
     };
     match choose_server(fleet, &demand, &mut fastrand::Rng::with_seed(1)) {
         Choice::Server(server) => Some(server.name.to_string()),
@@ -149,6 +150,7 @@
         tried: &[],
         connected: &HashSet::new(),
         overcommit: false,
+        now: Instant::now(),
     };
     match choose_server(fleet, &demand, &mut fastrand::Rng::with_seed(seed)) {
         Choice::Server(server) => Some(server.name.to_string()),
