Take a caller's continuation to the engine that ran its former request

Excluded: asking for the copy of the run under its former request's id: the continuation is another request, whose memory isn't its own. A stopping front refuses streams 2.5 s after the signal: they could not end before the process does.

--- a/crates/cloverpier_front/src/decision_log.rs
+++ b/crates/cloverpier_front/src/decision_log.rs
@@ -26,6 +26,8 @@
     pub peer_requests: u32,
     pub unread_tokens: u32,
     pub backup: Option<&'a str>,
+    /// The same for all requests with the same prompt, as after a caller's retry.
+    pub prompt: Option<PromptKey>,
     pub resumes_after: Option<u64>,
     pub from_copy: bool,
     pub catalog_version: u64,
--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -47,6 +47,12 @@
     pub(crate) news: Notify,
     /// Servers of which peers should hear at once.
     pub(crate) changed: RefCell<Vec<UpstreamName>>,
+    /// Where prompts were read of late.
+    pub(crate) places: RefCell<PromptPlaces>,
+    /// Where the prompts of running streams were read.
+    pub(crate) running: RefCell<HashMap<PromptKey, ServerKey>>,
+    /// Prompts of which peers should hear at once where they are read.
+    pub(crate) changed_places: RefCell<Vec<(PromptKey, ServerKey)>>,
     /// Wakes whoever fetches newer versions from peers.
     pub(crate) newer: Notify,
     /// When the store answered last.
@@ -74,6 +80,9 @@
             budgets: RefCell::new(HashMap::new()),
             news: Notify::new(),
             changed: RefCell::new(Vec::new()),
+            places: RefCell::new(PromptPlaces::default()),
+            running: RefCell::new(HashMap::new()),
+            changed_places: RefCell::new(Vec::new()),
             newer: Notify::new(),
             store_heard: Cell::new(None),
             follows_store: Cell::new(true),
@@ -223,6 +232,39 @@
     }
 }
 
+/// A running stream whose prompt's place peers are told of again and again.
+#[derive(Debug)]
+pub(crate) struct RunningStream {
+    front: Rc<Front>,
+    prompt: PromptKey,
+    server: ServerKey,
+}
+
+impl RunningStream {
+    /// Remembers where a prompt is being read, and has peers remember it.
+    pub fn begin(front: &Rc<Front>, prompt: PromptKey, server: &UpstreamName, now: Instant) -> Self {
+        let server = ServerKey::of(server);
+        front.places.borrow_mut().on_read(prompt, server, now);
+        front.changed_places.borrow_mut().push((prompt, server));
+        front.running.borrow_mut().insert(prompt, server);
+        Self {
+            front: Rc::clone(front),
+            prompt,
+            server,
+        }
+    }
+}
+
+impl Drop for RunningStream {
+    fn drop(&mut self) {
+        let mut running = self.front.running.borrow_mut();
+        // The stream may have gone on elsewhere meanwhile.
+        if running.get(&self.prompt) == Some(&self.server) {
+            running.remove(&self.prompt);
+        }
+    }
+}
+
 /// One request in flight; a planned stop waits for all of them.
 #[derive(Debug)]
 pub(crate) struct InFlight(Rc<Front>);
--- a/crates/cloverpier_front/src/gossip.rs
+++ b/crates/cloverpier_front/src/gossip.rs
@@ -68,6 +68,7 @@
     store_age_ms: Option<u32>,
     work: Vec<WorkReport>,
     suspects: Vec<ServerKey>,
+    places: Vec<(PromptKey, ServerKey)>,
     named: Vec<SocketAddr>,
 }
 
@@ -77,6 +78,7 @@
     sender: SocketAddr,
     work: Vec<WorkReport>,
     suspects: Vec<ServerKey>,
+    places: Vec<(PromptKey, ServerKey)>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -187,10 +189,18 @@
         store_age_ms: store_age_ms(front, now),
         work: work.into_iter().map(WorkReport::new).collect(),
         suspects,
+        places: running_places(front),
         named,
     }
 }
 
+/// Where the prompts of running streams are, as peers may have started since or missed it.
+fn running_places(front: &Front) -> Vec<(PromptKey, ServerKey)> {
+    let running = front.running.borrow();
+    let places = running.iter().map(|(prompt, server)| (*prompt, *server));
+    places.take(MOST_SERVERS).collect()
+}
+
 fn store_age_ms(front: &Front, now: Instant) -> Option<u32> {
     let heard = front.store_heard.get().filter(|_| front.follows_store.get())?;
     let age = now.saturating_duration_since(heard).as_millis();
@@ -199,6 +209,8 @@
 
 fn take_change(front: &Front) -> Option<Change> {
     let mut changed = std::mem::take(&mut *front.changed.borrow_mut());
+    let mut places = std::mem::take(&mut *front.changed_places.borrow_mut());
+    places.truncate(MOST_SERVERS);
     if changed.is_empty() {
         return None;
     }
@@ -211,6 +223,7 @@
     Some(Change {
         sender: front.settings().listen.peers,
         suspects: suspects.map(|s| s.key).collect(),
+        places,
         work: states.iter().map(|s| WorkReport::new((s.key, s.own))).collect(),
     })
 }
@@ -234,6 +247,9 @@
 }
 
 fn on_change(front: &Front, change: Change, now: Instant) {
+    for (prompt, server) in change.places {
+        front.places.borrow_mut().on_read(prompt, server, now);
+    }
     let mut fleet = front.fleet.borrow_mut();
     for report in change.work {
         let (key, work) = report.into_work();
@@ -255,6 +271,9 @@
     for key in heartbeat.suspects {
         fleet.on_doubt(key, now);
     }
+    for (prompt, server) in heartbeat.places {
+        front.places.borrow_mut().on_read(prompt, server, now);
+    }
     let is_newer = heartbeat.fleet_revision > fleet.revision()
         || heartbeat.catalog_version > front.catalog().map_or(0, |c| c.version());
     drop(fleet);
--- a/crates/cloverpier_front/src/intake.rs
+++ b/crates/cloverpier_front/src/intake.rs
@@ -49,7 +49,7 @@
     /// Its tokens.
     pub size: PromptSize,
     /// A hash of its prompt's parts.
-    pub prompt: Option<u64>,
+    pub prompt: Option<PromptKey>,
     /// Its rank, 0 the highest.
     pub priority: u8,
 }
@@ -148,7 +148,7 @@
         deadline: now + allowed_time(front, &head.headers, &route),
         last_event: text_of(&head.headers, &names.last_event).and_then(|t| t.trim().parse().ok()),
         size: prompt_size(front, &head.headers),
-        prompt: text_of(&head.headers, &names.prompt_parts).map(hash_of),
+        prompt: text_of(&head.headers, &names.prompt_parts).map(hash_of).map(PromptKey),
         headers: forwarded_headers(front, head.headers, tenant.as_deref()),
         priority: priority.min(LOWEST_PRIORITY),
         service,
--- a/crates/cloverpier_front/src/stream.rs
+++ b/crates/cloverpier_front/src/stream.rs
@@ -3,7 +3,7 @@
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
 use crate::decision_log::{SendFailed, ServerChosen, ms_since};
-use crate::front::{Front, WorkGuard};
+use crate::front::{Front, RunningStream, WorkGuard};
 use crate::intake::RelayRequest;
 use crate::links::Link;
 use crate::plain::{GivenUp, Progress, give_up_reply, log_end, outcome_name, silence_error, work_of};
@@ -90,6 +90,7 @@
     liveness: Liveness,
     work: WorkGuard,
     backup: Option<(Server, WorkGuard)>,
+    _running: Option<RunningStream>,
     last_heard: Instant,
 }
 
@@ -399,7 +400,8 @@
             home: &settings.data_centre,
             work: work_of(&self.request),
             engine_memory: self.request.service.engine.map(|e| e.memory_tokens),
-            affinity: self.request.prompt,
+            affinity: self.request.prompt.map(|p| p.0),
+            read_at: self.read_at(now),
             is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
             connected: &connected,
@@ -427,6 +429,14 @@
         Some((server, extras))
     }
 
+    /// The engine that the caller's former request ran at, if this one goes on with it.
+    fn read_at(&self, now: Instant) -> Option<ServerKey> {
+        let prompt = self.request.prompt?;
+        let is_continuation = self.request.last_event.is_some() && self.progress.events == 0;
+        let places = self.front.places.borrow();
+        is_continuation.then(|| places.engine_of(prompt, now)).flatten()
+    }
+
     fn extras(&self, server: &Server, backup: Option<Server>, from_copy: bool) -> SendExtras {
         let copy_name = self.front.dialect.copy_name;
         let is_repeat = self.progress.events > 0;
@@ -457,6 +467,7 @@
                 peer_requests: peers.requests,
                 unread_tokens: own.unread_tokens + peers.unread_tokens,
                 backup: extras.backup.as_ref().map(|b| b.name.as_str()),
+                prompt: self.request.prompt,
                 resumes_after: extras.last_event,
                 from_copy: extras.resume_from.is_some(),
                 catalog_version: self.request.catalog_version,
@@ -472,6 +483,9 @@
             work.unread_tokens = 0;
         }
         let work = WorkGuard::begin(&self.front, &server.name, work);
+        let now = Instant::now();
+        let prompt = self.request.prompt;
+        let running = prompt.map(|p| RunningStream::begin(&self.front, p, &server.name, now));
         self.front.tell_peers(&server.name);
         let backup = extras.backup.clone().map(|backup| {
             let copied = Work {
@@ -496,6 +510,7 @@
             liveness,
             work,
             backup,
+            _running: running,
             last_heard: now,
         });
         Ok(())
--- a/crates/cloverpier_front/src/web.rs
+++ b/crates/cloverpier_front/src/web.rs
@@ -28,6 +28,10 @@
 const BIND_TRIES: u32 = 60;
 /// Least buffer that the server of connections accepts.
 const LEAST_HEADER_BYTES: usize = 8_192;
+/// A stopping router takes streams for so long; callers still hold its address.
+const STREAMS_WHILE_STOPPING: Duration = Duration::from_millis(2_500);
+/// When to come back to another router than a stopping one.
+const STOP_PAUSE: Duration = Duration::from_millis(10);
 /// A directory that knows no router yet is worth asking again soon.
 const DIRECTORY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -101,6 +105,9 @@
 
 async fn relay(front: &Rc<Front>, request: Rc<crate::intake::RelayRequest>, now: Instant) -> Reply {
     front.on_request(&request.service.name, now);
+    if request.route.streaming && is_late_in_stop(front, now) {
+        return refusal("this router stops", STOP_PAUSE);
+    }
     if request.route.streaming {
         relay_stream(front, &request).await
     } else {
@@ -108,6 +115,12 @@
     }
 }
 
+/// Whether a stream that begins now could not end before the process does.
+fn is_late_in_stop(front: &Front, now: Instant) -> bool {
+    let begun = front.stopping.get();
+    begun.is_some_and(|at| now.saturating_duration_since(at) > STREAMS_WHILE_STOPPING)
+}
+
 /// Counts a streamed answer as in flight until its last byte is out.
 fn hold_until_sent(reply: Reply, in_flight: InFlight) -> Reply {
     reply.map(|body| match body {
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -4,7 +4,7 @@
 //! own exactly, its peers' as they reported it a moment ago. Servers that fail
 //! more often than others, or are slower, cost more.
 
-use crate::fleet::{Fleet, Server, ServerState};
+use crate::fleet::{Fleet, Server, ServerKey, ServerState};
 use crate::work::Work;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
 use serde::Serialize;
@@ -43,6 +43,8 @@
     pub engine_memory: Option<u64>,
     /// A hash of the prompt: the same prompt prefers the same engine.
     pub affinity: Option<u64>,
+    /// The engine that has read the prompt for an earlier request that this one goes on with.
+    pub read_at: Option<ServerKey>,
     /// Whether an engine may have read the prompt already, for an earlier request.
     pub is_continuation: bool,
     /// Servers that this request was sent to already.
@@ -80,6 +82,10 @@
         .into_iter()
         .filter(|s| demand.overcommit || has_place(fleet, demand, s))
         .collect();
+    let read_at = open.iter().find(|s| Some(s.key) == demand.read_at);
+    if let Some(state) = read_at {
+        return Choice::Server(state.server.clone());
+    }
     let best_pace = best_pace(&open);
     let cost = |s: &ServerState| cost(fleet, demand, s, best_pace);
     let chosen = match (demand.engine_memory, demand.affinity) {
--- a/crates/cloverpier_relay/src/lib.rs
+++ b/crates/cloverpier_relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod following;
 mod liveness;
 mod peers;
+mod places;
 mod work;
 
 /// What users of the crate need daily.
@@ -40,6 +41,7 @@
     pub use crate::following::{Candidate, Following, should_follow};
     pub use crate::liveness::{Liveness, LivenessBounds, LivenessStep};
     pub use crate::peers::{Directory, PeerEntry, PeerState};
+    pub use crate::places::{PromptKey, PromptPlaces};
     pub use crate::work::{PeerWork, Work};
 }
 
