--- a/crates/cloverpier_front/src/directory.rs
+++ b/crates/cloverpier_front/src/directory.rs
@@ -8,7 +8,10 @@
 pub(crate) fn directory_answer(front: &Front, now: Instant) -> Option<Vec<u8>> {
     let settings = front.settings();
     let own = (front.state() == PeerState::Ready).then_some(settings.listen.callers);
-    let listed = front.directory.borrow().listed(own, now, front.peer_silence());
+    let listed = front
+        .directory
+        .borrow()
+        .listed(own, now, front.peer_silence());
     if listed.is_empty() {
         return None;
     }
--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -127,7 +127,9 @@
             .map(|(peer, e)| Candidate {
                 peer: *peer,
                 // What was heard has aged since.
-                store_age: e.store_age.map(|a| a + now.saturating_duration_since(e.heard)),
+                store_age: e
+                    .store_age
+                    .map(|a| a + now.saturating_duration_since(e.heard)),
             })
             .collect();
         let own = self.settings().listen.peers;
@@ -242,7 +244,12 @@
 
 impl RunningStream {
     /// Remembers where a prompt is being read, and has peers remember it.
-    pub fn begin(front: &Rc<Front>, prompt: PromptKey, server: &UpstreamName, now: Instant) -> Self {
+    pub fn begin(
+        front: &Rc<Front>,
+        prompt: PromptKey,
+        server: &UpstreamName,
+        now: Instant,
+    ) -> Self {
         let server = ServerKey::of(server);
         front.places.borrow_mut().on_read(prompt, server, now);
         front.changed_places.borrow_mut().push((prompt, server));
--- a/crates/cloverpier_front/src/gossip.rs
+++ b/crates/cloverpier_front/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Messages between fronts: who lives, who has which work, who knows newer versions.
 //!
 //! Heartbeats and changes are datagrams: a lost one costs little, as the next
-//! heartbeat says it all again. All are MessagePack.
+//! heartbeat says it all again. All are in `MessagePack`.
 
 use crate::front::{Front, PEERS_A_TURN};
 use cloverpier_core::DataCentre;
@@ -143,7 +143,11 @@
 
 fn forget_old(front: &Front, now: Instant) {
     let counts_for = front.peer_silence().max(WORK_COUNTS_FOR);
-    front.fleet.borrow_mut().peer_work.forget_old(now, counts_for);
+    front
+        .fleet
+        .borrow_mut()
+        .peer_work
+        .forget_old(now, counts_for);
     front.directory.borrow_mut().forget_old(now);
 }
 
@@ -202,7 +206,10 @@
 }
 
 fn store_age_ms(front: &Front, now: Instant) -> Option<u32> {
-    let heard = front.store_heard.get().filter(|_| front.follows_store.get())?;
+    let heard = front
+        .store_heard
+        .get()
+        .filter(|_| front.follows_store.get())?;
     let age = now.saturating_duration_since(heard).as_millis();
     u32::try_from(age).ok()
 }
@@ -224,7 +231,10 @@
         sender: front.settings().listen.peers,
         suspects: suspects.map(|s| s.key).collect(),
         places,
-        work: states.iter().map(|s| WorkReport::new((s.key, s.own))).collect(),
+        work: states
+            .iter()
+            .map(|s| WorkReport::new((s.key, s.own)))
+            .collect(),
     })
 }
 
@@ -267,7 +277,9 @@
     }
     let mut fleet = front.fleet.borrow_mut();
     let work = heartbeat.work.into_iter().map(WorkReport::into_work);
-    fleet.peer_work.on_report(heartbeat.sender, work.collect(), now);
+    fleet
+        .peer_work
+        .on_report(heartbeat.sender, work.collect(), now);
     for key in heartbeat.suspects {
         fleet.on_doubt(key, now);
     }
@@ -283,7 +295,9 @@
             directory.on_named(peer, now);
         }
     }
-    let store_age = heartbeat.store_age_ms.map(|ms| Duration::from_millis(ms.into()));
+    let store_age = heartbeat
+        .store_age_ms
+        .map(|ms| Duration::from_millis(ms.into()));
     directory.on_heard(
         heartbeat.sender,
         PeerEntry {
--- a/crates/cloverpier_front/src/intake.rs
+++ b/crates/cloverpier_front/src/intake.rs
@@ -148,7 +148,9 @@
         deadline: now + allowed_time(front, &head.headers, &route),
         last_event: text_of(&head.headers, &names.last_event).and_then(|t| t.trim().parse().ok()),
         size: prompt_size(front, &head.headers),
-        prompt: text_of(&head.headers, &names.prompt_parts).map(hash_of).map(PromptKey),
+        prompt: text_of(&head.headers, &names.prompt_parts)
+            .map(hash_of)
+            .map(PromptKey),
         headers: forwarded_headers(front, head.headers, tenant.as_deref()),
         priority: priority.min(LOWEST_PRIORITY),
         service,
--- a/crates/cloverpier_front/src/lib.rs
+++ b/crates/cloverpier_front/src/lib.rs
@@ -41,7 +41,7 @@
 
 /// What users of the crate need daily.
 pub mod prelude {
-    pub use crate::connection::{Caller, CallError, SimpleAnswer};
+    pub use crate::connection::{CallError, Caller, SimpleAnswer};
     pub use crate::dialect::{Dialect, HeaderNames, Paths, PromptSize};
     pub use crate::front::Front;
     pub use crate::settings::FrontSettings;
--- a/crates/cloverpier_front/src/metrics.rs
+++ b/crates/cloverpier_front/src/metrics.rs
@@ -97,15 +97,39 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests by end", self.requests.0.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.0.clone());
-        registry.register("resumed", "Streams resumed by cause", self.resumed.0.clone());
-        registry.register("store_calls", "Calls to the store", self.store_calls.0.clone());
+        registry.register(
+            "resumed",
+            "Streams resumed by cause",
+            self.resumed.0.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.0.clone(),
+        );
         registry.register("probes", "Questions to servers", self.probes.0.clone());
         registry.register("connections", "New connections", self.connections.clone());
-        registry.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
+        registry.register(
+            "dropped_lines",
+            "Log lines dropped",
+            self.dropped_lines.clone(),
+        );
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
-        registry.register("first_answer_seconds", "To the first byte", self.first_answer.0.clone());
-        registry.register("resume_pause_seconds", "Pause of a move", self.resume_pause.0.clone());
-        registry.register("detection_seconds", "Silence to verdict", self.detection.0.clone());
+        registry.register(
+            "first_answer_seconds",
+            "To the first byte",
+            self.first_answer.0.clone(),
+        );
+        registry.register(
+            "resume_pause_seconds",
+            "Pause of a move",
+            self.resume_pause.0.clone(),
+        );
+        registry.register(
+            "detection_seconds",
+            "Silence to verdict",
+            self.detection.0.clone(),
+        );
     }
 
     /// All metrics as text.
--- a/crates/cloverpier_front/src/plain.rs
+++ b/crates/cloverpier_front/src/plain.rs
@@ -41,7 +41,14 @@
         Ok(reply) => (reply, "answered"),
         Err(given_up) => give_up_reply(request, &given_up),
     };
-    log_end(front, request, &run.attempts, reply.status(), end, &Progress::default());
+    log_end(
+        front,
+        request,
+        &run.attempts,
+        reply.status(),
+        end,
+        &Progress::default(),
+    );
     reply
 }
 
@@ -104,15 +111,15 @@
             let reply = own_reply(StatusCode::SERVICE_UNAVAILABLE, &given_up.reason);
             (reply, "refused-late")
         }
-        NextStep::Refuse => (
-            refusal(&given_up.reason, come_back_in(request)),
-            "refused",
-        ),
+        NextStep::Refuse => (refusal(&given_up.reason, come_back_in(request)), "refused"),
         _ if given_up.timed_out => (
             own_reply(StatusCode::GATEWAY_TIMEOUT, &given_up.reason),
             "timed-out",
         ),
-        _ => (own_reply(StatusCode::BAD_GATEWAY, &given_up.reason), "failed"),
+        _ => (
+            own_reply(StatusCode::BAD_GATEWAY, &given_up.reason),
+            "failed",
+        ),
     }
 }
 
@@ -225,7 +232,9 @@
             ..SendExtras::default()
         };
         let opened = send(self.front, self.request, server, &extras, &mut liveness).await?;
-        let reply = self.read_answer(server, opened, &mut liveness, work).await?;
+        let reply = self
+            .read_answer(server, opened, &mut liveness, work)
+            .await?;
         let now = Instant::now();
         let mut fleet = self.front.fleet.borrow_mut();
         fleet.on_pace(&server.name, now.saturating_duration_since(sent_at));
@@ -309,11 +318,18 @@
         Ok(answer.into_reply())
     }
 
-    fn after_failure(&mut self, server: &Server, error: &SendError) -> Option<Result<Reply, GivenUp>> {
+    fn after_failure(
+        &mut self,
+        server: &Server,
+        error: &SendError,
+    ) -> Option<Result<Reply, GivenUp>> {
         let now = Instant::now();
         self.tried.push(server.name.clone());
         let failed = matches!(error.outcome, SendOutcome::Unknown | SendOutcome::Failed);
-        self.front.fleet.borrow_mut().on_result(&server.name, failed);
+        self.front
+            .fleet
+            .borrow_mut()
+            .on_result(&server.name, failed);
         let take = || !error.timed_out && self.front.take_repeat(&server.service, now);
         let next = self.attempts.on_outcome(error.outcome, take);
         self.front.metrics.sends.count(outcome_name(error.outcome));
--- a/crates/cloverpier_front/src/probe.rs
+++ b/crates/cloverpier_front/src/probe.rs
@@ -101,7 +101,10 @@
         return;
     }
     front.metrics.probes.count("suspect-alive");
-    let suspected = front.fleet.borrow_mut().on_alive(&server.name, Instant::now());
+    let suspected = front
+        .fleet
+        .borrow_mut()
+        .on_alive(&server.name, Instant::now());
     if let Some(suspected) = suspected {
         let took = ms_since(asked, Instant::now());
         let reason = format!("answered a check in {took} ms");
--- a/crates/cloverpier_front/src/reply.rs
+++ b/crates/cloverpier_front/src/reply.rs
@@ -46,7 +46,9 @@
     let mut reply = Response::new(ReplyBody::whole(text));
     *reply.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
-    reply.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    reply
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, json);
     reply
 }
 
--- a/crates/cloverpier_front/src/send.rs
+++ b/crates/cloverpier_front/src/send.rs
@@ -270,8 +270,7 @@
         .method(request.method.clone())
         .uri(request.target.as_str());
     let message = message.body(Full::new(request.body.clone()));
-    let mut message =
-        message.map_err(|e| SendError::new(SendOutcome::NotSent, e.to_string()))?;
+    let mut message = message.map_err(|e| SendError::new(SendOutcome::NotSent, e.to_string()))?;
     *message.headers_mut() = headers;
     Ok(message)
 }
@@ -341,7 +340,10 @@
     let (front, server) = (Rc::clone(front), server.clone());
     tokio::task::spawn_local(async move {
         if connection.settle().await {
-            front.pool.borrow_mut().put(&server, connection, Instant::now());
+            front
+                .pool
+                .borrow_mut()
+                .put(&server, connection, Instant::now());
         }
     });
 }
--- a/crates/cloverpier_front/src/start.rs
+++ b/crates/cloverpier_front/src/start.rs
@@ -5,8 +5,8 @@
 use crate::gossip;
 use crate::probe;
 use crate::stop;
-use crate::versions;
 use crate::sync::{self, ConfigurationSource};
+use crate::versions;
 use crate::web::{bind, on_caller, on_directory, on_metrics, on_ready, serve};
 use cloverpier_observe::{DroppedLines, NoFields};
 use cloverpier_relay::prelude::ServerState;
@@ -78,15 +78,30 @@
     let address = listen.peers;
     let socket = UdpSocket::bind(address).await;
     let socket = Rc::new(socket.context(ListenSnafu { address })?);
-    spawn_local(gossip::receive_messages(Rc::clone(front), Rc::clone(&socket)));
+    spawn_local(gossip::receive_messages(
+        Rc::clone(front),
+        Rc::clone(&socket),
+    ));
     spawn_local(gossip::send_messages(Rc::clone(front), socket));
-    spawn_local(serve(Rc::clone(front), at(address).await?, versions::on_peer));
+    spawn_local(serve(
+        Rc::clone(front),
+        at(address).await?,
+        versions::on_peer,
+    ));
     spawn_local(serve(Rc::clone(front), at(listen.ready).await?, on_ready));
-    spawn_local(serve(Rc::clone(front), at(listen.directory).await?, on_directory));
+    spawn_local(serve(
+        Rc::clone(front),
+        at(listen.directory).await?,
+        on_directory,
+    ));
     if let Some(address) = listen.metrics {
         spawn_local(serve(Rc::clone(front), at(address).await?, on_metrics));
     }
-    spawn_local(serve(Rc::clone(front), at(listen.callers).await?, on_caller));
+    spawn_local(serve(
+        Rc::clone(front),
+        at(listen.callers).await?,
+        on_caller,
+    ));
     Ok(())
 }
 
@@ -109,7 +124,9 @@
         tokio::time::sleep(SWEEP_PERIOD).await;
         front.pool.borrow_mut().close_stale(Instant::now());
         let fleet = front.fleet.borrow();
-        front.links.retain(|server| fleet.get(server).is_some_and(ServerState::is_listed));
+        front
+            .links
+            .retain(|server| fleet.get(server).is_some_and(ServerState::is_listed));
         drop(fleet);
         let lines = i64::try_from(dropped.count()).unwrap_or(i64::MAX);
         front.metrics.dropped_lines.set(lines);
--- a/crates/cloverpier_front/src/stream.rs
+++ b/crates/cloverpier_front/src/stream.rs
@@ -6,7 +6,9 @@
 use crate::front::{Front, RunningStream, WorkGuard};
 use crate::intake::RelayRequest;
 use crate::links::Link;
-use crate::plain::{GivenUp, Progress, give_up_reply, log_end, outcome_name, silence_error, work_of};
+use crate::plain::{
+    GivenUp, Progress, give_up_reply, log_end, outcome_name, silence_error, work_of,
+};
 use crate::probe;
 use crate::reply::{Reply, ServerAnswer, streamed_reply};
 use crate::send::{Awaited, Opened, SendError, SendExtras, keep, send, while_alive};
@@ -383,7 +385,10 @@
             };
             self.tried.push(server.name.clone());
             let failed = matches!(error.outcome, SendOutcome::Unknown | SendOutcome::Failed);
-            self.front.fleet.borrow_mut().on_result(&server.name, failed);
+            self.front
+                .fleet
+                .borrow_mut()
+                .on_result(&server.name, failed);
             self.after_interruption(&error.into())?;
         }
     }
@@ -409,9 +414,10 @@
             overcommit: self.progress.events > 0,
         };
         let mut rng = front.rng.borrow_mut();
-        let copy = self.copy.take().filter(|server| {
-            fleet.get(&server.name).is_some_and(ServerState::is_usable)
-        });
+        let copy = self
+            .copy
+            .take()
+            .filter(|server| fleet.get(&server.name).is_some_and(ServerState::is_usable));
         let from_copy = copy.is_some();
         let server = match copy {
             Some(server) => server,
@@ -434,7 +440,9 @@
         let prompt = self.request.prompt?;
         let is_continuation = self.request.last_event.is_some() && self.progress.events == 0;
         let places = self.front.places.borrow();
-        is_continuation.then(|| places.engine_of(prompt, now)).flatten()
+        is_continuation
+            .then(|| places.engine_of(prompt, now))
+            .flatten()
     }
 
     fn extras(&self, server: &Server, backup: Option<Server>, from_copy: bool) -> SendExtras {
@@ -521,7 +529,8 @@
         if opened.head.status.is_success() {
             return Ok(opened);
         }
-        let collected = tokio::time::timeout_at(self.request.deadline.into(), opened.body.collect());
+        let collected =
+            tokio::time::timeout_at(self.request.deadline.into(), opened.body.collect());
         let body = match collected.await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => return Err(SendError::new(SendOutcome::Unknown, e.to_string())),
--- a/crates/cloverpier_front/src/versions.rs
+++ b/crates/cloverpier_front/src/versions.rs
@@ -55,7 +55,8 @@
         if front.follows_store.get() && front.is_serving() {
             tokio::time::sleep(STORE_FIRST).await;
         }
-        let fetched = fetch_catalog(&front, &mut callers).await && fetch_fleet(&front, &mut callers).await;
+        let fetched =
+            fetch_catalog(&front, &mut callers).await && fetch_fleet(&front, &mut callers).await;
         if !fetched {
             callers.clear();
             tokio::time::sleep(FAILURE_PAUSE).await;
@@ -78,7 +79,9 @@
         })
         .collect();
     let newest = versions.iter().map(|n| n.version).max()?;
-    let newest = versions.into_iter().filter(|n| n.version == newest && newest > known);
+    let newest = versions
+        .into_iter()
+        .filter(|n| n.version == newest && newest > known);
     front.rng.borrow_mut().choice(newest.collect::<Vec<_>>())
 }
 
@@ -93,7 +96,9 @@
     let Some(newer) = newer_at(front, known, |e| e.catalog_version) else {
         return true;
     };
-    let answer = caller_of(callers, newer.peer).get(CATALOG_PATH, PATIENCE).await;
+    let answer = caller_of(callers, newer.peer)
+        .get(CATALOG_PATH, PATIENCE)
+        .await;
     let Ok(answer) = answer else { return false };
     match rmp_serde::from_slice::<CatalogParts>(&answer.body) {
         Ok(parts) => take_catalog(front, parts, &format!("peer {}", newer.peer)),
@@ -131,7 +136,9 @@
 /// Hands versions to peers.
 pub(crate) async fn on_peer(front: Rc<Front>, request: Request<Incoming>) -> Reply {
     let packed = match request.uri().path() {
-        CATALOG_PATH => front.catalog().and_then(|c| rmp_serde::to_vec(c.parts()).ok()),
+        CATALOG_PATH => front
+            .catalog()
+            .and_then(|c| rmp_serde::to_vec(c.parts()).ok()),
         FLEET_PATH if front.fleet_known.get() => pack_fleet(&front, asked_after(&request)),
         _ => None,
     };
--- a/crates/cloverpier_front/src/web.rs
+++ b/crates/cloverpier_front/src/web.rs
@@ -169,7 +169,9 @@
         Some(answer) => {
             let mut reply = Response::new(ReplyBody::whole(answer));
             let json = HeaderValue::from_static("application/json");
-            reply.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+            reply
+                .headers_mut()
+                .insert(hyper::header::CONTENT_TYPE, json);
             reply
         }
         None => refusal("no router is known to serve", DIRECTORY_PAUSE),
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -234,7 +234,10 @@
 ) -> Option<&'a ServerState> {
     let costs: Vec<f64> = states.iter().map(|s| cost(s)).collect();
     let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
-    let near = states.iter().zip(&costs).filter(|(_, c)| **c <= least + tolerance);
+    let near = states
+        .iter()
+        .zip(&costs)
+        .filter(|(_, c)| **c <= least + tolerance);
     let near: Vec<&ServerState> = near.map(|(s, _)| *s).collect();
     let ranked = rank(prompt, &near, |s| s.server.name.as_str());
     ranked.first().map(|s| **s)
--- a/crates/cloverpier_relay/src/events.rs
+++ b/crates/cloverpier_relay/src/events.rs
@@ -90,7 +90,7 @@
 
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let text = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let text = std::str::from_utf8(ids.next_back()?).ok()?;
     text.trim().parse().ok()
 }
--- a/crates/cloverpier_relay/src/fleet.rs
+++ b/crates/cloverpier_relay/src/fleet.rs
@@ -209,7 +209,12 @@
     }
 
     /// Takes over changes up to a revision; older ones than known change nothing.
-    pub fn apply_changes(&mut self, changes: Vec<ServerChange>, revision: u64, now: Instant) -> bool {
+    pub fn apply_changes(
+        &mut self,
+        changes: Vec<ServerChange>,
+        revision: u64,
+        now: Instant,
+    ) -> bool {
         if revision <= self.revision {
             return false;
         }
@@ -280,7 +285,10 @@
             .servers
             .values()
             .filter(|s| s.own.is_none())
-            .filter(|s| s.gone.is_some_and(|at| now.saturating_duration_since(at) > REMEMBERED))
+            .filter(|s| {
+                s.gone
+                    .is_some_and(|at| now.saturating_duration_since(at) > REMEMBERED)
+            })
             .map(|s| s.server.name.clone())
             .collect();
         for name in over {
@@ -361,7 +369,10 @@
 
     /// The servers that this router suspects.
     pub fn suspects(&self) -> Vec<ServerKey> {
-        let suspects = self.servers.values().filter(|s| s.is_listed() && s.is_suspect());
+        let suspects = self
+            .servers
+            .values()
+            .filter(|s| s.is_listed() && s.is_suspect());
         suspects.map(|s| s.key).collect()
     }
 
--- a/crates/cloverpier_relay/src/peers.rs
+++ b/crates/cloverpier_relay/src/peers.rs
@@ -97,7 +97,12 @@
     ///
     /// A router that hears none of its peers is itself cut off; it then lists
     /// them all, as callers leave out what fails them.
-    pub fn listed(&self, own: Option<SocketAddr>, now: Instant, within: Duration) -> Vec<SocketAddr> {
+    pub fn listed(
+        &self,
+        own: Option<SocketAddr>,
+        now: Instant,
+        within: Duration,
+    ) -> Vec<SocketAddr> {
         let ready = |e: &&PeerEntry| e.state == PeerState::Ready;
         let mut listed: Vec<SocketAddr> = self
             .live_peers(now, within)
--- /dev/null
+++ b/crates/cloverpier_relay/tests/attempts.rs
@@ -0,0 +1,102 @@
+//! What is promised of a request holds in whatever order its sends end.
+
+use cloverpier_relay::prelude::*;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+/// One send: what came of it, and whether the retry budget had a repeat left.
+#[derive(Clone, Copy, Debug)]
+struct Send {
+    outcome: SendOutcome,
+    has_budget: bool,
+}
+
+impl Arbitrary for Send {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let outcomes = [
+            SendOutcome::NotSent,
+            SendOutcome::Misdirected,
+            SendOutcome::Refused,
+            SendOutcome::Unknown,
+            SendOutcome::Failed,
+        ];
+        Self {
+            outcome: *g.choose(&outcomes).unwrap(),
+            has_budget: bool::arbitrary(g),
+        }
+    }
+}
+
+fn may_have_run(outcome: SendOutcome) -> bool {
+    matches!(outcome, SendOutcome::Unknown | SendOutcome::Failed)
+}
+
+/// Plays sends until the request ends; returns those that were made, and the end.
+fn play(repeat: Repeat, most: u32, sends: &[Send]) -> (Vec<SendOutcome>, NextStep) {
+    let mut attempts = Attempts::new(repeat, most);
+    let mut made = Vec::new();
+    for send in sends {
+        attempts.on_send();
+        made.push(send.outcome);
+        let next = attempts.on_outcome(send.outcome, || send.has_budget);
+        if next != NextStep::SendAgain {
+            return (made, next);
+        }
+    }
+    (made, attempts.give_up())
+}
+
+quickcheck! {
+    fn nothing_that_may_have_run_is_sent_again_unless_it_may_repeat(sends: Vec<Send>) -> bool {
+        let (made, _) = play(Repeat::AtMostOnce, 5, &sends);
+        let before_last = made.len().saturating_sub(1);
+        !made[..before_last].iter().copied().any(may_have_run)
+    }
+
+    fn a_refusal_means_that_no_server_may_have_run_the_request(sends: Vec<Send>) -> bool {
+        [Repeat::Safe, Repeat::AtMostOnce, Repeat::Resumable].into_iter().all(|repeat| {
+            let (made, end) = play(repeat, 5, &sends);
+            end != NextStep::Refuse || !made.into_iter().any(may_have_run)
+        })
+    }
+
+    fn no_more_servers_than_allowed_may_run_a_request(sends: Vec<Send>, most: u8) -> bool {
+        let most = u32::from(most % 6).max(1);
+        let (made, _) = play(Repeat::Resumable, most, &sends);
+        let reached = made
+            .into_iter()
+            .filter(|o| !matches!(o, SendOutcome::NotSent | SendOutcome::Misdirected));
+        reached.count() <= most as usize
+    }
+
+    fn without_budget_nothing_is_sent_twice(outcome: Send) -> bool {
+        let send = Send { has_budget: false, ..outcome };
+        let (made, _) = play(Repeat::Safe, 5, &[send, send]);
+        made.len() == 1
+    }
+}
+
+#[test]
+fn the_budget_is_asked_only_when_a_repeat_is_allowed() {
+    let mut attempts = Attempts::new(Repeat::AtMostOnce, 3);
+    attempts.on_send();
+    let next = attempts.on_outcome(SendOutcome::Unknown, || panic!("not asked"));
+    assert_eq!(next, NextStep::Fail);
+}
+
+#[test]
+fn a_servers_own_failure_is_passed_on_when_no_other_server_may_be_asked() {
+    let mut attempts = Attempts::new(Repeat::AtMostOnce, 1);
+    attempts.on_send();
+    let next = attempts.on_outcome(SendOutcome::Failed, || true);
+    assert_eq!(next, NextStep::PassOn);
+}
+
+#[test]
+fn many_dead_addresses_do_not_end_a_request_that_was_never_sent() {
+    let mut attempts = Attempts::new(Repeat::AtMostOnce, 1);
+    for _ in 0..8 {
+        attempts.on_send();
+        let next = attempts.on_outcome(SendOutcome::NotSent, || true);
+        assert_eq!(next, NextStep::SendAgain);
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_relay/tests/catalog.rs
@@ -0,0 +1,129 @@
+//! Routes, keys and the retry budget.
+
+use cloverpier_core::ServiceName;
+use cloverpier_relay::prelude::*;
+use std::time::{Duration, Instant};
+
+fn route(name: &str, prefix: &str, targets: &[(&str, f64)]) -> Route {
+    let targets = targets.iter().map(|(service, weight)| RouteTarget {
+        service: ServiceName::new(service),
+        weight: *weight,
+    });
+    Route {
+        name: name.to_owned(),
+        host: "ledger.example".to_owned(),
+        prefix: prefix.to_owned(),
+        streaming: false,
+        resumable: false,
+        safe: true,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        gap_objective: None,
+        priority: 1,
+        max_attempts: 2,
+        public: false,
+        targets: targets.collect(),
+    }
+}
+
+fn catalog() -> Catalog {
+    Catalog::new(CatalogParts {
+        version: 3,
+        routes: vec![
+            route("short", "/runs/", &[("lookups", 1.0)]),
+            route("long", "/runs/signed/", &[("lookups", 1.0)]),
+        ],
+        services: Vec::new(),
+        tenants: Some(vec![Tenant {
+            name: "lab".to_owned(),
+            priority: None,
+            keys: vec!["key-1".to_owned(), "key-2".to_owned()],
+        }]),
+        limits: Limits::default(),
+    })
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let catalog = catalog();
+    let name = |path| {
+        catalog
+            .route("ledger.example", path)
+            .map(|r| r.name.as_str())
+    };
+    assert_eq!(name("/runs/17"), Some("short"));
+    assert_eq!(name("/runs/signed/17"), Some("long"));
+    assert_eq!(name("/runs"), None);
+    assert!(catalog.route("other.example", "/runs/17").is_none());
+}
+
+#[test]
+fn a_key_belongs_to_its_tenant() {
+    let catalog = catalog();
+    assert!(catalog.needs_keys());
+    assert_eq!(catalog.tenant_of("key-2").unwrap().name, "lab");
+    assert!(catalog.tenant_of("key-3").is_none());
+}
+
+#[test]
+fn targets_get_requests_by_weight() {
+    let split = route(
+        "split",
+        "/",
+        &[("stable", 90.0), ("next", 10.0), ("off", 0.0)],
+    );
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut picked = [0u32; 3];
+    for _ in 0..10_000 {
+        match split.pick_target(&mut rng).unwrap().as_str() {
+            "stable" => picked[0] += 1,
+            "next" => picked[1] += 1,
+            _ => picked[2] += 1,
+        }
+    }
+    assert!((800..1_200).contains(&picked[1]), "{picked:?}");
+    assert_eq!(picked[2], 0);
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_runs_at_most_once() {
+    let mut stream = route("stream", "/", &[]);
+    stream.streaming = true;
+    assert_eq!(stream.repeat(), Repeat::AtMostOnce);
+    stream.resumable = true;
+    assert_eq!(stream.repeat(), Repeat::Resumable);
+}
+
+#[test]
+fn routers_keep_the_budget_together() {
+    let bounds = BudgetBounds {
+        ratio: 0.2,
+        slack: 40.0,
+        window: Duration::from_secs(10),
+    };
+    let start = Instant::now();
+    let mut taken = 0;
+    for _ in 0..8 {
+        let mut budget = RetryBudget::new(bounds);
+        for _ in 0..100 {
+            budget.on_request(start);
+        }
+        taken += (0..1_000).filter(|_| budget.take_repeat(start, 8)).count();
+    }
+    assert!(taken <= 200, "{taken} of 0.2 x 800 + 40");
+    assert!(taken >= 100, "{taken}");
+}
+
+#[test]
+fn the_budget_comes_back_as_the_window_slides() {
+    let bounds = BudgetBounds {
+        ratio: 0.0,
+        slack: 10.0,
+        window: Duration::from_secs(10),
+    };
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(bounds);
+    while budget.take_repeat(start, 1) {}
+    assert!(!budget.take_repeat(start + Duration::from_secs(5), 1));
+    assert!(budget.take_repeat(start + Duration::from_secs(11), 1));
+}
--- a/crates/cloverpier_relay/tests/fleet.rs
+++ b/crates/cloverpier_relay/tests/fleet.rs
@@ -20,7 +20,10 @@
 
 fn fleet_of(names: &[&str], now: Instant) -> Fleet {
     let mut fleet = Fleet::default();
-    let servers = names.iter().zip(9_000..).map(|(name, port)| server(name, port));
+    let servers = names
+        .iter()
+        .zip(9_000..)
+        .map(|(name, port)| server(name, port));
     fleet.apply_list(servers.collect(), 1, now);
     fleet
 }
@@ -103,7 +106,10 @@
     let start = Instant::now();
     let mut fleet = fleet_of(&["one"], start);
     assert!(fleet.suspect(&"one".into(), start));
-    assert!(!fleet.suspect(&"one".into(), start), "it is suspected already");
+    assert!(
+        !fleet.suspect(&"one".into(), start),
+        "it is suspected already"
+    );
     let mut probes = Vec::new();
     for ms in (0..4_000).step_by(50) {
         let now = start + Duration::from_millis(ms);
@@ -179,7 +185,9 @@
 #[test]
 fn routers_that_see_the_same_do_not_all_choose_the_same_engine() {
     let fleet = busy_engines(Instant::now());
-    let chosen: HashSet<_> = (0..12).filter_map(|n| choose_engine(&fleet, n, n)).collect();
+    let chosen: HashSet<_> = (0..12)
+        .filter_map(|n| choose_engine(&fleet, n, n))
+        .collect();
     assert!(chosen.len() >= 7, "12 prompts went to {chosen:?}");
 }
 
--- /dev/null
+++ b/crates/cloverpier_relay/tests/routers.rs
@@ -0,0 +1,117 @@
+//! What routers know of each other: the directory, and who follows the store.
+
+use cloverpier_core::DataCentre;
+use cloverpier_relay::prelude::*;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const WITHIN: Duration = Duration::from_secs(1);
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn entry(port: u16, state: PeerState, heard: Instant) -> PeerEntry {
+    PeerEntry {
+        front: address(port),
+        data_centre: DataCentre::new("hall-a"),
+        state,
+        heard,
+        catalog_version: 1,
+        fleet_revision: 1,
+        store_age: None,
+    }
+}
+
+#[test]
+fn only_ready_and_live_routers_are_listed() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(5);
+    let mut directory = Directory::default();
+    directory.on_heard(address(1), entry(11, PeerState::Ready, now));
+    directory.on_heard(address(2), entry(12, PeerState::Leaving, now));
+    directory.on_heard(address(3), entry(13, PeerState::Starting, now));
+    directory.on_heard(address(4), entry(14, PeerState::Ready, start));
+    let listed = directory.listed(Some(address(10)), now, WITHIN);
+    assert_eq!(listed, [address(11), address(10)]);
+}
+
+#[test]
+fn a_router_that_hears_nobody_lists_all_that_it_knows() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.on_heard(address(1), entry(11, PeerState::Ready, start));
+    let now = start + Duration::from_secs(5);
+    let listed: HashSet<_> = directory
+        .listed(Some(address(10)), now, WITHIN)
+        .into_iter()
+        .collect();
+    assert_eq!(listed, HashSet::from([address(10), address(11)]));
+}
+
+#[test]
+fn a_router_that_is_not_ready_lists_others() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.on_heard(address(1), entry(11, PeerState::Ready, now));
+    assert_eq!(directory.listed(None, now, WITHIN), [address(11)]);
+}
+
+#[test]
+fn named_peers_are_told_until_they_are_heard_or_forgotten() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    assert!(directory.on_named(address(1), start));
+    assert!(!directory.on_named(address(1), start), "named already");
+    assert_eq!(directory.addresses(), [address(1)]);
+    directory.on_heard(address(1), entry(11, PeerState::Ready, start));
+    assert_eq!(directory.addresses(), [address(1)]);
+    directory.forget_old(start + Duration::from_secs(90));
+    assert!(directory.addresses().is_empty());
+}
+
+/// The routers that follow the store when all hear each other.
+fn followers(routers: &[SocketAddr], store_age: Option<Duration>) -> Vec<SocketAddr> {
+    let follows = |own: &SocketAddr| {
+        let others = routers.iter().filter(|r| *r != own);
+        let live: Vec<Candidate> = others
+            .map(|peer| Candidate {
+                peer: *peer,
+                store_age,
+            })
+            .collect();
+        should_follow(*own, &live, WITHIN).is_due()
+    };
+    routers.iter().copied().filter(|r| follows(r)).collect()
+}
+
+#[test]
+fn three_of_many_routers_follow_the_store() {
+    let routers: Vec<SocketAddr> = (1..=40).map(address).collect();
+    let fresh = Some(Duration::from_millis(300));
+    assert_eq!(followers(&routers, fresh).len(), 3);
+    assert_eq!(followers(&routers[..2], fresh).len(), 2);
+}
+
+#[test]
+fn all_follow_the_store_when_no_follower_has_a_fresh_word() {
+    let routers: Vec<SocketAddr> = (1..=10).map(address).collect();
+    assert_eq!(followers(&routers, Some(Duration::from_secs(3))).len(), 10);
+    assert_eq!(followers(&routers, None).len(), 10);
+}
+
+#[test]
+fn the_prompts_last_engine_is_remembered_for_a_while() {
+    let start = Instant::now();
+    let mut places = PromptPlaces::default();
+    let prompt = PromptKey(7);
+    places.on_read(prompt, ServerKey(1), start);
+    places.on_read(prompt, ServerKey(2), start + Duration::from_secs(20));
+    let soon = start + Duration::from_secs(40);
+    // The first entry is over; the later one stands.
+    places.on_read(PromptKey(8), ServerKey(3), soon);
+    assert_eq!(places.engine_of(prompt, soon), Some(ServerKey(2)));
+    let late = start + Duration::from_secs(60);
+    assert_eq!(places.engine_of(prompt, late), None);
+}
--- /dev/null
+++ b/crates/cloverpier_relay_standin/src/caller.rs
@@ -0,0 +1,206 @@
+//! A caller that checks what it gets.
+
+use crate::http::{Head, read_body, read_head, read_more};
+use crate::server::{EVENTS, event_bytes, plain_body};
+use cloverpier_front::HeaderNames;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Its id.
+    pub id: String,
+    /// The host.
+    pub host: String,
+    /// The path.
+    pub path: String,
+    /// The key that it carries.
+    pub key: Option<String>,
+    /// The prompt, for streams.
+    pub prompt: Option<String>,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// How long it waits.
+    pub deadline: Duration,
+}
+
+/// What came of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole success; a stream up to its last event.
+    Whole,
+    /// A status other than a success, with the time to come back if told.
+    Status(u16, Option<String>),
+    /// The connection broke; of a stream, this event came last.
+    Broken(u64),
+    /// No connection came up.
+    Unreachable,
+    /// No answer came in time.
+    TimedOut,
+    /// The answer is wrong, which must never be.
+    Wrong(String),
+}
+
+/// Sends a request over a new connection and checks the answer.
+pub async fn call(front: SocketAddr, names: &HeaderNames, request: &CallerRequest) -> Outcome {
+    let patience = request.deadline + Duration::from_secs(1);
+    let answered = timeout(patience, exchange(front, names, request)).await;
+    match answered {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(_)) => Outcome::Broken(request.last_event.unwrap_or(0)),
+        Err(_) => Outcome::TimedOut,
+    }
+}
+
+async fn exchange(
+    front: SocketAddr,
+    names: &HeaderNames,
+    request: &CallerRequest,
+) -> io::Result<Outcome> {
+    let Ok(mut stream) = TcpStream::connect(front).await else {
+        return Ok(Outcome::Unreachable);
+    };
+    stream
+        .write_all(request_text(names, request).as_bytes())
+        .await?;
+    let mut buffer = Vec::new();
+    let Some(head) = read_head(&mut stream, &mut buffer).await? else {
+        return Ok(Outcome::Broken(request.last_event.unwrap_or(0)));
+    };
+    let status: u16 = head.word(1).parse().unwrap_or(0);
+    if status != 200 {
+        let back = head.get("retry-after").map(str::to_owned);
+        return Ok(Outcome::Status(status, back));
+    }
+    if let Some(wrong) = wrong_head(&head, names, request) {
+        return Ok(Outcome::Wrong(wrong));
+    }
+    match &request.prompt {
+        Some(prompt) => read_events(&mut stream, buffer, request, prompt).await,
+        None => read_plain(&mut stream, buffer, &head, request).await,
+    }
+}
+
+fn request_text(names: &HeaderNames, request: &CallerRequest) -> String {
+    let mut lines = vec![
+        format!("POST {} HTTP/1.1", request.path),
+        format!("host: {}", request.host),
+        format!("{}: {}", names.request_id, request.id),
+        format!("{}: {}", names.deadline_ms, request.deadline.as_millis()),
+        // A caller may claim to be whoever it likes.
+        format!("{}: somebody-else", names.tenant),
+    ];
+    lines.extend(
+        request
+            .key
+            .iter()
+            .map(|key| format!("{}: {key}", names.key)),
+    );
+    lines.extend(
+        request
+            .prompt
+            .iter()
+            .map(|p| format!("{}: {p}", names.prompt_parts)),
+    );
+    lines.extend(
+        request
+            .last_event
+            .iter()
+            .map(|l| format!("{}: {l}", names.last_event)),
+    );
+    lines.push("content-length: 4".to_owned());
+    lines.join("\r\n") + "\r\n\r\nbody"
+}
+
+fn wrong_head(head: &Head, names: &HeaderNames, request: &CallerRequest) -> Option<String> {
+    if head.get(names.request_id.as_str()) != Some(&request.id) {
+        return Some(format!("a success for another request: {head:?}"));
+    }
+    if head.get(names.signature.as_str()).is_none() {
+        return Some("a success that isn't signed".to_owned());
+    }
+    None
+}
+
+async fn read_plain(
+    stream: &mut TcpStream,
+    mut buffer: Vec<u8>,
+    head: &Head,
+    request: &CallerRequest,
+) -> io::Result<Outcome> {
+    let Some(body) = read_body(stream, &mut buffer, head.content_length()).await? else {
+        return Ok(Outcome::Broken(0));
+    };
+    if body == plain_body(&request.id).as_bytes() {
+        Ok(Outcome::Whole)
+    } else {
+        Ok(Outcome::Wrong(format!(
+            "another body: {}",
+            String::from_utf8_lossy(&body)
+        )))
+    }
+}
+
+async fn read_events(
+    stream: &mut TcpStream,
+    mut raw: Vec<u8>,
+    request: &CallerRequest,
+    prompt: &str,
+) -> io::Result<Outcome> {
+    let mut last = request.last_event.unwrap_or(0);
+    let mut text = Vec::new();
+    loop {
+        let ended = take_chunks(&mut raw, &mut text);
+        while let Some(end) = text.windows(2).position(|w| w == b"\n\n") {
+            let event: Vec<u8> = text.drain(..end + 2).collect();
+            let expected = event_bytes(prompt, last + 1);
+            if event != expected {
+                let got = String::from_utf8_lossy(&event).into_owned();
+                return Ok(Outcome::Wrong(format!("{got:?} after event {last}")));
+            }
+            last += 1;
+        }
+        if ended {
+            return Ok(end_of(last, &text));
+        }
+        match read_more(stream, &mut raw).await {
+            Ok(true) => {}
+            Ok(false) | Err(_) => return Ok(Outcome::Broken(last)),
+        }
+    }
+}
+
+fn end_of(last: u64, rest: &[u8]) -> Outcome {
+    if last == EVENTS && rest.is_empty() {
+        Outcome::Whole
+    } else {
+        Outcome::Wrong(format!("the stream ended as complete after event {last}"))
+    }
+}
+
+/// Moves whole chunks to `text`; true at the last chunk.
+fn take_chunks(raw: &mut Vec<u8>, text: &mut Vec<u8>) -> bool {
+    loop {
+        let Some(line) = raw.windows(2).position(|w| w == b"\r\n") else {
+            return false;
+        };
+        let size = String::from_utf8_lossy(&raw[..line]).into_owned();
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+            return false;
+        };
+        let end = line + 2 + size + 2;
+        if raw.len() < end {
+            return false;
+        }
+        if size == 0 {
+            return true;
+        }
+        text.extend_from_slice(&raw[line + 2..end - 2]);
+        raw.drain(..end);
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_relay_standin/src/link.rs
@@ -0,0 +1,182 @@
+//! A link that can be delayed, cut one way, silenced or reset.
+
+use crate::server::{bind_when_free, lock};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// How a link harms what passes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Harm {
+    /// It doesn't.
+    #[default]
+    None,
+    /// Everything arrives later.
+    Delay(Duration),
+    /// Nothing comes back; what is sent still arrives.
+    CutBack,
+    /// Nothing arrives, in either direction, and nobody is told.
+    Silence,
+}
+
+/// A running link to an address; it ends with its owner.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    harm: watch::Sender<Harm>,
+    connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
+    to: SocketAddr,
+    accepting: Option<JoinHandle<()>>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+impl Link {
+    /// Starts a link at a free port of this machine.
+    ///
+    /// # Errors
+    ///
+    /// No port can be listened at.
+    pub async fn start(to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let (harm, _) = watch::channel(Harm::None);
+        let connections = Arc::new(Mutex::new(Vec::new()));
+        let accepting = tokio::spawn(accept(listener, to, harm.clone(), Arc::clone(&connections)));
+        Ok(Self {
+            address,
+            harm,
+            connections,
+            to,
+            accepting: Some(accepting),
+        })
+    }
+
+    /// Ends it as its far end's death would: its port refuses.
+    pub fn close(&mut self) {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+        }
+        self.cut_connections();
+    }
+
+    /// Opens it again at the same port.
+    ///
+    /// # Errors
+    ///
+    /// The port is taken.
+    pub async fn reopen(&mut self) -> io::Result<()> {
+        let listener = bind_when_free(self.address).await?;
+        let (harm, connections) = (self.harm.clone(), Arc::clone(&self.connections));
+        self.accepting = Some(tokio::spawn(accept(listener, self.to, harm, connections)));
+        Ok(())
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Harms what passes from now on.
+    pub fn set_harm(&self, harm: Harm) {
+        self.harm.send_replace(harm);
+    }
+
+    /// Ends all its connections, at both ends.
+    pub fn cut_connections(&self) {
+        for connection in lock(&self.connections).drain(..) {
+            connection.abort();
+        }
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    to: SocketAddr,
+    harm: watch::Sender<Harm>,
+    connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
+) {
+    while let Ok((near, _)) = listener.accept().await {
+        let harm = harm.subscribe();
+        let connection = tokio::spawn(async move {
+            // A connection that can't go on ends; whoever used it notices.
+            let _ = carry(near, to, harm).await;
+        });
+        let mut connections = lock(&connections);
+        connections.retain(|c| !c.is_finished());
+        connections.push(connection);
+    }
+}
+
+async fn carry(near: TcpStream, to: SocketAddr, harm: watch::Receiver<Harm>) -> io::Result<()> {
+    let far = TcpStream::connect(to).await;
+    let far = match far {
+        Ok(far) => far,
+        Err(e) => {
+            near.set_zero_linger()?;
+            return Err(e);
+        }
+    };
+    near.set_nodelay(true)?;
+    far.set_nodelay(true)?;
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let there = pass(near_read, far_write, harm.clone(), false);
+    let back = pass(far_read, near_write, harm, true);
+    // The end of either direction ends both, as the end of a process would.
+    tokio::select! {
+        result = there => result,
+        result = back => result,
+    }
+}
+
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut harm: watch::Receiver<Harm>,
+    is_back: bool,
+) -> io::Result<()> {
+    let mut bytes = vec![0; 16 * 1024];
+    loop {
+        let count = match from.read(&mut bytes).await {
+            Ok(count) => count,
+            Err(e) => {
+                // A reset goes on as a reset, never as a clean end.
+                to.as_ref().set_zero_linger()?;
+                // Dropping the half would end its direction cleanly first.
+                to.forget();
+                return Err(e);
+            }
+        };
+        loop {
+            let present = *harm.borrow_and_update();
+            match present {
+                Harm::None => break,
+                Harm::CutBack if !is_back => break,
+                Harm::Delay(by) => {
+                    tokio::time::sleep(by).await;
+                    break;
+                }
+                Harm::CutBack | Harm::Silence => {
+                    if harm.changed().await.is_err() {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+        if count == 0 {
+            return Ok(());
+        }
+        to.write_all(&bytes[..count]).await?;
+    }
+}
--- /dev/null
+++ b/crates/cloverpier_relay_standin/src/server.rs
@@ -0,0 +1,477 @@
+//! A server: answers plain requests and streams events, with faults.
+
+use crate::http::{Head, read_body, read_head};
+use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
+use cloverpier_front::HeaderNames;
+use cloverpier_relay::prelude::Server;
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 40;
+
+/// Tries to listen at an address that is still taken.
+const BIND_TRIES: u32 = 300;
+
+/// What a server does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It refuses, and says that it did not run the request.
+    Refuse,
+    /// It runs the request and its answer is lost with the connection.
+    LoseAnswer,
+    /// It runs the request and breaks its answer off in the middle.
+    BreakOff,
+    /// It answers with another request's id.
+    WrongId,
+    /// It answers with a success that isn't signed.
+    Unsigned,
+    /// It answers, and a second answer follows.
+    Surplus,
+    /// It runs the request and never answers.
+    Mute,
+    /// It answers with a failure of its own.
+    Fail,
+    /// Its answer has no length and ends with the connection, in the middle.
+    ResetUnframed,
+}
+
+/// What the servers of a test did, in one place.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// How often each request ran, by its id.
+    pub runs: HashMap<String, u32>,
+    /// Requests that a server saw without the header that names it.
+    pub unexpected: u32,
+    /// Keys of callers that reached a server.
+    pub leaked_keys: u32,
+    /// Tenants that servers were told, by request.
+    pub tenants: HashMap<String, String>,
+    /// Copies of runs' memory: where each lies.
+    copies: HashSet<(SocketAddr, String)>,
+    /// Servers that each request reached, in order.
+    pub reached: HashMap<String, Vec<UpstreamName>>,
+}
+
+/// A ledger that servers share.
+pub type SharedLedger = Arc<Mutex<Ledger>>;
+
+/// Locks, also after a panic of another test's thread.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[derive(Debug)]
+struct State {
+    server: Server,
+    names: HeaderNames,
+    ledger: SharedLedger,
+    event_interval: Duration,
+    /// Faults of the next requests, the first one first.
+    script: Vec<Fault>,
+    /// A fault of a share of the requests.
+    random: Option<(Fault, f64)>,
+    rng: fastrand::Rng,
+}
+
+/// A running server; it ends with its owner.
+#[derive(Debug)]
+pub struct ServerStandIn {
+    state: Arc<Mutex<State>>,
+    accepting: Option<JoinHandle<()>>,
+    connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
+}
+
+impl Drop for ServerStandIn {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// What a server is made of.
+#[derive(Clone, Debug)]
+pub struct ServerSpec {
+    /// Its name.
+    pub name: String,
+    /// Its service.
+    pub service: String,
+    /// Where it stands.
+    pub data_centre: String,
+    /// Pause between the events of a stream.
+    pub event_interval: Duration,
+    /// Seeds the choice of requests that meet a fault.
+    pub seed: u64,
+}
+
+impl ServerStandIn {
+    /// Starts a server at a free port of this machine, or at a given address.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be listened at.
+    pub async fn start(
+        spec: ServerSpec,
+        at: Option<SocketAddr>,
+        names: HeaderNames,
+        ledger: SharedLedger,
+    ) -> io::Result<Self> {
+        let at = at.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listener = bind_when_free(at).await?;
+        let server = Server {
+            name: UpstreamName::new(spec.name),
+            service: ServiceName::new(spec.service),
+            address: listener.local_addr()?,
+            data_centre: DataCentre::new(spec.data_centre),
+            slots: 64,
+            draining: false,
+        };
+        let state = Arc::new(Mutex::new(State {
+            server,
+            names,
+            ledger,
+            event_interval: spec.event_interval,
+            script: Vec::new(),
+            random: None,
+            rng: fastrand::Rng::with_seed(spec.seed),
+        }));
+        let connections = Arc::new(Mutex::new(Vec::new()));
+        let accepting = tokio::spawn(accept(
+            listener,
+            Arc::clone(&state),
+            Arc::clone(&connections),
+        ));
+        Ok(Self {
+            state,
+            accepting: Some(accepting),
+            connections,
+        })
+    }
+
+    /// The server as the platform would list it.
+    pub fn listed(&self) -> Server {
+        lock(&self.state).server.clone()
+    }
+
+    /// Sets the address that it is listed at, as when a link leads to it.
+    pub fn set_listed_address(&self, address: SocketAddr) {
+        lock(&self.state).server.address = address;
+    }
+
+    /// Adds a fault for the next request that has none yet.
+    pub fn script(&self, fault: Fault) {
+        lock(&self.state).script.push(fault);
+    }
+
+    /// Forgets the faults that no request has met yet.
+    pub fn clear_script(&self) {
+        lock(&self.state).script.clear();
+    }
+
+    /// Sets a fault for a share of the requests.
+    pub fn set_random_fault(&self, fault: Option<(Fault, f64)>) {
+        lock(&self.state).random = fault;
+    }
+
+    /// Ends it as a crash does: its connections close, its port refuses.
+    pub fn stop(&mut self) {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+        }
+        for connection in lock(&self.connections).drain(..) {
+            connection.abort();
+        }
+        let address = lock(&self.state).server.address;
+        let ledger = Arc::clone(&lock(&self.state).ledger);
+        lock(&ledger).copies.retain(|(at, _)| *at != address);
+    }
+}
+
+/// Listens at an address as soon as the start before has let go of it.
+pub(crate) async fn bind_when_free(at: SocketAddr) -> io::Result<TcpListener> {
+    for _ in 0..BIND_TRIES {
+        match TcpListener::bind(at).await {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            bound => return bound,
+        }
+    }
+    TcpListener::bind(at).await
+}
+
+async fn accept(
+    listener: TcpListener,
+    state: Arc<Mutex<State>>,
+    connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        // Its failure only costs time.
+        let _ = stream.set_nodelay(true);
+        let state = Arc::clone(&state);
+        let connection = tokio::spawn(async move {
+            // A connection that breaks concerns nobody else.
+            let _ = serve(stream, &state).await;
+        });
+        let mut connections = lock(&connections);
+        connections.retain(|c| !c.is_finished());
+        connections.push(connection);
+    }
+}
+
+async fn serve(mut stream: TcpStream, state: &Mutex<State>) -> io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(head) = read_head(&mut stream, &mut buffer).await? {
+        let Some(_body) = read_body(&mut stream, &mut buffer, head.content_length()).await? else {
+            return Ok(());
+        };
+        if !answer(&mut stream, state, &head).await? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// What a request asks of the server, read from its head.
+struct Asked {
+    id: String,
+    prompt: Option<String>,
+    last_event: u64,
+    server: Server,
+    names: HeaderNames,
+    event_interval: Duration,
+    fault: Option<Fault>,
+}
+
+/// Answers one request; false when the connection is to end.
+async fn answer(stream: &mut TcpStream, state: &Mutex<State>, head: &Head) -> io::Result<bool> {
+    let (server, names) = {
+        let state = lock(state);
+        (state.server.clone(), state.names.clone())
+    };
+    let Some(id) = head.get(names.request_id.as_str()).map(str::to_owned) else {
+        // A question, such as a health check.
+        let named = (names.answering_server.as_str(), server.name.as_str());
+        write_answer(stream, 200, &[named], b"{}").await?;
+        return Ok(true);
+    };
+    if let Some((status, header)) = turn_down(head, &server, &names, state) {
+        let echoed = (names.request_id.as_str(), id.as_str());
+        write_answer(
+            stream,
+            status,
+            &[echoed, (header.0.as_str(), header.1.as_str())],
+            b"",
+        )
+        .await?;
+        return Ok(true);
+    }
+    let asked = note_run(state, head, id, server, names);
+    match &asked.prompt {
+        Some(prompt) => stream_events(stream, &asked, prompt).await,
+        None => answer_plainly(stream, &asked).await,
+    }
+}
+
+/// Why a request isn't run: the status, and a header.
+fn turn_down(
+    head: &Head,
+    server: &Server,
+    names: &HeaderNames,
+    state: &Mutex<State>,
+) -> Option<(u16, (String, String))> {
+    let mut state = lock(state);
+    let expected = head.get(names.expected_server.as_str());
+    if expected != Some(server.name.as_str()) {
+        lock(&state.ledger).unexpected += u32::from(expected.is_none());
+        let named = (names.answering_server.to_string(), server.name.to_string());
+        return Some((421, named));
+    }
+    let refused = Some((503, (names.not_run.to_string(), "1".to_owned())));
+    if state.script.first() == Some(&Fault::Refuse) {
+        state.script.remove(0);
+        return refused;
+    }
+    let copy = head
+        .get(names.resume_from.as_str())
+        .and_then(|c| c.split_once('/'));
+    if let Some((at, id)) = copy {
+        let at = at.parse().unwrap_or(server.address);
+        let has_copy = lock(&state.ledger).copies.contains(&(at, id.to_owned()));
+        if !has_copy {
+            return refused;
+        }
+    }
+    None
+}
+
+fn note_run(
+    state: &Mutex<State>,
+    head: &Head,
+    id: String,
+    server: Server,
+    names: HeaderNames,
+) -> Asked {
+    let mut state = lock(state);
+    let fault = if state.script.is_empty() {
+        let random = state.random;
+        let roll = state.rng.f64();
+        random
+            .filter(|(_, share)| roll < *share)
+            .map(|(fault, _)| fault)
+    } else {
+        Some(state.script.remove(0))
+    };
+    let mut ledger = lock(&state.ledger);
+    *ledger.runs.entry(id.clone()).or_default() += 1;
+    ledger
+        .reached
+        .entry(id.clone())
+        .or_default()
+        .push(server.name.clone());
+    ledger.leaked_keys += u32::from(head.get(names.key.as_str()).is_some());
+    if let Some(tenant) = head.get(names.tenant.as_str()) {
+        ledger.tenants.insert(id.clone(), tenant.to_owned());
+    }
+    let backup = head.get(names.backup_at.as_str());
+    if let Some(at) = backup.and_then(|at| at.parse().ok()) {
+        ledger.copies.insert((at, id.clone()));
+    }
+    drop(ledger);
+    let last_event = head.get(names.last_event.as_str());
+    Asked {
+        id,
+        prompt: head.get(names.prompt_parts.as_str()).map(str::to_owned),
+        last_event: last_event.and_then(|l| l.parse().ok()).unwrap_or(0),
+        server,
+        names,
+        event_interval: state.event_interval,
+        fault,
+    }
+}
+
+/// The whole body of a plain answer.
+pub fn plain_body(id: &str) -> String {
+    format!("answer to {id}")
+}
+
+async fn answer_plainly(stream: &mut TcpStream, asked: &Asked) -> io::Result<bool> {
+    let body = plain_body(&asked.id);
+    let id = (asked.names.request_id.as_str(), asked.id.as_str());
+    let signature = (asked.names.signature.as_str(), asked.server.name.as_str());
+    match asked.fault {
+        None | Some(Fault::Refuse) => {
+            write_answer(stream, 200, &[id, signature], body.as_bytes()).await?;
+            Ok(true)
+        }
+        Some(Fault::Fail) => {
+            write_answer(stream, 500, &[id, signature], b"failed").await?;
+            Ok(true)
+        }
+        Some(Fault::LoseAnswer) => Ok(false),
+        Some(Fault::Mute) => {
+            std::future::pending::<()>().await;
+            Ok(false)
+        }
+        Some(Fault::BreakOff) => {
+            let whole = head_text(200, &[id, signature], body.len());
+            stream.write_all(whole.as_bytes()).await?;
+            stream.write_all(&body.as_bytes()[..body.len() / 2]).await?;
+            Ok(false)
+        }
+        Some(Fault::ResetUnframed) => {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: {}\r\n\r\n",
+                id.0, id.1, signature.0, signature.1
+            );
+            stream.write_all(head.as_bytes()).await?;
+            stream.write_all(&body.as_bytes()[..body.len() / 2]).await?;
+            stream.flush().await?;
+            // Closing at once with a zero linger resets instead of ending cleanly.
+            stream.set_zero_linger()?;
+            Ok(false)
+        }
+        Some(Fault::WrongId) => {
+            let wrong = (asked.names.request_id.as_str(), "another");
+            write_answer(stream, 200, &[wrong, signature], b"another's answer").await?;
+            Ok(true)
+        }
+        Some(Fault::Unsigned) => {
+            write_answer(stream, 200, &[id], body.as_bytes()).await?;
+            Ok(true)
+        }
+        Some(Fault::Surplus) => {
+            let mut bytes = head_text(200, &[id, signature], body.len()).into_bytes();
+            bytes.extend_from_slice(body.as_bytes());
+            let wrong = (asked.names.request_id.as_str(), "another");
+            bytes.extend_from_slice(head_text(200, &[wrong, signature], 4).as_bytes());
+            bytes.extend_from_slice(b"more");
+            stream.write_all(&bytes).await?;
+            Ok(true)
+        }
+    }
+}
+
+/// The bytes of one event of the stream that a prompt gets.
+pub fn event_bytes(prompt: &str, id: u64) -> Vec<u8> {
+    format!("id: {id}\ndata: {prompt}-{id}\n\n").into_bytes()
+}
+
+async fn stream_events(stream: &mut TcpStream, asked: &Asked, prompt: &str) -> io::Result<bool> {
+    let names = &asked.names;
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: {}\r\ncontent-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n",
+        names.request_id, asked.id, names.signature, asked.server.name
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let middle = asked.last_event + (EVENTS - asked.last_event.min(EVENTS)) / 2;
+    for id in asked.last_event + 1..=EVENTS {
+        let event = event_bytes(prompt, id);
+        if id == middle {
+            match asked.fault {
+                Some(Fault::BreakOff | Fault::LoseAnswer | Fault::ResetUnframed) => {
+                    write_chunk(stream, &event[..event.len() / 2]).await?;
+                    return Ok(false);
+                }
+                Some(Fault::Mute) => std::future::pending::<()>().await,
+                _ => {}
+            }
+        }
+        write_chunk(stream, &event).await?;
+        tokio::time::sleep(asked.event_interval).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await?;
+    Ok(true)
+}
+
+async fn write_chunk(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
+    chunk.extend_from_slice(bytes);
+    chunk.extend_from_slice(b"\r\n");
+    stream.write_all(&chunk).await
+}
+
+async fn write_answer(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut bytes = head_text(status, headers, body.len()).into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes).await
+}
+
+fn head_text(status: u16, headers: &[(&str, &str)], length: usize) -> String {
+    let lines: String = headers
+        .iter()
+        .map(|(n, v)| format!("{n}: {v}\r\n"))
+        .collect();
+    format!("HTTP/1.1 {status} Status\r\n{lines}content-length: {length}\r\n\r\n")
+}
--- /dev/null
+++ b/tools/src/bin/soak.rs
@@ -0,0 +1,3 @@
+//! `cargo soak`: the fault soak.
+
+fn main() {}
--- /dev/null
+++ b/tools/src/fronts.rs
@@ -0,0 +1,376 @@
+//! Fronts as real processes, before stand-ins for everything outside them.
+
+use crate::process::{Process, free_addresses};
+use cloverpier_adapter::platform_dialect;
+use cloverpier_adapter_standin::store_shapes;
+use cloverpier_core::ServiceName;
+use cloverpier_front::HeaderNames;
+use cloverpier_relay::prelude::*;
+use cloverpier_relay_standin::caller::{CallerRequest, Outcome, call};
+use cloverpier_relay_standin::link::Link;
+use cloverpier_relay_standin::server::{Ledger, ServerSpec, ServerStandIn, SharedLedger};
+use cloverpier_relay_standin::store::StoreStandIn;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The host that all routes belong to.
+pub const HOST: &str = "ledger.example";
+/// The service of model engines, and the plain one.
+pub const ENGINES: &str = "drafts";
+/// The plain service.
+pub const PLAIN: &str = "lookups";
+/// A key that the first configuration holds, and its tenant.
+pub const KEY: &str = "key-of-the-lab";
+/// The tenant of [`KEY`].
+pub const TENANT: &str = "lab";
+/// Paths of the routes that every configuration holds.
+pub const STREAM_PATH: &str = "/drafts/";
+/// Streams that may not be taken up elsewhere.
+pub const FIXED_STREAM_PATH: &str = "/fixed/";
+/// Requests that may be repeated.
+pub const SAFE_PATH: &str = "/status/";
+/// Requests that may not.
+pub const UNSAFE_PATH: &str = "/sign/";
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct SiteSpec {
+    /// The front's program.
+    pub program: PathBuf,
+    /// Where settings and logs lie.
+    pub dir: PathBuf,
+    /// How many fronts.
+    pub fronts: usize,
+    /// How many model engines.
+    pub engines: usize,
+    /// How many plain servers.
+    pub plain: usize,
+    /// Pause between the events of a stream.
+    pub event_interval: Duration,
+    /// Seeds the servers' choices.
+    pub seed: u64,
+}
+
+impl SiteSpec {
+    /// A small site with a program and a folder.
+    pub fn new(program: PathBuf, dir: &Path) -> Self {
+        Self {
+            program,
+            dir: dir.to_path_buf(),
+            fronts: 1,
+            engines: 3,
+            plain: 2,
+            event_interval: Duration::from_millis(10),
+            seed: 1,
+        }
+    }
+}
+
+/// One front and how it is reached.
+#[derive(Debug)]
+pub struct SiteFront {
+    /// The process, while it runs.
+    pub process: Option<Process>,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// Where it tells its metrics.
+    pub metrics: SocketAddr,
+    /// Where it says which fronts to use.
+    pub directory: SocketAddr,
+    /// Its way to the store.
+    pub store_link: Link,
+    /// Its log.
+    pub log: PathBuf,
+    settings: PathBuf,
+}
+
+/// One server behind its link.
+#[derive(Debug)]
+pub struct SiteServer {
+    /// The server, while it runs.
+    pub stand_in: ServerStandIn,
+    /// The way to it.
+    pub link: Link,
+    spec: ServerSpec,
+    address: SocketAddr,
+}
+
+/// A running site; its processes end with it.
+#[derive(Debug)]
+pub struct Site {
+    /// The platform's store.
+    pub store: StoreStandIn,
+    /// What servers did.
+    pub ledger: SharedLedger,
+    /// The servers: engines first.
+    pub servers: Vec<SiteServer>,
+    /// The fronts.
+    pub fronts: Vec<SiteFront>,
+    /// The configuration in force.
+    pub catalog: CatalogParts,
+    /// The words spoken.
+    pub names: HeaderNames,
+    spec: SiteSpec,
+    starts: u64,
+}
+
+impl Site {
+    /// Starts store and servers, and puts the first configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// What the system reports.
+    pub async fn start(spec: SiteSpec) -> io::Result<Self> {
+        let store = StoreStandIn::start(store_shapes()).await?;
+        let mut site = Self {
+            catalog: first_catalog(),
+            names: platform_dialect().headers,
+            ledger: Arc::new(Mutex::new(Ledger::default())),
+            servers: Vec::new(),
+            fronts: Vec::new(),
+            starts: 0,
+            store,
+            spec,
+        };
+        site.store.put_catalog(&site.catalog);
+        for index in 0..site.spec.engines + site.spec.plain {
+            site.add_server(index).await?;
+        }
+        site.write_front_settings().await?;
+        for index in 0..site.spec.fronts {
+            site.start_front(index)?;
+        }
+        Ok(site)
+    }
+
+    async fn add_server(&mut self, index: usize) -> io::Result<()> {
+        let is_engine = index < self.spec.engines;
+        let spec = ServerSpec {
+            name: format!("server-{index}-0"),
+            service: if is_engine { ENGINES } else { PLAIN }.to_owned(),
+            data_centre: format!("hall-{}", index % 2),
+            event_interval: self.spec.event_interval,
+            seed: self.spec.seed + index as u64,
+        };
+        let ledger = Arc::clone(&self.ledger);
+        let stand_in = ServerStandIn::start(spec.clone(), None, self.names.clone(), ledger).await?;
+        let address = stand_in.listed().address;
+        let link = Link::start(address).await?;
+        stand_in.set_listed_address(link.address());
+        self.store.put_server(&stand_in.listed());
+        self.servers.push(SiteServer {
+            stand_in,
+            link,
+            spec,
+            address,
+        });
+        Ok(())
+    }
+
+    /// Crashes a server: its connections close, its port refuses.
+    pub fn crash_server(&mut self, index: usize) {
+        let server = &mut self.servers[index];
+        server.stand_in.stop();
+        server.link.close();
+    }
+
+    /// Starts a crashed server anew, under another name, and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Its port is taken.
+    pub async fn restart_server(&mut self, index: usize) -> io::Result<()> {
+        self.starts += 1;
+        let server = &mut self.servers[index];
+        self.store.remove_server(&server.spec.name);
+        server.spec.name = format!("server-{index}-{}", self.starts);
+        let (spec, at) = (server.spec.clone(), Some(server.address));
+        let ledger = Arc::clone(&self.ledger);
+        server.stand_in = ServerStandIn::start(spec, at, self.names.clone(), ledger).await?;
+        server.stand_in.set_listed_address(server.link.address());
+        server.link.reopen().await?;
+        self.store.put_server(&server.stand_in.listed());
+        Ok(())
+    }
+
+    async fn write_front_settings(&mut self) -> io::Result<()> {
+        let peers = free_addresses(self.spec.fronts)?;
+        for index in 0..self.spec.fronts {
+            let addresses = free_addresses(4)?;
+            let store_link = Link::start(self.store.address()).await?;
+            let settings = self.spec.dir.join(format!("front-{index}.toml"));
+            let seeds: Vec<String> = peers.iter().take(3).map(|p| format!("\"{p}\"")).collect();
+            let text = format!(
+                "vm = \"front-{index}\"\ndata_centre = \"hall-{}\"\ncallers_listen = \"{}\"\n\
+                 ready_listen = \"{}\"\ndirectory_listen = \"{}\"\nmetrics_listen = \"{}\"\n\
+                 peers_listen = \"{}\"\nstore = \"{}\"\nseeds = [{}]\ngrace_s = 5\n\
+                 retry_ratio = 0.8\nretry_slack = 150\n",
+                index % 2,
+                addresses[0],
+                addresses[1],
+                addresses[2],
+                addresses[3],
+                peers[index],
+                store_link.address(),
+                seeds.join(", "),
+            );
+            std::fs::write(&settings, text)?;
+            self.fronts.push(SiteFront {
+                process: None,
+                callers: addresses[0],
+                ready: addresses[1],
+                directory: addresses[2],
+                metrics: addresses[3],
+                store_link,
+                log: self.spec.dir.join(format!("front-{index}.log")),
+                settings,
+            });
+        }
+        Ok(())
+    }
+
+    /// Starts a front, or starts it again.
+    ///
+    /// # Errors
+    ///
+    /// What the system reports.
+    pub fn start_front(&mut self, index: usize) -> io::Result<()> {
+        let front = &mut self.fronts[index];
+        let args = [front.settings.display().to_string()];
+        front.process = None;
+        front.process = Some(Process::start_logged(
+            &self.spec.program,
+            &args,
+            &front.log,
+        )?);
+        Ok(())
+    }
+
+    /// Waits until all fronts that run are ready; false when that takes too long.
+    pub async fn wait_ready(&self, patience: Duration) -> bool {
+        let until = Instant::now() + patience;
+        for front in self.fronts.iter().filter(|f| f.process.is_some()) {
+            while status_of(front.ready, "/ready").await != Some(200) {
+                if Instant::now() > until {
+                    return false;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        true
+    }
+
+    /// Puts a changed configuration in force, under the next version.
+    pub fn change_catalog(&mut self, change: impl FnOnce(&mut CatalogParts)) {
+        change(&mut self.catalog);
+        self.catalog.version += 3;
+        self.store.put_catalog(&self.catalog);
+    }
+
+    /// A request that the first configuration allows.
+    pub fn request(&self, id: &str, path: &str) -> CallerRequest {
+        let is_stream = path == STREAM_PATH || path == FIXED_STREAM_PATH;
+        CallerRequest {
+            id: id.to_owned(),
+            host: HOST.to_owned(),
+            path: format!("{path}17"),
+            key: Some(KEY.to_owned()),
+            prompt: is_stream.then(|| format!("prompt-of-{id}")),
+            last_event: None,
+            deadline: Duration::from_secs(if is_stream { 20 } else { 3 }),
+        }
+    }
+
+    /// Sends a request to a front.
+    pub async fn call(&self, front: usize, request: &CallerRequest) -> Outcome {
+        call(self.fronts[front].callers, &self.names, request).await
+    }
+}
+
+/// The status of a simple GET; `None` without an answer.
+pub async fn status_of(address: SocketAddr, path: &str) -> Option<u16> {
+    let answer = cloverpier_front::Caller::new(address, Duration::from_millis(500));
+    let local = tokio::task::LocalSet::new();
+    let status = local.run_until(async { answer.get(path, Duration::from_secs(1)).await });
+    status.await.ok().map(|a| a.status.as_u16())
+}
+
+/// How many fronts a directory lists.
+pub async fn listed_fronts(directory: SocketAddr) -> usize {
+    let path = "/resolve?name=ledger.example&region=r&zone=hall-0";
+    let caller = cloverpier_front::Caller::new(directory, Duration::from_millis(500));
+    let local = tokio::task::LocalSet::new();
+    let answer = local.run_until(async { caller.get(path, Duration::from_secs(1)).await });
+    let body = answer.await.ok().map(|a| a.body).unwrap_or_default();
+    let answer: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    answer["addresses"].as_array().map_or(0, Vec::len)
+}
+
+fn route(name: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        prefix: prefix.to_owned(),
+        streaming: false,
+        resumable: false,
+        safe: false,
+        timeout: Duration::from_secs(3),
+        objective: Duration::from_millis(150),
+        gap_objective: None,
+        priority: 1,
+        max_attempts: 1,
+        public: false,
+        targets: vec![RouteTarget {
+            service: ServiceName::new(service),
+            weight: 1.0,
+        }],
+    }
+}
+
+fn first_catalog() -> CatalogParts {
+    let stream = Route {
+        streaming: true,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_millis(4_500),
+        gap_objective: Some(Duration::from_millis(700)),
+        ..route("fixed", FIXED_STREAM_PATH, ENGINES)
+    };
+    let resumable = Route {
+        resumable: true,
+        max_attempts: 5,
+        name: "stream".to_owned(),
+        prefix: STREAM_PATH.to_owned(),
+        ..stream.clone()
+    };
+    let safe = Route {
+        safe: true,
+        max_attempts: 2,
+        ..route("safe", SAFE_PATH, PLAIN)
+    };
+    let service = |name: &str, engine| ServiceTraits {
+        name: ServiceName::new(name),
+        health_path: "/healthz".to_owned(),
+        max_connections: 100,
+        engine,
+    };
+    let engine = EngineTraits {
+        memory_tokens: 88_000,
+        backups: true,
+    };
+    CatalogParts {
+        version: 7,
+        routes: vec![resumable, stream, safe, route("unsafe", UNSAFE_PATH, PLAIN)],
+        services: vec![service(ENGINES, Some(engine)), service(PLAIN, None)],
+        tenants: Some(vec![Tenant {
+            name: TENANT.to_owned(),
+            priority: None,
+            keys: vec![KEY.to_owned()],
+        }]),
+        limits: Limits::default(),
+    }
+}
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -4,6 +4,7 @@
 //! routers' own word is used only for the bytes between them.
 
 pub mod fleet;
+pub mod fronts;
 pub mod load;
 pub mod process;
 pub mod report;
--- a/tools/src/process.rs
+++ b/tools/src/process.rs
@@ -43,6 +43,30 @@
         })
     }
 
+    /// Starts a program at a path; all that it says is added to a file.
+    ///
+    /// # Errors
+    ///
+    /// The error of the start.
+    pub fn start_logged(program: &Path, args: &[String], log: &Path) -> io::Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self {
+            child,
+            stopped: false,
+        })
+    }
+
+    /// Asks it to read its settings again.
+    pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
     /// The process's number.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -99,7 +123,11 @@
 }
 
 /// The folder that holds the programs: the one of this program.
-fn bin_dir() -> io::Result<PathBuf> {
+///
+/// # Errors
+///
+/// The program's own path can't be found out.
+pub fn bin_dir() -> io::Result<PathBuf> {
     let own = std::env::current_exe()?;
     let dir = own.parent().map(Path::to_path_buf);
     let dir = dir.ok_or_else(|| io::Error::other("the program has no folder"))?;
@@ -123,6 +151,8 @@
         "cloverpierd",
         "--bin",
         "standin",
+        "--bin",
+        "cloverpier-front",
     ]);
     if !cfg!(debug_assertions) {
         build.arg("--release");
