--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -5,6 +5,7 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::sync::StoreHealth;
 use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_observe::Log;
 use cloverpier_relay::prelude::*;
@@ -55,6 +56,8 @@
     pub(crate) changed_places: RefCell<Vec<(PromptKey, ServerKey)>>,
     /// Wakes whoever fetches newer versions from peers.
     pub(crate) newer: Notify,
+    /// Whether calls to the store fail at present.
+    pub(crate) store: StoreHealth,
     /// When the store answered last.
     pub(crate) store_heard: Cell<Option<Instant>>,
     /// Whether this front follows the store.
@@ -84,6 +87,7 @@
             running: RefCell::new(HashMap::new()),
             changed_places: RefCell::new(Vec::new()),
             newer: Notify::new(),
+            store: StoreHealth::default(),
             store_heard: Cell::new(None),
             follows_store: Cell::new(true),
             incarnation: rng.u64(..),
--- a/crates/cloverpier_front/src/sync.rs
+++ b/crates/cloverpier_front/src/sync.rs
@@ -5,6 +5,7 @@
 use cloverpier_core::jitter;
 use cloverpier_relay::prelude::*;
 use snafu::Snafu;
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,6 +23,10 @@
 /// Changes that come close together are read by one call.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// The names of what is read from the store, in logs.
+const CATALOG: &str = "configuration";
+const FLEET: &str = "servers";
+
 /// The store gave no usable answer.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum SourceError {
@@ -98,15 +103,23 @@
 /// The pauses after failed calls.
 struct Backoff {
     pause: Duration,
-    lost: bool,
+    /// Since when calls fail.
+    lost: Rc<Cell<bool>>,
     name: &'static str,
 }
 
+/// What calls to the store have in common: whether they fail at present.
+#[derive(Debug, Default)]
+pub(crate) struct StoreHealth {
+    catalog: Rc<Cell<bool>>,
+    fleet: Rc<Cell<bool>>,
+}
+
 impl Backoff {
-    fn new(name: &'static str) -> Self {
+    fn new(name: &'static str, lost: &Rc<Cell<bool>>) -> Self {
         Self {
             pause: FIRST_PAUSE,
-            lost: false,
+            lost: Rc::clone(lost),
             name,
         }
     }
@@ -115,30 +128,34 @@
         front.metrics.store_calls.count("answered");
         front.store_heard.set(Some(Instant::now()));
         self.pause = FIRST_PAUSE;
-        if std::mem::take(&mut self.lost) {
-            self.log(front, "dependency.regained", "it answers");
-        }
+        note_regained(front, &self.lost, self.name);
     }
 
     async fn after_failure(&mut self, front: &Front, error: &SourceError) {
         front.metrics.store_calls.count("failed");
-        if !std::mem::replace(&mut self.lost, true) {
-            self.log(front, "dependency.lost", &error.to_string());
+        if !self.lost.replace(true) {
+            log_dependency(front, "dependency.lost", self.name, &error.to_string());
         }
         let pause = jitter(&mut front.rng.borrow_mut(), self.pause);
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
         tokio::time::sleep(pause).await;
     }
+}
 
-    fn log(&self, front: &Front, event: &'static str, reason: &str) {
-        let name = self.name;
-        front.log.info(event, &Dependency { name, reason });
+/// Notes that the store answers again.
+fn note_regained(front: &Front, lost: &Cell<bool>, name: &str) {
+    if lost.replace(false) {
+        log_dependency(front, "dependency.regained", name, "it answers");
     }
 }
 
+fn log_dependency(front: &Front, event: &'static str, name: &str, reason: &str) {
+    front.log.info(event, &Dependency { name, reason });
+}
+
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn follow_catalog(front: Rc<Front>, source: Rc<impl ConfigurationSource>) {
-    let mut backoff = Backoff::new("configuration");
+    let mut backoff = Backoff::new(CATALOG, &front.store.catalog);
     let mut revision: Option<u64> = None;
     loop {
         if front.catalog().is_some() && !front.follows_store.get() {
@@ -172,7 +189,7 @@
     let version = parts.version;
     if front.apply_catalog(parts) {
         front.news.notify_one();
-        log_version(front, "configuration", version, from);
+        log_version(front, CATALOG, version, from);
     }
 }
 
@@ -185,7 +202,7 @@
     };
     if applied {
         front.fleet_known.set(true);
-        log_version(front, "servers", revision, from);
+        log_version(front, FLEET, revision, from);
     }
 }
 
@@ -200,7 +217,7 @@
 
 /// Follows the list of servers for as long as the process runs.
 pub(crate) async fn follow_fleet(front: Rc<Front>, source: Rc<impl ConfigurationSource>) {
-    let mut backoff = Backoff::new("servers");
+    let mut backoff = Backoff::new(FLEET, &front.store.fleet);
     let mut revision: Option<u64> = None;
     loop {
         if front.fleet_known.get() {
@@ -256,7 +273,7 @@
     };
     if applied {
         front.news.notify_one();
-        log_version(front, "servers", revision, from);
+        log_version(front, FLEET, revision, from);
     }
 }
 
@@ -271,6 +288,8 @@
             Ok(()) => {
                 front.metrics.store_calls.count("ping-answered");
                 front.store_heard.set(Some(Instant::now()));
+                note_regained(&front, &front.store.catalog, CATALOG);
+                note_regained(&front, &front.store.fleet, FLEET);
             }
             Err(_) => front.metrics.store_calls.count("ping-failed"),
         }
--- a/tools/src/bin/soak.rs
+++ b/tools/src/bin/soak.rs
@@ -1,3 +1,87 @@
-//! `cargo soak`: the fault soak.
+//! `cargo soak`: real fronts as processes, harmed at random while they serve.
 
-fn main() {}
+use argh::FromArgs;
+use cloverpier_tools::process::build_programs;
+use cloverpier_tools::soak::{Report, SoakSpec, run_soak};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// Harms real fronts at random while they serve, and checks what callers and servers see.
+#[derive(FromArgs)]
+struct Args {
+    /// how long to go on with fresh seeds, in minutes (2)
+    #[argh(option, default = "2.0")]
+    minutes: f64,
+    /// how long harm is done with one seed, in seconds (10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// the first seed; the next ones follow it (drawn)
+    #[argh(option)]
+    seed: Option<u64>,
+    /// run this seed alone, again
+    #[argh(option)]
+    replay: Option<u64>,
+    /// fronts at most, each a process (24)
+    #[argh(option, default = "24")]
+    most_fronts: usize,
+    /// where settings and logs lie (target/soak)
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    dir: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    if let Err(e) = build_programs() {
+        eprintln!("{e}");
+        return ExitCode::FAILURE;
+    }
+    match run(&args).await {
+        Ok(broken) if broken.is_empty() => ExitCode::SUCCESS,
+        Ok(broken) => {
+            println!("seeds with violations: {broken:?}");
+            ExitCode::FAILURE
+        }
+        Err(e) => {
+            eprintln!("the soak can't go on: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(args: &Args) -> std::io::Result<Vec<u64>> {
+    let until = Instant::now() + Duration::from_secs_f64(args.minutes * 60.0);
+    let first = args
+        .seed
+        .unwrap_or_else(|| fastrand::u64(1_000..1_000_000_000));
+    let mut seed = args.replay.unwrap_or(first);
+    let mut broken = Vec::new();
+    let mut count = 0;
+    loop {
+        let report = run_seed(args, seed).await?;
+        count += 1;
+        print!("{report}");
+        if report.violations.is_empty() {
+            std::fs::remove_dir_all(&report.dir)?;
+        } else {
+            broken.push(seed);
+        }
+        if args.replay.is_some() || Instant::now() >= until {
+            println!("{count} seeds, {} with violations", broken.len());
+            return Ok(broken);
+        }
+        seed += 1;
+    }
+}
+
+async fn run_seed(args: &Args, seed: u64) -> std::io::Result<Report> {
+    let spec = SoakSpec {
+        seed,
+        length: Duration::from_secs(args.seconds),
+        most_fronts: args.most_fronts,
+        dir: args.dir.clone(),
+        program: None,
+    };
+    run_soak(&spec).await
+}
--- a/tools/src/fronts.rs
+++ b/tools/src/fronts.rs
@@ -185,6 +185,7 @@
     ///
     /// Its port is taken.
     pub async fn restart_server(&mut self, index: usize) -> io::Result<()> {
+        self.crash_server(index);
         self.starts += 1;
         let server = &mut self.servers[index];
         self.store.remove_server(&server.spec.name);
@@ -255,7 +256,7 @@
     pub async fn wait_ready(&self, patience: Duration) -> bool {
         let until = Instant::now() + patience;
         for front in self.fronts.iter().filter(|f| f.process.is_some()) {
-            while status_of(front.ready, "/ready").await != Some(200) {
+            while status_of(front.ready, platform_dialect().paths.ready).await != Some(200) {
                 if Instant::now() > until {
                     return false;
                 }
@@ -302,13 +303,14 @@
 
 /// How many fronts a directory lists.
 pub async fn listed_fronts(directory: SocketAddr) -> usize {
-    let path = "/resolve?name=ledger.example&region=r&zone=hall-0";
+    let path = platform_dialect().paths.directory;
     let caller = cloverpier_front::Caller::new(directory, Duration::from_millis(500));
     let local = tokio::task::LocalSet::new();
     let answer = local.run_until(async { caller.get(path, Duration::from_secs(1)).await });
     let body = answer.await.ok().map(|a| a.body).unwrap_or_default();
-    let answer: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-    answer["addresses"].as_array().map_or(0, Vec::len)
+    // Whatever the words around them, each front stands there with its address.
+    let text = String::from_utf8_lossy(&body);
+    text.matches("127.0.0.1:").count()
 }
 
 fn route(name: &str, prefix: &str, service: &str) -> Route {
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod process;
 pub mod report;
 pub mod scenarios;
+pub mod soak;
--- /dev/null
+++ b/tools/src/soak.rs
@@ -0,0 +1,106 @@
+//! A randomized soak: real fronts as processes, harmed from outside while they serve.
+//!
+//! A seed decides the site, the load and the harms. What must hold is checked
+//! from what callers and servers see, never from a front's word.
+
+mod checks;
+mod inject;
+mod load;
+mod plan;
+
+pub use checks::{Report, Violation};
+pub use plan::{Action, Injection, Size, draw_injections};
+
+use crate::fronts::{Site, SiteSpec};
+use crate::process::bin_dir;
+use load::Load;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// Fronts have to serve again this long after the last harm.
+const RECOVERY: Duration = Duration::from_secs(20);
+/// Fronts have to be ready this long after their start.
+const START: Duration = Duration::from_secs(30);
+/// Requests that are asked of each front after the last harm.
+const LAST_REQUESTS: usize = 6;
+
+/// One run of the soak.
+#[derive(Clone, Debug)]
+pub struct SoakSpec {
+    /// Decides everything that is drawn.
+    pub seed: u64,
+    /// How long harm is done.
+    pub length: Duration,
+    /// Fronts at most.
+    pub most_fronts: usize,
+    /// Where settings and logs lie; one folder a seed.
+    pub dir: PathBuf,
+    /// The front's program; the one built beside this program if not set.
+    pub program: Option<PathBuf>,
+}
+
+/// Runs one seed.
+///
+/// # Errors
+///
+/// What the system reports while the site is set up.
+pub async fn run_soak(spec: &SoakSpec) -> io::Result<Report> {
+    let dir = spec.dir.join(format!("seed-{}", spec.seed));
+    if dir.exists() {
+        std::fs::remove_dir_all(&dir)?;
+    }
+    std::fs::create_dir_all(&dir)?;
+    let mut rng = fastrand::Rng::with_seed(spec.seed);
+    let size = Size::draw(&mut rng, spec.most_fronts);
+    let injections = draw_injections(&mut rng, size, spec.length);
+    let mut site = Site::start(site_spec(spec, size, &dir)?).await?;
+    let mut report = Report::new(spec.seed, size, dir);
+    if !site.wait_ready(START).await {
+        report.violation("start", "the fronts aren't ready in time");
+        return Ok(report);
+    }
+    let load = Load::start(&site, rng.fork());
+    let disturbed = inject::play(&mut site, &injections, &mut report).await?;
+    let sent = load.stop().await;
+    inject::heal(&mut site).await?;
+    check_recovery(&site, &mut report).await;
+    checks::check_requests(&site, &sent, &disturbed, &mut report);
+    Ok(report)
+}
+
+fn site_spec(spec: &SoakSpec, size: Size, dir: &Path) -> io::Result<SiteSpec> {
+    let program = match &spec.program {
+        Some(program) => program.clone(),
+        None => bin_dir()?.join("cloverpier-front"),
+    };
+    let mut site = SiteSpec::new(program, dir);
+    site.fronts = size.fronts;
+    site.engines = size.engines;
+    site.plain = size.plain;
+    site.seed = spec.seed;
+    Ok(site)
+}
+
+/// Every front serves again once all harm is over.
+async fn check_recovery(site: &Site, report: &mut Report) {
+    let until = Instant::now() + RECOVERY;
+    for front in 0..site.fronts.len() {
+        let mut served = 0;
+        let mut asked = 0;
+        while served < LAST_REQUESTS {
+            asked += 1;
+            let request = site.request(&format!("last-{front}-{asked}"), load::path_at(asked));
+            let outcome = site.call(front, &request).await;
+            if outcome == cloverpier_relay_standin::caller::Outcome::Whole {
+                served += 1;
+            } else if Instant::now() > until {
+                let what = format!("front {front} doesn't serve again: {outcome:?}");
+                report.violation("recovery", &what);
+                return;
+            } else {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/soak/checks.rs
@@ -0,0 +1,188 @@
+//! What must hold, whatever was done, seen by callers and servers.
+
+use super::inject::Disturbed;
+use super::load::Sent;
+use super::plan::Size;
+use crate::fronts::{FIXED_STREAM_PATH, Site, TENANT, UNSAFE_PATH};
+use cloverpier_relay_standin::caller::Outcome;
+use cloverpier_relay_standin::server::{Ledger, lock};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Violations that a report tells in full.
+const MOST_TOLD: usize = 12;
+/// A process that was started again is still coming up for so long.
+const AFTERMATH: Duration = Duration::from_millis(500);
+/// A stream that was sent this many times has had its servers at fault.
+const MOST_SENDS: usize = 4;
+
+/// Something that must never be.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    /// The check that found it.
+    pub check: &'static str,
+    /// What was found.
+    pub found: String,
+}
+
+/// What was done and found in one run.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The seed; runs it again.
+    pub seed: u64,
+    /// The site's size.
+    pub size: Size,
+    /// Where the logs lie.
+    pub dir: PathBuf,
+    /// How often each harm was done.
+    pub injected: BTreeMap<&'static str, u32>,
+    /// How requests ended.
+    pub outcomes: BTreeMap<String, u32>,
+    /// What must never be, and was.
+    pub violations: Vec<Violation>,
+}
+
+impl Report {
+    /// A report of a run that begins.
+    pub fn new(seed: u64, size: Size, dir: PathBuf) -> Self {
+        Self {
+            seed,
+            size,
+            dir,
+            injected: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            violations: Vec::new(),
+        }
+    }
+
+    /// Counts a harm.
+    pub fn count(&mut self, harm: &'static str) {
+        *self.injected.entry(harm).or_default() += 1;
+    }
+
+    /// Notes a violation.
+    pub fn violation(&mut self, check: &'static str, found: &str) {
+        self.violations.push(Violation {
+            check,
+            found: found.to_owned(),
+        });
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let harms: u32 = self.injected.values().sum();
+        let requests: u32 = self.outcomes.values().sum();
+        let size = self.size;
+        writeln!(
+            f,
+            "seed {}: {} fronts, {} engines, {} plain servers; {harms} harms, {requests} requests, {} violations",
+            self.seed,
+            size.fronts,
+            size.engines,
+            size.plain,
+            self.violations.len()
+        )?;
+        writeln!(f, "  harms: {:?}", self.injected)?;
+        writeln!(f, "  ends: {:?}", self.outcomes)?;
+        for violation in self.violations.iter().take(MOST_TOLD) {
+            writeln!(f, "  BROKEN {}: {}", violation.check, violation.found)?;
+        }
+        if !self.violations.is_empty() {
+            writeln!(f, "  logs in {}", self.dir.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// Checks all requests of a run.
+pub fn check_requests(site: &Site, sent: &[Sent], disturbed: &[Disturbed], report: &mut Report) {
+    let ledger = lock(&site.ledger);
+    for one in sent {
+        let caller = one.request.id.split('-').next().unwrap_or_default();
+        let name = format!("{} ({caller})", name_of(&one.outcome));
+        *report.outcomes.entry(name).or_default() += 1;
+        check_answer(one, report);
+        check_runs(one, &ledger, report);
+        check_planned_stop(one, &ledger, disturbed, report);
+    }
+    if ledger.leaked_keys > 0 {
+        report.violation("keys", "a caller's key reached a server");
+    }
+    if ledger.unexpected > 0 {
+        report.violation("instance", "a request named no server");
+    }
+    if let Some((id, tenant)) = ledger.tenants.iter().find(|(_, t)| *t != TENANT) {
+        report.violation("tenant", &format!("{id} ran as {tenant}"));
+    }
+}
+
+fn name_of(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Whole => "whole".to_owned(),
+        Outcome::Status(status, _) => status.to_string(),
+        Outcome::Broken(_) => "broken off".to_owned(),
+        Outcome::Unreachable => "no connection".to_owned(),
+        Outcome::TimedOut => "no answer".to_owned(),
+        Outcome::Wrong(_) => "wrong".to_owned(),
+    }
+}
+
+/// No answer is mixed, torn or another's; a proper request is never called improper.
+fn check_answer(sent: &Sent, report: &mut Report) {
+    let told = format!("{}: {:?}", sent.request.id, sent.outcome);
+    match &sent.outcome {
+        Outcome::Wrong(_) => report.violation("answer", &told),
+        Outcome::Status(400..=407 | 409..=420 | 422..=428 | 430..=499, _) => {
+            report.violation("denied", &told);
+        }
+        Outcome::Status(503, None) if !is_late(sent) => {
+            report.violation("come back", &told);
+        }
+        _ => {}
+    }
+}
+
+/// A refusal at the end of its time can't tell when to come back.
+fn is_late(sent: &Sent) -> bool {
+    let took = sent.ended.saturating_duration_since(sent.at);
+    took + Duration::from_millis(100) >= sent.request.deadline.min(Duration::from_secs(3))
+}
+
+/// At most once; and a refusal means never.
+fn check_runs(sent: &Sent, ledger: &Ledger, report: &mut Report) {
+    let path = &sent.request.path;
+    if !path.starts_with(UNSAFE_PATH) && !path.starts_with(FIXED_STREAM_PATH) {
+        return;
+    }
+    let runs = ledger.runs.get(&sent.request.id).copied().unwrap_or(0);
+    if runs > 1 {
+        let found = format!("{} ran {runs} times", sent.request.id);
+        report.violation("at most once", &found);
+    }
+    if matches!(sent.outcome, Outcome::Status(429 | 503, _)) && runs > 0 {
+        let found = format!("{} was refused and ran", sent.request.id);
+        report.violation("refusal", &found);
+    }
+}
+
+/// A planned stop cuts no request that its servers would have answered.
+fn check_planned_stop(sent: &Sent, ledger: &Ledger, disturbed: &[Disturbed], report: &mut Report) {
+    if !matches!(sent.outcome, Outcome::Broken(_)) {
+        return;
+    }
+    let during = |d: &&Disturbed| {
+        d.front == sent.front && d.from <= sent.ended && sent.at <= d.until + AFTERMATH
+    };
+    let mut meanwhile = disturbed.iter().filter(during).peekable();
+    let is_only_planned = meanwhile.peek().is_some() && meanwhile.all(|d| d.is_planned);
+    let reached = ledger.reached.get(&sent.request.id).map_or(0, Vec::len);
+    let is_repeatable = !sent.request.path.starts_with(FIXED_STREAM_PATH);
+    // Sends that failed and requests that never reached a server are others' faults.
+    if is_only_planned && is_repeatable && reached == 1 && reached < MOST_SENDS {
+        let found = format!("{} was cut at front {}", sent.request.id, sent.front);
+        report.violation("planned stop", &found);
+    }
+}
--- /dev/null
+++ b/tools/src/soak/inject.rs
@@ -0,0 +1,242 @@
+//! Carries out the harms of a run, and ends them.
+
+use super::checks::Report;
+use super::plan::{Action, Injection};
+use crate::fronts::Site;
+use cloverpier_relay::prelude::{CatalogParts, Route};
+use cloverpier_relay_standin::link::Harm;
+use cloverpier_relay_standin::store::StoreFault;
+use std::io;
+use std::time::{Duration, Instant};
+
+/// Share of the requests that a server at fault treats wrongly.
+const FAULT_SHARE: f64 = 0.3;
+/// How often the running harms are looked at.
+const STEP: Duration = Duration::from_millis(10);
+/// A front that was asked to stop ends within its grace, and some.
+const STOP_PATIENCE: Duration = Duration::from_secs(10);
+
+/// How a front was disturbed, and when.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbed {
+    /// The front.
+    pub front: usize,
+    /// From when on.
+    pub from: Instant,
+    /// Until when; later effects included.
+    pub until: Instant,
+    /// Whether the stop was a planned one, which must cut nothing.
+    pub is_planned: bool,
+}
+
+/// A harm that goes on.
+struct Running {
+    until: Instant,
+    action: Action,
+    /// The process that it struck; a later start at its place is another one.
+    process: Option<u32>,
+}
+
+/// Plays the harms; returns how fronts were disturbed.
+pub async fn play(
+    site: &mut Site,
+    injections: &[Injection],
+    report: &mut Report,
+) -> io::Result<Vec<Disturbed>> {
+    let start = Instant::now();
+    let mut running: Vec<Running> = Vec::new();
+    let mut disturbed = Vec::new();
+    for injection in injections {
+        while start.elapsed() < injection.at {
+            tokio::time::sleep(STEP).await;
+            end_due(site, &mut running, &mut disturbed, report).await?;
+        }
+        let until = Instant::now() + injection.lasts;
+        if begin(site, &injection.action, &mut disturbed) {
+            report.count(injection.action.name());
+            running.push(Running {
+                until,
+                process: process_of(site, &injection.action),
+                action: injection.action.clone(),
+            });
+        }
+    }
+    while !running.is_empty() {
+        tokio::time::sleep(STEP).await;
+        end_due(site, &mut running, &mut disturbed, report).await?;
+    }
+    Ok(disturbed)
+}
+
+/// The number of the process that a planned stop is to end.
+fn process_of(site: &Site, action: &Action) -> Option<u32> {
+    let Action::StopFront(front) = action else {
+        return None;
+    };
+    let process = site.fronts[*front].process.as_ref();
+    process.map(crate::process::Process::id)
+}
+
+/// Begins a harm; false when it doesn't fit what goes on.
+fn begin(site: &mut Site, action: &Action, disturbed: &mut Vec<Disturbed>) -> bool {
+    let now = Instant::now();
+    let mut note = |front: usize, is_planned: bool| {
+        disturbed.push(Disturbed {
+            front,
+            from: now,
+            // Until the harm ends; moved back then.
+            until: now + Duration::from_secs(3_600),
+            is_planned,
+        });
+    };
+    match action {
+        Action::StopFront(front) => match &site.fronts[*front].process {
+            Some(process) => {
+                note(*front, true);
+                process.terminate();
+            }
+            None => return false,
+        },
+        Action::KillFront(front) => match site.fronts[*front].process.take() {
+            Some(mut process) => {
+                note(*front, false);
+                process.kill();
+            }
+            None => return false,
+        },
+        Action::FreezeFront(front) => match &mut site.fronts[*front].process {
+            Some(process) => {
+                note(*front, false);
+                process.freeze();
+            }
+            None => return false,
+        },
+        Action::ReloadFront(front) => match &site.fronts[*front].process {
+            Some(process) => process.hang_up(),
+            None => return false,
+        },
+        Action::HarmStoreLink(front, harm) => site.fronts[*front].store_link.set_harm(*harm),
+        Action::CrashServer(server) => site.crash_server(*server),
+        Action::HarmServerLink(server, harm) => site.servers[*server].link.set_harm(*harm),
+        Action::ResetConnections(server) => site.servers[*server].link.cut_connections(),
+        Action::ServerFault(server, fault) => {
+            let fault = Some((*fault, FAULT_SHARE));
+            site.servers[*server].stand_in.set_random_fault(fault);
+        }
+        Action::StoreFault(fault) => site.store.set_fault(*fault),
+        Action::ForgetHistory => site.store.forget_history(),
+        Action::ChangeCatalog => site.change_catalog(toggle_route),
+    }
+    true
+}
+
+/// Adds a route that nobody uses, or removes it.
+fn toggle_route(catalog: &mut CatalogParts) {
+    const NAME: &str = "passing";
+    if catalog.routes.iter().any(|r| r.name == NAME) {
+        catalog.routes.retain(|r| r.name != NAME);
+        return;
+    }
+    let like = catalog.routes.first().cloned();
+    catalog.routes.extend(like.map(|route| Route {
+        name: NAME.to_owned(),
+        prefix: "/passing/".to_owned(),
+        ..route
+    }));
+}
+
+async fn end_due(
+    site: &mut Site,
+    running: &mut Vec<Running>,
+    disturbed: &mut [Disturbed],
+    report: &mut Report,
+) -> io::Result<()> {
+    let now = Instant::now();
+    let (due, rest) = std::mem::take(running)
+        .into_iter()
+        .partition(|r| r.until <= now);
+    *running = rest;
+    for harm in due {
+        if !end(site, &harm, disturbed).await? {
+            if now > harm.until + STOP_PATIENCE {
+                report.violation("stop", &format!("{:?} doesn't end", harm.action));
+                if let Action::StopFront(front) = harm.action {
+                    site.fronts[front].process = None;
+                }
+            }
+            running.push(harm);
+        }
+    }
+    Ok(())
+}
+
+/// Ends a harm; false while it can't be ended yet.
+async fn end(site: &mut Site, harm: &Running, disturbed: &mut [Disturbed]) -> io::Result<bool> {
+    match &harm.action {
+        Action::StopFront(front) => {
+            let process = site.fronts[*front].process.as_mut();
+            let is_same = process.as_ref().map(|p| p.id()) == harm.process;
+            if is_same {
+                if !process.is_none_or(has_ended) {
+                    return Ok(false);
+                }
+                site.start_front(*front)?;
+            }
+            over(disturbed, *front);
+        }
+        Action::KillFront(front) => {
+            if site.fronts[*front].process.is_none() {
+                site.start_front(*front)?;
+            }
+            over(disturbed, *front);
+        }
+        Action::FreezeFront(front) => {
+            if let Some(process) = &mut site.fronts[*front].process {
+                process.wake();
+            }
+            over(disturbed, *front);
+        }
+        Action::HarmStoreLink(front, _) => site.fronts[*front].store_link.set_harm(Harm::None),
+        Action::CrashServer(server) => site.restart_server(*server).await?,
+        Action::HarmServerLink(server, _) => site.servers[*server].link.set_harm(Harm::None),
+        Action::ServerFault(server, _) => site.servers[*server].stand_in.set_random_fault(None),
+        Action::StoreFault(_) => site.store.set_fault(StoreFault::None),
+        Action::ReloadFront(_)
+        | Action::ResetConnections(_)
+        | Action::ForgetHistory
+        | Action::ChangeCatalog => {}
+    }
+    Ok(true)
+}
+
+fn has_ended(process: &mut crate::process::Process) -> bool {
+    process.has_ended()
+}
+
+fn over(disturbed: &mut [Disturbed], front: usize) {
+    let now = Instant::now();
+    for entry in disturbed.iter_mut().filter(|d| d.front == front) {
+        entry.until = entry.until.min(now);
+    }
+}
+
+/// Ends whatever may still go on, so that recovery can be checked.
+///
+/// # Errors
+///
+/// What the system reports at a start.
+pub async fn heal(site: &mut Site) -> io::Result<()> {
+    site.store.set_fault(StoreFault::None);
+    for index in 0..site.fronts.len() {
+        let front = &mut site.fronts[index];
+        front.store_link.set_harm(Harm::None);
+        if front.process.as_mut().is_none_or(has_ended) {
+            site.start_front(index)?;
+        }
+    }
+    for server in &site.servers {
+        server.link.set_harm(Harm::None);
+        server.stand_in.set_random_fault(None);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/tools/src/soak/load.rs
@@ -0,0 +1,184 @@
+//! Callers that send requests all the while, as they would: to listed fronts,
+//! coming back after a refusal, going on with a stream that broke off.
+
+use crate::fronts::{FIXED_STREAM_PATH, SAFE_PATH, STREAM_PATH, Site, UNSAFE_PATH};
+use cloverpier_front::HeaderNames;
+use cloverpier_relay_standin::caller::{CallerRequest, KeptConnection, Outcome, call};
+use cloverpier_relay_standin::server::lock;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// Pause between two requests of the load.
+const PAUSE: Duration = Duration::from_millis(25);
+/// Callers that keep their connection.
+const KEEPERS: usize = 4;
+/// Requests in flight at most.
+const MOST_IN_FLIGHT: usize = 400;
+
+/// A request that was sent, and what came of it.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The request.
+    pub request: CallerRequest,
+    /// The front that got it, by its position.
+    pub front: usize,
+    /// When it was sent.
+    pub at: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// What came of it.
+    pub outcome: Outcome,
+}
+
+/// All requests of a run.
+type SentLog = Arc<Mutex<Vec<Sent>>>;
+
+/// A running load.
+#[derive(Debug)]
+pub struct Load {
+    sent: SentLog,
+    stop: tokio::sync::watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+/// What callers need to know.
+#[derive(Clone, Debug)]
+struct Callers {
+    fronts: Vec<SocketAddr>,
+    names: HeaderNames,
+    template: Vec<CallerRequest>,
+    sent: SentLog,
+}
+
+/// The path of the n-th request.
+pub fn path_at(n: usize) -> &'static str {
+    [STREAM_PATH, SAFE_PATH, UNSAFE_PATH, FIXED_STREAM_PATH][n % 4]
+}
+
+impl Load {
+    /// Starts callers of all kinds.
+    pub fn start(site: &Site, mut rng: fastrand::Rng) -> Self {
+        let callers = Callers {
+            fronts: site.fronts.iter().map(|f| f.callers).collect(),
+            names: site.names.clone(),
+            template: (0..4).map(|n| site.request("", path_at(n))).collect(),
+            sent: Arc::default(),
+        };
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        let mut tasks = JoinSet::new();
+        for keeper in 0..KEEPERS {
+            let rng = rng.fork();
+            tasks.spawn(keep_calling(callers.clone(), keeper, rng, stopped.clone()));
+        }
+        let sent = Arc::clone(&callers.sent);
+        tasks.spawn(call_openly(callers, rng, stopped));
+        Self { sent, stop, tasks }
+    }
+
+    /// Ends the load; waits for what is in flight.
+    pub async fn stop(mut self) -> Vec<Sent> {
+        self.stop.send_replace(true);
+        while self.tasks.join_next().await.is_some() {}
+        let mut sent = lock(&self.sent);
+        std::mem::take(&mut *sent)
+    }
+}
+
+/// Sends requests at a steady rate, each over a new connection.
+async fn call_openly(
+    callers: Callers,
+    mut rng: fastrand::Rng,
+    stopped: tokio::sync::watch::Receiver<bool>,
+) {
+    let mut calls = JoinSet::new();
+    let mut count = 0;
+    while !*stopped.borrow() {
+        tokio::time::sleep(PAUSE).await;
+        while calls.try_join_next().is_some() {}
+        if calls.len() >= MOST_IN_FLIGHT {
+            continue;
+        }
+        count += 1;
+        let (callers, rng) = (callers.clone(), rng.fork());
+        calls.spawn(async move { call_like_a_client(&callers, count, rng).await });
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+/// Sends a request; comes back once if that is allowed.
+async fn call_like_a_client(callers: &Callers, count: usize, mut rng: fastrand::Rng) {
+    let mut request = callers.template[rng.usize(..4)].clone();
+    request.id = format!("call-{count}");
+    request.prompt = request.prompt.map(|_| format!("prompt-{count}"));
+    let outcome = send(callers, &request, &mut rng).await;
+    let is_safe = request.path.starts_with(SAFE_PATH);
+    let is_resumable = request.path.starts_with(STREAM_PATH);
+    let again = match &outcome {
+        Outcome::Status(503, back) => {
+            let wait = back.as_ref().and_then(|b| b.parse::<f64>().ok());
+            tokio::time::sleep(Duration::from_secs_f64(wait.unwrap_or(0.1).min(1.0))).await;
+            true
+        }
+        Outcome::Broken(last) if is_resumable => {
+            request.last_event = (*last > 0).then_some(*last);
+            true
+        }
+        Outcome::Broken(_) | Outcome::Status(502 | 504, _) => is_safe,
+        Outcome::Unreachable => true,
+        _ => false,
+    };
+    if again {
+        request.id = format!("again-{count}");
+        send(callers, &request, &mut rng).await;
+    }
+}
+
+async fn send(callers: &Callers, request: &CallerRequest, rng: &mut fastrand::Rng) -> Outcome {
+    let front = rng.usize(..callers.fronts.len());
+    let at = Instant::now();
+    let outcome = call(callers.fronts[front], &callers.names, request).await;
+    note(callers, request, front, at, outcome.clone());
+    outcome
+}
+
+fn note(callers: &Callers, request: &CallerRequest, front: usize, at: Instant, outcome: Outcome) {
+    lock(&callers.sent).push(Sent {
+        request: request.clone(),
+        front,
+        at,
+        ended: Instant::now(),
+        outcome,
+    });
+}
+
+/// Sends plain requests over one connection until its process is gone, then over another.
+async fn keep_calling(
+    callers: Callers,
+    keeper: usize,
+    mut rng: fastrand::Rng,
+    stopped: tokio::sync::watch::Receiver<bool>,
+) {
+    let mut count = 0;
+    while !*stopped.borrow() {
+        let front = rng.usize(..callers.fronts.len());
+        let Some(mut connection) = KeptConnection::open(callers.fronts[front]).await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        while !*stopped.borrow() {
+            count += 1;
+            let mut request = callers.template[1 + rng.usize(..2)].clone();
+            request.id = format!("kept-{keeper}-{count}");
+            let at = Instant::now();
+            let outcome = connection.call(&callers.names, &request).await;
+            let goes_on = matches!(outcome, Outcome::Whole | Outcome::Status(..));
+            note(&callers, &request, front, at, outcome);
+            if !goes_on {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/soak/plan.rs
@@ -0,0 +1,166 @@
+//! What a soak does to a site, drawn from its seed.
+
+use cloverpier_relay_standin::link::Harm;
+use cloverpier_relay_standin::server::Fault;
+use cloverpier_relay_standin::store::StoreFault;
+use std::time::Duration;
+
+/// The size of a site under soak.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Fronts, each a process.
+    pub fronts: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Plain servers.
+    pub plain: usize,
+}
+
+impl Size {
+    /// A size drawn from a seed; some are large.
+    pub fn draw(rng: &mut fastrand::Rng, most_fronts: usize) -> Self {
+        let is_large = rng.u8(..10) == 0;
+        let fronts = if is_large {
+            most_fronts
+        } else {
+            rng.usize(2..=5)
+        };
+        Self {
+            fronts: fronts.min(most_fronts),
+            engines: rng.usize(3..=6),
+            plain: rng.usize(2..=4),
+        }
+    }
+}
+
+/// One harm, and how long it lasts.
+#[derive(Clone, Debug)]
+pub struct Injection {
+    /// When it begins, from the start of the load.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What it does.
+    pub action: Action,
+}
+
+/// What is done.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// A front is stopped as planned, and started again once it has ended.
+    StopFront(usize),
+    /// A front is killed, and started again later.
+    KillFront(usize),
+    /// A front stands still.
+    FreezeFront(usize),
+    /// A front is told to read its settings again.
+    ReloadFront(usize),
+    /// A front loses its way to the store.
+    HarmStoreLink(usize, Harm),
+    /// A server crashes and comes back under another name.
+    CrashServer(usize),
+    /// A server's link is harmed.
+    HarmServerLink(usize, Harm),
+    /// A server's connections are reset.
+    ResetConnections(usize),
+    /// A server does something wrong with a share of its requests.
+    ServerFault(usize, Fault),
+    /// The store misbehaves.
+    StoreFault(StoreFault),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// The configuration changes.
+    ChangeCatalog,
+}
+
+impl Action {
+    /// Its kind, for the report.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::StopFront(_) => "front stopped",
+            Self::KillFront(_) => "front killed",
+            Self::FreezeFront(_) => "front frozen",
+            Self::ReloadFront(_) => "front reloaded",
+            Self::HarmStoreLink(..) => "front's way to the store harmed",
+            Self::CrashServer(_) => "server crashed",
+            Self::HarmServerLink(..) => "server's link harmed",
+            Self::ResetConnections(_) => "connections reset",
+            Self::ServerFault(..) => "server at fault",
+            Self::StoreFault(_) => "store at fault",
+            Self::ForgetHistory => "history forgotten",
+            Self::ChangeCatalog => "configuration changed",
+        }
+    }
+}
+
+/// Draws the harms of a run; they may overlap and come in series.
+pub fn draw_injections(rng: &mut fastrand::Rng, size: Size, length: Duration) -> Vec<Injection> {
+    let mut injections = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < length {
+        let action = draw_action(rng, size);
+        let lasts = Duration::from_millis(rng.u64(200..2_500));
+        let in_series = if rng.u8(..5) == 0 {
+            rng.usize(2..=3)
+        } else {
+            1
+        };
+        for step in 0..in_series {
+            let offset = Duration::from_millis(rng.u64(50..400)) * u32::try_from(step).unwrap_or(0);
+            injections.push(Injection {
+                at: at + offset,
+                lasts,
+                action: action.clone(),
+            });
+        }
+        at += Duration::from_millis(rng.u64(100..900));
+    }
+    injections.sort_by_key(|i| i.at);
+    injections
+}
+
+fn draw_action(rng: &mut fastrand::Rng, size: Size) -> Action {
+    let front = rng.usize(..size.fronts);
+    let server = rng.usize(..size.engines + size.plain);
+    match rng.u8(..16) {
+        0 | 1 => Action::StopFront(front),
+        2 => Action::KillFront(front),
+        3 => Action::FreezeFront(front),
+        4 => Action::ReloadFront(front),
+        5 => Action::HarmStoreLink(front, draw_harm(rng)),
+        6 | 7 => Action::CrashServer(server),
+        8 | 9 => Action::HarmServerLink(server, draw_harm(rng)),
+        10 => Action::ResetConnections(server),
+        11 | 12 => Action::ServerFault(server, draw_fault(rng)),
+        13 => Action::StoreFault(draw_store_fault(rng)),
+        14 => Action::ForgetHistory,
+        _ => Action::ChangeCatalog,
+    }
+}
+
+fn draw_harm(rng: &mut fastrand::Rng) -> Harm {
+    match rng.u8(..3) {
+        0 => Harm::Delay(Duration::from_millis(rng.u64(5..150))),
+        1 => Harm::CutBack,
+        _ => Harm::Silence,
+    }
+}
+
+fn draw_fault(rng: &mut fastrand::Rng) -> Fault {
+    let faults = [
+        Fault::LoseAnswer,
+        Fault::BreakOff,
+        Fault::WrongId,
+        Fault::Unsigned,
+        Fault::Surplus,
+        Fault::Mute,
+        Fault::Fail,
+        Fault::ResetUnframed,
+    ];
+    faults[rng.usize(..faults.len())]
+}
+
+fn draw_store_fault(rng: &mut fastrand::Rng) -> StoreFault {
+    let faults = [StoreFault::Busy, StoreFault::Silent, StoreFault::Reset];
+    faults[rng.usize(..faults.len())]
+}
