Make watches anew after the store fell silent; prefer engines of the own data centre

A ping that is answered after one that wasn't now ends the watches, and these wait 6 s at most. Excluded: the followers' choice, the heartbeats (peers heard within 50 ms).

--- a/crates/cloverpier_front/src/stream.rs
+++ b/crates/cloverpier_front/src/stream.rs
@@ -550,7 +550,7 @@
         let silence = self.front.settings().silence;
         LivenessBounds {
             ask_after: silence.ask_before_first,
-            answer_within: silence.answer_within,
+            answer_within: silence.answer_before_first,
             stream_silence: silence.stuck_before_first,
         }
     }
--- a/crates/cloverpier_front/src/sync.rs
+++ b/crates/cloverpier_front/src/sync.rs
@@ -9,9 +9,10 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// How long one watch waits for changes.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_WAIT: Duration = Duration::from_secs(6);
 /// First and longest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
@@ -113,6 +114,8 @@
 pub(crate) struct StoreHealth {
     catalog: Rc<Cell<bool>>,
     fleet: Rc<Cell<bool>>,
+    /// Ends watches that may never be answered.
+    watch_again: Notify,
 }
 
 impl Backoff {
@@ -164,7 +167,10 @@
         }
         let change = match revision {
             None => source.read_catalog().await,
-            Some(at) => source.watch_catalog(at, WATCH_WAIT).await,
+            Some(at) => tokio::select! {
+                change = source.watch_catalog(at, WATCH_WAIT) => change,
+                () = front.store.watch_again.notified() => continue,
+            },
         };
         match change {
             Ok(change) => {
@@ -235,7 +241,10 @@
                 at
             }),
             Some(at) => {
-                let change = source.watch_fleet(at, WATCH_WAIT).await;
+                let change = tokio::select! {
+                    change = source.watch_fleet(at, WATCH_WAIT) => change,
+                    () = front.store.watch_again.notified() => continue,
+                };
                 change.map(|change| apply_change(&front, change))
             }
         };
@@ -279,6 +288,7 @@
 
 /// Makes sure that the store still answers while a watch waits, for as long as the process runs.
 pub(crate) async fn ping_store(front: Rc<Front>, source: Rc<impl ConfigurationSource>) {
+    let mut is_silent = false;
     loop {
         tokio::time::sleep(PING_PERIOD).await;
         if !front.follows_store.get() {
@@ -286,12 +296,21 @@
         }
         match source.ping(PING_PATIENCE).await {
             Ok(()) => {
+                if std::mem::take(&mut is_silent) {
+                    // A silent store may have swallowed the watches, too.
+                    front.store.watch_again.notify_waiters();
+                }
                 front.metrics.store_calls.count("ping-answered");
                 front.store_heard.set(Some(Instant::now()));
                 note_regained(&front, &front.store.catalog, CATALOG);
                 note_regained(&front, &front.store.fleet, FLEET);
             }
-            Err(_) => front.metrics.store_calls.count("ping-failed"),
+            Err(error) => {
+                front.metrics.store_calls.count("ping-failed");
+                if !std::mem::replace(&mut is_silent, true) {
+                    log_dependency(&front, "store.silent", "ping", &error.to_string());
+                }
+            }
         }
     }
 }
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -89,7 +89,7 @@
     let best_pace = best_pace(&open);
     let cost = |s: &ServerState| cost(fleet, demand, s, best_pace);
     let chosen = match (demand.engine_memory, demand.affinity) {
-        (Some(_), Some(prompt)) => by_prompt(&open, cost, prompt, tolerance(demand)),
+        (Some(_), Some(prompt)) => by_prompt(&open, cost, prompt, tolerance(demand), demand.home),
         _ => cheapest(&open, cost, rng),
     };
     match chosen {
@@ -231,6 +231,7 @@
     cost: impl Fn(&ServerState) -> f64,
     prompt: u64,
     tolerance: f64,
+    home: &DataCentre,
 ) -> Option<&'a ServerState> {
     let costs: Vec<f64> = states.iter().map(|s| cost(s)).collect();
     let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
@@ -239,6 +240,12 @@
         .zip(&costs)
         .filter(|(_, c)| **c <= least + tolerance);
     let near: Vec<&ServerState> = near.map(|(s, _)| *s).collect();
+    let at_home: Vec<&ServerState> = near
+        .iter()
+        .copied()
+        .filter(|s| s.server.data_centre == *home)
+        .collect();
+    let near = if at_home.is_empty() { near } else { at_home };
     let ranked = rank(prompt, &near, |s| s.server.name.as_str());
     ranked.first().map(|s| **s)
 }
--- a/crates/cloverpier_settings/src/front.rs
+++ b/crates/cloverpier_settings/src/front.rs
@@ -41,6 +41,8 @@
     pub ask_before_first: Duration,
     /// Silence after the question that means that the engine is dead.
     pub answer_within: Duration,
+    /// The same before the first event, where a lost packet may be waited for.
+    pub answer_before_first: Duration,
     /// Silence of one stream from a living engine that ends it.
     pub stuck_after: Duration,
     /// The same before the first event.
@@ -132,6 +134,7 @@
         ask_after: millis(r, "ask_after_ms", 150),
         ask_before_first: millis(r, "ask_before_first_ms", 300),
         answer_within: millis(r, "answer_within_ms", 200),
+        answer_before_first: millis(r, "answer_before_first_ms", 450),
         stuck_after: millis(r, "stuck_after_ms", 1_000),
         stuck_before_first: millis(r, "stuck_before_first_ms", 5_000),
     }
