--- a/crates/cloverpier_front/src/lib.rs
+++ b/crates/cloverpier_front/src/lib.rs
@@ -26,6 +26,7 @@
 mod intake;
 mod links;
 mod metrics;
+mod outcome;
 mod plain;
 mod pool;
 mod probe;
--- /dev/null
+++ b/crates/cloverpier_front/src/outcome.rs
@@ -0,0 +1,187 @@
+//! How requests end, what their callers are told then, and the lines that say so.
+
+use crate::decision_log::{RequestEnded, ServerChosen, ms, ms_since};
+use crate::front::Front;
+use crate::intake::RelayRequest;
+use crate::reply::{Reply, own_reply, refusal};
+use crate::send::{SendError, Silence};
+use cloverpier_relay::prelude::*;
+use hyper::StatusCode;
+use std::time::{Duration, Instant};
+
+/// When to come back after a refusal, in parts of the objective.
+const COME_BACK_OBJECTIVES: f64 = 0.4;
+/// Bounds of the time to come back.
+const SOONEST_BACK: Duration = Duration::from_millis(40);
+const LATEST_BACK: Duration = Duration::from_millis(1_000);
+
+/// How a request ended without a server's answer to pass on.
+pub(crate) struct GivenUp {
+    pub next: NextStep,
+    pub timed_out: bool,
+    pub reason: String,
+}
+
+/// How a stream went, for its last log line.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Progress {
+    /// Events passed on.
+    pub events: u64,
+    /// When the first one was.
+    pub first_event: Option<Instant>,
+    /// When the last one was.
+    pub last_event: Option<Instant>,
+    /// The longest pause between two.
+    pub longest_pause: Duration,
+}
+
+impl Progress {
+    /// Notes that events were passed on.
+    pub fn on_events(&mut self, count: u64, now: Instant) {
+        self.events += count;
+        self.first_event.get_or_insert(now);
+        if let Some(last) = self.last_event.replace(now) {
+            let pause = now.saturating_duration_since(last);
+            self.longest_pause = self.longest_pause.max(pause);
+        }
+    }
+}
+
+/// Writes the line that ends a request.
+pub(crate) fn log_end(
+    front: &Front,
+    request: &RelayRequest,
+    attempts: &Attempts,
+    status: StatusCode,
+    end: &'static str,
+    progress: &Progress,
+) {
+    let now = Instant::now();
+    front.metrics.requests.count(end);
+    front.log.info(
+        "request.ended",
+        &RequestEnded {
+            request: &request.id,
+            route: &request.route.name,
+            status: status.as_u16(),
+            end,
+            sent: attempts.sent(),
+            events: progress.events,
+            first_event_ms: progress.first_event.map(|at| ms_since(request.arrived, at)),
+            longest_pause_ms: ms(progress.longest_pause),
+            age_ms: ms_since(request.arrived, now),
+        },
+    );
+}
+
+/// The answer to a request that is given up, true to what is known of its run.
+pub(crate) fn give_up_reply(request: &RelayRequest, given_up: &GivenUp) -> (Reply, &'static str) {
+    match given_up.next {
+        NextStep::Refuse if given_up.timed_out => {
+            let reply = own_reply(StatusCode::SERVICE_UNAVAILABLE, &given_up.reason);
+            (reply, "refused-late")
+        }
+        NextStep::Refuse => (refusal(&given_up.reason, come_back_in(request)), "refused"),
+        _ if given_up.timed_out => (
+            own_reply(StatusCode::GATEWAY_TIMEOUT, &given_up.reason),
+            "timed-out",
+        ),
+        _ => (
+            own_reply(StatusCode::BAD_GATEWAY, &given_up.reason),
+            "failed",
+        ),
+    }
+}
+
+fn come_back_in(request: &RelayRequest) -> Duration {
+    let wait = request.route.objective.mul_f64(COME_BACK_OBJECTIVES);
+    wait.clamp(SOONEST_BACK, LATEST_BACK)
+}
+
+/// What a silence means for a request that was sent.
+pub(crate) fn silence_error(silence: Silence) -> SendError {
+    SendError {
+        outcome: SendOutcome::Unknown,
+        reason: silence.reason().to_owned(),
+        timed_out: silence == Silence::TimedOut,
+    }
+}
+
+/// The name of an outcome, for metrics.
+pub(crate) fn outcome_name(outcome: SendOutcome) -> &'static str {
+    match outcome {
+        SendOutcome::NotSent => "not-sent",
+        SendOutcome::Misdirected => "misdirected",
+        SendOutcome::Refused => "refused",
+        SendOutcome::Unknown => "unknown",
+        SendOutcome::Failed => "failed",
+    }
+}
+
+/// What a request adds to a server's work.
+pub(crate) fn work_of(request: &RelayRequest) -> Work {
+    Work {
+        requests: 1,
+        unread_tokens: request.size.prompt_tokens,
+        memory_tokens: request.size.prompt_tokens + request.size.answer_tokens,
+    }
+}
+
+/// What a choice was made for, for its log line.
+pub(crate) struct ChoiceNote<'a> {
+    /// The number of the send.
+    pub attempt: u32,
+    /// Where the run's memory is copied to.
+    pub backup: Option<&'a Server>,
+    /// The last event that needn't be sent.
+    pub resumes_after: Option<u64>,
+    /// Whether the server has a copy of the lost run's memory.
+    pub from_copy: bool,
+    /// When the choice was made.
+    pub now: Instant,
+}
+
+impl ChoiceNote<'_> {
+    /// A choice for the next send of a request.
+    pub fn of(attempts: &Attempts, now: Instant) -> Self {
+        Self {
+            attempt: attempts.sent() + 1,
+            backup: None,
+            resumes_after: None,
+            from_copy: false,
+            now,
+        }
+    }
+}
+
+/// Writes the line that tells which server gets a request, and why that one.
+pub(crate) fn log_choice(
+    front: &Front,
+    request: &RelayRequest,
+    fleet: &Fleet,
+    server: &Server,
+    note: &ChoiceNote<'_>,
+) {
+    let own = fleet.get(&server.name).map(|s| s.own).unwrap_or_default();
+    let peers = fleet.peer_work.at(ServerKey::of(&server.name));
+    front.log.info(
+        "server.chosen",
+        &ServerChosen {
+            request: &request.id,
+            route: &request.route.name,
+            service: request.service.name.as_str(),
+            server: server.name.as_str(),
+            attempt: note.attempt,
+            own_requests: own.requests,
+            peer_requests: peers.requests,
+            unread_tokens: own.unread_tokens + peers.unread_tokens,
+            backup: note.backup.map(|b| b.name.as_str()),
+            prompt: request.prompt,
+            resumes_after: note.resumes_after,
+            from_copy: note.from_copy,
+            catalog_version: request.catalog_version,
+            fleet_revision: fleet.revision(),
+            age_ms: ms_since(request.arrived, note.now),
+        },
+    );
+}
--- a/crates/cloverpier_front/src/plain.rs
+++ b/crates/cloverpier_front/src/plain.rs
@@ -1,19 +1,22 @@
 //! Requests whose answer is one body.
 
 use crate::body::{AnswerBroken, ReplyBody};
-use crate::decision_log::{RequestEnded, SendFailed, ServerChosen, ms, ms_since};
+use crate::decision_log::{SendFailed, ms_since};
 use crate::front::{Front, WorkGuard};
 use crate::intake::RelayRequest;
-use crate::reply::{Reply, ServerAnswer, own_reply, refusal, streamed_reply};
-use crate::send::{Awaited, Opened, SendError, SendExtras, Silence, keep, send, while_alive};
+use crate::outcome::{
+    ChoiceNote, GivenUp, Progress, give_up_reply, log_choice, log_end, outcome_name, silence_error,
+    work_of,
+};
+use crate::reply::{Reply, ServerAnswer, streamed_reply};
+use crate::send::{Awaited, Opened, SendError, SendExtras, keep, send, while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_core::UpstreamName;
 use cloverpier_relay::prelude::*;
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
-use hyper::StatusCode;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Answers up to this size are whole before a byte of them goes on.
 const MOST_HELD: usize = 256 * 1024;
@@ -21,18 +24,6 @@
 const ASK_AFTER_OBJECTIVES: f64 = 1.0;
 /// An answer of a request that may be repeated is waited for so many times the objective.
 const STUCK_AFTER_OBJECTIVES: f64 = 2.0;
-/// When to come back after a refusal, in parts of the objective.
-const COME_BACK_OBJECTIVES: f64 = 0.4;
-/// Bounds of the time to come back.
-const SOONEST_BACK: Duration = Duration::from_millis(40);
-const LATEST_BACK: Duration = Duration::from_millis(1_000);
-
-/// How a request ended without a server's answer to pass on.
-pub(crate) struct GivenUp {
-    pub next: NextStep,
-    pub timed_out: bool,
-    pub reason: String,
-}
 
 /// Relays a request to one server, and to others as far as that is allowed.
 pub(crate) async fn relay_plain(front: &Rc<Front>, request: &Rc<RelayRequest>) -> Reply {
@@ -52,82 +43,6 @@
     reply
 }
 
-/// How a stream went, for its last log line.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Progress {
-    /// Events passed on.
-    pub events: u64,
-    /// When the first one was.
-    pub first_event: Option<Instant>,
-    /// When the last one was.
-    pub last_event: Option<Instant>,
-    /// The longest pause between two.
-    pub longest_pause: Duration,
-}
-
-impl Progress {
-    /// Notes that events were passed on.
-    pub fn on_events(&mut self, count: u64, now: Instant) {
-        self.events += count;
-        self.first_event.get_or_insert(now);
-        if let Some(last) = self.last_event.replace(now) {
-            let pause = now.saturating_duration_since(last);
-            self.longest_pause = self.longest_pause.max(pause);
-        }
-    }
-}
-
-/// Writes the line that ends a request.
-pub(crate) fn log_end(
-    front: &Front,
-    request: &RelayRequest,
-    attempts: &Attempts,
-    status: StatusCode,
-    end: &'static str,
-    progress: &Progress,
-) {
-    let now = Instant::now();
-    front.metrics.requests.count(end);
-    front.log.info(
-        "request.ended",
-        &RequestEnded {
-            request: &request.id,
-            route: &request.route.name,
-            status: status.as_u16(),
-            end,
-            sent: attempts.sent(),
-            events: progress.events,
-            first_event_ms: progress.first_event.map(|at| ms_since(request.arrived, at)),
-            longest_pause_ms: ms(progress.longest_pause),
-            age_ms: ms_since(request.arrived, now),
-        },
-    );
-}
-
-/// The answer to a request that is given up, true to what is known of its run.
-pub(crate) fn give_up_reply(request: &RelayRequest, given_up: &GivenUp) -> (Reply, &'static str) {
-    match given_up.next {
-        NextStep::Refuse if given_up.timed_out => {
-            let reply = own_reply(StatusCode::SERVICE_UNAVAILABLE, &given_up.reason);
-            (reply, "refused-late")
-        }
-        NextStep::Refuse => (refusal(&given_up.reason, come_back_in(request)), "refused"),
-        _ if given_up.timed_out => (
-            own_reply(StatusCode::GATEWAY_TIMEOUT, &given_up.reason),
-            "timed-out",
-        ),
-        _ => (
-            own_reply(StatusCode::BAD_GATEWAY, &given_up.reason),
-            "failed",
-        ),
-    }
-}
-
-fn come_back_in(request: &RelayRequest) -> Duration {
-    let wait = request.route.objective.mul_f64(COME_BACK_OBJECTIVES);
-    wait.clamp(SOONEST_BACK, LATEST_BACK)
-}
-
 struct PlainRun<'a> {
     front: &'a Rc<Front>,
     request: &'a Rc<RelayRequest>,
@@ -198,28 +113,8 @@
         let Choice::Server(server) = choice else {
             return None;
         };
-        let own = fleet.get(&server.name).map(|s| s.own).unwrap_or_default();
-        let peers = fleet.peer_work.at(ServerKey::of(&server.name));
-        self.front.log.info(
-            "server.chosen",
-            &ServerChosen {
-                request: &self.request.id,
-                route: &self.request.route.name,
-                service: self.request.service.name.as_str(),
-                server: server.name.as_str(),
-                attempt: self.attempts.sent() + 1,
-                own_requests: own.requests,
-                peer_requests: peers.requests,
-                unread_tokens: 0,
-                backup: None,
-                prompt: None,
-                resumes_after: None,
-                from_copy: false,
-                catalog_version: self.request.catalog_version,
-                fleet_revision: fleet.revision(),
-                age_ms: ms_since(self.request.arrived, now),
-            },
-        );
+        let note = ChoiceNote::of(&self.attempts, now);
+        log_choice(self.front, self.request, &fleet, &server, &note);
         Some(server)
     }
 
@@ -360,35 +255,6 @@
     }
 }
 
-/// What a silence means for a request that was sent.
-pub(crate) fn silence_error(silence: Silence) -> SendError {
-    SendError {
-        outcome: SendOutcome::Unknown,
-        reason: silence.reason().to_owned(),
-        timed_out: silence == Silence::TimedOut,
-    }
-}
-
-/// The name of an outcome, for metrics.
-pub(crate) fn outcome_name(outcome: SendOutcome) -> &'static str {
-    match outcome {
-        SendOutcome::NotSent => "not-sent",
-        SendOutcome::Misdirected => "misdirected",
-        SendOutcome::Refused => "refused",
-        SendOutcome::Unknown => "unknown",
-        SendOutcome::Failed => "failed",
-    }
-}
-
-/// What a request adds to a server's work.
-pub(crate) fn work_of(request: &RelayRequest) -> Work {
-    Work {
-        requests: 1,
-        unread_tokens: request.size.prompt_tokens,
-        memory_tokens: request.size.prompt_tokens + request.size.answer_tokens,
-    }
-}
-
 /// The rest of a large answer, passed on as it comes.
 struct LargeRest {
     held: Option<Bytes>,
--- a/crates/cloverpier_front/src/stream.rs
+++ b/crates/cloverpier_front/src/stream/mod.rs
@@ -1,17 +1,17 @@
 //! Requests whose answer is an event stream, which may go on at another server.
 
+mod open;
+
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
-use crate::decision_log::{SendFailed, ServerChosen, ms_since};
+use crate::decision_log::{SendFailed, ms_since};
 use crate::front::{Front, RunningStream, WorkGuard};
 use crate::intake::RelayRequest;
 use crate::links::Link;
-use crate::plain::{
-    GivenUp, Progress, give_up_reply, log_end, outcome_name, silence_error, work_of,
-};
+use crate::outcome::{GivenUp, Progress, give_up_reply, log_end, outcome_name, silence_error};
 use crate::probe;
 use crate::reply::{Reply, ServerAnswer, streamed_reply};
-use crate::send::{Awaited, Opened, SendError, SendExtras, keep, send, while_alive};
+use crate::send::{Awaited, SendError, keep, while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_core::UpstreamName;
 use cloverpier_relay::prelude::*;
@@ -22,7 +22,7 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// The rank of what goes on after a loss, before all that is new.
 const RESUMED_PRIORITY: u8 = 0;
@@ -367,202 +367,6 @@
             },
         );
     }
-
-    /// Opens the stream at a server, at others when that fails.
-    async fn open_somewhere(&mut self) -> Result<(), GivenUp> {
-        loop {
-            let Some((server, extras)) = self.choose() else {
-                return Err(GivenUp {
-                    next: self.attempts.give_up(),
-                    timed_out: false,
-                    reason: "no server takes the request".to_owned(),
-                });
-            };
-            self.attempts.on_send();
-            let error = match self.open_at(&server, extras).await {
-                Ok(()) => return Ok(()),
-                Err(error) => error,
-            };
-            self.tried.push(server.name.clone());
-            let failed = matches!(error.outcome, SendOutcome::Unknown | SendOutcome::Failed);
-            self.front
-                .fleet
-                .borrow_mut()
-                .on_result(&server.name, failed);
-            self.after_interruption(&error.into())?;
-        }
-    }
-
-    /// The engine with the copy of the lost run, or the best of the others.
-    fn choose(&mut self) -> Option<(Server, SendExtras)> {
-        let front = Rc::clone(&self.front);
-        let now = Instant::now();
-        let connected = front.pool.borrow().connected(now);
-        let fleet = front.fleet.borrow();
-        let settings = front.settings();
-        let demand = Demand {
-            service: &self.request.service.name,
-            home: &settings.data_centre,
-            work: work_of(&self.request),
-            engine_memory: self.request.service.engine.map(|e| e.memory_tokens),
-            affinity: self.request.prompt.map(|p| p.0),
-            read_at: self.read_at(now),
-            is_continuation: self.request.last_event.is_some(),
-            tried: &self.tried,
-            connected: &connected,
-            now,
-            overcommit: self.progress.events > 0,
-        };
-        let mut rng = front.rng.borrow_mut();
-        let copy = self
-            .copy
-            .take()
-            .filter(|server| fleet.get(&server.name).is_some_and(ServerState::is_usable));
-        let from_copy = copy.is_some();
-        let server = match copy {
-            Some(server) => server,
-            None => match choose_server(&fleet, &demand, &mut rng) {
-                Choice::Server(server) => server,
-                Choice::Full | Choice::Nobody => return None,
-            },
-        };
-        let backups = settings.backups && self.request.service.engine.is_some_and(|e| e.backups);
-        let backup = backups
-            .then(|| choose_backup(&fleet, &demand, &server, &mut rng))
-            .flatten();
-        let extras = self.extras(&server, backup, from_copy);
-        self.log_choice(&fleet, &server, &extras, now);
-        Some((server, extras))
-    }
-
-    /// The engine that the caller's former request ran at, if this one goes on with it.
-    fn read_at(&self, now: Instant) -> Option<ServerKey> {
-        let prompt = self.request.prompt?;
-        let is_continuation = self.request.last_event.is_some() && self.progress.events == 0;
-        let places = self.front.places.borrow();
-        is_continuation
-            .then(|| places.engine_of(prompt, now))
-            .flatten()
-    }
-
-    fn extras(&self, server: &Server, backup: Option<Server>, from_copy: bool) -> SendExtras {
-        let copy_name = self.front.dialect.copy_name;
-        let is_repeat = self.progress.events > 0;
-        SendExtras {
-            backup,
-            resume_from: from_copy.then(|| copy_name(server.address, &self.request.id)),
-            last_event: self.last_event.or(from_copy.then_some(0)),
-            priority: if is_repeat {
-                RESUMED_PRIORITY
-            } else {
-                self.request.priority
-            },
-        }
-    }
-
-    fn log_choice(&self, fleet: &Fleet, server: &Server, extras: &SendExtras, now: Instant) {
-        let own = fleet.get(&server.name).map(|s| s.own).unwrap_or_default();
-        let peers = fleet.peer_work.at(ServerKey::of(&server.name));
-        self.front.log.info(
-            "server.chosen",
-            &ServerChosen {
-                request: &self.request.id,
-                route: &self.request.route.name,
-                service: self.request.service.name.as_str(),
-                server: server.name.as_str(),
-                attempt: self.attempts.sent() + 1,
-                own_requests: own.requests,
-                peer_requests: peers.requests,
-                unread_tokens: own.unread_tokens + peers.unread_tokens,
-                backup: extras.backup.as_ref().map(|b| b.name.as_str()),
-                prompt: self.request.prompt,
-                resumes_after: extras.last_event,
-                from_copy: extras.resume_from.is_some(),
-                catalog_version: self.request.catalog_version,
-                fleet_revision: fleet.revision(),
-                age_ms: ms_since(self.request.arrived, now),
-            },
-        );
-    }
-
-    async fn open_at(&mut self, server: &Server, extras: SendExtras) -> Result<(), SendError> {
-        let mut work = work_of(&self.request);
-        if extras.resume_from.is_some() {
-            work.unread_tokens = 0;
-        }
-        let work = WorkGuard::begin(&self.front, &server.name, work);
-        let now = Instant::now();
-        let prompt = self.request.prompt;
-        let running = prompt.map(|p| RunningStream::begin(&self.front, p, &server.name, now));
-        self.front.tell_peers(&server.name);
-        let backup = extras.backup.clone().map(|backup| {
-            let copied = Work {
-                memory_tokens: work_of(&self.request).memory_tokens,
-                ..Work::default()
-            };
-            let guard = WorkGuard::begin(&self.front, &backup.name, copied);
-            (backup, guard)
-        });
-        let now = Instant::now();
-        let mut liveness = Liveness::new(self.waiting_bounds(), now);
-        let opened = send(&self.front, &self.request, server, &extras, &mut liveness).await?;
-        let opened = self.judge_status(opened, server).await?;
-        if self.progress.events == 0 {
-            self.head = Some(opened.head);
-        }
-        self.source = Some(Source {
-            server: server.clone(),
-            connection: opened.connection,
-            body: opened.body,
-            link: opened.link,
-            liveness,
-            work,
-            backup,
-            _running: running,
-            last_heard: now,
-        });
-        Ok(())
-    }
-
-    /// A stream begins with 200; all else is read whole, to be passed on at need.
-    async fn judge_status(&mut self, opened: Opened, server: &Server) -> Result<Opened, SendError> {
-        if opened.head.status.is_success() {
-            return Ok(opened);
-        }
-        let collected =
-            tokio::time::timeout_at(self.request.deadline.into(), opened.body.collect());
-        let body = match collected.await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) => return Err(SendError::new(SendOutcome::Unknown, e.to_string())),
-            Err(_) => return Err(silence_error(crate::send::Silence::TimedOut)),
-        };
-        keep(&self.front, &server.name, opened.connection);
-        let reason = format!("the server answered {}", opened.head.status.as_u16());
-        self.server_failure = Some(ServerAnswer {
-            status: opened.head.status,
-            headers: opened.head.headers,
-            body,
-        });
-        Err(SendError::new(SendOutcome::Failed, reason))
-    }
-
-    fn waiting_bounds(&self) -> LivenessBounds {
-        let silence = self.front.settings().silence;
-        LivenessBounds {
-            ask_after: silence.ask_before_first,
-            answer_within: silence.answer_before_first,
-            stream_silence: silence.stuck_before_first,
-        }
-    }
-
-    fn running_bounds(&self) -> LivenessBounds {
-        let silence = self.front.settings().silence;
-        LivenessBounds {
-            ask_after: silence.ask_after,
-            answer_within: silence.answer_within,
-            stream_silence: stuck_after(silence.stuck_after, self.request.route.gap_objective),
-        }
-    }
 }
 
 /// What came of waiting for bytes.
@@ -572,8 +376,3 @@
     /// The whole answer was received.
     End,
 }
-
-/// A stream isn't taken for stuck before its pauses are late.
-fn stuck_after(setting: Duration, gap_objective: Option<Duration>) -> Duration {
-    setting.max(gap_objective.unwrap_or_default())
-}
--- /dev/null
+++ b/crates/cloverpier_front/src/stream/open.rs
@@ -0,0 +1,195 @@
+//! Opens a stream at a server: the engine with the copy of a lost run, or the best one.
+
+use super::{RESUMED_PRIORITY, Source, StreamRun};
+use crate::front::{RunningStream, WorkGuard};
+use crate::outcome::{ChoiceNote, GivenUp, log_choice, silence_error, work_of};
+use crate::reply::ServerAnswer;
+use crate::send::{Opened, SendError, SendExtras, keep, send};
+use cloverpier_relay::prelude::*;
+use http_body_util::BodyExt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+impl StreamRun {
+    /// Opens the stream at a server, at others when that fails.
+    pub(super) async fn open_somewhere(&mut self) -> Result<(), GivenUp> {
+        loop {
+            let Some((server, extras)) = self.choose() else {
+                return Err(GivenUp {
+                    next: self.attempts.give_up(),
+                    timed_out: false,
+                    reason: "no server takes the request".to_owned(),
+                });
+            };
+            self.attempts.on_send();
+            let error = match self.open_at(&server, extras).await {
+                Ok(()) => return Ok(()),
+                Err(error) => error,
+            };
+            self.tried.push(server.name.clone());
+            let failed = matches!(error.outcome, SendOutcome::Unknown | SendOutcome::Failed);
+            self.front
+                .fleet
+                .borrow_mut()
+                .on_result(&server.name, failed);
+            self.after_interruption(&error.into())?;
+        }
+    }
+
+    /// The engine with the copy of the lost run, or the best of the others.
+    fn choose(&mut self) -> Option<(Server, SendExtras)> {
+        let front = Rc::clone(&self.front);
+        let now = Instant::now();
+        let connected = front.pool.borrow().connected(now);
+        let fleet = front.fleet.borrow();
+        let settings = front.settings();
+        let demand = Demand {
+            service: &self.request.service.name,
+            home: &settings.data_centre,
+            work: work_of(&self.request),
+            engine_memory: self.request.service.engine.map(|e| e.memory_tokens),
+            affinity: self.request.prompt.map(|p| p.0),
+            read_at: self.read_at(now),
+            is_continuation: self.request.last_event.is_some(),
+            tried: &self.tried,
+            connected: &connected,
+            now,
+            overcommit: self.progress.events > 0,
+        };
+        let mut rng = front.rng.borrow_mut();
+        let copy = self
+            .copy
+            .take()
+            .filter(|server| fleet.get(&server.name).is_some_and(ServerState::is_usable));
+        let from_copy = copy.is_some();
+        let server = match copy {
+            Some(server) => server,
+            None => match choose_server(&fleet, &demand, &mut rng) {
+                Choice::Server(server) => server,
+                Choice::Full | Choice::Nobody => return None,
+            },
+        };
+        let backups = settings.backups && self.request.service.engine.is_some_and(|e| e.backups);
+        let backup = backups
+            .then(|| choose_backup(&fleet, &demand, &server, &mut rng))
+            .flatten();
+        let extras = self.extras(&server, backup, from_copy);
+        let note = ChoiceNote {
+            backup: extras.backup.as_ref(),
+            resumes_after: extras.last_event,
+            from_copy,
+            ..ChoiceNote::of(&self.attempts, now)
+        };
+        log_choice(&front, &self.request, &fleet, &server, &note);
+        Some((server, extras))
+    }
+
+    /// The engine that the caller's former request ran at, if this one goes on with it.
+    fn read_at(&self, now: Instant) -> Option<ServerKey> {
+        let prompt = self.request.prompt?;
+        let is_continuation = self.request.last_event.is_some() && self.progress.events == 0;
+        let places = self.front.places.borrow();
+        is_continuation
+            .then(|| places.engine_of(prompt, now))
+            .flatten()
+    }
+
+    fn extras(&self, server: &Server, backup: Option<Server>, from_copy: bool) -> SendExtras {
+        let copy_name = self.front.dialect.copy_name;
+        let is_repeat = self.progress.events > 0;
+        SendExtras {
+            backup,
+            resume_from: from_copy.then(|| copy_name(server.address, &self.request.id)),
+            last_event: self.last_event.or(from_copy.then_some(0)),
+            priority: if is_repeat {
+                RESUMED_PRIORITY
+            } else {
+                self.request.priority
+            },
+        }
+    }
+
+    async fn open_at(&mut self, server: &Server, extras: SendExtras) -> Result<(), SendError> {
+        let mut work = work_of(&self.request);
+        if extras.resume_from.is_some() {
+            work.unread_tokens = 0;
+        }
+        let work = WorkGuard::begin(&self.front, &server.name, work);
+        let now = Instant::now();
+        let prompt = self.request.prompt;
+        let running = prompt.map(|p| RunningStream::begin(&self.front, p, &server.name, now));
+        self.front.tell_peers(&server.name);
+        let backup = extras.backup.clone().map(|backup| {
+            let copied = Work {
+                memory_tokens: work_of(&self.request).memory_tokens,
+                ..Work::default()
+            };
+            let guard = WorkGuard::begin(&self.front, &backup.name, copied);
+            (backup, guard)
+        });
+        let now = Instant::now();
+        let mut liveness = Liveness::new(self.waiting_bounds(), now);
+        let opened = send(&self.front, &self.request, server, &extras, &mut liveness).await?;
+        let opened = self.judge_status(opened, server).await?;
+        if self.progress.events == 0 {
+            self.head = Some(opened.head);
+        }
+        self.source = Some(Source {
+            server: server.clone(),
+            connection: opened.connection,
+            body: opened.body,
+            link: opened.link,
+            liveness,
+            work,
+            backup,
+            _running: running,
+            last_heard: now,
+        });
+        Ok(())
+    }
+
+    /// A stream begins with 200; all else is read whole, to be passed on at need.
+    async fn judge_status(&mut self, opened: Opened, server: &Server) -> Result<Opened, SendError> {
+        if opened.head.status.is_success() {
+            return Ok(opened);
+        }
+        let collected =
+            tokio::time::timeout_at(self.request.deadline.into(), opened.body.collect());
+        let body = match collected.await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) => return Err(SendError::new(SendOutcome::Unknown, e.to_string())),
+            Err(_) => return Err(silence_error(crate::send::Silence::TimedOut)),
+        };
+        keep(&self.front, &server.name, opened.connection);
+        let reason = format!("the server answered {}", opened.head.status.as_u16());
+        self.server_failure = Some(ServerAnswer {
+            status: opened.head.status,
+            headers: opened.head.headers,
+            body,
+        });
+        Err(SendError::new(SendOutcome::Failed, reason))
+    }
+
+    fn waiting_bounds(&self) -> LivenessBounds {
+        let silence = self.front.settings().silence;
+        LivenessBounds {
+            ask_after: silence.ask_before_first,
+            answer_within: silence.answer_before_first,
+            stream_silence: silence.stuck_before_first,
+        }
+    }
+
+    pub(super) fn running_bounds(&self) -> LivenessBounds {
+        let silence = self.front.settings().silence;
+        LivenessBounds {
+            ask_after: silence.ask_after,
+            answer_within: silence.answer_within,
+            stream_silence: stuck_after(silence.stuck_after, self.request.route.gap_objective),
+        }
+    }
+}
+
+/// A stream isn't taken for stuck before its pauses are late.
+fn stuck_after(setting: Duration, gap_objective: Option<Duration>) -> Duration {
+    setting.max(gap_objective.unwrap_or_default())
+}
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -4,7 +4,8 @@
 //! own exactly, its peers' as they reported it a moment ago. Servers that fail
 //! more often than others, or are slower, cost more.
 
-use crate::fleet::{Fleet, Server, ServerKey, ServerState};
+use crate::fleet::Fleet;
+use crate::server::{Server, ServerKey, ServerState};
 use crate::work::Work;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
 use serde::Serialize;
--- a/crates/cloverpier_relay/src/fleet.rs
+++ b/crates/cloverpier_relay/src/fleet.rs
@@ -1,10 +1,9 @@
-//! The servers that a router knows, and what it thinks of each.
+//! The servers that a router knows: the platform's list, and the signs of life.
 
+use crate::server::{Server, ServerChange, ServerKey, ServerState, Suspicion};
 use crate::work::{PeerWork, Work};
-use cloverpier_core::{DataCentre, ServiceName, UpstreamName, hash_of};
-use serde::{Deserialize, Serialize};
+use cloverpier_core::{ServiceName, UpstreamName};
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Weight of a new sample in the smoothed failure rate and pace.
@@ -12,121 +11,11 @@
 /// First pause between two probes of a suspect; it doubles up to the longest.
 const FIRST_PROBE_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(1_000);
-/// How long a peer's doubt about a server counts.
-const DOUBT_COUNTS_FOR: Duration = Duration::from_millis(1_000);
 /// Changes of the list that are remembered for peers.
 const REMEMBERED_CHANGES: usize = 1_024;
 /// How long a server that vanished from the list is remembered.
 const REMEMBERED: Duration = Duration::from_secs(20);
 
-/// One server, as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Server {
-    /// The name of this start of it; a restarted server has another.
-    pub name: UpstreamName,
-    /// The service it belongs to.
-    pub service: ServiceName,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Where it stands.
-    pub data_centre: DataCentre,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// Whether it is about to leave.
-    pub draining: bool,
-}
-
-/// A server's name in few bytes, for messages between routers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ServerKey(pub u64);
-
-impl ServerKey {
-    /// The key of a server's name.
-    pub fn of(name: &UpstreamName) -> Self {
-        Self(hash_of(name.as_str()))
-    }
-}
-
-/// A change of the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ServerChange {
-    /// The server is listed, or listed otherwise.
-    Listed(Server),
-    /// The server isn't listed any more.
-    Gone(UpstreamName),
-}
-
-/// Why a server gets no requests although it is listed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Suspicion {
-    since: Instant,
-    next_probe: Instant,
-    pause: Duration,
-}
-
-/// A server and what this router knows of it.
-#[derive(Clone, Debug)]
-pub struct ServerState {
-    /// As listed last.
-    pub server: Server,
-    /// Its key.
-    pub key: ServerKey,
-    /// This router's own work there.
-    pub own: Work,
-    /// Smoothed share of requests that failed there.
-    pub failure_rate: f64,
-    /// Smoothed time of a unit of work, in milliseconds; 0 before the first sample.
-    pub pace_ms: f64,
-    gone: Option<Instant>,
-    replaced: bool,
-    suspicion: Option<Suspicion>,
-    /// When a peer said last that it suspects the server.
-    doubted: Option<Instant>,
-}
-
-impl ServerState {
-    fn new(server: Server) -> Self {
-        Self {
-            key: ServerKey::of(&server.name),
-            server,
-            own: Work::default(),
-            failure_rate: 0.0,
-            pace_ms: 0.0,
-            gone: None,
-            replaced: false,
-            suspicion: None,
-            doubted: None,
-        }
-    }
-
-    /// Whether a peer suspects it.
-    pub fn is_doubted(&self, now: Instant) -> bool {
-        self.doubted
-            .is_some_and(|at| now.saturating_duration_since(at) <= DOUBT_COUNTS_FOR)
-    }
-
-    /// Whether it is listed, takes new work and answers, as far as known.
-    pub fn is_usable(&self) -> bool {
-        self.is_listed() && self.suspicion.is_none()
-    }
-
-    /// Whether it is listed, not leaving, and the newest start at its address.
-    pub fn is_listed(&self) -> bool {
-        self.gone.is_none() && self.has_not_left()
-    }
-
-    /// Whether nothing but its missing entry says that it left.
-    pub fn has_not_left(&self) -> bool {
-        !self.server.draining && !self.replaced
-    }
-
-    /// Whether it is suspected to be dead.
-    pub fn is_suspect(&self) -> bool {
-        self.suspicion.is_some()
-    }
-}
-
 /// All servers that a router knows.
 #[derive(Debug, Default)]
 pub struct Fleet {
--- a/crates/cloverpier_relay/src/lib.rs
+++ b/crates/cloverpier_relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod liveness;
 mod peers;
 mod places;
+mod server;
 mod work;
 
 /// What users of the crate need daily.
@@ -37,11 +38,12 @@
     };
     pub use crate::choice::{Choice, Demand, choose_backup, choose_server};
     pub use crate::events::{EventError, EventSplitter, StreamEvent};
-    pub use crate::fleet::{Fleet, Server, ServerChange, ServerKey, ServerState};
+    pub use crate::fleet::Fleet;
     pub use crate::following::{Candidate, Following, should_follow};
     pub use crate::liveness::{Liveness, LivenessBounds, LivenessStep};
     pub use crate::peers::{Directory, PeerEntry, PeerState};
     pub use crate::places::{PromptKey, PromptPlaces};
+    pub use crate::server::{Server, ServerChange, ServerKey, ServerState};
     pub use crate::work::{PeerWork, Work};
 }
 
--- a/crates/cloverpier_relay/src/places.rs
+++ b/crates/cloverpier_relay/src/places.rs
@@ -4,7 +4,7 @@
 //! router. The engine that ran it still has the prompt in memory, so it goes
 //! on there at once, and elsewhere only after the prompt is read again.
 
-use crate::fleet::ServerKey;
+use crate::server::ServerKey;
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
--- a/crates/cloverpier_relay/src/work.rs
+++ b/crates/cloverpier_relay/src/work.rs
@@ -1,6 +1,6 @@
 //! Work in flight at servers, this router's own and its peers'.
 
-use crate::fleet::ServerKey;
+use crate::server::ServerKey;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/crates/cloverpier_relay_standin/src/caller.rs
+++ b/crates/cloverpier_relay_standin/src/caller.rs
@@ -1,7 +1,7 @@
 //! A caller that checks what it gets.
 
+use crate::answers::{EVENTS, event_bytes, plain_body};
 use crate::http::{Head, read_body, read_head, read_more};
-use crate::server::{EVENTS, event_bytes, plain_body};
 use cloverpier_front::HeaderNames;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/cloverpier_relay_standin/src/lib.rs
+++ b/crates/cloverpier_relay_standin/src/lib.rs
@@ -7,11 +7,12 @@
 //! include answers that no library would send.
 //!
 //! ```
-//! use cloverpier_relay_standin::server::event_bytes;
+//! use cloverpier_relay_standin::answers::event_bytes;
 //!
 //! assert_eq!(event_bytes("prompt", 3), b"id: 3\ndata: prompt-3\n\n");
 //! ```
 
+pub mod answers;
 pub mod caller;
 mod http;
 pub mod link;
