--- a/crates/cloverpier_front/src/stream/open.rs
+++ b/crates/cloverpier_front/src/stream/open.rs
@@ -144,6 +144,7 @@
             backup,
             _running: running,
             last_heard: now,
+            events: 0,
         });
         Ok(())
     }
