--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -71,15 +71,11 @@
     pub fn new(settings: FrontSettings, dialect: Dialect, mut rng: fastrand::Rng) -> Self {
         Self {
             log: Log::new(settings.vm.as_str()),
+            settings: RefCell::new(Rc::new(settings)),
             dialect,
             metrics: Metrics::default(),
             catalog: RefCell::new(None),
-            fleet: RefCell::new({
-                let mut fleet = Fleet::default();
-                fleet.set_decode_share(settings.decode_share);
-                fleet
-            }),
-            settings: RefCell::new(Rc::new(settings)),
+            fleet: RefCell::new(Fleet::default()),
             fleet_known: Cell::new(false),
             directory: RefCell::new(Directory::default()),
             pool: RefCell::new(Pool::default()),
@@ -186,12 +182,6 @@
         self.with_budget(service, |budget| budget.take_repeat(now, alive))
     }
 
-    /// Whether repeats that only help may be sent.
-    pub(crate) fn has_ample_budget(&self, service: &ServiceName, now: Instant) -> bool {
-        let alive = self.directory.borrow().alive(now, self.peer_silence());
-        self.with_budget(service, |budget| budget.is_ample(now, alive))
-    }
-
     /// Notes a caller's request for a service.
     pub(crate) fn on_request(&self, service: &ServiceName, now: Instant) {
         self.with_budget(service, |budget| budget.on_request(now));
--- a/crates/cloverpier_front/src/stream/mod.rs
+++ b/crates/cloverpier_front/src/stream/mod.rs
@@ -27,9 +27,6 @@
 /// The rank of what goes on after a loss, before all that is new.
 const RESUMED_PRIORITY: u8 = 0;
 
-/// Events after which the copy of a run's memory has arrived.
-const EVENTS_BEFORE_MOVE: u64 = 15;
-
 /// Relays a request whose answer is an event stream.
 pub(crate) async fn relay_stream(front: &Rc<Front>, request: &Rc<RelayRequest>) -> Reply {
     let mut run = StreamRun::new(front, request);
@@ -97,7 +94,6 @@
     backup: Option<(Server, WorkGuard)>,
     _running: Option<RunningStream>,
     last_heard: Instant,
-    events: u64,
 }
 
 /// A stream on its way to its caller.
@@ -228,10 +224,6 @@
             if let Some(piece) = self.take_events() {
                 return Ok(Some(piece));
             }
-            if self.is_move_due() {
-                self.move_to_copy().await?;
-                continue;
-            }
             let interruption = match self.receive().await {
                 Ok(Received::Bytes) => continue,
                 Ok(Received::End) => {
@@ -246,39 +238,6 @@
         }
     }
 
-    /// Whether the stream should go on at the engine with its copy, away from prompts.
-    fn is_move_due(&self) -> bool {
-        let Some(source) = &self.source else {
-            return false;
-        };
-        let Some((backup, _)) = &source.backup else {
-            return false;
-        };
-        let may_move = self.request.route.repeat() == Repeat::Resumable;
-        if !may_move || source.events < EVENTS_BEFORE_MOVE || self.splitter.has_partial() {
-            return false;
-        }
-        let fleet = self.front.fleet.borrow();
-        let is_gathered = |name| {
-            fleet
-                .get(name)
-                .is_some_and(|s| s.decodes_only && s.is_usable())
-        };
-        let is_useful = !is_gathered(&source.server.name) && is_gathered(&backup.name);
-        drop(fleet);
-        let now = Instant::now();
-        is_useful
-            && self.front.has_ample_budget(&self.request.service.name, now)
-            && self.front.take_repeat(&self.request.service.name, now)
-    }
-
-    /// Goes on at the engine with the copy although the present one is well.
-    async fn move_to_copy(&mut self) -> Result<(), GivenUp> {
-        self.front.metrics.resumed.count("planned");
-        self.leave_source();
-        self.open_somewhere().await
-    }
-
     /// Takes all whole events that were received, in order, each once.
     fn take_events(&mut self) -> Option<Bytes> {
         let mut piece = BytesMut::new();
@@ -298,11 +257,11 @@
         }
         let now = Instant::now();
         self.progress.on_events(count, now);
-        self.on_progress(count, now);
+        self.on_progress(now);
         Some(piece.freeze())
     }
 
-    fn on_progress(&mut self, count: u64, now: Instant) {
+    fn on_progress(&mut self, now: Instant) {
         if let Some(lost) = self.lost_since.take() {
             let pause = now.saturating_duration_since(lost);
             self.front.metrics.resume_pause.observe(pause);
@@ -313,7 +272,6 @@
             source.liveness.set_bounds(bounds);
             source.liveness.on_event(now);
             source.last_heard = now;
-            source.events += count;
         }
     }
 
--- a/crates/cloverpier_front/src/stream/open.rs
+++ b/crates/cloverpier_front/src/stream/open.rs
@@ -144,7 +144,6 @@
             backup,
             _running: running,
             last_heard: now,
-            events: 0,
         });
         Ok(())
     }
--- a/crates/cloverpier_relay/src/budget.rs
+++ b/crates/cloverpier_relay/src/budget.rs
@@ -56,13 +56,6 @@
         true
     }
 
-    /// Whether less than a third of this router's share is spent, so that repeats that
-    /// only help may be sent.
-    pub fn is_ample(&mut self, now: Instant, routers: usize) -> bool {
-        self.forget(now);
-        (self.repeats.len() as f64) * 2.0 < self.allowed(routers)
-    }
-
     fn allowed(&self, routers: usize) -> f64 {
         let own = self.bounds.ratio * self.requests.len() as f64;
         let slack = self.bounds.slack / routers.max(1) as f64;
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -24,8 +24,6 @@
 const FILLED_PART: f64 = 0.92;
 /// Cost, in tokens, of an engine whose memory would overflow.
 const OVERFULL_TOKENS: f64 = 200_000.0;
-/// Cost, in tokens, of reading a prompt beside the decodes that were gathered at an engine.
-const DECODES_ONLY_TOKENS: f64 = 30_000.0;
 /// Engines whose costs differ by less are taken for equal.
 const ABOUT_THE_SAME_TOKENS: f64 = 3000.0;
 /// Requests that may wait at a plain server, for each of its slots.
@@ -121,8 +119,6 @@
         .filter(|s| s.server.data_centre != primary.data_centre)
         .collect();
     let pool = if far.is_empty() { roomy } else { far };
-    let gathered: Vec<&ServerState> = pool.iter().copied().filter(|s| s.decodes_only).collect();
-    let pool = if gathered.is_empty() { pool } else { gathered };
     let cost = |s: &ServerState| f64::from(fleet.work_at(s).memory_tokens);
     cheapest(&pool, cost, rng).map(|s| s.server.clone())
 }
@@ -202,9 +198,6 @@
     let running = f64::from(work.requests) * TOKENS_PER_RUNNING;
     let mut cost = (unread + running) * slowness(state, best_pace).sqrt();
     cost *= 1.0 + state.failure_rate;
-    if state.decodes_only && demand.work.unread_tokens > 0 {
-        cost += DECODES_ONLY_TOKENS;
-    }
     if !fits(fleet, state, demand.work, memory) {
         cost += OVERFULL_TOKENS;
     }
--- a/crates/cloverpier_relay/src/fleet.rs
+++ b/crates/cloverpier_relay/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::server::{Server, ServerChange, ServerKey, ServerState, Suspicion};
 use crate::work::{PeerWork, Work};
-use cloverpier_core::{DataCentre, ServiceName, UpstreamName, hash_of};
+use cloverpier_core::{ServiceName, UpstreamName};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -25,7 +25,6 @@
     /// Work that other routers have in flight.
     pub peer_work: PeerWork,
     revision: u64,
-    decode_share: f64,
     /// The newest changes, each with the revision that its batch reached.
     changes: VecDeque<(u64, ServerChange)>,
     /// The revision from which on `changes` is complete.
@@ -92,7 +91,6 @@
         for server in servers {
             self.apply(ServerChange::Listed(server), now);
         }
-        self.assign_decodes();
         self.revision = revision;
         self.changes.clear();
         self.changes_since = revision;
@@ -113,7 +111,6 @@
             self.changes.push_back((revision, change.clone()));
             self.apply(change, now);
         }
-        self.assign_decodes();
         self.revision = revision;
         self.forget_old_changes();
         self.forget_gone(now);
@@ -163,41 +160,6 @@
         self.servers.insert(name, state);
     }
 
-    /// Sets the share of engines in each data centre that prompts keep away from.
-    pub fn set_decode_share(&mut self, share: f64) {
-        self.decode_share = share;
-        self.assign_decodes();
-    }
-
-    /// Chooses by address, so that all routers choose the same engines, and a
-    /// restarted engine keeps its part.
-    fn assign_decodes(&mut self) {
-        let mut by_place: BTreeMap<(ServiceName, DataCentre), Vec<(u64, UpstreamName)>> =
-            BTreeMap::new();
-        for state in self.servers.values_mut() {
-            state.decodes_only = false;
-            if state.gone.is_some() || state.replaced {
-                continue;
-            }
-            let place = (
-                state.server.service.clone(),
-                state.server.data_centre.clone(),
-            );
-            let rank = hash_of(&state.server.address.to_string());
-            let names = by_place.entry(place).or_default();
-            names.push((rank, state.server.name.clone()));
-        }
-        for names in by_place.values_mut() {
-            names.sort_unstable();
-            let count = (names.len() as f64 * self.decode_share).round() as usize;
-            for (_, name) in names.iter().take(count) {
-                if let Some(state) = self.servers.get_mut(name) {
-                    state.decodes_only = true;
-                }
-            }
-        }
-    }
-
     /// A new start at an address means that the one before is over.
     fn replace_at(&mut self, newer: &Server) {
         for state in self.servers.values_mut() {
--- a/crates/cloverpier_relay/src/server.rs
+++ b/crates/cloverpier_relay/src/server.rs
@@ -68,8 +68,6 @@
     pub failure_rate: f64,
     /// Smoothed time of a unit of work, in milliseconds; 0 before the first sample.
     pub pace_ms: f64,
-    /// Whether it is among the engines that prompts keep away from.
-    pub decodes_only: bool,
     pub(crate) gone: Option<Instant>,
     pub(crate) replaced: bool,
     pub(crate) suspicion: Option<Suspicion>,
@@ -85,7 +83,6 @@
             own: Work::default(),
             failure_rate: 0.0,
             pace_ms: 0.0,
-            decodes_only: false,
             gone: None,
             replaced: false,
             suspicion: None,
--- a/crates/cloverpier_settings/src/front.rs
+++ b/crates/cloverpier_settings/src/front.rs
@@ -74,8 +74,6 @@
     pub silence: SilenceSettings,
     /// Whether engines copy runs' memory to another engine as it grows.
     pub backups: bool,
-    /// Share of the engines in each data centre that prompts keep away from.
-    pub decode_share: f64,
     /// `error`, `warn`, `info` or `debug`.
     pub log_level: String,
 }
@@ -106,7 +104,6 @@
             retry: read_retry(&mut r),
             silence: read_silence(&mut r),
             backups: r.flag_or("backups", true),
-            decode_share: r.decimal_or("decode_share", 0.0, 0.9, 0.3),
             log_level: level(&mut r),
         };
         r.finish()?;
