--- a/crates/cloverpier_relay_standin/src/caller.rs
+++ b/crates/cloverpier_relay_standin/src/caller.rs
@@ -144,7 +144,12 @@
     if let Some(wrong) = wrong_head(&head, names, request) {
         return Ok(Outcome::Wrong(wrong));
     }
+    let is_chunked = head.get("transfer-encoding").is_some();
     match &request.prompt {
+        // A continuation after the last event is answered whole and empty.
+        Some(_) if !is_chunked && head.content_length() == 0 => {
+            Ok(end_of(request.last_event.unwrap_or(0), &buffer))
+        }
         Some(prompt) => read_events(&mut stream, buffer, request, prompt).await,
         None => read_plain(&mut stream, names, buffer, &head, request).await,
     }
