--- a/crates/cloverpier_relay_standin/src/caller.rs
+++ b/crates/cloverpier_relay_standin/src/caller.rs
@@ -27,6 +27,8 @@
     pub last_event: Option<u64>,
     /// How long it waits.
     pub deadline: Duration,
+    /// The body.
+    pub body: String,
 }
 
 /// What came of a request.
@@ -182,8 +184,8 @@
             .iter()
             .map(|l| format!("{}: {l}", names.last_event)),
     );
-    lines.push("content-length: 4".to_owned());
-    lines.join("\r\n") + "\r\n\r\nbody"
+    lines.push(format!("content-length: {}", request.body.len()));
+    lines.join("\r\n") + "\r\n\r\n" + &request.body
 }
 
 fn wrong_head(head: &Head, names: &HeaderNames, request: &CallerRequest) -> Option<String> {
--- a/crates/cloverpier_relay_standin/src/server.rs
+++ b/crates/cloverpier_relay_standin/src/server.rs
@@ -52,6 +52,8 @@
     pub tenants: HashMap<String, String>,
     /// Copies of runs' memory: where each lies.
     copies: HashSet<(SocketAddr, String)>,
+    /// Streams that a server stopped as their connection was closed, by request.
+    pub stopped: HashSet<String>,
     /// Servers that each request reached, in order.
     pub reached: HashMap<String, Vec<UpstreamName>>,
 }
@@ -270,7 +272,14 @@
     }
     let asked = note_run(state, head, id, server, names);
     match &asked.prompt {
-        Some(prompt) => stream_events(stream, &asked, prompt).await,
+        Some(prompt) => {
+            let streamed = stream_events(stream, &asked, prompt).await;
+            if streamed.is_err() {
+                let ledger = Arc::clone(&lock(state).ledger);
+                lock(&ledger).stopped.insert(asked.id.clone());
+            }
+            streamed
+        }
         None => answer_plainly(stream, &asked).await,
     }
 }
--- a/tools/src/fronts.rs
+++ b/tools/src/fronts.rs
@@ -284,6 +284,7 @@
             prompt: is_stream.then(|| format!("prompt-of-{id}")),
             last_event: None,
             deadline: Duration::from_secs(if is_stream { 20 } else { 3 }),
+            body: "body".to_owned(),
         }
     }
 
