--- a/crates/cloverpier_relay_standin/src/server.rs
+++ b/crates/cloverpier_relay_standin/src/server.rs
@@ -167,6 +167,11 @@
         lock(&self.state).script.push(fault);
     }
 
+    /// Whether requests have met all faults that were added.
+    pub fn has_met_its_faults(&self) -> bool {
+        lock(&self.state).script.is_empty()
+    }
+
     /// Forgets the faults that no request has met yet.
     pub fn clear_script(&self) {
         lock(&self.state).script.clear();
