Ask engines which of them has read a continuation's prompt, where no front knows it

Cause: when all fronts die, so does what they know of streams under way. Excluded: prompts given way meanwhile (an engine's memory holds about ten, LRU; engines' own lists show them kept); retries without a last event. Change: the first such continuation makes a front ask all engines of the service what they have cached of late (once each 10 s); it waits for the answer for 250 ms at most. A prompt is now named by its own part alone, which is what engines tell. Test: a_caller_goes_on_at_its_engine_although_all_fronts_died (failed before: engine 5 for 2).

--- a/crates/cloverpier_front/src/decision_log.rs
+++ b/crates/cloverpier_front/src/decision_log.rs
@@ -102,3 +102,18 @@
     pub version: u64,
     pub from: &'a str,
 }
+
+/// A search for the engines that hold prompts has ended.
+#[derive(Debug, Serialize)]
+pub(crate) struct PromptsSearched<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Engines that were asked.
+    pub asked: usize,
+    /// Engines that answered.
+    pub answered: usize,
+    /// Prompts that are cached there.
+    pub prompts: usize,
+    /// How long it took, in milliseconds.
+    pub took_ms: u64,
+}
--- a/crates/cloverpier_front/src/dialect.rs
+++ b/crates/cloverpier_front/src/dialect.rs
@@ -55,6 +55,8 @@
     pub directory: &'static str,
     /// Whether a model engine answers at all; asked of an engine.
     pub engine_report: &'static str,
+    /// Which prompts an engine has read of late; asked of an engine.
+    pub engine_cache: &'static str,
 }
 
 /// All words that differ between deployments.
@@ -70,6 +72,10 @@
     pub copy_name: fn(SocketAddr, &str) -> String,
     /// Reads the tokens of a request.
     pub prompt_size: fn(&str) -> Option<PromptSize>,
+    /// The name of the part of a prompt that no other prompt shares, from all its parts.
+    pub own_part: fn(&str) -> Option<&str>,
+    /// Reads an engine's answer on what it has cached: the names of parts of prompts.
+    pub cached_parts: fn(&[u8]) -> Vec<String>,
 }
 
 impl Default for Dialect {
@@ -96,10 +102,13 @@
                 ready: "/ready",
                 directory: "/addresses",
                 engine_report: "/report",
+                engine_cache: "/cache",
             },
             directory_answer: own_directory_answer,
             copy_name: own_copy_name,
             prompt_size: own_prompt_size,
+            own_part: own_last_part,
+            cached_parts: own_cached_parts,
         }
     }
 }
@@ -120,3 +129,11 @@
         answer_tokens: answer.trim().parse().ok()?,
     })
 }
+
+fn own_last_part(parts: &str) -> Option<&str> {
+    parts.rsplit(',').next().map(str::trim)
+}
+
+fn own_cached_parts(body: &[u8]) -> Vec<String> {
+    serde_json::from_slice(body).unwrap_or_default()
+}
--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -5,6 +5,7 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::recall::Searches;
 use crate::sync::StoreHealth;
 use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_observe::Log;
@@ -50,6 +51,8 @@
     pub(crate) changed: RefCell<Vec<UpstreamName>>,
     /// Where prompts were read of late.
     pub(crate) places: RefCell<PromptPlaces>,
+    /// Searches for the engines that hold prompts.
+    pub(crate) searches: Searches,
     /// Where the prompts of running streams were read.
     pub(crate) running: RefCell<HashMap<PromptKey, ServerKey>>,
     /// Prompts of which peers should hear at once where they are read.
@@ -84,6 +87,7 @@
             news: Notify::new(),
             changed: RefCell::new(Vec::new()),
             places: RefCell::new(PromptPlaces::default()),
+            searches: Searches::default(),
             running: RefCell::new(HashMap::new()),
             changed_places: RefCell::new(Vec::new()),
             newer: Notify::new(),
--- a/crates/cloverpier_front/src/intake.rs
+++ b/crates/cloverpier_front/src/intake.rs
@@ -48,7 +48,7 @@
     pub last_event: Option<u64>,
     /// Its tokens.
     pub size: PromptSize,
-    /// A hash of its prompt's parts.
+    /// A hash of the part of its prompt that is its own.
     pub prompt: Option<PromptKey>,
     /// Its rank, 0 the highest.
     pub priority: u8,
@@ -149,6 +149,7 @@
         last_event: text_of(&head.headers, &names.last_event).and_then(|t| t.trim().parse().ok()),
         size: prompt_size(front, &head.headers),
         prompt: text_of(&head.headers, &names.prompt_parts)
+            .and_then(front.dialect.own_part)
             .map(hash_of)
             .map(PromptKey),
         headers: forwarded_headers(front, head.headers, tenant.as_deref()),
--- a/crates/cloverpier_front/src/lib.rs
+++ b/crates/cloverpier_front/src/lib.rs
@@ -30,6 +30,7 @@
 mod plain;
 mod pool;
 mod probe;
+mod recall;
 mod reply;
 mod send;
 mod settings;
--- a/crates/cloverpier_front/src/stream/open.rs
+++ b/crates/cloverpier_front/src/stream/open.rs
@@ -3,6 +3,7 @@
 use super::{RESUMED_PRIORITY, Source, StreamRun};
 use crate::front::{RunningStream, WorkGuard};
 use crate::outcome::{ChoiceNote, GivenUp, log_choice, silence_error, work_of};
+use crate::recall::find_prompt;
 use crate::reply::ServerAnswer;
 use crate::send::{Opened, SendError, SendExtras, keep, send};
 use cloverpier_relay::prelude::*;
@@ -13,6 +14,7 @@
 impl StreamRun {
     /// Opens the stream at a server, at others when that fails.
     pub(super) async fn open_somewhere(&mut self) -> Result<(), GivenUp> {
+        self.find_prompt().await;
         loop {
             let Some((server, extras)) = self.choose() else {
                 return Err(GivenUp {
@@ -84,6 +86,15 @@
         Some((server, extras))
     }
 
+    /// Finds out which engine has read the prompt of a former request, if this one goes on with it.
+    async fn find_prompt(&self) {
+        let is_new = self.attempts.sent() == 0 && self.request.last_event.is_some();
+        let is_engine = self.request.service.engine.is_some();
+        if let Some(prompt) = self.request.prompt.filter(|_| is_new && is_engine) {
+            find_prompt(&self.front, &self.request.service.name, prompt).await;
+        }
+    }
+
     /// The engine that the caller's former request ran at, if this one goes on with it.
     fn read_at(&self, now: Instant) -> Option<ServerKey> {
         let prompt = self.request.prompt?;
--- a/crates/cloverpier_relay/src/places.rs
+++ b/crates/cloverpier_relay/src/places.rs
@@ -13,7 +13,7 @@
 /// Prompts remembered at most; the oldest give way.
 const MOST: usize = 20_000;
 
-/// A prompt, by the hash of its parts.
+/// A prompt, by the hash of the part that is its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct PromptKey(pub u64);
@@ -39,6 +39,13 @@
         self.forget_old(now);
     }
 
+    /// Notes that an engine was found to hold a prompt; what is known already counts more.
+    pub fn on_found(&mut self, prompt: PromptKey, server: ServerKey, now: Instant) {
+        if self.engine_of(prompt, now).is_none() {
+            self.on_read(prompt, server, now);
+        }
+    }
+
     /// The engine that read a prompt last.
     pub fn engine_of(&self, prompt: PromptKey, now: Instant) -> Option<ServerKey> {
         let place = self.places.get(&prompt)?;
--- a/crates/cloverpier_relay_standin/src/server.rs
+++ b/crates/cloverpier_relay_standin/src/server.rs
@@ -72,6 +72,9 @@
     names: HeaderNames,
     ledger: SharedLedger,
     event_interval: Duration,
+    cache: CacheShape,
+    /// Prompts that were read, in order.
+    prompts: Vec<String>,
     /// Faults of the next requests, the first one first.
     script: Vec<Fault>,
     /// A fault of a share of the requests.
@@ -93,6 +96,15 @@
     }
 }
 
+/// How a server tells which prompts it has read.
+#[derive(Clone, Copy, Debug)]
+pub struct CacheShape {
+    /// The path of the question, without its query.
+    pub path: &'static str,
+    /// Writes the answer, from the names of the prompts in the order in which they were read.
+    pub answer: fn(&[String]) -> String,
+}
+
 /// What a server is made of.
 #[derive(Clone, Debug)]
 pub struct ServerSpec {
@@ -106,6 +118,8 @@
     pub event_interval: Duration,
     /// Seeds the choice of requests that meet a fault.
     pub seed: u64,
+    /// How it tells which prompts it has read.
+    pub cache: CacheShape,
 }
 
 impl ServerStandIn {
@@ -135,6 +149,8 @@
             names,
             ledger,
             event_interval: spec.event_interval,
+            cache: spec.cache,
+            prompts: Vec::new(),
             script: Vec::new(),
             random: None,
             rng: fastrand::Rng::with_seed(spec.seed),
@@ -261,7 +277,8 @@
     let Some(id) = head.get(names.request_id.as_str()).map(str::to_owned) else {
         // A question, such as a health check.
         let named = (names.answering_server.as_str(), server.name.as_str());
-        write_answer(stream, 200, &[named], b"{}").await?;
+        let body = answer_to_question(&lock(state), head);
+        write_answer(stream, 200, &[named], body.as_bytes()).await?;
         return Ok(true);
     };
     if let Some((status, header)) = turn_down(head, &server, &names, state) {
@@ -289,6 +306,15 @@
     }
 }
 
+fn answer_to_question(state: &State, head: &Head) -> String {
+    let path = head.word(1).split('?').next();
+    if path == Some(state.cache.path) {
+        (state.cache.answer)(&state.prompts)
+    } else {
+        "{}".to_owned()
+    }
+}
+
 /// Why a request isn't run: the status, and a header.
 fn turn_down(
     head: &Head,
@@ -354,10 +380,12 @@
         ledger.copies.insert((at, id.clone()));
     }
     drop(ledger);
+    let prompt = head.get(names.prompt_parts.as_str()).map(str::to_owned);
+    state.prompts.extend(prompt.clone());
     let last_event = head.get(names.last_event.as_str());
     Asked {
         id,
-        prompt: head.get(names.prompt_parts.as_str()).map(str::to_owned),
+        prompt,
         last_event: last_event.and_then(|l| l.parse().ok()).unwrap_or(0),
         server,
         names,
--- a/tools/src/fronts.rs
+++ b/tools/src/fronts.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Process, free_addresses};
 use cloverpier_adapter::platform_dialect;
-use cloverpier_adapter_standin::store_shapes;
+use cloverpier_adapter_standin::{cache_shape, store_shapes};
 use cloverpier_core::ServiceName;
 use cloverpier_front::HeaderNames;
 use cloverpier_relay::prelude::*;
@@ -156,6 +156,7 @@
             data_centre: format!("hall-{}", index % 2),
             event_interval: self.spec.event_interval,
             seed: self.spec.seed + index as u64,
+            cache: cache_shape(),
         };
         let ledger = Arc::clone(&self.ledger);
         let stand_in = ServerStandIn::start(spec.clone(), None, self.names.clone(), ledger).await?;
