Let fronts take turns at a store that answers nobody

Each of them also sent its heartbeat to all. Change: the three first by rank go on as before; the others wait for a random part of 100 ms for each live front before their first call and between calls, and don't ping a store that fails them. Only fronts whose word from the store is fresh heartbeat to all. Test: routers_take_turns_at_a_store_that_answers_nobody (no such bound existed before).

--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -63,8 +63,8 @@
     pub(crate) store: StoreHealth,
     /// When the store answered last.
     pub(crate) store_heard: Cell<Option<Instant>>,
-    /// Whether this front follows the store.
-    pub(crate) follows_store: Cell<bool>,
+    /// Whether this front follows the store, and why.
+    pub(crate) following: Cell<Following>,
     /// Distinguishes this start from others at the same address.
     pub(crate) incarnation: u64,
 }
@@ -93,7 +93,7 @@
             newer: Notify::new(),
             store: StoreHealth::default(),
             store_heard: Cell::new(None),
-            follows_store: Cell::new(true),
+            following: Cell::new(Following::Chosen),
             incarnation: rng.u64(..),
             rng: RefCell::new(rng),
             stopping: Cell::new(None),
@@ -142,7 +142,8 @@
             .collect();
         let own = self.settings().listen.peers;
         let following = should_follow(own, &live, STORE_WORD_FRESH);
-        if self.follows_store.replace(following.is_due()) != following.is_due() {
+        let former = self.following.replace(following);
+        if former.is_due() != following.is_due() {
             let line = FollowingChanged {
                 follows: following.is_due(),
                 live_peers: live.len(),
@@ -153,6 +154,33 @@
         following.is_due()
     }
 
+    /// Whether this front follows the store.
+    pub(crate) fn follows_store(&self) -> bool {
+        self.following.get().is_due()
+    }
+
+    /// Whether peers rely on this front's word from the store.
+    pub(crate) fn has_word_for_peers(&self, now: Instant) -> bool {
+        let heard = self.store_heard.get();
+        let is_fresh = |at| now.saturating_duration_since(at) <= STORE_WORD_FRESH;
+        match self.following.get() {
+            Following::Chosen => true,
+            Following::NobodyElse => heard.is_some_and(is_fresh),
+            Following::LeftToOthers => false,
+        }
+    }
+
+    /// The longest pause between calls to a store that doesn't answer.
+    pub(crate) fn longest_store_pause(&self, now: Instant) -> Duration {
+        let silence = self.peer_silence();
+        let directory = self.directory.borrow();
+        let live = directory
+            .heard()
+            .filter(|(_, e)| now.saturating_duration_since(e.heard) <= silence);
+        let live: Vec<_> = live.map(|(peer, _)| *peer).collect();
+        longest_pause(self.settings().listen.peers, &live)
+    }
+
     /// Has peers hear at once of the work at a server, or that it is suspected.
     pub(crate) fn tell_peers(&self, server: &UpstreamName) {
         self.changed.borrow_mut().push(server.clone());
--- a/crates/cloverpier_front/src/gossip.rs
+++ b/crates/cloverpier_front/src/gossip.rs
@@ -101,7 +101,7 @@
         if now >= next_heartbeat {
             forget_old(&front, now);
             front.decide_following(now);
-            let peers = heartbeat_peers(&front, &mut turn);
+            let peers = heartbeat_peers(&front, &mut turn, now);
             send(&socket, &Message::Heartbeat(heartbeat(&front, now)), &peers);
             next_heartbeat = now + front.settings().heartbeat;
         }
@@ -151,10 +151,10 @@
     front.directory.borrow_mut().forget_old(now);
 }
 
-/// The peers whose turn it is; all of them hear a front that follows the store.
-fn heartbeat_peers(front: &Front, turn: &mut usize) -> Vec<SocketAddr> {
+/// The peers whose turn it is; all of them hear a front whose word from the store they rely on.
+fn heartbeat_peers(front: &Front, turn: &mut usize, now: Instant) -> Vec<SocketAddr> {
     let mut all = front.directory.borrow().addresses();
-    if all.len() <= PEERS_A_TURN || front.follows_store.get() {
+    if all.len() <= PEERS_A_TURN || front.has_word_for_peers(now) {
         return all;
     }
     all.sort_unstable();
@@ -206,10 +206,7 @@
 }
 
 fn store_age_ms(front: &Front, now: Instant) -> Option<u32> {
-    let heard = front
-        .store_heard
-        .get()
-        .filter(|_| front.follows_store.get())?;
+    let heard = front.store_heard.get().filter(|_| front.follows_store())?;
     let age = now.saturating_duration_since(heard).as_millis();
     u32::try_from(age).ok()
 }
--- a/crates/cloverpier_front/src/sync.rs
+++ b/crates/cloverpier_front/src/sync.rs
@@ -13,9 +13,8 @@
 
 /// How long one watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
-/// First and longest pause after a failed call.
+/// First pause after a failed call; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 /// A front that doesn't follow the store looks this often whether it should.
 const IDLE_PERIOD: Duration = Duration::from_millis(100);
 /// How often a follower makes sure that the store still answers, and how long that may take.
@@ -140,11 +139,47 @@
             log_dependency(front, "dependency.lost", self.name, &error.to_string());
         }
         let pause = jitter(&mut front.rng.borrow_mut(), self.pause);
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        self.pause = (self.pause * 2).min(front.longest_store_pause(Instant::now()));
         tokio::time::sleep(pause).await;
     }
 }
 
+/// Whether it is a front's turn to call the store.
+///
+/// Where no follower has a fresh word, all others would call at the same
+/// moment; each waits for a part of the time in which all of them have a turn.
+#[derive(Debug, Default)]
+struct Turn {
+    has_waited: bool,
+}
+
+impl Turn {
+    /// Waits for a while; true when the store is to be called now.
+    async fn has_come(&mut self, front: &Front) -> bool {
+        let following = front.following.get();
+        match following {
+            Following::Chosen => true,
+            Following::NobodyElse if self.has_waited => true,
+            Following::NobodyElse => {
+                self.has_waited = true;
+                tokio::time::sleep(random_part(front)).await;
+                false
+            }
+            Following::LeftToOthers => {
+                self.has_waited = false;
+                tokio::time::sleep(IDLE_PERIOD).await;
+                false
+            }
+        }
+    }
+}
+
+/// A random part of the longest pause between calls.
+fn random_part(front: &Front) -> Duration {
+    let longest = front.longest_store_pause(Instant::now());
+    longest.mul_f64(front.rng.borrow_mut().f64())
+}
+
 /// Notes that the store answers again.
 fn note_regained(front: &Front, lost: &Cell<bool>, name: &str) {
     if lost.replace(false) {
@@ -159,10 +194,10 @@
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn follow_catalog(front: Rc<Front>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(CATALOG, &front.store.catalog);
+    let mut turn = Turn::default();
     let mut revision: Option<u64> = None;
     loop {
-        if front.catalog().is_some() && !front.follows_store.get() {
-            tokio::time::sleep(IDLE_PERIOD).await;
+        if front.catalog().is_some() && !turn.has_come(&front).await {
             continue;
         }
         let change = match revision {
@@ -224,11 +259,11 @@
 /// Follows the list of servers for as long as the process runs.
 pub(crate) async fn follow_fleet(front: Rc<Front>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(FLEET, &front.store.fleet);
+    let mut turn = Turn::default();
     let mut revision: Option<u64> = None;
     loop {
         if front.fleet_known.get() {
-            if !front.follows_store.get() {
-                tokio::time::sleep(IDLE_PERIOD).await;
+            if !turn.has_come(&front).await {
                 continue;
             }
             // Peers may have told more than the last watch did.
@@ -291,7 +326,7 @@
     let mut is_silent = false;
     loop {
         tokio::time::sleep(PING_PERIOD).await;
-        if !front.follows_store.get() {
+        if !is_ping_due(&front) {
             continue;
         }
         match source.ping(PING_PATIENCE).await {
@@ -314,3 +349,13 @@
         }
     }
 }
+
+/// A chosen follower always pings; any other one only a store that answers its calls.
+fn is_ping_due(front: &Front) -> bool {
+    let health = &front.store;
+    match front.following.get() {
+        Following::Chosen => true,
+        Following::NobodyElse => !health.catalog.get() && !health.fleet.get(),
+        Following::LeftToOthers => false,
+    }
+}
--- a/crates/cloverpier_front/src/versions.rs
+++ b/crates/cloverpier_front/src/versions.rs
@@ -52,7 +52,7 @@
             () = front.newer.notified() => {}
             () = tokio::time::sleep(PERIOD) => {}
         }
-        if front.follows_store.get() && front.is_serving() {
+        if front.follows_store() && front.is_serving() {
             tokio::time::sleep(STORE_FIRST).await;
         }
         let fetched =
--- a/crates/cloverpier_relay/src/following.rs
+++ b/crates/cloverpier_relay/src/following.rs
@@ -13,6 +13,10 @@
 
 /// Routers that follow the store at the same time.
 const FOLLOWERS: usize = 3;
+/// Longest pause between the calls of a chosen router to a store that doesn't answer.
+const CHOSEN_PAUSE: Duration = Duration::from_secs(1);
+/// All other routers together call such a store about once in this time.
+const TURN: Duration = Duration::from_millis(100);
 
 /// What a router knows of a peer that may follow the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +61,21 @@
     }
 }
 
+/// The longest pause between a router's calls to a store that doesn't answer it.
+///
+/// Refused calls have their price, too, and a store that is down for one
+/// router mostly is for all. So those that aren't among the first by rank take
+/// turns; whoever gets through tells the others.
+pub fn longest_pause(own: SocketAddr, live: &[SocketAddr]) -> Duration {
+    let own_rank = rank_of(own);
+    let before = live.iter().filter(|peer| rank_of(**peer) < own_rank);
+    if before.count() < FOLLOWERS {
+        return CHOSEN_PAUSE;
+    }
+    let routers = u32::try_from(live.len() + 1).unwrap_or(u32::MAX);
+    (TURN * routers).max(CHOSEN_PAUSE)
+}
+
 /// The order in which routers are chosen: by hash, so that neighbours aren't chosen together.
 fn rank_of(router: SocketAddr) -> (u64, SocketAddr) {
     (hash_of(&router.to_string()), router)
--- a/crates/cloverpier_relay/src/lib.rs
+++ b/crates/cloverpier_relay/src/lib.rs
@@ -39,7 +39,7 @@
     pub use crate::choice::{Choice, Demand, choose_backup, choose_server};
     pub use crate::events::{EventError, EventSplitter, StreamEvent};
     pub use crate::fleet::Fleet;
-    pub use crate::following::{Candidate, Following, should_follow};
+    pub use crate::following::{Candidate, Following, longest_pause, should_follow};
     pub use crate::liveness::{Liveness, LivenessBounds, LivenessStep};
     pub use crate::peers::{Directory, PeerEntry, PeerState};
     pub use crate::places::{PromptKey, PromptPlaces};
--- a/crates/cloverpier_relay/tests/routers.rs
+++ b/crates/cloverpier_relay/tests/routers.rs
@@ -101,6 +101,21 @@
     assert_eq!(followers(&routers, None).len(), 10);
 }
 
+#[test]
+fn routers_take_turns_at_a_store_that_answers_nobody() {
+    let routers: Vec<SocketAddr> = (1..=72).map(address).collect();
+    let pause_of = |own: &SocketAddr| {
+        let others = routers.iter().filter(|r| *r != own);
+        longest_pause(*own, &others.copied().collect::<Vec<_>>())
+    };
+    let pauses: Vec<Duration> = routers.iter().map(pause_of).collect();
+    let second = Duration::from_secs(1);
+    assert_eq!(pauses.iter().filter(|p| **p == second).count(), 3);
+    let calls_a_second: f64 = pauses.iter().map(|p| 1.0 / p.as_secs_f64()).sum();
+    assert!(calls_a_second < 13.0, "{calls_a_second}");
+    assert_eq!(longest_pause(address(1), &[]), second);
+}
+
 #[test]
 fn the_prompts_last_engine_is_remembered_for_a_while() {
     let start = Instant::now();
