--- a/crates/cloverpier_front/src/decision_log.rs
+++ b/crates/cloverpier_front/src/decision_log.rs
@@ -103,17 +103,17 @@
     pub from: &'a str,
 }
 
-/// A search for the engines that hold prompts has ended.
+/// A search for the engine that has read a prompt has ended.
 #[derive(Debug, Serialize)]
-pub(crate) struct PromptsSearched<'a> {
+pub(crate) struct PromptSearched<'a> {
     /// The service.
     pub service: &'a str,
-    /// Engines that were asked.
-    pub asked: usize,
-    /// Engines that answered.
-    pub answered: usize,
-    /// Prompts that are cached there.
-    pub prompts: usize,
+    /// The prompt.
+    pub prompt: PromptKey,
+    /// Engines that were asked of late, for any prompt.
+    pub engines_asked_of_late: usize,
+    /// Whether one of them has it.
+    pub found: bool,
     /// How long it took, in milliseconds.
     pub took_ms: u64,
 }
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -5,11 +5,12 @@
 //! more often than others, or are slower, cost more.
 
 use crate::fleet::Fleet;
+use crate::places::PromptKey;
 use crate::server::{Server, ServerKey, ServerState};
 use crate::work::Work;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
 use serde::Serialize;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Instant;
 
 /// A running request slows a newcomer as much as so many unread tokens.
@@ -123,6 +124,30 @@
     cheapest(&pool, cost, rng).map(|s| s.server.clone())
 }
 
+/// The engines of a service in the order in which they are likely to have read a prompt.
+///
+/// Each router prefers its own data centre and then the prompt's hash, so the
+/// engines of each data centre are taken in turn, by the hash.
+pub fn search_order(fleet: &Fleet, service: &ServiceName, prompt: PromptKey) -> Vec<Server> {
+    let usable = fleet.of_service(service).filter(|s| s.is_usable());
+    let mut by_centre: BTreeMap<&DataCentre, Vec<&ServerState>> = BTreeMap::new();
+    for state in usable {
+        let centre = by_centre.entry(&state.server.data_centre);
+        centre.or_default().push(state);
+    }
+    let mut ranked: Vec<(usize, &Server)> = Vec::new();
+    for states in by_centre.values() {
+        let in_order = rank(prompt.0, states, |s| s.server.name.as_str());
+        let in_order = in_order.into_iter().enumerate();
+        ranked.extend(in_order.map(|(place, s)| (place, &s.server)));
+    }
+    ranked.sort_by_key(|(place, _)| *place);
+    ranked
+        .into_iter()
+        .map(|(_, server)| server.clone())
+        .collect()
+}
+
 /// Usable servers; else suspects; else, where the whole list is empty, those
 /// whose entries vanished: the platform's outages do that to living servers.
 fn candidates<'a>(fleet: &'a Fleet, demand: &Demand<'_>) -> Vec<&'a ServerState> {
--- a/crates/cloverpier_relay/src/lib.rs
+++ b/crates/cloverpier_relay/src/lib.rs
@@ -36,7 +36,7 @@
     pub use crate::catalog::{
         Catalog, CatalogParts, EngineTraits, Limits, Route, RouteTarget, ServiceTraits, Tenant,
     };
-    pub use crate::choice::{Choice, Demand, choose_backup, choose_server};
+    pub use crate::choice::{Choice, Demand, choose_backup, choose_server, search_order};
     pub use crate::events::{EventError, EventSplitter, StreamEvent};
     pub use crate::fleet::Fleet;
     pub use crate::following::{Candidate, Following, longest_pause, should_follow};
--- a/crates/cloverpier_relay/tests/fleet.rs
+++ b/crates/cloverpier_relay/tests/fleet.rs
@@ -213,3 +213,45 @@
     let first = choose_engine(&fleet, 77, 1);
     assert_eq!(first, choose_engine(&fleet, 77, 2), "whoever chooses");
 }
+
+#[test]
+fn a_search_begins_with_the_engines_that_routers_would_have_chosen() {
+    let now = Instant::now();
+    let centres = ["hall-a", "hall-b", "hall-c"];
+    let engines = (0..30).map(|index| Server {
+        data_centre: DataCentre::new(centres[usize::from(index % 3)]),
+        ..server(&format!("engine-{index}"), 9_000 + index)
+    });
+    let mut fleet = Fleet::default();
+    fleet.apply_list(engines.collect(), 1, now);
+    let service = ServiceName::new(SERVICE);
+    for prompt in 0..20 {
+        let order = search_order(&fleet, &service, PromptKey(prompt));
+        assert_eq!(order.len(), 30);
+        for home in centres {
+            let home = DataCentre::new(home);
+            let demand = Demand {
+                service: &service,
+                home: &home,
+                work: Work {
+                    requests: 1,
+                    unread_tokens: 8_000,
+                    memory_tokens: 8_800,
+                },
+                engine_memory: Some(88_000),
+                affinity: Some(prompt),
+                read_at: None,
+                is_continuation: false,
+                tried: &[],
+                connected: &HashSet::new(),
+                overcommit: false,
+                now,
+            };
+            let chosen = choose_server(&fleet, &demand, &mut fastrand::Rng::with_seed(1));
+            let Choice::Server(chosen) = chosen else {
+                panic!("an engine is free");
+            };
+            assert!(order[..centres.len()].contains(&chosen), "{prompt} {home}");
+        }
+    }
+}
