Let a send that never left this process cost no repeat

Cause: with many fronts each one's share of the retry budget is small (65 fronts: about 8 in 10 s), and a refused connection took from it as a request at a second server does. Excluded: the number of attempts (5 allowed, ended after 1 or 2), no server left (210 lived). Change: after a send of which no byte left, another one asks the budget for nothing; without time left nothing is sent again, whatever the outcome.

--- a/crates/cloverpier_front/src/plain.rs
+++ b/crates/cloverpier_front/src/plain.rs
@@ -225,8 +225,10 @@
             .fleet
             .borrow_mut()
             .on_result(&server.name, failed);
-        let take = || !error.timed_out && self.front.take_repeat(&server.service, now);
-        let next = self.attempts.on_outcome(error.outcome, take);
+        let take = || self.front.take_repeat(&server.service, now);
+        let next = self
+            .attempts
+            .on_outcome(error.outcome, !error.timed_out, take);
         self.front.metrics.sends.count(outcome_name(error.outcome));
         self.front.log.info(
             "send.failed",
--- a/crates/cloverpier_front/src/stream/mod.rs
+++ b/crates/cloverpier_front/src/stream/mod.rs
@@ -335,8 +335,11 @@
         let now = Instant::now();
         let front = Rc::clone(&self.front);
         let service = self.request.service.name.clone();
-        let take = || !interruption.timed_out && front.take_repeat(&service, now);
-        let next = self.attempts.on_outcome(interruption.outcome, take);
+        let take = || front.take_repeat(&service, now);
+        let has_time = !interruption.timed_out;
+        let next = self
+            .attempts
+            .on_outcome(interruption.outcome, has_time, take);
         self.log_failure(interruption, next, now);
         if next == NextStep::SendAgain {
             return Ok(());
--- a/crates/cloverpier_relay/src/attempts.rs
+++ b/crates/cloverpier_relay/src/attempts.rs
@@ -98,13 +98,15 @@
         self.sent += 1;
     }
 
-    /// Decides what follows an outcome.
+    /// Decides what follows an outcome, with time left for another send or without.
     ///
     /// `take_repeat` takes a repeat from the retry budget, if it has one; it is
-    /// asked only when all else allows another send.
+    /// asked only when all else allows another send. A send that never left is
+    /// no load for a server, so another one in its place costs no repeat.
     pub fn on_outcome(
         &mut self,
         outcome: SendOutcome,
+        has_time: bool,
         take_repeat: impl FnOnce() -> bool,
     ) -> NextStep {
         match outcome {
@@ -115,7 +117,8 @@
             SendOutcome::Refused => {}
             SendOutcome::Unknown | SendOutcome::Failed => self.may_have_run = true,
         }
-        if self.may_send_again() && take_repeat() {
+        let is_free = outcome == SendOutcome::NotSent;
+        if has_time && self.may_send_again() && (is_free || take_repeat()) {
             return NextStep::SendAgain;
         }
         self.last_word(outcome)
--- a/crates/cloverpier_relay/src/lib.rs
+++ b/crates/cloverpier_relay/src/lib.rs
@@ -12,7 +12,7 @@
 //! // A request that runs at most once was sent, and the connection broke.
 //! let mut attempts = Attempts::new(Repeat::AtMostOnce, 3);
 //! attempts.on_send();
-//! let next = attempts.on_outcome(SendOutcome::Unknown, || true);
+//! let next = attempts.on_outcome(SendOutcome::Unknown, true, || true);
 //! assert_eq!(next, NextStep::Fail);
 //! ```
 
