Spread backups over engines about as empty, and tell peers of them at once

Cause: the copy of a run's memory went to the engine that was known to be the emptiest, which all fronts know alike; peers heard of copies by heartbeat only (a turn of 65 fronts takes 0.8 s). One restarted engine got tens of copies, had no room, and let them go: after a data centre's death 'refused with 503' met the resumed streams, whose prompts were read anew. Excluded: backups that died with their primary (they stand in another data centre). Change: any engine with at most one run more than the emptiest may get the copy, by chance; peers hear of a copy as they hear of a run. Test: routers_that_see_the_same_spread_their_backups (failed before: one engine for all).

--- a/crates/cloverpier_front/src/stream/open.rs
+++ b/crates/cloverpier_front/src/stream/open.rs
@@ -136,6 +136,7 @@
                 ..Work::default()
             };
             let guard = WorkGuard::begin(&self.front, &backup.name, copied);
+            self.front.tell_peers(&backup.name);
             (backup, guard)
         });
         let now = Instant::now();
--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -120,8 +120,13 @@
         .filter(|s| s.server.data_centre != primary.data_centre)
         .collect();
     let pool = if far.is_empty() { roomy } else { far };
-    let cost = |s: &ServerState| f64::from(fleet.work_at(s).memory_tokens);
-    cheapest(&pool, cost, rng).map(|s| s.server.clone())
+    let memory_at = |s: &ServerState| fleet.work_at(s).memory_tokens;
+    let least = pool.iter().map(|s| memory_at(s)).min()?;
+    // Routers that see the same would all choose the emptiest, and fill it.
+    let most = least.saturating_add(demand.work.memory_tokens);
+    let about_as_empty = pool.into_iter().filter(|s| memory_at(s) <= most);
+    let chosen = rng.choice(about_as_empty.collect::<Vec<_>>());
+    chosen.map(|s| s.server.clone())
 }
 
 /// The engines of a service in the order in which they are likely to have read a prompt.
--- a/crates/cloverpier_relay/tests/fleet.rs
+++ b/crates/cloverpier_relay/tests/fleet.rs
@@ -225,28 +225,13 @@
     let mut fleet = Fleet::default();
     fleet.apply_list(engines.collect(), 1, now);
     let service = ServiceName::new(SERVICE);
+    let connected = HashSet::new();
     for prompt in 0..20 {
         let order = search_order(&fleet, &service, PromptKey(prompt));
         assert_eq!(order.len(), 30);
         for home in centres {
             let home = DataCentre::new(home);
-            let demand = Demand {
-                service: &service,
-                home: &home,
-                work: Work {
-                    requests: 1,
-                    unread_tokens: 8_000,
-                    memory_tokens: 8_800,
-                },
-                engine_memory: Some(88_000),
-                affinity: Some(prompt),
-                read_at: None,
-                is_continuation: false,
-                tried: &[],
-                connected: &HashSet::new(),
-                overcommit: false,
-                now,
-            };
+            let demand = stream_demand(&service, &home, &connected, prompt, now);
             let chosen = choose_server(&fleet, &demand, &mut fastrand::Rng::with_seed(1));
             let Choice::Server(chosen) = chosen else {
                 panic!("an engine is free");
@@ -255,3 +240,66 @@
         }
     }
 }
+
+/// Engines in two data centres, and a demand of one usual stream.
+fn engines(count: u16, now: Instant) -> Fleet {
+    let engines = (0..count).map(|index| Server {
+        data_centre: DataCentre::new(if index % 2 == 0 { "hall-a" } else { "hall-b" }),
+        ..server(&format!("engine-{index}"), 9_000 + index)
+    });
+    let mut fleet = Fleet::default();
+    fleet.apply_list(engines.collect(), 1, now);
+    fleet
+}
+
+fn stream_demand<'a>(
+    service: &'a ServiceName,
+    home: &'a DataCentre,
+    connected: &'a HashSet<UpstreamName>,
+    prompt: u64,
+    now: Instant,
+) -> Demand<'a> {
+    Demand {
+        service,
+        home,
+        work: Work {
+            requests: 1,
+            unread_tokens: 8_000,
+            memory_tokens: 8_800,
+        },
+        engine_memory: Some(88_000),
+        affinity: Some(prompt),
+        read_at: None,
+        is_continuation: false,
+        tried: &[],
+        connected,
+        overcommit: false,
+        now,
+    }
+}
+
+#[test]
+fn routers_that_see_the_same_spread_their_backups() {
+    let now = Instant::now();
+    let mut fleet = engines(20, now);
+    // All but one have some work; the emptiest one alone would get all copies.
+    for index in 0..19 {
+        let work = Work {
+            memory_tokens: 3_000,
+            ..Work::default()
+        };
+        fleet.begin(&format!("engine-{index}").as_str().into(), work);
+    }
+    let (service, home) = (ServiceName::new(SERVICE), DataCentre::new("hall-a"));
+    let connected = HashSet::new();
+    let demand = stream_demand(&service, &home, &connected, 1, now);
+    let primary = fleet.get(&"engine-0".into()).unwrap().server.clone();
+    let mut chosen = HashSet::new();
+    for seed in 0..40 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let backup = choose_backup(&fleet, &demand, &primary, &mut rng).unwrap();
+        assert_ne!(backup.data_centre, primary.data_centre);
+        chosen.insert(backup.name);
+    }
+    assert!(chosen.len() >= 8, "{chosen:?}");
+}
