Send nothing new to a data centre of which many servers are suspected

Cause: after a data centre's death its other engines look idle until each was tried; fronts went through up to eight dead engines for one request, and those of that data centre then all chose its few survivors. Change: where three servers or more of a service in a data centre, and a fifth of them, are suspected or doubted by peers, the others there are chosen only if nothing else is left; copies of runs keep away likewise. Test: a_data_centre_that_seems_dead_gets_nothing_new (no such rule existed).

--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -114,12 +114,12 @@
         .filter(|s| !s.is_doubted(demand.now))
         .filter(|s| fits(fleet, s, demand.work, memory))
         .collect();
-    let far: Vec<&ServerState> = roomy
-        .iter()
-        .copied()
-        .filter(|s| s.server.data_centre != primary.data_centre)
-        .collect();
-    let pool = if far.is_empty() { roomy } else { far };
+    let doubted = fleet.doubted_centres(demand.service, demand.now);
+    let is_far = |s: &ServerState| s.server.data_centre != primary.data_centre;
+    let is_sound = |s: &ServerState| !doubted.contains(&s.server.data_centre);
+    let far_and_sound = those(&roomy, |s| is_far(s) && is_sound(s));
+    let preferred = [far_and_sound, those(&roomy, is_far), roomy];
+    let pool = preferred.into_iter().find(|pool| !pool.is_empty())?;
     let memory_at = |s: &ServerState| fleet.work_at(s).memory_tokens;
     let least = pool.iter().map(|s| memory_at(s)).min()?;
     // Routers that see the same would all choose the emptiest, and fill it.
@@ -153,7 +153,7 @@
         .collect()
 }
 
-/// Usable servers; else suspects; else, where the whole list is empty, those
+/// Usable servers that nobody doubts, in data centres that seem well; else usable ones; else suspects; else, where the whole list is empty, those
 /// whose entries vanished: the platform's outages do that to living servers.
 fn candidates<'a>(fleet: &'a Fleet, demand: &Demand<'_>) -> Vec<&'a ServerState> {
     let untried = |states: Vec<&'a ServerState>| -> Vec<&'a ServerState> {
@@ -162,13 +162,13 @@
     };
     let of_service = || fleet.of_service(demand.service);
     let usable = untried(of_service().filter(|s| s.is_usable()).collect());
-    let undoubted: Vec<&ServerState> = usable
-        .iter()
-        .copied()
-        .filter(|s| !s.is_doubted(demand.now))
-        .collect();
-    if !undoubted.is_empty() {
-        return undoubted;
+    let doubted = fleet.doubted_centres(demand.service, demand.now);
+    let undoubted = |s: &ServerState| !s.is_doubted(demand.now);
+    let sound = |s: &ServerState| undoubted(s) && !doubted.contains(&s.server.data_centre);
+    for trusted in [those(&usable, sound), those(&usable, undoubted)] {
+        if !trusted.is_empty() {
+            return trusted;
+        }
     }
     if !usable.is_empty() {
         return usable;
@@ -180,6 +180,13 @@
     untried(of_service().filter(|s| s.has_not_left()).collect())
 }
 
+fn those<'a>(
+    states: &[&'a ServerState],
+    which: impl Fn(&ServerState) -> bool,
+) -> Vec<&'a ServerState> {
+    states.iter().copied().filter(|s| which(s)).collect()
+}
+
 fn has_place(fleet: &Fleet, demand: &Demand<'_>, state: &ServerState) -> bool {
     let requests = fleet.work_at(state).requests;
     let slots = state.server.slots.max(1);
--- a/crates/cloverpier_relay/src/fleet.rs
+++ b/crates/cloverpier_relay/src/fleet.rs
@@ -2,8 +2,8 @@
 
 use crate::server::{Server, ServerChange, ServerKey, ServerState, Suspicion};
 use crate::work::{PeerWork, Work};
-use cloverpier_core::{ServiceName, UpstreamName};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Weight of a new sample in the smoothed failure rate and pace.
@@ -16,6 +16,23 @@
 /// How long a server that vanished from the list is remembered.
 const REMEMBERED: Duration = Duration::from_secs(20);
 
+/// So many servers of a data centre, and such a part of them, make all the others doubtful.
+const LEAST_BAD: usize = 3;
+const BAD_PART: f64 = 0.2;
+
+/// Servers of one service in one data centre.
+#[derive(Default)]
+struct CentreCounts {
+    listed: usize,
+    bad: usize,
+}
+
+impl CentreCounts {
+    fn are_doubtful(&self) -> bool {
+        self.bad >= LEAST_BAD && self.bad as f64 >= self.listed as f64 * BAD_PART
+    }
+}
+
 /// All servers that a router knows.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -59,6 +76,19 @@
         names.iter().filter_map(|name| self.servers.get(name))
     }
 
+    /// The data centres of which so many servers of a service are suspected or doubted that
+    /// the others there are probably dead, too.
+    pub fn doubted_centres(&self, service: &ServiceName, now: Instant) -> HashSet<&DataCentre> {
+        let mut counts: HashMap<&DataCentre, CentreCounts> = HashMap::new();
+        for state in self.of_service(service).filter(|s| s.is_listed()) {
+            let counts = counts.entry(&state.server.data_centre).or_default();
+            counts.listed += 1;
+            counts.bad += usize::from(state.is_suspect() || state.is_doubted(now));
+        }
+        let doubted = counts.into_iter().filter(|(_, c)| c.are_doubtful());
+        doubted.map(|(centre, _)| centre).collect()
+    }
+
     /// This router's own work, by server.
     pub fn own_work(&self) -> Vec<(ServerKey, Work)> {
         let busy = self.servers.values().filter(|s| !s.own.is_none());
--- a/crates/cloverpier_relay/tests/fleet.rs
+++ b/crates/cloverpier_relay/tests/fleet.rs
@@ -303,3 +303,32 @@
     }
     assert!(chosen.len() >= 8, "{chosen:?}");
 }
+
+#[test]
+fn a_data_centre_that_seems_dead_gets_nothing_new() {
+    let now = Instant::now();
+    let mut fleet = engines(20, now);
+    for index in [0, 2, 4] {
+        fleet.suspect(&format!("engine-{index}").as_str().into(), now);
+    }
+    let (service, home) = (ServiceName::new(SERVICE), DataCentre::new("hall-a"));
+    let connected = HashSet::new();
+    for prompt in 0..40 {
+        let demand = stream_demand(&service, &home, &connected, prompt, now);
+        let mut rng = fastrand::Rng::with_seed(prompt);
+        let Choice::Server(chosen) = choose_server(&fleet, &demand, &mut rng) else {
+            panic!("ten engines are free elsewhere");
+        };
+        assert_eq!(chosen.data_centre, DataCentre::new("hall-b"));
+        let backup = choose_backup(&fleet, &demand, &chosen, &mut rng).unwrap();
+        // Only the data centre that seems dead is another one than the primary's.
+        assert_eq!(backup.data_centre, home);
+    }
+    // Where all data centres seem dead, any engine that isn't suspected will do.
+    for index in [1, 3, 5] {
+        fleet.suspect(&format!("engine-{index}").as_str().into(), now);
+    }
+    let demand = stream_demand(&service, &home, &connected, 1, now);
+    let chosen = choose_server(&fleet, &demand, &mut fastrand::Rng::with_seed(1));
+    assert!(matches!(chosen, Choice::Server(_)), "{chosen:?}");
+}
