--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -153,8 +153,7 @@
         .collect()
 }
 
-/// Usable servers that nobody doubts, in data centres that seem well and have not failed this
-/// request; else other usable ones; else suspects; else, where the whole list is empty, those
+/// Usable servers that nobody doubts, in data centres that seem well; else usable ones; else suspects; else, where the whole list is empty, those
 /// whose entries vanished: the platform's outages do that to living servers.
 fn candidates<'a>(fleet: &'a Fleet, demand: &Demand<'_>) -> Vec<&'a ServerState> {
     let untried = |states: Vec<&'a ServerState>| -> Vec<&'a ServerState> {
@@ -166,14 +165,7 @@
     let doubted = fleet.doubted_centres(demand.service, demand.now);
     let undoubted = |s: &ServerState| !s.is_doubted(demand.now);
     let sound = |s: &ServerState| undoubted(s) && !doubted.contains(&s.server.data_centre);
-    let failed = centres_of(fleet, demand.tried);
-    let elsewhere = |s: &ServerState| sound(s) && !failed.contains(&s.server.data_centre);
-    let preferred = [
-        those(&usable, elsewhere),
-        those(&usable, sound),
-        those(&usable, undoubted),
-    ];
-    for trusted in preferred {
+    for trusted in [those(&usable, sound), those(&usable, undoubted)] {
         if !trusted.is_empty() {
             return trusted;
         }
@@ -188,12 +180,6 @@
     untried(of_service().filter(|s| s.has_not_left()).collect())
 }
 
-/// Where servers stand that a request was sent to in vain: their neighbours may be dead, too.
-fn centres_of<'a>(fleet: &'a Fleet, tried: &[UpstreamName]) -> HashSet<&'a DataCentre> {
-    let states = tried.iter().filter_map(|name| fleet.get(name));
-    states.map(|s| &s.server.data_centre).collect()
-}
-
 fn those<'a>(
     states: &[&'a ServerState],
     which: impl Fn(&ServerState) -> bool,
