--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -1,6 +1,5 @@
 //! What the parts of a front share.
 
-use crate::decision_log::FollowingChanged;
 use crate::dialect::Dialect;
 use crate::links::Links;
 use crate::metrics::Metrics;
@@ -23,8 +22,6 @@
 const HEARTBEATS_LOST: u32 = 3;
 /// Peers that hear of each heartbeat; with more of them they take turns.
 pub(crate) const PEERS_A_TURN: usize = 16;
-/// A follower's word from the store is fresh for this long.
-const STORE_WORD_FRESH: Duration = Duration::from_millis(1_300);
 
 /// The state of one front; one thread uses it.
 #[derive(Debug)]
@@ -124,63 +121,6 @@
         (interval * HEARTBEATS_LOST).max(LEAST_PEER_SILENCE)
     }
 
-    /// Decides whether this front follows the store, and notes a change.
-    pub(crate) fn decide_following(&self, now: Instant) -> bool {
-        let silence = self.peer_silence();
-        let directory = self.directory.borrow();
-        let live: Vec<Candidate> = directory
-            .heard()
-            .filter(|(_, e)| e.state == PeerState::Ready)
-            .filter(|(_, e)| now.saturating_duration_since(e.heard) <= silence)
-            .map(|(peer, e)| Candidate {
-                peer: *peer,
-                // What was heard has aged since.
-                store_age: e
-                    .store_age
-                    .map(|a| a + now.saturating_duration_since(e.heard)),
-            })
-            .collect();
-        let own = self.settings().listen.peers;
-        let following = should_follow(own, &live, STORE_WORD_FRESH);
-        let former = self.following.replace(following);
-        if former.is_due() != following.is_due() {
-            let line = FollowingChanged {
-                follows: following.is_due(),
-                live_peers: live.len(),
-                reason: following,
-            };
-            self.log.info("store.following", &line);
-        }
-        following.is_due()
-    }
-
-    /// Whether this front follows the store.
-    pub(crate) fn follows_store(&self) -> bool {
-        self.following.get().is_due()
-    }
-
-    /// Whether peers rely on this front's word from the store.
-    pub(crate) fn has_word_for_peers(&self, now: Instant) -> bool {
-        let heard = self.store_heard.get();
-        let is_fresh = |at| now.saturating_duration_since(at) <= STORE_WORD_FRESH;
-        match self.following.get() {
-            Following::Chosen => true,
-            Following::NobodyElse => heard.is_some_and(is_fresh),
-            Following::LeftToOthers => false,
-        }
-    }
-
-    /// The longest pause between calls to a store that doesn't answer.
-    pub(crate) fn longest_store_pause(&self, now: Instant) -> Duration {
-        let silence = self.peer_silence();
-        let directory = self.directory.borrow();
-        let live = directory
-            .heard()
-            .filter(|(_, e)| now.saturating_duration_since(e.heard) <= silence);
-        let live: Vec<_> = live.map(|(peer, _)| *peer).collect();
-        longest_pause(self.settings().listen.peers, &live)
-    }
-
     /// Has peers hear at once of the work at a server, or that it is suspected.
     pub(crate) fn tell_peers(&self, server: &UpstreamName) {
         self.changed.borrow_mut().push(server.clone());
@@ -233,95 +173,3 @@
         act(budget)
     }
 }
-
-/// Work at a server that ends when this is dropped.
-#[derive(Debug)]
-pub(crate) struct WorkGuard {
-    front: Rc<Front>,
-    server: UpstreamName,
-    work: Work,
-}
-
-impl WorkGuard {
-    /// Begins work at a server.
-    pub fn begin(front: &Rc<Front>, server: &UpstreamName, work: Work) -> Self {
-        front.fleet.borrow_mut().begin(server, work);
-        Self {
-            front: Rc::clone(front),
-            server: server.clone(),
-            work,
-        }
-    }
-
-    /// Notes that the prompt has been read.
-    pub fn on_prompt_read(&mut self) {
-        let read = Work {
-            unread_tokens: self.work.unread_tokens,
-            ..Work::default()
-        };
-        self.front.fleet.borrow_mut().end(&self.server, read);
-        self.work.unread_tokens = 0;
-    }
-}
-
-impl Drop for WorkGuard {
-    fn drop(&mut self) {
-        self.front.fleet.borrow_mut().end(&self.server, self.work);
-    }
-}
-
-/// A running stream whose prompt's place peers are told of again and again.
-#[derive(Debug)]
-pub(crate) struct RunningStream {
-    front: Rc<Front>,
-    prompt: PromptKey,
-    server: ServerKey,
-}
-
-impl RunningStream {
-    /// Remembers where a prompt is being read, and has peers remember it.
-    pub fn begin(
-        front: &Rc<Front>,
-        prompt: PromptKey,
-        server: &UpstreamName,
-        now: Instant,
-    ) -> Self {
-        let server = ServerKey::of(server);
-        front.places.borrow_mut().on_read(prompt, server, now);
-        front.changed_places.borrow_mut().push((prompt, server));
-        front.running.borrow_mut().insert(prompt, server);
-        Self {
-            front: Rc::clone(front),
-            prompt,
-            server,
-        }
-    }
-}
-
-impl Drop for RunningStream {
-    fn drop(&mut self) {
-        let mut running = self.front.running.borrow_mut();
-        // The stream may have gone on elsewhere meanwhile.
-        if running.get(&self.prompt) == Some(&self.server) {
-            running.remove(&self.prompt);
-        }
-    }
-}
-
-/// One request in flight; a planned stop waits for all of them.
-#[derive(Debug)]
-pub(crate) struct InFlight(Rc<Front>);
-
-impl InFlight {
-    /// Counts a request.
-    pub fn begin(front: &Rc<Front>) -> Self {
-        front.in_flight.set(front.in_flight.get() + 1);
-        Self(Rc::clone(front))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
--- a/crates/cloverpier_front/src/plain.rs
+++ b/crates/cloverpier_front/src/plain.rs
@@ -2,7 +2,8 @@
 
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::decision_log::{SendFailed, ms_since};
-use crate::front::{Front, WorkGuard};
+use crate::front::Front;
+use crate::guards::WorkGuard;
 use crate::intake::RelayRequest;
 use crate::outcome::{
     ChoiceNote, GivenUp, Progress, give_up_reply, log_choice, log_end, outcome_name, silence_error,
@@ -220,11 +221,9 @@
     ) -> Option<Result<Reply, GivenUp>> {
         let now = Instant::now();
         self.tried.push(server.name.clone());
-        let failed = matches!(error.outcome, SendOutcome::Unknown | SendOutcome::Failed);
-        self.front
-            .fleet
-            .borrow_mut()
-            .on_result(&server.name, failed);
+        let mut fleet = self.front.fleet.borrow_mut();
+        fleet.on_result(&server.name, error.outcome.may_have_run());
+        drop(fleet);
         let take = || self.front.take_repeat(&server.service, now);
         let next = self
             .attempts
--- a/crates/cloverpier_front/src/stream/open.rs
+++ b/crates/cloverpier_front/src/stream/open.rs
@@ -1,7 +1,7 @@
 //! Opens a stream at a server: the engine with the copy of a lost run, or the best one.
 
 use super::{RESUMED_PRIORITY, Source, StreamRun};
-use crate::front::{RunningStream, WorkGuard};
+use crate::guards::{RunningStream, WorkGuard};
 use crate::outcome::{ChoiceNote, GivenUp, log_choice, silence_error, work_of};
 use crate::recall::find_prompt;
 use crate::reply::ServerAnswer;
@@ -29,11 +29,9 @@
                 Err(error) => error,
             };
             self.tried.push(server.name.clone());
-            let failed = matches!(error.outcome, SendOutcome::Unknown | SendOutcome::Failed);
-            self.front
-                .fleet
-                .borrow_mut()
-                .on_result(&server.name, failed);
+            let mut fleet = self.front.fleet.borrow_mut();
+            fleet.on_result(&server.name, error.outcome.may_have_run());
+            drop(fleet);
             self.after_interruption(&error.into())?;
         }
     }
--- a/crates/cloverpier_front/src/web.rs
+++ b/crates/cloverpier_front/src/web.rs
@@ -2,7 +2,8 @@
 
 use crate::body::ReplyBody;
 use crate::directory::directory_answer;
-use crate::front::{Front, InFlight};
+use crate::front::Front;
+use crate::guards::InFlight;
 use crate::intake::take_request;
 use crate::plain::relay_plain;
 use crate::reply::{Reply, own_reply, refusal};
--- a/crates/cloverpier_relay/src/attempts.rs
+++ b/crates/cloverpier_relay/src/attempts.rs
@@ -37,6 +37,13 @@
     Failed,
 }
 
+impl SendOutcome {
+    /// Whether the request may have run without bringing a success.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::Unknown | Self::Failed)
+    }
+}
+
 /// What to do after a send that brought no success.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -114,9 +121,9 @@
                 self.sent = self.sent.saturating_sub(1);
                 self.unsent += 1;
             }
-            SendOutcome::Refused => {}
-            SendOutcome::Unknown | SendOutcome::Failed => self.may_have_run = true,
+            SendOutcome::Refused | SendOutcome::Unknown | SendOutcome::Failed => {}
         }
+        self.may_have_run |= outcome.may_have_run();
         let is_free = outcome == SendOutcome::NotSent;
         if has_time && self.may_send_again() && (is_free || take_repeat()) {
             return NextStep::SendAgain;
