--- a/crates/cloverpier_front/src/probe.rs
+++ b/crates/cloverpier_front/src/probe.rs
@@ -96,10 +96,7 @@
     let name = text_of(&answer.headers, &front.dialect.headers.answering_server);
     if name.is_some_and(|name| name != server.name.as_str()) {
         front.metrics.probes.count("suspect-replaced");
-        front
-            .fleet
-            .borrow_mut()
-            .on_replaced(&server.name, Instant::now());
+        front.fleet.borrow_mut().on_replaced(&server.name);
         log_belief(&front, "server.replaced", &server, "another answers", 0);
         return;
     }
--- a/crates/cloverpier_front/src/send.rs
+++ b/crates/cloverpier_front/src/send.rs
@@ -330,10 +330,7 @@
     let names = &front.dialect.headers;
     let answering = text_of(&head.headers, &names.answering_server);
     if answering.is_some_and(|name| name != server.name.as_str()) {
-        front
-            .fleet
-            .borrow_mut()
-            .on_replaced(&server.name, Instant::now());
+        front.fleet.borrow_mut().on_replaced(&server.name);
         front.pool.borrow_mut().close_all(&server.name);
     }
 }
--- a/crates/cloverpier_relay/src/fleet.rs
+++ b/crates/cloverpier_relay/src/fleet.rs
@@ -23,13 +23,13 @@
 /// Servers of one service in one data centre.
 #[derive(Default)]
 struct CentreCounts {
-    known: usize,
+    listed: usize,
     bad: usize,
 }
 
 impl CentreCounts {
     fn are_doubtful(&self) -> bool {
-        self.bad >= LEAST_BAD && self.bad as f64 >= self.known as f64 * BAD_PART
+        self.bad >= LEAST_BAD && self.bad as f64 >= self.listed as f64 * BAD_PART
     }
 }
 
@@ -76,19 +76,14 @@
         names.iter().filter_map(|name| self.servers.get(name))
     }
 
-    /// The data centres of which so many servers of a service are suspected, doubted, or found
-    /// replaced that the others there are probably dead or replaced, too.
+    /// The data centres of which so many servers of a service are suspected or doubted that
+    /// the others there are probably dead, too.
     pub fn doubted_centres(&self, service: &ServiceName, now: Instant) -> HashSet<&DataCentre> {
         let mut counts: HashMap<&DataCentre, CentreCounts> = HashMap::new();
-        for state in self.of_service(service) {
-            let is_replaced = state.was_misdirected(now);
-            if !state.is_listed() && !is_replaced {
-                continue;
-            }
-            let is_bad = is_replaced || state.is_suspect() || state.is_doubted(now);
+        for state in self.of_service(service).filter(|s| s.is_listed()) {
             let counts = counts.entry(&state.server.data_centre).or_default();
-            counts.known += 1;
-            counts.bad += usize::from(is_bad);
+            counts.listed += 1;
+            counts.bad += usize::from(state.is_suspect() || state.is_doubted(now));
         }
         let doubted = counts.into_iter().filter(|(_, c)| c.are_doubtful());
         doubted.map(|(centre, _)| centre).collect()
@@ -301,10 +296,9 @@
     }
 
     /// Notes that another server answers at a server's address.
-    pub fn on_replaced(&mut self, name: &UpstreamName, now: Instant) {
+    pub fn on_replaced(&mut self, name: &UpstreamName) {
         if let Some(state) = self.servers.get_mut(name) {
             state.replaced = true;
-            state.misdirected = Some(now);
             state.suspicion = None;
         }
     }
--- a/crates/cloverpier_relay/src/server.rs
+++ b/crates/cloverpier_relay/src/server.rs
@@ -9,9 +9,6 @@
 /// How long a peer's doubt about a server counts.
 const DOUBT_COUNTS_FOR: Duration = Duration::from_millis(1_000);
 
-/// How long another server's answer at a server's address makes its neighbours doubtful.
-const MISDIRECTED_COUNTS_FOR: Duration = Duration::from_millis(2_000);
-
 /// One server, as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
@@ -73,8 +70,6 @@
     pub pace_ms: f64,
     pub(crate) gone: Option<Instant>,
     pub(crate) replaced: bool,
-    /// When another server answered at its address.
-    pub(crate) misdirected: Option<Instant>,
     pub(crate) suspicion: Option<Suspicion>,
     /// When a peer said last that it suspects the server.
     pub(crate) doubted: Option<Instant>,
@@ -90,18 +85,11 @@
             pace_ms: 0.0,
             gone: None,
             replaced: false,
-            misdirected: None,
             suspicion: None,
             doubted: None,
         }
     }
 
-    /// Whether another server has answered at its address of late.
-    pub fn was_misdirected(&self, now: Instant) -> bool {
-        self.misdirected
-            .is_some_and(|at| now.saturating_duration_since(at) <= MISDIRECTED_COUNTS_FOR)
-    }
-
     /// Whether a peer suspects it.
     pub fn is_doubted(&self, now: Instant) -> bool {
         self.doubted
