Ask an engine that has sent no event yet only after 700 ms

Cause: before its first event an engine reads prompts for a second and more; asked after 300 ms it was asked up to three times a stream, and a busy one's late answer counted as death.

--- a/crates/cloverpier_settings/src/front.rs
+++ b/crates/cloverpier_settings/src/front.rs
@@ -132,7 +132,7 @@
 fn read_silence(r: &mut Reader) -> SilenceSettings {
     SilenceSettings {
         ask_after: millis(r, "ask_after_ms", 150),
-        ask_before_first: millis(r, "ask_before_first_ms", 300),
+        ask_before_first: millis(r, "ask_before_first_ms", 700),
         answer_within: millis(r, "answer_within_ms", 200),
         answer_before_first: millis(r, "answer_before_first_ms", 450),
         stuck_after: millis(r, "stuck_after_ms", 1_000),
