Take servers that are missing for more than two seconds for gone, even if all are

Cause: where all entries of a service had vanished, the front went on trying its servers for as long as it remembered them (20 s). Change: vanished servers are the last resort for 2 s after their entries went.

--- a/crates/cloverpier_relay/src/choice.rs
+++ b/crates/cloverpier_relay/src/choice.rs
@@ -154,7 +154,7 @@
 }
 
 /// Usable servers that nobody doubts, in data centres that seem well; else usable ones; else suspects; else, where the whole list is empty, those
-/// whose entries vanished: the platform's outages do that to living servers.
+/// whose entries vanished just now: the platform's outages do that to living servers.
 fn candidates<'a>(fleet: &'a Fleet, demand: &Demand<'_>) -> Vec<&'a ServerState> {
     let untried = |states: Vec<&'a ServerState>| -> Vec<&'a ServerState> {
         let untried = |s: &&ServerState| !demand.tried.contains(&s.server.name);
@@ -177,7 +177,8 @@
     if !listed.is_empty() {
         return untried(listed);
     }
-    untried(of_service().filter(|s| s.has_not_left()).collect())
+    let may_be_back = |s: &&ServerState| s.has_not_left() && s.vanished_just_now(demand.now);
+    untried(of_service().filter(may_be_back).collect())
 }
 
 fn those<'a>(
--- a/crates/cloverpier_relay/src/server.rs
+++ b/crates/cloverpier_relay/src/server.rs
@@ -9,6 +9,9 @@
 /// How long a peer's doubt about a server counts.
 const DOUBT_COUNTS_FOR: Duration = Duration::from_millis(1_000);
 
+/// A living server's entry that vanished is back within this time.
+const BACK_WITHIN: Duration = Duration::from_millis(2_000);
+
 /// One server, as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
@@ -111,6 +114,15 @@
         !self.server.draining && !self.replaced
     }
 
+    /// Whether its entry vanished so short a time ago that it may still come back.
+    ///
+    /// Entries of living servers that lapsed in an outage of the platform are back within
+    /// two seconds of its end; one that is missing for longer means that the server left.
+    pub fn vanished_just_now(&self, now: Instant) -> bool {
+        self.gone
+            .is_some_and(|at| now.saturating_duration_since(at) <= BACK_WITHIN)
+    }
+
     /// Whether it is suspected to be dead.
     pub fn is_suspect(&self) -> bool {
         self.suspicion.is_some()
