Tell a caller whose time is up unsent when to come back

Cause: a request refused because its route's time was up got 503 without a time to come back, although it has not run and its caller may have time left; the users ask for one. Change: each refusal carries the time; log lines still tell late ones apart. Test: a_request_whose_time_is_up_unsent_is_told_when_to_come_back (failed before).

--- a/crates/cloverpier_front/src/outcome.rs
+++ b/crates/cloverpier_front/src/outcome.rs
@@ -77,11 +77,14 @@
 /// The answer to a request that is given up, true to what is known of its run.
 pub(crate) fn give_up_reply(request: &RelayRequest, given_up: &GivenUp) -> (Reply, &'static str) {
     match given_up.next {
-        NextStep::Refuse if given_up.timed_out => {
-            let reply = own_reply(StatusCode::SERVICE_UNAVAILABLE, &given_up.reason);
-            (reply, "refused-late")
+        NextStep::Refuse => {
+            let end = if given_up.timed_out {
+                "refused-late"
+            } else {
+                "refused"
+            };
+            (refusal(&given_up.reason, come_back_in(request)), end)
         }
-        NextStep::Refuse => (refusal(&given_up.reason, come_back_in(request)), "refused"),
         _ if given_up.timed_out => (
             own_reply(StatusCode::GATEWAY_TIMEOUT, &given_up.reason),
             "timed-out",
