Let a request wait for a search for a tenth of its time at most

Cause: a caller that comes back late, 18 s after a loss of power, has a second left or less; a search could hold it for 250 ms of that. Change: search_patience: a tenth of the time left, 250 ms at most. Test: a_request_with_little_time_does_not_wait_for_a_search.

--- a/crates/cloverpier_front/src/recall.rs
+++ b/crates/cloverpier_front/src/recall.rs
@@ -16,8 +16,6 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// How long a request waits for a search.
-const SEARCH_PATIENCE: Duration = Duration::from_millis(250);
 /// How long one engine's answer is waited for.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(500);
 /// An engine is asked again only after this time.
@@ -55,13 +53,18 @@
 }
 
 /// Asks engines for a prompt that a request goes on with, unless it is known where it is.
-pub(crate) async fn find_prompt(front: &Rc<Front>, service: &ServiceName, prompt: PromptKey) {
+pub(crate) async fn find_prompt(
+    front: &Rc<Front>,
+    service: &ServiceName,
+    prompt: PromptKey,
+    time_left: Duration,
+) {
     if place_of(front, prompt).is_some() {
         return;
     }
     let begun = Instant::now();
     // Without an answer in time, the request goes on without it.
-    let _ = timeout(SEARCH_PATIENCE, search(front, service, prompt)).await;
+    let _ = timeout(search_patience(time_left), search(front, service, prompt)).await;
     let found = place_of(front, prompt);
     front.log.info(
         "prompt.searched",
--- a/crates/cloverpier_front/src/stream/open.rs
+++ b/crates/cloverpier_front/src/stream/open.rs
@@ -89,7 +89,9 @@
         let is_new = self.attempts.sent() == 0 && self.request.last_event.is_some();
         let is_engine = self.request.service.engine.is_some();
         if let Some(prompt) = self.request.prompt.filter(|_| is_new && is_engine) {
-            find_prompt(&self.front, &self.request.service.name, prompt).await;
+            let time_left = self.request.time_left(Instant::now());
+            let service = &self.request.service.name;
+            find_prompt(&self.front, service, prompt, time_left).await;
         }
     }
 
--- a/crates/cloverpier_relay/src/lib.rs
+++ b/crates/cloverpier_relay/src/lib.rs
@@ -42,7 +42,7 @@
     pub use crate::following::{Candidate, Following, longest_pause, should_follow};
     pub use crate::liveness::{Liveness, LivenessBounds, LivenessStep};
     pub use crate::peers::{Directory, PeerEntry, PeerState};
-    pub use crate::places::{PromptKey, PromptPlaces};
+    pub use crate::places::{PromptKey, PromptPlaces, search_patience};
     pub use crate::server::{Server, ServerChange, ServerKey, ServerState};
     pub use crate::work::{PeerWork, Work};
 }
--- a/crates/cloverpier_relay/src/places.rs
+++ b/crates/cloverpier_relay/src/places.rs
@@ -13,6 +13,17 @@
 /// Prompts remembered at most; the oldest give way.
 const MOST: usize = 20_000;
 
+/// A request waits for a search for so long at most, and for this part of the time it has left.
+const LONGEST_SEARCH: Duration = Duration::from_millis(250);
+const SEARCH_PART: f64 = 0.1;
+
+/// How long a request waits for a search for the engine that has read its prompt.
+///
+/// A request with little time left is better sent anywhere than held.
+pub fn search_patience(time_left: Duration) -> Duration {
+    time_left.mul_f64(SEARCH_PART).min(LONGEST_SEARCH)
+}
+
 /// A prompt, by the hash of the part that is its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
--- a/crates/cloverpier_relay/tests/routers.rs
+++ b/crates/cloverpier_relay/tests/routers.rs
@@ -130,3 +130,11 @@
     let late = start + Duration::from_secs(60);
     assert_eq!(places.engine_of(prompt, late), None);
 }
+
+#[test]
+fn a_request_with_little_time_does_not_wait_for_a_search() {
+    let patience = search_patience(Duration::from_millis(400));
+    assert_eq!(patience, Duration::from_millis(40));
+    let patience = search_patience(Duration::from_secs(25));
+    assert_eq!(patience, Duration::from_millis(250));
+}
