Let a burst at one front exceed its share of the retry budget while the fleet spends little

Cause: each front may spend its own share alone; with 65 fronts that is about 8 repeats in 10 s. Change: heartbeats tell what each front has spent by service.

--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -150,8 +150,24 @@
 
     /// Takes a repeat at a service from this front's share of the budget.
     pub(crate) fn take_repeat(&self, service: &ServiceName, now: Instant) -> bool {
-        let alive = self.directory.borrow().alive(now, self.peer_silence());
-        self.with_budget(service, |budget| budget.take_repeat(now, alive))
+        let silence = self.peer_silence();
+        let directory = self.directory.borrow();
+        let peers = PeersUse {
+            spent: directory.spent(ServiceKey::of(service), now, silence),
+            routers: directory.alive(now, silence),
+            staleness: silence,
+        };
+        drop(directory);
+        self.with_budget(service, |budget| budget.take_repeat(now, &peers))
+    }
+
+    /// What this front has spent of each service's retry budget.
+    pub(crate) fn spent(&self, now: Instant) -> Vec<(ServiceKey, BudgetUse)> {
+        let mut budgets = self.budgets.borrow_mut();
+        let spent = budgets.iter_mut();
+        spent
+            .map(|(service, budget)| (ServiceKey::of(service), budget.spent(now)))
+            .collect()
     }
 
     /// Notes a caller's request for a service.
--- a/crates/cloverpier_front/src/gossip.rs
+++ b/crates/cloverpier_front/src/gossip.rs
@@ -70,6 +70,7 @@
     suspects: Vec<ServerKey>,
     places: Vec<(PromptKey, ServerKey)>,
     named: Vec<SocketAddr>,
+    spent: Vec<(ServiceKey, BudgetUse)>,
 }
 
 /// What peers should hear at once.
@@ -195,6 +196,7 @@
         suspects,
         places: running_places(front),
         named,
+        spent: front.spent(now),
     }
 }
 
@@ -305,6 +307,7 @@
             catalog_version: heartbeat.catalog_version,
             fleet_revision: heartbeat.fleet_revision,
             store_age,
+            spent: heartbeat.spent,
         },
     );
     if is_newer {
--- a/crates/cloverpier_relay/src/lib.rs
+++ b/crates/cloverpier_relay/src/lib.rs
@@ -32,7 +32,7 @@
 /// What users of the crate need daily.
 pub mod prelude {
     pub use crate::attempts::{Attempts, NextStep, Repeat, SendOutcome};
-    pub use crate::budget::{BudgetBounds, RetryBudget};
+    pub use crate::budget::{BudgetBounds, BudgetUse, PeersUse, RetryBudget};
     pub use crate::catalog::{
         Catalog, CatalogParts, EngineTraits, Limits, Route, RouteTarget, ServiceTraits, Tenant,
     };
@@ -41,7 +41,7 @@
     pub use crate::fleet::Fleet;
     pub use crate::following::{Candidate, Following, longest_pause, should_follow};
     pub use crate::liveness::{Liveness, LivenessBounds, LivenessStep};
-    pub use crate::peers::{Directory, PeerEntry, PeerState};
+    pub use crate::peers::{Directory, PeerEntry, PeerState, ServiceKey};
     pub use crate::places::{PromptKey, PromptPlaces, search_patience};
     pub use crate::server::{Server, ServerChange, ServerKey, ServerState};
     pub use crate::work::{PeerWork, Work};
--- a/crates/cloverpier_relay/src/peers.rs
+++ b/crates/cloverpier_relay/src/peers.rs
@@ -1,6 +1,7 @@
 //! The routers that a router knows, and which of them callers are told of.
 
-use cloverpier_core::DataCentre;
+use crate::budget::BudgetUse;
+use cloverpier_core::{DataCentre, ServiceName, hash_of};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -40,6 +41,20 @@
     pub fleet_revision: u64,
     /// The age of its last word from the store, when it follows it.
     pub store_age: Option<Duration>,
+    /// What it has spent of each service's retry budget.
+    pub spent: Vec<(ServiceKey, BudgetUse)>,
+}
+
+/// A service's name in few bytes, for messages between routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceKey(pub u64);
+
+impl ServiceKey {
+    /// The key of a service's name.
+    pub fn of(name: &ServiceName) -> Self {
+        Self(hash_of(name.as_str()))
+    }
 }
 
 /// The routers that a router has heard of, by their peer addresses.
@@ -88,6 +103,17 @@
         1 + self.live_peers(now, within).count()
     }
 
+    /// What live peers have spent together of a service's retry budget.
+    pub fn spent(&self, service: ServiceKey, now: Instant, within: Duration) -> BudgetUse {
+        let mut total = BudgetUse::default();
+        let all = self.live_peers(now, within).flat_map(|e| &e.spent);
+        for (_, spent) in all.filter(|(key, _)| *key == service) {
+            total.requests = total.requests.saturating_add(spent.requests);
+            total.repeats = total.repeats.saturating_add(spent.repeats);
+        }
+        total
+    }
+
     fn live_peers(&self, now: Instant, within: Duration) -> impl Iterator<Item = &PeerEntry> {
         let is_live = move |e: &&PeerEntry| now.saturating_duration_since(e.heard) <= within;
         self.peers.values().filter(is_live)
--- a/crates/cloverpier_relay/tests/routers.rs
+++ b/crates/cloverpier_relay/tests/routers.rs
@@ -21,6 +21,7 @@
         catalog_version: 1,
         fleet_revision: 1,
         store_age: None,
+        spent: Vec::new(),
     }
 }
 
