Name the search for prompts as what it is, and log the request it is for

Cause: read anew as a newcomer would: recall.rs said nothing of prompts, and its log line lacked the request's id, by which operators look. Change: prompt_search.rs; prompt.searched carries request. No decision changes. Test: those of the search hold.

--- a/crates/cloverpier_front/src/decision_log.rs
+++ b/crates/cloverpier_front/src/decision_log.rs
@@ -106,6 +106,8 @@
 /// A search for the engine that has read a prompt has ended.
 #[derive(Debug, Serialize)]
 pub(crate) struct PromptSearched<'a> {
+    /// The request that goes on with the prompt.
+    pub request: &'a str,
     /// The service.
     pub service: &'a str,
     /// The prompt.
--- a/crates/cloverpier_front/src/front.rs
+++ b/crates/cloverpier_front/src/front.rs
@@ -4,7 +4,7 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::recall::Searches;
+use crate::prompt_search::Searches;
 use crate::sync::StoreHealth;
 use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_observe::Log;
--- a/crates/cloverpier_front/src/lib.rs
+++ b/crates/cloverpier_front/src/lib.rs
@@ -32,7 +32,7 @@
 mod plain;
 mod pool;
 mod probe;
-mod recall;
+mod prompt_search;
 mod reply;
 mod send;
 mod settings;
--- a/crates/cloverpier_front/src/recall.rs
+++ b/crates/cloverpier_front/src/prompt_search.rs
@@ -7,6 +7,7 @@
 
 use crate::decision_log::{PromptSearched, ms_since};
 use crate::front::Front;
+use crate::intake::RelayRequest;
 use cloverpier_core::{ServiceName, hash_of};
 use cloverpier_relay::prelude::*;
 use std::cell::{Cell, RefCell};
@@ -23,7 +24,7 @@
 /// Engines asked at the same time.
 const ASKED_AT_ONCE: usize = 8;
 
-/// Which engines were asked for what they have cached.
+/// Which engines were asked of late for what they have cached.
 #[derive(Debug, Default)]
 pub(crate) struct Searches {
     asked: RefCell<HashMap<ServerKey, Instant>>,
@@ -53,22 +54,20 @@
 }
 
 /// Asks engines for a prompt that a request goes on with, unless it is known where it is.
-pub(crate) async fn find_prompt(
-    front: &Rc<Front>,
-    service: &ServiceName,
-    prompt: PromptKey,
-    time_left: Duration,
-) {
+pub(crate) async fn find_prompt(front: &Rc<Front>, request: &RelayRequest, prompt: PromptKey) {
     if place_of(front, prompt).is_some() {
         return;
     }
     let begun = Instant::now();
+    let service = &request.service.name;
+    let patience = search_patience(request.time_left(begun));
     // Without an answer in time, the request goes on without it.
-    let _ = timeout(search_patience(time_left), search(front, service, prompt)).await;
+    let _ = timeout(patience, search(front, service, prompt)).await;
     let found = place_of(front, prompt);
     front.log.info(
         "prompt.searched",
         &PromptSearched {
+            request: &request.id,
             service: service.as_str(),
             prompt,
             engines_asked_of_late: front.searches.asked.borrow().len(),
--- a/crates/cloverpier_front/src/stream/open.rs
+++ b/crates/cloverpier_front/src/stream/open.rs
@@ -3,7 +3,7 @@
 use super::{RESUMED_PRIORITY, Source, StreamRun};
 use crate::guards::{RunningStream, WorkGuard};
 use crate::outcome::{ChoiceNote, GivenUp, log_choice, silence_error, work_of};
-use crate::recall::find_prompt;
+use crate::prompt_search::find_prompt;
 use crate::reply::ServerAnswer;
 use crate::send::{Opened, SendError, SendExtras, keep, send};
 use cloverpier_relay::prelude::*;
@@ -89,9 +89,7 @@
         let is_new = self.attempts.sent() == 0 && self.request.last_event.is_some();
         let is_engine = self.request.service.engine.is_some();
         if let Some(prompt) = self.request.prompt.filter(|_| is_new && is_engine) {
-            let time_left = self.request.time_left(Instant::now());
-            let service = &self.request.service.name;
-            find_prompt(&self.front, service, prompt, time_left).await;
+            find_prompt(&self.front, &self.request, prompt).await;
         }
     }
 
