--- a/crates/cloverpier_daemon/src/main.rs
+++ b/crates/cloverpier_daemon/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use cloverpier_daemon::prelude::*;
 use cloverpier_observe::init_logs;
-use cloverpier_settings::Settings;
+use cloverpier_settings::{Settings, read_settings};
 use std::process::ExitCode;
 
 const EXIT_SETTINGS: u8 = 2;
@@ -19,18 +19,10 @@
     settings: String,
 }
 
-fn read(path: &str) -> Result<Settings, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-    Settings::parse(&text).map_err(|faults| {
-        let lines = faults.faults.iter().map(|f| format!("{path}: {f}"));
-        lines.collect::<Vec<_>>().join("\n")
-    })
-}
-
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let settings = match read(&args.settings) {
+    let settings = match read_settings(args.settings.as_ref(), Settings::parse) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
--- a/crates/cloverpier_daemon/tests/sessions.rs
+++ b/crates/cloverpier_daemon/tests/sessions.rs
@@ -13,18 +13,6 @@
 use support::Site;
 use tokio::sync::mpsc;
 
-fn faults_url(site: &Site) -> String {
-    format!("http://{}/faults", site.platform.address)
-}
-
-async fn platform_is(site: &Site, down: bool) {
-    let faults = PlatformFaults {
-        down,
-        ..PlatformFaults::default()
-    };
-    site.post(&faults_url(site), &faults).await;
-}
-
 /// What a caller sees of an answer, without what varies.
 fn seen(answer: &Result<cloverpier_client::Answer, CallError>) -> Value {
     match answer {
@@ -169,7 +157,7 @@
         lose_answers: 1,
         ..PlatformFaults::default()
     };
-    site.post(&faults_url(&site), &lose).await;
+    site.post(&site.platform_faults(), &lose).await;
     for step in [
         "confirmed; the platform's answer is lost",
         "confirmed again",
@@ -189,7 +177,7 @@
         "step": "the second",
         "refused as moved": refused.contains("plan_moved") && refused.contains("upstreams.e1"),
     }));
-    platform_is(&site, true).await;
+    site.set_platform_down(true).await;
     let down = site.operator(0).plan(&leaving("e2")).await.unwrap_err();
     let told = down.to_string();
     steps.push(json!({
@@ -211,7 +199,7 @@
     let mut site = Site::start().await;
     site.configure(&site.intent()).await;
     let version = site.configure(&leaving("e0")).await;
-    platform_is(&site, true).await;
+    site.set_platform_down(true).await;
     site.routers[2].process.kill();
     site.restart(2);
     let again = site.operator(2);
@@ -233,7 +221,7 @@
 async fn an_upstream_leaves_while_the_platform_is_down_and_its_work_ends_there() {
     let site = Site::start().await;
     site.configure(&site.intent()).await;
-    platform_is(&site, true).await;
+    site.set_platform_down(true).await;
     let (task, mut tokens) = stream(&site, Generate::new("drafts", "a long log", 250));
     tokens.recv().await.expect("a first token");
     for name in ["e0", "e1", "e2"] {
@@ -289,31 +277,6 @@
     }));
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn an_intent_that_makes_too_large_a_plan_is_refused_by_its_size() {
-    let site = Site::start().await;
-    site.configure(&site.intent()).await;
-    let mut intent = cloverpier_config::Intent::default();
-    let account = cloverpier_config::Account::new("a.b", vec!["drafts".into()]);
-    for i in 0..4_000 {
-        let name = format!("account-{i}");
-        intent
-            .accounts
-            .insert(name.as_str().into(), account.clone());
-    }
-    let refused = site
-        .operator(0)
-        .plan(&intent)
-        .await
-        .unwrap_err()
-        .to_string();
-    assert!(
-        refused.contains("413") && refused.contains("intent_too_large"),
-        "{refused}"
-    );
-    assert!(refused.contains("\"field\":\"body\""), "{refused}");
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_generation_that_may_not_be_repeated_is_not_tried_again() {
     let mut site = Site::start().await;
@@ -351,59 +314,3 @@
         "started elsewhere": elsewhere,
     }));
 }
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_router_whose_port_is_taken_serves_once_it_is_free() {
-    let mut site = Site::start().await;
-    site.configure(&site.intent()).await;
-    site.routers[2].process.kill();
-    let at = site.routers[2].callers_at;
-    let mut squatter = None;
-    while squatter.is_none() {
-        // The killed router's own socket may take a moment to close.
-        squatter = std::net::TcpListener::bind(at).ok();
-        tokio::task::yield_now().await;
-    }
-    site.restart(2);
-    let again = site.operator(2);
-    site.until("the restarted router to be ready", || async {
-        again.status().await.is_ok_and(|s| s["ready"] == true)
-    })
-    .await;
-    drop(squatter);
-    let caller = site.caller(2);
-    site.until("callers to be served", || async {
-        caller.addresses().await.is_ok()
-    })
-    .await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_router_that_started_without_the_platform_counts_before_a_version_is_accepted() {
-    let mut site = Site::start().await;
-    site.configure(&site.intent()).await;
-    for round in 0..4 {
-        platform_is(&site, true).await;
-        site.routers[2].process.kill();
-        site.restart(2);
-        let guest = site.operator(2);
-        site.until("the guest", || async {
-            guest.status().await.is_ok_and(|s| s["ready"] == true)
-        })
-        .await;
-        platform_is(&site, false).await;
-        let mut intent = cloverpier_config::Intent::default();
-        let mut account = site.intent().accounts.remove(&"lab".into()).unwrap();
-        account.weight = 10 + round;
-        intent.accounts.insert("lab".into(), account);
-        let planned = site.operator(0).plan(&intent).await.unwrap();
-        let confirmed = site.operator(0).confirm(&planned.id).await.unwrap();
-        let status = guest.status().await.unwrap();
-        let acts_on = status["version"].as_u64().unwrap_or(0);
-        let accepted = confirmed.outcome == "accepted";
-        assert!(
-            !accepted || acts_on >= confirmed.version,
-            "{confirmed:?}: {acts_on}"
-        );
-    }
-}
--- a/crates/cloverpier_daemon/tests/support/mod.rs
+++ b/crates/cloverpier_daemon/tests/support/mod.rs
@@ -234,6 +234,19 @@
         req.send().await.ok()?.json().await.ok()
     }
 
+    pub async fn set_platform_down(&self, down: bool) {
+        let faults = cloverpier_standin::PlatformFaults {
+            down,
+            ..Default::default()
+        };
+        self.post(&self.platform_faults(), &faults).await;
+    }
+
+    /// Where the platform stand-in takes faults.
+    pub fn platform_faults(&self) -> String {
+        format!("http://{}/faults", self.platform.address)
+    }
+
     pub async fn post<T: Serialize>(&self, url: &str, body: &T) {
         let res = self.http.post(url).json(body).send().await.unwrap();
         assert!(res.status().is_success(), "{url}: {}", res.status());
--- a/crates/cloverpier_front/src/following.rs
+++ b/crates/cloverpier_front/src/following.rs
@@ -14,9 +14,8 @@
         let silence = self.peer_silence();
         let directory = self.directory.borrow();
         let live: Vec<Candidate> = directory
-            .heard()
+            .live(now, silence)
             .filter(|(_, e)| e.state == PeerState::Ready)
-            .filter(|(_, e)| now.saturating_duration_since(e.heard) <= silence)
             .map(|(peer, e)| Candidate {
                 peer: *peer,
                 // What was heard has aged since.
@@ -59,9 +58,7 @@
     pub(crate) fn longest_store_pause(&self, now: Instant) -> Duration {
         let silence = self.peer_silence();
         let directory = self.directory.borrow();
-        let live = directory
-            .heard()
-            .filter(|(_, e)| now.saturating_duration_since(e.heard) <= silence);
+        let live = directory.live(now, silence);
         let live: Vec<_> = live.map(|(peer, _)| *peer).collect();
         longest_pause(self.settings().listen.peers, &live)
     }
--- a/crates/cloverpier_front/src/lib.rs
+++ b/crates/cloverpier_front/src/lib.rs
@@ -51,7 +51,7 @@
     pub use crate::settings::FrontSettings;
     pub use crate::start::{StartError, run_front};
     pub use crate::sync::{
-        CatalogChange, ConfigurationSource, FleetChange, FleetList, SourceError,
+        CatalogChange, ConfigurationSource, FleetChange, FleetList, STORE_PATIENCE, SourceError,
     };
 }
 
--- a/crates/cloverpier_front/src/sync.rs
+++ b/crates/cloverpier_front/src/sync.rs
@@ -13,6 +13,8 @@
 
 /// How long one watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
+/// How long a connection to the store or its answer may take, beyond the wait asked for.
+pub const STORE_PATIENCE: Duration = Duration::from_millis(1_500);
 /// First pause after a failed call; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// A front that doesn't follow the store looks this often whether it should.
--- a/crates/cloverpier_front/src/versions.rs
+++ b/crates/cloverpier_front/src/versions.rs
@@ -67,12 +67,9 @@
 /// A live peer that knows a version above `known`; one of the newest, by chance.
 fn newer_at(front: &Front, known: u64, version: impl Fn(&PeerEntry) -> u64) -> Option<Newer> {
     let silence = front.peer_silence();
-    let now = Instant::now();
     let directory = front.directory.borrow();
-    let live = directory
-        .heard()
-        .filter(|(_, e)| now.saturating_duration_since(e.heard) <= silence);
-    let versions: Vec<Newer> = live
+    let versions: Vec<Newer> = directory
+        .live(Instant::now(), silence)
         .map(|(peer, entry)| Newer {
             peer: *peer,
             version: version(entry),
--- a/crates/cloverpier_relay/src/peers.rs
+++ b/crates/cloverpier_relay/src/peers.rs
@@ -100,13 +100,13 @@
 
     /// The routers alive, this one included.
     pub fn alive(&self, now: Instant, within: Duration) -> usize {
-        1 + self.live_peers(now, within).count()
+        1 + self.live(now, within).count()
     }
 
     /// What live peers have spent together of a service's retry budget.
     pub fn spent(&self, service: ServiceKey, now: Instant, within: Duration) -> BudgetUse {
         let mut total = BudgetUse::default();
-        let all = self.live_peers(now, within).flat_map(|e| &e.spent);
+        let all = self.live(now, within).flat_map(|(_, e)| &e.spent);
         for (_, spent) in all.filter(|(key, _)| *key == service) {
             total.requests = total.requests.saturating_add(spent.requests);
             total.repeats = total.repeats.saturating_add(spent.repeats);
@@ -114,9 +114,14 @@
         total
     }
 
-    fn live_peers(&self, now: Instant, within: Duration) -> impl Iterator<Item = &PeerEntry> {
-        let is_live = move |e: &&PeerEntry| now.saturating_duration_since(e.heard) <= within;
-        self.peers.values().filter(is_live)
+    /// The peers that were heard within a time.
+    pub fn live(
+        &self,
+        now: Instant,
+        within: Duration,
+    ) -> impl Iterator<Item = (&SocketAddr, &PeerEntry)> {
+        let is_live = move |e: &PeerEntry| now.saturating_duration_since(e.heard) <= within;
+        self.peers.iter().filter(move |(_, e)| is_live(e))
     }
 
     /// The addresses that callers are told: routers that are ready and alive.
@@ -131,7 +136,8 @@
     ) -> Vec<SocketAddr> {
         let ready = |e: &&PeerEntry| e.state == PeerState::Ready;
         let mut listed: Vec<SocketAddr> = self
-            .live_peers(now, within)
+            .live(now, within)
+            .map(|(_, e)| e)
             .filter(ready)
             .map(|e| e.front)
             .collect();
--- a/crates/cloverpier_settings/src/front.rs
+++ b/crates/cloverpier_settings/src/front.rs
@@ -1,6 +1,6 @@
 //! The settings of a front.
 
-use crate::reader::{Reader, SettingFault, SettingFaults};
+use crate::reader::{Reader, SettingFaults};
 use crate::settings::level;
 use cloverpier_core::{DataCentre, VmName};
 use std::net::SocketAddr;
@@ -85,13 +85,7 @@
     ///
     /// [`SettingFaults`] lists every key that can't stand, unknown ones too.
     pub fn parse(text: &str) -> Result<Self, SettingFaults> {
-        let table = text.parse().map_err(|e: toml::de::Error| SettingFaults {
-            faults: vec![SettingFault {
-                key: "(file)".to_owned(),
-                expected: format!("TOML: {}", e.message()),
-            }],
-        })?;
-        let mut r = Reader::new(table);
+        let mut r = Reader::parse(text)?;
         let settings = Self {
             vm: VmName::new(r.text("vm", "the VM's name")),
             data_centre: DataCentre::new(r.text("data_centre", "the data centre's name")),
--- a/crates/cloverpier_settings/src/lib.rs
+++ b/crates/cloverpier_settings/src/lib.rs
@@ -8,12 +8,14 @@
 //! assert!(faults.faults.iter().any(|f| f.key == "vm"));
 //! ```
 
+mod file;
 mod front;
 mod reader;
 mod settings;
 
 /// What users of the crate need daily.
 pub mod prelude {
+    pub use crate::file::read_settings;
     pub use crate::front::{FrontListen, FrontSettings, RetrySettings, SilenceSettings};
     pub use crate::reader::{SettingFault, SettingFaults};
     pub use crate::settings::Settings;
--- a/crates/cloverpier_settings/src/reader.rs
+++ b/crates/cloverpier_settings/src/reader.rs
@@ -41,11 +41,18 @@
 }
 
 impl Reader {
-    pub(crate) fn new(table: Table) -> Self {
-        Self {
+    /// Reads the text of a settings file.
+    pub(crate) fn parse(text: &str) -> Result<Self, SettingFaults> {
+        let table = text.parse().map_err(|e: toml::de::Error| SettingFaults {
+            faults: vec![SettingFault {
+                key: "(file)".to_owned(),
+                expected: format!("TOML: {}", e.message()),
+            }],
+        })?;
+        Ok(Self {
             table,
             faults: Vec::new(),
-        }
+        })
     }
 
     pub(crate) fn fault(&mut self, key: &str, expected: &str) {
--- a/crates/cloverpier_settings/src/settings.rs
+++ b/crates/cloverpier_settings/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of a router.
 
-use crate::reader::{Reader, SettingFault, SettingFaults};
+use crate::reader::{Reader, SettingFaults};
 use cloverpier_core::{DataCentre, Secret, VmName};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -51,13 +51,7 @@
     ///
     /// [`SettingFaults`] lists every key that can't stand, unknown ones too.
     pub fn parse(text: &str) -> Result<Self, SettingFaults> {
-        let table = text.parse().map_err(|e: toml::de::Error| SettingFaults {
-            faults: vec![SettingFault {
-                key: "(file)".to_owned(),
-                expected: format!("TOML: {}", e.message()),
-            }],
-        })?;
-        let mut r = Reader::new(table);
+        let mut r = Reader::parse(text)?;
         let callers_listen = r.address("callers_listen");
         let peers_listen = r.address("peers_listen");
         let settings = Self {
