Log what each fetch of a version took, and what each copy of a configuration cost

Cause: the logs told when a version came into force, not whether a fetch was slow, how many bytes it carried or from whom, so links and processors could not be told apart as the reason. Change: log lines version.fetched and version.served, three fields of peer.fetch_failed, metrics version_fetches, version_bytes and version_fetch_seconds. No rule changes.

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -6,6 +6,7 @@
 use crate::outcome::RequestEnd;
 use cloverpier_router_policy::prelude::*;
 use serde::Serialize;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Whole milliseconds since a moment.
@@ -123,6 +124,34 @@
     pub from: &'a str,
 }
 
+/// A newer version was fetched from a peer.
+#[derive(Serialize)]
+pub(crate) struct VersionFetched<'a> {
+    pub what: &'a str,
+    pub from: SocketAddr,
+    /// Bytes of the reply's body, as they were on the wire.
+    pub bytes: usize,
+    pub took_ms: u64,
+}
+
+/// A newer version could not be fetched from a peer.
+#[derive(Serialize)]
+pub(crate) struct FetchFailed<'a> {
+    pub name: &'a str,
+    pub reason: &'a str,
+    pub what: &'a str,
+    pub from: SocketAddr,
+    pub took_ms: u64,
+}
+
+/// A configuration was handed to a peer.
+#[derive(Serialize)]
+pub(crate) struct VersionServed<'a> {
+    pub what: &'a str,
+    pub version: u64,
+    pub bytes: usize,
+}
+
 /// A search for the engine that has read a prompt has ended.
 #[derive(Debug, Serialize)]
 pub(crate) struct PromptSearched<'a> {
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -61,6 +61,10 @@
     pub store_calls: ByKind,
     /// Probes, checks and searches by outcome.
     pub probes: ByKind,
+    /// Fetches of versions from peers by outcome.
+    pub version_fetches: ByKind,
+    /// Bytes of versions handed to peers.
+    pub version_bytes: Counter,
     /// New connections to upstreams.
     pub connections: Counter,
     /// Log lines dropped.
@@ -73,6 +77,8 @@
     pub resume_pause: Latency,
     /// From the last sign of life to the verdict that an upstream is dead.
     pub detection: Latency,
+    /// From the request for a version to its last byte from a peer.
+    pub version_fetch: Latency,
 }
 
 impl Default for Metrics {
@@ -84,12 +90,15 @@
             resumed: ByKind::default(),
             store_calls: ByKind::default(),
             probes: ByKind::default(),
+            version_fetches: ByKind::default(),
+            version_bytes: Counter::default(),
             connections: Counter::default(),
             dropped_lines: Gauge::default(),
             in_flight: Gauge::default(),
             first_answer: Latency::default(),
             resume_pause: Latency::default(),
             detection: Latency::default(),
+            version_fetch: Latency::default(),
         };
         metrics.register();
         metrics
@@ -134,6 +143,26 @@
             "Silence to verdict",
             self.detection.0.clone(),
         );
+        self.register_versions();
+    }
+
+    fn register_versions(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "version_fetches",
+            "Fetches of versions from peers",
+            self.version_fetches.0.clone(),
+        );
+        registry.register(
+            "version_bytes",
+            "Bytes of versions handed to peers",
+            self.version_bytes.clone(),
+        );
+        registry.register(
+            "version_fetch_seconds",
+            "Request for a version to its last byte",
+            self.version_fetch.0.clone(),
+        );
     }
 
     /// All metrics as text.
