--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -69,6 +69,8 @@
     pub metrics: SocketAddr,
     /// Where it says which routers to use.
     pub directory: SocketAddr,
+    /// Where other routers reach it.
+    pub peers: SocketAddr,
     /// Its way to the store.
     pub store_link: Link,
     /// Its log.
@@ -218,6 +220,7 @@
                 ready: addresses[1],
                 directory: addresses[2],
                 metrics: addresses[3],
+                peers: peers[index],
                 store_link,
                 log: self.spec.dir.join(format!("front-{index}.log")),
                 settings,
