Read a configuration to its end once the store has begun to send it

Cause: the same as between routers, found by the test of each way: a watcher on a narrow link gets no ping through while a large configuration arrives, takes the store for silent, and makes its watch anew, from nothing, again and again.

--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -35,6 +35,9 @@
     /// No answer came in time.
     #[snafu(display("no answer in time"))]
     TimedOut,
+    /// The caller gave the call up before an answer began.
+    #[snafu(display("given up"))]
+    GivenUp,
 }
 
 impl CallError {
@@ -93,7 +96,8 @@
     }
 
     /// Gets something large: its head within `bounds.head`, and then each next piece within
-    /// `bounds.stall`; the whole may take as long as pieces arrive.
+    /// `bounds.stall`; the whole may take as long as pieces arrive.  The call ends when
+    /// `given_up` completes before the head.
     ///
     /// # Errors
     ///
@@ -103,8 +107,12 @@
         path: &str,
         headers: HeaderMap,
         bounds: LargeBounds,
+        given_up: impl Future<Output = ()>,
     ) -> Result<HttpAnswer, CallError> {
-        let (connection, response) = within(bounds.head, self.send(path, headers)).await??;
+        let (connection, response) = tokio::select! {
+            sent = within(bounds.head, self.send(path, headers)) => sent??,
+            () = given_up => return Err(CallError::GivenUp),
+        };
         let (head, mut body) = response.into_parts();
         let mut whole = BytesMut::new();
         while let Some(frame) = within(bounds.stall, body.frame()).await? {
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -213,7 +213,8 @@
             head: STALL_TIMEOUT,
             stall: STALL_TIMEOUT,
         };
-        let answer = client.get_large(path, headers, bounds).await;
+        let never = std::future::pending();
+        let answer = client.get_large(path, headers, bounds, never).await;
         let answer = answer.context(CallSnafu)?;
         match answer.status {
             StatusCode::OK => Ok(answer),
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -21,6 +21,9 @@
         /// What happened.
         reason: String,
     },
+    /// The call was given up before the store began to answer.
+    #[snafu(display("given up"))]
+    GivenUp,
     /// Its answer cannot be read.
     #[snafu(display("{reason}"))]
     Malformed {
@@ -65,11 +68,13 @@
     /// [`SourceError`], as for each call.
     fn read_configuration(&self) -> impl Future<Output = Result<ConfigurationChange, SourceError>>;
 
-    /// Waits up to `wait` for a configuration after a revision.
+    /// Waits up to `wait` for a configuration after a revision, or until `given_up` completes
+    /// before the store has begun to answer: an answer on its way is read to its end.
     fn poll_configuration(
         &self,
         revision: u64,
         wait: Duration,
+        given_up: impl Future<Output = ()>,
     ) -> impl Future<Output = Result<ConfigurationChange, SourceError>>;
 
     /// Checks that the store answers, as cheaply as it allows.
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -77,10 +77,10 @@
         }
         let change = match revision {
             None => source.read_configuration().await,
-            Some(at) => tokio::select! {
-                change = source.poll_configuration(at, WATCH_WAIT) => change,
-                () = router.store.watch_ended() => continue,
-            },
+            Some(at) => {
+                let given_up = router.store.watch_ended();
+                source.poll_configuration(at, WATCH_WAIT, given_up).await
+            }
         };
         match change {
             Ok(change) => {
@@ -90,6 +90,8 @@
                     apply_from_store(&router, configuration).await;
                 }
             }
+            // The store swallowed the watch, or may have; the next one asks anew.
+            Err(SourceError::GivenUp) => {}
             Err(error) => {
                 revision = revision.filter(|_| error != SourceError::HistoryLost);
                 backoff.after_failure(&router, &error).await;
