Let a router that ends wait for its last log lines

Cause: lines are written by a thread of their own, which ends with the process; on a busy machine it had not come to the last ones. Found by the test of log lines.

--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -13,7 +13,7 @@
 use crate::store_sync;
 use crate::store_view::{Watched, log_dependency};
 use crate::web::{bind, on_caller, on_directory, on_metrics, on_ready, serve};
-use cloverpier_observe::{DroppedLines, NoFields};
+use cloverpier_observe::{LogProgress, NoFields};
 use cloverpier_router_policy::connection_reuse::SWEEP_PERIOD;
 use cloverpier_router_policy::prelude::UpstreamState;
 use snafu::{ResultExt, Snafu};
@@ -55,7 +55,7 @@
     router: Router,
     source: impl ConfigurationSource + 'static,
     settings_path: Option<PathBuf>,
-    dropped: DroppedLines,
+    log_progress: LogProgress,
 ) -> Result<(), StartError> {
     let router = Rc::new(router);
     let terminate = stop::terminate_signal().context(SignalsSnafu)?;
@@ -65,7 +65,7 @@
         spawn_local(peer_fetch::fetch_newer(Rc::clone(&router), watched));
     }
     spawn_local(probe::check_suspects(Rc::clone(&router)));
-    spawn_local(sweep(Rc::clone(&router), dropped));
+    spawn_local(sweep(Rc::clone(&router), log_progress));
     if let Some(path) = settings_path {
         spawn_local(stop::reload_settings(Rc::clone(&router), path));
     }
@@ -113,7 +113,7 @@
 }
 
 /// Drops what cannot be used again, until the process ends.
-async fn sweep(router: Rc<Router>, dropped: DroppedLines) {
+async fn sweep(router: Rc<Router>, log_progress: LogProgress) {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         router.pool.borrow_mut().close_stale(router.now());
@@ -122,7 +122,7 @@
             .health
             .retain(|upstream| table.get(upstream).is_some_and(UpstreamState::is_listed));
         drop(table);
-        let lines = i64::try_from(dropped.count()).unwrap_or(i64::MAX);
+        let lines = i64::try_from(log_progress.dropped()).unwrap_or(i64::MAX);
         router.metrics.dropped_lines.set(lines);
     }
 }
--- a/crates/shared/cloverpier_observe/src/lib.rs
+++ b/crates/shared/cloverpier_observe/src/lib.rs
@@ -22,7 +22,7 @@
 
 /// What users of the crate need daily.
 pub mod prelude {
-    pub use crate::bounded::{BoundedWriter, DroppedLines};
+    pub use crate::bounded::{BoundedWriter, LogProgress};
     pub use crate::line::{Log, NoFields, init_logs, init_logs_bounded};
     pub use crate::metrics::Metrics;
 }
--- a/crates/shared/cloverpier_observe/src/line.rs
+++ b/crates/shared/cloverpier_observe/src/line.rs
@@ -3,7 +3,7 @@
 //! Owns the form of a line and the set-up of the process's log. Relies on `log` and
 //! `simplelog`, all of whose prefixes are off. Events are named `subject.verb`.
 
-use crate::bounded::{BoundedWriter, DroppedLines};
+use crate::bounded::{BoundedWriter, LogProgress};
 use cloverpier_core::wall_ms;
 use log::{Level, LevelFilter};
 use serde::Serialize;
@@ -86,11 +86,12 @@
 
 /// Sends log lines to standard output, never waiting for its reader.
 ///
-/// Returns the count of lines that were dropped to keep that promise.
-pub fn init_logs_bounded(level: LevelFilter) -> DroppedLines {
-    let dropped = DroppedLines::default();
-    init(level, BoundedWriter::new(io::stdout(), dropped.clone()));
-    dropped
+/// Returns how far the log has got: the lines that were dropped to keep that promise, and those
+/// that wait, which a process that ends waits for.
+pub fn init_logs_bounded(level: LevelFilter) -> LogProgress {
+    let progress = LogProgress::default();
+    init(level, BoundedWriter::new(io::stdout(), progress.clone()));
+    progress
 }
 
 fn init(level: LevelFilter, output: impl io::Write + Send + 'static) {
