--- a/crates/router/cloverpier_router/src/background.rs
+++ b/crates/router/cloverpier_router/src/background.rs
@@ -5,12 +5,13 @@
 //! and 42 ms to write (`cargo measure --scenario versions`). A second thread shares the core
 //! with it in turns.
 
-/// Bytes that are at most this many are read in place, without a thread: as much compressed
-/// takes about 8 ms at 0.12 of a core.
+/// Work on at most this many bytes is done in place, without a thread: reading as many
+/// compressed ones takes about 8 ms at 0.12 of a core (`cargo measure --scenario versions`).
+/// The bound itself is chosen, not measured.
 const MAX_IN_PLACE: usize = 16 * 1024;
 
 /// Runs `work` on something of `bytes` bytes, on another thread where that is long.
-pub async fn decode_in_background<T: Send + 'static>(
+pub async fn run_in_background<T: Send + 'static>(
     bytes: usize,
     work: impl FnOnce() -> T + Send + 'static,
 ) -> T {
--- a/crates/router/cloverpier_router/src/configuration_copies.rs
+++ b/crates/router/cloverpier_router/src/configuration_copies.rs
@@ -5,13 +5,17 @@
 //! ([`crate::background`]). A peer of a release that does not ask for compressed bytes gets
 //! plain ones.
 
-use crate::background::decode_in_background;
+use crate::background::run_in_background;
 use crate::peer_messages::{CodecError, compress, decode, decompress, encode};
 use bytes::Bytes;
 use cloverpier_router_policy::prelude::*;
 use std::sync::Arc;
 use tokio::sync::OnceCell;
 
+/// Bytes that a route takes in a plain copy, about: 77 measured (`cargo measure --scenario
+/// versions`: 107,822 bytes for 1,400 routes), more where its names are longer.
+const ROUTE_BYTES: usize = 100;
+
 /// How the bytes are encoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CopyEncoding {
@@ -35,7 +39,7 @@
         let size = estimated_bytes(&configuration);
         let index = move || Arc::new(ConfigurationIndex::new(configuration));
         Self {
-            index: decode_in_background(size, index).await,
+            index: run_in_background(size, index).await,
             plain: OnceCell::new(),
             compressed: OnceCell::new(),
         }
@@ -48,7 +52,7 @@
     /// [`CodecError`] for bytes that are no copy.
     pub async fn read(bytes: Bytes, encoding: CopyEncoding) -> Result<Self, CodecError> {
         let copy = bytes.clone();
-        let index = decode_in_background(bytes.len(), move || read_index(&copy, encoding));
+        let index = run_in_background(bytes.len(), move || read_index(&copy, encoding));
         let index = index.await?;
         let kept = OnceCell::new_with(Some(bytes));
         let (plain, compressed) = match encoding {
@@ -80,17 +84,15 @@
         let write = || {
             let index = Arc::clone(&self.index);
             let size = estimated_bytes(index.parts());
-            decode_in_background(size, move || write_copy(index.parts(), encoding))
+            run_in_background(size, move || write_copy(index.parts(), encoding))
         };
         cell.get_or_try_init(write).await.cloned()
     }
 }
 
-/// Bytes of a plain copy, about: a route takes 90 to 110 as the golden files of peer messages
-/// show, the rest is small.
+/// Bytes of a plain copy, about; what is not a route is small.
 fn estimated_bytes(configuration: &Configuration) -> usize {
-    const ROUTE: usize = 100;
-    configuration.routes.len() * ROUTE
+    configuration.routes.len() * ROUTE_BYTES
 }
 
 fn read_index(bytes: &[u8], encoding: CopyEncoding) -> Result<Arc<ConfigurationIndex>, CodecError> {
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -72,7 +72,7 @@
 
 /// What users of the crate need daily.
 pub mod prelude {
-    pub use crate::background::decode_in_background;
+    pub use crate::background::run_in_background;
     pub use crate::http_client::{CallError, HttpAnswer, HttpClient, LargeBounds};
     pub use crate::router::Router;
     pub use crate::source::{
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -102,11 +102,15 @@
 
 /// When a refused peer is to ask again.
 pub(crate) fn wait_of(headers: &HeaderMap) -> Duration {
-    let seconds = headers.get(RETRY_AFTER).and_then(|v| v.to_str().ok());
-    let seconds = seconds.and_then(|s| s.parse().ok());
-    // A peer that does not say when, or nothing readable, is asked again after a while.
-    let wait = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
-    wait.unwrap_or(DEFAULT_WAIT)
+    // A peer that does not say when, or says something unreadable, is asked again after a while.
+    read_seconds(headers.get(RETRY_AFTER)).unwrap_or(DEFAULT_WAIT)
+}
+
+/// A header in seconds; `None` where it is missing or no time.
+fn read_seconds(header: Option<&HeaderValue>) -> Option<Duration> {
+    // Its writer is a router, so nothing but a time is expected here.
+    let seconds = header?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
 }
 
 /// The revision after which changes are asked for; without a readable one, the whole list is.
--- a/crates/router/cloverpier_router_policy/src/version_fetch.rs
+++ b/crates/router/cloverpier_router_policy/src/version_fetch.rs
@@ -8,8 +8,8 @@
 //! - **Why.** Most routers do not watch the store, so this is how versions reach them. Right
 //!   after a change only the watchers have it, and all others ask at the same moment, over
 //!   links that carry a large configuration a few times a second
-//!   ([`crate::version_serving`]). So a peer that is busy is left alone for as long as it
-//!   says, one that failed is avoided, and among the rest chance decides, since all routers
+//!   ([`crate::version_serving`]). So a busy peer is not asked again before the time that
+//!   it named, one that failed is avoided, and among the rest chance decides, since all routers
 //!   see the same peers.
 //!
 //! Configuration and upstreams are fetched apart: a leaving upstream is a few bytes and must
@@ -34,8 +34,8 @@
 /// A peer whose fetch failed is not asked again for this long while another one has a newer
 /// version: about the time after which a dead peer is missed.  Chosen, not measured.
 const AVOID_FAILED: Duration = Duration::from_secs(1);
-/// The least wait for a busy peer: a timer's resolution, below which a router would ask again
-/// without a pause.
+/// The least wait for a busy peer.  It is the resolution of the timers (1 ms), below which a
+/// router would ask again without a pause.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
 /// What a router does next about newer versions.
--- a/crates/router/cloverpier_router_policy/src/version_serving.rs
+++ b/crates/router/cloverpier_router_policy/src/version_serving.rs
@@ -41,6 +41,7 @@
     /// How long copies of so many bytes take with their share of the link.
     pub fn copy_time(self, bytes: usize) -> Duration {
         let seconds = bytes as f64 / (self.bytes_per_s * LINK_SHARE);
+        // Longer than any time that can be told: such a copy blocks all that follow.
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 }
--- a/tools/src/bin/demo.rs
+++ b/tools/src/bin/demo.rs
@@ -1,6 +1,6 @@
 //! `cargo demo`: one answer that outlives its engine and then its router.
 
-use cloverpier_client::{Answer, Generate};
+use cloverpier_client::{Answer, Generate, Got};
 use cloverpier_daemon_standin::check_speech;
 use cloverpier_tools::fleet::{Fleet, FleetSpec};
 use cloverpier_tools::process::build_programs;
@@ -8,7 +8,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, UnboundedReceiver};
 
 const TOKENS: u32 = 240;
 /// Tokens after which the engine dies, and then the router.
@@ -45,38 +45,41 @@
         addresses.addresses.len(),
         addresses.ttl_s
     );
-    let (tx, mut rx) = mpsc::unbounded_channel();
-    let asked = {
-        let caller = Arc::clone(&caller);
-        tokio::spawn(async move {
-            let ask = Generate::new("drafts", "Summarise the calibration log of run 17.", TOKENS);
-            caller
-                .generate(&ask, |token| {
-                    // The receiver lives as long as the demo.
-                    let _ = tx.send(token.clone());
-                })
-                .await
-        })
-    };
+    let (tx, rx) = mpsc::unbounded_channel();
+    let asked = tokio::spawn(async move {
+        let ask = Generate::new("drafts", "Summarise the calibration log of run 17.", TOKENS);
+        caller
+            .generate(&ask, |token| {
+                // The receiver lives as long as the demo.
+                let _ = tx.send(token.clone());
+            })
+            .await
+    });
+    let faults = kill_on_the_way(&mut fleet, rx).await;
+    let answer = asked
+        .await
+        .map_err(io::Error::other)?
+        .map_err(io::Error::other)?;
+    let whole = print_result(&answer, &faults);
+    fleet.forget_logs();
+    Ok(whole)
+}
+
+/// Kills an engine and a router as the tokens arrive.
+async fn kill_on_the_way(fleet: &mut Fleet, mut rx: UnboundedReceiver<Got>) -> Vec<Fault> {
     let mut faults = Vec::new();
     let mut count = 0;
     while let Some(token) = rx.recv().await {
         count += 1;
         if count == ENGINE_AT {
-            let engine = busy_engine(&fleet, &token.text);
-            faults.push(kill_engine(&mut fleet, engine));
+            let engine = busy_engine(fleet, &token.text);
+            faults.push(kill_engine(fleet, engine));
         }
         if count == ROUTER_AT {
-            faults.push(kill_router(&mut fleet, token.from));
+            faults.push(kill_router(fleet, token.from));
         }
     }
-    let answer = asked
-        .await
-        .map_err(io::Error::other)?
-        .map_err(io::Error::other)?;
-    let whole = print_result(&answer, &faults);
-    fleet.forget_logs();
-    Ok(whole)
+    faults
 }
 
 /// The engine that made a token: its name is in the token's text.
--- a/tools/src/fleet/mod.rs
+++ b/tools/src/fleet/mod.rs
@@ -63,6 +63,30 @@
     dir: PathBuf,
 }
 
+fn start_engines(
+    dir: &Path,
+    spec: &FleetSpec,
+    mut address: impl FnMut() -> io::Result<SocketAddr>,
+) -> io::Result<Vec<Standin>> {
+    let model = dir.join("engine.toml");
+    let text = toml::to_string(&spec.model).map_err(io::Error::other)?;
+    std::fs::write(&model, text)?;
+    let model = ["--model".to_owned(), model.display().to_string()];
+    let engines = 1..=spec.engines;
+    let engines = engines.map(|i| standin(dir, &format!("e{i}"), "engine", address()?, &model));
+    engines.collect()
+}
+
+fn start_services(
+    dir: &Path,
+    spec: &FleetSpec,
+    mut address: impl FnMut() -> io::Result<SocketAddr>,
+) -> io::Result<Vec<Standin>> {
+    let services = 1..=spec.services;
+    let services = services.map(|i| standin(dir, &format!("s{i}"), "service", address()?, &[]));
+    services.collect()
+}
+
 impl Fleet {
     /// Starts a fleet and puts its configuration in force by plan and confirm.
     ///
@@ -84,17 +108,8 @@
                 .ok_or_else(|| io::Error::other("no address"))
         };
         let platform = standin(&dir, "platform", "platform", next()?, &[])?;
-        let model = dir.join("engine.toml");
-        std::fs::write(&model, toml::to_string(&spec.model).unwrap_or_default())?;
-        let model = ["--model".to_owned(), model.display().to_string()];
-        let mut engines = Vec::new();
-        for i in 1..=spec.engines {
-            engines.push(standin(&dir, &format!("e{i}"), "engine", next()?, &model)?);
-        }
-        let mut services = Vec::new();
-        for i in 1..=spec.services {
-            services.push(standin(&dir, &format!("s{i}"), "service", next()?, &[])?);
-        }
+        let engines = start_engines(&dir, &spec, &mut next)?;
+        let services = start_services(&dir, &spec, &mut next)?;
         let mut ports = Vec::new();
         for _ in 0..spec.routers {
             ports.push((next()?, next()?));
@@ -110,15 +125,20 @@
             http: Client::new(),
             dir,
         };
-        fleet.wait_for_platform().await?;
-        fleet.start_routers(&ports)?;
-        fleet.wait_for_members().await?;
-        let confirmed = fleet.configure().await?;
+        fleet.come_up(&ports).await?;
+        Ok(fleet)
+    }
+
+    /// Starts the routers before the stand-ins that run, and puts the configuration in force.
+    async fn come_up(&mut self, ports: &[(SocketAddr, SocketAddr)]) -> io::Result<()> {
+        self.wait_for_platform().await?;
+        self.start_routers(ports)?;
+        self.wait_for_members().await?;
+        let confirmed = self.configure().await?;
         if confirmed.outcome != "accepted" {
             return Err(io::Error::other(format!("not accepted: {confirmed:?}")));
         }
-        fleet.wait_for_slots().await?;
-        Ok(fleet)
+        self.wait_for_slots().await
     }
 
     /// A link before each router's port for peers, and one between it and the platform.
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -4,6 +4,7 @@
 
 pub use configuration::{
     ACCOUNT, ENGINES, FIXED_STREAM_PATH, HOST, KEY, PLAIN, SAFE_PATH, STREAM_PATH, UNSAFE_PATH,
+    add_routes, remove_added_routes,
 };
 
 use crate::process::{Process, free_addresses};
--- a/tools/src/router_site/configuration.rs
+++ b/tools/src/router_site/configuration.rs
@@ -14,6 +14,8 @@
 pub const KEY: &str = "key-of-the-lab";
 /// The client account of [`KEY`].
 pub const ACCOUNT: &str = "lab";
+/// What the names of added routes begin with.
+const ADDED: &str = "added-";
 /// Paths of the routes that every configuration holds.
 pub const STREAM_PATH: &str = "/drafts/";
 /// Streams that may not be taken up elsewhere.
@@ -44,6 +46,33 @@
     }
 }
 
+/// Adds routes with names of their own, so that the configuration is as large as the users'
+/// largest ones.
+pub fn add_routes(configuration: &mut Configuration, count: usize) {
+    let is_safe = |route: &&Route| route.prefix == SAFE_PATH;
+    let like = configuration.routes.iter().find(is_safe).cloned();
+    let like = like.unwrap_or_else(|| route("safe", SAFE_PATH, PLAIN));
+    let routes = (0..count as u64).map(|n| Route {
+        name: format!(
+            "{ADDED}{:08x}",
+            cloverpier_core::hash_of(&n.to_string()) >> 32
+        ),
+        prefix: format!(
+            "/added-{:08x}/",
+            cloverpier_core::hash_of(&n.to_string()) & 0xffff_ffff
+        ),
+        ..like.clone()
+    });
+    configuration.routes.extend(routes);
+}
+
+/// Takes out the routes that [`add_routes`] added; returns whether there were any.
+pub fn remove_added_routes(configuration: &mut Configuration) -> bool {
+    let former = configuration.routes.len();
+    configuration.routes.retain(|r| !r.name.starts_with(ADDED));
+    configuration.routes.len() < former
+}
+
 pub(super) fn first_configuration() -> Configuration {
     let stream = Route {
         streaming: true,
--- a/tools/src/soak/inject.rs
+++ b/tools/src/soak/inject.rs
@@ -3,7 +3,7 @@
 use super::checks::Report;
 use super::plan::{Action, Injection};
 use crate::process::Process;
-use crate::router_site::Site;
+use crate::router_site::{Site, add_routes, remove_added_routes};
 use cloverpier_router_policy::prelude::{Configuration, Route};
 use cloverpier_router_standin::link::Harm;
 use cloverpier_router_standin::store::StoreFault;
@@ -108,7 +108,10 @@
         }
         Action::StoreFault(fault) => site.store.set_fault(*fault),
         Action::ForgetHistory => site.store.forget_history(),
-        Action::ChangeConfiguration => site.change_configuration(toggle_route),
+        Action::ChangeConfiguration => site.change_configuration(|c| {
+            toggle_route(c);
+            toggle_many_routes(c);
+        }),
     }
     true
 }
@@ -138,6 +141,17 @@
 }
 
 /// Adds a route that nobody uses, or removes it.
+/// Routes that make a configuration large: as many as the users' largest change adds.
+const MANY_ROUTES: usize = 1_400;
+
+/// Every other change makes the configuration large: 23 copies at a time of one of this size
+/// once kept the news of leaving upstreams from a fleet for seconds.
+fn toggle_many_routes(configuration: &mut Configuration) {
+    if !remove_added_routes(configuration) {
+        add_routes(configuration, MANY_ROUTES);
+    }
+}
+
 fn toggle_route(configuration: &mut Configuration) {
     const NAME: &str = "passing";
     if configuration.routes.iter().any(|r| r.name == NAME) {
@@ -181,13 +195,8 @@
 async fn end(site: &mut Site, harm: &Running, disturbed: &mut [Disturbed]) -> io::Result<bool> {
     match &harm.action {
         Action::StopRouter(router) => {
-            let process = site.routers[*router].process.as_mut();
-            let is_same = process.as_ref().map(|p| p.id()) == harm.process;
-            if is_same {
-                if !process.is_none_or(has_ended) {
-                    return Ok(false);
-                }
-                site.start_router(*router)?;
+            if !restart_stopped(site, *router, harm.process)? {
+                return Ok(false);
             }
             over(disturbed, *router);
         }
@@ -220,6 +229,20 @@
     Ok(true)
 }
 
+/// Starts a router again that was told to stop; false while it has not ended by itself yet.
+fn restart_stopped(site: &mut Site, router: usize, stopped: Option<u32>) -> io::Result<bool> {
+    let process = site.routers[router].process.as_mut();
+    let is_same = process.as_ref().map(|p| p.id()) == stopped;
+    if !is_same {
+        return Ok(true);
+    }
+    if !process.is_none_or(has_ended) {
+        return Ok(false);
+    }
+    site.start_router(router)?;
+    Ok(true)
+}
+
 fn has_ended(process: &mut Process) -> bool {
     process.has_ended()
 }
--- a/tools/src/version_spread.rs
+++ b/tools/src/version_spread.rs
@@ -5,12 +5,17 @@
 //! carry one byte after the other, processors by the time that reading a copy takes. Owns the
 //! model; nothing here is a clock or a socket.
 
+mod model;
+
+pub use model::{SpreadOutcome, SpreadSpec};
+
 use cloverpier_core::jitter;
-use cloverpier_router_policy::heartbeat::{HeartbeatTurn, MIN_SEND_PAUSE, version_peers};
-use cloverpier_router_policy::version_fetch::{FetchSources, FetchStep};
-use cloverpier_router_policy::version_serving::{CopyPacing, CopyStep, LinkRate};
+use cloverpier_router_policy::heartbeat::{MIN_SEND_PAUSE, version_peers};
+use cloverpier_router_policy::version_fetch::FetchStep;
+use cloverpier_router_policy::version_serving::{CopyStep, LinkRate};
+use model::{Event, SimRouter};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -23,77 +28,6 @@
 /// The simulation ends here, whoever is still behind.
 const GIVE_UP: Duration = Duration::from_secs(60);
 
-/// A fleet and what spreads.
-#[derive(Clone, Copy, Debug)]
-pub struct SpreadSpec {
-    /// How many routers.
-    pub routers: usize,
-    /// Bytes of one copy.
-    pub copy_bytes: usize,
-    /// What each VM's link carries.
-    pub link_mbps: f64,
-    /// How long reading a copy takes at a router.
-    pub read_time: Duration,
-    /// Seeds all choices.
-    pub seed: u64,
-}
-
-/// What came of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SpreadOutcome {
-    /// For each change: from the moment at which the watchers have it until the last router
-    /// has it, or a newer one, in force.
-    pub last_in_force: Vec<Duration>,
-    /// Copies of the router that handed out most of them.
-    pub most_copies: usize,
-    /// Copies that the median router handed out.
-    pub median_copies: usize,
-    /// Bytes that all routers handed out.
-    pub bytes: usize,
-    /// Times that a router was told to ask again.
-    pub refusals: usize,
-}
-
-#[derive(Debug)]
-struct SimRouter {
-    address: SocketAddr,
-    version: u64,
-    /// When each version, or a newer one, came into force.
-    in_force: Vec<Duration>,
-    peers: BTreeMap<SocketAddr, u64>,
-    turn: HeartbeatTurn,
-    sources: FetchSources,
-    is_fetching: bool,
-    pacing: CopyPacing,
-    /// When its link has carried all that was handed out.
-    link_free: Duration,
-    copies: usize,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    /// A router sends its heartbeat; the regular one is followed by the next.
-    Beat { router: usize, is_regular: bool },
-    /// A heartbeat arrives.
-    Heard {
-        router: usize,
-        from: usize,
-        version: u64,
-    },
-    /// A router decides whom to ask.
-    Step { router: usize },
-    /// A router's request arrives at a source.
-    Asked { source: usize, router: usize },
-    /// A refusal arrives.
-    Refused {
-        router: usize,
-        source: usize,
-        wait: Duration,
-    },
-    /// A copy was read.
-    Read { router: usize, version: u64 },
-}
-
 /// A running simulation.
 #[derive(Debug)]
 pub struct Spread {
@@ -112,20 +46,9 @@
     /// A fleet whose routers all know each other and have no version yet.
     pub fn new(spec: SpreadSpec) -> Self {
         let address = |index: usize| SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
-        let routers = (0..spec.routers).map(|index| SimRouter {
-            address: address(index),
-            version: 0,
-            in_force: Vec::new(),
-            peers: (0..spec.routers)
-                .filter(|peer| *peer != index)
-                .map(|peer| (address(peer), 0))
-                .collect(),
-            turn: HeartbeatTurn::default(),
-            sources: FetchSources::default(),
-            is_fetching: false,
-            pacing: CopyPacing::default(),
-            link_free: Duration::ZERO,
-            copies: 0,
+        let routers = (0..spec.routers).map(|index| {
+            let peers = (0..spec.routers).filter(|peer| *peer != index);
+            SimRouter::new(address(index), peers.map(address))
         });
         Self {
             link: LinkRate::from_mbps(spec.link_mbps),
