Leave out an upstream's entry that cannot be read, and log it

An upstream writes its own entry; one that could not be read failed every read of the list and of its changes, so no router learned of any other upstream. Change: entries are read one by one; what cannot be read is logged (server.unreadable) and left out, and a known upstream keeps its former entry. Where a configuration cannot be read the former one stays, as before.

--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -76,7 +76,8 @@
     pub use crate::http_client::{CallError, HttpAnswer, HttpClient, LargeBounds};
     pub use crate::router::Router;
     pub use crate::source::{
-        ConfigurationChange, ConfigurationSource, SourceError, UpstreamChanges, UpstreamList,
+        ConfigurationChange, ConfigurationSource, SourceError, UnreadableEntry, UpstreamChanges,
+        UpstreamList,
     };
     pub use crate::start::{StartError, run_router};
     pub use crate::wire_names::{HeaderNames, Paths, PromptSize, WireNames};
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -235,12 +235,17 @@
         } => {
             let list = UpstreamList {
                 upstreams,
+                unreadable: Vec::new(),
                 revision,
             };
             apply_upstream_list(router, list, from);
         }
         UpstreamsReply::Changes { changes, revision } => {
-            let changes = UpstreamChanges { changes, revision };
+            let changes = UpstreamChanges {
+                changes,
+                unreadable: Vec::new(),
+                revision,
+            };
             apply_upstream_changes(router, changes, from);
         }
     }
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -4,6 +4,7 @@
 //! platform's objects at that edge; [`crate::store_sync`] calls it. An implementation decides
 //! nothing: it makes one call and returns the outcome.
 
+use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
 use snafu::Snafu;
 use std::future::Future;
@@ -32,11 +33,22 @@
     },
 }
 
+/// An upstream's entry that could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableEntry {
+    /// The entry's name.
+    pub name: UpstreamName,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
 /// All upstreams at a revision.
 #[derive(Debug)]
 pub struct UpstreamList {
     /// The upstreams.
     pub upstreams: Vec<Upstream>,
+    /// Entries that could not be read.
+    pub unreadable: Vec<UnreadableEntry>,
     /// The store's revision.
     pub revision: u64,
 }
@@ -46,6 +58,8 @@
 pub struct UpstreamChanges {
     /// The changes, in order.
     pub changes: Vec<UpstreamChange>,
+    /// Changed entries that could not be read.
+    pub unreadable: Vec<UnreadableEntry>,
     /// The store's revision.
     pub revision: u64,
 }
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -8,7 +8,7 @@
 use crate::configuration_copies::HeldConfiguration;
 use crate::decision_log::{Dependency, VersionTaken, WatcherRoleChanged};
 use crate::router::Router;
-use crate::source::{UpstreamChanges, UpstreamList};
+use crate::source::{UnreadableEntry, UpstreamChanges, UpstreamList};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::{max_backoff, watcher_role};
 use std::cell::{Cell, RefCell};
@@ -156,9 +156,12 @@
 
 /// Puts a whole list of upstreams in force if it is not older.
 pub(crate) fn apply_upstream_list(router: &Router, list: UpstreamList, from: &str) {
+    log_unreadable(router, &list.unreadable);
     let now = router.now();
     let mut table = router.upstreams.borrow_mut();
-    let is_applied = table.apply_list(list.upstreams, list.revision, now);
+    let unreadable = list.unreadable.into_iter().map(|entry| entry.name);
+    let upstreams = table.with_former_entries(list.upstreams, unreadable);
+    let is_applied = table.apply_list(upstreams, list.revision, now);
     drop(table);
     if is_applied {
         router.store.upstreams_known.set(true);
@@ -168,6 +171,7 @@
 
 /// Puts changes of upstreams in force if they are new; peers learn of it by the next heartbeat.
 pub(crate) fn apply_upstream_changes(router: &Router, changes: UpstreamChanges, from: &str) {
+    log_unreadable(router, &changes.unreadable);
     let now = router.now();
     let mut table = router.upstreams.borrow_mut();
     let is_applied = table.apply_changes(changes.changes, changes.revision, now);
@@ -177,6 +181,13 @@
     }
 }
 
+fn log_unreadable(router: &Router, entries: &[UnreadableEntry]) {
+    for entry in entries {
+        let name = entry.name.as_str();
+        log_dependency(router, "server.unreadable", name, &entry.reason);
+    }
+}
+
 fn log_version(router: &Router, watched: Watched, version: u64, from: &str) {
     let line = VersionTaken {
         what: watched.name(),
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -95,6 +95,22 @@
         load
     }
 
+    /// A list with the former entries of upstreams whose new ones could not be read. What is
+    /// known of them is older, but one entry must not take an upstream away, or hold up the
+    /// news of all others.
+    pub fn with_former_entries(
+        &self,
+        mut listed: Vec<Upstream>,
+        unreadable: impl IntoIterator<Item = UpstreamName>,
+    ) -> Vec<Upstream> {
+        let known = unreadable
+            .into_iter()
+            .filter_map(|name| self.upstreams.get(&name));
+        let former = known.filter(|s| s.gone.is_none());
+        listed.extend(former.map(|s| s.upstream.clone()));
+        listed
+    }
+
     /// Applies a whole list; returns false, and changes nothing, where it is older than this one.
     pub fn apply_list(&mut self, upstreams: Vec<Upstream>, revision: u64, now: Instant) -> bool {
         if revision < self.revision {
--- a/crates/standins/cloverpier_router_standin/src/store.rs
+++ b/crates/standins/cloverpier_router_standin/src/store.rs
@@ -170,6 +170,11 @@
         );
     }
 
+    /// Puts any content in the place of an upstream's entry.
+    pub fn put_upstream_spec(&self, name: &str, spec: Value) {
+        self.change(self.shapes.kinds.upstreams, name, Some(spec));
+    }
+
     /// Takes an upstream off the list.
     pub fn remove_upstream(&self, name: &str) {
         self.change(self.shapes.kinds.upstreams, name, None);
