--- a/crates/daemon/cloverpier_client/src/caller.rs
+++ b/crates/daemon/cloverpier_client/src/caller.rs
@@ -1,11 +1,12 @@
 //! The caller's side.
 //!
 //! Owns the addresses that callers may use and the retries over them: an answer that breaks off
-//! is continued at the next address with its last event id, and each token is handed out once. It
-//! reads the machine's clock: a caller's program has no other.
+//! is continued at the next address with its last event id, and each token is handed out once. The
+//! clock is the machine's unless [`Caller::with_clock`] passes another one in.
 
 use crate::events::Events;
 use crate::progress::{Progress, Step};
+use cloverpier_core::{Clock, SystemClock};
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
@@ -149,6 +150,7 @@
 pub struct Caller {
     http: Client,
     key: String,
+    clock: Arc<dyn Clock>,
     known: Mutex<Known>,
 }
 
@@ -176,6 +178,7 @@
         Self {
             http: http.expect("a client without TLS can always be built"),
             key: key.to_owned(),
+            clock: Arc::new(SystemClock),
             known: Mutex::new(Known {
                 addresses: vec![ask],
                 spread: 1,
@@ -184,6 +187,12 @@
         }
     }
 
+    /// The same caller by another clock.
+    #[must_use]
+    pub fn with_clock(self, clock: Arc<dyn Clock>) -> Self {
+        Self { clock, ..self }
+    }
+
     /// Asks which addresses to use and keeps them.
     ///
     /// # Errors
@@ -239,7 +248,7 @@
         ask: &Generate,
         mut on_token: impl FnMut(&Got),
     ) -> Result<Answer, CallError> {
-        let until = Instant::now() + ask.patience;
+        let until = self.clock.now() + ask.patience;
         let mut progress = Progress::new(ask);
         let mut pause = FIRST_PAUSE;
         let first = self.first_turn();
@@ -255,13 +264,13 @@
             match outcome {
                 Connection::Done => return Ok(progress.answer()),
                 Connection::Refused(error) => {
-                    if Instant::now() >= until || !may_come_back(&error) {
+                    if self.clock.now() >= until || !may_come_back(&error) {
                         return Err(error);
                     }
                 }
                 Connection::Broken => {}
             }
-            if Instant::now() >= until {
+            if self.clock.now() >= until {
                 return NoRouterSnafu.fail();
             }
             tokio::time::sleep(pause).await;
@@ -289,7 +298,7 @@
             // Routers write keys as text only.
             progress.key = key.to_str().unwrap_or_default().to_owned();
         }
-        read_events(Events::new(res), router, progress, on_token).await
+        read_events(Events::new(res), router, progress, &*self.clock, on_token).await
     }
 
     /// The request for an answer, or for the rest of it after the last event that arrived.
@@ -351,6 +360,7 @@
     mut events: Events,
     router: SocketAddr,
     progress: &mut Progress,
+    clock: &dyn Clock,
     on_token: &mut impl FnMut(&Got),
 ) -> Connection {
     loop {
@@ -358,7 +368,7 @@
         let Ok(Some(event)) = event else {
             return Connection::Broken;
         };
-        match progress.take(&event, router) {
+        match progress.take(&event, router, clock.now()) {
             Step::Token => {
                 if let Some(token) = progress.tokens.last() {
                     on_token(token);
--- a/crates/daemon/cloverpier_client/src/progress.rs
+++ b/crates/daemon/cloverpier_client/src/progress.rs
@@ -54,7 +54,7 @@
         }
     }
 
-    pub(crate) fn take(&mut self, event: &Event, from: SocketAddr) -> Step {
+    pub(crate) fn take(&mut self, event: &Event, from: SocketAddr, now: Instant) -> Step {
         if event.data == "[DONE]" {
             return Step::Done;
         }
@@ -65,7 +65,7 @@
             return self.failed(&data);
         }
         if let Some(id) = &event.id {
-            return self.token(id, &data, from);
+            return self.token(id, &data, from, now);
         }
         let told = &data["cloverpier"];
         if told.is_object() {
@@ -76,7 +76,7 @@
         Step::Nothing
     }
 
-    fn token(&mut self, id: &str, data: &Value, from: SocketAddr) -> Step {
+    fn token(&mut self, id: &str, data: &Value, from: SocketAddr, now: Instant) -> Step {
         let text = data["choices"][0]["text"].as_str().unwrap_or_default();
         let number = id.split('.').next().and_then(|n| n.parse::<u64>().ok());
         if number.is_some_and(|n| n <= self.tokens.len() as u64) {
@@ -85,7 +85,7 @@
         self.chain = self.chain.push(text);
         self.tokens.push(Got {
             text: Arc::from(text),
-            at: Instant::now(),
+            at: now,
             from,
         });
         self.last = Some(id.to_owned());
--- a/crates/daemon/cloverpier_daemon/src/answers/live.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/live.rs
@@ -5,7 +5,7 @@
 
 use crate::error::ApiError;
 use cloverpier_answer::{Answer, AppendReply, EventId, Finish, ShipStep, Shipping, Source};
-use cloverpier_core::{AccountName, AdapterName, ModelName, RequestKey, ServiceName, lock};
+use cloverpier_core::{AccountName, AdapterName, Clock, ModelName, RequestKey, ServiceName, lock};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -193,13 +193,14 @@
     }
 
     /// Begins to read from an offset.
-    pub fn read(self: &Arc<Self>, offset: u64, now: Instant) -> Reader {
+    pub fn read(self: &Arc<Self>, offset: u64, clock: Arc<dyn Clock>) -> Reader {
         self.readers.fetch_add(1, Ordering::Relaxed);
-        self.change(|s| s.idle_since = now);
+        self.change(|s| s.idle_since = clock.now());
         Reader {
             changed: self.changed.subscribe(),
             live: Arc::clone(self),
             offset,
+            clock,
         }
     }
 }
@@ -210,6 +211,8 @@
     live: Arc<Live>,
     changed: watch::Receiver<u64>,
     offset: u64,
+    /// Says when it ended, which the answer's idle time runs from.
+    clock: Arc<dyn Clock>,
 }
 
 impl Reader {
@@ -245,7 +248,7 @@
 impl Drop for Reader {
     fn drop(&mut self) {
         self.live.readers.fetch_sub(1, Ordering::Relaxed);
-        self.live.change(|s| s.idle_since = Instant::now());
+        self.live.change(|s| s.idle_since = self.clock.now());
     }
 }
 
