Let the soak's check of planned stops know a mute upstream

A router is told to stop; 2.1 s later a request goes to an upstream that takes it and says nothing (a fault of the plan, from 3.07 s on, the stop at 1.52 s); the router waits for it until 0.3 s before the end of the grace period and has to end. The check called that a cut; the users' rule excepts it. Change: the stand-in notes whom it left without an answer; a cut of such a request is excepted only if it came within 3 s of the signal and was waited for until the last sixth of the grace period, so an earlier cut is still found.

--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -45,6 +45,8 @@
     pub(crate) copies: HashSet<(SocketAddr, String)>,
     /// Streams that an upstream stopped as their connection was closed, by request.
     pub stopped: HashSet<String>,
+    /// Requests that an upstream took and never answered, or not to the end, as it is mute.
+    pub unanswered: HashSet<String>,
     /// Upstreams that each request reached, in order.
     pub reached: HashMap<String, Vec<UpstreamName>>,
     /// The headers that each request had when it ran last, by name.
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -313,6 +313,9 @@
     let mut state = lock(state);
     let fault = next_fault(&mut state);
     record_run(&state, head, &id, &upstream, &names);
+    if fault == Some(Fault::Mute) {
+        lock(&state.ledger).unanswered.insert(id.clone());
+    }
     let prompt = head.get(names.prompt_parts.as_str()).map(str::to_owned);
     state.prompts.extend(prompt.clone());
     let last_event = head.get(names.last_event.as_str());
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -23,6 +23,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// From the termination signal to the end of a router: short, so that runs are.
+pub const GRACE: Duration = Duration::from_secs(5);
+
 /// What a site is made of.
 #[derive(Clone, Debug)]
 pub struct SiteSpec {
@@ -203,7 +206,7 @@
             let text = format!(
                 "vm = \"front-{index}\"\ndata_centre = \"hall-{}\"\ncallers_listen = \"{}\"\n\
                  ready_listen = \"{}\"\ndirectory_listen = \"{}\"\nmetrics_listen = \"{}\"\n\
-                 peers_listen = \"{}\"\nstore = \"{}\"\nseeds = [{}]\ngrace_s = 5\n\
+                 peers_listen = \"{}\"\nstore = \"{}\"\nseeds = [{}]\ngrace_s = {}\n\
                  retry_ratio = 0.8\nretry_slack = 150\n",
                 index % 2,
                 addresses[0],
@@ -213,6 +216,7 @@
                 peers[index],
                 store_link.address(),
                 seeds.join(", "),
+                GRACE.as_secs(),
             );
             std::fs::write(&settings, text)?;
             self.routers.push(SiteRouter {
--- a/tools/src/soak/checks.rs
+++ b/tools/src/soak/checks.rs
@@ -3,7 +3,7 @@
 use super::inject::Disturbed;
 use super::load::Sent;
 use super::plan::Size;
-use crate::router_site::{ACCOUNT, FIXED_STREAM_PATH, Site, UNSAFE_PATH};
+use crate::router_site::{ACCOUNT, FIXED_STREAM_PATH, GRACE, Site, UNSAFE_PATH};
 use cloverpier_core::lock;
 use cloverpier_router_standin::caller::Outcome;
 use cloverpier_router_standin::ledger::Ledger;
@@ -16,6 +16,9 @@
 const MOST_TOLD: usize = 12;
 /// A process that was started again is still coming up for so long.
 const AFTERMATH: Duration = Duration::from_millis(500);
+/// Requests that come this long after the signal may be cut at the end of the grace period if
+/// their upstreams are silent: the users' bound.
+const LAST_ANSWERED: Duration = Duration::from_secs(3);
 /// A stream that was sent this many times has had its upstreams at fault.
 const MOST_SENDS: usize = 4;
 
@@ -169,6 +172,16 @@
     }
 }
 
+/// Whether a request was cut where the process had to end: its upstream never answered, and was
+/// waited for until the last sixth of the time that the stop had.
+fn was_upstream_waited_for(sent: &Sent, ledger: &Ledger, disturbed: &[Disturbed]) -> bool {
+    let stops = disturbed.iter().filter(|d| d.router == sent.router);
+    let was_waited_for = |stop: &Disturbed| {
+        sent.at <= stop.from + LAST_ANSWERED && sent.ended >= stop.from + GRACE * 5 / 6
+    };
+    ledger.unanswered.contains(&sent.request.id) && stops.clone().any(was_waited_for)
+}
+
 /// A planned stop cuts no request that its upstreams would have answered.
 fn check_planned_stop(sent: &Sent, ledger: &Ledger, disturbed: &[Disturbed], report: &mut Report) {
     if !matches!(sent.outcome, Outcome::Broken(_)) {
@@ -182,7 +195,12 @@
     let reached = ledger.reached.get(&sent.request.id).map_or(0, Vec::len);
     let is_repeatable = !sent.request.path.starts_with(FIXED_STREAM_PATH);
     // Sends that failed and requests that never reached an upstream are others' faults.
-    if is_only_planned && is_repeatable && reached == 1 && reached < MOST_SENDS {
+    let is_own_fault = reached == 1 && reached < MOST_SENDS;
+    if is_only_planned
+        && is_repeatable
+        && is_own_fault
+        && !was_upstream_waited_for(sent, ledger, disturbed)
+    {
         let found = format!("{} was cut at front {}", sent.request.id, sent.router);
         report.violation("planned stop", &found);
     }
