--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -1,4 +1,4 @@
-//! Simple calls to one address: probes, searches, the store, peers.
+//! Calls to one address: probes, searches, the store, peers; simple ones and large answers.
 //!
 //! Owns at most one kept connection, used again while it is whole. Callers that need to know
 //! whether a byte was written use [`crate::connection`] itself.
