Answer 503, not 401, while cloverpierd has learned no configuration

The key was looked up before the router asked itself whether it has learned a configuration, so one that had just started knew no account. Change: whoever looks up a key is told first that the router is starting, with the time after which to come back.

--- a/crates/daemon/cloverpier_daemon/src/web/request.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/request.rs
@@ -50,10 +50,7 @@
         let message = "this router is about to stop; use another address";
         return Err(ApiError::busy("stopping", message, wait));
     }
-    if !app.has_learned() {
-        let message = "this router has not learned the configuration yet; use another address";
-        return Err(ApiError::busy("starting", message, wait));
-    }
+    must_have_learned(app)?;
     match lock(&app.cluster).standing(app.now()) {
         Standing::Good => Ok(()),
         Standing::Alone => {
@@ -63,6 +60,17 @@
     }
 }
 
+/// Refuses requests while this router knows no configuration: judged by none, a valid key looked
+/// unknown, and its caller was turned away for good.
+fn must_have_learned(app: &App) -> Result<(), ApiError> {
+    if app.has_learned() {
+        return Ok(());
+    }
+    let wait = jitter(&mut lock(&app.rng), ELSEWHERE_RETRY);
+    let message = "this router has not learned the configuration yet; use another address";
+    Err(ApiError::busy("starting", message, wait))
+}
+
 /// Finds the account whose key a caller presents.
 ///
 /// The key has the form `account.secret`, so that one digest is compared, in
@@ -70,8 +78,10 @@
 ///
 /// # Errors
 ///
-/// [`ApiError`] when there is no such account or the key is wrong.
+/// [`ApiError`] when there is no such account, the key is wrong, or no configuration is known
+/// yet.
 pub fn caller(app: &App, req: &Request) -> Result<Caller, ApiError> {
+    must_have_learned(app)?;
     // No header is no key, which is that of no account.
     let header = req.header::<String>("Authorization").unwrap_or_default();
     let key = header.strip_prefix("Bearer ").unwrap_or_default().trim();
--- a/crates/daemon/cloverpier_daemon/tests/requests.rs
+++ b/crates/daemon/cloverpier_daemon/tests/requests.rs
@@ -170,3 +170,28 @@
     let tokens = |answer: &Value| answer["usage"]["completion_tokens"].as_u64();
     assert_eq!((tokens(&mine), tokens(&theirs)), (Some(30), Some(20)));
 }
+
+/// A router started while platform and peers were away; it judged a valid key by no configuration
+/// at all and told its caller for good that the key was unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_without_a_configuration_calls_no_key_unknown() {
+    let mut site = Site::start().await;
+    site.configure(&site.intent()).await;
+    site.set_platform_down(true).await;
+    for router in &mut site.routers {
+        router.process.kill();
+    }
+    site.restart(0);
+    let operator = site.operator(0);
+    site.until("the router listens", async || {
+        operator.status().await.is_ok()
+    })
+    .await;
+    let key = format!("Bearer {KEY}");
+    let body = json!({"model": "drafts", "prompt": "x", "max_tokens": 4}).to_string();
+    let headers = [("Authorization", key.as_str())];
+    let (status, answer) = site.raw("/v1/completions", &headers, &body).await;
+    assert_eq!(status, 503, "{answer}");
+    assert_eq!(answer["error"]["code"], "starting", "{answer}");
+    assert_eq!(answer["error"]["run"], "not-run", "{answer}");
+}
