--- a/crates/router/cloverpier_router/src/intake.rs
+++ b/crates/router/cloverpier_router/src/intake.rs
@@ -254,32 +254,23 @@
     router.log.info("request.header_ignored", &line);
 }
 
-/// The headers that travel to upstreams: all but those of one connection, the key, and those
-/// that only the router may set.
+/// The headers that travel to upstreams: all but those of one connection and those that are
+/// not the caller's to set.
 fn forwarded_headers(
     router: &Router,
     mut headers: HeaderMap,
     account: Option<&ClientAccount>,
 ) -> HeaderMap {
-    let names = &router.wire_names.headers;
     strip_hop_by_hop(&mut headers);
-    let own = [
-        &names.key,
-        &names.account,
-        &names.expected_upstream,
-        &names.deadline_ms,
-        &names.priority,
-        &names.replica_at,
-        &names.resume_from,
-    ];
-    for name in own {
+    for name in &router.wire_names.not_forwarded {
         headers.remove(name);
     }
     headers.remove(EXPECT);
     headers.remove(CONTENT_LENGTH);
     // A name that no header can hold is left out: the request runs without it, as a public one.
     if let Some(value) = account.and_then(|a| HeaderValue::from_str(&a.name).ok()) {
-        headers.insert(names.account.clone(), value);
+        let name = router.wire_names.headers.account.clone();
+        headers.insert(name, value);
     }
     headers
 }
--- a/crates/router/cloverpier_router/src/wire_names.rs
+++ b/crates/router/cloverpier_router/src/wire_names.rs
@@ -66,6 +66,9 @@
 pub struct WireNames {
     /// Names of headers.
     pub headers: HeaderNames,
+    /// Headers that only routers and upstreams set. What a caller wrote there does not reach an
+    /// upstream, which would act on it: reserve memory, fetch another run's KV cache.
+    pub not_forwarded: Vec<HeaderName>,
     /// Paths of calls.
     pub paths: Paths,
     /// Writes the directory's answer: addresses, and how long they may be kept.
