--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -12,6 +12,7 @@
     change_peers, load_ttl, version_peers,
 };
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::store_watch::{changes_roles, reported_store_age};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -124,11 +125,10 @@
 }
 
 fn store_age_ms(router: &Router, now: Instant) -> Option<u32> {
-    let watches = router.store.role().watches();
-    let success = router.store.last_success().filter(|_| watches)?;
-    let age = now.saturating_duration_since(success).as_millis();
-    // An age beyond 49 days is as good as none.
-    u32::try_from(age).ok()
+    let store = &router.store;
+    let age = reported_store_age(store.role(), store.last_success(), store.fails(), now);
+    // An age beyond 49 days is as good as 49 days.
+    age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
 }
 
 /// What peers are to be sent at once, if anything.
@@ -211,6 +211,7 @@
     router.peers.on_mentioned(mentioned, now);
     let entry = PeerEntry {
         callers: heartbeat.callers,
+        data_centre: heartbeat.data_centre,
         state: heartbeat.state,
         last_heartbeat: now,
         configuration_version: heartbeat.configuration_version,
@@ -220,7 +221,12 @@
             .map(|ms| Duration::from_millis(ms.into())),
         budget_use: heartbeat.budget_use,
     };
-    router.peers.on_heartbeat(heartbeat.sender, entry);
+    let store_age = entry.store_age;
+    let former = router.peers.on_heartbeat(heartbeat.sender, entry);
+    if changes_roles(former.and_then(|entry| entry.store_age), store_age) {
+        // A watcher has lost the store, or found it again.
+        decide_watcher_role(router, now);
+    }
     if has_newer_configuration {
         router.peers.on_newer_version(Watched::Configuration);
     }
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -32,9 +32,9 @@
 }
 
 impl Peers {
-    /// Records a heartbeat.
-    pub fn on_heartbeat(&self, peer: SocketAddr, entry: PeerEntry) {
-        self.table.borrow_mut().on_heartbeat(peer, entry);
+    /// Records a heartbeat; returns the one before.
+    pub fn on_heartbeat(&self, peer: SocketAddr, entry: PeerEntry) -> Option<PeerEntry> {
+        self.table.borrow_mut().on_heartbeat(peer, entry)
     }
 
     /// Records peers that settings or a peer mentioned.
@@ -63,6 +63,7 @@
             .filter(|(_, entry)| entry.state == PeerState::Ready);
         let ready = ready.map(|(peer, entry)| ReadyPeer {
             peer: *peer,
+            data_centre: entry.data_centre.clone(),
             // The age has grown since the heartbeat.
             store_age: entry
                 .store_age
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -8,14 +8,15 @@
 use crate::router::Router;
 use crate::source::{ConfigurationSource, SourceError, UpstreamChanges};
 use crate::store_view::{
-    Watched, apply_configuration, apply_upstream_changes, apply_upstream_list, log_dependency,
-    max_store_backoff, on_store_lost, on_store_regained,
+    Watched, apply_configuration, apply_upstream_changes, apply_upstream_list, live_routers,
+    log_dependency, max_store_backoff, on_ping_result, on_store_lost, on_store_regained,
 };
 use cloverpier_core::jitter;
 use cloverpier_router_policy::prelude::Configuration;
 use cloverpier_router_policy::store_watch::{
-    CallPacing, CallStep, GATHER_PERIOD, INITIAL_BACKOFF, PING_PERIOD, PING_TIMEOUT, WATCH_WAIT,
+    GATHER_PERIOD, INITIAL_BACKOFF, PING_DOUBT, PING_TIMEOUT, PingPacing, WATCH_WAIT, may_call,
 };
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,31 +50,32 @@
         on_store_lost(router, self.watched, &error.to_string());
         let pause = jitter(&mut router.rng.borrow_mut(), self.pause);
         self.pause = (self.pause * 2).min(max_store_backoff(router));
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            // A ping was answered, or the role is another one.
+            () = router.store.loops_woken() => {}
+        }
     }
 }
 
-/// Waits where it is not this router's turn; true when the store is to be called now.
-async fn may_call(pacing: &mut CallPacing, router: &Router) -> bool {
-    let step = pacing.step(router.store.role(), || router.rng.borrow_mut().f64());
-    let pause = match step {
-        CallStep::Call => return true,
-        CallStep::CheckAfter(pause) => pause,
-        CallStep::CheckAfterPart(part) => max_store_backoff(router).mul_f64(part),
-    };
-    tokio::time::sleep(pause).await;
-    false
+/// Waits until this router is to call the store.
+async fn wait_for_turn(router: &Router) {
+    loop {
+        let woken = router.store.loops_woken();
+        if may_call(router.store.role(), router.store.is_fresh(router.now())) {
+            return;
+        }
+        woken.await;
+    }
 }
 
 /// Watches the configuration until the process ends.
 pub(crate) async fn watch_configuration(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(Watched::Configuration);
-    let mut pacing = CallPacing::default();
     let mut revision: Option<u64> = None;
     loop {
-        let is_known = router.store.configuration().is_some();
-        if is_known && !may_call(&mut pacing, &router).await {
-            continue;
+        if router.store.configuration().is_some() {
+            wait_for_turn(&router).await;
         }
         let change = match revision {
             None => source.read_configuration().await,
@@ -110,13 +112,10 @@
 /// Watches the list of upstreams until the process ends.
 pub(crate) async fn watch_upstreams(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(Watched::Upstreams);
-    let mut pacing = CallPacing::default();
     let mut revision: Option<u64> = None;
     loop {
         if router.store.knows_upstreams() {
-            if !may_call(&mut pacing, &router).await {
-                continue;
-            }
+            wait_for_turn(&router).await;
             // Peers may have sent newer changes than the last watch returned.
             let known = router.upstreams.borrow().revision();
             revision = revision.map(|at| at.max(known));
@@ -168,31 +167,63 @@
     revision
 }
 
-/// Pings the store while watches wait, until the process ends.
+/// Pings the store while watches wait, or before they begin, until the process ends.
 pub(crate) async fn ping_store(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
+    let mut pacing = PingPacing::default();
     let mut is_silent = false;
     loop {
-        tokio::time::sleep(PING_PERIOD).await;
-        if !router.store.role().pings(router.store.fails()) {
+        let role = router.store.role();
+        let random = || router.rng.borrow_mut().f64();
+        let Some(pause) = pacing.pause(role, live_routers(&router), random) else {
+            router.store.loops_woken().await;
             continue;
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = router.store.loops_woken() => {}
         }
-        match source.ping(PING_TIMEOUT).await {
-            Ok(()) => {
-                if std::mem::take(&mut is_silent) {
-                    // A store that was silent may have swallowed the watches, too.
-                    router.store.end_watches();
-                }
-                router.metrics.store_calls.count("ping-answered");
-                router.store.on_success(router.now());
-                on_store_regained(&router, Watched::Configuration);
-                on_store_regained(&router, Watched::Upstreams);
-            }
-            Err(error) => {
-                router.metrics.store_calls.count("ping-failed");
-                if !std::mem::replace(&mut is_silent, true) {
-                    log_dependency(&router, "store.silent", "ping", &error.to_string());
-                }
-            }
+        if router.store.role() != role {
+            continue;
+        }
+        let result = ping(&router, &*source).await;
+        pacing.on_result(result.is_ok(), role, live_routers(&router));
+        match result {
+            Ok(()) => on_ping_answered(&router, &mut is_silent),
+            Err(error) => on_ping_failed(&router, &error, &mut is_silent),
         }
     }
 }
+
+/// Pings the store once; peers learn of a doubt before the ping is over.
+async fn ping(router: &Router, source: &impl ConfigurationSource) -> Result<(), SourceError> {
+    let mut ping = pin!(source.ping(PING_TIMEOUT));
+    if let Ok(result) = tokio::time::timeout(PING_DOUBT, &mut ping).await {
+        return result;
+    }
+    on_ping_result(router, false);
+    ping.await
+}
+
+fn on_ping_failed(router: &Router, error: &SourceError, is_silent: &mut bool) {
+    router.metrics.store_calls.count("ping-failed");
+    on_ping_result(router, false);
+    if !std::mem::replace(is_silent, true) {
+        log_dependency(router, "store.silent", "ping", &error.to_string());
+    }
+}
+
+fn on_ping_answered(router: &Router, is_silent: &mut bool) {
+    router.metrics.store_calls.count("ping-answered");
+    if std::mem::take(is_silent) {
+        // A store that was silent may have swallowed the watches, too.
+        router.store.end_watches();
+    }
+    let was_fresh = router.store.is_fresh(router.now());
+    router.store.on_success(router.now());
+    on_ping_result(router, true);
+    on_store_regained(router, Watched::Configuration);
+    on_store_regained(router, Watched::Upstreams);
+    if !was_fresh {
+        router.store.wake_loops();
+    }
+}
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -10,7 +10,7 @@
 use crate::router::Router;
 use crate::source::{UnreadableEntry, UpstreamChanges, UpstreamList};
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::store_watch::{max_backoff, watcher_role};
+use cloverpier_router_policy::store_watch::{OwnStore, is_fresh, max_backoff, watcher_role};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -46,8 +46,11 @@
     last_success: Cell<Option<Instant>>,
     configuration_fails: Cell<bool>,
     upstreams_fail: Cell<bool>,
+    pings_fail: Cell<bool>,
     /// Ends watches that a silent store may have swallowed.
     watch_again: Notify,
+    /// Wakes the loops that call the store: the role has changed, or a call succeeded again.
+    role_changed: Notify,
 }
 
 impl Default for StoreView {
@@ -60,7 +63,9 @@
             last_success: Cell::new(None),
             configuration_fails: Cell::new(false),
             upstreams_fail: Cell::new(false),
+            pings_fail: Cell::new(false),
             watch_again: Notify::new(),
+            role_changed: Notify::new(),
         }
     }
 }
@@ -105,9 +110,15 @@
         self.last_success.get()
     }
 
-    /// Whether calls for the configuration or for upstreams fail at present.
+    /// Whether calls or pings fail at present.
     pub fn fails(&self) -> bool {
-        self.configuration_fails.get() || self.upstreams_fail.get()
+        let watches_fail = self.configuration_fails.get() || self.upstreams_fail.get();
+        watches_fail || self.pings_fail.get()
+    }
+
+    /// Whether the store was reached just now, and no call fails.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        !self.fails() && self.last_success.get().is_some_and(|at| is_fresh(now, at))
     }
 
     /// Records a successful call.
@@ -125,6 +136,16 @@
         self.watch_again.notified().await;
     }
 
+    /// Has the loops that call the store decide anew.
+    pub fn wake_loops(&self) {
+        self.role_changed.notify_waiters();
+    }
+
+    /// Waits until the loops that call the store are to decide anew.
+    pub async fn loops_woken(&self) {
+        self.role_changed.notified().await;
+    }
+
     /// Replaces the configuration; false where the known one is as new.
     fn set_configuration(&self, held: HeldConfiguration) -> bool {
         if self.configuration.borrow().is_some()
@@ -197,18 +218,36 @@
     router.log.info("version.taken", &line);
 }
 
-/// Records that calls fail; the first failure in a row is logged.
+/// Records that calls fail; the first failure in a row is logged and told to peers.
 pub(crate) fn on_store_lost(router: &Router, watched: Watched, reason: &str) {
+    let failed = router.store.fails();
     if !router.store.fails_cell(watched).replace(true) {
         log_dependency(router, "dependency.lost", watched.name(), reason);
     }
+    report_change_of_calls(router, failed);
 }
 
-/// Records that calls succeed; the first success after failures is logged.
+/// Records that calls succeed; the first success after failures is logged and told to peers.
 pub(crate) fn on_store_regained(router: &Router, watched: Watched) {
+    let failed = router.store.fails();
     if router.store.fails_cell(watched).replace(false) {
         log_dependency(router, "dependency.regained", watched.name(), "it answers");
     }
+    report_change_of_calls(router, failed);
+}
+
+/// Records whether pings are answered; peers are told of a change.
+pub(crate) fn on_ping_result(router: &Router, is_answered: bool) {
+    let failed = router.store.fails();
+    router.store.pings_fail.set(!is_answered);
+    report_change_of_calls(router, failed);
+}
+
+/// Has peers told at once that calls fail now, or succeed again.
+fn report_change_of_calls(router: &Router, failed: bool) {
+    if router.store.fails() != failed && router.store.role().watches() {
+        router.peers.report_version();
+    }
 }
 
 /// Logs that something outside was lost or is back.
@@ -220,9 +259,18 @@
 /// watch.
 pub(crate) fn decide_watcher_role(router: &Router, now: Instant) {
     let peers = router.peers.ready(now, router.peer_timeout());
-    let own = router.settings().listen.peers;
-    let role = watcher_role(own, &peers);
+    let settings = router.settings();
+    let own = OwnStore {
+        address: settings.listen.peers,
+        data_centre: settings.data_centre.clone(),
+        is_fresh: router.store.is_fresh(now),
+    };
+    let role = watcher_role(&own, &peers);
     let former = router.store.role.replace(role);
+    if former == role {
+        return;
+    }
+    router.store.wake_loops();
     if former.watches() != role.watches() {
         let line = WatcherRoleChanged {
             watches: role.watches(),
@@ -235,6 +283,11 @@
 
 /// The longest pause between calls to a store that does not answer.
 pub(crate) fn max_store_backoff(router: &Router) -> Duration {
-    let live = router.peers.live(router.now(), router.peer_timeout());
-    max_backoff(router.settings().listen.peers, &live)
+    max_backoff(router.store.role(), live_routers(router))
+}
+
+/// Number of routers that are alive, this one included.
+pub(crate) fn live_routers(router: &Router) -> usize {
+    let timeout = router.peer_timeout();
+    1 + router.peers.live(router.now(), timeout).len()
 }
--- a/crates/router/cloverpier_router_policy/src/peers.rs
+++ b/crates/router/cloverpier_router_policy/src/peers.rs
@@ -11,7 +11,7 @@
 //! How long a peer may be silent is decided in [`crate::heartbeat`].
 
 use crate::budget::BudgetUse;
-use cloverpier_core::{ServiceName, hash_of};
+use cloverpier_core::{DataCentre, ServiceName, hash_of};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -40,6 +40,8 @@
 pub struct PeerEntry {
     /// Where it serves callers.
     pub callers: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
     /// Whether it takes new callers.
     pub state: PeerState,
     /// When the heartbeat arrived.
@@ -48,8 +50,8 @@
     pub configuration_version: u64,
     /// Revision of its list of upstreams.
     pub upstreams_revision: u64,
-    /// Time since its last successful store call, when the heartbeat left; `None` if it does
-    /// not watch the store.
+    /// Time since its last successful store call, when the heartbeat left, not fresh while its
+    /// calls fail; `None` if it does not watch the store.
     pub store_age: Option<Duration>,
     /// Its use of each service's retry budget.
     pub budget_use: Vec<(ServiceKey, BudgetUse)>,
@@ -76,10 +78,10 @@
 }
 
 impl PeerTable {
-    /// Records a peer's heartbeat.
-    pub fn on_heartbeat(&mut self, peer: SocketAddr, entry: PeerEntry) {
+    /// Records a peer's heartbeat; returns the one before.
+    pub fn on_heartbeat(&mut self, peer: SocketAddr, entry: PeerEntry) -> Option<PeerEntry> {
         self.mentioned.remove(&peer);
-        self.peers.insert(peer, entry);
+        self.peers.insert(peer, entry)
     }
 
     /// Records a peer that settings or another peer mentioned; returns whether it is new.
--- a/crates/router/cloverpier_router_policy/src/store_watch.rs
+++ b/crates/router/cloverpier_router_policy/src/store_watch.rs
@@ -2,18 +2,24 @@
 //!
 //! - **Question.** Does this router watch the store now? When does it call a store again
 //!   that did not answer?
-//! - **Inputs.** The live peers and how long ago each of them last reached the store; the
-//!   freshness of this router's own last call.
-//! - **Answer.** A [`WatcherRole`]; pauses.
+//! - **Inputs.** The live peers, their data centres and how long ago each of them last reached
+//!   the store; the same of this router; whether its calls fail at present.
+//! - **Answer.** A [`WatcherRole`]; what the loops that call and ping do next; the store age
+//!   that peers are told.
 //! - **Why.** Each call to the store has its price, and a waiting watch counts as a call: at
-//!   65 routers that all watched, calls were the largest price of a quiet day (fc1ec04). So
-//!   three routers watch, and the others fetch versions from them. Nothing of safety
-//!   depends on who does: two groups of routers that cannot reach each other have watchers
-//!   of their own, and a router that knows no watcher with a fresh store call watches
-//!   itself.
+//!   65 routers that all watched, calls were the largest price of a quiet day. So three
+//!   routers watch, and the others fetch versions from them. Nothing of safety depends on who
+//!   does: two groups of routers that cannot reach each other have watchers of their own.
+//!
+//! The store may turn the watchers away while it serves other routers. A watcher knows that at
+//! once and says so: its heartbeat then carries an age that is not fresh. The others step in,
+//! as many as are missing, by rank, or all where no watcher is left. Whoever steps in first
+//! pings the store, which costs a tenth of a call, and watches only if it is answered: so a
+//! store that is down for all gets no more calls than from routers that take turns.
 
-use cloverpier_core::hash_of;
+use cloverpier_core::{DataCentre, hash_of};
 use serde::Serialize;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -26,9 +32,16 @@
 /// Longest pause between the calls of a chosen watcher to a store that does not answer it.
 /// Chosen, not measured.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// All other routers together call such a store about once in this time (6106876: 3,197 ->
-/// 2,020 calls on a day with 6 s of outage at 72 routers).
+/// All other routers together ping such a store about once in this time (with calls in place
+/// of pings: 3,197 -> 2,020 calls on a day with 6 s of outage at 72 routers).
 const FALLBACK_SLOT: Duration = Duration::from_millis(100);
+/// Routers that step in spread their first pings over this time for each router, so that most
+/// see another one succeed before it is their turn; a heartbeat takes about 2 ms.  Chosen, not
+/// measured.
+const STEP_IN_SPREAD: Duration = Duration::from_millis(2);
+/// And over this time at most, so that a large fleet does not wait for the news.  Chosen, not
+/// measured.
+const MAX_STEP_IN_SPREAD: Duration = Duration::from_millis(150);
 
 /// Pause after the first failed call; doubled up to [`max_backoff`].  Chosen, not measured.
 pub const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -38,11 +51,16 @@
 /// How long a connection to the store or its answer may take, beyond the wait asked for.
 /// Chosen, not measured.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How often a router that does not watch checks whether it should.  Chosen, not measured.
-pub const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// How often a watcher pings the store while its watches wait, and how long that may take: a
-/// ping costs a tenth of a call.  Chosen, not measured.
-pub const PING_PERIOD: Duration = Duration::from_millis(400);
+/// How often a watcher pings the store while its watches wait: a ping costs a tenth of a call.
+/// With [`PING_DOUBT`] it bounds the time until a silent store is noticed.  Chosen, not
+/// measured.
+pub const PING_PERIOD: Duration = Duration::from_millis(250);
+/// The same for a chosen watcher while its pings fail, so that a store that answers nobody is
+/// not called more often than one that answers.  Chosen, not measured.
+const FAILING_PING_PERIOD: Duration = Duration::from_millis(400);
+/// A ping without an answer for this long makes the watcher say that it does not reach the
+/// store; a healthy store answers in about 4 ms.  Chosen, not measured.
+pub const PING_DOUBT: Duration = Duration::from_millis(150);
 /// How long a ping waits for its answer.  Chosen, not measured.
 pub const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Changes of upstreams that come close together are read by one call (dc2936d: calls on a
@@ -50,21 +68,47 @@
 pub const GATHER_PERIOD: Duration = Duration::from_millis(300);
 
 /// A live and ready peer, and what it said of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReadyPeer {
     /// The peer.
     pub peer: SocketAddr,
-    /// Time since its last successful store call; `None` when it does not watch the store.
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Time since its last successful store call; `None` when it does not watch the store. One
+    /// that is not fresh means that it tries and does not reach the store.
     pub store_age: Option<Duration>,
 }
 
+impl ReadyPeer {
+    fn is_fresh(&self) -> bool {
+        self.store_age.is_some_and(|age| age <= FRESH_FOR)
+    }
+
+    /// Whether it does not call the store, so that it may step in.
+    fn is_idle(&self) -> bool {
+        self.store_age.is_none()
+    }
+}
+
+/// This router, as the choice of watchers sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnStore {
+    /// Its address for peers.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Whether it reached the store just now, and its calls do not fail.
+    pub is_fresh: bool,
+}
+
 /// Whether a router watches the store, and why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WatcherRole {
     /// It watches, as it is among the first by rank.
     Chosen,
-    /// It watches, as no peer's last store call is fresh.
+    /// It stands in for a chosen one that does not reach the store: it pings, and watches if it
+    /// is answered.
     #[serde(rename = "nobody-else")]
     Fallback,
     /// It does not watch; others do.
@@ -73,7 +117,7 @@
 }
 
 impl WatcherRole {
-    /// Whether the store is watched.
+    /// Whether the store is watched, or would be if it answered.
     pub fn watches(self) -> bool {
         self != Self::Standby
     }
@@ -86,86 +130,164 @@
             Self::Standby => false,
         }
     }
-
-    /// Whether the store is pinged; a fallback spares a store that fails its calls.
-    pub fn pings(self, calls_fail: bool) -> bool {
-        match self {
-            Self::Chosen => true,
-            Self::Fallback => !calls_fail,
-            Self::Standby => false,
-        }
-    }
 }
 
-fn is_fresh(now: Instant, at: Instant) -> bool {
+/// Whether a store call that succeeded at `at` still counts.
+pub fn is_fresh(now: Instant, at: Instant) -> bool {
     now.saturating_duration_since(at) <= FRESH_FOR
 }
 
+/// The store age that peers are told: the time since the last successful call, and one that is
+/// not fresh while calls fail, so that others step in at once and not when it has grown old.
+/// `None` for a router that does not watch.
+pub fn reported_store_age(
+    role: WatcherRole,
+    last_success: Option<Instant>,
+    fails: bool,
+    now: Instant,
+) -> Option<Duration> {
+    if !role.watches() {
+        return None;
+    }
+    let stale = FRESH_FOR * 2;
+    let age = last_success.map(|at| now.saturating_duration_since(at));
+    match age {
+        Some(age) if fails => Some(age.max(stale)),
+        Some(age) => Some(age),
+        // It has not reached the store since its start.
+        None => Some(stale),
+    }
+}
+
 /// Decides whether a router watches the store, given its live and ready peers.
-pub fn watcher_role(own: SocketAddr, peers: &[ReadyPeer]) -> WatcherRole {
-    let own_rank = rank_of(own);
-    let before = peers.iter().filter(|p| rank_of(p.peer) < own_rank);
-    if before.count() < WATCHERS {
+pub fn watcher_role(own: &OwnStore, peers: &[ReadyPeer]) -> WatcherRole {
+    let before = peers_before(own, peers);
+    if before.len() < WATCHERS {
         return WatcherRole::Chosen;
     }
-    let is_fresh = |p: &ReadyPeer| p.store_age.is_some_and(|age| age <= FRESH_FOR);
-    if peers.iter().any(is_fresh) {
-        WatcherRole::Standby
+    let count = |peers: &[&ReadyPeer], holds: fn(&ReadyPeer) -> bool| {
+        peers.iter().filter(|peer| holds(peer)).count()
+    };
+    let steps_in = if own.is_fresh {
+        // It stands in already; it leaves that to others once there are enough of them.
+        count(&before, ReadyPeer::is_fresh) < WATCHERS
     } else {
+        let fresh = peers.iter().filter(|peer| peer.is_fresh()).count();
+        let missing = WATCHERS.saturating_sub(fresh);
+        missing == WATCHERS || count(&before, ReadyPeer::is_idle) < missing
+    };
+    if steps_in {
         WatcherRole::Fallback
+    } else {
+        WatcherRole::Standby
+    }
+}
+
+/// The peers that are preferred to this router as watchers: first one of each data centre by
+/// rank, as a data centre may die or be cut off as a whole, then the others by rank.
+fn peers_before<'a>(own: &'a OwnStore, peers: &'a [ReadyPeer]) -> Vec<&'a ReadyPeer> {
+    struct Ranked<'a> {
+        rank: (u64, SocketAddr),
+        data_centre: &'a DataCentre,
+        /// `None` for this router.
+        peer: Option<&'a ReadyPeer>,
     }
+    let others = peers.iter().map(|peer| Ranked {
+        rank: rank_of(peer.peer),
+        data_centre: &peer.data_centre,
+        peer: Some(peer),
+    });
+    let this = Ranked {
+        rank: rank_of(own.address),
+        data_centre: &own.data_centre,
+        peer: None,
+    };
+    let mut routers: Vec<Ranked<'_>> = others.chain([this]).collect();
+    routers.sort_by_key(|router| router.rank);
+    let mut seen = HashSet::new();
+    let (first_of_each, rest): (Vec<_>, Vec<_>) = routers
+        .into_iter()
+        .partition(|router| seen.insert(router.data_centre));
+    let in_order = first_of_each.into_iter().chain(rest);
+    in_order.map_while(|router| router.peer).collect()
+}
+
+/// Whether a peer's heartbeat says something else of the store than the one before, so that
+/// the roles are decided anew.
+pub fn changes_roles(former: Option<Duration>, present: Option<Duration>) -> bool {
+    let kind = |age: Option<Duration>| age.map(|age| age <= FRESH_FOR);
+    kind(former) != kind(present)
 }
 
 /// The longest pause between a router's calls to a store that does not answer it.
 ///
 /// Failed calls have their price, too, and a store that is down for one router mostly is
-/// for all. So those that are not among the first by rank spread their calls over time;
-/// whoever succeeds serves the others.
-pub fn max_backoff(own: SocketAddr, live_peers: &[SocketAddr]) -> Duration {
-    let own_rank = rank_of(own);
-    let before = live_peers.iter().filter(|peer| rank_of(**peer) < own_rank);
-    if before.count() < WATCHERS {
+/// for all. So those that are not chosen spread their pings over time; whoever succeeds
+/// serves the others.
+pub fn max_backoff(role: WatcherRole, live_routers: usize) -> Duration {
+    if role == WatcherRole::Chosen {
         return MAX_BACKOFF;
     }
-    let routers = u32::try_from(live_peers.len() + 1).unwrap_or(u32::MAX);
+    let routers = u32::try_from(live_routers).unwrap_or(u32::MAX);
     (FALLBACK_SLOT * routers).max(MAX_BACKOFF)
 }
 
-/// What a loop that calls the store does next.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum CallStep {
-    /// Call the store.
-    Call,
-    /// Check the role again after this time.
-    CheckAfter(Duration),
-    /// Check the role again after this part, 0 to 1, of [`max_backoff`].
-    CheckAfterPart(f64),
+/// Whether a loop that watches the store calls it now.
+///
+/// A fallback that has not been answered leaves the store to its pings.
+pub fn may_call(role: WatcherRole, own_is_fresh: bool) -> bool {
+    match role {
+        WatcherRole::Chosen => true,
+        WatcherRole::Fallback => own_is_fresh,
+        WatcherRole::Standby => false,
+    }
 }
 
-/// When a router calls the store, by its role.
-///
-/// Where no watcher's call is fresh, all routers become fallbacks at the same moment; each
-/// waits for a random part of the time over which their calls are spread.
+/// When a router pings the store next, by its role.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct CallPacing {
-    has_waited: bool,
+pub struct PingPacing {
+    has_stepped_in: bool,
+    pause: Option<Duration>,
 }
 
-impl CallPacing {
-    /// Decides whether to call now; `random` is drawn evenly from 0 to 1.
-    pub fn step(&mut self, role: WatcherRole, random: impl FnOnce() -> f64) -> CallStep {
+impl PingPacing {
+    /// The pause before the next ping; `None` where the router does not ping. `random` is drawn
+    /// evenly from 0 to 1.
+    pub fn pause(
+        &mut self,
+        role: WatcherRole,
+        live_routers: usize,
+        random: impl FnOnce() -> f64,
+    ) -> Option<Duration> {
         match role {
-            WatcherRole::Chosen => CallStep::Call,
-            WatcherRole::Fallback if self.has_waited => CallStep::Call,
-            WatcherRole::Fallback => {
-                self.has_waited = true;
-                CallStep::CheckAfterPart(random())
+            WatcherRole::Fallback => {}
+            WatcherRole::Chosen => {
+                self.has_stepped_in = false;
+                return Some(self.pause.map_or(PING_PERIOD, |_| FAILING_PING_PERIOD));
             }
             WatcherRole::Standby => {
-                self.has_waited = false;
-                CallStep::CheckAfter(ROLE_CHECK_PERIOD)
+                *self = Self::default();
+                return None;
             }
         }
+        if !std::mem::replace(&mut self.has_stepped_in, true) {
+            let routers = u32::try_from(live_routers).unwrap_or(u32::MAX);
+            let spread = (STEP_IN_SPREAD * routers).min(MAX_STEP_IN_SPREAD);
+            return Some(spread.mul_f64(random()));
+        }
+        // A part of it by chance, so that pings of routers that stepped in together drift apart.
+        let pause = self.pause.unwrap_or(PING_PERIOD);
+        Some(pause.mul_f64(0.5 + random() / 2.0))
+    }
+
+    /// Records a ping's result: an unanswered one doubles the pause.
+    pub fn on_result(&mut self, is_answered: bool, role: WatcherRole, live_routers: usize) {
+        self.pause = if is_answered {
+            None
+        } else {
+            let most = max_backoff(role, live_routers);
+            Some((self.pause.unwrap_or(PING_PERIOD) * 4).min(most))
+        };
     }
 }
 
--- a/crates/router/cloverpier_router_policy/tests/pace.rs
+++ b/crates/router/cloverpier_router_policy/tests/pace.rs
@@ -4,7 +4,7 @@
 use cloverpier_router_policy::heartbeat::{HeartbeatTurn, change_peers, load_ttl, peer_timeout};
 use cloverpier_router_policy::lifecycle::{StopStep, router_state, stop_step, takes_streams};
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::store_watch::{CallPacing, CallStep};
+use cloverpier_router_policy::store_watch::{PingPacing, may_call};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -47,22 +47,43 @@
 }
 
 #[test]
-fn a_fallback_waits_once_before_it_calls_the_store() {
-    let mut pacing = CallPacing::default();
-    let mut step = |role| pacing.step(role, || 0.25);
-    assert_eq!(step(WatcherRole::Chosen), CallStep::Call);
-    assert_eq!(step(WatcherRole::Fallback), CallStep::CheckAfterPart(0.25));
-    assert_eq!(step(WatcherRole::Fallback), CallStep::Call);
-    assert_eq!(step(WatcherRole::Standby), CallStep::CheckAfter(ms(100)));
-    assert_eq!(step(WatcherRole::Fallback), CallStep::CheckAfterPart(0.25));
+fn a_fallback_calls_the_store_only_after_an_answered_ping() {
+    assert!(may_call(WatcherRole::Chosen, false));
+    assert!(!may_call(WatcherRole::Fallback, false));
+    assert!(may_call(WatcherRole::Fallback, true));
+    assert!(!may_call(WatcherRole::Standby, true));
 }
 
 #[test]
-fn a_fallback_spares_a_store_that_fails_it() {
-    assert!(WatcherRole::Chosen.pings(true));
-    assert!(!WatcherRole::Fallback.pings(true));
-    assert!(WatcherRole::Fallback.pings(false));
-    assert!(!WatcherRole::Standby.pings(false));
+fn routers_that_step_in_spread_their_first_pings_and_then_take_turns() {
+    let mut pacing = PingPacing::default();
+    assert_eq!(pacing.pause(WatcherRole::Standby, 72, || 0.5), None);
+    assert_eq!(pacing.pause(WatcherRole::Chosen, 72, || 0.5), Some(ms(250)));
+    assert_eq!(
+        pacing.pause(WatcherRole::Fallback, 72, || 0.5),
+        Some(ms(72))
+    );
+    let mut pauses = Vec::new();
+    for _ in 0..4 {
+        pacing.on_result(false, WatcherRole::Fallback, 72);
+        pauses.push(pacing.pause(WatcherRole::Fallback, 72, || 1.0).unwrap());
+    }
+    assert_eq!(pauses, [ms(1_000), ms(4_000), ms(7_200), ms(7_200)]);
+    pacing.on_result(true, WatcherRole::Fallback, 72);
+    assert_eq!(
+        pacing.pause(WatcherRole::Fallback, 72, || 1.0),
+        Some(ms(250))
+    );
+    // Stepping in again begins anew, within a bound at any size.
+    assert_eq!(pacing.pause(WatcherRole::Standby, 300, || 1.0), None);
+    assert_eq!(
+        pacing.pause(WatcherRole::Fallback, 300, || 1.0),
+        Some(ms(150))
+    );
+}
+
+#[test]
+fn a_fallback_serves_peers_while_its_calls_are_fresh() {
     let now = Instant::now();
     let later = now + ms(1_400);
     assert!(WatcherRole::Chosen.serves_peers(None, now));
--- a/crates/router/cloverpier_router_policy/tests/routers.rs
+++ b/crates/router/cloverpier_router_policy/tests/routers.rs
@@ -1,8 +1,11 @@
 //! What routers know of each other: the directory, and who watches the store.
 
+use cloverpier_core::DataCentre;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::prompt_search::search_timeout;
-use cloverpier_router_policy::store_watch::{ReadyPeer, max_backoff, watcher_role};
+use cloverpier_router_policy::store_watch::{
+    OwnStore, ReadyPeer, changes_roles, max_backoff, reported_store_age, watcher_role,
+};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -16,6 +19,7 @@
 fn entry(port: u16, state: PeerState, heard: Instant) -> PeerEntry {
     PeerEntry {
         callers: address(port),
+        data_centre: DataCentre::new("hall-a"),
         state,
         last_heartbeat: heard,
         configuration_version: 1,
@@ -75,49 +79,142 @@
     assert!(directory.addresses().is_empty());
 }
 
-/// The routers that watch the store when all hear each other.
-fn followers(routers: &[SocketAddr], store_age: Option<Duration>) -> Vec<SocketAddr> {
-    let follows = |own: &SocketAddr| {
+/// A router as the watchers' rules see it; the data centre goes by its port.
+fn own_store(address: SocketAddr, is_fresh: bool) -> OwnStore {
+    OwnStore {
+        address,
+        data_centre: data_centre_of(address),
+        is_fresh,
+    }
+}
+
+fn data_centre_of(router: SocketAddr) -> DataCentre {
+    DataCentre::new(format!("hall-{}", router.port() % 4))
+}
+
+/// The role of each router, where each says of the store what `store_age` gives.
+fn roles(
+    routers: &[SocketAddr],
+    store_age: impl Fn(SocketAddr) -> Option<Duration>,
+) -> Vec<(SocketAddr, WatcherRole)> {
+    let is_fresh = |router| store_age(router).is_some_and(|age| age < Duration::from_secs(1));
+    let role = |own: &SocketAddr| {
         let others = routers.iter().filter(|r| *r != own);
-        let live: Vec<ReadyPeer> = others
-            .map(|peer| ReadyPeer {
-                peer: *peer,
-                store_age,
-            })
-            .collect();
-        watcher_role(*own, &live).watches()
+        let live = others.map(|peer| ReadyPeer {
+            peer: *peer,
+            data_centre: data_centre_of(*peer),
+            store_age: store_age(*peer),
+        });
+        let live: Vec<ReadyPeer> = live.collect();
+        (*own, watcher_role(&own_store(*own, is_fresh(*own)), &live))
     };
-    routers.iter().copied().filter(|r| follows(r)).collect()
+    routers.iter().map(role).collect()
+}
+
+fn followers(routers: &[SocketAddr], store_age: Option<Duration>) -> HashSet<SocketAddr> {
+    let roles = roles(routers, |_| store_age);
+    let follows = roles.into_iter().filter(|(_, role)| role.watches());
+    follows.map(|(router, _)| router).collect()
+}
+
+fn with_role(roles: &[(SocketAddr, WatcherRole)], role: WatcherRole) -> Vec<SocketAddr> {
+    let of_role = roles.iter().filter(|(_, r)| *r == role);
+    of_role.map(|(router, _)| *router).collect()
 }
 
+const FRESH: Option<Duration> = Some(Duration::from_millis(300));
+const FAILING: Option<Duration> = Some(Duration::from_millis(2_600));
+
 #[test]
 fn three_of_many_routers_follow_the_store() {
     let routers: Vec<SocketAddr> = (1..=40).map(address).collect();
-    let fresh = Some(Duration::from_millis(300));
-    assert_eq!(followers(&routers, fresh).len(), 3);
-    assert_eq!(followers(&routers[..2], fresh).len(), 2);
+    assert_eq!(followers(&routers, FRESH).len(), 3);
+    assert_eq!(followers(&routers[..2], FRESH).len(), 2);
 }
 
 #[test]
 fn all_follow_the_store_when_no_follower_has_a_fresh_word() {
     let routers: Vec<SocketAddr> = (1..=10).map(address).collect();
-    assert_eq!(followers(&routers, Some(Duration::from_secs(3))).len(), 10);
+    assert_eq!(followers(&routers, FAILING).len(), 10);
     assert_eq!(followers(&routers, None).len(), 10);
 }
 
 #[test]
-fn routers_take_turns_at_a_store_that_answers_nobody() {
+fn the_chosen_watchers_are_in_different_data_centres() {
+    let routers: Vec<SocketAddr> = (1..=40).map(address).collect();
+    let chosen = with_role(&roles(&routers, |_| FRESH), WatcherRole::Chosen);
+    let places: HashSet<DataCentre> = chosen.iter().map(|r| data_centre_of(*r)).collect();
+    assert_eq!(places.len(), 3);
+}
+
+#[test]
+fn as_many_step_in_as_watchers_say_that_they_do_not_reach_the_store() {
+    let routers: Vec<SocketAddr> = (1..=40).map(address).collect();
+    let chosen = with_role(&roles(&routers, |_| None), WatcherRole::Chosen);
+    for failing in 0..3 {
+        let age = |router| {
+            let position = chosen.iter().position(|c| *c == router)?;
+            if position < failing { FAILING } else { FRESH }
+        };
+        let stepping_in = with_role(&roles(&routers, age), WatcherRole::Fallback);
+        assert_eq!(stepping_in.len(), failing);
+        // One that steps in and is answered is enough: nobody else follows it.
+        let age = |router| {
+            if stepping_in.contains(&router) {
+                FRESH
+            } else {
+                age(router)
+            }
+        };
+        let present = with_role(&roles(&routers, age), WatcherRole::Fallback);
+        assert_eq!(present, stepping_in);
+        // One that is turned away, too, leaves it to the next.
+        let age = |router| {
+            if stepping_in.contains(&router) {
+                FAILING
+            } else {
+                age(router)
+            }
+        };
+        let mut next = with_role(&roles(&routers, age), WatcherRole::Fallback);
+        next.retain(|router| !stepping_in.contains(router));
+        assert_eq!(next.len(), failing);
+    }
+}
+
+#[test]
+fn all_step_in_when_every_watcher_says_that_it_does_not_reach_the_store() {
     let routers: Vec<SocketAddr> = (1..=72).map(address).collect();
-    let pause_of = |own: &SocketAddr| {
-        let others = routers.iter().filter(|r| *r != own);
-        max_backoff(*own, &others.copied().collect::<Vec<_>>())
-    };
-    let pauses: Vec<Duration> = routers.iter().map(pause_of).collect();
+    let chosen = with_role(&roles(&routers, |_| None), WatcherRole::Chosen);
+    let age = |router| chosen.contains(&router).then_some(FAILING).flatten();
+    let all = roles(&routers, age);
+    assert_eq!(with_role(&all, WatcherRole::Standby), Vec::new());
+}
+
+#[test]
+fn a_watcher_whose_calls_fail_says_so_at_once() {
+    let now = Instant::now();
+    let age = |role, fails| reported_store_age(role, Some(now), fails, now);
+    assert_eq!(age(WatcherRole::Chosen, false), Some(Duration::ZERO));
+    assert_eq!(age(WatcherRole::Chosen, true), FAILING);
+    assert_eq!(age(WatcherRole::Fallback, true), FAILING);
+    assert_eq!(age(WatcherRole::Standby, true), None);
+    let never = reported_store_age(WatcherRole::Chosen, None, false, now);
+    assert_eq!(never, FAILING);
+    assert!(changes_roles(FRESH, FAILING));
+    assert!(changes_roles(FAILING, None));
+    assert!(!changes_roles(FRESH, Some(Duration::ZERO)));
+}
+
+#[test]
+fn routers_take_turns_at_a_store_that_answers_nobody() {
     let second = Duration::from_secs(1);
-    assert_eq!(pauses.iter().filter(|p| **p == second).count(), 3);
-    let calls_a_second: f64 = pauses.iter().map(|p| 1.0 / p.as_secs_f64()).sum();
-    assert!(calls_a_second < 13.0, "{calls_a_second}");
-    assert_eq!(max_backoff(address(1), &[]), second);
+    assert_eq!(max_backoff(WatcherRole::Chosen, 72), second);
+    assert_eq!(
+        max_backoff(WatcherRole::Fallback, 72),
+        Duration::from_millis(7_200)
+    );
+    assert_eq!(max_backoff(WatcherRole::Fallback, 1), second);
 }
 
 #[test]
