--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -19,6 +19,9 @@
 pub(crate) struct UpstreamHealth {
     /// When anything arrived from it last.
     pub last_activity: Cell<Instant>,
+    /// When part of an answer of its own arrived last; `None` before the first. Another process
+    /// at its address has no part in it, unlike in the last activity.
+    pub last_own_answer: Cell<Option<Instant>>,
     /// Since when a probe is under way.
     pub probing_since: Cell<Option<Instant>>,
     is_dead: Cell<bool>,
@@ -33,6 +36,7 @@
         Self {
             client: HttpClient::new(upstream.address, PROBE_CONNECT_TIMEOUT),
             last_activity: Cell::new(now),
+            last_own_answer: Cell::new(None),
             probing_since: Cell::new(None),
             is_dead: Cell::new(false),
             declared_dead: Notify::new(),
@@ -44,6 +48,11 @@
         self.last_activity.set(now);
     }
 
+    /// Records that part of an answer of the upstream itself arrived.
+    pub fn on_own_answer(&self, now: Instant) {
+        self.last_own_answer.set(Some(now));
+    }
+
     /// Whether it was declared dead: requests there are lost.
     pub fn is_dead(&self) -> bool {
         self.is_dead.get()
@@ -74,6 +83,9 @@
     pub fn renew(&self, upstream: &Upstream, now: Instant) {
         let health = Rc::new(UpstreamHealth::new(upstream, now));
         let mut table = self.by_upstream.borrow_mut();
+        let former = table.get(&upstream.name);
+        let last_own_answer = former.and_then(|h| h.last_own_answer.get());
+        health.last_own_answer.set(last_own_answer);
         table.insert(upstream.name.clone(), health);
     }
 
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -66,6 +66,7 @@
 mod store_sync;
 mod store_view;
 mod stream;
+mod successors;
 mod wait;
 mod web;
 mod wire_names;
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -9,7 +9,7 @@
 //! Relies on the types of `cloverpier_router_policy` that travel inside the messages.
 
 use bytes::Bytes;
-use cloverpier_core::DataCentre;
+use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_router_policy::prelude::*;
 use flate2::Compression;
 use flate2::read::GzDecoder;
@@ -98,6 +98,17 @@
     pub prompt_locations: Vec<(PromptKey, UpstreamKey)>,
 }
 
+/// An upstream that the platform's list does not name yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Successor {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The upstream that was at its address before.
+    pub former: UpstreamName,
+    /// The upstream.
+    pub upstream: Upstream,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -105,6 +116,8 @@
     Heartbeat(Heartbeat),
     /// Sent between heartbeats.
     Change(Change),
+    /// Sent once when it is found; a router of a release without it ignores the datagram.
+    Successor(Successor),
 }
 
 /// The reply to a fetch of upstreams.
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -10,6 +10,7 @@
 use crate::http_client::HttpClient;
 use crate::intake::text_of;
 use crate::router::Router;
+use crate::successors;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::suspicion::{
     CHECK_PERIOD, CHECK_TIMEOUT, CheckResult, PROBE_TIMEOUT, check_result,
@@ -37,6 +38,7 @@
         match answer {
             Ok(_) => {
                 router.metrics.probes.count("alive");
+                // Whichever process answers there: it may be the next one at the address.
                 health.on_activity(now);
             }
             Err(error) if error.is_refused() => {
@@ -63,9 +65,10 @@
     health.on_dead();
     router.report_to_peers(&upstream.name);
     router.health.renew(upstream, now);
+    successors::await_successor(router, upstream);
 }
 
-fn log_belief(
+pub(crate) fn log_belief(
     router: &Router,
     event: &'static str,
     upstream: &Upstream,
@@ -110,7 +113,10 @@
         &router.wire_names.headers.answering_upstream,
     );
     match check_result(upstream.name.as_str(), name) {
-        CheckResult::Replaced => on_replaced(&router, &upstream),
+        CheckResult::Replaced => {
+            successors::on_other_name(&router, &upstream, name);
+            on_replaced(&router, &upstream);
+        }
         CheckResult::Alive => on_alive(&router, &upstream, begun),
     }
 }
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -10,6 +10,7 @@
 use crate::pool::idle_limit;
 use crate::probe;
 use crate::router::Router;
+use crate::successors;
 use crate::wait::{Awaited, while_alive};
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::attempt_failure::{
@@ -200,6 +201,8 @@
             on_misdirected(router, upstream, &head);
         }
     })?;
+    // Only the upstream that the request names runs it, so this is the upstream's own answer.
+    health.on_own_answer(router.now());
     if let Some(limit) = idle_limit(&head.headers) {
         connection.idle_limit = limit;
     }
@@ -240,6 +243,7 @@
     let names = &router.wire_names.headers;
     let answering = text_of(&head.headers, &names.answering_upstream);
     if answering.is_some_and(|name| name != upstream.name.as_str()) {
+        successors::on_other_name(router, upstream, answering);
         router.upstreams.borrow_mut().on_replaced(&upstream.name);
         router.pool.borrow_mut().close_all(&upstream.name);
     }
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -3,6 +3,10 @@
 //! Three loops: one for each thing that is watched, and one that pings the store while the
 //! watches wait. They own the revision that they have read up to. When to call, and how long
 //! to wait after a failure, is decided in `cloverpier_router_policy::store_watch`.
+//!
+//! After a failed call everything is read again, not only after lost history: a store that
+//! drops its history cuts all watches a moment before, and one that was made anew in between
+//! from the former revision heard nothing for 5 s, past a change and a leaving.
 
 use crate::configuration_copies::HeldConfiguration;
 use crate::router::Router;
@@ -95,7 +99,7 @@
             // The store swallowed the watch, or may have; the next one asks anew.
             Err(SourceError::GivenUp) => {}
             Err(error) => {
-                revision = revision.filter(|_| error != SourceError::HistoryLost);
+                revision = None;
                 backoff.after_failure(&router, &error).await;
             }
         }
@@ -136,7 +140,7 @@
                 tokio::time::sleep(GATHER_PERIOD).await;
             }
             Err(error) => {
-                revision = revision.filter(|_| error != SourceError::HistoryLost);
+                revision = None;
                 backoff.after_failure(&router, &error).await;
             }
         }
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -74,6 +74,7 @@
         let frame = while_alive(&awaited, &mut source.liveness, source.body.frame()).await?;
         match frame {
             Some(Ok(frame)) => {
+                source.health.on_own_answer(self.router.now());
                 // A frame without data holds trailers, which are not passed on.
                 let data = frame.into_data().unwrap_or_default();
                 let pushed = self.splitter.push(&data);
--- a/crates/router/cloverpier_router/tests/peer_messages.rs
+++ b/crates/router/cloverpier_router/tests/peer_messages.rs
@@ -109,6 +109,16 @@
     }
 }
 
+#[test]
+fn successors_keep_their_bytes() {
+    let successor = PeerMessage::Successor(Successor {
+        sender: address(7104),
+        former: UpstreamName::new("e0"),
+        upstream: upstream(1),
+    });
+    assert_is_golden("successor", &successor);
+}
+
 #[test]
 fn replies_on_upstreams_keep_their_bytes() {
     let list = UpstreamsReply::List {
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod refusal;
 pub mod replica;
 pub mod store_watch;
+pub mod successor;
 pub mod suspicion;
 pub mod upstream;
 pub mod upstream_table;
--- a/crates/router/cloverpier_router_policy/src/suspicion.rs
+++ b/crates/router/cloverpier_router_policy/src/suspicion.rs
@@ -15,6 +15,7 @@
 //!
 //! The state itself is kept per upstream in [`crate::upstream::UpstreamState`].
 
+use crate::successor::CHECK_PAUSE;
 use std::time::{Duration, Instant};
 
 /// Pause before the second check of a suspect; doubled up to [`MAX_CHECK_BACKOFF`].
@@ -53,6 +54,8 @@
     pub since: Instant,
     next_check: Instant,
     backoff: Duration,
+    /// It is checked closely until then, as a successor would be recognized.
+    successor_until: Option<Instant>,
 }
 
 impl Suspicion {
@@ -62,14 +65,25 @@
             since: now,
             next_check: now,
             backoff: INITIAL_CHECK_BACKOFF,
+            successor_until: None,
         }
     }
 
+    /// Has the upstream checked closely until a moment.
+    pub fn await_successor(&mut self, until: Instant) {
+        self.successor_until = Some(until);
+    }
+
     /// Whether a check is due; if so, the next one is scheduled.
     pub fn start_due_check(&mut self, now: Instant) -> bool {
         if now < self.next_check {
             return false;
         }
+        let is_close = self.successor_until.is_some_and(|until| now < until);
+        if is_close {
+            self.next_check = now + CHECK_PAUSE;
+            return true;
+        }
         self.next_check = now + self.backoff;
         self.backoff = (self.backoff * 2).min(MAX_CHECK_BACKOFF);
         true
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -10,7 +10,7 @@
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, hash_of};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One upstream, as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +50,22 @@
     Gone(UpstreamName),
 }
 
+/// An upstream that the platform's list has not named yet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Unlisted {
+    /// When news of the list arrived first that did not name it: the store can be reached.
+    missing_since: Option<Instant>,
+}
+
+impl Unlisted {
+    /// Records that news of the list did not name it; returns whether it is to be taken as gone:
+    /// a living upstream enters itself within [`RETURN_WINDOW`] of the store's return.
+    pub fn on_news(&mut self, now: Instant) -> bool {
+        let since = *self.missing_since.get_or_insert(now);
+        now.saturating_duration_since(since) > RETURN_WINDOW
+    }
+}
+
 /// An upstream and what this router knows of it.
 #[derive(Clone, Debug)]
 pub struct UpstreamState {
@@ -63,6 +79,8 @@
     pub failure_rate: f64,
     /// Smoothed time of a plain request there, in milliseconds; 0 before the first sample.
     pub pace_ms: f64,
+    /// Set while the platform's list has not named it ([`crate::successor`]).
+    pub(crate) unlisted: Option<Unlisted>,
     /// When its entry vanished.
     pub(crate) gone: Option<Instant>,
     /// Whether another start of it was seen at its address.
@@ -81,6 +99,7 @@
             own_load: Load::default(),
             failure_rate: 0.0,
             pace_ms: 0.0,
+            unlisted: None,
             gone: None,
             replaced: false,
             suspicion: None,
@@ -93,7 +112,7 @@
         self.is_listed() && !self.is_suspected()
     }
 
-    /// Whether it is listed and may still serve.
+    /// Whether it is listed, or known before the list names it, and may still serve.
     pub fn is_listed(&self) -> bool {
         self.gone.is_none() && self.may_still_serve()
     }
@@ -104,6 +123,14 @@
         !self.upstream.draining && !self.replaced
     }
 
+    /// Whether it has been gone for this long. One that the list never named is gone when
+    /// another process has its address, or from when it was declared dead.
+    pub(crate) fn is_over(&self, now: Instant, kept_for: Duration) -> bool {
+        let is_old = |at: Instant| now.saturating_duration_since(at) > kept_for;
+        let is_dead = self.suspicion.is_some_and(|s| is_old(s.since));
+        self.gone.is_some_and(is_old) || (self.unlisted.is_some() && (self.replaced || is_dead))
+    }
+
     /// Whether its entry vanished so recently that an outage of the store may be the reason.
     pub fn vanished_recently(&self, now: Instant) -> bool {
         self.gone
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -9,7 +9,7 @@
 
 use crate::load::{Load, PeerLoad};
 use crate::suspicion::DataCentreCounts;
-use crate::upstream::{Upstream, UpstreamChange, UpstreamKey, UpstreamState};
+use crate::upstream::{Unlisted, Upstream, UpstreamChange, UpstreamKey, UpstreamState};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -45,7 +45,8 @@
 
     /// All upstreams that are listed, as they travel between routers.
     pub fn listed(&self) -> Vec<Upstream> {
-        let listed = self.upstreams.values().filter(|s| s.gone.is_none());
+        let is_listed = |s: &&UpstreamState| s.gone.is_none() && s.unlisted.is_none();
+        let listed = self.upstreams.values().filter(is_listed);
         listed.map(|s| s.upstream.clone()).collect()
     }
 
@@ -128,6 +129,7 @@
             self.changes_since = revision;
         }
         self.forget_old_changes();
+        self.forget_unlisted(now);
         true
     }
 
@@ -136,7 +138,8 @@
     /// changes, it does not make each peer fetch the list (about 100 bytes for each upstream).
     fn changes_to(&self, upstreams: Vec<Upstream>) -> Vec<UpstreamChange> {
         let listed: HashSet<&UpstreamName> = upstreams.iter().map(|s| &s.name).collect();
-        let known = self.upstreams.values().filter(|s| s.gone.is_none());
+        let is_listed = |s: &&UpstreamState| s.gone.is_none() && s.unlisted.is_none();
+        let known = self.upstreams.values().filter(is_listed);
         let missing = known.filter(|s| !listed.contains(&s.upstream.name));
         let gone = missing.map(|s| UpstreamChange::Gone(s.upstream.name.clone()));
         let mut changes: Vec<UpstreamChange> = gone.collect();
@@ -166,10 +169,21 @@
         }
         self.revision = revision;
         self.forget_old_changes();
+        self.forget_unlisted(now);
         self.forget_gone(now);
         true
     }
 
+    /// Takes upstreams as gone that the list should have named by now.
+    fn forget_unlisted(&mut self, now: Instant) {
+        for state in self.upstreams.values_mut() {
+            let unlisted = state.unlisted.as_mut();
+            if unlisted.is_some_and(|unlisted| unlisted.on_news(now)) {
+                state.gone.get_or_insert(now);
+            }
+        }
+    }
+
     fn forget_old_changes(&mut self) {
         while self.changes.len() > MAX_CHANGES_KEPT {
             if let Some((revision, _)) = self.changes.pop_front() {
@@ -202,13 +216,33 @@
         if let Some(state) = self.upstreams.get_mut(&upstream.name) {
             state.upstream = upstream;
             state.gone = None;
+            state.unlisted = None;
             return;
         }
+        self.insert(UpstreamState::new(upstream));
+    }
+
+    /// Adds an upstream that the platform's list does not name yet, after the one before at its
+    /// address; false where it is known, or another one than `former` is known there.
+    pub fn add_successor(&mut self, former: &UpstreamName, upstream: Upstream) -> bool {
+        let is_known = self.upstreams.contains_key(&upstream.name);
+        let others = self.upstreams.values().filter(|s| !s.replaced);
+        let mut there = others.filter(|s| s.upstream.address == upstream.address);
+        if is_known || there.any(|s| s.upstream.name != *former) {
+            return false;
+        }
+        let mut state = UpstreamState::new(upstream);
+        state.unlisted = Some(Unlisted::default());
+        self.insert(state);
+        true
+    }
+
+    fn insert(&mut self, state: UpstreamState) {
+        let upstream = &state.upstream;
         let name = upstream.name.clone();
-        self.replace_at(&upstream);
+        self.replace_at(&state.upstream);
         let of_service = self.by_service.entry(upstream.service.clone()).or_default();
         of_service.push(name.clone());
-        let state = UpstreamState::new(upstream);
         self.by_key.insert(state.key, name.clone());
         self.upstreams.insert(name, state);
     }
@@ -227,10 +261,7 @@
             .upstreams
             .values()
             .filter(|s| s.own_load.is_none())
-            .filter(|s| {
-                s.gone
-                    .is_some_and(|at| now.saturating_duration_since(at) > GONE_KEPT_FOR)
-            })
+            .filter(|s| s.is_over(now, GONE_KEPT_FOR))
             .map(|s| s.upstream.name.clone())
             .collect();
         for name in over {
--- a/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
@@ -63,6 +63,14 @@
         true
     }
 
+    /// Has a suspect checked closely while a successor would be recognized.
+    pub fn await_successor(&mut self, name: &UpstreamName, until: Instant) {
+        let state = self.upstreams.get_mut(name);
+        if let Some(suspicion) = state.and_then(|s| s.suspicion.as_mut()) {
+            suspicion.await_successor(until);
+        }
+    }
+
     /// Records that a peer suspects an upstream.
     pub fn on_peer_suspicion(&mut self, key: UpstreamKey, now: Instant) {
         let Some(name) = self.by_key.get(&key) else {
--- a/crates/shared/cloverpier_settings/src/router.rs
+++ b/crates/shared/cloverpier_settings/src/router.rs
@@ -76,6 +76,9 @@
     pub heartbeat: Duration,
     /// Megabits a second that the VM's link carries.
     pub link_mbps: f64,
+    /// How long after the end of an upstream its address belongs to no other service; 0 where
+    /// nothing is known of that.
+    pub address_reuse: Duration,
     /// Bounds on repeats.
     pub retry: RetrySettings,
     /// How silence is judged.
@@ -104,6 +107,7 @@
             directory_keep: seconds(r.decimal_or("directory_keep_s", 0.1, 3_600.0, 1.0)),
             heartbeat: millis(&mut r, "heartbeat_ms", 200),
             link_mbps: r.decimal_or("link_mbps", 0.001, 1e6, DEFAULT_LINK_MBPS),
+            address_reuse: seconds(r.decimal_or("address_reuse_s", 0.0, 3_600.0, 0.0)),
             retry: read_retry(&mut r),
             silence: read_silence(&mut r),
             backups: r.flag_or("backups", true),
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -207,7 +207,7 @@
                 "vm = \"front-{index}\"\ndata_centre = \"hall-{}\"\ncallers_listen = \"{}\"\n\
                  ready_listen = \"{}\"\ndirectory_listen = \"{}\"\nmetrics_listen = \"{}\"\n\
                  peers_listen = \"{}\"\nstore = \"{}\"\nseeds = [{}]\ngrace_s = {}\n\
-                 retry_ratio = 0.8\nretry_slack = 150\n",
+                 retry_ratio = 0.8\nretry_slack = 150\naddress_reuse_s = 20\n",
                 index % 2,
                 addresses[0],
                 addresses[1],
