--- a/crates/standins/cloverpier_router_standin/src/store.rs
+++ b/crates/standins/cloverpier_router_standin/src/store.rs
@@ -85,6 +85,8 @@
     Silent,
     /// It resets connections.
     Reset,
+    /// It answers reads and leaves watches without an answer, whatever has changed.
+    SilentToWatches,
 }
 
 #[derive(Debug)]
@@ -268,7 +270,12 @@
         match fault {
             StoreFault::None => write(&mut stream, answer).await?,
             StoreFault::Busy => write(&mut stream, (503, Value::Null)).await?,
-            StoreFault::Silent => std::future::pending::<()>().await,
+            StoreFault::SilentToWatches if !is_watch(&head, shapes) => {
+                write(&mut stream, answer).await?;
+            }
+            StoreFault::Silent | StoreFault::SilentToWatches => {
+                std::future::pending::<()>().await;
+            }
             StoreFault::Reset => {
                 stream.set_zero_linger()?;
                 return Ok(());
@@ -278,6 +285,11 @@
     Ok(())
 }
 
+fn is_watch(head: &Head, shapes: StoreShapes) -> bool {
+    let call = (shapes.call)(head.word(1));
+    call.is_some_and(|call| call.watch.is_some())
+}
+
 async fn answer(
     head: &Head,
     shapes: StoreShapes,
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -43,6 +43,9 @@
     pub event_interval: Duration,
     /// Seeds the upstreams' choices.
     pub seed: u64,
+    /// For how many seconds no other service gets the address of an upstream that has ended; 0
+    /// where one may get it at once.
+    pub address_reuse_s: u32,
 }
 
 impl SiteSpec {
@@ -56,6 +59,7 @@
             plain: 2,
             event_interval: Duration::from_millis(10),
             seed: 1,
+            address_reuse_s: 0,
         }
     }
 }
@@ -207,7 +211,7 @@
                 "vm = \"front-{index}\"\ndata_centre = \"hall-{}\"\ncallers_listen = \"{}\"\n\
                  ready_listen = \"{}\"\ndirectory_listen = \"{}\"\nmetrics_listen = \"{}\"\n\
                  peers_listen = \"{}\"\nstore = \"{}\"\nseeds = [{}]\ngrace_s = {}\n\
-                 retry_ratio = 0.8\nretry_slack = 150\naddress_reuse_s = 20\n",
+                 retry_ratio = 0.8\nretry_slack = 150\naddress_reuse_s = {}\n",
                 index % 2,
                 addresses[0],
                 addresses[1],
@@ -217,6 +221,7 @@
                 store_link.address(),
                 seeds.join(", "),
                 GRACE.as_secs(),
+                self.spec.address_reuse_s,
             );
             std::fs::write(&settings, text)?;
             self.routers.push(SiteRouter {
--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -75,6 +75,8 @@
         None => bin_dir()?.join("cloverpier-front"),
     };
     let mut site = SiteSpec::new(program, dir);
+    // Restarted upstreams come back at their addresses, and no other service takes one.
+    site.address_reuse_s = 2;
     site.routers = size.routers;
     site.engines = size.engines;
     site.plain = size.plain;
