--- a/crates/router/cloverpier_router/src/lifecycle.rs
+++ b/crates/router/cloverpier_router/src/lifecycle.rs
@@ -1,11 +1,12 @@
 //! The planned stop, and the requests that it waits for.
 //!
-//! Owns when the termination signal came and how many requests are in flight. A request
-//! counts until the last byte of its answer is handed to the connection, by [`InFlight`].
+//! Owns when the termination signal came, how many requests are in flight and how long streams
+//! took that ended. A request counts until the last byte of its answer is handed to the connection, by [`InFlight`].
 //! When a stopping router may exit is decided in `cloverpier_router_policy::lifecycle`.
 
 use crate::router::Router;
-use std::cell::Cell;
+use cloverpier_router_policy::lifecycle::{StreamDurations, takes_streams};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,7 @@
     incarnation: u64,
     stopping_since: Cell<Option<Instant>>,
     in_flight: Cell<usize>,
+    stream_durations: RefCell<StreamDurations>,
 }
 
 impl Lifecycle {
@@ -24,6 +26,7 @@
             incarnation,
             stopping_since: Cell::new(None),
             in_flight: Cell::new(0),
+            stream_durations: RefCell::default(),
         }
     }
 
@@ -48,6 +51,17 @@
         Some(now.saturating_duration_since(since))
     }
 
+    /// Records how long a stream took from its request to its last event.
+    pub fn on_stream_completed(&self, duration: Duration) {
+        self.stream_durations.borrow_mut().on_completed(duration);
+    }
+
+    /// Whether a new stream is taken.
+    pub fn takes_streams(&self, grace: Duration, now: Instant) -> bool {
+        let expected = self.stream_durations.borrow().expected();
+        takes_streams(self.stopping_for(now), expected, grace)
+    }
+
     /// Number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -140,6 +140,14 @@
         );
     }
 
+    /// Records how long the stream took, if it was not resumed midway.
+    fn report_duration(&self) {
+        if self.request.last_event.is_none() {
+            let took = self.router.now() - self.request.arrived;
+            self.router.lifecycle.on_stream_completed(took);
+        }
+    }
+
     async fn first_piece(&mut self) -> FirstPiece {
         if let Err(given_up) = self.open_somewhere().await {
             return self.without_events(given_up);
@@ -177,6 +185,7 @@
                 Ok(Some(piece)) => Some((Ok(piece), Some(run))),
                 Ok(None) => {
                     run.log_end(StatusCode::OK, RequestEnd::Completed);
+                    run.report_duration();
                     None
                 }
                 Err(given_up) => {
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -11,7 +11,6 @@
 use crate::reply::{Reply, own_reply, refusal_reply};
 use crate::router::Router;
 use crate::stream::relay_stream;
-use cloverpier_router_policy::lifecycle::takes_streams;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::Refusal;
 use futures_util::Stream;
@@ -115,7 +114,7 @@
     if !request.route.streaming {
         return relay_plain(router, &request).await;
     }
-    if !takes_streams(router.lifecycle.stopping_for(now)) {
+    if !router.lifecycle.takes_streams(router.settings().grace, now) {
         return refusal_reply("this router stops", Refusal::Stopping);
     }
     relay_stream(router, &request).await
--- a/crates/router/cloverpier_router_policy/src/lifecycle.rs
+++ b/crates/router/cloverpier_router_policy/src/lifecycle.rs
@@ -10,15 +10,21 @@
 //!   it, which would cut what is in flight.
 
 use crate::peers::PeerState;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// A stopping router serves at least this long, as callers keep its address for
 /// `directory_keep_s` (1 s by default) and longer if they don't ask anew.  Chosen, not
 /// measured.
 const MIN_STOP: Duration = Duration::from_millis(3_500);
-/// A stopping router takes new streams for this long; one that begins later could not end
-/// within the grace period, 8 s by default (70c80fb).  Chosen, not measured.
+/// A stopping router that has seen no stream end takes new ones for this long: about 5 s of a
+/// grace period of 8 s are left then.  Chosen, not measured.
 const STREAMS_WHILE_STOPPING: Duration = Duration::from_millis(2_500);
+/// Streams whose durations are remembered.  Chosen, not measured.
+const REMEMBERED_STREAMS: usize = 20;
+/// A new stream is expected to last as long as the longest but this part of the remembered
+/// ones.  Chosen, not measured.
+const LONGER_STREAMS: f64 = 0.1;
 /// The process exits this long before the end of its grace period, as its last bytes have to
 /// leave before the kill.  Chosen, not measured.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
@@ -43,10 +49,46 @@
     }
 }
 
-/// Whether a stream that begins this long after the termination signal is taken; `None`
-/// where there was no signal.
-pub fn takes_streams(stopping_for: Option<Duration>) -> bool {
-    stopping_for.is_none_or(|passed| passed <= STREAMS_WHILE_STOPPING)
+/// How long the streams lasted that ended last at this router.
+#[derive(Clone, Debug, Default)]
+pub struct StreamDurations {
+    last: VecDeque<Duration>,
+}
+
+impl StreamDurations {
+    /// Records a stream that was served from its beginning to its end.
+    pub fn on_completed(&mut self, duration: Duration) {
+        if self.last.len() == REMEMBERED_STREAMS {
+            self.last.pop_front();
+        }
+        self.last.push_back(duration);
+    }
+
+    /// How long a new stream may be expected to last; `None` before any has ended.
+    pub fn expected(&self) -> Option<Duration> {
+        let mut sorted: Vec<Duration> = self.last.iter().copied().collect();
+        sorted.sort_unstable();
+        let longer = (sorted.len() as f64 * LONGER_STREAMS) as usize;
+        sorted.into_iter().nth_back(longer)
+    }
+}
+
+/// Whether a stream that begins this long after the termination signal is taken, which is so
+/// while it can be expected to end within the grace period; `stopping_for` is `None` where
+/// there was no signal. One that is refused is served by another router, one that is cut has
+/// to be resumed there.
+pub fn takes_streams(
+    stopping_for: Option<Duration>,
+    expected: Option<Duration>,
+    grace: Duration,
+) -> bool {
+    let Some(passed) = stopping_for else {
+        return true;
+    };
+    let left = grace.saturating_sub(KILL_MARGIN).saturating_sub(passed);
+    expected.map_or(passed <= STREAMS_WHILE_STOPPING, |expected| {
+        expected <= left
+    })
 }
 
 /// Whether a router that got its termination signal `stopping_for` ago may exit.
--- a/crates/router/cloverpier_router_policy/tests/pace.rs
+++ b/crates/router/cloverpier_router_policy/tests/pace.rs
@@ -2,7 +2,9 @@
 
 use cloverpier_router_policy::connection_reuse::is_reusable;
 use cloverpier_router_policy::heartbeat::{HeartbeatTurn, change_peers, load_ttl, peer_timeout};
-use cloverpier_router_policy::lifecycle::{StopStep, router_state, stop_step, takes_streams};
+use cloverpier_router_policy::lifecycle::{
+    StopStep, StreamDurations, router_state, stop_step, takes_streams,
+};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::{PingPacing, may_call};
 use std::collections::HashSet;
@@ -105,10 +107,28 @@
     assert_eq!(stop_step(ms(3_500), 0, grace), StopStep::Exit);
     assert_eq!(stop_step(ms(7_699), 1, grace), StopStep::Serve);
     assert_eq!(stop_step(ms(7_700), 1, grace), StopStep::Exit);
-    assert!(takes_streams(None));
-    assert!(takes_streams(Some(ms(2_500))));
-    assert!(!takes_streams(Some(ms(2_501))));
+    let grace = ms(8_000);
+    assert!(takes_streams(None, Some(ms(20_000)), grace));
+    assert!(takes_streams(Some(ms(2_500)), None, grace));
+    assert!(!takes_streams(Some(ms(2_501)), None, grace));
     assert_eq!(router_state(true, true), PeerState::Leaving);
     assert_eq!(router_state(false, true), PeerState::Ready);
     assert_eq!(router_state(false, false), PeerState::Starting);
 }
+
+#[test]
+fn a_stopping_router_leaves_streams_to_others_that_it_would_cut() {
+    let mut durations = StreamDurations::default();
+    assert_eq!(durations.expected(), None);
+    for duration in 1..=40 {
+        durations.on_completed(ms(duration * 100));
+    }
+    // Of the last 20, which took 2.1 to 4 s, two may take longer.
+    let expected = durations.expected();
+    assert_eq!(expected, Some(ms(3_800)));
+    let grace = ms(8_000);
+    assert!(takes_streams(Some(ms(3_900)), expected, grace));
+    assert!(!takes_streams(Some(ms(3_901)), expected, grace));
+    // Streams that take about the whole grace period are not taken at all.
+    assert!(!takes_streams(Some(ms(1)), Some(ms(7_700)), grace));
+}
