--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -84,7 +84,7 @@
         match while_alive(&awaited, liveness, connection.send(message)).await? {
             // A kept connection that the upstream had closed meanwhile costs nothing.
             Err(broke) if broke.was_unsent && is_kept => {}
-            Err(broke) => return Err(broken_send(router, upstream, &broke)),
+            Err(broke) => return Err(broken_send(router, upstream, &health, &broke)),
             Ok(response) => {
                 return open(router, request, upstream, response, connection, health);
             }
@@ -92,10 +92,18 @@
     }
 }
 
-fn broken_send(router: &Router, upstream: &Upstream, broke: &SendBroke) -> AttemptFailure {
+fn broken_send(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    health: &Rc<UpstreamHealth>,
+    broke: &SendBroke,
+) -> AttemptFailure {
     let error = describe(&broke.error);
+    let now = router.now();
     if io_error_kind(&broke.error).is_some_and(means_process_gone) {
-        probe::declare_dead(router, upstream, &error, router.now());
+        probe::declare_dead(router, upstream, &error, now);
+    } else if !broke.was_unsent {
+        probe::probe(router, upstream, health, now);
     }
     AttemptFailure::SendBroke {
         was_unsent: broke.was_unsent,
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -91,11 +91,15 @@
         let failure = AttemptFailure::StreamBroke {
             error: describe(error),
         };
-        let is_gone = io_error_kind(error).is_some_and(means_process_gone);
-        if let Some(source) = self.source.as_ref().filter(|_| is_gone) {
-            let now = self.router.now();
+        let Some(source) = &self.source else {
+            return failure;
+        };
+        let now = self.router.now();
+        if io_error_kind(error).is_some_and(means_process_gone) {
             let reason = failure.to_string();
             probe::declare_dead(&self.router, &source.upstream, &reason, now);
+        } else {
+            probe::probe(&self.router, &source.upstream, &source.health, now);
         }
         failure
     }
