--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -7,7 +7,7 @@
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, decode, encode};
 use crate::router::Router;
 use crate::store_view::{Watched, decide_watcher_role, log_dependency};
-use crate::successors::on_peer_successor;
+use crate::successors::{on_peer_replaced, on_peer_successor};
 use cloverpier_router_policy::heartbeat::{
     HeartbeatTurn, MAX_DATAGRAM, MAX_ENTRIES, MENTIONED_PEERS, MIN_SEND_PAUSE, SEED_PERIOD,
     change_peers, load_ttl, version_peers,
@@ -42,8 +42,7 @@
             let peers = version_peers(peers, serves_peers, &mut router.rng.borrow_mut());
             send_heartbeat(&router, &socket, &peers, now);
         }
-        for successor in router.peers.drain_successors() {
-            let message = PeerMessage::Successor(successor);
+        for message in router.peers.drain_replaced() {
             send(&router, &socket, &message, &router.peers.addresses());
         }
         if let Some(change) = next_change(&router) {
@@ -173,6 +172,7 @@
             Ok(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(&router, heartbeat, now),
             Ok(PeerMessage::Change(change)) => on_change(&router, change, now),
             Ok(PeerMessage::Successor(successor)) => on_peer_successor(&router, &successor),
+            Ok(PeerMessage::Replaced(replaced)) => on_peer_replaced(&router, &replaced),
             // Cut off, or of another release, as during an upgrade: logged once a process.
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -109,6 +109,15 @@
     pub upstream: Upstream,
 }
 
+/// An upstream at whose address another process answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replaced {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The upstream, which is gone: a name belongs to one start of one process.
+    pub former: UpstreamName,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -118,6 +127,8 @@
     Change(Change),
     /// Sent once when it is found; a router of a release without it ignores the datagram.
     Successor(Successor),
+    /// The same, where it is not known whose process answers now.
+    Replaced(Replaced),
 }
 
 /// The reply to a fetch of upstreams.
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -4,7 +4,7 @@
 //! peer has a newer version. [`crate::heartbeats`] sends and receives; who is sent what is
 //! decided in `cloverpier_router_policy::heartbeat`.
 
-use crate::peer_messages::Successor;
+use crate::peer_messages::PeerMessage;
 use crate::store_view::Watched;
 use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_router_policy::prelude::*;
@@ -22,8 +22,8 @@
     changed_upstreams: RefCell<Vec<UpstreamName>>,
     /// Prompts that engines began to read since the last report.
     new_prompt_locations: RefCell<Vec<(PromptKey, UpstreamKey)>>,
-    /// Upstreams that were found before the platform's list named them.
-    new_successors: RefCell<Vec<Successor>>,
+    /// Upstreams that were found replaced, and their successors where these are known.
+    found_replaced: RefCell<Vec<PeerMessage>>,
     /// Wakes the sender of datagrams.
     state_changed: Notify,
     /// Whether a heartbeat is due at once, as the last one says something older.
@@ -126,15 +126,15 @@
         self.state_changed.notify_one();
     }
 
-    /// Has an upstream reported that the platform's list does not name yet.
-    pub fn report_successor(&self, successor: Successor) {
-        self.new_successors.borrow_mut().push(successor);
+    /// Has a replaced upstream, or its successor, reported.
+    pub fn report_replaced(&self, message: PeerMessage) {
+        self.found_replaced.borrow_mut().push(message);
         self.state_changed.notify_one();
     }
 
-    /// Empties the list of such upstreams.
-    pub fn drain_successors(&self) -> Vec<Successor> {
-        std::mem::take(&mut *self.new_successors.borrow_mut())
+    /// Empties the list of these reports.
+    pub fn drain_replaced(&self) -> Vec<PeerMessage> {
+        std::mem::take(&mut *self.found_replaced.borrow_mut())
     }
 
     /// Has the location of a prompt reported with the next change.
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -114,19 +114,13 @@
     );
     match check_result(upstream.name.as_str(), name) {
         CheckResult::Replaced => {
+            router.metrics.probes.count("suspect-replaced");
             successors::on_other_name(&router, &upstream, name);
-            on_replaced(&router, &upstream);
         }
         CheckResult::Alive => on_alive(&router, &upstream, begun),
     }
 }
 
-fn on_replaced(router: &Router, upstream: &Upstream) {
-    router.metrics.probes.count("suspect-replaced");
-    router.upstreams.borrow_mut().on_replaced(&upstream.name);
-    log_belief(router, "server.replaced", upstream, "another answers", 0);
-}
-
 fn on_alive(router: &Router, upstream: &Upstream, check_begun: Instant) {
     router.metrics.probes.count("suspect-alive");
     let now = router.now();
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -252,7 +252,6 @@
     let answering = text_of(&head.headers, &names.answering_upstream);
     if answering.is_some_and(|name| name != upstream.name.as_str()) {
         successors::on_other_name(router, upstream, answering);
-        router.upstreams.borrow_mut().on_replaced(&upstream.name);
         router.pool.borrow_mut().close_all(&upstream.name);
     }
 }
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -5,7 +5,7 @@
 //! the table of upstreams and applies what peers have found. Relies on
 //! [`crate::health`] for the former process's last sign of life.
 
-use crate::peer_messages::Successor;
+use crate::peer_messages::{PeerMessage, Replaced, Successor};
 use crate::probe::log_belief;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
@@ -27,46 +27,67 @@
     router.health.of(upstream, now).last_own_answer.get()
 }
 
-/// Takes the process that answers at an upstream's address under another name, if it must
-/// belong to the same service.
+/// Records that a process answers at an upstream's address under another name, takes it if it
+/// must belong to the same service, and tells peers: each of them would have to try the dead
+/// upstream to find out. With 74 routers, 540 requests met the next process in 9 s in which
+/// two data centres' engines had restarted and the store was away.
 pub(crate) fn on_other_name(router: &Router, former: &Upstream, answering: Option<&str>) {
-    let now = router.now();
-    let Some((name, last_sign)) = answering.zip(last_sign(router, former, now)) else {
-        return;
-    };
-    if !must_be_same_service(last_sign, now, router.settings().address_reuse) {
+    let sender = router.settings().listen.peers;
+    let successor = successor(router, former, answering);
+    let successor = successor.filter(|upstream| add(router, &former.name, upstream, "answers"));
+    let is_new = router.upstreams.borrow_mut().on_replaced(&former.name);
+    if !is_new && successor.is_none() {
         return;
     }
-    let upstream = Upstream {
+    log_belief(router, "server.replaced", former, "another answers", 0);
+    let former = former.name.clone();
+    router.peers.report_replaced(match successor {
+        Some(upstream) => PeerMessage::Successor(Successor {
+            sender,
+            former,
+            upstream,
+        }),
+        None => PeerMessage::Replaced(Replaced { sender, former }),
+    });
+}
+
+/// The process that answers in place of an upstream, if it must belong to the same service.
+fn successor(router: &Router, former: &Upstream, answering: Option<&str>) -> Option<Upstream> {
+    let now = router.now();
+    let last_sign = last_sign(router, former, now)?;
+    let name = answering?;
+    must_be_same_service(last_sign, now, router.settings().address_reuse).then(|| Upstream {
         name: UpstreamName::new(name),
         draining: false,
         ..former.clone()
-    };
-    let successor = Successor {
-        sender: router.settings().listen.peers,
-        former: former.name.clone(),
-        upstream,
-    };
-    if add(router, &successor, "answers in place of") {
-        router.peers.report_successor(successor);
-    }
+    })
 }
 
 /// Takes an upstream that a peer has found.
 pub(crate) fn on_peer_successor(router: &Router, successor: &Successor) {
-    add(router, successor, "a peer saw it in place of");
+    add(
+        router,
+        &successor.former,
+        &successor.upstream,
+        "a peer saw it",
+    );
+}
+
+/// Records that a peer has found another process at an upstream's address.
+pub(crate) fn on_peer_replaced(router: &Router, replaced: &Replaced) {
+    let is_new = router.upstreams.borrow_mut().on_replaced(&replaced.former);
+    if is_new {
+        router.pool.borrow_mut().close_all(&replaced.former);
+    }
 }
 
 /// Adds an upstream that is not listed yet; false where that is not new.
-fn add(router: &Router, successor: &Successor, how: &str) -> bool {
-    let Successor {
-        former, upstream, ..
-    } = successor;
+fn add(router: &Router, former: &UpstreamName, upstream: &Upstream, how: &str) -> bool {
     let mut table = router.upstreams.borrow_mut();
     let is_new = table.add_successor(former, upstream.clone());
     drop(table);
     if is_new {
-        let reason = format!("{how} {former}");
+        let reason = format!("{how} in place of {former}");
         log_belief(router, "server.restarted", upstream, &reason, 0);
     }
     is_new
--- a/crates/router/cloverpier_router/tests/peer_messages.rs
+++ b/crates/router/cloverpier_router/tests/peer_messages.rs
@@ -117,6 +117,11 @@
         upstream: upstream(1),
     });
     assert_is_golden("successor", &successor);
+    let replaced = PeerMessage::Replaced(Replaced {
+        sender: address(7104),
+        former: UpstreamName::new("e0"),
+    });
+    assert_is_golden("replaced", &replaced);
 }
 
 #[test]
--- a/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
@@ -90,12 +90,14 @@
         suspects.map(|s| s.key).collect()
     }
 
-    /// Records that another upstream answers at an upstream's address.
-    pub fn on_replaced(&mut self, name: &UpstreamName) {
-        if let Some(state) = self.upstreams.get_mut(name) {
-            state.replaced = true;
-            state.suspicion = None;
-        }
+    /// Records that another upstream answers at an upstream's address; returns whether that is
+    /// new.
+    pub fn on_replaced(&mut self, name: &UpstreamName) -> bool {
+        let Some(state) = self.upstreams.get_mut(name) else {
+            return false;
+        };
+        state.suspicion = None;
+        !std::mem::replace(&mut state.replaced, true)
     }
 
     /// Records a sign of life; returns how long the upstream was suspected.
