--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -10,7 +10,7 @@
 //! | start, stop | `start`, `stop`, `lifecycle` |
 //! | a request, in the order in which it meets them | `web`, `intake`, then `plain` or `stream`, `send`, `wait`, `outcome`, `reply` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
-//! | upstreams' health | `health`, `probe`, `load_guard` |
+//! | upstreams' health | `health`, `probe`, `successors`, `load_guard` |
 //! | the store | `source`, `store_sync`, `store_view` |
 //! | other routers | `peers`, `heartbeats`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -22,6 +22,7 @@
 //! | retry or stop | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
+//! | does the process at a dead upstream's address belong to its service | [`successor`] |
 //! | which routers do callers get | [`peers`] |
 //! | which peers are sent what, and how long it counts | [`heartbeat`] |
 //! | who watches the store, and how often | [`store_watch`] |
