--- a/crates/router/cloverpier_router_policy/src/store_ping.rs
+++ b/crates/router/cloverpier_router_policy/src/store_ping.rs
@@ -71,7 +71,7 @@
         Some(pause.mul_f64(0.5 + random() / 2.0))
     }
 
-    /// Records a ping's result: an unanswered one doubles the pause.
+    /// Records a ping's result: the pause after an unanswered one is four times as long.
     pub fn on_result(&mut self, is_answered: bool, role: WatcherRole, live_routers: usize) {
         self.pause = if is_answered {
             None
