--- a/crates/router/cloverpier_router_policy/src/prompt_search.rs
+++ b/crates/router/cloverpier_router_policy/src/prompt_search.rs
@@ -7,8 +7,8 @@
 //!   which engines were asked recently.
 //! - **Answer.** An order; a timeout; whether an engine may be asked.
 //! - **Why.** Reading a prompt again costs an engine about a second and was the largest
-//!   price on days with trouble (without the search 0.047 +- 0.003 of the worth is
-//!   lost, 50 pairs of plays that end with the loss of all routers). But asking
+//!   price on days with trouble (without the search 0.045 +- 0.005 of the worth is
+//!   lost, 30 pairs of plays that end with the loss of all routers). But asking
 //!   every engine from every router costs connections, so the likely ones are asked first
 //!   (connections on a day of 72 routers
 //!   10,979 -> 7,298).
