--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod fleet;
 pub mod load;
+pub mod placement;
 pub mod process;
 pub mod report;
 pub mod router_site;
