--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -31,6 +31,11 @@
     pub own_requests: u32,
     pub peer_requests: u32,
     pub unread_tokens: u32,
+    /// Engines that were asked for their load and answered.
+    pub loads_reported: usize,
+    /// What the upstream answered: requests there, and tokens in its KV cache.
+    pub reported_requests: Option<u32>,
+    pub reported_memory: Option<u32>,
     #[serde(rename = "backup")]
     pub replica: Option<&'a str>,
     /// The same for all requests with the same prompt, as after a caller's retry.
--- /dev/null
+++ b/crates/router/cloverpier_router/src/engine_call.rs
@@ -0,0 +1,63 @@
+//! Questions to engines beside the requests that they run.
+//!
+//! They go over connections of the pool, one question each at a time, so that the connection
+//! carries a stream next if the engine gets one. How long an answer is waited for is up to the
+//! caller, who ends the call by dropping it.
+
+use crate::connection::{Connection, describe};
+use crate::http_client::{CallError, HttpAnswer, get_request};
+use crate::router::Router;
+use crate::send::keep;
+use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, DEFAULT_IDLE_LIMIT};
+use cloverpier_router_policy::prelude::*;
+use http_body_util::BodyExt;
+use std::rc::Rc;
+
+/// Asks an engine; its answer counts as a sign of life.
+///
+/// # Errors
+///
+/// [`CallError::Connect`] where no connection came up, [`CallError::Broken`] where one broke.
+pub(crate) async fn ask_engine(
+    router: &Rc<Router>,
+    engine: &Upstream,
+    path: &str,
+) -> Result<HttpAnswer, CallError> {
+    loop {
+        let mut connection = connect(router, engine).await?;
+        let is_kept = connection.requests > 0;
+        let question = get_request(path, engine.address)?;
+        let response = match connection.send(question).await {
+            Ok(response) => response,
+            // A kept connection that the engine had closed meanwhile costs nothing.
+            Err(broke) if broke.was_unsent && is_kept => continue,
+            Err(broke) => return Err(broken(&broke.error)),
+        };
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(|e| broken(&e))?;
+        keep(router, &engine.name, connection);
+        let now = router.now();
+        router.health.of(engine, now).on_activity(now);
+        return Ok(HttpAnswer {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        });
+    }
+}
+
+async fn connect(router: &Rc<Router>, engine: &Upstream) -> Result<Connection, CallError> {
+    let kept = router.pool.borrow_mut().take(&engine.name, router.now());
+    if let Some(connection) = kept {
+        return Ok(connection);
+    }
+    router.metrics.connections.inc();
+    let opened = Connection::open(engine.address, CONNECT_TIMEOUT, DEFAULT_IDLE_LIMIT).await;
+    opened.map_err(|source| CallError::Connect { source })
+}
+
+fn broken(error: &dyn std::error::Error) -> CallError {
+    CallError::Broken {
+        reason: describe(error),
+    }
+}
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -9,8 +9,8 @@
 use crate::store_view::{Watched, decide_watcher_role, log_dependency};
 use crate::successors::{on_peer_replaced, on_peer_successor};
 use cloverpier_router_policy::heartbeat::{
-    HeartbeatTurn, MAX_DATAGRAM, MAX_ENTRIES, MENTIONED_PEERS, MIN_SEND_PAUSE, SEED_PERIOD,
-    change_peers, load_ttl, version_peers,
+    HeartbeatTurn, MAX_DATAGRAM, MAX_ENTRIES, MAX_GREETED, MENTIONED_PEERS, MENTIONED_TO_NEW_PEER,
+    MIN_SEND_PAUSE, SEED_PERIOD, change_peers, load_ttl, reaches_all_peers, version_peers,
 };
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::{changes_roles, reported_store_age};
@@ -34,13 +34,17 @@
             forget_old(&router, now);
             decide_watcher_role(&router, now);
             let peers = turn.next_peers(router.peers.addresses(), serves_peers(&router, now));
-            send_heartbeat(&router, &socket, &peers, now);
+            send_heartbeat(&router, &socket, &peers, MENTIONED_PEERS, now);
             next_heartbeat = now + router.settings().heartbeat;
         } else if router.peers.take_heartbeat_due() {
             let peers = router.peers.addresses();
             let serves_peers = serves_peers(&router, now);
             let peers = version_peers(peers, serves_peers, &mut router.rng.borrow_mut());
-            send_heartbeat(&router, &socket, &peers, now);
+            send_heartbeat(&router, &socket, &peers, MENTIONED_PEERS, now);
+        }
+        let new_peers = router.peers.take_new(MAX_GREETED);
+        if !new_peers.is_empty() {
+            send_heartbeat(&router, &socket, &new_peers, MENTIONED_TO_NEW_PEER, now);
         }
         for message in router.peers.drain_replaced() {
             send(&router, &socket, &message, &router.peers.addresses());
@@ -56,6 +60,9 @@
 /// Waits for the next heartbeat, or for a change that peers are to be sent at once.
 async fn wait_for_change(router: &Router, next_heartbeat: Instant) {
     tokio::time::sleep(MIN_SEND_PAUSE).await;
+    if router.peers.has_new() {
+        return;
+    }
     tokio::select! {
         () = router.peers.state_changed() => {}
         () = tokio::time::sleep_until(next_heartbeat.into()) => {}
@@ -96,21 +103,30 @@
     store.role().serves_peers(store.last_success(), now)
 }
 
-fn send_heartbeat(router: &Router, socket: &UdpSocket, peers: &[SocketAddr], now: Instant) {
-    let message = PeerMessage::Heartbeat(heartbeat(router, now));
+fn send_heartbeat(
+    router: &Router,
+    socket: &UdpSocket,
+    peers: &[SocketAddr],
+    mentions: usize,
+    now: Instant,
+) {
+    let message = PeerMessage::Heartbeat(heartbeat(router, mentions, now));
     send(router, socket, &message, peers);
 }
 
-fn heartbeat(router: &Router, now: Instant) -> Heartbeat {
+fn heartbeat(router: &Router, mentions: usize, now: Instant) -> Heartbeat {
     let settings = router.settings();
     let table = router.upstreams.borrow();
-    let mut load = table.own_load();
+    let peers = router.peers.addresses();
+    let (mut load, mut prompt_locations) = (Vec::new(), Vec::new());
+    if reaches_all_peers(peers.len()) {
+        load = table.own_load();
+        prompt_locations = router.prompts.running();
+    }
     load.truncate(MAX_ENTRIES);
+    prompt_locations.truncate(MAX_ENTRIES);
     let mut suspects = table.suspects();
     suspects.truncate(MAX_ENTRIES);
-    let mut prompt_locations = router.prompts.running();
-    prompt_locations.truncate(MAX_ENTRIES);
-    let peers = router.peers.addresses();
     let mut rng = router.rng.borrow_mut();
     Heartbeat {
         sender: settings.listen.peers,
@@ -123,7 +139,7 @@
         load: load.into_iter().map(LoadReport::new).collect(),
         suspects,
         prompt_locations,
-        known_peers: rng.choose_multiple(peers, MENTIONED_PEERS),
+        known_peers: rng.choose_multiple(peers, mentions),
         budget_use: router.budget_use(now),
     }
 }
@@ -149,12 +165,21 @@
     let table = router.upstreams.borrow();
     let states: Vec<&UpstreamState> = changed.iter().filter_map(|name| table.get(name)).collect();
     let suspects = states.iter().filter(|s| s.is_suspected());
+    let suspects: Vec<UpstreamKey> = suspects.map(|s| s.key).collect();
     let load = states.iter().map(|s| LoadReport::new((s.key, s.own_load)));
+    let mut load: Vec<LoadReport> = load.collect();
+    if !reaches_all_peers(router.peers.addresses().len()) {
+        if suspects.is_empty() {
+            return None;
+        }
+        load.clear();
+        prompt_locations.clear();
+    }
     Some(Change {
         sender: router.settings().listen.peers,
-        suspects: suspects.map(|s| s.key).collect(),
+        suspects,
         prompt_locations,
-        load: load.collect(),
+        load,
     })
 }
 
--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -173,7 +173,8 @@
     answer.map_err(|_| CallError::TimedOut)
 }
 
-fn get_request(path: &str, address: SocketAddr) -> Result<WholeRequest, CallError> {
+/// A request without a body.
+pub(crate) fn get_request(path: &str, address: SocketAddr) -> Result<WholeRequest, CallError> {
     let request = Request::builder()
         .uri(path)
         .header(HOST, address.to_string());
--- a/crates/router/cloverpier_router/src/intake.rs
+++ b/crates/router/cloverpier_router/src/intake.rs
@@ -16,6 +16,7 @@
     Rejection, find_account, find_route, pick_service, priority,
 };
 use cloverpier_router_policy::deadline::CallerLimit;
+use cloverpier_router_policy::lifecycle::holds_until;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::Refusal;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -144,6 +145,7 @@
     id: &str,
     now: Instant,
 ) -> Result<RelayRequest, Rejection> {
+    hold_until_serving(router).await;
     let is_serving = router.store.is_serving();
     let configuration = router.store.configuration().filter(|_| is_serving);
     let configuration = configuration.ok_or(Rejection::Starting)?;
@@ -177,6 +179,23 @@
     })
 }
 
+/// Holds a request that arrives before this router can serve it, as long as the rule on that
+/// allows.
+async fn hold_until_serving(router: &Router) {
+    let store = &router.store;
+    let started = router.lifecycle.started();
+    while !store.is_serving() {
+        let until = holds_until(started, store.fails());
+        let Some(until) = until.filter(|until| router.now() < *until) else {
+            return;
+        };
+        tokio::select! {
+            () = store.start_changed() => {}
+            () = tokio::time::sleep_until(until.into()) => {}
+        }
+    }
+}
+
 /// The host that a request names, without a port; empty where it names none.
 fn host_of(head: &Parts) -> &str {
     let host = head.uri.host().or_else(|| {
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -10,6 +10,7 @@
 //! | start, stop | `start`, `stop`, `lifecycle` |
 //! | a request, in the order in which it meets them | `web`, `intake`, then `plain` or `stream`, `send`, `wait`, `outcome`, `reply` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
+//! | questions to engines on their load | `load_query`, `engine_call` |
 //! | upstreams' health | `health`, `probe`, `successors`, `load_guard` |
 //! | the store | `source`, `store_sync`, `store_view` |
 //! | other routers | `peers`, `heartbeats`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
@@ -40,12 +41,14 @@
 mod configuration_copies;
 mod connection;
 mod decision_log;
+mod engine_call;
 mod health;
 mod heartbeats;
 mod http_client;
 mod intake;
 mod lifecycle;
 mod load_guard;
+mod load_query;
 mod metrics;
 mod outcome;
 mod peer_fetch;
@@ -77,8 +80,8 @@
     pub use crate::http_client::{CallError, HttpAnswer, HttpClient, LargeBounds};
     pub use crate::router::Router;
     pub use crate::source::{
-        ConfigurationChange, ConfigurationSource, SourceError, UnreadableEntry, UpstreamChanges,
-        UpstreamList,
+        ConfigurationChange, ConfigurationSource, Freshness, SourceError, UnreadableEntry,
+        UpstreamChanges, UpstreamList,
     };
     pub use crate::start::{StartError, run_router};
     pub use crate::wire_names::{HeaderNames, Paths, PromptSize, WireNames};
--- a/crates/router/cloverpier_router/src/lifecycle.rs
+++ b/crates/router/cloverpier_router/src/lifecycle.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Lifecycle {
     incarnation: u64,
+    started: Instant,
     stopping_since: Cell<Option<Instant>>,
     in_flight: Cell<usize>,
     stream_durations: RefCell<StreamDurations>,
@@ -21,9 +22,10 @@
 
 impl Lifecycle {
     /// A process that has just started; `incarnation` distinguishes it from others at its address.
-    pub fn new(incarnation: u64) -> Self {
+    pub fn new(incarnation: u64, now: Instant) -> Self {
         Self {
             incarnation,
+            started: now,
             stopping_since: Cell::new(None),
             in_flight: Cell::new(0),
             stream_durations: RefCell::default(),
@@ -35,6 +37,11 @@
         self.incarnation
     }
 
+    /// When it started.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
     /// Begins the planned stop.
     pub fn begin_stop(&self, now: Instant) {
         self.stopping_since.set(Some(now));
--- /dev/null
+++ b/crates/router/cloverpier_router/src/load_query.rs
@@ -0,0 +1,57 @@
+//! Asks engines for their load before a stream is placed.
+//!
+//! Which engines are asked, for how long, and what an answer says is decided in
+//! `cloverpier_router_policy::load_query`; the form of the answer is the platform's.
+
+use crate::engine_call::ask_engine;
+use crate::intake::RelayRequest;
+use crate::probe;
+use crate::router::Router;
+use cloverpier_router_policy::load_query::QUERY_TIMEOUT;
+use cloverpier_router_policy::prelude::*;
+use futures_util::future::join_all;
+use std::rc::Rc;
+
+/// Asks engines for their load, all at once; those that do not answer in time are left out.
+pub(crate) async fn query_load(
+    router: &Rc<Router>,
+    request: &RelayRequest,
+    engines: &[Upstream],
+) -> ReportedLoad {
+    let questions = engines.iter().map(|engine| query(router, engine));
+    let reports = join_all(questions).await;
+    let mut reported = ReportedLoad::default();
+    for (engine, report) in engines.iter().zip(reports) {
+        if let Some(report) = report {
+            let load = report.load(request.load());
+            reported.insert(UpstreamKey::of(&engine.name), load);
+        }
+    }
+    reported
+}
+
+/// Asks one engine; nothing where it does not answer in time, which the counter of probes says.
+async fn query(router: &Rc<Router>, engine: &Upstream) -> Option<EngineReport> {
+    let path = router.wire_names.paths.engine_report;
+    let answer = tokio::time::timeout(QUERY_TIMEOUT, ask_engine(router, engine, path)).await;
+    let report = match answer {
+        // Another kind of process may have the address by now.
+        Ok(Ok(answer)) if answer.status.is_success() => {
+            (router.wire_names.engine_load)(&answer.body)
+        }
+        Ok(Err(error)) if error.is_refused() => {
+            let reason = format!("asked for its load: {error}");
+            probe::declare_dead(router, engine, &reason, router.now());
+            None
+        }
+        // Silence for so short a time is no proof; a stream that runs there gives the verdict.
+        Ok(_) | Err(_) => None,
+    };
+    let outcome = if report.is_some() {
+        "load"
+    } else {
+        "load-silent"
+    };
+    router.metrics.probes.count(outcome);
+    report
+}
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -222,6 +222,10 @@
     pub resumes_after: Option<u64>,
     /// Whether the upstream has a replica of the lost run's KV cache.
     pub from_replica: bool,
+    /// Number of engines that said how busy they are.
+    pub asked: usize,
+    /// What the upstream said.
+    pub reported: Option<Load>,
     /// When the choice was made.
     pub now: Instant,
 }
@@ -234,6 +238,8 @@
             replica: None,
             resumes_after: None,
             from_replica: false,
+            asked: 0,
+            reported: None,
             now,
         }
     }
@@ -263,6 +269,9 @@
             peer_requests: peers.requests,
             unread_tokens: own.unread_tokens + peers.unread_tokens,
             replica: note.replica.map(|r| r.name.as_str()),
+            loads_reported: note.asked,
+            reported_requests: note.reported.map(|load| load.requests),
+            reported_memory: note.reported.map(|load| load.memory_tokens),
             prompt: request.prompt,
             resumes_after: note.resumes_after,
             from_replica: note.from_replica,
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -24,6 +24,8 @@
     new_prompt_locations: RefCell<Vec<(PromptKey, UpstreamKey)>>,
     /// Upstreams that were found replaced, and their successors where these are known.
     found_replaced: RefCell<Vec<PeerMessage>>,
+    /// Peers that were not known before, to be sent a first heartbeat.
+    new_peers: RefCell<Vec<SocketAddr>>,
     /// Wakes the sender of datagrams.
     state_changed: Notify,
     /// Whether a heartbeat is due at once, as the last one says something older.
@@ -37,6 +39,10 @@
 impl Peers {
     /// Records a heartbeat; returns the one before.
     pub fn on_heartbeat(&self, peer: SocketAddr, entry: PeerEntry) -> Option<PeerEntry> {
+        let is_new = !self.table.borrow().knows(peer);
+        if is_new {
+            self.greet(peer);
+        }
         self.table.borrow_mut().on_heartbeat(peer, entry)
     }
 
@@ -44,10 +50,30 @@
     pub fn on_mentioned(&self, peers: impl IntoIterator<Item = SocketAddr>, now: Instant) {
         let mut table = self.table.borrow_mut();
         for peer in peers {
-            table.on_mentioned(peer, now);
+            if table.on_mentioned(peer, now) {
+                self.greet(peer);
+            }
         }
     }
 
+    /// Has a first heartbeat sent to a peer.
+    fn greet(&self, peer: SocketAddr) {
+        self.new_peers.borrow_mut().push(peer);
+        self.state_changed.notify_one();
+    }
+
+    /// Takes some of the peers that are to be sent a first heartbeat.
+    pub fn take_new(&self, most: usize) -> Vec<SocketAddr> {
+        let mut new = self.new_peers.borrow_mut();
+        let count = new.len().min(most);
+        new.drain(..count).collect()
+    }
+
+    /// Whether some are left.
+    pub fn has_new(&self) -> bool {
+        !self.new_peers.borrow().is_empty()
+    }
+
     /// Forgets peers that were silent for long.
     pub fn forget_old(&self, now: Instant) {
         self.table.borrow_mut().forget_old(now);
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -120,6 +120,7 @@
             connected: &connected,
             now,
             overcommit: false,
+            reported: &ReportedLoad::default(),
         };
         let choice = choose_upstream(&table, &demand, &mut self.router.rng.borrow_mut());
         let Choice::Upstream(upstream) = choice else {
--- a/crates/router/cloverpier_router/src/prompt_search.rs
+++ b/crates/router/cloverpier_router/src/prompt_search.rs
@@ -6,11 +6,14 @@
 //! goes into [`crate::prompts`].
 
 use crate::decision_log::{PromptSearched, ms_since};
+use crate::engine_call::ask_engine;
 use crate::intake::RelayRequest;
 use crate::router::Router;
 use cloverpier_core::{ServiceName, hash_of};
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::prompt_search::{ANSWER_TIMEOUT, search_order, search_timeout};
+use cloverpier_router_policy::prompt_search::{
+    ANSWER_TIMEOUT, ASKED_FIRST, FIRST_ANSWERS_WAIT, search_order, search_timeout,
+};
 use std::rc::Rc;
 
 /// Asks engines for a prompt that a request continues with, unless its location is known.
@@ -44,7 +47,12 @@
 async fn search(router: &Rc<Router>, service: &ServiceName, prompt: PromptKey) {
     let prompts = &router.prompts;
     let engines = search_order(&router.upstreams.borrow(), service, prompt);
-    for engine in engines {
+    for (index, engine) in engines.into_iter().enumerate() {
+        if index == ASKED_FIRST {
+            // Without an answer by then the others are asked as well.
+            let first = wait_for_answers(router, prompt);
+            let _ = tokio::time::timeout(FIRST_ANSWERS_WAIT, first).await;
+        }
         while !prompts.searches.borrow().has_capacity() {
             prompts.question_ended.notified().await;
         }
@@ -57,6 +65,12 @@
             tokio::task::spawn_local(ask(Rc::clone(router), engine));
         }
     }
+    wait_for_answers(router, prompt).await;
+}
+
+/// Waits until all questions have ended or one has found the prompt.
+async fn wait_for_answers(router: &Router, prompt: PromptKey) {
+    let prompts = &router.prompts;
     while prompts.searches.borrow().open() > 0 && !is_located(router, prompt) {
         prompts.question_ended.notified().await;
     }
@@ -64,13 +78,11 @@
 
 /// Asks one engine, and records what it holds.
 async fn ask(router: Rc<Router>, engine: Upstream) {
-    let health = router.health.of(&engine, router.now());
     let path = router.wire_names.paths.engine_cache;
-    let answer = health.client.get(path, ANSWER_TIMEOUT).await;
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask_engine(&router, &engine, path)).await;
     match answer {
-        Ok(answer) if answer.status.is_success() => {
+        Ok(Ok(answer)) if answer.status.is_success() => {
             router.metrics.probes.count("cache");
-            health.on_activity(router.now());
             let parts = (router.wire_names.cached_parts)(&answer.body);
             record_found(&router, &engine, &parts);
         }
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -70,7 +70,6 @@
         Self {
             log: Log::new(settings.vm.as_str()),
             settings: RefCell::new(Rc::new(settings)),
-            clock,
             wire_names,
             metrics: Metrics::default(),
             store: StoreView::default(),
@@ -81,7 +80,8 @@
             prompts: Prompts::default(),
             budgets: RetryBudgets::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
-            lifecycle: Lifecycle::new(rng.u64(..)),
+            lifecycle: Lifecycle::new(rng.u64(..), clock.now()),
+            clock,
             rng: RefCell::new(rng),
         }
     }
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -73,6 +73,16 @@
     pub revision: u64,
 }
 
+/// How new a list has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// As new as the store is.
+    Newest,
+    /// It may be seconds old, and says how old by its revision: a watch from there brings what is
+    /// newer.
+    MayBeOld,
+}
+
 /// Where configuration and upstreams come from.
 pub trait ConfigurationSource {
     /// Reads the configuration.
@@ -95,7 +105,10 @@
     fn ping(&self, timeout: Duration) -> impl Future<Output = Result<(), SourceError>>;
 
     /// Reads all upstreams.
-    fn read_upstreams(&self) -> impl Future<Output = Result<UpstreamList, SourceError>>;
+    fn read_upstreams(
+        &self,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<UpstreamList, SourceError>>;
 
     /// Waits up to `wait` for changes of upstreams after a revision.
     fn poll_upstreams(
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -10,7 +10,7 @@
 
 use crate::configuration_copies::HeldConfiguration;
 use crate::router::Router;
-use crate::source::{ConfigurationSource, SourceError, UpstreamChanges};
+use crate::source::{ConfigurationSource, Freshness, SourceError, UpstreamChanges};
 use crate::store_view::{
     Watched, apply_configuration, apply_upstream_changes, apply_upstream_list, live_routers,
     log_dependency, max_store_backoff, on_ping_result, on_store_lost, on_store_regained,
@@ -61,14 +61,17 @@
     }
 }
 
-/// Waits until this router is to call the store.
+/// Waits until this router serves, knows its peers and is to call the store.
 async fn wait_for_turn(router: &Router) {
     loop {
         let woken = router.store.loops_woken();
-        if may_call(router.store.role(), router.store.is_fresh(router.now())) {
-            return;
+        let now = router.now();
+        match router.store.watches_from() {
+            Some(at) if now < at => tokio::time::sleep_until(at.into()).await,
+            Some(_) if may_call(router.store.role(), router.store.is_fresh(now)) => return,
+            // The role will be another one, or this router will serve.
+            _ => woken.await,
         }
-        woken.await;
     }
 }
 
@@ -147,11 +150,20 @@
 }
 
 /// Reads the whole list; returns the revision reached.
+///
+/// A router that has just started takes one that may be old, which costs the store a tenth:
+/// peers and the watch bring what is newer.  Later a list is read to make good what a watch may
+/// have missed, and has to be new.
 async fn read_upstreams(
     router: &Router,
     source: &impl ConfigurationSource,
 ) -> Result<u64, SourceError> {
-    let list = source.read_upstreams().await?;
+    let freshness = if router.store.knows_upstreams() {
+        Freshness::Newest
+    } else {
+        Freshness::MayBeOld
+    };
+    let list = source.read_upstreams(freshness).await?;
     let revision = list.revision;
     apply_upstream_list(router, list, FROM_STORE);
     Ok(revision)
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -10,7 +10,9 @@
 use crate::router::Router;
 use crate::source::{UnreadableEntry, UpstreamChanges, UpstreamList};
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::store_watch::{OwnStore, is_fresh, max_backoff, watcher_role};
+use cloverpier_router_policy::store_watch::{
+    OwnStore, is_fresh, max_backoff, watcher_role, watches_from,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -42,6 +44,8 @@
     configuration: RefCell<Option<Rc<HeldConfiguration>>>,
     /// Whether the list of upstreams was learned since the start.
     upstreams_known: Cell<bool>,
+    /// Since when requests can be served.
+    serving_since: Cell<Option<Instant>>,
     role: Cell<WatcherRole>,
     last_success: Cell<Option<Instant>>,
     configuration_fails: Cell<bool>,
@@ -51,6 +55,8 @@
     watch_again: Notify,
     /// Wakes the loops that call the store: the role has changed, or a call succeeded again.
     role_changed: Notify,
+    /// Wakes requests that are held: this router serves, or calls to the store fail.
+    start_changed: Notify,
 }
 
 impl Default for StoreView {
@@ -58,6 +64,7 @@
         Self {
             configuration: RefCell::new(None),
             upstreams_known: Cell::new(false),
+            serving_since: Cell::new(None),
             // A router that knows no peer watches itself.
             role: Cell::new(WatcherRole::Chosen),
             last_success: Cell::new(None),
@@ -66,6 +73,7 @@
             pings_fail: Cell::new(false),
             watch_again: Notify::new(),
             role_changed: Notify::new(),
+            start_changed: Notify::new(),
         }
     }
 }
@@ -100,6 +108,25 @@
         self.knows_upstreams() && self.configuration.borrow().is_some()
     }
 
+    /// When this router may begin to watch; `None` before it serves.
+    pub fn watches_from(&self) -> Option<Instant> {
+        self.serving_since.get().map(watches_from)
+    }
+
+    /// Records that configuration or upstreams were learned.
+    fn on_learned(&self, now: Instant) {
+        if self.is_serving() && self.serving_since.get().is_none() {
+            self.serving_since.set(Some(now));
+            self.wake_loops();
+            self.start_changed.notify_waiters();
+        }
+    }
+
+    /// Waits until this router serves or calls to the store fail.
+    pub async fn start_changed(&self) {
+        self.start_changed.notified().await;
+    }
+
     /// This router's role as a watcher of the store.
     pub fn role(&self) -> WatcherRole {
         self.role.get()
@@ -170,6 +197,7 @@
 pub(crate) fn apply_configuration(router: &Router, held: HeldConfiguration, from: &str) {
     let version = held.configuration().version();
     if router.store.set_configuration(held) {
+        router.store.on_learned(router.now());
         router.peers.report_version();
         log_version(router, Watched::Configuration, version, from);
     }
@@ -186,6 +214,7 @@
     drop(table);
     if is_applied {
         router.store.upstreams_known.set(true);
+        router.store.on_learned(now);
         log_version(router, Watched::Upstreams, list.revision, from);
     }
 }
@@ -222,6 +251,7 @@
 pub(crate) fn on_store_lost(router: &Router, watched: Watched, reason: &str) {
     let failed = router.store.fails();
     if !router.store.fails_cell(watched).replace(true) {
+        router.store.start_changed.notify_waiters();
         log_dependency(router, "dependency.lost", watched.name(), reason);
     }
     report_change_of_calls(router, failed);
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -4,15 +4,19 @@
 
 use super::{Source, StreamRun};
 use crate::load_guard::LoadGuard;
+use crate::load_query::query_load;
 use crate::outcome::{ChoiceNote, GivenUp, log_choice};
 use crate::prompt_search::find_prompt;
 use crate::prompts::RunningStream;
 use crate::reply::UpstreamAnswer;
 use crate::send::{Opened, SendExtras, keep, send};
+use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_router_policy::arrival::RESUMED_PRIORITY;
+use cloverpier_router_policy::load_query::engines_to_query;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::usable_replica;
 use http_body_util::BodyExt;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -21,7 +25,8 @@
     pub(super) async fn open_somewhere(&mut self) -> Result<(), GivenUp> {
         self.find_prompt().await;
         loop {
-            let Some((upstream, extras)) = self.choose() else {
+            let reported = self.query_load().await;
+            let Some((upstream, extras)) = self.choose(&reported) else {
                 return Err(GivenUp::without_upstream(&self.attempts));
             };
             self.attempts.on_send();
@@ -47,27 +52,63 @@
         }
     }
 
-    /// The engine with the replica of the lost run, or the best of the others.
-    fn choose(&mut self) -> Option<(Upstream, SendExtras)> {
-        let router = Rc::clone(&self.router);
-        let now = router.now();
-        let lost_replica = self.replica.take();
-        let connected = router.pool.borrow().connected(now);
+    /// Asks engines for their load, where too little is known of it; the engine with the replica
+    /// of a lost run needs no asking.
+    async fn query_load(&self) -> ReportedLoad {
+        let engines = self.engines_to_query();
+        if engines.is_empty() {
+            return ReportedLoad::default();
+        }
+        query_load(&self.router, &self.request, &engines).await
+    }
+
+    fn engines_to_query(&self) -> Vec<Upstream> {
+        let router = &self.router;
         let table = router.upstreams.borrow();
-        let settings = router.settings();
-        let demand = Demand {
+        if usable_replica(&table, self.replica.clone()).is_some() {
+            return Vec::new();
+        }
+        let home = router.settings().data_centre.clone();
+        let connected = HashSet::new();
+        let reported = ReportedLoad::default();
+        let demand = self.demand(&home, &connected, &reported, router.now());
+        let peers = router.peers.addresses().len();
+        engines_to_query(&table, &demand, peers, &mut router.rng.borrow_mut())
+    }
+
+    /// What the next run asks of an engine.
+    fn demand<'a>(
+        &'a self,
+        home: &'a DataCentre,
+        connected: &'a HashSet<UpstreamName>,
+        reported: &'a ReportedLoad,
+        now: Instant,
+    ) -> Demand<'a> {
+        Demand {
             service: &self.request.service.name,
-            home: &settings.data_centre,
+            home,
             load: self.request.load(),
             engine_memory: self.request.engine_memory(),
             affinity: self.request.prompt.map(|p| p.0),
             prompt_location: self.prompt_location(now),
             is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
-            connected: &connected,
-            now,
+            connected,
             overcommit: self.is_resuming(),
-        };
+            reported,
+            now,
+        }
+    }
+
+    /// The engine with the replica of the lost run, or the best of the others.
+    fn choose(&mut self, reported: &ReportedLoad) -> Option<(Upstream, SendExtras)> {
+        let router = Rc::clone(&self.router);
+        let now = router.now();
+        let lost_replica = self.replica.take();
+        let connected = router.pool.borrow().connected(now);
+        let table = router.upstreams.borrow();
+        let home = router.settings().data_centre.clone();
+        let demand = self.demand(&home, &connected, reported, now);
         let mut rng = router.rng.borrow_mut();
         let (upstream, from_replica) = pick(&table, &demand, lost_replica, &mut rng)?;
         let replica = self
@@ -79,6 +120,8 @@
             replica: extras.replica.as_ref(),
             resumes_after: extras.last_event,
             from_replica,
+            asked: reported.len(),
+            reported: reported.of(UpstreamKey::of(&upstream.name)),
             ..ChoiceNote::of(&self.attempts, now)
         };
         log_choice(&router, &self.request, &table, &upstream, &note);
--- a/crates/router/cloverpier_router/src/wire_names.rs
+++ b/crates/router/cloverpier_router/src/wire_names.rs
@@ -2,6 +2,7 @@
 //!
 //! Filled by the adapter of a platform; the router knows each by its meaning alone.
 
+use cloverpier_router_policy::load_query::EngineReport;
 use hyper::header::HeaderName;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -55,7 +56,7 @@
     pub ready: &'static str,
     /// Which routers take callers; asked of this router.
     pub directory: &'static str,
-    /// Whether a model engine answers at all; asked of an engine.
+    /// How busy a model engine is, and whether it answers at all; asked of an engine.
     pub engine_report: &'static str,
     /// Which prompts an engine has read recently; asked of an engine.
     pub engine_cache: &'static str,
@@ -79,6 +80,8 @@
     pub prompt_size: fn(&str) -> Option<PromptSize>,
     /// The name of the part of a prompt that no other prompt shares, from all its parts.
     pub own_part: fn(&str) -> Option<&str>,
+    /// Reads an engine's answer on its load; nothing where it is not such an answer.
+    pub engine_load: fn(&[u8]) -> Option<EngineReport>,
     /// Reads an engine's answer on what it has cached: the names of parts of prompts.
     pub cached_parts: fn(&[u8]) -> Vec<String>,
 }
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -4,7 +4,8 @@
 //! - **Inputs.** A [`Demand`]: service, the load that the request adds, upstreams that it
 //!   was sent to already, where its prompt was read, connections at hand. The table of
 //!   upstreams with this router's own load, exactly, and its peers', as reported up to a
-//!   heartbeat ago.
+//!   heartbeat ago. What engines said of their load when they were asked
+//!   ([`crate::load_query`]).
 //! - **Answer.** A [`Choice`].
 //! - **Why.** Upstreams that may be dead come last, whatever their load: trying one costs
 //!   hundreds of milliseconds. Among the others the cost is the time that the request would
@@ -13,13 +14,15 @@
 //!   prompt that is sent again reaches the engine that has read it.
 //!
 //! `cloverpierd` chooses in `cloverpier_route::choose`, by another rule: it asks its
-//! engines for their load, so two picked at random are compared; here nobody is asked, so all
-//! are compared by what routers have in flight there.
+//! engines for their load, so two picked at random are compared; here engines are asked only
+//! where peers' reports are incomplete, and else all are compared by what routers have in
+//! flight there.
 //!
 //! Costs are in prompt tokens for model engines and in requests for plain upstreams. Owns no
 //! state.
 
 use crate::load::Load;
+use crate::load_query::ReportedLoad;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
 use crate::upstream_table::UpstreamTable;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
@@ -79,6 +82,8 @@
     pub connected: &'a HashSet<UpstreamName>,
     /// Whether a full upstream will do.
     pub overcommit: bool,
+    /// What engines said of their load just now.
+    pub reported: &'a ReportedLoad,
     /// The present moment.
     pub now: Instant,
 }
@@ -104,6 +109,7 @@
     if candidates.is_empty() {
         return Choice::NoneUsable;
     }
+    let candidates = known_best(candidates, demand);
     let with_capacity = filtered(&candidates, |s| {
         demand.overcommit || has_capacity(table, demand, s)
     });
@@ -125,6 +131,54 @@
     }
 }
 
+/// The candidates that said how busy they are, if any did: of the others too little is known.
+fn known_best<'a>(
+    candidates: Vec<&'a UpstreamState>,
+    demand: &Demand<'_>,
+) -> Vec<&'a UpstreamState> {
+    let answered = filtered(&candidates, |s| demand.reported.of(s.key).is_some());
+    if answered.is_empty() {
+        return candidates;
+    }
+    answered
+}
+
+/// The load at an upstream: what it said just now, or what this router has there if that is
+/// more, as a report is some 100 ms old; else all that is believed.
+pub(crate) fn known_load(
+    table: &UpstreamTable,
+    demand: &Demand<'_>,
+    state: &UpstreamState,
+) -> Load {
+    match demand.reported.of(state.key) {
+        Some(reported) => reported.at_least(state.own_load),
+        None => table.load_at(state),
+    }
+}
+
+/// The engines that may get the attempt, those of about the least cost first, by what this
+/// router believes; among these in the order that the prompt's hash gives, or in a random one.
+pub(crate) fn by_believed_cost<'a>(
+    table: &'a UpstreamTable,
+    demand: &Demand<'_>,
+    rng: &mut fastrand::Rng,
+) -> Vec<&'a UpstreamState> {
+    let candidates = candidates(table, demand);
+    let best_pace = best_pace(&candidates);
+    let cost = |s: &UpstreamState| cost(table, demand, s, best_pace);
+    let least = candidates
+        .iter()
+        .map(|s| cost(s))
+        .fold(f64::INFINITY, f64::min);
+    let most = least + tolerance(demand);
+    let (equal, mut dearer): (Vec<_>, Vec<_>) =
+        candidates.into_iter().partition(|s| cost(s) <= most);
+    let prompt = demand.affinity.unwrap_or_else(|| rng.u64(..));
+    let ranked = rank(prompt, &equal, |s| s.upstream.name.as_str());
+    dearer.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+    ranked.into_iter().copied().chain(dearer).collect()
+}
+
 /// Who may get the attempt, from the first of these groups that has anybody left to try:
 ///
 /// 1. usable upstreams that no peer suspects, in data centres that do not seem dead;
@@ -163,7 +217,7 @@
 }
 
 fn has_capacity(table: &UpstreamTable, demand: &Demand<'_>, state: &UpstreamState) -> bool {
-    let requests = table.load_at(state).requests;
+    let requests = known_load(table, demand, state).requests;
     let slots = state.upstream.slots.max(1);
     match demand.engine_memory {
         Some(_) => requests < slots,
@@ -171,9 +225,15 @@
     }
 }
 
-/// Whether a load fits into an engine's KV cache of `memory` tokens.
-pub(crate) fn fits(table: &UpstreamTable, state: &UpstreamState, load: Load, memory: u64) -> bool {
-    let used = f64::from(table.load_at(state).memory_tokens) + f64::from(load.memory_tokens);
+/// Whether what the request adds fits into an engine's KV cache of `memory` tokens.
+pub(crate) fn fits(
+    table: &UpstreamTable,
+    demand: &Demand<'_>,
+    state: &UpstreamState,
+    memory: u64,
+) -> bool {
+    let known = known_load(table, demand, state);
+    let used = f64::from(known.memory_tokens) + f64::from(demand.load.memory_tokens);
     used <= memory as f64 * MAX_MEMORY_SHARE
 }
 
@@ -208,12 +268,12 @@
     best_pace: f64,
     memory: u64,
 ) -> f64 {
-    let load = table.load_at(state);
+    let load = known_load(table, demand, state);
     let unread = f64::from(load.unread_tokens) + f64::from(demand.load.unread_tokens);
     let running = f64::from(load.requests) * TOKENS_PER_RUNNING;
     let mut cost = (unread + running) * slowness(state, best_pace).sqrt();
     cost *= 1.0 + state.failure_rate;
-    if !fits(table, state, demand.load, memory) {
+    if !fits(table, demand, state, memory) {
         cost += OVERFULL_TOKENS;
     }
     cost
@@ -226,7 +286,7 @@
     state: &UpstreamState,
     best_pace: f64,
 ) -> f64 {
-    let requests = f64::from(table.load_at(state).requests);
+    let requests = f64::from(known_load(table, demand, state).requests);
     let mut cost = requests + slowness(state, best_pace) - 1.0;
     cost += state.failure_rate * FAILURE_REQUESTS;
     if state.upstream.data_centre != *demand.home {
@@ -249,8 +309,7 @@
     }
 }
 
-/// Among the engines of about the least cost, in the own data centre if any is there, the one
-/// that the prompt's hash prefers.
+/// Among the engines of about the least cost, the one that the prompt's hash prefers.
 fn preferred_by_prompt<'a>(
     engines: &[&'a UpstreamState],
     cost: impl Fn(&UpstreamState) -> f64,
@@ -263,8 +322,6 @@
         .fold(f64::INFINITY, f64::min);
     let most = least + tolerance(demand);
     let equal = filtered(engines, |s| cost(s) <= most);
-    let at_home = filtered(&equal, |s| s.upstream.data_centre == *demand.home);
-    let equal = if at_home.is_empty() { equal } else { at_home };
     let ranked = rank(prompt, &equal, |s| s.upstream.name.as_str());
     ranked.first().map(|s| **s)
 }
--- a/crates/router/cloverpier_router_policy/src/heartbeat.rs
+++ b/crates/router/cloverpier_router_policy/src/heartbeat.rs
@@ -34,9 +34,14 @@
 /// it costs at 390 routers.
 const MAX_PEERS_PER_CHANGE: usize = 96;
 
-/// Peers that one heartbeat mentions, by which routers discover each other.  Chosen, not
-/// measured.
-pub const MENTIONED_PEERS: usize = 8;
+/// Peers that one heartbeat mentions, by which routers discover each other; an address takes 15
+/// bytes of some 250.  Chosen, not measured.
+pub const MENTIONED_PEERS: usize = 3;
+/// Peers that the first heartbeat to a peer mentions.  Chosen, not measured.
+pub const MENTIONED_TO_NEW_PEER: usize = 16;
+/// New peers that are sent a first heartbeat at the same time; the others follow after
+/// [`MIN_SEND_PAUSE`].  So all of 300 are greeted within 0.1 s.  Chosen, not measured.
+pub const MAX_GREETED: usize = 32;
 /// Upstreams, suspects or prompts in one message; with 64 of each a message stays within
 /// [`MAX_DATAGRAM`].  Chosen, not measured.
 pub const MAX_ENTRIES: usize = 64;
@@ -103,9 +108,14 @@
     rng.choose_multiple(peers, PEERS_PER_TURN)
 }
 
+/// Whether a change reaches all peers, so that their load is known exactly.
+pub fn reaches_all_peers(known_peers: usize) -> bool {
+    known_peers <= MAX_PEERS_PER_CHANGE
+}
+
 /// The peers that get a change at once: all, or some picked at random where they are many.
 pub fn change_peers(peers: Vec<SocketAddr>, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
-    if peers.len() <= MAX_PEERS_PER_CHANGE {
+    if reaches_all_peers(peers.len()) {
         return peers;
     }
     rng.choose_multiple(peers, MAX_PEERS_PER_CHANGE)
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! | admit or reject at arrival | [`arrival`] |
 //! | until when is it held | [`deadline`] |
 //! | which engine has read its prompt | [`prompt_locations`], [`prompt_search`] |
+//! | which engines are asked for their load first | [`load_query`] |
 //! | which upstream gets it | [`choice`] |
 //! | which engine keeps a replica | [`replica`] |
 //! | over which connection | [`connection_reuse`] |
@@ -57,6 +58,7 @@
 pub mod lifecycle;
 pub mod liveness;
 pub mod load;
+pub mod load_query;
 pub mod peers;
 pub mod prompt_locations;
 pub mod prompt_search;
@@ -84,6 +86,7 @@
     pub use crate::events::{EventError, EventSplitter, StreamEvent};
     pub use crate::liveness::{Liveness, LivenessBounds, LivenessStep};
     pub use crate::load::{Load, PeerLoad};
+    pub use crate::load_query::{EngineReport, ReportedLoad};
     pub use crate::peers::{PeerEntry, PeerState, PeerTable, ServiceKey};
     pub use crate::prompt_locations::{PromptKey, PromptLocations};
     pub use crate::replica::choose_replica;
--- a/crates/router/cloverpier_router_policy/src/lifecycle.rs
+++ b/crates/router/cloverpier_router_policy/src/lifecycle.rs
@@ -1,18 +1,24 @@
 //! Readiness and the planned stop of a router.
 //!
-//! - **Question.** Does this router take callers, does it still take streams, and may it
-//!   exit?
-//! - **Inputs.** Whether configuration and upstreams are known; when the termination signal
-//!   came; requests in flight; the grace period in force.
-//! - **Answer.** A [`PeerState`] and a [`StopStep`].
+//! - **Question.** Does this router take callers, does it hold requests until it can serve them,
+//!   does it still take streams, and may it exit?
+//! - **Inputs.** Whether configuration and upstreams are known, and how long ago the process
+//!   started; when the termination signal came; requests in flight; the grace period in force.
+//! - **Answer.** A [`PeerState`], a moment and a [`StopStep`].
 //! - **Why.** Callers keep a router's address for a while after it has left the directory,
 //!   so a stopping router goes on serving; and it must be gone before the platform kills
 //!   it, which would cut what is in flight.
 
 use crate::peers::PeerState;
 use std::collections::VecDeque;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+/// A router that has just started holds requests for this long after its start, until it has
+/// configuration and upstreams.  After the loss of all of 295 routers the list of 518 upstreams
+/// is there 0.43 to 0.48 s after the start, while callers whose streams broke come back at once;
+/// turned away with "not run", most met a router that was not ready again and gave up (1,618
+/// refusals in one play of such a day).
+const START_HOLD: Duration = Duration::from_millis(600);
 /// A stopping router serves at least this long, as callers keep its address for
 /// `directory_keep_s` (1 s by default) and longer if they don't ask anew.  Chosen, not
 /// measured.
@@ -50,6 +56,12 @@
     }
 }
 
+/// Until when a router that started at a moment holds requests that it cannot serve yet; `None`
+/// where `store_fails`: then it is not known to be ready soon, and they are refused at once.
+pub fn holds_until(started: Instant, store_fails: bool) -> Option<Instant> {
+    (!store_fails).then_some(started + START_HOLD)
+}
+
 /// How long the streams lasted that ended last at this router.
 #[derive(Clone, Debug, Default)]
 pub struct StreamDurations {
--- a/crates/router/cloverpier_router_policy/src/load.rs
+++ b/crates/router/cloverpier_router_policy/src/load.rs
@@ -35,6 +35,16 @@
         self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
     }
 
+    /// The larger of two loads, part by part.
+    #[must_use]
+    pub fn at_least(self, other: Load) -> Load {
+        Load {
+            requests: self.requests.max(other.requests),
+            unread_tokens: self.unread_tokens.max(other.unread_tokens),
+            memory_tokens: self.memory_tokens.max(other.memory_tokens),
+        }
+    }
+
     /// Whether nothing is in flight.
     pub fn is_none(&self) -> bool {
         *self == Self::default()
--- a/crates/router/cloverpier_router_policy/src/peers.rs
+++ b/crates/router/cloverpier_router_policy/src/peers.rs
@@ -84,6 +84,11 @@
         self.peers.insert(peer, entry)
     }
 
+    /// Whether a peer has sent a heartbeat or was mentioned.
+    pub fn knows(&self, peer: SocketAddr) -> bool {
+        self.peers.contains_key(&peer) || self.mentioned.contains_key(&peer)
+    }
+
     /// Records a peer that settings or another peer mentioned; returns whether it is new.
     pub fn on_mentioned(&mut self, peer: SocketAddr, now: Instant) -> bool {
         if self.peers.contains_key(&peer) {
--- a/crates/router/cloverpier_router_policy/src/prompt_search.rs
+++ b/crates/router/cloverpier_router_policy/src/prompt_search.rs
@@ -13,11 +13,12 @@
 //!   (connections on a day of 72 routers
 //!   10,979 -> 7,298).
 
+use crate::load_query::QUERIED_ENGINES;
 use crate::prompt_locations::PromptKey;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
 use crate::upstream_table::UpstreamTable;
-use cloverpier_core::{DataCentre, ServiceName, rank};
-use std::collections::{BTreeMap, HashMap};
+use cloverpier_core::{ServiceName, rank};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// Upper bound on the time a request waits for a search.  Chosen, not measured.
@@ -30,6 +31,13 @@
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(10);
 /// Engines asked at the same time by one router.  Chosen, not measured.
 const MAX_CONCURRENT: usize = 8;
+/// Engines that a search asks first: those that were asked before the stream was placed
+/// ([`crate::load_query`]), one of which mostly has it.  Without a pause after them, 557 searches
+/// asked 16,895 engines after the loss of 295 routers before 518 engines (one play).
+pub const ASKED_FIRST: usize = QUERIED_ENGINES;
+/// How long their answers are awaited before others are asked: about two answers with a new
+/// connection (2 to 8 ms, read off logs).  Chosen, not measured.
+pub const FIRST_ANSWERS_WAIT: Duration = Duration::from_millis(15);
 /// How long one engine's answer is awaited.  Chosen, not measured.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -40,28 +48,16 @@
 
 /// The engines of a service in the order in which they are likely to have read a prompt.
 ///
-/// Each router prefers engines of its own data centre and among these follows the prompt's
-/// hash ([`crate::choice`]), so the engines of each data centre are taken in turn, by hash.
+/// Routers follow the prompt's hash among engines that seem equal ([`crate::choice`]).
 pub fn search_order(
     table: &UpstreamTable,
     service: &ServiceName,
     prompt: PromptKey,
 ) -> Vec<Upstream> {
     let usable = table.of_service(service).filter(|s| s.is_usable());
-    let mut by_data_centre: BTreeMap<&DataCentre, Vec<&UpstreamState>> = BTreeMap::new();
-    for state in usable {
-        let engines = by_data_centre.entry(&state.upstream.data_centre);
-        engines.or_default().push(state);
-    }
-    let mut ranked: Vec<(usize, &Upstream)> = Vec::new();
-    for engines in by_data_centre.values() {
-        let in_order = rank(prompt.0, engines, |s| s.upstream.name.as_str());
-        let in_order = in_order.into_iter().enumerate();
-        ranked.extend(in_order.map(|(position, s)| (position, &s.upstream)));
-    }
-    ranked.sort_by_key(|(position, _)| *position);
-    let engines = ranked.into_iter().map(|(_, upstream)| upstream.clone());
-    engines.collect()
+    let usable: Vec<&UpstreamState> = usable.collect();
+    let ranked = rank(prompt.0, &usable, |s| s.upstream.name.as_str());
+    ranked.into_iter().map(|s| s.upstream.clone()).collect()
 }
 
 /// The questions of one router: whom it asked when, and how many are open.
--- a/crates/router/cloverpier_router_policy/src/replica.rs
+++ b/crates/router/cloverpier_router_policy/src/replica.rs
@@ -10,7 +10,7 @@
 //!   all chose it they would fill it, and it would let replicas go (worth earned on a
 //!   quiet day with 65 routers, one play: 0.823 -> 0.881 with replicas spread).
 
-use crate::choice::{Demand, filtered, fits};
+use crate::choice::{Demand, filtered, fits, known_load};
 use crate::upstream::{Upstream, UpstreamState};
 use crate::upstream_table::UpstreamTable;
 
@@ -22,7 +22,7 @@
     rng: &mut fastrand::Rng,
 ) -> Option<Upstream> {
     let candidates = preferred(table, demand, primary);
-    let memory_at = |s: &UpstreamState| table.load_at(s).memory_tokens;
+    let memory_at = |s: &UpstreamState| known_load(table, demand, s).memory_tokens;
     let least = candidates.iter().map(|s| memory_at(s)).min()?;
     let most = least.saturating_add(demand.load.memory_tokens);
     let about_as_empty = candidates.into_iter().filter(|s| memory_at(s) <= most);
@@ -39,8 +39,8 @@
     })
 }
 
-/// Engines with room: in another data centre that does not seem dead, else in another one,
-/// else any.
+/// Engines with room: in another data centre that does not seem dead, best one that said just
+/// now how full it is; else in another data centre, else any.
 fn preferred<'a>(
     table: &'a UpstreamTable,
     demand: &Demand<'_>,
@@ -53,14 +53,15 @@
         .of_service(demand.service)
         .filter(|s| s.is_usable() && s.upstream.name != primary.name)
         .filter(|s| !s.is_suspected_by_peer(demand.now))
-        .filter(|s| fits(table, s, demand.load, memory))
+        .filter(|s| fits(table, demand, s, memory))
         .collect();
     let suspect_data_centres = table.suspect_data_centres(demand.service, demand.now);
     let is_far = |s: &UpstreamState| s.upstream.data_centre != primary.data_centre;
     let is_sound = |s: &UpstreamState| !suspect_data_centres.contains(&s.upstream.data_centre);
     let far = filtered(&with_room, is_far);
     let far_and_sound = filtered(&far, is_sound);
-    let by_preference = [far_and_sound, far, with_room];
+    let asked = filtered(&far_and_sound, |s| demand.reported.of(s.key).is_some());
+    let by_preference = [asked, far_and_sound, far, with_room];
     let found = by_preference.into_iter().find(|list| !list.is_empty());
     // All lists are empty: no engine can hold a replica.
     found.unwrap_or_default()
--- a/crates/router/cloverpier_router_policy/src/store_watch.rs
+++ b/crates/router/cloverpier_router_policy/src/store_watch.rs
@@ -48,6 +48,13 @@
 /// of 8 routers 372 calls with 100 ms, 250 with 300 ms, and the same worth earned.
 pub const GATHER_PERIOD: Duration = Duration::from_millis(300);
 
+/// A router that has just learned configuration and upstreams watches the store only after this
+/// time: two heartbeats, by which it knows who else does.  Without it each of 295 routers that
+/// started together made 5.7 calls.  Until it is over nobody may watch, so changes reach all
+/// that much later after the loss of all routers; the least bound on a change is 2 s (the
+/// platform's settings).
+const SETTLE: Duration = Duration::from_millis(500);
+
 /// A live and ready peer, and what it said of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReadyPeer {
@@ -224,6 +231,11 @@
     }
 }
 
+/// When a router that serves since a moment may begin to watch.
+pub fn watches_from(serving_since: Instant) -> Instant {
+    serving_since + SETTLE
+}
+
 /// The order in which routers are chosen: by hash, so that neighbours in the address space,
 /// which may share a rack, are not chosen together.
 fn rank_of(router: SocketAddr) -> (u64, SocketAddr) {
--- /dev/null
+++ b/crates/router/cloverpier_router_policy/tests/load_query.rs
@@ -0,0 +1,190 @@
+//! What engines are asked before a stream is placed, and what their answers decide.
+
+use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
+use cloverpier_router_policy::load_query::{QUERIED_ENGINES, engines_to_query};
+use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::prompt_search::search_order;
+use std::collections::HashSet;
+use std::time::Instant;
+
+const ENGINES: u16 = 60;
+/// More than a change reaches.
+const MANY_PEERS: usize = 294;
+const STREAM: Load = Load {
+    requests: 1,
+    unread_tokens: 8_000,
+    memory_tokens: 8_800,
+};
+
+fn engine(index: u16) -> Upstream {
+    Upstream {
+        name: UpstreamName::new(format!("engine-{index}")),
+        service: ServiceName::new("drafts"),
+        address: ([127, 0, 0, 1], 9_000 + index).into(),
+        data_centre: DataCentre::new(format!("hall-{}", index % 3)),
+        slots: 24,
+        draining: false,
+    }
+}
+
+fn engines(now: Instant) -> UpstreamTable {
+    let mut table = UpstreamTable::default();
+    table.apply_list((0..ENGINES).map(engine).collect(), 1, now);
+    table
+}
+
+/// What a demand borrows.
+struct Asker {
+    service: ServiceName,
+    home: DataCentre,
+    connected: HashSet<UpstreamName>,
+    now: Instant,
+}
+
+impl Asker {
+    fn new(now: Instant) -> Self {
+        Self {
+            service: ServiceName::new("drafts"),
+            home: DataCentre::new("hall-0"),
+            connected: HashSet::new(),
+            now,
+        }
+    }
+
+    fn demand<'a>(&'a self, prompt: u64, reported: &'a ReportedLoad) -> Demand<'a> {
+        Demand {
+            service: &self.service,
+            home: &self.home,
+            load: STREAM,
+            engine_memory: Some(88_000),
+            affinity: Some(prompt),
+            prompt_location: None,
+            is_continuation: false,
+            tried: &[],
+            connected: &self.connected,
+            overcommit: false,
+            reported,
+            now: self.now,
+        }
+    }
+}
+
+fn chosen(table: &UpstreamTable, demand: &Demand<'_>) -> UpstreamName {
+    match choose_upstream(table, demand, &mut fastrand::Rng::with_seed(1)) {
+        Choice::Upstream(upstream) => upstream.name,
+        Choice::AllFull | Choice::NoneUsable => panic!("engines are free"),
+    }
+}
+
+/// Reports of these engines, by the streams that run there.
+fn reports(loads: &[(&Upstream, u32)]) -> ReportedLoad {
+    let mut reported = ReportedLoad::default();
+    for (engine, running) in loads {
+        let report = EngineReport {
+            running: *running,
+            used_tokens: running * STREAM.memory_tokens,
+            ..EngineReport::default()
+        };
+        reported.insert(UpstreamKey::of(&engine.name), report.load(STREAM));
+    }
+    reported
+}
+
+#[test]
+fn few_engines_are_asked_and_those_that_a_search_asks_first() {
+    let now = Instant::now();
+    let (table, asker) = (engines(now), Asker::new(now));
+    let none = ReportedLoad::default();
+    for prompt in 0..20 {
+        let demand = asker.demand(prompt, &none);
+        let mut rng = fastrand::Rng::with_seed(prompt);
+        let asked = engines_to_query(&table, &demand, MANY_PEERS, &mut rng);
+        let order = search_order(&table, &asker.service, PromptKey(prompt));
+        assert_eq!(asked, order[..QUERIED_ENGINES]);
+    }
+}
+
+#[test]
+fn nobody_is_asked_where_peers_report_everything_or_the_engine_is_known() {
+    let now = Instant::now();
+    let (table, asker) = (engines(now), Asker::new(now));
+    let none = ReportedLoad::default();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let demand = asker.demand(1, &none);
+    assert!(engines_to_query(&table, &demand, 8, &mut rng).is_empty());
+    let known = Demand {
+        prompt_location: Some(UpstreamKey::of(&engine(7).name)),
+        ..asker.demand(1, &none)
+    };
+    assert!(engines_to_query(&table, &known, MANY_PEERS, &mut rng).is_empty());
+    let plain = Demand {
+        engine_memory: None,
+        ..asker.demand(1, &none)
+    };
+    assert!(engines_to_query(&table, &plain, MANY_PEERS, &mut rng).is_empty());
+}
+
+#[test]
+fn the_least_busy_of_those_that_answer_gets_the_stream() {
+    let now = Instant::now();
+    let (table, asker) = (engines(now), Asker::new(now));
+    let (a, b) = (engine(3), engine(4));
+    let reported = reports(&[(&a, 2), (&b, 1)]);
+    for prompt in 0..20 {
+        // All others seem idle, and nothing is known of them.
+        assert_eq!(chosen(&table, &asker.demand(prompt, &reported)), b.name);
+    }
+}
+
+#[test]
+fn what_this_router_has_just_placed_counts_before_a_report_shows_it() {
+    let now = Instant::now();
+    let (mut table, asker) = (engines(now), Asker::new(now));
+    let (a, b) = (engine(3), engine(4));
+    for _ in 0..3 {
+        table.add_load(&b.name, STREAM);
+    }
+    let reported = reports(&[(&a, 2), (&b, 1)]);
+    assert_eq!(chosen(&table, &asker.demand(1, &reported)), a.name);
+}
+
+#[test]
+fn prompts_that_wait_at_an_engine_count_as_unread_and_as_memory() {
+    let report = EngineReport {
+        queued: 2,
+        running: 3,
+        reading: 1,
+        used_tokens: 20_000,
+    };
+    let expected = Load {
+        requests: 5,
+        unread_tokens: 24_000,
+        memory_tokens: 37_600,
+    };
+    assert_eq!(report.load(STREAM), expected);
+}
+
+#[test]
+fn a_replica_goes_to_an_engine_that_said_it_has_room() {
+    let now = Instant::now();
+    let (table, asker) = (engines(now), Asker::new(now));
+    // The first two share a data centre; the last has no room left.
+    let (a, b, c, full) = (engine(3), engine(6), engine(4), engine(5));
+    let reported = reports(&[(&a, 0), (&b, 0), (&c, 1), (&full, 9)]);
+    for seed in 0..20 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let replica = choose_replica(&table, &asker.demand(seed, &reported), &a, &mut rng);
+        assert_eq!(replica.map(|r| r.name), Some(c.name.clone()));
+    }
+}
+
+#[test]
+fn where_nobody_answers_what_is_believed_decides() {
+    let now = Instant::now();
+    let (mut table, asker) = (engines(now), Asker::new(now));
+    for index in 1..ENGINES {
+        table.add_load(&engine(index).name, STREAM);
+    }
+    let none = ReportedLoad::default();
+    assert_eq!(chosen(&table, &asker.demand(1, &none)), engine(0).name);
+}
--- a/crates/router/cloverpier_router_policy/tests/pace.rs
+++ b/crates/router/cloverpier_router_policy/tests/pace.rs
@@ -3,11 +3,11 @@
 use cloverpier_router_policy::connection_reuse::is_reusable;
 use cloverpier_router_policy::heartbeat::{HeartbeatTurn, change_peers, load_ttl, peer_timeout};
 use cloverpier_router_policy::lifecycle::{
-    StopStep, StreamDurations, router_state, stop_step, takes_streams,
+    StopStep, StreamDurations, holds_until, router_state, stop_step, takes_streams,
 };
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_ping::PingPacing;
-use cloverpier_router_policy::store_watch::may_call;
+use cloverpier_router_policy::store_watch::{may_call, watches_from};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -49,6 +49,24 @@
     assert_eq!(change_peers(peers(300), &mut rng).len(), 96);
 }
 
+/// After the loss of all routers callers came back while no router had its upstreams yet; turned
+/// away, most met another one that was not ready.
+#[test]
+fn a_router_that_starts_holds_requests_unless_the_store_fails() {
+    let started = Instant::now();
+    let until = holds_until(started, false).unwrap();
+    // 0.48 s after the start the last of 295 routers had its upstreams.
+    assert!(until >= started + ms(500) && until <= started + ms(1_000));
+    assert_eq!(holds_until(started, true), None);
+}
+
+#[test]
+fn a_router_that_starts_hears_its_peers_before_it_watches() {
+    let now = Instant::now();
+    // Two heartbeats of 200 ms; a change has to be in force within 2 s of its acceptance.
+    assert!(watches_from(now) >= now + ms(400) && watches_from(now) <= now + ms(800));
+}
+
 #[test]
 fn a_fallback_calls_the_store_only_after_an_answered_ping() {
     assert!(may_call(WatcherRole::Chosen, false));
--- /dev/null
+++ b/crates/router/cloverpier_router_policy/tests/placement/main.rs
@@ -0,0 +1,49 @@
+//! Plays the load of a large fleet on the decisions that place streams: 200 routers before 360
+//! engines in six data centres, streams that arrive in waves and clumps, a data centre lost
+//! each 6.5 s. Checks what callers get.
+//!
+//! Routers hear of each other what `heartbeat` lets them; engines answer questions with a report
+//! that is 100 ms old. Everything is seeded and the clock is the test's own.
+
+mod world;
+
+use std::time::Duration;
+use world::{Figures, Knowledge, World};
+
+const SEEDS: [u64; 2] = [1, 2];
+
+fn play(knowledge: Knowledge) -> Vec<Figures> {
+    SEEDS
+        .map(|seed| World::new(seed, knowledge).play())
+        .to_vec()
+}
+
+/// Where engines are asked, 0.996 of the streams are in time; what is late was being read at an
+/// engine that died. A choice at random among all falls on one that is busier than the lightest
+/// tenth in 0.8 of the cases.
+#[test]
+fn streams_are_placed_where_there_is_room() {
+    for figures in play(Knowledge::Asked) {
+        assert!(figures.streams > 1_500, "{figures:?}");
+        assert!(figures.in_time > 0.99, "{figures:?}");
+        assert!(
+            figures.first_event_p99 < Duration::from_millis(4_200),
+            "{figures:?}"
+        );
+        assert!(figures.waited_for_memory < 0.002, "{figures:?}");
+        assert!(figures.heavier_than_lightest_tenth < 0.45, "{figures:?}");
+    }
+}
+
+/// The same load, placed by what peers can report at this size, as it was before engines were
+/// asked: 0.93 to 0.94 in time. So the load is one that needs the questions.
+#[test]
+fn what_peers_report_is_not_enough_at_this_size() {
+    for figures in play(Knowledge::Believed) {
+        assert!(figures.in_time < 0.96, "{figures:?}");
+        assert!(
+            figures.first_event_p99 > Duration::from_millis(6_000),
+            "{figures:?}"
+        );
+    }
+}
--- a/crates/router/cloverpier_router_policy/tests/upstreams.rs
+++ b/crates/router/cloverpier_router_policy/tests/upstreams.rs
@@ -4,9 +4,11 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::prompt_search::search_order;
 use std::collections::HashSet;
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
 const SERVICE: &str = "lookups";
+static NOT_ASKED: LazyLock<ReportedLoad> = LazyLock::new(ReportedLoad::default);
 
 fn upstream(name: &str, port: u16) -> Upstream {
     Upstream {
@@ -48,6 +50,7 @@
         tried,
         connected: &HashSet::new(),
         overcommit: false,
+        reported: &NOT_ASKED,
         now,
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(1)) {
@@ -187,6 +190,7 @@
         tried: &[],
         connected: &HashSet::new(),
         overcommit: false,
+        reported: &NOT_ASKED,
         now: Instant::now(),
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(seed)) {
@@ -303,6 +307,7 @@
         tried: &[],
         connected,
         overcommit: false,
+        reported: &NOT_ASKED,
         now,
     }
 }
--- a/crates/standins/cloverpier_router_standin/src/store.rs
+++ b/crates/standins/cloverpier_router_standin/src/store.rs
@@ -103,6 +103,8 @@
     kinds: BTreeMap<String, Kind>,
     fault: StoreFault,
     calls: u64,
+    /// The targets of all calls, in order.
+    targets: Vec<String>,
 }
 
 /// A running store; it ends with its owner.
@@ -135,6 +137,7 @@
             kinds: BTreeMap::new(),
             fault: StoreFault::None,
             calls: 0,
+            targets: Vec::new(),
         }));
         let changed = Arc::new(Notify::new());
         let accepting = tokio::spawn(accept(
@@ -162,6 +165,11 @@
         lock(&self.state).calls
     }
 
+    /// The targets of all calls, in order.
+    pub fn targets(&self) -> Vec<String> {
+        lock(&self.state).targets.clone()
+    }
+
     /// Lists an upstream, or lists it otherwise.
     pub fn put_upstream(&self, upstream: &Upstream) {
         let spec = (self.shapes.upstream)(upstream);
@@ -263,7 +271,11 @@
 ) -> io::Result<()> {
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buffer).await? {
-        lock(state).calls += 1;
+        {
+            let mut state = lock(state);
+            state.calls += 1;
+            state.targets.push(head.word(1).to_owned());
+        }
         let answer = answer(&head, shapes, state, changed).await;
         // What the store does at the moment of the answer counts, as for a watch.
         let fault = lock(state).fault;
