Split what an upstream costs from who may get an attempt

One change of behaviour: where none of the engines that answered has a free slot, the others count as before, in place of a refusal.

--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -8,6 +8,7 @@
 use crate::router::Router;
 use crate::store_view::{Watched, decide_watcher_role, log_dependency};
 use crate::successors::{on_peer_replaced, on_peer_successor};
+use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::heartbeat::{
     HeartbeatTurn, MAX_DATAGRAM, MAX_ENTRIES, MAX_GREETED, MENTIONED_PEERS, MENTIONED_TO_NEW_PEER,
     MIN_SEND_PAUSE, SEED_PERIOD, change_peers, load_ttl, reaches_all_peers, version_peers,
@@ -114,17 +115,32 @@
     send(router, socket, &message, peers);
 }
 
+/// What a router tells of its streams while its reports reach all peers. Reports that reach some
+/// of them are worse than none ([`cloverpier_router_policy::load_query`]): then engines are asked
+/// for their load, and for prompts.
+#[derive(Default)]
+struct StreamReport {
+    load: Vec<(UpstreamKey, Load)>,
+    prompt_locations: Vec<(PromptKey, UpstreamKey)>,
+}
+
+/// As many entries as one message may hold.
+fn first_entries<T, R>(entries: Vec<T>, entry: impl Fn(T) -> R) -> Vec<R> {
+    entries.into_iter().take(MAX_ENTRIES).map(entry).collect()
+}
+
 fn heartbeat(router: &Router, mentions: usize, now: Instant) -> Heartbeat {
     let settings = router.settings();
     let table = router.upstreams.borrow();
     let peers = router.peers.addresses();
-    let (mut load, mut prompt_locations) = (Vec::new(), Vec::new());
-    if reaches_all_peers(peers.len()) {
-        load = table.own_load();
-        prompt_locations = router.prompts.running();
-    }
-    load.truncate(MAX_ENTRIES);
-    prompt_locations.truncate(MAX_ENTRIES);
+    let streams = if reaches_all_peers(peers.len()) {
+        StreamReport {
+            load: table.own_load(),
+            prompt_locations: router.prompts.running(),
+        }
+    } else {
+        StreamReport::default()
+    };
     let mut suspects = table.suspects();
     suspects.truncate(MAX_ENTRIES);
     let mut rng = router.rng.borrow_mut();
@@ -136,9 +152,9 @@
         configuration_version: router.store.configuration_version(),
         upstreams_revision: table.revision(),
         store_age_ms: store_age_ms(router, now),
-        load: load.into_iter().map(LoadReport::new).collect(),
+        load: first_entries(streams.load, LoadReport::new),
         suspects,
-        prompt_locations,
+        prompt_locations: first_entries(streams.prompt_locations, |location| location),
         known_peers: rng.choose_multiple(peers, mentions),
         budget_use: router.budget_use(now),
     }
@@ -151,38 +167,41 @@
     age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
 }
 
-/// What peers are to be sent at once, if anything.
+/// What peers are to be sent at once, if anything: suspicions, and while that reaches all of them,
+/// changes of load and new locations of prompts.
 fn next_change(router: &Router) -> Option<Change> {
-    let mut changed = router.peers.drain_changed_upstreams();
-    let mut prompt_locations = router.peers.drain_prompt_locations();
-    prompt_locations.truncate(MAX_ENTRIES);
-    if changed.is_empty() {
-        return None;
-    }
-    changed.sort_unstable();
-    changed.dedup();
-    changed.truncate(MAX_ENTRIES);
+    let changed = changed_upstreams(router);
+    let prompt_locations = router.peers.drain_prompt_locations();
     let table = router.upstreams.borrow();
     let states: Vec<&UpstreamState> = changed.iter().filter_map(|name| table.get(name)).collect();
     let suspects = states.iter().filter(|s| s.is_suspected());
     let suspects: Vec<UpstreamKey> = suspects.map(|s| s.key).collect();
-    let load = states.iter().map(|s| LoadReport::new((s.key, s.own_load)));
-    let mut load: Vec<LoadReport> = load.collect();
-    if !reaches_all_peers(router.peers.addresses().len()) {
-        if suspects.is_empty() {
-            return None;
-        }
-        load.clear();
-        prompt_locations.clear();
-    }
-    Some(Change {
+    let change = Change {
         sender: router.settings().listen.peers,
+        load: Vec::new(),
         suspects,
-        prompt_locations,
-        load,
+        prompt_locations: Vec::new(),
+    };
+    if !reaches_all_peers(router.peers.addresses().len()) {
+        return (!change.suspects.is_empty()).then_some(change);
+    }
+    let load = states.iter().map(|s| LoadReport::new((s.key, s.own_load)));
+    (!changed.is_empty()).then(|| Change {
+        load: load.collect(),
+        prompt_locations: first_entries(prompt_locations, |location| location),
+        ..change
     })
 }
 
+/// The upstreams of which something is to be reported, each once.
+fn changed_upstreams(router: &Router) -> Vec<UpstreamName> {
+    let mut changed = router.peers.drain_changed_upstreams();
+    changed.sort_unstable();
+    changed.dedup();
+    changed.truncate(MAX_ENTRIES);
+    changed
+}
+
 /// Receives messages until the process ends.
 pub(crate) async fn receive_messages(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -18,47 +18,25 @@
 //! where peers' reports are incomplete, and else all are compared by what routers have in
 //! flight there.
 //!
-//! Costs are in prompt tokens for model engines and in requests for plain upstreams. Owns no
-//! state.
+//! What an upstream costs is worked out in `cost`. Owns no state.
+
+mod cost;
+
+pub(crate) use cost::{fits, known_load};
 
 use crate::load::Load;
 use crate::load_query::ReportedLoad;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
 use crate::upstream_table::UpstreamTable;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
+use cost::{best_pace, cost, has_capacity};
 use std::collections::HashSet;
 use std::time::Instant;
 
-/// A running stream delays a newcomer like this many unread prompt tokens, and is delayed by
-/// it: reading 8,000 tokens holds up each stream beside it for about 0.8 s.  With half of it the
-/// worth earned moves by -0.0035 +- 0.0032, with twice of it by +0.0020 +- 0.0042 (measured: 30 pairs of plays before 18 engines).
-const TOKENS_PER_RUNNING: f64 = 6_000.0;
 /// Engines whose costs differ by less, in tokens, count as equal; with 500 the
 /// worth earned moves by -0.0031 +- 0.0033 (measured: 30 pairs of plays before 18
 /// engines).
 const EQUAL_COST_TOKENS: f64 = 3_000.0;
-/// Part of an engine's KV cache that may be filled; beyond it an engine preempts runs and
-/// reads their prompts again.  With 0.75 the worth earned moves by -0.0016 +- 0.0014 (measured: 30
-/// pairs of plays before 18 engines).
-const MAX_MEMORY_SHARE: f64 = 0.92;
-/// Cost, in tokens, of an engine whose KV cache would overflow: more than that of any load
-/// that its slots allow.  Chosen, not measured.
-const OVERFULL_TOKENS: f64 = 200_000.0;
-
-/// A plain upstream at which every request fails costs as much as one with this many requests
-/// more.  Chosen, not measured.
-const FAILURE_REQUESTS: f64 = 12.0;
-/// A plain upstream in another data centre costs as much as this many requests: a round trip
-/// of 2 to 3 ms against the time of a lookup.  Chosen, not measured.
-const FAR_REQUESTS: f64 = 0.4;
-/// A connection at hand saves as much as this many requests: new connections have a price and
-/// take a round trip.  Chosen, not measured.
-const CONNECTED_REQUESTS: f64 = 1.2;
-/// Requests that may wait at a plain upstream, for each of its slots.  Chosen, not measured.
-const WAITING_PER_SLOT: u32 = 2;
-/// A pace below this many milliseconds is measurement noise.  Chosen, not measured.
-const MIN_PACE_MS: f64 = 1.0;
-
 /// What an attempt asks of an upstream.
 #[derive(Clone, Debug)]
 pub struct Demand<'a> {
@@ -109,10 +87,7 @@
     if candidates.is_empty() {
         return Choice::NoneUsable;
     }
-    let candidates = known_best(candidates, demand);
-    let with_capacity = filtered(&candidates, |s| {
-        demand.overcommit || has_capacity(table, demand, s)
-    });
+    let with_capacity = with_capacity(table, &candidates, demand);
     let has_read_prompt = with_capacity
         .iter()
         .find(|s| Some(s.key) == demand.prompt_location);
@@ -131,29 +106,18 @@
     }
 }
 
-/// The candidates that said how busy they are, if any did: of the others too little is known.
-fn known_best<'a>(
-    candidates: Vec<&'a UpstreamState>,
-    demand: &Demand<'_>,
-) -> Vec<&'a UpstreamState> {
-    let answered = filtered(&candidates, |s| demand.reported.of(s.key).is_some());
-    if answered.is_empty() {
-        return candidates;
-    }
-    answered
-}
-
-/// The load at an upstream: what it said just now, or what this router has there if that is
-/// more, as a report is some 100 ms old; else all that is believed.
-pub(crate) fn known_load(
+/// The candidates with capacity: those that said how busy they are, if any did, as too little is
+/// known of the others.
+fn with_capacity<'a>(
     table: &UpstreamTable,
+    candidates: &[&'a UpstreamState],
     demand: &Demand<'_>,
-    state: &UpstreamState,
-) -> Load {
-    match demand.reported.of(state.key) {
-        Some(reported) => reported.at_least(state.own_load),
-        None => table.load_at(state),
-    }
+) -> Vec<&'a UpstreamState> {
+    let free = filtered(candidates, |s| {
+        demand.overcommit || has_capacity(table, demand, s)
+    });
+    let answered = filtered(&free, |s| demand.reported.of(s.key).is_some());
+    if answered.is_empty() { free } else { answered }
 }
 
 /// The engines that may get the attempt, those of about the least cost first, by what this
@@ -216,88 +180,6 @@
     states.iter().copied().filter(|s| holds(s)).collect()
 }
 
-fn has_capacity(table: &UpstreamTable, demand: &Demand<'_>, state: &UpstreamState) -> bool {
-    let requests = known_load(table, demand, state).requests;
-    let slots = state.upstream.slots.max(1);
-    match demand.engine_memory {
-        Some(_) => requests < slots,
-        None => requests < slots * (1 + WAITING_PER_SLOT),
-    }
-}
-
-/// Whether what the request adds fits into an engine's KV cache of `memory` tokens.
-pub(crate) fn fits(
-    table: &UpstreamTable,
-    demand: &Demand<'_>,
-    state: &UpstreamState,
-    memory: u64,
-) -> bool {
-    let known = known_load(table, demand, state);
-    let used = f64::from(known.memory_tokens) + f64::from(demand.load.memory_tokens);
-    used <= memory as f64 * MAX_MEMORY_SHARE
-}
-
-/// The shortest known pace, in milliseconds; infinite where none is known.
-fn best_pace(states: &[&UpstreamState]) -> f64 {
-    let paces = states.iter().map(|s| s.pace_ms);
-    let known = paces.filter(|p| *p >= MIN_PACE_MS);
-    known.fold(f64::INFINITY, f64::min)
-}
-
-/// How many times slower than the best an upstream is, 1 or more.
-fn slowness(state: &UpstreamState, best_pace: f64) -> f64 {
-    if best_pace.is_finite() && state.pace_ms > best_pace {
-        state.pace_ms / best_pace
-    } else {
-        1.0
-    }
-}
-
-fn cost(table: &UpstreamTable, demand: &Demand<'_>, state: &UpstreamState, best_pace: f64) -> f64 {
-    match demand.engine_memory {
-        Some(memory) => engine_cost(table, demand, state, best_pace, memory),
-        None => plain_cost(table, demand, state, best_pace),
-    }
-}
-
-/// Cost of an engine, in prompt tokens to be read before the first event.
-fn engine_cost(
-    table: &UpstreamTable,
-    demand: &Demand<'_>,
-    state: &UpstreamState,
-    best_pace: f64,
-    memory: u64,
-) -> f64 {
-    let load = known_load(table, demand, state);
-    let unread = f64::from(load.unread_tokens) + f64::from(demand.load.unread_tokens);
-    let running = f64::from(load.requests) * TOKENS_PER_RUNNING;
-    let mut cost = (unread + running) * slowness(state, best_pace).sqrt();
-    cost *= 1.0 + state.failure_rate;
-    if !fits(table, demand, state, memory) {
-        cost += OVERFULL_TOKENS;
-    }
-    cost
-}
-
-/// Cost of a plain upstream, in requests before this one.
-fn plain_cost(
-    table: &UpstreamTable,
-    demand: &Demand<'_>,
-    state: &UpstreamState,
-    best_pace: f64,
-) -> f64 {
-    let requests = f64::from(known_load(table, demand, state).requests);
-    let mut cost = requests + slowness(state, best_pace) - 1.0;
-    cost += state.failure_rate * FAILURE_REQUESTS;
-    if state.upstream.data_centre != *demand.home {
-        cost += FAR_REQUESTS;
-    }
-    if demand.connected.contains(&state.upstream.name) {
-        cost -= CONNECTED_REQUESTS;
-    }
-    cost
-}
-
 /// How much more than the cheapest, in tokens, an engine may cost that counts as equal.
 ///
 /// The engine that has read the prompt of a continuation is worth the reading that it spares.
