--- a/tools/src/placement.rs
+++ b/tools/src/placement.rs
@@ -1,8 +1,9 @@
 //! Reads how well streams were placed off the log lines of all routers.
 //!
 //! Each choice of an engine (`server.chosen` with a prompt) is set against what really ran there
-//! just then, by the choices and ends that all routers logged. Lines may have other text before
-//! the JSON object, as when several processes' output was gathered; lines that hold none are
+//! just then, by the choices and ends that all routers logged; a router that starts anew has lost
+//! its streams. An engine counts from its first choice until it is suspected or replaced. Lines
+//! may have other text before the JSON object, as when several processes' output was gathered; lines that hold none are
 //! counted and left out.
 
 use serde::Deserialize;
@@ -15,6 +16,8 @@
     ts_ms: u64,
     event: String,
     #[serde(default)]
+    vm: String,
+    #[serde(default)]
     request: String,
     #[serde(default)]
     server: String,
@@ -95,7 +98,9 @@
     }
     lines.sort_by_key(|line| line.ts_ms);
     let runs = runs_of(&lines);
-    placement.slices = slices_of(&runs, lines.first().map_or(0, |l| l.ts_ms), slice_s);
+    let engines = engines_of(&lines, &runs);
+    let begin_ms = lines.first().map_or(0, |l| l.ts_ms);
+    placement.slices = slices_of(&runs, &engines, begin_ms, slice_s);
     read_ends(&lines, objectives, &mut placement);
     placement
 }
@@ -108,18 +113,23 @@
 /// The runs of all streams, in the order of their choices.
 fn runs_of(lines: &[Line]) -> Vec<Run> {
     let mut runs: Vec<Run> = Vec::new();
-    let mut open: HashMap<&str, usize> = HashMap::new();
+    let mut open: HashMap<(&str, &str), usize> = HashMap::new();
     let last_ms = lines.last().map_or(0, |line| line.ts_ms);
     for line in lines {
+        if line.event == "process.started" {
+            let lost = open.extract_if(|(vm, _), _| *vm == line.vm);
+            lost.for_each(|(_, run)| runs[run].to_ms = line.ts_ms);
+        }
         let is_choice = line.event == "server.chosen" && line.prompt.is_some();
         if !is_choice && line.event != "request.ended" {
             continue;
         }
-        if let Some(former) = open.remove(line.request.as_str()) {
+        let key = (line.vm.as_str(), line.request.as_str());
+        if let Some(former) = open.remove(&key) {
             runs[former].to_ms = line.ts_ms;
         }
         if is_choice {
-            open.insert(&line.request, runs.len());
+            open.insert(key, runs.len());
             runs.push(Run {
                 engine: line.server.clone(),
                 from_ms: line.ts_ms,
@@ -132,12 +142,52 @@
     runs
 }
 
-fn slices_of(runs: &[Run], begin_ms: u64, slice_s: u64) -> BTreeMap<u64, Slice> {
-    let mut by_engine: HashMap<&str, Vec<(u64, u64)>> = HashMap::new();
+/// An engine's life, as far as the logs show it, and the runs there.
+#[derive(Debug)]
+struct EngineLife {
+    from_ms: u64,
+    to_ms: u64,
+    runs: Vec<(u64, u64)>,
+}
+
+impl EngineLife {
+    fn lives_at(&self, at_ms: u64) -> bool {
+        self.from_ms <= at_ms && at_ms < self.to_ms
+    }
+
+    /// Streams that run there at a moment, those that begin just then left out.
+    fn running(&self, at_ms: u64) -> usize {
+        let runs = self.runs.iter();
+        runs.filter(|(from, to)| *from < at_ms && at_ms < *to)
+            .count()
+    }
+}
+
+fn engines_of<'a>(lines: &[Line], runs: &'a [Run]) -> HashMap<&'a str, EngineLife> {
+    let mut engines: HashMap<&str, EngineLife> = HashMap::new();
     for run in runs {
-        let at_engine = by_engine.entry(&run.engine).or_default();
-        at_engine.push((run.from_ms, run.to_ms));
+        let engine = engines.entry(&run.engine).or_insert(EngineLife {
+            from_ms: run.from_ms,
+            to_ms: u64::MAX,
+            runs: Vec::new(),
+        });
+        engine.runs.push((run.from_ms, run.to_ms));
+    }
+    let ends = ["server.suspected", "server.replaced"];
+    for line in lines.iter().filter(|l| ends.contains(&l.event.as_str())) {
+        if let Some(engine) = engines.get_mut(line.server.as_str()) {
+            engine.to_ms = engine.to_ms.min(line.ts_ms);
+        }
     }
+    engines
+}
+
+fn slices_of(
+    runs: &[Run],
+    engines: &HashMap<&str, EngineLife>,
+    begin_ms: u64,
+    slice_s: u64,
+) -> BTreeMap<u64, Slice> {
     let mut by_slice: BTreeMap<u64, Vec<&Run>> = BTreeMap::new();
     for run in runs {
         let since_s = (run.from_ms - begin_ms) / 1_000;
@@ -148,18 +198,11 @@
     }
     let slices = by_slice.into_iter();
     slices
-        .map(|(at, runs)| (at, slice_of(&runs, &by_engine)))
+        .map(|(at, runs)| (at, slice_of(&runs, engines)))
         .collect()
 }
 
-/// Streams that ran at an engine at a moment, those that begin just then left out.
-fn running(intervals: &[(u64, u64)], at_ms: u64) -> usize {
-    let runs = intervals.iter();
-    runs.filter(|(from, to)| *from < at_ms && at_ms < *to)
-        .count()
-}
-
-fn slice_of(runs: &[&Run], by_engine: &HashMap<&str, Vec<(u64, u64)>>) -> Slice {
+fn slice_of(runs: &[&Run], engines: &HashMap<&str, EngineLife>) -> Slice {
     let mut slice = Slice {
         choices: runs.len(),
         ..Slice::default()
@@ -167,18 +210,19 @@
     let count = runs.len() as f64;
     let mut reported = Vec::new();
     for run in runs {
-        let loads = by_engine.values().map(|i| running(i, run.from_ms));
-        let mut loads: Vec<usize> = loads.collect();
+        let real = engines[run.engine.as_str()].running(run.from_ms);
+        let living = engines.values().filter(|e| e.lives_at(run.from_ms));
+        let mut loads: Vec<usize> = living.map(|e| e.running(run.from_ms)).collect();
         loads.sort_unstable();
-        let lightest_tenth = loads[loads.len() / 10];
+        // The chosen one may have been suspected by another router just before.
+        let lightest_tenth = loads.get(loads.len() / 10).copied().unwrap_or(real);
         let idle = loads.iter().filter(|load| **load == 0).count();
-        let real = running(&by_engine[run.engine.as_str()], run.from_ms);
         slice.real += real as f64 / count;
         slice.most = slice.most.max(real);
         slice.believed += f64::from(run.believed) / count;
         slice.heavier += f64::from(u8::from(real > lightest_tenth)) / count;
         slice.heavier_by_two += f64::from(u8::from(real > lightest_tenth + 1)) / count;
-        slice.idle += idle as f64 / loads.len() as f64 / count;
+        slice.idle += idle as f64 / loads.len().max(1) as f64 / count;
         reported.extend(run.reported);
     }
     if !reported.is_empty() {
--- a/tools/tests/placement.rs
+++ b/tools/tests/placement.rs
@@ -48,6 +48,30 @@
     assert_eq!(placement.late["no attempt failed"], 1);
 }
 
+#[test]
+fn dead_engines_and_the_streams_of_dead_routers_do_not_count() {
+    let line = |ts_ms: u64, event: &str, server: &str| {
+        format!(
+            r#"{{"ts_ms":{ts_ms},"level":"info","vm":"front-1","event":"{event}","server":"{server}"}}"#
+        )
+    };
+    let lines = [
+        chosen(1_000, "a", "engine-1", 0),
+        chosen(1_100, "b", "engine-2", 0),
+        line(2_000, "server.suspected", "engine-2"),
+        // The only living one is as light as any, whatever runs there.
+        chosen(3_000, "c", "engine-1", 1),
+        line(4_000, "process.started", ""),
+        // What ran there was this router's, which has lost it.
+        chosen(6_000, "d", "engine-1", 0),
+    ];
+    let placement = read_placement(&lines.join("\n"), 2, OBJECTIVES);
+    let (before, after) = (&placement.slices[&2], &placement.slices[&4]);
+    assert_eq!((before.most, before.idle), (1, 0.0));
+    assert!(before.heavier < 1e-9);
+    assert_eq!((after.most, after.idle), (0, 1.0));
+}
+
 #[test]
 fn a_log_without_streams_has_no_rows() {
     let placement = read_placement("", 5, OBJECTIVES);
