Test with real processes that streams go where engines say that there is room

A router that is told of 120 peers asks its three engines; the stand-in engines say what they are told to. The stream goes to the idle one, and to the next best when that one has crashed; it runs once.

--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -26,6 +26,9 @@
     ledger: SharedLedger,
     event_interval: Duration,
     cache: CacheShape,
+    load: LoadShape,
+    /// Requests that it says to run, whatever runs there.
+    told_running: u32,
     /// Prompts that were read, in order.
     prompts: Vec<String>,
     /// Faults of the next requests, the first one first.
@@ -58,6 +61,15 @@
     pub answer: fn(&[String]) -> String,
 }
 
+/// How an upstream tells its load.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadShape {
+    /// The path of the question.
+    pub path: &'static str,
+    /// Writes the answer, from the number of requests that run.
+    pub answer: fn(u32) -> String,
+}
+
 /// What an upstream is made of.
 #[derive(Clone, Debug)]
 pub struct UpstreamSpec {
@@ -73,6 +85,8 @@
     pub seed: u64,
     /// How it tells which prompts it has read.
     pub cache: CacheShape,
+    /// How it tells its load.
+    pub load: LoadShape,
 }
 
 impl UpstreamStandIn {
@@ -103,6 +117,8 @@
             ledger,
             event_interval: spec.event_interval,
             cache: spec.cache,
+            load: spec.load,
+            told_running: 0,
             prompts: Vec::new(),
             script: Vec::new(),
             random: None,
@@ -131,6 +147,11 @@
         lock(&self.state).upstream.address = address;
     }
 
+    /// Has it tell that so many requests run.
+    pub fn tell_running(&self, requests: u32) {
+        lock(&self.state).told_running = requests;
+    }
+
     /// Adds a fault for the next request that has none yet.
     pub fn script(&self, fault: Fault) {
         lock(&self.state).script.push(fault);
@@ -263,6 +284,8 @@
     let path = head.word(1).split('?').next();
     if path == Some(state.cache.path) {
         (state.cache.answer)(&state.prompts)
+    } else if path == Some(state.load.path) {
+        (state.load.answer)(state.told_running)
     } else {
         "{}".to_owned()
     }
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -9,7 +9,7 @@
 
 use crate::process::{Process, free_addresses};
 use cloverpier_adapter::platform_wire_names;
-use cloverpier_adapter_standin::{cache_shape, store_shapes};
+use cloverpier_adapter_standin::{cache_shape, load_shape, store_shapes};
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_standin::caller::{CallerRequest, Outcome, call};
@@ -154,6 +154,7 @@
             event_interval: self.spec.event_interval,
             seed: self.spec.seed + index as u64,
             cache: cache_shape(),
+            load: load_shape(),
         };
         let ledger = Arc::clone(&self.ledger);
         let stand_in =
