--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -11,7 +11,7 @@
 //! | a request, in the order in which it meets them | `web`, `intake`, then `plain` or `stream`, `send`, `wait`, `outcome`, `reply` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | questions to engines on their load | `load_query`, `engine_call` |
-//! | upstreams' health | `health`, `probe`, `successors`, `load_guard` |
+//! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
 //! | the store | `source`, `store_sync`, `store_view` |
 //! | other routers | `peers`, `heartbeats`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
@@ -62,6 +62,7 @@
 mod prompt_search;
 mod prompts;
 mod reply;
+mod restart;
 mod router;
 mod send;
 mod source;
@@ -81,8 +82,8 @@
     pub use crate::http_client::{CallError, HttpAnswer, HttpClient, LargeBounds};
     pub use crate::router::Router;
     pub use crate::source::{
-        ConfigurationChange, ConfigurationSource, Freshness, SourceError, UnreadableEntry,
-        UpstreamChanges, UpstreamList,
+        ConfigurationChange, ConfigurationSource, Freshness, ReadChange, SourceError,
+        UnreadableEntry, UpstreamChanges, UpstreamList,
     };
     pub use crate::start::{StartError, run_router};
     pub use crate::wire_names::{HeaderNames, Paths, PromptSize, WireNames};
--- a/crates/router/cloverpier_router/src/load_query.rs
+++ b/crates/router/cloverpier_router/src/load_query.rs
@@ -6,6 +6,7 @@
 use crate::engine_call::ask_engine;
 use crate::intake::RelayRequest;
 use crate::probe;
+use crate::restart::on_named_start;
 use crate::router::Router;
 use cloverpier_router_policy::load_query::QUERY_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
@@ -36,13 +37,7 @@
     let path = router.wire_names.paths.engine_report;
     let answer = tokio::time::timeout(QUERY_TIMEOUT, ask_engine(router, engine, path)).await;
     let (report, outcome) = match answer {
-        Ok(Ok(answer)) if answer.status.is_success() => {
-            match (router.wire_names.engine_load)(&answer.body) {
-                Some(report) => (Some(report), "load"),
-                // Another kind of process may have the address by now.
-                None => (None, "load-unreadable"),
-            }
-        }
+        Ok(Ok(answer)) if answer.status.is_success() => read_report(router, engine, &answer.body),
         Ok(Err(error)) if error.is_refused() => {
             let reason = format!("asked for its load: {error}");
             probe::declare_dead(router, engine, &reason, router.now());
@@ -54,3 +49,20 @@
     router.metrics.probes.count(outcome);
     report
 }
+
+/// Reads an engine's report; one of a former start does not count.
+fn read_report(
+    router: &Router,
+    engine: &Upstream,
+    body: &[u8],
+) -> (Option<EngineReport>, &'static str) {
+    let born_ms = (router.wire_names.born_ms)(body);
+    if on_named_start(router, engine, born_ms, router.now()) == StartOrder::Older {
+        return (None, "load-outdated");
+    }
+    match (router.wire_names.engine_load)(body) {
+        Some(report) => (Some(report), "load"),
+        // Another kind of process may have the address by now.
+        None => (None, "load-unreadable"),
+    }
+}
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -8,9 +8,11 @@
 use crate::decision_log::{FetchFailed, VersionFetched, ms};
 use crate::http_client::{CallError, HttpAnswer, HttpClient, LargeBounds};
 use crate::peer_messages::{CodecError, UpstreamsReply, decode};
-use crate::peer_serve::{CONFIGURATION_PATH, GZIP, UPSTREAMS_PATH, encoding_of, wait_of};
+use crate::peer_serve::{
+    CONFIGURATION_PATH, GZIP, UPSTREAMS_PATH, UPSTREAMS_WITH_STARTS, encoding_of, wait_of,
+};
 use crate::router::Router;
-use crate::source::{UpstreamChanges, UpstreamList};
+use crate::source::{ReadChange, UpstreamChanges, UpstreamList};
 use crate::store_view::{
     Watched, apply_configuration, apply_upstream_changes, apply_upstream_list,
 };
@@ -20,7 +22,7 @@
     COMPARE_PERIOD, FAILURE_PAUSE, FetchSources, FetchStep, STALL_TIMEOUT, STORE_FIRST,
 };
 use hyper::StatusCode;
-use hyper::header::{ACCEPT_ENCODING, HeaderMap, HeaderValue};
+use hyper::header::{ACCEPT, ACCEPT_ENCODING, HeaderMap, HeaderValue};
 use snafu::{ResultExt, Snafu};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -195,7 +197,10 @@
         } else {
             UPSTREAMS_PATH.to_owned()
         };
-        let answer = self.get(peer, &path, HeaderMap::new()).await?;
+        let mut headers = HeaderMap::new();
+        let form = HeaderValue::from_static(UPSTREAMS_WITH_STARTS);
+        headers.insert(ACCEPT, form);
+        let answer = self.get(peer, &path, headers).await?;
         let reply = decode(&answer.body).context(CodecSnafu)?;
         apply_upstreams_reply(&self.router, reply, &format!("peer {peer}"));
         Ok(answer.body.len())
@@ -242,8 +247,7 @@
         }
         UpstreamsReply::Changes { changes, revision } => {
             let changes = UpstreamChanges {
-                changes,
-                unreadable: Vec::new(),
+                changes: changes.into_iter().map(ReadChange::Readable).collect(),
                 revision,
             };
             apply_upstream_changes(router, changes, from);
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -13,9 +13,12 @@
 use crate::router::Router;
 use crate::store_view::{Watched, log_dependency};
 use bytes::Bytes;
+use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_serving::{CopyStep, LinkRate};
 use hyper::body::Incoming;
-use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    ACCEPT, ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap, HeaderValue, RETRY_AFTER,
+};
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +30,9 @@
 /// The encoding of compressed copies. A peer that asks without it gets a plain one, and one
 /// that does not know it answers with a plain one: releases before compression do both.
 pub(crate) const GZIP: &str = "gzip";
+/// The form of upstreams that say which version of their software they run and when they started.
+/// A peer that asks without it, of a release that cannot read it, gets the form without.
+pub(crate) const UPSTREAMS_WITH_STARTS: &str = "application/msgpack;starts=1";
 /// When a refused peer asks again if the answer does not say.  Chosen, not measured.
 const DEFAULT_WAIT: Duration = Duration::from_millis(100);
 
@@ -35,7 +41,8 @@
     let served = match request.uri().path() {
         CONFIGURATION_PATH => configuration_reply(&router, request.headers()).await,
         UPSTREAMS_PATH if router.store.knows_upstreams() => {
-            let reply = encode(&upstreams_reply(&router, asked_after(&request)));
+            let form = accepted_form(request.headers());
+            let reply = encode(&upstreams_reply(&router, asked_after(&request), form));
             reply.map(|bytes| Some(bytes_reply(&router, bytes.into())))
         }
         _ => Ok(None),
@@ -119,13 +126,50 @@
     query.strip_prefix("after=")?.parse().ok()
 }
 
-fn upstreams_reply(router: &Router, after: Option<u64>) -> UpstreamsReply {
+/// How upstreams are written for a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UpstreamsForm {
+    WithStarts,
+    WithoutStarts,
+}
+
+fn accepted_form(headers: &HeaderMap) -> UpstreamsForm {
+    match headers.get(ACCEPT) {
+        Some(accepted) if accepted == UPSTREAMS_WITH_STARTS => UpstreamsForm::WithStarts,
+        _ => UpstreamsForm::WithoutStarts,
+    }
+}
+
+impl UpstreamsForm {
+    fn upstream(self, upstream: Upstream) -> Upstream {
+        match self {
+            Self::WithStarts => upstream,
+            Self::WithoutStarts => upstream.without_start(),
+        }
+    }
+
+    fn change(self, change: UpstreamChange) -> UpstreamChange {
+        match change {
+            UpstreamChange::Listed(upstream) => UpstreamChange::Listed(self.upstream(upstream)),
+            UpstreamChange::Gone(name) => UpstreamChange::Gone(name),
+        }
+    }
+}
+
+fn upstreams_reply(router: &Router, after: Option<u64>, form: UpstreamsForm) -> UpstreamsReply {
     let table = router.upstreams.borrow();
     let revision = table.revision();
     match after.and_then(|after| table.changes_after(after)) {
-        Some(changes) => UpstreamsReply::Changes { changes, revision },
+        Some(changes) => UpstreamsReply::Changes {
+            changes: changes.into_iter().map(|c| form.change(c)).collect(),
+            revision,
+        },
         None => UpstreamsReply::List {
-            upstreams: table.listed(),
+            upstreams: table
+                .listed()
+                .into_iter()
+                .map(|u| form.upstream(u))
+                .collect(),
             revision,
         },
     }
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -9,6 +9,7 @@
 use crate::health::UpstreamHealth;
 use crate::http_client::HttpClient;
 use crate::intake::text_of;
+use crate::restart::on_named_start;
 use crate::router::Router;
 use crate::successors;
 use cloverpier_router_policy::prelude::*;
@@ -36,10 +37,13 @@
         let now = router.now();
         health.probing_since.set(None);
         match answer {
-            Ok(_) => {
+            Ok(answer) => {
                 router.metrics.probes.count("alive");
                 // Whichever process answers there: it may be the next one at the address.
                 health.on_activity(now);
+                // Runs of a former start are lost though the address answers.
+                let born_ms = (router.wire_names.born_ms)(&answer.body);
+                on_named_start(&router, &upstream, born_ms, now);
             }
             Err(error) if error.is_refused() => {
                 router.metrics.probes.count("refused");
@@ -117,7 +121,11 @@
             router.metrics.probes.count("suspect-replaced");
             successors::on_other_name(&router, &upstream, name);
         }
-        CheckResult::Alive => on_alive(&router, &upstream, begun),
+        CheckResult::Alive => {
+            let born_ms = (router.wire_names.born_ms)(&answer.body);
+            on_named_start(&router, &upstream, born_ms, router.now());
+            on_alive(&router, &upstream, begun);
+        }
     }
 }
 
--- a/crates/router/cloverpier_router/src/prompt_search.rs
+++ b/crates/router/cloverpier_router/src/prompt_search.rs
@@ -8,6 +8,7 @@
 use crate::decision_log::{PromptSearched, ms_since};
 use crate::engine_call::ask_engine;
 use crate::intake::RelayRequest;
+use crate::restart::on_named_start;
 use crate::router::Router;
 use cloverpier_core::{ServiceName, hash_of};
 use cloverpier_router_policy::prelude::*;
@@ -83,8 +84,11 @@
     match answer {
         Ok(Ok(answer)) if answer.status.is_success() => {
             router.metrics.probes.count("cache");
-            let parts = (router.wire_names.cached_parts)(&answer.body);
-            record_found(&router, &engine, &parts);
+            let born_ms = (router.wire_names.born_ms)(&answer.body);
+            if on_named_start(&router, &engine, born_ms, router.now()) != StartOrder::Older {
+                let parts = (router.wire_names.cached_parts)(&answer.body);
+                record_found(&router, &engine, &parts);
+            }
         }
         // Counted; the search goes on with the other engines.
         Ok(_) | Err(_) => router.metrics.probes.count("cache-silent"),
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -36,8 +36,8 @@
 /// An upstream's entry that could not be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnreadableEntry {
-    /// The entry's name.
-    pub name: UpstreamName,
+    /// The entry's name; `None` where it has none that can be read.
+    pub name: Option<UpstreamName>,
     /// What is wrong with it.
     pub reason: String,
 }
@@ -53,13 +53,20 @@
     pub revision: u64,
 }
 
+/// A change of an entry, read or not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadChange {
+    /// The change.
+    Readable(UpstreamChange),
+    /// The entry is as it cannot be read.
+    Unreadable(UnreadableEntry),
+}
+
 /// Changes of upstreams up to a revision.
 #[derive(Debug)]
 pub struct UpstreamChanges {
     /// The changes, in order.
-    pub changes: Vec<UpstreamChange>,
-    /// Changed entries that could not be read.
-    pub unreadable: Vec<UnreadableEntry>,
+    pub changes: Vec<ReadChange>,
     /// The store's revision.
     pub revision: u64,
 }
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -7,8 +7,9 @@
 
 use crate::configuration_copies::HeldConfiguration;
 use crate::decision_log::{Dependency, VersionTaken, WatcherRoleChanged};
+use crate::restart;
 use crate::router::Router;
-use crate::source::{UnreadableEntry, UpstreamChanges, UpstreamList};
+use crate::source::{ReadChange, UnreadableEntry, UpstreamChanges, UpstreamList};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::{
     OwnStore, is_fresh, max_backoff, watcher_role, watches_from,
@@ -196,23 +197,26 @@
 /// has it can hand it on.
 pub(crate) fn apply_configuration(router: &Router, held: HeldConfiguration, from: &str) {
     let version = held.configuration().version();
+    let services = held.configuration().parts().services.iter();
+    let services = services.map(|s| s.name.clone()).collect();
     if router.store.set_configuration(held) {
+        router.upstreams.borrow_mut().set_services(services);
         router.store.on_learned(router.now());
         router.peers.report_version();
         log_version(router, Watched::Configuration, version, from);
     }
 }
 
-/// Puts a whole list of upstreams in force if it is not older.
+/// Puts a whole list of upstreams in force if it is not older. An entry that cannot be read names
+/// no upstream.
 pub(crate) fn apply_upstream_list(router: &Router, list: UpstreamList, from: &str) {
     log_unreadable(router, &list.unreadable);
     let now = router.now();
     let mut table = router.upstreams.borrow_mut();
-    let unreadable = list.unreadable.into_iter().map(|entry| entry.name);
-    let upstreams = table.with_former_entries(list.upstreams, unreadable);
-    let is_applied = table.apply_list(upstreams, list.revision, now);
+    let applied = table.apply_list(list.upstreams, list.revision, now);
     drop(table);
-    if is_applied {
+    restart::on_restarted(router, &applied.restarted, now);
+    if applied.is_new {
         router.store.upstreams_known.set(true);
         router.store.on_learned(now);
         log_version(router, Watched::Upstreams, list.revision, from);
@@ -220,22 +224,39 @@
 }
 
 /// Puts changes of upstreams in force if they are new; peers learn of it by the next heartbeat.
+/// An entry that cannot be read any more names no upstream, as if it were gone.
 pub(crate) fn apply_upstream_changes(router: &Router, changes: UpstreamChanges, from: &str) {
-    log_unreadable(router, &changes.unreadable);
+    let mut unreadable = Vec::new();
+    let mut readable = Vec::new();
+    for change in changes.changes {
+        match change {
+            ReadChange::Readable(change) => readable.push(change),
+            ReadChange::Unreadable(entry) => {
+                readable.extend(entry.name.clone().map(UpstreamChange::Gone));
+                unreadable.push(entry);
+            }
+        }
+    }
+    log_unreadable(router, &unreadable);
     let now = router.now();
     let mut table = router.upstreams.borrow_mut();
-    let is_applied = table.apply_changes(changes.changes, changes.revision, now);
+    let applied = table.apply_changes(readable, changes.revision, now);
     drop(table);
-    if is_applied {
+    restart::on_restarted(router, &applied.restarted, now);
+    if applied.is_new {
         log_version(router, Watched::Upstreams, changes.revision, from);
     }
 }
 
+/// Logs entries that cannot be read, in one line whatever their number.
 fn log_unreadable(router: &Router, entries: &[UnreadableEntry]) {
-    for entry in entries {
-        let name = entry.name.as_str();
-        log_dependency(router, "server.unreadable", name, &entry.reason);
-    }
+    let Some(first) = entries.first() else { return };
+    let name = first.name.as_ref().map_or("", |name| name.as_str());
+    let reason = match entries.len() {
+        1 => first.reason.clone(),
+        count => format!("{}; and {} entries more", first.reason, count - 1),
+    };
+    log_dependency(router, "server.unreadable", name, &reason);
 }
 
 fn log_version(router: &Router, watched: Watched, version: u64, from: &str) {
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -23,6 +23,7 @@
 use bytes::Bytes;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::replica::Replica;
 use futures_util::StreamExt;
 use futures_util::stream::{once, unfold};
 use hyper::StatusCode;
@@ -73,7 +74,7 @@
     liveness: Liveness,
     load: LoadGuard,
     /// The engine that keeps a replica of the run's KV cache, and the load there.
-    replica: Option<(Upstream, LoadGuard)>,
+    replica: Option<(Replica, LoadGuard)>,
     _running: Option<RunningStream>,
     /// When its last event arrived, or its head.
     last_event_at: Instant,
@@ -86,8 +87,8 @@
     attempts: Attempts,
     tried: Vec<UpstreamName>,
     source: Option<Source>,
-    /// The engine that has a replica of the lost run's KV cache.
-    replica: Option<Upstream>,
+    /// The replica of the lost run's KV cache.
+    replica: Option<Replica>,
     splitter: EventSplitter,
     /// The last event that the caller has.
     last_event: Option<u64>,
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -14,7 +14,7 @@
 use cloverpier_router_policy::arrival::RESUMED_PRIORITY;
 use cloverpier_router_policy::load_query::engines_to_query;
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::replica::usable_replica;
+use cloverpier_router_policy::replica::{Replica, usable_replica};
 use http_body_util::BodyExt;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -65,7 +65,7 @@
     fn engines_to_query(&self) -> Vec<Upstream> {
         let router = &self.router;
         let table = router.upstreams.borrow();
-        if usable_replica(&table, self.replica.clone()).is_some() {
+        if usable_replica(&table, self.replica.as_ref()).is_some() {
             return Vec::new();
         }
         let home = router.settings().data_centre.clone();
@@ -110,7 +110,7 @@
         let home = router.settings().data_centre.clone();
         let demand = self.demand(&home, &connected, reported, now);
         let mut rng = router.rng.borrow_mut();
-        let (upstream, from_replica) = pick(&table, &demand, lost_replica, &mut rng)?;
+        let (upstream, from_replica) = pick(&table, &demand, lost_replica.as_ref(), &mut rng)?;
         let replica = self
             .replicates()
             .then(|| choose_replica(&table, &demand, &upstream, &mut rng))
@@ -219,14 +219,15 @@
     }
 
     /// Adds the load of a replica, which is memory alone.
-    fn begin_replica(&self, engine: Upstream) -> (Upstream, LoadGuard) {
+    fn begin_replica(&self, engine: Upstream) -> (Replica, LoadGuard) {
         let load = Load {
             memory_tokens: self.request.load().memory_tokens,
             ..Load::default()
         };
         let guard = LoadGuard::begin(&self.router, &engine.name, load);
         self.router.report_to_peers(&engine.name);
-        (engine, guard)
+        let replica = Replica::begin(&self.router.upstreams.borrow(), engine);
+        (replica, guard)
     }
 
     /// A stream begins with a success; any other answer is read whole, to be passed on if no
@@ -282,7 +283,7 @@
 fn pick(
     table: &UpstreamTable,
     demand: &Demand<'_>,
-    lost_replica: Option<Upstream>,
+    lost_replica: Option<&Replica>,
     rng: &mut fastrand::Rng,
 ) -> Option<(Upstream, bool)> {
     if let Some(engine) = usable_replica(table, lost_replica) {
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -33,6 +33,10 @@
 /// two data centres' engines had restarted and the store was away.
 pub(crate) fn on_other_name(router: &Router, former: &Upstream, answering: Option<&str>) {
     let sender = router.settings().listen.peers;
+    if let Some(name) = answering {
+        let mut table = router.upstreams.borrow_mut();
+        table.on_answered_at(&UpstreamName::new(name), former.address);
+    }
     let successor = successor(router, former, answering);
     let successor = successor.filter(|upstream| add(router, &former.name, upstream, "answers"));
     let is_new = router.upstreams.borrow_mut().on_replaced(&former.name);
@@ -45,7 +49,8 @@
         Some(upstream) => PeerMessage::Successor(Successor {
             sender,
             former,
-            upstream,
+            // Routers of the last release read it, too; what it runs is what the former ran.
+            upstream: upstream.without_start(),
         }),
         None => PeerMessage::Replaced(Replaced { sender, former }),
     });
@@ -59,18 +64,21 @@
     must_be_same_service(last_sign, now, router.settings().address_reuse).then(|| Upstream {
         name: UpstreamName::new(name),
         draining: false,
+        start: UpstreamStart::of_successor(former),
         ..former.clone()
     })
 }
 
 /// Takes an upstream that a peer has found.
 pub(crate) fn on_peer_successor(router: &Router, successor: &Successor) {
-    add(
-        router,
-        &successor.former,
-        &successor.upstream,
-        "a peer saw it",
-    );
+    let table = router.upstreams.borrow();
+    let former = table.get(&successor.former).map(|s| &s.upstream);
+    let upstream = Upstream {
+        start: former.and_then(UpstreamStart::of_successor),
+        ..successor.upstream.clone()
+    };
+    drop(table);
+    add(router, &successor.former, &upstream, "a peer saw it");
 }
 
 /// Records that a peer has found another process at an upstream's address.
--- a/crates/router/cloverpier_router/src/wire_names.rs
+++ b/crates/router/cloverpier_router/src/wire_names.rs
@@ -80,6 +80,9 @@
     pub prompt_size: fn(&str) -> Option<PromptSize>,
     /// The name of the part of a prompt that no other prompt shares, from all its parts.
     pub own_part: fn(&str) -> Option<&str>,
+    /// Reads off an upstream's answer to a question when it started, as a Unix time in
+    /// milliseconds; nothing where it does not say.
+    pub born_ms: fn(&[u8]) -> Option<u64>,
     /// Reads an engine's answer on its load; nothing where it is not such an answer.
     pub engine_load: fn(&[u8]) -> Option<EngineReport>,
     /// Reads an engine's answer on what it has cached: the names of parts of prompts.
--- a/crates/router/cloverpier_router/tests/peer_messages.rs
+++ b/crates/router/cloverpier_router/tests/peer_messages.rs
@@ -3,7 +3,7 @@
 //! Each golden file must decode to the value below, and the value must encode to
 //! the same bytes. So routers of both releases read each other.
 
-use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
+use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName};
 use cloverpier_router::peer_messages::*;
 use cloverpier_router_policy::prelude::*;
 use serde::Serialize;
@@ -106,6 +106,7 @@
         data_centre: DataCentre::new("hall-b"),
         slots: 64,
         draining: number == 2,
+        start: None,
     }
 }
 
@@ -141,6 +142,36 @@
     assert_is_golden("upstreams_changes", &changes);
 }
 
+/// What an upstream says of its start, as the release that writes it does.
+fn upstream_with_start(number: u16, born_ms: Option<u64>) -> Upstream {
+    let version = SoftwareVersion::new("v2");
+    Upstream {
+        start: Some(UpstreamStart { version, born_ms }),
+        ..upstream(number)
+    }
+}
+
+#[test]
+fn upstreams_with_starts_have_bytes_of_their_own_and_none_without() {
+    let list = UpstreamsReply::List {
+        upstreams: vec![
+            upstream_with_start(1, Some(1_790_000_000_123)),
+            upstream_with_start(2, None),
+        ],
+        revision: 300,
+    };
+    assert_is_golden("upstreams_list_with_starts", &list);
+    // What a router of the last release gets is what it has always got.
+    let without = UpstreamsReply::List {
+        upstreams: vec![
+            upstream_with_start(1, Some(1_790_000_000_123)).without_start(),
+            upstream_with_start(2, None).without_start(),
+        ],
+        revision: 300,
+    };
+    assert_is_golden("upstreams_list", &without);
+}
+
 fn route(name: &str, streaming: bool) -> Route {
     Route {
         name: name.to_owned(),
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -91,7 +91,10 @@
     pub use crate::prompt_locations::{PromptKey, PromptLocations};
     pub use crate::replica::choose_replica;
     pub use crate::store_watch::WatcherRole;
-    pub use crate::upstream::{Upstream, UpstreamChange, UpstreamKey, UpstreamState};
+    pub use crate::upstream::{
+        StartNumber, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamStart,
+        UpstreamState,
+    };
     pub use crate::upstream_table::UpstreamTable;
 }
 
--- a/crates/router/cloverpier_router_policy/src/prompt_locations.rs
+++ b/crates/router/cloverpier_router_policy/src/prompt_locations.rs
@@ -63,6 +63,11 @@
         (!is_old).then_some(location.upstream)
     }
 
+    /// Forgets the prompts that an engine had read, as when it has started again.
+    pub fn forget_upstream(&mut self, upstream: UpstreamKey) {
+        self.by_prompt.retain(|_, at| at.upstream != upstream);
+    }
+
     fn forget_old(&mut self, now: Instant) {
         while let Some((at, prompt)) = self.order.front().copied() {
             let is_old = now.saturating_duration_since(at) > KEPT_FOR;
--- a/crates/router/cloverpier_router_policy/src/replica.rs
+++ b/crates/router/cloverpier_router_policy/src/replica.rs
@@ -11,7 +11,7 @@
 //!   quiet day with 65 routers, one play: 0.823 -> 0.881 with replicas spread).
 
 use crate::choice::{Demand, filtered, fits, known_load};
-use crate::upstream::{Upstream, UpstreamState};
+use crate::upstream::{StartNumber, Upstream, UpstreamState};
 use crate::upstream_table::UpstreamTable;
 
 /// Chooses an engine for the replica of a run at `primary`.
@@ -30,13 +30,32 @@
     chosen.map(|s| s.upstream.clone())
 }
 
-/// The engine with the replica of a lost run, if it can take the run: streams resume there
-/// before anywhere else.
-pub fn usable_replica(table: &UpstreamTable, replica: Option<Upstream>) -> Option<Upstream> {
-    replica.filter(|engine| {
+/// A replica of a run's KV cache, at one start of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replica {
+    engine: Upstream,
+    /// `None` where the engine was forgotten before the replica began.
+    start: Option<StartNumber>,
+}
+
+impl Replica {
+    /// A replica that begins to grow at an engine.
+    pub fn begin(table: &UpstreamTable, engine: Upstream) -> Self {
         let state = table.get(&engine.name);
-        state.is_some_and(UpstreamState::is_usable)
-    })
+        Self {
+            start: state.map(UpstreamState::start),
+            engine,
+        }
+    }
+}
+
+/// The engine with the replica of a lost run, if it can take the run and has not started again
+/// since: streams resume there before anywhere else.
+pub fn usable_replica(table: &UpstreamTable, replica: Option<&Replica>) -> Option<Upstream> {
+    let replica = replica?;
+    let state = table.get(&replica.engine.name)?;
+    let is_kept = state.is_usable() && replica.start == Some(state.start());
+    is_kept.then(|| replica.engine.clone())
 }
 
 /// Engines with room: those in another data centre that does not seem dead, and of them those
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -7,7 +7,7 @@
 
 use crate::load::Load;
 use crate::suspicion::{PEER_SUSPICION_TTL, RETURN_WINDOW, Suspicion};
-use cloverpier_core::{DataCentre, ServiceName, UpstreamName, hash_of};
+use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName, hash_of};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -27,6 +27,52 @@
     pub slots: u32,
     /// Whether it announced that it is about to leave.
     pub draining: bool,
+    /// What it says of its present start; `None` where a router of a release that does not hand
+    /// that on listed it. Written only if known, so that such routers read what they expect.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub start: Option<UpstreamStart>,
+}
+
+/// What an upstream says of its present start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamStart {
+    /// The version of its software.
+    pub version: SoftwareVersion,
+    /// When it started, as a Unix time in milliseconds; `None` where it does not say.
+    pub born_ms: Option<u64>,
+}
+
+impl UpstreamStart {
+    /// The start of the process that has taken an upstream's place: it runs the same version, as
+    /// far as its entry does not say otherwise, and began later.
+    pub fn of_successor(former: &Upstream) -> Option<Self> {
+        let version = former.version()?.clone();
+        Some(Self {
+            version,
+            born_ms: None,
+        })
+    }
+}
+
+impl Upstream {
+    /// The version of its software, if known.
+    pub fn version(&self) -> Option<&SoftwareVersion> {
+        self.start.as_ref().map(|start| &start.version)
+    }
+
+    /// When it started, as a Unix time in milliseconds, if known.
+    pub fn born_ms(&self) -> Option<u64> {
+        self.start.as_ref()?.born_ms
+    }
+
+    /// The entry as routers of a release without [`UpstreamStart`] read it.
+    #[must_use]
+    pub fn without_start(self) -> Self {
+        Self {
+            start: None,
+            ..self
+        }
+    }
 }
 
 /// An upstream's name as a hash of eight bytes, for messages between routers.
@@ -89,12 +135,33 @@
     pub(crate) suspicion: Option<Suspicion>,
     /// When a peer last reported that it suspects the upstream.
     pub(crate) suspected_by_peer: Option<Instant>,
+    /// When its newest known start was, as a Unix time in milliseconds.
+    born_ms: Option<u64>,
+    start: StartNumber,
+}
+
+/// The starts of an upstream under one name that this router has seen, counted. What is kept of
+/// an upstream from one of them says nothing of the next.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StartNumber(u32);
+
+/// How a start that an upstream names compares with the newest that is known of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartOrder {
+    /// It is that one, or nothing says otherwise.
+    Same,
+    /// It is a later one: the upstream holds and knows nothing of before.
+    Newer,
+    /// It is an earlier one: what comes with it is out of date.
+    Older,
 }
 
 impl UpstreamState {
     pub(crate) fn new(upstream: Upstream) -> Self {
         Self {
             key: UpstreamKey::of(&upstream.name),
+            born_ms: upstream.born_ms(),
+            start: StartNumber::default(),
             upstream,
             own_load: Load::default(),
             failure_rate: 0.0,
@@ -107,6 +174,67 @@
         }
     }
 
+    /// Its start, as counted by this router.
+    pub fn start(&self) -> StartNumber {
+        self.start
+    }
+
+    /// How a start compares with the newest that is known; `None` where nothing was said of it.
+    pub fn compare_start(&self, born_ms: Option<u64>) -> StartOrder {
+        match (born_ms, self.born_ms) {
+            (Some(named), Some(known)) if named > known => StartOrder::Newer,
+            (Some(named), Some(known)) if named < known => StartOrder::Older,
+            _ => StartOrder::Same,
+        }
+    }
+
+    /// Records a start that the upstream named; after a later one, what was observed before
+    /// counts no more.
+    pub(crate) fn on_start(&mut self, born_ms: Option<u64>) -> StartOrder {
+        let order = self.compare_start(born_ms);
+        if order == StartOrder::Newer {
+            self.forget_former_start();
+        }
+        if order != StartOrder::Older {
+            self.born_ms = born_ms.or(self.born_ms);
+        }
+        order
+    }
+
+    /// Whether an entry says something else than the one that is known.
+    pub(crate) fn differs_from(&self, listed: &Upstream) -> bool {
+        match self.compare_start(listed.born_ms()) {
+            StartOrder::Newer => true,
+            StartOrder::Older => false,
+            StartOrder::Same => self.with_known_start(listed.clone()) != self.upstream,
+        }
+    }
+
+    /// Takes a new entry.
+    pub(crate) fn set_listed(&mut self, listed: Upstream) {
+        self.upstream = self.with_known_start(listed);
+        self.gone = None;
+        self.unlisted = None;
+    }
+
+    /// An entry that says nothing of the start, with what is known of it.
+    fn with_known_start(&self, listed: Upstream) -> Upstream {
+        Upstream {
+            start: listed.start.or_else(|| self.upstream.start.clone()),
+            ..listed
+        }
+    }
+
+    /// Own load stays: it ends with the requests, which are lost and end at once.
+    fn forget_former_start(&mut self) {
+        self.start = StartNumber(self.start.0.wrapping_add(1));
+        self.failure_rate = 0.0;
+        self.pace_ms = 0.0;
+        self.replaced = false;
+        self.suspicion = None;
+        self.suspected_by_peer = None;
+    }
+
     /// Whether it is listed, takes new requests and is not suspected by this router.
     pub fn is_usable(&self) -> bool {
         self.is_listed() && !self.is_suspected()
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -2,14 +2,15 @@
 //!
 //! Owns the entry of each upstream, the revision of the platform's list that it is as new
 //! as, and the latest changes, which peers ask for. Revisions only rise. What requests and
-//! checks show of an upstream is recorded in the `observations` half of the type. Relies
-//! on the platform's rule that a new start of an upstream has a new name.
+//! checks show of an upstream is recorded in the `observations` half of the type. A new start
+//! of an upstream has a new name, or says when it began; what was known of the former start is
+//! dropped then.
 
 mod observations;
 
 use crate::load::{Load, PeerLoad};
 use crate::suspicion::DataCentreCounts;
-use crate::upstream::{Unlisted, Upstream, UpstreamChange, UpstreamKey, UpstreamState};
+use crate::upstream::{StartOrder, Unlisted, Upstream, UpstreamChange, UpstreamKey, UpstreamState};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -35,6 +36,17 @@
     changes: VecDeque<(u64, UpstreamChange)>,
     /// The revision from which on `changes` is complete.
     changes_since: u64,
+    /// The services that the configuration names; `None` before one is known.
+    services: Option<HashSet<ServiceName>>,
+}
+
+/// What came of news of the platform's list.
+#[derive(Debug, Default)]
+pub struct AppliedNews {
+    /// Whether they were new.
+    pub is_new: bool,
+    /// Upstreams that have started again under the names that they had.
+    pub restarted: Vec<Upstream>,
 }
 
 impl UpstreamTable {
@@ -96,33 +108,18 @@
         load
     }
 
-    /// A list with the former entries of upstreams whose new ones could not be read. What is
-    /// known of them is older, but one entry must not take an upstream away, or hold up the
-    /// news of all others.
-    pub fn with_former_entries(
-        &self,
-        mut listed: Vec<Upstream>,
-        unreadable: impl IntoIterator<Item = UpstreamName>,
-    ) -> Vec<Upstream> {
-        let known = unreadable
-            .into_iter()
-            .filter_map(|name| self.upstreams.get(&name));
-        let former = known.filter(|s| s.gone.is_none());
-        listed.extend(former.map(|s| s.upstream.clone()));
-        listed
-    }
-
-    /// Applies a whole list; returns false, and changes nothing, where it is older than this one.
-    pub fn apply_list(&mut self, upstreams: Vec<Upstream>, revision: u64, now: Instant) -> bool {
+    /// Applies a whole list; changes nothing where it is older than this one.
+    pub fn apply_list(
+        &mut self,
+        upstreams: Vec<Upstream>,
+        revision: u64,
+        now: Instant,
+    ) -> AppliedNews {
         if revision < self.revision {
-            return false;
+            return AppliedNews::default();
         }
         let is_first = self.revision == 0;
-        for change in self.changes_to(upstreams) {
-            self.changes.push_back((revision, change.clone()));
-            self.apply(change, now);
-        }
-        self.revision = revision;
+        let restarted = self.apply_all(self.changes_to(upstreams), revision, now);
         if is_first {
             // Nothing is known of the time before.
             self.changes.clear();
@@ -130,7 +127,10 @@
         }
         self.forget_old_changes();
         self.forget_unlisted(now);
-        true
+        AppliedNews {
+            is_new: true,
+            restarted,
+        }
     }
 
     /// What makes this table the same as a whole list. A list that is read again, as when the
@@ -145,33 +145,47 @@
         let mut changes: Vec<UpstreamChange> = gone.collect();
         let is_new = |upstream: &Upstream| {
             let known = self.upstreams.get(&upstream.name);
-            known.is_none_or(|s| s.gone.is_some() || s.upstream != *upstream)
+            known.is_none_or(|s| s.gone.is_some() || s.differs_from(upstream))
         };
         let new = upstreams.into_iter().filter(is_new);
         changes.extend(new.map(UpstreamChange::Listed));
         changes
     }
 
-    /// Applies changes up to a revision; returns false, and changes nothing, where they are
-    /// not new.
+    /// Applies changes up to a revision; changes nothing where they are not new.
     pub fn apply_changes(
         &mut self,
         changes: Vec<UpstreamChange>,
         revision: u64,
         now: Instant,
-    ) -> bool {
+    ) -> AppliedNews {
         if revision <= self.revision {
-            return false;
+            return AppliedNews::default();
+        }
+        let restarted = self.apply_all(changes, revision, now);
+        self.forget_old_changes();
+        self.forget_unlisted(now);
+        self.forget_gone(now);
+        AppliedNews {
+            is_new: true,
+            restarted,
         }
+    }
+
+    /// Applies changes and keeps them for peers; returns the upstreams that started again.
+    fn apply_all(
+        &mut self,
+        changes: Vec<UpstreamChange>,
+        revision: u64,
+        now: Instant,
+    ) -> Vec<Upstream> {
+        let mut restarted = Vec::new();
         for change in changes {
             self.changes.push_back((revision, change.clone()));
-            self.apply(change, now);
+            restarted.extend(self.apply(change, now));
         }
         self.revision = revision;
-        self.forget_old_changes();
-        self.forget_unlisted(now);
-        self.forget_gone(now);
-        true
+        restarted
     }
 
     /// Takes upstreams as gone that the list should have named by now.
@@ -201,25 +215,36 @@
         Some(newer.map(|(_, change)| change.clone()).collect())
     }
 
-    fn apply(&mut self, change: UpstreamChange, now: Instant) {
+    /// Applies a change; returns the upstream if it has started again under its name.
+    fn apply(&mut self, change: UpstreamChange, now: Instant) -> Option<Upstream> {
         match change {
             UpstreamChange::Listed(upstream) => self.list(upstream),
             UpstreamChange::Gone(name) => {
                 if let Some(state) = self.upstreams.get_mut(&name) {
                     state.gone.get_or_insert(now);
                 }
+                None
             }
         }
     }
 
-    fn list(&mut self, upstream: Upstream) {
-        if let Some(state) = self.upstreams.get_mut(&upstream.name) {
-            state.upstream = upstream;
-            state.gone = None;
-            state.unlisted = None;
-            return;
+    fn list(&mut self, upstream: Upstream) -> Option<Upstream> {
+        let Some(state) = self.upstreams.get_mut(&upstream.name) else {
+            self.insert(UpstreamState::new(upstream));
+            return None;
+        };
+        let order = state.on_start(upstream.born_ms());
+        if order == StartOrder::Older {
+            return None;
         }
-        self.insert(UpstreamState::new(upstream));
+        state.set_listed(upstream);
+        (order == StartOrder::Newer).then(|| state.upstream.clone())
+    }
+
+    /// Sets the services of the configuration in force. Another writer may list an upstream of
+    /// a service that nobody has named, at a living one's address; the living one stays.
+    pub fn set_services(&mut self, services: HashSet<ServiceName>) {
+        self.services = Some(services);
     }
 
     /// Adds an upstream that the platform's list does not name yet, after the one before at its
@@ -247,8 +272,12 @@
         self.upstreams.insert(name, state);
     }
 
-    /// A new start at an address means that the one before has ended.
+    /// A new start at an address means that the one before has ended, if its service is one.
     fn replace_at(&mut self, newer: &Upstream) {
+        let services = self.services.as_ref();
+        if services.is_some_and(|named| !named.contains(&newer.service)) {
+            return;
+        }
         for state in self.upstreams.values_mut() {
             if state.upstream.address == newer.address {
                 state.replaced = true;
--- a/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
@@ -7,8 +7,9 @@
 use super::UpstreamTable;
 use crate::load::Load;
 use crate::suspicion::Suspicion;
-use crate::upstream::{Upstream, UpstreamKey};
+use crate::upstream::{StartOrder, Upstream, UpstreamKey};
 use cloverpier_core::UpstreamName;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Weight of a new sample in the smoothed failure rate and pace: about the last five
@@ -100,6 +101,21 @@
         !std::mem::replace(&mut state.replaced, true)
     }
 
+    /// Records a start that an upstream named in an answer.
+    pub fn on_start(&mut self, name: &UpstreamName, born_ms: Option<u64>) -> StartOrder {
+        let state = self.upstreams.get_mut(name);
+        state.map_or(StartOrder::Same, |state| state.on_start(born_ms))
+    }
+
+    /// Records that a process at an address named itself: an upstream that is known there has
+    /// not been replaced, whatever another writer listed at its address.
+    pub fn on_answered_at(&mut self, name: &UpstreamName, address: SocketAddr) {
+        let state = self.upstreams.get_mut(name);
+        if let Some(state) = state.filter(|s| s.upstream.address == address) {
+            state.replaced = false;
+        }
+    }
+
     /// Records a sign of life; returns how long the upstream was suspected.
     pub fn on_alive(&mut self, name: &UpstreamName, now: Instant) -> Option<Duration> {
         let suspicion = self.upstreams.get_mut(name)?.suspicion.take()?;
--- a/crates/router/cloverpier_router_policy/tests/load_query.rs
+++ b/crates/router/cloverpier_router_policy/tests/load_query.rs
@@ -24,6 +24,7 @@
         data_centre: DataCentre::new(format!("hall-{}", index % 3)),
         slots: 24,
         draining: false,
+        start: None,
     }
 }
 
--- a/crates/router/cloverpier_router_policy/tests/placement/world.rs
+++ b/crates/router/cloverpier_router_policy/tests/placement/world.rs
@@ -72,6 +72,7 @@
         data_centre: data_centre(index),
         slots: 24,
         draining: false,
+        start: None,
     }
 }
 
--- a/crates/router/cloverpier_router_policy/tests/successor.rs
+++ b/crates/router/cloverpier_router_policy/tests/successor.rs
@@ -20,6 +20,7 @@
         data_centre: DataCentre::new("hall-a"),
         slots: 4,
         draining: false,
+        start: None,
     }
 }
 
--- a/crates/router/cloverpier_router_policy/tests/upstreams.rs
+++ b/crates/router/cloverpier_router_policy/tests/upstreams.rs
@@ -18,6 +18,7 @@
         data_centre: DataCentre::new("hall-a"),
         slots: 4,
         draining: false,
+        start: None,
     }
 }
 
@@ -125,7 +126,11 @@
     let now = Instant::now();
     let mut table = fleet_of(&["one"], now);
     table.apply_changes(vec![UpstreamChange::Listed(upstream("two", 9_001))], 5, now);
-    assert!(!table.apply_list(vec![upstream("one", 9_000)], 4, now));
+    assert!(
+        !table
+            .apply_list(vec![upstream("one", 9_000)], 4, now)
+            .is_new
+    );
     assert!(
         table
             .get(&"two".into())
--- a/crates/router/cloverpier_router_policy/tests/versions.rs
+++ b/crates/router/cloverpier_router_policy/tests/versions.rs
@@ -95,6 +95,7 @@
         data_centre: cloverpier_core::DataCentre::new("hall-a"),
         slots: 64,
         draining: false,
+        start: None,
     };
     let now = Instant::now();
     let mut table = UpstreamTable::default();
--- a/crates/shared/cloverpier_core/src/lib.rs
+++ b/crates/shared/cloverpier_core/src/lib.rs
@@ -26,7 +26,7 @@
     pub use crate::clock::{Clock, ManualClock, SystemClock, wall_ms};
     pub use crate::name::{
         AccountName, AdapterName, DataCentre, MemberId, ModelName, RequestKey, ServiceName,
-        UpstreamName, VmName,
+        SoftwareVersion, UpstreamName, VmName,
     };
     pub use crate::secret::{KeyDigest, Secret, same_secret};
     pub use crate::sync::lock;
--- a/crates/shared/cloverpier_core/src/name.rs
+++ b/crates/shared/cloverpier_core/src/name.rs
@@ -66,6 +66,8 @@
     RequestKey,
     /// A model service or a plain service.
     ServiceName,
+    /// The version of an upstream's software.
+    SoftwareVersion,
     /// An upstream: a model engine or a plain service's server.
     UpstreamName,
     /// An entry VM.
--- /dev/null
+++ b/crates/standins/cloverpier_router_standin/src/store/mod.rs
@@ -0,0 +1,206 @@
+//! The platform's store: objects by kind and name, watches, conditional writes, outages.
+//!
+//! [`StoreStandIn`] is what a test holds; `objects` owns the contents, `serve` the connections.
+
+mod objects;
+mod serve;
+
+pub use objects::{NOTHING, StoreCall, StoredEvent, StoredObject};
+
+use cloverpier_core::lock;
+use cloverpier_router_policy::prelude::{Configuration, Upstream};
+use objects::Objects;
+use serde_json::Value;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+/// How the platform's store writes and reads, as data.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreShapes {
+    /// Reads a call from its method, its path and query, and its body.
+    pub call: fn(&str, &str, &str) -> Option<StoreCall>,
+    /// Writes an object.
+    pub object: fn(&StoredObject) -> String,
+    /// Writes a list at a revision.
+    pub list: fn(&[StoredObject], u64) -> String,
+    /// Writes changes up to a revision.
+    pub events: fn(&[StoredEvent], u64) -> String,
+    /// The content of an upstream's entry.
+    pub upstream: fn(&Upstream) -> Value,
+    /// The content of the configuration.
+    pub configuration: fn(&Configuration) -> Value,
+    /// The kind of upstreams, and the kind and name of the configuration.
+    pub kinds: StoreKinds,
+}
+
+/// Kinds and names of the objects that routers read.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreKinds {
+    /// The kind of upstreams.
+    pub upstreams: &'static str,
+    /// The kind of the configuration.
+    pub configuration: &'static str,
+    /// The configuration's name.
+    pub configuration_name: &'static str,
+}
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It doesn't.
+    #[default]
+    None,
+    /// It answers 503.
+    Busy,
+    /// It takes calls and says nothing.
+    Silent,
+    /// It resets connections.
+    Reset,
+    /// It takes calls and answers them once it has no fault any more.
+    Waits,
+    /// It answers reads and leaves watches without an answer, whatever has changed.
+    SilentToWatches,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: Objects,
+    fault: StoreFault,
+    calls: u64,
+    /// The targets of all calls, in order.
+    targets: Vec<String>,
+}
+
+/// A running store; it ends with its owner.
+#[derive(Debug)]
+pub struct StoreStandIn {
+    address: SocketAddr,
+    shapes: StoreShapes,
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+    accepting: JoinHandle<()>,
+}
+
+impl Drop for StoreStandIn {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+impl StoreStandIn {
+    /// Starts a store at a free port of this machine.
+    ///
+    /// # Errors
+    ///
+    /// No port can be listened at.
+    pub async fn start(shapes: StoreShapes) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let changed = Arc::new(Notify::new());
+        let shared = serve::Shared {
+            shapes,
+            state: Arc::clone(&state),
+            changed: Arc::clone(&changed),
+        };
+        let accepting = tokio::spawn(serve::accept(listener, shared));
+        Ok(Self {
+            address,
+            shapes,
+            state,
+            changed,
+            accepting,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls that it has answered or dropped.
+    pub fn calls(&self) -> u64 {
+        lock(&self.state).calls
+    }
+
+    /// The targets of all calls, in order.
+    pub fn targets(&self) -> Vec<String> {
+        lock(&self.state).targets.clone()
+    }
+
+    /// Lists an upstream, or lists it otherwise.
+    pub fn put_upstream(&self, upstream: &Upstream) {
+        let spec = (self.shapes.upstream)(upstream);
+        self.change(
+            self.shapes.kinds.upstreams,
+            upstream.name.as_str(),
+            Some(spec),
+        );
+    }
+
+    /// Puts any content in the place of an upstream's entry.
+    pub fn put_upstream_spec(&self, name: &str, spec: Value) {
+        self.change(self.shapes.kinds.upstreams, name, Some(spec));
+    }
+
+    /// Takes an upstream off the list.
+    pub fn remove_upstream(&self, name: &str) {
+        self.change(self.shapes.kinds.upstreams, name, None);
+    }
+
+    /// Puts a configuration in force.
+    pub fn put_configuration(&self, configuration: &Configuration) {
+        self.put_configuration_spec(self.configuration_spec(configuration));
+    }
+
+    /// A configuration as the store holds it.
+    pub fn configuration_spec(&self, configuration: &Configuration) -> Value {
+        (self.shapes.configuration)(configuration)
+    }
+
+    /// Puts any content in the place of the configuration.
+    pub fn put_configuration_spec(&self, spec: Value) {
+        let kinds = self.shapes.kinds;
+        self.change(kinds.configuration, kinds.configuration_name, Some(spec));
+    }
+
+    /// Lets it misbehave, or not any more.
+    pub fn set_fault(&self, fault: StoreFault) {
+        lock(&self.state).fault = fault;
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets all history: watches from before have to read everything again.
+    pub fn forget_history(&self) {
+        lock(&self.state).objects.forget_changes();
+    }
+
+    /// Stores an object of any kind, its content as a JSON text that need not be readable.
+    pub fn put_object(&self, kind: &str, name: &str, spec: &str) {
+        lock(&self.state).objects.put(kind, name, spec.to_owned());
+        self.changed.notify_waiters();
+    }
+
+    /// Takes an object of any kind away.
+    pub fn remove_object(&self, kind: &str, name: &str) {
+        lock(&self.state).objects.remove(kind, name);
+        self.changed.notify_waiters();
+    }
+
+    /// What the system says of an object, as JSON; `None` where there is no such object.
+    pub fn status_of(&self, kind: &str, name: &str) -> Option<String> {
+        let state = lock(&self.state);
+        state.objects.get(kind, name).map(|o| o.status.clone())
+    }
+
+    fn change(&self, kind: &str, name: &str, spec: Option<Value>) {
+        match spec {
+            Some(spec) => self.put_object(kind, name, &spec.to_string()),
+            None => self.remove_object(kind, name),
+        }
+    }
+}
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -8,7 +8,7 @@
 use crate::ledger::{Fault, SharedLedger};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, lock};
 use cloverpier_router::HeaderNames;
-use cloverpier_router_policy::prelude::Upstream;
+use cloverpier_router_policy::prelude::{Upstream, UpstreamStart};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -27,6 +27,7 @@
     event_interval: Duration,
     cache: CacheShape,
     load: LoadShape,
+    with_start: fn(String, u64) -> String,
     /// Requests that it says to run, whatever runs there.
     told_running: u32,
     /// Prompts that were read, in order.
@@ -52,6 +53,7 @@
             event_interval: spec.event_interval,
             cache: spec.cache,
             load: spec.load,
+            with_start: spec.with_start,
             told_running: 0,
             prompts: Vec::new(),
             script: Vec::new(),
@@ -110,6 +112,12 @@
     pub cache: CacheShape,
     /// How it tells its load.
     pub load: LoadShape,
+    /// Adds to an answer when the upstream started, as a Unix time in milliseconds.
+    pub with_start: fn(String, u64) -> String,
+    /// What it says of its start; nothing where it says nothing.
+    pub start: Option<UpstreamStart>,
+    /// Requests that it says to work on at once.
+    pub slots: u32,
 }
 
 impl UpstreamStandIn {
@@ -132,8 +140,9 @@
             service: ServiceName::new(spec.service),
             address: listener.local_addr()?,
             data_centre: DataCentre::new(spec.data_centre),
-            slots: 64,
+            slots: spec.slots,
             draining: false,
+            start: spec.start,
         };
         let state = Arc::new(Mutex::new(State::new(&shape, upstream, names, ledger)));
         let connections = Arc::new(Mutex::new(Vec::new()));
@@ -159,6 +168,18 @@
         lock(&self.state).upstream.address = address;
     }
 
+    /// Lets it start again under its name: it knows nothing of before, and what it had begun to
+    /// answer stays where it is, as nobody is told that its host has lost power.
+    pub fn start_again(&self, born_ms: u64) {
+        let mut state = lock(&self.state);
+        state.prompts.clear();
+        let address = state.upstream.address;
+        if let Some(start) = &mut state.upstream.start {
+            start.born_ms = Some(born_ms);
+        }
+        lock(&state.ledger).copies.retain(|(at, _)| *at != address);
+    }
+
     /// Has it tell that so many requests run.
     pub fn tell_running(&self, requests: u32) {
         lock(&self.state).told_running = requests;
@@ -293,6 +314,14 @@
 }
 
 fn answer_to_question(state: &State, head: &Head) -> String {
+    let answer = question_body(state, head);
+    match state.upstream.born_ms() {
+        Some(born_ms) => (state.with_start)(answer, born_ms),
+        None => answer,
+    }
+}
+
+fn question_body(state: &State, head: &Head) -> String {
     let path = head.word(1).split('?').next();
     if path == Some(state.cache.path) {
         (state.cache.answer)(&state.prompts)
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -9,7 +9,7 @@
 
 use crate::process::{Process, free_addresses};
 use cloverpier_adapter::platform_wire_names;
-use cloverpier_adapter_standin::{cache_shape, load_shape, store_shapes};
+use cloverpier_adapter_standin::{cache_shape, load_shape, store_shapes, with_start};
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_standin::caller::{CallerRequest, Outcome, call};
@@ -26,6 +26,9 @@
 /// From the termination signal to the end of a router: short, so that runs are.
 pub const GRACE: Duration = Duration::from_secs(5);
 
+/// Requests that an engine says to work on at once.
+const ENGINE_SLOTS: u32 = 64;
+
 /// What a site is made of.
 #[derive(Clone, Debug)]
 pub struct SiteSpec {
@@ -43,6 +46,10 @@
     pub event_interval: Duration,
     /// Seeds the upstreams' choices.
     pub seed: u64,
+    /// Requests that a plain upstream says to work on at once.
+    pub plain_slots: u32,
+    /// What upstreams say of their first start; nothing where they say nothing.
+    pub upstream_start: Option<UpstreamStart>,
     /// For how many seconds no other service gets the address of an upstream that has ended; 0
     /// where one may get it at once.
     pub address_reuse_s: u32,
@@ -59,6 +66,8 @@
             plain: 2,
             event_interval: Duration::from_millis(10),
             seed: 1,
+            plain_slots: 64,
+            upstream_start: None,
             address_reuse_s: 0,
         }
     }
@@ -155,6 +164,13 @@
             seed: self.spec.seed + index as u64,
             cache: cache_shape(),
             load: load_shape(),
+            with_start,
+            start: self.spec.upstream_start.clone(),
+            slots: if is_engine {
+                ENGINE_SLOTS
+            } else {
+                self.spec.plain_slots
+            },
         };
         let ledger = Arc::clone(&self.ledger);
         let stand_in =
