Give requests to suspected upstreams rather than to nobody, and log why one was refused

Each reset made one of 60 routers suspect the server and tell the others, for a second; so at any time all three were out of the first group of candidates, the fourth got everything, its 6 slots and 12 places were counted full, and the choice ended there: 1,424 refusals with nothing sent, age 0 ms. Excluded: counts that never come down (they follow the heartbeats), the retry budget (nothing was sent), own suspicion (70 in 6 s).

Change: groups of candidates are tried in order; a later one counts where all of those before are full. request.ended says what decided a refusal (reason: all servers are full, no server is usable, or the last failure).

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -70,6 +70,8 @@
     pub route: &'a str,
     pub status: u16,
     pub end: RequestEnd,
+    /// What decided that the request was given up.
+    pub reason: Option<&'a str>,
     pub sent: u32,
     pub events: u64,
     pub first_event_ms: Option<u64>,
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -61,8 +61,10 @@
     pub next: NextStep,
     /// Whether the request's time is over.
     pub is_late: bool,
-    /// Why, for the caller and for logs.
+    /// Why, for the caller.
     pub reason: String,
+    /// Why no upstream could be given it, for logs.
+    no_upstream: Option<NoUpstream>,
 }
 
 impl GivenUp {
@@ -72,15 +74,17 @@
             next,
             is_late: failure.is_late(),
             reason: failure.to_string(),
+            no_upstream: None,
         }
     }
 
     /// A request that no upstream can be given.
-    pub fn without_upstream(attempts: &Attempts) -> Self {
+    pub fn without_upstream(attempts: &Attempts, no_upstream: NoUpstream) -> Self {
         Self {
             next: attempts.give_up(),
             is_late: false,
             reason: "no server takes the request".to_owned(),
+            no_upstream: Some(no_upstream),
         }
     }
 
@@ -90,30 +94,68 @@
             next: NextStep::Fail,
             is_late: false,
             reason: reason.to_owned(),
+            no_upstream: None,
         }
     }
 
     /// The reply to the caller, true to what is known of the request's run.
-    pub fn into_reply(self, request: &RelayRequest) -> (Reply, RequestEnd) {
-        match (self.next, self.is_late) {
-            (NextStep::Refuse, is_late) => {
+    pub fn reply(&self, request: &RelayRequest) -> Reply {
+        match self.end() {
+            RequestEnd::Refused | RequestEnd::RefusedLate => {
                 let objective = request.route.objective;
-                let reply = refusal_reply(&self.reason, Refusal::NoUpstream { objective });
-                let end = if is_late {
-                    RequestEnd::RefusedLate
-                } else {
-                    RequestEnd::Refused
-                };
-                (reply, end)
-            }
-            (_, true) => {
-                let reply = own_reply(StatusCode::GATEWAY_TIMEOUT, &self.reason);
-                (reply, RequestEnd::TimedOut)
-            }
-            (_, false) => {
-                let reply = own_reply(StatusCode::BAD_GATEWAY, &self.reason);
-                (reply, RequestEnd::Failed)
+                refusal_reply(&self.reason, Refusal::NoUpstream { objective })
             }
+            RequestEnd::TimedOut => own_reply(StatusCode::GATEWAY_TIMEOUT, &self.reason),
+            _ => own_reply(StatusCode::BAD_GATEWAY, &self.reason),
+        }
+    }
+
+    /// What decided, for logs.
+    pub fn logged_reason(&self) -> &str {
+        match self.no_upstream {
+            Some(NoUpstream::AllFull) => "all servers are full",
+            Some(NoUpstream::NoneUsable) => "no server is usable",
+            None => &self.reason,
+        }
+    }
+
+    /// How the request ended.
+    pub fn end(&self) -> RequestEnd {
+        match (self.next, self.is_late) {
+            (NextStep::Refuse, false) => RequestEnd::Refused,
+            (NextStep::Refuse, true) => RequestEnd::RefusedLate,
+            (_, true) => RequestEnd::TimedOut,
+            (_, false) => RequestEnd::Failed,
+        }
+    }
+
+    /// The same, of a stream that its caller has begun to receive.
+    pub fn end_of_begun(&self) -> RequestEnd {
+        if self.is_late {
+            RequestEnd::TimedOut
+        } else {
+            RequestEnd::BrokenOff
+        }
+    }
+}
+
+/// The end of a request, for its log line.
+pub(crate) struct Ending<'a> {
+    /// The status that the caller got.
+    pub status: StatusCode,
+    /// How it ended.
+    pub end: RequestEnd,
+    /// What decided that it was given up; `None` where an upstream's answer was passed on.
+    pub reason: Option<&'a str>,
+}
+
+impl Ending<'_> {
+    /// A request that ended with an answer, or by its caller.
+    pub fn of(status: StatusCode, end: RequestEnd) -> Self {
+        Self {
+            status,
+            end,
+            reason: None,
         }
     }
 }
@@ -148,18 +190,18 @@
     router: &Router,
     request: &RelayRequest,
     attempts: &Attempts,
-    status: StatusCode,
-    end: RequestEnd,
+    ending: &Ending<'_>,
     progress: &Progress,
 ) {
-    router.metrics.requests.count(end.into());
+    router.metrics.requests.count(ending.end.into());
     router.log.info(
         "request.ended",
         &RequestEnded {
             request: &request.id,
             route: &request.route.name,
-            status: status.as_u16(),
-            end,
+            status: ending.status.as_u16(),
+            end: ending.end,
+            reason: ending.reason,
             sent: attempts.sent(),
             events: progress.events,
             first_event_ms: progress.first_event.map(|at| ms_since(request.arrived, at)),
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -9,7 +9,8 @@
 use crate::intake::RelayRequest;
 use crate::load_guard::LoadGuard;
 use crate::outcome::{
-    ChoiceNote, FailedAttempt, GivenUp, Progress, RequestEnd, log_choice, log_end, log_failure,
+    ChoiceNote, Ending, FailedAttempt, GivenUp, Progress, RequestEnd, log_choice, log_end,
+    log_failure,
 };
 use crate::reply::{Reply, UpstreamAnswer, streamed_reply};
 use crate::router::Router;
@@ -30,20 +31,21 @@
 /// Relays a request to one upstream, and to others as far as that is allowed.
 pub(crate) async fn relay_plain(router: &Rc<Router>, request: &Rc<RelayRequest>) -> Reply {
     let mut run = PlainRun::new(router, request);
-    let (reply, end) = match run.run().await {
-        Ok(reply) => (reply, RequestEnd::Answered),
-        Err(given_up) => given_up.into_reply(request),
-    };
-    let progress = Progress::default();
-    log_end(
-        router,
-        request,
-        &run.attempts,
-        reply.status(),
-        end,
-        &progress,
-    );
-    reply
+    match run.run().await {
+        Ok(reply) => {
+            run.log_end(&Ending::of(reply.status(), RequestEnd::Answered));
+            reply
+        }
+        Err(given_up) => {
+            let reply = given_up.reply(request);
+            run.log_end(&Ending {
+                status: reply.status(),
+                end: given_up.end(),
+                reason: Some(given_up.logged_reason()),
+            });
+            reply
+        }
+    }
 }
 
 /// The attempts of one request.
@@ -78,10 +80,16 @@
         }
     }
 
+    fn log_end(&self, ending: &Ending<'_>) {
+        let progress = Progress::default();
+        log_end(self.router, self.request, &self.attempts, ending, &progress);
+    }
+
     async fn run(&mut self) -> Result<Reply, GivenUp> {
         loop {
-            let Some(upstream) = self.choose() else {
-                return self.without_upstream();
+            let upstream = match self.choose() {
+                Ok(upstream) => upstream,
+                Err(reason) => return self.without_upstream(reason),
             };
             self.attempts.on_send();
             let failure = match self.attempt(&upstream).await {
@@ -96,14 +104,14 @@
         }
     }
 
-    fn without_upstream(&mut self) -> Result<Reply, GivenUp> {
+    fn without_upstream(&mut self, reason: NoUpstream) -> Result<Reply, GivenUp> {
         match self.upstream_failure.take() {
             Some(answer) => Ok(answer.into_reply()),
-            None => Err(GivenUp::without_upstream(&self.attempts)),
+            None => Err(GivenUp::without_upstream(&self.attempts, reason)),
         }
     }
 
-    fn choose(&mut self) -> Option<Upstream> {
+    fn choose(&mut self) -> Result<Upstream, NoUpstream> {
         let now = self.router.now();
         let connected = self.router.pool.borrow().connected(now);
         let table = self.router.upstreams.borrow();
@@ -123,12 +131,13 @@
             reported: &ReportedLoad::default(),
         };
         let choice = choose_upstream(&table, &demand, &mut self.router.rng.borrow_mut());
-        let Choice::Upstream(upstream) = choice else {
-            return None;
+        let upstream = match choice {
+            Choice::Upstream(upstream) => upstream,
+            Choice::None(reason) => return Err(reason),
         };
         let note = ChoiceNote::of(&self.attempts, now);
         log_choice(self.router, self.request, &table, &upstream, &note);
-        Some(upstream)
+        Ok(upstream)
     }
 
     async fn attempt(&mut self, upstream: &Upstream) -> Result<Reply, AttemptFailure> {
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -15,7 +15,7 @@
 use crate::intake::RelayRequest;
 use crate::load_guard::LoadGuard;
 use crate::outcome::{
-    FailedAttempt, GivenUp, Progress, RequestEnd, log_end, log_failure, outcome_name,
+    Ending, FailedAttempt, GivenUp, Progress, RequestEnd, log_end, log_failure, outcome_name,
 };
 use crate::prompts::RunningStream;
 use crate::reply::{Reply, UpstreamAnswer, streamed_reply};
@@ -44,12 +44,16 @@
             streamed_reply(head, body)
         }
         FirstPiece::Answer(answer) => {
-            run.log_end(answer.status, RequestEnd::Answered);
+            run.log_end(&Ending::of(answer.status, RequestEnd::Answered));
             answer.into_reply()
         }
         FirstPiece::GivenUp(given_up) => {
-            let (reply, end) = given_up.into_reply(request);
-            run.log_end(reply.status(), end);
+            let reply = given_up.reply(request);
+            run.log_end(&Ending {
+                status: reply.status(),
+                end: given_up.end(),
+                reason: Some(given_up.logged_reason()),
+            });
             reply
         }
     }
@@ -104,7 +108,7 @@
 impl Drop for StreamRun {
     fn drop(&mut self) {
         if !self.is_ended {
-            self.log_end(StatusCode::OK, RequestEnd::CallerLeft);
+            self.log_end(&Ending::of(StatusCode::OK, RequestEnd::CallerLeft));
         }
     }
 }
@@ -129,14 +133,14 @@
         }
     }
 
-    fn log_end(&mut self, status: StatusCode, end: RequestEnd) {
+    fn log_end(&mut self, ending: &Ending<'_>) {
         self.is_ended = true;
+        let attempts = &self.attempts;
         log_end(
             &self.router,
             &self.request,
-            &self.attempts,
-            status,
-            end,
+            attempts,
+            ending,
             &self.progress,
         );
     }
@@ -185,17 +189,16 @@
             match run.next_piece().await {
                 Ok(Some(piece)) => Some((Ok(piece), Some(run))),
                 Ok(None) => {
-                    run.log_end(StatusCode::OK, RequestEnd::Completed);
+                    run.log_end(&Ending::of(StatusCode::OK, RequestEnd::Completed));
                     run.report_duration();
                     None
                 }
                 Err(given_up) => {
-                    let end = if given_up.is_late {
-                        RequestEnd::TimedOut
-                    } else {
-                        RequestEnd::BrokenOff
-                    };
-                    run.log_end(StatusCode::OK, end);
+                    run.log_end(&Ending {
+                        status: StatusCode::OK,
+                        end: given_up.end_of_begun(),
+                        reason: Some(given_up.logged_reason()),
+                    });
                     Some((Err(AnswerBroken), None))
                 }
             }
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -26,9 +26,9 @@
         self.find_prompt().await;
         loop {
             let reported = self.query_load().await;
-            let Some((upstream, extras)) = self.choose(&reported) else {
-                return Err(GivenUp::without_upstream(&self.attempts));
-            };
+            let (upstream, extras) = self
+                .choose(&reported)
+                .map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
             self.attempts.on_send();
             let failure = match self.open_at(&upstream, extras).await {
                 Ok(()) => return Ok(()),
@@ -101,7 +101,7 @@
     }
 
     /// The engine with the replica of the lost run, or the best of the others.
-    fn choose(&mut self, reported: &ReportedLoad) -> Option<(Upstream, SendExtras)> {
+    fn choose(&mut self, reported: &ReportedLoad) -> Result<(Upstream, SendExtras), NoUpstream> {
         let router = Rc::clone(&self.router);
         let now = router.now();
         let lost_replica = self.replica.take();
@@ -125,7 +125,7 @@
             ..ChoiceNote::of(&self.attempts, now)
         };
         log_choice(&router, &self.request, &table, &upstream, &note);
-        Some((upstream, extras))
+        Ok((upstream, extras))
     }
 
     /// Whether runs of this service keep a replica of their KV cache.
@@ -285,12 +285,12 @@
     demand: &Demand<'_>,
     lost_replica: Option<&Replica>,
     rng: &mut fastrand::Rng,
-) -> Option<(Upstream, bool)> {
+) -> Result<(Upstream, bool), NoUpstream> {
     if let Some(engine) = usable_replica(table, lost_replica) {
-        return Some((engine, true));
+        return Ok((engine, true));
     }
     match choose_upstream(table, demand, rng) {
-        Choice::Upstream(upstream) => Some((upstream, false)),
-        Choice::AllFull | Choice::NoneUsable => None,
+        Choice::Upstream(upstream) => Ok((upstream, false)),
+        Choice::None(reason) => Err(reason),
     }
 }
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -18,16 +18,20 @@
 //! where peers' reports are incomplete, and else all are compared by what routers have in
 //! flight there.
 //!
-//! What an upstream costs is worked out in `cost`. Owns no state.
+//! Who may get the attempt is decided in `candidates`, what an upstream costs in `cost`. Owns no
+//! state.
 
+mod candidates;
 mod cost;
 
+pub(crate) use candidates::filtered;
 pub(crate) use cost::{fits, known_load};
 
 use crate::load::Load;
 use crate::load_query::ReportedLoad;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
 use crate::upstream_table::UpstreamTable;
+use candidates::candidate_groups;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
 use cost::{best_pace, cost, has_capacity};
 use std::collections::HashSet;
@@ -37,6 +41,7 @@
 /// worth earned moves by -0.0031 +- 0.0033 (measured: 30 pairs of plays before 18
 /// engines).
 const EQUAL_COST_TOKENS: f64 = 3_000.0;
+
 /// What an attempt asks of an upstream.
 #[derive(Clone, Debug)]
 pub struct Demand<'a> {
@@ -71,6 +76,13 @@
 pub enum Choice {
     /// This upstream gets the attempt.
     Upstream(Upstream),
+    /// None does.
+    None(NoUpstream),
+}
+
+/// Why no upstream gets an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoUpstream {
     /// Some upstreams could take it, and all of them are full.
     AllFull,
     /// No upstream can take it.
@@ -83,11 +95,14 @@
     demand: &Demand<'_>,
     rng: &mut fastrand::Rng,
 ) -> Choice {
-    let candidates = candidates(table, demand);
-    if candidates.is_empty() {
-        return Choice::NoneUsable;
+    let groups = candidate_groups(table, demand);
+    if groups.is_empty() {
+        return Choice::None(NoUpstream::NoneUsable);
     }
-    let with_capacity = with_capacity(table, &candidates, demand);
+    let by_group = groups.iter().map(|g| with_capacity(table, g, demand));
+    let Some(with_capacity) = by_group.into_iter().find(|group| !group.is_empty()) else {
+        return Choice::None(NoUpstream::AllFull);
+    };
     let has_read_prompt = with_capacity
         .iter()
         .find(|s| Some(s.key) == demand.prompt_location);
@@ -102,11 +117,11 @@
     };
     match chosen {
         Some(state) => Choice::Upstream(state.upstream.clone()),
-        None => Choice::AllFull,
+        None => Choice::None(NoUpstream::AllFull),
     }
 }
 
-/// The candidates with capacity: those that said how busy they are, if any did, as too little is
+/// The candidates of a group with capacity: those that said how busy they are, if any did, as too little is
 /// known of the others.
 fn with_capacity<'a>(
     table: &UpstreamTable,
@@ -127,7 +142,10 @@
     demand: &Demand<'_>,
     rng: &mut fastrand::Rng,
 ) -> Vec<&'a UpstreamState> {
-    let candidates = candidates(table, demand);
+    let groups = candidate_groups(table, demand);
+    let Some(candidates) = groups.into_iter().next() else {
+        return Vec::new();
+    };
     let best_pace = best_pace(&candidates);
     let cost = |s: &UpstreamState| cost(table, demand, s, best_pace);
     let least = candidates
@@ -143,43 +161,6 @@
     ranked.into_iter().copied().chain(dearer).collect()
 }
 
-/// Who may get the attempt, from the first of these groups that has anybody left to try:
-///
-/// 1. usable upstreams that no peer suspects, in data centres that do not seem dead;
-/// 2. usable ones that no peer suspects;
-/// 3. usable ones;
-/// 4. all that are listed, suspected ones among them;
-/// 5. only where nothing of the service is listed: those whose entries vanished within
-///    [`crate::suspicion::RETURN_WINDOW`], as outages of the store do that to living ones.
-fn candidates<'a>(table: &'a UpstreamTable, demand: &Demand<'_>) -> Vec<&'a UpstreamState> {
-    let of_service: Vec<&UpstreamState> = table.of_service(demand.service).collect();
-    let untried = |s: &UpstreamState| !demand.tried.contains(&s.upstream.name);
-    let usable = filtered(&of_service, |s| s.is_usable() && untried(s));
-    let unsuspected = filtered(&usable, |s| !s.is_suspected_by_peer(demand.now));
-    let suspect_data_centres = table.suspect_data_centres(demand.service, demand.now);
-    let sound = filtered(&unsuspected, |s| {
-        !suspect_data_centres.contains(&s.upstream.data_centre)
-    });
-    let trusted = [sound, unsuspected, usable];
-    if let Some(group) = trusted.into_iter().find(|group| !group.is_empty()) {
-        return group;
-    }
-    let listed = filtered(&of_service, UpstreamState::is_listed);
-    if !listed.is_empty() {
-        return filtered(&listed, untried);
-    }
-    let may_be_back = |s: &UpstreamState| s.may_still_serve() && s.vanished_recently(demand.now);
-    filtered(&of_service, |s| may_be_back(s) && untried(s))
-}
-
-/// The upstreams of a list for which something holds.
-pub(crate) fn filtered<'a>(
-    states: &[&'a UpstreamState],
-    holds: impl Fn(&UpstreamState) -> bool,
-) -> Vec<&'a UpstreamState> {
-    states.iter().copied().filter(|s| holds(s)).collect()
-}
-
 /// How much more than the cheapest, in tokens, an engine may cost that counts as equal.
 ///
 /// The engine that has read the prompt of a continuation is worth the reading that it spares.
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -78,7 +78,7 @@
     pub use crate::attempt_failure::AttemptFailure;
     pub use crate::attempts::{AttemptOutcome, Attempts, NextStep, RetryRule};
     pub use crate::budget::{BudgetBounds, BudgetUse, PeerBudgetUse, RetryBudget};
-    pub use crate::choice::{Choice, Demand, choose_upstream};
+    pub use crate::choice::{Choice, Demand, NoUpstream, choose_upstream};
     pub use crate::configuration::{
         ClientAccount, Configuration, ConfigurationIndex, EngineConfig, Limits, Route, RouteTarget,
         ServiceConfig,
--- a/crates/router/cloverpier_router_policy/tests/load_query.rs
+++ b/crates/router/cloverpier_router_policy/tests/load_query.rs
@@ -73,7 +73,7 @@
 fn chosen(table: &UpstreamTable, demand: &Demand<'_>) -> UpstreamName {
     match choose_upstream(table, demand, &mut fastrand::Rng::with_seed(1)) {
         Choice::Upstream(upstream) => upstream.name,
-        Choice::AllFull | Choice::NoneUsable => panic!("engines are free"),
+        Choice::None(_) => panic!("engines are free"),
     }
 }
 
--- a/crates/router/cloverpier_router_policy/tests/upstreams.rs
+++ b/crates/router/cloverpier_router_policy/tests/upstreams.rs
@@ -56,7 +56,7 @@
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(1)) {
         Choice::Upstream(upstream) => Some(upstream.name.to_string()),
-        Choice::AllFull | Choice::NoneUsable => None,
+        Choice::None(_) => None,
     }
 }
 
@@ -200,7 +200,7 @@
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(seed)) {
         Choice::Upstream(upstream) => Some(upstream.name.to_string()),
-        Choice::AllFull | Choice::NoneUsable => None,
+        Choice::None(_) => None,
     }
 }
 
@@ -371,3 +371,34 @@
     let chosen = choose_upstream(&table, &demand, &mut fastrand::Rng::with_seed(1));
     assert!(matches!(chosen, Choice::Upstream(_)), "{chosen:?}");
 }
+
+/// Fills an upstream with as much of this router's load as it takes.
+fn fill(table: &mut UpstreamTable, name: &str) {
+    let load = Load {
+        requests: 100,
+        ..Load::default()
+    };
+    table.add_load(&UpstreamName::new(name), load);
+}
+
+#[test]
+fn a_full_upstream_that_nobody_suspects_does_not_keep_requests_from_living_ones() {
+    // Each of four lookup servers lost a fifth of its answers by resets. Peers' suspicions, which
+    // count for a second, took three of them out of the choice, the fourth was full, and every
+    // second request was refused while three servers were idle.
+    let now = Instant::now();
+    let mut table = fleet_of(&["one", "two", "three", "four"], now);
+    for name in ["one", "two", "three"] {
+        table.on_peer_suspicion(UpstreamKey::of(&UpstreamName::new(name)), now);
+    }
+    assert_eq!(choose_at(&table, &[], now).as_deref(), Some("four"));
+    fill(&mut table, "four");
+    let chosen = choose_at(&table, &[], now).unwrap();
+    assert!(["one", "two", "three"].contains(&chosen.as_str()));
+    // One that this router itself suspects is none of them.
+    table.suspect(&UpstreamName::new("one"), now);
+    table.suspect(&UpstreamName::new("two"), now);
+    assert_eq!(choose_at(&table, &[], now).as_deref(), Some("three"));
+    fill(&mut table, "three");
+    assert_eq!(choose_at(&table, &[], now), None);
+}
