--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -5,6 +5,7 @@
 
 use crate::outcome::RequestEnd;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::rollout::evidence::RouteKey;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -176,3 +177,39 @@
     /// How long it took, in milliseconds.
     pub took_ms: u64,
 }
+
+/// An operator's order became known, or was taken back.
+#[derive(Debug, Serialize)]
+pub(crate) struct RolloutOrdered<'a> {
+    pub service: &'a str,
+    /// The new version; nothing where the order was taken back.
+    pub target: Option<&'a str>,
+    pub duration_s: Option<f64>,
+    pub from: &'a str,
+}
+
+/// A roll-out is further on.
+#[derive(Debug, Serialize)]
+pub(crate) struct RolloutProgressed<'a> {
+    pub service: &'a str,
+    pub target: Option<&'a str>,
+    pub stage: Stage,
+    /// The part of the requests that goes to the new version in the first three stages.
+    pub share: f64,
+    pub round: u8,
+    /// Whether the store holds the end.
+    pub is_confirmed: bool,
+    /// Attempts of all routers, as far as they told this one.
+    pub sent_to_target: u32,
+    pub sent_to_former: u32,
+    /// What spoke against the version where this router rolled it back: the kind of fault, the
+    /// route (nothing for all together), bad answers of so many, the part of bad answers that the
+    /// former versions have at most, and how many times likelier a worse version is.
+    pub fault: Option<String>,
+    pub route: Option<RouteKey>,
+    pub bad: Option<u32>,
+    pub answers: Option<u32>,
+    pub former_part: Option<f64>,
+    pub ratio: Option<f64>,
+    pub from: &'a str,
+}
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -5,6 +5,7 @@
 //! are [`crate::peer_messages`]'s. Owns nothing but the turn among peers.
 
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, encode};
+use crate::peers::Recipients;
 use crate::router::Router;
 use crate::store_view::{decide_watcher_role, log_dependency};
 use cloverpier_core::UpstreamName;
@@ -46,8 +47,8 @@
         if !new_peers.is_empty() {
             send_heartbeat(&router, &socket, &new_peers, MENTIONED_TO_NEW_PEER, now);
         }
-        for message in router.peers.drain_replaced() {
-            send(&router, &socket, &message, &router.peers.addresses());
+        for (message, to) in router.peers.drain_outgoing() {
+            send(&router, &socket, &message, &recipients(&router, to));
         }
         if let Some(change) = next_change(&router) {
             let peers = change_peers(router.peers.addresses(), &mut router.rng.borrow_mut());
@@ -69,6 +70,17 @@
     }
 }
 
+fn recipients(router: &Router, to: Recipients) -> Vec<SocketAddr> {
+    let peers = router.peers.addresses();
+    let mut rng = router.rng.borrow_mut();
+    match to {
+        Recipients::All => peers,
+        Recipients::Many => change_peers(peers, &mut rng),
+        Recipients::Few => version_peers(peers, false, &mut rng),
+        Recipients::These(peers) => peers,
+    }
+}
+
 fn send(router: &Router, socket: &UdpSocket, message: &PeerMessage, peers: &[SocketAddr]) {
     let bytes = match encode(message) {
         Ok(bytes) => bytes,
--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderMap};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use snafu::Snafu;
@@ -109,8 +109,10 @@
         bounds: LargeBounds,
         given_up: impl Future<Output = ()>,
     ) -> Result<HttpAnswer, CallError> {
+        let mut request = get_request(path, self.address)?;
+        request.headers_mut().extend(headers);
         let (connection, response) = tokio::select! {
-            sent = within(bounds.head, self.send(path, headers)) => sent??,
+            sent = within(bounds.head, self.send(request)) => sent??,
             () = given_up => return Err(CallError::GivenUp),
         };
         let (head, mut body) = response.into_parts();
@@ -125,8 +127,32 @@
         Ok(self.finish(connection, head, whole.freeze()))
     }
 
+    /// Puts a body of JSON at a path, the whole answer within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`]; what was put may be there all the same, or come to be there later.
+    pub async fn put(
+        &self,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<HttpAnswer, CallError> {
+        let request = Request::put(path)
+            .header(HOST, self.address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|e| broken(&e))?;
+        let whole = tokio::time::timeout(timeout, self.answer_to(request)).await;
+        whole.unwrap_or(Err(CallError::TimedOut))
+    }
+
     async fn get_unbounded(&self, path: &str) -> Result<HttpAnswer, CallError> {
-        let (connection, response) = self.send(path, HeaderMap::new()).await?;
+        self.answer_to(get_request(path, self.address)?).await
+    }
+
+    async fn answer_to(&self, request: WholeRequest) -> Result<HttpAnswer, CallError> {
+        let (connection, response) = self.send(request).await?;
         let (head, body) = response.into_parts();
         let body = body.collect().await.map_err(|e| broken(&e))?;
         Ok(self.finish(connection, head, body.to_bytes()))
@@ -134,12 +160,9 @@
 
     async fn send(
         &self,
-        path: &str,
-        headers: HeaderMap,
+        request: WholeRequest,
     ) -> Result<(Connection, Response<Incoming>), CallError> {
         let mut connection = self.connection().await?;
-        let mut request = get_request(path, self.address)?;
-        request.headers_mut().extend(headers);
         let sent = connection.send(request).await;
         let response = sent.map_err(|broke| broken(&broke.error))?;
         Ok((connection, response))
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -13,6 +13,7 @@
 //! | questions to engines on their load | `load_query`, `engine_call` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
 //! | the store | `source`, `store_sync`, `store_view` |
+//! | roll-outs of new versions | `rollouts`, `rollout_steps` |
 //! | other routers | `peers`, `heartbeats`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
 //! | logs and metrics | `decision_log`, `metrics` |
@@ -63,6 +64,8 @@
 mod prompts;
 mod reply;
 mod restart;
+mod rollout_steps;
+mod rollouts;
 mod router;
 mod send;
 mod source;
@@ -82,8 +85,9 @@
     pub use crate::http_client::{CallError, HttpAnswer, HttpClient, LargeBounds};
     pub use crate::router::Router;
     pub use crate::source::{
-        ConfigurationChange, ConfigurationSource, Freshness, ReadChange, SourceError,
-        UnreadableEntry, UpstreamChanges, UpstreamList,
+        ConfigurationChange, ConfigurationSource, Freshness, ReadChange, RolloutChange,
+        RolloutChanges, RolloutStatus, SourceError, StatusWritten, StoredRollout, UnreadableEntry,
+        UpstreamChanges, UpstreamList,
     };
     pub use crate::start::{StartError, run_router};
     pub use crate::wire_names::{HeaderNames, Paths, PromptSize, WireNames};
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -63,6 +63,8 @@
     pub probes: ByKind,
     /// Fetches of versions from peers by outcome.
     pub version_fetches: ByKind,
+    /// Steps of roll-outs by stage.
+    pub rollouts: ByKind,
     /// Bytes of versions handed to peers.
     pub version_bytes: Counter,
     /// New connections to upstreams.
@@ -91,6 +93,7 @@
             store_calls: ByKind::default(),
             probes: ByKind::default(),
             version_fetches: ByKind::default(),
+            rollouts: ByKind::default(),
             version_bytes: Counter::default(),
             connections: Counter::default(),
             dropped_lines: Gauge::default(),
@@ -153,6 +156,7 @@
             "Fetches of versions from peers",
             self.version_fetches.0.clone(),
         );
+        registry.register("rollouts", "Steps of roll-outs", self.rollouts.0.clone());
         registry.register(
             "version_bytes",
             "Bytes of versions handed to peers",
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -11,6 +11,7 @@
 use crate::peer_serve::{
     CONFIGURATION_PATH, GZIP, UPSTREAMS_PATH, UPSTREAMS_WITH_STARTS, encoding_of, wait_of,
 };
+use crate::rollouts;
 use crate::router::Router;
 use crate::source::{ReadChange, UpstreamChanges, UpstreamList};
 use crate::store_view::{
@@ -237,7 +238,9 @@
         UpstreamsReply::List {
             upstreams,
             revision,
+            rollouts,
         } => {
+            rollouts::apply_views(router, rollouts, from, router.now());
             let list = UpstreamList {
                 upstreams,
                 unreadable: Vec::new(),
@@ -245,7 +248,12 @@
             };
             apply_upstream_list(router, list, from);
         }
-        UpstreamsReply::Changes { changes, revision } => {
+        UpstreamsReply::Changes {
+            changes,
+            revision,
+            rollouts,
+        } => {
+            rollouts::apply_views(router, rollouts, from, router.now());
             let changes = UpstreamChanges {
                 changes: changes.into_iter().map(ReadChange::Readable).collect(),
                 revision,
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::rollout::evidence::EvidenceReport;
 use flate2::Compression;
 use flate2::read::GzDecoder;
 use flate2::write::GzEncoder;
@@ -118,6 +119,24 @@
     pub former: UpstreamName,
 }
 
+/// What a router knows of roll-outs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutNews {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The orders that are under way, and those that ended of late.
+    pub views: Vec<RolloutView>,
+}
+
+/// What a router saw of a roll-out, for those that decide.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutEvidence {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// All that it has counted.
+    pub report: EvidenceReport,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -129,6 +148,11 @@
     Successor(Successor),
     /// The same, where it is not known whose process answers now.
     Replaced(Replaced),
+    /// Sent when an order is new or further on, and each second while it is under way; a router
+    /// of a release without it ignores the datagram.
+    Rollouts(RolloutNews),
+    /// Sent to the routers that decide, while an order is under way; likewise.
+    RolloutEvidence(RolloutEvidence),
 }
 
 /// The reply to a fetch of upstreams.
@@ -140,6 +164,10 @@
         upstreams: Vec<Upstream>,
         /// The revision of the list.
         revision: u64,
+        /// The orders of roll-outs, so that whoever learns of a new version's upstreams learns
+        /// of its order. Written only to a peer that asks for starts, and only if there are any.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        rollouts: Vec<RolloutView>,
     },
     /// The changes since the revision that was asked for.
     Changes {
@@ -147,6 +175,9 @@
         changes: Vec<UpstreamChange>,
         /// The revision that they lead to.
         revision: u64,
+        /// As above.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        rollouts: Vec<RolloutView>,
     },
 }
 
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -5,6 +5,7 @@
 //! Owns no state.
 
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, decode};
+use crate::rollouts;
 use crate::router::Router;
 use crate::store_view::{Watched, decide_watcher_role, log_dependency};
 use crate::successors::{on_peer_replaced, on_peer_successor};
@@ -31,6 +32,13 @@
             Ok(PeerMessage::Change(change)) => on_change(&router, change, now),
             Ok(PeerMessage::Successor(successor)) => on_peer_successor(&router, &successor),
             Ok(PeerMessage::Replaced(replaced)) => on_peer_replaced(&router, &replaced),
+            Ok(PeerMessage::Rollouts(news)) => {
+                let from = format!("peer {}", news.sender);
+                rollouts::apply_views(&router, news.views, &from, now);
+            }
+            Ok(PeerMessage::RolloutEvidence(evidence)) => {
+                rollouts::on_evidence(&router, evidence.sender, evidence.report);
+            }
             // Cut off, or of another release, as during an upgrade: logged once a process.
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -148,6 +148,13 @@
         }
     }
 
+    fn rollouts(self, router: &Router) -> Vec<RolloutView> {
+        match self {
+            Self::WithStarts => router.rollouts.views(),
+            Self::WithoutStarts => Vec::new(),
+        }
+    }
+
     fn change(self, change: UpstreamChange) -> UpstreamChange {
         match change {
             UpstreamChange::Listed(upstream) => UpstreamChange::Listed(self.upstream(upstream)),
@@ -163,6 +170,7 @@
         Some(changes) => UpstreamsReply::Changes {
             changes: changes.into_iter().map(|c| form.change(c)).collect(),
             revision,
+            rollouts: form.rollouts(router),
         },
         None => UpstreamsReply::List {
             upstreams: table
@@ -171,6 +179,7 @@
                 .map(|u| form.upstream(u))
                 .collect(),
             revision,
+            rollouts: form.rollouts(router),
         },
     }
 }
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -14,6 +14,19 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// Who gets a message.
+#[derive(Clone, Debug)]
+pub(crate) enum Recipients {
+    /// All peers.
+    All,
+    /// All, or where they are many some of them, who hand it on.
+    Many,
+    /// A few of them, picked at random.
+    Few,
+    /// These.
+    These(Vec<SocketAddr>),
+}
+
 /// Peers, and what they are sent next.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
@@ -22,8 +35,8 @@
     changed_upstreams: RefCell<Vec<UpstreamName>>,
     /// Prompts that engines began to read since the last report.
     new_prompt_locations: RefCell<Vec<(PromptKey, UpstreamKey)>>,
-    /// Upstreams that were found replaced, and their successors where these are known.
-    found_replaced: RefCell<Vec<PeerMessage>>,
+    /// Messages that are sent as they are, each once.
+    outgoing: RefCell<Vec<(PeerMessage, Recipients)>>,
     /// Peers that were not known before, to be sent a first heartbeat.
     new_peers: RefCell<Vec<SocketAddr>>,
     /// Wakes the sender of datagrams.
@@ -134,6 +147,14 @@
         }
     }
 
+    /// The live peers that watch the store or try to.
+    pub fn watchers(&self, now: Instant, timeout: Duration) -> Vec<SocketAddr> {
+        let table = self.table.borrow();
+        let live = table.live(now, timeout);
+        let watchers = live.filter(|(_, entry)| entry.store_age.is_some());
+        watchers.map(|(peer, _)| *peer).collect()
+    }
+
     /// The live peers, and one of the versions that each of them reported.
     pub fn versions(
         &self,
@@ -152,15 +173,15 @@
         self.state_changed.notify_one();
     }
 
-    /// Has a replaced upstream, or its successor, reported.
-    pub fn report_replaced(&self, message: PeerMessage) {
-        self.found_replaced.borrow_mut().push(message);
+    /// Has a message sent.
+    pub fn send(&self, message: PeerMessage, to: Recipients) {
+        self.outgoing.borrow_mut().push((message, to));
         self.state_changed.notify_one();
     }
 
-    /// Empties the list of these reports.
-    pub fn drain_replaced(&self) -> Vec<PeerMessage> {
-        std::mem::take(&mut *self.found_replaced.borrow_mut())
+    /// Empties the list of messages to send.
+    pub fn drain_outgoing(&self) -> Vec<(PeerMessage, Recipients)> {
+        std::mem::take(&mut *self.outgoing.borrow_mut())
     }
 
     /// Has the location of a prompt reported with the next change.
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -13,12 +13,14 @@
     log_failure,
 };
 use crate::reply::{Reply, UpstreamAnswer, streamed_reply};
+use crate::rollouts;
 use crate::router::Router;
 use crate::send::{Opened, SendExtras, keep, send};
 use crate::wait::{Awaited, while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::rollout::evidence::Measure;
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -116,6 +118,7 @@
         let connected = self.router.pool.borrow().connected(now);
         let table = self.router.upstreams.borrow();
         let settings = self.router.settings();
+        let versions = rollouts::version_rule(self.router, &self.request.service.name, now);
         let demand = Demand {
             service: &self.request.service.name,
             home: &settings.data_centre,
@@ -129,6 +132,7 @@
             now,
             overcommit: false,
             reported: &ReportedLoad::default(),
+            versions: &versions,
         };
         let choice = choose_upstream(&table, &demand, &mut self.router.rng.borrow_mut());
         let upstream = match choice {
@@ -141,6 +145,8 @@
     }
 
     async fn attempt(&mut self, upstream: &Upstream) -> Result<Reply, AttemptFailure> {
+        rollouts::on_sent(self.router, self.request, upstream);
+        let measuring = rollouts::measure(self.router, self.request, upstream, Measure::Answer);
         let load = LoadGuard::begin(self.router, &upstream.name, self.request.load());
         let sent_at = self.router.now();
         let mut liveness = Liveness::new(self.bounds(), sent_at);
@@ -156,6 +162,10 @@
         let mut table = self.router.upstreams.borrow_mut();
         table.on_pace(&upstream.name, now.saturating_duration_since(sent_at));
         table.on_result(&upstream.name, false);
+        drop(table);
+        if let Some(measuring) = measuring {
+            measuring.answered();
+        }
         let since_arrival = now.saturating_duration_since(self.request.arrived);
         self.router.metrics.first_answer.observe(since_arrival);
         Ok(reply)
@@ -230,6 +240,7 @@
         let mut table = self.router.upstreams.borrow_mut();
         table.on_result(&upstream.name, outcome.may_have_run());
         drop(table);
+        rollouts::on_failure(self.router, self.request, upstream, failure);
         let try_take = || self.router.try_take_retry(&upstream.service, now);
         let next = self
             .attempts
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -12,6 +12,7 @@
 //! | [`Peers`] | peers' last heartbeats, and what they are sent next |
 //! | [`Prompts`] | which engine has read which prompt, and searches for that |
 //! | [`RetryBudgets`] | this router's use of each service's retry budget |
+//! | [`Rollouts`] | orders of roll-outs, and what this router saw of them |
 //! | [`CopyPacing`] | copies of the configuration that the link still carries |
 //! | [`Lifecycle`] | the planned stop and the requests in flight |
 //!
@@ -25,6 +26,7 @@
 use crate::peers::Peers;
 use crate::pool::ConnectionPool;
 use crate::prompts::Prompts;
+use crate::rollouts::Rollouts;
 use crate::store_view::StoreView;
 use crate::wire_names::WireNames;
 use cloverpier_core::{Clock, ServiceName, UpstreamName};
@@ -32,6 +34,7 @@
 use cloverpier_router_policy::heartbeat::peer_timeout;
 use cloverpier_router_policy::lifecycle::router_state;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::rollout::schedule::ExposureBounds;
 use cloverpier_router_policy::version_serving::CopyPacing;
 use cloverpier_settings::RouterSettings;
 use std::cell::RefCell;
@@ -55,6 +58,7 @@
     pub(crate) peers: Peers,
     pub(crate) prompts: Prompts,
     budgets: RetryBudgets,
+    pub(crate) rollouts: Rollouts,
     pub(crate) copy_pacing: RefCell<CopyPacing>,
     pub(crate) lifecycle: Lifecycle,
 }
@@ -79,6 +83,7 @@
             peers: Peers::default(),
             prompts: Prompts::default(),
             budgets: RetryBudgets::default(),
+            rollouts: Rollouts::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
             lifecycle: Lifecycle::new(rng.u64(..), clock.now()),
             clock,
@@ -136,6 +141,15 @@
         self.budgets.usage(now)
     }
 
+    /// The operator's bound on versions that are not known to be good; `None` where no roll-outs
+    /// are ordered.
+    pub(crate) fn exposure_bounds(&self) -> Option<ExposureBounds> {
+        self.settings().exposure.map(|exposure| ExposureBounds {
+            share: exposure.share,
+            slack: exposure.slack,
+        })
+    }
+
     fn budget_bounds(&self) -> BudgetBounds {
         let retry = self.settings().retry;
         BudgetBounds {
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -4,7 +4,7 @@
 //! platform's objects at that edge; [`crate::store_sync`] calls it. An implementation decides
 //! nothing: it makes one call and returns the outcome.
 
-use cloverpier_core::UpstreamName;
+use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_router_policy::prelude::*;
 use snafu::Snafu;
 use std::future::Future;
@@ -80,6 +80,68 @@
     pub revision: u64,
 }
 
+/// What the store says of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutStatus {
+    /// It is under way.
+    Running,
+    /// All requests go to the new version.
+    Completed,
+    /// None does.
+    RolledBack,
+}
+
+/// An order as the store holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRollout {
+    /// Its name there.
+    pub name: String,
+    /// Of its last change, its status among them.
+    pub revision: u64,
+    /// The service.
+    pub service: ServiceName,
+    /// The order.
+    pub order: RolloutOrder,
+    /// What was written of this order; `None` before anything was.
+    pub status: Option<RolloutStatus>,
+}
+
+/// A change of an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RolloutChange {
+    /// It is new, or changed.
+    Stored(StoredRollout),
+    /// It was taken back, by its name in the store.
+    Gone(String),
+    /// It cannot be read: it orders nothing any more.
+    Unreadable {
+        /// Its name; `None` where it has none that can be read.
+        name: Option<String>,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// Orders, or changes of them, up to a revision.
+#[derive(Debug)]
+pub struct RolloutChanges {
+    /// In order; where all were read, each that is there.
+    pub changes: Vec<RolloutChange>,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// The result of writing a status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StatusWritten {
+    /// The order as it is now.
+    Done(RolloutChange),
+    /// The order has changed meanwhile: this is how it is.
+    Conflict(RolloutChange),
+    /// It was taken back.
+    Gone,
+}
+
 /// How new a list has to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -123,4 +185,24 @@
         revision: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<UpstreamChanges, SourceError>>;
+
+    /// Reads all orders of roll-outs.
+    fn read_rollouts(
+        &self,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<RolloutChanges, SourceError>>;
+
+    /// Waits up to `wait` for changes of orders after a revision.
+    fn poll_rollouts(
+        &self,
+        revision: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<RolloutChanges, SourceError>>;
+
+    /// Writes the status of an order, if the store holds it as it is known here.
+    fn write_rollout_status(
+        &self,
+        known: &StoredRollout,
+        status: RolloutStatus,
+    ) -> impl Future<Output = Result<StatusWritten, SourceError>>;
 }
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -8,6 +8,7 @@
 use crate::peer_reports;
 use crate::peer_serve;
 use crate::probe;
+use crate::rollout_steps;
 use crate::router::Router;
 use crate::source::ConfigurationSource;
 use crate::stop;
@@ -83,6 +84,10 @@
     let (cx, from) = both();
     spawn_local(store_sync::watch_upstreams(cx, from));
     let (cx, from) = both();
+    spawn_local(store_sync::watch_rollouts(cx, from));
+    let (cx, from) = both();
+    spawn_local(rollout_steps::take_steps(cx, from));
+    let (cx, from) = both();
     spawn_local(store_sync::ping_store(cx, from));
 }
 
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -1,6 +1,6 @@
 //! Keeps configuration and upstreams as new as the platform's store.
 //!
-//! Three loops: one for each thing that is watched, and one that pings the store while the
+//! Four loops: one for each thing that is watched, and one that pings the store while the
 //! watches wait. They own the revision that they have read up to. When to call, and how long
 //! to wait after a failure, is decided in `cloverpier_router_policy::{store_watch, store_ping}`.
 //!
@@ -9,16 +9,19 @@
 //! from the former revision heard nothing for 5 s, past a change and a leaving.
 
 use crate::configuration_copies::HeldConfiguration;
+use crate::rollout_steps::{apply_change, read_orders};
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, SourceError, UpstreamChanges};
 use crate::store_view::{
-    Watched, apply_configuration, apply_upstream_changes, apply_upstream_list, live_routers,
-    log_dependency, max_store_backoff, on_ping_result, on_store_lost, on_store_regained,
+    StoreLoop, Watched, apply_configuration, apply_upstream_changes, apply_upstream_list,
+    live_routers, log_dependency, max_store_backoff, on_ping_result, on_store_lost,
+    on_store_regained,
 };
 use cloverpier_core::jitter;
-use cloverpier_router_policy::prelude::Configuration;
+use cloverpier_router_policy::prelude::{Configuration, Upstream};
 use cloverpier_router_policy::store_ping::{PING_DOUBT, PING_TIMEOUT, PingPacing};
 use cloverpier_router_policy::store_watch::{GATHER_PERIOD, INITIAL_BACKOFF, WATCH_WAIT, may_call};
+use std::collections::HashMap;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,14 +32,14 @@
 /// The pauses after failed calls.
 struct Backoff {
     pause: Duration,
-    watched: Watched,
+    store_loop: StoreLoop,
 }
 
 impl Backoff {
-    fn new(watched: Watched) -> Self {
+    fn new(store_loop: StoreLoop) -> Self {
         Self {
             pause: INITIAL_BACKOFF,
-            watched,
+            store_loop,
         }
     }
 
@@ -44,13 +47,13 @@
         router.metrics.store_calls.count("answered");
         router.store.on_success(router.now());
         self.pause = INITIAL_BACKOFF;
-        on_store_regained(router, self.watched);
+        on_store_regained(router, self.store_loop);
     }
 
     /// Records a failed call and waits before the next one.
     async fn after_failure(&mut self, router: &Router, error: &SourceError) {
         router.metrics.store_calls.count("failed");
-        on_store_lost(router, self.watched, &error.to_string());
+        on_store_lost(router, self.store_loop, &error.to_string());
         let pause = jitter(&mut router.rng.borrow_mut(), self.pause);
         self.pause = (self.pause * 2).min(max_store_backoff(router));
         tokio::select! {
@@ -77,7 +80,7 @@
 
 /// Watches the configuration until the process ends.
 pub(crate) async fn watch_configuration(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
-    let mut backoff = Backoff::new(Watched::Configuration);
+    let mut backoff = Backoff::new(StoreLoop::Of(Watched::Configuration));
     let mut revision: Option<u64> = None;
     loop {
         if router.store.configuration().is_some() {
@@ -117,7 +120,7 @@
 
 /// Watches the list of upstreams until the process ends.
 pub(crate) async fn watch_upstreams(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
-    let mut backoff = Backoff::new(Watched::Upstreams);
+    let mut backoff = Backoff::new(StoreLoop::Of(Watched::Upstreams));
     let mut revision: Option<u64> = None;
     loop {
         if router.store.knows_upstreams() {
@@ -149,8 +152,47 @@
     }
 }
 
+/// Watches the orders of roll-outs until the process ends, where they are in force.
+pub(crate) async fn watch_rollouts(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
+    let mut backoff = Backoff::new(StoreLoop::Rollouts);
+    let mut revision: Option<u64> = None;
+    if router.exposure_bounds().is_none() {
+        return;
+    }
+    loop {
+        wait_for_turn(&router).await;
+        let reached = match revision {
+            None => read_orders(&router, &*source, Freshness::Newest).await,
+            Some(at) => tokio::select! {
+                changes = source.poll_rollouts(at, WATCH_WAIT) => {
+                    changes.map(|changes| {
+                        for change in changes.changes {
+                            apply_change(&router, change, FROM_STORE);
+                        }
+                        changes.revision
+                    })
+                }
+                () = router.store.watch_ended() => continue,
+            },
+        };
+        match reached {
+            Ok(at) => {
+                backoff.on_success(&router);
+                revision = Some(at);
+            }
+            Err(error) => {
+                revision = None;
+                backoff.after_failure(&router, &error).await;
+            }
+        }
+    }
+}
+
 /// Reads the whole list; returns the revision reached.
 ///
+/// The orders of roll-outs are read before, at a start: whoever learns of a new version's upstreams
+/// has to know that few requests may go there.
+///
 /// A list that may be old costs a tenth and does for a router that has just started, as peers and
 /// the watch supply later changes.  After a failed call the list replaces a watch that may have
 /// missed changes, so it has to be new.
@@ -163,12 +205,29 @@
     } else {
         Freshness::MayBeOld
     };
+    let is_start = freshness == Freshness::MayBeOld && router.exposure_bounds().is_some();
+    if is_start {
+        read_orders(router, source, freshness).await?;
+    }
     let list = source.read_upstreams(freshness).await?;
+    if is_start && has_several_versions(&list.upstreams) {
+        // The order may be younger than what was read of it.
+        read_orders(router, source, Freshness::Newest).await?;
+    }
     let revision = list.revision;
     apply_upstream_list(router, list, FROM_STORE);
     Ok(revision)
 }
 
+/// Whether upstreams of one service run several versions, as during a roll-out.
+fn has_several_versions(upstreams: &[Upstream]) -> bool {
+    let mut first = HashMap::new();
+    upstreams.iter().any(|upstream| {
+        let version = upstream.version();
+        *first.entry(&upstream.service).or_insert(version) != version
+    })
+}
+
 /// Applies what a watch returned; gives the revision reached.
 fn apply_changes(router: &Router, changes: UpstreamChanges) -> u64 {
     let revision = changes.revision;
@@ -236,8 +295,9 @@
     let was_fresh = router.store.is_fresh(router.now());
     router.store.on_success(router.now());
     on_ping_result(router, true);
-    on_store_regained(router, Watched::Configuration);
-    on_store_regained(router, Watched::Upstreams);
+    on_store_regained(router, StoreLoop::Of(Watched::Configuration));
+    on_store_regained(router, StoreLoop::Of(Watched::Upstreams));
+    on_store_regained(router, StoreLoop::Rollouts);
     if !was_fresh {
         router.store.wake_loops();
     }
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -8,6 +8,7 @@
 use crate::configuration_copies::HeldConfiguration;
 use crate::decision_log::{Dependency, VersionTaken, WatcherRoleChanged};
 use crate::restart;
+use crate::rollouts;
 use crate::router::Router;
 use crate::source::{ReadChange, UnreadableEntry, UpstreamChanges, UpstreamList};
 use cloverpier_router_policy::prelude::*;
@@ -39,6 +40,25 @@
     }
 }
 
+/// A loop that reads and watches the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreLoop {
+    /// Of something that peers hand on, too.
+    Of(Watched),
+    /// Of the orders of roll-outs, which peers tell each other.
+    Rollouts,
+}
+
+impl StoreLoop {
+    /// What it watches, in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Of(watched) => watched.name(),
+            Self::Rollouts => "rollouts",
+        }
+    }
+}
+
 /// What is known from the store.
 #[derive(Debug)]
 pub(crate) struct StoreView {
@@ -51,6 +71,7 @@
     last_success: Cell<Option<Instant>>,
     configuration_fails: Cell<bool>,
     upstreams_fail: Cell<bool>,
+    rollouts_fail: Cell<bool>,
     pings_fail: Cell<bool>,
     /// Ends watches that a silent store may have swallowed.
     watch_again: Notify,
@@ -71,6 +92,7 @@
             last_success: Cell::new(None),
             configuration_fails: Cell::new(false),
             upstreams_fail: Cell::new(false),
+            rollouts_fail: Cell::new(false),
             pings_fail: Cell::new(false),
             watch_again: Notify::new(),
             role_changed: Notify::new(),
@@ -140,8 +162,12 @@
 
     /// Whether calls or pings fail at present.
     pub fn fails(&self) -> bool {
-        let watches_fail = self.configuration_fails.get() || self.upstreams_fail.get();
-        watches_fail || self.pings_fail.get()
+        let watches = [
+            &self.configuration_fails,
+            &self.upstreams_fail,
+            &self.rollouts_fail,
+        ];
+        watches.iter().any(|fails| fails.get()) || self.pings_fail.get()
     }
 
     /// Whether the store was reached just now, and no call fails.
@@ -185,10 +211,11 @@
         true
     }
 
-    fn fails_cell(&self, watched: Watched) -> &Cell<bool> {
-        match watched {
-            Watched::Configuration => &self.configuration_fails,
-            Watched::Upstreams => &self.upstreams_fail,
+    fn fails_cell(&self, store_loop: StoreLoop) -> &Cell<bool> {
+        match store_loop {
+            StoreLoop::Of(Watched::Configuration) => &self.configuration_fails,
+            StoreLoop::Of(Watched::Upstreams) => &self.upstreams_fail,
+            StoreLoop::Rollouts => &self.rollouts_fail,
         }
     }
 }
@@ -216,6 +243,7 @@
     let applied = table.apply_list(list.upstreams, list.revision, now);
     drop(table);
     restart::on_restarted(router, &applied.restarted, now);
+    rollouts::on_listed(router, now);
     if applied.is_new {
         router.store.upstreams_known.set(true);
         router.store.on_learned(now);
@@ -243,6 +271,7 @@
     let applied = table.apply_changes(readable, changes.revision, now);
     drop(table);
     restart::on_restarted(router, &applied.restarted, now);
+    rollouts::on_listed(router, now);
     if applied.is_new {
         log_version(router, Watched::Upstreams, changes.revision, from);
     }
@@ -269,20 +298,25 @@
 }
 
 /// Records that calls fail; the first failure in a row is logged and told to peers.
-pub(crate) fn on_store_lost(router: &Router, watched: Watched, reason: &str) {
+pub(crate) fn on_store_lost(router: &Router, store_loop: StoreLoop, reason: &str) {
     let failed = router.store.fails();
-    if !router.store.fails_cell(watched).replace(true) {
+    if !router.store.fails_cell(store_loop).replace(true) {
         router.store.start_changed.notify_waiters();
-        log_dependency(router, "dependency.lost", watched.name(), reason);
+        log_dependency(router, "dependency.lost", store_loop.name(), reason);
     }
     report_change_of_calls(router, failed);
 }
 
 /// Records that calls succeed; the first success after failures is logged and told to peers.
-pub(crate) fn on_store_regained(router: &Router, watched: Watched) {
+pub(crate) fn on_store_regained(router: &Router, store_loop: StoreLoop) {
     let failed = router.store.fails();
-    if router.store.fails_cell(watched).replace(false) {
-        log_dependency(router, "dependency.regained", watched.name(), "it answers");
+    if router.store.fails_cell(store_loop).replace(false) {
+        log_dependency(
+            router,
+            "dependency.regained",
+            store_loop.name(),
+            "it answers",
+        );
     }
     report_change_of_calls(router, failed);
 }
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -19,9 +19,10 @@
 };
 use crate::prompts::RunningStream;
 use crate::reply::{Reply, UpstreamAnswer, streamed_reply};
+use crate::rollouts::{self, Measuring};
 use crate::router::Router;
 use bytes::Bytes;
-use cloverpier_core::UpstreamName;
+use cloverpier_core::{UpstreamName, jitter};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
 use futures_util::StreamExt;
@@ -30,7 +31,11 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Streams whose version is about to be stopped move within this time, so that those of one
+/// router do not have their prompts read at the same moment.  Chosen, not measured.
+const MOVES_WITHIN: Duration = Duration::from_millis(700);
 
 /// Relays a request whose answer is an event stream.
 pub(crate) async fn relay_stream(router: &Rc<Router>, request: &Rc<RelayRequest>) -> Reply {
@@ -82,6 +87,20 @@
     _running: Option<RunningStream>,
     /// When its last event arrived, or its head.
     last_event_at: Instant,
+    /// What is measured of it, while a roll-out of the service is under way.
+    measured: Measured,
+    /// When it moves to another version, once its own is about to be stopped.
+    moves_at: Option<Instant>,
+}
+
+/// What is measured of a run that began a stream.
+enum Measured {
+    /// The time to its first event.
+    First(Measuring),
+    /// The pace of so many events after it.
+    Pace(Measuring, u64),
+    /// Nothing any more.
+    Nothing,
 }
 
 /// A stream on its way to its caller.
@@ -211,6 +230,11 @@
             if let Some(piece) = self.whole_events() {
                 return Ok(Some(piece));
             }
+            if self.leaves_version() {
+                self.leave_source();
+                self.open_somewhere().await?;
+                continue;
+            }
             let failure = match self.receive().await {
                 Ok(receive::Received::Bytes) => continue,
                 Ok(receive::Received::End) => {
@@ -219,12 +243,38 @@
                 }
                 Err(failure) => failure,
             };
+            if let Some(source) = &self.source {
+                rollouts::on_failure(&self.router, &self.request, &source.upstream, &failure);
+            }
             self.leave_source();
             self.after_failure(&failure)?;
             self.open_somewhere().await?;
         }
     }
 
+    /// Whether the present run moves now, as the version of its upstream is about to be stopped.
+    /// Runs move one after the other, and none that could not go on elsewhere.
+    fn leaves_version(&mut self) -> bool {
+        let Some(source) = &mut self.source else {
+            return false;
+        };
+        let router = &self.router;
+        let service = &self.request.service.name;
+        if !rollouts::is_to_move(router, service, &source.upstream) {
+            return false;
+        }
+        let now = router.now();
+        let at = source.moves_at.get_or_insert_with(|| {
+            let pause = jitter(&mut router.rng.borrow_mut(), MOVES_WITHIN);
+            now + pause
+        });
+        let is_due = now >= *at;
+        is_due
+            && self
+                .attempts
+                .try_move(|| router.try_take_retry(service, now))
+    }
+
     /// Decides whether another upstream may get the request.
     fn after_failure(&mut self, failure: &AttemptFailure) -> Result<(), GivenUp> {
         let now = self.router.now();
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -2,38 +2,66 @@
 //!
 //! These are the steps of [`StreamRun`] that choose, send and check the head.
 
-use super::{Source, StreamRun};
+use super::{Measured, Source, StreamRun};
 use crate::load_guard::LoadGuard;
 use crate::load_query::query_load;
 use crate::outcome::{ChoiceNote, GivenUp, log_choice};
 use crate::prompt_search::find_prompt;
 use crate::prompts::RunningStream;
 use crate::reply::UpstreamAnswer;
+use crate::rollouts;
 use crate::send::{Opened, SendExtras, keep, send};
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_router_policy::arrival::RESUMED_PRIORITY;
 use cloverpier_router_policy::load_query::engines_to_query;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::{Replica, usable_replica};
+use cloverpier_router_policy::rollout::evidence::Measure;
 use http_body_util::BodyExt;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Instant;
 
+/// What a choice rests on beside the request.
+struct Around {
+    home: DataCentre,
+    connected: HashSet<UpstreamName>,
+    /// Drawn once an attempt, so that the engines that are asked are those that may be chosen.
+    versions: VersionRule,
+    now: Instant,
+}
+
 impl StreamRun {
+    fn around(&self) -> Around {
+        let router = &self.router;
+        let now = router.now();
+        Around {
+            home: router.settings().data_centre.clone(),
+            connected: router.pool.borrow().connected(now),
+            versions: rollouts::version_rule(router, &self.request.service.name, now),
+            now,
+        }
+    }
+
     /// Opens a run at an upstream, at others where that fails.
     pub(super) async fn open_somewhere(&mut self) -> Result<(), GivenUp> {
         self.find_prompt().await;
         loop {
-            let reported = self.query_load().await;
+            let around = self.around();
+            let reported = self.query_load(&around).await;
+            let around = Around {
+                now: self.router.now(),
+                ..around
+            };
             let (upstream, extras) = self
-                .choose(&reported)
+                .choose(&around, &reported)
                 .map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
             self.attempts.on_send();
             let failure = match self.open_at(&upstream, extras).await {
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
             };
+            rollouts::on_failure(&self.router, &self.request, &upstream, &failure);
             let may_have_run = failure.outcome().may_have_run();
             let mut table = self.router.upstreams.borrow_mut();
             table.on_result(&upstream.name, may_have_run);
@@ -54,61 +82,56 @@
 
     /// Asks engines for their load, where too little is known of it; the engine with the replica
     /// of a lost run needs no asking.
-    async fn query_load(&self) -> ReportedLoad {
-        let engines = self.engines_to_query();
+    async fn query_load(&self, around: &Around) -> ReportedLoad {
+        let engines = self.engines_to_query(around);
         if engines.is_empty() {
             return ReportedLoad::default();
         }
         query_load(&self.router, &self.request, &engines).await
     }
 
-    fn engines_to_query(&self) -> Vec<Upstream> {
+    fn engines_to_query(&self, around: &Around) -> Vec<Upstream> {
         let router = &self.router;
         let table = router.upstreams.borrow();
-        if usable_replica(&table, self.replica.as_ref()).is_some() {
+        if usable_replica(&table, &around.versions, self.replica.as_ref()).is_some() {
             return Vec::new();
         }
-        let home = router.settings().data_centre.clone();
-        let connected = HashSet::new();
         let reported = ReportedLoad::default();
-        let demand = self.demand(&home, &connected, &reported, router.now());
+        let demand = self.demand(around, &reported);
         let peers = router.peers.addresses().len();
         engines_to_query(&table, &demand, peers, &mut router.rng.borrow_mut())
     }
 
     /// What the next run asks of an engine.
-    fn demand<'a>(
-        &'a self,
-        home: &'a DataCentre,
-        connected: &'a HashSet<UpstreamName>,
-        reported: &'a ReportedLoad,
-        now: Instant,
-    ) -> Demand<'a> {
+    fn demand<'a>(&'a self, around: &'a Around, reported: &'a ReportedLoad) -> Demand<'a> {
+        let now = around.now;
         Demand {
             service: &self.request.service.name,
-            home,
+            home: &around.home,
             load: self.request.load(),
             engine_memory: self.request.engine_memory(),
             affinity: self.request.prompt.map(|p| p.0),
             prompt_location: self.prompt_location(now),
             is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
-            connected,
+            connected: &around.connected,
             overcommit: self.is_resuming(),
             reported,
+            versions: &around.versions,
             now,
         }
     }
 
     /// The engine with the replica of the lost run, or the best of the others.
-    fn choose(&mut self, reported: &ReportedLoad) -> Result<(Upstream, SendExtras), NoUpstream> {
+    fn choose(
+        &mut self,
+        around: &Around,
+        reported: &ReportedLoad,
+    ) -> Result<(Upstream, SendExtras), NoUpstream> {
         let router = Rc::clone(&self.router);
-        let now = router.now();
         let lost_replica = self.replica.take();
-        let connected = router.pool.borrow().connected(now);
         let table = router.upstreams.borrow();
-        let home = router.settings().data_centre.clone();
-        let demand = self.demand(&home, &connected, reported, now);
+        let demand = self.demand(around, reported);
         let mut rng = router.rng.borrow_mut();
         let (upstream, from_replica) = pick(&table, &demand, lost_replica.as_ref(), &mut rng)?;
         let replica = self
@@ -122,7 +145,7 @@
             from_replica,
             asked: reported.len(),
             reported: reported.of(UpstreamKey::of(&upstream.name)),
-            ..ChoiceNote::of(&self.attempts, now)
+            ..ChoiceNote::of(&self.attempts, around.now)
         };
         log_choice(&router, &self.request, &table, &upstream, &note);
         Ok((upstream, extras))
@@ -179,6 +202,8 @@
             RunningStream::begin(&self.router, prompt, &upstream.name, now)
         });
         self.router.report_to_peers(&upstream.name);
+        rollouts::on_sent(&self.router, &self.request, upstream);
+        let measured = self.measure_first(upstream);
         let replica = extras.replica.clone();
         let replica = replica.map(|engine| self.begin_replica(engine));
         let now = self.router.now();
@@ -205,10 +230,24 @@
             replica,
             _running: running,
             last_event_at: now,
+            measured,
+            moves_at: None,
         });
         Ok(())
     }
 
+    /// Measures the time to the first event, unless a prompt that was read already makes it short.
+    fn measure_first(&self, upstream: &Upstream) -> Measured {
+        if self.request.last_event.is_some() || self.is_resuming() {
+            return Measured::Nothing;
+        }
+        let (router, request) = (&self.router, &self.request);
+        match rollouts::measure(router, request, upstream, Measure::Answer) {
+            Some(measuring) => Measured::First(measuring),
+            None => Measured::Nothing,
+        }
+    }
+
     fn begin_load(&self, upstream: &Upstream, extras: &SendExtras) -> LoadGuard {
         let mut load = self.request.load();
         if extras.resume_from.is_some() {
@@ -286,7 +325,7 @@
     lost_replica: Option<&Replica>,
     rng: &mut fastrand::Rng,
 ) -> Result<(Upstream, bool), NoUpstream> {
-    if let Some(engine) = usable_replica(table, lost_replica) {
+    if let Some(engine) = usable_replica(table, demand.versions, lost_replica) {
         return Ok((engine, true));
     }
     match choose_upstream(table, demand, rng) {
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -6,6 +6,7 @@
 //! [`crate::health`] for the former process's last sign of life.
 
 use crate::peer_messages::{PeerMessage, Replaced, Successor};
+use crate::peers::Recipients;
 use crate::probe::log_belief;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
@@ -45,7 +46,7 @@
     }
     log_belief(router, "server.replaced", former, "another answers", 0);
     let former = former.name.clone();
-    router.peers.report_replaced(match successor {
+    let message = match successor {
         Some(upstream) => PeerMessage::Successor(Successor {
             sender,
             former,
@@ -53,7 +54,8 @@
             upstream: upstream.without_start(),
         }),
         None => PeerMessage::Replaced(Replaced { sender, former }),
-    });
+    };
+    router.peers.send(message, Recipients::All);
 }
 
 /// The process that answers in place of an upstream, if it must belong to the same service.
--- a/crates/router/cloverpier_router/tests/peer_messages.rs
+++ b/crates/router/cloverpier_router/tests/peer_messages.rs
@@ -130,6 +130,7 @@
     let list = UpstreamsReply::List {
         upstreams: vec![upstream(1), upstream(2)],
         revision: 300,
+        rollouts: Vec::new(),
     };
     assert_is_golden("upstreams_list", &list);
     let changes = UpstreamsReply::Changes {
@@ -138,6 +139,7 @@
             UpstreamChange::Gone(UpstreamName::new("e3")),
         ],
         revision: 301,
+        rollouts: Vec::new(),
     };
     assert_is_golden("upstreams_changes", &changes);
 }
@@ -159,6 +161,7 @@
             upstream_with_start(2, None),
         ],
         revision: 300,
+        rollouts: Vec::new(),
     };
     assert_is_golden("upstreams_list_with_starts", &list);
     // What a router of the last release gets is what it has always got.
@@ -168,6 +171,7 @@
             upstream_with_start(2, None).without_start(),
         ],
         revision: 300,
+        rollouts: Vec::new(),
     };
     assert_is_golden("upstreams_list", &without);
 }
--- a/crates/router/cloverpier_router_policy/src/attempts.rs
+++ b/crates/router/cloverpier_router_policy/src/attempts.rs
@@ -141,6 +141,15 @@
         }
     }
 
+    /// Whether a run that goes well may be moved to another upstream, as when its own is about to
+    /// stop; takes a retry from the budget if so.
+    pub fn try_move(&mut self, try_take_retry: impl FnOnce() -> bool) -> bool {
+        let is_allowed = self.rule == RetryRule::Resumable && self.sent < self.max_upstreams;
+        let moves = is_allowed && try_take_retry();
+        self.may_have_run |= moves;
+        moves
+    }
+
     /// What the caller gets when no further upstream gets the request.
     pub fn give_up(&self) -> NextStep {
         if self.may_have_run {
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -29,6 +29,7 @@
 
 use crate::load::Load;
 use crate::load_query::ReportedLoad;
+use crate::rollout::VersionRule;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
 use crate::upstream_table::UpstreamTable;
 use candidates::candidate_groups;
@@ -67,6 +68,8 @@
     pub overcommit: bool,
     /// What engines said of their load just now.
     pub reported: &'a ReportedLoad,
+    /// Which versions of the service's software may get it.
+    pub versions: &'a VersionRule,
     /// The present moment.
     pub now: Instant,
 }
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -7,7 +7,7 @@
 use crate::upstream_table::UpstreamTable;
 
 /// Those who may get the attempt, in groups: a later one only counts where all of those before
-/// are full. No group is empty.
+/// are full. No group is empty. Of each set of versions, in the order of the rule on versions:
 ///
 /// 1. usable upstreams that no peer suspects, in data centres that do not seem dead;
 /// 2. usable ones that no peer suspects;
@@ -26,19 +26,27 @@
     table: &'a UpstreamTable,
     demand: &Demand<'_>,
 ) -> Vec<Vec<&'a UpstreamState>> {
-    let of_service: Vec<&UpstreamState> = table.of_service(demand.service).collect();
+    let sets = demand
+        .versions
+        .sets(table.of_service(demand.service).collect());
+    let suspect_data_centres = table.suspect_data_centres(demand.service, demand.now);
     let untried = |s: &UpstreamState| !demand.tried.contains(&s.upstream.name);
-    let usable = filtered(&of_service, |s| s.is_usable() && untried(s));
-    if usable.is_empty() {
-        let last_resort = last_resort(&of_service, demand);
-        return non_empty([filtered(&last_resort, untried)]);
+    let mut groups = Vec::new();
+    for set in &sets {
+        let usable = filtered(set, |s| s.is_usable() && untried(s));
+        let unsuspected = filtered(&usable, |s| !s.is_suspected_by_peer(demand.now));
+        let sound = filtered(&unsuspected, |s| {
+            !suspect_data_centres.contains(&s.upstream.data_centre)
+        });
+        groups.extend([sound, unsuspected, usable]);
     }
-    let unsuspected = filtered(&usable, |s| !s.is_suspected_by_peer(demand.now));
-    let suspect_data_centres = table.suspect_data_centres(demand.service, demand.now);
-    let sound = filtered(&unsuspected, |s| {
-        !suspect_data_centres.contains(&s.upstream.data_centre)
-    });
-    non_empty([sound, unsuspected, usable])
+    groups.retain(|group| !group.is_empty());
+    if groups.is_empty() {
+        let last_resort = last_resort(&sets.concat(), demand);
+        groups.push(filtered(&last_resort, untried));
+        groups.retain(|group| !group.is_empty());
+    }
+    groups
 }
 
 /// Groups 4 and 5.
@@ -54,11 +62,6 @@
     filtered(of_service, may_be_back)
 }
 
-fn non_empty<const N: usize>(groups: [Vec<&UpstreamState>; N]) -> Vec<Vec<&UpstreamState>> {
-    let groups = groups.into_iter();
-    groups.filter(|group| !group.is_empty()).collect()
-}
-
 /// The upstreams of a list for which something holds.
 pub(crate) fn filtered<'a>(
     states: &[&'a UpstreamState],
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -31,6 +31,7 @@
 //! | from which peer are newer versions fetched | [`version_fetch`] |
 //! | does a peer get a copy of the configuration now | [`version_serving`] |
 //! | is this router ready; may it exit | [`lifecycle`] |
+//! | which software versions get requests during a roll-out, and how it ends | [`rollout`] |
 //!
 //! State that several of them use: [`upstream_table`], [`upstream`], [`load`]. [`events`]
 //! cuts streams into events.
@@ -64,6 +65,7 @@
 pub mod prompt_search;
 pub mod refusal;
 pub mod replica;
+pub mod rollout;
 pub mod store_ping;
 pub mod store_watch;
 pub mod successor;
@@ -90,6 +92,7 @@
     pub use crate::peers::{PeerEntry, PeerState, PeerTable, ServiceKey};
     pub use crate::prompt_locations::{PromptKey, PromptLocations};
     pub use crate::replica::choose_replica;
+    pub use crate::rollout::{OrderNews, Progress, RolloutOrder, RolloutView, Stage, VersionRule};
     pub use crate::store_watch::WatcherRole;
     pub use crate::upstream::{
         StartNumber, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamStart,
--- a/crates/router/cloverpier_router_policy/src/replica.rs
+++ b/crates/router/cloverpier_router_policy/src/replica.rs
@@ -11,6 +11,7 @@
 //!   quiet day with 65 routers, one play: 0.823 -> 0.881 with replicas spread).
 
 use crate::choice::{Demand, filtered, fits, known_load};
+use crate::rollout::VersionRule;
 use crate::upstream::{StartNumber, Upstream, UpstreamState};
 use crate::upstream_table::UpstreamTable;
 
@@ -51,11 +52,16 @@
 
 /// The engine with the replica of a lost run, if it can take the run and has not started again
 /// since: streams resume there before anywhere else.
-pub fn usable_replica(table: &UpstreamTable, replica: Option<&Replica>) -> Option<Upstream> {
+pub fn usable_replica(
+    table: &UpstreamTable,
+    versions: &VersionRule,
+    replica: Option<&Replica>,
+) -> Option<Upstream> {
     let replica = replica?;
     let state = table.get(&replica.engine.name)?;
     let is_kept = state.is_usable() && replica.start == Some(state.start());
-    is_kept.then(|| replica.engine.clone())
+    let is_allowed = !versions.bars(state.upstream.version());
+    (is_kept && is_allowed).then(|| replica.engine.clone())
 }
 
 /// Engines with room: those in another data centre that does not seem dead, and of them those
@@ -72,6 +78,7 @@
         .of_service(demand.service)
         .filter(|s| s.is_usable() && s.upstream.name != primary.name)
         .filter(|s| !s.is_suspected_by_peer(demand.now))
+        .filter(|s| demand.versions.takes_replica(s))
         .filter(|s| fits(table, demand, s, memory))
         .collect();
     let suspect_data_centres = table.suspect_data_centres(demand.service, demand.now);
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -11,8 +11,8 @@
 use crate::load::{Load, PeerLoad};
 use crate::suspicion::DataCentreCounts;
 use crate::upstream::{StartOrder, Unlisted, Upstream, UpstreamChange, UpstreamKey, UpstreamState};
-use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Changes of the list that are kept for peers; a peer that is further behind fetches the
@@ -95,6 +95,33 @@
         dead.map(|(data_centre, _)| data_centre).collect()
     }
 
+    /// The versions of the upstreams that are listed, by service.
+    pub fn versions(&self) -> BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> {
+        let mut versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+        let listed = self.upstreams.values().filter(|s| s.gone.is_none());
+        for upstream in listed.map(|s| &s.upstream) {
+            if let Some(version) = upstream.version() {
+                let of_service = versions.entry(upstream.service.clone()).or_default();
+                of_service.insert(version.clone());
+            }
+        }
+        versions
+    }
+
+    /// Number of a service's upstreams that are listed under a version.
+    pub fn count_of_version(&self, service: &ServiceName, version: &SoftwareVersion) -> usize {
+        let listed = self.of_service(service).filter(|s| s.is_listed());
+        let of_version = listed.filter(|s| s.upstream.version() == Some(version));
+        of_version.count()
+    }
+
+    /// This router's own requests at the upstreams of a service that have another version.
+    pub fn own_requests_but(&self, service: &ServiceName, version: &SoftwareVersion) -> u32 {
+        let others = self.of_service(service);
+        let others = others.filter(|s| s.upstream.version() != Some(version));
+        others.map(|s| s.own_load.requests).sum()
+    }
+
     /// This router's own load, by upstream.
     pub fn own_load(&self) -> Vec<(UpstreamKey, Load)> {
         let busy = self.upstreams.values().filter(|s| !s.own_load.is_none());
--- a/crates/router/cloverpier_router_policy/tests/load_query.rs
+++ b/crates/router/cloverpier_router_policy/tests/load_query.rs
@@ -7,6 +7,8 @@
 use std::collections::HashSet;
 use std::time::Instant;
 
+static ANY_VERSION: VersionRule = VersionRule::ANY;
+
 const ENGINES: u16 = 60;
 /// More than a change reaches.
 const MANY_PEERS: usize = 294;
@@ -65,6 +67,7 @@
             connected: &self.connected,
             overcommit: false,
             reported,
+            versions: &ANY_VERSION,
             now: self.now,
         }
     }
--- a/crates/router/cloverpier_router_policy/tests/placement/world.rs
+++ b/crates/router/cloverpier_router_policy/tests/placement/world.rs
@@ -186,6 +186,7 @@
             connected: &connected,
             overcommit: false,
             reported: &not_asked,
+            versions: &VersionRule::ANY,
             now,
         };
         let table = &self.routers[router].table;
--- a/crates/router/cloverpier_router_policy/tests/upstreams.rs
+++ b/crates/router/cloverpier_router_policy/tests/upstreams.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 const SERVICE: &str = "lookups";
+static ANY_VERSION: VersionRule = VersionRule::ANY;
 static NOT_ASKED: LazyLock<ReportedLoad> = LazyLock::new(ReportedLoad::default);
 
 fn upstream(name: &str, port: u16) -> Upstream {
@@ -52,6 +53,7 @@
         connected: &HashSet::new(),
         overcommit: false,
         reported: &NOT_ASKED,
+        versions: &ANY_VERSION,
         now,
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(1)) {
@@ -196,6 +198,7 @@
         connected: &HashSet::new(),
         overcommit: false,
         reported: &NOT_ASKED,
+        versions: &ANY_VERSION,
         now: Instant::now(),
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(seed)) {
@@ -313,6 +316,7 @@
         connected,
         overcommit: false,
         reported: &NOT_ASKED,
+        versions: &ANY_VERSION,
         now,
     }
 }
--- a/crates/shared/cloverpier_settings/src/lib.rs
+++ b/crates/shared/cloverpier_settings/src/lib.rs
@@ -22,7 +22,9 @@
     pub use crate::daemon::DaemonSettings;
     pub use crate::file::read_settings;
     pub use crate::reader::{SettingFault, SettingFaults};
-    pub use crate::router::{RetrySettings, RouterListen, RouterSettings, SilenceSettings};
+    pub use crate::router::{
+        ExposureSettings, RetrySettings, RouterListen, RouterSettings, SilenceSettings,
+    };
 }
 
 pub use prelude::*;
--- a/crates/shared/cloverpier_settings/src/reader.rs
+++ b/crates/shared/cloverpier_settings/src/reader.rs
@@ -128,13 +128,16 @@
     }
 
     pub(crate) fn decimal_or(&mut self, key: &str, low: f64, high: f64, default: f64) -> f64 {
+        self.decimal(key, low, high).unwrap_or(default)
+    }
+
+    pub(crate) fn decimal(&mut self, key: &str, low: f64, high: f64) -> Option<f64> {
         let expected = format!("a number from {low} to {high}");
         let number = |v: &Value| {
             let n = v.as_float().or_else(|| v.as_integer().map(|i| i as f64))?;
             (low..=high).contains(&n).then_some(n)
         };
-        let found = self.take(key, &expected, false, number);
-        found.unwrap_or(default)
+        self.take(key, &expected, false, number)
     }
 
     pub(crate) fn flag_or(&mut self, key: &str, default: bool) -> bool {
--- a/crates/shared/cloverpier_settings/src/router.rs
+++ b/crates/shared/cloverpier_settings/src/router.rs
@@ -38,6 +38,16 @@
     pub window: Duration,
 }
 
+/// The bound on the requests that a version which is not known to be good gets, kept by all routers
+/// together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExposureSettings {
+    /// The part of all requests that reach its service.
+    pub share: f64,
+    /// Requests besides.
+    pub slack: f64,
+}
+
 /// How silence of a model engine is judged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SilenceSettings {
@@ -81,6 +91,8 @@
     pub address_reuse: Duration,
     /// Bounds on repeats.
     pub retry: RetrySettings,
+    /// The bound on new versions; `None` where the operator orders no roll-outs.
+    pub exposure: Option<ExposureSettings>,
     /// How silence is judged.
     pub silence: SilenceSettings,
     /// Whether engines copy runs' memory to another engine as it grows.
@@ -109,6 +121,7 @@
             link_mbps: r.decimal_or("link_mbps", 0.001, 1e6, DEFAULT_LINK_MBPS),
             address_reuse: seconds(r.decimal_or("address_reuse_s", 0.0, 3_600.0, 0.0)),
             retry: read_retry(&mut r),
+            exposure: read_exposure(&mut r),
             silence: read_silence(&mut r),
             backups: r.flag_or("backups", true),
             log_level: level(&mut r),
@@ -136,6 +149,12 @@
     }
 }
 
+fn read_exposure(r: &mut Reader) -> Option<ExposureSettings> {
+    let slack = r.decimal_or("exposure_slack", 0.0, 1e6, 0.0);
+    let share = r.decimal("exposure_share", 0.0, 1.0)?;
+    Some(ExposureSettings { share, slack })
+}
+
 fn read_silence(r: &mut Reader) -> SilenceSettings {
     SilenceSettings {
         ask_after: millis(r, "ask_after_ms", 150),
--- a/crates/shared/cloverpier_settings/tests/keys.rs
+++ b/crates/shared/cloverpier_settings/tests/keys.rs
@@ -20,6 +20,8 @@
     ("retry_ratio", "0.2"),
     ("retry_slack", "20"),
     ("retry_window_s", "10"),
+    ("exposure_share", "0.1"),
+    ("exposure_slack", "50"),
     ("ask_after_ms", "150"),
     ("ask_before_first_ms", "700"),
     ("answer_within_ms", "200"),
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -36,6 +36,8 @@
     script: Vec<Fault>,
     /// A fault of a share of the requests.
     random: Option<(Fault, f64)>,
+    /// How long it works on a request before it answers.
+    work: Duration,
     rng: fastrand::Rng,
 }
 
@@ -58,6 +60,7 @@
             prompts: Vec::new(),
             script: Vec::new(),
             random: None,
+            work: Duration::ZERO,
             rng: fastrand::Rng::with_seed(spec.seed),
         }
     }
@@ -205,6 +208,11 @@
         lock(&self.state).random = fault;
     }
 
+    /// Sets how long it works on a request before it answers.
+    pub fn set_work(&self, work: Duration) {
+        lock(&self.state).work = work;
+    }
+
     /// Ends it as a crash does: its connections close, its port refuses.
     pub fn stop(&mut self) {
         if let Some(accepting) = self.accepting.take() {
@@ -300,6 +308,10 @@
         return Ok(true);
     }
     let asked = note_run(state, head, id, upstream, names);
+    let work = lock(state).work;
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
+    }
     match &asked.prompt {
         Some(prompt) => {
             let streamed = stream_events(stream, &asked, prompt).await;
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod placement;
 pub mod process;
 pub mod report;
+pub mod rollout_play;
 pub mod router_site;
 pub mod scenarios;
 pub mod soak;
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -9,7 +9,9 @@
 
 use crate::process::{Process, free_addresses};
 use cloverpier_adapter::platform_wire_names;
-use cloverpier_adapter_standin::{cache_shape, load_shape, store_shapes, with_start};
+use cloverpier_adapter_standin::{
+    ROLLOUTS, cache_shape, load_shape, rollout_order, rollout_state, store_shapes, with_start,
+};
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_standin::caller::{CallerRequest, Outcome, call};
@@ -156,6 +158,55 @@
 
     async fn add_upstream(&mut self, index: usize) -> io::Result<()> {
         let is_engine = index < self.spec.engines;
+        let start = self.spec.upstream_start.clone();
+        self.add_upstream_of(is_engine, start).await
+    }
+
+    /// Adds upstreams of another version, beside those of their service that are there.
+    ///
+    /// # Errors
+    ///
+    /// No port can be listened at.
+    pub async fn add_version(
+        &mut self,
+        service: &str,
+        version: &str,
+        count: usize,
+    ) -> io::Result<Vec<usize>> {
+        let first = self.upstreams.len();
+        for _ in 0..count {
+            let start = UpstreamStart {
+                version: version.into(),
+                born_ms: None,
+            };
+            self.add_upstream_of(service == ENGINES, Some(start))
+                .await?;
+        }
+        Ok((first..self.upstreams.len()).collect())
+    }
+
+    /// Orders that a service moves to a version.
+    pub fn order_rollout(&self, service: &str, version: &str, duration: Duration) {
+        let spec = rollout_order(service, version, duration);
+        self.store.put_object(ROLLOUTS, service, &spec);
+    }
+
+    /// Takes the order of a service back.
+    pub fn withdraw_rollout(&self, service: &str) {
+        self.store.remove_object(ROLLOUTS, service);
+    }
+
+    /// What the routers have written of a service's order: its state; nothing before.
+    pub fn rollout_state(&self, service: &str) -> Option<String> {
+        rollout_state(&self.store.status_of(ROLLOUTS, service)?)
+    }
+
+    async fn add_upstream_of(
+        &mut self,
+        is_engine: bool,
+        start: Option<UpstreamStart>,
+    ) -> io::Result<()> {
+        let index = self.upstreams.len();
         let spec = UpstreamSpec {
             name: format!("server-{index}-0"),
             service: if is_engine { ENGINES } else { PLAIN }.to_owned(),
@@ -165,7 +216,7 @@
             cache: cache_shape(),
             load: load_shape(),
             with_start,
-            start: self.spec.upstream_start.clone(),
+            start,
             slots: if is_engine {
                 ENGINE_SLOTS
             } else {
@@ -228,7 +279,8 @@
                 "vm = \"front-{index}\"\ndata_centre = \"hall-{}\"\ncallers_listen = \"{}\"\n\
                  ready_listen = \"{}\"\ndirectory_listen = \"{}\"\nmetrics_listen = \"{}\"\n\
                  peers_listen = \"{}\"\nstore = \"{}\"\nseeds = [{}]\ngrace_s = {}\n\
-                 retry_ratio = 0.8\nretry_slack = 150\naddress_reuse_s = {}\n",
+                 retry_ratio = 0.8\nretry_slack = 150\naddress_reuse_s = {}\n\
+                 exposure_share = 0.1\nexposure_slack = 50\n",
                 index % 2,
                 addresses[0],
                 addresses[1],
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -5,6 +5,7 @@
 mod detection;
 mod meter;
 mod overload;
+mod rollouts;
 mod slopes;
 mod versions;
 
@@ -27,6 +28,7 @@
     Chaos,
     Detection,
     Overload,
+    Rollouts,
     Slopes(slopes::Kind),
     Versions,
 }
@@ -89,6 +91,11 @@
         about: "a large configuration reaches a fleet over narrow links; in simulated time",
         run: Runner::Versions,
     },
+    Scenario {
+        name: "rollouts",
+        about: "good and bad versions are rolled out: exposure, times, false alarms; in simulated time",
+        run: Runner::Rollouts,
+    },
     Scenario {
         name: "chaos",
         about: "random faults for a stated time; all counts of wrongs must be 0",
@@ -149,6 +156,7 @@
             Runner::Chaos => chaos::run(options).await?,
             Runner::Detection => detection::run(options.seed),
             Runner::Overload => overload::run().await?,
+            Runner::Rollouts => rollouts::run(options.seed),
             Runner::Slopes(kind) => slopes::run(kind).await?,
             Runner::Versions => versions::run(options.seed)?,
         };
