--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -100,9 +100,7 @@
 ) -> AttemptFailure {
     let error = describe(&broke.error);
     let now = router.now();
-    if io_error_kind(&broke.error).is_some_and(means_process_gone) {
-        probe::declare_dead(router, upstream, &error, now);
-    } else if !broke.was_unsent {
+    if !broke.was_unsent || io_error_kind(&broke.error).is_some_and(means_process_gone) {
         probe::probe(router, upstream, health, now);
     }
     AttemptFailure::SendBroke {
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -3,13 +3,12 @@
 //! Owns nothing of its own: these are the steps of [`StreamRun`] from bytes to whole events.
 
 use super::{Measured, Source, StreamRun};
-use crate::connection::{describe, io_error_kind};
+use crate::connection::describe;
 use crate::probe;
 use crate::rollouts;
 use crate::send::keep;
 use crate::wait::{Awaited, while_alive};
 use bytes::{Bytes, BytesMut};
-use cloverpier_router_policy::attempt_failure::means_process_gone;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::Measure;
 use http_body_util::BodyExt;
@@ -126,12 +125,7 @@
             return failure;
         };
         let now = self.router.now();
-        if io_error_kind(error).is_some_and(means_process_gone) {
-            let reason = failure.to_string();
-            probe::declare_dead(&self.router, &source.upstream, &reason, now);
-        } else {
-            probe::probe(&self.router, &source.upstream, &source.health, now);
-        }
+        probe::probe(&self.router, &source.upstream, &source.health, now);
         failure
     }
 
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -43,6 +43,9 @@
 /// engines).
 const EQUAL_COST_TOKENS: f64 = 3_000.0;
 
+/// Later attempts of streams are spread over this part of the engines, the cheapest ones.
+const SPREAD_OVER: f64 = 0.25;
+
 /// What an attempt asks of an upstream.
 #[derive(Clone, Debug)]
 pub struct Demand<'a> {
@@ -74,6 +77,13 @@
     pub now: Instant,
 }
 
+impl Demand<'_> {
+    /// Whether an upstream has failed the request already.
+    fn is_later_attempt(&self) -> bool {
+        !self.tried.is_empty()
+    }
+}
+
 /// The result of a choice.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -115,6 +125,9 @@
     let best_pace = best_pace(&with_capacity);
     let cost = |s: &UpstreamState| cost(table, demand, s, best_pace);
     let chosen = match (demand.engine_memory, demand.affinity) {
+        (Some(_), Some(prompt)) if demand.is_later_attempt() => {
+            spread_by_prompt(&with_capacity, cost, prompt)
+        }
         (Some(_), Some(prompt)) => preferred_by_prompt(&with_capacity, cost, prompt, demand),
         _ => cheapest(&with_capacity, cost, rng),
     };
@@ -192,6 +205,23 @@
     ranked.first().map(|s| **s)
 }
 
+/// Among the cheaper engines, the one that the prompt's hash prefers, whichever is the cheapest.
+///
+/// Where an engine dies or a data centre does, many routers choose anew within milliseconds, by
+/// the same beliefs: the one engine that has just lost its streams, too, seems the only idle one.
+fn spread_by_prompt<'a>(
+    engines: &[&'a UpstreamState],
+    cost: impl Fn(&UpstreamState) -> f64,
+    prompt: u64,
+) -> Option<&'a UpstreamState> {
+    let mut by_cost = engines.to_vec();
+    by_cost.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+    let count = (by_cost.len() as f64 * SPREAD_OVER).ceil() as usize;
+    by_cost.truncate(count);
+    let ranked = rank(prompt, &by_cost, |s| s.upstream.name.as_str());
+    ranked.first().map(|s| **s)
+}
+
 /// The upstream of lowest cost; equal ones have the same chance.
 fn cheapest<'a>(
     states: &[&'a UpstreamState],
--- a/tools/src/bin/soak.rs
+++ b/tools/src/bin/soak.rs
@@ -22,6 +22,9 @@
     /// run this seed alone, again
     #[argh(option)]
     replay: Option<u64>,
+    /// roll out no versions and start no upstream again under its name, as the kept seeds do
+    #[argh(switch, long = "without-versions")]
+    without_versions: bool,
     /// routers at most, each a process (24)
     #[argh(option, long = "most-fronts", default = "24")]
     most_routers: usize,
@@ -82,6 +85,7 @@
         most_routers: args.most_routers,
         dir: args.dir.clone(),
         program: None,
+        with_versions: !args.without_versions,
     };
     run_soak(&spec).await
 }
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -268,6 +268,29 @@
         Ok(())
     }
 
+    /// Starts a crashed upstream again under the name that it had, and lists it with its new start.
+    ///
+    /// # Errors
+    ///
+    /// Its port is taken.
+    pub async fn start_upstream_again(&mut self, index: usize) -> io::Result<()> {
+        self.crash_upstream(index);
+        self.starts += 1;
+        let upstream = &mut self.upstreams[index];
+        if let Some(start) = &mut upstream.spec.start {
+            start.born_ms = start.born_ms.map(|born| born + self.starts);
+        }
+        let (spec, at) = (upstream.spec.clone(), Some(upstream.address));
+        let ledger = Arc::clone(&self.ledger);
+        upstream.stand_in = UpstreamStandIn::start(spec, at, self.names.clone(), ledger).await?;
+        upstream
+            .stand_in
+            .set_listed_address(upstream.link.address());
+        upstream.link.reopen().await?;
+        self.store.put_upstream(&upstream.stand_in.listed());
+        Ok(())
+    }
+
     async fn write_router_settings(&mut self) -> io::Result<()> {
         let peers = free_addresses(self.spec.routers)?;
         for index in 0..self.spec.routers {
--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -9,10 +9,11 @@
 mod plan;
 
 pub use checks::{Report, Violation};
-pub use plan::{Action, Injection, Size, draw_injections};
+pub use plan::{Action, Injection, Size, draw_injections, draw_versions};
 
 use crate::process::bin_dir;
 use crate::router_site::{Site, SiteSpec};
+use cloverpier_router_policy::prelude::UpstreamStart;
 use load::Load;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -38,8 +39,16 @@
     pub dir: PathBuf,
     /// The router's program; the one built beside this program if not set.
     pub program: Option<PathBuf>,
+    /// Whether versions are rolled out, and upstreams start again under their names.
+    pub with_versions: bool,
 }
 
+/// Sets the random numbers of roll-outs and starts apart from those of the other harms.
+const VERSIONS_SEED: u64 = 0x7665_7273;
+
+/// When upstreams say that their first start was, as a Unix time in milliseconds.
+const FIRST_BORN_MS: u64 = 1_790_000_000_000;
+
 /// Runs one seed.
 ///
 /// # Errors
@@ -53,7 +62,12 @@
     std::fs::create_dir_all(&dir)?;
     let mut rng = fastrand::Rng::with_seed(spec.seed);
     let size = Size::draw(&mut rng, spec.most_routers);
-    let injections = draw_injections(&mut rng, size, spec.length);
+    let mut injections = draw_injections(&mut rng, size, spec.length);
+    if spec.with_versions {
+        let mut rng = fastrand::Rng::with_seed(spec.seed ^ VERSIONS_SEED);
+        injections.extend(draw_versions(&mut rng, size, spec.length));
+        injections.sort_by_key(|injection| injection.at);
+    }
     let mut site = Site::start(site_spec(spec, size, &dir)?).await?;
     let mut report = Report::new(spec.seed, size, dir);
     if !site.wait_ready(START).await {
@@ -66,6 +80,7 @@
     inject::heal(&mut site).await?;
     check_recovery(&site, &mut report).await;
     checks::check_requests(&site, &sent, &disturbed, &mut report);
+    checks::check_exposure(&site, &mut report);
     Ok(report)
 }
 
@@ -81,6 +96,10 @@
     site.engines = size.engines;
     site.plain = size.plain;
     site.seed = spec.seed;
+    site.upstream_start = spec.with_versions.then(|| UpstreamStart {
+        version: "v1".into(),
+        born_ms: Some(FIRST_BORN_MS),
+    });
     Ok(site)
 }
 
--- a/tools/src/soak/checks.rs
+++ b/tools/src/soak/checks.rs
@@ -22,6 +22,12 @@
 /// A stream that was sent this many times has had its upstreams at fault.
 const MOST_SENDS: usize = 4;
 
+/// The part of a service's requests that a bad version may get, and requests besides: as the site's
+/// settings say.
+const EXPOSURE_SHARE: f64 = 0.1;
+/// As above.
+const EXPOSURE_SLACK: f64 = 50.0;
+
 /// Something that must never be.
 #[derive(Clone, Debug)]
 pub struct Violation {
@@ -44,10 +50,25 @@
     pub injected: BTreeMap<&'static str, u32>,
     /// How requests ended.
     pub outcomes: BTreeMap<String, u32>,
+    /// Roll-outs that were ordered.
+    pub rollouts: Vec<PlayedRollout>,
     /// What must never be, and was.
     pub violations: Vec<Violation>,
 }
 
+/// A roll-out that was ordered.
+#[derive(Clone, Debug)]
+pub struct PlayedRollout {
+    /// The service.
+    pub service: &'static str,
+    /// Whether the new version fails half of its requests.
+    pub is_bad: bool,
+    /// Its upstreams, by their positions.
+    pub upstreams: Vec<usize>,
+    /// Requests that had reached the service before.
+    pub reached_before: usize,
+}
+
 impl Report {
     /// A report of a run that begins.
     pub fn new(seed: u64, size: Size, dir: PathBuf) -> Self {
@@ -57,6 +78,7 @@
             dir,
             injected: BTreeMap::new(),
             outcomes: BTreeMap::new(),
+            rollouts: Vec::new(),
             violations: Vec::new(),
         }
     }
@@ -101,6 +123,48 @@
     }
 }
 
+/// Requests that have reached a service's upstreams, and those of them that reached some.
+fn reached(site: &Site, service: &str, some: &[usize]) -> (usize, usize) {
+    let all = site.upstreams.iter().enumerate();
+    let of_service = all.filter(|(_, u)| u.stand_in.listed().service.as_str() == service);
+    let ledger = lock(&site.ledger);
+    let (mut total, mut of_some) = (0, 0);
+    for (index, upstream) in of_service {
+        // A crash gives the upstream at a position another name, with the same beginning.
+        let name = upstream.stand_in.listed().name.to_string();
+        let position = name.rsplit_once('-').map_or(name.as_str(), |(all, _)| all);
+        let is_its = |reached: &str| reached.rsplit_once('-').is_some_and(|(p, _)| p == position);
+        let runs = ledger.reached.values().flatten();
+        let count = runs.filter(|reached| is_its(reached.as_str())).count();
+        total += count;
+        of_some += if some.contains(&index) { count } else { 0 };
+    }
+    (total, of_some)
+}
+
+/// Requests that have reached a service's upstreams.
+pub fn reached_since_start(site: &Site, service: &str) -> usize {
+    reached(site, service, &[]).0
+}
+
+/// Checks that bad versions got no more than their share. A run in which the store was harmed is
+/// passed over: an order that nobody could read binds nobody.
+pub fn check_exposure(site: &Site, report: &mut Report) {
+    let harms = ["store at fault", "router's way to the store harmed"];
+    if harms.iter().any(|harm| report.injected.contains_key(harm)) {
+        return;
+    }
+    for rollout in report.rollouts.clone().iter().filter(|r| r.is_bad) {
+        let (all, exposed) = reached(site, rollout.service, &rollout.upstreams);
+        let since = all.saturating_sub(rollout.reached_before);
+        let bound = EXPOSURE_SHARE * since as f64 + EXPOSURE_SLACK;
+        if exposed as f64 > bound {
+            let found = format!("a bad version got {exposed} of {since} requests");
+            report.violation("exposure", &found);
+        }
+    }
+}
+
 /// Checks all requests of a run.
 pub fn check_requests(site: &Site, sent: &[Sent], disturbed: &[Disturbed], report: &mut Report) {
     let ledger = lock(&site.ledger);
--- a/tools/src/soak/inject.rs
+++ b/tools/src/soak/inject.rs
@@ -1,10 +1,11 @@
 //! Carries out the harms of a run, and ends them.
 
-use super::checks::Report;
-use super::plan::{Action, Injection};
+use super::checks::{PlayedRollout, Report, reached_since_start};
+use super::plan::{Action, Injection, RolloutPlan};
 use crate::process::Process;
-use crate::router_site::{Site, add_routes, remove_added_routes};
+use crate::router_site::{ENGINES, PLAIN, Site, add_routes, remove_added_routes};
 use cloverpier_router_policy::prelude::{Configuration, Route};
+use cloverpier_router_standin::ledger::Fault;
 use cloverpier_router_standin::link::Harm;
 use cloverpier_router_standin::store::StoreFault;
 use std::io;
@@ -12,6 +13,10 @@
 
 /// Share of the requests that an upstream at fault treats wrongly.
 const FAULT_SHARE: f64 = 0.3;
+/// The version that is rolled out; the others say that they run `v1`.
+const NEW_VERSION: &str = "v2";
+/// Share of its requests that a bad version fails.
+const BAD_SHARE: f64 = 0.5;
 /// How often the running harms are looked at.
 const STEP: Duration = Duration::from_millis(10);
 /// A router that was asked to stop ends within its grace, and some.
@@ -52,6 +57,11 @@
             tokio::time::sleep(STEP).await;
             end_due(site, &mut running, &mut disturbed, report).await?;
         }
+        if let Action::RollOut(plan) = &injection.action {
+            report.count(injection.action.name());
+            report.rollouts.push(roll_out(site, *plan).await?);
+            continue;
+        }
         let until = Instant::now() + injection.lasts;
         if begin(site, &injection.action, &mut disturbed) {
             report.count(injection.action.name());
@@ -69,6 +79,28 @@
     Ok(disturbed)
 }
 
+/// Adds a version's upstreams and orders its roll-out.
+async fn roll_out(site: &mut Site, plan: RolloutPlan) -> io::Result<PlayedRollout> {
+    let service = if plan.is_of_engines { ENGINES } else { PLAIN };
+    let reached_before = reached_since_start(site, service);
+    let upstreams = site
+        .add_version(service, NEW_VERSION, plan.upstreams)
+        .await?;
+    if plan.is_bad {
+        for index in &upstreams {
+            let fault = Some((Fault::Fail, BAD_SHARE));
+            site.upstreams[*index].stand_in.set_random_fault(fault);
+        }
+    }
+    site.order_rollout(service, NEW_VERSION, plan.duration);
+    Ok(PlayedRollout {
+        service,
+        is_bad: plan.is_bad,
+        upstreams,
+        reached_before,
+    })
+}
+
 /// The number of the process that a planned stop is to end.
 fn process_of(site: &Site, action: &Action) -> Option<u32> {
     let Action::StopRouter(router) = action else {
@@ -99,7 +131,9 @@
             None => return false,
         },
         Action::HarmStoreLink(router, harm) => site.routers[*router].store_link.set_harm(*harm),
-        Action::CrashUpstream(upstream) => site.crash_upstream(*upstream),
+        Action::CrashUpstream(upstream) | Action::StartAgain(upstream) => {
+            site.crash_upstream(*upstream);
+        }
         Action::HarmUpstreamLink(upstream, harm) => site.upstreams[*upstream].link.set_harm(*harm),
         Action::ResetConnections(upstream) => site.upstreams[*upstream].link.cut_connections(),
         Action::UpstreamFault(upstream, fault) => {
@@ -112,6 +146,8 @@
             toggle_route(c);
             toggle_many_routes(c);
         }),
+        // It has no end, and is played apart.
+        Action::RollOut(_) => return false,
     }
     true
 }
@@ -214,6 +250,7 @@
         }
         Action::HarmStoreLink(router, _) => site.routers[*router].store_link.set_harm(Harm::None),
         Action::CrashUpstream(upstream) => site.restart_upstream(*upstream).await?,
+        Action::StartAgain(upstream) => site.start_upstream_again(*upstream).await?,
         Action::HarmUpstreamLink(upstream, _) => {
             site.upstreams[*upstream].link.set_harm(Harm::None);
         }
@@ -224,7 +261,8 @@
         Action::ReloadRouter(_)
         | Action::ResetConnections(_)
         | Action::ForgetHistory
-        | Action::ChangeConfiguration => {}
+        | Action::ChangeConfiguration
+        | Action::RollOut(_) => {}
     }
     Ok(true)
 }
--- a/tools/src/soak/plan.rs
+++ b/tools/src/soak/plan.rs
@@ -71,6 +71,23 @@
     ForgetHistory,
     /// The configuration changes.
     ChangeConfiguration,
+    /// An upstream crashes and starts again under its name.
+    StartAgain(usize),
+    /// Upstreams of another version are added, and their service is ordered to move to them.
+    RollOut(RolloutPlan),
+}
+
+/// A roll-out of a soak.
+#[derive(Clone, Copy, Debug)]
+pub struct RolloutPlan {
+    /// Whether engines are rolled out, or plain upstreams.
+    pub is_of_engines: bool,
+    /// Whether the new version fails half of its requests.
+    pub is_bad: bool,
+    /// Its upstreams.
+    pub upstreams: usize,
+    /// How long the operator gives it.
+    pub duration: Duration,
 }
 
 impl Action {
@@ -89,6 +106,8 @@
             Self::StoreFault(_) => "store at fault",
             Self::ForgetHistory => "history forgotten",
             Self::ChangeConfiguration => "configuration changed",
+            Self::StartAgain(_) => "upstream started again",
+            Self::RollOut(_) => "version rolled out",
         }
     }
 }
@@ -119,6 +138,34 @@
     injections
 }
 
+/// Draws what concerns versions and starts of upstreams, from random numbers of its own: what
+/// [`draw_injections`] draws from a seed stays the same.
+pub fn draw_versions(rng: &mut fastrand::Rng, size: Size, length: Duration) -> Vec<Injection> {
+    let upstreams = size.engines + size.plain;
+    let mut injections = Vec::new();
+    for _ in 0..rng.usize(0..3) {
+        injections.push(Injection {
+            at: length.mul_f64(rng.f64()),
+            lasts: Duration::from_millis(rng.u64(100..1_500)),
+            action: Action::StartAgain(rng.usize(..upstreams)),
+        });
+    }
+    if rng.bool() {
+        let plan = RolloutPlan {
+            is_of_engines: rng.bool(),
+            is_bad: rng.bool(),
+            upstreams: rng.usize(1..=3),
+            duration: Duration::from_millis(rng.u64(3_000..8_000)),
+        };
+        injections.push(Injection {
+            at: length.mul_f64(rng.f64() / 3.0),
+            lasts: Duration::ZERO,
+            action: Action::RollOut(plan),
+        });
+    }
+    injections
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: Size) -> Action {
     let router = rng.usize(..size.routers);
     let upstream = rng.usize(..size.engines + size.plain);
