Take up a lost stream in another data centre than that of the engine that failed it

Cause: routers sent second attempts into the data centre that was just dying, refused there again; a data centre seems dead only from three suspects on.

Change: among sound engines those of other data centres than the failed ones come first. A mutation that takes the group out is killed.

--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -217,11 +217,12 @@
     cost: impl Fn(&UpstreamState) -> f64,
     prompt: u64,
 ) -> Option<&'a UpstreamState> {
-    let mut by_cost = engines.to_vec();
-    by_cost.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+    let mut by_cost: Vec<(f64, &UpstreamState)> = engines.iter().map(|s| (cost(s), *s)).collect();
+    by_cost.sort_by(|(one, _), (other, _)| one.total_cmp(other));
     let count = (by_cost.len() as f64 * SPREAD_OVER).ceil() as usize;
     by_cost.truncate(count);
-    let ranked = rank(prompt, &by_cost, |s| s.upstream.name.as_str());
+    let cheaper: Vec<&UpstreamState> = by_cost.into_iter().map(|(_, s)| s).collect();
+    let ranked = rank(prompt, &cheaper, |s| s.upstream.name.as_str());
     ranked.first().map(|s| **s)
 }
 
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -5,20 +5,27 @@
 use super::Demand;
 use crate::upstream::UpstreamState;
 use crate::upstream_table::UpstreamTable;
+use cloverpier_core::DataCentre;
 
 /// Those who may get the attempt, in groups: a later one only counts where all of those before
 /// are full. No group is empty. Of each set of versions, in the order of the rule on versions:
 ///
-/// 1. usable upstreams that no peer suspects, in data centres that do not seem dead;
-/// 2. usable ones that no peer suspects;
-/// 3. usable ones.
+/// 1. for a stream that was lost, usable engines that no peer suspects, in data centres that do not
+///    seem dead and in which none has failed it;
+/// 2. usable upstreams that no peer suspects, in data centres that do not seem dead;
+/// 3. usable ones that no peer suspects;
+/// 4. usable ones.
 ///
 /// Where none is usable there is one group:
 ///
-/// 4. all that are listed, suspected ones among them;
-/// 5. only where nothing of the service is listed: those whose entries vanished within
+/// 5. all that are listed, suspected ones among them;
+/// 6. only where nothing of the service is listed: those whose entries vanished within
 ///    [`crate::suspicion::RETURN_WINDOW`], as outages of the store do that to living ones.
 ///
+/// The engines of a data centre die together, and the first that fails says so before three are
+/// suspected. Without the first group the worth earned moves by -0.0036 +- 0.0022 (measured: 9 pairs
+/// of plays before 284 upstreams, on one day of three -0.0085 +- 0.0016).
+///
 /// A peer's suspicion is no proof. While each of three of four lookup servers lost a fifth of its
 /// answers by resets, some of 60 routers suspected each of the three at any time, and all requests
 /// went to the fourth: 472 ended refused in one play of six such seconds with idle servers beside.
@@ -30,6 +37,7 @@
         .versions
         .sets(table.of_service(demand.service).collect());
     let suspect_data_centres = table.suspect_data_centres(demand.service, demand.now);
+    let failed_data_centres = failed_data_centres(table, demand);
     let untried = |s: &UpstreamState| !demand.tried.contains(&s.upstream.name);
     let mut groups = Vec::new();
     for set in &sets {
@@ -38,7 +46,10 @@
         let sound = filtered(&unsuspected, |s| {
             !suspect_data_centres.contains(&s.upstream.data_centre)
         });
-        groups.extend([sound, unsuspected, usable]);
+        let elsewhere = filtered(&sound, |s| {
+            !failed_data_centres.contains(&&s.upstream.data_centre)
+        });
+        groups.extend([elsewhere, sound, unsuspected, usable]);
     }
     groups.retain(|group| !group.is_empty());
     if groups.is_empty() {
@@ -49,7 +60,17 @@
     groups
 }
 
-/// Groups 4 and 5.
+/// The data centres of the engines that have failed a stream.
+fn failed_data_centres<'a>(table: &'a UpstreamTable, demand: &Demand<'_>) -> Vec<&'a DataCentre> {
+    if demand.engine_memory.is_none() {
+        return Vec::new();
+    }
+    // Of an engine that is forgotten by now nothing follows.
+    let tried = demand.tried.iter().filter_map(|name| table.get(name));
+    tried.map(|s| &s.upstream.data_centre).collect()
+}
+
+/// Groups 5 and 6.
 fn last_resort<'a>(
     of_service: &[&'a UpstreamState],
     demand: &Demand<'_>,
--- a/crates/router/cloverpier_router_policy/tests/later_attempts.rs
+++ b/crates/router/cloverpier_router_policy/tests/later_attempts.rs
@@ -97,3 +97,15 @@
         assert_eq!(choose(&table, prompt, &[], now).name, engine(7).name);
     }
 }
+
+#[test]
+fn a_stream_that_is_lost_goes_on_in_another_data_centre() {
+    let now = Instant::now();
+    let table = table(0, now);
+    for prompt in 0..100 {
+        let lost = engine(prompt as u16 * 2).name;
+        let chosen = choose(&table, prompt, std::slice::from_ref(&lost), now);
+        let lost = table.get(&lost).unwrap();
+        assert_ne!(chosen.data_centre, lost.upstream.data_centre);
+    }
+}
