Split the model of roll-outs, the stand-in of an upstream and the site by job; say reasons

No behaviour changes. Measured: platform tests rollouts, restart, entries, suspicion (20) and tools test rollouts (5) pass; clippy clean.

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -199,11 +199,11 @@
     pub round: u8,
     /// Whether the store holds the end.
     pub is_confirmed: bool,
-    /// Attempts of all routers, as far as they told this one.
+    /// Attempts of all routers whose reports arrived here.
     pub sent_to_target: u32,
     pub sent_to_former: u32,
     /// What spoke against the version where this router rolled it back: the kind of fault, the
-    /// route (nothing for all together), bad answers of so many, the part of bad answers that the
+    /// route (nothing for all together), bad answers among all, the part of bad answers that the
     /// former versions have at most, and how many times likelier a worse version is.
     pub fault: Option<String>,
     pub route: Option<RouteKey>,
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -124,7 +124,7 @@
 pub struct RolloutNews {
     /// The sender's address for peers.
     pub sender: SocketAddr,
-    /// The orders that are under way, and those that ended of late.
+    /// The orders that are under way, and those that ended recently.
     pub views: Vec<RolloutView>,
 }
 
--- a/crates/router/cloverpier_router/src/rollout_steps.rs
+++ b/crates/router/cloverpier_router/src/rollout_steps.rs
@@ -21,7 +21,7 @@
 const STEP_PERIOD: Duration = Duration::from_millis(100);
 /// How often a router reports what it saw.  Chosen, not measured.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
-/// How often orders are told to a few peers again, as datagrams are lost.  Chosen, not measured.
+/// How often orders are sent to a few peers again, as datagrams are lost.  Chosen, not measured.
 const TELL_PERIOD: Duration = Duration::from_secs(1);
 
 /// Takes the steps until the process ends.
--- a/crates/router/cloverpier_router/src/rollout_store.rs
+++ b/crates/router/cloverpier_router/src/rollout_store.rs
@@ -138,6 +138,7 @@
             let mut all = router.rollouts.stored.borrow_mut();
             all.insert(stored.service.clone(), stored);
             RolloutView {
+                // Without an end in the store the order is under way from its beginning.
                 progress: end.unwrap_or(view.progress),
                 ..view
             }
@@ -147,6 +148,7 @@
             None => return,
         },
         RolloutChange::Unreadable { name, reason } => {
+            // An object whose name cannot be read takes no order back: the line has no name.
             let name = name.unwrap_or_default();
             log_dependency(router, "rollout.unreadable", &name, &reason);
             match withdrawn(router, &name) {
--- a/crates/router/cloverpier_router/src/rollouts.rs
+++ b/crates/router/cloverpier_router/src/rollouts.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Records a progress that this router decided, and tells peers.
+/// Records a progress that this router decided, and sends it to peers.
 pub(crate) fn on_decided(
     router: &Router,
     service: &ServiceName,
@@ -105,7 +105,7 @@
     }
 }
 
-/// Tells peers of the orders that are under way, and of those that ended of late.
+/// Sends peers the orders that are under way, and those that ended recently.
 pub(crate) fn tell_peers(router: &Router, to: Recipients, now: Instant) {
     let views = router.rollouts.book.borrow().told_views(now);
     if views.is_empty() {
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -42,7 +42,7 @@
 pub(crate) enum StoreLoop {
     /// Of something that peers hand on, too.
     Of(Watched),
-    /// Of the orders of roll-outs, which peers tell each other.
+    /// Of the orders of roll-outs, which routers send each other.
     Rollouts,
 }
 
--- a/crates/router/cloverpier_router/src/stream/measured.rs
+++ b/crates/router/cloverpier_router/src/stream/measured.rs
@@ -16,7 +16,7 @@
 pub(super) enum Measured {
     /// The time to its first event.
     First(Measuring),
-    /// The pace of so many events after it.
+    /// The pace of this many events after it.
     Pace(Measuring, u64),
     /// Nothing any more.
     Nothing,
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -196,10 +196,7 @@
         extras: SendExtras,
     ) -> Result<(), AttemptFailure> {
         let load = self.begin_load(upstream, &extras);
-        let running = self.request.prompt.map(|prompt| {
-            let now = self.router.now();
-            RunningStream::begin(&self.router, prompt, &upstream.name, now)
-        });
+        let running = self.begin_running(upstream);
         self.router.report_to_peers(&upstream.name);
         rollouts::on_sent(&self.router, &self.request, upstream);
         let measured = self.measure_first(upstream);
@@ -235,6 +232,17 @@
         Ok(())
     }
 
+    fn begin_running(&self, upstream: &Upstream) -> Option<RunningStream> {
+        let now = self.router.now();
+        let prompt = self.request.prompt?;
+        Some(RunningStream::begin(
+            &self.router,
+            prompt,
+            &upstream.name,
+            now,
+        ))
+    }
+
     fn begin_load(&self, upstream: &Upstream, extras: &SendExtras) -> LoadGuard {
         let mut load = self.request.load();
         if extras.resume_from.is_some() {
--- a/crates/router/cloverpier_router_policy/src/rollout/book.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/book.rs
@@ -17,15 +17,15 @@
 use std::time::{Duration, Instant};
 
 /// How long a version that is listed beside others waits for an order that explains it: the
-/// store's watches return within some milliseconds, and peers hear within three heartbeats
+/// store's watches return within 10 ms or so, and peers hear within three heartbeats
 /// (0.2 s each by default); the rest is for a call that has to be made again.  Chosen, not
 /// measured.
 pub const UNORDERED_HOLD: Duration = Duration::from_secs(2);
 /// How much of an order's duration is taken to have passed where a router that has just started
 /// finds it under way: nobody may be left who knows.  Chosen, not measured.
 const RESUMED_AT: f64 = 0.3;
-/// How long the end of a roll-out is told to peers again: longer than a router that was cut off
-/// takes to be told of as dead and found again.  Chosen, not measured.
+/// How long the end of a roll-out is sent to peers again: longer than a router that was cut off
+/// takes to be listed as dead and to be found again.  Chosen, not measured.
 const TOLD_FOR: Duration = Duration::from_secs(60);
 
 /// What a view brought.
@@ -52,7 +52,7 @@
     pub stage_since: Instant,
     /// What this router counted.
     pub own: OwnEvidence,
-    /// What all routers counted, as far as they told this one.
+    /// The counts of all routers whose reports arrived here.
     pub fleet: FleetEvidence,
 }
 
@@ -107,7 +107,7 @@
         self.rollouts.values().map(|r| r.view.clone()).collect()
     }
 
-    /// The views that are told to peers again and again.
+    /// The views that are sent to peers repeatedly.
     pub fn told_views(&self, now: Instant) -> Vec<RolloutView> {
         let is_told = |r: &&Rollout| {
             r.active().is_some() || now.saturating_duration_since(r.stage_since) <= TOLD_FOR
@@ -164,6 +164,7 @@
             return;
         };
         let duration = rollout.view.order.as_ref().map(|order| order.duration);
+        // A view without an order has nothing under way.
         let passed = duration.unwrap_or_default().mul_f64(RESUMED_AT);
         let since = rollout.known_since.checked_sub(passed);
         // A clock that began later than that cannot say so; the order then seems newer.
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/fleet.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/fleet.rs
@@ -1,4 +1,8 @@
 //! What all routers report of one order, added up, over several spans.
+//!
+//! A report replaces the former one of its router, as counts only grow; a span is the difference
+//! to what was known when it began. Owns the last report of each router and the sums at those
+//! moments. Relies on being asked regularly to remember.
 
 use super::{Evidence, EvidenceReport, SentCounts};
 use crate::rollout::Stage;
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
@@ -1,4 +1,8 @@
 //! What this router saw since it knows an order.
+//!
+//! Counts attempts, failures and times at either version, for each stage, and makes the reports that
+//! peers add up. Owns these counts, the times that are being measured, and the broken attempts that
+//! wait for a sign of life of their upstream. Relies on being told of each attempt once.
 
 use super::{
     AnswerCounts, Arm, Evidence, EvidenceKey, EvidenceReport, Measure, RouteKey, SentCounts,
@@ -14,8 +18,8 @@
 /// A broken attempt is remembered this long for an answer that shows that its upstream lives.
 /// Chosen, not measured.
 const BROKEN_KEPT_FOR: Duration = Duration::from_secs(4);
-/// Entries of one report at most: one holds up to 60 sizes of times, so that a report of so many
-/// takes 5 kB at most, of the 8 kB that a datagram may have.
+/// Entries of one report at most. An entry holds up to 60 sizes of times, so that 18 of them take
+/// 5 kB at most (worked out), of the 8 kB that a datagram may have.
 const MAX_ENTRIES: usize = 18;
 
 /// Identifies a time that is being measured.
--- a/crates/router/cloverpier_router_policy/src/rollout/judgement.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/judgement.rs
@@ -41,7 +41,7 @@
 /// The ratio from which on, over all answers since the order, it does not get all requests.  Chosen,
 /// not measured.
 const DOUBTFUL_FROM: f64 = 2.0;
-/// A part of bad answers below this is not told apart from none: upstreams answer with a failure
+/// A part of bad answers below this counts as none: upstreams answer with a failure
 /// of their own now and then.  The sheets of the users have 0.004 of one kind of request.
 const MIN_BAD_PART: f64 = 0.02;
 /// And one above this leaves nothing to be worse than.  Chosen, not measured.
@@ -74,7 +74,7 @@
     pub route: Option<RouteKey>,
     /// What is wrong.
     pub fault: Fault,
-    /// Bad answers, of so many.
+    /// Bad answers among `answers`.
     pub bad: u32,
     /// Answers of the new version.
     pub answers: u32,
@@ -114,7 +114,7 @@
     }
 }
 
-/// Judges a version that has so many upstreams.
+/// Judges a version with this number of upstreams.
 pub fn judge(evidence: &Evidence, upstreams: usize) -> Judgement {
     let comparisons = comparisons(evidence);
     let objections = comparisons.iter().map(|((route, fault), comparison)| {
@@ -122,11 +122,12 @@
         weigh(objection, upstreams)
     });
     let severest = objections.max_by_key(Judgement::severity);
+    // Without a comparison nothing speaks against the version.
     severest.unwrap_or(Judgement::Nothing)
 }
 
-/// What speaks against a version that has so many upstreams so much that it should not get all
-/// requests yet; not what speaks against one group of them alone.
+/// The objection, if any, that keeps a version with this number of upstreams from getting all
+/// requests yet. An objection to one group of upstreams alone is none.
 pub fn doubt(evidence: &Evidence, upstreams: usize) -> Option<Objection> {
     let comparisons = comparisons(evidence);
     let objections = comparisons.iter();
@@ -211,7 +212,7 @@
         };
         tallies.push((Fault::Fails, tally));
     }
-    // Without a median nothing can be told slow.
+    // Without a median no answer counts as slow.
     if let Some(median) = medians.get(&(key.route, key.measure)) {
         let slow_from = median.slow_from().max(TimeSize::of(MIN_SLOW));
         let overdue = counts.awaited.from_size(slow_from);
@@ -246,6 +247,7 @@
         let without_worst = worst
             .filter(|_| self.target.len() > 1)
             .map(|worst| total.without(*worst));
+        // A single group leaves no answers when it is taken away.
         let rest = without_worst.unwrap_or_default();
         Objection {
             route,
@@ -271,7 +273,7 @@
     }
 }
 
-/// The part of bad answers that so many among so many answers speak for at most.
+/// The upper bound of the part of bad answers that a tally allows.
 fn upper_bound(tally: Tally) -> f64 {
     // One good and one bad answer more than were seen, so that none seen is no certainty.
     let answers = f64::from(tally.answers) + 2.0;
--- a/crates/router/cloverpier_router_policy/src/rollout/mod.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/mod.rs
@@ -6,7 +6,7 @@
 //! - **Inputs.** The order, as the platform's store holds it; the versions of the upstreams; how
 //!   attempts went at either version, at all routers; the operator's bound on the part of all
 //!   requests that a bad version may get.
-//! - **Answer.** A [`VersionRule`] for each attempt; a [`Progress`], which routers tell each
+//! - **Answer.** A [`VersionRule`] for each attempt; a [`Progress`], which routers send each
 //!   other; at the end `completed` or `rolled back`, which one of them writes to the store.
 //! - **Why.** A bad version shows itself by requests alone, and each request that shows it is one
 //!   that a caller loses. So few requests go there until enough is known, by chance at each
@@ -22,7 +22,7 @@
 //! | which stage comes next, and when | [`schedule`] |
 //! | the orders that a router knows | [`book`] |
 //!
-//! Any router can decide; those that watch the store do, as the others tell them what they saw.
+//! Any router can decide; those that watch the store do, as the others report to them.
 //! Two of them that disagree for a moment converge: a [`Progress`] only grows ([`Progress::join`]).
 
 pub mod book;
@@ -57,7 +57,7 @@
 }
 
 impl RolloutOrder {
-    /// An order for a service; `made` tells it from an order that was taken back before.
+    /// An order for a service; `made` distinguishes it from an order that was taken back before.
     pub fn new(
         service: &ServiceName,
         target: SoftwareVersion,
@@ -127,7 +127,7 @@
     }
 }
 
-/// How far a roll-out is, as routers tell each other.
+/// How far a roll-out is, as sent between routers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct Progress {
     /// The stage.
@@ -155,7 +155,7 @@
     }
 }
 
-/// A service's order and how far it is, as routers tell each other.
+/// A service's order and how far it is, as sent between routers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutView {
     /// The service.
--- a/crates/router/cloverpier_router_policy/src/rollout/schedule.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/schedule.rs
@@ -25,9 +25,9 @@
 /// The end of the first stage, as a part of the duration.  Chosen; `tests/rollout_play` shows the
 /// exposure to versions that turn bad at any time.
 const CANARY_UNTIL: f64 = 0.54;
-/// The end of the second stage, likewise.
+/// The end of the second stage, as a part of the duration.  Chosen together with `CANARY_UNTIL`.
 const LOAD_UNTIL: f64 = 0.66;
-/// The end of the third stage, likewise.
+/// The end of the third stage, as a part of the duration.  Chosen together with `CANARY_UNTIL`.
 const PART_UNTIL: f64 = 0.76;
 /// From then on streams at the former versions move. Before, they are left to end by themselves: a
 /// move has their prompts read again, for about a second, and makes them late, whereas a roll-out
@@ -47,8 +47,8 @@
 const LOAD_SHARES: [f64; 2] = [0.1, 0.25];
 /// Requests of the new version in the third stage.  Chosen, not measured.
 const PART_SHARE: f64 = 0.35;
-/// Upstreams of the new version that are tried in the first stage at least, so that a bad one is
-/// told from a bad version.  Chosen, not measured.
+/// Upstreams of the new version that are tried in the first stage at least, so that one bad
+/// upstream is not taken for a bad version.  Chosen, not measured.
 const MIN_CANARIES: usize = 2;
 
 /// How many times the load that upstreams have at the end those have that are tried first, as
@@ -146,6 +146,7 @@
         .iter()
         .map(|evidence| judge(evidence, situation.upstreams));
     let severest = judgements.max_by_key(Judgement::severity);
+    // Without a span of answers nothing is known against the version.
     match severest.unwrap_or(Judgement::Nothing) {
         Judgement::Bad(objection) => Step::RollBack(Some(objection)),
         Judgement::OneGroup(objection) if situation.upstreams > 1 => {
--- a/crates/router/cloverpier_router_policy/src/rollout/times.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/times.rs
@@ -7,11 +7,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Sizes for each doubling of a time, so that neighbours differ by a fifth.
+/// Sizes for each doubling of a time, so that neighbours differ by a fifth.  Chosen, not measured.
 const PER_DOUBLING: f64 = 4.0;
-/// A time is slow that is more than so many sizes above the median: 3.1 times it, "several times
-/// slower".  Of lognormal times with a spread of 0.5, as the sheet of the users has it, 1.2 in 100
-/// are.
+/// A time is slow that is more than this many sizes above the median: 3.1 times it, "several times
+/// slower".  Of lognormal times with a spread of 0.5, as the users' sheet has it, 1.2 in 100
+/// are (worked out).
 const SLOW_ABOVE: u8 = 6;
 
 /// The size of a time: four for each doubling, from a millisecond on.
--- a/crates/router/cloverpier_router_policy/src/rollout/versions.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/versions.rs
@@ -6,8 +6,8 @@
 use crate::upstream::UpstreamState;
 use cloverpier_core::{SoftwareVersion, hash_of};
 
-/// Groups into which the upstreams of a new version are counted, so that one bad upstream can be
-/// told from a bad version and a report stays short whatever the number of upstreams.  Chosen,
+/// Groups into which the upstreams of a new version are counted, so that one bad upstream is
+/// not taken for a bad version and a report stays short whatever the number of upstreams.  Chosen,
 /// not measured.
 pub const GROUPS: usize = 8;
 
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -40,7 +40,7 @@
     services: Option<HashSet<ServiceName>>,
 }
 
-/// What came of news of the platform's list.
+/// The effect of a new list of upstreams, or of changes to it.
 #[derive(Debug, Default)]
 pub struct AppliedNews {
     /// Whether they were new.
--- a/crates/shared/cloverpier_settings/src/reader.rs
+++ b/crates/shared/cloverpier_settings/src/reader.rs
@@ -128,6 +128,7 @@
     }
 
     pub(crate) fn decimal_or(&mut self, key: &str, low: f64, high: f64, default: f64) -> f64 {
+        // Absent; a value out of range was noted as a fault of the settings.
         self.decimal(key, low, high).unwrap_or(default)
     }
 
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -3,69 +3,27 @@
 //! Speaks the names that it is given and writes what it ran into the shared ledger. Answers
 //! are written in [`crate::answers`], byte by byte.
 
-use crate::answers::{answer_plainly, stream_events, write_answer};
-use crate::http::{Head, read_body, read_head};
+mod serve;
+mod state;
+
+pub(crate) use serve::Asked;
+
 use crate::ledger::{Fault, SharedLedger};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, lock};
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::{Upstream, UpstreamStart};
+use serve::serve;
+use state::State;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 /// Tries to listen at an address that is still taken.
 const BIND_TRIES: u32 = 300;
 
-#[derive(Debug)]
-struct State {
-    upstream: Upstream,
-    names: HeaderNames,
-    ledger: SharedLedger,
-    event_interval: Duration,
-    cache: CacheShape,
-    load: LoadShape,
-    with_start: fn(String, u64) -> String,
-    /// Requests that it says to run, whatever runs there.
-    told_running: u32,
-    /// Prompts that were read, in order.
-    prompts: Vec<String>,
-    /// Faults of the next requests, the first one first.
-    script: Vec<Fault>,
-    /// A fault of a share of the requests.
-    random: Option<(Fault, f64)>,
-    /// How long it works on a request before it answers.
-    work: Duration,
-    rng: fastrand::Rng,
-}
-
-impl State {
-    fn new(
-        spec: &UpstreamSpec,
-        upstream: Upstream,
-        names: HeaderNames,
-        ledger: SharedLedger,
-    ) -> Self {
-        Self {
-            upstream,
-            names,
-            ledger,
-            event_interval: spec.event_interval,
-            cache: spec.cache,
-            load: spec.load,
-            with_start: spec.with_start,
-            told_running: 0,
-            prompts: Vec::new(),
-            script: Vec::new(),
-            random: None,
-            work: Duration::ZERO,
-            rng: fastrand::Rng::with_seed(spec.seed),
-        }
-    }
-}
-
 /// A running upstream; it ends with its owner.
 #[derive(Debug)]
 pub struct UpstreamStandIn {
@@ -258,182 +216,3 @@
         connections.push(connection);
     }
 }
-
-async fn serve(mut stream: TcpStream, state: &Mutex<State>) -> io::Result<()> {
-    let mut buffer = Vec::new();
-    while let Some(head) = read_head(&mut stream, &mut buffer).await? {
-        let Some(_body) = read_body(&mut stream, &mut buffer, head.content_length()).await? else {
-            return Ok(());
-        };
-        if !answer(&mut stream, state, &head).await? {
-            return Ok(());
-        }
-    }
-    Ok(())
-}
-
-/// What a request asks of the upstream, read from its head.
-pub(crate) struct Asked {
-    pub id: String,
-    pub prompt: Option<String>,
-    pub last_event: u64,
-    pub upstream: Upstream,
-    pub names: HeaderNames,
-    pub event_interval: Duration,
-    pub fault: Option<Fault>,
-}
-
-/// Answers one request; false when the connection is to end.
-async fn answer(stream: &mut TcpStream, state: &Mutex<State>, head: &Head) -> io::Result<bool> {
-    let (upstream, names) = {
-        let state = lock(state);
-        (state.upstream.clone(), state.names.clone())
-    };
-    let Some(id) = head.get(names.request_id.as_str()).map(str::to_owned) else {
-        // A question, such as a health check.
-        let named = (names.answering_upstream.as_str(), upstream.name.as_str());
-        let body = answer_to_question(&lock(state), head);
-        write_answer(stream, 200, &[named], body.as_bytes()).await?;
-        return Ok(true);
-    };
-    if let Some((status, header)) = turn_down(head, &upstream, &names, state) {
-        let echoed = (names.request_id.as_str(), id.as_str());
-        write_answer(
-            stream,
-            status,
-            &[echoed, (header.0.as_str(), header.1.as_str())],
-            b"",
-        )
-        .await?;
-        return Ok(true);
-    }
-    let asked = note_run(state, head, id, upstream, names);
-    let work = lock(state).work;
-    if !work.is_zero() {
-        tokio::time::sleep(work).await;
-    }
-    match &asked.prompt {
-        Some(prompt) => {
-            let streamed = stream_events(stream, &asked, prompt).await;
-            if streamed.is_err() {
-                let ledger = Arc::clone(&lock(state).ledger);
-                lock(&ledger).stopped.insert(asked.id.clone());
-            }
-            streamed
-        }
-        None => answer_plainly(stream, &asked).await,
-    }
-}
-
-fn answer_to_question(state: &State, head: &Head) -> String {
-    let answer = question_body(state, head);
-    match state.upstream.born_ms() {
-        Some(born_ms) => (state.with_start)(answer, born_ms),
-        None => answer,
-    }
-}
-
-fn question_body(state: &State, head: &Head) -> String {
-    let path = head.word(1).split('?').next();
-    if path == Some(state.cache.path) {
-        (state.cache.answer)(&state.prompts)
-    } else if path == Some(state.load.path) {
-        (state.load.answer)(state.told_running)
-    } else {
-        "{}".to_owned()
-    }
-}
-
-/// Why a request isn't run: the status, and a header.
-fn turn_down(
-    head: &Head,
-    upstream: &Upstream,
-    names: &HeaderNames,
-    state: &Mutex<State>,
-) -> Option<(u16, (String, String))> {
-    let mut state = lock(state);
-    let expected = head.get(names.expected_upstream.as_str());
-    if expected != Some(upstream.name.as_str()) {
-        lock(&state.ledger).unexpected += u32::from(expected.is_none());
-        let named = (
-            names.answering_upstream.to_string(),
-            upstream.name.to_string(),
-        );
-        return Some((421, named));
-    }
-    let refused = Some((503, (names.not_run.to_string(), "1".to_owned())));
-    if state.script.first() == Some(&Fault::Refuse) {
-        state.script.remove(0);
-        return refused;
-    }
-    let copy = head
-        .get(names.resume_from.as_str())
-        .and_then(|c| c.split_once('/'));
-    if let Some((at, id)) = copy {
-        let at = at.parse().unwrap_or(upstream.address);
-        let has_copy = lock(&state.ledger).copies.contains(&(at, id.to_owned()));
-        if !has_copy {
-            return refused;
-        }
-    }
-    None
-}
-
-fn note_run(
-    state: &Mutex<State>,
-    head: &Head,
-    id: String,
-    upstream: Upstream,
-    names: HeaderNames,
-) -> Asked {
-    let mut state = lock(state);
-    let fault = next_fault(&mut state);
-    record_run(&state, head, &id, &upstream, &names);
-    if fault == Some(Fault::Mute) {
-        lock(&state.ledger).unanswered.insert(id.clone());
-    }
-    let prompt = head.get(names.prompt_parts.as_str()).map(str::to_owned);
-    state.prompts.extend(prompt.clone());
-    let last_event = head.get(names.last_event.as_str());
-    Asked {
-        id,
-        prompt,
-        last_event: last_event.and_then(|l| l.parse().ok()).unwrap_or(0),
-        upstream,
-        names,
-        event_interval: state.event_interval,
-        fault,
-    }
-}
-
-/// The fault of the next request: the first of the script, else one by chance.
-fn next_fault(state: &mut State) -> Option<Fault> {
-    if !state.script.is_empty() {
-        return Some(state.script.remove(0));
-    }
-    let roll = state.rng.f64();
-    let (fault, share) = state.random?;
-    (roll < share).then_some(fault)
-}
-
-/// Writes a run into the ledger.
-fn record_run(state: &State, head: &Head, id: &str, upstream: &Upstream, names: &HeaderNames) {
-    let id = id.to_owned();
-    let mut ledger = lock(&state.ledger);
-    *ledger.runs.entry(id.clone()).or_default() += 1;
-    let headers = head.headers.clone().into_iter().collect();
-    ledger.heads.insert(id.clone(), headers);
-    ledger
-        .reached
-        .entry(id.clone())
-        .or_default()
-        .push(upstream.name.clone());
-    ledger.leaked_keys += u32::from(head.get(names.key.as_str()).is_some());
-    if let Some(account) = head.get(names.account.as_str()) {
-        ledger.accounts.insert(id.clone(), account.to_owned());
-    }
-    let replica = head.get(names.replica_at.as_str());
-    if let Some(at) = replica.and_then(|at| at.parse().ok()) {
-        ledger.copies.insert((at, id.clone()));
-    }
-}
--- /dev/null
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -0,0 +1,133 @@
+//! How an upstream answers its connections: questions, refusals, runs.
+
+use super::state::{State, note_run};
+use crate::answers::{answer_plainly, stream_events, write_answer};
+use crate::http::{Head, read_body, read_head};
+use crate::ledger::Fault;
+use cloverpier_core::lock;
+use cloverpier_router::HeaderNames;
+use cloverpier_router_policy::prelude::Upstream;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+pub(super) async fn serve(mut stream: TcpStream, state: &Mutex<State>) -> io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(head) = read_head(&mut stream, &mut buffer).await? {
+        let Some(_body) = read_body(&mut stream, &mut buffer, head.content_length()).await? else {
+            return Ok(());
+        };
+        if !answer(&mut stream, state, &head).await? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// What a request asks of the upstream, read from its head.
+pub(crate) struct Asked {
+    pub id: String,
+    pub prompt: Option<String>,
+    pub last_event: u64,
+    pub upstream: Upstream,
+    pub names: HeaderNames,
+    pub event_interval: Duration,
+    pub fault: Option<Fault>,
+}
+
+/// Answers one request; false when the connection is to end.
+async fn answer(stream: &mut TcpStream, state: &Mutex<State>, head: &Head) -> io::Result<bool> {
+    let (upstream, names) = {
+        let state = lock(state);
+        (state.upstream.clone(), state.names.clone())
+    };
+    let Some(id) = head.get(names.request_id.as_str()).map(str::to_owned) else {
+        // A question, such as a health check.
+        let named = (names.answering_upstream.as_str(), upstream.name.as_str());
+        let body = answer_to_question(&lock(state), head);
+        write_answer(stream, 200, &[named], body.as_bytes()).await?;
+        return Ok(true);
+    };
+    if let Some((status, header)) = turn_down(head, &upstream, &names, state) {
+        let echoed = (names.request_id.as_str(), id.as_str());
+        write_answer(
+            stream,
+            status,
+            &[echoed, (header.0.as_str(), header.1.as_str())],
+            b"",
+        )
+        .await?;
+        return Ok(true);
+    }
+    let asked = note_run(state, head, id, upstream, names);
+    let work = lock(state).work;
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
+    }
+    match &asked.prompt {
+        Some(prompt) => {
+            let streamed = stream_events(stream, &asked, prompt).await;
+            if streamed.is_err() {
+                let ledger = Arc::clone(&lock(state).ledger);
+                lock(&ledger).stopped.insert(asked.id.clone());
+            }
+            streamed
+        }
+        None => answer_plainly(stream, &asked).await,
+    }
+}
+
+fn answer_to_question(state: &State, head: &Head) -> String {
+    let answer = question_body(state, head);
+    match state.upstream.born_ms() {
+        Some(born_ms) => (state.with_start)(answer, born_ms),
+        None => answer,
+    }
+}
+
+fn question_body(state: &State, head: &Head) -> String {
+    let path = head.word(1).split('?').next();
+    if path == Some(state.cache.path) {
+        (state.cache.answer)(&state.prompts)
+    } else if path == Some(state.load.path) {
+        (state.load.answer)(state.told_running)
+    } else {
+        "{}".to_owned()
+    }
+}
+
+/// Why a request isn't run: the status, and a header.
+fn turn_down(
+    head: &Head,
+    upstream: &Upstream,
+    names: &HeaderNames,
+    state: &Mutex<State>,
+) -> Option<(u16, (String, String))> {
+    let mut state = lock(state);
+    let expected = head.get(names.expected_upstream.as_str());
+    if expected != Some(upstream.name.as_str()) {
+        lock(&state.ledger).unexpected += u32::from(expected.is_none());
+        let named = (
+            names.answering_upstream.to_string(),
+            upstream.name.to_string(),
+        );
+        return Some((421, named));
+    }
+    let refused = Some((503, (names.not_run.to_string(), "1".to_owned())));
+    if state.script.first() == Some(&Fault::Refuse) {
+        state.script.remove(0);
+        return refused;
+    }
+    let copy = head
+        .get(names.resume_from.as_str())
+        .and_then(|c| c.split_once('/'));
+    if let Some((at, id)) = copy {
+        let at = at.parse().unwrap_or(upstream.address);
+        let has_copy = lock(&state.ledger).copies.contains(&(at, id.to_owned()));
+        if !has_copy {
+            return refused;
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -0,0 +1,118 @@
+//! What an upstream knows: its description, its faults to come, and what it ran.
+
+use super::serve::Asked;
+use super::{CacheShape, LoadShape, UpstreamSpec};
+use crate::http::Head;
+use crate::ledger::{Fault, SharedLedger};
+use cloverpier_core::lock;
+use cloverpier_router::HeaderNames;
+use cloverpier_router_policy::prelude::Upstream;
+use std::sync::Mutex;
+use std::time::Duration;
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) upstream: Upstream,
+    pub(super) names: HeaderNames,
+    pub(super) ledger: SharedLedger,
+    pub(super) event_interval: Duration,
+    pub(super) cache: CacheShape,
+    pub(super) load: LoadShape,
+    pub(super) with_start: fn(String, u64) -> String,
+    /// Requests that it says to run, whatever runs there.
+    pub(super) told_running: u32,
+    /// Prompts that were read, in order.
+    pub(super) prompts: Vec<String>,
+    /// Faults of the next requests, the first one first.
+    pub(super) script: Vec<Fault>,
+    /// A fault of a share of the requests.
+    pub(super) random: Option<(Fault, f64)>,
+    /// How long it works on a request before it answers.
+    pub(super) work: Duration,
+    pub(super) rng: fastrand::Rng,
+}
+
+impl State {
+    pub(super) fn new(
+        spec: &UpstreamSpec,
+        upstream: Upstream,
+        names: HeaderNames,
+        ledger: SharedLedger,
+    ) -> Self {
+        Self {
+            upstream,
+            names,
+            ledger,
+            event_interval: spec.event_interval,
+            cache: spec.cache,
+            load: spec.load,
+            with_start: spec.with_start,
+            told_running: 0,
+            prompts: Vec::new(),
+            script: Vec::new(),
+            random: None,
+            work: Duration::ZERO,
+            rng: fastrand::Rng::with_seed(spec.seed),
+        }
+    }
+}
+
+/// Notes a run, and reads what it asks.
+pub(super) fn note_run(
+    state: &Mutex<State>,
+    head: &Head,
+    id: String,
+    upstream: Upstream,
+    names: HeaderNames,
+) -> Asked {
+    let mut state = lock(state);
+    let fault = next_fault(&mut state);
+    record_run(&state, head, &id, &upstream, &names);
+    if fault == Some(Fault::Mute) {
+        lock(&state.ledger).unanswered.insert(id.clone());
+    }
+    let prompt = head.get(names.prompt_parts.as_str()).map(str::to_owned);
+    state.prompts.extend(prompt.clone());
+    let last_event = head.get(names.last_event.as_str());
+    Asked {
+        id,
+        prompt,
+        last_event: last_event.and_then(|l| l.parse().ok()).unwrap_or(0),
+        upstream,
+        names,
+        event_interval: state.event_interval,
+        fault,
+    }
+}
+
+/// The fault of the next request: the first of the script, else one by chance.
+fn next_fault(state: &mut State) -> Option<Fault> {
+    if !state.script.is_empty() {
+        return Some(state.script.remove(0));
+    }
+    let roll = state.rng.f64();
+    let (fault, share) = state.random?;
+    (roll < share).then_some(fault)
+}
+
+/// Writes a run into the ledger.
+fn record_run(state: &State, head: &Head, id: &str, upstream: &Upstream, names: &HeaderNames) {
+    let id = id.to_owned();
+    let mut ledger = lock(&state.ledger);
+    *ledger.runs.entry(id.clone()).or_default() += 1;
+    let headers = head.headers.clone().into_iter().collect();
+    ledger.heads.insert(id.clone(), headers);
+    ledger
+        .reached
+        .entry(id.clone())
+        .or_default()
+        .push(upstream.name.clone());
+    ledger.leaked_keys += u32::from(head.get(names.key.as_str()).is_some());
+    if let Some(account) = head.get(names.account.as_str()) {
+        ledger.accounts.insert(id.clone(), account.to_owned());
+    }
+    let replica = head.get(names.replica_at.as_str());
+    if let Some(at) = replica.and_then(|at| at.parse().ok()) {
+        ledger.copies.insert((at, id.clone()));
+    }
+}
--- a/tools/src/rollout_play/mod.rs
+++ b/tools/src/rollout_play/mod.rs
@@ -6,6 +6,8 @@
 //! the attempt (`choice`). Routers are modelled by what they know; reports and progress travel with
 //! a delay. What is checked is counted here, from the upstreams' side. Owns the model.
 
+mod requests;
+mod routers;
 mod upstreams;
 mod world;
 
--- a/tools/src/rollout_play/upstreams.rs
+++ b/tools/src/rollout_play/upstreams.rs
@@ -1,7 +1,8 @@
 //! The upstreams of the model: what they fail, how long they take, how their data centres die.
 
 use super::VersionFault;
-use super::world::{DEATH_EACH, Event, ORDER_AT, Request, World, observed};
+use super::requests::{Request, observed};
+use super::world::{Event, ORDER_AT, World};
 use cloverpier_core::{DataCentre, SoftwareVersion, UpstreamName};
 use cloverpier_router_policy::attempt_failure::AttemptFailure;
 use cloverpier_router_policy::prelude::*;
@@ -11,6 +12,8 @@
 
 /// Data centres.
 pub(super) const DATA_CENTRES: usize = 4;
+/// A data centre dies each so often.
+pub(super) const DEATH_EACH: Duration = Duration::from_millis(6_500);
 /// A data centre that died is back after this time.
 const DEAD_FOR: Duration = Duration::from_millis(1_200);
 /// Requests that a grey upstream fails.
--- /dev/null
+++ b/tools/src/router_site/upstreams.rs
@@ -0,0 +1,165 @@
+//! The upstreams of a site: which there are, how they end and start again, orders to move them.
+//!
+//! Each upstream stands behind a link that can be cut; the store lists the link's address. Relies
+//! on the stand-ins for what an upstream does.
+
+use super::{ENGINES, PLAIN, Site};
+use cloverpier_adapter_standin::{
+    ROLLOUTS, cache_shape, load_shape, rollout_order, rollout_state, with_start,
+};
+use cloverpier_router_policy::prelude::UpstreamStart;
+use cloverpier_router_standin::link::Link;
+use cloverpier_router_standin::upstream::{UpstreamSpec, UpstreamStandIn};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Requests that an engine says to work on at once.
+const ENGINE_SLOTS: u32 = 64;
+
+/// One upstream behind its link.
+#[derive(Debug)]
+pub struct SiteUpstream {
+    /// The upstream, while it runs.
+    pub stand_in: UpstreamStandIn,
+    /// The way to it.
+    pub link: Link,
+    spec: UpstreamSpec,
+    address: SocketAddr,
+}
+
+impl Site {
+    pub(super) async fn add_upstream(&mut self, index: usize) -> io::Result<()> {
+        let is_engine = index < self.spec.engines;
+        let start = self.spec.upstream_start.clone();
+        self.add_upstream_of(is_engine, start).await
+    }
+
+    /// Adds upstreams of another version, beside those of their service that are there.
+    ///
+    /// # Errors
+    ///
+    /// No port can be listened at.
+    pub async fn add_version(
+        &mut self,
+        service: &str,
+        version: &str,
+        count: usize,
+    ) -> io::Result<Vec<usize>> {
+        let first = self.upstreams.len();
+        for _ in 0..count {
+            let start = UpstreamStart {
+                version: version.into(),
+                born_ms: None,
+            };
+            self.add_upstream_of(service == ENGINES, Some(start))
+                .await?;
+        }
+        Ok((first..self.upstreams.len()).collect())
+    }
+
+    async fn add_upstream_of(
+        &mut self,
+        is_engine: bool,
+        start: Option<UpstreamStart>,
+    ) -> io::Result<()> {
+        let index = self.upstreams.len();
+        let spec = UpstreamSpec {
+            name: format!("server-{index}-0"),
+            service: if is_engine { ENGINES } else { PLAIN }.to_owned(),
+            data_centre: format!("hall-{}", index % 2),
+            event_interval: self.spec.event_interval,
+            seed: self.spec.seed + index as u64,
+            cache: cache_shape(),
+            load: load_shape(),
+            with_start,
+            start,
+            slots: if is_engine {
+                ENGINE_SLOTS
+            } else {
+                self.spec.plain_slots
+            },
+        };
+        let ledger = Arc::clone(&self.ledger);
+        let stand_in =
+            UpstreamStandIn::start(spec.clone(), None, self.names.clone(), ledger).await?;
+        let address = stand_in.listed().address;
+        let link = Link::start(address).await?;
+        stand_in.set_listed_address(link.address());
+        self.store.put_upstream(&stand_in.listed());
+        self.upstreams.push(SiteUpstream {
+            stand_in,
+            link,
+            spec,
+            address,
+        });
+        Ok(())
+    }
+
+    /// Crashes an upstream: its connections close, its port refuses.
+    pub fn crash_upstream(&mut self, index: usize) {
+        let upstream = &mut self.upstreams[index];
+        upstream.stand_in.stop();
+        upstream.link.close();
+    }
+
+    /// Starts a crashed upstream anew, under another name, and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Its port is taken.
+    pub async fn restart_upstream(&mut self, index: usize) -> io::Result<()> {
+        self.crash_upstream(index);
+        self.starts += 1;
+        let upstream = &mut self.upstreams[index];
+        self.store.remove_upstream(&upstream.spec.name);
+        upstream.spec.name = format!("server-{index}-{}", self.starts);
+        self.relaunch(index).await
+    }
+
+    /// Starts a crashed upstream again under the name that it had, and lists it with its new start.
+    ///
+    /// # Errors
+    ///
+    /// Its port is taken.
+    pub async fn start_upstream_again(&mut self, index: usize) -> io::Result<()> {
+        self.crash_upstream(index);
+        self.starts += 1;
+        let upstream = &mut self.upstreams[index];
+        if let Some(start) = &mut upstream.spec.start {
+            start.born_ms = start.born_ms.map(|born| born + self.starts);
+        }
+        self.relaunch(index).await
+    }
+
+    /// Starts an upstream by its present description, at its address, and lists it.
+    async fn relaunch(&mut self, index: usize) -> io::Result<()> {
+        let upstream = &mut self.upstreams[index];
+        let (spec, at) = (upstream.spec.clone(), Some(upstream.address));
+        let ledger = Arc::clone(&self.ledger);
+        upstream.stand_in = UpstreamStandIn::start(spec, at, self.names.clone(), ledger).await?;
+        upstream
+            .stand_in
+            .set_listed_address(upstream.link.address());
+        upstream.link.reopen().await?;
+        self.store.put_upstream(&upstream.stand_in.listed());
+        Ok(())
+    }
+
+    /// Orders that a service moves to a version.
+    pub fn order_rollout(&self, service: &str, version: &str, duration: Duration) {
+        let spec = rollout_order(service, version, duration);
+        self.store.put_object(ROLLOUTS, service, &spec);
+    }
+
+    /// Takes the order of a service back.
+    pub fn withdraw_rollout(&self, service: &str) {
+        self.store.remove_object(ROLLOUTS, service);
+    }
+
+    /// What the routers have written of a service's order: its state; nothing before.
+    pub fn rollout_state(&self, service: &str) -> Option<String> {
+        rollout_state(&self.store.status_of(ROLLOUTS, service)?)
+    }
+}
