Record versions from the news of upstreams, not from the whole table

Cause: each list or change of upstreams had every router collect the versions of all upstreams it knows: 604 entries with their sets, whatever the news. Change: AppliedNews names the versions of the news alone; what was listed before was recorded before. Policy tests, platform test rollouts pass.

--- a/crates/router/cloverpier_router/src/rollouts.rs
+++ b/crates/router/cloverpier_router/src/rollouts.rs
@@ -57,11 +57,10 @@
     book.rule(service, upstreams_of, now, &mut rng)
 }
 
-/// Records the versions that are listed now.
-pub(crate) fn on_listed(router: &Router, now: Instant) {
-    let versions = router.upstreams.borrow().versions();
+/// Records the versions that news of upstreams name.
+pub(crate) fn on_listed(router: &Router, news: &AppliedNews, now: Instant) {
     let mut book = router.rollouts.book.borrow_mut();
-    book.on_listed(&versions, now);
+    book.on_listed(&news.versions, now);
 }
 
 /// Applies views of a peer or of the store; what is new is logged and handed on.
--- a/crates/router/cloverpier_router/src/upstream_news.rs
+++ b/crates/router/cloverpier_router/src/upstream_news.rs
@@ -20,7 +20,7 @@
     let applied = table.apply_list(list.upstreams, list.revision, now);
     drop(table);
     restart::on_restarted(router, &applied.restarted, now);
-    rollouts::on_listed(router, now);
+    rollouts::on_listed(router, &applied, now);
     if applied.is_new {
         router.store.on_upstreams_learned(now);
         log_version(router, Watched::Upstreams, list.revision, from);
@@ -47,7 +47,7 @@
     let applied = table.apply_changes(readable, changes.revision, now);
     drop(table);
     restart::on_restarted(router, &applied.restarted, now);
-    rollouts::on_listed(router, now);
+    rollouts::on_listed(router, &applied, now);
     if applied.is_new {
         log_version(router, Watched::Upstreams, changes.revision, from);
     }
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -98,7 +98,7 @@
         StartNumber, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamStart,
         UpstreamState,
     };
-    pub use crate::upstream_table::UpstreamTable;
+    pub use crate::upstream_table::{AppliedNews, UpstreamTable};
 }
 
 pub use prelude::*;
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -96,6 +96,16 @@
     Gone(UpstreamName),
 }
 
+impl UpstreamChange {
+    /// The upstream that is listed, if any.
+    pub fn listed(&self) -> Option<&Upstream> {
+        match self {
+            Self::Listed(upstream) => Some(upstream),
+            Self::Gone(_) => None,
+        }
+    }
+}
+
 /// An upstream that the platform's list has not named yet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Unlisted {
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -47,6 +47,22 @@
     pub is_new: bool,
     /// Upstreams that have started again under the names that they had.
     pub restarted: Vec<Upstream>,
+    /// The versions that the news names, by service.
+    pub versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+}
+
+/// The versions of upstreams, by service.
+fn versions_of<'a>(
+    upstreams: impl Iterator<Item = &'a Upstream>,
+) -> BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> {
+    let mut versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+    for upstream in upstreams {
+        if let Some(version) = upstream.version() {
+            let of_service = versions.entry(upstream.service.clone()).or_default();
+            of_service.insert(version.clone());
+        }
+    }
+    versions
 }
 
 impl UpstreamTable {
@@ -95,19 +111,6 @@
         dead.map(|(data_centre, _)| data_centre).collect()
     }
 
-    /// The versions of the upstreams that are listed, by service.
-    pub fn versions(&self) -> BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> {
-        let mut versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> = BTreeMap::new();
-        let listed = self.upstreams.values().filter(|s| s.gone.is_none());
-        for upstream in listed.map(|s| &s.upstream) {
-            if let Some(version) = upstream.version() {
-                let of_service = versions.entry(upstream.service.clone()).or_default();
-                of_service.insert(version.clone());
-            }
-        }
-        versions
-    }
-
     /// Number of a service's upstreams that are listed under a version.
     pub fn count_of_version(&self, service: &ServiceName, version: &SoftwareVersion) -> usize {
         let listed = self.of_service(service).filter(|s| s.is_listed());
@@ -145,6 +148,7 @@
         if revision < self.revision {
             return AppliedNews::default();
         }
+        let versions = versions_of(upstreams.iter());
         let is_first = self.revision == 0;
         let restarted = self.apply_all(self.changes_to(upstreams), revision, now);
         if is_first {
@@ -157,6 +161,7 @@
         AppliedNews {
             is_new: true,
             restarted,
+            versions,
         }
     }
 
@@ -189,6 +194,8 @@
         if revision <= self.revision {
             return AppliedNews::default();
         }
+        let listed = changes.iter().filter_map(UpstreamChange::listed);
+        let versions = versions_of(listed);
         let restarted = self.apply_all(changes, revision, now);
         self.forget_old_changes();
         self.forget_unlisted(now);
@@ -196,6 +203,7 @@
         AppliedNews {
             is_new: true,
             restarted,
+            versions,
         }
     }
 
