--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -61,6 +61,10 @@
     pub reason: &'a str,
     pub next: NextStep,
     pub last_event: Option<u64>,
+    /// How long ago the request was sent there.
+    pub attempt_ms: u64,
+    /// What repeats of the request have in common, where it may have run without an answer.
+    pub content: Option<String>,
     pub age_ms: u64,
 }
 
--- a/crates/router/cloverpier_router/src/intake.rs
+++ b/crates/router/cloverpier_router/src/intake.rs
@@ -12,6 +12,7 @@
 use crate::wire_names::PromptSize;
 use bytes::Bytes;
 use cloverpier_core::hash_of;
+use cloverpier_crashes::{Content, ContentKey};
 use cloverpier_router_policy::arrival::{
     Rejection, find_account, find_route, pick_service, priority,
 };
@@ -35,6 +36,8 @@
     pub id: String,
     /// Its method.
     pub method: Method,
+    /// The host that it names, without a port.
+    pub host: String,
     /// Path and query, as received.
     pub target: String,
     /// The headers that travel to upstreams with every attempt.
@@ -45,6 +48,8 @@
     pub route: Arc<Route>,
     /// The service picked for it.
     pub service: Arc<ServiceConfig>,
+    /// The client account that it runs under; `None` on public routes.
+    pub account: Option<Arc<ClientAccount>>,
     /// The version of the configuration that it was routed by.
     pub configuration_version: u64,
     /// When its head was read.
@@ -76,6 +81,18 @@
         }
     }
 
+    /// What its repeats have in common with it.
+    pub fn content(&self) -> ContentKey {
+        ContentKey::of(&Content {
+            // A request without an account has nobody's name.
+            account: self.account.as_ref().map_or("", |account| &account.name),
+            host: &self.host,
+            method: self.method.as_str(),
+            target: &self.target,
+            body: &self.body,
+        })
+    }
+
     /// Tokens that fit into the KV cache of an engine of its service; `None` for a plain
     /// service.
     pub fn engine_memory(&self) -> Option<u64> {
@@ -164,6 +181,7 @@
     Ok(RelayRequest {
         id: id.to_owned(),
         method: head.method.clone(),
+        host: host.to_ascii_lowercase(),
         target: target_of(&head),
         body,
         deadline: now + limit.time_on_route(route.timeout),
@@ -172,6 +190,7 @@
         prompt: prompt_key(router, &head.headers),
         headers: forwarded_headers(router, head.headers, account.as_deref()),
         priority: priority(&route, account.as_deref()),
+        account,
         service,
         route,
         configuration_version: configuration.version(),
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -221,6 +221,8 @@
     pub next: NextStep,
     /// The last event that the caller has, of a stream.
     pub last_event: Option<u64>,
+    /// When the attempt began.
+    pub begun: Instant,
     /// When it was decided.
     pub now: Instant,
 }
@@ -238,6 +240,8 @@
             reason: &attempt.failure.to_string(),
             next: attempt.next,
             last_event: attempt.last_event,
+            attempt_ms: ms_since(attempt.begun, attempt.now),
+            content: (outcome == AttemptOutcome::Unknown).then(|| request.content().to_string()),
             age_ms: ms_since(request.arrived, attempt.now),
         },
     );
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -25,6 +25,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Bytes of an answer that are held until it is whole; a longer one is passed on as it
 /// arrives.  A buffer's size, chosen, not measured.
@@ -94,11 +95,12 @@
                 Err(reason) => return self.without_upstream(reason),
             };
             self.attempts.on_send();
+            let begun = self.router.now();
             let failure = match self.attempt(&upstream).await {
                 Ok(reply) => return Ok(reply),
                 Err(failure) => failure,
             };
-            match self.after_failure(&upstream, &failure) {
+            match self.after_failure(&upstream, &failure, begun) {
                 AfterFailure::Retry => {}
                 AfterFailure::PassOn(answer) => return Ok(answer.into_reply()),
                 AfterFailure::GiveUp(given_up) => return Err(given_up),
@@ -233,7 +235,12 @@
         Err(AttemptFailure::UpstreamError { status })
     }
 
-    fn after_failure(&mut self, upstream: &Upstream, failure: &AttemptFailure) -> AfterFailure {
+    fn after_failure(
+        &mut self,
+        upstream: &Upstream,
+        failure: &AttemptFailure,
+        begun: Instant,
+    ) -> AfterFailure {
         let now = self.router.now();
         let outcome = failure.outcome();
         self.tried.push(upstream.name.clone());
@@ -250,6 +257,7 @@
             failure,
             next,
             last_event: None,
+            begun,
             now,
         };
         log_failure(self.router, self.request, &attempt);
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -101,6 +101,8 @@
     request: Rc<RelayRequest>,
     attempts: Attempts,
     tried: Vec<UpstreamName>,
+    /// When the last attempt began.
+    attempt_begun: Instant,
     source: Option<Source>,
     /// The replica of the lost run's KV cache.
     replica: Option<Replica>,
@@ -132,6 +134,7 @@
             request: Rc::clone(request),
             attempts: Attempts::new(route.retry_rule(), route.max_attempts),
             tried: Vec::new(),
+            attempt_begun: request.arrived,
             source: None,
             replica: None,
             splitter: EventSplitter::default(),
@@ -282,6 +285,7 @@
             failure,
             next,
             last_event: self.last_event,
+            begun: self.attempt_begun,
             now,
         };
         log_failure(&self.router, &self.request, &attempt);
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -56,6 +56,7 @@
                 .choose(&around, &reported)
                 .map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
             self.attempts.on_send();
+            self.attempt_begun = self.router.now();
             let failure = match self.open_at(&upstream, extras).await {
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
