--- a/crates/daemon/cloverpier_daemon/tests/support/mod.rs
+++ b/crates/daemon/cloverpier_daemon/tests/support/mod.rs
@@ -91,6 +91,7 @@
     pub platform: Process,
     pub service: Process,
     http: reqwest::Client,
+    model: EngineModel,
 }
 
 impl Site {
@@ -118,6 +119,7 @@
             platform,
             service,
             http: reqwest::Client::new(),
+            model,
         };
         let counts = format!("http://{}/counts", this.platform.address);
         this.until("the platform", || async {
@@ -160,6 +162,36 @@
         router.process = start_router(&router.settings, router.peers_at);
     }
 
+    /// Starts an engine again that was killed; it knows nothing of before.
+    pub fn restart_engine(&mut self, i: usize) {
+        let address = self.engines[i].address;
+        self.engines[i] = Process::start(address, engine::run(address, self.model.clone()));
+    }
+
+    /// Whether a generation has crashed an engine.
+    pub async fn has_crashed(&self, i: usize) -> bool {
+        let url = format!("http://{}/counts", self.engines[i].address);
+        let counts: Value = self.get(&url).await.unwrap_or_default();
+        counts["crashed"] == true
+    }
+
+    /// Sends a body to a router's port for callers and gives status and JSON.
+    pub fn post_to(
+        &self,
+        router: usize,
+        path: &str,
+        body: &Value,
+    ) -> impl Future<Output = (u16, Value)> + Send + 'static {
+        let url = format!("http://{}{path}", self.routers[router].callers_at);
+        let req = self.http.post(url).bearer_auth(KEY).json(body);
+        async move {
+            let res = req.send().await.unwrap();
+            let status = res.status().as_u16();
+            // An answer that isn't JSON has no fields to look at.
+            (status, res.json().await.unwrap_or_default())
+        }
+    }
+
     async fn all_ready(&self, members: usize) -> bool {
         for i in 0..self.routers.len() {
             let Ok(status) = self.operator(i).status().await else {
--- a/crates/standins/cloverpier_daemon_standin/src/engine/batch.rs
+++ b/crates/standins/cloverpier_daemon_standin/src/engine/batch.rs
@@ -25,6 +25,8 @@
     pub cached_prefixes: usize,
     /// How long a generation runs on without a reader, in milliseconds.
     pub orphan_ms: u64,
+    /// The prompt that crashes the engine when its first token is made; empty for none.
+    pub crashed_by: String,
 }
 
 impl Default for EngineModel {
@@ -36,6 +38,7 @@
             slots: 16,
             cached_prefixes: 64,
             orphan_ms: 5_000,
+            crashed_by: String::new(),
         }
     }
 }
@@ -73,6 +76,8 @@
     pub resumed: u64,
     /// Generations cancelled.
     pub cancelled: u64,
+    /// Whether a generation has crashed it: it does nothing more until its owner ends it.
+    pub crashed: bool,
 }
 
 #[derive(Debug)]
@@ -88,6 +93,8 @@
     pub(super) finished: bool,
     pub(super) readers: u32,
     pub(super) idle_since: Instant,
+    /// Whether its first token crashes the engine.
+    pub(super) crashes: bool,
 }
 
 #[derive(Debug, Default)]
@@ -143,6 +150,11 @@
             budget -= work;
             inner.counts.prefilled += work;
         }
+        if generation.prefill_left == 0 && generation.crashes {
+            inner.counts.crashed = true;
+            inner.faults.freeze = true;
+            return;
+        }
         if generation.prefill_left == 0 {
             make_token(state.salt, generation);
             inner.counts.decoded += 1;
@@ -234,6 +246,7 @@
         finished: prefix_tokens >= u64::from(ask.max_tokens),
         readers: 0,
         idle_since: Instant::now(),
+        crashes: !model.crashed_by.is_empty() && model.crashed_by == *ask.prompt,
     };
     inner.generations.insert(ask.generation.clone(), generation);
     inner.waiting.push(ask.generation.clone());
--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 /// What an upstream does wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +54,28 @@
     pub reached: HashMap<String, Vec<UpstreamName>>,
     /// The headers that each request had when it ran last, by name.
     pub heads: HashMap<String, BTreeMap<String, String>>,
+    /// Each time that a request which crashes upstreams reached one, refused ones among them.
+    pub crashing_arrivals: Vec<CrashingArrival>,
+    /// When each upstream crashed of a request that it began to run.
+    pub crashes: Vec<Instant>,
+}
+
+/// A request that crashes upstreams has reached one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashingArrival {
+    /// When.
+    pub at: Instant,
+    /// The request's id.
+    pub id: String,
+    /// The upstream.
+    pub upstream: UpstreamName,
+}
+
+impl Ledger {
+    /// When the third upstream crashed of a request.
+    pub fn third_crash(&self) -> Option<Instant> {
+        self.crashes.get(2).copied()
+    }
 }
 
 /// A ledger that upstreams share.
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -79,6 +79,8 @@
     pub start: Option<UpstreamStart>,
     /// Requests that it says to work on at once.
     pub slots: u32,
+    /// Crashes it when it begins to run a request with this body.
+    pub crashed_by: Option<&'static str>,
 }
 
 impl UpstreamStandIn {
@@ -166,6 +168,12 @@
         lock(&self.state).random = fault;
     }
 
+    /// Whether a request has crashed it. Its owner has yet to end it, so that its way and its port
+    /// end with it; until then it says nothing more on that connection.
+    pub fn has_crashed(&self) -> bool {
+        lock(&self.state).has_crashed
+    }
+
     /// Sets how long it works on a request before it answers.
     pub fn set_work(&self, work: Duration) {
         lock(&self.state).work = work;
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -3,22 +3,22 @@
 use super::state::{State, note_run};
 use crate::answers::{answer_plainly, stream_events, write_answer};
 use crate::http::{Head, read_body, read_head};
-use crate::ledger::Fault;
+use crate::ledger::{CrashingArrival, Fault};
 use cloverpier_core::lock;
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::Upstream;
 use std::io;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 pub(super) async fn serve(mut stream: TcpStream, state: &Mutex<State>) -> io::Result<()> {
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buffer).await? {
-        let Some(_body) = read_body(&mut stream, &mut buffer, head.content_length()).await? else {
+        let Some(body) = read_body(&mut stream, &mut buffer, head.content_length()).await? else {
             return Ok(());
         };
-        if !answer(&mut stream, state, &head).await? {
+        if !answer(&mut stream, state, &head, &body).await? {
             return Ok(());
         }
     }
@@ -37,7 +37,12 @@
 }
 
 /// Answers one request; false when the connection is to end.
-async fn answer(stream: &mut TcpStream, state: &Mutex<State>, head: &Head) -> io::Result<bool> {
+async fn answer(
+    stream: &mut TcpStream,
+    state: &Mutex<State>,
+    head: &Head,
+    body: &[u8],
+) -> io::Result<bool> {
     let (upstream, names) = {
         let state = lock(state);
         (state.upstream.clone(), state.names.clone())
@@ -49,6 +54,10 @@
         write_answer(stream, 200, &[named], body.as_bytes()).await?;
         return Ok(true);
     };
+    let crashes = lock(state).is_crashed_by(body);
+    if crashes {
+        note_crashing_arrival(state, &id, &upstream);
+    }
     if let Some((status, header)) = turn_down(head, &upstream, &names, state) {
         let echoed = (names.request_id.as_str(), id.as_str());
         write_answer(
@@ -65,6 +74,10 @@
     if !work.is_zero() {
         tokio::time::sleep(work).await;
     }
+    if crashes {
+        lock(state).crash();
+        std::future::pending::<()>().await;
+    }
     match &asked.prompt {
         Some(prompt) => {
             let streamed = stream_events(stream, &asked, prompt).await;
@@ -78,6 +91,16 @@
     }
 }
 
+fn note_crashing_arrival(state: &Mutex<State>, id: &str, upstream: &Upstream) {
+    let arrival = CrashingArrival {
+        at: Instant::now(),
+        id: id.to_owned(),
+        upstream: upstream.name.clone(),
+    };
+    let ledger = Arc::clone(&lock(state).ledger);
+    lock(&ledger).crashing_arrivals.push(arrival);
+}
+
 fn answer_to_question(state: &State, head: &Head) -> String {
     let answer = question_body(state, head);
     match state.upstream.born_ms() {
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -8,7 +8,7 @@
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::Upstream;
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[derive(Debug)]
 pub(super) struct State {
@@ -30,9 +30,23 @@
     /// How long it works on a request before it answers.
     pub(super) work: Duration,
     pub(super) rng: fastrand::Rng,
+    /// The body of requests that crash it.
+    pub(super) crashed_by: Option<&'static str>,
+    pub(super) has_crashed: bool,
 }
 
 impl State {
+    /// Whether a request with a body crashes it.
+    pub(super) fn is_crashed_by(&self, body: &[u8]) -> bool {
+        self.crashed_by.is_some_and(|text| text.as_bytes() == body)
+    }
+
+    /// Crashes it, as the request that it has begun to run does.
+    pub(super) fn crash(&mut self) {
+        self.has_crashed = true;
+        lock(&self.ledger).crashes.push(Instant::now());
+    }
+
     pub(super) fn new(
         spec: &UpstreamSpec,
         upstream: Upstream,
@@ -53,6 +67,8 @@
             random: None,
             work: Duration::ZERO,
             rng: fastrand::Rng::with_seed(spec.seed),
+            crashed_by: spec.crashed_by,
+            has_crashed: false,
         }
     }
 }
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -8,7 +8,7 @@
     add_routes, remove_added_routes,
 };
 
-pub use upstreams::SiteUpstream;
+pub use upstreams::{Return, SiteUpstream};
 
 use crate::ports::free_addresses;
 use crate::process::Process;
@@ -50,6 +50,8 @@
     pub plain_slots: u32,
     /// What upstreams say of their first start; nothing where they say nothing.
     pub upstream_start: Option<UpstreamStart>,
+    /// The body of requests that crash the upstreams which begin to run them.
+    pub crashed_by: Option<&'static str>,
     /// For how many seconds no other service gets the address of an upstream that has ended; 0
     /// where one may get it at once.
     pub address_reuse_s: u32,
@@ -68,6 +70,7 @@
             seed: 1,
             plain_slots: 64,
             upstream_start: None,
+            crashed_by: None,
             address_reuse_s: 0,
         }
     }
@@ -112,6 +115,8 @@
     pub names: HeaderNames,
     spec: SiteSpec,
     starts: u64,
+    /// Upstreams that a request has crashed, and when they are back.
+    crashed: Vec<(usize, Instant)>,
 }
 
 impl Site {
@@ -129,6 +134,7 @@
             upstreams: Vec::new(),
             routers: Vec::new(),
             starts: 0,
+            crashed: Vec::new(),
             store,
             spec,
         };
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -13,11 +13,28 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Requests that an engine says to work on at once.
 const ENGINE_SLOTS: u32 = 64;
 
+/// How an upstream that a request has crashed comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Return {
+    /// Under the name that it had, with a later start.
+    SameName(Duration),
+    /// Under a new name.
+    NewName(Duration),
+}
+
+impl Return {
+    fn after(self) -> Duration {
+        match self {
+            Self::SameName(after) | Self::NewName(after) => after,
+        }
+    }
+}
+
 /// One upstream behind its link.
 #[derive(Debug)]
 pub struct SiteUpstream {
@@ -75,6 +92,7 @@
             load: load_shape(),
             with_start,
             start,
+            crashed_by: self.spec.crashed_by,
             slots: if is_engine {
                 ENGINE_SLOTS
             } else {
@@ -133,6 +151,32 @@
         self.relaunch(index).await
     }
 
+    /// Ends the upstreams that a request has crashed, and starts those again whose time has come.
+    /// To be called every few milliseconds while such requests are sent.
+    ///
+    /// # Errors
+    ///
+    /// A port is taken.
+    pub async fn play_crashes(&mut self, back: Return) -> io::Result<()> {
+        let now = Instant::now();
+        let is_down: Vec<usize> = self.crashed.iter().map(|(index, _)| *index).collect();
+        for index in 0..self.upstreams.len() {
+            if !is_down.contains(&index) && self.upstreams[index].stand_in.has_crashed() {
+                self.crash_upstream(index);
+                self.crashed.push((index, now + back.after()));
+            }
+        }
+        let due = |(_, at): &(usize, Instant)| *at <= now;
+        let returning: Vec<(usize, Instant)> = self.crashed.extract_if(.., |c| due(c)).collect();
+        for (index, _) in returning {
+            match back {
+                Return::SameName(_) => self.start_upstream_again(index).await?,
+                Return::NewName(_) => self.restart_upstream(index).await?,
+            }
+        }
+        Ok(())
+    }
+
     /// Starts an upstream by its present description, at its address, and lists it.
     async fn relaunch(&mut self, index: usize) -> io::Result<()> {
         let upstream = &mut self.upstreams[index];
