--- /dev/null
+++ b/crates/router/cloverpier_router/src/crash_news.rs
@@ -0,0 +1,81 @@
+//! Tells peers of requests that end upstreams, and takes what they tell.
+//!
+//! Who is told, and when again, is decided in `cloverpier_router_policy::crash_news`. Owns no state;
+//! [`crate::crashes`] holds what is known, and when peers were told last.
+
+use crate::crashes::apply_verdicts;
+use crate::peer_messages::{CrashNews, PeerMessage};
+use crate::peers::Recipients;
+use crate::router::Router;
+use cloverpier_crashes::{ContentKey, ContentReport};
+use cloverpier_router_policy::crash_news::{
+    in_messages, is_teller, is_told_again, may_have_missed,
+};
+use cloverpier_router_policy::prelude::PeerEntry;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Tells all peers what is known of contents.
+pub(crate) fn tell_all(router: &Router, contents: &[ContentKey], now: Instant) {
+    let reports = router.crashes.book.borrow().reports(contents, now);
+    if !reports.is_empty() {
+        router.crashes.last_news.set(Some(now));
+        tell(router, reports, &Recipients::All);
+    }
+}
+
+/// Tells a peer of the suspect contents, if it may have missed them.
+pub(crate) fn tell_if_missed(
+    router: &Router,
+    peer: SocketAddr,
+    former: Option<&PeerEntry>,
+    entry: &PeerEntry,
+) {
+    if router.crashes.book.borrow().is_empty() {
+        return;
+    }
+    let peers = router.peers.addresses().len();
+    let may_have_missed = may_have_missed(former, entry, router.peer_timeout());
+    if may_have_missed && is_teller(peers, &mut router.rng.borrow_mut()) {
+        tell_suspects(router, &Recipients::These(vec![peer]), router.now());
+    }
+}
+
+/// Tells one peer of the suspect contents, for a while after something was learned.
+pub(crate) fn tell_again(router: &Router, now: Instant) {
+    if !is_told_again(router.crashes.last_news.get(), now) {
+        return;
+    }
+    let peers = router.peers.addresses();
+    let peer = router.rng.borrow_mut().choose_multiple(peers, 1);
+    tell_suspects(router, &Recipients::These(peer), now);
+}
+
+fn tell_suspects(router: &Router, to: &Recipients, now: Instant) {
+    let book = router.crashes.book.borrow();
+    let reports = book.reports(&book.suspects(now), now);
+    drop(book);
+    tell(router, reports, to);
+}
+
+fn tell(router: &Router, reports: Vec<ContentReport>, to: &Recipients) {
+    let sender = router.settings().listen.peers;
+    for contents in in_messages(reports) {
+        let news = CrashNews { sender, contents };
+        router.peers.send(PeerMessage::Crashes(news), to.clone());
+    }
+}
+
+/// Takes what a peer tells; what was new is told on for a while, as far as it is suspect.
+pub(crate) fn on_news(router: &Router, news: &CrashNews, now: Instant) {
+    let mut book = router.crashes.book.borrow_mut();
+    let changed = book.merge(&news.contents, now);
+    drop(book);
+    if changed.is_empty() {
+        return;
+    }
+    router.metrics.crashes.count("heard");
+    router.crashes.last_news.set(Some(now));
+    let from = format!("peer {}", news.sender);
+    apply_verdicts(router, &from, now);
+}
--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -44,6 +44,8 @@
     pub resumes_after: Option<u64>,
     #[serde(rename = "from_copy")]
     pub from_replica: bool,
+    /// Whether it was chosen for having the fewest others, as the request may be what ends upstreams.
+    pub apart: bool,
     #[serde(rename = "catalog_version")]
     pub configuration_version: u64,
     #[serde(rename = "fleet_revision")]
@@ -102,6 +104,43 @@
     pub header: &'a str,
 }
 
+/// An upstream ended while it ran a request, as this router saw.
+#[derive(Serialize)]
+pub(crate) struct CrashRecorded {
+    pub content: String,
+    #[serde(rename = "server")]
+    pub upstream: String,
+    /// When it had started, as a Unix time in milliseconds; 0 where it does not say.
+    pub start_ms: u64,
+    /// Others of its service that ended at about the same time; nothing where they were many.
+    pub ended_beside: Option<usize>,
+    /// Whether the content ran to its end a moment before, so that the end does not count.
+    pub ran_well: bool,
+    /// Ends that are known of the content.
+    pub ends: usize,
+    /// What is known against it, in thousandths of an end that nothing else explains.
+    pub evidence: u32,
+    /// How long ago the attempt broke off.
+    pub age_ms: u64,
+}
+
+/// A content is sent to no upstream any more.
+#[derive(Serialize)]
+pub(crate) struct ContentStopped<'a> {
+    pub content: String,
+    /// The upstreams that ended, and when.
+    pub ends: Vec<String>,
+    /// By whom this router learned of the last of them.
+    pub from: &'a str,
+}
+
+/// A content that was stopped may be sent again.
+#[derive(Serialize)]
+pub(crate) struct ContentCleared<'a> {
+    pub content: String,
+    pub from: &'a str,
+}
+
 /// What is believed of an upstream has changed.
 #[derive(Serialize)]
 pub(crate) struct UpstreamBelief<'a> {
--- a/crates/router/cloverpier_router/src/intake.rs
+++ b/crates/router/cloverpier_router/src/intake.rs
@@ -9,6 +9,7 @@
 use crate::outcome::RequestEnd;
 use crate::reply::{Reply, own_reply, refusal_reply, strip_hop_by_hop};
 use crate::router::Router;
+use crate::stop_signal::StopSignal;
 use crate::wire_names::PromptSize;
 use bytes::Bytes;
 use cloverpier_core::hash_of;
@@ -25,6 +26,7 @@
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -64,6 +66,9 @@
     pub prompt: Option<PromptKey>,
     /// Its rank, 0 the highest.
     pub priority: u8,
+    /// Calls its attempts back when its content is stopped.
+    pub stop: StopSignal,
+    content: OnceCell<ContentKey>,
 }
 
 impl RelayRequest {
@@ -81,16 +86,22 @@
         }
     }
 
-    /// What its repeats have in common with it.
+    /// What its repeats have in common with it; a digest of the body, so only where it is needed.
     pub fn content(&self) -> ContentKey {
-        ContentKey::of(&Content {
+        let key = || ContentKey::of(&self.repeated_part());
+        *self.content.get_or_init(key)
+    }
+
+    /// All that its repeats have in common with it.
+    pub fn repeated_part(&self) -> Content<'_> {
+        Content {
             // A request without an account has nobody's name.
             account: self.account.as_ref().map_or("", |account| &account.name),
             host: &self.host,
             method: self.method.as_str(),
             target: &self.target,
             body: &self.body,
-        })
+        }
     }
 
     /// Tokens that fit into the KV cache of an engine of its service; `None` for a plain
@@ -195,6 +206,8 @@
         route,
         configuration_version: configuration.version(),
         arrived: now,
+        stop: StopSignal::default(),
+        content: OnceCell::new(),
     })
 }
 
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -11,6 +11,7 @@
 //! | a request, in the order in which it meets them | `web`, `intake`, then `plain` or `stream`, `send`, `wait`, `outcome`, `reply` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | questions to engines on their load | `load_query`, `engine_call` |
+//! | requests that end upstreams | `crashes`, `crash_news`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
 //! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
 //! | roll-outs of new versions | `rollouts`, `rollout_steps`, `rollout_store` |
@@ -41,6 +42,8 @@
 mod budgets;
 mod configuration_copies;
 mod connection;
+mod crash_news;
+mod crashes;
 mod decision_log;
 mod engine_call;
 mod health;
@@ -72,6 +75,7 @@
 mod source;
 mod start;
 mod stop;
+mod stop_signal;
 mod store_sync;
 mod store_view;
 mod stream;
--- a/crates/router/cloverpier_router/src/load_query.rs
+++ b/crates/router/cloverpier_router/src/load_query.rs
@@ -5,7 +5,7 @@
 
 use crate::engine_call::ask_engine;
 use crate::intake::RelayRequest;
-use crate::probe;
+use crate::probe::{self, DeathCause};
 use crate::restart::on_named_start;
 use crate::router::Router;
 use cloverpier_router_policy::load_query::QUERY_TIMEOUT;
@@ -40,7 +40,8 @@
         Ok(Ok(answer)) if answer.status.is_success() => read_report(router, engine, &answer.body),
         Ok(Err(error)) if error.is_refused() => {
             let reason = format!("asked for its load: {error}");
-            probe::declare_dead(router, engine, &reason, router.now());
+            let cause = DeathCause::NoProcess;
+            probe::declare_dead(router, engine, cause, &reason, router.now());
             (None, "load-refused")
         }
         // Silence for so short a time is no proof; a stream that runs there gives the verdict.
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -65,6 +65,10 @@
     pub version_fetches: ByKind,
     /// Steps of roll-outs by stage.
     pub rollouts: ByKind,
+    /// Upstreams that ended under requests: ends seen and heard of, contents stopped and cleared.
+    pub crashes: ByKind,
+    /// Contents that are stopped.
+    pub stopped_contents: Gauge,
     /// Bytes of versions handed to peers.
     pub version_bytes: Counter,
     /// New connections to upstreams.
@@ -94,6 +98,8 @@
             probes: ByKind::default(),
             version_fetches: ByKind::default(),
             rollouts: ByKind::default(),
+            crashes: ByKind::default(),
+            stopped_contents: Gauge::default(),
             version_bytes: Counter::default(),
             connections: Counter::default(),
             dropped_lines: Gauge::default(),
@@ -146,9 +152,24 @@
             "Silence to verdict",
             self.detection.0.clone(),
         );
+        self.register_crashes();
         self.register_versions();
     }
 
+    fn register_crashes(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "crashes",
+            "Ends of servers under requests",
+            self.crashes.0.clone(),
+        );
+        registry.register(
+            "stopped_contents",
+            "Requests that are stopped, by content",
+            self.stopped_contents.clone(),
+        );
+    }
+
     fn register_versions(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -36,6 +36,8 @@
     TimedOut,
     /// The request was turned down at arrival.
     Rejected,
+    /// The caller was told not to send it again: its content ends upstreams.
+    Stopped,
 }
 
 impl From<RequestEnd> for &'static str {
@@ -50,6 +52,7 @@
             RequestEnd::Failed => "failed",
             RequestEnd::TimedOut => "timed-out",
             RequestEnd::Rejected => "rejected",
+            RequestEnd::Stopped => "stopped",
         }
     }
 }
@@ -88,6 +91,17 @@
         }
     }
 
+    /// A request whose content ends upstreams. It says nothing of whether the request ran: it may be
+    /// what ended the last of them.
+    pub fn stopped() -> Self {
+        Self {
+            next: NextStep::Stop,
+            is_late: false,
+            reason: AttemptFailure::Stopped.to_string(),
+            no_upstream: None,
+        }
+    }
+
     /// A stream whose answer is not one.
     pub fn invalid(reason: &str) -> Self {
         Self {
@@ -105,6 +119,9 @@
                 let objective = request.route.objective;
                 refusal_reply(&self.reason, Refusal::NoUpstream { objective })
             }
+            // Not one of the statuses after which callers come again, and no promise that it has
+            // not run.
+            RequestEnd::Stopped => own_reply(StatusCode::BAD_REQUEST, &self.reason),
             RequestEnd::TimedOut => own_reply(StatusCode::GATEWAY_TIMEOUT, &self.reason),
             _ => own_reply(StatusCode::BAD_GATEWAY, &self.reason),
         }
@@ -122,6 +139,7 @@
     /// How the request ended.
     pub fn end(&self) -> RequestEnd {
         match (self.next, self.is_late) {
+            (NextStep::Stop, _) => RequestEnd::Stopped,
             (NextStep::Refuse, false) => RequestEnd::Refused,
             (NextStep::Refuse, true) => RequestEnd::RefusedLate,
             (_, true) => RequestEnd::TimedOut,
@@ -131,7 +149,9 @@
 
     /// The same, of a stream that its caller has begun to receive.
     pub fn end_of_begun(&self) -> RequestEnd {
-        if self.is_late {
+        if self.next == NextStep::Stop {
+            RequestEnd::Stopped
+        } else if self.is_late {
             RequestEnd::TimedOut
         } else {
             RequestEnd::BrokenOff
@@ -268,6 +288,8 @@
     pub resumes_after: Option<u64>,
     /// Whether the upstream has a replica of the lost run's KV cache.
     pub from_replica: bool,
+    /// Whether the choice kept it apart from other requests.
+    pub apart: bool,
     /// Number of engines that said how busy they are.
     pub asked: usize,
     /// What the upstream said.
@@ -284,6 +306,7 @@
             replica: None,
             resumes_after: None,
             from_replica: false,
+            apart: false,
             asked: 0,
             reported: None,
             now,
@@ -321,6 +344,7 @@
             prompt: request.prompt,
             resumes_after: note.resumes_after,
             from_replica: note.from_replica,
+            apart: note.apart,
             configuration_version: request.configuration_version,
             upstreams_revision: table.revision(),
             age_ms: ms_since(request.arrived, note.now),
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use cloverpier_core::{DataCentre, UpstreamName};
+use cloverpier_crashes::ContentReport;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::EvidenceReport;
 use flate2::Compression;
@@ -137,6 +138,15 @@
     pub report: EvidenceReport,
 }
 
+/// What a router knows of contents that ended upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNews {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The contents.
+    pub contents: Vec<ContentReport>,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -153,6 +163,9 @@
     Rollouts(RolloutNews),
     /// Sent to the routers that decide, while an order is under way; likewise.
     RolloutEvidence(RolloutEvidence),
+    /// Sent to all when an upstream has ended under a request that may be why, and again for a
+    /// while; likewise.
+    Crashes(CrashNews),
 }
 
 /// The reply to a fetch of upstreams.
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -4,6 +4,8 @@
 //! `cloverpier_router_policy::{heartbeat, suspicion}`; [`crate::heartbeats`] is the sending side.
 //! Owns no state.
 
+use crate::crash_news;
+use crate::crashes;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, decode};
 use crate::rollouts;
 use crate::router::Router;
@@ -39,6 +41,7 @@
             Ok(PeerMessage::RolloutEvidence(evidence)) => {
                 rollouts::on_evidence(&router, evidence.sender, evidence.report);
             }
+            Ok(PeerMessage::Crashes(news)) => crash_news::on_news(&router, &news, now),
             // Cut off, or of another release, as during an upgrade: logged once a process.
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
@@ -59,8 +62,22 @@
         let (key, load) = report.into_load();
         table.peer_load.on_change(change.sender, key, load, now);
     }
-    for key in change.suspects {
-        table.on_peer_suspicion(key, now);
+    drop(table);
+    on_suspects(router, &change.suspects, now);
+}
+
+/// Records upstreams that a peer suspects.
+fn on_suspects(router: &Router, suspects: &[UpstreamKey], now: Instant) {
+    for key in suspects {
+        let mut table = router.upstreams.borrow_mut();
+        let state = table.by_key(*key);
+        let is_new = state.filter(|s| !s.is_suspected() && !s.is_suspected_by_peer(now));
+        let died = is_new.map(|s| s.upstream.clone());
+        table.on_peer_suspicion(*key, now);
+        drop(table);
+        if let Some(upstream) = died {
+            crashes::on_death(router, &upstream, now);
+        }
     }
 }
 
@@ -106,7 +123,8 @@
 /// store.
 fn record_entry(router: &Router, peer: SocketAddr, entry: PeerEntry, now: Instant) {
     let store_age = entry.store_age;
-    let former = router.peers.on_heartbeat(peer, entry);
+    let former = router.peers.on_heartbeat(peer, entry.clone());
+    crash_news::tell_if_missed(router, peer, former.as_ref(), &entry);
     if changes_roles(former.and_then(|entry| entry.store_age), store_age) {
         decide_watcher_role(router, now);
     }
@@ -119,7 +137,6 @@
     table
         .peer_load
         .on_report(heartbeat.sender, load.collect(), now);
-    for key in &heartbeat.suspects {
-        table.on_peer_suspicion(*key, now);
-    }
+    drop(table);
+    on_suspects(router, &heartbeat.suspects, now);
 }
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -6,6 +6,7 @@
 
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
+use crate::crashes::{self, Admission};
 use crate::intake::RelayRequest;
 use crate::load_guard::LoadGuard;
 use crate::outcome::{
@@ -90,6 +91,9 @@
 
     async fn run(&mut self) -> Result<Reply, GivenUp> {
         loop {
+            if crashes::admit(self.router, self.request).await == Admission::Stopped {
+                return Err(GivenUp::stopped());
+            }
             let upstream = match self.choose() {
                 Ok(upstream) => upstream,
                 Err(reason) => return self.without_upstream(reason),
@@ -132,6 +136,7 @@
             tried: &self.tried,
             connected: &connected,
             now,
+            apart: None,
             overcommit: false,
             reported: &ReportedLoad::default(),
             versions: &versions,
@@ -205,6 +210,8 @@
             upstream,
             health: &health,
             deadline: self.request.deadline,
+            // A head proves that the upstream has begun to answer.
+            stop: None,
         };
         let mut held = BytesMut::new();
         while let Some(data) = next_data(&awaited, liveness, &mut body).await? {
@@ -221,6 +228,7 @@
             }
         }
         keep(self.router, &upstream.name, connection);
+        crashes::on_completed(self.router, self.request);
         self.check_status(UpstreamAnswer::new(head, held.freeze()))
             .map(UpstreamAnswer::into_reply)
     }
@@ -248,6 +256,9 @@
         table.on_result(&upstream.name, outcome.may_have_run());
         drop(table);
         rollouts::on_failure(self.router, self.request, upstream, failure);
+        if failure.may_be_end_of_upstream() {
+            crashes::on_broken(self.router, self.request, upstream, begun, now);
+        }
         let try_take = || self.router.try_take_retry(&upstream.service, now);
         let next = self
             .attempts
@@ -261,6 +272,9 @@
             now,
         };
         log_failure(self.router, self.request, &attempt);
+        if *failure == AttemptFailure::Stopped {
+            return AfterFailure::GiveUp(GivenUp::stopped());
+        }
         if next == NextStep::Retry {
             return AfterFailure::Retry;
         }
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -5,6 +5,7 @@
 //! table of upstreams and in [`crate::health`]; when they are sent and what an answer means
 //! is decided in `cloverpier_router_policy::{liveness, suspicion}`.
 
+use crate::crashes;
 use crate::decision_log::{UpstreamBelief, ms, ms_since};
 use crate::health::UpstreamHealth;
 use crate::http_client::HttpClient;
@@ -19,6 +20,15 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+/// What an upstream was declared dead by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DeathCause {
+    /// Its host has no process at its address: the upstream has ended.
+    NoProcess,
+    /// It cannot be reached or says nothing, for whatever reason.
+    Unreachable,
+}
+
 /// Probes a silent upstream unless a probe is under way; its answer counts as activity.
 pub(crate) fn probe(
     router: &Rc<Router>,
@@ -44,10 +54,12 @@
                 // Runs of a former start are lost though the address answers.
                 let born_ms = (router.wire_names.born_ms)(&answer.body);
                 on_named_start(&router, &upstream, born_ms, now);
+                crashes::on_alive(&router, &upstream);
             }
             Err(error) if error.is_refused() => {
                 router.metrics.probes.count("refused");
-                declare_dead(&router, &upstream, "no process listens there", now);
+                let cause = DeathCause::NoProcess;
+                declare_dead(&router, &upstream, cause, "no process listens there", now);
             }
             // Without an answer the silence goes on; whoever waits gives the verdict.
             Err(_) => router.metrics.probes.count("silent"),
@@ -56,7 +68,17 @@
 }
 
 /// Declares an upstream dead: its runs move, and it gets nothing new until a check clears it.
-pub(crate) fn declare_dead(router: &Router, upstream: &Upstream, reason: &str, now: Instant) {
+pub(crate) fn declare_dead(
+    router: &Router,
+    upstream: &Upstream,
+    cause: DeathCause,
+    reason: &str,
+    now: Instant,
+) {
+    match cause {
+        DeathCause::NoProcess => crashes::on_end(router, upstream, now),
+        DeathCause::Unreachable => crashes::on_death(router, upstream, now),
+    }
     let health = router.health.of(upstream, now);
     let is_new = router.upstreams.borrow_mut().suspect(&upstream.name, now);
     router.pool.borrow_mut().close_all(&upstream.name);
--- a/crates/router/cloverpier_router/src/restart.rs
+++ b/crates/router/cloverpier_router/src/restart.rs
@@ -4,6 +4,7 @@
 //! runs, and which prompts it has read. The table of upstreams drops what it observed by itself
 //! (`cloverpier_router_policy::upstream`). Owns no state.
 
+use crate::crashes;
 use crate::probe::log_belief;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
@@ -37,6 +38,7 @@
 
 fn give_up_former_start(router: &Router, upstream: &Upstream, now: Instant) {
     let name: &UpstreamName = &upstream.name;
+    crashes::on_former_start(router, upstream);
     router.pool.borrow_mut().close_all(name);
     let health = router.health.of(upstream, now);
     health.on_dead();
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -12,6 +12,7 @@
 //! | [`Peers`] | peers' last heartbeats, and what they are sent next |
 //! | [`Prompts`] | which engine has read which prompt, and searches for that |
 //! | [`RetryBudgets`] | this router's use of each service's retry budget |
+//! | [`Crashes`] | contents of requests that ended upstreams |
 //! | [`Rollouts`] | orders of roll-outs, and what this router saw of them |
 //! | [`CopyPacing`] | copies of the configuration that the link still carries |
 //! | [`Lifecycle`] | the planned stop and the requests in flight |
@@ -20,6 +21,7 @@
 //! across an `await`.
 
 use crate::budgets::RetryBudgets;
+use crate::crashes::Crashes;
 use crate::health::HealthTable;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
@@ -58,6 +60,7 @@
     pub(crate) peers: Peers,
     pub(crate) prompts: Prompts,
     budgets: RetryBudgets,
+    pub(crate) crashes: Crashes,
     pub(crate) rollouts: Rollouts,
     pub(crate) copy_pacing: RefCell<CopyPacing>,
     pub(crate) lifecycle: Lifecycle,
@@ -73,7 +76,6 @@
     ) -> Self {
         Self {
             log: Log::new(settings.vm.as_str()),
-            settings: RefCell::new(Rc::new(settings)),
             wire_names,
             metrics: Metrics::default(),
             store: StoreView::default(),
@@ -83,11 +85,13 @@
             peers: Peers::default(),
             prompts: Prompts::default(),
             budgets: RetryBudgets::default(),
+            crashes: Crashes::new(&settings.crashes),
             rollouts: Rollouts::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
             lifecycle: Lifecycle::new(rng.u64(..), clock.now()),
             clock,
             rng: RefCell::new(rng),
+            settings: RefCell::new(Rc::new(settings)),
         }
     }
 
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -8,7 +8,7 @@
 use crate::health::UpstreamHealth;
 use crate::intake::{RelayRequest, text_of};
 use crate::pool::idle_limit;
-use crate::probe;
+use crate::probe::{self, DeathCause};
 use crate::router::Router;
 use crate::successors;
 use crate::wait::{Awaited, while_alive};
@@ -24,6 +24,7 @@
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
+use std::io;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -79,6 +80,7 @@
             upstream,
             health: &health,
             deadline: request.deadline,
+            stop: Some(&request.stop),
         };
         health.on_activity(now);
         match while_alive(&awaited, liveness, connection.send(message)).await? {
@@ -125,10 +127,14 @@
     let timeout = CONNECT_TIMEOUT.min(request.time_left(now));
     let opened = Connection::open(upstream.address, timeout, DEFAULT_IDLE_LIMIT).await;
     opened.map_err(|error| {
+        let cause = match error.kind() {
+            io::ErrorKind::ConnectionRefused => DeathCause::NoProcess,
+            _ => DeathCause::Unreachable,
+        };
         let failure = AttemptFailure::NotConnected {
             error: error.to_string(),
         };
-        probe::declare_dead(router, upstream, &failure.to_string(), router.now());
+        probe::declare_dead(router, upstream, cause, &failure.to_string(), router.now());
         failure
     })
 }
--- /dev/null
+++ b/crates/router/cloverpier_router/src/stop_signal.rs
@@ -0,0 +1,33 @@
+//! Calls the attempts of one request back.
+//!
+//! Owns one request's flag and wakes whoever waits for its upstream.
+
+use std::cell::Cell;
+use tokio::sync::Notify;
+
+/// Set once when the request's content is stopped while an attempt is under way.
+#[derive(Debug, Default)]
+pub(crate) struct StopSignal {
+    is_set: Cell<bool>,
+    changed: Notify,
+}
+
+impl StopSignal {
+    /// Calls the attempts back.
+    pub fn set(&self) {
+        self.is_set.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether they were called back.
+    pub fn is_set(&self) -> bool {
+        self.is_set.get()
+    }
+
+    /// Waits until they are.
+    pub async fn wait(&self) {
+        while !self.is_set() {
+            self.changed.notified().await;
+        }
+    }
+}
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
+use crate::crashes::{self, Admission};
 use crate::health::UpstreamHealth;
 use crate::intake::RelayRequest;
 use crate::load_guard::LoadGuard;
@@ -89,6 +90,8 @@
     _running: Option<RunningStream>,
     /// When its last event arrived, or its head.
     last_event_at: Instant,
+    /// Whether an event of it has arrived.
+    has_events: bool,
     /// What is measured of it, while a roll-out of the service is under way.
     measured: Measured,
     /// When it moves to another version, once its own is about to be stopped.
@@ -103,6 +106,8 @@
     tried: Vec<UpstreamName>,
     /// When the last attempt began.
     attempt_begun: Instant,
+    /// How the next one may be sent.
+    admission: Admission,
     source: Option<Source>,
     /// The replica of the lost run's KV cache.
     replica: Option<Replica>,
@@ -135,6 +140,7 @@
             attempts: Attempts::new(route.retry_rule(), route.max_attempts),
             tried: Vec::new(),
             attempt_begun: request.arrived,
+            admission: Admission::Beside,
             source: None,
             replica: None,
             splitter: EventSplitter::default(),
@@ -240,6 +246,7 @@
             };
             if let Some(source) = &self.source {
                 rollouts::on_failure(&self.router, &self.request, &source.upstream, &failure);
+                self.note_break(&source.upstream, &failure);
             }
             self.leave_source();
             self.after_failure(&failure)?;
@@ -270,6 +277,14 @@
                 .try_move(|| router.try_take_retry(service, now))
     }
 
+    /// Records an attempt whose upstream may have ended.
+    fn note_break(&self, upstream: &Upstream, failure: &AttemptFailure) {
+        if failure.may_be_end_of_upstream() {
+            let (router, request) = (&self.router, &self.request);
+            crashes::on_broken(router, request, upstream, self.attempt_begun, router.now());
+        }
+    }
+
     /// Decides whether another upstream may get the request.
     fn after_failure(&mut self, failure: &AttemptFailure) -> Result<(), GivenUp> {
         let now = self.router.now();
@@ -289,6 +304,9 @@
             now,
         };
         log_failure(&self.router, &self.request, &attempt);
+        if *failure == AttemptFailure::Stopped {
+            return Err(GivenUp::stopped());
+        }
         if next != NextStep::Retry {
             return Err(GivenUp::after(failure, next));
         }
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -3,6 +3,7 @@
 //! These are the steps of [`StreamRun`] that choose, send and check the head.
 
 use super::{Source, StreamRun};
+use crate::crashes::{self, Admission};
 use crate::load_guard::LoadGuard;
 use crate::load_query::query_load;
 use crate::outcome::{ChoiceNote, GivenUp, log_choice};
@@ -46,6 +47,10 @@
     pub(super) async fn open_somewhere(&mut self) -> Result<(), GivenUp> {
         self.find_prompt().await;
         loop {
+            self.admission = crashes::admit(&self.router, &self.request).await;
+            if self.admission == Admission::Stopped {
+                return Err(GivenUp::stopped());
+            }
             let around = self.around();
             let reported = self.query_load(&around).await;
             let around = Around {
@@ -62,6 +67,7 @@
                 Err(failure) => failure,
             };
             rollouts::on_failure(&self.router, &self.request, &upstream, &failure);
+            self.note_break(&upstream, &failure);
             let may_have_run = failure.outcome().may_have_run();
             let mut table = self.router.upstreams.borrow_mut();
             table.on_result(&upstream.name, may_have_run);
@@ -93,7 +99,8 @@
     fn engines_to_query(&self, around: &Around) -> Vec<Upstream> {
         let router = &self.router;
         let table = router.upstreams.borrow();
-        if usable_replica(&table, &around.versions, self.replica.as_ref()).is_some() {
+        let replica = self.replica.as_ref().filter(|_| !self.is_apart());
+        if usable_replica(&table, &around.versions, replica).is_some() {
             return Vec::new();
         }
         let reported = ReportedLoad::default();
@@ -115,6 +122,7 @@
             is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
             connected: &around.connected,
+            apart: self.is_apart().then(|| self.request.content().spread()),
             overcommit: self.is_resuming(),
             reported,
             versions: &around.versions,
@@ -129,7 +137,8 @@
         reported: &ReportedLoad,
     ) -> Result<(Upstream, SendExtras), NoUpstream> {
         let router = Rc::clone(&self.router);
-        let lost_replica = self.replica.take();
+        // The engine with the replica runs others, too.
+        let lost_replica = self.replica.take().filter(|_| !self.is_apart());
         let table = router.upstreams.borrow();
         let demand = self.demand(around, reported);
         let mut rng = router.rng.borrow_mut();
@@ -143,6 +152,7 @@
             replica: extras.replica.as_ref(),
             resumes_after: extras.last_event,
             from_replica,
+            apart: self.is_apart(),
             asked: reported.len(),
             reported: reported.of(UpstreamKey::of(&upstream.name)),
             ..ChoiceNote::of(&self.attempts, around.now)
@@ -151,10 +161,16 @@
         Ok((upstream, extras))
     }
 
-    /// Whether runs of this service keep a replica of their KV cache.
+    /// Whether the request may be what ends upstreams, so that it is kept apart from others.
+    fn is_apart(&self) -> bool {
+        self.admission == Admission::Apart
+    }
+
+    /// Whether the next run keeps a replica of its KV cache.
     fn replicates(&self) -> bool {
         let engine = self.request.service.engine;
-        self.router.settings().backups && engine.is_some_and(|e| e.replicates_kv)
+        let is_wanted = self.router.settings().backups && !self.is_apart();
+        is_wanted && engine.is_some_and(|e| e.replicates_kv)
     }
 
     /// Whether the caller has events of a run that was lost.
@@ -227,6 +243,7 @@
             replica,
             _running: running,
             last_event_at: now,
+            has_events: false,
             measured,
             moves_at: None,
         });
@@ -287,6 +304,7 @@
             Err(_) => return Err(AttemptFailure::LateSent),
         };
         keep(&self.router, &upstream.name, opened.connection);
+        crashes::on_completed(&self.router, &self.request);
         let status = opened.head.status.as_u16();
         self.upstream_failure = Some(UpstreamAnswer::new(opened.head, body));
         Err(AttemptFailure::UpstreamError { status })
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -4,6 +4,7 @@
 
 use super::{Source, StreamRun};
 use crate::connection::describe;
+use crate::crashes;
 use crate::probe;
 use crate::send::keep;
 use crate::wait::{Awaited, while_alive};
@@ -57,6 +58,7 @@
             source.liveness.set_bounds(bounds);
             source.liveness.on_event(now);
             source.last_event_at = now;
+            source.has_events = true;
         }
     }
 
@@ -70,6 +72,7 @@
             upstream: &source.upstream,
             health: &source.health,
             deadline: self.request.deadline,
+            stop: (!source.has_events).then_some(&self.request.stop),
         };
         let frame = while_alive(&awaited, &mut source.liveness, source.body.frame()).await?;
         match frame {
@@ -107,6 +110,7 @@
         let mut table = self.router.upstreams.borrow_mut();
         table.on_result(&source.upstream.name, false);
         drop(table);
+        crashes::on_completed(&self.router, &self.request);
         keep(&self.router, &source.upstream.name, source.connection);
     }
 
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -5,6 +5,7 @@
 //! the table of upstreams and applies what peers have found. Relies on
 //! [`crate::health`] for the former process's last sign of life.
 
+use crate::crashes;
 use crate::peer_messages::{PeerMessage, Replaced, Successor};
 use crate::peers::Recipients;
 use crate::probe::log_belief;
@@ -40,6 +41,7 @@
     }
     let successor = successor(router, former, answering);
     let successor = successor.filter(|upstream| add(router, &former.name, upstream, "answers"));
+    crashes::on_former_start(router, former);
     let is_new = router.upstreams.borrow_mut().on_replaced(&former.name);
     if !is_new && successor.is_none() {
         return;
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -4,8 +4,9 @@
 //! Relies on [`crate::health`] for the upstream's last activity on any connection.
 
 use crate::health::UpstreamHealth;
-use crate::probe;
+use crate::probe::{self, DeathCause};
 use crate::router::Router;
+use crate::stop_signal::StopSignal;
 use cloverpier_router_policy::prelude::*;
 use futures_util::future::poll_immediate;
 use std::future::Future;
@@ -20,6 +21,8 @@
     pub health: &'a Rc<UpstreamHealth>,
     /// When the request's time is over.
     pub deadline: Instant,
+    /// Calls the attempt back; `None` once the upstream has proved that it survives the request.
+    pub stop: Option<&'a StopSignal>,
 }
 
 /// What a wait does next.
@@ -34,7 +37,7 @@
 ///
 /// # Errors
 ///
-/// [`AttemptFailure::UpstreamDead`], [`AttemptFailure::Stalled`] or
+/// [`AttemptFailure::UpstreamDead`], [`AttemptFailure::Stalled`], [`AttemptFailure::Stopped`] or
 /// [`AttemptFailure::LateSent`] when the wait ended without it.
 pub(crate) async fn while_alive<T>(
     awaited: &Awaited<'_>,
@@ -62,11 +65,20 @@
                 return Ok(value);
             }
             () = declared_dead => {}
+            () = stopped(awaited.stop) => {}
             () = tokio::time::sleep_until(wake_at.into()) => {}
         }
     }
 }
 
+/// Waits for a call back; for ever where none can come.
+async fn stopped(stop: Option<&StopSignal>) {
+    match stop {
+        Some(stop) => stop.wait().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Decides about an upstream from which nothing has arrived.
 fn next_step(
     awaited: &Awaited<'_>,
@@ -78,7 +90,11 @@
         upstream,
         health,
         deadline,
+        stop,
     } = awaited;
+    if stop.is_some_and(StopSignal::is_set) {
+        return Err(AttemptFailure::Stopped);
+    }
     if health.is_dead() {
         return Err(AttemptFailure::UpstreamDead);
     }
@@ -93,7 +109,8 @@
             Ok(WaitStep::Again)
         }
         LivenessStep::UpstreamDead => {
-            probe::declare_dead(router, upstream, "no answer to a question", now);
+            let cause = DeathCause::Unreachable;
+            probe::declare_dead(router, upstream, cause, "no answer to a question", now);
             Err(AttemptFailure::UpstreamDead)
         }
         LivenessStep::Stalled => Err(AttemptFailure::Stalled),
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -5,6 +5,7 @@
 //! `cloverpier_router_policy::lifecycle`.
 
 use crate::body::ReplyBody;
+use crate::crashes;
 use crate::intake::{RelayRequest, receive_request};
 use crate::lifecycle::InFlight;
 use crate::plain::relay_plain;
@@ -112,6 +113,7 @@
 
 async fn relay(router: &Rc<Router>, request: Rc<RelayRequest>, now: Instant) -> Reply {
     router.on_request(&request.service.name, now);
+    crashes::track(router, &request);
     if !request.route.streaming {
         return relay_plain(router, &request).await;
     }
--- a/crates/router/cloverpier_router/tests/peer_messages.rs
+++ b/crates/router/cloverpier_router/tests/peer_messages.rs
@@ -4,6 +4,7 @@
 //! the same bytes. So routers of both releases read each other.
 
 use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName};
+use cloverpier_crashes::prelude::*;
 use cloverpier_router::peer_messages::*;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::{
@@ -236,6 +237,42 @@
     assert_is_golden("rollout_evidence", &evidence);
 }
 
+#[test]
+fn what_is_known_of_crashing_contents_keeps_its_bytes() {
+    let end = |upstream, start| UpstreamEnd { upstream, start };
+    let few = [(91, Nearness::Service), (92, Nearness::Together)];
+    let crashes = vec![
+        ReportedCrash {
+            end: end(21, 1_790_000_000_000),
+            age_ms: 1_900,
+            ran_ms: 70,
+            surroundings: Surroundings {
+                in_service: 23,
+                in_data_centre: 5,
+                ended: EndedBeside::of(few),
+            },
+            excused: false,
+        },
+        ReportedCrash {
+            end: end(22, 0),
+            age_ms: 3_000_000,
+            ran_ms: 80_000,
+            surroundings: Surroundings {
+                in_service: 279,
+                in_data_centre: 69,
+                ended: EndedBeside::Many,
+            },
+            excused: true,
+        },
+    ];
+    let content = ContentKey::parse("0102030405060708090a0b0c0d0e0f10").unwrap();
+    let news = PeerMessage::Crashes(CrashNews {
+        sender: address(7104),
+        contents: vec![ContentReport { content, crashes }],
+    });
+    assert_is_golden("crashes", &news);
+}
+
 fn route(name: &str, streaming: bool) -> Route {
     Route {
         name: name.to_owned(),
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -112,6 +112,8 @@
     UpstreamDead,
     /// The upstream lives, but this answer does not progress.
     Stalled,
+    /// The request was called back, as its content ends upstreams.
+    Stopped,
     /// The request's time is over before it was sent.
     LateUnsent,
     /// The request's time is over after it was sent.
@@ -141,10 +143,25 @@
             | Self::NoSource
             | Self::UpstreamDead
             | Self::Stalled
+            | Self::Stopped
             | Self::LateSent => AttemptOutcome::Unknown,
         }
     }
 
+    /// Whether the upstream may have ended while it had the request: the connection broke after the
+    /// request was sent, or the upstream was found dead.
+    pub fn may_be_end_of_upstream(&self) -> bool {
+        match self {
+            Self::SendBroke { was_unsent, .. } => !was_unsent,
+            Self::AnswerBroke { .. }
+            | Self::FailureBroke { .. }
+            | Self::StreamBroke { .. }
+            | Self::EndedInsideEvent
+            | Self::UpstreamDead => true,
+            _ => false,
+        }
+    }
+
     /// Whether the request's time is over.
     pub fn is_late(&self) -> bool {
         matches!(self, Self::LateUnsent | Self::LateSent)
@@ -172,6 +189,7 @@
             Self::NoSource => f.write_str("no server has the request"),
             Self::UpstreamDead => f.write_str("the server is silent"),
             Self::Stalled => f.write_str("the answer is stuck at a living server"),
+            Self::Stopped => f.write_str("the request ends the servers that run it"),
             Self::LateUnsent | Self::LateSent => f.write_str("the time is up"),
         }
     }
--- a/crates/router/cloverpier_router_policy/src/attempts.rs
+++ b/crates/router/cloverpier_router_policy/src/attempts.rs
@@ -73,6 +73,8 @@
     Fail,
     /// Hand the upstream's own failure to the caller.
     PassOn,
+    /// Tell the caller not to send the request again: its content ends upstreams.
+    Stop,
 }
 
 /// Attempts that never reached an upstream, before the request is given up.
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -70,6 +70,9 @@
     pub tried: &'a [UpstreamName],
     /// Upstreams to which a connection is at hand.
     pub connected: &'a HashSet<UpstreamName>,
+    /// Set for a request that may be what ends upstreams, to a number that is its content's own: it
+    /// goes to the engine that has the fewest others.
+    pub apart: Option<u64>,
     /// Whether a full upstream will do.
     pub overcommit: bool,
     /// What engines said of their load just now.
@@ -119,6 +122,12 @@
     let Some(with_capacity) = by_group.into_iter().find(|group| !group.is_empty()) else {
         return Choice::None(NoUpstream::AllFull);
     };
+    if let (Some(content), Some(_)) = (demand.apart, demand.engine_memory) {
+        return match least_shared(table, &with_capacity, demand, content) {
+            Some(state) => Choice::Upstream(state.upstream.clone()),
+            None => Choice::None(NoUpstream::AllFull),
+        };
+    }
     let has_read_prompt = with_capacity
         .iter()
         .find(|s| Some(s.key) == demand.prompt_location);
@@ -140,6 +149,25 @@
     }
 }
 
+/// The engine that runs the fewest requests; of several the one that the content's number prefers, so
+/// that two contents that lost the same engines part.
+///
+/// A request that ends its engine takes the streams beside it along, and a request that lost two
+/// engines beside another one must not meet it at a third: routers that choose at the same moment by
+/// the same rule send both to the same engine.
+fn least_shared<'a>(
+    table: &UpstreamTable,
+    engines: &[&'a UpstreamState],
+    demand: &Demand<'_>,
+    content: u64,
+) -> Option<&'a UpstreamState> {
+    let requests = |s: &UpstreamState| known_load(table, demand, s).requests;
+    let fewest = engines.iter().map(|s| requests(s)).min()?;
+    let least = filtered(engines, |s| requests(s) == fewest);
+    let ranked = rank(content, &least, |s| s.upstream.name.as_str());
+    ranked.first().map(|s| **s)
+}
+
 /// The candidates of a group with capacity: those that said how busy they are, if any did, as too little is
 /// known of the others.
 fn with_capacity<'a>(
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -24,6 +24,7 @@
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
 //! | does the process at a dead upstream's address belong to its service | [`successor`] |
+//! | what are peers told of requests that end upstreams | [`crash_news`] |
 //! | which routers do callers get | [`peers`] |
 //! | which peers are sent what, and how long it counts | [`heartbeat`] |
 //! | who watches the store, and how often | [`store_watch`] |
@@ -53,6 +54,7 @@
 pub mod choice;
 pub mod configuration;
 pub mod connection_reuse;
+pub mod crash_news;
 pub mod deadline;
 pub mod events;
 pub mod heartbeat;
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
@@ -205,6 +205,7 @@
         | AttemptFailure::Misdirected
         | AttemptFailure::NoSource
         | AttemptFailure::UpstreamDead
+        | AttemptFailure::Stopped
         | AttemptFailure::LateUnsent => FailureWeight::Nothing,
     }
 }
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -255,6 +255,11 @@
         self.gone.is_none() && self.may_still_serve()
     }
 
+    /// Whether the platform's list names it no more.
+    pub fn has_lost_its_entry(&self) -> bool {
+        self.gone.is_some()
+    }
+
     /// True unless the upstream announced that it is draining or another start took its
     /// address; a missing store entry alone does not count.
     pub fn may_still_serve(&self) -> bool {
--- a/crates/router/cloverpier_router_policy/tests/later_attempts.rs
+++ b/crates/router/cloverpier_router_policy/tests/later_attempts.rs
@@ -3,6 +3,9 @@
 //! What was seen: a data centre's engines crash, and within 18 ms 18 routers sent the second attempt
 //! of different prompts to one engine, as it alone seemed idle; it has memory for nine, and 11
 //! streams waited there for 5 s.
+//!
+//! And where a request goes that may be what ended its engines: a request that crashes whoever runs it
+//! and one beside it were sent to the same two engines in turn, so that both seemed to end them.
 
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use cloverpier_router_policy::prelude::*;
@@ -51,6 +54,16 @@
 }
 
 fn choose(table: &UpstreamTable, prompt: u64, tried: &[UpstreamName], now: Instant) -> Upstream {
+    choose_apart(table, prompt, None, tried, now)
+}
+
+fn choose_apart(
+    table: &UpstreamTable,
+    prompt: u64,
+    apart: Option<u64>,
+    tried: &[UpstreamName],
+    now: Instant,
+) -> Upstream {
     let demand = Demand {
         service: &ServiceName::new("drafts"),
         home: &DataCentre::new("hall-0"),
@@ -61,6 +74,7 @@
         is_continuation: false,
         tried,
         connected: &HashSet::new(),
+        apart,
         overcommit: false,
         reported: &ReportedLoad::default(),
         versions: &VersionRule::ANY,
@@ -109,3 +123,30 @@
         assert_ne!(chosen.data_centre, lost.upstream.data_centre);
     }
 }
+
+#[test]
+fn a_request_that_may_end_its_engine_goes_where_it_meets_the_fewest_others() {
+    let now = Instant::now();
+    let idle = 91;
+    let table = table(idle, now);
+    for content in 0..20 {
+        let chosen = choose_apart(&table, 5, Some(content), &[engine(2).name], now);
+        assert_eq!(chosen.name, engine(idle).name);
+    }
+}
+
+#[test]
+fn two_requests_that_lost_the_same_engines_part() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    table.apply_list((0..ENGINES).map(engine).collect(), 1, now);
+    let tried = [engine(3).name, engine(7).name];
+    let meetings = (0..200u64).filter(|pair| {
+        // Their contents' numbers are hashes.
+        let content = |n: u64| Some(cloverpier_core::hash_of(&n.to_string()));
+        let one = choose_apart(&table, 5, content(*pair), &tried, now);
+        let other = choose_apart(&table, 5, content(*pair + 1_000), &tried, now);
+        one.name == other.name
+    });
+    assert!(meetings.count() <= 3);
+}
--- a/crates/router/cloverpier_router_policy/tests/load_query.rs
+++ b/crates/router/cloverpier_router_policy/tests/load_query.rs
@@ -65,6 +65,7 @@
             is_continuation: false,
             tried: &[],
             connected: &self.connected,
+            apart: None,
             overcommit: false,
             reported,
             versions: &ANY_VERSION,
--- /dev/null
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -0,0 +1,298 @@
+//! What is known against contents, and what follows.
+//!
+//! - **Question.** May a request be sent to an upstream, by what its content did before?
+//! - **Inputs.** The ends of upstreams that ran the content, each with its [`Surroundings`]: this
+//!   router's own and its peers'. That the content ran to its end somewhere.
+//! - **Answer.** A [`Verdict`]; the reports that peers get.
+//! - **Why.** Ends are counted by (upstream, its start), so that what two routers saw of one end is
+//!   one, and sets of them merge in any order, repeated or late, to the same. What ended beside an end
+//!   and that it is excused is only added, for the same reason. All routers that know the same ends judge alike.
+//!
+//! Three ends that nothing else explains stop a content: with one or two, requests that meet dying
+//! engines would be stopped (17 of 887 lost two on eight days with dying data centres), and each one
+//! more costs an engine with all streams on it. An end counts against the content that ended most: of
+//! two contents on one engine, the one that has more ends elsewhere explains it.
+//!
+//! Owns the ends and what was decided of each content.
+
+mod record;
+
+use crate::content::ContentKey;
+use crate::weight::{Surroundings, Weight};
+use record::Record;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// How long an end counts. While it does, a content that was stopped stays so; then it may end one
+/// more upstream, which stops it again. So a request that is repeated for ever ends three upstreams
+/// an hour at most; a content that was stopped wrongly waits an hour, or for the operator. Chosen,
+/// not measured.
+pub const CRASH_TTL: Duration = Duration::from_secs(3_600);
+/// Contents that are kept; beyond it, those with the least against them give way. An end leaves one
+/// for each request that ran there. Chosen: about 1 MB.
+pub const MAX_CONTENTS: usize = 4_096;
+/// Ends that are kept of one content: more than stop it. Chosen, not measured.
+pub const MAX_CRASHES: usize = 16;
+/// Ends from which on a content is kept apart from other requests, and told to peers again.
+pub const SUSPECT_FROM: u32 = 2;
+
+/// Ends of upstreams that stop a content; 0 where none is to be stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashLimit(pub u32);
+
+/// The start of an upstream that does not say when it was.
+pub const UNKNOWN_START: u64 = 0;
+
+/// The end of one start of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UpstreamEnd {
+    /// A hash of its name.
+    pub upstream: u64,
+    /// When it had started, as a Unix time in milliseconds; [`UNKNOWN_START`] where it does not say, as
+    /// where each start has a name of its own.
+    pub start: u64,
+}
+
+/// An upstream ended while it ran a content.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Which.
+    pub end: UpstreamEnd,
+    /// When.
+    pub at: Instant,
+    /// How long the content had been there.
+    pub ran_for: Duration,
+    /// What was around it.
+    pub surroundings: Surroundings,
+    /// Whether the content ran to its end a moment before, or anywhere since.
+    pub excused: bool,
+}
+
+/// What may be done with a content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Little or nothing is known against it.
+    Harmless,
+    /// It may be what ended [`SUSPECT_FROM`] upstreams or more: it is sent where it harms least.
+    Suspect,
+    /// It ended too many: it is sent to no upstream.
+    Stopped,
+}
+
+/// What a router tells its peers of a content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContentReport {
+    /// The content.
+    pub content: ContentKey,
+    /// The ends that are known.
+    pub crashes: Vec<ReportedCrash>,
+}
+
+/// What a router tells its peers of an end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedCrash {
+    /// Which.
+    pub end: UpstreamEnd,
+    /// How long ago, in milliseconds.
+    pub age_ms: u32,
+    /// How long the content had been there, in milliseconds.
+    pub ran_ms: u32,
+    /// What was around it.
+    pub surroundings: Surroundings,
+    /// Whether the content ran to its end a moment before, or anywhere since.
+    pub excused: bool,
+}
+
+/// Contents and the ends that are known of each.
+#[derive(Clone, Debug)]
+pub struct CrashBook {
+    limit: CrashLimit,
+    records: HashMap<ContentKey, Record>,
+    /// Contents that the operator has cleared: they are never stopped.
+    cleared: HashSet<ContentKey>,
+}
+
+impl CrashBook {
+    /// A book that knows nothing.
+    pub fn new(limit: CrashLimit) -> Self {
+        Self {
+            limit,
+            records: HashMap::new(),
+            cleared: HashSet::new(),
+        }
+    }
+
+    /// Sets what the operator wants.
+    pub fn set_bounds(&mut self, limit: CrashLimit, cleared: HashSet<ContentKey>) {
+        self.limit = limit;
+        self.cleared = cleared;
+    }
+
+    /// Whether nothing is known against any content.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Whether something is known against a content.
+    pub fn knows(&self, content: ContentKey) -> bool {
+        self.records.contains_key(&content)
+    }
+
+    /// Records an end; returns whether it is new.
+    pub fn record(&mut self, content: ContentKey, crash: Crash, now: Instant) -> bool {
+        self.forget_old(now);
+        let record = self.records.entry(content).or_default();
+        let is_new = record.add(crash);
+        self.make_room(content, now);
+        is_new
+    }
+
+    /// Adds what a peer reported; returns the contents of which something was new.
+    pub fn merge(&mut self, reports: &[ContentReport], now: Instant) -> Vec<ContentKey> {
+        self.forget_old(now);
+        let mut changed = Vec::new();
+        for report in reports {
+            let record = self.records.entry(report.content).or_default();
+            let mut is_new = false;
+            for reported in report.crashes.iter().take(MAX_CRASHES) {
+                let age = Duration::from_millis(reported.age_ms.into());
+                let is_over = age >= CRASH_TTL;
+                // A moment before this machine's clock began is as good as its beginning.
+                let at = now.checked_sub(age).unwrap_or(now);
+                let crash = Crash {
+                    end: reported.end,
+                    at,
+                    ran_for: Duration::from_millis(reported.ran_ms.into()),
+                    surroundings: reported.surroundings.clone(),
+                    excused: reported.excused,
+                };
+                is_new |= !is_over && record.add(crash);
+            }
+            if is_new {
+                changed.push(report.content);
+            }
+            self.make_room(report.content, now);
+        }
+        changed
+    }
+
+    /// Records that a content ran to its end: what ended while it ran did not end by it. Returns
+    /// whether that changes what is known.
+    pub fn on_completed(&mut self, content: ContentKey) -> bool {
+        let record = self.records.get_mut(&content);
+        record.is_some_and(Record::excuse)
+    }
+
+    /// What may be done with a content.
+    pub fn verdict(&self, content: ContentKey, now: Instant) -> Verdict {
+        let evidence = self.evidence(content, now);
+        let is_over = |ends: u32| evidence >= ends * Weight::FULL.thousandths();
+        let CrashLimit(limit) = self.limit;
+        if limit > 0 && is_over(limit) && !self.cleared.contains(&content) {
+            Verdict::Stopped
+        } else if is_over(SUSPECT_FROM) {
+            Verdict::Suspect
+        } else {
+            Verdict::Harmless
+        }
+    }
+
+    /// What is known against a content, in thousandths of an end that nothing else explains.
+    pub fn evidence(&self, content: ContentKey, now: Instant) -> u32 {
+        let Some(record) = self.records.get(&content) else {
+            return 0;
+        };
+        let own = record.weight(now);
+        let ends = record.counting(now);
+        let unexplained = ends.filter(|(end, _)| !self.is_explained(content, own, **end, now));
+        unexplained.map(|(_, weight)| weight.thousandths()).sum()
+    }
+
+    /// Whether another content ran at the upstream that ended against which more than `own` is known.
+    /// Of two contents with the same ends neither explains the other.
+    fn is_explained(&self, content: ContentKey, own: u32, end: UpstreamEnd, now: Instant) -> bool {
+        let mut others = self.records.iter().filter(|(other, _)| **other != content);
+        others.any(|(_, record)| record.has_counting(end, now) && record.weight(now) > own)
+    }
+
+    /// Number of ends that are known of a content and count, explained ones among them.
+    pub fn crashes(&self, content: ContentKey, now: Instant) -> usize {
+        self.records.get(&content).map_or(0, |r| r.count(now))
+    }
+
+    /// The contents of which the verdict has become [`Verdict::Stopped`], or is no longer, since this
+    /// was asked last.
+    pub fn changed_stops(&mut self, now: Instant) -> ChangedStops {
+        let stopped: HashSet<ContentKey> = self.stopped(now).into_iter().collect();
+        let mut changed = ChangedStops::default();
+        for (content, record) in &mut self.records {
+            let is_stopped = stopped.contains(content);
+            match (record.was_stopped, is_stopped) {
+                (false, true) => changed.stopped.push(*content),
+                (true, false) => changed.lifted.push(*content),
+                _ => {}
+            }
+            record.was_stopped = is_stopped;
+        }
+        changed
+    }
+
+    /// The contents that are stopped.
+    pub fn stopped(&self, now: Instant) -> Vec<ContentKey> {
+        self.with_verdict(now, |verdict| verdict == Verdict::Stopped)
+    }
+
+    /// The contents that are suspect or stopped: few, and what peers should know.
+    pub fn suspects(&self, now: Instant) -> Vec<ContentKey> {
+        self.with_verdict(now, |verdict| verdict != Verdict::Harmless)
+    }
+
+    fn with_verdict(&self, now: Instant, is_wanted: impl Fn(Verdict) -> bool) -> Vec<ContentKey> {
+        let contents = self.records.iter();
+        let struck = contents.filter(|(_, r)| r.count(now) >= SUSPECT_FROM as usize);
+        let keys = struck.map(|(content, _)| *content);
+        keys.filter(|content| is_wanted(self.verdict(*content, now)))
+            .collect()
+    }
+
+    /// What peers are told of contents.
+    pub fn reports(&self, contents: &[ContentKey], now: Instant) -> Vec<ContentReport> {
+        let known = contents.iter().filter_map(|content| {
+            let record = self.records.get(content)?;
+            Some(ContentReport {
+                content: *content,
+                crashes: record.reported(now),
+            })
+        });
+        known.filter(|report| !report.crashes.is_empty()).collect()
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        self.records.retain(|_, record| record.forget_old(now));
+    }
+
+    /// Keeps to [`MAX_CONTENTS`]; the newest content stays.
+    fn make_room(&mut self, newest: ContentKey, now: Instant) {
+        if self.records.len() <= MAX_CONTENTS {
+            return;
+        }
+        let others = self
+            .records
+            .iter()
+            .filter(|(content, _)| **content != newest);
+        let least = others.min_by_key(|(_, record)| (record.count(now), record.latest()));
+        if let Some(content) = least.map(|(content, _)| *content) {
+            self.records.remove(&content);
+        }
+    }
+}
+
+/// Contents whose verdict has changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChangedStops {
+    /// Those that are stopped now.
+    pub stopped: Vec<ContentKey>,
+    /// Those that no longer are.
+    pub lifted: Vec<ContentKey>,
+}
--- a/crates/shared/cloverpier_crashes/src/content.rs
+++ b/crates/shared/cloverpier_crashes/src/content.rs
@@ -30,6 +30,13 @@
     pub body: &'a [u8],
 }
 
+impl Content<'_> {
+    /// All of it but the body.
+    pub(crate) fn head(&self) -> [&str; 4] {
+        [self.account, self.host, self.method, self.target]
+    }
+}
+
 /// The first 16 bytes of a SHA-256 digest of a request's content.
 ///
 /// Travels between routers as two numbers.
@@ -40,13 +47,7 @@
     /// The key of a request.
     pub fn of(content: &Content<'_>) -> Self {
         let mut hasher = Sha256::new();
-        let head = [
-            content.account,
-            content.host,
-            content.method,
-            content.target,
-        ];
-        for part in head {
+        for part in content.head() {
             // With its length before it, no part can pass for the end of another.
             hasher.update((part.len() as u64).to_be_bytes());
             hasher.update(part);
--- a/crates/shared/cloverpier_settings/src/daemon.rs
+++ b/crates/shared/cloverpier_settings/src/daemon.rs
@@ -2,6 +2,7 @@
 //!
 //! Secrets have at least sixteen characters, and neither log nor debug output shows them.
 
+use crate::crashes::CrashSettings;
 use crate::reader::{Reader, SettingFaults, level};
 use cloverpier_core::{DataCentre, Secret, VmName};
 use std::net::SocketAddr;
@@ -43,6 +44,8 @@
     pub copy_interval: Duration,
     /// How often each upstream is asked for its load.
     pub load_period: Duration,
+    /// Which requests are sent to no further upstream, by the upstreams that they ended.
+    pub crashes: CrashSettings,
     /// `error`, `warn`, `info` or `debug`.
     pub log_level: String,
 }
@@ -74,6 +77,7 @@
             record_horizon: Duration::from_secs(r.number_or("record_horizon_s", 1, 86_400, 600)),
             copy_interval: Duration::from_millis(r.number_or("copy_interval_ms", 0, 100, 2)),
             load_period: Duration::from_millis(r.number_or("load_period_ms", 50, 60_000, 500)),
+            crashes: CrashSettings::read(&mut r),
             log_level: level(&mut r),
         };
         r.finish()?;
--- a/crates/shared/cloverpier_settings/src/lib.rs
+++ b/crates/shared/cloverpier_settings/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert!(faults.faults.iter().any(|f| f.key == "vm"));
 //! ```
 
+mod crashes;
 mod daemon;
 mod file;
 mod reader;
@@ -19,6 +20,7 @@
 
 /// What users of the crate need daily.
 pub mod prelude {
+    pub use crate::crashes::CrashSettings;
     pub use crate::daemon::DaemonSettings;
     pub use crate::file::read_settings;
     pub use crate::reader::{SettingFault, SettingFaults};
--- a/crates/shared/cloverpier_settings/src/reader.rs
+++ b/crates/shared/cloverpier_settings/src/reader.rs
@@ -3,7 +3,9 @@
 //! Each key is taken out once, with its expected form and its default; what is left at the end is
 //! unknown. Owns the texts of faults.
 
+use cloverpier_crashes::ContentKey;
 use snafu::Snafu;
+use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
 use toml::{Table, Value};
@@ -117,6 +119,15 @@
         self.take(key, expected, false, list).unwrap_or_default()
     }
 
+    /// Contents as log lines name them.
+    pub(crate) fn contents(&mut self, key: &str) -> HashSet<ContentKey> {
+        let content = |v: &Value| ContentKey::parse(v.as_str()?);
+        let list = |v: &Value| v.as_array()?.iter().map(content).collect();
+        let expected = "a list of contents, 32 hexadecimal digits each";
+        // No list is an empty one; a fault is noted by `take`.
+        self.take(key, expected, false, list).unwrap_or_default()
+    }
+
     pub(crate) fn number_or(&mut self, key: &str, low: u64, high: u64, default: u64) -> u64 {
         let expected = format!("a whole number from {low} to {high}");
         let number = |v: &Value| {
--- a/crates/shared/cloverpier_settings/src/router.rs
+++ b/crates/shared/cloverpier_settings/src/router.rs
@@ -3,6 +3,7 @@
 //! Each field has the name of its key where the key is a single word; docs/OPERATIONS.md
 //! lists all keys. On the platform the file is filled from `platform/settings.toml.template`.
 
+use crate::crashes::CrashSettings;
 use crate::reader::{Reader, SettingFaults, level};
 use cloverpier_core::{DataCentre, VmName};
 use std::net::SocketAddr;
@@ -97,6 +98,8 @@
     pub silence: SilenceSettings,
     /// Whether engines copy runs' memory to another engine as it grows.
     pub backups: bool,
+    /// Which requests are sent to no further upstream, by the upstreams that they ended.
+    pub crashes: CrashSettings,
     /// `error`, `warn`, `info` or `debug`.
     pub log_level: String,
 }
@@ -124,6 +127,7 @@
             exposure: read_exposure(&mut r),
             silence: read_silence(&mut r),
             backups: r.flag_or("backups", true),
+            crashes: CrashSettings::read(&mut r),
             log_level: level(&mut r),
         };
         r.finish()?;
--- a/crates/shared/cloverpier_settings/tests/keys.rs
+++ b/crates/shared/cloverpier_settings/tests/keys.rs
@@ -29,6 +29,8 @@
     ("stuck_after_ms", "1000"),
     ("stuck_before_first_ms", "5000"),
     ("backups", "false"),
+    ("crash_limit", "3"),
+    ("cleared_contents", "[\"00000000000000000000000000000abc\"]"),
     ("log_level", "\"warn\""),
 ];
 
@@ -48,6 +50,8 @@
     ("record_horizon_s", "600"),
     ("copy_interval_ms", "2"),
     ("load_period_ms", "500"),
+    ("crash_limit", "3"),
+    ("cleared_contents", "[\"00000000000000000000000000000abc\"]"),
     ("log_level", "\"debug\""),
 ];
 
@@ -107,6 +111,10 @@
         settings.silence.answer_before_first,
         settings.log_level,
     ));
+    assert_eq!(
+        (settings.crashes.limit.0, settings.crashes.cleared.len()),
+        (3, 0)
+    );
     assert_eq!(settings.silence.stuck_after.as_millis(), 1_000);
     assert_eq!(settings.silence.stuck_before_first.as_millis(), 5_000);
 }
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -71,8 +71,8 @@
     }
     let asked = note_run(state, head, id, upstream, names);
     let work = lock(state).work;
-    if !work.is_zero() {
-        tokio::time::sleep(work).await;
+    if !work.is_zero() && !work_on(stream, work).await {
+        return Ok(false);
     }
     if crashes {
         lock(state).crash();
@@ -91,6 +91,16 @@
     }
 }
 
+/// Works on a request; false where its caller closes the connection meanwhile, which ends the work.
+async fn work_on(stream: &TcpStream, work: Duration) -> bool {
+    let mut byte = [0];
+    tokio::select! {
+        () = tokio::time::sleep(work) => true,
+        // Nothing more comes over the connection before the answer but its end.
+        _ = stream.peek(&mut byte) => false,
+    }
+}
+
 fn note_crashing_arrival(state: &Mutex<State>, id: &str, upstream: &Upstream) {
     let arrival = CrashingArrival {
         at: Instant::now(),
--- a/tools/src/rollout_play/requests.rs
+++ b/tools/src/rollout_play/requests.rs
@@ -82,6 +82,7 @@
             is_continuation: false,
             tried: &[],
             connected: &HashSet::new(),
+            apart: None,
             overcommit: true,
             reported: &reported,
             versions: rule,
