Stop requests that end upstreams at cloverpierd, and say unknown of a generation that ran

Besides: a generation that had run at engines which ended without a token was answered not-run (the answer was made from the last failure alone), and so was a repeatable call whose second try found no upstream. Heartbeats carry a digest of what is known, and whoever differs exchanges it; routers of the last release neither read nor write the field. What an attempt failed by is an enum now; the texts of log lines stay.

--- a/crates/daemon/cloverpier_daemon/src/answers/live.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/live.rs
@@ -6,6 +6,7 @@
 use crate::error::ApiError;
 use cloverpier_answer::{Answer, AppendReply, EventId, Finish, ShipStep, Shipping, Source};
 use cloverpier_core::{AccountName, AdapterName, Clock, ModelName, RequestKey, ServiceName, lock};
+use cloverpier_crashes::{Content, ContentKey};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -40,6 +41,25 @@
     pub repeatable: bool,
 }
 
+impl Spec {
+    /// What repeats of the request have in common.
+    pub fn content(&self) -> Content<'_> {
+        Content {
+            account: self.account.as_str(),
+            host: self.service.as_str(),
+            method: "generate",
+            // Without one, the model alone runs it.
+            target: self.adapter.as_ref().map_or("", AdapterName::as_str),
+            body: self.prompt.as_bytes(),
+        }
+    }
+
+    /// The key of that.
+    pub fn content_key(&self) -> ContentKey {
+        ContentKey::of(&self.content())
+    }
+}
+
 /// How an answer ended other than by its last token.
 #[derive(Clone, Debug)]
 pub enum End {
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -8,6 +8,7 @@
 use crate::answers::live::{End, Live};
 use crate::answers::outbox::send_news;
 use crate::app::App;
+use crate::crashes::{self, Admission};
 use crate::error::{ApiError, Run};
 use cloverpier_answer::{AttemptId, FinishReason, Source, TokenStep};
 use cloverpier_core::{UpstreamName, hash_of, lock};
@@ -44,7 +45,47 @@
     Finished,
     Moved,
     Abandoned,
-    Failed { why: &'static str, ran: bool },
+    /// It was called back, as its content ends upstreams.
+    Stopped,
+    Failed(Failure),
+}
+
+/// What an attempt failed by; the texts are those of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+enum Failure {
+    #[serde(rename = "no answer to the order")]
+    NoAnswer,
+    #[serde(rename = "not reached")]
+    NotReached,
+    #[serde(rename = "refused")]
+    Refused,
+    #[serde(rename = "broken before the stream")]
+    BrokenBeforeStream,
+    #[serde(rename = "closed before the end")]
+    Closed,
+    #[serde(rename = "connection broken")]
+    ConnectionBroken,
+    #[serde(rename = "unreadable")]
+    Unreadable,
+    #[serde(rename = "tokens missing in the stream")]
+    TokensMissing,
+    #[serde(rename = "silent")]
+    Silent,
+}
+
+impl Failure {
+    /// Whether the engine may have run the generation.
+    fn may_have_run(self) -> bool {
+        !matches!(self, Self::NotReached | Self::Refused)
+    }
+
+    /// Whether the engine may have ended while it ran it.
+    fn may_be_end_of_engine(self) -> bool {
+        matches!(
+            self,
+            Self::BrokenBeforeStream | Self::Closed | Self::ConnectionBroken
+        )
+    }
 }
 
 #[derive(Serialize)]
@@ -52,7 +93,7 @@
     request: &'a str,
     attempt: AttemptId,
     upstream: &'a UpstreamName,
-    why: &'a str,
+    why: Failure,
     tokens: u64,
 }
 
@@ -70,39 +111,113 @@
 }
 
 async fn run(app: &Arc<App>, live: &Arc<Live>, start: Start) {
-    let mut failed = Vec::new();
-    let mut barren = 0;
+    let mut tries = Tries::default();
     let mut next = match start {
         Start::At(chosen) => Some(chosen),
-        Start::TakenOver(source) => match go_on_there(app, live, source).await {
-            GoOn::Ended => return,
-            GoOn::Elsewhere => None,
-        },
+        Start::TakenOver(source) => {
+            // The earlier owner may have had it run.
+            tries.may_have_run = true;
+            match go_on_there(app, live, source).await {
+                GoOn::Ended => return,
+                GoOn::Elsewhere => None,
+            }
+        }
     };
+    let content = live.spec.content_key();
     loop {
+        let admission = crashes::admit(app, content).await;
+        if admission == Admission::Stopped {
+            if let Some(unused) = next {
+                release(app, &unused);
+            }
+            return end_stopped(app, live, &tries);
+        }
         let chosen = match next.take() {
             Some(chosen) => chosen,
-            None => match go_on_at(app, live, &failed).await {
+            None => match go_on_at(app, live, &tries, admission.apart(content)).await {
                 Ok(chosen) => chosen,
                 Err(error) => return live.end(End::Failed(error), app.now()),
             },
         };
+        let begun = app.now();
         let before = live.look(|s| s.answer.len());
-        let over = attempt(app, live, &chosen).await;
+        let over = attempt_or_call_back(app, live, &chosen).await;
         release(app, &chosen);
-        let Over::Failed { why, ran } = over else {
-            return conclude(app, live, &chosen.upstream, &over).await;
+        let failure = match over {
+            Over::Failed(failure) => failure,
+            Over::Stopped => {
+                tries.may_have_run = true;
+                return end_stopped(app, live, &tries);
+            }
+            over => return conclude(app, live, &chosen.upstream, &over).await,
         };
-        on_failed(app, live, &chosen.upstream, why);
-        if ran && !live.spec.repeatable {
+        on_failed(app, live, &chosen.upstream, failure);
+        if failure.may_be_end_of_engine() {
+            let ran_well = crashes::ran_well(app, &live.spec.content());
+            crashes::on_broken(app, content, ran_well, &chosen.upstream, begun);
+        }
+        tries.may_have_run |= failure.may_have_run();
+        if failure.may_have_run() && !live.spec.repeatable {
             return end_unknown(app, live);
         }
         let progressed = live.look(|s| s.answer.len()) > before;
-        barren = if progressed { 0 } else { barren + 1 };
-        if barren >= BARREN {
-            return give_up(app, live);
+        tries.barren = if progressed { 0 } else { tries.barren + 1 };
+        if tries.barren >= BARREN {
+            let error = tries.error(nobody(app, &live.spec.service));
+            return live.end(End::Failed(error), app.now());
+        }
+        tries.failed.push(chosen.upstream);
+    }
+}
+
+/// What a generation's attempts have come to.
+#[derive(Debug, Default)]
+struct Tries {
+    /// Engines that failed it.
+    failed: Vec<UpstreamName>,
+    /// Attempts in a row without a token.
+    barren: u32,
+    /// Whether an engine may have run it.
+    may_have_run: bool,
+}
+
+impl Tries {
+    /// An error that ends the generation, true to whether it ran.
+    fn error(&self, error: ApiError) -> ApiError {
+        if self.may_have_run {
+            error.with_run(Run::Unknown)
+        } else {
+            error
         }
-        failed.push(chosen.upstream);
+    }
+}
+
+fn end_stopped(app: &App, live: &Live, tries: &Tries) {
+    app.metrics.count("answer.stopped", 1);
+    let error = tries.error(crashes::stopped(Run::NotRun));
+    live.end(End::Failed(error), app.now());
+}
+
+/// One attempt, which is called back if its content is stopped before it has brought a token.
+async fn attempt_or_call_back(app: &Arc<App>, live: &Arc<Live>, chosen: &Chosen) -> Over {
+    let before = live.look(|s| s.answer.len());
+    let has_progress = || live.look(|s| s.answer.len()) > before;
+    let over = tokio::select! {
+        over = attempt(app, live, chosen) => over,
+        () = crashes::called_back(app, live.spec.content_key(), has_progress) => Over::Stopped,
+    };
+    if matches!(over, Over::Stopped) {
+        // Engines run on for a while without a reader, and this one must not begin.
+        cancel(app, live, &chosen.upstream).await;
+    }
+    over
+}
+
+async fn cancel(app: &App, live: &Live, upstream: &UpstreamName) {
+    let attempt = live.look(|s| s.answer.attempt());
+    if let Some(address) = address_of(app, upstream) {
+        let engine = app.engines.engine(address);
+        engine.cancel(&generation_name(live, attempt)).await;
     }
 }
 
@@ -119,7 +234,7 @@
 async fn go_on_there(app: &Arc<App>, live: &Arc<Live>, source: Option<Source>) -> GoOn {
     if let Some(source) = source {
         let over = resume(app, live, &source).await;
-        if let Some(over) = over.filter(|o| !matches!(o, Over::Failed { .. })) {
+        if let Some(over) = over.filter(|o| !matches!(o, Over::Failed(_))) {
             conclude(app, live, &source.upstream, &over).await;
             return GoOn::Ended;
         }
@@ -136,7 +251,7 @@
     live.end(End::Failed(error), app.now());
 }
 
-fn on_failed(app: &App, live: &Live, upstream: &UpstreamName, why: &'static str) {
+fn on_failed(app: &App, live: &Live, upstream: &UpstreamName, why: Failure) {
     lock(&app.view).on_failure(upstream, app.now());
     app.metrics.count("attempt.failed", 1);
     let (attempt, tokens) = live.look(|s| (s.answer.attempt(), s.answer.len()));
@@ -152,32 +267,20 @@
     );
 }
 
-fn give_up(app: &App, live: &Live) {
-    let mut error = nobody(app, &live.spec.service);
-    let tokens = live.look(|s| s.answer.len());
-    if tokens > 0 {
-        error = error.with_run(Run::Unknown);
-    }
-    live.end(End::Failed(error), app.now());
-}
-
 async fn conclude(app: &Arc<App>, live: &Arc<Live>, upstream: &UpstreamName, over: &Over) {
     match over {
         Over::Finished => {
             lock(&app.view).on_success(upstream);
+            crashes::on_completed(app, &live.spec.content());
             app.metrics.count("answer.finished", 1);
         }
         Over::Abandoned => {
-            let attempt = live.look(|s| s.answer.attempt());
-            if let Some(address) = address_of(app, upstream) {
-                let engine = app.engines.engine(address);
-                engine.cancel(&generation_name(live, attempt)).await;
-            }
+            cancel(app, live, upstream).await;
             let error = ApiError::unknown("no caller read the answer");
             live.end(End::Failed(error), app.now());
         }
         // The new owner may go on with the stream of the same engine: leave it alone.
-        Over::Moved | Over::Failed { .. } => {}
+        Over::Moved | Over::Stopped | Over::Failed(_) => {}
     }
 }
 
@@ -186,19 +289,25 @@
 }
 
 /// Finds an engine for an answer that has to go on: ahead of new work, full ones included.
-async fn go_on_at(app: &App, live: &Live, failed: &[UpstreamName]) -> Result<Chosen, ApiError> {
+async fn go_on_at(
+    app: &App,
+    live: &Live,
+    tries: &Tries,
+    apart: Option<u64>,
+) -> Result<Chosen, ApiError> {
     let until = app.now() + GO_ON_WITHIN;
     let mut ask = Ask::new(live.spec.service.clone());
     ask.prefix = Some(hash_of(&live.spec.prompt));
-    ask.failed = failed.to_vec();
+    ask.failed = tries.failed.clone();
     ask.overcommit = true;
+    ask.apart = apart;
     loop {
         if let Choice::Chosen(chosen) = choose(app, &ask) {
             log_choice(app, live.key.as_str(), &live.spec.service, &chosen);
             return Ok(chosen);
         }
         if app.now() >= until || live.is_ended() {
-            return Err(nobody(app, &live.spec.service));
+            return Err(tries.error(nobody(app, &live.spec.service)));
         }
         tokio::time::sleep(GO_ON_PAUSE).await;
     }
@@ -237,23 +346,17 @@
     let started = tokio::time::timeout(limit, engine.generate(&body)).await;
     match started {
         // Only the timeout can fail here.
-        Err(_) => Over::Failed {
-            why: "no answer to the order",
-            ran: true,
-        },
-        Ok(Err(error)) => Over::Failed {
-            why: start_failure(&error),
-            ran: !error.not_run(),
-        },
+        Err(_) => Over::Failed(Failure::NoAnswer),
+        Ok(Err(error)) => Over::Failed(start_failure(&error)),
         Ok(Ok(stream)) => follow(app, live, attempt, stream).await,
     }
 }
 
-fn start_failure(error: &StartError) -> &'static str {
+fn start_failure(error: &StartError) -> Failure {
     match error {
-        StartError::NotReached { .. } => "not reached",
-        StartError::Refused { .. } => "refused",
-        StartError::Broken { .. } => "broken before the stream",
+        StartError::NotReached { .. } => Failure::NotReached,
+        StartError::Refused { .. } => Failure::Refused,
+        StartError::Broken { .. } => Failure::BrokenBeforeStream,
     }
 }
 
@@ -278,8 +381,8 @@
     lock(&app.view).on_started(&source.upstream, None, now);
     let over = follow(app, live, source.attempt, stream).await;
     lock(&app.view).on_ended(&source.upstream);
-    if let Over::Failed { why, .. } = over {
-        on_failed(app, live, &source.upstream, why);
+    if let Over::Failed(failure) = over {
+        on_failed(app, live, &source.upstream, failure);
     }
     Some(over)
 }
@@ -303,7 +406,7 @@
         }
         let Ok(event) = event else {
             if quiet.left(app.now()).is_zero() {
-                return failed("silent");
+                return Over::Failed(Failure::Silent);
             }
             continue;
         };
@@ -363,17 +466,15 @@
     Over(Over),
 }
 
-fn failed(why: &'static str) -> Over {
-    Over::Failed { why, ran: true }
-}
-
 fn take(live: &Live, attempt: AttemptId, event: Result<Option<EngineEvent>, StreamError>) -> Taken {
     let event = match event {
         Ok(Some(event)) => event,
-        Ok(None) => return Taken::Over(failed("closed before the end")),
-        Err(StreamError::Lost { .. }) => return Taken::Over(failed("connection broken")),
+        Ok(None) => return Taken::Over(Over::Failed(Failure::Closed)),
+        Err(StreamError::Lost { .. }) => {
+            return Taken::Over(Over::Failed(Failure::ConnectionBroken));
+        }
         // All other errors are of the form of an event.
-        Err(_) => return Taken::Over(failed("unreadable")),
+        Err(_) => return Taken::Over(Over::Failed(Failure::Unreadable)),
     };
     let (step, last) = live.change(|s| match event {
         EngineEvent::Token { offset, text } => (s.answer.on_token(attempt, offset, text), false),
@@ -389,7 +490,7 @@
     match step {
         TokenStep::Accepted if last => Taken::Over(Over::Finished),
         TokenStep::Accepted | TokenStep::Repeated => Taken::GoOn,
-        TokenStep::Gap => Taken::Over(failed("tokens missing in the stream")),
+        TokenStep::Gap => Taken::Over(Over::Failed(Failure::TokensMissing)),
         TokenStep::Late | TokenStep::Closed => Taken::Over(Over::Moved),
     }
 }
--- a/crates/daemon/cloverpier_daemon/src/app.rs
+++ b/crates/daemon/cloverpier_daemon/src/app.rs
@@ -5,6 +5,7 @@
 
 use crate::admission::Admission;
 use crate::answers::Answers;
+use crate::crashes::{self, Crashes};
 use crate::members::Cluster;
 use cloverpier_config::{Applied, Config};
 use cloverpier_core::{Clock, SystemClock, hash_of, lock, wall_ms};
@@ -60,6 +61,8 @@
     pub answers: Answers,
     /// Records of requests that may not be repeated.
     pub records: Mutex<Records>,
+    /// Contents of requests that ended upstreams.
+    pub crashes: Crashes,
     /// Limits and queues.
     pub admission: Admission,
     /// Wakes the heartbeats when there are changes to pass on.
@@ -102,6 +105,7 @@
                 me.id.clone(),
                 Horizon(settings.record_horizon),
             )),
+            crashes: Crashes::new(&settings.crashes),
             admission: Admission::default(),
             news: Notify::new(),
             stopping: AtomicBool::new(false),
@@ -146,6 +150,7 @@
             epoch: self.members().epoch,
             config: lock(&self.applied).version(),
             marks: lock(&self.view).marks().digest(),
+            crashes: crashes::digest(self),
         }
     }
 
--- a/crates/daemon/cloverpier_daemon/src/lib.rs
+++ b/crates/daemon/cloverpier_daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod app;
 pub mod claims;
 pub mod config;
+pub mod crashes;
 pub mod error;
 pub mod loads;
 pub mod members;
--- a/crates/daemon/cloverpier_daemon/src/members/news.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/news.rs
@@ -4,6 +4,7 @@
 
 use crate::app::App;
 use crate::config;
+use crate::crashes;
 use crate::members::adopt;
 use cloverpier_core::lock;
 use cloverpier_peer::{PeerReply, PeerRequest, Versions};
@@ -33,6 +34,21 @@
     if theirs.marks != ours.marks {
         pull_marks(app, peers_at).await;
     }
+    // One that knows nothing, or is of a release without it, is told by its own question or never.
+    if theirs.crashes != ours.crashes {
+        exchange_crashes(app, peers_at).await;
+    }
+}
+
+/// Exchanges what is known of contents that ended upstreams with a peer.
+async fn exchange_crashes(app: &App, peers_at: SocketAddr) {
+    let request = PeerRequest::Crashes {
+        reports: crashes::reports(app),
+    };
+    let reply = app.peers.call(peers_at, &request, PULL_TIMEOUT).await;
+    if let Ok(PeerReply::Crashes(reports)) = reply {
+        crashes::merge(app, &reports, &peers_at.to_string());
+    }
 }
 
 /// Exchanges marks to leave with a peer.
--- a/crates/daemon/cloverpier_daemon/src/parts.rs
+++ b/crates/daemon/cloverpier_daemon/src/parts.rs
@@ -4,7 +4,7 @@
 //! callers.
 
 use crate::app::App;
-use crate::{admission, answers, claims, config, loads, members, stop, web};
+use crate::{admission, answers, claims, config, crashes, loads, members, stop, web};
 use std::sync::Arc;
 
 /// A part that starts its own tasks.
@@ -42,6 +42,10 @@
         name: "records",
         start: claims::start,
     },
+    Part {
+        name: "crashes",
+        start: crashes::start,
+    },
     Part {
         name: "answers",
         start: answers::start,
--- a/crates/daemon/cloverpier_daemon/src/plain.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain.rs
@@ -6,9 +6,11 @@
 use crate::admission::{choose, log_choice, nobody, release};
 use crate::app::App;
 use crate::claims::{self, Written};
+use crate::crashes::{self, Admission};
 use crate::error::{ApiError, Run};
 use cloverpier_config::Repeatable;
 use cloverpier_core::{RequestKey, ServiceName, UpstreamName, hash_of, lock};
+use cloverpier_crashes::{Content, ContentKey};
 use cloverpier_record::{Outcome, Record, Refusal, StoredAnswer};
 use cloverpier_route::{Ask, Choice, Chosen};
 use cloverpier_upstream::{PlainAnswer, PlainCall, PlainError, call_plain};
@@ -60,13 +62,31 @@
     }
 }
 
-fn place(
+/// Whose call it is and of what, as its repeats have it in common.
+fn content<'a>(service: &'a ServiceName, key: &'a RequestKey, req: &'a PlainCall) -> Content<'a> {
+    Content {
+        account: key.account(),
+        host: service.as_str(),
+        method: req.method.as_str(),
+        target: &req.path,
+        body: &req.body,
+    }
+}
+
+/// Takes a place for a call, unless its content ends upstreams.
+async fn place(
     app: &App,
     service: &ServiceName,
     key: &RequestKey,
+    content: ContentKey,
     failed: &[UpstreamName],
 ) -> Result<Chosen, ApiError> {
+    let admission = crashes::admit(app, content).await;
+    if admission == Admission::Stopped {
+        return Err(crashes::stopped(Run::NotRun));
+    }
     let mut ask = Ask::new(service.clone());
+    ask.apart = admission.apart(content);
     ask.failed = failed.to_vec();
     // Lookups are over at once: they never wait in line.
     ask.overcommit = true;
@@ -79,12 +99,28 @@
     }
 }
 
-async fn try_at(app: &App, chosen: &Chosen, req: &PlainCall) -> Result<PlainAnswer, PlainError> {
+async fn try_at(
+    app: &Arc<App>,
+    content: &Content<'_>,
+    chosen: &Chosen,
+    req: &PlainCall,
+) -> Result<PlainAnswer, PlainError> {
+    let begun = app.now();
     let result = call_plain(&app.plain, chosen.address, req).await;
     match &result {
-        Ok(_) => lock(&app.view).on_success(&chosen.upstream),
-        // Whatever the cause, it counts as a failure of the upstream.
-        Err(_) => lock(&app.view).on_failure(&chosen.upstream, app.now()),
+        Ok(_) => {
+            lock(&app.view).on_success(&chosen.upstream);
+            crashes::on_completed(app, content);
+        }
+        Err(error) => {
+            // Whatever the cause, it counts as a failure of the upstream.
+            lock(&app.view).on_failure(&chosen.upstream, app.now());
+            if error.may_be_end_of_upstream() {
+                let ran_well = crashes::ran_well(app, content);
+                let key = ContentKey::of(content);
+                crashes::on_broken(app, key, ran_well, &chosen.upstream, begun);
+            }
+        }
     }
     release(app, chosen);
     result
@@ -96,13 +132,26 @@
     key: &RequestKey,
     req: &PlainCall,
 ) -> Result<PlainAnswer, ApiError> {
+    let content = content(service, key, req);
+    let content_key = ContentKey::of(&content);
     let mut failed = Vec::new();
+    let mut may_have_run = false;
     for _ in 0..TRIES {
-        let chosen = place(app, service, key, &failed)?;
-        match try_at(app, &chosen, req).await {
+        let placed = place(app, service, key, content_key, &failed).await;
+        let chosen = placed.map_err(|error| {
+            if may_have_run {
+                error.with_run(Run::Unknown)
+            } else {
+                error
+            }
+        })?;
+        match try_at(app, &content, &chosen, req).await {
             Ok(answer) => return Ok(answer),
             // `try_at` has counted it; the next try goes elsewhere.
-            Err(_) => failed.push(chosen.upstream),
+            Err(error) => {
+                may_have_run |= matches!(error, PlainError::NoReply { .. });
+                failed.push(chosen.upstream);
+            }
         }
     }
     let message = format!("no upstream of {service} answered");
@@ -140,16 +189,18 @@
     written: Written,
     req: PlainCall,
 ) -> Result<PlainAnswer, ApiError> {
+    let content = content(&service, &written.key, &req);
+    let content_key = ContentKey::of(&content);
     let mut failed = Vec::new();
     for _ in 0..TRIES {
-        let chosen = match place(&app, &service, &written.key, &failed) {
+        let chosen = match place(&app, &service, &written.key, content_key, &failed).await {
             Ok(chosen) => chosen,
             Err(error) => {
                 claims::release(&app, &written).await;
                 return Err(error);
             }
         };
-        match try_at(&app, &chosen, &req).await {
+        match try_at(&app, &content, &chosen, &req).await {
             Ok(answer) => {
                 let outcome = Outcome::Done(stored(&answer));
                 claims::settle(&app, &written, &outcome).await;
--- a/crates/daemon/cloverpier_daemon/src/web/completions.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/completions.rs
@@ -7,6 +7,7 @@
 use crate::answers::{End, Live, Opened, Reader, Reading, Spec, Start, open, spawn};
 use crate::app::App;
 use crate::claims;
+use crate::crashes::{self, Admission};
 use crate::error::{ApiError, Run};
 use crate::web::app_of;
 use crate::web::completion_body::{Completion, completion};
@@ -142,7 +143,12 @@
     spec: Spec,
     term: u64,
 ) -> Result<Arc<Live>, ApiError> {
-    let chosen = admit(app, caller, ask).await?;
+    let content = spec.content_key();
+    let admission = crashes::admit(app, content).await;
+    if admission == Admission::Stopped {
+        return Err(crashes::stopped(Run::NotRun));
+    }
+    let chosen = admit(app, caller, ask, admission.apart(content)).await?;
     if !spec.repeatable
         && let Err(refusal) = claims::claim(app, &keyed.key, ask.body).await
     {
@@ -165,13 +171,19 @@
 }
 
 /// Charges the account and takes a place at an engine.
-async fn admit(app: &App, caller: &Caller, ask: &Completion) -> Result<Chosen, ApiError> {
+async fn admit(
+    app: &App,
+    caller: &Caller,
+    ask: &Completion,
+    apart: Option<u64>,
+) -> Result<Chosen, ApiError> {
     let account = &caller.account;
     app.admission
         .charge(app, &caller.name, account, ask.max_tokens)
         .await?;
     let mut route = Ask::new(ask.service.clone());
     route.prefix = Some(hash_of(&ask.prompt));
+    route.apart = apart;
     let waiting = Waiting {
         account: caller.name.clone(),
         weight: account.weight,
--- a/crates/daemon/cloverpier_daemon/src/web/peers.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/peers.rs
@@ -4,6 +4,7 @@
 //! concerns; each request has one function here. Owns nothing.
 
 use crate::app::App;
+use crate::crashes;
 use crate::members;
 use crate::web::{app_of, operators, serve};
 use cloverpier_answer::Entry;
@@ -117,6 +118,10 @@
         PeerRequest::PullMembers => PeerReply::Members((*app.members()).clone()),
         PeerRequest::PullRoot => PeerReply::Root(lock(&app.applied).root().clone()),
         PeerRequest::PullParts { digests } => PeerReply::Parts(lock(&app.applied).parts(&digests)),
+        PeerRequest::Crashes { reports } => {
+            crashes::merge(app, &reports, "a peer");
+            PeerReply::Crashes(crashes::reports(app))
+        }
         PeerRequest::Marks { marks } => PeerReply::Marks(members::push_marks(app, &marks)),
     }
 }
--- a/crates/daemon/cloverpier_daemon/tests/crashing.rs
+++ b/crates/daemon/cloverpier_daemon/tests/crashing.rs
@@ -88,3 +88,23 @@
     let other = site.post_to(1, "/v1/completions", &other).await;
     assert_eq!(other.0, 200, "{other:?}");
 }
+
+/// A caller that is told "not run" sends it again as if nothing had happened.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_that_ran_is_never_called_not_run_where_all_engines_are_gone() {
+    let mut site = site().await;
+    // Engines read it for some 0.2 s.
+    let prompt = "word ".repeat(25_000);
+    let body = json!({"model": "drafts", "prompt": prompt, "max_tokens": 20});
+    let calling = tokio::spawn(site.post_to(0, "/v1/completions", &body));
+    site.until("an engine to run it", || async {
+        site.started(0).await + site.started(1).await + site.started(2).await > 0
+    })
+    .await;
+    for engine in &mut site.engines {
+        engine.kill();
+    }
+    let (status, answer) = calling.await.unwrap();
+    assert_eq!(status, 503, "{answer:?}");
+    assert_eq!(answer["error"]["run"], "unknown", "{answer:?}");
+}
--- a/crates/daemon/cloverpier_peer/src/message.rs
+++ b/crates/daemon/cloverpier_peer/src/message.rs
@@ -8,6 +8,7 @@
 use cloverpier_answer::{AppendReply, Entry, SealReply};
 use cloverpier_config::{Part, PartDigest, Root};
 use cloverpier_core::{AccountName, MemberId, RequestKey};
+use cloverpier_crashes::ContentReport;
 use cloverpier_member::{Member, MemberList};
 use cloverpier_record::{ClaimId, ClaimReply, Outcome, Slot, SyncReply};
 use cloverpier_route::LeaveMarks;
@@ -29,6 +30,14 @@
     pub config: u64,
     /// Digest of the marks to leave.
     pub marks: u64,
+    /// Digest of the contents that ended upstreams; 0 where none is known. Left out then, as routers
+    /// of a release without it read and write no such field.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes: u64,
+}
+
+fn is_zero(digest: &u64) -> bool {
+    *digest == 0
 }
 
 /// A router that serves though it is not on the list of members: it started, or was taken off,
@@ -153,6 +162,11 @@
         /// The sender's marks.
         marks: LeaveMarks,
     },
+    /// Take what I know of contents that ended upstreams, and hand out what you know.
+    Crashes {
+        /// What the sender knows.
+        reports: Vec<ContentReport>,
+    },
 }
 
 /// A reply.
@@ -193,6 +207,8 @@
     Parts(Vec<Part>),
     /// To marks: the receiver's.
     Marks(LeaveMarks),
+    /// To contents that ended upstreams: those that the receiver knows.
+    Crashes(Vec<ContentReport>),
     /// Done.
     Done,
 }
--- a/crates/daemon/cloverpier_peer/tests/wire.rs
+++ b/crates/daemon/cloverpier_peer/tests/wire.rs
@@ -10,6 +10,7 @@
 };
 use cloverpier_config::{Account, Config, Part, Repeatable, Root, Service, Upstream, split};
 use cloverpier_core::{Chain, MemberId, RequestKey};
+use cloverpier_crashes::prelude::*;
 use cloverpier_member::{Member, MemberList};
 use cloverpier_peer::prelude::*;
 use cloverpier_record::{ClaimId, ClaimReply, Outcome, Record, Slot, StoredAnswer, SyncReply};
@@ -31,6 +32,7 @@
         epoch: 11,
         config: 12,
         marks: 13,
+        crashes: 0,
     }
 }
 
@@ -282,6 +284,43 @@
     shown.collect()
 }
 
+fn crash_reports() -> Vec<ContentReport> {
+    let crash = ReportedCrash {
+        end: UpstreamEnd {
+            upstream: 21,
+            start: 1_790_000_000_000,
+        },
+        age_ms: 1_900,
+        ran_ms: 70,
+        surroundings: Surroundings {
+            in_service: 23,
+            in_data_centre: 5,
+            ended: EndedBeside::of([(91, Nearness::Service)]),
+        },
+        excused: true,
+    };
+    vec![ContentReport {
+        content: ContentKey::parse("0102030405060708090a0b0c0d0e0f10").unwrap(),
+        crashes: vec![crash],
+    }]
+}
+
+/// What the releases before wrote and read has no part in these.
+#[test]
+fn messages_on_crashing_contents_keep_their_bytes() {
+    let versions = Versions {
+        crashes: 14,
+        ..versions()
+    };
+    let reports = crash_reports();
+    let mut text = bytes_of(&PeerRequest::Heartbeat { versions });
+    text += &bytes_of(&PeerRequest::Crashes {
+        reports: reports.clone(),
+    });
+    text += &bytes_of(&PeerReply::Crashes(reports));
+    insta::assert_snapshot!(text);
+}
+
 #[test]
 fn messages_between_routers_keep_their_bytes() {
     let mut text = String::new();
--- a/crates/daemon/cloverpier_route/src/choose.rs
+++ b/crates/daemon/cloverpier_route/src/choose.rs
@@ -6,7 +6,7 @@
 //! the platform has no load reports and decides otherwise, in `cloverpier_router_policy::choice`.
 
 use crate::view::{CLOSE, Known, View};
-use cloverpier_core::{ServiceName, UpstreamName};
+use cloverpier_core::{ServiceName, UpstreamName, rank};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -27,6 +27,9 @@
     pub failed: Vec<UpstreamName>,
     /// Whether a full upstream will do: work that must go on now, or that is over at once.
     pub overcommit: bool,
+    /// Set for a request that may be what ends upstreams, to a number that is its content's own: it
+    /// goes to the upstream with the least load, where it harms the fewest others if it does.
+    pub apart: Option<u64>,
 }
 
 impl Ask {
@@ -37,6 +40,7 @@
             prefix: None,
             failed: Vec::new(),
             overcommit: false,
+            apart: None,
         }
     }
 }
@@ -64,6 +68,8 @@
     LowestCost,
     /// All others are avoided or failed this request.
     LastResort,
+    /// It has the least load, and the request is kept apart from others.
+    Apart,
 }
 
 /// The upstream that was chosen.
@@ -114,7 +120,10 @@
         if able.is_empty() {
             return Choice::Full;
         }
-        let picked = pick(&able, ask, now, rng);
+        let picked = match ask.apart {
+            Some(content) => least_loaded(&able, content, now),
+            None => pick(&able, ask, now, rng),
+        };
         let weighed: Vec<Weighed> = picked
             .iter()
             .map(|(name, k)| self.weigh(name, k, ask, now))
@@ -122,6 +131,7 @@
         let why = match (last_resort, able.len()) {
             (true, _) => Why::LastResort,
             (_, 1) => Why::Only,
+            _ if ask.apart.is_some() => Why::Apart,
             _ => Why::LowestCost,
         };
         best(weighed, why, self)
@@ -156,6 +166,18 @@
     }
 }
 
+/// The one with the least load; of several the one that the content's number prefers, so that two
+/// contents that lost the same upstreams part.
+fn least_loaded<'a>(
+    able: &[(&'a UpstreamName, &'a Known)],
+    content: u64,
+    now: Instant,
+) -> Vec<(&'a UpstreamName, &'a Known)> {
+    let ranked = rank(content, able, |(name, _)| name.as_str());
+    let least = ranked.into_iter().min_by_key(|(_, known)| known.load(now));
+    least.copied().into_iter().collect()
+}
+
 /// Two at random, and one that has the prefix.
 fn pick<'a>(
     able: &[(&'a UpstreamName, &'a Known)],
--- a/crates/daemon/cloverpier_route/src/view.rs
+++ b/crates/daemon/cloverpier_route/src/view.rs
@@ -23,6 +23,15 @@
 /// A load report older than this says nothing any more. Chosen, not measured.
 const REPORT_STALE: Duration = Duration::from_secs(10);
 
+/// Upstreams beside one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Neighbours {
+    /// Of its service.
+    pub in_service: u32,
+    /// Those of them in its data centre.
+    pub in_data_centre: u32,
+}
+
 /// A load report as it was taken in.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadReport {
@@ -189,6 +198,31 @@
         self.known.get(name).map(|k| &k.upstream)
     }
 
+    /// The upstream with a hash of a name.
+    pub fn by_hash(&self, hash: u64) -> Option<UpstreamName> {
+        let mut names = self.known.keys();
+        names.find(|name| hash_of(name.as_str()) == hash).cloned()
+    }
+
+    /// How many others there are of a service, and of them in a data centre, beside the upstream with
+    /// a hash of a name.
+    pub fn neighbours(
+        &self,
+        service: &ServiceName,
+        data_centre: &DataCentre,
+        but: u64,
+    ) -> Neighbours {
+        let names = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let others = names.iter().filter(|name| hash_of(name.as_str()) != but);
+        let others = others.filter_map(|name| self.known.get(name));
+        let mut neighbours = Neighbours::default();
+        for other in others {
+            neighbours.in_service += 1;
+            neighbours.in_data_centre += u32::from(other.upstream.data_centre == *data_centre);
+        }
+        neighbours
+    }
+
     /// This router's own work at an upstream.
     pub fn own_work(&self, name: &UpstreamName) -> u32 {
         self.known.get(name).map_or(0, |k| k.own)
--- a/crates/daemon/cloverpier_upstream/src/plain.rs
+++ b/crates/daemon/cloverpier_upstream/src/plain.rs
@@ -55,6 +55,14 @@
     },
 }
 
+impl PlainError {
+    /// Whether the server may have ended while it had the call: the connection broke before the time
+    /// was over.
+    pub fn may_be_end_of_upstream(&self) -> bool {
+        matches!(self, Self::NoReply { source } if !source.is_timeout())
+    }
+}
+
 /// Passes a call on.
 ///
 /// # Errors
--- a/crates/shared/cloverpier_core/src/name.rs
+++ b/crates/shared/cloverpier_core/src/name.rs
@@ -79,4 +79,11 @@
     pub fn of(account: &AccountName, idempotency_key: &str) -> Self {
         Self::new(format!("{account}/{idempotency_key}"))
     }
+
+    /// The client account's name.
+    pub fn account(&self) -> &str {
+        let parts = self.as_str().split_once('/');
+        // A key without a slash was made by `new` and belongs to nobody.
+        parts.map_or("", |(account, _)| account)
+    }
 }
--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -43,14 +43,18 @@
 
 /// The start of an upstream that does not say when it was.
 pub const UNKNOWN_START: u64 = 0;
+/// Numbers of one upstream's ends that differ by less, in milliseconds, are those of one end: where
+/// the observers give it their time of day, these differ by what it took them to notice, and by their
+/// clocks. An upstream takes longer to start. Chosen, not measured.
+pub const SAME_END_MS: u64 = 1_000;
 
 /// The end of one start of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct UpstreamEnd {
     /// A hash of its name.
     pub upstream: u64,
-    /// When it had started, as a Unix time in milliseconds; [`UNKNOWN_START`] where it does not say, as
-    /// where each start has a name of its own.
+    /// What tells its ends apart, as a Unix time in milliseconds: when it had started; where it does
+    /// not say, [`UNKNOWN_START`] if each start has a name of its own, else when it ended.
     pub start: u64,
 }
 
@@ -243,6 +247,15 @@
         self.with_verdict(now, |verdict| verdict == Verdict::Stopped)
     }
 
+    /// The contents against which at least so much is known, in thousandths of an end that nothing else
+    /// explains.
+    pub fn with_evidence(&self, least: u32, now: Instant) -> Vec<ContentKey> {
+        let contents = self.records.keys().copied();
+        contents
+            .filter(|content| self.evidence(*content, now) >= least)
+            .collect()
+    }
+
     /// The contents that are suspect or stopped: few, and what peers should know.
     pub fn suspects(&self, now: Instant) -> Vec<ContentKey> {
         self.with_verdict(now, |verdict| verdict != Verdict::Harmless)
--- a/crates/shared/cloverpier_crashes/src/book/record.rs
+++ b/crates/shared/cloverpier_crashes/src/book/record.rs
@@ -2,7 +2,9 @@
 //!
 //! Relies on [`super::CrashBook`] for who is told and what follows.
 
-use super::{CRASH_TTL, Crash, MAX_CRASHES, ReportedCrash, UNKNOWN_START, UpstreamEnd};
+use super::{
+    CRASH_TTL, Crash, MAX_CRASHES, ReportedCrash, SAME_END_MS, UNKNOWN_START, UpstreamEnd,
+};
 use crate::weight::{OwnEnd, Surroundings, Weight};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -39,7 +41,8 @@
     /// Adds what is known of an end: the earliest time, all that was around it, any excuse. Returns
     /// whether that is more than was known.
     pub(super) fn add(&mut self, crash: Crash) -> bool {
-        let Crash { end, excused, .. } = crash;
+        let excused = crash.excused;
+        let end = self.known_as(crash.end);
         if let Some(known) = self.ends.get_mut(&end) {
             let has_more = known.surroundings.merge(&crash.surroundings);
             let is_new_excuse = excused && !known.excused;
@@ -59,6 +62,20 @@
         self.ends.contains_key(&end)
     }
 
+    /// An end as it is known already, if it is.
+    fn known_as(&self, end: UpstreamEnd) -> UpstreamEnd {
+        let least = end.start.saturating_sub(SAME_END_MS - 1);
+        let most = end.start.saturating_add(SAME_END_MS - 1);
+        let same_upstream = |start| UpstreamEnd { start, ..end };
+        let near = same_upstream(least)..=same_upstream(most);
+        let known = self.ends.range(near).map(|(known, _)| *known);
+        // No time is near an unknown one.
+        known
+            .filter(|known| (known.start == UNKNOWN_START) == (end.start == UNKNOWN_START))
+            .min_by_key(|known| known.start.abs_diff(end.start))
+            .unwrap_or(end)
+    }
+
     /// Keeps to [`MAX_CRASHES`]: what is excused goes first, then what is old.
     fn make_room(&mut self) {
         if self.ends.len() <= MAX_CRASHES {
--- a/crates/shared/cloverpier_crashes/tests/book.rs
+++ b/crates/shared/cloverpier_crashes/tests/book.rs
@@ -51,7 +51,7 @@
 fn book_with(name: &str, ends: u64, now: Instant) -> CrashBook {
     let mut book = book();
     for upstream in 1..=ends {
-        book.record(content(name), crash(end(upstream, 5), now), now);
+        book.record(content(name), crash(end(upstream, 5_000), now), now);
     }
     book
 }
@@ -71,13 +71,23 @@
 fn the_same_end_counts_once_and_another_start_of_the_same_upstream_again() {
     let now = Instant::now();
     let mut book = book();
-    let first = crash(end(1, 5), now);
+    let first = crash(end(1, 5_000), now);
     assert!(book.record(content("a"), first.clone(), now));
     assert!(!book.record(content("a"), first, now));
     // Its observer did not know when that upstream had started.
     book.record(content("a"), crash(end(1, UNKNOWN_START), now), now);
     assert_eq!(book.crashes(content("a"), now), 1);
-    book.record(content("a"), crash(end(1, 6), now), now);
+    book.record(content("a"), crash(end(1, 6_000), now), now);
+    assert_eq!(book.crashes(content("a"), now), 2);
+}
+
+#[test]
+fn an_end_to_which_its_observers_gave_slightly_different_times_counts_once() {
+    let now = Instant::now();
+    let mut book = book();
+    for time in [80_000, 80_120, 79_700, 85_000, 85_400] {
+        book.record(content("a"), crash(end(1, time), now), now);
+    }
     assert_eq!(book.crashes(content("a"), now), 2);
 }
 
@@ -88,7 +98,7 @@
     for upstream in 1..=10 {
         let explained = Crash {
             surroundings: beside(&[101, 102, 103, 104]),
-            ..crash(end(upstream, 5), now)
+            ..crash(end(upstream, 5_000), now)
         };
         book.record(content("a"), explained, now);
     }
@@ -104,7 +114,7 @@
     for (book, (upstream, others)) in books.iter_mut().zip(seen) {
         let crash = Crash {
             surroundings: beside(&others),
-            ..crash(end(upstream, 5), now)
+            ..crash(end(upstream, 5_000), now)
         };
         book.record(content("a"), crash, now);
         assert!(book.evidence(content("a"), now) < Weight::FULL.thousandths() / 2);
@@ -136,7 +146,7 @@
         let others: Vec<u64> = (1..=4).filter(|other| *other != upstream).collect();
         let crash = Crash {
             surroundings: together(&others),
-            ..crash(end(upstream, 5), now)
+            ..crash(end(upstream, 5_000), now)
         };
         book.record(content("a"), crash, now);
     }
@@ -148,7 +158,7 @@
         let crash = Crash {
             surroundings: together(&others),
             ran_for: Duration::from_millis(15),
-            ..crash(end(upstream, 5), at)
+            ..crash(end(upstream, 5_000), at)
         };
         book.record(content("b"), crash, at);
     }
@@ -167,7 +177,7 @@
     assert!(book.merge(&told, now).is_empty());
     assert_eq!(book.verdict(content("a"), now), Verdict::Harmless);
     for upstream in 11..=13 {
-        book.record(content("a"), crash(end(upstream, 5), now), now);
+        book.record(content("a"), crash(end(upstream, 5_000), now), now);
     }
     assert_eq!(book.verdict(content("a"), now), Verdict::Stopped);
 }
@@ -178,12 +188,12 @@
     let mut book = book_with("crashing", 3, now);
     // A request that was moved to the same engines, and was not there at the last.
     for upstream in 1..=2 {
-        book.record(content("beside"), crash(end(upstream, 5), now), now);
+        book.record(content("beside"), crash(end(upstream, 5_000), now), now);
     }
-    book.record(content("beside"), crash(end(9, 5), now), now);
+    book.record(content("beside"), crash(end(9, 5_000), now), now);
     // With as many ends as the other, neither explains the other's.
     assert_eq!(book.verdict(content("beside"), now), Verdict::Stopped);
-    book.record(content("crashing"), crash(end(4, 5), now), now);
+    book.record(content("crashing"), crash(end(4, 5_000), now), now);
     assert_eq!(book.verdict(content("crashing"), now), Verdict::Stopped);
     assert_eq!(book.verdict(content("beside"), now), Verdict::Harmless);
 }
@@ -193,12 +203,12 @@
     let now = Instant::now();
     let mut book = book_with("a", 2, now);
     let half = now + CRASH_TTL / 2;
-    book.record(content("a"), crash(end(9, 5), half), half);
+    book.record(content("a"), crash(end(9, 5_000), half), half);
     assert_eq!(book.verdict(content("a"), half), Verdict::Stopped);
     let later = now + CRASH_TTL;
     assert_eq!(book.verdict(content("a"), later), Verdict::Harmless);
     for upstream in 11..=12 {
-        book.record(content("a"), crash(end(upstream, 5), later), later);
+        book.record(content("a"), crash(end(upstream, 5_000), later), later);
     }
     assert_eq!(book.verdict(content("a"), later), Verdict::Stopped);
     let end = later + CRASH_TTL * 2;
@@ -207,7 +217,7 @@
 }
 
 fn end_of(upstream: u64) -> UpstreamEnd {
-    end(upstream, 5)
+    end(upstream, 5_000)
 }
 
 #[test]
@@ -217,7 +227,7 @@
     for upstream in 1..=4 {
         let excused = Crash {
             excused: true,
-            ..crash(end(upstream, 5), now)
+            ..crash(end(upstream, 5_000), now)
         };
         book.record(content("a"), excused, now);
     }
@@ -247,7 +257,7 @@
     let now = Instant::now();
     let mut book = book_with("a", 2, now);
     assert_eq!(book.changed_stops(now), Default::default());
-    book.record(content("a"), crash(end(3, 5), now), now);
+    book.record(content("a"), crash(end(3, 5_000), now), now);
     assert_eq!(book.changed_stops(now).stopped, [content("a")]);
     assert_eq!(book.changed_stops(now), Default::default());
 }
@@ -260,7 +270,7 @@
         let at = now + Duration::from_millis(n as u64);
         book.record(
             content(&format!("new-{n}")),
-            crash(end(100 + n as u64, 5), at),
+            crash(end(100 + n as u64, 5_000), at),
             at,
         );
     }
@@ -269,7 +279,7 @@
     assert!(!book.knows(content("new-0")));
     let mut book = self::book();
     for upstream in 0..MAX_CRASHES as u64 * 2 {
-        book.record(content("a"), crash(end(upstream, 5), now), now);
+        book.record(content("a"), crash(end(upstream, 5_000), now), now);
     }
     assert_eq!(book.crashes(content("a"), now), MAX_CRASHES);
 }
@@ -280,7 +290,7 @@
     let mut book = book_with("a", MAX_CRASHES as u64, now);
     book.on_completed(content("a"));
     for upstream in 101..=103 {
-        book.record(content("a"), crash(end(upstream, 5), now), now);
+        book.record(content("a"), crash(end(upstream, 5_000), now), now);
     }
     assert_eq!(book.verdict(content("a"), now), Verdict::Stopped);
 }
@@ -289,7 +299,7 @@
 fn draw_event(rng: &mut fastrand::Rng, now: Instant) -> (ContentKey, Crash, bool) {
     let crash = Crash {
         surroundings: beside([&[][..], &[1, 9], &[8]][rng.usize(..3)]),
-        ..crash(end(rng.u64(1..6), rng.u64(0..3)), now)
+        ..crash(end(rng.u64(1..6), rng.u64(0..3) * 5_000), now)
     };
     (
         content(["a", "b", "c"][rng.usize(..3)]),
