--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -8,10 +8,11 @@
 use crate::answers::live::{End, Live};
 use crate::answers::outbox::send_news;
 use crate::app::App;
-use crate::crashes::{self, Admission};
+use crate::crashes;
 use crate::error::{ApiError, Run};
 use cloverpier_answer::{AttemptId, FinishReason, Source, TokenStep};
 use cloverpier_core::{UpstreamName, hash_of, lock};
+use cloverpier_crashes::Admission;
 use cloverpier_route::{Ask, Choice, Chosen, Silence};
 use cloverpier_upstream::{
     EngineEvent, EventStream, GenerateBody, GenerationBody, StartError, StreamError,
@@ -153,8 +154,8 @@
         };
         on_failed(app, live, &chosen.upstream, failure);
         if failure.may_be_end_of_engine() {
-            let ran_well = crashes::ran_well(app, &live.spec.content());
-            crashes::on_broken(app, content, ran_well, &chosen.upstream, begun);
+            let ran_for = app.now().saturating_duration_since(begun);
+            crashes::on_broken(app, &live.spec.content(), &chosen.upstream, ran_for);
         }
         tries.may_have_run |= failure.may_have_run();
         if failure.may_have_run() && !live.spec.repeatable {
--- a/crates/daemon/cloverpier_daemon/src/crashes.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes.rs
@@ -1,15 +1,14 @@
 //! What requests did to upstreams: learns it, judges it, shares it, and stops what ends them.
 //!
-//! Owns what this router knows of contents, and the attempts that broke off and are not judged yet.
-//! What an end says and what follows is decided in `cloverpier_crashes`, as for the router on the
-//! platform; [`crate::members`] carries what is known to peers. Upstreams do not say when they
-//! started, so an end is told from the next one of the same upstream by its time.
+//! Owns this router's cases. What an end says and what follows is decided in `cloverpier_crashes`, as
+//! for the router on the platform; [`crate::members`] carries what is known to peers. Upstreams do not
+//! say when they started, so an end is told from the next one of the same upstream by its time.
 
 use crate::app::App;
 use crate::error::{ApiError, Run};
 use cloverpier_config::Upstream;
 use cloverpier_core::{UpstreamName, hash_of, lock, wall_ms};
-use cloverpier_crashes::book::SUSPECT_FROM;
+use cloverpier_crashes::cases::MAX_HOLD;
 use cloverpier_crashes::prelude::*;
 use cloverpier_settings::CrashSettings;
 use salvo::http::StatusCode;
@@ -25,9 +24,6 @@
 /// How long a probe waits for the host of an upstream whose connection broke. One without the process
 /// refuses within a round trip. Chosen, not measured.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// A request that may be about to end one upstream too many waits for the judgement of its last
-/// attempt for so long at most. Chosen, not measured.
-const MAX_HOLD: Duration = Duration::from_millis(250);
 /// What has to be known against a content for peers to hear of it, in thousandths of an end that
 /// nothing else explains. Chosen, not measured.
 const MIN_TOLD: u32 = 250;
@@ -35,10 +31,7 @@
 /// What this router knows of requests that end upstreams.
 #[derive(Debug)]
 pub struct Crashes {
-    book: Mutex<CrashBook>,
-    broken: Mutex<BrokenAttempts>,
-    ended: Mutex<EndedUpstreams>,
-    recent: Mutex<RecentContents>,
+    cases: Mutex<CrashCases>,
     /// Wakes the loop that judges, and requests that wait for a judgement or a call back.
     changed: Notify,
 }
@@ -46,33 +39,19 @@
 impl Crashes {
     /// Knows of no end yet.
     pub fn new(settings: &CrashSettings) -> Self {
-        let mut book = CrashBook::new(settings.limit);
-        book.set_bounds(settings.limit, settings.cleared.clone());
+        let mut cases = CrashCases::new(settings.limit);
+        let cleared = settings.cleared.clone();
+        cases.book.set_bounds(settings.limit, cleared);
         Self {
-            book: Mutex::new(book),
-            broken: Mutex::default(),
-            ended: Mutex::default(),
-            recent: Mutex::default(),
+            cases: Mutex::new(cases),
             changed: Notify::new(),
         }
     }
-}
-
-/// How a request may be sent to an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// Like any other.
-    Beside,
-    /// Where it meets the fewest others: it may be what ended two upstreams.
-    Apart,
-    /// Not at all.
-    Stopped,
-}
 
-impl Admission {
-    /// The number that keeps a content apart, where it is to be.
-    pub fn apart(self, content: ContentKey) -> Option<u64> {
-        (self == Self::Apart).then(|| content.spread())
+    /// Changes the cases and wakes whoever waits for a judgement.
+    fn change(&self, change: impl FnOnce(&mut CrashCases)) {
+        change(&mut lock(&self.cases));
+        self.changed.notify_waiters();
     }
 }
 
@@ -109,39 +88,24 @@
 /// Decides whether a request may be sent to an upstream now. Where its next attempt may be one too
 /// many, it waits until the last one is judged.
 pub async fn admit(app: &App, content: ContentKey) -> Admission {
+    let crashes = &app.crashes;
     let until = app.now() + MAX_HOLD;
-    while awaits_judgement(app, content) && app.now() < until {
-        let changed = app.crashes.changed.notified();
-        let left = until.saturating_duration_since(app.now());
+    loop {
+        let mut changed = pin!(crashes.changed.notified());
+        changed.as_mut().enable();
+        let now = app.now();
+        let waits = lock(&crashes.cases).awaits_judgement(content, now);
+        if now >= until || !waits {
+            return lock(&crashes.cases).admission(content, now);
+        }
         // Whether it was woken or the time is up, it looks again.
-        let _ = tokio::time::timeout(left, changed).await;
-    }
-    admission(app, content)
-}
-
-fn awaits_judgement(app: &App, content: ContentKey) -> bool {
-    let CrashLimit(limit) = app.settings.crashes.limit;
-    let open = lock(&app.crashes.broken).open_with(content);
-    let known = lock(&app.crashes.book).crashes(content, app.now());
-    limit > 0 && open > 0 && open + known >= limit as usize
-}
-
-fn admission(app: &App, content: ContentKey) -> Admission {
-    let now = app.now();
-    let open = lock(&app.crashes.broken).open_with(content);
-    let book = lock(&app.crashes.book);
-    let full = Weight::FULL.thousandths();
-    // Fewer than 2^32 are open.
-    let against = book.evidence(content, now) + open as u32 * full;
-    match book.verdict(content, now) {
-        Verdict::Stopped => Admission::Stopped,
-        _ if against >= SUSPECT_FROM * full => Admission::Apart,
-        _ => Admission::Beside,
+        let _ = tokio::time::timeout(until - now, changed).await;
     }
 }
 
 fn is_stopped(app: &App, content: ContentKey) -> bool {
-    lock(&app.crashes.book).verdict(content, app.now()) == Verdict::Stopped
+    let cases = lock(&app.crashes.cases);
+    cases.book.verdict(content, app.now()) == Verdict::Stopped
 }
 
 /// Waits until a content is stopped while its attempt has brought nothing.
@@ -156,33 +120,32 @@
     }
 }
 
-/// Records an attempt whose connection broke, and finds out whether its upstream ended.
+/// Records an attempt whose connection broke, and finds out whether its upstream ended. One that was
+/// about to leave says nothing: it ends by itself.
 pub fn on_broken(
     app: &Arc<App>,
-    content: ContentKey,
-    is_recent: bool,
+    content: &Content<'_>,
     upstream: &UpstreamName,
-    begun: Instant,
+    ran_for: Duration,
 ) {
-    let Some(known) = lock(&app.view).upstream(upstream).cloned() else {
-        // It left the configuration meanwhile: it ended because it was to.
+    let view = lock(&app.view);
+    let known = view.upstream(upstream).cloned();
+    let Some(known) = known.filter(|_| view.takes_work(upstream)) else {
         return;
     };
-    if !lock(&app.view).takes_work(upstream) {
-        return;
-    }
-    let now = app.now();
+    drop(view);
     let attempt = BrokenAttempt {
-        content,
-        ran_well: is_recent,
+        content: ContentKey::of(content),
+        ran_well: false,
         end: UpstreamEnd {
             upstream: hash_of(upstream.as_str()),
             start: wall_ms(),
         },
-        upstream: ended_upstream(upstream, &known, now),
-        ran_for: now.saturating_duration_since(begun),
+        upstream: ended_upstream(upstream, &known, app.now()),
+        ran_for,
     };
-    lock(&app.crashes.broken).on_broken(attempt, false);
+    let change = |cases: &mut CrashCases| cases.on_broken(content, attempt);
+    app.crashes.change(change);
     let (app, upstream) = (Arc::clone(app), upstream.clone());
     tokio::spawn(async move { probe(&app, &upstream, &known).await });
 }
@@ -198,18 +161,14 @@
 
 /// Asks an upstream's host whether it has the process.
 async fn probe(app: &App, name: &UpstreamName, upstream: &Upstream) {
-    let key = hash_of(name.as_str());
-    match connects(upstream.address).await {
-        Host::HasProcess => lock(&app.crashes.broken).on_alive(key),
-        Host::HasNone => {
-            let ended = ended_upstream(name, upstream, app.now());
-            lock(&app.crashes.ended).on_end(ended);
-            lock(&app.crashes.broken).on_end(key);
-        }
-        // Silence proves nothing; the attempt lapses.
-        Host::Silent => {}
-    }
-    app.crashes.changed.notify_waiters();
+    let host = connects(upstream.address).await;
+    let ended = ended_upstream(name, upstream, app.now());
+    app.crashes.change(|cases| match host {
+        Host::HasProcess => cases.on_alive(ended.upstream),
+        Host::HasNone => cases.on_end(ended),
+        // It proves nothing; the attempt lapses.
+        Host::Silent => cases.on_death(ended),
+    });
 }
 
 /// What a host says of a process at its address.
@@ -230,28 +189,19 @@
 
 /// Records that an upstream ran a request to its end.
 pub fn on_completed(app: &App, content: &Content<'_>) {
-    let now = app.now();
-    lock(&app.crashes.recent).on_completed(content, now);
-    if lock(&app.crashes.book).is_empty() {
-        return;
-    }
-    if lock(&app.crashes.book).on_completed(ContentKey::of(content)) {
+    let acquitted = lock(&app.crashes.cases).on_completed(content, app.now());
+    if acquitted.is_some() {
         app.news.notify_one();
         apply_verdicts(app, "it ran to its end");
     }
 }
 
-/// Whether a content ran to its end a moment ago.
-pub fn ran_well(app: &App, content: &Content<'_>) -> bool {
-    lock(&app.crashes.recent).ran_well(content, app.now())
-}
-
 /// Judges attempts that broke off, until the process ends.
 async fn judge_broken(app: Arc<App>) {
     loop {
         let mut changed = pin!(app.crashes.changed.notified());
         changed.as_mut().enable();
-        let next_due = lock(&app.crashes.broken).next_due();
+        let next_due = lock(&app.crashes.cases).next_due();
         match next_due {
             Some(at) => {
                 let wait = at.saturating_duration_since(app.now());
@@ -266,67 +216,47 @@
 
 fn judge_due(app: &App) {
     let now = app.now();
-    let due = {
-        let mut broken = lock(&app.crashes.broken);
-        // Each was probed when it broke off.
-        let _ = broken.unclear(now);
-        broken.due(now)
+    let judged = {
+        let view = lock(&app.view);
+        let mut cases = lock(&app.crashes.cases);
+        // Each upstream was probed when the attempt broke off there.
+        let _ = cases.unclear(now);
+        cases.judge(now, |end| {
+            view.neighbours(&end.service, &end.data_centre, end.upstream)
+        })
     };
-    if due.is_empty() {
+    if judged.is_empty() {
         return;
     }
-    for attempt in due {
-        record(app, attempt, now);
+    for judged in &judged {
+        log_crash(app, judged);
     }
     app.news.notify_one();
     apply_verdicts(app, "this router");
     app.crashes.changed.notify_waiters();
 }
 
-fn record(app: &App, attempt: BrokenAttempt, now: Instant) {
-    let surroundings = surroundings(app, &attempt.upstream);
-    let content = attempt.content;
-    let crash = Crash {
-        end: attempt.end,
-        at: attempt.upstream.at,
-        ran_for: attempt.ran_for,
-        surroundings,
-        excused: attempt.ran_well,
-    };
-    let mut book = lock(&app.crashes.book);
-    book.record(content, crash, now);
-    let (ends, evidence) = (book.crashes(content, now), book.evidence(content, now));
-    drop(book);
-    app.metrics.count("crash.recorded", 1);
-    let view = lock(&app.view);
-    let name = view.by_hash(attempt.end.upstream);
+fn log_crash(app: &App, judged: &Judged) {
+    let name = lock(&app.view).by_hash(judged.attempt.end.upstream);
+    // It may have left the configuration meanwhile.
     let name = name.unwrap_or_else(|| UpstreamName::new("forgotten"));
-    drop(view);
     let line = CrashRecorded {
-        content: content.to_string(),
+        content: judged.attempt.content.to_string(),
         upstream: &name,
-        ran_well: attempt.ran_well,
-        ends,
-        evidence,
+        ran_well: judged.attempt.ran_well,
+        ends: judged.ends,
+        evidence: judged.evidence,
     };
+    app.metrics.count("crash.recorded", 1);
     app.log.warn("crash.recorded", &line);
 }
 
-fn surroundings(app: &App, end: &EndedUpstream) -> Surroundings {
-    let view = lock(&app.view);
-    let count = view.neighbours(&end.service, &end.data_centre, end.upstream);
-    Surroundings {
-        in_service: count.in_service,
-        in_data_centre: count.in_data_centre,
-        ended: lock(&app.crashes.ended).beside(end),
-    }
-}
-
 /// What peers are told.
 pub fn reports(app: &App) -> Vec<ContentReport> {
     let now = app.now();
-    let book = lock(&app.crashes.book);
-    book.reports(&book.with_evidence(MIN_TOLD, now), now)
+    let cases = lock(&app.crashes.cases);
+    let told = cases.book.with_evidence(MIN_TOLD, now);
+    cases.book.reports(&told, now)
 }
 
 /// A digest that differs where what peers are told does, but for what was around ends; 0 for nothing.
@@ -346,7 +276,7 @@
 
 /// Takes what a peer knows; passes it on when it is news.
 pub fn merge(app: &App, reports: &[ContentReport], from: &str) {
-    let changed = lock(&app.crashes.book).merge(reports, app.now());
+    let changed = lock(&app.crashes.cases).book.merge(reports, app.now());
     if changed.is_empty() {
         return;
     }
@@ -357,18 +287,18 @@
 
 fn apply_verdicts(app: &App, from: &str) {
     let now = app.now();
-    let mut book = lock(&app.crashes.book);
-    let changed = book.changed_stops(now);
+    let mut cases = lock(&app.crashes.cases);
+    let changed = cases.book.changed_stops(now);
     let verdicts = |contents: &[ContentKey]| -> Vec<VerdictChanged<'_>> {
         let verdicts = contents.iter().map(|content| VerdictChanged {
             content: content.to_string(),
-            ends: book.crashes(*content, now),
+            ends: cases.book.crashes(*content, now),
             from,
         });
         verdicts.collect()
     };
     let (stopped, cleared) = (verdicts(&changed.stopped), verdicts(&changed.lifted));
-    drop(book);
+    drop(cases);
     for verdict in stopped {
         app.metrics.count("content.stopped", 1);
         app.log.warn("content.stopped", &verdict);
--- a/crates/daemon/cloverpier_daemon/src/plain.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain.rs
@@ -6,11 +6,11 @@
 use crate::admission::{choose, log_choice, nobody, release};
 use crate::app::App;
 use crate::claims::{self, Written};
-use crate::crashes::{self, Admission};
+use crate::crashes;
 use crate::error::{ApiError, Run};
 use cloverpier_config::Repeatable;
 use cloverpier_core::{RequestKey, ServiceName, UpstreamName, hash_of, lock};
-use cloverpier_crashes::{Content, ContentKey};
+use cloverpier_crashes::{Admission, Content, ContentKey};
 use cloverpier_record::{Outcome, Record, Refusal, StoredAnswer};
 use cloverpier_route::{Ask, Choice, Chosen};
 use cloverpier_upstream::{PlainAnswer, PlainCall, PlainError, call_plain};
@@ -116,9 +116,8 @@
             // Whatever the cause, it counts as a failure of the upstream.
             lock(&app.view).on_failure(&chosen.upstream, app.now());
             if error.may_be_end_of_upstream() {
-                let ran_well = crashes::ran_well(app, content);
-                let key = ContentKey::of(content);
-                crashes::on_broken(app, key, ran_well, &chosen.upstream, begun);
+                let ran_for = app.now().saturating_duration_since(begun);
+                crashes::on_broken(app, content, &chosen.upstream, ran_for);
             }
         }
     }
--- a/crates/daemon/cloverpier_route/src/view.rs
+++ b/crates/daemon/cloverpier_route/src/view.rs
@@ -6,6 +6,7 @@
 use crate::marks::{LeaveMark, LeaveMarks};
 use cloverpier_config::{Config, Upstream, UpstreamState};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, VmName, hash_of, rank};
+use cloverpier_crashes::Neighbours;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -23,15 +24,6 @@
 /// A load report older than this says nothing any more. Chosen, not measured.
 const REPORT_STALE: Duration = Duration::from_secs(10);
 
-/// Upstreams beside one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Neighbours {
-    /// Of its service.
-    pub in_service: u32,
-    /// Those of them in its data centre.
-    pub in_data_centre: u32,
-}
-
 /// A load report as it was taken in.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadReport {
--- a/crates/router/cloverpier_router/src/crash_news.rs
+++ b/crates/router/cloverpier_router/src/crash_news.rs
@@ -17,7 +17,7 @@
 
 /// Tells all peers what is known of contents.
 pub(crate) fn tell_all(router: &Router, contents: &[ContentKey], now: Instant) {
-    let reports = router.crashes.book.borrow().reports(contents, now);
+    let reports = router.crashes.cases.borrow().book.reports(contents, now);
     if !reports.is_empty() {
         router.crashes.last_news.set(Some(now));
         tell(router, reports, &Recipients::All);
@@ -31,7 +31,7 @@
     former: Option<&PeerEntry>,
     entry: &PeerEntry,
 ) {
-    if router.crashes.book.borrow().is_empty() {
+    if router.crashes.cases.borrow().book.is_empty() {
         return;
     }
     let peers = router.peers.addresses().len();
@@ -52,9 +52,9 @@
 }
 
 fn tell_suspects(router: &Router, to: &Recipients, now: Instant) {
-    let book = router.crashes.book.borrow();
-    let reports = book.reports(&book.suspects(now), now);
-    drop(book);
+    let cases = router.crashes.cases.borrow();
+    let reports = cases.book.reports(&cases.book.suspects(now), now);
+    drop(cases);
     tell(router, reports, to);
 }
 
@@ -68,9 +68,9 @@
 
 /// Takes what a peer tells; what was new is told on for a while, as far as it is suspect.
 pub(crate) fn on_news(router: &Router, news: &CrashNews, now: Instant) {
-    let mut book = router.crashes.book.borrow_mut();
-    let changed = book.merge(&news.contents, now);
-    drop(book);
+    let mut cases = router.crashes.cases.borrow_mut();
+    let changed = cases.book.merge(&news.contents, now);
+    drop(cases);
     if changed.is_empty() {
         return;
     }
--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -1,9 +1,8 @@
 //! What requests did to upstreams: learns it, judges it, and stops what ends them.
 //!
-//! Owns this router's book of contents, the attempts that broke off and are not judged yet, the
-//! upstreams that ended of late, and the requests under way. What an end says and what follows is
-//! decided in `cloverpier_crashes`; [`crate::crash_news`] tells peers. Relies on [`crate::probe`] for
-//! the news that an upstream has ended or lives.
+//! Owns this router's cases and the requests under way. What an end says and what follows is decided
+//! in `cloverpier_crashes`; [`crate::crash_news`] tells peers. Relies on [`crate::probe`] for the news
+//! that an upstream has ended or lives.
 
 use crate::crash_news;
 use crate::decision_log::{ContentCleared, ContentStopped, CrashRecorded, ms_since};
@@ -11,7 +10,8 @@
 use crate::probe::probe;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
-use cloverpier_crashes::book::{SUSPECT_FROM, UNKNOWN_START};
+use cloverpier_crashes::book::UNKNOWN_START;
+use cloverpier_crashes::cases::MAX_HOLD;
 use cloverpier_crashes::prelude::*;
 use cloverpier_router_policy::crash_news::is_told;
 use cloverpier_router_policy::prelude::*;
@@ -21,18 +21,10 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// A request that may be about to end one upstream too many waits for the judgement of its last
-/// attempt for so long at most: twice the time to the judgement, as the probe before it takes a round
-/// trip. Chosen, not measured.
-const MAX_HOLD: Duration = Duration::from_millis(250);
-
 /// What this router knows of requests that end upstreams.
 #[derive(Debug)]
 pub(crate) struct Crashes {
-    pub book: RefCell<CrashBook>,
-    broken: RefCell<BrokenAttempts>,
-    ended: RefCell<EndedUpstreams>,
-    recent: RefCell<RecentContents>,
+    pub cases: RefCell<CrashCases>,
     /// Requests under way, and some that have ended.
     in_flight: RefCell<Vec<Weak<RelayRequest>>>,
     /// When something about a content was learned last that peers should know.
@@ -44,42 +36,31 @@
 impl Crashes {
     /// Knows of no end yet.
     pub fn new(settings: &CrashSettings) -> Self {
-        let mut book = CrashBook::new(settings.limit);
-        book.set_bounds(settings.limit, settings.cleared.clone());
+        let mut cases = CrashCases::new(settings.limit);
+        let cleared = settings.cleared.clone();
+        cases.book.set_bounds(settings.limit, cleared);
         Self {
-            book: RefCell::new(book),
-            broken: RefCell::default(),
-            ended: RefCell::default(),
-            recent: RefCell::default(),
+            cases: RefCell::new(cases),
             in_flight: RefCell::default(),
             last_news: Cell::default(),
             changed: Notify::new(),
         }
     }
 
-    /// Whether any content may have done harm, so that requests have to be told apart.
-    fn has_cases(&self) -> bool {
-        !self.book.borrow().is_empty() || self.broken.borrow().next_due().is_some()
+    /// Changes the cases and wakes whoever waits for a judgement.
+    fn change(&self, change: impl FnOnce(&mut CrashCases)) {
+        change(&mut self.cases.borrow_mut());
+        self.changed.notify_waiters();
     }
 }
 
-/// How a request may be sent to an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Admission {
-    /// Like any other.
-    Beside,
-    /// Where it meets the fewest others: it may be what ended two upstreams.
-    Apart,
-    /// Not at all.
-    Stopped,
-}
-
 /// Puts new settings in force.
 pub(crate) fn on_settings(router: &Router) {
     let settings = router.settings();
-    let mut book = router.crashes.book.borrow_mut();
-    book.set_bounds(settings.crashes.limit, settings.crashes.cleared.clone());
-    drop(book);
+    let mut cases = router.crashes.cases.borrow_mut();
+    let cleared = settings.crashes.cleared.clone();
+    cases.book.set_bounds(settings.crashes.limit, cleared);
+    drop(cases);
     apply_verdicts(router, "settings", router.now());
 }
 
@@ -96,39 +77,20 @@
 /// Decides whether a request may be sent to an upstream now. Where its next attempt may be one too
 /// many, it waits until the last one is judged.
 pub(crate) async fn admit(router: &Router, request: &RelayRequest) -> Admission {
-    if !router.crashes.has_cases() {
+    let crashes = &router.crashes;
+    if crashes.cases.borrow().is_empty() {
         return Admission::Beside;
     }
+    let content = request.content();
     let until = router.now() + MAX_HOLD;
-    while awaits_judgement(router, request) && router.now() < until {
+    let awaits = |now| now < until && crashes.cases.borrow().awaits_judgement(content, now);
+    while awaits(router.now()) {
         tokio::select! {
-            () = router.crashes.changed.notified() => {}
+            () = crashes.changed.notified() => {}
             () = tokio::time::sleep_until(until.into()) => {}
         }
     }
-    admission(router, request, router.now())
-}
-
-fn awaits_judgement(router: &Router, request: &RelayRequest) -> bool {
-    let content = request.content();
-    let CrashLimit(limit) = router.settings().crashes.limit;
-    let open = router.crashes.broken.borrow().open_with(content);
-    let known = router.crashes.book.borrow().crashes(content, router.now());
-    limit > 0 && open > 0 && open + known >= limit as usize
-}
-
-fn admission(router: &Router, request: &RelayRequest, now: Instant) -> Admission {
-    let content = request.content();
-    let book = router.crashes.book.borrow();
-    let open = router.crashes.broken.borrow().open_with(content);
-    // Fewer than 2^32 are open.
-    let open = open as u32 * Weight::FULL.thousandths();
-    let against = book.evidence(content, now) + open;
-    match book.verdict(content, now) {
-        Verdict::Stopped => Admission::Stopped,
-        _ if against >= SUSPECT_FROM * Weight::FULL.thousandths() => Admission::Apart,
-        _ => Admission::Beside,
-    }
+    crashes.cases.borrow().admission(content, router.now())
 }
 
 /// Records an attempt whose connection broke, to be judged once it is known whether the upstream
@@ -137,7 +99,7 @@
     router: &Router,
     request: &RelayRequest,
     upstream: &Upstream,
-    begun: Instant,
+    ran_for: Duration,
     now: Instant,
 ) {
     let table = router.upstreams.borrow();
@@ -147,21 +109,17 @@
     if is_leaving {
         return;
     }
-    let end = end_of(upstream);
-    let ended = router.crashes.ended.borrow();
-    let has_ended = ended.has_ended_since(end.upstream, Some(begun));
-    let recent = router.crashes.recent.borrow();
     let attempt = BrokenAttempt {
         content: request.content(),
-        ran_well: recent.ran_well(&request.repeated_part(), now),
-        end,
+        ran_well: false,
+        end: end_of(upstream),
         upstream: ended_upstream(upstream, now),
-        ran_for: now.saturating_duration_since(begun),
+        ran_for,
     };
-    let mut broken = router.crashes.broken.borrow_mut();
-    broken.on_broken(attempt, has_ended);
-    drop(broken);
-    router.crashes.changed.notify_waiters();
+    let content = request.repeated_part();
+    router
+        .crashes
+        .change(|cases| cases.on_broken(&content, attempt));
 }
 
 fn end_of(upstream: &Upstream) -> UpstreamEnd {
@@ -183,55 +141,44 @@
 
 /// Records that an upstream's host has no process at its address any more.
 pub(crate) fn on_end(router: &Router, upstream: &Upstream, now: Instant) {
-    let mut ended = router.crashes.ended.borrow_mut();
-    ended.on_end(ended_upstream(upstream, now));
-    drop(ended);
-    on_former_start(router, upstream);
+    let ended = ended_upstream(upstream, now);
+    router.crashes.change(|cases| cases.on_end(ended));
 }
 
-/// Records that an upstream is dead as far as a peer knows, or by its silence: that explains ends
-/// beside it.
+/// Records that an upstream is dead as far as a peer knows, or by its silence.
 pub(crate) fn on_death(router: &Router, upstream: &Upstream, now: Instant) {
-    let mut ended = router.crashes.ended.borrow_mut();
-    ended.on_death(ended_upstream(upstream, now));
+    let died = ended_upstream(upstream, now);
+    router.crashes.change(|cases| cases.on_death(died));
 }
 
 /// Records that an upstream has ended some time ago, as another start answers in its place.
 pub(crate) fn on_former_start(router: &Router, upstream: &Upstream) {
     let key = UpstreamKey::of(&upstream.name);
-    router.crashes.broken.borrow_mut().on_end(key.0);
-    router.crashes.changed.notify_waiters();
+    router.crashes.change(|cases| cases.on_former_start(key.0));
 }
 
 /// Records that an upstream lives, which answered a probe.
 pub(crate) fn on_alive(router: &Router, upstream: &Upstream) {
     let key = UpstreamKey::of(&upstream.name);
-    router.crashes.broken.borrow_mut().on_alive(key.0);
-    router.crashes.changed.notify_waiters();
+    router.crashes.change(|cases| cases.on_alive(key.0));
 }
 
-/// Records that an upstream ran a request to its end: what ended while others ran its content did not
-/// end by it.
+/// Records that an upstream ran a request to its end.
 pub(crate) fn on_completed(router: &Router, request: &RelayRequest) {
     let now = router.now();
-    let mut recent = router.crashes.recent.borrow_mut();
-    recent.on_completed(&request.repeated_part(), now);
-    drop(recent);
-    if router.crashes.book.borrow().is_empty() {
-        return;
-    }
-    let content = request.content();
-    if !router.crashes.book.borrow_mut().on_completed(content) {
-        return;
+    let mut cases = router.crashes.cases.borrow_mut();
+    let acquitted = cases.on_completed(&request.repeated_part(), now);
+    drop(cases);
+    if let Some(content) = acquitted {
+        crash_news::tell_all(router, &[content], now);
+        apply_verdicts(router, "it ran to its end", now);
     }
-    crash_news::tell_all(router, &[content], now);
-    apply_verdicts(router, "it ran to its end", now);
 }
 
 /// Judges attempts that broke off, until the process ends.
 pub(crate) async fn judge_broken(router: Rc<Router>) {
     loop {
-        let next_due = router.crashes.broken.borrow().next_due();
+        let next_due = router.crashes.cases.borrow().next_due();
         let changed = router.crashes.changed.notified();
         match next_due {
             Some(at) => tokio::select! {
@@ -249,7 +196,7 @@
 /// Finds out about upstreams that are unclear: what they said since shows that they live, or else a
 /// probe does.
 fn clear_up(router: &Rc<Router>, now: Instant) {
-    let unclear = router.crashes.broken.borrow_mut().unclear(now);
+    let unclear = router.crashes.cases.borrow_mut().unclear(now);
     for broken in unclear {
         let table = router.upstreams.borrow();
         let state = table.by_key(UpstreamKey(broken.upstream));
@@ -269,73 +216,51 @@
 }
 
 fn judge_due(router: &Router, now: Instant) {
-    let due = router.crashes.broken.borrow_mut().due(now);
-    if due.is_empty() {
+    let mut cases = router.crashes.cases.borrow_mut();
+    let judged = cases.judge(now, |end| neighbours(router, end));
+    drop(cases);
+    if judged.is_empty() {
         return;
     }
-    let mut told = Vec::new();
-    for attempt in due {
-        let surroundings = surroundings(router, &attempt.upstream);
-        record(router, &attempt, surroundings.clone(), now);
-        let ends = router.crashes.book.borrow().crashes(attempt.content, now);
-        if is_told(&surroundings, ends) {
-            told.push(attempt.content);
-        }
+    for judged in &judged {
+        log_crash(router, judged, now);
     }
+    let told = judged.iter().filter(|j| is_told(&j.surroundings, j.ends));
+    let told: Vec<ContentKey> = told.map(|judged| judged.attempt.content).collect();
     crash_news::tell_all(router, &told, now);
     apply_verdicts(router, "this router", now);
     router.crashes.changed.notify_waiters();
 }
 
-/// What was around an upstream that ended, as far as this router knows.
-fn surroundings(router: &Router, end: &EndedUpstream) -> Surroundings {
+/// The upstreams that are listed beside one that ended.
+fn neighbours(router: &Router, end: &EndedUpstream) -> Neighbours {
     let table = router.upstreams.borrow();
     let of_service = table.of_service(&end.service).filter(|s| s.is_listed());
     let others = of_service.filter(|s| s.key.0 != end.upstream);
-    let (mut in_service, mut in_data_centre) = (0, 0);
+    let mut neighbours = Neighbours::default();
     for other in others {
-        in_service += 1;
-        in_data_centre += u32::from(other.upstream.data_centre == end.data_centre);
-    }
-    Surroundings {
-        in_service,
-        in_data_centre,
-        ended: router.crashes.ended.borrow().beside(end),
+        neighbours.in_service += 1;
+        neighbours.in_data_centre += u32::from(other.upstream.data_centre == end.data_centre);
     }
+    neighbours
 }
 
-fn record(router: &Router, attempt: &BrokenAttempt, surroundings: Surroundings, now: Instant) {
-    let BrokenAttempt {
-        content,
-        ran_well,
-        end,
-        upstream,
-        ran_for,
-    } = attempt;
-    let ended_beside = match &surroundings.ended {
+fn log_crash(router: &Router, judged: &Judged, now: Instant) {
+    let attempt = &judged.attempt;
+    let ended_beside = match &judged.surroundings.ended {
         EndedBeside::Few(ended) => Some(ended.len()),
         EndedBeside::Many => None,
     };
-    let crash = Crash {
-        end: *end,
-        at: upstream.at,
-        ran_for: *ran_for,
-        surroundings,
-        excused: *ran_well,
-    };
-    let mut book = router.crashes.book.borrow_mut();
-    book.record(*content, crash, now);
     let line = CrashRecorded {
-        content: content.to_string(),
-        upstream: upstream_name(router, end.upstream),
-        start_ms: end.start,
+        content: attempt.content.to_string(),
+        upstream: upstream_name(router, attempt.end.upstream),
+        start_ms: attempt.end.start,
         ended_beside,
-        ran_well: *ran_well,
-        ends: book.crashes(*content, now),
-        evidence: book.evidence(*content, now),
-        age_ms: ms_since(upstream.at, now),
+        ran_well: attempt.ran_well,
+        ends: judged.ends,
+        evidence: judged.evidence,
+        age_ms: ms_since(attempt.upstream.at, now),
     };
-    drop(book);
     router.metrics.crashes.count("seen");
     router.log.info("crash.recorded", &line);
 }
@@ -350,7 +275,7 @@
 
 /// Calls back requests whose content has come to be stopped, and logs what has changed.
 pub(crate) fn apply_verdicts(router: &Router, from: &str, now: Instant) {
-    let changed = router.crashes.book.borrow_mut().changed_stops(now);
+    let changed = router.crashes.cases.borrow_mut().book.changed_stops(now);
     for content in &changed.stopped {
         log_stop(router, *content, from, now);
         call_back(router, *content);
@@ -363,7 +288,7 @@
         };
         router.log.info("content.cleared", &line);
     }
-    let stopped = router.crashes.book.borrow().stopped(now).len();
+    let stopped = router.crashes.cases.borrow().book.stopped(now).len();
     let stopped = i64::try_from(stopped).unwrap_or(i64::MAX);
     router.metrics.stopped_contents.set(stopped);
 }
@@ -378,7 +303,7 @@
 
 fn log_stop(router: &Router, content: ContentKey, from: &str, now: Instant) {
     router.metrics.crashes.count("stopped");
-    let reports = router.crashes.book.borrow().reports(&[content], now);
+    let reports = router.crashes.cases.borrow().book.reports(&[content], now);
     let ends = reports.iter().flat_map(|report| &report.crashes);
     let ends = ends.filter(|end| !end.excused).map(|end| {
         let upstream = upstream_name(router, end.end.upstream);
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -6,7 +6,7 @@
 
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
-use crate::crashes::{self, Admission};
+use crate::crashes;
 use crate::intake::RelayRequest;
 use crate::load_guard::LoadGuard;
 use crate::outcome::{
@@ -20,6 +20,7 @@
 use crate::wait::{Awaited, while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_core::UpstreamName;
+use cloverpier_crashes::Admission;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::Measure;
 use futures_util::stream::unfold;
@@ -257,7 +258,8 @@
         drop(table);
         rollouts::on_failure(self.router, self.request, upstream, failure);
         if failure.may_be_end_of_upstream() {
-            crashes::on_broken(self.router, self.request, upstream, begun, now);
+            let ran_for = now.saturating_duration_since(begun);
+            crashes::on_broken(self.router, self.request, upstream, ran_for, now);
         }
         let try_take = || self.router.try_take_retry(&upstream.service, now);
         let next = self
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
-use crate::crashes::{self, Admission};
+use crate::crashes;
 use crate::health::UpstreamHealth;
 use crate::intake::RelayRequest;
 use crate::load_guard::LoadGuard;
@@ -25,6 +25,7 @@
 use crate::router::Router;
 use bytes::Bytes;
 use cloverpier_core::{UpstreamName, jitter};
+use cloverpier_crashes::Admission;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
 use futures_util::StreamExt;
@@ -281,7 +282,9 @@
     fn note_break(&self, upstream: &Upstream, failure: &AttemptFailure) {
         if failure.may_be_end_of_upstream() {
             let (router, request) = (&self.router, &self.request);
-            crashes::on_broken(router, request, upstream, self.attempt_begun, router.now());
+            let now = router.now();
+            let ran_for = now.saturating_duration_since(self.attempt_begun);
+            crashes::on_broken(router, request, upstream, ran_for, now);
         }
     }
 
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -3,7 +3,7 @@
 //! These are the steps of [`StreamRun`] that choose, send and check the head.
 
 use super::{Source, StreamRun};
-use crate::crashes::{self, Admission};
+use crate::crashes;
 use crate::load_guard::LoadGuard;
 use crate::load_query::query_load;
 use crate::outcome::{ChoiceNote, GivenUp, log_choice};
@@ -13,6 +13,7 @@
 use crate::rollouts;
 use crate::send::{Opened, SendExtras, keep, send};
 use cloverpier_core::{DataCentre, UpstreamName};
+use cloverpier_crashes::Admission;
 use cloverpier_router_policy::arrival::RESUMED_PRIORITY;
 use cloverpier_router_policy::load_query::engines_to_query;
 use cloverpier_router_policy::prelude::*;
@@ -122,7 +123,7 @@
             is_continuation: self.request.last_event.is_some(),
             tried: &self.tried,
             connected: &around.connected,
-            apart: self.is_apart().then(|| self.request.content().spread()),
+            apart: self.admission.apart(self.request.content()),
             overcommit: self.is_resuming(),
             reported,
             versions: &around.versions,
--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -133,6 +133,11 @@
         self.cleared = cleared;
     }
 
+    /// Ends that stop a content.
+    pub fn limit(&self) -> CrashLimit {
+        self.limit
+    }
+
     /// Whether nothing is known against any content.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
--- a/crates/shared/cloverpier_crashes/src/lib.rs
+++ b/crates/shared/cloverpier_crashes/src/lib.rs
@@ -15,6 +15,7 @@
 //! | which upstreams ended of late | [`ended_upstreams`] |
 //! | did the content run well a moment ago | [`recent_contents`] |
 //! | how much does an end say against the request that ran there | [`weight`] |
+//! | all of these together, as a router sees them | [`cases`] |
 //! | what is known against a content; is it stopped; what do peers get of it | [`book`] |
 //!
 //! ```
@@ -40,6 +41,7 @@
 
 pub mod book;
 pub mod broken_attempts;
+pub mod cases;
 pub mod content;
 pub mod ended_upstreams;
 pub mod recent_contents;
@@ -51,6 +53,7 @@
         ContentReport, Crash, CrashBook, CrashLimit, ReportedCrash, UpstreamEnd, Verdict,
     };
     pub use crate::broken_attempts::{BrokenAttempt, BrokenAttempts};
+    pub use crate::cases::{Admission, CrashCases, Judged, Neighbours};
     pub use crate::content::{Content, ContentKey};
     pub use crate::ended_upstreams::{EndedUpstream, EndedUpstreams};
     pub use crate::recent_contents::RecentContents;
