Read what upstreams' answers say of themselves in one place, and log it

For sight: nothing is decided by it yet. Answers of upstreams arrived in three places (attempts, questions, probes and checks), each of which read the start that it names by itself and nothing else; the logs of a leaving that only answers tell show nothing of it.

Log line server.stated. A header by which upstreams say that they leave isn't a caller's to set.

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -151,6 +151,23 @@
     pub silent_ms: u64,
 }
 
+/// An upstream said something of itself in an answer.
+#[derive(Serialize)]
+pub(crate) struct UpstreamStated<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    /// That it leaves.
+    pub leaving: bool,
+    /// That it wants nothing for so long.
+    pub wait_ms: Option<u64>,
+    /// What it said and cannot be read.
+    pub unreadable: Option<&'a str>,
+    /// The call whose answer it was.
+    pub via: &'a str,
+    /// The request's id, if it was one.
+    pub request: Option<&'a str>,
+}
+
 /// Something outside was lost or came back.
 #[derive(Serialize)]
 pub(crate) struct Dependency<'a> {
--- a/crates/router/cloverpier_router/src/engine_call.rs
+++ b/crates/router/cloverpier_router/src/engine_call.rs
@@ -8,11 +8,21 @@
 use crate::http_client::{CallError, HttpAnswer, get_request};
 use crate::router::Router;
 use crate::send::keep;
+use crate::statements::Via;
 use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, DEFAULT_IDLE_LIMIT};
 use cloverpier_router_policy::prelude::*;
 use http_body_util::BodyExt;
 use std::rc::Rc;
 
+/// An engine's answer, and what it says of the engine's start.
+#[derive(Debug)]
+pub(crate) struct EngineAnswer {
+    /// The answer.
+    pub answer: HttpAnswer,
+    /// Whether it is of a former start, and so out of date.
+    pub is_outdated: bool,
+}
+
 /// Asks an engine; its answer counts as a sign of life.
 ///
 /// # Errors
@@ -22,7 +32,8 @@
     router: &Rc<Router>,
     engine: &Upstream,
     path: &str,
-) -> Result<HttpAnswer, CallError> {
+    via: Via<'_>,
+) -> Result<EngineAnswer, CallError> {
     loop {
         let mut connection = connect(router, engine).await?;
         let is_kept = connection.requests > 0;
@@ -38,10 +49,15 @@
         keep(router, &engine.name, connection);
         let now = router.now();
         router.health.of(engine, now).on_activity(now);
-        return Ok(HttpAnswer {
+        let answer = HttpAnswer {
             status: head.status,
             headers: head.headers,
             body: body.to_bytes(),
+        };
+        let start = router.hear(engine, answer.parts(), via).start;
+        return Ok(EngineAnswer {
+            answer,
+            is_outdated: start == StartOrder::Older,
         });
     }
 }
--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -4,6 +4,7 @@
 //! whether a byte was written use [`crate::connection`] itself.
 
 use crate::connection::{Connection, WholeRequest, describe};
+use crate::wire_names::AnswerParts;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -58,6 +59,17 @@
     pub body: Bytes,
 }
 
+impl HttpAnswer {
+    /// What of it may speak of its sender.
+    pub fn parts(&self) -> AnswerParts<'_> {
+        AnswerParts {
+            status: self.status,
+            headers: &self.headers,
+            body: Some(&self.body),
+        }
+    }
+}
+
 /// Bounds on the answer to a call for something large.
 #[derive(Clone, Copy, Debug)]
 pub struct LargeBounds {
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -13,11 +13,12 @@
 //! | questions to engines on their load | `load_query`, `engine_call` |
 //! | requests that end upstreams | `crashes`, `crash_news`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
+//! | what upstreams say of themselves | `statements` |
 //! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
 //! | roll-outs of new versions | `rollouts`, `rollout_steps`, `rollout_store` |
 //! | other routers | `peers`, `heartbeats`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
-//! | logs and metrics | `decision_log`, `metrics` |
+//! | logs and metrics | `decision_log`, `beliefs`, `metrics` |
 //! | work beside the thread that serves | `background` |
 //!
 //! HTTP is spoken by `hyper` at the level of connections: what may be repeated
@@ -38,6 +39,7 @@
 //! ```
 
 mod background;
+mod beliefs;
 mod body;
 mod budgets;
 mod configuration_copies;
@@ -74,6 +76,7 @@
 mod send;
 mod source;
 mod start;
+mod statements;
 mod stop;
 mod stop_signal;
 mod store_sync;
@@ -96,7 +99,7 @@
         UpstreamChanges, UpstreamList,
     };
     pub use crate::start::{StartError, run_router};
-    pub use crate::wire_names::{HeaderNames, Paths, PromptSize, WireNames};
+    pub use crate::wire_names::{AnswerParts, HeaderNames, Paths, PromptSize, WireNames};
 }
 
 pub use prelude::*;
--- a/crates/router/cloverpier_router/src/load_query.rs
+++ b/crates/router/cloverpier_router/src/load_query.rs
@@ -3,11 +3,11 @@
 //! Which engines are asked, for how long, and what an answer says is decided in
 //! `cloverpier_router_policy::load_query`; the form of the answer is the platform's.
 
-use crate::engine_call::ask_engine;
+use crate::engine_call::{EngineAnswer, ask_engine};
 use crate::intake::RelayRequest;
 use crate::probe::{self, DeathCause};
-use crate::restart::on_named_start;
 use crate::router::Router;
+use crate::statements::Via;
 use cloverpier_router_policy::load_query::QUERY_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
 use futures_util::future::join_all;
@@ -35,9 +35,13 @@
 /// counter of probes tells these apart, and the choice's log line how many engines answered.
 async fn query(router: &Rc<Router>, engine: &Upstream) -> Option<EngineReport> {
     let path = router.wire_names.paths.engine_report;
-    let answer = tokio::time::timeout(QUERY_TIMEOUT, ask_engine(router, engine, path)).await;
+    let answer = tokio::time::timeout(
+        QUERY_TIMEOUT,
+        ask_engine(router, engine, path, Via::LoadQuestion),
+    )
+    .await;
     let (report, outcome) = match answer {
-        Ok(Ok(answer)) if answer.status.is_success() => read_report(router, engine, &answer.body),
+        Ok(Ok(engine)) if engine.answer.status.is_success() => read_report(router, &engine),
         Ok(Err(error)) if error.is_refused() => {
             let reason = format!("asked for its load: {error}");
             let cause = DeathCause::NoProcess;
@@ -52,16 +56,11 @@
 }
 
 /// Reads an engine's report; one of a former start does not count.
-fn read_report(
-    router: &Router,
-    engine: &Upstream,
-    body: &[u8],
-) -> (Option<EngineReport>, &'static str) {
-    let born_ms = (router.wire_names.born_ms)(body);
-    if on_named_start(router, engine, born_ms, router.now()) == StartOrder::Older {
+fn read_report(router: &Router, engine: &EngineAnswer) -> (Option<EngineReport>, &'static str) {
+    if engine.is_outdated {
         return (None, "load-outdated");
     }
-    match (router.wire_names.engine_load)(body) {
+    match (router.wire_names.engine_load)(&engine.answer.body) {
         Some(report) => (Some(report), "load"),
         // Another kind of process may have the address by now.
         None => (None, "load-unreadable"),
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -5,13 +5,13 @@
 //! table of upstreams and in [`crate::health`]; when they are sent and what an answer means
 //! is decided in `cloverpier_router_policy::{liveness, suspicion}`.
 
+use crate::beliefs::log_belief;
 use crate::crashes;
-use crate::decision_log::{UpstreamBelief, ms, ms_since};
+use crate::decision_log::{ms, ms_since};
 use crate::health::UpstreamHealth;
 use crate::http_client::HttpClient;
-use crate::intake::text_of;
-use crate::restart::on_named_start;
 use crate::router::Router;
+use crate::statements::Via;
 use crate::successors;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::suspicion::{
@@ -52,8 +52,7 @@
                 // Whichever process answers there: it may be the next one at the address.
                 health.on_activity(now);
                 // Runs of a former start are lost though the address answers.
-                let born_ms = (router.wire_names.born_ms)(&answer.body);
-                on_named_start(&router, &upstream, born_ms, now);
+                router.hear(&upstream, answer.parts(), Via::Probe);
                 crashes::on_alive(&router, &upstream);
             }
             Err(error) if error.is_refused() => {
@@ -94,22 +93,6 @@
     successors::await_successor(router, upstream);
 }
 
-pub(crate) fn log_belief(
-    router: &Router,
-    event: &'static str,
-    upstream: &Upstream,
-    reason: &str,
-    silent_ms: u64,
-) {
-    let line = UpstreamBelief {
-        upstream: upstream.name.as_str(),
-        address: upstream.address.to_string(),
-        reason,
-        silent_ms,
-    };
-    router.log.info(event, &line);
-}
-
 /// Checks suspects for signs of life, until the process ends.
 pub(crate) async fn check_suspects(router: Rc<Router>) {
     loop {
@@ -134,20 +117,13 @@
         router.metrics.probes.count("suspect-silent");
         return;
     };
-    let name = text_of(
-        &answer.headers,
-        &router.wire_names.headers.answering_upstream,
-    );
-    match check_result(upstream.name.as_str(), name) {
+    let said = router.hear(&upstream, answer.parts(), Via::Check).said;
+    match check_result(&upstream.name, said.name.as_ref()) {
         CheckResult::Replaced => {
             router.metrics.probes.count("suspect-replaced");
-            successors::on_other_name(&router, &upstream, name);
-        }
-        CheckResult::Alive => {
-            let born_ms = (router.wire_names.born_ms)(&answer.body);
-            on_named_start(&router, &upstream, born_ms, router.now());
-            on_alive(&router, &upstream, begun);
+            successors::on_other_name(&router, &upstream, said.name.as_ref());
         }
+        CheckResult::Alive => on_alive(&router, &upstream, begun),
     }
 }
 
--- a/crates/router/cloverpier_router/src/prompt_search.rs
+++ b/crates/router/cloverpier_router/src/prompt_search.rs
@@ -8,8 +8,8 @@
 use crate::decision_log::{PromptSearched, ms_since};
 use crate::engine_call::ask_engine;
 use crate::intake::RelayRequest;
-use crate::restart::on_named_start;
 use crate::router::Router;
+use crate::statements::Via;
 use cloverpier_core::{ServiceName, hash_of};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::prompt_search::{
@@ -80,13 +80,16 @@
 /// Asks one engine, and records what it holds.
 async fn ask(router: Rc<Router>, engine: Upstream) {
     let path = router.wire_names.paths.engine_cache;
-    let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask_engine(&router, &engine, path)).await;
+    let answer = tokio::time::timeout(
+        ANSWER_TIMEOUT,
+        ask_engine(&router, &engine, path, Via::CacheQuestion),
+    )
+    .await;
     match answer {
-        Ok(Ok(answer)) if answer.status.is_success() => {
+        Ok(Ok(asked)) if asked.answer.status.is_success() => {
             router.metrics.probes.count("cache");
-            let born_ms = (router.wire_names.born_ms)(&answer.body);
-            if on_named_start(&router, &engine, born_ms, router.now()) != StartOrder::Older {
-                let parts = (router.wire_names.cached_parts)(&answer.body);
+            if !asked.is_outdated {
+                let parts = (router.wire_names.cached_parts)(&asked.answer.body);
                 record_found(&router, &engine, &parts);
             }
         }
--- a/crates/router/cloverpier_router/src/restart.rs
+++ b/crates/router/cloverpier_router/src/restart.rs
@@ -4,8 +4,8 @@
 //! runs, and which prompts it has read. The table of upstreams drops what it observed by itself
 //! (`cloverpier_router_policy::upstream`). Owns no state.
 
+use crate::beliefs::log_belief;
 use crate::crashes;
-use crate::probe::log_belief;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -10,6 +10,7 @@
 use crate::pool::idle_limit;
 use crate::probe::{self, DeathCause};
 use crate::router::Router;
+use crate::statements::Via;
 use crate::successors;
 use crate::wait::{Awaited, while_alive};
 use cloverpier_core::UpstreamName;
@@ -209,11 +210,12 @@
     let (head, body) = response.into_parts();
     let is_first_on_connection = connection.requests == 1;
     let seen = answer_head(router, request, &head, is_first_on_connection);
-    check_answer(&seen).inspect_err(|failure| {
-        if *failure == AttemptFailure::Misdirected {
-            on_misdirected(router, upstream, &head);
-        }
-    })?;
+    let verdict = check_answer(&seen);
+    let said = router.hear_reply(upstream, &head, &verdict, Via::Request(&request.id));
+    if verdict == Err(AttemptFailure::Misdirected) {
+        on_misdirected(router, upstream, &said);
+    }
+    verdict?;
     // Only the upstream that the request names runs it, so this is the upstream's own answer.
     health.on_own_answer(router.now());
     if let Some(limit) = idle_limit(&head.headers) {
@@ -252,10 +254,9 @@
 
 /// Another process answers at the upstream's address; where it names itself, the upstream is
 /// gone.
-fn on_misdirected(router: &Router, upstream: &Upstream, head: &Parts) {
-    let names = &router.wire_names.headers;
-    let answering = text_of(&head.headers, &names.answering_upstream);
-    if answering.is_some_and(|name| name != upstream.name.as_str()) {
+fn on_misdirected(router: &Router, upstream: &Upstream, said: &UpstreamStatement) {
+    let answering = said.name.as_ref();
+    if answering.is_some_and(|name| *name != upstream.name) {
         successors::on_other_name(router, upstream, answering);
         router.pool.borrow_mut().close_all(&upstream.name);
     }
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -5,10 +5,10 @@
 //! the table of upstreams and applies what peers have found. Relies on
 //! [`crate::health`] for the former process's last sign of life.
 
+use crate::beliefs::log_belief;
 use crate::crashes;
 use crate::peer_messages::{PeerMessage, Replaced, Successor};
 use crate::peers::Recipients;
-use crate::probe::log_belief;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
@@ -33,11 +33,11 @@
 /// must belong to the same service, and tells peers: each of them would have to try the dead
 /// upstream to find out. With 74 routers, 540 requests met the next process in 9 s in which
 /// two data centres' engines had restarted and the store was away.
-pub(crate) fn on_other_name(router: &Router, former: &Upstream, answering: Option<&str>) {
+pub(crate) fn on_other_name(router: &Router, former: &Upstream, answering: Option<&UpstreamName>) {
     let sender = router.settings().listen.peers;
     if let Some(name) = answering {
         let mut table = router.upstreams.borrow_mut();
-        table.on_answered_at(&UpstreamName::new(name), former.address);
+        table.on_answered_at(name, former.address);
     }
     let successor = successor(router, former, answering);
     let successor = successor.filter(|upstream| add(router, &former.name, upstream, "answers"));
@@ -61,12 +61,16 @@
 }
 
 /// The process that answers in place of an upstream, if it must belong to the same service.
-fn successor(router: &Router, former: &Upstream, answering: Option<&str>) -> Option<Upstream> {
+fn successor(
+    router: &Router,
+    former: &Upstream,
+    answering: Option<&UpstreamName>,
+) -> Option<Upstream> {
     let now = router.now();
     let last_sign = last_sign(router, former, now)?;
     let name = answering?;
     must_be_same_service(last_sign, now, router.settings().address_reuse).then(|| Upstream {
-        name: UpstreamName::new(name),
+        name: name.clone(),
         draining: false,
         start: UpstreamStart::of_successor(former),
         ..former.clone()
--- a/crates/router/cloverpier_router/src/wire_names.rs
+++ b/crates/router/cloverpier_router/src/wire_names.rs
@@ -3,7 +3,9 @@
 //! Filled by the adapter of a platform; the router knows each by its meaning alone.
 
 use cloverpier_router_policy::load_query::EngineReport;
-use hyper::header::HeaderName;
+use cloverpier_router_policy::prelude::UpstreamStatement;
+use hyper::StatusCode;
+use hyper::header::{HeaderMap, HeaderName};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,6 +18,17 @@
     pub answer_tokens: u32,
 }
 
+/// An upstream's answer, as far as it has arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerParts<'a> {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: &'a HeaderMap,
+    /// Its body, where that is whole and speaks of the upstream: the answer to a question.
+    pub body: Option<&'a [u8]>,
+}
+
 /// Names of headers, each by its meaning.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -31,6 +44,8 @@
     pub expected_upstream: HeaderName,
     /// The name of the upstream that answered a health check.
     pub answering_upstream: HeaderName,
+    /// Set in all answers of an upstream that leaves.
+    pub leaving: HeaderName,
     /// Set by an upstream that did not run the request.
     pub not_run: HeaderName,
     /// The upstream's mark on its answers.
@@ -80,9 +95,8 @@
     pub prompt_size: fn(&str) -> Option<PromptSize>,
     /// The name of the part of a prompt that no other prompt shares, from all its parts.
     pub own_part: fn(&str) -> Option<&str>,
-    /// Reads off an upstream's answer to a question when it started, as a Unix time in
-    /// milliseconds; nothing where it does not say.
-    pub born_ms: fn(&[u8]) -> Option<u64>,
+    /// Reads what an upstream's answer says of the upstream.
+    pub statement: fn(&AnswerParts<'_>) -> UpstreamStatement,
     /// Reads an engine's answer on its load; nothing where it is not such an answer.
     pub engine_load: fn(&[u8]) -> Option<EngineReport>,
     /// Reads an engine's answer on what it has cached: the names of parts of prompts.
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -20,6 +20,7 @@
 //! | over which connection | [`connection_reuse`] |
 //! | when is a silent upstream probed, dead, or a stream stalled | [`liveness`] |
 //! | what does an answer, or its absence, prove | [`attempt_failure`] |
+//! | of which upstream does an answer say something | [`statement`] |
 //! | retry or stop | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
@@ -68,6 +69,7 @@
 pub mod refusal;
 pub mod replica;
 pub mod rollout;
+pub mod statement;
 pub mod store_ping;
 pub mod store_watch;
 pub mod successor;
@@ -95,6 +97,7 @@
     pub use crate::prompt_locations::{PromptKey, PromptLocations};
     pub use crate::replica::choose_replica;
     pub use crate::rollout::{OrderNews, Progress, RolloutOrder, RolloutView, Stage, VersionRule};
+    pub use crate::statement::UpstreamStatement;
     pub use crate::store_watch::WatcherRole;
     pub use crate::upstream::{
         StartNumber, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamStart,
--- a/crates/router/cloverpier_router_policy/src/suspicion.rs
+++ b/crates/router/cloverpier_router_policy/src/suspicion.rs
@@ -16,6 +16,7 @@
 //! The state itself is kept per upstream in [`crate::upstream::UpstreamState`].
 
 use crate::successor::CHECK_PAUSE;
+use cloverpier_core::UpstreamName;
 use std::time::{Duration, Instant};
 
 /// Pause before the second check of a suspect; doubled up to [`MAX_CHECK_BACKOFF`].
@@ -101,7 +102,7 @@
 }
 
 /// Reads the answer to a check, which may name the upstream that gave it.
-pub fn check_result(expected: &str, answering: Option<&str>) -> CheckResult {
+pub fn check_result(expected: &UpstreamName, answering: Option<&UpstreamName>) -> CheckResult {
     if answering.is_some_and(|name| name != expected) {
         CheckResult::Replaced
     } else {
