--- a/crates/standins/cloverpier_router_standin/src/answers.rs
+++ b/crates/standins/cloverpier_router_standin/src/answers.rs
@@ -49,13 +49,16 @@
 /// The bytes of a plain answer, right or with the fault that was asked for.
 fn plain_answer(asked: &Asked) -> (Vec<u8>, Then) {
     let body = plain_body(&asked.id);
-    let id = (asked.names.request_id.as_str(), asked.id.as_str());
-    let wrong_id = (asked.names.request_id.as_str(), "another");
-    let signature = (asked.names.signature.as_str(), asked.upstream.name.as_str());
-    let whole = || answer_bytes(200, &[id, signature], body.as_bytes());
+    let names = &asked.names;
+    let id = (names.request_id.to_string(), asked.id.clone());
+    let wrong_id = (names.request_id.to_string(), "another".to_owned());
+    let signature = (names.signature.to_string(), asked.upstream.name.to_string());
+    let with = |header: &(String, String)| [std::slice::from_ref(header), &asked.said].concat();
+    let signed = [with(&id), vec![signature.clone()]].concat();
+    let whole = || answer_bytes(200, &signed, body.as_bytes());
     match asked.fault {
         None | Some(Fault::Refuse) => (whole(), Then::Keep),
-        Some(Fault::Fail) => (answer_bytes(500, &[id, signature], b"failed"), Then::Keep),
+        Some(Fault::Fail) => (answer_bytes(500, &signed, b"failed"), Then::Keep),
         Some(Fault::LoseAnswer) => (Vec::new(), Then::Close),
         Some(Fault::ResetAnswer) => (Vec::new(), Then::Reset),
         Some(Fault::Mute) => (Vec::new(), Then::Hang),
@@ -64,12 +67,13 @@
             half.truncate(half.len() - body.len().div_ceil(2));
             (half, Then::Close)
         }
-        Some(Fault::ResetUnframed) => (unframed_half(&[id, signature], &body), Then::Reset),
+        Some(Fault::ResetUnframed) => (unframed_half(&signed, &body), Then::Reset),
         Some(Fault::WrongId) => {
-            let answer = answer_bytes(200, &[wrong_id, signature], b"another's answer");
+            let headers = [with(&wrong_id), vec![signature]].concat();
+            let answer = answer_bytes(200, &headers, b"another's answer");
             (answer, Then::Keep)
         }
-        Some(Fault::Unsigned) => (answer_bytes(200, &[id], body.as_bytes()), Then::Keep),
+        Some(Fault::Unsigned) => (answer_bytes(200, &with(&id), body.as_bytes()), Then::Keep),
         Some(Fault::Surplus) => {
             let surplus = answer_bytes(200, &[wrong_id, signature], b"more");
             ([whole(), surplus].concat(), Then::Keep)
@@ -78,11 +82,8 @@
 }
 
 /// A head without a length, and half of the body.
-fn unframed_half(headers: &[(&str, &str)], body: &str) -> Vec<u8> {
-    let lines: String = headers
-        .iter()
-        .map(|(n, v)| format!("{n}: {v}\r\n"))
-        .collect();
+fn unframed_half(headers: &[(String, String)], body: &str) -> Vec<u8> {
+    let lines = header_lines(headers);
     let half = &body[..body.len() / 2];
     format!("HTTP/1.1 200 OK\r\n{lines}\r\n{half}").into_bytes()
 }
@@ -99,9 +100,13 @@
 ) -> io::Result<bool> {
     let names = &asked.names;
     let head = format!(
-        "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: {}\r\ncontent-type: text/event-stream\r\n\
+        "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: {}\r\n{}content-type: text/event-stream\r\n\
          transfer-encoding: chunked\r\n\r\n",
-        names.request_id, asked.id, names.signature, asked.upstream.name
+        names.request_id,
+        asked.id,
+        names.signature,
+        asked.upstream.name,
+        header_lines(&asked.said),
     );
     stream.write_all(head.as_bytes()).await?;
     let middle = asked.last_event + (EVENTS - asked.last_event.min(EVENTS)) / 2;
@@ -134,22 +139,24 @@
 pub(crate) async fn write_answer(
     stream: &mut TcpStream,
     status: u16,
-    headers: &[(&str, &str)],
+    headers: &[(String, String)],
     body: &[u8],
 ) -> io::Result<()> {
     stream.write_all(&answer_bytes(status, headers, body)).await
 }
 
-fn answer_bytes(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+fn answer_bytes(status: u16, headers: &[(String, String)], body: &[u8]) -> Vec<u8> {
     let mut bytes = head_text(status, headers, body.len()).into_bytes();
     bytes.extend_from_slice(body);
     bytes
 }
 
-fn head_text(status: u16, headers: &[(&str, &str)], length: usize) -> String {
-    let lines: String = headers
-        .iter()
-        .map(|(n, v)| format!("{n}: {v}\r\n"))
-        .collect();
+fn head_text(status: u16, headers: &[(String, String)], length: usize) -> String {
+    let lines = header_lines(headers);
     format!("HTTP/1.1 {status} Status\r\n{lines}content-length: {length}\r\n\r\n")
 }
+
+fn header_lines(headers: &[(String, String)]) -> String {
+    let lines = headers.iter().map(|(n, v)| format!("{n}: {v}\r\n"));
+    lines.collect()
+}
--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What an upstream does wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,12 +54,49 @@
     pub reached: HashMap<String, Vec<UpstreamName>>,
     /// The headers that each request had when it ran last, by name.
     pub heads: HashMap<String, BTreeMap<String, String>>,
+    /// All that has reached upstreams, in order.
+    pub arrivals: Vec<Arrival>,
+    /// What upstreams said of themselves, in order.
+    pub statements: Vec<Statement>,
     /// Each time that a request which crashes upstreams reached one, refused ones among them.
     pub crashing_arrivals: Vec<CrashingArrival>,
     /// When each upstream crashed of a request that it began to run.
     pub crashes: Vec<Instant>,
 }
 
+/// Something has reached an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When.
+    pub at: Instant,
+    /// The request's id; `None` for a question.
+    pub id: Option<String>,
+    /// The upstream.
+    pub upstream: UpstreamName,
+}
+
+/// What an upstream says of itself in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// That it leaves.
+    Leaving,
+    /// That it wants nothing for so long.
+    Wait(Duration),
+}
+
+/// An upstream has said something of itself in an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Statement {
+    /// When.
+    pub at: Instant,
+    /// The request's id; `None` for a question.
+    pub id: Option<String>,
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// What it said.
+    pub said: Said,
+}
+
 /// A request that crashes upstreams has reached one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashingArrival {
@@ -72,6 +109,25 @@
 }
 
 impl Ledger {
+    /// When an upstream first said that it leaves, in the answer to a request.
+    pub fn said_leaving(&self, upstream: &UpstreamName) -> Option<Instant> {
+        let of_requests = self.statements.iter().filter(|s| s.id.is_some());
+        let mut leaving =
+            of_requests.filter(|s| s.upstream == *upstream && s.said == Said::Leaving);
+        leaving.next().map(|s| s.at)
+    }
+
+    /// What reached an upstream in a span of time.
+    pub fn arrived_between(
+        &self,
+        upstream: &UpstreamName,
+        from: Instant,
+        until: Instant,
+    ) -> Vec<Arrival> {
+        let at = |a: &&Arrival| a.upstream == *upstream && (from..until).contains(&a.at);
+        self.arrivals.iter().filter(at).cloned().collect()
+    }
+
     /// When the third upstream crashed of a request.
     pub fn third_crash(&self) -> Option<Instant> {
         self.crashes.get(2).copied()
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -52,8 +52,8 @@
 pub struct LoadShape {
     /// The path of the question.
     pub path: &'static str,
-    /// Writes the answer, from the number of requests that run.
-    pub answer: fn(u32) -> String,
+    /// Writes the answer, from the number of requests that run and whether it leaves.
+    pub answer: fn(u32, bool) -> String,
 }
 
 /// What an upstream is made of.
@@ -136,6 +136,7 @@
     pub fn start_again(&self, born_ms: u64) {
         let mut state = lock(&self.state);
         state.prompts.clear();
+        state.leaves = false;
         let address = state.upstream.address;
         if let Some(start) = &mut state.upstream.start {
             start.born_ms = Some(born_ms);
@@ -174,6 +175,16 @@
         lock(&self.state).has_crashed
     }
 
+    /// Has it say in all its answers that it leaves; the entry in the store says nothing of it.
+    pub fn leave(&self) {
+        lock(&self.state).leaves = true;
+    }
+
+    /// Has it turn requests away and say that it wants nothing for so long; `None` ends that.
+    pub fn ask_to_wait(&self, wait: Option<Duration>) {
+        lock(&self.state).asks_to_wait = wait;
+    }
+
     /// Sets how long it works on a request before it answers.
     pub fn set_work(&self, work: Duration) {
         lock(&self.state).work = work;
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -3,7 +3,7 @@
 use super::state::{State, note_run};
 use crate::answers::{answer_plainly, stream_events, write_answer};
 use crate::http::{Head, read_body, read_head};
-use crate::ledger::{CrashingArrival, Fault};
+use crate::ledger::{CrashingArrival, Fault, Said};
 use cloverpier_core::lock;
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::Upstream;
@@ -12,6 +12,9 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
+/// Says for how many seconds an upstream wants nothing.
+const RETRY_AFTER: &str = "retry-after";
+
 pub(super) async fn serve(mut stream: TcpStream, state: &Mutex<State>) -> io::Result<()> {
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buffer).await? {
@@ -28,6 +31,8 @@
 /// What a request asks of the upstream, read from its head.
 pub(crate) struct Asked {
     pub id: String,
+    /// Headers by which the upstream says something of itself.
+    pub said: Vec<(String, String)>,
     pub prompt: Option<String>,
     pub last_event: u64,
     pub upstream: Upstream,
@@ -47,26 +52,20 @@
         let state = lock(state);
         (state.upstream.clone(), state.names.clone())
     };
-    let Some(id) = head.get(names.request_id.as_str()).map(str::to_owned) else {
-        // A question, such as a health check.
-        let named = (names.answering_upstream.as_str(), upstream.name.as_str());
-        let body = answer_to_question(&lock(state), head);
-        write_answer(stream, 200, &[named], body.as_bytes()).await?;
-        return Ok(true);
+    let id = head.get(names.request_id.as_str()).map(str::to_owned);
+    lock(state).note_arrival(id.as_deref());
+    let Some(id) = id else {
+        return answer_question(stream, state, head, &upstream, &names).await;
     };
     let crashes = lock(state).is_crashed_by(body);
     if crashes {
         note_crashing_arrival(state, &id, &upstream);
     }
     if let Some((status, header)) = turn_down(head, &upstream, &names, state) {
-        let echoed = (names.request_id.as_str(), id.as_str());
-        write_answer(
-            stream,
-            status,
-            &[echoed, (header.0.as_str(), header.1.as_str())],
-            b"",
-        )
-        .await?;
+        let mut headers = vec![(names.request_id.to_string(), id.clone())];
+        headers.extend(lock(state).say(Some(&id)));
+        headers.extend(header);
+        write_answer(stream, status, &headers, b"").await?;
         return Ok(true);
     }
     let asked = note_run(state, head, id, upstream, names);
@@ -91,6 +90,27 @@
     }
 }
 
+/// Answers a question, such as a health check.
+async fn answer_question(
+    stream: &mut TcpStream,
+    state: &Mutex<State>,
+    head: &Head,
+    upstream: &Upstream,
+    names: &HeaderNames,
+) -> io::Result<bool> {
+    let named = (
+        names.answering_upstream.to_string(),
+        upstream.name.to_string(),
+    );
+    let (headers, body) = {
+        let state = lock(state);
+        let headers = [vec![named], state.say(None)].concat();
+        (headers, answer_to_question(&state, head))
+    };
+    write_answer(stream, 200, &headers, body.as_bytes()).await?;
+    Ok(true)
+}
+
 /// Works on a request; false where its caller closes the connection meanwhile, which ends the work.
 async fn work_on(stream: &TcpStream, work: Duration) -> bool {
     let mut byte = [0];
@@ -124,19 +144,19 @@
     if path == Some(state.cache.path) {
         (state.cache.answer)(&state.prompts)
     } else if path == Some(state.load.path) {
-        (state.load.answer)(state.told_running)
+        (state.load.answer)(state.told_running, state.leaves)
     } else {
         "{}".to_owned()
     }
 }
 
-/// Why a request isn't run: the status, and a header.
+/// Why a request isn't run: the status, and headers.
 fn turn_down(
     head: &Head,
     upstream: &Upstream,
     names: &HeaderNames,
     state: &Mutex<State>,
-) -> Option<(u16, (String, String))> {
+) -> Option<(u16, Vec<(String, String)>)> {
     let mut state = lock(state);
     let expected = head.get(names.expected_upstream.as_str());
     if expected != Some(upstream.name.as_str()) {
@@ -145,9 +165,15 @@
             names.answering_upstream.to_string(),
             upstream.name.to_string(),
         );
-        return Some((421, named));
+        return Some((421, vec![named]));
+    }
+    let not_run = (names.not_run.to_string(), "1".to_owned());
+    if let Some(wait) = state.asks_to_wait {
+        state.note_statement(head.get(names.request_id.as_str()), Said::Wait(wait));
+        let wait = (RETRY_AFTER.to_string(), wait.as_secs_f64().to_string());
+        return Some((503, vec![not_run, wait]));
     }
-    let refused = Some((503, (names.not_run.to_string(), "1".to_owned())));
+    let refused = Some((503, vec![not_run]));
     if state.script.first() == Some(&Fault::Refuse) {
         state.script.remove(0);
         return refused;
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -3,7 +3,7 @@
 use super::serve::Asked;
 use super::{CacheShape, LoadShape, UpstreamSpec};
 use crate::http::Head;
-use crate::ledger::{Fault, SharedLedger};
+use crate::ledger::{Arrival, Fault, Said, SharedLedger, Statement};
 use cloverpier_core::lock;
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::Upstream;
@@ -27,6 +27,10 @@
     pub(super) script: Vec<Fault>,
     /// A fault of a share of the requests.
     pub(super) random: Option<(Fault, f64)>,
+    /// Whether it says in all its answers that it leaves.
+    pub(super) leaves: bool,
+    /// For how long it says that it wants nothing, as it turns requests away.
+    pub(super) asks_to_wait: Option<Duration>,
     /// How long it works on a request before it answers.
     pub(super) work: Duration,
     pub(super) rng: fastrand::Rng,
@@ -47,6 +51,34 @@
         lock(&self.ledger).crashes.push(Instant::now());
     }
 
+    /// The headers by which it says something of itself in an answer, and a note of that.
+    pub(super) fn say(&self, id: Option<&str>) -> Vec<(String, String)> {
+        if !self.leaves {
+            return Vec::new();
+        }
+        self.note_statement(id, Said::Leaving);
+        vec![(self.names.leaving.to_string(), "1".to_owned())]
+    }
+
+    pub(super) fn note_statement(&self, id: Option<&str>, said: Said) {
+        let statement = Statement {
+            at: Instant::now(),
+            id: id.map(str::to_owned),
+            upstream: self.upstream.name.clone(),
+            said,
+        };
+        lock(&self.ledger).statements.push(statement);
+    }
+
+    pub(super) fn note_arrival(&self, id: Option<&str>) {
+        let arrival = Arrival {
+            at: Instant::now(),
+            id: id.map(str::to_owned),
+            upstream: self.upstream.name.clone(),
+        };
+        lock(&self.ledger).arrivals.push(arrival);
+    }
+
     pub(super) fn new(
         spec: &UpstreamSpec,
         upstream: Upstream,
@@ -65,6 +97,8 @@
             prompts: Vec::new(),
             script: Vec::new(),
             random: None,
+            leaves: false,
+            asks_to_wait: None,
             work: Duration::ZERO,
             rng: fastrand::Rng::with_seed(spec.seed),
             crashed_by: spec.crashed_by,
@@ -90,8 +124,10 @@
     let prompt = head.get(names.prompt_parts.as_str()).map(str::to_owned);
     state.prompts.extend(prompt.clone());
     let last_event = head.get(names.last_event.as_str());
+    let said = state.say(Some(&id));
     Asked {
         id,
+        said,
         prompt,
         last_event: last_event.and_then(|l| l.parse().ok()).unwrap_or(0),
         upstream,
