Take a leaving from any answer, and tell all routers

What callers saw: requests reached an upstream that had said in its answers that it leaves, 2.4 s and more after the same router had passed one of these on.

Cause: a leaving was read from the platform's list alone. While the store was away nobody could learn of it, and the statement in each answer was read by nobody. It is the class that what an upstream says of itself counts only once the store repeats it.

Mended: one typed statement, whichever call brought it (attempts, refusals, probes, checks, questions; streams by their head), applied in one module that those who receive answers do not know. A leaving binds one start of one upstream and is never taken back (leaving.rs); it is kept apart from the list, so that entries that come late, come and go, or say that it is ready change nothing. All peers are told in one datagram, again for three seconds, and those that start or come back are told all of it; the release before ignores the message. While none else is left, those that have said so less than a second ago still get requests: refusing what they would serve is no service. Rules on whom news is told again are shared with those on crashing requests (news.rs).

Golden file of log lines: server.chosen has one field more; a new golden message, all former ones unchanged.

--- a/crates/router/cloverpier_router/src/crash_news.rs
+++ b/crates/router/cloverpier_router/src/crash_news.rs
@@ -1,6 +1,7 @@
 //! Tells peers of requests that end upstreams, and takes what they tell.
 //!
-//! Who is told, and when again, is decided in `cloverpier_router_policy::crash_news`. Owns no state;
+//! What is told is decided in `cloverpier_router_policy::crash_news`, who is told again in `news`
+//! there. Owns no state;
 //! [`crate::crashes`] holds what is known, and when peers were told last.
 
 use crate::crashes::apply_verdicts;
@@ -8,9 +9,8 @@
 use crate::peers::Recipients;
 use crate::router::Router;
 use cloverpier_crashes::{ContentKey, ContentReport};
-use cloverpier_router_policy::crash_news::{
-    in_messages, is_teller, is_told_again, may_have_missed,
-};
+use cloverpier_router_policy::crash_news::in_messages;
+use cloverpier_router_policy::news::{is_teller, is_told_again, may_have_missed};
 use cloverpier_router_policy::prelude::PeerEntry;
 use std::net::SocketAddr;
 use std::time::Instant;
--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -104,7 +104,7 @@
 ) {
     let table = router.upstreams.borrow();
     let state = table.get(&upstream.name);
-    let is_leaving = state.is_none_or(|s| s.upstream.draining || s.has_lost_its_entry());
+    let is_leaving = state.is_none_or(|s| s.is_leaving() || s.has_lost_its_entry());
     drop(table);
     if is_leaving {
         return;
--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -46,6 +46,8 @@
     pub from_replica: bool,
     /// Whether it was chosen for having the fewest others, as the request may be what ends upstreams.
     pub apart: bool,
+    /// Upstreams of the service that got nothing, as they have said in answers that they leave.
+    pub leaving: usize,
     #[serde(rename = "catalog_version")]
     pub configuration_version: u64,
     #[serde(rename = "fleet_revision")]
@@ -151,21 +153,20 @@
     pub silent_ms: u64,
 }
 
-/// An upstream said something of itself in an answer.
+/// This router has learned that an upstream leaves, otherwise than by its entry.
 #[derive(Serialize)]
-pub(crate) struct UpstreamStated<'a> {
+pub(crate) struct LeavingLearned<'a> {
     #[serde(rename = "server")]
     pub upstream: &'a str,
-    /// That it leaves.
-    pub leaving: bool,
-    /// That it wants nothing for so long.
-    pub wait_ms: Option<u64>,
-    /// What it said and cannot be read.
-    pub unreadable: Option<&'a str>,
-    /// The call whose answer it was.
+    pub address: String,
+    /// The call whose answer said so, or `peer`.
     pub via: &'a str,
     /// The request's id, if it was one.
     pub request: Option<&'a str>,
+    /// The peer that said so.
+    pub peer: Option<String>,
+    /// Since when the first router has known it.
+    pub age_ms: u64,
 }
 
 /// Something outside was lost or came back.
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -5,6 +5,7 @@
 //! are [`crate::peer_messages`]'s. Owns nothing but the turn among peers.
 
 use crate::crash_news;
+use crate::leaving_news;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, encode};
 use crate::peers::Recipients;
 use crate::router::Router;
@@ -38,6 +39,7 @@
             let peers = turn.next_peers(router.peers.addresses(), serves_peers(&router, now));
             send_heartbeat(&router, &socket, &peers, MENTIONED_PEERS, now);
             crash_news::tell_again(&router, now);
+            leaving_news::tell_again(&router, now);
             next_heartbeat = now + router.settings().heartbeat;
         } else if router.peers.take_heartbeat_due() {
             let peers = router.peers.addresses();
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -13,7 +13,7 @@
 //! | questions to engines on their load | `load_query`, `engine_call` |
 //! | requests that end upstreams | `crashes`, `crash_news`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
-//! | what upstreams say of themselves | `statements` |
+//! | what upstreams say of themselves | `statements`, `leaving_news` |
 //! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
 //! | roll-outs of new versions | `rollouts`, `rollout_steps`, `rollout_store` |
 //! | other routers | `peers`, `heartbeats`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
@@ -52,6 +52,7 @@
 mod heartbeats;
 mod http_client;
 mod intake;
+mod leaving_news;
 mod lifecycle;
 mod load_guard;
 mod load_query;
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -67,6 +67,8 @@
     pub rollouts: ByKind,
     /// Upstreams that ended under requests: ends seen and heard of, contents stopped and cleared.
     pub crashes: ByKind,
+    /// Upstreams that leave, as an answer or a peer said.
+    pub leavings: ByKind,
     /// Contents that are stopped.
     pub stopped_contents: Gauge,
     /// Bytes of versions handed to peers.
@@ -99,6 +101,7 @@
             version_fetches: ByKind::default(),
             rollouts: ByKind::default(),
             crashes: ByKind::default(),
+            leavings: ByKind::default(),
             stopped_contents: Gauge::default(),
             version_bytes: Counter::default(),
             connections: Counter::default(),
@@ -152,6 +155,11 @@
             "Silence to verdict",
             self.detection.0.clone(),
         );
+        registry.register(
+            "leavings",
+            "Servers that said they leave",
+            self.leavings.0.clone(),
+        );
         self.register_crashes();
         self.register_versions();
     }
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -345,6 +345,7 @@
             resumes_after: note.resumes_after,
             from_replica: note.from_replica,
             apart: note.apart,
+            leaving: table.out_by_statement(&request.service.name).leaving,
             configuration_version: request.configuration_version,
             upstreams_revision: table.revision(),
             age_ms: ms_since(request.arrived, note.now),
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -147,6 +147,15 @@
     pub contents: Vec<ContentReport>,
 }
 
+/// Upstreams that have said in answers that they leave.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNews {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The upstreams.
+    pub upstreams: Vec<LeavingReport>,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -166,6 +175,9 @@
     /// Sent to all when an upstream has ended under a request that may be why, and again for a
     /// while; likewise.
     Crashes(CrashNews),
+    /// Sent to all when an upstream has said in an answer that it leaves, and again for a while;
+    /// likewise.
+    Leavings(LeavingNews),
 }
 
 /// The reply to a fetch of upstreams.
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -6,6 +6,7 @@
 
 use crate::crash_news;
 use crate::crashes;
+use crate::leaving_news;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, decode};
 use crate::rollouts;
 use crate::router::Router;
@@ -42,6 +43,7 @@
                 rollouts::on_evidence(&router, evidence.sender, evidence.report);
             }
             Ok(PeerMessage::Crashes(news)) => crash_news::on_news(&router, &news, now),
+            Ok(PeerMessage::Leavings(news)) => leaving_news::on_news(&router, &news, now),
             // Cut off, or of another release, as during an upgrade: logged once a process.
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
@@ -125,6 +127,7 @@
     let store_age = entry.store_age;
     let former = router.peers.on_heartbeat(peer, entry.clone());
     crash_news::tell_if_missed(router, peer, former.as_ref(), &entry);
+    leaving_news::tell_if_missed(router, peer, former.as_ref(), &entry);
     if changes_roles(former.and_then(|entry| entry.store_age), store_age) {
         decide_watcher_role(router, now);
     }
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -5,13 +5,12 @@
 //! table of upstreams and in [`crate::health`]; when they are sent and what an answer means
 //! is decided in `cloverpier_router_policy::{liveness, suspicion}`.
 
-use crate::beliefs::log_belief;
+use crate::beliefs::{Via, log_belief};
 use crate::crashes;
 use crate::decision_log::{ms, ms_since};
 use crate::health::UpstreamHealth;
 use crate::http_client::HttpClient;
 use crate::router::Router;
-use crate::statements::Via;
 use crate::successors;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::suspicion::{
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -39,7 +39,7 @@
 use cloverpier_router_policy::rollout::schedule::ExposureBounds;
 use cloverpier_router_policy::version_serving::CopyPacing;
 use cloverpier_settings::RouterSettings;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -62,6 +62,8 @@
     budgets: RetryBudgets,
     pub(crate) crashes: Crashes,
     pub(crate) rollouts: Rollouts,
+    /// When it was learned last that an upstream leaves.
+    pub(crate) last_leaving: Cell<Option<Instant>>,
     pub(crate) copy_pacing: RefCell<CopyPacing>,
     pub(crate) lifecycle: Lifecycle,
 }
@@ -87,6 +89,7 @@
             budgets: RetryBudgets::default(),
             crashes: Crashes::new(&settings.crashes),
             rollouts: Rollouts::default(),
+            last_leaving: Cell::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
             lifecycle: Lifecycle::new(rng.u64(..), clock.now()),
             clock,
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -4,13 +4,13 @@
 //! waits for a head that counts. What a break or an answer proves is decided in
 //! `cloverpier_router_policy::attempt_failure`; this module reads it off the wire.
 
+use crate::beliefs::Via;
 use crate::connection::{Connection, SendBroke, WholeRequest, describe, io_error_kind};
 use crate::health::UpstreamHealth;
 use crate::intake::{RelayRequest, text_of};
 use crate::pool::idle_limit;
 use crate::probe::{self, DeathCause};
 use crate::router::Router;
-use crate::statements::Via;
 use crate::successors;
 use crate::wait::{Awaited, while_alive};
 use cloverpier_core::UpstreamName;
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -4,50 +4,16 @@
 //! platform's adapter decodes a statement; whose it is, is decided in
 //! `cloverpier_router_policy::statement`. Owns no state.
 
-use crate::decision_log::{UpstreamStated, ms};
+use crate::beliefs::Via;
+use crate::leaving_news;
 use crate::restart::on_named_start;
 use crate::router::Router;
+use crate::store_view::log_dependency;
 use crate::wire_names::AnswerParts;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::statement::{Sender, sender_of_answer, sender_of_reply};
 use hyper::http::response::Parts;
 
-/// The call whose answer it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Via<'a> {
-    /// A request of a caller, by its id.
-    Request(&'a str),
-    /// A probe of a silent upstream.
-    Probe,
-    /// A check of a suspected one.
-    Check,
-    /// A question about its load.
-    LoadQuestion,
-    /// A question about the prompts that it has read.
-    CacheQuestion,
-}
-
-impl Via<'_> {
-    /// Its word in log lines.
-    fn word(&self) -> &'static str {
-        match self {
-            Self::Request(_) => "request",
-            Self::Probe => "probe",
-            Self::Check => "check",
-            Self::LoadQuestion => "load",
-            Self::CacheQuestion => "cache",
-        }
-    }
-
-    /// The request's id, if it was one.
-    fn request(&self) -> Option<&str> {
-        match self {
-            Self::Request(id) => Some(id),
-            _ => None,
-        }
-    }
-}
-
 /// What an answer to a question said.
 #[derive(Debug)]
 pub(crate) struct Heard {
@@ -106,24 +72,16 @@
         }
         Sender::Unknown => return StartOrder::Same,
     };
-    let order = on_named_start(router, &upstream, said.born_ms, router.now());
-    if order != StartOrder::Older {
-        log_statement(router, &upstream, said, via);
+    let now = router.now();
+    let order = on_named_start(router, &upstream, said.born_ms, now);
+    if order == StartOrder::Older {
+        return order;
     }
-    order
-}
-
-fn log_statement(router: &Router, upstream: &Upstream, said: &UpstreamStatement, via: Via<'_>) {
-    if !said.is_leaving && said.wait.is_none() && said.unreadable.is_none() {
-        return;
+    if said.is_leaving {
+        leaving_news::on_leaving(router, &upstream, said.born_ms, via, now);
     }
-    let line = UpstreamStated {
-        upstream: upstream.name.as_str(),
-        leaving: said.is_leaving,
-        wait_ms: said.wait.map(ms),
-        unreadable: said.unreadable.as_deref(),
-        via: via.word(),
-        request: via.request(),
-    };
-    router.log.info("server.stated", &line);
+    if let Some(reason) = &said.unreadable {
+        log_dependency(router, "server.unreadable", upstream.name.as_str(), reason);
+    }
+    order
 }
--- a/crates/router/cloverpier_router/tests/peer_messages.rs
+++ b/crates/router/cloverpier_router/tests/peer_messages.rs
@@ -6,6 +6,8 @@
 use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName};
 use cloverpier_crashes::prelude::*;
 use cloverpier_router::peer_messages::*;
+use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
+use cloverpier_router_policy::leaving::in_messages;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::{
     AnswerCounts, Arm, EvidenceKey, EvidenceReport, Measure, RouteKey, SentCounts,
@@ -273,6 +275,43 @@
     assert_is_golden("crashes", &news);
 }
 
+#[test]
+fn leavings_keep_their_bytes() {
+    let upstreams = vec![
+        LeavingReport {
+            upstream: UpstreamKey(0x0102_0304_0506_0708),
+            born_ms: Some(1_790_000_000_000),
+            age_ms: 1_900,
+        },
+        LeavingReport {
+            upstream: UpstreamKey(21),
+            born_ms: None,
+            age_ms: 0,
+        },
+    ];
+    let news = PeerMessage::Leavings(LeavingNews {
+        sender: address(7104),
+        upstreams,
+    });
+    assert_is_golden("leavings", &news);
+}
+
+#[test]
+fn as_many_leavings_as_one_message_holds_fit_into_a_datagram() {
+    let longest = LeavingReport {
+        upstream: UpstreamKey(u64::MAX),
+        born_ms: Some(u64::MAX),
+        age_ms: u32::MAX,
+    };
+    for upstreams in in_messages(&[longest; 820]) {
+        let sender = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
+            .parse()
+            .unwrap();
+        let bytes = encode(&PeerMessage::Leavings(LeavingNews { sender, upstreams })).unwrap();
+        assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
+    }
+}
+
 fn route(name: &str, streaming: bool) -> Route {
     Route {
         name: name.to_owned(),
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -20,7 +20,9 @@
 ///
 /// 5. all that are listed, suspected ones among them;
 /// 6. only where nothing of the service is listed: those whose entries vanished within
-///    [`crate::suspicion::RETURN_WINDOW`], as outages of the store do that to living ones.
+///    [`crate::suspicion::RETURN_WINDOW`], as outages of the store do that to living ones;
+/// 7. only where there is none of these either: those that have said that they leave within
+///    [`crate::leaving::LAST_RESORT_FOR`], as they still serve.
 ///
 /// The engines of a data centre die together, and the first that fails says so before three are
 /// suspected. Without the first group the worth earned moves by -0.0036 +- 0.0022 (measured: 9 pairs
@@ -70,7 +72,7 @@
     tried.map(|s| &s.upstream.data_centre).collect()
 }
 
-/// Groups 5 and 6.
+/// Groups 5 to 7.
 fn last_resort<'a>(
     of_service: &[&'a UpstreamState],
     demand: &Demand<'_>,
@@ -80,7 +82,11 @@
         return listed;
     }
     let may_be_back = |s: &UpstreamState| s.may_still_serve() && s.vanished_recently(demand.now);
-    filtered(of_service, may_be_back)
+    let vanished = filtered(of_service, may_be_back);
+    if !vanished.is_empty() {
+        return vanished;
+    }
+    filtered(of_service, |s| s.is_last_resort(demand.now))
 }
 
 /// The upstreams of a list for which something holds.
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -21,11 +21,13 @@
 //! | when is a silent upstream probed, dead, or a stream stalled | [`liveness`] |
 //! | what does an answer, or its absence, prove | [`attempt_failure`] |
 //! | of which upstream does an answer say something | [`statement`] |
+//! | which upstreams have said that they leave | [`leaving`] |
 //! | retry or stop | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
 //! | does the process at a dead upstream's address belong to its service | [`successor`] |
 //! | what are peers told of requests that end upstreams | [`crash_news`] |
+//! | who is told news again | [`news`] |
 //! | which routers do callers get | [`peers`] |
 //! | which peers are sent what, and how long it counts | [`heartbeat`] |
 //! | who watches the store, and how often | [`store_watch`] |
@@ -59,10 +61,12 @@
 pub mod deadline;
 pub mod events;
 pub mod heartbeat;
+pub mod leaving;
 pub mod lifecycle;
 pub mod liveness;
 pub mod load;
 pub mod load_query;
+pub mod news;
 pub mod peers;
 pub mod prompt_locations;
 pub mod prompt_search;
@@ -90,6 +94,7 @@
         ServiceConfig,
     };
     pub use crate::events::{EventError, EventSplitter, StreamEvent};
+    pub use crate::leaving::LeavingReport;
     pub use crate::liveness::{Liveness, LivenessBounds, LivenessStep};
     pub use crate::load::{Load, PeerLoad};
     pub use crate::load_query::{EngineReport, ReportedLoad};
@@ -103,7 +108,7 @@
         StartNumber, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamStart,
         UpstreamState,
     };
-    pub use crate::upstream_table::{AppliedNews, UpstreamTable};
+    pub use crate::upstream_table::{AppliedNews, OutByStatement, UpstreamTable};
 }
 
 pub use prelude::*;
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -5,6 +5,7 @@
 //! changed only through [`crate::upstream_table::UpstreamTable`]. Relies on
 //! [`crate::suspicion`] for how long what it records counts.
 
+use crate::leaving::LAST_RESORT_FOR;
 use crate::load::Load;
 use crate::suspicion::{PEER_SUSPICION_TTL, RETURN_WINDOW, Suspicion};
 use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName, hash_of};
@@ -145,6 +146,9 @@
     pub(crate) suspicion: Option<Suspicion>,
     /// When a peer last reported that it suspects the upstream.
     pub(crate) suspected_by_peer: Option<Instant>,
+    /// Since when it is known that its newest known start leaves, as it has said in an answer
+    /// ([`crate::leaving`]).
+    pub(crate) leaving: Option<Instant>,
     /// When its newest known start was, as a Unix time in milliseconds.
     born_ms: Option<u64>,
     start: StartNumber,
@@ -181,9 +185,15 @@
             replaced: false,
             suspicion: None,
             suspected_by_peer: None,
+            leaving: None,
         }
     }
 
+    /// When its newest known start was, as a Unix time in milliseconds, if known.
+    pub fn born_ms(&self) -> Option<u64> {
+        self.born_ms
+    }
+
     /// Its start, as counted by this router.
     pub fn start(&self) -> StartNumber {
         self.start
@@ -260,10 +270,23 @@
         self.gone.is_some()
     }
 
-    /// True unless the upstream announced that it is draining or another start took its
-    /// address; a missing store entry alone does not count.
+    /// True unless the upstream leaves or another start took its address; a missing store entry
+    /// alone does not count.
     pub fn may_still_serve(&self) -> bool {
-        !self.upstream.draining && !self.replaced
+        !self.is_leaving() && !self.replaced
+    }
+
+    /// Whether it has announced that it leaves, in its entry or in an answer.
+    pub fn is_leaving(&self) -> bool {
+        self.upstream.draining || self.leaving.is_some()
+    }
+
+    /// Whether it has said so recently that it gets what nobody else could serve. Of one whose entry
+    /// says that it drains, it is not known how long ago that was said.
+    pub(crate) fn is_last_resort(&self, now: Instant) -> bool {
+        let is_new = |at| now.saturating_duration_since(at) < LAST_RESORT_FOR;
+        let says_so = self.leaving.is_some_and(is_new) && !self.upstream.draining;
+        says_so && self.gone.is_none() && !self.replaced
     }
 
     /// Whether it has been gone for this long. One that the list never named is gone when
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -7,7 +7,11 @@
 //! dropped then.
 
 mod observations;
+mod statements;
 
+pub use statements::OutByStatement;
+
+use crate::leaving::Leavings;
 use crate::load::{Load, PeerLoad};
 use crate::suspicion::DataCentreCounts;
 use crate::upstream::{StartOrder, Unlisted, Upstream, UpstreamChange, UpstreamKey, UpstreamState};
@@ -36,6 +40,8 @@
     changes: VecDeque<(u64, UpstreamChange)>,
     /// The revision from which on `changes` is complete.
     changes_since: u64,
+    /// Upstreams that have said that they leave.
+    leavings: Leavings,
     /// The services that the configuration names; `None` before one is known.
     services: Option<HashSet<ServiceName>>,
 }
@@ -273,6 +279,7 @@
             return None;
         }
         state.set_listed(upstream);
+        state.leaving = self.leavings.since(state.key, state.born_ms());
         (order == StartOrder::Newer).then(|| state.upstream.clone())
     }
 
@@ -297,7 +304,8 @@
         true
     }
 
-    fn insert(&mut self, state: UpstreamState) {
+    fn insert(&mut self, mut state: UpstreamState) {
+        self.apply_known_statements(&mut state);
         let upstream = &state.upstream;
         let name = upstream.name.clone();
         self.replace_at(&state.upstream);
@@ -321,6 +329,7 @@
     }
 
     fn forget_gone(&mut self, now: Instant) {
+        self.leavings.forget_old(now);
         let over: Vec<UpstreamName> = self
             .upstreams
             .values()
--- a/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
@@ -103,8 +103,12 @@
 
     /// Records a start that an upstream named in an answer.
     pub fn on_start(&mut self, name: &UpstreamName, born_ms: Option<u64>) -> StartOrder {
-        let state = self.upstreams.get_mut(name);
-        state.map_or(StartOrder::Same, |state| state.on_start(born_ms))
+        let Some(state) = self.upstreams.get_mut(name) else {
+            return StartOrder::Same;
+        };
+        let order = state.on_start(born_ms);
+        state.leaving = self.leavings.since(state.key, state.born_ms());
+        order
     }
 
     /// Records that a process at an address named itself: an upstream that is known there has
--- a/crates/router/cloverpier_router_policy/tests/crash_news.rs
+++ b/crates/router/cloverpier_router_policy/tests/crash_news.rs
@@ -2,9 +2,8 @@
 
 use cloverpier_core::DataCentre;
 use cloverpier_crashes::prelude::*;
-use cloverpier_router_policy::crash_news::{
-    TOLD_AGAIN_FOR, in_messages, is_teller, is_told, is_told_again, may_have_missed,
-};
+use cloverpier_router_policy::crash_news::{in_messages, is_told};
+use cloverpier_router_policy::news::{TOLD_AGAIN_FOR, is_teller, is_told_again, may_have_missed};
 use cloverpier_router_policy::prelude::*;
 use std::time::{Duration, Instant};
 
--- a/tools/src/crash_play/news.rs
+++ b/tools/src/crash_play/news.rs
@@ -4,7 +4,8 @@
 use super::{Counting, Trouble};
 use cloverpier_crashes::prelude::*;
 use cloverpier_router::peer_messages::{CrashNews, PeerMessage, encode};
-use cloverpier_router_policy::crash_news::{in_messages, is_teller, is_told, is_told_again};
+use cloverpier_router_policy::crash_news::{in_messages, is_told};
+use cloverpier_router_policy::news::{is_teller, is_told_again};
 use std::net::SocketAddr;
 use std::time::Duration;
 
