Leave upstreams alone that turn a request away and say for how long

What callers saw: nothing; what upstreams saw: more than two requests of one router while they had said that they want nothing from it (74 in a second at one of two plain upstreams, 18 at an engine). Callers of a service that wanted nothing at all were told to come back after 60 ms.

Cause: of the same class as the leavings, and apart from them: what an upstream says of itself when it turns a request away was read by nobody. The next attempt went elsewhere, and the next request began anew.

It is in no group of candidates, gets no question, no replica and no resumed stream; of probes and checks one may reach it. Where all of a service want nothing, callers are refused at once and told when the first may be asked again.

Why it holds: all that sends to an upstream asks the one table (choice, replicas, searches, load questions) or the one allowance (probes, checks).

--- a/crates/router/cloverpier_router/src/beliefs.rs
+++ b/crates/router/cloverpier_router/src/beliefs.rs
@@ -1,9 +1,10 @@
 //! Logs what is believed of upstreams, when that changes. Owns nothing.
 
-use crate::decision_log::{LeavingLearned, UpstreamBelief};
+use crate::decision_log::{LeavingLearned, UpstreamBelief, WaitLearned, ms};
 use crate::router::Router;
 use cloverpier_router_policy::prelude::Upstream;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// The call whose answer said something of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,3 +88,14 @@
     };
     router.log.info("server.leaving", &line);
 }
+
+/// Logs that an upstream has begun to want nothing for a time.
+pub(crate) fn log_wait(router: &Router, upstream: &Upstream, time: Duration, via: Via<'_>) {
+    let line = WaitLearned {
+        upstream: upstream.name.as_str(),
+        wait_ms: ms(time),
+        via: via.word(),
+        request: via.request(),
+    };
+    router.log.info("server.waits", &line);
+}
--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -48,6 +48,8 @@
     pub apart: bool,
     /// Upstreams of the service that got nothing, as they have said in answers that they leave.
     pub leaving: usize,
+    /// The same, as they want nothing for now.
+    pub waiting: usize,
     #[serde(rename = "catalog_version")]
     pub configuration_version: u64,
     #[serde(rename = "fleet_revision")]
@@ -169,6 +171,18 @@
     pub age_ms: u64,
 }
 
+/// An upstream has turned a request away and wants nothing for a time.
+#[derive(Serialize)]
+pub(crate) struct WaitLearned<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    pub wait_ms: u64,
+    /// The call whose answer said so.
+    pub via: &'a str,
+    /// The request's id, if it was one.
+    pub request: Option<&'a str>,
+}
+
 /// Something outside was lost or came back.
 #[derive(Serialize)]
 pub(crate) struct Dependency<'a> {
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -69,6 +69,8 @@
     pub crashes: ByKind,
     /// Upstreams that leave, as an answer or a peer said.
     pub leavings: ByKind,
+    /// Times that upstreams began to want nothing.
+    pub waits: Counter,
     /// Contents that are stopped.
     pub stopped_contents: Gauge,
     /// Bytes of versions handed to peers.
@@ -102,6 +104,7 @@
             rollouts: ByKind::default(),
             crashes: ByKind::default(),
             leavings: ByKind::default(),
+            waits: Counter::default(),
             stopped_contents: Gauge::default(),
             version_bytes: Counter::default(),
             connections: Counter::default(),
@@ -160,6 +163,7 @@
             "Servers that said they leave",
             self.leavings.0.clone(),
         );
+        registry.register("waits", "Servers that want nothing", self.waits.clone());
         self.register_crashes();
         self.register_versions();
     }
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -113,11 +113,10 @@
     }
 
     /// The reply to the caller, true to what is known of the request's run.
-    pub fn reply(&self, request: &RelayRequest) -> Reply {
+    pub fn reply(&self, router: &Router, request: &RelayRequest) -> Reply {
         match self.end() {
             RequestEnd::Refused | RequestEnd::RefusedLate => {
-                let objective = request.route.objective;
-                refusal_reply(&self.reason, Refusal::NoUpstream { objective })
+                refusal_reply(&self.reason, refusal(router, request))
             }
             // Not one of the statuses after which callers come again, and no promise that it has
             // not run.
@@ -132,6 +131,7 @@
         match self.no_upstream {
             Some(NoUpstream::AllFull) => "all servers are full",
             Some(NoUpstream::NoneUsable) => "no server is usable",
+            Some(NoUpstream::AllWait) => "all servers want nothing for now",
             None => &self.reason,
         }
     }
@@ -159,6 +159,17 @@
     }
 }
 
+/// Why a request is refused that no upstream took, as that decides when its caller should come back.
+fn refusal(router: &Router, request: &RelayRequest) -> Refusal {
+    let table = router.upstreams.borrow();
+    match table.wait_of_service(&request.service.name, router.now()) {
+        Some(wait) => Refusal::UpstreamsWait { wait },
+        None => Refusal::NoUpstream {
+            objective: request.route.objective,
+        },
+    }
+}
+
 /// The end of a request, for its log line.
 pub(crate) struct Ending<'a> {
     /// The status that the caller got.
@@ -326,6 +337,7 @@
     let own = table.get(&upstream.name).map(|s| s.own_load);
     let own = own.unwrap_or_default();
     let peers = table.peer_load.at(UpstreamKey::of(&upstream.name));
+    let out = table.out_by_statement(&request.service.name, note.now);
     router.log.info(
         "server.chosen",
         &UpstreamChosen {
@@ -345,7 +357,8 @@
             resumes_after: note.resumes_after,
             from_replica: note.from_replica,
             apart: note.apart,
-            leaving: table.out_by_statement(&request.service.name).leaving,
+            leaving: out.leaving,
+            waiting: out.waiting,
             configuration_version: request.configuration_version,
             upstreams_revision: table.revision(),
             age_ms: ms_since(request.arrived, note.now),
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -42,7 +42,7 @@
             reply
         }
         Err(given_up) => {
-            let reply = given_up.reply(request);
+            let reply = given_up.reply(router, request);
             run.log_end(&Ending {
                 status: reply.status(),
                 end: given_up.end(),
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -28,7 +28,8 @@
     Unreachable,
 }
 
-/// Probes a silent upstream unless a probe is under way; its answer counts as activity.
+/// Probes a silent upstream unless a probe is under way or it wants nothing; its answer counts as
+/// activity.
 pub(crate) fn probe(
     router: &Rc<Router>,
     upstream: &Upstream,
@@ -38,6 +39,10 @@
     if health.probing_since.get().is_some() {
         return;
     }
+    if !router.upstreams.borrow_mut().try_ask(&upstream.name, now) {
+        router.metrics.probes.count("withheld");
+        return;
+    }
     health.probing_since.set(Some(now));
     let (router, upstream, health) = (Rc::clone(router), upstream.clone(), Rc::clone(health));
     tokio::task::spawn_local(async move {
--- a/crates/router/cloverpier_router/src/prompt_search.rs
+++ b/crates/router/cloverpier_router/src/prompt_search.rs
@@ -47,7 +47,7 @@
 /// Asks one engine after the other, some at a time, until one has the prompt.
 async fn search(router: &Rc<Router>, service: &ServiceName, prompt: PromptKey) {
     let prompts = &router.prompts;
-    let engines = search_order(&router.upstreams.borrow(), service, prompt);
+    let engines = search_order(&router.upstreams.borrow(), service, prompt, router.now());
     for (index, engine) in engines.into_iter().enumerate() {
         if index == ASKED_FIRST {
             let first = wait_for_answers(router, prompt);
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -4,7 +4,7 @@
 //! platform's adapter decodes a statement; whose it is, is decided in
 //! `cloverpier_router_policy::statement`. Owns no state.
 
-use crate::beliefs::Via;
+use crate::beliefs::{Via, log_wait};
 use crate::leaving_news;
 use crate::restart::on_named_start;
 use crate::router::Router;
@@ -80,6 +80,14 @@
     if said.is_leaving {
         leaving_news::on_leaving(router, &upstream, said.born_ms, via, now);
     }
+    if let Some(time) = said.wait {
+        let mut table = router.upstreams.borrow_mut();
+        if table.on_wait(&upstream.name, time, now) {
+            drop(table);
+            router.metrics.waits.inc();
+            log_wait(router, &upstream, time, via);
+        }
+    }
     if let Some(reason) = &said.unreadable {
         log_dependency(router, "server.unreadable", upstream.name.as_str(), reason);
     }
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -57,7 +57,7 @@
             answer.into_reply()
         }
         FirstPiece::GivenUp(given_up) => {
-            let reply = given_up.reply(request);
+            let reply = given_up.reply(router, request);
             run.log_end(&Ending {
                 status: reply.status(),
                 end: given_up.end(),
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -101,7 +101,7 @@
         let router = &self.router;
         let table = router.upstreams.borrow();
         let replica = self.replica.as_ref().filter(|_| !self.is_apart());
-        if usable_replica(&table, &around.versions, replica).is_some() {
+        if usable_replica(&table, &around.versions, replica, around.now).is_some() {
             return Vec::new();
         }
         let reported = ReportedLoad::default();
@@ -340,7 +340,7 @@
     lost_replica: Option<&Replica>,
     rng: &mut fastrand::Rng,
 ) -> Result<(Upstream, bool), NoUpstream> {
-    if let Some(engine) = usable_replica(table, demand.versions, lost_replica) {
+    if let Some(engine) = usable_replica(table, demand.versions, lost_replica, demand.now) {
         return Ok((engine, true));
     }
     match choose_upstream(table, demand, rng) {
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -102,6 +102,9 @@
         return Err(AttemptFailure::LateSent);
     }
     let probing_since = health.probing_since.get();
+    let table = router.upstreams.borrow();
+    liveness.hold_probes_until(table.asked_again_at(&upstream.name, now));
+    drop(table);
     match liveness.step(health.last_activity.get(), probing_since, now) {
         LivenessStep::WaitUntil(at) => Ok(WaitStep::Until(at.min(*deadline))),
         LivenessStep::Probe => {
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -106,6 +106,8 @@
     AllFull,
     /// No upstream can take it.
     NoneUsable,
+    /// All that could take it want nothing for now.
+    AllWait,
 }
 
 /// Chooses an upstream: the one that has read the prompt, else the one of lowest cost.
@@ -116,7 +118,12 @@
 ) -> Choice {
     let groups = candidate_groups(table, demand);
     if groups.is_empty() {
-        return Choice::None(NoUpstream::NoneUsable);
+        let all_wait = table.wait_of_service(demand.service, demand.now).is_some();
+        return Choice::None(if all_wait {
+            NoUpstream::AllWait
+        } else {
+            NoUpstream::NoneUsable
+        });
     }
     let by_group = groups.iter().map(|g| with_capacity(table, g, demand));
     let Some(with_capacity) = by_group.into_iter().find(|group| !group.is_empty()) else {
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -28,6 +28,8 @@
 /// suspected. Without the first group the worth earned moves by -0.0036 +- 0.0022 (measured: 9 pairs
 /// of plays before 284 upstreams, on one day of three -0.0085 +- 0.0016).
 ///
+/// One that wants nothing for now is in no group ([`crate::wait`]).
+///
 /// A peer's suspicion is no proof. While each of three of four lookup servers lost a fifth of its
 /// answers by resets, some of 60 routers suspected each of the three at any time, and all requests
 /// went to the fourth: 472 ended refused in one play of six such seconds with idle servers beside.
@@ -43,7 +45,7 @@
     let untried = |s: &UpstreamState| !demand.tried.contains(&s.upstream.name);
     let mut groups = Vec::new();
     for set in &sets {
-        let usable = filtered(set, |s| s.is_usable() && untried(s));
+        let usable = filtered(set, |s| s.is_usable(demand.now) && untried(s));
         let unsuspected = filtered(&usable, |s| !s.is_suspected_by_peer(demand.now));
         let sound = filtered(&unsuspected, |s| {
             !suspect_data_centres.contains(&s.upstream.data_centre)
@@ -72,11 +74,12 @@
     tried.map(|s| &s.upstream.data_centre).collect()
 }
 
-/// Groups 5 to 7.
+/// Groups 5 to 7, of those that don't want nothing.
 fn last_resort<'a>(
     of_service: &[&'a UpstreamState],
     demand: &Demand<'_>,
 ) -> Vec<&'a UpstreamState> {
+    let of_service = &filtered(of_service, |s| !s.wants_nothing(demand.now));
     let listed = filtered(of_service, UpstreamState::is_listed);
     if !listed.is_empty() {
         return listed;
--- a/crates/router/cloverpier_router_policy/src/liveness.rs
+++ b/crates/router/cloverpier_router_policy/src/liveness.rs
@@ -97,6 +97,8 @@
     awaited: Instant,
     /// Silence before this moment does not count, as this process was paused.
     paused_until: Instant,
+    /// The upstream is not probed before; `None` where it may be now.
+    probes_from: Option<Instant>,
 }
 
 impl Liveness {
@@ -107,9 +109,15 @@
             progressed: now,
             awaited: now,
             paused_until: now,
+            probes_from: None,
         }
     }
 
+    /// Holds probes back until a moment, as the upstream wants nothing before ([`crate::wait`]).
+    pub fn hold_probes_until(&mut self, from: Option<Instant>) {
+        self.probes_from = from;
+    }
+
     /// Sets other bounds, as when the first event has arrived.
     pub fn set_bounds(&mut self, bounds: LivenessBounds) {
         self.bounds = bounds;
@@ -151,6 +159,7 @@
 
     fn while_idle(&mut self, since: Instant, now: Instant) -> LivenessStep {
         let probe_at = since + self.bounds.probe_after;
+        let probe_at = self.probes_from.map_or(probe_at, |from| probe_at.max(from));
         if now >= probe_at {
             return LivenessStep::Probe;
         }
--- a/crates/router/cloverpier_router_policy/src/prompt_search.rs
+++ b/crates/router/cloverpier_router_policy/src/prompt_search.rs
@@ -53,8 +53,9 @@
     table: &UpstreamTable,
     service: &ServiceName,
     prompt: PromptKey,
+    now: Instant,
 ) -> Vec<Upstream> {
-    let usable = table.of_service(service).filter(|s| s.is_usable());
+    let usable = table.of_service(service).filter(|s| s.is_usable(now));
     let usable: Vec<&UpstreamState> = usable.collect();
     let ranked = rank(prompt.0, &usable, |s| s.upstream.name.as_str());
     ranked.into_iter().map(|s| s.upstream.clone()).collect()
--- a/crates/router/cloverpier_router_policy/src/refusal.rs
+++ b/crates/router/cloverpier_router_policy/src/refusal.rs
@@ -2,7 +2,8 @@
 //!
 //! - **Question.** A request was refused and has not run: after what time is it worth
 //!   sending again?
-//! - **Inputs.** Why it was refused; for a request that was tried, its route's objective.
+//! - **Inputs.** Why it was refused; for a request that was tried, its route's objective, or the time
+//!   for which all upstreams of its service want nothing.
 //! - **Answer.** A duration, which callers get as `Retry-After`.
 //! - **Why.** The request is refused at once, never held. Coming back too soon meets the
 //!   same state; too late misses the objective, the time within which an answer counts.
@@ -38,6 +39,11 @@
         /// The route's objective.
         objective: Duration,
     },
+    /// All upstreams of the service want nothing for now.
+    UpstreamsWait {
+        /// After what time the first of them may be asked again.
+        wait: Duration,
+    },
 }
 
 /// The time after which the caller should retry.
@@ -50,5 +56,7 @@
             let wait = objective.mul_f64(OBJECTIVE_SHARE);
             wait.clamp(MIN_WAIT, MAX_WAIT)
         }
+        // Earlier than that nobody serves the request, however short its objective is.
+        Refusal::UpstreamsWait { wait } => wait.max(MIN_WAIT),
     }
 }
--- a/crates/router/cloverpier_router_policy/src/replica.rs
+++ b/crates/router/cloverpier_router_policy/src/replica.rs
@@ -14,6 +14,7 @@
 use crate::rollout::VersionRule;
 use crate::upstream::{StartNumber, Upstream, UpstreamState};
 use crate::upstream_table::UpstreamTable;
+use std::time::Instant;
 
 /// Chooses an engine for the replica of a run at `primary`.
 pub fn choose_replica(
@@ -56,10 +57,11 @@
     table: &UpstreamTable,
     versions: &VersionRule,
     replica: Option<&Replica>,
+    now: Instant,
 ) -> Option<Upstream> {
     let replica = replica?;
     let state = table.get(&replica.engine.name)?;
-    let is_kept = state.is_usable() && replica.start == Some(state.start());
+    let is_kept = state.is_usable(now) && replica.start == Some(state.start());
     let is_allowed = !versions.bars(state.upstream.version());
     (is_kept && is_allowed).then(|| replica.engine.clone())
 }
@@ -76,7 +78,7 @@
     };
     let with_room: Vec<&UpstreamState> = table
         .of_service(demand.service)
-        .filter(|s| s.is_usable() && s.upstream.name != primary.name)
+        .filter(|s| s.is_usable(demand.now) && s.upstream.name != primary.name)
         .filter(|s| !s.is_suspected_by_peer(demand.now))
         .filter(|s| demand.versions.takes_replica(s))
         .filter(|s| fits(table, demand, s, memory))
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -8,6 +8,7 @@
 use crate::leaving::LAST_RESORT_FOR;
 use crate::load::Load;
 use crate::suspicion::{PEER_SUSPICION_TTL, RETURN_WINDOW, Suspicion};
+use crate::wait::Wait;
 use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName, hash_of};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -146,6 +147,8 @@
     pub(crate) suspicion: Option<Suspicion>,
     /// When a peer last reported that it suspects the upstream.
     pub(crate) suspected_by_peer: Option<Instant>,
+    /// For how long it wants nothing from this VM.
+    pub(crate) wait: Option<Wait>,
     /// Since when it is known that its newest known start leaves, as it has said in an answer
     /// ([`crate::leaving`]).
     pub(crate) leaving: Option<Instant>,
@@ -186,6 +189,7 @@
             suspicion: None,
             suspected_by_peer: None,
             leaving: None,
+            wait: None,
         }
     }
 
@@ -253,11 +257,17 @@
         self.replaced = false;
         self.suspicion = None;
         self.suspected_by_peer = None;
+        self.wait = None;
     }
 
     /// Whether it is listed, takes new requests and is not suspected by this router.
-    pub fn is_usable(&self) -> bool {
-        self.is_listed() && !self.is_suspected()
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.is_listed() && !self.is_suspected() && !self.wants_nothing(now)
+    }
+
+    /// Whether it has turned a request of this router away and wants nothing yet.
+    pub fn wants_nothing(&self, now: Instant) -> bool {
+        self.wait.is_some_and(|wait| wait.binds(now))
     }
 
     /// Whether it is listed, or known before the list names it, and may still serve.
--- a/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
@@ -1,20 +1,23 @@
 //! What upstreams say of themselves, as it binds in the table.
 //!
-//! How long it binds is decided in [`crate::leaving`]; upstreams that are not known are remembered
-//! there, too. Owns nothing besides the table's own.
+//! How long it binds is decided in [`crate::leaving`] and [`crate::wait`]; leavings of upstreams that are
+//! not known are remembered, too. Owns nothing besides the table's own.
 
 use super::UpstreamTable;
 use crate::leaving::LeavingReport;
 use crate::news::TOLD_AGAIN_FOR;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
+use crate::wait::Wait;
 use cloverpier_core::{ServiceName, UpstreamName};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Upstreams of a service that get nothing for what they said.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OutByStatement {
     /// Those that leave.
     pub leaving: usize,
+    /// Those that want nothing for now.
+    pub waiting: usize,
 }
 
 impl UpstreamTable {
@@ -69,11 +72,53 @@
     }
 
     /// How many upstreams of a service get nothing for what they said.
-    pub fn out_by_statement(&self, service: &ServiceName) -> OutByStatement {
-        let leaving = self.of_service(service).filter(|s| s.leaving.is_some());
-        OutByStatement {
-            leaving: leaving.count(),
+    pub fn out_by_statement(&self, service: &ServiceName, now: Instant) -> OutByStatement {
+        let mut out = OutByStatement::default();
+        for state in self.of_service(service) {
+            out.leaving += usize::from(state.leaving.is_some());
+            out.waiting += usize::from(state.wants_nothing(now));
         }
+        out
+    }
+
+    /// Records that an upstream has turned a request away and wants nothing for a time; returns
+    /// whether that is new, and no time that it had named before still ran.
+    pub fn on_wait(&mut self, name: &UpstreamName, time: Duration, now: Instant) -> bool {
+        let Some(state) = self.upstreams.get_mut(name) else {
+            return false;
+        };
+        let is_new = !state.wants_nothing(now);
+        state.wait = Some(Wait::begin(state.wait, time, now));
+        is_new
+    }
+
+    /// After what time the first upstream of a service may be asked again; `None` where one may be
+    /// now, or none takes requests at all.
+    pub fn wait_of_service(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        let listed: Vec<_> = self.of_service(service).filter(|s| s.is_listed()).collect();
+        if listed.iter().any(|s| !s.wants_nothing(now)) {
+            return None;
+        }
+        let waits = listed.iter().filter_map(|s| s.wait);
+        let first = waits.map(|wait| wait.until()).min()?;
+        Some(first.saturating_duration_since(now))
+    }
+
+    /// From when on an upstream may be asked a question, if that is not now.
+    pub fn asked_again_at(&self, name: &UpstreamName, now: Instant) -> Option<Instant> {
+        let wait = self.upstreams.get(name)?.wait?;
+        (!wait.allows_question(now)).then(|| wait.until())
+    }
+
+    /// Records a question to an upstream; false where none may be sent now.
+    pub fn try_ask(&mut self, name: &UpstreamName, now: Instant) -> bool {
+        let state = self.upstreams.get_mut(name);
+        let Some(wait) = state.and_then(|s| s.wait.as_mut()) else {
+            return true;
+        };
+        let is_allowed = wait.allows_question(now);
+        wait.on_question();
+        is_allowed
     }
 
     /// Takes account of what is known of a start before the list named it.
--- a/crates/router/cloverpier_router_policy/tests/load_query.rs
+++ b/crates/router/cloverpier_router_policy/tests/load_query.rs
@@ -104,7 +104,7 @@
         let demand = asker.demand(prompt, &none);
         let mut rng = fastrand::Rng::with_seed(prompt);
         let asked = engines_to_query(&table, &demand, MANY_PEERS, &mut rng);
-        let order = search_order(&table, &asker.service, PromptKey(prompt));
+        let order = search_order(&table, &asker.service, PromptKey(prompt), Instant::now());
         assert_eq!(asked, order[..QUERIED_ENGINES]);
     }
 }
--- a/crates/router/cloverpier_router_policy/tests/successor.rs
+++ b/crates/router/cloverpier_router_policy/tests/successor.rs
@@ -34,7 +34,7 @@
 
 fn is_usable(table: &UpstreamTable, name: &str) -> bool {
     let state = table.get(&name.into());
-    state.is_some_and(UpstreamState::is_usable)
+    state.is_some_and(|state| state.is_usable(Instant::now()))
 }
 
 #[test]
--- a/crates/router/cloverpier_router_policy/tests/upstreams.rs
+++ b/crates/router/cloverpier_router_policy/tests/upstreams.rs
@@ -137,7 +137,7 @@
     assert!(
         table
             .get(&"two".into())
-            .is_some_and(UpstreamState::is_usable)
+            .is_some_and(|state| state.is_usable(Instant::now()))
     );
 }
 
@@ -270,7 +270,7 @@
     let service = ServiceName::new(SERVICE);
     let connected = HashSet::new();
     for prompt in 0..20 {
-        let order = search_order(&table, &service, PromptKey(prompt));
+        let order = search_order(&table, &service, PromptKey(prompt), Instant::now());
         assert_eq!(order.len(), 30);
         for home in centres {
             let home = DataCentre::new(home);
