--- a/crates/daemon/cloverpier_daemon/tests/support/mod.rs
+++ b/crates/daemon/cloverpier_daemon/tests/support/mod.rs
@@ -90,6 +90,8 @@
     pub engines: Vec<Process>,
     pub platform: Process,
     pub service: Process,
+    /// Plain services beside the one that every test has.
+    pub more_services: Vec<Process>,
     http: reqwest::Client,
     model: EngineModel,
 }
@@ -118,6 +120,7 @@
             routers: Vec::new(),
             platform,
             service,
+            more_services: Vec::new(),
             http: reqwest::Client::new(),
             model,
         };
@@ -162,6 +165,15 @@
         router.process = start_router(&router.settings, router.peers_at);
     }
 
+    /// Starts a plain service beside the one that every test has; `intent` lists it.
+    pub fn add_service(&mut self) {
+        let mut address = self.service.address;
+        let number = u16::try_from(self.more_services.len()).unwrap() + 1;
+        address.set_port(address.port() + number);
+        let service = Process::start(address, service::run(address));
+        self.more_services.push(service);
+    }
+
     /// Starts an engine again that was killed; it knows nothing of before.
     pub fn restart_engine(&mut self, i: usize) {
         let address = self.engines[i].address;
@@ -229,9 +241,13 @@
                 .upstreams
                 .insert(format!("e{i}").as_str().into(), upstream);
         }
-        let at = self.service.address;
-        let upstream = Upstream::new("status".into(), at, "dc-0".into());
-        intent.upstreams.insert("s0".into(), upstream);
+        let services = [&self.service].into_iter().chain(&self.more_services);
+        for (i, service) in services.enumerate() {
+            let upstream = Upstream::new("status".into(), service.address, "dc-0".into());
+            intent
+                .upstreams
+                .insert(format!("s{i}").as_str().into(), upstream);
+        }
         let mut account = Account::new(KEY, vec!["drafts".into(), "status".into()]);
         account.requests_per_s = 1_000;
         account.tokens_per_s = 1_000_000;
--- a/crates/standins/cloverpier_daemon_standin/src/engine/batch.rs
+++ b/crates/standins/cloverpier_daemon_standin/src/engine/batch.rs
@@ -57,6 +57,10 @@
     pub refuse: bool,
     /// Load reports are so old, in milliseconds.
     pub report_lag_ms: u64,
+    /// All answers say that it leaves; its load reports do not.
+    pub says_leaving: bool,
+    /// New generations are refused, and it wants nothing for so long, in seconds; 0 is no fault.
+    pub wait_s: f64,
 }
 
 /// What the engine did.
@@ -76,6 +80,8 @@
     pub resumed: u64,
     /// Generations cancelled.
     pub cancelled: u64,
+    /// Generations refused.
+    pub refused: u64,
     /// Whether a generation has crashed it: it does nothing more until its owner ends it.
     pub crashed: bool,
 }
--- a/crates/standins/cloverpier_daemon_standin/src/engine/mod.rs
+++ b/crates/standins/cloverpier_daemon_standin/src/engine/mod.rs
@@ -11,7 +11,7 @@
 
 use batch::{State, start, step_forever};
 
-use crate::web::{body, json, serve};
+use crate::web::{ask_to_wait, body, json, say_that_it_leaves, serve};
 use cloverpier_core::{hash_of, lock};
 use cloverpier_upstream::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
 use salvo::http::StatusCode;
@@ -37,6 +37,7 @@
     });
     tokio::spawn(step_forever(Arc::clone(&state)));
     let v1 = Router::with_path("v1")
+        .hoop(say_leaving)
         .push(Router::with_path("generate").post(generate))
         .push(Router::with_path("resume").post(resume))
         .push(Router::with_path("cancel").post(cancel))
@@ -49,6 +50,15 @@
     serve(listen, router).await;
 }
 
+/// Says in an answer that the engine leaves, if it does.
+#[handler]
+async fn say_leaving(depot: &mut Depot, res: &mut Response) {
+    let leaves = lock(&state(depot).inner).faults.says_leaving;
+    if leaves {
+        say_that_it_leaves(res);
+    }
+}
+
 #[handler]
 async fn generate(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let state = state(depot);
@@ -58,8 +68,10 @@
     let first = ask.prefix.len() as u64;
     {
         let mut inner = lock(&state.inner);
-        if inner.faults.refuse {
+        if inner.faults.refuse || inner.faults.wait_s > 0.0 {
+            inner.counts.refused += 1;
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            ask_to_wait(res, inner.faults.wait_s);
             return;
         }
         if inner.generations.contains_key(&ask.generation) {
--- a/crates/standins/cloverpier_daemon_standin/src/service.rs
+++ b/crates/standins/cloverpier_daemon_standin/src/service.rs
@@ -1,7 +1,7 @@
 //! A plain service that counts how often it ran each request.
 
 use crate::platform::break_answer;
-use crate::web::{body, json, serve};
+use crate::web::{ask_to_wait, body, json, say_that_it_leaves, serve};
 use cloverpier_core::lock;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
@@ -19,6 +19,10 @@
     pub slow_ms: u64,
     /// So many calls run but are answered with a broken connection.
     pub lose_answers: u32,
+    /// All answers say that it leaves.
+    pub says_leaving: bool,
+    /// Calls are turned away, and it wants nothing for so long, in seconds; 0 is no fault.
+    pub wait_s: f64,
 }
 
 /// How often each request ran.
@@ -86,7 +90,15 @@
         *runs += 1;
         *runs
     };
-    let slow_ms = lock(&state.faults).slow_ms;
+    let faults = lock(&state.faults).clone();
+    if faults.says_leaving {
+        say_that_it_leaves(res);
+    }
+    if faults.wait_s > 0.0 {
+        ask_to_wait(res, faults.wait_s);
+        return json(res, StatusCode::SERVICE_UNAVAILABLE, ());
+    }
+    let slow_ms = faults.slow_ms;
     tokio::time::sleep(Duration::from_millis(slow_ms)).await;
     let lose = {
         let mut faults = lock(&state.faults);
