Take a leaving and a wait from any answer at cloverpierd, too

What callers would have seen: new generations and calls at upstreams that said in their answers that they leave, until an operator had marked them; the refusals of a service that wants nothing, one by one, in place of the time at which it wants something again.

Only the field of a load report counted.

Mended: cloverpier_upstream reads one statement off every answer (generations, resumed ones, refusals, load reports, plain calls); one module of the daemon applies it. A leaving becomes the mark to leave that routers pass on without the platform; a wait binds this router until its end or the upstream's next incarnation, and a service that wants nothing as a whole is told by Retry-After.

Why it holds: all choices go through the view's takers. All tests of cloverpier_upstream, cloverpier_route and cloverpier_daemon pass. New header of upstreams: Upstream-Leaving; one that doesn't set it is treated as before.

--- a/crates/daemon/cloverpier_daemon/src/admission.rs
+++ b/crates/daemon/cloverpier_daemon/src/admission.rs
@@ -293,7 +293,12 @@
 
 /// No upstream of the service takes work.
 pub fn nobody(app: &App, service: &ServiceName) -> ApiError {
-    let wait = jitter(&mut lock(&app.rng), LEAST_RETRY * 4);
+    let wait = lock(&app.view).wait_of_service(service, app.now());
+    let wait = match wait {
+        // Earlier nobody serves it.
+        Some(wait) => wait.max(LEAST_RETRY),
+        None => jitter(&mut lock(&app.rng), LEAST_RETRY * 4),
+    };
     let message = format!("no upstream of {service} takes work");
     ApiError::busy("no_upstream", message, wait)
 }
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -10,12 +10,14 @@
 use crate::app::App;
 use crate::crashes;
 use crate::error::{ApiError, Run};
+use crate::statements;
 use cloverpier_answer::{AttemptId, FinishReason, Source, TokenStep};
 use cloverpier_core::{UpstreamName, hash_of, lock};
 use cloverpier_crashes::Admission;
 use cloverpier_route::{Ask, Choice, Chosen, Silence};
 use cloverpier_upstream::{
     EngineEvent, EventStream, GenerateBody, GenerationBody, StartError, StreamError,
+    UpstreamStatement,
 };
 use serde::Serialize;
 use std::sync::Arc;
@@ -345,6 +347,9 @@
     let engine = app.engines.engine(chosen.address);
     let limit = Silence::new(live.spec.silence, false).first_token();
     let started = tokio::time::timeout(limit, engine.generate(&body)).await;
+    if let Some(said) = started.as_ref().ok().and_then(said_of) {
+        statements::hear(app, &chosen.upstream, said);
+    }
     match started {
         // Only the timeout can fail here.
         Err(_) => Over::Failed(Failure::NoAnswer),
@@ -353,6 +358,14 @@
     }
 }
 
+/// What an engine says of itself in its answer to an order, if it answered.
+fn said_of(started: &Result<EventStream, StartError>) -> Option<&UpstreamStatement> {
+    match started {
+        Ok(stream) => Some(&stream.said),
+        Err(error) => error.said(),
+    }
+}
+
 fn start_failure(error: &StartError) -> Failure {
     match error {
         StartError::NotReached { .. } => Failure::NotReached,
@@ -372,7 +385,11 @@
     let engine = app.engines.engine(address);
     let started = tokio::time::timeout(live.spec.silence, engine.resume(&body)).await;
     // Late, refused or broken are one here: the caller of this starts a new attempt.
-    let stream = started.ok()?.ok()?;
+    let started = started.ok()?;
+    if let Some(said) = said_of(&started) {
+        statements::hear(app, &source.upstream, said);
+    }
+    let stream = started.ok()?;
     live.change(|s| {
         s.answer.adopt_attempt(source.attempt);
         s.source = Some(source.clone());
--- a/crates/daemon/cloverpier_daemon/src/lib.rs
+++ b/crates/daemon/cloverpier_daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod members;
 pub mod parts;
 pub mod plain;
+pub mod statements;
 pub mod stop;
 pub mod web;
 
--- a/crates/daemon/cloverpier_daemon/src/loads.rs
+++ b/crates/daemon/cloverpier_daemon/src/loads.rs
@@ -3,9 +3,11 @@
 //! One loop; the reports go into the view of upstreams, which decides how long they count.
 
 use crate::app::App;
+use crate::statements;
 use cloverpier_config::ServiceKind;
 use cloverpier_core::{UpstreamName, jitter, lock};
 use cloverpier_route::LoadReport;
+use cloverpier_upstream::EngineLoad;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,7 +56,7 @@
 }
 
 async fn ask(app: Arc<App>, name: UpstreamName, address: SocketAddr) {
-    let Ok(load) = app.engines.engine(address).load().await else {
+    let Ok(EngineLoad { load, said }) = app.engines.engine(address).load().await else {
         return;
     };
     let now = app.now();
@@ -65,13 +67,7 @@
         // An age from before this machine started counts as none.
         at: now.checked_sub(age).unwrap_or(now),
     };
-    {
-        let mut view = lock(&app.view);
-        view.on_report(&name, report);
-        if load.leaving && view.takes_work(&name) {
-            view.mark_leaving(&name);
-            app.news.notify_one();
-        }
-    }
+    lock(&app.view).on_report(&name, report);
+    statements::hear(&app, &name, &said);
     app.admission.pump(&app);
 }
--- a/crates/daemon/cloverpier_daemon/src/plain.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain.rs
@@ -8,12 +8,13 @@
 use crate::claims::{self, Written};
 use crate::crashes;
 use crate::error::{ApiError, Run};
+use crate::statements;
 use cloverpier_config::Repeatable;
 use cloverpier_core::{RequestKey, ServiceName, UpstreamName, hash_of, lock};
 use cloverpier_crashes::{Admission, Content, ContentKey};
 use cloverpier_record::{Outcome, Record, Refusal, StoredAnswer};
 use cloverpier_route::{Ask, Choice, Chosen};
-use cloverpier_upstream::{PlainAnswer, PlainCall, PlainError, call_plain};
+use cloverpier_upstream::{PlainAnswer, PlainCall, PlainError, UpstreamStatement, call_plain};
 use reqwest::Method;
 use salvo::http::StatusCode;
 use std::sync::Arc;
@@ -108,8 +109,9 @@
     let begun = app.now();
     let result = call_plain(&app.plain, chosen.address, req).await;
     match &result {
-        Ok(_) => {
+        Ok(answer) => {
             lock(&app.view).on_success(&chosen.upstream);
+            statements::hear(app, &chosen.upstream, &answer.said);
             crashes::on_completed(app, content);
         }
         Err(error) => {
@@ -254,6 +256,7 @@
             status,
             content_type,
             body: body.into(),
+            said: UpstreamStatement::default(),
         }),
         Outcome::Done(_) => {
             let message = "the request was run before; its answer was too large to keep";
--- a/crates/daemon/cloverpier_route/src/choose.rs
+++ b/crates/daemon/cloverpier_route/src/choose.rs
@@ -92,7 +92,7 @@
     Chosen(Chosen),
     /// Some take work, but all of them are full.
     Full,
-    /// None takes work.
+    /// None takes work, or all of those that do want nothing for now.
     Nobody,
 }
 
@@ -100,6 +100,7 @@
     /// Chooses an upstream.
     pub fn choose(&self, ask: &Ask, now: Instant, rng: &mut fastrand::Rng) -> Choice {
         let mut takers = self.takers(&ask.service);
+        takers.retain(|(_, known)| !known.wants_nothing(now));
         if takers.is_empty() {
             return Choice::Nobody;
         }
@@ -137,7 +138,7 @@
         best(weighed, why, self)
     }
 
-    fn takers(&self, service: &ServiceName) -> Vec<(&UpstreamName, &Known)> {
+    pub(crate) fn takers(&self, service: &ServiceName) -> Vec<(&UpstreamName, &Known)> {
         let names = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         names
             .iter()
--- a/crates/daemon/cloverpier_route/src/view.rs
+++ b/crates/daemon/cloverpier_route/src/view.rs
@@ -21,6 +21,9 @@
 /// among them. With more, load reports alone would outgrow the budget for control
 /// (docs/CAPACITY.md, worked out).
 pub const CLOSE: usize = 24;
+/// An upstream that wants nothing for longer counts as one that wants nothing for so long: it is better
+/// started again, under the next incarnation, of which it says nothing. Chosen, not measured.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
 /// A load report older than this says nothing any more. Chosen, not measured.
 const REPORT_STALE: Duration = Duration::from_secs(10);
 
@@ -45,6 +48,8 @@
     pub(crate) failures: u32,
     pub(crate) avoid_until: Option<Instant>,
     pub(crate) prefixes: VecDeque<u64>,
+    /// Until when it wants nothing from this router, as it has said when it turned a request away.
+    wants_nothing_until: Option<Instant>,
     /// Routers that know it closely.
     sharers: u32,
     /// The last starts of own work, to know how much of it a report includes.
@@ -61,6 +66,7 @@
             failures: 0,
             avoid_until: None,
             prefixes: VecDeque::new(),
+            wants_nothing_until: None,
             sharers: 1,
             starts: VecDeque::new(),
         }
@@ -86,6 +92,10 @@
         self.prefixes.contains(&prefix)
     }
 
+    pub(crate) fn wants_nothing(&self, now: Instant) -> bool {
+        self.wants_nothing_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn avoided(&self, now: Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
     }
@@ -185,6 +195,32 @@
         })
     }
 
+    /// Takes that an upstream has turned a request away and wants nothing for a time; says whether
+    /// that is news. A time that it named before is never shortened.
+    pub fn on_wait(&mut self, name: &UpstreamName, time: Duration, now: Instant) -> bool {
+        let Some(known) = self.known.get_mut(name) else {
+            return false;
+        };
+        let is_news = !known.wants_nothing(now);
+        let until = now + time.min(MAX_WAIT);
+        known.wants_nothing_until = known.wants_nothing_until.max(Some(until));
+        is_news
+    }
+
+    /// After what time the first upstream of a service wants work again; `None` where one does now, or
+    /// none takes work at all.
+    pub fn wait_of_service(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        let takers = self.takers(service);
+        if takers.iter().any(|(_, known)| !known.wants_nothing(now)) {
+            return None;
+        }
+        let first = takers
+            .iter()
+            .filter_map(|(_, k)| k.wants_nothing_until)
+            .min()?;
+        Some(first.saturating_duration_since(now))
+    }
+
     /// An upstream's configuration.
     pub fn upstream(&self, name: &UpstreamName) -> Option<&Upstream> {
         self.known.get(name).map(|k| &k.upstream)
--- a/crates/daemon/cloverpier_route/tests/choice.rs
+++ b/crates/daemon/cloverpier_route/tests/choice.rs
@@ -42,6 +42,25 @@
     }
 }
 
+#[test]
+fn an_upstream_that_wants_nothing_gets_nothing_until_its_time_is_over() {
+    let now = Instant::now();
+    let wait = Duration::from_secs(3);
+    let mut view = view_of(2);
+    let ask = Ask::new("drafts".into());
+    assert!(view.on_wait(&name(1), wait, now));
+    // A shorter time that it names later changes nothing.
+    assert!(!view.on_wait(&name(1), wait / 3, now));
+    for seed in 0..50 {
+        assert_eq!(choose(&view, &ask, now, seed), Some(name(2)));
+    }
+    assert_eq!(view.wait_of_service(&ask.service, now), None);
+    view.on_wait(&name(2), wait * 2, now);
+    assert_eq!(choose(&view, &ask, now, 1), None);
+    assert_eq!(view.wait_of_service(&ask.service, now), Some(wait));
+    assert_eq!(choose(&view, &ask, now + wait, 1), Some(name(1)));
+}
+
 #[test]
 fn an_upstream_that_leaves_is_never_chosen_even_as_a_last_resort() {
     let now = Instant::now();
--- a/crates/daemon/cloverpier_upstream/src/engine.rs
+++ b/crates/daemon/cloverpier_upstream/src/engine.rs
@@ -2,6 +2,7 @@
 //!
 //! Each failure says whether the generation can have run. Owns the connections to engines.
 
+use crate::statement::UpstreamStatement;
 use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -35,6 +36,8 @@
     Refused {
         /// The HTTP status.
         status: u16,
+        /// What the engine says of itself.
+        said: UpstreamStatement,
     },
     /// The connection broke after the order may have arrived.
     #[snafu(display("broken: {source}"))]
@@ -49,6 +52,14 @@
     pub fn not_run(&self) -> bool {
         !matches!(self, Self::Broken { .. })
     }
+
+    /// What the engine says of itself, if it answered.
+    pub fn said(&self) -> Option<&UpstreamStatement> {
+        match self {
+            Self::Refused { said, .. } => Some(said),
+            Self::NotReached { .. } | Self::Broken { .. } => None,
+        }
+    }
 }
 
 /// Why a stream ended before its end.
@@ -140,6 +151,7 @@
         if res.status() != StatusCode::OK {
             return RefusedSnafu {
                 status: res.status().as_u16(),
+                said: UpstreamStatement::of(&res),
             }
             .fail();
         }
@@ -162,10 +174,13 @@
     /// # Errors
     ///
     /// The error of the call; an engine that doesn't answer isn't idle.
-    pub async fn load(&self) -> Result<LoadBody, reqwest::Error> {
+    pub async fn load(&self) -> Result<EngineLoad, reqwest::Error> {
         let req = self.http.get(format!("{}/v1/load", self.base));
         let res = req.timeout(QUERY_TIMEOUT).send().await?;
-        res.error_for_status()?.json().await
+        let mut said = UpstreamStatement::of(&res);
+        let load: LoadBody = res.error_for_status()?.json().await?;
+        said.is_leaving |= load.leaving;
+        Ok(EngineLoad { load, said })
     }
 }
 
@@ -177,8 +192,19 @@
     }
 }
 
+/// An engine's answer on its load.
+#[derive(Clone, Debug)]
+pub struct EngineLoad {
+    /// Its load.
+    pub load: LoadBody,
+    /// What it says of itself.
+    pub said: UpstreamStatement,
+}
+
 /// The events of a generation.
 pub struct EventStream {
+    /// What the engine says of itself.
+    pub said: UpstreamStatement,
     body: BoxStream<'static, Result<Bytes, reqwest::Error>>,
     buf: BytesMut,
 }
@@ -192,6 +218,7 @@
 impl EventStream {
     fn new(res: Response) -> Self {
         Self {
+            said: UpstreamStatement::of(&res),
             body: res.bytes_stream().boxed(),
             buf: BytesMut::new(),
         }
--- a/crates/daemon/cloverpier_upstream/src/lib.rs
+++ b/crates/daemon/cloverpier_upstream/src/lib.rs
@@ -21,12 +21,14 @@
 
 mod engine;
 mod plain;
+mod statement;
 mod wire;
 
 /// What users of the crate need daily.
 pub mod prelude {
-    pub use crate::engine::{Engine, Engines, EventStream, StartError, StreamError};
+    pub use crate::engine::{Engine, EngineLoad, Engines, EventStream, StartError, StreamError};
     pub use crate::plain::{PlainAnswer, PlainCall, PlainError, call_plain};
+    pub use crate::statement::UpstreamStatement;
     pub use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
 }
 
--- a/crates/daemon/cloverpier_upstream/src/plain.rs
+++ b/crates/daemon/cloverpier_upstream/src/plain.rs
@@ -3,6 +3,7 @@
 //! A failure says whether a byte can have reached the service. No connection is kept, as one that
 //! closes while a call is sent leaves that open.
 
+use crate::statement::UpstreamStatement;
 use bytes::Bytes;
 use reqwest::{Client, Method};
 use snafu::Snafu;
@@ -36,6 +37,8 @@
     pub content_type: Option<Arc<str>>,
     /// The body.
     pub body: Bytes,
+    /// What the server says of itself; nothing where the answer is one that was kept.
+    pub said: UpstreamStatement,
 }
 
 /// Why a call has no answer.
@@ -91,6 +94,7 @@
         }
     })?;
     let status = res.status().as_u16();
+    let said = UpstreamStatement::of(&res);
     let kind = res.headers().get("Content-Type");
     // A type that is no text is left out of the answer.
     let content_type = kind.and_then(|v| v.to_str().ok()).map(Arc::from);
@@ -102,5 +106,6 @@
         status,
         content_type,
         body,
+        said,
     })
 }
--- a/tools/src/scenarios/chaos/faults.rs
+++ b/tools/src/scenarios/chaos/faults.rs
@@ -137,6 +137,7 @@
     let service = ServiceFaults {
         lose_answers: rng.u32(1..6),
         slow_ms: rng.u64(0..300),
+        ..ServiceFaults::default()
     };
     fleet.service_faults(0, &service).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
