Play what upstreams say of themselves: in simulated time, and in the soak

The soak has upstreams leave by their answers alone, and turn requests away with a time, amid its other harms, drawn from random numbers of their own, and checks what reached them.

--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -73,6 +73,8 @@
     pub id: Option<String>,
     /// The upstream.
     pub upstream: UpstreamName,
+    /// Whether this start of it says that it leaves.
+    pub leaves: bool,
 }
 
 /// What an upstream says of itself in an answer.
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -75,6 +75,7 @@
             at: Instant::now(),
             id: id.map(str::to_owned),
             upstream: self.upstream.name.clone(),
+            leaves: self.leaves,
         };
         lock(&self.ledger).arrivals.push(arrival);
     }
--- a/tools/src/bin/soak.rs
+++ b/tools/src/bin/soak.rs
@@ -25,6 +25,9 @@
     /// roll out no versions and start no upstream again under its name, as the kept seeds do
     #[argh(switch, long = "without-versions")]
     without_versions: bool,
+    /// have no upstream say that it leaves or wants nothing, as the kept seeds do
+    #[argh(switch, long = "without-statements")]
+    without_statements: bool,
     /// routers at most, each a process (24)
     #[argh(option, long = "most-fronts", default = "24")]
     most_routers: usize,
@@ -86,6 +89,7 @@
         dir: args.dir.clone(),
         program: None,
         with_versions: !args.without_versions,
+        with_statements: !args.without_statements,
     };
     run_soak(&spec).await
 }
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod router_site;
 pub mod scenarios;
 pub mod soak;
+pub mod statement_play;
 pub mod version_spread;
--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -7,9 +7,10 @@
 mod inject;
 mod load;
 mod plan;
+mod statements;
 
 pub use checks::{Report, Violation};
-pub use plan::{Action, Injection, Size, draw_injections, draw_versions};
+pub use plan::{Action, Injection, Size, draw_injections, draw_statements, draw_versions};
 
 use crate::process::bin_dir;
 use crate::router_site::{Site, SiteSpec};
@@ -41,11 +42,16 @@
     pub program: Option<PathBuf>,
     /// Whether versions are rolled out, and upstreams start again under their names.
     pub with_versions: bool,
+    /// Whether upstreams say in their answers that they leave or want nothing.
+    pub with_statements: bool,
 }
 
 /// Sets the random numbers of roll-outs and starts apart from those of the other harms.
 const VERSIONS_SEED: u64 = 0x7665_7273;
 
+/// Sets those of what upstreams say of themselves apart, too.
+const STATEMENTS_SEED: u64 = 0x7361_6964;
+
 /// When upstreams say that their first start was, as a Unix time in milliseconds.
 const FIRST_BORN_MS: u64 = 1_790_000_000_000;
 
@@ -66,8 +72,12 @@
     if spec.with_versions {
         let mut rng = fastrand::Rng::with_seed(spec.seed ^ VERSIONS_SEED);
         injections.extend(draw_versions(&mut rng, size, spec.length));
-        injections.sort_by_key(|injection| injection.at);
     }
+    if spec.with_statements {
+        let mut rng = fastrand::Rng::with_seed(spec.seed ^ STATEMENTS_SEED);
+        injections.extend(draw_statements(&mut rng, size, spec.length));
+    }
+    injections.sort_by_key(|injection| injection.at);
     let mut site = Site::start(site_spec(spec, size, &dir)?).await?;
     let mut report = Report::new(spec.seed, size, dir);
     if !site.wait_ready(START).await {
@@ -81,6 +91,7 @@
     check_recovery(&site, &mut report).await;
     checks::check_requests(&site, &sent, &disturbed, &mut report);
     checks::check_exposure(&site, &mut report);
+    statements::check_statements(&site, &sent, &injections, &disturbed, &mut report);
     Ok(report)
 }
 
--- a/tools/src/soak/inject.rs
+++ b/tools/src/soak/inject.rs
@@ -134,6 +134,10 @@
         Action::CrashUpstream(upstream) | Action::StartAgain(upstream) => {
             site.crash_upstream(*upstream);
         }
+        Action::Leave(upstream) => site.upstreams[*upstream].stand_in.leave(),
+        Action::AskToWait(upstream, wait) => {
+            site.upstreams[*upstream].stand_in.ask_to_wait(Some(*wait));
+        }
         Action::HarmUpstreamLink(upstream, harm) => site.upstreams[*upstream].link.set_harm(*harm),
         Action::ResetConnections(upstream) => site.upstreams[*upstream].link.cut_connections(),
         Action::UpstreamFault(upstream, fault) => {
@@ -249,7 +253,10 @@
             over(disturbed, *router);
         }
         Action::HarmStoreLink(router, _) => site.routers[*router].store_link.set_harm(Harm::None),
-        Action::CrashUpstream(upstream) => site.restart_upstream(*upstream).await?,
+        Action::CrashUpstream(upstream) | Action::Leave(upstream) => {
+            site.restart_upstream(*upstream).await?;
+        }
+        Action::AskToWait(upstream, _) => site.upstreams[*upstream].stand_in.ask_to_wait(None),
         Action::StartAgain(upstream) => site.start_upstream_again(*upstream).await?,
         Action::HarmUpstreamLink(upstream, _) => {
             site.upstreams[*upstream].link.set_harm(Harm::None);
@@ -309,6 +316,7 @@
     for upstream in &site.upstreams {
         upstream.link.set_harm(Harm::None);
         upstream.stand_in.set_random_fault(None);
+        upstream.stand_in.ask_to_wait(None);
     }
     Ok(())
 }
--- a/tools/src/soak/plan.rs
+++ b/tools/src/soak/plan.rs
@@ -73,6 +73,10 @@
     ChangeConfiguration,
     /// An upstream crashes and starts again under its name.
     StartAgain(usize),
+    /// An upstream says in its answers alone that it leaves, and ends then; another start follows.
+    Leave(usize),
+    /// An upstream turns requests away and says for how long it wants nothing.
+    AskToWait(usize, Duration),
     /// Upstreams of another version are added, and their service is ordered to move to them.
     RollOut(RolloutPlan),
 }
@@ -107,6 +111,8 @@
             Self::ForgetHistory => "history forgotten",
             Self::ChangeConfiguration => "configuration changed",
             Self::StartAgain(_) => "upstream started again",
+            Self::Leave(_) => "upstream left",
+            Self::AskToWait(..) => "upstream wanted nothing",
             Self::RollOut(_) => "version rolled out",
         }
     }
@@ -166,6 +172,27 @@
     injections
 }
 
+/// Draws what upstreams say of themselves, from random numbers of its own likewise.
+pub fn draw_statements(rng: &mut fastrand::Rng, size: Size, length: Duration) -> Vec<Injection> {
+    let upstreams = size.engines + size.plain;
+    let mut injections = Vec::new();
+    for _ in 0..rng.usize(1..4) {
+        let upstream = rng.usize(..upstreams);
+        let action = if rng.bool() {
+            Action::Leave(upstream)
+        } else {
+            Action::AskToWait(upstream, Duration::from_millis(rng.u64(600..3_000)))
+        };
+        injections.push(Injection {
+            at: length.mul_f64(rng.f64() / 2.0),
+            // Longer than the users' bound on requests to one that leaves.
+            lasts: Duration::from_millis(rng.u64(1_000..4_500)),
+            action,
+        });
+    }
+    injections
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: Size) -> Action {
     let router = rng.usize(..size.routers);
     let upstream = rng.usize(..size.engines + size.plain);
