--- a/crates/daemon/cloverpier_daemon/src/admission.rs
+++ b/crates/daemon/cloverpier_daemon/src/admission.rs
@@ -76,7 +76,7 @@
 
 async fn run(app: Arc<App>) {
     loop {
-        tokio::time::sleep(PUMP).await;
+        app.timers.sleep(PUMP).await;
         app.admission.pump(&app);
         lock(&app.admission.borrowed).sweep(app.now());
     }
--- a/crates/daemon/cloverpier_daemon/src/answers/live.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/live.rs
@@ -5,8 +5,9 @@
 
 use crate::error::ApiError;
 use cloverpier_answer::{Answer, AppendReply, EventId, Finish, ShipStep, Shipping, Source};
-use cloverpier_core::{AccountName, AdapterName, Clock, ModelName, RequestKey, ServiceName, lock};
+use cloverpier_core::{AccountName, AdapterName, ModelName, RequestKey, ServiceName, lock};
 use cloverpier_crashes::{Content, ContentKey};
+use cloverpier_timers::Timers;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -213,14 +214,14 @@
     }
 
     /// Begins to read from an offset.
-    pub fn read(self: &Arc<Self>, offset: u64, clock: Arc<dyn Clock>) -> Reader {
+    pub fn read(self: &Arc<Self>, offset: u64, timers: Timers) -> Reader {
         self.readers.fetch_add(1, Ordering::Relaxed);
-        self.change(|s| s.idle_since = clock.now());
+        self.change(|s| s.idle_since = timers.now());
         Reader {
             changed: self.changed.subscribe(),
             live: Arc::clone(self),
             offset,
-            clock,
+            timers,
         }
     }
 }
@@ -232,7 +233,7 @@
     changed: watch::Receiver<u64>,
     offset: u64,
     /// Says when it ended, which the answer's idle time runs from.
-    clock: Arc<dyn Clock>,
+    timers: Timers,
 }
 
 impl Reader {
@@ -268,7 +269,7 @@
 impl Drop for Reader {
     fn drop(&mut self) {
         self.live.readers.fetch_sub(1, Ordering::Relaxed);
-        self.live.change(|s| s.idle_since = self.clock.now());
+        self.live.change(|s| s.idle_since = self.timers.now());
     }
 }
 
--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -61,7 +61,7 @@
 async fn sweep(app: Arc<App>) {
     let keep = Retention::default();
     loop {
-        tokio::time::sleep(SWEEP).await;
+        app.timers.sleep(SWEEP).await;
         let now = app.now();
         lock(&app.answers.copies).sweep(now, keep);
         lock(&app.answers.directory).sweep(now);
--- a/crates/daemon/cloverpier_daemon/src/answers/outbox.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/outbox.rs
@@ -170,7 +170,7 @@
     loop {
         queue.wake.notified().await;
         loop {
-            tokio::time::sleep(app.settings.copy_interval).await;
+            app.timers.sleep(app.settings.copy_interval).await;
             let batch: Vec<Arc<Live>> = {
                 let mut waiting = lock(&queue.waiting);
                 let take = waiting.len().min(BATCH);
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -312,7 +312,7 @@
         if app.now() >= until || live.is_ended() {
             return Err(tries.error(nobody(app, &live.spec.service)));
         }
-        tokio::time::sleep(GO_ON_PAUSE).await;
+        app.timers.sleep(GO_ON_PAUSE).await;
     }
 }
 
@@ -346,7 +346,7 @@
     };
     let engine = app.engines.engine(chosen.address);
     let limit = Silence::new(live.spec.silence, false).first_token();
-    let started = tokio::time::timeout(limit, engine.generate(&body)).await;
+    let started = app.timers.timeout(limit, engine.generate(&body)).await;
     if let Some(said) = started.as_ref().ok().and_then(said_of) {
         statements::hear(app, &chosen.upstream, said);
     }
@@ -383,7 +383,10 @@
         offset,
     };
     let engine = app.engines.engine(address);
-    let started = tokio::time::timeout(live.spec.silence, engine.resume(&body)).await;
+    let started = app
+        .timers
+        .timeout(live.spec.silence, engine.resume(&body))
+        .await;
     // Late, refused or broken are one here: the caller of this starts a new attempt.
     let started = started.ok()?;
     if let Some(said) = said_of(&started) {
@@ -415,7 +418,7 @@
     let mut quiet = QuietTime::new(live, app.now());
     loop {
         let wait = quiet.left(app.now()).min(ABANDON_CHECK);
-        let event = tokio::time::timeout(wait, stream.next()).await;
+        let event = app.timers.timeout(wait, stream.next()).await;
         if live.is_useless() {
             return Over::Moved;
         }
--- a/crates/daemon/cloverpier_daemon/src/app.rs
+++ b/crates/daemon/cloverpier_daemon/src/app.rs
@@ -8,7 +8,7 @@
 use crate::crashes::{self, Crashes};
 use crate::members::Cluster;
 use cloverpier_config::{Applied, Config};
-use cloverpier_core::{Clock, SystemClock, hash_of, lock, wall_ms};
+use cloverpier_core::{hash_of, lock, wall_ms};
 use cloverpier_member::{Member, MemberList};
 use cloverpier_object_api::{Platform, ReadError};
 use cloverpier_observe::{Log, Metrics};
@@ -16,6 +16,7 @@
 use cloverpier_record::{Horizon, Records};
 use cloverpier_route::View;
 use cloverpier_settings::DaemonSettings;
+use cloverpier_timers::Timers;
 use cloverpier_upstream::Engines;
 use reqwest::Client;
 use serde::Serialize;
@@ -38,8 +39,8 @@
     pub log: Log,
     /// Where metrics go.
     pub metrics: Metrics,
-    /// Monotonic time.
-    pub clock: Arc<dyn Clock>,
+    /// Monotonic time, and waits by it.
+    pub timers: Timers,
     /// The platform.
     pub platform: Platform,
     /// Connections to peers.
@@ -75,9 +76,8 @@
 }
 
 impl App {
-    /// The state of a process that has just started.
-    pub fn new(settings: DaemonSettings) -> Arc<Self> {
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    /// The state of a process that has just started, and lives by this time.
+    pub fn new(settings: DaemonSettings, timers: Timers) -> Arc<Self> {
         let incarnation = wall_ms();
         let me = Member::new(
             settings.vm.as_str(),
@@ -86,7 +86,7 @@
             settings.peers_at,
             settings.callers_at,
         );
-        let now = clock.now();
+        let now = timers.now();
         let log = Log::new(settings.vm.as_str());
         let metrics = metrics(settings.statsd, &log);
         Arc::new(Self {
@@ -111,7 +111,7 @@
             stopping: AtomicBool::new(false),
             learned: AtomicBool::new(false),
             numbers: AtomicU64::new(1),
-            clock,
+            timers,
             me,
             settings,
         })
@@ -119,7 +119,7 @@
 
     /// The present moment.
     pub fn now(&self) -> Instant {
-        self.clock.now()
+        self.timers.now()
     }
 
     /// A number that this process uses once.
--- a/crates/daemon/cloverpier_daemon/src/claims.rs
+++ b/crates/daemon/cloverpier_daemon/src/claims.rs
@@ -174,7 +174,7 @@
 /// Learns the records of slots that this member came to hold.
 async fn learn(app: Arc<App>) {
     loop {
-        tokio::time::sleep(LEARN_PERIOD).await;
+        app.timers.sleep(LEARN_PERIOD).await;
         let (epoch, steps) = {
             let mut records = lock(&app.records);
             let steps = records.to_learn(app.now());
--- a/crates/daemon/cloverpier_daemon/src/config/acceptance.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/acceptance.rs
@@ -63,7 +63,7 @@
         if late || report.outcome == ConfirmOutcome::Accepted {
             return report;
         }
-        tokio::time::sleep(PAUSE).await;
+        app.timers.sleep(PAUSE).await;
     }
 }
 
--- a/crates/daemon/cloverpier_daemon/src/config/change.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/change.rs
@@ -160,7 +160,7 @@
         match try_confirm(app, &report).await {
             Try::Done(version) => return Ok(wait_in_force(app, version).await),
             Try::Failed(error) => return Err(error),
-            Try::Again => tokio::time::sleep(PAUSE).await,
+            Try::Again => app.timers.sleep(PAUSE).await,
         }
     }
     Err(ApiError::unknown(
--- a/crates/daemon/cloverpier_daemon/src/config/learn.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/learn.rs
@@ -48,10 +48,15 @@
             app.platform.read::<Root>(ROOT_KEY).await
         } else if watches {
             // The object's version is the root's: each update adds one to both.
-            app.platform.watch::<Root>(ROOT_KEY, after, WATCH).await
+            let watch = app.platform.watch::<Root>(ROOT_KEY, after, WATCH);
+            tokio::select! {
+                read = watch => read,
+                // The platform may have given the connection up.
+                () = app.timers.resumed() => continue,
+            }
         } else {
             let wait = jitter(&mut lock(&app.rng), LOOK);
-            tokio::time::sleep(wait).await;
+            app.timers.sleep(wait).await;
             app.platform.read::<Root>(ROOT_KEY).await
         };
         match read {
@@ -68,7 +73,7 @@
             Err(error) => {
                 app.log_unread(ROOT_KEY, &error);
                 let wait = jitter(&mut lock(&app.rng), RETRY);
-                tokio::time::sleep(wait).await;
+                app.timers.sleep(wait).await;
             }
         }
     }
@@ -79,7 +84,7 @@
 /// this router reads the new version.
 async fn wait_to_learn(app: &App) {
     while !app.has_learned() && !lock(&app.cluster).is_member() {
-        tokio::time::sleep(JOIN_LOOK).await;
+        app.timers.sleep(JOIN_LOOK).await;
     }
 }
 
@@ -91,7 +96,7 @@
 /// newest version that any seed acts on.
 pub(super) async fn learn_from_seeds(app: Arc<App>) {
     while !app.has_learned() {
-        tokio::time::sleep(RETRY).await;
+        app.timers.sleep(RETRY).await;
         if app.platform.read::<Root>(ROOT_KEY).await.is_ok() {
             continue;
         }
@@ -182,7 +187,7 @@
             // Marks that could not be stored are stored in a later round.
             stored = store_marks(&app).await.unwrap_or(stored);
         }
-        tokio::time::sleep(MARKS_PERIOD).await;
+        app.timers.sleep(MARKS_PERIOD).await;
     }
 }
 
--- a/crates/daemon/cloverpier_daemon/src/crashes.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes.rs
@@ -11,6 +11,7 @@
 use cloverpier_crashes::cases::MAX_HOLD;
 use cloverpier_crashes::prelude::*;
 use cloverpier_settings::CrashSettings;
+use cloverpier_timers::Timers;
 use salvo::http::StatusCode;
 use serde::Serialize;
 use std::io;
@@ -99,7 +100,7 @@
             return lock(&crashes.cases).admission(content, now);
         }
         // Whether it was woken or the time is up, it looks again.
-        let _ = tokio::time::timeout(until - now, changed).await;
+        let _ = app.timers.timeout(until - now, changed).await;
     }
 }
 
@@ -161,7 +162,7 @@
 
 /// Asks an upstream's host whether it has the process.
 async fn probe(app: &App, name: &UpstreamName, upstream: &Upstream) {
-    let host = connects(upstream.address).await;
+    let host = connects(&app.timers, upstream.address).await;
     let ended = ended_upstream(name, upstream, app.now());
     app.crashes.change(|cases| match host {
         Host::HasProcess => cases.on_alive(ended.upstream),
@@ -178,8 +179,8 @@
     Silent,
 }
 
-async fn connects(address: SocketAddr) -> Host {
-    let connecting = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address));
+async fn connects(timers: &Timers, address: SocketAddr) -> Host {
+    let connecting = timers.timeout(PROBE_TIMEOUT, TcpStream::connect(address));
     match connecting.await {
         Ok(Ok(_)) => Host::HasProcess,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Host::HasNone,
@@ -206,7 +207,7 @@
             Some(at) => {
                 let wait = at.saturating_duration_since(app.now());
                 // Whether it was woken or something is due, it looks again.
-                let _ = tokio::time::timeout(wait, changed).await;
+                let _ = app.timers.timeout(wait, changed).await;
             }
             None => changed.await,
         }
--- a/crates/daemon/cloverpier_daemon/src/lib.rs
+++ b/crates/daemon/cloverpier_daemon/src/lib.rs
@@ -8,11 +8,13 @@
 //! # async fn example(settings: cloverpier_settings::DaemonSettings) {
 //! use cloverpier_daemon::prelude::*;
 //!
-//! let app = App::new(settings);
+//! let app = App::new(settings, Timers::default());
 //! cloverpier_daemon::run(app).await;
 //! # }
 //! ```
 
+#![warn(clippy::disallowed_methods)]
+
 pub mod admission;
 pub mod answers;
 pub mod app;
@@ -24,6 +26,7 @@
 pub mod members;
 pub mod parts;
 pub mod plain;
+pub mod resume;
 pub mod statements;
 pub mod stop;
 pub mod web;
@@ -33,6 +36,7 @@
     pub use crate::app::App;
     pub use crate::parts::{PARTS, Part};
     pub use crate::run;
+    pub use cloverpier_timers::Timers;
 }
 
 use crate::app::App;
--- a/crates/daemon/cloverpier_daemon/src/loads.rs
+++ b/crates/daemon/cloverpier_daemon/src/loads.rs
@@ -32,10 +32,10 @@
         for (name, address) in engines {
             tokio::spawn(ask(Arc::clone(&app), name, address));
             let wait = jitter(&mut lock(&app.rng), pause * 4 / 3);
-            tokio::time::sleep(wait).await;
+            app.timers.sleep(wait).await;
         }
         if count == 0 {
-            tokio::time::sleep(app.settings.load_period).await;
+            app.timers.sleep(app.settings.load_period).await;
         }
     }
 }
--- a/crates/daemon/cloverpier_daemon/src/main.rs
+++ b/crates/daemon/cloverpier_daemon/src/main.rs
@@ -39,6 +39,6 @@
     }
     // `DaemonSettings::parse` takes the known levels only.
     init_logs(settings.log_level.parse().unwrap_or(log::LevelFilter::Info));
-    run(App::new(settings)).await;
+    run(App::new(settings, Timers::default())).await;
     ExitCode::SUCCESS
 }
--- a/crates/daemon/cloverpier_daemon/src/members/join.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/join.rs
@@ -92,7 +92,7 @@
             }
             Try::Again => {
                 let wait = jitter(&mut lock(&app.rng), RETRY);
-                tokio::time::sleep(wait).await;
+                app.timers.sleep(wait).await;
             }
         }
     }
@@ -175,7 +175,7 @@
         if lock(&app.cluster).is_member() {
             return true;
         }
-        tokio::time::sleep(COLLECT / 4).await;
+        app.timers.sleep(COLLECT / 4).await;
     }
     false
 }
@@ -183,7 +183,7 @@
 /// Puts those on the list that asked this member, all in one change.
 pub(super) async fn collect(app: Arc<App>) {
     loop {
-        tokio::time::sleep(COLLECT).await;
+        app.timers.sleep(COLLECT).await;
         let joining = lock(&app.cluster).take_joining();
         if !joining.is_empty() {
             put_on_list(&app, joining).await;
@@ -211,7 +211,7 @@
         } else if !app.is_stopping() && rejoin.may_join(now) && !join(&app).await {
             ask_seeds(&app).await;
         }
-        tokio::time::sleep(NOT_JOINED_PAUSE).await;
+        app.timers.sleep(NOT_JOINED_PAUSE).await;
     }
 }
 
@@ -240,7 +240,7 @@
                 .await
         } else {
             let wait = jitter(&mut lock(&app.rng), LOOK);
-            tokio::time::sleep(wait).await;
+            app.timers.sleep(wait).await;
             app.platform.read::<MemberList>(MEMBERS_KEY).await
         };
         match read {
@@ -253,7 +253,7 @@
             Err(error) => {
                 app.log_unread(MEMBERS_KEY, &error);
                 let wait = jitter(&mut lock(&app.rng), PLATFORM_RETRY);
-                tokio::time::sleep(wait).await;
+                app.timers.sleep(wait).await;
             }
         }
     }
--- a/crates/daemon/cloverpier_daemon/src/members/tick.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/tick.rs
@@ -39,9 +39,7 @@
 /// Ticks until the process ends.
 pub(super) async fn run(app: Arc<App>) {
     loop {
-        let news = tokio::time::timeout(TICK, app.news.notified())
-            .await
-            .is_ok();
+        let news = app.timers.timeout(TICK, app.news.notified()).await.is_ok();
         if news {
             tell_news(&app);
         }
--- a/crates/daemon/cloverpier_daemon/src/parts.rs
+++ b/crates/daemon/cloverpier_daemon/src/parts.rs
@@ -4,7 +4,7 @@
 //! callers.
 
 use crate::app::App;
-use crate::{admission, answers, claims, config, crashes, loads, members, stop, web};
+use crate::{admission, answers, claims, config, crashes, loads, members, resume, stop, web};
 use std::sync::Arc;
 
 /// A part that starts its own tasks.
@@ -22,6 +22,10 @@
         name: "peers' port",
         start: web::peers::start,
     },
+    Part {
+        name: "resumes",
+        start: resume::start,
+    },
     Part {
         name: "membership",
         start: members::start,
--- a/crates/daemon/cloverpier_daemon/src/stop.rs
+++ b/crates/daemon/cloverpier_daemon/src/stop.rs
@@ -47,10 +47,10 @@
 /// Waits for a planned stop to end: live answers and calls run to their end first.
 pub async fn wait(app: &Arc<App>) {
     while !(app.is_stopping() && app.answers.is_quiet()) {
-        tokio::time::sleep(CHECK).await;
+        app.timers.sleep(CHECK).await;
     }
     // Peers learn where the copies and records that were held here belong now.
-    tokio::time::sleep(CHECK * 5).await;
+    app.timers.sleep(CHECK * 5).await;
     let me = BTreeSet::from([app.me.id.clone()]);
     members::leave(app, me, "stopped").await;
     let held = lock(&app.answers.copies).len();
--- a/crates/daemon/cloverpier_daemon/src/web/completions.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/completions.rs
@@ -111,7 +111,7 @@
         Opened::New { term } => (begin(app, &caller, &keyed, &ask, spec, term).await?, 0),
     };
     Ok(Ready {
-        reader: live.read(offset, Arc::clone(&app.clock)),
+        reader: live.read(offset, app.timers.clone()),
         shown: keyed.shown,
         stream: ask.stream,
         offset,
--- a/crates/daemon/cloverpier_daemon/src/web/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/mod.rs
@@ -42,7 +42,7 @@
             Err(e) => {
                 let why = e.to_string();
                 app.log.warn("port.taken", &Taken { listen, why });
-                tokio::time::sleep(PORT_RETRY).await;
+                app.timers.sleep(PORT_RETRY).await;
             }
         }
     }
--- a/crates/daemon/cloverpier_daemon/tests/sessions.rs
+++ b/crates/daemon/cloverpier_daemon/tests/sessions.rs
@@ -10,7 +10,8 @@
 use reqwest::Method;
 use serde_json::{Value, json};
 use std::sync::Arc;
-use support::Site;
+use std::time::{Duration, Instant};
+use support::{Process, Site};
 use tokio::sync::mpsc;
 
 /// What a caller sees of an answer, without what varies.
@@ -49,6 +50,16 @@
     (task, rx)
 }
 
+/// The engine that made a token.
+fn maker_of(site: &Site, token: &str) -> usize {
+    let made_it = |engine: &Process| {
+        let hash = cloverpier_core::hash_of(&engine.address.to_string());
+        token.starts_with(&format!(" {:04x}", hash & 0xffff))
+    };
+    let maker = site.engines.iter().position(made_it);
+    maker.expect("an engine made the token")
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_outlives_its_engine_and_its_router() {
     let mut site = Site::start().await;
@@ -59,11 +70,7 @@
     while let Some(token) = tokens.recv().await {
         count += 1;
         if count == 50 {
-            let maker = |i: &usize| {
-                let hash = cloverpier_core::hash_of(&site.engines[*i].address.to_string());
-                token.text.starts_with(&format!(" {:04x}", hash & 0xffff))
-            };
-            let maker = (0..3).find(maker).expect("an engine made the token");
+            let maker = maker_of(&site, &token.text);
             site.engines[maker].kill();
             steps.push(json!("its engine dies"));
         }
@@ -91,11 +98,9 @@
     let mut count = 0;
     while let Some(token) = tokens.recv().await {
         count += 1;
-        for (i, engine) in site.engines.iter().enumerate() {
-            let hash = cloverpier_core::hash_of(&engine.address.to_string());
-            let made_it = token.text.starts_with(&format!(" {:04x}", hash & 0xffff));
+        for i in 0..site.engines.len() {
             let freeze = EngineFaults {
-                freeze: count == 40 && made_it,
+                freeze: count == 40 && maker_of(&site, &token.text) == i,
                 ..EngineFaults::default()
             };
             if freeze.freeze || count == 120 {
@@ -107,6 +112,42 @@
     insta::assert_json_snapshot!(seen(&task.await.unwrap()));
 }
 
+/// A wait for an engine that says nothing is over when the machines have been suspended for longer:
+/// the runtime's timers would wait for all of it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_goes_on_elsewhere_once_its_engine_was_silent_through_a_suspension() {
+    const SILENCE: Duration = Duration::from_secs(60);
+    let site = Site::start().await;
+    let mut intent = site.intent();
+    for service in intent.services.values_mut() {
+        service.silence_ms = SILENCE.as_millis() as u64;
+    }
+    site.configure(&intent).await;
+    let (task, mut tokens) = stream(&site, Generate::new("drafts", "a long log", 100));
+    let mut count = 0;
+    let mut suspended = None;
+    while let Some(token) = tokens.recv().await {
+        count += 1;
+        if count == 40 {
+            let maker = maker_of(&site, &token.text);
+            let freeze = EngineFaults {
+                freeze: true,
+                ..EngineFaults::default()
+            };
+            let url = format!("http://{}/faults", site.engines[maker].address);
+            site.post(&url, &freeze).await;
+            for router in &site.routers {
+                router.clock.suspend(SILENCE);
+            }
+            suspended = Some(Instant::now());
+        }
+    }
+    let answer = seen(&task.await.unwrap());
+    let took = suspended.unwrap().elapsed();
+    assert!(took < SILENCE / 4, "{took:?}: {answer:?}");
+    insta::assert_json_snapshot!(answer);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_may_not_be_repeated_runs_at_most_once() {
     let mut site = Site::start().await;
--- a/crates/daemon/cloverpier_daemon/tests/support/mod.rs
+++ b/crates/daemon/cloverpier_daemon/tests/support/mod.rs
@@ -8,6 +8,7 @@
 
 use cloverpier_client::{Caller, Operator};
 use cloverpier_config::{Account, Intent, Repeatable, Service, Upstream};
+use cloverpier_core::SuspendableClock;
 use cloverpier_daemon::prelude::*;
 use cloverpier_daemon_standin::{EngineModel, engine, platform, service};
 use cloverpier_settings::DaemonSettings;
@@ -16,6 +17,7 @@
 use serde_json::Value;
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tokio::runtime::{Builder, Runtime};
@@ -82,6 +84,8 @@
     pub process: Process,
     pub callers_at: SocketAddr,
     pub peers_at: SocketAddr,
+    /// What it takes for the time.
+    pub clock: SuspendableClock,
     settings: String,
 }
 
@@ -151,10 +155,12 @@
             self.platform.address,
             seeds.join(", "),
         );
+        let clock = SuspendableClock::default();
         Router {
-            process: start_router(&settings, peers_at),
+            process: start_router(&settings, peers_at, &clock),
             callers_at,
             peers_at,
+            clock,
             settings,
         }
     }
@@ -162,7 +168,7 @@
     /// Starts a router again that was killed.
     pub fn restart(&mut self, i: usize) {
         let router = &mut self.routers[i];
-        router.process = start_router(&router.settings, router.peers_at);
+        router.process = start_router(&router.settings, router.peers_at, &router.clock);
     }
 
     /// Starts a plain service beside the one that every test has; `intent` lists it.
@@ -339,9 +345,10 @@
     }
 }
 
-fn start_router(settings: &str, peers_at: SocketAddr) -> Process {
+fn start_router(settings: &str, peers_at: SocketAddr, clock: &SuspendableClock) -> Process {
     let settings = DaemonSettings::parse(settings).unwrap();
+    let timers = Timers::new(Arc::new(clock.clone()));
     Process::start(peers_at, async move {
-        run(App::new(settings)).await;
+        run(App::new(settings, timers)).await;
     })
 }
--- a/crates/daemon/cloverpier_member/src/lib.rs
+++ b/crates/daemon/cloverpier_member/src/lib.rs
@@ -17,6 +17,8 @@
 //! assert!(list.contains(&one.id));
 //! ```
 
+#![warn(clippy::disallowed_methods)]
+
 mod detector;
 mod list;
 mod rejoin;
--- a/crates/router/cloverpier_router/src/connection.rs
+++ b/crates/router/cloverpier_router/src/connection.rs
@@ -7,6 +7,7 @@
 //! connection.
 
 use bytes::Bytes;
+use cloverpier_timers::{Elapsed, Timers};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -64,9 +65,12 @@
         address: SocketAddr,
         timeout: Duration,
         idle_limit: Duration,
+        timers: &Timers,
     ) -> io::Result<Self> {
-        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
-        let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
+        let connecting = timers.timeout(timeout, TcpStream::connect(address));
+        let stream = connecting
+            .await
+            .map_err(|Elapsed| io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -87,7 +87,7 @@
     while awaits(router.now()) {
         tokio::select! {
             () = crashes.changed.notified() => {}
-            () = tokio::time::sleep_until(until.into()) => {}
+            () = router.timers.sleep_until(until) => {}
         }
     }
     crashes.cases.borrow().admission(content, router.now())
@@ -183,7 +183,7 @@
         match next_due {
             Some(at) => tokio::select! {
                 () = changed => {}
-                () = tokio::time::sleep_until(at.into()) => {}
+                () = router.timers.sleep_until(at) => {}
             },
             None => changed.await,
         }
--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -108,6 +108,12 @@
     pub header: &'a str,
 }
 
+/// The machine was suspended, and goes on.
+#[derive(Serialize)]
+pub(crate) struct MachineResumed {
+    pub suspended_ms: u64,
+}
+
 /// An upstream ended while it ran a request, as this router saw.
 #[derive(Serialize)]
 pub(crate) struct CrashRecorded {
--- a/crates/router/cloverpier_router/src/engine_call.rs
+++ b/crates/router/cloverpier_router/src/engine_call.rs
@@ -68,7 +68,13 @@
         return Ok(connection);
     }
     router.metrics.connections.inc();
-    let opened = Connection::open(engine.address, CONNECT_TIMEOUT, DEFAULT_IDLE_LIMIT).await;
+    let opened = Connection::open(
+        engine.address,
+        CONNECT_TIMEOUT,
+        DEFAULT_IDLE_LIMIT,
+        &router.timers,
+    )
+    .await;
     opened.map_err(|source| CallError::Connect { source })
 }
 
--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -8,6 +8,7 @@
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::Upstream;
 use cloverpier_router_policy::suspicion::PROBE_CONNECT_TIMEOUT;
+use cloverpier_timers::Timers;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -32,9 +33,9 @@
 }
 
 impl UpstreamHealth {
-    fn new(upstream: &Upstream, now: Instant) -> Self {
+    fn new(upstream: &Upstream, timers: &Timers, now: Instant) -> Self {
         Self {
-            client: HttpClient::new(upstream.address, PROBE_CONNECT_TIMEOUT),
+            client: HttpClient::new(upstream.address, PROBE_CONNECT_TIMEOUT, timers.clone()),
             last_activity: Cell::new(now),
             last_own_answer: Cell::new(None),
             probing_since: Cell::new(None),
@@ -66,22 +67,32 @@
 }
 
 /// The health of all upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct HealthTable {
+    timers: Timers,
     by_upstream: RefCell<HashMap<UpstreamName, Rc<UpstreamHealth>>>,
 }
 
 impl HealthTable {
+    /// An empty table, whose clients wait by these timers.
+    pub fn new(timers: Timers) -> Self {
+        Self {
+            timers,
+            by_upstream: RefCell::default(),
+        }
+    }
+
     /// The health of an upstream.
     pub fn of(&self, upstream: &Upstream, now: Instant) -> Rc<UpstreamHealth> {
         let mut table = self.by_upstream.borrow_mut();
         let health = table.entry(upstream.name.clone());
-        Rc::clone(health.or_insert_with(|| Rc::new(UpstreamHealth::new(upstream, now))))
+        let new = || Rc::new(UpstreamHealth::new(upstream, &self.timers, now));
+        Rc::clone(health.or_insert_with(new))
     }
 
     /// Gives an upstream a new entry, as after it was declared dead.
     pub fn renew(&self, upstream: &Upstream, now: Instant) {
-        let health = Rc::new(UpstreamHealth::new(upstream, now));
+        let health = Rc::new(UpstreamHealth::new(upstream, &self.timers, now));
         let mut table = self.by_upstream.borrow_mut();
         let former = table.get(&upstream.name);
         let last_own_answer = former.and_then(|h| h.last_own_answer.get());
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -64,13 +64,13 @@
 
 /// Waits for the next heartbeat, or for a change that peers are to be sent at once.
 async fn wait_for_change(router: &Router, next_heartbeat: Instant) {
-    tokio::time::sleep(MIN_SEND_PAUSE).await;
+    router.timers.sleep(MIN_SEND_PAUSE).await;
     if router.peers.has_new() {
         return;
     }
     tokio::select! {
         () = router.peers.state_changed() => {}
-        () = tokio::time::sleep_until(next_heartbeat.into()) => {}
+        () = router.timers.sleep_until(next_heartbeat) => {}
     }
 }
 
--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -6,6 +6,7 @@
 use crate::connection::{Connection, WholeRequest, describe};
 use crate::wire_names::AnswerParts;
 use bytes::{Bytes, BytesMut};
+use cloverpier_timers::{Elapsed, Timers};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
@@ -84,15 +85,17 @@
 pub struct HttpClient {
     address: SocketAddr,
     connect_timeout: Duration,
+    timers: Timers,
     kept: RefCell<Option<Connection>>,
 }
 
 impl HttpClient {
     /// A client without a connection yet.
-    pub fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
+    pub fn new(address: SocketAddr, connect_timeout: Duration, timers: Timers) -> Self {
         Self {
             address,
             connect_timeout,
+            timers,
             kept: RefCell::new(None),
         }
     }
@@ -103,7 +106,7 @@
     ///
     /// [`CallError`]; the connection is given up then.
     pub async fn get(&self, path: &str, timeout: Duration) -> Result<HttpAnswer, CallError> {
-        let whole = tokio::time::timeout(timeout, self.get_unbounded(path)).await;
+        let whole = self.within(timeout, self.get_unbounded(path)).await;
         whole.unwrap_or(Err(CallError::TimedOut))
     }
 
@@ -124,12 +127,12 @@
         let mut request = get_request(path, self.address)?;
         request.headers_mut().extend(headers);
         let (connection, response) = tokio::select! {
-            sent = within(bounds.head, self.send(request)) => sent??,
+            sent = self.within(bounds.head, self.send(request)) => sent??,
             () = given_up => return Err(CallError::GivenUp),
         };
         let (head, mut body) = response.into_parts();
         let mut whole = BytesMut::new();
-        while let Some(frame) = within(bounds.stall, body.frame()).await? {
+        while let Some(frame) = self.within(bounds.stall, body.frame()).await? {
             let frame = frame.map_err(|e| broken(&e))?;
             // Trailers say nothing that a caller needs.
             if let Ok(piece) = frame.into_data() {
@@ -155,7 +158,7 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|e| broken(&e))?;
-        let whole = tokio::time::timeout(timeout, self.answer_to(request)).await;
+        let whole = self.within(timeout, self.answer_to(request)).await;
         whole.unwrap_or(Err(CallError::TimedOut))
     }
 
@@ -198,14 +201,23 @@
             return Ok(connection);
         }
         // It is kept while it is whole, however long it is idle.
-        let opened = Connection::open(self.address, self.connect_timeout, Duration::MAX);
+        let opened = Connection::open(
+            self.address,
+            self.connect_timeout,
+            Duration::MAX,
+            &self.timers,
+        );
         opened.await.map_err(|source| CallError::Connect { source })
     }
-}
 
-async fn within<T>(bound: Duration, answer: impl Future<Output = T>) -> Result<T, CallError> {
-    let answer = tokio::time::timeout(bound, answer).await;
-    answer.map_err(|_| CallError::TimedOut)
+    async fn within<T>(
+        &self,
+        bound: Duration,
+        answer: impl Future<Output = T>,
+    ) -> Result<T, CallError> {
+        let answer = self.timers.timeout(bound, answer).await;
+        answer.map_err(|Elapsed| CallError::TimedOut)
+    }
 }
 
 /// A request without a body.
--- a/crates/router/cloverpier_router/src/intake.rs
+++ b/crates/router/cloverpier_router/src/intake.rs
@@ -223,7 +223,7 @@
         };
         tokio::select! {
             () = store.start_changed() => {}
-            () = tokio::time::sleep_until(until.into()) => {}
+            () = router.timers.sleep_until(until) => {}
         }
     }
 }
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -38,6 +38,8 @@
 //! assert_eq!(decode::<PeerMessage>(&bytes).unwrap(), change);
 //! ```
 
+#![warn(clippy::disallowed_methods)]
+
 mod background;
 mod beliefs;
 mod body;
@@ -70,6 +72,7 @@
 mod prompts;
 mod reply;
 mod restart;
+mod resume;
 mod rollout_steps;
 mod rollout_store;
 mod rollouts;
--- a/crates/router/cloverpier_router/src/load_query.rs
+++ b/crates/router/cloverpier_router/src/load_query.rs
@@ -35,11 +35,8 @@
 /// counter of probes tells these apart, and the choice's log line how many engines answered.
 async fn query(router: &Rc<Router>, engine: &Upstream) -> Option<EngineReport> {
     let path = router.wire_names.paths.engine_report;
-    let answer = tokio::time::timeout(
-        QUERY_TIMEOUT,
-        ask_engine(router, engine, path, Via::LoadQuestion),
-    )
-    .await;
+    let asking = ask_engine(router, engine, path, Via::LoadQuestion);
+    let answer = router.timers.timeout(QUERY_TIMEOUT, asking).await;
     let (report, outcome) = match answer {
         Ok(Ok(engine)) if engine.answer.status.is_success() => read_report(router, &engine),
         Ok(Err(error)) if error.is_refused() => {
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -77,6 +77,8 @@
     pub version_bytes: Counter,
     /// New connections to upstreams.
     pub connections: Counter,
+    /// Times that the machine was suspended.
+    pub suspensions: Counter,
     /// Log lines dropped.
     pub dropped_lines: Gauge,
     /// Requests in flight.
@@ -108,6 +110,7 @@
             stopped_contents: Gauge::default(),
             version_bytes: Counter::default(),
             connections: Counter::default(),
+            suspensions: Counter::default(),
             dropped_lines: Gauge::default(),
             in_flight: Gauge::default(),
             first_answer: Latency::default(),
@@ -137,6 +140,11 @@
         );
         registry.register("probes", "Questions to servers", self.probes.0.clone());
         registry.register("connections", "New connections", self.connections.clone());
+        registry.register(
+            "suspensions",
+            "Suspensions of the machine",
+            self.suspensions.clone(),
+        );
         registry.register(
             "dropped_lines",
             "Log lines dropped",
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -62,10 +62,10 @@
         let router = &fetcher.router;
         tokio::select! {
             () = router.peers.newer_version_seen(watched) => {}
-            () = tokio::time::sleep(COMPARE_PERIOD) => {}
+            () = router.timers.sleep(COMPARE_PERIOD) => {}
         }
         if router.store.role().watches() && router.store.is_serving() {
-            tokio::time::sleep(STORE_FIRST).await;
+            router.timers.sleep(STORE_FIRST).await;
         }
         fetcher.catch_up().await;
     }
@@ -117,7 +117,7 @@
     /// waits for the same moment.
     async fn pause(&self, wait: Duration) {
         let spread = jitter(&mut self.router.rng.borrow_mut(), wait * 2);
-        tokio::time::sleep(spread).await;
+        self.router.timers.sleep(spread).await;
     }
 
     async fn fetch_from(&mut self, peer: SocketAddr) {
@@ -143,7 +143,7 @@
                 self.clients.remove(&peer);
                 self.sources.on_failed(peer, now);
                 self.on_failed(peer, &error, took);
-                tokio::time::sleep(FAILURE_PAUSE).await;
+                self.router.timers.sleep(FAILURE_PAUSE).await;
             }
         }
     }
@@ -213,7 +213,9 @@
         headers: HeaderMap,
     ) -> Result<HttpAnswer, FetchError> {
         let client = self.clients.entry(peer);
-        let client = client.or_insert_with(|| Rc::new(HttpClient::new(peer, STALL_TIMEOUT)));
+        let timers = self.router.timers.clone();
+        let client =
+            client.or_insert_with(|| Rc::new(HttpClient::new(peer, STALL_TIMEOUT, timers)));
         let bounds = LargeBounds {
             head: STALL_TIMEOUT,
             stall: STALL_TIMEOUT,
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -100,7 +100,7 @@
 /// Checks suspects for signs of life, until the process ends.
 pub(crate) async fn check_suspects(router: Rc<Router>) {
     loop {
-        tokio::time::sleep(CHECK_PERIOD).await;
+        router.timers.sleep(CHECK_PERIOD).await;
         let now = router.now();
         let due = router.upstreams.borrow_mut().start_due_checks(now);
         for upstream in due {
@@ -114,7 +114,7 @@
     let service = configuration.and_then(|c| c.service(&upstream.service).cloned());
     // A service that is not configured any more has no path to check.
     let Some(service) = service else { return };
-    let client = HttpClient::new(upstream.address, CHECK_TIMEOUT);
+    let client = HttpClient::new(upstream.address, CHECK_TIMEOUT, router.timers.clone());
     let begun = router.now();
     let Ok(answer) = client.get(&service.health_path, CHECK_TIMEOUT).await else {
         // It stays suspected; the next check is scheduled already.
--- a/crates/router/cloverpier_router/src/prompt_search.rs
+++ b/crates/router/cloverpier_router/src/prompt_search.rs
@@ -26,7 +26,10 @@
     let service = &request.service.name;
     let timeout = search_timeout(request.time_left(begun));
     // Without an answer in time the request goes on without it; the log line below says so.
-    let _ = tokio::time::timeout(timeout, search(router, service, prompt)).await;
+    let _ = router
+        .timers
+        .timeout(timeout, search(router, service, prompt))
+        .await;
     router.log.info(
         "prompt.searched",
         &PromptSearched {
@@ -52,7 +55,7 @@
         if index == ASKED_FIRST {
             let first = wait_for_answers(router, prompt);
             // The result does not matter: the loop checks whether the prompt is located.
-            let _ = tokio::time::timeout(FIRST_ANSWERS_WAIT, first).await;
+            let _ = router.timers.timeout(FIRST_ANSWERS_WAIT, first).await;
         }
         while !prompts.searches.borrow().has_capacity() {
             prompts.question_ended.notified().await;
@@ -80,11 +83,8 @@
 /// Asks one engine, and records what it holds.
 async fn ask(router: Rc<Router>, engine: Upstream) {
     let path = router.wire_names.paths.engine_cache;
-    let answer = tokio::time::timeout(
-        ANSWER_TIMEOUT,
-        ask_engine(&router, &engine, path, Via::CacheQuestion),
-    )
-    .await;
+    let asking = ask_engine(&router, &engine, path, Via::CacheQuestion);
+    let answer = router.timers.timeout(ANSWER_TIMEOUT, asking).await;
     match answer {
         Ok(Ok(asked)) if asked.answer.status.is_success() => {
             router.metrics.probes.count("cache");
--- a/crates/router/cloverpier_router/src/rollout_steps.rs
+++ b/crates/router/cloverpier_router/src/rollout_steps.rs
@@ -34,7 +34,7 @@
         if is_quiet {
             router.rollouts.changed().await;
         } else {
-            tokio::time::sleep(STEP_PERIOD).await;
+            router.timers.sleep(STEP_PERIOD).await;
         }
         let now = router.now();
         if clock.is_report_due(now) {
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -31,7 +31,7 @@
 use crate::rollouts::Rollouts;
 use crate::store_view::StoreView;
 use crate::wire_names::WireNames;
-use cloverpier_core::{Clock, ServiceName, UpstreamName};
+use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_observe::Log;
 use cloverpier_router_policy::heartbeat::peer_timeout;
 use cloverpier_router_policy::lifecycle::router_state;
@@ -39,16 +39,17 @@
 use cloverpier_router_policy::rollout::schedule::ExposureBounds;
 use cloverpier_router_policy::version_serving::CopyPacing;
 use cloverpier_settings::RouterSettings;
+use cloverpier_timers::Timers;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The state of one router; one thread uses it.
 #[derive(Debug)]
 pub struct Router {
     settings: RefCell<Rc<RouterSettings>>,
-    clock: Arc<dyn Clock>,
+    /// Waits by the clock that tells the present moment.
+    pub(crate) timers: Timers,
     pub(crate) rng: RefCell<fastrand::Rng>,
     pub(crate) wire_names: WireNames,
     pub(crate) log: Log,
@@ -73,7 +74,7 @@
     pub fn new(
         settings: RouterSettings,
         wire_names: WireNames,
-        clock: Arc<dyn Clock>,
+        timers: Timers,
         mut rng: fastrand::Rng,
     ) -> Self {
         Self {
@@ -82,7 +83,7 @@
             metrics: Metrics::default(),
             store: StoreView::default(),
             upstreams: RefCell::new(UpstreamTable::default()),
-            health: HealthTable::default(),
+            health: HealthTable::new(timers.clone()),
             pool: RefCell::new(ConnectionPool::default()),
             peers: Peers::default(),
             prompts: Prompts::default(),
@@ -91,8 +92,8 @@
             rollouts: Rollouts::default(),
             last_leaving: Cell::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
-            lifecycle: Lifecycle::new(rng.u64(..), clock.now()),
-            clock,
+            lifecycle: Lifecycle::new(rng.u64(..), timers.now()),
+            timers,
             rng: RefCell::new(rng),
             settings: RefCell::new(Rc::new(settings)),
         }
@@ -100,7 +101,7 @@
 
     /// The present moment.
     pub(crate) fn now(&self) -> Instant {
-        self.clock.now()
+        self.timers.now()
     }
 
     /// The settings in force.
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -126,7 +126,13 @@
     }
     router.metrics.connections.inc();
     let timeout = CONNECT_TIMEOUT.min(request.time_left(now));
-    let opened = Connection::open(upstream.address, timeout, DEFAULT_IDLE_LIMIT).await;
+    let opened = Connection::open(
+        upstream.address,
+        timeout,
+        DEFAULT_IDLE_LIMIT,
+        &router.timers,
+    )
+    .await;
     opened.map_err(|error| {
         let cause = match error.kind() {
             io::ErrorKind::ConnectionRefused => DeathCause::NoProcess,
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -9,6 +9,7 @@
 use crate::peer_reports;
 use crate::peer_serve;
 use crate::probe;
+use crate::resume;
 use crate::rollout_steps;
 use crate::router::Router;
 use crate::source::ConfigurationSource;
@@ -67,6 +68,7 @@
     for watched in [Watched::Configuration, Watched::Upstreams] {
         spawn_local(peer_fetch::fetch_newer(Rc::clone(&router), watched));
     }
+    spawn_local(resume::watch_resumes(Rc::clone(&router)));
     spawn_local(probe::check_suspects(Rc::clone(&router)));
     spawn_local(crashes::judge_broken(Rc::clone(&router)));
     spawn_local(sweep(Rc::clone(&router), log_progress));
@@ -101,18 +103,24 @@
     let cx = || Rc::clone(router);
     spawn_local(peer_reports::receive_messages(cx(), Rc::clone(&socket)));
     spawn_local(heartbeats::send_messages(cx(), socket));
-    spawn_local(serve(cx(), at(address).await?, peer_serve::on_peer));
-    spawn_local(serve(cx(), at(listen.ready).await?, on_ready));
-    spawn_local(serve(cx(), at(listen.directory).await?, on_directory));
+    spawn_local(serve(cx(), at(router, address).await?, peer_serve::on_peer));
+    spawn_local(serve(cx(), at(router, listen.ready).await?, on_ready));
+    spawn_local(serve(
+        cx(),
+        at(router, listen.directory).await?,
+        on_directory,
+    ));
     if let Some(address) = listen.metrics {
-        spawn_local(serve(cx(), at(address).await?, on_metrics));
+        spawn_local(serve(cx(), at(router, address).await?, on_metrics));
     }
-    spawn_local(serve(cx(), at(listen.callers).await?, on_caller));
+    spawn_local(serve(cx(), at(router, listen.callers).await?, on_caller));
     Ok(())
 }
 
-async fn at(address: SocketAddr) -> Result<TcpListener, StartError> {
-    bind(address).await.context(ListenSnafu { address })
+async fn at(router: &Router, address: SocketAddr) -> Result<TcpListener, StartError> {
+    bind(&router.timers, address)
+        .await
+        .context(ListenSnafu { address })
 }
 
 fn log_start(router: &Router) {
@@ -123,7 +131,7 @@
 /// Drops what cannot be used again, until the process ends.
 async fn sweep(router: Rc<Router>, log_progress: LogProgress) {
     loop {
-        tokio::time::sleep(SWEEP_PERIOD).await;
+        router.timers.sleep(SWEEP_PERIOD).await;
         router.pool.borrow_mut().close_stale(router.now());
         let table = router.upstreams.borrow();
         router
--- a/crates/router/cloverpier_router/src/stop.rs
+++ b/crates/router/cloverpier_router/src/stop.rs
@@ -26,7 +26,7 @@
     router.log.info("process.stopping", &NoFields {});
     let grace = router.settings().grace;
     loop {
-        tokio::time::sleep(STOP_CHECK_PERIOD).await;
+        router.timers.sleep(STOP_CHECK_PERIOD).await;
         let Some(stopping_for) = router.lifecycle.stopping_for(router.now()) else {
             continue;
         };
@@ -59,7 +59,7 @@
     loop {
         tokio::select! {
             _ = hang_up.recv() => {}
-            () = tokio::time::sleep(FILE_PERIOD) => {}
+            () = router.timers.sleep(FILE_PERIOD) => {}
         }
         if let Some(text) = file.changed_text(&router) {
             apply_settings(&router, &text);
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -57,7 +57,7 @@
         let pause = jitter(&mut router.rng.borrow_mut(), self.pause);
         self.pause = (self.pause * 2).min(max_store_backoff(router));
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            () = router.timers.sleep(pause) => {}
             // A ping was answered, or the role is another one.
             () = router.store.loops_woken() => {}
         }
@@ -70,7 +70,7 @@
         let woken = router.store.loops_woken();
         let now = router.now();
         match router.store.watches_from() {
-            Some(at) if now < at => tokio::time::sleep_until(at.into()).await,
+            Some(at) if now < at => router.timers.sleep_until(at).await,
             Some(_) if may_call(router.store.role(), router.store.is_fresh(now)) => return,
             // The role will be another one, or this router will serve.
             _ => woken.await,
@@ -142,7 +142,7 @@
             Ok(at) => {
                 backoff.on_success(&router);
                 revision = Some(at);
-                tokio::time::sleep(GATHER_PERIOD).await;
+                router.timers.sleep(GATHER_PERIOD).await;
             }
             Err(error) => {
                 revision = None;
@@ -253,7 +253,7 @@
             continue;
         };
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            () = router.timers.sleep(pause) => {}
             () = router.store.loops_woken() => {}
         }
         if router.store.role() != role {
@@ -271,7 +271,7 @@
 /// Pings the store once; peers learn of a doubt before the ping is over.
 async fn ping(router: &Router, source: &impl ConfigurationSource) -> Result<(), SourceError> {
     let mut ping = pin!(source.ping(PING_TIMEOUT));
-    if let Ok(result) = tokio::time::timeout(PING_DOUBT, &mut ping).await {
+    if let Ok(result) = router.timers.timeout(PING_DOUBT, &mut ping).await {
         return result;
     }
     on_ping_result(router, false);
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -293,8 +293,8 @@
         if opened.head.status.is_success() {
             return Ok(opened);
         }
-        let deadline = self.request.deadline.into();
-        let collected = tokio::time::timeout_at(deadline, opened.body.collect()).await;
+        let (timers, deadline) = (&self.router.timers, self.request.deadline);
+        let collected = timers.timeout_at(deadline, opened.body.collect()).await;
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -66,7 +66,7 @@
             }
             () = declared_dead => {}
             () = stopped(awaited.stop) => {}
-            () = tokio::time::sleep_until(wake_at.into()) => {}
+            () = router.timers.sleep_until(wake_at) => {}
         }
     }
 }
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -14,6 +14,7 @@
 use crate::stream::relay_stream;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::Refusal;
+use cloverpier_timers::Timers;
 use futures_util::Stream;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
@@ -41,13 +42,13 @@
 const MIN_HEADER_BYTES: usize = 8_192;
 
 /// Listens at an address, waiting for a port that is still taken.
-pub(crate) async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+pub(crate) async fn bind(timers: &Timers, address: SocketAddr) -> io::Result<TcpListener> {
     let mut tries = 0;
     loop {
         match TcpListener::bind(address).await {
             Err(e) if e.kind() == io::ErrorKind::AddrInUse && tries < MAX_BIND_TRIES => {
                 tries += 1;
-                tokio::time::sleep(BIND_PAUSE).await;
+                timers.sleep(BIND_PAUSE).await;
             }
             bound => return bound,
         }
@@ -66,7 +67,7 @@
                 tokio::task::spawn_local(serve_connection(Rc::clone(&router), stream, handle));
             }
             // Out of descriptors, or a connection that ended before it was accepted.
-            Err(_) => tokio::time::sleep(BIND_PAUSE).await,
+            Err(_) => router.timers.sleep(BIND_PAUSE).await,
         }
     }
 }
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -51,6 +51,8 @@
 //! assert_eq!(next, NextStep::Fail);
 //! ```
 
+#![warn(clippy::disallowed_methods)]
+
 pub mod arrival;
 pub mod attempt_failure;
 pub mod attempts;
--- a/crates/shared/cloverpier_core/src/lib.rs
+++ b/crates/shared/cloverpier_core/src/lib.rs
@@ -23,7 +23,7 @@
 /// The items that most crates of the workspace need.
 pub mod prelude {
     pub use crate::chain::Chain;
-    pub use crate::clock::{Clock, ManualClock, SystemClock, wall_ms};
+    pub use crate::clock::{Clock, ManualClock, SuspendableClock, SystemClock, wall_ms};
     pub use crate::name::{
         AccountName, AdapterName, DataCentre, MemberId, ModelName, RequestKey, ServiceName,
         SoftwareVersion, UpstreamName, VmName,
--- a/crates/shared/cloverpier_crashes/src/lib.rs
+++ b/crates/shared/cloverpier_crashes/src/lib.rs
@@ -39,6 +39,8 @@
 //! assert_eq!(book.verdict(content, now), Verdict::Stopped);
 //! ```
 
+#![warn(clippy::disallowed_methods)]
+
 pub mod book;
 pub mod broken_attempts;
 pub mod cases;
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -20,6 +20,7 @@
 use cloverpier_router_standin::ledger::{Ledger, SharedLedger};
 use cloverpier_router_standin::link::Link;
 use cloverpier_router_standin::store::StoreStandIn;
+use cloverpier_timers::Timers;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -95,7 +96,8 @@
     pub store_link: Link,
     /// Its log.
     pub log: PathBuf,
-    settings: PathBuf,
+    /// Its settings file.
+    pub settings: PathBuf,
 }
 
 /// A running site; its processes end with it.
@@ -250,7 +252,8 @@
 
 /// The status of a simple GET; `None` without an answer.
 pub async fn status_of(address: SocketAddr, path: &str) -> Option<u16> {
-    let answer = cloverpier_router::HttpClient::new(address, Duration::from_millis(500));
+    let answer =
+        cloverpier_router::HttpClient::new(address, Duration::from_millis(500), Timers::default());
     let local = tokio::task::LocalSet::new();
     let status = local.run_until(async { answer.get(path, Duration::from_secs(1)).await });
     status.await.ok().map(|a| a.status.as_u16())
@@ -259,7 +262,11 @@
 /// How many routers a directory lists.
 pub async fn listed_routers(directory: SocketAddr) -> usize {
     let path = platform_wire_names().paths.directory;
-    let caller = cloverpier_router::HttpClient::new(directory, Duration::from_millis(500));
+    let caller = cloverpier_router::HttpClient::new(
+        directory,
+        Duration::from_millis(500),
+        Timers::default(),
+    );
     let local = tokio::task::LocalSet::new();
     let answer = local.run_until(async { caller.get(path, Duration::from_secs(1)).await });
     let body = answer.await.ok().map(|a| a.body).unwrap_or_default();
