Take apart what the router's parts own from what is done with them; one copy of waits

For reading, no change of what is done. The largest circle of imports in cloverpier_router held 14 files: router takes the parts' state from modules that take the router. State of crashing requests and of roll-outs, the relayed request and the ends of requests stand in files of their own; it holds 5 now. The wait of an upstream and the reading of its text, which both programs had, stand once in cloverpier_core. The choice and the registration of metrics are cut into functions of one job; what an attempt of cloverpierd failed by stands apart from the run.

Measured: clippy clean; tests of core, policy, router, upstream, route, daemon, and of the adapter's wire, leavings, waits, statements, suspension, rollouts, crashing_requests and headers pass; golden files unchanged.

--- /dev/null
+++ b/crates/daemon/cloverpier_daemon/src/answers/failure.rs
@@ -0,0 +1,71 @@
+//! Why an attempt at an engine is over, what its failure proves, and what the engine said of itself.
+//! Owns nothing.
+
+use cloverpier_upstream::{EventStream, StartError, UpstreamStatement};
+use serde::Serialize;
+
+/// Why an attempt is over.
+#[derive(Debug)]
+pub(super) enum Over {
+    Finished,
+    Moved,
+    Abandoned,
+    /// It was called back, as its content ends upstreams.
+    Stopped,
+    Failed(Failure),
+}
+
+/// What an attempt failed by; the texts are those of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub(super) enum Failure {
+    #[serde(rename = "no answer to the order")]
+    NoAnswer,
+    #[serde(rename = "not reached")]
+    NotReached,
+    #[serde(rename = "refused")]
+    Refused,
+    #[serde(rename = "broken before the stream")]
+    BrokenBeforeStream,
+    #[serde(rename = "closed before the end")]
+    Closed,
+    #[serde(rename = "connection broken")]
+    ConnectionBroken,
+    #[serde(rename = "unreadable")]
+    Unreadable,
+    #[serde(rename = "tokens missing in the stream")]
+    TokensMissing,
+    #[serde(rename = "silent")]
+    Silent,
+}
+
+impl Failure {
+    /// Whether the engine may have run the generation.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::NotReached | Self::Refused)
+    }
+
+    /// Whether the engine may have ended while it ran it.
+    pub fn may_be_end_of_engine(self) -> bool {
+        matches!(
+            self,
+            Self::BrokenBeforeStream | Self::Closed | Self::ConnectionBroken
+        )
+    }
+}
+
+/// What an engine says of itself in its answer to an order, if it answered.
+pub(super) fn said_of(started: &Result<EventStream, StartError>) -> Option<&UpstreamStatement> {
+    match started {
+        Ok(stream) => Some(&stream.said),
+        Err(error) => error.said(),
+    }
+}
+
+/// What an order failed by that started no stream.
+pub(super) fn start_failure(error: &StartError) -> Failure {
+    match error {
+        StartError::NotReached { .. } => Failure::NotReached,
+        StartError::Refused { .. } => Failure::Refused,
+        StartError::Broken { .. } => Failure::BrokenBeforeStream,
+    }
+}
--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -3,6 +3,7 @@
 //! Owns the table of answers of this router and what it holds for others; each file has one job.
 
 mod directory;
+mod failure;
 mod live;
 mod open;
 mod outbox;
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -5,6 +5,7 @@
 //! that may not be repeated.
 
 use crate::admission::{choose, log_choice, nobody, release};
+use crate::answers::failure::{Failure, Over, said_of, start_failure};
 use crate::answers::live::{End, Live};
 use crate::answers::outbox::send_news;
 use crate::app::App;
@@ -15,10 +16,7 @@
 use cloverpier_core::{UpstreamName, hash_of, lock};
 use cloverpier_crashes::Admission;
 use cloverpier_route::{Ask, Choice, Chosen, Silence};
-use cloverpier_upstream::{
-    EngineEvent, EventStream, GenerateBody, GenerationBody, StartError, StreamError,
-    UpstreamStatement,
-};
+use cloverpier_upstream::{EngineEvent, EventStream, GenerateBody, GenerationBody, StreamError};
 use serde::Serialize;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -42,55 +40,6 @@
     TakenOver(Option<Source>),
 }
 
-/// Why an attempt is over.
-#[derive(Debug)]
-enum Over {
-    Finished,
-    Moved,
-    Abandoned,
-    /// It was called back, as its content ends upstreams.
-    Stopped,
-    Failed(Failure),
-}
-
-/// What an attempt failed by; the texts are those of log lines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-enum Failure {
-    #[serde(rename = "no answer to the order")]
-    NoAnswer,
-    #[serde(rename = "not reached")]
-    NotReached,
-    #[serde(rename = "refused")]
-    Refused,
-    #[serde(rename = "broken before the stream")]
-    BrokenBeforeStream,
-    #[serde(rename = "closed before the end")]
-    Closed,
-    #[serde(rename = "connection broken")]
-    ConnectionBroken,
-    #[serde(rename = "unreadable")]
-    Unreadable,
-    #[serde(rename = "tokens missing in the stream")]
-    TokensMissing,
-    #[serde(rename = "silent")]
-    Silent,
-}
-
-impl Failure {
-    /// Whether the engine may have run the generation.
-    fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotReached | Self::Refused)
-    }
-
-    /// Whether the engine may have ended while it ran it.
-    fn may_be_end_of_engine(self) -> bool {
-        matches!(
-            self,
-            Self::BrokenBeforeStream | Self::Closed | Self::ConnectionBroken
-        )
-    }
-}
-
 #[derive(Serialize)]
 struct AttemptOver<'a> {
     request: &'a str,
@@ -358,22 +307,6 @@
     }
 }
 
-/// What an engine says of itself in its answer to an order, if it answered.
-fn said_of(started: &Result<EventStream, StartError>) -> Option<&UpstreamStatement> {
-    match started {
-        Ok(stream) => Some(&stream.said),
-        Err(error) => error.said(),
-    }
-}
-
-fn start_failure(error: &StartError) -> Failure {
-    match error {
-        StartError::NotReached { .. } => Failure::NotReached,
-        StartError::Refused { .. } => Failure::Refused,
-        StartError::Broken { .. } => Failure::BrokenBeforeStream,
-    }
-}
-
 /// Goes on with the stream of an earlier owner's engine; `None` when it isn't there any more.
 async fn resume(app: &Arc<App>, live: &Arc<Live>, source: &Source) -> Option<Over> {
     let address = address_of(app, &source.upstream)?;
--- a/crates/daemon/cloverpier_route/src/view.rs
+++ b/crates/daemon/cloverpier_route/src/view.rs
@@ -5,7 +5,7 @@
 
 use crate::marks::{LeaveMark, LeaveMarks};
 use cloverpier_config::{Config, Upstream, UpstreamState};
-use cloverpier_core::{DataCentre, ServiceName, UpstreamName, VmName, hash_of, rank};
+use cloverpier_core::{DataCentre, ServiceName, UpstreamName, VmName, Wait, hash_of, rank};
 use cloverpier_crashes::Neighbours;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -21,9 +21,6 @@
 /// among them. With more, load reports alone would outgrow the budget for control
 /// (docs/CAPACITY.md, worked out).
 pub const CLOSE: usize = 24;
-/// An upstream that wants nothing for longer counts as one that wants nothing for so long: it is better
-/// started again, under the next incarnation, of which it says nothing. Chosen, not measured.
-const MAX_WAIT: Duration = Duration::from_secs(3_600);
 /// A load report older than this says nothing any more. Chosen, not measured.
 const REPORT_STALE: Duration = Duration::from_secs(10);
 
@@ -48,8 +45,8 @@
     pub(crate) failures: u32,
     pub(crate) avoid_until: Option<Instant>,
     pub(crate) prefixes: VecDeque<u64>,
-    /// Until when it wants nothing from this router, as it has said when it turned a request away.
-    wants_nothing_until: Option<Instant>,
+    /// For how long it wants nothing from this router.
+    wait: Option<Wait>,
     /// Routers that know it closely.
     sharers: u32,
     /// The last starts of own work, to know how much of it a report includes.
@@ -66,7 +63,7 @@
             failures: 0,
             avoid_until: None,
             prefixes: VecDeque::new(),
-            wants_nothing_until: None,
+            wait: None,
             sharers: 1,
             starts: VecDeque::new(),
         }
@@ -93,7 +90,7 @@
     }
 
     pub(crate) fn wants_nothing(&self, now: Instant) -> bool {
-        self.wants_nothing_until.is_some_and(|until| now < until)
+        self.wait.is_some_and(|wait| wait.binds(now))
     }
 
     pub(crate) fn avoided(&self, now: Instant) -> bool {
@@ -202,8 +199,7 @@
             return false;
         };
         let is_news = !known.wants_nothing(now);
-        let until = now + time.min(MAX_WAIT);
-        known.wants_nothing_until = known.wants_nothing_until.max(Some(until));
+        known.wait = Some(Wait::begin(known.wait, time, now));
         is_news
     }
 
@@ -214,10 +210,8 @@
         if takers.iter().any(|(_, known)| !known.wants_nothing(now)) {
             return None;
         }
-        let first = takers
-            .iter()
-            .filter_map(|(_, k)| k.wants_nothing_until)
-            .min()?;
+        let waits = takers.iter().filter_map(|(_, known)| known.wait);
+        let first = waits.map(|wait| wait.until()).min()?;
         Some(first.saturating_duration_since(now))
     }
 
--- a/crates/daemon/cloverpier_upstream/src/statement.rs
+++ b/crates/daemon/cloverpier_upstream/src/statement.rs
@@ -4,6 +4,7 @@
 //! `Retry-After` in seconds, fractions allowed, in one with status 503. What follows is decided in
 //! `cloverpier_route`. The router on the platform reads the platform's own words (`platform/`).
 
+use cloverpier_core::parse_retry_after;
 use reqwest::header::{HeaderMap, RETRY_AFTER};
 use reqwest::{Response, StatusCode};
 use std::time::Duration;
@@ -47,15 +48,7 @@
     let Some(value) = headers.get(RETRY_AFTER) else {
         return Ok(None);
     };
-    let seconds = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse().ok());
-    match seconds {
-        // One that no duration can hold is longer than any wait that counts.
-        Some(seconds) if seconds >= 0.0 => Ok(Some(
-            Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX),
-        )),
-        _ => Err(format!("{RETRY_AFTER}: {value:?}")),
-    }
+    let wait = value.to_str().ok().and_then(parse_retry_after);
+    wait.map(Some)
+        .ok_or_else(|| format!("{RETRY_AFTER}: {value:?}"))
 }
--- /dev/null
+++ b/crates/router/cloverpier_router/src/crash_state.rs
@@ -0,0 +1,43 @@
+//! What this router knows of requests that end upstreams, and which requests are under way.
+//! [`crate::crashes`] learns it and acts by it. Owns both.
+
+use crate::relay_request::RelayRequest;
+use cloverpier_crashes::prelude::*;
+use cloverpier_settings::CrashSettings;
+use std::cell::{Cell, RefCell};
+use std::rc::Weak;
+use std::time::Instant;
+use tokio::sync::Notify;
+
+/// What this router knows of requests that end upstreams.
+#[derive(Debug)]
+pub(crate) struct Crashes {
+    pub cases: RefCell<CrashCases>,
+    /// Requests under way, and some that have ended.
+    pub in_flight: RefCell<Vec<Weak<RelayRequest>>>,
+    /// When something about a content was learned last that peers should know.
+    pub last_news: Cell<Option<Instant>>,
+    /// Wakes the loop that judges, and requests that wait for a judgement.
+    pub changed: Notify,
+}
+
+impl Crashes {
+    /// Knows of no end yet.
+    pub fn new(settings: &CrashSettings) -> Self {
+        let mut cases = CrashCases::new(settings.limit);
+        let cleared = settings.cleared.clone();
+        cases.book.set_bounds(settings.limit, cleared);
+        Self {
+            cases: RefCell::new(cases),
+            in_flight: RefCell::default(),
+            last_news: Cell::default(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Changes the cases and wakes whoever waits for a judgement.
+    pub fn change(&self, change: impl FnOnce(&mut CrashCases)) {
+        change(&mut self.cases.borrow_mut());
+        self.changed.notify_waiters();
+    }
+}
--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -1,13 +1,13 @@
 //! What requests did to upstreams: learns it, judges it, and stops what ends them.
 //!
-//! Owns this router's cases and the requests under way. What an end says and what follows is decided
+//! Owns no state: [`crate::crash_state`] does. What an end says and what follows is decided
 //! in `cloverpier_crashes`; [`crate::crash_news`] tells peers. Relies on [`crate::probe`] for the news
 //! that an upstream has ended or lives.
 
 use crate::crash_news;
 use crate::decision_log::{ContentCleared, ContentStopped, CrashRecorded, ms_since};
-use crate::intake::RelayRequest;
 use crate::probe::probe;
+use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_crashes::book::UNKNOWN_START;
@@ -15,44 +15,8 @@
 use cloverpier_crashes::prelude::*;
 use cloverpier_router_policy::crash_news::is_told;
 use cloverpier_router_policy::prelude::*;
-use cloverpier_settings::CrashSettings;
-use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
-
-/// What this router knows of requests that end upstreams.
-#[derive(Debug)]
-pub(crate) struct Crashes {
-    pub cases: RefCell<CrashCases>,
-    /// Requests under way, and some that have ended.
-    in_flight: RefCell<Vec<Weak<RelayRequest>>>,
-    /// When something about a content was learned last that peers should know.
-    pub last_news: Cell<Option<Instant>>,
-    /// Wakes the loop that judges, and requests that wait for a judgement.
-    changed: Notify,
-}
-
-impl Crashes {
-    /// Knows of no end yet.
-    pub fn new(settings: &CrashSettings) -> Self {
-        let mut cases = CrashCases::new(settings.limit);
-        let cleared = settings.cleared.clone();
-        cases.book.set_bounds(settings.limit, cleared);
-        Self {
-            cases: RefCell::new(cases),
-            in_flight: RefCell::default(),
-            last_news: Cell::default(),
-            changed: Notify::new(),
-        }
-    }
-
-    /// Changes the cases and wakes whoever waits for a judgement.
-    fn change(&self, change: impl FnOnce(&mut CrashCases)) {
-        change(&mut self.cases.borrow_mut());
-        self.changed.notify_waiters();
-    }
-}
 
 /// Puts new settings in force.
 pub(crate) fn on_settings(router: &Router) {
--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -3,7 +3,6 @@
 //! The names of events and fields are what on-call engineers search for, so they stay
 //! when the code's names change: `rename` holds the older one.
 
-use crate::outcome::RequestEnd;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::RouteKey;
 use serde::Serialize;
@@ -74,6 +73,49 @@
     pub age_ms: u64,
 }
 
+/// How a request ended; the words are those of log lines and of the counter `requests`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(into = "&'static str")]
+pub(crate) enum RequestEnd {
+    /// The caller got an upstream's whole answer.
+    Answered,
+    /// The caller got a stream to its end.
+    Completed,
+    /// A stream broke off and could not continue.
+    BrokenOff,
+    /// The caller closed the connection.
+    CallerLeft,
+    /// The caller got "not run".
+    Refused,
+    /// The same, when its time was over.
+    RefusedLate,
+    /// The caller got "may have run".
+    Failed,
+    /// The same, when its time was over.
+    TimedOut,
+    /// The request was turned down at arrival.
+    Rejected,
+    /// The caller was told not to send it again: its content ends upstreams.
+    Stopped,
+}
+
+impl From<RequestEnd> for &'static str {
+    fn from(end: RequestEnd) -> Self {
+        match end {
+            RequestEnd::Answered => "answered",
+            RequestEnd::Completed => "completed",
+            RequestEnd::BrokenOff => "broken-off",
+            RequestEnd::CallerLeft => "caller-left",
+            RequestEnd::Refused => "refused",
+            RequestEnd::RefusedLate => "refused-late",
+            RequestEnd::Failed => "failed",
+            RequestEnd::TimedOut => "timed-out",
+            RequestEnd::Rejected => "rejected",
+            RequestEnd::Stopped => "stopped",
+        }
+    }
+}
+
 /// A request ended.
 #[derive(Serialize)]
 pub(crate) struct RequestEnded<'a> {
--- a/crates/router/cloverpier_router/src/intake.rs
+++ b/crates/router/cloverpier_router/src/intake.rs
@@ -1,19 +1,16 @@
 //! From a caller's bytes to a request that can be relayed, or to its rejection.
 //!
-//! Reads headers and body; which request is admitted, on whose account, and until when it
-//! is held is decided in `cloverpier_router_policy::{arrival, deadline}`. A [`RelayRequest`]
-//! owns everything that the attempts need, so that none of them touches the caller's
-//! connection again.
+//! Reads headers and body into a [`RelayRequest`]; which request is admitted, on whose account, and
+//! until when it is held is decided in `cloverpier_router_policy::{arrival, deadline}`. Owns nothing.
 
-use crate::decision_log::{RequestRejected, UnreadableHeader};
-use crate::outcome::RequestEnd;
+use crate::decision_log::{RequestEnd, RequestRejected, UnreadableHeader};
+use crate::relay_request::RelayRequest;
 use crate::reply::{Reply, own_reply, refusal_reply, strip_hop_by_hop};
 use crate::router::Router;
 use crate::stop_signal::StopSignal;
 use crate::wire_names::PromptSize;
 use bytes::Bytes;
 use cloverpier_core::hash_of;
-use cloverpier_crashes::{Content, ContentKey};
 use cloverpier_router_policy::arrival::{
     Rejection, find_account, find_route, pick_service, priority,
 };
@@ -25,91 +22,10 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Request, StatusCode};
 use std::cell::OnceCell;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// A caller's request, whole.
-#[derive(Debug)]
-pub(crate) struct RelayRequest {
-    /// Its id, by the caller; empty where the caller gave none.
-    pub id: String,
-    /// Its method.
-    pub method: Method,
-    /// The host that it names, without a port.
-    pub host: String,
-    /// Path and query, as received.
-    pub target: String,
-    /// The headers that travel to upstreams with every attempt.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-    /// The route that took it.
-    pub route: Arc<Route>,
-    /// The service picked for it.
-    pub service: Arc<ServiceConfig>,
-    /// The client account that it runs under; `None` on public routes.
-    pub account: Option<Arc<ClientAccount>>,
-    /// The version of the configuration that it was routed by.
-    pub configuration_version: u64,
-    /// When its head was read.
-    pub arrived: Instant,
-    /// When its time is over.
-    pub deadline: Instant,
-    /// The last event that the caller has, of a stream that it continues.
-    pub last_event: Option<u64>,
-    /// Its tokens, as the caller declared them.
-    pub size: PromptSize,
-    /// A hash of the part of its prompt that no other prompt shares.
-    pub prompt: Option<PromptKey>,
-    /// Its rank, 0 the highest.
-    pub priority: u8,
-    /// Calls its attempts back when its content is stopped.
-    pub stop: StopSignal,
-    content: OnceCell<ContentKey>,
-}
-
-impl RelayRequest {
-    /// What is left of its time.
-    pub fn time_left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
-    }
-
-    /// The load that it adds to an upstream.
-    pub fn load(&self) -> Load {
-        Load {
-            requests: 1,
-            unread_tokens: self.size.prompt_tokens,
-            memory_tokens: self.size.prompt_tokens + self.size.answer_tokens,
-        }
-    }
-
-    /// What its repeats have in common with it; a digest of the body, so only where it is needed.
-    pub fn content(&self) -> ContentKey {
-        let key = || ContentKey::of(&self.repeated_part());
-        *self.content.get_or_init(key)
-    }
-
-    /// All that its repeats have in common with it.
-    pub fn repeated_part(&self) -> Content<'_> {
-        Content {
-            // A request without an account has nobody's name.
-            account: self.account.as_ref().map_or("", |account| &account.name),
-            host: &self.host,
-            method: self.method.as_str(),
-            target: &self.target,
-            body: &self.body,
-        }
-    }
-
-    /// Tokens that fit into the KV cache of an engine of its service; `None` for a plain
-    /// service.
-    pub fn engine_memory(&self) -> Option<u64> {
-        self.service.engine.map(|engine| engine.memory_tokens)
-    }
-}
+use std::time::Instant;
 
 /// Reads a request, or answers it at once.
 pub(crate) async fn receive_request(
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -8,14 +8,14 @@
 //! | concern | modules |
 //! | --- | --- |
 //! | start, stop | `start`, `stop`, `lifecycle` |
-//! | a request, in the order in which it meets them | `web`, `intake`, then `plain` or `stream`, `send`, `wait`, `outcome`, `reply` |
+//! | a request, in the order in which it meets them | `web`, `intake`, `relay_request`, then `plain` or `stream`, `send`, `wait`, `outcome`, `reply` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | questions to engines on their load | `load_query`, `engine_call` |
-//! | requests that end upstreams | `crashes`, `crash_news`, `stop_signal` |
+//! | requests that end upstreams | `crash_state`, `crashes`, `crash_news`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
 //! | what upstreams say of themselves | `statements`, `leaving_news` |
 //! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
-//! | roll-outs of new versions | `rollouts`, `rollout_steps`, `rollout_store` |
+//! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | other routers | `peers`, `heartbeats`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
 //! | logs and metrics | `decision_log`, `beliefs`, `metrics` |
@@ -47,6 +47,7 @@
 mod configuration_copies;
 mod connection;
 mod crash_news;
+mod crash_state;
 mod crashes;
 mod decision_log;
 mod engine_call;
@@ -70,9 +71,11 @@
 mod probe;
 mod prompt_search;
 mod prompts;
+mod relay_request;
 mod reply;
 mod restart;
 mod resume;
+mod rollout_state;
 mod rollout_steps;
 mod rollout_store;
 mod rollouts;
--- a/crates/router/cloverpier_router/src/load_query.rs
+++ b/crates/router/cloverpier_router/src/load_query.rs
@@ -5,8 +5,8 @@
 
 use crate::beliefs::Via;
 use crate::engine_call::{EngineAnswer, ask_engine};
-use crate::intake::RelayRequest;
 use crate::probe::{self, DeathCause};
+use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_router_policy::load_query::QUERY_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -125,6 +125,14 @@
 
 impl Metrics {
     fn register(&mut self) {
+        self.register_requests();
+        self.register_upstreams();
+        self.register_process();
+        self.register_crashes();
+        self.register_versions();
+    }
+
+    fn register_requests(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests by end", self.requests.0.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.0.clone());
@@ -133,23 +141,6 @@
             "Streams resumed by cause",
             self.resumed.0.clone(),
         );
-        registry.register(
-            "store_calls",
-            "Calls to the store",
-            self.store_calls.0.clone(),
-        );
-        registry.register("probes", "Questions to servers", self.probes.0.clone());
-        registry.register("connections", "New connections", self.connections.clone());
-        registry.register(
-            "suspensions",
-            "Suspensions of the machine",
-            self.suspensions.clone(),
-        );
-        registry.register(
-            "dropped_lines",
-            "Log lines dropped",
-            self.dropped_lines.clone(),
-        );
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register(
             "first_answer_seconds",
@@ -161,6 +152,12 @@
             "Pause of a move",
             self.resume_pause.0.clone(),
         );
+    }
+
+    fn register_upstreams(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("probes", "Questions to servers", self.probes.0.clone());
+        registry.register("connections", "New connections", self.connections.clone());
         registry.register(
             "detection_seconds",
             "Silence to verdict",
@@ -172,8 +169,25 @@
             self.leavings.0.clone(),
         );
         registry.register("waits", "Servers that want nothing", self.waits.clone());
-        self.register_crashes();
-        self.register_versions();
+    }
+
+    fn register_process(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.0.clone(),
+        );
+        registry.register(
+            "suspensions",
+            "Suspensions of the machine",
+            self.suspensions.clone(),
+        );
+        registry.register(
+            "dropped_lines",
+            "Log lines dropped",
+            self.dropped_lines.clone(),
+        );
     }
 
     fn register_crashes(&mut self) {
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -3,60 +3,16 @@
 //! What a caller gets as an answer is decided in `cloverpier_router_policy::{attempts, refusal}`;
 //! here it becomes a status and a body.
 
-use crate::decision_log::{RequestEnded, SendFailed, UpstreamChosen, ms, ms_since};
-use crate::intake::RelayRequest;
+use crate::decision_log::{RequestEnd, RequestEnded, SendFailed, UpstreamChosen, ms, ms_since};
+use crate::relay_request::RelayRequest;
 use crate::reply::{Reply, own_reply, refusal_reply};
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::Refusal;
 use hyper::StatusCode;
-use serde::Serialize;
 use std::time::{Duration, Instant};
 
-/// How a request ended; the words are those of log lines and of the counter `requests`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(into = "&'static str")]
-pub(crate) enum RequestEnd {
-    /// The caller got an upstream's whole answer.
-    Answered,
-    /// The caller got a stream to its end.
-    Completed,
-    /// A stream broke off and could not continue.
-    BrokenOff,
-    /// The caller closed the connection.
-    CallerLeft,
-    /// The caller got "not run".
-    Refused,
-    /// The same, when its time was over.
-    RefusedLate,
-    /// The caller got "may have run".
-    Failed,
-    /// The same, when its time was over.
-    TimedOut,
-    /// The request was turned down at arrival.
-    Rejected,
-    /// The caller was told not to send it again: its content ends upstreams.
-    Stopped,
-}
-
-impl From<RequestEnd> for &'static str {
-    fn from(end: RequestEnd) -> Self {
-        match end {
-            RequestEnd::Answered => "answered",
-            RequestEnd::Completed => "completed",
-            RequestEnd::BrokenOff => "broken-off",
-            RequestEnd::CallerLeft => "caller-left",
-            RequestEnd::Refused => "refused",
-            RequestEnd::RefusedLate => "refused-late",
-            RequestEnd::Failed => "failed",
-            RequestEnd::TimedOut => "timed-out",
-            RequestEnd::Rejected => "rejected",
-            RequestEnd::Stopped => "stopped",
-        }
-    }
-}
-
 /// A request that ends without an upstream's answer to pass on.
 #[derive(Debug)]
 pub(crate) struct GivenUp {
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -7,12 +7,12 @@
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
 use crate::crashes;
-use crate::intake::RelayRequest;
+use crate::decision_log::RequestEnd;
 use crate::load_guard::LoadGuard;
 use crate::outcome::{
-    ChoiceNote, Ending, FailedAttempt, GivenUp, Progress, RequestEnd, log_choice, log_end,
-    log_failure,
+    ChoiceNote, Ending, FailedAttempt, GivenUp, Progress, log_choice, log_end, log_failure,
 };
+use crate::relay_request::RelayRequest;
 use crate::reply::{Reply, UpstreamAnswer, streamed_reply};
 use crate::rollouts;
 use crate::router::Router;
--- a/crates/router/cloverpier_router/src/prompt_search.rs
+++ b/crates/router/cloverpier_router/src/prompt_search.rs
@@ -8,7 +8,7 @@
 use crate::beliefs::Via;
 use crate::decision_log::{PromptSearched, ms_since};
 use crate::engine_call::ask_engine;
-use crate::intake::RelayRequest;
+use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_core::{ServiceName, hash_of};
 use cloverpier_router_policy::prelude::*;
--- a/crates/router/cloverpier_router/src/rollouts.rs
+++ b/crates/router/cloverpier_router/src/rollouts.rs
@@ -1,52 +1,25 @@
 //! What this router knows and sees of roll-outs.
 //!
-//! Owns the book of orders and the orders as the store holds them, and records how attempts went at
-//! either version. [`crate::rollout_steps`] reports that to the routers that decide, and decides
+//! Records how attempts went at either version; [`crate::rollout_state`] owns the orders. [`crate::rollout_steps`] reports that to the routers that decide, and decides
 //! itself where this router is one; which versions an attempt may go to, what counts as a bad
 //! answer and what follows is decided in `cloverpier_router_policy::rollout`.
 
 use crate::decision_log::{RolloutOrdered, RolloutProgressed};
-use crate::intake::RelayRequest;
 use crate::peer_messages::{PeerMessage, RolloutNews};
 use crate::peers::Recipients;
+use crate::relay_request::RelayRequest;
 use crate::router::Router;
-use crate::source::StoredRollout;
 use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_router_policy::attempt_failure::AttemptFailure;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::rollout::OrderId;
 use cloverpier_router_policy::rollout::evidence::{
     EvidenceReport, Measure, Observed, OpenId, OwnEvidence, RouteKey,
 };
 use cloverpier_router_policy::rollout::judgement::Objection;
-use cloverpier_router_policy::rollout::{OrderId, RolloutBook};
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
-use tokio::sync::Notify;
-
-/// The orders that this router knows.
-#[derive(Debug, Default)]
-pub(crate) struct Rollouts {
-    pub book: RefCell<RolloutBook>,
-    /// Orders as the store holds them, by service, at routers that read it.
-    pub stored: RefCell<HashMap<ServiceName, StoredRollout>>,
-    /// Wakes the loop that takes the steps.
-    changed: Notify,
-}
-
-impl Rollouts {
-    /// All views, for peers.
-    pub fn views(&self) -> Vec<RolloutView> {
-        self.book.borrow().views()
-    }
-
-    /// Waits until an order is new or further on.
-    pub async fn changed(&self) {
-        self.changed.notified().await;
-    }
-}
 
 /// The versions that an attempt of a service may go to, drawn anew for each.
 pub(crate) fn version_rule(router: &Router, service: &ServiceName, now: Instant) -> VersionRule {
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -21,14 +21,14 @@
 //! across an `await`.
 
 use crate::budgets::RetryBudgets;
-use crate::crashes::Crashes;
+use crate::crash_state::Crashes;
 use crate::health::HealthTable;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::pool::ConnectionPool;
 use crate::prompts::Prompts;
-use crate::rollouts::Rollouts;
+use crate::rollout_state::Rollouts;
 use crate::store_view::StoreView;
 use crate::wire_names::WireNames;
 use cloverpier_core::{ServiceName, UpstreamName};
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -7,9 +7,10 @@
 use crate::beliefs::Via;
 use crate::connection::{Connection, SendBroke, WholeRequest, describe, io_error_kind};
 use crate::health::UpstreamHealth;
-use crate::intake::{RelayRequest, text_of};
+use crate::intake::text_of;
 use crate::pool::idle_limit;
 use crate::probe::{self, DeathCause};
+use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use crate::successors;
 use crate::wait::{Awaited, while_alive};
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -13,13 +13,14 @@
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
 use crate::crashes;
+use crate::decision_log::RequestEnd;
 use crate::health::UpstreamHealth;
-use crate::intake::RelayRequest;
 use crate::load_guard::LoadGuard;
 use crate::outcome::{
-    Ending, FailedAttempt, GivenUp, Progress, RequestEnd, log_end, log_failure, outcome_name,
+    Ending, FailedAttempt, GivenUp, Progress, log_end, log_failure, outcome_name,
 };
 use crate::prompts::RunningStream;
+use crate::relay_request::RelayRequest;
 use crate::reply::{Reply, UpstreamAnswer, streamed_reply};
 use crate::rollouts;
 use crate::router::Router;
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -6,9 +6,10 @@
 
 use crate::body::ReplyBody;
 use crate::crashes;
-use crate::intake::{RelayRequest, receive_request};
+use crate::intake::receive_request;
 use crate::lifecycle::InFlight;
 use crate::plain::relay_plain;
+use crate::relay_request::RelayRequest;
 use crate::reply::{Reply, own_reply, refusal_reply};
 use crate::router::Router;
 use crate::stream::relay_stream;
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -118,41 +118,50 @@
 ) -> Choice {
     let groups = candidate_groups(table, demand);
     if groups.is_empty() {
-        let all_wait = table.wait_of_service(demand.service, demand.now).is_some();
-        return Choice::None(if all_wait {
-            NoUpstream::AllWait
-        } else {
-            NoUpstream::NoneUsable
-        });
+        return Choice::None(why_none(table, demand));
     }
     let by_group = groups.iter().map(|g| with_capacity(table, g, demand));
     let Some(with_capacity) = by_group.into_iter().find(|group| !group.is_empty()) else {
         return Choice::None(NoUpstream::AllFull);
     };
+    match best_of(table, &with_capacity, demand, rng) {
+        Some(state) => Choice::Upstream(state.upstream.clone()),
+        None => Choice::None(NoUpstream::AllFull),
+    }
+}
+
+/// Why nobody is a candidate.
+fn why_none(table: &UpstreamTable, demand: &Demand<'_>) -> NoUpstream {
+    match table.wait_of_service(demand.service, demand.now) {
+        Some(_) => NoUpstream::AllWait,
+        None => NoUpstream::NoneUsable,
+    }
+}
+
+/// The best of candidates with capacity.
+fn best_of<'a>(
+    table: &UpstreamTable,
+    candidates: &[&'a UpstreamState],
+    demand: &Demand<'_>,
+    rng: &mut fastrand::Rng,
+) -> Option<&'a UpstreamState> {
     if let (Some(content), Some(_)) = (demand.apart, demand.engine_memory) {
-        return match least_shared(table, &with_capacity, demand, content) {
-            Some(state) => Choice::Upstream(state.upstream.clone()),
-            None => Choice::None(NoUpstream::AllFull),
-        };
+        return least_shared(table, candidates, demand, content);
     }
-    let has_read_prompt = with_capacity
+    let has_read_prompt = candidates
         .iter()
         .find(|s| Some(s.key) == demand.prompt_location);
     if let Some(state) = has_read_prompt {
-        return Choice::Upstream(state.upstream.clone());
+        return Some(*state);
     }
-    let best_pace = best_pace(&with_capacity);
+    let best_pace = best_pace(candidates);
     let cost = |s: &UpstreamState| cost(table, demand, s, best_pace);
-    let chosen = match (demand.engine_memory, demand.affinity) {
+    match (demand.engine_memory, demand.affinity) {
         (Some(_), Some(prompt)) if demand.is_later_attempt() => {
-            spread_by_prompt(&with_capacity, cost, prompt)
+            spread_by_prompt(candidates, cost, prompt)
         }
-        (Some(_), Some(prompt)) => preferred_by_prompt(&with_capacity, cost, prompt, demand),
-        _ => cheapest(&with_capacity, cost, rng),
-    };
-    match chosen {
-        Some(state) => Choice::Upstream(state.upstream.clone()),
-        None => Choice::None(NoUpstream::AllFull),
+        (Some(_), Some(prompt)) => preferred_by_prompt(candidates, cost, prompt, demand),
+        _ => cheapest(candidates, cost, rng),
     }
 }
 
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -28,7 +28,7 @@
 /// suspected. Without the first group the worth earned moves by -0.0036 +- 0.0022 (measured: 9 pairs
 /// of plays before 284 upstreams, on one day of three -0.0085 +- 0.0016).
 ///
-/// One that wants nothing for now is in no group ([`crate::wait`]).
+/// One that wants nothing for now is in no group ([`cloverpier_core::wait`]).
 ///
 /// A peer's suspicion is no proof. While each of three of four lookup servers lost a fifth of its
 /// answers by resets, some of 60 routers suspected each of the three at any time, and all requests
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -22,7 +22,7 @@
 //! | what does an answer, or its absence, prove | [`attempt_failure`] |
 //! | of which upstream does an answer say something | [`statement`] |
 //! | which upstreams have said that they leave | [`leaving`] |
-//! | which upstreams want nothing for a while | [`wait`] |
+//! | which upstreams want nothing for a while | [`cloverpier_core::wait`] |
 //! | retry or stop | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
@@ -85,7 +85,6 @@
 pub mod upstream_table;
 pub mod version_fetch;
 pub mod version_serving;
-pub mod wait;
 
 /// The types that users of the crate need daily; rules and constants are named by module.
 pub mod prelude {
--- a/crates/router/cloverpier_router_policy/src/liveness.rs
+++ b/crates/router/cloverpier_router_policy/src/liveness.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    /// Holds probes back until a moment, as the upstream wants nothing before ([`crate::wait`]).
+    /// Holds probes back until a moment, as the upstream wants nothing before ([`cloverpier_core::wait`]).
     pub fn hold_probes_until(&mut self, from: Option<Instant>) {
         self.probes_from = from;
     }
--- a/crates/router/cloverpier_router_policy/src/statement.rs
+++ b/crates/router/cloverpier_router_policy/src/statement.rs
@@ -9,7 +9,7 @@
 //!   another process than the one that was asked, or belong to nothing. A leaving that is taken for
 //!   another upstream's takes a sound one out of service, for good.
 //!
-//! How long a statement binds is decided in [`crate::leaving`] and [`crate::wait`]. Owns nothing.
+//! How long a statement binds is decided in [`crate::leaving`] and [`cloverpier_core::wait`]. Owns nothing.
 
 use crate::attempt_failure::AttemptFailure;
 use cloverpier_core::UpstreamName;
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -8,8 +8,7 @@
 use crate::leaving::LAST_RESORT_FOR;
 use crate::load::Load;
 use crate::suspicion::{PEER_SUSPICION_TTL, RETURN_WINDOW, Suspicion};
-use crate::wait::Wait;
-use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName, hash_of};
+use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName, Wait, hash_of};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
@@ -1,14 +1,13 @@
 //! What upstreams say of themselves, as it binds in the table.
 //!
-//! How long it binds is decided in [`crate::leaving`] and [`crate::wait`]; leavings of upstreams that are
+//! How long it binds is decided in [`crate::leaving`] and [`cloverpier_core::wait`]; leavings of upstreams that are
 //! not known are remembered, too. Owns nothing besides the table's own.
 
 use super::UpstreamTable;
 use crate::leaving::LeavingReport;
 use crate::news::TOLD_AGAIN_FOR;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
-use crate::wait::Wait;
-use cloverpier_core::{ServiceName, UpstreamName};
+use cloverpier_core::{ServiceName, UpstreamName, Wait};
 use std::time::{Duration, Instant};
 
 /// Upstreams of a service that get nothing for what they said.
--- a/crates/router/cloverpier_router_policy/tests/wait.rs
+++ b/crates/router/cloverpier_router_policy/tests/wait.rs
@@ -1,10 +1,9 @@
 //! Upstreams that want nothing for a while: who gets requests, what may be asked, what callers learn.
 
-use cloverpier_core::{DataCentre, ServiceName};
+use cloverpier_core::{DataCentre, ServiceName, Wait};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::{Refusal, retry_after};
 use cloverpier_router_policy::replica::{Replica, usable_replica};
-use cloverpier_router_policy::wait::Wait;
 use quickcheck::quickcheck;
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
--- a/crates/shared/cloverpier_core/src/lib.rs
+++ b/crates/shared/cloverpier_core/src/lib.rs
@@ -1,4 +1,4 @@
-//! Names, clock, digests and seeded choices that every other crate builds on.
+//! Names, clock, digests, seeded choices and upstreams' waits, which both programs build on.
 //!
 //! Nothing here performs I/O. Everything that varies between runs (time and
 //! randomness) is passed in, so that decisions can be replayed.
@@ -18,6 +18,7 @@
 mod name;
 mod secret;
 mod sync;
+pub mod wait;
 mod weigh;
 
 /// The items that most crates of the workspace need.
@@ -30,6 +31,7 @@
     };
     pub use crate::secret::{KeyDigest, Secret, same_secret};
     pub use crate::sync::lock;
+    pub use crate::wait::{Wait, parse_retry_after};
     pub use crate::weigh::{hash_of, jitter, rank};
 }
 
--- a/crates/router/cloverpier_router_policy/src/wait.rs
+++ b/crates/shared/cloverpier_core/src/wait.rs
@@ -1,4 +1,4 @@
-//! For how long an upstream that turned a request away wants nothing from this VM.
+//! For how long an upstream that turned a request away wants nothing from this router.
 //!
 //! - **Question.** An upstream has turned a request away and said how long it wants nothing. What may
 //!   reach it meanwhile, and what do callers get where a whole service wants nothing?
@@ -11,7 +11,8 @@
 //!   upstream with streams on it is found out, and the other is left to what was under way for long.
 //!   The time binds the VM to which it was said, and no peer. It ends with the upstream's start.
 //!
-//! Owns the time of one upstream.
+//! Both programs decide by it; `cloverpierd` sends no probes, and its load questions take no place at an
+//! upstream. Owns the time of one upstream.
 
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,14 @@
 /// Probes and checks that may reach an upstream meanwhile: one less than the users allow requests.
 const QUESTIONS: u32 = 1;
 
+/// Reads the time off the text by which an upstream names it: seconds, fractions allowed. One that no
+/// duration can hold is longer than any that counts; `None` for anything else, a date among it.
+pub fn parse_retry_after(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    let is_time = seconds >= 0.0;
+    is_time.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// The time for which an upstream wants nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Wait {
