--- a/tools/src/statement_play/mod.rs
+++ b/tools/src/statement_play/mod.rs
@@ -10,6 +10,7 @@
 //! upstreams' side. Owns the model.
 
 mod news;
+mod requests;
 mod world;
 
 use std::time::Duration;
--- a/tools/src/statement_play/world.rs
+++ b/tools/src/statement_play/world.rs
@@ -1,15 +1,15 @@
 //! The model: upstreams, routers by what they know, requests, and what is counted.
 
-use super::{DRAIN, HEARTBEAT, StatementOutcome, StatementSpec, Trouble};
+use super::{HEARTBEAT, StatementOutcome, StatementSpec, Trouble};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use cloverpier_router_policy::prelude::*;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
-const SERVICE: &str = "lookups";
+pub(super) const SERVICE: &str = "lookups";
 /// When the first starts began, as a Unix time in milliseconds.
-const BORN_MS: u64 = 1_790_000_000_000;
+pub(super) const BORN_MS: u64 = 1_790_000_000_000;
 const LENGTH: Duration = Duration::from_secs(14);
 /// Upstreams begin to leave, and to turn requests away, until then.
 const BEGIN_WITHIN: Duration = Duration::from_secs(6);
@@ -17,19 +17,10 @@
 const SERVES_ON: Duration = Duration::from_millis(2_500);
 /// As above.
 const BACK_AFTER: Duration = Duration::from_millis(1_000);
-/// A request is on its way to an upstream, and an answer back, at least and at most so long.
-const LEAST_WAY: Duration = Duration::from_millis(1);
-/// As above.
-const MOST_WAY: Duration = Duration::from_millis(5);
-const WORK: Duration = Duration::from_millis(30);
-/// What is under way when an upstream wants nothing may reach it so long: the users' bound.
-const UNDER_WAY: Duration = Duration::from_millis(500);
 /// How often a list that was read before arrives at some router.
 const OLD_LIST_EACH: Duration = Duration::from_millis(700);
 /// A router is in touch again so long after it was cut off or started: the users' bound.
 const CONTACT: Duration = Duration::from_secs(3);
-/// The way to a caller and back is left out; a request is tried this many times.
-const TRIES: usize = 3;
 
 pub(super) enum Event {
     Arrive,
@@ -65,33 +56,33 @@
 /// A request at a router.
 #[derive(Clone)]
 pub(super) struct Sending {
-    router: usize,
+    pub router: usize,
     /// The router's start that has it.
-    life: u32,
-    sent: Duration,
-    tried: Vec<UpstreamName>,
+    pub life: u32,
+    pub sent: Duration,
+    pub tried: Vec<UpstreamName>,
 }
 
 /// What an answer says.
 #[derive(Clone, Copy)]
 pub(super) struct Said {
-    born_ms: u64,
-    is_leaving: bool,
-    wait: Option<Duration>,
+    pub born_ms: u64,
+    pub is_leaving: bool,
+    pub wait: Option<Duration>,
 }
 
-struct Upstreams {
-    entry: Upstream,
-    leaves_at: Option<Duration>,
-    is_back: bool,
+pub(super) struct Upstreams {
+    pub entry: Upstream,
+    pub leaves_at: Option<Duration>,
+    pub is_back: bool,
     /// When it turns requests away, and until when.
-    turns_away: Option<(Duration, Duration)>,
+    pub turns_away: Option<(Duration, Duration)>,
     /// When each router first passed on an answer in which the first start said that it leaves.
-    passed_on: HashMap<usize, Duration>,
+    pub passed_on: HashMap<usize, Duration>,
     /// The same of any router in touch.
-    passed_on_in_touch: Option<Duration>,
+    pub passed_on_in_touch: Option<Duration>,
     /// When each router was told to wait, until when, and the arrivals meanwhile.
-    told_to_wait: HashMap<usize, (Duration, Duration, usize)>,
+    pub told_to_wait: HashMap<usize, (Duration, Duration, usize)>,
 }
 
 pub(super) struct Router {
@@ -101,8 +92,8 @@
     pub is_cut_off: bool,
     pub in_touch_from: Duration,
     pub bytes: usize,
-    life: u32,
-    revision: u64,
+    pub life: u32,
+    pub revision: u64,
 }
 
 pub(super) struct World {
@@ -111,12 +102,12 @@
     pub now: Duration,
     pub routers: Vec<Router>,
     pub news: Vec<Vec<LeavingReport>>,
-    base: Instant,
-    upstreams: Vec<Upstreams>,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    events: HashMap<u64, Event>,
-    scheduled: u64,
-    outcome: StatementOutcome,
+    pub base: Instant,
+    pub upstreams: Vec<Upstreams>,
+    pub queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    pub events: HashMap<u64, Event>,
+    pub scheduled: u64,
+    pub outcome: StatementOutcome,
 }
 
 fn entry(index: usize, born_ms: u64) -> Upstream {
@@ -208,10 +199,6 @@
         self.events.insert(self.scheduled, event);
     }
 
-    fn way(&mut self) -> Duration {
-        LEAST_WAY + (MOST_WAY - LEAST_WAY).mul_f64(self.rng.f64())
-    }
-
     pub fn play(mut self) -> StatementOutcome {
         self.schedule_all();
         while let Some(Reverse((at, number))) = self.queue.pop() {
@@ -278,146 +265,6 @@
         }
     }
 
-    fn arrive(&mut self) {
-        let pause = Duration::from_secs_f64(-self.rng.f64().max(1e-9).ln() / self.spec.requests);
-        self.schedule_in(pause, Event::Arrive);
-        let router = self.rng.usize(..self.spec.routers);
-        if !self.routers[router].is_up {
-            return;
-        }
-        self.outcome.requests += 1;
-        let sending = Sending {
-            router,
-            life: self.routers[router].life,
-            sent: self.now,
-            tried: Vec::new(),
-        };
-        self.send(sending);
-    }
-
-    fn send(&mut self, sending: Sending) {
-        let Some(upstream) = self.choose(sending.router, &sending.tried) else {
-            self.outcome.refused += 1;
-            return;
-        };
-        let table = &mut self.routers[sending.router].table;
-        table.add_load(&self.upstreams[upstream].entry.name, one_request());
-        let way = self.way();
-        self.schedule_in(way, Event::Reach { sending, upstream });
-    }
-
-    fn choose(&mut self, router: usize, tried: &[UpstreamName]) -> Option<usize> {
-        let demand = Demand {
-            service: &ServiceName::new(SERVICE),
-            home: &DataCentre::new("hall-0"),
-            load: one_request(),
-            engine_memory: None,
-            affinity: None,
-            prompt_location: None,
-            is_continuation: false,
-            tried,
-            connected: &HashSet::new(),
-            apart: None,
-            overcommit: false,
-            reported: &ReportedLoad::default(),
-            versions: &VersionRule::ANY,
-            now: self.base + self.now,
-        };
-        let chosen = choose_upstream(&self.routers[router].table, &demand, &mut self.rng);
-        let Choice::Upstream(chosen) = chosen else {
-            return None;
-        };
-        self.upstreams
-            .iter()
-            .position(|u| u.entry.name == chosen.name)
-    }
-
-    fn reach(&mut self, sending: Sending, upstream: usize) {
-        self.count_arrival(&sending, upstream);
-        let now = self.now;
-        let state = &self.upstreams[upstream];
-        let is_leaving = state.is_leaving(now);
-        let wait = state
-            .turns_away
-            .filter(|(from, until)| (*from..*until).contains(&now));
-        let said = Said {
-            born_ms: if state.is_back { BORN_MS + 1 } else { BORN_MS },
-            is_leaving,
-            wait: wait.map(|(_, until)| until - now),
-        };
-        let work = if wait.is_some() { Duration::ZERO } else { WORK };
-        let way = self.way();
-        let answer = Event::Answer {
-            sending,
-            upstream,
-            said,
-        };
-        self.schedule_in(work + way, answer);
-    }
-
-    fn count_arrival(&mut self, sending: &Sending, upstream: usize) {
-        let now = self.now;
-        let in_touch = self.is_in_touch(sending.router);
-        let state = &mut self.upstreams[upstream];
-        if state.is_leaving(now) {
-            let own = state.passed_on.get(&sending.router);
-            let is_late = own.is_some_and(|at| sending.sent > *at + DRAIN);
-            self.outcome.after_own_answer += usize::from(is_late);
-            let any = state.passed_on_in_touch;
-            let is_late = in_touch && any.is_some_and(|at| sending.sent > at + HEARTBEAT);
-            self.outcome.after_any_answer += usize::from(is_late);
-        }
-        if let Some((from, until, arrived)) = state.told_to_wait.get_mut(&sending.router)
-            && (*from + UNDER_WAY..*until).contains(&now)
-        {
-            *arrived += 1;
-            let most = &mut self.outcome.most_while_waiting;
-            *most = (*most).max(*arrived);
-        }
-    }
-
-    fn answer(&mut self, mut sending: Sending, upstream: usize, said: Said) {
-        let now = self.instant();
-        let router = sending.router;
-        if self.routers[router].life != sending.life {
-            return;
-        }
-        let name = self.upstreams[upstream].entry.name.clone();
-        let table = &mut self.routers[router].table;
-        table.remove_load(&name, one_request());
-        table.on_start(&name, Some(said.born_ms));
-        if said.is_leaving {
-            let is_new = table.on_leaving(&name, Some(said.born_ms), now);
-            self.pass_on(router, upstream);
-            if is_new {
-                self.tell_all(router, &name);
-            }
-        }
-        if let Some(wait) = said.wait {
-            let table = &mut self.routers[router].table;
-            table.on_wait(&name, wait, now);
-            let told = &mut self.upstreams[upstream].told_to_wait;
-            told.entry(router).or_insert((self.now, self.now + wait, 0));
-            sending.tried.push(name);
-            if sending.tried.len() < TRIES {
-                self.send(sending);
-            }
-        }
-    }
-
-    /// A router passes on an answer that says that its sender leaves.
-    fn pass_on(&mut self, router: usize, upstream: usize) {
-        let in_touch = self.is_in_touch(router);
-        let state = &mut self.upstreams[upstream];
-        if state.is_back {
-            return;
-        }
-        state.passed_on.entry(router).or_insert(self.now);
-        if in_touch {
-            state.passed_on_in_touch.get_or_insert(self.now);
-        }
-    }
-
     pub fn is_in_touch(&self, router: usize) -> bool {
         let state = &self.routers[router];
         state.is_up && !state.is_cut_off && self.now >= state.in_touch_from
@@ -506,12 +353,12 @@
 }
 
 impl Upstreams {
-    fn is_leaving(&self, now: Duration) -> bool {
+    pub fn is_leaving(&self, now: Duration) -> bool {
         !self.is_back && self.leaves_at.is_some_and(|at| now >= at)
     }
 }
 
-fn one_request() -> Load {
+pub(super) fn one_request() -> Load {
     Load {
         requests: 1,
         ..Load::default()
