--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -296,6 +296,7 @@
     let engine = app.engines.engine(chosen.address);
     let limit = Silence::new(live.spec.silence, false).first_token();
     let started = app.timers.timeout(limit, engine.generate(&body)).await;
+    // Without an answer in time nothing was said.
     if let Some(said) = started.as_ref().ok().and_then(said_of) {
         statements::hear(app, &chosen.upstream, said);
     }
@@ -325,6 +326,7 @@
     if let Some(said) = said_of(&started) {
         statements::hear(app, &source.upstream, said);
     }
+    // As above.
     let stream = started.ok()?;
     live.change(|s| {
         s.answer.adopt_attempt(source.attempt);
--- a/crates/daemon/cloverpier_upstream/src/statement.rs
+++ b/crates/daemon/cloverpier_upstream/src/statement.rs
@@ -36,6 +36,7 @@
         Self {
             is_leaving: headers.get(LEAVING).is_some_and(|value| value == YES),
             unreadable: wait.as_ref().err().cloned(),
+            // An error is in `unreadable`.
             wait: wait.unwrap_or_default(),
         }
     }
@@ -48,6 +49,7 @@
     let Some(value) = headers.get(RETRY_AFTER) else {
         return Ok(None);
     };
+    // What cannot be read is the error, with the value.
     let wait = value.to_str().ok().and_then(parse_retry_after);
     wait.map(Some)
         .ok_or_else(|| format!("{RETRY_AFTER}: {value:?}"))
--- a/crates/router/cloverpier_router/src/crash_news.rs
+++ b/crates/router/cloverpier_router/src/crash_news.rs
@@ -1,8 +1,7 @@
-//! Tells peers of requests that end upstreams, and takes what they tell.
+//! Sends peers the requests that end upstreams, and applies what peers send.
 //!
-//! What is told is decided in `cloverpier_router_policy::crash_news`, who is told again in `news`
-//! there. Owns no state;
-//! [`crate::crashes`] holds what is known, and when peers were told last.
+//! The messages' contents are decided in `cloverpier_router_policy::crash_news`, repeats in `news`
+//! there. Owns no state: [`crate::crash_state`] holds what is known, and when it was sent last.
 
 use crate::crashes::apply_verdicts;
 use crate::peer_messages::{CrashNews, PeerMessage};
--- a/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
@@ -1,7 +1,7 @@
 //! What upstreams say of themselves, as it binds in the table.
 //!
-//! How long it binds is decided in [`crate::leaving`] and [`cloverpier_core::wait`]; leavings of upstreams that are
-//! not known are remembered, too. Owns nothing besides the table's own.
+//! How long it binds is decided in [`crate::leaving`] and [`cloverpier_core::wait`]; leavings of
+//! upstreams that are not known are remembered, too. Owns nothing besides the table's own.
 
 use super::UpstreamTable;
 use crate::leaving::LeavingReport;
--- a/crates/shared/cloverpier_core/src/wait.rs
+++ b/crates/shared/cloverpier_core/src/wait.rs
@@ -26,6 +26,7 @@
 /// Reads the time off the text by which an upstream names it: seconds, fractions allowed. One that no
 /// duration can hold is longer than any that counts; `None` for anything else, a date among it.
 pub fn parse_retry_after(text: &str) -> Option<Duration> {
+    // The caller has the text and says what cannot be read.
     let seconds: f64 = text.trim().parse().ok()?;
     let is_time = seconds >= 0.0;
     is_time.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
