Lock the stand-ins' state before the ledger everywhere: the soak stood still for good

Cause: the check of a roll-out's exposure asked upstreams for their names while it held the ledger; upstreams hold their state while they write into the ledger. The two orders meet in a dead lock. Mended: names are read before the ledger is locked; nothing else takes the locks in that order (searched for in tools and tests).

--- a/tools/src/soak/checks.rs
+++ b/tools/src/soak/checks.rs
@@ -5,6 +5,7 @@
 use super::plan::Size;
 use crate::router_site::{ACCOUNT, FIXED_STREAM_PATH, GRACE, Site, UNSAFE_PATH};
 use cloverpier_core::lock;
+use cloverpier_router_policy::prelude::Upstream;
 use cloverpier_router_standin::caller::Outcome;
 use cloverpier_router_standin::ledger::Ledger;
 use std::collections::BTreeMap;
@@ -125,13 +126,17 @@
 
 /// Requests that have reached a service's upstreams, and those of them that reached some.
 fn reached(site: &Site, service: &str, some: &[usize]) -> (usize, usize) {
-    let all = site.upstreams.iter().enumerate();
-    let of_service = all.filter(|(_, u)| u.stand_in.listed().service.as_str() == service);
+    // Upstreams lock their state before the ledger, so none is asked while the ledger is locked: the
+    // other order has stopped a whole run for good.
+    let listed = site.upstreams.iter().map(|u| u.stand_in.listed());
+    let listed: Vec<Upstream> = listed.collect();
+    let all = listed.iter().enumerate();
+    let of_service = all.filter(|(_, listed)| listed.service.as_str() == service);
     let ledger = lock(&site.ledger);
     let (mut total, mut of_some) = (0, 0);
-    for (index, upstream) in of_service {
+    for (index, listed) in of_service {
         // A crash gives the upstream at a position another name, with the same beginning.
-        let name = upstream.stand_in.listed().name.to_string();
+        let name = listed.name.to_string();
         let position = name.rsplit_once('-').map_or(name.as_str(), |(all, _)| all);
         let is_its = |reached: &str| reached.rsplit_once('-').is_some_and(|(p, _)| p == position);
         let runs = ledger.reached.values().flatten();
