Decide who does the work that one router at a time does, and what it does

Cause: a platform may name work for one router at a time (usage reports, orders of engines).

Change: four modules of decisions without a network: the lease with fencing tokens, the time of day as the median of the routers' clocks, the counts of windows, the number of engines.

--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -37,6 +37,7 @@
 //! | does a peer get a copy of the configuration now | [`version_serving`] |
 //! | is this router ready; may it exit | [`lifecycle`] |
 //! | which software versions get requests during a roll-out, and how it ends | [`rollout`] |
+//! | what does one router at a time do for all, and which one | [`singleton`] |
 //!
 //! State that several of them use: [`upstream_table`], [`upstream`], [`load`]. [`events`]
 //! cuts streams into events.
@@ -76,6 +77,7 @@
 pub mod refusal;
 pub mod replica;
 pub mod rollout;
+pub mod singleton;
 pub mod statement;
 pub mod store_ping;
 pub mod store_watch;
