--- a/crates/shared/cloverpier_settings/src/lib.rs
+++ b/crates/shared/cloverpier_settings/src/lib.rs
@@ -26,6 +26,7 @@
     pub use crate::reader::{SettingFault, SettingFaults};
     pub use crate::router::{
         ExposureSettings, RetrySettings, RouterListen, RouterSettings, SilenceSettings,
+        SingletonSettings,
     };
 }
 
--- a/crates/shared/cloverpier_settings/src/reader.rs
+++ b/crates/shared/cloverpier_settings/src/reader.rs
@@ -120,6 +120,14 @@
     }
 
     /// Contents as log lines name them.
+    pub(crate) fn texts(&mut self, key: &str) -> Vec<String> {
+        let text = |v: &Value| v.as_str().map(str::to_owned);
+        let list = |v: &Value| v.as_array()?.iter().map(text).collect();
+        // No list is an empty one; a fault is noted by `take`.
+        self.take(key, "a list of texts", false, list)
+            .unwrap_or_default()
+    }
+
     pub(crate) fn contents(&mut self, key: &str) -> HashSet<ContentKey> {
         let content = |v: &Value| ContentKey::parse(v.as_str()?);
         let list = |v: &Value| v.as_array()?.iter().map(content).collect();
--- a/crates/shared/cloverpier_settings/src/router.rs
+++ b/crates/shared/cloverpier_settings/src/router.rs
@@ -49,6 +49,25 @@
     pub slack: f64,
 }
 
+/// Work that one router at a time does for all, under a lease in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SingletonSettings {
+    /// Where the platform takes usage reports and orders of engines.
+    pub api: SocketAddr,
+    /// Whether usage is reported.
+    pub meters: bool,
+    /// Whether engines are ordered.
+    pub scales: bool,
+    /// Work that the settings name and this release does not know.
+    pub unknown: Vec<String>,
+    /// How long the lease lasts.
+    pub lease: Duration,
+    /// The length of a window of usage.
+    pub usage_window: Duration,
+    /// How long after its end a window's report is in time.
+    pub usage_late: Duration,
+}
+
 /// How silence of a model engine is judged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SilenceSettings {
@@ -94,6 +113,8 @@
     pub retry: RetrySettings,
     /// The bound on new versions; `None` where the operator orders no roll-outs.
     pub exposure: Option<ExposureSettings>,
+    /// Work that one router at a time does; `None` where there is none.
+    pub singleton: Option<SingletonSettings>,
     /// How silence is judged.
     pub silence: SilenceSettings,
     /// Whether engines copy runs' memory to another engine as it grows.
@@ -125,6 +146,7 @@
             address_reuse: seconds(r.decimal_or("address_reuse_s", 0.0, 3_600.0, 0.0)),
             retry: read_retry(&mut r),
             exposure: read_exposure(&mut r),
+            singleton: read_singleton(&mut r),
             silence: read_silence(&mut r),
             backups: r.flag_or("backups", true),
             crashes: CrashSettings::read(&mut r),
@@ -159,6 +181,31 @@
     Some(ExposureSettings { share, slack })
 }
 
+/// The names of the work in the settings.
+const METERING: &str = "metering";
+const AUTOSCALE: &str = "autoscale";
+
+fn read_singleton(r: &mut Reader) -> Option<SingletonSettings> {
+    let api = r.address_or("singleton_api");
+    let named = r.texts("singleton_work");
+    let lease = millis(r, "singleton_lease_ms", 3_000);
+    let usage_window = seconds(r.decimal_or("usage_window_s", 0.1, 86_400.0, 60.0));
+    let usage_late = seconds(r.decimal_or("usage_late_s", 0.1, 86_400.0, 30.0));
+    let names = |work: &str| named.iter().any(|name| name == work);
+    let (meters, scales) = (names(METERING), names(AUTOSCALE));
+    let is_known = |name: &String| name == METERING || name == AUTOSCALE;
+    let settings = SingletonSettings {
+        api: api?,
+        meters,
+        scales,
+        unknown: named.iter().filter(|n| !is_known(n)).cloned().collect(),
+        lease,
+        usage_window,
+        usage_late,
+    };
+    (meters || scales).then_some(settings)
+}
+
 fn read_silence(r: &mut Reader) -> SilenceSettings {
     SilenceSettings {
         ask_after: millis(r, "ask_after_ms", 150),
