Stand-ins: objects written under conditions, a store that comes back older, the platform's API

The stand-in store reads and writes single objects, and can come back from a copy under a higher era.

--- a/crates/standins/cloverpier_router_standin/src/lib.rs
+++ b/crates/standins/cloverpier_router_standin/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod answers;
+pub mod api;
 pub mod caller;
 mod http;
 pub mod ledger;
--- a/crates/standins/cloverpier_router_standin/src/store/mod.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/mod.rs
@@ -5,7 +5,7 @@
 mod objects;
 mod serve;
 
-pub use objects::{NOTHING, StoreCall, StoredEvent, StoredObject};
+pub use objects::{NOTHING, StoreCall, StoredEvent, StoredObject, WriteCondition};
 
 use cloverpier_core::lock;
 use cloverpier_router_policy::prelude::{Configuration, Upstream};
@@ -33,6 +33,8 @@
     pub upstream: fn(&Upstream) -> Value,
     /// The content of the configuration.
     pub configuration: fn(&Configuration) -> Value,
+    /// The header in which the store says how often it came back from an older copy.
+    pub era: &'static str,
     /// The kind of upstreams, and the kind and name of the configuration.
     pub kinds: StoreKinds,
 }
@@ -69,6 +71,10 @@
 #[derive(Debug, Default)]
 struct State {
     objects: Objects,
+    /// What it may come back from.
+    copy: Option<Objects>,
+    /// How often it came back from an older copy.
+    era: u64,
     fault: StoreFault,
     calls: u64,
     /// The targets of all calls, in order.
@@ -191,6 +197,29 @@
         self.changed.notify_waiters();
     }
 
+    /// Makes a copy of everything, to come back from.
+    pub fn make_copy(&self) {
+        let mut state = lock(&self.state);
+        state.copy = Some(state.objects.clone());
+    }
+
+    /// Comes back from the last copy: what was written since is gone.
+    pub fn come_back_from_copy(&self) {
+        let mut state = lock(&self.state);
+        if let Some(copy) = state.copy.clone() {
+            state.objects = copy;
+            state.era += 1;
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// An object's content, as JSON; `None` where there is no such object.
+    pub fn spec_of(&self, kind: &str, name: &str) -> Option<String> {
+        let state = lock(&self.state);
+        state.objects.get(kind, name).map(|o| o.spec.clone())
+    }
+
     /// What the system says of an object, as JSON; `None` where there is no such object.
     pub fn status_of(&self, kind: &str, name: &str) -> Option<String> {
         let state = lock(&self.state);
--- a/crates/standins/cloverpier_router_standin/src/store/objects.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/objects.rs
@@ -49,6 +49,24 @@
         /// How long they are awaited.
         wait: Duration,
     },
+    /// One object.
+    Get {
+        /// The kind.
+        kind: String,
+        /// The object's name.
+        name: String,
+    },
+    /// A new object, or new content of one.
+    Write {
+        /// The kind.
+        kind: String,
+        /// The object's name.
+        name: String,
+        /// Whether it must not be there yet, or which revision it must have.
+        condition: WriteCondition,
+        /// Its content, as JSON.
+        spec: String,
+    },
     /// A new status of an object that has a revision.
     SetStatus {
         /// The kind.
@@ -62,6 +80,17 @@
     },
 }
 
+/// What a write requires.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteCondition {
+    /// The object is not there.
+    Absent,
+    /// It is there, whatever its revision.
+    Present,
+    /// It has this revision.
+    Revision(u64),
+}
+
 /// The result of a conditional write.
 #[derive(Clone, Debug)]
 pub(super) enum Written {
@@ -73,7 +102,7 @@
     Missing,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Kind {
     objects: BTreeMap<String, StoredObject>,
     log: Vec<StoredEvent>,
@@ -82,7 +111,7 @@
 }
 
 /// All objects, by kind.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Objects {
     /// Of the last change.
     pub revision: u64,
@@ -140,6 +169,31 @@
         );
     }
 
+    /// Writes an object's content, if it is as the write requires.
+    pub fn write(
+        &mut self,
+        kind: &str,
+        name: &str,
+        condition: WriteCondition,
+        spec: String,
+    ) -> Written {
+        let present = self.get(kind, name).cloned();
+        match (condition, present) {
+            (WriteCondition::Absent, Some(object)) => return Written::Conflict(object),
+            (WriteCondition::Revision(_) | WriteCondition::Present, None) => {
+                return Written::Missing;
+            }
+            (WriteCondition::Revision(revision), Some(object)) if object.revision != revision => {
+                return Written::Conflict(object);
+            }
+            (_, Some(object)) if object.spec == spec => return Written::Done(object),
+            _ => {}
+        }
+        self.put(kind, name, spec);
+        self.get(kind, name)
+            .map_or(Written::Missing, |object| Written::Done(object.clone()))
+    }
+
     /// Takes an object away.
     pub fn remove(&mut self, kind: &str, name: &str) {
         self.revision += 1;
--- a/crates/standins/cloverpier_router_standin/src/store/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/serve.rs
@@ -49,7 +49,7 @@
         let body = String::from_utf8_lossy(&body);
         let call = (shared.shapes.call)(head.word(0), head.word(1), &body);
         if is_refused(shared, &head) {
-            write(&mut stream, Answer::empty(503)).await?;
+            write(&mut stream, shared, Answer::empty(503)).await?;
             continue;
         }
         let is_watch = matches!(call, Some(StoreCall::Watch { .. }));
@@ -60,9 +60,9 @@
         // What the store does at the moment of the answer counts, as for a watch.
         let fault = lock(&shared.state).fault;
         match fault {
-            StoreFault::None | StoreFault::Waits => write(&mut stream, answer).await?,
-            StoreFault::Busy => write(&mut stream, Answer::empty(503)).await?,
-            StoreFault::SilentToWatches if !is_watch => write(&mut stream, answer).await?,
+            StoreFault::None | StoreFault::Waits => write(&mut stream, shared, answer).await?,
+            StoreFault::Busy => write(&mut stream, shared, Answer::empty(503)).await?,
+            StoreFault::SilentToWatches if !is_watch => write(&mut stream, shared, answer).await?,
             StoreFault::Silent | StoreFault::SilentToWatches => {
                 std::future::pending::<()>().await;
             }
@@ -91,6 +91,22 @@
             let list = (shared.shapes.list)(&objects.list(&kind), objects.revision);
             Answer(200, list)
         }
+        Some(StoreCall::Get { kind, name }) => {
+            let objects = &lock(&shared.state).objects;
+            let object = objects.get(&kind, &name).cloned();
+            answer_to_write(shared, object.map_or(Written::Missing, Written::Done))
+        }
+        Some(StoreCall::Write {
+            kind,
+            name,
+            condition,
+            spec,
+        }) => {
+            let objects = &mut lock(&shared.state).objects;
+            let written = objects.write(&kind, &name, condition, spec);
+            shared.changed.notify_waiters();
+            answer_to_write(shared, written)
+        }
         Some(StoreCall::Watch { kind, after, wait }) => watch(shared, &kind, after, wait).await,
         Some(StoreCall::SetStatus {
             kind,
@@ -143,9 +159,17 @@
     }
 }
 
-async fn write(stream: &mut TcpStream, Answer(status, body): Answer) -> io::Result<()> {
+async fn write(
+    stream: &mut TcpStream,
+    shared: &Shared,
+    Answer(status, body): Answer,
+) -> io::Result<()> {
+    let era = match lock(&shared.state).era {
+        0 => String::new(),
+        era => format!("{}: {era}\r\n", shared.shapes.era),
+    };
     let head = format!(
-        "HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n\r\n",
+        "HTTP/1.1 {status} Status\r\n{era}content-length: {}\r\n\r\n",
         body.len()
     );
     stream.write_all((head + &body).as_bytes()).await
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -13,9 +13,10 @@
 use crate::ports::free_addresses;
 use crate::process::Process;
 use cloverpier_adapter::platform_wire_names;
-use cloverpier_adapter_standin::store_shapes;
+use cloverpier_adapter_standin::{API_SHAPES, store_shapes};
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_standin::api::ApiStandIn;
 use cloverpier_router_standin::caller::{CallerRequest, Outcome, call};
 use cloverpier_router_standin::ledger::{Ledger, SharedLedger};
 use cloverpier_router_standin::link::Link;
@@ -30,6 +31,13 @@
 /// From the termination signal to the end of a router: short, so that runs are.
 pub const GRACE: Duration = Duration::from_secs(5);
 
+/// The lease on work that one router at a time does: short, so that runs are.
+pub const LEASE: Duration = Duration::from_millis(1_000);
+/// The windows of usage.
+pub const USAGE_WINDOW: Duration = Duration::from_secs(1);
+/// How long after its end a window's report is in time.
+pub const USAGE_LATE: Duration = Duration::from_secs(3);
+
 /// What a site is made of.
 #[derive(Clone, Debug)]
 pub struct SiteSpec {
@@ -53,6 +61,8 @@
     pub upstream_start: Option<UpstreamStart>,
     /// The body of requests that crash the upstreams which begin to run them.
     pub crashed_by: Option<&'static str>,
+    /// Whether routers meter usage and order engines, under a lease of [`LEASE`].
+    pub singleton: bool,
     /// For how many seconds no other service gets the address of an upstream that has ended; 0
     /// where one may get it at once.
     pub address_reuse_s: u32,
@@ -72,6 +82,7 @@
             plain_slots: 64,
             upstream_start: None,
             crashed_by: None,
+            singleton: false,
             address_reuse_s: 0,
         }
     }
@@ -94,6 +105,8 @@
     pub peers: SocketAddr,
     /// Its way to the store.
     pub store_link: Link,
+    /// Its way to the platform's API.
+    pub api_link: Link,
     /// Its log.
     pub log: PathBuf,
     /// Its settings file.
@@ -105,6 +118,8 @@
 pub struct Site {
     /// The platform's store.
     pub store: StoreStandIn,
+    /// The platform's API for work that one router at a time does.
+    pub api: ApiStandIn,
     /// What upstreams did.
     pub ledger: SharedLedger,
     /// The upstreams: engines first.
@@ -137,6 +152,7 @@
             routers: Vec::new(),
             starts: 0,
             crashed: Vec::new(),
+            api: ApiStandIn::start(API_SHAPES, |_, _| 0).await?,
             store,
             spec,
         };
@@ -156,6 +172,7 @@
         for index in 0..self.spec.routers {
             let addresses = free_addresses(4)?;
             let store_link = Link::start(self.store.address()).await?;
+            let api_link = Link::start(self.api.address()).await?;
             let settings = self.spec.dir.join(format!("front-{index}.toml"));
             let seeds: Vec<String> = peers.iter().take(3).map(|p| format!("\"{p}\"")).collect();
             let text = format!(
@@ -175,6 +192,7 @@
                 GRACE.as_secs(),
                 self.spec.address_reuse_s,
             );
+            let text = text + &self.singleton_settings(api_link.address());
             std::fs::write(&settings, text)?;
             self.routers.push(SiteRouter {
                 process: None,
@@ -184,6 +202,7 @@
                 metrics: addresses[3],
                 peers: peers[index],
                 store_link,
+                api_link,
                 log: self.spec.dir.join(format!("front-{index}.log")),
                 settings,
             });
@@ -191,6 +210,19 @@
         Ok(())
     }
 
+    fn singleton_settings(&self, api: SocketAddr) -> String {
+        if !self.spec.singleton {
+            return String::new();
+        }
+        format!(
+            "singleton_api = \"{api}\"\nsingleton_work = [\"metering\", \"autoscale\"]\n\
+             singleton_lease_ms = {}\nusage_window_s = {}\nusage_late_s = {}\n",
+            LEASE.as_millis(),
+            USAGE_WINDOW.as_secs_f64(),
+            USAGE_LATE.as_secs_f64(),
+        )
+    }
+
     /// Starts a router, or starts it again.
     ///
     /// # Errors
