Hold the lease, report usage, order engines

Every router counts the requests that began to run, by window and client account, and reports them with its load and its clock to the routers that watch the store; the holder of the lease writes the counts of a window into the lease's record before it reports them, and answers with the time of day. New log events lease.changed, usage.reported, engines.ordered, lease.left, lease.uncertain; a metric by kind.

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -5,6 +5,7 @@
 
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::RouteKey;
+use cloverpier_router_policy::singleton::autoscaling::{EngineKind, OrderResult};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -336,3 +337,37 @@
     pub ratio: Option<f64>,
     pub from: &'a str,
 }
+
+/// This router holds the lease on work that one router at a time does, or does not hold it any more.
+#[derive(Debug, Serialize)]
+pub(crate) struct LeaseChanged<'a> {
+    pub holds: bool,
+    pub token: Option<u64>,
+    /// The revision of the lease's record.
+    pub revision: Option<u64>,
+    /// The VM that the record names as the holder.
+    pub holder: Option<&'a str>,
+}
+
+/// The usage of a window was reported.
+#[derive(Debug, Serialize)]
+pub(crate) struct UsageReported {
+    pub window: u64,
+    /// Client accounts with requests in it.
+    pub accounts: usize,
+    pub requests: u64,
+    pub token: u64,
+}
+
+/// A data centre was ordered to hold a number of engines.
+#[derive(Debug, Serialize)]
+pub(crate) struct EnginesOrdered<'a> {
+    pub service: &'a str,
+    pub data_centre: &'a str,
+    pub kind: EngineKind,
+    pub count: u32,
+    pub result: OrderResult,
+    /// The highest recent load, as a number of engines that it would fill.
+    pub peak_load: f64,
+    pub token: u64,
+}
--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -9,7 +9,7 @@
 use cloverpier_timers::{Elapsed, Timers};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use snafu::Snafu;
@@ -162,6 +162,23 @@
         whole.unwrap_or(Err(CallError::TimedOut))
     }
 
+    /// Makes a call with headers and a body.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`].
+    pub async fn call(
+        &self,
+        request: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<HttpAnswer, CallError> {
+        let mut request = request.map(Full::new);
+        let host = HeaderValue::from_str(&self.address.to_string()).map_err(|e| broken(&e))?;
+        request.headers_mut().insert(HOST, host);
+        let whole = self.within(timeout, self.answer_to(request)).await;
+        whole.unwrap_or(Err(CallError::TimedOut))
+    }
+
     async fn get_unbounded(&self, path: &str) -> Result<HttpAnswer, CallError> {
         self.answer_to(get_request(path, self.address)?).await
     }
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -16,6 +16,7 @@
 //! | what upstreams say of themselves | `statements`, `leaving_news` |
 //! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
+//! | work that one router at a time does | `singleton` |
 //! | other routers | `peers`, `heartbeats`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
 //! | logs and metrics | `decision_log`, `beliefs`, `metrics` |
@@ -81,6 +82,7 @@
 mod rollouts;
 mod router;
 mod send;
+mod singleton;
 mod source;
 mod start;
 mod statements;
@@ -100,6 +102,9 @@
     pub use crate::background::run_in_background;
     pub use crate::http_client::{CallError, HttpAnswer, HttpClient, LargeBounds};
     pub use crate::router::Router;
+    pub use crate::singleton::{
+        LeaseRecord, RecordWritten, ServiceScaling, SignedBy, SingletonPlatform, StoredRecord,
+    };
     pub use crate::source::{
         ConfigurationChange, ConfigurationSource, Freshness, ReadChange, RolloutChange,
         RolloutChanges, RolloutStatus, SourceError, StatusWritten, StoredRollout, UnreadableEntry,
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -71,6 +71,8 @@
     pub leavings: ByKind,
     /// Times that upstreams began to want nothing.
     pub waits: Counter,
+    /// The lease on work that one router at a time does, and that work.
+    pub singleton: ByKind,
     /// Contents that are stopped.
     pub stopped_contents: Gauge,
     /// Bytes of versions handed to peers.
@@ -107,6 +109,7 @@
             crashes: ByKind::default(),
             leavings: ByKind::default(),
             waits: Counter::default(),
+            singleton: ByKind::default(),
             stopped_contents: Gauge::default(),
             version_bytes: Counter::default(),
             connections: Counter::default(),
@@ -183,6 +186,11 @@
             "Suspensions of the machine",
             self.suspensions.clone(),
         );
+        registry.register(
+            "singleton",
+            "Work that one router at a time does",
+            self.singleton.0.clone(),
+        );
         registry.register(
             "dropped_lines",
             "Log lines dropped",
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -13,6 +13,9 @@
 use cloverpier_crashes::ContentReport;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::EvidenceReport;
+use cloverpier_router_policy::singleton::autoscaling::ServiceLoad;
+use cloverpier_router_policy::singleton::lease::RecordVersion;
+use cloverpier_router_policy::singleton::metering::ReportedWindow;
 use flate2::Compression;
 use flate2::read::GzDecoder;
 use flate2::write::GzEncoder;
@@ -156,6 +159,39 @@
     pub upstreams: Vec<LeavingReport>,
 }
 
+/// What a router counted, its load and its clock, for the holder of the lease on work that one router
+/// at a time does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetReport {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// Which run of the sender's process it is.
+    pub incarnation: u64,
+    /// When this run began, by the time of day that routers agree on.
+    pub started: u64,
+    /// The time of day by the sender's own clock, in milliseconds since 1970.
+    pub wall_ms: u64,
+    /// Requests that began to run, by window and client account, as far as they fit.
+    pub windows: Vec<ReportedWindow>,
+    /// The sender's load at each service of engines.
+    pub loads: Vec<(ServiceKey, ServiceLoad)>,
+}
+
+/// What the holder of the lease says of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseNews {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The version of the lease's record.
+    pub version: RecordVersion,
+    /// The holder's fencing token.
+    pub token: u64,
+    /// The first window of which counts are still needed.
+    pub undecided: u64,
+    /// The time of day that routers agree on, in milliseconds since 1970.
+    pub fleet_ms: u64,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -178,6 +214,11 @@
     /// Sent to all when an upstream has said in an answer that it leaves, and again for a while;
     /// likewise.
     Leavings(LeavingNews),
+    /// Sent to the routers that may hold the lease, where the settings name work for its holder;
+    /// likewise.
+    FleetReport(FleetReport),
+    /// Sent by the holder of the lease, likewise.
+    LeaseNews(LeaseNews),
 }
 
 /// The reply to a fetch of upstreams.
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -10,6 +10,7 @@
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, decode};
 use crate::rollouts;
 use crate::router::Router;
+use crate::singleton;
 use crate::store_view::{Watched, decide_watcher_role, log_dependency};
 use crate::successors::{on_peer_replaced, on_peer_successor};
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
@@ -44,6 +45,8 @@
             }
             Ok(PeerMessage::Crashes(news)) => crash_news::on_news(&router, &news, now),
             Ok(PeerMessage::Leavings(news)) => leaving_news::on_news(&router, &news, now),
+            Ok(PeerMessage::FleetReport(report)) => singleton::on_report(&router, report, now),
+            Ok(PeerMessage::LeaseNews(news)) => singleton::on_lease_news(&router, &news, now),
             // Cut off, or of another release, as during an upgrade: logged once a process.
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -17,6 +17,7 @@
 use crate::rollouts;
 use crate::router::Router;
 use crate::send::{Opened, SendExtras, keep, send};
+use crate::singleton;
 use crate::wait::{Awaited, while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_core::UpstreamName;
@@ -102,9 +103,15 @@
             self.attempts.on_send();
             let begun = self.router.now();
             let failure = match self.attempt(&upstream).await {
-                Ok(reply) => return Ok(reply),
+                Ok(reply) => {
+                    singleton::on_begun(self.router, self.request, begun);
+                    return Ok(reply);
+                }
                 Err(failure) => failure,
             };
+            if failure.outcome().may_have_run() {
+                singleton::on_begun(self.router, self.request, begun);
+            }
             match self.after_failure(&upstream, &failure, begun) {
                 AfterFailure::Retry => {}
                 AfterFailure::PassOn(answer) => return Ok(answer.into_reply()),
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -14,6 +14,7 @@
 //! | [`RetryBudgets`] | this router's use of each service's retry budget |
 //! | [`Crashes`] | contents of requests that ended upstreams |
 //! | [`Rollouts`] | orders of roll-outs, and what this router saw of them |
+//! | [`Singleton`] | the lease on work that one router at a time does, and that work |
 //! | [`CopyPacing`] | copies of the configuration that the link still carries |
 //! | [`Lifecycle`] | the planned stop and the requests in flight |
 //!
@@ -29,9 +30,10 @@
 use crate::pool::ConnectionPool;
 use crate::prompts::Prompts;
 use crate::rollout_state::Rollouts;
+use crate::singleton::Singleton;
 use crate::store_view::StoreView;
 use crate::wire_names::WireNames;
-use cloverpier_core::{ServiceName, UpstreamName};
+use cloverpier_core::{ServiceName, UpstreamName, wall_ms};
 use cloverpier_observe::Log;
 use cloverpier_router_policy::heartbeat::peer_timeout;
 use cloverpier_router_policy::lifecycle::router_state;
@@ -63,6 +65,8 @@
     budgets: RetryBudgets,
     pub(crate) crashes: Crashes,
     pub(crate) rollouts: Rollouts,
+    /// `None` where the settings name no work that one router at a time does.
+    pub(crate) singleton: Option<Singleton>,
     /// When it was learned last that an upstream leaves.
     pub(crate) last_leaving: Cell<Option<Instant>>,
     pub(crate) copy_pacing: RefCell<CopyPacing>,
@@ -77,7 +81,10 @@
         timers: Timers,
         mut rng: fastrand::Rng,
     ) -> Self {
+        let lifecycle = Lifecycle::new(rng.u64(..), timers.now());
+        let incarnation = lifecycle.incarnation();
         Self {
+            singleton: Singleton::new(&settings, incarnation, wall_ms(), timers.now()),
             log: Log::new(settings.vm.as_str()),
             wire_names,
             metrics: Metrics::default(),
@@ -92,7 +99,7 @@
             rollouts: Rollouts::default(),
             last_leaving: Cell::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
-            lifecycle: Lifecycle::new(rng.u64(..), timers.now()),
+            lifecycle,
             timers,
             rng: RefCell::new(rng),
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -12,6 +12,7 @@
 use crate::resume;
 use crate::rollout_steps;
 use crate::router::Router;
+use crate::singleton::{self, SingletonPlatform};
 use crate::source::ConfigurationSource;
 use crate::stop;
 use crate::store_sync;
@@ -58,6 +59,7 @@
 pub async fn run_router(
     router: Router,
     source: impl ConfigurationSource + 'static,
+    platform: impl SingletonPlatform + 'static,
     settings_path: Option<PathBuf>,
     log_progress: LogProgress,
 ) -> Result<(), StartError> {
@@ -65,6 +67,7 @@
     let terminate = stop::terminate_signal().context(SignalsSnafu)?;
     listen(&router).await?;
     start_store_loops(&router, Rc::new(source));
+    singleton::start(&router, platform);
     for watched in [Watched::Configuration, Watched::Upstreams] {
         spawn_local(peer_fetch::fetch_newer(Rc::clone(&router), watched));
     }
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -7,6 +7,7 @@
 use crate::crashes;
 use crate::probe;
 use crate::send::keep;
+use crate::singleton;
 use crate::wait::{Awaited, while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_router_policy::prelude::*;
@@ -54,6 +55,9 @@
         }
         let bounds = self.running_bounds();
         if let Some(source) = &mut self.source {
+            if !source.has_events {
+                singleton::on_begun(&self.router, &self.request, now);
+            }
             source.load.on_prompt_read();
             source.liveness.set_bounds(bounds);
             source.liveness.on_event(now);
