Count a request once; order nothing in place of spot engines that are missing for a while

Cause: (1) windows during which engines died were reported with 93 and 108 requests too many of 585 and 581: runs that went on elsewhere were counted again. (3) The others were to hold the share of a data centre without spot engines at once, though the plan had room for its loss.

Change: a request is counted with its first run; a data centre without spot engines is asked again each 2 s, and gets engines on demand for what is missing after 10 s.

--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -62,6 +62,8 @@
     tried: Vec<UpstreamName>,
     /// The last failure that an upstream itself answered with.
     upstream_failure: Option<UpstreamAnswer>,
+    /// Whether it was counted as a request that began to run.
+    is_counted: bool,
 }
 
 /// What follows a failed attempt.
@@ -83,6 +85,7 @@
             attempts: Attempts::new(route.retry_rule(), route.max_attempts),
             tried: Vec::new(),
             upstream_failure: None,
+            is_counted: false,
         }
     }
 
@@ -104,13 +107,13 @@
             let begun = self.router.now();
             let failure = match self.attempt(&upstream).await {
                 Ok(reply) => {
-                    singleton::on_begun(self.router, self.request, begun);
+                    self.count_begun(begun);
                     return Ok(reply);
                 }
                 Err(failure) => failure,
             };
             if failure.outcome().may_have_run() {
-                singleton::on_begun(self.router, self.request, begun);
+                self.count_begun(begun);
             }
             match self.after_failure(&upstream, &failure, begun) {
                 AfterFailure::Retry => {}
@@ -127,6 +130,13 @@
         }
     }
 
+    /// Counts the request, whose run began at a moment; further runs of it count no more.
+    fn count_begun(&mut self, at: Instant) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            singleton::on_begun(self.router, self.request, at);
+        }
+    }
+
     fn choose(&mut self) -> Result<Upstream, NoUpstream> {
         let now = self.router.now();
         let connected = self.router.pool.borrow().connected(now);
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -42,6 +42,10 @@
             return None;
         }
         let now = self.router.now();
+        if self.progress.events == 0 {
+            // Later runs go on with the same request.
+            singleton::on_begun(&self.router, &self.request, now);
+        }
         self.progress.on_events(count, now);
         self.on_progress(now);
         self.measure_events(count);
@@ -55,9 +59,6 @@
         }
         let bounds = self.running_bounds();
         if let Some(source) = &mut self.source {
-            if !source.has_events {
-                singleton::on_begun(&self.router, &self.request, now);
-            }
             source.load.on_prompt_read();
             source.liveness.set_bounds(bounds);
             source.liveness.on_event(now);
--- a/crates/router/cloverpier_router_policy/src/singleton/autoscaling.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/autoscaling.rs
@@ -11,6 +11,8 @@
 //!   ordered that the loss of any one data centre leaves enough for that load at
 //!   [`TARGET_UTILISATION`]; spot engines of a data centre are taken away all at once, which is no worse.
 //!   So spot engines carry most of it where they are cheaper, and some on demand are held everywhere.
+//!   A data centre that has no spot engines to give is the one whose loss was planned for: only if that
+//!   lasts longer than [`SHORTAGE`] are engines on demand ordered there in their place.
 //!
 //! The plan grows at once and shrinks only when it has been smaller for [`PEAK_WINDOW`], so no order is
 //! taken back by the next one. On-demand engines are let go only when the spot engines that replace
@@ -34,6 +36,9 @@
 const ON_DEMAND_PART: f64 = 0.1;
 /// A difference below this part of the engines of a data centre is not worth an order.
 const LEAST_CHANGE: f64 = 0.1;
+/// A shortage of spot engines that is over sooner is not worth engines on demand, which take some of
+/// that time to start.
+const SHORTAGE: Duration = Duration::from_secs(10);
 /// A data centre that had no spot engines to give is asked again after this time.
 pub const SPOT_RETRY: Duration = Duration::from_secs(2);
 /// Beyond the time that an engine takes to start: the heartbeat that lists it.
@@ -151,8 +156,15 @@
     peaks: VecDeque<(Instant, f64)>,
     /// When a data centre was last ordered to hold more, or the same once more.
     grown: BTreeMap<DataCentre, Instant>,
-    /// Data centres that had no spot engines to give, and when they said so last.
-    without_spot: BTreeMap<DataCentre, Instant>,
+    /// Data centres that have no spot engines to give.
+    without_spot: BTreeMap<DataCentre, Refused>,
+}
+
+/// When spot engines were refused.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    first: Instant,
+    last: Instant,
 }
 
 impl Autoscaler {
@@ -205,7 +217,12 @@
         let data_centre = &order.data_centre;
         if result == OrderResult::NoneToBeHad {
             if order.kind == EngineKind::Spot {
-                self.without_spot.insert(data_centre.clone(), now);
+                let refused = Refused {
+                    first: now,
+                    last: now,
+                };
+                let known = self.without_spot.entry(data_centre.clone());
+                known.or_insert(refused).last = now;
             }
             return;
         }
@@ -228,25 +245,24 @@
         let mut due = Vec::new();
         for (data_centre, held) in &self.in_force {
             let listed = listed.get(data_centre).copied().unwrap_or(0);
-            let wanted = self.wanted(share);
+            let wanted = self.wanted(data_centre, share, *held, listed, now);
             due.extend(self.spot_order(data_centre, *held, wanted, listed, now));
             due.extend(self.on_demand_order(data_centre, *held, wanted, listed));
         }
         due
     }
 
-    /// Engines that each data centre with engines to give should hold.
+    /// Engines that each data centre should hold.
     fn share(&self, now: Instant) -> u32 {
-        let all = self.in_force.len();
-        let giving = all.saturating_sub(self.without_spot.len()).max(1) as f64;
+        let data_centres = self.in_force.len().max(1) as f64;
         let needed = self.peak() / TARGET_UTILISATION;
         // The loss of one of them leaves what is needed.
-        let share = needed / (giving - 1.0).max(1.0);
+        let share = needed / (data_centres - 1.0).max(1.0);
         let least = if self.has_seen_enough(now) {
             0.0
         } else {
             // What is there was chosen by somebody who may have known the load.
-            f64::from(self.first_total) / giving
+            f64::from(self.first_total) / data_centres
         };
         let share = share.max(least).ceil() as u32;
         share.clamp(self.bounds.min.min(self.bounds.max), self.bounds.max)
@@ -257,11 +273,17 @@
             .is_some_and(|since| now.saturating_duration_since(since) > PEAK_WINDOW)
     }
 
-    /// Both kinds, where a data centre is to hold so many.
-    fn wanted(&self, share: u32) -> Engines {
+    /// Both kinds, where a data centre is to hold `share` of them.
+    fn wanted(
+        &self,
+        data_centre: &DataCentre,
+        share: u32,
+        held: Engines,
+        listed: u32,
+        now: Instant,
+    ) -> Engines {
         let is_spot_cheaper = self.bounds.spot_price.is_some_and(|price| price < 1.0);
-        // Without any spot engines to be had, those on demand have to do.
-        if !is_spot_cheaper || self.without_spot.len() >= self.in_force.len() {
+        if !is_spot_cheaper {
             return Engines {
                 on_demand: share,
                 spot: 0,
@@ -269,10 +291,14 @@
         }
         let on_demand = (f64::from(share) * ON_DEMAND_PART).ceil() as u32;
         let on_demand = on_demand.max(self.bounds.min).min(share);
-        Engines {
-            on_demand,
-            spot: share - on_demand,
+        let spot = share - on_demand;
+        let refused = self.without_spot.get(data_centre);
+        if refused.is_some_and(|r| now.saturating_duration_since(r.first) > SHORTAGE) {
+            let spot_there = listed.saturating_sub(held.on_demand);
+            let on_demand = share.saturating_sub(spot_there).max(on_demand);
+            return Engines { on_demand, spot };
         }
+        Engines { on_demand, spot }
     }
 
     fn spot_order(
@@ -284,7 +310,7 @@
         now: Instant,
     ) -> Option<Order> {
         if let Some(refused) = self.without_spot.get(data_centre) {
-            let is_due = now.saturating_duration_since(*refused) >= SPOT_RETRY;
+            let is_due = now.saturating_duration_since(refused.last) >= SPOT_RETRY;
             let count = wanted.spot.min(self.room_for_spot(held));
             return (is_due && count > 0).then(|| order(data_centre, EngineKind::Spot, count));
         }
