Find the upstreams of an address by an index, not by looking through all of them

Cause: each upstream that comes was compared with all that are known, as it may have the address of one that ended: a list of n took n x n comparisons, at every router, at each start.

--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -6,6 +6,7 @@
 //! of an upstream has a new name, or says when it began; what was known of the former start is
 //! dropped then.
 
+mod addresses;
 mod observations;
 mod statements;
 
@@ -15,6 +16,7 @@
 use crate::load::{Load, PeerLoad};
 use crate::suspicion::DataCentreCounts;
 use crate::upstream::{StartOrder, Unlisted, Upstream, UpstreamChange, UpstreamKey, UpstreamState};
+use addresses::AddressIndex;
 use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -33,6 +35,7 @@
     upstreams: HashMap<UpstreamName, UpstreamState>,
     by_service: BTreeMap<ServiceName, Vec<UpstreamName>>,
     by_key: HashMap<UpstreamKey, UpstreamName>,
+    by_address: AddressIndex,
     /// Load that other routers reported.
     pub peer_load: PeerLoad,
     revision: u64,
@@ -278,9 +281,16 @@
         if order == StartOrder::Older {
             return None;
         }
+        let (name, former) = (upstream.name.clone(), state.upstream.address);
         state.set_listed(upstream);
         state.leaving = self.leavings.since(state.key, state.born_ms());
-        (order == StartOrder::Newer).then(|| state.upstream.clone())
+        let restarted = (order == StartOrder::Newer).then(|| state.upstream.clone());
+        let present = state.upstream.address;
+        if present != former {
+            self.by_address.remove(former, &name);
+            self.by_address.add(present, name);
+        }
+        restarted
     }
 
     /// Sets the services of the configuration in force. Another writer may list an upstream of
@@ -293,9 +303,10 @@
     /// address; false where it is known, or another one than `former` is known there.
     pub fn add_successor(&mut self, former: &UpstreamName, upstream: Upstream) -> bool {
         let is_known = self.upstreams.contains_key(&upstream.name);
-        let others = self.upstreams.values().filter(|s| !s.replaced);
-        let mut there = others.filter(|s| s.upstream.address == upstream.address);
-        if is_known || there.any(|s| s.upstream.name != *former) {
+        let others = self.by_address.at(upstream.address).iter();
+        let others = others.filter(|name| *name != former);
+        let mut there = others.filter_map(|name| self.upstreams.get(name));
+        if is_known || there.any(|s| !s.replaced) {
             return false;
         }
         let mut state = UpstreamState::new(upstream);
@@ -312,6 +323,7 @@
         let of_service = self.by_service.entry(upstream.service.clone()).or_default();
         of_service.push(name.clone());
         self.by_key.insert(state.key, name.clone());
+        self.by_address.add(upstream.address, name.clone());
         self.upstreams.insert(name, state);
     }
 
@@ -321,8 +333,8 @@
         if services.is_some_and(|named| !named.contains(&newer.service)) {
             return;
         }
-        for state in self.upstreams.values_mut() {
-            if state.upstream.address == newer.address {
+        for name in self.by_address.at(newer.address) {
+            if let Some(state) = self.upstreams.get_mut(name) {
                 state.replaced = true;
             }
         }
@@ -347,6 +359,7 @@
             return;
         };
         self.by_key.remove(&state.key);
+        self.by_address.remove(state.upstream.address, name);
         if let Some(names) = self.by_service.get_mut(&state.upstream.service) {
             names.retain(|n| n != name);
         }
