Decide who lives in a large fleet by a ring, probes and news that travel with gossip

Change, decisions only: membership by a ring of successors, probes and news with a stamp (SWIM); what watchers say travels with it; who reads the list of upstreams at a start; peers of the own data centre first; as many changes kept as there are upstreams.

--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -31,7 +31,10 @@
 //! | which facts are sent to peers again | [`news`] |
 //! | which routers do callers get | [`peers`] |
 //! | which peers are sent what, and how long it counts | [`heartbeat`] |
+//! | which routers live, in a large fleet, and who tells whom | [`membership`] |
 //! | who watches the store, and how often | [`store_watch`] |
+//! | what a large fleet knows of those who watch | [`watcher_beats`] |
+//! | who reads the list of upstreams at a start | [`first_read`] |
 //! | when is the store pinged | [`store_ping`] |
 //! | from which peer are newer versions fetched | [`version_fetch`] |
 //! | does a peer get a copy of the configuration now | [`version_serving`] |
@@ -64,12 +67,14 @@
 pub mod crash_news;
 pub mod deadline;
 pub mod events;
+pub mod first_read;
 pub mod heartbeat;
 pub mod leaving;
 pub mod lifecycle;
 pub mod liveness;
 pub mod load;
 pub mod load_query;
+pub mod membership;
 pub mod news;
 pub mod peers;
 pub mod prompt_locations;
@@ -87,6 +92,7 @@
 pub mod upstream_table;
 pub mod version_fetch;
 pub mod version_serving;
+pub mod watcher_beats;
 
 /// The types that users of the crate need daily; rules and constants are named by module.
 pub mod prelude {
--- /dev/null
+++ b/crates/router/cloverpier_router_policy/src/membership.rs
@@ -0,0 +1,707 @@
+//! Which routers there are, and which of them live, in a fleet too large for heartbeats to all.
+//!
+//! - **Question.** Which routers live? Who gets the next message about that, who is probed, and what
+//!   does the message say of others?
+//! - **Inputs.** Messages from routers, with what they say of themselves and of others; moments.
+//! - **Answer.** [`MemberNews`] to send, and to whom; the members that live.
+//! - **Why.** What a router sends, hears and waits must not grow with the fleet. So the routers form a
+//!   ring by the hash of their addresses, and each sends every message to its next [`SUCCESSORS`] there,
+//!   which notice its silence, and to a few others at random. A router that is silent is probed, and
+//!   declared dead by who probed it if it does not answer. That, like anything else that changes, goes on
+//!   with the messages that are sent anyway, some times each: after as many rounds as the logarithm of
+//!   the fleet all know it. A router that hears that it is dead says that it is not.
+//!
+//! This is SWIM (Das, Gupta, Motivala, 2002): probes, and news that travel with other messages. Here the
+//! messages go to fixed neighbours, too, so that silence is noticed without a probe each period.
+//!
+//! News of a router are ordered by its stamp, which it raises with each change of its own state: what
+//! has a lower stamp is older. Nothing of safety depends on who is taken for alive.
+//!
+//! [`Membership`] owns all members with the last news of each, the ring, the news to pass on, and the
+//! probes under way. Small fleets do without it ([`crate::heartbeat`]).
+
+mod news_queue;
+mod roster;
+
+use crate::peers::PeerState;
+use cloverpier_core::{DataCentre, hash_of};
+use news_queue::NewsQueue;
+use roster::Roster;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The next routers on the ring, which notice a router's silence: one of them may be dead, too.
+pub const SUCCESSORS: usize = 2;
+/// Other routers that get each message, in the own data centre and elsewhere: news spread over them.
+const RANDOM_NEAR: usize = 1;
+const RANDOM_ELSEWHERE: usize = 1;
+/// Routers that are sent something urgent at once, in the own data centre and elsewhere.
+const URGENT_NEAR: usize = 6;
+const URGENT_ELSEWHERE: usize = 2;
+/// Routers that whoever gets a change for the first time passes it on to, all in its data centre; of
+/// 1,000 that each choose 4, 98% are reached, and the others notice that they are behind.
+const FLOOD_NEAR: usize = 4;
+/// Routers of each other data centre that get a change from the one that read it from the store.
+const FLOOD_ELSEWHERE: usize = 3;
+/// Silence of a predecessor after which it is probed: three messages.
+const SILENCE: Duration = Duration::from_millis(650);
+/// Pause between probes, and how many may stay unanswered.
+const PROBE_PERIOD: Duration = Duration::from_millis(200);
+const PROBES: u32 = 3;
+/// How long after its end a member may be taken for alive: silence, probes, and some rounds of news.
+pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// A router that hears from nobody for this long is cut off, and knows nothing of others.
+const ALONE_AFTER: Duration = Duration::from_millis(1_500);
+/// A dead router is forgotten after this long; until then it is sent a message now and then, so that
+/// routers find each other again after a partition.
+const DEAD_KEPT_FOR: Duration = Duration::from_secs(60);
+/// Of so many messages one goes to a dead router.
+const DEAD_PERIOD: u32 = 10;
+/// News in one message: with data centres' names of 20 bytes they take some 60 bytes each.
+pub const NEWS_PER_MESSAGE: usize = 24;
+/// Members in one message that answers a request for all of them.
+pub const MEMBERS_PER_MESSAGE: usize = 48;
+/// All members are asked for, and sent, once in this time at most: in a fleet of 1,000 they take some
+/// 50 kB.
+const MEMBERS_PERIOD: Duration = Duration::from_millis(200);
+/// Routers that know something else for so long missed news: one of them asks for all members.
+const DIFFERS_LONG: Duration = Duration::from_secs(2);
+/// A router that knows so much less than the sender of a message asks for all members.
+const MUCH_LESS: f64 = 0.9;
+
+/// What a router is said to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberState {
+    /// It runs, in this state.
+    Alive(PeerState),
+    /// It does not answer.
+    Dead,
+}
+
+/// What is said of one router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberNews {
+    /// The router's address for peers.
+    pub router: SocketAddr,
+    /// Where it serves callers.
+    pub callers: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// What it is.
+    pub state: MemberState,
+    /// Orders what is said of this router.
+    pub stamp: u64,
+}
+
+/// A router, as it is known.
+#[derive(Clone, Debug)]
+struct Member {
+    callers: SocketAddr,
+    data_centre: DataCentre,
+    state: MemberState,
+    stamp: u64,
+    /// When it was heard itself.
+    heard: Option<Instant>,
+    /// When the last news of it came.
+    changed: Instant,
+}
+
+impl Member {
+    fn is_dead(&self) -> bool {
+        self.state == MemberState::Dead
+    }
+}
+
+/// A member that lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LiveMember<'a> {
+    /// Its address for peers.
+    pub router: SocketAddr,
+    /// Where it serves callers.
+    pub callers: SocketAddr,
+    /// Its data centre.
+    pub data_centre: &'a DataCentre,
+    /// Whether it takes new callers.
+    pub state: PeerState,
+}
+
+/// A probe of a predecessor.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    /// When its silence began to count.
+    since: Instant,
+    sent: u32,
+    last: Option<Instant>,
+}
+
+/// The result of hearing something of a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing new.
+    Known,
+    /// It was not known, or it is something else than it was.
+    Changed,
+    /// It says of itself that it runs, and it is taken for dead here: it has to be told.
+    TakenForDead,
+}
+
+/// What a message of gossip says of members.
+#[derive(Clone, Copy, Debug)]
+pub struct GossipSeen<'a> {
+    /// What the sender says of itself.
+    pub sender: &'a MemberNews,
+    /// Whether it waits for a message.
+    pub wants_reply: bool,
+    /// How many members it knows.
+    pub members: usize,
+    /// See [`Membership::digest`].
+    pub digest: u64,
+    /// What is new of others.
+    pub news: &'a [MemberNews],
+}
+
+/// What the sender of a message gets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GossipReply {
+    /// Whether the sender was not known, or is something else than it was.
+    pub is_newcomer: bool,
+    /// What it has to know of itself: that it is taken for dead.
+    pub of_itself: Option<MemberNews>,
+    /// Whether it gets a message.
+    pub message: bool,
+    /// Members that go into that message, as it knows few.
+    pub sample: Vec<MemberNews>,
+    /// Whether it is asked for all members, as it knows many more.
+    pub ask_members: bool,
+}
+
+/// What the ring requires of this router now.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RingStep {
+    /// Predecessors to probe.
+    pub probe: Vec<SocketAddr>,
+    /// Predecessors that were declared dead.
+    pub dead: Vec<SocketAddr>,
+}
+
+/// The routers that a router knows.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: MemberNews,
+    members: HashMap<SocketAddr, Member>,
+    /// Those that are not dead, and this router, by rank.
+    ring: BTreeSet<(u64, SocketAddr)>,
+    /// Those that are not dead, in the own data centre and elsewhere.
+    near: Roster,
+    elsewhere: Roster,
+    dead: Roster,
+    news: NewsQueue,
+    probes: HashMap<SocketAddr, Probe>,
+    heard_any: Option<Instant>,
+    messages: u32,
+    /// Of what is known of those that are not dead.
+    digest: u64,
+    /// When another router last knew the same.
+    agreed: Option<Instant>,
+    /// When all members were asked for, and sent.
+    asked: Option<Instant>,
+    sent_all: Option<Instant>,
+}
+
+impl Membership {
+    /// A router that knows nobody. `stamp` must be greater than those of its former runs: the time of
+    /// day does; where a clock went back, the first news of itself correct it.
+    pub fn new(own: MemberNews) -> Self {
+        let mut ring = BTreeSet::new();
+        ring.insert((rank_of(own.router), own.router));
+        Self {
+            digest: mark(&own),
+            own,
+            members: HashMap::new(),
+            ring,
+            near: Roster::default(),
+            elsewhere: Roster::default(),
+            dead: Roster::default(),
+            news: NewsQueue::default(),
+            probes: HashMap::new(),
+            heard_any: None,
+            messages: 0,
+            agreed: None,
+            asked: None,
+            sent_all: None,
+        }
+    }
+
+    /// What this router says of itself.
+    pub fn own(&self) -> &MemberNews {
+        &self.own
+    }
+
+    /// Says something else of this router from now on.
+    pub fn set_own_state(&mut self, state: PeerState) {
+        let state = MemberState::Alive(state);
+        if self.own.state != state {
+            let stamp = self.own.stamp + 1;
+            self.set_own(MemberNews {
+                state,
+                stamp,
+                ..self.own.clone()
+            });
+        }
+    }
+
+    fn set_own(&mut self, own: MemberNews) {
+        self.digest ^= mark(&self.own) ^ mark(&own);
+        self.own = own;
+    }
+
+    /// A digest of what is known of the members that are not dead, this router among them: routers that
+    /// know the same have the same.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Whether a router is a member, dead or not.
+    pub fn knows(&self, router: SocketAddr) -> bool {
+        self.members.contains_key(&router)
+    }
+
+    /// Whether a router is taken for dead.
+    pub fn is_known_dead(&self, router: SocketAddr) -> bool {
+        self.members.get(&router).is_some_and(Member::is_dead)
+    }
+
+    /// Number of members, dead ones not among them, this router not either.
+    pub fn count(&self) -> usize {
+        self.ring.len() - 1
+    }
+
+    /// Records a message of gossip; returns what its sender gets.
+    pub fn on_gossip(
+        &mut self,
+        seen: GossipSeen<'_>,
+        rng: &mut fastrand::Rng,
+        now: Instant,
+    ) -> GossipReply {
+        let heard = self.on_message(seen.sender.clone(), now);
+        for news in seen.news {
+            self.on_news(news.clone(), now);
+        }
+        let sender = seen.sender.router;
+        let is_near = seen.sender.data_centre == self.own.data_centre;
+        let ask_members = is_near && self.is_to_ask(seen, now);
+        let is_told = heard == Heard::TakenForDead;
+        let gets_sample = seen.wants_reply && seen.members < self.count();
+        GossipReply {
+            is_newcomer: heard == Heard::Changed,
+            of_itself: is_told.then(|| self.news_of(sender)).flatten(),
+            message: seen.wants_reply,
+            sample: if gets_sample {
+                self.sample(rng)
+            } else {
+                Vec::new()
+            },
+            ask_members,
+        }
+    }
+
+    /// Whether this router asks for all members: it knows much less than the sender, or something else
+    /// than all others although no news are under way.
+    fn is_to_ask(&mut self, seen: GossipSeen<'_>, now: Instant) -> bool {
+        if seen.digest == self.digest {
+            self.agreed = Some(now);
+            return false;
+        }
+        if (self.count() as f64) < seen.members as f64 * MUCH_LESS {
+            return may_again(&mut self.asked, MEMBERS_PERIOD, now);
+        }
+        let since = *self.agreed.get_or_insert(now);
+        let differs_long = now.saturating_duration_since(since) > DIFFERS_LONG;
+        differs_long && self.news.is_empty() && may_again(&mut self.asked, DIFFERS_LONG, now)
+    }
+
+    /// Takes members that a router was asked for, or that came with its reply. Others ask, too, so they
+    /// are not passed on.
+    pub fn on_members(&mut self, members: Vec<MemberNews>, now: Instant) {
+        for news in members {
+            let router = news.router;
+            let was_known = self.members.contains_key(&router);
+            self.on_news(news, now);
+            if !was_known {
+                self.news.forget(router);
+            }
+        }
+    }
+
+    /// All members, for a router that asks; nothing where others were sent them just now.
+    pub fn on_asked(&mut self, now: Instant) -> Vec<Vec<MemberNews>> {
+        if may_again(&mut self.sent_all, MEMBERS_PERIOD, now) {
+            self.all()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Records a message from a router, with what it says of itself.
+    pub fn on_message(&mut self, sender: MemberNews, now: Instant) -> Heard {
+        if sender.router == self.own.router {
+            return Heard::Known;
+        }
+        self.heard_any = Some(now);
+        let router = sender.router;
+        let known = self.members.get_mut(&router);
+        if let Some(known) = known {
+            known.heard = Some(now);
+            if known.is_dead() && known.stamp >= sender.stamp {
+                return Heard::TakenForDead;
+            }
+        }
+        let heard = self.on_news(sender, now);
+        if let Some(member) = self.members.get_mut(&router) {
+            member.heard = Some(now);
+        }
+        heard
+    }
+
+    /// Records a message of a router of a release that says nothing of stamps: that it runs is known
+    /// all the same.
+    pub fn on_plain_message(&mut self, sender: MemberNews, now: Instant) -> Heard {
+        let known = self.members.get(&sender.router);
+        let stamp = known.map_or(0, |known| known.stamp + u64::from(known.is_dead()));
+        self.on_message(MemberNews { stamp, ..sender }, now)
+    }
+
+    /// Records what another router says of a router.
+    pub fn on_news(&mut self, news: MemberNews, now: Instant) -> Heard {
+        if news.router == self.own.router {
+            return self.on_own_news(&news);
+        }
+        let is_dead = news.state == MemberState::Dead;
+        let Some(known) = self.members.get(&news.router) else {
+            // A dead router that was not known needs no memory.
+            if is_dead {
+                return Heard::Known;
+            }
+            self.put(news, None, now);
+            return Heard::Changed;
+        };
+        if news.stamp == known.stamp && news.state == known.state {
+            self.news.heard_again(news.router, self.ring.len());
+            return Heard::Known;
+        }
+        let is_newer = news.stamp > known.stamp;
+        let is_end = news.stamp == known.stamp && is_dead && !known.is_dead();
+        if !is_newer && !is_end {
+            return Heard::Known;
+        }
+        let differs = known.state != news.state || known.callers != news.callers;
+        let heard = known.heard;
+        self.put(news, heard, now);
+        if differs {
+            Heard::Changed
+        } else {
+            Heard::Known
+        }
+    }
+
+    /// Somebody takes this router for dead, or for a former run of it.
+    fn on_own_news(&mut self, news: &MemberNews) -> Heard {
+        if news.stamp < self.own.stamp || (news.stamp == self.own.stamp && *news == self.own) {
+            return Heard::Known;
+        }
+        let stamp = news.stamp + 1;
+        self.set_own(MemberNews {
+            stamp,
+            ..self.own.clone()
+        });
+        Heard::Changed
+    }
+
+    fn put(&mut self, news: MemberNews, heard: Option<Instant>, now: Instant) {
+        let former = self.news_of(news.router);
+        self.digest ^= former.as_ref().map_or(0, mark) ^ mark(&news);
+        let place = (rank_of(news.router), news.router);
+        if news.state == MemberState::Dead {
+            self.ring.remove(&place);
+            self.probes.remove(&news.router);
+            self.near.remove(news.router);
+            self.elsewhere.remove(news.router);
+            self.dead.insert(news.router);
+        } else {
+            self.ring.insert(place);
+            self.dead.remove(news.router);
+            if news.data_centre == self.own.data_centre {
+                self.near.insert(news.router);
+            } else {
+                self.elsewhere.insert(news.router);
+            }
+        }
+        self.news.push(news.router);
+        let member = Member {
+            callers: news.callers,
+            data_centre: news.data_centre,
+            state: news.state,
+            stamp: news.stamp,
+            heard,
+            changed: now,
+        };
+        self.members.insert(news.router, member);
+    }
+
+    fn news_of(&self, router: SocketAddr) -> Option<MemberNews> {
+        let member = self.members.get(&router)?;
+        Some(MemberNews {
+            router,
+            callers: member.callers,
+            data_centre: member.data_centre.clone(),
+            state: member.state,
+            stamp: member.stamp,
+        })
+    }
+
+    /// News for the next message; each goes into some messages.
+    pub fn take_news(&mut self) -> Vec<MemberNews> {
+        let routers = self.news.take(NEWS_PER_MESSAGE, self.ring.len());
+        let known = routers.into_iter();
+        known.filter_map(|router| self.news_of(router)).collect()
+    }
+
+    /// All members, also those that are known to be dead, in parts that fit into a message each.
+    fn all(&self) -> Vec<Vec<MemberNews>> {
+        let all = self.members.keys().filter_map(|r| self.news_of(*r));
+        let all: Vec<MemberNews> = all.collect();
+        let parts = all.chunks(MEMBERS_PER_MESSAGE);
+        parts.map(<[MemberNews]>::to_vec).collect()
+    }
+
+    /// Some members at random, for a router that has just begun.
+    fn sample(&self, rng: &mut fastrand::Rng) -> Vec<MemberNews> {
+        let routers = self.ring.iter().map(|(_, router)| *router);
+        let some = rng.choose_multiple(routers, NEWS_PER_MESSAGE);
+        some.into_iter().filter_map(|r| self.news_of(r)).collect()
+    }
+
+    /// Who gets the next message: the successors, and some at random.
+    pub fn targets(&mut self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
+        let mut targets = self.successors();
+        targets.extend(self.near.choose(RANDOM_NEAR, rng));
+        targets.extend(self.elsewhere.choose(RANDOM_ELSEWHERE, rng));
+        self.messages = self.messages.wrapping_add(1);
+        if self.messages.is_multiple_of(DEAD_PERIOD) {
+            targets.extend(self.dead.choose(1, rng));
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// Who is sent something urgent at once.
+    pub fn urgent_targets(&self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
+        let mut targets = self.near.choose(URGENT_NEAR, rng);
+        targets.extend(self.elsewhere.choose(URGENT_ELSEWHERE, rng));
+        targets
+    }
+
+    /// Who gets a change from a router that got it from another one.
+    pub fn flood_targets(&self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
+        self.near.choose(FLOOD_NEAR, rng)
+    }
+
+    /// Who gets a change from the router that read it from the store.
+    pub fn flood_roots(&self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
+        let mut by_centre: HashMap<&DataCentre, Vec<SocketAddr>> = HashMap::new();
+        for (_, router) in &self.ring {
+            if let Some(member) = self.members.get(router) {
+                by_centre
+                    .entry(&member.data_centre)
+                    .or_default()
+                    .push(*router);
+            }
+        }
+        let mut roots = Vec::new();
+        for (data_centre, routers) in by_centre {
+            let count = if *data_centre == self.own.data_centre {
+                FLOOD_NEAR
+            } else {
+                FLOOD_ELSEWHERE
+            };
+            roots.extend(rng.choose_multiple(routers, count));
+        }
+        roots
+    }
+
+    fn own_place(&self) -> (u64, SocketAddr) {
+        (rank_of(self.own.router), self.own.router)
+    }
+
+    fn successors(&self) -> Vec<SocketAddr> {
+        let own = self.own_place();
+        let after = self.ring.range(own..).skip(1);
+        let around = after.chain(self.ring.range(..own));
+        around.take(SUCCESSORS).map(|(_, router)| *router).collect()
+    }
+
+    fn predecessors(&self) -> Vec<SocketAddr> {
+        let own = self.own_place();
+        let before = self.ring.range(..own).rev();
+        let around = before.chain(self.ring.range(own..).rev());
+        let others = around.filter(|(_, router)| *router != self.own.router);
+        others.take(SUCCESSORS).map(|(_, router)| *router).collect()
+    }
+
+    /// Judges the silence of the predecessors. Where this process was paused, silence says nothing:
+    /// it counts anew.
+    pub fn ring_step(&mut self, was_paused: bool, now: Instant) -> RingStep {
+        let predecessors = self.predecessors();
+        if was_paused {
+            self.probes.clear();
+        }
+        self.probes
+            .retain(|router, _| predecessors.contains(router));
+        let mut step = RingStep::default();
+        // A router that is cut off itself judges nobody.
+        if self.is_alone(now) {
+            self.probes.clear();
+            return step;
+        }
+        for router in predecessors {
+            match self.judge(router, now) {
+                Judgement::Fine => {}
+                Judgement::Probe => step.probe.push(router),
+                Judgement::Dead => step.dead.push(router),
+            }
+        }
+        for router in &step.dead {
+            self.declare_dead(*router, now);
+        }
+        step
+    }
+
+    fn judge(&mut self, router: SocketAddr, now: Instant) -> Judgement {
+        let heard = self.members.get(&router).and_then(|member| member.heard);
+        let probe = self.probes.entry(router).or_insert(Probe {
+            since: now,
+            sent: 0,
+            last: None,
+        });
+        if heard.is_some_and(|heard| heard > probe.since) {
+            *probe = Probe {
+                since: heard.unwrap_or(now),
+                sent: 0,
+                last: None,
+            };
+        }
+        let passed = |at: Instant| now.saturating_duration_since(at);
+        let is_due = match probe.last {
+            None => passed(probe.since) >= SILENCE,
+            Some(last) => passed(last) >= PROBE_PERIOD,
+        };
+        if !is_due {
+            return Judgement::Fine;
+        }
+        if probe.sent == PROBES {
+            return Judgement::Dead;
+        }
+        probe.sent += 1;
+        probe.last = Some(now);
+        Judgement::Probe
+    }
+
+    fn declare_dead(&mut self, router: SocketAddr, now: Instant) {
+        let news = self.news_of(router);
+        let heard = self.members.get(&router).and_then(|member| member.heard);
+        if let Some(news) = news {
+            let state = MemberState::Dead;
+            self.put(MemberNews { state, ..news }, heard, now);
+        }
+    }
+
+    /// Whether this router hears from nobody.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        self.heard_any
+            .is_none_or(|at| now.saturating_duration_since(at) > ALONE_AFTER)
+    }
+
+    /// Forgets routers that have been dead for long.
+    pub fn forget_old(&mut self, now: Instant) {
+        let is_kept = |member: &Member| {
+            !member.is_dead() || now.saturating_duration_since(member.changed) < DEAD_KEPT_FOR
+        };
+        let over = self.members.iter().filter(|(_, member)| !is_kept(member));
+        let over: Vec<SocketAddr> = over.map(|(router, _)| *router).collect();
+        for router in over {
+            self.members.remove(&router);
+            self.dead.remove(router);
+        }
+    }
+
+    /// The members that live; none where this router is cut off.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = LiveMember<'_>> {
+        let is_alone = self.is_alone(now);
+        // From this router's place on: whoever takes the first of them takes others than its peers do.
+        let own = self.own_place();
+        let around = self.ring.range(own..).chain(self.ring.range(..own));
+        let ring = around.filter(move |_| !is_alone);
+        ring.filter_map(|(_, router)| {
+            let member = self.members.get(router)?;
+            let MemberState::Alive(state) = member.state else {
+                return None;
+            };
+            Some(LiveMember {
+                router: *router,
+                callers: member.callers,
+                data_centre: &member.data_centre,
+                state,
+            })
+        })
+    }
+
+    /// The addresses of all members, dead or not.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.members.keys().copied().collect()
+    }
+
+    /// Where callers reach the members that were ready when they were last heard of.
+    pub fn once_ready(&self) -> Vec<SocketAddr> {
+        let ready = MemberState::Alive(PeerState::Ready);
+        let members = self.members.values().filter(|m| m.state == ready);
+        members.map(|member| member.callers).collect()
+    }
+}
+
+/// A router's part in the digest; none if it is dead.
+fn mark(news: &MemberNews) -> u64 {
+    let state = match news.state {
+        MemberState::Dead => return 0,
+        MemberState::Alive(PeerState::Starting) => 1,
+        MemberState::Alive(PeerState::Ready) => 2,
+        MemberState::Alive(PeerState::Leaving) => 3,
+    };
+    let stamp = news.stamp.wrapping_mul(4).wrapping_add(state);
+    // Spread over all bits, so that two changes hardly cancel each other.
+    rank_of(news.router) ^ stamp.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+/// Whether something may be done again that was done last at a moment; it counts as done then.
+fn may_again(last: &mut Option<Instant>, period: Duration, now: Instant) -> bool {
+    let is_due = last.is_none_or(|at| now.saturating_duration_since(at) >= period);
+    if is_due {
+        *last = Some(now);
+    }
+    is_due
+}
+
+/// What a predecessor's silence means.
+enum Judgement {
+    Fine,
+    Probe,
+    Dead,
+}
+
+/// A router's place on the ring.
+fn rank_of(router: SocketAddr) -> u64 {
+    hash_of(&router.to_string())
+}
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -21,9 +21,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Changes of the list that are kept for peers; a peer that is further behind fetches the
-/// whole list.  Chosen, not measured.
-const MAX_CHANGES_KEPT: usize = 1_024;
+/// Changes of the list that are kept for peers at least, and as many as there are upstreams: a peer that
+/// is further behind fetches the whole list, which is no longer.
+const MIN_CHANGES_KEPT: usize = 1_024;
 /// How long an upstream without entry is remembered: longer than
 /// [`crate::suspicion::RETURN_WINDOW`], and than most requests that run there.  Chosen, not
 /// measured.
@@ -75,6 +75,16 @@
 }
 
 impl UpstreamTable {
+    /// Number of upstreams, those that are gone for a while among them.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
     /// The platform's revision that this view is as new as.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -243,7 +253,8 @@
     }
 
     fn forget_old_changes(&mut self) {
-        while self.changes.len() > MAX_CHANGES_KEPT {
+        let kept = self.upstreams.len().max(MIN_CHANGES_KEPT);
+        while self.changes.len() > kept {
             if let Some((revision, _)) = self.changes.pop_front() {
                 self.changes_since = revision;
             }
--- a/crates/router/cloverpier_router_policy/src/version_fetch.rs
+++ b/crates/router/cloverpier_router_policy/src/version_fetch.rs
@@ -12,6 +12,9 @@
 //!   it named, one that failed is avoided, and among the rest chance decides, since all routers
 //!   see the same peers.
 //!
+//! Bytes between data centres are dear where many routers fetch: a peer of the own data centre is
+//! preferred, and where only others have a list of upstreams, they are asked after [`FAR_WAIT`].
+//!
 //! Configuration and upstreams are fetched apart: a leaving upstream is a few bytes and must
 //! not wait for a configuration.
 
@@ -38,6 +41,20 @@
 /// router would ask again without a pause.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
+/// How long a router of a large fleet waits for a peer of its data centre to have newer upstreams.
+pub const FAR_WAIT: Duration = Duration::from_millis(200);
+
+/// A live peer, and its version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerVersion {
+    /// The peer.
+    pub peer: SocketAddr,
+    /// What it reported.
+    pub version: u64,
+    /// Whether it is to be preferred, as in the own data centre.
+    pub is_near: bool,
+}
+
 /// What a router does next about newer versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FetchStep {
@@ -56,9 +73,20 @@
     failed: HashMap<SocketAddr, Instant>,
     /// Until when a peer asked not to be asked.
     busy: HashMap<SocketAddr, Instant>,
+    /// How long peers that are not near are waited with, and since when only they have something newer.
+    far_wait: Duration,
+    only_far_since: Option<Instant>,
 }
 
 impl FetchSources {
+    /// Sources of which those that are not near are asked after a wait.
+    pub fn with_far_wait(far_wait: Duration) -> Self {
+        Self {
+            far_wait,
+            ..Self::default()
+        }
+    }
+
     /// Records that a fetch from a peer failed.
     pub fn on_failed(&mut self, peer: SocketAddr, now: Instant) {
         self.failed.insert(peer, now + AVOID_FAILED);
@@ -73,15 +101,19 @@
     pub fn step(
         &mut self,
         known: u64,
-        peers: impl IntoIterator<Item = (SocketAddr, u64)>,
+        peers: impl IntoIterator<Item = PeerVersion>,
         now: Instant,
         rng: &mut fastrand::Rng,
     ) -> FetchStep {
         self.failed.retain(|_, until| *until > now);
         self.busy.retain(|_, until| *until > now);
         let peers = peers.into_iter();
-        let newer: Vec<(SocketAddr, u64)> = peers.filter(|(_, v)| *v > known).collect();
-        let sources = self.newest(&newer);
+        let newer: Vec<PeerVersion> = peers.filter(|p| p.version > known).collect();
+        let near: Vec<PeerVersion> = newer.iter().filter(|p| p.is_near).copied().collect();
+        if let Some(wait) = self.wait_for_near(&newer, &near, now) {
+            return FetchStep::Wait(wait);
+        }
+        let sources = self.newest(if near.is_empty() { &newer } else { &near });
         let free = sources.iter().filter(|peer| !self.busy.contains_key(peer));
         if let Some(peer) = rng.choice(free.copied().collect::<Vec<_>>()) {
             return FetchStep::Ask(peer);
@@ -92,15 +124,31 @@
         })
     }
 
+    /// How long to wait where only peers that are not near have something newer.
+    fn wait_for_near(
+        &mut self,
+        newer: &[PeerVersion],
+        near: &[PeerVersion],
+        now: Instant,
+    ) -> Option<Duration> {
+        if newer.is_empty() || !near.is_empty() {
+            self.only_far_since = None;
+            return None;
+        }
+        let since = *self.only_far_since.get_or_insert(now);
+        let left = (since + self.far_wait).saturating_duration_since(now);
+        (!left.is_zero()).then(|| left.max(MIN_WAIT))
+    }
+
     /// The peers with the newest version; those that failed count only if there is no other.
-    fn newest(&self, newer: &[(SocketAddr, u64)]) -> Vec<SocketAddr> {
-        let sound = newer.iter().filter(|(p, _)| !self.failed.contains_key(p));
-        let mut candidates: Vec<(SocketAddr, u64)> = sound.copied().collect();
+    fn newest(&self, newer: &[PeerVersion]) -> Vec<SocketAddr> {
+        let sound = newer.iter().filter(|p| !self.failed.contains_key(&p.peer));
+        let mut candidates: Vec<PeerVersion> = sound.copied().collect();
         if candidates.is_empty() {
             candidates = newer.to_vec();
         }
-        let newest = candidates.iter().map(|(_, version)| *version).max();
-        let with_newest = candidates.into_iter().filter(|(_, v)| Some(*v) == newest);
-        with_newest.map(|(peer, _)| peer).collect()
+        let newest = candidates.iter().map(|p| p.version).max();
+        let with_newest = candidates.into_iter().filter(|p| Some(p.version) == newest);
+        with_newest.map(|p| p.peer).collect()
     }
 }
--- a/crates/router/cloverpier_router_policy/tests/pace.rs
+++ b/crates/router/cloverpier_router_policy/tests/pace.rs
@@ -2,6 +2,7 @@
 
 use cloverpier_router_policy::connection_reuse::is_reusable;
 use cloverpier_router_policy::deadline::CallerLimit;
+use cloverpier_router_policy::first_read::{FirstRead, Starting, first_read};
 use cloverpier_router_policy::heartbeat::{HeartbeatTurn, change_peers, load_ttl, peer_timeout};
 use cloverpier_router_policy::lifecycle::{
     StopStep, StreamDurations, holds_until, router_state, stop_step, takes_streams,
@@ -174,3 +175,41 @@
     assert!(takes_streams(Some(ms(2_500)), Some(ms(10)), grace));
     assert!(!takes_streams(Some(ms(2_501)), Some(ms(10)), grace));
 }
+
+fn starting(age: Duration, peers: usize) -> Starting {
+    Starting {
+        is_seed: false,
+        age,
+        has_peers: peers > 0,
+        peers,
+        random: 0.5,
+    }
+}
+
+#[test]
+fn seeds_and_routers_of_small_fleets_read_the_list_at_once() {
+    let seed = Starting {
+        is_seed: true,
+        ..starting(ms(0), 985)
+    };
+    assert_eq!(first_read(&seed), FirstRead::Now);
+    assert_eq!(first_read(&starting(ms(0), 8)), FirstRead::Now);
+}
+
+#[test]
+fn a_router_without_a_word_from_peers_reads_the_list_soon() {
+    assert_eq!(
+        first_read(&starting(ms(100), 0)),
+        FirstRead::NotBefore(ms(250))
+    );
+    assert_eq!(first_read(&starting(ms(250), 0)), FirstRead::Now);
+}
+
+#[test]
+fn routers_of_a_large_fleet_wait_for_a_copy_and_spread_if_none_comes() {
+    assert_eq!(
+        first_read(&starting(ms(300), 985)),
+        FirstRead::NotBefore(ms(5_000))
+    );
+    assert_eq!(first_read(&starting(ms(5_000), 985)), FirstRead::Now);
+}
--- a/crates/router/cloverpier_router_policy/tests/versions.rs
+++ b/crates/router/cloverpier_router_policy/tests/versions.rs
@@ -1,7 +1,7 @@
 //! From whom newer versions are fetched, and how many copies a router hands out.
 
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::version_fetch::{FetchSources, FetchStep};
+use cloverpier_router_policy::version_fetch::{FetchSources, FetchStep, PeerVersion};
 use cloverpier_router_policy::version_serving::{CopyPacing, CopyStep, LinkRate};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -30,7 +30,18 @@
     }
 
     fn step(&mut self, known: u64, versions: &[u64]) -> FetchStep {
-        let peers = (1..).map(peer).zip(versions.iter().copied());
+        let all_near = versions.iter().map(|version| (*version, true));
+        self.step_of(known, all_near.collect())
+    }
+
+    /// Where some of the peers are in the own data centre.
+    fn step_of(&mut self, known: u64, versions: Vec<(u64, bool)>) -> FetchStep {
+        let peers = (1..).map(peer).zip(versions);
+        let peers = peers.map(|(peer, (version, is_near))| PeerVersion {
+            peer,
+            version,
+            is_near,
+        });
         self.sources.step(known, peers, self.now, &mut self.rng)
     }
 }
@@ -118,3 +129,30 @@
     assert_eq!(table.changes_after(10), Some(expected));
     assert_eq!(table.changes_after(20), Some(Vec::new()));
 }
+
+#[test]
+fn a_peer_of_the_own_data_centre_is_preferred() {
+    let mut fetch = Fetch::new();
+    let versions = vec![(7, false), (6, true), (7, false)];
+    assert_eq!(fetch.step_of(4, versions), FetchStep::Ask(peer(2)));
+    // Where no wait is set, others are asked at once.
+    assert_eq!(
+        fetch.step_of(4, vec![(7, false), (4, true)]),
+        FetchStep::Ask(peer(1))
+    );
+}
+
+#[test]
+fn peers_elsewhere_are_asked_after_a_wait() {
+    let mut fetch = Fetch::new();
+    fetch.sources = FetchSources::with_far_wait(ms(200));
+    let far = || vec![(7, false), (4, true)];
+    assert_eq!(fetch.step_of(4, far()), FetchStep::Wait(ms(200)));
+    fetch.now += ms(150);
+    assert_eq!(fetch.step_of(4, far()), FetchStep::Wait(ms(50)));
+    fetch.now += ms(50);
+    assert_eq!(fetch.step_of(4, far()), FetchStep::Ask(peer(1)));
+    // Once somebody near has it, the next wait is a whole one again.
+    assert_eq!(fetch.step_of(4, vec![(7, true)]), FetchStep::Ask(peer(1)));
+    assert_eq!(fetch.step_of(7, vec![(8, false)]), FetchStep::Wait(ms(200)));
+}
--- a/tools/src/version_spread.rs
+++ b/tools/src/version_spread.rs
@@ -11,7 +11,7 @@
 
 use cloverpier_core::jitter;
 use cloverpier_router_policy::heartbeat::{MIN_SEND_PAUSE, version_peers};
-use cloverpier_router_policy::version_fetch::FetchStep;
+use cloverpier_router_policy::version_fetch::{FetchStep, PeerVersion};
 use cloverpier_router_policy::version_serving::{CopyStep, LinkRate};
 use model::{Event, SimRouter};
 use std::cmp::Reverse;
@@ -185,7 +185,11 @@
     fn on_step(&mut self, router: usize) {
         let now = self.began + self.now;
         let at = &mut self.routers[router];
-        let peers = at.peers.iter().map(|(peer, version)| (*peer, *version));
+        let peers = at.peers.iter().map(|(peer, version)| PeerVersion {
+            peer: *peer,
+            version: *version,
+            is_near: true,
+        });
         let step = at.sources.step(at.version, peers, now, &mut self.rng);
         at.is_fetching = step != FetchStep::UpToDate;
         match step {
