--- a/crates/router/cloverpier_router/src/configuration_copies.rs
+++ b/crates/router/cloverpier_router/src/configuration_copies.rs
@@ -17,7 +17,7 @@
 const ROUTE_BYTES: usize = 100;
 
 /// How the bytes are encoded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum CopyEncoding {
     /// As the codec writes them.
     Plain,
--- a/crates/router/cloverpier_router/src/crash_news.rs
+++ b/crates/router/cloverpier_router/src/crash_news.rs
@@ -30,12 +30,17 @@
     former: Option<&PeerEntry>,
     entry: &PeerEntry,
 ) {
+    if may_have_missed(former, entry, router.peer_timeout()) {
+        tell_newcomer(router, peer);
+    }
+}
+
+/// Sends a peer that may have missed something what is known, where this router is one of those that do.
+pub(crate) fn tell_newcomer(router: &Router, peer: SocketAddr) {
     if router.crashes.cases.borrow().book.is_empty() {
         return;
     }
-    let peers = router.peers.addresses().len();
-    let may_have_missed = may_have_missed(former, entry, router.peer_timeout());
-    if may_have_missed && is_teller(peers, &mut router.rng.borrow_mut()) {
+    if is_teller(router.peers.count(), &mut router.rng.borrow_mut()) {
         tell_suspects(router, &Recipients::These(vec![peer]), router.now());
     }
 }
@@ -66,7 +71,7 @@
 }
 
 /// Takes what a peer tells; what was new is told on for a while, as far as it is suspect.
-pub(crate) fn on_news(router: &Router, news: &CrashNews, now: Instant) {
+pub(crate) fn on_news(router: &Router, news: CrashNews, now: Instant) {
     let mut cases = router.crashes.cases.borrow_mut();
     let changed = cases.book.merge(&news.contents, now);
     drop(cases);
@@ -77,4 +82,5 @@
     router.crashes.last_news.set(Some(now));
     let from = format!("peer {}", news.sender);
     apply_verdicts(router, &from, now);
+    router.peers.pass_on(PeerMessage::Crashes(news));
 }
--- /dev/null
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -0,0 +1,295 @@
+//! Gossip of a large fleet: sends and receives what stands in place of heartbeats there.
+//!
+//! Who is sent what, who is probed and who lives is decided in
+//! `cloverpier_router_policy::{membership, watcher_beats}`; [`crate::heartbeats`] has the loop that
+//! sends. Owns no state: [`crate::peers`] does.
+
+use crate::crash_news;
+use crate::heartbeats::{send, store_age_ms};
+use crate::leaving_news;
+use crate::peer_messages::{Gossip, Members, PeerMessage, UpstreamNews, encode};
+use crate::peer_reports::on_suspects;
+use crate::peers::Recipients;
+use crate::router::Router;
+use crate::source::{ReadChange, UpstreamChanges};
+use crate::store_view::{Watched, decide_watcher_role, log_dependency};
+use crate::upstream_news::apply_upstream_changes;
+use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
+use cloverpier_router_policy::membership::{GossipReply, GossipSeen, MemberNews, MemberState};
+use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::store_watch::changes_roles;
+use cloverpier_router_policy::watcher_beats::WatcherBeat;
+use std::net::SocketAddr;
+use std::time::Instant;
+use tokio::net::UdpSocket;
+
+/// Suspects in one message: suspicions count for a second only.
+const MAX_SUSPECTS: usize = 16;
+/// Bytes that a datagram's envelope and the sender's address take at most.
+const ENVELOPE: usize = 64;
+
+/// Sends what is due in each period: gossip, and probes of silent predecessors.
+pub(crate) fn send_period(router: &Router, socket: &UdpSocket, was_paused: bool, now: Instant) {
+    let peers = &router.peers;
+    peers.members.borrow_mut().set_own_state(router.state());
+    let step = peers.members.borrow_mut().ring_step(was_paused, now);
+    for dead in &step.dead {
+        log_dependency(
+            router,
+            "peer.dead",
+            &dead.to_string(),
+            "no answer to probes",
+        );
+    }
+    note_own_beat(router, now);
+    let targets = {
+        let mut rng = router.rng.borrow_mut();
+        peers.members.borrow_mut().targets(&mut rng)
+    };
+    send_gossip(router, socket, &targets, false, now);
+    if !step.probe.is_empty() {
+        send_gossip(router, socket, &step.probe, true, now);
+    }
+}
+
+/// Sends something urgent at once: a version, or that the store is not reached any more.
+pub(crate) fn send_urgent(router: &Router, socket: &UdpSocket, now: Instant) {
+    note_own_beat(router, now);
+    let targets = {
+        let members = router.peers.members.borrow();
+        members.urgent_targets(&mut router.rng.borrow_mut())
+    };
+    send_gossip(router, socket, &targets, false, now);
+}
+
+/// Sends a router that has just begun, or was not known, a first message.
+pub(crate) fn send_greeting(router: &Router, socket: &UdpSocket, to: &[SocketAddr], now: Instant) {
+    send_gossip(router, socket, to, true, now);
+}
+
+/// Records what this router says of itself as a watcher, if it is one.
+fn note_own_beat(router: &Router, now: Instant) {
+    let Some(store_age_ms) = store_age_ms(router, now) else {
+        return;
+    };
+    let beat = WatcherBeat {
+        router: router.settings().listen.peers,
+        number: router.peers.next_beat(),
+        store_age_ms,
+    };
+    router.peers.beats.borrow_mut().on_beat(beat, now);
+}
+
+fn send_gossip(
+    router: &Router,
+    socket: &UdpSocket,
+    to: &[SocketAddr],
+    wants_reply: bool,
+    now: Instant,
+) {
+    let message = gossip(router, wants_reply, now);
+    send(router, socket, &PeerMessage::Gossip(message), to);
+}
+
+fn gossip(router: &Router, wants_reply: bool, now: Instant) -> Gossip {
+    let table = router.upstreams.borrow();
+    let mut suspects = table.suspects();
+    suspects.truncate(MAX_SUSPECTS);
+    let mut members = router.peers.members.borrow_mut();
+    let news = members.take_news();
+    Gossip {
+        sender: members.own().clone(),
+        wants_reply,
+        members: u32::try_from(members.count()).unwrap_or(u32::MAX),
+        digest: members.digest(),
+        configuration_version: router.store.configuration_version(),
+        upstreams_revision: table.revision(),
+        watchers: router.peers.beats.borrow().for_message(now),
+        suspects,
+        budget_use: router.budget_use(now),
+        news,
+    }
+}
+
+/// Applies a router's message.
+pub(crate) fn on_gossip(router: &Router, gossip: Gossip, now: Instant) {
+    let sender = gossip.sender.router;
+    if sender == router.settings().listen.peers {
+        return;
+    }
+    router.peers.on_gossip(sender);
+    router.peers.on_heard_size(gossip.members as usize, now);
+    on_suspects(router, &gossip.suspects, now);
+    let has_newer_upstreams = gossip.upstreams_revision > router.upstreams.borrow().revision();
+    let has_newer_configuration =
+        gossip.configuration_version > router.store.configuration_version();
+    let reply = apply_members(router, &gossip, now);
+    record_entry(router, &gossip, now);
+    if reply.is_newcomer {
+        crash_news::tell_newcomer(router, sender);
+        leaving_news::tell_newcomer(router, sender);
+    }
+    send_reply(router, sender, reply, now);
+    apply_beats(router, &gossip.watchers, now);
+    if has_newer_configuration {
+        router.peers.on_newer_version(Watched::Configuration);
+    }
+    if has_newer_upstreams {
+        router.peers.on_newer_version(Watched::Upstreams);
+    }
+}
+
+fn apply_members(router: &Router, gossip: &Gossip, now: Instant) -> GossipReply {
+    let seen = GossipSeen {
+        sender: &gossip.sender,
+        wants_reply: gossip.wants_reply,
+        members: gossip.members as usize,
+        digest: gossip.digest,
+        news: &gossip.news,
+    };
+    let mut members = router.peers.members.borrow_mut();
+    members.on_gossip(seen, &mut router.rng.borrow_mut(), now)
+}
+
+/// Records the sender's versions and its use of the budget, as of a heartbeat.
+fn record_entry(router: &Router, gossip: &Gossip, now: Instant) {
+    let MemberState::Alive(state) = gossip.sender.state else {
+        return;
+    };
+    let entry = PeerEntry {
+        callers: gossip.sender.callers,
+        data_centre: gossip.sender.data_centre.clone(),
+        state,
+        last_heartbeat: now,
+        configuration_version: gossip.configuration_version,
+        upstreams_revision: gossip.upstreams_revision,
+        // What it says of the store is among the beats.
+        store_age: None,
+        budget_use: gossip.budget_use.clone(),
+    };
+    router.peers.on_heartbeat(gossip.sender.router, entry);
+}
+
+fn send_reply(router: &Router, to: SocketAddr, reply: GossipReply, now: Instant) {
+    let own = router.settings().listen.peers;
+    let send = |message| router.peers.send(message, Recipients::These(vec![to]));
+    if let Some(news) = reply.of_itself {
+        send(PeerMessage::Members(Members {
+            sender: own,
+            members: vec![news],
+        }));
+    }
+    if reply.message {
+        let mut message = gossip(router, false, now);
+        message.news.extend(reply.sample);
+        send(PeerMessage::Gossip(message));
+    }
+    if reply.ask_members {
+        send(PeerMessage::AskMembers(own));
+    }
+}
+
+/// Sends a router that knows fewer all members.
+pub(crate) fn on_ask_members(router: &Router, asking: SocketAddr, now: Instant) {
+    let sender = router.settings().listen.peers;
+    let parts = router.peers.members.borrow_mut().on_asked(now);
+    for members in parts {
+        let message = PeerMessage::Members(Members { sender, members });
+        router.peers.send(message, Recipients::These(vec![asking]));
+    }
+}
+
+/// Takes members that a router was asked for, or what it says of this one.
+pub(crate) fn on_members(router: &Router, message: Members, now: Instant) {
+    let mut members = router.peers.members.borrow_mut();
+    members.on_members(message.members, now);
+}
+
+/// Takes what watchers of the store said; the roles are decided anew where it says something else.
+fn apply_beats(router: &Router, beats: &[WatcherBeat], now: Instant) {
+    let mut is_urgent = false;
+    let peers = router.peers.count();
+    for beat in beats {
+        let mut known = router.peers.beats.borrow_mut();
+        let former = known.store_age(beat.router, now);
+        if known.on_beat(*beat, now) {
+            let present = known.store_age(beat.router, now);
+            is_urgent |= changes_roles(former, present, peers);
+        }
+    }
+    if is_urgent {
+        decide_watcher_role(router, now);
+        // Others learn it from this router without waiting for its next period.
+        router.peers.report_version();
+    }
+}
+
+/// Has changes that this router read from the store sent to all; false where they are too many, or
+/// orders of roll-outs have to come with them.
+pub(crate) fn spread_upstreams(
+    router: &Router,
+    after: u64,
+    revision: u64,
+    changes: Vec<UpstreamChange>,
+) -> bool {
+    if !router.peers.is_large() || !router.rollouts.views().is_empty() {
+        return false;
+    }
+    let news = UpstreamNews {
+        sender: router.settings().listen.peers,
+        after,
+        revision,
+        changes,
+    };
+    let message = PeerMessage::UpstreamNews(news);
+    match encode(&message) {
+        Ok(bytes) if bytes.len() + ENVELOPE <= MAX_DATAGRAM => {
+            router.peers.send(message, Recipients::All);
+            true
+        }
+        // Whoever hears of the revision fetches them.
+        Ok(_) => false,
+        Err(error) => {
+            log_dependency(router, "peer.unsent", "peers", &error.to_string());
+            false
+        }
+    }
+}
+
+/// Applies changes that a router passed on, and passes them on.
+pub(crate) fn on_upstream_news(router: &Router, news: UpstreamNews) {
+    let known = router.upstreams.borrow().revision();
+    if news.revision <= known || !router.store.knows_upstreams() {
+        return;
+    }
+    if news.after > known {
+        // Something before it was missed.
+        router.peers.on_newer_version(Watched::Upstreams);
+        return;
+    }
+    let changes = UpstreamChanges {
+        changes: news
+            .changes
+            .iter()
+            .cloned()
+            .map(ReadChange::Readable)
+            .collect(),
+        revision: news.revision,
+    };
+    let from = format!("peer {}", news.sender);
+    apply_upstream_changes(router, changes, &from);
+    let sender = router.settings().listen.peers;
+    let message = UpstreamNews { sender, ..news };
+    router.peers.pass_on(PeerMessage::UpstreamNews(message));
+}
+
+/// What a heartbeat of a release that knows no gossip says of its sender.
+pub(crate) fn member_of(entry: &PeerEntry, peer: SocketAddr) -> MemberNews {
+    MemberNews {
+        router: peer,
+        callers: entry.callers,
+        data_centre: entry.data_centre.clone(),
+        state: MemberState::Alive(entry.state),
+        stamp: 0,
+    }
+}
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -5,6 +5,7 @@
 //! are [`crate::peer_messages`]'s. Owns nothing but the turn among peers.
 
 use crate::crash_news;
+use crate::gossip;
 use crate::leaving_news;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, encode};
 use crate::peers::Recipients;
@@ -19,14 +20,21 @@
 use cloverpier_router_policy::store_watch::reported_store_age;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 
+/// A period that begins so late means that this process was paused, so that others' silence says
+/// nothing.
+const PAUSED: Duration = Duration::from_millis(300);
+/// How often roles are decided in a large fleet.
+const LARGE_ROLE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Sends heartbeats and changes until the process ends.
 pub(crate) async fn send_messages(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut turn = HeartbeatTurn::default();
     let mut next_heartbeat = router.now();
     let mut next_seeds = next_heartbeat;
+    let mut roles = RoleTurn::default();
     loop {
         let now = router.now();
         if now >= next_seeds {
@@ -35,21 +43,22 @@
         }
         if now >= next_heartbeat {
             forget_old(&router, now);
-            decide_watcher_role(&router, now);
-            let peers = turn.next_peers(router.peers.addresses(), serves_peers(&router, now));
-            send_heartbeat(&router, &socket, &peers, MENTIONED_PEERS, now);
+            if roles.is_due(router.peers.is_large(), now) {
+                decide_watcher_role(&router, now);
+            }
+            let was_paused = now.saturating_duration_since(next_heartbeat) > PAUSED;
+            send_period(&router, &socket, &mut turn, was_paused, now);
             crash_news::tell_again(&router, now);
             leaving_news::tell_again(&router, now);
             next_heartbeat = now + router.settings().heartbeat;
         } else if router.peers.take_heartbeat_due() {
-            let peers = router.peers.addresses();
-            let serves_peers = serves_peers(&router, now);
-            let peers = version_peers(peers, serves_peers, &mut router.rng.borrow_mut());
-            send_heartbeat(&router, &socket, &peers, MENTIONED_PEERS, now);
+            send_versions(&router, &socket, now);
         }
         let new_peers = router.peers.take_new(MAX_GREETED);
         if !new_peers.is_empty() {
             send_heartbeat(&router, &socket, &new_peers, MENTIONED_TO_NEW_PEER, now);
+            // One that belongs to a large fleet answers this.
+            gossip::send_greeting(&router, &socket, &new_peers, now);
         }
         for (message, to) in router.peers.drain_outgoing() {
             send(&router, &socket, &message, &recipients(&router, to));
@@ -62,6 +71,62 @@
     }
 }
 
+/// When the roles of watchers are decided anew.
+#[derive(Default)]
+struct RoleTurn {
+    last: Option<Instant>,
+}
+
+impl RoleTurn {
+    /// With each heartbeat; in a large fleet, where that takes a look at each member, less often: what
+    /// watchers say of themselves has them decided at once, too.
+    fn is_due(&mut self, is_large: bool, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LARGE_ROLE_PERIOD;
+        if is_large && self.last.is_some_and(is_recent) {
+            return false;
+        }
+        self.last = Some(now);
+        true
+    }
+}
+
+/// Sends what is due in each period: heartbeats, or gossip in a large fleet.
+fn send_period(
+    router: &Router,
+    socket: &UdpSocket,
+    turn: &mut HeartbeatTurn,
+    was_paused: bool,
+    now: Instant,
+) {
+    let serves_peers = serves_peers(router, now);
+    let is_large = router.peers.is_large();
+    let peers = if is_large {
+        gossip::send_period(router, socket, was_paused, now);
+        router.peers.plain_peers()
+    } else {
+        router.peers.addresses()
+    };
+    if !peers.is_empty() {
+        let peers = turn.next_peers(peers, serves_peers);
+        send_heartbeat(router, socket, &peers, MENTIONED_PEERS, now);
+    }
+}
+
+/// Tells some peers at once that a version has changed.
+fn send_versions(router: &Router, socket: &UdpSocket, now: Instant) {
+    let serves_peers = serves_peers(router, now);
+    let peers = if router.peers.is_large() {
+        gossip::send_urgent(router, socket, now);
+        router.peers.plain_peers()
+    } else {
+        router.peers.addresses()
+    };
+    if !peers.is_empty() {
+        let peers = version_peers(peers, serves_peers, &mut router.rng.borrow_mut());
+        send_heartbeat(router, socket, &peers, MENTIONED_PEERS, now);
+    }
+}
+
 /// Waits for the next heartbeat, or for a change that peers are to be sent at once.
 async fn wait_for_change(router: &Router, next_heartbeat: Instant) {
     router.timers.sleep(MIN_SEND_PAUSE).await;
@@ -75,17 +140,26 @@
 }
 
 fn recipients(router: &Router, to: Recipients) -> Vec<SocketAddr> {
-    let peers = router.peers.addresses();
+    let peers = &router.peers;
     let mut rng = router.rng.borrow_mut();
     match to {
-        Recipients::All => peers,
-        Recipients::Many => change_peers(peers, &mut rng),
-        Recipients::Few => version_peers(peers, false, &mut rng),
+        // Whoever gets it passes it on.
+        Recipients::All if peers.is_large() => peers.members.borrow().flood_roots(&mut rng),
+        Recipients::All => peers.addresses(),
+        Recipients::Many => change_peers(peers.addresses(), &mut rng),
+        Recipients::Few => version_peers(peers.addresses(), false, &mut rng),
+        Recipients::Next => peers.members.borrow().flood_targets(&mut rng),
         Recipients::These(peers) => peers,
     }
 }
 
-fn send(router: &Router, socket: &UdpSocket, message: &PeerMessage, peers: &[SocketAddr]) {
+/// Sends a message to some peers.
+pub(crate) fn send(
+    router: &Router,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    peers: &[SocketAddr],
+) {
     let bytes = match encode(message) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -112,6 +186,7 @@
     let mut table = router.upstreams.borrow_mut();
     table.peer_load.forget_old(now, ttl);
     router.peers.forget_old(now);
+    router.list_copies.borrow_mut().forget_old(now);
 }
 
 fn serves_peers(router: &Router, now: Instant) -> bool {
@@ -174,9 +249,12 @@
     }
 }
 
-fn store_age_ms(router: &Router, now: Instant) -> Option<u32> {
+/// The age of the last successful call to the store, as peers are told it.
+pub(crate) fn store_age_ms(router: &Router, now: Instant) -> Option<u32> {
     let store = &router.store;
-    let age = reported_store_age(store.role(), store.last_success(), store.fails(), now);
+    let peers = router.peers.count();
+    let (role, last) = (store.role(), store.last_success());
+    let age = reported_store_age(role, last, store.fails(), peers, now);
     // An age beyond 49 days is as good as 49 days.
     age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
 }
@@ -196,7 +274,7 @@
         suspects,
         prompt_locations: Vec::new(),
     };
-    if !reaches_all_peers(router.peers.addresses().len()) {
+    if router.peers.is_large() {
         return (!change.suspects.is_empty()).then_some(change);
     }
     let load = states.iter().map(|s| LoadReport::new((s.key, s.own_load)));
--- a/crates/router/cloverpier_router/src/leaving_news.rs
+++ b/crates/router/cloverpier_router/src/leaving_news.rs
@@ -32,19 +32,22 @@
 }
 
 /// Applies a peer's message.
-pub(crate) fn on_news(router: &Router, news: &LeavingNews, now: Instant) {
+pub(crate) fn on_news(router: &Router, news: LeavingNews, now: Instant) {
     let mut table = router.upstreams.borrow_mut();
     let new = table.on_peer_leavings(&news.upstreams, now);
     drop(table);
-    for upstream in new {
+    for upstream in &new {
         note(
             router,
-            &upstream,
+            upstream,
             "heard",
             &LeavingSource::Peer(news.sender),
             now,
         );
     }
+    if !new.is_empty() {
+        router.peers.pass_on(PeerMessage::Leavings(news));
+    }
 }
 
 fn note(
@@ -68,12 +71,15 @@
     former: Option<&PeerEntry>,
     entry: &PeerEntry,
 ) {
-    if !may_have_missed(former, entry, router.peer_timeout()) {
-        return;
+    if may_have_missed(former, entry, router.peer_timeout()) {
+        tell_newcomer(router, peer);
     }
+}
+
+/// Sends a peer that may have missed some what is known, where this router is one of those that do.
+pub(crate) fn tell_newcomer(router: &Router, peer: SocketAddr) {
     let reports = router.upstreams.borrow().leavings(router.now());
-    let peers = router.peers.addresses().len();
-    if !reports.is_empty() && is_teller(peers, &mut router.rng.borrow_mut()) {
+    if !reports.is_empty() && is_teller(router.peers.count(), &mut router.rng.borrow_mut()) {
         tell(router, &reports, &Recipients::These(vec![peer]));
     }
 }
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -17,7 +17,7 @@
 //! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that one router at a time does | `singleton` |
-//! | other routers | `peers`, `heartbeats`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
+//! | other routers | `peers`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
 //! | logs and metrics | `decision_log`, `beliefs`, `metrics` |
 //! | work beside the thread that serves | `background` |
@@ -52,6 +52,7 @@
 mod crashes;
 mod decision_log;
 mod engine_call;
+mod gossip;
 mod health;
 mod heartbeats;
 mod http_client;
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -4,10 +4,10 @@
 //! went. Whom to ask, and when, is decided in `cloverpier_router_policy::version_fetch`; the
 //! shapes are [`crate::peer_messages`]'s, and [`crate::peer_serve`] is the other side.
 
-use crate::configuration_copies::HeldConfiguration;
+use crate::configuration_copies::{CopyEncoding, HeldConfiguration};
 use crate::decision_log::{FetchFailed, VersionFetched, ms};
 use crate::http_client::{CallError, HttpAnswer, HttpClient, LargeBounds};
-use crate::peer_messages::{CodecError, UpstreamsReply, decode};
+use crate::peer_messages::{CodecError, UpstreamsReply, decode, decompress};
 use crate::peer_serve::{
     CONFIGURATION_PATH, GZIP, UPSTREAMS_PATH, UPSTREAMS_WITH_STARTS, encoding_of, wait_of,
 };
@@ -19,7 +19,7 @@
 use cloverpier_core::jitter;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_fetch::{
-    COMPARE_PERIOD, FAILURE_PAUSE, FetchSources, FetchStep, STALL_TIMEOUT, STORE_FIRST,
+    COMPARE_PERIOD, FAILURE_PAUSE, FAR_WAIT, FetchSources, FetchStep, STALL_TIMEOUT, STORE_FIRST,
 };
 use hyper::StatusCode;
 use hyper::header::{ACCEPT, ACCEPT_ENCODING, HeaderMap, HeaderValue};
@@ -54,7 +54,10 @@
     let mut fetcher = Fetcher {
         router,
         watched,
-        sources: FetchSources::default(),
+        sources: match watched {
+            Watched::Configuration => FetchSources::default(),
+            Watched::Upstreams => FetchSources::with_far_wait(FAR_WAIT),
+        },
         clients: HashMap::new(),
         is_failing: false,
     };
@@ -101,7 +104,8 @@
             Watched::Configuration => peer.configuration_version,
             Watched::Upstreams => peer.upstreams_revision,
         };
-        let peers = router.peers.versions(version, now, timeout);
+        let home = &router.settings().data_centre;
+        let peers = router.peers.versions(version, home, now, timeout);
         let mut rng = router.rng.borrow_mut();
         self.sources.step(self.known(), peers, now, &mut rng)
     }
@@ -200,8 +204,13 @@
         let mut headers = HeaderMap::new();
         let form = HeaderValue::from_static(UPSTREAMS_WITH_STARTS);
         headers.insert(ACCEPT, form);
+        headers.insert(ACCEPT_ENCODING, HeaderValue::from_static(GZIP));
         let answer = self.get(peer, &path, headers).await?;
-        let reply = decode(&answer.body).context(CodecSnafu)?;
+        let reply = match encoding_of(&answer.headers) {
+            CopyEncoding::Plain => decode(&answer.body),
+            CopyEncoding::Compressed => decompress(&answer.body).and_then(|b| decode(&b)),
+        };
+        let reply = reply.context(CodecSnafu)?;
         apply_upstreams_reply(&self.router, reply, &format!("peer {peer}"));
         Ok(answer.body.len())
     }
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -11,11 +11,13 @@
 use bytes::Bytes;
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_crashes::ContentReport;
+use cloverpier_router_policy::membership::MemberNews;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::EvidenceReport;
 use cloverpier_router_policy::singleton::autoscaling::ServiceLoad;
 use cloverpier_router_policy::singleton::lease::RecordVersion;
 use cloverpier_router_policy::singleton::metering::ReportedWindow;
+use cloverpier_router_policy::watcher_beats::WatcherBeat;
 use flate2::Compression;
 use flate2::read::GzDecoder;
 use flate2::write::GzEncoder;
@@ -192,6 +194,53 @@
     pub fleet_ms: u64,
 }
 
+/// What a router of a large fleet sends in place of heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// What the sender says of itself.
+    pub sender: MemberNews,
+    /// Whether the sender waits for a message: it probes the recipient, or has just begun.
+    pub wants_reply: bool,
+    /// How many members the sender knows.
+    pub members: u32,
+    /// A digest of what the sender knows of them.
+    pub digest: u64,
+    /// Version of the configuration that the sender uses; 0 before the first.
+    pub configuration_version: u64,
+    /// Revision of the sender's list of upstreams.
+    pub upstreams_revision: u64,
+    /// What the watchers of the store said last, as far as the sender knows.
+    pub watchers: Vec<WatcherBeat>,
+    /// Upstreams that the sender suspects to be dead.
+    pub suspects: Vec<UpstreamKey>,
+    /// The sender's use of each service's retry budget.
+    pub budget_use: Vec<(ServiceKey, BudgetUse)>,
+    /// What is new of other routers.
+    pub news: Vec<MemberNews>,
+}
+
+/// Some of the members that a router knows, for one that knows fewer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The members.
+    pub members: Vec<MemberNews>,
+}
+
+/// Changes of upstreams, passed on from router to router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamNews {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The revision that the changes follow.
+    pub after: u64,
+    /// The revision that they lead to.
+    pub revision: u64,
+    /// The changes, in order.
+    pub changes: Vec<UpstreamChange>,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -219,6 +268,15 @@
     FleetReport(FleetReport),
     /// Sent by the holder of the lease, likewise.
     LeaseNews(LeaseNews),
+    /// Sent every period in a large fleet; a router of a release without it ignores the datagram, and
+    /// is sent heartbeats.
+    Gossip(Gossip),
+    /// Sent to ask for all members; likewise.
+    AskMembers(SocketAddr),
+    /// Sent in answer to that, likewise.
+    Members(Members),
+    /// Sent by watchers of the store in a large fleet, and passed on; likewise.
+    UpstreamNews(UpstreamNews),
 }
 
 /// The reply to a fetch of upstreams.
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -6,6 +6,7 @@
 
 use crate::crash_news;
 use crate::crashes;
+use crate::gossip::{self, member_of};
 use crate::leaving_news;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, decode};
 use crate::rollouts;
@@ -34,8 +35,8 @@
         match decode(&buf[..length]) {
             Ok(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(&router, heartbeat, now),
             Ok(PeerMessage::Change(change)) => on_change(&router, change, now),
-            Ok(PeerMessage::Successor(successor)) => on_peer_successor(&router, &successor),
-            Ok(PeerMessage::Replaced(replaced)) => on_peer_replaced(&router, &replaced),
+            Ok(PeerMessage::Successor(successor)) => on_peer_successor(&router, successor),
+            Ok(PeerMessage::Replaced(replaced)) => on_peer_replaced(&router, replaced),
             Ok(PeerMessage::Rollouts(news)) => {
                 let from = format!("peer {}", news.sender);
                 rollouts::apply_views(&router, news.views, &from, now);
@@ -43,8 +44,12 @@
             Ok(PeerMessage::RolloutEvidence(evidence)) => {
                 rollouts::on_evidence(&router, evidence.sender, evidence.report);
             }
-            Ok(PeerMessage::Crashes(news)) => crash_news::on_news(&router, &news, now),
-            Ok(PeerMessage::Leavings(news)) => leaving_news::on_news(&router, &news, now),
+            Ok(PeerMessage::Crashes(news)) => crash_news::on_news(&router, news, now),
+            Ok(PeerMessage::Leavings(news)) => leaving_news::on_news(&router, news, now),
+            Ok(PeerMessage::Gossip(message)) => gossip::on_gossip(&router, message, now),
+            Ok(PeerMessage::AskMembers(peer)) => gossip::on_ask_members(&router, peer, now),
+            Ok(PeerMessage::Members(members)) => gossip::on_members(&router, members, now),
+            Ok(PeerMessage::UpstreamNews(news)) => gossip::on_upstream_news(&router, news),
             Ok(PeerMessage::FleetReport(report)) => singleton::on_report(&router, report, now),
             Ok(PeerMessage::LeaseNews(news)) => singleton::on_lease_news(&router, &news, now),
             // Cut off, or of another release, as during an upgrade: logged once a process.
@@ -72,7 +77,7 @@
 }
 
 /// Records upstreams that a peer suspects.
-fn on_suspects(router: &Router, suspects: &[UpstreamKey], now: Instant) {
+pub(crate) fn on_suspects(router: &Router, suspects: &[UpstreamKey], now: Instant) {
     for key in suspects {
         let mut table = router.upstreams.borrow_mut();
         let state = table.by_key(*key);
@@ -128,10 +133,19 @@
 /// store.
 fn record_entry(router: &Router, peer: SocketAddr, entry: PeerEntry, now: Instant) {
     let store_age = entry.store_age;
+    let is_large = router.peers.is_large();
+    let member = member_of(&entry, peer);
+    let mut members = router.peers.members.borrow_mut();
+    members.on_plain_message(member, now);
+    drop(members);
+    if is_large {
+        router.peers.on_plain_heartbeat(peer, now);
+    }
     let former = router.peers.on_heartbeat(peer, entry.clone());
     crash_news::tell_if_missed(router, peer, former.as_ref(), &entry);
     leaving_news::tell_if_missed(router, peer, former.as_ref(), &entry);
-    if changes_roles(former.and_then(|entry| entry.store_age), store_age) {
+    let former_age = former.and_then(|entry| entry.store_age);
+    if changes_roles(former_age, store_age, router.peers.count()) {
         decide_watcher_role(router, now);
     }
 }
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -5,10 +5,11 @@
 //! decided in `cloverpier_router_policy::version_serving`; the shapes are
 //! [`crate::peer_messages`]'s.
 
+use crate::background::run_in_background;
 use crate::body::ReplyBody;
 use crate::configuration_copies::CopyEncoding;
 use crate::decision_log::VersionServed;
-use crate::peer_messages::{CodecError, UpstreamsReply, encode};
+use crate::peer_messages::{CodecError, UpstreamsReply, compress, encode};
 use crate::reply::{Reply, own_reply, set_retry_after};
 use crate::router::Router;
 use crate::store_view::{Watched, log_dependency};
@@ -20,8 +21,9 @@
     ACCEPT, ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap, HeaderValue, RETRY_AFTER,
 };
 use hyper::{Request, Response, StatusCode};
+use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Paths at a peer; they are on the wire.
 pub(crate) const CONFIGURATION_PATH: &str = "/versions/catalog";
@@ -41,9 +43,7 @@
     let served = match request.uri().path() {
         CONFIGURATION_PATH => configuration_reply(&router, request.headers()).await,
         UPSTREAMS_PATH if router.store.knows_upstreams() => {
-            let form = accepted_form(request.headers());
-            let reply = encode(&upstreams_reply(&router, asked_after(&request), form));
-            reply.map(|bytes| Some(bytes_reply(&router, bytes.into())))
+            upstreams_answer(&router, &request).await.map(Some)
         }
         _ => Ok(None),
     };
@@ -65,12 +65,8 @@
     };
     let encoding = accepted_encoding(headers);
     let bytes = held.copy(encoding).await?;
-    let link = LinkRate::from_mbps(router.settings().link_mbps);
-    let mut pacing = router.copy_pacing.borrow_mut();
-    if let CopyStep::Refuse(wait) = pacing.step(bytes.len(), link, router.now()) {
-        let mut reply = own_reply(StatusCode::SERVICE_UNAVAILABLE, "other copies come first");
-        set_retry_after(&mut reply, wait);
-        return Ok(Some(reply));
+    if let Some(refusal) = paced(router, bytes.len()) {
+        return Ok(Some(refusal));
     }
     let line = VersionServed {
         what: Watched::Configuration.name(),
@@ -79,11 +75,76 @@
     };
     router.log.info("version.served", &line);
     let mut reply = bytes_reply(router, bytes);
+    set_encoding(&mut reply, encoding);
+    Ok(Some(reply))
+}
+
+/// Changes of upstreams, or a copy of the whole list, or when to ask again for one.
+async fn upstreams_answer(
+    router: &Router,
+    request: &Request<Incoming>,
+) -> Result<Reply, CodecError> {
+    let form = accepted_form(request.headers());
+    let after = asked_after(request);
+    let changes = after.and_then(|after| router.upstreams.borrow().changes_after(after));
+    let bytes = match changes {
+        Some(changes) => encode(&changes_reply(router, changes, form))?.into(),
+        None => {
+            let encoding = accepted_encoding(request.headers());
+            let copy = list_copy(router, form, encoding).await?;
+            if let Some(refusal) = paced(router, copy.len()) {
+                return Ok(refusal);
+            }
+            let mut reply = bytes_reply(router, copy);
+            set_encoding(&mut reply, encoding);
+            return Ok(reply);
+        }
+    };
+    Ok(bytes_reply(router, bytes))
+}
+
+/// The whole list in the bytes in which peers get it: written once for all that ask about the same time.
+async fn list_copy(
+    router: &Router,
+    form: UpstreamsForm,
+    encoding: CopyEncoding,
+) -> Result<Bytes, CodecError> {
+    let key = (form == UpstreamsForm::WithStarts, encoding);
+    let now = router.now();
+    if let Some(bytes) = router.list_copies.borrow().get(key, now) {
+        return Ok(bytes);
+    }
+    let reply = list_reply(router, form);
+    let size = router.upstreams.borrow().len() * UPSTREAM_BYTES;
+    let written = run_in_background(size, move || {
+        let plain = encode(&reply)?;
+        match encoding {
+            CopyEncoding::Plain => Ok(plain.into()),
+            CopyEncoding::Compressed => compress(&plain),
+        }
+    });
+    let bytes: Bytes = written.await?;
+    router.list_copies.borrow_mut().put(key, bytes.clone(), now);
+    Ok(bytes)
+}
+
+/// The refusal of a copy that would come before the link has carried the others.
+fn paced(router: &Router, bytes: usize) -> Option<Reply> {
+    let link = LinkRate::from_mbps(router.settings().link_mbps);
+    let mut pacing = router.copy_pacing.borrow_mut();
+    let CopyStep::Refuse(wait) = pacing.step(bytes, link, router.now()) else {
+        return None;
+    };
+    let mut reply = own_reply(StatusCode::SERVICE_UNAVAILABLE, "other copies come first");
+    set_retry_after(&mut reply, wait);
+    Some(reply)
+}
+
+fn set_encoding(reply: &mut Reply, encoding: CopyEncoding) {
     if encoding == CopyEncoding::Compressed {
         let gzip = HeaderValue::from_static(GZIP);
         reply.headers_mut().insert(CONTENT_ENCODING, gzip);
     }
-    Ok(Some(reply))
 }
 
 fn bytes_reply(router: &Router, bytes: Bytes) -> Reply {
@@ -126,6 +187,40 @@
     query.strip_prefix("after=")?.parse().ok()
 }
 
+/// Bytes that an upstream takes in a copy of the list, about.
+const UPSTREAM_BYTES: usize = 100;
+/// A copy of the list is handed out for so long, though changes may have come: whoever gets it asks for
+/// those next. While thousands of upstreams change, writing each revision anew for each peer would take
+/// most of a small VM's processor.
+const LIST_COPY_FOR: Duration = Duration::from_secs(1);
+
+/// The form and the encoding of a copy.
+type CopyKey = (bool, CopyEncoding);
+
+/// The copies of the list that were written last.
+#[derive(Debug, Default)]
+pub(crate) struct ListCopies {
+    copies: HashMap<CopyKey, (Bytes, Instant)>,
+}
+
+impl ListCopies {
+    fn get(&self, key: CopyKey, now: Instant) -> Option<Bytes> {
+        let (bytes, at) = self.copies.get(&key)?;
+        let is_recent = now.saturating_duration_since(*at) < LIST_COPY_FOR;
+        is_recent.then(|| bytes.clone())
+    }
+
+    fn put(&mut self, key: CopyKey, bytes: Bytes, now: Instant) {
+        self.copies.insert(key, (bytes, now));
+    }
+
+    /// Drops what is not handed out any more.
+    pub fn forget_old(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LIST_COPY_FOR;
+        self.copies.retain(|_, (_, at)| is_recent(*at));
+    }
+}
+
 /// How upstreams are written for a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum UpstreamsForm {
@@ -163,23 +258,24 @@
     }
 }
 
-fn upstreams_reply(router: &Router, after: Option<u64>, form: UpstreamsForm) -> UpstreamsReply {
+fn changes_reply(
+    router: &Router,
+    changes: Vec<UpstreamChange>,
+    form: UpstreamsForm,
+) -> UpstreamsReply {
+    UpstreamsReply::Changes {
+        changes: changes.into_iter().map(|c| form.change(c)).collect(),
+        revision: router.upstreams.borrow().revision(),
+        rollouts: form.rollouts(router),
+    }
+}
+
+fn list_reply(router: &Router, form: UpstreamsForm) -> UpstreamsReply {
     let table = router.upstreams.borrow();
-    let revision = table.revision();
-    match after.and_then(|after| table.changes_after(after)) {
-        Some(changes) => UpstreamsReply::Changes {
-            changes: changes.into_iter().map(|c| form.change(c)).collect(),
-            revision,
-            rollouts: form.rollouts(router),
-        },
-        None => UpstreamsReply::List {
-            upstreams: table
-                .listed()
-                .into_iter()
-                .map(|u| form.upstream(u))
-                .collect(),
-            revision,
-            rollouts: form.rollouts(router),
-        },
+    let listed = table.listed().into_iter();
+    UpstreamsReply::List {
+        upstreams: listed.map(|u| form.upstream(u)).collect(),
+        revision: table.revision(),
+        rollouts: form.rollouts(router),
     }
 }
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -1,19 +1,32 @@
 //! What this router knows of its peers, and what it sends them next.
 //!
-//! Owns the table of peers, the news that waits for the next datagram, and the signals that a
-//! peer has a newer version. [`crate::heartbeats`] sends and receives; who is sent what is
-//! decided in `cloverpier_router_policy::heartbeat`.
+//! Owns the table of peers, the members of a large fleet, the news that waits for the next datagram,
+//! and the signals that a peer has a newer version. [`crate::heartbeats`] and [`crate::gossip`] send
+//! and receive; who is sent what is decided in `cloverpier_router_policy::{heartbeat, membership}`.
+//!
+//! In a small fleet each peer is alive for as long as its heartbeats come; in a large one, members are
+//! alive until somebody's probe says otherwise.
 
 use crate::peer_messages::PeerMessage;
 use crate::store_view::Watched;
-use cloverpier_core::{ServiceName, UpstreamName};
+use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
+use cloverpier_router_policy::heartbeat::reaches_all_peers;
+use cloverpier_router_policy::membership::{MemberNews, Membership};
+use cloverpier_router_policy::peers::listed_for_callers;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::ReadyPeer;
+use cloverpier_router_policy::version_fetch::PeerVersion;
+use cloverpier_router_policy::watcher_beats::WatcherBeats;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// What single routers of a large fleet said of themselves counts for this long: their use of the retry
+/// budget, whose window it mostly is, their versions, how many members they know.
+const HEARD_FOR: Duration = Duration::from_secs(10);
+
 /// Who gets a message.
 #[derive(Clone, Debug)]
 pub(crate) enum Recipients {
@@ -23,14 +36,24 @@
     Many,
     /// A few of them, picked at random.
     Few,
+    /// Those that whoever gets something for the first time passes it on to, in a large fleet.
+    Next,
     /// These.
     These(Vec<SocketAddr>),
 }
 
 /// Peers, and what they are sent next.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
     table: RefCell<PeerTable>,
+    pub(crate) members: RefCell<Membership>,
+    pub(crate) beats: RefCell<WatcherBeats>,
+    /// The size of the fleet as other routers said it, and when.
+    heard_size: Cell<Option<(usize, Instant)>>,
+    /// Peers that send heartbeats though they were told of a large fleet: those of former releases.
+    plain_peers: RefCell<HashMap<SocketAddr, Instant>>,
+    /// The number of this router's last beat as a watcher.
+    last_beat: Cell<u64>,
     /// Upstreams of which the load or a suspicion is to be reported at once.
     changed_upstreams: RefCell<Vec<UpstreamName>>,
     /// Prompts that engines began to read since the last report.
@@ -50,10 +73,78 @@
 }
 
 impl Peers {
+    /// A router that knows no peer yet.
+    pub fn new(own: MemberNews) -> Self {
+        Self {
+            // Greater than those of former runs, as stamps are.
+            last_beat: Cell::new(own.stamp),
+            table: RefCell::default(),
+            members: RefCell::new(Membership::new(own)),
+            beats: RefCell::default(),
+            heard_size: Cell::default(),
+            plain_peers: RefCell::default(),
+            changed_upstreams: RefCell::default(),
+            new_prompt_locations: RefCell::default(),
+            outgoing: RefCell::default(),
+            new_peers: RefCell::default(),
+            state_changed: Notify::new(),
+            heartbeat_due: Cell::default(),
+            newer_configuration_seen: Notify::new(),
+            newer_upstreams_seen: Notify::new(),
+        }
+    }
+
+    /// Whether the fleet is too large for heartbeats to all.
+    pub fn is_large(&self) -> bool {
+        !reaches_all_peers(self.count())
+    }
+
+    /// Whether any peer was heard since the start.
+    pub fn has_heard_any(&self) -> bool {
+        self.members.borrow().count() > 0
+    }
+
+    /// How many peers there are.
+    pub fn count(&self) -> usize {
+        let heard = self.heard_size.get().map_or(0, |(size, _)| size);
+        let known = self.members.borrow().count();
+        known.max(self.table.borrow().count()).max(heard)
+    }
+
+    /// Records how many members another router knows.
+    pub fn on_heard_size(&self, size: usize, now: Instant) {
+        let is_higher = self.heard_size.get().is_none_or(|(known, _)| size >= known);
+        if is_higher {
+            self.heard_size.set(Some((size, now)));
+        }
+    }
+
+    /// The number of this router's next beat as a watcher.
+    pub fn next_beat(&self) -> u64 {
+        let next = self.last_beat.get() + 1;
+        self.last_beat.set(next);
+        next
+    }
+
+    /// Records a peer that sends heartbeats to a router of a large fleet.
+    pub fn on_plain_heartbeat(&self, peer: SocketAddr, now: Instant) {
+        self.plain_peers.borrow_mut().insert(peer, now);
+    }
+
+    /// Records a peer that takes part in gossip.
+    pub fn on_gossip(&self, peer: SocketAddr) {
+        self.plain_peers.borrow_mut().remove(&peer);
+    }
+
+    /// The peers that are to be sent heartbeats in a large fleet.
+    pub fn plain_peers(&self) -> Vec<SocketAddr> {
+        self.plain_peers.borrow().keys().copied().collect()
+    }
+
     /// Records a heartbeat; returns the one before.
     pub fn on_heartbeat(&self, peer: SocketAddr, entry: PeerEntry) -> Option<PeerEntry> {
         let is_new = !self.table.borrow().knows(peer);
-        if is_new {
+        if is_new && !self.is_large() {
             self.greet(peer);
         }
         self.table.borrow_mut().on_heartbeat(peer, entry)
@@ -61,9 +152,10 @@
 
     /// Records peers that settings or a peer mentioned.
     pub fn on_mentioned(&self, peers: impl IntoIterator<Item = SocketAddr>, now: Instant) {
-        let mut table = self.table.borrow_mut();
         for peer in peers {
-            if table.on_mentioned(peer, now) {
+            let is_new = self.table.borrow_mut().on_mentioned(peer, now);
+            let is_stranger = is_new && !self.members.borrow().knows(peer);
+            if is_stranger {
                 self.greet(peer);
             }
         }
@@ -90,15 +182,27 @@
     /// Forgets peers that were silent for long.
     pub fn forget_old(&self, now: Instant) {
         self.table.borrow_mut().forget_old(now);
+        self.members.borrow_mut().forget_old(now);
+        self.beats.borrow_mut().forget_old(now);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < HEARD_FOR;
+        self.plain_peers.borrow_mut().retain(|_, at| is_recent(*at));
+        let heard = self.heard_size.get().filter(|(_, at)| is_recent(*at));
+        self.heard_size.set(heard);
     }
 
     /// The addresses of all peers, alive or not.
     pub fn addresses(&self) -> Vec<SocketAddr> {
+        if self.is_large() {
+            return self.members.borrow().addresses();
+        }
         self.table.borrow().addresses()
     }
 
     /// The live peers that are ready, and what they say of the store.
     pub fn ready(&self, now: Instant, timeout: Duration) -> Vec<ReadyPeer> {
+        if self.is_large() {
+            return self.ready_members(now);
+        }
         let table = self.table.borrow();
         let ready = table
             .live(now, timeout)
@@ -114,8 +218,24 @@
         ready.collect()
     }
 
+    fn ready_members(&self, now: Instant) -> Vec<ReadyPeer> {
+        let members = self.members.borrow();
+        let beats = self.beats.borrow();
+        let ready = members.live(now).filter(|m| m.state == PeerState::Ready);
+        let ready = ready.map(|member| ReadyPeer {
+            peer: member.router,
+            data_centre: member.data_centre.clone(),
+            store_age: beats.store_age(member.router, now),
+        });
+        ready.collect()
+    }
+
     /// The addresses of live peers.
     pub fn live(&self, now: Instant, timeout: Duration) -> Vec<SocketAddr> {
+        if self.is_large() {
+            let members = self.members.borrow();
+            return members.live(now).map(|member| member.router).collect();
+        }
         let table = self.table.borrow();
         let live = table.live(now, timeout);
         live.map(|(peer, _)| *peer).collect()
@@ -128,8 +248,14 @@
         now: Instant,
         timeout: Duration,
     ) -> Vec<SocketAddr> {
-        let table = self.table.borrow();
-        table.addresses_for_callers(own, now, timeout)
+        if !self.is_large() {
+            let table = self.table.borrow();
+            return table.addresses_for_callers(own, now, timeout);
+        }
+        let members = self.members.borrow();
+        let ready = members.live(now).filter(|m| m.state == PeerState::Ready);
+        let ready: Vec<SocketAddr> = ready.map(|member| member.callers).collect();
+        listed_for_callers(own, ready, || members.once_ready())
     }
 
     /// What is known of the peers' use of a service's retry budget.
@@ -140,15 +266,27 @@
         timeout: Duration,
     ) -> PeerBudgetUse {
         let table = self.table.borrow();
+        let key = ServiceKey::of(service);
+        if !self.is_large() {
+            return PeerBudgetUse {
+                total: table.budget_use(key, now, timeout),
+                routers: table.live_routers(now, timeout),
+                staleness: timeout,
+            };
+        }
+        let live = self.members.borrow().count();
         PeerBudgetUse {
-            total: table.budget_use(ServiceKey::of(service), now, timeout),
-            routers: table.live_routers(now, timeout),
-            staleness: timeout,
+            total: table.budget_estimate(key, live, now, HEARD_FOR),
+            routers: live + 1,
+            staleness: HEARD_FOR,
         }
     }
 
     /// The live peers that watch the store or try to.
     pub fn watchers(&self, now: Instant, timeout: Duration) -> Vec<SocketAddr> {
+        if self.is_large() {
+            return self.beats.borrow().watchers(now);
+        }
         let table = self.table.borrow();
         let live = table.live(now, timeout);
         let watchers = live.filter(|(_, entry)| entry.store_age.is_some());
@@ -159,12 +297,23 @@
     pub fn versions(
         &self,
         version: impl Fn(&PeerEntry) -> u64,
+        home: &DataCentre,
         now: Instant,
         timeout: Duration,
-    ) -> Vec<(SocketAddr, u64)> {
+    ) -> Vec<PeerVersion> {
         let table = self.table.borrow();
+        let is_large = self.is_large();
+        let timeout = if is_large { HEARD_FOR } else { timeout };
+        let members = self.members.borrow();
         let live = table.live(now, timeout);
-        live.map(|(peer, entry)| (*peer, version(entry))).collect()
+        let live = live.filter(|(peer, _)| !members.is_known_dead(**peer));
+        let versions = live.map(|(peer, entry)| PeerVersion {
+            peer: *peer,
+            version: version(entry),
+            // In a small fleet all are as good.
+            is_near: !is_large || entry.data_centre == *home,
+        });
+        versions.collect()
     }
 
     /// Has an upstream's load, or a suspicion of it, reported at once.
@@ -179,6 +328,14 @@
         self.state_changed.notify_one();
     }
 
+    /// Has a message passed on that was new here, in a large fleet: in a small one its sender has sent
+    /// it to all.
+    pub fn pass_on(&self, message: PeerMessage) {
+        if self.is_large() {
+            self.send(message, Recipients::Next);
+        }
+    }
+
     /// Empties the list of messages to send.
     pub fn drain_outgoing(&self) -> Vec<(PeerMessage, Recipients)> {
         std::mem::take(&mut *self.outgoing.borrow_mut())
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -26,6 +26,7 @@
 use crate::health::HealthTable;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
+use crate::peer_serve::ListCopies;
 use crate::peers::Peers;
 use crate::pool::ConnectionPool;
 use crate::prompts::Prompts;
@@ -37,6 +38,7 @@
 use cloverpier_observe::Log;
 use cloverpier_router_policy::heartbeat::peer_timeout;
 use cloverpier_router_policy::lifecycle::router_state;
+use cloverpier_router_policy::membership::{MEMBER_TIMEOUT, MemberNews, MemberState};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::schedule::ExposureBounds;
 use cloverpier_router_policy::version_serving::CopyPacing;
@@ -70,9 +72,21 @@
     /// When it was learned last that an upstream leaves.
     pub(crate) last_leaving: Cell<Option<Instant>>,
     pub(crate) copy_pacing: RefCell<CopyPacing>,
+    pub(crate) list_copies: RefCell<ListCopies>,
     pub(crate) lifecycle: Lifecycle,
 }
 
+/// What a router says of itself when it starts.
+fn member(settings: &RouterSettings) -> MemberNews {
+    MemberNews {
+        router: settings.listen.peers,
+        callers: settings.listen.callers,
+        data_centre: settings.data_centre.clone(),
+        state: MemberState::Alive(PeerState::Starting),
+        stamp: wall_ms(),
+    }
+}
+
 impl Router {
     /// A router that knows no configuration, upstream or peer yet.
     pub fn new(
@@ -92,13 +106,14 @@
             upstreams: RefCell::new(UpstreamTable::default()),
             health: HealthTable::new(timers.clone()),
             pool: RefCell::new(ConnectionPool::default()),
-            peers: Peers::default(),
+            peers: Peers::new(member(&settings)),
             prompts: Prompts::default(),
             budgets: RetryBudgets::default(),
             crashes: Crashes::new(&settings.crashes),
             rollouts: Rollouts::default(),
             last_leaving: Cell::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
+            list_copies: RefCell::default(),
             lifecycle,
             timers,
             rng: RefCell::new(rng),
@@ -128,8 +143,11 @@
 
     /// How long after its last heartbeat a peer is considered alive.
     pub(crate) fn peer_timeout(&self) -> Duration {
+        if self.peers.is_large() {
+            return MEMBER_TIMEOUT;
+        }
         let interval = self.settings().heartbeat;
-        peer_timeout(interval, self.peers.addresses().len())
+        peer_timeout(interval, self.peers.count())
     }
 
     /// Reports this router's load at an upstream, or a suspicion of it, to peers at once.
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -9,6 +9,7 @@
 //! from the former revision heard nothing for 5 s, past a change and a leaving.
 
 use crate::configuration_copies::HeldConfiguration;
+use crate::gossip::spread_upstreams;
 use crate::rollout_store::{apply_change, read_orders};
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, SourceError, UpstreamChanges};
@@ -16,8 +17,9 @@
     StoreLoop, Watched, apply_configuration, live_routers, log_dependency, max_store_backoff,
     on_ping_result, on_store_lost, on_store_regained,
 };
-use crate::upstream_news::{apply_upstream_changes, apply_upstream_list};
+use crate::upstream_news::{apply_upstream_changes, apply_upstream_list, readable_changes};
 use cloverpier_core::jitter;
+use cloverpier_router_policy::first_read::{FirstRead, Starting, first_read};
 use cloverpier_router_policy::prelude::{Configuration, Upstream};
 use cloverpier_router_policy::store_ping::{PING_DOUBT, PING_TIMEOUT, PingPacing};
 use cloverpier_router_policy::store_watch::{GATHER_PERIOD, INITIAL_BACKOFF, WATCH_WAIT, may_call};
@@ -78,6 +80,31 @@
     }
 }
 
+/// How often a router that waits for a list looks whether it is to read it by itself.
+const FIRST_READ_PERIOD: Duration = Duration::from_millis(10);
+
+/// Waits until a peer has handed on the list of upstreams, or this router is to read it.
+async fn wait_for_first_read(router: &Router) {
+    let settings = router.settings();
+    let own = settings.listen.peers;
+    let is_seed = settings.seeds.is_empty() || settings.seeds.contains(&own);
+    let random = router.rng.borrow_mut().f64();
+    while !router.store.knows_upstreams() {
+        let started = router.lifecycle.started();
+        let starting = Starting {
+            is_seed,
+            age: router.now().saturating_duration_since(started),
+            has_peers: router.peers.has_heard_any(),
+            peers: router.peers.count(),
+            random,
+        };
+        if first_read(&starting) == FirstRead::Now {
+            return;
+        }
+        router.timers.sleep(FIRST_READ_PERIOD).await;
+    }
+}
+
 /// Watches the configuration until the process ends.
 pub(crate) async fn watch_configuration(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(StoreLoop::Of(Watched::Configuration));
@@ -123,6 +150,9 @@
     let mut backoff = Backoff::new(StoreLoop::Of(Watched::Upstreams));
     let mut revision: Option<u64> = None;
     loop {
+        if !router.store.knows_upstreams() {
+            wait_for_first_read(&router).await;
+        }
         if router.store.knows_upstreams() {
             wait_for_turn(&router).await;
             // Peers may have sent newer changes than the last watch returned.
@@ -234,9 +264,13 @@
     let count = changes.changes.len();
     if count > 0 {
         let from = format!("{FROM_STORE}, {count} changes");
+        let known = router.upstreams.borrow().revision();
+        let readable = readable_changes(&changes);
         apply_upstream_changes(router, changes, &from);
         // The others learn it from this router.
-        router.peers.report_version();
+        if !spread_upstreams(router, known, revision, readable) {
+            router.peers.report_version();
+        }
     }
     revision
 }
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -106,7 +106,7 @@
         }
         let reported = ReportedLoad::default();
         let demand = self.demand(around, &reported);
-        let peers = router.peers.addresses().len();
+        let peers = router.peers.count();
         engines_to_query(&table, &demand, peers, &mut router.rng.borrow_mut())
     }
 
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -78,7 +78,7 @@
 }
 
 /// Takes an upstream that a peer has found.
-pub(crate) fn on_peer_successor(router: &Router, successor: &Successor) {
+pub(crate) fn on_peer_successor(router: &Router, successor: Successor) {
     let table = router.upstreams.borrow();
     let former = table.get(&successor.former).map(|s| &s.upstream);
     let upstream = Upstream {
@@ -86,14 +86,17 @@
         ..successor.upstream.clone()
     };
     drop(table);
-    add(router, &successor.former, &upstream, "a peer saw it");
+    if add(router, &successor.former, &upstream, "a peer saw it") {
+        router.peers.pass_on(PeerMessage::Successor(successor));
+    }
 }
 
 /// Records that a peer has found another process at an upstream's address.
-pub(crate) fn on_peer_replaced(router: &Router, replaced: &Replaced) {
+pub(crate) fn on_peer_replaced(router: &Router, replaced: Replaced) {
     let is_new = router.upstreams.borrow_mut().on_replaced(&replaced.former);
     if is_new {
         router.pool.borrow_mut().close_all(&replaced.former);
+        router.peers.pass_on(PeerMessage::Replaced(replaced));
     }
 }
 
--- a/crates/router/cloverpier_router/src/upstream_news.rs
+++ b/crates/router/cloverpier_router/src/upstream_news.rs
@@ -27,21 +27,27 @@
     }
 }
 
+/// The changes that can be read; an entry that cannot be read any more names no upstream, as if it were
+/// gone.
+pub(crate) fn readable_changes(changes: &UpstreamChanges) -> Vec<UpstreamChange> {
+    let readable = changes.changes.iter().filter_map(|change| match change {
+        ReadChange::Readable(change) => Some(change.clone()),
+        ReadChange::Unreadable(entry) => entry.name.clone().map(UpstreamChange::Gone),
+    });
+    readable.collect()
+}
+
 /// Puts changes of upstreams in force if they are new; peers learn of it by the next heartbeat.
-/// An entry that cannot be read any more names no upstream, as if it were gone.
 pub(crate) fn apply_upstream_changes(router: &Router, changes: UpstreamChanges, from: &str) {
-    let mut unreadable = Vec::new();
-    let mut readable = Vec::new();
-    for change in changes.changes {
-        match change {
-            ReadChange::Readable(change) => readable.push(change),
-            ReadChange::Unreadable(entry) => {
-                readable.extend(entry.name.clone().map(UpstreamChange::Gone));
-                unreadable.push(entry);
-            }
-        }
-    }
-    log_unreadable(router, &unreadable);
+    let readable = readable_changes(&changes);
+    let unreadable = changes
+        .changes
+        .into_iter()
+        .filter_map(|change| match change {
+            ReadChange::Readable(_) => None,
+            ReadChange::Unreadable(entry) => Some(entry),
+        });
+    log_unreadable(router, &unreadable.collect::<Vec<_>>());
     let now = router.now();
     let mut table = router.upstreams.borrow_mut();
     let applied = table.apply_changes(readable, changes.revision, now);
--- /dev/null
+++ b/crates/router/cloverpier_router/tests/gossip_messages.rs
@@ -0,0 +1,126 @@
+//! The bytes of the messages of large fleets, and that each fits into a datagram.
+//!
+//! Each golden file must decode to the value below, and the value must encode to it: routers of other
+//! releases read these bytes.
+
+use cloverpier_core::DataCentre;
+use cloverpier_router::peer_messages::{
+    Gossip, Members, PeerMessage, UpstreamNews, decode, encode,
+};
+use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
+use cloverpier_router_policy::membership::{
+    MEMBERS_PER_MESSAGE, MemberNews, MemberState, NEWS_PER_MESSAGE,
+};
+use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::watcher_beats::WatcherBeat;
+use std::net::SocketAddr;
+
+#[track_caller]
+fn assert_is_golden(text: &str, message: &PeerMessage) {
+    let digits: String = text.split_whitespace().collect();
+    let starts = (0..digits.len()).step_by(2);
+    let bytes = starts.map(|at| u8::from_str_radix(&digits[at..at + 2], 16).unwrap());
+    let bytes: Vec<u8> = bytes.collect();
+    assert_eq!(&decode::<PeerMessage>(&bytes).unwrap(), message);
+    assert_eq!(encode(message).unwrap(), bytes);
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn news(port: u16, state: MemberState) -> MemberNews {
+    MemberNews {
+        router: address(port),
+        callers: address(port + 1),
+        data_centre: DataCentre::new("hall-a"),
+        state,
+        stamp: 1_790_000_000_000,
+    }
+}
+
+fn gossip() -> Gossip {
+    Gossip {
+        sender: news(7104, MemberState::Alive(PeerState::Ready)),
+        wants_reply: true,
+        members: 985,
+        digest: 0x0102_0304_0506_0708,
+        configuration_version: 7,
+        upstreams_revision: 530,
+        watchers: vec![WatcherBeat {
+            router: address(7204),
+            number: 12,
+            store_age_ms: 250,
+        }],
+        suspects: vec![UpstreamKey(21)],
+        budget_use: vec![(
+            ServiceKey(3),
+            BudgetUse {
+                requests: 40,
+                retries: 2,
+            },
+        )],
+        news: vec![
+            news(7304, MemberState::Dead),
+            news(7404, MemberState::Alive(PeerState::Starting)),
+            news(7504, MemberState::Alive(PeerState::Leaving)),
+        ],
+    }
+}
+
+#[test]
+fn gossip_keeps_its_bytes() {
+    let message = PeerMessage::Gossip(gossip());
+    assert_is_golden(include_str!("golden/gossip.hex"), &message);
+}
+
+#[test]
+fn members_and_the_question_for_them_keep_their_bytes() {
+    let message = PeerMessage::Members(Members {
+        sender: address(7104),
+        members: vec![news(7304, MemberState::Dead)],
+    });
+    assert_is_golden(include_str!("golden/members.hex"), &message);
+    let question = PeerMessage::AskMembers(address(7104));
+    assert_is_golden(include_str!("golden/ask_members.hex"), &question);
+}
+
+#[test]
+fn upstream_news_keep_their_bytes() {
+    let message = PeerMessage::UpstreamNews(UpstreamNews {
+        sender: address(7104),
+        after: 529,
+        revision: 530,
+        changes: vec![UpstreamChange::Gone("server-1".into())],
+    });
+    assert_is_golden(include_str!("golden/upstream_news.hex"), &message);
+}
+
+/// An address, a data centre's name and a stamp as long as any.
+fn longest() -> MemberNews {
+    let address: SocketAddr = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
+        .parse()
+        .unwrap();
+    MemberNews {
+        router: address,
+        callers: address,
+        data_centre: DataCentre::new("d".repeat(20)),
+        state: MemberState::Alive(PeerState::Starting),
+        stamp: u64::MAX,
+    }
+}
+
+#[test]
+fn the_longest_messages_fit_into_a_datagram() {
+    let members = vec![longest(); MEMBERS_PER_MESSAGE];
+    let sender = longest().router;
+    let message = PeerMessage::Members(Members { sender, members });
+    assert!(encode(&message).unwrap().len() <= MAX_DATAGRAM);
+    let message = PeerMessage::Gossip(Gossip {
+        // A reply holds a sample besides.
+        news: vec![longest(); 2 * NEWS_PER_MESSAGE],
+        suspects: vec![UpstreamKey(u64::MAX); 16],
+        ..gossip()
+    });
+    assert!(encode(&message).unwrap().len() <= MAX_DATAGRAM);
+}
--- a/crates/router/cloverpier_router_policy/src/peers.rs
+++ b/crates/router/cloverpier_router_policy/src/peers.rs
@@ -104,6 +104,11 @@
         self.mentioned.retain(|_, at| is_recent(at));
     }
 
+    /// Number of peers, alive or not.
+    pub fn count(&self) -> usize {
+        self.peers.len() + self.mentioned.len()
+    }
+
     /// The addresses of all peers, alive or not.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let all = self.peers.keys().chain(self.mentioned.keys());
@@ -147,13 +152,46 @@
     ) -> Vec<SocketAddr> {
         let ready = |peer: &&PeerEntry| peer.state == PeerState::Ready;
         let live = self.live(now, timeout).map(|(_, peer)| peer);
-        let mut listed: Vec<SocketAddr> = live.filter(ready).map(|p| p.callers).collect();
-        if listed.is_empty() {
+        let listed = live.filter(ready).map(|p| p.callers).collect();
+        listed_for_callers(own, listed, || {
             let known = self.peers.values().filter(ready);
-            listed = known.map(|p| p.callers).collect();
+            known.map(|p| p.callers).collect()
+        })
+    }
+
+    /// Use of a service's retry budget by `live` peers, of whom only some were heard within `window`:
+    /// the others are taken to be like them.
+    pub fn budget_estimate(
+        &self,
+        service: ServiceKey,
+        live: usize,
+        now: Instant,
+        window: Duration,
+    ) -> BudgetUse {
+        let heard = self.live(now, window).count();
+        let use_of_heard = self.budget_use(service, now, window);
+        if heard == 0 {
+            return use_of_heard;
+        }
+        let scale = live as f64 / heard as f64;
+        BudgetUse {
+            requests: (f64::from(use_of_heard.requests) * scale) as u32,
+            retries: (f64::from(use_of_heard.retries) * scale).ceil() as u32,
         }
-        listed.extend(own);
-        listed.truncate(MAX_LISTED);
-        listed
     }
 }
+
+/// The addresses that a caller gets: those of routers that are ready and alive, or where there are
+/// none all that `known` gives, and `own` if this one is ready.
+pub fn listed_for_callers(
+    own: Option<SocketAddr>,
+    mut listed: Vec<SocketAddr>,
+    known: impl FnOnce() -> Vec<SocketAddr>,
+) -> Vec<SocketAddr> {
+    if listed.is_empty() {
+        listed = known();
+    }
+    listed.extend(own);
+    listed.truncate(MAX_LISTED);
+    listed
+}
--- a/crates/router/cloverpier_router_policy/src/store_watch.rs
+++ b/crates/router/cloverpier_router_policy/src/store_watch.rs
@@ -16,6 +16,7 @@
 //! as many as are missing, by rank, or all where no watcher is left. Whoever steps in pings the
 //! store first ([`crate::store_ping`]) and watches only if it is answered.
 
+use crate::heartbeat::reaches_all_peers;
 use cloverpier_core::{DataCentre, hash_of};
 use serde::Serialize;
 use std::collections::HashSet;
@@ -29,6 +30,8 @@
 /// A watcher's last store call is fresh for this long: three pings and a heartbeat.  Chosen,
 /// not measured.
 const FRESH_FOR: Duration = Duration::from_millis(1_300);
+/// The same where what watchers say goes from router to router: some rounds of gossip longer.
+const FRESH_FOR_LARGE: Duration = Duration::from_secs(3);
 /// Longest pause between the calls of a chosen watcher to a store that does not answer it.
 /// Chosen, not measured.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
@@ -68,8 +71,8 @@
 }
 
 impl ReadyPeer {
-    fn is_fresh(&self) -> bool {
-        self.store_age.is_some_and(|age| age <= FRESH_FOR)
+    fn is_fresh(&self, fresh_for: Duration) -> bool {
+        self.store_age.is_some_and(|age| age <= fresh_for)
     }
 
     /// Whether it does not call the store, so that it may step in.
@@ -126,18 +129,20 @@
 }
 
 /// The store age that peers are told: the time since the last successful call, and one that is
-/// not fresh while calls fail, so that others step in at once and not when it has grown old.
+/// not fresh to any of `peers` peers while calls fail, so that others step in at once and not when it
+/// has grown old.
 /// `None` for a router that does not watch.
 pub fn reported_store_age(
     role: WatcherRole,
     last_success: Option<Instant>,
     fails: bool,
+    peers: usize,
     now: Instant,
 ) -> Option<Duration> {
     if !role.watches() {
         return None;
     }
-    let stale = FRESH_FOR * 2;
+    let stale = fresh_for(peers) * 2;
     let age = last_success.map(|at| now.saturating_duration_since(at));
     match age {
         Some(age) if fails => Some(age.max(stale)),
@@ -153,16 +158,16 @@
     if before.len() < WATCHERS {
         return WatcherRole::Chosen;
     }
-    let count = |peers: &[&ReadyPeer], holds: fn(&ReadyPeer) -> bool| {
-        peers.iter().filter(|peer| holds(peer)).count()
-    };
+    let fresh_for = fresh_for(peers.len());
+    let is_fresh = |peer: &ReadyPeer| peer.is_fresh(fresh_for);
     let steps_in = if own.is_fresh {
         // It stands in already; it leaves that to others once there are enough of them.
-        count(&before, ReadyPeer::is_fresh) < WATCHERS
+        before.iter().filter(|peer| is_fresh(peer)).count() < WATCHERS
     } else {
-        let fresh = peers.iter().filter(|peer| peer.is_fresh()).count();
+        let fresh = peers.iter().filter(|peer| is_fresh(peer)).count();
         let missing = WATCHERS.saturating_sub(fresh);
-        missing == WATCHERS || count(&before, ReadyPeer::is_idle) < missing
+        let idle = before.iter().filter(|peer| peer.is_idle()).count();
+        missing == WATCHERS || idle < missing
     };
     if steps_in {
         WatcherRole::Fallback
@@ -200,10 +205,19 @@
     in_order.map_while(|router| router.peer).collect()
 }
 
-/// Whether a peer's heartbeat says something else of the store than the one before, so that
-/// the roles are decided anew.
-pub fn changes_roles(former: Option<Duration>, present: Option<Duration>) -> bool {
-    let kind = |age: Option<Duration>| age.map(|age| age <= FRESH_FOR);
+/// How long a watcher's last store call counts, among so many peers.
+fn fresh_for(peers: usize) -> Duration {
+    if reaches_all_peers(peers) {
+        FRESH_FOR
+    } else {
+        FRESH_FOR_LARGE
+    }
+}
+
+/// Whether one of `peers` peers says something else of the store than before, so that the roles are
+/// decided anew.
+pub fn changes_roles(former: Option<Duration>, present: Option<Duration>, peers: usize) -> bool {
+    let kind = |age: Option<Duration>| age.map(|age| age <= fresh_for(peers));
     kind(former) != kind(present)
 }
 
--- a/crates/router/cloverpier_router_policy/tests/routers.rs
+++ b/crates/router/cloverpier_router_policy/tests/routers.rs
@@ -194,16 +194,16 @@
 #[test]
 fn a_watcher_whose_calls_fail_says_so_at_once() {
     let now = Instant::now();
-    let age = |role, fails| reported_store_age(role, Some(now), fails, now);
+    let age = |role, fails| reported_store_age(role, Some(now), fails, 72, now);
     assert_eq!(age(WatcherRole::Chosen, false), Some(Duration::ZERO));
     assert_eq!(age(WatcherRole::Chosen, true), FAILING);
     assert_eq!(age(WatcherRole::Fallback, true), FAILING);
     assert_eq!(age(WatcherRole::Standby, true), None);
-    let never = reported_store_age(WatcherRole::Chosen, None, false, now);
+    let never = reported_store_age(WatcherRole::Chosen, None, false, 72, now);
     assert_eq!(never, FAILING);
-    assert!(changes_roles(FRESH, FAILING));
-    assert!(changes_roles(FAILING, None));
-    assert!(!changes_roles(FRESH, Some(Duration::ZERO)));
+    assert!(changes_roles(FRESH, FAILING, 8));
+    assert!(changes_roles(FAILING, None, 8));
+    assert!(!changes_roles(FRESH, Some(Duration::ZERO), 8));
 }
 
 #[test]
--- /dev/null
+++ b/tools/src/gossip_play/world.rs
@@ -0,0 +1,470 @@
+//! The routers of the play, and what happens to them.
+
+use super::{Cost, GossipOutcome, GossipSpec, Spread};
+use cloverpier_core::DataCentre;
+use cloverpier_router::peer_messages::{Gossip, Members, PeerMessage, UpstreamNews, encode};
+use cloverpier_router_policy::membership::{GossipSeen, MemberNews, MemberState, Membership};
+use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::watcher_beats::{WatcherBeat, WatcherBeats};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const PERIOD: Duration = Duration::from_millis(200);
+const LATENCY: Duration = Duration::from_millis(1);
+/// From a message that shows a newer revision to the fetched changes.
+const FETCH: Duration = Duration::from_millis(20);
+/// All start within this time of each other.
+const START_SPREAD: Duration = Duration::from_millis(300);
+const SEEDS: usize = 3;
+const WATCHERS: usize = 3;
+const PORT: u16 = 7_100;
+/// Nothing is awaited for longer.
+const GIVE_UP: Duration = Duration::from_secs(30);
+/// Part of the routers that are killed at once.
+const MANY: f64 = 0.05;
+
+/// One router.
+struct Router {
+    run: u64,
+    is_alive: bool,
+    members: Membership,
+    beats: WatcherBeats,
+    revision: u64,
+    /// The age of its last call to the store, as it says, if it watches.
+    store_age: Duration,
+    rng: fastrand::Rng,
+    sent: (u64, u64, u64),
+}
+
+enum Event {
+    Start(usize),
+    Period(usize, u64),
+    Deliver(usize, Rc<PeerMessage>),
+    Fetched(usize, u64),
+}
+
+pub(super) struct World {
+    spec: GossipSpec,
+    began: Instant,
+    now: Duration,
+    rng: fastrand::Rng,
+    routers: Vec<Router>,
+    events: BinaryHeap<Reverse<(Duration, u64)>>,
+    queued: std::collections::HashMap<u64, Event>,
+    number: u64,
+}
+
+impl World {
+    pub fn new(spec: GossipSpec) -> Self {
+        let routers = (0..spec.routers).map(|index| Router {
+            run: 0,
+            is_alive: false,
+            members: Membership::new(member(spec, index, 1)),
+            beats: WatcherBeats::default(),
+            revision: 1,
+            store_age: Duration::ZERO,
+            rng: fastrand::Rng::with_seed(spec.seed ^ (index as u64) << 20),
+            sent: (0, 0, 0),
+        });
+        Self {
+            began: Instant::now(),
+            now: Duration::ZERO,
+            rng: fastrand::Rng::with_seed(spec.seed),
+            routers: routers.collect(),
+            events: BinaryHeap::new(),
+            queued: std::collections::HashMap::new(),
+            number: 0,
+            spec,
+        }
+    }
+
+    pub fn play(mut self) -> GossipOutcome {
+        let mut outcome = GossipOutcome::default();
+        for index in 0..self.spec.routers {
+            let at = START_SPREAD.mul_f64(self.rng.f64());
+            self.schedule(at, Event::Start(index));
+        }
+        let most = (self.spec.routers - 1) * 9 / 10;
+        let knows = |count: usize| move |r: &Router| r.members.count() >= count;
+        self.run_for(Duration::from_secs(2));
+        outcome.start_cost = self.cost(Duration::from_secs(2));
+        outcome.start.0 = self.first_time(most);
+        outcome.start.1 = self.until(|w| w.all(knows(w.spec.routers - 1)));
+        self.run_for(Duration::from_secs(5));
+        self.clear_cost();
+        self.run_for(Duration::from_secs(5));
+        outcome.idle_cost = self.cost(Duration::from_secs(5));
+        outcome.taken_for_dead = self.taken_for_dead();
+        self.play_deaths(&mut outcome);
+        self.play_news(&mut outcome);
+        outcome
+    }
+
+    fn play_deaths(&mut self, outcome: &mut GossipOutcome) {
+        let victim = self.spec.routers / 2;
+        let address = address(victim);
+        self.routers[victim].is_alive = false;
+        outcome.death = self.spread(|r| r.members.is_known_dead(address));
+        self.run_for(Duration::from_secs(1));
+        self.start(victim);
+        outcome.restart = self.spread(|r| {
+            r.members.own().router == address
+                || (r.members.knows(address) && !r.members.is_known_dead(address))
+        });
+        self.run_for(Duration::from_secs(3));
+        let count = (self.spec.routers as f64 * MANY).ceil() as usize;
+        let victims = self.rng.choose_multiple(SEEDS..self.spec.routers, count);
+        for victim in &victims {
+            self.routers[*victim].is_alive = false;
+        }
+        let dead: Vec<SocketAddr> = victims.iter().map(|v| self::address(*v)).collect();
+        outcome.many_deaths =
+            self.spread(|r| dead.iter().all(|victim| r.members.is_known_dead(*victim)));
+        self.run_for(Duration::from_secs(3));
+    }
+
+    fn play_news(&mut self, outcome: &mut GossipOutcome) {
+        let watcher = 0;
+        let news = UpstreamNews {
+            sender: address(watcher),
+            after: 1,
+            revision: 2,
+            changes: vec![UpstreamChange::Gone("server".into())],
+        };
+        self.routers[watcher].revision = 2;
+        let router = &mut self.routers[watcher];
+        let roots = router.members.flood_roots(&mut router.rng);
+        self.send(watcher, PeerMessage::UpstreamNews(news), roots);
+        outcome.change = self.spread(|r| r.revision >= 2);
+        self.run_for(Duration::from_secs(1));
+        let stale = Duration::from_secs(6);
+        self.routers[watcher].store_age = stale;
+        self.beat(watcher);
+        let router = &mut self.routers[watcher];
+        let urgent = router.members.urgent_targets(&mut router.rng);
+        self.gossip(watcher, urgent, false);
+        let (address, began) = (address(watcher), self.began);
+        outcome.watcher_fails = self.spread_at(move |r, now| {
+            let age = r.beats.store_age(address, began + now);
+            age.is_some_and(|age| age >= stale)
+        });
+    }
+
+    fn moment(&self) -> Instant {
+        self.began + self.now
+    }
+
+    fn all(&self, holds: impl Fn(&Router) -> bool) -> bool {
+        self.routers.iter().filter(|r| r.is_alive).all(holds)
+    }
+
+    fn spread(&mut self, knows: impl Fn(&Router) -> bool) -> Spread {
+        self.spread_at(|router, _| knows(router))
+    }
+
+    fn spread_at(&mut self, knows: impl Fn(&Router, Duration) -> bool) -> Spread {
+        let since = self.now;
+        let mut spread = Spread::default();
+        while self.now < since + GIVE_UP {
+            let alive = self.routers.iter().filter(|r| r.is_alive);
+            let total = alive.clone().count();
+            let known = alive.filter(|r| knows(r, self.now)).count();
+            let took = self.now - since;
+            if known * 2 >= total {
+                spread.half.get_or_insert(took);
+            }
+            if known * 100 >= total * 99 {
+                spread.most.get_or_insert(took);
+            }
+            if known == total {
+                spread.all = Some(took);
+                break;
+            }
+            self.run_for(Duration::from_millis(50));
+        }
+        spread
+    }
+
+    /// When each router knew so many members; the start is over by then, or it is `None`.
+    fn first_time(&mut self, count: usize) -> Option<Duration> {
+        let since = self.now;
+        self.until(|w| w.all(|r| r.members.count() >= count))
+            .map(|at| at.max(since))
+    }
+
+    fn until(&mut self, holds: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let give_up = self.now + GIVE_UP;
+        while self.now < give_up {
+            if holds(self) {
+                return Some(self.now);
+            }
+            self.run_for(Duration::from_millis(50));
+        }
+        None
+    }
+
+    fn taken_for_dead(&self) -> usize {
+        let alive: Vec<SocketAddr> = (0..self.routers.len())
+            .filter(|index| self.routers[*index].is_alive)
+            .map(address)
+            .collect();
+        let taken = |router: &&SocketAddr| {
+            let mut others = self.routers.iter().filter(|r| r.is_alive);
+            others.any(|r| r.members.is_known_dead(**router))
+        };
+        alive.iter().filter(taken).count()
+    }
+
+    fn clear_cost(&mut self) {
+        for router in &mut self.routers {
+            router.sent = (0, 0, 0);
+        }
+    }
+
+    fn cost(&self, over: Duration) -> Cost {
+        let seconds = over.as_secs_f64();
+        let of = |value: fn(&Router) -> u64| {
+            let mut values: Vec<u64> = self.routers.iter().map(value).collect();
+            values.sort_unstable();
+            let middle = values[values.len() / 2] as f64 / seconds;
+            let most = values.last().copied().unwrap_or(0) as f64 / seconds;
+            (middle, most)
+        };
+        let sum = |value: fn(&Router) -> u64| self.routers.iter().map(value).sum::<u64>() as f64;
+        Cost {
+            messages: of(|r| r.sent.0),
+            bytes: of(|r| r.sent.1),
+            crossing: sum(|r| r.sent.2) / sum(|r| r.sent.1).max(1.0),
+        }
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        self.number += 1;
+        self.queued.insert(self.number, event);
+        self.events.push(Reverse((at, self.number)));
+    }
+
+    fn run_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some(Reverse((at, number))) = self.events.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.events.pop();
+            self.now = at;
+            if let Some(event) = self.queued.remove(&number) {
+                self.on_event(event);
+            }
+        }
+        self.now = until;
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Start(index) => self.start(index),
+            Event::Period(index, run) => self.period(index, run),
+            Event::Deliver(index, message) => self.deliver(index, &message),
+            Event::Fetched(index, revision) => {
+                let router = &mut self.routers[index];
+                router.revision = router.revision.max(revision);
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let stamp = 1 + self.now.as_millis() as u64;
+        let router = &mut self.routers[index];
+        router.run += 1;
+        router.is_alive = true;
+        router.members = Membership::new(member(self.spec, index, stamp));
+        router.beats = WatcherBeats::default();
+        let run = router.run;
+        let seeds = (0..SEEDS).filter(|seed| *seed != index).map(address);
+        self.gossip(index, seeds.collect(), true);
+        let at = self.now + PERIOD.mul_f64(self.rng.f64());
+        self.schedule(at, Event::Period(index, run));
+    }
+
+    fn period(&mut self, index: usize, run: u64) {
+        if self.routers[index].run != run || !self.routers[index].is_alive {
+            return;
+        }
+        self.schedule(self.now + PERIOD, Event::Period(index, run));
+        if index < WATCHERS {
+            self.beat(index);
+        }
+        let now = self.moment();
+        let router = &mut self.routers[index];
+        let step = router.members.ring_step(false, now);
+        let targets = router.members.targets(&mut router.rng);
+        self.gossip(index, targets, false);
+        if !step.probe.is_empty() {
+            self.gossip(index, step.probe, true);
+        }
+        // Seeds are greeted again while they do not answer.
+        if self.routers[index].members.count() == 0 {
+            let seeds = (0..SEEDS).filter(|seed| *seed != index).map(address);
+            self.gossip(index, seeds.collect(), true);
+        }
+    }
+
+    fn beat(&mut self, index: usize) {
+        let (now, number) = (self.moment(), self.now.as_millis() as u64 + 1);
+        let beat = WatcherBeat {
+            router: address(index),
+            number,
+            store_age_ms: self.routers[index].store_age.as_millis() as u32,
+        };
+        self.routers[index].beats.on_beat(beat, now);
+    }
+
+    fn message(&mut self, index: usize, wants_reply: bool) -> Gossip {
+        let now = self.moment();
+        let router = &mut self.routers[index];
+        Gossip {
+            sender: router.members.own().clone(),
+            wants_reply,
+            members: router.members.count() as u32,
+            digest: router.members.digest(),
+            configuration_version: 7,
+            upstreams_revision: router.revision,
+            watchers: router.beats.for_message(now),
+            suspects: Vec::new(),
+            budget_use: vec![(ServiceKey(1), BudgetUse::default()); 2],
+            news: router.members.take_news(),
+        }
+    }
+
+    fn gossip(&mut self, index: usize, to: Vec<SocketAddr>, wants_reply: bool) {
+        let message = self.message(index, wants_reply);
+        self.send(index, PeerMessage::Gossip(message), to);
+    }
+
+    fn send(&mut self, from: usize, message: PeerMessage, to: Vec<SocketAddr>) {
+        let bytes = encode(&message).map_or(0, |bytes| bytes.len() as u64);
+        let message = Rc::new(message);
+        for peer in to {
+            let peer = index_of(peer);
+            let crosses = !from.abs_diff(peer).is_multiple_of(self.spec.data_centres);
+            let sent = &mut self.routers[from].sent;
+            sent.0 += 1;
+            sent.1 += bytes;
+            sent.2 += if crosses { bytes } else { 0 };
+            if self.rng.f64() < self.spec.loss {
+                continue;
+            }
+            let message = Rc::clone(&message);
+            self.schedule(self.now + LATENCY, Event::Deliver(peer, message));
+        }
+    }
+
+    fn deliver(&mut self, index: usize, message: &PeerMessage) {
+        if !self.routers[index].is_alive {
+            return;
+        }
+        let now = self.moment();
+        match message {
+            PeerMessage::Gossip(gossip) => self.on_gossip(index, gossip),
+            PeerMessage::AskMembers(peer) => {
+                for members in self.routers[index].members.on_asked(now) {
+                    let sender = address(index);
+                    let message = PeerMessage::Members(Members { sender, members });
+                    self.send(index, message, vec![*peer]);
+                }
+            }
+            PeerMessage::Members(members) => {
+                let members = members.members.clone();
+                self.routers[index].members.on_members(members, now);
+            }
+            PeerMessage::UpstreamNews(news) => self.on_news(index, news),
+            _ => {}
+        }
+    }
+
+    fn on_gossip(&mut self, index: usize, gossip: &Gossip) {
+        let now = self.moment();
+        let seen = GossipSeen {
+            sender: &gossip.sender,
+            wants_reply: gossip.wants_reply,
+            members: gossip.members as usize,
+            digest: gossip.digest,
+            news: &gossip.news,
+        };
+        let router = &mut self.routers[index];
+        let reply = router.members.on_gossip(seen, &mut router.rng, now);
+        let mut is_urgent = false;
+        for beat in &gossip.watchers {
+            let former = router.beats.store_age(beat.router, now);
+            let is_new = router.beats.on_beat(*beat, now);
+            let present = router.beats.store_age(beat.router, now);
+            let is_fresh = |age: Option<Duration>| age.map(|age| age <= Duration::from_secs(3));
+            is_urgent |= is_new && is_fresh(former) != is_fresh(present);
+        }
+        if gossip.upstreams_revision > router.revision {
+            let fetched = Event::Fetched(index, gossip.upstreams_revision);
+            self.schedule(self.now + FETCH, fetched);
+        }
+        let sender = gossip.sender.router;
+        if let Some(news) = reply.of_itself {
+            let members = Members {
+                sender: address(index),
+                members: vec![news],
+            };
+            self.send(index, PeerMessage::Members(members), vec![sender]);
+        }
+        if reply.message {
+            let mut message = self.message(index, false);
+            message.news.extend(reply.sample);
+            self.send(index, PeerMessage::Gossip(message), vec![sender]);
+        }
+        if reply.ask_members {
+            let ask = PeerMessage::AskMembers(address(index));
+            self.send(index, ask, vec![sender]);
+        }
+        if is_urgent {
+            let router = &mut self.routers[index];
+            let urgent = router.members.urgent_targets(&mut router.rng);
+            self.gossip(index, urgent, false);
+        }
+    }
+
+    fn on_news(&mut self, index: usize, news: &UpstreamNews) {
+        let router = &mut self.routers[index];
+        if news.revision <= router.revision {
+            return;
+        }
+        router.revision = news.revision;
+        let next = router.members.flood_targets(&mut router.rng);
+        self.send(index, PeerMessage::UpstreamNews(news.clone()), next);
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    let host = (index as u32).to_be_bytes();
+    ([10, host[1], host[2], host[3]], PORT).into()
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => {
+            let host = address.ip().octets();
+            u32::from_be_bytes([0, host[1], host[2], host[3]]) as usize
+        }
+        SocketAddr::V6(_) => 0,
+    }
+}
+
+fn member(spec: GossipSpec, index: usize, stamp: u64) -> MemberNews {
+    let mut callers = address(index);
+    callers.set_port(PORT + 1);
+    MemberNews {
+        router: address(index),
+        callers,
+        data_centre: DataCentre::new(format!("hall-{}", index % spec.data_centres)),
+        state: MemberState::Alive(PeerState::Ready),
+        stamp,
+    }
+}
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod crash_play;
 pub mod fleet;
+pub mod gossip_play;
 pub mod load;
 pub mod placement;
 pub mod ports;
