At a start, learn configuration and upstreams from peers, seldom and compressed

More than 20 changes are compressed and paced; a router of a large fleet fetches changes of upstreams twice a second at most.

--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -26,7 +26,9 @@
 /// A period that begins so late means that this process was paused, so that others' silence says
 /// nothing.
 const PAUSED: Duration = Duration::from_millis(300);
-/// How often roles are decided in a large fleet.
+/// After this time a router knows most members of a large fleet.
+const SETTLED_AFTER: Duration = Duration::from_secs(4);
+/// How often roles are decided in a large fleet from then on.
 const LARGE_ROLE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Sends heartbeats and changes until the process ends.
@@ -43,7 +45,7 @@
         }
         if now >= next_heartbeat {
             forget_old(&router, now);
-            if roles.is_due(router.peers.is_large(), now) {
+            if roles.is_due(&router, now) {
                 decide_watcher_role(&router, now);
             }
             let was_paused = now.saturating_duration_since(next_heartbeat) > PAUSED;
@@ -78,11 +80,13 @@
 }
 
 impl RoleTurn {
-    /// With each heartbeat; in a large fleet, where that takes a look at each member, less often: what
-    /// watchers say of themselves has them decided at once, too.
-    fn is_due(&mut self, is_large: bool, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < LARGE_ROLE_PERIOD;
-        if is_large && self.last.is_some_and(is_recent) {
+    /// With each heartbeat; in a large fleet, where that takes a look at each member, less often once
+    /// most members are known: what watchers say of themselves has them decided at once, too.
+    fn is_due(&mut self, router: &Router, now: Instant) -> bool {
+        let passed = |at: Instant| now.saturating_duration_since(at);
+        let is_recent = self.last.is_some_and(|at| passed(at) < LARGE_ROLE_PERIOD);
+        let is_settled = passed(router.lifecycle.started()) > SETTLED_AFTER;
+        if router.peers.is_large() && is_recent && is_settled {
             return false;
         }
         self.last = Some(now);
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -19,7 +19,8 @@
 use cloverpier_core::jitter;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_fetch::{
-    COMPARE_PERIOD, FAILURE_PAUSE, FAR_WAIT, FetchSources, FetchStep, STALL_TIMEOUT, STORE_FIRST,
+    COMPARE_PERIOD, FAILURE_PAUSE, FAR_WAIT, FetchSources, FetchStep, GATHER_FETCHES,
+    STALL_TIMEOUT, STORE_FIRST,
 };
 use hyper::StatusCode;
 use hyper::header::{ACCEPT, ACCEPT_ENCODING, HeaderMap, HeaderValue};
@@ -92,11 +93,21 @@
             match self.next_step() {
                 FetchStep::UpToDate => return,
                 FetchStep::Wait(wait) => self.pause(wait).await,
-                FetchStep::Ask(peer) => self.fetch_from(peer).await,
+                FetchStep::Ask(peer) => {
+                    self.fetch_from(peer).await;
+                    self.gather().await;
+                }
             }
         }
     }
 
+    /// Has the next changes of upstreams come together, in a large fleet.
+    async fn gather(&self) {
+        if self.watched == Watched::Upstreams && self.router.peers.is_large() {
+            self.router.timers.sleep(GATHER_FETCHES).await;
+        }
+    }
+
     fn next_step(&mut self) -> FetchStep {
         let router = &self.router;
         let (now, timeout) = (router.now(), router.peer_timeout());
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -86,21 +86,41 @@
 ) -> Result<Reply, CodecError> {
     let form = accepted_form(request.headers());
     let after = asked_after(request);
+    let encoding = accepted_encoding(request.headers());
     let changes = after.and_then(|after| router.upstreams.borrow().changes_after(after));
     let bytes = match changes {
-        Some(changes) => encode(&changes_reply(router, changes, form))?.into(),
-        None => {
-            let encoding = accepted_encoding(request.headers());
-            let copy = list_copy(router, form, encoding).await?;
-            if let Some(refusal) = paced(router, copy.len()) {
-                return Ok(refusal);
-            }
-            let mut reply = bytes_reply(router, copy);
-            set_encoding(&mut reply, encoding);
-            return Ok(reply);
+        Some(changes) if changes.len() <= FEW_CHANGES => {
+            let bytes = encode(&changes_reply(router, changes, form))?;
+            return Ok(bytes_reply(router, bytes.into()));
         }
+        Some(changes) => {
+            let reply = changes_reply(router, changes, form);
+            write_reply(reply, encoding).await?
+        }
+        None => list_copy(router, form, encoding).await?,
     };
-    Ok(bytes_reply(router, bytes))
+    if let Some(refusal) = paced(router, bytes.len()) {
+        return Ok(refusal);
+    }
+    let mut reply = bytes_reply(router, bytes);
+    set_encoding(&mut reply, encoding);
+    Ok(reply)
+}
+
+/// Writes a reply in an encoding, beside the thread that serves where it is long.
+async fn write_reply(reply: UpstreamsReply, encoding: CopyEncoding) -> Result<Bytes, CodecError> {
+    let entries = match &reply {
+        UpstreamsReply::List { upstreams, .. } => upstreams.len(),
+        UpstreamsReply::Changes { changes, .. } => changes.len(),
+    };
+    let write = move || {
+        let plain = encode(&reply)?;
+        match encoding {
+            CopyEncoding::Plain => Ok(plain.into()),
+            CopyEncoding::Compressed => compress(&plain),
+        }
+    };
+    run_in_background(entries * UPSTREAM_BYTES, write).await
 }
 
 /// The whole list in the bytes in which peers get it: written once for all that ask about the same time.
@@ -114,16 +134,7 @@
     if let Some(bytes) = router.list_copies.borrow().get(key, now) {
         return Ok(bytes);
     }
-    let reply = list_reply(router, form);
-    let size = router.upstreams.borrow().len() * UPSTREAM_BYTES;
-    let written = run_in_background(size, move || {
-        let plain = encode(&reply)?;
-        match encoding {
-            CopyEncoding::Plain => Ok(plain.into()),
-            CopyEncoding::Compressed => compress(&plain),
-        }
-    });
-    let bytes: Bytes = written.await?;
+    let bytes = write_reply(list_reply(router, form), encoding).await?;
     router.list_copies.borrow_mut().put(key, bytes.clone(), now);
     Ok(bytes)
 }
@@ -189,6 +200,8 @@
 
 /// Bytes that an upstream takes in a copy of the list, about.
 const UPSTREAM_BYTES: usize = 100;
+/// So many changes are as quickly sent as they are compressed.
+const FEW_CHANGES: usize = 20;
 /// A copy of the list is handed out for so long, though changes may have come: whoever gets it asks for
 /// those next. While thousands of upstreams change, writing each revision anew for each peer would take
 /// most of a small VM's processor.
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -14,8 +14,8 @@
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, SourceError, UpstreamChanges};
 use crate::store_view::{
-    StoreLoop, Watched, apply_configuration, live_routers, log_dependency, max_store_backoff,
-    on_ping_result, on_store_lost, on_store_regained,
+    StoreLoop, StoreView, Watched, apply_configuration, live_routers, log_dependency,
+    max_store_backoff, on_ping_result, on_store_lost, on_store_regained,
 };
 use crate::upstream_news::{apply_upstream_changes, apply_upstream_list, readable_changes};
 use cloverpier_core::jitter;
@@ -80,19 +80,16 @@
     }
 }
 
-/// How often a router that waits for a list looks whether it is to read it by itself.
-const FIRST_READ_PERIOD: Duration = Duration::from_millis(10);
+/// How often a router that waits for a peer looks whether it is to read by itself.
+const FIRST_READ_PERIOD: Duration = Duration::from_millis(5);
 
-/// Waits until a peer has handed on the list of upstreams, or this router is to read it.
-async fn wait_for_first_read(router: &Router) {
-    let settings = router.settings();
-    let own = settings.listen.peers;
-    let is_seed = settings.seeds.is_empty() || settings.seeds.contains(&own);
+/// Waits until a peer has handed on what is awaited, or this router is to read it.
+async fn wait_for_first_read(router: &Router, is_known: impl Fn(&StoreView) -> bool) {
     let random = router.rng.borrow_mut().f64();
-    while !router.store.knows_upstreams() {
+    while !is_known(&router.store) {
         let started = router.lifecycle.started();
         let starting = Starting {
-            is_seed,
+            is_seed: is_seed(router),
             age: router.now().saturating_duration_since(started),
             has_peers: router.peers.has_heard_any(),
             peers: router.peers.count(),
@@ -105,11 +102,18 @@
     }
 }
 
+/// Whether others begin with this router.
+fn is_seed(router: &Router) -> bool {
+    let settings = router.settings();
+    settings.seeds.is_empty() || settings.seeds.contains(&settings.listen.peers)
+}
+
 /// Watches the configuration until the process ends.
 pub(crate) async fn watch_configuration(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(StoreLoop::Of(Watched::Configuration));
     let mut revision: Option<u64> = None;
     loop {
+        wait_for_first_read(&router, |store| store.configuration().is_some()).await;
         if router.store.configuration().is_some() {
             wait_for_turn(&router).await;
         }
@@ -150,9 +154,7 @@
     let mut backoff = Backoff::new(StoreLoop::Of(Watched::Upstreams));
     let mut revision: Option<u64> = None;
     loop {
-        if !router.store.knows_upstreams() {
-            wait_for_first_read(&router).await;
-        }
+        wait_for_first_read(&router, StoreView::knows_upstreams).await;
         if router.store.knows_upstreams() {
             wait_for_turn(&router).await;
             // Peers may have sent newer changes than the last watch returned.
@@ -280,6 +282,10 @@
     let mut pacing = PingPacing::default();
     let mut is_silent = false;
     loop {
+        // Before it serves, a router's first reads show whether the store answers.
+        while !router.store.is_serving() && !is_seed(&router) {
+            router.store.loops_woken().await;
+        }
         let role = router.store.role();
         let random = || router.rng.borrow_mut().f64();
         let Some(pause) = pacing.pause(role, live_routers(&router), random) else {
