Look through suspected upstreams alone, and sleep while there are none

Cause: each router looked through all upstreams 20 times a second for suspects that are due for a check, and with each heartbeat for suspects to tell: at 10,000 upstreams that is most of what an idle router's processor did, and it woke 20 times a second for it. Change: the table keeps the names of those that were suspected; the loop sleeps until one is.

--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -148,7 +148,11 @@
         news: &gossip.news,
     };
     let mut members = router.peers.members.borrow_mut();
-    members.on_gossip(seen, &mut router.rng.borrow_mut(), now)
+    let reply = members.on_gossip(seen, &mut router.rng.borrow_mut(), now);
+    if members.is_urgent() {
+        router.peers.wake();
+    }
+    reply
 }
 
 /// Records the sender's versions and its use of the budget, as of a heartbeat.
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -16,6 +16,7 @@
     HeartbeatTurn, MAX_ENTRIES, MAX_GREETED, MENTIONED_PEERS, MENTIONED_TO_NEW_PEER,
     MIN_SEND_PAUSE, SEED_PERIOD, change_peers, load_ttl, reaches_all_peers, version_peers,
 };
+use cloverpier_router_policy::membership::GOSSIP_PERIOD;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::reported_store_age;
 use std::net::SocketAddr;
@@ -52,8 +53,8 @@
             send_period(&router, &socket, &mut turn, was_paused, now);
             crash_news::tell_again(&router, now);
             leaving_news::tell_again(&router, now);
-            next_heartbeat = now + router.settings().heartbeat;
-        } else if router.peers.take_heartbeat_due() {
+            next_heartbeat = now + period(&router);
+        } else if is_urgent(&router, now) {
             send_versions(&router, &socket, now);
         }
         let new_peers = router.peers.take_new(MAX_GREETED);
@@ -73,6 +74,30 @@
     }
 }
 
+/// How often heartbeats or gossip are sent.
+fn period(router: &Router) -> Duration {
+    if router.peers.is_large() {
+        GOSSIP_PERIOD
+    } else {
+        router.settings().heartbeat
+    }
+}
+
+/// Whether something is to be sent before the next period: a version, or that a router ends.
+fn is_urgent(router: &Router, now: Instant) -> bool {
+    let peers = &router.peers;
+    let is_version_due = peers.take_heartbeat_due();
+    if !peers.is_large() {
+        return is_version_due;
+    }
+    let has_news = peers.members.borrow().is_urgent();
+    if is_version_due || (has_news && peers.may_send_urgent(now)) {
+        peers.members.borrow_mut().take_urgent();
+        return true;
+    }
+    false
+}
+
 /// When the roles of watchers are decided anew.
 #[derive(Default)]
 struct RoleTurn {
@@ -133,14 +158,15 @@
 
 /// Waits for the next heartbeat, or for a change that peers are to be sent at once.
 async fn wait_for_change(router: &Router, next_heartbeat: Instant) {
-    router.timers.sleep(MIN_SEND_PAUSE).await;
-    if router.peers.has_new() {
-        return;
-    }
-    tokio::select! {
-        () = router.peers.state_changed() => {}
-        () = router.timers.sleep_until(next_heartbeat) => {}
+    let sent = router.now();
+    if !router.peers.has_new() {
+        tokio::select! {
+            () = router.peers.state_changed() => {}
+            () = router.timers.sleep_until(next_heartbeat) => return,
+        }
     }
+    // What comes close together goes in one round.
+    router.timers.sleep_until(sent + MIN_SEND_PAUSE).await;
 }
 
 fn recipients(router: &Router, to: Recipients) -> Vec<SocketAddr> {
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -20,7 +20,7 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_fetch::{
     COMPARE_PERIOD, FAILURE_PAUSE, FAR_WAIT, FetchSources, FetchStep, GATHER_FETCHES,
-    STALL_TIMEOUT, STORE_FIRST,
+    LARGE_COMPARE_PERIOD, STALL_TIMEOUT, STORE_FIRST,
 };
 use hyper::StatusCode;
 use hyper::header::{ACCEPT, ACCEPT_ENCODING, HeaderMap, HeaderValue};
@@ -66,7 +66,7 @@
         let router = &fetcher.router;
         tokio::select! {
             () = router.peers.newer_version_seen(watched) => {}
-            () = router.timers.sleep(COMPARE_PERIOD) => {}
+            () = router.timers.sleep(compare_period(router)) => {}
         }
         if router.store.role().watches() && router.store.is_serving() {
             router.timers.sleep(STORE_FIRST).await;
@@ -75,6 +75,15 @@
     }
 }
 
+/// How often versions are compared without a sign of a newer one.
+fn compare_period(router: &Router) -> Duration {
+    if router.peers.is_large() {
+        LARGE_COMPARE_PERIOD
+    } else {
+        COMPARE_PERIOD
+    }
+}
+
 /// One of the two loops.
 struct Fetcher {
     router: Rc<Router>,
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -11,7 +11,7 @@
 use crate::store_view::Watched;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use cloverpier_router_policy::heartbeat::reaches_all_peers;
-use cloverpier_router_policy::membership::{MemberNews, Membership};
+use cloverpier_router_policy::membership::{MemberNews, Membership, URGENT_PERIOD};
 use cloverpier_router_policy::peers::listed_for_callers;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::ReadyPeer;
@@ -54,6 +54,8 @@
     plain_peers: RefCell<HashMap<SocketAddr, Instant>>,
     /// The number of this router's last beat as a watcher.
     last_beat: Cell<u64>,
+    /// When news of routers that end were last sent at once.
+    sent_urgent: Cell<Option<Instant>>,
     /// Upstreams of which the load or a suspicion is to be reported at once.
     changed_upstreams: RefCell<Vec<UpstreamName>>,
     /// Prompts that engines began to read since the last report.
@@ -78,6 +80,7 @@
         Self {
             // Greater than those of former runs, as stamps are.
             last_beat: Cell::new(own.stamp),
+            sent_urgent: Cell::default(),
             table: RefCell::default(),
             members: RefCell::new(Membership::new(own)),
             beats: RefCell::default(),
@@ -126,6 +129,16 @@
         next
     }
 
+    /// Whether news of routers that end may be sent now.
+    pub fn may_send_urgent(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < URGENT_PERIOD;
+        if self.sent_urgent.get().is_some_and(is_recent) {
+            return false;
+        }
+        self.sent_urgent.set(Some(now));
+        true
+    }
+
     /// Records a peer that sends heartbeats to a router of a large fleet.
     pub fn on_plain_heartbeat(&self, peer: SocketAddr, now: Instant) {
         self.plain_peers.borrow_mut().insert(peer, now);
@@ -368,6 +381,11 @@
         std::mem::take(&mut *self.new_prompt_locations.borrow_mut())
     }
 
+    /// Has the sender of datagrams look for news.
+    pub fn wake(&self) {
+        self.state_changed.notify_one();
+    }
+
     /// Waits until there is something to report.
     pub async fn state_changed(&self) {
         self.state_changed.notified().await;
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -84,6 +84,7 @@
     }
     let health = router.health.of(upstream, now);
     let is_new = router.upstreams.borrow_mut().suspect(&upstream.name, now);
+    router.suspected.notify_one();
     router.pool.borrow_mut().close_all(&upstream.name);
     if !is_new {
         return;
@@ -100,7 +101,11 @@
 /// Checks suspects for signs of life, until the process ends.
 pub(crate) async fn check_suspects(router: Rc<Router>) {
     loop {
-        router.timers.sleep(CHECK_PERIOD).await;
+        if router.upstreams.borrow().may_have_suspects() {
+            router.timers.sleep(CHECK_PERIOD).await;
+        } else {
+            router.suspected.notified().await;
+        }
         let now = router.now();
         let due = router.upstreams.borrow_mut().start_due_checks(now);
         for upstream in due {
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -48,6 +48,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// The state of one router; one thread uses it.
 #[derive(Debug)]
@@ -70,6 +71,8 @@
     pub(crate) rollouts: Rollouts,
     /// `None` where the settings name no work that one router at a time does.
     pub(crate) singleton: Option<Singleton>,
+    /// Wakes the checks of suspects.
+    pub(crate) suspected: Notify,
     /// When it was learned last that an upstream leaves.
     pub(crate) last_leaving: Cell<Option<Instant>>,
     pub(crate) copy_pacing: RefCell<CopyPacing>,
@@ -114,6 +117,7 @@
             budgets: RetryBudgets::default(),
             crashes: Crashes::new(&settings.crashes),
             rollouts: Rollouts::default(),
+            suspected: Notify::new(),
             last_leaving: Cell::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
             held_memory: RefCell::new(HeldMemory::of(settings.memory_bytes)),
--- a/crates/router/cloverpier_router_policy/src/membership.rs
+++ b/crates/router/cloverpier_router_policy/src/membership.rs
@@ -45,15 +45,19 @@
 const FLOOD_NEAR: usize = 4;
 /// Routers of each other data centre that get a change from the one that read it from the store.
 const FLOOD_ELSEWHERE: usize = 3;
-/// Silence of a predecessor after which it is probed: three messages.
-const SILENCE: Duration = Duration::from_millis(650);
+/// How often a router of a large fleet sends messages.
+pub const GOSSIP_PERIOD: Duration = Duration::from_millis(400);
+/// News of routers that end are sent at once, once in this time at most.
+pub const URGENT_PERIOD: Duration = Duration::from_millis(100);
+/// Silence of a predecessor after which it is probed: two messages and a half.
+const SILENCE: Duration = Duration::from_millis(1_000);
 /// Pause between probes, and how many may stay unanswered.
 const PROBE_PERIOD: Duration = Duration::from_millis(200);
 const PROBES: u32 = 3;
 /// How long after its end a member may be taken for alive: silence, probes, and some rounds of news.
-pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// A router that hears from nobody for this long is cut off, and knows nothing of others.
-const ALONE_AFTER: Duration = Duration::from_millis(1_500);
+const ALONE_AFTER: Duration = Duration::from_millis(2_500);
 /// A dead router is forgotten after this long; until then it is sent a message now and then, so that
 /// routers find each other again after a partition.
 const DEAD_KEPT_FOR: Duration = Duration::from_secs(60);
@@ -201,6 +205,8 @@
     news: NewsQueue,
     probes: HashMap<SocketAddr, Probe>,
     heard_any: Option<Instant>,
+    /// Whether there are news that do not wait for the next period.
+    is_urgent: bool,
     messages: u32,
     /// Of what is known of those that are not dead.
     digest: u64,
@@ -228,6 +234,7 @@
             news: NewsQueue::default(),
             probes: HashMap::new(),
             heard_any: None,
+            is_urgent: false,
             messages: 0,
             agreed: None,
             asked: None,
@@ -440,6 +447,8 @@
             }
         }
         self.news.push(news.router);
+        let is_ending = [MemberState::Dead, MemberState::Alive(PeerState::Leaving)];
+        self.is_urgent |= is_ending.contains(&news.state);
         let member = Member {
             callers: news.callers,
             data_centre: news.data_centre,
@@ -462,6 +471,16 @@
         })
     }
 
+    /// Whether there are news that are to be sent at once.
+    pub fn is_urgent(&self) -> bool {
+        self.is_urgent
+    }
+
+    /// Whether news are to be sent at once, as a router ends; they count as sent then.
+    pub fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.is_urgent)
+    }
+
     /// News for the next message; each goes into some messages.
     pub fn take_news(&mut self) -> Vec<MemberNews> {
         let routers = self.news.take(NEWS_PER_MESSAGE, self.ring.len());
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -36,6 +36,8 @@
     by_service: BTreeMap<ServiceName, Vec<UpstreamName>>,
     by_key: HashMap<UpstreamKey, UpstreamName>,
     by_address: AddressIndex,
+    /// Those that are suspected, and some that were: looked through in place of all.
+    maybe_suspected: HashSet<UpstreamName>,
     /// Load that other routers reported.
     pub peer_load: PeerLoad,
     revision: u64,
--- a/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
@@ -61,6 +61,7 @@
             return false;
         }
         state.suspicion = Some(Suspicion::new(now));
+        self.maybe_suspected.insert(name.clone());
         true
     }
 
@@ -84,13 +85,17 @@
 
     /// The upstreams that this router suspects.
     pub fn suspects(&self) -> Vec<UpstreamKey> {
-        let suspects = self
-            .upstreams
-            .values()
-            .filter(|s| s.is_listed() && s.is_suspected());
+        let names = self.maybe_suspected.iter();
+        let states = names.filter_map(|name| self.upstreams.get(name));
+        let suspects = states.filter(|s| s.is_listed() && s.is_suspected());
         suspects.map(|s| s.key).collect()
     }
 
+    /// Whether any upstream may be suspected.
+    pub fn may_have_suspects(&self) -> bool {
+        !self.maybe_suspected.is_empty()
+    }
+
     /// Records that another upstream answers at an upstream's address; returns whether that is
     /// new.
     pub fn on_replaced(&mut self, name: &UpstreamName) -> bool {
@@ -128,8 +133,15 @@
 
     /// Starts the checks of suspects that are due and returns whom to check.
     pub fn start_due_checks(&mut self, now: Instant) -> Vec<Upstream> {
+        let upstreams = &self.upstreams;
+        let is_suspected =
+            |name: &UpstreamName| upstreams.get(name).is_some_and(|s| s.is_suspected());
+        self.maybe_suspected.retain(is_suspected);
         let mut due = Vec::new();
-        for state in self.upstreams.values_mut() {
+        for name in &self.maybe_suspected {
+            let Some(state) = self.upstreams.get_mut(name) else {
+                continue;
+            };
             if state.gone.is_some() || state.replaced {
                 continue;
             }
--- a/crates/router/cloverpier_router_policy/src/version_fetch.rs
+++ b/crates/router/cloverpier_router_policy/src/version_fetch.rs
@@ -32,6 +32,9 @@
 /// Versions are compared at least this often, also without a heartbeat that shows a newer
 /// one.  Chosen, not measured.
 pub const COMPARE_PERIOD: Duration = Duration::from_millis(500);
+/// The same in a large fleet, where it takes a look at each peer, and messages say which versions their
+/// senders have.
+pub const LARGE_COMPARE_PERIOD: Duration = Duration::from_secs(2);
 /// Pause after a fetch that failed.  Chosen, not measured.
 pub const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// A peer whose fetch failed is not asked again for this long while another one has a newer
--- a/tools/src/gossip_play/world.rs
+++ b/tools/src/gossip_play/world.rs
@@ -3,7 +3,9 @@
 use super::{Cost, GossipOutcome, GossipSpec, Spread};
 use cloverpier_core::DataCentre;
 use cloverpier_router::peer_messages::{Gossip, Members, PeerMessage, UpstreamNews, encode};
-use cloverpier_router_policy::membership::{GossipSeen, MemberNews, MemberState, Membership};
+use cloverpier_router_policy::membership::{
+    GOSSIP_PERIOD, GossipSeen, MemberNews, MemberState, Membership, URGENT_PERIOD,
+};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::watcher_beats::{WatcherBeat, WatcherBeats};
 use std::cmp::Reverse;
@@ -12,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-const PERIOD: Duration = Duration::from_millis(200);
+const PERIOD: Duration = GOSSIP_PERIOD;
 const LATENCY: Duration = Duration::from_millis(1);
 /// From a message that shows a newer revision to the fetched changes.
 const FETCH: Duration = Duration::from_millis(20);
@@ -37,6 +39,8 @@
     store_age: Duration,
     rng: fastrand::Rng,
     sent: (u64, u64, u64),
+    /// When news of routers that end may be sent at once again.
+    urgent_at: Duration,
 }
 
 enum Event {
@@ -44,6 +48,7 @@
     Period(usize, u64),
     Deliver(usize, Rc<PeerMessage>),
     Fetched(usize, u64),
+    Urgent(usize),
 }
 
 pub(super) struct World {
@@ -68,6 +73,7 @@
             store_age: Duration::ZERO,
             rng: fastrand::Rng::with_seed(spec.seed ^ (index as u64) << 20),
             sent: (0, 0, 0),
+            urgent_at: Duration::ZERO,
         });
         Self {
             began: Instant::now(),
@@ -264,6 +270,7 @@
 
     fn on_event(&mut self, event: Event) {
         match event {
+            Event::Urgent(index) => self.send_urgent(index),
             Event::Start(index) => self.start(index),
             Event::Period(index, run) => self.period(index, run),
             Event::Deliver(index, message) => self.deliver(index, &message),
@@ -299,6 +306,8 @@
         let now = self.moment();
         let router = &mut self.routers[index];
         let step = router.members.ring_step(false, now);
+        self.note_urgent(index);
+        let router = &mut self.routers[index];
         let targets = router.members.targets(&mut router.rng);
         self.gossip(index, targets, false);
         if !step.probe.is_empty() {
@@ -407,6 +416,7 @@
             let fetched = Event::Fetched(index, gossip.upstreams_revision);
             self.schedule(self.now + FETCH, fetched);
         }
+        self.note_urgent(index);
         let sender = gossip.sender.router;
         if let Some(news) = reply.of_itself {
             let members = Members {
@@ -431,6 +441,24 @@
         }
     }
 
+    /// Has news of routers that end sent at once, or as soon as that may be.
+    fn note_urgent(&mut self, index: usize) {
+        let router = &mut self.routers[index];
+        if router.members.is_urgent() && router.urgent_at <= self.now {
+            let at = self.now + Duration::from_millis(10);
+            router.urgent_at = at + URGENT_PERIOD;
+            self.schedule(at, Event::Urgent(index));
+        }
+    }
+
+    fn send_urgent(&mut self, index: usize) {
+        let router = &mut self.routers[index];
+        if router.is_alive && router.members.take_urgent() {
+            let urgent = router.members.urgent_targets(&mut router.rng);
+            self.gossip(index, urgent, false);
+        }
+    }
+
     fn on_news(&mut self, index: usize, news: &UpstreamNews) {
         let router = &mut self.routers[index];
         if news.revision <= router.revision {
