--- a/crates/router/cloverpier_router/src/singleton/keeper.rs
+++ b/crates/router/cloverpier_router/src/singleton/keeper.rs
@@ -126,20 +126,24 @@
         let record = self.next_record(write, sent);
         let written = self.platform.write_record(write, &record).await;
         let now = self.router.now();
-        let result = match written {
-            RecordWritten::Result(result) => result,
-            RecordWritten::Conflict(stored) => return self.on_seen(stored),
-        };
-        self.note_written(write, &result, sent, now);
-        match result {
-            WriteResult::Done(_) => {
+        match written {
+            RecordWritten::Done(version) => {
+                self.note_written(write, &WriteResult::Done(version), sent, now);
                 self.pause = INITIAL_PAUSE;
                 self.on_recorded(&record);
                 self.record = Some(record);
                 self.settle(now);
                 reports::tell_watchers(self.router, self.singleton);
             }
-            _ => self.after_failure("the lease was not written").await,
+            RecordWritten::Conflict(stored) => self.on_seen(stored),
+            RecordWritten::NotDone(error) => {
+                self.note_written(write, &WriteResult::NotDone, sent, now);
+                self.after_failure(&error.to_string()).await;
+            }
+            RecordWritten::Unknown(error) => {
+                self.note_written(write, &WriteResult::Unknown, sent, now);
+                self.after_failure(&error.to_string()).await;
+            }
         }
     }
 
@@ -153,12 +157,13 @@
     fn next_record(&self, write: &LeaseWrite, now: Instant) -> LeaseRecord {
         let work = self.singleton.work.borrow();
         let Some(work) = work.as_ref() else {
-            let former = self.record.clone();
-            return LeaseRecord {
-                tenure: write.tenure.clone(),
-                renewals: former.as_ref().map_or(0, |former| former.renewals) + 1,
-                usage: former.as_ref().map(|f| f.usage.clone()).unwrap_or_default(),
-                engines: former.map(|former| former.engines).unwrap_or_default(),
+            return match &self.record {
+                Some(former) => LeaseRecord {
+                    tenure: write.tenure.clone(),
+                    renewals: former.renewals + 1,
+                    ..former.clone()
+                },
+                None => LeaseRecord::first(write.tenure.clone()),
             };
         };
         let book = self.singleton.book.borrow();
@@ -221,6 +226,7 @@
                 fleet_ms,
             ),
             has_news: false,
+            // Without a record nobody has ordered engines.
             inherited_plans: record.map(|r| r.engines.clone()).unwrap_or_default(),
             scalers: BTreeMap::new(),
             renewals: record.map_or(0, |record| record.renewals),
--- a/crates/router/cloverpier_router/src/singleton/platform.rs
+++ b/crates/router/cloverpier_router/src/singleton/platform.rs
@@ -6,7 +6,7 @@
 use crate::source::SourceError;
 use cloverpier_core::ServiceName;
 use cloverpier_router_policy::singleton::autoscaling::{Order, OrderResult, Plan, ScalingBounds};
-use cloverpier_router_policy::singleton::lease::{LeaseWrite, RecordVersion, Tenure, WriteResult};
+use cloverpier_router_policy::singleton::lease::{LeaseWrite, RecordVersion, Tenure};
 use cloverpier_router_policy::singleton::metering::{UsageJournal, Window, WindowCounts};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -28,6 +28,18 @@
     pub engines: BTreeMap<ServiceName, Plan>,
 }
 
+impl LeaseRecord {
+    /// The record of the first holder of all.
+    pub fn first(tenure: Tenure) -> Self {
+        Self {
+            tenure,
+            renewals: 1,
+            usage: UsageJournal::default(),
+            engines: BTreeMap::new(),
+        }
+    }
+}
+
 /// The record as a read found it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredRecord {
@@ -38,12 +50,16 @@
 }
 
 /// The result of a write.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum RecordWritten {
-    /// As [`WriteResult`] says, without the record.
-    Result(WriteResult),
+    /// It was done: the record has this version now.
+    Done(RecordVersion),
     /// It was not done: this is the record.
     Conflict(StoredRecord),
+    /// It was not done, and the answer does not say how the record is.
+    NotDone(SourceError),
+    /// It may have been done, or be done later.
+    Unknown(SourceError),
 }
 
 /// Who makes a call, for the platform's own checks.
--- a/crates/router/cloverpier_router/src/singleton/work.rs
+++ b/crates/router/cloverpier_router/src/singleton/work.rs
@@ -182,9 +182,11 @@
         }
         self.next_plan = now + PLAN_PERIOD;
         self.refresh_scaling().await;
-        let scaling = self.scaling.as_ref().map(|(_, scaling)| scaling.clone());
-        for service in scaling.unwrap_or_default() {
-            self.order_engines_of(&service).await;
+        let Some((_, scaling)) = self.scaling.clone() else {
+            return;
+        };
+        for service in &scaling {
+            self.order_engines_of(service).await;
         }
     }
 
@@ -219,10 +221,11 @@
                 .order_engines(permit.signed(), &scaling.service, &order);
             let sent = call.await;
             self.note_outcome("scaling", sent.as_ref().err());
-            match sent {
-                Ok(result) => self.on_ordered(&permit, &scaling.service, &order, result, load),
-                Err(_) => return,
-            }
+            let Ok(result) = sent else {
+                // It is noted above; the next plan makes the order again.
+                return;
+            };
+            self.on_ordered(&permit, &scaling.service, &order, result, load);
         }
     }
 
@@ -230,6 +233,7 @@
     fn due_orders(&self, scaling: &ServiceScaling) -> (Vec<Order>, f64) {
         let now = self.router.now();
         let listed = listed_engines(&self.router.upstreams.borrow(), &scaling.service);
+        // Without the service's configuration or any upstream of it nothing is known of its load.
         let Some(size) = self.engine_size(&scaling.service) else {
             return (Vec::new(), 0.0);
         };
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -129,6 +129,10 @@
 fn log_start(router: &Router) {
     let reason = format!("incarnation {:016x}", router.lifecycle.incarnation());
     log_dependency(router, "process.started", "process", &reason);
+    for work in &router.settings().unknown_work {
+        let reason = "this release does not know such work; nobody does it here";
+        log_dependency(router, "settings.unknown-work", work, reason);
+    }
 }
 
 /// Drops what cannot be used again, until the process ends.
--- a/crates/shared/cloverpier_settings/src/daemon.rs
+++ b/crates/shared/cloverpier_settings/src/daemon.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Characters of a secret at least: 16 random ones are 96 bits in base 64.  Chosen.
+/// Characters of a secret at least: 16 random ones are 96 bits in base 64.
 const MIN_SECRET: usize = 16;
 
 /// The settings of `cloverpierd`.
--- a/crates/shared/cloverpier_settings/src/router.rs
+++ b/crates/shared/cloverpier_settings/src/router.rs
@@ -60,8 +60,6 @@
     pub meters: bool,
     /// Whether engines are ordered.
     pub scales: bool,
-    /// Work that the settings name and this release does not know.
-    pub unknown: Vec<String>,
     /// How long the lease lasts.
     pub lease: Duration,
     /// The length of a window of usage.
@@ -119,6 +117,8 @@
     pub exposure: Option<ExposureSettings>,
     /// Work that one router at a time does; `None` where there is none.
     pub singleton: Option<SingletonSettings>,
+    /// Such work that the settings name and this release does not know; nobody does it.
+    pub unknown_work: Vec<String>,
     /// How silence is judged.
     pub silence: SilenceSettings,
     /// Whether engines copy runs' memory to another engine as it grows.
@@ -137,6 +137,7 @@
     /// [`SettingFaults`] lists every key that can't stand, unknown ones too.
     pub fn parse(text: &str) -> Result<Self, SettingFaults> {
         let mut r = Reader::parse(text)?;
+        let mut unknown_work = Vec::new();
         let settings = Self {
             vm: VmName::new(r.text("vm", "the VM's name")),
             data_centre: DataCentre::new(r.text("data_centre", "the data centre's name")),
@@ -151,7 +152,8 @@
             address_reuse: seconds(r.decimal_or("address_reuse_s", 0.0, 3_600.0, 0.0)),
             retry: read_retry(&mut r),
             exposure: read_exposure(&mut r),
-            singleton: read_singleton(&mut r),
+            singleton: read_singleton(&mut r, &mut unknown_work),
+            unknown_work,
             silence: read_silence(&mut r),
             backups: r.flag_or("backups", true),
             crashes: CrashSettings::read(&mut r),
@@ -190,25 +192,29 @@
 const METERING: &str = "metering";
 const AUTOSCALE: &str = "autoscale";
 
-fn read_singleton(r: &mut Reader) -> Option<SingletonSettings> {
+/// Reads the work that one router at a time does; `unknown` gets the names of such work that are not
+/// known.
+fn read_singleton(r: &mut Reader, unknown: &mut Vec<String>) -> Option<SingletonSettings> {
     let api = r.address_or("singleton_api");
     let named = r.texts("singleton_work");
     let lease = millis(r, "singleton_lease_ms", 3_000);
     let usage_window = seconds(r.decimal_or("usage_window_s", 0.1, 86_400.0, 60.0));
     let usage_late = seconds(r.decimal_or("usage_late_s", 0.1, 86_400.0, 30.0));
-    let names = |work: &str| named.iter().any(|name| name == work);
-    let (meters, scales) = (names(METERING), names(AUTOSCALE));
     let is_known = |name: &String| name == METERING || name == AUTOSCALE;
-    let settings = SingletonSettings {
-        api: api?,
-        meters,
-        scales,
-        unknown: named.iter().filter(|n| !is_known(n)).cloned().collect(),
+    let (known, others): (Vec<_>, Vec<_>) = named.into_iter().partition(is_known);
+    *unknown = others;
+    if !known.is_empty() && api.is_none() {
+        r.fault("singleton_api", "an address, which `singleton_work` needs");
+    }
+    let named = api.filter(|_| !known.is_empty());
+    named.map(|api| SingletonSettings {
+        api,
+        meters: known.iter().any(|name| name == METERING),
+        scales: known.iter().any(|name| name == AUTOSCALE),
         lease,
         usage_window,
         usage_late,
-    };
-    (meters || scales).then_some(settings)
+    })
 }
 
 fn read_silence(r: &mut Reader) -> SilenceSettings {
--- a/crates/shared/cloverpier_settings/tests/settings.rs
+++ b/crates/shared/cloverpier_settings/tests/settings.rs
@@ -38,6 +38,35 @@
     insta::assert_snapshot!(faults.to_string());
 }
 
+const ROUTER: &str = r#"
+vm = "front-hall-a-1"
+data_centre = "hall-a"
+callers_listen = "127.0.0.1:7101"
+ready_listen = "127.0.0.1:7102"
+directory_listen = "127.0.0.1:7103"
+peers_listen = "127.0.0.1:7201"
+store = "127.0.0.1:7000"
+"#;
+
+#[test]
+fn work_of_one_router_needs_the_api_where_it_is_done() {
+    let text = format!("{ROUTER}singleton_work = [\"metering\"]\n");
+    let faults = RouterSettings::parse(&text).unwrap_err();
+    let keys: Vec<&str> = faults.faults.iter().map(|f| f.key.as_str()).collect();
+    assert_eq!(keys, ["singleton_api"]);
+}
+
+#[test]
+fn work_that_is_not_known_is_named_and_not_done() {
+    let text = format!(
+        "{ROUTER}singleton_api = \"127.0.0.1:7001\"\nsingleton_work = [\"metering\", \"tidying\"]\n"
+    );
+    let settings = RouterSettings::parse(&text).unwrap();
+    let singleton = settings.singleton.unwrap();
+    assert!(singleton.meters && !singleton.scales);
+    assert_eq!(settings.unknown_work, ["tidying"]);
+}
+
 #[test]
 fn broken_toml_is_one_fault_of_the_file() {
     let faults = DaemonSettings::parse("vm = ").unwrap_err();
