--- a/crates/router/cloverpier_router_policy/src/membership.rs
+++ b/crates/router/cloverpier_router_policy/src/membership.rs
@@ -20,40 +20,28 @@
 //! [`Membership`] owns all members with the last news of each, the ring, the news to pass on, and the
 //! probes under way. Small fleets do without it ([`crate::heartbeat`]).
 
+mod news;
 mod news_queue;
+mod ring;
 mod roster;
+mod targets;
+
+pub use news::{GossipReply, GossipSeen, Heard, LiveMember, MemberNews, MemberState};
+pub use ring::{RingStep, SUCCESSORS};
 
 use crate::peers::PeerState;
-use cloverpier_core::{DataCentre, hash_of};
+use cloverpier_core::DataCentre;
 use news_queue::NewsQueue;
+use ring::{Probe, rank_of};
 use roster::Roster;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// The next routers on the ring, which notice a router's silence: one of them may be dead, too.
-pub const SUCCESSORS: usize = 2;
-/// Other routers that get each message, in the own data centre and elsewhere: news spread over them.
-const RANDOM_NEAR: usize = 1;
-const RANDOM_ELSEWHERE: usize = 1;
-/// Routers that are sent something urgent at once, in the own data centre and elsewhere.
-const URGENT_NEAR: usize = 6;
-const URGENT_ELSEWHERE: usize = 2;
-/// Routers that whoever gets a change for the first time passes it on to, all in its data centre; of
-/// 1,000 that each choose 4, 98% are reached, and the others notice that they are behind.
-const FLOOD_NEAR: usize = 4;
-/// Routers of each other data centre that get a change from the one that read it from the store.
-const FLOOD_ELSEWHERE: usize = 3;
 /// How often a router of a large fleet sends messages.
 pub const GOSSIP_PERIOD: Duration = Duration::from_millis(400);
 /// News of routers that end are sent at once, once in this time at most.
 pub const URGENT_PERIOD: Duration = Duration::from_millis(100);
-/// Silence of a predecessor after which it is probed: two messages and a half.
-const SILENCE: Duration = Duration::from_millis(1_000);
-/// Pause between probes, and how many may stay unanswered.
-const PROBE_PERIOD: Duration = Duration::from_millis(200);
-const PROBES: u32 = 3;
 /// How long after its end a member may be taken for alive: silence, probes, and some rounds of news.
 pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// A router that hears from nobody for this long is cut off, and knows nothing of others.
@@ -61,8 +49,6 @@
 /// A dead router is forgotten after this long; until then it is sent a message now and then, so that
 /// routers find each other again after a partition.
 const DEAD_KEPT_FOR: Duration = Duration::from_secs(60);
-/// Of so many messages one goes to a dead router.
-const DEAD_PERIOD: u32 = 10;
 /// News in one message: with data centres' names of 20 bytes they take some 60 bytes each.
 pub const NEWS_PER_MESSAGE: usize = 24;
 /// Members in one message that answers a request for all of them.
@@ -75,31 +61,6 @@
 /// A router that knows so much less than the sender of a message asks for all members.
 const MUCH_LESS: f64 = 0.9;
 
-/// What a router is said to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum MemberState {
-    /// It runs, in this state.
-    Alive(PeerState),
-    /// It does not answer.
-    Dead,
-}
-
-/// What is said of one router.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberNews {
-    /// The router's address for peers.
-    pub router: SocketAddr,
-    /// Where it serves callers.
-    pub callers: SocketAddr,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// What it is.
-    pub state: MemberState,
-    /// Orders what is said of this router.
-    pub stamp: u64,
-}
-
 /// A router, as it is known.
 #[derive(Clone, Debug)]
 struct Member {
@@ -119,78 +80,6 @@
     }
 }
 
-/// A member that lives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LiveMember<'a> {
-    /// Its address for peers.
-    pub router: SocketAddr,
-    /// Where it serves callers.
-    pub callers: SocketAddr,
-    /// Its data centre.
-    pub data_centre: &'a DataCentre,
-    /// Whether it takes new callers.
-    pub state: PeerState,
-}
-
-/// A probe of a predecessor.
-#[derive(Clone, Copy, Debug)]
-struct Probe {
-    /// When its silence began to count.
-    since: Instant,
-    sent: u32,
-    last: Option<Instant>,
-}
-
-/// The result of hearing something of a router.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
-    /// Nothing new.
-    Known,
-    /// It was not known, or it is something else than it was.
-    Changed,
-    /// It says of itself that it runs, and it is taken for dead here: it has to be told.
-    TakenForDead,
-}
-
-/// What a message of gossip says of members.
-#[derive(Clone, Copy, Debug)]
-pub struct GossipSeen<'a> {
-    /// What the sender says of itself.
-    pub sender: &'a MemberNews,
-    /// Whether it waits for a message.
-    pub wants_reply: bool,
-    /// How many members it knows.
-    pub members: usize,
-    /// See [`Membership::digest`].
-    pub digest: u64,
-    /// What is new of others.
-    pub news: &'a [MemberNews],
-}
-
-/// What the sender of a message gets.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct GossipReply {
-    /// Whether the sender was not known, or is something else than it was.
-    pub is_newcomer: bool,
-    /// What it has to know of itself: that it is taken for dead.
-    pub of_itself: Option<MemberNews>,
-    /// Whether it gets a message.
-    pub message: bool,
-    /// Members that go into that message, as it knows few.
-    pub sample: Vec<MemberNews>,
-    /// Whether it is asked for all members, as it knows many more.
-    pub ask_members: bool,
-}
-
-/// What the ring requires of this router now.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RingStep {
-    /// Predecessors to probe.
-    pub probe: Vec<SocketAddr>,
-    /// Predecessors that were declared dead.
-    pub dead: Vec<SocketAddr>,
-}
-
 /// The routers that a router knows.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -503,141 +392,6 @@
         some.into_iter().filter_map(|r| self.news_of(r)).collect()
     }
 
-    /// Who gets the next message: the successors, and some at random.
-    pub fn targets(&mut self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
-        let mut targets = self.successors();
-        targets.extend(self.near.choose(RANDOM_NEAR, rng));
-        targets.extend(self.elsewhere.choose(RANDOM_ELSEWHERE, rng));
-        self.messages = self.messages.wrapping_add(1);
-        if self.messages.is_multiple_of(DEAD_PERIOD) {
-            targets.extend(self.dead.choose(1, rng));
-        }
-        targets.sort_unstable();
-        targets.dedup();
-        targets
-    }
-
-    /// Who is sent something urgent at once.
-    pub fn urgent_targets(&self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
-        let mut targets = self.near.choose(URGENT_NEAR, rng);
-        targets.extend(self.elsewhere.choose(URGENT_ELSEWHERE, rng));
-        targets
-    }
-
-    /// Who gets a change from a router that got it from another one.
-    pub fn flood_targets(&self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
-        self.near.choose(FLOOD_NEAR, rng)
-    }
-
-    /// Who gets a change from the router that read it from the store.
-    pub fn flood_roots(&self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
-        let mut by_centre: HashMap<&DataCentre, Vec<SocketAddr>> = HashMap::new();
-        for (_, router) in &self.ring {
-            if let Some(member) = self.members.get(router) {
-                by_centre
-                    .entry(&member.data_centre)
-                    .or_default()
-                    .push(*router);
-            }
-        }
-        let mut roots = Vec::new();
-        for (data_centre, routers) in by_centre {
-            let count = if *data_centre == self.own.data_centre {
-                FLOOD_NEAR
-            } else {
-                FLOOD_ELSEWHERE
-            };
-            roots.extend(rng.choose_multiple(routers, count));
-        }
-        roots
-    }
-
-    fn own_place(&self) -> (u64, SocketAddr) {
-        (rank_of(self.own.router), self.own.router)
-    }
-
-    fn successors(&self) -> Vec<SocketAddr> {
-        let own = self.own_place();
-        let after = self.ring.range(own..).skip(1);
-        let around = after.chain(self.ring.range(..own));
-        around.take(SUCCESSORS).map(|(_, router)| *router).collect()
-    }
-
-    fn predecessors(&self) -> Vec<SocketAddr> {
-        let own = self.own_place();
-        let before = self.ring.range(..own).rev();
-        let around = before.chain(self.ring.range(own..).rev());
-        let others = around.filter(|(_, router)| *router != self.own.router);
-        others.take(SUCCESSORS).map(|(_, router)| *router).collect()
-    }
-
-    /// Judges the silence of the predecessors. Where this process was paused, silence says nothing:
-    /// it counts anew.
-    pub fn ring_step(&mut self, was_paused: bool, now: Instant) -> RingStep {
-        let predecessors = self.predecessors();
-        if was_paused {
-            self.probes.clear();
-        }
-        self.probes
-            .retain(|router, _| predecessors.contains(router));
-        let mut step = RingStep::default();
-        // A router that is cut off itself judges nobody.
-        if self.is_alone(now) {
-            self.probes.clear();
-            return step;
-        }
-        for router in predecessors {
-            match self.judge(router, now) {
-                Judgement::Fine => {}
-                Judgement::Probe => step.probe.push(router),
-                Judgement::Dead => step.dead.push(router),
-            }
-        }
-        for router in &step.dead {
-            self.declare_dead(*router, now);
-        }
-        step
-    }
-
-    fn judge(&mut self, router: SocketAddr, now: Instant) -> Judgement {
-        let heard = self.members.get(&router).and_then(|member| member.heard);
-        let probe = self.probes.entry(router).or_insert(Probe {
-            since: now,
-            sent: 0,
-            last: None,
-        });
-        if heard.is_some_and(|heard| heard > probe.since) {
-            *probe = Probe {
-                since: heard.unwrap_or(now),
-                sent: 0,
-                last: None,
-            };
-        }
-        let passed = |at: Instant| now.saturating_duration_since(at);
-        let is_due = match probe.last {
-            None => passed(probe.since) >= SILENCE,
-            Some(last) => passed(last) >= PROBE_PERIOD,
-        };
-        if !is_due {
-            return Judgement::Fine;
-        }
-        if probe.sent == PROBES {
-            return Judgement::Dead;
-        }
-        probe.sent += 1;
-        probe.last = Some(now);
-        Judgement::Probe
-    }
-
-    fn declare_dead(&mut self, router: SocketAddr, now: Instant) {
-        let news = self.news_of(router);
-        let heard = self.members.get(&router).and_then(|member| member.heard);
-        if let Some(news) = news {
-            let state = MemberState::Dead;
-            self.put(MemberNews { state, ..news }, heard, now);
-        }
-    }
-
     /// Whether this router hears from nobody.
     pub fn is_alone(&self, now: Instant) -> bool {
         self.heard_any
@@ -712,15 +466,3 @@
     }
     is_due
 }
-
-/// What a predecessor's silence means.
-enum Judgement {
-    Fine,
-    Probe,
-    Dead,
-}
-
-/// A router's place on the ring.
-fn rank_of(router: SocketAddr) -> u64 {
-    hash_of(&router.to_string())
-}
--- a/crates/router/cloverpier_router_policy/src/membership/news_queue.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/news_queue.rs
@@ -68,6 +68,7 @@
             taken.push(router);
         }
         for router in &taken {
+            // What is not there was never sent.
             let sent = self.sent.get(router).copied().unwrap_or(0) + 1;
             self.put_back(*router, sent, routers);
         }
