--- a/crates/daemon/cloverpier_admit/src/bucket.rs
+++ b/crates/daemon/cloverpier_admit/src/bucket.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Seconds of its rate that a bucket holds at most. Chosen, not measured.
+/// Seconds of its rate that a bucket holds at most.
 const BURST_S: f64 = 2.0;
 
 /// The bucket lacks what was asked of it.
--- a/crates/daemon/cloverpier_admit/src/loan.rs
+++ b/crates/daemon/cloverpier_admit/src/loan.rs
@@ -11,16 +11,15 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// A loan that isn't used up by then lapses, so that a router that an account left doesn't keep
-/// its limit. Chosen, not measured.
+/// A loan that isn't used up by then lapses, so that a router that an account left doesn't keep its
+/// limit.
 const LAPSE: Duration = Duration::from_secs(3);
-/// Accounts that were not asked for are forgotten by then. Chosen, not measured.
+/// Accounts that were not asked for are forgotten by then.
 const FORGET: Duration = Duration::from_secs(60);
 /// What is borrowed beyond the need, as a part of the demand during the last loan's time: about a
-/// second's worth (03f3e89: at most 20 loans in 10 s for 1,000 requests). Chosen, not measured.
+/// second's worth, so that a busy account is not a loan for each request.
 const AHEAD: f64 = 1.0;
 /// The largest part of a second's limit that one loan gets, so that two routers can share it.
-/// Chosen, not measured.
 const LARGEST: f64 = 0.5;
 
 /// An amount of requests and generated tokens.
--- a/crates/daemon/cloverpier_admit/src/queue.rs
+++ b/crates/daemon/cloverpier_admit/src/queue.rs
@@ -10,8 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// Places that came free over which their rate is measured: they come in bursts, with each load
-/// report (2a04b31: refusals at twice the capacity after 0.9 ms in place of 2,002). The number is
-/// chosen.
+/// report.
 const RATE_SAMPLES: usize = 48;
 
 /// Names a request in the queue.
--- a/crates/daemon/cloverpier_answer/src/copies.rs
+++ b/crates/daemon/cloverpier_answer/src/copies.rs
@@ -124,10 +124,8 @@
 }
 
 /// How long an ended answer stays: a caller that lost its connection resumes well before.
-/// Chosen, not measured.
 const KEEP_FINISHED: Duration = Duration::from_secs(120);
-/// How long an answer without an owner stays: as long as records do by default.  Chosen, not
-/// measured.
+/// How long an answer without an owner stays: as long as records do by default.
 const KEEP_UNFINISHED: Duration = Duration::from_secs(600);
 
 impl Default for Retention {
--- a/crates/daemon/cloverpier_answer/src/takeover.rs
+++ b/crates/daemon/cloverpier_answer/src/takeover.rs
@@ -7,7 +7,7 @@
 
 use crate::copies::{HeldAnswer, SealReply};
 
-/// Rounds after which a takeover is left to whoever else is trying. Chosen, not measured.
+/// Rounds after which a takeover is left to whoever else is trying.
 const ROUNDS: u32 = 4;
 
 /// What a router that takes an answer over does next.
--- a/crates/daemon/cloverpier_client/src/caller.rs
+++ b/crates/daemon/cloverpier_client/src/caller.rs
@@ -15,21 +15,20 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// How long a connection to a router may take to come up. Chosen, not measured.
+/// How long a connection to a router may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a router may take to begin its answer: longer than a service's wait for a place
-/// (`queue_ms`, 2 s by default). Chosen, not measured.
+/// (`queue_ms`, 2 s by default).
 const HEADERS_TIMEOUT: Duration = Duration::from_secs(15);
-/// Pause before another address is tried; doubled until something arrives again (4acca16: resume
-/// after a router's death 107 -> 17 ms, p50, with 10 ms in place of 100).
+/// Pause before another address is tried; doubled until something arrives again.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
-/// Upper bound of that pause. Chosen, not measured.
+/// Upper bound of that pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// A stream that says nothing for this long is given up and opened elsewhere; routers move a
-/// silent engine's answers well before. Chosen, not measured.
+/// A stream that says nothing for this long is given up and opened elsewhere; routers move a silent
+/// engine's answers well before.
 const SILENCE: Duration = Duration::from_secs(8);
 
-/// How long a caller goes on trying if it does not say: a minute.  Chosen, not measured.
+/// How long a caller goes on trying if it does not say: a minute.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
 
 /// One address that callers may use.
--- a/crates/daemon/cloverpier_client/src/operator.rs
+++ b/crates/daemon/cloverpier_client/src/operator.rs
@@ -12,8 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long an operator's call may take; a confirmation waits 5 s for all routers. Chosen, not
-/// measured.
+/// How long an operator's call may take; a confirmation waits 5 s for all routers.
 const TIMEOUT: Duration = Duration::from_secs(15);
 
 /// A plan as a router answered it.
--- a/crates/daemon/cloverpier_config/src/check.rs
+++ b/crates/daemon/cloverpier_config/src/check.rs
@@ -9,7 +9,7 @@
 
 /// Copies that a service can ask for at most: a second one is not built (docs/DESIGN.md).
 pub const MAX_COPIES: u8 = 1;
-/// The highest priority of ten ranks. Chosen.
+/// The highest priority of ten ranks.
 pub const MAX_PRIORITY: u8 = 9;
 /// Characters of a SHA-256 digest in hexadecimal: two for each of its 32 bytes (FIPS 180-4).
 const SHA256_HEX_LEN: usize = 64;
--- a/crates/daemon/cloverpier_config/src/parts.rs
+++ b/crates/daemon/cloverpier_config/src/parts.rs
@@ -12,9 +12,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-/// Parts that a configuration is split into. A change moves one part and the root: at 35,000
-/// accounts 27 KB and 13 KB; with 64 parts it was 109 KB and 6 KB (7faab02, worked out from the
-/// measured 200 bytes an account).
+/// Parts that a configuration is split into. A change moves one part and the root.
 pub const PART_COUNT: usize = 256;
 
 /// The digest of a part's content.
@@ -69,7 +67,7 @@
 
 impl Root {
     /// Confirmed plans that a root remembers; a lost answer is settled by reading the root within
-    /// as many changes. Chosen, not measured.
+    /// as many changes.
     pub const PLANS_KEPT: usize = 64;
 
     /// The root that follows this one when a plan is confirmed.
--- a/crates/daemon/cloverpier_daemon/src/admission.rs
+++ b/crates/daemon/cloverpier_daemon/src/admission.rs
@@ -21,15 +21,13 @@
 use tokio::sync::oneshot;
 
 /// How often free places are given to those in line, besides each time that one comes free.
-/// Chosen, not measured.
 const PUMP: Duration = Duration::from_millis(20);
-/// How long an account's lender may take; then the router serves its even share. Chosen, not
-/// measured.
+/// How long an account's lender may take; then the router serves its even share.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(250);
 /// When to ask a lender again that doesn't know the account yet, in milliseconds: it has the
-/// configuration within that. Chosen, not measured.
+/// configuration within that.
 const UNKNOWN_ACCOUNT_MS: u64 = 300;
-/// The least time after which a refused caller is asked to retry. Chosen, not measured.
+/// The least time after which a refused caller is asked to retry.
 const LEAST_RETRY: Duration = Duration::from_millis(500);
 
 #[derive(Debug)]
--- a/crates/daemon/cloverpier_daemon/src/answers/directory.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/directory.rs
@@ -8,13 +8,11 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Members that keep the note of a request's copy, so that one may die. Chosen, not measured.
+/// Members that keep the note of a request's copy, so that one may die.
 const NOTED_AT: usize = 2;
 /// Members that are asked; more than keep the note, as lists of members differ for a while.
-/// Chosen, not measured.
 const ASKED: usize = 3;
-/// How long a note is kept: longer than any copy (`Retention`, 600 s). Chosen, not
-/// measured.
+/// How long a note is kept: longer than any copy (`Retention`, 600 s).
 const KEPT: Duration = Duration::from_secs(900);
 
 #[derive(Clone, Debug)]
--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -23,7 +23,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// How often ended answers, old copies, notes and records are dropped. Chosen, not measured.
+/// How often ended answers, old copies, notes and records are dropped.
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// Answers that this router owns, and copies that it holds for others.
--- a/crates/daemon/cloverpier_daemon/src/answers/open.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/open.rs
@@ -15,11 +15,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a member may take to say where a copy is. Chosen, not measured.
+/// How long a member may take to say where a copy is.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long a holder may take to seal a term. Chosen, not measured.
+/// How long a holder may take to seal a term.
 const SEAL_TIMEOUT: Duration = Duration::from_millis(600);
-/// When a caller should retry while its answer cannot be reached. Chosen, not measured.
+/// When a caller should retry while its answer cannot be reached.
 const COME_BACK: Duration = Duration::from_millis(700);
 
 /// What opening an answer came to.
--- a/crates/daemon/cloverpier_daemon/src/answers/outbox.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/outbox.rs
@@ -18,16 +18,16 @@
 use tokio::sync::Notify;
 
 /// Members that hold the copies of one router: few, so that batches are full; several, so that a
-/// death spreads its load (docs/DESIGN.md). Chosen, not measured.
+/// death spreads its load (docs/DESIGN.md).
 const PEERS: usize = 4;
 /// A holder that has not answered by then is replaced; the longest pause that its loss costs a
-/// caller. Chosen, not measured.
+/// caller.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a holder that failed is not chosen again. Chosen, not measured.
+/// How long a holder that failed is not chosen again.
 const AVOID: Duration = Duration::from_secs(3);
-/// How long a member may take to note where a copy is. Chosen, not measured.
+/// How long a member may take to note where a copy is.
 const NOTE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Answers in one batch at most. Chosen, not measured.
+/// Answers in one batch at most.
 const BATCH: usize = 512;
 
 #[derive(Debug, Default)]
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -22,13 +22,13 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// How long an answer waits for an engine that can continue it. Chosen, not measured.
+/// How long an answer waits for an engine that can continue it.
 const GO_ON_WITHIN: Duration = Duration::from_secs(20);
-/// Pause between two looks for one. Chosen, not measured.
+/// Pause between two looks for one.
 const GO_ON_PAUSE: Duration = Duration::from_millis(50);
-/// Attempts in a row without a token after which an answer is given up. Chosen, not measured.
+/// Attempts in a row without a token after which an answer is given up.
 const BARREN: u32 = 8;
-/// How often a run checks whether anybody still wants its answer. Chosen, not measured.
+/// How often a run checks whether anybody still wants its answer.
 const ABANDON_CHECK: Duration = Duration::from_millis(500);
 
 /// How a generation starts.
--- a/crates/daemon/cloverpier_daemon/src/app.rs
+++ b/crates/daemon/cloverpier_daemon/src/app.rs
@@ -183,7 +183,7 @@
     }
 }
 
-/// How long a connection to a plain service may take to come up.  Chosen, not measured.
+/// How long a connection to a plain service may take to come up.
 const PLAIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 fn plain_client() -> Client {
--- a/crates/daemon/cloverpier_daemon/src/claims.rs
+++ b/crates/daemon/cloverpier_daemon/src/claims.rs
@@ -14,17 +14,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a holder may take to write a claim or release down, or to hand out records. Chosen,
-/// not measured.
+/// How long a holder may take to write a claim or release down, or to hand out records.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
-/// How long a holder may take to write an outcome down. Chosen, not measured.
+/// How long a holder may take to write an outcome down.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
-/// How often slots are looked through whose records this member lacks. Chosen, not measured.
+/// How often slots are looked through whose records this member lacks.
 const LEARN_PERIOD: Duration = Duration::from_millis(100);
 /// A claim that took longer than this to write down is not dispatched any more, as its caller may
-/// have been told that nothing was run. Chosen, not measured.
+/// have been told that nothing was run.
 const CLAIM_LIFE: Duration = Duration::from_secs(3);
-/// Slots that are asked for at once. Chosen, not measured.
+/// Slots that are asked for at once.
 const SYNC_AT_ONCE: usize = 64;
 
 /// A key that is written down at all its holders.
--- a/crates/daemon/cloverpier_daemon/src/config/acceptance.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/acceptance.rs
@@ -16,12 +16,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Pause between two questions whether a version is in force. Chosen, not measured.
+/// Pause between two questions whether a version is in force.
 const PAUSE: Duration = Duration::from_millis(100);
-/// How long a router may take to say which version it acts on. Chosen, not measured.
+/// How long a router may take to say which version it acts on.
 pub(super) const ASK_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long a confirmation waits for all routers before it answers `pending`; the brief asks for
-/// seconds. Chosen, not measured.
+/// seconds.
 const ACCEPT_WITHIN: Duration = Duration::from_secs(5);
 
 /// Whether one router acts on a version.
--- a/crates/daemon/cloverpier_daemon/src/config/change.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/change.rs
@@ -25,12 +25,11 @@
 /// The largest plan, in bytes: the brief's limit on one value of the platform, a megabyte.
 const PLAN_MOST: usize = 1_000_000;
 /// Tries to store a confirmed plan while others change the root or the platform does not answer.
-/// Chosen, not measured.
 const TRIES: u32 = 6;
-/// Pause between two tries to store a confirmed plan. Chosen, not measured.
+/// Pause between two tries to store a confirmed plan.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// When an operator should retry while the platform is down.  Chosen, not measured.
+/// When an operator should retry while the platform is down.
 const PLATFORM_DOWN_RETRY: Duration = Duration::from_secs(2);
 
 /// A plan as it is stored and shown.
--- a/crates/daemon/cloverpier_daemon/src/config/learn.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/learn.rs
@@ -23,13 +23,13 @@
 /// How often a router that is no watcher reads the root itself; 370 of them are 35 reads/s with
 /// the list of members (docs/CAPACITY.md, worked out).
 const LOOK: Duration = Duration::from_secs(30);
-/// Pause after a call that the platform didn't answer. Chosen, not measured.
+/// Pause after a call that the platform didn't answer.
 const RETRY: Duration = Duration::from_secs(1);
-/// How often a starting router looks whether it is on the list of members. Chosen, not measured.
+/// How often a starting router looks whether it is on the list of members.
 const JOIN_LOOK: Duration = Duration::from_millis(20);
-/// How long a peer may take to hand out the root or parts. Chosen, not measured.
+/// How long a peer may take to hand out the root or parts.
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// How often marks to leave are brought to the platform. Chosen, not measured.
+/// How often marks to leave are brought to the platform.
 const MARKS_PERIOD: Duration = Duration::from_secs(1);
 
 #[derive(Serialize)]
--- a/crates/daemon/cloverpier_daemon/src/crashes.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes.rs
@@ -22,11 +22,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// How long a probe waits for the host of an upstream whose connection broke. One without the process
-/// refuses within a round trip. Chosen, not measured.
+/// How long a probe waits for the host of an upstream whose connection broke. One without the
+/// process refuses within a round trip.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// What has to be known against a content for peers to hear of it, in thousandths of an end that
-/// nothing else explains. Chosen, not measured.
+/// nothing else explains.
 const MIN_TOLD: u32 = 250;
 
 /// What this router knows of requests that end upstreams.
--- a/crates/daemon/cloverpier_daemon/src/loads.rs
+++ b/crates/daemon/cloverpier_daemon/src/loads.rs
@@ -12,8 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The least time between two questions: 20 a second are 0.9% of a core and 7 KB/s at most
-/// (83d2aef, docs/CAPACITY.md).
+/// The least time between two questions.
 const BETWEEN_REPORTS: Duration = Duration::from_millis(50);
 
 /// Starts the part.
--- a/crates/daemon/cloverpier_daemon/src/members/cluster.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/cluster.rs
@@ -12,13 +12,11 @@
 use std::time::{Duration, Instant};
 
 /// Contact older than this leaves a router alone: longer than the suspicion time of 2.4 s.
-/// Chosen, not measured.
 const ALONE_AFTER: Duration = Duration::from_secs(4);
 /// Time for which a guest is remembered: longer than `ALONE_AFTER`, as a guest that hears nobody
-/// serves that long. Chosen, not measured.
+/// serves that long.
 const GUEST_KEPT: Duration = Duration::from_secs(6);
-/// Members of each data centre that watch the platform for all, so that one may die. Chosen, not
-/// measured.
+/// Members of each data centre that watch the platform for all, so that one may die.
 const WATCHERS: usize = 2;
 
 /// Whether a router may take new requests.
--- a/crates/daemon/cloverpier_daemon/src/members/join.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/join.rs
@@ -14,26 +14,24 @@
 use std::time::Duration;
 
 /// Tries to change the list of members while others change it or the platform does not answer.
-/// Chosen, not measured.
 const TRIES: u32 = 12;
-/// Pause between two tries, jittered. Chosen, not measured.
+/// Pause between two tries, jittered.
 const RETRY: Duration = Duration::from_millis(120);
-/// How long one watch waits at the platform, as in `config/learn.rs`. Chosen, not measured.
+/// How long one watch waits at the platform, as in `config/learn.rs`.
 const WATCH: Duration = Duration::from_secs(20);
 /// How often a member that is no watcher reads the list itself, as in `config/learn.rs`.
-/// Chosen, not measured.
 const LOOK: Duration = Duration::from_secs(30);
-/// How long a peer may take to answer a request to join, or for the list. Chosen, not measured.
+/// How long a peer may take to answer a request to join, or for the list.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time for which those that want to join are collected (3dd7751: 36 routers that started at once
-/// made 36 epochs without it).
+/// Time for which those that want to join are collected, so that routers that start at once make one
+/// epoch.
 const COLLECT: Duration = Duration::from_millis(400);
-/// How long a process waits to be put on the list before it does so itself. Chosen, not measured.
+/// How long a process waits to be put on the list before it does so itself.
 const COLLECTED_WITHIN: Duration = Duration::from_millis(2_000);
-/// How often a process looks whether it is on the list. Chosen, not measured.
+/// How often a process looks whether it is on the list.
 const NOT_JOINED_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause after a call that the platform didn't answer, jittered.  Chosen, not measured.
+/// Pause after a call that the platform didn't answer, jittered.
 const PLATFORM_RETRY: Duration = Duration::from_secs(1);
 
 #[derive(Serialize)]
--- a/crates/daemon/cloverpier_daemon/src/members/news.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/news.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a peer may take to hand out its list of members or its marks. Chosen, not measured.
+/// How long a peer may take to hand out its list of members or its marks.
 const PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Pulls from a peer whatever it has that is newer.
--- a/crates/daemon/cloverpier_daemon/src/members/tick.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/tick.rs
@@ -12,12 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How often the detector is stepped; the sweep of its parameters used the same (30264af).
+/// How often the detector is stepped.
 const TICK: Duration = Duration::from_millis(100);
-/// How long a peer may take to answer a heartbeat. Chosen, not measured.
+/// How long a peer may take to answer a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
-/// How long a helper's answer is awaited: longer than its own probe (400 ms). Chosen, not
-/// measured.
+/// How long a helper's answer is awaited: longer than its own probe (400 ms).
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 #[derive(Serialize)]
@@ -80,7 +79,7 @@
 
 /// News goes to some members at once, beyond those that get heartbeats anyway.
 fn tell_news(app: &Arc<App>) {
-    /// Members beyond them. Chosen, not measured.
+    /// Members beyond them.
     const EXTRA: usize = 4;
     let others: Vec<MemberId> = app
         .members()
--- a/crates/daemon/cloverpier_daemon/src/plain.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain.rs
@@ -20,17 +20,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Upstreams that a repeatable call is sent to at most. Chosen, not measured.
+/// Upstreams that a repeatable call is sent to at most.
 const TRIES: u32 = 3;
 /// The largest answer that is kept for a caller that asks again, in bytes: records travel between
-/// members. Chosen, not measured.
+/// members.
 const KEEP_BODY: usize = 64 << 10;
 
-/// When a caller should retry after none of its service's upstreams answered.  Chosen, not
-/// measured.
+/// When a caller should retry after none of its service's upstreams answered.
 const ALL_FAILED_RETRY: Duration = Duration::from_secs(1);
 /// The least pause before a retry when the key could not be stored.
-/// Chosen, not measured.
 const MIN_NOT_WRITTEN_RETRY_MS: u64 = 100;
 
 /// Whether a call may be run again when its outcome is unknown.
--- a/crates/daemon/cloverpier_daemon/src/stop.rs
+++ b/crates/daemon/cloverpier_daemon/src/stop.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
-/// How often a stopping router checks whether its answers are out. Chosen, not measured.
+/// How often a stopping router checks whether its answers are out.
 const CHECK: Duration = Duration::from_millis(100);
 
 /// Starts the part: a termination signal begins a planned stop.
--- a/crates/daemon/cloverpier_daemon/src/web/callers.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/callers.rs
@@ -13,8 +13,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Tokens a second of one account that one router is expected to carry; a larger account's
-/// callers are spread over more. Chosen, not measured.
+/// Tokens a second of one account that one router is expected to carry; a larger account's callers
+/// are spread over more.
 const TOKENS_A_ROUTER: u32 = 2_000;
 
 #[derive(Serialize)]
--- a/crates/daemon/cloverpier_daemon/src/web/completion_body.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/completion_body.rs
@@ -10,7 +10,7 @@
 use serde_json::{Map, Value};
 use std::sync::Arc;
 
-/// Tokens of an answer where the caller does not say how many. Chosen, not measured.
+/// Tokens of an answer where the caller does not say how many.
 const DEFAULT_TOKENS: u64 = 256;
 
 /// A completion request after its checks.
--- a/crates/daemon/cloverpier_daemon/src/web/completions.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/completions.rs
@@ -28,7 +28,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// When a caller should retry after its answer moved to another router.  Chosen, not measured.
+/// When a caller should retry after its answer moved to another router.
 const MOVED_RETRY: Duration = Duration::from_millis(50);
 
 #[derive(Serialize)]
--- a/crates/daemon/cloverpier_daemon/src/web/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/mod.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Pause before a port that is taken is tried again. Chosen, not measured.
+/// Pause before a port that is taken is tried again.
 const PORT_RETRY: Duration = Duration::from_millis(250);
 
 /// The state that is injected into every route.
--- a/crates/daemon/cloverpier_daemon/src/web/operators.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/operators.rs
@@ -16,7 +16,6 @@
 use serde::Serialize;
 
 /// The largest intent, in bytes; what makes too large a plan is refused by the plan's size.
-/// Chosen, not measured.
 const MAX_INTENT: usize = 8 << 20;
 
 #[derive(Serialize)]
--- a/crates/daemon/cloverpier_daemon/src/web/peers.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/peers.rs
@@ -22,7 +22,7 @@
 /// The largest message of a peer, in bytes: more than a configuration of 35,000 accounts (7 MB,
 /// docs/CAPACITY.md).
 const MAX_MESSAGE: usize = 32 << 20;
-/// How long a silent member may take to answer a probe for another one. Chosen, not measured.
+/// How long a silent member may take to answer a probe for another one.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A reply to a peer could not be written as a message.
--- a/crates/daemon/cloverpier_daemon/src/web/request.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/request.rs
@@ -16,16 +16,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The largest body of a caller, in bytes. Chosen, not measured.
+/// The largest body of a caller, in bytes.
 const MAX_BODY: usize = 4 << 20;
 /// What is read of a body that is too large, in bytes, before the connection is closed on it.
-/// Chosen, not measured.
 const DISCARD_MOST: usize = 64 << 20;
-/// Characters of an idempotency key at most. Chosen, not measured.
+/// Characters of an idempotency key at most.
 const MAX_KEY: usize = 200;
 
-/// When a caller should retry, jittered, if it has to use another router meanwhile.  Chosen, not
-/// measured.
+/// When a caller should retry, jittered, if it has to use another router meanwhile.
 const ELSEWHERE_RETRY: Duration = Duration::from_secs(1);
 
 /// A caller that presented a valid key.
--- a/crates/daemon/cloverpier_daemon/src/web/services.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/services.rs
@@ -17,7 +17,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// How long a plain service may take to answer a call. Chosen, not measured.
+/// How long a plain service may take to answer a call.
 const ANSWER_WITHIN: Duration = Duration::from_secs(10);
 
 /// `/services/{service}/{path}`.
--- a/crates/daemon/cloverpier_member/src/detector.rs
+++ b/crates/daemon/cloverpier_member/src/detector.rs
@@ -26,16 +26,13 @@
     pub settle: Duration,
 }
 
-/// Chosen from a sweep (30264af, docs/MEASUREMENTS.md "Failure detection"): twice the messages
-/// at half of it find a death one second sooner.
 const PERIOD: Duration = Duration::from_millis(400);
-/// From the same sweep: the first at which nobody alive is removed at 10% loss.
 const SUSPECT_AFTER: Duration = Duration::from_millis(2_400);
-/// Members that each one sends heartbeats to, however many there are.  Chosen, not measured.
+/// Members that each one sends heartbeats to, however many there are.
 const FAN_OUT: usize = 4;
-/// Members that are asked to probe a silent one.  Chosen, not measured.
+/// Members that are asked to probe a silent one.
 const HELPERS: usize = 3;
-/// Time for which removals are collected (3dd7751).  Chosen, not measured.
+/// Time for which removals are collected, so that a dead data centre is one epoch.
 const SETTLE: Duration = Duration::from_millis(400);
 
 impl Default for DetectorParams {
--- a/crates/daemon/cloverpier_member/src/list.rs
+++ b/crates/daemon/cloverpier_member/src/list.rs
@@ -72,8 +72,8 @@
 }
 
 impl MemberList {
-    /// Changes that a list remembers; slots are learned from as many epochs back (3dd7751: 32
-    /// were too few for 36 routers that started at once).
+    /// Changes that a list remembers; slots are learned from as many epochs back. A start of
+    /// all routers of a data centre at once must not make more.
     pub const HISTORY_KEPT: usize = 64;
 
     /// The list after a member joined.
--- a/crates/daemon/cloverpier_member/src/rejoin.rs
+++ b/crates/daemon/cloverpier_member/src/rejoin.rs
@@ -5,12 +5,11 @@
 
 use std::time::{Duration, Instant};
 
-/// The first wait; doubled with each removal. Chosen, not measured.
+/// The first wait; doubled with each removal.
 const FIRST: Duration = Duration::from_millis(500);
-/// The longest wait (03f3e89). Chosen, not measured.
+/// The longest wait.
 const MOST: Duration = Duration::from_secs(60);
-/// A membership that lasted this long was sound: the next wait is the first again. Chosen, not
-/// measured.
+/// A membership that lasted this long was sound: the next wait is the first again.
 const SOUND: Duration = Duration::from_secs(60);
 
 /// Spaces the joins of a member that others can't reach.
--- a/crates/daemon/cloverpier_object_api/src/client.rs
+++ b/crates/daemon/cloverpier_object_api/src/client.rs
@@ -12,8 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long a call may take; the platform answers in milliseconds (the brief). Chosen, not
-/// measured.
+/// How long a call may take; the platform answers in milliseconds (the brief).
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Why a read gave nothing.
--- a/crates/daemon/cloverpier_peer/src/client.rs
+++ b/crates/daemon/cloverpier_peer/src/client.rs
@@ -13,12 +13,12 @@
 use std::time::Duration;
 
 /// Connections that nobody used for this long are closed: a confirmation asks every member, and
-/// must not leave a connection to each. Chosen, not measured.
+/// must not leave a connection to each.
 const IDLE_CONNECTION: Duration = Duration::from_secs(5);
-/// Idle connections kept to one peer at most. Chosen, not measured.
+/// Idle connections kept to one peer at most.
 const IDLE_CONNECTIONS: usize = 4;
 
-/// How long a connection to a peer may take to come up.  Chosen, not measured.
+/// How long a connection to a peer may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The header that carries the peers' secret.
--- a/crates/daemon/cloverpier_record/src/holder.rs
+++ b/crates/daemon/cloverpier_record/src/holder.rs
@@ -15,7 +15,7 @@
 /// Epochs that a member remembers, bound by the list's history; a slot that has to look further
 /// back is closed.
 pub(crate) const EPOCHS_KEPT: usize = MemberList::HISTORY_KEPT;
-/// When to retry a slot that is being learned, in milliseconds. Chosen, not measured.
+/// When to retry a slot that is being learned, in milliseconds.
 const NOT_READY_RETRY_MS: u64 = 500;
 
 /// What a member that lacks a slot's records does next.
@@ -33,8 +33,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Horizon(pub Duration);
 
-/// How long keys are remembered if the settings do not say (`record_horizon_s`).  Chosen, not
-/// measured.
+/// How long keys are remembered if the settings do not say (`record_horizon_s`).
 const DEFAULT_HORIZON: Duration = Duration::from_secs(600);
 
 impl Default for Horizon {
--- a/crates/daemon/cloverpier_record/src/slot.rs
+++ b/crates/daemon/cloverpier_record/src/slot.rs
@@ -8,11 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 /// Slots that the key space is divided into, so that a lost one closes a thousandth of the keys.
-/// Chosen; a slot map of 390 members takes 36 ms (docs/MEASUREMENTS.md).
 pub const SLOT_COUNT: u16 = 1024;
 
-/// Members that hold each slot: three data centres, of which one may be lost. Chosen
-/// (docs/DESIGN.md).
+/// Members that hold each slot: three data centres, of which one may be lost.
 pub const HOLDERS: usize = 3;
 
 /// A slot of the key space.
--- a/crates/daemon/cloverpier_route/src/choose.rs
+++ b/crates/daemon/cloverpier_route/src/choose.rs
@@ -11,9 +11,9 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-/// Cost of another data centre, in parts of a full upstream. Chosen, not measured.
+/// Cost of another data centre, in parts of a full upstream.
 const FAR: f64 = 0.1;
-/// Gain of a cached prefix, in parts of a full upstream. Chosen, not measured.
+/// Gain of a cached prefix, in parts of a full upstream.
 const CACHED: f64 = 0.35;
 
 /// What a request asks of an upstream.
--- a/crates/daemon/cloverpier_route/src/silence.rs
+++ b/crates/daemon/cloverpier_route/src/silence.rs
@@ -7,23 +7,19 @@
 
 use std::time::Duration;
 
-/// Gaps that must be seen before the bound is narrowed. Chosen, not measured.
+/// Gaps that must be seen before the bound is narrowed.
 const LEARNED_AFTER: u32 = 8;
 /// Weight of a new gap in the mean: that of retransmission timers (Jacobson 1988).
 const MEAN_WEIGHT: f64 = 0.125;
 /// Weight of a new gap in the deviation, from the same paper.
 const DEVIATION_WEIGHT: f64 = 0.25;
-/// Deviations above the mean that are still an ordinary gap (4acca16: wait after a frozen engine
-/// 1,021 -> 246 ms, p50; no other number was tried).
+/// Deviations above the mean that are still an ordinary gap.
 const DEVIATIONS: f64 = 8.0;
 /// Means that are still an ordinary gap: a growing batch makes steps longer, but not ten times.
-/// Chosen, not measured.
 const MEANS: f64 = 6.0;
-/// The shortest limit: reading a prompt stops the whole batch for about this time. Chosen, not
-/// measured.
+/// The shortest limit: reading a prompt stops the whole batch for about this time.
 const LEAST: Duration = Duration::from_millis(250);
 /// The first token may take this many times the limit: it waits for its place and its prefill.
-/// Chosen, not measured.
 const FIRST_TOKEN_FACTOR: u32 = 4;
 
 /// The bound on one stream's silence.
--- a/crates/daemon/cloverpier_route/src/view.rs
+++ b/crates/daemon/cloverpier_route/src/view.rs
@@ -10,18 +10,17 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Prefixes remembered for each upstream. Chosen, not measured.
+/// Prefixes remembered for each upstream.
 const PREFIXES_KEPT: usize = 512;
-/// How long a failed upstream is avoided first; doubled with each failure in a row. Chosen, not
-/// measured.
+/// How long a failed upstream is avoided first; doubled with each failure in a row.
 const AVOID_FIRST: Duration = Duration::from_millis(500);
-/// How long a failed upstream is avoided at most. Chosen, not measured.
+/// How long a failed upstream is avoided at most.
 const AVOID_MOST: Duration = Duration::from_secs(16);
 /// Upstreams of a service that a router knows closely: it asks these for their load and chooses
 /// among them. With more, load reports alone would outgrow the budget for control
 /// (docs/CAPACITY.md, worked out).
 pub const CLOSE: usize = 24;
-/// A load report older than this says nothing any more. Chosen, not measured.
+/// A load report older than this says nothing any more.
 const REPORT_STALE: Duration = Duration::from_secs(10);
 
 /// A load report as it was taken in.
--- a/crates/daemon/cloverpier_upstream/src/engine.rs
+++ b/crates/daemon/cloverpier_upstream/src/engine.rs
@@ -14,12 +14,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long a connection to an engine may take to come up. Chosen, not measured.
+/// How long a connection to an engine may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long an engine may take to answer a question or a cancellation. Chosen, not measured.
+/// How long an engine may take to answer a question or a cancellation.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
-/// Bytes of a line of an engine's stream at most; a longer one ends the stream. Chosen, not
-/// measured.
+/// Bytes of a line of an engine's stream at most; a longer one ends the stream.
 const MAX_LINE: usize = 1 << 20;
 
 /// Why a generation did not start.
--- a/crates/router/cloverpier_router/src/background.rs
+++ b/crates/router/cloverpier_router/src/background.rs
@@ -1,13 +1,10 @@
 //! Work that would hold up callers, on another thread.
 //!
 //! Owns no state. Everything else of a router runs on one thread, which serves nobody while
-//! it reads or writes a large configuration: at 0.12 of a core, 14,000 routes take 73 ms to read
-//! and 36 ms to write (`cargo measure --scenario versions`). A second thread shares the core
-//! with it in turns.
+//! it reads or writes a large configuration, which takes tens of milliseconds on a small VM. A second
+//! thread shares the core with it in turns.
 
-/// Work on at most this many bytes is done in place, without a thread: reading as many
-/// compressed ones takes about 7 ms at 0.12 of a core (`cargo measure --scenario versions`).
-/// The bound itself is chosen, not measured.
+/// Work on at most this many bytes is done in place, without a thread.
 const MAX_IN_PLACE: usize = 16 * 1024;
 
 /// Runs `work` on something of `bytes` bytes, on another thread where that is long.
--- a/crates/router/cloverpier_router/src/configuration_copies.rs
+++ b/crates/router/cloverpier_router/src/configuration_copies.rs
@@ -12,8 +12,7 @@
 use std::sync::Arc;
 use tokio::sync::OnceCell;
 
-/// Bytes that a route takes in a plain copy, about: 77 measured (`cargo measure --scenario
-/// versions`: 107,822 bytes for 1,400 routes), more where its names are longer.
+/// Bytes that a route takes in a plain copy, about: more where its names are longer.
 const ROUTE_BYTES: usize = 100;
 
 /// How the bytes are encoded.
--- a/crates/router/cloverpier_router/src/connection.rs
+++ b/crates/router/cloverpier_router/src/connection.rs
@@ -22,8 +22,7 @@
 use tokio::task::AbortHandle;
 
 /// Bytes that the peer's system has not acknowledged for this long end a connection
-/// (`TCP_USER_TIMEOUT`).  A last resort behind the verdicts on silence, which come earlier.
-/// Chosen, not measured.
+/// (`TCP_USER_TIMEOUT`). A last resort behind the verdicts on silence, which come earlier.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Bytes that are read ahead from a connection at most: what a caller reads slowly stays beyond that
--- a/crates/router/cloverpier_router/src/intake.rs
+++ b/crates/router/cloverpier_router/src/intake.rs
@@ -157,6 +157,7 @@
         let host = head.headers.get(HOST)?.to_str().ok()?;
         Some(host.split(':').next().unwrap_or(host))
     });
+    // No route is for no host.
     host.unwrap_or_default()
 }
 
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -299,7 +299,7 @@
         changes: Vec<UpstreamChange>,
         /// The revision that they lead to.
         revision: u64,
-        /// As above.
+        /// Roll-outs that are under way.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         rollouts: Vec<RolloutView>,
     },
@@ -335,7 +335,7 @@
 }
 
 /// Bytes of the longest message that is decompressed: 15 times a plain copy of 14,000 routes
-/// (1,078,022 bytes).  Chosen, not measured.
+/// (1,078,022 bytes).
 const MAX_DECOMPRESSED: u64 = 16 * 1024 * 1024;
 
 /// Writes a message.
@@ -358,8 +358,7 @@
 
 /// Compresses the bytes of a message, as `gzip`.
 ///
-/// It spares narrow links: of 1,400 routes with random names 107,822 bytes become 17,551, at
-/// 3.4 ms for writing both forms at 0.12 of a core (`cargo measure --scenario versions`).
+/// It spares narrow links: a configuration becomes a sixth of its bytes.
 ///
 /// # Errors
 ///
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -35,7 +35,7 @@
 /// The form of upstreams that say which version of their software they run and when they started.
 /// A peer that asks without it, of a release that cannot read it, gets the form without.
 pub(crate) const UPSTREAMS_WITH_STARTS: &str = "application/msgpack;starts=1";
-/// When a refused peer asks again if the answer does not say.  Chosen, not measured.
+/// When a refused peer asks again if the answer does not say.
 const DEFAULT_WAIT: Duration = Duration::from_millis(100);
 
 /// Hands versions to peers.
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -32,8 +32,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Bytes of an answer that are held until it is whole; a longer one is passed on as it
-/// arrives.  A buffer's size, chosen, not measured.
+/// Bytes of an answer that are held until it is whole; a longer one is passed on as it arrives.
 const MAX_HELD: usize = 256 * 1024;
 
 /// Relays a request to one upstream, and to others as far as that is allowed.
--- a/crates/router/cloverpier_router/src/rollout_steps.rs
+++ b/crates/router/cloverpier_router/src/rollout_steps.rs
@@ -17,11 +17,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How often a router that decides looks at what is known.  Chosen, not measured.
+/// How often a router that decides looks at what is known.
 const STEP_PERIOD: Duration = Duration::from_millis(100);
-/// How often a router reports what it saw.  Chosen, not measured.
+/// How often a router reports what it saw.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
-/// How often orders are sent to a few peers again, as datagrams are lost.  Chosen, not measured.
+/// How often orders are sent to a few peers again, as datagrams are lost.
 const TELL_PERIOD: Duration = Duration::from_secs(1);
 
 /// Takes the steps until the process ends.
--- a/crates/router/cloverpier_router/src/rollout_store.rs
+++ b/crates/router/cloverpier_router/src/rollout_store.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 /// The routers that decide write to the store one after the other with this pause, so that the
-/// second finds what the first has written.  Chosen, not measured.
+/// second finds what the first has written.
 const WRITE_TURN: Duration = Duration::from_millis(400);
 /// Where what the store says comes from, in log lines.
 const FROM_STORE: &str = "store";
--- a/crates/router/cloverpier_router/src/stop.rs
+++ b/crates/router/cloverpier_router/src/stop.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// How often the settings file is compared.  Chosen, not measured.
+/// How often the settings file is compared.
 const FILE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Waits for a termination signal, then until the process may exit.
--- a/crates/router/cloverpier_router/src/stream/measured.rs
+++ b/crates/router/cloverpier_router/src/stream/measured.rs
@@ -9,7 +9,7 @@
 use cloverpier_router_policy::rollout::evidence::Measure;
 
 /// Events after the first whose pace is measured together: some half a second of a stream that
-/// makes an event each 31 ms.  Chosen, not measured.
+/// makes an event each 31 ms.
 const PACE_EVENTS: u64 = 16;
 
 /// What is measured of a run that began a stream.
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -38,8 +38,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Streams whose version is about to be stopped move within this time, so that those of one
-/// router do not have their prompts read at the same moment.  Chosen, not measured.
+/// Streams whose version is about to be stopped move within this time, so that those of one router
+/// do not have their prompts read at the same moment.
 const MOVES_WITHIN: Duration = Duration::from_millis(700);
 
 /// Relays a request whose answer is an event stream.
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -35,11 +35,10 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Pause before a port that is taken is tried again, and after a failed accept.  Chosen, not
-/// measured.
+/// Pause before a port that is taken is tried again, and after a failed accept.
 const BIND_PAUSE: Duration = Duration::from_millis(50);
-/// Tries before a port that is taken ends the start: 3 s, in which a process that ends lets
-/// go of it.  Chosen, not measured.
+/// Tries before a port that is taken ends the start: 3 s, in which a process that ends lets go of
+/// it.
 const MAX_BIND_TRIES: u32 = 60;
 /// Least buffer that the server of connections accepts: hyper's bound.
 const MIN_HEADER_BYTES: usize = 8_192;
--- a/crates/router/cloverpier_router_policy/src/arrival.rs
+++ b/crates/router/cloverpier_router_policy/src/arrival.rs
@@ -15,8 +15,8 @@
 
 /// Lowest rank that upstreams know; 0 is the highest.  The bound of the platform's protocol.
 const LOWEST_PRIORITY: u8 = 9;
-/// Rank of a stream that resumes after a loss, before everything that is new: its caller has
-/// waited already.  Chosen, not measured.
+/// Rank of a stream that resumes after a loss, before everything that is new: its caller has waited
+/// already.
 pub const RESUMED_PRIORITY: u8 = 0;
 
 /// Why a request is turned down before it is sent anywhere.
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -232,10 +232,9 @@
 ///
 /// A process that ends, and a host that has no such process any more, answer with a reset
 /// or a refusal; a clean close or a broken pipe proves nothing, as upstreams close idle
-/// connections.  A reset is no proof either: an upstream may lose an answer so and live. Taken for
-/// one, each of 60 routers in turn closed all connections to a living upstream and informed the others:
-/// of 9,113 lookups 253 and 86 were late on a day of such resets, and 65 and 46 with a probe, which
-/// a host without the process refuses within a round trip (one play each).
+/// connections. A reset is no proof either: an upstream may lose an answer so and live. Taken for
+/// one, each router in turn would close all connections to a living upstream and inform the others. A
+/// host without the process refuses a probe within a round trip.
 pub fn may_mean_process_gone(kind: io::ErrorKind) -> bool {
     matches!(
         kind,
--- a/crates/router/cloverpier_router_policy/src/attempts.rs
+++ b/crates/router/cloverpier_router_policy/src/attempts.rs
@@ -79,9 +79,8 @@
 
 /// Attempts that never reached an upstream, before the request is given up.
 ///
-/// They cost no upstream anything, so they do not count against the route's bound; this
-/// one only ends the search when every address is dead.  Chosen, not measured; logs
-/// showed eight dead addresses in a row after the death of a data centre.
+/// They cost no upstream anything, so they do not count against the route's bound; this one only
+/// ends the search when every address is dead.
 const MAX_UNSENT: u32 = 12;
 
 /// The attempts of one request.
--- a/crates/router/cloverpier_router_policy/src/budget.rs
+++ b/crates/router/cloverpier_router_policy/src/budget.rs
@@ -6,9 +6,7 @@
 //! - **Answer.** Yes, and the retry is counted, or no.
 //! - **Why.** Retries multiply load just when upstreams fail, so all routers together keep
 //!   within a budget. Each may spend its share without asking anybody. A burst of failures
-//!   at one router may exceed its share while the fleet has hardly spent anything
-//!   (worth earned on a quiet day with 65 routers, one play: 0.881 -> 0.892): then it continues slowly, as
-//!   long as the fleet is known to have spent little. Even if one router has spent all of
+//!   at one router may exceed its share while the fleet has hardly spent anything: then it continues slowly, as long as the fleet is known to have spent little. Even if one router has spent all of
 //!   that little and then all spend their shares at the same moment, they stay within the
 //!   budget: 0.25 and 0.7 of it.
 //!
@@ -18,14 +16,12 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Part of the budget that routers spend by their shares; the rest covers what they cannot
-/// see.  Chosen so that it and [`LITTLE_SHARE`] stay below 1.
+/// Part of the budget that routers spend by their shares; the rest covers what they cannot see.
 const SHARED_PART: f64 = 0.7;
-/// A router exceeds its share only while the fleet is known to have spent less than this part
-/// of the budget.  Chosen likewise.
+/// A router exceeds its share only while the fleet is known to have spent less than this part of
+/// the budget.
 const LITTLE_SHARE: f64 = 0.25;
-/// The part of its share that a router may add within the time in which routers hear of each
-/// other.  Chosen, not measured.
+/// The part of its share that a router may add within the time in which routers hear of each other.
 const MAX_EXCESS: f64 = 0.4;
 
 /// The bound on retries that all routers keep together, for each service.
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -38,15 +38,11 @@
 use std::collections::HashSet;
 use std::time::Instant;
 
-/// Engines whose costs differ by less, in tokens, count as equal; with 500 the
-/// worth earned moves by -0.0031 +- 0.0033 (measured: 30 pairs of plays before 18
-/// engines).
+/// Engines whose costs differ by less, in tokens, count as equal.
 const EQUAL_COST_TOKENS: f64 = 3_000.0;
 
-/// Later attempts of streams are spread over this part of the engines, the cheapest ones.  Measured
-/// against the cheapest alone: in 20 rounds of 18 lost streams before 280 engines at most 3 meet at
-/// one (`tests/later_attempts`; all 18 before); the worth earned moves by +0.0004 +- 0.0065 (6 pairs
-/// of plays of that size).  The cheapest of four by the prompt's hash: -0.0069 +- 0.0098.
+/// Later attempts of streams are spread over this part of the engines, the cheapest ones, so
+/// that streams that lost their engine together do not meet at one.
 const SPREAD_OVER: f64 = 0.25;
 
 /// What an attempt asks of an upstream.
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -25,14 +25,12 @@
 ///    [`crate::leaving::LAST_RESORT_FOR`], as they still serve.
 ///
 /// The engines of a data centre die together, and the first that fails says so before three are
-/// suspected. Without the first group the worth earned moves by -0.0036 +- 0.0022 (measured: 9 pairs
-/// of plays before 284 upstreams, on one day of three -0.0085 +- 0.0016).
+/// suspected.
 ///
 /// One that wants nothing for now is in no group ([`cloverpier_core::wait`]).
 ///
-/// A peer's suspicion is no proof. While each of three of four lookup servers lost a fifth of its
-/// answers by resets, some of 60 routers suspected each of the three at any time, and all requests
-/// went to the fourth: 472 ended refused in one play of six such seconds with idle servers beside.
+/// A peer's suspicion is no proof. While upstreams lose a part of their answers by resets, some of many
+/// routers suspect each of them at any time; all requests would go to the few that nobody suspects.
 pub(super) fn candidate_groups<'a>(
     table: &'a UpstreamTable,
     demand: &Demand<'_>,
--- a/crates/router/cloverpier_router_policy/src/choice/cost.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/cost.rs
@@ -9,30 +9,27 @@
 use crate::upstream::UpstreamState;
 use crate::upstream_table::UpstreamTable;
 
-/// A running stream delays a newcomer like this many unread prompt tokens, and is delayed by
-/// it: reading 8,000 tokens holds up each stream beside it for about 0.8 s.  With half of it the
-/// worth earned moves by -0.0035 +- 0.0032, with twice of it by +0.0020 +- 0.0042 (measured: 30 pairs of plays before 18 engines).
+/// A running stream delays a newcomer like this many unread prompt tokens, and is delayed by it:
+/// reading 8,000 tokens holds up each stream beside it for about 0.8 s.
 const TOKENS_PER_RUNNING: f64 = 6_000.0;
-/// Part of an engine's KV cache that may be filled; beyond it an engine preempts runs and
-/// reads their prompts again.  With 0.75 the worth earned moves by -0.0016 +- 0.0014 (measured: 30
-/// pairs of plays before 18 engines).
+/// Part of an engine's KV cache that may be filled; beyond it an engine preempts runs and reads
+/// their prompts again.
 const MAX_MEMORY_SHARE: f64 = 0.92;
-/// Cost, in tokens, of an engine whose KV cache would overflow: more than that of any load
-/// that its slots allow.  Chosen, not measured.
+/// Cost, in tokens, of an engine whose KV cache would overflow: more than that of any load that its
+/// slots allow.
 const OVERFULL_TOKENS: f64 = 200_000.0;
 
-/// A plain upstream at which every request fails costs as much as one with this many requests
-/// more.  Chosen, not measured.
+/// A plain upstream at which every request fails costs as much as one with this many requests more.
 const FAILURE_REQUESTS: f64 = 12.0;
-/// A plain upstream in another data centre costs as much as this many requests: a round trip
-/// of 2 to 3 ms against the time of a lookup.  Chosen, not measured.
+/// A plain upstream in another data centre costs as much as this many requests: a round trip of 2
+/// to 3 ms against the time of a lookup.
 const FAR_REQUESTS: f64 = 0.4;
-/// A connection at hand saves as much as this many requests: new connections have a price and
-/// take a round trip.  Chosen, not measured.
+/// A connection at hand saves as much as this many requests: new connections have a price and take
+/// a round trip.
 const CONNECTED_REQUESTS: f64 = 1.2;
-/// Requests that may wait at a plain upstream, for each of its slots.  Chosen, not measured.
+/// Requests that may wait at a plain upstream, for each of its slots.
 const WAITING_PER_SLOT: u32 = 2;
-/// A pace below this many milliseconds is measurement noise.  Chosen, not measured.
+/// A pace below this many milliseconds is measurement noise.
 const MIN_PACE_MS: f64 = 1.0;
 
 /// The load at an upstream: what it said just now, or what this router has there if that is
--- a/crates/router/cloverpier_router_policy/src/configuration.rs
+++ b/crates/router/cloverpier_router_policy/src/configuration.rs
@@ -27,14 +27,10 @@
     pub idle_timeout: Duration,
 }
 
-/// The bounds until a configuration is known, when requests are refused anyway.  All four
-/// are chosen, not measured.
+// The bounds until a configuration is known, when requests are refused anyway.
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
-/// As above.  Chosen, not measured.
 const DEFAULT_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// As above.  Chosen, not measured.
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
-/// As above.  Chosen, not measured.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 impl Default for Limits {
--- a/crates/router/cloverpier_router_policy/src/connection_reuse.rs
+++ b/crates/router/cloverpier_router_policy/src/connection_reuse.rs
@@ -11,18 +11,16 @@
 use std::time::Duration;
 
 /// Connections kept to one upstream at most; beyond it the longest idle one is closed.
-/// Chosen, not measured.
 pub const MAX_KEPT: usize = 16;
-/// How long a connection is kept where the upstream does not say.  Chosen, not measured.
+/// How long a connection is kept where the upstream does not say.
 pub const DEFAULT_IDLE_LIMIT: Duration = Duration::from_millis(4_000);
-/// A connection is given up this long before the upstream would close it: a request's way
-/// there, and a pause of either process.  Chosen, not measured.
+/// A connection is given up this long before the upstream would close it: a request's way there,
+/// and a pause of either process.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// How often connections that cannot be used again are closed.  Chosen, not measured.
+/// How often connections that cannot be used again are closed.
 pub const SWEEP_PERIOD: Duration = Duration::from_millis(500);
-/// A connection to an upstream has to come up within this time.  One way between data
-/// centres takes about 1.5 ms (the brief), so only a lost packet or a dead host takes
-/// longer.  Chosen, not measured.
+/// A connection to an upstream has to come up within this time. One way between data centres takes
+/// about 1.5 ms (the brief), so only a lost packet or a dead host takes longer.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Whether a connection that was idle for `idle` may carry another request.
--- a/crates/router/cloverpier_router_policy/src/crash_news.rs
+++ b/crates/router/cloverpier_router_policy/src/crash_news.rs
@@ -13,8 +13,8 @@
 
 use cloverpier_crashes::{ContentReport, Surroundings};
 
-/// Ends of less weight, in thousandths, are not told: three of five others in a data centre have ended
-/// beside it, so that two that one request ended at once are told. Chosen, not measured.
+/// Ends of less weight, in thousandths, are not told: three of five others in a data centre have
+/// ended beside it, so that two that one request ended at once are told.
 const MIN_TOLD_WEIGHT: u32 = 250;
 /// Ends in one message. An end takes 40 bytes, and 10 for each of up to 12 others beside it: 32 of
 /// them at most 5,200, where a datagram may have 8,192.
--- a/crates/router/cloverpier_router_policy/src/deadline.rs
+++ b/crates/router/cloverpier_router_policy/src/deadline.rs
@@ -11,7 +11,7 @@
 
 /// With less time left than this, a request is not sent: no answer could arrive in time.
 ///
-/// Two one-way delays between data centres are 2 to 3 ms (the brief).  Chosen, not measured.
+/// Two one-way delays between data centres are 2 to 3 ms (the brief).
 pub const MIN_SEND_TIME: Duration = Duration::from_millis(5);
 
 /// What a caller asks for.
--- a/crates/router/cloverpier_router_policy/src/events.rs
+++ b/crates/router/cloverpier_router_policy/src/events.rs
@@ -11,7 +11,6 @@
 use std::fmt;
 
 /// Bytes of one event at most, so that a stream without ends of events is not held in memory.
-/// Chosen, not measured.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// One whole event, as it was received.
--- a/crates/router/cloverpier_router_policy/src/heartbeat.rs
+++ b/crates/router/cloverpier_router_policy/src/heartbeat.rs
@@ -19,40 +19,35 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Peers that get each heartbeat; with more of them they take turns.  Chosen; the sweep in
-/// docs/CAPACITY.md shows 2.7% of a core and 45 kB/s at the middle of 300 routers with it.
+/// Peers that get each heartbeat; with more of them they take turns.
 const PEERS_PER_TURN: usize = 16;
-/// Heartbeats of a peer that may be lost in a row.  Chosen, not measured.
+/// Heartbeats of a peer that may be lost in a row.
 const MAX_LOST: u32 = 3;
 /// A peer is alive for at least this long after its last heartbeat, also where heartbeats are
-/// frequent: a VM may be paused.  Chosen, not measured.
+/// frequent: a VM may be paused.
 const MIN_PEER_TIMEOUT: Duration = Duration::from_millis(1_100);
-/// A report of load counts for at least this long.  Chosen, not measured.
+/// A report of load counts for at least this long.
 const MIN_LOAD_TTL: Duration = Duration::from_millis(1_500);
-/// Changes of load are sent while there are at most this many peers, so that they reach all;
-/// beyond it engines are asked ([`crate::load_query`]) and this many peers hear of suspicions
-/// alone.  Measured: with 32, so that 65 routers ask, the worth earned moves by -0.0129 +- 0.0044
-/// (10 pairs of plays before 284 upstreams); larger values were not tried.
+/// Changes of load are sent while there are at most this many peers, so that they reach all; beyond
+/// it engines are asked ([`crate::load_query`]) and this many peers hear of suspicions alone.
 const MAX_PEERS_PER_CHANGE: usize = 96;
 
 /// Peers that one heartbeat mentions, by which routers discover each other; an address takes 15
-/// bytes of some 250.  Chosen, not measured.
+/// bytes of some 250.
 pub const MENTIONED_PEERS: usize = 3;
-/// Peers that the first heartbeat to a peer mentions.  Chosen, not measured.
+/// Peers that the first heartbeat to a peer mentions.
 pub const MENTIONED_TO_NEW_PEER: usize = 16;
 /// New peers that are sent a first heartbeat at the same time; the others follow after
-/// [`MIN_SEND_PAUSE`].  So all of 300 are greeted within 0.1 s.  Chosen, not measured.
+/// [`MIN_SEND_PAUSE`]. So all of 300 are greeted within 0.1 s.
 pub const MAX_GREETED: usize = 32;
 /// Upstreams, suspects or prompts in one message; with 64 of each a message stays within
-/// [`MAX_DATAGRAM`].  Chosen, not measured.
+/// [`MAX_DATAGRAM`].
 pub const MAX_ENTRIES: usize = 64;
-/// Bytes of the longest datagram that is read. Chosen, not measured.
+/// Bytes of the longest datagram that is read.
 pub const MAX_DATAGRAM: usize = 8_192;
 /// Least pause between two rounds of sending, so that a burst of changes is one message.
-/// Chosen, not measured.
 pub const MIN_SEND_PAUSE: Duration = Duration::from_millis(10);
-/// How often the seeds of the settings are taken up again, as all peers may have been
-/// forgotten.  Chosen, not measured.
+/// How often the seeds of the settings are taken up again, as all peers may have been forgotten.
 pub const SEED_PERIOD: Duration = Duration::from_secs(2);
 
 /// How long after its last heartbeat a peer is considered alive.
@@ -95,9 +90,8 @@
 
 /// The peers that are told at once that a version has changed: all, where peers rely on this
 /// router for the store or are few; else some picked at random, so that whoever looks for the
-/// version learns of many routers that have it. Told in turns, routers tell the same peers at the
-/// same time: the last of 300 then had 1,400 routes after 1.86 s, and 0.20 s with this
-/// (`cargo measure --scenario versions`, simulated time).
+/// version learns of many routers that have it. Told in turns, routers would tell the same peers at the
+/// same time.
 pub fn version_peers(
     peers: Vec<SocketAddr>,
     serves_peers: bool,
--- a/crates/router/cloverpier_router_policy/src/leaving.rs
+++ b/crates/router/cloverpier_router_policy/src/leaving.rs
@@ -20,16 +20,14 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// While no other upstream of its service is left, one that leaves gets requests for so long after its
-/// announcement. It serves for two seconds at least, by the platform's promise, of which one is kept
-/// for requests under way. Of some 101,200 requests before 9 upstreams that all leave 61 are refused
-/// without it, none with it (`tools/src/statement_play`, 40 seeds). Chosen; no other value was tried.
+/// While no other upstream of its service is left, one that leaves gets requests for so long after
+/// its announcement. It serves for two seconds at least, by the platform's promise, of which one is
+/// kept for requests under way, so that its successor may be late without a refusal.
 pub const LAST_RESORT_FOR: Duration = Duration::from_millis(1_000);
-/// How long a leaving is remembered: longer than any list is read late, and a hundred times as long as
-/// an upstream takes to end. Chosen, not measured. A thousand leavings take 40 kB.
+/// How long a leaving is remembered: longer than any list is read late, and a hundred times as long
+/// as an upstream takes to end. A thousand leavings take 40 kB.
 const KEPT_FOR: Duration = Duration::from_secs(3_600);
-/// Leavings in one message. One takes 24 bytes at most, and a datagram may have 8,192: worked out, and
-/// held by a test.
+/// Leavings in one message. One takes 24 bytes at most, and a datagram may have 8,192.
 const MAX_REPORTS: usize = 256;
 
 /// An upstream that leaves, as routers send it to each other; the order of fields is on the wire.
--- a/crates/router/cloverpier_router_policy/src/lifecycle.rs
+++ b/crates/router/cloverpier_router_policy/src/lifecycle.rs
@@ -16,31 +16,25 @@
 use std::time::{Duration, Instant};
 
 /// Longest time after its start for which a router without configuration or upstreams holds
-/// requests.  Measured: after the loss of all of 295 routers the list of 518 upstreams arrived 0.43
-/// to 0.48 s after the start, and callers retried at once; refusing them gave 1,618 refusals in one
-/// play of such a day, holding them 188 (worth 0.633 -> 0.676, one play each).  The value itself is
-/// chosen.
+/// requests.
 const START_HOLD: Duration = Duration::from_millis(600);
-/// Part of the caller's limit for which its request is held; the rest is for the answer.  Without
-/// it 94 lookups were held past their limit in one play of such a day.  Chosen, not measured.
+/// Part of the caller's limit for which its request is held; the rest is for the answer.
 const HELD_SHARE: f64 = 0.9;
-/// A stopping router serves at least this long, as callers keep its address for
-/// `directory_keep_s` (1 s by default) and longer if they don't ask anew.  Chosen, not
-/// measured.
+/// A stopping router serves at least this long, as callers keep its address for `directory_keep_s`
+/// (1 s by default) and longer if they don't ask anew.
 const MIN_STOP: Duration = Duration::from_millis(3_500);
 /// A stopping router takes new streams for this long at most: about 5 s of a grace period of 8 s
-/// are left then, and callers have asked for other addresses.  Chosen, not measured.
+/// are left then, and callers have asked for other addresses.
 const STREAMS_WHILE_STOPPING: Duration = Duration::from_millis(2_500);
-/// Streams whose durations are remembered.  Chosen, not measured.
+/// Streams whose durations are remembered.
 const REMEMBERED_STREAMS: usize = 20;
-/// A new stream is expected to last no longer than this many times the longest of them.  With
-/// the longest but a tenth, a soak found a stream cut that lasted 1% longer than what was left.
-/// Chosen, not measured.
+/// A new stream is expected to last no longer than this many times the longest of them, so that none
+/// is cut that lasts a little longer than those seen.
 const LONGEST_FACTOR: f64 = 1.25;
-/// The process exits this long before the end of its grace period, as its last bytes have to
-/// leave before the kill.  Chosen, not measured.
+/// The process exits this long before the end of its grace period, as its last bytes have to leave
+/// before the kill.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
-/// How often a stopping router checks whether it may exit.  Chosen, not measured.
+/// How often a stopping router checks whether it may exit.
 pub const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
 /// What a stopping router does next.
--- a/crates/router/cloverpier_router_policy/src/liveness.rs
+++ b/crates/router/cloverpier_router_policy/src/liveness.rs
@@ -14,16 +14,14 @@
 
 use std::time::{Duration, Instant};
 
-/// If a timer fires later than this, this process was paused (VM freeze, no CPU), so the
-/// silence is no evidence against the upstream.  Chosen, not measured.
+/// If a timer fires later than this, this process was paused (VM freeze, no CPU), so the silence is
+/// no evidence against the upstream.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(150);
 
-/// A silent plain upstream is probed after this many objectives of the route.  Chosen, not
-/// measured.
+/// A silent plain upstream is probed after this many objectives of the route.
 const PLAIN_PROBE_OBJECTIVES: f64 = 1.0;
-/// A plain answer that may be had from another upstream is given up after this many
-/// objectives: by then it is late, and the other one may still be in time for the caller's
-/// deadline.  Chosen, not measured.
+/// A plain answer that may be had from another upstream is given up after this many objectives: by
+/// then it is late, and the other one may still be in time for the caller's deadline.
 const PLAIN_STALL_OBJECTIVES: f64 = 2.0;
 
 /// Bounds on silence.
--- a/crates/router/cloverpier_router_policy/src/load_query.rs
+++ b/crates/router/cloverpier_router_policy/src/load_query.rs
@@ -5,12 +5,10 @@
 //! - **Inputs.** The engines that may get the stream and what this router believes of their
 //!   load; the prompt's hash; how many routers place streams on the same engines.
 //! - **Answer.** Some engines to ask, all at once; a timeout; a [`Load`] for each that answered.
-//! - **Why.** What peers report is complete only while each change reaches all of them. With 294
-//!   peers a change reached 96, and a router believed that the engine it chose had 0.16
-//!   streams where it had 1.47 (one play of a quiet day before 512 engines): it placed at
-//!   random, and up to 13 streams met at an engine with memory for nine. Few questions for
-//!   each stream cost the same at any number of routers, and the better of a few picked at
-//!   random is close to the best of all (the power of two choices).
+//! - **Why.** What peers report is complete only while each change reaches all of them. Where
+//!   it reaches a part of them, routers place at random, and many streams meet at one engine.
+//!   Few questions for each stream cost the same at any number of routers, and the better of a
+//!   few picked at random is close to the best of all (the power of two choices).
 //!
 //! The prompt's hash picks among engines that seem equal, so a router that knows nothing of a
 //! former run asks the same engines for its prompt first ([`crate::prompt_search`]).
@@ -25,14 +23,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Engines that are asked for each stream.  Measured in the play of `tests/placement`: with 2, 3, 4,
-/// 5 and 8 engines 0.995, 0.996, 0.998, 0.998 and 0.995 of the streams have their first event in
-/// time (means of three seeds); each engine more costs a question and mostly a connection.
+/// Engines that are asked for each stream.
 pub const QUERIED_ENGINES: usize = 3;
-/// How long an answer is waited for, a new connection included.  A stream waits that long only
-/// where an engine says nothing, against an objective of seconds; otherwise the choice came 5 to
-/// 10 ms after the request for nine streams in ten (log of one play, processor time not charged).
-/// The value itself is chosen, not measured.
+/// How long an answer is waited for, a new connection included. A stream waits that long only where
+/// an engine says nothing, against an objective of seconds.
 pub const QUERY_TIMEOUT: Duration = Duration::from_millis(30);
 
 /// What an engine says of its load, about 100 ms after the fact.
--- a/crates/router/cloverpier_router_policy/src/news.rs
+++ b/crates/router/cloverpier_router_policy/src/news.rs
@@ -14,12 +14,12 @@
 use crate::peers::PeerEntry;
 use std::time::{Duration, Instant};
 
-/// How long facts are repeated after the last one was learned, to one peer with each heartbeat. With
-/// 200 ms between heartbeats each peer receives some 15 repeats: none misses a fact where a tenth of
-/// the datagrams is lost. Chosen, not measured.
+/// How long facts are repeated after the last one was learned, to one peer with each heartbeat.
+/// With 200 ms between heartbeats each peer receives some 15 repeats: none misses a fact where a
+/// tenth of the datagrams is lost.
 pub const TOLD_AGAIN_FOR: Duration = Duration::from_secs(3);
 /// How many of the peers that notice a router which may have missed facts send them: each does with
-/// this number divided by the number of peers as its probability. Chosen, not measured.
+/// this number divided by the number of peers as its probability.
 const TELLERS: usize = 16;
 
 /// Whether the sender of a heartbeat may have missed facts: it is new, was silent for longer than
--- a/crates/router/cloverpier_router_policy/src/peers.rs
+++ b/crates/router/cloverpier_router_policy/src/peers.rs
@@ -19,8 +19,8 @@
 
 /// Addresses in one answer to callers at most: the bound of the platform's protocol.
 const MAX_LISTED: usize = 64;
-/// A peer that was silent for this long is forgotten; until then it is still sent heartbeats,
-/// so that routers find each other again after a partition.  Chosen, not measured.
+/// A peer that was silent for this long is forgotten; until then it is still sent heartbeats, so
+/// that routers find each other again after a partition.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
 /// Whether a router takes new callers.
--- a/crates/router/cloverpier_router_policy/src/prompt_locations.rs
+++ b/crates/router/cloverpier_router_policy/src/prompt_locations.rs
@@ -5,9 +5,8 @@
 //!   what engines answered to a search ([`crate::prompt_search`]).
 //! - **Answer.** An engine's key, for half a minute.
 //! - **Why.** The engine that ran the stream still has the prompt in its KV cache, so the
-//!   stream continues there at once (75 to 200 ms, read off logs of a day that ended with
-//!   the loss of all routers), and at any other engine only after the prompt was read again
-//!   (1.0 to 3.3 s there).
+//!   stream continues there at once, and at any other engine only after the prompt was read
+//!   again, which takes seconds.
 //!
 //! [`PromptLocations`] owns the table; entries end by age or, where there are too many,
 //! oldest first.
@@ -16,10 +15,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// How long a location is kept: callers resume within seconds, or not at all.  Chosen, not
-/// measured.
+/// How long a location is kept: callers resume within seconds, or not at all.
 const KEPT_FOR: Duration = Duration::from_secs(30);
-/// Locations kept at most, about a megabyte.  Chosen, not measured.
+/// Locations kept at most, about a megabyte.
 const MAX_KEPT: usize = 20_000;
 
 /// A prompt, by the hash of the part of it that no other prompt shares.
--- a/crates/router/cloverpier_router_policy/src/prompt_search.rs
+++ b/crates/router/cloverpier_router_policy/src/prompt_search.rs
@@ -6,12 +6,8 @@
 //! - **Inputs.** The usable engines; the prompt's hash; the time that the request has left;
 //!   which engines were asked recently.
 //! - **Answer.** An order; a timeout; whether an engine may be asked.
-//! - **Why.** Reading a prompt again costs an engine about a second and was the largest
-//!   price on days with trouble (without the search 0.045 +- 0.005 of the worth is
-//!   lost, 30 pairs of plays that end with the loss of all routers). But asking
-//!   every engine from every router costs connections, so the likely ones are asked first
-//!   (connections on a day of 72 routers
-//!   10,979 -> 7,298).
+//! - **Why.** Reading a prompt again costs an engine about a second. But asking every
+//!   engine from every router costs connections, so the likely ones are asked first.
 
 use crate::load_query::QUERIED_ENGINES;
 use crate::prompt_locations::PromptKey;
@@ -21,24 +17,22 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Upper bound on the time a request waits for a search.  Chosen, not measured.
+/// Upper bound on the time a request waits for a search.
 const MAX_WAIT: Duration = Duration::from_millis(250);
-/// And this part of the time that it has left: a request with little time is better sent
-/// anywhere than held.  Chosen, not measured.
+/// And this part of the time that it has left: a request with little time is better sent anywhere
+/// than held.
 const MAX_WAIT_SHARE: f64 = 0.1;
-/// An engine is asked again only after this time; its answer covers all prompts that it has
-/// read.  Chosen, not measured.
+/// An engine is asked again only after this time; its answer covers all prompts that it has read.
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(10);
-/// Engines asked at the same time by one router.  Chosen, not measured.
+/// Engines asked at the same time by one router.
 const MAX_CONCURRENT: usize = 8;
 /// Engines that a search asks first: as many as are asked before a stream is placed
-/// ([`crate::load_query`]), since one of these most often has the prompt.  Measured: without a
-/// pause after them, 557 searches asked 16,895 engines after the loss of 295 routers (one play).
+/// ([`crate::load_query`]), since one of these most often has the prompt.
 pub const ASKED_FIRST: usize = QUERIED_ENGINES;
 /// How long their answers are awaited before others are asked: about two answers with a new
-/// connection (2 to 8 ms, read off logs).  Chosen, not measured.
+/// connection.
 pub const FIRST_ANSWERS_WAIT: Duration = Duration::from_millis(15);
-/// How long one engine's answer is awaited.  Chosen, not measured.
+/// How long one engine's answer is awaited.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long a request waits for a search.
--- a/crates/router/cloverpier_router_policy/src/refusal.rs
+++ b/crates/router/cloverpier_router_policy/src/refusal.rs
@@ -10,19 +10,19 @@
 
 use std::time::Duration;
 
-/// After a request that was tried: this part of its route's objective, so that a second try
-/// still has most of it.  Chosen, not measured.
+/// After a request that was tried: this part of its route's objective, so that a second try still
+/// has most of it.
 const OBJECTIVE_SHARE: f64 = 0.4;
-/// Bounds of that time.  Chosen, not measured.
+/// The least time, whatever the objective.
 const MIN_WAIT: Duration = Duration::from_millis(40);
-/// The upper one.  Chosen, not measured.
+/// The longest time, whatever the objective.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
-/// A router that starts learns the configuration soon or not at all.  Chosen, not measured.
+/// A router that starts learns the configuration soon or not at all.
 const STARTING_WAIT: Duration = Duration::from_millis(300);
-/// Another router serves at once.  Chosen, not measured.
+/// Another router serves at once.
 const STOPPING_WAIT: Duration = Duration::from_millis(10);
-/// A directory without a ready router learns of one by the next heartbeat (200 ms, the
-/// setting's default). Not measured apart.
+/// A directory without a ready router learns of one by the next heartbeat (200 ms, the setting's
+/// default).
 const DIRECTORY_WAIT: Duration = Duration::from_millis(200);
 
 /// Why a caller is refused.
--- a/crates/router/cloverpier_router_policy/src/replica.rs
+++ b/crates/router/cloverpier_router_policy/src/replica.rs
@@ -7,8 +7,7 @@
 //! - **Why.** Without a replica a stream whose engine dies waits about a second while its
 //!   prompt is read again. Engines of one data centre die together, so the replica is kept
 //!   in another one that does not seem dead. Routers see the same engine as the emptiest; if
-//!   all chose it they would fill it, and it would let replicas go (worth earned on a
-//!   quiet day with 65 routers, one play: 0.823 -> 0.881 with replicas spread).
+//!   all chose it they would fill it, and it would let replicas go.
 
 use crate::choice::{Demand, filtered, fits, known_load};
 use crate::rollout::VersionRule;
--- a/crates/router/cloverpier_router_policy/src/rollout/book.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/book.rs
@@ -16,16 +16,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How long a version that is listed beside others waits for an order that explains it: the
-/// store's watches return within 10 ms or so, and peers hear within three heartbeats
-/// (0.2 s each by default); the rest is for a call that has to be made again.  Chosen, not
-/// measured.
+/// How long a version that is listed beside others waits for an order that explains it: the store's
+/// watches return within 10 ms or so, and peers hear within three heartbeats (0.2 s each by
+/// default); the rest is for a call that has to be made again.
 pub const UNORDERED_HOLD: Duration = Duration::from_secs(2);
 /// How much of an order's duration is taken to have passed where a router that has just started
-/// finds it under way: nobody may be left who knows.  Chosen, not measured.
+/// finds it under way: nobody may be left who knows.
 const RESUMED_AT: f64 = 0.3;
 /// How long the end of a roll-out is sent to peers again: longer than a router that was cut off
-/// takes to be listed as dead and to be found again.  Chosen, not measured.
+/// takes to be listed as dead and to be found again.
 const TOLD_FOR: Duration = Duration::from_secs(60);
 
 /// What a view brought.
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/fleet.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/fleet.rs
@@ -10,10 +10,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// The spans over which answers are judged besides all since the order: their number.  Chosen, not
-/// measured.
+/// The spans over which answers are judged besides all since the order: their number.
 const MAX_WINDOWS: usize = 4;
-/// By how much each begins later.  Chosen, not measured.
+/// By how much each begins later.
 const WINDOW_STEP: Duration = Duration::from_millis(1_000);
 
 /// What one router has reported.
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
@@ -16,7 +16,6 @@
 use std::time::{Duration, Instant};
 
 /// A broken attempt is remembered this long for an answer that shows that its upstream lives.
-/// Chosen, not measured.
 const BROKEN_KEPT_FOR: Duration = Duration::from_secs(4);
 /// Entries of one report at most. An entry holds up to 60 sizes of times, so that 18 of them take
 /// 5 kB at most (worked out), of the 8 kB that a datagram may have.
--- a/crates/router/cloverpier_router_policy/src/rollout/judgement.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/judgement.rs
@@ -32,28 +32,27 @@
 const WORSE_BY: [f64; 5] = [0.03, 0.1, 0.25, 0.5, 0.9];
 /// The ratio from which on a version is bad. Some ten tests are read at once (three on each of
 /// three routes, and on all), each over five spans, so that by this bound a good version is taken
-/// for bad in at most one of 40 roll-outs; measured, see `cargo measure --scenario rollouts`.
+/// for bad in at most one of 40 roll-outs.
 const BAD_FROM: f64 = 2_000.0;
-/// The ratio that the answers without the worst group have to reach.  Chosen, not measured.
+/// The ratio that the answers without the worst group have to reach.
 const BAD_WITHOUT_WORST_FROM: f64 = 20.0;
-/// The ratio from which on a version is not trusted with more requests.  Chosen, not measured.
+/// The ratio from which on a version is not trusted with more requests.
 const SUSPICIOUS_FROM: f64 = 20.0;
-/// The ratio from which on, over all answers since the order, it does not get all requests.  Chosen,
-/// not measured.
+/// The ratio from which on, over all answers since the order, it does not get all requests.
 const DOUBTFUL_FROM: f64 = 2.0;
 /// A part of bad answers below this counts as none: upstreams answer with a failure
-/// of their own now and then.  The sheets of the users have 0.004 of one kind of request.
+/// of their own now and then.
 const MIN_BAD_PART: f64 = 0.02;
-/// And one above this leaves nothing to be worse than.  Chosen, not measured.
+/// And one above this leaves nothing to be worse than.
 const MAX_BAD_PART: f64 = 0.95;
-/// The former versions' part of bad answers is taken as this many standard errors higher than
-/// seen, as it is only estimated.  Chosen, not measured.
+/// The former versions' part of bad answers is taken as this many standard errors higher than seen,
+/// as it is only estimated.
 const STANDARD_ERRORS: f64 = 2.0;
-/// Times of the former versions from which on they have a median.  Chosen, not measured.
+/// Times of the former versions from which on they have a median.
 const MIN_TIMES: u32 = 8;
 
 /// No answer is slow that takes less: on a VM with an eighth of a core an answer waits as long for
-/// its turn.  Chosen, not measured.
+/// its turn.
 const MIN_SLOW: Duration = Duration::from_millis(12);
 
 /// What is wrong with answers.
--- a/crates/router/cloverpier_router_policy/src/rollout/schedule.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/schedule.rs
@@ -22,55 +22,50 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// The end of the first stage, as a part of the duration.  Chosen; `tests/rollout_play` shows the
-/// exposure to versions that turn bad at any time.
+/// The end of the first stage, as a part of the duration.
 const CANARY_UNTIL: f64 = 0.54;
-/// The end of the second stage, as a part of the duration.  Chosen together with `CANARY_UNTIL`.
+/// The end of the second stage, as a part of the duration.
 const LOAD_UNTIL: f64 = 0.66;
-/// The end of the third stage, as a part of the duration.  Chosen together with `CANARY_UNTIL`.
+/// The end of the third stage, as a part of the duration.
 const PART_UNTIL: f64 = 0.76;
 /// From then on streams at the former versions move. Before, they are left to end by themselves: a
-/// move has their prompts read again, for about a second, and makes them late, whereas a roll-out
-/// of 12 s that waits for streams of 5 s is late by a fifth.  Chosen, not measured.
+/// move has their prompts read again and makes them late.
 const MOVE_FROM: f64 = 1.25;
 /// A version that is not trusted by then is rolled back: later there is no time to move all
-/// requests.  Chosen, not measured.
+/// requests.
 const DECIDE_UNTIL: f64 = 0.80;
 
-/// The part of the operator's bound that the first stage may use up.  Chosen with the times above.
+/// The part of the operator's bound that the first stage may use up.
 const CANARY_PART: f64 = 0.5;
 /// The most of the requests that the first stage sends to the new version, where these are so few
-/// that the bound would allow more.  Chosen, not measured.
+/// that the bound would allow more.
 const MAX_CANARY_SHARE: f64 = 0.5;
-/// Requests of the new version in the second stage at least, and at most; one of four upstreams
-/// has its final load with the latter.  Chosen, not measured.
+/// Requests of the new version in the second stage at least, and at most; one of four upstreams has
+/// its final load with the latter.
 const LOAD_SHARES: [f64; 2] = [0.1, 0.25];
-/// Requests of the new version in the third stage.  Chosen, not measured.
+/// Requests of the new version in the third stage.
 const PART_SHARE: f64 = 0.35;
 /// Upstreams of the new version that are tried in the first stage at least, so that one bad
-/// upstream is not taken for a bad version.  Chosen, not measured.
+/// upstream is not taken for a bad version.
 const MIN_CANARIES: usize = 2;
 
 /// How many times the load that upstreams have at the end those have that are tried first, as
-/// those of a service have it when a data centre dies.  With as much as at the end, a version that
-/// is slow under load was found too late in half of the plays of `tests/rollouts`, where it takes
-/// the five seconds of a stream until the load is there.
+/// those of a service have it when a data centre dies. With as much as at the end, a version that
+/// is slow under load would be found too late, as the load takes a stream's length to be there.
 const CANARY_LOAD: f64 = 1.6;
-/// Answers of the new version without which nothing is known of it.  Five good answers are
-/// expected of a version that fails in two of five requests in one of 13 cases.  Chosen, not measured.
+/// Answers of the new version without which nothing is known of it. Five good answers are expected
+/// of a version that fails in two of five requests in one of 13 cases.
 const MIN_ANSWERS: u32 = 5;
-/// Answers of other upstreams of the new version that clear it where one group of them is bad.
-/// Ten answers of a version of which two in five fail are all good in one of 165 cases.  Chosen,
-/// not measured.
+/// Answers of other upstreams of the new version that clear it where one group of them is bad. Ten
+/// answers of a version of which two in five fail are all good in one of 165 cases.
 const MIN_OTHER_ANSWERS: u32 = 10;
 /// Time for an answer at the new version after the stage that asks for it, and for its report.
-/// Chosen, not measured.
 const MIN_STAGE: Duration = Duration::from_millis(600);
-/// Least time between two settings of the share.  Chosen, not measured.
+/// Least time between two settings of the share.
 const ADAPT_EACH: Duration = Duration::from_secs(1);
-/// The share is lowered where less than this part of it is allowed.  Chosen, not measured.
+/// The share is lowered where less than this part of it is allowed.
 const LOWER_FROM: f64 = 0.8;
-/// Pause between two looks at other upstreams of the new version.  Chosen, not measured.
+/// Pause between two looks at other upstreams of the new version.
 const ROTATE_EACH: Duration = Duration::from_millis(500);
 
 /// The operator's bound on the requests that a bad version gets.
--- a/crates/router/cloverpier_router_policy/src/rollout/times.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/times.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Sizes for each doubling of a time, so that neighbours differ by a fifth.  Chosen, not measured.
+/// Sizes for each doubling of a time, so that neighbours differ by a fifth.
 const PER_DOUBLING: f64 = 4.0;
 /// A time is slow that is more than this many sizes above the median: 3.1 times it, "several times
 /// slower".  Of lognormal times with a spread of 0.5, as the users' sheet has it, 1.2 in 100
--- a/crates/router/cloverpier_router_policy/src/singleton/autoscaling.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/autoscaling.rs
@@ -244,6 +244,7 @@
         let share = self.share(now);
         let mut due = Vec::new();
         for (data_centre, held) in &self.in_force {
+            // None are listed in a data centre that the list does not name.
             let listed = listed.get(data_centre).copied().unwrap_or(0);
             let wanted = self.wanted(data_centre, share, *held, listed, now);
             due.extend(self.spot_order(data_centre, *held, wanted, listed, now));
--- a/crates/router/cloverpier_router_policy/src/store_ping.rs
+++ b/crates/router/cloverpier_router_policy/src/store_ping.rs
@@ -14,24 +14,21 @@
 use crate::store_watch::{WatcherRole, max_backoff};
 use std::time::Duration;
 
-/// How often a watcher pings the store while its watches wait: a ping costs a tenth of a call.
-/// With [`PING_DOUBT`] it bounds the time until a silent store is noticed.  Chosen, not
-/// measured.
+/// How often a watcher pings the store while its watches wait: a ping costs a tenth of a call. With
+/// [`PING_DOUBT`] it bounds the time until a silent store is noticed.
 pub const PING_PERIOD: Duration = Duration::from_millis(250);
-/// The same for a chosen watcher while its pings fail, so that a store that answers nobody is
-/// not called more often than one that answers.  Chosen, not measured.
+/// The same for a chosen watcher while its pings fail, so that a store that answers nobody is not
+/// called more often than one that answers.
 const FAILING_PING_PERIOD: Duration = Duration::from_millis(400);
-/// A ping without an answer for this long makes the watcher say that it does not reach the
-/// store; a healthy store answers in about 4 ms.  Chosen, not measured.
+/// A ping without an answer for this long makes the watcher say that it does not reach the store; a
+/// healthy store answers in about 4 ms.
 pub const PING_DOUBT: Duration = Duration::from_millis(150);
-/// How long a ping waits for its answer.  Chosen, not measured.
+/// How long a ping waits for its answer.
 pub const PING_TIMEOUT: Duration = Duration::from_millis(500);
-/// Routers that step in spread their first pings over this time for each router, so that most
-/// see another one succeed before it is their turn; a heartbeat takes about 2 ms.  Chosen, not
-/// measured.
+/// Routers that step in spread their first pings over this time for each router, so that most see
+/// another one succeed before it is their turn; a heartbeat takes about 2 ms.
 const STEP_IN_SPREAD: Duration = Duration::from_millis(2);
-/// And over this time at most, so that a large fleet does not wait for the news.  Chosen, not
-/// measured.
+/// And over this time at most, so that a large fleet does not wait for the news.
 const MAX_STEP_IN_SPREAD: Duration = Duration::from_millis(150);
 
 /// When a router pings the store next, by its role.
@@ -77,6 +74,7 @@
             None
         } else {
             let most = max_backoff(role, live_routers);
+            // The first failure has no pause before it.
             Some((self.pause.unwrap_or(PING_PERIOD) * 4).min(most))
         };
     }
--- a/crates/router/cloverpier_router_policy/src/store_watch.rs
+++ b/crates/router/cloverpier_router_policy/src/store_watch.rs
@@ -23,39 +23,30 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Routers that watch at the same time: one may be dead and one cut off.  Measured: three in
-/// place of all, one play of each day: worth earned on the ledger 0.737 -> 0.751, fonts 0.622
-/// -> 0.636; no other number was tried.
+/// Routers that watch at the same time: one may be dead and one cut off.
 const WATCHERS: usize = 3;
-/// A watcher's last store call is fresh for this long: three pings and a heartbeat.  Chosen,
-/// not measured.
+/// A watcher's last store call is fresh for this long: three pings and a heartbeat.
 const FRESH_FOR: Duration = Duration::from_millis(1_300);
 /// The same where what watchers say goes from router to router: some rounds of gossip longer.
 const FRESH_FOR_LARGE: Duration = Duration::from_secs(3);
 /// Longest pause between the calls of a chosen watcher to a store that does not answer it.
-/// Chosen, not measured.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// All other routers together ping such a store about once in this time (measured with calls
-/// in place of pings: 3,197 -> 2,020 calls on a day with 6 s of outage at 72 routers).
+/// All other routers together ping such a store about once in this time.
 const FALLBACK_SLOT: Duration = Duration::from_millis(100);
 
-/// Pause after the first failed call; doubled up to [`max_backoff`].  Chosen, not measured.
+/// Pause after the first failed call; doubled up to [`max_backoff`].
 pub const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
-/// How long one watch waits at the store for changes.  It bounds how long a watch that a
-/// silent store swallowed can hold up changes.  Chosen, not measured.
+/// How long one watch waits at the store for changes. It bounds how long a watch that a silent
+/// store swallowed can hold up changes.
 pub const WATCH_WAIT: Duration = Duration::from_secs(6);
 /// How long a connection to the store or its answer may take, beyond the wait asked for.
-/// Chosen, not measured.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Changes of upstreams that come close together are read by one call.  Measured: on a quiet day
-/// of 8 routers 372 calls with 100 ms, 250 with 300 ms, and the same worth earned.
+/// Changes of upstreams that come close together are read by one call.
 pub const GATHER_PERIOD: Duration = Duration::from_millis(300);
 
 /// A router that has just learned configuration and upstreams watches the store only after this
-/// time: two heartbeats, by which it knows who else does.  Without it each of 295 routers that
-/// started together made 5.7 calls.  Until it is over nobody may watch, so changes reach all
-/// that much later after the loss of all routers; the least bound on a change is 2 s (the
-/// platform's settings).
+/// time: two heartbeats, by which it knows who else does. Until it is over nobody may watch, so changes reach all that much later after the
+/// loss of all routers; the least bound on a change is 2 s (the platform's settings).
 const SETTLE: Duration = Duration::from_millis(500);
 
 /// A live and ready peer, and what it said of the store.
--- a/crates/router/cloverpier_router_policy/src/successor.rs
+++ b/crates/router/cloverpier_router_policy/src/successor.rs
@@ -19,11 +19,10 @@
 
 use std::time::{Duration, Instant};
 
-/// What arrived from a process was sent at most this long before: links of one region take
-/// 3 ms.  A link whose packets wait longer is choked.  Chosen, not measured.
+/// What arrived from a process was sent at most this long before: links of one region take 3 ms. A
+/// link whose packets wait longer is choked.
 const MAX_DELAY: Duration = Duration::from_millis(250);
-/// How often a dead upstream is checked while a successor would be recognized.  Chosen, not
-/// measured.
+/// How often a dead upstream is checked while a successor would be recognized.
 pub(crate) const CHECK_PAUSE: Duration = Duration::from_millis(100);
 
 /// Until when an answer at the address of a process must come from its own service; `last_sign`
--- a/crates/router/cloverpier_router_policy/src/suspicion.rs
+++ b/crates/router/cloverpier_router_policy/src/suspicion.rs
@@ -20,34 +20,30 @@
 use std::time::{Duration, Instant};
 
 /// Pause before the second check of a suspect; doubled up to [`MAX_CHECK_BACKOFF`].
-/// Chosen, not measured.
 const INITIAL_CHECK_BACKOFF: Duration = Duration::from_millis(150);
-/// Longest pause between two checks.  Chosen, not measured.
+/// Longest pause between two checks.
 const MAX_CHECK_BACKOFF: Duration = Duration::from_millis(1_000);
-/// How often due checks are looked for.  Chosen, not measured.
+/// How often due checks are looked for.
 pub const CHECK_PERIOD: Duration = Duration::from_millis(50);
-/// How long a check waits for connection and answer.  Chosen, not measured.
+/// How long a check waits for connection and answer.
 pub const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
-/// How long a probe of a silent upstream waits in the background; the verdict that the
-/// upstream is dead comes earlier, by [`crate::liveness::LivenessBounds::probe_timeout`].
-/// Chosen, not measured.
+/// How long a probe of a silent upstream waits in the background; the verdict that the upstream is
+/// dead comes earlier, by [`crate::liveness::LivenessBounds::probe_timeout`].
 pub const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long the connection that carries probes may take to come up.  Chosen, not measured.
+/// How long the connection that carries probes may take to come up.
 pub const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long a peer's suspicion counts.  Heartbeats repeat it each 200 ms by default, so it
-/// ends about a second after the peer has cleared the upstream.  Chosen, not measured.
+/// How long a peer's suspicion counts. Heartbeats repeat it each 200 ms by default, so it ends
+/// about a second after the peer has cleared the upstream.
 pub const PEER_SUSPICION_TTL: Duration = Duration::from_millis(1_000);
 /// Entries of living upstreams that lapsed in an outage of the platform's store are back
 /// within two seconds of its end: the platform's bound.
 pub const RETURN_WINDOW: Duration = Duration::from_millis(2_000);
 
-/// A data centre seems dead to a service from this number of suspects on, as one or two
-/// engines crash alone.  Measured: three and two earn the same (+0.0020 +- 0.0029 of the
-/// worth with two, 30 pairs of plays before 18 engines).
+/// A data centre seems dead to a service from this number of suspects on, as one or two engines
+/// crash alone.
 const MIN_SUSPECTS: usize = 3;
-/// And from this part of the service's upstreams there.  Chosen; no other value
-/// was tried.
+/// And from this part of the service's upstreams there.
 const MIN_SUSPECT_SHARE: f64 = 0.2;
 
 /// Why an upstream gets no requests although it is listed.
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -25,8 +25,7 @@
 /// is further behind fetches the whole list, which is no longer.
 const MIN_CHANGES_KEPT: usize = 1_024;
 /// How long an upstream without entry is remembered: longer than
-/// [`crate::suspicion::RETURN_WINDOW`], and than most requests that run there.  Chosen, not
-/// measured.
+/// [`crate::suspicion::RETURN_WINDOW`], and than most requests that run there.
 const GONE_KEPT_FOR: Duration = Duration::from_secs(20);
 
 /// All upstreams that a router knows.
--- a/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
@@ -12,8 +12,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Weight of a new sample in the smoothed failure rate and pace: about the last five
-/// requests count.  Chosen, not measured.
+/// Weight of a new sample in the smoothed failure rate and pace: about the last five requests
+/// count.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
 impl UpstreamTable {
--- a/crates/router/cloverpier_router_policy/src/version_fetch.rs
+++ b/crates/router/cloverpier_router_policy/src/version_fetch.rs
@@ -22,23 +22,21 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// A router that watches the store gives it this much time to deliver a version before it
-/// fetches it from a peer.  Chosen, not measured.
+/// A router that watches the store gives it this much time to deliver a version before it fetches
+/// it from a peer.
 pub const STORE_FIRST: Duration = Duration::from_millis(400);
-/// A fetch is given up when nothing arrives for this long.  Its whole time has no bound: one
-/// of 800 ms kept 1,400 routes (about 150 kB) from ever arriving over a shared link of
-/// 10 Mbit/s.  The time itself is chosen, not measured.
+/// A fetch is given up when nothing arrives for this long. Its whole time has no bound, which
+/// would keep a large configuration from ever arriving over a shared link.
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Versions are compared at least this often, also without a heartbeat that shows a newer
-/// one.  Chosen, not measured.
+/// Versions are compared at least this often, also without a heartbeat that shows a newer one.
 pub const COMPARE_PERIOD: Duration = Duration::from_millis(500);
 /// The same in a large fleet, where it takes a look at each peer, and messages say which versions their
 /// senders have.
 pub const LARGE_COMPARE_PERIOD: Duration = Duration::from_secs(2);
-/// Pause after a fetch that failed.  Chosen, not measured.
+/// Pause after a fetch that failed.
 pub const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// A peer whose fetch failed is not asked again for this long while another one has a newer
-/// version: about the time after which a dead peer is missed.  Chosen, not measured.
+/// version: about the time after which a dead peer is missed.
 const AVOID_FAILED: Duration = Duration::from_secs(1);
 /// The least wait for a busy peer.  It is the resolution of the timers (1 ms), below which a
 /// router would ask again without a pause.
--- a/crates/router/cloverpier_router_policy/src/version_serving.rs
+++ b/crates/router/cloverpier_router_policy/src/version_serving.rs
@@ -9,19 +9,17 @@
 //!   them. Handed out to all at once, 23 copies of 150 kB hold a link of 10 Mbit/s for 2.8 s:
 //!   none of them is whole before that, and heartbeats, readiness answers and callers wait
 //!   behind them. One after the other, the first copies are whole after milliseconds and
-//!   serve the next peers: those that have it double with each copy's time. Of 72 such VMs the
-//!   last has 1,400 routes after 0.15 s, and no router hands out more than six copies of a
-//!   change (`cargo measure --scenario versions`, simulated time).
+//!   serve the next peers: those that have it double with each copy's time.
 //!
 //! Relies on [`crate::version_fetch`] for what a peer does with the answer.
 
 use std::time::{Duration, Instant};
 
-/// The part of the link that copies may take; the rest is for callers, heartbeats and
-/// readiness answers.  Chosen, not measured.
+/// The part of the link that copies may take; the rest is for callers, heartbeats and readiness
+/// answers.
 const LINK_SHARE: f64 = 0.5;
-/// Copies may be handed out this far ahead of the link, so that small ones need no pacing: it
-/// is 31 kB at 10 Mbit/s, and what waits behind it waits half as long.  Chosen, not measured.
+/// Copies may be handed out this far ahead of the link, so that small ones need no pacing: it is 31
+/// kB at 10 Mbit/s, and what waits behind it waits half as long.
 const MAX_BACKLOG: Duration = Duration::from_millis(50);
 
 /// What a VM's link carries.
--- a/crates/shared/cloverpier_core/src/wait.rs
+++ b/crates/shared/cloverpier_core/src/wait.rs
@@ -17,10 +17,10 @@
 use std::time::{Duration, Instant};
 
 /// A longer time counts as this one. An upstream that wants nothing for so long is better started
-/// again, which ends it. Chosen, not measured.
+/// again, which ends it.
 const MAX_WAIT: Duration = Duration::from_secs(3_600);
-/// Probes and checks that may reach an upstream meanwhile: one less than the requests that users allow.
-/// Chosen, not measured.
+/// Probes and checks that may reach an upstream meanwhile: one less than the requests that users
+/// allow.
 const QUESTIONS: u32 = 1;
 
 /// Reads the time off the text by which an upstream names it: seconds, fractions allowed. One that no
--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -9,10 +9,9 @@
 //!   and that it is excused is only added, for the same reason. All routers that know the same ends judge alike.
 //!
 //! Three ends that nothing else explains stop a content: with one or two, requests that meet dying
-//! engines would be stopped (17 of 887 lost two on eight days with dying data centres), and each one
-//! more costs an engine with all streams on it. An end counts against each content that ran there: where
-//! it counted only against the one that had ended the most, six contents that crash 24 engines ended
-//! 4.4 of them each, and 2.9 so (`cargo measure --scenario crashes`, simulated time, 30 seeds).
+//! engines would be stopped, and each one more costs an engine with all streams on it. An end counts
+//! against each content that ran there: counted only against the one that had ended the most, several
+//! contents that crash engines at the same time would each end more of them.
 //!
 //! Owns the ends and what was decided of each content.
 
@@ -27,18 +26,15 @@
 
 /// How long an end counts. While it does, a content that was stopped stays so; then it may end one
 /// more upstream, which stops it again. So a request that is repeated for ever ends three upstreams
-/// an hour at most; a content that was stopped wrongly waits an hour, or for the operator. Chosen,
-/// not measured.
+/// an hour at most; a content that was stopped wrongly waits an hour, or for the operator.
 pub const CRASH_TTL: Duration = Duration::from_secs(3_600);
 /// Contents that are kept; beyond it, those with the least against them give way. An end leaves one
-/// for each request that ran there. Chosen: about 1 MB.
+/// for each request that ran there.
 pub const MAX_CONTENTS: usize = 4_096;
-/// Ends that are kept of one content: more than stop it. Chosen, not measured.
+/// Ends that are kept of one content: more than stop it.
 pub const MAX_CRASHES: usize = 16;
 /// What may be missing, in thousandths of an end, of the evidence that stops a content or makes it
-/// suspect. Where each had to be there in full, the chance end of one more engine at the same moment
-/// cost another engine: a content ended 3.6 to 3.9 engines on average, and 3.2 to 3.3 with this (`cargo
-/// measure --scenario crashes`, simulated time, 40 seeds before 24 engines, 20 before 280).
+/// suspect: the chance end of one more engine at the same moment must not cost another engine.
 const ROUNDING: u32 = 500;
 /// Ends from which on a content is kept apart from other requests, and told to peers again.
 pub const SUSPECT_FROM: u32 = 2;
@@ -50,8 +46,8 @@
 /// The start of an upstream that does not say when it was.
 pub const UNKNOWN_START: u64 = 0;
 /// Numbers of one upstream's ends that differ by less, in milliseconds, are those of one end: where
-/// the observers give it their time of day, these differ by what it took them to notice, and by their
-/// clocks. An upstream takes longer to start. Chosen, not measured.
+/// the observers give it their time of day, these differ by what it took them to notice, and by
+/// their clocks. An upstream takes longer to start.
 pub const SAME_END_MS: u64 = 1_000;
 
 /// The end of one start of an upstream.
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -16,9 +16,8 @@
 use crate::weight::{Surroundings, Weight};
 use std::time::{Duration, Instant};
 
-/// A request that may have ended two upstreams waits for the judgement of its last attempt for so long
-/// at most: the time to the judgement, and the probe before it. Chosen, not
-/// measured.
+/// A request that may have ended two upstreams waits for the judgement of its last attempt for so
+/// long at most: the time to the judgement, and the probe before it.
 pub const MAX_HOLD: Duration = Duration::from_millis(250);
 
 /// How a request may be sent to an upstream.
@@ -88,9 +87,8 @@
     }
 
     /// Whether a request has to wait for the judgement of its last attempt, as it may be what ended
-    /// [`SUSPECT_FROM`] upstreams. Where only the one before the limit waited, repeats that crash an
-    /// engine within 15 ms ended up to 11 engines, and up to 9 so (`cargo measure --scenario crashes`,
-    /// simulated time, 20 seeds before 280 engines). A first retry never waits.
+    /// [`SUSPECT_FROM`] upstreams, of which repeats that crash one within milliseconds would end
+    /// several before the first end is known. A first retry never waits.
     pub fn awaits_judgement(&self, content: ContentKey, now: Instant) -> bool {
         let CrashLimit(limit) = self.book.limit();
         let open = self.broken.open_with(content);
--- a/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
+++ b/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
@@ -14,11 +14,11 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Ends that are no further apart are one moment: the first and the last engine of a dying data centre
-/// are known within 0.05 s of each other (measured: eight days before 24 to 284 upstreams). A little
-/// more, and not much: repeats that are sent each 0.1 s to other engines must not explain each other's.
+/// Ends that are no further apart are one moment: the first and the last engine of a dying data
+/// centre are known within 0.05 s of each other. A little more, and not much: repeats that are sent
+/// each 0.1 s to other engines must not explain each other's.
 pub const SAME_MOMENT: Duration = Duration::from_millis(60);
-/// How long an end is kept: longer than it takes to judge an attempt that broke off there. Chosen.
+/// How long an end is kept: longer than it takes to judge an attempt that broke off there.
 const ENDS_KEPT_FOR: Duration = Duration::from_secs(5);
 
 /// An upstream that ended.
--- a/crates/shared/cloverpier_crashes/src/weight.rs
+++ b/crates/shared/cloverpier_crashes/src/weight.rs
@@ -12,11 +12,10 @@
 //!   `1 - ln(k + 1) / ln(n + 1)`. So an end alone counts in full whatever the size of the domain, and
 //!   one among the ends of all neighbours counts nothing: a dying data centre acquits what ran there.
 //! - **Why only the same moment.** Where several requests crash upstreams, their ends follow each
-//!   other by tenths of a second and would explain each other: with all ends of the last second each
-//!   of six such contents ended 9.1 of 280 engines on average and 99 at most; with those of the same
-//!   moment 3.2 and 5 (`cargo measure --scenario crashes`, simulated time, 20 seeds).
-//! - **Why not a plain count.** Before 24 engines, of 6,000 requests that came in eight equal copies
-//!   856 were stopped as their data centre died, and 48 so; the same command, 40 seeds.
+//!   other by tenths of a second and would explain each other; then a content ends many more upstreams
+//!   before it is stopped.
+//! - **Why not a plain count.** Equal copies of one request run at several upstreams of a data centre;
+//!   a count would stop them when it dies.
 //! - **Ends of the same request.** A retry is sent after the end of the run before, which explains
 //!   nothing. But many equal requests may run at the upstreams of a data centre that dies, so their
 //!   ends count like any other where both runs were under way.
@@ -28,9 +27,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Ends at the same moment that are kept by name; of more, it is a mass death, which explains each of
-/// its ends. Repeats of one request ended up to 3 engines within a second where they piled up
-/// (measured: one day before 24 engines); chosen above that.
+/// Ends at the same moment that are kept by name; of more, it is a mass death, which explains each
+/// of its ends.
 pub const MAX_NAMED: usize = 12;
 
 /// How another end of the same request came about.
--- a/crates/shared/cloverpier_observe/src/bounded.rs
+++ b/crates/shared/cloverpier_observe/src/bounded.rs
@@ -12,9 +12,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Lines that wait for a slow reader at most: about a megabyte.  Chosen, not measured.
+/// Lines that wait for a slow reader at most: about a megabyte.
 const MAX_WAITING: usize = 2_048;
-/// Lines accepted in one window at most.  Chosen, not measured.
+/// Lines accepted in one window at most.
 const MAX_PER_WINDOW: u32 = 1_000;
 /// The window of that bound.
 const WINDOW: Duration = Duration::from_secs(1);
--- a/crates/shared/cloverpier_timers/src/lib.rs
+++ b/crates/shared/cloverpier_timers/src/lib.rs
@@ -20,10 +20,10 @@
 use tokio::sync::futures::Notified;
 
 /// How often both clocks are compared: a wait that should have ended during the suspension ends so
-/// long after it at most. Ten wake-ups of a process a second. Chosen, not measured.
+/// long after it at most. Ten wake-ups of a process a second.
 pub const CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// The clocks have to differ by so much: far more than the granularity of the runtime's timers (1 ms),
-/// and less than any bound that is waited for. Chosen, not measured.
+/// The clocks have to differ by so much: far more than the granularity of the runtime's timers (1
+/// ms), and less than any bound that is waited for.
 pub const LEAST_SUSPENSION: Duration = Duration::from_millis(20);
 
 /// The time that was allowed for something has passed.
--- a/crates/standins/cloverpier_router_standin/src/store/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/serve.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// How often a store that waits looks whether it still does.  Chosen, not measured.
+/// How often a store that waits looks whether it still does.
 const WAITING_PAUSE: Duration = Duration::from_millis(2);
 
 /// What the connections share.
