Tell of routers that end in small messages, and learn a whole fleet soon after a start

After all routers of a large fleet started at once, a few members stayed unknown to some for over half a minute: whoever lacks some asked for all only once its own queue of news was empty, and that queue held news of every router, 24 in each message. Now it asks too while it knows fewer than others, and what both sides know to live leaves the queue. News of a router that ends went in whole messages of gossip to eight others, up to 1.5 kB each; they are messages of their own now.

The new bound of 15 s fails on the former code with loss. New metrics peer_datagrams and peer_bytes by kind of message.

--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -52,6 +52,21 @@
     }
 }
 
+/// Sends at once that routers end.
+pub(crate) fn send_ended(router: &Router, socket: &UdpSocket) {
+    let (members, targets) = {
+        let mut known = router.peers.members.borrow_mut();
+        let ended = known.take_ended();
+        let targets = known.urgent_targets(&mut router.rng.borrow_mut());
+        (ended, targets)
+    };
+    let message = Members {
+        sender: router.settings().listen.peers,
+        members,
+    };
+    send(router, socket, &PeerMessage::Members(message), &targets);
+}
+
 /// Sends something urgent at once: a version, or that the store is not reached any more.
 pub(crate) fn send_urgent(router: &Router, socket: &UdpSocket, now: Instant) {
     note_own_beat(router, now);
@@ -149,7 +164,7 @@
     };
     let mut members = router.peers.members.borrow_mut();
     let reply = members.on_gossip(seen, &mut router.rng.borrow_mut(), now);
-    if members.is_urgent() {
+    if members.has_ended() {
         router.peers.wake();
     }
     reply
@@ -207,6 +222,9 @@
 pub(crate) fn on_members(router: &Router, message: Members, now: Instant) {
     let mut members = router.peers.members.borrow_mut();
     members.on_members(message.members, now);
+    if members.has_ended() {
+        router.peers.wake();
+    }
 }
 
 /// Takes what watchers of the store said; the roles are decided anew where it says something else.
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -54,9 +54,12 @@
             crash_news::tell_again(&router, now);
             leaving_news::tell_again(&router, now);
             next_heartbeat = now + period(&router);
-        } else if is_urgent(&router, now) {
+        } else if router.peers.take_heartbeat_due() {
             send_versions(&router, &socket, now);
         }
+        if router.peers.is_large() && router.peers.may_send_ended(now) {
+            gossip::send_ended(&router, &socket);
+        }
         let new_peers = router.peers.take_new(MAX_GREETED);
         if !new_peers.is_empty() {
             send_heartbeat(&router, &socket, &new_peers, MENTIONED_TO_NEW_PEER, now);
@@ -83,21 +86,6 @@
     }
 }
 
-/// Whether something is to be sent before the next period: a version, or that a router ends.
-fn is_urgent(router: &Router, now: Instant) -> bool {
-    let peers = &router.peers;
-    let is_version_due = peers.take_heartbeat_due();
-    if !peers.is_large() {
-        return is_version_due;
-    }
-    let has_news = peers.members.borrow().is_urgent();
-    if is_version_due || (has_news && peers.may_send_urgent(now)) {
-        peers.members.borrow_mut().take_urgent();
-        return true;
-    }
-    false
-}
-
 /// When the roles of watchers are decided anew.
 #[derive(Default)]
 struct RoleTurn {
@@ -197,6 +185,10 @@
             return;
         }
     };
+    let (kind, count) = (message.kind(), peers.len() as u64);
+    router.metrics.peer_datagrams.add(kind, count);
+    let sent = bytes.len() as u64 * count;
+    router.metrics.peer_bytes.add(kind, sent);
     for peer in peers {
         // A datagram that the system does not take is like one that was lost.
         let _ = socket.try_send_to(&bytes, *peer);
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -26,7 +26,12 @@
 impl ByKind {
     /// Counts one of a kind.
     pub fn count(&self, kind: &'static str) {
-        self.0.get_or_create(&Kind { kind }).inc();
+        self.add(kind, 1);
+    }
+
+    /// Counts some of a kind.
+    pub fn add(&self, kind: &'static str, count: u64) {
+        self.0.get_or_create(&Kind { kind }).inc_by(count);
     }
 }
 
@@ -75,6 +80,9 @@
     pub singleton: ByKind,
     /// Contents that are stopped.
     pub stopped_contents: Gauge,
+    /// Datagrams sent to peers, and their bytes, by what they say.
+    pub peer_datagrams: ByKind,
+    pub peer_bytes: ByKind,
     /// Bytes of versions handed to peers.
     pub version_bytes: Counter,
     /// New connections to upstreams.
@@ -111,6 +119,8 @@
             waits: Counter::default(),
             singleton: ByKind::default(),
             stopped_contents: Gauge::default(),
+            peer_datagrams: ByKind::default(),
+            peer_bytes: ByKind::default(),
             version_bytes: Counter::default(),
             connections: Counter::default(),
             suspensions: Counter::default(),
@@ -220,6 +230,16 @@
             self.version_fetches.0.clone(),
         );
         registry.register("rollouts", "Steps of roll-outs", self.rollouts.0.clone());
+        registry.register(
+            "peer_datagrams",
+            "Datagrams to peers by what they say",
+            self.peer_datagrams.0.clone(),
+        );
+        registry.register(
+            "peer_bytes",
+            "Bytes of datagrams to peers by what they say",
+            self.peer_bytes.0.clone(),
+        );
         registry.register(
             "version_bytes",
             "Bytes of versions handed to peers",
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -279,6 +279,26 @@
     UpstreamNews(UpstreamNews),
 }
 
+impl PeerMessage {
+    /// What it says, in a word.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Change(_) => "change",
+            Self::Successor(_) | Self::Replaced(_) => "successor",
+            Self::Rollouts(_) => "rollouts",
+            Self::RolloutEvidence(_) => "rollout-evidence",
+            Self::Crashes(_) => "crashes",
+            Self::Leavings(_) => "leavings",
+            Self::FleetReport(_) => "fleet-report",
+            Self::LeaseNews(_) => "lease",
+            Self::Gossip(_) => "gossip",
+            Self::AskMembers(_) | Self::Members(_) => "members",
+            Self::UpstreamNews(_) => "upstreams",
+        }
+    }
+}
+
 /// The reply to a fetch of upstreams.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamsReply {
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -11,7 +11,7 @@
 use crate::store_view::Watched;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use cloverpier_router_policy::heartbeat::reaches_all_peers;
-use cloverpier_router_policy::membership::{MemberNews, Membership, URGENT_PERIOD};
+use cloverpier_router_policy::membership::{ENDED_PERIOD, MemberNews, Membership};
 use cloverpier_router_policy::peers::listed_for_callers;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::ReadyPeer;
@@ -54,8 +54,8 @@
     plain_peers: RefCell<HashMap<SocketAddr, Instant>>,
     /// The number of this router's last beat as a watcher.
     last_beat: Cell<u64>,
-    /// When news of routers that end were last sent at once.
-    sent_urgent: Cell<Option<Instant>>,
+    /// When others were last told at once of routers that end.
+    sent_ended: Cell<Option<Instant>>,
     /// Upstreams of which the load or a suspicion is to be reported at once.
     changed_upstreams: RefCell<Vec<UpstreamName>>,
     /// Prompts that engines began to read since the last report.
@@ -80,7 +80,7 @@
         Self {
             // Greater than those of former runs, as stamps are.
             last_beat: Cell::new(own.stamp),
-            sent_urgent: Cell::default(),
+            sent_ended: Cell::default(),
             table: RefCell::default(),
             members: RefCell::new(Membership::new(own)),
             beats: RefCell::default(),
@@ -129,13 +129,13 @@
         next
     }
 
-    /// Whether news of routers that end may be sent now.
-    pub fn may_send_urgent(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < URGENT_PERIOD;
-        if self.sent_urgent.get().is_some_and(is_recent) {
+    /// Whether others are told of routers that end now; it counts as done then.
+    pub fn may_send_ended(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < ENDED_PERIOD;
+        if !self.members.borrow().has_ended() || self.sent_ended.get().is_some_and(is_recent) {
             return false;
         }
-        self.sent_urgent.set(Some(now));
+        self.sent_ended.set(Some(now));
         true
     }
 
--- a/crates/router/cloverpier_router_policy/src/membership.rs
+++ b/crates/router/cloverpier_router_policy/src/membership.rs
@@ -40,8 +40,8 @@
 
 /// How often a router of a large fleet sends messages.
 pub const GOSSIP_PERIOD: Duration = Duration::from_millis(400);
-/// News of routers that end are sent at once, once in this time at most.
-pub const URGENT_PERIOD: Duration = Duration::from_millis(100);
+/// Routers that end are told of at once, once in this time at most.
+pub const ENDED_PERIOD: Duration = Duration::from_millis(100);
 /// How long after its end a member may be taken for alive: silence, probes, and some rounds of news.
 pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// A router that hears from nobody for this long is cut off, and knows nothing of others.
@@ -94,8 +94,8 @@
     news: NewsQueue,
     probes: HashMap<SocketAddr, Probe>,
     heard_any: Option<Instant>,
-    /// Whether there are news that do not wait for the next period.
-    is_urgent: bool,
+    /// Routers that end, of which others are told without waiting for the next period.
+    ended: BTreeSet<SocketAddr>,
     messages: u32,
     /// Of what is known of those that are not dead.
     digest: u64,
@@ -123,7 +123,7 @@
             news: NewsQueue::default(),
             probes: HashMap::new(),
             heard_any: None,
-            is_urgent: false,
+            ended: BTreeSet::new(),
             messages: 0,
             agreed: None,
             asked: None,
@@ -204,8 +204,8 @@
         }
     }
 
-    /// Whether this router asks for all members: it knows much less than the sender, or something else
-    /// than all others although no news are under way.
+    /// Whether this router asks for all members: it knows much less than the sender; or for long
+    /// something else than all others, although no news are under way or it still knows fewer.
     fn is_to_ask(&mut self, seen: GossipSeen<'_>, now: Instant) -> bool {
         if seen.digest == self.digest {
             self.agreed = Some(now);
@@ -216,17 +216,19 @@
         }
         let since = *self.agreed.get_or_insert(now);
         let differs_long = now.saturating_duration_since(since) > DIFFERS_LONG;
-        differs_long && self.news.is_empty() && may_again(&mut self.asked, DIFFERS_LONG, now)
+        let is_behind = self.count() < seen.members || self.news.is_empty();
+        differs_long && is_behind && may_again(&mut self.asked, DIFFERS_LONG, now)
     }
 
-    /// Takes members that a router was asked for, or that came with its reply. Others ask, too, so they
-    /// are not passed on.
+    /// Takes members that a router was asked for, or that came with its reply, or that end. Others ask,
+    /// too, so those that were not known here, or that both know to live, are not passed on.
     pub fn on_members(&mut self, members: Vec<MemberNews>, now: Instant) {
         for news in members {
             let router = news.router;
+            let is_alive = matches!(news.state, MemberState::Alive(_));
             let was_known = self.members.contains_key(&router);
-            self.on_news(news, now);
-            if !was_known {
+            let heard = self.on_news(news, now);
+            if !was_known || (is_alive && heard == Heard::Known) {
                 self.news.forget(router);
             }
         }
@@ -337,7 +339,11 @@
         }
         self.news.push(news.router);
         let is_ending = [MemberState::Dead, MemberState::Alive(PeerState::Leaving)];
-        self.is_urgent |= is_ending.contains(&news.state);
+        if is_ending.contains(&news.state) {
+            self.ended.insert(news.router);
+        } else {
+            self.ended.remove(&news.router);
+        }
         let member = Member {
             callers: news.callers,
             data_centre: news.data_centre,
@@ -360,14 +366,21 @@
         })
     }
 
-    /// Whether there are news that are to be sent at once.
-    pub fn is_urgent(&self) -> bool {
-        self.is_urgent
+    /// Whether routers end of which others are to be told at once.
+    pub fn has_ended(&self) -> bool {
+        !self.ended.is_empty()
     }
 
-    /// Whether news are to be sent at once, as a router ends; they count as sent then.
-    pub fn take_urgent(&mut self) -> bool {
-        std::mem::take(&mut self.is_urgent)
+    /// The routers that end, to be told to [`Membership::urgent_targets`] at once; they count as told
+    /// then.
+    pub fn take_ended(&mut self) -> Vec<MemberNews> {
+        let mut ended = std::mem::take(&mut self.ended);
+        // What does not fit waits for the next time.
+        while ended.len() > MEMBERS_PER_MESSAGE {
+            self.ended.extend(ended.pop_last());
+        }
+        let known = ended.into_iter();
+        known.filter_map(|router| self.news_of(router)).collect()
     }
 
     /// News for the next message; each goes into some messages.
--- a/crates/router/cloverpier_router_policy/tests/membership.rs
+++ b/crates/router/cloverpier_router_policy/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use cloverpier_core::DataCentre;
 use cloverpier_router_policy::membership::{
-    Heard, MemberNews, MemberState, Membership, SUCCESSORS,
+    GossipSeen, Heard, MemberNews, MemberState, Membership, SUCCESSORS,
 };
 use cloverpier_router_policy::peers::PeerState;
 use cloverpier_router_policy::watcher_beats::{WatcherBeat, WatcherBeats};
@@ -110,6 +110,45 @@
     assert!(!peer.is_known_dead(router(0)));
 }
 
+#[test]
+fn others_are_told_once_of_a_router_that_ends_unless_it_is_back() {
+    let now = Instant::now();
+    let mut membership = knowing(3, now);
+    let leaving = news(1, MemberState::Alive(PeerState::Leaving), 2);
+    membership.on_news(leaving.clone(), now);
+    membership.on_members(vec![news(2, MemberState::Dead, 1)], now);
+    assert_eq!(
+        membership.take_ended(),
+        [leaving, news(2, MemberState::Dead, 1)]
+    );
+    assert!(!membership.has_ended());
+    membership.on_news(news(3, MemberState::Dead, 1), now);
+    membership.on_news(news(3, READY, 2), now);
+    assert!(!membership.has_ended());
+}
+
+#[test]
+fn a_router_that_knows_fewer_for_long_asks_for_all() {
+    let start = Instant::now();
+    let mut membership = knowing(100, start);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let sender = news(4, READY, 1);
+    let mut hears = |members, now| {
+        let seen = GossipSeen {
+            sender: &sender,
+            wants_reply: false,
+            members,
+            digest: 1,
+            news: &[],
+        };
+        membership.on_gossip(seen, &mut rng, now).ask_members
+    };
+    assert!(!hears(102, start), "news may be under way");
+    let later = start + Duration::from_secs(3);
+    assert!(hears(102, later));
+    assert!(!hears(102, later), "it has asked just now");
+}
+
 #[test]
 fn a_message_without_a_stamp_brings_a_dead_router_back() {
     let now = Instant::now();
--- a/tools/src/gossip_play/mod.rs
+++ b/tools/src/gossip_play/mod.rs
@@ -58,6 +58,8 @@
     pub death: Spread,
     /// As many in the hundred were killed at once.
     pub many_deaths: Spread,
+    /// Costs of the seconds in which all hear of these.
+    pub deaths_cost: Cost,
     /// Routers that live and were taken for dead by anybody, when nothing happened for a while.
     pub taken_for_dead: usize,
     /// A killed router started again.
--- a/tools/src/gossip_play/world.rs
+++ b/tools/src/gossip_play/world.rs
@@ -4,7 +4,7 @@
 use cloverpier_core::DataCentre;
 use cloverpier_router::peer_messages::{Gossip, Members, PeerMessage, UpstreamNews, encode};
 use cloverpier_router_policy::membership::{
-    GOSSIP_PERIOD, GossipSeen, MemberNews, MemberState, Membership, URGENT_PERIOD,
+    ENDED_PERIOD, GOSSIP_PERIOD, GossipSeen, MemberNews, MemberState, Membership,
 };
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::watcher_beats::{WatcherBeat, WatcherBeats};
@@ -123,6 +123,8 @@
         self.run_for(Duration::from_secs(3));
         let count = (self.spec.routers as f64 * MANY).ceil() as usize;
         let victims = self.rng.choose_multiple(SEEDS..self.spec.routers, count);
+        self.clear_cost();
+        let killed = self.now;
         for victim in &victims {
             self.routers[*victim].is_alive = false;
         }
@@ -130,6 +132,7 @@
         outcome.many_deaths =
             self.spread(|r| dead.iter().all(|victim| r.members.is_known_dead(*victim)));
         self.run_for(Duration::from_secs(3));
+        outcome.deaths_cost = self.cost(self.now - killed);
     }
 
     fn play_news(&mut self, outcome: &mut GossipOutcome) {
@@ -387,6 +390,7 @@
             PeerMessage::Members(members) => {
                 let members = members.members.clone();
                 self.routers[index].members.on_members(members, now);
+                self.note_urgent(index);
             }
             PeerMessage::UpstreamNews(news) => self.on_news(index, news),
             _ => {}
@@ -444,18 +448,24 @@
     /// Has news of routers that end sent at once, or as soon as that may be.
     fn note_urgent(&mut self, index: usize) {
         let router = &mut self.routers[index];
-        if router.members.is_urgent() && router.urgent_at <= self.now {
+        if router.members.has_ended() && router.urgent_at <= self.now {
             let at = self.now + Duration::from_millis(10);
-            router.urgent_at = at + URGENT_PERIOD;
+            router.urgent_at = at + ENDED_PERIOD;
             self.schedule(at, Event::Urgent(index));
         }
     }
 
     fn send_urgent(&mut self, index: usize) {
         let router = &mut self.routers[index];
-        if router.is_alive && router.members.take_urgent() {
+        if router.is_alive && router.members.has_ended() {
+            let members = router.members.take_ended();
             let urgent = router.members.urgent_targets(&mut router.rng);
-            self.gossip(index, urgent, false);
+            let sender = address(index);
+            self.send(
+                index,
+                PeerMessage::Members(Members { sender, members }),
+                urgent,
+            );
         }
     }
 
--- a/tools/tests/gossip.rs
+++ b/tools/tests/gossip.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+/// All know all, after all have started at once: well before callers come.
+const KNOWN_AT_START: Duration = Duration::from_secs(15);
 
 fn spec(routers: usize, loss: f64, seed: u64) -> GossipSpec {
     GossipSpec {
@@ -27,6 +29,11 @@
     let outcome = play(spec(routers, loss, seed));
     println!("{routers} routers, {loss} lost: {outcome:#?}");
     assert_eq!(outcome.taken_for_dead, 0, "{outcome:#?}");
+    let started = outcome.start.1;
+    assert!(
+        started.is_some_and(|started| started <= KNOWN_AT_START),
+        "{outcome:#?}"
+    );
     assert_within("a death", outcome.death, KNOWN_WITHIN, &outcome);
     assert_within("deaths", outcome.many_deaths, KNOWN_WITHIN * 2, &outcome);
     assert_within("a restart", outcome.restart, KNOWN_WITHIN, &outcome);
