Run nothing for callers that have left while the process stood still

Requests of callers that had given up were sent on when a router without processor time went on: the runtime takes a short read for a sign that nothing follows, and sees the end of the connection only with the system's next event, after the send. A caller's connection is now read until nothing is left, so the end is seen before the request is.

It costs a call to the system a request, not measured apart.

--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -45,6 +45,7 @@
 mod beliefs;
 mod body;
 mod budgets;
+mod caller_stream;
 mod configuration_copies;
 mod connection;
 mod crash_news;
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -5,6 +5,7 @@
 //! `cloverpier_router_policy::lifecycle`.
 
 use crate::body::ReplyBody;
+use crate::caller_stream::CallerStream;
 use crate::crashes;
 use crate::held_bytes::HeldBytes;
 use crate::intake::receive_request;
@@ -96,7 +97,8 @@
         async move { Ok::<_, Infallible>(reply.await) }
     });
     // Errors of a caller's connection end that connection and concern nobody else.
-    let _ = server.serve_connection(TokioIo::new(stream), service).await;
+    let stream = TokioIo::new(CallerStream(stream));
+    let _ = server.serve_connection(stream, service).await;
 }
 
 /// Takes a caller's request.
