After the loss of a whole fleet, have few read the list of upstreams

All 986 routers that started again at once read the list of 10,000 upstreams from the store, as none had heard from a peer after 250 ms, and went on although they heard then: 2 GB over one link, all in step, so that nobody had it for 18 s. The list is read page by page now: who learns from a peer meanwhile that the fleet is large stops; a page that cannot be had is asked for again by itself; besides the seeds, which those who greet them keep busy, four others read at once, and more and more after 3 s.

--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -91,6 +91,7 @@
 mod statements;
 mod stop;
 mod stop_signal;
+mod store_list;
 mod store_sync;
 mod store_view;
 mod stream;
@@ -109,9 +110,9 @@
         LeaseRecord, RecordWritten, ServiceScaling, SignedBy, SingletonPlatform, StoredRecord,
     };
     pub use crate::source::{
-        ConfigurationChange, ConfigurationSource, Freshness, ReadChange, RolloutChange,
-        RolloutChanges, RolloutStatus, SourceError, StatusWritten, StoredRollout, UnreadableEntry,
-        UpstreamChanges, UpstreamList,
+        ConfigurationChange, ConfigurationSource, Freshness, PagePosition, ReadChange,
+        RolloutChange, RolloutChanges, RolloutStatus, SourceError, StatusWritten, StoredRollout,
+        UnreadableEntry, UpstreamChanges, UpstreamList, UpstreamPage,
     };
     pub use crate::start::{StartError, run_router};
     pub use crate::wire_names::{AnswerParts, HeaderNames, Paths, PromptSize, WireNames};
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -53,6 +53,23 @@
     pub revision: u64,
 }
 
+/// Where a page of the list begins, in the store's own terms.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PagePosition(pub String);
+
+/// Some upstreams of the list.
+#[derive(Debug)]
+pub struct UpstreamPage {
+    /// The upstreams.
+    pub upstreams: Vec<Upstream>,
+    /// Entries that could not be read.
+    pub unreadable: Vec<UnreadableEntry>,
+    /// The store's revision.
+    pub revision: u64,
+    /// Where the next page begins; `None` after the last one.
+    pub next: Option<PagePosition>,
+}
+
 /// A change of an entry, read or not.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReadChange {
@@ -173,11 +190,12 @@
     /// Checks that the store answers, as cheaply as it allows.
     fn ping(&self, timeout: Duration) -> impl Future<Output = Result<(), SourceError>>;
 
-    /// Reads all upstreams.
+    /// Reads the first page of the list of upstreams, or the one at a position.
     fn read_upstreams(
         &self,
         freshness: Freshness,
-    ) -> impl Future<Output = Result<UpstreamList, SourceError>>;
+        at: Option<&PagePosition>,
+    ) -> impl Future<Output = Result<UpstreamPage, SourceError>>;
 
     /// Waits up to `wait` for changes of upstreams after a revision.
     fn poll_upstreams(
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -13,6 +13,7 @@
 use crate::rollout_store::{apply_change, read_orders};
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, SourceError, UpstreamChanges};
+use crate::store_list::read_list;
 use crate::store_view::{
     StoreLoop, StoreView, Watched, apply_configuration, live_routers, log_dependency,
     max_store_backoff, on_ping_result, on_store_lost, on_store_regained,
@@ -32,7 +33,7 @@
 const FROM_STORE: &str = "store";
 
 /// The pauses after failed calls.
-struct Backoff {
+pub(crate) struct Backoff {
     pause: Duration,
     store_loop: StoreLoop,
 }
@@ -53,7 +54,7 @@
     }
 
     /// Records a failed call and waits before the next one.
-    async fn after_failure(&mut self, router: &Router, error: &SourceError) {
+    pub(crate) async fn after_failure(&mut self, router: &Router, error: &SourceError) {
         router.metrics.store_calls.count("failed");
         on_store_lost(router, self.store_loop, &error.to_string());
         let pause = jitter(&mut router.rng.borrow_mut(), self.pause);
@@ -84,24 +85,25 @@
 const FIRST_READ_PERIOD: Duration = Duration::from_millis(5);
 
 /// Waits until a peer has handed on what is awaited, or this router is to read it.
-async fn wait_for_first_read(router: &Router, is_known: impl Fn(&StoreView) -> bool) {
-    let random = router.rng.borrow_mut().f64();
-    while !is_known(&router.store) {
-        let started = router.lifecycle.started();
-        let starting = Starting {
-            is_seed: is_seed(router),
-            age: router.now().saturating_duration_since(started),
-            has_peers: router.peers.has_heard_any(),
-            peers: router.peers.count(),
-            random,
-        };
-        if first_read(&starting) == FirstRead::Now {
-            return;
-        }
+async fn wait_for_first_read(router: &Router, random: f64, is_known: impl Fn(&StoreView) -> bool) {
+    while !is_known(&router.store) && !is_first_read_due(router, random) {
         router.timers.sleep(FIRST_READ_PERIOD).await;
     }
 }
 
+/// Whether this router reads from the store although it has just started.
+fn is_first_read_due(router: &Router, random: f64) -> bool {
+    let started = router.lifecycle.started();
+    let starting = Starting {
+        is_seed: is_seed(router),
+        age: router.now().saturating_duration_since(started),
+        has_peers: router.peers.has_heard_any(),
+        peers: router.peers.count(),
+        random,
+    };
+    first_read(&starting) == FirstRead::Now
+}
+
 /// Whether others begin with this router.
 fn is_seed(router: &Router) -> bool {
     let settings = router.settings();
@@ -112,8 +114,9 @@
 pub(crate) async fn watch_configuration(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(StoreLoop::Of(Watched::Configuration));
     let mut revision: Option<u64> = None;
+    let random = router.rng.borrow_mut().f64();
     loop {
-        wait_for_first_read(&router, |store| store.configuration().is_some()).await;
+        wait_for_first_read(&router, random, |store| store.configuration().is_some()).await;
         if router.store.configuration().is_some() {
             wait_for_turn(&router).await;
         }
@@ -153,8 +156,9 @@
 pub(crate) async fn watch_upstreams(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(StoreLoop::Of(Watched::Upstreams));
     let mut revision: Option<u64> = None;
+    let random = router.rng.borrow_mut().f64();
     loop {
-        wait_for_first_read(&router, StoreView::knows_upstreams).await;
+        wait_for_first_read(&router, random, StoreView::knows_upstreams).await;
         if router.store.knows_upstreams() {
             wait_for_turn(&router).await;
             // Peers may have sent newer changes than the last watch returned.
@@ -162,16 +166,18 @@
             revision = revision.map(|at| at.max(known));
         }
         let reached = match revision {
-            None => read_upstreams(&router, &*source).await,
+            None => read_upstreams(&router, &*source, &mut backoff, random).await,
             Some(at) => tokio::select! {
                 changes = source.poll_upstreams(at, WATCH_WAIT) => {
-                    changes.map(|changes| apply_changes(&router, changes))
+                    changes.map(|changes| Some(apply_changes(&router, changes)))
                 }
                 () = router.store.watch_ended() => continue,
             },
         };
         match reached {
-            Ok(at) => {
+            // A peer has handed it on meanwhile, or is about to.
+            Ok(None) => {}
+            Ok(Some(at)) => {
                 backoff.on_success(&router);
                 revision = Some(at);
                 router.timers.sleep(GATHER_PERIOD).await;
@@ -220,7 +226,7 @@
     }
 }
 
-/// Reads the whole list; returns the revision reached.
+/// Reads the whole list; returns the revision reached, or `None` if the list is not wanted any more.
 ///
 /// The orders of roll-outs are read before, at a start: whoever learns of a new version's upstreams
 /// has to know that few requests may go there.
@@ -231,7 +237,9 @@
 async fn read_upstreams(
     router: &Router,
     source: &impl ConfigurationSource,
-) -> Result<u64, SourceError> {
+    backoff: &mut Backoff,
+    random: f64,
+) -> Result<Option<u64>, SourceError> {
     let freshness = if router.store.knows_upstreams() {
         Freshness::Newest
     } else {
@@ -241,14 +249,21 @@
     if is_start {
         read_orders(router, source, freshness).await?;
     }
-    let list = source.read_upstreams(freshness).await?;
+    let is_wanted = || match freshness {
+        Freshness::MayBeOld => !router.store.knows_upstreams() && is_first_read_due(router, random),
+        Freshness::Newest => may_call(router.store.role(), router.store.is_fresh(router.now())),
+    };
+    let list = read_list(router, source, freshness, backoff, is_wanted).await?;
+    let Some(list) = list else {
+        return Ok(None);
+    };
     if is_start && has_several_versions(&list.upstreams) {
         // The order may be younger than what was read of it.
         read_orders(router, source, Freshness::Newest).await?;
     }
     let revision = list.revision;
     apply_upstream_list(router, list, FROM_STORE);
-    Ok(revision)
+    Ok(Some(revision))
 }
 
 /// Whether upstreams of one service run several versions, as during a roll-out.
--- a/crates/router/cloverpier_router_policy/src/first_read.rs
+++ b/crates/router/cloverpier_router_policy/src/first_read.rs
@@ -7,9 +7,12 @@
 //! - **Answer.** A [`FirstRead`].
 //! - **Why.** What is read grows with accounts and upstreams, and the reads with the routers: 1,000
 //!   routers that start at once before 10,000 upstreams would have the store send 2 GB, which takes its
-//!   link 16 s, and a configuration of 200 kB, which takes 1.6 s. So the seeds read, and those that have
-//!   something double with each copy's time. Where no peer answers, or none hands on in time what a few
-//!   routers may as well read, each reads by itself.
+//!   link 16 s, and a configuration of 200 kB, which takes 1.6 s. So the seeds read, and a few others as
+//!   soon as they know that the fleet is large, since seeds are busy with those who greet them. Those that
+//!   have something double with each copy's time. Where nobody hands anything on, as the store is away
+//!   from those that read, more and more of the others read, in the order of their random numbers.
+//!
+//! Which routers serve callers waits for this: after the loss of all routers nobody does before.
 //!
 //! Owns no state.
 
@@ -22,10 +25,13 @@
 /// A router of a small fleet that was handed nothing after this time reads by itself: seeds have read
 /// after some milliseconds.
 const SMALL_FLEET: Duration = Duration::from_millis(100);
-/// A router of a large fleet that was handed nothing after this time reads by itself.
+/// Routers of a large fleet that read at once, besides the seeds.
+const FIRST_READERS: f64 = 4.0;
+/// After this time as many others read, if they were handed nothing: a long list takes seconds on a small
+/// VM.
 const HANDED_WITHIN: Duration = Duration::from_secs(3);
-/// Those that read by themselves after that spread over this time.
-const SPREAD: Duration = Duration::from_secs(4);
+/// After each such time twice as many have begun to.
+const DOUBLING: Duration = Duration::from_millis(1_500);
 
 /// A router that has just started.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,7 +66,7 @@
     } else if reaches_all_peers(starting.peers) {
         SMALL_FLEET
     } else {
-        HANDED_WITHIN + SPREAD.mul_f64(starting.random)
+        large_fleet_wait(starting.random * starting.peers as f64)
     };
     if starting.age >= from {
         FirstRead::Now
@@ -68,3 +74,12 @@
         FirstRead::NotBefore(from)
     }
 }
+
+/// How long a router waits before which so many of a large fleet read.
+fn large_fleet_wait(before: f64) -> Duration {
+    if before < FIRST_READERS {
+        return Duration::ZERO;
+    }
+    let doublings = (before / FIRST_READERS).log2();
+    HANDED_WITHIN + DOUBLING.mul_f64(doublings)
+}
