--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -7,7 +7,7 @@
 use crate::crash_news;
 use crate::heartbeats::{send, store_age_ms};
 use crate::leaving_news;
-use crate::peer_messages::{Gossip, Members, PeerMessage, UpstreamNews, encode};
+use crate::peer_messages::{Gossip, Members, PeerMessage, UpstreamUpdate, encode};
 use crate::peer_reports::on_suspects;
 use crate::peers::Recipients;
 use crate::router::Router;
@@ -15,7 +15,7 @@
 use crate::store_view::{Watched, decide_watcher_role, log_dependency};
 use crate::upstream_news::apply_upstream_changes;
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
-use cloverpier_router_policy::membership::{GossipReply, GossipSeen, MemberNews, MemberState};
+use cloverpier_router_policy::membership::{GossipReply, GossipSeen, MemberState, MemberUpdate};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::changes_roles;
 use cloverpier_router_policy::watcher_beats::WatcherBeat;
@@ -111,7 +111,7 @@
     let mut suspects = table.suspects();
     suspects.truncate(MAX_SUSPECTS);
     let mut members = router.peers.members.borrow_mut();
-    let news = members.take_news();
+    let updates = members.take_updates();
     Gossip {
         sender: members.own().clone(),
         wants_reply,
@@ -122,7 +122,7 @@
         watchers: router.peers.beats.borrow().for_message(now),
         suspects,
         budget_use: router.budget_use(now),
-        news,
+        updates,
     }
 }
 
@@ -160,7 +160,7 @@
         wants_reply: gossip.wants_reply,
         members: gossip.members as usize,
         digest: gossip.digest,
-        news: &gossip.news,
+        updates: &gossip.updates,
     };
     let mut members = router.peers.members.borrow_mut();
     let reply = members.on_gossip(seen, &mut router.rng.borrow_mut(), now);
@@ -192,15 +192,15 @@
 fn send_reply(router: &Router, to: SocketAddr, reply: GossipReply, now: Instant) {
     let own = router.settings().listen.peers;
     let send = |message| router.peers.send(message, Recipients::These(vec![to]));
-    if let Some(news) = reply.of_itself {
+    if let Some(updates) = reply.of_itself {
         send(PeerMessage::Members(Members {
             sender: own,
-            members: vec![news],
+            members: vec![updates],
         }));
     }
     if reply.message {
         let mut message = gossip(router, false, now);
-        message.news.extend(reply.sample);
+        message.updates.extend(reply.sample);
         send(PeerMessage::Gossip(message));
     }
     if reply.ask_members {
@@ -257,13 +257,13 @@
     if !router.peers.is_large() || !router.rollouts.views().is_empty() {
         return false;
     }
-    let news = UpstreamNews {
+    let updates = UpstreamUpdate {
         sender: router.settings().listen.peers,
         after,
         revision,
         changes,
     };
-    let message = PeerMessage::UpstreamNews(news);
+    let message = PeerMessage::UpstreamUpdate(updates);
     match encode(&message) {
         Ok(bytes) if bytes.len() + ENVELOPE <= MAX_DATAGRAM => {
             router.peers.send(message, Recipients::All);
@@ -279,35 +279,35 @@
 }
 
 /// Applies changes that a router passed on, and passes them on.
-pub(crate) fn on_upstream_news(router: &Router, news: UpstreamNews) {
+pub(crate) fn on_upstream_update(router: &Router, updates: UpstreamUpdate) {
     let known = router.upstreams.borrow().revision();
-    if news.revision <= known || !router.store.knows_upstreams() {
+    if updates.revision <= known || !router.store.knows_upstreams() {
         return;
     }
-    if news.after > known {
+    if updates.after > known {
         // Something before it was missed.
         router.peers.on_newer_version(Watched::Upstreams);
         return;
     }
     let changes = UpstreamChanges {
-        changes: news
+        changes: updates
             .changes
             .iter()
             .cloned()
             .map(ReadChange::Readable)
             .collect(),
-        revision: news.revision,
+        revision: updates.revision,
     };
-    let from = format!("peer {}", news.sender);
+    let from = format!("peer {}", updates.sender);
     apply_upstream_changes(router, changes, &from);
     let sender = router.settings().listen.peers;
-    let message = UpstreamNews { sender, ..news };
-    router.peers.pass_on(PeerMessage::UpstreamNews(message));
+    let message = UpstreamUpdate { sender, ..updates };
+    router.peers.pass_on(PeerMessage::UpstreamUpdate(message));
 }
 
 /// What a heartbeat of a release that knows no gossip says of its sender.
-pub(crate) fn member_of(entry: &PeerEntry, peer: SocketAddr) -> MemberNews {
-    MemberNews {
+pub(crate) fn member_of(entry: &PeerEntry, peer: SocketAddr) -> MemberUpdate {
+    MemberUpdate {
         router: peer,
         callers: entry.callers,
         data_centre: entry.data_centre.clone(),
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_crashes::ContentReport;
-use cloverpier_router_policy::membership::MemberNews;
+use cloverpier_router_policy::membership::MemberUpdate;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::EvidenceReport;
 use cloverpier_router_policy::singleton::autoscaling::ServiceLoad;
@@ -181,7 +181,7 @@
 
 /// What the holder of the lease says of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseNews {
+pub struct LeaseUpdate {
     /// The sender's address for peers.
     pub sender: SocketAddr,
     /// The version of the lease's record.
@@ -198,7 +198,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
     /// What the sender says of itself.
-    pub sender: MemberNews,
+    pub sender: MemberUpdate,
     /// Whether the sender waits for a message: it probes the recipient, or has just begun.
     pub wants_reply: bool,
     /// How many members the sender knows.
@@ -216,7 +216,7 @@
     /// The sender's use of each service's retry budget.
     pub budget_use: Vec<(ServiceKey, BudgetUse)>,
     /// What is new of other routers.
-    pub news: Vec<MemberNews>,
+    pub updates: Vec<MemberUpdate>,
 }
 
 /// Some of the members that a router knows, for one that knows fewer.
@@ -225,12 +225,12 @@
     /// The sender's address for peers.
     pub sender: SocketAddr,
     /// The members.
-    pub members: Vec<MemberNews>,
+    pub members: Vec<MemberUpdate>,
 }
 
 /// Changes of upstreams, passed on from router to router.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamNews {
+pub struct UpstreamUpdate {
     /// The sender's address for peers.
     pub sender: SocketAddr,
     /// The revision that the changes follow.
@@ -267,7 +267,7 @@
     /// likewise.
     FleetReport(FleetReport),
     /// Sent by the holder of the lease, likewise.
-    LeaseNews(LeaseNews),
+    LeaseUpdate(LeaseUpdate),
     /// Sent every period in a large fleet; a router of a release without it ignores the datagram, and
     /// is sent heartbeats.
     Gossip(Gossip),
@@ -276,7 +276,7 @@
     /// Sent in answer to that, likewise.
     Members(Members),
     /// Sent by watchers of the store in a large fleet, and passed on; likewise.
-    UpstreamNews(UpstreamNews),
+    UpstreamUpdate(UpstreamUpdate),
 }
 
 impl PeerMessage {
@@ -291,10 +291,10 @@
             Self::Crashes(_) => "crashes",
             Self::Leavings(_) => "leavings",
             Self::FleetReport(_) => "fleet-report",
-            Self::LeaseNews(_) => "lease",
+            Self::LeaseUpdate(_) => "lease",
             Self::Gossip(_) => "gossip",
             Self::AskMembers(_) | Self::Members(_) => "members",
-            Self::UpstreamNews(_) => "upstreams",
+            Self::UpstreamUpdate(_) => "upstreams",
         }
     }
 }
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -49,9 +49,9 @@
             Ok(PeerMessage::Gossip(message)) => gossip::on_gossip(&router, message, now),
             Ok(PeerMessage::AskMembers(peer)) => gossip::on_ask_members(&router, peer, now),
             Ok(PeerMessage::Members(members)) => gossip::on_members(&router, members, now),
-            Ok(PeerMessage::UpstreamNews(news)) => gossip::on_upstream_news(&router, news),
+            Ok(PeerMessage::UpstreamUpdate(news)) => gossip::on_upstream_update(&router, news),
             Ok(PeerMessage::FleetReport(report)) => singleton::on_report(&router, report, now),
-            Ok(PeerMessage::LeaseNews(news)) => singleton::on_lease_news(&router, &news, now),
+            Ok(PeerMessage::LeaseUpdate(news)) => singleton::on_lease_update(&router, &news, now),
             // Cut off, or of another release, as during an upgrade: logged once a process.
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -1,6 +1,6 @@
 //! What this router knows of its peers, and what it sends them next.
 //!
-//! Owns the table of peers, the members of a large fleet, the news that waits for the next datagram,
+//! Owns the table of peers, the members of a large fleet, the updates that wait for the next datagram,
 //! and the signals that a peer has a newer version. [`crate::heartbeats`] and [`crate::gossip`] send
 //! and receive; who is sent what is decided in `cloverpier_router_policy::{heartbeat, membership}`.
 //!
@@ -11,7 +11,7 @@
 use crate::store_view::Watched;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use cloverpier_router_policy::heartbeat::reaches_all_peers;
-use cloverpier_router_policy::membership::{ENDED_PERIOD, MemberNews, Membership};
+use cloverpier_router_policy::membership::{ENDED_PERIOD, MemberUpdate, Membership};
 use cloverpier_router_policy::peers::listed_for_callers;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::ReadyPeer;
@@ -76,7 +76,7 @@
 
 impl Peers {
     /// A router that knows no peer yet.
-    pub fn new(own: MemberNews) -> Self {
+    pub fn new(own: MemberUpdate) -> Self {
         Self {
             // Greater than those of former runs, as stamps are.
             last_beat: Cell::new(own.stamp),
@@ -381,7 +381,7 @@
         std::mem::take(&mut *self.new_prompt_locations.borrow_mut())
     }
 
-    /// Has the sender of datagrams look for news.
+    /// Has the sender of datagrams look for messages.
     pub fn wake(&self) {
         self.state_changed.notify_one();
     }
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -39,7 +39,7 @@
 use cloverpier_router_policy::heartbeat::peer_timeout;
 use cloverpier_router_policy::held_memory::HeldMemory;
 use cloverpier_router_policy::lifecycle::router_state;
-use cloverpier_router_policy::membership::{MEMBER_TIMEOUT, MemberNews, MemberState};
+use cloverpier_router_policy::membership::{MEMBER_TIMEOUT, MemberState, MemberUpdate};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::schedule::ExposureBounds;
 use cloverpier_router_policy::version_serving::CopyPacing;
@@ -83,8 +83,8 @@
 }
 
 /// What a router says of itself when it starts.
-fn member(settings: &RouterSettings) -> MemberNews {
-    MemberNews {
+fn member(settings: &RouterSettings) -> MemberUpdate {
+    MemberUpdate {
         router: settings.listen.peers,
         callers: settings.listen.callers,
         data_centre: settings.data_centre.clone(),
--- a/crates/router/cloverpier_router/src/singleton/keeper.rs
+++ b/crates/router/cloverpier_router/src/singleton/keeper.rs
@@ -56,7 +56,7 @@
         let now = self.router.now();
         let wish = LeaseWish {
             may_hold: self.may_hold(now),
-            has_news: self.decide_windows(now),
+            has_updates: self.decide_windows(now),
         };
         let fleet_ms = self.singleton.fleet_ms(now);
         let step = self.singleton.lease.borrow().step(wish, fleet_ms, now);
@@ -86,9 +86,9 @@
         };
         if self.singleton.settings.meters {
             let book = self.singleton.book.borrow();
-            work.has_news |= work.usage.decide(&book, self.singleton.fleet_ms(now));
+            work.has_updates |= work.usage.decide(&book, self.singleton.fleet_ms(now));
         }
-        work.has_news
+        work.has_updates
     }
 
     async fn wait(&self, at: Option<Instant>, now: Instant) {
@@ -180,7 +180,7 @@
         if let Some(work) = work.as_mut() {
             work.usage.on_recorded(&record.usage);
             work.renewals = record.renewals;
-            work.has_news = false;
+            work.has_updates = false;
         }
     }
 
@@ -225,7 +225,7 @@
                 fleet_ms.saturating_sub(ms(uptime)),
                 fleet_ms,
             ),
-            has_news: false,
+            has_updates: false,
             // Without a record nobody has ordered engines.
             inherited_plans: record.map(|r| r.engines.clone()).unwrap_or_default(),
             scalers: BTreeMap::new(),
--- a/crates/router/cloverpier_router/src/singleton/mod.rs
+++ b/crates/router/cloverpier_router/src/singleton/mod.rs
@@ -16,7 +16,7 @@
 pub use platform::{
     LeaseRecord, RecordWritten, ServiceScaling, SignedBy, SingletonPlatform, StoredRecord,
 };
-pub(crate) use reports::{on_lease_news, on_report};
+pub(crate) use reports::{on_lease_update, on_report};
 
 use crate::metrics::Metrics;
 use crate::relay_request::RelayRequest;
@@ -70,7 +70,7 @@
 struct Work {
     usage: HolderUsage,
     /// Whether windows are decided that do not stand in the record.
-    has_news: bool,
+    has_updates: bool,
     /// The engines that the former holder ordered.
     inherited_plans: BTreeMap<ServiceName, Plan>,
     scalers: BTreeMap<ServiceName, Autoscaler>,
--- a/crates/router/cloverpier_router/src/singleton/reports.rs
+++ b/crates/router/cloverpier_router/src/singleton/reports.rs
@@ -6,7 +6,7 @@
 
 use super::keeper::own_wall_ms;
 use super::{ReportedLoads, Singleton, work};
-use crate::peer_messages::{FleetReport, LeaseNews, PeerMessage};
+use crate::peer_messages::{FleetReport, LeaseUpdate, PeerMessage};
 use crate::peers::Recipients;
 use crate::router::Router;
 use cloverpier_router_policy::prelude::ServiceKey;
@@ -28,8 +28,8 @@
     };
     for period in 0u32.. {
         router.timers.sleep(REPORT_PERIOD).await;
-        let has_news = singleton.own_usage.borrow_mut().take_news();
-        if has_news || period.is_multiple_of(QUIET_PERIODS) {
+        let has_updates = singleton.own_usage.borrow_mut().take_updates();
+        if has_updates || period.is_multiple_of(QUIET_PERIODS) {
             send_report(&router, singleton);
         }
     }
@@ -120,29 +120,29 @@
     let Some(work) = work.as_ref() else {
         return;
     };
-    let news = LeaseNews {
+    let update = LeaseUpdate {
         sender: router.settings().listen.peers,
         version,
         token,
         undecided: work.usage.undecided(),
         fleet_ms: singleton.fleet_ms(router.now()),
     };
-    let message = PeerMessage::LeaseNews(news);
+    let message = PeerMessage::LeaseUpdate(update);
     router.peers.send(message, Recipients::These(to));
 }
 
 /// Records what the holder says.
-pub(crate) fn on_lease_news(router: &Router, news: &LeaseNews, now: Instant) {
+pub(crate) fn on_lease_update(router: &Router, update: &LeaseUpdate, now: Instant) {
     let Some(singleton) = &router.singleton else {
         return;
     };
-    singleton.lease.borrow_mut().on_told(news.version, now);
+    singleton.lease.borrow_mut().on_told(update.version, now);
     if singleton.work.borrow().is_some() {
         return;
     }
-    singleton.holder.set(Some(news.sender));
-    singleton.clock.borrow_mut().adopt(news.fleet_ms, now);
+    singleton.holder.set(Some(update.sender));
+    singleton.clock.borrow_mut().adopt(update.fleet_ms, now);
     let mut own = singleton.own_usage.borrow_mut();
-    own.forget_before(news.undecided);
-    singleton.book.borrow_mut().forget_before(news.undecided);
+    own.forget_before(update.undecided);
+    singleton.book.borrow_mut().forget_before(update.undecided);
 }
--- a/crates/router/cloverpier_router/tests/gossip_messages.rs
+++ b/crates/router/cloverpier_router/tests/gossip_messages.rs
@@ -5,11 +5,11 @@
 
 use cloverpier_core::DataCentre;
 use cloverpier_router::peer_messages::{
-    Gossip, Members, PeerMessage, UpstreamNews, decode, encode,
+    Gossip, Members, PeerMessage, UpstreamUpdate, decode, encode,
 };
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::membership::{
-    MEMBERS_PER_MESSAGE, MemberNews, MemberState, NEWS_PER_MESSAGE,
+    MEMBERS_PER_MESSAGE, MemberState, MemberUpdate, UPDATES_PER_MESSAGE,
 };
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::watcher_beats::WatcherBeat;
@@ -29,8 +29,8 @@
     ([127, 0, 0, 1], port).into()
 }
 
-fn news(port: u16, state: MemberState) -> MemberNews {
-    MemberNews {
+fn updates(port: u16, state: MemberState) -> MemberUpdate {
+    MemberUpdate {
         router: address(port),
         callers: address(port + 1),
         data_centre: DataCentre::new("hall-a"),
@@ -41,7 +41,7 @@
 
 fn gossip() -> Gossip {
     Gossip {
-        sender: news(7104, MemberState::Alive(PeerState::Ready)),
+        sender: updates(7104, MemberState::Alive(PeerState::Ready)),
         wants_reply: true,
         members: 985,
         digest: 0x0102_0304_0506_0708,
@@ -60,10 +60,10 @@
                 retries: 2,
             },
         )],
-        news: vec![
-            news(7304, MemberState::Dead),
-            news(7404, MemberState::Alive(PeerState::Starting)),
-            news(7504, MemberState::Alive(PeerState::Leaving)),
+        updates: vec![
+            updates(7304, MemberState::Dead),
+            updates(7404, MemberState::Alive(PeerState::Starting)),
+            updates(7504, MemberState::Alive(PeerState::Leaving)),
         ],
     }
 }
@@ -78,7 +78,7 @@
 fn members_and_the_question_for_them_keep_their_bytes() {
     let message = PeerMessage::Members(Members {
         sender: address(7104),
-        members: vec![news(7304, MemberState::Dead)],
+        members: vec![updates(7304, MemberState::Dead)],
     });
     assert_is_golden(include_str!("golden/members.hex"), &message);
     let question = PeerMessage::AskMembers(address(7104));
@@ -86,22 +86,22 @@
 }
 
 #[test]
-fn upstream_news_keep_their_bytes() {
-    let message = PeerMessage::UpstreamNews(UpstreamNews {
+fn upstream_updates_keep_their_bytes() {
+    let message = PeerMessage::UpstreamUpdate(UpstreamUpdate {
         sender: address(7104),
         after: 529,
         revision: 530,
         changes: vec![UpstreamChange::Gone("server-1".into())],
     });
-    assert_is_golden(include_str!("golden/upstream_news.hex"), &message);
+    assert_is_golden(include_str!("golden/upstream_update.hex"), &message);
 }
 
 /// An address, a data centre's name and a stamp as long as any.
-fn longest() -> MemberNews {
+fn longest() -> MemberUpdate {
     let address: SocketAddr = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
         .parse()
         .unwrap();
-    MemberNews {
+    MemberUpdate {
         router: address,
         callers: address,
         data_centre: DataCentre::new("d".repeat(20)),
@@ -118,7 +118,7 @@
     assert!(encode(&message).unwrap().len() <= MAX_DATAGRAM);
     let message = PeerMessage::Gossip(Gossip {
         // A reply holds a sample besides.
-        news: vec![longest(); 2 * NEWS_PER_MESSAGE],
+        updates: vec![longest(); 2 * UPDATES_PER_MESSAGE],
         suspects: vec![UpstreamKey(u64::MAX); 16],
         ..gossip()
     });
--- a/crates/router/cloverpier_router/tests/singleton_messages.rs
+++ b/crates/router/cloverpier_router/tests/singleton_messages.rs
@@ -4,7 +4,7 @@
 //! releases read these bytes.
 
 use cloverpier_core::AccountName;
-use cloverpier_router::peer_messages::{FleetReport, LeaseNews, PeerMessage, decode, encode};
+use cloverpier_router::peer_messages::{FleetReport, LeaseUpdate, PeerMessage, decode, encode};
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::prelude::ServiceKey;
 use cloverpier_router_policy::singleton::autoscaling::ServiceLoad;
@@ -61,7 +61,7 @@
 
 #[test]
 fn lease_news_keep_their_bytes() {
-    let message = PeerMessage::LeaseNews(LeaseNews {
+    let message = PeerMessage::LeaseUpdate(LeaseUpdate {
         sender: sender(),
         version: RecordVersion {
             era: 2,
--- a/crates/router/cloverpier_router_policy/src/membership.rs
+++ b/crates/router/cloverpier_router_policy/src/membership.rs
@@ -3,7 +3,7 @@
 //! - **Question.** Which routers live? Who gets the next message about that, who is probed, and what
 //!   does the message say of others?
 //! - **Inputs.** Messages from routers, with what they say of themselves and of others; moments.
-//! - **Answer.** [`MemberNews`] to send, and to whom; the members that live.
+//! - **Answer.** [`MemberUpdate`] to send, and to whom; the members that live.
 //! - **Why.** What a router sends, hears and waits must not grow with the fleet. So the routers form a
 //!   ring by the hash of their addresses, and each sends every message to its next [`SUCCESSORS`] there,
 //!   which notice its silence, and to a few others at random. A router that is silent is probed, and
@@ -11,52 +11,52 @@
 //!   with the messages that are sent anyway, some times each: after as many rounds as the logarithm of
 //!   the fleet all know it. A router that hears that it is dead says that it is not.
 //!
-//! This is SWIM (Das, Gupta, Motivala, 2002): probes, and news that travel with other messages. Here the
+//! This is SWIM (Das, Gupta, Motivala, 2002): probes, and updates that travel with other messages. Here the
 //! messages go to fixed neighbours, too, so that silence is noticed without a probe each period.
 //!
-//! News of a router are ordered by its stamp, which it raises with each change of its own state: what
+//! Updates of a router are ordered by its stamp, which it raises with each change of its own state: what
 //! has a lower stamp is older. Nothing of safety depends on who is taken for alive.
 //!
-//! [`Membership`] owns all members with the last news of each, the ring, the news to pass on, and the
+//! [`Membership`] owns all members with the last update of each, the ring, the updates to pass on, and the
 //! probes under way. Small fleets do without it ([`crate::heartbeat`]).
 
-mod news;
-mod news_queue;
 mod ring;
 mod roster;
 mod targets;
+mod update;
+mod update_queue;
 
-pub use news::{GossipReply, GossipSeen, Heard, LiveMember, MemberNews, MemberState};
 pub use ring::{RingStep, SUCCESSORS};
+pub use update::{GossipReply, GossipSeen, Heard, LiveMember, MemberState, MemberUpdate};
 
 use crate::peers::PeerState;
 use cloverpier_core::DataCentre;
-use news_queue::NewsQueue;
 use ring::{Probe, rank_of};
 use roster::Roster;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use update_queue::UpdateQueue;
 
 /// How often a router of a large fleet sends messages.
 pub const GOSSIP_PERIOD: Duration = Duration::from_millis(400);
 /// Routers that end are told of at once, once in this time at most.
 pub const ENDED_PERIOD: Duration = Duration::from_millis(100);
-/// How long after its end a member may be taken for alive: silence, probes, and some rounds of news.
+/// How long after its end a member may be taken for alive: silence, probes, and some rounds of updates.
 pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// A router that hears from nobody for this long is cut off, and knows nothing of others.
 const ALONE_AFTER: Duration = Duration::from_millis(2_500);
 /// A dead router is forgotten after this long; until then it is sent a message now and then, so that
 /// routers find each other again after a partition.
 const DEAD_KEPT_FOR: Duration = Duration::from_secs(60);
-/// News in one message: with data centres' names of 20 bytes they take some 60 bytes each.
-pub const NEWS_PER_MESSAGE: usize = 24;
+/// Updates in one message: with data centres' names of 20 bytes they take some 60 bytes each.
+pub const UPDATES_PER_MESSAGE: usize = 24;
 /// Members in one message that answers a request for all of them.
 pub const MEMBERS_PER_MESSAGE: usize = 48;
 /// All members are asked for, and sent, once in this time at most: in a fleet of 1,000 they take some
 /// 50 kB.
 const MEMBERS_PERIOD: Duration = Duration::from_millis(200);
-/// Routers that know something else for so long missed news: one of them asks for all members.
+/// Routers that know something else for so long missed updates: one of them asks for all members.
 const DIFFERS_LONG: Duration = Duration::from_secs(2);
 /// A router that knows so much less than the sender of a message asks for all members.
 const MUCH_LESS: f64 = 0.9;
@@ -70,7 +70,7 @@
     stamp: u64,
     /// When it was heard itself.
     heard: Option<Instant>,
-    /// When the last news of it came.
+    /// When the last update of it came.
     changed: Instant,
 }
 
@@ -83,7 +83,7 @@
 /// The routers that a router knows.
 #[derive(Clone, Debug)]
 pub struct Membership {
-    own: MemberNews,
+    own: MemberUpdate,
     members: HashMap<SocketAddr, Member>,
     /// Those that are not dead, and this router, by rank.
     ring: BTreeSet<(u64, SocketAddr)>,
@@ -91,7 +91,7 @@
     near: Roster,
     elsewhere: Roster,
     dead: Roster,
-    news: NewsQueue,
+    updates: UpdateQueue,
     probes: HashMap<SocketAddr, Probe>,
     heard_any: Option<Instant>,
     /// Routers that end, of which others are told without waiting for the next period.
@@ -108,8 +108,8 @@
 
 impl Membership {
     /// A router that knows nobody. `stamp` must be greater than those of its former runs: the time of
-    /// day does; where a clock went back, the first news of itself correct it.
-    pub fn new(own: MemberNews) -> Self {
+    /// day does; where a clock went back, the first update of itself corrects it.
+    pub fn new(own: MemberUpdate) -> Self {
         let mut ring = BTreeSet::new();
         ring.insert((rank_of(own.router), own.router));
         Self {
@@ -120,7 +120,7 @@
             near: Roster::default(),
             elsewhere: Roster::default(),
             dead: Roster::default(),
-            news: NewsQueue::default(),
+            updates: UpdateQueue::default(),
             probes: HashMap::new(),
             heard_any: None,
             ended: BTreeSet::new(),
@@ -132,7 +132,7 @@
     }
 
     /// What this router says of itself.
-    pub fn own(&self) -> &MemberNews {
+    pub fn own(&self) -> &MemberUpdate {
         &self.own
     }
 
@@ -141,7 +141,7 @@
         let state = MemberState::Alive(state);
         if self.own.state != state {
             let stamp = self.own.stamp + 1;
-            self.set_own(MemberNews {
+            self.set_own(MemberUpdate {
                 state,
                 stamp,
                 ..self.own.clone()
@@ -149,7 +149,7 @@
         }
     }
 
-    fn set_own(&mut self, own: MemberNews) {
+    fn set_own(&mut self, own: MemberUpdate) {
         self.digest ^= mark(&self.own) ^ mark(&own);
         self.own = own;
     }
@@ -183,8 +183,8 @@
         now: Instant,
     ) -> GossipReply {
         let heard = self.on_message(seen.sender.clone(), now);
-        for news in seen.news {
-            self.on_news(news.clone(), now);
+        for updates in seen.updates {
+            self.on_update(updates.clone(), now);
         }
         let sender = seen.sender.router;
         let is_near = seen.sender.data_centre == self.own.data_centre;
@@ -193,7 +193,7 @@
         let gets_sample = seen.wants_reply && seen.members < self.count();
         GossipReply {
             is_newcomer: heard == Heard::Changed,
-            of_itself: is_told.then(|| self.news_of(sender)).flatten(),
+            of_itself: is_told.then(|| self.update_of(sender)).flatten(),
             message: seen.wants_reply,
             sample: if gets_sample {
                 self.sample(rng)
@@ -205,7 +205,7 @@
     }
 
     /// Whether this router asks for all members: it knows much less than the sender; or for long
-    /// something else than all others, although no news are under way or it still knows fewer.
+    /// something else than all others, although no updates are under way or it still knows fewer.
     fn is_to_ask(&mut self, seen: GossipSeen<'_>, now: Instant) -> bool {
         if seen.digest == self.digest {
             self.agreed = Some(now);
@@ -216,26 +216,26 @@
         }
         let since = *self.agreed.get_or_insert(now);
         let differs_long = now.saturating_duration_since(since) > DIFFERS_LONG;
-        let is_behind = self.count() < seen.members || self.news.is_empty();
+        let is_behind = self.count() < seen.members || self.updates.is_empty();
         differs_long && is_behind && may_again(&mut self.asked, DIFFERS_LONG, now)
     }
 
     /// Takes members that a router was asked for, or that came with its reply, or that end. Others ask,
     /// too, so those that were not known here, or that both know to live, are not passed on.
-    pub fn on_members(&mut self, members: Vec<MemberNews>, now: Instant) {
-        for news in members {
-            let router = news.router;
-            let is_alive = matches!(news.state, MemberState::Alive(_));
+    pub fn on_members(&mut self, members: Vec<MemberUpdate>, now: Instant) {
+        for updates in members {
+            let router = updates.router;
+            let is_alive = matches!(updates.state, MemberState::Alive(_));
             let was_known = self.members.contains_key(&router);
-            let heard = self.on_news(news, now);
+            let heard = self.on_update(updates, now);
             if !was_known || (is_alive && heard == Heard::Known) {
-                self.news.forget(router);
+                self.updates.forget(router);
             }
         }
     }
 
     /// All members, for a router that asks; nothing where others were sent them just now.
-    pub fn on_asked(&mut self, now: Instant) -> Vec<Vec<MemberNews>> {
+    pub fn on_asked(&mut self, now: Instant) -> Vec<Vec<MemberUpdate>> {
         if may_again(&mut self.sent_all, MEMBERS_PERIOD, now) {
             self.all()
         } else {
@@ -244,7 +244,7 @@
     }
 
     /// Records a message from a router, with what it says of itself.
-    pub fn on_message(&mut self, sender: MemberNews, now: Instant) -> Heard {
+    pub fn on_message(&mut self, sender: MemberUpdate, now: Instant) -> Heard {
         if sender.router == self.own.router {
             return Heard::Known;
         }
@@ -257,7 +257,7 @@
                 return Heard::TakenForDead;
             }
         }
-        let heard = self.on_news(sender, now);
+        let heard = self.on_update(sender, now);
         if let Some(member) = self.members.get_mut(&router) {
             member.heard = Some(now);
         }
@@ -266,38 +266,38 @@
 
     /// Records a message of a router of a release that says nothing of stamps: that it runs is known
     /// all the same.
-    pub fn on_plain_message(&mut self, sender: MemberNews, now: Instant) -> Heard {
+    pub fn on_plain_message(&mut self, sender: MemberUpdate, now: Instant) -> Heard {
         let known = self.members.get(&sender.router);
         let stamp = known.map_or(0, |known| known.stamp + u64::from(known.is_dead()));
-        self.on_message(MemberNews { stamp, ..sender }, now)
+        self.on_message(MemberUpdate { stamp, ..sender }, now)
     }
 
     /// Records what another router says of a router.
-    pub fn on_news(&mut self, news: MemberNews, now: Instant) -> Heard {
-        if news.router == self.own.router {
-            return self.on_own_news(&news);
+    pub fn on_update(&mut self, updates: MemberUpdate, now: Instant) -> Heard {
+        if updates.router == self.own.router {
+            return self.on_own_update(&updates);
         }
-        let is_dead = news.state == MemberState::Dead;
-        let Some(known) = self.members.get(&news.router) else {
+        let is_dead = updates.state == MemberState::Dead;
+        let Some(known) = self.members.get(&updates.router) else {
             // A dead router that was not known needs no memory.
             if is_dead {
                 return Heard::Known;
             }
-            self.put(news, None, now);
+            self.put(updates, None, now);
             return Heard::Changed;
         };
-        if news.stamp == known.stamp && news.state == known.state {
-            self.news.heard_again(news.router, self.ring.len());
+        if updates.stamp == known.stamp && updates.state == known.state {
+            self.updates.heard_again(updates.router, self.ring.len());
             return Heard::Known;
         }
-        let is_newer = news.stamp > known.stamp;
-        let is_end = news.stamp == known.stamp && is_dead && !known.is_dead();
+        let is_newer = updates.stamp > known.stamp;
+        let is_end = updates.stamp == known.stamp && is_dead && !known.is_dead();
         if !is_newer && !is_end {
             return Heard::Known;
         }
-        let differs = known.state != news.state || known.callers != news.callers;
+        let differs = known.state != updates.state || known.callers != updates.callers;
         let heard = known.heard;
-        self.put(news, heard, now);
+        self.put(updates, heard, now);
         if differs {
             Heard::Changed
         } else {
@@ -306,58 +306,60 @@
     }
 
     /// Somebody takes this router for dead, or for a former run of it.
-    fn on_own_news(&mut self, news: &MemberNews) -> Heard {
-        if news.stamp < self.own.stamp || (news.stamp == self.own.stamp && *news == self.own) {
+    fn on_own_update(&mut self, updates: &MemberUpdate) -> Heard {
+        if updates.stamp < self.own.stamp
+            || (updates.stamp == self.own.stamp && *updates == self.own)
+        {
             return Heard::Known;
         }
-        let stamp = news.stamp + 1;
-        self.set_own(MemberNews {
+        let stamp = updates.stamp + 1;
+        self.set_own(MemberUpdate {
             stamp,
             ..self.own.clone()
         });
         Heard::Changed
     }
 
-    fn put(&mut self, news: MemberNews, heard: Option<Instant>, now: Instant) {
-        let former = self.news_of(news.router);
-        self.digest ^= former.as_ref().map_or(0, mark) ^ mark(&news);
-        let place = (rank_of(news.router), news.router);
-        if news.state == MemberState::Dead {
+    fn put(&mut self, updates: MemberUpdate, heard: Option<Instant>, now: Instant) {
+        let former = self.update_of(updates.router);
+        self.digest ^= former.as_ref().map_or(0, mark) ^ mark(&updates);
+        let place = (rank_of(updates.router), updates.router);
+        if updates.state == MemberState::Dead {
             self.ring.remove(&place);
-            self.probes.remove(&news.router);
-            self.near.remove(news.router);
-            self.elsewhere.remove(news.router);
-            self.dead.insert(news.router);
+            self.probes.remove(&updates.router);
+            self.near.remove(updates.router);
+            self.elsewhere.remove(updates.router);
+            self.dead.insert(updates.router);
         } else {
             self.ring.insert(place);
-            self.dead.remove(news.router);
-            if news.data_centre == self.own.data_centre {
-                self.near.insert(news.router);
+            self.dead.remove(updates.router);
+            if updates.data_centre == self.own.data_centre {
+                self.near.insert(updates.router);
             } else {
-                self.elsewhere.insert(news.router);
+                self.elsewhere.insert(updates.router);
             }
         }
-        self.news.push(news.router);
+        self.updates.push(updates.router);
         let is_ending = [MemberState::Dead, MemberState::Alive(PeerState::Leaving)];
-        if is_ending.contains(&news.state) {
-            self.ended.insert(news.router);
+        if is_ending.contains(&updates.state) {
+            self.ended.insert(updates.router);
         } else {
-            self.ended.remove(&news.router);
+            self.ended.remove(&updates.router);
         }
         let member = Member {
-            callers: news.callers,
-            data_centre: news.data_centre,
-            state: news.state,
-            stamp: news.stamp,
+            callers: updates.callers,
+            data_centre: updates.data_centre,
+            state: updates.state,
+            stamp: updates.stamp,
             heard,
             changed: now,
         };
-        self.members.insert(news.router, member);
+        self.members.insert(updates.router, member);
     }
 
-    fn news_of(&self, router: SocketAddr) -> Option<MemberNews> {
+    fn update_of(&self, router: SocketAddr) -> Option<MemberUpdate> {
         let member = self.members.get(&router)?;
-        Some(MemberNews {
+        Some(MemberUpdate {
             router,
             callers: member.callers,
             data_centre: member.data_centre.clone(),
@@ -373,36 +375,36 @@
 
     /// The routers that end, to be told to [`Membership::urgent_targets`] at once; they count as told
     /// then.
-    pub fn take_ended(&mut self) -> Vec<MemberNews> {
+    pub fn take_ended(&mut self) -> Vec<MemberUpdate> {
         let mut ended = std::mem::take(&mut self.ended);
         // What does not fit waits for the next time.
         while ended.len() > MEMBERS_PER_MESSAGE {
             self.ended.extend(ended.pop_last());
         }
         let known = ended.into_iter();
-        known.filter_map(|router| self.news_of(router)).collect()
+        known.filter_map(|router| self.update_of(router)).collect()
     }
 
-    /// News for the next message; each goes into some messages.
-    pub fn take_news(&mut self) -> Vec<MemberNews> {
-        let routers = self.news.take(NEWS_PER_MESSAGE, self.ring.len());
+    /// Updates for the next message; each goes into some messages.
+    pub fn take_updates(&mut self) -> Vec<MemberUpdate> {
+        let routers = self.updates.take(UPDATES_PER_MESSAGE, self.ring.len());
         let known = routers.into_iter();
-        known.filter_map(|router| self.news_of(router)).collect()
+        known.filter_map(|router| self.update_of(router)).collect()
     }
 
     /// All members, also those that are known to be dead, in parts that fit into a message each.
-    fn all(&self) -> Vec<Vec<MemberNews>> {
-        let all = self.members.keys().filter_map(|r| self.news_of(*r));
-        let all: Vec<MemberNews> = all.collect();
+    fn all(&self) -> Vec<Vec<MemberUpdate>> {
+        let all = self.members.keys().filter_map(|r| self.update_of(*r));
+        let all: Vec<MemberUpdate> = all.collect();
         let parts = all.chunks(MEMBERS_PER_MESSAGE);
-        parts.map(<[MemberNews]>::to_vec).collect()
+        parts.map(<[MemberUpdate]>::to_vec).collect()
     }
 
     /// Some members at random, for a router that has just begun.
-    fn sample(&self, rng: &mut fastrand::Rng) -> Vec<MemberNews> {
+    fn sample(&self, rng: &mut fastrand::Rng) -> Vec<MemberUpdate> {
         let routers = self.ring.iter().map(|(_, router)| *router);
-        let some = rng.choose_multiple(routers, NEWS_PER_MESSAGE);
-        some.into_iter().filter_map(|r| self.news_of(r)).collect()
+        let some = rng.choose_multiple(routers, UPDATES_PER_MESSAGE);
+        some.into_iter().filter_map(|r| self.update_of(r)).collect()
     }
 
     /// Whether this router hears from nobody.
@@ -459,16 +461,16 @@
 }
 
 /// A router's part in the digest; none if it is dead.
-fn mark(news: &MemberNews) -> u64 {
-    let state = match news.state {
+fn mark(updates: &MemberUpdate) -> u64 {
+    let state = match updates.state {
         MemberState::Dead => return 0,
         MemberState::Alive(PeerState::Starting) => 1,
         MemberState::Alive(PeerState::Ready) => 2,
         MemberState::Alive(PeerState::Leaving) => 3,
     };
-    let stamp = news.stamp.wrapping_mul(4).wrapping_add(state);
+    let stamp = updates.stamp.wrapping_mul(4).wrapping_add(state);
     // Spread over all bits, so that two changes hardly cancel each other.
-    rank_of(news.router) ^ stamp.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    rank_of(updates.router) ^ stamp.wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
 /// Whether something may be done again that was done last at a moment; it counts as done then.
--- a/crates/router/cloverpier_router_policy/src/membership/ring.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/ring.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns the probes under way. A router that was paused, or that hears from nobody, judges nobody.
 
-use super::{MemberNews, MemberState, Membership};
+use super::{MemberState, MemberUpdate, Membership};
 use cloverpier_core::hash_of;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -112,11 +112,11 @@
     }
 
     fn declare_dead(&mut self, router: SocketAddr, now: Instant) {
-        let news = self.news_of(router);
+        let updates = self.update_of(router);
         let heard = self.members.get(&router).and_then(|member| member.heard);
-        if let Some(news) = news {
+        if let Some(updates) = updates {
             let state = MemberState::Dead;
-            self.put(MemberNews { state, ..news }, heard, now);
+            self.put(MemberUpdate { state, ..updates }, heard, now);
         }
     }
 }
--- a/crates/router/cloverpier_router_policy/src/membership/targets.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/targets.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Other routers that get each message, in the own data centre and elsewhere: news spread over them.
+/// Other routers that get each message, in the own data centre and elsewhere: updates spread over them.
 const RANDOM_NEAR: usize = 1;
 const RANDOM_ELSEWHERE: usize = 1;
 /// Routers that are sent something urgent at once, in the own data centre and elsewhere.
--- a/crates/router/cloverpier_router_policy/src/membership/news.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/update.rs
@@ -20,7 +20,7 @@
 
 /// What is said of one router.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberNews {
+pub struct MemberUpdate {
     /// The router's address for peers.
     pub router: SocketAddr,
     /// Where it serves callers.
@@ -61,7 +61,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct GossipSeen<'a> {
     /// What the sender says of itself.
-    pub sender: &'a MemberNews,
+    pub sender: &'a MemberUpdate,
     /// Whether it waits for a message.
     pub wants_reply: bool,
     /// How many members it knows.
@@ -69,7 +69,7 @@
     /// See [`Membership::digest`].
     pub digest: u64,
     /// What is new of others.
-    pub news: &'a [MemberNews],
+    pub updates: &'a [MemberUpdate],
 }
 
 /// What the sender of a message gets.
@@ -78,11 +78,11 @@
     /// Whether the sender was not known, or is something else than it was.
     pub is_newcomer: bool,
     /// What it has to know of itself: that it is taken for dead.
-    pub of_itself: Option<MemberNews>,
+    pub of_itself: Option<MemberUpdate>,
     /// Whether it gets a message.
     pub message: bool,
     /// Members that go into that message, as it knows few.
-    pub sample: Vec<MemberNews>,
+    pub sample: Vec<MemberUpdate>,
     /// Whether it is asked for all members, as it knows many more.
     pub ask_members: bool,
 }
--- a/crates/router/cloverpier_router_policy/src/membership/news_queue.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/update_queue.rs
@@ -1,26 +1,26 @@
-//! The news that wait for the next messages.
+//! The updates that wait for the next messages.
 //!
-//! Owns which routers there are news of, and how often each is still to be sent: those that were sent
-//! least go first, so that something new does not wait for what all know soon. The news themselves are
+//! Owns which routers there are updates of, and how often each is still to be sent: those that were sent
+//! least go first, so that something new does not wait for what all know soon. The updates themselves are
 //! those of the member when the message leaves.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-/// Messages that each news goes into besides one for each doubling of the fleet: whoever hears of it
+/// Messages that each update goes into besides one for each doubling of the fleet: whoever hears of it
 /// does the same, so a message that is lost costs nothing.
 const MORE_MESSAGES: u32 = 2;
 
-/// Routers of which there are news.
+/// Routers of which there are updates.
 #[derive(Clone, Debug, Default)]
-pub(super) struct NewsQueue {
-    /// How often the news of a router were sent.
+pub(super) struct UpdateQueue {
+    /// How often the update of a router was sent.
     sent: HashMap<SocketAddr, u32>,
     order: BTreeSet<(u32, SocketAddr)>,
 }
 
-impl NewsQueue {
-    /// Has news of a router sent, before those that were sent already.
+impl UpdateQueue {
+    /// Has the update of a router sent, before those that were sent already.
     pub fn push(&mut self, router: SocketAddr) {
         if let Some(sent) = self.sent.insert(router, 0) {
             self.order.remove(&(sent, router));
@@ -28,7 +28,7 @@
         self.order.insert((0, router));
     }
 
-    /// Records that somebody else knows the news of a router: as many messages fewer are needed.
+    /// Records that somebody else knows the update of a router: as many messages fewer are needed.
     pub fn heard_again(&mut self, router: SocketAddr, routers: usize) {
         if let Some(sent) = self.sent.get(&router).copied() {
             self.order.remove(&(sent, router));
@@ -51,14 +51,14 @@
         self.order.is_empty()
     }
 
-    /// Has news of a router not sent.
+    /// Has the update of a router not sent.
     pub fn forget(&mut self, router: SocketAddr) {
         if let Some(sent) = self.sent.remove(&router) {
             self.order.remove(&(sent, router));
         }
     }
 
-    /// Takes the news of one message, in a fleet of `routers`.
+    /// Takes the updates of one message, in a fleet of `routers`.
     pub fn take(&mut self, most: usize, routers: usize) -> Vec<SocketAddr> {
         let mut taken = Vec::new();
         while taken.len() < most {
--- a/crates/router/cloverpier_router_policy/src/singleton/lease.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/lease.rs
@@ -98,7 +98,7 @@
     /// Whether it takes the lease when it is free, and renews it.
     pub may_hold: bool,
     /// Whether it has something to write into the record before the next renewal is due.
-    pub has_news: bool,
+    pub has_updates: bool,
 }
 
 /// What a write requires of the record.
@@ -244,7 +244,7 @@
         }
         let period = self.bounds.renewal_period();
         let due = hold.renewed.map_or(now, |renewed| renewed + period);
-        if now < due && !wish.has_news {
+        if now < due && !wish.has_updates {
             return LeaseStep::Wait(Some(due));
         }
         LeaseStep::Write(LeaseWrite {
--- a/crates/router/cloverpier_router_policy/src/singleton/metering.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/metering.rs
@@ -80,7 +80,7 @@
 pub struct OwnUsage {
     windows: BTreeMap<Window, WindowCounts>,
     /// Whether anything was counted since the last report.
-    has_news: bool,
+    has_updates: bool,
 }
 
 impl OwnUsage {
@@ -88,7 +88,7 @@
     pub fn on_begun(&mut self, account: &AccountName, window: Window) {
         let counts = self.windows.entry(window).or_default();
         *counts.entry(account.clone()).or_default() += 1;
-        self.has_news = true;
+        self.has_updates = true;
         while self.windows.len() > MAX_WINDOWS {
             self.windows.pop_first();
         }
@@ -100,8 +100,8 @@
     }
 
     /// Whether anything was counted since this was asked last.
-    pub fn take_news(&mut self) -> bool {
-        std::mem::take(&mut self.has_news)
+    pub fn take_updates(&mut self) -> bool {
+        std::mem::take(&mut self.has_updates)
     }
 
     /// All that was counted.
--- a/crates/router/cloverpier_router_policy/tests/lease_model.rs
+++ b/crates/router/cloverpier_router_policy/tests/lease_model.rs
@@ -232,7 +232,7 @@
         let now = self.now(world);
         let wish = LeaseWish {
             may_hold: true,
-            has_news: false,
+            has_updates: false,
         };
         if answer != Answer::Whole {
             world.harms += 1;
--- a/crates/router/cloverpier_router_policy/tests/membership.rs
+++ b/crates/router/cloverpier_router_policy/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use cloverpier_core::DataCentre;
 use cloverpier_router_policy::membership::{
-    GossipSeen, Heard, MemberNews, MemberState, Membership, SUCCESSORS,
+    GossipSeen, Heard, MemberState, MemberUpdate, Membership, SUCCESSORS,
 };
 use cloverpier_router_policy::peers::PeerState;
 use cloverpier_router_policy::watcher_beats::{WatcherBeat, WatcherBeats};
@@ -16,8 +16,8 @@
     SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7201))
 }
 
-fn news(number: u16, state: MemberState, stamp: u64) -> MemberNews {
-    MemberNews {
+fn updates(number: u16, state: MemberState, stamp: u64) -> MemberUpdate {
+    MemberUpdate {
         router: router(number),
         callers: router(number),
         data_centre: DataCentre::new(format!("hall-{}", number % 4)),
@@ -28,9 +28,9 @@
 
 /// Router 0, which has heard of `others` routers.
 fn knowing(others: u16, now: Instant) -> Membership {
-    let mut membership = Membership::new(news(0, READY, 1));
+    let mut membership = Membership::new(updates(0, READY, 1));
     for number in 1..=others {
-        membership.on_message(news(number, READY, 1), now);
+        membership.on_message(updates(number, READY, 1), now);
     }
     membership
 }
@@ -47,7 +47,7 @@
     for step in 1..40 {
         let now = start + Duration::from_millis(100) * step;
         for number in (1..=others).filter(|number| *number != silent) {
-            membership.on_message(news(number, READY, 1), now);
+            membership.on_message(updates(number, READY, 1), now);
         }
         let step = membership.ring_step(false, now);
         probes += step.probe.len();
@@ -96,15 +96,15 @@
 fn a_router_that_is_taken_for_dead_says_that_it_is_not() {
     let now = Instant::now();
     let mut membership = knowing(2, now);
-    let heard = membership.on_news(news(0, MemberState::Dead, 1), now);
+    let heard = membership.on_update(updates(0, MemberState::Dead, 1), now);
     assert_eq!(heard, Heard::Changed);
     assert_eq!(membership.own().state, READY);
     assert!(membership.own().stamp > 1);
 
-    let mut peer = Membership::new(news(9, READY, 1));
-    peer.on_message(news(0, READY, 1), now);
-    peer.on_news(news(0, MemberState::Dead, 1), now);
-    let heard = peer.on_message(news(0, READY, 1), now);
+    let mut peer = Membership::new(updates(9, READY, 1));
+    peer.on_message(updates(0, READY, 1), now);
+    peer.on_update(updates(0, MemberState::Dead, 1), now);
+    let heard = peer.on_message(updates(0, READY, 1), now);
     assert_eq!(heard, Heard::TakenForDead);
     peer.on_message(membership.own().clone(), now);
     assert!(!peer.is_known_dead(router(0)));
@@ -114,16 +114,16 @@
 fn others_are_told_once_of_a_router_that_ends_unless_it_is_back() {
     let now = Instant::now();
     let mut membership = knowing(3, now);
-    let leaving = news(1, MemberState::Alive(PeerState::Leaving), 2);
-    membership.on_news(leaving.clone(), now);
-    membership.on_members(vec![news(2, MemberState::Dead, 1)], now);
+    let leaving = updates(1, MemberState::Alive(PeerState::Leaving), 2);
+    membership.on_update(leaving.clone(), now);
+    membership.on_members(vec![updates(2, MemberState::Dead, 1)], now);
     assert_eq!(
         membership.take_ended(),
-        [leaving, news(2, MemberState::Dead, 1)]
+        [leaving, updates(2, MemberState::Dead, 1)]
     );
     assert!(!membership.has_ended());
-    membership.on_news(news(3, MemberState::Dead, 1), now);
-    membership.on_news(news(3, READY, 2), now);
+    membership.on_update(updates(3, MemberState::Dead, 1), now);
+    membership.on_update(updates(3, READY, 2), now);
     assert!(!membership.has_ended());
 }
 
@@ -132,18 +132,18 @@
     let start = Instant::now();
     let mut membership = knowing(100, start);
     let mut rng = fastrand::Rng::with_seed(1);
-    let sender = news(4, READY, 1);
+    let sender = updates(4, READY, 1);
     let mut hears = |members, now| {
         let seen = GossipSeen {
             sender: &sender,
             wants_reply: false,
             members,
             digest: 1,
-            news: &[],
+            updates: &[],
         };
         membership.on_gossip(seen, &mut rng, now).ask_members
     };
-    assert!(!hears(102, start), "news may be under way");
+    assert!(!hears(102, start), "updates may be under way");
     let later = start + Duration::from_secs(3);
     assert!(hears(102, later));
     assert!(!hears(102, later), "it has asked just now");
@@ -153,8 +153,8 @@
 fn a_message_without_a_stamp_brings_a_dead_router_back() {
     let now = Instant::now();
     let mut membership = knowing(2, now);
-    membership.on_news(news(1, MemberState::Dead, 1), now);
-    membership.on_plain_message(news(1, READY, 0), now);
+    membership.on_update(updates(1, MemberState::Dead, 1), now);
+    membership.on_plain_message(updates(1, READY, 0), now);
     assert!(!membership.is_known_dead(router(1)));
 }
 
@@ -178,25 +178,25 @@
     /// What is known in the end does not depend on the order in which it came, or on repeats.
     fn news_in_any_order_lead_to_the_same(said: Vec<(u8, u8, bool)>, seed: u64) -> bool {
         let now = Instant::now();
-        let said: Vec<MemberNews> = said
+        let said: Vec<MemberUpdate> = said
             .into_iter()
             .map(|(number, stamp, is_dead)| {
                 let state = if is_dead { MemberState::Dead } else { READY };
-                news(1 + u16::from(number % 5), state, u64::from(stamp % 4))
+                updates(1 + u16::from(number % 5), state, u64::from(stamp % 4))
             })
             .collect();
         let known = || knowing(5, now);
         let mut one = known();
-        for news in &said {
-            one.on_news(news.clone(), now);
+        for updates in &said {
+            one.on_update(updates.clone(), now);
         }
         let mut other = known();
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut mixed = said.clone();
         mixed.extend(said);
         rng.shuffle(&mut mixed);
-        for news in mixed {
-            other.on_news(news, now);
+        for updates in mixed {
+            other.on_update(updates, now);
         }
         one.digest() == other.digest() && one.count() == other.count()
     }
--- a/crates/router/cloverpier_router_policy/tests/metering.rs
+++ b/crates/router/cloverpier_router_policy/tests/metering.rs
@@ -161,7 +161,7 @@
     let journal = holder(None, 0, DURING).journal(&book, DURING);
     let all = journal.open.values().flat_map(|counts| counts.values());
     assert_eq!(all.sum::<u32>(), 500);
-    assert!(own.take_news() && !own.take_news());
+    assert!(own.take_updates() && !own.take_updates());
     own.forget_before(WINDOW + 3);
     assert!(own.windows().is_empty());
     // Clocks and loads are reported without counts, too.
--- a/tools/src/gossip_play/mod.rs
+++ b/tools/src/gossip_play/mod.rs
@@ -5,6 +5,7 @@
 //! by a watcher and passed on. Not modelled: processor time, links that are full, heartbeats of former
 //! releases, the store.
 
+mod measure;
 mod world;
 
 use std::time::Duration;
--- a/tools/src/gossip_play/world.rs
+++ b/tools/src/gossip_play/world.rs
@@ -1,10 +1,10 @@
 //! The routers of the play, and what happens to them.
 
-use super::{Cost, GossipOutcome, GossipSpec, Spread};
+use super::{GossipOutcome, GossipSpec};
 use cloverpier_core::DataCentre;
-use cloverpier_router::peer_messages::{Gossip, Members, PeerMessage, UpstreamNews, encode};
+use cloverpier_router::peer_messages::{Gossip, Members, PeerMessage, UpstreamUpdate, encode};
 use cloverpier_router_policy::membership::{
-    ENDED_PERIOD, GOSSIP_PERIOD, GossipSeen, MemberNews, MemberState, Membership,
+    ENDED_PERIOD, GOSSIP_PERIOD, GossipReply, GossipSeen, MemberState, MemberUpdate, Membership,
 };
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::watcher_beats::{WatcherBeat, WatcherBeats};
@@ -18,31 +18,49 @@
 const LATENCY: Duration = Duration::from_millis(1);
 /// From a message that shows a newer revision to the fetched changes.
 const FETCH: Duration = Duration::from_millis(20);
+/// The age of a watcher's last call up to which it reaches the store.
+const FRESH_FOR: Duration = Duration::from_secs(3);
 /// All start within this time of each other.
 const START_SPREAD: Duration = Duration::from_millis(300);
 const SEEDS: usize = 3;
 const WATCHERS: usize = 3;
 const PORT: u16 = 7_100;
 /// Nothing is awaited for longer.
-const GIVE_UP: Duration = Duration::from_secs(30);
+pub(super) const GIVE_UP: Duration = Duration::from_secs(30);
 /// Part of the routers that are killed at once.
 const MANY: f64 = 0.05;
 
 /// One router.
-struct Router {
+pub(super) struct Router {
     run: u64,
-    is_alive: bool,
-    members: Membership,
-    beats: WatcherBeats,
-    revision: u64,
+    pub is_alive: bool,
+    pub members: Membership,
+    pub beats: WatcherBeats,
+    pub revision: u64,
     /// The age of its last call to the store, as it says, if it watches.
     store_age: Duration,
     rng: fastrand::Rng,
-    sent: (u64, u64, u64),
-    /// When news of routers that end may be sent at once again.
+    /// Datagrams, bytes, and bytes that left the data centre.
+    pub sent: (u64, u64, u64),
+    /// When updates of routers that end may be sent at once again.
     urgent_at: Duration,
 }
 
+impl Router {
+    /// Takes what watchers said; returns whether others are to be told at once.
+    fn take_beats(&mut self, beats: &[WatcherBeat], now: Instant) -> bool {
+        let is_fresh = |age: Option<Duration>| age.map(|age| age <= FRESH_FOR);
+        let mut is_urgent = false;
+        for beat in beats {
+            let former = self.beats.store_age(beat.router, now);
+            let is_new = self.beats.on_beat(*beat, now);
+            let present = self.beats.store_age(beat.router, now);
+            is_urgent |= is_new && is_fresh(former) != is_fresh(present);
+        }
+        is_urgent
+    }
+}
+
 enum Event {
     Start(usize),
     Period(usize, u64),
@@ -54,9 +72,9 @@
 pub(super) struct World {
     spec: GossipSpec,
     began: Instant,
-    now: Duration,
+    pub now: Duration,
     rng: fastrand::Rng,
-    routers: Vec<Router>,
+    pub routers: Vec<Router>,
     events: BinaryHeap<Reverse<(Duration, u64)>>,
     queued: std::collections::HashMap<u64, Event>,
     number: u64,
@@ -137,7 +155,7 @@
 
     fn play_news(&mut self, outcome: &mut GossipOutcome) {
         let watcher = 0;
-        let news = UpstreamNews {
+        let updates = UpstreamUpdate {
             sender: address(watcher),
             after: 1,
             revision: 2,
@@ -146,7 +164,7 @@
         self.routers[watcher].revision = 2;
         let router = &mut self.routers[watcher];
         let roots = router.members.flood_roots(&mut router.rng);
-        self.send(watcher, PeerMessage::UpstreamNews(news), roots);
+        self.send(watcher, PeerMessage::UpstreamUpdate(updates), roots);
         outcome.change = self.spread(|r| r.revision >= 2);
         self.run_for(Duration::from_secs(1));
         let stale = Duration::from_secs(6);
@@ -166,97 +184,13 @@
         self.began + self.now
     }
 
-    fn all(&self, holds: impl Fn(&Router) -> bool) -> bool {
-        self.routers.iter().filter(|r| r.is_alive).all(holds)
-    }
-
-    fn spread(&mut self, knows: impl Fn(&Router) -> bool) -> Spread {
-        self.spread_at(|router, _| knows(router))
-    }
-
-    fn spread_at(&mut self, knows: impl Fn(&Router, Duration) -> bool) -> Spread {
-        let since = self.now;
-        let mut spread = Spread::default();
-        while self.now < since + GIVE_UP {
-            let alive = self.routers.iter().filter(|r| r.is_alive);
-            let total = alive.clone().count();
-            let known = alive.filter(|r| knows(r, self.now)).count();
-            let took = self.now - since;
-            if known * 2 >= total {
-                spread.half.get_or_insert(took);
-            }
-            if known * 100 >= total * 99 {
-                spread.most.get_or_insert(took);
-            }
-            if known == total {
-                spread.all = Some(took);
-                break;
-            }
-            self.run_for(Duration::from_millis(50));
-        }
-        spread
-    }
-
-    /// When each router knew so many members; the start is over by then, or it is `None`.
-    fn first_time(&mut self, count: usize) -> Option<Duration> {
-        let since = self.now;
-        self.until(|w| w.all(|r| r.members.count() >= count))
-            .map(|at| at.max(since))
-    }
-
-    fn until(&mut self, holds: impl Fn(&Self) -> bool) -> Option<Duration> {
-        let give_up = self.now + GIVE_UP;
-        while self.now < give_up {
-            if holds(self) {
-                return Some(self.now);
-            }
-            self.run_for(Duration::from_millis(50));
-        }
-        None
-    }
-
-    fn taken_for_dead(&self) -> usize {
-        let alive: Vec<SocketAddr> = (0..self.routers.len())
-            .filter(|index| self.routers[*index].is_alive)
-            .map(address)
-            .collect();
-        let taken = |router: &&SocketAddr| {
-            let mut others = self.routers.iter().filter(|r| r.is_alive);
-            others.any(|r| r.members.is_known_dead(**router))
-        };
-        alive.iter().filter(taken).count()
-    }
-
-    fn clear_cost(&mut self) {
-        for router in &mut self.routers {
-            router.sent = (0, 0, 0);
-        }
-    }
-
-    fn cost(&self, over: Duration) -> Cost {
-        let seconds = over.as_secs_f64();
-        let of = |value: fn(&Router) -> u64| {
-            let mut values: Vec<u64> = self.routers.iter().map(value).collect();
-            values.sort_unstable();
-            let middle = values[values.len() / 2] as f64 / seconds;
-            let most = values.last().copied().unwrap_or(0) as f64 / seconds;
-            (middle, most)
-        };
-        let sum = |value: fn(&Router) -> u64| self.routers.iter().map(value).sum::<u64>() as f64;
-        Cost {
-            messages: of(|r| r.sent.0),
-            bytes: of(|r| r.sent.1),
-            crossing: sum(|r| r.sent.2) / sum(|r| r.sent.1).max(1.0),
-        }
-    }
-
     fn schedule(&mut self, at: Duration, event: Event) {
         self.number += 1;
         self.queued.insert(self.number, event);
         self.events.push(Reverse((at, self.number)));
     }
 
-    fn run_for(&mut self, time: Duration) {
+    pub(super) fn run_for(&mut self, time: Duration) {
         let until = self.now + time;
         while let Some(Reverse((at, number))) = self.events.peek().copied() {
             if at > until {
@@ -346,7 +280,7 @@
             watchers: router.beats.for_message(now),
             suspects: Vec::new(),
             budget_use: vec![(ServiceKey(1), BudgetUse::default()); 2],
-            news: router.members.take_news(),
+            updates: router.members.take_updates(),
         }
     }
 
@@ -392,7 +326,7 @@
                 self.routers[index].members.on_members(members, now);
                 self.note_urgent(index);
             }
-            PeerMessage::UpstreamNews(news) => self.on_news(index, news),
+            PeerMessage::UpstreamUpdate(updates) => self.on_update(index, updates),
             _ => {}
         }
     }
@@ -404,48 +338,44 @@
             wants_reply: gossip.wants_reply,
             members: gossip.members as usize,
             digest: gossip.digest,
-            news: &gossip.news,
+            updates: &gossip.updates,
         };
         let router = &mut self.routers[index];
         let reply = router.members.on_gossip(seen, &mut router.rng, now);
-        let mut is_urgent = false;
-        for beat in &gossip.watchers {
-            let former = router.beats.store_age(beat.router, now);
-            let is_new = router.beats.on_beat(*beat, now);
-            let present = router.beats.store_age(beat.router, now);
-            let is_fresh = |age: Option<Duration>| age.map(|age| age <= Duration::from_secs(3));
-            is_urgent |= is_new && is_fresh(former) != is_fresh(present);
-        }
+        let is_urgent = router.take_beats(&gossip.watchers, now);
         if gossip.upstreams_revision > router.revision {
             let fetched = Event::Fetched(index, gossip.upstreams_revision);
             self.schedule(self.now + FETCH, fetched);
         }
         self.note_urgent(index);
-        let sender = gossip.sender.router;
-        if let Some(news) = reply.of_itself {
+        self.reply(index, gossip.sender.router, reply);
+        if is_urgent {
+            let router = &mut self.routers[index];
+            let urgent = router.members.urgent_targets(&mut router.rng);
+            self.gossip(index, urgent, false);
+        }
+    }
+
+    fn reply(&mut self, index: usize, sender: SocketAddr, reply: GossipReply) {
+        if let Some(updates) = reply.of_itself {
             let members = Members {
                 sender: address(index),
-                members: vec![news],
+                members: vec![updates],
             };
             self.send(index, PeerMessage::Members(members), vec![sender]);
         }
         if reply.message {
             let mut message = self.message(index, false);
-            message.news.extend(reply.sample);
+            message.updates.extend(reply.sample);
             self.send(index, PeerMessage::Gossip(message), vec![sender]);
         }
         if reply.ask_members {
             let ask = PeerMessage::AskMembers(address(index));
             self.send(index, ask, vec![sender]);
         }
-        if is_urgent {
-            let router = &mut self.routers[index];
-            let urgent = router.members.urgent_targets(&mut router.rng);
-            self.gossip(index, urgent, false);
-        }
     }
 
-    /// Has news of routers that end sent at once, or as soon as that may be.
+    /// Has updates of routers that end sent at once, or as soon as that may be.
     fn note_urgent(&mut self, index: usize) {
         let router = &mut self.routers[index];
         if router.members.has_ended() && router.urgent_at <= self.now {
@@ -469,18 +399,18 @@
         }
     }
 
-    fn on_news(&mut self, index: usize, news: &UpstreamNews) {
+    fn on_update(&mut self, index: usize, updates: &UpstreamUpdate) {
         let router = &mut self.routers[index];
-        if news.revision <= router.revision {
+        if updates.revision <= router.revision {
             return;
         }
-        router.revision = news.revision;
+        router.revision = updates.revision;
         let next = router.members.flood_targets(&mut router.rng);
-        self.send(index, PeerMessage::UpstreamNews(news.clone()), next);
+        self.send(index, PeerMessage::UpstreamUpdate(updates.clone()), next);
     }
 }
 
-fn address(index: usize) -> SocketAddr {
+pub(super) fn address(index: usize) -> SocketAddr {
     let host = (index as u32).to_be_bytes();
     ([10, host[1], host[2], host[3]], PORT).into()
 }
@@ -495,10 +425,10 @@
     }
 }
 
-fn member(spec: GossipSpec, index: usize, stamp: u64) -> MemberNews {
+fn member(spec: GossipSpec, index: usize, stamp: u64) -> MemberUpdate {
     let mut callers = address(index);
     callers.set_port(PORT + 1);
-    MemberNews {
+    MemberUpdate {
         router: address(index),
         callers,
         data_centre: DataCentre::new(format!("hall-{}", index % spec.data_centres)),
