Send a router's first datagrams, and tell one that starts twice in a row what it missed

A socket that has just been bound takes no datagram before the runtime has looked at it once, so the first heartbeat and the greeting of each start were always dropped; by the next heartbeat the router has a configuration and does not look as if it had just begun. And a router that was killed before its first heartbeat with a version looks the same as before: version 0 both times.

So the sender waits until the socket takes datagrams, and whoever has no configuration, or says that it starts, counts as new each time. Also names single updates in the singular.

Excluded: load.

--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -192,10 +192,10 @@
 fn send_reply(router: &Router, to: SocketAddr, reply: GossipReply, now: Instant) {
     let own = router.settings().listen.peers;
     let send = |message| router.peers.send(message, Recipients::These(vec![to]));
-    if let Some(updates) = reply.of_itself {
+    if let Some(update) = reply.of_itself {
         send(PeerMessage::Members(Members {
             sender: own,
-            members: vec![updates],
+            members: vec![update],
         }));
     }
     if reply.message {
@@ -257,13 +257,13 @@
     if !router.peers.is_large() || !router.rollouts.views().is_empty() {
         return false;
     }
-    let updates = UpstreamUpdate {
+    let update = UpstreamUpdate {
         sender: router.settings().listen.peers,
         after,
         revision,
         changes,
     };
-    let message = PeerMessage::UpstreamUpdate(updates);
+    let message = PeerMessage::UpstreamUpdate(update);
     match encode(&message) {
         Ok(bytes) if bytes.len() + ENVELOPE <= MAX_DATAGRAM => {
             router.peers.send(message, Recipients::All);
@@ -279,29 +279,29 @@
 }
 
 /// Applies changes that a router passed on, and passes them on.
-pub(crate) fn on_upstream_update(router: &Router, updates: UpstreamUpdate) {
+pub(crate) fn on_upstream_update(router: &Router, update: UpstreamUpdate) {
     let known = router.upstreams.borrow().revision();
-    if updates.revision <= known || !router.store.knows_upstreams() {
+    if update.revision <= known || !router.store.knows_upstreams() {
         return;
     }
-    if updates.after > known {
+    if update.after > known {
         // Something before it was missed.
         router.peers.on_newer_version(Watched::Upstreams);
         return;
     }
     let changes = UpstreamChanges {
-        changes: updates
+        changes: update
             .changes
             .iter()
             .cloned()
             .map(ReadChange::Readable)
             .collect(),
-        revision: updates.revision,
+        revision: update.revision,
     };
-    let from = format!("peer {}", updates.sender);
+    let from = format!("peer {}", update.sender);
     apply_upstream_changes(router, changes, &from);
     let sender = router.settings().listen.peers;
-    let message = UpstreamUpdate { sender, ..updates };
+    let message = UpstreamUpdate { sender, ..update };
     router.peers.pass_on(PeerMessage::UpstreamUpdate(message));
 }
 
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -34,6 +34,11 @@
 
 /// Sends heartbeats and changes until the process ends.
 pub(crate) async fn send_messages(router: Rc<Router>, socket: Rc<UdpSocket>) {
+    // Before the runtime has seen that the socket takes datagrams, each would be dropped: peers would
+    // not hear the first, which says that this router has just begun.
+    if let Err(error) = socket.writable().await {
+        log_dependency(&router, "peer.unsent", "peers", &error.to_string());
+    }
     let mut turn = HeartbeatTurn::default();
     let mut next_heartbeat = router.now();
     let mut next_seeds = next_heartbeat;
--- a/crates/router/cloverpier_router/tests/gossip_messages.rs
+++ b/crates/router/cloverpier_router/tests/gossip_messages.rs
@@ -29,7 +29,7 @@
     ([127, 0, 0, 1], port).into()
 }
 
-fn updates(port: u16, state: MemberState) -> MemberUpdate {
+fn update(port: u16, state: MemberState) -> MemberUpdate {
     MemberUpdate {
         router: address(port),
         callers: address(port + 1),
@@ -41,7 +41,7 @@
 
 fn gossip() -> Gossip {
     Gossip {
-        sender: updates(7104, MemberState::Alive(PeerState::Ready)),
+        sender: update(7104, MemberState::Alive(PeerState::Ready)),
         wants_reply: true,
         members: 985,
         digest: 0x0102_0304_0506_0708,
@@ -61,9 +61,9 @@
             },
         )],
         updates: vec![
-            updates(7304, MemberState::Dead),
-            updates(7404, MemberState::Alive(PeerState::Starting)),
-            updates(7504, MemberState::Alive(PeerState::Leaving)),
+            update(7304, MemberState::Dead),
+            update(7404, MemberState::Alive(PeerState::Starting)),
+            update(7504, MemberState::Alive(PeerState::Leaving)),
         ],
     }
 }
@@ -78,7 +78,7 @@
 fn members_and_the_question_for_them_keep_their_bytes() {
     let message = PeerMessage::Members(Members {
         sender: address(7104),
-        members: vec![updates(7304, MemberState::Dead)],
+        members: vec![update(7304, MemberState::Dead)],
     });
     assert_is_golden(include_str!("golden/members.hex"), &message);
     let question = PeerMessage::AskMembers(address(7104));
--- a/crates/router/cloverpier_router_policy/src/membership.rs
+++ b/crates/router/cloverpier_router_policy/src/membership.rs
@@ -183,16 +183,18 @@
         now: Instant,
     ) -> GossipReply {
         let heard = self.on_message(seen.sender.clone(), now);
-        for updates in seen.updates {
-            self.on_update(updates.clone(), now);
+        for update in seen.updates {
+            self.on_update(update.clone(), now);
         }
         let sender = seen.sender.router;
         let is_near = seen.sender.data_centre == self.own.data_centre;
         let ask_members = is_near && self.is_to_ask(seen, now);
         let is_told = heard == Heard::TakenForDead;
         let gets_sample = seen.wants_reply && seen.members < self.count();
+        let starts = seen.sender.state == MemberState::Alive(PeerState::Starting);
         GossipReply {
-            is_newcomer: heard == Heard::Changed,
+            // Its former run may have ended before it said anything else, too.
+            is_newcomer: starts || heard == Heard::Changed,
             of_itself: is_told.then(|| self.update_of(sender)).flatten(),
             message: seen.wants_reply,
             sample: if gets_sample {
@@ -223,11 +225,11 @@
     /// Takes members that a router was asked for, or that came with its reply, or that end. Others ask,
     /// too, so those that were not known here, or that both know to live, are not passed on.
     pub fn on_members(&mut self, members: Vec<MemberUpdate>, now: Instant) {
-        for updates in members {
-            let router = updates.router;
-            let is_alive = matches!(updates.state, MemberState::Alive(_));
+        for update in members {
+            let router = update.router;
+            let is_alive = matches!(update.state, MemberState::Alive(_));
             let was_known = self.members.contains_key(&router);
-            let heard = self.on_update(updates, now);
+            let heard = self.on_update(update, now);
             if !was_known || (is_alive && heard == Heard::Known) {
                 self.updates.forget(router);
             }
@@ -273,31 +275,31 @@
     }
 
     /// Records what another router says of a router.
-    pub fn on_update(&mut self, updates: MemberUpdate, now: Instant) -> Heard {
-        if updates.router == self.own.router {
-            return self.on_own_update(&updates);
+    pub fn on_update(&mut self, update: MemberUpdate, now: Instant) -> Heard {
+        if update.router == self.own.router {
+            return self.on_own_update(&update);
         }
-        let is_dead = updates.state == MemberState::Dead;
-        let Some(known) = self.members.get(&updates.router) else {
+        let is_dead = update.state == MemberState::Dead;
+        let Some(known) = self.members.get(&update.router) else {
             // A dead router that was not known needs no memory.
             if is_dead {
                 return Heard::Known;
             }
-            self.put(updates, None, now);
+            self.put(update, None, now);
             return Heard::Changed;
         };
-        if updates.stamp == known.stamp && updates.state == known.state {
-            self.updates.heard_again(updates.router, self.ring.len());
+        if update.stamp == known.stamp && update.state == known.state {
+            self.updates.heard_again(update.router, self.ring.len());
             return Heard::Known;
         }
-        let is_newer = updates.stamp > known.stamp;
-        let is_end = updates.stamp == known.stamp && is_dead && !known.is_dead();
+        let is_newer = update.stamp > known.stamp;
+        let is_end = update.stamp == known.stamp && is_dead && !known.is_dead();
         if !is_newer && !is_end {
             return Heard::Known;
         }
-        let differs = known.state != updates.state || known.callers != updates.callers;
+        let differs = known.state != update.state || known.callers != update.callers;
         let heard = known.heard;
-        self.put(updates, heard, now);
+        self.put(update, heard, now);
         if differs {
             Heard::Changed
         } else {
@@ -306,13 +308,12 @@
     }
 
     /// Somebody takes this router for dead, or for a former run of it.
-    fn on_own_update(&mut self, updates: &MemberUpdate) -> Heard {
-        if updates.stamp < self.own.stamp
-            || (updates.stamp == self.own.stamp && *updates == self.own)
+    fn on_own_update(&mut self, update: &MemberUpdate) -> Heard {
+        if update.stamp < self.own.stamp || (update.stamp == self.own.stamp && *update == self.own)
         {
             return Heard::Known;
         }
-        let stamp = updates.stamp + 1;
+        let stamp = update.stamp + 1;
         self.set_own(MemberUpdate {
             stamp,
             ..self.own.clone()
@@ -320,41 +321,41 @@
         Heard::Changed
     }
 
-    fn put(&mut self, updates: MemberUpdate, heard: Option<Instant>, now: Instant) {
-        let former = self.update_of(updates.router);
-        self.digest ^= former.as_ref().map_or(0, mark) ^ mark(&updates);
-        let place = (rank_of(updates.router), updates.router);
-        if updates.state == MemberState::Dead {
+    fn put(&mut self, update: MemberUpdate, heard: Option<Instant>, now: Instant) {
+        let former = self.update_of(update.router);
+        self.digest ^= former.as_ref().map_or(0, mark) ^ mark(&update);
+        let place = (rank_of(update.router), update.router);
+        if update.state == MemberState::Dead {
             self.ring.remove(&place);
-            self.probes.remove(&updates.router);
-            self.near.remove(updates.router);
-            self.elsewhere.remove(updates.router);
-            self.dead.insert(updates.router);
+            self.probes.remove(&update.router);
+            self.near.remove(update.router);
+            self.elsewhere.remove(update.router);
+            self.dead.insert(update.router);
         } else {
             self.ring.insert(place);
-            self.dead.remove(updates.router);
-            if updates.data_centre == self.own.data_centre {
-                self.near.insert(updates.router);
+            self.dead.remove(update.router);
+            if update.data_centre == self.own.data_centre {
+                self.near.insert(update.router);
             } else {
-                self.elsewhere.insert(updates.router);
+                self.elsewhere.insert(update.router);
             }
         }
-        self.updates.push(updates.router);
+        self.updates.push(update.router);
         let is_ending = [MemberState::Dead, MemberState::Alive(PeerState::Leaving)];
-        if is_ending.contains(&updates.state) {
-            self.ended.insert(updates.router);
+        if is_ending.contains(&update.state) {
+            self.ended.insert(update.router);
         } else {
-            self.ended.remove(&updates.router);
+            self.ended.remove(&update.router);
         }
         let member = Member {
-            callers: updates.callers,
-            data_centre: updates.data_centre,
-            state: updates.state,
-            stamp: updates.stamp,
+            callers: update.callers,
+            data_centre: update.data_centre,
+            state: update.state,
+            stamp: update.stamp,
             heard,
             changed: now,
         };
-        self.members.insert(updates.router, member);
+        self.members.insert(update.router, member);
     }
 
     fn update_of(&self, router: SocketAddr) -> Option<MemberUpdate> {
@@ -461,16 +462,16 @@
 }
 
 /// A router's part in the digest; none if it is dead.
-fn mark(updates: &MemberUpdate) -> u64 {
-    let state = match updates.state {
+fn mark(update: &MemberUpdate) -> u64 {
+    let state = match update.state {
         MemberState::Dead => return 0,
         MemberState::Alive(PeerState::Starting) => 1,
         MemberState::Alive(PeerState::Ready) => 2,
         MemberState::Alive(PeerState::Leaving) => 3,
     };
-    let stamp = updates.stamp.wrapping_mul(4).wrapping_add(state);
+    let stamp = update.stamp.wrapping_mul(4).wrapping_add(state);
     // Spread over all bits, so that two changes hardly cancel each other.
-    rank_of(updates.router) ^ stamp.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    rank_of(update.router) ^ stamp.wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
 /// Whether something may be done again that was done last at a moment; it counts as done then.
--- a/crates/router/cloverpier_router_policy/src/membership/ring.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/ring.rs
@@ -112,11 +112,11 @@
     }
 
     fn declare_dead(&mut self, router: SocketAddr, now: Instant) {
-        let updates = self.update_of(router);
+        let update = self.update_of(router);
         let heard = self.members.get(&router).and_then(|member| member.heard);
-        if let Some(updates) = updates {
+        if let Some(update) = update {
             let state = MemberState::Dead;
-            self.put(MemberUpdate { state, ..updates }, heard, now);
+            self.put(MemberUpdate { state, ..update }, heard, now);
         }
     }
 }
--- a/crates/router/cloverpier_router_policy/src/membership/update.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/update.rs
@@ -75,7 +75,7 @@
 /// What the sender of a message gets.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GossipReply {
-    /// Whether the sender was not known, or is something else than it was.
+    /// Whether the sender was not known, starts, or is something else than it was.
     pub is_newcomer: bool,
     /// What it has to know of itself: that it is taken for dead.
     pub of_itself: Option<MemberUpdate>,
--- a/crates/router/cloverpier_router_policy/src/news.rs
+++ b/crates/router/cloverpier_router_policy/src/news.rs
@@ -23,13 +23,15 @@
 const TELLERS: usize = 16;
 
 /// Whether the sender of a heartbeat may have missed facts: it is new, was silent for longer than
-/// `timeout`, or was restarted and so has an older configuration than before.
+/// `timeout`, or was restarted and so has an older configuration than before, or none. One without a
+/// configuration counts each time: the heartbeat before may be that of a run that ended as early.
 pub fn may_have_missed(former: Option<&PeerEntry>, entry: &PeerEntry, timeout: Duration) -> bool {
     former.is_none_or(|former| {
         let silent = entry
             .last_heartbeat
             .saturating_duration_since(former.last_heartbeat);
-        silent > timeout || entry.configuration_version < former.configuration_version
+        let version = entry.configuration_version;
+        silent > timeout || version < former.configuration_version || version == 0
     })
 }
 
--- a/crates/router/cloverpier_router_policy/tests/crash_news.rs
+++ b/crates/router/cloverpier_router_policy/tests/crash_news.rs
@@ -50,6 +50,14 @@
     assert!(may_have_missed(None, &entry(9, now), timeout));
 }
 
+#[test]
+fn a_peer_that_starts_anew_before_its_former_run_said_a_version_is_told_what_it_may_have_missed() {
+    let now = Instant::now();
+    let (former, anew) = (entry(0, now), entry(0, now + Duration::from_millis(313)));
+    let timeout = Duration::from_millis(1_100);
+    assert!(may_have_missed(Some(&former), &anew, timeout));
+}
+
 #[test]
 fn of_many_peers_a_few_tell_and_of_few_all_do() {
     let mut rng = fastrand::Rng::with_seed(1);
--- a/crates/router/cloverpier_router_policy/tests/membership.rs
+++ b/crates/router/cloverpier_router_policy/tests/membership.rs
@@ -16,7 +16,7 @@
     SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7201))
 }
 
-fn updates(number: u16, state: MemberState, stamp: u64) -> MemberUpdate {
+fn update(number: u16, state: MemberState, stamp: u64) -> MemberUpdate {
     MemberUpdate {
         router: router(number),
         callers: router(number),
@@ -28,9 +28,9 @@
 
 /// Router 0, which has heard of `others` routers.
 fn knowing(others: u16, now: Instant) -> Membership {
-    let mut membership = Membership::new(updates(0, READY, 1));
+    let mut membership = Membership::new(update(0, READY, 1));
     for number in 1..=others {
-        membership.on_message(updates(number, READY, 1), now);
+        membership.on_message(update(number, READY, 1), now);
     }
     membership
 }
@@ -47,7 +47,7 @@
     for step in 1..40 {
         let now = start + Duration::from_millis(100) * step;
         for number in (1..=others).filter(|number| *number != silent) {
-            membership.on_message(updates(number, READY, 1), now);
+            membership.on_message(update(number, READY, 1), now);
         }
         let step = membership.ring_step(false, now);
         probes += step.probe.len();
@@ -96,15 +96,15 @@
 fn a_router_that_is_taken_for_dead_says_that_it_is_not() {
     let now = Instant::now();
     let mut membership = knowing(2, now);
-    let heard = membership.on_update(updates(0, MemberState::Dead, 1), now);
+    let heard = membership.on_update(update(0, MemberState::Dead, 1), now);
     assert_eq!(heard, Heard::Changed);
     assert_eq!(membership.own().state, READY);
     assert!(membership.own().stamp > 1);
 
-    let mut peer = Membership::new(updates(9, READY, 1));
-    peer.on_message(updates(0, READY, 1), now);
-    peer.on_update(updates(0, MemberState::Dead, 1), now);
-    let heard = peer.on_message(updates(0, READY, 1), now);
+    let mut peer = Membership::new(update(9, READY, 1));
+    peer.on_message(update(0, READY, 1), now);
+    peer.on_update(update(0, MemberState::Dead, 1), now);
+    let heard = peer.on_message(update(0, READY, 1), now);
     assert_eq!(heard, Heard::TakenForDead);
     peer.on_message(membership.own().clone(), now);
     assert!(!peer.is_known_dead(router(0)));
@@ -114,16 +114,16 @@
 fn others_are_told_once_of_a_router_that_ends_unless_it_is_back() {
     let now = Instant::now();
     let mut membership = knowing(3, now);
-    let leaving = updates(1, MemberState::Alive(PeerState::Leaving), 2);
+    let leaving = update(1, MemberState::Alive(PeerState::Leaving), 2);
     membership.on_update(leaving.clone(), now);
-    membership.on_members(vec![updates(2, MemberState::Dead, 1)], now);
+    membership.on_members(vec![update(2, MemberState::Dead, 1)], now);
     assert_eq!(
         membership.take_ended(),
-        [leaving, updates(2, MemberState::Dead, 1)]
+        [leaving, update(2, MemberState::Dead, 1)]
     );
     assert!(!membership.has_ended());
-    membership.on_update(updates(3, MemberState::Dead, 1), now);
-    membership.on_update(updates(3, READY, 2), now);
+    membership.on_update(update(3, MemberState::Dead, 1), now);
+    membership.on_update(update(3, READY, 2), now);
     assert!(!membership.has_ended());
 }
 
@@ -132,7 +132,7 @@
     let start = Instant::now();
     let mut membership = knowing(100, start);
     let mut rng = fastrand::Rng::with_seed(1);
-    let sender = updates(4, READY, 1);
+    let sender = update(4, READY, 1);
     let mut hears = |members, now| {
         let seen = GossipSeen {
             sender: &sender,
@@ -149,12 +149,33 @@
     assert!(!hears(102, later), "it has asked just now");
 }
 
+#[test]
+fn a_router_that_starts_anew_before_its_former_run_was_ready_counts_as_new() {
+    let now = Instant::now();
+    let mut membership = Membership::new(update(0, READY, 1));
+    let starting = MemberState::Alive(PeerState::Starting);
+    let mut is_newcomer = |stamp| {
+        let sender = update(1, starting, stamp);
+        let seen = GossipSeen {
+            sender: &sender,
+            wants_reply: true,
+            members: 0,
+            digest: 1,
+            updates: &[],
+        };
+        let mut rng = fastrand::Rng::with_seed(1);
+        membership.on_gossip(seen, &mut rng, now).is_newcomer
+    };
+    assert!(is_newcomer(1));
+    assert!(is_newcomer(300));
+}
+
 #[test]
 fn a_message_without_a_stamp_brings_a_dead_router_back() {
     let now = Instant::now();
     let mut membership = knowing(2, now);
-    membership.on_update(updates(1, MemberState::Dead, 1), now);
-    membership.on_plain_message(updates(1, READY, 0), now);
+    membership.on_update(update(1, MemberState::Dead, 1), now);
+    membership.on_plain_message(update(1, READY, 0), now);
     assert!(!membership.is_known_dead(router(1)));
 }
 
@@ -182,21 +203,21 @@
             .into_iter()
             .map(|(number, stamp, is_dead)| {
                 let state = if is_dead { MemberState::Dead } else { READY };
-                updates(1 + u16::from(number % 5), state, u64::from(stamp % 4))
+                update(1 + u16::from(number % 5), state, u64::from(stamp % 4))
             })
             .collect();
         let known = || knowing(5, now);
         let mut one = known();
-        for updates in &said {
-            one.on_update(updates.clone(), now);
+        for update in &said {
+            one.on_update(update.clone(), now);
         }
         let mut other = known();
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut mixed = said.clone();
         mixed.extend(said);
         rng.shuffle(&mut mixed);
-        for updates in mixed {
-            other.on_update(updates, now);
+        for update in mixed {
+            other.on_update(update, now);
         }
         one.digest() == other.digest() && one.count() == other.count()
     }
--- a/tools/src/gossip_play/world.rs
+++ b/tools/src/gossip_play/world.rs
@@ -155,7 +155,7 @@
 
     fn play_news(&mut self, outcome: &mut GossipOutcome) {
         let watcher = 0;
-        let updates = UpstreamUpdate {
+        let update = UpstreamUpdate {
             sender: address(watcher),
             after: 1,
             revision: 2,
@@ -164,7 +164,7 @@
         self.routers[watcher].revision = 2;
         let router = &mut self.routers[watcher];
         let roots = router.members.flood_roots(&mut router.rng);
-        self.send(watcher, PeerMessage::UpstreamUpdate(updates), roots);
+        self.send(watcher, PeerMessage::UpstreamUpdate(update), roots);
         outcome.change = self.spread(|r| r.revision >= 2);
         self.run_for(Duration::from_secs(1));
         let stale = Duration::from_secs(6);
@@ -326,7 +326,7 @@
                 self.routers[index].members.on_members(members, now);
                 self.note_urgent(index);
             }
-            PeerMessage::UpstreamUpdate(updates) => self.on_update(index, updates),
+            PeerMessage::UpstreamUpdate(update) => self.on_update(index, update),
             _ => {}
         }
     }
@@ -357,10 +357,10 @@
     }
 
     fn reply(&mut self, index: usize, sender: SocketAddr, reply: GossipReply) {
-        if let Some(updates) = reply.of_itself {
+        if let Some(update) = reply.of_itself {
             let members = Members {
                 sender: address(index),
-                members: vec![updates],
+                members: vec![update],
             };
             self.send(index, PeerMessage::Members(members), vec![sender]);
         }
@@ -399,14 +399,14 @@
         }
     }
 
-    fn on_update(&mut self, index: usize, updates: &UpstreamUpdate) {
+    fn on_update(&mut self, index: usize, update: &UpstreamUpdate) {
         let router = &mut self.routers[index];
-        if updates.revision <= router.revision {
+        if update.revision <= router.revision {
             return;
         }
-        router.revision = updates.revision;
+        router.revision = update.revision;
         let next = router.members.flood_targets(&mut router.rng);
-        self.send(index, PeerMessage::UpstreamUpdate(updates.clone()), next);
+        self.send(index, PeerMessage::UpstreamUpdate(update.clone()), next);
     }
 }
 
