In a large fleet, greet no peer for being mentioned

Cause: whoever heard of a stranger from a heartbeat sent it a heartbeat and a message of gossip, also in a large fleet, where gossip tells of all.

--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -205,7 +205,7 @@
     let own = settings.listen.peers;
     let seeds = settings.seeds.iter().copied();
     let others = seeds.filter(|seed| *seed != own);
-    router.peers.on_mentioned(others, now);
+    router.peers.on_seeds(others, now);
 }
 
 fn forget_old(router: &Router, now: Instant) {
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -10,7 +10,7 @@
 use crate::peer_messages::PeerMessage;
 use crate::store_view::Watched;
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
-use cloverpier_router_policy::heartbeat::reaches_all_peers;
+use cloverpier_router_policy::heartbeat::{greets_mentioned, reaches_all_peers};
 use cloverpier_router_policy::membership::{ENDED_PERIOD, MemberUpdate, Membership};
 use cloverpier_router_policy::peers::listed_for_callers;
 use cloverpier_router_policy::prelude::*;
@@ -163,17 +163,30 @@
         self.table.borrow_mut().on_heartbeat(peer, entry)
     }
 
-    /// Records peers that settings or a peer mentioned.
+    /// Records the seeds of the settings; those that are not known are greeted.
+    pub fn on_seeds(&self, seeds: impl IntoIterator<Item = SocketAddr>, now: Instant) {
+        for seed in seeds {
+            if self.note_mentioned(seed, now) {
+                self.greet(seed);
+            }
+        }
+    }
+
+    /// Records peers that a peer mentioned.
     pub fn on_mentioned(&self, peers: impl IntoIterator<Item = SocketAddr>, now: Instant) {
         for peer in peers {
-            let is_new = self.table.borrow_mut().on_mentioned(peer, now);
-            let is_stranger = is_new && !self.members.borrow().knows(peer);
-            if is_stranger {
+            if greets_mentioned(self.count()) && self.note_mentioned(peer, now) {
                 self.greet(peer);
             }
         }
     }
 
+    /// Records a peer that was mentioned; returns whether it was not known.
+    fn note_mentioned(&self, peer: SocketAddr, now: Instant) -> bool {
+        let is_new = self.table.borrow_mut().on_mentioned(peer, now);
+        is_new && !self.members.borrow().knows(peer)
+    }
+
     /// Has a first heartbeat sent to a peer.
     fn greet(&self, peer: SocketAddr) {
         self.new_peers.borrow_mut().push(peer);
--- a/crates/router/cloverpier_router_policy/src/heartbeat.rs
+++ b/crates/router/cloverpier_router_policy/src/heartbeat.rs
@@ -38,7 +38,7 @@
 /// Peers that the first heartbeat to a peer mentions.
 pub const MENTIONED_TO_NEW_PEER: usize = 16;
 /// New peers that are sent a first heartbeat at the same time; the others follow after
-/// [`MIN_SEND_PAUSE`]. So all of 300 are greeted within 0.1 s.
+/// [`MIN_SEND_PAUSE`].
 pub const MAX_GREETED: usize = 32;
 /// Upstreams, suspects or prompts in one message; with 64 of each a message stays within
 /// [`MAX_DATAGRAM`].
@@ -103,6 +103,13 @@
     rng.choose_multiple(peers, PEERS_PER_TURN)
 }
 
+/// Whether a peer that is not known gets a first message because another one mentioned it. In a large
+/// fleet gossip tells of all members: 1,000 routers that greet each other are a million messages of
+/// 2 kB within two seconds.
+pub fn greets_mentioned(known_peers: usize) -> bool {
+    reaches_all_peers(known_peers)
+}
+
 /// Whether a change reaches all peers, so that their load is known exactly.
 pub fn reaches_all_peers(known_peers: usize) -> bool {
     known_peers <= MAX_PEERS_PER_CHANGE
--- a/crates/router/cloverpier_router_policy/tests/routers.rs
+++ b/crates/router/cloverpier_router_policy/tests/routers.rs
@@ -1,12 +1,15 @@
 //! What routers know of each other: the directory, and who watches the store.
 
 use cloverpier_core::DataCentre;
+use cloverpier_router_policy::heartbeat::{
+    MENTIONED_TO_NEW_PEER, greets_mentioned, reaches_all_peers,
+};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::prompt_search::search_timeout;
 use cloverpier_router_policy::store_watch::{
     OwnStore, ReadyPeer, changes_roles, max_backoff, reported_store_age, watcher_role,
 };
-use std::collections::HashSet;
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -55,6 +58,43 @@
     assert_eq!(listed, HashSet::from([address(10), address(11)]));
 }
 
+/// Has all routers of a fleet start at once: each greets three seeds, a greeting mentions as many as it
+/// may, and strangers are greeted that send one or are mentioned, where that is allowed. Returns the most
+/// that one router greets.
+fn most_greeted_by_one(fleet: u16) -> usize {
+    let now = Instant::now();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut tables = vec![PeerTable::default(); usize::from(fleet)];
+    let mut greeted = vec![0; usize::from(fleet)];
+    let starts = (0..fleet).flat_map(|from| (0..3).map(move |seed| (from, seed)));
+    let mut greetings: VecDeque<(u16, u16)> = starts.filter(|(from, seed)| from != seed).collect();
+    while let Some((from, to)) = greetings.pop_front() {
+        greeted[usize::from(from)] += 1;
+        let mut known = tables[usize::from(from)].addresses();
+        known.retain(|peer| *peer != address(to));
+        let mentioned = rng.choose_multiple(known, MENTIONED_TO_NEW_PEER);
+        let table = &mut tables[usize::from(to)];
+        if !table.knows(address(from)) && reaches_all_peers(table.count()) {
+            greetings.push_back((to, from));
+        }
+        table.on_heartbeat(address(from), entry(from, PeerState::Starting, now));
+        for peer in mentioned {
+            if greets_mentioned(table.count()) && table.on_mentioned(peer, now) {
+                greetings.push_back((to, peer.port()));
+            }
+        }
+    }
+    greeted.into_iter().max().unwrap_or(0)
+}
+
+#[test]
+fn routers_that_start_at_once_greet_few_however_many_there_are() {
+    for fleet in [50, 300, 600] {
+        let most = most_greeted_by_one(fleet);
+        assert!(most <= 100, "{most} of {fleet}");
+    }
+}
+
 #[test]
 fn a_router_that_is_not_ready_lists_others() {
     let now = Instant::now();
