--- a/crates/router/cloverpier_router/src/crash_news.rs
+++ b/crates/router/cloverpier_router/src/crash_news.rs
@@ -4,8 +4,8 @@
 //! there. Owns no state: [`crate::crash_state`] holds what is known, and when it was sent last.
 
 use crate::crashes::apply_verdicts;
+use crate::outbox::Recipients;
 use crate::peer_messages::{CrashNews, PeerMessage};
-use crate::peers::Recipients;
 use crate::router::Router;
 use cloverpier_crashes::{ContentKey, ContentReport};
 use cloverpier_router_policy::crash_news::in_messages;
@@ -66,7 +66,10 @@
     let sender = router.settings().listen.peers;
     for contents in in_messages(reports) {
         let news = CrashNews { sender, contents };
-        router.peers.send(PeerMessage::Crashes(news), to.clone());
+        router
+            .peers
+            .outbox
+            .send(PeerMessage::Crashes(news), to.clone());
     }
 }
 
--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -7,9 +7,9 @@
 use crate::crash_news;
 use crate::heartbeats::{send, store_age_ms};
 use crate::leaving_news;
+use crate::outbox::Recipients;
 use crate::peer_messages::{Gossip, Members, PeerMessage, UpstreamUpdate, encode};
 use crate::peer_reports::on_suspects;
-use crate::peers::Recipients;
 use crate::router::Router;
 use crate::source::{ReadChange, UpstreamChanges};
 use crate::store_view::{Watched, decide_watcher_role, log_dependency};
@@ -165,7 +165,7 @@
     let mut members = router.peers.members.borrow_mut();
     let reply = members.on_gossip(seen, &mut router.rng.borrow_mut(), now);
     if members.has_ended() {
-        router.peers.wake();
+        router.peers.outbox.wake();
     }
     reply
 }
@@ -191,7 +191,8 @@
 
 fn send_reply(router: &Router, to: SocketAddr, reply: GossipReply, now: Instant) {
     let own = router.settings().listen.peers;
-    let send = |message| router.peers.send(message, Recipients::These(vec![to]));
+    let outbox = &router.peers.outbox;
+    let send = |message| outbox.send(message, Recipients::These(vec![to]));
     if let Some(update) = reply.of_itself {
         send(PeerMessage::Members(Members {
             sender: own,
@@ -214,7 +215,10 @@
     let parts = router.peers.members.borrow_mut().on_asked(now);
     for members in parts {
         let message = PeerMessage::Members(Members { sender, members });
-        router.peers.send(message, Recipients::These(vec![asking]));
+        router
+            .peers
+            .outbox
+            .send(message, Recipients::These(vec![asking]));
     }
 }
 
@@ -223,7 +227,7 @@
     let mut members = router.peers.members.borrow_mut();
     members.on_members(message.members, now);
     if members.has_ended() {
-        router.peers.wake();
+        router.peers.outbox.wake();
     }
 }
 
@@ -242,7 +246,7 @@
     if is_urgent {
         decide_watcher_role(router, now);
         // Others learn it from this router without waiting for its next period.
-        router.peers.report_version();
+        router.peers.outbox.report_version();
     }
 }
 
@@ -266,7 +270,7 @@
     let message = PeerMessage::UpstreamUpdate(update);
     match encode(&message) {
         Ok(bytes) if bytes.len() + ENVELOPE <= MAX_DATAGRAM => {
-            router.peers.send(message, Recipients::All);
+            router.peers.outbox.send(message, Recipients::All);
             true
         }
         // Whoever hears of the revision fetches them.
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -7,8 +7,8 @@
 use crate::crash_news;
 use crate::gossip;
 use crate::leaving_news;
+use crate::outbox::Recipients;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, encode};
-use crate::peers::Recipients;
 use crate::router::Router;
 use crate::store_view::{decide_watcher_role, log_dependency};
 use cloverpier_core::UpstreamName;
@@ -39,46 +39,85 @@
     if let Err(error) = socket.writable().await {
         log_dependency(&router, "peer.unsent", "peers", &error.to_string());
     }
-    let mut turn = HeartbeatTurn::default();
-    let mut next_heartbeat = router.now();
-    let mut next_seeds = next_heartbeat;
-    let mut roles = RoleTurn::default();
+    let mut sender = Sender::new(router, socket);
     loop {
+        sender.send_due();
+        sender.send_pending();
+        wait_for_change(&sender.router, sender.next_period).await;
+    }
+}
+
+/// Sends what is due and what waits.
+struct Sender {
+    router: Rc<Router>,
+    socket: Rc<UdpSocket>,
+    turn: HeartbeatTurn,
+    roles: RoleTurn,
+    next_period: Instant,
+    next_seeds: Instant,
+}
+
+impl Sender {
+    /// A sender for which everything is due.
+    fn new(router: Rc<Router>, socket: Rc<UdpSocket>) -> Self {
         let now = router.now();
-        if now >= next_seeds {
-            mention_seeds(&router, now);
-            next_seeds = now + SEED_PERIOD;
+        Self {
+            router,
+            socket,
+            turn: HeartbeatTurn::default(),
+            roles: RoleTurn::default(),
+            next_period: now,
+            next_seeds: now,
+        }
+    }
+
+    /// Sends what is due by the time, or since a version has changed.
+    fn send_due(&mut self) {
+        let now = self.router.now();
+        if now >= self.next_seeds {
+            mention_seeds(&self.router, now);
+            self.next_seeds = now + SEED_PERIOD;
+        }
+        if now >= self.next_period {
+            self.begin_period(now);
+            self.next_period = now + period(&self.router);
+        } else if self.router.peers.outbox.take_heartbeat_due() {
+            send_versions(&self.router, &self.socket, now);
         }
-        if now >= next_heartbeat {
-            forget_old(&router, now);
-            if roles.is_due(&router, now) {
-                decide_watcher_role(&router, now);
-            }
-            let was_paused = now.saturating_duration_since(next_heartbeat) > PAUSED;
-            send_period(&router, &socket, &mut turn, was_paused, now);
-            crash_news::tell_again(&router, now);
-            leaving_news::tell_again(&router, now);
-            next_heartbeat = now + period(&router);
-        } else if router.peers.take_heartbeat_due() {
-            send_versions(&router, &socket, now);
+    }
+
+    fn begin_period(&mut self, now: Instant) {
+        let router = &self.router;
+        forget_old(router, now);
+        if self.roles.is_due(router, now) {
+            decide_watcher_role(router, now);
         }
+        let was_paused = now.saturating_duration_since(self.next_period) > PAUSED;
+        send_period(router, &self.socket, &mut self.turn, was_paused, now);
+        crash_news::tell_again(router, now);
+        leaving_news::tell_again(router, now);
+    }
+
+    /// Sends what waits for the next round.
+    fn send_pending(&self) {
+        let (router, socket) = (&self.router, &self.socket);
+        let now = router.now();
         if router.peers.is_large() && router.peers.may_send_ended(now) {
-            gossip::send_ended(&router, &socket);
+            gossip::send_ended(router, socket);
         }
-        let new_peers = router.peers.take_new(MAX_GREETED);
+        let new_peers = router.peers.outbox.take_new(MAX_GREETED);
         if !new_peers.is_empty() {
-            send_heartbeat(&router, &socket, &new_peers, MENTIONED_TO_NEW_PEER, now);
+            send_heartbeat(router, socket, &new_peers, MENTIONED_TO_NEW_PEER, now);
             // One that belongs to a large fleet answers this.
-            gossip::send_greeting(&router, &socket, &new_peers, now);
+            gossip::send_greeting(router, socket, &new_peers, now);
         }
-        for (message, to) in router.peers.drain_outgoing() {
-            send(&router, &socket, &message, &recipients(&router, to));
+        for (message, to) in router.peers.outbox.drain_outgoing() {
+            send(router, socket, &message, &recipients(router, to));
         }
-        if let Some(change) = next_change(&router) {
+        if let Some(change) = next_change(router) {
             let peers = change_peers(router.peers.addresses(), &mut router.rng.borrow_mut());
-            send(&router, &socket, &PeerMessage::Change(change), &peers);
+            send(router, socket, &PeerMessage::Change(change), &peers);
         }
-        wait_for_change(&router, next_heartbeat).await;
     }
 }
 
@@ -149,13 +188,13 @@
     }
 }
 
-/// Waits for the next heartbeat, or for a change that peers are to be sent at once.
-async fn wait_for_change(router: &Router, next_heartbeat: Instant) {
+/// Waits for the next period, or for a change that peers are to be sent at once.
+async fn wait_for_change(router: &Router, next_period: Instant) {
     let sent = router.now();
-    if !router.peers.has_new() {
+    if !router.peers.outbox.has_new() {
         tokio::select! {
-            () = router.peers.state_changed() => {}
-            () = router.timers.sleep_until(next_heartbeat) => return,
+            () = router.peers.outbox.state_changed() => {}
+            () = router.timers.sleep_until(next_period) => return,
         }
     }
     // What comes close together goes in one round.
@@ -290,7 +329,7 @@
 /// changes of load and new locations of prompts.
 fn next_change(router: &Router) -> Option<Change> {
     let changed = changed_upstreams(router);
-    let prompt_locations = router.peers.drain_prompt_locations();
+    let prompt_locations = router.peers.outbox.drain_prompt_locations();
     let table = router.upstreams.borrow();
     let states: Vec<&UpstreamState> = changed.iter().filter_map(|name| table.get(name)).collect();
     let suspects = states.iter().filter(|s| s.is_suspected());
@@ -314,7 +353,7 @@
 
 /// The upstreams of which something is to be reported, each once.
 fn changed_upstreams(router: &Router) -> Vec<UpstreamName> {
-    let mut changed = router.peers.drain_changed_upstreams();
+    let mut changed = router.peers.outbox.drain_changed_upstreams();
     changed.sort_unstable();
     changed.dedup();
     changed.truncate(MAX_ENTRIES);
--- a/crates/router/cloverpier_router/src/leaving_news.rs
+++ b/crates/router/cloverpier_router/src/leaving_news.rs
@@ -4,8 +4,8 @@
 //! Owns no state: the table of upstreams holds the leavings, the router when the last one was learned.
 
 use crate::beliefs::{LeavingSource, Via, log_leaving};
+use crate::outbox::Recipients;
 use crate::peer_messages::{LeavingNews, PeerMessage};
-use crate::peers::Recipients;
 use crate::router::Router;
 use cloverpier_router_policy::leaving::in_messages;
 use cloverpier_router_policy::news::{is_teller, is_told_again, may_have_missed};
@@ -99,6 +99,9 @@
     let sender = router.settings().listen.peers;
     for upstreams in in_messages(reports) {
         let news = LeavingNews { sender, upstreams };
-        router.peers.send(PeerMessage::Leavings(news), to.clone());
+        router
+            .peers
+            .outbox
+            .send(PeerMessage::Leavings(news), to.clone());
     }
 }
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -17,7 +17,7 @@
 //! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that one router at a time does | `singleton` |
-//! | other routers | `peers`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
+//! | other routers | `peers`, `outbox`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
 //! | logs and metrics | `decision_log`, `beliefs`, `metrics` |
 //! | work beside the thread that serves | `background` |
@@ -64,6 +64,7 @@
 mod load_guard;
 mod load_query;
 mod metrics;
+mod outbox;
 mod outcome;
 mod peer_fetch;
 pub mod peer_messages;
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -1,15 +1,16 @@
 //! What this router knows of its peers, and what it sends them next.
 //!
-//! Owns the table of peers, the members of a large fleet, the updates that wait for the next datagram,
-//! and the signals that a peer has a newer version. [`crate::heartbeats`] and [`crate::gossip`] send
+//! Owns the table of peers, the members of a large fleet, and the signals that a peer has a newer
+//! version; [`Outbox`] has what they are sent next. [`crate::heartbeats`] and [`crate::gossip`] send
 //! and receive; who is sent what is decided in `cloverpier_router_policy::{heartbeat, membership}`.
 //!
 //! In a small fleet each peer is alive for as long as its heartbeats come; in a large one, members are
 //! alive until somebody's probe says otherwise.
 
+use crate::outbox::{Outbox, Recipients};
 use crate::peer_messages::PeerMessage;
 use crate::store_view::Watched;
-use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
+use cloverpier_core::{DataCentre, ServiceName};
 use cloverpier_router_policy::heartbeat::{greets_mentioned, reaches_all_peers};
 use cloverpier_router_policy::membership::{ENDED_PERIOD, MemberUpdate, Membership};
 use cloverpier_router_policy::peers::listed_for_callers;
@@ -27,21 +28,6 @@
 /// budget, whose window it mostly is, their versions, how many members they know.
 const HEARD_FOR: Duration = Duration::from_secs(10);
 
-/// Who gets a message.
-#[derive(Clone, Debug)]
-pub(crate) enum Recipients {
-    /// All peers.
-    All,
-    /// All, or where they are many some of them, who hand it on.
-    Many,
-    /// A few of them, picked at random.
-    Few,
-    /// Those that whoever gets something for the first time passes it on to, in a large fleet.
-    Next,
-    /// These.
-    These(Vec<SocketAddr>),
-}
-
 /// Peers, and what they are sent next.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -56,18 +42,8 @@
     last_beat: Cell<u64>,
     /// When others were last told at once of routers that end.
     sent_ended: Cell<Option<Instant>>,
-    /// Upstreams of which the load or a suspicion is to be reported at once.
-    changed_upstreams: RefCell<Vec<UpstreamName>>,
-    /// Prompts that engines began to read since the last report.
-    new_prompt_locations: RefCell<Vec<(PromptKey, UpstreamKey)>>,
-    /// Messages that are sent as they are, each once.
-    outgoing: RefCell<Vec<(PeerMessage, Recipients)>>,
-    /// Peers that were not known before, to be sent a first heartbeat.
-    new_peers: RefCell<Vec<SocketAddr>>,
-    /// Wakes the sender of datagrams.
-    state_changed: Notify,
-    /// Whether a heartbeat is due at once, as the last one says something older.
-    heartbeat_due: Cell<bool>,
+    /// What they are sent next.
+    pub(crate) outbox: Outbox,
     /// Wakes the fetcher of configurations.
     newer_configuration_seen: Notify,
     /// Wakes the fetcher of upstreams.
@@ -86,12 +62,7 @@
             beats: RefCell::default(),
             heard_size: Cell::default(),
             plain_peers: RefCell::default(),
-            changed_upstreams: RefCell::default(),
-            new_prompt_locations: RefCell::default(),
-            outgoing: RefCell::default(),
-            new_peers: RefCell::default(),
-            state_changed: Notify::new(),
-            heartbeat_due: Cell::default(),
+            outbox: Outbox::default(),
             newer_configuration_seen: Notify::new(),
             newer_upstreams_seen: Notify::new(),
         }
@@ -158,7 +129,7 @@
     pub fn on_heartbeat(&self, peer: SocketAddr, entry: PeerEntry) -> Option<PeerEntry> {
         let is_new = !self.table.borrow().knows(peer);
         if is_new && !self.is_large() {
-            self.greet(peer);
+            self.outbox.greet(peer);
         }
         self.table.borrow_mut().on_heartbeat(peer, entry)
     }
@@ -167,7 +138,7 @@
     pub fn on_seeds(&self, seeds: impl IntoIterator<Item = SocketAddr>, now: Instant) {
         for seed in seeds {
             if self.note_mentioned(seed, now) {
-                self.greet(seed);
+                self.outbox.greet(seed);
             }
         }
     }
@@ -176,7 +147,7 @@
     pub fn on_mentioned(&self, peers: impl IntoIterator<Item = SocketAddr>, now: Instant) {
         for peer in peers {
             if greets_mentioned(self.count()) && self.note_mentioned(peer, now) {
-                self.greet(peer);
+                self.outbox.greet(peer);
             }
         }
     }
@@ -187,24 +158,6 @@
         is_new && !self.members.borrow().knows(peer)
     }
 
-    /// Has a first heartbeat sent to a peer.
-    fn greet(&self, peer: SocketAddr) {
-        self.new_peers.borrow_mut().push(peer);
-        self.state_changed.notify_one();
-    }
-
-    /// Takes some of the peers that are to be sent a first heartbeat.
-    pub fn take_new(&self, most: usize) -> Vec<SocketAddr> {
-        let mut new = self.new_peers.borrow_mut();
-        let count = new.len().min(most);
-        new.drain(..count).collect()
-    }
-
-    /// Whether some are left.
-    pub fn has_new(&self) -> bool {
-        !self.new_peers.borrow().is_empty()
-    }
-
     /// Forgets peers that were silent for long.
     pub fn forget_old(&self, now: Instant) {
         self.table.borrow_mut().forget_old(now);
@@ -342,68 +295,14 @@
         versions.collect()
     }
 
-    /// Has an upstream's load, or a suspicion of it, reported at once.
-    pub fn report_upstream(&self, upstream: &UpstreamName) {
-        self.changed_upstreams.borrow_mut().push(upstream.clone());
-        self.state_changed.notify_one();
-    }
-
-    /// Has a message sent.
-    pub fn send(&self, message: PeerMessage, to: Recipients) {
-        self.outgoing.borrow_mut().push((message, to));
-        self.state_changed.notify_one();
-    }
-
     /// Has a message passed on that was new here, in a large fleet: in a small one its sender has sent
     /// it to all.
     pub fn pass_on(&self, message: PeerMessage) {
         if self.is_large() {
-            self.send(message, Recipients::Next);
+            self.outbox.send(message, Recipients::Next);
         }
     }
 
-    /// Empties the list of messages to send.
-    pub fn drain_outgoing(&self) -> Vec<(PeerMessage, Recipients)> {
-        std::mem::take(&mut *self.outgoing.borrow_mut())
-    }
-
-    /// Has the location of a prompt reported with the next change.
-    pub fn report_prompt(&self, prompt: PromptKey, engine: UpstreamKey) {
-        let mut locations = self.new_prompt_locations.borrow_mut();
-        locations.push((prompt, engine));
-    }
-
-    /// Has a heartbeat sent at once: a version here has changed.
-    pub fn report_version(&self) {
-        self.heartbeat_due.set(true);
-        self.state_changed.notify_one();
-    }
-
-    /// Whether a heartbeat is due at once; it counts as sent then.
-    pub fn take_heartbeat_due(&self) -> bool {
-        self.heartbeat_due.take()
-    }
-
-    /// Empties the list of upstreams to report.
-    pub fn drain_changed_upstreams(&self) -> Vec<UpstreamName> {
-        std::mem::take(&mut *self.changed_upstreams.borrow_mut())
-    }
-
-    /// Empties the list of prompt locations to report.
-    pub fn drain_prompt_locations(&self) -> Vec<(PromptKey, UpstreamKey)> {
-        std::mem::take(&mut *self.new_prompt_locations.borrow_mut())
-    }
-
-    /// Has the sender of datagrams look for messages.
-    pub fn wake(&self) {
-        self.state_changed.notify_one();
-    }
-
-    /// Waits until there is something to report.
-    pub async fn state_changed(&self) {
-        self.state_changed.notified().await;
-    }
-
     /// Wakes the fetcher of this kind: a peer has a newer version.
     pub fn on_newer_version(&self, watched: Watched) {
         self.newer_seen(watched).notify_one();
--- a/crates/router/cloverpier_router/src/prompts.rs
+++ b/crates/router/cloverpier_router/src/prompts.rs
@@ -66,7 +66,7 @@
         let prompts = &router.prompts;
         prompts.locations.borrow_mut().on_read(prompt, engine, now);
         prompts.running.borrow_mut().insert(prompt, engine);
-        router.peers.report_prompt(prompt, engine);
+        router.peers.outbox.report_prompt(prompt, engine);
         Self {
             router: Rc::clone(router),
             prompt,
--- a/crates/router/cloverpier_router/src/rollout_steps.rs
+++ b/crates/router/cloverpier_router/src/rollout_steps.rs
@@ -4,8 +4,8 @@
 //! watch the store; these decide, and have [`crate::rollout_store`] write the status. What a step
 //! is decided by is in `cloverpier_router_policy::rollout::schedule`. Owns when what was done last.
 
+use crate::outbox::Recipients;
 use crate::peer_messages::{PeerMessage, RolloutEvidence};
-use crate::peers::Recipients;
 use crate::rollout_store::{WriteTurns, write_statuses};
 use crate::rollouts::{on_decided, on_evidence, tell_peers};
 use crate::router::Router;
@@ -87,6 +87,7 @@
         let to = Recipients::These(watchers.clone());
         router
             .peers
+            .outbox
             .send(PeerMessage::RolloutEvidence(evidence), to);
         on_evidence(router, sender, report);
     }
--- a/crates/router/cloverpier_router/src/rollouts.rs
+++ b/crates/router/cloverpier_router/src/rollouts.rs
@@ -5,8 +5,8 @@
 //! answer and what follows is decided in `cloverpier_router_policy::rollout`.
 
 use crate::decision_log::{RolloutOrdered, RolloutProgressed};
+use crate::outbox::Recipients;
 use crate::peer_messages::{PeerMessage, RolloutNews};
-use crate::peers::Recipients;
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_core::{ServiceName, UpstreamName};
@@ -85,7 +85,7 @@
     }
     let sender = router.settings().listen.peers;
     let news = RolloutNews { sender, views };
-    router.peers.send(PeerMessage::Rollouts(news), to);
+    router.peers.outbox.send(PeerMessage::Rollouts(news), to);
 }
 
 /// Records what a router saw.
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -160,7 +160,7 @@
 
     /// Reports this router's load at an upstream, or a suspicion of it, to peers at once.
     pub(crate) fn report_to_peers(&self, upstream: &UpstreamName) {
-        self.peers.report_upstream(upstream);
+        self.peers.outbox.report_upstream(upstream);
     }
 
     /// Counts a caller's request for a service, which adds to the retry budget.
--- a/crates/router/cloverpier_router/src/singleton/reports.rs
+++ b/crates/router/cloverpier_router/src/singleton/reports.rs
@@ -6,8 +6,8 @@
 
 use super::keeper::own_wall_ms;
 use super::{ReportedLoads, Singleton, work};
+use crate::outbox::Recipients;
 use crate::peer_messages::{FleetReport, LeaseUpdate, PeerMessage};
-use crate::peers::Recipients;
 use crate::router::Router;
 use cloverpier_router_policy::prelude::ServiceKey;
 use cloverpier_router_policy::singleton::autoscaling::ServiceLoad;
@@ -54,7 +54,10 @@
             loads: own_loads(router),
         };
         let message = PeerMessage::FleetReport(report.clone());
-        router.peers.send(message, Recipients::These(to.clone()));
+        router
+            .peers
+            .outbox
+            .send(message, Recipients::These(to.clone()));
         take_report(singleton, report, now);
     }
 }
@@ -128,7 +131,7 @@
         fleet_ms: singleton.fleet_ms(router.now()),
     };
     let message = PeerMessage::LeaseUpdate(update);
-    router.peers.send(message, Recipients::These(to));
+    router.peers.outbox.send(message, Recipients::These(to));
 }
 
 /// Records what the holder says.
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -286,7 +286,7 @@
         apply_upstream_changes(router, changes, &from);
         // The others learn it from this router.
         if !spread_upstreams(router, known, revision, readable) {
-            router.peers.report_version();
+            router.peers.outbox.report_version();
         }
     }
     revision
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -232,7 +232,7 @@
     if router.store.set_configuration(held) {
         router.upstreams.borrow_mut().set_services(services);
         router.store.on_learned(router.now());
-        router.peers.report_version();
+        router.peers.outbox.report_version();
         log_version(router, Watched::Configuration, version, from);
     }
 }
@@ -280,7 +280,7 @@
 /// Has peers told at once that calls fail now, or succeed again.
 fn report_change_of_calls(router: &Router, failed: bool) {
     if router.store.fails() != failed && router.store.role().watches() {
-        router.peers.report_version();
+        router.peers.outbox.report_version();
     }
 }
 
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -7,8 +7,8 @@
 
 use crate::beliefs::log_belief;
 use crate::crashes;
+use crate::outbox::Recipients;
 use crate::peer_messages::{PeerMessage, Replaced, Successor};
-use crate::peers::Recipients;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
@@ -57,7 +57,7 @@
         }),
         None => PeerMessage::Replaced(Replaced { sender, former }),
     };
-    router.peers.send(message, Recipients::All);
+    router.peers.outbox.send(message, Recipients::All);
 }
 
 /// The process that answers in place of an upstream, if it must belong to the same service.
