--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -2,7 +2,7 @@
 //!
 //! Datagrams, as a lost one costs little: the next heartbeat repeats everything. Who is sent
 //! what, and how much of it, is decided in `cloverpier_router_policy::heartbeat`; the shapes
-//! are [`crate::peer_messages`]'s. Owns nothing but the turn among peers.
+//! are [`crate::peer_messages`]'s. Owns when what is due next, and the turn among peers.
 
 use crate::crash_news;
 use crate::gossip;
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -1,4 +1,4 @@
-//! What this router knows of its peers, and what it sends them next.
+//! What this router knows of its peers.
 //!
 //! Owns the table of peers, the members of a large fleet, and the signals that a peer has a newer
 //! version; [`Outbox`] has what they are sent next. [`crate::heartbeats`] and [`crate::gossip`] send
@@ -28,7 +28,7 @@
 /// budget, whose window it mostly is, their versions, how many members they know.
 const HEARD_FOR: Duration = Duration::from_secs(10);
 
-/// Peers, and what they are sent next.
+/// The peers, what is known of them, and what waits to be sent.
 #[derive(Debug)]
 pub(crate) struct Peers {
     table: RefCell<PeerTable>,
