--- a/crates/router/cloverpier_router/src/lifecycle.rs
+++ b/crates/router/cloverpier_router/src/lifecycle.rs
@@ -1,8 +1,8 @@
 //! The planned stop, and the requests that it waits for.
 //!
-//! Owns when the termination signal came, how many requests are in flight and how long streams
-//! took that ended. A request counts until the last byte of its answer is handed to the connection, by [`InFlight`].
-//! When a stopping router may exit is decided in `cloverpier_router_policy::lifecycle`.
+//! Owns when the termination signal came, how many requests are in flight and how long streams took
+//! that ended. A request counts until the last byte of its answer is handed to the connection, by
+//! [`InFlight`]. When a stopping router may exit is decided in `cloverpier_router_policy::lifecycle`.
 
 use crate::router::Router;
 use cloverpier_router_policy::lifecycle::{StreamDurations, takes_streams};
--- a/crates/router/cloverpier_router/src/rollouts.rs
+++ b/crates/router/cloverpier_router/src/rollouts.rs
@@ -1,8 +1,9 @@
 //! What this router knows and sees of roll-outs.
 //!
-//! Records how attempts went at either version; [`crate::rollout_state`] owns the orders. [`crate::rollout_steps`] reports that to the routers that decide, and decides
-//! itself where this router is one; which versions an attempt may go to, what counts as a bad
-//! answer and what follows is decided in `cloverpier_router_policy::rollout`.
+//! Records how attempts went at either version; [`crate::rollout_state`] owns the orders.
+//! [`crate::rollout_steps`] reports that to the routers that decide, and decides itself where this
+//! router is one; which versions an attempt may go to, what counts as a bad answer and what follows is
+//! decided in `cloverpier_router_policy::rollout`.
 
 use crate::decision_log::{RolloutOrdered, RolloutProgressed};
 use crate::outbox::Recipients;
--- a/crates/router/cloverpier_router_policy/src/budget.rs
+++ b/crates/router/cloverpier_router_policy/src/budget.rs
@@ -4,11 +4,11 @@
 //! - **Inputs.** Requests and retries of this router within a sliding window; what live peers
 //!   reported of theirs, and how old that may be; the operator's bounds for all routers.
 //! - **Answer.** Yes, and the retry is counted, or no.
-//! - **Why.** Retries multiply load just when upstreams fail, so all routers together keep
-//!   within a budget. Each may spend its share without asking anybody. A burst of failures
-//!   at one router may exceed its share while the fleet has hardly spent anything: then it continues slowly, as long as the fleet is known to have spent little. Even if one router has spent all of
-//!   that little and then all spend their shares at the same moment, they stay within the
-//!   budget: 0.25 and 0.7 of it.
+//! - **Why.** Retries multiply load just when upstreams fail, so all routers together keep within a
+//!   budget. Each may spend its share without asking anybody. A burst of failures at one router may
+//!   exceed its share while the fleet has hardly spent anything: then it continues slowly, as long as
+//!   the fleet is known to have spent little. Even if one router has spent all of that little and then
+//!   all spend their shares at the same moment, they stay within the budget: 0.25 and 0.7 of it.
 //!
 //! [`RetryBudget`] owns the times of one service's requests and retries.
 
--- a/crates/router/cloverpier_router_policy/src/leaving.rs
+++ b/crates/router/cloverpier_router_policy/src/leaving.rs
@@ -4,13 +4,11 @@
 //!   How long does it get what nobody else could serve?
 //! - **Inputs.** What answers and peers said: upstream, start, since when it is known.
 //! - **Answer.** Since when a start leaves; what is sent to peers.
-//! - **Why.** An upstream says in all its answers that it leaves, whether or not the platform's store
-//!   can be reached. Read from the store alone, 25 requests of six routers reached one that had said
-//!   so, within 6 s of logs (one recorded day of 9 routers; what it costs and gains:
-//!   docs/incidents/upstreams-that-say-they-leave.md). A set that only grows needs no order of
-//!   messages: a leaving is never taken back, by the upstream's own entry neither, which may be read
-//!   late or written by who knows less. It binds one start. A later one under the same name is another
-//!   process, and serves.
+//! - **Why.** An upstream says in all its answers that it leaves, whether or not the platform's store can
+//!   be reached; read from the store alone, it would go on to get requests for as long as the store is
+//!   away. A set that only grows needs no order of messages: a leaving is never taken back, by the
+//!   upstream's own entry neither, which may be read late or written by who knows less. It binds one
+//!   start. A later one under the same name is another process, and serves.
 //!
 //! Leavings are kept apart from the upstreams that are listed, as a peer may tell of one before the
 //! list does, and a list that was read late may name one that was forgotten. Owns them.
--- a/crates/router/cloverpier_router_policy/src/store_watch.rs
+++ b/crates/router/cloverpier_router_policy/src/store_watch.rs
@@ -44,9 +44,10 @@
 /// Changes of upstreams that come close together are read by one call.
 pub const GATHER_PERIOD: Duration = Duration::from_millis(300);
 
-/// A router that has just learned configuration and upstreams watches the store only after this
-/// time: two heartbeats, by which it knows who else does. Until it is over nobody may watch, so changes reach all that much later after the
-/// loss of all routers; the least bound on a change is 2 s (the platform's settings).
+/// A router that has just learned configuration and upstreams watches the store only after this time:
+/// two heartbeats, by which it knows who else does. Until it is over nobody may watch, so changes
+/// reach all that much later after the loss of all routers; the least bound on a change is 2 s (the
+/// platform's settings).
 const SETTLE: Duration = Duration::from_millis(500);
 
 /// A live and ready peer, and what it said of the store.
--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -7,10 +7,9 @@
 //! - **Answer.** The attempts that are [`BrokenAttempts::due`]: their upstream ended, and
 //!   [`JUDGE_AFTER`] has passed, so that what else ended is known. The upstreams that have to be probed,
 //!   as nothing was learned of them ([`BrokenAttempts::unclear`]).
-//! - **Why.** A broken connection proves nothing: upstreams lose answers by resets and live. Of 69
-//!   requests that lost an answer at two upstreams or more, and 25 that did at three or more, on eight
-//!   days with dying data centres and resets, 17 and none did so by ends (measured). Silence is no
-//!   end either: it comes from cut links and pauses, too.
+//! - **Why.** A broken connection proves nothing: upstreams lose answers by resets and live,
+//!   and most requests that lose an answer at several upstreams lose it so. Silence is no end either: it
+//!   comes from cut links and pauses, too.
 //!
 //! Owns the open attempts.
 
--- a/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
+++ b/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
@@ -4,8 +4,7 @@
 //! - **Inputs.** Each end that a router learns of, with service and data centre.
 //! - **Answer.** The upstreams that [`EndedUpstreams::beside`] names.
 //! - **Why.** The upstreams of a data centre die together, and each request that ran there would
-//!   count an end against it: on days in which a data centre dies each 6 to 7 s before 24 to 284
-//!   upstreams, of 887 requests that lost one to an end, 17 lost two (measured: eight days).
+//!   count an end against it, though hardly any of them lost two upstreams.
 //!
 //! Owns the ends of the last [`ENDS_KEPT_FOR`].
 
--- a/tools/src/placement.rs
+++ b/tools/src/placement.rs
@@ -1,10 +1,10 @@
 //! Reads how well streams were placed off the log lines of all routers.
 //!
-//! Each choice of an engine (`server.chosen` with a prompt) is set against what really ran there
-//! just then, by the choices and ends that all routers logged; a router that starts anew has lost
-//! its streams. An engine counts from its first choice until it is suspected or replaced. Lines
-//! may have other text before the JSON object, as when several processes' output was gathered; lines that hold none are
-//! counted and left out.
+//! Each choice of an engine (`server.chosen` with a prompt) is set against what really ran there just
+//! then, by the choices and ends that all routers logged; a router that starts anew has lost its
+//! streams. An engine counts from its first choice until it is suspected or replaced. Lines may have
+//! other text before the JSON object, as when several processes' output was gathered; lines that hold
+//! none are counted and left out.
 
 use serde::Deserialize;
 use std::collections::{BTreeMap, HashMap};
