--- a/crates/router/cloverpier_router_policy/tests/pace.rs
+++ b/crates/router/cloverpier_router_policy/tests/pace.rs
@@ -210,10 +210,18 @@
 }
 
 #[test]
-fn routers_of_a_large_fleet_wait_for_a_copy_and_spread_if_none_comes() {
-    assert_eq!(
-        first_read(&starting(ms(300), 985)),
-        FirstRead::NotBefore(ms(5_000))
-    );
-    assert_eq!(first_read(&starting(ms(5_000), 985)), FirstRead::Now);
+fn routers_of_a_large_fleet_wait_for_a_copy_and_few_read_if_none_comes() {
+    let one = |random, age| {
+        first_read(&Starting {
+            random,
+            ..starting(age, 1_024)
+        })
+    };
+    // Three others come before it; then eight; then half of all.
+    assert_eq!(one(3.0 / 1_024.0, ms(0)), FirstRead::Now);
+    let doubled = FirstRead::NotBefore(ms(4_500));
+    assert_eq!(one(8.0 / 1_024.0, ms(300)), doubled);
+    assert_eq!(one(8.0 / 1_024.0, ms(4_500)), FirstRead::Now);
+    assert_eq!(one(0.5, ms(5_000)), FirstRead::NotBefore(ms(13_500)));
+    assert_eq!(one(0.5, ms(13_500)), FirstRead::Now);
 }
