Log what is believed of upstreams without the whole router

The functions that write these lines took the router for its log alone, which put them into the circle of modules that import each other; the word for the call by which an upstream was heard goes into a module of its own, as the limits of upstreams need it, too.

--- a/crates/router/cloverpier_router/src/engine_call.rs
+++ b/crates/router/cloverpier_router/src/engine_call.rs
@@ -4,11 +4,11 @@
 //! engine next uses the same connection. The caller bounds the wait and ends the call by dropping
 //! it.
 
-use crate::beliefs::Via;
 use crate::connection::{Connection, describe};
 use crate::http_client::{CallError, HttpAnswer, get_request};
 use crate::router::Router;
 use crate::send::keep;
+use crate::via::Via;
 use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, DEFAULT_IDLE_LIMIT};
 use cloverpier_router_policy::prelude::*;
 use http_body_util::BodyExt;
--- a/crates/router/cloverpier_router/src/leaving_news.rs
+++ b/crates/router/cloverpier_router/src/leaving_news.rs
@@ -3,10 +3,11 @@
 //! The messages' contents are decided in `cloverpier_router_policy::leaving`, repeats in `news` there.
 //! Owns no state: the table of upstreams holds the leavings, the router when the last one was learned.
 
-use crate::beliefs::{LeavingSource, Via, log_leaving};
+use crate::beliefs::{LeavingSource, log_leaving};
 use crate::outbox::Recipients;
 use crate::peer_messages::{LeavingNews, PeerMessage};
 use crate::router::Router;
+use crate::via::Via;
 use cloverpier_router_policy::leaving::in_messages;
 use cloverpier_router_policy::news::{is_teller, is_told_again, may_have_missed};
 use cloverpier_router_policy::prelude::*;
@@ -61,7 +62,7 @@
     router.metrics.leavings.count(how);
     let known = router.upstreams.borrow().leaving_of(&upstream.name, now);
     let age_ms = known.first().map_or(0, |report| report.age_ms.into());
-    log_leaving(router, upstream, source, age_ms);
+    log_leaving(&router.log, upstream, source, age_ms);
 }
 
 /// Sends a peer all upstreams that leave, if it may have missed some.
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -19,7 +19,7 @@
 //! | work that one router at a time does | `singleton` |
 //! | other routers | `peers`, `outbox`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
-//! | logs and metrics | `decision_log`, `beliefs`, `metrics` |
+//! | logs and metrics | `decision_log`, `beliefs`, `via`, `metrics` |
 //! | work beside the thread that serves | `background` |
 //!
 //! HTTP is spoken by `hyper` at the level of connections: what may be repeated
@@ -98,6 +98,7 @@
 mod stream;
 mod successors;
 mod upstream_news;
+mod via;
 mod wait;
 mod web;
 mod wire_names;
--- a/crates/router/cloverpier_router/src/load_query.rs
+++ b/crates/router/cloverpier_router/src/load_query.rs
@@ -3,11 +3,11 @@
 //! Which engines are asked, for how long, and what an answer says is decided in
 //! `cloverpier_router_policy::load_query`; the form of the answer is the platform's.
 
-use crate::beliefs::Via;
 use crate::engine_call::{EngineAnswer, ask_engine};
 use crate::probe::{self, DeathCause};
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
+use crate::via::Via;
 use cloverpier_router_policy::load_query::QUERY_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
 use futures_util::future::join_all;
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -5,13 +5,14 @@
 //! table of upstreams and in [`crate::health`]; when they are sent and what an answer means
 //! is decided in `cloverpier_router_policy::{liveness, suspicion}`.
 
-use crate::beliefs::{Via, log_belief};
+use crate::beliefs::log_belief;
 use crate::crashes;
 use crate::decision_log::{ms, ms_since};
 use crate::health::UpstreamHealth;
 use crate::http_client::HttpClient;
 use crate::router::Router;
 use crate::successors;
+use crate::via::Via;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::suspicion::{
     CHECK_PERIOD, CHECK_TIMEOUT, CheckResult, PROBE_TIMEOUT, check_result,
@@ -91,7 +92,13 @@
     }
     let silent = now.saturating_duration_since(health.last_activity.get());
     router.metrics.detection.observe(silent);
-    log_belief(router, "server.suspected", upstream, reason, ms(silent));
+    log_belief(
+        &router.log,
+        "server.suspected",
+        upstream,
+        reason,
+        ms(silent),
+    );
     health.on_dead();
     router.report_to_peers(&upstream.name);
     router.health.renew(upstream, now);
@@ -144,7 +151,7 @@
         let took = ms_since(check_begun, now);
         let reason = format!("answered a check in {took} ms");
         log_belief(
-            router,
+            &router.log,
             "server.trusted",
             upstream,
             &reason,
--- a/crates/router/cloverpier_router/src/prompt_search.rs
+++ b/crates/router/cloverpier_router/src/prompt_search.rs
@@ -5,11 +5,11 @@
 //! the request waits is decided in `cloverpier_router_policy::prompt_search`; what is found
 //! goes into [`crate::prompts`].
 
-use crate::beliefs::Via;
 use crate::decision_log::{PromptSearched, ms_since};
 use crate::engine_call::ask_engine;
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
+use crate::via::Via;
 use cloverpier_core::{ServiceName, hash_of};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::prompt_search::{
--- a/crates/router/cloverpier_router/src/restart.rs
+++ b/crates/router/cloverpier_router/src/restart.rs
@@ -47,7 +47,7 @@
     locations.forget_upstream(UpstreamKey::of(name));
     drop(locations);
     log_belief(
-        router,
+        &router.log,
         "server.restarted",
         upstream,
         "it has another start",
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -4,7 +4,6 @@
 //! waits for a head that counts. What a break or an answer proves is decided in
 //! `cloverpier_router_policy::attempt_failure`; this module reads it off the wire.
 
-use crate::beliefs::Via;
 use crate::connection::{Connection, SendBroke, WholeRequest, describe, io_error_kind};
 use crate::health::UpstreamHealth;
 use crate::intake::text_of;
@@ -13,6 +12,7 @@
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use crate::successors;
+use crate::via::Via;
 use crate::wait::{Awaited, while_alive};
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::attempt_failure::{
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -4,11 +4,12 @@
 //! platform's adapter decodes a statement; `cloverpier_router_policy::statement` decides which
 //! upstream it is about. Owns no state.
 
-use crate::beliefs::{Via, log_wait};
+use crate::beliefs::log_wait;
 use crate::leaving_news;
 use crate::restart::on_named_start;
 use crate::router::Router;
 use crate::store_view::log_dependency;
+use crate::via::Via;
 use crate::wire_names::AnswerParts;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::statement::{Sender, sender_of_answer, sender_of_reply};
@@ -85,7 +86,7 @@
         if table.on_wait(&upstream.name, time, now) {
             drop(table);
             router.metrics.waits.inc();
-            log_wait(router, &upstream, time, via);
+            log_wait(&router.log, &upstream, time, via);
         }
     }
     if let Some(reason) = &said.unreadable {
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -46,7 +46,7 @@
     if !is_new && successor.is_none() {
         return;
     }
-    log_belief(router, "server.replaced", former, "another answers", 0);
+    log_belief(&router.log, "server.replaced", former, "another answers", 0);
     let former = former.name.clone();
     let message = match successor {
         Some(upstream) => PeerMessage::Successor(Successor {
@@ -107,7 +107,7 @@
     drop(table);
     if is_new {
         let reason = format!("{how} in place of {former}");
-        log_belief(router, "server.restarted", upstream, &reason, 0);
+        log_belief(&router.log, "server.restarted", upstream, &reason, 0);
     }
     is_new
 }
--- /dev/null
+++ b/crates/router/cloverpier_router/src/via.rs
@@ -0,0 +1,37 @@
+//! By which call an upstream was heard to say something of itself, for log lines. Owns nothing.
+
+/// The call whose answer said something of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Via<'a> {
+    /// A request of a caller, by its id.
+    Request(&'a str),
+    /// A probe of a silent upstream.
+    Probe,
+    /// A check of a suspected one.
+    Check,
+    /// A question about its load.
+    LoadQuestion,
+    /// A question about the prompts that it has read.
+    CacheQuestion,
+}
+
+impl Via<'_> {
+    /// Its word in log lines.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Request(_) => "request",
+            Self::Probe => "probe",
+            Self::Check => "check",
+            Self::LoadQuestion => "load",
+            Self::CacheQuestion => "cache",
+        }
+    }
+
+    /// The request's id, if it was one.
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Self::Request(id) => Some(id),
+            _ => None,
+        }
+    }
+}
