Read the limits that upstreams name in answers, and log them

For sight: nothing is decided by it yet.

The adapter decodes the header into the statement that an answer makes of its sender; what it changes of what is known is decided in policy::limit: an answer that names nothing ends a limit only if it was certainly written later, and of two whose order is not known the lower rate counts. Line server.limits, counter server_limits. A rate that cannot be read (negative, no number, over a million, named twice) leaves the last one in force and is logged with its text; 0 counts as one request in ten seconds. A caller's own header of that name does not reach upstreams; the test of the adapter's own list of headers has it, too.

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -232,6 +232,21 @@
     pub request: Option<&'a str>,
 }
 
+/// An upstream limits itself, names another rate than before, or none any more.
+#[derive(Serialize)]
+pub(crate) struct LimitLearned<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    /// Requests a second that it takes from all routers together; nothing where it is not limited
+    /// any more.
+    pub rate: Option<f64>,
+    pub former_rate: Option<f64>,
+    /// The call whose answer said so.
+    pub via: &'a str,
+    /// The request's id, if it was one.
+    pub request: Option<&'a str>,
+}
+
 /// Something outside was lost or came back.
 #[derive(Serialize)]
 pub(crate) struct Dependency<'a> {
--- a/crates/router/cloverpier_router/src/engine_call.rs
+++ b/crates/router/cloverpier_router/src/engine_call.rs
@@ -8,6 +8,7 @@
 use crate::http_client::{CallError, HttpAnswer, get_request};
 use crate::router::Router;
 use crate::send::keep;
+use crate::statements::Call;
 use crate::via::Via;
 use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, DEFAULT_IDLE_LIMIT};
 use cloverpier_router_policy::prelude::*;
@@ -38,6 +39,7 @@
         let mut connection = connect(router, engine).await?;
         let is_kept = connection.requests > 0;
         let question = get_request(path, engine.address)?;
+        let sent = router.now();
         let response = match connection.send(question).await {
             Ok(response) => response,
             // A kept connection that the engine had closed meanwhile costs nothing.
@@ -54,7 +56,12 @@
             headers: head.headers,
             body: body.to_bytes(),
         };
-        let start = router.hear(engine, answer.parts(), via).start;
+        let call = Call {
+            upstream: engine,
+            via,
+            sent,
+        };
+        let start = router.hear(call, answer.parts()).start;
         return Ok(EngineAnswer {
             answer,
             is_outdated: start == StartOrder::Older,
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -13,7 +13,7 @@
 //! | questions to engines on their load | `load_query`, `engine_call` |
 //! | requests that end upstreams | `crash_state`, `crashes`, `crash_news`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
-//! | what upstreams say of themselves | `statements`, `leaving_news` |
+//! | what upstreams say of themselves | `statements`, `leaving_news`, `upstream_limits` |
 //! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that one router at a time does | `singleton` |
@@ -97,6 +97,7 @@
 mod store_view;
 mod stream;
 mod successors;
+mod upstream_limits;
 mod upstream_news;
 mod via;
 mod wait;
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -76,6 +76,8 @@
     pub leavings: ByKind,
     /// Times that upstreams began to want nothing.
     pub waits: Counter,
+    /// Limits that upstreams named: begun, changed, ended.
+    pub upstream_limits: ByKind,
     /// The lease on work that one router at a time does, and that work.
     pub singleton: ByKind,
     /// Contents that are stopped.
@@ -117,6 +119,7 @@
             crashes: ByKind::default(),
             leavings: ByKind::default(),
             waits: Counter::default(),
+            upstream_limits: ByKind::default(),
             singleton: ByKind::default(),
             stopped_contents: Gauge::default(),
             peer_datagrams: ByKind::default(),
@@ -182,6 +185,11 @@
             self.leavings.0.clone(),
         );
         registry.register("waits", "Servers that want nothing", self.waits.clone());
+        registry.register(
+            "server_limits",
+            "Limits that servers named",
+            self.upstream_limits.0.clone(),
+        );
     }
 
     fn register_process(&mut self) {
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -11,6 +11,7 @@
 use crate::health::UpstreamHealth;
 use crate::http_client::HttpClient;
 use crate::router::Router;
+use crate::statements::Call;
 use crate::successors;
 use crate::via::Via;
 use cloverpier_router_policy::prelude::*;
@@ -48,6 +49,7 @@
     let (router, upstream, health) = (Rc::clone(router), upstream.clone(), Rc::clone(health));
     tokio::task::spawn_local(async move {
         let path = router.wire_names.paths.engine_report;
+        let sent = router.now();
         let answer = health.client.get(path, PROBE_TIMEOUT).await;
         let now = router.now();
         health.probing_since.set(None);
@@ -57,7 +59,12 @@
                 // Whichever process answers there: it may be the next one at the address.
                 health.on_activity(now);
                 // Runs of a former start are lost though the address answers.
-                router.hear(&upstream, answer.parts(), Via::Probe);
+                let call = Call {
+                    upstream: &upstream,
+                    via: Via::Probe,
+                    sent,
+                };
+                router.hear(call, answer.parts());
                 crashes::on_alive(&router, &upstream);
             }
             Err(error) if error.is_refused() => {
@@ -133,7 +140,12 @@
         router.metrics.probes.count("suspect-silent");
         return;
     };
-    let said = router.hear(&upstream, answer.parts(), Via::Check).said;
+    let call = Call {
+        upstream: &upstream,
+        via: Via::Check,
+        sent: begun,
+    };
+    let said = router.hear(call, answer.parts()).said;
     match check_result(&upstream.name, said.name.as_ref()) {
         CheckResult::Replaced => {
             router.metrics.probes.count("suspect-replaced");
--- a/crates/router/cloverpier_router/src/restart.rs
+++ b/crates/router/cloverpier_router/src/restart.rs
@@ -1,7 +1,7 @@
 //! What follows when an upstream has started again under the name that it had.
 //!
 //! It holds nothing of before, so what this router keeps under its name is given up: connections,
-//! runs, and which prompts it has read. The table of upstreams drops what it observed by itself
+//! runs, its limit, and which prompts it has read. The table of upstreams drops what it observed by itself
 //! (`cloverpier_router_policy::upstream`). Owns no state.
 
 use crate::beliefs::log_belief;
@@ -38,6 +38,7 @@
 
 fn give_up_former_start(router: &Router, upstream: &Upstream, now: Instant) {
     let name: &UpstreamName = &upstream.name;
+    router.upstream_limits.forget(upstream);
     crashes::on_former_start(router, upstream);
     router.pool.borrow_mut().close_all(name);
     let health = router.health.of(upstream, now);
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -7,6 +7,7 @@
 //! | --- | --- |
 //! | [`StoreView`] | configuration in force, whether upstreams are known, how calls to the store go |
 //! | `upstreams` | the table of upstreams, with load and suspicions |
+//! | [`UpstreamLimits`] | limits that upstreams named |
 //! | [`HealthTable`] | last activity and probes of each upstream |
 //! | [`ConnectionPool`] | idle connections to upstreams |
 //! | [`Peers`] | peers' last heartbeats, and what they are sent next |
@@ -33,6 +34,7 @@
 use crate::rollout_state::Rollouts;
 use crate::singleton::Singleton;
 use crate::store_view::StoreView;
+use crate::upstream_limits::UpstreamLimits;
 use crate::wire_names::WireNames;
 use cloverpier_core::{ServiceName, UpstreamName, wall_ms};
 use cloverpier_observe::Log;
@@ -62,6 +64,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) store: StoreView,
     pub(crate) upstreams: RefCell<UpstreamTable>,
+    pub(crate) upstream_limits: UpstreamLimits,
     pub(crate) health: HealthTable,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) peers: Peers,
@@ -103,11 +106,14 @@
     ) -> Self {
         let lifecycle = Lifecycle::new(rng.u64(..), timers.now());
         let incarnation = lifecycle.incarnation();
+        let log = Log::new(settings.vm.as_str());
+        let metrics = Metrics::default();
         Self {
+            upstream_limits: UpstreamLimits::new(log.clone(), metrics.upstream_limits.clone()),
             singleton: Singleton::new(&settings, incarnation, wall_ms(), timers.now()),
-            log: Log::new(settings.vm.as_str()),
+            log,
             wire_names,
-            metrics: Metrics::default(),
+            metrics,
             store: StoreView::default(),
             upstreams: RefCell::new(UpstreamTable::default()),
             health: HealthTable::new(timers.clone()),
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -11,6 +11,7 @@
 use crate::probe::{self, DeathCause};
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
+use crate::statements::Call;
 use crate::successors;
 use crate::via::Via;
 use crate::wait::{Awaited, while_alive};
@@ -90,7 +91,12 @@
             Err(broke) if broke.was_unsent && is_kept => {}
             Err(broke) => return Err(broken_send(router, upstream, &health, &broke)),
             Ok(response) => {
-                return open(router, request, upstream, response, connection, health);
+                let call = Call {
+                    upstream,
+                    via: Via::Request(&request.id),
+                    sent: now,
+                };
+                return open(router, request, call, response, connection, health);
             }
         }
     }
@@ -209,7 +215,7 @@
 fn open(
     router: &Router,
     request: &RelayRequest,
-    upstream: &Upstream,
+    call: Call<'_>,
     response: Response<Incoming>,
     mut connection: Connection,
     health: Rc<UpstreamHealth>,
@@ -218,9 +224,9 @@
     let is_first_on_connection = connection.requests == 1;
     let seen = answer_head(router, request, &head, is_first_on_connection);
     let verdict = check_answer(&seen);
-    let said = router.hear_reply(upstream, &head, &verdict, Via::Request(&request.id));
+    let said = router.hear_reply(call, &head, &verdict);
     if verdict == Err(AttemptFailure::Misdirected) {
-        on_misdirected(router, upstream, &said);
+        on_misdirected(router, call.upstream, &said);
     }
     verdict?;
     // Only the upstream that the request names runs it, so this is the upstream's own answer.
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -9,11 +9,25 @@
 use crate::restart::on_named_start;
 use crate::router::Router;
 use crate::store_view::log_dependency;
+use crate::upstream_limits::LimitAnswer;
 use crate::via::Via;
 use crate::wire_names::AnswerParts;
+use cloverpier_router_policy::limit::WrittenBetween;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::statement::{Sender, sender_of_answer, sender_of_reply};
 use hyper::http::response::Parts;
+use std::time::Instant;
+
+/// A call to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Call<'a> {
+    /// The upstream.
+    pub upstream: &'a Upstream,
+    /// What kind of call.
+    pub via: Via<'a>,
+    /// When it was sent.
+    pub sent: Instant,
+}
 
 /// What an answer to a question said.
 #[derive(Debug)]
@@ -26,10 +40,10 @@
 
 impl Router {
     /// Applies what the answer to a question states about its sender.
-    pub(crate) fn hear(&self, asked: &Upstream, answer: AnswerParts<'_>, via: Via<'_>) -> Heard {
+    pub(crate) fn hear(&self, call: Call<'_>, answer: AnswerParts<'_>) -> Heard {
         let said = (self.wire_names.statement)(&answer);
-        let sender = sender_of_answer(&asked.name, &said);
-        let start = take(self, asked, &said, sender, via);
+        let sender = sender_of_answer(&call.upstream.name, &said);
+        let start = take(self, call, &said, sender, false);
         Heard { said, start }
     }
 
@@ -37,32 +51,32 @@
     /// answer counts.
     pub(crate) fn hear_reply(
         &self,
-        asked: &Upstream,
+        call: Call<'_>,
         head: &Parts,
         verdict: &Result<(), AttemptFailure>,
-        via: Via<'_>,
     ) -> UpstreamStatement {
         let said = (self.wire_names.statement)(&AnswerParts {
             status: head.status,
             headers: &head.headers,
             body: None,
         });
-        let sender = sender_of_reply(&asked.name, &said, verdict);
-        take(self, asked, &said, sender, via);
+        let sender = sender_of_reply(&call.upstream.name, &said, verdict);
+        take(self, call, &said, sender, verdict.is_ok());
         said
     }
 }
 
-/// Applies a statement to the upstream that made it.
+/// Applies a statement to the upstream that made it, given whether it ran a request.
 fn take(
     router: &Router,
-    asked: &Upstream,
+    call: Call<'_>,
     said: &UpstreamStatement,
     sender: Sender,
-    via: Via<'_>,
+    has_run: bool,
 ) -> StartOrder {
+    let via = call.via;
     let upstream = match sender {
-        Sender::Asked => asked.clone(),
+        Sender::Asked => call.upstream.clone(),
         Sender::Other(name) => {
             let table = router.upstreams.borrow();
             // Nothing can be concluded of one that is not known.
@@ -89,8 +103,28 @@
             log_wait(&router.log, &upstream, time, via);
         }
     }
+    take_limit(router, call, &upstream, said, has_run);
     if let Some(reason) = &said.unreadable {
         log_dependency(router, "server.unreadable", upstream.name.as_str(), reason);
     }
     order
 }
+
+fn take_limit(
+    router: &Router,
+    call: Call<'_>,
+    upstream: &Upstream,
+    said: &UpstreamStatement,
+    has_run: bool,
+) {
+    router.upstream_limits.on_answer(&LimitAnswer {
+        upstream,
+        said: said.limit,
+        would_name: has_run,
+        written: WrittenBetween {
+            sent: call.sent,
+            heard: router.now(),
+        },
+        via: call.via,
+    });
+}
--- a/crates/router/cloverpier_router/src/wire_names.rs
+++ b/crates/router/cloverpier_router/src/wire_names.rs
@@ -46,6 +46,8 @@
     pub answering_upstream: HeaderName,
     /// Set in all answers of an upstream that leaves.
     pub leaving: HeaderName,
+    /// Names how many requests a second an upstream in need takes from all routers together.
+    pub limit: HeaderName,
     /// Set by an upstream that did not run the request.
     pub not_run: HeaderName,
     /// The upstream's mark on its answers.
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -23,6 +23,7 @@
 //! | what does an answer, or its absence, prove | [`attempt_failure`] |
 //! | of which upstream does an answer say something | [`statement`] |
 //! | which upstreams have said that they leave | [`leaving`] |
+//! | how many requests a second does an upstream take | [`limit`] |
 //! | which upstreams want nothing for a while | [`cloverpier_core::wait`] |
 //! | retry or stop | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
@@ -73,6 +74,7 @@
 pub mod held_memory;
 pub mod leaving;
 pub mod lifecycle;
+pub mod limit;
 pub mod liveness;
 pub mod load;
 pub mod load_query;
--- a/crates/router/cloverpier_router_policy/src/statement.rs
+++ b/crates/router/cloverpier_router_policy/src/statement.rs
@@ -1,7 +1,7 @@
 //! What an answer says of the upstream that gave it, and of which upstream it says so.
 //!
 //! - **Question.** An answer carries statements on its sender: that it leaves, that it wants nothing
-//!   for a while, when it started. Whose are they?
+//!   for a while, how many requests it takes, when it started. Whose are they?
 //! - **Inputs.** An [`UpstreamStatement`], as the platform's adapter has decoded it; which upstream
 //!   was asked; for the answer to a request, whether it counts ([`crate::attempt_failure`]).
 //! - **Answer.** A [`Sender`].
@@ -9,9 +9,11 @@
 //!   another process than the one that was asked, or belong to nothing. A leaving that is taken for
 //!   another upstream's takes a sound one out of service, for good.
 //!
-//! How long a statement binds is decided in [`crate::leaving`] and [`cloverpier_core::wait`]. Owns nothing.
+//! How long a statement binds is decided in [`crate::leaving`], [`crate::limit`]
+//! and [`cloverpier_core::wait`]. Owns nothing.
 
 use crate::attempt_failure::AttemptFailure;
+use crate::limit::LimitStatement;
 use cloverpier_core::UpstreamName;
 use std::time::Duration;
 
@@ -26,6 +28,8 @@
     pub is_leaving: bool,
     /// For how long it wants nothing from this VM.
     pub wait: Option<Duration>,
+    /// How many requests a second it takes from all routers together.
+    pub limit: LimitStatement,
     /// A statement that cannot be read, and so says nothing.
     pub unreadable: Option<String>,
 }
