--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -78,16 +78,18 @@
 }
 
 /// What an upstream says of itself in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Said {
     /// That it leaves.
     Leaving,
     /// That it wants nothing for so long.
     Wait(Duration),
+    /// How many requests a second it takes.
+    Limit(f64),
 }
 
 /// An upstream has said something of itself in an answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Statement {
     /// When.
     pub at: Instant,
@@ -119,6 +121,13 @@
         leaving.next().map(|s| s.at)
     }
 
+    /// When an upstream first named a limit.
+    pub fn named_limit(&self, upstream: &UpstreamName) -> Option<Instant> {
+        let mut limits = self.statements.iter().filter(|s| s.upstream == *upstream);
+        let first = limits.find(|s| matches!(s.said, Said::Limit(_)));
+        first.map(|s| s.at)
+    }
+
     /// What reached an upstream in a span of time.
     pub fn arrived_between(
         &self,
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -137,6 +137,7 @@
         let mut state = lock(&self.state);
         state.prompts.clear();
         state.leaves = false;
+        state.limit = None;
         let address = state.upstream.address;
         if let Some(start) = &mut state.upstream.start {
             start.born_ms = Some(born_ms);
@@ -185,6 +186,11 @@
         lock(&self.state).asks_to_wait = wait;
     }
 
+    /// Has it name a limit in all its answers, in requests a second; `None` ends that.
+    pub fn limit(&self, per_second: Option<f64>) {
+        lock(&self.state).limit = per_second;
+    }
+
     /// Sets how long it works on a request before it answers.
     pub fn set_work(&self, work: Duration) {
         lock(&self.state).work = work;
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -31,6 +31,8 @@
     pub(super) leaves: bool,
     /// For how long it says that it wants nothing, as it turns requests away.
     pub(super) asks_to_wait: Option<Duration>,
+    /// The requests a second that it names as its limit in all its answers.
+    pub(super) limit: Option<f64>,
     /// How long it works on a request before it answers.
     pub(super) work: Duration,
     pub(super) rng: fastrand::Rng,
@@ -53,11 +55,16 @@
 
     /// The headers by which it says something of itself in an answer, and a note of that.
     pub(super) fn say(&self, id: Option<&str>) -> Vec<(String, String)> {
-        if !self.leaves {
-            return Vec::new();
+        let mut headers = Vec::new();
+        if self.leaves {
+            self.note_statement(id, Said::Leaving);
+            headers.push((self.names.leaving.to_string(), "1".to_owned()));
         }
-        self.note_statement(id, Said::Leaving);
-        vec![(self.names.leaving.to_string(), "1".to_owned())]
+        if let Some(rate) = self.limit {
+            self.note_statement(id, Said::Limit(rate));
+            headers.push((self.names.limit.to_string(), rate.to_string()));
+        }
+        headers
     }
 
     pub(super) fn note_statement(&self, id: Option<&str>, said: Said) {
@@ -100,6 +107,7 @@
             random: None,
             leaves: false,
             asks_to_wait: None,
+            limit: None,
             work: Duration::ZERO,
             rng: fastrand::Rng::with_seed(spec.seed),
             crashed_by: spec.crashed_by,
