Decide which requests an upstream gets that limits itself, and play that

Nothing carries it out yet. A new limiter, and one that stood still, waits until all others have had the time to notice; where routers are missing, the part of the rate is handed out that is left of all, so that two parts of a fleet send one rate together. One that does not answer (dead, or of a release that hands out none) is passed over and asked each period whether it answers again. Limits travel as reports with ages; a rate that rises or ends is eased in.

--- a/crates/router/cloverpier_router/src/upstream_limits.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits.rs
@@ -12,6 +12,7 @@
 };
 use cloverpier_router_policy::prelude::{Upstream, UpstreamKey};
 use std::cell::RefCell;
+use std::time::Instant;
 
 /// An answer of an upstream, as far as its limit is concerned.
 #[derive(Clone, Copy, Debug)]
@@ -51,8 +52,12 @@
         let key = UpstreamKey::of(&answer.upstream.name);
         let mut stated = self.stated.borrow_mut();
         let change = match answer.said {
-            LimitStatement::Named(rate) => stated.on_named(key, rate, answer.written),
-            LimitStatement::Unnamed if answer.would_name => stated.on_unnamed(key, answer.written),
+            LimitStatement::Named(rate) => {
+                stated.on_named(key, rate, answer.written, answer.written.heard)
+            }
+            LimitStatement::Unnamed if answer.would_name => {
+                stated.on_unnamed(key, answer.written, answer.written.heard)
+            }
             LimitStatement::Unnamed | LimitStatement::Unreadable => LimitChange::Nothing,
         };
         drop(stated);
@@ -66,8 +71,8 @@
     }
 
     /// Forgets the limits of upstreams that are not known any more.
-    pub fn retain(&self, is_known: impl Fn(UpstreamKey) -> bool) {
-        self.stated.borrow_mut().retain(is_known);
+    pub fn retain(&self, is_known: impl Fn(UpstreamKey) -> bool, now: Instant) {
+        self.stated.borrow_mut().retain(is_known, now);
     }
 
     fn note(&self, answer: &LimitAnswer<'_>, change: LimitChange) {
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -24,6 +24,7 @@
 //! | of which upstream does an answer say something | [`statement`] |
 //! | which upstreams have said that they leave | [`leaving`] |
 //! | how many requests a second does an upstream take | [`limit`] |
+//! | may a request be sent to one that limits itself | [`permit`] |
 //! | which upstreams want nothing for a while | [`cloverpier_core::wait`] |
 //! | retry or stop | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
@@ -81,6 +82,7 @@
 pub mod membership;
 pub mod news;
 pub mod peers;
+pub mod permit;
 pub mod prompt_locations;
 pub mod prompt_search;
 pub mod refusal;
--- a/crates/router/cloverpier_router_policy/src/limit/rate.rs
+++ b/crates/router/cloverpier_router_policy/src/limit/rate.rs
@@ -48,6 +48,13 @@
         self.milli as f64 / MILLI
     }
 
+    /// So many times this rate, up to a million requests a second.
+    #[must_use]
+    pub fn times(self, factor: f64) -> Self {
+        // A product beyond what fits is more than the most, which it is brought down to.
+        Self::from((self.milli as f64 * factor) as u64)
+    }
+
     /// The time between two requests that come evenly.
     pub fn interval(self) -> Duration {
         Duration::from_secs_f64(1.0 / self.as_per_second())
--- a/crates/router/cloverpier_router_policy/tests/limit.rs
+++ b/crates/router/cloverpier_router_policy/tests/limit.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 const UPSTREAM: UpstreamKey = UpstreamKey(7);
+const LONG_AFTER: Duration = Duration::from_secs(30);
 
 fn rate(per_second: f64) -> Rate {
     Rate::per_second(per_second).unwrap()
@@ -20,12 +21,25 @@
     }
 }
 
+fn name(limits: &mut StatedLimits, per_second: f64, written: WrittenBetween) -> LimitChange {
+    limits.on_named(UPSTREAM, rate(per_second), written, written.heard)
+}
+
+fn name_none(limits: &mut StatedLimits, written: WrittenBetween) -> LimitChange {
+    limits.on_unnamed(UPSTREAM, written, written.heard)
+}
+
+/// The rate long after all of it.
+fn rate_of(limits: &StatedLimits, start: Instant) -> Option<Rate> {
+    limits.rate(UPSTREAM, start + LONG_AFTER)
+}
+
 #[test]
 fn the_last_rate_that_was_named_holds() {
     let (mut limits, start) = (StatedLimits::default(), Instant::now());
     let mut named = |per_second, sent, heard| {
         let written = written(start, sent, heard);
-        limits.on_named(UPSTREAM, rate(per_second), written)
+        limits.on_named(UPSTREAM, rate(per_second), written, written.heard)
     };
     assert_eq!(named(2.0, 0, 10), LimitChange::Begun(rate(2.0)));
     assert_eq!(named(2.0, 10, 20), LimitChange::Nothing);
@@ -34,51 +48,51 @@
         to: rate(5.0),
     };
     assert_eq!(named(5.0, 20, 30), change);
-    assert_eq!(limits.rate(UPSTREAM), Some(rate(5.0)));
+    assert_eq!(rate_of(&limits, start), Some(rate(5.0)));
 }
 
 #[test]
 fn an_answer_that_was_written_before_changes_nothing() {
     let (mut limits, start) = (StatedLimits::default(), Instant::now());
-    limits.on_named(UPSTREAM, rate(2.0), written(start, 20, 30));
+    name(&mut limits, 2.0, written(start, 20, 30));
     let late = written(start, 0, 10);
-    let change = limits.on_named(UPSTREAM, rate(1.0), late);
+    let change = name(&mut limits, 1.0, late);
     assert_eq!(change, LimitChange::Nothing);
-    assert_eq!(limits.on_unnamed(UPSTREAM, late), LimitChange::Nothing);
-    assert_eq!(limits.rate(UPSTREAM), Some(rate(2.0)));
+    assert_eq!(name_none(&mut limits, late), LimitChange::Nothing);
+    assert_eq!(rate_of(&limits, start), Some(rate(2.0)));
 }
 
 #[test]
 fn of_answers_whose_order_is_not_known_the_lower_rate_counts() {
     let (mut limits, start) = (StatedLimits::default(), Instant::now());
-    limits.on_named(UPSTREAM, rate(2.0), written(start, 0, 30));
+    name(&mut limits, 2.0, written(start, 0, 30));
     let beside = written(start, 10, 40);
-    limits.on_named(UPSTREAM, rate(4.0), beside);
-    assert_eq!(limits.rate(UPSTREAM), Some(rate(2.0)));
+    name(&mut limits, 4.0, beside);
+    assert_eq!(rate_of(&limits, start), Some(rate(2.0)));
     // Nor does one that names nothing end it.
-    limits.on_unnamed(UPSTREAM, beside);
-    assert_eq!(limits.rate(UPSTREAM), Some(rate(2.0)));
-    limits.on_named(UPSTREAM, rate(1.0), beside);
-    assert_eq!(limits.rate(UPSTREAM), Some(rate(1.0)));
+    name_none(&mut limits, beside);
+    assert_eq!(rate_of(&limits, start), Some(rate(2.0)));
+    name(&mut limits, 1.0, beside);
+    assert_eq!(rate_of(&limits, start), Some(rate(1.0)));
 }
 
 #[test]
 fn an_answer_to_a_later_request_that_names_nothing_ends_it() {
     let (mut limits, start) = (StatedLimits::default(), Instant::now());
-    limits.on_named(UPSTREAM, rate(2.0), written(start, 0, 30));
-    let change = limits.on_unnamed(UPSTREAM, written(start, 30, 40));
+    name(&mut limits, 2.0, written(start, 0, 30));
+    let change = name_none(&mut limits, written(start, 30, 40));
     assert_eq!(change, LimitChange::Ended(rate(2.0)));
-    assert_eq!(limits.rate(UPSTREAM), None);
+    assert_eq!(rate_of(&limits, start), None);
 }
 
 #[test]
 fn a_limit_goes_with_the_start_that_named_it() {
     let (mut limits, start) = (StatedLimits::default(), Instant::now());
-    limits.on_named(UPSTREAM, rate(2.0), written(start, 0, 30));
-    limits.retain(|upstream| upstream == UPSTREAM);
-    assert_eq!(limits.rate(UPSTREAM), Some(rate(2.0)));
+    name(&mut limits, 2.0, written(start, 0, 30));
+    limits.retain(|upstream| upstream == UPSTREAM, start);
+    assert_eq!(rate_of(&limits, start), Some(rate(2.0)));
     limits.forget(UPSTREAM);
-    assert_eq!(limits.rate(UPSTREAM), None);
+    assert_eq!(rate_of(&limits, start), None);
 }
 
 #[test]
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod crash_play;
 pub mod fleet;
 pub mod gossip_play;
+pub mod limit_play;
 pub mod load;
 pub mod placement;
 pub mod ports;
