Log lost dependencies without the whole router

The function stood in the view of the store, so that whoever logs a lost dependency imported that, and through it the router. It stands beside the other lines and takes the log. No line changes.

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -3,6 +3,7 @@
 //! The names of events and fields are what on-call engineers search for, so they stay
 //! when the code's names change: `rename` holds the older one.
 
+use cloverpier_observe::Log;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::RouteKey;
 use cloverpier_router_policy::singleton::autoscaling::{EngineKind, OrderResult};
@@ -254,6 +255,11 @@
     pub reason: &'a str,
 }
 
+/// Logs that something outside was lost, came back, or could not be read.
+pub(crate) fn log_dependency(log: &Log, event: &'static str, name: &str, reason: &str) {
+    log.info(event, &Dependency { name, reason });
+}
+
 /// This router begins or ends to watch the store.
 #[derive(Serialize)]
 pub(crate) struct WatcherRoleChanged {
--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -5,6 +5,7 @@
 //! sends. Owns no state: [`crate::peers`] does.
 
 use crate::crash_news;
+use crate::decision_log::log_dependency;
 use crate::heartbeats::{send, store_age_ms};
 use crate::leaving_news;
 use crate::outbox::Recipients;
@@ -12,7 +13,7 @@
 use crate::peer_reports::on_suspects;
 use crate::router::Router;
 use crate::source::{ReadChange, UpstreamChanges};
-use crate::store_view::{Watched, decide_watcher_role, log_dependency};
+use crate::store_view::{Watched, decide_watcher_role};
 use crate::upstream_news::apply_upstream_changes;
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::membership::{GossipReply, GossipSeen, MemberState, MemberUpdate};
@@ -35,7 +36,7 @@
     let step = peers.members.borrow_mut().ring_step(was_paused, now);
     for dead in &step.dead {
         log_dependency(
-            router,
+            &router.log,
             "peer.dead",
             &dead.to_string(),
             "no answer to probes",
@@ -276,7 +277,7 @@
         // Whoever hears of the revision fetches them.
         Ok(_) => false,
         Err(error) => {
-            log_dependency(router, "peer.unsent", "peers", &error.to_string());
+            log_dependency(&router.log, "peer.unsent", "peers", &error.to_string());
             false
         }
     }
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -5,12 +5,13 @@
 //! are [`crate::peer_messages`]'s. Owns when what is due next, and the turn among peers.
 
 use crate::crash_news;
+use crate::decision_log::log_dependency;
 use crate::gossip;
 use crate::leaving_news;
 use crate::outbox::Recipients;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, encode};
 use crate::router::Router;
-use crate::store_view::{decide_watcher_role, log_dependency};
+use crate::store_view::decide_watcher_role;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::heartbeat::{
     HeartbeatTurn, MAX_ENTRIES, MAX_GREETED, MENTIONED_PEERS, MENTIONED_TO_NEW_PEER,
@@ -37,7 +38,7 @@
     // Before the runtime has seen that the socket takes datagrams, each would be dropped: peers would
     // not hear the first, which says that this router has just begun.
     if let Err(error) = socket.writable().await {
-        log_dependency(&router, "peer.unsent", "peers", &error.to_string());
+        log_dependency(&router.log, "peer.unsent", "peers", &error.to_string());
     }
     let mut sender = Sender::new(router, socket);
     loop {
@@ -225,7 +226,7 @@
     let bytes = match encode(message) {
         Ok(bytes) => bytes,
         Err(error) => {
-            log_dependency(router, "peer.unsent", "peers", &error.to_string());
+            log_dependency(&router.log, "peer.unsent", "peers", &error.to_string());
             return;
         }
     };
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -6,13 +6,14 @@
 
 use crate::crash_news;
 use crate::crashes;
+use crate::decision_log::log_dependency;
 use crate::gossip::{self, member_of};
 use crate::leaving_news;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, decode};
 use crate::rollouts;
 use crate::router::Router;
 use crate::singleton;
-use crate::store_view::{Watched, decide_watcher_role, log_dependency};
+use crate::store_view::{Watched, decide_watcher_role};
 use crate::successors::{on_peer_replaced, on_peer_successor};
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::prelude::*;
@@ -56,7 +57,7 @@
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
                     let name = sender.to_string();
-                    log_dependency(&router, "peer.unreadable", &name, &error.to_string());
+                    log_dependency(&router.log, "peer.unreadable", &name, &error.to_string());
                 }
             }
         }
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -8,11 +8,11 @@
 use crate::background::run_in_background;
 use crate::body::ReplyBody;
 use crate::configuration_copies::CopyEncoding;
-use crate::decision_log::VersionServed;
+use crate::decision_log::{VersionServed, log_dependency};
 use crate::peer_messages::{CodecError, UpstreamsReply, compress, encode};
 use crate::reply::{Reply, own_reply, set_retry_after};
 use crate::router::Router;
-use crate::store_view::{Watched, log_dependency};
+use crate::store_view::Watched;
 use bytes::Bytes;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_serving::{CopyStep, LinkRate};
@@ -49,7 +49,7 @@
     };
     served
         .unwrap_or_else(|error| {
-            log_dependency(&router, "peer.unsent", "peers", &error.to_string());
+            log_dependency(&router.log, "peer.unsent", "peers", &error.to_string());
             None
         })
         .unwrap_or_else(|| own_reply(StatusCode::NOT_FOUND, "no such version"))
--- a/crates/router/cloverpier_router/src/rollout_store.rs
+++ b/crates/router/cloverpier_router/src/rollout_store.rs
@@ -3,6 +3,7 @@
 //! The routers that decide write the status in turns, under the revision that they know; what the
 //! store holds goes before what anybody decided. Owns no state; [`crate::rollouts`] does.
 
+use crate::decision_log::log_dependency;
 use crate::rollout_steps::next_step;
 use crate::rollouts::apply_views;
 use crate::router::Router;
@@ -10,7 +11,6 @@
     ConfigurationSource, Freshness, RolloutChange, RolloutStatus, SourceError, StatusWritten,
     StoredRollout,
 };
-use crate::store_view::log_dependency;
 use cloverpier_core::ServiceName;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::book::new_view;
@@ -121,7 +121,7 @@
 fn on_write_failed(router: &Router, service: &ServiceName, error: &SourceError) {
     router.metrics.store_calls.count("failed");
     let reason = format!("status not written: {error}");
-    log_dependency(router, "rollout.unwritten", service.as_str(), &reason);
+    log_dependency(&router.log, "rollout.unwritten", service.as_str(), &reason);
 }
 
 /// Applies what the store says of an order.
@@ -150,7 +150,7 @@
         RolloutChange::Unreadable { name, reason } => {
             // An object whose name cannot be read takes no order back: the line has no name.
             let name = name.unwrap_or_default();
-            log_dependency(router, "rollout.unreadable", &name, &reason);
+            log_dependency(&router.log, "rollout.unreadable", &name, &reason);
             match withdrawn(router, &name) {
                 Some(stored) => new_view(stored.service, stored.revision + 1, None, bounds),
                 None => return,
--- a/crates/router/cloverpier_router/src/singleton/keeper.rs
+++ b/crates/router/cloverpier_router/src/singleton/keeper.rs
@@ -5,9 +5,9 @@
 
 use super::platform::{LeaseRecord, RecordWritten, SingletonPlatform, StoredRecord};
 use super::{Singleton, Work, count, reports};
+use crate::decision_log::log_dependency;
 use crate::decision_log::{LeaseChanged, ms};
 use crate::router::Router;
-use crate::store_view::log_dependency;
 use cloverpier_core::{jitter, wall_ms};
 use cloverpier_router_policy::prelude::PeerState;
 use cloverpier_router_policy::singleton::lease::{
@@ -236,7 +236,7 @@
     async fn after_failure(&mut self, reason: &str) {
         count(&self.router.metrics, "store-failed");
         if self.pause == INITIAL_PAUSE {
-            log_dependency(self.router, "lease.uncertain", "lease", reason);
+            log_dependency(&self.router.log, "lease.uncertain", "lease", reason);
         }
         let pause = jitter(&mut self.router.rng.borrow_mut(), self.pause);
         self.pause = (self.pause * 2).min(MAX_PAUSE);
--- a/crates/router/cloverpier_router/src/singleton/work.rs
+++ b/crates/router/cloverpier_router/src/singleton/work.rs
@@ -5,10 +5,10 @@
 
 use super::platform::{ServiceScaling, SignedBy, SingletonPlatform};
 use super::{Singleton, count};
+use crate::decision_log::log_dependency;
 use crate::decision_log::{EnginesOrdered, UsageReported};
 use crate::router::Router;
 use crate::source::SourceError;
-use crate::store_view::log_dependency;
 use cloverpier_core::{DataCentre, ServiceName};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::singleton::autoscaling::{
@@ -163,7 +163,12 @@
         };
         count(&self.router.metrics, "call-failed");
         let since = *self.failing_since.get_or_insert_with(|| {
-            log_dependency(self.router, "dependency.lost", name, &error.to_string());
+            log_dependency(
+                &self.router.log,
+                "dependency.lost",
+                name,
+                &error.to_string(),
+            );
             now
         });
         let duration = self.singleton.settings.lease;
@@ -171,7 +176,7 @@
             self.failing_since = None;
             let until = now + duration * UNFIT_FOR;
             self.singleton.unfit_until.set(Some(until));
-            log_dependency(self.router, "lease.left", name, &error.to_string());
+            log_dependency(&self.router.log, "lease.left", name, &error.to_string());
         }
     }
 
@@ -205,7 +210,7 @@
             Ok(scaling) => self.scaling = Some((version, scaling)),
             Err(error) => {
                 let reason = error.to_string();
-                log_dependency(self.router, "dependency.lost", "scaling", &reason);
+                log_dependency(&self.router.log, "dependency.lost", "scaling", &reason);
             }
         }
     }
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -4,6 +4,7 @@
 //! so that a port that is taken ends the start.
 
 use crate::crashes;
+use crate::decision_log::log_dependency;
 use crate::heartbeats;
 use crate::peer_fetch;
 use crate::peer_reports;
@@ -16,7 +17,7 @@
 use crate::source::ConfigurationSource;
 use crate::stop;
 use crate::store_sync;
-use crate::store_view::{Watched, log_dependency};
+use crate::store_view::Watched;
 use crate::web::{bind, on_caller, on_directory, on_metrics, on_ready, serve};
 use cloverpier_observe::{LogProgress, NoFields};
 use cloverpier_router_policy::connection_reuse::SWEEP_PERIOD;
@@ -128,10 +129,10 @@
 
 fn log_start(router: &Router) {
     let reason = format!("incarnation {:016x}", router.lifecycle.incarnation());
-    log_dependency(router, "process.started", "process", &reason);
+    log_dependency(&router.log, "process.started", "process", &reason);
     for work in &router.settings().unknown_work {
         let reason = "this release does not know such work; nobody does it here";
-        log_dependency(router, "settings.unknown-work", work, reason);
+        log_dependency(&router.log, "settings.unknown-work", work, reason);
     }
 }
 
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -5,10 +5,10 @@
 //! upstream it is about. Owns no state.
 
 use crate::beliefs::log_wait;
+use crate::decision_log::log_dependency;
 use crate::leaving_news;
 use crate::restart::on_named_start;
 use crate::router::Router;
-use crate::store_view::log_dependency;
 use crate::upstream_limits::LimitAnswer;
 use crate::via::Via;
 use crate::wire_names::AnswerParts;
@@ -105,7 +105,12 @@
     }
     take_limit(router, call, &upstream, said, has_run);
     if let Some(reason) = &said.unreadable {
-        log_dependency(router, "server.unreadable", upstream.name.as_str(), reason);
+        log_dependency(
+            &router.log,
+            "server.unreadable",
+            upstream.name.as_str(),
+            reason,
+        );
     }
     order
 }
--- a/crates/router/cloverpier_router/src/stop.rs
+++ b/crates/router/cloverpier_router/src/stop.rs
@@ -6,8 +6,8 @@
 
 use crate::crashes;
 use crate::decision_log::Dependency;
+use crate::decision_log::log_dependency;
 use crate::router::Router;
-use crate::store_view::log_dependency;
 use cloverpier_observe::NoFields;
 use cloverpier_router_policy::lifecycle::{STOP_CHECK_PERIOD, StopStep, stop_step};
 use cloverpier_settings::RouterSettings;
@@ -51,7 +51,12 @@
     let mut hang_up = match signal(SignalKind::hangup()) {
         Ok(hang_up) => hang_up,
         Err(error) => {
-            log_dependency(&router, "dependency.lost", "signals", &error.to_string());
+            log_dependency(
+                &router.log,
+                "dependency.lost",
+                "signals",
+                &error.to_string(),
+            );
             return;
         }
     };
@@ -91,7 +96,12 @@
             Ok(text) => text,
             Err(error) => {
                 if !std::mem::replace(&mut self.is_lost, true) {
-                    log_dependency(router, "dependency.lost", "settings", &error.to_string());
+                    log_dependency(
+                        &router.log,
+                        "dependency.lost",
+                        "settings",
+                        &error.to_string(),
+                    );
                 }
                 return None;
             }
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -9,14 +9,15 @@
 //! from the former revision heard nothing for 5 s, past a change and a leaving.
 
 use crate::configuration_copies::HeldConfiguration;
+use crate::decision_log::log_dependency;
 use crate::gossip::spread_upstreams;
 use crate::rollout_store::{apply_change, read_orders};
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, SourceError, UpstreamChanges};
 use crate::store_list::read_list;
 use crate::store_view::{
-    StoreLoop, StoreView, Watched, apply_configuration, live_routers, log_dependency,
-    max_store_backoff, on_ping_result, on_store_lost, on_store_regained,
+    StoreLoop, StoreView, Watched, apply_configuration, live_routers, max_store_backoff,
+    on_ping_result, on_store_lost, on_store_regained,
 };
 use crate::upstream_news::{apply_upstream_changes, apply_upstream_list, readable_changes};
 use cloverpier_core::jitter;
@@ -337,7 +338,7 @@
     router.metrics.store_calls.count("ping-failed");
     on_ping_result(router, false);
     if !std::mem::replace(is_silent, true) {
-        log_dependency(router, "store.silent", "ping", &error.to_string());
+        log_dependency(&router.log, "store.silent", "ping", &error.to_string());
     }
 }
 
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -6,7 +6,7 @@
 //! [`crate::store_sync`]; who watches is decided in `cloverpier_router_policy::store_watch`.
 
 use crate::configuration_copies::HeldConfiguration;
-use crate::decision_log::{Dependency, VersionTaken, WatcherRoleChanged};
+use crate::decision_log::{VersionTaken, WatcherRoleChanged, log_dependency};
 use crate::router::Router;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::{
@@ -251,7 +251,7 @@
     let failed = router.store.fails();
     if !router.store.fails_cell(store_loop).replace(true) {
         router.store.start_changed.notify_waiters();
-        log_dependency(router, "dependency.lost", store_loop.name(), reason);
+        log_dependency(&router.log, "dependency.lost", store_loop.name(), reason);
     }
     report_change_of_calls(router, failed);
 }
@@ -261,7 +261,7 @@
     let failed = router.store.fails();
     if router.store.fails_cell(store_loop).replace(false) {
         log_dependency(
-            router,
+            &router.log,
             "dependency.regained",
             store_loop.name(),
             "it answers",
@@ -283,12 +283,6 @@
         router.peers.outbox.report_version();
     }
 }
-
-/// Logs that something outside was lost or is back.
-pub(crate) fn log_dependency(router: &Router, event: &'static str, name: &str, reason: &str) {
-    router.log.info(event, &Dependency { name, reason });
-}
-
 /// Decides this router's role as a watcher of the store, and logs when it begins or ends to
 /// watch.
 pub(crate) fn decide_watcher_role(router: &Router, now: Instant) {
--- a/crates/router/cloverpier_router/src/upstream_news.rs
+++ b/crates/router/cloverpier_router/src/upstream_news.rs
@@ -4,11 +4,12 @@
 //! (`cloverpier_router_policy::upstream_table`); what follows for this router's connections, runs
 //! and versions is done here. Owns no state.
 
+use crate::decision_log::log_dependency;
 use crate::restart;
 use crate::rollouts;
 use crate::router::Router;
 use crate::source::{ReadChange, UnreadableEntry, UpstreamChanges, UpstreamList};
-use crate::store_view::{Watched, log_dependency, log_version};
+use crate::store_view::{Watched, log_version};
 use cloverpier_router_policy::prelude::*;
 
 /// Puts a whole list of upstreams in force if it is not older. An entry that cannot be read names
@@ -67,5 +68,5 @@
         1 => first.reason.clone(),
         count => format!("{}; and {} entries more", first.reason, count - 1),
     };
-    log_dependency(router, "server.unreadable", name, &reason);
+    log_dependency(&router.log, "server.unreadable", name, &reason);
 }
