Take the parts of a router out of the circle of its modules

Parts of the router imported the whole router, which imports them: 12 files of cloverpier_router were one circle (two thirds of it through guards that held the router for one cell). Held bytes, requests in flight and running streams hold the cell that they count in; the view of the store is apart from what follows from its news (store_events), the copies of the list from who serves them (list_copies), the singleton's state from its tasks.

--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -13,7 +13,8 @@
 use crate::peer_reports::on_suspects;
 use crate::router::Router;
 use crate::source::{ReadChange, UpstreamChanges};
-use crate::store_view::{Watched, decide_watcher_role};
+use crate::store_events::decide_watcher_role;
+use crate::store_view::Watched;
 use crate::upstream_news::apply_upstream_changes;
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::membership::{GossipReply, GossipSeen, MemberState, MemberUpdate};
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -11,7 +11,7 @@
 use crate::outbox::Recipients;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, encode};
 use crate::router::Router;
-use crate::store_view::decide_watcher_role;
+use crate::store_events::decide_watcher_role;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::heartbeat::{
     HeartbeatTurn, MAX_ENTRIES, MAX_GREETED, MENTIONED_PEERS, MENTIONED_TO_NEW_PEER,
--- a/crates/router/cloverpier_router/src/held_bytes.rs
+++ b/crates/router/cloverpier_router/src/held_bytes.rs
@@ -3,23 +3,23 @@
 //! [`HeldBytes`] owns the count of one body or answer; what all may hold is decided in
 //! `cloverpier_router_policy::held_memory`.
 
-use crate::router::Router;
-use cloverpier_router_policy::held_memory::HeldFor;
+use cloverpier_router_policy::held_memory::{HeldFor, HeldMemory};
+use std::cell::RefCell;
 use std::rc::Rc;
 
 /// The bytes that one body or answer holds.
 #[derive(Debug)]
 pub(crate) struct HeldBytes {
-    router: Rc<Router>,
+    memory: Rc<RefCell<HeldMemory>>,
     held_for: HeldFor,
     bytes: u64,
 }
 
 impl HeldBytes {
     /// Nothing held yet.
-    pub fn new(router: &Rc<Router>, held_for: HeldFor) -> Self {
+    pub fn new(memory: &Rc<RefCell<HeldMemory>>, held_for: HeldFor) -> Self {
         Self {
-            router: Rc::clone(router),
+            memory: Rc::clone(memory),
             held_for,
             bytes: 0,
         }
@@ -28,7 +28,7 @@
     /// Holds bytes more; false where all together hold too much.
     pub fn try_grow(&mut self, bytes: usize) -> bool {
         let bytes = bytes as u64;
-        let mut held = self.router.held_memory.borrow_mut();
+        let mut held = self.memory.borrow_mut();
         let is_taken = held.try_take(bytes, self.bytes, self.held_for);
         if is_taken {
             self.bytes += bytes;
@@ -39,14 +39,14 @@
     /// Holds bytes more, whatever others hold.
     pub fn grow(&mut self, bytes: usize) {
         let bytes = bytes as u64;
-        self.router.held_memory.borrow_mut().take(bytes);
+        self.memory.borrow_mut().take(bytes);
         self.bytes += bytes;
     }
 }
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        let mut held = self.router.held_memory.borrow_mut();
+        let mut held = self.memory.borrow_mut();
         held.give_back(self.bytes);
     }
 }
--- a/crates/router/cloverpier_router/src/intake.rs
+++ b/crates/router/cloverpier_router/src/intake.rs
@@ -103,7 +103,7 @@
     let route = find_route(&configuration, host, head.uri.path())?;
     let key = text_of(&head.headers, &names.key);
     let account = find_account(&configuration, &route, key)?;
-    let mut held = HeldBytes::new(router, HeldFor::Body);
+    let mut held = HeldBytes::new(&router.held_memory, HeldFor::Body);
     let body = read_body(body, configuration.limits().body_bytes, &mut held).await?;
     // The configuration may have changed while the body arrived; a route that is gone from
     // the new one still takes the requests that it admitted.
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -14,10 +14,10 @@
 //! | requests that end upstreams | `crash_state`, `crashes`, `crash_news`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
 //! | what upstreams say of themselves | `statements`, `leaving_news`, `upstream_limits` |
-//! | the store | `source`, `store_sync`, `store_view`, `upstream_news` |
+//! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_news` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that one router at a time does | `singleton` |
-//! | other routers | `peers`, `outbox`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `configuration_copies`, [`peer_messages`] |
+//! | other routers | `peers`, `outbox`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `list_copies`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
 //! | logs and metrics | `decision_log`, `beliefs`, `via`, `metrics` |
 //! | work beside the thread that serves | `background` |
@@ -61,6 +61,7 @@
 mod intake;
 mod leaving_news;
 mod lifecycle;
+mod list_copies;
 mod load_guard;
 mod load_query;
 mod metrics;
@@ -92,6 +93,7 @@
 mod statements;
 mod stop;
 mod stop_signal;
+mod store_events;
 mod store_list;
 mod store_sync;
 mod store_view;
--- a/crates/router/cloverpier_router/src/lifecycle.rs
+++ b/crates/router/cloverpier_router/src/lifecycle.rs
@@ -4,7 +4,6 @@
 //! that ended. A request counts until the last byte of its answer is handed to the connection, by
 //! [`InFlight`]. When a stopping router may exit is decided in `cloverpier_router_policy::lifecycle`.
 
-use crate::router::Router;
 use cloverpier_router_policy::lifecycle::{StreamDurations, takes_streams};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -16,7 +15,7 @@
     incarnation: u64,
     started: Instant,
     stopping_since: Cell<Option<Instant>>,
-    in_flight: Cell<usize>,
+    in_flight: Rc<Cell<usize>>,
     stream_durations: RefCell<StreamDurations>,
 }
 
@@ -27,7 +26,7 @@
             incarnation,
             started: now,
             stopping_since: Cell::new(None),
-            in_flight: Cell::new(0),
+            in_flight: Rc::default(),
             stream_durations: RefCell::default(),
         }
     }
@@ -77,20 +76,19 @@
 
 /// One request in flight; it ends when this is dropped.
 #[derive(Debug)]
-pub(crate) struct InFlight(Rc<Router>);
+pub(crate) struct InFlight(Rc<Cell<usize>>);
 
 impl InFlight {
     /// Counts a request.
-    pub fn begin(router: &Rc<Router>) -> Self {
-        let count = &router.lifecycle.in_flight;
+    pub fn begin(lifecycle: &Lifecycle) -> Self {
+        let count = &lifecycle.in_flight;
         count.set(count.get() + 1);
-        Self(Rc::clone(router))
+        Self(Rc::clone(count))
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let count = &self.0.lifecycle.in_flight;
-        count.set(count.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -14,7 +14,8 @@
 use crate::rollouts;
 use crate::router::Router;
 use crate::source::{ReadChange, UpstreamChanges, UpstreamList};
-use crate::store_view::{Watched, apply_configuration};
+use crate::store_events::apply_configuration;
+use crate::store_view::Watched;
 use crate::upstream_news::{apply_upstream_changes, apply_upstream_list};
 use cloverpier_core::jitter;
 use cloverpier_router_policy::prelude::*;
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -21,9 +21,8 @@
     ACCEPT, ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap, HeaderValue, RETRY_AFTER,
 };
 use hyper::{Request, Response, StatusCode};
-use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Paths at a peer; they are on the wire.
 pub(crate) const CONFIGURATION_PATH: &str = "/versions/catalog";
@@ -202,37 +201,6 @@
 const UPSTREAM_BYTES: usize = 100;
 /// So many changes are as quickly sent as they are compressed.
 const FEW_CHANGES: usize = 20;
-/// A copy of the list is handed out for so long, though changes may have come: whoever gets it asks for
-/// those next. While thousands of upstreams change, writing each revision anew for each peer would take
-/// most of a small VM's processor.
-const LIST_COPY_FOR: Duration = Duration::from_secs(1);
-
-/// The form and the encoding of a copy.
-type CopyKey = (bool, CopyEncoding);
-
-/// The copies of the list that were written last.
-#[derive(Debug, Default)]
-pub(crate) struct ListCopies {
-    copies: HashMap<CopyKey, (Bytes, Instant)>,
-}
-
-impl ListCopies {
-    fn get(&self, key: CopyKey, now: Instant) -> Option<Bytes> {
-        let (bytes, at) = self.copies.get(&key)?;
-        let is_recent = now.saturating_duration_since(*at) < LIST_COPY_FOR;
-        is_recent.then(|| bytes.clone())
-    }
-
-    fn put(&mut self, key: CopyKey, bytes: Bytes, now: Instant) {
-        self.copies.insert(key, (bytes, now));
-    }
-
-    /// Drops what is not handed out any more.
-    pub fn forget_old(&mut self, now: Instant) {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < LIST_COPY_FOR;
-        self.copies.retain(|_, (_, at)| is_recent(*at));
-    }
-}
 
 /// How upstreams are written for a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -233,7 +233,7 @@
             stop: None,
         };
         let mut held = BytesMut::new();
-        let mut counted = HeldBytes::new(self.router, HeldFor::Answer);
+        let mut counted = HeldBytes::new(&self.router.held_memory, HeldFor::Answer);
         while let Some(data) = next_data(&awaited, liveness, &mut body).await? {
             liveness.on_event(self.router.now());
             let is_room = counted.try_grow(data.len());
--- a/crates/router/cloverpier_router/src/prompts.rs
+++ b/crates/router/cloverpier_router/src/prompts.rs
@@ -4,7 +4,7 @@
 //! the state of searches. [`crate::prompt_search`] asks engines; how long a location counts
 //! and whom to ask is decided in `cloverpier_router_policy`.
 
-use crate::router::Router;
+use crate::outbox::Outbox;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::prompt_search::SearchState;
@@ -19,7 +19,7 @@
 pub(crate) struct Prompts {
     pub locations: RefCell<PromptLocations>,
     /// Where the prompts of running streams were read, for heartbeats.
-    running: RefCell<HashMap<PromptKey, UpstreamKey>>,
+    running: Rc<RefCell<HashMap<PromptKey, UpstreamKey>>>,
     pub searches: RefCell<SearchState>,
     /// Wakes the tasks that wait for a search when a question has ended.
     pub question_ended: Notify,
@@ -49,7 +49,7 @@
 /// A running stream; peers get the location of its prompt until this is dropped.
 #[derive(Debug)]
 pub(crate) struct RunningStream {
-    router: Rc<Router>,
+    running: Rc<RefCell<HashMap<PromptKey, UpstreamKey>>>,
     prompt: PromptKey,
     engine: UpstreamKey,
 }
@@ -57,18 +57,18 @@
 impl RunningStream {
     /// Records where a prompt is being read, and reports it to peers.
     pub fn begin(
-        router: &Rc<Router>,
+        prompts: &Prompts,
+        outbox: &Outbox,
         prompt: PromptKey,
         engine: &UpstreamName,
         now: Instant,
     ) -> Self {
         let engine = UpstreamKey::of(engine);
-        let prompts = &router.prompts;
         prompts.locations.borrow_mut().on_read(prompt, engine, now);
         prompts.running.borrow_mut().insert(prompt, engine);
-        router.peers.outbox.report_prompt(prompt, engine);
+        outbox.report_prompt(prompt, engine);
         Self {
-            router: Rc::clone(router),
+            running: Rc::clone(&prompts.running),
             prompt,
             engine,
         }
@@ -77,7 +77,7 @@
 
 impl Drop for RunningStream {
     fn drop(&mut self) {
-        let mut running = self.router.prompts.running.borrow_mut();
+        let mut running = self.running.borrow_mut();
         // The stream may have moved to another engine, which has an entry of its own.
         if running.get(&self.prompt) == Some(&self.engine) {
             running.remove(&self.prompt);
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -26,13 +26,13 @@
 use crate::crash_state::Crashes;
 use crate::health::HealthTable;
 use crate::lifecycle::Lifecycle;
+use crate::list_copies::ListCopies;
 use crate::metrics::Metrics;
-use crate::peer_serve::ListCopies;
 use crate::peers::Peers;
 use crate::pool::ConnectionPool;
 use crate::prompts::Prompts;
 use crate::rollout_state::Rollouts;
-use crate::singleton::Singleton;
+use crate::singleton::state::Singleton;
 use crate::store_view::StoreView;
 use crate::upstream_limits::UpstreamLimits;
 use crate::wire_names::WireNames;
@@ -80,7 +80,7 @@
     pub(crate) last_leaving: Cell<Option<Instant>>,
     pub(crate) copy_pacing: RefCell<CopyPacing>,
     /// What bodies and answers take.
-    pub(crate) held_memory: RefCell<HeldMemory>,
+    pub(crate) held_memory: Rc<RefCell<HeldMemory>>,
     pub(crate) list_copies: RefCell<ListCopies>,
     pub(crate) lifecycle: Lifecycle,
 }
@@ -126,7 +126,7 @@
             suspected: Notify::new(),
             last_leaving: Cell::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
-            held_memory: RefCell::new(HeldMemory::of(settings.memory_bytes)),
+            held_memory: Rc::new(RefCell::new(HeldMemory::of(settings.memory_bytes))),
             list_copies: RefCell::default(),
             lifecycle,
             timers,
--- a/crates/router/cloverpier_router/src/singleton/keeper.rs
+++ b/crates/router/cloverpier_router/src/singleton/keeper.rs
@@ -4,7 +4,8 @@
 //! it was read last, and the pause after failed calls.
 
 use super::platform::{LeaseRecord, RecordWritten, SingletonPlatform, StoredRecord};
-use super::{Singleton, Work, count, reports};
+use super::state::{Singleton, Work};
+use super::{count, reports};
 use crate::decision_log::log_dependency;
 use crate::decision_log::{LeaseChanged, ms};
 use crate::router::Router;
--- a/crates/router/cloverpier_router/src/singleton/mod.rs
+++ b/crates/router/cloverpier_router/src/singleton/mod.rs
@@ -5,12 +5,13 @@
 //! lease ([`keeper`]), and its holder does the work ([`work`]). Everything is decided in
 //! `cloverpier_router_policy::singleton`; the calls are a platform's ([`platform`]).
 //!
-//! [`Singleton`] owns what this router knows of the lease, of the other routers' counts, and of the work
-//! while it is the holder. Without such settings there is none, and nothing of it runs.
+//! [`state::Singleton`] owns what this router knows of the lease, of the other routers' counts, and of the
+//! work while it is the holder. Without such settings there is none, and nothing of it runs.
 
 mod keeper;
 mod platform;
 mod reports;
+pub(crate) mod state;
 mod work;
 
 pub use platform::{
@@ -21,115 +22,11 @@
 use crate::metrics::Metrics;
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
-use cloverpier_core::{AccountName, ServiceName};
-use cloverpier_router_policy::prelude::ServiceKey;
-use cloverpier_router_policy::singleton::autoscaling::{Autoscaler, Plan, ServiceLoad};
-use cloverpier_router_policy::singleton::fleet_clock::FleetClock;
-use cloverpier_router_policy::singleton::lease::{HolderId, Lease, LeaseBounds};
-use cloverpier_router_policy::singleton::metering::{
-    HolderUsage, OwnUsage, UsageBook, WindowBounds,
-};
-use cloverpier_settings::{RouterSettings, SingletonSettings};
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use cloverpier_core::AccountName;
 use std::rc::Rc;
 use std::time::Instant;
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-/// What a router knows of the work that one router at a time does.
-#[derive(Debug)]
-pub(crate) struct Singleton {
-    settings: SingletonSettings,
-    lease: RefCell<Lease>,
-    clock: RefCell<FleetClock>,
-    own_usage: RefCell<OwnUsage>,
-    book: RefCell<UsageBook>,
-    /// The load that each router reported last.
-    loads: RefCell<HashMap<SocketAddr, ReportedLoads>>,
-    /// The holder of the lease, as it said last.
-    holder: Cell<Option<SocketAddr>>,
-    /// What this router does as the holder; `None` while it is not.
-    work: RefCell<Option<Work>>,
-    /// Until when this router leaves the lease to others, as it does not reach the platform's API.
-    unfit_until: Cell<Option<Instant>>,
-    /// Wakes the keeper of the lease.
-    changed: Notify,
-}
-
-/// A router's load at each service of engines.
-#[derive(Debug)]
-struct ReportedLoads {
-    at: Instant,
-    loads: Vec<(ServiceKey, ServiceLoad)>,
-}
-
-/// What the holder of the lease does.
-#[derive(Debug)]
-struct Work {
-    usage: HolderUsage,
-    /// Whether windows are decided that do not stand in the record.
-    has_updates: bool,
-    /// The engines that the former holder ordered.
-    inherited_plans: BTreeMap<ServiceName, Plan>,
-    scalers: BTreeMap<ServiceName, Autoscaler>,
-    renewals: u64,
-}
-
-impl Work {
-    /// The engines that are ordered.
-    fn plans(&self) -> BTreeMap<ServiceName, Plan> {
-        let mut plans = self.inherited_plans.clone();
-        let planned = self.scalers.iter();
-        plans.extend(planned.map(|(service, scaler)| (service.clone(), scaler.in_force().clone())));
-        plans
-    }
-}
-
-impl Singleton {
-    /// What is known at a start; `None` where the settings name no such work.
-    pub fn new(
-        settings: &RouterSettings,
-        incarnation: u64,
-        wall_ms: u64,
-        now: Instant,
-    ) -> Option<Self> {
-        let singleton = settings.singleton.clone()?;
-        let own = HolderId {
-            vm: settings.vm.clone(),
-            incarnation,
-        };
-        let bounds = LeaseBounds {
-            duration: singleton.lease,
-        };
-        Some(Self {
-            settings: singleton,
-            lease: RefCell::new(Lease::new(own, bounds)),
-            clock: RefCell::new(FleetClock::new(wall_ms, now)),
-            own_usage: RefCell::default(),
-            book: RefCell::default(),
-            loads: RefCell::default(),
-            holder: Cell::default(),
-            work: RefCell::new(None),
-            unfit_until: Cell::default(),
-            changed: Notify::new(),
-        })
-    }
-
-    fn windows(&self) -> WindowBounds {
-        WindowBounds {
-            length: self.settings.usage_window,
-            late_after: self.settings.usage_late,
-        }
-    }
-
-    /// The time of day that the routers agree on.
-    fn fleet_ms(&self, now: Instant) -> u64 {
-        self.clock.borrow().ms_at(now)
-    }
-}
-
 /// Starts the tasks, where the settings name such work.
 pub(crate) fn start(router: &Rc<Router>, platform: impl SingletonPlatform + 'static) {
     if router.singleton.is_none() {
--- a/crates/router/cloverpier_router/src/singleton/reports.rs
+++ b/crates/router/cloverpier_router/src/singleton/reports.rs
@@ -5,7 +5,8 @@
 //! record, the time of day, and the first window of which it still needs counts. Owns no state.
 
 use super::keeper::own_wall_ms;
-use super::{ReportedLoads, Singleton, work};
+use super::state::{ReportedLoads, Singleton};
+use super::work;
 use crate::outbox::Recipients;
 use crate::peer_messages::{FleetReport, LeaseUpdate, PeerMessage};
 use crate::router::Router;
--- a/crates/router/cloverpier_router/src/singleton/work.rs
+++ b/crates/router/cloverpier_router/src/singleton/work.rs
@@ -3,8 +3,9 @@
 //! A loop at each router, which does nothing while the router does not hold the lease. Each call is
 //! made only while the lease is sure to last, and given up before it is over. Owns how the calls go.
 
+use super::count;
 use super::platform::{ServiceScaling, SignedBy, SingletonPlatform};
-use super::{Singleton, count};
+use super::state::Singleton;
 use crate::decision_log::log_dependency;
 use crate::decision_log::{EnginesOrdered, UsageReported};
 use crate::router::Router;
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -14,11 +14,12 @@
 use crate::rollout_store::{apply_change, read_orders};
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, SourceError, UpstreamChanges};
-use crate::store_list::read_list;
-use crate::store_view::{
-    StoreLoop, StoreView, Watched, apply_configuration, live_routers, max_store_backoff,
-    on_ping_result, on_store_lost, on_store_regained,
+use crate::store_events::{
+    apply_configuration, live_routers, max_store_backoff, on_ping_result, on_store_lost,
+    on_store_regained,
 };
+use crate::store_list::read_list;
+use crate::store_view::{StoreLoop, StoreView, Watched};
 use crate::upstream_news::{apply_upstream_changes, apply_upstream_list, readable_changes};
 use cloverpier_core::jitter;
 use cloverpier_router_policy::first_read::{FirstRead, Starting, first_read};
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -2,20 +2,16 @@
 //!
 //! Owns the configuration in force, whether a list of upstreams was learned since the
 //! start, this router's role as a watcher of the store, and whether calls fail at present.
-//! A configuration is replaced by a newer version only. The loops that call the store are in
-//! [`crate::store_sync`]; who watches is decided in `cloverpier_router_policy::store_watch`.
+//! A configuration is replaced by a newer version only. What follows from a change is in
+//! [`crate::store_events`], the loops that call the store in [`crate::store_sync`].
 
 use crate::configuration_copies::HeldConfiguration;
-use crate::decision_log::{VersionTaken, WatcherRoleChanged, log_dependency};
-use crate::router::Router;
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::store_watch::{
-    OwnStore, is_fresh, max_backoff, watcher_role, watches_from,
-};
+use cloverpier_router_policy::store_watch::{is_fresh, watches_from};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::Notify;
 
 /// Something that is read from the store and watched there.
@@ -48,7 +44,7 @@
 
 impl StoreLoop {
     /// What it watches, in log lines.
-    fn name(self) -> &'static str {
+    pub fn name(self) -> &'static str {
         match self {
             Self::Of(watched) => watched.name(),
             Self::Rollouts => "rollouts",
@@ -140,7 +136,7 @@
     }
 
     /// Records that configuration or upstreams were learned.
-    fn on_learned(&self, now: Instant) {
+    pub fn on_learned(&self, now: Instant) {
         if self.is_serving() && self.serving_since.get().is_none() {
             self.serving_since.set(Some(now));
             self.wake_loops();
@@ -204,7 +200,7 @@
     }
 
     /// Replaces the configuration; false where the known one is as new.
-    fn set_configuration(&self, held: HeldConfiguration) -> bool {
+    pub fn set_configuration(&self, held: HeldConfiguration) -> bool {
         if self.configuration.borrow().is_some()
             && self.configuration_version() >= held.configuration().version()
         {
@@ -214,108 +210,31 @@
         true
     }
 
-    fn fails_cell(&self, store_loop: StoreLoop) -> &Cell<bool> {
-        match store_loop {
-            StoreLoop::Of(Watched::Configuration) => &self.configuration_fails,
-            StoreLoop::Of(Watched::Upstreams) => &self.upstreams_fail,
-            StoreLoop::Rollouts => &self.rollouts_fail,
+    /// Records whether the calls of a loop fail; returns whether they did before. Held requests are
+    /// woken when they begin to.
+    pub fn set_fails(&self, store_loop: StoreLoop, fails: bool) -> bool {
+        let failed = self.fails_cell(store_loop).replace(fails);
+        if fails && !failed {
+            self.start_changed.notify_waiters();
         }
+        failed
     }
-}
 
-/// Puts a configuration in force if it is newer; peers are told at once, as any router that
-/// has it can hand it on.
-pub(crate) fn apply_configuration(router: &Router, held: HeldConfiguration, from: &str) {
-    let version = held.configuration().version();
-    let services = held.configuration().parts().services.iter();
-    let services = services.map(|s| s.name.clone()).collect();
-    if router.store.set_configuration(held) {
-        router.upstreams.borrow_mut().set_services(services);
-        router.store.on_learned(router.now());
-        router.peers.outbox.report_version();
-        log_version(router, Watched::Configuration, version, from);
+    /// Records whether pings fail.
+    pub fn set_pings_fail(&self, fails: bool) {
+        self.pings_fail.set(fails);
     }
-}
-
-pub(crate) fn log_version(router: &Router, watched: Watched, version: u64, from: &str) {
-    let line = VersionTaken {
-        what: watched.name(),
-        version,
-        from,
-    };
-    router.log.info("version.taken", &line);
-}
 
-/// Records that calls fail; the first failure in a row is logged and told to peers.
-pub(crate) fn on_store_lost(router: &Router, store_loop: StoreLoop, reason: &str) {
-    let failed = router.store.fails();
-    if !router.store.fails_cell(store_loop).replace(true) {
-        router.store.start_changed.notify_waiters();
-        log_dependency(&router.log, "dependency.lost", store_loop.name(), reason);
+    /// Takes another role as a watcher; returns the former one.
+    pub fn set_role(&self, role: WatcherRole) -> WatcherRole {
+        self.role.replace(role)
     }
-    report_change_of_calls(router, failed);
-}
-
-/// Records that calls succeed; the first success after failures is logged and told to peers.
-pub(crate) fn on_store_regained(router: &Router, store_loop: StoreLoop) {
-    let failed = router.store.fails();
-    if router.store.fails_cell(store_loop).replace(false) {
-        log_dependency(
-            &router.log,
-            "dependency.regained",
-            store_loop.name(),
-            "it answers",
-        );
-    }
-    report_change_of_calls(router, failed);
-}
 
-/// Records whether pings are answered; peers are told of a change.
-pub(crate) fn on_ping_result(router: &Router, is_answered: bool) {
-    let failed = router.store.fails();
-    router.store.pings_fail.set(!is_answered);
-    report_change_of_calls(router, failed);
-}
-
-/// Has peers told at once that calls fail now, or succeed again.
-fn report_change_of_calls(router: &Router, failed: bool) {
-    if router.store.fails() != failed && router.store.role().watches() {
-        router.peers.outbox.report_version();
-    }
-}
-/// Decides this router's role as a watcher of the store, and logs when it begins or ends to
-/// watch.
-pub(crate) fn decide_watcher_role(router: &Router, now: Instant) {
-    let peers = router.peers.ready(now, router.peer_timeout());
-    let settings = router.settings();
-    let own = OwnStore {
-        address: settings.listen.peers,
-        data_centre: settings.data_centre.clone(),
-        is_fresh: router.store.is_fresh(now),
-    };
-    let role = watcher_role(&own, &peers);
-    let former = router.store.role.replace(role);
-    if former == role {
-        return;
-    }
-    router.store.wake_loops();
-    if former.watches() != role.watches() {
-        let line = WatcherRoleChanged {
-            watches: role.watches(),
-            live_peers: peers.len(),
-            reason: role,
-        };
-        router.log.info("store.following", &line);
+    fn fails_cell(&self, store_loop: StoreLoop) -> &Cell<bool> {
+        match store_loop {
+            StoreLoop::Of(Watched::Configuration) => &self.configuration_fails,
+            StoreLoop::Of(Watched::Upstreams) => &self.upstreams_fail,
+            StoreLoop::Rollouts => &self.rollouts_fail,
+        }
     }
 }
-
-/// The longest pause between calls to a store that does not answer.
-pub(crate) fn max_store_backoff(router: &Router) -> Duration {
-    max_backoff(router.store.role(), live_routers(router))
-}
-
-/// Number of routers that are alive, this one included.
-pub(crate) fn live_routers(router: &Router) -> usize {
-    let timeout = router.peer_timeout();
-    1 + router.peers.live(router.now(), timeout).len()
-}
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -255,7 +255,8 @@
         let now = self.router.now();
         let prompt = self.request.prompt?;
         Some(RunningStream::begin(
-            &self.router,
+            &self.router.prompts,
+            &self.router.peers.outbox,
             prompt,
             &upstream.name,
             now,
--- a/crates/router/cloverpier_router/src/upstream_news.rs
+++ b/crates/router/cloverpier_router/src/upstream_news.rs
@@ -9,7 +9,8 @@
 use crate::rollouts;
 use crate::router::Router;
 use crate::source::{ReadChange, UnreadableEntry, UpstreamChanges, UpstreamList};
-use crate::store_view::{Watched, log_version};
+use crate::store_events::log_version;
+use crate::store_view::Watched;
 use cloverpier_router_policy::prelude::*;
 
 /// Puts a whole list of upstreams in force if it is not older. An entry that cannot be read names
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -103,7 +103,7 @@
 
 /// Takes a caller's request.
 pub(crate) async fn on_caller(router: Rc<Router>, request: Request<Incoming>) -> Reply {
-    let in_flight = InFlight::begin(&router);
+    let in_flight = InFlight::begin(&router.lifecycle);
     let now = router.now();
     let mut reply = match receive_request(&router, request, now).await {
         Ok(request) => relay(&router, Rc::new(request), now).await,
@@ -113,7 +113,7 @@
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
     }
-    let held = HeldBytes::new(&router, HeldFor::Answer);
+    let held = HeldBytes::new(&router.held_memory, HeldFor::Answer);
     hold_until_sent(reply.map(|body| body.counted(held)), in_flight)
 }
 
