Send datagrams through a part of their own

The socket went through the signatures of the loops that send heartbeats and gossip; asks for permits have to leave at once, without the pause between two rounds of sending. Datagrams owns the way to the socket, with the counters; heartbeats and gossip hand it messages. No behaviour changes; cargo clippy and the crate's tests pass.

--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -6,7 +6,7 @@
 
 use crate::crash_news;
 use crate::decision_log::log_dependency;
-use crate::heartbeats::{send, store_age_ms};
+use crate::heartbeats::store_age_ms;
 use crate::leaving_news;
 use crate::outbox::Recipients;
 use crate::peer_messages::{Gossip, Members, PeerMessage, UpstreamUpdate, encode};
@@ -23,7 +23,6 @@
 use cloverpier_router_policy::watcher_beats::WatcherBeat;
 use std::net::SocketAddr;
 use std::time::Instant;
-use tokio::net::UdpSocket;
 
 /// Suspects in one message: suspicions count for a second only.
 const MAX_SUSPECTS: usize = 16;
@@ -31,7 +30,7 @@
 const ENVELOPE: usize = 64;
 
 /// Sends what is due in each period: gossip, and probes of silent predecessors.
-pub(crate) fn send_period(router: &Router, socket: &UdpSocket, was_paused: bool, now: Instant) {
+pub(crate) fn send_period(router: &Router, was_paused: bool, now: Instant) {
     let peers = &router.peers;
     peers.members.borrow_mut().set_own_state(router.state());
     let step = peers.members.borrow_mut().ring_step(was_paused, now);
@@ -48,14 +47,14 @@
         let mut rng = router.rng.borrow_mut();
         peers.members.borrow_mut().targets(&mut rng)
     };
-    send_gossip(router, socket, &targets, false, now);
+    send_gossip(router, &targets, false, now);
     if !step.probe.is_empty() {
-        send_gossip(router, socket, &step.probe, true, now);
+        send_gossip(router, &step.probe, true, now);
     }
 }
 
 /// Sends at once that routers end.
-pub(crate) fn send_ended(router: &Router, socket: &UdpSocket) {
+pub(crate) fn send_ended(router: &Router) {
     let (members, targets) = {
         let mut known = router.peers.members.borrow_mut();
         let ended = known.take_ended();
@@ -66,22 +65,24 @@
         sender: router.settings().listen.peers,
         members,
     };
-    send(router, socket, &PeerMessage::Members(message), &targets);
+    router
+        .datagrams
+        .send(&PeerMessage::Members(message), &targets);
 }
 
 /// Sends something urgent at once: a version, or that the store is not reached any more.
-pub(crate) fn send_urgent(router: &Router, socket: &UdpSocket, now: Instant) {
+pub(crate) fn send_urgent(router: &Router, now: Instant) {
     note_own_beat(router, now);
     let targets = {
         let members = router.peers.members.borrow();
         members.urgent_targets(&mut router.rng.borrow_mut())
     };
-    send_gossip(router, socket, &targets, false, now);
+    send_gossip(router, &targets, false, now);
 }
 
 /// Sends a router that has just begun, or was not known, a first message.
-pub(crate) fn send_greeting(router: &Router, socket: &UdpSocket, to: &[SocketAddr], now: Instant) {
-    send_gossip(router, socket, to, true, now);
+pub(crate) fn send_greeting(router: &Router, to: &[SocketAddr], now: Instant) {
+    send_gossip(router, to, true, now);
 }
 
 /// Records what this router says of itself as a watcher, if it is one.
@@ -97,15 +98,9 @@
     router.peers.beats.borrow_mut().on_beat(beat, now);
 }
 
-fn send_gossip(
-    router: &Router,
-    socket: &UdpSocket,
-    to: &[SocketAddr],
-    wants_reply: bool,
-    now: Instant,
-) {
+fn send_gossip(router: &Router, to: &[SocketAddr], wants_reply: bool, now: Instant) {
     let message = gossip(router, wants_reply, now);
-    send(router, socket, &PeerMessage::Gossip(message), to);
+    router.datagrams.send(&PeerMessage::Gossip(message), to);
 }
 
 fn gossip(router: &Router, wants_reply: bool, now: Instant) -> Gossip {
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -5,11 +5,10 @@
 //! are [`crate::peer_messages`]'s. Owns when what is due next, and the turn among peers.
 
 use crate::crash_news;
-use crate::decision_log::log_dependency;
 use crate::gossip;
 use crate::leaving_news;
 use crate::outbox::Recipients;
-use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, encode};
+use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage};
 use crate::router::Router;
 use crate::store_events::decide_watcher_role;
 use cloverpier_core::UpstreamName;
@@ -23,7 +22,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::UdpSocket;
 
 /// A period that begins so late means that this process was paused, so that others' silence says
 /// nothing.
@@ -34,13 +32,9 @@
 const LARGE_ROLE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Sends heartbeats and changes until the process ends.
-pub(crate) async fn send_messages(router: Rc<Router>, socket: Rc<UdpSocket>) {
-    // Before the runtime has seen that the socket takes datagrams, each would be dropped: peers would
-    // not hear the first, which says that this router has just begun.
-    if let Err(error) = socket.writable().await {
-        log_dependency(&router.log, "peer.unsent", "peers", &error.to_string());
-    }
-    let mut sender = Sender::new(router, socket);
+pub(crate) async fn send_messages(router: Rc<Router>) {
+    router.datagrams.ready().await;
+    let mut sender = Sender::new(router);
     loop {
         sender.send_due();
         sender.send_pending();
@@ -51,7 +45,6 @@
 /// Sends what is due and what waits.
 struct Sender {
     router: Rc<Router>,
-    socket: Rc<UdpSocket>,
     turn: HeartbeatTurn,
     roles: RoleTurn,
     next_period: Instant,
@@ -60,11 +53,10 @@
 
 impl Sender {
     /// A sender for which everything is due.
-    fn new(router: Rc<Router>, socket: Rc<UdpSocket>) -> Self {
+    fn new(router: Rc<Router>) -> Self {
         let now = router.now();
         Self {
             router,
-            socket,
             turn: HeartbeatTurn::default(),
             roles: RoleTurn::default(),
             next_period: now,
@@ -83,7 +75,7 @@
             self.begin_period(now);
             self.next_period = now + period(&self.router);
         } else if self.router.peers.outbox.take_heartbeat_due() {
-            send_versions(&self.router, &self.socket, now);
+            send_versions(&self.router, now);
         }
     }
 
@@ -94,30 +86,30 @@
             decide_watcher_role(router, now);
         }
         let was_paused = now.saturating_duration_since(self.next_period) > PAUSED;
-        send_period(router, &self.socket, &mut self.turn, was_paused, now);
+        send_period(router, &mut self.turn, was_paused, now);
         crash_news::tell_again(router, now);
         leaving_news::tell_again(router, now);
     }
 
     /// Sends what waits for the next round.
     fn send_pending(&self) {
-        let (router, socket) = (&self.router, &self.socket);
+        let router = &self.router;
         let now = router.now();
         if router.peers.is_large() && router.peers.may_send_ended(now) {
-            gossip::send_ended(router, socket);
+            gossip::send_ended(router);
         }
         let new_peers = router.peers.outbox.take_new(MAX_GREETED);
         if !new_peers.is_empty() {
-            send_heartbeat(router, socket, &new_peers, MENTIONED_TO_NEW_PEER, now);
+            send_heartbeat(router, &new_peers, MENTIONED_TO_NEW_PEER, now);
             // One that belongs to a large fleet answers this.
-            gossip::send_greeting(router, socket, &new_peers, now);
+            gossip::send_greeting(router, &new_peers, now);
         }
         for (message, to) in router.peers.outbox.drain_outgoing() {
-            send(router, socket, &message, &recipients(router, to));
+            router.datagrams.send(&message, &recipients(router, to));
         }
         if let Some(change) = next_change(router) {
             let peers = change_peers(router.peers.addresses(), &mut router.rng.borrow_mut());
-            send(router, socket, &PeerMessage::Change(change), &peers);
+            router.datagrams.send(&PeerMessage::Change(change), &peers);
         }
     }
 }
@@ -153,39 +145,33 @@
 }
 
 /// Sends what is due in each period: heartbeats, or gossip in a large fleet.
-fn send_period(
-    router: &Router,
-    socket: &UdpSocket,
-    turn: &mut HeartbeatTurn,
-    was_paused: bool,
-    now: Instant,
-) {
+fn send_period(router: &Router, turn: &mut HeartbeatTurn, was_paused: bool, now: Instant) {
     let serves_peers = serves_peers(router, now);
     let is_large = router.peers.is_large();
     let peers = if is_large {
-        gossip::send_period(router, socket, was_paused, now);
+        gossip::send_period(router, was_paused, now);
         router.peers.plain_peers()
     } else {
         router.peers.addresses()
     };
     if !peers.is_empty() {
         let peers = turn.next_peers(peers, serves_peers);
-        send_heartbeat(router, socket, &peers, MENTIONED_PEERS, now);
+        send_heartbeat(router, &peers, MENTIONED_PEERS, now);
     }
 }
 
 /// Tells some peers at once that a version has changed.
-fn send_versions(router: &Router, socket: &UdpSocket, now: Instant) {
+fn send_versions(router: &Router, now: Instant) {
     let serves_peers = serves_peers(router, now);
     let peers = if router.peers.is_large() {
-        gossip::send_urgent(router, socket, now);
+        gossip::send_urgent(router, now);
         router.peers.plain_peers()
     } else {
         router.peers.addresses()
     };
     if !peers.is_empty() {
         let peers = version_peers(peers, serves_peers, &mut router.rng.borrow_mut());
-        send_heartbeat(router, socket, &peers, MENTIONED_PEERS, now);
+        send_heartbeat(router, &peers, MENTIONED_PEERS, now);
     }
 }
 
@@ -216,30 +202,6 @@
     }
 }
 
-/// Sends a message to some peers.
-pub(crate) fn send(
-    router: &Router,
-    socket: &UdpSocket,
-    message: &PeerMessage,
-    peers: &[SocketAddr],
-) {
-    let bytes = match encode(message) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log_dependency(&router.log, "peer.unsent", "peers", &error.to_string());
-            return;
-        }
-    };
-    let (kind, count) = (message.kind(), peers.len() as u64);
-    router.metrics.peer_datagrams.add(kind, count);
-    let sent = bytes.len() as u64 * count;
-    router.metrics.peer_bytes.add(kind, sent);
-    for peer in peers {
-        // A datagram that the system does not take is like one that was lost.
-        let _ = socket.try_send_to(&bytes, *peer);
-    }
-}
-
 fn mention_seeds(router: &Router, now: Instant) {
     let settings = router.settings();
     let own = settings.listen.peers;
@@ -261,15 +223,9 @@
     store.role().serves_peers(store.last_success(), now)
 }
 
-fn send_heartbeat(
-    router: &Router,
-    socket: &UdpSocket,
-    peers: &[SocketAddr],
-    mentions: usize,
-    now: Instant,
-) {
+fn send_heartbeat(router: &Router, peers: &[SocketAddr], mentions: usize, now: Instant) {
     let message = PeerMessage::Heartbeat(heartbeat(router, mentions, now));
-    send(router, socket, &message, peers);
+    router.datagrams.send(&message, peers);
 }
 
 /// Load and prompts of this router's streams, for peers. It is empty unless each change of it
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -17,7 +17,7 @@
 //! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_news` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that one router at a time does | `singleton` |
-//! | other routers | `peers`, `outbox`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `list_copies`, `configuration_copies`, [`peer_messages`] |
+//! | other routers | `peers`, `outbox`, `datagrams`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `list_copies`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
 //! | logs and metrics | `decision_log`, `beliefs`, `via`, `metrics` |
 //! | work beside the thread that serves | `background` |
@@ -51,6 +51,7 @@
 mod crash_news;
 mod crash_state;
 mod crashes;
+mod datagrams;
 mod decision_log;
 mod engine_call;
 mod gossip;
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -10,6 +10,7 @@
 //! | [`UpstreamLimits`] | limits that upstreams named |
 //! | [`HealthTable`] | last activity and probes of each upstream |
 //! | [`ConnectionPool`] | idle connections to upstreams |
+//! | [`Datagrams`] | the way to other routers by datagrams |
 //! | [`Peers`] | peers' last heartbeats, and what they are sent next |
 //! | [`Prompts`] | which engine has read which prompt, and searches for that |
 //! | [`RetryBudgets`] | this router's use of each service's retry budget |
@@ -24,6 +25,7 @@
 
 use crate::budgets::RetryBudgets;
 use crate::crash_state::Crashes;
+use crate::datagrams::Datagrams;
 use crate::health::HealthTable;
 use crate::lifecycle::Lifecycle;
 use crate::list_copies::ListCopies;
@@ -67,6 +69,7 @@
     pub(crate) upstream_limits: UpstreamLimits,
     pub(crate) health: HealthTable,
     pub(crate) pool: RefCell<ConnectionPool>,
+    pub(crate) datagrams: Rc<Datagrams>,
     pub(crate) peers: Peers,
     pub(crate) prompts: Prompts,
     budgets: RetryBudgets,
@@ -108,6 +111,8 @@
         let incarnation = lifecycle.incarnation();
         let log = Log::new(settings.vm.as_str());
         let metrics = Metrics::default();
+        let (sent, bytes) = (metrics.peer_datagrams.clone(), metrics.peer_bytes.clone());
+        let datagrams = Rc::new(Datagrams::new(log.clone(), sent, bytes));
         Self {
             upstream_limits: UpstreamLimits::new(log.clone(), metrics.upstream_limits.clone()),
             singleton: Singleton::new(&settings, incarnation, wall_ms(), timers.now()),
@@ -118,6 +123,7 @@
             upstreams: RefCell::new(UpstreamTable::default()),
             health: HealthTable::new(timers.clone()),
             pool: RefCell::new(ConnectionPool::default()),
+            datagrams,
             peers: Peers::new(member(&settings)),
             prompts: Prompts::default(),
             budgets: RetryBudgets::default(),
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -105,8 +105,9 @@
     let socket = UdpSocket::bind(address).await;
     let socket = Rc::new(socket.context(ListenSnafu { address })?);
     let cx = || Rc::clone(router);
-    spawn_local(peer_reports::receive_messages(cx(), Rc::clone(&socket)));
-    spawn_local(heartbeats::send_messages(cx(), socket));
+    router.datagrams.attach(Rc::clone(&socket));
+    spawn_local(peer_reports::receive_messages(cx(), socket));
+    spawn_local(heartbeats::send_messages(cx()));
     spawn_local(serve(cx(), at(router, address).await?, peer_serve::on_peer));
     spawn_local(serve(cx(), at(router, listen.ready).await?, on_ready));
     spawn_local(serve(
