--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -51,6 +51,10 @@
     pub leaving: usize,
     /// The same, as they want nothing for now.
     pub waiting: usize,
+    /// Upstreams of the service that limit themselves, and those of them that got nothing as there was no
+    /// permit.
+    pub limited: usize,
+    pub without_permit: usize,
     #[serde(rename = "catalog_version")]
     pub configuration_version: u64,
     #[serde(rename = "fleet_revision")]
@@ -242,10 +246,20 @@
     /// any more.
     pub rate: Option<f64>,
     pub former_rate: Option<f64>,
-    /// The call whose answer said so.
+    /// The call whose answer said so, or `peer`.
     pub via: &'a str,
     /// The request's id, if it was one.
     pub request: Option<&'a str>,
+    /// The peer that said so.
+    pub peer: Option<String>,
+    /// The router that hands out permits for it, as far as this one knows.
+    pub limiter: Option<String>,
+}
+
+/// A router that should hand out permits does not answer, so that another one is asked.
+#[derive(Serialize)]
+pub(crate) struct LimiterPassedOver {
+    pub limiter: String,
 }
 
 /// Something outside was lost or came back.
--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -8,6 +8,7 @@
 use crate::decision_log::log_dependency;
 use crate::heartbeats::store_age_ms;
 use crate::leaving_news;
+use crate::limit_news;
 use crate::outbox::Recipients;
 use crate::peer_messages::{Gossip, Members, PeerMessage, UpstreamUpdate, encode};
 use crate::peer_reports::on_suspects;
@@ -140,6 +141,7 @@
     if reply.is_newcomer {
         crash_news::tell_newcomer(router, sender);
         leaving_news::tell_newcomer(router, sender);
+        limit_news::tell_newcomer(router, sender);
     }
     send_reply(router, sender, reply, now);
     apply_beats(router, &gossip.watchers, now);
--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -25,6 +25,8 @@
     pub last_own_answer: Cell<Option<Instant>>,
     /// Since when a probe is under way.
     pub probing_since: Cell<Option<Instant>>,
+    /// Whether one waits for a permit, as the upstream limits itself.
+    pub probe_waits: Cell<bool>,
     is_dead: Cell<bool>,
     /// Wakes the waiting tasks when the upstream is declared dead.
     pub declared_dead: Notify,
@@ -39,6 +41,7 @@
             last_activity: Cell::new(now),
             last_own_answer: Cell::new(None),
             probing_since: Cell::new(None),
+            probe_waits: Cell::new(false),
             is_dead: Cell::new(false),
             declared_dead: Notify::new(),
         }
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -7,6 +7,7 @@
 use crate::crash_news;
 use crate::gossip;
 use crate::leaving_news;
+use crate::limit_news;
 use crate::outbox::Recipients;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage};
 use crate::router::Router;
@@ -17,6 +18,7 @@
     MIN_SEND_PAUSE, SEED_PERIOD, change_peers, load_ttl, reaches_all_peers, version_peers,
 };
 use cloverpier_router_policy::membership::GOSSIP_PERIOD;
+use cloverpier_router_policy::permit::RouterPlace;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::reported_store_age;
 use std::net::SocketAddr;
@@ -89,6 +91,8 @@
         send_period(router, &mut self.turn, was_paused, now);
         crash_news::tell_again(router, now);
         leaving_news::tell_again(router, now);
+        limit_news::tell_again(router, now);
+        note_live_routers(router, now);
     }
 
     /// Sends what waits for the next round.
@@ -114,6 +118,20 @@
     }
 }
 
+/// Tells the part that hands out permits which routers live.
+fn note_live_routers(router: &Router, now: Instant) {
+    let settings = router.settings();
+    let own = RouterPlace {
+        router: settings.listen.peers,
+        data_centre: settings.data_centre.clone(),
+    };
+    let timeout = router.peer_timeout();
+    let serves = router.state() == PeerState::Ready;
+    let map = router.peers.limiter_map(own, serves, now, timeout);
+    let table = router.upstreams.borrow();
+    router.upstream_limits.on_period(map, timeout, &table);
+}
+
 /// How often heartbeats or gossip are sent.
 fn period(router: &Router) -> Duration {
     if router.peers.is_large() {
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -13,7 +13,7 @@
 //! | questions to engines on their load | `load_query`, `engine_call` |
 //! | requests that end upstreams | `crash_state`, `crashes`, `crash_news`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
-//! | what upstreams say of themselves | `statements`, `leaving_news`, `upstream_limits` |
+//! | what upstreams say of themselves | `statements`, `leaving_news`, `limit_news`, `upstream_limits` |
 //! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_news` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that one router at a time does | `singleton` |
@@ -62,6 +62,7 @@
 mod intake;
 mod leaving_news;
 mod lifecycle;
+mod limit_news;
 mod list_copies;
 mod load_guard;
 mod load_query;
--- /dev/null
+++ b/crates/router/cloverpier_router/src/limit_news.rs
@@ -0,0 +1,76 @@
+//! Sends peers the limits that upstreams name, and applies what peers send.
+//!
+//! What changes by a report is decided in `cloverpier_router_policy::limit`, repeats in `news` there. Owns
+//! no state: [`crate::upstream_limits`] does.
+
+use crate::outbox::Recipients;
+use crate::peer_messages::{LimitNews, PeerMessage};
+use crate::router::Router;
+use cloverpier_router_policy::limit::{LimitReport, in_messages};
+use cloverpier_router_policy::news::{is_teller, is_told_again, may_have_missed};
+use cloverpier_router_policy::prelude::*;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Sends all peers what an answer has changed.
+pub(crate) fn tell_all(router: &Router, report: LimitReport) {
+    tell(router, &[report], &Recipients::All);
+}
+
+/// Applies a peer's message.
+pub(crate) fn on_news(router: &Router, news: LimitNews) {
+    let mut is_new = false;
+    let table = router.upstreams.borrow();
+    for report in &news.limits {
+        let state = table.by_key(report.upstream);
+        is_new |= router.upstream_limits.on_report(report, state, news.sender);
+    }
+    drop(table);
+    if is_new {
+        router.peers.pass_on(PeerMessage::Limits(news));
+    }
+}
+
+/// Sends a peer all limits, if it may have missed some.
+pub(crate) fn tell_if_missed(
+    router: &Router,
+    peer: SocketAddr,
+    former: Option<&PeerEntry>,
+    entry: &PeerEntry,
+) {
+    if may_have_missed(former, entry, router.peer_timeout()) {
+        tell_newcomer(router, peer);
+    }
+}
+
+/// Sends a peer that may have missed some what is known, where this router is one of those that do.
+pub(crate) fn tell_newcomer(router: &Router, peer: SocketAddr) {
+    let reports = reports(router);
+    if !reports.is_empty() && is_teller(router.peers.count(), &mut router.rng.borrow_mut()) {
+        tell(router, &reports, &Recipients::These(vec![peer]));
+    }
+}
+
+/// Repeats what is known to one peer, for a while after something was learned.
+pub(crate) fn tell_again(router: &Router, now: Instant) {
+    if !is_told_again(router.upstream_limits.last_news.get(), now) {
+        return;
+    }
+    let peers = router.peers.addresses();
+    let peer = router.rng.borrow_mut().choose_multiple(peers, 1);
+    tell(router, &reports(router), &Recipients::These(peer));
+}
+
+fn reports(router: &Router) -> Vec<LimitReport> {
+    let table = router.upstreams.borrow();
+    let born_ms = |key| table.by_key(key).and_then(UpstreamState::born_ms);
+    router.upstream_limits.reports(born_ms)
+}
+
+fn tell(router: &Router, reports: &[LimitReport], to: &Recipients) {
+    let sender = router.settings().listen.peers;
+    for limits in in_messages(reports) {
+        let news = PeerMessage::Limits(LimitNews { sender, limits });
+        router.peers.outbox.send(news, to.clone());
+    }
+}
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -78,6 +78,8 @@
     pub waits: Counter,
     /// Limits that upstreams named: begun, changed, ended.
     pub upstream_limits: ByKind,
+    /// Permits for upstreams that limit themselves, got and handed out.
+    pub permits: ByKind,
     /// The lease on work that one router at a time does, and that work.
     pub singleton: ByKind,
     /// Contents that are stopped.
@@ -120,6 +122,7 @@
             leavings: ByKind::default(),
             waits: Counter::default(),
             upstream_limits: ByKind::default(),
+            permits: ByKind::default(),
             singleton: ByKind::default(),
             stopped_contents: Gauge::default(),
             peer_datagrams: ByKind::default(),
@@ -190,6 +193,11 @@
             "Limits that servers named",
             self.upstream_limits.0.clone(),
         );
+        registry.register(
+            "permits",
+            "Permits for servers that limit themselves",
+            self.permits.0.clone(),
+        );
     }
 
     fn register_process(&mut self) {
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -72,7 +72,7 @@
     pub fn reply(&self, router: &Router, request: &RelayRequest) -> Reply {
         match self.end() {
             RequestEnd::Refused | RequestEnd::RefusedLate => {
-                refusal_reply(&self.reason, refusal(router, request))
+                refusal_reply(&self.reason, self.refusal(router, request))
             }
             // Not one of the statuses after which callers come again, and no promise that it has
             // not run.
@@ -82,12 +82,27 @@
         }
     }
 
+    /// Why the request is refused, as that decides when its caller should come back.
+    fn refusal(&self, router: &Router, request: &RelayRequest) -> Refusal {
+        if let Some(NoUpstream::AllLimited { retry }) = self.no_upstream {
+            return Refusal::UpstreamsLimited { turn: retry };
+        }
+        let table = router.upstreams.borrow();
+        match table.wait_of_service(&request.service.name, router.now()) {
+            Some(wait) => Refusal::UpstreamsWait { wait },
+            None => Refusal::NoUpstream {
+                objective: request.route.objective,
+            },
+        }
+    }
+
     /// What decided, for logs.
     pub fn logged_reason(&self) -> &str {
         match self.no_upstream {
             Some(NoUpstream::AllFull) => "all servers are full",
             Some(NoUpstream::NoneUsable) => "no server is usable",
             Some(NoUpstream::AllWait) => "all servers want nothing for now",
+            Some(NoUpstream::AllLimited { .. }) => "all servers limit themselves, and have no room",
             None => &self.reason,
         }
     }
@@ -115,17 +130,6 @@
     }
 }
 
-/// Why a request is refused that no upstream took, as that decides when its caller should come back.
-fn refusal(router: &Router, request: &RelayRequest) -> Refusal {
-    let table = router.upstreams.borrow();
-    match table.wait_of_service(&request.service.name, router.now()) {
-        Some(wait) => Refusal::UpstreamsWait { wait },
-        None => Refusal::NoUpstream {
-            objective: request.route.objective,
-        },
-    }
-}
-
 /// The end of a request, for its log line.
 pub(crate) struct Ending<'a> {
     /// The status that the caller got.
@@ -285,15 +289,17 @@
 pub(crate) fn log_choice(
     router: &Router,
     request: &RelayRequest,
-    table: &UpstreamTable,
     upstream: &Upstream,
     note: &ChoiceNote<'_>,
 ) {
+    let table = router.upstreams.borrow();
     // An upstream that is forgotten by now has no load.
     let own = table.get(&upstream.name).map(|s| s.own_load);
     let own = own.unwrap_or_default();
     let peers = table.peer_load.at(UpstreamKey::of(&upstream.name));
-    let out = table.out_by_statement(&request.service.name, note.now);
+    let service = &request.service.name;
+    let out = table.out_by_statement(service, note.now);
+    let limited = router.upstream_limits.limited_of(table.of_service(service));
     router.log.info(
         "server.chosen",
         &UpstreamChosen {
@@ -315,6 +321,8 @@
             apart: note.apart,
             leaving: out.leaving,
             waiting: out.waiting,
+            limited: limited.limited,
+            without_permit: limited.without_permit,
             configuration_version: request.configuration_version,
             upstreams_revision: table.revision(),
             age_ms: ms_since(request.arrived, note.now),
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_crashes::ContentReport;
+use cloverpier_router_policy::limit::LimitReport;
 use cloverpier_router_policy::membership::MemberUpdate;
+use cloverpier_router_policy::permit::{PermitReply, PermitRequest};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::EvidenceReport;
 use cloverpier_router_policy::singleton::autoscaling::ServiceLoad;
@@ -161,6 +163,33 @@
     pub upstreams: Vec<LeavingReport>,
 }
 
+/// Limits that upstreams have named in answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The limits.
+    pub limits: Vec<LimitReport>,
+}
+
+/// An ask for permits to send requests to an upstream that limits itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitAsk {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// What it asks for.
+    pub request: PermitRequest,
+}
+
+/// The answer to a [`LimitAsk`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReply {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// What it answers.
+    pub reply: PermitReply,
+}
+
 /// What a router counted, its load and its clock, for the holder of the lease on work that one router
 /// at a time does.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -277,6 +306,12 @@
     Members(Members),
     /// Sent by watchers of the store in a large fleet, and passed on; likewise.
     UpstreamUpdate(UpstreamUpdate),
+    /// Sent to all when an upstream names a limit or none any more, and again for a while; likewise.
+    Limits(LimitNews),
+    /// Sent to the router that hands out permits for an upstream; likewise: another one is asked then.
+    LimitAsk(LimitAsk),
+    /// Sent in answer to that.
+    LimitReply(LimitReply),
 }
 
 impl PeerMessage {
@@ -295,6 +330,8 @@
             Self::Gossip(_) => "gossip",
             Self::AskMembers(_) | Self::Members(_) => "members",
             Self::UpstreamUpdate(_) => "upstreams",
+            Self::Limits(_) => "limits",
+            Self::LimitAsk(_) | Self::LimitReply(_) => "permits",
         }
     }
 }
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -9,7 +9,8 @@
 use crate::decision_log::log_dependency;
 use crate::gossip::{self, member_of};
 use crate::leaving_news;
-use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage, decode};
+use crate::limit_news;
+use crate::peer_messages::{Change, Heartbeat, LimitAsk, LoadReport, PeerMessage, decode};
 use crate::rollouts;
 use crate::router::Router;
 use crate::singleton;
@@ -48,6 +49,9 @@
             }
             Ok(PeerMessage::Crashes(news)) => crash_news::on_news(&router, news, now),
             Ok(PeerMessage::Leavings(news)) => leaving_news::on_news(&router, news, now),
+            Ok(PeerMessage::Limits(news)) => limit_news::on_news(&router, news),
+            Ok(PeerMessage::LimitAsk(ask)) => on_limit_ask(&router, &ask),
+            Ok(PeerMessage::LimitReply(reply)) => router.upstream_limits.on_reply(reply),
             Ok(PeerMessage::Gossip(message)) => gossip::on_gossip(&router, message, now),
             Ok(PeerMessage::AskMembers(peer)) => gossip::on_ask_members(&router, peer, now),
             Ok(PeerMessage::Members(members)) => gossip::on_members(&router, members, now),
@@ -65,6 +69,12 @@
     }
 }
 
+fn on_limit_ask(router: &Router, ask: &LimitAsk) {
+    let table = router.upstreams.borrow();
+    let state = table.by_key(ask.request.upstream);
+    router.upstream_limits.on_ask(ask, state);
+}
+
 fn on_change(router: &Router, change: Change, now: Instant) {
     router
         .prompts
@@ -146,6 +156,7 @@
     let former = router.peers.on_heartbeat(peer, entry.clone());
     crash_news::tell_if_missed(router, peer, former.as_ref(), &entry);
     leaving_news::tell_if_missed(router, peer, former.as_ref(), &entry);
+    limit_news::tell_if_missed(router, peer, former.as_ref(), &entry);
     let former_age = former.and_then(|entry| entry.store_age);
     if changes_roles(former_age, store_age, router.peers.count()) {
         decide_watcher_role(router, now);
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -14,6 +14,7 @@
 use cloverpier_router_policy::heartbeat::{greets_mentioned, reaches_all_peers};
 use cloverpier_router_policy::membership::{ENDED_PERIOD, MemberUpdate, Membership};
 use cloverpier_router_policy::peers::listed_for_callers;
+use cloverpier_router_policy::permit::{LimiterMap, RouterPlace};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::ReadyPeer;
 use cloverpier_router_policy::version_fetch::PeerVersion;
@@ -28,6 +29,15 @@
 /// budget, whose window it mostly is, their versions, how many members they know.
 const HEARD_FOR: Duration = Duration::from_secs(10);
 
+/// What decides who may hand out permits in a large fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LimitersSeen {
+    digest: u64,
+    lost: usize,
+    is_alone: bool,
+    serves: bool,
+}
+
 /// The peers, what is known of them, and what waits to be sent.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -40,6 +50,8 @@
     plain_peers: RefCell<HashMap<SocketAddr, Instant>>,
     /// The number of this router's last beat as a watcher.
     last_beat: Cell<u64>,
+    /// What the last map of a large fleet's limiters was made of.
+    limiters_seen: Cell<Option<LimitersSeen>>,
     /// When others were last told at once of routers that end.
     sent_ended: Cell<Option<Instant>>,
     /// What they are sent next.
@@ -57,6 +69,7 @@
             // Greater than those of former runs, as stamps are.
             last_beat: Cell::new(own.stamp),
             sent_ended: Cell::default(),
+            limiters_seen: Cell::default(),
             table: RefCell::default(),
             members: RefCell::new(Membership::new(own)),
             beats: RefCell::default(),
@@ -220,6 +233,48 @@
         live.map(|(peer, _)| *peer).collect()
     }
 
+    /// The routers that live and serve, this one among them if it does, as far as permits depend on
+    /// them; `None` where they are the same as the last time in a large fleet.
+    pub fn limiter_map(
+        &self,
+        own: RouterPlace,
+        serves: bool,
+        now: Instant,
+        timeout: Duration,
+    ) -> Option<LimiterMap> {
+        let address = own.router;
+        let own = serves.then_some(own);
+        let ready = |place: &ReadyPeer| RouterPlace {
+            router: place.peer,
+            data_centre: place.data_centre.clone(),
+        };
+        if self.is_large() {
+            let seen = self.seen_by_limiters(serves, now);
+            if self.limiters_seen.replace(Some(seen)) == Some(seen) {
+                return None;
+            }
+        }
+        let live = self.ready(now, timeout);
+        let live = live.iter().map(ready).chain(own);
+        let lost = if self.is_large() {
+            self.members.borrow().lost()
+        } else {
+            self.table.borrow().lost(now, timeout)
+        };
+        Some(LimiterMap::new(address, live.collect(), lost))
+    }
+
+    /// Changes with each change of what [`Peers::limiter_map`] says in a large fleet.
+    fn seen_by_limiters(&self, serves: bool, now: Instant) -> LimitersSeen {
+        let members = self.members.borrow();
+        LimitersSeen {
+            digest: members.digest(),
+            lost: members.lost(),
+            is_alone: members.is_alone(now),
+            serves,
+        }
+    }
+
     /// The addresses that callers get.
     pub fn addresses_for_callers(
         &self,
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -24,6 +24,7 @@
 use cloverpier_core::UpstreamName;
 use cloverpier_crashes::Admission;
 use cloverpier_router_policy::held_memory::HeldFor;
+use cloverpier_router_policy::permit::PermitSearch;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::Measure;
 use futures_util::stream::unfold;
@@ -100,7 +101,7 @@
             if crashes::admit(self.router, self.request).await == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
-            let upstream = match self.choose() {
+            let upstream = match self.find_upstream().await {
                 Ok(upstream) => upstream,
                 Err(reason) => return self.without_upstream(reason),
             };
@@ -138,7 +139,23 @@
         }
     }
 
-    fn choose(&mut self) -> Result<Upstream, NoUpstream> {
+    /// An upstream for the next attempt, and if it limits itself the permit to send it there.
+    async fn find_upstream(&self) -> Result<Upstream, NoUpstream> {
+        let (router, request) = (self.router, self.request);
+        let search = PermitSearch::new(request.patience(router.now()));
+        let limits = &router.upstream_limits;
+        let chosen = limits.offer(
+            search,
+            |limits| self.choose(limits).map(Box::new),
+            |upstream| router.is_usable(upstream),
+        );
+        let upstream = *chosen.await?;
+        let note = ChoiceNote::of(&self.attempts, router.now());
+        log_choice(router, request, &upstream, &note);
+        Ok(upstream)
+    }
+
+    fn choose(&self, limits: &LimitedUpstreams) -> Result<Upstream, NoUpstream> {
         let now = self.router.now();
         let connected = self.router.pool.borrow().connected(now);
         let table = self.router.upstreams.borrow();
@@ -159,15 +176,12 @@
             overcommit: false,
             reported: &ReportedLoad::default(),
             versions: &versions,
+            limits,
         };
-        let choice = choose_upstream(&table, &demand, &mut self.router.rng.borrow_mut());
-        let upstream = match choice {
-            Choice::Upstream(upstream) => upstream,
-            Choice::None(reason) => return Err(reason),
-        };
-        let note = ChoiceNote::of(&self.attempts, now);
-        log_choice(self.router, self.request, &table, &upstream, &note);
-        Ok(upstream)
+        match choose_upstream(&table, &demand, &mut self.router.rng.borrow_mut()) {
+            Choice::Upstream(upstream) => Ok(upstream),
+            Choice::None(reason) => Err(reason),
+        }
     }
 
     async fn attempt(&mut self, upstream: &Upstream) -> Result<Reply, AttemptFailure> {
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -13,7 +13,9 @@
 use crate::router::Router;
 use crate::statements::Call;
 use crate::successors;
+use crate::upstream_limits::Permission;
 use crate::via::Via;
+use cloverpier_router_policy::permit::QUESTION_PATIENCE;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::suspicion::{
     CHECK_PERIOD, CHECK_TIMEOUT, CheckResult, PROBE_TIMEOUT, check_result,
@@ -31,53 +33,70 @@
 }
 
 /// Probes a silent upstream unless a probe is under way or it wants nothing; its answer counts as
-/// activity.
+/// activity. One that limits itself is probed once there is a permit, as a probe is a request to it.
 pub(crate) fn probe(
     router: &Rc<Router>,
     upstream: &Upstream,
     health: &Rc<UpstreamHealth>,
     now: Instant,
 ) {
-    if health.probing_since.get().is_some() {
+    if health.probing_since.get().is_some() || health.probe_waits.get() {
         return;
     }
     if !router.upstreams.borrow_mut().try_ask(&upstream.name, now) {
         router.metrics.probes.count("withheld");
         return;
     }
-    health.probing_since.set(Some(now));
     let (router, upstream, health) = (Rc::clone(router), upstream.clone(), Rc::clone(health));
+    if !router.upstream_limits.is_limited(&upstream) {
+        health.probing_since.set(Some(now));
+        tokio::task::spawn_local(async move { send_probe(&router, &upstream, &health).await });
+        return;
+    }
+    health.probe_waits.set(true);
     tokio::task::spawn_local(async move {
-        let path = router.wire_names.paths.engine_report;
-        let sent = router.now();
-        let answer = health.client.get(path, PROBE_TIMEOUT).await;
-        let now = router.now();
-        health.probing_since.set(None);
-        match answer {
-            Ok(answer) => {
-                router.metrics.probes.count("alive");
-                // Whichever process answers there: it may be the next one at the address.
-                health.on_activity(now);
-                // Runs of a former start are lost though the address answers.
-                let call = Call {
-                    upstream: &upstream,
-                    via: Via::Probe,
-                    sent,
-                };
-                router.hear(call, answer.parts());
-                crashes::on_alive(&router, &upstream);
-            }
-            Err(error) if error.is_refused() => {
-                router.metrics.probes.count("refused");
-                let cause = DeathCause::NoProcess;
-                declare_dead(&router, &upstream, cause, "no process listens there", now);
-            }
-            // Without an answer the silence goes on; whoever waits gives the verdict.
-            Err(_) => router.metrics.probes.count("silent"),
+        let permission = router.upstream_limits.acquire(&upstream, QUESTION_PATIENCE);
+        let permission = permission.await;
+        health.probe_waits.set(false);
+        if permission == Permission::Given {
+            health.probing_since.set(Some(router.now()));
+            send_probe(&router, &upstream, &health).await;
+        } else {
+            router.metrics.probes.count("without-permit");
         }
     });
 }
 
+async fn send_probe(router: &Rc<Router>, upstream: &Upstream, health: &UpstreamHealth) {
+    let path = router.wire_names.paths.engine_report;
+    let sent = router.now();
+    let answer = health.client.get(path, PROBE_TIMEOUT).await;
+    let now = router.now();
+    health.probing_since.set(None);
+    match answer {
+        Ok(answer) => {
+            router.metrics.probes.count("alive");
+            // Whichever process answers there: it may be the next one at the address.
+            health.on_activity(now);
+            // Runs of a former start are lost though the address answers.
+            let call = Call {
+                upstream,
+                via: Via::Probe,
+                sent,
+            };
+            router.hear(call, answer.parts());
+            crashes::on_alive(router, upstream);
+        }
+        Err(error) if error.is_refused() => {
+            router.metrics.probes.count("refused");
+            let cause = DeathCause::NoProcess;
+            declare_dead(router, upstream, cause, "no process listens there", now);
+        }
+        // Without an answer the silence goes on; whoever waits gives the verdict.
+        Err(_) => router.metrics.probes.count("silent"),
+    }
+}
+
 /// Declares an upstream dead: its runs move, and it gets nothing new until a check clears it.
 pub(crate) fn declare_dead(
     router: &Router,
@@ -133,6 +152,12 @@
     let service = configuration.and_then(|c| c.service(&upstream.service).cloned());
     // A service that is not configured any more has no path to check.
     let Some(service) = service else { return };
+    let permission = router.upstream_limits.acquire(&upstream, QUESTION_PATIENCE);
+    if permission.await != Permission::Given {
+        // It stays suspected; the next check is scheduled already.
+        router.metrics.probes.count("without-permit");
+        return;
+    }
     let client = HttpClient::new(upstream.address, CHECK_TIMEOUT, router.timers.clone());
     let begun = router.now();
     let Ok(answer) = client.get(&service.health_path, CHECK_TIMEOUT).await else {
--- a/crates/router/cloverpier_router/src/prompt_search.rs
+++ b/crates/router/cloverpier_router/src/prompt_search.rs
@@ -51,7 +51,10 @@
 async fn search(router: &Rc<Router>, service: &ServiceName, prompt: PromptKey) {
     let prompts = &router.prompts;
     let engines = search_order(&router.upstreams.borrow(), service, prompt, router.now());
-    for (index, engine) in engines.into_iter().enumerate() {
+    // A question is a request, too.
+    let engines = engines.into_iter();
+    let engines = engines.filter(|engine| !router.upstream_limits.is_limited(engine));
+    for (index, engine) in engines.enumerate() {
         if index == ASKED_FIRST {
             let first = wait_for_answers(router, prompt);
             // The result does not matter: the loop checks whether the prompt is located.
--- a/crates/router/cloverpier_router/src/relay_request.rs
+++ b/crates/router/cloverpier_router/src/relay_request.rs
@@ -6,6 +6,7 @@
 use crate::wire_names::PromptSize;
 use bytes::Bytes;
 use cloverpier_crashes::{Content, ContentKey};
+use cloverpier_router_policy::permit::patience;
 use cloverpier_router_policy::prelude::*;
 use hyper::Method;
 use hyper::header::HeaderMap;
@@ -89,6 +90,11 @@
         }
     }
 
+    /// How long it waits for a permit where every upstream that could take it limits itself.
+    pub fn patience(&self, now: Instant) -> Duration {
+        patience(self.priority, self.route.objective, self.time_left(now))
+    }
+
     /// Tokens that fit into the KV cache of an engine of its service; `None` for a plain
     /// service.
     pub fn engine_memory(&self) -> Option<u64> {
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -7,7 +7,7 @@
 //! | --- | --- |
 //! | [`StoreView`] | configuration in force, whether upstreams are known, how calls to the store go |
 //! | `upstreams` | the table of upstreams, with load and suspicions |
-//! | [`UpstreamLimits`] | limits that upstreams named |
+//! | [`UpstreamLimits`] | limits that upstreams named, permits to send them requests |
 //! | [`HealthTable`] | last activity and probes of each upstream |
 //! | [`ConnectionPool`] | idle connections to upstreams |
 //! | [`Datagrams`] | the way to other routers by datagrams |
@@ -36,7 +36,7 @@
 use crate::rollout_state::Rollouts;
 use crate::singleton::state::Singleton;
 use crate::store_view::StoreView;
-use crate::upstream_limits::UpstreamLimits;
+use crate::upstream_limits::{LimitParts, UpstreamLimits};
 use crate::wire_names::WireNames;
 use cloverpier_core::{ServiceName, UpstreamName, wall_ms};
 use cloverpier_observe::Log;
@@ -66,7 +66,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) store: StoreView,
     pub(crate) upstreams: RefCell<UpstreamTable>,
-    pub(crate) upstream_limits: UpstreamLimits,
+    pub(crate) upstream_limits: Rc<UpstreamLimits>,
     pub(crate) health: HealthTable,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) datagrams: Rc<Datagrams>,
@@ -113,8 +113,17 @@
         let metrics = Metrics::default();
         let (sent, bytes) = (metrics.peer_datagrams.clone(), metrics.peer_bytes.clone());
         let datagrams = Rc::new(Datagrams::new(log.clone(), sent, bytes));
+        let limit_parts = LimitParts {
+            own: settings.listen.peers,
+            timers: timers.clone(),
+            datagrams: Rc::clone(&datagrams),
+            log: log.clone(),
+            limits: metrics.upstream_limits.clone(),
+            permits: metrics.permits.clone(),
+            rng: rng.fork(),
+        };
         Self {
-            upstream_limits: UpstreamLimits::new(log.clone(), metrics.upstream_limits.clone()),
+            upstream_limits: Rc::new(UpstreamLimits::new(limit_parts)),
             singleton: Singleton::new(&settings, incarnation, wall_ms(), timers.now()),
             log,
             wire_names,
@@ -170,6 +179,13 @@
         peer_timeout(interval, self.peers.count())
     }
 
+    /// Whether an upstream may still be sent requests.
+    pub(crate) fn is_usable(&self, upstream: &Upstream) -> bool {
+        let table = self.upstreams.borrow();
+        let state = table.get(&upstream.name);
+        state.is_some_and(|state| state.is_usable(self.now()))
+    }
+
     /// Reports this router's load at an upstream, or a suspicion of it, to peers at once.
     pub(crate) fn report_to_peers(&self, upstream: &UpstreamName) {
         self.peers.outbox.report_upstream(upstream);
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -148,7 +148,7 @@
             .retain(|upstream| table.get(upstream).is_some_and(UpstreamState::is_listed));
         router
             .upstream_limits
-            .retain(|upstream| table.by_key(upstream).is_some(), router.now());
+            .retain(|upstream| table.by_key(upstream).is_some());
         drop(table);
         let lines = i64::try_from(log_progress.dropped()).unwrap_or(i64::MAX);
         router.metrics.dropped_lines.set(lines);
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -7,6 +7,7 @@
 use crate::beliefs::log_wait;
 use crate::decision_log::log_dependency;
 use crate::leaving_news;
+use crate::limit_news;
 use crate::restart::on_named_start;
 use crate::router::Router;
 use crate::upstream_limits::LimitAnswer;
@@ -122,7 +123,7 @@
     said: &UpstreamStatement,
     has_run: bool,
 ) {
-    router.upstream_limits.on_answer(&LimitAnswer {
+    let told = router.upstream_limits.on_answer(&LimitAnswer {
         upstream,
         said: said.limit,
         would_name: has_run,
@@ -132,4 +133,7 @@
         },
         via: call.via,
     });
+    if let Some(report) = told {
+        limit_news::tell_all(router, report);
+    }
 }
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -12,16 +12,18 @@
 use crate::reply::UpstreamAnswer;
 use crate::rollouts;
 use crate::send::{Opened, SendExtras, keep, send};
+use crate::upstream_limits::Permission;
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_crashes::Admission;
 use cloverpier_router_policy::arrival::RESUMED_PRIORITY;
-use cloverpier_router_policy::load_query::engines_to_query;
+use cloverpier_router_policy::load_query::{engines_to_query, limited_in_place_of_a_query};
+use cloverpier_router_policy::permit::PermitSearch;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::{Replica, usable_replica};
 use http_body_util::BodyExt;
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What a choice rests on beside the request.
 struct Around {
@@ -52,14 +54,9 @@
             if self.admission == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
-            let around = self.around();
-            let reported = self.query_load(&around).await;
-            let around = Around {
-                now: self.router.now(),
-                ..around
-            };
             let (upstream, extras) = self
-                .choose(&around, &reported)
+                .find_upstream()
+                .await
                 .map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
             self.attempts.on_send();
             self.attempt_begun = self.router.now();
@@ -87,6 +84,53 @@
         }
     }
 
+    /// An upstream for the next run, with what its attempt carries; and if it limits itself, the permit to
+    /// send it there.
+    async fn find_upstream(&mut self) -> Result<(Upstream, SendExtras), NoUpstream> {
+        let mut around = self.around();
+        let mut reported = ReportedLoad::default();
+        let picked = match self.limited_in_place_of_a_query(&around).await {
+            Some(picked) => picked,
+            None => {
+                reported = self.query_load(&around).await;
+                around.now = self.router.now();
+                self.pick(&around, &reported).await?
+            }
+        };
+        Ok(self.with_extras(&around, &reported, picked))
+    }
+
+    /// The engine that would be asked for its load first, where it limits itself and there is a permit.
+    async fn limited_in_place_of_a_query(&self, around: &Around) -> Option<Picked> {
+        let router = &self.router;
+        let search = PermitSearch::new(Duration::ZERO);
+        let limits = router.upstream_limits.seen_by(&search);
+        if !limits.limits_any() {
+            return None;
+        }
+        let upstream = {
+            let table = router.upstreams.borrow();
+            if self.finds_its_replica(&table, around, &limits) {
+                return None;
+            }
+            let reported = ReportedLoad::default();
+            let demand = self.demand(around, &reported, &limits);
+            let (peers, mut rng) = (router.peers.count(), router.rng.borrow_mut());
+            limited_in_place_of_a_query(&table, &demand, peers, &mut rng)?
+        };
+        match router
+            .upstream_limits
+            .acquire(&upstream, Duration::ZERO)
+            .await
+        {
+            Permission::Given => Some(Picked {
+                upstream,
+                from_replica: false,
+            }),
+            Permission::Refused { .. } => None,
+        }
+    }
+
     /// Asks engines for their load, where too little is known of it; the engine with the replica
     /// of a lost run needs no asking.
     async fn query_load(&self, around: &Around) -> ReportedLoad {
@@ -99,19 +143,41 @@
 
     fn engines_to_query(&self, around: &Around) -> Vec<Upstream> {
         let router = &self.router;
+        let search = PermitSearch::new(Duration::ZERO);
+        let limits = router.upstream_limits.seen_by(&search);
         let table = router.upstreams.borrow();
-        let replica = self.replica.as_ref().filter(|_| !self.is_apart());
-        if usable_replica(&table, &around.versions, replica, around.now).is_some() {
+        if self.finds_its_replica(&table, around, &limits) {
             return Vec::new();
         }
         let reported = ReportedLoad::default();
-        let demand = self.demand(around, &reported);
+        let demand = self.demand(around, &reported, &limits);
         let peers = router.peers.count();
         engines_to_query(&table, &demand, peers, &mut router.rng.borrow_mut())
     }
 
+    /// Whether the engine with the replica of the lost run can take the next one.
+    fn finds_its_replica(
+        &self,
+        table: &UpstreamTable,
+        around: &Around,
+        limits: &LimitedUpstreams,
+    ) -> bool {
+        let replica = self.lost_replica();
+        usable_replica(table, &around.versions, limits, replica, around.now).is_some()
+    }
+
+    /// The replica of the lost run's KV cache. Its engine runs others, too.
+    fn lost_replica(&self) -> Option<&Replica> {
+        self.replica.as_ref().filter(|_| !self.is_apart())
+    }
+
     /// What the next run asks of an engine.
-    fn demand<'a>(&'a self, around: &'a Around, reported: &'a ReportedLoad) -> Demand<'a> {
+    fn demand<'a>(
+        &'a self,
+        around: &'a Around,
+        reported: &'a ReportedLoad,
+        limits: &'a LimitedUpstreams,
+    ) -> Demand<'a> {
         let now = around.now;
         Demand {
             service: &self.request.service.name,
@@ -127,27 +193,45 @@
             overcommit: self.is_resuming(),
             reported,
             versions: &around.versions,
+            limits,
             now,
         }
     }
 
     /// The engine with the replica of the lost run, or the best of the others.
-    fn choose(
+    async fn pick(&self, around: &Around, reported: &ReportedLoad) -> Result<Picked, NoUpstream> {
+        let router = &self.router;
+        let search = PermitSearch::new(self.request.patience(around.now));
+        let choose = |limits: &LimitedUpstreams| {
+            let table = router.upstreams.borrow();
+            let demand = self.demand(around, reported, limits);
+            let replica = self.lost_replica();
+            pick(&table, &demand, replica, &mut router.rng.borrow_mut())
+        };
+        let limits = &router.upstream_limits;
+        limits
+            .offer(search, choose, |upstream| router.is_usable(upstream))
+            .await
+    }
+
+    /// What the attempt at a picked upstream carries.
+    fn with_extras(
         &mut self,
         around: &Around,
         reported: &ReportedLoad,
-    ) -> Result<(Upstream, SendExtras), NoUpstream> {
+        picked: Picked,
+    ) -> (Upstream, SendExtras) {
         let router = Rc::clone(&self.router);
-        // The engine with the replica runs others, too.
-        let lost_replica = self.replica.take().filter(|_| !self.is_apart());
-        let table = router.upstreams.borrow();
-        let demand = self.demand(around, reported);
-        let mut rng = router.rng.borrow_mut();
-        let (upstream, from_replica) = pick(&table, &demand, lost_replica.as_ref(), &mut rng)?;
+        let Picked {
+            upstream,
+            from_replica,
+        } = picked;
         let replica = self
             .replicates()
-            .then(|| choose_replica(&table, &demand, &upstream, &mut rng))
+            .then(|| self.choose_replica(around, reported, &upstream))
             .flatten();
+        // It goes with the lost run, whether it was used or not.
+        self.replica = None;
         let extras = self.extras(&upstream, replica, from_replica);
         let note = ChoiceNote {
             replica: extras.replica.as_ref(),
@@ -156,10 +240,24 @@
             apart: self.is_apart(),
             asked: reported.len(),
             reported: reported.of(UpstreamKey::of(&upstream.name)),
-            ..ChoiceNote::of(&self.attempts, around.now)
+            ..ChoiceNote::of(&self.attempts, router.now())
         };
-        log_choice(&router, &self.request, &table, &upstream, &note);
-        Ok((upstream, extras))
+        log_choice(&router, &self.request, &upstream, &note);
+        (upstream, extras)
+    }
+
+    fn choose_replica(
+        &self,
+        around: &Around,
+        reported: &ReportedLoad,
+        primary: &Upstream,
+    ) -> Option<Upstream> {
+        let router = &self.router;
+        let search = PermitSearch::new(Duration::ZERO);
+        let limits = router.upstream_limits.seen_by(&search);
+        let demand = self.demand(around, reported, &limits);
+        let table = router.upstreams.borrow();
+        choose_replica(&table, &demand, primary, &mut router.rng.borrow_mut())
     }
 
     /// Whether the request may be what ends upstreams, so that it is kept apart from others.
@@ -334,18 +432,37 @@
     }
 }
 
-/// The upstream of the next run, and whether it has the replica of the lost one.
+/// The upstream of the next run.
+struct Picked {
+    upstream: Upstream,
+    /// Whether it has the replica of the lost run.
+    from_replica: bool,
+}
+
+impl AsRef<Upstream> for Picked {
+    fn as_ref(&self) -> &Upstream {
+        &self.upstream
+    }
+}
+
 fn pick(
     table: &UpstreamTable,
     demand: &Demand<'_>,
     lost_replica: Option<&Replica>,
     rng: &mut fastrand::Rng,
-) -> Result<(Upstream, bool), NoUpstream> {
-    if let Some(engine) = usable_replica(table, demand.versions, lost_replica, demand.now) {
-        return Ok((engine, true));
+) -> Result<Picked, NoUpstream> {
+    let (versions, limits, now) = (demand.versions, demand.limits, demand.now);
+    if let Some(engine) = usable_replica(table, versions, limits, lost_replica, now) {
+        return Ok(Picked {
+            upstream: engine,
+            from_replica: true,
+        });
     }
     match choose_upstream(table, demand, rng) {
-        Choice::Upstream(upstream) => Ok((upstream, false)),
+        Choice::Upstream(upstream) => Ok(Picked {
+            upstream,
+            from_replica: false,
+        }),
         Choice::None(reason) => Err(reason),
     }
 }
--- /dev/null
+++ b/crates/router/cloverpier_router/src/upstream_limits/told.rs
@@ -0,0 +1,54 @@
+//! Which changes of a limit all peers are told at once.
+//!
+//! A limit that begins or ends concerns everybody. The rate itself matters to the limiter alone, which hears
+//! it with each ask, so that small changes are not sent to all.
+
+use cloverpier_router_policy::limit::{LimitChange, Rate};
+use cloverpier_router_policy::prelude::UpstreamKey;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// A rate that has changed by less than this part is not told.
+const MIN_CHANGE: f64 = 0.2;
+/// Changes of one upstream's rate are told once in this time.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// What peers were told last of each upstream's rate.
+#[derive(Debug, Default)]
+pub(super) struct ToldRates {
+    told: HashMap<UpstreamKey, (Rate, Instant)>,
+}
+
+impl ToldRates {
+    /// Whether all peers are told of a change; it counts as told then.
+    pub fn is_to_be_told(
+        &mut self,
+        upstream: UpstreamKey,
+        change: LimitChange,
+        now: Instant,
+    ) -> bool {
+        match change {
+            LimitChange::Nothing => false,
+            LimitChange::Begun(rate) => {
+                self.told.insert(upstream, (rate, now));
+                true
+            }
+            LimitChange::Ended(_) => {
+                self.told.remove(&upstream);
+                true
+            }
+            LimitChange::Changed { to, .. } => self.is_far(upstream, to, now),
+        }
+    }
+
+    fn is_far(&mut self, upstream: UpstreamKey, rate: Rate, now: Instant) -> bool {
+        if let Some((told, at)) = self.told.get(&upstream) {
+            let change = (rate.as_per_second() / told.as_per_second() - 1.0).abs();
+            if change < MIN_CHANGE || now.saturating_duration_since(*at) < PERIOD {
+                return false;
+            }
+        }
+        self.told.insert(upstream, (rate, now));
+        true
+    }
+}
--- a/crates/router/cloverpier_router/src/via.rs
+++ b/crates/router/cloverpier_router/src/via.rs
@@ -15,9 +15,9 @@
     CacheQuestion,
 }
 
-impl Via<'_> {
+impl<'a> Via<'a> {
     /// Its word in log lines.
-    pub fn word(&self) -> &'static str {
+    pub fn word(self) -> &'static str {
         match self {
             Self::Request(_) => "request",
             Self::Probe => "probe",
@@ -28,7 +28,7 @@
     }
 
     /// The request's id, if it was one.
-    pub fn request(&self) -> Option<&str> {
+    pub fn request(self) -> Option<&'a str> {
         match self {
             Self::Request(id) => Some(id),
             _ => None,
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -12,7 +12,10 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// How often it is looked whether a probe that waits for a permit was sent.
+const PROBE_WAIT_STEP: Duration = Duration::from_millis(100);
 
 /// An upstream that is waited for.
 pub(crate) struct Awaited<'a> {
@@ -79,6 +82,23 @@
     }
 }
 
+/// From when on an upstream may be probed, if that is not now: it wants nothing for a while, or a probe
+/// waits for a permit already.
+fn probed_again_at(
+    router: &Router,
+    upstream: &Upstream,
+    health: &UpstreamHealth,
+    now: Instant,
+) -> Option<Instant> {
+    if health.probe_waits.get() {
+        return Some(now + PROBE_WAIT_STEP);
+    }
+    router
+        .upstreams
+        .borrow()
+        .asked_again_at(&upstream.name, now)
+}
+
 /// Decides about an upstream from which nothing has arrived.
 fn next_step(
     awaited: &Awaited<'_>,
@@ -102,9 +122,7 @@
         return Err(AttemptFailure::LateSent);
     }
     let probing_since = health.probing_since.get();
-    let table = router.upstreams.borrow();
-    liveness.hold_probes_until(table.asked_again_at(&upstream.name, now));
-    drop(table);
+    liveness.hold_probes_until(probed_again_at(router, upstream, health, now));
     match liveness.step(health.last_activity.get(), probing_since, now) {
         LivenessStep::WaitUntil(at) => Ok(WaitStep::Until(at.min(*deadline))),
         LivenessStep::Probe => {
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -29,6 +29,7 @@
 
 use crate::load::Load;
 use crate::load_query::ReportedLoad;
+use crate::permit::LimitedUpstreams;
 use crate::rollout::VersionRule;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
 use crate::upstream_table::UpstreamTable;
@@ -36,7 +37,7 @@
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, rank};
 use cost::{best_pace, cost, has_capacity};
 use std::collections::HashSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Engines whose costs differ by less, in tokens, count as equal.
 const EQUAL_COST_TOKENS: f64 = 3_000.0;
@@ -75,6 +76,8 @@
     pub reported: &'a ReportedLoad,
     /// Which versions of the service's software may get it.
     pub versions: &'a VersionRule,
+    /// The upstreams that limit themselves.
+    pub limits: &'a LimitedUpstreams,
     /// The present moment.
     pub now: Instant,
 }
@@ -104,6 +107,11 @@
     NoneUsable,
     /// All that could take it want nothing for now.
     AllWait,
+    /// Those that could take it limit themselves, and there is no permit for it.
+    AllLimited {
+        /// After what time its caller should come back.
+        retry: Duration,
+    },
 }
 
 /// Chooses an upstream: the one that has read the prompt, else the one of lowest cost.
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -27,7 +27,8 @@
 /// The engines of a data centre die together, and the first that fails says so before three are
 /// suspected.
 ///
-/// One that wants nothing for now is in no group ([`cloverpier_core::wait`]).
+/// One that wants nothing for now is in no group ([`cloverpier_core::wait`]), and none for which there is
+/// no permit ([`crate::permit`]).
 ///
 /// A peer's suspicion is no proof. While upstreams lose a part of their answers by resets, some of many
 /// routers suspect each of them at any time; all requests would go to the few that nobody suspects.
@@ -40,7 +41,9 @@
         .sets(table.of_service(demand.service).collect());
     let suspect_data_centres = table.suspect_data_centres(demand.service, demand.now);
     let failed_data_centres = failed_data_centres(table, demand);
-    let untried = |s: &UpstreamState| !demand.tried.contains(&s.upstream.name);
+    let untried = |s: &UpstreamState| {
+        !demand.tried.contains(&s.upstream.name) && !demand.limits.is_withheld(s.key)
+    };
     let mut groups = Vec::new();
     for set in &sets {
         let usable = filtered(set, |s| s.is_usable(demand.now) && untried(s));
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -116,6 +116,7 @@
     pub use crate::load::{Load, PeerLoad};
     pub use crate::load_query::{EngineReport, ReportedLoad};
     pub use crate::peers::{PeerEntry, PeerState, PeerTable, ServiceKey};
+    pub use crate::permit::LimitedUpstreams;
     pub use crate::prompt_locations::{PromptKey, PromptLocations};
     pub use crate::replica::choose_replica;
     pub use crate::rollout::{OrderNews, Progress, RolloutOrder, RolloutView, Stage, VersionRule};
--- a/crates/router/cloverpier_router_policy/src/load_query.rs
+++ b/crates/router/cloverpier_router_policy/src/load_query.rs
@@ -97,7 +97,28 @@
     if is_known || demand.engine_memory.is_none() {
         return Vec::new();
     }
-    let by_cost = by_believed_cost(table, demand, rng);
-    let first = by_cost.into_iter().take(QUERIED_ENGINES);
+    // A question is a request, too.
+    let by_cost = by_believed_cost(table, demand, rng).into_iter();
+    let unlimited = by_cost.filter(|s| !demand.limits.is_limited(s.key));
+    let first = unlimited.take(QUERIED_ENGINES);
     first.map(|s| s.upstream.clone()).collect()
 }
+
+/// The engine that would be asked first and limits itself, so that it is offered the stream without a
+/// question; `None` where none is asked.
+///
+/// Else no stream would reach one where engines are asked, as those that answer come first.
+pub fn limited_in_place_of_a_query(
+    table: &UpstreamTable,
+    demand: &Demand<'_>,
+    peers: usize,
+    rng: &mut fastrand::Rng,
+) -> Option<Upstream> {
+    let is_known = reaches_all_peers(peers) || demand.prompt_location.is_some();
+    if is_known || demand.engine_memory.is_none() || !demand.limits.limits_any() {
+        return None;
+    }
+    let first = by_believed_cost(table, demand, rng).into_iter().next()?;
+    let is_limited = demand.limits.is_limited(first.key);
+    is_limited.then(|| first.upstream.clone())
+}
--- a/crates/router/cloverpier_router_policy/src/membership.rs
+++ b/crates/router/cloverpier_router_policy/src/membership.rs
@@ -168,6 +168,11 @@
         self.ring.len() - 1
     }
 
+    /// Number of routers that were declared dead within the last minute.
+    pub fn lost(&self) -> usize {
+        self.dead.len()
+    }
+
     /// Records a message from a router, with what it says of itself.
     pub fn on_message(&mut self, sender: MemberUpdate, now: Instant) -> Heard {
         if sender.router == self.own.router {
--- a/crates/router/cloverpier_router_policy/src/membership/roster.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/roster.rs
@@ -13,6 +13,11 @@
 }
 
 impl Roster {
+    /// Number of routers.
+    pub fn len(&self) -> usize {
+        self.routers.len()
+    }
+
     /// Adds a router.
     pub fn insert(&mut self, router: SocketAddr) {
         if !self.positions.contains_key(&router) {
--- a/crates/router/cloverpier_router_policy/src/peers.rs
+++ b/crates/router/cloverpier_router_policy/src/peers.rs
@@ -131,6 +131,19 @@
         1 + self.live(now, timeout).count()
     }
 
+    /// Number of routers that were heard within the last minute, did not say that they leave, and are
+    /// silent; those that were mentioned, too, where none was ever heard.
+    pub fn lost(&self, now: Instant, timeout: Duration) -> usize {
+        if self.peers.is_empty() {
+            return self.mentioned.len();
+        }
+        let is_lost = |p: &&PeerEntry| {
+            let silent = now.saturating_duration_since(p.last_heartbeat);
+            silent > timeout && p.state != PeerState::Leaving
+        };
+        self.peers.values().filter(is_lost).count()
+    }
+
     /// Use of a service's retry budget by all live peers together.
     pub fn budget_use(&self, service: ServiceKey, now: Instant, timeout: Duration) -> BudgetUse {
         let mut total = BudgetUse::default();
--- a/crates/router/cloverpier_router_policy/src/permit.rs
+++ b/crates/router/cloverpier_router_policy/src/permit.rs
@@ -24,7 +24,7 @@
 pub use bucket::{HandedOut, PermitBucket};
 pub use client::{ANSWER_TIMEOUT, PermitClient};
 pub use limiter::{Limiter, LimiterAnswer, LimiterMap, RouterPlace};
-pub use search::PermitSearch;
+pub use search::{PermitSearch, QUESTION_PATIENCE, patience};
 
 use crate::limit::{LimitChange, LimitReport, LimitStatement, StatedLimits, WrittenBetween};
 use crate::upstream::UpstreamKey;
@@ -127,6 +127,41 @@
     pub born_ms: Option<u64>,
 }
 
+/// The upstreams that limit themselves, as one choice sees them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LimitedUpstreams {
+    limited: Vec<UpstreamKey>,
+    withheld: Vec<UpstreamKey>,
+}
+
+impl LimitedUpstreams {
+    /// None does.
+    pub const NONE: Self = Self {
+        limited: Vec::new(),
+        withheld: Vec::new(),
+    };
+
+    /// Whether any does.
+    pub fn limits_any(&self) -> bool {
+        !self.limited.is_empty()
+    }
+
+    /// Whether an upstream limits itself.
+    pub fn is_limited(&self, upstream: UpstreamKey) -> bool {
+        self.limited.contains(&upstream)
+    }
+
+    /// Whether the choice leaves it out, as no permit can be had.
+    pub fn is_withheld(&self, upstream: UpstreamKey) -> bool {
+        self.withheld.contains(&upstream)
+    }
+
+    /// Whether the choice leaves any out.
+    pub fn withholds_any(&self) -> bool {
+        !self.withheld.is_empty()
+    }
+}
+
 /// What a router knows of limits and permits.
 #[derive(Clone, Debug)]
 pub struct Permits {
@@ -202,6 +237,17 @@
         }
     }
 
+    /// The upstreams that limit themselves, and those of them that a request is not offered to.
+    pub fn seen_by(&self, search: &PermitSearch, now: Instant) -> LimitedUpstreams {
+        let limited: Vec<UpstreamKey> = self.limits.limited(now).collect();
+        let withheld = limited.iter().copied();
+        let withheld = withheld.filter(|upstream| search.withholds(self, *upstream, now));
+        LimitedUpstreams {
+            withheld: withheld.collect(),
+            limited,
+        }
+    }
+
     /// Whether an upstream is left out of a choice in which there are others: no permit could be had of
     /// late.
     pub fn is_left_out(&self, upstream: UpstreamKey, now: Instant) -> bool {
@@ -339,14 +385,27 @@
         }
     }
 
-    /// Records that a limiter did not answer in time; returns whether it is passed over from now on.
+    /// Records that a limiter did not answer a request's ask in time; returns whether it is passed over
+    /// from now on.
     pub fn on_unanswered(
         &mut self,
         upstream: UpstreamKey,
         limiter: SocketAddr,
         now: Instant,
     ) -> bool {
-        self.client.on_unanswered(upstream, limiter, now)
+        self.client.leave_out(upstream, now);
+        self.client.on_silence(limiter, now)
+    }
+
+    /// Records that a limiter did not answer whether it is there; returns whether it is passed over from
+    /// now on.
+    pub fn on_silence(&mut self, limiter: SocketAddr, now: Instant) -> bool {
+        self.client.on_silence(limiter, now)
+    }
+
+    /// Records that a limiter answered whether it is there.
+    pub fn on_speaking(&mut self, limiter: SocketAddr) {
+        self.client.on_speaking(limiter);
     }
 
     /// The routers that are passed over and whether they answer by now is to be asked, once a period.
--- a/crates/router/cloverpier_router_policy/src/permit/client.rs
+++ b/crates/router/cloverpier_router_policy/src/permit/client.rs
@@ -87,13 +87,8 @@
         self.refusals.insert(upstream, last);
     }
 
-    /// Records that a router did not answer an ask; returns whether it is passed over from now on.
-    pub fn on_unanswered(
-        &mut self,
-        upstream: UpstreamKey,
-        limiter: SocketAddr,
-        now: Instant,
-    ) -> bool {
+    /// Leaves an upstream out for a moment, as nobody has answered an ask for it.
+    pub fn leave_out(&mut self, upstream: UpstreamKey, now: Instant) {
         let refusal = PermitRefusal {
             next: Duration::ZERO,
             retry: UNANSWERED_PAUSE,
@@ -106,6 +101,10 @@
             left_out_until: now + UNANSWERED_PAUSE,
         };
         self.refusals.insert(upstream, last);
+    }
+
+    /// Records that a router did not answer; returns whether it is passed over from now on.
+    pub fn on_silence(&mut self, limiter: SocketAddr, now: Instant) -> bool {
         let unanswered = self.unanswered.entry(limiter).or_default();
         *unanswered += 1;
         let is_silent = *unanswered >= MAX_UNANSWERED;
--- a/crates/router/cloverpier_router_policy/src/permit/search.rs
+++ b/crates/router/cloverpier_router_policy/src/permit/search.rs
@@ -7,6 +7,23 @@
 use crate::upstream::UpstreamKey;
 use std::time::{Duration, Instant};
 
+/// Part of its objective that a request of the highest rank waits for a permit at most; one of the next
+/// rank half of that, and so on, so that permits go to the more urgent where they are few.
+const PATIENCE: f64 = 0.25;
+/// And no more than this part of the time that it has left.
+const TIME_LEFT_SHARE: f64 = 0.25;
+
+/// How long a probe or a check of an upstream waits for a permit: longer than most requests, as it finds
+/// out whether the upstream lives.
+pub const QUESTION_PATIENCE: Duration = Duration::from_millis(500);
+
+/// How long a request waits for a permit where nobody else takes it: its rank, 0 the highest, the time
+/// within which its answer is in time, and the time that it has left.
+pub fn patience(rank: u8, objective: Duration, time_left: Duration) -> Duration {
+    let of_objective = objective.mul_f64(PATIENCE / f64::from(u16::from(rank) + 1));
+    of_objective.min(time_left.mul_f64(TIME_LEFT_SHARE))
+}
+
 /// Limiters that are asked for one request before others get it, and again where nobody else is left.
 const MAX_ASKS: usize = 2;
 
--- a/crates/router/cloverpier_router_policy/src/refusal.rs
+++ b/crates/router/cloverpier_router_policy/src/refusal.rs
@@ -3,7 +3,7 @@
 //! - **Question.** A request was refused and has not run: after what time is it worth
 //!   sending again?
 //! - **Inputs.** Why it was refused; for a request that was tried, its route's objective, or the time
-//!   for which all upstreams of its service want nothing.
+//!   for which all upstreams of its service want nothing, or its turn where they limit themselves.
 //! - **Answer.** A duration, which callers get as `Retry-After`.
 //! - **Why.** The request is refused at once, never held. Coming back too soon meets the
 //!   same state; too late misses the objective, the time within which an answer counts.
@@ -46,6 +46,11 @@
         /// After what time the first of them may be asked again.
         wait: Duration,
     },
+    /// All upstreams of the service limit themselves.
+    UpstreamsLimited {
+        /// When it is this caller's turn, after those that were refused before.
+        turn: Duration,
+    },
 }
 
 /// The time after which the caller should retry.
@@ -60,5 +65,6 @@
         }
         // Earlier than that nobody serves the request, however short its objective is.
         Refusal::UpstreamsWait { wait } => wait.max(MIN_WAIT),
+        Refusal::UpstreamsLimited { turn } => turn.max(MIN_WAIT),
     }
 }
--- a/crates/router/cloverpier_router_policy/src/replica.rs
+++ b/crates/router/cloverpier_router_policy/src/replica.rs
@@ -10,6 +10,7 @@
 //!   all chose it they would fill it, and it would let replicas go.
 
 use crate::choice::{Demand, filtered, fits, known_load};
+use crate::permit::LimitedUpstreams;
 use crate::rollout::VersionRule;
 use crate::upstream::{StartNumber, Upstream, UpstreamState};
 use crate::upstream_table::UpstreamTable;
@@ -55,11 +56,15 @@
 pub fn usable_replica(
     table: &UpstreamTable,
     versions: &VersionRule,
+    limits: &LimitedUpstreams,
     replica: Option<&Replica>,
     now: Instant,
 ) -> Option<Upstream> {
     let replica = replica?;
     let state = table.get(&replica.engine.name)?;
+    if limits.is_withheld(state.key) {
+        return None;
+    }
     let is_kept = state.is_usable(now) && replica.start == Some(state.start());
     let is_allowed = !versions.bars(state.upstream.version());
     (is_kept && is_allowed).then(|| replica.engine.clone())
@@ -80,6 +85,8 @@
         .filter(|s| s.is_usable(demand.now) && s.upstream.name != primary.name)
         .filter(|s| !s.is_suspected_by_peer(demand.now))
         .filter(|s| demand.versions.takes_replica(s))
+        // What is copied there is work that it did not ask for.
+        .filter(|s| !demand.limits.is_limited(s.key))
         .filter(|s| fits(table, demand, s, memory))
         .collect();
     let suspect_data_centres = table.suspect_data_centres(demand.service, demand.now);
--- a/crates/router/cloverpier_router_policy/tests/later_attempts.rs
+++ b/crates/router/cloverpier_router_policy/tests/later_attempts.rs
@@ -78,6 +78,7 @@
         overcommit: false,
         reported: &ReportedLoad::default(),
         versions: &VersionRule::ANY,
+        limits: &LimitedUpstreams::NONE,
         now,
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(prompt)) {
--- a/crates/router/cloverpier_router_policy/tests/leaving.rs
+++ b/crates/router/cloverpier_router_policy/tests/leaving.rs
@@ -54,6 +54,7 @@
         overcommit: false,
         reported: &ReportedLoad::default(),
         versions: &VersionRule::ANY,
+        limits: &LimitedUpstreams::NONE,
         now,
     };
     let choices = (0..100).filter_map(|_| match choose_upstream(table, &demand, &mut rng) {
--- a/crates/router/cloverpier_router_policy/tests/load_query.rs
+++ b/crates/router/cloverpier_router_policy/tests/load_query.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 static ANY_VERSION: VersionRule = VersionRule::ANY;
+static UNLIMITED: LimitedUpstreams = LimitedUpstreams::NONE;
 
 const ENGINES: u16 = 60;
 /// More than a change reaches.
@@ -69,6 +70,7 @@
             overcommit: false,
             reported,
             versions: &ANY_VERSION,
+            limits: &UNLIMITED,
             now: self.now,
         }
     }
--- a/crates/router/cloverpier_router_policy/tests/placement/world.rs
+++ b/crates/router/cloverpier_router_policy/tests/placement/world.rs
@@ -188,6 +188,7 @@
             overcommit: false,
             reported: &not_asked,
             versions: &VersionRule::ANY,
+            limits: &LimitedUpstreams::NONE,
             now,
         };
         let table = &self.routers[router].table;
--- a/crates/router/cloverpier_router_policy/tests/upstreams.rs
+++ b/crates/router/cloverpier_router_policy/tests/upstreams.rs
@@ -9,6 +9,7 @@
 
 const SERVICE: &str = "lookups";
 static ANY_VERSION: VersionRule = VersionRule::ANY;
+static UNLIMITED: LimitedUpstreams = LimitedUpstreams::NONE;
 static NOT_ASKED: LazyLock<ReportedLoad> = LazyLock::new(ReportedLoad::default);
 
 fn upstream(name: &str, port: u16) -> Upstream {
@@ -55,6 +56,7 @@
         overcommit: false,
         reported: &NOT_ASKED,
         versions: &ANY_VERSION,
+        limits: &UNLIMITED,
         now,
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(1)) {
@@ -201,6 +203,7 @@
         overcommit: false,
         reported: &NOT_ASKED,
         versions: &ANY_VERSION,
+        limits: &UNLIMITED,
         now: Instant::now(),
     };
     match choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(seed)) {
@@ -320,6 +323,7 @@
         overcommit: false,
         reported: &NOT_ASKED,
         versions: &ANY_VERSION,
+        limits: &UNLIMITED,
         now,
     }
 }
--- a/crates/router/cloverpier_router_policy/tests/wait.rs
+++ b/crates/router/cloverpier_router_policy/tests/wait.rs
@@ -49,6 +49,7 @@
         overcommit: false,
         reported: &ReportedLoad::default(),
         versions: &VersionRule::ANY,
+        limits: &LimitedUpstreams::NONE,
         now,
     };
     choose_upstream(table, &demand, &mut fastrand::Rng::with_seed(1))
@@ -85,7 +86,16 @@
     let engine = table.get(&"a".into()).unwrap().upstream.clone();
     let replica = Replica::begin(&table, engine);
     table.on_wait(&"a".into(), WAIT, now);
-    let usable = |now| usable_replica(&table, &VersionRule::ANY, Some(&replica), now).is_some();
+    let usable = |now| {
+        usable_replica(
+            &table,
+            &VersionRule::ANY,
+            &LimitedUpstreams::NONE,
+            Some(&replica),
+            now,
+        )
+        .is_some()
+    };
     assert!(!usable(now));
     assert!(usable(now + WAIT));
 }
--- a/tools/src/crash_play/requests.rs
+++ b/tools/src/crash_play/requests.rs
@@ -185,6 +185,7 @@
             overcommit: false,
             reported: &ReportedLoad::default(),
             versions: &VersionRule::default(),
+            limits: &LimitedUpstreams::NONE,
             now,
         };
         match choose_upstream(&self.table, &demand, &mut self.rng) {
--- a/tools/src/rollout_play/requests.rs
+++ b/tools/src/rollout_play/requests.rs
@@ -86,6 +86,7 @@
             overcommit: true,
             reported: &reported,
             versions: rule,
+            limits: &LimitedUpstreams::NONE,
             now: self.at(self.now),
         };
         match choose_upstream(&self.table, &demand, &mut self.rng) {
--- a/tools/src/statement_play/requests.rs
+++ b/tools/src/statement_play/requests.rs
@@ -65,6 +65,7 @@
             overcommit: false,
             reported: &ReportedLoad::default(),
             versions: &VersionRule::ANY,
+            limits: &LimitedUpstreams::NONE,
             now: self.base + self.now,
         };
         let chosen = choose_upstream(&self.routers[router].table, &demand, &mut self.rng);
