--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -186,9 +186,12 @@
         lock(&self.state).asks_to_wait = wait;
     }
 
-    /// Has it name a limit in all its answers, in requests a second; `None` ends that.
+    /// Has it name a limit in all its answers, in requests a second, and turn requests away that lie far
+    /// beyond it; `None` ends that.
     pub fn limit(&self, per_second: Option<f64>) {
-        lock(&self.state).limit = per_second;
+        let mut state = lock(&self.state);
+        state.recent.clear();
+        state.limit = per_second;
     }
 
     /// Sets how long it works on a request before it answers.
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -179,6 +179,9 @@
         return Some((503, vec![not_run, wait]));
     }
     let refused = Some((503, vec![not_run]));
+    if state.is_beyond_limit() {
+        return refused;
+    }
     if state.script.first() == Some(&Fault::Refuse) {
         state.script.remove(0);
         return refused;
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -7,9 +7,17 @@
 use cloverpier_core::lock;
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::Upstream;
+use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+/// An upstream turns requests away beyond its limit in so long, and so many more.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// As above.
+const LIMIT_LEEWAY: f64 = 5.0;
+/// Arrivals that are remembered; more than any limit of a test allows in the window.
+const MOST_RECENT: usize = 4_096;
+
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) upstream: Upstream,
@@ -33,6 +41,8 @@
     pub(super) asks_to_wait: Option<Duration>,
     /// The requests a second that it names as its limit in all its answers.
     pub(super) limit: Option<f64>,
+    /// What has reached it of late, while it names a limit.
+    pub(super) recent: VecDeque<Instant>,
     /// How long it works on a request before it answers.
     pub(super) work: Duration,
     pub(super) rng: fastrand::Rng,
@@ -77,7 +87,24 @@
         lock(&self.ledger).statements.push(statement);
     }
 
-    pub(super) fn note_arrival(&self, id: Option<&str>) {
+    /// Whether more has reached it of late than its limit allows, a few beyond it.
+    pub(super) fn is_beyond_limit(&self) -> bool {
+        let Some(per_second) = self.limit else {
+            return false;
+        };
+        let now = Instant::now();
+        let of_window = self.recent.iter().rev();
+        let of_window = of_window.take_while(|at| now.duration_since(**at) < LIMIT_WINDOW);
+        of_window.count() as f64 > per_second * LIMIT_WINDOW.as_secs_f64() + LIMIT_LEEWAY
+    }
+
+    pub(super) fn note_arrival(&mut self, id: Option<&str>) {
+        if self.limit.is_some() {
+            self.recent.push_back(Instant::now());
+            if self.recent.len() > MOST_RECENT {
+                self.recent.pop_front();
+            }
+        }
         let arrival = Arrival {
             at: Instant::now(),
             id: id.map(str::to_owned),
@@ -108,6 +135,7 @@
             leaves: false,
             asks_to_wait: None,
             limit: None,
+            recent: VecDeque::new(),
             work: Duration::ZERO,
             rng: fastrand::Rng::with_seed(spec.seed),
             crashed_by: spec.crashed_by,
--- a/tools/src/bin/soak.rs
+++ b/tools/src/bin/soak.rs
@@ -28,6 +28,9 @@
     /// have no upstream say that it leaves or wants nothing, as the kept seeds do
     #[argh(switch, long = "without-statements")]
     without_statements: bool,
+    /// have no upstream limit itself, as the kept seeds do
+    #[argh(switch, long = "without-limits")]
+    without_limits: bool,
     /// routers at most, each a process (24)
     #[argh(option, long = "most-fronts", default = "24")]
     most_routers: usize,
@@ -90,6 +93,7 @@
         program: None,
         with_versions: !args.without_versions,
         with_statements: !args.without_statements,
+        with_limits: !args.without_limits,
     };
     run_soak(&spec).await
 }
--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -5,12 +5,15 @@
 
 mod checks;
 mod inject;
+mod limits;
 mod load;
 mod plan;
 mod statements;
 
 pub use checks::{Report, Violation};
-pub use plan::{Action, Injection, Size, draw_injections, draw_statements, draw_versions};
+pub use plan::{
+    Action, Injection, Size, draw_injections, draw_limits, draw_statements, draw_versions,
+};
 
 use crate::process::bin_dir;
 use crate::router_site::{Site, SiteSpec};
@@ -44,6 +47,8 @@
     pub with_versions: bool,
     /// Whether upstreams say in their answers that they leave or want nothing.
     pub with_statements: bool,
+    /// Whether upstreams name in their answers how many requests they take.
+    pub with_limits: bool,
 }
 
 /// Sets the random numbers of roll-outs and starts apart from those of the other harms.
@@ -52,6 +57,9 @@
 /// Sets those of what upstreams say of themselves apart, too.
 const STATEMENTS_SEED: u64 = 0x7361_6964;
 
+/// And those of the limits that they name.
+const LIMITS_SEED: u64 = 0x6c69_6d69;
+
 /// When upstreams say that their first start was, as a Unix time in milliseconds.
 const FIRST_BORN_MS: u64 = 1_790_000_000_000;
 
@@ -77,6 +85,10 @@
         let mut rng = fastrand::Rng::with_seed(spec.seed ^ STATEMENTS_SEED);
         injections.extend(draw_statements(&mut rng, size, spec.length));
     }
+    if spec.with_limits {
+        let mut rng = fastrand::Rng::with_seed(spec.seed ^ LIMITS_SEED);
+        injections.extend(draw_limits(&mut rng, size, spec.length));
+    }
     injections.sort_by_key(|injection| injection.at);
     let mut site = Site::start(site_spec(spec, size, &dir)?).await?;
     let mut report = Report::new(spec.seed, size, dir);
@@ -92,6 +104,7 @@
     checks::check_requests(&site, &sent, &disturbed, &mut report);
     checks::check_exposure(&site, &mut report);
     statements::check_statements(&site, &sent, &injections, &disturbed, &mut report);
+    limits::check_limits(&site, &mut report);
     Ok(report)
 }
 
--- a/tools/src/soak/inject.rs
+++ b/tools/src/soak/inject.rs
@@ -138,6 +138,9 @@
         Action::AskToWait(upstream, wait) => {
             site.upstreams[*upstream].stand_in.ask_to_wait(Some(*wait));
         }
+        Action::Limit(upstream, per_second) => {
+            site.upstreams[*upstream].stand_in.limit(Some(*per_second));
+        }
         Action::HarmUpstreamLink(upstream, harm) => site.upstreams[*upstream].link.set_harm(*harm),
         Action::ResetConnections(upstream) => site.upstreams[*upstream].link.cut_connections(),
         Action::UpstreamFault(upstream, fault) => {
@@ -257,6 +260,7 @@
             site.restart_upstream(*upstream).await?;
         }
         Action::AskToWait(upstream, _) => site.upstreams[*upstream].stand_in.ask_to_wait(None),
+        Action::Limit(upstream, _) => site.upstreams[*upstream].stand_in.limit(None),
         Action::StartAgain(upstream) => site.start_upstream_again(*upstream).await?,
         Action::HarmUpstreamLink(upstream, _) => {
             site.upstreams[*upstream].link.set_harm(Harm::None);
@@ -317,6 +321,7 @@
         upstream.link.set_harm(Harm::None);
         upstream.stand_in.set_random_fault(None);
         upstream.stand_in.ask_to_wait(None);
+        upstream.stand_in.limit(None);
     }
     Ok(())
 }
--- a/tools/src/soak/plan.rs
+++ b/tools/src/soak/plan.rs
@@ -77,6 +77,8 @@
     Leave(usize),
     /// An upstream turns requests away and says for how long it wants nothing.
     AskToWait(usize, Duration),
+    /// An upstream names a limit of so many requests a second.
+    Limit(usize, f64),
     /// Upstreams of another version are added, and their service is ordered to move to them.
     RollOut(RolloutPlan),
 }
@@ -113,6 +115,7 @@
             Self::StartAgain(_) => "upstream started again",
             Self::Leave(_) => "upstream left",
             Self::AskToWait(..) => "upstream wanted nothing",
+            Self::Limit(..) => "upstream limited itself",
             Self::RollOut(_) => "version rolled out",
         }
     }
@@ -193,6 +196,23 @@
     injections
 }
 
+/// Draws limits that upstreams name, from random numbers of its own likewise. Each lasts to the end.
+pub fn draw_limits(rng: &mut fastrand::Rng, size: Size, length: Duration) -> Vec<Injection> {
+    let upstreams = size.engines + size.plain;
+    let mut injections = Vec::new();
+    for _ in 0..rng.usize(1..=3) {
+        let upstream = rng.usize(..upstreams);
+        let per_second = 0.5 + rng.f64() * 4.0;
+        injections.push(Injection {
+            at: length.mul_f64(rng.f64() / 3.0),
+            // Some end and others do not.
+            lasts: length.mul_f64(0.5 + rng.f64()),
+            action: Action::Limit(upstream, per_second),
+        });
+    }
+    injections
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: Size) -> Action {
     let router = rng.usize(..size.routers);
     let upstream = rng.usize(..size.engines + size.plain);
