Have a stand-in engine that fails answer with its failure

An engine's stand-in that was to fail a request streamed it well, as only the plain answer knew that fault; the routers rightly found nothing against the version and completed its roll-out. The check stays as it is, and meets failing engines now, in fault injections too.

--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -83,7 +83,8 @@
         std::future::pending::<()>().await;
     }
     match &asked.prompt {
-        Some(prompt) => {
+        // A failure of its own is no stream.
+        Some(prompt) if asked.fault != Some(Fault::Fail) => {
             let streamed = stream_events(stream, &asked, prompt).await;
             if streamed.is_err() {
                 let ledger = Arc::clone(&lock(state).ledger);
@@ -91,7 +92,7 @@
             }
             streamed
         }
-        None => answer_plainly(stream, &asked).await,
+        _ => answer_plainly(stream, &asked).await,
     }
 }
 
