Log and tell changes of a limit that matter, with their age

A rate that changes a little with each answer would be a line and a datagram to all for each; a change under a fifth, or within half a second of the one before, goes to the limiter alone, with the asks.

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -252,6 +252,8 @@
     pub request: Option<&'a str>,
     /// The peer that said so.
     pub peer: Option<String>,
+    /// How long ago the first router heard it.
+    pub age_ms: u32,
     /// The router that hands out permits for it, as far as this one knows.
     pub limiter: Option<String>,
 }
--- a/crates/router/cloverpier_router/src/upstream_limits/limiter.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/limiter.rs
@@ -12,6 +12,9 @@
     /// Answers another router's ask. One that this router is not the limiter for leads to the question
     /// whether the limiter answers: the other router may have found that it does not.
     pub fn on_ask(self: &Rc<Self>, ask: &LimitAsk, state: Option<&UpstreamState>) {
+        if let Some(report) = &ask.request.limit {
+            self.on_report(report, state, ask.sender);
+        }
         let now = self.parts.timers.now();
         let place = state.map(|state| LimitedUpstream {
             born_ms: state.born_ms(),
--- a/crates/router/cloverpier_router/src/upstream_limits/told.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/told.rs
@@ -1,7 +1,7 @@
-//! Which changes of a limit all peers are told at once.
+//! Which changes of a limit are logged, and told to all peers at once.
 //!
 //! A limit that begins or ends concerns everybody. The rate itself matters to the limiter alone, which hears
-//! it with each ask, so that small changes are not sent to all.
+//! it with each ask, so that small changes are not sent to all. Owns the rates that were told last.
 
 use cloverpier_router_policy::limit::{LimitChange, Rate};
 use cloverpier_router_policy::prelude::UpstreamKey;
@@ -13,15 +13,15 @@
 /// Changes of one upstream's rate are told once in this time.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// What peers were told last of each upstream's rate.
+/// The rate of each upstream that was told or heard last.
 #[derive(Debug, Default)]
 pub(super) struct ToldRates {
     told: HashMap<UpstreamKey, (Rate, Instant)>,
 }
 
 impl ToldRates {
-    /// Whether all peers are told of a change; it counts as told then.
-    pub fn is_to_be_told(
+    /// Whether a change is worth telling; it counts as told then.
+    pub fn is_worth_telling(
         &mut self,
         upstream: UpstreamKey,
         change: LimitChange,
--- a/crates/router/cloverpier_router_policy/tests/limit.rs
+++ b/crates/router/cloverpier_router_policy/tests/limit.rs
@@ -95,6 +95,117 @@
     assert_eq!(rate_of(&limits, start), None);
 }
 
+#[test]
+fn what_is_sent_rises_by_steps_after_the_end_of_a_limit() {
+    let (mut limits, start) = (StatedLimits::default(), Instant::now());
+    name(&mut limits, 2.0, written(start, 0, 10));
+    let end = written(start, 10, 20);
+    name_none(&mut limits, end);
+    let after = |seconds| limits.rate(UPSTREAM, end.heard + Duration::from_secs(seconds));
+    assert_eq!(after(0), Some(rate(2.0)));
+    assert_eq!(after(1), Some(rate(8.0)));
+    assert_eq!(after(2), Some(rate(32.0)));
+    assert_eq!(after(3), None);
+}
+
+#[test]
+fn what_is_sent_rises_by_steps_to_a_higher_limit_and_falls_to_a_lower_at_once() {
+    let (mut limits, start) = (StatedLimits::default(), Instant::now());
+    name(&mut limits, 2.0, written(start, 0, 10));
+    let higher = written(start, 10, 20);
+    name(&mut limits, 20.0, higher);
+    let after =
+        |limits: &StatedLimits, ms| limits.rate(UPSTREAM, higher.heard + Duration::from_millis(ms));
+    assert_eq!(after(&limits, 0), Some(rate(2.0)));
+    assert_eq!(after(&limits, 1_000), Some(rate(8.0)));
+    assert_eq!(after(&limits, 2_000), Some(rate(20.0)));
+    name(&mut limits, 1.0, written(start, 3_000, 3_020));
+    assert_eq!(after(&limits, 3_000), Some(rate(1.0)));
+}
+
+#[test]
+fn a_limit_that_begins_again_after_its_end_holds_at_once() {
+    let (mut limits, start) = (StatedLimits::default(), Instant::now());
+    name(&mut limits, 2.0, written(start, 0, 10));
+    name_none(&mut limits, written(start, 10, 20));
+    let again = written(start, 1_000, 1_010);
+    assert_eq!(name(&mut limits, 3.0, again), LimitChange::Begun(rate(3.0)));
+    assert_eq!(limits.rate(UPSTREAM, again.heard), Some(rate(3.0)));
+}
+
+/// What one router knows, as another one has it that hears of it so many ms later.
+fn told(from: &StatedLimits, to: &mut StatedLimits, at: Instant) -> LimitChange {
+    let report = from.report(UPSTREAM, None, at).unwrap();
+    to.on_report(&report, None, at + Duration::from_millis(2))
+}
+
+#[test]
+fn a_peer_learns_that_a_limit_begins_and_ends() {
+    let (mut one, mut other) = (StatedLimits::default(), StatedLimits::default());
+    let start = Instant::now() + LONG_AFTER;
+    name(&mut one, 2.0, written(start, 0, 10));
+    let at = |ms| start + Duration::from_millis(ms);
+    assert_eq!(
+        told(&one, &mut other, at(10)),
+        LimitChange::Begun(rate(2.0))
+    );
+    assert_eq!(told(&one, &mut other, at(11)), LimitChange::Nothing);
+    name_none(&mut one, written(start, 500, 510));
+    assert_eq!(
+        told(&one, &mut other, at(510)),
+        LimitChange::Ended(rate(2.0))
+    );
+}
+
+#[test]
+fn a_report_of_before_the_end_does_not_begin_a_limit_again() {
+    let (mut one, mut other) = (StatedLimits::default(), StatedLimits::default());
+    let start = Instant::now() + LONG_AFTER;
+    name(&mut one, 2.0, written(start, 0, 10));
+    name(&mut other, 2.0, written(start, 0, 12));
+    name_none(&mut other, written(start, 500, 510));
+    // One has not heard of the end yet, and repeats what it knows.
+    let at = start + Duration::from_millis(700);
+    assert_eq!(told(&one, &mut other, at), LimitChange::Nothing);
+    assert_eq!(rate_of(&other, start), None);
+}
+
+#[test]
+fn a_report_whose_way_may_have_taken_long_does_not_end_a_limit() {
+    let (mut one, mut other) = (StatedLimits::default(), StatedLimits::default());
+    let start = Instant::now() + LONG_AFTER;
+    name(&mut one, 2.0, written(start, 0, 10));
+    name_none(&mut one, written(start, 20, 30));
+    // By then the upstream may have named it again.
+    name(&mut other, 2.0, written(start, 10, 40));
+    let at = start + Duration::from_millis(30);
+    assert_eq!(told(&one, &mut other, at), LimitChange::Nothing);
+    assert_eq!(rate_of(&other, start), Some(rate(2.0)));
+}
+
+#[test]
+fn a_report_of_another_start_says_nothing() {
+    let mut one = StatedLimits::default();
+    let start = Instant::now() + LONG_AFTER;
+    name(&mut one, 2.0, written(start, 0, 10));
+    let report = one.report(UPSTREAM, Some(1), start).unwrap();
+    let mut other = StatedLimits::default();
+    assert_eq!(
+        other.on_report(&report, Some(2), start),
+        LimitChange::Nothing
+    );
+    assert_eq!(
+        other.on_report(&report, Some(1), start),
+        LimitChange::Begun(rate(2.0))
+    );
+}
+
+#[test]
+fn rates_of_peers_are_brought_within_what_counts() {
+    assert_eq!(Rate::from(0).interval(), Duration::from_secs(10));
+    assert_eq!(Rate::from(u64::MAX), rate(1_000_000.0));
+}
+
 #[test]
 fn a_rate_is_a_number_of_requests_that_somebody_can_mean() {
     assert_eq!(rate(1.5).as_per_second(), 1.5);
--- a/crates/router/cloverpier_router_policy/tests/permit.rs
+++ b/crates/router/cloverpier_router_policy/tests/permit.rs
@@ -3,8 +3,8 @@
 use cloverpier_core::DataCentre;
 use cloverpier_router_policy::limit::{LimitStatement, Rate, WrittenBetween};
 use cloverpier_router_policy::permit::{
-    HandedOut, LimitedUpstream, LimiterMap, PermitAsk, PermitBucket, PermitReply, PermitRequest,
-    PermitSearch, Permits, RouterPlace, Want, is_usable,
+    HandedOut, LimitedUpstream, LimiterMap, PermitAsk, PermitBucket, PermitRefusal, PermitReply,
+    PermitRequest, PermitSearch, Permits, RouterPlace, Want, is_usable, patience,
 };
 use cloverpier_router_policy::prelude::UpstreamKey;
 use std::net::SocketAddr;
@@ -306,3 +306,53 @@
     assert!(is_usable(due, due + Duration::from_millis(50)));
     assert!(!is_usable(due, due + Duration::from_secs(2)));
 }
+
+#[test]
+fn the_more_urgent_a_request_is_the_longer_it_waits() {
+    let left = Duration::from_secs(1);
+    let objective = Duration::from_millis(160);
+    assert_eq!(patience(0, objective, left), Duration::from_millis(40));
+    assert_eq!(patience(1, objective, left), Duration::from_millis(20));
+    // One whose time is almost over does not wait it away.
+    let short = Duration::from_millis(40);
+    assert_eq!(patience(0, objective, short), Duration::from_millis(10));
+}
+
+#[test]
+fn a_refused_request_is_refused_again_without_an_ask_until_there_may_be_a_permit() {
+    let limiter = limiter_of_four();
+    let other = (1..=4).find(|n| *n != limiter).unwrap();
+    let mut known = Known::new(other, &[1, 2, 3, 4], 2.0);
+    let reply = PermitReply {
+        number: 1,
+        upstream: UPSTREAM,
+        handed_out: Some(HandedOut {
+            waits: Vec::new(),
+            refusal: Some(PermitRefusal {
+                next: Duration::from_millis(400),
+                retry: Duration::from_millis(900),
+                turn: Duration::from_millis(1_500),
+            }),
+        }),
+        limit: None,
+    };
+    let mut rng = fastrand::Rng::with_seed(1);
+    let now = known.now;
+    let asked = router(limiter);
+    known.permits.on_reply(asked, &reply, None, &mut rng, now);
+    assert!(known.permits.is_left_out(UPSTREAM, now));
+    let retry_of = |known: &mut Known| match known.want(NO_WAIT) {
+        Want::Refused { retry } => retry,
+        want => panic!("{want:?}"),
+    };
+    // Each of those that are refused here comes back in a turn of its own.
+    let first = retry_of(&mut known);
+    let second = retry_of(&mut known);
+    assert_eq!(first, Duration::from_millis(900 + 1_500));
+    assert_eq!(second - first, Duration::from_millis(1_500));
+    // One that can wait until then asks.
+    let patient = Duration::from_millis(450);
+    assert_eq!(known.want(patient), Want::Ask(asked));
+    known.now += Duration::from_millis(400);
+    assert_eq!(known.want(NO_WAIT), Want::Ask(asked));
+}
