--- a/crates/router/cloverpier_router_policy/src/permit/client.rs
+++ b/crates/router/cloverpier_router_policy/src/permit/client.rs
@@ -103,16 +103,18 @@
         self.refusals.insert(upstream, last);
     }
 
-    /// Records that a router did not answer; returns whether it is passed over from now on.
+    /// Records that a router did not answer; returns whether it is passed over from now on and was not
+    /// before.
     pub fn on_silence(&mut self, limiter: SocketAddr, now: Instant) -> bool {
         let unanswered = self.unanswered.entry(limiter).or_default();
         *unanswered += 1;
-        let is_silent = *unanswered >= MAX_UNANSWERED;
-        if is_silent {
-            *unanswered = 0;
-            self.silent.insert(limiter, now);
+        if *unanswered < MAX_UNANSWERED {
+            return false;
         }
-        is_silent
+        *unanswered = 0;
+        let was_silent = self.is_silent(limiter, now);
+        self.silent.insert(limiter, now);
+        !was_silent
     }
 
     /// Records a message of a router that only those send that hand out permits.
--- a/crates/router/cloverpier_router_policy/tests/permit.rs
+++ b/crates/router/cloverpier_router_policy/tests/permit.rs
@@ -138,6 +138,16 @@
     assert!((37..=44).contains(&handed_out), "{handed_out}");
 }
 
+#[test]
+fn after_a_calm_minute_no_more_than_a_small_burst_is_handed_out_at_once() {
+    let limiter = limiter_of_four();
+    let mut known = Known::new(limiter, &[1, 2, 3, 4], 2.0);
+    known.asked(1, NO_WAIT);
+    known.live_for(limiter, &[1, 2, 3, 4], 0, 60 * HOLD);
+    // With what is handed out in the rest of a window, less than five beyond the rate.
+    assert_eq!(granted(&known.asked(20, NO_WAIT)), 4);
+}
+
 #[test]
 fn another_router_hands_out_nothing() {
     let limiter = limiter_of_four();
