Probe an upstream again whose probe was reset

What callers saw: a request that crashes engines ended 6, 8 and 11 of them, with the streams of others, where three stop it. Cause: a process that ends closes its connections before its port, so that the probe which follows the break can be taken and reset. Such a probe said nothing, as silence does, and was not repeated; the attempt was dropped after 1.5 s, and the end counted against nobody. Class: the lack of a proof taken for the proof of the opposite.

A probe whose connection breaks is repeated after 40 ms until it is refused, answered or silent, a second at most; each takes its permit and the leave of an upstream that wants nothing.

--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -9,7 +9,7 @@
 use crate::crashes;
 use crate::decision_log::{ms, ms_since};
 use crate::health::UpstreamHealth;
-use crate::http_client::HttpClient;
+use crate::http_client::{CallError, HttpClient};
 use crate::router::Router;
 use crate::statements::Call;
 use crate::successors;
@@ -18,7 +18,8 @@
 use cloverpier_router_policy::permit::QUESTION_PATIENCE;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::suspicion::{
-    CHECK_PERIOD, CHECK_TIMEOUT, CheckResult, PROBE_TIMEOUT, check_result,
+    CHECK_PERIOD, CHECK_TIMEOUT, CheckResult, MAX_PROBES, PROBE_TIMEOUT, REPROBE_AFTER,
+    check_result,
 };
 use std::rc::Rc;
 use std::time::Instant;
@@ -43,36 +44,67 @@
     if health.probing_since.get().is_some() || health.probe_waits.get() {
         return;
     }
-    if !router.upstreams.borrow_mut().try_ask(&upstream.name, now) {
-        router.metrics.probes.count("withheld");
+    if !may_ask(router, upstream, now) {
         return;
     }
-    let (router, upstream, health) = (Rc::clone(router), upstream.clone(), Rc::clone(health));
-    if !router.upstream_limits.is_limited(&upstream) {
+    if router.upstream_limits.is_limited(upstream) {
+        health.probe_waits.set(true);
+    } else {
         health.probing_since.set(Some(now));
-        tokio::task::spawn_local(async move { send_probe(&router, &upstream, &health).await });
-        return;
     }
-    health.probe_waits.set(true);
+    let (router, upstream, health) = (Rc::clone(router), upstream.clone(), Rc::clone(health));
     tokio::task::spawn_local(async move {
-        let permission = router.upstream_limits.acquire(&upstream, QUESTION_PATIENCE);
-        let permission = permission.await;
+        probe_until_clear(&router, &upstream, &health).await;
         health.probe_waits.set(false);
-        if permission == Permission::Given {
-            health.probing_since.set(Some(router.now()));
-            send_probe(&router, &upstream, &health).await;
-        } else {
+        health.probing_since.set(None);
+    });
+}
+
+/// Whether an upstream may be asked a question now: it may want nothing.
+fn may_ask(router: &Router, upstream: &Upstream, now: Instant) -> bool {
+    let is_allowed = router.upstreams.borrow_mut().try_ask(&upstream.name, now);
+    if !is_allowed {
+        router.metrics.probes.count("withheld");
+    }
+    is_allowed
+}
+
+/// Probes an upstream, and again while probes are reset: a process that is about to end closes its
+/// connections before its port, so that the first probe says nothing of it.
+async fn probe_until_clear(router: &Rc<Router>, upstream: &Upstream, health: &UpstreamHealth) {
+    for _ in 0..MAX_PROBES {
+        let permission = router.upstream_limits.acquire(upstream, QUESTION_PATIENCE);
+        if permission.await != Permission::Given {
             router.metrics.probes.count("without-permit");
+            return;
         }
-    });
+        health.probe_waits.set(false);
+        let since = health.probing_since.get().unwrap_or_else(|| router.now());
+        health.probing_since.set(Some(since));
+        if send_probe(router, upstream, health).await == ProbeEnd::Clear {
+            return;
+        }
+        router.timers.sleep(REPROBE_AFTER).await;
+        if !may_ask(router, upstream, router.now()) {
+            return;
+        }
+    }
 }
 
-async fn send_probe(router: &Rc<Router>, upstream: &Upstream, health: &UpstreamHealth) {
+/// What a probe has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeEnd {
+    /// An answer, a refusal, or silence for long.
+    Clear,
+    /// Its connection broke.
+    Broken,
+}
+
+async fn send_probe(router: &Router, upstream: &Upstream, health: &UpstreamHealth) -> ProbeEnd {
     let path = router.wire_names.paths.engine_report;
     let sent = router.now();
     let answer = health.client.get(path, PROBE_TIMEOUT).await;
     let now = router.now();
-    health.probing_since.set(None);
     match answer {
         Ok(answer) => {
             router.metrics.probes.count("alive");
@@ -92,9 +124,14 @@
             let cause = DeathCause::NoProcess;
             declare_dead(router, upstream, cause, "no process listens there", now);
         }
+        Err(CallError::Broken { .. }) => {
+            router.metrics.probes.count("broken");
+            return ProbeEnd::Broken;
+        }
         // Without an answer the silence goes on; whoever waits gives the verdict.
         Err(_) => router.metrics.probes.count("silent"),
     }
+    ProbeEnd::Clear
 }
 
 /// Declares an upstream dead: its runs move, and it gets nothing new until a check clears it.
--- a/crates/router/cloverpier_router_policy/src/suspicion.rs
+++ b/crates/router/cloverpier_router_policy/src/suspicion.rs
@@ -30,6 +30,11 @@
 /// How long a probe of a silent upstream waits in the background; the verdict that the upstream is
 /// dead comes earlier, by [`crate::liveness::LivenessBounds::probe_timeout`].
 pub const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// A probe whose connection breaks is repeated after this time: well within the time for which a request
+/// waits for the judgement of its last attempt ([`cloverpier_crashes::cases::MAX_HOLD`]).
+pub const REPROBE_AFTER: Duration = Duration::from_millis(40);
+/// Probes in a row at most, where each is reset: about as long as one may stay unanswered.
+pub const MAX_PROBES: u32 = 25;
 /// How long the connection that carries probes may take to come up.
 pub const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
