Take another process's answer to a probe for the end of the one that was probed

Cause: a probe that was answered counted as a sign of life of the upstream, also where the answer named another process at its address; the attempt that had broken off was dropped. Checks of suspected upstreams told the two apart, probes did not.

A probe's answer goes through the same rule as a check's now: another name means that the upstream is dead and replaced, which peers are told.

--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -15,6 +15,7 @@
 use crate::successors;
 use crate::upstream_limits::Permission;
 use crate::via::Via;
+use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::permit::QUESTION_PATIENCE;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::suspicion::{
@@ -107,17 +108,14 @@
     let now = router.now();
     match answer {
         Ok(answer) => {
-            router.metrics.probes.count("alive");
-            // Whichever process answers there: it may be the next one at the address.
-            health.on_activity(now);
-            // Runs of a former start are lost though the address answers.
             let call = Call {
                 upstream,
                 via: Via::Probe,
                 sent,
             };
-            router.hear(call, answer.parts());
-            crashes::on_alive(router, upstream);
+            // Runs of a former start are lost though the address answers.
+            let said = router.hear(call, answer.parts()).said;
+            on_probe_answer(router, upstream, health, said.name.as_ref());
         }
         Err(error) if error.is_refused() => {
             router.metrics.probes.count("refused");
@@ -134,6 +132,29 @@
     ProbeEnd::Clear
 }
 
+/// Records who answered a probe: the upstream, or another process that has its address.
+fn on_probe_answer(
+    router: &Router,
+    upstream: &Upstream,
+    health: &UpstreamHealth,
+    answering: Option<&UpstreamName>,
+) {
+    let now = router.now();
+    match check_result(&upstream.name, answering) {
+        CheckResult::Alive => {
+            router.metrics.probes.count("alive");
+            health.on_activity(now);
+            crashes::on_alive(router, upstream);
+        }
+        CheckResult::Replaced => {
+            router.metrics.probes.count("replaced");
+            let reason = "another process answers there";
+            declare_dead(router, upstream, DeathCause::NoProcess, reason, now);
+            successors::on_other_name(router, upstream, answering);
+        }
+    }
+}
+
 /// Declares an upstream dead: its runs move, and it gets nothing new until a check clears it.
 pub(crate) fn declare_dead(
     router: &Router,
