--- a/crates/router/cloverpier_router_policy/tests/permit.rs
+++ b/crates/router/cloverpier_router_policy/tests/permit.rs
@@ -333,23 +333,12 @@
     let limiter = limiter_of_four();
     let other = (1..=4).find(|n| *n != limiter).unwrap();
     let mut known = Known::new(other, &[1, 2, 3, 4], 2.0);
-    let reply = PermitReply {
-        number: 1,
-        upstream: UPSTREAM,
-        handed_out: Some(HandedOut {
-            waits: Vec::new(),
-            refusal: Some(PermitRefusal {
-                next: Duration::from_millis(400),
-                retry: Duration::from_millis(900),
-                turn: Duration::from_millis(1_500),
-            }),
-        }),
-        limit: None,
-    };
     let mut rng = fastrand::Rng::with_seed(1);
     let now = known.now;
     let asked = router(limiter);
-    known.permits.on_reply(asked, &reply, None, &mut rng, now);
+    known
+        .permits
+        .on_reply(asked, &refusal(), None, &mut rng, now);
     assert!(known.permits.is_left_out(UPSTREAM, now));
     let retry_of = |known: &mut Known| match known.want(NO_WAIT) {
         Want::Refused { retry } => retry,
@@ -366,3 +355,78 @@
     known.now += Duration::from_millis(400);
     assert_eq!(known.want(NO_WAIT), Want::Ask(asked));
 }
+
+#[test]
+fn a_router_that_stands_in_for_a_silent_limiter_waits_until_others_have_noticed() {
+    let limiter = limiter_of_four();
+    let map = LimiterMap::new(router(1), places(1..=4), 0);
+    let is_silent = |asked| asked == router(limiter);
+    let next = map.limiter_of(UPSTREAM, &DataCentre::new("hall-0"), is_silent);
+    let next = (1..=4).find(|n| Some(router(*n)) == next).unwrap();
+    let mut known = Known::new(next, &[1, 2, 3, 4], 2.0);
+    for _ in 0..3 {
+        known.permits.on_silence(router(limiter), known.now);
+    }
+    assert_eq!(granted(&known.asked(1, NO_WAIT)), 0);
+    known.live_for(next, &[1, 2, 3, 4], 0, 2 * HOLD);
+    assert_eq!(granted(&known.asked(1, NO_WAIT)), 1);
+}
+
+/// A refusal of everything for the next 400 ms, with a turn of 1.5 s.
+fn refusal() -> PermitReply {
+    PermitReply {
+        number: 1,
+        upstream: UPSTREAM,
+        handed_out: Some(HandedOut {
+            waits: Vec::new(),
+            refusal: Some(PermitRefusal {
+                next: Duration::from_millis(400),
+                retry: Duration::from_millis(900),
+                turn: Duration::from_millis(1_500),
+            }),
+        }),
+        limit: None,
+    }
+}
+
+#[test]
+fn a_higher_limit_is_asked_for_at_once() {
+    let limiter = limiter_of_four();
+    let other = (1..=4).find(|n| *n != limiter).unwrap();
+    let mut known = Known::new(other, &[1, 2, 3, 4], 2.0);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let (asked, now) = (router(limiter), known.now);
+    known
+        .permits
+        .on_reply(asked, &refusal(), None, &mut rng, now);
+    assert!(known.permits.is_left_out(UPSTREAM, now));
+    let written = WrittenBetween {
+        sent: now,
+        heard: now,
+    };
+    let said = LimitStatement::Named(Rate::per_second(5.0).unwrap());
+    known
+        .permits
+        .on_statement(UPSTREAM, said, true, written, now);
+    assert!(!known.permits.is_left_out(UPSTREAM, now));
+    assert_eq!(known.want(NO_WAIT), Want::Ask(asked));
+}
+
+#[test]
+fn routers_that_were_refused_together_do_not_ask_again_together() {
+    let limiter = limiter_of_four();
+    let other = (1..=4).find(|n| *n != limiter).unwrap();
+    let is_left_out = |seed| {
+        let mut known = Known::new(other, &[1, 2, 3, 4], 2.0);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (asked, now) = (router(limiter), known.now);
+        known
+            .permits
+            .on_reply(asked, &refusal(), None, &mut rng, now);
+        // Halfway through the turn that begins when the next permit is free.
+        let halfway = now + Duration::from_millis(400 + 750);
+        known.permits.is_left_out(UPSTREAM, halfway)
+    };
+    let left_out = (1..=40).filter(|seed| is_left_out(*seed)).count();
+    assert!((10..=30).contains(&left_out), "{left_out}");
+}
