Forget an ask for a permit whose caller has left

Read, not seen: the ask of a request that is dropped while it waits for the limiter's answer stayed on the list where the answer was lost, some 100 bytes each.

--- a/crates/router/cloverpier_router/src/upstream_limits/acquire.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/acquire.rs
@@ -31,6 +31,18 @@
     answer: oneshot::Sender<LimitReply>,
 }
 
+/// Takes an ask off the list when its request goes on, or is given up as its caller has left.
+struct Asked<'a> {
+    limits: &'a UpstreamLimits,
+    number: u64,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        self.limits.pending.borrow_mut().remove(&self.number);
+    }
+}
+
 impl UpstreamLimits {
     /// Gets a permit for a request, which may wait so long for it; whoever is not limited needs none.
     pub async fn acquire(&self, upstream: &Upstream, max_wait: Duration) -> Permission {
@@ -121,6 +133,10 @@
             answer: tx,
         };
         self.pending.borrow_mut().insert(number, pending);
+        let _asked = Asked {
+            limits: self,
+            number,
+        };
         let ask = LimitAsk {
             sender: self.parts.own,
             request,
@@ -128,7 +144,6 @@
         let message = PeerMessage::LimitAsk(ask);
         self.parts.datagrams.send(&message, &[limiter]);
         let answer = self.parts.timers.timeout(ANSWER_TIMEOUT, rx).await;
-        self.pending.borrow_mut().remove(&number);
         // A sender that is gone without an answer is none either.
         answer.ok()?.ok()
     }
