Test three more rules of limits that mutations had survived

Of 20 mutations of policy::limit and policy::permit three survived: that an upstream which has refused others is left out, that two limiters are asked at most, and that a report may have been under way. Each has a test now that fails with the mutation; the one on reports had no way that took long.

--- a/crates/router/cloverpier_router_policy/tests/limit.rs
+++ b/crates/router/cloverpier_router_policy/tests/limit.rs
@@ -176,10 +176,16 @@
     let start = Instant::now() + LONG_AFTER;
     name(&mut one, 2.0, written(start, 0, 10));
     name_none(&mut one, written(start, 20, 30));
-    // By then the upstream may have named it again.
-    name(&mut other, 2.0, written(start, 10, 40));
-    let at = start + Duration::from_millis(30);
-    assert_eq!(told(&one, &mut other, at), LimitChange::Nothing);
+    let report = one
+        .report(UPSTREAM, None, start + Duration::from_millis(30))
+        .unwrap();
+    // The upstream names it again while the report is under way for 80 ms.
+    name(&mut other, 2.0, written(start, 40, 60));
+    let arrived = start + Duration::from_millis(110);
+    assert_eq!(
+        other.on_report(&report, None, arrived),
+        LimitChange::Nothing
+    );
     assert_eq!(rate_of(&other, start), Some(rate(2.0)));
 }
 
--- a/crates/router/cloverpier_router_policy/tests/permit.rs
+++ b/crates/router/cloverpier_router_policy/tests/permit.rs
@@ -309,6 +309,39 @@
     assert!(!search.begin_waiting());
 }
 
+#[test]
+fn an_upstream_that_has_refused_others_is_offered_a_request_only_where_it_waits() {
+    let mut known = Known::new(1, &[1, 2, 3, 4], 2.0);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let now = known.now;
+    known
+        .permits
+        .on_reply(router(2), &refusal(), None, &mut rng, now);
+    let mut search = PermitSearch::new(Duration::from_millis(40));
+    assert!(search.withholds(&known.permits, UPSTREAM, now));
+    assert!(search.begin_waiting());
+    assert!(!search.withholds(&known.permits, UPSTREAM, now));
+}
+
+#[test]
+fn after_two_refusals_a_request_is_offered_to_no_third_upstream_that_limits_itself() {
+    let mut known = Known::new(1, &[1, 2, 3, 4], 2.0);
+    let third = UpstreamKey(9);
+    let written = WrittenBetween {
+        sent: known.now,
+        heard: known.now,
+    };
+    let said = LimitStatement::Named(Rate::per_second(2.0).unwrap());
+    known
+        .permits
+        .on_statement(third, said, true, written, known.now);
+    let mut search = PermitSearch::new(NO_WAIT);
+    search.on_refused(UPSTREAM, Duration::from_millis(900));
+    assert!(!search.withholds(&known.permits, third, known.now));
+    search.on_refused(UpstreamKey(8), Duration::from_millis(900));
+    assert!(search.withholds(&known.permits, third, known.now));
+}
+
 #[test]
 fn a_permit_is_not_used_long_after_its_time() {
     let due = Instant::now();
