--- a/crates/daemon/cloverpier_answer/src/answer.rs
+++ b/crates/daemon/cloverpier_answer/src/answer.rs
@@ -12,7 +12,7 @@
 ///
 /// Terms rise with each router that takes the answer over. Where all copies
 /// are lost, or two routers start one request at once, two owners can have
-/// the same term; what tells their attempts apart is the opener.
+/// the same term; what distinguishes their attempts is the opener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
     /// The owner's term.
@@ -55,7 +55,7 @@
     Repeated,
     /// Tokens before it are missing, so the attempt can't be trusted any more.
     Gap,
-    /// The answer is complete or was taken over; it was dropped.
+    /// The answer is complete or another router has it now; it was dropped.
     Closed,
 }
 
--- a/crates/daemon/cloverpier_answer/src/shipping.rs
+++ b/crates/daemon/cloverpier_answer/src/shipping.rs
@@ -10,7 +10,7 @@
 /// What an owner does after a holder's reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShipStep {
-    /// Nothing until there is news.
+    /// Nothing until there is something new.
     Rest,
     /// Send the next batch.
     Send,
--- a/crates/daemon/cloverpier_client/src/caller.rs
+++ b/crates/daemon/cloverpier_client/src/caller.rs
@@ -229,7 +229,7 @@
         known.next % known.spread
     }
 
-    /// Where it goes after so many connections that did not end it.
+    /// Where it goes after this many connections that did not end it.
     fn pick(&self, first: usize, connections: u32) -> SocketAddr {
         let known = cloverpier_core::lock(&self.known);
         // Only a place in the rotation.
--- a/crates/daemon/cloverpier_daemon/src/answers/live.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/live.rs
@@ -117,7 +117,7 @@
 }
 
 impl Live {
-    /// An answer at its start or as it was taken over.
+    /// An answer at its start, or as another router left it.
     pub fn new(key: RequestKey, body: u64, spec: Spec, answer: Answer, now: Instant) -> Arc<Self> {
         Arc::new(Self {
             key,
--- a/crates/daemon/cloverpier_daemon/src/answers/open.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/open.rs
@@ -1,4 +1,4 @@
-//! Opens an answer for a caller: a new one, one that runs here, or one that is taken over.
+//! Opens an answer for a caller: a new one, one that runs here, or one of another router.
 
 use crate::answers::directory::asked;
 use crate::answers::live::{End, Live, Spec};
--- a/crates/daemon/cloverpier_daemon/src/answers/outbox.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/outbox.rs
@@ -1,6 +1,6 @@
 //! Tokens on their way to the members that hold their copies.
 //!
-//! Each peer has one queue of answers with news. A task sends the news of all
+//! Each peer has one queue of answers with unsent parts. A task sends those of all
 //! of them in one batch and takes up the next when the reply is in, so that
 //! the number of messages grows with peers, not with answers.
 
@@ -36,7 +36,7 @@
     wake: Notify,
 }
 
-/// Queues of answers with news, by holder.
+/// Queues of answers with unsent parts, by holder.
 #[derive(Debug, Default)]
 pub struct Outbox {
     queues: Mutex<HashMap<MemberId, Arc<PeerQueue>>>,
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -150,7 +150,7 @@
     live.end(End::Failed(error), app.now());
 }
 
-/// One attempt, which is called back if its content is stopped before it has brought a token.
+/// One attempt, which is called back if its content is stopped before its first token.
 async fn attempt_or_call_back(app: &Arc<App>, live: &Arc<Live>, chosen: &Chosen) -> Over {
     let before = live.look(|s| s.answer.len());
     let has_progress = || live.look(|s| s.answer.len()) > before;
@@ -173,7 +173,7 @@
     }
 }
 
-/// Whether an answer that was taken over has to go on at another engine.
+/// Whether an answer of another router has to go on at another engine.
 enum GoOn {
     Ended,
     Elsewhere,
--- a/crates/daemon/cloverpier_daemon/src/claims.rs
+++ b/crates/daemon/cloverpier_daemon/src/claims.rs
@@ -21,7 +21,7 @@
 /// How often slots are looked through whose records this member lacks.
 const LEARN_PERIOD: Duration = Duration::from_millis(100);
 /// A claim that took longer than this to write down is not dispatched any more, as its caller may
-/// have been told that nothing was run.
+/// have been answered that nothing was run.
 const CLAIM_LIFE: Duration = Duration::from_secs(3);
 /// Slots that are asked for at once.
 const SYNC_AT_ONCE: usize = 64;
--- a/crates/daemon/cloverpier_daemon/src/config/acceptance.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/acceptance.rs
@@ -72,7 +72,7 @@
 /// The list of members is read from the platform, after the version was
 /// stored: a router that joins later reads the version itself. Routers that
 /// were considered dead recently count, too: one that was only cut off may
-/// still act on an earlier version; and so do guests, which members tell of.
+/// still act on an earlier version; and so do guests, which members report.
 /// Where no process listens any more, none acts on anything.
 pub async fn in_force(app: &App, version: u64) -> ConfirmReport {
     let read = app.platform.read::<MemberList>(MEMBERS_KEY).await;
--- a/crates/daemon/cloverpier_daemon/src/config/learn.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/learn.rs
@@ -29,7 +29,7 @@
 const JOIN_LOOK: Duration = Duration::from_millis(20);
 /// How long a peer may take to hand out the root or parts.
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// How often marks to leave are brought to the platform.
+/// How often marks to leave are written to the platform.
 const MARKS_PERIOD: Duration = Duration::from_secs(1);
 
 #[derive(Serialize)]
--- a/crates/daemon/cloverpier_daemon/src/crashes.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns this router's cases. What an end says and what follows is decided in `cloverpier_crashes`, as
 //! for the router on the platform; [`crate::members`] carries what is known to peers. Upstreams do not
-//! say when they started, so an end is told from the next one of the same upstream by its time.
+//! say when they started, so an end is distinguished from the next one of the same upstream by its time.
 
 use crate::app::App;
 use crate::error::{ApiError, Run};
@@ -25,7 +25,7 @@
 /// How long a probe waits for the host of an upstream whose connection broke. One without the
 /// process refuses within a round trip.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// What has to be known against a content for peers to hear of it, in thousandths of an end that
+/// What has to be known against a content for it to be reported to peers, in thousandths of an end that
 /// nothing else explains.
 const MIN_TOLD: u32 = 250;
 
@@ -99,7 +99,7 @@
         if now >= until || !waits {
             return lock(&crashes.cases).admission(content, now);
         }
-        // Whether it was woken or the time is up, it looks again.
+        // Woken or not, it looks again.
         let _ = app.timers.timeout(until - now, changed).await;
     }
 }
@@ -109,7 +109,7 @@
     cases.book.verdict(content, app.now()) == Verdict::Stopped
 }
 
-/// Waits until a content is stopped while its attempt has brought nothing.
+/// Waits until a content is stopped while its attempt has no token yet.
 pub async fn called_back(app: &App, content: ContentKey, has_progress: impl Fn() -> bool) {
     loop {
         let mut changed = pin!(app.crashes.changed.notified());
@@ -252,7 +252,7 @@
     app.log.warn("crash.recorded", &line);
 }
 
-/// What peers are told.
+/// What is reported to peers.
 pub fn reports(app: &App) -> Vec<ContentReport> {
     let now = app.now();
     let cases = lock(&app.crashes.cases);
@@ -260,7 +260,7 @@
     cases.book.reports(&told, now)
 }
 
-/// A digest that differs where what peers are told does, but for what was around ends; 0 for nothing.
+/// A digest that differs where what is reported to peers does, but for what was around ends; 0 for nothing.
 pub fn digest(app: &App) -> u64 {
     let mut reports = reports(app);
     if reports.is_empty() {
@@ -275,7 +275,7 @@
     hash_of(&parts.collect::<Vec<_>>().join(","))
 }
 
-/// Takes what a peer knows; passes it on when it is news.
+/// Takes what a peer knows; passes on what was not known.
 pub fn merge(app: &App, reports: &[ContentReport], from: &str) {
     let changed = lock(&app.crashes.cases).book.merge(reports, app.now());
     if changed.is_empty() {
--- a/crates/daemon/cloverpier_daemon/src/members/cluster.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/cluster.rs
@@ -1,7 +1,7 @@
 //! What a router knows of its fellow members, and how it stands among them.
 //!
 //! Owns the list of members in force, the detector, guests, and when a peer or the platform last
-//! answered. A router that hears neither takes no new requests ([`Standing`]).
+//! answered. A router that receives nothing of either takes no new requests ([`Standing`]).
 
 use cloverpier_core::{MemberId, hash_of, rank};
 use cloverpier_member::{Detector, DetectorParams, Member, MemberList};
@@ -13,7 +13,7 @@
 
 /// Contact older than this leaves a router alone: longer than the suspicion time of 2.4 s.
 const ALONE_AFTER: Duration = Duration::from_secs(4);
-/// Time for which a guest is remembered: longer than `ALONE_AFTER`, as a guest that hears nobody
+/// Time for which a guest is remembered: longer than `ALONE_AFTER`, as a guest that receives nothing
 /// serves that long.
 const GUEST_KEPT: Duration = Duration::from_secs(6);
 /// Members of each data centre that watch the platform for all, so that one may die.
@@ -29,7 +29,7 @@
     Alone,
 }
 
-/// Members, the detector, and when others were last heard from.
+/// Members, the detector, and when others last sent something.
 #[derive(Debug)]
 pub struct Cluster {
     list: Arc<MemberList>,
@@ -87,7 +87,7 @@
         self.list.contains(&self.me)
     }
 
-    /// Notes that a peer was heard from.
+    /// Notes that a message of a peer arrived.
     pub fn on_peer(&mut self, from: &MemberId, now: Instant) {
         self.peer_heard = now;
         self.detector.on_heard(from, now);
@@ -105,9 +105,9 @@
         }
     }
 
-    /// Guests that were heard from recently.
+    /// Guests that sent something recently.
     ///
-    /// They are remembered for longer than one may serve that hears nobody.
+    /// They are remembered for longer than one may serve that receives nothing.
     pub fn guests(&mut self, now: Instant) -> Vec<Guest> {
         let list = Arc::clone(&self.list);
         self.guests.retain(|_, (guest, at)| {
@@ -127,7 +127,7 @@
 
     /// Whether this router may take new requests.
     ///
-    /// One that hears neither peers nor the platform can't learn of a newer
+    /// One that reaches neither peers nor the platform can't learn of a newer
     /// configuration, so it stops taking new work; alone on the list it can't
     /// miss one that was confirmed elsewhere.
     pub fn standing(&self, now: Instant) -> Standing {
--- a/crates/daemon/cloverpier_daemon/src/members/join.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/join.rs
@@ -129,7 +129,7 @@
 /// Puts this process on the list.
 ///
 /// One member collects those that ask at the same time, so that a data centre
-/// which comes back is a few changes of epoch, not one for each of its VMs.
+/// which returns is a few changes of epoch, not one for each of its VMs.
 /// Where nobody collects, the process puts itself on the list.
 pub async fn join(app: &App) -> bool {
     if ask_to_join(app).await && wait_to_be_member(app).await {
--- a/crates/daemon/cloverpier_daemon/src/members/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/mod.rs
@@ -1,4 +1,4 @@
-//! Membership: joining, heartbeats, removal of the silent, and news from peers.
+//! Membership: joining, heartbeats, removal of the silent, and updates from peers.
 //!
 //! Carries out what `cloverpier_member` decides; four loops, started here.
 
--- a/crates/daemon/cloverpier_daemon/src/members/news.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/news.rs
@@ -34,7 +34,7 @@
     if theirs.marks != ours.marks {
         pull_marks(app, peers_at).await;
     }
-    // One that knows nothing, or is of a release without it, is told by its own question or never.
+    // One that knows nothing, or is of a release without it, learns it by its own question or never.
     if theirs.crashes != ours.crashes {
         exchange_crashes(app, peers_at).await;
     }
@@ -61,7 +61,7 @@
     }
 }
 
-/// Takes marks to leave; passes them on when they are news.
+/// Takes marks to leave; passes them on when they are new.
 pub fn push_marks(app: &App, marks: &LeaveMarks) -> LeaveMarks {
     merge(app, marks);
     lock(&app.view).marks().clone()
--- a/crates/daemon/cloverpier_daemon/src/web/callers.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/callers.rs
@@ -49,7 +49,7 @@
 
 /// Which addresses to use, in which order, and for how long to keep the answer.
 ///
-/// A caller that shows its key is told the lender of its account first, where
+/// A caller that shows its key is sent the lender of its account first, where
 /// its requests need no loan; a large account is spread over as many routers
 /// as it needs.
 #[handler]
--- a/crates/daemon/cloverpier_daemon/tests/crashing.rs
+++ b/crates/daemon/cloverpier_daemon/tests/crashing.rs
@@ -89,7 +89,7 @@
     assert_eq!(other.0, 200, "{other:?}");
 }
 
-/// A caller that is told "not run" sends it again as if nothing had happened.
+/// A caller that gets "not run" sends it again as if nothing had happened.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_generation_that_ran_is_never_called_not_run_where_all_engines_are_gone() {
     let mut site = site().await;
--- a/crates/daemon/cloverpier_member/src/detector.rs
+++ b/crates/daemon/cloverpier_member/src/detector.rs
@@ -1,7 +1,7 @@
 //! Failure detection with a bounded number of heartbeats and a second observer.
 //!
 //! Question: who gets a heartbeat now, who is suspected, who is removed? Inputs: the list, when
-//! members were heard, what helpers found. Answer: [`DetectorStep`]s. The cost of a member does
+//! members last answered, what helpers found. Answer: [`DetectorStep`]s. The cost of a member does
 //! not grow with the list, and no one observer removes anybody. Answers, records and limits hang
 //! on who is a member here; the router on the platform keeps a table of peers on which nothing of
 //! safety depends (`cloverpier_router_policy::peers`).
@@ -76,8 +76,8 @@
         /// Those that two observers could not reach.
         members: BTreeSet<MemberId>,
     },
-    /// The process stood still for longer than the suspicion time: what it holds is in
-    /// doubt until its epoch is confirmed.
+    /// The process stood still for longer than the suspicion time: what it holds is
+    /// uncertain until its epoch is confirmed.
     Paused {
         /// How long it stood still.
         gap: Duration,
@@ -135,7 +135,7 @@
         self.confirmed.retain(|id, _| list.contains(id));
     }
 
-    /// Notes that a member was heard from, by whatever message.
+    /// Notes that a message of a member arrived, whatever it says.
     pub fn on_heard(&mut self, from: &MemberId, now: Instant) {
         if let Some(watch) = self.watched.get_mut(from) {
             watch.heard = now;
--- a/crates/daemon/cloverpier_member/src/lib.rs
+++ b/crates/daemon/cloverpier_member/src/lib.rs
@@ -5,7 +5,7 @@
 //! that went silent: a bounded number of heartbeats per member, and a removal
 //! only when a second observer could not reach the silent one either (after
 //! Das, Gupta and Motivala, "SWIM", 2002). It is a state machine: it says
-//! what to send and is told what came back.
+//! what to send and is given the replies.
 //!
 //! ```
 //! use cloverpier_member::prelude::*;
--- a/crates/daemon/cloverpier_peer/src/client.rs
+++ b/crates/daemon/cloverpier_peer/src/client.rs
@@ -1,7 +1,7 @@
 //! Calls to peers.
 //!
-//! One request, one reply, over kept connections; owns the counts of bytes. A closed port is told
-//! apart from silence, as no process acts on anything there.
+//! One request, one reply, over kept connections; owns the counts of bytes. A closed port is
+//! distinguished from silence, as no process acts on anything there.
 
 use crate::message::{CodecError, PeerReply, PeerRequest, decode, encode};
 use cloverpier_core::Secret;
--- a/crates/daemon/cloverpier_peer/src/message.rs
+++ b/crates/daemon/cloverpier_peer/src/message.rs
@@ -176,7 +176,7 @@
     Here {
         /// What the receiver acts on.
         versions: Versions,
-        /// Guests that it heard from recently.
+        /// Guests that sent it something recently.
         guests: Vec<Guest>,
     },
     /// To a borrow.
--- a/crates/daemon/cloverpier_record/src/claim.rs
+++ b/crates/daemon/cloverpier_record/src/claim.rs
@@ -37,7 +37,7 @@
 /// A claim on its way through the holders, the primary first.
 ///
 /// The primary puts claims on one key in order, so of two routers that ask at
-/// once one is refused there before a backup has heard of either.
+/// once one is refused there before a backup has learned of either.
 #[derive(Clone, Debug)]
 pub struct Claim {
     holders: Vec<MemberId>,
--- a/crates/daemon/cloverpier_route/src/marks.rs
+++ b/crates/daemon/cloverpier_route/src/marks.rs
@@ -25,7 +25,7 @@
 }
 
 impl LeaveMarks {
-    /// Adds a mark; says whether it was news.
+    /// Adds a mark; says whether it was new.
     pub fn add(&mut self, mark: &LeaveMark) -> bool {
         let known = self.by_name.entry(mark.upstream.clone()).or_default();
         let news = mark.incarnation > *known;
@@ -33,7 +33,7 @@
         news
     }
 
-    /// Adds all marks of another set; says whether any was news.
+    /// Adds all marks of another set; says whether any was new.
     pub fn merge(&mut self, other: &Self) -> bool {
         let mut news = false;
         for mark in other.iter() {
--- a/crates/daemon/cloverpier_route/src/view.rs
+++ b/crates/daemon/cloverpier_route/src/view.rs
@@ -162,7 +162,7 @@
         close.cloned().collect()
     }
 
-    /// Takes marks to leave; says whether any was news.
+    /// Takes marks to leave; says whether any was new.
     pub fn merge_marks(&mut self, marks: &LeaveMarks) -> bool {
         self.marks.merge(marks)
     }
@@ -192,7 +192,7 @@
     }
 
     /// Takes that an upstream has turned a request away and wants nothing for a time; says whether
-    /// that is news. A time that it named before is never shortened.
+    /// that is new. A time that it named before is never shortened.
     pub fn on_wait(&mut self, name: &UpstreamName, time: Duration, now: Instant) -> bool {
         let Some(known) = self.known.get_mut(name) else {
             return false;
--- a/crates/daemon/cloverpier_upstream/src/lib.rs
+++ b/crates/daemon/cloverpier_upstream/src/lib.rs
@@ -1,7 +1,7 @@
 //! Model engines and plain services, met through their protocols.
 //!
-//! All knowledge of an upstream's wire shapes is here. Failures are told
-//! apart by what they mean for the request: whether it can have run. No
+//! All knowledge of an upstream's wire shapes is here. Failures are
+//! distinguished by what they mean for the request: whether it can have run. No
 //! connection to a plain service is kept, so a connection that was never made
 //! proves that nothing ran, and `reqwest` does. The router on the platform keeps
 //! connections and has to know whether a byte was written
--- a/crates/router/cloverpier_router/src/crash_news.rs
+++ b/crates/router/cloverpier_router/src/crash_news.rs
@@ -73,7 +73,7 @@
     }
 }
 
-/// Takes what a peer tells; what was new is told on for a while, as far as it is suspect.
+/// Takes a peer's report; what was new is passed on for a while, as far as it is suspect.
 pub(crate) fn on_news(router: &Router, news: CrashNews, now: Instant) {
     let mut cases = router.crashes.cases.borrow_mut();
     let changed = cases.book.merge(&news.contents, now);
--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -1,8 +1,8 @@
 //! What requests did to upstreams: learns it, judges it, and stops what ends them.
 //!
 //! Owns no state: [`crate::crash_state`] does. What an end says and what follows is decided
-//! in `cloverpier_crashes`; [`crate::crash_news`] tells peers. Relies on [`crate::probe`] for the news
-//! that an upstream has ended or lives.
+//! in `cloverpier_crashes`; [`crate::crash_news`] notifies peers. Relies on [`crate::probe`] to
+//! find out that an upstream has ended or lives.
 
 use crate::crash_news;
 use crate::decision_log::{ContentCleared, ContentStopped, CrashRecorded, ms_since};
--- a/crates/router/cloverpier_router/src/datagrams.rs
+++ b/crates/router/cloverpier_router/src/datagrams.rs
@@ -40,7 +40,7 @@
     }
 
     /// Waits until the runtime has seen that the socket takes datagrams: before that each would be
-    /// dropped, and peers would not hear the first, which says that this router has just begun.
+    /// dropped, and peers would miss the first, which says that this router has just begun.
     pub async fn ready(&self) {
         let Some(socket) = self.socket.get() else {
             return;
--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -101,7 +101,7 @@
     TimedOut,
     /// The request was turned down at arrival.
     Rejected,
-    /// The caller was told not to send it again: its content ends upstreams.
+    /// The answer says not to send it again: its content ends upstreams.
     Stopped,
 }
 
@@ -252,7 +252,7 @@
     pub request: Option<&'a str>,
     /// The peer that said so.
     pub peer: Option<String>,
-    /// How long ago the first router heard it.
+    /// How long ago it reached the first router.
     pub age_ms: u32,
     /// The router that hands out permits for it, as far as this one knows.
     pub limiter: Option<String>,
--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Gossip of a large fleet: sends and receives what stands in place of heartbeats there.
+//! Gossip of a large fleet: sends and receives what replaces heartbeats there.
 //!
 //! Who is sent what, who is probed and who lives is decided in
 //! `cloverpier_router_policy::{membership, watcher_beats}`; [`crate::heartbeats`] has the loop that
@@ -272,7 +272,7 @@
             router.peers.outbox.send(message, Recipients::All);
             true
         }
-        // Whoever hears of the revision fetches them.
+        // Whoever learns of the revision fetches them.
         Ok(_) => false,
         Err(error) => {
             log_dependency(&router.log, "peer.unsent", "peers", &error.to_string());
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -290,7 +290,7 @@
     }
 }
 
-/// The age of the last successful call to the store, as peers are told it.
+/// The age of the last successful call to the store, as it is reported to peers.
 pub(crate) fn store_age_ms(router: &Router, now: Instant) -> Option<u32> {
     let store = &router.store;
     let peers = router.peers.count();
--- a/crates/router/cloverpier_router/src/list_copies.rs
+++ b/crates/router/cloverpier_router/src/list_copies.rs
@@ -1,14 +1,14 @@
 //! Copies of the list of upstreams that were written for peers a moment ago.
 //!
 //! [`ListCopies`] owns them: peers that start together ask for the same bytes within a second, so they are
-//! written once. Relies on being told the time, and on [`ListCopies::forget_old`] being called.
+//! written once. Relies on its caller for the time, and on [`ListCopies::forget_old`] being called.
 
 use crate::configuration_copies::CopyEncoding;
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// A copy of the list is handed out for so long, though changes may have come: whoever gets it asks for
+/// A copy of the list is handed out for this long, though changes may have come: whoever gets it asks for
 /// those next. While thousands of upstreams change, writing each revision anew for each peer would take
 /// most of a small VM's processor.
 const LIST_COPY_FOR: Duration = Duration::from_secs(1);
--- a/crates/router/cloverpier_router/src/load_query.rs
+++ b/crates/router/cloverpier_router/src/load_query.rs
@@ -32,7 +32,7 @@
 }
 
 /// Asks one engine; nothing where it does not answer in time or not in the form of a report. The
-/// counter of probes tells these apart, and the choice's log line how many engines answered.
+/// counter of probes distinguishes these, and the choice's log line how many engines answered.
 async fn query(router: &Rc<Router>, engine: &Upstream) -> Option<EngineReport> {
     let path = router.wire_names.paths.engine_report;
     let asking = ask_engine(router, engine, path, Via::LoadQuestion);
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -70,7 +70,7 @@
     pub version_fetches: ByKind,
     /// Steps of roll-outs by stage.
     pub rollouts: ByKind,
-    /// Upstreams that ended under requests: ends seen and heard of, contents stopped and cleared.
+    /// Upstreams that ended under requests: ends seen and reported by peers, contents stopped and cleared.
     pub crashes: ByKind,
     /// Upstreams that leave, as an answer or a peer said.
     pub leavings: ByKind,
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Why the request is refused, as that decides when its caller should come back.
+    /// Why the request is refused, as that decides when its caller should retry.
     fn refusal(&self, router: &Router, request: &RelayRequest) -> Refusal {
         if let Some(NoUpstream::AllLimited { retry }) = self.no_upstream {
             return Refusal::UpstreamsLimited { turn: retry };
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -46,13 +46,13 @@
     pub(crate) beats: RefCell<WatcherBeats>,
     /// The size of the fleet as other routers said it, and when.
     heard_size: Cell<Option<(usize, Instant)>>,
-    /// Peers that send heartbeats though they were told of a large fleet: those of former releases.
+    /// Peers that send heartbeats though they know of a large fleet: those of former releases.
     plain_peers: RefCell<HashMap<SocketAddr, Instant>>,
     /// The number of this router's last beat as a watcher.
     last_beat: Cell<u64>,
     /// What the last map of a large fleet's limiters was made of.
     limiters_seen: Cell<Option<LimitersSeen>>,
-    /// When others were last told at once of routers that end.
+    /// When others were last notified at once of routers that end.
     sent_ended: Cell<Option<Instant>>,
     /// What they are sent next.
     pub(crate) outbox: Outbox,
@@ -86,7 +86,7 @@
         !reaches_all_peers(self.count())
     }
 
-    /// Whether any peer was heard since the start.
+    /// Whether any peer has sent something since the start.
     pub fn has_heard_any(&self) -> bool {
         self.members.borrow().count() > 0
     }
@@ -113,7 +113,7 @@
         next
     }
 
-    /// Whether others are told of routers that end now; it counts as done then.
+    /// Whether others are notified now of routers that end; it counts as done then.
     pub fn may_send_ended(&self, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < ENDED_PERIOD;
         if !self.members.borrow().has_ended() || self.sent_ended.get().is_some_and(is_recent) {
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// What a probe has brought.
+/// The outcome of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProbeEnd {
     /// An answer, a refusal, or silence for long.
--- a/crates/router/cloverpier_router/src/reply.rs
+++ b/crates/router/cloverpier_router/src/reply.rs
@@ -1,7 +1,7 @@
 //! Replies of the router's own, and upstreams' answers as callers get them.
 //!
 //! Owns the list of headers that concern one connection only. When a refused caller should
-//! come back is decided in `cloverpier_router_policy::refusal`.
+//! retry is decided in `cloverpier_router_policy::refusal`.
 
 use crate::body::ReplyBody;
 use bytes::Bytes;
--- a/crates/router/cloverpier_router/src/resume.rs
+++ b/crates/router/cloverpier_router/src/resume.rs
@@ -1,7 +1,7 @@
 //! What this router does when its machine was suspended and goes on.
 //!
 //! All ages count the suspended time, so nothing that is old by now passes for new: peers and the
-//! store have to be heard again before they count as reached, and waits that are over end
+//! store have to answer again before they count as reached, and waits that are over end
 //! (`cloverpier_timers`). What remains is what this router would wait for in vain: watches whose
 //! connections the store gave up meanwhile end here, at once.
 //!
--- a/crates/router/cloverpier_router/src/rollouts.rs
+++ b/crates/router/cloverpier_router/src/rollouts.rs
@@ -31,7 +31,7 @@
     book.rule(service, upstreams_of, now, &mut rng)
 }
 
-/// Records the versions that news of upstreams name.
+/// Records the versions that updates of the list name.
 pub(crate) fn on_listed(router: &Router, news: &AppliedNews, now: Instant) {
     let mut book = router.rollouts.book.borrow_mut();
     book.on_listed(&news.versions, now);
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub struct Router {
     settings: RefCell<Rc<RouterSettings>>,
-    /// Waits by the clock that tells the present moment.
+    /// Waits by the same clock as the present moment's.
     pub(crate) timers: Timers,
     pub(crate) rng: RefCell<fastrand::Rng>,
     pub(crate) wire_names: WireNames,
--- a/crates/router/cloverpier_router/src/singleton/reports.rs
+++ b/crates/router/cloverpier_router/src/singleton/reports.rs
@@ -1,4 +1,4 @@
-//! What routers tell the holder of the lease, and what the holder tells them.
+//! What routers report to the holder of the lease, and what the holder reports to them.
 //!
 //! Every router reports its counts, its load and its clock to the routers that watch the store, of
 //! which one mostly is the holder, and to the holder. The holder answers with the version of the lease's
@@ -19,7 +19,7 @@
 
 /// How often new counts are reported: what a router counted since is lost with it.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
-/// Reports without new counts are sent with every so many periods, for clocks and loads.
+/// Reports without new counts are sent once in this many periods, for clocks and loads.
 const QUIET_PERIODS: u32 = 2;
 
 /// Sends reports until the process ends.
--- a/crates/router/cloverpier_router/src/singleton/state.rs
+++ b/crates/router/cloverpier_router/src/singleton/state.rs
@@ -48,7 +48,7 @@
 #[derive(Debug)]
 pub(super) struct Work {
     pub(super) usage: HolderUsage,
-    /// Whether windows are decided that do not stand in the record.
+    /// Whether windows are decided that the record lacks.
     pub(super) has_updates: bool,
     /// The engines that the former holder ordered.
     pub(super) inherited_plans: BTreeMap<ServiceName, Plan>,
--- a/crates/router/cloverpier_router/src/singleton/work.rs
+++ b/crates/router/cloverpier_router/src/singleton/work.rs
@@ -30,7 +30,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
-/// A holder whose calls fail for so many times the lease's duration leaves it to others for as long.
+/// A holder whose calls fail for this multiple of the lease's duration leaves it to others for as long.
 const UNFIT_AFTER: u32 = 1;
 const UNFIT_FOR: u32 = 4;
 /// A router's report of its load counts for this long: some reports, of which one may be lost.
--- a/crates/router/cloverpier_router/src/store_events.rs
+++ b/crates/router/cloverpier_router/src/store_events.rs
@@ -1,4 +1,4 @@
-//! What follows from news of the platform's store: a configuration is put in force, peers are told that
+//! What follows from changes of the platform's store: a configuration is put in force, peers are told that
 //! calls fail, this router begins or ends to watch.
 //!
 //! Owns no state: [`crate::store_view`] does. Who watches is decided in
@@ -11,7 +11,7 @@
 use cloverpier_router_policy::store_watch::{OwnStore, max_backoff, watcher_role};
 use std::time::{Duration, Instant};
 
-/// Puts a configuration in force if it is newer; peers are told at once, as any router that
+/// Puts a configuration in force if it is newer; peers are notified at once, as any router that
 /// has it can hand it on.
 pub(crate) fn apply_configuration(router: &Router, held: HeldConfiguration, from: &str) {
     let version = held.configuration().version();
@@ -34,7 +34,7 @@
     router.log.info("version.taken", &line);
 }
 
-/// Records that calls fail; the first failure in a row is logged and told to peers.
+/// Records that calls fail; the first failure in a row is logged and reported to peers.
 pub(crate) fn on_store_lost(router: &Router, store_loop: StoreLoop, reason: &str) {
     let failed = router.store.fails();
     if !router.store.set_fails(store_loop, true) {
@@ -43,7 +43,7 @@
     report_change_of_calls(router, failed);
 }
 
-/// Records that calls succeed; the first success after failures is logged and told to peers.
+/// Records that calls succeed; the first success after failures is logged and reported to peers.
 pub(crate) fn on_store_regained(router: &Router, store_loop: StoreLoop) {
     let failed = router.store.fails();
     if router.store.set_fails(store_loop, false) {
@@ -57,14 +57,14 @@
     report_change_of_calls(router, failed);
 }
 
-/// Records whether pings are answered; peers are told of a change.
+/// Records whether pings are answered; peers are notified of a change.
 pub(crate) fn on_ping_result(router: &Router, is_answered: bool) {
     let failed = router.store.fails();
     router.store.set_pings_fail(!is_answered);
     report_change_of_calls(router, failed);
 }
 
-/// Has peers told at once that calls fail now, or succeed again.
+/// Has peers notified at once that calls fail now, or succeed again.
 fn report_change_of_calls(router: &Router, failed: bool) {
     if router.store.fails() != failed && router.store.role().watches() {
         router.peers.outbox.report_version();
--- a/crates/router/cloverpier_router/src/store_list.rs
+++ b/crates/router/cloverpier_router/src/store_list.rs
@@ -2,7 +2,7 @@
 //!
 //! A page that cannot be had is asked for again: a store that turns away a part of its calls, as at a
 //! start of a whole fleet, would never give a list of many pages if each of them began it anew. Who reads,
-//! and when, is up to [`crate::store_sync`]. Owns nothing.
+//! and when, is decided in [`crate::store_sync`]. Owns nothing.
 
 use crate::router::Router;
 use crate::source::{
@@ -51,7 +51,7 @@
     list: &mut UpstreamList,
     page: UpstreamPage,
 ) -> Result<Option<PagePosition>, SourceError> {
-    // The store has come back older than it was.
+    // The store has returned in an older state.
     if page.revision < list.revision {
         return Err(SourceError::HistoryLost);
     }
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -6,7 +6,7 @@
 //!
 //! After a failed call everything is read again, not only after lost history: a store that
 //! drops its history cuts all watches a moment before, and one that was made anew in between
-//! from the former revision heard nothing for 5 s, past a change and a leaving.
+//! from the former revision received nothing for 5 s, past a change and a leaving.
 
 use crate::configuration_copies::HeldConfiguration;
 use crate::decision_log::log_dependency;
@@ -325,7 +325,7 @@
     }
 }
 
-/// Pings the store once; peers learn of a doubt before the ping is over.
+/// Pings the store once; peers learn of a suspicion before the ping is over.
 async fn ping(router: &Router, source: &impl ConfigurationSource) -> Result<(), SourceError> {
     let mut ping = pin!(source.ping(PING_TIMEOUT));
     if let Ok(result) = router.timers.timeout(PING_DOUBT, &mut ping).await {
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -1,4 +1,4 @@
-//! Learns which process has taken the place of a dead upstream, and tells peers.
+//! Learns which process has taken the place of a dead upstream, and notifies peers.
 //!
 //! Whether it belongs to the same service is decided in
 //! `cloverpier_router_policy::successor`; this module reads its name off answers, adds it to
@@ -30,7 +30,7 @@
 }
 
 /// Records that a process answers at an upstream's address under another name, takes it if it
-/// must belong to the same service, and tells peers: each of them would have to try the dead
+/// must belong to the same service, and notifies peers: each of them would have to try the dead
 /// upstream to find out. With 74 routers, 540 requests met the next process in 9 s in which
 /// two data centres' engines had restarted and the store was away.
 pub(crate) fn on_other_name(router: &Router, former: &Upstream, answering: Option<&UpstreamName>) {
--- a/crates/router/cloverpier_router/src/upstream_limits/acquire.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/acquire.rs
@@ -18,7 +18,7 @@
     Given,
     /// It may not.
     Refused {
-        /// After what time its caller should come back.
+        /// After what time its caller should retry.
         retry: Duration,
     },
 }
@@ -44,7 +44,7 @@
 }
 
 impl UpstreamLimits {
-    /// Gets a permit for a request, which may wait so long for it; whoever is not limited needs none.
+    /// Gets a permit for a request, which may wait this long for it; whoever is not limited needs none.
     pub async fn acquire(&self, upstream: &Upstream, max_wait: Duration) -> Permission {
         let now = self.parts.timers.now();
         if self.permits.borrow().limits().is_empty() {
--- a/crates/router/cloverpier_router/src/upstream_limits/learn.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/learn.rs
@@ -30,12 +30,12 @@
 enum LimitSource<'a> {
     /// By an answer of the upstream.
     Answer(Via<'a>),
-    /// By a peer, so many milliseconds after another router had heard it.
+    /// By a peer, this many milliseconds after the answer had reached a router.
     Peer(SocketAddr, u32),
 }
 
 impl UpstreamLimits {
-    /// Applies what an answer says of its sender's limit; returns what all peers are to be told at once.
+    /// Applies what an answer says of its sender's limit; returns what is to be sent to all peers at once.
     pub fn on_answer(&self, answer: &LimitAnswer<'_>) -> Option<LimitReport> {
         let now = answer.written.heard;
         let key = UpstreamKey::of(&answer.upstream.name);
@@ -72,7 +72,7 @@
         is_news
     }
 
-    /// What peers are told that may have missed it.
+    /// What is reported to peers that may have missed it.
     pub fn reports(&self, born_ms: impl Fn(UpstreamKey) -> Option<u64>) -> Vec<LimitReport> {
         let now = self.parts.timers.now();
         let permits = self.permits.borrow();
--- a/crates/router/cloverpier_router/src/upstream_limits/mod.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Everything is decided in `cloverpier_router_policy::{limit, permit}`. [`UpstreamLimits`] owns what is
 //! known of limits, and the asks that wait for their answers; it takes the log, counters, timers and
-//! datagrams, and knows nothing of the router. [`learn`] takes what is said of limits, [`offer`] finds an upstream for a request, [`acquire`] gets permits,
-//! [`limiter`] answers other routers; [`crate::limit_news`] tells peers.
+//! datagrams, and knows nothing of the router. [`learn`] takes what is said of limits, [`offer`] finds an
+//! upstream for a request, [`acquire`] gets permits, [`limiter`] answers other routers;
+//! [`crate::limit_news`] notifies peers.
 
 mod acquire;
 mod learn;
--- a/crates/router/cloverpier_router/src/upstream_limits/told.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/told.rs
@@ -1,26 +1,26 @@
-//! Which changes of a limit are logged, and told to all peers at once.
+//! Which changes of a limit are logged, and reported to all peers at once.
 //!
-//! A limit that begins or ends concerns everybody. The rate itself matters to the limiter alone, which hears
-//! it with each ask, so that small changes are not sent to all. Owns the rates that were told last.
+//! A limit that begins or ends concerns everybody. The rate itself matters to the limiter alone, which gets
+//! it with each ask, so that small changes are not sent to all. Owns the rates that were reported last.
 
 use cloverpier_router_policy::limit::{LimitChange, Rate};
 use cloverpier_router_policy::prelude::UpstreamKey;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// A rate that has changed by less than this part is not told.
+/// A rate that has changed by less than this part is not reported.
 const MIN_CHANGE: f64 = 0.2;
-/// Changes of one upstream's rate are told once in this time.
+/// Changes of one upstream's rate are reported once in this time.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// The rate of each upstream that was told or heard last.
+/// The rate of each upstream that was reported last, by this router or a peer.
 #[derive(Debug, Default)]
 pub(super) struct ToldRates {
     told: HashMap<UpstreamKey, (Rate, Instant)>,
 }
 
 impl ToldRates {
-    /// Whether a change is worth telling; it counts as told then.
+    /// Whether a change is worth a report; it counts as reported then.
     pub fn is_worth_telling(
         &mut self,
         upstream: UpstreamKey,
--- a/crates/router/cloverpier_router/src/via.rs
+++ b/crates/router/cloverpier_router/src/via.rs
@@ -1,4 +1,4 @@
-//! By which call an upstream was heard to say something of itself, for log lines. Owns nothing.
+//! By which call an upstream said something of itself, for log lines. Owns nothing.
 
 /// The call whose answer said something of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/router/cloverpier_router_policy/src/attempts.rs
+++ b/crates/router/cloverpier_router_policy/src/attempts.rs
@@ -1,12 +1,12 @@
 //! Retry or stop: what follows an attempt that failed.
 //!
 //! - **Question.** May this request go to another upstream, and if not, what may its
-//!   caller be told?
+//!   caller be answered?
 //! - **Inputs.** The route's [`RetryRule`] and its bound on upstreams; the
 //!   [`AttemptOutcome`] of each attempt; whether there is time left; whether the retry
 //!   budget ([`crate::budget`]) grants a retry, which is asked last.
 //! - **Answer.** A [`NextStep`].
-//! - **Why.** A caller that is told "not run" sends the request again. So that answer is
+//! - **Why.** A caller that gets "not run" sends the request again. So that answer is
 //!   given only while no upstream can have run the request, and a request that runs at
 //!   most once is never sent on after an outcome that leaves it open.
 //!
--- a/crates/router/cloverpier_router_policy/src/budget.rs
+++ b/crates/router/cloverpier_router_policy/src/budget.rs
@@ -21,7 +21,7 @@
 /// A router exceeds its share only while the fleet is known to have spent less than this part of
 /// the budget.
 const LITTLE_SHARE: f64 = 0.25;
-/// The part of its share that a router may add within the time in which routers hear of each other.
+/// The part of its share that a router may add within the time in which routers learn of each other.
 const MAX_EXCESS: f64 = 0.4;
 
 /// The bound on retries that all routers keep together, for each service.
--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -109,7 +109,7 @@
     AllWait,
     /// Those that could take it limit themselves, and there is no permit for it.
     AllLimited {
-        /// After what time its caller should come back.
+        /// After what time its caller should retry.
         retry: Duration,
     },
 }
--- a/crates/router/cloverpier_router_policy/src/first_read.rs
+++ b/crates/router/cloverpier_router_policy/src/first_read.rs
@@ -2,15 +2,15 @@
 //!
 //! - **Question.** Does a router that has just started read them from the store now, or does it wait for
 //!   a peer to hand them on?
-//! - **Inputs.** Whether it is one of the seeds; how long ago it started; whether it has heard from a
-//!   peer, and how large the fleet is by what peers say.
+//! - **Inputs.** Whether it is one of the seeds; how long ago it started; whether it has received messages
+//!   from a peer, and how large the fleet is by what peers say.
 //! - **Answer.** A [`FirstRead`].
-//! - **Why.** What is read grows with accounts and upstreams, and the reads with the routers: 1,000
-//!   routers that start at once before 10,000 upstreams would have the store send 2 GB, which takes its
-//!   link 16 s, and a configuration of 200 kB, which takes 1.6 s. So the seeds read, and a few others as
-//!   soon as they know that the fleet is large, since seeds are busy with those who greet them. Those that
-//!   have something double with each copy's time. Where nobody hands anything on, as the store is away
-//!   from those that read, more and more of the others read, in the order of their random numbers.
+//! - **Why.** What is read grows with accounts and upstreams, and the reads with the routers: 1,000 routers
+//!   that start at once before 10,000 upstreams would have the store send 2 GB, which takes its link 16 s,
+//!   and a configuration of 200 kB, which takes 1.6 s. So the seeds read, and a few others as soon as they
+//!   know that the fleet is large, since seeds are busy with the routers that greet them. Those that have
+//!   something double with each copy's time. Where nobody hands anything on, as the store is away from
+//!   those that read, more and more of the others read, in the order of their random numbers.
 //!
 //! Which routers serve callers waits for this: after the loss of all routers nobody does before.
 //!
@@ -19,8 +19,8 @@
 use crate::heartbeat::reaches_all_peers;
 use std::time::Duration;
 
-/// A router that has heard from no peer after this time reads by itself: seeds answer within a few
-/// milliseconds, and within a tenth of a second where 1,000 routers greet them at once.
+/// A router that has received messages from no peer after this time reads by itself: seeds answer within a
+/// few milliseconds, and within a tenth of a second where 1,000 routers greet them at once.
 const FIRST_WORD: Duration = Duration::from_millis(250);
 /// A router of a small fleet that was handed nothing after this time reads by itself: seeds have read
 /// after some milliseconds.
@@ -40,7 +40,7 @@
     pub is_seed: bool,
     /// How long ago it started.
     pub age: Duration,
-    /// Whether it has heard from a peer.
+    /// Whether it has received messages from a peer.
     pub has_peers: bool,
     /// Number of routers that peers speak of.
     pub peers: usize,
@@ -75,7 +75,7 @@
     }
 }
 
-/// How long a router waits before which so many of a large fleet read.
+/// How long a router waits that this many of a large fleet precede.
 fn large_fleet_wait(before: f64) -> Duration {
     if before < FIRST_READERS {
         return Duration::ZERO;
--- a/crates/router/cloverpier_router_policy/src/heartbeat.rs
+++ b/crates/router/cloverpier_router_policy/src/heartbeat.rs
@@ -11,7 +11,7 @@
 //!   little: the next heartbeat repeats everything.
 //!
 //! `cloverpierd`'s heartbeats find members to remove (`cloverpier_member::detector`); these only
-//! carry load, budgets and news over datagrams, as nothing of safety depends on a peer here.
+//! carry load, budgets and updates over datagrams, as nothing of safety depends on a peer here.
 //!
 //! Owns the bounds of what one message holds. The messages themselves are the carrying-out
 //! crate's.
@@ -29,7 +29,7 @@
 /// A report of load counts for at least this long.
 const MIN_LOAD_TTL: Duration = Duration::from_millis(1_500);
 /// Changes of load are sent while there are at most this many peers, so that they reach all; beyond
-/// it engines are asked ([`crate::load_query`]) and this many peers hear of suspicions alone.
+/// it engines are asked ([`crate::load_query`]) and this many peers learn of suspicions alone.
 const MAX_PEERS_PER_CHANGE: usize = 96;
 
 /// Peers that one heartbeat mentions, by which routers discover each other; an address takes 15
@@ -88,9 +88,9 @@
     }
 }
 
-/// The peers that are told at once that a version has changed: all, where peers rely on this
+/// The peers that are notified at once that a version has changed: all, where peers rely on this
 /// router for the store or are few; else some picked at random, so that whoever looks for the
-/// version learns of many routers that have it. Told in turns, routers would tell the same peers at the
+/// version learns of many routers that have it. In turns, routers would notify the same peers at the
 /// same time.
 pub fn version_peers(
     peers: Vec<SocketAddr>,
@@ -104,7 +104,7 @@
 }
 
 /// Whether a peer that is not known gets a first message because another one mentioned it. In a large
-/// fleet gossip tells of all members: 1,000 routers that greet each other are a million messages of
+/// fleet gossip names all members: 1,000 routers that greet each other are a million messages of
 /// 2 kB within two seconds.
 pub fn greets_mentioned(known_peers: usize) -> bool {
     reaches_all_peers(known_peers)
--- a/crates/router/cloverpier_router_policy/src/held_memory.rs
+++ b/crates/router/cloverpier_router_policy/src/held_memory.rs
@@ -1,6 +1,6 @@
 //! How much of bodies and answers a router holds for all callers together.
 //!
-//! - **Question.** May so many bytes more be held?
+//! - **Question.** May this many more bytes be held?
 //! - **Inputs.** The VM's memory; what is held already.
 //! - **Answer.** Yes or no.
 //! - **Why.** A router reads a request's body whole before it sends it, so that it can be sent again, and
@@ -37,7 +37,7 @@
 }
 
 impl HeldMemory {
-    /// Nothing held, in a VM with so many bytes of memory.
+    /// Nothing held, in a VM with this many bytes of memory.
     pub fn of(vm_bytes: u64) -> Self {
         Self {
             limit: (vm_bytes as f64 * HELD_SHARE) as u64,
--- a/crates/router/cloverpier_router_policy/src/leaving.rs
+++ b/crates/router/cloverpier_router_policy/src/leaving.rs
@@ -5,12 +5,12 @@
 //! - **Inputs.** What answers and peers said: upstream, start, since when it is known.
 //! - **Answer.** Since when a start leaves; what is sent to peers.
 //! - **Why.** An upstream says in all its answers that it leaves, whether or not the platform's store can
-//!   be reached; read from the store alone, it would go on to get requests for as long as the store is
+//!   be reached; read from the store alone, it would go on to get requests while the store is
 //!   away. A set that only grows needs no order of messages: a leaving is never taken back, by the
 //!   upstream's own entry neither, which may be read late or written by who knows less. It binds one
 //!   start. A later one under the same name is another process, and serves.
 //!
-//! Leavings are kept apart from the upstreams that are listed, as a peer may tell of one before the
+//! Leavings are kept apart from the upstreams that are listed, as a peer may report one before the
 //! list does, and a list that was read late may name one that was forgotten. Owns them.
 
 use crate::upstream::UpstreamKey;
@@ -18,7 +18,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// While no other upstream of its service is left, one that leaves gets requests for so long after
+/// While no other upstream of its service is left, one that leaves gets requests for this long after
 /// its announcement. It serves for two seconds at least, by the platform's promise, of which one is
 /// kept for requests under way, so that its successor may be late without a refusal.
 pub const LAST_RESORT_FOR: Duration = Duration::from_millis(1_000);
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -30,13 +30,13 @@
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
 //! | does the process at a dead upstream's address belong to its service | [`successor`] |
-//! | what are peers told of requests that end upstreams | [`crash_news`] |
+//! | what is reported to peers of requests that end upstreams | [`crash_news`] |
 //! | which facts are sent to peers again | [`news`] |
 //! | which routers do callers get | [`peers`] |
 //! | which peers are sent what, and how long it counts | [`heartbeat`] |
-//! | which routers live, in a large fleet, and who tells whom | [`membership`] |
+//! | which routers live, in a large fleet, and who informs whom | [`membership`] |
 //! | who watches the store, and how often | [`store_watch`] |
-//! | what a large fleet knows of those who watch | [`watcher_beats`] |
+//! | what a large fleet knows of its watchers | [`watcher_beats`] |
 //! | who reads the list of upstreams at a start | [`first_read`] |
 //! | when is the store pinged | [`store_ping`] |
 //! | from which peer are newer versions fetched | [`version_fetch`] |
--- a/crates/router/cloverpier_router_policy/src/limit.rs
+++ b/crates/router/cloverpier_router_policy/src/limit.rs
@@ -3,8 +3,8 @@
 //! - **Question.** What does an upstream take now, given what its answers said, here and at peers?
 //! - **Inputs.** The rate that an answer names, or that it names none; within which time the upstream
 //!   wrote that answer.
-//! - **Answer.** Its [`Rate`], or that it is not limited; what an answer changes of that; what peers are
-//!   told.
+//! - **Answer.** Its [`Rate`], or that it is not limited; what an answer changes of that; what is
+//!   reported to peers.
 //! - **Why.** An upstream names a rate in its answers while it is in need. Answers overtake each other, so
 //!   one that names nothing ends a limit only if the upstream wrote it later than the last one that named
 //!   it, which is certain only of an answer to a request that was sent after that one had arrived. Of two
@@ -126,7 +126,7 @@
         }
     }
 
-    /// Whether it ended at least so long ago.
+    /// Whether it ended at least this long ago.
     fn is_over(&self, time: Duration, now: Instant) -> bool {
         let since = now.saturating_duration_since(self.slow_start.since);
         self.named.is_none() && since >= time
--- a/crates/router/cloverpier_router_policy/src/limit/rate.rs
+++ b/crates/router/cloverpier_router_policy/src/limit/rate.rs
@@ -6,7 +6,7 @@
 /// Thousandths of a request in one request.
 const MILLI: f64 = 1_000.0;
 /// The least rate, in thousandths of a request a second. One that names less gets a request in ten
-/// seconds all the same, so that it is heard when it takes more again.
+/// seconds all the same, so that an answer can say when it takes more again.
 const MIN_MILLI: u64 = 100;
 /// A rate beyond a million requests a second, in thousandths, is none that an upstream can mean.
 const MAX_MILLI: u64 = 1_000_000_000;
@@ -51,7 +51,7 @@
     /// So many times this rate, up to a million requests a second.
     #[must_use]
     pub fn times(self, factor: f64) -> Self {
-        // A product beyond what fits is more than the most, which it is brought down to.
+        // A product beyond what fits is more than the most, which it becomes.
         Self::from((self.milli as f64 * factor) as u64)
     }
 
--- a/crates/router/cloverpier_router_policy/src/limit/report.rs
+++ b/crates/router/cloverpier_router_policy/src/limit/report.rs
@@ -1,4 +1,4 @@
-//! What routers tell each other of limits.
+//! What routers report to each other of limits.
 //!
 //! Owns no state. Times travel as ages, as the clocks of machines differ.
 
--- a/crates/router/cloverpier_router_policy/src/membership.rs
+++ b/crates/router/cloverpier_router_policy/src/membership.rs
@@ -4,18 +4,18 @@
 //!   does the message say of others?
 //! - **Inputs.** Messages from routers, with what they say of themselves and of others; moments.
 //! - **Answer.** [`MemberUpdate`] to send, and to whom; the members that live.
-//! - **Why.** What a router sends, hears and waits must not grow with the fleet. So the routers form a
+//! - **Why.** What a router sends, receives and waits must not grow with the fleet. So the routers form a
 //!   ring by the hash of their addresses, and each sends every message to its next [`SUCCESSORS`] there,
 //!   which notice its silence, and to a few others at random. A router that is silent is probed, and
 //!   declared dead by who probed it if it does not answer. That, like anything else that changes, goes on
 //!   with the messages that are sent anyway, some times each: after as many rounds as the logarithm of
-//!   the fleet all know it. A router that hears that it is dead says that it is not.
+//!   the fleet all know it. A router that learns that it counts as dead says that it is not.
 //!
 //! This is SWIM (Das, Gupta, Motivala, 2002): probes, and updates that travel with other messages. Here the
 //! messages go to fixed neighbours, too, so that silence is noticed without a probe each period.
 //!
 //! Updates of a router are ordered by its stamp, which it raises with each change of its own state: what
-//! has a lower stamp is older. Nothing of safety depends on who is taken for alive.
+//! has a lower stamp is older. Nothing of safety depends on who counts as alive.
 //!
 //! [`Membership`] owns all members with the last update of each, the ring, the updates to pass on, and the
 //! probes under way. Small fleets do without it ([`crate::heartbeat`]).
@@ -42,11 +42,11 @@
 
 /// How often a router of a large fleet sends messages.
 pub const GOSSIP_PERIOD: Duration = Duration::from_millis(400);
-/// Routers that end are told of at once, once in this time at most.
+/// Routers that end are reported at once, once in this time at most.
 pub const ENDED_PERIOD: Duration = Duration::from_millis(100);
-/// How long after its end a member may be taken for alive: silence, probes, and some rounds of updates.
+/// How long after its end a member may count as alive: silence, probes, and some rounds of updates.
 pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// A router that hears from nobody for this long is cut off, and knows nothing of others.
+/// A router that receives nothing from others for this long is cut off, and knows nothing of others.
 const ALONE_AFTER: Duration = Duration::from_millis(2_500);
 /// A dead router is forgotten after this long; until then it is sent a message now and then, so that
 /// routers find each other again after a partition.
@@ -61,7 +61,7 @@
     data_centre: DataCentre,
     state: MemberState,
     stamp: u64,
-    /// When it was heard itself.
+    /// When a message of its own arrived last.
     heard: Option<Instant>,
     /// When the last update of it came.
     changed: Instant,
@@ -87,7 +87,7 @@
     updates: UpdateQueue,
     probes: HashMap<SocketAddr, Probe>,
     heard_any: Option<Instant>,
-    /// Routers that end, of which others are told without waiting for the next period.
+    /// Routers that end, which are reported without waiting for the next period.
     ended: BTreeSet<SocketAddr>,
     messages: u32,
     /// Of what is known of those that are not dead.
@@ -158,7 +158,7 @@
         self.members.contains_key(&router)
     }
 
-    /// Whether a router is taken for dead.
+    /// Whether a router counts as dead.
     pub fn is_known_dead(&self, router: SocketAddr) -> bool {
         self.members.get(&router).is_some_and(Member::is_dead)
     }
@@ -297,13 +297,13 @@
         })
     }
 
-    /// Whether routers end of which others are to be told at once.
+    /// Whether routers end that are to be reported at once.
     pub fn has_ended(&self) -> bool {
         !self.ended.is_empty()
     }
 
-    /// The routers that end, to be told to [`Membership::urgent_targets`] at once; they count as told
-    /// then.
+    /// The routers that end, to be reported to [`Membership::urgent_targets`] at once; they count as
+    /// reported then.
     pub fn take_ended(&mut self) -> Vec<MemberUpdate> {
         let mut ended = std::mem::take(&mut self.ended);
         // What does not fit waits for the next time.
@@ -321,7 +321,7 @@
         known.filter_map(|router| self.update_of(router)).collect()
     }
 
-    /// Whether this router hears from nobody.
+    /// Whether this router receives nothing from others.
     pub fn is_alone(&self, now: Instant) -> bool {
         self.heard_any
             .is_none_or(|at| now.saturating_duration_since(at) > ALONE_AFTER)
@@ -366,7 +366,7 @@
         self.members.keys().copied().collect()
     }
 
-    /// Where callers reach the members that were ready when they were last heard of.
+    /// Where callers reach the members that were ready when something was last known of them.
     pub fn once_ready(&self) -> Vec<SocketAddr> {
         let ready = MemberState::Alive(PeerState::Ready);
         let members = self.members.values().filter(|m| m.state == ready);
--- a/crates/router/cloverpier_router_policy/src/membership/exchange.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/exchange.rs
@@ -13,7 +13,7 @@
 /// All members are asked for, and sent, once in this time at most: in a fleet of 1,000 they take some
 /// 50 kB.
 const MEMBERS_PERIOD: Duration = Duration::from_millis(200);
-/// Routers that know something else for so long missed updates: one of them asks for all members.
+/// Routers that know something else for this long missed updates: one of them asks for all members.
 const DIFFERS_LONG: Duration = Duration::from_secs(2);
 /// A router that knows so much less than the sender of a message asks for all members.
 const MUCH_LESS: f64 = 0.9;
--- a/crates/router/cloverpier_router_policy/src/membership/ring.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/ring.rs
@@ -1,6 +1,6 @@
 //! The ring: who is next to whom, and what a neighbour's silence means.
 //!
-//! Owns the probes under way. A router that was paused, or that hears from nobody, judges nobody.
+//! Owns the probes under way. A router that was paused, or that receives nothing from others, judges nobody.
 
 use super::{MemberState, MemberUpdate, Membership};
 use cloverpier_core::hash_of;
--- a/crates/router/cloverpier_router_policy/src/membership/targets.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/targets.rs
@@ -18,7 +18,7 @@
 const FLOOD_NEAR: usize = 4;
 /// Routers of each other data centre that get a change from the one that read it from the store.
 const FLOOD_ELSEWHERE: usize = 3;
-/// Of so many messages one goes to a dead router.
+/// Of this many messages one goes to a dead router.
 const DEAD_PERIOD: u32 = 10;
 
 impl Membership {
--- a/crates/router/cloverpier_router_policy/src/membership/update.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/update.rs
@@ -53,7 +53,7 @@
     Known,
     /// It was not known, or it is something else than it was.
     Changed,
-    /// It says of itself that it runs, and it is taken for dead here: it has to be told.
+    /// It says of itself that it runs, and it counts as dead here: it has to be informed.
     TakenForDead,
 }
 
@@ -77,7 +77,7 @@
 pub struct GossipReply {
     /// Whether the sender was not known, starts, or is something else than it was.
     pub is_newcomer: bool,
-    /// What it has to know of itself: that it is taken for dead.
+    /// What it has to know of itself: that it counts as dead.
     pub of_itself: Option<MemberUpdate>,
     /// Whether it gets a message.
     pub message: bool,
--- a/crates/router/cloverpier_router_policy/src/membership/update_queue.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/update_queue.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-/// Messages that each update goes into besides one for each doubling of the fleet: whoever hears of it
+/// Messages that each update goes into besides one for each doubling of the fleet: whoever learns it
 /// does the same, so a message that is lost costs nothing.
 const MORE_MESSAGES: u32 = 2;
 
--- a/crates/router/cloverpier_router_policy/src/peers.rs
+++ b/crates/router/cloverpier_router_policy/src/peers.rs
@@ -131,8 +131,8 @@
         1 + self.live(now, timeout).count()
     }
 
-    /// Number of routers that were heard within the last minute, did not say that they leave, and are
-    /// silent; those that were mentioned, too, where none was ever heard.
+    /// Number of routers that sent something within the last minute, did not say that they leave, and
+    /// are silent; those that were mentioned, too, where none ever sent anything.
     pub fn lost(&self, now: Instant, timeout: Duration) -> usize {
         if self.peers.is_empty() {
             return self.mentioned.len();
@@ -172,7 +172,7 @@
         })
     }
 
-    /// Use of a service's retry budget by `live` peers, of whom only some were heard within `window`:
+    /// Use of a service's retry budget by `live` peers, of whom only some reported within `window`:
     /// the others are taken to be like them.
     pub fn budget_estimate(
         &self,
--- a/crates/router/cloverpier_router_policy/src/permit.rs
+++ b/crates/router/cloverpier_router_policy/src/permit.rs
@@ -1,7 +1,7 @@
 //! Permits to send requests to upstreams that limit themselves.
 //!
-//! - **Question.** May this router send a request to an upstream now that takes so many a second from all
-//!   routers together, when may it, or when should its caller come back?
+//! - **Question.** May this router send a request to an upstream now that takes this many a second from all
+//!   routers together, when may it, or when should its caller retry?
 //! - **Inputs.** The limits ([`crate::limit`]); which routers live, and which of them were lost a while
 //!   ago; asks of other routers, and their answers; how long the request may wait.
 //! - **Answer.** A [`Want`] for the router that has the request; a [`PermitReply`] for one that asks.
@@ -35,7 +35,7 @@
 
 /// A router whose periods come so much later than due stood still: others may take it for dead.
 const MAX_PERIOD: Duration = Duration::from_millis(900);
-/// A request that nobody can be asked for waits so long: the routers that live are known soon.
+/// A request that nobody can be asked for waits this long: the routers that live are known soon.
 const NO_LIMITER_PAUSE: Duration = Duration::from_millis(200);
 
 /// A permit is not used later than this after its time, as when this process stood still: what the
@@ -65,7 +65,7 @@
 pub struct PermitRefusal {
     /// After what time a permit is free.
     pub next: Duration,
-    /// After what time the request's caller should come back: those that were refused before it come
+    /// After what time the request's caller should retry: those that were refused before it come
     /// first.
     pub retry: Duration,
     /// The time in which each of the routers that ask gets one permit.
@@ -111,7 +111,7 @@
     Ask(SocketAddr),
     /// Do not send it.
     Refused {
-        /// After what time its caller should come back.
+        /// After what time its caller should retry.
         retry: Duration,
     },
 }
@@ -254,7 +254,7 @@
         self.limits.rate(upstream, now).is_some() && self.client.is_left_out(upstream, now)
     }
 
-    /// What to do with a request that is to be sent to an upstream and may wait so long.
+    /// What to do with a request that is to be sent to an upstream and may wait this long.
     pub fn want(
         &mut self,
         upstream: LimitedUpstream<'_>,
@@ -423,7 +423,7 @@
         self.limiter.on_routers(map, hold, now);
     }
 
-    /// Whether the last period is so long ago that this process stood still, or none was yet.
+    /// Whether this process stood still since the last period, or none was yet.
     fn stood_still(&self, now: Instant) -> bool {
         let is_late = |at: Instant| now.saturating_duration_since(at) > MAX_PERIOD;
         self.last_period.is_none_or(is_late)
--- a/crates/router/cloverpier_router_policy/src/permit/bucket.rs
+++ b/crates/router/cloverpier_router_policy/src/permit/bucket.rs
@@ -2,7 +2,7 @@
 //!
 //! A token bucket: tokens come in at the rate that the upstream names, a few are kept for a burst, and a
 //! request that can wait takes one in advance. [`PermitBucket`] owns the tokens, the order in which
-//! refused callers come back, and which routers ask.
+//! refused callers retry, and which routers ask.
 
 use super::{PermitAsk, PermitRefusal};
 use serde::{Deserialize, Serialize};
@@ -15,7 +15,7 @@
 const USED_SHARE: f64 = 0.95;
 /// Tokens that are kept while nobody asks: the users allow five requests beyond the rate.
 const BURST: f64 = 4.0;
-/// A router counts as one that asks for so long after it has asked.
+/// A router counts as one that asks for this long after it has asked.
 const ASKS_FOR: Duration = Duration::from_secs(10);
 /// Refused callers are sent away for no longer, as an upstream may take more by then.
 const MAX_RETRY: Duration = Duration::from_secs(10);
@@ -36,7 +36,7 @@
 pub struct PermitBucket {
     /// Less than 0 where permits are handed out in advance.
     tokens: f64,
-    /// Refused callers that have not come back yet, by the times that they were told.
+    /// Refused callers that have not retried yet, by the times that they were given.
     booked: f64,
     counted: Instant,
     asked: HashMap<SocketAddr, Instant>,
@@ -94,7 +94,7 @@
         }
     }
 
-    /// How long it takes until there are so many tokens.
+    /// How long it takes until there are this many tokens.
     fn time_to(&self, tokens: f64, per_second: f64) -> Duration {
         let missing = (tokens - self.tokens).max(0.0);
         Duration::try_from_secs_f64(missing / per_second).unwrap_or(MAX_WAIT)
--- a/crates/router/cloverpier_router_policy/src/permit/client.rs
+++ b/crates/router/cloverpier_router_policy/src/permit/client.rs
@@ -11,12 +11,12 @@
 /// How long an answer is waited for: a round trip to the upstream's data centre, of which routers and
 /// network may take more on a busy machine.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
-/// After an ask without an answer the upstream is left out for so long.
+/// After an ask without an answer the upstream is left out for this long.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(150);
-/// A router that leaves so many asks in a row unanswered hands out no permits: it is dead, or runs a
+/// A router that leaves this many asks in a row unanswered hands out no permits: it is dead, or runs a
 /// release that does not.
 const MAX_UNANSWERED: u32 = 3;
-/// And it is passed over for so long.
+/// And it is passed over for this long.
 const SILENT_FOR: Duration = Duration::from_secs(5);
 
 /// The last refusal for an upstream.
@@ -45,7 +45,7 @@
         refusal.is_some_and(|last| now < last.left_out_until)
     }
 
-    /// When a request's caller should come back that is refused without an ask, as no permit can be had
+    /// When a request's caller should retry that is refused without an ask, as no permit can be had
     /// within the time that it may wait; `None` where it is worth asking.
     pub fn refuse_unasked(
         &mut self,
--- a/crates/router/cloverpier_router_policy/src/permit/limiter.rs
+++ b/crates/router/cloverpier_router_policy/src/permit/limiter.rs
@@ -141,8 +141,8 @@
         &self.map
     }
 
-    /// Takes account of the routers that live now, if they are others than before. `hold` is how long it takes at most until all of them
-    /// have noticed a change.
+    /// Takes account of the routers that live now, if they are others than before. `hold` is how long it
+    /// takes at most until all of them have noticed a change.
     pub fn on_routers(&mut self, map: Option<LimiterMap>, hold: Duration, now: Instant) {
         self.hold = hold;
         if let Some(map) = map.filter(|map| *map != self.map) {
--- a/crates/router/cloverpier_router_policy/src/permit/search.rs
+++ b/crates/router/cloverpier_router_policy/src/permit/search.rs
@@ -40,7 +40,7 @@
 }
 
 impl PermitSearch {
-    /// A request that may wait so long for a permit.
+    /// A request that may wait this long for a permit.
     pub fn new(patience: Duration) -> Self {
         Self {
             patience,
@@ -69,7 +69,7 @@
         has_asked_enough || is_left_out || self.refused.contains(&upstream)
     }
 
-    /// Records that no permit was had for an upstream, and when the request's caller should come back.
+    /// Records that no permit was had for an upstream, and when the request's caller should retry.
     pub fn on_refused(&mut self, upstream: UpstreamKey, retry: Duration) {
         self.refused.push(upstream);
         let first = self.retry.map_or(retry, |first| first.min(retry));
@@ -88,7 +88,7 @@
         true
     }
 
-    /// When the request's caller should come back, where limits are why nobody took it.
+    /// When the request's caller should retry, where limits are why nobody took it.
     pub fn retry(&self) -> Option<Duration> {
         self.retry
     }
--- a/crates/router/cloverpier_router_policy/src/rollout/book.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/book.rs
@@ -1,7 +1,7 @@
 //! The orders that a router knows, and what follows for its attempts.
 //!
 //! Owns, for each service, the newest order with its progress, what this router counted for it,
-//! what others reported, and which versions were ever listed. Relies on being told of each list of
+//! what others reported, and which versions were ever listed. Relies on being informed of each list of
 //! upstreams and of each view that peers or the store send.
 //!
 //! A version that appears beside others without an order gets nothing for a moment
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 /// How long a version that is listed beside others waits for an order that explains it: the store's
-/// watches return within 10 ms or so, and peers hear within three heartbeats (0.2 s each by
+/// watches return within 10 ms or so, and peers know within three heartbeats (0.2 s each by
 /// default); the rest is for a call that has to be made again.
 pub const UNORDERED_HOLD: Duration = Duration::from_secs(2);
 /// How much of an order's duration is taken to have passed where a router that has just started
@@ -27,7 +27,7 @@
 /// takes to be listed as dead and to be found again.
 const TOLD_FOR: Duration = Duration::from_secs(60);
 
-/// What a view brought.
+/// What a view changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderNews {
     /// Nothing that was not known.
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
@@ -2,7 +2,7 @@
 //!
 //! Counts attempts, failures and times at either version, for each stage, and makes the reports that
 //! peers add up. Owns these counts, the times that are being measured, and the broken attempts that
-//! wait for a sign of life of their upstream. Relies on being told of each attempt once.
+//! wait for a sign of life of their upstream. Relies on being informed of each attempt once.
 
 use super::{
     AnswerCounts, Arm, Evidence, EvidenceKey, EvidenceReport, Measure, RouteKey, SentCounts,
--- a/crates/router/cloverpier_router_policy/src/rollout/judgement.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/judgement.rs
@@ -9,14 +9,14 @@
 //!   tests (A. Wald, Sequential tests of statistical hypotheses, 1945) over how much worse the
 //!   version may be: the likelihood of what was seen if the version is worse, divided by its
 //!   likelihood if it is as the former ones are at worst. By Ville's inequality a good version
-//!   brings that ratio above a bound with a probability of at most one in the bound (H. Robbins,
+//!   raises that ratio above a bound with a probability of at most one in the bound (H. Robbins,
 //!   Statistical methods related to the law of the iterated logarithm, 1970). Tools for roll-outs
 //!   that operators know compare at fixed moments (Kayenta, Argo Rollouts, Flagger, as far as
 //!   published); here each second counts.
 //!
 //! Failures and slow answers are tested apart, on each route and on all together, so a fault on
 //! one route is found. An answer is slow that takes several times as long as the median of the
-//! former versions on its route, and so is one that is awaited for so long: a version that takes
+//! former versions on its route, and so is one that is awaited for this long: a version that takes
 //! five times as long is seen after three times the usual time. One bad upstream among several is
 //! not a bad version: what is left without the worst group has to be suspicious, too.
 //!
--- a/crates/router/cloverpier_router_policy/src/rollout/schedule.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/schedule.rs
@@ -46,7 +46,7 @@
 /// Requests of the new version in the third stage.
 const PART_SHARE: f64 = 0.35;
 /// Upstreams of the new version that are tried in the first stage at least, so that one bad
-/// upstream is not taken for a bad version.
+/// upstream is not counted as a bad version.
 const MIN_CANARIES: usize = 2;
 
 /// How many times the load that upstreams have at the end those have that are tried first, as
--- a/crates/router/cloverpier_router_policy/src/rollout/versions.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/versions.rs
@@ -7,7 +7,7 @@
 use cloverpier_core::{SoftwareVersion, hash_of};
 
 /// Groups into which the upstreams of a new version are counted, so that one bad upstream is not
-/// taken for a bad version and a report stays short whatever the number of upstreams.
+/// counted as a bad version and a report stays short whatever the number of upstreams.
 pub const GROUPS: usize = 8;
 
 /// The upstreams of the new version that are tried first.
--- a/crates/router/cloverpier_router_policy/src/singleton/autoscaling.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/autoscaling.rs
@@ -169,7 +169,7 @@
 }
 
 impl Autoscaler {
-    /// A planner that has seen no load yet, where the data centres hold so many engines, or were
+    /// A planner that has seen no load yet, where the data centres hold this many engines, or were
     /// ordered to hold them by the former holder of the lease.
     pub fn new(bounds: ScalingBounds, in_force: Plan) -> Self {
         Self {
@@ -240,7 +240,7 @@
         }
     }
 
-    /// The orders that are due, where so many engines are listed in each data centre.
+    /// The orders that are due, where this many engines are listed in each data centre.
     pub fn orders(&self, listed: &BTreeMap<DataCentre, u32>, now: Instant) -> Vec<Order> {
         let share = self.share(now);
         let mut due = Vec::new();
--- a/crates/router/cloverpier_router_policy/src/singleton/fleet_clock.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/fleet_clock.rs
@@ -28,7 +28,7 @@
     arrived: Instant,
 }
 
-/// The clocks of the routers, as this router was told.
+/// The clocks of the routers, as reported to this one.
 #[derive(Clone, Debug)]
 pub struct FleetClock {
     start: Instant,
@@ -38,7 +38,7 @@
 }
 
 impl FleetClock {
-    /// A clock that goes by the own time of day until it is told of others.
+    /// A clock that goes by the own time of day until it is notified of others.
     pub fn new(own_wall_ms: u64, now: Instant) -> Self {
         Self {
             start: now,
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Takes the time of day of a router that hears of all clocks.
+    /// Takes the time of day of a router that learns of all clocks.
     pub fn adopt(&mut self, fleet_ms: FleetMs, now: Instant) {
         self.offset_ms = signed(fleet_ms) - self.since_start(now);
     }
--- a/crates/router/cloverpier_router_policy/src/singleton/lease.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/lease.rs
@@ -3,7 +3,7 @@
 //! - **Question.** May this router act as the holder now? Does it read the lease's record, write it,
 //!   or wait?
 //! - **Inputs.** What the store answered to reads and conditional writes, and when each call was sent;
-//!   which version of the record the holder told of in a datagram; whether this router may take the
+//!   which version of the record the holder named in a datagram; whether this router may take the
 //!   lease. Moments are those of this router's own clock, which counts suspensions.
 //! - **Answer.** A [`LeaseStep`]; [`Lease::acts_until`].
 //! - **Why.** Nobody checks the fencing token on the other side, so two holders must never act at the
@@ -14,12 +14,12 @@
 //!   [`OWN_SHARE`]. A write whose answer was lost, and which may be done seconds later, proves nothing:
 //!   the holder reads the record and writes again under the revision that it finds.
 //!
-//! **A store that comes back older.** Its answers then carry a higher era. Whatever was seen in a former
-//! era counts for nothing: a router waits for the whole duration again, from its first answer of the new
-//! era on, and a holder that is told of a new era stops at once. Tokens of a later era are greater than
+//! **A store that returns in an older state.** Its answers then carry a higher era. Whatever was seen in a
+//! former era counts for nothing: a router waits for the whole duration again, from its first answer of the
+//! new era on, and a holder that learns of a new era stops at once. Tokens of a later era are greater than
 //! all of a former one ([`next_token`]).
 //!
-//! **No holder comes back soon.** A lease is never given back: it runs out. So a former holder can act
+//! **No holder returns soon.** A lease is never given back: it runs out. So a former holder can act
 //! again only after another one's lease has run out, and no two holders alternate within a duration.
 //!
 //! [`Lease`] owns what this router has seen of the record, and its own hold of the lease. It is explored
@@ -40,7 +40,7 @@
 /// How long the lease lasts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseBounds {
-    /// A router that has seen the same version of the record for so long may take the lease.
+    /// A router that has seen the same version of the record for this long may take the lease.
     pub duration: Duration,
 }
 
@@ -151,7 +151,7 @@
     version: RecordVersion,
     /// When this version was first known to be there.
     since: Instant,
-    /// `None` where only a datagram told of the version.
+    /// `None` where only a datagram named the version.
     record: Option<Option<Tenure>>,
 }
 
@@ -345,7 +345,7 @@
         }
     }
 
-    /// Records that the holder told of a version of the record.
+    /// Records that the holder named a version of the record.
     pub fn on_told(&mut self, version: RecordVersion, now: Instant) {
         let is_newer = self.observed.as_ref().is_none_or(|o| o.version < version);
         if self.hold.is_none() && self.enters_era(version.era) && is_newer {
--- a/crates/router/cloverpier_router_policy/src/singleton/metering.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/metering.rs
@@ -12,7 +12,7 @@
 //! The size of a report grows with the requests that a router counted, not with the accounts.
 //!
 //! [`OwnUsage`] owns what this router counted, [`UsageBook`] what all routers reported, [`UsageJournal`]
-//! what stands in the record.
+//! what the record holds.
 
 use super::fleet_clock::FleetMs;
 use cloverpier_core::AccountName;
@@ -255,7 +255,7 @@
     era: u64,
     undecided: Window,
     decided: BTreeMap<Window, WindowCounts>,
-    /// Decided windows that stand in the record, so that they may be reported.
+    /// Decided windows that the record holds, so that they may be reported.
     recorded: Vec<Window>,
     /// What the former holder knew of windows that were not decided.
     inherited: BTreeMap<Window, Recorded>,
@@ -331,7 +331,7 @@
         }
     }
 
-    /// Records that a journal stands in the record: its decided windows may be reported.
+    /// Records that the record holds a journal: its decided windows may be reported.
     pub fn on_recorded(&mut self, journal: &UsageJournal) {
         self.recorded = journal.decided.keys().copied().collect();
     }
--- a/crates/router/cloverpier_router_policy/src/statement.rs
+++ b/crates/router/cloverpier_router_policy/src/statement.rs
@@ -6,7 +6,7 @@
 //!   was asked; for the answer to a request, whether it counts ([`crate::attempt_failure`]).
 //! - **Answer.** A [`Sender`].
 //! - **Why.** Addresses are used again and answers arrive late or twice, so an answer may come from
-//!   another process than the one that was asked, or belong to nothing. A leaving that is taken for
+//!   another process than the one that was asked, or belong to nothing. A leaving that counts as
 //!   another upstream's takes a sound one out of service, for good.
 //!
 //! How long a statement binds is decided in [`crate::leaving`], [`crate::limit`]
--- a/crates/router/cloverpier_router_policy/src/store_ping.rs
+++ b/crates/router/cloverpier_router_policy/src/store_ping.rs
@@ -28,7 +28,7 @@
 /// Routers that step in spread their first pings over this time for each router, so that most see
 /// another one succeed before it is their turn; a heartbeat takes about 2 ms.
 const STEP_IN_SPREAD: Duration = Duration::from_millis(2);
-/// And over this time at most, so that a large fleet does not wait for the news.
+/// And over this time at most, so that a large fleet does not wait for it.
 const MAX_STEP_IN_SPREAD: Duration = Duration::from_millis(150);
 
 /// When a router pings the store next, by its role.
--- a/crates/router/cloverpier_router_policy/src/store_watch.rs
+++ b/crates/router/cloverpier_router_policy/src/store_watch.rs
@@ -5,7 +5,7 @@
 //! - **Inputs.** The live peers, their data centres and how long ago each of them last reached
 //!   the store; the same of this router; whether its calls fail at present.
 //! - **Answer.** A [`WatcherRole`]; what the loops that call and ping do next; the store age
-//!   that peers are told.
+//!   that is reported to peers.
 //! - **Why.** Each call to the store has its price, and a waiting watch counts as a call: at
 //!   65 routers that all watched, calls were the largest price of a quiet day. So three
 //!   routers watch, and the others fetch versions from them. Nothing of safety depends on who
@@ -90,7 +90,7 @@
 pub enum WatcherRole {
     /// It watches, as it is among the first by rank.
     Chosen,
-    /// It stands in for a chosen one that does not reach the store: it pings, and watches if it
+    /// It replaces a chosen one that does not reach the store: it pings, and watches if it
     /// is answered.
     #[serde(rename = "nobody-else")]
     Fallback,
@@ -120,7 +120,7 @@
     now.saturating_duration_since(at) <= FRESH_FOR
 }
 
-/// The store age that peers are told: the time since the last successful call, and one that is
+/// The store age that is reported to peers: the time since the last successful call, and one that is
 /// not fresh to any of `peers` peers while calls fail, so that others step in at once and not when it
 /// has grown old.
 /// `None` for a router that does not watch.
@@ -153,7 +153,7 @@
     let fresh_for = fresh_for(peers.len());
     let is_fresh = |peer: &ReadyPeer| peer.is_fresh(fresh_for);
     let steps_in = if own.is_fresh {
-        // It stands in already; it leaves that to others once there are enough of them.
+        // It replaces one already; it leaves that to others once there are enough of them.
         before.iter().filter(|peer| is_fresh(peer)).count() < WATCHERS
     } else {
         let fresh = peers.iter().filter(|peer| is_fresh(peer)).count();
@@ -197,7 +197,7 @@
     in_order.map_while(|router| router.peer).collect()
 }
 
-/// How long a watcher's last store call counts, among so many peers.
+/// How long a watcher's last store call counts, among this many peers.
 fn fresh_for(peers: usize) -> Duration {
     if reaches_all_peers(peers) {
         FRESH_FOR
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -110,12 +110,12 @@
 /// An upstream that the platform's list has not named yet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Unlisted {
-    /// When news of the list arrived first that did not name it: the store can be reached.
+    /// When a version of the list arrived first that did not name it: the store can be reached.
     missing_since: Option<Instant>,
 }
 
 impl Unlisted {
-    /// Records that news of the list did not name it; returns whether it is to be taken as gone:
+    /// Records that a version of the list did not name it; returns whether it is to be taken as gone:
     /// a living upstream enters itself within [`RETURN_WINDOW`] of the store's return.
     pub fn on_news(&mut self, now: Instant) -> bool {
         let since = *self.missing_since.get_or_insert(now);
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -57,7 +57,7 @@
     pub is_new: bool,
     /// Upstreams that have started again under the names that they had.
     pub restarted: Vec<Upstream>,
-    /// The versions that the news names, by service.
+    /// The versions that the update names, by service.
     pub versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
 }
 
--- a/crates/router/cloverpier_router_policy/src/version_fetch.rs
+++ b/crates/router/cloverpier_router_policy/src/version_fetch.rs
@@ -46,7 +46,7 @@
 pub const FAR_WAIT: Duration = Duration::from_millis(200);
 
 /// A router of a large fleet fetches changes of upstreams once in this time at most: few changes are sent
-/// to all, and where there are many, each fetch would bring a part of them.
+/// to all, and where there are many, each fetch would get a part of them.
 pub const GATHER_FETCHES: Duration = Duration::from_millis(500);
 
 /// A live peer, and its version.
--- a/crates/router/cloverpier_router_policy/src/version_serving.rs
+++ b/crates/router/cloverpier_router_policy/src/version_serving.rs
@@ -36,10 +36,10 @@
         }
     }
 
-    /// How long copies of so many bytes take with their share of the link.
+    /// How long copies of this many bytes take with their share of the link.
     pub fn copy_time(self, bytes: usize) -> Duration {
         let seconds = bytes as f64 / (self.bytes_per_s * LINK_SHARE);
-        // Longer than any time that can be told: such a copy blocks all that follow.
+        // Longer than any time that can be stated: such a copy blocks all that follow.
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 }
@@ -61,7 +61,7 @@
 }
 
 impl CopyPacing {
-    /// Decides on a copy of so many bytes, and counts it if it is handed out.
+    /// Decides on a copy of this many bytes, and counts it if it is handed out.
     pub fn step(&mut self, bytes: usize, link: LinkRate, now: Instant) -> CopyStep {
         let carried_at = self.carried_at.map_or(now, |at| at.max(now));
         let backlog = carried_at - now;
--- a/crates/router/cloverpier_router_policy/src/watcher_beats.rs
+++ b/crates/router/cloverpier_router_policy/src/watcher_beats.rs
@@ -16,7 +16,7 @@
 
 /// What a watcher said counts for this long: twice the time in which it reaches all.
 const BEAT_TTL: Duration = Duration::from_secs(5);
-/// Watchers in one message: those chosen, and as many that stand in.
+/// Watchers in one message: those chosen, and as many that replace them.
 const BEATS_PER_MESSAGE: usize = 6;
 
 /// What a watcher says of itself.
--- a/crates/shared/cloverpier_core/src/clock.rs
+++ b/crates/shared/cloverpier_core/src/clock.rs
@@ -17,9 +17,9 @@
 
 /// The machine's clock since its start.
 ///
-/// An [`Instant`] of the standard library is read from `CLOCK_MONOTONIC`, which stands still while the
+/// An [`Instant`] of the standard library is read from `CLOCK_MONOTONIC`, which stops while the
 /// machine is suspended. Ages by it would be too small then: a peer that was silent for the whole
-/// time would be taken for alive, a key that was revoked meanwhile for valid. So the time since a
+/// time would count as alive, a key that was revoked meanwhile as valid. So the time since a
 /// first reading is taken from `CLOCK_BOOTTIME`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock;
@@ -57,7 +57,7 @@
 }
 
 impl ManualClock {
-    /// A clock that stands at an arbitrary moment.
+    /// A clock that is stopped at an arbitrary moment.
     pub fn new() -> Self {
         Self {
             now: Arc::new(Mutex::new(Instant::now())),
--- a/crates/shared/cloverpier_core/src/wait.rs
+++ b/crates/shared/cloverpier_core/src/wait.rs
@@ -6,7 +6,7 @@
 //! - **Answer.** Until when it gets no request; whether it may be asked a question.
 //! - **Why.** The users allow two requests of a VM between half a second after the answer and the end
 //!   of the time. What is under way arrives within that half second. Requests go to others, and where
-//!   there are none, callers are refused at once and told when the first of the service may be asked
+//!   there are none, callers are refused at once, with the time when the first of the service may be asked
 //!   again. A probe or a check reaches the upstream as a request does: one is allowed, so that a dead
 //!   upstream with streams on it is found out, and the other is left to what was under way for long.
 //!   The time binds the VM to which it was said, and no peer. It ends with the upstream's start.
@@ -16,7 +16,7 @@
 
 use std::time::{Duration, Instant};
 
-/// A longer time counts as this one. An upstream that wants nothing for so long is better started
+/// A longer time counts as this one. An upstream that wants nothing for this long is better started
 /// again, which ends it.
 const MAX_WAIT: Duration = Duration::from_secs(3_600);
 /// Probes and checks that may reach an upstream meanwhile: one less than the requests that users
--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -4,9 +4,9 @@
 //! - **Inputs.** The ends of upstreams that ran the content, each with its [`Surroundings`]: this
 //!   router's own and its peers'. That the content ran to its end somewhere.
 //! - **Answer.** A [`Verdict`]; the reports that peers get.
-//! - **Why.** Ends are counted by (upstream, its start), so that what two routers saw of one end is
-//!   one, and sets of them merge in any order, repeated or late, to the same. What ended beside an end
-//!   and that it is excused is only added, for the same reason. All routers that know the same ends judge alike.
+//! - **Why.** Ends are counted by (upstream, its start), so that what two routers saw of one end is one,
+//!   and sets of them merge in any order, repeated or late, to the same. What ended beside an end and that
+//!   it is excused is only added, for the same reason. All routers that know the same ends judge alike.
 //!
 //! Three ends that nothing else explains stop a content: with one or two, requests that meet dying
 //! engines would be stopped, and each one more costs an engine with all streams on it. An end counts
@@ -28,7 +28,7 @@
 /// more upstream, which stops it again. So a request that is repeated for ever ends three upstreams
 /// an hour at most; a content that was stopped wrongly waits an hour, or for the operator.
 pub const CRASH_TTL: Duration = Duration::from_secs(3_600);
-/// Contents that are kept; beyond it, those with the least against them give way. An end leaves one
+/// Contents that are kept; beyond it, those with the least against them are dropped. An end leaves one
 /// for each request that ran there.
 pub const MAX_CONTENTS: usize = 4_096;
 /// Ends that are kept of one content: more than stop it.
@@ -36,7 +36,7 @@
 /// What may be missing, in thousandths of an end, of the evidence that stops a content or makes it
 /// suspect: the chance end of one more engine at the same moment must not cost another engine.
 const ROUNDING: u32 = 500;
-/// Ends from which on a content is kept apart from other requests, and told to peers again.
+/// Ends from which on a content is kept apart from other requests, and reported to peers again.
 pub const SUSPECT_FROM: u32 = 2;
 
 /// Ends of upstreams that stop a content; 0 where none is to be stopped.
@@ -55,7 +55,7 @@
 pub struct UpstreamEnd {
     /// A hash of its name.
     pub upstream: u64,
-    /// What tells its ends apart, as a Unix time in milliseconds: when it had started; where it does
+    /// What distinguishes its ends, as a Unix time in milliseconds: when it had started; where it does
     /// not say, [`UNKNOWN_START`] if each start has a name of its own, else when it ended.
     pub start: u64,
 }
@@ -86,7 +86,7 @@
     Stopped,
 }
 
-/// What a router tells its peers of a content.
+/// What a router reports to its peers of a content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ContentReport {
     /// The content.
@@ -95,7 +95,7 @@
     pub crashes: Vec<ReportedCrash>,
 }
 
-/// What a router tells its peers of an end.
+/// What a router reports to its peers of an end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportedCrash {
     /// Which.
@@ -266,7 +266,7 @@
             .collect()
     }
 
-    /// What peers are told of contents.
+    /// What is reported to peers of contents.
     pub fn reports(&self, contents: &[ContentKey], now: Instant) -> Vec<ContentReport> {
         let known = contents.iter().filter_map(|content| {
             let record = self.records.get(content)?;
--- a/crates/shared/cloverpier_crashes/src/book/record.rs
+++ b/crates/shared/cloverpier_crashes/src/book/record.rs
@@ -1,6 +1,6 @@
 //! The ends that are known of one content.
 //!
-//! Relies on [`super::CrashBook`] for who is told and what follows.
+//! Relies on [`super::CrashBook`] for whom it is reported to and what follows.
 
 use super::{
     CRASH_TTL, Crash, MAX_CRASHES, ReportedCrash, SAME_END_MS, UNKNOWN_START, UpstreamEnd,
@@ -148,7 +148,7 @@
         self.ends.values().map(|known| known.at).max()
     }
 
-    /// What peers are told.
+    /// What is reported to peers.
     pub(super) fn reported(&self, now: Instant) -> Vec<ReportedCrash> {
         let ends = self.ends.iter().filter(|(_, known)| !known.is_over(now));
         let reported = ends.map(|(end, known)| {
--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -21,10 +21,10 @@
 /// From the break to the judgement: all ends of a dying data centre are known 0.05 s after the
 /// first. Longer, and a request that crashes upstreams has begun to run at the next one.
 pub const JUDGE_AFTER: Duration = Duration::from_millis(50);
-/// An attempt of which nothing is learned for so long says nothing: longer than a probe's timeout
+/// An attempt of which nothing is learned for this long says nothing: longer than a probe's timeout
 /// (1 s).
 pub const CONFIRM_WITHIN: Duration = Duration::from_millis(1_500);
-/// Attempts that are open at most; the oldest give way. A data centre's death breaks some tens at
+/// Attempts that are open at most; the oldest are dropped. A data centre's death breaks some tens at
 /// one router.
 const MAX_OPEN: usize = 1_024;
 
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -6,7 +6,7 @@
 //! - **Answer.** An [`Admission`]; the attempts that were judged, for logs and peers.
 //! - **Why.** Both programs see the same events by other means. Here they meet the rules in one order.
 //!
-//! Owns the book, the open attempts, the upstreams that ended and the contents that ran well of late.
+//! Owns the book, the open attempts, the upstreams that ended and the contents that ran well recently.
 
 use crate::book::{Crash, CrashBook, CrashLimit, SUSPECT_FROM, Verdict};
 use crate::broken_attempts::{BrokenAttempt, BrokenAttempts};
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Whether no content may have done harm, so that requests need not be told apart.
+    /// Whether no content may have done harm, so that requests need not be distinguished.
     pub fn is_empty(&self) -> bool {
         self.book.is_empty() && self.broken.next_due().is_none()
     }
--- a/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
+++ b/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
@@ -1,4 +1,4 @@
-//! Upstreams that ended of late, whoever ran what there.
+//! Upstreams that ended recently, whoever ran what there.
 //!
 //! - **Question.** What else ended at the moment at which this upstream did?
 //! - **Inputs.** Each end that a router learns of, with service and data centre.
@@ -41,7 +41,7 @@
     is_proved: bool,
 }
 
-/// The upstreams that ended of late.
+/// The upstreams that ended recently.
 #[derive(Clone, Debug, Default)]
 pub struct EndedUpstreams {
     ended: VecDeque<Known>,
--- a/crates/shared/cloverpier_crashes/src/lib.rs
+++ b/crates/shared/cloverpier_crashes/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A request may end each upstream that begins to run it, and it comes again: as a retry of a
 //! router, as a repeat of its caller, at any router. Nothing but its content is the same then. So
-//! routers count, by content, the upstreams that ended while they ran it, tell each other, and send
+//! routers count, by content, the upstreams that ended while they ran it, inform each other, and send
 //! a content to no further upstream once it has ended too many.
 //!
 //! Both programs use it: everything here is a function or a small state machine over plain data and
@@ -12,7 +12,7 @@
 //! | --- | --- |
 //! | which requests are the same | [`content`] |
 //! | did the upstream end, or did only the connection break | [`broken_attempts`] |
-//! | which upstreams ended of late | [`ended_upstreams`] |
+//! | which upstreams ended recently | [`ended_upstreams`] |
 //! | did the content run well a moment ago | [`recent_contents`] |
 //! | how much does an end say against the request that ran there | [`weight`] |
 //! | all of these together, as a router sees them | [`cases`] |
--- a/crates/shared/cloverpier_crashes/src/recent_contents.rs
+++ b/crates/shared/cloverpier_crashes/src/recent_contents.rs
@@ -14,13 +14,13 @@
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::Xxh3;
 
-/// A content that ran to its end so long ago counts as innocent of an end now. Longer, and one that
+/// A content that ran to its end this long ago counts as innocent of an end now. Longer, and one that
 /// has begun to end upstreams is not stopped for that time.
 const RECENT: Duration = Duration::from_secs(10);
 /// Contents that are kept: 32 kB.
 const SLOTS: usize = 1_024;
 
-/// Contents that ran to their end of late.
+/// Contents that ran to their end recently.
 #[derive(Clone, Debug)]
 pub struct RecentContents {
     slots: Vec<Option<(u64, Instant)>>,
--- a/crates/shared/cloverpier_crashes/src/weight.rs
+++ b/crates/shared/cloverpier_crashes/src/weight.rs
@@ -20,7 +20,7 @@
 //!   nothing. But many equal requests may run at the upstreams of a data centre that dies, so their
 //!   ends count like any other where both runs were under way.
 //! - **Why facts travel, and not weights.** What ended under the same request is known once all routers
-//!   have told each other; each counts anew then.
+//!   have informed each other; each counts anew then.
 //!
 //! Owns nothing.
 
--- a/crates/shared/cloverpier_timers/src/lib.rs
+++ b/crates/shared/cloverpier_timers/src/lib.rs
@@ -1,6 +1,6 @@
 //! Waits by a clock that counts the time for which the machine is suspended.
 //!
-//! The runtime's own timers stand still while the machine is suspended. A wait that ends by them is
+//! The runtime's own timers stop while the machine is suspended. A wait that ends by them is
 //! over too late by that time: a request's deadline, a call's timeout, the pause before a renewal. The
 //! waits of [`Timers`] are over as soon as the passed-in [`Clock`] says so, whatever the runtime's
 //! clock does. So a machine that was suspended behaves like one whose processes stood still, of which
@@ -83,7 +83,7 @@
     pub async fn sleep(&self, time: Duration) {
         match self.now().checked_add(time) {
             Some(at) => self.sleep_until(at).await,
-            // Longer than the clock can tell.
+            // Longer than the clock can count.
             None => std::future::pending().await,
         }
     }
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Ends the waits that are over each time the machine resumes, and tells for how long it was
+    /// Ends the waits that are over each time the machine resumes, and says for how long it was
     /// suspended; runs until the process ends.
     pub async fn watch_resumes(&self, mut on_resume: impl FnMut(Duration)) {
         loop {
