--- a/crates/daemon/cloverpier_daemon/src/members/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/mod.rs
@@ -4,12 +4,12 @@
 
 mod cluster;
 mod join;
-mod news;
 mod tick;
+mod updates;
 
 pub use cluster::{Cluster, Standing};
 pub use join::{adopt, join, leave, update};
-pub use news::{on_versions, pull_marks, push_marks};
+pub use updates::{on_versions, pull_marks, push_marks};
 
 use crate::app::App;
 use std::sync::Arc;
--- a/crates/daemon/cloverpier_daemon/src/members/tick.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/tick.rs
@@ -3,7 +3,7 @@
 //! One loop that steps the detector and sends what it asks for; owns nothing.
 
 use crate::app::App;
-use crate::members::{join, news};
+use crate::members::{join, updates};
 use cloverpier_core::{MemberId, lock};
 use cloverpier_member::{DetectorStep, ProbeResult};
 use cloverpier_peer::{PeerReply, PeerRequest};
@@ -40,7 +40,7 @@
     loop {
         let news = app.timers.timeout(TICK, app.news.notified()).await.is_ok();
         if news {
-            tell_news(&app);
+            send_updates(&app);
         }
         let now = app.now();
         let steps = lock(&app.cluster).detector.tick(now);
@@ -78,7 +78,7 @@
 }
 
 /// News goes to some members at once, beyond those that get heartbeats anyway.
-fn tell_news(app: &Arc<App>) {
+fn send_updates(app: &Arc<App>) {
     /// Members beyond them.
     const EXTRA: usize = 4;
     let others: Vec<MemberId> = app
@@ -107,7 +107,7 @@
         if versions.member == to {
             lock(&app.cluster).on_peer(&to, app.now());
         }
-        news::on_versions(&app, versions, peers_at).await;
+        updates::on_versions(&app, versions, peers_at).await;
     }
 }
 
--- a/crates/router/cloverpier_router/src/crash_news.rs
+++ b/crates/router/cloverpier_router/src/crash_reports.rs
@@ -1,61 +1,62 @@
 //! Sends peers the requests that end upstreams, and applies what peers send.
 //!
-//! The messages' contents are decided in `cloverpier_router_policy::crash_news`, repeats in `news`
-//! there. Owns no state: [`crate::crash_state`] holds what is known, and when it was sent last.
+//! The messages' contents are decided in `cloverpier_router_policy::crash_reports`, repeats in
+//! `dissemination` there. Owns no state: [`crate::crash_state`] holds what is known, and when it was sent
+//! last.
 
 use crate::crashes::apply_verdicts;
 use crate::outbox::Recipients;
-use crate::peer_messages::{CrashNews, PeerMessage};
+use crate::peer_messages::{CrashReports, PeerMessage};
 use crate::router::Router;
 use cloverpier_crashes::{ContentKey, ContentReport};
-use cloverpier_router_policy::crash_news::in_messages;
-use cloverpier_router_policy::news::{is_teller, is_told_again, may_have_missed};
+use cloverpier_router_policy::crash_reports::in_messages;
+use cloverpier_router_policy::dissemination::{is_repeated, may_have_missed, sends_missed};
 use cloverpier_router_policy::prelude::PeerEntry;
 use std::net::SocketAddr;
 use std::time::Instant;
 
 /// Tells all peers what is known of contents.
-pub(crate) fn tell_all(router: &Router, contents: &[ContentKey], now: Instant) {
+pub(crate) fn send_to_all(router: &Router, contents: &[ContentKey], now: Instant) {
     let reports = router.crashes.cases.borrow().book.reports(contents, now);
     if !reports.is_empty() {
-        router.crashes.last_news.set(Some(now));
+        router.crashes.last_report.set(Some(now));
         tell(router, reports, &Recipients::All);
     }
 }
 
 /// Tells a peer of the suspect contents, if it may have missed them.
-pub(crate) fn tell_if_missed(
+pub(crate) fn send_if_missed(
     router: &Router,
     peer: SocketAddr,
     former: Option<&PeerEntry>,
     entry: &PeerEntry,
 ) {
     if may_have_missed(former, entry, router.peer_timeout()) {
-        tell_newcomer(router, peer);
+        greet_newcomer(router, peer);
     }
 }
 
 /// Sends a peer that may have missed something what is known, where this router is one of those that do.
-pub(crate) fn tell_newcomer(router: &Router, peer: SocketAddr) {
+pub(crate) fn greet_newcomer(router: &Router, peer: SocketAddr) {
     if router.crashes.cases.borrow().book.is_empty() {
         return;
     }
-    if is_teller(router.peers.count(), &mut router.rng.borrow_mut()) {
-        tell_suspects(router, &Recipients::These(vec![peer]), router.now());
+    if sends_missed(router.peers.count(), &mut router.rng.borrow_mut()) {
+        send_suspects(router, &Recipients::These(vec![peer]), router.now());
     }
 }
 
 /// Tells one peer of the suspect contents, for a while after something was learned.
-pub(crate) fn tell_again(router: &Router, now: Instant) {
-    if !is_told_again(router.crashes.last_news.get(), now) {
+pub(crate) fn repeat(router: &Router, now: Instant) {
+    if !is_repeated(router.crashes.last_report.get(), now) {
         return;
     }
     let peers = router.peers.addresses();
     let peer = router.rng.borrow_mut().choose_multiple(peers, 1);
-    tell_suspects(router, &Recipients::These(peer), now);
+    send_suspects(router, &Recipients::These(peer), now);
 }
 
-fn tell_suspects(router: &Router, to: &Recipients, now: Instant) {
+fn send_suspects(router: &Router, to: &Recipients, now: Instant) {
     let cases = router.crashes.cases.borrow();
     let reports = cases.book.reports(&cases.book.suspects(now), now);
     drop(cases);
@@ -65,25 +66,25 @@
 fn tell(router: &Router, reports: Vec<ContentReport>, to: &Recipients) {
     let sender = router.settings().listen.peers;
     for contents in in_messages(reports) {
-        let news = CrashNews { sender, contents };
+        let reports = CrashReports { sender, contents };
         router
             .peers
             .outbox
-            .send(PeerMessage::Crashes(news), to.clone());
+            .send(PeerMessage::Crashes(reports), to.clone());
     }
 }
 
 /// Takes a peer's report; what was new is passed on for a while, as far as it is suspect.
-pub(crate) fn on_news(router: &Router, news: CrashNews, now: Instant) {
+pub(crate) fn on_reports(router: &Router, reports: CrashReports, now: Instant) {
     let mut cases = router.crashes.cases.borrow_mut();
-    let changed = cases.book.merge(&news.contents, now);
+    let changed = cases.book.merge(&reports.contents, now);
     drop(cases);
     if changed.is_empty() {
         return;
     }
     router.metrics.crashes.count("heard");
-    router.crashes.last_news.set(Some(now));
-    let from = format!("peer {}", news.sender);
+    router.crashes.last_report.set(Some(now));
+    let from = format!("peer {}", reports.sender);
     apply_verdicts(router, &from, now);
-    router.peers.pass_on(PeerMessage::Crashes(news));
+    router.peers.pass_on(PeerMessage::Crashes(reports));
 }
--- a/crates/router/cloverpier_router/src/crash_state.rs
+++ b/crates/router/cloverpier_router/src/crash_state.rs
@@ -16,7 +16,7 @@
     /// Requests under way, and some that have ended.
     pub in_flight: RefCell<Vec<Weak<RelayRequest>>>,
     /// When something about a content was learned last that peers should know.
-    pub last_news: Cell<Option<Instant>>,
+    pub last_report: Cell<Option<Instant>>,
     /// Wakes the loop that judges, and requests that wait for a judgement.
     pub changed: Notify,
 }
@@ -30,7 +30,7 @@
         Self {
             cases: RefCell::new(cases),
             in_flight: RefCell::default(),
-            last_news: Cell::default(),
+            last_report: Cell::default(),
             changed: Notify::new(),
         }
     }
--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -1,10 +1,10 @@
 //! What requests did to upstreams: learns it, judges it, and stops what ends them.
 //!
 //! Owns no state: [`crate::crash_state`] does. What an end says and what follows is decided
-//! in `cloverpier_crashes`; [`crate::crash_news`] notifies peers. Relies on [`crate::probe`] to
+//! in `cloverpier_crashes`; [`crate::crash_reports`] notifies peers. Relies on [`crate::probe`] to
 //! find out that an upstream has ended or lives.
 
-use crate::crash_news;
+use crate::crash_reports;
 use crate::decision_log::{ContentCleared, ContentStopped, CrashRecorded, ms_since};
 use crate::probe::probe;
 use crate::relay_request::RelayRequest;
@@ -13,7 +13,7 @@
 use cloverpier_crashes::book::UNKNOWN_START;
 use cloverpier_crashes::cases::MAX_HOLD;
 use cloverpier_crashes::prelude::*;
-use cloverpier_router_policy::crash_news::is_told;
+use cloverpier_router_policy::crash_reports::is_told;
 use cloverpier_router_policy::prelude::*;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
@@ -134,7 +134,7 @@
     let acquitted = cases.on_completed(&request.repeated_part(), now);
     drop(cases);
     if let Some(content) = acquitted {
-        crash_news::tell_all(router, &[content], now);
+        crash_reports::send_to_all(router, &[content], now);
         apply_verdicts(router, "it ran to its end", now);
     }
 }
@@ -191,7 +191,7 @@
     }
     let told = judged.iter().filter(|j| is_told(&j.surroundings, j.ends));
     let told: Vec<ContentKey> = told.map(|judged| judged.attempt.content).collect();
-    crash_news::tell_all(router, &told, now);
+    crash_reports::send_to_all(router, &told, now);
     apply_verdicts(router, "this router", now);
     router.crashes.changed.notify_waiters();
 }
--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -4,11 +4,11 @@
 //! `cloverpier_router_policy::{membership, watcher_beats}`; [`crate::heartbeats`] has the loop that
 //! sends. Owns no state: [`crate::peers`] does.
 
-use crate::crash_news;
+use crate::crash_reports;
 use crate::decision_log::log_dependency;
 use crate::heartbeats::store_age_ms;
-use crate::leaving_news;
-use crate::limit_news;
+use crate::leaving_reports;
+use crate::limit_reports;
 use crate::outbox::Recipients;
 use crate::peer_messages::{Gossip, Members, PeerMessage, UpstreamUpdate, encode};
 use crate::peer_reports::on_suspects;
@@ -16,7 +16,7 @@
 use crate::source::{ReadChange, UpstreamChanges};
 use crate::store_events::decide_watcher_role;
 use crate::store_view::Watched;
-use crate::upstream_news::apply_upstream_changes;
+use crate::upstream_updates::apply_upstream_changes;
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::membership::{GossipReply, GossipSeen, MemberState, MemberUpdate};
 use cloverpier_router_policy::prelude::*;
@@ -139,9 +139,9 @@
     let reply = apply_members(router, &gossip, now);
     record_entry(router, &gossip, now);
     if reply.is_newcomer {
-        crash_news::tell_newcomer(router, sender);
-        leaving_news::tell_newcomer(router, sender);
-        limit_news::tell_newcomer(router, sender);
+        crash_reports::greet_newcomer(router, sender);
+        leaving_reports::greet_newcomer(router, sender);
+        limit_reports::greet_newcomer(router, sender);
     }
     send_reply(router, sender, reply, now);
     apply_beats(router, &gossip.watchers, now);
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -4,10 +4,10 @@
 //! what, and how much of it, is decided in `cloverpier_router_policy::heartbeat`; the shapes
 //! are [`crate::peer_messages`]'s. Owns when what is due next, and the turn among peers.
 
-use crate::crash_news;
+use crate::crash_reports;
 use crate::gossip;
-use crate::leaving_news;
-use crate::limit_news;
+use crate::leaving_reports;
+use crate::limit_reports;
 use crate::outbox::Recipients;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage};
 use crate::router::Router;
@@ -89,9 +89,9 @@
         }
         let was_paused = now.saturating_duration_since(self.next_period) > PAUSED;
         send_period(router, &mut self.turn, was_paused, now);
-        crash_news::tell_again(router, now);
-        leaving_news::tell_again(router, now);
-        limit_news::tell_again(router, now);
+        crash_reports::repeat(router, now);
+        leaving_reports::repeat(router, now);
+        limit_reports::repeat(router, now);
         note_live_routers(router, now);
     }
 
--- a/crates/router/cloverpier_router/src/leaving_news.rs
+++ b/crates/router/cloverpier_router/src/leaving_reports.rs
@@ -1,15 +1,16 @@
 //! Sends peers the upstreams that have announced that they leave, and applies what peers send.
 //!
-//! The messages' contents are decided in `cloverpier_router_policy::leaving`, repeats in `news` there.
-//! Owns no state: the table of upstreams holds the leavings, the router when the last one was learned.
+//! The messages' contents are decided in `cloverpier_router_policy::leaving`, repeats in `dissemination`
+//! there. Owns no state: the table of upstreams holds the leavings, the router when the last one was
+//! learned.
 
 use crate::beliefs::{LeavingSource, log_leaving};
 use crate::outbox::Recipients;
-use crate::peer_messages::{LeavingNews, PeerMessage};
+use crate::peer_messages::{LeavingReports, PeerMessage};
 use crate::router::Router;
 use crate::via::Via;
+use cloverpier_router_policy::dissemination::{is_repeated, may_have_missed, sends_missed};
 use cloverpier_router_policy::leaving::in_messages;
-use cloverpier_router_policy::news::{is_teller, is_told_again, may_have_missed};
 use cloverpier_router_policy::prelude::*;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -33,21 +34,21 @@
 }
 
 /// Applies a peer's message.
-pub(crate) fn on_news(router: &Router, news: LeavingNews, now: Instant) {
+pub(crate) fn on_reports(router: &Router, reports: LeavingReports, now: Instant) {
     let mut table = router.upstreams.borrow_mut();
-    let new = table.on_peer_leavings(&news.upstreams, now);
+    let new = table.on_peer_leavings(&reports.upstreams, now);
     drop(table);
     for upstream in &new {
         note(
             router,
             upstream,
             "heard",
-            &LeavingSource::Peer(news.sender),
+            &LeavingSource::Peer(reports.sender),
             now,
         );
     }
     if !new.is_empty() {
-        router.peers.pass_on(PeerMessage::Leavings(news));
+        router.peers.pass_on(PeerMessage::Leavings(reports));
     }
 }
 
@@ -66,28 +67,28 @@
 }
 
 /// Sends a peer all upstreams that leave, if it may have missed some.
-pub(crate) fn tell_if_missed(
+pub(crate) fn send_if_missed(
     router: &Router,
     peer: SocketAddr,
     former: Option<&PeerEntry>,
     entry: &PeerEntry,
 ) {
     if may_have_missed(former, entry, router.peer_timeout()) {
-        tell_newcomer(router, peer);
+        greet_newcomer(router, peer);
     }
 }
 
 /// Sends a peer that may have missed some what is known, where this router is one of those that do.
-pub(crate) fn tell_newcomer(router: &Router, peer: SocketAddr) {
+pub(crate) fn greet_newcomer(router: &Router, peer: SocketAddr) {
     let reports = router.upstreams.borrow().leavings(router.now());
-    if !reports.is_empty() && is_teller(router.peers.count(), &mut router.rng.borrow_mut()) {
+    if !reports.is_empty() && sends_missed(router.peers.count(), &mut router.rng.borrow_mut()) {
         tell(router, &reports, &Recipients::These(vec![peer]));
     }
 }
 
 /// Repeats what is new to one peer, for a while after the last leaving was learned.
-pub(crate) fn tell_again(router: &Router, now: Instant) {
-    if !is_told_again(router.last_leaving.get(), now) {
+pub(crate) fn repeat(router: &Router, now: Instant) {
+    if !is_repeated(router.last_leaving.get(), now) {
         return;
     }
     let reports = router.upstreams.borrow().new_leavings(now);
@@ -99,10 +100,10 @@
 fn tell(router: &Router, reports: &[LeavingReport], to: &Recipients) {
     let sender = router.settings().listen.peers;
     for upstreams in in_messages(reports) {
-        let news = LeavingNews { sender, upstreams };
+        let reports = LeavingReports { sender, upstreams };
         router
             .peers
             .outbox
-            .send(PeerMessage::Leavings(news), to.clone());
+            .send(PeerMessage::Leavings(reports), to.clone());
     }
 }
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -11,10 +11,10 @@
 //! | a request, in the order in which it meets them | `web`, `intake`, `held_bytes`, `relay_request`, then `plain` or `stream`, `send`, `wait`, `outcome`, `reply` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | questions to engines on their load | `load_query`, `engine_call` |
-//! | requests that end upstreams | `crash_state`, `crashes`, `crash_news`, `stop_signal` |
+//! | requests that end upstreams | `crash_state`, `crashes`, `crash_reports`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
-//! | what upstreams say of themselves | `statements`, `leaving_news`, `limit_news`, `upstream_limits` |
-//! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_news` |
+//! | what upstreams say of themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits` |
+//! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_updates` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that one router at a time does | `singleton` |
 //! | other routers | `peers`, `outbox`, `datagrams`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `list_copies`, `configuration_copies`, [`peer_messages`] |
@@ -48,7 +48,7 @@
 mod caller_stream;
 mod configuration_copies;
 mod connection;
-mod crash_news;
+mod crash_reports;
 mod crash_state;
 mod crashes;
 mod datagrams;
@@ -60,9 +60,9 @@
 mod held_bytes;
 mod http_client;
 mod intake;
-mod leaving_news;
+mod leaving_reports;
 mod lifecycle;
-mod limit_news;
+mod limit_reports;
 mod list_copies;
 mod load_guard;
 mod load_query;
@@ -102,7 +102,7 @@
 mod stream;
 mod successors;
 mod upstream_limits;
-mod upstream_news;
+mod upstream_updates;
 mod via;
 mod wait;
 mod web;
--- a/crates/router/cloverpier_router/src/limit_news.rs
+++ b/crates/router/cloverpier_router/src/limit_reports.rs
@@ -1,59 +1,61 @@
 //! Sends peers the limits that upstreams name, and applies what peers send.
 //!
-//! What changes by a report is decided in `cloverpier_router_policy::limit`, repeats in `news` there. Owns
-//! no state: [`crate::upstream_limits`] does.
+//! What changes by a report is decided in `cloverpier_router_policy::limit`, repeats in `dissemination`
+//! there. Owns no state: [`crate::upstream_limits`] does.
 
 use crate::outbox::Recipients;
-use crate::peer_messages::{LimitNews, PeerMessage};
+use crate::peer_messages::{LimitReports, PeerMessage};
 use crate::router::Router;
+use cloverpier_router_policy::dissemination::{is_repeated, may_have_missed, sends_missed};
 use cloverpier_router_policy::limit::{LimitReport, in_messages};
-use cloverpier_router_policy::news::{is_teller, is_told_again, may_have_missed};
 use cloverpier_router_policy::prelude::*;
 use std::net::SocketAddr;
 use std::time::Instant;
 
 /// Sends all peers what an answer has changed.
-pub(crate) fn tell_all(router: &Router, report: LimitReport) {
+pub(crate) fn send_to_all(router: &Router, report: LimitReport) {
     tell(router, &[report], &Recipients::All);
 }
 
 /// Applies a peer's message.
-pub(crate) fn on_news(router: &Router, news: LimitNews) {
+pub(crate) fn on_reports(router: &Router, reports: LimitReports) {
     let mut is_new = false;
     let table = router.upstreams.borrow();
-    for report in &news.limits {
+    for report in &reports.limits {
         let state = table.by_key(report.upstream);
-        is_new |= router.upstream_limits.on_report(report, state, news.sender);
+        is_new |= router
+            .upstream_limits
+            .on_report(report, state, reports.sender);
     }
     drop(table);
     if is_new {
-        router.peers.pass_on(PeerMessage::Limits(news));
+        router.peers.pass_on(PeerMessage::Limits(reports));
     }
 }
 
 /// Sends a peer all limits, if it may have missed some.
-pub(crate) fn tell_if_missed(
+pub(crate) fn send_if_missed(
     router: &Router,
     peer: SocketAddr,
     former: Option<&PeerEntry>,
     entry: &PeerEntry,
 ) {
     if may_have_missed(former, entry, router.peer_timeout()) {
-        tell_newcomer(router, peer);
+        greet_newcomer(router, peer);
     }
 }
 
 /// Sends a peer that may have missed some what is known, where this router is one of those that do.
-pub(crate) fn tell_newcomer(router: &Router, peer: SocketAddr) {
+pub(crate) fn greet_newcomer(router: &Router, peer: SocketAddr) {
     let reports = reports(router);
-    if !reports.is_empty() && is_teller(router.peers.count(), &mut router.rng.borrow_mut()) {
+    if !reports.is_empty() && sends_missed(router.peers.count(), &mut router.rng.borrow_mut()) {
         tell(router, &reports, &Recipients::These(vec![peer]));
     }
 }
 
 /// Repeats what is known to one peer, for a while after something was learned.
-pub(crate) fn tell_again(router: &Router, now: Instant) {
-    if !is_told_again(router.upstream_limits.last_news.get(), now) {
+pub(crate) fn repeat(router: &Router, now: Instant) {
+    if !is_repeated(router.upstream_limits.last_report.get(), now) {
         return;
     }
     let peers = router.peers.addresses();
@@ -70,7 +72,7 @@
 fn tell(router: &Router, reports: &[LimitReport], to: &Recipients) {
     let sender = router.settings().listen.peers;
     for limits in in_messages(reports) {
-        let news = PeerMessage::Limits(LimitNews { sender, limits });
-        router.peers.outbox.send(news, to.clone());
+        let reports = PeerMessage::Limits(LimitReports { sender, limits });
+        router.peers.outbox.send(reports, to.clone());
     }
 }
--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -16,7 +16,7 @@
 use crate::source::{ReadChange, UpstreamChanges, UpstreamList};
 use crate::store_events::apply_configuration;
 use crate::store_view::Watched;
-use crate::upstream_news::{apply_upstream_changes, apply_upstream_list};
+use crate::upstream_updates::{apply_upstream_changes, apply_upstream_list};
 use cloverpier_core::jitter;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_fetch::{
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -129,7 +129,7 @@
 
 /// What a router knows of roll-outs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutNews {
+pub struct RolloutReports {
     /// The sender's address for peers.
     pub sender: SocketAddr,
     /// The orders that are under way, and those that ended recently.
@@ -147,7 +147,7 @@
 
 /// What a router knows of contents that ended upstreams.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashNews {
+pub struct CrashReports {
     /// The sender's address for peers.
     pub sender: SocketAddr,
     /// The contents.
@@ -156,7 +156,7 @@
 
 /// Upstreams that have said in answers that they leave.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingNews {
+pub struct LeavingReports {
     /// The sender's address for peers.
     pub sender: SocketAddr,
     /// The upstreams.
@@ -165,7 +165,7 @@
 
 /// Limits that upstreams have named in answers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitNews {
+pub struct LimitReports {
     /// The sender's address for peers.
     pub sender: SocketAddr,
     /// The limits.
@@ -283,15 +283,15 @@
     Replaced(Replaced),
     /// Sent when an order is new or further on, and each second while it is under way; a router
     /// of a release without it ignores the datagram.
-    Rollouts(RolloutNews),
+    Rollouts(RolloutReports),
     /// Sent to the routers that decide, while an order is under way; likewise.
     RolloutEvidence(RolloutEvidence),
     /// Sent to all when an upstream has ended under a request that may be why, and again for a
     /// while; likewise.
-    Crashes(CrashNews),
+    Crashes(CrashReports),
     /// Sent to all when an upstream has said in an answer that it leaves, and again for a while;
     /// likewise.
-    Leavings(LeavingNews),
+    Leavings(LeavingReports),
     /// Sent to the routers that may hold the lease, where the settings name work for its holder;
     /// likewise.
     FleetReport(FleetReport),
@@ -307,7 +307,7 @@
     /// Sent by watchers of the store in a large fleet, and passed on; likewise.
     UpstreamUpdate(UpstreamUpdate),
     /// Sent to all when an upstream names a limit or none any more, and again for a while; likewise.
-    Limits(LimitNews),
+    Limits(LimitReports),
     /// Sent to the router that hands out permits for an upstream; likewise: another one is asked then.
     LimitAsk(LimitAsk),
     /// Sent in answer to that.
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -4,12 +4,12 @@
 //! `cloverpier_router_policy::{heartbeat, suspicion}`; [`crate::heartbeats`] is the sending side.
 //! Owns no state.
 
-use crate::crash_news;
+use crate::crash_reports;
 use crate::crashes;
 use crate::decision_log::log_dependency;
 use crate::gossip::{self, member_of};
-use crate::leaving_news;
-use crate::limit_news;
+use crate::leaving_reports;
+use crate::limit_reports;
 use crate::peer_messages::{Change, Heartbeat, LimitAsk, LoadReport, PeerMessage, decode};
 use crate::rollouts;
 use crate::router::Router;
@@ -40,24 +40,28 @@
             Ok(PeerMessage::Change(change)) => on_change(&router, change, now),
             Ok(PeerMessage::Successor(successor)) => on_peer_successor(&router, successor),
             Ok(PeerMessage::Replaced(replaced)) => on_peer_replaced(&router, replaced),
-            Ok(PeerMessage::Rollouts(news)) => {
-                let from = format!("peer {}", news.sender);
-                rollouts::apply_views(&router, news.views, &from, now);
+            Ok(PeerMessage::Rollouts(reports)) => {
+                let from = format!("peer {}", reports.sender);
+                rollouts::apply_views(&router, reports.views, &from, now);
             }
             Ok(PeerMessage::RolloutEvidence(evidence)) => {
                 rollouts::on_evidence(&router, evidence.sender, evidence.report);
             }
-            Ok(PeerMessage::Crashes(news)) => crash_news::on_news(&router, news, now),
-            Ok(PeerMessage::Leavings(news)) => leaving_news::on_news(&router, news, now),
-            Ok(PeerMessage::Limits(news)) => limit_news::on_news(&router, news),
+            Ok(PeerMessage::Crashes(reports)) => crash_reports::on_reports(&router, reports, now),
+            Ok(PeerMessage::Leavings(reports)) => {
+                leaving_reports::on_reports(&router, reports, now)
+            }
+            Ok(PeerMessage::Limits(reports)) => limit_reports::on_reports(&router, reports),
             Ok(PeerMessage::LimitAsk(ask)) => on_limit_ask(&router, &ask),
             Ok(PeerMessage::LimitReply(reply)) => router.upstream_limits.on_reply(reply),
             Ok(PeerMessage::Gossip(message)) => gossip::on_gossip(&router, message, now),
             Ok(PeerMessage::AskMembers(peer)) => gossip::on_ask_members(&router, peer, now),
             Ok(PeerMessage::Members(members)) => gossip::on_members(&router, members, now),
-            Ok(PeerMessage::UpstreamUpdate(news)) => gossip::on_upstream_update(&router, news),
+            Ok(PeerMessage::UpstreamUpdate(update)) => gossip::on_upstream_update(&router, update),
             Ok(PeerMessage::FleetReport(report)) => singleton::on_report(&router, report, now),
-            Ok(PeerMessage::LeaseUpdate(news)) => singleton::on_lease_update(&router, &news, now),
+            Ok(PeerMessage::LeaseUpdate(update)) => {
+                singleton::on_lease_update(&router, &update, now)
+            }
             // Cut off, or of another release, as during an upgrade: logged once a process.
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
@@ -154,9 +158,9 @@
         router.peers.on_plain_heartbeat(peer, now);
     }
     let former = router.peers.on_heartbeat(peer, entry.clone());
-    crash_news::tell_if_missed(router, peer, former.as_ref(), &entry);
-    leaving_news::tell_if_missed(router, peer, former.as_ref(), &entry);
-    limit_news::tell_if_missed(router, peer, former.as_ref(), &entry);
+    crash_reports::send_if_missed(router, peer, former.as_ref(), &entry);
+    leaving_reports::send_if_missed(router, peer, former.as_ref(), &entry);
+    limit_reports::send_if_missed(router, peer, former.as_ref(), &entry);
     let former_age = former.and_then(|entry| entry.store_age);
     if changes_roles(former_age, store_age, router.peers.count()) {
         decide_watcher_role(router, now);
--- a/crates/router/cloverpier_router/src/rollout_steps.rs
+++ b/crates/router/cloverpier_router/src/rollout_steps.rs
@@ -7,7 +7,7 @@
 use crate::outbox::Recipients;
 use crate::peer_messages::{PeerMessage, RolloutEvidence};
 use crate::rollout_store::{WriteTurns, write_statuses};
-use crate::rollouts::{on_decided, on_evidence, tell_peers};
+use crate::rollouts::{notify_peers, on_decided, on_evidence};
 use crate::router::Router;
 use crate::source::ConfigurationSource;
 use cloverpier_core::ServiceName;
@@ -41,7 +41,7 @@
             report(&router, now);
         }
         if clock.is_tell_due(now) {
-            tell_peers(&router, Recipients::Few, now);
+            notify_peers(&router, Recipients::Few, now);
         }
         if router.store.role().watches() {
             decide_all(&router, now);
--- a/crates/router/cloverpier_router/src/rollouts.rs
+++ b/crates/router/cloverpier_router/src/rollouts.rs
@@ -7,7 +7,7 @@
 
 use crate::decision_log::{RolloutOrdered, RolloutProgressed};
 use crate::outbox::Recipients;
-use crate::peer_messages::{PeerMessage, RolloutNews};
+use crate::peer_messages::{PeerMessage, RolloutReports};
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_core::{ServiceName, UpstreamName};
@@ -32,30 +32,30 @@
 }
 
 /// Records the versions that updates of the list name.
-pub(crate) fn on_listed(router: &Router, news: &AppliedNews, now: Instant) {
+pub(crate) fn on_listed(router: &Router, update: &AppliedUpdate, now: Instant) {
     let mut book = router.rollouts.book.borrow_mut();
-    book.on_listed(&news.versions, now);
+    book.on_listed(&update.versions, now);
 }
 
 /// Applies views of a peer or of the store; what is new is logged and handed on.
 pub(crate) fn apply_views(router: &Router, views: Vec<RolloutView>, from: &str, now: Instant) {
-    let mut has_news = false;
+    let mut has_update = false;
     for view in views {
         let service = view.service.clone();
-        let news = router.rollouts.book.borrow_mut().on_view(view, now);
-        has_news |= news != OrderNews::Nothing;
-        match news {
-            OrderNews::Nothing => {}
-            OrderNews::Ordered => log_order(router, &service, from),
-            OrderNews::Withdrawn => {
+        let update = router.rollouts.book.borrow_mut().on_view(view, now);
+        has_update |= update != OrderUpdate::Nothing;
+        match update {
+            OrderUpdate::Nothing => {}
+            OrderUpdate::Ordered => log_order(router, &service, from),
+            OrderUpdate::Withdrawn => {
                 log_order(router, &service, from);
                 router.metrics.rollouts.count("withdrawn");
             }
-            OrderNews::Progressed => log_progress(router, &service, from, None),
+            OrderUpdate::Progressed => log_progress(router, &service, from, None),
         }
     }
-    if has_news {
-        tell_peers(router, Recipients::Many, now);
+    if has_update {
+        notify_peers(router, Recipients::Many, now);
         router.rollouts.changed.notify_one();
     }
 }
@@ -73,20 +73,20 @@
     drop(book);
     if is_new {
         log_progress(router, service, "this router", objection);
-        tell_peers(router, Recipients::Many, now);
+        notify_peers(router, Recipients::Many, now);
         router.rollouts.changed.notify_one();
     }
 }
 
 /// Sends peers the orders that are under way, and those that ended recently.
-pub(crate) fn tell_peers(router: &Router, to: Recipients, now: Instant) {
+pub(crate) fn notify_peers(router: &Router, to: Recipients, now: Instant) {
     let views = router.rollouts.book.borrow().told_views(now);
     if views.is_empty() {
         return;
     }
     let sender = router.settings().listen.peers;
-    let news = RolloutNews { sender, views };
-    router.peers.outbox.send(PeerMessage::Rollouts(news), to);
+    let reports = RolloutReports { sender, views };
+    router.peers.outbox.send(PeerMessage::Rollouts(reports), to);
 }
 
 /// Records what a router saw.
--- a/crates/router/cloverpier_router/src/singleton/keeper.rs
+++ b/crates/router/cloverpier_router/src/singleton/keeper.rs
@@ -134,7 +134,7 @@
                 self.on_recorded(&record);
                 self.record = Some(record);
                 self.settle(now);
-                reports::tell_watchers(self.router, self.singleton);
+                reports::notify_watchers(self.router, self.singleton);
             }
             RecordWritten::Conflict(stored) => self.on_seen(stored),
             RecordWritten::NotDone(error) => {
--- a/crates/router/cloverpier_router/src/singleton/reports.rs
+++ b/crates/router/cloverpier_router/src/singleton/reports.rs
@@ -109,7 +109,7 @@
 }
 
 /// Tells the routers that may take the lease that it was renewed.
-pub(super) fn tell_watchers(router: &Router, singleton: &Singleton) {
+pub(super) fn notify_watchers(router: &Router, singleton: &Singleton) {
     let watchers = router.peers.watchers(router.now(), router.peer_timeout());
     tell(router, singleton, watchers);
 }
@@ -140,7 +140,10 @@
     let Some(singleton) = &router.singleton else {
         return;
     };
-    singleton.lease.borrow_mut().on_told(update.version, now);
+    singleton
+        .lease
+        .borrow_mut()
+        .on_version_named(update.version, now);
     if singleton.work.borrow().is_some() {
         return;
     }
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -6,8 +6,8 @@
 
 use crate::beliefs::log_wait;
 use crate::decision_log::log_dependency;
-use crate::leaving_news;
-use crate::limit_news;
+use crate::leaving_reports;
+use crate::limit_reports;
 use crate::restart::on_named_start;
 use crate::router::Router;
 use crate::upstream_limits::LimitAnswer;
@@ -94,7 +94,7 @@
         return order;
     }
     if said.is_leaving {
-        leaving_news::on_leaving(router, &upstream, said.born_ms, via, now);
+        leaving_reports::on_leaving(router, &upstream, said.born_ms, via, now);
     }
     if let Some(time) = said.wait {
         let mut table = router.upstreams.borrow_mut();
@@ -134,6 +134,6 @@
         via: call.via,
     });
     if let Some(report) = told {
-        limit_news::tell_all(router, report);
+        limit_reports::send_to_all(router, report);
     }
 }
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -20,7 +20,7 @@
 };
 use crate::store_list::read_list;
 use crate::store_view::{StoreLoop, StoreView, Watched};
-use crate::upstream_news::{apply_upstream_changes, apply_upstream_list, readable_changes};
+use crate::upstream_updates::{apply_upstream_changes, apply_upstream_list, readable_changes};
 use cloverpier_core::jitter;
 use cloverpier_router_policy::first_read::{FirstRead, Starting, first_read};
 use cloverpier_router_policy::prelude::{Configuration, Upstream};
--- a/crates/router/cloverpier_router/src/upstream_limits/learn.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/learn.rs
@@ -42,7 +42,7 @@
         let mut permits = self.permits.borrow_mut();
         let change = permits.on_statement(key, answer.said, answer.would_name, answer.written, now);
         drop(permits);
-        if !self.told.borrow_mut().is_worth_telling(key, change, now) {
+        if !self.told.borrow_mut().is_worth_a_report(key, change, now) {
             return None;
         }
         let source = LimitSource::Answer(answer.via);
@@ -63,13 +63,13 @@
         let change = permits.on_report(report, born_ms, now);
         drop(permits);
         let mut told = self.told.borrow_mut();
-        let is_news = told.is_worth_telling(report.upstream, change, now);
+        let is_update = told.is_worth_a_report(report.upstream, change, now);
         drop(told);
-        if let Some(state) = state.filter(|_| is_news) {
+        if let Some(state) = state.filter(|_| is_update) {
             let source = LimitSource::Peer(peer, report.heard_age_ms);
             self.note(&state.upstream, change, source, now);
         }
-        is_news
+        is_update
     }
 
     /// What is reported to peers that may have missed it.
@@ -116,7 +116,7 @@
             LimitChange::Ended(rate) => ("ended", Some(rate), None),
         };
         self.parts.limits.count(kind);
-        self.last_news.set(Some(now));
+        self.last_report.set(Some(now));
         let (via, request, peer, age_ms) = match source {
             LimitSource::Answer(via) => (via.word(), via.request(), None, 0),
             LimitSource::Peer(peer, age_ms) => ("peer", None, Some(peer.to_string()), age_ms),
--- a/crates/router/cloverpier_router/src/upstream_limits/mod.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/mod.rs
@@ -4,13 +4,13 @@
 //! known of limits, and the asks that wait for their answers; it takes the log, counters, timers and
 //! datagrams, and knows nothing of the router. [`learn`] takes what is said of limits, [`offer`] finds an
 //! upstream for a request, [`acquire`] gets permits, [`limiter`] answers other routers;
-//! [`crate::limit_news`] notifies peers.
+//! [`crate::limit_reports`] notifies peers.
 
 mod acquire;
 mod learn;
 mod limiter;
 mod offer;
-mod told;
+mod reported;
 
 pub(crate) use acquire::Permission;
 pub(crate) use learn::LimitAnswer;
@@ -23,12 +23,12 @@
 use cloverpier_router_policy::permit::{LimitedUpstream, LimitedUpstreams, PermitSearch, Permits};
 use cloverpier_router_policy::prelude::{Upstream, UpstreamKey, UpstreamState};
 use cloverpier_timers::Timers;
+use reported::ReportedRates;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
-use told::ToldRates;
 
 /// How many upstreams of a service limit themselves.
 #[derive(Clone, Copy, Debug, Default)]
@@ -66,9 +66,9 @@
     rng: RefCell<fastrand::Rng>,
     pending: RefCell<HashMap<u64, PendingAsk>>,
     last_number: Cell<u64>,
-    told: RefCell<ToldRates>,
+    told: RefCell<ReportedRates>,
     /// When something was learned last that peers should know.
-    pub last_news: Cell<Option<Instant>>,
+    pub last_report: Cell<Option<Instant>>,
 }
 
 impl UpstreamLimits {
@@ -83,7 +83,7 @@
             pending: RefCell::default(),
             last_number: Cell::new(first_number),
             told: RefCell::default(),
-            last_news: Cell::default(),
+            last_report: Cell::default(),
             parts,
         }
     }
--- a/crates/router/cloverpier_router/src/upstream_limits/told.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/reported.rs
@@ -15,13 +15,13 @@
 
 /// The rate of each upstream that was reported last, by this router or a peer.
 #[derive(Debug, Default)]
-pub(super) struct ToldRates {
+pub(super) struct ReportedRates {
     told: HashMap<UpstreamKey, (Rate, Instant)>,
 }
 
-impl ToldRates {
+impl ReportedRates {
     /// Whether a change is worth a report; it counts as reported then.
-    pub fn is_worth_telling(
+    pub fn is_worth_a_report(
         &mut self,
         upstream: UpstreamKey,
         change: LimitChange,
--- a/crates/router/cloverpier_router/tests/limit_messages.rs
+++ b/crates/router/cloverpier_router/tests/limit_messages.rs
@@ -5,7 +5,7 @@
 //! releases read these bytes.
 
 use cloverpier_router::peer_messages::{
-    LimitAsk, LimitNews, LimitReply, PeerMessage, decode, encode,
+    LimitAsk, LimitReply, LimitReports, PeerMessage, decode, encode,
 };
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::limit::{LimitReport, Rate, in_messages};
@@ -42,7 +42,7 @@
 
 #[test]
 fn limits_keep_their_bytes() {
-    let news = LimitNews {
+    let news = LimitReports {
         sender: sender(),
         limits: vec![report(21, Some(1.5)), report(22, None)],
     };
@@ -100,7 +100,7 @@
     let messages = in_messages(&[longest; 500]);
     assert!(messages.len() > 1);
     for limits in messages {
-        let news = LimitNews {
+        let news = LimitReports {
             sender: ([0xffff; 8], u16::MAX).into(),
             limits,
         };
--- a/crates/router/cloverpier_router/tests/peer_messages.rs
+++ b/crates/router/cloverpier_router/tests/peer_messages.rs
@@ -207,7 +207,7 @@
         order: None,
         ..rollout_view()
     };
-    let news = PeerMessage::Rollouts(RolloutNews {
+    let news = PeerMessage::Rollouts(RolloutReports {
         sender: address(7104),
         views: vec![rollout_view(), withdrawn],
     });
@@ -268,7 +268,7 @@
         },
     ];
     let content = ContentKey::parse("0102030405060708090a0b0c0d0e0f10").unwrap();
-    let news = PeerMessage::Crashes(CrashNews {
+    let news = PeerMessage::Crashes(CrashReports {
         sender: address(7104),
         contents: vec![ContentReport { content, crashes }],
     });
@@ -289,7 +289,7 @@
             age_ms: 0,
         },
     ];
-    let news = PeerMessage::Leavings(LeavingNews {
+    let news = PeerMessage::Leavings(LeavingReports {
         sender: address(7104),
         upstreams,
     });
@@ -307,7 +307,7 @@
         let sender = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
             .parse()
             .unwrap();
-        let bytes = encode(&PeerMessage::Leavings(LeavingNews { sender, upstreams })).unwrap();
+        let bytes = encode(&PeerMessage::Leavings(LeavingReports { sender, upstreams })).unwrap();
         assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
     }
 }
--- a/crates/router/cloverpier_router_policy/src/crash_news.rs
+++ b/crates/router/cloverpier_router_policy/src/crash_reports.rs
@@ -8,14 +8,14 @@
 //!   each of 300 routers report some five of them to all others. On days without such contents nothing is
 //!   sent at all.
 //!
-//! Who is sent them again is decided in [`crate::news`]; which ends count, and what is done with a content,
-//! in `cloverpier_crashes`. Owns nothing.
+//! Who is sent them again is decided in [`crate::dissemination`]; which ends count, and what is done with a
+//! content, in `cloverpier_crashes`. Owns nothing.
 
 use cloverpier_crashes::{ContentReport, Surroundings};
 
 /// Ends of less weight, in thousandths, are not reported: three of five others in a data centre have
 /// ended beside it, so that two that one request ended at once are reported.
-const MIN_TOLD_WEIGHT: u32 = 250;
+const MIN_REPORTED_WEIGHT: u32 = 250;
 /// Ends in one message. An end takes 40 bytes, and 10 for each of up to 12 others beside it: 32 of
 /// them at most 5,200, where a datagram may have 8,192.
 const MAX_ENDS: usize = 32;
@@ -24,7 +24,7 @@
 /// ended beside it explains the first; the others may be the content's own.
 pub fn is_told(surroundings: &Surroundings, ends: usize) -> bool {
     let weight = surroundings.weight(|_| None);
-    ends > 1 || weight.thousandths() >= MIN_TOLD_WEIGHT
+    ends > 1 || weight.thousandths() >= MIN_REPORTED_WEIGHT
 }
 
 /// Reports in as many messages as they need.
--- a/crates/router/cloverpier_router_policy/src/news.rs
+++ b/crates/router/cloverpier_router_policy/src/dissemination.rs
@@ -9,7 +9,7 @@
 //!   to random peers for a while, and a peer that may have missed some gets all of them. Without new
 //!   facts nothing is sent.
 //!
-//! The facts themselves are those of [`crate::crash_news`] and [`crate::leaving`]. Owns nothing.
+//! The facts themselves are those of [`crate::crash_reports`] and [`crate::leaving`]. Owns nothing.
 
 use crate::peers::PeerEntry;
 use std::time::{Duration, Instant};
@@ -17,10 +17,10 @@
 /// How long facts are repeated after the last one was learned, to one peer with each heartbeat.
 /// With 200 ms between heartbeats each peer receives some 15 repeats: none misses a fact where a
 /// tenth of the datagrams is lost.
-pub const TOLD_AGAIN_FOR: Duration = Duration::from_secs(3);
+pub const REPEATED_FOR: Duration = Duration::from_secs(3);
 /// How many of the peers that notice a router which may have missed facts send them: each does with
 /// this number divided by the number of peers as its probability.
-const TELLERS: usize = 16;
+const SENDERS: usize = 16;
 
 /// Whether the sender of a heartbeat may have missed facts: it is new, was silent for longer than
 /// `timeout`, or was restarted and so has an older configuration than before, or none. One without a
@@ -36,11 +36,11 @@
 }
 
 /// Whether this router is one of those that send a peer what it may have missed.
-pub fn is_teller(peers: usize, rng: &mut fastrand::Rng) -> bool {
-    peers <= TELLERS || rng.usize(..peers) < TELLERS
+pub fn sends_missed(peers: usize, rng: &mut fastrand::Rng) -> bool {
+    peers <= SENDERS || rng.usize(..peers) < SENDERS
 }
 
 /// Whether facts are repeated now.
-pub fn is_told_again(last_news: Option<Instant>, now: Instant) -> bool {
-    last_news.is_some_and(|at| now.saturating_duration_since(at) < TOLD_AGAIN_FOR)
+pub fn is_repeated(last_report: Option<Instant>, now: Instant) -> bool {
+    last_report.is_some_and(|at| now.saturating_duration_since(at) < REPEATED_FOR)
 }
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -30,8 +30,8 @@
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
 //! | does the process at a dead upstream's address belong to its service | [`successor`] |
-//! | what is reported to peers of requests that end upstreams | [`crash_news`] |
-//! | which facts are sent to peers again | [`news`] |
+//! | what is reported to peers of requests that end upstreams | [`crash_reports`] |
+//! | which facts are sent to peers again | [`dissemination`] |
 //! | which routers do callers get | [`peers`] |
 //! | which peers are sent what, and how long it counts | [`heartbeat`] |
 //! | which routers live, in a large fleet, and who informs whom | [`membership`] |
@@ -67,8 +67,9 @@
 pub mod choice;
 pub mod configuration;
 pub mod connection_reuse;
-pub mod crash_news;
+pub mod crash_reports;
 pub mod deadline;
+pub mod dissemination;
 pub mod events;
 pub mod first_read;
 pub mod heartbeat;
@@ -80,7 +81,6 @@
 pub mod load;
 pub mod load_query;
 pub mod membership;
-pub mod news;
 pub mod peers;
 pub mod permit;
 pub mod prompt_locations;
@@ -119,14 +119,16 @@
     pub use crate::permit::LimitedUpstreams;
     pub use crate::prompt_locations::{PromptKey, PromptLocations};
     pub use crate::replica::choose_replica;
-    pub use crate::rollout::{OrderNews, Progress, RolloutOrder, RolloutView, Stage, VersionRule};
+    pub use crate::rollout::{
+        OrderUpdate, Progress, RolloutOrder, RolloutView, Stage, VersionRule,
+    };
     pub use crate::statement::UpstreamStatement;
     pub use crate::store_watch::WatcherRole;
     pub use crate::upstream::{
         StartNumber, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamStart,
         UpstreamState,
     };
-    pub use crate::upstream_table::{AppliedNews, OutByStatement, UpstreamTable};
+    pub use crate::upstream_table::{AppliedUpdate, OutByStatement, UpstreamTable};
 }
 
 pub use prelude::*;
--- a/crates/router/cloverpier_router_policy/src/rollout/book.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/book.rs
@@ -29,7 +29,7 @@
 
 /// What a view changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderNews {
+pub enum OrderUpdate {
     /// Nothing that was not known.
     Nothing,
     /// A new order.
@@ -132,29 +132,29 @@
     }
 
     /// Applies a view of a peer or of the store.
-    pub fn on_view(&mut self, view: RolloutView, now: Instant) -> OrderNews {
+    pub fn on_view(&mut self, view: RolloutView, now: Instant) -> OrderUpdate {
         let Some(known) = self.rollouts.get_mut(&view.service) else {
-            let news = news_of(&view);
+            let update = update_of(&view);
             self.unbar(&view);
             self.rollouts
                 .insert(view.service.clone(), Rollout::new(view, now));
-            return news;
+            return update;
         };
         if known.id() == view.order.as_ref().map(|order| order.id) {
             known.view.revision = known.view.revision.max(view.revision);
             return if known.join(view.progress, now) {
-                OrderNews::Progressed
+                OrderUpdate::Progressed
             } else {
-                OrderNews::Nothing
+                OrderUpdate::Nothing
             };
         }
         if view.revision <= known.view.revision {
-            return OrderNews::Nothing;
+            return OrderUpdate::Nothing;
         }
         let former = std::mem::replace(known, Rollout::new(view.clone(), now));
         self.bar_target_of(&former.view);
         self.unbar(&view);
-        news_of(&view)
+        update_of(&view)
     }
 
     /// Takes an order as under way for some time already.
@@ -271,10 +271,10 @@
     }
 }
 
-fn news_of(view: &RolloutView) -> OrderNews {
+fn update_of(view: &RolloutView) -> OrderUpdate {
     match view.order {
-        Some(_) => OrderNews::Ordered,
-        None => OrderNews::Withdrawn,
+        Some(_) => OrderUpdate::Ordered,
+        None => OrderUpdate::Withdrawn,
     }
 }
 
--- a/crates/router/cloverpier_router_policy/src/rollout/mod.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/mod.rs
@@ -37,7 +37,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-pub use book::{OrderNews, RolloutBook};
+pub use book::{OrderUpdate, RolloutBook};
 pub use versions::{CanarySet, VersionRule};
 
 /// Identifies an order: the same service, version and time ordered again is another one.
--- a/crates/router/cloverpier_router_policy/src/singleton/lease.rs
+++ b/crates/router/cloverpier_router_policy/src/singleton/lease.rs
@@ -346,7 +346,7 @@
     }
 
     /// Records that the holder named a version of the record.
-    pub fn on_told(&mut self, version: RecordVersion, now: Instant) {
+    pub fn on_version_named(&mut self, version: RecordVersion, now: Instant) {
         let is_newer = self.observed.as_ref().is_none_or(|o| o.version < version);
         if self.hold.is_none() && self.enters_era(version.era) && is_newer {
             self.observe(version, None, now);
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -117,7 +117,7 @@
 impl Unlisted {
     /// Records that a version of the list did not name it; returns whether it is to be taken as gone:
     /// a living upstream enters itself within [`RETURN_WINDOW`] of the store's return.
-    pub fn on_news(&mut self, now: Instant) -> bool {
+    pub fn on_reports(&mut self, now: Instant) -> bool {
         let since = *self.missing_since.get_or_insert(now);
         now.saturating_duration_since(since) > RETURN_WINDOW
     }
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -52,7 +52,7 @@
 
 /// The effect of a new list of upstreams, or of changes to it.
 #[derive(Debug, Default)]
-pub struct AppliedNews {
+pub struct AppliedUpdate {
     /// Whether they were new.
     pub is_new: bool,
     /// Upstreams that have started again under the names that they had.
@@ -164,9 +164,9 @@
         upstreams: Vec<Upstream>,
         revision: u64,
         now: Instant,
-    ) -> AppliedNews {
+    ) -> AppliedUpdate {
         if revision < self.revision {
-            return AppliedNews::default();
+            return AppliedUpdate::default();
         }
         let versions = versions_of(upstreams.iter());
         let is_first = self.revision == 0;
@@ -178,7 +178,7 @@
         }
         self.forget_old_changes();
         self.forget_unlisted(now);
-        AppliedNews {
+        AppliedUpdate {
             is_new: true,
             restarted,
             versions,
@@ -210,9 +210,9 @@
         changes: Vec<UpstreamChange>,
         revision: u64,
         now: Instant,
-    ) -> AppliedNews {
+    ) -> AppliedUpdate {
         if revision <= self.revision {
-            return AppliedNews::default();
+            return AppliedUpdate::default();
         }
         let listed = changes.iter().filter_map(UpstreamChange::listed);
         let versions = versions_of(listed);
@@ -220,7 +220,7 @@
         self.forget_old_changes();
         self.forget_unlisted(now);
         self.forget_gone(now);
-        AppliedNews {
+        AppliedUpdate {
             is_new: true,
             restarted,
             versions,
@@ -247,7 +247,7 @@
     fn forget_unlisted(&mut self, now: Instant) {
         for state in self.upstreams.values_mut() {
             let unlisted = state.unlisted.as_mut();
-            if unlisted.is_some_and(|unlisted| unlisted.on_news(now)) {
+            if unlisted.is_some_and(|unlisted| unlisted.on_reports(now)) {
                 state.gone.get_or_insert(now);
             }
         }
--- a/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
@@ -4,8 +4,8 @@
 //! upstreams that are not known are remembered, too. Owns nothing besides the table's own.
 
 use super::UpstreamTable;
+use crate::dissemination::REPEATED_FOR;
 use crate::leaving::LeavingReport;
-use crate::news::TOLD_AGAIN_FOR;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
 use cloverpier_core::{ServiceName, UpstreamName, Wait};
 use std::time::{Duration, Instant};
@@ -60,7 +60,7 @@
 
     /// Reports that are sent to peers again.
     pub fn new_leavings(&self, now: Instant) -> Vec<LeavingReport> {
-        let new = self.leavings.known_for_less(TOLD_AGAIN_FOR, now);
+        let new = self.leavings.known_for_less(REPEATED_FOR, now);
         self.leavings.reports(new, now)
     }
 
--- a/crates/router/cloverpier_router_policy/tests/crash_news.rs
+++ b/crates/router/cloverpier_router_policy/tests/crash_reports.rs
@@ -2,8 +2,10 @@
 
 use cloverpier_core::DataCentre;
 use cloverpier_crashes::prelude::*;
-use cloverpier_router_policy::crash_news::{in_messages, is_told};
-use cloverpier_router_policy::news::{TOLD_AGAIN_FOR, is_teller, is_told_again, may_have_missed};
+use cloverpier_router_policy::crash_reports::{in_messages, is_told};
+use cloverpier_router_policy::dissemination::{
+    REPEATED_FOR, is_repeated, may_have_missed, sends_missed,
+};
 use cloverpier_router_policy::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -61,7 +63,7 @@
 #[test]
 fn of_many_peers_a_few_tell_and_of_few_all_do() {
     let mut rng = fastrand::Rng::with_seed(1);
-    let mut tellers = |peers: usize| (0..peers).filter(|_| is_teller(peers, &mut rng)).count();
+    let mut tellers = |peers: usize| (0..peers).filter(|_| sends_missed(peers, &mut rng)).count();
     assert_eq!(tellers(7), 7);
     let told_by: Vec<usize> = (0..50).map(|_| tellers(295)).collect();
     assert!(
@@ -73,9 +75,9 @@
 #[test]
 fn news_are_told_again_for_a_while_only() {
     let now = Instant::now();
-    assert!(!is_told_again(None, now));
-    assert!(is_told_again(Some(now), now + TOLD_AGAIN_FOR / 2));
-    assert!(!is_told_again(Some(now), now + TOLD_AGAIN_FOR));
+    assert!(!is_repeated(None, now));
+    assert!(is_repeated(Some(now), now + REPEATED_FOR / 2));
+    assert!(!is_repeated(Some(now), now + REPEATED_FOR));
 }
 
 /// The content of a request, and as many ends as are kept of one.
--- a/crates/router/cloverpier_router_policy/tests/rollout.rs
+++ b/crates/router/cloverpier_router_policy/tests/rollout.rs
@@ -73,25 +73,25 @@
 fn an_order_lets_some_requests_to_its_version_at_once() {
     let (mut book, now) = book();
     book.on_listed(&listed(&["v1", "v2"]), now);
-    assert_eq!(book.on_view(view("v2", 7), now), OrderNews::Ordered);
+    assert_eq!(book.on_view(view("v2", 7), now), OrderUpdate::Ordered);
     assert!(!is_barred(&book, "v2", now));
-    assert_eq!(book.on_view(view("v2", 7), now), OrderNews::Nothing);
+    assert_eq!(book.on_view(view("v2", 7), now), OrderUpdate::Nothing);
 }
 
 #[test]
 fn a_version_whose_order_is_replaced_or_taken_back_gets_nothing() {
     let (mut book, now) = book();
     book.on_view(view("v2", 7), now);
-    assert_eq!(book.on_view(view("v3", 9), now), OrderNews::Ordered);
+    assert_eq!(book.on_view(view("v3", 9), now), OrderUpdate::Ordered);
     assert!(is_barred(&book, "v2", now));
     assert!(!is_barred(&book, "v3", now));
     // What a peer still says of the former order changes nothing.
-    assert_eq!(book.on_view(view("v2", 7), now), OrderNews::Nothing);
+    assert_eq!(book.on_view(view("v2", 7), now), OrderUpdate::Nothing);
     let withdrawn = new_view(service(), 10, None, BOUNDS);
-    assert_eq!(book.on_view(withdrawn, now), OrderNews::Withdrawn);
+    assert_eq!(book.on_view(withdrawn, now), OrderUpdate::Withdrawn);
     assert!(is_barred(&book, "v3", now));
     // Ordered again, it is judged again.
-    assert_eq!(book.on_view(view("v3", 11), now), OrderNews::Ordered);
+    assert_eq!(book.on_view(view("v3", 11), now), OrderUpdate::Ordered);
     assert!(!is_barred(&book, "v3", now));
 }
 
--- a/tools/src/crash_play/mod.rs
+++ b/tools/src/crash_play/mod.rs
@@ -3,11 +3,11 @@
 //! Some routers take requests before model engines in four data centres, one of which dies each
 //! 6.5 s. Some contents crash each engine that begins to run them; their callers repeat them at any
 //! router, whatever they are told. Engines are back under their names. The rules are the programs' own
-//! (`cloverpier_crashes`, `choice`, `crash_news`); routers are modelled by what they know, and what they
+//! (`cloverpier_crashes`, `choice`, `crash_reports`); routers are modelled by what they know, and what they
 //! tell each other travels with a delay, gets lost, or meets a router that is cut off or starts anew.
 //! What is checked is counted here, from the engines' side. Owns the model.
 
-mod news;
+mod reports;
 mod requests;
 mod upstreams;
 mod world;
@@ -103,9 +103,9 @@
     pub stopped: usize,
     /// Those that lost two engines or more to ends.
     pub unlucky: usize,
-    /// Bytes of news that the router which sent the most did.
+    /// Bytes of reports that the router which sent the most did.
     pub most_bytes: usize,
-    /// Bytes of news that all routers sent.
+    /// Bytes of reports that all routers sent.
     pub bytes: usize,
 }
 
--- a/tools/src/crash_play/news.rs
+++ b/tools/src/crash_play/reports.rs
@@ -3,9 +3,9 @@
 use super::world::{Event, LIMIT, World};
 use super::{Counting, Trouble};
 use cloverpier_crashes::prelude::*;
-use cloverpier_router::peer_messages::{CrashNews, PeerMessage, encode};
-use cloverpier_router_policy::crash_news::{in_messages, is_told};
-use cloverpier_router_policy::news::{is_teller, is_told_again};
+use cloverpier_router::peer_messages::{CrashReports, PeerMessage, encode};
+use cloverpier_router_policy::crash_reports::{in_messages, is_told};
+use cloverpier_router_policy::dissemination::{is_repeated, sends_missed};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,7 +37,7 @@
         let told: Vec<ContentKey> = told.map(|j| j.attempt.content).collect();
         let reports = state.cases.book.reports(&told, now);
         if !reports.is_empty() {
-            state.last_news = Some(now);
+            state.last_report = Some(now);
             let all: Vec<usize> = (0..self.spec.routers).collect();
             self.tell(router, reports, &all);
         }
@@ -47,19 +47,19 @@
     fn tell(&mut self, from: usize, reports: Vec<ContentReport>, to: &[usize]) {
         let sender = SocketAddr::from(([10, 0, 0, 1], 7_104));
         for contents in in_messages(reports) {
-            let message = PeerMessage::Crashes(CrashNews {
+            let message = PeerMessage::Crashes(CrashReports {
                 sender,
                 contents: contents.clone(),
             });
             // All that the model sends can be written.
             let bytes = encode(&message).map_or(0, |bytes| bytes.len());
             self.routers[from].bytes += bytes * to.len();
-            let news = self.news.len();
-            self.news.push(contents);
+            let message = self.messages.len();
+            self.messages.push(contents);
             for router in to.iter().copied().filter(|router| *router != from) {
                 if self.arrives(from, router) {
                     let way = (MOST_DELAY - LEAST_DELAY).mul_f64(self.rng.f64());
-                    self.schedule_in(LEAST_DELAY + way, Event::News { router, news });
+                    self.schedule_in(LEAST_DELAY + way, Event::Message { router, message });
                 }
             }
         }
@@ -71,15 +71,15 @@
         !is_lost && !is_cut
     }
 
-    pub(super) fn on_news(&mut self, router: usize, news: usize) {
+    pub(super) fn on_reports(&mut self, router: usize, message: usize) {
         let now = self.instant();
         let state = &mut self.routers[router];
         if !state.is_up {
             return;
         }
-        let changed = state.cases.book.merge(&self.news[news], now);
+        let changed = state.cases.book.merge(&self.messages[message], now);
         if !changed.is_empty() {
-            state.last_news = Some(now);
+            state.last_report = Some(now);
             self.call_back(router);
         }
     }
@@ -88,13 +88,13 @@
         self.schedule_in(HEARTBEAT, Event::Heartbeat { router });
         let now = self.instant();
         let state = &self.routers[router];
-        if state.is_up && is_told_again(state.last_news, now) {
+        if state.is_up && is_repeated(state.last_report, now) {
             let peer = self.rng.usize(..self.spec.routers);
-            self.tell_suspects(router, &[peer]);
+            self.send_suspects(router, &[peer]);
         }
     }
 
-    fn tell_suspects(&mut self, router: usize, to: &[usize]) {
+    fn send_suspects(&mut self, router: usize, to: &[usize]) {
         let now = self.instant();
         let book = &self.routers[router].cases.book;
         let reports = book.reports(&book.suspects(now), now);
@@ -116,7 +116,7 @@
         let state = &mut self.routers[router];
         state.is_up = false;
         state.cases = CrashCases::new(LIMIT);
-        state.last_news = None;
+        state.last_report = None;
         for request in self.requests.iter_mut().filter(|r| r.router == router) {
             request.is_done = true;
         }
@@ -131,9 +131,9 @@
         self.routers[router].is_up = true;
         self.routers[router].in_touch_since = self.now;
         for peer in 0..self.spec.routers {
-            let tells = is_teller(self.spec.routers - 1, &mut self.rng);
+            let tells = sends_missed(self.spec.routers - 1, &mut self.rng);
             if tells && self.routers[peer].is_up {
-                self.tell_suspects(peer, &[router]);
+                self.send_suspects(peer, &[router]);
             }
         }
     }
@@ -149,8 +149,8 @@
         let all: Vec<usize> = (0..self.spec.routers).collect();
         for router in healed {
             self.on_started(router);
-            if is_teller(self.spec.routers - 1, &mut self.rng) {
-                self.tell_suspects(router, &all);
+            if sends_missed(self.spec.routers - 1, &mut self.rng) {
+                self.send_suspects(router, &all);
             }
         }
     }
--- a/tools/src/crash_play/upstreams.rs
+++ b/tools/src/crash_play/upstreams.rs
@@ -95,13 +95,13 @@
             self.schedule_in(BREAK_DELAY, Event::Broke { run: *run });
         }
         if !there.is_empty() {
-            self.tell_death(index);
+            self.report_death(index);
         }
         self.schedule_in(away, Event::Return { engine: index });
     }
 
     /// The router that finds out first tells the others.
-    fn tell_death(&mut self, index: usize) {
+    fn report_death(&mut self, index: usize) {
         let name = self.engines[index].name.clone();
         let now = self.instant();
         self.table.suspect(&name, now);
--- a/tools/src/crash_play/world.rs
+++ b/tools/src/crash_play/world.rs
@@ -37,8 +37,8 @@
     Death { router: usize, engine: usize },
     /// A router judges.
     Judge { router: usize },
-    /// A router gets news of a peer.
-    News { router: usize, news: usize },
+    /// A router gets a message of a peer.
+    Message { router: usize, message: usize },
     /// A router's turn to send a heartbeat.
     Heartbeat { router: usize },
     /// A router is back.
@@ -58,7 +58,7 @@
 /// A router.
 pub(super) struct SimRouter {
     pub cases: CrashCases,
-    pub last_news: Option<Instant>,
+    pub last_report: Option<Instant>,
     pub is_up: bool,
     pub is_cut_off: bool,
     /// When it was started or heard of others again last.
@@ -70,7 +70,7 @@
     fn new() -> Self {
         Self {
             cases: CrashCases::new(LIMIT),
-            last_news: None,
+            last_report: None,
             is_up: true,
             is_cut_off: false,
             in_touch_since: Duration::ZERO,
@@ -92,7 +92,7 @@
     pub routers: Vec<SimRouter>,
     pub requests: Vec<Request>,
     pub runs: Vec<Run>,
-    pub news: Vec<Vec<ContentReport>>,
+    pub messages: Vec<Vec<ContentReport>>,
     /// How many routers were killed when they saw a crash of each crashing content.
     pub killed_at: Vec<usize>,
     /// When each crashing content ended its third engine.
@@ -114,7 +114,7 @@
             routers: (0..spec.routers).map(|_| SimRouter::new()).collect(),
             requests: Vec::new(),
             runs: Vec::new(),
-            news: Vec::new(),
+            messages: Vec::new(),
             killed_at: vec![0; spec.contents],
             third_end: vec![None; spec.contents],
             outcome: CrashOutcome {
@@ -152,7 +152,7 @@
             self.schedule_in(at, Event::Repeat { content });
         }
         for router in 0..self.spec.routers {
-            let phase = super::news::HEARTBEAT.mul_f64(self.rng.f64());
+            let phase = super::reports::HEARTBEAT.mul_f64(self.rng.f64());
             self.schedule_in(phase, Event::Heartbeat { router });
         }
         if self.spec.deaths {
@@ -206,7 +206,7 @@
             Event::Refused { router, engine } => self.on_refused(router, engine),
             Event::Death { router, engine } => self.on_death(router, engine),
             Event::Judge { router } => self.judge(router),
-            Event::News { router, news } => self.on_news(router, news),
+            Event::Message { router, message } => self.on_reports(router, message),
             Event::Heartbeat { router } => self.heartbeat(router),
             Event::Started { router } => self.on_started(router),
             Event::Kill { router } => self.kill(router),
--- a/tools/src/limit_play/messages.rs
+++ b/tools/src/limit_play/messages.rs
@@ -1,17 +1,17 @@
-//! Datagrams of the model: news of limits, asks for permits and their answers.
+//! Datagrams of the model: reports of limits, asks for permits and their answers.
 
 use super::beliefs::{address_of, router_of};
 use super::requests::Sending;
 use super::world::{Event, PendingAsk, World};
+use cloverpier_router_policy::dissemination::{is_repeated, sends_missed};
 use cloverpier_router_policy::limit::{LimitChange, LimitReport};
-use cloverpier_router_policy::news::{is_teller, is_told_again};
 use cloverpier_router_policy::permit::{ANSWER_TIMEOUT, PermitReply, PermitRequest, Want};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 const LEAST_DELAY: Duration = Duration::from_micros(500);
 const MOST_DELAY: Duration = Duration::from_millis(2);
-/// Hops by which news reach all of a large fleet.
+/// Hops by which reports reach all of a large fleet.
 const FLOOD_HOPS: u32 = 4;
 /// What a flood is passed on to by each router, of which some have it already.
 const FLOOD_SENT: usize = 4;
@@ -36,7 +36,7 @@
     }
 
     /// Tells all others of a limit.
-    pub(super) fn tell_all(&mut self, from: usize, upstream: usize) {
+    pub(super) fn send_to_all(&mut self, from: usize, upstream: usize) {
         let now = self.instant();
         let key = self.upstreams[upstream].key;
         let report = self.routers[from].permits.limits().report(key, None, now);
@@ -61,26 +61,26 @@
     }
 
     /// Tells a peer again what changed a moment ago.
-    pub(super) fn tell_again(&mut self, router: usize) {
+    pub(super) fn repeat(&mut self, router: usize) {
         let last = self.routers[router].last_change;
         let last = last.map(|at| self.instant_of(at));
-        if is_told_again(last, self.instant()) {
+        if is_repeated(last, self.instant()) {
             let to = self.rng.usize(..self.spec.routers);
-            self.tell_everything(router, to);
+            self.send_everything(router, to);
         }
     }
 
     /// Some peers tell a router that has started what they know.
-    pub(super) fn tell_started(&mut self, router: usize) {
+    pub(super) fn announce_start(&mut self, router: usize) {
         for peer in 0..self.spec.routers {
-            let tells = is_teller(self.spec.routers, &mut self.rng);
+            let tells = sends_missed(self.spec.routers, &mut self.rng);
             if tells && self.routers[peer].is_up {
-                self.tell_everything(peer, router);
+                self.send_everything(peer, router);
             }
         }
     }
 
-    fn tell_everything(&mut self, from: usize, to: usize) {
+    fn send_everything(&mut self, from: usize, to: usize) {
         let now = self.instant();
         let limits = self.routers[from].permits.limits();
         let known = limits.upstreams().into_iter();
@@ -95,13 +95,13 @@
             return;
         }
         match message {
-            Message::News(reports) => self.on_news(to, reports),
+            Message::News(reports) => self.on_reports(to, reports),
             Message::Request(request) => self.on_request(from, to, request),
             Message::Reply(reply) => self.on_reply(from, to, reply),
         }
     }
 
-    fn on_news(&mut self, router: usize, reports: &[LimitReport]) {
+    fn on_reports(&mut self, router: usize, reports: &[LimitReport]) {
         let now = self.instant();
         let mut is_new = false;
         for report in reports {
--- a/tools/src/limit_play/requests.rs
+++ b/tools/src/limit_play/requests.rs
@@ -189,7 +189,7 @@
         let change = permits.on_statement(key, said, true, written, now);
         if change != LimitChange::Nothing {
             self.routers[router].last_change = Some(self.now);
-            self.tell_all(router, upstream);
+            self.send_to_all(router, upstream);
             self.note_known();
         }
     }
--- a/tools/src/limit_play/world.rs
+++ b/tools/src/limit_play/world.rs
@@ -267,7 +267,7 @@
         for limiter in self.routers[router].permits.silent_limiters(now) {
             self.ask(router, 0, limiter, None);
         }
-        self.tell_again(router);
+        self.repeat(router);
     }
 
     fn kill(&mut self, router: usize) {
@@ -291,7 +291,7 @@
             ..new_router(router, self.instant(), life)
         };
         self.beliefs.set_running(router, true, self.now);
-        self.tell_started(router);
+        self.announce_start(router);
     }
 
     fn cut(&mut self) {
--- a/tools/src/soak/inject.rs
+++ b/tools/src/soak/inject.rs
@@ -188,7 +188,7 @@
 const MANY_ROUTES: usize = 1_400;
 
 /// Every other change makes the configuration large: 23 copies at a time of one of this size
-/// once kept the news of leaving upstreams from a fleet for seconds.
+/// once kept reports of leaving upstreams from a fleet for seconds.
 fn toggle_many_routes(configuration: &mut Configuration) {
     if !remove_added_routes(configuration) {
         add_routes(configuration, MANY_ROUTES);
--- a/tools/src/statement_play/mod.rs
+++ b/tools/src/statement_play/mod.rs
@@ -1,15 +1,15 @@
 //! Upstreams that say of themselves that they leave or want nothing, played on the decisions in
 //! simulated time, with the platform's store away throughout.
 //!
-//! Some routers take requests before the upstreams of one plain service. Upstreams begin to leave and
-//! say so in each answer alone, end some seconds later and may start again under their names; others
-//! turn requests away for a while and say for how long. The rules are the programs' own (`leaving`,
-//! `wait`, `choice`, `news`); routers are modelled by what they know, and what they tell each other
-//! travels with a delay, gets lost, or meets a router that is cut off or starts anew. Lists that were
-//! read before, in which all are ready, arrive at any time. What is checked is counted here, from the
-//! upstreams' side. Owns the model.
+//! Some routers take requests before the upstreams of one plain service. Upstreams begin to leave and say
+//! so in each answer alone, end some seconds later and may start again under their names; others turn
+//! requests away for a while and say for how long. The rules are the programs' own (`leaving`, `wait`,
+//! `choice`, `dissemination`); routers are modelled by what they know, and what they report to each other
+//! travels with a delay, gets lost, or meets a router that is cut off or starts anew. Lists that were read
+//! before, in which all are ready, arrive at any time. What is checked is counted here, from the upstreams'
+//! side. Owns the model.
 
-mod news;
+mod reports;
 mod requests;
 mod world;
 
@@ -86,7 +86,7 @@
     pub most_while_waiting: usize,
     /// Starts that are sound at the end and that a router in touch does not use.
     pub unused_starts: usize,
-    /// Bytes of news that the router which sent the most did.
+    /// Bytes of reports that the router which sent the most did.
     pub most_bytes: usize,
 }
 
--- a/tools/src/statement_play/news.rs
+++ b/tools/src/statement_play/reports.rs
@@ -3,9 +3,9 @@
 use super::HEARTBEAT;
 use super::world::{Event, World};
 use cloverpier_core::UpstreamName;
-use cloverpier_router::peer_messages::{LeavingNews, PeerMessage, encode};
+use cloverpier_router::peer_messages::{LeavingReports, PeerMessage, encode};
+use cloverpier_router_policy::dissemination::{is_repeated, sends_missed};
 use cloverpier_router_policy::leaving::in_messages;
-use cloverpier_router_policy::news::{is_teller, is_told_again};
 use cloverpier_router_policy::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,10 +17,10 @@
 
 impl World {
     /// Tells all peers of an upstream that leaves.
-    pub(super) fn tell_all(&mut self, router: usize, upstream: &UpstreamName) {
+    pub(super) fn send_to_all(&mut self, router: usize, upstream: &UpstreamName) {
         let now = self.instant();
         let state = &mut self.routers[router];
-        state.last_news = Some(now);
+        state.last_report = Some(now);
         let reports = state.table.leaving_of(upstream, now);
         let all: Vec<usize> = (0..self.spec.routers).collect();
         self.tell(router, &reports, &all);
@@ -29,19 +29,19 @@
     fn tell(&mut self, from: usize, reports: &[LeavingReport], to: &[usize]) {
         let sender = SocketAddr::from(([10, 0, 0, 1], 7_104));
         for upstreams in in_messages(reports) {
-            let message = PeerMessage::Leavings(LeavingNews {
+            let message = PeerMessage::Leavings(LeavingReports {
                 sender,
                 upstreams: upstreams.clone(),
             });
             // All that the model sends can be written.
             let bytes = encode(&message).map_or(0, |bytes| bytes.len());
             self.routers[from].bytes += bytes * to.len();
-            let news = self.news.len();
-            self.news.push(upstreams);
+            let message = self.messages.len();
+            self.messages.push(upstreams);
             for router in to.iter().copied().filter(|router| *router != from) {
                 if self.arrives(from, router) {
                     let way = (MOST_DELAY - LEAST_DELAY).mul_f64(self.rng.f64());
-                    self.schedule_in(LEAST_DELAY + way, Event::News { router, news });
+                    self.schedule_in(LEAST_DELAY + way, Event::Message { router, message });
                 }
             }
         }
@@ -53,15 +53,15 @@
         !is_lost && !is_cut
     }
 
-    pub(super) fn on_news(&mut self, router: usize, news: usize) {
+    pub(super) fn on_reports(&mut self, router: usize, message: usize) {
         let now = self.instant();
         let state = &mut self.routers[router];
         if !state.is_up {
             return;
         }
-        let new = state.table.on_peer_leavings(&self.news[news], now);
+        let new = state.table.on_peer_leavings(&self.messages[message], now);
         if !new.is_empty() {
-            state.last_news = Some(now);
+            state.last_report = Some(now);
         }
     }
 
@@ -69,7 +69,7 @@
         self.schedule_in(HEARTBEAT, Event::Heartbeat { router });
         let now = self.instant();
         let state = &self.routers[router];
-        if state.is_up && is_told_again(state.last_news, now) {
+        if state.is_up && is_repeated(state.last_report, now) {
             let reports = state.table.new_leavings(now);
             let peer = self.rng.usize(..self.spec.routers);
             self.tell(router, &reports, &[peer]);
@@ -78,11 +78,11 @@
 
     /// Peers hear of a router that has started anew or was cut off, a heartbeat later, and tell it what
     /// it may have missed; it tells them, too.
-    pub(super) fn tell_started(&mut self, router: usize) {
+    pub(super) fn announce_start(&mut self, router: usize) {
         let now = self.instant();
         let peers: Vec<usize> = (0..self.spec.routers).filter(|p| *p != router).collect();
         for peer in &peers {
-            let tells = is_teller(peers.len(), &mut self.rng);
+            let tells = sends_missed(peers.len(), &mut self.rng);
             if tells && self.routers[*peer].is_up {
                 let reports = self.routers[*peer].table.leavings(now);
                 self.tell(*peer, &reports, &[router]);
--- a/tools/src/statement_play/requests.rs
+++ b/tools/src/statement_play/requests.rs
@@ -135,7 +135,7 @@
             let is_new = table.on_leaving(&name, Some(said.born_ms), now);
             self.pass_on(router, upstream);
             if is_new {
-                self.tell_all(router, &name);
+                self.send_to_all(router, &name);
             }
         }
         if let Some(wait) = said.wait {
--- a/tools/src/statement_play/world.rs
+++ b/tools/src/statement_play/world.rs
@@ -36,9 +36,9 @@
     Heartbeat {
         router: usize,
     },
-    News {
+    Message {
         router: usize,
-        news: usize,
+        message: usize,
     },
     OldList,
     UpstreamBack {
@@ -87,7 +87,7 @@
 
 pub(super) struct Router {
     pub table: UpstreamTable,
-    pub last_news: Option<Instant>,
+    pub last_report: Option<Instant>,
     pub is_up: bool,
     pub is_cut_off: bool,
     pub in_touch_from: Duration,
@@ -101,7 +101,7 @@
     pub rng: fastrand::Rng,
     pub now: Duration,
     pub routers: Vec<Router>,
-    pub news: Vec<Vec<LeavingReport>>,
+    pub messages: Vec<Vec<LeavingReport>>,
     pub base: Instant,
     pub upstreams: Vec<Upstreams>,
     pub queue: BinaryHeap<Reverse<(Duration, u64)>>,
@@ -154,7 +154,7 @@
             rng,
             now: Duration::ZERO,
             routers: Vec::new(),
-            news: Vec::new(),
+            messages: Vec::new(),
             base: Instant::now(),
             upstreams,
             queue: BinaryHeap::new(),
@@ -172,7 +172,7 @@
         table.apply_list(self.old_list(), 1, self.instant());
         Router {
             table,
-            last_news: None,
+            last_report: None,
             is_up: true,
             is_cut_off: false,
             in_touch_from: Duration::ZERO,
@@ -256,7 +256,7 @@
                 said,
             } => self.answer(sending, upstream, said),
             Event::Heartbeat { router } => self.heartbeat(router),
-            Event::News { router, news } => self.on_news(router, news),
+            Event::Message { router, message } => self.on_reports(router, message),
             Event::OldList => self.old_list_arrives(),
             Event::UpstreamBack { upstream } => self.upstream_back(upstream),
             Event::Kill { router } => self.kill(router),
@@ -309,7 +309,7 @@
             in_touch_from: self.now + CONTACT,
             ..self.new_router()
         };
-        self.tell_started(router);
+        self.announce_start(router);
     }
 
     fn healed(&mut self) {
@@ -322,7 +322,7 @@
             self.routers[*router].in_touch_from = now + CONTACT;
         }
         for router in is_healed {
-            self.tell_started(router);
+            self.announce_start(router);
         }
     }
 
