--- a/crates/daemon/cloverpier_cli/src/args.rs
+++ b/crates/daemon/cloverpier_cli/src/args.rs
@@ -1,6 +1,7 @@
-//! The arguments.
+//! The arguments of the command line.
 //!
-//! Owns names, defaults and help of all arguments; environment variables replace two.
+//! Owns names, defaults and help of all of them; environment variables replace two. What a command does
+//! with them is its own module's.
 
 use argh::FromArgs;
 use std::net::SocketAddr;
--- a/crates/daemon/cloverpier_daemon/src/answers/open.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/open.rs
@@ -1,4 +1,8 @@
 //! Opens an answer for a caller: a new one, one that runs here, or one of another router.
+//!
+//! Which of these it is follows from the event identifier that the caller sends and from what holders of
+//! copies answer; `cloverpier_answer` decides it. Owns no state: answers in progress are
+//! [`crate::answers::live`]'s.
 
 use crate::answers::directory::asked;
 use crate::answers::live::{End, Live, Spec};
--- a/crates/daemon/cloverpier_daemon/src/web/callers.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/callers.rs
@@ -1,6 +1,7 @@
 //! The port for callers.
 //!
-//! Owns the routes of callers, and answers itself which addresses to use.
+//! Owns the routes of callers, and answers itself which addresses to use; all else goes to the modules
+//! that serve completions and services.
 
 use crate::admission::lenders;
 use crate::app::App;
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -19,7 +19,7 @@
 //! | work that one router at a time does | `singleton` |
 //! | other routers | `peers`, `outbox`, `datagrams`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `list_copies`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
-//! | logs and metrics | `decision_log`, `beliefs`, `via`, `metrics` |
+//! | logs and metrics | `decision_log`, `choice_log`, `beliefs`, `via`, `metrics` |
 //! | work beside the thread that serves | `background` |
 //!
 //! HTTP is spoken by `hyper` at the level of connections: what may be repeated
@@ -46,6 +46,7 @@
 mod body;
 mod budgets;
 mod caller_stream;
+mod choice_log;
 mod configuration_copies;
 mod connection;
 mod crash_reports;
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -8,25 +8,22 @@
 //!
 //! Relies on the types of `cloverpier_router_policy` that travel inside the messages.
 
-use bytes::Bytes;
+mod codec;
+mod large_fleet;
+
+pub use codec::{CodecError, compress, decode, decompress, encode};
+pub use large_fleet::{Gossip, Members, UpstreamUpdate};
+
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_crashes::ContentReport;
 use cloverpier_router_policy::limit::LimitReport;
-use cloverpier_router_policy::membership::MemberUpdate;
 use cloverpier_router_policy::permit::{PermitReply, PermitRequest};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::EvidenceReport;
 use cloverpier_router_policy::singleton::autoscaling::ServiceLoad;
 use cloverpier_router_policy::singleton::lease::RecordVersion;
 use cloverpier_router_policy::singleton::metering::ReportedWindow;
-use cloverpier_router_policy::watcher_beats::WatcherBeat;
-use flate2::Compression;
-use flate2::read::GzDecoder;
-use flate2::write::GzEncoder;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use snafu::{ResultExt, Snafu};
-use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
 /// The sender's own load at one upstream.
@@ -223,53 +220,6 @@
     pub fleet_ms: u64,
 }
 
-/// What a router of a large fleet sends in place of heartbeats.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Gossip {
-    /// What the sender says of itself.
-    pub sender: MemberUpdate,
-    /// Whether the sender waits for a message: it probes the recipient, or has just begun.
-    pub wants_reply: bool,
-    /// How many members the sender knows.
-    pub members: u32,
-    /// A digest of what the sender knows of them.
-    pub digest: u64,
-    /// Version of the configuration that the sender uses; 0 before the first.
-    pub configuration_version: u64,
-    /// Revision of the sender's list of upstreams.
-    pub upstreams_revision: u64,
-    /// What the watchers of the store said last, as far as the sender knows.
-    pub watchers: Vec<WatcherBeat>,
-    /// Upstreams that the sender suspects to be dead.
-    pub suspects: Vec<UpstreamKey>,
-    /// The sender's use of each service's retry budget.
-    pub budget_use: Vec<(ServiceKey, BudgetUse)>,
-    /// What is new of other routers.
-    pub updates: Vec<MemberUpdate>,
-}
-
-/// Some of the members that a router knows, for one that knows fewer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Members {
-    /// The sender's address for peers.
-    pub sender: SocketAddr,
-    /// The members.
-    pub members: Vec<MemberUpdate>,
-}
-
-/// Changes of upstreams, passed on from router to router.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamUpdate {
-    /// The sender's address for peers.
-    pub sender: SocketAddr,
-    /// The revision that the changes follow.
-    pub after: u64,
-    /// The revision that they lead to.
-    pub revision: u64,
-    /// The changes, in order.
-    pub changes: Vec<UpstreamChange>,
-}
-
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -361,84 +311,3 @@
         rollouts: Vec<RolloutView>,
     },
 }
-
-/// A message could not be written or read.
-#[derive(Debug, Snafu)]
-pub enum CodecError {
-    /// A message could not be written.
-    #[snafu(display("cannot encode a peer message: {source}"))]
-    Encode {
-        /// The codec's error.
-        source: rmp_serde::encode::Error,
-    },
-    /// Bytes are no message, or one of another release.
-    #[snafu(display("cannot decode a peer message: {source}"))]
-    Decode {
-        /// The codec's error.
-        source: rmp_serde::decode::Error,
-    },
-    /// A message could not be compressed.
-    #[snafu(display("cannot compress a peer message: {source}"))]
-    Compress {
-        /// The codec's error.
-        source: io::Error,
-    },
-    /// Bytes are not compressed, torn, or too many.
-    #[snafu(display("cannot decompress a peer message: {source}"))]
-    Decompress {
-        /// The codec's error.
-        source: io::Error,
-    },
-}
-
-/// Bytes of the longest message that is decompressed: 15 times a plain copy of 14,000 routes
-/// (1,078,022 bytes).
-const MAX_DECOMPRESSED: u64 = 16 * 1024 * 1024;
-
-/// Writes a message.
-///
-/// # Errors
-///
-/// [`CodecError::Encode`].
-pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
-    rmp_serde::to_vec(message).context(EncodeSnafu)
-}
-
-/// Reads a message.
-///
-/// # Errors
-///
-/// [`CodecError::Decode`] for bytes of another shape.
-pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
-    rmp_serde::from_slice(bytes).context(DecodeSnafu)
-}
-
-/// Compresses the bytes of a message, as `gzip`.
-///
-/// It spares narrow links: a configuration becomes a sixth of its bytes.
-///
-/// # Errors
-///
-/// [`CodecError::Compress`].
-pub fn compress(bytes: &[u8]) -> Result<Bytes, CodecError> {
-    let mut encoder = GzEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(bytes).context(CompressSnafu)?;
-    let compressed = encoder.finish().context(CompressSnafu)?;
-    Ok(compressed.into())
-}
-
-/// Reads what [`compress`] wrote.
-///
-/// # Errors
-///
-/// [`CodecError::Decompress`] for other bytes, torn ones, or ones that hold more than 16 MiB.
-pub fn decompress(bytes: &[u8]) -> Result<Vec<u8>, CodecError> {
-    let mut message = Vec::new();
-    let mut decoder = GzDecoder::new(bytes).take(MAX_DECOMPRESSED + 1);
-    decoder.read_to_end(&mut message).context(DecompressSnafu)?;
-    if message.len() as u64 > MAX_DECOMPRESSED {
-        let too_long = io::Error::from(io::ErrorKind::FileTooLarge);
-        return Err(too_long).context(DecompressSnafu);
-    }
-    Ok(message)
-}
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -34,34 +34,8 @@
             // The system reports here that a peer's port is closed; the peer's silence says so.
             continue;
         };
-        let now = router.now();
         match decode(&buf[..length]) {
-            Ok(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(&router, heartbeat, now),
-            Ok(PeerMessage::Change(change)) => on_change(&router, change, now),
-            Ok(PeerMessage::Successor(successor)) => on_peer_successor(&router, successor),
-            Ok(PeerMessage::Replaced(replaced)) => on_peer_replaced(&router, replaced),
-            Ok(PeerMessage::Rollouts(reports)) => {
-                let from = format!("peer {}", reports.sender);
-                rollouts::apply_views(&router, reports.views, &from, now);
-            }
-            Ok(PeerMessage::RolloutEvidence(evidence)) => {
-                rollouts::on_evidence(&router, evidence.sender, evidence.report);
-            }
-            Ok(PeerMessage::Crashes(reports)) => crash_reports::on_reports(&router, reports, now),
-            Ok(PeerMessage::Leavings(reports)) => {
-                leaving_reports::on_reports(&router, reports, now)
-            }
-            Ok(PeerMessage::Limits(reports)) => limit_reports::on_reports(&router, reports),
-            Ok(PeerMessage::LimitAsk(ask)) => on_limit_ask(&router, &ask),
-            Ok(PeerMessage::LimitReply(reply)) => router.upstream_limits.on_reply(reply),
-            Ok(PeerMessage::Gossip(message)) => gossip::on_gossip(&router, message, now),
-            Ok(PeerMessage::AskMembers(peer)) => gossip::on_ask_members(&router, peer, now),
-            Ok(PeerMessage::Members(members)) => gossip::on_members(&router, members, now),
-            Ok(PeerMessage::UpstreamUpdate(update)) => gossip::on_upstream_update(&router, update),
-            Ok(PeerMessage::FleetReport(report)) => singleton::on_report(&router, report, now),
-            Ok(PeerMessage::LeaseUpdate(update)) => {
-                singleton::on_lease_update(&router, &update, now)
-            }
+            Ok(message) => on_message(&router, message, router.now()),
             // Cut off, or of another release, as during an upgrade: logged once a process.
             Err(error) => {
                 if !std::mem::replace(&mut is_reported, true) {
@@ -73,6 +47,33 @@
     }
 }
 
+fn on_message(router: &Rc<Router>, message: PeerMessage, now: Instant) {
+    match message {
+        PeerMessage::Heartbeat(heartbeat) => on_heartbeat(router, heartbeat, now),
+        PeerMessage::Change(change) => on_change(router, change, now),
+        PeerMessage::Successor(successor) => on_peer_successor(router, successor),
+        PeerMessage::Replaced(replaced) => on_peer_replaced(router, replaced),
+        PeerMessage::Rollouts(reports) => {
+            let from = format!("peer {}", reports.sender);
+            rollouts::apply_views(router, reports.views, &from, now);
+        }
+        PeerMessage::RolloutEvidence(evidence) => {
+            rollouts::on_evidence(router, evidence.sender, evidence.report);
+        }
+        PeerMessage::Crashes(reports) => crash_reports::on_reports(router, reports, now),
+        PeerMessage::Leavings(reports) => leaving_reports::on_reports(router, reports, now),
+        PeerMessage::Limits(reports) => limit_reports::on_reports(router, reports),
+        PeerMessage::LimitAsk(ask) => on_limit_ask(router, &ask),
+        PeerMessage::LimitReply(reply) => router.upstream_limits.on_reply(reply),
+        PeerMessage::Gossip(message) => gossip::on_gossip(router, message, now),
+        PeerMessage::AskMembers(peer) => gossip::on_ask_members(router, peer, now),
+        PeerMessage::Members(members) => gossip::on_members(router, members, now),
+        PeerMessage::UpstreamUpdate(update) => gossip::on_upstream_update(router, update),
+        PeerMessage::FleetReport(report) => singleton::on_report(router, report, now),
+        PeerMessage::LeaseUpdate(update) => singleton::on_lease_update(router, &update, now),
+    }
+}
+
 fn on_limit_ask(router: &Router, ask: &LimitAsk) {
     let table = router.upstreams.borrow();
     let state = table.by_key(ask.request.upstream);
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -5,14 +5,13 @@
 //! it arrives. [`PlainRun`] owns the attempts of one request.
 
 use crate::body::{AnswerBroken, ReplyBody};
+use crate::choice_log::{ChoiceNote, log_choice};
 use crate::connection::Connection;
 use crate::crashes;
 use crate::decision_log::RequestEnd;
 use crate::held_bytes::HeldBytes;
 use crate::load_guard::LoadGuard;
-use crate::outcome::{
-    ChoiceNote, Ending, FailedAttempt, GivenUp, Progress, log_choice, log_end, log_failure,
-};
+use crate::outcome::{Ending, FailedAttempt, GivenUp, Progress, log_end, log_failure};
 use crate::relay_request::RelayRequest;
 use crate::reply::{Reply, UpstreamAnswer, streamed_reply};
 use crate::rollouts;
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -17,7 +17,7 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::statement::{Sender, sender_of_answer, sender_of_reply};
 use hyper::http::response::Parts;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A call to an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -75,18 +75,8 @@
     sender: Sender,
     has_run: bool,
 ) -> StartOrder {
-    let via = call.via;
-    let upstream = match sender {
-        Sender::Asked => call.upstream.clone(),
-        Sender::Other(name) => {
-            let table = router.upstreams.borrow();
-            // Nothing can be concluded of one that is not known.
-            let Some(state) = table.get(&name) else {
-                return StartOrder::Same;
-            };
-            state.upstream.clone()
-        }
-        Sender::Unknown => return StartOrder::Same,
+    let Some(upstream) = known_sender(router, call, sender) else {
+        return StartOrder::Same;
     };
     let now = router.now();
     let order = on_named_start(router, &upstream, said.born_ms, now);
@@ -94,28 +84,43 @@
         return order;
     }
     if said.is_leaving {
-        leaving_reports::on_leaving(router, &upstream, said.born_ms, via, now);
+        leaving_reports::on_leaving(router, &upstream, said.born_ms, call.via, now);
     }
     if let Some(time) = said.wait {
-        let mut table = router.upstreams.borrow_mut();
-        if table.on_wait(&upstream.name, time, now) {
-            drop(table);
-            router.metrics.waits.inc();
-            log_wait(&router.log, &upstream, time, via);
-        }
+        take_wait(router, call.via, &upstream, time);
     }
     take_limit(router, call, &upstream, said, has_run);
     if let Some(reason) = &said.unreadable {
-        log_dependency(
-            &router.log,
-            "server.unreadable",
-            upstream.name.as_str(),
-            reason,
-        );
+        let name = upstream.name.as_str();
+        log_dependency(&router.log, "server.unreadable", name, reason);
     }
     order
 }
 
+/// The upstream that made a statement; `None` where nothing can be concluded from it, as its sender is
+/// not known.
+fn known_sender(router: &Router, call: Call<'_>, sender: Sender) -> Option<Upstream> {
+    match sender {
+        Sender::Asked => Some(call.upstream.clone()),
+        Sender::Other(name) => {
+            let table = router.upstreams.borrow();
+            table.get(&name).map(|state| state.upstream.clone())
+        }
+        Sender::Unknown => None,
+    }
+}
+
+fn take_wait(router: &Router, via: Via<'_>, upstream: &Upstream, time: Duration) {
+    let is_new = router
+        .upstreams
+        .borrow_mut()
+        .on_wait(&upstream.name, time, router.now());
+    if is_new {
+        router.metrics.waits.inc();
+        log_wait(&router.log, upstream, time, via);
+    }
+}
+
 fn take_limit(
     router: &Router,
     call: Call<'_>,
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -8,6 +8,7 @@
 
 mod measured;
 mod open;
+mod pick;
 mod receive;
 
 use crate::body::{AnswerBroken, ReplyBody};
--- a/crates/router/cloverpier_router/src/upstream_limits/learn.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/learn.rs
@@ -1,4 +1,7 @@
 //! Takes what upstreams and peers say of limits, and logs what that changes.
+//!
+//! What a statement changes is decided in `cloverpier_router_policy::limit`; which changes go to peers, in
+//! [`super::reported`]. Owns no state of its own.
 
 use super::{UpstreamLimits, place_of};
 use crate::decision_log::LimitLearned;
--- a/crates/router/cloverpier_router/src/upstream_limits/limiter.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/limiter.rs
@@ -1,4 +1,7 @@
 //! Hands out permits to other routers, for the upstreams whose limiter this router is.
+//!
+//! How many, and whether it is the limiter, is decided in `cloverpier_router_policy::permit`. Relies on
+//! [`UpstreamLimits::on_period`] being called once a period. Owns no state of its own.
 
 use super::{UpstreamLimits, place_of};
 use crate::peer_messages::{LimitAsk, LimitReply, PeerMessage};
--- a/crates/router/cloverpier_router/src/via.rs
+++ b/crates/router/cloverpier_router/src/via.rs
@@ -1,4 +1,7 @@
-//! By which call an upstream said something of itself, for log lines. Owns nothing.
+//! By which call an upstream said something of itself.
+//!
+//! For log lines, which lead from a statement to the request or the question that was answered. Owns
+//! nothing.
 
 /// The call whose answer said something of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/router/cloverpier_router_policy/src/limit/rate.rs
+++ b/crates/router/cloverpier_router_policy/src/limit/rate.rs
@@ -1,4 +1,7 @@
 //! A rate of requests, as upstreams name it and routers send it to each other.
+//!
+//! Whole thousandths, so that all routers compute the same from it; what cannot be meant is no rate. Owns
+//! the least and the highest rate that count.
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/crates/router/cloverpier_router_policy/src/membership/targets.rs
+++ b/crates/router/cloverpier_router_policy/src/membership/targets.rs
@@ -1,6 +1,7 @@
-//! Who gets which message.
+//! Who gets which message of a large fleet's gossip.
 //!
-//! Owns no state. Relies on [`Membership`] for who lives where.
+//! Successors on the ring, a few others at random, and now and then a router that counts as dead. Owns no
+//! state; relies on [`Membership`] for who lives where.
 
 use super::Membership;
 use cloverpier_core::DataCentre;
--- a/crates/shared/cloverpier_settings/src/crashes.rs
+++ b/crates/shared/cloverpier_settings/src/crashes.rs
@@ -1,4 +1,6 @@
 //! The settings on requests that end upstreams, which both programs have.
+//!
+//! What follows from them is decided in `cloverpier_crashes`. Owns their names, bounds and defaults.
 
 use crate::reader::Reader;
 use cloverpier_crashes::{ContentKey, CrashLimit};
--- a/tools/src/limit_play/measure.rs
+++ b/tools/src/limit_play/measure.rs
@@ -1,10 +1,13 @@
-//! What came of a play.
+//! The outcome of a play, and how it is measured.
+//!
+//! Owns the outcome's shape; relies on each upstream for what arrived there.
 
-use super::WINDOW;
+use super::world::{NAMED_FROM, RouterModel, World};
+use super::{KNOWN_AFTER, WINDOW};
 use std::collections::HashSet;
 use std::time::Duration;
 
-/// What came of a play.
+/// The outcome of a play.
 #[derive(Clone, Debug, Default)]
 pub struct LimitOutcome {
     /// Requests that callers sent.
@@ -94,3 +97,49 @@
         self.waits.iter().sum::<Duration>() / count
     }
 }
+
+impl World {
+    /// The outcome, once it has ended.
+    pub(super) fn measure(mut self) -> LimitOutcome {
+        let (from, until) = (NAMED_FROM + KNOWN_AFTER, self.limits_end());
+        let seconds = (until - from).as_secs_f64();
+        let takes = self.spec.rate * WINDOW.as_secs_f64();
+        let mut most_beyond = f64::NEG_INFINITY;
+        let mut least_used = f64::INFINITY;
+        let mut sum_used = 0.0;
+        for upstream in &self.upstreams[..self.spec.limited] {
+            let most = upstream.arrivals.most_in_a_window(from, until);
+            most_beyond = most_beyond.max(most as f64 - takes);
+            // The first window is that in which routers learn who hands out permits.
+            let got = upstream.arrivals.between(from, until).count();
+            let used = got as f64 / (seconds * self.spec.rate);
+            least_used = least_used.min(used);
+            sum_used += used;
+        }
+        let length = self.spec.length.as_secs_f64();
+        let datagrams = self.routers.iter().map(|r| r.datagrams as f64 / length);
+        let datagrams: Vec<f64> = datagrams.collect();
+        let starved = self.starved();
+        let outcome = &mut self.outcome;
+        outcome.most_beyond = most_beyond;
+        outcome.least_used = least_used;
+        outcome.mean_used = sum_used / self.spec.limited as f64;
+        outcome.longest_wait = self.waits.waits.iter().copied().max().unwrap_or_default();
+        outcome.mean_wait = self.waits.mean();
+        outcome.same_retry = self.waits.same_retry();
+        outcome.most_datagrams = datagrams.iter().copied().fold(0.0, f64::max);
+        outcome.mean_datagrams = datagrams.iter().sum::<f64>() / datagrams.len() as f64;
+        outcome.starved = starved;
+        self.outcome
+    }
+
+    /// Routers that sent nothing to limited upstreams though they had many requests.
+    fn starved(&self) -> usize {
+        let rate = self.spec.rate * self.spec.limited as f64;
+        let per_permit = self.spec.requests / rate;
+        let has_many = |r: &RouterModel| r.requests as f64 > 10.0 * per_permit;
+        let starved = self.routers.iter().enumerate();
+        let starved = starved.filter(|(i, r)| has_many(r) && !self.waits.senders.contains(i));
+        starved.count()
+    }
+}
--- a/tools/src/limit_play/mod.rs
+++ b/tools/src/limit_play/mod.rs
@@ -10,6 +10,7 @@
 mod measure;
 mod messages;
 mod requests;
+mod trouble;
 mod world;
 
 pub use measure::LimitOutcome;
--- a/tools/src/limit_play/world.rs
+++ b/tools/src/limit_play/world.rs
@@ -1,10 +1,11 @@
 //! The model: routers, upstreams, and the events that happen to them.
 
-use super::beliefs::{Beliefs, address_of, router_of};
+use super::beliefs::{Beliefs, address_of};
 use super::measure::{Arrivals, Waits};
 use super::messages::Message;
 use super::requests::Sending;
-use super::{KNOWN_AFTER, LimitOutcome, LimitSpec, Trouble, WINDOW};
+use super::trouble::HARM_EACH;
+use super::{LimitOutcome, LimitSpec, Trouble};
 use cloverpier_core::{DataCentre, hash_of};
 use cloverpier_router_policy::limit::{LimitStatement, Rate};
 use cloverpier_router_policy::permit::{LimitedUpstream, Permits};
@@ -16,16 +17,10 @@
 
 /// Upstreams name limits from then on.
 pub(super) const NAMED_FROM: Duration = Duration::from_secs(3);
-/// And until so long before the end.
+/// And until this long before the end.
 const ENDS_BEFORE: Duration = Duration::from_secs(5);
-/// A router that was killed is back after this time.
-const BACK_AFTER: Duration = Duration::from_millis(800);
-/// A limiter that stands still does so for this long.
-const FROZEN_FOR: Duration = Duration::from_millis(2_500);
-/// How often limiters are harmed.
-const HARM_EACH: Duration = Duration::from_secs(6);
 /// A cut lasts from and until then.
-const CUT: (Duration, Duration) = (Duration::from_secs(6), Duration::from_secs(14));
+pub(super) const CUT: (Duration, Duration) = (Duration::from_secs(6), Duration::from_secs(14));
 /// Kills of routers are spread over this time.
 const REPLACED_WITHIN: Duration = Duration::from_secs(20);
 
@@ -84,7 +79,7 @@
     pub datagrams: usize,
     /// When its share of each upstream's rate allows the next request, where that is how limits are kept.
     pub next_by_share: HashMap<usize, Duration>,
-    has_map: bool,
+    pub has_map: bool,
     pub requests: usize,
 }
 
@@ -99,16 +94,16 @@
     pub spec: LimitSpec,
     pub rng: fastrand::Rng,
     pub now: Duration,
-    base: Instant,
+    pub base: Instant,
     pub beliefs: Beliefs,
     pub routers: Vec<RouterModel>,
     pub upstreams: Vec<UpstreamModel>,
     pub waits: Waits,
     pub outcome: LimitOutcome,
     pub asks: u64,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    events: HashMap<u64, Event>,
-    scheduled: u64,
+    pub queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    pub events: HashMap<u64, Event>,
+    pub scheduled: u64,
 }
 
 impl World {
@@ -270,71 +265,6 @@
         self.repeat(router);
     }
 
-    fn kill(&mut self, router: usize) {
-        let state = &mut self.routers[router];
-        if !state.is_up {
-            return;
-        }
-        state.is_up = false;
-        state.life += 1;
-        state.pending.clear();
-        self.beliefs.set_running(router, false, self.now);
-        self.schedule_in(BACK_AFTER, Event::Started(router));
-    }
-
-    fn started(&mut self, router: usize) {
-        let former = &self.routers[router];
-        let (life, datagrams, requests) = (former.life, former.datagrams, former.requests);
-        self.routers[router] = RouterModel {
-            datagrams,
-            requests,
-            ..new_router(router, self.instant(), life)
-        };
-        self.beliefs.set_running(router, true, self.now);
-        self.announce_start(router);
-    }
-
-    fn cut(&mut self) {
-        let routers = self.spec.routers;
-        let side_of = |router: usize| match (self.spec.trouble, router % 4) {
-            (Trouble::CutOff, 0) => router + 1,
-            (Trouble::CutInTwo, 0) => 1,
-            _ => 0,
-        };
-        let sides = (0..routers).map(side_of).collect();
-        self.beliefs.set_sides(sides, self.now);
-    }
-
-    /// Kills the limiter of each limited upstream, or has it stand still.
-    fn harm_limiters(&mut self) {
-        self.schedule_in(HARM_EACH, Event::HarmLimiters);
-        let mut limiters = Vec::new();
-        for upstream in 0..self.spec.limited {
-            let observer = self.routers.iter().find(|r| r.is_up);
-            let place = self.place_of(upstream);
-            let limiter = observer.and_then(|o| o.permits.limiter_of(place, self.instant()));
-            limiters.extend(limiter.map(router_of));
-        }
-        limiters.sort_unstable();
-        limiters.dedup();
-        for router in limiters {
-            if self.spec.trouble == Trouble::LimitersKilled {
-                self.kill(router);
-            } else {
-                self.routers[router].frozen_until = self.now + FROZEN_FOR;
-                self.beliefs.set_running(router, false, self.now);
-                self.schedule_in(FROZEN_FOR, Event::Wake(router));
-            }
-        }
-    }
-
-    /// Whether a router reaches an upstream.
-    pub fn reaches(&self, router: usize, upstream: usize) -> bool {
-        let is_in_two = self.spec.trouble == Trouble::CutInTwo;
-        let is_cut = is_in_two && (CUT.0..CUT.1).contains(&self.now);
-        !is_cut || router.is_multiple_of(4) == upstream.is_multiple_of(4)
-    }
-
     /// Records when the last router learned of the first limit.
     pub fn note_known(&mut self) {
         let (key, now) = (self.upstreams[0].key, self.instant());
@@ -344,52 +274,9 @@
             self.outcome.known_after = self.now - NAMED_FROM;
         }
     }
-
-    fn measure(mut self) -> LimitOutcome {
-        let (from, until) = (NAMED_FROM + KNOWN_AFTER, self.limits_end());
-        let seconds = (until - from).as_secs_f64();
-        let takes = self.spec.rate * WINDOW.as_secs_f64();
-        let mut most_beyond = f64::NEG_INFINITY;
-        let mut least_used = f64::INFINITY;
-        let mut sum_used = 0.0;
-        for upstream in &self.upstreams[..self.spec.limited] {
-            let most = upstream.arrivals.most_in_a_window(from, until);
-            most_beyond = most_beyond.max(most as f64 - takes);
-            // The first window is that in which routers learn who hands out permits.
-            let got = upstream.arrivals.between(from, until).count();
-            let used = got as f64 / (seconds * self.spec.rate);
-            least_used = least_used.min(used);
-            sum_used += used;
-        }
-        let length = self.spec.length.as_secs_f64();
-        let datagrams = self.routers.iter().map(|r| r.datagrams as f64 / length);
-        let datagrams: Vec<f64> = datagrams.collect();
-        let starved = self.starved();
-        let outcome = &mut self.outcome;
-        outcome.most_beyond = most_beyond;
-        outcome.least_used = least_used;
-        outcome.mean_used = sum_used / self.spec.limited as f64;
-        outcome.longest_wait = self.waits.waits.iter().copied().max().unwrap_or_default();
-        outcome.mean_wait = self.waits.mean();
-        outcome.same_retry = self.waits.same_retry();
-        outcome.most_datagrams = datagrams.iter().copied().fold(0.0, f64::max);
-        outcome.mean_datagrams = datagrams.iter().sum::<f64>() / datagrams.len() as f64;
-        outcome.starved = starved;
-        self.outcome
-    }
-
-    /// Routers that sent nothing to limited upstreams though they had many requests.
-    fn starved(&self) -> usize {
-        let rate = self.spec.rate * self.spec.limited as f64;
-        let per_permit = self.spec.requests / rate;
-        let has_many = |r: &RouterModel| r.requests as f64 > 10.0 * per_permit;
-        let starved = self.routers.iter().enumerate();
-        let starved = starved.filter(|(i, r)| has_many(r) && !self.waits.senders.contains(i));
-        starved.count()
-    }
 }
 
-fn new_router(router: usize, now: Instant, life: u32) -> RouterModel {
+pub(super) fn new_router(router: usize, now: Instant, life: u32) -> RouterModel {
     RouterModel {
         permits: Permits::new(address_of(router), now),
         is_up: true,
