Log that marks to leave could not be stored, and pass over reports older than the clock

A router of the product's own interface dropped errors of the platform there without a line. Reasons at two defaults of permits. Tests of cloverpier_daemon, limit and permit pass.

--- a/crates/daemon/cloverpier_daemon/src/app.rs
+++ b/crates/daemon/cloverpier_daemon/src/app.rs
@@ -10,7 +10,7 @@
 use cloverpier_config::{Applied, Config};
 use cloverpier_core::{hash_of, lock, wall_ms};
 use cloverpier_member::{Member, MemberList};
-use cloverpier_object_api::{Platform, ReadError};
+use cloverpier_object_api::{Platform, ReadError, WriteError};
 use cloverpier_observe::{Log, Metrics};
 use cloverpier_peer::{PeerReply, PeerRequest, Peers, Versions};
 use cloverpier_record::{Horizon, Records};
@@ -181,6 +181,12 @@
         let error = error.to_string();
         self.log.warn("platform.unread", &Unread { object, error });
     }
+
+    /// Logs that a write to the platform failed; the writer retries.
+    pub(crate) fn log_failed(&self, what: &str, error: &WriteError) {
+        let why = error.to_string();
+        self.log.warn("platform.failed", &Failed { what, why });
+    }
 }
 
 /// How long a connection to a plain service may take to come up.
@@ -211,6 +217,12 @@
     error: String,
 }
 
+#[derive(Serialize)]
+struct Failed<'a> {
+    what: &'a str,
+    why: String,
+}
+
 /// An object could not be read from the platform.
 #[derive(Serialize)]
 struct Unread<'a> {
--- a/crates/daemon/cloverpier_daemon/src/config/learn.rs
+++ b/crates/daemon/cloverpier_daemon/src/config/learn.rs
@@ -193,7 +193,10 @@
 
 /// Joins the stored marks with this router's; `None` when the platform didn't answer.
 async fn store_marks(app: &App) -> Option<LeaveMarks> {
-    let read = app.platform.read::<LeaveMarks>(MARKS_KEY).await.ok()?;
+    let read = app.platform.read::<LeaveMarks>(MARKS_KEY).await;
+    let read = read
+        .inspect_err(|e| app.log_unread("marks to leave", e))
+        .ok()?;
     // Before the first mark nothing is stored.
     let found = read.unwrap_or(Found {
         version: 0,
@@ -205,7 +208,11 @@
     }
     match app.platform.write(MARKS_KEY, found.version, &all).await {
         Ok(_) => Some(all),
-        Err(WriteError::Conflict { .. } | WriteError::NotDone { .. }) => None,
-        Err(WriteError::Unknown { .. }) => None,
+        // Another router was faster.
+        Err(WriteError::Conflict { .. }) => None,
+        Err(e @ (WriteError::NotDone { .. } | WriteError::Unknown { .. })) => {
+            app.log_failed("marks to leave", &e);
+            None
+        }
     }
 }
--- a/crates/daemon/cloverpier_daemon/src/members/join.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/join.rs
@@ -41,12 +41,6 @@
     cause: &'a str,
 }
 
-#[derive(Serialize)]
-struct Failed<'a> {
-    what: &'a str,
-    why: String,
-}
-
 /// What came of a try to change the list.
 enum Try {
     Done(MemberList),
@@ -117,9 +111,7 @@
     match app.platform.write(MEMBERS_KEY, found.version, &next).await {
         Ok(_) => Try::Done(next),
         Err(e @ (WriteError::NotDone { .. } | WriteError::Unknown { .. })) => {
-            let why = e.to_string();
-            let what = "update of the members";
-            app.log.warn("platform.failed", &Failed { what, why });
+            app.log_failed("update of the members", &e);
             Try::Again
         }
         Err(WriteError::Conflict { .. }) => Try::Again,
--- a/crates/router/cloverpier_router_policy/src/limit/report.rs
+++ b/crates/router/cloverpier_router_policy/src/limit/report.rs
@@ -68,10 +68,8 @@
         if is_of_other_start {
             return LimitChange::Nothing;
         }
-        let sent = before(now, report.sent_age_ms);
-        let written = WrittenBetween {
-            sent: sent.checked_sub(MAX_TRANSIT).unwrap_or(sent),
-            heard: before(now, report.heard_age_ms),
+        let Some(written) = written(report, now) else {
+            return LimitChange::Nothing;
         };
         match report.rate {
             Some(rate) => self.on_named(report.upstream, rate, written, now),
@@ -85,10 +83,14 @@
     u32::try_from(age).unwrap_or(u32::MAX)
 }
 
-fn before(now: Instant, age_ms: u32) -> Instant {
-    // What is older than this machine's clock is as old as that.
-    now.checked_sub(Duration::from_millis(age_ms.into()))
-        .unwrap_or(now)
+/// When an answer was written that a report is about; `None` for one from before this machine's clock
+/// began, of which it cannot be said what followed it.
+fn written(report: &LimitReport, now: Instant) -> Option<WrittenBetween> {
+    let before = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
+    Some(WrittenBetween {
+        sent: before(report.sent_age_ms)?.checked_sub(MAX_TRANSIT)?,
+        heard: before(report.heard_age_ms)?,
+    })
 }
 
 /// Reports in as many messages as they need.
--- a/crates/router/cloverpier_router_policy/src/permit.rs
+++ b/crates/router/cloverpier_router_policy/src/permit.rs
@@ -163,6 +163,7 @@
 
     /// Takes a permit that this router hands out itself.
     fn want_own(&mut self, upstream: LimitedUpstream<'_>, ask: &PermitAsk, now: Instant) -> Want {
+        // Where this router is not the limiter after all, there is nothing, and the caller soon retries.
         let handed_out = self.hand_out(upstream, ask, now).unwrap_or_default();
         match handed_out.waits.first() {
             Some(wait) => Want::Granted(*wait),
--- a/crates/router/cloverpier_router_policy/src/permit/bucket.rs
+++ b/crates/router/cloverpier_router_policy/src/permit/bucket.rs
@@ -97,6 +97,7 @@
     /// How long it takes until there are this many tokens.
     fn time_to(&self, tokens: f64, per_second: f64) -> Duration {
         let missing = (tokens - self.tokens).max(0.0);
+        // A time that no duration can hold is longer than any that counts.
         Duration::try_from_secs_f64(missing / per_second).unwrap_or(MAX_WAIT)
     }
 
