--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -74,6 +74,16 @@
         length: asked_length(body),
         ..note_run(state, head, id, upstream, names)
     };
+    run(stream, state, &asked, crashes).await
+}
+
+/// Runs a request and answers it; false when the connection is to end.
+async fn run(
+    stream: &mut TcpStream,
+    state: &Mutex<State>,
+    asked: &Asked,
+    crashes: bool,
+) -> io::Result<bool> {
     let work = lock(state).work;
     if !work.is_zero() && !work_on(stream, work).await {
         return Ok(false);
@@ -85,14 +95,14 @@
     match &asked.prompt {
         // A failure of its own is no stream.
         Some(prompt) if asked.fault != Some(Fault::Fail) => {
-            let streamed = stream_events(stream, &asked, prompt).await;
+            let streamed = stream_events(stream, asked, prompt).await;
             if streamed.is_err() {
                 let ledger = Arc::clone(&lock(state).ledger);
                 lock(&ledger).stopped.insert(asked.id.clone());
             }
             streamed
         }
-        _ => answer_plainly(stream, &asked).await,
+        _ => answer_plainly(stream, asked).await,
     }
 }
 
@@ -179,23 +189,19 @@
         let wait = (RETRY_AFTER.to_string(), wait.as_secs_f64().to_string());
         return Some((503, vec![not_run, wait]));
     }
-    let refused = Some((503, vec![not_run]));
-    if state.is_beyond_limit() {
-        return refused;
-    }
-    if state.script.first() == Some(&Fault::Refuse) {
-        state.script.remove(0);
-        return refused;
-    }
-    let copy = head
-        .get(names.resume_from.as_str())
-        .and_then(|c| c.split_once('/'));
-    if let Some((at, id)) = copy {
-        let at = at.parse().unwrap_or(upstream.address);
-        let has_copy = lock(&state.ledger).copies.contains(&(at, id.to_owned()));
-        if !has_copy {
-            return refused;
-        }
-    }
-    None
+    let refuses = state.is_beyond_limit()
+        || state.takes_fault(Fault::Refuse)
+        || lacks_replica(&state, head, upstream, names);
+    refuses.then(|| (503, vec![not_run]))
+}
+
+/// Whether a request is to go on from a replica that is not here.
+fn lacks_replica(state: &State, head: &Head, upstream: &Upstream, names: &HeaderNames) -> bool {
+    let replica = head.get(names.resume_from.as_str());
+    let Some((at, id)) = replica.and_then(|named| named.split_once('/')) else {
+        return false;
+    };
+    // An address that cannot be read is taken for this one's.
+    let at = at.parse().unwrap_or(upstream.address);
+    !lock(&state.ledger).copies.contains(&(at, id.to_owned()))
 }
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -63,6 +63,15 @@
         lock(&self.ledger).crashes.push(Instant::now());
     }
 
+    /// Whether a fault is the next of the script, which has it no more then.
+    pub(super) fn takes_fault(&mut self, fault: Fault) -> bool {
+        let is_next = self.script.first() == Some(&fault);
+        if is_next {
+            self.script.remove(0);
+        }
+        is_next
+    }
+
     /// The headers by which it says something of itself in an answer, and a note of that.
     pub(super) fn say(&self, id: Option<&str>) -> Vec<(String, String)> {
         let mut headers = Vec::new();
