--- a/crates/router/cloverpier_router/src/crash_reports.rs
+++ b/crates/router/cloverpier_router/src/crash_reports.rs
@@ -20,7 +20,7 @@
     let reports = router.crashes.cases.borrow().book.reports(contents, now);
     if !reports.is_empty() {
         router.crashes.last_report.set(Some(now));
-        tell(router, reports, &Recipients::All);
+        send(router, reports, &Recipients::All);
     }
 }
 
@@ -60,10 +60,10 @@
     let cases = router.crashes.cases.borrow();
     let reports = cases.book.reports(&cases.book.suspects(now), now);
     drop(cases);
-    tell(router, reports, to);
+    send(router, reports, to);
 }
 
-fn tell(router: &Router, reports: Vec<ContentReport>, to: &Recipients) {
+fn send(router: &Router, reports: Vec<ContentReport>, to: &Recipients) {
     let sender = router.settings().listen.peers;
     for contents in in_messages(reports) {
         let reports = CrashReports { sender, contents };
--- a/crates/router/cloverpier_router/src/leaving_reports.rs
+++ b/crates/router/cloverpier_router/src/leaving_reports.rs
@@ -30,7 +30,7 @@
     let reports = table.leaving_of(&upstream.name, now);
     drop(table);
     note(router, upstream, "said", &LeavingSource::Answer(via), now);
-    tell(router, &reports, &Recipients::All);
+    send(router, &reports, &Recipients::All);
 }
 
 /// Applies a peer's message.
@@ -82,7 +82,7 @@
 pub(crate) fn greet_newcomer(router: &Router, peer: SocketAddr) {
     let reports = router.upstreams.borrow().leavings(router.now());
     if !reports.is_empty() && sends_missed(router.peers.count(), &mut router.rng.borrow_mut()) {
-        tell(router, &reports, &Recipients::These(vec![peer]));
+        send(router, &reports, &Recipients::These(vec![peer]));
     }
 }
 
@@ -94,10 +94,10 @@
     let reports = router.upstreams.borrow().new_leavings(now);
     let peers = router.peers.addresses();
     let peer = router.rng.borrow_mut().choose_multiple(peers, 1);
-    tell(router, &reports, &Recipients::These(peer));
+    send(router, &reports, &Recipients::These(peer));
 }
 
-fn tell(router: &Router, reports: &[LeavingReport], to: &Recipients) {
+fn send(router: &Router, reports: &[LeavingReport], to: &Recipients) {
     let sender = router.settings().listen.peers;
     for upstreams in in_messages(reports) {
         let reports = LeavingReports { sender, upstreams };
--- a/crates/router/cloverpier_router/src/limit_reports.rs
+++ b/crates/router/cloverpier_router/src/limit_reports.rs
@@ -14,7 +14,7 @@
 
 /// Sends all peers what an answer has changed.
 pub(crate) fn send_to_all(router: &Router, report: LimitReport) {
-    tell(router, &[report], &Recipients::All);
+    send(router, &[report], &Recipients::All);
 }
 
 /// Applies a peer's message.
@@ -49,7 +49,7 @@
 pub(crate) fn greet_newcomer(router: &Router, peer: SocketAddr) {
     let reports = reports(router);
     if !reports.is_empty() && sends_missed(router.peers.count(), &mut router.rng.borrow_mut()) {
-        tell(router, &reports, &Recipients::These(vec![peer]));
+        send(router, &reports, &Recipients::These(vec![peer]));
     }
 }
 
@@ -60,7 +60,7 @@
     }
     let peers = router.peers.addresses();
     let peer = router.rng.borrow_mut().choose_multiple(peers, 1);
-    tell(router, &reports(router), &Recipients::These(peer));
+    send(router, &reports(router), &Recipients::These(peer));
 }
 
 fn reports(router: &Router) -> Vec<LimitReport> {
@@ -69,7 +69,7 @@
     router.upstream_limits.reports(born_ms)
 }
 
-fn tell(router: &Router, reports: &[LimitReport], to: &Recipients) {
+fn send(router: &Router, reports: &[LimitReport], to: &Recipients) {
     let sender = router.settings().listen.peers;
     for limits in in_messages(reports) {
         let reports = PeerMessage::Limits(LimitReports { sender, limits });
--- a/crates/router/cloverpier_router/src/upstream_limits/learn.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/learn.rs
@@ -45,7 +45,11 @@
         let mut permits = self.permits.borrow_mut();
         let change = permits.on_statement(key, answer.said, answer.would_name, answer.written, now);
         drop(permits);
-        if !self.told.borrow_mut().is_worth_a_report(key, change, now) {
+        if !self
+            .reported
+            .borrow_mut()
+            .is_worth_a_report(key, change, now)
+        {
             return None;
         }
         let source = LimitSource::Answer(answer.via);
@@ -65,9 +69,9 @@
         let mut permits = self.permits.borrow_mut();
         let change = permits.on_report(report, born_ms, now);
         drop(permits);
-        let mut told = self.told.borrow_mut();
-        let is_update = told.is_worth_a_report(report.upstream, change, now);
-        drop(told);
+        let mut reported = self.reported.borrow_mut();
+        let is_update = reported.is_worth_a_report(report.upstream, change, now);
+        drop(reported);
         if let Some(state) = state.filter(|_| is_update) {
             let source = LimitSource::Peer(peer, report.heard_age_ms);
             self.note(&state.upstream, change, source, now);
--- a/crates/router/cloverpier_router/src/upstream_limits/mod.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/mod.rs
@@ -66,7 +66,7 @@
     rng: RefCell<fastrand::Rng>,
     pending: RefCell<HashMap<u64, PendingAsk>>,
     last_number: Cell<u64>,
-    told: RefCell<ReportedRates>,
+    reported: RefCell<ReportedRates>,
     /// When something was learned last that peers should know.
     pub last_report: Cell<Option<Instant>>,
 }
@@ -82,7 +82,7 @@
             rng: RefCell::new(parts.rng.fork()),
             pending: RefCell::default(),
             last_number: Cell::new(first_number),
-            told: RefCell::default(),
+            reported: RefCell::default(),
             last_report: Cell::default(),
             parts,
         }
--- a/crates/router/cloverpier_router/src/upstream_limits/reported.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/reported.rs
@@ -16,7 +16,7 @@
 /// The rate of each upstream that was reported last, by this router or a peer.
 #[derive(Debug, Default)]
 pub(super) struct ReportedRates {
-    told: HashMap<UpstreamKey, (Rate, Instant)>,
+    rates: HashMap<UpstreamKey, (Rate, Instant)>,
 }
 
 impl ReportedRates {
@@ -30,11 +30,11 @@
         match change {
             LimitChange::Nothing => false,
             LimitChange::Begun(rate) => {
-                self.told.insert(upstream, (rate, now));
+                self.rates.insert(upstream, (rate, now));
                 true
             }
             LimitChange::Ended(_) => {
-                self.told.remove(&upstream);
+                self.rates.remove(&upstream);
                 true
             }
             LimitChange::Changed { to, .. } => self.is_far(upstream, to, now),
@@ -42,13 +42,13 @@
     }
 
     fn is_far(&mut self, upstream: UpstreamKey, rate: Rate, now: Instant) -> bool {
-        if let Some((told, at)) = self.told.get(&upstream) {
-            let change = (rate.as_per_second() / told.as_per_second() - 1.0).abs();
+        if let Some((former, at)) = self.rates.get(&upstream) {
+            let change = (rate.as_per_second() / former.as_per_second() - 1.0).abs();
             if change < MIN_CHANGE || now.saturating_duration_since(*at) < PERIOD {
                 return false;
             }
         }
-        self.told.insert(upstream, (rate, now));
+        self.rates.insert(upstream, (rate, now));
         true
     }
 }
