Log each attempt that was lost at an upstream and for which no end is counted

What could not be told: why an engine that ended under a request was not counted. An attempt that broke off was dropped without a line when its upstream answered, and when nothing was learned of it in 1.5 s.

No decision changes.

--- a/crates/daemon/cloverpier_daemon/src/crashes.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes.rs
@@ -66,6 +66,14 @@
     evidence: u32,
 }
 
+/// An attempt was lost at an upstream, and no end is counted for it.
+#[derive(Serialize)]
+struct CrashDismissed<'a> {
+    content: String,
+    upstream: &'a UpstreamName,
+    reason: Dismissal,
+}
+
 /// The verdict on a content has changed.
 #[derive(Serialize)]
 struct VerdictChanged<'a> {
@@ -217,15 +225,19 @@
 
 fn judge_due(app: &App) {
     let now = app.now();
-    let judged = {
+    let (judged, dismissed) = {
         let view = lock(&app.view);
         let mut cases = lock(&app.crashes.cases);
         // Each upstream was probed when the attempt broke off there.
         let _ = cases.unclear(now);
-        cases.judge(now, |end| {
+        let judged = cases.judge(now, |end| {
             view.neighbours(&end.service, &end.data_centre, end.upstream)
-        })
+        });
+        (judged, cases.take_dismissed())
     };
+    for dismissed in &dismissed {
+        log_dismissed(app, dismissed);
+    }
     if judged.is_empty() {
         return;
     }
@@ -237,10 +249,25 @@
     app.crashes.changed.notify_waiters();
 }
 
-fn log_crash(app: &App, judged: &Judged) {
-    let name = lock(&app.view).by_hash(judged.attempt.end.upstream);
+/// The name of the upstream that an attempt was at.
+fn upstream_name(app: &App, attempt: &BrokenAttempt) -> UpstreamName {
+    let name = lock(&app.view).by_hash(attempt.end.upstream);
     // It may have left the configuration meanwhile.
-    let name = name.unwrap_or_else(|| UpstreamName::new("forgotten"));
+    name.unwrap_or_else(|| UpstreamName::new("forgotten"))
+}
+
+fn log_dismissed(app: &App, dismissed: &Dismissed) {
+    let line = CrashDismissed {
+        content: dismissed.attempt.content.to_string(),
+        upstream: &upstream_name(app, &dismissed.attempt),
+        reason: dismissed.reason,
+    };
+    app.metrics.count("crash.dismissed", 1);
+    app.log.info("crash.dismissed", &line);
+}
+
+fn log_crash(app: &App, judged: &Judged) {
+    let name = upstream_name(app, &judged.attempt);
     let line = CrashRecorded {
         content: judged.attempt.content.to_string(),
         upstream: &name,
--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -5,7 +5,9 @@
 //! find out that an upstream has ended or lives.
 
 use crate::crash_reports;
-use crate::decision_log::{ContentCleared, ContentStopped, CrashRecorded, ms_since};
+use crate::decision_log::{
+    ContentCleared, ContentStopped, CrashDismissed, CrashRecorded, ms_since,
+};
 use crate::probe::probe;
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
@@ -154,6 +156,7 @@
         let now = router.now();
         clear_up(&router, now);
         judge_due(&router, now);
+        log_dismissed(&router, now);
     }
 }
 
@@ -229,6 +232,30 @@
     router.log.info("crash.recorded", &line);
 }
 
+fn log_dismissed(router: &Router, now: Instant) {
+    let dismissed = router.crashes.cases.borrow_mut().take_dismissed();
+    for Dismissed { attempt, reason } in dismissed {
+        let line = CrashDismissed {
+            content: attempt.content.to_string(),
+            upstream: upstream_name(router, attempt.end.upstream),
+            start_ms: attempt.end.start,
+            reason,
+            age_ms: ms_since(attempt.upstream.at, now),
+        };
+        router.metrics.crashes.count(dismissal_name(reason));
+        router.log.info("crash.dismissed", &line);
+    }
+}
+
+/// The name of a dismissal, for metrics.
+fn dismissal_name(reason: Dismissal) -> &'static str {
+    match reason {
+        Dismissal::Answered => "dismissed-answered",
+        Dismissal::Unclear => "dismissed-unclear",
+        Dismissal::NoRoom => "dismissed-no-room",
+    }
+}
+
 /// An upstream's name, or its hash where it is forgotten.
 fn upstream_name(router: &Router, key: u64) -> String {
     let table = router.upstreams.borrow();
--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -2,6 +2,7 @@
 //!
 //! As the parent module says, the names of events and fields stay.
 
+use cloverpier_crashes::Dismissal;
 use serde::Serialize;
 
 /// An upstream ended while it ran a request, as this router saw.
@@ -24,6 +25,19 @@
     pub age_ms: u64,
 }
 
+/// An attempt was lost at an upstream, and no end is counted for it.
+#[derive(Serialize)]
+pub(crate) struct CrashDismissed {
+    pub content: String,
+    #[serde(rename = "server")]
+    pub upstream: String,
+    /// When it had started, as a Unix time in milliseconds; 0 where it does not say.
+    pub start_ms: u64,
+    pub reason: Dismissal,
+    /// How long ago the attempt was lost.
+    pub age_ms: u64,
+}
+
 /// A content is sent to no upstream any more.
 #[derive(Serialize)]
 pub(crate) struct ContentStopped<'a> {
--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -6,7 +6,8 @@
 //!   ended), or that the same start answered (it lives).
 //! - **Answer.** The attempts that are [`BrokenAttempts::due`]: their upstream ended, and
 //!   [`JUDGE_AFTER`] has passed, so that what else ended is known. The upstreams that have to be probed,
-//!   as nothing was learned of them ([`BrokenAttempts::unclear`]).
+//!   as nothing was learned of them ([`BrokenAttempts::unclear`]). The attempts that say nothing, and why
+//!   ([`BrokenAttempts::take_dismissed`]).
 //! - **Why.** A broken connection proves nothing: upstreams lose answers by resets and live,
 //!   and most requests that lose an answer at several upstreams lose it so. Silence is no end either: it
 //!   comes from cut links and pauses, too.
@@ -16,6 +17,7 @@
 use crate::book::UpstreamEnd;
 use crate::content::ContentKey;
 use crate::ended_upstreams::EndedUpstream;
+use serde::Serialize;
 use std::time::{Duration, Instant};
 
 /// From the break to the judgement: all ends of a dying data centre are known 0.05 s after the
@@ -43,6 +45,27 @@
     pub ran_for: Duration,
 }
 
+/// Why an attempt does not count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Dismissal {
+    /// Its upstream answered since.
+    Answered,
+    /// Nothing was learned of its upstream in time.
+    Unclear,
+    /// More attempts were open than are kept.
+    NoRoom,
+}
+
+/// An attempt that does not count.
+#[derive(Clone, Debug)]
+pub struct Dismissed {
+    /// The attempt.
+    pub attempt: BrokenAttempt,
+    /// Why.
+    pub reason: Dismissal,
+}
+
 /// An attempt, and whether its upstream is known to have ended.
 #[derive(Clone, Debug)]
 struct Open {
@@ -72,13 +95,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct BrokenAttempts {
     open: Vec<Open>,
+    /// Those that were dropped since they were taken last.
+    dismissed: Vec<Dismissed>,
 }
 
 impl BrokenAttempts {
     /// Records an attempt that broke off; `has_ended` where its upstream's end is known already.
     pub fn on_broken(&mut self, attempt: BrokenAttempt, has_ended: bool) {
         if self.open.len() >= MAX_OPEN {
-            self.open.remove(0);
+            let oldest = self.open.remove(0);
+            self.dismiss([oldest], Dismissal::NoRoom);
         }
         self.open.push(Open {
             attempt,
@@ -97,8 +123,22 @@
 
     /// Records that the start of an upstream lives at which attempts broke off.
     pub fn on_alive(&mut self, upstream: u64) {
-        let is_refuted = |o: &Open| o.attempt.end.upstream == upstream && !o.has_ended;
-        self.open.retain(|open| !is_refuted(open));
+        let is_refuted = |o: &mut Open| o.attempt.end.upstream == upstream && !o.has_ended;
+        let refuted: Vec<Open> = self.open.extract_if(.., is_refuted).collect();
+        self.dismiss(refuted, Dismissal::Answered);
+    }
+
+    fn dismiss(&mut self, dropped: impl IntoIterator<Item = Open>, reason: Dismissal) {
+        let dismissed = dropped.into_iter().map(|open| Dismissed {
+            attempt: open.attempt,
+            reason,
+        });
+        self.dismissed.extend(dismissed);
+    }
+
+    /// Takes the attempts that were found not to count since this was asked last.
+    pub fn take_dismissed(&mut self) -> Vec<Dismissed> {
+        std::mem::take(&mut self.dismissed)
     }
 
     /// Number of attempts with a content that are open.
@@ -115,7 +155,9 @@
             .extract_if(.., |o| o.has_ended && o.age(now) >= JUDGE_AFTER)
             .map(|open| open.attempt)
             .collect();
-        self.open.retain(|o| o.age(now) < CONFIRM_WITHIN);
+        let is_over = |o: &mut Open| o.age(now) >= CONFIRM_WITHIN;
+        let over: Vec<Open> = self.open.extract_if(.., is_over).collect();
+        self.dismiss(over, Dismissal::Unclear);
         due
     }
 
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -9,7 +9,7 @@
 //! Owns the book, the open attempts, the upstreams that ended and the contents that ran well recently.
 
 use crate::book::{Crash, CrashBook, CrashLimit, SUSPECT_FROM, Verdict};
-use crate::broken_attempts::{BrokenAttempt, BrokenAttempts};
+use crate::broken_attempts::{BrokenAttempt, BrokenAttempts, Dismissed};
 use crate::content::{Content, ContentKey};
 use crate::ended_upstreams::{EndedUpstream, EndedUpstreams};
 use crate::recent_contents::RecentContents;
@@ -167,6 +167,11 @@
         self.broken.next_due()
     }
 
+    /// Takes the attempts that were found not to count since this was asked last.
+    pub fn take_dismissed(&mut self) -> Vec<Dismissed> {
+        self.broken.take_dismissed()
+    }
+
     /// Judges the attempts whose time has come.
     pub fn judge(
         &mut self,
--- a/crates/shared/cloverpier_crashes/src/lib.rs
+++ b/crates/shared/cloverpier_crashes/src/lib.rs
@@ -54,7 +54,7 @@
     pub use crate::book::{
         ContentReport, Crash, CrashBook, CrashLimit, ReportedCrash, UpstreamEnd, Verdict,
     };
-    pub use crate::broken_attempts::{BrokenAttempt, BrokenAttempts};
+    pub use crate::broken_attempts::{BrokenAttempt, BrokenAttempts, Dismissal, Dismissed};
     pub use crate::cases::{Admission, CrashCases, Judged, Neighbours};
     pub use crate::content::{Content, ContentKey};
     pub use crate::ended_upstreams::{EndedUpstream, EndedUpstreams};
--- a/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
@@ -86,3 +86,25 @@
     broken.on_broken(attempt("a", 1, now), true);
     assert_eq!(broken.due(now + JUDGE_AFTER).len(), 1);
 }
+
+#[test]
+fn each_attempt_for_which_no_end_is_counted_is_named_once_with_the_reason() {
+    let now = Instant::now();
+    let mut broken = BrokenAttempts::default();
+    broken.on_broken(attempt("a", 1, now), false);
+    broken.on_broken(attempt("b", 2, now), false);
+    broken.on_broken(attempt("c", 3, now), false);
+    broken.on_end(3);
+    broken.on_alive(2);
+    assert_eq!(broken.due(now + CONFIRM_WITHIN).len(), 1);
+    let dismissed = broken.take_dismissed();
+    let dismissed: Vec<_> = dismissed
+        .iter()
+        .map(|d| (d.attempt.end.upstream, d.reason))
+        .collect();
+    assert_eq!(
+        dismissed,
+        [(2, Dismissal::Answered), (1, Dismissal::Unclear)]
+    );
+    assert!(broken.take_dismissed().is_empty());
+}
