Bring engines that pause, and hosts that are silent after an end: failing tests

Stand-ins do on purpose now what the pauses bring about: a host that says nothing for a while before it refuses (CrashedPort::IsSilent; the link of a silent host keeps to itself that nothing listens behind it), and engines that pause and go on (Site::pause_upstreams).

--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -130,7 +130,12 @@
     }
 }
 
-async fn carry(near: TcpStream, to: SocketAddr, harm: watch::Receiver<Harm>) -> io::Result<()> {
+async fn carry(near: TcpStream, to: SocketAddr, mut harm: watch::Receiver<Harm>) -> io::Result<()> {
+    // While it is silent nobody learns whether anything listens behind it; its owner may end meanwhile.
+    let has_ended = harm.wait_for(|h| *h != Harm::Silence).await.is_err();
+    if has_ended {
+        return Ok(());
+    }
     let far = TcpStream::connect(to).await;
     let far = match far {
         Ok(far) => far,
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -9,7 +9,7 @@
 };
 
 use upstreams::Crash;
-pub use upstreams::{Return, SiteUpstream};
+pub use upstreams::{CrashedPort, Return, SiteUpstream};
 
 use crate::ports::free_addresses;
 use crate::process::Process;
@@ -62,8 +62,8 @@
     pub upstream_start: Option<UpstreamStart>,
     /// The body of requests that crash the upstreams which begin to run them.
     pub crashed_by: Option<&'static str>,
-    /// How long the port of one that crashes still takes connections, and resets them.
-    pub crash_takes: Duration,
+    /// What becomes of new connections to one that has crashed, before its port refuses.
+    pub crashed_port: CrashedPort,
     /// Whether routers meter usage and order engines, under a lease of [`LEASE`].
     pub singleton: bool,
     /// For how many seconds no other service gets the address of an upstream that has ended; 0
@@ -85,7 +85,7 @@
             plain_slots: 64,
             upstream_start: None,
             crashed_by: None,
-            crash_takes: Duration::ZERO,
+            crashed_port: CrashedPort::Refuses,
             singleton: false,
             address_reuse_s: 0,
         }
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -35,11 +35,33 @@
     }
 }
 
+/// What becomes of new connections to an upstream that has crashed, before its port refuses them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashedPort {
+    /// They are refused at once.
+    Refuses,
+    /// They come up and are reset for so long.
+    Resets(Duration),
+    /// Nothing answers for so long.
+    IsSilent(Duration),
+}
+
+impl CrashedPort {
+    /// How the link harms connections meanwhile, and for how long.
+    fn harm(self) -> (Harm, Duration) {
+        match self {
+            Self::Refuses => (Harm::ResetNew, Duration::ZERO),
+            Self::Resets(time) => (Harm::ResetNew, time),
+            Self::IsSilent(time) => (Harm::Silence, time),
+        }
+    }
+}
+
 /// An upstream that a request has crashed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Crash {
     upstream: usize,
-    /// When its port refuses; until then it takes connections and resets them.
+    /// When its port refuses; until then it does as [`CrashedPort`] says.
     refuses_at: Instant,
     returns_at: Instant,
 }
@@ -124,10 +146,11 @@
         Ok(())
     }
 
-    /// Begins the end of an upstream: its connections close, and its port takes and resets new ones.
+    /// Begins the end of an upstream: its connections close, and new ones are harmed.
     fn begin_end(&mut self, index: usize) {
+        let (harm, _) = self.spec.crashed_port.harm();
         let upstream = &mut self.upstreams[index];
-        upstream.link.set_harm(Harm::ResetNew);
+        upstream.link.set_harm(harm);
         upstream.stand_in.stop();
         upstream.link.cut_connections();
     }
@@ -176,13 +199,14 @@
     /// A port is taken.
     pub async fn play_crashes(&mut self, back: Return) -> io::Result<()> {
         let now = Instant::now();
+        let (_, closing) = self.spec.crashed_port.harm();
         let is_down: Vec<usize> = self.crashed.iter().map(|crash| crash.upstream).collect();
         for index in 0..self.upstreams.len() {
             if !is_down.contains(&index) && self.upstreams[index].stand_in.has_crashed() {
                 self.begin_end(index);
                 self.crashed.push(Crash {
                     upstream: index,
-                    refuses_at: now + self.spec.crash_takes,
+                    refuses_at: now + closing,
                     returns_at: now + back.after(),
                 });
             }
@@ -203,6 +227,18 @@
         Ok(())
     }
 
+    /// Pauses the upstreams that run, or lets them go on: nothing that is sent to one or by it arrives
+    /// before it goes on, and all of it does then.
+    pub fn pause_upstreams(&self, is_paused: bool) {
+        let harm = if is_paused { Harm::Silence } else { Harm::None };
+        let has_ended = |index: usize| self.crashed.iter().any(|crash| crash.upstream == index);
+        for (index, upstream) in self.upstreams.iter().enumerate() {
+            if !has_ended(index) && !upstream.stand_in.has_crashed() {
+                upstream.link.set_harm(harm);
+            }
+        }
+    }
+
     /// Starts an upstream by its present description, at its address, and lists it.
     async fn relaunch(&mut self, index: usize) -> io::Result<()> {
         let upstream = &mut self.upstreams[index];
