--- a/crates/daemon/cloverpier_daemon/src/crashes.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes.rs
@@ -8,7 +8,7 @@
 use crate::error::{ApiError, Run};
 use cloverpier_config::Upstream;
 use cloverpier_core::{UpstreamName, hash_of, lock, wall_ms};
-use cloverpier_crashes::cases::MAX_HOLD;
+use cloverpier_crashes::broken_attempts::CONFIRM_WITHIN;
 use cloverpier_crashes::prelude::*;
 use cloverpier_settings::CrashSettings;
 use cloverpier_timers::Timers;
@@ -95,20 +95,38 @@
 }
 
 /// Decides whether a request may be sent to an upstream now. Where its next attempt may be one too
-/// many, it waits until the last one is judged.
+/// many, it waits until the last ones are judged.
 pub async fn admit(app: &App, content: ContentKey) -> Admission {
-    let crashes = &app.crashes;
-    let until = app.now() + MAX_HOLD;
+    let since = app.now();
     loop {
-        let mut changed = pin!(crashes.changed.notified());
+        let mut changed = pin!(app.crashes.changed.notified());
         changed.as_mut().enable();
         let now = app.now();
-        let waits = lock(&crashes.cases).awaits_judgement(content, now);
-        if now >= until || !waits {
-            return lock(&crashes.cases).admission(content, now);
+        match look(app, content, since, now) {
+            Look::Goes(admission) => return admission,
+            Look::WaitsUntil(until) => {
+                // Woken or not, it looks again.
+                let _ = app.timers.timeout(until - now, changed).await;
+            }
         }
-        // Woken or not, it looks again.
-        let _ = app.timers.timeout(until - now, changed).await;
+    }
+}
+
+/// Whether a request that has waited since a moment goes on waiting.
+enum Look {
+    Goes(Admission),
+    WaitsUntil(Instant),
+}
+
+fn look(app: &App, content: ContentKey, since: Instant, now: Instant) -> Look {
+    let view = lock(&app.view);
+    let cases = lock(&app.crashes.cases);
+    let neighbours =
+        |end: &EndedUpstream| view.neighbours(&end.service, &end.data_centre, end.upstream);
+    let hold = cases.hold(content, now, neighbours);
+    match hold.until(since, since + CONFIRM_WITHIN, now) {
+        Some(until) => Look::WaitsUntil(until),
+        None => Look::Goes(cases.admission(content, now, neighbours)),
     }
 }
 
@@ -145,6 +163,7 @@
     drop(view);
     let attempt = BrokenAttempt {
         content: ContentKey::of(content),
+        loss: Loss::Broke,
         ran_well: false,
         end: UpstreamEnd {
             upstream: hash_of(upstream.as_str()),
@@ -170,16 +189,39 @@
 
 /// Asks an upstream's host whether it has the process.
 async fn probe(app: &App, name: &UpstreamName, upstream: &Upstream) {
+    let asked = app.now();
     let host = connects(&app.timers, upstream.address).await;
-    let ended = ended_upstream(name, upstream, app.now());
+    let now = app.now();
+    let ended = ended_upstream(name, upstream, now);
     app.crashes.change(|cases| match host {
-        Host::HasProcess => cases.on_alive(ended.upstream),
+        Host::HasProcess => cases.on_alive(SignOfLife {
+            upstream: ended.upstream,
+            asked,
+            answered: now,
+        }),
         Host::HasNone => cases.on_end(ended),
-        // It proves nothing; the attempt lapses.
-        Host::Silent => cases.on_death(ended),
+        // It proves nothing; the host is asked again.
+        Host::Silent => cases.on_death(ended, now),
     });
 }
 
+/// Asks the hosts again of which nothing was learned.
+fn probe_unclear(app: &Arc<App>) {
+    let unclear = lock(&app.crashes.cases).unclear(app.now());
+    for broken in unclear {
+        let view = lock(&app.view);
+        let name = view.by_hash(broken.upstream);
+        // Of one that has left the configuration nothing can be learned.
+        let Some((name, known)) = name.and_then(|n| Some((n.clone(), view.upstream(&n)?.clone())))
+        else {
+            continue;
+        };
+        drop(view);
+        let app = Arc::clone(app);
+        tokio::spawn(async move { probe(&app, &name, &known).await });
+    }
+}
+
 /// What a host says of a process at its address.
 enum Host {
     HasProcess,
@@ -210,7 +252,7 @@
     loop {
         let mut changed = pin!(app.crashes.changed.notified());
         changed.as_mut().enable();
-        let next_due = lock(&app.crashes.cases).next_due();
+        let next_due = lock(&app.crashes.cases).next_due(app.now());
         match next_due {
             Some(at) => {
                 let wait = at.saturating_duration_since(app.now());
@@ -219,6 +261,7 @@
             }
             None => changed.await,
         }
+        probe_unclear(&app);
         judge_due(&app);
     }
 }
@@ -228,8 +271,6 @@
     let (judged, dismissed) = {
         let view = lock(&app.view);
         let mut cases = lock(&app.crashes.cases);
-        // Each upstream was probed when the attempt broke off there.
-        let _ = cases.unclear(now);
         let judged = cases.judge(now, |end| {
             view.neighbours(&end.service, &end.data_centre, end.upstream)
         });
@@ -238,6 +279,10 @@
     for dismissed in &dismissed {
         log_dismissed(app, dismissed);
     }
+    if !dismissed.is_empty() {
+        // Requests may wait for what is now known not to count.
+        app.crashes.changed.notify_waiters();
+    }
     if judged.is_empty() {
         return;
     }
--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -6,14 +6,13 @@
 
 use crate::crash_reports;
 use crate::decision_log::{
-    ContentCleared, ContentStopped, CrashDismissed, CrashRecorded, ms_since,
+    ContentCleared, ContentStopped, CrashDismissed, CrashRecorded, RequestHeld, ms, ms_since,
 };
 use crate::probe::probe;
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_crashes::book::UNKNOWN_START;
-use cloverpier_crashes::cases::MAX_HOLD;
 use cloverpier_crashes::prelude::*;
 use cloverpier_router_policy::crash_reports::is_told;
 use cloverpier_router_policy::prelude::*;
@@ -48,26 +47,48 @@
         return Admission::Beside;
     }
     let content = request.content();
-    let until = router.now() + MAX_HOLD;
-    let awaits = |now| now < until && crashes.cases.borrow().awaits_judgement(content, now);
-    while awaits(router.now()) {
+    let since = router.now();
+    let mut is_held = false;
+    while let Some(until) = held_until(router, request, since) {
+        is_held = true;
         tokio::select! {
             () = crashes.changed.notified() => {}
             () = router.timers.sleep_until(until) => {}
         }
     }
-    crashes.cases.borrow().admission(content, router.now())
+    let now = router.now();
+    let neighbours = |end: &EndedUpstream| neighbours(router, end);
+    let admission = crashes.cases.borrow().admission(content, now, neighbours);
+    if is_held {
+        log_hold(
+            router,
+            request,
+            admission,
+            now.saturating_duration_since(since),
+        );
+    }
+    admission
+}
+
+/// Until when a request that has waited since a moment goes on waiting for a judgement; `None` where it
+/// does not.
+fn held_until(router: &Router, request: &RelayRequest, since: Instant) -> Option<Instant> {
+    let now = router.now();
+    let cases = router.crashes.cases.borrow();
+    let hold = cases.hold(request.content(), now, |end| neighbours(router, end));
+    hold.until(since, request.deadline, now)
 }
 
-/// Records an attempt whose connection broke, to be judged once it is known whether the upstream
+/// Records an attempt that was lost at an upstream, to be judged once it is known whether the upstream
 /// ended. One at an upstream that was about to leave says nothing: it ends by itself.
-pub(crate) fn on_broken(
+pub(crate) fn on_lost(
     router: &Router,
     request: &RelayRequest,
     upstream: &Upstream,
+    loss: Loss,
     ran_for: Duration,
-    now: Instant,
 ) {
+    let now = router.now();
     let table = router.upstreams.borrow();
     let state = table.get(&upstream.name);
     let is_leaving = state.is_none_or(|s| s.is_leaving() || s.has_lost_its_entry());
@@ -77,6 +98,7 @@
     }
     let attempt = BrokenAttempt {
         content: request.content(),
+        loss,
         ran_well: false,
         end: end_of(upstream),
         upstream: ended_upstream(upstream, now),
@@ -111,22 +133,27 @@
     router.crashes.change(|cases| cases.on_end(ended));
 }
 
-/// Records that an upstream is dead as far as a peer knows, or by its silence.
-pub(crate) fn on_death(router: &Router, upstream: &Upstream, now: Instant) {
+/// Records that an upstream is dead as far as a peer knows, or by its silence since a moment.
+pub(crate) fn on_death(router: &Router, upstream: &Upstream, silent_since: Instant, now: Instant) {
     let died = ended_upstream(upstream, now);
-    router.crashes.change(|cases| cases.on_death(died));
+    let change = |cases: &mut CrashCases| cases.on_death(died, silent_since);
+    router.crashes.change(change);
 }
 
 /// Records that an upstream has ended some time ago, as another start answers in its place.
 pub(crate) fn on_former_start(router: &Router, upstream: &Upstream) {
-    let key = UpstreamKey::of(&upstream.name);
-    router.crashes.change(|cases| cases.on_former_start(key.0));
+    let former = ended_upstream(upstream, router.now());
+    router.crashes.change(|cases| cases.on_former_start(former));
 }
 
-/// Records that an upstream lives, which answered a probe.
-pub(crate) fn on_alive(router: &Router, upstream: &Upstream) {
-    let key = UpstreamKey::of(&upstream.name);
-    router.crashes.change(|cases| cases.on_alive(key.0));
+/// Records that an upstream lives, which has answered a question that it was asked at a moment.
+pub(crate) fn on_alive(router: &Router, upstream: &Upstream, asked: Instant) {
+    let sign = SignOfLife {
+        upstream: UpstreamKey::of(&upstream.name).0,
+        asked,
+        answered: router.now(),
+    };
+    router.crashes.change(|cases| cases.on_alive(sign));
 }
 
 /// Records that an upstream ran a request to its end.
@@ -144,7 +171,7 @@
 /// Judges attempts that broke off, until the process ends.
 pub(crate) async fn judge_broken(router: Rc<Router>) {
     loop {
-        let next_due = router.crashes.cases.borrow().next_due();
+        let next_due = router.crashes.cases.borrow().next_due(router.now());
         let changed = router.crashes.changed.notified();
         match next_due {
             Some(at) => tokio::select! {
@@ -160,8 +187,7 @@
     }
 }
 
-/// Finds out about upstreams that are unclear: what they said since shows that they live, or else a
-/// probe does.
+/// Probes the upstreams that are unclear.
 fn clear_up(router: &Rc<Router>, now: Instant) {
     let unclear = router.crashes.cases.borrow_mut().unclear(now);
     for broken in unclear {
@@ -173,12 +199,7 @@
         };
         drop(table);
         let health = router.health.of(&upstream, now);
-        let last_answer = health.last_own_answer.get();
-        if last_answer.is_some_and(|at| at > broken.at) {
-            on_alive(router, &upstream);
-        } else {
-            probe(router, &upstream, &health, now);
-        }
+        probe(router, &upstream, &health, now);
     }
 }
 
@@ -232,8 +253,26 @@
     router.log.info("crash.recorded", &line);
 }
 
+fn log_hold(router: &Router, request: &RelayRequest, admission: Admission, held: Duration) {
+    let content = request.content();
+    let now = router.now();
+    let line = RequestHeld {
+        request: &request.id,
+        content: content.to_string(),
+        ends: router.crashes.cases.borrow().book.crashes(content, now),
+        held_ms: ms(held),
+        admission,
+    };
+    router.metrics.crashes.count("held");
+    router.log.info("request.held", &line);
+}
+
 fn log_dismissed(router: &Router, now: Instant) {
     let dismissed = router.crashes.cases.borrow_mut().take_dismissed();
+    if !dismissed.is_empty() {
+        // Requests may wait for what is now known not to count.
+        router.crashes.changed.notify_waiters();
+    }
     for Dismissed { attempt, reason } in dismissed {
         let line = CrashDismissed {
             content: attempt.content.to_string(),
--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -2,7 +2,7 @@
 //!
 //! As the parent module says, the names of events and fields stay.
 
-use cloverpier_crashes::Dismissal;
+use cloverpier_crashes::{Admission, Dismissal};
 use serde::Serialize;
 
 /// An upstream ended while it ran a request, as this router saw.
@@ -38,6 +38,18 @@
     pub age_ms: u64,
 }
 
+/// A request has waited until it was known whether the upstreams ended at which it was lost.
+#[derive(Serialize)]
+pub(crate) struct RequestHeld<'a> {
+    pub request: &'a str,
+    pub content: String,
+    /// Ends that are known of the content.
+    pub ends: usize,
+    pub held_ms: u64,
+    /// How it goes on.
+    pub admission: Admission,
+}
+
 /// A content is sent to no upstream any more.
 #[derive(Serialize)]
 pub(crate) struct ContentStopped<'a> {
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -290,9 +290,9 @@
         table.on_result(&upstream.name, outcome.may_have_run());
         drop(table);
         rollouts::on_failure(self.router, self.request, upstream, failure);
-        if failure.may_be_end_of_upstream() {
+        if let Some(loss) = failure.loss() {
             let ran_for = now.saturating_duration_since(begun);
-            crashes::on_broken(self.router, self.request, upstream, ran_for, now);
+            crashes::on_lost(self.router, self.request, upstream, loss, ran_for);
         }
         let try_take = || self.router.try_take_retry(&upstream.service, now);
         let next = self
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -115,7 +115,7 @@
             };
             // Runs of a former start are lost though the address answers.
             let said = router.hear(call, answer.parts()).said;
-            on_probe_answer(router, upstream, health, said.name.as_ref());
+            on_probe_answer(router, upstream, health, said.name.as_ref(), sent);
         }
         Err(error) if error.is_refused() => {
             router.metrics.probes.count("refused");
@@ -138,13 +138,14 @@
     upstream: &Upstream,
     health: &UpstreamHealth,
     answering: Option<&UpstreamName>,
+    sent: Instant,
 ) {
     let now = router.now();
     match check_result(&upstream.name, answering) {
         CheckResult::Alive => {
             router.metrics.probes.count("alive");
             health.on_activity(now);
-            crashes::on_alive(router, upstream);
+            crashes::on_alive(router, upstream, sent);
         }
         CheckResult::Replaced => {
             router.metrics.probes.count("replaced");
@@ -163,18 +164,19 @@
     reason: &str,
     now: Instant,
 ) {
+    let health = router.health.of(upstream, now);
+    let last_activity = health.last_activity.get();
     match cause {
         DeathCause::NoProcess => crashes::on_end(router, upstream, now),
-        DeathCause::Unreachable => crashes::on_death(router, upstream, now),
+        DeathCause::Unreachable => crashes::on_death(router, upstream, last_activity, now),
     }
-    let health = router.health.of(upstream, now);
     let is_new = router.upstreams.borrow_mut().suspect(&upstream.name, now);
     router.suspected.notify_one();
     router.pool.borrow_mut().close_all(&upstream.name);
     if !is_new {
         return;
     }
-    let silent = now.saturating_duration_since(health.last_activity.get());
+    let silent = now.saturating_duration_since(last_activity);
     router.metrics.detection.observe(silent);
     log_belief(
         &router.log,
@@ -218,10 +220,16 @@
     }
     let client = HttpClient::new(upstream.address, CHECK_TIMEOUT, router.timers.clone());
     let begun = router.now();
-    let Ok(answer) = client.get(&service.health_path, CHECK_TIMEOUT).await else {
+    let answer = match client.get(&service.health_path, CHECK_TIMEOUT).await {
+        Ok(answer) => answer,
         // It stays suspected; the next check is scheduled already.
-        router.metrics.probes.count("suspect-silent");
-        return;
+        Err(error) => {
+            router.metrics.probes.count("suspect-silent");
+            if error.is_refused() {
+                crashes::on_end(&router, &upstream, router.now());
+            }
+            return;
+        }
     };
     let call = Call {
         upstream: &upstream,
@@ -240,6 +248,7 @@
 
 fn on_alive(router: &Router, upstream: &Upstream, check_begun: Instant) {
     router.metrics.probes.count("suspect-alive");
+    crashes::on_alive(router, upstream, check_begun);
     let now = router.now();
     let suspected_for = router.upstreams.borrow_mut().on_alive(&upstream.name, now);
     if let Some(suspected_for) = suspected_for {
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -282,11 +282,10 @@
 
     /// Records an attempt whose upstream may have ended.
     fn note_break(&self, upstream: &Upstream, failure: &AttemptFailure) {
-        if failure.may_be_end_of_upstream() {
+        if let Some(loss) = failure.loss() {
             let (router, request) = (&self.router, &self.request);
-            let now = router.now();
-            let ran_for = now.saturating_duration_since(self.attempt_begun);
-            crashes::on_broken(router, request, upstream, ran_for, now);
+            let ran_for = router.now().saturating_duration_since(self.attempt_begun);
+            crashes::on_lost(router, request, upstream, loss, ran_for);
         }
     }
 
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -15,6 +15,7 @@
 //! [`io::ErrorKind`]. Relies on nothing but the values passed in.
 
 use crate::attempts::AttemptOutcome;
+use cloverpier_crashes::Loss;
 use std::fmt;
 use std::io;
 
@@ -148,17 +149,17 @@
         }
     }
 
-    /// Whether the upstream may have ended while it had the request: the connection broke after the
-    /// request was sent, or the upstream was found dead.
-    pub fn may_be_end_of_upstream(&self) -> bool {
+    /// How the attempt was lost, where the upstream may have ended while it had the request, or may
+    /// yet by it: the connection broke after the request was sent, or the upstream was found dead.
+    pub fn loss(&self) -> Option<Loss> {
         match self {
-            Self::SendBroke { was_unsent, .. } => !was_unsent,
+            Self::SendBroke { was_unsent, .. } => (!was_unsent).then_some(Loss::Broke),
             Self::AnswerBroke { .. }
             | Self::FailureBroke { .. }
             | Self::StreamBroke { .. }
-            | Self::EndedInsideEvent
-            | Self::UpstreamDead => true,
-            _ => false,
+            | Self::EndedInsideEvent => Some(Loss::Broke),
+            Self::UpstreamDead => Some(Loss::GivenUp),
+            _ => None,
         }
     }
 
--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -75,6 +75,22 @@
     pub excused: bool,
 }
 
+/// What is known against a content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Ends that count, whatever they weigh.
+    pub ends: usize,
+    /// What they weigh together, in thousandths of an end that nothing else explains.
+    pub thousandths: u32,
+}
+
+impl Evidence {
+    /// Whether it is that of at least so many ends that nothing else explains.
+    pub fn is_ends(self, ends: u32) -> bool {
+        self.thousandths + ROUNDING >= ends * Weight::FULL.thousandths()
+    }
+}
+
 /// What may be done with a content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -140,6 +156,11 @@
         self.limit
     }
 
+    /// Whether the operator has cleared a content.
+    pub fn is_cleared(&self, content: ContentKey) -> bool {
+        self.cleared.contains(&content)
+    }
+
     /// Whether nothing is known against any content.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -199,12 +220,11 @@
 
     /// What may be done with a content.
     pub fn verdict(&self, content: ContentKey, now: Instant) -> Verdict {
-        let evidence = self.evidence(content, now);
-        let is_over = |ends: u32| evidence + ROUNDING >= ends * Weight::FULL.thousandths();
+        let evidence = self.evidence_with(content, [], now);
         let CrashLimit(limit) = self.limit;
-        if limit > 0 && is_over(limit) && !self.cleared.contains(&content) {
+        if limit > 0 && evidence.is_ends(limit) && !self.is_cleared(content) {
             Verdict::Stopped
-        } else if is_over(SUSPECT_FROM) {
+        } else if evidence.is_ends(SUSPECT_FROM) {
             Verdict::Suspect
         } else {
             Verdict::Harmless
@@ -213,13 +233,37 @@
 
     /// What is known against a content, in thousandths of an end that nothing else explains.
     pub fn evidence(&self, content: ContentKey, now: Instant) -> u32 {
+        self.evidence_with(content, [], now).thousandths
+    }
+
+    /// What would be known against a content if these were ends under it, too.
+    pub fn evidence_with(
+        &self,
+        content: ContentKey,
+        crashes: impl IntoIterator<Item = Crash>,
+        now: Instant,
+    ) -> Evidence {
+        let mut crashes = crashes.into_iter().peekable();
+        let known = self.records.get(&content);
+        if crashes.peek().is_none() {
+            return known.map_or(Evidence::default(), |record| record.evidence(now));
+        }
+        let mut record = known.cloned().unwrap_or_default();
+        for crash in crashes {
+            record.add(crash);
+        }
+        record.evidence(now)
+    }
+
+    /// The longest time for which an upstream had run a content when it ended; zero where none did.
+    pub fn longest_run(&self, content: ContentKey, now: Instant) -> Duration {
         let record = self.records.get(&content);
-        record.map_or(0, |record| record.weight(now))
+        record.map_or(Duration::ZERO, |record| record.longest_run(now))
     }
 
     /// Number of ends that are known of a content and count, whatever they weigh.
     pub fn crashes(&self, content: ContentKey, now: Instant) -> usize {
-        self.records.get(&content).map_or(0, |r| r.count(now))
+        self.evidence_with(content, [], now).ends
     }
 
     /// The contents of which the verdict has become [`Verdict::Stopped`], or is no longer, since this
--- a/crates/shared/cloverpier_crashes/src/book/record.rs
+++ b/crates/shared/cloverpier_crashes/src/book/record.rs
@@ -3,7 +3,7 @@
 //! Relies on [`super::CrashBook`] for whom it is reported to and what follows.
 
 use super::{
-    CRASH_TTL, Crash, MAX_CRASHES, ReportedCrash, SAME_END_MS, UNKNOWN_START, UpstreamEnd,
+    CRASH_TTL, Crash, Evidence, MAX_CRASHES, ReportedCrash, SAME_END_MS, UNKNOWN_START, UpstreamEnd,
 };
 use crate::weight::{OwnEnd, Surroundings, Weight};
 use std::collections::BTreeMap;
@@ -132,10 +132,20 @@
         ends.any(|end| end.start != UNKNOWN_START)
     }
 
-    /// What all ends that count do together, in thousandths.
-    pub(super) fn weight(&self, now: Instant) -> u32 {
+    /// What the ends that count do together.
+    pub(super) fn evidence(&self, now: Instant) -> Evidence {
         let weights = self.counting(now).map(|(_, weight)| weight.thousandths());
-        weights.sum()
+        weights.fold(Evidence::default(), |sum, weight| Evidence {
+            ends: sum.ends + 1,
+            thousandths: sum.thousandths + weight,
+        })
+    }
+
+    /// The longest time for which the content had been at an upstream that ended under it.
+    pub(super) fn longest_run(&self, now: Instant) -> Duration {
+        let counting = self.ends.values().filter(|known| known.counts(now));
+        let longest = counting.map(|known| known.ran_for).max();
+        longest.unwrap_or_default()
     }
 
     /// Number of ends that count.
--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -1,16 +1,23 @@
-//! Attempts that broke off, until it is known whether their upstream ended.
+//! Attempts that were lost at an upstream, until it is known whether the upstream ended.
 //!
-//! - **Question.** An attempt's connection broke after the request was sent. Did the upstream end, or
-//!   was only the answer lost?
+//! - **Question.** A request was sent, and its connection broke, or it was given up for the upstream's
+//!   silence. Did the upstream end, was only the answer lost, or is it merely standing still?
 //! - **Inputs.** The attempt; later, that a probe was refused or another start was seen (the upstream
-//!   ended), or that the same start answered (it lives).
+//!   ended), or that the same start answered a question (it lives).
 //! - **Answer.** The attempts that are [`BrokenAttempts::due`]: their upstream ended, and
 //!   [`JUDGE_AFTER`] has passed, so that what else ended is known. The upstreams that have to be probed,
-//!   as nothing was learned of them ([`BrokenAttempts::unclear`]). The attempts that say nothing, and why
+//!   as nothing was learned of them ([`BrokenAttempts::unclear`]), and again while it matters
+//!   ([`BrokenAttempts::unclear_again`]). The attempts that say nothing, and why
 //!   ([`BrokenAttempts::take_dismissed`]).
 //! - **Why.** A broken connection proves nothing: upstreams lose answers by resets and live,
 //!   and most requests that lose an answer at several upstreams lose it so. Silence is no end either: it
-//!   comes from cut links and pauses, too.
+//!   comes from cut links and pauses, too. And it is no proof of the opposite: a paused upstream ends
+//!   later by what it was sent, and the host of one that has ended may be silent for seconds. So an
+//!   attempt stays open until something is proved, and what is sent meanwhile takes it into account.
+//! - **What an answer proves.** An upstream whose connection broke has survived the request if it answers a
+//!   question that was asked after the break. One that was given up may begin the request after
+//!   it has answered: it has survived once it answers a question that was asked a *survival time* after
+//!   its first answer, as long as others ran the content before they ended.
 //!
 //! Owns the open attempts.
 
@@ -23,33 +30,61 @@
 /// From the break to the judgement: all ends of a dying data centre are known 0.05 s after the
 /// first. Longer, and a request that crashes upstreams has begun to run at the next one.
 pub const JUDGE_AFTER: Duration = Duration::from_millis(50);
-/// An attempt of which nothing is learned for this long says nothing: longer than a probe's timeout
-/// (1 s).
-pub const CONFIRM_WITHIN: Duration = Duration::from_millis(1_500);
+/// An attempt of which nothing is learned for this long says nothing. Longer than pauses of
+/// upstreams and the start of the next process at the address of one that ended; what may be held up meanwhile
+/// is the fourth run of a request that lost three.
+pub const CONFIRM_WITHIN: Duration = Duration::from_secs(5);
+/// From one question to an unclear upstream to the next, while its attempt holds something up.
+pub const ASK_AGAIN_AFTER: Duration = Duration::from_millis(150);
+/// An upstream that was asked has this time to answer, whatever the age of its attempt: this process may
+/// have been paused.
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 /// Attempts that are open at most; the oldest are dropped. A data centre's death breaks some tens at
 /// one router.
 const MAX_OPEN: usize = 1_024;
 
-/// An attempt that broke off.
+/// How an attempt was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// Its connection broke: the upstream has ended, or has given the request up.
+    Broke,
+    /// It was given up for the upstream's silence: the upstream may still run it.
+    GivenUp,
+}
+
+/// An attempt that was lost.
 #[derive(Clone, Debug)]
 pub struct BrokenAttempt {
     /// What it sent.
     pub content: ContentKey,
+    /// How it was lost.
+    pub loss: Loss,
     /// Whether the content ran to its end a moment before.
     pub ran_well: bool,
     /// The upstream's start that it ran at.
     pub end: UpstreamEnd,
-    /// The upstream, and when the attempt broke off there.
+    /// The upstream, and when the attempt was lost there.
     pub upstream: EndedUpstream,
     /// How long it had been there.
     pub ran_for: Duration,
 }
 
+/// An answer of an upstream to a question.
+#[derive(Clone, Copy, Debug)]
+pub struct SignOfLife {
+    /// The upstream, as in [`UpstreamEnd::upstream`].
+    pub upstream: u64,
+    /// When it was asked.
+    pub asked: Instant,
+    /// When the answer arrived.
+    pub answered: Instant,
+}
+
 /// Why an attempt does not count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Dismissal {
-    /// Its upstream answered since.
+    /// Its upstream survived it.
     Answered,
     /// Nothing was learned of its upstream in time.
     Unclear,
@@ -66,13 +101,16 @@
     pub reason: Dismissal,
 }
 
-/// An attempt, and whether its upstream is known to have ended.
+/// An attempt, and what was learned of its upstream since.
 #[derive(Clone, Debug)]
 struct Open {
     attempt: BrokenAttempt,
-    has_ended: bool,
-    /// Whether its upstream was named as unclear.
-    is_asked: bool,
+    /// When it became known that its upstream has ended.
+    ended_at: Option<Instant>,
+    /// When its upstream was named as unclear last.
+    asked_at: Option<Instant>,
+    /// When its upstream answered first since the attempt was given up.
+    answered_at: Option<Instant>,
 }
 
 impl Open {
@@ -80,18 +118,52 @@
         now.saturating_duration_since(self.attempt.upstream.at)
     }
 
+    /// When it can be judged; `None` while nothing proves that its upstream has ended.
+    fn judged_at(&self) -> Option<Instant> {
+        let ended_at = self.ended_at?;
+        let lost_at = self.attempt.upstream.at;
+        let from = match self.attempt.loss {
+            Loss::Broke => lost_at,
+            // The end may have come at any time since.
+            Loss::GivenUp => lost_at.max(ended_at),
+        };
+        Some(from + JUDGE_AFTER)
+    }
+
     /// When something has to be done about it.
     fn next_due(&self) -> Instant {
-        let wait = if self.has_ended || !self.is_asked {
-            JUDGE_AFTER
-        } else {
-            CONFIRM_WITHIN
-        };
-        self.attempt.upstream.at + wait
+        let lost_at = self.attempt.upstream.at;
+        match self.judged_at() {
+            Some(at) => at,
+            None if self.asked_at.is_none() => lost_at + JUDGE_AFTER,
+            None => self.dropped_at(),
+        }
+    }
+
+    /// When it is dropped, unless something is learned.
+    fn dropped_at(&self) -> Instant {
+        let over_at = self.attempt.upstream.at + CONFIRM_WITHIN;
+        let asked_at = self.asked_at.map(|at| at + ANSWER_WITHIN);
+        asked_at.map_or(over_at, |at| over_at.max(at))
+    }
+
+    /// When its upstream is to be asked again; `None` while it was not asked or needs not be.
+    fn asked_again_at(&self, survival: Duration) -> Option<Instant> {
+        let next = self.asked_at? + ASK_AGAIN_AFTER;
+        let proves_from = self.answered_at.map(|at| at + survival);
+        (self.ended_at.is_none()).then(|| proves_from.map_or(next, |from| next.max(from)))
+    }
+
+    /// Takes a sign of life; returns whether it shows that the upstream survived the attempt.
+    fn is_survived(&mut self, sign: SignOfLife, survival: Duration) -> bool {
+        if self.ended_at.is_some() || sign.asked < self.attempt.upstream.at {
+            return false;
+        }
+        true
     }
 }
 
-/// Attempts that broke off.
+/// Attempts that were lost.
 #[derive(Clone, Debug, Default)]
 pub struct BrokenAttempts {
     open: Vec<Open>,
@@ -100,32 +172,37 @@
 }
 
 impl BrokenAttempts {
-    /// Records an attempt that broke off; `has_ended` where its upstream's end is known already.
+    /// Records an attempt that was lost; `has_ended` where its upstream's end is known already.
     pub fn on_broken(&mut self, attempt: BrokenAttempt, has_ended: bool) {
         if self.open.len() >= MAX_OPEN {
             let oldest = self.open.remove(0);
             self.dismiss([oldest], Dismissal::NoRoom);
         }
         self.open.push(Open {
+            ended_at: has_ended.then_some(attempt.upstream.at),
             attempt,
-            has_ended,
-            is_asked: false,
+            asked_at: None,
+            answered_at: None,
         });
     }
 
-    /// Records that an upstream has ended.
-    pub fn on_end(&mut self, upstream: u64) {
+    /// Records that an upstream is known to have ended, since `now`.
+    pub fn on_end(&mut self, upstream: u64, now: Instant) {
         let there = self.open.iter_mut();
         for open in there.filter(|o| o.attempt.end.upstream == upstream) {
-            open.has_ended = true;
+            open.ended_at.get_or_insert(now);
         }
     }
 
-    /// Records that the start of an upstream lives at which attempts broke off.
-    pub fn on_alive(&mut self, upstream: u64) {
-        let is_refuted = |o: &mut Open| o.attempt.end.upstream == upstream && !o.has_ended;
-        let refuted: Vec<Open> = self.open.extract_if(.., is_refuted).collect();
-        self.dismiss(refuted, Dismissal::Answered);
+    /// Records that the start of an upstream lives at which attempts were lost; `survival` says how long
+    /// it has to, by content.
+    pub fn on_alive(&mut self, sign: SignOfLife, survival: impl Fn(ContentKey) -> Duration) {
+        let is_survived = |open: &mut Open| {
+            let is_there = open.attempt.end.upstream == sign.upstream;
+            is_there && open.is_survived(sign, survival(open.attempt.content))
+        };
+        let survived: Vec<Open> = self.open.extract_if(.., is_survived).collect();
+        self.dismiss(survived, Dismissal::Answered);
     }
 
     fn dismiss(&mut self, dropped: impl IntoIterator<Item = Open>, reason: Dismissal) {
@@ -141,10 +218,15 @@
         std::mem::take(&mut self.dismissed)
     }
 
-    /// Number of attempts with a content that are open.
-    pub fn open_with(&self, content: ContentKey) -> usize {
-        let with = self.open.iter().filter(|o| o.attempt.content == content);
-        with.count()
+    /// The attempts that are open.
+    pub fn open(&self) -> impl Iterator<Item = &BrokenAttempt> {
+        self.open.iter().map(|open| &open.attempt)
+    }
+
+    /// The attempts with a content that are open.
+    pub fn open_with(&self, content: ContentKey) -> impl Iterator<Item = &BrokenAttempt> {
+        self.open()
+            .filter(move |attempt| attempt.content == content)
     }
 
     /// Takes the attempts whose upstreams ended and that can be judged; drops those of which nothing
@@ -152,10 +234,10 @@
     pub fn due(&mut self, now: Instant) -> Vec<BrokenAttempt> {
         let due = self
             .open
-            .extract_if(.., |o| o.has_ended && o.age(now) >= JUDGE_AFTER)
+            .extract_if(.., |o| o.judged_at().is_some_and(|at| now >= at))
             .map(|open| open.attempt)
             .collect();
-        let is_over = |o: &mut Open| o.age(now) >= CONFIRM_WITHIN;
+        let is_over = |o: &mut Open| o.ended_at.is_none() && now >= o.dropped_at();
         let over: Vec<Open> = self.open.extract_if(.., is_over).collect();
         self.dismiss(over, Dismissal::Unclear);
         due
@@ -164,14 +246,44 @@
     /// The upstreams of which nothing was learned by the time of the judgement, each attempt's once.
     pub fn unclear(&mut self, now: Instant) -> Vec<EndedUpstream> {
         let open = self.open.iter_mut();
-        let unclear = open.filter(|o| !o.has_ended && !o.is_asked && o.age(now) >= JUDGE_AFTER);
+        let is_unclear = |o: &&mut Open| o.ended_at.is_none() && o.asked_at.is_none();
+        let unclear = open.filter(|o| is_unclear(o) && o.age(now) >= JUDGE_AFTER);
         let named = unclear.map(|open| {
-            open.is_asked = true;
+            open.asked_at = Some(now);
             open.attempt.upstream.clone()
         });
         named.collect()
     }
 
+    /// The upstreams that were named as unclear and of which something is still to be learned, by
+    /// what `survival` returns for the content; `None` where its attempts hold nothing up.
+    pub fn unclear_again(
+        &mut self,
+        now: Instant,
+        survival: impl Fn(ContentKey) -> Option<Duration>,
+    ) -> Vec<EndedUpstream> {
+        let mut named = Vec::new();
+        for open in &mut self.open {
+            let survival = survival(open.attempt.content);
+            let at = survival.and_then(|survival| open.asked_again_at(survival));
+            if at.is_some_and(|at| now >= at) {
+                open.asked_at = Some(now);
+                named.push(open.attempt.upstream.clone());
+            }
+        }
+        named
+    }
+
+    /// When [`Self::unclear_again`] has something to name next.
+    pub fn next_asked_again(
+        &self,
+        survival: impl Fn(ContentKey) -> Option<Duration>,
+    ) -> Option<Instant> {
+        let open = self.open.iter();
+        let next = open.filter_map(|o| o.asked_again_at(survival(o.attempt.content)?));
+        next.min()
+    }
+
     /// When [`Self::due`] or [`Self::unclear`] has something to do next; `None` while nothing is open.
     pub fn next_due(&self) -> Option<Instant> {
         self.open.iter().map(Open::next_due).min()
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -8,20 +8,57 @@
 //!
 //! Owns the book, the open attempts, the upstreams that ended and the contents that ran well recently.
 
-use crate::book::{Crash, CrashBook, CrashLimit, SUSPECT_FROM, Verdict};
-use crate::broken_attempts::{BrokenAttempt, BrokenAttempts, Dismissed};
+use crate::book::{Crash, CrashBook, CrashLimit, Evidence, SUSPECT_FROM, UpstreamEnd, Verdict};
+use crate::broken_attempts::{
+    BrokenAttempt, BrokenAttempts, Dismissed, JUDGE_AFTER, Loss, SignOfLife,
+};
 use crate::content::{Content, ContentKey};
 use crate::ended_upstreams::{EndedUpstream, EndedUpstreams};
 use crate::recent_contents::RecentContents;
-use crate::weight::{Surroundings, Weight};
+use crate::weight::Surroundings;
+use serde::Serialize;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// A request that may have ended two upstreams waits for the judgement of its last attempt for so
 /// long at most: the time to the judgement, and the probe before it.
 pub const MAX_HOLD: Duration = Duration::from_millis(250);
+/// An upstream that was given up for its silence has survived a content of which no end is known once it
+/// has lived on for this time.
+const LEAST_SURVIVAL: Duration = Duration::from_millis(100);
+/// One that has lived on for this time has survived any content, however long others ran it: few prompts take
+/// longer to read.
+const MOST_SURVIVAL: Duration = Duration::from_secs(3);
 
-/// How a request may be sent to an upstream.
+/// Whether a request waits before it is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// It does not.
+    No,
+    /// For [`MAX_HOLD`] at most, until its last attempt is judged: it may be what ended
+    /// [`SUSPECT_FROM`] upstreams, of which repeats that crash one within milliseconds would end
+    /// several before the first end is known.
+    Briefly,
+    /// Until it is known of each attempt whether its upstream ended: if all did, they are as many as stop
+    /// the content, and one more would end.
+    UntilSettled,
+}
+
+impl Hold {
+    /// Until when a request waits at most that has waited since a moment and whose time is over at
+    /// `deadline`; `None` where it does not wait any more.
+    pub fn until(self, since: Instant, deadline: Instant, now: Instant) -> Option<Instant> {
+        let until = match self {
+            Self::No => return None,
+            Self::Briefly | Self::UntilSettled => deadline.min(since + MAX_HOLD),
+        };
+        (now < until).then_some(until)
+    }
+}
+
+/// How a request may be sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Admission {
     /// Like any other.
     Beside,
@@ -86,28 +123,95 @@
         self.book.is_empty() && self.broken.next_due().is_none()
     }
 
-    /// Whether a request has to wait for the judgement of its last attempt, as it may be what ended
-    /// [`SUSPECT_FROM`] upstreams, of which repeats that crash one within milliseconds would end
-    /// several before the first end is known. A first retry never waits.
-    pub fn awaits_judgement(&self, content: ContentKey, now: Instant) -> bool {
+    /// Whether a request has to wait for the judgement of its last attempts. A first retry never does.
+    pub fn hold(
+        &self,
+        content: ContentKey,
+        now: Instant,
+        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
+    ) -> Hold {
         let CrashLimit(limit) = self.book.limit();
-        let open = self.broken.open_with(content);
-        limit > 0 && open > 0 && open + self.book.crashes(content, now) >= SUSPECT_FROM as usize
+        let has_open = self.broken.open_with(content).next().is_some();
+        if limit == 0 || !has_open || self.book.is_cleared(content) {
+            return Hold::No;
+        }
+        let at_worst = self.at_worst(content, now, neighbours);
+        if at_worst.is_ends(limit) {
+            Hold::UntilSettled
+        } else if at_worst.ends >= SUSPECT_FROM as usize {
+            Hold::Briefly
+        } else {
+            Hold::No
+        }
     }
 
-    /// How a request may be sent now; attempts that are not judged yet count in full.
-    pub fn admission(&self, content: ContentKey, now: Instant) -> Admission {
-        let full = Weight::FULL.thousandths();
-        // Fewer than 2^32 are open.
-        let open = self.broken.open_with(content) as u32 * full;
-        let against = self.book.evidence(content, now) + open;
+    /// How a request may be sent now; attempts that are not judged yet count as ends.
+    pub fn admission(
+        &self,
+        content: ContentKey,
+        now: Instant,
+        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
+    ) -> Admission {
         match self.book.verdict(content, now) {
             Verdict::Stopped => Admission::Stopped,
-            _ if against >= SUSPECT_FROM * full => Admission::Apart,
+            _ if self
+                .at_worst(content, now, neighbours)
+                .is_ends(SUSPECT_FROM) =>
+            {
+                Admission::Apart
+            }
             _ => Admission::Beside,
         }
     }
 
+    /// What would be known against a content if the upstreams of all its open attempts had ended.
+    fn at_worst(
+        &self,
+        content: ContentKey,
+        now: Instant,
+        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
+    ) -> Evidence {
+        let open = self.broken.open_with(content);
+        let crashes = open.map(|attempt| {
+            let surroundings = self.surroundings(attempt, neighbours(&attempt.upstream), now);
+            crash_of(attempt, surroundings)
+        });
+        self.book.evidence_with(content, crashes, now)
+    }
+
+    /// What was around an upstream when an attempt was lost there, as far as is known by now.
+    fn surroundings(
+        &self,
+        attempt: &BrokenAttempt,
+        neighbours: Neighbours,
+        now: Instant,
+    ) -> Surroundings {
+        let ended = match attempt.loss {
+            Loss::Broke => self.ended.beside(&attempt.upstream),
+            Loss::GivenUp => self.ended.during(&attempt.upstream, now),
+        };
+        Surroundings {
+            in_service: neighbours.in_service,
+            in_data_centre: neighbours.in_data_centre,
+            ended,
+        }
+    }
+
+    /// The contents of which it matters whether upstreams ended, as several attempts with them were
+    /// lost; and for how long an upstream has to live on to have survived them.
+    fn in_question(&self, now: Instant) -> HashMap<ContentKey, Duration> {
+        let mut open: HashMap<ContentKey, HashSet<UpstreamEnd>> = HashMap::new();
+        for attempt in self.broken.open().filter(|attempt| !attempt.ran_well) {
+            open.entry(attempt.content).or_default().insert(attempt.end);
+        }
+        let in_question = open.into_iter().filter(|(content, ends)| {
+            ends.len() + self.book.crashes(*content, now) >= SUSPECT_FROM as usize
+        });
+        let survivals =
+            in_question.map(|(content, _)| (content, survival(&self.book, content, now)));
+        survivals.collect()
+    }
+
     /// Records an attempt that broke off. One at an upstream that was about to leave is not to be
     /// recorded: it ends by itself.
     pub fn on_broken(&mut self, content: &Content<'_>, attempt: BrokenAttempt) {
@@ -126,24 +230,28 @@
 
     /// Records that an upstream's host has no process at its address any more.
     pub fn on_end(&mut self, ended: EndedUpstream) {
-        self.broken.on_end(ended.upstream);
+        self.broken.on_end(ended.upstream, ended.at);
         self.ended.on_end(ended);
     }
 
-    /// Records an upstream that is dead by a peer's word or by its silence: that explains ends beside
-    /// it, and proves none.
-    pub fn on_death(&mut self, died: EndedUpstream) {
-        self.ended.on_death(died);
+    /// Records an upstream that is dead by a peer's word or by its silence since a moment: that explains
+    /// ends beside it, and proves none.
+    pub fn on_death(&mut self, died: EndedUpstream, silent_since: Instant) {
+        self.ended.on_death(died, silent_since);
     }
 
     /// Records that an upstream has ended some time ago, as another start answers in its place.
-    pub fn on_former_start(&mut self, upstream: u64) {
-        self.broken.on_end(upstream);
+    pub fn on_former_start(&mut self, former: EndedUpstream) {
+        self.broken.on_end(former.upstream, former.at);
+        self.ended.on_former_start(former);
     }
 
-    /// Records that an upstream lives, which answered a probe.
-    pub fn on_alive(&mut self, upstream: u64) {
-        self.broken.on_alive(upstream);
+    /// Records that an upstream lives, which answered a question.
+    pub fn on_alive(&mut self, sign: SignOfLife) {
+        let book = &self.book;
+        let survival = |content| survival(book, content, sign.answered);
+        self.broken.on_alive(sign, survival);
+        self.ended.on_alive(sign.upstream);
     }
 
     /// Records that an upstream ran a request to its end: what ended while others ran its content did
@@ -157,14 +265,22 @@
         self.book.on_completed(key).then_some(key)
     }
 
-    /// The upstreams that have to be probed, as nothing was learned of them.
+    /// The upstreams that have to be probed, as nothing was learned of them; again, while that may hold
+    /// a request up.
     pub fn unclear(&mut self, now: Instant) -> Vec<EndedUpstream> {
-        self.broken.unclear(now)
+        let mut unclear = self.broken.unclear(now);
+        let in_question = self.in_question(now);
+        let survival = |content| in_question.get(&content).copied();
+        unclear.extend(self.broken.unclear_again(now, survival));
+        unclear
     }
 
     /// When [`Self::judge`] or [`Self::unclear`] has something to do next.
-    pub fn next_due(&self) -> Option<Instant> {
-        self.broken.next_due()
+    pub fn next_due(&self, now: Instant) -> Option<Instant> {
+        let in_question = self.in_question(now);
+        let survival = |content| in_question.get(&content).copied();
+        let again = self.broken.next_asked_again(survival);
+        self.broken.next_due().into_iter().chain(again).min()
     }
 
     /// Takes the attempts that were found not to count since this was asked last.
@@ -180,15 +296,7 @@
     ) -> Vec<Judged> {
         let due = self.broken.due(now);
         let judged = due.into_iter().map(|attempt| {
-            let Neighbours {
-                in_service,
-                in_data_centre,
-            } = neighbours(&attempt.upstream);
-            let surroundings = Surroundings {
-                in_service,
-                in_data_centre,
-                ended: self.ended.beside(&attempt.upstream),
-            };
+            let surroundings = self.surroundings(&attempt, neighbours(&attempt.upstream), now);
             self.record(attempt, surroundings, now)
         });
         judged.collect()
@@ -201,13 +309,7 @@
         now: Instant,
     ) -> Judged {
         let content = attempt.content;
-        let crash = Crash {
-            end: attempt.end,
-            at: attempt.upstream.at,
-            ran_for: attempt.ran_for,
-            surroundings: surroundings.clone(),
-            excused: attempt.ran_well,
-        };
+        let crash = crash_of(&attempt, surroundings.clone());
         self.book.record(content, crash, now);
         Judged {
             attempt,
@@ -217,3 +319,21 @@
         }
     }
 }
+
+/// For how long an upstream has to live on to have survived a content: as long as others ran it before
+/// they ended.
+fn survival(book: &CrashBook, content: ContentKey, now: Instant) -> Duration {
+    let longest = book.longest_run(content, now);
+    (longest + JUDGE_AFTER).clamp(LEAST_SURVIVAL, MOST_SURVIVAL)
+}
+
+/// The end that an attempt would be, or is.
+fn crash_of(attempt: &BrokenAttempt, surroundings: Surroundings) -> Crash {
+    Crash {
+        end: attempt.end,
+        at: attempt.upstream.at,
+        ran_for: attempt.ran_for,
+        surroundings,
+        excused: attempt.ran_well,
+    }
+}
--- a/crates/shared/cloverpier_crashes/src/lib.rs
+++ b/crates/shared/cloverpier_crashes/src/lib.rs
@@ -52,10 +52,12 @@
 /// The types that users of the crate need daily; rules and constants are named by module.
 pub mod prelude {
     pub use crate::book::{
-        ContentReport, Crash, CrashBook, CrashLimit, ReportedCrash, UpstreamEnd, Verdict,
+        ContentReport, Crash, CrashBook, CrashLimit, Evidence, ReportedCrash, UpstreamEnd, Verdict,
     };
-    pub use crate::broken_attempts::{BrokenAttempt, BrokenAttempts, Dismissal, Dismissed};
-    pub use crate::cases::{Admission, CrashCases, Judged, Neighbours};
+    pub use crate::broken_attempts::{
+        BrokenAttempt, BrokenAttempts, Dismissal, Dismissed, Loss, SignOfLife,
+    };
+    pub use crate::cases::{Admission, CrashCases, Hold, Judged, Neighbours};
     pub use crate::content::{Content, ContentKey};
     pub use crate::ended_upstreams::{EndedUpstream, EndedUpstreams};
     pub use crate::recent_contents::RecentContents;
--- a/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
@@ -1,7 +1,7 @@
 //! Breaks that are no ends, and ends that can be judged.
 
 use cloverpier_core::{DataCentre, ServiceName};
-use cloverpier_crashes::broken_attempts::{CONFIRM_WITHIN, JUDGE_AFTER};
+use cloverpier_crashes::broken_attempts::{ASK_AGAIN_AFTER, CONFIRM_WITHIN, JUDGE_AFTER};
 use cloverpier_crashes::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,7 @@
 fn attempt(name: &str, upstream: u64, at: Instant) -> BrokenAttempt {
     BrokenAttempt {
         content: content(name),
+        loss: Loss::Broke,
         ran_well: false,
         ran_for: Duration::from_secs(2),
         end: UpstreamEnd { upstream, start: 7 },
@@ -36,12 +37,12 @@
     let mut broken = BrokenAttempts::default();
     broken.on_broken(attempt("a", 1, now), false);
     broken.on_broken(attempt("b", 2, now), false);
-    broken.on_end(1);
-    broken.on_alive(2);
+    broken.on_end(1, now);
+    broken.on_alive(answer_of(2, now), no_survival);
     assert_eq!(
         (
-            broken.open_with(content("a")),
-            broken.open_with(content("b"))
+            broken.open_with(content("a")).count(),
+            broken.open_with(content("b")).count()
         ),
         (1, 0)
     );
@@ -65,7 +66,7 @@
     assert!(broken.unclear(now + JUDGE_AFTER).is_empty());
     assert_eq!(broken.next_due(), Some(now + CONFIRM_WITHIN));
     assert!(broken.due(now + CONFIRM_WITHIN).is_empty());
-    broken.on_end(1);
+    broken.on_end(1, now);
     assert!(broken.due(now + CONFIRM_WITHIN * 2).is_empty());
 }
 
@@ -74,8 +75,8 @@
     let now = Instant::now();
     let mut broken = BrokenAttempts::default();
     broken.on_broken(attempt("a", 1, now), false);
-    broken.on_end(1);
-    broken.on_alive(1);
+    broken.on_end(1, now);
+    broken.on_alive(answer_of(1, now), no_survival);
     assert_eq!(broken.due(now + Duration::from_millis(200)).len(), 1);
 }
 
@@ -94,8 +95,8 @@
     broken.on_broken(attempt("a", 1, now), false);
     broken.on_broken(attempt("b", 2, now), false);
     broken.on_broken(attempt("c", 3, now), false);
-    broken.on_end(3);
-    broken.on_alive(2);
+    broken.on_end(3, now);
+    broken.on_alive(answer_of(2, now), no_survival);
     assert_eq!(broken.due(now + CONFIRM_WITHIN).len(), 1);
     let dismissed = broken.take_dismissed();
     let dismissed: Vec<_> = dismissed
@@ -108,3 +109,86 @@
     );
     assert!(broken.take_dismissed().is_empty());
 }
+
+fn answer_of(upstream: u64, asked: Instant) -> SignOfLife {
+    SignOfLife {
+        upstream,
+        asked,
+        answered: asked,
+    }
+}
+
+fn no_survival(_: ContentKey) -> Duration {
+    Duration::ZERO
+}
+
+fn reasons(broken: &mut BrokenAttempts) -> Vec<Dismissal> {
+    let dismissed = broken.take_dismissed();
+    dismissed.iter().map(|d| d.reason).collect()
+}
+
+/// Guards against an answer that was on its way when the connection broke.
+#[test]
+fn an_answer_to_a_question_from_before_the_break_proves_nothing() {
+    let asked = Instant::now();
+    let broke = asked + Duration::from_millis(30);
+    let mut broken = BrokenAttempts::default();
+    broken.on_broken(attempt("a", 1, broke), false);
+    let late = SignOfLife {
+        upstream: 1,
+        asked,
+        answered: broke + Duration::from_millis(5),
+    };
+    broken.on_alive(late, no_survival);
+    assert_eq!(broken.open().count(), 1);
+    broken.on_alive(answer_of(1, broke + Duration::from_millis(6)), no_survival);
+    assert_eq!(reasons(&mut broken), [Dismissal::Answered]);
+}
+
+#[test]
+fn an_upstream_is_asked_again_while_its_attempt_holds_something_up() {
+    let now = Instant::now();
+    let ms = Duration::from_millis;
+    let mut broken = BrokenAttempts::default();
+    broken.on_broken(attempt("a", 1, now), false);
+    let in_question = |_: ContentKey| Some(ms(100));
+    assert!(broken.unclear_again(now + ms(60), in_question).is_empty());
+    let asked = now + JUDGE_AFTER;
+    assert_eq!(broken.unclear(asked).len(), 1);
+    assert_eq!(broken.next_asked_again(|_| None), None);
+    assert_eq!(
+        broken.next_asked_again(in_question),
+        Some(asked + ASK_AGAIN_AFTER)
+    );
+    assert!(
+        broken
+            .unclear_again(asked + ASK_AGAIN_AFTER, |_| None)
+            .is_empty()
+    );
+    assert_eq!(
+        broken
+            .unclear_again(asked + ASK_AGAIN_AFTER, in_question)
+            .len(),
+        1
+    );
+    assert!(
+        broken
+            .unclear_again(asked + ASK_AGAIN_AFTER, in_question)
+            .is_empty()
+    );
+}
+
+/// A router that was paused has had no time to ask.
+#[test]
+fn an_attempt_is_not_dropped_before_its_upstream_could_answer() {
+    let now = Instant::now();
+    let late = now + CONFIRM_WITHIN * 2;
+    let mut broken = BrokenAttempts::default();
+    broken.on_broken(attempt("a", 1, now), false);
+    assert_eq!(broken.unclear(late).len(), 1);
+    assert!(broken.due(late).is_empty());
+    let next = broken.next_due().unwrap();
+    assert!(next > late);
+    assert!(broken.due(next).is_empty());
+    assert_eq!(reasons(&mut broken), [Dismissal::Unclear]);
+}
--- a/crates/shared/cloverpier_crashes/tests/weight.rs
+++ b/crates/shared/cloverpier_crashes/tests/weight.rs
@@ -116,7 +116,7 @@
 fn a_death_that_is_no_proof_explains_ends_and_proves_none() {
     let now = Instant::now();
     let mut ends = EndedUpstreams::default();
-    ends.on_death(ended(1, "hall-a", now));
+    ends.on_death(ended(1, "hall-a", now), now);
     assert!(!ends.has_ended_since(1, Some(now)));
     let beside = ends.beside(&ended(2, "hall-a", now));
     assert_eq!(beside, EndedBeside::of([(1, true)]));
--- a/tools/src/crash_play/reports.rs
+++ b/tools/src/crash_play/reports.rs
@@ -22,15 +22,7 @@
 impl World {
     pub(super) fn judge(&mut self, router: usize) {
         let now = self.instant();
-        let (engines, counting) = (self.spec.engines as u32, self.spec.counting);
-        let neighbours = |_: &EndedUpstream| match counting {
-            Counting::Weighed => Neighbours {
-                in_service: engines - 1,
-                in_data_centre: engines / 4 - 1,
-            },
-            // Nothing beside an end explains it.
-            Counting::Plain => Neighbours::default(),
-        };
+        let neighbours = self.neighbours();
         let state = &mut self.routers[router];
         let judged = state.cases.judge(now, neighbours);
         let told = judged.iter().filter(|j| is_told(&j.surroundings, j.ends));
@@ -44,6 +36,19 @@
         self.call_back(router);
     }
 
+    /// The engines beside one, as far as they explain its end.
+    pub(super) fn neighbours(&self) -> impl Fn(&EndedUpstream) -> Neighbours + Copy + use<> {
+        let (engines, counting) = (self.spec.engines as u32, self.spec.counting);
+        move |_| match counting {
+            Counting::Weighed => Neighbours {
+                in_service: engines - 1,
+                in_data_centre: engines / 4 - 1,
+            },
+            // Nothing beside an end explains it.
+            Counting::Plain => Neighbours::default(),
+        }
+    }
+
     fn tell(&mut self, from: usize, reports: Vec<ContentReport>, to: &[usize]) {
         let sender = SocketAddr::from(([10, 0, 0, 1], 7_104));
         for contents in in_messages(reports) {
--- a/tools/src/crash_play/requests.rs
+++ b/tools/src/crash_play/requests.rs
@@ -5,7 +5,6 @@
 use super::world::{Event, World};
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_crashes::broken_attempts::JUDGE_AFTER;
-use cloverpier_crashes::cases::MAX_HOLD;
 use cloverpier_crashes::prelude::*;
 use cloverpier_router_policy::load_query::ReportedLoad;
 use cloverpier_router_policy::prelude::*;
@@ -18,6 +17,8 @@
 const READ_CACHED: Duration = Duration::from_millis(15);
 /// Attempts of one request: the users' routes.
 const MAX_ATTEMPTS: u32 = 5;
+/// A request waits for a judgement for this time at most: what callers give streams.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// A stream runs for this time after its prompt is read.
 const STREAM: Duration = Duration::from_millis(4_050);
 /// From the decision to send a request to its arrival, and between two looks for a judgement.
@@ -116,13 +117,16 @@
         let content = ContentKey::of(&request.content());
         let cases = &self.routers[request.router].cases;
         let held_since = request.held_since.unwrap_or(self.now);
-        let waits = cases.awaits_judgement(content, now);
-        if waits && self.now < held_since + MAX_HOLD {
+        let since = self.began + held_since;
+        let neighbours = self.neighbours();
+        let hold = cases.hold(content, now, neighbours);
+        let admission = cases.admission(content, now, neighbours);
+        if hold.until(since, since + PATIENCE, now).is_some() {
             self.requests[index].held_since = Some(held_since);
             self.schedule_in(HOLD_STEP, Event::Send { request: index });
             return;
         }
-        match cases.admission(content, now) {
+        match admission {
             Admission::Stopped => self.stop(index),
             admission => self.send_to_engine(index, admission.apart(content)),
         }
@@ -265,6 +269,7 @@
         let ended = self.ended(engine);
         let attempt = BrokenAttempt {
             content: ContentKey::of(&self.requests[index].content()),
+            loss: Loss::Broke,
             ran_well: false,
             end: UpstreamEnd {
                 upstream: ended.upstream,
--- a/tools/src/crash_play/upstreams.rs
+++ b/tools/src/crash_play/upstreams.rs
@@ -117,7 +117,8 @@
 
     pub(super) fn on_death(&mut self, router: usize, engine: usize) {
         let died = self.ended(engine);
-        self.routers[router].cases.on_death(died);
+        let silent_since = died.at;
+        self.routers[router].cases.on_death(died, silent_since);
     }
 
     /// A request crashes its engine.
