Hold a request that may have ended three upstreams until it is known whether they did

Cause: a request waited 250 ms at most for the judgement of its last attempts, and went on to a fourth engine whatever was open then. Evidence: a third attempt that broke at 417 ms, the request at a fourth engine at 670 ms, the third end proved at 684 ms.

What counts is what would be known if the upstreams of all open attempts had ended, weighed by what else ended beside them: if that stops the content, the request waits until it is settled, at most for the rest of its time; the 250 ms stay where two are lost.

--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -50,7 +50,8 @@
     pub fn until(self, since: Instant, deadline: Instant, now: Instant) -> Option<Instant> {
         let until = match self {
             Self::No => return None,
-            Self::Briefly | Self::UntilSettled => deadline.min(since + MAX_HOLD),
+            Self::Briefly => deadline.min(since + MAX_HOLD),
+            Self::UntilSettled => deadline,
         };
         (now < until).then_some(until)
     }
--- /dev/null
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -0,0 +1,189 @@
+//! What a router does with a request while it is not known whether upstreams ended under it.
+
+use cloverpier_core::{DataCentre, ServiceName};
+use cloverpier_crashes::broken_attempts::{CONFIRM_WITHIN, JUDGE_AFTER};
+use cloverpier_crashes::cases::MAX_HOLD;
+use cloverpier_crashes::prelude::*;
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+const TARGET: &str = "/digests/17";
+
+fn content() -> Content<'static> {
+    Content {
+        account: "lab",
+        host: "api.example",
+        method: "POST",
+        target: TARGET,
+        body: b"",
+    }
+}
+
+fn key() -> ContentKey {
+    ContentKey::of(&content())
+}
+
+fn upstream(upstream: u64, at: Instant) -> EndedUpstream {
+    EndedUpstream {
+        upstream,
+        service: ServiceName::new("drafts"),
+        data_centre: DataCentre::new("hall-a"),
+        at,
+    }
+}
+
+fn attempt(number: u64, loss: Loss, at: Instant) -> BrokenAttempt {
+    BrokenAttempt {
+        content: key(),
+        loss,
+        ran_well: false,
+        ran_for: Duration::from_millis(20),
+        end: UpstreamEnd {
+            upstream: number,
+            start: 5_000,
+        },
+        upstream: upstream(number, at),
+    }
+}
+
+/// Eight upstreams, all in one data centre.
+fn neighbours(_: &EndedUpstream) -> Neighbours {
+    Neighbours {
+        in_service: 7,
+        in_data_centre: 7,
+    }
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn answer_of(upstream: u64, asked: Instant) -> SignOfLife {
+    SignOfLife {
+        upstream,
+        asked,
+        answered: asked,
+    }
+}
+
+/// Cases in which a content was lost at upstreams 1, 2 and so on, each 30 ms after the one before.
+fn cases_with(losses: &[Loss], now: Instant) -> CrashCases {
+    let mut cases = CrashCases::new(CrashLimit(3));
+    for (number, loss) in (1..).zip(losses) {
+        let at = now + ms(30) * number as u32;
+        cases.on_broken(&content(), attempt(number, *loss, at));
+    }
+    cases
+}
+
+/// What was decided of the content, once the time to judge has passed.
+fn hold(cases: &CrashCases, now: Instant) -> Hold {
+    cases.hold(key(), now, neighbours)
+}
+
+#[test]
+fn a_first_retry_waits_for_nothing_a_second_for_a_judgement_a_third_until_all_is_settled() {
+    let now = Instant::now();
+    let losses = [Loss::Broke, Loss::GivenUp, Loss::Broke];
+    let holds: Vec<Hold> = (0..=3)
+        .map(|lost| hold(&cases_with(&losses[..lost], now), now + ms(100)))
+        .collect();
+    let [no, briefly, settled] = [Hold::No, Hold::Briefly, Hold::UntilSettled];
+    assert_eq!(holds, [no, no, briefly, settled]);
+}
+
+#[test]
+fn a_hold_ends_with_its_time_or_with_that_of_the_request() {
+    let now = Instant::now();
+    let deadline = now + ms(20_000);
+    assert_eq!(Hold::No.until(now, deadline, now), None);
+    let briefly = Hold::Briefly.until(now, deadline, now);
+    assert_eq!(briefly, Some(now + MAX_HOLD));
+    assert_eq!(Hold::Briefly.until(now, deadline, now + MAX_HOLD), None);
+    let later = now + MAX_HOLD * 2;
+    assert_eq!(
+        Hold::UntilSettled.until(now, deadline, later),
+        Some(deadline)
+    );
+    assert_eq!(Hold::UntilSettled.until(now, deadline, deadline), None);
+    let soon = now + ms(10);
+    assert_eq!(Hold::Briefly.until(now, soon, now), Some(soon));
+}
+
+/// Guards against a fourth end where the third is proved late.
+#[test]
+fn an_end_that_is_proved_seconds_later_counts() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::Broke; 3], now);
+    let late = now + CONFIRM_WITHIN - ms(100);
+    assert!(cases.judge(late, neighbours).is_empty());
+    assert_eq!(hold(&cases, late), Hold::UntilSettled);
+    for number in 1..=3 {
+        cases.on_end(upstream(number, late));
+    }
+    assert_eq!(cases.judge(late, neighbours).len(), 3);
+    assert_eq!(cases.book.verdict(key(), late), Verdict::Stopped);
+    assert_eq!(hold(&cases, late), Hold::No);
+}
+
+#[test]
+fn a_held_request_goes_on_once_its_upstreams_have_answered_or_nothing_was_learned_in_time() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::Broke; 3], now);
+    cases.on_alive(answer_of(2, now + ms(150)));
+    assert_eq!(hold(&cases, now + ms(150)), Hold::Briefly);
+    let mut cases = cases_with(&[Loss::Broke; 3], now);
+    let over = now + CONFIRM_WITHIN + ms(100);
+    assert!(cases.judge(over, neighbours).is_empty());
+    assert_eq!(hold(&cases, over), Hold::No);
+    assert_eq!(cases.take_dismissed().len(), 3);
+}
+
+/// Guards against lookups that everybody needs and that wait as upstreams pause.
+#[test]
+fn a_content_that_ran_well_a_moment_before_never_waits() {
+    let now = Instant::now();
+    let mut cases = CrashCases::new(CrashLimit(3));
+    cases.on_completed(&content(), now);
+    for number in 1..=5 {
+        cases.on_broken(&content(), attempt(number, Loss::GivenUp, now + ms(10)));
+    }
+    assert_eq!(hold(&cases, now + ms(100)), Hold::No);
+    assert_eq!(
+        cases.admission(key(), now + ms(100), neighbours),
+        Admission::Beside
+    );
+}
+
+#[test]
+fn many_requests_that_one_upstream_lost_are_one_end() {
+    let now = Instant::now();
+    let mut cases = CrashCases::new(CrashLimit(3));
+    for _ in 0..5 {
+        cases.on_broken(&content(), attempt(1, Loss::Broke, now));
+    }
+    assert_eq!(hold(&cases, now + ms(10)), Hold::No);
+}
+
+#[test]
+fn a_content_that_the_operator_cleared_never_waits() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::Broke; 4], now);
+    let limit = cases.book.limit();
+    cases.book.set_bounds(limit, HashSet::from([key()]));
+    assert_eq!(hold(&cases, now + ms(200)), Hold::No);
+}
+
+/// Guards against a request that waited at an upstream which has started again under its name meanwhile.
+#[test]
+fn an_end_that_another_start_had_proved_before_the_attempt_was_given_up_counts() {
+    let now = Instant::now();
+    let mut cases = CrashCases::new(CrashLimit(3));
+    cases.on_former_start(upstream(1, now));
+    let attempt = BrokenAttempt {
+        ran_for: ms(500),
+        ..attempt(1, Loss::GivenUp, now + ms(1))
+    };
+    cases.on_broken(&content(), attempt);
+    assert_eq!(cases.judge(now + ms(1) + JUDGE_AFTER, neighbours).len(), 1);
+}
