Count the end of an upstream that was given up for its silence

Cause: the request is given up and goes on elsewhere, the engine wakes, answers the probe that waited for it, and only then reads the request and ends by it. The answer was taken for a proof that it had survived.

An attempt says now how it was lost. An upstream whose connection broke has survived if it answers a question from after the break; one that was given up, if it also answers one that was asked as long after its first answer as others had run the content before they ended (0.1 s to 3 s). The moment of such an end is not known: what ended or fell silent between its last sign of life and the proof may have ended with it, so that equal copies in a data centre that freezes and proves dead are not stopped; silence that an answer refuted explains nothing.

--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -159,7 +159,13 @@
         if self.ended_at.is_some() || sign.asked < self.attempt.upstream.at {
             return false;
         }
-        true
+        match self.attempt.loss {
+            Loss::Broke => true,
+            Loss::GivenUp => {
+                let first = *self.answered_at.get_or_insert(sign.answered);
+                sign.asked >= first + survival
+            }
+        }
     }
 }
 
--- a/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
@@ -145,6 +145,31 @@
     assert_eq!(reasons(&mut broken), [Dismissal::Answered]);
 }
 
+/// Guards against an upstream that answers before it runs what was given up, and ends by it.
+#[test]
+fn an_upstream_that_was_given_up_has_survived_once_it_has_lived_on_for_long_enough() {
+    let now = Instant::now();
+    let ms = Duration::from_millis;
+    let mut broken = BrokenAttempts::default();
+    let given_up = BrokenAttempt {
+        loss: Loss::GivenUp,
+        ..attempt("a", 1, now)
+    };
+    broken.on_broken(given_up.clone(), false);
+    let survival = |_: ContentKey| ms(200);
+    broken.on_alive(answer_of(1, now + ms(700)), survival);
+    broken.on_alive(answer_of(1, now + ms(899)), survival);
+    assert_eq!(broken.open().count(), 1);
+    broken.on_alive(answer_of(1, now + ms(900)), survival);
+    assert_eq!(reasons(&mut broken), [Dismissal::Answered]);
+    // One that ends meanwhile has ended under the request.
+    broken.on_broken(given_up, false);
+    broken.on_alive(answer_of(1, now + ms(700)), survival);
+    broken.on_end(1, now + ms(800));
+    assert!(broken.due(now + ms(800)).is_empty());
+    assert_eq!(broken.due(now + ms(800) + JUDGE_AFTER).len(), 1);
+}
+
 #[test]
 fn an_upstream_is_asked_again_while_its_attempt_holds_something_up() {
     let now = Instant::now();
--- a/crates/shared/cloverpier_crashes/tests/cases.rs
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -139,6 +139,34 @@
     assert_eq!(cases.take_dismissed().len(), 3);
 }
 
+#[test]
+fn an_upstream_is_asked_until_it_has_lived_on_as_long_as_others_ran_the_content() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::Broke], now);
+    cases.on_end(upstream(1, now + ms(31)));
+    let judged = now + ms(30) + JUDGE_AFTER;
+    assert_eq!(cases.judge(judged, neighbours).len(), 1);
+    // The first one ran it for a second and a half.
+    let long = BrokenAttempt {
+        ran_for: ms(1_500),
+        ..attempt(2, Loss::Broke, judged)
+    };
+    cases.on_broken(&content(), long);
+    cases.on_end(upstream(2, judged));
+    cases.judge(judged + JUDGE_AFTER, neighbours);
+    let given_up = judged + ms(1_000);
+    cases.on_broken(&content(), attempt(3, Loss::GivenUp, given_up));
+    assert_eq!(hold(&cases, given_up), Hold::UntilSettled);
+    let answered = given_up + ms(400);
+    cases.on_alive(answer_of(3, answered));
+    cases.on_alive(answer_of(3, answered + ms(1_500)));
+    assert_eq!(hold(&cases, answered + ms(1_500)), Hold::UntilSettled);
+    let next = cases.next_due(answered + ms(1_500));
+    assert!(next.is_some());
+    cases.on_alive(answer_of(3, answered + ms(1_500) + JUDGE_AFTER));
+    assert_eq!(hold(&cases, answered + ms(1_600)), Hold::No);
+}
+
 /// Guards against lookups that everybody needs and that wait as upstreams pause.
 #[test]
 fn a_content_that_ran_well_a_moment_before_never_waits() {
@@ -174,6 +202,56 @@
     assert_eq!(hold(&cases, now + ms(200)), Hold::No);
 }
 
+/// Equal copies of a request that run at the engines of a data centre when it freezes, and whose engines
+/// never come back, or come back as others.
+fn copies_in_a_frozen_data_centre(now: Instant) -> CrashCases {
+    let mut cases = CrashCases::new(CrashLimit(3));
+    // Each engine is given up at a moment of its own, a while after the last sign of life.
+    for number in 1..=7 {
+        let at = now + ms(1_150) + ms(90) * number as u32;
+        cases.on_death(upstream(number, at), now + ms(90) * number as u32);
+        let attempt = BrokenAttempt {
+            ran_for: at - now,
+            ..attempt(number, Loss::GivenUp, at)
+        };
+        cases.on_broken(&content(), attempt);
+    }
+    cases
+}
+
+#[test]
+fn copies_of_a_request_in_a_data_centre_that_froze_are_not_held_and_not_stopped_when_it_proves_dead()
+ {
+    let now = Instant::now();
+    let mut cases = copies_in_a_frozen_data_centre(now);
+    assert_ne!(hold(&cases, now + ms(1_900)), Hold::UntilSettled);
+    // Their ends are proved one after the other.
+    for number in 1..=7 {
+        cases.on_end(upstream(number, now + ms(2_500) + ms(200) * number as u32));
+    }
+    let later = now + ms(5_000);
+    assert_eq!(cases.judge(later, neighbours).len(), 7);
+    assert_eq!(cases.book.verdict(key(), later), Verdict::Harmless);
+}
+
+/// Guards against ends that count nothing as others had merely paused.
+#[test]
+fn silence_that_has_passed_explains_no_end() {
+    let now = Instant::now();
+    let mut cases = CrashCases::new(CrashLimit(3));
+    for number in 1..=3 {
+        let at = now + ms(1_200) * number as u32;
+        for other in 11..=16 {
+            cases.on_death(upstream(other, at), at - ms(1_100));
+            cases.on_alive(answer_of(other, at + ms(100)));
+        }
+        cases.on_broken(&content(), attempt(number, Loss::GivenUp, at));
+        cases.on_end(upstream(number, at + ms(300)));
+        cases.judge(at + ms(300) + JUDGE_AFTER, neighbours);
+    }
+    assert_eq!(cases.book.verdict(key(), now + ms(4_500)), Verdict::Stopped);
+}
+
 /// Guards against a request that waited at an upstream which has started again under its name meanwhile.
 #[test]
 fn an_end_that_another_start_had_proved_before_the_attempt_was_given_up_counts() {
