Take only a refused connection for the end of an upstream's process

What callers saw: nothing that was reported; found while going through what counts as a proof. A connection attempt that failed for any reason but a timeout counted as refused: a host or network that cannot be reached, and a connection that was reset as it came up, were taken for proofs that the process had ended, by probes and load questions. Requests that ran there were charged with an end, and the runs moved.

Only ConnectionRefused proves it now. A probe that is reset as it connects is repeated like one that is reset later. Tests of both rules; before, each kind but a timeout counted as refused.

--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -43,9 +43,23 @@
 }
 
 impl CallError {
-    /// Whether the other side refused the connection, rather than said nothing.
+    /// Whether the other side's host has no process at the address. A host or a network that cannot be
+    /// reached, or a connection that is reset as it comes up, says nothing of the process.
     pub fn is_refused(&self) -> bool {
-        matches!(self, Self::Connect { source } if source.kind() != io::ErrorKind::TimedOut)
+        self.connect_error() == Some(io::ErrorKind::ConnectionRefused)
+    }
+
+    /// Whether a connection was there, if only for a moment, and broke.
+    pub fn is_break(&self) -> bool {
+        let is_reset = self.connect_error() == Some(io::ErrorKind::ConnectionReset);
+        is_reset || matches!(self, Self::Broken { .. })
+    }
+
+    fn connect_error(&self) -> Option<io::ErrorKind> {
+        match self {
+            Self::Connect { source } => Some(source.kind()),
+            _ => None,
+        }
     }
 }
 
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -9,7 +9,7 @@
 use crate::crashes;
 use crate::decision_log::{ms, ms_since};
 use crate::health::UpstreamHealth;
-use crate::http_client::{CallError, HttpClient};
+use crate::http_client::HttpClient;
 use crate::router::Router;
 use crate::statements::Call;
 use crate::successors;
@@ -122,7 +122,7 @@
             let cause = DeathCause::NoProcess;
             declare_dead(router, upstream, cause, "no process listens there", now);
         }
-        Err(CallError::Broken { .. }) => {
+        Err(error) if error.is_break() => {
             router.metrics.probes.count("broken");
             return ProbeEnd::Broken;
         }
