Play engines that pause, and hang before they crash, on the decisions about crashing requests

Engines of the model pause by themselves (each ten seconds on average, 0.3 to 2.5 s), with their data centre, with their data centre before it ends, or before each crash; routers give up what is silent for 1.15 s, and engines run it on when they wake. What is compared beside the count of ends: whether a request that may have ended three engines waits until it is settled, or 250 ms at most. Requests that wait longer are counted.

--- a/tools/src/crash_play/mod.rs
+++ b/tools/src/crash_play/mod.rs
@@ -7,11 +7,14 @@
 //! tell each other travels with a delay, gets lost, or meets a router that is cut off or starts anew.
 //! What is checked is counted here, from the engines' side. Owns the model.
 
+mod pauses;
 mod reports;
 mod requests;
 mod upstreams;
 mod world;
 
+pub use pauses::Pauses;
+
 use std::time::Duration;
 
 /// How ends are counted against contents.
@@ -23,6 +26,15 @@
     Plain,
 }
 
+/// How long a request waits that may have ended as many engines as stop it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiting {
+    /// As the programs do: until it is known whether they ended.
+    UntilSettled,
+    /// As long as one that may have ended two.
+    Briefly,
+}
+
 /// What befalls routers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -66,6 +78,10 @@
     pub trouble: Trouble,
     /// How ends are counted.
     pub counting: Counting,
+    /// What pauses.
+    pub pauses: Pauses,
+    /// How long requests wait for judgements.
+    pub waiting: Waiting,
 }
 
 impl CrashSpec {
@@ -85,6 +101,8 @@
             deaths: true,
             trouble: Trouble::None,
             counting: Counting::Weighed,
+            pauses: Pauses::None,
+            waiting: Waiting::UntilSettled,
         }
     }
 }
@@ -103,6 +121,8 @@
     pub stopped: usize,
     /// Those that lost two engines or more to ends.
     pub unlucky: usize,
+    /// How long they waited for judgements, of each that did.
+    pub waited: Vec<Duration>,
     /// Bytes of reports that the router which sent the most did.
     pub most_bytes: usize,
     /// Bytes of reports that all routers sent.
--- a/tools/src/crash_play/reports.rs
+++ b/tools/src/crash_play/reports.rs
@@ -14,6 +14,8 @@
 /// From a judgement to the peers: a pause between two datagrams and the way, at least and at most.
 const LEAST_DELAY: Duration = Duration::from_millis(2);
 const MOST_DELAY: Duration = Duration::from_millis(14);
+/// From one look at open attempts to the next, at least.
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
 /// Routers that are killed when they see a crash of one content.
 const KILLED_PER_CONTENT: usize = 2;
 /// A router that was killed is back after this time, and heard a heartbeat later.
@@ -21,6 +23,7 @@
 
 impl World {
     pub(super) fn judge(&mut self, router: usize) {
+        self.ask_unclear(router);
         let now = self.instant();
         let neighbours = self.neighbours();
         let state = &mut self.routers[router];
@@ -33,9 +36,27 @@
             let all: Vec<usize> = (0..self.spec.routers).collect();
             self.tell(router, reports, &all);
         }
+        self.judge_again(router);
         self.call_back(router);
     }
 
+    /// Has a router judge when its cases have something to do next.
+    fn judge_again(&mut self, router: usize) {
+        let now = self.instant();
+        let state = &mut self.routers[router];
+        let Some(at) = state.cases.next_due(now) else {
+            return;
+        };
+        let at = at.max(now + LEAST_PAUSE);
+        let is_scheduled = state
+            .judges_at
+            .is_some_and(|known| known > now && known <= at);
+        if !is_scheduled {
+            state.judges_at = Some(at);
+            self.schedule_in(at - now, Event::Judge { router });
+        }
+    }
+
     /// The engines beside one, as far as they explain its end.
     pub(super) fn neighbours(&self) -> impl Fn(&EndedUpstream) -> Neighbours + Copy + use<> {
         let (engines, counting) = (self.spec.engines as u32, self.spec.counting);
--- a/tools/src/crash_play/requests.rs
+++ b/tools/src/crash_play/requests.rs
@@ -1,8 +1,8 @@
 //! The requests of the model: where they are sent, how they run, break off and end.
 
-use super::CONTACT;
 use super::upstreams::PROBE_DELAY;
 use super::world::{Event, World};
+use super::{CONTACT, Waiting};
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_crashes::broken_attempts::JUDGE_AFTER;
 use cloverpier_crashes::prelude::*;
@@ -52,10 +52,19 @@
     pub request: usize,
     pub engine: usize,
     begun_at: Duration,
-    has_begun: bool,
+    pub has_begun: bool,
+    /// Whether its router has given it up; its engine may still run it.
+    pub is_given_up: bool,
     pub is_alive: bool,
 }
 
+/// How a run was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Lost {
+    Broke,
+    GivenUp,
+}
+
 impl Request {
     pub(super) fn content(&self) -> Content<'_> {
         Content {
@@ -119,13 +128,20 @@
         let held_since = request.held_since.unwrap_or(self.now);
         let since = self.began + held_since;
         let neighbours = self.neighbours();
-        let hold = cases.hold(content, now, neighbours);
+        let hold = match (cases.hold(content, now, neighbours), self.spec.waiting) {
+            (Hold::UntilSettled, Waiting::Briefly) => Hold::Briefly,
+            (hold, _) => hold,
+        };
         let admission = cases.admission(content, now, neighbours);
         if hold.until(since, since + PATIENCE, now).is_some() {
             self.requests[index].held_since = Some(held_since);
             self.schedule_in(HOLD_STEP, Event::Send { request: index });
             return;
         }
+        let is_crashing = request.crashing.is_some();
+        if let Some(since) = request.held_since.filter(|_| !is_crashing) {
+            self.outcome.waited.push(self.now - since);
+        }
         match admission {
             Admission::Stopped => self.stop(index),
             admission => self.send_to_engine(index, admission.apart(content)),
@@ -165,10 +181,12 @@
             engine,
             begun_at: self.now,
             has_begun: false,
+            is_given_up: false,
             is_alive: true,
         });
         let reading = self.reading_time(index, engine);
         self.schedule_in(SEND_DELAY + reading, Event::Begin { run });
+        self.watch_run(run);
     }
 
     fn choose(&mut self, index: usize, apart: Option<u64>) -> Option<usize> {
@@ -219,24 +237,35 @@
     }
 
     pub(super) fn begin_run(&mut self, run: usize) {
-        if !self.runs[run].is_alive {
+        if !self.runs[run].is_alive || self.goes_on_later(run, Event::Begin { run }) {
             return;
         }
-        self.runs[run].has_begun = true;
         let Run {
-            request, engine, ..
+            request,
+            is_given_up,
+            ..
         } = self.runs[run];
-        match self.requests[request].crashing {
-            Some(content) => self.crash(engine, content),
-            None => self.schedule_in(STREAM, Event::End { run }),
+        if let Some(content) = self.requests[request].crashing {
+            self.crash_under(run, content);
+            return;
+        }
+        self.runs[run].has_begun = true;
+        if is_given_up {
+            // The engine sees at its first token that its caller has left.
+            self.leave(run);
+        } else {
+            self.schedule_in(STREAM, Event::End { run });
         }
     }
 
     pub(super) fn end_run(&mut self, run: usize) {
-        if !self.runs[run].is_alive {
+        if !self.runs[run].is_alive || self.goes_on_later(run, Event::End { run }) {
             return;
         }
         self.leave(run);
+        if self.runs[run].is_given_up {
+            return;
+        }
         let now = self.instant();
         let request = &mut self.requests[self.runs[run].request];
         request.is_done = true;
@@ -250,26 +279,52 @@
         self.table.remove_load(&name, LOAD);
     }
 
+    /// Whether a run's engine stands still, so that an event of the run comes when it goes on.
+    fn goes_on_later(&mut self, run: usize, event: Event) -> bool {
+        let engine = self.runs[run].engine;
+        let is_paused = self.is_paused(engine);
+        if is_paused {
+            let wait = self.engines[engine].paused_until - self.now;
+            self.schedule_in(wait, event);
+        }
+        is_paused
+    }
+
     pub(super) fn on_broken(&mut self, run: usize) {
         self.leave(run);
         let Run {
-            request: index,
-            engine,
-            begun_at,
-            ..
+            request, engine, ..
         } = self.runs[run];
-        let router = self.requests[index].router;
-        if self.requests[index].is_done || !self.routers[router].is_up {
+        let router = self.requests[request].router;
+        // What was given up goes on elsewhere already.
+        let is_over = self.requests[request].is_done || self.runs[run].is_given_up;
+        if is_over || !self.routers[router].is_up {
             return;
         }
-        if self.is_killed_now(index) {
+        if self.is_killed_now(request) {
             self.kill(router);
             return;
         }
+        self.lose(run, Lost::Broke);
+        self.schedule_in(PROBE_DELAY, Event::Refused { router, engine });
+    }
+
+    /// A router has lost a run, and sends its request on.
+    pub(super) fn lose(&mut self, run: usize, lost: Lost) {
+        let Run {
+            request: index,
+            engine,
+            begun_at,
+            ..
+        } = self.runs[run];
+        let router = self.requests[index].router;
         let ended = self.ended(engine);
         let attempt = BrokenAttempt {
             content: ContentKey::of(&self.requests[index].content()),
-            loss: Loss::Broke,
+            loss: match lost {
+                Lost::Broke => Loss::Broke,
+                Lost::GivenUp => Loss::GivenUp,
+            },
             ran_well: false,
             end: UpstreamEnd {
                 upstream: ended.upstream,
@@ -284,7 +339,6 @@
         request.lost += 1;
         self.outcome.unlucky += usize::from(request.crashing.is_none() && request.lost == 2);
         request.is_done |= request.attempts >= MAX_ATTEMPTS;
-        self.schedule_in(PROBE_DELAY, Event::Refused { router, engine });
         self.schedule_in(JUDGE_AFTER, Event::Judge { router });
         self.schedule_in(Duration::ZERO, Event::Send { request: index });
     }
--- a/tools/src/crash_play/upstreams.rs
+++ b/tools/src/crash_play/upstreams.rs
@@ -30,6 +30,10 @@
     pub is_up: bool,
     /// Counts its starts.
     pub starts: u64,
+    /// It stands still before this moment.
+    pub paused_until: Duration,
+    /// When its last start ended; `None` before the first end.
+    pub ended_at: Option<Duration>,
     /// Crashing contents whose prompts it has read.
     pub has_read: HashSet<usize>,
 }
@@ -42,6 +46,8 @@
                 data_centre: index % DATA_CENTRES,
                 is_up: true,
                 starts: 1,
+                paused_until: Duration::ZERO,
+                ended_at: None,
                 has_read: HashSet::new(),
             });
         }
@@ -87,6 +93,8 @@
             return;
         }
         self.engines[index].has_read.clear();
+        self.engines[index].paused_until = Duration::ZERO;
+        self.engines[index].ended_at = Some(self.now);
         let runs = self.runs.iter().enumerate();
         let there = runs.filter(|(_, run)| run.is_alive && run.engine == index);
         let there: Vec<usize> = there.map(|(run, _)| run).collect();
@@ -134,8 +142,9 @@
     }
 
     pub(super) fn die(&mut self, data_centre: usize) {
+        let is_paused = self.pause_data_centre(data_centre);
         for index in 0..self.spec.engines {
-            if self.engines[index].data_centre == data_centre {
+            if self.engines[index].data_centre == data_centre && !is_paused {
                 let at = DIES_WITHIN.mul_f64(self.rng.f64());
                 self.schedule_in(at, Event::Fail { engine: index });
             }
--- a/tools/src/crash_play/world.rs
+++ b/tools/src/crash_play/world.rs
@@ -1,5 +1,6 @@
 //! The events of the model in their order, and what all its parts share.
 
+use super::pauses::Question;
 use super::requests::{Request, Run};
 use super::upstreams::{DATA_CENTRES, DEATH_EACH, Engine};
 use super::{CrashOutcome, CrashSpec, Trouble};
@@ -53,12 +54,22 @@
     Fail { engine: usize },
     /// An engine is back.
     Return { engine: usize },
+    /// An engine pauses by itself.
+    PauseOne,
+    /// A router gives a run up, if its engine is still silent.
+    GiveUp { run: usize },
+    /// A question reaches an engine.
+    Asked { question: Question },
+    /// A router checks an engine that it declared dead.
+    Check { router: usize, engine: usize },
 }
 
 /// A router.
 pub(super) struct SimRouter {
     pub cases: CrashCases,
     pub last_report: Option<Instant>,
+    /// When it looks at its open attempts next.
+    pub judges_at: Option<Instant>,
     pub is_up: bool,
     pub is_cut_off: bool,
     /// When it was started or heard of others again last.
@@ -71,6 +82,7 @@
         Self {
             cases: CrashCases::new(LIMIT),
             last_report: None,
+            judges_at: None,
             is_up: true,
             is_cut_off: false,
             in_touch_since: Duration::ZERO,
@@ -161,6 +173,7 @@
             self.schedule_in(phase, Event::Die { data_centre });
         }
         self.begin_trouble();
+        self.begin_pauses();
     }
 
     fn begin_trouble(&mut self) {
@@ -214,6 +227,10 @@
             Event::Die { data_centre } => self.die(data_centre),
             Event::Fail { engine } => self.fail(engine),
             Event::Return { engine } => self.come_back(engine),
+            Event::PauseOne => self.pause_one(),
+            Event::GiveUp { run } => self.give_up(run),
+            Event::Asked { question } => self.on_asked(question),
+            Event::Check { router, engine } => self.check(router, engine),
         }
     }
 }
--- a/tools/src/scenarios/crashes.rs
+++ b/tools/src/scenarios/crashes.rs
@@ -1,8 +1,9 @@
 //! Requests that crash upstreams, on the decisions, in simulated time.
 
 use super::plays::play_all;
-use crate::crash_play::{Counting, CrashOutcome, CrashSpec, Trouble, play};
+use crate::crash_play::{Counting, CrashOutcome, CrashSpec, Pauses, Trouble, Waiting, play};
 use crate::report::Figures;
+use cloverpier_crashes::cases::MAX_HOLD;
 use serde_json::{Value, json};
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 type Change = fn(CrashSpec) -> CrashSpec;
 
 /// What is played, by name.
-const CASES: [(&str, Change); 9] = [
+const CASES: [(&str, Change); 15] = [
     ("two contents", |spec| spec),
     ("six contents", |spec| CrashSpec {
         contents: 6,
@@ -49,22 +50,69 @@
         contents: 0,
         ..spec
     }),
+    ("engines pause before they crash", |spec| CrashSpec {
+        pauses: Pauses::BeforeCrashes,
+        ..spec
+    }),
+    ("engines pause", |spec| CrashSpec {
+        pauses: Pauses::Engines,
+        deaths: false,
+        ..spec
+    }),
+    (
+        "engines pause, data centres die, others in eight copies",
+        |spec| CrashSpec {
+            pauses: Pauses::Engines,
+            copies: 8,
+            ..spec
+        },
+    ),
+    ("data centres pause, others in eight copies", |spec| {
+        CrashSpec {
+            pauses: Pauses::DataCentres,
+            copies: 8,
+            ..spec
+        }
+    }),
+    (
+        "data centres pause and end, others in eight copies",
+        |spec| CrashSpec {
+            pauses: Pauses::DataCentresThatEnd,
+            copies: 8,
+            ..spec
+        },
+    ),
+    ("none, engines pause", |spec| CrashSpec {
+        contents: 0,
+        pauses: Pauses::Engines,
+        ..spec
+    }),
+];
+
+/// Each other way that is compared with the programs' own.
+const WAYS: [(&str, Change); 3] = [
+    ("as the programs do", |spec| spec),
+    ("each end counts in full", |spec| CrashSpec {
+        counting: Counting::Plain,
+        ..spec
+    }),
+    ("waits 250 ms at most", |spec| CrashSpec {
+        waiting: Waiting::Briefly,
+        ..spec
+    }),
 ];
 
-/// Plays each case at each size, counting ends as the programs do and in full.
+/// Plays each case at each size, as the programs decide and in the other ways.
 pub fn run(seed: u64) -> Figures {
     let mut rows = Vec::new();
     for (name, change) in CASES {
         for (routers, engines, seeds) in SIZES {
-            for counting in [Counting::Weighed, Counting::Plain] {
-                let make = move |seed| CrashSpec {
-                    counting,
-                    ..change(CrashSpec::new(seed, routers, engines))
-                };
+            for (way, decide) in WAYS {
+                let make = move |seed| decide(change(CrashSpec::new(seed, routers, engines)));
                 let outcomes = play_all(seed, seeds, move |seed| play(make(seed)));
                 let played = json!({
                     "contents": name, "routers": routers, "engines": engines,
-                    "counting": format!("{counting:?}"), "plays": seeds,
+                    "way": way, "plays": seeds,
                 });
                 rows.push(row(played, &outcomes));
             }
@@ -86,6 +134,11 @@
     played["others"] = json!(sum(|o| o.others));
     played["others_stopped"] = json!(sum(|o| o.stopped));
     played["others_that_lost_two"] = json!(sum(|o| o.unlucky));
+    let waited = outcomes.iter().flat_map(|o| &o.waited);
+    let longest = waited.clone().max().copied().unwrap_or_default();
+    let long = waited.filter(|waited| **waited > MAX_HOLD).count();
+    played["others_that_waited_longer_than_250_ms"] = json!(long);
+    played["longest_wait_ms"] = json!(longest.as_millis());
     played["most_bytes_of_a_router"] = json!(outcomes.iter().map(|o| o.most_bytes).max());
     played
 }
--- a/tools/tests/crashes.rs
+++ b/tools/tests/crashes.rs
@@ -3,7 +3,7 @@
 //! The sizes are those of the users' sheets; a data centre dies each 6.5 s. `cargo measure --scenario
 //! crashes` plays more seeds, and the ways of counting that lost.
 
-use cloverpier_tools::crash_play::{CrashOutcome, CrashSpec, Trouble, play};
+use cloverpier_tools::crash_play::{CrashOutcome, CrashSpec, Pauses, Trouble, Waiting, play};
 use std::time::Duration;
 
 /// Routers, engines, and seeds; `cargo measure --scenario crashes` plays the largest, too.
@@ -99,3 +99,47 @@
         assert!(outcome.most_bytes < 20_000, "{spec:?}: {outcome:?}");
     }
 }
+
+fn pausing(spec: CrashSpec) -> CrashSpec {
+    CrashSpec {
+        pauses: Pauses::Engines,
+        deaths: false,
+        ..spec
+    }
+}
+
+/// Guards against engines that end by a request which was given up for their silence.
+#[test]
+fn a_content_ends_hardly_more_engines_where_they_pause() {
+    for (spec, outcome) in plays(pausing) {
+        assert_within_bounds(&spec, &outcome, 5);
+        assert_eq!(outcome.stopped, 0, "{spec:?}: {outcome:?}");
+    }
+}
+
+#[test]
+fn a_content_ends_more_engines_where_requests_go_on_before_it_is_known_what_ended() {
+    let ends = |waiting| -> usize {
+        let outcomes = plays(|spec| CrashSpec {
+            waiting,
+            pauses: Pauses::BeforeCrashes,
+            ..spec
+        });
+        outcomes.iter().flat_map(|(_, outcome)| &outcome.ends).sum()
+    };
+    assert!(ends(Waiting::UntilSettled) < ends(Waiting::Briefly));
+}
+
+/// Guards against requests that are stopped or held up as their data centre stands still.
+#[test]
+fn copies_of_a_request_in_a_data_centre_that_pauses_are_not_stopped() {
+    let copies = |spec: CrashSpec| CrashSpec {
+        contents: 0,
+        copies: 8,
+        pauses: Pauses::DataCentres,
+        ..spec
+    };
+    for (spec, outcome) in plays(copies) {
+        assert_eq!(outcome.stopped, 0, "{spec:?}: {outcome:?}");
+    }
+}
