Drop a lost attempt in time, however often its upstream is asked

What callers would have seen: a request held for the rest of its time, 16 and 18 s, while engines stood still nearly all the time.

--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -107,7 +107,9 @@
     attempt: BrokenAttempt,
     /// When it became known that its upstream has ended.
     ended_at: Option<Instant>,
-    /// When its upstream was named as unclear last.
+    /// When its upstream was named as unclear first.
+    first_asked_at: Option<Instant>,
+    /// When it was last.
     asked_at: Option<Instant>,
     /// When its upstream answered first since the attempt was given up.
     answered_at: Option<Instant>,
@@ -143,8 +145,15 @@
     /// When it is dropped, unless something is learned.
     fn dropped_at(&self) -> Instant {
         let over_at = self.attempt.upstream.at + CONFIRM_WITHIN;
-        let asked_at = self.asked_at.map(|at| at + ANSWER_WITHIN);
-        asked_at.map_or(over_at, |at| over_at.max(at))
+        let answered_by = self.first_asked_at.map(|at| at + ANSWER_WITHIN);
+        answered_by.map_or(over_at, |at| over_at.max(at))
+    }
+
+    /// Names its upstream as unclear.
+    fn ask(&mut self, now: Instant) -> EndedUpstream {
+        self.first_asked_at.get_or_insert(now);
+        self.asked_at = Some(now);
+        self.attempt.upstream.clone()
     }
 
     /// When its upstream is to be asked again; `None` while it was not asked or needs not be.
@@ -187,6 +196,7 @@
         self.open.push(Open {
             ended_at: has_ended.then_some(attempt.upstream.at),
             attempt,
+            first_asked_at: None,
             asked_at: None,
             answered_at: None,
         });
@@ -254,11 +264,7 @@
         let open = self.open.iter_mut();
         let is_unclear = |o: &&mut Open| o.ended_at.is_none() && o.asked_at.is_none();
         let unclear = open.filter(|o| is_unclear(o) && o.age(now) >= JUDGE_AFTER);
-        let named = unclear.map(|open| {
-            open.asked_at = Some(now);
-            open.attempt.upstream.clone()
-        });
-        named.collect()
+        unclear.map(|open| open.ask(now)).collect()
     }
 
     /// The upstreams that were named as unclear and of which something is still to be learned, by
@@ -273,8 +279,7 @@
             let survival = survival(open.attempt.content);
             let at = survival.and_then(|survival| open.asked_again_at(survival));
             if at.is_some_and(|at| now >= at) {
-                open.asked_at = Some(now);
-                named.push(open.attempt.upstream.clone());
+                named.push(open.ask(now));
             }
         }
         named
--- a/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
@@ -203,6 +203,22 @@
     );
 }
 
+/// Guards against requests that are held up for as long as an upstream stands still.
+#[test]
+fn an_attempt_is_dropped_in_time_however_often_its_upstream_is_asked() {
+    let now = Instant::now();
+    let mut broken = BrokenAttempts::default();
+    broken.on_broken(attempt("a", 1, now), false);
+    broken.unclear(now + JUDGE_AFTER);
+    let mut at = now + JUDGE_AFTER;
+    while at < now + CONFIRM_WITHIN {
+        at += ASK_AGAIN_AFTER;
+        broken.unclear_again(at, |_| Some(Duration::ZERO));
+    }
+    assert!(broken.due(at).is_empty());
+    assert_eq!(reasons(&mut broken), [Dismissal::Unclear]);
+}
+
 /// A router that was paused has had no time to ask.
 #[test]
 fn an_attempt_is_not_dropped_before_its_upstream_could_answer() {
