cloverpierd: count ends of engines that were given up for their silence, and cancel what was

Cause: a generation that was given up for its engine's silence was not recorded at all, and the engine began it when it went on. The host of an engine that stands still takes connections, and that was taken for a proof that it lives.

Such attempts are recorded as given up; an engine has to answer a question to have survived, its host is asked again while nothing is known; and what was given up is cancelled at its engine, which answers that even while its batch stands still.

Left: a plain service has no question that costs nothing, so that its host's accepting a connection counts as a sign of life; and a process that starts again at once at the same address is taken for the one that ended, as upstreams of this interface do not say who they are.

--- a/crates/daemon/cloverpier_daemon/src/answers/failure.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/failure.rs
@@ -1,6 +1,7 @@
 //! Why an attempt at an engine is over, what its failure proves, and what the engine said of itself.
 //! Owns nothing.
 
+use cloverpier_crashes::Loss;
 use cloverpier_upstream::{EventStream, StartError, UpstreamStatement};
 use serde::Serialize;
 
@@ -44,12 +45,13 @@
         !matches!(self, Self::NotReached | Self::Refused)
     }
 
-    /// Whether the engine may have ended while it ran it.
-    pub fn may_be_end_of_engine(self) -> bool {
-        matches!(
-            self,
-            Self::BrokenBeforeStream | Self::Closed | Self::ConnectionBroken
-        )
+    /// How the attempt was lost, where the engine may have ended while it ran it, or may yet by it.
+    pub fn loss(self) -> Option<Loss> {
+        match self {
+            Self::BrokenBeforeStream | Self::Closed | Self::ConnectionBroken => Some(Loss::Broke),
+            Self::NoAnswer | Self::Silent => Some(Loss::GivenUp),
+            Self::NotReached | Self::Refused | Self::Unreadable | Self::TokensMissing => None,
+        }
     }
 }
 
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -14,7 +14,7 @@
 use crate::statements;
 use cloverpier_answer::{AttemptId, FinishReason, Source, TokenStep};
 use cloverpier_core::{UpstreamName, hash_of, lock};
-use cloverpier_crashes::Admission;
+use cloverpier_crashes::{Admission, Loss};
 use cloverpier_route::{Ask, Choice, Chosen, Silence};
 use cloverpier_upstream::{EngineEvent, EventStream, GenerateBody, GenerationBody, StreamError};
 use serde::Serialize;
@@ -104,9 +104,13 @@
             over => return conclude(app, live, &chosen.upstream, &over).await,
         };
         on_failed(app, live, &chosen.upstream, failure);
-        if failure.may_be_end_of_engine() {
+        if let Some(loss) = failure.loss() {
             let ran_for = app.now().saturating_duration_since(begun);
-            crashes::on_broken(app, &live.spec.content(), &chosen.upstream, ran_for);
+            let content = live.spec.content();
+            crashes::on_lost(app, &content, &chosen.upstream, loss, ran_for);
+            if loss == Loss::GivenUp {
+                cancel_given_up(app, live, &chosen.upstream);
+            }
         }
         tries.may_have_run |= failure.may_have_run();
         if failure.may_have_run() && !live.spec.repeatable {
@@ -173,6 +177,19 @@
     }
 }
 
+/// Cancels what was given up for its engine's silence, without waiting: an engine that stands still would
+/// begin it when it goes on.
+fn cancel_given_up(app: &Arc<App>, live: &Arc<Live>, upstream: &UpstreamName) {
+    let (app, upstream) = (Arc::clone(app), upstream.clone());
+    let attempt = live.look(|s| s.answer.attempt());
+    let generation = generation_name(live, attempt);
+    tokio::spawn(async move {
+        if let Some(address) = address_of(&app, &upstream) {
+            app.engines.engine(address).cancel(&generation).await;
+        }
+    });
+}
+
 /// Whether an answer of another router has to go on at another engine.
 enum GoOn {
     Ended,
--- a/crates/daemon/cloverpier_daemon/src/crashes.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes.rs
@@ -6,7 +6,7 @@
 
 use crate::app::App;
 use crate::error::{ApiError, Run};
-use cloverpier_config::Upstream;
+use cloverpier_config::{ServiceKind, Upstream};
 use cloverpier_core::{UpstreamName, hash_of, lock, wall_ms};
 use cloverpier_crashes::broken_attempts::CONFIRM_WITHIN;
 use cloverpier_crashes::prelude::*;
@@ -147,12 +147,13 @@
     }
 }
 
-/// Records an attempt whose connection broke, and finds out whether its upstream ended. One that was
+/// Records an attempt that was lost at an upstream, and finds out whether that ended. One that was
 /// about to leave says nothing: it ends by itself.
-pub fn on_broken(
+pub fn on_lost(
     app: &Arc<App>,
     content: &Content<'_>,
     upstream: &UpstreamName,
+    loss: Loss,
     ran_for: Duration,
 ) {
     let view = lock(&app.view);
@@ -163,7 +164,7 @@
     drop(view);
     let attempt = BrokenAttempt {
         content: ContentKey::of(content),
-        loss: Loss::Broke,
+        loss,
         ran_well: false,
         end: UpstreamEnd {
             upstream: hash_of(upstream.as_str()),
@@ -190,7 +191,7 @@
 /// Asks an upstream's host whether it has the process.
 async fn probe(app: &App, name: &UpstreamName, upstream: &Upstream) {
     let asked = app.now();
-    let host = connects(&app.timers, upstream.address).await;
+    let host = ask(app, upstream).await;
     let now = app.now();
     let ended = ended_upstream(name, upstream, now);
     app.crashes.change(|cases| match host {
@@ -229,6 +230,23 @@
     Silent,
 }
 
+/// An engine has to answer: the host of one that stands still takes connections. Plain services have no
+/// question that costs nothing.
+async fn ask(app: &App, upstream: &Upstream) -> Host {
+    let host = connects(&app.timers, upstream.address).await;
+    let config = app.config();
+    let service = config.services.get(&upstream.service);
+    let is_engine = service.is_some_and(|s| matches!(s.kind, ServiceKind::Model { .. }));
+    if !matches!(host, Host::HasProcess) || !is_engine {
+        return host;
+    }
+    match app.engines.engine(upstream.address).load().await {
+        Ok(_) => Host::HasProcess,
+        // It may have ended since, or stand still; it is asked again.
+        Err(_) => Host::Silent,
+    }
+}
+
 async fn connects(timers: &Timers, address: SocketAddr) -> Host {
     let connecting = timers.timeout(PROBE_TIMEOUT, TcpStream::connect(address));
     match connecting.await {
--- a/crates/daemon/cloverpier_daemon/src/plain.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain.rs
@@ -11,7 +11,7 @@
 use crate::statements;
 use cloverpier_config::Repeatable;
 use cloverpier_core::{RequestKey, ServiceName, UpstreamName, hash_of, lock};
-use cloverpier_crashes::{Admission, Content, ContentKey};
+use cloverpier_crashes::{Admission, Content, ContentKey, Loss};
 use cloverpier_record::{Outcome, Record, Refusal, StoredAnswer};
 use cloverpier_route::{Ask, Choice, Chosen};
 use cloverpier_upstream::{PlainAnswer, PlainCall, PlainError, UpstreamStatement, call_plain};
@@ -117,7 +117,7 @@
             lock(&app.view).on_failure(&chosen.upstream, app.now());
             if error.may_be_end_of_upstream() {
                 let ran_for = app.now().saturating_duration_since(begun);
-                crashes::on_broken(app, content, &chosen.upstream, ran_for);
+                crashes::on_lost(app, content, &chosen.upstream, Loss::Broke, ran_for);
             }
         }
     }
--- a/crates/daemon/cloverpier_daemon/tests/crashing.rs
+++ b/crates/daemon/cloverpier_daemon/tests/crashing.rs
@@ -6,7 +6,7 @@
 
 mod support;
 
-use cloverpier_daemon_standin::EngineModel;
+use cloverpier_daemon_standin::{EngineFaults, EngineModel};
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 use support::Site;
@@ -15,6 +15,10 @@
 const CRASHING: &str = "crashes whoever runs it";
 /// How long an engine is away.
 const AWAY: Duration = Duration::from_millis(700);
+/// How long routers wait for a silent engine.
+const SILENCE: Duration = Duration::from_millis(500);
+/// The same for a generation's first token.
+const FIRST_TOKEN: Duration = Duration::from_millis(2_000);
 /// The caller's pause between two repeats: the engines that ended are back.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -108,3 +112,34 @@
     assert_eq!(status, 503, "{answer:?}");
     assert_eq!(answer["error"]["run"], "unknown", "{answer:?}");
 }
+
+/// Sets whether all engines stand still: they take orders, and run nothing.
+async fn freeze_engines(site: &Site, freeze: bool) {
+    for engine in &site.engines {
+        let faults = EngineFaults {
+            freeze,
+            ..EngineFaults::default()
+        };
+        let url = format!("http://{}/faults", engine.address);
+        site.post(&url, &faults).await;
+    }
+}
+
+/// Guards against ends that nobody counts, as the generation was given up for the engine's silence
+/// before it ran there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_generation_is_counted_at_engines_that_stand_still_before_they_run_it() {
+    let mut site = site().await;
+    let mut intent = site.intent();
+    for service in intent.services.values_mut() {
+        service.silence_ms = SILENCE.as_millis() as u64;
+    }
+    site.configure(&intent).await;
+    freeze_engines(&site, true).await;
+    let calling = repeat(&site, 6);
+    // By then it was given up at the first of them, which runs on for a while without a reader.
+    tokio::time::sleep(FIRST_TOKEN + SILENCE).await;
+    freeze_engines(&site, false).await;
+    let (answers, crashes) = play(&mut site, calling).await;
+    assert_eq!(crashes, 3, "{answers:?}");
+}
