Take only prompt answers for signs that a given-up request was survived

Cause: an engine that paused again and again answered two questions 1.2 s apart, both as it woke, and ran for some milliseconds in all meanwhile; by the router's clock it had lived on for long enough. Evidence: crash.dismissed with reason `answered` 1,583 ms after the attempt was given up, and the end under it that nobody counted.

An answer that took over 0.1 s shows an engine that stood still, and does not count here. Unit test; it failed before.

--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -16,8 +16,8 @@
 //!   attempt stays open until something is proved, and what is sent meanwhile takes it into account.
 //! - **What an answer proves.** An upstream whose connection broke has survived the request if it answers a
 //!   question that was asked after the break. One that was given up may begin the request after
-//!   it has answered: it has survived once it answers a question that was asked a *survival time* after
-//!   its first answer, as long as others ran the content before they ended.
+//!   it has answered: it has survived once it has answered two questions promptly, the second one asked a
+//!   *survival time* after the first answer, as long as others ran the content before they ended.
 //!
 //! Owns the open attempts.
 
@@ -39,6 +39,8 @@
 /// An upstream that was asked has this time to answer, whatever the age of its attempt: this process may
 /// have been paused.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+/// An upstream that takes longer to answer a question stood still.
+const PROMPT_ANSWER: Duration = Duration::from_millis(100);
 /// Attempts that are open at most; the oldest are dropped. A data centre's death breaks some tens at
 /// one router.
 const MAX_OPEN: usize = 1_024;
@@ -111,7 +113,7 @@
     first_asked_at: Option<Instant>,
     /// When it was last.
     asked_at: Option<Instant>,
-    /// When its upstream answered first since the attempt was given up.
+    /// When its upstream answered promptly first since the attempt was given up.
     answered_at: Option<Instant>,
 }
 
@@ -170,6 +172,8 @@
         }
         match self.attempt.loss {
             Loss::Broke => true,
+            // One that stood still meanwhile may not have begun the request yet.
+            Loss::GivenUp if sign.answered > sign.asked + PROMPT_ANSWER => false,
             Loss::GivenUp => {
                 let first = *self.answered_at.get_or_insert(sign.answered);
                 sign.asked >= first + survival
--- a/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/tests/broken_attempts.rs
@@ -170,6 +170,30 @@
     assert_eq!(broken.due(now + ms(800) + JUDGE_AFTER).len(), 1);
 }
 
+/// Guards against an upstream that pauses again and again, and runs for moments between.
+#[test]
+fn an_upstream_that_answers_late_has_not_shown_that_it_survived_what_was_given_up() {
+    let now = Instant::now();
+    let ms = Duration::from_millis;
+    let mut broken = BrokenAttempts::default();
+    let given_up = BrokenAttempt {
+        loss: Loss::GivenUp,
+        ..attempt("a", 1, now)
+    };
+    broken.on_broken(given_up, false);
+    for second in 0..4 {
+        let asked = now + ms(100) + ms(1_000) * second;
+        let answered = asked + ms(700);
+        let sign = SignOfLife {
+            upstream: 1,
+            asked,
+            answered,
+        };
+        broken.on_alive(sign, |_| ms(100));
+    }
+    assert_eq!(broken.open().count(), 1);
+}
+
 #[test]
 fn an_upstream_is_asked_again_while_its_attempt_holds_something_up() {
     let now = Instant::now();
