Count the end of an upstream whose entry vanished while it ran the request

What callers saw: one request ended 11 engines, where three stop it. Cause: an attempt was left out where its upstream had no entry any more, as one that had left; but the entry of one that ends vanishes, too, and a router that learns of that first, as after a pause of its own or with a quick platform, counted nothing. Evidence: no crash.recorded and no crash.dismissed for 8 of 11 ends; all entries had been removed before the break.

An entry that was gone before the attempt began is a departure, as is a mark to leave; one that vanished since is not. Found by reading, after the other losses were logged.

--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -80,7 +80,8 @@
 }
 
 /// Records an attempt that was lost at an upstream, to be judged once it is known whether the upstream
-/// ended. One at an upstream that was about to leave says nothing: it ends by itself.
+/// ended. One at an upstream that was about to leave says nothing: it ends by itself. An entry that
+/// vanished while the attempt was under way is no departure: those of upstreams that end vanish, too.
 pub(crate) fn on_lost(
     router: &Router,
     request: &RelayRequest,
@@ -91,9 +92,11 @@
     let now = router.now();
     let table = router.upstreams.borrow();
     let state = table.get(&upstream.name);
-    let is_leaving = state.is_none_or(|s| s.is_leaving() || s.has_lost_its_entry());
+    // A moment before this machine's clock began is as good as its beginning.
+    let begun = now.checked_sub(ran_for).unwrap_or(now);
+    let was_leaving = state.is_some_and(|s| s.is_leaving() || s.had_lost_its_entry(begun));
     drop(table);
-    if is_leaving {
+    if was_leaving {
         return;
     }
     let attempt = BrokenAttempt {
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -279,6 +279,11 @@
         self.gone.is_some()
     }
 
+    /// Whether the platform's list named it no more at a moment.
+    pub fn had_lost_its_entry(&self, at: Instant) -> bool {
+        self.gone.is_some_and(|gone| gone <= at)
+    }
+
     /// True unless the upstream leaves or another start took its address; a missing store entry
     /// alone does not count.
     pub fn may_still_serve(&self) -> bool {
