Count ends of upstreams that nobody waited at any more

What callers saw: a request whose callers give it a shorter time than an engine needs to end by it, or leave before, ended an engine at each repeat, without end: 12 of 12 in a test with real processes, where three ends stop it. Cause: such an attempt was dropped without a trace; what becomes of an engine after that concerned nobody. Found by listing every way in which an attempt can be lost.

An attempt is recorded as abandoned where its time is over, its caller has left or it made no progress before the upstream proved that it survives. Nothing waits for it, and nothing is asked unless the content was lost elsewhere, too: then its upstream is asked once, 2 s later, unless it has answered another request meanwhile (answers to requests count as signs of life now). If it has ended, the end counts, weighed by all that ended since.

--- a/crates/router/cloverpier_router/src/crashes.rs
+++ b/crates/router/cloverpier_router/src/crashes.rs
@@ -159,6 +159,14 @@
     router.crashes.change(|cases| cases.on_alive(sign));
 }
 
+/// Records that an upstream has answered a request that was sent at a moment.
+pub(crate) fn on_answer(router: &Router, upstream: &Upstream, sent: Instant) {
+    let key = UpstreamKey::of(&upstream.name);
+    if router.crashes.cases.borrow().has_open_at(key.0) {
+        on_alive(router, upstream, sent);
+    }
+}
+
 /// Records that an upstream ran a request to its end.
 pub(crate) fn on_completed(router: &Router, request: &RelayRequest) {
     let now = router.now();
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -4,6 +4,7 @@
 //! that breaks off can be had from another upstream; the rest of a large one is passed on as
 //! it arrives. [`PlainRun`] owns the attempts of one request.
 
+use crate::abandoned::AbandonGuard;
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::choice_log::{ChoiceNote, log_choice};
 use crate::connection::Connection;
@@ -106,7 +107,10 @@
             };
             self.attempts.on_send();
             let begun = self.router.now();
-            let failure = match self.attempt(&upstream).await {
+            let guard = AbandonGuard::begin(self.router, self.request, &upstream);
+            let outcome = self.attempt(&upstream).await;
+            guard.settle();
+            let failure = match outcome {
                 Ok(reply) => {
                     self.count_begun(begun);
                     return Ok(reply);
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -11,6 +11,7 @@
 mod pick;
 mod receive;
 
+use crate::abandoned::AbandonGuard;
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
 use crate::crashes;
@@ -27,7 +28,7 @@
 use crate::router::Router;
 use bytes::Bytes;
 use cloverpier_core::{UpstreamName, jitter};
-use cloverpier_crashes::Admission;
+use cloverpier_crashes::{Admission, Loss};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
 use futures_util::StreamExt;
@@ -112,6 +113,8 @@
     /// How the next one may be sent.
     admission: Admission,
     source: Option<Source>,
+    /// The present attempt, until the upstream has sent an event or failed.
+    unanswered: Option<AbandonGuard>,
     /// The replica of the lost run's KV cache.
     replica: Option<Replica>,
     splitter: EventSplitter,
@@ -145,6 +148,7 @@
             attempt_begun: request.arrived,
             admission: Admission::Beside,
             source: None,
+            unanswered: None,
             replica: None,
             splitter: EventSplitter::default(),
             last_event: request.last_event,
@@ -249,8 +253,9 @@
             };
             if let Some(source) = &self.source {
                 rollouts::on_failure(&self.router, &self.request, &source.upstream, &failure);
-                self.note_break(&source.upstream, &failure);
+                self.note_loss(&source.upstream, &failure);
             }
+            self.settle();
             self.leave_source();
             self.after_failure(&failure)?;
             self.open_somewhere().await?;
@@ -280,9 +285,20 @@
                 .try_move(|| router.try_take_retry(service, now))
     }
 
-    /// Records an attempt whose upstream may have ended.
-    fn note_break(&self, upstream: &Upstream, failure: &AttemptFailure) {
-        if let Some(loss) = failure.loss() {
+    /// Ends the watch of the present attempt.
+    fn settle(&mut self) {
+        if let Some(guard) = self.unanswered.take() {
+            guard.settle();
+        }
+    }
+
+    /// Records an attempt whose upstream may have ended, or may yet by it. One that sent events has
+    /// survived what nobody waits for any more.
+    fn note_loss(&self, upstream: &Upstream, failure: &AttemptFailure) {
+        let has_events = self.source.as_ref().is_some_and(|source| source.has_events);
+        let loss = failure.loss();
+        let loss = loss.filter(|loss| *loss != Loss::Abandoned || !has_events);
+        if let Some(loss) = loss {
             let (router, request) = (&self.router, &self.request);
             let ran_for = router.now().saturating_duration_since(self.attempt_begun);
             crashes::on_lost(router, request, upstream, loss, ran_for);
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -3,6 +3,7 @@
 //! These are the steps of [`StreamRun`] that send and check the head.
 
 use super::{Source, StreamRun};
+use crate::abandoned::AbandonGuard;
 use crate::crashes;
 use crate::load_guard::LoadGuard;
 use crate::outcome::GivenUp;
@@ -31,12 +32,18 @@
                 .map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
             self.attempts.on_send();
             self.attempt_begun = self.router.now();
-            let failure = match self.open_at(&upstream, extras).await {
-                Ok(()) => return Ok(()),
+            let guard = AbandonGuard::begin(&self.router, &self.request, &upstream);
+            let opened = self.open_at(&upstream, extras).await;
+            let failure = match opened {
+                Ok(()) => {
+                    self.unanswered = Some(guard);
+                    return Ok(());
+                }
                 Err(failure) => failure,
             };
+            guard.settle();
             rollouts::on_failure(&self.router, &self.request, &upstream, &failure);
-            self.note_break(&upstream, &failure);
+            self.note_loss(&upstream, &failure);
             let may_have_run = failure.outcome().may_have_run();
             let mut table = self.router.upstreams.borrow_mut();
             table.on_result(&upstream.name, may_have_run);
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -57,6 +57,7 @@
             let pause = now.saturating_duration_since(lost);
             self.router.metrics.resume_pause.observe(pause);
         }
+        self.settle();
         let bounds = self.running_bounds();
         if let Some(source) = &mut self.source {
             source.load.on_prompt_read();
@@ -112,6 +113,7 @@
         let Some(source) = self.source.take() else {
             return;
         };
+        self.settle();
         let mut table = self.router.upstreams.borrow_mut();
         table.on_result(&source.upstream.name, false);
         drop(table);
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -159,6 +159,7 @@
             | Self::StreamBroke { .. }
             | Self::EndedInsideEvent => Some(Loss::Broke),
             Self::UpstreamDead => Some(Loss::GivenUp),
+            Self::Stalled | Self::LateSent => Some(Loss::Abandoned),
             _ => None,
         }
     }
--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -17,7 +17,9 @@
 //! - **What an answer proves.** An upstream whose connection broke has survived the request if it answers a
 //!   question that was asked after the break. One that was given up may begin the request after
 //!   it has answered: it has survived once it has answered two questions promptly, the second one asked a
-//!   *survival time* after the first answer, as long as others ran the content before they ended.
+//!   *survival time* after the first answer, as long as others ran the content before they ended. One at which
+//!   the attempt was abandoned was well by then: it has survived once it answers a question that was asked two
+//!   seconds later.
 //!
 //! Owns the open attempts.
 
@@ -36,6 +38,9 @@
 pub const CONFIRM_WITHIN: Duration = Duration::from_secs(5);
 /// From one question to an unclear upstream to the next, while its attempt holds something up.
 pub const ASK_AGAIN_AFTER: Duration = Duration::from_millis(150);
+/// An upstream that lives on for this time, after an attempt there was abandoned, has survived it: engines that
+/// a request ends do so within two seconds of its arrival.
+const ABANDONED_SURVIVAL: Duration = Duration::from_secs(2);
 /// An upstream that was asked has this time to answer, whatever the age of its attempt: this process may
 /// have been paused.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
@@ -52,6 +57,10 @@
     Broke,
     /// It was given up for the upstream's silence: the upstream may still run it.
     GivenUp,
+    /// Nobody waits for it any more, as its time is over, its caller has left, or it made no progress: the
+    /// upstream may still run it. Most such upstreams are well, so nothing is held up for it, and
+    /// nothing is asked unless the content was lost elsewhere, too.
+    Abandoned,
 }
 
 /// An attempt that was lost.
@@ -129,7 +138,7 @@
         let from = match self.attempt.loss {
             Loss::Broke => lost_at,
             // The end may have come at any time since.
-            Loss::GivenUp => lost_at.max(ended_at),
+            Loss::GivenUp | Loss::Abandoned => lost_at.max(ended_at),
         };
         Some(from + JUDGE_AFTER)
     }
@@ -139,11 +148,17 @@
         let lost_at = self.attempt.upstream.at;
         match self.judged_at() {
             Some(at) => at,
-            None if self.asked_at.is_none() => lost_at + JUDGE_AFTER,
+            None if self.is_unclear() => lost_at + JUDGE_AFTER,
             None => self.dropped_at(),
         }
     }
 
+    /// Whether its upstream is to be asked once, as nothing is known.
+    fn is_unclear(&self) -> bool {
+        let is_waited_for = self.attempt.loss != Loss::Abandoned;
+        is_waited_for && self.ended_at.is_none() && self.asked_at.is_none()
+    }
+
     /// When it is dropped, unless something is learned.
     fn dropped_at(&self) -> Instant {
         let over_at = self.attempt.upstream.at + CONFIRM_WITHIN;
@@ -158,11 +173,21 @@
         self.attempt.upstream.clone()
     }
 
-    /// When its upstream is to be asked again; `None` while it was not asked or needs not be.
+    /// When its upstream is to be asked again, or for the first time where the attempt was abandoned; `None`
+    /// while it was not asked or needs not be.
     fn asked_again_at(&self, survival: Duration) -> Option<Instant> {
-        let next = self.asked_at? + ASK_AGAIN_AFTER;
-        let proves_from = self.answered_at.map(|at| at + survival);
-        (self.ended_at.is_none()).then(|| proves_from.map_or(next, |from| next.max(from)))
+        let next = self.asked_at.map(|at| at + ASK_AGAIN_AFTER);
+        let proves_from = match self.attempt.loss {
+            Loss::Broke | Loss::GivenUp => self.answered_at.map(|at| at + survival),
+            Loss::Abandoned => Some(self.abandoned_until(survival)),
+        };
+        let is_asked = self.ended_at.is_none() && !self.is_unclear();
+        next.max(proves_from).filter(|_| is_asked)
+    }
+
+    /// By when an upstream would have ended by an attempt that was abandoned.
+    fn abandoned_until(&self, survival: Duration) -> Instant {
+        self.attempt.upstream.at + survival.max(ABANDONED_SURVIVAL)
     }
 
     /// Takes a sign of life; returns whether it shows that the upstream survived the attempt.
@@ -172,6 +197,7 @@
         }
         match self.attempt.loss {
             Loss::Broke => true,
+            Loss::Abandoned => sign.asked >= self.abandoned_until(survival),
             // One that stood still meanwhile may not have begun the request yet.
             Loss::GivenUp if sign.answered > sign.asked + PROMPT_ANSWER => false,
             Loss::GivenUp => {
@@ -194,7 +220,9 @@
     /// Records an attempt that was lost; `has_ended` where its upstream's end is known already.
     pub fn on_broken(&mut self, attempt: BrokenAttempt, has_ended: bool) {
         if self.open.len() >= MAX_OPEN {
-            let oldest = self.open.remove(0);
+            let is_abandoned = |open: &Open| open.attempt.loss == Loss::Abandoned;
+            let oldest = self.open.iter().position(is_abandoned).unwrap_or(0);
+            let oldest = self.open.remove(oldest);
             self.dismiss([oldest], Dismissal::NoRoom);
         }
         self.open.push(Open {
@@ -226,13 +254,26 @@
     }
 
     fn dismiss(&mut self, dropped: impl IntoIterator<Item = Open>, reason: Dismissal) {
-        let dismissed = dropped.into_iter().map(|open| Dismissed {
+        // Of one that nobody waited for and that nothing was asked about there is nothing to say.
+        let is_told = |open: &Open| open.attempt.loss != Loss::Abandoned || open.asked_at.is_some();
+        let told = dropped.into_iter().filter(is_told);
+        let dismissed = told.map(|open| Dismissed {
             attempt: open.attempt,
             reason,
         });
         self.dismissed.extend(dismissed);
     }
 
+    /// Whether an attempt is open that something may wait for.
+    pub fn has_waited_for(&self) -> bool {
+        self.open().any(|attempt| attempt.loss != Loss::Abandoned)
+    }
+
+    /// Whether an attempt at an upstream is open.
+    pub fn has_open_at(&self, upstream: u64) -> bool {
+        self.open().any(|attempt| attempt.end.upstream == upstream)
+    }
+
     /// Takes the attempts that were found not to count since this was asked last.
     pub fn take_dismissed(&mut self) -> Vec<Dismissed> {
         std::mem::take(&mut self.dismissed)
@@ -266,8 +307,7 @@
     /// The upstreams of which nothing was learned by the time of the judgement, each attempt's once.
     pub fn unclear(&mut self, now: Instant) -> Vec<EndedUpstream> {
         let open = self.open.iter_mut();
-        let is_unclear = |o: &&mut Open| o.ended_at.is_none() && o.asked_at.is_none();
-        let unclear = open.filter(|o| is_unclear(o) && o.age(now) >= JUDGE_AFTER);
+        let unclear = open.filter(|o| o.is_unclear() && o.age(now) >= JUDGE_AFTER);
         unclear.map(|open| open.ask(now)).collect()
     }
 
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -121,7 +121,7 @@
 
     /// Whether no content may have done harm, so that requests need not be distinguished.
     pub fn is_empty(&self) -> bool {
-        self.book.is_empty() && self.broken.next_due().is_none()
+        self.book.is_empty() && !self.broken.has_waited_for()
     }
 
     /// Whether a request has to wait for the judgement of its last attempts. A first retry never does.
@@ -132,7 +132,7 @@
         neighbours: impl Fn(&EndedUpstream) -> Neighbours,
     ) -> Hold {
         let CrashLimit(limit) = self.book.limit();
-        let has_open = self.broken.open_with(content).next().is_some();
+        let has_open = self.waited_for(content).next().is_some();
         if limit == 0 || !has_open || self.book.is_cleared(content) {
             return Hold::No;
         }
@@ -172,7 +172,7 @@
         now: Instant,
         neighbours: impl Fn(&EndedUpstream) -> Neighbours,
     ) -> Evidence {
-        let open = self.broken.open_with(content);
+        let open = self.waited_for(content);
         let crashes = open.map(|attempt| {
             let surroundings = self.surroundings(attempt, neighbours(&attempt.upstream), now);
             crash_of(attempt, surroundings)
@@ -180,6 +180,12 @@
         self.book.evidence_with(content, crashes, now)
     }
 
+    /// The open attempts with a content that something may wait for.
+    fn waited_for(&self, content: ContentKey) -> impl Iterator<Item = &BrokenAttempt> {
+        let open = self.broken.open_with(content);
+        open.filter(|attempt| attempt.loss != Loss::Abandoned)
+    }
+
     /// What was around an upstream when an attempt was lost there, as far as is known by now.
     fn surroundings(
         &self,
@@ -189,7 +195,7 @@
     ) -> Surroundings {
         let ended = match attempt.loss {
             Loss::Broke => self.ended.beside(&attempt.upstream),
-            Loss::GivenUp => self.ended.during(&attempt.upstream, now),
+            Loss::GivenUp | Loss::Abandoned => self.ended.during(&attempt.upstream, now),
         };
         Surroundings {
             in_service: neighbours.in_service,
@@ -247,6 +253,11 @@
         self.ended.on_former_start(former);
     }
 
+    /// Whether an answer of an upstream may tell anything.
+    pub fn has_open_at(&self, upstream: u64) -> bool {
+        self.broken.has_open_at(upstream)
+    }
+
     /// Records that an upstream lives, which answered a question.
     pub fn on_alive(&mut self, sign: SignOfLife) {
         let book = &self.book;
--- a/crates/shared/cloverpier_crashes/tests/cases.rs
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -265,3 +265,46 @@
     cases.on_broken(&content(), attempt);
     assert_eq!(cases.judge(now + ms(1) + JUDGE_AFTER, neighbours).len(), 1);
 }
+
+/// Guards against probes and holds for each caller that leaves.
+#[test]
+fn an_attempt_that_was_abandoned_is_not_asked_about_and_holds_nothing_up() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::Abandoned], now);
+    assert!(cases.is_empty());
+    assert!(cases.unclear(now + ms(3_000)).is_empty());
+    assert_eq!(hold(&cases, now + ms(3_000)), Hold::No);
+    assert!(cases.judge(now + CONFIRM_WITHIN * 2, neighbours).is_empty());
+    assert!(cases.take_dismissed().is_empty());
+    let many = cases_with(&[Loss::Abandoned; 5], now);
+    assert_eq!(hold(&many, now + ms(200)), Hold::No);
+}
+
+/// Guards against ends that come when nobody waits for the request any more.
+#[test]
+fn upstreams_that_end_after_several_attempts_were_abandoned_there_have_ended_under_the_request() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::Abandoned; 3], now);
+    assert!(cases.unclear(now + ms(1_500)).is_empty());
+    // By then they would have ended.
+    let late = now + ms(2_200);
+    assert_eq!(cases.unclear(late).len(), 3);
+    cases.on_alive(answer_of(1, late));
+    cases.on_end(upstream(2, late));
+    cases.on_former_start(upstream(3, late));
+    let judged = cases.judge(late + JUDGE_AFTER, neighbours);
+    assert_eq!(judged.len(), 2);
+    let dismissed = cases.take_dismissed();
+    assert_eq!(dismissed.len(), 1);
+    assert_eq!(dismissed[0].reason, Dismissal::Answered);
+}
+
+#[test]
+fn an_answer_soon_after_an_attempt_was_abandoned_does_not_show_that_it_was_survived() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::Abandoned], now);
+    cases.on_alive(answer_of(1, now + ms(500)));
+    assert!(cases.has_open_at(1));
+    cases.on_alive(answer_of(1, now + ms(2_100)));
+    assert!(!cases.has_open_at(1));
+}
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -81,6 +81,8 @@
     pub slots: u32,
     /// Crashes it when it begins to run a request with this body.
     pub crashed_by: Option<&'static str>,
+    /// How long it has such a request before it crashes, whether or not its caller waits.
+    pub crash_after: Duration,
 }
 
 impl UpstreamStandIn {
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -89,6 +89,8 @@
         return Ok(false);
     }
     if crashes {
+        let after = lock(state).crash_after;
+        tokio::time::sleep(after).await;
         lock(state).crash();
         std::future::pending::<()>().await;
     }
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -48,6 +48,8 @@
     pub(super) rng: fastrand::Rng,
     /// The body of requests that crash it.
     pub(super) crashed_by: Option<&'static str>,
+    /// How long it has such a request before it crashes.
+    pub(super) crash_after: Duration,
     pub(super) has_crashed: bool,
 }
 
@@ -148,6 +150,7 @@
             work: Duration::ZERO,
             rng: fastrand::Rng::with_seed(spec.seed),
             crashed_by: spec.crashed_by,
+            crash_after: spec.crash_after,
             has_crashed: false,
         }
     }
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -62,6 +62,8 @@
     pub upstream_start: Option<UpstreamStart>,
     /// The body of requests that crash the upstreams which begin to run them.
     pub crashed_by: Option<&'static str>,
+    /// How long an upstream has such a request before it crashes, whether or not its caller waits.
+    pub crash_after: Duration,
     /// What becomes of new connections to one that has crashed, before its port refuses.
     pub crashed_port: CrashedPort,
     /// Whether routers meter usage and order engines, under a lease of [`LEASE`].
@@ -85,6 +87,7 @@
             plain_slots: 64,
             upstream_start: None,
             crashed_by: None,
+            crash_after: Duration::ZERO,
             crashed_port: CrashedPort::Refuses,
             singleton: false,
             address_reuse_s: 0,
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -124,6 +124,7 @@
             with_start,
             start,
             crashed_by: self.spec.crashed_by,
+            crash_after: self.spec.crash_after,
             slots: if is_engine {
                 ENGINE_SLOTS
             } else {
