Split what a router does about crashing requests by concern, and take it out of a circle

Now a folder: record, judgement, hold, verdicts, reports, state, abandoned, neighbours. What only records depends on nothing that asks, so the circle is gone.

--- a/crates/router/cloverpier_router/src/abandoned.rs
+++ b/crates/router/cloverpier_router/src/crashes/abandoned.rs
@@ -1,9 +1,9 @@
 //! Attempts that end with nobody to wait for them, as when their caller leaves.
 //!
 //! An upstream may run such an attempt all the same, and end by it. Owns nothing but the attempt's
-//! own data; [`crate::crashes`] records what was lost.
+//! own data; [`super::record`] records what was lost.
 
-use crate::crashes;
+use super::record;
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_crashes::Loss;
@@ -53,7 +53,7 @@
                 begun,
             } = attempt;
             let ran_for = router.now().saturating_duration_since(begun);
-            crashes::on_lost(&router, &request, &upstream, Loss::Abandoned, ran_for);
+            record::on_lost(&router, &request, &upstream, Loss::Abandoned, ran_for);
         }
     }
 }
--- /dev/null
+++ b/crates/router/cloverpier_router/src/crashes/hold.rs
@@ -0,0 +1,64 @@
+//! Decides whether a request may be sent to an upstream now, and holds it until that is known.
+//!
+//! Owns no state. Relies on [`super::judgement`] to wake what is held.
+
+use super::neighbours::neighbours;
+use crate::decision_log::{RequestHeld, ms};
+use crate::relay_request::RelayRequest;
+use crate::router::Router;
+use cloverpier_crashes::prelude::*;
+use std::time::{Duration, Instant};
+
+/// Decides whether a request may be sent to an upstream now. Where its next attempt may be one too
+/// many, it waits until the last one is judged.
+pub(crate) async fn admit(router: &Router, request: &RelayRequest) -> Admission {
+    let crashes = &router.crashes;
+    if crashes.cases.borrow().is_empty() {
+        return Admission::Beside;
+    }
+    let content = request.content();
+    let since = router.now();
+    let mut is_held = false;
+    while let Some(until) = held_until(router, request, since) {
+        is_held = true;
+        tokio::select! {
+            () = crashes.changed.notified() => {}
+            () = router.timers.sleep_until(until) => {}
+        }
+    }
+    let now = router.now();
+    let neighbours = |end: &EndedUpstream| neighbours(router, end);
+    let admission = crashes.cases.borrow().admission(content, now, neighbours);
+    if is_held {
+        log_hold(
+            router,
+            request,
+            admission,
+            now.saturating_duration_since(since),
+        );
+    }
+    admission
+}
+
+/// Until when a request that has waited since a moment goes on waiting for a judgement; `None` where it
+/// does not.
+fn held_until(router: &Router, request: &RelayRequest, since: Instant) -> Option<Instant> {
+    let now = router.now();
+    let cases = router.crashes.cases.borrow();
+    let hold = cases.hold(request.content(), now, |end| neighbours(router, end));
+    hold.until(since, request.deadline, now)
+}
+
+fn log_hold(router: &Router, request: &RelayRequest, admission: Admission, held: Duration) {
+    let content = request.content();
+    let now = router.now();
+    let line = RequestHeld {
+        request: &request.id,
+        content: content.to_string(),
+        ends: router.crashes.cases.borrow().book.crashes(content, now),
+        held_ms: ms(held),
+        admission,
+    };
+    router.metrics.crashes.count("held");
+    router.log.info("request.held", &line);
+}
--- a/crates/router/cloverpier_router/src/crash_reports.rs
+++ b/crates/router/cloverpier_router/src/crashes/reports.rs
@@ -1,10 +1,10 @@
 //! Sends peers the requests that end upstreams, and applies what peers send.
 //!
 //! The messages' contents are decided in `cloverpier_router_policy::crash_reports`, repeats in
-//! `dissemination` there. Owns no state: [`crate::crash_state`] holds what is known, and when it was sent
+//! `dissemination` there. Owns no state: [`super::state`] holds what is known, and when it was sent
 //! last.
 
-use crate::crashes::apply_verdicts;
+use super::verdicts::apply_verdicts;
 use crate::outbox::Recipients;
 use crate::peer_messages::{CrashReports, PeerMessage};
 use crate::router::Router;
--- a/crates/router/cloverpier_router/src/crash_state.rs
+++ b/crates/router/cloverpier_router/src/crashes/state.rs
@@ -1,5 +1,5 @@
 //! What this router knows of requests that end upstreams, and which requests are under way.
-//! [`crate::crashes`] learns it and acts by it. Owns both.
+//! The other modules here learn it and act by it. Owns both.
 
 use crate::relay_request::RelayRequest;
 use cloverpier_crashes::prelude::*;
--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -4,7 +4,7 @@
 //! `cloverpier_router_policy::{membership, watcher_beats}`; [`crate::heartbeats`] has the loop that
 //! sends. Owns no state: [`crate::peers`] does.
 
-use crate::crash_reports;
+use crate::crashes::reports as crash_reports;
 use crate::decision_log::log_dependency;
 use crate::heartbeats::store_age_ms;
 use crate::leaving_reports;
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -4,7 +4,7 @@
 //! what, and how much of it, is decided in `cloverpier_router_policy::heartbeat`; the shapes
 //! are [`crate::peer_messages`]'s. Owns when what is due next, and the turn among peers.
 
-use crate::crash_reports;
+use crate::crashes::reports as crash_reports;
 use crate::gossip;
 use crate::leaving_reports;
 use crate::limit_reports;
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -11,7 +11,7 @@
 //! | a request, in the order in which it meets them | `web`, `intake`, `held_bytes`, `relay_request`, then `plain` or `stream`, `send`, `wait`, `outcome`, `reply` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | questions to engines on their load | `load_query`, `engine_call` |
-//! | requests that end upstreams | `crash_state`, `crashes`, `abandoned`, `crash_reports`, `stop_signal` |
+//! | requests that end upstreams | `crashes`, `stop_signal` |
 //! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
 //! | what upstreams say of themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits` |
 //! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_updates` |
@@ -41,7 +41,6 @@
 
 #![warn(clippy::disallowed_methods)]
 
-mod abandoned;
 mod background;
 mod beliefs;
 mod body;
@@ -50,8 +49,6 @@
 mod choice_log;
 mod configuration_copies;
 mod connection;
-mod crash_reports;
-mod crash_state;
 mod crashes;
 mod datagrams;
 mod decision_log;
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -4,8 +4,8 @@
 //! `cloverpier_router_policy::{heartbeat, suspicion}`; [`crate::heartbeats`] is the sending side.
 //! Owns no state.
 
-use crate::crash_reports;
-use crate::crashes;
+use crate::crashes::record;
+use crate::crashes::reports as crash_reports;
 use crate::decision_log::log_dependency;
 use crate::gossip::{self, member_of};
 use crate::leaving_reports;
@@ -103,7 +103,7 @@
         table.on_peer_suspicion(*key, now);
         drop(table);
         if let Some(upstream) = died {
-            crashes::on_death(router, &upstream, now, now);
+            record::on_death(router, &upstream, now, now);
         }
     }
 }
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -4,11 +4,11 @@
 //! that breaks off can be had from another upstream; the rest of a large one is passed on as
 //! it arrives. [`PlainRun`] owns the attempts of one request.
 
-use crate::abandoned::AbandonGuard;
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::choice_log::{ChoiceNote, log_choice};
 use crate::connection::Connection;
-use crate::crashes;
+use crate::crashes::abandoned::AbandonGuard;
+use crate::crashes::{hold, judgement, record};
 use crate::decision_log::RequestEnd;
 use crate::held_bytes::HeldBytes;
 use crate::load_guard::LoadGuard;
@@ -98,7 +98,7 @@
 
     async fn run(&mut self) -> Result<Reply, GivenUp> {
         loop {
-            if crashes::admit(self.router, self.request).await == Admission::Stopped {
+            if hold::admit(self.router, self.request).await == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
             let upstream = match self.find_upstream().await {
@@ -266,7 +266,7 @@
             }
         }
         keep(self.router, &upstream.name, connection);
-        crashes::on_completed(self.router, self.request);
+        judgement::on_completed(self.router, self.request);
         self.check_status(UpstreamAnswer::new(head, held.freeze()))
             .map(UpstreamAnswer::into_reply)
     }
@@ -296,7 +296,7 @@
         rollouts::on_failure(self.router, self.request, upstream, failure);
         if let Some(loss) = failure.loss() {
             let ran_for = now.saturating_duration_since(begun);
-            crashes::on_lost(self.router, self.request, upstream, loss, ran_for);
+            record::on_lost(self.router, self.request, upstream, loss, ran_for);
         }
         let try_take = || self.router.try_take_retry(&upstream.service, now);
         let next = self
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -6,7 +6,7 @@
 //! is decided in `cloverpier_router_policy::{liveness, suspicion}`.
 
 use crate::beliefs::log_belief;
-use crate::crashes;
+use crate::crashes::record;
 use crate::decision_log::{ms, ms_since};
 use crate::health::UpstreamHealth;
 use crate::http_client::HttpClient;
@@ -145,7 +145,7 @@
         CheckResult::Alive => {
             router.metrics.probes.count("alive");
             health.on_activity(now);
-            crashes::on_alive(router, upstream, sent);
+            record::on_alive(router, upstream, sent);
         }
         CheckResult::Replaced => {
             router.metrics.probes.count("replaced");
@@ -167,8 +167,8 @@
     let health = router.health.of(upstream, now);
     let last_activity = health.last_activity.get();
     match cause {
-        DeathCause::NoProcess => crashes::on_end(router, upstream, now),
-        DeathCause::Unreachable => crashes::on_death(router, upstream, last_activity, now),
+        DeathCause::NoProcess => record::on_end(router, upstream, now),
+        DeathCause::Unreachable => record::on_death(router, upstream, last_activity, now),
     }
     let is_new = router.upstreams.borrow_mut().suspect(&upstream.name, now);
     router.suspected.notify_one();
@@ -226,7 +226,7 @@
         Err(error) => {
             router.metrics.probes.count("suspect-silent");
             if error.is_refused() {
-                crashes::on_end(&router, &upstream, router.now());
+                record::on_end(&router, &upstream, router.now());
             }
             return;
         }
@@ -248,7 +248,7 @@
 
 fn on_alive(router: &Router, upstream: &Upstream, check_begun: Instant) {
     router.metrics.probes.count("suspect-alive");
-    crashes::on_alive(router, upstream, check_begun);
+    record::on_alive(router, upstream, check_begun);
     let now = router.now();
     let suspected_for = router.upstreams.borrow_mut().on_alive(&upstream.name, now);
     if let Some(suspected_for) = suspected_for {
--- a/crates/router/cloverpier_router/src/restart.rs
+++ b/crates/router/cloverpier_router/src/restart.rs
@@ -5,7 +5,7 @@
 //! (`cloverpier_router_policy::upstream`). Owns no state.
 
 use crate::beliefs::log_belief;
-use crate::crashes;
+use crate::crashes::record;
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
@@ -39,7 +39,7 @@
 fn give_up_former_start(router: &Router, upstream: &Upstream, now: Instant) {
     let name: &UpstreamName = &upstream.name;
     router.upstream_limits.forget(upstream);
-    crashes::on_former_start(router, upstream);
+    record::on_former_start(router, upstream);
     router.pool.borrow_mut().close_all(name);
     let health = router.health.of(upstream, now);
     health.on_dead();
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -24,7 +24,7 @@
 //! across an `await`.
 
 use crate::budgets::RetryBudgets;
-use crate::crash_state::Crashes;
+use crate::crashes::state::Crashes;
 use crate::datagrams::Datagrams;
 use crate::health::HealthTable;
 use crate::lifecycle::Lifecycle;
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -5,7 +5,7 @@
 //! `cloverpier_router_policy::attempt_failure`; this module reads it off the wire.
 
 use crate::connection::{Connection, SendBroke, WholeRequest, describe, io_error_kind};
-use crate::crashes;
+use crate::crashes::record;
 use crate::health::UpstreamHealth;
 use crate::intake::text_of;
 use crate::pool::idle_limit;
@@ -232,7 +232,7 @@
     verdict?;
     // Only the upstream that the request names runs it, so this is the upstream's own answer.
     health.on_own_answer(router.now());
-    crashes::on_answer(router, call.upstream, call.sent);
+    record::on_answer(router, call.upstream, call.sent);
     if let Some(limit) = idle_limit(&head.headers) {
         connection.idle_limit = limit;
     }
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -11,10 +11,10 @@
 mod pick;
 mod receive;
 
-use crate::abandoned::AbandonGuard;
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
-use crate::crashes;
+use crate::crashes::abandoned::AbandonGuard;
+use crate::crashes::record;
 use crate::decision_log::RequestEnd;
 use crate::health::UpstreamHealth;
 use crate::load_guard::LoadGuard;
@@ -301,7 +301,7 @@
         if let Some(loss) = loss {
             let (router, request) = (&self.router, &self.request);
             let ran_for = router.now().saturating_duration_since(self.attempt_begun);
-            crashes::on_lost(router, request, upstream, loss, ran_for);
+            record::on_lost(router, request, upstream, loss, ran_for);
         }
     }
 
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -3,8 +3,8 @@
 //! These are the steps of [`StreamRun`] that send and check the head.
 
 use super::{Source, StreamRun};
-use crate::abandoned::AbandonGuard;
-use crate::crashes;
+use crate::crashes::abandoned::AbandonGuard;
+use crate::crashes::{hold, judgement};
 use crate::load_guard::LoadGuard;
 use crate::outcome::GivenUp;
 use crate::prompt_search::find_prompt;
@@ -22,7 +22,7 @@
     pub(super) async fn open_somewhere(&mut self) -> Result<(), GivenUp> {
         self.find_prompt().await;
         loop {
-            self.admission = crashes::admit(&self.router, &self.request).await;
+            self.admission = hold::admit(&self.router, &self.request).await;
             if self.admission == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
@@ -160,7 +160,7 @@
             Err(_) => return Err(AttemptFailure::LateSent),
         };
         keep(&self.router, &upstream.name, opened.connection);
-        crashes::on_completed(&self.router, &self.request);
+        judgement::on_completed(&self.router, &self.request);
         let status = opened.head.status.as_u16();
         self.upstream_failure = Some(UpstreamAnswer::new(opened.head, body));
         Err(AttemptFailure::UpstreamError { status })
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -4,7 +4,7 @@
 
 use super::{Source, StreamRun};
 use crate::connection::describe;
-use crate::crashes;
+use crate::crashes::judgement;
 use crate::probe;
 use crate::send::keep;
 use crate::singleton;
@@ -117,7 +117,7 @@
         let mut table = self.router.upstreams.borrow_mut();
         table.on_result(&source.upstream.name, false);
         drop(table);
-        crashes::on_completed(&self.router, &self.request);
+        judgement::on_completed(&self.router, &self.request);
         keep(&self.router, &source.upstream.name, source.connection);
     }
 
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -6,7 +6,7 @@
 //! [`crate::health`] for the former process's last sign of life.
 
 use crate::beliefs::log_belief;
-use crate::crashes;
+use crate::crashes::record;
 use crate::outbox::Recipients;
 use crate::peer_messages::{PeerMessage, Replaced, Successor};
 use crate::router::Router;
@@ -41,7 +41,7 @@
     }
     let successor = successor(router, former, answering);
     let successor = successor.filter(|upstream| add(router, &former.name, upstream, "answers"));
-    crashes::on_former_start(router, former);
+    record::on_former_start(router, former);
     let is_new = router.upstreams.borrow_mut().on_replaced(&former.name);
     if !is_new && successor.is_none() {
         return;
