Keep lost attempts for ten seconds

Attempts are kept for 10 s, ends for 15 s. What that may cost is the wait of a request that lost three upstreams of which nobody can say anything; on cargo measure's pauses (0.3 to 2.5 s) attempts are settled before.

--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/broken_attempts.rs
@@ -32,10 +32,10 @@
 /// From the break to the judgement: all ends of a dying data centre are known 0.05 s after the
 /// first. Longer, and a request that crashes upstreams has begun to run at the next one.
 pub const JUDGE_AFTER: Duration = Duration::from_millis(50);
-/// An attempt of which nothing is learned for this long says nothing. Longer than pauses of
-/// upstreams and the start of the next process at the address of one that ended; what may be held up meanwhile
-/// is the fourth run of a request that lost three.
-pub const CONFIRM_WITHIN: Duration = Duration::from_secs(5);
+/// An attempt of which nothing is learned for this long says nothing. Longer than upstreams pause, again and
+/// again, and than the next process takes to start at the address of one that ended; what may be held up
+/// meanwhile is the fourth run of a request that lost three.
+pub const CONFIRM_WITHIN: Duration = Duration::from_secs(10);
 /// From one question to an unclear upstream to the next, while its attempt holds something up.
 pub const ASK_AGAIN_AFTER: Duration = Duration::from_millis(150);
 /// An upstream that lives on for this time, after an attempt there was abandoned, has survived it: engines that
--- a/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
+++ b/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
@@ -22,7 +22,7 @@
 pub const SAME_MOMENT: Duration = Duration::from_millis(60);
 /// How long an end is kept: longer than it takes to judge an attempt that was lost there
 /// ([`crate::broken_attempts::CONFIRM_WITHIN`]).
-const ENDS_KEPT_FOR: Duration = Duration::from_secs(8);
+const ENDS_KEPT_FOR: Duration = Duration::from_secs(15);
 
 /// An upstream that ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
