Suspend the machines of a test once the frozen engine's tokens have arrived

Cause: it suspended the routers' clocks right after it had frozen the engine; on a busy machine tokens that the engine had sent before were still on their way, arrived after the suspension and began the wait for the silent engine anew. The client then took another router after 15 s.

The test was wrong, not the program: a token that arrives is a sign of life.

--- a/crates/daemon/cloverpier_daemon/tests/sessions.rs
+++ b/crates/daemon/cloverpier_daemon/tests/sessions.rs
@@ -117,6 +117,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_generation_goes_on_elsewhere_once_its_engine_was_silent_through_a_suspension() {
     const SILENCE: Duration = Duration::from_secs(60);
+    /// No token for this long: none is on its way any more.
+    const DRAINED: Duration = Duration::from_millis(500);
     let site = Site::start().await;
     let mut intent = site.intent();
     for service in intent.services.values_mut() {
@@ -126,7 +128,24 @@
     let (task, mut tokens) = stream(&site, Generate::new("drafts", "a long log", 100));
     let mut count = 0;
     let mut suspended = None;
-    while let Some(token) = tokens.recv().await {
+    loop {
+        let is_frozen = count >= 40 && suspended.is_none();
+        let token = if is_frozen {
+            // What the engine had sent before it stood still arrives first.
+            match tokio::time::timeout(DRAINED, tokens.recv()).await {
+                Ok(token) => token,
+                Err(_) => {
+                    for router in &site.routers {
+                        router.clock.suspend(SILENCE);
+                    }
+                    suspended = Some(Instant::now());
+                    continue;
+                }
+            }
+        } else {
+            tokens.recv().await
+        };
+        let Some(token) = token else { break };
         count += 1;
         if count == 40 {
             let maker = maker_of(&site, &token.text);
@@ -136,10 +155,6 @@
             };
             let url = format!("http://{}/faults", site.engines[maker].address);
             site.post(&url, &freeze).await;
-            for router in &site.routers {
-                router.clock.suspend(SILENCE);
-            }
-            suspended = Some(Instant::now());
         }
     }
     let answer = seen(&task.await.unwrap());
