cloverpierd: state of parts apart from what acts on it

A circle of ten files went through app.rs: it holds the state of admission, answers, crashes and members, and each of these files also acted on the whole App. Functions are moved unchanged; tests of the package pass.

--- a/crates/daemon/cloverpier_daemon/src/admission/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/admission/mod.rs
@@ -1,13 +1,13 @@
 //! Admission: limits of client accounts, and places at upstreams.
 //!
 //! Carries out what `cloverpier_admit` and `cloverpier_route` decide: loans of limits between
-//! routers, and who waits for a place. Owns the loans, and the lines of waiting requests.
+//! routers, and who waits for a place. [`state`] owns the loans, and the lines of waiting requests.
+
+pub(crate) mod state;
 
 use crate::app::App;
 use crate::error::ApiError;
-use cloverpier_admit::{
-    Borrowed, Lender, Loan, Queue, QueueStep, Quota, SpendStep, Ticket, Waiting,
-};
+use cloverpier_admit::{Loan, QueueStep, Quota, SpendStep, Ticket, Waiting};
 use cloverpier_config::Account;
 use cloverpier_core::{AccountName, ServiceName, hash_of, jitter, lock, rank};
 use cloverpier_member::Member;
@@ -15,8 +15,8 @@
 use cloverpier_route::{Ask, Choice, Chosen};
 use salvo::http::StatusCode;
 use serde::Serialize;
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use state::{Admission, Line, Waiter};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
@@ -30,28 +30,6 @@
 /// The least time after which a refused caller is asked to retry.
 const LEAST_RETRY: Duration = Duration::from_millis(500);
 
-#[derive(Debug)]
-struct Waiter {
-    ask: Ask,
-    tx: oneshot::Sender<Chosen>,
-}
-
-#[derive(Debug, Default)]
-struct Line {
-    queue: Queue,
-    waiters: HashMap<Ticket, Waiter>,
-}
-
-/// Limits and queues of one router.
-#[derive(Debug, Default)]
-pub struct Admission {
-    borrowed: Mutex<Borrowed>,
-    lender: Mutex<Lender>,
-    /// Lenders that did not answer, replaced by this router's even share for a while.
-    alone: Mutex<Lender>,
-    lines: Mutex<HashMap<ServiceName, Line>>,
-}
-
 #[derive(Serialize)]
 struct Routed<'a> {
     request: &'a str,
--- a/crates/daemon/cloverpier_daemon/src/answers/outbox.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/outbox.rs
@@ -6,16 +6,15 @@
 
 use crate::answers::directory::noted_at;
 use crate::answers::live::Live;
+use crate::answers::outbox_state::PeerQueue;
 use crate::app::App;
 use cloverpier_answer::{Entry, EntryHead};
 use cloverpier_core::{MemberId, hash_of, lock, rank};
 use cloverpier_member::Member;
 use cloverpier_peer::{LocateNote, PeerReply, PeerRequest};
 use serde::Serialize;
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
 
 /// Members that hold the copies of one router: few, so that batches are full; several, so that a
 /// death spreads its load (docs/DESIGN.md).
@@ -30,19 +29,6 @@
 /// Answers in one batch at most.
 const BATCH: usize = 512;
 
-#[derive(Debug, Default)]
-struct PeerQueue {
-    waiting: Mutex<Vec<Arc<Live>>>,
-    wake: Notify,
-}
-
-/// Queues of answers with unsent parts, by holder.
-#[derive(Debug, Default)]
-pub struct Outbox {
-    queues: Mutex<HashMap<MemberId, Arc<PeerQueue>>>,
-    failed: Mutex<HashMap<MemberId, Instant>>,
-}
-
 #[derive(Serialize)]
 struct HolderChosen<'a> {
     request: &'a str,
--- a/crates/daemon/cloverpier_daemon/src/app.rs
+++ b/crates/daemon/cloverpier_daemon/src/app.rs
@@ -3,10 +3,10 @@
 //! Every part gets the whole of it; which part changes which field is said there. Invariant: each
 //! lock guards one plain state machine and is never held across a wait.
 
-use crate::admission::Admission;
-use crate::answers::Answers;
-use crate::crashes::{self, Crashes};
-use crate::members::Cluster;
+use crate::admission::state::Admission;
+use crate::answers::table::Answers;
+use crate::crashes::state::Crashes;
+use crate::members::cluster::Cluster;
 use cloverpier_config::{Applied, Config};
 use cloverpier_core::{hash_of, lock, wall_ms};
 use cloverpier_member::{Member, MemberList};
@@ -150,7 +150,7 @@
             epoch: self.members().epoch,
             config: lock(&self.applied).version(),
             marks: lock(&self.view).marks().digest(),
-            crashes: crashes::digest(self),
+            crashes: self.crashes.digest(self.now()),
         }
     }
 
--- a/crates/daemon/cloverpier_daemon/src/members/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/mod.rs
@@ -2,12 +2,12 @@
 //!
 //! Carries out what `cloverpier_member` decides; four loops, started here.
 
-mod cluster;
+pub(crate) mod cluster;
 mod join;
 mod tick;
 mod updates;
 
-pub use cluster::{Cluster, Standing};
+pub use cluster::Standing;
 pub use join::{adopt, join, leave, update};
 pub use updates::{on_versions, pull_marks, push_marks};
 
--- a/crates/daemon/cloverpier_daemon/src/members/updates.rs
+++ b/crates/daemon/cloverpier_daemon/src/members/updates.rs
@@ -43,7 +43,7 @@
 /// Exchanges what is known of contents that ended upstreams with a peer.
 async fn exchange_crashes(app: &App, peers_at: SocketAddr) {
     let request = PeerRequest::Crashes {
-        reports: crashes::reports(app),
+        reports: app.crashes.reports(app.now()),
     };
     let reply = app.peers.call(peers_at, &request, PULL_TIMEOUT).await;
     if let Ok(PeerReply::Crashes(reports)) = reply {
--- a/crates/daemon/cloverpier_daemon/src/web/peers.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/peers.rs
@@ -120,7 +120,7 @@
         PeerRequest::PullParts { digests } => PeerReply::Parts(lock(&app.applied).parts(&digests)),
         PeerRequest::Crashes { reports } => {
             crashes::merge(app, &reports, "a peer");
-            PeerReply::Crashes(crashes::reports(app))
+            PeerReply::Crashes(app.crashes.reports(app.now()))
         }
         PeerRequest::Marks { marks } => PeerReply::Marks(members::push_marks(app, &marks)),
     }
