Keep no more idle connections to an upstream than it takes from all routers

An upstream takes a number of connections from all routers together and resets any more; a request that it resets may have run, so one that runs at most once fails. Each router kept up to 16 idle ones, whatever that number: 128 at 8 routers where a lookup server takes 110, 15,776 at 986 where it takes 1,800.

max_connections of the configuration was decoded and read nowhere. Each router keeps its part of three quarters of it, 16 at most; where the configuration says nothing, 16.

--- a/crates/router/cloverpier_router/src/engine_call.rs
+++ b/crates/router/cloverpier_router/src/engine_call.rs
@@ -48,7 +48,7 @@
         };
         let (head, body) = response.into_parts();
         let body = body.collect().await.map_err(|e| broken(&e))?;
-        keep(router, &engine.name, connection);
+        keep(router, engine, connection);
         let now = router.now();
         router.health.of(engine, now).on_activity(now);
         let answer = HttpAnswer {
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -265,7 +265,7 @@
                 return Ok(streamed_reply(head, ReplyBody::pieces(rest.into_stream())));
             }
         }
-        keep(self.router, &upstream.name, connection);
+        keep(self.router, upstream, connection);
         judgement::on_completed(self.router, self.request);
         self.check_status(UpstreamAnswer::new(head, held.freeze()))
             .map(UpstreamAnswer::into_reply)
--- a/crates/router/cloverpier_router/src/pool.rs
+++ b/crates/router/cloverpier_router/src/pool.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::Connection;
 use cloverpier_core::UpstreamName;
-use cloverpier_router_policy::connection_reuse::{MAX_KEPT, is_reusable};
+use cloverpier_router_policy::connection_reuse::is_reusable;
 use hyper::HeaderMap;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -42,9 +42,15 @@
         None
     }
 
-    /// Keeps a connection for the next request; where too many are kept, the longest idle one
-    /// is closed.
-    pub fn put(&mut self, upstream: &UpstreamName, connection: Connection, now: Instant) {
+    /// Keeps a connection for the next request; where more than `limit` are kept, the longest idle
+    /// ones are closed.
+    pub fn put(
+        &mut self,
+        upstream: &UpstreamName,
+        connection: Connection,
+        limit: usize,
+        now: Instant,
+    ) {
         if connection.is_closed() {
             return;
         }
@@ -53,9 +59,8 @@
             connection,
             since: now,
         });
-        if kept.len() > MAX_KEPT {
-            kept.remove(0);
-        }
+        let excess = kept.len().saturating_sub(limit);
+        kept.drain(..excess);
     }
 
     /// Upstreams to which a usable connection is kept.
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -16,11 +16,11 @@
 use crate::successors;
 use crate::via::Via;
 use crate::wait::{Awaited, while_alive};
-use cloverpier_core::UpstreamName;
+use cloverpier_core::ServiceName;
 use cloverpier_router_policy::attempt_failure::{
     AnswerHead, AnswerId, check_answer, may_mean_process_gone,
 };
-use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, DEFAULT_IDLE_LIMIT};
+use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, DEFAULT_IDLE_LIMIT, kept_limit};
 use cloverpier_router_policy::deadline::is_worth_sending;
 use cloverpier_router_policy::prelude::*;
 use http_body_util::Full;
@@ -278,12 +278,23 @@
 }
 
 /// Keeps a connection whose answer was read to its end.
-pub(crate) fn keep(router: &Rc<Router>, upstream: &UpstreamName, mut connection: Connection) {
-    let (router, upstream) = (Rc::clone(router), upstream.clone());
+pub(crate) fn keep(router: &Rc<Router>, upstream: &Upstream, mut connection: Connection) {
+    let limit = kept_connections(router, &upstream.service);
+    let (router, upstream) = (Rc::clone(router), upstream.name.clone());
     tokio::task::spawn_local(async move {
         if connection.settle().await {
             let now = router.now();
-            router.pool.borrow_mut().put(&upstream, connection, now);
+            let mut pool = router.pool.borrow_mut();
+            pool.put(&upstream, connection, limit, now);
         }
     });
 }
+
+/// How many connections this router keeps to an upstream of a service; none to one of a service that is not
+/// configured any more.
+fn kept_connections(router: &Router, service: &ServiceName) -> usize {
+    let configuration = router.store.configuration();
+    let service = configuration.and_then(|c| c.service(service).cloned());
+    let routers = router.peers.count() + 1;
+    service.map_or(0, |service| kept_limit(service.max_connections, routers))
+}
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -159,7 +159,7 @@
             // Only the timeout can fail here.
             Err(_) => return Err(AttemptFailure::LateSent),
         };
-        keep(&self.router, &upstream.name, opened.connection);
+        keep(&self.router, upstream, opened.connection);
         judgement::on_completed(&self.router, &self.request);
         let status = opened.head.status.as_u16();
         self.upstream_failure = Some(UpstreamAnswer::new(opened.head, body));
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -118,7 +118,7 @@
         table.on_result(&source.upstream.name, false);
         drop(table);
         judgement::on_completed(&self.router, &self.request);
-        keep(&self.router, &source.upstream.name, source.connection);
+        keep(&self.router, &source.upstream, source.connection);
     }
 
     /// Ends a lost run: dropping its connection cancels it at the upstream.
--- a/crates/router/cloverpier_router_policy/src/configuration.rs
+++ b/crates/router/cloverpier_router_policy/src/configuration.rs
@@ -124,8 +124,7 @@
     pub name: ServiceName,
     /// Where its upstreams answer health checks.
     pub health_path: String,
-    /// Connections that one upstream takes from all routers together.  It travels with the
-    /// configuration, but nothing in the router reads it.
+    /// Connections that one upstream takes from all routers together; 0 where that is not said.
     pub max_connections: u32,
     /// Set where its upstreams are model engines.
     pub engine: Option<EngineConfig>,
--- a/crates/router/cloverpier_router_policy/tests/pace.rs
+++ b/crates/router/cloverpier_router_policy/tests/pace.rs
@@ -1,6 +1,6 @@
 //! Rules about time between routers, to the store, on connections and at the end.
 
-use cloverpier_router_policy::connection_reuse::is_reusable;
+use cloverpier_router_policy::connection_reuse::{MAX_KEPT, is_reusable, kept_limit};
 use cloverpier_router_policy::deadline::CallerLimit;
 use cloverpier_router_policy::first_read::{FirstRead, Starting, first_read};
 use cloverpier_router_policy::heartbeat::{HeartbeatTurn, change_peers, load_ttl, peer_timeout};
@@ -225,3 +225,22 @@
     assert_eq!(one(0.5, ms(5_000)), FirstRead::NotBefore(ms(13_500)));
     assert_eq!(one(0.5, ms(13_500)), FirstRead::Now);
 }
+
+/// Guards against upstreams that reset requests, as idle connections of all routers fill what they take.
+#[test]
+fn routers_together_keep_fewer_connections_than_an_upstream_takes() {
+    for routers in [1, 8, 60, 295, 986] {
+        for max_connections in [1, 32, 110, 370, 1_800] {
+            let kept = kept_limit(max_connections, routers);
+            assert!(kept <= MAX_KEPT);
+            assert!(
+                kept * routers <= max_connections as usize,
+                "{routers} {max_connections}"
+            );
+        }
+    }
+    assert_eq!(kept_limit(1_800, 8), MAX_KEPT);
+    assert_eq!(kept_limit(1_800, 986), 1);
+    assert_eq!(kept_limit(110, 8), 10);
+    assert_eq!(kept_limit(0, 986), MAX_KEPT);
+}
--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -99,6 +99,12 @@
         self.harm.send_replace(harm);
     }
 
+    /// How many connections go through it.
+    pub fn open_connections(&self) -> usize {
+        let connections = lock(&self.connections);
+        connections.iter().filter(|c| !c.is_finished()).count()
+    }
+
     /// Ends all its connections, at both ends.
     pub fn cut_connections(&self) {
         for connection in lock(&self.connections).drain(..) {
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -58,6 +58,8 @@
     pub seed: u64,
     /// Requests that a plain upstream says to work on at once.
     pub plain_slots: u32,
+    /// Connections that an upstream takes from all routers, by the configuration.
+    pub max_connections: u32,
     /// What upstreams say of their first start; nothing where they say nothing.
     pub upstream_start: Option<UpstreamStart>,
     /// The body of requests that crash the upstreams which begin to run them.
@@ -85,6 +87,7 @@
             event_interval: Duration::from_millis(10),
             seed: 1,
             plain_slots: 64,
+            max_connections: 100,
             upstream_start: None,
             crashed_by: None,
             crash_after: Duration::ZERO,
@@ -163,6 +166,9 @@
             store,
             spec,
         };
+        for service in &mut site.configuration.services {
+            service.max_connections = site.spec.max_connections;
+        }
         site.store.put_configuration(&site.configuration);
         for index in 0..site.spec.engines + site.spec.plain {
             site.add_upstream(index).await?;
