Keep ends in their order whatever time each report of them took

What callers saw: a request that its own router had stopped (three ends, 400) crashed a fourth engine 25 ms later, sent by a peer that knew of all three.

Cause: an end counts less if another one at the same moment explains it, but not if that one is of the same request, run before it. Which of two runs of a request came first was told by the times at which reports arrived, less the ages in them. A retry begins a millisecond or two after the loss before it, so that a report which took a few milliseconds longer than the others made two runs in turn look like runs at once, which explain each other: 2,000 of evidence, not 3,000. The peer judged otherwise than the router that had seen the ends, for as long as no other report came.

A report's ends are moved back by what it took longer than those from which ends are known already, and runs that overlap by 20 ms or less count as in turn.

--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -126,6 +126,21 @@
     pub excused: bool,
 }
 
+impl ReportedCrash {
+    /// The end as it is received now, `way` later than it was reported.
+    fn received(&self, way: Duration, now: Instant) -> Crash {
+        let age = Duration::from_millis(self.age_ms.into()) + way;
+        Crash {
+            end: self.end,
+            // A moment before this machine's clock began is as good as its beginning.
+            at: now.checked_sub(age).unwrap_or(now),
+            ran_for: Duration::from_millis(self.ran_ms.into()),
+            surroundings: self.surroundings.clone(),
+            excused: self.excused,
+        }
+    }
+}
+
 /// Contents and the ends that are known of each.
 #[derive(Clone, Debug)]
 pub struct CrashBook {
@@ -185,18 +200,10 @@
         let mut changed = Vec::new();
         for report in reports {
             let mut is_new = false;
+            let way = self.time_on_the_way(report, now);
             for reported in report.crashes.iter().take(MAX_CRASHES) {
-                let age = Duration::from_millis(reported.age_ms.into());
-                let is_over = age >= CRASH_TTL;
-                // A moment before this machine's clock began is as good as its beginning.
-                let at = now.checked_sub(age).unwrap_or(now);
-                let crash = Crash {
-                    end: reported.end,
-                    at,
-                    ran_for: Duration::from_millis(reported.ran_ms.into()),
-                    surroundings: reported.surroundings.clone(),
-                    excused: reported.excused,
-                };
+                let crash = reported.received(way, now);
+                let is_over = now.saturating_duration_since(crash.at) >= CRASH_TTL;
                 is_new |= !is_over && self.add(report.content, crash);
             }
             if is_new {
@@ -207,6 +214,21 @@
         changed
     }
 
+    /// How much longer a report was on its way than those from which its ends are known; zero where none
+    /// is. Its ends would else seem later than they are beside the known ones, and runs in turn would seem to
+    /// have been under way at once.
+    fn time_on_the_way(&self, report: &ContentReport, now: Instant) -> Duration {
+        let Some(record) = self.records.get(&report.content) else {
+            return Duration::ZERO;
+        };
+        let ways = report.crashes.iter().filter_map(|reported| {
+            let known = record.ended_at(reported.end)?;
+            let received = reported.received(Duration::ZERO, now);
+            Some(received.at.saturating_duration_since(known))
+        });
+        ways.min().unwrap_or_default()
+    }
+
     fn add(&mut self, content: ContentKey, crash: Crash) -> bool {
         self.records.entry(content).or_default().add(crash)
     }
--- a/crates/shared/cloverpier_crashes/src/book/record.rs
+++ b/crates/shared/cloverpier_crashes/src/book/record.rs
@@ -9,6 +9,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// Times of two ends that different routers saw, or that were rounded, agree to this.
+const SAME_TIME: Duration = Duration::from_millis(20);
+
 /// One end.
 #[derive(Clone, Debug)]
 struct Known {
@@ -76,6 +79,12 @@
             .unwrap_or(end)
     }
 
+    /// When a known end was.
+    pub(super) fn ended_at(&self, end: UpstreamEnd) -> Option<Instant> {
+        let known = self.ends.get(&self.known_as(end))?;
+        Some(known.at)
+    }
+
     /// Keeps to [`MAX_CRASHES`]: what is excused goes first, then what is old.
     fn make_room(&mut self) {
         if self.ends.len() <= MAX_CRASHES {
@@ -120,7 +129,7 @@
             (beside, nearest)
         };
         let second_had_run = second.at - first.at;
-        Some(if second.ran_for > second_had_run {
+        Some(if second.ran_for > second_had_run + SAME_TIME {
             OwnEnd::OfRunsAtOnce
         } else {
             OwnEnd::OfRunsInTurn
--- a/crates/shared/cloverpier_crashes/tests/book.rs
+++ b/crates/shared/cloverpier_crashes/tests/book.rs
@@ -126,6 +126,44 @@
     assert_eq!(books[0].verdict(content("a"), now), Verdict::Stopped);
 }
 
+/// Guards against peers that go on sending a request which its own router has stopped, as one of the reports
+/// took longer than the others.
+#[test]
+fn runs_in_turn_stay_so_at_a_peer_whatever_time_each_report_took() {
+    let began = Instant::now();
+    let ms = Duration::from_millis;
+    // Each run began two milliseconds after the end of the one before.
+    let lost = [
+        (1, ms(0), ms(1_150)),
+        (2, ms(60), ms(58)),
+        (3, ms(118), ms(56)),
+    ];
+    for delay in [0, 3, 30, 700] {
+        let (mut own, mut peer) = (book(), book());
+        let mut now = began;
+        for (turn, (upstream, at, ran_for)) in [lost[1], lost[2], lost[0]].into_iter().enumerate() {
+            let others: Vec<u64> = (1..=3).filter(|other| *other != upstream).collect();
+            let crash = Crash {
+                surroundings: beside(&others),
+                ran_for,
+                ..crash(end_of(upstream), began + at)
+            };
+            now = began + ms(200) + ms(50) * turn as u32;
+            own.record(content("a"), crash, now);
+            // The last report is the slow one.
+            let took = if turn == 2 { ms(delay) } else { ms(1) };
+            peer.merge(&own.reports(&[content("a")], now), now + took);
+        }
+        let later = now + ms(1_000);
+        assert_eq!(own.verdict(content("a"), later), Verdict::Stopped);
+        assert_eq!(
+            peer.verdict(content("a"), later),
+            Verdict::Stopped,
+            "{delay} ms"
+        );
+    }
+}
+
 #[test]
 fn equal_requests_that_ran_in_a_data_centre_until_it_died_are_not_stopped() {
     let now = Instant::now();
