--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -173,7 +173,7 @@
     }
 
     /// Whether a request has crashed it. Its owner has yet to end it, so that its way and its port
-    /// end with it; until then it says nothing more on that connection.
+    /// end with it; until then it answers nothing.
     pub fn has_crashed(&self) -> bool {
         lock(&self.state).has_crashed
     }
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -50,10 +50,18 @@
     head: &Head,
     body: &[u8],
 ) -> io::Result<bool> {
-    let (upstream, names) = {
+    let (upstream, names, has_crashed) = {
         let state = lock(state);
-        (state.upstream.clone(), state.names.clone())
+        (
+            state.upstream.clone(),
+            state.names.clone(),
+            state.has_crashed,
+        )
     };
+    if has_crashed {
+        // Its owner has yet to end it; a process that has crashed answers nothing.
+        std::future::pending::<()>().await;
+    }
     let id = head.get(names.request_id.as_str()).map(str::to_owned);
     lock(state).note_arrival(id.as_deref());
     let Some(id) = id else {
