--- a/crates/daemon/cloverpier_daemon/src/crashes/hold.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/hold.rs
@@ -3,7 +3,7 @@
 
 use crate::app::App;
 use cloverpier_core::lock;
-use cloverpier_crashes::broken_attempts::CONFIRM_WITHIN;
+use cloverpier_crashes::lost_attempts::CONFIRM_WITHIN;
 use cloverpier_crashes::prelude::*;
 use std::pin::pin;
 use std::time::Instant;
--- a/crates/daemon/cloverpier_daemon/src/crashes/judgement.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/judgement.rs
@@ -46,7 +46,7 @@
 }
 
 /// Judges attempts that broke off, until the process ends.
-pub(super) async fn judge_broken(app: Arc<App>) {
+pub(super) async fn judge_lost(app: Arc<App>) {
     loop {
         let mut changed = pin!(app.crashes.changed.notified());
         changed.as_mut().enable();
@@ -93,7 +93,7 @@
 }
 
 /// The name of the upstream that an attempt was at.
-fn upstream_name(app: &App, attempt: &BrokenAttempt) -> UpstreamName {
+fn upstream_name(app: &App, attempt: &LostAttempt) -> UpstreamName {
     let name = lock(&app.view).by_hash(attempt.end.upstream);
     // It may have left the configuration meanwhile.
     name.unwrap_or_else(|| UpstreamName::new("forgotten"))
--- a/crates/daemon/cloverpier_daemon/src/crashes/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/mod.rs
@@ -26,7 +26,7 @@
 
 /// Starts the part.
 pub fn start(app: &Arc<App>) {
-    tokio::spawn(judgement::judge_broken(Arc::clone(app)));
+    tokio::spawn(judgement::judge_lost(Arc::clone(app)));
 }
 
 /// The error of a request whose content ends upstreams.
--- a/crates/daemon/cloverpier_daemon/src/crashes/record.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/record.rs
@@ -33,7 +33,7 @@
         return;
     };
     drop(view);
-    let attempt = BrokenAttempt {
+    let attempt = LostAttempt {
         content: ContentKey::of(content),
         loss,
         ran_well: false,
@@ -44,7 +44,7 @@
         upstream: ended_upstream(upstream, &known, app.now()),
         ran_for,
     };
-    let change = |cases: &mut CrashCases| cases.on_broken(content, attempt);
+    let change = |cases: &mut CrashCases| cases.on_lost(content, attempt);
     app.crashes.change(change);
     let (app, upstream) = (Arc::clone(app), upstream.clone());
     tokio::spawn(async move { probe(&app, &upstream, &known).await });
--- a/crates/router/cloverpier_router/src/crashes/judgement.rs
+++ b/crates/router/cloverpier_router/src/crashes/judgement.rs
@@ -17,7 +17,7 @@
 use std::time::Instant;
 
 /// Judges attempts that broke off, until the process ends.
-pub(crate) async fn judge_broken(router: Rc<Router>) {
+pub(crate) async fn judge_lost(router: Rc<Router>) {
     loop {
         let next_due = router.crashes.cases.borrow().next_due(router.now());
         let changed = router.crashes.changed.notified();
--- a/crates/router/cloverpier_router/src/crashes/record.rs
+++ b/crates/router/cloverpier_router/src/crashes/record.rs
@@ -30,7 +30,7 @@
     if was_leaving {
         return;
     }
-    let attempt = BrokenAttempt {
+    let attempt = LostAttempt {
         content: request.content(),
         loss,
         ran_well: false,
@@ -41,7 +41,7 @@
     let content = request.repeated_part();
     router
         .crashes
-        .change(|cases| cases.on_broken(&content, attempt));
+        .change(|cases| cases.on_lost(&content, attempt));
 }
 
 /// Records that an upstream's host has no process at its address any more.
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -74,7 +74,7 @@
     }
     spawn_local(resume::watch_resumes(Rc::clone(&router)));
     spawn_local(probe::check_suspects(Rc::clone(&router)));
-    spawn_local(judgement::judge_broken(Rc::clone(&router)));
+    spawn_local(judgement::judge_lost(Rc::clone(&router)));
     spawn_local(sweep(Rc::clone(&router), log_progress));
     if let Some(path) = settings_path {
         spawn_local(stop::reload_settings(Rc::clone(&router), path));
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -1,4 +1,4 @@
-//! All that a router keeps of requests that end upstreams, from a broken attempt to the verdict.
+//! All that a router keeps of requests that end upstreams, from a lost attempt to the verdict.
 //!
 //! - **Question.** What follows from each thing that a router sees: an attempt that breaks off, an
 //!   upstream that ends or answers, a request that runs to its end? May this request be sent now?
@@ -9,11 +9,9 @@
 //! Owns the book, the open attempts, the upstreams that ended and the contents that ran well recently.
 
 use crate::book::{Crash, CrashBook, CrashLimit, Evidence, SUSPECT_FROM, UpstreamEnd, Verdict};
-use crate::broken_attempts::{
-    BrokenAttempt, BrokenAttempts, Dismissed, JUDGE_AFTER, Loss, SignOfLife,
-};
 use crate::content::{Content, ContentKey};
 use crate::ended_upstreams::{EndedUpstream, EndedUpstreams};
+use crate::lost_attempts::{Dismissed, JUDGE_AFTER, Loss, LostAttempt, LostAttempts, SignOfLife};
 use crate::recent_contents::RecentContents;
 use crate::weight::Surroundings;
 use serde::Serialize;
@@ -89,7 +87,7 @@
 #[derive(Clone, Debug)]
 pub struct Judged {
     /// The attempt.
-    pub attempt: BrokenAttempt,
+    pub attempt: LostAttempt,
     /// What was around the upstream when it ended.
     pub surroundings: Surroundings,
     /// Ends that are known of the content.
@@ -103,7 +101,7 @@
 pub struct CrashCases {
     /// What is known against contents.
     pub book: CrashBook,
-    broken: BrokenAttempts,
+    lost: LostAttempts,
     ended: EndedUpstreams,
     recent: RecentContents,
 }
@@ -113,7 +111,7 @@
     pub fn new(limit: CrashLimit) -> Self {
         Self {
             book: CrashBook::new(limit),
-            broken: BrokenAttempts::default(),
+            lost: LostAttempts::default(),
             ended: EndedUpstreams::default(),
             recent: RecentContents::default(),
         }
@@ -121,7 +119,7 @@
 
     /// Whether no content may have done harm, so that requests need not be distinguished.
     pub fn is_empty(&self) -> bool {
-        self.book.is_empty() && !self.broken.has_waited_for()
+        self.book.is_empty() && !self.lost.has_waited_for()
     }
 
     /// Whether a request has to wait for the judgement of its last attempts. A first retry never does.
@@ -181,15 +179,15 @@
     }
 
     /// The open attempts with a content that something may wait for.
-    fn waited_for(&self, content: ContentKey) -> impl Iterator<Item = &BrokenAttempt> {
-        let open = self.broken.open_with(content);
+    fn waited_for(&self, content: ContentKey) -> impl Iterator<Item = &LostAttempt> {
+        let open = self.lost.open_with(content);
         open.filter(|attempt| attempt.loss != Loss::Abandoned)
     }
 
     /// What was around an upstream when an attempt was lost there, as far as is known by now.
     fn surroundings(
         &self,
-        attempt: &BrokenAttempt,
+        attempt: &LostAttempt,
         neighbours: Neighbours,
         now: Instant,
     ) -> Surroundings {
@@ -208,7 +206,7 @@
     /// lost; and for how long an upstream has to live on to have survived them.
     fn in_question(&self, now: Instant) -> HashMap<ContentKey, Duration> {
         let mut open: HashMap<ContentKey, HashSet<UpstreamEnd>> = HashMap::new();
-        for attempt in self.broken.open().filter(|attempt| !attempt.ran_well) {
+        for attempt in self.lost.open().filter(|attempt| !attempt.ran_well) {
             open.entry(attempt.content).or_default().insert(attempt.end);
         }
         let in_question = open.into_iter().filter(|(content, ends)| {
@@ -221,13 +219,13 @@
 
     /// Records an attempt that broke off. One at an upstream that was about to leave is not to be
     /// recorded: it ends by itself.
-    pub fn on_broken(&mut self, content: &Content<'_>, attempt: BrokenAttempt) {
+    pub fn on_lost(&mut self, content: &Content<'_>, attempt: LostAttempt) {
         let now = attempt.upstream.at;
         let begun = now.checked_sub(attempt.ran_for);
         let has_ended = self.ended.has_ended_since(attempt.end.upstream, begun);
         let ran_well = self.recent.ran_well(content, now);
-        self.broken.on_broken(
-            BrokenAttempt {
+        self.lost.on_lost(
+            LostAttempt {
                 ran_well,
                 ..attempt
             },
@@ -237,7 +235,7 @@
 
     /// Records that an upstream's host has no process at its address any more.
     pub fn on_end(&mut self, ended: EndedUpstream) {
-        self.broken.on_end(ended.upstream, ended.at);
+        self.lost.on_end(ended.upstream, ended.at);
         self.ended.on_end(ended);
     }
 
@@ -249,20 +247,20 @@
 
     /// Records that an upstream has ended some time ago, as another start answers in its place.
     pub fn on_former_start(&mut self, former: EndedUpstream) {
-        self.broken.on_end(former.upstream, former.at);
+        self.lost.on_end(former.upstream, former.at);
         self.ended.on_former_start(former);
     }
 
     /// Whether an answer of an upstream may tell anything.
     pub fn has_open_at(&self, upstream: u64) -> bool {
-        self.broken.has_open_at(upstream)
+        self.lost.has_open_at(upstream)
     }
 
     /// Records that an upstream lives, which answered a question.
     pub fn on_alive(&mut self, sign: SignOfLife) {
         let book = &self.book;
         let survival = |content| survival(book, content, sign.answered);
-        self.broken.on_alive(sign, survival);
+        self.lost.on_alive(sign, survival);
         self.ended.on_alive(sign.upstream);
     }
 
@@ -280,10 +278,10 @@
     /// The upstreams that have to be probed, as nothing was learned of them; again, while that may hold
     /// a request up.
     pub fn unclear(&mut self, now: Instant) -> Vec<EndedUpstream> {
-        let mut unclear = self.broken.unclear(now);
+        let mut unclear = self.lost.unclear(now);
         let in_question = self.in_question(now);
         let survival = |content| in_question.get(&content).copied();
-        unclear.extend(self.broken.unclear_again(now, survival));
+        unclear.extend(self.lost.unclear_again(now, survival));
         unclear
     }
 
@@ -291,13 +289,13 @@
     pub fn next_due(&self, now: Instant) -> Option<Instant> {
         let in_question = self.in_question(now);
         let survival = |content| in_question.get(&content).copied();
-        let again = self.broken.next_asked_again(survival);
-        self.broken.next_due().into_iter().chain(again).min()
+        let again = self.lost.next_asked_again(survival);
+        self.lost.next_due().into_iter().chain(again).min()
     }
 
     /// Takes the attempts that were found not to count since this was asked last.
     pub fn take_dismissed(&mut self) -> Vec<Dismissed> {
-        self.broken.take_dismissed()
+        self.lost.take_dismissed()
     }
 
     /// Judges the attempts whose time has come.
@@ -306,7 +304,7 @@
         now: Instant,
         neighbours: impl Fn(&EndedUpstream) -> Neighbours,
     ) -> Vec<Judged> {
-        let due = self.broken.due(now);
+        let due = self.lost.due(now);
         let judged = due.into_iter().map(|attempt| {
             let surroundings = self.surroundings(&attempt, neighbours(&attempt.upstream), now);
             self.record(attempt, surroundings, now)
@@ -314,12 +312,7 @@
         judged.collect()
     }
 
-    fn record(
-        &mut self,
-        attempt: BrokenAttempt,
-        surroundings: Surroundings,
-        now: Instant,
-    ) -> Judged {
+    fn record(&mut self, attempt: LostAttempt, surroundings: Surroundings, now: Instant) -> Judged {
         let content = attempt.content;
         let crash = crash_of(&attempt, surroundings.clone());
         self.book.record(content, crash, now);
@@ -340,7 +333,7 @@
 }
 
 /// The end that an attempt would be, or is.
-fn crash_of(attempt: &BrokenAttempt, surroundings: Surroundings) -> Crash {
+fn crash_of(attempt: &LostAttempt, surroundings: Surroundings) -> Crash {
     Crash {
         end: attempt.end,
         at: attempt.upstream.at,
--- a/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
+++ b/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
@@ -21,7 +21,7 @@
 /// each 0.1 s to other engines must not explain each other's.
 pub const SAME_MOMENT: Duration = Duration::from_millis(60);
 /// How long an end is kept: longer than it takes to judge an attempt that was lost there
-/// ([`crate::broken_attempts::CONFIRM_WITHIN`]).
+/// ([`crate::lost_attempts::CONFIRM_WITHIN`]).
 const ENDS_KEPT_FOR: Duration = Duration::from_secs(15);
 
 /// An upstream that ended.
--- a/crates/shared/cloverpier_crashes/src/lib.rs
+++ b/crates/shared/cloverpier_crashes/src/lib.rs
@@ -6,12 +6,12 @@
 //! a content to no further upstream once it has ended too many.
 //!
 //! Both programs use it: everything here is a function or a small state machine over plain data and
-//! knows neither sockets nor a clock. In the order in which a broken attempt meets them:
+//! knows neither sockets nor a clock. In the order in which a lost attempt meets them:
 //!
 //! | question | module |
 //! | --- | --- |
 //! | which requests are the same | [`content`] |
-//! | did the upstream end, or did only the connection break | [`broken_attempts`] |
+//! | did the upstream end under a lost attempt | [`lost_attempts`] |
 //! | which upstreams ended recently | [`ended_upstreams`] |
 //! | did the content run well a moment ago | [`recent_contents`] |
 //! | how much does an end say against the request that ran there | [`weight`] |
@@ -42,10 +42,10 @@
 #![warn(clippy::disallowed_methods)]
 
 pub mod book;
-pub mod broken_attempts;
 pub mod cases;
 pub mod content;
 pub mod ended_upstreams;
+pub mod lost_attempts;
 pub mod recent_contents;
 pub mod weight;
 
@@ -54,12 +54,12 @@
     pub use crate::book::{
         ContentReport, Crash, CrashBook, CrashLimit, Evidence, ReportedCrash, UpstreamEnd, Verdict,
     };
-    pub use crate::broken_attempts::{
-        BrokenAttempt, BrokenAttempts, Dismissal, Dismissed, Loss, SignOfLife,
-    };
     pub use crate::cases::{Admission, CrashCases, Hold, Judged, Neighbours};
     pub use crate::content::{Content, ContentKey};
     pub use crate::ended_upstreams::{EndedUpstream, EndedUpstreams};
+    pub use crate::lost_attempts::{
+        Dismissal, Dismissed, Loss, LostAttempt, LostAttempts, SignOfLife,
+    };
     pub use crate::recent_contents::RecentContents;
     pub use crate::weight::{EndedBeside, OwnEnd, Surroundings, Weight};
 }
--- a/crates/shared/cloverpier_crashes/src/broken_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/lost_attempts.rs
@@ -4,11 +4,11 @@
 //!   silence. Did the upstream end, was only the answer lost, or is it merely standing still?
 //! - **Inputs.** The attempt; later, that a probe was refused or another start was seen (the upstream
 //!   ended), or that the same start answered a question (it lives).
-//! - **Answer.** The attempts that are [`BrokenAttempts::due`]: their upstream ended, and
+//! - **Answer.** The attempts that are [`LostAttempts::due`]: their upstream ended, and
 //!   [`JUDGE_AFTER`] has passed, so that what else ended is known. The upstreams that have to be probed,
-//!   as nothing was learned of them ([`BrokenAttempts::unclear`]), and again while it matters
-//!   ([`BrokenAttempts::unclear_again`]). The attempts that say nothing, and why
-//!   ([`BrokenAttempts::take_dismissed`]).
+//!   as nothing was learned of them ([`LostAttempts::unclear`]), and again while it matters
+//!   ([`LostAttempts::unclear_again`]). The attempts that say nothing, and why
+//!   ([`LostAttempts::take_dismissed`]).
 //! - **Why.** A broken connection proves nothing: upstreams lose answers by resets and live,
 //!   and most requests that lose an answer at several upstreams lose it so. Silence is no end either: it
 //!   comes from cut links and pauses, too. And it is no proof of the opposite: a paused upstream ends
@@ -65,7 +65,7 @@
 
 /// An attempt that was lost.
 #[derive(Clone, Debug)]
-pub struct BrokenAttempt {
+pub struct LostAttempt {
     /// What it sent.
     pub content: ContentKey,
     /// How it was lost.
@@ -107,7 +107,7 @@
 #[derive(Clone, Debug)]
 pub struct Dismissed {
     /// The attempt.
-    pub attempt: BrokenAttempt,
+    pub attempt: LostAttempt,
     /// Why.
     pub reason: Dismissal,
 }
@@ -115,7 +115,7 @@
 /// An attempt, and what was learned of its upstream since.
 #[derive(Clone, Debug)]
 struct Open {
-    attempt: BrokenAttempt,
+    attempt: LostAttempt,
     /// When it became known that its upstream has ended.
     ended_at: Option<Instant>,
     /// When its upstream was named as unclear first.
@@ -210,15 +210,15 @@
 
 /// Attempts that were lost.
 #[derive(Clone, Debug, Default)]
-pub struct BrokenAttempts {
+pub struct LostAttempts {
     open: Vec<Open>,
     /// Those that were dropped since they were taken last.
     dismissed: Vec<Dismissed>,
 }
 
-impl BrokenAttempts {
+impl LostAttempts {
     /// Records an attempt that was lost; `has_ended` where its upstream's end is known already.
-    pub fn on_broken(&mut self, attempt: BrokenAttempt, has_ended: bool) {
+    pub fn on_lost(&mut self, attempt: LostAttempt, has_ended: bool) {
         if self.open.len() >= MAX_OPEN {
             let is_abandoned = |open: &Open| open.attempt.loss == Loss::Abandoned;
             let oldest = self.open.iter().position(is_abandoned).unwrap_or(0);
@@ -280,19 +280,19 @@
     }
 
     /// The attempts that are open.
-    pub fn open(&self) -> impl Iterator<Item = &BrokenAttempt> {
+    pub fn open(&self) -> impl Iterator<Item = &LostAttempt> {
         self.open.iter().map(|open| &open.attempt)
     }
 
     /// The attempts with a content that are open.
-    pub fn open_with(&self, content: ContentKey) -> impl Iterator<Item = &BrokenAttempt> {
+    pub fn open_with(&self, content: ContentKey) -> impl Iterator<Item = &LostAttempt> {
         self.open()
             .filter(move |attempt| attempt.content == content)
     }
 
     /// Takes the attempts whose upstreams ended and that can be judged; drops those of which nothing
     /// was learned.
-    pub fn due(&mut self, now: Instant) -> Vec<BrokenAttempt> {
+    pub fn due(&mut self, now: Instant) -> Vec<LostAttempt> {
         let due = self
             .open
             .extract_if(.., |o| o.judged_at().is_some_and(|at| now >= at))
--- a/crates/shared/cloverpier_crashes/tests/cases.rs
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -1,8 +1,8 @@
 //! What a router does with a request while it is not known whether upstreams ended under it.
 
 use cloverpier_core::{DataCentre, ServiceName};
-use cloverpier_crashes::broken_attempts::{CONFIRM_WITHIN, JUDGE_AFTER};
 use cloverpier_crashes::cases::MAX_HOLD;
+use cloverpier_crashes::lost_attempts::{CONFIRM_WITHIN, JUDGE_AFTER};
 use cloverpier_crashes::prelude::*;
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
@@ -32,8 +32,8 @@
     }
 }
 
-fn attempt(number: u64, loss: Loss, at: Instant) -> BrokenAttempt {
-    BrokenAttempt {
+fn attempt(number: u64, loss: Loss, at: Instant) -> LostAttempt {
+    LostAttempt {
         content: key(),
         loss,
         ran_well: false,
@@ -71,7 +71,7 @@
     let mut cases = CrashCases::new(CrashLimit(3));
     for (number, loss) in (1..).zip(losses) {
         let at = now + ms(30) * number as u32;
-        cases.on_broken(&content(), attempt(number, *loss, at));
+        cases.on_lost(&content(), attempt(number, *loss, at));
     }
     cases
 }
@@ -147,15 +147,15 @@
     let judged = now + ms(30) + JUDGE_AFTER;
     assert_eq!(cases.judge(judged, neighbours).len(), 1);
     // The first one ran it for a second and a half.
-    let long = BrokenAttempt {
+    let long = LostAttempt {
         ran_for: ms(1_500),
         ..attempt(2, Loss::Broke, judged)
     };
-    cases.on_broken(&content(), long);
+    cases.on_lost(&content(), long);
     cases.on_end(upstream(2, judged));
     cases.judge(judged + JUDGE_AFTER, neighbours);
     let given_up = judged + ms(1_000);
-    cases.on_broken(&content(), attempt(3, Loss::GivenUp, given_up));
+    cases.on_lost(&content(), attempt(3, Loss::GivenUp, given_up));
     assert_eq!(hold(&cases, given_up), Hold::UntilSettled);
     let answered = given_up + ms(400);
     cases.on_alive(answer_of(3, answered));
@@ -174,7 +174,7 @@
     let mut cases = CrashCases::new(CrashLimit(3));
     cases.on_completed(&content(), now);
     for number in 1..=5 {
-        cases.on_broken(&content(), attempt(number, Loss::GivenUp, now + ms(10)));
+        cases.on_lost(&content(), attempt(number, Loss::GivenUp, now + ms(10)));
     }
     assert_eq!(hold(&cases, now + ms(100)), Hold::No);
     assert_eq!(
@@ -188,7 +188,7 @@
     let now = Instant::now();
     let mut cases = CrashCases::new(CrashLimit(3));
     for _ in 0..5 {
-        cases.on_broken(&content(), attempt(1, Loss::Broke, now));
+        cases.on_lost(&content(), attempt(1, Loss::Broke, now));
     }
     assert_eq!(hold(&cases, now + ms(10)), Hold::No);
 }
@@ -210,11 +210,11 @@
     for number in 1..=7 {
         let at = now + ms(1_150) + ms(90) * number as u32;
         cases.on_death(upstream(number, at), now + ms(90) * number as u32);
-        let attempt = BrokenAttempt {
+        let attempt = LostAttempt {
             ran_for: at - now,
             ..attempt(number, Loss::GivenUp, at)
         };
-        cases.on_broken(&content(), attempt);
+        cases.on_lost(&content(), attempt);
     }
     cases
 }
@@ -245,7 +245,7 @@
             cases.on_death(upstream(other, at), at - ms(1_100));
             cases.on_alive(answer_of(other, at + ms(100)));
         }
-        cases.on_broken(&content(), attempt(number, Loss::GivenUp, at));
+        cases.on_lost(&content(), attempt(number, Loss::GivenUp, at));
         cases.on_end(upstream(number, at + ms(300)));
         cases.judge(at + ms(300) + JUDGE_AFTER, neighbours);
     }
@@ -258,11 +258,11 @@
     let now = Instant::now();
     let mut cases = CrashCases::new(CrashLimit(3));
     cases.on_former_start(upstream(1, now));
-    let attempt = BrokenAttempt {
+    let attempt = LostAttempt {
         ran_for: ms(500),
         ..attempt(1, Loss::GivenUp, now + ms(1))
     };
-    cases.on_broken(&content(), attempt);
+    cases.on_lost(&content(), attempt);
     assert_eq!(cases.judge(now + ms(1) + JUDGE_AFTER, neighbours).len(), 1);
 }
 
--- a/tools/src/crash_play/requests.rs
+++ b/tools/src/crash_play/requests.rs
@@ -4,7 +4,7 @@
 use super::world::{Event, World};
 use super::{CONTACT, Waiting};
 use cloverpier_core::{DataCentre, UpstreamName};
-use cloverpier_crashes::broken_attempts::JUDGE_AFTER;
+use cloverpier_crashes::lost_attempts::JUDGE_AFTER;
 use cloverpier_crashes::prelude::*;
 use cloverpier_router_policy::load_query::ReportedLoad;
 use cloverpier_router_policy::prelude::*;
@@ -319,7 +319,7 @@
         } = self.runs[run];
         let router = self.requests[index].router;
         let ended = self.ended(engine);
-        let attempt = BrokenAttempt {
+        let attempt = LostAttempt {
             content: ContentKey::of(&self.requests[index].content()),
             loss: match lost {
                 Lost::Broke => Loss::Broke,
@@ -335,7 +335,7 @@
         };
         let request = &mut self.requests[index];
         let cases = &mut self.routers[router].cases;
-        cases.on_broken(&request.content(), attempt);
+        cases.on_lost(&request.content(), attempt);
         request.lost += 1;
         self.outcome.unlucky += usize::from(request.crashing.is_none() && request.lost == 2);
         request.is_done |= request.attempts >= MAX_ATTEMPTS;
