Excuse open attempts, too, once their content has run to its end

Found on reading the change: since attempts are kept for ten seconds, one that was given up at an engine that paused could count against its request though that had run to its end at the next engine, if the first one ended later for another reason. Open attempts with the content are excused now, hold nothing up and are not asked about. Unit test; it failed before.

--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -268,10 +268,11 @@
     /// not end by it. Returns the content if that changes what is known.
     pub fn on_completed(&mut self, content: &Content<'_>, now: Instant) -> Option<ContentKey> {
         self.recent.on_completed(content, now);
-        if self.book.is_empty() {
+        if self.book.is_empty() && self.lost.is_empty() {
             return None;
         }
         let key = ContentKey::of(content);
+        self.lost.on_completed(key);
         self.book.on_completed(key).then_some(key)
     }
 
--- a/crates/shared/cloverpier_crashes/src/lost_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/lost_attempts.rs
@@ -70,7 +70,7 @@
     pub content: ContentKey,
     /// How it was lost.
     pub loss: Loss,
-    /// Whether the content ran to its end a moment before.
+    /// Whether the content ran to its end a moment before, or since.
     pub ran_well: bool,
     /// The upstream's start that it ran at.
     pub end: UpstreamEnd,
@@ -253,6 +253,19 @@
         self.dismiss(survived, Dismissal::Answered);
     }
 
+    /// Records that a content ran to its end: what it was lost at does not end by it.
+    pub fn on_completed(&mut self, content: ContentKey) {
+        let open = self.open.iter_mut().map(|open| &mut open.attempt);
+        for attempt in open.filter(|attempt| attempt.content == content) {
+            attempt.ran_well = true;
+        }
+    }
+
+    /// Whether no attempt is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
     fn dismiss(&mut self, dropped: impl IntoIterator<Item = Open>, reason: Dismissal) {
         // Of one that nobody waited for and that nothing was asked about there is nothing to say.
         let is_told = |open: &Open| open.attempt.loss != Loss::Abandoned || open.asked_at.is_some();
--- a/crates/shared/cloverpier_crashes/tests/cases.rs
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -308,3 +308,18 @@
     cases.on_alive(answer_of(1, now + ms(2_100)));
     assert!(!cases.has_open_at(1));
 }
+
+/// Guards against requests that are charged with an engine that only paused and ended later, though they ran
+/// to their end elsewhere meanwhile.
+#[test]
+fn an_end_that_is_proved_after_the_content_ran_to_its_end_counts_nothing() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::GivenUp, Loss::Broke, Loss::Abandoned], now);
+    cases.on_completed(&content(), now + ms(4_000));
+    assert_eq!(hold(&cases, now + ms(4_000)), Hold::No);
+    for number in 1..=3 {
+        cases.on_end(upstream(number, now + ms(5_000)));
+    }
+    assert_eq!(cases.judge(now + ms(5_100), neighbours).len(), 3);
+    assert_eq!(cases.book.evidence(key(), now + ms(5_100)), 0);
+}
