--- a/crates/daemon/cloverpier_daemon/src/answers/outbox_state.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/outbox_state.rs
@@ -1,4 +1,7 @@
-//! What waits to be sent to holders of copies, and which holders failed. [`super::outbox`] sends it.
+//! What waits to be sent to the holders of copies, and which holders failed.
+//!
+//! Owns the queues and the failures; [`super::outbox`] fills and empties them. Knows nothing of the rest of the
+//! router, so that its state can hold it.
 
 use super::live::Live;
 use cloverpier_core::MemberId;
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -104,14 +104,7 @@
             over => return conclude(app, live, &chosen.upstream, &over).await,
         };
         on_failed(app, live, &chosen.upstream, failure);
-        if let Some(loss) = failure.loss() {
-            let ran_for = app.now().saturating_duration_since(begun);
-            let content = live.spec.content();
-            crashes::on_lost(app, &content, &chosen.upstream, loss, ran_for);
-            if loss == Loss::GivenUp {
-                cancel_given_up(app, live, &chosen.upstream);
-            }
-        }
+        on_loss(app, live, &chosen.upstream, failure, begun);
         tries.may_have_run |= failure.may_have_run();
         if failure.may_have_run() && !live.spec.repeatable {
             return end_unknown(app, live);
@@ -177,8 +170,26 @@
     }
 }
 
-/// Cancels what was given up for its engine's silence, without waiting: an engine that stands still would
-/// begin it when it goes on.
+/// Records an attempt that was lost at an engine, and cancels one that was given up there.
+fn on_loss(
+    app: &Arc<App>,
+    live: &Arc<Live>,
+    upstream: &UpstreamName,
+    failure: Failure,
+    begun: Instant,
+) {
+    let Some(loss) = failure.loss() else {
+        return;
+    };
+    let ran_for = app.now().saturating_duration_since(begun);
+    crashes::on_lost(app, &live.spec.content(), upstream, loss, ran_for);
+    if loss == Loss::GivenUp {
+        cancel_given_up(app, live, upstream);
+    }
+}
+
+/// Cancels what was given up for its engine's silence, without waiting: a paused engine would begin it when
+/// it resumes.
 fn cancel_given_up(app: &Arc<App>, live: &Arc<Live>, upstream: &UpstreamName) {
     let (app, upstream) = (Arc::clone(app), upstream.clone());
     let attempt = live.look(|s| s.answer.attempt());
--- a/crates/daemon/cloverpier_daemon/src/answers/table.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/table.rs
@@ -1,4 +1,7 @@
-//! The answers of this router and what it holds for others: what the other files here act on.
+//! The answers of this router and what it holds for others.
+//!
+//! Owns them; the other files here act on them. Relies on nothing of the rest of the router, so that its
+//! state can hold it.
 
 use super::directory::Directory;
 use super::live::Live;
--- a/crates/daemon/cloverpier_daemon/src/crashes/record.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/record.rs
@@ -101,7 +101,7 @@
     Silent,
 }
 
-/// An engine has to answer: the host of one that stands still takes connections. Plain services have no
+/// An engine has to answer: the host of one that is paused takes connections. Plain services have no
 /// question that costs nothing.
 async fn ask(app: &App, upstream: &Upstream) -> Host {
     let host = connects(&app.timers, upstream.address).await;
@@ -113,7 +113,7 @@
     }
     match app.engines.engine(upstream.address).load().await {
         Ok(_) => Host::HasProcess,
-        // It may have ended since, or stand still; it is asked again.
+        // It may have ended since, or be paused; it is asked again.
         Err(_) => Host::Silent,
     }
 }
--- a/crates/router/cloverpier_router/src/crashes/neighbours.rs
+++ b/crates/router/cloverpier_router/src/crashes/neighbours.rs
@@ -1,4 +1,6 @@
-//! The upstreams around one that ended, from the table of upstreams. Owns nothing.
+//! The upstreams around one that ended, and their names, for judgements and log lines.
+//!
+//! Owns nothing: reads the table of upstreams.
 
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -274,11 +274,6 @@
         self.gone.is_none() && self.may_still_serve()
     }
 
-    /// Whether the platform's list names it no more.
-    pub fn has_lost_its_entry(&self) -> bool {
-        self.gone.is_some()
-    }
-
     /// Whether the platform's list named it no more at a moment.
     pub fn had_lost_its_entry(&self, at: Instant) -> bool {
         self.gone.is_some_and(|gone| gone <= at)
--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -85,7 +85,7 @@
 }
 
 impl Evidence {
-    /// Whether it is that of at least so many ends that nothing else explains.
+    /// Whether it amounts to this number of ends that nothing else explains, or more.
     pub fn is_ends(self, ends: u32) -> bool {
         self.thousandths + ROUNDING >= ends * Weight::FULL.thousandths()
     }
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -251,7 +251,7 @@
         self.ended.on_former_start(former);
     }
 
-    /// Whether an answer of an upstream may tell anything.
+    /// Whether an attempt at an upstream is open, so that its answers matter.
     pub fn has_open_at(&self, upstream: u64) -> bool {
         self.lost.has_open_at(upstream)
     }
--- a/crates/shared/cloverpier_crashes/src/lost_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/lost_attempts.rs
@@ -44,7 +44,7 @@
 /// An upstream that was asked has this time to answer, whatever the age of its attempt: this process may
 /// have been paused.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
-/// An upstream that takes longer to answer a question stood still.
+/// An upstream that takes longer to answer a question was paused.
 const PROMPT_ANSWER: Duration = Duration::from_millis(100);
 /// Attempts that are open at most; the oldest are dropped. A data centre's death breaks some tens at
 /// one router.
@@ -198,7 +198,7 @@
         match self.attempt.loss {
             Loss::Broke => true,
             Loss::Abandoned => sign.asked >= self.abandoned_until(survival),
-            // One that stood still meanwhile may not have begun the request yet.
+            // One that was paused meanwhile may not have begun the request yet.
             Loss::GivenUp if sign.answered > sign.asked + PROMPT_ANSWER => false,
             Loss::GivenUp => {
                 let first = *self.answered_at.get_or_insert(sign.answered);
