Date an end by the break it showed itself with, not by its proof

Callers saw streams of a dying data centre broken off, and their repeats answered 400, as requests that crash upstreams, where the machine was busy: the connections of three engines broke within 5 ms, their ports were refused 228 ms later and one after the other, and each end was weighed as if nothing had ended beside it.

Cause: EndedUpstream.at was the moment of the proof, and what ended beside an attempt was looked for around the moment of its break.

An end now has the moment of the first connection that broke there; what broke off beside an attempt and is not proved yet counts as what may have ended with it, except the content's own runs in turn; where the proof takes longer than 110 ms, so does what ended until then, as for attempts that were given up.

--- a/crates/shared/cloverpier_crashes/src/book/record.rs
+++ b/crates/shared/cloverpier_crashes/src/book/record.rs
@@ -5,13 +5,10 @@
 use super::{
     CRASH_TTL, Crash, Evidence, MAX_CRASHES, ReportedCrash, SAME_END_MS, UNKNOWN_START, UpstreamEnd,
 };
-use crate::weight::{OwnEnd, Surroundings, Weight};
+use crate::weight::{EndedRun, OwnEnd, Surroundings, Weight};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// Times of two ends that different routers saw, or that were rounded, agree to this.
-const SAME_TIME: Duration = Duration::from_millis(20);
-
 /// One end.
 #[derive(Clone, Debug)]
 struct Known {
@@ -27,6 +24,13 @@
         !self.excused && !self.is_over(now)
     }
 
+    fn run(&self) -> EndedRun {
+        EndedRun {
+            at: self.at,
+            ran_for: self.ran_for,
+        }
+    }
+
     fn is_over(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.at) >= CRASH_TTL
     }
@@ -123,17 +127,7 @@
         // Of several starts the one that ended nearest in time.
         let apart = |known: &Known| known.at.max(beside.at) - known.at.min(beside.at);
         let (_, nearest) = ends.min_by_key(|(_, known)| apart(known))?;
-        let (first, second) = if nearest.at < beside.at {
-            (nearest, beside)
-        } else {
-            (beside, nearest)
-        };
-        let second_had_run = second.at - first.at;
-        Some(if second.ran_for > second_had_run + SAME_TIME {
-            OwnEnd::OfRunsAtOnce
-        } else {
-            OwnEnd::OfRunsInTurn
-        })
+        Some(OwnEnd::of_runs(nearest.run(), beside.run()))
     }
 
     fn knows_start_of(&self, upstream: u64) -> bool {
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -10,10 +10,10 @@
 
 use crate::book::{Crash, CrashBook, CrashLimit, Evidence, SUSPECT_FROM, UpstreamEnd, Verdict};
 use crate::content::{Content, ContentKey};
-use crate::ended_upstreams::{EndedUpstream, EndedUpstreams};
+use crate::ended_upstreams::{EndedUpstream, EndedUpstreams, SAME_MOMENT};
 use crate::lost_attempts::{Dismissed, JUDGE_AFTER, Loss, LostAttempt, LostAttempts, SignOfLife};
 use crate::recent_contents::RecentContents;
-use crate::weight::Surroundings;
+use crate::weight::{EndedBeside, OwnEnd, Surroundings};
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -28,6 +28,10 @@
 /// longer to read.
 const MOST_SURVIVAL: Duration = Duration::from_secs(3);
 
+/// The moment of an end is that of the break where it is proved within this time; later, what ended or fell
+/// silent until the proof may have ended with it.
+const PROVED_AT_ONCE: Duration = JUDGE_AFTER.saturating_add(SAME_MOMENT);
+
 /// Whether a request waits before it is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hold {
@@ -191,10 +195,14 @@
         neighbours: Neighbours,
         now: Instant,
     ) -> Surroundings {
-        let ended = match attempt.loss {
-            Loss::Broke => self.ended.beside(&attempt.upstream),
-            Loss::GivenUp | Loss::Abandoned => self.ended.during(&attempt.upstream, now),
+        let lost_at = attempt.upstream.at;
+        let is_dated = attempt.loss == Loss::Broke && now <= lost_at + PROVED_AT_ONCE;
+        let (mut ended, until) = if is_dated {
+            (self.ended.beside(&attempt.upstream), lost_at + SAME_MOMENT)
+        } else {
+            (self.ended.during(&attempt.upstream, now), now)
         };
+        self.add_open_losses(&mut ended, attempt, until);
         Surroundings {
             in_service: neighbours.in_service,
             in_data_centre: neighbours.in_data_centre,
@@ -202,6 +210,28 @@
         }
     }
 
+    /// Adds the upstreams at which attempts were lost beside one, of which nothing is proved yet: they may
+    /// have ended with it. The attempt's own request explains nothing where it ran at one after the other.
+    fn add_open_losses(&self, ended: &mut EndedBeside, attempt: &LostAttempt, until: Instant) {
+        let end = &attempt.upstream;
+        let waited_for = self.lost.open().filter(|other| {
+            let upstream = &other.upstream;
+            let is_other = upstream.upstream != end.upstream && upstream.service == end.service;
+            is_other && other.loss != Loss::Abandoned
+        });
+        let is_in_turn = |other: &LostAttempt| {
+            let is_own = other.content == attempt.content;
+            is_own && OwnEnd::of_runs(other.run(), attempt.run()) == OwnEnd::OfRunsInTurn
+        };
+        let (own, others): (Vec<_>, Vec<_>) = waited_for.partition(|other| is_in_turn(other));
+        let beside = others.into_iter().map(|other| &other.upstream);
+        let beside = beside.filter(|other| other.at + SAME_MOMENT >= end.at && other.at <= until);
+        ended.extend(beside.map(|other| (other.upstream, other.data_centre == end.data_centre)));
+        for other in own {
+            ended.remove(other.upstream.upstream);
+        }
+    }
+
     /// The contents of which it matters whether upstreams ended, as several attempts with them were
     /// lost; and for how long an upstream has to live on to have survived them.
     fn in_question(&self, now: Instant) -> HashMap<ContentKey, Duration> {
@@ -236,7 +266,9 @@
     /// Records that an upstream's host has no process at its address any more.
     pub fn on_end(&mut self, ended: EndedUpstream) {
         self.lost.on_end(ended.upstream, ended.at);
-        self.ended.on_end(ended);
+        let broke_at = self.lost.first_break_at(ended.upstream);
+        let at = broke_at.map_or(ended.at, |at| at.min(ended.at));
+        self.ended.on_end(EndedUpstream { at, ..ended });
     }
 
     /// Records an upstream that is dead by a peer's word or by its silence since a moment: that explains
@@ -248,7 +280,10 @@
     /// Records that an upstream has ended some time ago, as another start answers in its place.
     pub fn on_former_start(&mut self, former: EndedUpstream) {
         self.lost.on_end(former.upstream, former.at);
-        self.ended.on_former_start(former);
+        match self.lost.first_break_at(former.upstream) {
+            Some(at) => self.ended.on_end(EndedUpstream { at, ..former }),
+            None => self.ended.on_former_start(former),
+        }
     }
 
     /// Whether an attempt at an upstream is open, so that its answers matter.
--- a/crates/shared/cloverpier_crashes/src/lost_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/lost_attempts.rs
@@ -26,6 +26,7 @@
 use crate::book::UpstreamEnd;
 use crate::content::ContentKey;
 use crate::ended_upstreams::EndedUpstream;
+use crate::weight::EndedRun;
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
@@ -80,6 +81,16 @@
     pub ran_for: Duration,
 }
 
+impl LostAttempt {
+    /// The run that was lost, as if its upstream had ended by then.
+    pub fn run(&self) -> EndedRun {
+        EndedRun {
+            at: self.upstream.at,
+            ran_for: self.ran_for,
+        }
+    }
+}
+
 /// An answer of an upstream to a question.
 #[derive(Clone, Copy, Debug)]
 pub struct SignOfLife {
@@ -303,6 +314,15 @@
             .filter(move |attempt| attempt.content == content)
     }
 
+    /// When the connection of an open attempt at an upstream broke first: if it has ended, that was the
+    /// moment.
+    pub fn first_break_at(&self, upstream: u64) -> Option<Instant> {
+        let broke = self
+            .open()
+            .filter(|attempt| attempt.end.upstream == upstream && attempt.loss == Loss::Broke);
+        broke.map(|attempt| attempt.upstream.at).min()
+    }
+
     /// Takes the attempts whose upstreams ended and that can be judged; drops those of which nothing
     /// was learned.
     pub fn due(&mut self, now: Instant) -> Vec<LostAttempt> {
--- a/crates/shared/cloverpier_crashes/src/weight.rs
+++ b/crates/shared/cloverpier_crashes/src/weight.rs
@@ -26,6 +26,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 /// Ends at the same moment that are kept by name; of more, it is a mass death, which explains each
 /// of its ends.
@@ -40,6 +41,35 @@
     OfRunsInTurn,
 }
 
+/// Times of two ends that different routers saw, or that were rounded, agree to this.
+const SAME_TIME: Duration = Duration::from_millis(20);
+
+/// A run of a request that ended with its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedRun {
+    /// When it ended.
+    pub at: Instant,
+    /// How long it had run.
+    pub ran_for: Duration,
+}
+
+impl OwnEnd {
+    /// How the ends of two runs came about.
+    pub fn of_runs(one: EndedRun, other: EndedRun) -> Self {
+        let (first, second) = if one.at < other.at {
+            (one, other)
+        } else {
+            (other, one)
+        };
+        let second_had_run = second.at - first.at;
+        if second.ran_for > second_had_run + SAME_TIME {
+            Self::OfRunsAtOnce
+        } else {
+            Self::OfRunsInTurn
+        }
+    }
+}
+
 /// What one end counts against a request, in thousandths of an end that nothing else explains.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Weight(u32);
@@ -85,7 +115,15 @@
         beside
     }
 
-    fn extend(&mut self, ended: impl IntoIterator<Item = (u64, bool)>) {
+    /// Leaves one out that explains nothing.
+    pub fn remove(&mut self, upstream: u64) {
+        if let Self::Few(known) = self {
+            known.remove(&upstream);
+        }
+    }
+
+    /// Adds some.
+    pub fn extend(&mut self, ended: impl IntoIterator<Item = (u64, bool)>) {
         let Self::Few(known) = self else {
             return;
         };
--- a/crates/shared/cloverpier_crashes/tests/cases.rs
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -323,3 +323,55 @@
     assert_eq!(cases.judge(now + ms(5_100), neighbours).len(), 3);
     assert_eq!(cases.book.evidence(key(), now + ms(5_100)), 0);
 }
+
+/// Equal copies of a request that run at engines of a data centre until it dies: all connections break at
+/// once, and a busy machine takes its time to refuse what asks there.
+fn copies_in_a_data_centre_that_died(now: Instant) -> CrashCases {
+    let mut cases = CrashCases::new(CrashLimit(3));
+    for number in 1..=5 {
+        let at = now + ms(600) + ms(1) * number as u32;
+        let attempt = LostAttempt {
+            ran_for: ms(600),
+            ..attempt(number, Loss::Broke, at)
+        };
+        cases.on_lost(&content(), attempt);
+    }
+    cases
+}
+
+/// Guards against requests that are stopped as their engines died together and that was proved late.
+#[test]
+fn copies_in_a_data_centre_that_died_are_not_stopped_however_late_that_is_proved() {
+    let now = Instant::now();
+    for apart in [0, 90] {
+        let mut cases = copies_in_a_data_centre_that_died(now);
+        let mut judged = 0;
+        for number in 1..=5 {
+            let proved = now + ms(830) + ms(apart) * number as u32;
+            cases.on_end(upstream(number, proved));
+            if apart > 0 {
+                judged += cases.judge(proved, neighbours).len();
+            }
+        }
+        let late = now + ms(2_000);
+        judged += cases.judge(late, neighbours).len();
+        assert_eq!(judged, 5);
+        assert_eq!(
+            cases.book.verdict(key(), late),
+            Verdict::Harmless,
+            "{apart} ms"
+        );
+    }
+}
+
+#[test]
+fn copies_at_engines_that_started_again_together_under_their_names_are_not_stopped() {
+    let now = Instant::now();
+    let mut cases = copies_in_a_data_centre_that_died(now);
+    for number in 1..=5 {
+        cases.on_former_start(upstream(number, now + ms(1_700)));
+    }
+    let late = now + ms(2_000);
+    assert_eq!(cases.judge(late, neighbours).len(), 5);
+    assert_eq!(cases.book.verdict(key(), late), Verdict::Harmless);
+}
