Send copies of a request that may have ended two engines one at a time

Callers saw a request that crashes engines end all eight of a site at once, where it came again each 10 ms at one router: its copies waited for the judgement of the first two ends, were woken together, and each was sent to an engine of its own before the third end was known.

Cause: what is under way was unknown to the decision; hold and admission count ends and open attempts only. Evidence: the router's log: two crash.recorded, and in the same millisecond six request.held and six server.chosen at six engines.

CrashCases keeps the attempts under way with contents that may do harm. Where ends, open attempts and those that have not run yet for as long as ended others would together be as many as stop the content, the next waits until one of these is over or has lived on (0.1 to 3 s). cloverpierd has the same rule. A single request never waits for it, and nothing with fewer than two ends does.

--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -9,7 +9,7 @@
 use crate::answers::live::{End, Live};
 use crate::answers::outbox::send_news;
 use crate::app::App;
-use crate::crashes;
+use crate::crashes::{self, Admitted, Turn};
 use crate::error::{ApiError, Run};
 use crate::statements;
 use cloverpier_answer::{AttemptId, FinishReason, Source, TokenStep};
@@ -77,7 +77,7 @@
     };
     let content = live.spec.content_key();
     loop {
-        let admission = crashes::admit(app, content).await;
+        let Admitted { admission, turn } = crashes::admit(app, content).await;
         if admission == Admission::Stopped {
             if let Some(unused) = next {
                 release(app, &unused);
@@ -91,6 +91,7 @@
                 Err(error) => return live.end(End::Failed(error), app.now()),
             },
         };
+        turn.iter().for_each(Turn::on_sent);
         let begun = app.now();
         let before = live.look(|s| s.answer.len());
         let over = attempt_or_call_back(app, live, &chosen).await;
--- a/crates/daemon/cloverpier_daemon/src/crashes/hold.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/hold.rs
@@ -1,6 +1,7 @@
 //! Decides whether a request may be sent to an upstream now, holds it until that is known, and calls it
 //! back when its content is stopped. Owns nothing; [`super::judgement`] wakes what is held.
 
+use super::turn::Turn;
 use crate::app::App;
 use cloverpier_core::lock;
 use cloverpier_crashes::lost_attempts::CONFIRM_WITHIN;
@@ -8,16 +9,27 @@
 use std::pin::pin;
 use std::time::Instant;
 
+/// How a request may be sent, and its turn, if its content may do harm.
+pub struct Admitted<'a> {
+    /// How it may be sent.
+    pub admission: Admission,
+    /// Lasts as long as the attempt.
+    pub turn: Option<Turn<'a>>,
+}
+
 /// Decides whether a request may be sent to an upstream now. Where its next attempt may be one too
 /// many, it waits until the last ones are judged.
-pub async fn admit(app: &App, content: ContentKey) -> Admission {
+pub async fn admit(app: &App, content: ContentKey) -> Admitted<'_> {
     let since = app.now();
     loop {
         let mut changed = pin!(app.crashes.changed.notified());
         changed.as_mut().enable();
         let now = app.now();
         match look(app, content, since, now) {
-            Look::Goes(admission) => return admission,
+            Look::Goes { admission, number } => {
+                let turn = number.map(|number| Turn::new(app, content, number));
+                return Admitted { admission, turn };
+            }
             Look::WaitsUntil(until) => {
                 // Woken or not, it looks again.
                 let _ = app.timers.timeout(until - now, changed).await;
@@ -28,20 +40,26 @@
 
 /// Whether a request that has waited since a moment goes on waiting.
 enum Look {
-    Goes(Admission),
+    Goes {
+        admission: Admission,
+        number: Option<AttemptNumber>,
+    },
     WaitsUntil(Instant),
 }
 
 fn look(app: &App, content: ContentKey, since: Instant, now: Instant) -> Look {
     let view = lock(&app.view);
-    let cases = lock(&app.crashes.cases);
+    let mut cases = lock(&app.crashes.cases);
     let neighbours =
         |end: &EndedUpstream| view.neighbours(&end.service, &end.data_centre, end.upstream);
     let hold = cases.hold(content, now, neighbours);
-    match hold.until(since, since + CONFIRM_WITHIN, now) {
-        Some(until) => Look::WaitsUntil(until),
-        None => Look::Goes(cases.admission(content, now, neighbours)),
+    if let Some(until) = hold.until(since, since + CONFIRM_WITHIN, now) {
+        return Look::WaitsUntil(until);
     }
+    let admission = cases.admission(content, now, neighbours);
+    let takes_turn = admission != Admission::Stopped && !cases.is_empty();
+    let number = takes_turn.then(|| cases.on_admitted(content));
+    Look::Goes { admission, number }
 }
 
 fn is_stopped(app: &App, content: ContentKey) -> bool {
--- a/crates/daemon/cloverpier_daemon/src/crashes/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/mod.rs
@@ -5,6 +5,7 @@
 //! | what is known | [`state`] |
 //! | attempts that are lost, and what became of their upstreams | `record` |
 //! | whether a request may be sent now | `hold` |
+//! | one attempt after the other, where the next could be one too many | `turn` |
 //! | judgements, verdicts, what peers know | `judgement` |
 //!
 //! What an end says and what follows is decided in `cloverpier_crashes`, as for the router on the platform;
@@ -14,10 +15,12 @@
 mod judgement;
 mod record;
 pub(crate) mod state;
+mod turn;
 
-pub use hold::{admit, called_back};
+pub use hold::{Admitted, admit, called_back};
 pub use judgement::{merge, on_completed};
 pub use record::on_lost;
+pub use turn::Turn;
 
 use crate::app::App;
 use crate::error::{ApiError, Run};
--- /dev/null
+++ b/crates/daemon/cloverpier_daemon/src/crashes/turn.rs
@@ -0,0 +1,38 @@
+//! The turn of an attempt with a content that may do harm, from its admission until it is over.
+//!
+//! Others with the content wait meanwhile, if one more could be too many; `cloverpier_crashes` decides that.
+//! Owns one attempt's number there.
+
+use crate::app::App;
+use cloverpier_crashes::prelude::*;
+
+/// An attempt that was admitted. It is over when this is dropped.
+pub struct Turn<'a> {
+    app: &'a App,
+    content: ContentKey,
+    number: AttemptNumber,
+}
+
+impl<'a> Turn<'a> {
+    pub(super) fn new(app: &'a App, content: ContentKey, number: AttemptNumber) -> Self {
+        Self {
+            app,
+            content,
+            number,
+        }
+    }
+
+    /// Records that the attempt is sent.
+    pub fn on_sent(&self) {
+        let now = self.app.now();
+        let change = |cases: &mut CrashCases| cases.on_sent(self.content, self.number, now);
+        self.app.crashes.change(change);
+    }
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        let change = |cases: &mut CrashCases| cases.on_over(self.content, self.number);
+        self.app.crashes.change(change);
+    }
+}
--- a/crates/daemon/cloverpier_daemon/src/plain.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain.rs
@@ -6,7 +6,7 @@
 use crate::admission::{choose, log_choice, nobody, release};
 use crate::app::App;
 use crate::claims::{self, Written};
-use crate::crashes;
+use crate::crashes::{self, Admitted, Turn};
 use crate::error::{ApiError, Run};
 use crate::statements;
 use cloverpier_config::Repeatable;
@@ -72,15 +72,22 @@
     }
 }
 
-/// Takes a place for a call, unless its content ends upstreams.
-async fn place(
-    app: &App,
+/// A place for a call, and its turn, if its content may do harm.
+struct Placed<'a> {
+    chosen: Chosen,
+    /// Lasts as long as the call.
+    _turn: Option<Turn<'a>>,
+}
+
+/// Takes a place for a call, which is to be sent at once, unless its content ends upstreams.
+async fn place<'a>(
+    app: &'a App,
     service: &ServiceName,
     key: &RequestKey,
     content: ContentKey,
     failed: &[UpstreamName],
-) -> Result<Chosen, ApiError> {
-    let admission = crashes::admit(app, content).await;
+) -> Result<Placed<'a>, ApiError> {
+    let Admitted { admission, turn } = crashes::admit(app, content).await;
     if admission == Admission::Stopped {
         return Err(crashes::stopped(Run::NotRun));
     }
@@ -92,7 +99,9 @@
     match choose(app, &ask) {
         Choice::Chosen(chosen) => {
             log_choice(app, key.as_str(), service, &chosen);
-            Ok(chosen)
+            turn.iter().for_each(Turn::on_sent);
+            let _turn = turn;
+            Ok(Placed { chosen, _turn })
         }
         Choice::Full | Choice::Nobody => Err(nobody(app, service)),
     }
@@ -137,7 +146,7 @@
     let mut may_have_run = false;
     for _ in 0..TRIES {
         let placed = place(app, service, key, content_key, &failed).await;
-        let chosen = placed.map_err(|error| {
+        let Placed { chosen, _turn } = placed.map_err(|error| {
             if may_have_run {
                 error.with_run(Run::Unknown)
             } else {
@@ -192,8 +201,9 @@
     let content_key = ContentKey::of(&content);
     let mut failed = Vec::new();
     for _ in 0..TRIES {
-        let chosen = match place(&app, &service, &written.key, content_key, &failed).await {
-            Ok(chosen) => chosen,
+        let placed = place(&app, &service, &written.key, content_key, &failed).await;
+        let Placed { chosen, _turn } = match placed {
+            Ok(placed) => placed,
             Err(error) => {
                 claims::release(&app, &written).await;
                 return Err(error);
--- a/crates/daemon/cloverpier_daemon/src/web/completions.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/completions.rs
@@ -7,7 +7,7 @@
 use crate::answers::{End, Live, Opened, Reader, Reading, Spec, Start, open, spawn};
 use crate::app::App;
 use crate::claims;
-use crate::crashes;
+use crate::crashes::{self, Admitted};
 use crate::error::{ApiError, Run};
 use crate::web::app_of;
 use crate::web::completion_body::{Completion, completion};
@@ -145,7 +145,8 @@
     term: u64,
 ) -> Result<Arc<Live>, ApiError> {
     let content = spec.content_key();
-    let admission = crashes::admit(app, content).await;
+    // Each attempt takes its own turn.
+    let Admitted { admission, turn: _ } = crashes::admit(app, content).await;
     if admission == Admission::Stopped {
         return Err(crashes::stopped(Run::NotRun));
     }
--- a/crates/router/cloverpier_router/src/crashes/hold.rs
+++ b/crates/router/cloverpier_router/src/crashes/hold.rs
@@ -3,18 +3,31 @@
 //! Owns no state. Relies on [`super::judgement`] to wake what is held.
 
 use super::neighbours::neighbours;
+use super::turn::Turn;
 use crate::decision_log::{RequestHeld, ms};
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_crashes::prelude::*;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// How a request may be sent, and its turn, if its content may do harm.
+pub(crate) struct Admitted {
+    /// How it may be sent.
+    pub admission: Admission,
+    /// Lasts as long as the attempt.
+    pub turn: Option<Turn>,
+}
+
 /// Decides whether a request may be sent to an upstream now. Where its next attempt may be one too
 /// many, it waits until the last one is judged.
-pub(crate) async fn admit(router: &Router, request: &RelayRequest) -> Admission {
+pub(crate) async fn admit(router: &Rc<Router>, request: &RelayRequest) -> Admitted {
     let crashes = &router.crashes;
     if crashes.cases.borrow().is_empty() {
-        return Admission::Beside;
+        return Admitted {
+            admission: Admission::Beside,
+            turn: None,
+        };
     }
     let content = request.content();
     let since = router.now();
@@ -29,6 +42,7 @@
     let now = router.now();
     let neighbours = |end: &EndedUpstream| neighbours(router, end);
     let admission = crashes.cases.borrow().admission(content, now, neighbours);
+    let turn = (admission != Admission::Stopped).then(|| Turn::begin(router, request));
     if is_held {
         log_hold(
             router,
@@ -37,7 +51,7 @@
             now.saturating_duration_since(since),
         );
     }
-    admission
+    Admitted { admission, turn }
 }
 
 /// Until when a request that has waited since a moment goes on waiting for a judgement; `None` where it
--- a/crates/router/cloverpier_router/src/crashes/mod.rs
+++ b/crates/router/cloverpier_router/src/crashes/mod.rs
@@ -7,6 +7,7 @@
 //! | attempts that nobody waits for any more | [`abandoned`] |
 //! | lost attempts, from the questions about their upstreams to the judgement | [`judgement`] |
 //! | whether a request may be sent now | [`hold`] |
+//! | one attempt after the other, where the next could be one too many | [`turn`] |
 //! | what follows once a content is stopped | [`verdicts`] |
 //! | what peers are sent, and send | [`reports`] |
 //! | the upstreams around one that ended | [`neighbours`] |
@@ -21,4 +22,5 @@
 pub(crate) mod record;
 pub(crate) mod reports;
 pub(crate) mod state;
+pub(crate) mod turn;
 pub(crate) mod verdicts;
--- /dev/null
+++ b/crates/router/cloverpier_router/src/crashes/turn.rs
@@ -0,0 +1,43 @@
+//! The turn of an attempt with a content that may do harm, from its admission until it is over.
+//!
+//! Others with the content wait meanwhile, if one more could be too many; `cloverpier_crashes` decides that.
+//! Owns one attempt's number there.
+
+use crate::relay_request::RelayRequest;
+use crate::router::Router;
+use cloverpier_crashes::{AttemptNumber, ContentKey, CrashCases};
+use std::rc::Rc;
+
+/// An attempt that was admitted. It is over when this is dropped.
+pub(crate) struct Turn {
+    router: Rc<Router>,
+    content: ContentKey,
+    number: AttemptNumber,
+}
+
+impl Turn {
+    /// Begins with the admission.
+    pub(super) fn begin(router: &Rc<Router>, request: &RelayRequest) -> Self {
+        let content = request.content();
+        let number = router.crashes.cases.borrow_mut().on_admitted(content);
+        Self {
+            router: Rc::clone(router),
+            content,
+            number,
+        }
+    }
+
+    /// Records that the attempt is sent.
+    pub fn on_sent(&self) {
+        let now = self.router.now();
+        let change = |cases: &mut CrashCases| cases.on_sent(self.content, self.number, now);
+        self.router.crashes.change(change);
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        let change = |cases: &mut CrashCases| cases.on_over(self.content, self.number);
+        self.router.crashes.change(change);
+    }
+}
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -8,6 +8,8 @@
 use crate::choice_log::{ChoiceNote, log_choice};
 use crate::connection::Connection;
 use crate::crashes::abandoned::AbandonGuard;
+use crate::crashes::hold::Admitted;
+use crate::crashes::turn::Turn;
 use crate::crashes::{hold, judgement, record};
 use crate::decision_log::RequestEnd;
 use crate::held_bytes::HeldBytes;
@@ -98,7 +100,8 @@
 
     async fn run(&mut self) -> Result<Reply, GivenUp> {
         loop {
-            if hold::admit(self.router, self.request).await == Admission::Stopped {
+            let Admitted { admission, turn } = hold::admit(self.router, self.request).await;
+            if admission == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
             let upstream = match self.find_upstream().await {
@@ -107,6 +110,7 @@
             };
             self.attempts.on_send();
             let begun = self.router.now();
+            turn.iter().for_each(Turn::on_sent);
             let guard = AbandonGuard::begin(self.router, self.request, &upstream);
             let outcome = self.attempt(&upstream).await;
             guard.settle();
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -15,6 +15,7 @@
 use crate::connection::Connection;
 use crate::crashes::abandoned::AbandonGuard;
 use crate::crashes::record;
+use crate::crashes::turn::Turn;
 use crate::decision_log::RequestEnd;
 use crate::health::UpstreamHealth;
 use crate::load_guard::LoadGuard;
@@ -112,6 +113,8 @@
     attempt_begun: Instant,
     /// How the next one may be sent.
     admission: Admission,
+    /// The turn of the present attempt, if its content may do harm.
+    turn: Option<Turn>,
     source: Option<Source>,
     /// The present attempt, until the upstream has sent an event or failed.
     unanswered: Option<AbandonGuard>,
@@ -147,6 +150,7 @@
             tried: Vec::new(),
             attempt_begun: request.arrived,
             admission: Admission::Beside,
+            turn: None,
             source: None,
             unanswered: None,
             replica: None,
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -4,6 +4,8 @@
 
 use super::{Source, StreamRun};
 use crate::crashes::abandoned::AbandonGuard;
+use crate::crashes::hold::Admitted;
+use crate::crashes::turn::Turn;
 use crate::crashes::{hold, judgement};
 use crate::load_guard::LoadGuard;
 use crate::outcome::GivenUp;
@@ -22,7 +24,10 @@
     pub(super) async fn open_somewhere(&mut self) -> Result<(), GivenUp> {
         self.find_prompt().await;
         loop {
-            self.admission = hold::admit(&self.router, &self.request).await;
+            // The turn of the run that was lost is over.
+            self.turn = None;
+            let Admitted { admission, turn } = hold::admit(&self.router, &self.request).await;
+            (self.admission, self.turn) = (admission, turn);
             if self.admission == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
@@ -32,6 +37,7 @@
                 .map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
             self.attempts.on_send();
             self.attempt_begun = self.router.now();
+            self.turn.iter().for_each(Turn::on_sent);
             let guard = AbandonGuard::begin(&self.router, &self.request, &upstream);
             let opened = self.open_at(&upstream, extras).await;
             let failure = match opened {
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -13,6 +13,7 @@
 use crate::ended_upstreams::{EndedUpstream, EndedUpstreams, SAME_MOMENT};
 use crate::lost_attempts::{Dismissed, JUDGE_AFTER, Loss, LostAttempt, LostAttempts, SignOfLife};
 use crate::recent_contents::RecentContents;
+use crate::under_way::{AtRisk, AttemptNumber, AttemptsUnderWay};
 use crate::weight::{EndedBeside, OwnEnd, Surroundings};
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
@@ -44,6 +45,9 @@
     /// Until it is known of each attempt whether its upstream ended: if all did, they are as many as stop
     /// the content, and one more would end.
     UntilSettled,
+    /// Until another attempt with the content is over, or has run for as long as ended others: if that
+    /// ends its upstream, too, one more would be too many. `None` while that one is not sent.
+    WhileAnotherRuns(Option<Instant>),
 }
 
 impl Hold {
@@ -54,6 +58,7 @@
             Self::No => return None,
             Self::Briefly => deadline.min(since + MAX_HOLD),
             Self::UntilSettled => deadline,
+            Self::WhileAnotherRuns(until) => until.map_or(deadline, |until| until.min(deadline)),
         };
         (now < until).then_some(until)
     }
@@ -108,6 +113,7 @@
     lost: LostAttempts,
     ended: EndedUpstreams,
     recent: RecentContents,
+    under_way: AttemptsUnderWay,
 }
 
 impl CrashCases {
@@ -118,6 +124,7 @@
             lost: LostAttempts::default(),
             ended: EndedUpstreams::default(),
             recent: RecentContents::default(),
+            under_way: AttemptsUnderWay::default(),
         }
     }
 
@@ -126,28 +133,78 @@
         self.book.is_empty() && !self.lost.has_waited_for()
     }
 
-    /// Whether a request has to wait for the judgement of its last attempts. A first retry never does.
+    /// Whether a request has to wait for the judgement of its last attempts, or for another's. A first
+    /// retry never does.
     pub fn hold(
         &self,
         content: ContentKey,
         now: Instant,
         neighbours: impl Fn(&EndedUpstream) -> Neighbours,
+    ) -> Hold {
+        self.hold_beside(content, None, now, neighbours)
+    }
+
+    /// The same for an attempt that was admitted and has waited since then to be sent.
+    pub fn hold_admitted(
+        &self,
+        content: ContentKey,
+        own: AttemptNumber,
+        now: Instant,
+        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
+    ) -> Hold {
+        self.hold_beside(content, Some(own), now, neighbours)
+    }
+
+    fn hold_beside(
+        &self,
+        content: ContentKey,
+        own: Option<AttemptNumber>,
+        now: Instant,
+        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
     ) -> Hold {
         let CrashLimit(limit) = self.book.limit();
         let has_open = self.waited_for(content).next().is_some();
-        if limit == 0 || !has_open || self.book.is_cleared(content) {
+        let at_risk = self.at_risk(content, own, now);
+        let is_clear = !has_open && at_risk.count == 0;
+        if limit == 0 || is_clear || self.book.is_cleared(content) {
             return Hold::No;
         }
         let at_worst = self.at_worst(content, now, neighbours);
-        if at_worst.is_ends(limit) {
+        let one_too_many = limit.saturating_sub(at_risk.count).max(SUSPECT_FROM);
+        if has_open && at_worst.is_ends(limit) {
             Hold::UntilSettled
-        } else if at_worst.ends >= SUSPECT_FROM as usize {
+        } else if at_risk.count > 0 && at_worst.is_ends(one_too_many) {
+            Hold::WhileAnotherRuns(at_risk.until)
+        } else if has_open && at_worst.ends >= SUSPECT_FROM as usize {
             Hold::Briefly
         } else {
             Hold::No
         }
     }
 
+    /// The attempts under way with a content that may still end their upstreams, but for one.
+    fn at_risk(&self, content: ContentKey, own: Option<AttemptNumber>, now: Instant) -> AtRisk {
+        let lost = self.waited_for(content).map(|attempt| attempt.ran_for);
+        let longest = lost.fold(self.book.longest_run(content, now), Duration::max);
+        self.under_way
+            .at_risk(content, own, survival_of(longest), now)
+    }
+
+    /// Records that an attempt with a content is admitted.
+    pub fn on_admitted(&mut self, content: ContentKey) -> AttemptNumber {
+        self.under_way.on_admitted(content)
+    }
+
+    /// Records that an admitted attempt is sent.
+    pub fn on_sent(&mut self, content: ContentKey, attempt: AttemptNumber, now: Instant) {
+        self.under_way.on_sent(content, attempt, now);
+    }
+
+    /// Records that an admitted attempt is over, or is not sent.
+    pub fn on_over(&mut self, content: ContentKey, attempt: AttemptNumber) {
+        self.under_way.on_over(content, attempt);
+    }
+
     /// How a request may be sent now; attempts that are not judged yet count as ends.
     pub fn admission(
         &self,
@@ -364,8 +421,11 @@
 /// For how long an upstream has to live on to have survived a content: as long as others ran it before
 /// they ended.
 fn survival(book: &CrashBook, content: ContentKey, now: Instant) -> Duration {
-    let longest = book.longest_run(content, now);
-    (longest + JUDGE_AFTER).clamp(LEAST_SURVIVAL, MOST_SURVIVAL)
+    survival_of(book.longest_run(content, now))
+}
+
+fn survival_of(longest_run: Duration) -> Duration {
+    (longest_run + JUDGE_AFTER).clamp(LEAST_SURVIVAL, MOST_SURVIVAL)
 }
 
 /// The end that an attempt would be, or is.
--- a/crates/shared/cloverpier_crashes/src/lib.rs
+++ b/crates/shared/cloverpier_crashes/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod ended_upstreams;
 pub mod lost_attempts;
 pub mod recent_contents;
+pub mod under_way;
 pub mod weight;
 
 /// The types that users of the crate need daily; rules and constants are named by module.
@@ -61,6 +62,7 @@
         Dismissal, Dismissed, Loss, LostAttempt, LostAttempts, SignOfLife,
     };
     pub use crate::recent_contents::RecentContents;
+    pub use crate::under_way::AttemptNumber;
     pub use crate::weight::{EndedBeside, OwnEnd, Surroundings, Weight};
 }
 
--- a/crates/shared/cloverpier_crashes/tests/cases.rs
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -375,3 +375,44 @@
     assert_eq!(cases.judge(late, neighbours).len(), 5);
     assert_eq!(cases.book.verdict(key(), late), Verdict::Harmless);
 }
+
+/// Guards against requests that waited for a judgement and are then sent all at once, to an engine each.
+#[test]
+fn copies_of_what_ended_two_engines_go_on_one_at_a_time() {
+    let now = Instant::now();
+    let mut cases = cases_with(&[Loss::Broke; 2], now);
+    let proved = now + ms(150);
+    for number in 1..=2 {
+        cases.on_end(upstream(number, proved));
+    }
+    assert_eq!(cases.judge(proved, neighbours).len(), 2);
+    assert_eq!(hold(&cases, proved), Hold::No);
+    let first = cases.on_admitted(key());
+    assert_eq!(hold(&cases, proved), Hold::WhileAnotherRuns(None));
+    assert_eq!(
+        cases.hold_admitted(key(), first, proved, neighbours),
+        Hold::No
+    );
+    let sent = proved + ms(20);
+    cases.on_sent(key(), first, sent);
+    let ran = cases.book.longest_run(key(), sent);
+    let lived = sent + (ran + JUDGE_AFTER).max(ms(100));
+    let waits = Hold::WhileAnotherRuns(Some(lived));
+    assert_eq!(hold(&cases, lived - ms(1)), waits);
+    assert_eq!(waits.until(proved, lived + ms(1), sent), Some(lived));
+    assert_eq!(hold(&cases, lived), Hold::No);
+    cases.on_over(key(), first);
+    assert_eq!(hold(&cases, sent), Hold::No);
+}
+
+#[test]
+fn copies_of_what_ended_one_engine_or_none_go_on_side_by_side() {
+    let now = Instant::now();
+    for lost in [0, 1] {
+        let mut cases = cases_with(&[Loss::Broke; 2][..lost], now);
+        for _ in 0..9 {
+            cases.on_admitted(key());
+        }
+        assert_eq!(hold(&cases, now + ms(50)), Hold::No);
+    }
+}
