Admit a request again that has waited for an upstream before it is sent

Callers saw requests that crash engines end four or five where engines limit themselves: copies that had been admitted before the first end waited for a permit for up to half a second, and were sent whatever had become known of their content meanwhile; of those that were stopped, each went out and was called back.

Cause: the admission came before the wait for an upstream, and nothing looked at it again. Evidence: the router's log, server.chosen of copies 160 to 190 ms after the second crash.recorded, and one after content.stopped.

Now a request whose content is stopped while it waits is answered at once, and one that is admitted is checked again before it is sent: where one more could be too many it gives its permit up and waits for the judgement. cloverpierd admits a generation anew once it has a place elsewhere.

At cloverpierd no test with processes shows it: its site has three engines.

--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -84,12 +84,13 @@
             }
             return end_stopped(app, live, &tries);
         }
-        let chosen = match next.take() {
-            Some(chosen) => chosen,
-            None => match go_on_at(app, live, &tries, admission.apart(content)).await {
-                Ok(chosen) => chosen,
+        let Some(chosen) = next.take() else {
+            // It may wait there for long, and is admitted anew before it is sent.
+            match go_on_at(app, live, &tries, admission.apart(content)).await {
+                Ok(chosen) => next = Some(chosen),
                 Err(error) => return live.end(End::Failed(error), app.now()),
-            },
+            }
+            continue;
         };
         turn.iter().for_each(Turn::on_sent);
         let begun = app.now();
--- a/crates/router/cloverpier_router/src/crashes/hold.rs
+++ b/crates/router/cloverpier_router/src/crashes/hold.rs
@@ -16,7 +16,39 @@
     /// How it may be sent.
     pub admission: Admission,
     /// Lasts as long as the attempt.
-    pub turn: Option<Turn>,
+    turn: Option<Turn>,
+}
+
+impl Admitted {
+    /// Of a request before its first admission.
+    pub const NEW: Self = Self {
+        admission: Admission::Beside,
+        turn: None,
+    };
+
+    /// Whether the request may still be sent, which has waited for an upstream since it was admitted.
+    /// Otherwise it has to be admitted anew.
+    pub fn still_holds(&mut self, router: &Rc<Router>, request: &RelayRequest) -> bool {
+        if router.crashes.cases.borrow().is_empty() {
+            return true;
+        }
+        let turn = self
+            .turn
+            .get_or_insert_with(|| Turn::begin(router, request));
+        let cases = router.crashes.cases.borrow();
+        let (content, now) = (request.content(), router.now());
+        let neighbours = |end: &EndedUpstream| neighbours(router, end);
+        // One that waits briefly may have done so.
+        match cases.hold_admitted(content, turn.number, now, neighbours) {
+            Hold::UntilSettled | Hold::WhileAnotherRuns(_) => false,
+            Hold::No | Hold::Briefly => cases.book.verdict(content, now) != Verdict::Stopped,
+        }
+    }
+
+    /// Records that the attempt is sent.
+    pub fn on_sent(&self) {
+        self.turn.iter().for_each(Turn::on_sent);
+    }
 }
 
 /// Decides whether a request may be sent to an upstream now. Where its next attempt may be one too
@@ -24,10 +56,7 @@
 pub(crate) async fn admit(router: &Rc<Router>, request: &RelayRequest) -> Admitted {
     let crashes = &router.crashes;
     if crashes.cases.borrow().is_empty() {
-        return Admitted {
-            admission: Admission::Beside,
-            turn: None,
-        };
+        return Admitted::NEW;
     }
     let content = request.content();
     let since = router.now();
--- a/crates/router/cloverpier_router/src/crashes/mod.rs
+++ b/crates/router/cloverpier_router/src/crashes/mod.rs
@@ -22,5 +22,5 @@
 pub(crate) mod record;
 pub(crate) mod reports;
 pub(crate) mod state;
-pub(crate) mod turn;
+mod turn;
 pub(crate) mod verdicts;
--- a/crates/router/cloverpier_router/src/crashes/turn.rs
+++ b/crates/router/cloverpier_router/src/crashes/turn.rs
@@ -12,7 +12,7 @@
 pub(crate) struct Turn {
     router: Rc<Router>,
     content: ContentKey,
-    number: AttemptNumber,
+    pub(super) number: AttemptNumber,
 }
 
 impl Turn {
@@ -28,7 +28,7 @@
     }
 
     /// Records that the attempt is sent.
-    pub fn on_sent(&self) {
+    pub(super) fn on_sent(&self) {
         let now = self.router.now();
         let change = |cases: &mut CrashCases| cases.on_sent(self.content, self.number, now);
         self.router.crashes.change(change);
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -8,8 +8,6 @@
 use crate::choice_log::{ChoiceNote, log_choice};
 use crate::connection::Connection;
 use crate::crashes::abandoned::AbandonGuard;
-use crate::crashes::hold::Admitted;
-use crate::crashes::turn::Turn;
 use crate::crashes::{hold, judgement, record};
 use crate::decision_log::RequestEnd;
 use crate::held_bytes::HeldBytes;
@@ -100,17 +98,25 @@
 
     async fn run(&mut self) -> Result<Reply, GivenUp> {
         loop {
-            let Admitted { admission, turn } = hold::admit(self.router, self.request).await;
-            if admission == Admission::Stopped {
+            let mut admitted = hold::admit(self.router, self.request).await;
+            if admitted.admission == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
-            let upstream = match self.find_upstream().await {
+            let found = tokio::select! {
+                biased;
+                () = self.request.stop.wait() => return Err(GivenUp::stopped()),
+                found = self.find_upstream() => found,
+            };
+            let upstream = match found {
                 Ok(upstream) => upstream,
                 Err(reason) => return self.without_upstream(reason),
             };
+            if !admitted.still_holds(self.router, self.request) {
+                continue;
+            }
             self.attempts.on_send();
             let begun = self.router.now();
-            turn.iter().for_each(Turn::on_sent);
+            admitted.on_sent();
             let guard = AbandonGuard::begin(self.router, self.request, &upstream);
             let outcome = self.attempt(&upstream).await;
             guard.settle();
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -14,8 +14,8 @@
 use crate::body::{AnswerBroken, ReplyBody};
 use crate::connection::Connection;
 use crate::crashes::abandoned::AbandonGuard;
+use crate::crashes::hold::Admitted;
 use crate::crashes::record;
-use crate::crashes::turn::Turn;
 use crate::decision_log::RequestEnd;
 use crate::health::UpstreamHealth;
 use crate::load_guard::LoadGuard;
@@ -29,7 +29,7 @@
 use crate::router::Router;
 use bytes::Bytes;
 use cloverpier_core::{UpstreamName, jitter};
-use cloverpier_crashes::{Admission, Loss};
+use cloverpier_crashes::Loss;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
 use futures_util::StreamExt;
@@ -111,10 +111,8 @@
     tried: Vec<UpstreamName>,
     /// When the last attempt began.
     attempt_begun: Instant,
-    /// How the next one may be sent.
-    admission: Admission,
-    /// The turn of the present attempt, if its content may do harm.
-    turn: Option<Turn>,
+    /// How the present attempt may be sent, or the next one.
+    admitted: Admitted,
     source: Option<Source>,
     /// The present attempt, until the upstream has sent an event or failed.
     unanswered: Option<AbandonGuard>,
@@ -149,8 +147,7 @@
             attempts: Attempts::new(route.retry_rule(), route.max_attempts),
             tried: Vec::new(),
             attempt_begun: request.arrived,
-            admission: Admission::Beside,
-            turn: None,
+            admitted: Admitted::NEW,
             source: None,
             unanswered: None,
             replica: None,
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -5,7 +5,6 @@
 use super::{Source, StreamRun};
 use crate::crashes::abandoned::AbandonGuard;
 use crate::crashes::hold::Admitted;
-use crate::crashes::turn::Turn;
 use crate::crashes::{hold, judgement};
 use crate::load_guard::LoadGuard;
 use crate::outcome::GivenUp;
@@ -18,6 +17,7 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
 use http_body_util::BodyExt;
+use std::rc::Rc;
 
 impl StreamRun {
     /// Opens a run at an upstream, at others where that fails.
@@ -25,19 +25,25 @@
         self.find_prompt().await;
         loop {
             // The turn of the run that was lost is over.
-            self.turn = None;
-            let Admitted { admission, turn } = hold::admit(&self.router, &self.request).await;
-            (self.admission, self.turn) = (admission, turn);
-            if self.admission == Admission::Stopped {
+            self.admitted = Admitted::NEW;
+            self.admitted = hold::admit(&self.router, &self.request).await;
+            if self.admitted.admission == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
-            let (upstream, extras) = self
-                .find_upstream()
-                .await
-                .map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
+            let request = Rc::clone(&self.request);
+            let found = tokio::select! {
+                biased;
+                () = request.stop.wait() => return Err(GivenUp::stopped()),
+                found = self.find_upstream() => found,
+            };
+            let (upstream, extras) =
+                found.map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
+            if !self.admitted.still_holds(&self.router, &self.request) {
+                continue;
+            }
             self.attempts.on_send();
             self.attempt_begun = self.router.now();
-            self.turn.iter().for_each(Turn::on_sent);
+            self.admitted.on_sent();
             let guard = AbandonGuard::begin(&self.router, &self.request, &upstream);
             let opened = self.open_at(&upstream, extras).await;
             let failure = match opened {
