Play copies that go on one at a time against side by side

The play of crashing requests knows attempts under way, and a way in which copies that waited go on together.

--- a/tools/src/crash_play/mod.rs
+++ b/tools/src/crash_play/mod.rs
@@ -33,6 +33,8 @@
     UntilSettled,
     /// As long as one that may have ended two.
     Briefly,
+    /// Until that is known, and then side by side with others that waited.
+    SideBySide,
 }
 
 /// What befalls routers.
--- a/tools/src/crash_play/requests.rs
+++ b/tools/src/crash_play/requests.rs
@@ -43,6 +43,8 @@
     attempts: u32,
     /// Since when it waits for a judgement.
     held_since: Option<Duration>,
+    /// Its attempt under way, if its content may do harm.
+    attempt: Option<AttemptNumber>,
     lost: u32,
     pub is_done: bool,
 }
@@ -111,6 +113,7 @@
             tried: Vec::new(),
             attempts: 0,
             held_since: None,
+            attempt: None,
             lost: 0,
             is_done: false,
         });
@@ -124,12 +127,15 @@
             return;
         }
         let content = ContentKey::of(&request.content());
+        self.end_attempt(index, content);
+        let request = &self.requests[index];
         let cases = &self.routers[request.router].cases;
         let held_since = request.held_since.unwrap_or(self.now);
         let since = self.began + held_since;
         let neighbours = self.neighbours();
         let hold = match (cases.hold(content, now, neighbours), self.spec.waiting) {
             (Hold::UntilSettled, Waiting::Briefly) => Hold::Briefly,
+            (Hold::WhileAnotherRuns(_), Waiting::SideBySide) => Hold::No,
             (hold, _) => hold,
         };
         let admission = cases.admission(content, now, neighbours);
@@ -144,7 +150,29 @@
         }
         match admission {
             Admission::Stopped => self.stop(index),
-            admission => self.send_to_engine(index, admission.apart(content)),
+            admission => {
+                self.begin_attempt(index, content);
+                self.send_to_engine(index, admission.apart(content));
+            }
+        }
+    }
+
+    fn begin_attempt(&mut self, index: usize, content: ContentKey) {
+        let now = self.instant();
+        let request = &mut self.requests[index];
+        let cases = &mut self.routers[request.router].cases;
+        if !cases.is_empty() {
+            let attempt = cases.on_admitted(content);
+            cases.on_sent(content, attempt, now);
+            request.attempt = Some(attempt);
+        }
+    }
+
+    fn end_attempt(&mut self, index: usize, content: ContentKey) {
+        let request = &mut self.requests[index];
+        if let Some(attempt) = request.attempt.take() {
+            let cases = &mut self.routers[request.router].cases;
+            cases.on_over(content, attempt);
         }
     }
 
--- a/tools/src/scenarios/crashes.rs
+++ b/tools/src/scenarios/crashes.rs
@@ -13,7 +13,7 @@
 type Change = fn(CrashSpec) -> CrashSpec;
 
 /// What is played, by name.
-const CASES: [(&str, Change); 15] = [
+const CASES: [(&str, Change); 16] = [
     ("two contents", |spec| spec),
     ("six contents", |spec| CrashSpec {
         contents: 6,
@@ -24,6 +24,11 @@
         are_cached: true,
         ..spec
     }),
+    ("twenty repeats a second, at once", |spec| CrashSpec {
+        repeat_each: Duration::from_millis(50),
+        are_cached: true,
+        ..spec
+    }),
     ("others in eight equal copies", |spec| CrashSpec {
         copies: 8,
         ..spec
@@ -90,7 +95,7 @@
 ];
 
 /// Each other way that is compared with the programs' own.
-const WAYS: [(&str, Change); 3] = [
+const WAYS: [(&str, Change); 4] = [
     ("as the programs do", |spec| spec),
     ("each end counts in full", |spec| CrashSpec {
         counting: Counting::Plain,
@@ -100,6 +105,10 @@
         waiting: Waiting::Briefly,
         ..spec
     }),
+    ("side by side after the wait", |spec| CrashSpec {
+        waiting: Waiting::SideBySide,
+        ..spec
+    }),
 ];
 
 /// Plays each case at each size, as the programs decide and in the other ways.
--- a/tools/tests/crashes.rs
+++ b/tools/tests/crashes.rs
@@ -130,6 +130,28 @@
     assert!(ends(Waiting::UntilSettled) < ends(Waiting::Briefly));
 }
 
+/// Guards against copies that wait for a judgement and then end an engine each.
+#[test]
+fn copies_that_come_faster_than_ends_are_known_end_fewer_engines_one_at_a_time() {
+    let outcomes = |waiting| {
+        plays(|spec| CrashSpec {
+            waiting,
+            repeat_each: Duration::from_millis(50),
+            are_cached: true,
+            ..spec
+        })
+    };
+    let ends = |outcomes: &[(CrashSpec, CrashOutcome)]| -> usize {
+        outcomes.iter().flat_map(|(_, o)| &o.ends).sum()
+    };
+    let in_turn = outcomes(Waiting::UntilSettled);
+    for (spec, outcome) in &in_turn {
+        assert_eq!(outcome.stopped, 0, "{spec:?}: {outcome:?}");
+    }
+    let (in_turn, side_by_side) = (ends(&in_turn), ends(&outcomes(Waiting::SideBySide)));
+    assert!(in_turn < side_by_side, "{in_turn}, {side_by_side}");
+}
+
 /// Guards against requests that are stopped or held up as their data centre stands still.
 #[test]
 fn copies_of_a_request_in_a_data_centre_that_pauses_are_not_stopped() {
