End a held request with its time, not in a loop

Callers of one router would have got nothing more: a request that was held until its time was over was admitted then, found to have to wait, and admitted again, without an end.

--- a/crates/router/cloverpier_router/src/crashes/hold.rs
+++ b/crates/router/cloverpier_router/src/crashes/hold.rs
@@ -38,11 +38,11 @@
         let cases = router.crashes.cases.borrow();
         let (content, now) = (request.content(), router.now());
         let neighbours = |end: &EndedUpstream| neighbours(router, end);
+        let hold = cases.hold_admitted(content, turn.number, now, neighbours);
+        let has_to_wait = hold.until(now, request.deadline, now).is_some();
         // One that waits briefly may have done so.
-        match cases.hold_admitted(content, turn.number, now, neighbours) {
-            Hold::UntilSettled | Hold::WhileAnotherRuns(_) => false,
-            Hold::No | Hold::Briefly => cases.book.verdict(content, now) != Verdict::Stopped,
-        }
+        let is_held = has_to_wait && hold != Hold::Briefly;
+        !is_held && cases.book.verdict(content, now) != Verdict::Stopped
     }
 
     /// Records that the attempt is sent.
