Soak: a request that crashes upstreams while they pause

Pauses of one upstream and of all, at moments drawn from the seed, were in the play and in single tests only, and no soak had a request that crashes anything. Checked: three late arrivals at most (the users' bound), no other request stopped, and all that holds in any soak.

--- a/tools/src/bin/soak.rs
+++ b/tools/src/bin/soak.rs
@@ -31,6 +31,9 @@
     /// have no upstream limit itself, as the kept seeds do
     #[argh(switch, long = "without-limits")]
     without_limits: bool,
+    /// have a request crash upstreams while they pause, and do no other harm
+    #[argh(switch)]
+    crashes: bool,
     /// routers at most, each a process (24)
     #[argh(option, long = "most-fronts", default = "24")]
     most_routers: usize,
@@ -94,6 +97,7 @@
         with_versions: !args.without_versions,
         with_statements: !args.without_statements,
         with_limits: !args.without_limits,
+        with_crashes: args.crashes,
     };
     run_soak(&spec).await
 }
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -231,15 +231,26 @@
     /// Pauses the upstreams that run, or lets them go on: nothing that is sent to one or by it arrives
     /// before it goes on, and all of it does then.
     pub fn pause_upstreams(&self, is_paused: bool) {
+        for index in 0..self.upstreams.len() {
+            self.pause_upstream(index, is_paused);
+        }
+    }
+
+    /// The same for one; one that has crashed stays as it is.
+    pub fn pause_upstream(&self, index: usize, is_paused: bool) {
         let harm = if is_paused { Harm::Silence } else { Harm::None };
-        let has_ended = |index: usize| self.crashed.iter().any(|crash| crash.upstream == index);
-        for (index, upstream) in self.upstreams.iter().enumerate() {
-            if !has_ended(index) && !upstream.stand_in.has_crashed() {
-                upstream.link.set_harm(harm);
-            }
+        let upstream = &self.upstreams[index];
+        let has_ended = self.crashed.iter().any(|crash| crash.upstream == index);
+        if !has_ended && !upstream.stand_in.has_crashed() {
+            upstream.link.set_harm(harm);
         }
     }
 
+    /// Whether an upstream that a request has crashed is not back yet.
+    pub fn is_any_crashed(&self) -> bool {
+        !self.crashed.is_empty() || self.upstreams.iter().any(|u| u.stand_in.has_crashed())
+    }
+
     /// Starts an upstream by its present description, at its address, and lists it.
     async fn relaunch(&mut self, index: usize) -> io::Result<()> {
         let upstream = &mut self.upstreams[index];
--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -4,6 +4,7 @@
 //! from what callers and upstreams see, never from a router's word.
 
 mod checks;
+mod crashes;
 mod inject;
 mod limits;
 mod load;
@@ -12,12 +13,14 @@
 
 pub use checks::{Report, Violation};
 pub use plan::{
-    Action, Injection, Size, draw_injections, draw_limits, draw_statements, draw_versions,
+    Action, Injection, Size, draw_injections, draw_limits, draw_pauses, draw_statements,
+    draw_versions,
 };
 
 use crate::process::bin_dir;
 use crate::router_site::{Site, SiteSpec};
 use cloverpier_router_policy::prelude::UpstreamStart;
+use crashes::Repeats;
 use load::Load;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -49,6 +52,9 @@
     pub with_statements: bool,
     /// Whether upstreams name in their answers how many requests they take.
     pub with_limits: bool,
+    /// Whether a request crashes upstreams while they pause, in place of all other harm, of which some takes away
+    /// what is known of the request.
+    pub with_crashes: bool,
 }
 
 /// Sets the random numbers of roll-outs and starts apart from those of the other harms.
@@ -76,20 +82,7 @@
     std::fs::create_dir_all(&dir)?;
     let mut rng = fastrand::Rng::with_seed(spec.seed);
     let size = Size::draw(&mut rng, spec.most_routers);
-    let mut injections = draw_injections(&mut rng, size, spec.length);
-    if spec.with_versions {
-        let mut rng = fastrand::Rng::with_seed(spec.seed ^ VERSIONS_SEED);
-        injections.extend(draw_versions(&mut rng, size, spec.length));
-    }
-    if spec.with_statements {
-        let mut rng = fastrand::Rng::with_seed(spec.seed ^ STATEMENTS_SEED);
-        injections.extend(draw_statements(&mut rng, size, spec.length));
-    }
-    if spec.with_limits {
-        let mut rng = fastrand::Rng::with_seed(spec.seed ^ LIMITS_SEED);
-        injections.extend(draw_limits(&mut rng, size, spec.length));
-    }
-    injections.sort_by_key(|injection| injection.at);
+    let injections = draw(spec, &mut rng, size);
     let mut site = Site::start(site_spec(spec, size, &dir)?).await?;
     let mut report = Report::new(spec.seed, size, dir);
     if !site.wait_ready(START).await {
@@ -97,7 +90,11 @@
         return Ok(report);
     }
     let load = Load::start(&site, rng.fork());
+    let repeats = spec.with_crashes.then(|| Repeats::start(&site, rng.fork()));
     let disturbed = inject::play(&mut site, &injections, &mut report).await?;
+    if let Some(repeats) = repeats {
+        repeats.stop().await;
+    }
     let sent = load.stop().await;
     inject::heal(&mut site).await?;
     check_recovery(&site, &mut report).await;
@@ -105,9 +102,32 @@
     checks::check_exposure(&site, &mut report);
     statements::check_statements(&site, &sent, &injections, &disturbed, &mut report);
     limits::check_limits(&site, &mut report);
+    crashes::check_crashes(&site, &sent, &mut report);
     Ok(report)
 }
 
+/// Draws what is done to a site.
+fn draw(spec: &SoakSpec, rng: &mut fastrand::Rng, size: Size) -> Vec<Injection> {
+    if spec.with_crashes {
+        return draw_pauses(rng, size, spec.length);
+    }
+    let mut injections = draw_injections(rng, size, spec.length);
+    if spec.with_versions {
+        let mut rng = fastrand::Rng::with_seed(spec.seed ^ VERSIONS_SEED);
+        injections.extend(draw_versions(&mut rng, size, spec.length));
+    }
+    if spec.with_statements {
+        let mut rng = fastrand::Rng::with_seed(spec.seed ^ STATEMENTS_SEED);
+        injections.extend(draw_statements(&mut rng, size, spec.length));
+    }
+    if spec.with_limits {
+        let mut rng = fastrand::Rng::with_seed(spec.seed ^ LIMITS_SEED);
+        injections.extend(draw_limits(&mut rng, size, spec.length));
+    }
+    injections.sort_by_key(|injection| injection.at);
+    injections
+}
+
 fn site_spec(spec: &SoakSpec, size: Size, dir: &Path) -> io::Result<SiteSpec> {
     let program = match &spec.program {
         Some(program) => program.clone(),
@@ -120,7 +140,9 @@
     site.engines = size.engines;
     site.plain = size.plain;
     site.seed = spec.seed;
-    site.upstream_start = spec.with_versions.then(|| UpstreamStart {
+    site.crashed_by = spec.with_crashes.then_some(crashes::CRASHING);
+    let with_starts = spec.with_versions || spec.with_crashes;
+    site.upstream_start = with_starts.then(|| UpstreamStart {
         version: "v1".into(),
         born_ms: Some(FIRST_BORN_MS),
     });
--- a/tools/src/soak/inject.rs
+++ b/tools/src/soak/inject.rs
@@ -3,7 +3,7 @@
 use super::checks::{PlayedRollout, Report, reached_since_start};
 use super::plan::{Action, Injection, RolloutPlan};
 use crate::process::Process;
-use crate::router_site::{ENGINES, PLAIN, Site, add_routes, remove_added_routes};
+use crate::router_site::{ENGINES, PLAIN, Return, Site, add_routes, remove_added_routes};
 use cloverpier_router_policy::prelude::{Configuration, Route};
 use cloverpier_router_standin::ledger::Fault;
 use cloverpier_router_standin::link::Harm;
@@ -17,6 +17,8 @@
 const NEW_VERSION: &str = "v2";
 /// Share of its requests that a bad version fails.
 const BAD_SHARE: f64 = 0.5;
+/// How an upstream comes back that a request has crashed.
+const CRASH_RETURN: Return = Return::SameName(Duration::from_millis(1_200));
 /// How often the running harms are looked at.
 const STEP: Duration = Duration::from_millis(10);
 /// A router that was asked to stop ends within its grace, and some.
@@ -142,6 +144,7 @@
             site.upstreams[*upstream].stand_in.limit(Some(*per_second));
         }
         Action::HarmUpstreamLink(upstream, harm) => site.upstreams[*upstream].link.set_harm(*harm),
+        Action::PauseUpstream(upstream) => site.pause_upstream(*upstream, true),
         Action::ResetConnections(upstream) => site.upstreams[*upstream].link.cut_connections(),
         Action::UpstreamFault(upstream, fault) => {
             let fault = Some((*fault, FAULT_SHARE));
@@ -215,6 +218,7 @@
     disturbed: &mut [Disturbed],
     report: &mut Report,
 ) -> io::Result<()> {
+    site.play_crashes(CRASH_RETURN).await?;
     let now = Instant::now();
     let (due, rest) = std::mem::take(running)
         .into_iter()
@@ -265,6 +269,7 @@
         Action::HarmUpstreamLink(upstream, _) => {
             site.upstreams[*upstream].link.set_harm(Harm::None);
         }
+        Action::PauseUpstream(upstream) => site.pause_upstream(*upstream, false),
         Action::UpstreamFault(upstream, _) => {
             site.upstreams[*upstream].stand_in.set_random_fault(None);
         }
@@ -309,6 +314,10 @@
 ///
 /// What the system reports at a start.
 pub async fn heal(site: &mut Site) -> io::Result<()> {
+    while site.is_any_crashed() {
+        site.play_crashes(CRASH_RETURN).await?;
+        tokio::time::sleep(STEP).await;
+    }
     site.store.set_fault(StoreFault::None);
     for index in 0..site.routers.len() {
         let router = &mut site.routers[index];
--- a/tools/src/soak/plan.rs
+++ b/tools/src/soak/plan.rs
@@ -79,6 +79,8 @@
     AskToWait(usize, Duration),
     /// An upstream names a limit of so many requests a second.
     Limit(usize, f64),
+    /// An upstream stands still.
+    PauseUpstream(usize),
     /// Upstreams of another version are added, and their service is ordered to move to them.
     RollOut(RolloutPlan),
 }
@@ -116,6 +118,7 @@
             Self::Leave(_) => "upstream left",
             Self::AskToWait(..) => "upstream wanted nothing",
             Self::Limit(..) => "upstream limited itself",
+            Self::PauseUpstream(_) => "upstream paused",
             Self::RollOut(_) => "version rolled out",
         }
     }
@@ -213,6 +216,29 @@
     injections
 }
 
+/// Draws pauses of upstreams, of one or of all at once.
+pub fn draw_pauses(rng: &mut fastrand::Rng, size: Size, length: Duration) -> Vec<Injection> {
+    let upstreams = size.engines + size.plain;
+    let mut injections = Vec::new();
+    let mut at = Duration::from_millis(rng.u64(50..500));
+    while at < length {
+        let lasts = Duration::from_millis(rng.u64(20..2_500));
+        let paused = if rng.u8(..4) == 0 {
+            0..upstreams
+        } else {
+            let one = rng.usize(..upstreams);
+            one..one + 1
+        };
+        injections.extend(paused.map(|upstream| Injection {
+            at,
+            lasts,
+            action: Action::PauseUpstream(upstream),
+        }));
+        at += Duration::from_millis(rng.u64(100..900));
+    }
+    injections
+}
+
 fn draw_action(rng: &mut fastrand::Rng, size: Size) -> Action {
     let router = rng.usize(..size.routers);
     let upstream = rng.usize(..size.engines + size.plain);
