--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! [`table`] owns the answers of this router and what it holds for others; each file has one job.
 
+mod attempt;
 mod directory;
 mod failure;
 mod live;
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -6,22 +6,23 @@
 //! - **Answer.** An [`Admission`]; the attempts that were judged, for logs and peers.
 //! - **Why.** Both programs see the same events by other means. Here they meet the rules in one order.
 //!
-//! Owns the book, the open attempts, the upstreams that ended and the contents that ran well recently.
+//! Owns the book, the attempts that are open or under way, the upstreams that ended and the contents that ran
+//! well recently. [`admission`] decides whether a request may be sent.
 
-use crate::book::{Crash, CrashBook, CrashLimit, Evidence, SUSPECT_FROM, UpstreamEnd, Verdict};
+mod admission;
+
+pub use admission::{Admission, Hold, MAX_HOLD};
+
+use crate::book::{Crash, CrashBook, CrashLimit, SUSPECT_FROM, UpstreamEnd};
 use crate::content::{Content, ContentKey};
 use crate::ended_upstreams::{EndedUpstream, EndedUpstreams, SAME_MOMENT};
 use crate::lost_attempts::{Dismissed, JUDGE_AFTER, Loss, LostAttempt, LostAttempts, SignOfLife};
 use crate::recent_contents::RecentContents;
-use crate::under_way::{AtRisk, AttemptNumber, AttemptsUnderWay};
+use crate::under_way::{AttemptNumber, AttemptsUnderWay};
 use crate::weight::{EndedBeside, OwnEnd, Surroundings};
-use serde::Serialize;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-/// A request that may have ended two upstreams waits for the judgement of its last attempt for so
-/// long at most: the time to the judgement, and the probe before it.
-pub const MAX_HOLD: Duration = Duration::from_millis(250);
 /// An upstream that was given up for its silence has survived a content of which no end is known once it
 /// has lived on for this time.
 const LEAST_SURVIVAL: Duration = Duration::from_millis(100);
@@ -33,56 +34,6 @@
 /// silent until the proof may have ended with it.
 const PROVED_AT_ONCE: Duration = JUDGE_AFTER.saturating_add(SAME_MOMENT);
 
-/// Whether a request waits before it is sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Hold {
-    /// It does not.
-    No,
-    /// For [`MAX_HOLD`] at most, until its last attempt is judged: it may be what ended
-    /// [`SUSPECT_FROM`] upstreams, of which repeats that crash one within milliseconds would end
-    /// several before the first end is known.
-    Briefly,
-    /// Until it is known of each attempt whether its upstream ended: if all did, they are as many as stop
-    /// the content, and one more would end.
-    UntilSettled,
-    /// Until another attempt with the content is over, or has run for as long as ended others: if that
-    /// ends its upstream, too, one more would be too many. `None` while that one is not sent.
-    WhileAnotherRuns(Option<Instant>),
-}
-
-impl Hold {
-    /// Until when a request waits at most that has waited since a moment and whose time is over at
-    /// `deadline`; `None` where it does not wait any more.
-    pub fn until(self, since: Instant, deadline: Instant, now: Instant) -> Option<Instant> {
-        let until = match self {
-            Self::No => return None,
-            Self::Briefly => deadline.min(since + MAX_HOLD),
-            Self::UntilSettled => deadline,
-            Self::WhileAnotherRuns(until) => until.map_or(deadline, |until| until.min(deadline)),
-        };
-        (now < until).then_some(until)
-    }
-}
-
-/// How a request may be sent to an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Admission {
-    /// Like any other.
-    Beside,
-    /// Where it meets the fewest others: it may be what ended two upstreams.
-    Apart,
-    /// Not at all.
-    Stopped,
-}
-
-impl Admission {
-    /// The number that keeps a content apart from others, where it is to be.
-    pub fn apart(self, content: ContentKey) -> Option<u64> {
-        (self == Self::Apart).then(|| content.spread())
-    }
-}
-
 /// Upstreams beside one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Neighbours {
@@ -133,63 +84,6 @@
         self.book.is_empty() && !self.lost.has_waited_for()
     }
 
-    /// Whether a request has to wait for the judgement of its last attempts, or for another's. A first
-    /// retry never does.
-    pub fn hold(
-        &self,
-        content: ContentKey,
-        now: Instant,
-        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
-    ) -> Hold {
-        self.hold_beside(content, None, now, neighbours)
-    }
-
-    /// The same for an attempt that was admitted and has waited since then to be sent.
-    pub fn hold_admitted(
-        &self,
-        content: ContentKey,
-        own: AttemptNumber,
-        now: Instant,
-        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
-    ) -> Hold {
-        self.hold_beside(content, Some(own), now, neighbours)
-    }
-
-    fn hold_beside(
-        &self,
-        content: ContentKey,
-        own: Option<AttemptNumber>,
-        now: Instant,
-        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
-    ) -> Hold {
-        let CrashLimit(limit) = self.book.limit();
-        let has_open = self.waited_for(content).next().is_some();
-        let at_risk = self.at_risk(content, own, now);
-        let is_clear = !has_open && at_risk.count == 0;
-        if limit == 0 || is_clear || self.book.is_cleared(content) {
-            return Hold::No;
-        }
-        let at_worst = self.at_worst(content, now, neighbours);
-        let one_too_many = limit.saturating_sub(at_risk.count).max(SUSPECT_FROM);
-        if has_open && at_worst.is_ends(limit) {
-            Hold::UntilSettled
-        } else if at_risk.count > 0 && at_worst.is_ends(one_too_many) {
-            Hold::WhileAnotherRuns(at_risk.until)
-        } else if has_open && at_worst.ends >= SUSPECT_FROM as usize {
-            Hold::Briefly
-        } else {
-            Hold::No
-        }
-    }
-
-    /// The attempts under way with a content that may still end their upstreams, but for one.
-    fn at_risk(&self, content: ContentKey, own: Option<AttemptNumber>, now: Instant) -> AtRisk {
-        let lost = self.waited_for(content).map(|attempt| attempt.ran_for);
-        let longest = lost.fold(self.book.longest_run(content, now), Duration::max);
-        self.under_way
-            .at_risk(content, own, survival_of(longest), now)
-    }
-
     /// Records that an attempt with a content is admitted.
     pub fn on_admitted(&mut self, content: ContentKey) -> AttemptNumber {
         self.under_way.on_admitted(content)
@@ -205,46 +99,6 @@
         self.under_way.on_over(content, attempt);
     }
 
-    /// How a request may be sent now; attempts that are not judged yet count as ends.
-    pub fn admission(
-        &self,
-        content: ContentKey,
-        now: Instant,
-        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
-    ) -> Admission {
-        match self.book.verdict(content, now) {
-            Verdict::Stopped => Admission::Stopped,
-            _ if self
-                .at_worst(content, now, neighbours)
-                .is_ends(SUSPECT_FROM) =>
-            {
-                Admission::Apart
-            }
-            _ => Admission::Beside,
-        }
-    }
-
-    /// What would be known against a content if the upstreams of all its open attempts had ended.
-    fn at_worst(
-        &self,
-        content: ContentKey,
-        now: Instant,
-        neighbours: impl Fn(&EndedUpstream) -> Neighbours,
-    ) -> Evidence {
-        let open = self.waited_for(content);
-        let crashes = open.map(|attempt| {
-            let surroundings = self.surroundings(attempt, neighbours(&attempt.upstream), now);
-            crash_of(attempt, surroundings)
-        });
-        self.book.evidence_with(content, crashes, now)
-    }
-
-    /// The open attempts with a content that something may wait for.
-    fn waited_for(&self, content: ContentKey) -> impl Iterator<Item = &LostAttempt> {
-        let open = self.lost.open_with(content);
-        open.filter(|attempt| attempt.loss != Loss::Abandoned)
-    }
-
     /// What was around an upstream when an attempt was lost there, as far as is known by now.
     fn surroundings(
         &self,
