Wake only held requests when an attempt begins or ends

Each request that begins or ends while any content may do harm woke the loop that judges, and at cloverpierd each attempt that may be called back. Turns have a notification of their own, which only held requests wait for.

--- a/crates/daemon/cloverpier_daemon/src/crashes/hold.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/hold.rs
@@ -24,6 +24,8 @@
     loop {
         let mut changed = pin!(app.crashes.changed.notified());
         changed.as_mut().enable();
+        let mut turns = pin!(app.crashes.turns.notified());
+        turns.as_mut().enable();
         let now = app.now();
         match look(app, content, since, now) {
             Look::Goes { admission, number } => {
@@ -31,8 +33,14 @@
                 return Admitted { admission, turn };
             }
             Look::WaitsUntil(until) => {
+                let woken = async {
+                    tokio::select! {
+                        () = changed => {}
+                        () = turns => {}
+                    }
+                };
                 // Woken or not, it looks again.
-                let _ = app.timers.timeout(until - now, changed).await;
+                let _ = app.timers.timeout(until - now, woken).await;
             }
         }
     }
--- a/crates/daemon/cloverpier_daemon/src/crashes/state.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/state.rs
@@ -18,6 +18,9 @@
     pub(super) cases: Mutex<CrashCases>,
     /// Wakes the loop that judges, and requests that wait for a judgement or a call back.
     pub(super) changed: Notify,
+    /// Wakes requests that wait for another's attempt. Apart from the above, as attempts begin and end
+    /// with each request.
+    pub(super) turns: Notify,
 }
 
 impl Crashes {
@@ -29,6 +32,7 @@
         Self {
             cases: Mutex::new(cases),
             changed: Notify::new(),
+            turns: Notify::new(),
         }
     }
 
--- a/crates/daemon/cloverpier_daemon/src/crashes/turn.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/turn.rs
@@ -4,6 +4,7 @@
 //! Owns one attempt's number there.
 
 use crate::app::App;
+use cloverpier_core::lock;
 use cloverpier_crashes::prelude::*;
 
 /// An attempt that was admitted. It is over when this is dropped.
@@ -24,15 +25,17 @@
 
     /// Records that the attempt is sent.
     pub fn on_sent(&self) {
+        let crashes = &self.app.crashes;
         let now = self.app.now();
-        let change = |cases: &mut CrashCases| cases.on_sent(self.content, self.number, now);
-        self.app.crashes.change(change);
+        lock(&crashes.cases).on_sent(self.content, self.number, now);
+        crashes.turns.notify_waiters();
     }
 }
 
 impl Drop for Turn<'_> {
     fn drop(&mut self) {
-        let change = |cases: &mut CrashCases| cases.on_over(self.content, self.number);
-        self.app.crashes.change(change);
+        let crashes = &self.app.crashes;
+        lock(&crashes.cases).on_over(self.content, self.number);
+        crashes.turns.notify_waiters();
     }
 }
--- a/crates/router/cloverpier_router/src/crashes/hold.rs
+++ b/crates/router/cloverpier_router/src/crashes/hold.rs
@@ -65,6 +65,7 @@
         is_held = true;
         tokio::select! {
             () = crashes.changed.notified() => {}
+            () = crashes.turns.notified() => {}
             () = router.timers.sleep_until(until) => {}
         }
     }
--- a/crates/router/cloverpier_router/src/crashes/state.rs
+++ b/crates/router/cloverpier_router/src/crashes/state.rs
@@ -19,6 +19,9 @@
     pub last_report: Cell<Option<Instant>>,
     /// Wakes the loop that judges, and requests that wait for a judgement.
     pub changed: Notify,
+    /// Wakes requests that wait for another's attempt. Apart from the above, as attempts begin and end
+    /// with each request.
+    pub turns: Notify,
 }
 
 impl Crashes {
@@ -32,6 +35,7 @@
             in_flight: RefCell::default(),
             last_report: Cell::default(),
             changed: Notify::new(),
+            turns: Notify::new(),
         }
     }
 
--- a/crates/router/cloverpier_router/src/crashes/turn.rs
+++ b/crates/router/cloverpier_router/src/crashes/turn.rs
@@ -5,7 +5,7 @@
 
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
-use cloverpier_crashes::{AttemptNumber, ContentKey, CrashCases};
+use cloverpier_crashes::{AttemptNumber, ContentKey};
 use std::rc::Rc;
 
 /// An attempt that was admitted. It is over when this is dropped.
@@ -29,15 +29,19 @@
 
     /// Records that the attempt is sent.
     pub(super) fn on_sent(&self) {
+        let crashes = &self.router.crashes;
         let now = self.router.now();
-        let change = |cases: &mut CrashCases| cases.on_sent(self.content, self.number, now);
-        self.router.crashes.change(change);
+        let mut cases = crashes.cases.borrow_mut();
+        cases.on_sent(self.content, self.number, now);
+        crashes.turns.notify_waiters();
     }
 }
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        let change = |cases: &mut CrashCases| cases.on_over(self.content, self.number);
-        self.router.crashes.change(change);
+        let crashes = &self.router.crashes;
+        let mut cases = crashes.cases.borrow_mut();
+        cases.on_over(self.content, self.number);
+        crashes.turns.notify_waiters();
     }
 }
