--- a/crates/shared/cloverpier_crashes/src/cases/admission.rs
+++ b/crates/shared/cloverpier_crashes/src/cases/admission.rs
@@ -32,7 +32,7 @@
     /// Until it is known of each attempt whether its upstream ended: if all did, they are as many as stop
     /// the content, and one more would end.
     UntilSettled,
-    /// Until another attempt with the content is over, or has run for as long as ended others: if that
+    /// Until another attempt with the content is over, or has run for longer than those that were lost: if it
     /// ends its upstream, too, one more would be too many. `None` while that one is not sent.
     WhileAnotherRuns(Option<Instant>),
 }
