Charge no request with the end of a start before the one that it reached

What callers saw: requests that crash nothing were answered 400, "do not come again", for an hour.

Cause: an upstream ends, its host refuses connections, and it starts again under its name. Until a router learns of the new start it still sends there under the former one; as it learns of it, it gives up all runs at the former start, and another start in its place proves that the former one has ended. So attempts that the new process had got 2 ms before were judged as runs under which the former one ended, more than a second after it had.

Change: the moment at which a host refused is kept until the next start is known; what was given up and began after it does not count for that end. A connection that broke at such a start still does: whether that one ended, too, is not known then, and stopping in time goes before.

--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -179,7 +179,9 @@
         self.lost.on_end(ended.upstream, ended.at);
         let broke_at = self.lost.first_break_at(ended.upstream);
         let at = broke_at.map_or(ended.at, |at| at.min(ended.at));
+        let (upstream, refused_at) = (ended.upstream, ended.at);
         self.ended.on_end(EndedUpstream { at, ..ended });
+        self.ended.on_refused(upstream, refused_at);
     }
 
     /// Records an upstream that is dead by a peer's word or by its silence since a moment: that explains
@@ -188,8 +190,14 @@
         self.ended.on_death(died, silent_since);
     }
 
-    /// Records that an upstream has ended some time ago, as another start answers in its place.
+    /// Records that an upstream has ended some time ago, as another start answers in its place. What was sent
+    /// after its host had refused a connection reached the next start, and was not there when it ended.
     pub fn on_former_start(&mut self, former: EndedUpstream) {
+        if let Some(refused_at) = self.ended.on_next_start(former.upstream) {
+            let EndedUpstream { upstream, at, .. } = former;
+            self.lost.on_end_before(upstream, refused_at, at);
+            return;
+        }
         self.lost.on_end(former.upstream, former.at);
         match self.lost.first_break_at(former.upstream) {
             Some(at) => self.ended.on_end(EndedUpstream { at, ..former }),
--- a/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
+++ b/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
@@ -55,6 +55,8 @@
     /// Its last sign of life.
     since: Instant,
     by: KnownBy,
+    /// When its host was seen to have no such process; `None` where it was not, or the next start is known.
+    refused_at: Option<Instant>,
 }
 
 /// The upstreams that ended recently.
@@ -71,6 +73,27 @@
         self.record(ended, since, KnownBy::NoProcess);
     }
 
+    /// Records since when it is certain that an upstream's host has no such process: what connects to it
+    /// later reaches the next one.
+    pub fn on_refused(&mut self, upstream: u64, refused_at: Instant) {
+        let newest = self.ended.iter_mut().rev();
+        let mut ends =
+            newest.filter(|k| k.upstream.upstream == upstream && k.by == KnownBy::NoProcess);
+        if let Some(known) = ends.next() {
+            known.refused_at.get_or_insert(refused_at);
+        }
+    }
+
+    /// Records that the start of an upstream after the one that ended last is known; returns since when the
+    /// host of that one was seen to have no process, if it was.
+    pub fn on_next_start(&mut self, upstream: u64) -> Option<Instant> {
+        let there = self.ended.iter_mut();
+        let refused = there
+            .filter(|known| known.upstream.upstream == upstream)
+            .filter_map(|known| known.refused_at.take());
+        refused.max()
+    }
+
     /// Records an end at an unknown moment, which another start in its place proves.
     pub fn on_former_start(&mut self, former: EndedUpstream) {
         let since = former.at;
@@ -102,6 +125,7 @@
                 since: silent_since.min(upstream.at),
                 upstream,
                 by,
+                refused_at: None,
             }),
         }
     }
--- a/crates/shared/cloverpier_crashes/src/lost_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/lost_attempts.rs
@@ -89,6 +89,11 @@
             ran_for: self.ran_for,
         }
     }
+
+    /// Whether it had begun by a moment.
+    fn has_begun(&self, at: Instant) -> bool {
+        self.upstream.at <= at + self.ran_for
+    }
 }
 
 /// An answer of an upstream to a question.
@@ -253,6 +258,19 @@
         }
     }
 
+    /// Records that the start of an upstream that its host had no more at a moment is known to have ended,
+    /// since `now`. Attempts that began later were at the next start; whether that ended, too, where a connection
+    /// broke, is not known, and it is taken to have.
+    pub fn on_end_before(&mut self, upstream: u64, refused_at: Instant, now: Instant) {
+        let there = self.open.iter_mut();
+        let there = there.filter(|o| o.attempt.end.upstream == upstream);
+        for open in
+            there.filter(|o| o.attempt.loss == Loss::Broke || o.attempt.has_begun(refused_at))
+        {
+            open.ended_at.get_or_insert(now);
+        }
+    }
+
     /// Records that the start of an upstream lives at which attempts were lost; `survival` says how long
     /// it has to, by content.
     pub fn on_alive(&mut self, sign: SignOfLife, survival: impl Fn(ContentKey) -> Duration) {
--- a/crates/shared/cloverpier_crashes/tests/cases.rs
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -266,6 +266,43 @@
     assert_eq!(cases.judge(now + ms(1) + JUDGE_AFTER, neighbours).len(), 1);
 }
 
+/// Guards against innocent requests that are stopped because upstreams have started again before it is known,
+/// and the requests that the next starts had got until then are given up.
+#[test]
+fn attempts_at_the_next_starts_of_upstreams_that_were_known_to_have_ended_do_not_count() {
+    let now = Instant::now();
+    let mut cases = CrashCases::new(CrashLimit(3));
+    let next_known = now + ms(1_300);
+    for number in 1..=3 {
+        cases.on_end(upstream(number, now + ms(3) * number as u32));
+    }
+    for number in 1..=3 {
+        cases.on_former_start(upstream(number, next_known));
+        // Begun 19 ms before.
+        cases.on_lost(
+            &content(),
+            attempt(number, Loss::GivenUp, next_known + ms(1)),
+        );
+    }
+    let judged_at = next_known + ms(1) + JUDGE_AFTER;
+    assert!(cases.judge(judged_at, neighbours).is_empty());
+    assert_eq!(cases.book.verdict(key(), judged_at), Verdict::Harmless);
+}
+
+/// The same where the attempts are given up before the next start is known.
+#[test]
+fn attempts_that_began_after_an_upstream_refused_are_not_charged_with_its_end() {
+    let now = Instant::now();
+    let mut cases = CrashCases::new(CrashLimit(3));
+    cases.on_end(upstream(1, now));
+    cases.on_lost(&content(), attempt(1, Loss::GivenUp, now + ms(200)));
+    cases.on_former_start(upstream(1, now + ms(300)));
+    assert!(cases.judge(now + ms(400), neighbours).is_empty());
+    // The next start ends after that, and the one after it answers at once.
+    cases.on_former_start(upstream(1, now + ms(500)));
+    assert_eq!(cases.judge(now + ms(600), neighbours).len(), 1);
+}
+
 /// Guards against probes and holds for each caller that leaves.
 #[test]
 fn an_attempt_that_was_abandoned_is_not_asked_about_and_holds_nothing_up() {
