Answer requests that reached the next start of an upstream before it was known

What callers saw: 502 for a request that the new process was running, or another run of it elsewhere, as their router learned that the upstream had started again: "the server is silent", 2 ms after it was sent.

Cause: a new start gives up all runs of the upstream, those too that were sent after its host had refused connections; these can be at the new process alone.

Change: the health of an upstream that begins as its host refuses belongs to the next start; once that is known, its runs and its connections stay. The runs of before were given up as the host refused.

--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -28,6 +28,9 @@
     /// Whether one waits for a permit, as the upstream limits itself.
     pub probe_waits: Cell<bool>,
     is_dead: Cell<bool>,
+    /// Whether it began as the upstream's host had no process any more, and it is not known yet that the next
+    /// one has started: whatever it waits for is there.
+    pub is_of_next_start: Cell<bool>,
     /// Wakes the waiting tasks when the upstream is declared dead.
     pub declared_dead: Notify,
     /// Carries probes and searches, over a connection of their own.
@@ -43,6 +46,7 @@
             probing_since: Cell::new(None),
             probe_waits: Cell::new(false),
             is_dead: Cell::new(false),
+            is_of_next_start: Cell::new(false),
             declared_dead: Notify::new(),
         }
     }
@@ -93,14 +97,15 @@
         Rc::clone(health.or_insert_with(new))
     }
 
-    /// Gives an upstream a new entry, as after it was declared dead.
-    pub fn renew(&self, upstream: &Upstream, now: Instant) {
+    /// Gives an upstream a new entry, as after it was declared dead; returns it.
+    pub fn renew(&self, upstream: &Upstream, now: Instant) -> Rc<UpstreamHealth> {
         let health = Rc::new(UpstreamHealth::new(upstream, &self.timers, now));
         let mut table = self.by_upstream.borrow_mut();
         let former = table.get(&upstream.name);
         let last_own_answer = former.and_then(|h| h.last_own_answer.get());
         health.last_own_answer.set(last_own_answer);
-        table.insert(upstream.name.clone(), health);
+        table.insert(upstream.name.clone(), Rc::clone(&health));
+        health
     }
 
     /// Forgets upstreams that are not known any more and that nobody waits for.
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -187,7 +187,8 @@
     );
     health.on_dead();
     router.report_to_peers(&upstream.name);
-    router.health.renew(upstream, now);
+    let renewed = router.health.renew(upstream, now);
+    renewed.is_of_next_start.set(cause == DeathCause::NoProcess);
     successors::await_successor(router, upstream);
 }
 
--- a/crates/router/cloverpier_router/src/restart.rs
+++ b/crates/router/cloverpier_router/src/restart.rs
@@ -40,10 +40,13 @@
     let name: &UpstreamName = &upstream.name;
     router.upstream_limits.forget(upstream);
     record::on_former_start(router, upstream);
-    router.pool.borrow_mut().close_all(name);
     let health = router.health.of(upstream, now);
-    health.on_dead();
-    router.health.renew(upstream, now);
+    // What runs since the host refused, or is kept, is at the new start already.
+    if !health.is_of_next_start.replace(false) {
+        router.pool.borrow_mut().close_all(name);
+        health.on_dead();
+        router.health.renew(upstream, now);
+    }
     let mut locations = router.prompts.locations.borrow_mut();
     locations.forget_upstream(UpstreamKey::of(name));
     drop(locations);
