Have callers return in their order to upstreams that wanted nothing

What callers saw: while all upstreams of a service want nothing, all that are refused were told the same moment; they return at once, fill the upstreams' queues, and many are refused again.

Change: a caller returns as long after the end of that time as had passed of it when it was refused, but within a fifth of what its route's objective leaves then; nobody who is late in any case is kept longer.

--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -88,11 +88,10 @@
             return Refusal::UpstreamsLimited { turn: retry };
         }
         let table = router.upstreams.borrow();
+        let objective = request.route.objective;
         match table.wait_of_service(&request.service.name, router.now()) {
-            Some(wait) => Refusal::UpstreamsWait { wait },
-            None => Refusal::NoUpstream {
-                objective: request.route.objective,
-            },
+            Some(wait) => Refusal::UpstreamsWait { wait, objective },
+            None => Refusal::NoUpstream { objective },
         }
     }
 
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -128,7 +128,7 @@
         StartNumber, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamStart,
         UpstreamState,
     };
-    pub use crate::upstream_table::{AppliedUpdate, OutByStatement, UpstreamTable};
+    pub use crate::upstream_table::{AppliedUpdate, OutByStatement, ServiceWait, UpstreamTable};
 }
 
 pub use prelude::*;
--- a/crates/router/cloverpier_router_policy/src/refusal.rs
+++ b/crates/router/cloverpier_router_policy/src/refusal.rs
@@ -8,11 +8,15 @@
 //! - **Why.** The request is refused at once, never held. Coming back too soon meets the
 //!   same state; too late misses the objective, the time within which an answer counts.
 
+use crate::upstream_table::ServiceWait;
 use std::time::Duration;
 
 /// After a request that was tried: this part of its route's objective, so that a second try still
 /// has most of it.
 const OBJECTIVE_SHARE: f64 = 0.4;
+/// Callers that were refused while a service wanted nothing return within this part of what their
+/// objective leaves after that.
+const RETURN_SHARE: f64 = 0.2;
 /// The least time, whatever the objective.
 const MIN_WAIT: Duration = Duration::from_millis(40);
 /// The longest time, whatever the objective.
@@ -43,8 +47,10 @@
     },
     /// All upstreams of the service want nothing for now.
     UpstreamsWait {
-        /// After what time the first of them may be asked again.
-        wait: Duration,
+        /// For how long.
+        wait: ServiceWait,
+        /// The route's objective.
+        objective: Duration,
     },
     /// All upstreams of the service limit themselves.
     UpstreamsLimited {
@@ -63,8 +69,13 @@
             let wait = objective.mul_f64(OBJECTIVE_SHARE);
             wait.clamp(MIN_WAIT, MAX_WAIT)
         }
-        // Earlier than that nobody serves the request, however short its objective is.
-        Refusal::UpstreamsWait { wait } => wait.max(MIN_WAIT),
+        Refusal::UpstreamsWait { wait, objective } => {
+            // Earlier than that nobody serves the request, however short its objective is. Callers return
+            // in the order in which they were refused: all at once they would meet full upstreams.
+            let room = objective.saturating_sub(wait.left);
+            let later = wait.passed.min(room.mul_f64(RETURN_SHARE));
+            (wait.left + later).max(MIN_WAIT)
+        }
         Refusal::UpstreamsLimited { turn } => turn.max(MIN_WAIT),
     }
 }
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -10,7 +10,7 @@
 mod observations;
 mod statements;
 
-pub use statements::OutByStatement;
+pub use statements::{OutByStatement, ServiceWait};
 
 use crate::leaving::Leavings;
 use crate::load::{Load, PeerLoad};
--- a/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
@@ -19,6 +19,15 @@
     pub waiting: usize,
 }
 
+/// The time for which all upstreams of a service want nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceWait {
+    /// Until the first of them may be asked again.
+    pub left: Duration,
+    /// Since the last of them began to want nothing.
+    pub passed: Duration,
+}
+
 impl UpstreamTable {
     /// Records that an upstream has said that it leaves: the start that it named, else the newest that
     /// is known. Returns whether that is new.
@@ -91,16 +100,20 @@
         is_new
     }
 
-    /// After what time the first upstream of a service may be asked again; `None` where one may be
-    /// now, or none takes requests at all.
-    pub fn wait_of_service(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+    /// For how long a service wants nothing; `None` where one of its upstreams may be asked now, or none takes
+    /// requests at all.
+    pub fn wait_of_service(&self, service: &ServiceName, now: Instant) -> Option<ServiceWait> {
         let listed: Vec<_> = self.of_service(service).filter(|s| s.is_listed()).collect();
         if listed.iter().any(|s| !s.wants_nothing(now)) {
             return None;
         }
-        let waits = listed.iter().filter_map(|s| s.wait);
-        let first = waits.map(|wait| wait.until()).min()?;
-        Some(first.saturating_duration_since(now))
+        let waits: Vec<_> = listed.iter().filter_map(|s| s.wait).collect();
+        let first = waits.iter().map(Wait::until).min()?;
+        let since = waits.iter().map(Wait::since).max()?;
+        Some(ServiceWait {
+            left: first.saturating_duration_since(now),
+            passed: now.saturating_duration_since(since),
+        })
     }
 
     /// From when on an upstream may be asked a question, if that is not now.
--- a/crates/shared/cloverpier_core/src/wait.rs
+++ b/crates/shared/cloverpier_core/src/wait.rs
@@ -35,6 +35,7 @@
 /// The time for which an upstream wants nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Wait {
+    since: Instant,
     until: Instant,
     questions_left: u32,
 }
@@ -50,6 +51,7 @@
                 ..former
             },
             None => Self {
+                since: now,
                 until,
                 questions_left: QUESTIONS,
             },
@@ -61,6 +63,11 @@
         now < self.until
     }
 
+    /// When it began.
+    pub fn since(&self) -> Instant {
+        self.since
+    }
+
     /// When it is over.
     pub fn until(&self) -> Instant {
         self.until
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ports;
 pub mod process;
 pub mod report;
+pub mod return_play;
 pub mod rollout_play;
 pub mod router_site;
 pub mod scenarios;
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -7,6 +7,7 @@
 mod meter;
 mod overload;
 mod plays;
+mod returns;
 mod rollouts;
 mod slopes;
 mod versions;
@@ -31,6 +32,7 @@
     Crashes,
     Detection,
     Overload,
+    Returns,
     Rollouts,
     Slopes(slopes::Kind),
     Versions,
@@ -104,6 +106,11 @@
         about: "requests that crash upstreams come again: ends, false alarms; in simulated time",
         run: Runner::Crashes,
     },
+    Scenario {
+        name: "returns",
+        about: "callers come back to upstreams that wanted nothing for a time; in simulated time",
+        run: Runner::Returns,
+    },
     Scenario {
         name: "chaos",
         about: "random faults for a stated time; all counts of wrongs must be 0",
@@ -165,6 +172,7 @@
             Runner::Crashes => crashes::run(options.seed),
             Runner::Detection => detection::run(options.seed),
             Runner::Overload => overload::run().await?,
+            Runner::Returns => returns::run(options.seed),
             Runner::Rollouts => rollouts::run(options.seed),
             Runner::Slopes(kind) => slopes::run(kind).await?,
             Runner::Versions => versions::run(options.seed)?,
