--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -102,12 +102,8 @@
             if admitted.admission == Admission::Stopped {
                 return Err(GivenUp::stopped());
             }
-            let found = tokio::select! {
-                biased;
-                () = self.request.stop.wait() => return Err(GivenUp::stopped()),
-                found = self.find_upstream() => found,
-            };
-            let upstream = match found {
+            let found = self.request.stop.unless_set(self.find_upstream()).await;
+            let upstream = match found.ok_or_else(GivenUp::stopped)? {
                 Ok(upstream) => upstream,
                 Err(reason) => return self.without_upstream(reason),
             };
--- a/crates/router/cloverpier_router/src/stop_signal.rs
+++ b/crates/router/cloverpier_router/src/stop_signal.rs
@@ -3,6 +3,7 @@
 //! Owns one request's flag and wakes whoever waits for its upstream.
 
 use std::cell::Cell;
+use std::future::Future;
 use tokio::sync::Notify;
 
 /// Set once when the request's content is stopped while an attempt is under way.
@@ -30,4 +31,13 @@
             self.changed.notified().await;
         }
     }
+
+    /// Runs `work` unless they are called back before it ends, or were before: `None` then.
+    pub async fn unless_set<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            () = self.wait() => None,
+            done = work => Some(done),
+        }
+    }
 }
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -31,13 +31,10 @@
                 return Err(GivenUp::stopped());
             }
             let request = Rc::clone(&self.request);
-            let found = tokio::select! {
-                biased;
-                () = request.stop.wait() => return Err(GivenUp::stopped()),
-                found = self.find_upstream() => found,
-            };
-            let (upstream, extras) =
-                found.map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
+            let found = request.stop.unless_set(self.find_upstream()).await;
+            let (upstream, extras) = found
+                .ok_or_else(GivenUp::stopped)?
+                .map_err(|reason| GivenUp::without_upstream(&self.attempts, reason))?;
             if !self.admitted.still_holds(&self.router, &self.request) {
                 continue;
             }
