--- a/tools/src/return_play.rs
+++ b/tools/src/return_play/world.rs
@@ -1,16 +1,11 @@
-//! Callers that come back to a service whose upstreams all wanted nothing for a time, played on the decisions in
-//! simulated time.
-//!
-//! The upstreams of one plain service turn all requests away for a while and say for how long. Before and after that
-//! they run as many requests at once as they have slots, queue some, and refuse the rest. Routers choose and
-//! refuse by the programs' own rules (`choice`, `refusal`); callers that are refused come back when they are told
-//! to, while an answer may still be in time. What callers get is counted here. Owns the model.
+//! The model: callers, routers by what they know, upstreams with slots and queues.
 
+use super::{ReturnOutcome, ReturnSpec};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::refusal::{Refusal, retry_after};
+use cloverpier_router_policy::refusal::Refusal;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 const SERVICE: &str = "lookups";
@@ -23,102 +18,6 @@
 /// Upstreams that a router tries for a request.
 const TRIES: usize = 3;
 
-/// When callers return that were refused while the upstreams wanted nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Returns {
-    /// By the programs' rule, in the order in which they were refused.
-    InOrder,
-    /// As soon as an upstream may be asked again.
-    AtOnce,
-}
-
-impl Returns {
-    fn after(self, refusal: Refusal) -> Duration {
-        let refusal = match (self, refusal) {
-            (Self::AtOnce, Refusal::UpstreamsWait { wait, objective }) => Refusal::UpstreamsWait {
-                wait: ServiceWait {
-                    passed: Duration::ZERO,
-                    ..wait
-                },
-                objective,
-            },
-            _ => refusal,
-        };
-        retry_after(refusal)
-    }
-}
-
-/// What is played.
-#[derive(Clone, Copy, Debug)]
-pub struct ReturnSpec {
-    /// Seeds everything that is drawn.
-    pub seed: u64,
-    /// Routers.
-    pub routers: usize,
-    /// Upstreams of the service.
-    pub upstreams: usize,
-    /// Requests that an upstream runs at once.
-    pub slots: u32,
-    /// Requests that it queues beyond them.
-    pub queue: usize,
-    /// How long it runs one, on average.
-    pub work: Duration,
-    /// Part of what all of them can run that new requests ask for.
-    pub demand: f64,
-    /// For how long they want nothing.
-    pub wait: Duration,
-    /// The time within which an answer counts.
-    pub objective: Duration,
-    /// When a refused caller is told to come back.
-    pub returns: Returns,
-}
-
-impl ReturnSpec {
-    /// Eight routers before nine small upstreams that are half busy and want nothing for two seconds.
-    pub fn new(seed: u64) -> Self {
-        Self {
-            seed,
-            routers: 8,
-            upstreams: 9,
-            slots: 6,
-            queue: 24,
-            work: Duration::from_millis(100),
-            demand: 0.5,
-            wait: Duration::from_secs(2),
-            objective: Duration::from_secs(4),
-            returns: Returns::InOrder,
-        }
-    }
-}
-
-/// What came of it.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ReturnOutcome {
-    /// Requests of callers.
-    pub requests: usize,
-    /// Those that were answered in time.
-    pub in_time: usize,
-    /// Refusals that callers got.
-    pub refusals: usize,
-    /// Requests that upstreams refused for lack of room.
-    pub turned_away: usize,
-}
-
-impl ReturnOutcome {
-    /// Adds another play's.
-    pub fn add(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.in_time += other.in_time;
-        self.refusals += other.refusals;
-        self.turned_away += other.turned_away;
-    }
-}
-
-/// Plays until the last request has ended.
-pub fn play(spec: ReturnSpec) -> ReturnOutcome {
-    World::new(spec).play()
-}
-
 /// A request of a caller, at a router.
 #[derive(Clone)]
 struct Sending {
@@ -156,10 +55,10 @@
 struct PlayedUpstream {
     name: UpstreamName,
     running: u32,
-    queue: Vec<Sending>,
+    queue: VecDeque<Sending>,
 }
 
-struct World {
+pub(super) struct World {
     spec: ReturnSpec,
     rng: fastrand::Rng,
     base: Instant,
@@ -193,7 +92,7 @@
 }
 
 impl World {
-    fn new(spec: ReturnSpec) -> Self {
+    pub fn new(spec: ReturnSpec) -> Self {
         let base = Instant::now();
         let entries: Vec<_> = (0..spec.upstreams).map(|i| entry(i, spec.slots)).collect();
         let table = || {
@@ -204,7 +103,7 @@
         let upstreams = entries.iter().map(|entry| PlayedUpstream {
             name: entry.name.clone(),
             running: 0,
-            queue: Vec::new(),
+            queue: VecDeque::new(),
         });
         Self {
             rng: fastrand::Rng::with_seed(spec.seed),
@@ -220,7 +119,7 @@
         }
     }
 
-    fn play(mut self) -> ReturnOutcome {
+    pub fn play(mut self) -> ReturnOutcome {
         self.schedule_in(Duration::ZERO, Event::Arrive);
         while let Some(Reverse((at, number))) = self.queue.pop() {
             self.now = at;
@@ -354,7 +253,7 @@
             let work = self.draw(self.spec.work);
             self.schedule_in(work, Event::Run { sending, upstream });
         } else if state.queue.len() < self.spec.queue {
-            state.queue.push(sending);
+            state.queue.push_back(sending);
         } else {
             self.outcome.turned_away += 1;
             self.reply(sending, upstream, Said::NoRoom);
@@ -377,11 +276,9 @@
         self.reply(sending, upstream, Said::Done);
         let state = &mut self.upstreams[upstream];
         state.running -= 1;
-        if !state.queue.is_empty() {
-            let next = state.queue.remove(0);
+        if let Some(sending) = state.queue.pop_front() {
             state.running += 1;
             let work = self.draw(self.spec.work);
-            let sending = next;
             self.schedule_in(work, Event::Run { sending, upstream });
         }
     }
