--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -79,26 +79,48 @@
             continue;
         };
         turn.iter().for_each(Turn::on_sent);
-        let begun = app.now();
-        let before = live.look(|s| s.answer.len());
-        let over = attempt_or_call_back(app, live, &chosen).await;
-        release(app, &chosen);
-        let failure = match over {
-            Over::Failed(failure) => failure,
-            Over::Stopped => {
-                tries.may_have_run = true;
-                return end_stopped(app, live, &tries);
-            }
-            over => return conclude(app, live, &chosen.upstream, &over).await,
-        };
-        on_failed(app, live, &chosen.upstream, failure);
-        on_loss(app, live, &chosen.upstream, failure, begun);
-        let progressed = live.look(|s| s.answer.len()) > before;
-        if let Some(error) = tries.after_failure(app, live, failure, progressed) {
-            return live.end(End::Failed(error), app.now());
+        if try_at(app, live, &mut tries, chosen).await == Tried::Ended {
+            return;
+        }
+    }
+}
+
+/// What one attempt did to its generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tried {
+    /// It is over.
+    Ended,
+    /// It goes on with another attempt.
+    Failed,
+}
+
+/// One attempt, whose turn it is, and what follows from its end.
+async fn try_at(app: &Arc<App>, live: &Arc<Live>, tries: &mut Tries, chosen: Chosen) -> Tried {
+    let begun = app.now();
+    let before = live.look(|s| s.answer.len());
+    let over = attempt_or_call_back(app, live, &chosen).await;
+    release(app, &chosen);
+    let failure = match over {
+        Over::Failed(failure) => failure,
+        Over::Stopped => {
+            tries.may_have_run = true;
+            end_stopped(app, live, tries);
+            return Tried::Ended;
+        }
+        over => {
+            conclude(app, live, &chosen.upstream, &over).await;
+            return Tried::Ended;
         }
-        tries.failed.push(chosen.upstream);
+    };
+    on_failed(app, live, &chosen.upstream, failure);
+    on_loss(app, live, &chosen.upstream, failure, begun);
+    let progressed = live.look(|s| s.answer.len()) > before;
+    if let Some(error) = tries.after_failure(app, live, failure, progressed) {
+        live.end(End::Failed(error), app.now());
+        return Tried::Ended;
     }
+    tries.failed.push(chosen.upstream);
+    Tried::Failed
 }
 
 /// What a generation's attempts have come to.
