Count each end of an upstream that is back within a second

What callers saw: a request went on to end engines.

Cause: two ends of one upstream whose numbers differ by less than a second were taken for one. That is meant for `cloverpierd`, whose members give an end their time of day. At the users' platform the number is the start that the upstream names, the same for all routers: an upstream that crashes and is back at once has another one, and its ends counted as one however many they were.

Change: a book is told by what its ends are distinguished. The test of observers' times says so now, its check is as it was. The new test failed with the former tolerance (harmless, not stopped).

--- a/crates/router/cloverpier_router/src/crashes/state.rs
+++ b/crates/router/cloverpier_router/src/crashes/state.rs
@@ -27,7 +27,7 @@
 impl Crashes {
     /// Knows of no end yet.
     pub fn new(settings: &CrashSettings) -> Self {
-        let mut cases = CrashCases::new(settings.limit);
+        let mut cases = CrashCases::new(settings.limit, EndsBy::Start);
         let cleared = settings.cleared.clone();
         cases.book.set_bounds(settings.limit, cleared);
         Self {
--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -45,11 +45,31 @@
 
 /// The start of an upstream that does not say when it was.
 pub const UNKNOWN_START: u64 = 0;
-/// Numbers of one upstream's ends that differ by less, in milliseconds, are those of one end: where
-/// the observers give it their time of day, these differ by what it took them to notice, and by
-/// their clocks. An upstream takes longer to start.
+/// Times of day of one upstream's end that differ by less, in milliseconds, are those of one end: observers
+/// differ in what it took them to notice, and in their clocks.
 pub const SAME_END_MS: u64 = 1_000;
 
+/// What [`UpstreamEnd::start`] is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EndsBy {
+    /// The start that the upstream names, the same for all observers. An upstream may start again at once, so
+    /// that any other number is another end.
+    #[default]
+    Start,
+    /// An observer's time of day.
+    TimeOfDay,
+}
+
+impl EndsBy {
+    /// By how much the numbers of one end differ at most.
+    fn tolerance_ms(self) -> u64 {
+        match self {
+            Self::Start => 0,
+            Self::TimeOfDay => SAME_END_MS - 1,
+        }
+    }
+}
+
 /// The end of one start of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct UpstreamEnd {
@@ -145,6 +165,7 @@
 #[derive(Clone, Debug)]
 pub struct CrashBook {
     limit: CrashLimit,
+    ends_by: EndsBy,
     records: HashMap<ContentKey, Record>,
     /// Contents that the operator has cleared: they are never stopped.
     cleared: HashSet<ContentKey>,
@@ -152,9 +173,10 @@
 
 impl CrashBook {
     /// A book that knows nothing.
-    pub fn new(limit: CrashLimit) -> Self {
+    pub fn new(limit: CrashLimit, ends_by: EndsBy) -> Self {
         Self {
             limit,
+            ends_by,
             records: HashMap::new(),
             cleared: HashSet::new(),
         }
@@ -230,7 +252,10 @@
     }
 
     fn add(&mut self, content: ContentKey, crash: Crash) -> bool {
-        self.records.entry(content).or_default().add(crash)
+        let record = self.records.entry(content);
+        record
+            .or_insert_with(|| Record::new(self.ends_by))
+            .add(crash)
     }
 
     /// Records that a content ran to its end: what ended while it ran did not end by it. Returns
@@ -270,7 +295,7 @@
         if crashes.peek().is_none() {
             return known.map_or(Evidence::default(), |record| record.evidence(now));
         }
-        let mut record = known.cloned().unwrap_or_default();
+        let mut record = known.cloned().unwrap_or_else(|| Record::new(self.ends_by));
         for crash in crashes {
             record.add(crash);
         }
--- a/crates/shared/cloverpier_crashes/src/book/record.rs
+++ b/crates/shared/cloverpier_crashes/src/book/record.rs
@@ -3,7 +3,7 @@
 //! Relies on [`super::CrashBook`] for whom it is reported to and what follows.
 
 use super::{
-    CRASH_TTL, Crash, Evidence, MAX_CRASHES, ReportedCrash, SAME_END_MS, UNKNOWN_START, UpstreamEnd,
+    CRASH_TTL, Crash, EndsBy, Evidence, MAX_CRASHES, ReportedCrash, UNKNOWN_START, UpstreamEnd,
 };
 use crate::weight::{EndedRun, OwnEnd, Surroundings, Weight};
 use std::collections::BTreeMap;
@@ -37,14 +37,24 @@
 }
 
 /// The ends of one content.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Record {
+    ends_by: EndsBy,
     ends: BTreeMap<UpstreamEnd, Known>,
     /// Whether it was stopped when that was asked last.
     pub(super) was_stopped: bool,
 }
 
 impl Record {
+    /// A content of which nothing is known.
+    pub(super) fn new(ends_by: EndsBy) -> Self {
+        Self {
+            ends_by,
+            ends: BTreeMap::new(),
+            was_stopped: false,
+        }
+    }
+
     /// Adds what is known of an end: the earliest time, all that was around it, any excuse. Returns
     /// whether that is more than was known.
     pub(super) fn add(&mut self, crash: Crash) -> bool {
@@ -71,8 +81,9 @@
 
     /// An end as it is known already, if it is.
     fn known_as(&self, end: UpstreamEnd) -> UpstreamEnd {
-        let least = end.start.saturating_sub(SAME_END_MS - 1);
-        let most = end.start.saturating_add(SAME_END_MS - 1);
+        let tolerance = self.ends_by.tolerance_ms();
+        let least = end.start.saturating_sub(tolerance);
+        let most = end.start.saturating_add(tolerance);
         let same_upstream = |start| UpstreamEnd { start, ..end };
         let near = same_upstream(least)..=same_upstream(most);
         let known = self.ends.range(near).map(|(known, _)| *known);
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -13,7 +13,7 @@
 
 pub use admission::{Admission, Hold, MAX_HOLD};
 
-use crate::book::{Crash, CrashBook, CrashLimit, SUSPECT_FROM, UpstreamEnd};
+use crate::book::{Crash, CrashBook, CrashLimit, EndsBy, SUSPECT_FROM, UpstreamEnd};
 use crate::content::{Content, ContentKey};
 use crate::ended_upstreams::{EndedUpstream, EndedUpstreams, SAME_MOMENT};
 use crate::lost_attempts::{Dismissed, JUDGE_AFTER, Loss, LostAttempt, LostAttempts, SignOfLife};
@@ -69,9 +69,9 @@
 
 impl CrashCases {
     /// Knows of no end yet.
-    pub fn new(limit: CrashLimit) -> Self {
+    pub fn new(limit: CrashLimit, ends_by: EndsBy) -> Self {
         Self {
-            book: CrashBook::new(limit),
+            book: CrashBook::new(limit, ends_by),
             lost: LostAttempts::default(),
             ended: EndedUpstreams::default(),
             recent: RecentContents::default(),
--- a/crates/shared/cloverpier_crashes/src/lib.rs
+++ b/crates/shared/cloverpier_crashes/src/lib.rs
@@ -30,7 +30,7 @@
 //!     body: b"log",
 //! });
 //! let now = Instant::now();
-//! let mut book = CrashBook::new(CrashLimit(3));
+//! let mut book = CrashBook::new(CrashLimit(3), EndsBy::Start);
 //! for upstream in 1..=3 {
 //!     let end = UpstreamEnd { upstream, start: 0 };
 //!     let surroundings = Surroundings::default();
@@ -53,7 +53,8 @@
 /// The types that users of the crate need daily; rules and constants are named by module.
 pub mod prelude {
     pub use crate::book::{
-        ContentReport, Crash, CrashBook, CrashLimit, Evidence, ReportedCrash, UpstreamEnd, Verdict,
+        ContentReport, Crash, CrashBook, CrashLimit, EndsBy, Evidence, ReportedCrash, UpstreamEnd,
+        Verdict,
     };
     pub use crate::cases::{Admission, CrashCases, Hold, Judged, Neighbours};
     pub use crate::content::{Content, ContentKey};
--- a/crates/shared/cloverpier_crashes/tests/book.rs
+++ b/crates/shared/cloverpier_crashes/tests/book.rs
@@ -40,7 +40,7 @@
 }
 
 fn book() -> CrashBook {
-    CrashBook::new(CrashLimit(3))
+    CrashBook::new(CrashLimit(3), EndsBy::Start)
 }
 
 /// A book that knows ends of a content, one each of upstreams 1, 2 and so on.
@@ -80,13 +80,24 @@
 #[test]
 fn an_end_to_which_its_observers_gave_slightly_different_times_counts_once() {
     let now = Instant::now();
-    let mut book = book();
+    let mut book = CrashBook::new(CrashLimit(3), EndsBy::TimeOfDay);
     for time in [80_000, 80_120, 79_700, 85_000, 85_400] {
         book.record(content("a"), crash(end(1, time), now), now);
     }
     assert_eq!(book.crashes(content("a"), now), 2);
 }
 
+/// Guards against a content that ends an upstream again and again which is back within a second.
+#[test]
+fn each_end_of_an_upstream_that_starts_again_at_once_counts() {
+    let now = Instant::now();
+    let mut book = book();
+    for start in [80_000, 80_400, 80_900] {
+        book.record(content("a"), crash(end(1, start), now), now);
+    }
+    assert_eq!(book.verdict(content("a"), now), Verdict::Stopped);
+}
+
 #[test]
 fn ends_that_neighbours_explain_do_not_stop_a_content() {
     let now = Instant::now();
--- a/crates/shared/cloverpier_crashes/tests/cases.rs
+++ b/crates/shared/cloverpier_crashes/tests/cases.rs
@@ -68,7 +68,7 @@
 
 /// Cases in which a content was lost at upstreams 1, 2 and so on, each 30 ms after the one before.
 fn cases_with(losses: &[Loss], now: Instant) -> CrashCases {
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     for (number, loss) in (1..).zip(losses) {
         let at = now + ms(30) * number as u32;
         cases.on_lost(&content(), attempt(number, *loss, at));
@@ -171,7 +171,7 @@
 #[test]
 fn a_content_that_ran_well_a_moment_before_never_waits() {
     let now = Instant::now();
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     cases.on_completed(&content(), now);
     for number in 1..=5 {
         cases.on_lost(&content(), attempt(number, Loss::GivenUp, now + ms(10)));
@@ -186,7 +186,7 @@
 #[test]
 fn many_requests_that_one_upstream_lost_are_one_end() {
     let now = Instant::now();
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     for _ in 0..5 {
         cases.on_lost(&content(), attempt(1, Loss::Broke, now));
     }
@@ -205,7 +205,7 @@
 /// Equal copies of a request that run at the engines of a data centre when it freezes, and whose engines
 /// never come back, or come back as others.
 fn copies_in_a_frozen_data_centre(now: Instant) -> CrashCases {
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     // Each engine is given up at a moment of its own, a while after the last sign of life.
     for number in 1..=7 {
         let at = now + ms(1_150) + ms(90) * number as u32;
@@ -238,7 +238,7 @@
 #[test]
 fn silence_that_has_passed_explains_no_end() {
     let now = Instant::now();
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     for number in 1..=3 {
         let at = now + ms(1_200) * number as u32;
         for other in 11..=16 {
@@ -256,7 +256,7 @@
 #[test]
 fn an_end_that_another_start_had_proved_before_the_attempt_was_given_up_counts() {
     let now = Instant::now();
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     cases.on_former_start(upstream(1, now));
     let attempt = LostAttempt {
         ran_for: ms(500),
@@ -271,7 +271,7 @@
 #[test]
 fn attempts_at_the_next_starts_of_upstreams_that_were_known_to_have_ended_do_not_count() {
     let now = Instant::now();
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     let next_known = now + ms(1_300);
     for number in 1..=3 {
         cases.on_end(upstream(number, now + ms(3) * number as u32));
@@ -293,7 +293,7 @@
 #[test]
 fn attempts_that_began_after_an_upstream_refused_are_not_charged_with_its_end() {
     let now = Instant::now();
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     cases.on_end(upstream(1, now));
     cases.on_lost(&content(), attempt(1, Loss::GivenUp, now + ms(200)));
     cases.on_former_start(upstream(1, now + ms(300)));
@@ -364,7 +364,7 @@
 /// Equal copies of a request that run at engines of a data centre until it dies: all connections break at
 /// once, and a busy machine takes its time to refuse what asks there.
 fn copies_in_a_data_centre_that_died(now: Instant) -> CrashCases {
-    let mut cases = CrashCases::new(CrashLimit(3));
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
     for number in 1..=5 {
         let at = now + ms(600) + ms(1) * number as u32;
         let attempt = LostAttempt {
--- a/tools/src/crash_play/reports.rs
+++ b/tools/src/crash_play/reports.rs
@@ -141,7 +141,7 @@
     pub(super) fn kill(&mut self, router: usize) {
         let state = &mut self.routers[router];
         state.is_up = false;
-        state.cases = CrashCases::new(LIMIT);
+        state.cases = CrashCases::new(LIMIT, EndsBy::Start);
         state.last_report = None;
         for request in self.requests.iter_mut().filter(|r| r.router == router) {
             request.is_done = true;
--- a/tools/src/crash_play/world.rs
+++ b/tools/src/crash_play/world.rs
@@ -80,7 +80,7 @@
 impl SimRouter {
     fn new() -> Self {
         Self {
-            cases: CrashCases::new(LIMIT),
+            cases: CrashCases::new(LIMIT, EndsBy::Start),
             last_report: None,
             judges_at: None,
             is_up: true,
