Charge no request with an end that only peers saw before it was sent

Cause: the mend knew only of refusals that the router met itself. front-3 had sent nothing to server-0-0 when it ended; it was told of the end by the report of the content that had ended it.

Change: an attempt that began after the end of its start, as it is known of any content, is not charged with it by the next start's appearance. A refusal after that still counts: whichever start was there has ended then.

The new test failed before, and goes on to the next start's own end, which counts.

--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -251,6 +251,16 @@
         ways.min().unwrap_or_default()
     }
 
+    /// When an end was that is known of any content, as its first observer saw it. Times of day do not tell an
+    /// upstream's end from its next one that closely.
+    pub fn ended_at(&self, end: UpstreamEnd) -> Option<Instant> {
+        let records = self
+            .records
+            .values()
+            .filter(|_| self.ends_by == EndsBy::Start);
+        records.filter_map(|record| record.ended_at(end)).min()
+    }
+
     fn add(&mut self, content: ContentKey, crash: Crash) -> bool {
         let record = self.records.entry(content);
         record
--- a/crates/shared/cloverpier_crashes/src/cases.rs
+++ b/crates/shared/cloverpier_crashes/src/cases.rs
@@ -163,7 +163,12 @@
     pub fn on_lost(&mut self, content: &Content<'_>, attempt: LostAttempt) {
         let now = attempt.upstream.at;
         let begun = now.checked_sub(attempt.ran_for);
-        let has_ended = self.ended.has_ended_since(attempt.end.upstream, begun);
+        let upstream = attempt.end.upstream;
+        let has_ended = if began_after_end(&self.book, &attempt) {
+            self.ended.had_no_process_since(upstream, begun)
+        } else {
+            self.ended.has_ended_since(upstream, begun)
+        };
         let ran_well = self.recent.ran_well(content, now);
         self.lost.on_lost(
             LostAttempt {
@@ -190,15 +195,20 @@
         self.ended.on_death(died, silent_since);
     }
 
-    /// Records that an upstream has ended some time ago, as another start answers in its place. What was sent
-    /// after its host had refused a connection reached the next start, and was not there when it ended.
+    /// Records that an upstream has ended some time ago, as another start answers in its place. That proves
+    /// nothing of attempts that were at the next start by then.
     pub fn on_former_start(&mut self, former: EndedUpstream) {
-        if let Some(refused_at) = self.ended.on_next_start(former.upstream) {
-            let EndedUpstream { upstream, at, .. } = former;
-            self.lost.on_end_before(upstream, refused_at, at);
+        let refused_at = self.ended.on_next_start(former.upstream);
+        let book = &self.book;
+        let was_there = |attempt: &LostAttempt| {
+            let began_in_time = refused_at.is_none_or(|at| attempt.has_begun(at));
+            began_in_time && !began_after_end(book, attempt)
+        };
+        self.lost
+            .on_former_start(former.upstream, former.at, was_there);
+        if refused_at.is_some() {
             return;
         }
-        self.lost.on_end(former.upstream, former.at);
         match self.lost.first_break_at(former.upstream) {
             Some(at) => self.ended.on_end(EndedUpstream { at, ..former }),
             None => self.ended.on_former_start(former),
@@ -280,6 +290,13 @@
     }
 }
 
+/// Whether the start at which an attempt seemed to run had ended before it began, by what is known of any
+/// content: it reached the next one. This router may have seen nothing of that end itself.
+fn began_after_end(book: &CrashBook, attempt: &LostAttempt) -> bool {
+    let ended_at = book.ended_at(attempt.end);
+    ended_at.is_some_and(|at| !attempt.has_begun(at + SAME_MOMENT))
+}
+
 /// For how long an upstream has to live on to have survived a content: as long as others ran it before
 /// they ended.
 fn survival(book: &CrashBook, content: ContentKey, now: Instant) -> Duration {
--- a/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
+++ b/crates/shared/cloverpier_crashes/src/ended_upstreams.rs
@@ -133,7 +133,16 @@
     /// Whether an upstream is proved to have ended since a moment, or at all where that is too long
     /// ago to be one.
     pub fn has_ended_since(&self, upstream: u64, since: Option<Instant>) -> bool {
-        let proved = self.ended.iter().filter(|k| k.by != KnownBy::Silence);
+        self.is_known_since(upstream, since, KnownBy::OtherStart)
+    }
+
+    /// Whether an upstream's host was seen to have no process since a moment: whichever start was there has ended.
+    pub fn had_no_process_since(&self, upstream: u64, since: Option<Instant>) -> bool {
+        self.is_known_since(upstream, since, KnownBy::NoProcess)
+    }
+
+    fn is_known_since(&self, upstream: u64, since: Option<Instant>, at_least: KnownBy) -> bool {
+        let proved = self.ended.iter().filter(|known| known.by >= at_least);
         let mut ends = proved.filter(|known| known.upstream.upstream == upstream);
         ends.any(|known| since.is_none_or(|since| known.upstream.at >= since))
     }
--- a/crates/shared/cloverpier_crashes/src/lost_attempts.rs
+++ b/crates/shared/cloverpier_crashes/src/lost_attempts.rs
@@ -91,7 +91,7 @@
     }
 
     /// Whether it had begun by a moment.
-    fn has_begun(&self, at: Instant) -> bool {
+    pub(crate) fn has_begun(&self, at: Instant) -> bool {
         self.upstream.at <= at + self.ran_for
     }
 }
@@ -258,15 +258,18 @@
         }
     }
 
-    /// Records that the start of an upstream that its host had no more at a moment is known to have ended,
-    /// since `now`. Attempts that began later were at the next start; whether that ended, too, where a connection
-    /// broke, is not known, and it is taken to have.
-    pub fn on_end_before(&mut self, upstream: u64, refused_at: Instant, now: Instant) {
+    /// Records that a former start of an upstream is known to have ended, since `now`; `was_there` says whether an
+    /// attempt can have been there. Where a connection broke it is not known whether the next start ended, too,
+    /// and it is taken to have.
+    pub fn on_former_start(
+        &mut self,
+        upstream: u64,
+        now: Instant,
+        was_there: impl Fn(&LostAttempt) -> bool,
+    ) {
         let there = self.open.iter_mut();
-        let there = there.filter(|o| o.attempt.end.upstream == upstream);
-        for open in
-            there.filter(|o| o.attempt.loss == Loss::Broke || o.attempt.has_begun(refused_at))
-        {
+        let there = there.filter(|open| open.attempt.end.upstream == upstream);
+        for open in there.filter(|o| o.attempt.loss == Loss::Broke || was_there(&o.attempt)) {
             open.ended_at.get_or_insert(now);
         }
     }
--- a/crates/shared/cloverpier_crashes/tests/innocents.rs
+++ b/crates/shared/cloverpier_crashes/tests/innocents.rs
@@ -76,6 +76,42 @@
     assert_eq!(cases.judge(now + ms(600), neighbours).len(), 1);
 }
 
+/// Guards against the same at a router that has seen nothing of these ends, and was told of them.
+#[test]
+fn attempts_at_the_next_starts_of_upstreams_that_peers_saw_end_do_not_count() {
+    let now = Instant::now();
+    let mut cases = CrashCases::new(CrashLimit(3), EndsBy::Start);
+    let crashing = ContentKey::of(&Content {
+        body: b"crashes whoever runs it",
+        ..content()
+    });
+    let next_known = now + ms(1_300);
+    for number in 1..=3 {
+        let seen = attempt(number, Loss::Broke, now);
+        let crash = Crash {
+            end: seen.end,
+            at: now,
+            ran_for: seen.ran_for,
+            surroundings: Surroundings::default(),
+            excused: false,
+        };
+        cases.book.record(crashing, crash, now);
+    }
+    for number in 1..=3 {
+        cases.on_former_start(upstream(number, next_known));
+        // Begun 19 ms before.
+        let given_up = attempt(number, Loss::GivenUp, next_known + ms(1));
+        cases.on_lost(&content(), given_up);
+    }
+    let judged_at = next_known + ms(1) + JUDGE_AFTER;
+    assert!(cases.judge(judged_at, neighbours).is_empty());
+    assert_eq!(cases.book.verdict(crashing, judged_at), Verdict::Stopped);
+    // The next start ends after that.
+    let ended = judged_at + ms(200);
+    cases.on_end(upstream(1, ended));
+    assert_eq!(cases.judge(ended + JUDGE_AFTER, neighbours).len(), 1);
+}
+
 /// Equal copies of a request that run at engines of a data centre until it dies: all connections break at
 /// once, and a busy machine takes its time to refuse what asks there.
 fn copies_in_a_data_centre_that_died(now: Instant) -> CrashCases {
