--- a/crates/router/cloverpier_router_policy/src/refusal.rs
+++ b/crates/router/cloverpier_router_policy/src/refusal.rs
@@ -6,7 +6,8 @@
 //!   for which all upstreams of its service want nothing, or its turn where they limit themselves.
 //! - **Answer.** A duration, which callers get as `Retry-After`.
 //! - **Why.** The request is refused at once, never held. Coming back too soon meets the
-//!   same state; too late misses the objective, the time within which an answer counts.
+//!   same state; too late misses the objective, the time within which an answer counts. Callers that wait
+//!   for the same moment return one after the other, in their order.
 
 use crate::upstream_table::ServiceWait;
 use std::time::Duration;
@@ -70,8 +71,7 @@
             wait.clamp(MIN_WAIT, MAX_WAIT)
         }
         Refusal::UpstreamsWait { wait, objective } => {
-            // Earlier than that nobody serves the request, however short its objective is. Callers return
-            // in the order in which they were refused: all at once they would meet full upstreams.
+            // Earlier nobody serves it, however short its objective is; all at once, they would meet full upstreams.
             let room = objective.saturating_sub(wait.left);
             let later = wait.passed.min(room.mul_f64(RETURN_SHARE));
             (wait.left + later).max(MIN_WAIT)
--- a/crates/shared/cloverpier_crashes/src/book.rs
+++ b/crates/shared/cloverpier_crashes/src/book.rs
@@ -50,11 +50,10 @@
 pub const SAME_END_MS: u64 = 1_000;
 
 /// What [`UpstreamEnd::start`] is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndsBy {
     /// The start that the upstream names, the same for all observers. An upstream may start again at once, so
     /// that any other number is another end.
-    #[default]
     Start,
     /// An observer's time of day.
     TimeOfDay,
@@ -254,10 +253,10 @@
     /// When an end was that is known of any content, as its first observer saw it. Times of day do not tell an
     /// upstream's end from its next one that closely.
     pub fn ended_at(&self, end: UpstreamEnd) -> Option<Instant> {
-        let records = self
-            .records
-            .values()
-            .filter(|_| self.ends_by == EndsBy::Start);
+        if self.ends_by == EndsBy::TimeOfDay {
+            return None;
+        }
+        let records = self.records.values();
         records.filter_map(|record| record.ended_at(end)).min()
     }
 
