Log when a router reaches no upstream of a service

Calls without a response now add up for each service (policy: reachability); the second silent upstream without a response from any since logs service.unreachable, with how many of the service's upstreams peers suspect, and the next response logs service.reachable. Gauge unreachable_services. No decision uses any of it.

--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -96,6 +96,28 @@
     pub silent_ms: u64,
 }
 
+/// Calls of this router to several upstreams of a service failed, and none has responded since.
+#[derive(Serialize)]
+pub(crate) struct ServiceUnreachable<'a> {
+    pub service: &'a str,
+    /// Number of upstreams to which calls failed.
+    pub failed: usize,
+    /// Number of listed upstreams of the service.
+    pub listed: usize,
+    /// Number of the service's upstreams that peers suspect. If it is 0, peers probably reach the service.
+    pub suspected_by_peers: usize,
+    /// Milliseconds since an upstream of the service last responded; `None` if none ever did.
+    pub silent_ms: Option<u64>,
+}
+
+/// An upstream of an unreachable service responded.
+#[derive(Serialize)]
+pub(crate) struct ServiceReachable<'a> {
+    pub service: &'a str,
+    /// Milliseconds for which the service was unreachable.
+    pub unreachable_ms: u64,
+}
+
 /// This router learned from a response or a peer that an upstream is leaving.
 #[derive(Serialize)]
 pub(crate) struct UpstreamLeaving<'a> {
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -12,7 +12,7 @@
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | queries for engines' load | `load_query`, `engine_query` |
 //! | requests that crash upstreams | `crashes`, `cancel_signal` |
-//! | upstreams' health | `health`, `probe`, `successors`, `restart`, `load_guard` |
+//! | upstreams' health | `health`, `probe`, `reachability`, `successors`, `restart`, `load_guard` |
 //! | upstreams' statements about themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits` |
 //! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_updates` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
@@ -78,6 +78,7 @@
 mod probe;
 mod prompt_search;
 mod prompts;
+mod reachability;
 mod relay_request;
 mod responses;
 mod restart;
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -83,6 +83,8 @@
     pub permits: CounterByKind,
     /// Events of the lease on work that only one router at a time does, and of that work.
     pub singleton: CounterByKind,
+    /// Number of services that this router reaches none of the upstreams of at present.
+    pub unreachable_services: Gauge,
     /// Number of request contents that are blocked at present.
     pub blocked_contents: Gauge,
     /// Datagrams sent to peers, by kind of message.
@@ -126,6 +128,7 @@
             upstream_limits: CounterByKind::default(),
             permits: CounterByKind::default(),
             singleton: CounterByKind::default(),
+            unreachable_services: Gauge::default(),
             blocked_contents: Gauge::default(),
             peer_datagrams: CounterByKind::default(),
             peer_bytes: CounterByKind::default(),
@@ -188,6 +191,11 @@
             "Silence to verdict",
             self.failure_detection.0.clone(),
         );
+        registry.register(
+            "unreachable_services",
+            "Services that this router does not reach",
+            self.unreachable_services.clone(),
+        );
         registry.register(
             "leavings",
             "Servers that said they leave",
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -11,6 +11,7 @@
 use crate::decision_log::{ms, ms_since};
 use crate::health::UpstreamHealth;
 use crate::http_client::HttpClient;
+use crate::reachability;
 use crate::router::Router;
 use crate::statements::Call;
 use crate::successors;
@@ -187,6 +188,7 @@
     reason: &str,
     now: Instant,
 ) {
+    reachability::on_failure(router, upstream);
     let health = router.health.of(upstream, now);
     let last_activity = health.last_activity.get();
     match evidence {
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -7,6 +7,7 @@
 //! | [`StoreView`] | the configuration in force, whether a list of upstreams was received, whether calls to the store fail |
 //! | [`UpstreamTable`] | the upstreams, with their load and whether they are suspected to be dead |
 //! | [`UpstreamLimits`] | the rate limits that upstreams advertise, and the permits to send requests to those upstreams |
+//! | [`Reachability`] | which services this router reaches over its own connections |
 //! | [`HealthTable`] | the last activity and the probe in progress of each upstream |
 //! | [`ConnectionPool`] | idle connections to upstreams |
 //! | [`Datagrams`] | the UDP socket for messages to other routers |
@@ -46,6 +47,7 @@
 use cloverpier_router_policy::lifecycle::router_state;
 use cloverpier_router_policy::membership::{MEMBER_TIMEOUT, MemberState, MemberUpdate};
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::reachability::Reachability;
 use cloverpier_router_policy::rollout::schedule::ExposureBounds;
 use cloverpier_router_policy::version_serving::CopyPacing;
 use cloverpier_settings::RouterSettings;
@@ -68,6 +70,7 @@
     pub(crate) store: StoreView,
     pub(crate) upstreams: RefCell<UpstreamTable>,
     pub(crate) upstream_limits: Rc<UpstreamLimits>,
+    pub(crate) reachability: RefCell<Reachability>,
     pub(crate) health: HealthTable,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) datagrams: Rc<Datagrams>,
@@ -132,6 +135,7 @@
             metrics,
             store: StoreView::default(),
             upstreams: RefCell::new(UpstreamTable::default()),
+            reachability: RefCell::default(),
             health: HealthTable::new(timers.clone()),
             pool: RefCell::new(ConnectionPool::default()),
             datagrams,
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -9,6 +9,7 @@
 use crate::decision_log::log_named_event;
 use crate::leaving_reports;
 use crate::limit_reports;
+use crate::reachability;
 use crate::restart::on_reported_start;
 use crate::router::Router;
 use crate::upstream_limits::LimitResponse;
@@ -88,6 +89,7 @@
     sender: Sender,
     was_executed: bool,
 ) -> StartOrder {
+    reachability::on_response(router, call.upstream);
     let Some(upstream) = sender_upstream(router, call, sender) else {
         return StartOrder::Same;
     };
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -29,6 +29,7 @@
 //! | is a failed attempt retried | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
+//! | which services does this router reach over its own connections | [`reachability`] |
 //! | does the process at a dead upstream's address belong to its service | [`successor`] |
 //! | what is reported to peers of requests that end upstreams | [`crash_reports`] |
 //! | which facts are sent to peers again | [`dissemination`] |
@@ -85,6 +86,7 @@
 pub mod permit;
 pub mod prompt_locations;
 pub mod prompt_search;
+pub mod reachability;
 pub mod refusal;
 pub mod replica;
 pub mod rollout;
