--- a/crates/standins/cloverpier_router_standin/src/lib.rs
+++ b/crates/standins/cloverpier_router_standin/src/lib.rs
@@ -18,5 +18,6 @@
 mod http;
 pub mod ledger;
 pub mod link;
+mod socket_owner;
 pub mod store;
 pub mod upstream;
--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -3,8 +3,10 @@
 //! Runs inside a test and ends with its owner, as resets and refused ports are among its harms.
 //! The link of `cloverpier_daemon_standin` is a process of its own, switched over HTTP.
 
+use crate::socket_owner::SocketOwner;
 use crate::upstream::bind_when_free;
 use cloverpier_core::lock;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -30,13 +32,31 @@
     /// New connections come up and are reset, as by a process that is about to end and whose listener
     /// closes last.
     ResetNew,
+    /// New connections are reset, and those that are open end.
+    Reset,
+}
+
+/// The harm to all connections, and to those of single processes.
+#[derive(Clone, Debug, Default)]
+struct Harms {
+    to_all: Harm,
+    to_process: HashMap<u32, Harm>,
+}
+
+impl Harms {
+    /// The harm to a connection: that of its opener, if this one has any of its own.
+    fn harm_to(&self, owner: &mut SocketOwner) -> Harm {
+        let mut of_processes = self.to_process.iter();
+        let own = of_processes.find(|(process, _)| owner.is(**process));
+        own.map_or(self.to_all, |(_, harm)| *harm)
+    }
 }
 
 /// A running link to an address; it ends with its owner.
 #[derive(Debug)]
 pub struct Link {
     address: SocketAddr,
-    harm: watch::Sender<Harm>,
+    harms: watch::Sender<Harms>,
     connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
     to: SocketAddr,
     accepting: Option<JoinHandle<()>>,
@@ -57,12 +77,17 @@
     pub async fn start(to: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let (harm, _) = watch::channel(Harm::None);
+        let (harms, _) = watch::channel(Harms::default());
         let connections = Arc::new(Mutex::new(Vec::new()));
-        let accepting = tokio::spawn(accept(listener, to, harm.clone(), Arc::clone(&connections)));
+        let accepting = tokio::spawn(accept(
+            listener,
+            to,
+            harms.clone(),
+            Arc::clone(&connections),
+        ));
         Ok(Self {
             address,
-            harm,
+            harms,
             connections,
             to,
             accepting: Some(accepting),
@@ -84,8 +109,8 @@
     /// The port is taken.
     pub async fn reopen(&mut self) -> io::Result<()> {
         let listener = bind_when_free(self.address).await?;
-        let (harm, connections) = (self.harm.clone(), Arc::clone(&self.connections));
-        self.accepting = Some(tokio::spawn(accept(listener, self.to, harm, connections)));
+        let (harms, connections) = (self.harms.clone(), Arc::clone(&self.connections));
+        self.accepting = Some(tokio::spawn(accept(listener, self.to, harms, connections)));
         Ok(())
     }
 
@@ -96,7 +121,14 @@
 
     /// Harms what passes from now on.
     pub fn set_harm(&self, harm: Harm) {
-        self.harm.send_replace(harm);
+        self.harms.send_modify(|harms| harms.to_all = harm);
+    }
+
+    /// Harms what passes on connections that one process has opened or opens, in place of the harm to all.
+    pub fn set_harm_to_process(&self, process: u32, harm: Harm) {
+        self.harms.send_modify(|harms| {
+            harms.to_process.insert(process, harm);
+        });
     }
 
     /// How many connections go through it.
@@ -116,19 +148,21 @@
 async fn accept(
     listener: TcpListener,
     to: SocketAddr,
-    harm: watch::Sender<Harm>,
+    harms: watch::Sender<Harms>,
     connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
 ) {
     while let Ok((near, _)) = listener.accept().await {
-        if *harm.borrow() == Harm::ResetNew {
+        let mut owner = SocketOwner::of_accepted(&near);
+        let harm = harms.borrow().harm_to(&mut owner);
+        if matches!(harm, Harm::ResetNew | Harm::Reset) {
             // One that could not be reset ends cleanly, which the other side takes alike.
             let _ = near.set_zero_linger();
             continue;
         }
-        let harm = harm.subscribe();
+        let harms = harms.subscribe();
         let connection = tokio::spawn(async move {
             // A connection that can't go on ends; whoever used it notices.
-            let _ = carry(near, to, harm).await;
+            let _ = carry(near, to, harms, owner).await;
         });
         let mut connections = lock(&connections);
         connections.retain(|c| !c.is_finished());
@@ -136,9 +170,15 @@
     }
 }
 
-async fn carry(near: TcpStream, to: SocketAddr, mut harm: watch::Receiver<Harm>) -> io::Result<()> {
+async fn carry(
+    near: TcpStream,
+    to: SocketAddr,
+    mut harms: watch::Receiver<Harms>,
+    mut owner: SocketOwner,
+) -> io::Result<()> {
     // While it is silent nobody learns whether anything listens behind it; its owner may end meanwhile.
-    let has_ended = harm.wait_for(|h| *h != Harm::Silence).await.is_err();
+    let is_heard = |harms: &Harms| harms.harm_to(&mut owner) != Harm::Silence;
+    let has_ended = harms.wait_for(is_heard).await.is_err();
     if has_ended {
         return Ok(());
     }
@@ -154,19 +194,22 @@
     far.set_nodelay(true)?;
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = pass(near_read, far_write, harm.clone(), false);
-    let back = pass(far_read, near_write, harm, true);
+    let there = pass(near_read, far_write, harms.clone(), owner.clone(), false);
+    let back = pass(far_read, near_write, harms.clone(), owner.clone(), true);
+    let reset = harms.wait_for(|harms| harms.harm_to(&mut owner) == Harm::Reset);
     // The end of either direction ends both, as the end of a process would.
     tokio::select! {
         result = there => result,
         result = back => result,
+        _ = reset => Ok(()),
     }
 }
 
 async fn pass(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mut harm: watch::Receiver<Harm>,
+    mut harms: watch::Receiver<Harms>,
+    mut owner: SocketOwner,
     is_back: bool,
 ) -> io::Result<()> {
     let mut bytes = vec![0; 16 * 1024];
@@ -182,16 +225,16 @@
             }
         };
         loop {
-            let present = *harm.borrow_and_update();
+            let present = harms.borrow_and_update().harm_to(&mut owner);
             match present {
-                Harm::None | Harm::ResetNew => break,
+                Harm::None | Harm::ResetNew | Harm::Reset => break,
                 Harm::CutBack if !is_back => break,
                 Harm::Delay(by) => {
                     tokio::time::sleep(by).await;
                     break;
                 }
                 Harm::CutBack | Harm::Silence => {
-                    if harm.changed().await.is_err() {
+                    if harms.changed().await.is_err() {
                         return Ok(());
                     }
                 }
--- /dev/null
+++ b/crates/standins/cloverpier_router_standin/src/socket_owner.rs
@@ -0,0 +1,70 @@
+//! Which process has opened a TCP connection of this machine.
+//!
+//! Reads Linux's tables of sockets and of open files, so that a link can treat the connections of one process
+//! differently.
+
+use std::collections::HashMap;
+use std::fs;
+use std::net::{IpAddr, SocketAddr};
+use tokio::net::TcpStream;
+
+/// The opener of an accepted connection.
+#[derive(Clone, Debug)]
+pub(crate) struct SocketOwner {
+    /// Both ends of the connection as the opener sees them: its own address, and the remote one.
+    ends: Option<(SocketAddr, SocketAddr)>,
+    /// Whether a process has opened the connection, by the process's number.
+    known: HashMap<u32, bool>,
+}
+
+impl SocketOwner {
+    /// The opener of a connection that a listener has accepted.
+    pub fn of_accepted(stream: &TcpStream) -> Self {
+        Self {
+            ends: stream.peer_addr().ok().zip(stream.local_addr().ok()),
+            known: HashMap::new(),
+        }
+    }
+
+    /// Whether the process with this number has opened the connection. The first result for a process is kept.
+    pub fn is(&mut self, process: u32) -> bool {
+        let Some(ends) = self.ends else {
+            return false;
+        };
+        let owns = || inode_of(ends).is_some_and(|inode| has_socket(process, &inode));
+        *self.known.entry(process).or_insert_with(owns)
+    }
+}
+
+/// The inode of the socket with these ends, by the system's table of TCP sockets.
+fn inode_of((local, remote): (SocketAddr, SocketAddr)) -> Option<String> {
+    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+    let ends = [table_entry(local)?, table_entry(remote)?];
+    let mut rows = table.lines().map(|line| line.split_whitespace());
+    let mut row = rows.find(|row| {
+        row.clone()
+            .skip(1)
+            .take(2)
+            .eq(ends.iter().map(String::as_str))
+    })?;
+    row.nth(9).map(str::to_owned)
+}
+
+/// An IPv4 address as the table writes it: the bytes of the address in the machine's order, and the port.
+fn table_entry(address: SocketAddr) -> Option<String> {
+    let IpAddr::V4(ip) = address.ip() else {
+        return None;
+    };
+    let ip = u32::from_ne_bytes(ip.octets());
+    Some(format!("{ip:08X}:{:04X}", address.port()))
+}
+
+/// Whether a process has the socket with this inode among its open files.
+fn has_socket(process: u32, inode: &str) -> bool {
+    let socket = format!("socket:[{inode}]");
+    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
+        return false;
+    };
+    let mut targets = files.flatten().flat_map(|file| fs::read_link(file.path()));
+    targets.any(|target| target.to_str() == Some(&socket))
+}
