--- a/crates/router/cloverpier_router/src/connection.rs
+++ b/crates/router/cloverpier_router/src/connection.rs
@@ -5,6 +5,7 @@
 //! rules depend on that. This is the reason for `hyper`'s connection-level API: `reqwest`, which `cloverpierd`
 //! uses (`cloverpier_upstream`), does not report whether a byte was written on a reused connection.
 
+use crate::tunnel::OpenTunnel;
 use bytes::Bytes;
 use cloverpier_timers::{Elapsed, Timers};
 use http_body_util::Full;
@@ -16,7 +17,8 @@
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -40,11 +42,26 @@
     pub error: hyper::Error,
 }
 
+/// The way that a connection takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Via {
+    /// From this router to the address itself.
+    Direct,
+    /// In a tunnel through the peer with this address.
+    Peer(SocketAddr),
+}
+
 /// An open connection, which is closed when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// The way that the connection takes.
+    pub via: Via,
+    /// When the opening of the connection began.
+    pub opened_at: Instant,
+    /// The tunnel that carries the connection; `None` for a direct connection.
+    tunnel: Option<OpenTunnel>,
     /// Number of requests that were sent on this connection, including failed sends.
     pub requests: u32,
     /// How long the server keeps the connection open while it is idle; the pool uses it only for a shorter time.
@@ -70,28 +87,49 @@
         idle_timeout: Duration,
         timers: &Timers,
     ) -> io::Result<Self> {
-        let connecting = timers.timeout(timeout, TcpStream::connect(address));
-        let stream = connecting
-            .await
-            .map_err(|Elapsed| io::ErrorKind::TimedOut)??;
-        stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let mut client = http1::Builder::new();
-        client.max_buf_size(READ_BUFFER);
-        let handshake = client.handshake(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.map_err(io::Error::other)?;
-        let driver = tokio::task::spawn_local(async move {
-            // The task that waits for a response receives the connection's errors.
-            let _ = driver.await;
-        });
+        let opened_at = timers.now();
+        let stream = open_stream(address, timeout, timers).await?;
+        let (sender, driver) = start_http(stream).await?;
+        Ok(Self {
+            sender,
+            driver,
+            via: Via::Direct,
+            opened_at,
+            tunnel: None,
+            requests: 0,
+            idle_timeout,
+        })
+    }
+
+    /// Prepares a tunnel through a peer for HTTP/1.1. `opened_at` is when the opening of the tunnel began, and
+    /// `tunnel` counts the tunnel as open while the connection exists.
+    ///
+    /// # Errors
+    ///
+    /// The HTTP library's error.
+    pub async fn over_tunnel(
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        tunnel: OpenTunnel,
+        opened_at: Instant,
+        idle_timeout: Duration,
+    ) -> io::Result<Self> {
+        let (sender, driver) = start_http(stream).await?;
         Ok(Self {
             sender,
-            driver: driver.abort_handle(),
+            driver,
+            via: Via::Peer(tunnel.peer),
+            opened_at,
+            tunnel: Some(tunnel),
             requests: 0,
             idle_timeout,
         })
     }
 
+    /// The id of the tunnel that carries the connection; `None` for a direct connection.
+    pub fn tunnel_id(&self) -> Option<u64> {
+        self.tunnel.as_ref().map(|tunnel| tunnel.id)
+    }
+
     /// Whether the connection can carry another request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -126,6 +164,40 @@
     }
 }
 
+/// Opens a TCP connection within `timeout`.
+///
+/// # Errors
+///
+/// The operating system's error, or [`io::ErrorKind::TimedOut`] after `timeout`.
+pub(crate) async fn open_stream(
+    address: SocketAddr,
+    timeout: Duration,
+    timers: &Timers,
+) -> io::Result<TcpStream> {
+    let connecting = timers.timeout(timeout, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|Elapsed| io::ErrorKind::TimedOut)??;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    Ok(stream)
+}
+
+/// Prepares a byte stream for HTTP/1.1, and starts the task that drives it.
+async fn start_http(
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    let mut client = http1::Builder::new();
+    client.max_buf_size(READ_BUFFER);
+    let handshake = client.handshake(TokioIo::new(stream)).await;
+    let (sender, driver) = handshake.map_err(io::Error::other)?;
+    let driver = tokio::task::spawn_local(async move {
+        // The task that waits for a response receives the connection's errors.
+        let _ = driver.await;
+    });
+    Ok((sender, driver.abort_handle()))
+}
+
 /// Formats an error and its causes in one line, separated by colons.
 pub(crate) fn describe_error(error: &dyn Error) -> String {
     let mut text = error.to_string();
--- a/crates/router/cloverpier_router/src/crashes/resolution.rs
+++ b/crates/router/cloverpier_router/src/crashes/resolution.rs
@@ -7,6 +7,7 @@
 use super::block_changes::apply_block_changes;
 use super::neighbours::{neighbour_counts, upstream_name};
 use super::reports;
+use crate::connection::Via;
 use crate::decision_log::{CrashDiscarded, CrashRecorded, ms_since};
 use crate::probe::probe;
 use crate::relay_request::RelayRequest;
@@ -47,7 +48,7 @@
             continue;
         };
         drop(table);
-        let health = router.health.of(&upstream, now);
+        let health = router.health.of(&upstream, Via::Direct, now);
         probe(router, &upstream, &health, now);
     }
 }
--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -118,6 +118,83 @@
     pub unreachable_ms: u64,
 }
 
+/// This router does not reach an upstream, and a peer does; new connections go through peers.
+#[derive(Serialize)]
+pub(crate) struct PathLost<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    pub address: String,
+    /// The peer that reached the upstream.
+    pub peer: Option<String>,
+    /// Whether new connections to all upstreams of the service go through peers from now on.
+    #[serde(rename = "cut_off")]
+    pub is_cut_off: bool,
+}
+
+/// This router reaches an upstream over its own connections again.
+#[derive(Serialize)]
+pub(crate) struct PathRestored<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    pub address: String,
+    /// Milliseconds for which the path was lost.
+    pub lost_ms: u64,
+}
+
+/// This router opened a tunnel to an upstream through a peer.
+#[derive(Serialize)]
+pub(crate) struct TunnelOpened<'a> {
+    /// The id of the tunnel, which the peer logs, too.
+    pub tunnel: String,
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    pub peer: String,
+    pub took_ms: u64,
+}
+
+/// A peer did not open a tunnel to an upstream for this router.
+#[derive(Serialize)]
+pub(crate) struct TunnelFailed<'a> {
+    pub tunnel: String,
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    pub peer: String,
+    pub reason: &'a str,
+    pub took_ms: u64,
+}
+
+/// This router was asked for a tunnel by a peer.
+#[derive(Serialize)]
+pub(crate) struct TunnelServed<'a> {
+    pub tunnel: &'a str,
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    /// The IP address of the router that asked.
+    pub peer: Option<String>,
+    /// Why the tunnel was not opened; `None` if it was.
+    pub failure: Option<&'static str>,
+}
+
+/// A tunnel that this router served was closed.
+#[derive(Serialize)]
+pub(crate) struct TunnelClosed<'a> {
+    pub tunnel: &'a str,
+    /// The error that closed it; `None` if the peer or the upstream closed it regularly.
+    pub error: Option<String>,
+    pub open_ms: u64,
+}
+
+/// A request is sent to an upstream in a tunnel through a peer.
+#[derive(Serialize)]
+pub(crate) struct SentThroughPeer<'a> {
+    /// The request id.
+    pub request: &'a str,
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    pub peer: String,
+    pub tunnel: String,
+}
+
 /// This router learned from a response or a peer that an upstream is leaving.
 #[derive(Serialize)]
 pub(crate) struct UpstreamLeaving<'a> {
--- a/crates/router/cloverpier_router/src/engine_query.rs
+++ b/crates/router/cloverpier_router/src/engine_query.rs
@@ -7,10 +7,11 @@
 use crate::call_kind::CallKind;
 use crate::connection::{Connection, describe_error};
 use crate::http_client::{CallError, HttpResponse, get_request};
+use crate::reachability::connect as reachability;
 use crate::router::Router;
 use crate::send::return_to_pool;
 use crate::statements::Call;
-use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, DEFAULT_IDLE_TIMEOUT};
+use cloverpier_router_policy::connection_reuse::CONNECT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
 use http_body_util::BodyExt;
 use std::rc::Rc;
@@ -51,9 +52,11 @@
         };
         let (head, body) = response.into_parts();
         let body = body.collect().await.map_err(|e| connection_broken(&e))?;
-        return_to_pool(router, engine, connection);
         let now = router.now();
-        router.health.of(engine, now).on_activity(now);
+        router
+            .health
+            .of(engine, connection.via, now)
+            .on_activity(now);
         let http_response = HttpResponse {
             status: head.status,
             headers: head.headers,
@@ -63,10 +66,12 @@
             upstream: engine,
             via,
             sent: sent_at,
+            connection: &connection,
         };
         let start = router
             .apply_query_statement(call, http_response.parts())
             .start_order;
+        return_to_pool(router, engine, connection);
         return Ok(EngineResponse {
             response: http_response,
             is_of_previous_incarnation: start == StartOrder::Older,
@@ -76,18 +81,10 @@
 
 /// Takes an idle connection of the pool, or opens one.
 async fn connect(router: &Rc<Router>, engine: &Upstream) -> Result<Connection, CallError> {
-    let reused = router.pool.borrow_mut().take(&engine.name, router.now());
-    if let Some(connection) = reused {
+    if let Some(connection) = reachability::take_idle(router, engine) {
         return Ok(connection);
     }
-    router.metrics.connections.inc();
-    let opened = Connection::open(
-        engine.address,
-        CONNECT_TIMEOUT,
-        DEFAULT_IDLE_TIMEOUT,
-        &router.timers,
-    )
-    .await;
+    let opened = reachability::connect(router, engine, CONNECT_TIMEOUT).await;
     opened.map_err(|source| CallError::Connect { source })
 }
 
--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -259,6 +259,28 @@
     }
 }
 
+/// Sends a `GET` request on an open connection and reads the whole response. `address` is the server's, for the
+/// `Host` header.
+///
+/// # Errors
+///
+/// [`CallError::Broken`]; the connection can't be used any more then.
+pub(crate) async fn get_over(
+    connection: &mut Connection,
+    address: SocketAddr,
+    path: &str,
+) -> Result<HttpResponse, CallError> {
+    let sent = connection.send(get_request(path, address)?).await;
+    let response = sent.map_err(|failure| connection_broken(&failure.error))?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map_err(|e| connection_broken(&e))?;
+    Ok(HttpResponse {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    })
+}
+
 /// Creates a `GET` request with a `Host` header and without a body.
 pub(crate) fn get_request(path: &str, address: SocketAddr) -> Result<BufferedRequest, CallError> {
     let request = Request::builder()
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -14,6 +14,7 @@
 //! | requests that crash upstreams | `crashes`, `cancel_signal` |
 //! | upstreams' health | `health`, `probe`, `reachability`, `successors`, `restart`, `load_guard` |
 //! | upstreams' statements about themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits` |
+//! | tunnels to upstreams through peers | `tunnel` |
 //! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_updates` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that only one router at a time does | `singleton` |
@@ -101,6 +102,7 @@
 mod stream;
 mod successors;
 mod suspension;
+mod tunnel;
 mod upstream_limits;
 mod upstream_log;
 mod upstream_updates;
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -85,6 +85,10 @@
     pub singleton: CounterByKind,
     /// Number of services that this router reaches none of the upstreams of at present.
     pub unreachable_services: Gauge,
+    /// Number of upstreams that this router reaches only through peers at present.
+    pub lost_paths: Gauge,
+    /// Tunnels to upstreams through peers, by outcome: opened or not at this router, served or not for a peer.
+    pub tunnels: CounterByKind,
     /// Number of request contents that are blocked at present.
     pub blocked_contents: Gauge,
     /// Datagrams sent to peers, by kind of message.
@@ -129,6 +133,8 @@
             permits: CounterByKind::default(),
             singleton: CounterByKind::default(),
             unreachable_services: Gauge::default(),
+            lost_paths: Gauge::default(),
+            tunnels: CounterByKind::default(),
             blocked_contents: Gauge::default(),
             peer_datagrams: CounterByKind::default(),
             peer_bytes: CounterByKind::default(),
@@ -196,6 +202,16 @@
             "Services that this router does not reach",
             self.unreachable_services.clone(),
         );
+        registry.register(
+            "lost_paths",
+            "Servers reached only through other routers",
+            self.lost_paths.clone(),
+        );
+        registry.register(
+            "tunnels",
+            "Tunnels to servers by outcome",
+            self.tunnels.0.clone(),
+        );
         registry.register(
             "leavings",
             "Servers that said they leave",
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -90,6 +90,13 @@
                 permit_delay: retry,
             };
         }
+        if router
+            .reachability
+            .borrow()
+            .is_cut_off(&request.service.name)
+        {
+            return Refusal::CutOff;
+        }
         let table = router.upstreams.borrow();
         let objective = request.route.objective;
         match table.wait_of_service(&request.service.name, router.now()) {
--- a/crates/router/cloverpier_router/src/peer_serve.rs
+++ b/crates/router/cloverpier_router/src/peer_serve.rs
@@ -1,4 +1,4 @@
-//! The HTTP endpoints from which other routers fetch the configuration and the upstreams.
+//! The HTTP endpoints for other routers, from which they fetch the configuration and the upstreams.
 //!
 //! Owns the HTTP protocol between the endpoints and [`crate::peer_fetch`]: paths, media types, encodings, and
 //! the header with the time after which a refused peer sends its request again.
@@ -13,6 +13,8 @@
 use crate::responses::{ServerResponse, error_response, set_retry_after};
 use crate::router::Router;
 use crate::store_view::WatchedData;
+use crate::tunnel::TUNNEL_PATH;
+use crate::tunnel::serve::serve_tunnel;
 use bytes::Bytes;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_serving::{CopyStep, LinkRate};
@@ -39,12 +41,17 @@
 /// When a refused peer sends its request again if the refusal contains no readable time.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Serves a peer's request for a tunnel, the configuration or the upstreams.
+pub(crate) async fn serve_peer(router: Rc<Router>, request: Request<Incoming>) -> ServerResponse {
+    if request.uri().path() == TUNNEL_PATH {
+        return serve_tunnel(router, request).await;
+    }
+    serve_version(router, request).await
+}
+
 /// Serves a peer's request for the configuration or the upstreams. The status is 404 if this router has
 /// received none yet, if the path is unknown, or if the reply can't be encoded.
-pub(crate) async fn serve_version(
-    router: Rc<Router>,
-    request: Request<Incoming>,
-) -> ServerResponse {
+async fn serve_version(router: Rc<Router>, request: Request<Incoming>) -> ServerResponse {
     let served = match request.uri().path() {
         CONFIGURATION_PATH => configuration_reply(&router, request.headers()).await,
         UPSTREAMS_PATH if router.store.has_upstreams() => {
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -22,7 +22,7 @@
 use cloverpier_router_policy::watcher_reports::WatcherReports;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
@@ -215,6 +215,11 @@
         self.table.borrow().addresses()
     }
 
+    /// Whether a recorded peer, dead ones included, has this IP address.
+    pub fn has_address(&self, ip: IpAddr) -> bool {
+        self.addresses().iter().any(|peer| peer.ip() == ip)
+    }
+
     /// The live and ready peers, with the age of each one's last successful call to the store. `timeout` is
     /// the silence after which a peer of a small fleet no longer counts as alive.
     pub fn ready(&self, now: Instant, timeout: Duration) -> Vec<ReadyPeer> {
--- a/crates/router/cloverpier_router/src/pool.rs
+++ b/crates/router/cloverpier_router/src/pool.rs
@@ -3,11 +3,13 @@
 //! Owns the connections that carry no request. `cloverpier_router_policy::connection_reuse` decides which of them
 //! may be used again.
 
-use crate::connection::Connection;
+use crate::connection::{Connection, Via};
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::connection_reuse::is_reusable;
+use cloverpier_router_policy::reachability::UpstreamPath;
 use hyper::HeaderMap;
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// A connection that carries no request.
@@ -31,16 +33,26 @@
 }
 
 impl ConnectionPool {
-    /// Removes and returns the most recently used connection that may be used again; `None` if there is none.
-    /// Connections that were used more recently but may not be used again are closed.
-    pub fn take(&mut self, upstream: &UpstreamName, now: Instant) -> Option<Connection> {
+    /// Removes and returns the most recently used connection that may be used again; `None` if there is none. Direct
+    /// connections come before tunnels; with `path` through a peer, only tunnels are taken. Connections that may not
+    /// be used again are closed.
+    pub fn take(
+        &mut self,
+        upstream: &UpstreamName,
+        path: UpstreamPath,
+        now: Instant,
+    ) -> Option<Connection> {
         let connections = self.idle.get_mut(upstream)?;
-        while let Some(idle) = connections.pop() {
-            if idle.is_usable(now) {
-                return Some(idle.connection);
-            }
-        }
-        None
+        connections.retain(|idle| idle.is_usable(now));
+        let newest = |is_direct: bool| {
+            let matches = |idle: &IdleConnection| (idle.connection.via == Via::Direct) == is_direct;
+            connections.iter().rposition(matches)
+        };
+        let index = match path {
+            UpstreamPath::Direct => newest(true).or_else(|| newest(false)),
+            UpstreamPath::ThroughPeer => newest(false),
+        };
+        Some(connections.remove(index?).connection)
     }
 
     /// Adds an idle connection, unless it is closed. If the pool then has more than `limit` connections to the
@@ -75,14 +87,32 @@
         upstreams.map(|(upstream, _)| upstream.clone()).collect()
     }
 
-    /// Closes the connections that may not be used again.
-    pub fn close_stale(&mut self, now: Instant) {
+    /// Closes the connections that may not be used again, and the tunnels through peers for which `is_ready` returns
+    /// false.
+    pub fn close_stale(&mut self, now: Instant, is_ready: impl Fn(SocketAddr) -> bool) {
+        let has_way = |via| match via {
+            Via::Direct => true,
+            Via::Peer(peer) => is_ready(peer),
+        };
         for connections in self.idle.values_mut() {
-            connections.retain(|idle| idle.is_usable(now));
+            connections.retain(|idle| idle.is_usable(now) && has_way(idle.connection.via));
         }
         self.idle.retain(|_, connections| !connections.is_empty());
     }
 
+    /// Whether the pool has a tunnel.
+    pub fn has_tunnels(&self) -> bool {
+        let mut all = self.idle.values().flatten();
+        all.any(|idle| idle.connection.via != Via::Direct)
+    }
+
+    /// Closes the connections to an upstream that take this way.
+    pub fn close_path(&mut self, upstream: &UpstreamName, via: Via) {
+        if let Some(connections) = self.idle.get_mut(upstream) {
+            connections.retain(|idle| idle.connection.via != via);
+        }
+    }
+
     /// Closes all connections to an upstream.
     pub fn close_all(&mut self, upstream: &UpstreamName) {
         self.idle.remove(upstream);
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -7,23 +7,34 @@
 //! means. Owns no state.
 
 use crate::call_kind::CallKind;
+use crate::connection::{Connection, Via};
 use crate::crashes::record;
 use crate::decision_log::{ms, ms_since};
 use crate::health::UpstreamHealth;
-use crate::http_client::HttpClient;
+use crate::http_client::{CallError, get_over};
 use crate::reachability;
+use crate::reachability::query::{
+    PathResponse, connect_via, get_direct, get_otherwise, get_through_peer,
+};
 use crate::router::Router;
+use crate::send::return_to_pool;
 use crate::statements::Call;
 use crate::successors;
 use crate::upstream_limits::Permission;
 use crate::upstream_log::log_upstream_change;
 use cloverpier_core::UpstreamName;
+use cloverpier_router_policy::connection_reuse::CONNECT_TIMEOUT;
 use cloverpier_router_policy::permit::PROBE_PERMIT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::reachability::UpstreamPath;
 use cloverpier_router_policy::suspicion::{
-    CHECK_PERIOD, CHECK_TIMEOUT, CheckResult, MAX_PROBES, PROBE_RETRY_DELAY, PROBE_TIMEOUT,
-    check_result,
+    CHECK_PERIOD, CHECK_TIMEOUT, CheckResult, MAX_PROBES, PROBE_CONNECT_TIMEOUT, PROBE_RETRY_DELAY,
+    PROBE_TIMEOUT, RECENT_SUSPICION, check_result,
 };
+use cloverpier_router_policy::tunnel_peers::FALLBACK_DELAY;
+use cloverpier_timers::Elapsed;
+use futures_util::FutureExt;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -80,8 +91,8 @@
 
 /// Probes an upstream, and repeats the probe while its connection breaks: a process that is exiting closes its
 /// connections before its listening socket, so a broken connection does not show whether the process has ended.
-async fn probe_with_retries(router: &Rc<Router>, upstream: &Upstream, health: &UpstreamHealth) {
-    for _ in 0..MAX_PROBES {
+async fn probe_with_retries(router: &Rc<Router>, upstream: &Upstream, health: &Rc<UpstreamHealth>) {
+    for attempt in 0..MAX_PROBES {
         let permission = router
             .upstream_limits
             .acquire(upstream, PROBE_PERMIT_TIMEOUT);
@@ -95,6 +106,10 @@
         if send_probe(router, upstream, health).await == ProbeOutcome::Finished {
             return;
         }
+        let is_second = attempt == 1;
+        if is_second && end_path_if_reached_otherwise(router, upstream, health, since).await {
+            return;
+        }
         router.timers.sleep(PROBE_RETRY_DELAY).await;
         if !try_begin_probe(router, upstream, router.now()) {
             return;
@@ -112,35 +127,45 @@
     ConnectionBroken,
 }
 
-async fn send_probe(router: &Router, upstream: &Upstream, health: &UpstreamHealth) -> ProbeOutcome {
-    let path = router.wire_names.paths.engine_report;
+/// Sends a probe over the path of `health`, and over another one if nothing arrives soon.
+async fn send_probe(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    health: &Rc<UpstreamHealth>,
+) -> ProbeOutcome {
     let sent = router.now();
-    let result = health.client.get(path, PROBE_TIMEOUT).await;
-    let now = router.now();
-    match result {
-        Ok(response) => {
+    let responding = router
+        .timers
+        .timeout(PROBE_TIMEOUT, get_for_probe(router, upstream, health));
+    let mut responding = pin!(responding);
+    let result = tokio::select! {
+        biased;
+        result = &mut responding => result,
+        () = probe_otherwise(router, upstream, health) => responding.await,
+    };
+    match result.unwrap_or(Err(CallError::TimedOut)) {
+        Ok(probed) => {
             let call = Call {
                 upstream,
                 via: CallKind::Probe,
                 sent,
+                connection: &probed.connection,
             };
             // If the response is from a newer incarnation, the attempts at the previous one fail here, although
             // the address responds.
             let said = router
-                .apply_query_statement(call, response.parts())
+                .apply_query_statement(call, probed.response.parts())
                 .statement;
+            *health.probe_connection.borrow_mut() = Some(probed.connection);
             on_probe_response(router, upstream, health, said.name.as_ref(), sent);
         }
         Err(error) if error.is_refused() => {
             router.metrics.probes.count("refused");
-            let evidence = FailureEvidence::NoProcess;
-            declare_dead(
-                router,
-                upstream,
-                evidence,
-                "no process listens at its address",
-                now,
-            );
+            if !end_path_if_reached_otherwise(router, upstream, health, sent).await {
+                let evidence = FailureEvidence::NoProcess;
+                let reason = "no process listens at its address";
+                declare_dead(router, upstream, evidence, reason, router.now());
+            }
         }
         Err(error) if error.is_break() => {
             router.metrics.probes.count("broken");
@@ -153,6 +178,120 @@
     ProbeOutcome::Finished
 }
 
+/// Sends the request of a probe over the path of `health`, on a connection that no caller's request uses.
+async fn get_for_probe(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    health: &UpstreamHealth,
+) -> Result<PathResponse, CallError> {
+    let mut connection = match take_probe_connection(health).await {
+        Some(connection) => connection,
+        None => {
+            let opened = connect_via(router, upstream, health.via, PROBE_CONNECT_TIMEOUT).await;
+            opened.map_err(|source| CallError::Connect { source })?
+        }
+    };
+    let path = router.wire_names.paths.engine_report;
+    let response = get_over(&mut connection, upstream.address, path).await?;
+    Ok(PathResponse {
+        response,
+        connection,
+    })
+}
+
+/// The connection of the last probe over the path of `health`, if it can carry another one.
+async fn take_probe_connection(health: &UpstreamHealth) -> Option<Connection> {
+    let mut connection = health.probe_connection.borrow_mut().take()?;
+    connection.wait_until_ready().await.then_some(connection)
+}
+
+/// Waits until a probe has remained without a response for a while, and then probes the upstream over another path. A
+/// response there is recorded: it shows that only the path of `health` is lost, if the probe over it ends without a
+/// response.
+async fn probe_otherwise(router: &Rc<Router>, upstream: &Upstream, health: &UpstreamHealth) {
+    router.timers.sleep(FALLBACK_DELAY).await;
+    if is_reached_otherwise(router, upstream, health).await {
+        health.reached_otherwise_at.set(Some(router.now()));
+    }
+}
+
+/// Whether the upstream itself responds over another path than that of `health`.
+async fn is_reached_otherwise(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    health: &UpstreamHealth,
+) -> bool {
+    let path = router.wire_names.paths.engine_report;
+    let sent = router.now();
+    let responding = get_otherwise(router, upstream, path, health.via);
+    let result = router.timers.timeout(CONNECT_TIMEOUT, responding).await;
+    let Ok(Ok(reached)) = result else {
+        router.metrics.probes.count("other-path-silent");
+        return false;
+    };
+    router.metrics.probes.count("other-path-alive");
+    let call = Call {
+        upstream,
+        via: CallKind::Probe,
+        sent,
+        connection: &reached.connection,
+    };
+    let said = router
+        .apply_query_statement(call, reached.response.parts())
+        .statement;
+    let via = reached.connection.via;
+    return_to_pool(router, upstream, reached.connection);
+    if check_result(&upstream.name, said.name.as_ref()) != CheckResult::Alive {
+        return false;
+    }
+    record::on_probe_response(router, upstream, sent);
+    health.other_path.set(Some(via));
+    true
+}
+
+/// Ends the path of `health` if the upstream responds over another one. `tried_at` is when the call over the path was
+/// sent that failed. Returns whether the path was ended.
+async fn end_path_if_reached_otherwise(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    health: &UpstreamHealth,
+    tried_at: Instant,
+) -> bool {
+    let is_reached = is_reached_otherwise(router, upstream, health).await;
+    if is_reached {
+        end_silent_path(router, upstream, health, tried_at);
+    }
+    is_reached
+}
+
+fn end_silent_path(
+    router: &Router,
+    upstream: &Upstream,
+    health: &UpstreamHealth,
+    tried_at: Instant,
+) {
+    let reached = health.other_path.get().unwrap_or(Via::Direct);
+    reachability::end_silent_path(router, upstream, health.via, reached, tried_at);
+}
+
+/// Handles a probe that nothing has answered in time: the path of `health` is lost if the upstream was reached over
+/// another one, else the upstream is declared dead. Returns the failure of the attempts that wait.
+pub(crate) fn on_unanswered_probe(
+    router: &Router,
+    upstream: &Upstream,
+    health: &UpstreamHealth,
+    now: Instant,
+) -> AttemptFailure {
+    if health.is_reached_otherwise() {
+        let probed_at = health.probing_since.get().unwrap_or(now);
+        end_silent_path(router, upstream, health, probed_at);
+        return AttemptFailure::PathLost;
+    }
+    let evidence = FailureEvidence::Unreachable;
+    declare_dead(router, upstream, evidence, "no response to a probe", now);
+    AttemptFailure::UpstreamDead
+}
+
 /// Handles the response to a probe. `responder` is the upstream's name in the response; if the name is another one,
 /// another process has the upstream's address. `None` counts as the upstream's own.
 fn on_probe_response(
@@ -189,8 +328,7 @@
     now: Instant,
 ) {
     reachability::on_failure(router, upstream);
-    let health = router.health.of(upstream, now);
-    let last_activity = health.last_activity.get();
+    let last_activity = router.health.last_activity(&upstream.name).unwrap_or(now);
     match evidence {
         FailureEvidence::NoProcess => record::on_process_gone(router, upstream, now),
         FailureEvidence::Unreachable => record::on_suspicion(router, upstream, last_activity, now),
@@ -210,9 +348,8 @@
         reason,
         ms(silence),
     );
-    health.mark_dead();
+    let new_health = router.health.end_all(upstream, now);
     router.report_to_peers(&upstream.name);
-    let new_health = router.health.replace_entry(upstream, now);
     new_health
         .is_for_next_incarnation
         .set(evidence == FailureEvidence::NoProcess);
@@ -249,10 +386,9 @@
         router.metrics.probes.count("without-permit");
         return;
     }
-    let client = HttpClient::new(upstream.address, CHECK_TIMEOUT, router.timers.clone());
     let sent_at = router.now();
-    let response = match client.get(&service.health_path, CHECK_TIMEOUT).await {
-        Ok(response) => response,
+    let checked = match get_for_check(&router, &upstream, &service.health_path).await {
+        Ok(checked) => checked,
         // The upstream stays suspected; its next check is scheduled already.
         Err(error) => {
             router.metrics.probes.count("suspect-silent");
@@ -266,9 +402,10 @@
         upstream: &upstream,
         via: CallKind::Check,
         sent: sent_at,
+        connection: &checked.connection,
     };
     let said = router
-        .apply_query_statement(call, response.parts())
+        .apply_query_statement(call, checked.response.parts())
         .statement;
     match check_result(&upstream.name, said.name.as_ref()) {
         CheckResult::Replaced => {
@@ -279,6 +416,59 @@
     }
 }
 
+/// Sends the request of a check over the path that new connections to the upstream take, and through a peer as well
+/// if nothing arrives and the path may be what has failed.
+async fn get_for_check(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    path: &str,
+) -> Result<PathResponse, CallError> {
+    let limit = |work| router.timers.timeout(CHECK_TIMEOUT, work);
+    let usual_path = router.reachability.borrow().path(upstream);
+    if usual_path == UpstreamPath::ThroughPeer {
+        let result = limit(get_through_peer(router, upstream, path, None).boxed_local()).await;
+        return result.unwrap_or(Err(CallError::TimedOut));
+    }
+    let sent_at = router.now();
+    let mut direct = pin!(limit(get_direct(router, upstream, path).boxed_local()));
+    let may_be_path = may_be_path(router, upstream, sent_at);
+    let soon = router.timers.timeout(FALLBACK_DELAY, direct.as_mut()).await;
+    let direct_result = match soon {
+        Ok(result) => Some(result.unwrap_or(Err(CallError::TimedOut))),
+        Err(Elapsed) => None,
+    };
+    if matches!(direct_result, Some(Ok(_))) || !may_be_path {
+        return match direct_result {
+            Some(result) => result,
+            None => direct.await.unwrap_or(Err(CallError::TimedOut)),
+        };
+    }
+    let through_peer = limit(get_through_peer(router, upstream, path, None).boxed_local()).await;
+    if let Ok(Ok(checked)) = through_peer {
+        reachability::on_path_lost(router, upstream, checked.connection.via, sent_at);
+        return Ok(checked);
+    }
+    match direct_result {
+        Some(result) => result,
+        None => direct.await.unwrap_or(Err(CallError::TimedOut)),
+    }
+}
+
+/// Whether this router's path, and not the upstream, may be what has failed: the upstream is suspected since shortly,
+/// or nothing arrives from others of its service either.
+fn may_be_path(router: &Router, upstream: &Upstream, now: Instant) -> bool {
+    let table = router.upstreams.borrow();
+    let suspected_for = table
+        .get(&upstream.name)
+        .and_then(|state| state.suspected_for(now));
+    let is_recent = suspected_for.is_some_and(|time| time < RECENT_SUSPICION);
+    is_recent
+        || router
+            .reachability
+            .borrow()
+            .is_unreachable(&upstream.service)
+}
+
 /// Clears the suspicion of an upstream that responded to a check.
 fn clear_suspicion(router: &Router, upstream: &Upstream, check_sent_at: Instant) {
     router.metrics.probes.count("suspect-alive");
--- /dev/null
+++ b/crates/router/cloverpier_router/src/reachability/connect.rs
@@ -0,0 +1,114 @@
+//! Opens connections to upstreams, by this router itself or in a tunnel through a peer.
+//!
+//! A direct connection that fails, or does not come up soon, is tried through a peer as well: if the peer reaches the
+//! upstream, only this router's path is lost, and the request goes on in the tunnel. Owns no state.
+
+use super::on_path_lost;
+use crate::connection::Connection;
+use crate::router::Router;
+use crate::tunnel::open::{TunnelError, open};
+use cloverpier_router_policy::connection_reuse::DEFAULT_IDLE_TIMEOUT;
+use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::reachability::UpstreamPath;
+use cloverpier_router_policy::tunnel_peers::FALLBACK_DELAY;
+use cloverpier_timers::Elapsed;
+use std::io;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Takes an idle connection to an upstream from the pool, if there is one on a path that counts as working.
+pub(crate) fn take_idle(router: &Router, upstream: &Upstream) -> Option<Connection> {
+    let path = router.reachability.borrow().path(upstream);
+    let mut pool = router.pool.borrow_mut();
+    pool.take(&upstream.name, path, router.now())
+}
+
+/// Opens a new connection to an upstream within `timeout`.
+///
+/// # Errors
+///
+/// The error of the direct connection, or of the tunnel if only that was tried. [`io::ErrorKind::ConnectionRefused`]
+/// shows that no process listens at the upstream's address.
+pub(crate) async fn connect(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    timeout: Duration,
+) -> io::Result<Connection> {
+    router.metrics.connections.inc();
+    let path = router.reachability.borrow().path(upstream);
+    if path == UpstreamPath::ThroughPeer {
+        return match open(router, upstream, timeout, None).await {
+            // Without peers, the lost path is the only one.
+            Err(TunnelError::NoPeer) => open_direct(router, upstream, timeout).await,
+            opened => opened.map_err(TunnelError::into_io),
+        };
+    }
+    connect_with_fallback(router, upstream, timeout).await
+}
+
+async fn open_direct(
+    router: &Router,
+    upstream: &Upstream,
+    timeout: Duration,
+) -> io::Result<Connection> {
+    let address = upstream.address;
+    Connection::open(address, timeout, DEFAULT_IDLE_TIMEOUT, &router.timers).await
+}
+
+/// Opens a direct connection, and tries a tunnel as well once that has failed or taken [`FALLBACK_DELAY`].
+async fn connect_with_fallback(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    timeout: Duration,
+) -> io::Result<Connection> {
+    let started = router.now();
+    let mut direct = pin!(open_direct(router, upstream, timeout));
+    let soon = router.timers.timeout(FALLBACK_DELAY, direct.as_mut()).await;
+    let left = |now: Instant| timeout.saturating_sub(now.saturating_duration_since(started));
+    let fallback = open(router, upstream, left(router.now()), None);
+    let error = match soon {
+        Ok(Ok(connection)) => return Ok(connection),
+        Ok(Err(error)) => error,
+        Err(Elapsed) => {
+            let mut fallback = pin!(fallback);
+            let tunnel = tokio::select! {
+                opened = &mut direct => match opened {
+                    Ok(connection) => return Ok(connection),
+                    Err(error) => return tunnel_or(fallback.await, error, router, upstream, started),
+                },
+                opened = &mut fallback => opened,
+            };
+            return match tunnel {
+                Ok(connection) => Ok(through_peer(router, upstream, connection, started)),
+                Err(_) => direct.await,
+            };
+        }
+    };
+    tunnel_or(fallback.await, error, router, upstream, started)
+}
+
+/// The tunnel, or the error of the direct connection if there is none.
+fn tunnel_or(
+    tunnel: Result<Connection, TunnelError>,
+    error: io::Error,
+    router: &Router,
+    upstream: &Upstream,
+    started: Instant,
+) -> io::Result<Connection> {
+    match tunnel {
+        Ok(connection) => Ok(through_peer(router, upstream, connection, started)),
+        Err(_) => Err(error),
+    }
+}
+
+/// Records that the tunnel came up while the direct connection, tried at `started`, did not.
+fn through_peer(
+    router: &Router,
+    upstream: &Upstream,
+    connection: Connection,
+    started: Instant,
+) -> Connection {
+    on_path_lost(router, upstream, connection.via, started);
+    connection
+}
--- a/crates/router/cloverpier_router/src/restart.rs
+++ b/crates/router/cloverpier_router/src/restart.rs
@@ -4,6 +4,7 @@
 //! incarnation: connections, attempts in flight, the request limit, and the prompts that were read. The table of
 //! upstreams resets its own observations (`cloverpier_router_policy::upstream`). Owns no state.
 
+use crate::connection::Via;
 use crate::crashes::record;
 use crate::router::Router;
 use crate::upstream_log::log_upstream_change;
@@ -42,12 +43,11 @@
     let name: &UpstreamName = &upstream.name;
     router.upstream_limits.remove(upstream);
     record::on_process_replaced(router, upstream);
-    let health = router.health.of(upstream, now);
+    let health = router.health.of(upstream, Via::Direct, now);
     // After a refused connection, the attempts and connections since then belong to the new incarnation already.
     if !health.is_for_next_incarnation.replace(false) {
         router.pool.borrow_mut().close_all(name);
-        health.mark_dead();
-        router.health.replace_entry(upstream, now);
+        router.health.end_all(upstream, now);
     }
     let mut locations = router.prompts.locations.borrow_mut();
     locations.remove_upstream(UpstreamKey::of(name));
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -7,8 +7,9 @@
 //! | [`StoreView`] | the configuration in force, whether a list of upstreams was received, whether calls to the store fail |
 //! | [`UpstreamTable`] | the upstreams, with their load and whether they are suspected to be dead |
 //! | [`UpstreamLimits`] | the rate limits that upstreams advertise, and the permits to send requests to those upstreams |
-//! | [`Reachability`] | which services this router reaches over its own connections |
-//! | [`HealthTable`] | the last activity and the probe in progress of each upstream |
+//! | [`Reachability`] | which upstreams this router reaches over its own connections |
+//! | [`HealthTable`] | the last activity and the probe in progress of each upstream on each path |
+//! | [`Tunnels`] | connections to upstreams through peers, and those that are served for peers |
 //! | [`ConnectionPool`] | idle connections to upstreams |
 //! | [`Datagrams`] | the UDP socket for messages to other routers |
 //! | [`Peers`] | the last heartbeats of other routers, and the messages to send to them |
@@ -38,6 +39,7 @@
 use crate::rollout_state::RolloutState;
 use crate::singleton::state::Singleton;
 use crate::store_view::StoreView;
+use crate::tunnel::Tunnels;
 use crate::upstream_limits::{LimitDependencies, UpstreamLimits};
 use crate::wire_names::WireNames;
 use cloverpier_core::{ServiceName, UpstreamName, wall_ms};
@@ -71,6 +73,9 @@
     pub(crate) upstreams: RefCell<UpstreamTable>,
     pub(crate) upstream_limits: Rc<UpstreamLimits>,
     pub(crate) reachability: RefCell<Reachability>,
+    /// Wakes the task that checks lost paths when a path is lost.
+    pub(crate) path_lost: Notify,
+    pub(crate) tunnels: Tunnels,
     pub(crate) health: HealthTable,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) datagrams: Rc<Datagrams>,
@@ -136,7 +141,9 @@
             store: StoreView::default(),
             upstreams: RefCell::new(UpstreamTable::default()),
             reachability: RefCell::default(),
-            health: HealthTable::new(timers.clone()),
+            path_lost: Notify::new(),
+            tunnels: Tunnels::default(),
+            health: HealthTable::default(),
             pool: RefCell::new(ConnectionPool::default()),
             datagrams,
             peers: Peers::new(initial_member_update(&settings)),
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -6,13 +6,15 @@
 
 use crate::call_kind::CallKind;
 use crate::connection::{
-    BufferedRequest, Connection, SendError, describe_error, find_io_error_kind,
+    BufferedRequest, Connection, SendError, Via, describe_error, find_io_error_kind,
 };
 use crate::crashes::record;
+use crate::decision_log::SentThroughPeer;
 use crate::health::UpstreamHealth;
 use crate::intake::header_text;
 use crate::pool::announced_idle_timeout;
 use crate::probe::{self, FailureEvidence};
+use crate::reachability::connect as reachability;
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use crate::statements::Call;
@@ -22,9 +24,7 @@
 use cloverpier_router_policy::attempt_failure::{
     RequestIdMatch, ResponseHead, check_response, may_mean_process_gone,
 };
-use cloverpier_router_policy::connection_reuse::{
-    CONNECT_TIMEOUT, DEFAULT_IDLE_TIMEOUT, idle_connection_limit,
-};
+use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, idle_connection_limit};
 use cloverpier_router_policy::deadline::has_time_to_send;
 use cloverpier_router_policy::prelude::*;
 use http_body_util::Full;
@@ -76,15 +76,16 @@
     attempt_headers: &AttemptHeaders,
     liveness: &mut Liveness,
 ) -> Result<OpenResponse, AttemptFailure> {
-    let health = router.health.of(upstream, router.now());
     loop {
         let mut connection = connect(router, request, upstream).await?;
         let is_reused = connection.requests > 0;
         let now = router.now();
+        let health = router.health.of(upstream, connection.via, now);
         if !has_time_to_send(request.time_left(now)) {
             return Err(AttemptFailure::DeadlinePassedUnsent);
         }
         let message = build_request(router, request, upstream, attempt_headers, now)?;
+        log_tunnel(router, request, upstream, &connection);
         let awaited = AwaitedUpstream {
             router,
             upstream,
@@ -98,12 +99,13 @@
             Err(failure) if failure.was_unsent && is_reused => {}
             Err(failure) => return Err(on_send_failure(router, upstream, &health, &failure)),
             Ok(response) => {
-                let call = Call {
+                let sent = SentRequest {
                     upstream,
-                    via: CallKind::Request(&request.id),
-                    sent: now,
+                    request,
+                    sent_at: now,
+                    health,
                 };
-                return accept_response(router, request, call, response, connection, health);
+                return accept_response(router, sent, response, connection);
             }
         }
     }
@@ -128,26 +130,36 @@
     }
 }
 
+/// Logs that a request is sent through a peer, by which the logs of both routers are connected.
+fn log_tunnel(
+    router: &Router,
+    request: &RelayRequest,
+    upstream: &Upstream,
+    connection: &Connection,
+) {
+    let (Via::Peer(peer), Some(tunnel)) = (connection.via, connection.tunnel_id()) else {
+        return;
+    };
+    let line = SentThroughPeer {
+        request: &request.id,
+        upstream: upstream.name.as_str(),
+        peer: peer.to_string(),
+        tunnel: format!("{tunnel:016x}"),
+    };
+    router.log.info("send.through-peer", &line);
+}
+
 /// Takes a connection to the upstream from the pool, or opens a new one. If that fails, declares the upstream dead.
 async fn connect(
     router: &Rc<Router>,
     request: &RelayRequest,
     upstream: &Upstream,
 ) -> Result<Connection, AttemptFailure> {
-    let now = router.now();
-    let idle = router.pool.borrow_mut().take(&upstream.name, now);
-    if let Some(connection) = idle {
+    if let Some(connection) = reachability::take_idle(router, upstream) {
         return Ok(connection);
     }
-    router.metrics.connections.inc();
-    let timeout = CONNECT_TIMEOUT.min(request.time_left(now));
-    let opened = Connection::open(
-        upstream.address,
-        timeout,
-        DEFAULT_IDLE_TIMEOUT,
-        &router.timers,
-    )
-    .await;
+    let timeout = CONNECT_TIMEOUT.min(request.time_left(router.now()));
+    let opened = reachability::connect(router, upstream, timeout).await;
     opened.map_err(|error| {
         let cause = match error.kind() {
             io::ErrorKind::ConnectionRefused => FailureEvidence::NoProcess,
@@ -219,6 +231,15 @@
     Ok(())
 }
 
+/// A request of which the head of the response has arrived.
+struct SentRequest<'a> {
+    upstream: &'a Upstream,
+    request: &'a RelayRequest,
+    sent_at: Instant,
+    /// The health record of the path that the request took.
+    health: Rc<UpstreamHealth>,
+}
+
 /// Checks the head of a response, and applies what the upstream states in it about itself.
 ///
 /// # Errors
@@ -226,24 +247,34 @@
 /// [`AttemptFailure`] if the response is not the upstream's valid response to this request.
 fn accept_response(
     router: &Router,
-    request: &RelayRequest,
-    call: Call<'_>,
+    sent: SentRequest<'_>,
     response: Response<Incoming>,
     mut connection: Connection,
-    health: Rc<UpstreamHealth>,
 ) -> Result<OpenResponse, AttemptFailure> {
+    let SentRequest {
+        upstream,
+        request,
+        sent_at,
+        health,
+    } = sent;
+    let call = Call {
+        upstream,
+        via: CallKind::Request(&request.id),
+        sent: sent_at,
+        connection: &connection,
+    };
     let (head, body) = response.into_parts();
     let is_first_on_connection = connection.requests == 1;
     let properties = response_head(router, request, &head, is_first_on_connection);
     let validity = check_response(&properties);
     let statement = router.apply_response_statement(call, &head, &validity);
     if validity == Err(AttemptFailure::Misdirected) {
-        on_misdirected(router, call.upstream, &statement);
+        on_misdirected(router, upstream, &statement);
     }
     validity?;
     // An upstream rejects a request that names another upstream, so a valid response is from this upstream.
     health.on_own_response(router.now());
-    record::on_request_response(router, call.upstream, call.sent);
+    record::on_request_response(router, upstream, sent_at);
     if let Some(limit) = announced_idle_timeout(&head.headers) {
         connection.idle_timeout = limit;
     }
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -11,6 +11,7 @@
 use crate::peer_reports;
 use crate::peer_serve;
 use crate::probe;
+use crate::reachability::{checks, update_gauge};
 use crate::rollout_steps;
 use crate::router::Router;
 use crate::signals;
@@ -24,6 +25,7 @@
 use cloverpier_router_policy::connection_reuse::IDLE_SWEEP_PERIOD;
 use cloverpier_router_policy::prelude::UpstreamState;
 use snafu::{ResultExt, Snafu};
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -76,6 +78,7 @@
     }
     spawn_local(suspension::watch_resumes(Rc::clone(&router)));
     spawn_local(probe::check_suspects(Rc::clone(&router)));
+    spawn_local(checks::check_lost_paths(Rc::clone(&router)));
     spawn_local(resolution::resolve_lost_attempts(Rc::clone(&router)));
     spawn_local(remove_stale_state(Rc::clone(&router), log_progress));
     if let Some(path) = settings_path {
@@ -116,7 +119,7 @@
     spawn_local(serve(
         router_handle(),
         bind_listener(router, address).await?,
-        peer_serve::serve_version,
+        peer_serve::serve_peer,
     ));
     spawn_local(serve(
         router_handle(),
@@ -163,7 +166,7 @@
 async fn remove_stale_state(router: Rc<Router>, log_progress: LogProgress) {
     loop {
         router.timers.sleep(IDLE_SWEEP_PERIOD).await;
-        router.pool.borrow_mut().close_stale(router.now());
+        close_stale_connections(&router);
         let table = router.upstreams.borrow();
         router
             .health
@@ -171,8 +174,28 @@
         router
             .upstream_limits
             .retain(|upstream| table.by_key(upstream).is_some());
-        drop(table);
+        let mut reachability = router.reachability.borrow_mut();
+        reachability.retain(|upstream| table.get(upstream).is_some_and(UpstreamState::is_listed));
+        drop((table, reachability));
+        update_gauge(&router);
         let lines = i64::try_from(log_progress.dropped()).unwrap_or(i64::MAX);
         router.metrics.dropped_lines.set(lines);
     }
 }
+
+/// Closes idle connections that may not be used again, among them tunnels through peers that are not ready any more,
+/// and removes what is known of peers as ways to upstreams.
+fn close_stale_connections(router: &Router) {
+    let now = router.now();
+    let has_tunnels = router.pool.borrow().has_tunnels();
+    let ready: HashSet<SocketAddr> = if has_tunnels {
+        let ready = router.peers.ready(now, router.peer_timeout()).into_iter();
+        ready.map(|peer| peer.peer).collect()
+    } else {
+        HashSet::new()
+    };
+    let mut pool = router.pool.borrow_mut();
+    pool.close_stale(now, |peer| ready.contains(&peer));
+    drop(pool);
+    router.tunnels.remove_expired(now);
+}
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -6,6 +6,7 @@
 //! state.
 
 use crate::call_kind::CallKind;
+use crate::connection::Connection;
 use crate::decision_log::log_named_event;
 use crate::leaving_reports;
 use crate::limit_reports;
@@ -32,6 +33,8 @@
     pub via: CallKind<'a>,
     /// When the call was sent.
     pub sent: Instant,
+    /// The connection on which the response arrived.
+    pub connection: &'a Connection,
 }
 
 /// The statement in the response to a query, after it was applied.
@@ -89,7 +92,7 @@
     sender: Sender,
     was_executed: bool,
 ) -> StartOrder {
-    reachability::on_response(router, call.upstream);
+    reachability::on_response(router, call.upstream, call.connection);
     let Some(upstream) = sender_upstream(router, call, sender) else {
         return StartOrder::Same;
     };
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -13,12 +13,11 @@
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::successor::{must_be_same_service, successor_deadline};
-use std::time::Instant;
 
 /// Makes the checks of a dead upstream more frequent while its successor can still be accepted. Does nothing
 /// if no response of the upstream to a request has arrived here.
 pub(crate) fn schedule_successor_checks(router: &Router, upstream: &Upstream) {
-    let Some(last_response) = last_response(router, upstream, router.now()) else {
+    let Some(last_response) = router.health.last_own_response(&upstream.name) else {
         return;
     };
     let until = successor_deadline(last_response, router.settings().address_reuse);
@@ -26,11 +25,6 @@
     table.check_frequently_until(&upstream.name, until);
 }
 
-/// When data of a response of the upstream itself last arrived; `None` if none has.
-fn last_response(router: &Router, upstream: &Upstream, now: Instant) -> Option<Instant> {
-    router.health.of(upstream, now).last_own_response.get()
-}
-
 /// Records that a process responds at an upstream's address under another name, and adds it as the successor
 /// if it must belong to the same service.
 ///
@@ -86,7 +80,7 @@
     responding_name: Option<&UpstreamName>,
 ) -> Option<Upstream> {
     let now = router.now();
-    let last_response = last_response(router, predecessor, now)?;
+    let last_response = router.health.last_own_response(&predecessor.name)?;
     let name = responding_name?;
     must_be_same_service(last_response, now, router.settings().address_reuse).then(|| Upstream {
         name: name.clone(),
--- /dev/null
+++ b/crates/router/cloverpier_router/src/tunnel/open.rs
@@ -0,0 +1,259 @@
+//! Opens tunnels to upstreams through peers.
+//!
+//! Asks one peer after the other. `cloverpier_router_policy::tunnel_peers` decides which one, and for how long a peer
+//! that did not open a tunnel is not asked again. The state is in [`super::Tunnels`].
+
+use super::framing::FramedStream;
+use super::{FAILURE_HEADER, ID_HEADER, PROTOCOL, ServeFailure, TUNNEL_PATH, UPSTREAM_HEADER};
+use crate::connection::{Connection, open_stream};
+use crate::decision_log::{TunnelFailed, TunnelOpened, ms_since};
+use crate::router::Router;
+use bytes::Bytes;
+use cloverpier_router_policy::connection_reuse::DEFAULT_IDLE_TIMEOUT;
+use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::store_watch::ReadyPeer;
+use cloverpier_router_policy::tunnel_peers::{
+    MAX_PEERS_ASKED, PeerFailure, TUNNEL_TIMEOUT, TunnelCandidate, TunnelEnds,
+};
+use cloverpier_timers::Elapsed;
+use http_body_util::Empty;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::header::{CONNECTION, HOST, UPGRADE};
+use hyper::upgrade::Upgraded;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Why no tunnel to an upstream could be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TunnelError {
+    /// No peer may be asked: none is ready, or those that are have failed shortly before.
+    NoPeer,
+    /// The upstream's host refused the connection of a peer: no process listens at its address.
+    Refused,
+    /// No peer that was asked reached the upstream.
+    Unreachable,
+}
+
+impl TunnelError {
+    /// The error as that of a connection.
+    pub fn into_io(self) -> io::Error {
+        match self {
+            Self::NoPeer => io::Error::other("no router reaches it"),
+            Self::Refused => io::ErrorKind::ConnectionRefused.into(),
+            Self::Unreachable => io::Error::new(io::ErrorKind::TimedOut, "no router reaches it"),
+        }
+    }
+}
+
+/// The result of asking one peer.
+enum Asked {
+    Opened(Connection),
+    /// The upstream's host refused the peer's connection.
+    Refused,
+    /// The peer could not help.
+    Failed(PeerFailure),
+}
+
+/// Opens a tunnel to an upstream within `timeout`, through a peer other than `except`.
+///
+/// # Errors
+///
+/// [`TunnelError`] if no peer opens one.
+pub(crate) async fn open(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    timeout: Duration,
+    except: Option<SocketAddr>,
+) -> Result<Connection, TunnelError> {
+    let until = router.now() + timeout;
+    let mut error = TunnelError::NoPeer;
+    for _ in 0..MAX_PEERS_ASKED {
+        let left = until.saturating_duration_since(router.now());
+        if left.is_zero() {
+            break;
+        }
+        let Some(peer) = choose_peer(router, upstream, except) else {
+            break;
+        };
+        match ask(router, peer, upstream, left.min(TUNNEL_TIMEOUT)).await {
+            Asked::Opened(connection) => return Ok(connection),
+            Asked::Refused => return Err(TunnelError::Refused),
+            Asked::Failed(failure) => {
+                let now = router.now();
+                router
+                    .tunnels
+                    .on_failed(&upstream.service, peer, failure, now);
+                error = TunnelError::Unreachable;
+            }
+        }
+    }
+    Err(error)
+}
+
+/// Opens a tunnel to an upstream through one peer within `timeout`.
+///
+/// # Errors
+///
+/// [`TunnelError`] if the peer does not open one.
+pub(crate) async fn open_through(
+    router: &Rc<Router>,
+    peer: SocketAddr,
+    upstream: &Upstream,
+    timeout: Duration,
+) -> Result<Connection, TunnelError> {
+    match ask(router, peer, upstream, timeout).await {
+        Asked::Opened(connection) => Ok(connection),
+        Asked::Refused => Err(TunnelError::Refused),
+        Asked::Failed(_) => Err(TunnelError::Unreachable),
+    }
+}
+
+fn choose_peer(
+    router: &Router,
+    upstream: &Upstream,
+    except: Option<SocketAddr>,
+) -> Option<SocketAddr> {
+    let now = router.now();
+    let ready = router.peers.ready(now, router.peer_timeout()).into_iter();
+    let candidate = |peer: ReadyPeer| TunnelCandidate {
+        peer: peer.peer,
+        data_centre: peer.data_centre,
+    };
+    let others = ready.filter(|peer| Some(peer.peer) != except);
+    let candidates: Vec<TunnelCandidate> = others.map(candidate).collect();
+    let ends = TunnelEnds {
+        home: &router.settings().data_centre,
+        upstream: &upstream.data_centre,
+    };
+    let mut rng = router.rng.borrow_mut();
+    let peers = router.tunnels.peers.borrow();
+    peers.choose(&candidates, &upstream.service, ends, now, &mut rng)
+}
+
+/// Asks a peer for a tunnel, and logs the result.
+async fn ask(
+    router: &Rc<Router>,
+    peer: SocketAddr,
+    upstream: &Upstream,
+    timeout: Duration,
+) -> Asked {
+    let id = router.rng.borrow_mut().u64(..);
+    let asked_at = router.now();
+    let opening = request_tunnel(router, peer, upstream, id, timeout);
+    let result = router.timers.timeout(timeout, opening).await;
+    let asked = match result {
+        Ok(Ok(Ok(stream))) => opened(router, peer, upstream, id, asked_at, stream).await,
+        Ok(Ok(Err(failure))) => failure,
+        Ok(Err(_)) | Err(Elapsed) => Asked::Failed(PeerFailure::Silent),
+    };
+    log_asked(router, peer, upstream, id, asked_at, &asked);
+    asked
+}
+
+/// Sends the request for a tunnel. `Ok(Ok(..))` is the byte stream of the open tunnel.
+async fn request_tunnel(
+    router: &Router,
+    peer: SocketAddr,
+    upstream: &Upstream,
+    id: u64,
+    timeout: Duration,
+) -> io::Result<Result<Upgraded, Asked>> {
+    let stream = open_stream(peer, timeout, &router.timers).await?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, driver) = handshake.map_err(io::Error::other)?;
+    tokio::task::spawn_local(async move {
+        // The request receives the connection's errors.
+        let _ = driver.with_upgrades().await;
+    });
+    let request = Request::get(TUNNEL_PATH)
+        .header(HOST, peer.to_string())
+        .header(CONNECTION, "upgrade")
+        .header(UPGRADE, PROTOCOL)
+        .header(UPSTREAM_HEADER, upstream.name.as_str())
+        .header(ID_HEADER, format!("{id:016x}"))
+        .body(Empty::<Bytes>::new());
+    let request = request.map_err(io::Error::other)?;
+    let response = sender.send_request(request).await;
+    let response = response.map_err(io::Error::other)?;
+    if response.status() != StatusCode::SWITCHING_PROTOCOLS {
+        return Ok(Err(failure_of(&response)));
+    }
+    let upgraded = hyper::upgrade::on(response).await;
+    Ok(Ok(upgraded.map_err(io::Error::other)?))
+}
+
+/// The failure that a peer's response reports.
+fn failure_of(response: &Response<Incoming>) -> Asked {
+    let Some(name) = response.headers().get(FAILURE_HEADER) else {
+        return Asked::Failed(PeerFailure::Unsupported);
+    };
+    // A name that is no text is one of a later release, as an unknown one is.
+    match ServeFailure::from_name(name.to_str().unwrap_or_default()) {
+        ServeFailure::Refused => Asked::Refused,
+        ServeFailure::Unreachable | ServeFailure::Declined => Asked::Failed(PeerFailure::Declined),
+    }
+}
+
+/// Prepares an open tunnel for requests.
+async fn opened(
+    router: &Router,
+    peer: SocketAddr,
+    upstream: &Upstream,
+    id: u64,
+    asked_at: Instant,
+    stream: Upgraded,
+) -> Asked {
+    let tunnel = router
+        .tunnels
+        .begin(&upstream.service, peer, id, router.now());
+    let stream = FramedStream::new(TokioIo::new(stream));
+    let connection = Connection::over_tunnel(stream, tunnel, asked_at, DEFAULT_IDLE_TIMEOUT);
+    match connection.await {
+        Ok(connection) => Asked::Opened(connection),
+        Err(_) => Asked::Failed(PeerFailure::Silent),
+    }
+}
+
+fn log_asked(
+    router: &Router,
+    peer: SocketAddr,
+    upstream: &Upstream,
+    id: u64,
+    asked_at: Instant,
+    asked: &Asked,
+) {
+    let took_ms = ms_since(asked_at, router.now());
+    let (tunnel, peer) = (format!("{id:016x}"), peer.to_string());
+    let upstream = upstream.name.as_str();
+    let reason = match asked {
+        Asked::Opened(_) => {
+            router.metrics.tunnels.count("opened");
+            let line = TunnelOpened {
+                tunnel,
+                upstream,
+                peer,
+                took_ms,
+            };
+            router.log.info("tunnel.opened", &line);
+            return;
+        }
+        Asked::Refused => "refused",
+        Asked::Failed(PeerFailure::Declined) => "declined",
+        Asked::Failed(PeerFailure::Silent) => "silent",
+        Asked::Failed(PeerFailure::Unsupported) => "unsupported",
+    };
+    router.metrics.tunnels.count(reason);
+    let line = TunnelFailed {
+        tunnel,
+        upstream,
+        peer,
+        reason,
+        took_ms,
+    };
+    router.log.info("tunnel.failed", &line);
+}
--- /dev/null
+++ b/crates/router/cloverpier_router/src/tunnel/serve.rs
@@ -0,0 +1,166 @@
+//! Serves tunnels for peers: opens a connection to the upstream and passes the bytes of both directions on.
+//!
+//! Only routers that this router knows as peers get a tunnel, and only to upstreams of its own list that it reaches
+//! itself. Counts each tunnel as in flight, so that a shutdown lets the requests in it end; peers close their idle
+//! tunnels once they hear of the shutdown. The state is in [`super::Tunnels`].
+
+use super::framing::send_frames;
+use super::{FAILURE_HEADER, ID_HEADER, PROTOCOL, ServeFailure, UPSTREAM_HEADER};
+use crate::body::ResponseBody;
+use crate::connection::open_stream;
+use crate::decision_log::{TunnelClosed, TunnelServed, ms_since};
+use crate::lifecycle::InFlightGuard;
+use crate::reachability;
+use crate::responses::{ServerResponse, error_response};
+use crate::router::Router;
+use crate::web::RemoteAddress;
+use cloverpier_core::UpstreamName;
+use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::reachability::UpstreamPath;
+use cloverpier_router_policy::tunnel_peers::{MAX_SERVED, UPSTREAM_TIMEOUT};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue, UPGRADE};
+use hyper::upgrade::{OnUpgrade, Upgraded};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::io;
+use std::net::IpAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+
+/// Counts one served tunnel until it is dropped.
+struct ServedGuard {
+    served: Rc<Cell<usize>>,
+    _in_flight: InFlightGuard,
+}
+
+impl ServedGuard {
+    fn begin(router: &Router) -> Self {
+        let served = Rc::clone(&router.tunnels.served);
+        served.set(served.get() + 1);
+        Self {
+            served,
+            _in_flight: InFlightGuard::begin(&router.lifecycle),
+        }
+    }
+}
+
+impl Drop for ServedGuard {
+    fn drop(&mut self) {
+        self.served.set(self.served.get() - 1);
+    }
+}
+
+/// Serves a peer's request for a tunnel.
+pub(crate) async fn serve_tunnel(
+    router: Rc<Router>,
+    mut request: Request<Incoming>,
+) -> ServerResponse {
+    let upgrade = hyper::upgrade::on(&mut request);
+    let header = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok());
+    let tunnel = header(ID_HEADER).unwrap_or_default().to_owned();
+    let name = header(UPSTREAM_HEADER).unwrap_or_default().to_owned();
+    let peer = request.extensions().get::<RemoteAddress>();
+    let peer = peer.map(|address| address.0.ip());
+    let result = match permitted_upstream(&router, peer, &name) {
+        Ok(upstream) => connect(&router, &upstream).await,
+        Err(failure) => Err(failure),
+    };
+    let line = TunnelServed {
+        tunnel: &tunnel,
+        upstream: &name,
+        peer: peer.map(|ip| ip.to_string()),
+        failure: result.as_ref().err().map(|failure| failure.name()),
+    };
+    router.log.info("tunnel.served", &line);
+    match result {
+        Ok(stream) => {
+            router.metrics.tunnels.count("served");
+            tokio::task::spawn_local(carry(router, upgrade, stream, tunnel));
+            switching_response()
+        }
+        Err(failure) => {
+            router.metrics.tunnels.count("not-served");
+            failure_response(failure)
+        }
+    }
+}
+
+/// The upstream to which the tunnel leads, if this router may serve it.
+fn permitted_upstream(
+    router: &Router,
+    peer: Option<IpAddr>,
+    name: &str,
+) -> Result<Upstream, ServeFailure> {
+    let is_peer = peer.is_some_and(|ip| router.peers.has_address(ip));
+    let has_room = router.tunnels.served.get() < MAX_SERVED;
+    if !is_peer || !has_room || router.lifecycle.is_shutting_down() {
+        return Err(ServeFailure::Declined);
+    }
+    let table = router.upstreams.borrow();
+    let state = table.get(&UpstreamName::from(name));
+    let upstream = state.map(|state| state.upstream.clone());
+    let upstream = upstream.ok_or(ServeFailure::Declined)?;
+    match router.reachability.borrow().path(&upstream) {
+        UpstreamPath::Direct => Ok(upstream),
+        UpstreamPath::ThroughPeer => Err(ServeFailure::Declined),
+    }
+}
+
+/// Opens the connection to the upstream.
+async fn connect(router: &Router, upstream: &Upstream) -> Result<TcpStream, ServeFailure> {
+    router.metrics.connections.inc();
+    let stream = open_stream(upstream.address, UPSTREAM_TIMEOUT, &router.timers).await;
+    stream.map_err(|error| {
+        reachability::on_failure(router, upstream);
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => ServeFailure::Refused,
+            _ => ServeFailure::Unreachable,
+        }
+    })
+}
+
+/// Passes bytes on until either side closes its connection, and then closes both.
+async fn carry(router: Rc<Router>, upgrade: OnUpgrade, upstream: TcpStream, tunnel: String) {
+    let guard = ServedGuard::begin(&router);
+    let opened_at = router.now();
+    let result = match upgrade.await {
+        Ok(origin) => pass(origin, upstream).await,
+        Err(error) => Err(io::Error::other(error)),
+    };
+    drop(guard);
+    let line = TunnelClosed {
+        tunnel: &tunnel,
+        error: result.err().map(|error| error.to_string()),
+        open_ms: ms_since(opened_at, router.now()),
+    };
+    router.log.info("tunnel.closed", &line);
+}
+
+async fn pass(origin: Upgraded, mut upstream: TcpStream) -> io::Result<()> {
+    let (mut from_origin, to_origin) = tokio::io::split(TokioIo::new(origin));
+    let (from_upstream, mut to_upstream) = upstream.split();
+    let forward = tokio::io::copy(&mut from_origin, &mut to_upstream);
+    tokio::select! {
+        // The origin has closed the tunnel, which cancels what the upstream still does.
+        sent = forward => sent.map(|_| ()),
+        received = send_frames(from_upstream, to_origin) => received,
+    }
+}
+
+fn switching_response() -> ServerResponse {
+    let mut response = Response::new(ResponseBody::buffered(""));
+    *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+    let headers = response.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(UPGRADE, HeaderValue::from_static(PROTOCOL));
+    response
+}
+
+fn failure_response(failure: ServeFailure) -> ServerResponse {
+    let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, failure.name());
+    let name = HeaderValue::from_static(failure.name());
+    response.headers_mut().insert(FAILURE_HEADER, name);
+    response
+}
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -4,8 +4,8 @@
 //! [`crate::health`] for the upstream's last activity on any connection. Owns no state.
 
 use crate::cancel_signal::CancelSignal;
-use crate::health::UpstreamHealth;
-use crate::probe::{self, FailureEvidence};
+use crate::health::{EndCause, UpstreamHealth};
+use crate::probe;
 use crate::router::Router;
 use cloverpier_router_policy::prelude::*;
 use futures_util::future::poll_immediate;
@@ -42,7 +42,7 @@
 ///
 /// # Errors
 ///
-/// [`AttemptFailure::UpstreamDead`], [`AttemptFailure::Stalled`], [`AttemptFailure::Stopped`] or
+/// [`AttemptFailure::UpstreamDead`], [`AttemptFailure::PathLost`], [`AttemptFailure::Stalled`], [`AttemptFailure::Stopped`] or
 /// [`AttemptFailure::DeadlinePassedSent`] if the wait ends before the future completes.
 pub(crate) async fn wait_while_alive<T>(
     awaited: &AwaitedUpstream<'_>,
@@ -118,8 +118,10 @@
     if stop.is_some_and(CancelSignal::is_cancelled) {
         return Err(AttemptFailure::Stopped);
     }
-    if health.is_dead() {
-        return Err(AttemptFailure::UpstreamDead);
+    match health.end_cause() {
+        Some(EndCause::UpstreamDead) => return Err(AttemptFailure::UpstreamDead),
+        Some(EndCause::PathLost) => return Err(AttemptFailure::PathLost),
+        None => {}
     }
     if now >= *deadline {
         return Err(AttemptFailure::DeadlinePassedSent);
@@ -133,9 +135,7 @@
             Ok(WaitAction::Reevaluate)
         }
         LivenessStep::UpstreamDead => {
-            let evidence = FailureEvidence::Unreachable;
-            probe::declare_dead(router, upstream, evidence, "no response to a probe", now);
-            Err(AttemptFailure::UpstreamDead)
+            Err(probe::on_unanswered_probe(router, upstream, health, now))
         }
         LivenessStep::Stalled => Err(AttemptFailure::Stalled),
     }
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -58,6 +58,10 @@
     }
 }
 
+/// The remote address of the connection on which a request arrived; an extension of each request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RemoteAddress(pub SocketAddr);
+
 /// Accepts connections until the process exits, and serves the requests on each of them with `handle`.
 pub(crate) async fn serve<H, F>(router: Rc<Router>, listener: TcpListener, handle: H)
 where
@@ -66,8 +70,10 @@
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(Rc::clone(&router), stream, handle));
+            Ok((stream, remote)) => {
+                let remote = RemoteAddress(remote);
+                let router = Rc::clone(&router);
+                tokio::task::spawn_local(serve_connection(router, stream, remote, handle));
             }
             // The process has no file descriptors left, or the connection was closed before it was accepted.
             Err(_) => router.timers.sleep(RETRY_PAUSE).await,
@@ -75,8 +81,12 @@
     }
 }
 
-async fn serve_connection<H, F>(router: Rc<Router>, stream: TcpStream, handle: H)
-where
+async fn serve_connection<H, F>(
+    router: Rc<Router>,
+    stream: TcpStream,
+    remote: RemoteAddress,
+    handle: H,
+) where
     H: Fn(Rc<Router>, Request<Incoming>) -> F + Copy + 'static,
     F: Future<Output = ServerResponse> + 'static,
 {
@@ -93,13 +103,17 @@
         // hyper's timer for a request's head also runs while the connection is idle.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER));
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(remote);
         let response = handle(Rc::clone(&router), request);
         async move { Ok::<_, Infallible>(response.await) }
     });
     // An error closes this connection only, so it is ignored.
     let stream = TokioIo::new(CallerStream(stream));
-    let _ = server.serve_connection(stream, service).await;
+    let _ = server
+        .serve_connection(stream, service)
+        .with_upgrades()
+        .await;
 }
 
 /// Handles a caller's request: reads it, relays it to an upstream and returns the response.
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -114,6 +114,8 @@
     NoCurrentUpstream,
     /// The upstream was declared dead while the response was awaited.
     UpstreamDead,
+    /// Nothing arrives on the connection of the attempt, while the upstream responds over another path.
+    PathLost,
     /// The upstream is alive, but the response makes no progress.
     Stalled,
     /// The attempt was cancelled because the request's content crashes upstreams.
@@ -146,6 +148,7 @@
             | Self::EventTooLong
             | Self::NoCurrentUpstream
             | Self::UpstreamDead
+            | Self::PathLost
             | Self::Stalled
             | Self::Stopped
             | Self::DeadlinePassedSent => AttemptOutcome::Unknown,
@@ -164,7 +167,7 @@
             | Self::StreamBroken { .. }
             | Self::EndedInsideEvent => Some(LossCause::ConnectionBroken),
             Self::UpstreamDead => Some(LossCause::UpstreamSilent),
-            Self::Stalled | Self::DeadlinePassedSent => Some(LossCause::Abandoned),
+            Self::PathLost | Self::Stalled | Self::DeadlinePassedSent => Some(LossCause::Abandoned),
             _ => None,
         }
     }
@@ -196,6 +199,7 @@
             Self::EventTooLong => f.write_str("an event is too long"),
             Self::NoCurrentUpstream => f.write_str("no server has the request"),
             Self::UpstreamDead => f.write_str("the server is silent"),
+            Self::PathLost => f.write_str("the server is silent here, and a peer reaches it"),
             Self::Stalled => f.write_str("the answer is stuck at a living server"),
             Self::Stopped => f.write_str("the request ends the servers that run it"),
             Self::DeadlinePassedUnsent | Self::DeadlinePassedSent => f.write_str("the time is up"),
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -29,7 +29,8 @@
 //! | is a failed attempt retried | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
-//! | which services does this router reach over its own connections | [`reachability`] |
+//! | which upstreams does this router reach itself, which only through a peer | [`reachability`] |
+//! | through which peer does a tunnel go | [`tunnel_peers`] |
 //! | does the process at a dead upstream's address belong to its service | [`successor`] |
 //! | what is reported to peers of requests that end upstreams | [`crash_reports`] |
 //! | which facts are sent to peers again | [`dissemination`] |
@@ -96,6 +97,7 @@
 pub mod store_watch;
 pub mod successor;
 pub mod suspicion;
+pub mod tunnel_peers;
 pub mod upstream;
 pub mod upstream_table;
 pub mod version_fetch;
--- a/crates/router/cloverpier_router_policy/src/refusal.rs
+++ b/crates/router/cloverpier_router_policy/src/refusal.rs
@@ -42,6 +42,8 @@
     Stopping,
     /// The buffered bodies of other requests take the memory that this router may use for them.
     BufferMemoryFull,
+    /// This router reaches the service's upstreams only through peers, and no peer took the request.
+    CutOff,
     /// A directory request found no router that is ready for callers.
     NoReadyRouter,
     /// No upstream could take the request.
@@ -67,7 +69,7 @@
 pub fn retry_after(refusal: Refusal) -> Duration {
     match refusal {
         Refusal::Starting => STARTING_RETRY_AFTER,
-        Refusal::Stopping | Refusal::BufferMemoryFull => OTHER_ROUTER_RETRY_AFTER,
+        Refusal::Stopping | Refusal::BufferMemoryFull | Refusal::CutOff => OTHER_ROUTER_RETRY_AFTER,
         Refusal::NoReadyRouter => DIRECTORY_RETRY_AFTER,
         Refusal::NoUpstream { objective } => {
             let wait = objective.mul_f64(RETRY_OBJECTIVE_FRACTION);
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
@@ -220,6 +220,7 @@
         | AttemptFailure::Misdirected
         | AttemptFailure::NoCurrentUpstream
         | AttemptFailure::UpstreamDead
+        | AttemptFailure::PathLost
         | AttemptFailure::Stopped
         | AttemptFailure::DeadlinePassedUnsent => FailureClass::Ignored,
     }
--- a/crates/router/cloverpier_router_policy/src/suspicion.rs
+++ b/crates/router/cloverpier_router_policy/src/suspicion.rs
@@ -30,6 +30,9 @@
 pub const CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Timeout of a check, from the connection attempt to the end of the response.
 pub const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long after the suspicion of an upstream began a check is sent through a peer as well: a response that arrived
+/// there too late for the probe shows that only this router's path has failed.
+pub const RECENT_SUSPICION: Duration = Duration::from_millis(1_000);
 /// Timeout of a probe's HTTP request to a silent upstream. Usually a waiting request declares the
 /// upstream dead earlier, after [`crate::liveness::LivenessBounds::probe_timeout`].
 pub const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
@@ -0,0 +1,200 @@
+//! Chooses the peer through which a router opens a tunnel to an upstream.
+//!
+//! - **Question.** This router does not reach an upstream, or wants a second opinion. Which peer opens the
+//!   connection in its place?
+//! - **Inputs.** The live and ready peers with their data centres; which of them recently opened a tunnel to an
+//!   upstream of the service, declined or did not respond; this router's open tunnels through each.
+//! - **Result.** A peer, or none.
+//! - **Why.** Where a partition strikes most of a data centre, most peers are cut off themselves, so peers that
+//!   have proved to reach the service come first. Among them, two are picked at random and the one with fewer
+//!   tunnels is taken: without knowledge of each other, all cut off routers together spread evenly. A tunnel that
+//!   stays in one of the two data centres crosses between data centres once and not twice.
+//!
+//! [`TunnelPeers`] owns what is known of the peers.
+
+use cloverpier_core::{DataCentre, ServiceName};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How long after it has opened a tunnel a peer counts as one that reaches the service.
+const PROVEN_TTL: Duration = Duration::from_secs(5);
+/// Minimum number of proven peers at which only these are candidates. With fewer, load would concentrate.
+const MIN_PROVEN: usize = 2;
+/// How long a peer is not asked again that declined or did not reach the upstream.
+const DECLINED_TTL: Duration = Duration::from_millis(1_000);
+/// How long a peer is not asked again that did not respond.
+const SILENT_TTL: Duration = Duration::from_millis(2_000);
+/// How long a peer is not asked again whose release has no tunnels.
+const UNSUPPORTED_TTL: Duration = Duration::from_secs(30);
+/// Timeout for opening a tunnel through one peer, of which the peer's own connection is a part.
+pub const TUNNEL_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout of the connection that a peer opens to an upstream for a tunnel. Shorter than [`TUNNEL_TIMEOUT`], so
+/// that the peer can still respond.
+pub const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum number of peers that are asked to open one tunnel.
+pub const MAX_PEERS_ASKED: usize = 3;
+/// Maximum number of tunnels that a router serves for its peers at a time. Each takes two file descriptors.
+pub const MAX_SERVED: usize = 400;
+/// How long after an own connection was tried without a result a tunnel is tried beside it. A connection between
+/// data centres takes a few milliseconds.
+pub const FALLBACK_DELAY: Duration = Duration::from_millis(100);
+
+/// A peer through which a tunnel could go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TunnelCandidate {
+    /// The peer's address for other routers.
+    pub peer: SocketAddr,
+    /// The data centre in which the peer runs.
+    pub data_centre: DataCentre,
+}
+
+/// The data centres at both ends of a tunnel.
+#[derive(Clone, Copy, Debug)]
+pub struct TunnelEnds<'a> {
+    /// This router's data centre.
+    pub home: &'a DataCentre,
+    /// The upstream's data centre.
+    pub upstream: &'a DataCentre,
+}
+
+/// Why a peer did not open a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerFailure {
+    /// The peer declined, or did not reach the upstream.
+    Declined,
+    /// The peer did not respond.
+    Silent,
+    /// The peer's release has no tunnels.
+    Unsupported,
+}
+
+/// What is known of one peer as a way to one service.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerRecord {
+    proven_at: Option<Instant>,
+    avoided_until: Option<Instant>,
+}
+
+/// What is known of peers as ways to the services' upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct TunnelPeers {
+    records: HashMap<(ServiceName, SocketAddr), PeerRecord>,
+    open: HashMap<SocketAddr, u32>,
+}
+
+impl TunnelPeers {
+    /// The peer that is asked for a tunnel to an upstream of a service; `None` if no candidate may be asked.
+    pub fn choose(
+        &self,
+        candidates: &[TunnelCandidate],
+        service: &ServiceName,
+        ends: TunnelEnds<'_>,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+    ) -> Option<SocketAddr> {
+        let record = |c: &TunnelCandidate| self.record(service, c.peer);
+        let is_avoided = |r: PeerRecord| r.avoided_until.is_some_and(|until| now < until);
+        let is_proven = |r: PeerRecord| {
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < PROVEN_TTL;
+            r.proven_at.is_some_and(is_recent)
+        };
+        let mut usable: Vec<&TunnelCandidate> = candidates.iter().collect();
+        usable.retain(|c| !is_avoided(record(c)));
+        let proven: Vec<&TunnelCandidate> = usable
+            .iter()
+            .filter(|c| is_proven(record(c)))
+            .copied()
+            .collect();
+        if proven.len() >= MIN_PROVEN {
+            usable = proven;
+        }
+        let first = pick(&usable, rng)?;
+        let second = pick(&usable, rng)?;
+        let cost = |c: &TunnelCandidate| (self.open_through(c.peer), crossings(c, ends));
+        let better = if cost(second) < cost(first) {
+            second
+        } else {
+            first
+        };
+        Some(better.peer)
+    }
+
+    /// Records that a peer opened a tunnel to an upstream of a service.
+    pub fn on_opened(&mut self, service: &ServiceName, peer: SocketAddr, now: Instant) {
+        *self.open.entry(peer).or_default() += 1;
+        let record = PeerRecord {
+            proven_at: Some(now),
+            avoided_until: None,
+        };
+        self.records.insert((service.clone(), peer), record);
+    }
+
+    /// Records that a tunnel through a peer was closed.
+    pub fn on_closed(&mut self, peer: SocketAddr) {
+        let Some(open) = self.open.get_mut(&peer) else {
+            return;
+        };
+        *open = open.saturating_sub(1);
+        if *open == 0 {
+            self.open.remove(&peer);
+        }
+    }
+
+    /// Records that a peer opened no tunnel to an upstream of a service.
+    pub fn on_failed(
+        &mut self,
+        service: &ServiceName,
+        peer: SocketAddr,
+        failure: PeerFailure,
+        now: Instant,
+    ) {
+        let ttl = match failure {
+            PeerFailure::Declined => DECLINED_TTL,
+            PeerFailure::Silent => SILENT_TTL,
+            PeerFailure::Unsupported => UNSUPPORTED_TTL,
+        };
+        let record = PeerRecord {
+            proven_at: None,
+            avoided_until: Some(now + ttl),
+        };
+        self.records.insert((service.clone(), peer), record);
+    }
+
+    /// Removes what no choice considers any more.
+    pub fn remove_expired(&mut self, now: Instant) {
+        self.records.retain(|_, record| {
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < PROVEN_TTL;
+            let is_avoided = record.avoided_until.is_some_and(|until| now < until);
+            is_avoided || record.proven_at.is_some_and(is_recent)
+        });
+    }
+
+    /// Number of this router's open tunnels through a peer.
+    fn open_through(&self, peer: SocketAddr) -> u32 {
+        self.open.get(&peer).copied().unwrap_or(0)
+    }
+
+    fn record(&self, service: &ServiceName, peer: SocketAddr) -> PeerRecord {
+        let record = self.records.get(&(service.clone(), peer));
+        record.copied().unwrap_or_default()
+    }
+}
+
+/// A random candidate, each with the same probability; `None` without candidates.
+fn pick<'a>(
+    candidates: &[&'a TunnelCandidate],
+    rng: &mut fastrand::Rng,
+) -> Option<&'a TunnelCandidate> {
+    if candidates.is_empty() {
+        return None;
+    }
+    Some(candidates[rng.usize(..candidates.len())])
+}
+
+/// How often a tunnel through the candidate crosses between data centres.
+fn crossings(candidate: &TunnelCandidate, ends: TunnelEnds<'_>) -> u32 {
+    let to_peer = candidate.data_centre != *ends.home;
+    let to_upstream = candidate.data_centre != *ends.upstream;
+    u32::from(to_peer) + u32::from(to_upstream)
+}
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -349,6 +349,12 @@
         self.suspicion.is_some()
     }
 
+    /// How long this router has suspected that the upstream is dead; `None` if it does not.
+    pub fn suspected_for(&self, now: Instant) -> Option<Duration> {
+        let suspicion = self.suspicion.as_ref()?;
+        Some(now.saturating_duration_since(suspicion.since))
+    }
+
     /// Whether a peer reported within [`PEER_SUSPICION_TTL`] that it suspects the upstream.
     pub fn is_suspected_by_peer(&self, now: Instant) -> bool {
         self.peer_suspected_at
