Keep brittle upstreams within their room

Nothing read the statement; a full lookup server was sent up to three times its slots, and what it refused went on to the next full one.

policy::brittle: only slots count at a brittle upstream; each router has a share of them that adds up to the slots over all routers (by rank of a hash for what does not divide evenly), and may exceed its share while half of the slots are free. Refusals are reported to all peers (new datagram, which the release before ignores); at half of N within a second all routers pause, and their pauses end at different times. A crash of a brittle upstream within 2 s after a refusal is not blamed on what it ran.

Not shown: overshoot at 295 and 986 routers under real message delays.

--- a/crates/router/cloverpier_router/src/crashes/record.rs
+++ b/crates/router/cloverpier_router/src/crashes/record.rs
@@ -16,7 +16,8 @@
 ///
 /// Attempts at an upstream that was leaving, or whose entry was removed before the attempt started, are ignored: such
 /// an upstream shuts down by itself. An entry that was removed during the attempt is no sign of a planned shutdown, as
-/// the entries of crashed upstreams are removed, too.
+/// the entries of crashed upstreams are removed, too. So are attempts at a brittle upstream that was full shortly before:
+/// it crashes for lack of room.
 pub(crate) fn on_lost(
     router: &Router,
     request: &RelayRequest,
@@ -30,8 +31,9 @@
     // `Instant` may not reach that far back, as shortly after a boot of the machine; the present time is used then.
     let started_at = now.checked_sub(ran_for).unwrap_or(now);
     let was_leaving = state.is_some_and(|s| s.is_leaving() || s.was_delisted_at(started_at));
+    let is_explained = state.is_some_and(|s| s.brittleness.explains_crash(now));
     drop(table);
-    if was_leaving {
+    if was_leaving || is_explained {
         return;
     }
     let attempt = LostAttempt {
--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -224,6 +224,29 @@
     pub request: Option<&'a str>,
 }
 
+/// An upstream started or stopped to state that it is brittle, or changed the number of refusals that it survives.
+#[derive(Serialize)]
+pub(crate) struct BrittleChanged<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    /// The number of refusals within a second that the upstream survives; `None` if it is not brittle any more.
+    pub max_refusals: Option<u32>,
+    /// The kind of call whose response contained the change.
+    pub via: &'a str,
+    /// The request id, if the call was a caller's request.
+    pub request: Option<&'a str>,
+}
+
+/// A brittle upstream refused a request for lack of room; this router sends it nothing for a while.
+#[derive(Serialize)]
+pub(crate) struct BrittleFull<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    pub pause_ms: u64,
+    /// The peer that reported the refusal; `None` if this router received it.
+    pub peer: Option<String>,
+}
+
 /// An upstream started to limit its request rate, changed the limit, or ended it.
 #[derive(Serialize)]
 pub(crate) struct RateLimitChanged<'a> {
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -13,7 +13,7 @@
 //! | queries for engines' load | `load_query`, `engine_query` |
 //! | requests that crash upstreams | `crashes`, `cancel_signal` |
 //! | upstreams' health | `health`, `probe`, `reachability`, `successors`, `restart`, `load_guard` |
-//! | upstreams' statements about themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits` |
+//! | upstreams' statements about themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits`, `brittle` |
 //! | tunnels to upstreams through peers | `tunnel` |
 //! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_updates` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
@@ -44,6 +44,7 @@
 
 mod background;
 mod body;
+mod brittle;
 mod buffer_reservation;
 mod call_kind;
 mod caller_stream;
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -77,6 +77,8 @@
     pub leaving_upstreams: CounterByKind,
     /// Pauses (`Retry-After`) that upstreams requested; a request during a pause does not count again.
     pub pause_requests: Counter,
+    /// Refusals of brittle upstreams for lack of room, by whether this router or a peer received the refusal.
+    pub brittle_refusals: CounterByKind,
     /// Rate limits that upstreams advertise, by whether a limit began, changed or ended.
     pub upstream_limits: CounterByKind,
     /// Permits to send requests to upstreams that limit their request rate, by the outcome of the permit request.
@@ -129,6 +131,7 @@
             crashes: CounterByKind::default(),
             leaving_upstreams: CounterByKind::default(),
             pause_requests: Counter::default(),
+            brittle_refusals: CounterByKind::default(),
             upstream_limits: CounterByKind::default(),
             permits: CounterByKind::default(),
             singleton: CounterByKind::default(),
@@ -222,6 +225,11 @@
             "Servers that want nothing",
             self.pause_requests.clone(),
         );
+        registry.register(
+            "brittle_refusals",
+            "Refusals of brittle servers",
+            self.brittle_refusals.0.clone(),
+        );
         registry.register(
             "server_limits",
             "Limits that servers named",
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -234,6 +234,17 @@
     pub fleet_ms: u64,
 }
 
+/// A brittle upstream that has refused a request of the sender for lack of room.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FullUpstream {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The number of the report among those of the sender, rising.
+    pub number: u64,
+    /// The upstream, by the hash of its name.
+    pub upstream: UpstreamKey,
+}
+
 /// The content of one datagram.
 ///
 /// A router ignores datagrams with a variant that its release does not define, and logs the first of them.
@@ -293,6 +304,9 @@
     /// Sent in reply to a permit request.
     #[serde(rename = "LimitReply")]
     LimiterReply(LimiterReply),
+    /// Sent to all peers when a brittle upstream has refused a request for lack of room.
+    #[serde(rename = "Full")]
+    FullUpstream(FullUpstream),
 }
 
 impl PeerMessage {
@@ -313,6 +327,7 @@
             Self::UpstreamUpdate(_) => "upstreams",
             Self::LimitReports(_) => "limits",
             Self::LimiterRequest(_) | Self::LimiterReply(_) => "permits",
+            Self::FullUpstream(_) => "full",
         }
     }
 }
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -4,6 +4,7 @@
 //! `cloverpier_router_policy::{heartbeat, suspicion}` decide the effect of a report and how long it is valid.
 //! [`crate::heartbeats`] sends this router's own messages. Owns no state.
 
+use crate::brittle;
 use crate::crashes::record;
 use crate::crashes::reports as crash_reports;
 use crate::decision_log::log_named_event;
@@ -64,6 +65,7 @@
         PeerMessage::LeavingReports(reports) => leaving_reports::on_reports(router, reports, now),
         PeerMessage::LimitReports(reports) => limit_reports::on_reports(router, reports),
         PeerMessage::LimiterRequest(message) => on_permit_request(router, &message),
+        PeerMessage::FullUpstream(report) => brittle::on_report(router, report),
         PeerMessage::LimiterReply(reply) => router.upstream_limits.on_reply(reply),
         PeerMessage::Gossip(message) => gossip::on_gossip(router, message, now),
         PeerMessage::MembersRequest(peer) => gossip::on_members_request(router, peer, now),
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -55,6 +55,8 @@
 use cloverpier_settings::RouterSettings;
 use cloverpier_timers::Timers;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -90,6 +92,11 @@
     pub(crate) suspicion_added: Notify,
     /// When this router last received a new announcement that an upstream is leaving; `None` before the first.
     pub(crate) last_leaving_at: Cell<Option<Instant>>,
+    /// The number of this router's next report of a refusal by a brittle upstream. Starts at the time of day, so that
+    /// the numbers exceed those of earlier processes at this address.
+    pub(crate) brittle_reports: Cell<u64>,
+    /// The lowest number that each peer's next report of such a refusal may have.
+    pub(crate) last_brittle_reports: RefCell<HashMap<SocketAddr, u64>>,
     pub(crate) copy_pacing: RefCell<CopyPacing>,
     /// The memory that the buffered bodies of all requests and responses take.
     pub(crate) buffer_memory: Rc<RefCell<BufferMemory>>,
@@ -153,6 +160,8 @@
             rollouts: RolloutState::default(),
             suspicion_added: Notify::new(),
             last_leaving_at: Cell::default(),
+            brittle_reports: Cell::new(wall_ms()),
+            last_brittle_reports: RefCell::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
             buffer_memory: Rc::new(RefCell::new(BufferMemory::for_vm(settings.memory_bytes))),
             list_copies: RefCell::default(),
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -4,6 +4,7 @@
 //! for a valid response head. `cloverpier_router_policy::attempt_failure` decides which responses are valid and
 //! what a failure proves; this module extracts the inputs from the messages. Owns no state.
 
+use crate::brittle;
 use crate::call_kind::CallKind;
 use crate::connection::{
     BufferedRequest, Connection, SendError, Via, describe_error, find_io_error_kind,
@@ -271,6 +272,12 @@
     if validity == Err(AttemptFailure::Misdirected) {
         on_misdirected(router, upstream, &statement);
     }
+    if validity
+        .as_ref()
+        .is_err_and(AttemptFailure::is_for_lack_of_room)
+    {
+        brittle::on_refusal(router, upstream);
+    }
     validity?;
     // An upstream rejects a request that names another upstream, so a valid response is from this upstream.
     health.on_own_response(router.now());
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -4,6 +4,7 @@
 //! that starts its task here. The listeners start first, so that the start fails if an address is in use. Owns no
 //! state.
 
+use crate::brittle;
 use crate::crashes::resolution;
 use crate::decision_log::log_named_event;
 use crate::heartbeats;
@@ -167,6 +168,7 @@
     loop {
         router.timers.sleep(IDLE_SWEEP_PERIOD).await;
         close_stale_connections(&router);
+        brittle::update_shares(&router);
         let table = router.upstreams.borrow();
         router
             .health
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -5,6 +5,7 @@
 //! statement, and `cloverpier_router_policy::statement` decides to which upstream it is attributed. Owns no
 //! state.
 
+use crate::brittle;
 use crate::call_kind::CallKind;
 use crate::connection::Connection;
 use crate::decision_log::log_named_event;
@@ -107,6 +108,7 @@
     if let Some(time) = statement.wait {
         apply_wait_period(router, call.via, &upstream, time);
     }
+    brittle::on_statement(router, &upstream, statement.brittle, call.via);
     apply_limit(router, call, &upstream, statement, was_executed);
     if let Some(reason) = &statement.unreadable {
         let name = upstream.name.as_str();
--- a/crates/router/cloverpier_router/src/wire_names.rs
+++ b/crates/router/cloverpier_router/src/wire_names.rs
@@ -52,6 +52,9 @@
     /// The number of requests per second that an upstream accepts from all routers together. Only upstreams that limit
     /// their request rate set this header.
     pub rate_limit: HeaderName,
+    /// Set in all responses of an upstream that crashes if it has to refuse more requests within a second for lack of
+    /// room than the value says.
+    pub max_refusals: HeaderName,
     /// Set in the response of an upstream that did not run the request.
     pub not_run: HeaderName,
     /// The signature by which upstreams mark their responses. The router checks only that a successful response has
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -22,6 +22,8 @@
 
 /// HTTP status "421 Misdirected Request" (RFC 9110, 15.5.20): another process has the upstream's address.
 const MISDIRECTED: u16 = 421;
+/// HTTP status "503 Service Unavailable" (RFC 9110, 15.6.4): the upstream has no room for the request.
+const SERVICE_UNAVAILABLE: u16 = 503;
 
 /// How the request id in a response compares with the id of the request that was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -172,6 +174,11 @@
         }
     }
 
+    /// Whether the upstream refused the request because it had no room for it.
+    pub fn is_for_lack_of_room(&self) -> bool {
+        matches!(self, Self::NotRun { status } if *status == SERVICE_UNAVAILABLE)
+    }
+
     /// Whether the attempt failed because the request's deadline passed.
     pub fn is_past_deadline(&self) -> bool {
         matches!(self, Self::DeadlinePassedUnsent | Self::DeadlinePassedSent)
--- a/crates/router/cloverpier_router_policy/src/choice/cost.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/cost.rs
@@ -48,7 +48,8 @@
     }
 }
 
-/// Whether an engine has a free slot, or a plain upstream a free slot or queue place.
+/// Whether an engine has a free slot, or a plain upstream a free slot or queue place; a brittle one has less room
+/// ([`crate::brittle`]).
 pub(super) fn has_capacity(
     table: &UpstreamTable,
     demand: &Demand<'_>,
@@ -56,6 +57,10 @@
 ) -> bool {
     let requests = estimated_load(table, demand, state).requests;
     let slots = state.upstream.slots.max(1);
+    let brittleness = &state.brittleness;
+    if brittleness.is_brittle() {
+        return brittleness.has_room(state.own_load.requests, requests, slots);
+    }
     match demand.engine_memory {
         Some(_) => requests < slots,
         None => requests < slots * (1 + QUEUED_PER_SLOT),
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -25,6 +25,7 @@
 //! | which upstreams have said that they leave | [`leaving`] |
 //! | how many requests a second does an upstream take | [`limit`] |
 //! | may a request be sent to one that limits itself | [`permit`] |
+//! | how much does a brittle upstream get, and when nothing | [`brittle`] |
 //! | which upstreams want nothing for a while | [`cloverpier_core::wait`] |
 //! | is a failed attempt retried | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
@@ -65,6 +66,7 @@
 pub mod arrival;
 pub mod attempt_failure;
 pub mod attempts;
+pub mod brittle;
 pub mod budget;
 pub mod buffer_memory;
 pub mod choice;
--- a/crates/router/cloverpier_router_policy/src/statement.rs
+++ b/crates/router/cloverpier_router_policy/src/statement.rs
@@ -16,6 +16,7 @@
 //! [`cloverpier_core::wait`]. Owns no state; relies on the platform's adapter to decode responses.
 
 use crate::attempt_failure::AttemptFailure;
+use crate::brittle::BrittleStatement;
 use crate::limit::LimitStatement;
 use cloverpier_core::UpstreamName;
 use std::time::Duration;
@@ -35,6 +36,8 @@
     pub wait: Option<Duration>,
     /// How many requests per second the sender accepts from all routers together.
     pub limit: LimitStatement,
+    /// Whether the sender crashes if it has to refuse too many requests for lack of room.
+    pub brittle: BrittleStatement,
     /// Describes a statement that could not be decoded and is ignored; `None` if all were decoded.
     pub unreadable: Option<String>,
 }
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -8,6 +8,7 @@
 //! An upstream may restart under the same name. Each of its processes is an *incarnation* of the
 //! upstream; the start time orders incarnations.
 
+use crate::brittle::Brittleness;
 use crate::leaving::LAST_RESORT_PERIOD;
 use crate::load::Load;
 use crate::suspicion::{PEER_SUSPICION_TTL, RELIST_WINDOW, Suspicion};
@@ -166,6 +167,8 @@
     /// The latest period during which the upstream accepts no requests from this VM, from
     /// `Retry-After` in a response.
     pub(crate) wait: Option<WaitPeriod>,
+    /// Whether the upstream crashes if it has to refuse too many requests, and its last refusal.
+    pub brittleness: Brittleness,
     /// Since when the upstream's newest known incarnation is known to be leaving, as announced in a
     /// response ([`crate::leaving`]).
     pub(crate) leaving: Option<Instant>,
@@ -210,6 +213,7 @@
             peer_suspected_at: None,
             leaving: None,
             wait: None,
+            brittleness: Brittleness::default(),
         }
     }
 
--- a/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
@@ -6,6 +6,7 @@
 //! Owns no state besides that of [`UpstreamTable`].
 
 use super::UpstreamTable;
+use crate::brittle::Brittleness;
 use crate::dissemination::REPEAT_WINDOW;
 use crate::leaving::LeavingReport;
 use crate::upstream::{Upstream, UpstreamKey, UpstreamState};
@@ -127,6 +128,18 @@
         is_new
     }
 
+    /// What is known of the brittleness of an upstream; `None` for an unknown upstream.
+    pub fn brittleness_mut(&mut self, name: &UpstreamName) -> Option<&mut Brittleness> {
+        let state = self.upstreams.get_mut(name)?;
+        Some(&mut state.brittleness)
+    }
+
+    /// The upstreams that are brittle.
+    pub fn brittle_upstreams(&mut self) -> impl Iterator<Item = &mut UpstreamState> {
+        let states = self.upstreams.values_mut();
+        states.filter(|state| state.brittleness.is_brittle())
+    }
+
     /// The wait of a service whose listed upstreams are all in a wait period. `None` if one of them
     /// accepts requests now, or if none is listed.
     pub fn wait_of_service(&self, service: &ServiceName, now: Instant) -> Option<ServiceWait> {
--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -58,6 +58,8 @@
     pub arrivals: Vec<Arrival>,
     /// What upstreams said of themselves, in order.
     pub statements: Vec<Statement>,
+    /// Refusals of brittle upstreams for lack of room, in order.
+    pub room_refusals: Vec<RoomRefusal>,
     /// Each time that a request which crashes upstreams reached one, refused ones among them.
     pub crashing_arrivals: Vec<CrashingArrival>,
     /// When each upstream crashed of a request that it began to run.
@@ -112,7 +114,30 @@
     pub upstream: UpstreamName,
 }
 
+/// A brittle upstream has refused a request for lack of room.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoomRefusal {
+    /// When.
+    pub at: Instant,
+    /// The upstream.
+    pub upstream: UpstreamName,
+}
+
 impl Ledger {
+    /// The most refusals for lack of room of one upstream within a span that begins at or after `from`.
+    pub fn max_room_refusals(&self, from: Instant, span: Duration) -> usize {
+        let counted = self.room_refusals.iter().filter(|r| r.at >= from);
+        let within = |first: &RoomRefusal| {
+            let same = self
+                .room_refusals
+                .iter()
+                .filter(|r| r.upstream == first.upstream);
+            let same = same.filter(|r| r.at >= first.at && r.at < first.at + span);
+            same.count()
+        };
+        counted.map(within).max().unwrap_or(0)
+    }
+
     /// When an upstream first said that it leaves, in the answer to a request.
     pub fn said_leaving(&self, upstream: &UpstreamName) -> Option<Instant> {
         let of_requests = self.statements.iter().filter(|s| s.id.is_some());
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -24,6 +24,15 @@
 /// Tries to listen at an address that is still taken.
 const BIND_TRIES: u32 = 300;
 
+/// How an upstream is brittle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Brittle {
+    /// The refusals within a second that it states to survive.
+    pub max_refusals: u32,
+    /// Requests that may wait there beside those that run.
+    pub may_wait: u32,
+}
+
 /// A running upstream; it ends with its owner.
 #[derive(Debug)]
 pub struct UpstreamStandIn {
@@ -196,6 +205,12 @@
         state.limit = per_second;
     }
 
+    /// Has it state in all its answers that it is brittle, and refuse requests beyond its slots and those that may
+    /// wait; `None` ends that.
+    pub fn set_brittle(&self, brittle: Option<Brittle>) {
+        lock(&self.state).brittle = brittle;
+    }
+
     /// Sets how long it works on a request before it answers.
     pub fn set_work(&self, work: Duration) {
         lock(&self.state).work = work;
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -1,9 +1,9 @@
 //! What an upstream knows: its description, its faults to come, and what it ran.
 
 use super::serve::Asked;
-use super::{CacheShape, LoadShape, UpstreamSpec};
+use super::{Brittle, CacheShape, LoadShape, UpstreamSpec};
 use crate::http::Head;
-use crate::ledger::{Arrival, Fault, Said, SharedLedger, Statement};
+use crate::ledger::{Arrival, Fault, RoomRefusal, Said, SharedLedger, Statement};
 use cloverpier_core::lock;
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::Upstream;
@@ -43,6 +43,10 @@
     pub(super) limit: Option<f64>,
     /// What has reached it of late, while it names a limit.
     pub(super) recent: VecDeque<Instant>,
+    /// How it states that it is brittle in all its answers, and how many requests may wait there.
+    pub(super) brittle: Option<Brittle>,
+    /// Requests that it runs or that wait there.
+    pub(super) running: u32,
     /// How long it works on a request before it answers.
     pub(super) work: Duration,
     pub(super) rng: fastrand::Rng,
@@ -85,9 +89,27 @@
             self.note_statement(id, Said::Limit(rate));
             headers.push((self.names.rate_limit.to_string(), rate.to_string()));
         }
+        if let Some(brittle) = self.brittle {
+            let count = brittle.max_refusals.to_string();
+            headers.push((self.names.max_refusals.to_string(), count));
+        }
         headers
     }
 
+    /// Whether it is brittle and has no room for another request; notes the refusal if so.
+    pub(super) fn refuses_for_lack_of_room(&self) -> bool {
+        let places = |brittle: Brittle| self.upstream.slots + brittle.may_wait;
+        let is_full = self.brittle.is_some_and(|b| self.running >= places(b));
+        if is_full {
+            let refusal = RoomRefusal {
+                at: Instant::now(),
+                upstream: self.upstream.name.clone(),
+            };
+            lock(&self.ledger).room_refusals.push(refusal);
+        }
+        is_full
+    }
+
     pub(super) fn note_statement(&self, id: Option<&str>, said: Said) {
         let statement = Statement {
             at: Instant::now(),
@@ -147,6 +169,8 @@
             asks_to_wait: None,
             limit: None,
             recent: VecDeque::new(),
+            brittle: None,
+            running: 0,
             work: Duration::ZERO,
             rng: fastrand::Rng::with_seed(spec.seed),
             crashed_by: spec.crashed_by,
