--- a/crates/router/cloverpier_router/src/pool.rs
+++ b/crates/router/cloverpier_router/src/pool.rs
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Closes all tunnels through a peer.
+    pub fn close_tunnels_through(&mut self, peer: SocketAddr) {
+        for connections in self.idle.values_mut() {
+            connections.retain(|idle| idle.connection.via != Via::Peer(peer));
+        }
+    }
+
     /// Closes all connections to an upstream.
     pub fn close_all(&mut self, upstream: &UpstreamName) {
         self.idle.remove(upstream);
--- a/crates/router/cloverpier_router/src/reachability/mod.rs
+++ b/crates/router/cloverpier_router/src/reachability/mod.rs
@@ -17,6 +17,7 @@
 use crate::connection::{Connection, Via};
 use crate::decision_log::{PathLost, PathRestored, ServiceReachable, ServiceUnreachable, ms_since};
 use crate::router::Router;
+use crate::tunnel::open::on_peer_failed;
 use cloverpier_core::ServiceName;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::reachability::ReachabilityChange;
@@ -90,10 +91,7 @@
     match silent {
         Via::Direct => on_path_lost(router, upstream, reached, tried_at),
         Via::Peer(peer) => {
-            let failure = PeerFailure::Silent;
-            router
-                .tunnels
-                .on_failed(&upstream.service, peer, failure, now);
+            on_peer_failed(router, &upstream.service, peer, PeerFailure::Silent);
         }
     }
     router.pool.borrow_mut().close_path(&upstream.name, silent);
--- a/crates/router/cloverpier_router/src/tunnel/mod.rs
+++ b/crates/router/cloverpier_router/src/tunnel/mod.rs
@@ -89,7 +89,7 @@
     }
 
     /// Records that a peer did not open a tunnel, or that nothing arrives through it any more.
-    pub fn on_failed(
+    fn on_failed(
         &self,
         service: &ServiceName,
         peer: SocketAddr,
--- a/crates/router/cloverpier_router/src/tunnel/open.rs
+++ b/crates/router/cloverpier_router/src/tunnel/open.rs
@@ -9,6 +9,7 @@
 use crate::decision_log::{TunnelFailed, TunnelOpened, ms_since};
 use crate::router::Router;
 use bytes::Bytes;
+use cloverpier_core::ServiceName;
 use cloverpier_router_policy::connection_reuse::DEFAULT_IDLE_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::ReadyPeer;
@@ -84,10 +85,7 @@
             Asked::Opened(connection) => return Ok(connection),
             Asked::Refused => return Err(TunnelError::Refused),
             Asked::Failed(failure) => {
-                let now = router.now();
-                router
-                    .tunnels
-                    .on_failed(&upstream.service, peer, failure, now);
+                on_peer_failed(router, &upstream.service, peer, failure);
                 error = TunnelError::Unreachable;
             }
         }
@@ -95,6 +93,19 @@
     Err(error)
 }
 
+/// Records that a peer did not open a tunnel to an upstream of a service, or that nothing arrives through it any more.
+/// Its idle tunnels are closed: if the peer has lost its paths, too, requests in them would be lost.
+pub(crate) fn on_peer_failed(
+    router: &Router,
+    service: &ServiceName,
+    peer: SocketAddr,
+    failure: PeerFailure,
+) {
+    let now = router.now();
+    router.tunnels.on_failed(service, peer, failure, now);
+    router.pool.borrow_mut().close_tunnels_through(peer);
+}
+
 /// Opens a tunnel to an upstream through one peer within `timeout`.
 ///
 /// # Errors
