Play partitions at four sizes, and find the peers that reach the upstreams sooner

Now it asks up to 6, remembers for 3 s, and a single peer that has proved to reach the service is preferred; one choice in four explores.

--- a/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
+++ b/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
@@ -19,10 +19,10 @@
 
 /// How long after it has opened a tunnel a peer counts as one that reaches the service.
 const PROVEN_TTL: Duration = Duration::from_secs(5);
-/// Minimum number of proven peers at which only these are candidates. With fewer, load would concentrate.
-const MIN_PROVEN: usize = 2;
+/// How often a router with a single proven peer asks another one, so that it finds a second and can spread its tunnels.
+const EXPLORE_PROBABILITY: f64 = 0.25;
 /// How long a peer is not asked again that declined or did not reach the upstream.
-const DECLINED_TTL: Duration = Duration::from_millis(1_000);
+const DECLINED_TTL: Duration = Duration::from_millis(3_000);
 /// How long a peer is not asked again that did not respond.
 const SILENT_TTL: Duration = Duration::from_millis(2_000);
 /// How long a peer is not asked again whose release has no tunnels.
@@ -33,7 +33,7 @@
 /// that the peer can still respond.
 pub const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of peers that are asked to open one tunnel.
-pub const MAX_PEERS_ASKED: usize = 3;
+pub const MAX_PEERS_ASKED: usize = 6;
 /// Maximum number of tunnels that a router serves for its peers at a time. Each takes two file descriptors.
 pub const MAX_SERVED: usize = 400;
 /// How long after an own connection was tried without a result a tunnel is tried beside it. A connection between
@@ -76,10 +76,21 @@
     avoided_until: Option<Instant>,
 }
 
+impl PeerRecord {
+    fn is_avoided(self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
+    fn is_proven(self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < PROVEN_TTL;
+        self.proven_at.is_some_and(is_recent)
+    }
+}
+
 /// What is known of peers as ways to the services' upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct TunnelPeers {
-    records: HashMap<(ServiceName, SocketAddr), PeerRecord>,
+    records: HashMap<ServiceName, HashMap<SocketAddr, PeerRecord>>,
     open: HashMap<SocketAddr, u32>,
 }
 
@@ -93,22 +104,18 @@
         now: Instant,
         rng: &mut fastrand::Rng,
     ) -> Option<SocketAddr> {
-        let record = |c: &TunnelCandidate| self.record(service, c.peer);
-        let is_avoided = |r: PeerRecord| r.avoided_until.is_some_and(|until| now < until);
-        let is_proven = |r: PeerRecord| {
-            let is_recent = |at: Instant| now.saturating_duration_since(at) < PROVEN_TTL;
-            r.proven_at.is_some_and(is_recent)
+        let records = self.records.get(service);
+        let record = |c: &TunnelCandidate| records.and_then(|r| r.get(&c.peer)).copied();
+        let is_usable = |c: &&TunnelCandidate| record(c).is_none_or(|r| !r.is_avoided(now));
+        let is_proven = |c: &&TunnelCandidate| record(c).is_some_and(|r| r.is_proven(now));
+        let usable: Vec<&TunnelCandidate> = candidates.iter().filter(is_usable).collect();
+        let proven: Vec<&TunnelCandidate> = usable.iter().copied().filter(is_proven).collect();
+        let is_exploring = proven.len() == 1 && rng.f64() < EXPLORE_PROBABILITY;
+        let usable = if proven.is_empty() || is_exploring {
+            usable
+        } else {
+            proven
         };
-        let mut usable: Vec<&TunnelCandidate> = candidates.iter().collect();
-        usable.retain(|c| !is_avoided(record(c)));
-        let proven: Vec<&TunnelCandidate> = usable
-            .iter()
-            .filter(|c| is_proven(record(c)))
-            .copied()
-            .collect();
-        if proven.len() >= MIN_PROVEN {
-            usable = proven;
-        }
         let first = pick(&usable, rng)?;
         let second = pick(&usable, rng)?;
         let cost = |c: &TunnelCandidate| (self.open_through(c.peer), crossings(c, ends));
@@ -127,7 +134,8 @@
             proven_at: Some(now),
             avoided_until: None,
         };
-        self.records.insert((service.clone(), peer), record);
+        let records = self.records.entry(service.clone()).or_default();
+        records.insert(peer, record);
     }
 
     /// Records that a tunnel through a peer was closed.
@@ -158,27 +166,21 @@
             proven_at: None,
             avoided_until: Some(now + ttl),
         };
-        self.records.insert((service.clone(), peer), record);
+        let records = self.records.entry(service.clone()).or_default();
+        records.insert(peer, record);
     }
 
     /// Removes what no choice considers any more.
     pub fn remove_expired(&mut self, now: Instant) {
-        self.records.retain(|_, record| {
-            let is_recent = |at: Instant| now.saturating_duration_since(at) < PROVEN_TTL;
-            let is_avoided = record.avoided_until.is_some_and(|until| now < until);
-            is_avoided || record.proven_at.is_some_and(is_recent)
-        });
+        for records in self.records.values_mut() {
+            records.retain(|_, record| record.is_avoided(now) || record.is_proven(now));
+        }
     }
 
     /// Number of this router's open tunnels through a peer.
     fn open_through(&self, peer: SocketAddr) -> u32 {
         self.open.get(&peer).copied().unwrap_or(0)
     }
-
-    fn record(&self, service: &ServiceName, peer: SocketAddr) -> PeerRecord {
-        let record = self.records.get(&(service.clone(), peer));
-        record.copied().unwrap_or_default()
-    }
 }
 
 /// A random candidate, each with the same probability; `None` without candidates.
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gossip_play;
 pub mod limit_play;
 pub mod load;
+pub mod partition_play;
 pub mod placement;
 pub mod ports;
 pub mod process;
