--- a/tools/src/partition_play/world.rs
+++ b/tools/src/partition_play/world.rs
@@ -250,7 +250,7 @@
 fn upstream(n: usize) -> Upstream {
     Upstream {
         name: format!("upstream-{n}").as_str().into(),
-        service: ServiceName::new("lookups".to_owned()),
+        service: ServiceName::new("lookups"),
         address: ([10, 1, (n >> 8) as u8, n as u8], 80).into(),
         data_centre: data_centre(n % DATA_CENTRES),
         slots: 6,
