--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -12,7 +12,7 @@
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | queries for engines' load | `load_query`, `engine_query` |
 //! | requests that crash upstreams | `crashes`, `cancel_signal` |
-//! | upstreams' health | `health`, `probe`, `reachability`, `successors`, `restart`, `load_guard` |
+//! | upstreams' health | `health`, `probe`, `suspect_checks`, `reachability`, `successors`, `restart`, `load_guard` |
 //! | upstreams' statements about themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits`, `brittle` |
 //! | tunnels to upstreams through peers | `tunnel` |
 //! | the store | `source`, `store_sync`, `store_view`, `store_events`, `upstream_updates` |
@@ -102,6 +102,7 @@
 mod store_view;
 mod stream;
 mod successors;
+mod suspect_checks;
 mod suspension;
 mod tunnel;
 mod upstream_limits;
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -1,21 +1,19 @@
-//! Probes silent upstreams, and checks upstreams that were declared dead.
+//! Probes silent upstreams, and declares upstreams dead.
 //!
-//! A *probe* is a request to an upstream that has requests of this router and is silent. A *check* is a request to
-//! an upstream that was declared dead and is suspected since; a response under the upstream's name clears the
-//! suspicion. The results are recorded in the table of upstreams and in [`crate::health`].
-//! `cloverpier_router_policy::{liveness, suspicion}` decide when probes and checks are sent and what a response
+//! A *probe* is a request to an upstream that has requests of this router and is silent. If it remains without a
+//! response, the upstream is probed over another path: it may be alive, and only the path lost. The results are
+//! recorded in the table of upstreams and in [`crate::health`]; [`crate::suspect_checks`] checks upstreams that were
+//! declared dead. `cloverpier_router_policy::{liveness, suspicion}` decide when probes are sent and what a response
 //! means. Owns no state.
 
 use crate::call_kind::CallKind;
 use crate::connection::{Connection, Via};
 use crate::crashes::record;
-use crate::decision_log::{ms, ms_since};
+use crate::decision_log::ms;
 use crate::health::UpstreamHealth;
 use crate::http_client::{CallError, get_over};
 use crate::reachability;
-use crate::reachability::query::{
-    PathResponse, connect_via, get_direct, get_otherwise, get_through_peer,
-};
+use crate::reachability::query::{PathResponse, connect_via, get_otherwise};
 use crate::router::Router;
 use crate::send::return_to_pool;
 use crate::statements::Call;
@@ -26,14 +24,10 @@
 use cloverpier_router_policy::connection_reuse::CONNECT_TIMEOUT;
 use cloverpier_router_policy::permit::PROBE_PERMIT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::reachability::UpstreamPath;
 use cloverpier_router_policy::suspicion::{
-    CHECK_PERIOD, CHECK_TIMEOUT, CheckResult, MAX_PROBES, PROBE_CONNECT_TIMEOUT, PROBE_RETRY_DELAY,
-    PROBE_TIMEOUT, RECENT_SUSPICION, check_result,
+    CheckResult, MAX_PROBES, PROBE_CONNECT_TIMEOUT, PROBE_RETRY_DELAY, PROBE_TIMEOUT, check_result,
 };
 use cloverpier_router_policy::tunnel_peers::FALLBACK_DELAY;
-use cloverpier_timers::Elapsed;
-use futures_util::FutureExt;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
@@ -355,135 +349,3 @@
         .set(evidence == FailureEvidence::NoProcess);
     successors::schedule_successor_checks(router, upstream);
 }
-
-/// Checks the suspected upstreams whose checks are due. Runs until the process ends.
-pub(crate) async fn check_suspects(router: Rc<Router>) {
-    loop {
-        if router.upstreams.borrow().may_have_suspects() {
-            router.timers.sleep(CHECK_PERIOD).await;
-        } else {
-            router.suspicion_added.notified().await;
-        }
-        let now = router.now();
-        let due = router.upstreams.borrow_mut().start_due_checks(now);
-        for upstream in due {
-            tokio::task::spawn_local(check(Rc::clone(&router), upstream));
-        }
-    }
-}
-
-/// Sends one check to a suspected upstream, and handles the response.
-async fn check(router: Rc<Router>, upstream: Upstream) {
-    let configuration = router.store.configuration();
-    let service = configuration.and_then(|c| c.service(&upstream.service).cloned());
-    // Without the service's configuration there is no health path to check.
-    let Some(service) = service else { return };
-    let permission = router
-        .upstream_limits
-        .acquire(&upstream, PROBE_PERMIT_TIMEOUT);
-    if permission.await != Permission::Granted {
-        // The upstream stays suspected; its next check is scheduled already.
-        router.metrics.probes.count("without-permit");
-        return;
-    }
-    let sent_at = router.now();
-    let checked = match get_for_check(&router, &upstream, &service.health_path).await {
-        Ok(checked) => checked,
-        // The upstream stays suspected; its next check is scheduled already.
-        Err(error) => {
-            router.metrics.probes.count("suspect-silent");
-            if error.is_refused() {
-                record::on_process_gone(&router, &upstream, router.now());
-            }
-            return;
-        }
-    };
-    let call = Call {
-        upstream: &upstream,
-        via: CallKind::Check,
-        sent: sent_at,
-        connection: &checked.connection,
-    };
-    let said = router
-        .apply_query_statement(call, checked.response.parts())
-        .statement;
-    match check_result(&upstream.name, said.name.as_ref()) {
-        CheckResult::Replaced => {
-            router.metrics.probes.count("suspect-replaced");
-            successors::on_name_mismatch(&router, &upstream, said.name.as_ref());
-        }
-        CheckResult::Alive => clear_suspicion(&router, &upstream, sent_at),
-    }
-}
-
-/// Sends the request of a check over the path that new connections to the upstream take, and through a peer as well
-/// if nothing arrives and the path may be what has failed.
-async fn get_for_check(
-    router: &Rc<Router>,
-    upstream: &Upstream,
-    path: &str,
-) -> Result<PathResponse, CallError> {
-    let limit = |work| router.timers.timeout(CHECK_TIMEOUT, work);
-    let usual_path = router.reachability.borrow().path(upstream);
-    if usual_path == UpstreamPath::ThroughPeer {
-        let result = limit(get_through_peer(router, upstream, path, None).boxed_local()).await;
-        return result.unwrap_or(Err(CallError::TimedOut));
-    }
-    let sent_at = router.now();
-    let mut direct = pin!(limit(get_direct(router, upstream, path).boxed_local()));
-    let may_be_path = may_be_path(router, upstream, sent_at);
-    let soon = router.timers.timeout(FALLBACK_DELAY, direct.as_mut()).await;
-    let direct_result = match soon {
-        Ok(result) => Some(result.unwrap_or(Err(CallError::TimedOut))),
-        Err(Elapsed) => None,
-    };
-    if matches!(direct_result, Some(Ok(_))) || !may_be_path {
-        return match direct_result {
-            Some(result) => result,
-            None => direct.await.unwrap_or(Err(CallError::TimedOut)),
-        };
-    }
-    let through_peer = limit(get_through_peer(router, upstream, path, None).boxed_local()).await;
-    if let Ok(Ok(checked)) = through_peer {
-        reachability::on_path_lost(router, upstream, checked.connection.via, sent_at);
-        return Ok(checked);
-    }
-    match direct_result {
-        Some(result) => result,
-        None => direct.await.unwrap_or(Err(CallError::TimedOut)),
-    }
-}
-
-/// Whether this router's path, and not the upstream, may be what has failed: the upstream is suspected since shortly,
-/// or nothing arrives from others of its service either.
-fn may_be_path(router: &Router, upstream: &Upstream, now: Instant) -> bool {
-    let table = router.upstreams.borrow();
-    let suspected_for = table
-        .get(&upstream.name)
-        .and_then(|state| state.suspected_for(now));
-    let is_recent = suspected_for.is_some_and(|time| time < RECENT_SUSPICION);
-    is_recent
-        || router
-            .reachability
-            .borrow()
-            .is_unreachable(&upstream.service)
-}
-
-/// Clears the suspicion of an upstream that responded to a check.
-fn clear_suspicion(router: &Router, upstream: &Upstream, check_sent_at: Instant) {
-    router.metrics.probes.count("suspect-alive");
-    record::on_probe_response(router, upstream, check_sent_at);
-    let now = router.now();
-    let suspected_for = router.upstreams.borrow_mut().on_alive(&upstream.name, now);
-    if let Some(suspected_for) = suspected_for {
-        let took = ms_since(check_sent_at, now);
-        let reason = format!("responded to a check in {took} ms");
-        log_upstream_change(
-            &router.log,
-            "server.trusted",
-            upstream,
-            &reason,
-            ms(suspected_for),
-        );
-    }
-}
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -11,7 +11,6 @@
 use crate::peer_fetch;
 use crate::peer_reports;
 use crate::peer_serve;
-use crate::probe;
 use crate::reachability::{checks, update_gauge};
 use crate::rollout_steps;
 use crate::router::Router;
@@ -20,6 +19,7 @@
 use crate::source::ConfigurationSource;
 use crate::store_sync;
 use crate::store_view::WatchedData;
+use crate::suspect_checks;
 use crate::suspension;
 use crate::web::{bind, handle_caller, handle_directory, handle_metrics, handle_readiness, serve};
 use cloverpier_observe::{LogProgress, NoFields};
@@ -78,7 +78,7 @@
         spawn_local(peer_fetch::fetch_newer(Rc::clone(&router), watched));
     }
     spawn_local(suspension::watch_resumes(Rc::clone(&router)));
-    spawn_local(probe::check_suspects(Rc::clone(&router)));
+    spawn_local(suspect_checks::check_suspects(Rc::clone(&router)));
     spawn_local(checks::check_lost_paths(Rc::clone(&router)));
     spawn_local(resolution::resolve_lost_attempts(Rc::clone(&router)));
     spawn_local(remove_stale_state(Rc::clone(&router), log_progress));
--- a/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
+++ b/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
@@ -7,7 +7,7 @@
 //! - **Result.** A peer, or none.
 //! - **Why.** Where a partition strikes most of a data centre, most peers are cut off themselves, so peers that
 //!   have proved to reach the service come first. Among them, two are picked at random and the one with fewer
-//!   tunnels is taken: without knowledge of each other, all cut off routers together spread evenly. A tunnel that
+//!   tunnels is taken, so that routers spread evenly without knowledge of each other. A tunnel that
 //!   stays in one of the two data centres crosses between data centres once and not twice.
 //!
 //! [`TunnelPeers`] owns what is known of the peers.
