--- a/crates/router/cloverpier_router/src/tunnel/open.rs
+++ b/crates/router/cloverpier_router/src/tunnel/open.rs
@@ -94,7 +94,8 @@
 }
 
 /// Records that a peer did not open a tunnel to an upstream of a service, or that nothing arrives through it any more.
-/// Its idle tunnels are closed: if the peer has lost its paths, too, requests in them would be lost.
+/// Idle tunnels through a peer that declined or is silent are closed: if it has lost its paths, too, requests in them
+/// would be lost.
 pub(crate) fn on_peer_failed(
     router: &Router,
     service: &ServiceName,
@@ -103,7 +104,9 @@
 ) {
     let now = router.now();
     router.tunnels.on_failed(service, peer, failure, now);
-    router.pool.borrow_mut().close_tunnels_through(peer);
+    if failure != PeerFailure::UpstreamSilent {
+        router.pool.borrow_mut().close_tunnels_through(peer);
+    }
 }
 
 /// Opens a tunnel to an upstream through one peer within `timeout`.
@@ -206,7 +209,8 @@
     // A name that is no text is one of a later release, as an unknown one is.
     match ServeFailure::from_name(name.to_str().unwrap_or_default()) {
         ServeFailure::Refused => Asked::Refused,
-        ServeFailure::Unreachable | ServeFailure::Declined => Asked::Failed(PeerFailure::Declined),
+        ServeFailure::Unreachable => Asked::Failed(PeerFailure::UpstreamSilent),
+        ServeFailure::Declined => Asked::Failed(PeerFailure::Declined),
     }
 }
 
@@ -255,6 +259,7 @@
         }
         Asked::Refused => "refused",
         Asked::Failed(PeerFailure::Declined) => "declined",
+        Asked::Failed(PeerFailure::UpstreamSilent) => "unreachable",
         Asked::Failed(PeerFailure::Silent) => "silent",
         Asked::Failed(PeerFailure::Unsupported) => "unsupported",
     };
--- a/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
+++ b/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
@@ -21,7 +21,9 @@
 const PROVEN_TTL: Duration = Duration::from_secs(5);
 /// How often a router with a single proven peer asks another one, so that it finds a second and can spread its tunnels.
 const EXPLORE_PROBABILITY: f64 = 0.25;
-/// How long a peer is not asked again that declined or did not reach the upstream.
+/// How long a peer is not asked again that did not reach the upstream.
+const UPSTREAM_SILENT_TTL: Duration = Duration::from_millis(500);
+/// How long a peer is not asked again that declined.
 const DECLINED_TTL: Duration = Duration::from_millis(3_000);
 /// How long a peer is not asked again that did not respond.
 const SILENT_TTL: Duration = Duration::from_millis(2_000);
@@ -61,8 +63,10 @@
 /// Why a peer did not open a tunnel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerFailure {
-    /// The peer declined, or did not reach the upstream.
+    /// The peer declined.
     Declined,
+    /// The peer did not reach the upstream. The upstream may be dead, or the peer cut off as well without knowing yet.
+    UpstreamSilent,
     /// The peer did not respond.
     Silent,
     /// The peer's release has no tunnels.
@@ -159,6 +163,7 @@
     ) {
         let ttl = match failure {
             PeerFailure::Declined => DECLINED_TTL,
+            PeerFailure::UpstreamSilent => UPSTREAM_SILENT_TTL,
             PeerFailure::Silent => SILENT_TTL,
             PeerFailure::Unsupported => UNSUPPORTED_TTL,
         };
--- a/tools/src/partition_play/world.rs
+++ b/tools/src/partition_play/world.rs
@@ -190,18 +190,18 @@
             let peer = self.choose_peer(router, upstream, now)?;
             self.outcome.asked += 1;
             let address = self.routers[peer].address;
-            let (time, opens) = self.ask(peer, upstream);
+            let (time, answer) = self.ask(peer, upstream);
             took += time;
             let service = &self.upstreams[upstream].service;
             let peers = &mut self.routers[router].peers;
-            if opens {
+            let Some(failure) = answer else {
                 peers.on_opened(service, address, now);
                 self.routers[router].tunnels.insert(upstream, peer);
                 self.routers[peer].carried += 1;
                 self.outcome.opened += 1;
                 return Some(took);
-            }
-            peers.on_failed(service, address, PeerFailure::Declined, now);
+            };
+            peers.on_failed(service, address, failure, now);
         }
         None
     }
@@ -219,18 +219,22 @@
         self.positions.get(&peer).copied()
     }
 
-    /// How long a peer takes to answer, and whether it opens a tunnel.
-    fn ask(&self, peer: usize, upstream: usize) -> (Duration, bool) {
+    /// How long a peer takes to answer, and why it opens no tunnel; `None` if it opens one.
+    fn ask(&self, peer: usize, upstream: usize) -> (Duration, Option<PeerFailure>) {
         let state = &self.routers[peer];
         let knows = state.reachability.path(&self.upstreams[upstream]) == UpstreamPath::ThroughPeer;
         if knows || state.carried >= MAX_SERVED {
-            return (ROUND_TRIP, false);
+            return (ROUND_TRIP, Some(PeerFailure::Declined));
         }
-        let works = self.works_directly(peer, upstream);
-        if works || self.spec.cut != Cut::Hangs {
-            return (2 * ROUND_TRIP, works);
+        if self.works_directly(peer, upstream) {
+            return (2 * ROUND_TRIP, None);
+        }
+        let failure = Some(PeerFailure::UpstreamSilent);
+        if self.spec.cut == Cut::Hangs {
+            (ROUND_TRIP + UPSTREAM_TIMEOUT, failure)
+        } else {
+            (2 * ROUND_TRIP, failure)
         }
-        (ROUND_TRIP + UPSTREAM_TIMEOUT, false)
     }
 
     fn finish(mut self) -> PartitionOutcome {
