Race a direct connection against a tunnel in one function, and keep one record of the other path

What connect_with_fallback did in nested selects is first_to_open now; a path's health keeps when and over which path the upstream last responded as one value.

--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -38,10 +38,8 @@
     pub probing_since: Cell<Option<Instant>>,
     /// Whether a probe waits for a permit, because the upstream limits its request rate.
     pub probe_awaits_permit: Cell<bool>,
-    /// When the upstream last responded over another path, while it was probed over this one; `None` before.
-    pub reached_otherwise_at: Cell<Option<Instant>>,
-    /// The other path over which the upstream last responded; `None` before.
-    pub other_path: Cell<Option<Via>>,
+    /// When and over which path the upstream last responded, while it was probed over this one; `None` before.
+    pub reached_otherwise: Cell<Option<(Instant, Via)>>,
     ended: Cell<Option<EndCause>>,
     /// Whether the entry was created when no process listened at the upstream's address any more, and the next
     /// incarnation has not been recorded yet. All requests that use the entry go to the next incarnation, so they
@@ -62,8 +60,7 @@
             last_own_response: Cell::new(None),
             probing_since: Cell::new(None),
             probe_awaits_permit: Cell::new(false),
-            reached_otherwise_at: Cell::new(None),
-            other_path: Cell::new(None),
+            reached_otherwise: Cell::new(None),
             ended: Cell::new(None),
             is_for_next_incarnation: Cell::new(false),
             declared_dead: Notify::new(),
@@ -85,10 +82,12 @@
         self.ended.get()
     }
 
-    /// Whether the upstream has responded over another path since the present probe over this one was sent.
-    pub fn is_reached_otherwise(&self) -> bool {
-        let probed = self.probing_since.get();
-        probed.is_some() && self.reached_otherwise_at.get() >= probed
+    /// The path over which the upstream has responded since the present probe over this one was sent; `None` without
+    /// such a response.
+    pub fn other_path(&self) -> Option<Via> {
+        let probed_at = self.probing_since.get()?;
+        let (reached_at, via) = self.reached_otherwise.get()?;
+        (reached_at >= probed_at).then_some(via)
     }
 
     /// Ends the attempts that use the entry, and wakes all tasks that wait with it.
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -204,24 +204,22 @@
 /// response.
 async fn probe_otherwise(router: &Rc<Router>, upstream: &Upstream, health: &UpstreamHealth) {
     router.timers.sleep(FALLBACK_DELAY).await;
-    if is_reached_otherwise(router, upstream, health).await {
-        health.reached_otherwise_at.set(Some(router.now()));
+    let reached = reach_otherwise(router, upstream, health.via).await;
+    if let Some(via) = reached {
+        let now = router.now();
+        health.reached_otherwise.set(Some((now, via)));
     }
 }
 
-/// Whether the upstream itself responds over another path than that of `health`.
-async fn is_reached_otherwise(
-    router: &Rc<Router>,
-    upstream: &Upstream,
-    health: &UpstreamHealth,
-) -> bool {
+/// The path over which the upstream itself responds, if there is one other than `silent`.
+async fn reach_otherwise(router: &Rc<Router>, upstream: &Upstream, silent: Via) -> Option<Via> {
     let path = router.wire_names.paths.engine_report;
     let sent = router.now();
-    let responding = get_otherwise(router, upstream, path, health.via);
+    let responding = get_otherwise(router, upstream, path, silent);
     let result = router.timers.timeout(CONNECT_TIMEOUT, responding).await;
     let Ok(Ok(reached)) = result else {
         router.metrics.probes.count("other-path-silent");
-        return false;
+        return None;
     };
     router.metrics.probes.count("other-path-alive");
     let call = Call {
@@ -236,11 +234,10 @@
     let via = reached.connection.via;
     return_to_pool(router, upstream, reached.connection);
     if check_result(&upstream.name, said.name.as_ref()) != CheckResult::Alive {
-        return false;
+        return None;
     }
     record::on_probe_response(router, upstream, sent);
-    health.other_path.set(Some(via));
-    true
+    Some(via)
 }
 
 /// Ends the path of `health` if the upstream responds over another one. `tried_at` is when the call over the path was
@@ -251,21 +248,11 @@
     health: &UpstreamHealth,
     tried_at: Instant,
 ) -> bool {
-    let is_reached = is_reached_otherwise(router, upstream, health).await;
-    if is_reached {
-        end_silent_path(router, upstream, health, tried_at);
+    let reached = reach_otherwise(router, upstream, health.via).await;
+    if let Some(reached) = reached {
+        reachability::end_silent_path(router, upstream, health.via, reached, tried_at);
     }
-    is_reached
-}
-
-fn end_silent_path(
-    router: &Router,
-    upstream: &Upstream,
-    health: &UpstreamHealth,
-    tried_at: Instant,
-) {
-    let reached = health.other_path.get().unwrap_or(Via::Direct);
-    reachability::end_silent_path(router, upstream, health.via, reached, tried_at);
+    reached.is_some()
 }
 
 /// Handles a probe that nothing has answered in time: the path of `health` is lost if the upstream was reached over
@@ -276,9 +263,9 @@
     health: &UpstreamHealth,
     now: Instant,
 ) -> AttemptFailure {
-    if health.is_reached_otherwise() {
+    if let Some(reached) = health.other_path() {
         let probed_at = health.probing_since.get().unwrap_or(now);
-        end_silent_path(router, upstream, health, probed_at);
+        reachability::end_silent_path(router, upstream, health.via, reached, probed_at);
         return AttemptFailure::PathLost;
     }
     let evidence = FailureEvidence::Unreachable;
--- a/crates/router/cloverpier_router/src/reachability/connect.rs
+++ b/crates/router/cloverpier_router/src/reachability/connect.rs
@@ -4,7 +4,7 @@
 //! upstream, only this router's path is lost, and the request goes on in the tunnel. Owns no state.
 
 use super::on_path_lost;
-use crate::connection::Connection;
+use crate::connection::{Connection, Via};
 use crate::router::Router;
 use crate::tunnel::open::{TunnelError, open};
 use cloverpier_router_policy::connection_reuse::DEFAULT_IDLE_TIMEOUT;
@@ -12,10 +12,11 @@
 use cloverpier_router_policy::reachability::UpstreamPath;
 use cloverpier_router_policy::tunnel_peers::FALLBACK_DELAY;
 use cloverpier_timers::Elapsed;
+use std::future::Future;
 use std::io;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Takes an idle connection to an upstream from the pool, if there is one on a path that counts as working.
 pub(crate) fn take_idle(router: &Router, upstream: &Upstream) -> Option<Connection> {
@@ -65,50 +66,33 @@
     let started = router.now();
     let mut direct = pin!(open_direct(router, upstream, timeout));
     let soon = router.timers.timeout(FALLBACK_DELAY, direct.as_mut()).await;
-    let left = |now: Instant| timeout.saturating_sub(now.saturating_duration_since(started));
-    let fallback = open(router, upstream, left(router.now()), None);
-    let error = match soon {
-        Ok(Ok(connection)) => return Ok(connection),
-        Ok(Err(error)) => error,
-        Err(Elapsed) => {
-            let mut fallback = pin!(fallback);
-            let tunnel = tokio::select! {
-                opened = &mut direct => match opened {
-                    Ok(connection) => return Ok(connection),
-                    Err(error) => return tunnel_or(fallback.await, error, router, upstream, started),
-                },
-                opened = &mut fallback => opened,
-            };
-            return match tunnel {
-                Ok(connection) => Ok(through_peer(router, upstream, connection, started)),
-                Err(_) => direct.await,
-            };
-        }
+    let elapsed = router.now().saturating_duration_since(started);
+    let tunnel = open(router, upstream, timeout.saturating_sub(elapsed), None);
+    let connection = match soon {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => tunnel.await.map_err(|_| error)?,
+        Err(Elapsed) => first_to_open(direct, tunnel).await?,
     };
-    tunnel_or(fallback.await, error, router, upstream, started)
+    if connection.via != Via::Direct {
+        on_path_lost(router, upstream, connection.via, started);
+    }
+    Ok(connection)
 }
 
-/// The tunnel, or the error of the direct connection if there is none.
-fn tunnel_or(
-    tunnel: Result<Connection, TunnelError>,
-    error: io::Error,
-    router: &Router,
-    upstream: &Upstream,
-    started: Instant,
+/// The connection that opens first; the error of the direct one if neither opens.
+async fn first_to_open(
+    mut direct: Pin<&mut impl Future<Output = io::Result<Connection>>>,
+    tunnel: impl Future<Output = Result<Connection, TunnelError>>,
 ) -> io::Result<Connection> {
-    match tunnel {
-        Ok(connection) => Ok(through_peer(router, upstream, connection, started)),
-        Err(_) => Err(error),
+    let mut tunnel = pin!(tunnel);
+    tokio::select! {
+        opened = &mut direct => match opened {
+            Ok(connection) => Ok(connection),
+            Err(error) => tunnel.await.map_err(|_| error),
+        },
+        opened = &mut tunnel => match opened {
+            Ok(connection) => Ok(connection),
+            Err(_) => direct.await,
+        },
     }
 }
-
-/// Records that the tunnel came up while the direct connection, tried at `started`, did not.
-fn through_peer(
-    router: &Router,
-    upstream: &Upstream,
-    connection: Connection,
-    started: Instant,
-) -> Connection {
-    on_path_lost(router, upstream, connection.via, started);
-    connection
-}
