--- a/crates/router/cloverpier_router_policy/tests/reachability.rs
+++ b/crates/router/cloverpier_router_policy/tests/reachability.rs
@@ -1,7 +1,9 @@
-//! Whether a router reaches the upstreams of a service, by its own calls.
+//! Which upstreams a router reaches itself, and which only through peers.
 
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::reachability::{Reachability, ReachabilityChange};
+use cloverpier_router_policy::reachability::{
+    PATH_CHECK_PERIOD, Reachability, ReachabilityChange, UpstreamPath,
+};
 use std::time::{Duration, Instant};
 
 fn upstream(name: &str) -> Upstream {
@@ -57,3 +59,81 @@
         Some(reachable)
     );
 }
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A router that has lost its paths to some upstreams at `cut`.
+fn cut_off_from(names: &[&str], cut: Instant) -> Reachability {
+    let mut reachability = Reachability::default();
+    for name in names {
+        assert!(reachability.on_reached_by_peer(&upstream(name), cut, cut));
+    }
+    reachability
+}
+
+#[test]
+fn one_lost_path_says_nothing_of_the_other_upstreams() {
+    let reachability = cut_off_from(&["a"], Instant::now());
+    assert_eq!(reachability.path(&upstream("a")), UpstreamPath::ThroughPeer);
+    assert_eq!(reachability.path(&upstream("b")), UpstreamPath::Direct);
+}
+
+#[test]
+fn two_lost_paths_put_the_whole_service_behind_peers_and_no_other() {
+    let reachability = cut_off_from(&["a", "b"], Instant::now());
+    assert_eq!(reachability.path(&upstream("c")), UpstreamPath::ThroughPeer);
+    let other = Upstream {
+        service: "drafts".into(),
+        ..upstream("c")
+    };
+    assert_eq!(reachability.path(&other), UpstreamPath::Direct);
+}
+
+#[test]
+fn a_connection_from_before_the_failure_restores_no_path() {
+    let cut = Instant::now() + SECOND;
+    let mut reachability = cut_off_from(&["a", "b"], cut);
+    let before = cut - SECOND / 2;
+    assert_eq!(
+        reachability.on_working_connection(&upstream("a"), before),
+        None
+    );
+    assert_eq!(reachability.path(&upstream("a")), UpstreamPath::ThroughPeer);
+    assert!(reachability.is_cut_off(&"lookups".into()));
+}
+
+#[test]
+fn a_newer_connection_restores_its_path_and_ends_the_verdict_on_the_service() {
+    let cut = Instant::now();
+    let mut reachability = cut_off_from(&["a", "b"], cut);
+    let restored = reachability.on_working_connection(&upstream("a"), cut + SECOND);
+    assert_eq!(restored, Some(cut));
+    assert_eq!(reachability.path(&upstream("a")), UpstreamPath::Direct);
+    assert_eq!(reachability.path(&upstream("c")), UpstreamPath::Direct);
+    // The other path was not tried since.
+    assert_eq!(reachability.path(&upstream("b")), UpstreamPath::ThroughPeer);
+}
+
+#[test]
+fn a_router_that_is_cut_off_checks_one_upstream_at_a_time_and_some_once_one_is_back() {
+    let cut = Instant::now();
+    let names: Vec<String> = (0..20).map(|n| format!("u{n:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut reachability = cut_off_from(&names, cut);
+    assert!(reachability.start_due_checks(cut).is_empty());
+    let first = reachability.start_due_checks(cut + PATH_CHECK_PERIOD);
+    let second = reachability.start_due_checks(cut + PATH_CHECK_PERIOD);
+    assert_eq!((first.len(), second.len()), (1, 1));
+    assert_ne!(first, second);
+    let back = cut + 2 * PATH_CHECK_PERIOD;
+    reachability.on_working_connection(&first[0], back);
+    assert_eq!(reachability.start_due_checks(back).len(), 8);
+}
+
+#[test]
+fn lost_paths_to_upstreams_that_are_gone_are_forgotten() {
+    let mut reachability = cut_off_from(&["a", "b"], Instant::now());
+    reachability.retain(|name| name.as_str() == "a");
+    assert_eq!(reachability.lost_paths(), 1);
+    assert_eq!(reachability.path(&upstream("c")), UpstreamPath::Direct);
+}
