--- a/crates/standins/cloverpier_router_standin/src/socket_owner.rs
+++ b/crates/standins/cloverpier_router_standin/src/socket_owner.rs
@@ -8,6 +8,9 @@
 use std::net::{IpAddr, SocketAddr};
 use tokio::net::TcpStream;
 
+/// Words between the remote address of a row of the table and the inode.
+const WORDS_TO_INODE: usize = 6;
+
 /// The opener of an accepted connection.
 #[derive(Clone, Debug)]
 pub(crate) struct SocketOwner {
@@ -39,15 +42,12 @@
 /// The inode of the socket with these ends, by the system's table of TCP sockets.
 fn inode_of((local, remote): (SocketAddr, SocketAddr)) -> Option<String> {
     let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let ends = [table_entry(local)?, table_entry(remote)?];
-    let mut rows = table.lines().map(|line| line.split_whitespace());
-    let mut row = rows.find(|row| {
-        row.clone()
-            .skip(1)
-            .take(2)
-            .eq(ends.iter().map(String::as_str))
-    })?;
-    row.nth(9).map(str::to_owned)
+    let ends = format!(" {} {} ", table_entry(local)?, table_entry(remote)?);
+    // The table has thousands of rows on a busy machine, so that only the row in question is split into words.
+    let row = &table[table.find(&ends)? + ends.len()..];
+    row.split_whitespace()
+        .nth(WORDS_TO_INODE)
+        .map(str::to_owned)
 }
 
 /// An IPv4 address as the table writes it: the bytes of the address in the machine's order, and the port.
