Let a request return to an upstream behind a lost path where no other can take it

Callers saw a stream break off ("no server is usable") although a peer reached its engine. Cause: an upstream whose path was lost counted as one that had failed the request, so that the next attempt left it out, and its lost attempts raised its failure rate. It is a candidate again where there is no other (policy: tried_upstreams), once for each lost path; while others can take the request they do, as the upstream may still run the lost attempt.

--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -23,12 +23,12 @@
 use crate::singleton;
 use crate::wait::{AwaitedUpstream, wait_while_alive};
 use bytes::{Bytes, BytesMut};
-use cloverpier_core::UpstreamName;
 use cloverpier_crashes::Admission;
 use cloverpier_router_policy::buffer_memory::BufferKind;
 use cloverpier_router_policy::permit::PermitSearch;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::Measure;
+use cloverpier_router_policy::tried_upstreams::TriedUpstreams;
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -64,7 +64,7 @@
     router: &'a Rc<Router>,
     request: &'a Rc<RelayRequest>,
     attempts: Attempts,
-    tried: Vec<UpstreamName>,
+    tried: TriedUpstreams,
     /// The last response with a server error status (5xx), which the caller receives if all attempts fail.
     last_error_response: Option<BufferedResponse>,
     /// Whether the request was counted for usage metering, which counts each request once.
@@ -88,7 +88,7 @@
             router,
             request,
             attempts: Attempts::new(route.retry_rule(), route.max_attempts),
-            tried: Vec::new(),
+            tried: TriedUpstreams::default(),
             last_error_response: None,
             is_metered: false,
         }
@@ -112,6 +112,7 @@
                 .await;
             let upstream = match result.ok_or_else(RequestFailure::content_blocked)? {
                 Ok(upstream) => upstream,
+                Err(_) if self.tried.readmit_behind_lost_paths() => continue,
                 Err(reason) => return self.without_upstream(reason),
             };
             if !admitted.is_still_valid(self.router, self.request) {
@@ -187,7 +188,7 @@
             affinity: None,
             prompt_location: None,
             is_continuation: self.request.last_event.is_some(),
-            tried: &self.tried,
+            tried: self.tried.excluded(),
             connected: &connected,
             now,
             suspect_content: None,
@@ -324,9 +325,9 @@
     ) -> FailureAction {
         let now = self.router.now();
         let outcome = failure.outcome();
-        self.tried.push(upstream.name.clone());
+        self.tried.on_failure(&upstream.name, failure);
         let mut table = self.router.upstreams.borrow_mut();
-        table.on_result(&upstream.name, outcome.may_have_run());
+        table.on_result(&upstream.name, failure.counts_against_upstream());
         drop(table);
         rollouts::on_failure(self.router, self.request, upstream, failure);
         if let Some(loss) = failure.loss() {
--- a/crates/router/cloverpier_router/src/stream/choice.rs
+++ b/crates/router/cloverpier_router/src/stream/choice.rs
@@ -152,7 +152,7 @@
             affinity: self.request.prompt.map(|p| p.0),
             prompt_location: self.prompt_location(now),
             is_continuation: self.request.last_event.is_some(),
-            tried: &self.tried,
+            tried: self.tried.excluded(),
             connected: &context.connected,
             suspect_content: self
                 .admitted
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -29,10 +29,11 @@
 use crate::rollouts;
 use crate::router::Router;
 use bytes::Bytes;
-use cloverpier_core::{UpstreamName, jitter};
+use cloverpier_core::jitter;
 use cloverpier_crashes::LossCause;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
+use cloverpier_router_policy::tried_upstreams::TriedUpstreams;
 use futures_util::StreamExt;
 use futures_util::stream::{once, unfold};
 use hyper::StatusCode;
@@ -117,7 +118,7 @@
     router: Rc<Router>,
     request: Rc<RelayRequest>,
     attempts: Attempts,
-    tried: Vec<UpstreamName>,
+    tried: TriedUpstreams,
     /// When the last attempt was sent; before the first one, when the request arrived.
     attempt_started_at: Instant,
     /// How crash protection admitted the current attempt, or the attempt that is about to be sent.
@@ -160,7 +161,7 @@
             router: Rc::clone(router),
             request: Rc::clone(request),
             attempts: Attempts::new(route.retry_rule(), route.max_attempts),
-            tried: Vec::new(),
+            tried: TriedUpstreams::default(),
             attempt_started_at: request.arrived,
             admitted: Admitted::UNRESTRICTED,
             current: None,
@@ -260,7 +261,7 @@
                 return Ok(Some(chunk));
             }
             if self.try_leave_version() {
-                self.abandon_current();
+                self.abandon_current(None);
                 self.open_next_attempt().await?;
                 continue;
             }
@@ -277,7 +278,7 @@
                 self.record_loss(&current.upstream, &failure);
             }
             self.settle_attempt();
-            self.abandon_current();
+            self.abandon_current(Some(&failure));
             self.after_failure(&failure)?;
             self.open_next_attempt().await?;
         }
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -42,9 +42,13 @@
                 .cancel
                 .run_unless_cancelled(self.find_upstream())
                 .await;
-            let (upstream, extras) = found
-                .ok_or_else(RequestFailure::content_blocked)?
-                .map_err(|reason| RequestFailure::without_upstream(&self.attempts, reason))?;
+            let (upstream, extras) = match found.ok_or_else(RequestFailure::content_blocked)? {
+                Ok(found) => found,
+                Err(_) if self.tried.readmit_behind_lost_paths() => continue,
+                Err(reason) => {
+                    return Err(RequestFailure::without_upstream(&self.attempts, reason));
+                }
+            };
             if !self.admitted.is_still_valid(&self.router, &self.request) {
                 continue;
             }
@@ -63,11 +67,10 @@
             guard.disarm();
             rollouts::on_failure(&self.router, &self.request, &upstream, &failure);
             self.record_loss(&upstream, &failure);
-            let may_have_run = failure.outcome().may_have_run();
             let mut table = self.router.upstreams.borrow_mut();
-            table.on_result(&upstream.name, may_have_run);
+            table.on_result(&upstream.name, failure.counts_against_upstream());
             drop(table);
-            self.tried.push(upstream.name);
+            self.tried.on_failure(&upstream.name, &failure);
             self.after_failure(&failure)?;
         }
     }
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -126,9 +126,9 @@
         return_to_pool(&self.router, &current.upstream, current.connection);
     }
 
-    /// Ends an attempt that failed or whose stream is moved. Dropping its connection cancels the request at the
-    /// upstream.
-    pub(super) fn abandon_current(&mut self) {
+    /// Ends an attempt that failed with `failure`, or whose stream is moved (`None`). Dropping its connection cancels
+    /// the request at the upstream.
+    pub(super) fn abandon_current(&mut self, failure: Option<&AttemptFailure>) {
         self.splitter = EventSplitter::default();
         let Some(current) = self.current.take() else {
             return;
@@ -140,7 +140,10 @@
             ..
         } = current;
         self.interrupted_since.get_or_insert(last_event_at);
-        self.tried.push(upstream.name);
+        match failure {
+            Some(failure) => self.tried.on_failure(&upstream.name, failure),
+            None => self.tried.on_left(&upstream.name),
+        }
         self.replica = replica.map(|(engine, _load)| engine);
     }
 }
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Whether the failure is a sign that the upstream fails requests. A lost path says nothing about the upstream.
+    pub fn counts_against_upstream(&self) -> bool {
+        *self != Self::PathLost && self.outcome().may_have_run()
+    }
+
     /// Whether the upstream refused the request because it had no room for it.
     pub fn is_for_lack_of_room(&self) -> bool {
         matches!(self, Self::NotRun { status } if *status == SERVICE_UNAVAILABLE)
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -27,6 +27,7 @@
 //! | may a request be sent to one that limits itself | [`permit`] |
 //! | how much does a brittle upstream get, and when nothing | [`brittle`] |
 //! | which upstreams want nothing for a while | [`cloverpier_core::wait`] |
+//! | which upstreams get no further attempt of a request | [`tried_upstreams`] |
 //! | is a failed attempt retried | [`attempts`], [`budget`] |
 //! | when should a refused caller retry | [`refusal`] |
 //! | which upstreams may be dead, which data centres | [`suspicion`] |
@@ -99,6 +100,7 @@
 pub mod store_watch;
 pub mod successor;
 pub mod suspicion;
+pub mod tried_upstreams;
 pub mod tunnel_peers;
 pub mod upstream;
 pub mod upstream_table;
--- /dev/null
+++ b/crates/router/cloverpier_router_policy/src/tried_upstreams.rs
@@ -0,0 +1,56 @@
+//! The upstreams that have failed a request or that its stream has left, which get no further attempt of it.
+//!
+//! - **Question.** Which upstreams are no candidates for the next attempt of a request?
+//! - **Inputs.** The upstream of each attempt that ended, and whether only this router's path to it was lost.
+//! - **Result.** A list of names for [`crate::choice::Demand`].
+//! - **Why.** An upstream that has failed a request probably fails it again. An upstream behind a lost path has not
+//!   failed and can be reached through a peer; it has read the prompt of a stream, but still runs the lost attempt. So
+//!   it gets another attempt only where no other upstream can.
+//!
+//! [`TriedUpstreams`] owns the names for one request.
+
+use crate::attempt_failure::AttemptFailure;
+use cloverpier_core::UpstreamName;
+
+/// The upstreams that get no further attempt of one request.
+#[derive(Clone, Debug, Default)]
+pub struct TriedUpstreams {
+    /// In the order of the attempts.
+    excluded: Vec<UpstreamName>,
+    /// Those of them whose attempt ended because the path was lost.
+    behind_lost_paths: Vec<UpstreamName>,
+    last: Option<UpstreamName>,
+}
+
+impl TriedUpstreams {
+    /// Records the upstream of an attempt that failed.
+    pub fn on_failure(&mut self, upstream: &UpstreamName, failure: &AttemptFailure) {
+        if *failure == AttemptFailure::PathLost {
+            self.behind_lost_paths.push(upstream.clone());
+        }
+        self.on_left(upstream);
+    }
+
+    /// Records an upstream that a stream is moved away from.
+    pub fn on_left(&mut self, upstream: &UpstreamName) {
+        self.excluded.push(upstream.clone());
+        self.last = Some(upstream.clone());
+    }
+
+    /// The upstreams that are no candidates.
+    pub fn excluded(&self) -> &[UpstreamName] {
+        &self.excluded
+    }
+
+    /// The upstream of the last attempt that ended; `None` before the first.
+    pub fn last(&self) -> Option<&UpstreamName> {
+        self.last.as_ref()
+    }
+
+    /// Makes the upstreams behind lost paths candidates again, once for each lost path. Returns whether there are any.
+    pub fn readmit_behind_lost_paths(&mut self) -> bool {
+        let readmitted = std::mem::take(&mut self.behind_lost_paths);
+        self.excluded.retain(|name| !readmitted.contains(name));
+        !readmitted.is_empty()
+    }
+}
