Do not overcommit brittle engines

A stream that moves may go to engines without a free slot, and went to brittle ones, too, which may accept fewer waiting requests than they used to and crash if they refuse too many. Found by reading the change again. nothing_is_queued_at_a_brittle_upstream_nor_is_an_engine_overcommitted chose the full engine before, and finds all upstreams full now.

--- a/crates/router/cloverpier_router_policy/src/choice.rs
+++ b/crates/router/cloverpier_router_policy/src/choice.rs
@@ -71,7 +71,7 @@
     /// A hash of the request's content if that content may be what crashes upstreams, else `None`. Such a
     /// request goes to the engine that runs the fewest other requests.
     pub suspect_content: Option<u64>,
-    /// Whether upstreams without a free slot are candidates, too.
+    /// Whether upstreams without a free slot are candidates, too, unless they are brittle.
     pub overcommit: bool,
     /// The load that queried engines have just reported; empty where no engine was queried or replied.
     pub reported: &'a ReportedLoad,
@@ -198,8 +198,9 @@
     candidates: &[&'a UpstreamState],
     demand: &Demand<'_>,
 ) -> Vec<&'a UpstreamState> {
+    let may_overcommit = |s: &UpstreamState| demand.overcommit && !s.brittleness.is_brittle();
     let free = filtered(candidates, |s| {
-        demand.overcommit || has_capacity(table, demand, s)
+        may_overcommit(s) || has_capacity(table, demand, s)
     });
     let with_report = filtered(&free, |s| demand.reported.of(s.key).is_some());
     if with_report.is_empty() {
--- a/crates/router/cloverpier_router_policy/tests/brittle.rs
+++ b/crates/router/cloverpier_router_policy/tests/brittle.rs
@@ -1,8 +1,10 @@
 //! How much room a router has at a brittle upstream, and how long it pauses after refusals.
 
+use cloverpier_core::{DataCentre, ServiceName};
 use cloverpier_router_policy::brittle::{BrittleStatement, Brittleness, RouterHash, share_of};
-use cloverpier_router_policy::prelude::UpstreamKey;
+use cloverpier_router_policy::prelude::*;
 use quickcheck::quickcheck;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -78,6 +80,63 @@
     assert!(!brittleness.explains_crash(now + 3 * SECOND));
 }
 
+/// The choice for one more request in a service with one upstream of two slots, both taken.
+fn choice_at_full_upstream(is_brittle: bool, engine_memory: Option<u64>) -> Choice {
+    let (service, home) = (ServiceName::new("drafts"), DataCentre::new("hall-a"));
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    let only = Upstream {
+        name: "only".into(),
+        service: service.clone(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        data_centre: home.clone(),
+        slots: 2,
+        draining: false,
+        start: None,
+    };
+    table.apply_list(vec![only], 1, now);
+    let request = Load {
+        requests: 1,
+        ..Load::default()
+    };
+    for _ in 0..2 {
+        table.add_load(&"only".into(), request);
+    }
+    if is_brittle {
+        let brittleness = table.brittleness_mut(&"only".into()).unwrap();
+        brittleness.on_statement(BrittleStatement::MaxRefusals(5));
+        brittleness.set_share(2);
+    }
+    let demand = Demand {
+        service: &service,
+        home: &home,
+        load: request,
+        engine_memory,
+        affinity: None,
+        prompt_location: None,
+        is_continuation: false,
+        tried: &[],
+        connected: &HashSet::new(),
+        suspect_content: None,
+        overcommit: engine_memory.is_some(),
+        reported: &ReportedLoad::default(),
+        versions: &VersionRule::ANY,
+        limits: &LimitedUpstreams::NONE,
+        now,
+    };
+    choose_upstream(&table, &demand, &mut fastrand::Rng::with_seed(1))
+}
+
+#[test]
+fn nothing_is_queued_at_a_brittle_upstream_nor_is_an_engine_overcommitted() {
+    for engine_memory in [None, Some(1_000_000)] {
+        let choice = choice_at_full_upstream(false, engine_memory);
+        assert!(matches!(choice, Choice::Upstream(_)));
+        let choice = choice_at_full_upstream(true, engine_memory);
+        assert_eq!(choice, Choice::None(NoUpstream::AllFull));
+    }
+}
+
 /// A router that is refused whenever it tries, at most once a millisecond.
 fn refusals_of_a_router_that_is_always_refused(max_refusals: u32, seed: u64) -> Vec<Duration> {
     let start = Instant::now();
