--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -10,7 +10,7 @@
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::refusal::Refusal;
+use cloverpier_router_policy::refusal::{Refusal, ServiceState, reason_for_refusal};
 use hyper::StatusCode;
 use std::time::{Duration, Instant};
 
@@ -85,24 +85,14 @@
 
     /// The reason for refusing the request, which decides when the caller should retry.
     fn refusal(&self, router: &Router, request: &RelayRequest) -> Refusal {
-        if let Some(NoUpstream::AllRateLimited { retry }) = self.no_upstream {
-            return Refusal::UpstreamsRateLimited {
-                permit_delay: retry,
-            };
-        }
-        if router
-            .reachability
-            .borrow()
-            .is_cut_off(&request.service.name)
-        {
-            return Refusal::CutOff;
-        }
+        let service = &request.service.name;
         let table = router.upstreams.borrow();
-        let objective = request.route.objective;
-        match table.wait_of_service(&request.service.name, router.now()) {
-            Some(wait) => Refusal::UpstreamsPaused { wait, objective },
-            None => Refusal::NoUpstream { objective },
-        }
+        reason_for_refusal(ServiceState {
+            no_upstream: self.no_upstream,
+            wait: table.wait_of_service(service, router.now()),
+            is_cut_off: router.reachability.borrow().is_cut_off(service),
+            objective: request.route.objective,
+        })
     }
 
     /// The reason for log lines, which distinguishes the cases in which no upstream could get the request.
--- a/crates/router/cloverpier_router_policy/src/refusal.rs
+++ b/crates/router/cloverpier_router_policy/src/refusal.rs
@@ -12,6 +12,7 @@
 //!
 //! Owns no state.
 
+use crate::choice::NoUpstream;
 use crate::upstream_table::ServiceWait;
 use std::time::Duration;
 
@@ -65,6 +66,34 @@
     },
 }
 
+/// The state of a service at this router when no upstream took a request.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceState {
+    /// Why no upstream got the request; `None` if the attempts at upstreams failed.
+    pub no_upstream: Option<NoUpstream>,
+    /// The pause that all upstreams of the service have requested; `None` if one of them accepts requests.
+    pub wait: Option<ServiceWait>,
+    /// Whether this router reaches the service only through peers.
+    pub is_cut_off: bool,
+    /// The time within which a response of the route counts as on time.
+    pub objective: Duration,
+}
+
+/// The reason for a refusal. A caller is sent to another router at once only if nothing but this router's lost paths
+/// explains the refusal: where all upstreams are full or paused, other routers refuse as well.
+pub fn reason_for_refusal(state: ServiceState) -> Refusal {
+    let objective = state.objective;
+    match (state.no_upstream, state.wait) {
+        (Some(NoUpstream::AllRateLimited { retry }), _) => Refusal::UpstreamsRateLimited {
+            permit_delay: retry,
+        },
+        (_, Some(wait)) => Refusal::UpstreamsPaused { wait, objective },
+        (Some(NoUpstream::AllFull), None) => Refusal::NoUpstream { objective },
+        _ if state.is_cut_off => Refusal::CutOff,
+        _ => Refusal::NoUpstream { objective },
+    }
+}
+
 /// The time after which a refused caller should retry.
 pub fn retry_after(refusal: Refusal) -> Duration {
     match refusal {
--- a/crates/router/cloverpier_router_policy/tests/wait.rs
+++ b/crates/router/cloverpier_router_policy/tests/wait.rs
@@ -3,7 +3,7 @@
 
 use cloverpier_core::{DataCentre, ServiceName, WaitPeriod};
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::refusal::{Refusal, retry_after};
+use cloverpier_router_policy::refusal::{Refusal, ServiceState, reason_for_refusal, retry_after};
 use cloverpier_router_policy::replica::{Replica, usable_replica};
 use quickcheck::quickcheck;
 use std::collections::HashSet;
@@ -213,3 +213,29 @@
         wait.is_none_or(|wait| !wait.is_active(latest_end))
     }
 }
+
+#[test]
+fn callers_are_sent_to_another_router_only_where_lost_paths_alone_explain_the_refusal() {
+    let objective = Duration::from_secs(1);
+    let reason = |no_upstream, wait, is_cut_off| {
+        reason_for_refusal(ServiceState {
+            no_upstream,
+            wait,
+            is_cut_off,
+            objective,
+        })
+    };
+    let full = Some(NoUpstream::AllFull);
+    let unusable = Some(NoUpstream::NoneUsable);
+    let no_upstream = Refusal::NoUpstream { objective };
+    assert_eq!(reason(None, None, true), Refusal::CutOff);
+    assert_eq!(reason(unusable, None, true), Refusal::CutOff);
+    assert_eq!(reason(unusable, None, false), no_upstream);
+    assert_eq!(reason(full, None, true), no_upstream);
+    let wait = ServiceWait {
+        remaining: WAIT,
+        elapsed: Duration::ZERO,
+    };
+    let paused = Refusal::UpstreamsPaused { wait, objective };
+    assert_eq!(reason(unusable, Some(wait), true), paused);
+}
