--- a/crates/router/cloverpier_router/src/brittle.rs
+++ b/crates/router/cloverpier_router/src/brittle.rs
@@ -14,7 +14,7 @@
 use cloverpier_router_policy::prelude::*;
 use std::net::SocketAddr;
 
-/// Applies what a response says about whether its sender is brittle.
+/// Applies the statement of a response's sender about its brittleness.
 pub(crate) fn on_statement(
     router: &Router,
     upstream: &Upstream,
--- a/crates/router/cloverpier_router/src/datagrams.rs
+++ b/crates/router/cloverpier_router/src/datagrams.rs
@@ -5,7 +5,7 @@
 //! must arrive repeat them, or receivers request the content again.
 
 use crate::decision_log::log_named_event;
-use crate::metrics::CounterByKind;
+use crate::metric_kinds::CounterByKind;
 use crate::peer_messages::{PeerMessage, encode};
 use cloverpier_observe::Log;
 use std::cell::OnceCell;
--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -163,13 +163,13 @@
     pub took_ms: u64,
 }
 
-/// This router was asked for a tunnel by a peer.
+/// A peer requested a tunnel from this router.
 #[derive(Serialize)]
 pub(crate) struct TunnelServed<'a> {
     pub tunnel: &'a str,
     #[serde(rename = "server")]
     pub upstream: &'a str,
-    /// The IP address of the router that asked.
+    /// The IP address of the requesting router.
     pub peer: Option<String>,
     /// Why the tunnel was not opened; `None` if it was.
     pub failure: Option<&'static str>,
--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -134,6 +134,7 @@
     pub fn end_all(&self, upstream: &Upstream, now: Instant) -> Rc<UpstreamHealth> {
         let last_own_response = self.last_own_response(&upstream.name);
         let ended = self.by_upstream.borrow_mut().remove(&upstream.name);
+        // An upstream without entries has no attempts to end.
         for health in ended.unwrap_or_default().values() {
             health.end(EndCause::UpstreamDead);
         }
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -8,7 +8,7 @@
 //! | concern | modules |
 //! | --- | --- |
 //! | start, shutdown | `start`, `signals`, `lifecycle` |
-//! | a request, in the order of processing | `web`, `intake`, `buffer_reservation`, `relay_request`, then `plain` or `stream`, `send`, `wait`, `outcome`, `responses` |
+//! | a request, in the order of processing | `web`, `intake`, `buffer_reservation`, `relay_request`, then `plain` or `stream`, `attempt_message`, `send`, `wait`, `outcome`, `responses` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | queries for engines' load | `load_query`, `engine_query` |
 //! | requests that crash upstreams | `crashes`, `cancel_signal` |
@@ -20,7 +20,7 @@
 //! | work that only one router at a time does | `singleton` |
 //! | other routers | `peers`, `outbox`, `datagrams`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `list_copies`, `configuration_copies`, [`peer_messages`] |
 //! | connections | `connection`, `pool`, `http_client`, `body` |
-//! | logs and metrics | `decision_log`, `choice_log`, `upstream_log`, `call_kind`, `metrics` |
+//! | logs and metrics | `decision_log`, `choice_log`, `upstream_log`, `call_kind`, `metrics`, `metric_kinds` |
 //! | CPU-heavy work on another thread | `background` |
 //!
 //! The crate uses `hyper` at the level of connections. Whether a request may be retried depends on whether any byte of
@@ -42,6 +42,7 @@
 
 #![warn(clippy::disallowed_methods)]
 
+mod attempt_message;
 mod background;
 mod body;
 mod brittle;
@@ -67,6 +68,7 @@
 mod list_copies;
 mod load_guard;
 mod load_query;
+mod metric_kinds;
 mod metrics;
 mod outbox;
 mod outcome;
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -4,53 +4,11 @@
 //! adapter's tests pins. `prometheus-client` keeps them, and not `cadence`, because scrapers pull them from this
 //! process.
 
-use prometheus_client::encoding::EncodeLabelSet;
+use crate::metric_kinds::{CounterByKind, Latency};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
-use std::time::Duration;
-
-/// The label that distinguishes the counters of a [`CounterByKind`].
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-pub(crate) struct KindLabel {
-    kind: &'static str,
-}
-
-/// A family of counters, with the kind of the counted event as the label.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct CounterByKind(Family<KindLabel, Counter>);
-
-impl CounterByKind {
-    /// Increments the counter of a kind by 1.
-    pub fn count(&self, kind: &'static str) {
-        self.add(kind, 1);
-    }
-
-    /// Increments the counter of a kind by `count`.
-    pub fn add(&self, kind: &'static str, count: u64) {
-        self.0.get_or_create(&KindLabel { kind }).inc_by(count);
-    }
-}
-
-/// A histogram of latencies in seconds, with buckets from 1 ms to about 33 s.
-#[derive(Clone, Debug)]
-pub(crate) struct Latency(Histogram);
-
-impl Default for Latency {
-    fn default() -> Self {
-        Self(Histogram::new(exponential_buckets(0.001, 2.0, 16)))
-    }
-}
-
-impl Latency {
-    /// Records one duration.
-    pub fn observe(&self, duration: Duration) {
-        self.0.observe(duration.as_secs_f64());
-    }
-}
 
 /// All metrics of a router, and the registry that encodes them.
 #[derive(Debug)]
@@ -160,6 +118,7 @@
     fn register(&mut self) {
         self.register_requests();
         self.register_upstreams();
+        self.register_paths();
         self.register_process();
         self.register_crashes();
         self.register_versions();
@@ -200,21 +159,6 @@
             "Silence to verdict",
             self.failure_detection.0.clone(),
         );
-        registry.register(
-            "unreachable_services",
-            "Services that this router does not reach",
-            self.unreachable_services.clone(),
-        );
-        registry.register(
-            "lost_paths",
-            "Servers reached only through other routers",
-            self.lost_paths.clone(),
-        );
-        registry.register(
-            "tunnels",
-            "Tunnels to servers by outcome",
-            self.tunnels.0.clone(),
-        );
         registry.register(
             "leavings",
             "Servers that said they leave",
@@ -242,6 +186,25 @@
         );
     }
 
+    fn register_paths(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "unreachable_services",
+            "Services that this router does not reach",
+            self.unreachable_services.clone(),
+        );
+        registry.register(
+            "lost_paths",
+            "Servers reached only through other routers",
+            self.lost_paths.clone(),
+        );
+        registry.register(
+            "tunnels",
+            "Tunnels to servers by outcome",
+            self.tunnels.0.clone(),
+        );
+    }
+
     fn register_process(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -4,6 +4,7 @@
 //! retried at another upstream if the response breaks off. Once a response exceeds the buffer, the rest is
 //! forwarded as it arrives. [`PlainRelay`] owns the attempts of one request.
 
+use crate::attempt_message::AttemptHeaders;
 use crate::body::{IncompleteResponse, ResponseBody};
 use crate::buffer_reservation::BufferReservation;
 use crate::choice_log::{ChoiceInputs, log_choice};
@@ -19,7 +20,7 @@
 use crate::responses::{BufferedResponse, ServerResponse, streamed_response};
 use crate::rollouts;
 use crate::router::Router;
-use crate::send::{AttemptHeaders, OpenResponse, return_to_pool, send};
+use crate::send::{OpenResponse, return_to_pool, send};
 use crate::singleton;
 use crate::wait::{AwaitedUpstream, wait_while_alive};
 use bytes::{Bytes, BytesMut};
@@ -105,14 +106,8 @@
             if admitted.admission == Admission::Blocked {
                 return Err(RequestFailure::content_blocked());
             }
-            let result = self
-                .request
-                .cancel
-                .run_unless_cancelled(self.find_upstream())
-                .await;
-            let upstream = match result.ok_or_else(RequestFailure::content_blocked)? {
+            let upstream = match self.next_upstream().await? {
                 Ok(upstream) => upstream,
-                Err(_) if self.tried.readmit_behind_lost_paths() => continue,
                 Err(reason) => return self.without_upstream(reason),
             };
             if !admitted.is_still_valid(self.router, self.request) {
@@ -142,6 +137,19 @@
         }
     }
 
+    /// The upstream of the next attempt. If there is none, upstreams that were tried over paths that are lost now are
+    /// candidates again.
+    async fn next_upstream(&mut self) -> Result<Result<Upstream, NoUpstream>, RequestFailure> {
+        loop {
+            let cancel = &self.request.cancel;
+            let found = cancel.run_unless_cancelled(self.find_upstream()).await;
+            let found = found.ok_or_else(RequestFailure::content_blocked)?;
+            if found.is_ok() || !self.tried.readmit_behind_lost_paths() {
+                return Ok(found);
+            }
+        }
+    }
+
     /// The result of a request for which no upstream is available: the last error response of an upstream, if any,
     /// else a refusal or an error of this router.
     fn without_upstream(&mut self, reason: NoUpstream) -> Result<ServerResponse, RequestFailure> {
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -7,27 +7,24 @@
 //! means. Owns no state.
 
 use crate::call_kind::CallKind;
-use crate::connection::{Connection, Via};
 use crate::crashes::record;
 use crate::decision_log::ms;
 use crate::health::UpstreamHealth;
-use crate::http_client::{CallError, get_over};
+use crate::http_client::CallError;
 use crate::reachability;
-use crate::reachability::query::{PathResponse, connect_via, get_otherwise};
+use crate::reachability::probing::{end_path_if_reached_otherwise, get_for_probe, probe_otherwise};
+use crate::reachability::query::PathResponse;
 use crate::router::Router;
-use crate::send::return_to_pool;
 use crate::statements::Call;
 use crate::successors;
 use crate::upstream_limits::Permission;
 use crate::upstream_log::log_upstream_change;
 use cloverpier_core::UpstreamName;
-use cloverpier_router_policy::connection_reuse::CONNECT_TIMEOUT;
 use cloverpier_router_policy::permit::PROBE_PERMIT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::suspicion::{
-    CheckResult, MAX_PROBES, PROBE_CONNECT_TIMEOUT, PROBE_RETRY_DELAY, PROBE_TIMEOUT, check_result,
+    CheckResult, MAX_PROBES, PROBE_RETRY_DELAY, PROBE_TIMEOUT, check_result,
 };
-use cloverpier_router_policy::tunnel_peers::FALLBACK_DELAY;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
@@ -87,11 +84,7 @@
 /// connections before its listening socket, so a broken connection does not show whether the process has ended.
 async fn probe_with_retries(router: &Rc<Router>, upstream: &Upstream, health: &Rc<UpstreamHealth>) {
     for attempt in 0..MAX_PROBES {
-        let permission = router
-            .upstream_limits
-            .acquire(upstream, PROBE_PERMIT_TIMEOUT);
-        if permission.await != Permission::Granted {
-            router.metrics.probes.count("without-permit");
+        if !acquire_probe_permit(router, upstream).await {
             return;
         }
         health.probe_awaits_permit.set(false);
@@ -111,6 +104,19 @@
     }
 }
 
+/// Acquires a permit for a probe or check if the upstream limits its request rate. Returns false, and counts the probe,
+/// if there is none in time.
+pub(crate) async fn acquire_probe_permit(router: &Router, upstream: &Upstream) -> bool {
+    let permission = router
+        .upstream_limits
+        .acquire(upstream, PROBE_PERMIT_TIMEOUT);
+    let is_granted = permission.await == Permission::Granted;
+    if !is_granted {
+        router.metrics.probes.count("without-permit");
+    }
+    is_granted
+}
+
 /// Whether a probe has to be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProbeOutcome {
@@ -137,7 +143,20 @@
         result = &mut responding => result,
         () = probe_otherwise(router, upstream, health) => responding.await,
     };
-    match result.unwrap_or(Err(CallError::TimedOut)) {
+    // A timeout is the only error that is not one of the call itself.
+    let result = result.unwrap_or(Err(CallError::TimedOut));
+    on_probe_result(router, upstream, health, sent, result).await
+}
+
+/// Handles the result of a probe that was sent at `sent` over the path of `health`.
+async fn on_probe_result(
+    router: &Rc<Router>,
+    upstream: &Upstream,
+    health: &Rc<UpstreamHealth>,
+    sent: Instant,
+    result: Result<PathResponse, CallError>,
+) -> ProbeOutcome {
+    match result {
         Ok(probed) => {
             let call = Call {
                 upstream,
@@ -172,89 +191,6 @@
     ProbeOutcome::Finished
 }
 
-/// Sends the request of a probe over the path of `health`, on a connection that no caller's request uses.
-async fn get_for_probe(
-    router: &Rc<Router>,
-    upstream: &Upstream,
-    health: &UpstreamHealth,
-) -> Result<PathResponse, CallError> {
-    let mut connection = match take_probe_connection(health).await {
-        Some(connection) => connection,
-        None => {
-            let opened = connect_via(router, upstream, health.via, PROBE_CONNECT_TIMEOUT).await;
-            opened.map_err(|source| CallError::Connect { source })?
-        }
-    };
-    let path = router.wire_names.paths.engine_report;
-    let response = get_over(&mut connection, upstream.address, path).await?;
-    Ok(PathResponse {
-        response,
-        connection,
-    })
-}
-
-/// The connection of the last probe over the path of `health`, if it can carry another one.
-async fn take_probe_connection(health: &UpstreamHealth) -> Option<Connection> {
-    let mut connection = health.probe_connection.borrow_mut().take()?;
-    connection.wait_until_ready().await.then_some(connection)
-}
-
-/// Waits until a probe has remained without a response for a while, and then probes the upstream over another path. A
-/// response there is recorded: it shows that only the path of `health` is lost, if the probe over it ends without a
-/// response.
-async fn probe_otherwise(router: &Rc<Router>, upstream: &Upstream, health: &UpstreamHealth) {
-    router.timers.sleep(FALLBACK_DELAY).await;
-    let reached = reach_otherwise(router, upstream, health.via).await;
-    if let Some(via) = reached {
-        let now = router.now();
-        health.reached_otherwise.set(Some((now, via)));
-    }
-}
-
-/// The path over which the upstream itself responds, if there is one other than `silent`.
-async fn reach_otherwise(router: &Rc<Router>, upstream: &Upstream, silent: Via) -> Option<Via> {
-    let path = router.wire_names.paths.engine_report;
-    let sent = router.now();
-    let responding = get_otherwise(router, upstream, path, silent);
-    let result = router.timers.timeout(CONNECT_TIMEOUT, responding).await;
-    let Ok(Ok(reached)) = result else {
-        router.metrics.probes.count("other-path-silent");
-        return None;
-    };
-    router.metrics.probes.count("other-path-alive");
-    let call = Call {
-        upstream,
-        via: CallKind::Probe,
-        sent,
-        connection: &reached.connection,
-    };
-    let said = router
-        .apply_query_statement(call, reached.response.parts())
-        .statement;
-    let via = reached.connection.via;
-    return_to_pool(router, upstream, reached.connection);
-    if check_result(&upstream.name, said.name.as_ref()) != CheckResult::Alive {
-        return None;
-    }
-    record::on_probe_response(router, upstream, sent);
-    Some(via)
-}
-
-/// Ends the path of `health` if the upstream responds over another one. `tried_at` is when the call over the path was
-/// sent that failed. Returns whether the path was ended.
-async fn end_path_if_reached_otherwise(
-    router: &Rc<Router>,
-    upstream: &Upstream,
-    health: &UpstreamHealth,
-    tried_at: Instant,
-) -> bool {
-    let reached = reach_otherwise(router, upstream, health.via).await;
-    if let Some(reached) = reached {
-        reachability::end_silent_path(router, upstream, health.via, reached, tried_at);
-    }
-    reached.is_some()
-}
-
 /// Handles a probe that nothing has answered in time: the path of `health` is lost if the upstream was reached over
 /// another one, else the upstream is declared dead. Returns the failure of the attempts that wait.
 pub(crate) fn on_unanswered_probe(
@@ -264,6 +200,7 @@
     now: Instant,
 ) -> AttemptFailure {
     if let Some(reached) = health.other_path() {
+        // The entry has another path only while a probe is in flight.
         let probed_at = health.probing_since.get().unwrap_or(now);
         reachability::end_silent_path(router, upstream, health.via, reached, probed_at);
         return AttemptFailure::PathLost;
@@ -309,6 +246,7 @@
     now: Instant,
 ) {
     reachability::on_failure(router, upstream);
+    // Without an entry, nothing was sent to the upstream before the connection that has just failed.
     let last_activity = router.health.last_activity(&upstream.name).unwrap_or(now);
     match evidence {
         FailureEvidence::NoProcess => record::on_process_gone(router, upstream, now),
--- a/crates/router/cloverpier_router/src/reachability/checks.rs
+++ b/crates/router/cloverpier_router/src/reachability/checks.rs
@@ -5,12 +5,11 @@
 
 use super::query::get_direct;
 use crate::call_kind::CallKind;
+use crate::probe::acquire_probe_permit;
 use crate::router::Router;
 use crate::send::return_to_pool;
 use crate::statements::Call;
-use crate::upstream_limits::Permission;
 use cloverpier_router_policy::connection_reuse::CONNECT_TIMEOUT;
-use cloverpier_router_policy::permit::PROBE_PERMIT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::reachability::PATH_CHECK_PERIOD;
 use std::rc::Rc;
@@ -33,11 +32,7 @@
 
 /// Sends one check. A response restores the path; without one, the next check is scheduled already.
 async fn check(router: Rc<Router>, upstream: Upstream) {
-    let permission = router
-        .upstream_limits
-        .acquire(&upstream, PROBE_PERMIT_TIMEOUT);
-    if permission.await != Permission::Granted {
-        router.metrics.probes.count("without-permit");
+    if !acquire_probe_permit(&router, &upstream).await {
         return;
     }
     let sent = router.now();
--- a/crates/router/cloverpier_router/src/reachability/connect.rs
+++ b/crates/router/cloverpier_router/src/reachability/connect.rs
@@ -92,6 +92,7 @@
         },
         opened = &mut tunnel => match opened {
             Ok(connection) => Ok(connection),
+            // The log has the peers' reasons; the direct connection may still open.
             Err(_) => direct.await,
         },
     }
--- a/crates/router/cloverpier_router/src/reachability/mod.rs
+++ b/crates/router/cloverpier_router/src/reachability/mod.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`connect`] | opens connections for requests and queries, by itself or through a peer |
 //! | [`query`] | GET requests to an upstream over a given path |
+//! | [`probing`] | the paths that a probe of a silent upstream takes |
 //! | [`checks`] | checks whether lost paths work again |
 //!
 //! This module collects the failures and responses of all calls to upstreams, applies
@@ -12,6 +13,7 @@
 
 pub(crate) mod checks;
 pub(crate) mod connect;
+pub(crate) mod probing;
 pub(crate) mod query;
 
 use crate::connection::{Connection, Via};
--- a/crates/router/cloverpier_router/src/reachability/query.rs
+++ b/crates/router/cloverpier_router/src/reachability/query.rs
@@ -74,8 +74,8 @@
     get_on(opened.map_err(TunnelError::into_io), upstream, path).await
 }
 
-/// Sends a GET request over another path than `silent`: through a peer, or directly where the direct path is not known
-/// to be lost and `silent` is that through a peer.
+/// Sends a GET request over another path than `silent`: directly if `silent` is a tunnel and the direct path is not
+/// lost, else through a peer.
 ///
 /// # Errors
 ///
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -130,7 +130,7 @@
         let metrics = Metrics::default();
         let (sent, bytes) = (metrics.peer_datagrams.clone(), metrics.peer_bytes.clone());
         let datagrams = Rc::new(Datagrams::new(log.clone(), sent, bytes));
-        let limit_parts = LimitDependencies {
+        let limits = LimitDependencies {
             own_address: settings.listen.peers,
             timers: timers.clone(),
             datagrams: Rc::clone(&datagrams),
@@ -140,7 +140,7 @@
             rng: rng.fork(),
         };
         Self {
-            upstream_limits: Rc::new(UpstreamLimits::new(limit_parts)),
+            upstream_limits: Rc::new(UpstreamLimits::new(limits)),
             singleton: Singleton::new(&settings, incarnation, wall_ms(), timers.now()),
             log,
             wire_names,
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -4,11 +4,10 @@
 //! for a valid response head. `cloverpier_router_policy::attempt_failure` decides which responses are valid and
 //! what a failure proves; this module extracts the inputs from the messages. Owns no state.
 
+use crate::attempt_message::{AttemptHeaders, build_request};
 use crate::brittle;
 use crate::call_kind::CallKind;
-use crate::connection::{
-    BufferedRequest, Connection, SendError, Via, describe_error, find_io_error_kind,
-};
+use crate::connection::{Connection, SendError, Via, describe_error, find_io_error_kind};
 use crate::crashes::record;
 use crate::decision_log::SentThroughPeer;
 use crate::health::UpstreamHealth;
@@ -28,30 +27,14 @@
 use cloverpier_router_policy::connection_reuse::{CONNECT_TIMEOUT, idle_connection_limit};
 use cloverpier_router_policy::deadline::has_time_to_send;
 use cloverpier_router_policy::prelude::*;
-use http_body_util::Full;
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
-use hyper::{Request, Response};
 use std::io;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// The values of the headers that differ between the attempts of a request.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct AttemptHeaders {
-    /// The engine to which the upstream replicates the KV cache of this attempt; `None` if it is not replicated.
-    pub replica: Option<Upstream>,
-    /// The id of the KV cache replica from which the upstream resumes a stream, in the platform's format; `None`
-    /// if the upstream computes the KV cache itself.
-    pub resume_from: Option<String>,
-    /// The last event of the stream that the caller has received already; the upstream sends the events after it.
-    /// `None` for the whole stream.
-    pub last_event: Option<u64>,
-    /// The request's priority at the upstream, 0 the highest.
-    pub priority: u8,
-}
-
 /// A response whose head has arrived and is valid, and whose body follows.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
@@ -174,64 +157,6 @@
     })
 }
 
-/// Builds the HTTP request of one attempt.
-fn build_request(
-    router: &Router,
-    request: &RelayRequest,
-    upstream: &Upstream,
-    attempt_headers: &AttemptHeaders,
-    now: Instant,
-) -> Result<BufferedRequest, AttemptFailure> {
-    let message = Request::builder()
-        .method(request.method.clone())
-        .uri(request.target.as_str());
-    let message = message.body(Full::new(request.body.clone()));
-    let mut message = message.map_err(|e| AttemptFailure::InvalidMessage {
-        error: e.to_string(),
-    })?;
-    let headers = message.headers_mut();
-    headers.clone_from(&request.headers);
-    set_attempt_headers(router, request, upstream, attempt_headers, now, headers)?;
-    Ok(message)
-}
-
-/// Sets the headers of one attempt, among them the time left until the deadline and the name of the upstream.
-fn set_attempt_headers(
-    router: &Router,
-    request: &RelayRequest,
-    upstream: &Upstream,
-    attempt_headers: &AttemptHeaders,
-    now: Instant,
-    headers: &mut HeaderMap,
-) -> Result<(), AttemptFailure> {
-    let names = &router.wire_names.headers;
-    let mut set = |name: &HeaderName, text: &str| match HeaderValue::from_str(text) {
-        Ok(value) => {
-            headers.insert(name.clone(), value);
-            Ok(())
-        }
-        Err(e) => Err(AttemptFailure::InvalidMessage {
-            error: format!("{name}: {e}"),
-        }),
-    };
-    let time_left = request.time_left(now).as_millis().to_string();
-    set(&names.deadline_ms, &time_left)?;
-    set(&names.expected_upstream, upstream.name.as_str())?;
-    if request.service.engine.is_some() {
-        set(&names.priority, &attempt_headers.priority.to_string())?;
-    }
-    if let Some(replica) = &attempt_headers.replica {
-        set(&names.replica_at, &replica.address.to_string())?;
-    }
-    if let Some(replica_id) = &attempt_headers.resume_from {
-        set(&names.resume_from, replica_id)?;
-    }
-    if let Some(last) = attempt_headers.last_event {
-        set(&names.last_event, &last.to_string())?;
-    }
-    Ok(())
-}
-
 /// A request of which the head of the response has arrived.
 struct SentRequest<'a> {
     upstream: &'a Upstream,
@@ -252,23 +177,41 @@
     response: Response<Incoming>,
     mut connection: Connection,
 ) -> Result<OpenResponse, AttemptFailure> {
-    let SentRequest {
-        upstream,
-        request,
-        sent_at,
-        health,
-    } = sent;
+    let (head, body) = response.into_parts();
+    check_head(router, &sent, &head, &connection)?;
+    // An upstream rejects a request that names another upstream, so a valid response is from this upstream.
+    sent.health.on_own_response(router.now());
+    record::on_request_response(router, sent.upstream, sent.sent_at);
+    if let Some(limit) = announced_idle_timeout(&head.headers) {
+        connection.idle_timeout = limit;
+    }
+    Ok(OpenResponse {
+        head,
+        body,
+        connection,
+        health: sent.health,
+    })
+}
+
+/// Checks the head of a response, applies what the upstream states in it, and handles another process at the
+/// upstream's address and a refusal for lack of room.
+fn check_head(
+    router: &Router,
+    sent: &SentRequest<'_>,
+    head: &Parts,
+    connection: &Connection,
+) -> Result<(), AttemptFailure> {
+    let (upstream, request) = (sent.upstream, sent.request);
     let call = Call {
         upstream,
         via: CallKind::Request(&request.id),
-        sent: sent_at,
-        connection: &connection,
+        sent: sent.sent_at,
+        connection,
     };
-    let (head, body) = response.into_parts();
     let is_first_on_connection = connection.requests == 1;
-    let properties = response_head(router, request, &head, is_first_on_connection);
+    let properties = response_head(router, request, head, is_first_on_connection);
     let validity = check_response(&properties);
-    let statement = router.apply_response_statement(call, &head, &validity);
+    let statement = router.apply_response_statement(call, head, &validity);
     if validity == Err(AttemptFailure::Misdirected) {
         on_misdirected(router, upstream, &statement);
     }
@@ -278,19 +221,7 @@
     {
         brittle::on_refusal(router, upstream);
     }
-    validity?;
-    // An upstream rejects a request that names another upstream, so a valid response is from this upstream.
-    health.on_own_response(router.now());
-    record::on_request_response(router, upstream, sent_at);
-    if let Some(limit) = announced_idle_timeout(&head.headers) {
-        connection.idle_timeout = limit;
-    }
-    Ok(OpenResponse {
-        head,
-        body,
-        connection,
-        health,
-    })
+    validity
 }
 
 /// Extracts the properties of a response's head that decide whether the response is valid.
--- a/crates/router/cloverpier_router/src/stream/choice.rs
+++ b/crates/router/cloverpier_router/src/stream/choice.rs
@@ -6,10 +6,10 @@
 //! replica, load_query}` decide which upstream is chosen.
 
 use super::StreamRelay;
+use crate::attempt_message::AttemptHeaders;
 use crate::choice_log::{ChoiceInputs, log_choice};
 use crate::load_query::query_load;
 use crate::rollouts;
-use crate::send::AttemptHeaders;
 use crate::upstream_limits::Permission;
 use cloverpier_core::{DataCentre, UpstreamName};
 use cloverpier_crashes::Admission;
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -4,6 +4,7 @@
 //! of [`StreamRelay`], which owns the state. Relies on [`crate::send`] for the exchange with the upstream.
 
 use super::{StreamRelay, UpstreamStream};
+use crate::attempt_message::AttemptHeaders;
 use crate::crashes::abandoned::AbandonGuard;
 use crate::crashes::admission::Admitted;
 use crate::crashes::{admission, resolution};
@@ -13,7 +14,7 @@
 use crate::prompts::PromptLocationGuard;
 use crate::responses::BufferedResponse;
 use crate::rollouts;
-use crate::send::{AttemptHeaders, OpenResponse, return_to_pool, send};
+use crate::send::{OpenResponse, return_to_pool, send};
 use cloverpier_crashes::Admission;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
@@ -37,18 +38,7 @@
             if self.admitted.admission == Admission::Blocked {
                 return Err(RequestFailure::content_blocked());
             }
-            let request = Rc::clone(&self.request);
-            let found = request
-                .cancel
-                .run_unless_cancelled(self.find_upstream())
-                .await;
-            let (upstream, extras) = match found.ok_or_else(RequestFailure::content_blocked)? {
-                Ok(found) => found,
-                Err(_) if self.tried.readmit_behind_lost_paths() => continue,
-                Err(reason) => {
-                    return Err(RequestFailure::without_upstream(&self.attempts, reason));
-                }
-            };
+            let (upstream, extras) = self.next_upstream().await?;
             if !self.admitted.is_still_valid(&self.router, &self.request) {
                 continue;
             }
@@ -75,6 +65,23 @@
         }
     }
 
+    /// The upstream of the next attempt, and the headers of the attempt. If there is none, upstreams that were tried over
+    /// paths that are lost now are candidates again.
+    async fn next_upstream(&mut self) -> Result<(Upstream, AttemptHeaders), RequestFailure> {
+        let request = Rc::clone(&self.request);
+        loop {
+            let finding = self.find_upstream();
+            let found = request.cancel.run_unless_cancelled(finding).await;
+            match found.ok_or_else(RequestFailure::content_blocked)? {
+                Ok(found) => return Ok(found),
+                Err(reason) if !self.tried.readmit_behind_lost_paths() => {
+                    return Err(RequestFailure::without_upstream(&self.attempts, reason));
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Searches for the engine that has read the prompt, before the first attempt of a request that resumes a
     /// stream at an engine.
     async fn find_prompt(&self) {
--- a/crates/router/cloverpier_router/src/suspect_checks.rs
+++ b/crates/router/cloverpier_router/src/suspect_checks.rs
@@ -7,14 +7,13 @@
 use crate::crashes::record;
 use crate::decision_log::{ms, ms_since};
 use crate::http_client::CallError;
+use crate::probe::acquire_probe_permit;
 use crate::reachability;
 use crate::reachability::query::{PathResponse, get_direct, get_through_peer};
 use crate::router::Router;
 use crate::statements::Call;
 use crate::successors;
-use crate::upstream_limits::Permission;
 use crate::upstream_log::log_upstream_change;
-use cloverpier_router_policy::permit::PROBE_PERMIT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::reachability::UpstreamPath;
 use cloverpier_router_policy::suspicion::{
@@ -49,12 +48,8 @@
     let service = configuration.and_then(|c| c.service(&upstream.service).cloned());
     // Without the service's configuration there is no health path to check.
     let Some(service) = service else { return };
-    let permission = router
-        .upstream_limits
-        .acquire(&upstream, PROBE_PERMIT_TIMEOUT);
-    if permission.await != Permission::Granted {
-        // The upstream stays suspected; its next check is scheduled already.
-        router.metrics.probes.count("without-permit");
+    // Without a permit the upstream stays suspected; its next check is scheduled already.
+    if !acquire_probe_permit(&router, &upstream).await {
         return;
     }
     let sent_at = router.now();
@@ -121,6 +116,7 @@
     call: impl Future<Output = Result<T, CallError>>,
 ) -> Result<T, CallError> {
     let result = router.timers.timeout(CHECK_TIMEOUT, call).await;
+    // The only error that is not one of the call itself is that of the timeout.
     result.unwrap_or(Err(CallError::TimedOut))
 }
 
--- a/crates/router/cloverpier_router/src/tunnel/mod.rs
+++ b/crates/router/cloverpier_router/src/tunnel/mod.rs
@@ -7,13 +7,13 @@
 //!
 //! | module | concern |
 //! | --- | --- |
-//! | [`open`] | opens a tunnel: asks peers, one after the other |
+//! | [`open`] | opens a tunnel: requests it from peers, one after the other |
 //! | [`serve`] | serves tunnels for peers |
 //! | [`framing`] | marks the end of the upstream's bytes, so that a lost peer is no regular end |
 //!
 //! The protocol between routers: a GET request for [`TUNNEL_PATH`] with `Upgrade: `[`PROTOCOL`] at the address for
 //! peers. Status 101 opens the tunnel; another status has the reason in [`FAILURE_HEADER`]. A release without tunnels
-//! responds with 404. `cloverpier_router_policy::tunnel_peers` decides which peer is asked. Owns the counts of open
+//! responds with 404. `cloverpier_router_policy::tunnel_peers` decides which peer is chosen. Owns the counts of open
 //! tunnels.
 
 mod framing;
--- a/crates/router/cloverpier_router/src/tunnel/open.rs
+++ b/crates/router/cloverpier_router/src/tunnel/open.rs
@@ -1,7 +1,7 @@
 //! Opens tunnels to upstreams through peers.
 //!
-//! Asks one peer after the other. `cloverpier_router_policy::tunnel_peers` decides which one, and for how long a peer
-//! that did not open a tunnel is not asked again. The state is in [`super::Tunnels`].
+//! Requests it from one peer after the other. `cloverpier_router_policy::tunnel_peers` decides which one, and for how long a peer
+//! that did not open a tunnel is not chosen again. The state is in [`super::Tunnels`].
 
 use super::framing::FramedStream;
 use super::{FAILURE_HEADER, ID_HEADER, PROTOCOL, ServeFailure, TUNNEL_PATH, UPSTREAM_HEADER};
@@ -14,7 +14,7 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::ReadyPeer;
 use cloverpier_router_policy::tunnel_peers::{
-    MAX_PEERS_ASKED, PeerFailure, TUNNEL_TIMEOUT, TunnelCandidate, TunnelEnds,
+    MAX_PEERS_TRIED, PeerFailure, TUNNEL_TIMEOUT, TunnelCandidate, TunnelEnds,
 };
 use cloverpier_timers::Elapsed;
 use http_body_util::Empty;
@@ -32,11 +32,11 @@
 /// Why no tunnel to an upstream could be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TunnelError {
-    /// No peer may be asked: none is ready, or those that are have failed shortly before.
+    /// No peer is available: none is ready, or those that are ready have failed shortly before.
     NoPeer,
     /// The upstream's host refused the connection of a peer: no process listens at its address.
     Refused,
-    /// No peer that was asked reached the upstream.
+    /// No peer that was tried reached the upstream.
     Unreachable,
 }
 
@@ -51,8 +51,8 @@
     }
 }
 
-/// The result of asking one peer.
-enum Asked {
+/// The result of requesting a tunnel from one peer.
+enum TunnelOutcome {
     Opened(Connection),
     /// The upstream's host refused the peer's connection.
     Refused,
@@ -73,7 +73,7 @@
 ) -> Result<Connection, TunnelError> {
     let until = router.now() + timeout;
     let mut error = TunnelError::NoPeer;
-    for _ in 0..MAX_PEERS_ASKED {
+    for _ in 0..MAX_PEERS_TRIED {
         let left = until.saturating_duration_since(router.now());
         if left.is_zero() {
             break;
@@ -81,10 +81,10 @@
         let Some(peer) = choose_peer(router, upstream, except) else {
             break;
         };
-        match ask(router, peer, upstream, left.min(TUNNEL_TIMEOUT)).await {
-            Asked::Opened(connection) => return Ok(connection),
-            Asked::Refused => return Err(TunnelError::Refused),
-            Asked::Failed(failure) => {
+        match request_from(router, peer, upstream, left.min(TUNNEL_TIMEOUT)).await {
+            TunnelOutcome::Opened(connection) => return Ok(connection),
+            TunnelOutcome::Refused => return Err(TunnelError::Refused),
+            TunnelOutcome::Failed(failure) => {
                 on_peer_failed(router, &upstream.service, peer, failure);
                 error = TunnelError::Unreachable;
             }
@@ -120,10 +120,10 @@
     upstream: &Upstream,
     timeout: Duration,
 ) -> Result<Connection, TunnelError> {
-    match ask(router, peer, upstream, timeout).await {
-        Asked::Opened(connection) => Ok(connection),
-        Asked::Refused => Err(TunnelError::Refused),
-        Asked::Failed(_) => Err(TunnelError::Unreachable),
+    match request_from(router, peer, upstream, timeout).await {
+        TunnelOutcome::Opened(connection) => Ok(connection),
+        TunnelOutcome::Refused => Err(TunnelError::Refused),
+        TunnelOutcome::Failed(_) => Err(TunnelError::Unreachable),
     }
 }
 
@@ -149,24 +149,25 @@
     peers.choose(&candidates, &upstream.service, ends, now, &mut rng)
 }
 
-/// Asks a peer for a tunnel, and logs the result.
-async fn ask(
+/// Requests a tunnel from a peer, and logs the result.
+async fn request_from(
     router: &Rc<Router>,
     peer: SocketAddr,
     upstream: &Upstream,
     timeout: Duration,
-) -> Asked {
+) -> TunnelOutcome {
     let id = router.rng.borrow_mut().u64(..);
-    let asked_at = router.now();
+    let requested_at = router.now();
     let opening = request_tunnel(router, peer, upstream, id, timeout);
     let result = router.timers.timeout(timeout, opening).await;
-    let asked = match result {
-        Ok(Ok(Ok(stream))) => opened(router, peer, upstream, id, asked_at, stream).await,
+    let outcome = match result {
+        Ok(Ok(Ok(stream))) => opened(router, peer, upstream, id, requested_at, stream).await,
         Ok(Ok(Err(failure))) => failure,
-        Ok(Err(_)) | Err(Elapsed) => Asked::Failed(PeerFailure::Silent),
+        // The log line below has the outcome; which error ended the connection to the peer does not matter.
+        Ok(Err(_)) | Err(Elapsed) => TunnelOutcome::Failed(PeerFailure::Silent),
     };
-    log_asked(router, peer, upstream, id, asked_at, &asked);
-    asked
+    log_outcome(router, peer, upstream, id, requested_at, &outcome);
+    outcome
 }
 
 /// Sends the request for a tunnel. `Ok(Ok(..))` is the byte stream of the open tunnel.
@@ -176,7 +177,7 @@
     upstream: &Upstream,
     id: u64,
     timeout: Duration,
-) -> io::Result<Result<Upgraded, Asked>> {
+) -> io::Result<Result<Upgraded, TunnelOutcome>> {
     let stream = open_stream(peer, timeout, &router.timers).await?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(io::Error::other)?;
@@ -202,15 +203,15 @@
 }
 
 /// The failure that a peer's response reports.
-fn failure_of(response: &Response<Incoming>) -> Asked {
+fn failure_of(response: &Response<Incoming>) -> TunnelOutcome {
     let Some(name) = response.headers().get(FAILURE_HEADER) else {
-        return Asked::Failed(PeerFailure::Unsupported);
+        return TunnelOutcome::Failed(PeerFailure::Unsupported);
     };
     // A name that is no text is one of a later release, as an unknown one is.
     match ServeFailure::from_name(name.to_str().unwrap_or_default()) {
-        ServeFailure::Refused => Asked::Refused,
-        ServeFailure::Unreachable => Asked::Failed(PeerFailure::UpstreamSilent),
-        ServeFailure::Declined => Asked::Failed(PeerFailure::Declined),
+        ServeFailure::Refused => TunnelOutcome::Refused,
+        ServeFailure::Unreachable => TunnelOutcome::Failed(PeerFailure::UpstreamSilent),
+        ServeFailure::Declined => TunnelOutcome::Failed(PeerFailure::Declined),
     }
 }
 
@@ -220,33 +221,34 @@
     peer: SocketAddr,
     upstream: &Upstream,
     id: u64,
-    asked_at: Instant,
+    requested_at: Instant,
     stream: Upgraded,
-) -> Asked {
+) -> TunnelOutcome {
     let tunnel = router
         .tunnels
         .begin(&upstream.service, peer, id, router.now());
     let stream = FramedStream::new(TokioIo::new(stream));
-    let connection = Connection::over_tunnel(stream, tunnel, asked_at, DEFAULT_IDLE_TIMEOUT);
+    let connection = Connection::over_tunnel(stream, tunnel, requested_at, DEFAULT_IDLE_TIMEOUT);
     match connection.await {
-        Ok(connection) => Asked::Opened(connection),
-        Err(_) => Asked::Failed(PeerFailure::Silent),
+        Ok(connection) => TunnelOutcome::Opened(connection),
+        // The tunnel ended before it was used.
+        Err(_) => TunnelOutcome::Failed(PeerFailure::Silent),
     }
 }
 
-fn log_asked(
+fn log_outcome(
     router: &Router,
     peer: SocketAddr,
     upstream: &Upstream,
     id: u64,
-    asked_at: Instant,
-    asked: &Asked,
+    requested_at: Instant,
+    outcome: &TunnelOutcome,
 ) {
-    let took_ms = ms_since(asked_at, router.now());
+    let took_ms = ms_since(requested_at, router.now());
     let (tunnel, peer) = (format!("{id:016x}"), peer.to_string());
     let upstream = upstream.name.as_str();
-    let reason = match asked {
-        Asked::Opened(_) => {
+    let reason = match outcome {
+        TunnelOutcome::Opened(_) => {
             router.metrics.tunnels.count("opened");
             let line = TunnelOpened {
                 tunnel,
@@ -257,11 +259,11 @@
             router.log.info("tunnel.opened", &line);
             return;
         }
-        Asked::Refused => "refused",
-        Asked::Failed(PeerFailure::Declined) => "declined",
-        Asked::Failed(PeerFailure::UpstreamSilent) => "unreachable",
-        Asked::Failed(PeerFailure::Silent) => "silent",
-        Asked::Failed(PeerFailure::Unsupported) => "unsupported",
+        TunnelOutcome::Refused => "refused",
+        TunnelOutcome::Failed(PeerFailure::Declined) => "declined",
+        TunnelOutcome::Failed(PeerFailure::UpstreamSilent) => "unreachable",
+        TunnelOutcome::Failed(PeerFailure::Silent) => "silent",
+        TunnelOutcome::Failed(PeerFailure::Unsupported) => "unsupported",
     };
     router.metrics.tunnels.count(reason);
     let line = TunnelFailed {
--- a/crates/router/cloverpier_router/src/tunnel/serve.rs
+++ b/crates/router/cloverpier_router/src/tunnel/serve.rs
@@ -2,7 +2,7 @@
 //!
 //! Only routers that this router knows as peers get a tunnel, and only to upstreams of its own list that it reaches
 //! itself. Counts each tunnel as in flight, so that a shutdown lets the requests in it end; peers close their idle
-//! tunnels once they hear of the shutdown. The state is in [`super::Tunnels`].
+//! tunnels once this router's heartbeat reports the shutdown. The state is in [`super::Tunnels`].
 
 use super::framing::send_frames;
 use super::{FAILURE_HEADER, ID_HEADER, PROTOCOL, ServeFailure, UPSTREAM_HEADER};
@@ -58,6 +58,7 @@
     mut request: Request<Incoming>,
 ) -> ServerResponse {
     let upgrade = hyper::upgrade::on(&mut request);
+    // Without the name of an upstream, none is found, and the tunnel is declined; the id is for log lines only.
     let header = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok());
     let tunnel = header(ID_HEADER).unwrap_or_default().to_owned();
     let name = header(UPSTREAM_HEADER).unwrap_or_default().to_owned();
--- a/crates/router/cloverpier_router/src/upstream_limits/mod.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::datagrams::Datagrams;
 use crate::decision_log::LimiterUnresponsive;
-use crate::metrics::CounterByKind;
+use crate::metric_kinds::CounterByKind;
 use acquire::PendingRequest;
 use cloverpier_observe::Log;
 use cloverpier_router_policy::permit::{LimitedUpstream, LimitedUpstreams, PermitSearch, Permits};
--- a/crates/router/cloverpier_router_policy/src/brittle.rs
+++ b/crates/router/cloverpier_router_policy/src/brittle.rs
@@ -36,19 +36,19 @@
 /// How long after a refusal a crash of a brittle upstream counts as caused by lack of room.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
-/// What a response says about whether its sender is brittle.
+/// The statement of a response's sender about its brittleness.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BrittleStatement {
-    /// It does not say that the sender is brittle, so the sender is not.
+    /// The response contains no such statement, so the sender is not brittle.
     #[default]
     Absent,
     /// The sender crashes if it has to refuse more than this number of requests within a second.
     MaxRefusals(u32),
-    /// The number could not be decoded. What was known before still holds.
+    /// The number could not be decoded. The previous statement still applies.
     Unreadable,
 }
 
-/// What is known of the brittleness of one upstream.
+/// The brittleness of one upstream, and its recent refusals.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Brittleness {
     max_refusals: Option<u32>,
@@ -58,7 +58,7 @@
 }
 
 impl Brittleness {
-    /// Applies a statement. Returns whether it changes what is known.
+    /// Applies a statement. Returns whether the number of refusals that the upstream survives has changed.
     pub fn on_statement(&mut self, statement: BrittleStatement) -> bool {
         let stated = match statement {
             BrittleStatement::Absent => None,
--- a/crates/router/cloverpier_router_policy/src/reachability.rs
+++ b/crates/router/cloverpier_router_policy/src/reachability.rs
@@ -7,8 +7,8 @@
 //!   own connection did not.
 //! - **Result.** An [`UpstreamPath`]; the upstreams to check over an own connection; a [`ReachabilityChange`] when
 //!   a service becomes unreachable or reachable.
-//! - **Why.** A router that gets no response can't tell whether the upstream or its own path has failed. A peer
-//!   that reaches the upstream can: then only the path has failed, and the upstream still serves. Once a few
+//! - **Why.** A missing response shows that the upstream or this router's path to it has failed. If a peer reaches the
+//!   upstream, only the path has failed, and the upstream still serves. Once a few
 //!   upstreams of a service are known to be well behind lost paths, and no new own connection to any other has
 //!   worked since, the paths to the rest are probably lost, too; each of them would cost a request a timeout.
 //!
@@ -26,7 +26,7 @@
 /// may have failed itself.
 const MIN_FAILED: usize = 2;
 /// Minimum number of lost paths to upstreams of a service after which new calls to all its upstreams go through
-/// peers. A wrong verdict costs one more hop until the next check.
+/// peers. If the paths to the others still work, each request takes one more hop until the next check.
 const MIN_LOST: usize = 2;
 /// Interval of the checks whether the upstreams behind lost paths can be reached again over own connections.
 pub const PATH_CHECK_PERIOD: Duration = Duration::from_millis(500);
@@ -74,7 +74,7 @@
     last_check: Instant,
 }
 
-/// What is known of this router's own connections to the upstreams of one service.
+/// The results of calls over this router's own connections to the upstreams of one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceReachability {
     /// The upstreams to which calls failed since the last response, with the time of the first failure.
@@ -114,7 +114,7 @@
     }
 }
 
-/// What is known of this router's own connections to the upstreams of all services.
+/// The results of calls over this router's own connections, by service.
 #[derive(Clone, Debug, Default)]
 pub struct Reachability {
     services: HashMap<ServiceName, ServiceReachability>,
@@ -139,8 +139,8 @@
         service.is_some_and(ServiceReachability::is_cut_off)
     }
 
-    /// Whether calls to several upstreams of the service have failed, over all paths that were tried, and none has
-    /// responded since.
+    /// Whether calls to several upstreams of the service have failed over own connections, and none has responded over
+    /// one since.
     pub fn is_unreachable(&self, service: &ServiceName) -> bool {
         let service = self.services.get(service);
         service.is_some_and(|s| s.unreachable_since.is_some())
--- a/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
+++ b/crates/router/cloverpier_router_policy/src/tunnel_peers.rs
@@ -19,27 +19,27 @@
 
 /// How long after it has opened a tunnel a peer counts as one that reaches the service.
 const PROVEN_TTL: Duration = Duration::from_secs(5);
-/// How often a router with a single proven peer asks another one, so that it finds a second and can spread its tunnels.
+/// Probability that a router with a single proven peer chooses another one, to find a second proven peer.
 const EXPLORE_PROBABILITY: f64 = 0.25;
-/// How long a peer is not asked again that did not reach the upstream.
+/// Time for which no tunnel is requested from a peer that did not reach the upstream.
 const UPSTREAM_SILENT_TTL: Duration = Duration::from_millis(500);
-/// How long a peer is not asked again that declined.
+/// Time for which no tunnel is requested from a peer that declined.
 const DECLINED_TTL: Duration = Duration::from_millis(3_000);
-/// How long a peer is not asked again that did not respond.
+/// Time for which no tunnel is requested from a peer that did not respond.
 const SILENT_TTL: Duration = Duration::from_millis(2_000);
-/// How long a peer is not asked again whose release has no tunnels.
+/// Time for which no tunnel is requested from a peer whose release has none.
 const UNSUPPORTED_TTL: Duration = Duration::from_secs(30);
 /// Timeout for opening a tunnel through one peer, of which the peer's own connection is a part.
 pub const TUNNEL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of the connection that a peer opens to an upstream for a tunnel. Shorter than [`TUNNEL_TIMEOUT`], so
 /// that the peer can still respond.
 pub const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum number of peers that are asked to open one tunnel.
-pub const MAX_PEERS_ASKED: usize = 6;
+/// Maximum number of peers from which one tunnel is requested.
+pub const MAX_PEERS_TRIED: usize = 6;
 /// Maximum number of tunnels that a router serves for its peers at a time. Each takes two file descriptors.
 pub const MAX_SERVED: usize = 400;
-/// How long after an own connection was tried without a result a tunnel is tried beside it. A connection between
-/// data centres takes a few milliseconds.
+/// Time after which a tunnel is tried in parallel with an own connection that has not opened. A connection
+/// between data centres opens within a few milliseconds.
 pub const FALLBACK_DELAY: Duration = Duration::from_millis(100);
 
 /// A peer through which a tunnel could go.
@@ -73,7 +73,7 @@
     Unsupported,
 }
 
-/// What is known of one peer as a way to one service.
+/// The recent results of requests to one peer for tunnels to one service.
 #[derive(Clone, Copy, Debug, Default)]
 struct PeerRecord {
     proven_at: Option<Instant>,
@@ -91,7 +91,7 @@
     }
 }
 
-/// What is known of peers as ways to the services' upstreams.
+/// The recent results of requests to peers for tunnels, and the open tunnels.
 #[derive(Clone, Debug, Default)]
 pub struct TunnelPeers {
     records: HashMap<ServiceName, HashMap<SocketAddr, PeerRecord>>,
@@ -184,6 +184,7 @@
 
     /// Number of this router's open tunnels through a peer.
     fn open_through(&self, peer: SocketAddr) -> u32 {
+        // Peers without an entry carry no tunnel.
         self.open.get(&peer).copied().unwrap_or(0)
     }
 }
--- a/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/statements.rs
@@ -128,7 +128,7 @@
         is_new
     }
 
-    /// What is known of the brittleness of an upstream; `None` for an unknown upstream.
+    /// The brittleness of an upstream; `None` if the upstream is not in the table.
     pub fn brittleness_mut(&mut self, name: &UpstreamName) -> Option<&mut Brittleness> {
         let state = self.upstreams.get_mut(name)?;
         Some(&mut state.brittleness)
--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -117,9 +117,9 @@
 /// A brittle upstream has refused a request for lack of room.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoomRefusal {
-    /// When.
+    /// The time of the refusal.
     pub at: Instant,
-    /// The upstream.
+    /// The name of the upstream that refused.
     pub upstream: UpstreamName,
 }
 
--- a/tools/src/partition_play/mod.rs
+++ b/tools/src/partition_play/mod.rs
@@ -36,7 +36,7 @@
     pub upstreams: usize,
     /// Routers that are cut off, the first ones of the list; data centres are filled one after the other.
     pub cut_off: usize,
-    /// How.
+    /// How their connections end.
     pub cut: Cut,
     /// How long.
     pub time: Duration,
--- a/tools/src/partition_play/world.rs
+++ b/tools/src/partition_play/world.rs
@@ -5,7 +5,7 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::reachability::{Reachability, UpstreamPath};
 use cloverpier_router_policy::tunnel_peers::{
-    FALLBACK_DELAY, MAX_PEERS_ASKED, MAX_SERVED, PeerFailure, TunnelCandidate, TunnelEnds,
+    FALLBACK_DELAY, MAX_PEERS_TRIED, MAX_SERVED, PeerFailure, TunnelCandidate, TunnelEnds,
     TunnelPeers, UPSTREAM_TIMEOUT,
 };
 use std::collections::{HashMap, HashSet};
@@ -126,36 +126,56 @@
         upstream: usize,
         may_repeat: bool,
     ) -> Option<Duration> {
-        let now = self.start + at;
         let path = self.routers[router]
             .reachability
             .path(&self.upstreams[upstream]);
         if path == UpstreamPath::ThroughPeer {
             return self.through_peer(at, router, upstream);
         }
-        let works = self.works_directly(router, upstream);
         if self.routers[router].kept.contains(&upstream) {
-            let lives_on = self.spec.cut == Cut::LivesOn && !self.dead.contains(&upstream);
-            if works || lives_on {
-                return Some(Duration::ZERO);
-            }
-            self.routers[router].kept.remove(&upstream);
-            let verdict = if self.spec.cut == Cut::Hangs {
-                SILENCE
-            } else {
-                ROUND_TRIP
-            };
-            let opening = self.through_peer(at + verdict, router, upstream);
-            if opening.is_some() {
-                self.lose_path(router, upstream, now);
-            }
-            return opening.filter(|_| may_repeat).map(|time| verdict + time);
+            return self.over_kept_connection(at, router, upstream, may_repeat);
+        }
+        self.over_new_connection(at, router, upstream)
+    }
+
+    /// The same for a request on a kept connection. On one that fails, a request that may not be repeated is lost.
+    fn over_kept_connection(
+        &mut self,
+        at: Duration,
+        router: usize,
+        upstream: usize,
+        may_repeat: bool,
+    ) -> Option<Duration> {
+        let lives_on = self.spec.cut == Cut::LivesOn && !self.dead.contains(&upstream);
+        if lives_on || self.works_directly(router, upstream) {
+            return Some(Duration::ZERO);
         }
-        if works {
-            let connection_opened = now;
-            self.routers[router].kept.insert(upstream);
-            let reachability = &mut self.routers[router].reachability;
-            reachability.on_working_connection(&self.upstreams[upstream], connection_opened);
+        self.routers[router].kept.remove(&upstream);
+        let detection = if self.spec.cut == Cut::Hangs {
+            SILENCE
+        } else {
+            ROUND_TRIP
+        };
+        let opening = self.through_peer(at + detection, router, upstream);
+        if opening.is_some() {
+            self.lose_path(router, upstream, self.start + at);
+        }
+        opening.filter(|_| may_repeat).map(|time| detection + time)
+    }
+
+    /// The same for a request that needs a new connection.
+    fn over_new_connection(
+        &mut self,
+        at: Duration,
+        router: usize,
+        upstream: usize,
+    ) -> Option<Duration> {
+        let now = self.start + at;
+        if self.works_directly(router, upstream) {
+            let state = &mut self.routers[router];
+            state.kept.insert(upstream);
+            let upstream = &self.upstreams[upstream];
+            state.reachability.on_working_connection(upstream, now);
             return Some(ROUND_TRIP);
         }
         let delay = if self.spec.cut == Cut::Hangs {
@@ -185,7 +205,7 @@
             return Some(Duration::ZERO);
         }
         let mut took = Duration::ZERO;
-        for _ in 0..MAX_PEERS_ASKED {
+        for _ in 0..MAX_PEERS_TRIED {
             let now = self.start + at + took;
             let peer = self.choose_peer(router, upstream, now)?;
             self.outcome.asked += 1;
