--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -16,6 +16,7 @@
 use cloverpier_observe::Log;
 use cloverpier_router_policy::first_event_wait::MoveReason;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::silence::SilenceScope;
 use cloverpier_router_policy::stream_version::lookup::UnknownOrigin;
 use serde::Serialize;
 use std::time::{Duration, Instant};
@@ -194,10 +195,30 @@
     pub attempt_ms: u64,
     /// The key that all retries of the request share; set if the request may have run without a response.
     pub content: Option<String>,
+    /// What was silent, if the attempt ended because nothing arrived.
+    #[serde(flatten)]
+    pub silence: Option<SilentAttempt>,
     /// Milliseconds since the request arrived.
     pub age_ms: u64,
 }
 
+/// What was silent while an attempt made no progress.
+#[derive(Serialize)]
+pub(crate) struct SilentAttempt {
+    pub silence: SilenceScope,
+    /// Milliseconds since the attempt made progress.
+    pub silent_ms: u64,
+    /// Milliseconds since the upstream sent a part of a response to any request of this router; `None` if it never has.
+    #[serde(rename = "server_silent_ms")]
+    pub upstream_silent_ms: Option<u64>,
+    /// Number of other upstreams of the service that have requests of this router, and how many of these have responded
+    /// since the attempt made progress.
+    #[serde(rename = "other_servers_awaited")]
+    pub others_awaited: usize,
+    #[serde(rename = "other_servers_heard")]
+    pub others_heard: usize,
+}
+
 /// How a request ended. The names in log lines are also the kinds of the metric `requests`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(into = "&'static str")]
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -8,9 +8,11 @@
 use crate::relay_request::RelayRequest;
 use crate::responses::{ServerResponse, error_response, refusal_response};
 use crate::router::Router;
+use crate::silence;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::{Refusal, ServiceState, reason_for_refusal};
+use cloverpier_router_policy::silence::SilenceEvidence;
 use hyper::StatusCode;
 use std::time::{Duration, Instant};
 
@@ -227,6 +229,8 @@
     pub last_event: Option<u64>,
     /// When the attempt was sent.
     pub started_at: Instant,
+    /// When the attempt last made progress; before that, when it was sent.
+    pub last_progress: Instant,
     /// When the failure was handled.
     pub now: Instant,
 }
@@ -235,6 +239,11 @@
 pub(crate) fn log_failure(router: &Router, request: &RelayRequest, attempt: &FailedAttempt<'_>) {
     let outcome = attempt.failure.outcome();
     router.metrics.failed_attempts.count(outcome_name(outcome));
+    let silence = silence_of(router, attempt);
+    if let Some(evidence) = &silence {
+        let scope = silence::scope_name(evidence.scope());
+        router.metrics.silent_attempts.count(scope);
+    }
     router.log.info(
         "send.failed",
         &SendFailed {
@@ -247,11 +256,20 @@
             attempt_ms: ms_since(attempt.started_at, attempt.now),
             content: (outcome == AttemptOutcome::Unknown)
                 .then(|| request.content_key().to_string()),
+            silence: silence.as_ref().map(silence::log_fields),
             age_ms: ms_since(request.arrived, attempt.now),
         },
     );
 }
 
+/// What was silent, if the attempt ended because nothing arrived; `None` for other failures.
+fn silence_of(router: &Router, attempt: &FailedAttempt<'_>) -> Option<SilenceEvidence> {
+    let upstream = attempt
+        .upstream
+        .filter(|_| attempt.failure.is_for_silence())?;
+    silence::evidence(router, upstream, attempt.last_progress, attempt.now)
+}
+
 /// The label of an outcome in metrics.
 pub(crate) fn outcome_name(outcome: AttemptOutcome) -> &'static str {
     match outcome {
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -354,6 +354,7 @@
             next,
             last_event: None,
             started_at: attempt_started,
+            last_progress: attempt_started,
             now,
         };
         log_failure(self.router, self.request, &attempt);
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -331,6 +331,14 @@
         }
     }
 
+    /// When the last attempt made progress; before that, when it was sent.
+    fn last_progress(&self) -> Instant {
+        let interrupted = self.interrupted_since;
+        interrupted.map_or(self.attempt_started_at, |at| {
+            at.max(self.attempt_started_at)
+        })
+    }
+
     /// Logs a failed attempt; `Ok` if the request may be sent to another upstream.
     fn after_failure(&mut self, failure: &AttemptFailure) -> Result<(), RequestFailure> {
         let now = self.router.now();
@@ -348,6 +356,7 @@
             next,
             last_event: self.last_event,
             started_at: self.attempt_started_at,
+            last_progress: self.last_progress(),
             now,
         };
         log_failure(&self.router, &self.request, &attempt);
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -25,6 +25,7 @@
 //! | which engine keeps a replica of a stream's KV cache | [`replica`] |
 //! | which idle connections are used again | [`connection_reuse`] |
 //! | when is a silent upstream probed, dead, or a stream stalled | [`liveness`] |
+//! | what is silent: an attempt, its upstream, or its service | [`silence`] |
 //! | is a response valid; did the request of a failed attempt run | [`attempt_failure`] |
 //! | of which upstream does an answer say something | [`statement`] |
 //! | which upstreams have said that they leave | [`leaving`] |
@@ -105,6 +106,7 @@
 pub mod refusal;
 pub mod replica;
 pub mod rollout;
+pub mod silence;
 pub mod singleton;
 pub mod statement;
 pub mod store_ping;
