--- a/crates/standins/cloverpier_router_standin/src/answers.rs
+++ b/crates/standins/cloverpier_router_standin/src/answers.rs
@@ -1,7 +1,7 @@
 //! The answers of an upstream, right and wrong, byte by byte.
 
 use crate::ledger::Fault;
-use crate::upstream::Asked;
+use crate::upstream::{Asked, until_unpaused};
 use cloverpier_core::SoftwareVersion;
 use std::io;
 use tokio::io::AsyncWriteExt;
@@ -38,6 +38,7 @@
 
 /// Answers a plain request; false when the connection is to end.
 pub(crate) async fn answer_plainly(stream: &mut TcpStream, asked: &Asked) -> io::Result<bool> {
+    until_unpaused(&asked.pause).await;
     let (bytes, then) = plain_answer(asked);
     stream.write_all(&bytes).await?;
     match then {
@@ -140,6 +141,7 @@
     let version = asked.upstream.version().map(SoftwareVersion::as_str);
     let middle = asked.last_event + (EVENTS - asked.last_event.min(EVENTS)) / 2;
     for id in asked.last_event + 1..=EVENTS {
+        until_unpaused(&asked.pause).await;
         let event = event_bytes(prompt, id, version);
         if id == middle {
             match asked.fault {
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use engine::Engine;
 pub use engine::{EngineShape, EngineSpec, LoadFigures};
-pub(crate) use serve::Asked;
+pub(crate) use serve::{Asked, until_unpaused};
 
 use crate::ledger::{Fault, SharedLedger};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, lock};
@@ -228,6 +228,12 @@
         lock(&self.state).stated_load = stated;
     }
 
+    /// Has it do no work on requests, or go on. Meanwhile it answers questions, and nothing that it would write for a
+    /// request is written; it does not notice that callers leave.
+    pub fn set_paused(&self, is_paused: bool) {
+        lock(&self.state).is_paused.send_replace(is_paused);
+    }
+
     /// Sets how long it works on a request before it answers.
     pub fn set_work(&self, work: Duration) {
         lock(&self.state).work = work;
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// Says for how many seconds an upstream wants nothing.
 const RETRY_AFTER: &str = "retry-after";
@@ -40,6 +41,8 @@
     pub upstream: Upstream,
     pub names: HeaderNames,
     pub event_interval: Duration,
+    /// Whether the upstream does no work now.
+    pub pause: watch::Receiver<bool>,
     /// The engine that works on the stream.
     pub engine: Option<Arc<Engine>>,
     pub fault: Option<Fault>,
@@ -71,6 +74,8 @@
     let Some(id) = id else {
         return answer_question(stream, state, head, &upstream, &names).await;
     };
+    let pause = lock(state).is_paused.subscribe();
+    until_unpaused(&pause).await;
     let crashes = lock(state).is_crashed_by(body);
     if crashes {
         note_crashing_arrival(state, &id, &upstream);
@@ -227,6 +232,12 @@
     }
 }
 
+/// Waits until the upstream works again; at once where it does.
+pub(crate) async fn until_unpaused(pause: &watch::Receiver<bool>) {
+    // The sender ends with the upstream, which ends its connections, too.
+    let _ = pause.clone().wait_for(|is_paused| !is_paused).await;
+}
+
 /// Works on a request.
 async fn work_on(stream: &TcpStream, work: Duration) -> io::Result<()> {
     tokio::select! {
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -11,6 +11,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// An upstream turns requests away beyond its limit in so long, and so many more.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
@@ -52,6 +53,8 @@
     pub(super) running: u32,
     /// How long it works on a request before it answers.
     pub(super) work: Duration,
+    /// Whether it does no work on requests; it still answers questions.
+    pub(super) is_paused: watch::Sender<bool>,
     pub(super) rng: fastrand::Rng,
     /// The body of requests that crash it.
     pub(super) crashed_by: Option<&'static str>,
@@ -202,6 +205,7 @@
             stated_load: None,
             running: 0,
             work: Duration::ZERO,
+            is_paused: watch::Sender::new(false),
             rng: fastrand::Rng::with_seed(spec.seed),
             crashed_by: spec.crashed_by,
             crash_after: spec.crash_after,
@@ -239,6 +243,7 @@
         upstream,
         names,
         event_interval: state.event_interval,
+        pause: state.is_paused.subscribe(),
         engine: state.engine.clone(),
         fault,
         length: None,
