Read the wall clock through the router's clock

Six places of the router took the time of day from the machine in place: the incarnation's stamp, the start of the lease and of the reports of refusals, the report to the holder, and each log line. A test that moves the clock could therefore not have two runs with the same log. Clock has wall_ms, by default that of the machine, and Timers and Log pass it on; nothing changes in production.

--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -49,7 +49,7 @@
 use crate::tunnel::Tunnels;
 use crate::upstream_limits::{LimitDependencies, UpstreamLimits};
 use crate::wire_names::WireNames;
-use cloverpier_core::{ServiceName, UpstreamName, wall_ms};
+use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_observe::Log;
 use cloverpier_router_policy::buffer_memory::BufferMemory;
 use cloverpier_router_policy::heartbeat::peer_timeout;
@@ -117,13 +117,13 @@
 }
 
 /// The membership update by which a starting router introduces itself to its peers.
-fn initial_member_update(settings: &RouterSettings) -> MemberUpdate {
+fn initial_member_update(settings: &RouterSettings, timers: &Timers) -> MemberUpdate {
     MemberUpdate {
         router: settings.listen.peers,
         callers: settings.listen.callers,
         data_centre: settings.data_centre.clone(),
         state: MemberState::Alive(PeerState::Starting),
-        stamp: wall_ms(),
+        stamp: timers.wall_ms(),
     }
 }
 
@@ -138,7 +138,7 @@
     ) -> Self {
         let lifecycle = Lifecycle::new(rng.u64(..), timers.now());
         let incarnation = lifecycle.incarnation();
-        let log = Log::new(settings.vm.as_str());
+        let log = Log::with_clock(settings.vm.as_str(), timers.clock());
         let metrics = Metrics::default();
         let (sent, bytes) = (metrics.peer_datagrams.clone(), metrics.peer_bytes.clone());
         let datagrams = Rc::new(Datagrams::new(log.clone(), sent, bytes));
@@ -153,7 +153,7 @@
         };
         Self {
             upstream_limits: Rc::new(UpstreamLimits::new(limits)),
-            singleton: Singleton::new(&settings, incarnation, wall_ms(), timers.now()),
+            singleton: Singleton::new(&settings, incarnation, timers.wall_ms(), timers.now()),
             log,
             wire_names,
             metrics,
@@ -166,7 +166,7 @@
             health: HealthTable::default(),
             pool: RefCell::new(ConnectionPool::default()),
             datagrams,
-            peers: Peers::new(initial_member_update(&settings)),
+            peers: Peers::new(initial_member_update(&settings, &timers)),
             prompts: Prompts::default(),
             admission: AdmissionState::default(),
             retry_budgets: RetryBudgets::default(),
@@ -176,7 +176,7 @@
             version_history: RefCell::default(),
             suspicion_added: Notify::new(),
             last_leaving_at: Cell::default(),
-            brittle_reports: Cell::new(wall_ms()),
+            brittle_reports: Cell::new(timers.wall_ms()),
             last_brittle_reports: RefCell::default(),
             copy_pacing: RefCell::new(CopyPacing::default()),
             buffer_memory: Rc::new(RefCell::new(BufferMemory::for_vm(settings.memory_bytes))),
--- a/crates/router/cloverpier_router/src/singleton/keeper.rs
+++ b/crates/router/cloverpier_router/src/singleton/keeper.rs
@@ -10,7 +10,7 @@
 use crate::decision_log::log_named_event;
 use crate::decision_log::{LeaseChanged, ms};
 use crate::router::Router;
-use cloverpier_core::{jitter, wall_ms};
+use cloverpier_core::jitter;
 use cloverpier_router_policy::prelude::PeerState;
 use cloverpier_router_policy::singleton::lease::{
     LeaseInput, LeaseStep, LeaseWrite, RecordSnapshot, WriteResult,
@@ -256,8 +256,3 @@
         self.router.timers.sleep(pause).await;
     }
 }
-
-/// The time of day in milliseconds since 1970 by this VM's own clock, which may be wrong.
-pub(super) fn own_wall_ms() -> u64 {
-    wall_ms()
-}
--- a/crates/router/cloverpier_router/src/singleton/reports.rs
+++ b/crates/router/cloverpier_router/src/singleton/reports.rs
@@ -4,7 +4,6 @@
 //! usually is the holder, and to the holder itself. The holder replies with the version of the lease's record, the
 //! fleet's time of day, and the first usage window that is not decided. Owns no state: [`super::state`] does.
 
-use super::keeper::own_wall_ms;
 use super::state::{ReportedLoads, Singleton};
 use super::work;
 use crate::outbox::Recipients;
@@ -50,7 +49,7 @@
             sender,
             incarnation: router.lifecycle.incarnation(),
             started: singleton.fleet_ms(started),
-            wall_ms: own_wall_ms(),
+            wall_ms: router.timers.wall_ms(),
             windows,
             loads: own_loads(router),
         };
--- a/crates/shared/cloverpier_core/src/clock.rs
+++ b/crates/shared/cloverpier_core/src/clock.rs
@@ -9,10 +9,16 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// A source of monotonic time that includes the time for which the machine is suspended.
+/// A source of monotonic time that includes the time for which the machine is suspended, and of the wall clock's
+/// time.
 pub trait Clock: Send + Sync + fmt::Debug {
     /// The current time.
     fn now(&self) -> Instant;
+
+    /// The Unix time in milliseconds by the wall clock; see [`wall_ms`].
+    fn wall_ms(&self) -> u64 {
+        wall_ms()
+    }
 }
 
 /// The machine's monotonic clock, suspensions included.
--- a/crates/shared/cloverpier_observe/src/line.rs
+++ b/crates/shared/cloverpier_observe/src/line.rs
@@ -4,7 +4,7 @@
 //! `simplelog`, whose line prefixes are all disabled. Events are named `subject.verb`.
 
 use crate::bounded::{BoundedWriter, LogProgress};
-use cloverpier_core::wall_ms;
+use cloverpier_core::{Clock, SystemClock};
 use log::{Level, LevelFilter};
 use serde::Serialize;
 use simplelog::{ConfigBuilder, WriteLogger};
@@ -29,12 +29,21 @@
 #[derive(Clone, Debug)]
 pub struct Log {
     vm: Arc<str>,
+    clock: Arc<dyn Clock>,
 }
 
 impl Log {
-    /// Creates the log of a process on the VM of this name.
+    /// Creates the log of a process on the VM of this name, with times by the machine's clock.
     pub fn new(vm: &str) -> Self {
-        Self { vm: Arc::from(vm) }
+        Self::with_clock(vm, Arc::new(SystemClock))
+    }
+
+    /// Creates the log of a process on the VM of this name, with times by the wall clock of `clock`.
+    pub fn with_clock(vm: &str, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            vm: Arc::from(vm),
+            clock,
+        }
     }
 
     /// Logs an event of normal operation.
@@ -57,7 +66,7 @@
             return;
         }
         let line = Line {
-            ts_ms: wall_ms(),
+            ts_ms: self.clock.wall_ms(),
             level: match level {
                 Level::Error => "error",
                 Level::Warn => "warn",
--- a/crates/shared/cloverpier_timers/src/lib.rs
+++ b/crates/shared/cloverpier_timers/src/lib.rs
@@ -58,6 +58,16 @@
         self.clock.now()
     }
 
+    /// The Unix time in milliseconds by the clock's wall clock.
+    pub fn wall_ms(&self) -> u64 {
+        self.clock.wall_ms()
+    }
+
+    /// The clock itself.
+    pub fn clock(&self) -> Arc<dyn Clock> {
+        Arc::clone(&self.clock)
+    }
+
     /// Completes at the first resume of the machine after this call.
     pub fn resumed(&self) -> Notified<'_> {
         self.resumed.notified()
