Open the router's sockets through one crate

A test could not put anything in the place of the runtime's sockets, as they were opened at six places. cloverpier_net has them now: without its feature `simulation` its types are those of tokio::net, and the build of cloverpier-front (--package cloverpier_adapter) does not enable it. With the feature they are enums, and a thread that has installed a simulated network gets that network's sockets. set_user_timeout and set_zero_linger are functions, since the two kinds do not share socket2's view of a socket.

--- a/crates/router/cloverpier_router/src/caller_stream.rs
+++ b/crates/router/cloverpier_router/src/caller_stream.rs
@@ -5,11 +5,11 @@
 //! with a later event, and a process that was paused would until then run requests whose callers have left. This
 //! type takes the socket for empty only when a read would block. Owns the `TcpStream`.
 
+use cloverpier_net::TcpStream;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// A caller's TCP connection; wraps tokio's stream and differs from it only in how it reads.
 #[derive(Debug)]
--- a/crates/router/cloverpier_router/src/connection.rs
+++ b/crates/router/cloverpier_router/src/connection.rs
@@ -7,19 +7,18 @@
 
 use crate::tunnel::OpenTunnel;
 use bytes::Bytes;
+use cloverpier_net::{TcpStream, set_user_timeout};
 use cloverpier_timers::{Elapsed, Timers};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 /// The operating system closes a connection if sent bytes are not acknowledged within this time
@@ -179,7 +178,7 @@
         .await
         .map_err(|Elapsed| io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    set_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT)?;
     Ok(stream)
 }
 
--- a/crates/router/cloverpier_router/src/datagrams.rs
+++ b/crates/router/cloverpier_router/src/datagrams.rs
@@ -7,11 +7,11 @@
 use crate::decision_log::log_named_event;
 use crate::metric_kinds::CounterByKind;
 use crate::peer_messages::{PeerMessage, encode};
+use cloverpier_net::UdpSocket;
 use cloverpier_observe::Log;
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::UdpSocket;
 
 /// Sends datagrams from the socket on which this router also receives them.
 #[derive(Debug)]
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -21,13 +21,13 @@
 use crate::store_view::WatchedData;
 use crate::stream_origins::serve;
 use crate::successors::{on_peer_replaced, on_peer_successor};
+use cloverpier_net::UdpSocket;
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::affects_watcher_roles;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::UdpSocket;
 
 /// Receives messages until the process ends.
 pub(crate) async fn receive_messages(router: Rc<Router>, socket: Rc<UdpSocket>) {
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -28,6 +28,7 @@
 use crate::suspension;
 use crate::upstream_updates::record_versions;
 use crate::web::{bind, handle_caller, handle_directory, handle_metrics, handle_readiness, serve};
+use cloverpier_net::{TcpListener, UdpSocket};
 use cloverpier_observe::{LogProgress, NoFields};
 use cloverpier_router_policy::connection_reuse::IDLE_SWEEP_PERIOD;
 use cloverpier_router_policy::prelude::UpstreamState;
@@ -37,7 +38,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::spawn_local;
 
 /// Why a router could not start.
--- a/crates/router/cloverpier_router/src/tunnel/serve.rs
+++ b/crates/router/cloverpier_router/src/tunnel/serve.rs
@@ -15,6 +15,7 @@
 use crate::router::Router;
 use crate::web::RemoteAddress;
 use cloverpier_core::UpstreamName;
+use cloverpier_net::TcpStream;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::reachability::UpstreamPath;
 use cloverpier_router_policy::tunnel_peers::{MAX_SERVED, UPSTREAM_TIMEOUT};
@@ -27,7 +28,6 @@
 use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 
 /// Counts one served tunnel until it is dropped.
 struct ServedGuard {
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -15,6 +15,7 @@
 use crate::responses::{ServerResponse, error_response, refusal_response};
 use crate::router::Router;
 use crate::stream::relay_stream;
+use cloverpier_net::{TcpListener, TcpStream};
 use cloverpier_router_policy::buffer_memory::BufferKind;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::Refusal;
@@ -34,7 +35,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpStream};
 
 /// Pause before a retry to listen at an address that is in use, and after a failed accept.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
