Let the router's stand-ins work over simulated connections and clocks

They opened tokio's sockets and stamped what they saw by the machine's clock, so they could only meet routers that are processes. They use cloverpier_net and the runtime's clock, which is the machine's unless a test has paused it.

--- a/crates/standins/cloverpier_router_standin/src/answers.rs
+++ b/crates/standins/cloverpier_router_standin/src/answers.rs
@@ -3,9 +3,9 @@
 use crate::ledger::Fault;
 use crate::upstream::{Asked, until_unpaused};
 use cloverpier_core::SoftwareVersion;
+use cloverpier_net::TcpStream;
 use std::io;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 40;
--- a/crates/standins/cloverpier_router_standin/src/api.rs
+++ b/crates/standins/cloverpier_router_standin/src/api.rs
@@ -3,13 +3,14 @@
 //! The record is the checks' own: whoever held the work, with which token, and what it said.
 
 use crate::http::{read_body, read_head};
+use crate::moment::now;
 use cloverpier_core::lock;
+use cloverpier_net::{TcpListener, TcpStream, any_loopback_port};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
 /// The headers of a signed call.
@@ -79,7 +80,7 @@
     ///
     /// No port can be listened at.
     pub async fn start(shapes: ApiShapes, answers: Answers) -> io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = TcpListener::bind(any_loopback_port()).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let shared = Arc::clone(&state);
@@ -126,7 +127,7 @@
         let body = read_body(&mut stream, &mut buffer, head.content_length()).await?;
         let Some(body) = body else { return Ok(()) };
         let call = ApiCall {
-            at: Instant::now(),
+            at: now(),
             path: head.word(1).to_owned(),
             holder: head.get(shapes.holder).unwrap_or_default().to_owned(),
             token: head
--- a/crates/standins/cloverpier_router_standin/src/caller.rs
+++ b/crates/standins/cloverpier_router_standin/src/caller.rs
@@ -2,12 +2,12 @@
 
 use crate::answers::{EVENTS, event_bytes, plain_body, version_of_event};
 use crate::http::{Head, read_body, read_head, read_more};
+use cloverpier_net::TcpStream;
 use cloverpier_router::HeaderNames;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// A request of a caller.
--- a/crates/standins/cloverpier_router_standin/src/lib.rs
+++ b/crates/standins/cloverpier_router_standin/src/lib.rs
@@ -18,6 +18,9 @@
 mod http;
 pub mod ledger;
 pub mod link;
+mod moment;
 mod socket_owner;
 pub mod store;
 pub mod upstream;
+
+pub use moment::now;
--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -6,14 +6,15 @@
 use crate::socket_owner::SocketOwner;
 use crate::upstream::bind_when_free;
 use cloverpier_core::lock;
+use cloverpier_net::{
+    OwnedReadHalf, OwnedWriteHalf, TcpListener, TcpStream, any_loopback_port, set_zero_linger,
+};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -75,7 +76,7 @@
     ///
     /// No port can be listened at.
     pub async fn start(to: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = TcpListener::bind(any_loopback_port()).await?;
         let address = listener.local_addr()?;
         let (harms, _) = watch::channel(Harms::default());
         let connections = Arc::new(Mutex::new(Vec::new()));
@@ -247,7 +248,7 @@
             Ok(count) => count,
             Err(e) => {
                 // A reset goes on as a reset, never as a clean end.
-                to.as_ref().set_zero_linger()?;
+                set_zero_linger(&to)?;
                 // Dropping the half would end its direction cleanly first.
                 to.forget();
                 return Err(e);
--- a/crates/standins/cloverpier_router_standin/src/socket_owner.rs
+++ b/crates/standins/cloverpier_router_standin/src/socket_owner.rs
@@ -4,12 +4,12 @@
 //! differently.
 
 use cloverpier_core::lock;
+use cloverpier_net::TcpStream;
 use std::collections::HashMap;
 use std::fs;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 
 /// Words between the remote address of a row of the table and the inode.
 const WORDS_TO_INODE: usize = 6;
--- a/crates/standins/cloverpier_router_standin/src/store/mod.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/mod.rs
@@ -8,13 +8,13 @@
 pub use objects::{NOTHING, StoreCall, StoredEvent, StoredObject, WriteCondition};
 
 use cloverpier_core::lock;
+use cloverpier_net::{TcpListener, any_loopback_port};
 use cloverpier_router_policy::prelude::{Configuration, Upstream};
 use objects::Objects;
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -104,7 +104,7 @@
     ///
     /// No port can be listened at.
     pub async fn start(shapes: StoreShapes) -> io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = TcpListener::bind(any_loopback_port()).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let changed = Arc::new(Notify::new());
--- a/crates/standins/cloverpier_router_standin/src/store/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/serve.rs
@@ -4,11 +4,11 @@
 use super::{State, StoreFault, StoreShapes};
 use crate::http::{Head, read_body, read_head};
 use cloverpier_core::lock;
+use cloverpier_net::{TcpListener, TcpStream};
 use std::io;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 /// How often a store that waits looks whether it still does.
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -13,6 +13,7 @@
 
 use crate::ledger::{Fault, SharedLedger};
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName, lock};
+use cloverpier_net::{TcpListener, any_loopback_port};
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::{Upstream, UpstreamStart};
 use serve::serve;
@@ -21,7 +22,6 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 /// Tries to listen at an address that is still taken.
@@ -111,7 +111,7 @@
         names: HeaderNames,
         ledger: SharedLedger,
     ) -> io::Result<Self> {
-        let at = at.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let at = at.unwrap_or_else(any_loopback_port);
         let listener = bind_when_free(at).await?;
         let shape = spec.clone();
         let upstream = Upstream {
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -6,13 +6,14 @@
 use crate::answers::{answer_plainly, asked_length, stream_events, write_answer};
 use crate::http::{Head, read_body, read_head};
 use crate::ledger::{CrashingArrival, Fault, Said, SharedLedger};
+use crate::moment::now;
 use cloverpier_core::lock;
+use cloverpier_net::TcpStream;
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::Upstream;
 use std::io;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// Says for how many seconds an upstream wants nothing.
@@ -258,7 +259,7 @@
 
 fn note_crashing_arrival(state: &Mutex<State>, id: &str, upstream: &Upstream) {
     let arrival = CrashingArrival {
-        at: Instant::now(),
+        at: now(),
         id: id.to_owned(),
         upstream: upstream.name.clone(),
     };
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -5,6 +5,7 @@
 use super::{Brittle, CacheShape, Engine, LoadShape, UpstreamSpec};
 use crate::http::Head;
 use crate::ledger::{Arrival, Fault, RoomRefusal, Said, SharedLedger, Statement};
+use crate::moment::now;
 use cloverpier_core::lock;
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::Upstream;
@@ -74,7 +75,7 @@
     /// Crashes it, as the request that it has begun to run does.
     pub(super) fn crash(&mut self) {
         self.has_crashed = true;
-        lock(&self.ledger).crashes.push(Instant::now());
+        lock(&self.ledger).crashes.push(now());
     }
 
     /// Whether a fault is the next of the script, which has it no more then.
@@ -114,7 +115,7 @@
         let is_full = self.brittle.is_some_and(|b| self.running >= places(b));
         if is_full {
             let refusal = RoomRefusal {
-                at: Instant::now(),
+                at: now(),
                 upstream: self.upstream.name.clone(),
             };
             lock(&self.ledger).room_refusals.push(refusal);
@@ -144,7 +145,7 @@
 
     pub(super) fn note_statement(&self, id: Option<&str>, said: Said) {
         let statement = Statement {
-            at: Instant::now(),
+            at: now(),
             id: id.map(str::to_owned),
             upstream: self.upstream.name.clone(),
             said,
@@ -157,7 +158,7 @@
         let Some(per_second) = self.limit else {
             return false;
         };
-        let now = Instant::now();
+        let now = now();
         let of_window = self.recent.iter().rev();
         let of_window = of_window.take_while(|at| now.duration_since(**at) < LIMIT_WINDOW);
         of_window.count() as f64 > per_second * LIMIT_WINDOW.as_secs_f64() + LIMIT_LEEWAY
@@ -165,13 +166,13 @@
 
     pub(super) fn note_arrival(&mut self, id: Option<&str>) {
         if self.limit.is_some() {
-            self.recent.push_back(Instant::now());
+            self.recent.push_back(now());
             if self.recent.len() > MOST_RECENT {
                 self.recent.pop_front();
             }
         }
         let arrival = Arrival {
-            at: Instant::now(),
+            at: now(),
             id: id.map(str::to_owned),
             upstream: self.upstream.name.clone(),
             leaves: self.leaves,
