--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -12,6 +12,7 @@
 use upstreams::Crash;
 pub use upstreams::{CrashedPort, Return, SiteUpstream};
 
+use crate::ports::free_addresses;
 use crate::process::Process;
 use cloverpier_adapter::platform_wire_names;
 use cloverpier_adapter_standin::{API_SHAPES, store_shapes, token_counts};
@@ -51,11 +52,16 @@
 /// How long after its end a window's report is in time.
 pub const USAGE_LATE: Duration = Duration::from_secs(3);
 
+/// Hands out so many addresses that nobody listens to.
+pub type FreeAddresses = fn(usize) -> io::Result<Vec<SocketAddr>>;
+
 /// What a site is made of.
 #[derive(Clone, Debug)]
 pub struct SiteSpec {
-    /// The router's program.
-    pub program: PathBuf,
+    /// The router's program; `None` where the owner of the site runs the routers by their settings.
+    pub program: Option<PathBuf>,
+    /// Hands out addresses that nobody listens to.
+    pub free_addresses: FreeAddresses,
     /// Where settings and logs lie.
     pub dir: PathBuf,
     /// How many routers.
@@ -95,7 +101,8 @@
     /// A small site with a program and a folder.
     pub fn new(program: PathBuf, dir: &Path) -> Self {
         Self {
-            program,
+            program: Some(program),
+            free_addresses,
             dir: dir.to_path_buf(),
             routers: 1,
             engines: 3,
@@ -201,20 +208,19 @@
         Ok(site)
     }
 
-    /// Starts a router, or starts it again.
+    /// Starts a router, or starts it again; does nothing where the owner of the site runs the routers.
     ///
     /// # Errors
     ///
     /// What the system reports.
     pub fn start_router(&mut self, index: usize) -> io::Result<()> {
+        let Some(program) = &self.spec.program else {
+            return Ok(());
+        };
         let router = &mut self.routers[index];
         let args = [router.settings.display().to_string()];
         router.process = None;
-        router.process = Some(Process::start_logged(
-            &self.spec.program,
-            &args,
-            &router.log,
-        )?);
+        router.process = Some(Process::start_logged(program, &args, &router.log)?);
         Ok(())
     }
 
--- a/tools/src/router_site/settings.rs
+++ b/tools/src/router_site/settings.rs
@@ -3,7 +3,6 @@
 use super::{
     GRACE, LEASE, RETRY_SLACK, ROUTER_MEMORY_MB, Site, SiteRouter, USAGE_LATE, USAGE_WINDOW,
 };
-use crate::ports::free_addresses;
 use cloverpier_router_standin::link::Link;
 use std::io;
 use std::net::SocketAddr;
@@ -11,6 +10,7 @@
 impl Site {
     /// Writes a settings file for each router of the site, and starts the links that it stands behind.
     pub(super) async fn write_router_settings(&mut self) -> io::Result<()> {
+        let free_addresses = self.spec.free_addresses;
         let peers = free_addresses(self.spec.routers)?;
         for index in 0..self.spec.routers {
             let addresses = free_addresses(4)?;
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -9,6 +9,7 @@
 };
 use cloverpier_router_policy::prelude::UpstreamStart;
 use cloverpier_router_standin::link::{Harm, Link};
+use cloverpier_router_standin::now;
 use cloverpier_router_standin::upstream::{UpstreamSpec, UpstreamStandIn};
 use std::io;
 use std::net::SocketAddr;
@@ -200,7 +201,7 @@
     ///
     /// A port is taken.
     pub async fn play_crashes(&mut self, back: Return) -> io::Result<()> {
-        let now = Instant::now();
+        let now = now();
         let (_, closing) = self.spec.crashed_port.harm();
         let is_down: Vec<usize> = self.crashed.iter().map(|crash| crash.upstream).collect();
         for index in 0..self.upstreams.len() {
