--- a/crates/router/cloverpier_net/src/either.rs
+++ b/crates/router/cloverpier_net/src/either.rs
@@ -89,6 +89,14 @@
     }
 }
 
+/// The number of the party at the other end of a simulated connection; `None` for any other connection.
+pub fn remote_party(stream: &TcpStream) -> Option<u32> {
+    match stream {
+        TcpStream::Runtime(_) => None,
+        TcpStream::Simulated(stream) => Some(stream.remote_party().0),
+    }
+}
+
 /// Sets how long sent bytes may stay unacknowledged before the connection ends (`TCP_USER_TIMEOUT`). Has no effect
 /// on simulated connections.
 ///
--- a/crates/router/cloverpier_net/src/lib.rs
+++ b/crates/router/cloverpier_net/src/lib.rs
@@ -12,10 +12,10 @@
 #[cfg(feature = "simulation")]
 pub use either::{
     OwnedReadHalf, OwnedWriteHalf, ReadHalf, TcpListener, TcpStream, UdpSocket, WriteHalf,
-    set_user_timeout, set_zero_linger,
+    remote_party, set_user_timeout, set_zero_linger,
 };
 #[cfg(not(feature = "simulation"))]
-pub use runtime::{set_user_timeout, set_zero_linger};
+pub use runtime::{remote_party, set_user_timeout, set_zero_linger};
 #[cfg(not(feature = "simulation"))]
 pub use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf, ReadHalf, WriteHalf};
 #[cfg(not(feature = "simulation"))]
@@ -35,6 +35,11 @@
     use std::io;
     use std::time::Duration;
 
+    /// The number of the party at the other end of a simulated connection; `None` for any other connection.
+    pub fn remote_party(_stream: &TcpStream) -> Option<u32> {
+        None
+    }
+
     /// Sets how long sent bytes may stay unacknowledged before the connection ends (`TCP_USER_TIMEOUT`).
     ///
     /// # Errors
--- a/crates/router/cloverpier_net/src/simulated/stream.rs
+++ b/crates/router/cloverpier_net/src/simulated/stream.rs
@@ -111,6 +111,10 @@
         self.half.shared.remote.1
     }
 
+    pub fn remote_party(&self) -> Party {
+        self.half.shared.remote.0
+    }
+
     /// A handle of this end.
     pub fn half(&self) -> &Half {
         &self.half
--- a/crates/standins/cloverpier_router_standin/src/socket_owner.rs
+++ b/crates/standins/cloverpier_router_standin/src/socket_owner.rs
@@ -1,10 +1,10 @@
-//! Which process has opened a TCP connection of this machine.
+//! Which process has opened a TCP connection of this machine, or which party a simulated one.
 //!
 //! Reads Linux's tables of sockets and of open files, so that a link can treat the connections of one process
 //! differently.
 
 use cloverpier_core::lock;
-use cloverpier_net::TcpStream;
+use cloverpier_net::{TcpStream, remote_party};
 use std::collections::HashMap;
 use std::fs;
 use std::net::{IpAddr, SocketAddr};
@@ -27,6 +27,8 @@
 
 #[derive(Debug)]
 struct Connection {
+    /// The party that has opened a simulated connection.
+    party: Option<u32>,
     /// Both ends of the connection as the opener sees them: its own address, and the remote one.
     ends: Option<(SocketAddr, SocketAddr)>,
     inode: OnceLock<String>,
@@ -38,6 +40,7 @@
     /// The opener of a connection that a listener has accepted.
     pub fn of_accepted(stream: &TcpStream) -> Self {
         let connection = Connection {
+            party: remote_party(stream),
             ends: stream.peer_addr().ok().zip(stream.local_addr().ok()),
             inode: OnceLock::new(),
             known: Mutex::default(),
@@ -49,6 +52,9 @@
 
     /// Finds out which socket has opened the connection, on a thread on which that may take its time.
     pub async fn resolve(&self) {
+        if self.connection.party.is_some() {
+            return;
+        }
         for _ in 0..MAX_READS {
             let (Some(ends), None) = (self.connection.ends, self.connection.inode.get()) else {
                 return;
@@ -62,8 +68,11 @@
     }
 
     /// Whether the process with this number has opened the connection; false if [`Self::resolve`] has not found out. The
-    /// first result for a process is kept.
+    /// first result for a process is kept. The number of a party stands for a process on simulated connections.
     pub fn is(&self, process: u32) -> bool {
+        if let Some(party) = self.connection.party {
+            return party == process;
+        }
         let Connection { inode, known, .. } = &*self.connection;
         let Some(inode) = inode.get() else {
             return false;
