--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -16,7 +16,7 @@
 use cloverpier_observe::Log;
 use cloverpier_router_policy::first_event_wait::MoveReason;
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::silence::SilenceScope;
+use cloverpier_router_policy::silence::{SilenceScope, SilenceSign};
 use cloverpier_router_policy::stream_version::lookup::UnknownOrigin;
 use serde::Serialize;
 use std::time::{Duration, Instant};
@@ -197,21 +197,21 @@
     pub content: Option<String>,
     /// What was silent, if the attempt ended because nothing arrived.
     #[serde(flatten)]
-    pub silence: Option<SilentAttempt>,
+    pub silence: Option<SilentAttemptFields>,
     /// Milliseconds since the request arrived.
     pub age_ms: u64,
 }
 
 /// What was silent while an attempt made no progress.
 #[derive(Serialize)]
-pub(crate) struct SilentAttempt {
+pub(crate) struct SilentAttemptFields {
     pub silence: SilenceScope,
     /// Milliseconds since the attempt made progress.
     pub silent_ms: u64,
     /// Milliseconds since the upstream sent a part of a response to any request of this router; `None` if it never has.
     #[serde(rename = "server_silent_ms")]
     pub upstream_silent_ms: Option<u64>,
-    /// Number of other upstreams of the service that have requests of this router, and how many of these have responded
+    /// Number of other upstreams of the service from which something is expected, and how many of these have responded
     /// since the attempt made progress.
     #[serde(rename = "other_servers_awaited")]
     pub others_awaited: usize,
@@ -219,6 +219,23 @@
     pub others_heard: usize,
 }
 
+/// An attempt that seems lost goes on, as nothing proves the loss and no other upstream takes the request on yet.
+#[derive(Serialize)]
+pub(crate) struct AttemptKept<'a> {
+    pub request: &'a str,
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    /// The sign by which the attempt seems lost.
+    pub sign: SilenceSign,
+    #[serde(flatten)]
+    pub silence: SilentAttemptFields,
+    /// Whether the route allows another attempt; the retry budget is not considered.
+    pub may_be_sent_again: bool,
+    /// Whether another upstream could take the request now.
+    pub has_room_elsewhere: bool,
+    pub until_deadline_ms: u64,
+}
+
 /// How a request ended. The names in log lines are also the kinds of the metric `requests`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(into = "&'static str")]
--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -1,11 +1,12 @@
 //! The observed activity of each upstream over each path, shared by all tasks that wait for the upstream there.
 //!
 //! A path is this router's own network path, or that through one peer. Owns, for each upstream and path, the time of
-//! the last activity on any connection, the state of the probe, and the signal that the upstream was declared dead or
-//! the path lost. The entries concerned are replaced then: attempts that use the old entry fail, and new attempts use
-//! a new entry that is not marked.
+//! the last activity on any connection, the state of the probe, the number of streams under way, and the sign that the
+//! attempts are lost. When the process has ended or the path is lost, the entry is replaced, so that new attempts use one
+//! that is not marked.
 
 use crate::connection::{Connection, Via};
+use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::Upstream;
 use std::cell::{Cell, RefCell};
@@ -14,12 +15,14 @@
 use std::time::Instant;
 use tokio::sync::Notify;
 
-/// Why the attempts that use an entry have failed.
+/// Why nothing arrives any more for the attempts that use an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum EndCause {
-    /// The upstream was declared dead, or has restarted.
-    UpstreamDead,
-    /// The path to the upstream was lost, while the upstream responds over another one.
+pub(crate) enum LossSign {
+    /// The process of the upstream has ended: no attempt there can go on.
+    ProcessGone,
+    /// The upstream was declared dead because it does not respond. It may go on after a pause.
+    Unreachable,
+    /// Nothing arrives over this path, while the upstream responds over another one.
     PathLost,
 }
 
@@ -40,12 +43,19 @@
     pub probe_awaits_permit: Cell<bool>,
     /// When and over which path the upstream last responded, while it was probed over this one; `None` before.
     pub reached_otherwise: Cell<Option<(Instant, Via)>>,
-    ended: Cell<Option<EndCause>>,
+    /// When data last arrived from the upstream's address, on any connection; `None` before the first.
+    last_heard: Cell<Option<Instant>>,
+    /// Whether a probe was sent that nothing has followed yet.
+    pub is_probe_unanswered: Cell<bool>,
+    /// Number of streams of this router that the upstream has begun to write and that have not ended.
+    streams: Cell<usize>,
+    /// When and why the attempts were last taken for lost.
+    lost: Cell<Option<(LossSign, Instant)>>,
     /// Whether the entry was created when no process listened at the upstream's address any more, and the next
     /// incarnation has not been recorded yet. All requests that use the entry go to the next incarnation, so they
     /// continue when it is recorded.
     pub is_for_next_incarnation: Cell<bool>,
-    /// Notifies the waiting tasks when the upstream is declared dead or has restarted, or the path is lost.
+    /// Notifies the waiting tasks when the attempts are taken for lost.
     pub declared_dead: Notify,
     /// Carries probes, and no requests; `None` before the first probe and while one is in flight.
     pub probe_connection: RefCell<Option<Connection>>,
@@ -61,7 +71,10 @@
             probing_since: Cell::new(None),
             probe_awaits_permit: Cell::new(false),
             reached_otherwise: Cell::new(None),
-            ended: Cell::new(None),
+            last_heard: Cell::new(None),
+            is_probe_unanswered: Cell::new(false),
+            streams: Cell::new(0),
+            lost: Cell::new(None),
             is_for_next_incarnation: Cell::new(false),
             declared_dead: Notify::new(),
         }
@@ -73,13 +86,25 @@
     }
 
     /// Records that a part of a valid response of the upstream itself arrived.
-    pub fn on_own_response(&self, now: Instant) {
+    fn on_own_response(&self, now: Instant) {
         self.last_own_response.set(Some(now));
+        self.on_heard(now);
     }
 
-    /// Why the attempts that use the entry have failed; `None` while they go on.
-    pub fn end_cause(&self) -> Option<EndCause> {
-        self.ended.get()
+    /// Records that data arrived from the upstream's address.
+    fn on_heard(&self, now: Instant) {
+        self.last_heard.set(Some(now));
+        self.on_activity(now);
+    }
+
+    /// Why an attempt that last made progress at `last_progress` seems lost; `None` if it does not. The end of the
+    /// process counts for all attempts. Any other sign counts until the upstream is heard again, and only for attempts
+    /// that were under way by then.
+    pub fn loss_sign(&self, last_progress: Instant) -> Option<LossSign> {
+        let (sign, at) = self.lost.get()?;
+        let is_heard = sign == LossSign::Unreachable && self.last_heard.get() > Some(at);
+        let is_current = at >= last_progress && !is_heard;
+        (sign == LossSign::ProcessGone || is_current).then_some(sign)
     }
 
     /// The path over which the upstream has responded since the present probe over this one was sent; `None` without
@@ -90,13 +115,59 @@
         (reached_at >= probed_at).then_some(via)
     }
 
-    /// Ends the attempts that use the entry, and wakes all tasks that wait with it.
-    fn end(&self, cause: EndCause) {
-        self.ended.set(Some(cause));
+    /// Marks the attempts that use the entry as lost, and wakes all tasks that wait with it.
+    fn on_lost(&self, sign: LossSign, now: Instant) {
+        self.lost.set(Some((sign, now)));
         self.declared_dead.notify_waiters();
     }
 }
 
+/// Records that a part of a valid response of an upstream to a request arrived.
+pub(crate) fn on_own_response(
+    router: &Router,
+    upstream: &UpstreamName,
+    health: &UpstreamHealth,
+    now: Instant,
+) {
+    health.on_own_response(now);
+    on_probe_answered(router, upstream, health);
+}
+
+/// Records that data arrived from an upstream, a response to a probe or check included.
+pub(crate) fn on_heard(
+    router: &Router,
+    upstream: &UpstreamName,
+    health: &UpstreamHealth,
+    now: Instant,
+) {
+    health.on_heard(now);
+    on_probe_answered(router, upstream, health);
+}
+
+fn on_probe_answered(router: &Router, upstream: &UpstreamName, health: &UpstreamHealth) {
+    if health.is_probe_unanswered.replace(false) {
+        router.upstreams.borrow_mut().on_probe_answered(upstream);
+    }
+}
+
+/// Counts a stream that an upstream writes, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct StreamGuard(Rc<UpstreamHealth>);
+
+impl StreamGuard {
+    /// Counts a stream whose first event has arrived.
+    pub fn begin(health: &Rc<UpstreamHealth>) -> Self {
+        health.streams.update(|count| count + 1);
+        Self(Rc::clone(health))
+    }
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.0.streams.update(|count| count - 1);
+    }
+}
+
 /// The entries of one upstream, by path.
 type EntriesByPath = HashMap<Via, Rc<UpstreamHealth>>;
 
@@ -140,21 +211,42 @@
         entries.map(|h| h.last_activity.get()).max()
     }
 
-    /// Ends all attempts at an upstream that was declared dead or has restarted, and returns the new entry for this
-    /// router's own path. The time of the last own response is kept.
+    /// When data last arrived from the upstream over any path; `None` before the first.
+    pub fn last_heard(&self, upstream: &UpstreamName) -> Option<Instant> {
+        let table = self.by_upstream.borrow();
+        let entries = table.get(upstream)?.values();
+        entries.filter_map(|h| h.last_heard.get()).max()
+    }
+
+    /// Number of this router's streams that the upstream has begun to write and that have not ended.
+    pub fn streams_at(&self, upstream: &UpstreamName) -> usize {
+        let table = self.by_upstream.borrow();
+        let entries = table.get(upstream);
+        entries.map_or(0, |e| e.values().map(|h| h.streams.get()).sum())
+    }
+
+    /// Marks the attempts at an upstream that does not respond as possibly lost.
+    pub fn on_unreachable(&self, upstream: &UpstreamName, now: Instant) {
+        let table = self.by_upstream.borrow();
+        let entries = table.get(upstream).into_iter().flat_map(HashMap::values);
+        entries.for_each(|health| health.on_lost(LossSign::Unreachable, now));
+    }
+
+    /// Ends all attempts at an upstream whose process has ended, and returns the new entry for this router's own path.
+    /// The time of the last own response is kept.
     pub fn end_all(&self, upstream: &Upstream, now: Instant) -> Rc<UpstreamHealth> {
         let last_own_response = self.last_own_response(&upstream.name);
         let ended = self.by_upstream.borrow_mut().remove(&upstream.name);
         // An upstream without entries has no attempts to end.
         for health in ended.unwrap_or_default().values() {
-            health.end(EndCause::UpstreamDead);
+            health.on_lost(LossSign::ProcessGone, now);
         }
         let health = self.of(upstream, Via::Direct, now);
         health.last_own_response.set(last_own_response);
         health
     }
 
-    /// Ends the attempts at an upstream over a lost path. The time of the last own response is kept.
+    /// Marks the attempts at an upstream over a lost path as possibly lost. The time of the last own response is kept.
     pub fn end_path(&self, upstream: &Upstream, via: Via, now: Instant) {
         let mut table = self.by_upstream.borrow_mut();
         let entries = table.entry(upstream.name.clone()).or_default();
@@ -165,7 +257,7 @@
         health.last_own_response.set(lost.last_own_response.get());
         entries.insert(via, Rc::new(health));
         drop(table);
-        lost.end(EndCause::PathLost);
+        lost.on_lost(LossSign::PathLost, now);
     }
 
     /// Removes the entries for which `is_known` returns false and that no task uses, and those of paths through peers
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -8,13 +8,13 @@
 //! | concern | modules |
 //! | --- | --- |
 //! | start, shutdown | `start`, `signals`, `lifecycle` |
-//! | a request, in the order of processing | `web`, `intake`, `request_headers`, `resumption`, `buffer_reservation`, `relay_request`, then `plain` or `stream`, `attempt_message`, `send`, `wait`, `outcome`, `responses` |
+//! | a request, in the order of processing | `web`, `intake`, `request_headers`, `resumption`, `buffer_reservation`, `relay_request`, then `plain` or `stream`, `attempt_message`, `send`, `wait`, `silence`, `first_event_watch`, `next_attempt`, `outcome`, `responses` |
 //! | streams that wait for engines | `admission` |
 //! | engines that have read a prompt | `prompts`, `prompt_search` |
 //! | queries for engines' load | `load_query`, `engine_query` |
 //! | versions that began streams | `stream_origins` |
 //! | requests that crash upstreams | `crashes`, `cancel_signal` |
-//! | upstreams' health | `health`, `probe`, `silence`, `suspect_checks`, `reachability`, `successors`, `restart`, `load_guard` |
+//! | upstreams' health | `health`, `probe`, `suspect_checks`, `reachability`, `successors`, `restart`, `load_guard` |
 //! | upstreams' statements about themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits`, `brittle`, `pace_reports` |
 //! | tunnels to upstreams through peers | `tunnel` |
 //! | the store | `source`, `store_sync`, `list_confirmation`, `store_pings`, `store_view`, `store_events`, `upstream_updates` |
@@ -75,6 +75,7 @@
 mod load_query;
 mod metric_kinds;
 mod metrics;
+mod next_attempt;
 mod outbox;
 mod outcome;
 mod pace_reports;
--- a/crates/router/cloverpier_router/src/metrics.rs
+++ b/crates/router/cloverpier_router/src/metrics.rs
@@ -22,6 +22,8 @@
     pub resumed_streams: CounterByKind,
     /// Attempts of streams that were overdue before their first event: `kept` at their engine, or moved, by reason.
     pub overdue_first_events: CounterByKind,
+    /// Attempts that seemed lost and went on, by what was silent.
+    pub kept_attempts: CounterByKind,
     /// Attempts that ended because nothing arrived, by what was silent: the `attempt`, its `server` or the `service`.
     pub silent_attempts: CounterByKind,
     /// Attempts that continue a stream after its first event, by whether the upstream has the software version that
@@ -102,6 +104,7 @@
             failed_attempts: CounterByKind::default(),
             resumed_streams: CounterByKind::default(),
             overdue_first_events: CounterByKind::default(),
+            kept_attempts: CounterByKind::default(),
             silent_attempts: CounterByKind::default(),
             continued_versions: CounterByKind::default(),
             stream_origins: CounterByKind::default(),
@@ -169,6 +172,11 @@
             "Streams without an event, kept or moved",
             self.overdue_first_events.0.clone(),
         );
+        registry.register(
+            "kept_sends",
+            "Sends that seemed lost and went on, by what was silent",
+            self.kept_attempts.0.clone(),
+        );
         registry.register(
             "silent_sends",
             "Sends that ended without an answer, by what was silent",
--- a/crates/router/cloverpier_router/src/outcome.rs
+++ b/crates/router/cloverpier_router/src/outcome.rs
@@ -12,7 +12,7 @@
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::{Refusal, ServiceState, reason_for_refusal};
-use cloverpier_router_policy::silence::SilenceEvidence;
+use cloverpier_router_policy::silence::{SilenceEvidence, SilenceSign};
 use hyper::StatusCode;
 use std::time::{Duration, Instant};
 
@@ -264,10 +264,19 @@
 
 /// What was silent, if the attempt ended because nothing arrived; `None` for other failures.
 fn silence_of(router: &Router, attempt: &FailedAttempt<'_>) -> Option<SilenceEvidence> {
-    let upstream = attempt
-        .upstream
-        .filter(|_| attempt.failure.is_for_silence())?;
-    silence::evidence(router, upstream, attempt.last_progress, attempt.now)
+    let sign = match attempt.failure {
+        AttemptFailure::UpstreamDead => SilenceSign::Unreachable,
+        AttemptFailure::PathLost => SilenceSign::PathLost,
+        AttemptFailure::Stalled | AttemptFailure::DeadlinePassedSent => SilenceSign::Stalled,
+        _ => return None,
+    };
+    silence::evidence(
+        router,
+        attempt.upstream?,
+        sign,
+        attempt.last_progress,
+        attempt.now,
+    )
 }
 
 /// The label of an outcome in metrics.
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -13,6 +13,7 @@
 use crate::crashes::{admission, record, resolution};
 use crate::decision_log::RequestEnd;
 use crate::load_guard::LoadGuard;
+use crate::next_attempt::NextAttempt;
 use crate::outcome::{
     FailedAttempt, RequestFailure, RequestSummary, StreamProgress, log_end, log_failure,
 };
@@ -21,8 +22,9 @@
 use crate::rollouts;
 use crate::router::Router;
 use crate::send::{OpenResponse, return_to_pool, send};
+use crate::silence::SilenceWatch;
 use crate::singleton;
-use crate::wait::{AwaitedUpstream, wait_while_alive};
+use crate::wait::{AttemptWatches, AwaitedUpstream, wait_while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_crashes::Admission;
 use cloverpier_router_policy::buffer_memory::BufferKind;
@@ -33,6 +35,7 @@
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -223,17 +226,22 @@
             priority: self.request.priority,
             ..AttemptHeaders::default()
         };
+        let silence = self.watch_silence(upstream, sent_at);
+        let watches = AttemptWatches {
+            silence: &silence,
+            first_event: None,
+        };
         let opened = send(
             self.router,
             self.request,
             upstream,
             &attempt_headers,
             &mut liveness,
-            None,
+            watches,
         )
         .await?;
         let reply = self
-            .read_response(upstream, opened, &mut liveness, load)
+            .read_response(upstream, opened, &mut liveness, load, watches)
             .await?;
         let now = self.router.now();
         let mut table = self.router.upstreams.borrow_mut();
@@ -250,16 +258,31 @@
 
     /// The timeouts after which this attempt probes a silent upstream, declares it dead, or ends for lack of progress.
     fn liveness_bounds(&self) -> LivenessBounds {
-        let route = &self.request.route;
-        let has_alternative =
-            route.retry_rule().is_idempotent() && self.attempts.sent() < route.max_attempts;
         let probe_timeout = self.router.settings().liveness.probe_timeout;
-        LivenessBounds::of_plain(
-            route.objective,
-            route.timeout,
-            probe_timeout,
-            has_alternative,
-        )
+        LivenessBounds::of_plain(self.request.route.objective, probe_timeout)
+    }
+
+    /// Watches the silence of an attempt that is about to be sent.
+    fn watch_silence(&self, upstream: &Upstream, now: Instant) -> SilenceWatch {
+        let (router, request) = (self.router, self.request);
+        let outcome = AttemptFailure::Stalled.outcome();
+        let may_move = self.attempts.allows_retry_after(outcome);
+        let next = NextAttempt {
+            router: Rc::clone(router),
+            request: Rc::clone(request),
+            upstream: upstream.name.clone(),
+            tried: self.tried.with(&upstream.name),
+            versions: may_move.then(|| rollouts::version_rule(router, &request.service.name, now)),
+            isolation_key: None,
+            replica: None,
+        };
+        SilenceWatch {
+            next: Rc::new(next),
+            stall_after: self.liveness_bounds().stall_after,
+            late_after: None,
+            moves: 0,
+            was_kept: Cell::new(false),
+        }
     }
 
     /// Reads the whole response body into memory. If the body is longer than [`MAX_BUFFERED_BYTES`] or the buffer
@@ -270,6 +293,7 @@
         opened: OpenResponse,
         liveness: &mut Liveness,
         load: LoadGuard,
+        watches: AttemptWatches<'_>,
     ) -> Result<ServerResponse, AttemptFailure> {
         let OpenResponse {
             head,
@@ -284,7 +308,7 @@
             deadline: self.request.deadline,
             // The head proves that the upstream survives the request, so the attempt is not cancelled any more.
             stop: None,
-            first_event: None,
+            watches,
         };
         let mut buffer = BytesMut::new();
         let mut reservation =
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -7,9 +7,10 @@
 //! means. Owns no state.
 
 use crate::call_kind::CallKind;
+use crate::connection::Via;
 use crate::crashes::record;
 use crate::decision_log::ms;
-use crate::health::UpstreamHealth;
+use crate::health::{self, UpstreamHealth};
 use crate::http_client::CallError;
 use crate::reachability;
 use crate::reachability::probing::{end_path_if_reached_otherwise, get_for_probe, probe_otherwise};
@@ -58,6 +59,11 @@
         health.probe_awaits_permit.set(true);
     } else {
         health.probing_since.set(Some(now));
+        health.is_probe_unanswered.set(true);
+        router
+            .upstreams
+            .borrow_mut()
+            .on_probe_sent(&upstream.name, now);
     }
     let (router, upstream, health) = (Rc::clone(router), upstream.clone(), Rc::clone(health));
     tokio::task::spawn_local(async move {
@@ -192,22 +198,21 @@
 }
 
 /// Handles a probe that nothing has answered in time: the path of `health` is lost if the upstream was reached over
-/// another one, else the upstream is declared dead. Returns the failure of the attempts that wait.
+/// another one, else the upstream is declared dead. Marks the attempts that wait accordingly.
 pub(crate) fn on_unanswered_probe(
     router: &Router,
     upstream: &Upstream,
     health: &UpstreamHealth,
     now: Instant,
-) -> AttemptFailure {
+) {
     if let Some(reached) = health.other_path() {
         // The entry has another path only while a probe is in flight.
         let probed_at = health.probing_since.get().unwrap_or(now);
         reachability::end_silent_path(router, upstream, health.via, reached, probed_at);
-        return AttemptFailure::PathLost;
+        return;
     }
     let evidence = FailureEvidence::Unreachable;
     declare_dead(router, upstream, evidence, "no response to a probe", now);
-    AttemptFailure::UpstreamDead
 }
 
 /// Handles the response to a probe. `responder` is the upstream's name in the response; if the name is another one,
@@ -223,7 +228,7 @@
     match check_result(&upstream.name, responder) {
         CheckResult::Alive => {
             router.metrics.probes.count("alive");
-            health.on_activity(now);
+            health::on_heard(router, &upstream.name, health, now);
             record::on_probe_response(router, upstream, sent);
         }
         CheckResult::Replaced => {
@@ -235,9 +240,9 @@
     }
 }
 
-/// Declares an upstream dead. Its attempts fail, so that their requests move to other upstreams, and it gets no new
-/// requests until a check clears it. Further calls for an upstream that is suspected already only record `evidence`
-/// for crash detection and close the idle connections. `reason` is for the log line.
+/// Declares an upstream dead: it gets no new requests until a check clears it. If its process has ended, its attempts
+/// fail; else they are marked as possibly lost, and [`crate::silence`] decides on each. Further calls for an upstream that
+/// is suspected already only record `evidence`. `reason` is for the log line.
 pub(crate) fn declare_dead(
     router: &Router,
     upstream: &Upstream,
@@ -253,6 +258,10 @@
         FailureEvidence::Unreachable => record::on_suspicion(router, upstream, last_activity, now),
     }
     let is_new = router.upstreams.borrow_mut().suspect(&upstream.name, now);
+    match evidence {
+        FailureEvidence::NoProcess => end_attempts(router, upstream, is_new, now),
+        FailureEvidence::Unreachable => router.health.on_unreachable(&upstream.name, now),
+    }
     router.suspicion_added.notify_one();
     router.pool.borrow_mut().close_all(&upstream.name);
     if !is_new {
@@ -267,10 +276,22 @@
         reason,
         ms(silence),
     );
-    let new_health = router.health.end_all(upstream, now);
     router.report_to_peers(&upstream.name);
-    new_health
-        .is_for_next_incarnation
-        .set(evidence == FailureEvidence::NoProcess);
     successors::schedule_successor_checks(router, upstream);
 }
+
+/// Handles a check that shows that the process of a suspected upstream has ended.
+pub(crate) fn on_suspect_gone(router: &Router, upstream: &Upstream, now: Instant) {
+    record::on_process_gone(router, upstream, now);
+    end_attempts(router, upstream, false, now);
+}
+
+/// Ends the attempts at an upstream whose process has ended. `is_new` is whether it was not suspected before; later calls
+/// do not end requests that were sent to its next incarnation since.
+fn end_attempts(router: &Router, upstream: &Upstream, is_new: bool, now: Instant) {
+    let health = router.health.of(upstream, Via::Direct, now);
+    if is_new || !health.is_for_next_incarnation.get() {
+        let new_health = router.health.end_all(upstream, now);
+        new_health.is_for_next_incarnation.set(true);
+    }
+}
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -225,6 +225,13 @@
         state.is_some_and(|state| state.is_usable(self.now()))
     }
 
+    /// Whether the upstreams of a service are model engines, by the configuration in force.
+    pub(crate) fn has_engines(&self, service: &ServiceName) -> bool {
+        let configuration = self.store.configuration();
+        let service = configuration.and_then(|c| c.service(service).cloned());
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Sends this router's load at an upstream, and whether the upstream is suspected, to peers without waiting for
     /// the next heartbeat.
     pub(crate) fn report_to_peers(&self, upstream: &UpstreamName) {
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -10,8 +10,7 @@
 use crate::connection::{Connection, SendError, Via, describe_error, find_io_error_kind};
 use crate::crashes::record;
 use crate::decision_log::SentThroughPeer;
-use crate::first_event_watch::FirstEventWatch;
-use crate::health::UpstreamHealth;
+use crate::health::{self, UpstreamHealth};
 use crate::pool::announced_idle_timeout;
 use crate::probe::{self, FailureEvidence};
 use crate::reachability::connect as reachability;
@@ -20,7 +19,7 @@
 use crate::router::Router;
 use crate::statements::Call;
 use crate::successors;
-use crate::wait::{AwaitedUpstream, wait_while_alive};
+use crate::wait::{AttemptWatches, AwaitedUpstream, wait_while_alive};
 use cloverpier_core::ServiceName;
 use cloverpier_router_policy::attempt_failure::{
     RequestIdMatch, ResponseHead, check_response, may_mean_process_gone,
@@ -60,7 +59,7 @@
     upstream: &Upstream,
     attempt_headers: &AttemptHeaders,
     liveness: &mut Liveness,
-    first_event: Option<&FirstEventWatch>,
+    watches: AttemptWatches<'_>,
 ) -> Result<OpenResponse, AttemptFailure> {
     loop {
         let mut connection = connect(router, request, upstream).await?;
@@ -78,7 +77,7 @@
             health: &health,
             deadline: request.deadline,
             stop: Some(&request.cancel),
-            first_event,
+            watches,
         };
         health.on_activity(now);
         match wait_while_alive(&awaited, liveness, connection.send(message)).await? {
@@ -183,7 +182,7 @@
     let (head, body) = response.into_parts();
     check_head(router, &sent, &head, &connection)?;
     // An upstream rejects a request that names another upstream, so a valid response is from this upstream.
-    sent.health.on_own_response(router.now());
+    health::on_own_response(router, &sent.upstream.name, &sent.health, router.now());
     record::on_request_response(router, sent.upstream, sent.sent_at);
     if let Some(limit) = announced_idle_timeout(&head.headers) {
         connection.idle_timeout = limit;
--- a/crates/router/cloverpier_router/src/silence.rs
+++ b/crates/router/cloverpier_router/src/silence.rs
@@ -1,46 +1,191 @@
-//! Collects what is known of the silence of an attempt's upstream.
+//! Collects what is known of the silence of an attempt's upstream, and keeps or ends the attempt.
 //!
-//! `cloverpier_router_policy::silence` decides what the silence means. Relies on [`crate::health`] for the time of each
-//! upstream's last response, and on the table of upstreams for those that have requests. Owns no state.
+//! `cloverpier_router_policy::silence` decides; [`crate::wait`] asks while nothing arrives. Relies on [`crate::health`] for
+//! the times of upstreams' last signs of life, and on [`crate::next_attempt`] for the upstream that would take the request
+//! on. A [`SilenceWatch`] owns whether the silence of its attempt was logged.
 
-use crate::decision_log::{SilentAttempt, ms};
+use crate::connection::Via;
+use crate::decision_log::{AttemptKept, SilentAttemptFields, ms};
+use crate::health::HealthTable;
+use crate::next_attempt::{Candidate, NextAttempt};
+use crate::probe;
 use crate::router::Router;
-use cloverpier_core::UpstreamName;
-use cloverpier_router_policy::silence::{SilenceEvidence, SilenceScope};
-use std::time::Instant;
+use cloverpier_core::{ServiceName, UpstreamName};
+use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::silence::{
+    NextUpstream, QUIET_AFTER, SilenceEvidence, SilenceScope, SilenceSign, SilenceStep,
+    SilentAttempt,
+};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What becomes of a silent attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SilenceOutcome {
+    /// The attempt goes on; decide again after this time.
+    KeepFor(Duration),
+    /// The attempt ends, because another upstream takes the request on, or its upstream is gone.
+    End,
+}
+
+/// Decides on one attempt while its upstream is silent.
+pub(crate) struct SilenceWatch {
+    /// The attempt that would follow.
+    pub next: Rc<NextAttempt>,
+    /// The time without progress after which the attempt counts as stalled.
+    pub stall_after: Duration,
+    /// The time without progress after which the caller's response is late; `None` if that is not known.
+    pub late_after: Option<Duration>,
+    /// How often the request was moved away from a living upstream before.
+    pub moves: u32,
+    /// Whether it was logged that the attempt is kept.
+    pub was_kept: Cell<bool>,
+}
+
+impl SilenceWatch {
+    /// Decides what becomes of the attempt, which seems lost by `sign` and last made progress at `last_progress`.
+    pub fn step(&self, sign: SilenceSign, last_progress: Instant, now: Instant) -> SilenceOutcome {
+        let (router, upstream) = (&self.next.router, &self.next.upstream);
+        if is_gone(router, upstream) {
+            return SilenceOutcome::End;
+        }
+        let Some(evidence) = evidence(router, upstream, sign, last_progress, now) else {
+            return SilenceOutcome::End;
+        };
+        let candidate = self.next.candidate(now);
+        let attempt = SilentAttempt {
+            sign,
+            evidence,
+            next: candidate
+                .as_ref()
+                .map(|c| next_upstream(router, c, last_progress)),
+            stall_after: self.stall_after,
+            late_after: self.late_after,
+            moves: self.moves,
+        };
+        let step = attempt.step();
+        self.report(&attempt, step, now);
+        match (step, candidate) {
+            (SilenceStep::Move, _) => SilenceOutcome::End,
+            (SilenceStep::ProbeNext(after), Some(candidate)) => {
+                let health = router.health.of(&candidate.upstream, Via::Direct, now);
+                probe::probe(router, &candidate.upstream, &health, now);
+                SilenceOutcome::KeepFor(after)
+            }
+            (SilenceStep::ProbeNext(after) | SilenceStep::WaitFor(after), _) => {
+                SilenceOutcome::KeepFor(after)
+            }
+        }
+    }
+
+    /// Counts and logs once that the attempt is kept.
+    fn report(&self, attempt: &SilentAttempt, step: SilenceStep, now: Instant) {
+        if step == SilenceStep::Move || self.was_kept.replace(true) {
+            return;
+        }
+        let (router, request) = (&self.next.router, &self.next.request);
+        router
+            .metrics
+            .kept_attempts
+            .count(scope_name(attempt.evidence.scope()));
+        let line = AttemptKept {
+            request: &request.id,
+            upstream: self.next.upstream.as_str(),
+            sign: attempt.sign,
+            silence: log_fields(&attempt.evidence),
+            may_be_sent_again: self.next.versions.is_some(),
+            has_room_elsewhere: attempt.next.is_some(),
+            until_deadline_ms: ms(request.time_left(now)),
+        };
+        router.log.info("attempt.kept", &line);
+    }
+}
+
+/// What is known of the upstream that would take on a request whose attempt last made progress at `last_progress`.
+fn next_upstream(router: &Router, next: &Candidate, last_progress: Instant) -> NextUpstream {
+    let name = &next.upstream.name;
+    let health = &router.health;
+    // One that limits its request rate is not probed for this.
+    let is_limited = router.upstream_limits.is_limited(&next.upstream);
+    NextUpstream {
+        predicted: next.predicted,
+        has_responded: is_limited || health.last_heard(name) > Some(last_progress),
+        has_progressed: health.last_own_response(name) > Some(last_progress),
+    }
+}
+
+/// Whether another process is known to have the upstream's address.
+fn is_gone(router: &Router, upstream: &UpstreamName) -> bool {
+    let table = router.upstreams.borrow();
+    table.get(upstream).is_some_and(UpstreamState::is_replaced)
+}
+
+/// When an upstream last sent anything that counts against a sign of loss.
+type HeardAt = fn(&HealthTable, &UpstreamName) -> Option<Instant>;
+
+/// An upstream that responds to probes only does not show that it makes progress with requests.
+fn heard_at(sign: SilenceSign) -> HeardAt {
+    match sign {
+        SilenceSign::Stalled => HealthTable::last_own_response,
+        SilenceSign::Unreachable | SilenceSign::PathLost => HealthTable::last_heard,
+    }
+}
 
 /// What is known of the silence of an attempt that last made progress at `last_progress`; `None` for an upstream that
 /// this router does not know any more.
 pub(crate) fn evidence(
     router: &Router,
     upstream: &UpstreamName,
+    sign: SilenceSign,
     last_progress: Instant,
     now: Instant,
 ) -> Option<SilenceEvidence> {
+    let heard_at = |name: &UpstreamName| heard_at(sign)(&router.health, name);
     let table = router.upstreams.borrow();
     let service = &table.get(upstream)?.upstream.service;
-    let others = table.of_service(service).filter(|state| {
-        let name = &state.upstream.name;
-        name != upstream && state.own_load.requests > 0
-    });
-    let heard_at = |name: &UpstreamName| router.health.last_own_response(name);
     let mut evidence = SilenceEvidence {
         without_progress: now.saturating_duration_since(last_progress),
         upstream_silent: heard_at(upstream).map(|at| now.saturating_duration_since(at)),
         others_awaited: 0,
         others_heard: 0,
     };
-    for other in others {
-        let is_heard = heard_at(&other.upstream.name).is_some_and(|at| at > last_progress);
+    for other in awaited(router, &table, service).filter(|name| *name != upstream) {
+        let is_heard = heard_at(other).is_some_and(|at| at > last_progress);
         evidence.others_awaited += 1;
         evidence.others_heard += usize::from(is_heard);
     }
     Some(evidence)
 }
 
+/// The upstreams of a service from which this router expects something: the next event of a stream, or the response to a
+/// plain request. An engine that reads a prompt is silent for a while.
+fn awaited<'a>(
+    router: &'a Router,
+    table: &'a UpstreamTable,
+    service: &ServiceName,
+) -> impl Iterator<Item = &'a UpstreamName> {
+    let has_engines = router.has_engines(service);
+    let upstreams = table.of_service(service);
+    let awaited = upstreams.filter(move |state| {
+        let name = &state.upstream.name;
+        router.health.streams_at(name) > 0 || (!has_engines && state.own_load.requests > 0)
+    });
+    awaited.map(|state| &state.upstream.name)
+}
+
+/// Whether engines of the service write streams for this router, and none of them has sent anything for a while.
+pub(crate) fn is_service_quiet(router: &Router, service: &ServiceName, now: Instant) -> bool {
+    let table = router.upstreams.borrow();
+    let last_heard = |name: &UpstreamName| router.health.last_own_response(name);
+    let mut awaited = awaited(router, &table, service).map(last_heard).peekable();
+    let is_quiet = |at: Instant| now.saturating_duration_since(at) >= QUIET_AFTER;
+    awaited.peek().is_some() && awaited.all(|at| at.is_some_and(is_quiet))
+}
+
 /// The fields of log lines about a silence.
-pub(crate) fn log_fields(evidence: &SilenceEvidence) -> SilentAttempt {
-    SilentAttempt {
+pub(crate) fn log_fields(evidence: &SilenceEvidence) -> SilentAttemptFields {
+    SilentAttemptFields {
         silence: evidence.scope(),
         silent_ms: ms(evidence.without_progress),
         upstream_silent_ms: evidence.upstream_silent.map(ms),
--- a/crates/router/cloverpier_router/src/stream/choice.rs
+++ b/crates/router/cloverpier_router/src/stream/choice.rs
@@ -11,6 +11,7 @@
 use crate::first_event_watch::FirstEventWatch;
 use crate::load_query::{query_load, query_paces};
 use crate::rollouts;
+use crate::silence::SilenceWatch;
 use crate::stream_origins::write::held_versions;
 use crate::upstream_limits::Permission;
 use cloverpier_core::{DataCentre, UpstreamName};
@@ -247,7 +248,9 @@
         let extras = self.attempt_extras(&upstream, replica, from_replica);
         let limits = LimitedUpstreams::NONE;
         let demand = self.demand(context, reported, &limits);
-        let first_event = self.watch_first_event(&demand, &upstream, from_replica);
+        let next = self.next_attempt(&demand, &upstream, extras.replica.as_ref());
+        let silence = self.watch_silence(&next);
+        let first_event = self.watch_first_event(&demand, next, &upstream, from_replica);
         let inputs = ChoiceInputs {
             replica: extras.replica.as_ref(),
             resumes_after: extras.last_event,
@@ -268,6 +271,7 @@
             upstream,
             headers: extras,
             first_event,
+            silence,
         }
     }
 
@@ -347,6 +351,7 @@
     pub upstream: Upstream,
     pub headers: AttemptHeaders,
     pub first_event: FirstEventWatch,
+    pub silence: SilenceWatch,
 }
 
 /// The upstream of the next attempt.
--- a/crates/router/cloverpier_router/src/stream/first_event.rs
+++ b/crates/router/cloverpier_router/src/stream/first_event.rs
@@ -1,4 +1,4 @@
-//! Begins to watch the first event of an attempt, and compares it with what was predicted when the attempt was sent.
+//! Begins to watch an attempt, and compares its first event with what was predicted when the attempt was sent.
 //!
 //! These are methods of [`StreamRelay`], which owns the state. The table of upstreams learns the rates of the engines
 //! from the first events that are recorded here.
@@ -6,8 +6,11 @@
 use super::StreamRelay;
 use crate::decision_log::{FirstEventObserved, ms};
 use crate::first_event_watch::FirstEventWatch;
+use crate::next_attempt::NextAttempt;
+use crate::silence::SilenceWatch;
 use cloverpier_router_policy::first_event::FirstEventForecast;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::replica::Replica;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,22 +20,54 @@
     pub(super) fn watch_first_event(
         &self,
         demand: &Demand<'_>,
+        next: Rc<NextAttempt>,
         upstream: &Upstream,
         from_replica: bool,
     ) -> FirstEventWatch {
-        let mut tried = self.tried.excluded().to_vec();
-        tried.push(upstream.name.clone());
-        let outcome = AttemptFailure::Stalled.outcome();
-        let may_move = self.attempts.allows_retry_after(outcome);
         FirstEventWatch {
+            next,
+            forecast: self.forecast_first_event(demand, upstream, from_replica),
+            late_at: self.late_at(),
+            moves: self.moves,
+            was_kept: Cell::new(false),
+        }
+    }
+
+    /// What would follow an attempt at `upstream`, whose KV cache is replicated at `replica`.
+    pub(super) fn next_attempt(
+        &self,
+        demand: &Demand<'_>,
+        upstream: &Upstream,
+        replica: Option<&Upstream>,
+    ) -> Rc<NextAttempt> {
+        let may_move = self.may_be_sent_again();
+        let table = self.router.upstreams.borrow();
+        Rc::new(NextAttempt {
             router: Rc::clone(&self.router),
             request: Rc::clone(&self.request),
             upstream: upstream.name.clone(),
-            forecast: self.forecast_first_event(demand, upstream, from_replica),
-            late_at: self.late_at(),
-            tried,
+            tried: self.tried.with(&upstream.name),
             versions: may_move.then(|| demand.versions.clone()),
             isolation_key: demand.suspect_content,
+            replica: replica.map(|engine| Replica::begin(&table, engine.clone())),
+        })
+    }
+
+    /// Whether the route allows another attempt after the one that is about to be sent.
+    fn may_be_sent_again(&self) -> bool {
+        let mut attempts = self.attempts.clone();
+        attempts.on_send();
+        attempts.allows_retry_after(AttemptFailure::Stalled.outcome())
+    }
+
+    /// Begins to watch the silence of an attempt.
+    pub(super) fn watch_silence(&self, next: &Rc<NextAttempt>) -> SilenceWatch {
+        let settings = self.router.settings().liveness;
+        let gap_objective = self.request.route.gap_objective;
+        SilenceWatch {
+            next: Rc::clone(next),
+            stall_after: settings.stall_after.max(gap_objective.unwrap_or_default()),
+            late_after: gap_objective,
             moves: self.moves,
             was_kept: Cell::new(false),
         }
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -23,7 +23,7 @@
 use crate::crashes::record;
 use crate::decision_log::RequestEnd;
 use crate::first_event_watch::FirstEventWatch;
-use crate::health::UpstreamHealth;
+use crate::health::{StreamGuard, UpstreamHealth};
 use crate::load_guard::LoadGuard;
 use crate::outcome::{
     FailedAttempt, RequestFailure, RequestSummary, StreamProgress, log_end, log_failure,
@@ -34,6 +34,7 @@
 use crate::responses::{BufferedResponse, ServerResponse, streamed_response};
 use crate::rollouts;
 use crate::router::Router;
+use crate::silence::SilenceWatch;
 use crate::stream_origins::RelayedStreamGuard;
 use bytes::Bytes;
 use cloverpier_crashes::LossCause;
@@ -112,6 +113,10 @@
     measurement: StreamMeasurement,
     /// Decides whether the attempt stays here until its first event; `None` afterwards.
     first_event: Option<FirstEventWatch>,
+    /// Decides whether the attempt goes on while the upstream is silent.
+    silence: SilenceWatch,
+    /// Counts the stream at its upstream once that has sent an event; `None` before.
+    stream_guard: Option<StreamGuard>,
 }
 
 /// The state of one stream that is relayed to a caller.
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -17,9 +17,11 @@
 use crate::responses::BufferedResponse;
 use crate::rollouts;
 use crate::send::{OpenResponse, return_to_pool, send};
+use crate::wait::AttemptWatches;
 use cloverpier_crashes::Admission;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
+use cloverpier_router_policy::silence::first_check_between_events;
 use cloverpier_router_policy::stream_version::UPSTREAM_RETURN_WAIT;
 use http_body_util::BodyExt;
 use std::rc::Rc;
@@ -143,6 +145,7 @@
             upstream,
             headers: extras,
             first_event,
+            silence,
         } = prepared;
         let upstream = &upstream;
         let load = self.reserve_load(upstream, &extras);
@@ -160,7 +163,10 @@
             upstream,
             &extras,
             &mut liveness,
-            Some(&first_event),
+            AttemptWatches {
+                silence: &silence,
+                first_event: Some(&first_event),
+            },
         )
         .await?;
         let opened = self.check_status(opened, upstream).await?;
@@ -180,6 +186,8 @@
             has_events: false,
             measurement,
             first_event: Some(first_event),
+            silence,
+            stream_guard: None,
         });
         Ok(())
     }
@@ -259,15 +267,15 @@
         }
     }
 
-    /// The configured timeouts between events. The stall timeout is at least the route's objective for the time
-    /// between two events, if the route has one.
+    /// The configured timeouts between events. The attempt counts as stalled early enough for an engine with a replica
+    /// to keep the response in time.
     pub(super) fn event_gap_bounds(&self) -> LivenessBounds {
         let silence = self.router.settings().liveness;
-        let bounds = LivenessBounds {
+        let gap_objective = self.request.route.gap_objective;
+        LivenessBounds {
             probe_after: silence.probe_after,
             probe_timeout: silence.probe_timeout,
-            stall_after: silence.stall_after,
-        };
-        bounds.with_gap_objective(self.request.route.gap_objective)
+            stall_after: first_check_between_events(silence.stall_after, gap_objective),
+        }
     }
 }
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -6,9 +6,10 @@
 use super::{StreamRelay, UpstreamStream};
 use crate::connection::describe_error;
 use crate::crashes::resolution;
+use crate::health::{self, StreamGuard};
 use crate::probe;
 use crate::send::return_to_pool;
-use crate::wait::{AwaitedUpstream, wait_while_alive};
+use crate::wait::{AttemptWatches, AwaitedUpstream, wait_while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_router_policy::prelude::*;
 use http_body_util::BodyExt;
@@ -69,6 +70,11 @@
             current.last_event_at = now;
             current.has_events = true;
             current.first_event = None;
+            current.silence.was_kept.set(false);
+            let health = &current.health;
+            current
+                .stream_guard
+                .get_or_insert_with(|| StreamGuard::begin(health));
         }
     }
 
@@ -83,12 +89,16 @@
             health: &current.health,
             deadline: self.request.deadline,
             stop: (!current.has_events).then_some(&self.request.cancel),
-            first_event: current.first_event.as_ref(),
+            watches: AttemptWatches {
+                silence: &current.silence,
+                first_event: current.first_event.as_ref(),
+            },
         };
         let frame = wait_while_alive(&awaited, &mut current.liveness, current.body.frame()).await?;
         match frame {
             Some(Ok(frame)) => {
-                current.health.on_own_response(self.router.now());
+                let (name, now) = (&current.upstream.name, self.router.now());
+                health::on_own_response(&self.router, name, &current.health, now);
                 // A frame without data holds trailers, which are not passed on.
                 let data = frame.into_data().unwrap_or_default();
                 let pushed = self.splitter.push(&data);
--- a/crates/router/cloverpier_router/src/suspect_checks.rs
+++ b/crates/router/cloverpier_router/src/suspect_checks.rs
@@ -6,8 +6,9 @@
 use crate::call_kind::CallKind;
 use crate::crashes::record;
 use crate::decision_log::{ms, ms_since};
+use crate::health;
 use crate::http_client::CallError;
-use crate::probe::acquire_probe_permit;
+use crate::probe::{acquire_probe_permit, on_suspect_gone};
 use crate::reachability;
 use crate::reachability::query::{PathResponse, get_direct, get_in_trial, get_through_peer};
 use crate::reachability::trial::is_second_trial_due;
@@ -60,7 +61,7 @@
         Err(error) => {
             router.metrics.probes.count("suspect-silent");
             if error.is_refused() {
-                record::on_process_gone(&router, &upstream, router.now());
+                on_suspect_gone(&router, &upstream, router.now());
             }
             return;
         }
@@ -77,9 +78,15 @@
     match check_result(&upstream.name, said.name.as_ref()) {
         CheckResult::Replaced => {
             router.metrics.probes.count("suspect-replaced");
+            on_suspect_gone(&router, &upstream, router.now());
             successors::on_name_mismatch(&router, &upstream, said.name.as_ref());
         }
-        CheckResult::Alive => clear_suspicion(&router, &upstream, sent_at),
+        CheckResult::Alive => {
+            let via = checked.connection.via;
+            let health = router.health.of(&upstream, via, router.now());
+            health::on_heard(&router, &upstream.name, &health, router.now());
+            clear_suspicion(&router, &upstream, sent_at);
+        }
     }
 }
 
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -1,15 +1,18 @@
-//! Waits for data from an upstream, and ends the wait if the upstream fails.
+//! Waits for data from an upstream, and ends the wait if the upstream fails or another one takes the request on.
 //!
-//! [`Liveness`] decides whether to wait, probe the upstream, or end the wait; this module does so. Relies on
-//! [`crate::health`] for the upstream's last activity on any connection. Owns no state.
+//! [`Liveness`] decides whether to wait, to probe the upstream, or that the attempt seems lost; then
+//! [`crate::silence`] and [`crate::first_event_watch`] decide whether it ends. Relies on [`crate::health`] for the
+//! upstream's last activity on any connection. Owns no state.
 
 use crate::cancel_signal::CancelSignal;
 use crate::first_event_watch::FirstEventWatch;
-use crate::health::{EndCause, UpstreamHealth};
+use crate::health::{LossSign, UpstreamHealth};
 use crate::probe;
 use crate::router::Router;
+use crate::silence::{SilenceOutcome, SilenceWatch};
 use cloverpier_router_policy::first_event_wait::FirstEventStep;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_policy::silence::SilenceSign;
 use futures_util::future::poll_immediate;
 use std::future::Future;
 use std::pin::pin;
@@ -29,8 +32,16 @@
     /// Cancels the attempt when the request's content is blocked; `None` once the upstream has begun to respond,
     /// which shows that it survives the request.
     pub stop: Option<&'a CancelSignal>,
-    /// Decides what becomes of a stalled attempt of a stream before its first event; `None` for other attempts, which
-    /// end when they are stalled.
+    /// Decides what becomes of the attempt when it seems lost.
+    pub watches: AttemptWatches<'a>,
+}
+
+/// What decides whether an attempt that seems lost goes on.
+#[derive(Clone, Copy)]
+pub(crate) struct AttemptWatches<'a> {
+    /// Decides while the upstream is silent.
+    pub silence: &'a SilenceWatch,
+    /// Decides on a stalled attempt of a stream before its first event; `None` for other attempts.
     pub first_event: Option<&'a FirstEventWatch>,
 }
 
@@ -119,19 +130,26 @@
         health,
         deadline,
         stop,
-        first_event,
+        watches,
     } = awaited;
     if stop.is_some_and(CancelSignal::is_cancelled) {
         return Err(AttemptFailure::Stopped);
     }
-    match health.end_cause() {
-        Some(EndCause::UpstreamDead) => return Err(AttemptFailure::UpstreamDead),
-        Some(EndCause::PathLost) => return Err(AttemptFailure::PathLost),
-        None => {}
-    }
+    liveness.on_wakeup(now);
+    let sign = match health.loss_sign(liveness.last_progress()) {
+        Some(LossSign::ProcessGone) => return Err(AttemptFailure::UpstreamDead),
+        Some(LossSign::Unreachable) => Some(SilenceSign::Unreachable),
+        Some(LossSign::PathLost) => Some(SilenceSign::PathLost),
+        None => None,
+    };
     if now >= *deadline {
         return Err(AttemptFailure::DeadlinePassedSent);
     }
+    if let Some(sign) = sign {
+        let wait = keep_or_end(watches.silence, sign, liveness, now)?;
+        let wake_at = liveness.expect_wakeup_at((now + wait).min(*deadline));
+        return Ok(WaitAction::WaitUntil(wake_at));
+    }
     let probing_since = health.probing_since.get();
     liveness.hold_probes_until(earliest_probe(router, upstream, health, now));
     match liveness.step(health.last_activity.get(), probing_since, now) {
@@ -141,24 +159,45 @@
             Ok(WaitAction::Reevaluate)
         }
         LivenessStep::UpstreamDead => {
-            Err(probe::on_unanswered_probe(router, upstream, health, now))
+            probe::on_unanswered_probe(router, upstream, health, now);
+            Ok(WaitAction::Reevaluate)
+        }
+        LivenessStep::Stalled => {
+            let further = while_stalled(*watches, liveness, now)?;
+            liveness.extend_stall(further, now);
+            Ok(WaitAction::Reevaluate)
         }
-        LivenessStep::Stalled => while_stalled(*first_event, liveness, now),
     }
 }
 
-/// Ends a stalled attempt, or lets it wait on.
+/// Ends a stalled attempt, or returns the time for which it waits on.
 fn while_stalled(
-    first_event: Option<&FirstEventWatch>,
-    liveness: &mut Liveness,
+    watches: AttemptWatches<'_>,
+    liveness: &Liveness,
     now: Instant,
-) -> Result<WaitAction, AttemptFailure> {
-    let watch = first_event.ok_or(AttemptFailure::Stalled)?;
+) -> Result<Duration, AttemptFailure> {
+    let Some(watch) = watches.first_event else {
+        return keep_or_end(watches.silence, SilenceSign::Stalled, liveness, now);
+    };
     match watch.step(liveness.without_progress(now), now) {
-        FirstEventStep::WaitFor(further) => {
-            liveness.extend_stall(further, now);
-            Ok(WaitAction::Reevaluate)
-        }
+        FirstEventStep::WaitFor(further) => Ok(further),
         FirstEventStep::Move(_) => Err(AttemptFailure::Stalled),
     }
 }
+
+/// Ends an attempt that seems lost, or returns the time for which it waits on.
+fn keep_or_end(
+    watch: &SilenceWatch,
+    sign: SilenceSign,
+    liveness: &Liveness,
+    now: Instant,
+) -> Result<Duration, AttemptFailure> {
+    match watch.step(sign, liveness.last_progress(), now) {
+        SilenceOutcome::KeepFor(time) => Ok(time),
+        SilenceOutcome::End => Err(match sign {
+            SilenceSign::Stalled => AttemptFailure::Stalled,
+            SilenceSign::Unreachable => AttemptFailure::UpstreamDead,
+            SilenceSign::PathLost => AttemptFailure::PathLost,
+        }),
+    }
+}
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -189,14 +189,6 @@
         matches!(self, Self::NotRun { status } if *status == SERVICE_UNAVAILABLE)
     }
 
-    /// Whether the attempt ended because nothing arrived, and not because of anything that arrived.
-    pub fn is_for_silence(&self) -> bool {
-        matches!(
-            self,
-            Self::UpstreamDead | Self::PathLost | Self::Stalled | Self::DeadlinePassedSent
-        )
-    }
-
     /// Whether the attempt failed because the request's deadline passed.
     pub fn is_past_deadline(&self) -> bool {
         matches!(self, Self::DeadlinePassedUnsent | Self::DeadlinePassedSent)
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -14,10 +14,10 @@
 /// An upstream is usable if it is listed and this router does not suspect it. For each set of software
 /// versions, in the order of the version rule, the groups are:
 ///
-/// 1. for a stream that was lost: usable engines that no peer suspects, in data centres that do not seem
-///    dead and in which no engine has failed the stream;
-/// 2. usable upstreams that no peer suspects, in data centres that do not seem dead;
-/// 3. usable upstreams that no peer suspects;
+/// 1. for a stream that was lost: usable engines that respond to probes and that no peer suspects, in data
+///    centres that do not seem dead and in which no engine has failed the stream;
+/// 2. usable upstreams that respond to probes and that no peer suspects, in data centres that do not seem dead;
+/// 3. usable upstreams that respond to probes and that no peer suspects;
 /// 4. usable upstreams.
 ///
 /// Where no upstream is usable there is one group, the first of these that is not empty:
@@ -52,7 +52,9 @@
     let mut groups = Vec::new();
     for set in &sets {
         let usable = filtered(set, |s| s.is_usable(demand.now) && untried(s));
-        let unsuspected = filtered(&usable, |s| !s.is_suspected_by_peer(demand.now));
+        let unsuspected = filtered(&usable, |s| {
+            !s.is_suspected_by_peer(demand.now) && !s.is_unresponsive(demand.now)
+        });
         let healthy = filtered(&unsuspected, |s| {
             !suspect_data_centres.contains(&s.upstream.data_centre)
         });
--- a/crates/router/cloverpier_router_policy/src/first_event_wait.rs
+++ b/crates/router/cloverpier_router_policy/src/first_event_wait.rs
@@ -23,22 +23,22 @@
 
 /// The factor by which a first event may take longer than predicted without a sign of a fault: the load that peers
 /// report is up to a heartbeat old.
-const PREDICTION_ERROR: f64 = 1.25;
+pub(crate) const PREDICTION_ERROR: f64 = 1.25;
 /// The other engine's prediction times this factor has to be shorter than the remaining time at the present engine.
-const CLEARLY_SOONER: f64 = 2.0;
+pub(crate) const CLEARLY_SOONER: f64 = 2.0;
 /// An engine that takes this many times as long as predicted may hang.
 const HANG_FACTOR: f64 = 3.0;
 /// The time between two decisions on an attempt.
-const CHECK_PERIOD: Duration = Duration::from_millis(250);
+pub(crate) const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Predictions count as at least this long, to allow for what an attempt takes besides reading prompts.
 const MIN_PREDICTED: Duration = Duration::from_millis(200);
 /// Maximum number of times that a request is moved away from living engines: beyond that, moves have not helped.
-const MAX_MOVES: u32 = 2;
+pub(crate) const MAX_MOVES: u32 = 2;
 
 /// The other engine that would get the request if its attempt ended now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Elsewhere {
-    /// No other engine has room for the request, or the request may not be sent again.
+    /// No other engine that responds has room for the request, or the request may not be sent again.
     Nowhere,
     /// An engine has room; its first event can't be predicted.
     Unpredicted,
@@ -60,6 +60,9 @@
         let Some(engine) = table.get(&upstream.name) else {
             return Self::Nowhere;
         };
+        if engine.is_unresponsive(demand.now) {
+            return Self::Nowhere;
+        }
         let fits = |memory| fits_kv_cache(table, demand, engine, memory);
         if !demand.engine_memory.is_none_or(fits) {
             return Self::Nowhere;
--- a/crates/router/cloverpier_router_policy/src/liveness.rs
+++ b/crates/router/cloverpier_router_policy/src/liveness.rs
@@ -2,7 +2,7 @@
 //! dead.
 //!
 //! - **Question.** Nothing arrives from an upstream that has a request. Should the router wait, probe
-//!   the upstream, declare it dead, or move only this request?
+//!   the upstream, declare it dead, or consider moving only this request?
 //! - **Inputs.** When data last arrived from the upstream, on any connection; since when a probe is in
 //!   flight; when this request last made progress; [`LivenessBounds`]; the current time.
 //! - **Answer.** A [`LivenessStep`].
@@ -11,7 +11,7 @@
 //!   the prompt again. So silence leads to a probe, and only an unanswered probe to the decision
 //!   that the upstream is dead.
 //!
-//! [`Liveness`] owns the state of one waiting request. It relies on its caller to call
+//! What becomes of the request then is decided in [`crate::silence`]. [`Liveness`] owns the state of one waiting request. It relies on its caller to call
 //! [`Liveness::step`] at the times that it returns: a late call shows that this process itself was
 //! paused.
 
@@ -24,9 +24,9 @@
 /// Silence after which the upstream of a plain (non-streaming) request is probed, as a multiple of the
 /// route's response time objective.
 const PLAIN_PROBE_FACTOR: f64 = 1.0;
-/// Time without progress after which a plain request moves to another upstream, if one may get it, as a
-/// multiple of the route's response time objective. By then the response is late, and another upstream
-/// may still respond before the caller's deadline.
+/// Time without progress after which a plain request may move to another upstream, as a multiple of the
+/// route's response time objective. By then the response is late, and another upstream may still respond
+/// before the caller's deadline.
 const PLAIN_STALL_FACTOR: f64 = 2.0;
 
 /// Timeouts for a waiting request and its silent upstream.
@@ -36,45 +36,18 @@
     pub probe_after: Duration,
     /// Silence of the upstream after the start of a probe, after which it is declared dead.
     pub probe_timeout: Duration,
-    /// Time without progress of this request after which the request is moved to another upstream,
-    /// even if its upstream is alive.
+    /// Time without progress of this request after which it counts as stalled, even if its upstream is
+    /// alive.
     pub stall_after: Duration,
 }
 
 impl LivenessBounds {
-    /// Timeouts for a plain (non-streaming) request.
-    ///
-    /// `objective` is the route's response time objective. `has_alternative` is whether another upstream
-    /// may get the request; without one the request waits for the whole `route_timeout`.
-    pub fn of_plain(
-        objective: Duration,
-        route_timeout: Duration,
-        probe_timeout: Duration,
-        has_alternative: bool,
-    ) -> Self {
+    /// Timeouts for a plain (non-streaming) request. `objective` is the route's response time objective.
+    pub fn of_plain(objective: Duration, probe_timeout: Duration) -> Self {
         Self {
             probe_after: objective.mul_f64(PLAIN_PROBE_FACTOR),
             probe_timeout,
-            stall_after: if has_alternative {
-                objective.mul_f64(PLAIN_STALL_FACTOR)
-            } else {
-                route_timeout
-            },
-        }
-    }
-
-    /// Raises `stall_after` to at least `gap_objective`, the longest time between two events of a stream
-    /// that meets the route's objective: a stream that is not late yet is not moved. `None`, for a route
-    /// without such an objective, changes nothing.
-    #[must_use]
-    pub fn with_gap_objective(self, gap_objective: Option<Duration>) -> Self {
-        let stall_after = match gap_objective {
-            Some(gap) => self.stall_after.max(gap),
-            None => self.stall_after,
-        };
-        Self {
-            stall_after,
-            ..self
+            stall_after: objective.mul_f64(PLAIN_STALL_FACTOR),
         }
     }
 }
@@ -86,10 +59,9 @@
     WaitUntil(Instant),
     /// Probe the upstream.
     Probe,
-    /// The upstream is dead: move the request to another one.
+    /// The upstream does not respond to probes: it gets no new requests.
     UpstreamDead,
-    /// The upstream may be alive, but this request makes no progress: move the request to another
-    /// upstream.
+    /// The upstream may be alive, but this request makes no progress.
     Stalled,
 }
 
@@ -131,6 +103,11 @@
         self.bounds = bounds;
     }
 
+    /// When the request last made progress, or this process resumed after a pause.
+    pub fn last_progress(&self) -> Instant {
+        self.last_progress.max(self.paused_until)
+    }
+
     /// The time without progress. Time before a pause of this process does not count.
     pub fn without_progress(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.last_progress.max(self.paused_until))
@@ -147,6 +124,20 @@
         self.expected_wakeup = now;
     }
 
+    /// Records that the wait has ended at `now`. If that is late, this process was paused.
+    pub fn on_wakeup(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.expected_wakeup) > PAUSE_THRESHOLD {
+            self.paused_until = now;
+        }
+        self.expected_wakeup = self.expected_wakeup.max(now);
+    }
+
+    /// Records that the next wait ends at `at`, and returns that time.
+    pub fn expect_wakeup_at(&mut self, at: Instant) -> Instant {
+        self.expected_wakeup = at;
+        at
+    }
+
     /// Decides the next step. `last_activity` is when data last arrived from the upstream on any
     /// connection; `probing_since` is when the probe in flight was sent, `None` without one.
     pub fn step(
@@ -155,9 +146,7 @@
         probing_since: Option<Instant>,
         now: Instant,
     ) -> LivenessStep {
-        if now.saturating_duration_since(self.expected_wakeup) > PAUSE_THRESHOLD {
-            self.paused_until = now;
-        }
+        self.on_wakeup(now);
         if now >= self.stalled_at() {
             return LivenessStep::Stalled;
         }
@@ -188,8 +177,7 @@
     }
 
     fn wait_until(&mut self, at: Instant) -> LivenessStep {
-        self.expected_wakeup = at.min(self.stalled_at());
-        LivenessStep::WaitUntil(self.expected_wakeup)
+        LivenessStep::WaitUntil(self.expect_wakeup_at(at.min(self.stalled_at())))
     }
 
     fn stalled_at(&self) -> Instant {
--- a/crates/router/cloverpier_router_policy/src/replica.rs
+++ b/crates/router/cloverpier_router_policy/src/replica.rs
@@ -69,7 +69,7 @@
         return None;
     }
     let is_kept = state.is_usable(now) && replica.start == Some(state.incarnation());
-    let is_allowed = versions.allows(state);
+    let is_allowed = versions.allows(state) && !state.is_unresponsive(now);
     (is_kept && is_allowed).then(|| replica.engine.clone())
 }
 
@@ -88,7 +88,7 @@
     let with_capacity: Vec<&UpstreamState> = table
         .of_service(demand.service)
         .filter(|s| s.is_usable(demand.now) && s.upstream.name != primary.name)
-        .filter(|s| !s.is_suspected_by_peer(demand.now))
+        .filter(|s| !s.is_suspected_by_peer(demand.now) && !s.is_unresponsive(demand.now))
         .filter(|s| demand.versions.may_hold_replica(s, primary_state))
         // Copying a KV cache would add load at an engine that limits its request rate.
         .filter(|s| !demand.limits.is_limited(s.key))
--- a/crates/router/cloverpier_router_policy/src/tried_upstreams.rs
+++ b/crates/router/cloverpier_router_policy/src/tried_upstreams.rs
@@ -37,6 +37,13 @@
         &self.excluded
     }
 
+    /// The upstreams that are no candidates once an attempt at `upstream` has ended, too.
+    pub fn with(&self, upstream: &UpstreamName) -> Vec<UpstreamName> {
+        let mut excluded = self.excluded.clone();
+        excluded.push(upstream.clone());
+        excluded
+    }
+
     /// The upstream of the last attempt that ended; `None` before the first.
     pub fn last(&self) -> Option<&UpstreamName> {
         self.last.as_ref()
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -12,6 +12,7 @@
 use crate::leaving::LAST_RESORT_PERIOD;
 use crate::load::Load;
 use crate::pace::Pace;
+use crate::silence::UNRESPONSIVE_AFTER;
 use crate::suspicion::{PEER_SUSPICION_TTL, RELIST_WINDOW, Suspicion};
 use cloverpier_core::{
     DataCentre, ServiceName, SoftwareVersion, UpstreamName, WaitPeriod, hash_of,
@@ -165,6 +166,8 @@
     pub(crate) replaced: bool,
     /// Set while this router suspects that the upstream is dead.
     pub(crate) suspicion: Option<Suspicion>,
+    /// When the first probe was sent that nothing from the upstream has followed; `None` without one.
+    pub(crate) unanswered_since: Option<Instant>,
     /// When a peer last reported that it suspects the upstream.
     pub(crate) peer_suspected_at: Option<Instant>,
     /// The latest period during which the upstream accepts no requests from this VM, from
@@ -217,6 +220,7 @@
             delisted_at: None,
             replaced: false,
             suspicion: None,
+            unanswered_since: None,
             peer_suspected_at: None,
             leaving: None,
             wait: None,
@@ -320,6 +324,7 @@
         self.known_pace = Pace::default();
         self.replaced = false;
         self.suspicion = None;
+        self.unanswered_since = None;
         self.peer_suspected_at = None;
         self.wait = None;
     }
@@ -384,11 +389,22 @@
             .is_some_and(|at| now.saturating_duration_since(at) <= RELIST_WINDOW)
     }
 
+    /// Whether another process was observed or listed at the upstream's address.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
     /// Whether this router suspects that the upstream is dead.
     pub fn is_suspected(&self) -> bool {
         self.suspicion.is_some()
     }
 
+    /// Whether nothing has arrived from the upstream since a probe was sent to it a while ago.
+    pub fn is_unresponsive(&self, now: Instant) -> bool {
+        self.unanswered_since
+            .is_some_and(|at| now.saturating_duration_since(at) >= UNRESPONSIVE_AFTER)
+    }
+
     /// How long this router has suspected that the upstream is dead; `None` if it does not.
     pub fn suspected_for(&self, now: Instant) -> Option<Duration> {
         let suspicion = self.suspicion.as_ref()?;
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -168,6 +168,20 @@
         load
     }
 
+    /// Records that a probe is sent to an upstream.
+    pub fn on_probe_sent(&mut self, name: &UpstreamName, now: Instant) {
+        if let Some(state) = self.upstreams.get_mut(name) {
+            state.unanswered_since.get_or_insert(now);
+        }
+    }
+
+    /// Records that something has arrived from an upstream to which a probe was sent.
+    pub fn on_probe_answered(&mut self, name: &UpstreamName) {
+        if let Some(state) = self.upstreams.get_mut(name) {
+            state.unanswered_since = None;
+        }
+    }
+
     /// Applies a whole list. Ignores the list if its revision is older than the table's.
     pub fn apply_list(
         &mut self,
--- a/crates/router/cloverpier_router_policy/tests/silence.rs
+++ b/crates/router/cloverpier_router_policy/tests/silence.rs
@@ -1,6 +1,8 @@
-//! What is silent: an attempt, its upstream, or its service.
+//! What is silent, and what becomes of an attempt meanwhile.
 
-use cloverpier_router_policy::silence::{SilenceEvidence, SilenceScope};
+use cloverpier_router_policy::silence::{
+    NextUpstream, SilenceEvidence, SilenceScope, SilenceSign, SilenceStep, SilentAttempt,
+};
 use std::time::Duration;
 
 /// An attempt that has made no progress for 1 s, at an upstream that has sent nothing since, beside three others that
@@ -50,3 +52,167 @@
     };
     assert_eq!(evidence.scope(), SilenceScope::Upstream);
 }
+
+/// An attempt between two events that counts as stalled, whose request another engine could take on in 1 s.
+const STALLED: SilentAttempt = SilentAttempt {
+    sign: SilenceSign::Stalled,
+    evidence: SILENT,
+    next: Some(NextUpstream {
+        predicted: Some(Duration::from_millis(1_000)),
+        has_responded: true,
+        has_progressed: true,
+    }),
+    stall_after: Duration::from_millis(1_000),
+    late_after: Some(Duration::from_millis(700)),
+    moves: 0,
+};
+
+/// The evidence of a silence of the whole service.
+const SHARED: SilenceEvidence = SilenceEvidence {
+    others_heard: 0,
+    ..SILENT
+};
+
+fn next_after(ms: u64, has_responded: bool) -> Option<NextUpstream> {
+    Some(NextUpstream {
+        predicted: Some(Duration::from_millis(ms)),
+        has_responded,
+        has_progressed: has_responded,
+    })
+}
+
+/// The silence in milliseconds after which an attempt moves, asked as often as the decision wants; `None` if it stays.
+fn moves_after(attempt: SilentAttempt) -> Option<u64> {
+    let mut silent = Duration::from_millis(350);
+    while silent < Duration::from_secs(25) {
+        let evidence = SilenceEvidence {
+            without_progress: silent,
+            upstream_silent: attempt.evidence.upstream_silent.map(|of| {
+                let is_whole_upstream = of >= attempt.evidence.without_progress;
+                if is_whole_upstream { silent } else { of }
+            }),
+            ..attempt.evidence
+        };
+        match (SilentAttempt {
+            evidence,
+            ..attempt
+        })
+        .step()
+        {
+            SilenceStep::Move => return Some(u64::try_from(silent.as_millis()).unwrap()),
+            SilenceStep::WaitFor(time) | SilenceStep::ProbeNext(time) => silent += time,
+        }
+    }
+    None
+}
+
+#[test]
+fn no_silence_ends_an_attempt_whose_request_nothing_else_can_take_on() {
+    for sign in [
+        SilenceSign::Stalled,
+        SilenceSign::Unreachable,
+        SilenceSign::PathLost,
+    ] {
+        let attempt = SilentAttempt {
+            sign,
+            next: None,
+            ..STALLED
+        };
+        assert_eq!(moves_after(attempt), None, "{sign:?}");
+    }
+}
+
+#[test]
+fn a_silent_service_keeps_its_attempts_until_another_upstream_responds() {
+    let unreachable = SilentAttempt {
+        sign: SilenceSign::Unreachable,
+        evidence: SHARED,
+        next: next_after(1_000, false),
+        ..STALLED
+    };
+    let step = unreachable.step();
+    assert!(matches!(step, SilenceStep::ProbeNext(_)), "{step:?}");
+    let responds = SilentAttempt {
+        next: next_after(1_000, true),
+        ..unreachable
+    };
+    assert_eq!(responds.step(), SilenceStep::Move);
+}
+
+#[test]
+fn a_mass_death_that_looks_like_a_pause_is_left_within_5_s() {
+    let attempt = SilentAttempt {
+        sign: SilenceSign::Unreachable,
+        evidence: SHARED,
+        next: next_after(1_000, false),
+        ..STALLED
+    };
+    let moved_after = moves_after(attempt).expect("the upstreams are dead");
+    assert!((2_600..5_000).contains(&moved_after), "{moved_after}");
+}
+
+#[test]
+fn an_upstream_that_dies_is_left_as_soon_as_the_next_one_responds() {
+    let unproven = SilentAttempt {
+        sign: SilenceSign::Unreachable,
+        next: next_after(1_000, false),
+        ..STALLED
+    };
+    let step = unproven.step();
+    assert!(matches!(step, SilenceStep::ProbeNext(_)), "{step:?}");
+    let responds = SilentAttempt {
+        next: next_after(1_000, true),
+        ..unproven
+    };
+    assert_eq!(responds.step(), SilenceStep::Move);
+}
+
+#[test]
+fn a_pause_of_all_engines_is_outlasted() {
+    let attempt = SilentAttempt {
+        evidence: SHARED,
+        next: Some(NextUpstream {
+            has_progressed: false,
+            ..STALLED.next.unwrap()
+        }),
+        ..STALLED
+    };
+    let moved_after = moves_after(attempt).expect("the engines hang");
+    assert!(moved_after >= 2_600, "{moved_after}");
+}
+
+#[test]
+fn a_pause_of_one_engine_is_left_for_a_replica_while_the_caller_is_in_time() {
+    let attempt = SilentAttempt {
+        next: next_after(50, true),
+        ..STALLED
+    };
+    let moved_after = moves_after(attempt).expect("a replica is sooner");
+    assert!(moved_after < 700, "{moved_after}");
+}
+
+#[test]
+fn a_pause_of_one_engine_is_left_for_a_prompt_read_anew_only_where_that_is_sooner() {
+    assert_eq!(moves_after(STALLED), Some(2_000));
+}
+
+#[test]
+fn a_response_that_hangs_at_an_engine_that_serves_others_is_left_once_it_is_stalled() {
+    let attempt = SilentAttempt {
+        evidence: SilenceEvidence {
+            upstream_silent: Some(Duration::from_millis(20)),
+            ..SHARED
+        },
+        ..STALLED
+    };
+    assert_eq!(moves_after(attempt), Some(1_000));
+}
+
+#[test]
+fn a_request_leaves_living_upstreams_twice_at_most() {
+    let attempt = SilentAttempt {
+        moves: 2,
+        ..STALLED
+    };
+    assert_eq!(moves_after(attempt), None);
+}
