Move no stream into a queue that refuses it, and mark detached health entries

A stream without an event now leaves a living engine to be in time elsewhere only if nobody waits before it, and leaves none at all where it would be refused.

Found by reading: a probe without an answer marked only the entries in the health table. An attempt whose entry had been replaced, as after a lost path that worked again, would have asked again at once, without end. It is marked, too.

--- a/crates/router/cloverpier_router/src/first_event_watch.rs
+++ b/crates/router/cloverpier_router/src/first_event_watch.rs
@@ -47,7 +47,7 @@
             objective: self.next.request.route.objective,
             stall_after: self.stall_timeout(),
             moves: self.moves,
-            others_wait: false,
+            others_wait: self.next.would_queue(),
         };
         let step = wait.step();
         self.report(&wait, step);
--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -116,7 +116,7 @@
     }
 
     /// Marks the attempts that use the entry as lost, and wakes all tasks that wait with it.
-    fn on_lost(&self, sign: LossSign, now: Instant) {
+    pub fn on_lost(&self, sign: LossSign, now: Instant) {
         self.lost.set(Some((sign, now)));
         self.declared_dead.notify_waiters();
     }
--- a/crates/router/cloverpier_router/src/next_attempt.rs
+++ b/crates/router/cloverpier_router/src/next_attempt.rs
@@ -11,6 +11,7 @@
 use cloverpier_router_policy::permit::PermitSearch;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::{Replica, usable_replica};
+use std::cell::Cell;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,6 +30,8 @@
     pub isolation_key: Option<u64>,
     /// The replica of the KV cache of the present attempt; `None` if there is none.
     pub replica: Option<Replica>,
+    /// Whether the request is a stream of which the caller has no event yet, so that it may have to wait for its turn.
+    pub may_queue: Cell<bool>,
 }
 
 /// The upstream that would get the next attempt.
@@ -42,6 +45,9 @@
 impl NextAttempt {
     /// The other upstream at which the request would be placed; a replica is not considered.
     pub fn elsewhere(&self, now: Instant) -> Elsewhere {
+        if self.would_be_refused() {
+            return Elsewhere::Nowhere;
+        }
         self.with_demand(now, |table, demand| {
             Elsewhere::for_next_attempt(table, demand, &mut self.router.rng.borrow_mut())
         })
@@ -51,6 +57,9 @@
     /// The upstream that would get the next attempt now: the engine with the replica, or the best other upstream. `None`
     /// if the request may not be sent again, within its limits and the retry budget, or no upstream has room for it.
     pub fn candidate(&self, now: Instant) -> Option<Candidate> {
+        if self.would_be_refused() {
+            return None;
+        }
         self.with_demand(now, |table, demand| {
             let replica = self.replica.as_ref();
             let (versions, limits) = (demand.versions, demand.limits);
@@ -74,6 +83,17 @@
         .flatten()
     }
 
+    /// Whether the request would have to wait behind others of its service, here or at peers, before its next attempt.
+    pub fn would_queue(&self) -> bool {
+        let service = &self.request.service.name;
+        self.may_queue.get() && self.router.admission.any_waiting(service)
+    }
+
+    /// Whether the request would have to wait and this router holds no waiting requests, because it shuts down.
+    fn would_be_refused(&self) -> bool {
+        self.router.lifecycle.is_shutting_down() && self.would_queue()
+    }
+
     /// Calls `decide` with the demand of the next attempt; `None` if the request may not be sent again.
     fn with_demand<T>(
         &self,
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -275,6 +275,7 @@
             versions: may_move.then(|| rollouts::version_rule(router, &request.service.name, now)),
             isolation_key: None,
             replica: None,
+            may_queue: Cell::new(false),
         };
         SilenceWatch {
             next: Rc::new(next),
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -10,7 +10,7 @@
 use crate::connection::Via;
 use crate::crashes::record;
 use crate::decision_log::ms;
-use crate::health::{self, UpstreamHealth};
+use crate::health::{self, LossSign, UpstreamHealth};
 use crate::http_client::CallError;
 use crate::reachability;
 use crate::reachability::probing::{end_path_if_reached_otherwise, get_for_probe, probe_otherwise};
@@ -198,7 +198,8 @@
 }
 
 /// Handles a probe that nothing has answered in time: the path of `health` is lost if the upstream was reached over
-/// another one, else the upstream is declared dead. Marks the attempts that wait accordingly.
+/// another one, else the upstream is declared dead. Marks the attempts that wait accordingly, those with an entry that is
+/// not in the table any more, too.
 pub(crate) fn on_unanswered_probe(
     router: &Router,
     upstream: &Upstream,
@@ -209,10 +210,12 @@
         // The entry has another path only while a probe is in flight.
         let probed_at = health.probing_since.get().unwrap_or(now);
         reachability::end_silent_path(router, upstream, health.via, reached, probed_at);
+        health.on_lost(LossSign::PathLost, now);
         return;
     }
     let evidence = FailureEvidence::Unreachable;
     declare_dead(router, upstream, evidence, "no response to a probe", now);
+    health.on_lost(LossSign::Unreachable, now);
 }
 
 /// Handles the response to a probe. `responder` is the upstream's name in the response; if the name is another one,
--- a/crates/router/cloverpier_router/src/stream/first_event.rs
+++ b/crates/router/cloverpier_router/src/stream/first_event.rs
@@ -50,6 +50,7 @@
             versions: may_move.then(|| demand.versions.clone()),
             isolation_key: demand.suspect_content,
             replica: replica.map(|engine| Replica::begin(&table, engine.clone())),
+            may_queue: Cell::new(self.may_wait() && !self.is_resuming()),
         })
     }
 
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -71,6 +71,7 @@
             current.has_events = true;
             current.first_event = None;
             current.silence.was_kept.set(false);
+            current.silence.next.may_queue.set(false);
             let health = &current.health;
             current
                 .stream_guard
