Refuse plain requests late in a shutdown that may have to be cut

Cause: streams were refused where they could not be expected to end in time, plain requests never. From 3 s after the signal on, when callers have asked for other addresses, a plain request is taken only if its deadline passes before the router exits; else it is refused at once, not run.

--- a/crates/router/cloverpier_router/src/lifecycle.rs
+++ b/crates/router/cloverpier_router/src/lifecycle.rs
@@ -4,7 +4,7 @@
 //! [`InFlightGuard`] counts a request; [`crate::web`] holds the guard of a streamed response until the last byte is
 //! passed to the connection. `cloverpier_router_policy::lifecycle` decides when a router that shuts down may exit.
 
-use cloverpier_router_policy::lifecycle::{StreamDurations, accepts_streams};
+use cloverpier_router_policy::lifecycle::{StreamDurations, accepts_plain, accepts_streams};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -69,6 +69,11 @@
         accepts_streams(self.shutdown_elapsed(now), expected, grace)
     }
 
+    /// Whether a plain request is accepted that has `time_left` until its deadline.
+    pub fn accepts_plain(&self, time_left: Duration, grace: Duration, now: Instant) -> bool {
+        accepts_plain(self.shutdown_elapsed(now), time_left, grace)
+    }
+
     /// The number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -138,20 +138,29 @@
     )
 }
 
-/// Relays an admitted request, or refuses a stream that may not end before this router exits.
+/// Relays an admitted request, or refuses one that may not end before this router exits.
 async fn relay(router: &Rc<Router>, request: Rc<RelayRequest>, now: Instant) -> ServerResponse {
     router.on_request(&request.service.name, now);
     block_changes::track_request(router, &request);
-    if !request.route.streaming {
-        return relay_plain(router, &request).await;
-    }
-    if !router
-        .lifecycle
-        .accepts_streams(router.settings().grace, now)
-    {
+    if !may_end_before_exit(router, &request, now) {
         return refusal_response("this router stops", Refusal::Stopping);
     }
-    relay_stream(router, &request).await
+    if request.route.streaming {
+        relay_stream(router, &request).await
+    } else {
+        relay_plain(router, &request).await
+    }
+}
+
+/// Whether the request can be expected to end before this router exits; true unless it shuts down.
+fn may_end_before_exit(router: &Router, request: &RelayRequest, now: Instant) -> bool {
+    let grace = router.settings().grace;
+    if request.route.streaming {
+        router.lifecycle.accepts_streams(grace, now)
+    } else {
+        let time_left = request.time_left(now);
+        router.lifecycle.accepts_plain(time_left, grace, now)
+    }
 }
 
 /// Counts a request as in flight until the last byte of its streamed response is passed to the connection. A
--- a/crates/router/cloverpier_router_policy/src/lifecycle.rs
+++ b/crates/router/cloverpier_router_policy/src/lifecycle.rs
@@ -1,12 +1,12 @@
 //! Readiness and graceful shutdown of a router.
 //!
 //! - **Question.** Does this router accept callers, does it hold requests until it can serve them, does it
-//!   still accept streams, and may it exit?
+//!   still accept streams and plain requests, and may it exit?
 //! - **Inputs.** Whether this router has configuration and upstreams, and when the process started; when a
 //!   request arrived, and its caller's time limit; how long ago the termination signal arrived; requests in
 //!   flight; the grace period in force.
-//! - **Result.** A [`PeerState`], a deadline for holding a request, whether streams are accepted, and a
-//!   [`ShutdownStep`].
+//! - **Result.** A [`PeerState`], a deadline for holding a request, whether a stream or plain request is
+//!   accepted, and a [`ShutdownStep`].
 //! - **Why.** Callers keep a router's address for a while after it has left the directory, so a router
 //!   continues to serve during its shutdown. It has to exit before the platform kills it, because the kill
 //!   would cut responses in flight.
@@ -28,6 +28,9 @@
 /// Maximum time after its termination signal during which a router accepts new streams. After it, about 5 s of a
 /// grace period of 8 s are left, and callers have requested other addresses.
 const STREAM_ACCEPTANCE_PERIOD: Duration = Duration::from_millis(2_500);
+/// Time after its termination signal during which a router accepts all plain requests. After it, callers have requested
+/// other addresses, and a request that is cut at the end of the grace period was taken needlessly.
+const PLAIN_ACCEPTANCE_PERIOD: Duration = Duration::from_secs(3);
 /// Number of recent streams whose durations are kept.
 const RECENT_STREAMS: usize = 20;
 /// A new stream is expected to last at most this many times as long as the longest recent one, so that a stream
@@ -116,6 +119,17 @@
     passed <= STREAM_ACCEPTANCE_PERIOD && ends_in_time
 }
 
+/// Whether a router accepts a plain request that has `time_left` until its deadline. Late in a shutdown it accepts only
+/// requests whose deadline passes before it exits, because an upstream may be silent until then. `stopping_for` is the time
+/// since the termination signal, `None` before it.
+pub fn accepts_plain(stopping_for: Option<Duration>, time_left: Duration, grace: Duration) -> bool {
+    let Some(passed) = stopping_for else {
+        return true;
+    };
+    let until_exit = grace.saturating_sub(EXIT_MARGIN).saturating_sub(passed);
+    passed <= PLAIN_ACCEPTANCE_PERIOD || time_left <= until_exit
+}
+
 /// Whether a router may exit that received its termination signal `stopping_for` ago. `in_flight` is the number
 /// of requests in flight.
 pub fn shutdown_step(stopping_for: Duration, in_flight: usize, grace: Duration) -> ShutdownStep {
