Judge signs of life by the present moment, and probe candidates over all paths

An answer over another path is a sign of life, and a plain request moves unless nobody responds at all. - A pause of this process no longer lengthens the time to the next decision.

HEARD_TTL of policy::path_evidence is used for all signs of life. `cargo test -p cloverpier_router_policy`: all passed.

--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -144,8 +144,9 @@
     on_probe_answered(router, upstream, health);
 }
 
+/// The probe may have been sent over another path, whose entry keeps its mark.
 fn on_probe_answered(router: &Router, upstream: &UpstreamName, health: &UpstreamHealth) {
-    if health.is_probe_unanswered.replace(false) {
+    if health.is_probe_unanswered.replace(false) || health.via != Via::Direct {
         router.upstreams.borrow_mut().on_probe_answered(upstream);
     }
 }
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -298,6 +298,7 @@
             late_after: None,
             moves: 0,
             was_kept: Cell::new(false),
+            probed: RefCell::default(),
         }
     }
 
--- a/crates/router/cloverpier_router/src/reachability/probing.rs
+++ b/crates/router/cloverpier_router/src/reachability/probing.rs
@@ -8,7 +8,7 @@
 use crate::call_kind::CallKind;
 use crate::connection::{Connection, Via};
 use crate::crashes::record;
-use crate::health::UpstreamHealth;
+use crate::health::{self, UpstreamHealth};
 use crate::http_client::{CallError, get_over};
 use crate::pace_reports::probe_path;
 use crate::router::Router;
@@ -90,6 +90,9 @@
         return None;
     }
     record::on_probe_response(router, upstream, sent);
+    let now = router.now();
+    let health = router.health.of(upstream, via, now);
+    health::on_heard(router, &upstream.name, &health, now);
     Some(via)
 }
 
--- a/crates/router/cloverpier_router/src/silence.rs
+++ b/crates/router/cloverpier_router/src/silence.rs
@@ -11,15 +11,19 @@
 use crate::probe;
 use crate::router::Router;
 use cloverpier_core::{ServiceName, UpstreamName};
+use cloverpier_router_policy::path_evidence::HEARD_TTL;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::silence::{
-    HEARD_TTL, NextUpstream, QUIET_AFTER, SilenceEvidence, SilenceScope, SilenceSign, SilenceStep,
-    SilentAttempt,
+    NextUpstream, PROBE_CHECK_PERIOD, QUIET_AFTER, SilenceEvidence, SilenceScope, SilenceSign,
+    SilenceStep, SilentAttempt, UNPROVEN_AFTER, UNRESPONSIVE_AFTER,
 };
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Number of probes that are sent for one attempt in quick succession.
+const MAX_FAST_PROBES: u32 = 3;
+
 /// What becomes of a silent attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SilenceOutcome {
@@ -43,6 +47,17 @@
     pub moves: u32,
     /// Whether it was logged that the attempt is kept.
     pub was_kept: Cell<bool>,
+    /// The upstream that was probed last because it may take the request on; `None` before the first.
+    pub probed: RefCell<Option<ProbedUpstream>>,
+}
+
+/// An upstream that was probed because it may take a request on.
+#[derive(Debug)]
+pub(crate) struct ProbedUpstream {
+    name: UpstreamName,
+    at: Instant,
+    /// Number of probes that were sent for the attempt, this one included.
+    count: u32,
 }
 
 impl SilenceWatch {
@@ -56,29 +71,33 @@
             // The upstream itself can be reached through a peer.
             return SilenceOutcome::Move;
         }
-        // An upstream that the table does not contain any more gets no new requests; its attempts go on.
+        if self.awaits_probe(now) {
+            return SilenceOutcome::KeepFor(PROBE_CHECK_PERIOD);
+        }
+        // The table keeps upstreams that have requests of this router.
         let Some(evidence) = evidence(router, upstream, sign, last_progress, now) else {
             return SilenceOutcome::KeepFor(QUIET_AFTER);
         };
-        let candidate = self.next.candidate(sign != SilenceSign::Stalled, now);
+        // A full engine would refuse the request, which helps nobody while its own engine may go on.
+        let overcommit = evidence.without_progress >= UNPROVEN_AFTER;
+        let candidate = self.next.candidate(overcommit, now);
         let attempt = SilentAttempt {
             sign,
             evidence,
             next: candidate
                 .as_ref()
-                .map(|c| next_upstream(router, c, last_progress)),
+                .map(|c| self.next_upstream(c, last_progress, now)),
             stall_after: self.stall_after,
             late_after: self.late_after,
             moves: self.moves,
+            is_stream: self.next.is_stream,
         };
         let step = attempt.step();
         self.report(&attempt, step, now);
         match (step, candidate) {
             (SilenceStep::Move, _) => SilenceOutcome::Move,
             (SilenceStep::ProbeNext(after), Some(candidate)) => {
-                let health = router.health.of(&candidate.upstream, Via::Direct, now);
-                probe::probe(router, &candidate.upstream, &health, now);
-                SilenceOutcome::KeepFor(after)
+                SilenceOutcome::KeepFor(self.probe(&candidate.upstream, after, now))
             }
             (SilenceStep::ProbeNext(after) | SilenceStep::WaitFor(after), _) => {
                 SilenceOutcome::KeepFor(after)
@@ -107,24 +126,64 @@
         };
         router.log.info("attempt.kept", &line);
     }
-}
 
-/// What is known of the upstream that would take a request on.
-fn next_upstream(router: &Router, next: &Candidate, now: Instant) -> NextUpstream {
-    let name = &next.upstream.name;
-    let health = &router.health;
-    // One that limits its request rate is not probed for this.
-    let is_limited = router.upstream_limits.is_limited(&next.upstream);
-    NextUpstream {
-        predicted: next.predicted,
-        has_responded: is_limited || is_recent(health.last_heard(name), now),
-        has_progressed: is_recent(health.last_own_response(name), now),
+    /// What is known of the upstream that would take on the request, whose attempt last made progress at `last_progress`.
+    fn next_upstream(
+        &self,
+        next: &Candidate,
+        last_progress: Instant,
+        now: Instant,
+    ) -> NextUpstream {
+        let (router, name) = (&self.next.router, &next.upstream.name);
+        let since = heard_since(self.next.is_stream, last_progress, now);
+        // One that limits its request rate is not probed for this.
+        let is_limited = router.upstream_limits.is_limited(&next.upstream);
+        NextUpstream {
+            predicted: next.predicted,
+            has_responded: is_limited || router.health.last_heard(name) > Some(since),
+            has_progressed: router.health.last_own_response(name) > Some(since),
+        }
+    }
+
+    /// Probes an upstream that may take the request on, and returns the time until the next decision. After some that
+    /// have not responded, the others are probed less often.
+    fn probe(&self, upstream: &Upstream, check_after: Duration, now: Instant) -> Duration {
+        let router = &self.next.router;
+        let health = router.health.of(upstream, Via::Direct, now);
+        probe::probe(router, upstream, &health, now);
+        let probes = self
+            .probed
+            .borrow()
+            .as_ref()
+            .map_or(0, |probed| probed.count);
+        *self.probed.borrow_mut() = Some(ProbedUpstream {
+            name: upstream.name.clone(),
+            at: now,
+            count: probes + 1,
+        });
+        if probes < MAX_FAST_PROBES {
+            check_after
+        } else {
+            QUIET_AFTER
+        }
+    }
+
+    /// Whether an upstream was probed so shortly ago that its response may still arrive.
+    fn awaits_probe(&self, now: Instant) -> bool {
+        let probed = self.probed.borrow();
+        probed.as_ref().is_some_and(|probed| {
+            let is_new = now.saturating_duration_since(probed.at) < UNRESPONSIVE_AFTER;
+            let heard_at = self.next.router.health.last_heard(&probed.name);
+            is_new && heard_at < Some(probed.at)
+        })
     }
 }
 
-/// Whether a sign of life at `heard_at` still counts.
-fn is_recent(heard_at: Option<Instant>, now: Instant) -> bool {
-    heard_at.is_some_and(|at| now.saturating_duration_since(at) < HEARD_TTL)
+/// The time since when a sign of life counts: engines that write streams send events all the time, other upstreams one
+/// response for each request.
+fn heard_since(is_stream: bool, last_progress: Instant, now: Instant) -> Instant {
+    let recent = now.checked_sub(HEARD_TTL).unwrap_or(now);
+    if is_stream { recent } else { last_progress }
 }
 
 /// Whether another process is known to have the upstream's address.
@@ -156,6 +215,7 @@
     let heard_at = |name: &UpstreamName| heard_at(sign)(&router.health, name);
     let table = router.upstreams.borrow();
     let service = &table.get(upstream)?.upstream.service;
+    let since = heard_since(router.has_engines(service), last_progress, now);
     let mut evidence = SilenceEvidence {
         without_progress: now.saturating_duration_since(last_progress),
         upstream_silent: heard_at(upstream).map(|at| now.saturating_duration_since(at)),
@@ -164,7 +224,7 @@
     };
     for other in awaited(router, &table, service).filter(|name| *name != upstream) {
         evidence.others_awaited += 1;
-        evidence.others_heard += usize::from(is_recent(heard_at(other), now));
+        evidence.others_heard += usize::from(heard_at(other) > Some(since));
     }
     Some(evidence)
 }
--- a/crates/router/cloverpier_router/src/stream/first_event.rs
+++ b/crates/router/cloverpier_router/src/stream/first_event.rs
@@ -73,6 +73,7 @@
             late_after: gap_objective,
             moves: self.moves,
             was_kept: Cell::new(false),
+            probed: RefCell::default(),
         }
     }
 
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -49,7 +49,10 @@
 use measurement::StreamMeasurement;
 use origin::FirstEvent;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// While a stream waits for the retry budget, it asks at this interval.
+const BUDGET_POLL_PERIOD: Duration = Duration::from_millis(100);
 
 /// Relays a request whose response is an event stream. The returned reply has the head and the first events;
 /// its body yields the other events as they arrive.
@@ -307,7 +310,7 @@
             }
             self.settle_attempt();
             self.abandon_current(&failure);
-            self.after_failure(&failure)?;
+            self.after_failure(&failure).await?;
             self.open_next_attempt().await?;
         }
     }
@@ -339,6 +342,22 @@
         }
     }
 
+    /// Waits until the retry budget has a retry for a stream that left its engine for silence, so that it does not fail for
+    /// lack of budget alone. Returns what follows the failed attempt.
+    async fn wait_for_budget(&self, next: NextStep) -> NextStep {
+        let may_wait = self.has_left_upstream && self.attempts.allows_retry();
+        let service = &self.request.service.name;
+        let mut now = self.router.now();
+        while may_wait && next != NextStep::Retry && now < self.request.deadline {
+            self.router.timers.sleep(BUDGET_POLL_PERIOD).await;
+            now = self.router.now();
+            if self.router.try_take_retry(service, now) {
+                return NextStep::Retry;
+            }
+        }
+        next
+    }
+
     /// When the last attempt made progress; before that, when it was sent.
     fn last_progress(&self) -> Instant {
         let interrupted = self.interrupted_since;
@@ -348,7 +367,7 @@
     }
 
     /// Logs a failed attempt; `Ok` if the request may be sent to another upstream.
-    fn after_failure(&mut self, failure: &AttemptFailure) -> Result<(), RequestFailure> {
+    async fn after_failure(&mut self, failure: &AttemptFailure) -> Result<(), RequestFailure> {
         let now = self.router.now();
         let router = Rc::clone(&self.router);
         let service = self.request.service.name.clone();
@@ -362,6 +381,7 @@
         let next = self
             .attempts
             .on_outcome(outcome, !failure.is_past_deadline(), try_take);
+        let next = self.wait_for_budget(next).await;
         let attempt = FailedAttempt {
             upstream: self.tried.last(),
             failure,
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -67,11 +67,13 @@
             guard.disarm();
             rollouts::on_failure(&self.router, &self.request, &upstream, &failure);
             self.record_loss(&upstream, &failure);
-            let mut table = self.router.upstreams.borrow_mut();
-            table.on_result(&upstream.name, failure.counts_against_upstream());
-            drop(table);
+            let has_failed = failure.counts_against_upstream();
+            self.router
+                .upstreams
+                .borrow_mut()
+                .on_result(&upstream.name, has_failed);
             self.tried.on_failure(&upstream.name, &failure);
-            self.after_failure(&failure)?;
+            self.after_failure(&failure).await?;
         }
     }
 
--- a/crates/router/cloverpier_router_policy/src/attempts.rs
+++ b/crates/router/cloverpier_router_policy/src/attempts.rs
@@ -172,6 +172,11 @@
         attempts.may_retry()
     }
 
+    /// Whether the route allows another attempt after those so far; time and budget are not considered.
+    pub fn allows_retry(&self) -> bool {
+        self.may_retry()
+    }
+
     fn record(&mut self, outcome: AttemptOutcome) {
         match outcome {
             AttemptOutcome::NotSent | AttemptOutcome::Misdirected => self.uncount(),
--- a/crates/router/cloverpier_router_policy/src/liveness.rs
+++ b/crates/router/cloverpier_router_policy/src/liveness.rs
@@ -76,6 +76,8 @@
     expected_wakeup: Instant,
     /// Silence before this time is ignored, because this process was paused.
     paused_until: Instant,
+    /// When the request counts as stalled again after a decision that it waits on; `None` before such a decision.
+    stalled_again_at: Option<Instant>,
     /// The upstream must not be probed before this time; `None` if it may be probed now.
     no_probe_before: Option<Instant>,
 }
@@ -88,6 +90,7 @@
             last_progress: now,
             expected_wakeup: now,
             paused_until: now,
+            stalled_again_at: None,
             no_probe_before: None,
         }
     }
@@ -101,6 +104,7 @@
     /// Replaces the timeouts, for example after the first event of a stream has arrived.
     pub fn set_bounds(&mut self, bounds: LivenessBounds) {
         self.bounds = bounds;
+        self.stalled_again_at = None;
     }
 
     /// When the request last made progress, or this process resumed after a pause.
@@ -113,14 +117,15 @@
         now.saturating_duration_since(self.last_progress.max(self.paused_until))
     }
 
-    /// Lets the request wait without progress for so long from now on, before it counts as stalled.
+    /// Lets the request wait without progress for so long from now on, before it counts as stalled again.
     pub fn extend_stall(&mut self, further: Duration, now: Instant) {
-        self.bounds.stall_after = self.without_progress(now) + further;
+        self.stalled_again_at = Some(now + further);
     }
 
     /// Records that an event of the stream, or a part of a plain response, arrived.
     pub fn on_event(&mut self, now: Instant) {
         self.last_progress = now;
+        self.stalled_again_at = None;
         self.expected_wakeup = now;
     }
 
@@ -128,6 +133,7 @@
     pub fn on_wakeup(&mut self, now: Instant) {
         if now.saturating_duration_since(self.expected_wakeup) > PAUSE_THRESHOLD {
             self.paused_until = now;
+            self.stalled_again_at = None;
         }
         self.expected_wakeup = self.expected_wakeup.max(now);
     }
@@ -181,6 +187,7 @@
     }
 
     fn stalled_at(&self) -> Instant {
-        self.last_progress.max(self.paused_until) + self.bounds.stall_after
+        let first = self.last_progress.max(self.paused_until) + self.bounds.stall_after;
+        self.stalled_again_at.unwrap_or(first)
     }
 }
--- a/crates/router/cloverpier_router_policy/src/silence.rs
+++ b/crates/router/cloverpier_router_policy/src/silence.rs
@@ -18,26 +18,24 @@
 //! is no silence and ends an attempt without this decision. Owns no state.
 
 use crate::first_event_wait::{CHECK_PERIOD, CLEARLY_SOONER, MAX_MOVES, PREDICTION_ERROR};
+use crate::path_evidence::HEARD_TTL;
 use serde::Serialize;
 use std::time::Duration;
 
-/// The time without any sign of an upstream with streams under way after which the upstream counts as silent. The events
-/// of a stream follow each other faster.
+/// The time without any sign of an upstream with streams under way after which the upstream counts as silent, and decisions
+/// begin. Longer than [`HEARD_TTL`], so that what upstreams sent shortly before they all stopped does not count.
 pub const QUIET_AFTER: Duration = Duration::from_millis(350);
 /// The time until the next decision while the next upstream is probed.
-const PROBE_CHECK_PERIOD: Duration = Duration::from_millis(20);
+pub const PROBE_CHECK_PERIOD: Duration = Duration::from_millis(20);
 /// The time without progress after which a request is sent to an upstream that has shown no sign of life either. After a
 /// loss, output has to continue within 5 s.
-const UNPROVEN_AFTER: Duration = Duration::from_secs(4);
+pub const UNPROVEN_AFTER: Duration = Duration::from_secs(4);
 /// An upstream without a sign of life for this time after a probe was sent to it is unresponsive: others are preferred.
 /// Half of the time after which it is declared dead.
-pub(crate) const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(100);
+pub const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(100);
 /// The time after an unanswered probe for which an upstream can count as unresponsive: one that has no requests of this
 /// router is not probed again.
 pub(crate) const UNRESPONSIVE_FOR: Duration = Duration::from_secs(2);
-/// A sign of life counts for this time: an upstream that has stopped since may have sent something shortly after an
-/// attempt last made progress. Shorter than [`QUIET_AFTER`], after which decisions begin.
-pub const HEARD_TTL: Duration = Duration::from_millis(150);
 /// An attempt may hang at an upstream that responds to questions once it has made no progress for this many times the
 /// configured time, although the other upstreams are silent, too.
 const HANG_FACTOR: u32 = 3;
@@ -52,7 +50,8 @@
     /// Number of other upstreams of the service from which this router expects something: a plain response, or the next
     /// event of a stream.
     pub others_awaited: usize,
-    /// Number of these that have sent something within [`HEARD_TTL`].
+    /// Number of these that have sent something lately: within [`HEARD_TTL`] for engines, since the attempt made progress
+    /// for others, whose responses follow no rhythm.
     pub others_heard: usize,
 }
 
@@ -102,9 +101,9 @@
     /// The predicted time to the first event there, or zero for an upstream that is no engine; `None` while no rate is
     /// known.
     pub predicted: Option<Duration>,
-    /// Whether it has sent anything to this router within [`HEARD_TTL`], responses to probes included.
+    /// Whether it has sent anything to this router lately, responses to probes included.
     pub has_responded: bool,
-    /// Whether it has sent a part of a response to a request within that time.
+    /// Whether it has sent a part of a response to a request lately.
     pub has_progressed: bool,
 }
 
@@ -123,6 +122,8 @@
     pub late_after: Option<Duration>,
     /// How often the request was moved away from a living upstream before.
     pub moves: u32,
+    /// Whether the request is a stream, of which another engine would have to read the prompt again.
+    pub is_stream: bool,
 }
 
 /// What becomes of the attempt.
@@ -142,6 +143,9 @@
         let Some(next) = self.next else {
             return SilenceStep::WaitFor(CHECK_PERIOD);
         };
+        if !self.is_stream {
+            return self.of_plain_request(next);
+        }
         match self.sign {
             SilenceSign::PathLost => SilenceStep::Move,
             SilenceSign::Unreachable => self.when_unreachable(next),
@@ -149,6 +153,15 @@
         }
     }
 
+    /// Another upstream begins a plain request anew at little cost, so it gets the request unless nobody responds at all.
+    fn of_plain_request(&self, next: NextUpstream) -> SilenceStep {
+        if self.evidence.scope() == SilenceScope::Service {
+            self.move_if_alive(next)
+        } else {
+            SilenceStep::Move
+        }
+    }
+
     /// A single connection that does not come up is no reason to leave an upstream that has just sent something.
     fn when_unreachable(&self, next: NextUpstream) -> SilenceStep {
         let evidence = &self.evidence;
--- a/crates/router/cloverpier_router_policy/tests/silence.rs
+++ b/crates/router/cloverpier_router_policy/tests/silence.rs
@@ -1,7 +1,8 @@
 //! What is silent, and what becomes of an attempt meanwhile.
 
+use cloverpier_router_policy::path_evidence::HEARD_TTL;
 use cloverpier_router_policy::silence::{
-    HEARD_TTL, NextUpstream, QUIET_AFTER, SilenceEvidence, SilenceScope, SilenceSign, SilenceStep,
+    NextUpstream, QUIET_AFTER, SilenceEvidence, SilenceScope, SilenceSign, SilenceStep,
     SilentAttempt,
 };
 use std::time::Duration;
@@ -66,6 +67,7 @@
     stall_after: Duration::from_millis(1_000),
     late_after: Some(Duration::from_millis(700)),
     moves: 0,
+    is_stream: true,
 };
 
 /// The evidence of a silence of the whole service.
@@ -240,5 +242,25 @@
         ..SILENT
     };
     assert_eq!(evidence.scope(), SilenceScope::Service);
-    assert!(HEARD_TTL < QUIET_AFTER);
+    assert!(
+        HEARD_TTL < QUIET_AFTER,
+        "decisions begin before old signs expire"
+    );
+}
+
+#[test]
+fn a_plain_request_leaves_a_silent_server_unless_nobody_responds() {
+    let plain = SilentAttempt {
+        next: next_after(0, false),
+        late_after: None,
+        is_stream: false,
+        ..STALLED
+    };
+    assert_eq!(plain.step(), SilenceStep::Move);
+    let nobody_responds = SilentAttempt {
+        evidence: SHARED,
+        ..plain
+    };
+    let step = nobody_responds.step();
+    assert!(matches!(step, SilenceStep::ProbeNext(_)), "{step:?}");
 }
