--- a/crates/router/cloverpier_router/src/silence.rs
+++ b/crates/router/cloverpier_router/src/silence.rs
@@ -11,22 +11,28 @@
 use crate::probe;
 use crate::router::Router;
 use cloverpier_core::{ServiceName, UpstreamName};
+use cloverpier_router_policy::path_evidence::HEARD_TTL;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::silence::{
-    NextUpstream, QUIET_AFTER, SilenceEvidence, SilenceScope, SilenceSign, SilenceStep,
-    SilentAttempt,
+    NextUpstream, PROBE_CHECK_PERIOD, QUIET_AFTER, SilenceEvidence, SilenceScope, SilenceSign,
+    SilenceStep, SilentAttempt, UNPROVEN_AFTER, UNRESPONSIVE_AFTER,
 };
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Number of probes that are sent for one attempt in quick succession.
+const MAX_FAST_PROBES: u32 = 3;
+
 /// What becomes of a silent attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SilenceOutcome {
     /// The attempt goes on; decide again after this time.
     KeepFor(Duration),
-    /// The attempt ends, because another upstream takes the request on, or its upstream is gone.
-    End,
+    /// The attempt ends, because another upstream takes the request on.
+    Move,
+    /// The attempt ends, because another process has the upstream's address.
+    UpstreamGone,
 }
 
 /// Decides on one attempt while its upstream is silent.
@@ -41,6 +47,17 @@
     pub moves: u32,
     /// Whether it was logged that the attempt is kept.
     pub was_kept: Cell<bool>,
+    /// The upstream that was probed last because it may take the request on; `None` before the first.
+    pub probed: RefCell<Option<ProbedUpstream>>,
+}
+
+/// An upstream that was probed because it may take a request on.
+#[derive(Debug)]
+pub(crate) struct ProbedUpstream {
+    name: UpstreamName,
+    at: Instant,
+    /// Number of probes that were sent for the attempt, this one included.
+    count: u32,
 }
 
 impl SilenceWatch {
@@ -48,30 +65,39 @@
     pub fn step(&self, sign: SilenceSign, last_progress: Instant, now: Instant) -> SilenceOutcome {
         let (router, upstream) = (&self.next.router, &self.next.upstream);
         if is_gone(router, upstream) {
-            return SilenceOutcome::End;
+            return SilenceOutcome::UpstreamGone;
+        }
+        if sign == SilenceSign::PathLost && self.next.is_allowed(now) {
+            // The upstream itself can be reached through a peer.
+            return SilenceOutcome::Move;
+        }
+        if self.awaits_probe(now) {
+            return SilenceOutcome::KeepFor(PROBE_CHECK_PERIOD);
         }
+        // The table keeps upstreams that have requests of this router.
         let Some(evidence) = evidence(router, upstream, sign, last_progress, now) else {
-            return SilenceOutcome::End;
+            return SilenceOutcome::KeepFor(QUIET_AFTER);
         };
-        let candidate = self.next.candidate(now);
+        // A full engine would refuse the request, which helps nobody while its own engine may go on.
+        let overcommit = evidence.without_progress >= UNPROVEN_AFTER;
+        let candidate = self.next.candidate(overcommit, now);
         let attempt = SilentAttempt {
             sign,
             evidence,
             next: candidate
                 .as_ref()
-                .map(|c| next_upstream(router, c, last_progress)),
+                .map(|c| self.next_upstream(c, last_progress, now)),
             stall_after: self.stall_after,
             late_after: self.late_after,
             moves: self.moves,
+            is_stream: self.next.is_stream,
         };
         let step = attempt.step();
         self.report(&attempt, step, now);
         match (step, candidate) {
-            (SilenceStep::Move, _) => SilenceOutcome::End,
+            (SilenceStep::Move, _) => SilenceOutcome::Move,
             (SilenceStep::ProbeNext(after), Some(candidate)) => {
-                let health = router.health.of(&candidate.upstream, Via::Direct, now);
-                probe::probe(router, &candidate.upstream, &health, now);
-                SilenceOutcome::KeepFor(after)
+                SilenceOutcome::KeepFor(self.probe(&candidate.upstream, after, now))
             }
             (SilenceStep::ProbeNext(after) | SilenceStep::WaitFor(after), _) => {
                 SilenceOutcome::KeepFor(after)
@@ -94,25 +120,70 @@
             upstream: self.next.upstream.as_str(),
             sign: attempt.sign,
             silence: log_fields(&attempt.evidence),
-            may_be_sent_again: self.next.versions.is_some(),
+            may_be_sent_again: self.next.may_be_sent_again,
             has_room_elsewhere: attempt.next.is_some(),
             until_deadline_ms: ms(request.time_left(now)),
         };
         router.log.info("attempt.kept", &line);
     }
-}
 
-/// What is known of the upstream that would take on a request whose attempt last made progress at `last_progress`.
-fn next_upstream(router: &Router, next: &Candidate, last_progress: Instant) -> NextUpstream {
-    let name = &next.upstream.name;
-    let health = &router.health;
-    // One that limits its request rate is not probed for this.
-    let is_limited = router.upstream_limits.is_limited(&next.upstream);
-    NextUpstream {
-        predicted: next.predicted,
-        has_responded: is_limited || health.last_heard(name) > Some(last_progress),
-        has_progressed: health.last_own_response(name) > Some(last_progress),
+    /// What is known of the upstream that would take on the request, whose attempt last made progress at `last_progress`.
+    fn next_upstream(
+        &self,
+        next: &Candidate,
+        last_progress: Instant,
+        now: Instant,
+    ) -> NextUpstream {
+        let (router, name) = (&self.next.router, &next.upstream.name);
+        let since = heard_since(self.next.is_stream, last_progress, now);
+        // One that limits its request rate is not probed for this.
+        let is_limited = router.upstream_limits.is_limited(&next.upstream);
+        NextUpstream {
+            predicted: next.predicted,
+            has_responded: is_limited || router.health.last_heard(name) > Some(since),
+            has_progressed: router.health.last_own_response(name) > Some(since),
+        }
     }
+
+    /// Probes an upstream that may take the request on, and returns the time until the next decision. After some that
+    /// have not responded, the others are probed less often.
+    fn probe(&self, upstream: &Upstream, check_after: Duration, now: Instant) -> Duration {
+        let router = &self.next.router;
+        let health = router.health.of(upstream, Via::Direct, now);
+        probe::probe(router, upstream, &health, now);
+        let probes = self
+            .probed
+            .borrow()
+            .as_ref()
+            .map_or(0, |probed| probed.count);
+        *self.probed.borrow_mut() = Some(ProbedUpstream {
+            name: upstream.name.clone(),
+            at: now,
+            count: probes + 1,
+        });
+        if probes < MAX_FAST_PROBES {
+            check_after
+        } else {
+            QUIET_AFTER
+        }
+    }
+
+    /// Whether an upstream was probed so shortly ago that its response may still arrive.
+    fn awaits_probe(&self, now: Instant) -> bool {
+        let probed = self.probed.borrow();
+        probed.as_ref().is_some_and(|probed| {
+            let is_new = now.saturating_duration_since(probed.at) < UNRESPONSIVE_AFTER;
+            let heard_at = self.next.router.health.last_heard(&probed.name);
+            is_new && heard_at < Some(probed.at)
+        })
+    }
+}
+
+/// The time since when a sign of life counts: engines that write streams send events all the time, other upstreams one
+/// response for each request.
+fn heard_since(is_stream: bool, last_progress: Instant, now: Instant) -> Instant {
+    let recent = now.checked_sub(HEARD_TTL).unwrap_or(now);
+    if is_stream { recent } else { last_progress }
 }
 
 /// Whether another process is known to have the upstream's address.
@@ -144,6 +215,7 @@
     let heard_at = |name: &UpstreamName| heard_at(sign)(&router.health, name);
     let table = router.upstreams.borrow();
     let service = &table.get(upstream)?.upstream.service;
+    let since = heard_since(router.has_engines(service), last_progress, now);
     let mut evidence = SilenceEvidence {
         without_progress: now.saturating_duration_since(last_progress),
         upstream_silent: heard_at(upstream).map(|at| now.saturating_duration_since(at)),
@@ -151,9 +223,8 @@
         others_heard: 0,
     };
     for other in awaited(router, &table, service).filter(|name| *name != upstream) {
-        let is_heard = heard_at(other).is_some_and(|at| at > last_progress);
         evidence.others_awaited += 1;
-        evidence.others_heard += usize::from(is_heard);
+        evidence.others_heard += usize::from(heard_at(other) > Some(since));
     }
     Some(evidence)
 }
@@ -174,13 +245,20 @@
     awaited.map(|state| &state.upstream.name)
 }
 
-/// Whether engines of the service write streams for this router, and none of them has sent anything for a while.
-pub(crate) fn is_service_quiet(router: &Router, service: &ServiceName, now: Instant) -> bool {
+/// Whether engines of the service other than `upstream` write streams for this router, and no engine has sent anything for
+/// a while.
+pub(crate) fn is_service_quiet(
+    router: &Router,
+    service: &ServiceName,
+    upstream: &UpstreamName,
+    now: Instant,
+) -> bool {
     let table = router.upstreams.borrow();
+    let others = awaited(router, &table, service).filter(|name| *name != upstream);
     let last_heard = |name: &UpstreamName| router.health.last_own_response(name);
-    let mut awaited = awaited(router, &table, service).map(last_heard).peekable();
+    let mut last_heard = others.map(last_heard).peekable();
     let is_quiet = |at: Instant| now.saturating_duration_since(at) >= QUIET_AFTER;
-    awaited.peek().is_some() && awaited.all(|at| at.is_some_and(is_quiet))
+    last_heard.peek().is_some() && last_heard.all(|at| at.is_some_and(is_quiet))
 }
 
 /// The fields of log lines about a silence.
