Look up the opener of a link's connection by its two ends

Cause: to tell whose connection passes a link, the stand-in read the system's whole table of TCP sockets, up to three times a connection and again for each read of one whose row was missing. With 64,851 rows (closed connections of other tests) one read took 71 ms; the same lookup by sock_diag(7) took 0.04 ms (both measured once on this machine). The links of a test stood still meanwhile, and routers took their paths for lost.

Change: one lookup of one socket, as a connection is accepted; no table, no blocking thread, no second read. A connection whose opener the system does not tell ends with an error.

--- a/crates/standins/cloverpier_router_standin/src/lib.rs
+++ b/crates/standins/cloverpier_router_standin/src/lib.rs
@@ -18,6 +18,7 @@
 mod http;
 pub mod ledger;
 pub mod link;
+mod socket_diag;
 mod socket_owner;
 pub mod store;
 pub mod upstream;
--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -152,11 +152,10 @@
     connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
 ) {
     while let Ok((near, _)) = listener.accept().await {
-        let owner = SocketOwner::of_accepted(&near);
         let harms = harms.subscribe();
         let connection = tokio::spawn(async move {
             // A connection that can't go on ends; whoever used it notices.
-            let _ = admit(near, to, harms, owner).await;
+            let _ = admit(near, to, harms).await;
         });
         let mut connections = lock(&connections);
         connections.retain(|c| !c.is_finished());
@@ -165,12 +164,8 @@
 }
 
 /// The harm to a connection now.
-async fn harm_now(harms: &mut watch::Receiver<Harms>, owner: &SocketOwner) -> Harm {
-    let depends_on_owner = !harms.borrow_and_update().to_process.is_empty();
-    if depends_on_owner {
-        owner.resolve().await;
-    }
-    harms.borrow().harm_to(owner)
+fn harm_now(harms: &mut watch::Receiver<Harms>, owner: &SocketOwner) -> Harm {
+    harms.borrow_and_update().harm_to(owner)
 }
 
 /// Waits until the harm to a connection fulfils a condition; fails if the link ends before.
@@ -179,7 +174,7 @@
     owner: &SocketOwner,
     condition: impl Fn(Harm) -> bool,
 ) -> Result<(), watch::error::RecvError> {
-    while !condition(harm_now(harms, owner).await) {
+    while !condition(harm_now(harms, owner)) {
         harms.changed().await?;
     }
     Ok(())
@@ -190,9 +185,9 @@
     near: TcpStream,
     to: SocketAddr,
     mut harms: watch::Receiver<Harms>,
-    owner: SocketOwner,
 ) -> io::Result<()> {
-    let harm = harm_now(&mut harms, &owner).await;
+    let owner = SocketOwner::of_accepted(&near)?;
+    let harm = harm_now(&mut harms, &owner);
     if matches!(harm, Harm::ResetNew | Harm::Reset) {
         return near.set_zero_linger();
     }
@@ -254,7 +249,7 @@
             }
         };
         loop {
-            match harm_now(&mut harms, &owner).await {
+            match harm_now(&mut harms, &owner) {
                 Harm::None | Harm::ResetNew | Harm::Reset => break,
                 Harm::CutBack if !is_back => break,
                 Harm::Delay(by) => {
--- a/crates/standins/cloverpier_router_standin/src/socket_owner.rs
+++ b/crates/standins/cloverpier_router_standin/src/socket_owner.rs
@@ -1,24 +1,17 @@
 //! Which process has opened a TCP connection of this machine.
 //!
-//! Reads Linux's tables of sockets and of open files, so that a link can treat the connections of one process
-//! differently.
+//! Looks up the opener's socket once, by [`crate::socket_diag`], and searches Linux's tables of open files for the
+//! socket, so that a link can treat the connections of one process differently. Owns what is known of one connection.
 
+use crate::socket_diag::socket_inode;
 use cloverpier_core::lock;
 use std::collections::HashMap;
 use std::fs;
-use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, OnceLock};
-use std::time::{Duration, Instant};
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
 use tokio::net::TcpStream;
 
-/// Words between the remote address of a row of the table and the inode.
-const WORDS_TO_INODE: usize = 6;
-/// How often the table is read for one connection, at most.
-const MAX_READS: usize = 3;
-/// How long a table that was read is searched again. The system takes milliseconds to write one, and a connection's
-/// ports are not used again sooner.
-const TABLE_AGE: Duration = Duration::from_millis(100);
-
 /// The opener of an accepted connection. Clones share what is known of it.
 #[derive(Clone, Debug)]
 pub(crate) struct SocketOwner {
@@ -27,88 +20,51 @@
 
 #[derive(Debug)]
 struct Connection {
-    /// Both ends of the connection as the opener sees them: its own address, and the remote one.
-    ends: Option<(SocketAddr, SocketAddr)>,
-    inode: OnceLock<String>,
+    /// The inode of the opener's socket; `None` if the opener had closed the socket by the time of the lookup.
+    inode: Option<u32>,
     /// Whether a process has opened the connection, by the process's number.
     known: Mutex<HashMap<u32, bool>>,
 }
 
 impl SocketOwner {
-    /// The opener of a connection that a listener has accepted.
-    pub fn of_accepted(stream: &TcpStream) -> Self {
+    /// Looks up the opener of a connection that a listener has accepted.
+    ///
+    /// # Errors
+    ///
+    /// The connection has ended, or the system does not tell who opened the connection.
+    pub fn of_accepted(stream: &TcpStream) -> io::Result<Self> {
+        // The remote address of the accepted end is the local address of the opener's end.
+        let (local, remote) = (ipv4(stream.peer_addr()?)?, ipv4(stream.local_addr()?)?);
         let connection = Connection {
-            ends: stream.peer_addr().ok().zip(stream.local_addr().ok()),
-            inode: OnceLock::new(),
+            inode: socket_inode(local, remote)?,
             known: Mutex::default(),
         };
-        Self {
+        Ok(Self {
             connection: Arc::new(connection),
-        }
-    }
-
-    /// Finds out which socket has opened the connection, on a thread on which that may take its time.
-    pub async fn resolve(&self) {
-        for _ in 0..MAX_READS {
-            let (Some(ends), None) = (self.connection.ends, self.connection.inode.get()) else {
-                return;
-            };
-            // Rows may be missing from a table that changes while it is read, so a missing row is not kept.
-            if let Ok(Some(inode)) = tokio::task::spawn_blocking(move || inode_of(ends)).await {
-                // Another clone may have set the same inode.
-                let _ = self.connection.inode.set(inode);
-            }
-        }
+        })
     }
 
-    /// Whether the process with this number has opened the connection; false if [`Self::resolve`] has not found out. The
-    /// first result for a process is kept.
+    /// Whether the process with this number has opened the connection. The first result for a process is kept.
     pub fn is(&self, process: u32) -> bool {
-        let Connection { inode, known, .. } = &*self.connection;
-        let Some(inode) = inode.get() else {
+        let Connection { inode, known } = &*self.connection;
+        let Some(inode) = inode else {
             return false;
         };
         *lock(known)
             .entry(process)
-            .or_insert_with(|| has_socket(process, inode))
+            .or_insert_with(|| has_socket(process, *inode))
     }
 }
 
-/// The inode of the socket with these ends, by the system's table of TCP sockets.
-fn inode_of((local, remote): (SocketAddr, SocketAddr)) -> Option<String> {
-    static LAST_TABLE: Mutex<Option<(Instant, String)>> = Mutex::new(None);
-    let ends = format!(" {} {} ", table_entry(local)?, table_entry(remote)?);
-    let mut last = lock(&LAST_TABLE);
-    let recent = last.as_ref().filter(|(at, _)| at.elapsed() < TABLE_AGE);
-    if let Some(inode) = recent.and_then(|(_, table)| find_inode(table, &ends)) {
-        return Some(inode);
+fn ipv4(address: SocketAddr) -> io::Result<SocketAddrV4> {
+    match address {
+        SocketAddr::V4(address) => Ok(address),
+        SocketAddr::V6(_) => Err(io::Error::from(io::ErrorKind::Unsupported)),
     }
-    let now = Instant::now();
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let (_, table) = last.insert((now, table));
-    find_inode(table, &ends)
-}
-
-/// The inode in the row with these ends.
-fn find_inode(table: &str, ends: &str) -> Option<String> {
-    // The table has thousands of rows on a busy machine, so that only the row in question is split into words.
-    let row = &table[table.find(ends)? + ends.len()..];
-    row.split_whitespace()
-        .nth(WORDS_TO_INODE)
-        .map(str::to_owned)
-}
-
-/// An IPv4 address as the table writes it: the bytes of the address in the machine's order, and the port.
-fn table_entry(address: SocketAddr) -> Option<String> {
-    let IpAddr::V4(ip) = address.ip() else {
-        return None;
-    };
-    let ip = u32::from_ne_bytes(ip.octets());
-    Some(format!("{ip:08X}:{:04X}", address.port()))
 }
 
 /// Whether a process has the socket with this inode among its open files.
-fn has_socket(process: u32, inode: &str) -> bool {
+fn has_socket(process: u32, inode: u32) -> bool {
     let socket = format!("socket:[{inode}]");
     let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
         return false;
