Tell crashes by chance from crashes by a request in small, busy services

Cause: each crash without concurrent failures counts in full, whatever the number of upstreams.

Change: a content whose evidence reaches the limit is not blocked while a quarter of a content or more is expected to have as many crashes by chance: the contents that the first crashed upstream was executing, times one in the number of the service's upstreams for each further crash. Two crashes beyond the limit block it in any case. Nothing changes where the service has many upstreams: with 8, up to 16 contents, with 24, up to 144.

The two tests of crashes by chance failed before.

--- a/crates/shared/cloverpier_crashes/src/registry.rs
+++ b/crates/shared/cloverpier_crashes/src/registry.rs
@@ -11,6 +11,8 @@
 //!   that have the same crashes derive the same status.
 //! - **Threshold.** By default, three crashes of full weight block a content. With one or two, requests that
 //!   happen to run at failing engines would be blocked; each further crash costs an engine with all its streams.
+//! - **Chance.** In a service with few upstreams that each execute many requests, more crashes are needed: some request
+//!   is at each of three crashes though it caused none of them ([`chance`]).
 //! - **Attribution.** A crash counts against each content that the upstream was executing. If a crash counted
 //!   only against the content with the most crashes, several contents that crash engines at the same time would
 //!   each crash more engines before they are blocked.
@@ -18,10 +20,12 @@
 //! Owns the recorded crashes, and which contents were blocked when this was last reported. Relies on
 //! [`crate::weight`] for the weights.
 
+mod chance;
 mod record;
 
 use crate::content::ContentKey;
 use crate::weight::{CrashContext, Weight};
+use chance::{Exposure, MAX_CRASHES_BEYOND_LIMIT};
 use record::ContentRecord;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -299,8 +303,7 @@
     /// Whether requests with a content may be sent, by the recorded crashes and the operator's settings.
     pub fn status(&self, content: ContentKey, now: Instant) -> ContentStatus {
         let evidence = self.evidence_with(content, [], now);
-        let CrashLimit(limit) = self.limit;
-        if limit > 0 && evidence.reaches(limit) && !self.is_cleared(content) {
+        if self.is_conclusive(content, evidence, now) && !self.is_cleared(content) {
             ContentStatus::Blocked
         } else if evidence.reaches(SUSPECT_THRESHOLD) {
             ContentStatus::Suspect
@@ -309,6 +312,29 @@
         }
     }
 
+    /// Whether the evidence against a content reaches the limit and is not due to chance.
+    fn is_conclusive(&self, content: ContentKey, evidence: Evidence, now: Instant) -> bool {
+        let CrashLimit(limit) = self.limit;
+        if limit == 0 || !evidence.reaches(limit) {
+            return false;
+        }
+        evidence.reaches(limit + MAX_CRASHES_BEYOND_LIMIT)
+            || !self.exposure(content, now).explains(evidence)
+    }
+
+    /// The conditions under which a content has the crashes that count.
+    fn exposure(&self, content: ContentKey, now: Instant) -> Exposure {
+        let first = self.records.get(&content).and_then(|r| r.first_crash(now));
+        let contents = first.map_or(0, |(id, _)| {
+            let records = self.records.values();
+            records.filter(|r| r.crash_time(id).is_some()).count()
+        });
+        Exposure {
+            contents,
+            upstreams: first.map_or(0, |(_, context)| context.others_in_service + 1),
+        }
+    }
+
     /// Sum of the weights of the crashes that count against a content, in thousandths of [`Weight::FULL`].
     pub fn evidence_thousandths(&self, content: ContentKey, now: Instant) -> u32 {
         self.evidence_with(content, [], now).thousandths
--- a/crates/shared/cloverpier_crashes/src/registry/record.rs
+++ b/crates/shared/cloverpier_crashes/src/registry/record.rs
@@ -183,6 +183,14 @@
         self.counted(now).count()
     }
 
+    /// The earliest crash that counts, and its context; `None` without such a crash.
+    pub(super) fn first_crash(&self, now: Instant) -> Option<(CrashId, &CrashContext)> {
+        let crashes = self.crashes.iter();
+        let counted = crashes.filter(|(_, crash)| crash.is_counted(now));
+        let first = counted.min_by_key(|(_, crash)| crash.at);
+        first.map(|(id, crash)| (*id, &crash.context))
+    }
+
     /// Time of the latest crash, disregarded crashes included; `None` without a crash.
     pub(super) fn latest_crash(&self) -> Option<Instant> {
         self.crashes.values().map(|crash| crash.at).max()
--- a/crates/shared/cloverpier_crashes/tests/registry.rs
+++ b/crates/shared/cloverpier_crashes/tests/registry.rs
@@ -73,6 +73,71 @@
     assert_eq!(registry_with("a", 3, now).status(content("b"), now), normal);
 }
 
+/// A crash in a service with three upstreams.
+fn crash_of_three(upstream: u64, time_ms: u64, at: Instant) -> Crash {
+    let context = CrashContext {
+        others_in_service: 2,
+        ..CrashContext::default()
+    };
+    Crash {
+        context,
+        ..crash(crash_id(upstream, time_ms), at)
+    }
+}
+
+/// Guards against a request that is blocked for good though it crashes nothing: the three engines of a service crash
+/// one after the other for other reasons, and what they were executing goes on at the engines that are left.
+#[test]
+fn content_that_few_crowded_engines_executed_as_they_crashed_one_by_one_is_not_blocked() {
+    let now = Instant::now();
+    let mut registry = registry();
+    let crashes = [
+        (1, 5_000, ["a", "b", "c", "d"]),
+        (1, 5_003, ["a", "b", "e", "f"]),
+        (2, 5_000, ["a", "c", "e", "g"]),
+    ];
+    for (upstream, time_ms, executed) in crashes {
+        for name in executed {
+            let crash = crash_of_three(upstream, time_ms, now);
+            registry.record(content(name), crash, now);
+        }
+    }
+    assert_eq!(registry.crash_count(content("a"), now), 3);
+    assert_eq!(registry.status(content("a"), now), ContentStatus::Suspect);
+    // By chance, less than a quarter of a content has one more crash.
+    let fourth = crash_of_three(3, 5_000, now);
+    registry.record(content("a"), fourth, now);
+    assert_eq!(registry.status(content("a"), now), ContentStatus::Blocked);
+}
+
+#[test]
+fn third_crash_blocks_a_content_of_a_small_service_with_few_requests() {
+    let now = Instant::now();
+    let mut registry = registry();
+    for upstream in 1..=3 {
+        for name in ["a", ["b", "c", "d"][upstream as usize - 1]] {
+            let crash = crash_of_three(upstream, 5_000, now);
+            registry.record(content(name), crash, now);
+        }
+    }
+    assert_eq!(registry.status(content("a"), now), ContentStatus::Blocked);
+}
+
+#[test]
+fn crash_limit_is_exceeded_by_two_at_most_however_crowded_the_engines_are() {
+    let now = Instant::now();
+    let mut registry = registry();
+    for upstream in 1..=4 {
+        for name in 0..100 {
+            let crash = crash_of_three(upstream, 5_000, now);
+            registry.record(content(&name.to_string()), crash, now);
+        }
+    }
+    assert_eq!(registry.status(content("0"), now), ContentStatus::Suspect);
+    registry.record(content("0"), crash_of_three(5, 5_000, now), now);
+    assert_eq!(registry.status(content("0"), now), ContentStatus::Blocked);
+}
+
 #[test]
 fn same_crash_counts_once_and_crash_of_another_process_counts_again() {
     let now = Instant::now();
