Hold copies of a request after one possible crash, too

Cause: after one crash, or one lost attempt, copies of the request went on side by side without a bound, since the rule that counts attempts in flight against the limit began at two crashes.

Change: the rule begins at one possible crash: with one, two attempts may be in flight that have not survived yet. Without any, copies go on as before; a copy that completes ends the wait, as before.

Two tests of holds failed before. copies_are_sent_concurrently_after_one_loss_or_none asserted the fault for one loss; its other half stays, and the case of one loss is asserted anew, with the bound.

--- a/crates/shared/cloverpier_crashes/src/tracker/admission.rs
+++ b/crates/shared/cloverpier_crashes/src/tracker/admission.rs
@@ -116,9 +116,9 @@
             return Hold::No;
         }
         let worst_case_evidence = self.worst_case_evidence(content, now, neighbours);
-        // With this many crashes, the content is blocked if all attempts at risk crash their upstreams, too. The
-        // suspect threshold is the minimum, so that copies of a request may run side by side after one crash.
-        let limit_before_in_flight = limit.saturating_sub(at_risk.count).max(SUSPECT_THRESHOLD);
+        // With this many crashes, the content is blocked if all attempts at risk crash their upstreams, too. Without any
+        // possible crash, copies of a request may run side by side.
+        let limit_before_in_flight = limit.saturating_sub(at_risk.count).max(1);
         if has_unresolved && worst_case_evidence.reaches(limit) {
             Hold::UntilResolved
         } else if at_risk.count > 0 && worst_case_evidence.reaches(limit_before_in_flight) {
--- a/crates/shared/cloverpier_crashes/tests/holds.rs
+++ b/crates/shared/cloverpier_crashes/tests/holds.rs
@@ -154,13 +154,48 @@
 }
 
 #[test]
-fn copies_are_sent_concurrently_after_one_loss_or_none() {
+fn copies_are_sent_concurrently_without_a_loss() {
     let now = Instant::now();
-    for lost in [0, 1] {
-        let mut tracker = tracker_with(&[LossCause::ConnectionBroken; 2][..lost], now);
-        for _ in 0..9 {
-            tracker.on_admitted(key());
-        }
+    let mut tracker = tracker_with(&[], now);
+    for _ in 0..9 {
+        tracker.on_admitted(key());
         assert_eq!(hold(&tracker, now + ms(50)), Hold::No);
     }
 }
+
+/// Guards against a content that crashes more engines than its limit: its copies are sent to an engine each before the
+/// first crash is recorded.
+#[test]
+fn two_copies_are_sent_concurrently_after_one_loss_and_the_next_waits() {
+    let now = Instant::now();
+    for loss in [LossCause::ConnectionBroken, LossCause::UpstreamSilent] {
+        let mut tracker = tracker_with(&[loss], now);
+        let sent_at = now + ms(50);
+        for _ in 0..2 {
+            assert_eq!(hold(&tracker, sent_at), Hold::No);
+            let copy = tracker.on_admitted(key());
+            tracker.on_sent(key(), copy, sent_at);
+        }
+        let survived_at = sent_at + ms(100);
+        let other_runs = Hold::WhileAnotherRuns(Some(survived_at));
+        assert_eq!(hold(&tracker, sent_at), other_runs);
+        assert_eq!(hold(&tracker, survived_at), Hold::No);
+    }
+}
+
+/// The same once the crash is recorded; a completion of a copy ends the wait.
+#[test]
+fn copies_wait_after_one_recorded_crash_until_one_of_them_completes() {
+    let now = Instant::now();
+    let mut tracker = tracker_with(&[LossCause::ConnectionBroken], now);
+    let recorded_at = now + ms(100);
+    tracker.on_process_gone(upstream(1, now + ms(31)));
+    assert_eq!(tracker.record_confirmed(recorded_at, neighbours).len(), 1);
+    for _ in 0..2 {
+        assert_eq!(hold(&tracker, recorded_at), Hold::No);
+        tracker.on_admitted(key());
+    }
+    assert_eq!(hold(&tracker, recorded_at), Hold::WhileAnotherRuns(None));
+    tracker.on_completed(&content(), recorded_at);
+    assert_eq!(hold(&tracker, recorded_at), Hold::No);
+}
