Count copies of a request that were sent before its first lost attempt

Cause: while no crash is known, attempts are not registered with the crash tracker, as the key of a content takes time to compute.

Change: such attempts are listed, with the time at which they were sent; when an attempt is lost, those with its content are registered. The key is computed only then.

--- a/crates/router/cloverpier_router/src/crashes/admission.rs
+++ b/crates/router/cloverpier_router/src/crashes/admission.rs
@@ -20,14 +20,12 @@
 pub(crate) struct Admitted {
     /// Whether the request may be sent, and whether it is isolated from other requests.
     pub admission: Admission,
-    /// The attempt, registered until this value is dropped. `None` if the request is blocked, or if no crash was known
-    /// at the check.
-    attempt: Option<InFlightAttempt>,
+    /// The attempt, in flight until this value is dropped; `None` if the request is blocked.
+    attempt: Option<Rc<InFlightAttempt>>,
 }
 
 impl Admitted {
-    /// Admits a request without registering an attempt: the value before the first check, and the result of a check while
-    /// no crash is known.
+    /// Admits a request without an attempt: the value before the first check.
     pub const UNRESTRICTED: Self = Self {
         admission: Admission::Normal,
         attempt: None,
@@ -35,34 +33,40 @@
 
     /// Whether the request may still be sent after it waited for an upstream. If not, the caller has to call [`admit`]
     /// again. Registers the attempt if [`admit`] did not, as a crash may have become known since.
-    pub fn is_still_valid(&mut self, router: &Rc<Router>, request: &RelayRequest) -> bool {
+    pub fn is_still_valid(&mut self, router: &Rc<Router>, request: &Rc<RelayRequest>) -> bool {
         if router.crashes.tracker.borrow().is_empty() {
             return true;
         }
         let attempt = self
             .attempt
             .get_or_insert_with(|| InFlightAttempt::begin(router, request));
+        let number = attempt.register();
         let tracker = router.crashes.tracker.borrow();
         let (content, now) = (request.content_key(), router.now());
         let neighbours = |crashed: &UpstreamEvent| neighbour_counts(router, crashed);
-        let hold = tracker.hold_admitted(content, attempt.number, now, neighbours);
+        let hold = tracker.hold_admitted(content, number, now, neighbours);
         let must_wait = hold.until(now, request.deadline, now).is_some();
         // `Hold::Briefly` does not count: `admit` may already have held the request for the maximum of 250 ms.
         let is_held = must_wait && hold != Hold::Briefly;
         !is_held && tracker.registry.status(content, now) != ContentStatus::Blocked
     }
 
-    /// Records that the attempt is sent, if it is registered.
+    /// Records that the attempt is sent.
     pub fn on_sent(&self) {
-        self.attempt.iter().for_each(InFlightAttempt::on_sent);
+        if let Some(attempt) = &self.attempt {
+            attempt.on_sent();
+        }
     }
 }
 
 /// Waits while the request is held, at most until its deadline, then returns whether and how it may be sent.
-pub(crate) async fn admit(router: &Rc<Router>, request: &RelayRequest) -> Admitted {
+pub(crate) async fn admit(router: &Rc<Router>, request: &Rc<RelayRequest>) -> Admitted {
     let crashes = &router.crashes;
     if crashes.tracker.borrow().is_empty() {
-        return Admitted::UNRESTRICTED;
+        return Admitted {
+            admission: Admission::Normal,
+            attempt: Some(InFlightAttempt::list(router, request)),
+        };
     }
     let content = request.content_key();
     let held_since = router.now();
--- a/crates/router/cloverpier_router/src/crashes/record.rs
+++ b/crates/router/cloverpier_router/src/crashes/record.rs
@@ -4,6 +4,7 @@
 //! `cloverpier_crashes` decides which upstreams have crashed; each event wakes [`super::resolution`], which carries
 //! out the result. Owns no state: [`super::state`] does.
 
+use super::in_flight::register_copies;
 use crate::relay_request::RelayRequest;
 use crate::router::Router;
 use cloverpier_crashes::prelude::*;
@@ -45,6 +46,7 @@
         ran_for,
     };
     let content = request.request_content();
+    register_copies(router, request);
     router
         .crashes
         .update(|tracker| tracker.on_lost(&content, attempt));
--- a/crates/router/cloverpier_router/src/crashes/state.rs
+++ b/crates/router/cloverpier_router/src/crashes/state.rs
@@ -3,6 +3,7 @@
 //! Owns the crash tracker and the list of requests whose attempts may have to be cancelled. The other modules of this
 //! folder update and read them.
 
+use super::in_flight::InFlightAttempt;
 use crate::relay_request::RelayRequest;
 use cloverpier_crashes::prelude::*;
 use cloverpier_settings::CrashSettings;
@@ -18,6 +19,9 @@
     pub tracker: RefCell<CrashTracker>,
     /// Requests whose attempts are cancelled if their content becomes blocked. Finished ones are removed occasionally.
     pub requests: RefCell<Vec<Weak<RelayRequest>>>,
+    /// Attempts that were admitted while no crash was known, and are not registered with the tracker unless an attempt with
+    /// the same content is lost. Finished ones are removed occasionally.
+    pub listed_attempts: RefCell<Vec<Weak<InFlightAttempt>>>,
     /// When this router last sent a new report to all peers, or received a peer's report with new information; `None`
     /// before the first. Reports are repeated to peers for a few seconds after that.
     pub last_report: Cell<Option<Instant>>,
@@ -38,6 +42,7 @@
         Self {
             tracker: RefCell::new(tracker),
             requests: RefCell::default(),
+            listed_attempts: RefCell::default(),
             last_report: Cell::default(),
             tracker_changed: Notify::new(),
             in_flight_changed: Notify::new(),
