Register each attempt of cloverpierd with the crash tracker

The key of each request is known there, so each attempt is registered. The play of crashing requests does the same.

--- a/crates/daemon/cloverpier_daemon/src/crashes/hold.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/hold.rs
@@ -9,11 +9,11 @@
 use std::pin::pin;
 use std::time::Instant;
 
-/// How a request may be sent, and its turn, if its content may do harm.
+/// How a request may be sent, and its turn.
 pub struct Admitted<'a> {
     /// How it may be sent.
     pub admission: Admission,
-    /// Lasts as long as the attempt.
+    /// Lasts as long as the attempt; `None` if the content is stopped.
     pub turn: Option<Turn<'a>>,
 }
 
@@ -65,8 +65,7 @@
         return Look::WaitsUntil(until);
     }
     let admission = cases.admission(content, now, neighbours);
-    let takes_turn = admission != Admission::Blocked && !cases.is_empty();
-    let number = takes_turn.then(|| cases.on_admitted(content));
+    let number = (admission != Admission::Blocked).then(|| cases.on_admitted(content));
     Look::Goes { admission, number }
 }
 
--- a/crates/daemon/cloverpier_daemon/src/crashes/turn.rs
+++ b/crates/daemon/cloverpier_daemon/src/crashes/turn.rs
@@ -1,4 +1,4 @@
-//! The turn of an attempt with a content that may do harm, from its admission until it is over.
+//! The turn of an attempt, from its admission until it is over.
 //!
 //! Others with the content wait meanwhile, if one more could be too many; `cloverpier_crashes` decides that.
 //! Owns one attempt's number there.
--- a/tools/src/crash_play/requests.rs
+++ b/tools/src/crash_play/requests.rs
@@ -43,7 +43,7 @@
     attempts: u32,
     /// Since when it waits for a judgement.
     held_since: Option<Duration>,
-    /// Its attempt under way, if its content may do harm.
+    /// Its attempt under way.
     attempt: Option<AttemptNumber>,
     lost: u32,
     pub is_done: bool,
@@ -161,11 +161,9 @@
         let now = self.instant();
         let request = &mut self.requests[index];
         let cases = &mut self.routers[request.router].cases;
-        if !cases.is_empty() {
-            let attempt = cases.on_admitted(content);
-            cases.on_sent(content, attempt, now);
-            request.attempt = Some(attempt);
-        }
+        let attempt = cases.on_admitted(content);
+        cases.on_sent(content, attempt, now);
+        request.attempt = Some(attempt);
     }
 
     fn end_attempt(&mut self, index: usize, content: ContentKey) {
