Take an upstream without a limit as chosen in the search for permits

An upstream without a limit is sent to without a wait, so nothing can have changed meanwhile: it counts as chosen.

--- a/crates/router/cloverpier_router/src/upstream_limits/search.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/search.rs
@@ -32,8 +32,11 @@
             let upstream = chosen.as_ref();
             let max_wait = search.max_wait();
             let key = UpstreamKey::of(&upstream.name);
+            // An upstream without a limit is sent to without a wait, as before any search for permits; refusals do not
+            // exclude it.
+            let may_wait = limits.is_limited(key) && !max_wait.is_zero();
             match self.acquire(upstream, max_wait).await {
-                Permission::Granted if max_wait.is_zero() || is_permit_usable(upstream) => {
+                Permission::Granted if !may_wait || is_permit_usable(upstream) => {
                     return Ok(chosen);
                 }
                 // The upstream became unusable while the request waited.
