--- a/crates/daemon/cloverpier_daemon/tests/support/mod.rs
+++ b/crates/daemon/cloverpier_daemon/tests/support/mod.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Lets it stand still for a while: its host takes connections and bytes, and nothing answers.
+    pub fn pause(&self, duration: Duration) {
+        if let Some(runtime) = &self.runtime {
+            // It has one thread, which this takes.
+            runtime.spawn(async move { std::thread::sleep(duration) });
+        }
+    }
+
     /// Ends it; its connections are broken and its ports free when this returns.
     ///
     /// A runtime can't be waited for in a task, so a thread does it.
@@ -318,13 +326,26 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> impl Future<Output = (u16, Value)> + Send + 'static {
-        let url = format!("http://{}{path}", self.routers[0].callers_at);
+        self.post_raw_to(0, path, headers, body)
+    }
+
+    /// The same at one of the routers. A connection that breaks is status 0.
+    pub fn post_raw_to(
+        &self,
+        router: usize,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> impl Future<Output = (u16, Value)> + Send + 'static {
+        let url = format!("http://{}{path}", self.routers[router].callers_at);
         let mut req = self.http.post(url).body(body.to_owned());
         for (name, value) in headers {
             req = req.header(*name, *value);
         }
         async move {
-            let res = req.send().await.unwrap();
+            let Ok(res) = req.send().await else {
+                return (0, Value::Null);
+            };
             let status = res.status().as_u16();
             (status, res.json().await.unwrap_or_default())
         }
@@ -339,9 +360,35 @@
 
     /// Generations that an engine has started.
     pub async fn started(&self, i: usize) -> u64 {
+        self.engine_count(i, "started").await
+    }
+
+    /// Generations that all engines have started.
+    pub async fn started_at_all(&self) -> u64 {
+        let mut started = 0;
+        for i in 0..self.engines.len() {
+            started += self.started(i).await;
+        }
+        started
+    }
+
+    /// One of the numbers that an engine counts.
+    pub async fn engine_count(&self, i: usize, name: &str) -> u64 {
         let url = format!("http://{}/counts", self.engines[i].address);
         let counts: Value = self.get(&url).await.unwrap_or_default();
-        counts["started"].as_u64().unwrap_or(0)
+        counts[name].as_u64().unwrap_or(0)
+    }
+
+    /// Sets whether some engines stand still: they take orders, answer questions, and run nothing.
+    pub async fn freeze_engines(&self, which: &[usize], freeze: bool) {
+        for i in which {
+            let faults = cloverpier_daemon_standin::EngineFaults {
+                freeze,
+                ..Default::default()
+            };
+            let url = format!("http://{}/faults", self.engines[*i].address);
+            self.post(&url, &faults).await;
+        }
     }
 }
 
