Decide what follows when a generation's engine is silent

cloverpier_route decides over plain data: keep the attempt, try a further engine beside it, or end the answer after 20 s. Signs of life of each engine (events of all of the router's streams there, responses to load queries) tell which others stand still, too. cloverpier_answer reserves the id of an attempt that runs beside the current one. The daemon does not use either yet. Tests of both crates pass (cargo test -p cloverpier_route -p cloverpier_answer).

--- a/crates/daemon/cloverpier_answer/src/response.rs
+++ b/crates/daemon/cloverpier_answer/src/response.rs
@@ -82,6 +82,8 @@
     term: u64,
     opener: u64,
     current: AttemptId,
+    /// The number of the last attempt of this owner, opened or reserved.
+    last_number: u32,
     tokens: Vec<Arc<str>>,
     prefix_digests: Vec<TokenDigest>,
     copied: u64,
@@ -117,6 +119,7 @@
                 opener,
                 number: 0,
             },
+            last_number: 0,
             copied: if finish.is_some() {
                 tokens.len() as u64
             } else {
@@ -133,14 +136,19 @@
     /// Replaces the current attempt by a new one in the owner's term. Tokens of the former attempt
     /// are dropped from then on.
     pub fn open_attempt(&mut self) -> AttemptId {
-        let adopted = self.current.opener != self.opener;
-        let number = if adopted { 1 } else { self.current.number + 1 };
-        self.current = AttemptId {
+        self.current = self.reserve_attempt();
+        self.current
+    }
+
+    /// The id of a further attempt, which runs beside the current one. Its tokens are dropped until
+    /// [`Self::adopt_attempt`] makes it the current one.
+    pub fn reserve_attempt(&mut self) -> AttemptId {
+        self.last_number += 1;
+        AttemptId {
             term: self.term,
             opener: self.opener,
-            number,
-        };
-        self.current
+            number: self.last_number,
+        }
     }
 
     /// The term in which this router owns the response.
@@ -148,7 +156,8 @@
         self.term
     }
 
-    /// Continues with an attempt that an earlier owner opened and that still runs at its engine.
+    /// Continues with an attempt that an earlier owner opened and that still runs at its engine, or
+    /// with one that this owner reserved. Tokens of the former attempt are dropped from then on.
     pub fn adopt_attempt(&mut self, attempt: AttemptId) {
         self.current = attempt;
     }
--- a/crates/daemon/cloverpier_answer/tests/responses.rs
+++ b/crates/daemon/cloverpier_answer/tests/responses.rs
@@ -80,6 +80,30 @@
     assert_eq!(response.open_attempt(), id(5, 78, 2));
 }
 
+#[test]
+fn tokens_of_a_reserved_attempt_count_once_it_is_adopted() {
+    let mut response = OwnedResponse::new(1, 77);
+    let first = response.open_attempt();
+    response.on_token(first, 0, "a".into());
+    let beside = response.reserve_attempt();
+    assert_ne!(first, beside);
+    assert_eq!(response.attempt(), first);
+    assert_eq!(response.on_token(beside, 1, "x".into()), TokenOutcome::Late);
+    assert_eq!(
+        response.on_token(first, 1, "b".into()),
+        TokenOutcome::Accepted
+    );
+    response.adopt_attempt(beside);
+    assert_eq!(response.on_token(first, 2, "y".into()), TokenOutcome::Late);
+    assert_eq!(
+        response.on_token(beside, 2, "c".into()),
+        TokenOutcome::Accepted
+    );
+    // None has the number of one that was reserved.
+    assert!(![first, beside].contains(&response.open_attempt()));
+    assert_eq!(response.digest(), TokenDigest::of_tokens(["a", "b", "c"]));
+}
+
 #[test]
 fn owners_of_the_same_term_drop_each_others_tokens() {
     let mut first = OwnedResponse::new(1, 77);
--- a/crates/daemon/cloverpier_route/src/choose.rs
+++ b/crates/daemon/cloverpier_route/src/choose.rs
@@ -139,9 +139,21 @@
         if eligible.is_empty() {
             return Choice::Full;
         }
+        self.choose_among(&eligible, last_resort, request, now, rng)
+    }
+
+    /// Chooses among upstreams that are all eligible; `last_resort` if none of them is healthy.
+    pub(crate) fn choose_among(
+        &self,
+        eligible: &[(&UpstreamName, &UpstreamEntry)],
+        last_resort: bool,
+        request: &RouteRequest,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+    ) -> Choice {
         let candidates = match request.isolation_key {
-            Some(isolation_key) => least_loaded(&eligible, isolation_key, now),
-            None => sample_candidates(&eligible, request, now, rng),
+            Some(isolation_key) => least_loaded(eligible, isolation_key, now),
+            None => sample_candidates(eligible, request, now, rng),
         };
         let weighed: Vec<WeighedUpstream> = candidates
             .iter()
--- a/crates/daemon/cloverpier_route/src/lib.rs
+++ b/crates/daemon/cloverpier_route/src/lib.rs
@@ -23,6 +23,8 @@
 
 mod choose;
 mod marks;
+mod signs_of_life;
+mod silence;
 mod stall_timeout;
 mod view;
 
@@ -30,6 +32,9 @@
 pub mod prelude {
     pub use crate::choose::{Choice, ChoiceReason, Chosen, RouteRequest, WeighedUpstream};
     pub use crate::marks::{LeaveMark, LeaveMarks};
+    pub use crate::silence::{
+        CONTINUE_WITHIN, KeepReason, MAX_ATTEMPTS_AT_ONCE, SilenceStep, SilentAnswer,
+    };
     pub use crate::stall_timeout::StallTimeout;
     pub use crate::view::{LoadReport, MAX_TRACKED, UpstreamView};
 }
--- a/crates/daemon/cloverpier_route/src/stall_timeout.rs
+++ b/crates/daemon/cloverpier_route/src/stall_timeout.rs
@@ -1,9 +1,8 @@
-//! The timeout for the next token of a stream, after which its generation continues at another
-//! engine.
+//! The timeout for the next token of a stream, after which its engine counts as silent.
 //!
 //! [`StallTimeout`] starts with the timeout of the service. If the service allows it, the timeout
-//! becomes shorter, according to the gaps between the tokens so far. A stalled generation is moved
-//! without a probe of its engine. The router of the platform takes the timeouts from its settings
+//! becomes shorter, according to the gaps between the tokens so far. What follows from the silence is
+//! decided in [`crate::silence`], without a probe of the engine. The router of the platform takes the timeouts from its settings
 //! and probes an upstream before it gives up a stream (`cloverpier_router_policy::liveness`).
 
 use std::time::Duration;
--- a/crates/daemon/cloverpier_route/src/view.rs
+++ b/crates/daemon/cloverpier_route/src/view.rs
@@ -5,6 +5,7 @@
 //! configuration.
 
 use crate::marks::{LeaveMark, LeaveMarks};
+use crate::signs_of_life::SignsOfLife;
 use cloverpier_config::{Config, Upstream, UpstreamState};
 use cloverpier_core::{
     DataCentre, ServiceName, UpstreamName, VmName, WaitPeriod, hash_of, rendezvous_rank,
@@ -47,6 +48,7 @@
     pub(crate) failures: u32,
     pub(crate) avoid_until: Option<Instant>,
     pub(crate) recent_prefixes: VecDeque<u64>,
+    pub(crate) signs: SignsOfLife,
     /// The time for which the upstream has requested that this router pause.
     wait_period: Option<WaitPeriod>,
     /// The average number of routers that track an upstream of the service, this one included,
@@ -67,6 +69,7 @@
             failures: 0,
             avoid_until: None,
             recent_prefixes: VecDeque::new(),
+            signs: SignsOfLife::default(),
             wait_period: None,
             sharing_routers: 1,
             recent_starts: VecDeque::new(),
