Keep a silent attempt of cloverpierd until another engine has its answer

Callers saw: an answer ended with 503 no_upstream, or a generation that may run once with 502 outcome_unknown, though its engine only stood still for some seconds. Cause: an attempt was ended by its stall timeout before it was known whether anything else may take it on: eight such attempts used the answer up, one was enough where it may run once, and a takeover gave the engine silence_ms to answer. Silences of all engines counted as failures of each.

Now the attempt goes on. Another engine that shows signs of life is sent the rest beside it; the first that sends an event has the answer. A generation that may run once stays. Without a continuation within 20 s beyond the timeout the answer ends. Refused, closed and broken connections end an attempt at once, as before. Decisions are logged and counted (silence.*).

A takeover is the same attempt and is mended by the same change.

--- a/crates/daemon/cloverpier_daemon/src/admission/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/admission/mod.rs
@@ -9,10 +9,12 @@
 use crate::error::ApiError;
 use cloverpier_admit::{PushResult, QueuedRequest, Quota, QuotaGrant, SpendResult, Ticket};
 use cloverpier_config::Account;
-use cloverpier_core::{AccountName, ServiceName, hash_of, jitter, lock, rendezvous_rank};
+use cloverpier_core::{
+    AccountName, ServiceName, UpstreamName, hash_of, jitter, lock, rendezvous_rank,
+};
 use cloverpier_member::Member;
 use cloverpier_peer::{PeerReply, PeerRequest};
-use cloverpier_route::{Choice, Chosen, RouteRequest};
+use cloverpier_route::{Choice, Chosen, RouteRequest, SilenceStep, SilentAnswer};
 use salvo::http::StatusCode;
 use serde::Serialize;
 use state::{Admission, Line, Waiter};
@@ -40,7 +42,7 @@
 
 #[derive(Serialize)]
 struct ChosenFields<'a> {
-    upstream: &'a cloverpier_core::UpstreamName,
+    upstream: &'a UpstreamName,
     why: cloverpier_route::ChoiceReason,
     weighed: &'a [cloverpier_route::WeighedUpstream],
 }
@@ -272,9 +274,25 @@
     choice
 }
 
+/// Decides what follows for a silent generation, and takes a place where another engine is to run it, too.
+pub fn choose_beside(app: &App, silent: &SilentAnswer<'_>, ask: &RouteRequest) -> SilenceStep {
+    let now = app.now();
+    let mut view = lock(&app.view);
+    let step = view.on_silent_answer(silent, ask, now, &mut lock(&app.rng));
+    if let SilenceStep::TryAlso(chosen) = &step {
+        view.on_started(&chosen.upstream, ask.prefix, now);
+    }
+    step
+}
+
 /// Gives a place back.
 pub fn release(app: &App, chosen: &Chosen) {
-    lock(&app.view).on_ended(&chosen.upstream);
+    release_at(app, &chosen.upstream);
+}
+
+/// Gives a place at an upstream back.
+pub fn release_at(app: &App, upstream: &UpstreamName) {
+    lock(&app.view).on_ended(upstream);
     app.admission.pump(app);
 }
 
--- a/crates/daemon/cloverpier_daemon/src/answers/attempt.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/attempt.rs
@@ -1,278 +1,317 @@
-//! One attempt of a generation at one engine: started, followed to its end, called back or cancelled.
+//! One attempt of a generation at one engine: its order, its place there, its events.
 //!
-//! Owns nothing beyond the attempt. [`super::run`] decides what follows; which tokens count is decided by
-//! `cloverpier_answer`, how long an engine may be silent by `cloverpier_route`.
+//! Owns these. [`super::race`] decides which attempt an answer takes its tokens from, `cloverpier_answer`
+//! which tokens count.
 
-use crate::answers::failure::{Failure, Over, said_of, start_failure};
+use crate::admission::release_at;
+use crate::answers::failure::{Failure, said_of, start_failure};
 use crate::answers::live::Live;
-use crate::answers::outbox::send_news;
+use crate::answers::quiet::QuietTime;
 use crate::app::App;
-use crate::crashes;
+use crate::crashes::Turn;
 use crate::statements;
-use cloverpier_answer::{AttemptId, FinishReason, TokenOutcome, TokenSource};
+use cloverpier_answer::{AttemptId, TokenSource};
 use cloverpier_core::{UpstreamName, lock};
 use cloverpier_route::{Chosen, StallTimeout};
-use cloverpier_upstream::{EngineEvent, EventStream, GenerateBody, GenerationBody, StreamError};
-use serde::Serialize;
+use cloverpier_upstream::{
+    EngineEvent, EventStream, GenerateBody, GenerationBody, StartError, StreamError,
+};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
 
-/// How often a run checks whether anybody still wants its answer.
-const ABANDON_CHECK: Duration = Duration::from_millis(500);
+/// How often a stream reports at most that its engine has sent something.
+const HEARD_PERIOD: Duration = Duration::from_millis(20);
 
-#[derive(Serialize)]
-struct AttemptOver<'a> {
-    request: &'a str,
-    attempt: AttemptId,
-    upstream: &'a UpstreamName,
-    why: Failure,
-    tokens: u64,
+/// What arrives from an engine.
+pub(super) enum Heard {
+    /// It has accepted the order.
+    Accepted,
+    Event(EngineEvent),
 }
 
-/// One attempt, which is called back if its content is stopped before its first token.
-pub(super) async fn attempt_or_call_back(
-    app: &Arc<App>,
-    live: &Arc<Live>,
-    chosen: &Chosen,
-) -> Over {
-    let before = live.look(|s| s.answer.len());
-    let has_progress = || live.look(|s| s.answer.len()) > before;
-    let over = tokio::select! {
-        over = attempt(app, live, chosen) => over,
-        () = crashes::called_back(app, live.spec.content_key(), has_progress) => Over::Stopped,
-    };
-    if matches!(over, Over::Stopped) {
-        // Engines run on for a while without a reader, and this one must not begin.
-        cancel(app, live, &chosen.upstream).await;
-    }
-    over
+/// What was sent to an engine.
+enum Order {
+    /// Its answer has not begun.
+    Sent(BoxFuture<'static, Result<EventStream, StartError>>),
+    /// Its events arrive.
+    Open(EventStream),
 }
 
-/// Records an attempt that failed.
-pub(super) fn on_failed(app: &App, live: &Live, upstream: &UpstreamName, why: Failure) {
-    lock(&app.view).on_failure(upstream, app.now());
-    app.metrics.count("attempt.failed", 1);
-    let (attempt, tokens) = live.look(|s| (s.answer.attempt(), s.answer.len()));
-    app.log.warn(
-        "attempt.failed",
-        &AttemptOver {
-            request: live.key.as_str(),
-            attempt,
-            upstream,
-            why,
-            tokens,
-        },
-    );
-}
-
-/// Cancels the present attempt at its engine, which runs on for a while without a reader.
-pub(super) async fn cancel(app: &App, live: &Live, upstream: &UpstreamName) {
-    let attempt = live.look(|s| s.answer.attempt());
-    if let Some(address) = address_of(app, upstream) {
-        let engine = app.engines.engine(address);
-        engine.cancel(&generation_name(live, attempt)).await;
-    }
+/// A place at an engine, which is given back when this is dropped.
+struct Place<'a> {
+    app: &'a Arc<App>,
+    live: &'a Arc<Live>,
+    id: AttemptId,
+    upstream: UpstreamName,
+    /// Whether the engine is known to stream to it.
+    is_streaming: bool,
+    /// Whether its attempt runs beside the answer's current one, and is cancelled when this is dropped.
+    is_beside: bool,
 }
 
-/// Cancels what was given up for its engine's silence, without waiting: a paused engine would begin it when
-/// it resumes.
-pub(super) fn cancel_given_up(app: &Arc<App>, live: &Arc<Live>, upstream: &UpstreamName) {
-    let (app, upstream) = (Arc::clone(app), upstream.clone());
-    let attempt = live.look(|s| s.answer.attempt());
-    let generation = generation_name(live, attempt);
-    tokio::spawn(async move {
-        if let Some(address) = address_of(&app, &upstream) {
-            app.engines.engine(address).cancel(&generation).await;
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        // Without a runtime the process ends.
+        if self.is_beside && Handle::try_current().is_ok() {
+            cancel_in_background(self.app, self.live, self.id, &self.upstream);
         }
-    });
-}
-
-fn address_of(app: &App, upstream: &UpstreamName) -> Option<std::net::SocketAddr> {
-    lock(&app.view).upstream(upstream).map(|u| u.address)
+        if self.is_streaming {
+            lock(&self.app.view).on_stream_ended(&self.upstream);
+        }
+        release_at(self.app, &self.upstream);
+    }
 }
 
-fn generation_name(live: &Live, attempt: AttemptId) -> String {
-    let AttemptId {
-        term,
-        opener,
-        number,
-    } = attempt;
-    format!("{}#{term}.{opener:x}.{number}", live.key)
+/// One attempt of a generation.
+pub(super) struct Attempt<'a> {
+    pub id: AttemptId,
+    pub upstream: UpstreamName,
+    pub begun: Instant,
+    pub quiet: QuietTime,
+    /// Whether its engine counts as one that it may have ended.
+    pub is_reported_lost: bool,
+    app: &'a Arc<App>,
+    live: &'a Arc<Live>,
+    order: Order,
+    /// Whether it goes on with a generation of an earlier owner.
+    is_resumed: bool,
+    place: Place<'a>,
+    heard_at: Instant,
+    turn: Option<Turn<'a>>,
 }
 
-/// One attempt at one engine, from the accepted prefix on.
-async fn attempt(app: &Arc<App>, live: &Arc<Live>, chosen: &Chosen) -> Over {
-    let (attempt, prefix) = live.change(|s| {
-        let attempt = s.answer.open_attempt();
-        s.source = Some(TokenSource {
-            upstream: chosen.upstream.clone(),
-            attempt,
-        });
-        (attempt, s.answer.tokens_from(0).to_vec())
-    });
-    let body = GenerateBody {
-        generation: generation_name(live, attempt),
-        model: live.spec.model.clone(),
-        prompt: Arc::clone(&live.spec.prompt),
-        prefix,
-        max_tokens: live.spec.max_tokens,
-        priority: live.spec.priority,
-        adapter: live.spec.adapter.clone(),
-    };
-    let engine = app.engines.engine(chosen.address);
-    let limit = StallTimeout::new(live.spec.silence, false).first_token();
-    let started = app.timers.timeout(limit, engine.generate(&body)).await;
-    // Without an answer in time nothing was said.
-    if let Some(said) = started.as_ref().ok().and_then(said_of) {
-        statements::hear(app, &chosen.upstream, said);
+impl<'a> Attempt<'a> {
+    /// Orders the rest of an answer as its current attempt. The place is taken.
+    pub fn order(
+        app: &'a Arc<App>,
+        live: &'a Arc<Live>,
+        chosen: &Chosen,
+        turn: Option<Turn<'a>>,
+    ) -> Self {
+        let id = live.change(|s| s.answer.open_attempt());
+        set_source(live, id, &chosen.upstream);
+        Self::ordered(app, live, chosen, id, turn)
     }
-    match started {
-        // Only the timeout can fail here.
-        Err(_) => Over::Failed(Failure::NoAnswer),
-        Ok(Err(error)) => Over::Failed(start_failure(&error)),
-        Ok(Ok(stream)) => follow(app, live, attempt, stream).await,
+
+    /// Orders the rest of an answer beside its current attempt. The place is taken.
+    pub fn order_beside(
+        app: &'a Arc<App>,
+        live: &'a Arc<Live>,
+        chosen: &Chosen,
+        turn: Option<Turn<'a>>,
+    ) -> Self {
+        let id = live.change(|s| s.answer.reserve_attempt());
+        let mut this = Self::ordered(app, live, chosen, id, turn);
+        this.place.is_beside = true;
+        this
     }
-}
 
-/// Goes on with the stream of an earlier owner's engine; `None` when it isn't there any more.
-pub(super) async fn resume(app: &Arc<App>, live: &Arc<Live>, source: &TokenSource) -> Option<Over> {
-    let address = address_of(app, &source.upstream)?;
-    let offset = live.look(|s| s.answer.len());
-    let body = GenerationBody {
-        generation: generation_name(live, source.attempt),
-        offset,
-    };
-    let engine = app.engines.engine(address);
-    let started = app
-        .timers
-        .timeout(live.spec.silence, engine.resume(&body))
-        .await;
-    // Late, refused or broken are one here: the caller of this starts a new attempt.
-    let started = started.ok()?;
-    if let Some(said) = said_of(&started) {
-        statements::hear(app, &source.upstream, said);
+    fn ordered(
+        app: &'a Arc<App>,
+        live: &'a Arc<Live>,
+        chosen: &Chosen,
+        id: AttemptId,
+        turn: Option<Turn<'a>>,
+    ) -> Self {
+        let body = GenerateBody {
+            generation: generation_name(live, id),
+            model: live.spec.model.clone(),
+            prompt: Arc::clone(&live.spec.prompt),
+            prefix: live.look(|s| s.answer.tokens_from(0).to_vec()),
+            max_tokens: live.spec.max_tokens,
+            priority: live.spec.priority,
+            adapter: live.spec.adapter.clone(),
+        };
+        let engine = app.engines.engine(chosen.address);
+        let start = async move { engine.generate(&body).await }.boxed();
+        Self {
+            turn,
+            ..Self::new(app, live, id, chosen.upstream.clone(), start)
+        }
     }
-    // As above.
-    let stream = started.ok()?;
-    live.change(|s| {
-        s.answer.adopt_attempt(source.attempt);
-        s.source = Some(source.clone());
-    });
-    app.metrics.count("attempt.resumed", 1);
-    let now = app.now();
-    lock(&app.view).on_started(&source.upstream, None, now);
-    let over = follow(app, live, source.attempt, stream).await;
-    lock(&app.view).on_ended(&source.upstream);
-    if let Over::Failed(failure) = over {
-        on_failed(app, live, &source.upstream, failure);
+
+    /// Goes on with the generation of an earlier owner; `None` if its engine is not known any more.
+    pub fn resume(app: &'a Arc<App>, live: &'a Arc<Live>, source: &TokenSource) -> Option<Self> {
+        let address = address_of(app, &source.upstream)?;
+        let offset = live.look(|s| s.answer.len());
+        let body = GenerationBody {
+            generation: generation_name(live, source.attempt),
+            offset,
+        };
+        let engine = app.engines.engine(address);
+        let start = async move { engine.resume(&body).await }.boxed();
+        let now = app.now();
+        lock(&app.view).on_started(&source.upstream, None, now);
+        live.change(|s| s.answer.adopt_attempt(source.attempt));
+        set_source(live, source.attempt, &source.upstream);
+        let this = Self::new(app, live, source.attempt, source.upstream.clone(), start);
+        let quiet = if offset > 0 {
+            QuietTime::of_resumed(stall_timeout(live), now)
+        } else {
+            QuietTime::of_new(stall_timeout(live), now)
+        };
+        Some(Self {
+            is_resumed: true,
+            quiet,
+            ..this
+        })
     }
-    Some(over)
-}
 
-/// Takes a stream's events until it ends, fails, falls silent or nobody wants them any more.
-async fn follow(
-    app: &Arc<App>,
-    live: &Arc<Live>,
-    attempt: AttemptId,
-    mut stream: EventStream,
-) -> Over {
-    let mut quiet = QuietTime::new(live, app.now());
-    loop {
-        let wait = quiet.left(app.now()).min(ABANDON_CHECK);
-        let event = app.timers.timeout(wait, stream.next()).await;
-        if live.is_useless() {
-            return Over::Moved;
-        }
-        if live.is_abandoned(app.now()) {
-            return Over::Abandoned;
+    fn new(
+        app: &'a Arc<App>,
+        live: &'a Arc<Live>,
+        id: AttemptId,
+        upstream: UpstreamName,
+        start: BoxFuture<'static, Result<EventStream, StartError>>,
+    ) -> Self {
+        let now = app.now();
+        Self {
+            id,
+            upstream: upstream.clone(),
+            begun: now,
+            quiet: QuietTime::of_new(stall_timeout(live), now),
+            is_reported_lost: false,
+            app,
+            live,
+            order: Order::Sent(start),
+            is_resumed: false,
+            place: Place {
+                app,
+                live,
+                id,
+                upstream,
+                is_streaming: false,
+                is_beside: false,
+            },
+            heard_at: now,
+            turn: None,
         }
-        let Ok(event) = event else {
-            if quiet.left(app.now()).is_zero() {
-                return Over::Failed(Failure::Silent);
-            }
-            continue;
+    }
+
+    /// Waits for what arrives next. Nothing is lost if the wait is dropped.
+    pub async fn next(&mut self) -> Result<Heard, Failure> {
+        let started = match &mut self.order {
+            Order::Sent(start) => start.await,
+            Order::Open(stream) => return event_of(stream.next().await).map(Heard::Event),
         };
-        quiet.on_event(app.now());
-        match take(live, attempt, event) {
-            Taken::GoOn => {
-                if !stream.has_buffered_event() {
-                    send_news(app, live);
-                }
-            }
-            Taken::Over(over) => {
-                send_news(app, live);
-                return over;
-            }
+        if let Some(said) = said_of(&started) {
+            statements::hear(self.app, &self.upstream, said);
         }
+        let stream = started.map_err(|error| start_failure(&error))?;
+        if self.is_resumed {
+            self.app.metrics.count("attempt.resumed", 1);
+        }
+        self.order = Order::Open(stream);
+        Ok(Heard::Accepted)
     }
-}
 
-/// How long a stream has been quiet, and how long it may be.
-struct QuietTime {
-    silence: StallTimeout,
-    last_event: Instant,
-    limit: Duration,
-    first: bool,
-}
+    /// Whether a further event has arrived.
+    pub fn has_buffered_event(&self) -> bool {
+        matches!(&self.order, Order::Open(stream) if stream.has_buffered_event())
+    }
 
-impl QuietTime {
-    fn new(live: &Live, now: Instant) -> Self {
-        let silence = StallTimeout::new(live.spec.silence, live.spec.adaptive_silence);
-        Self {
-            limit: silence.first_token(),
-            silence,
-            last_event: now,
-            first: true,
+    /// Whether its engine has sent a part of the answer.
+    pub fn has_sent(&self) -> bool {
+        self.place.is_streaming
+    }
+
+    /// Makes it the answer's current attempt.
+    pub fn make_current(&mut self) {
+        if std::mem::take(&mut self.place.is_beside) {
+            self.live.change(|s| s.answer.adopt_attempt(self.id));
+            set_source(self.live, self.id, &self.upstream);
         }
     }
 
-    /// The rest of the limit; zero once it is used up.
-    fn left(&self, now: Instant) -> Duration {
-        let quiet = now.saturating_duration_since(self.last_event);
-        self.limit.saturating_sub(quiet)
+    /// Records that an event has arrived.
+    pub fn on_event(&mut self, now: Instant) {
+        self.quiet.on_event(now);
+        if !std::mem::replace(&mut self.place.is_streaming, true) {
+            lock(&self.app.view).on_streaming(&self.upstream, now);
+            self.heard_at = now;
+        } else if now.saturating_duration_since(self.heard_at) >= HEARD_PERIOD {
+            lock(&self.app.view).on_heard(&self.upstream, now);
+            self.heard_at = now;
+        }
     }
 
-    /// The wait for the first event is no gap between two tokens, so nothing is learned from it.
-    fn on_event(&mut self, now: Instant) {
-        if !std::mem::take(&mut self.first) {
-            let gap = now.saturating_duration_since(self.last_event);
-            self.silence.on_gap(gap);
+    /// What it fails by if it ends now, as nothing arrives.
+    pub fn silence(&self) -> Failure {
+        match self.order {
+            Order::Sent(_) => Failure::NoAnswer,
+            Order::Open(_) => Failure::Silent,
         }
-        self.last_event = now;
-        self.limit = self.silence.next_token();
+    }
+
+    /// Whether its failure says something of its engine. One that has no generation to go on with, or does
+    /// not answer for it, has failed in nothing.
+    pub fn counts_against_engine(&self) -> bool {
+        !self.is_resumed || matches!(self.order, Order::Open(_))
+    }
+
+    /// Lets others with the same content have their turn.
+    pub fn end_turn(&mut self) {
+        self.turn = None;
     }
 }
 
-enum Taken {
-    GoOn,
-    Over(Over),
+fn stall_timeout(live: &Live) -> StallTimeout {
+    StallTimeout::new(live.spec.silence, live.spec.adaptive_silence)
 }
 
-fn take(live: &Live, attempt: AttemptId, event: Result<Option<EngineEvent>, StreamError>) -> Taken {
-    let event = match event {
-        Ok(Some(event)) => event,
-        Ok(None) => return Taken::Over(Over::Failed(Failure::Closed)),
-        Err(StreamError::ConnectionBroken { .. }) => {
-            return Taken::Over(Over::Failed(Failure::ConnectionBroken));
-        }
-        // All other errors are of the form of an event.
-        Err(_) => return Taken::Over(Over::Failed(Failure::Unreadable)),
+fn set_source(live: &Live, attempt: AttemptId, upstream: &UpstreamName) {
+    let upstream = upstream.clone();
+    live.change(|s| s.source = Some(TokenSource { upstream, attempt }));
+}
+
+fn event_of(event: Result<Option<EngineEvent>, StreamError>) -> Result<EngineEvent, Failure> {
+    match event {
+        Ok(Some(event)) => Ok(event),
+        Ok(None) => Err(Failure::Closed),
+        Err(StreamError::ConnectionBroken { .. }) => Err(Failure::ConnectionBroken),
+        Err(StreamError::InvalidLine { .. } | StreamError::LineTooLong) => Err(Failure::Unreadable),
+    }
+}
+
+/// Cancels the answer's current attempt at its engine, which runs on for a while without a reader.
+pub(super) async fn cancel_current(app: &App, live: &Live) {
+    let Some(source) = live.look(|s| s.source.clone()) else {
+        return;
     };
-    let (step, last) = live.change(|s| match event {
-        EngineEvent::Token { offset, text } => (s.answer.on_token(attempt, offset, text), false),
-        EngineEvent::Finish { at, length } => {
-            let reason = if length {
-                FinishReason::Length
-            } else {
-                FinishReason::Stop
-            };
-            (s.answer.on_finish(attempt, at, reason), true)
-        }
-    });
-    match step {
-        TokenOutcome::Accepted if last => Taken::Over(Over::Finished),
-        TokenOutcome::Accepted | TokenOutcome::Repeated => Taken::GoOn,
-        TokenOutcome::Gap => Taken::Over(Over::Failed(Failure::TokensMissing)),
-        TokenOutcome::Late | TokenOutcome::Closed => Taken::Over(Over::Moved),
+    cancel(app, live, source.attempt, &source.upstream).await;
+}
+
+async fn cancel(app: &App, live: &Live, attempt: AttemptId, upstream: &UpstreamName) {
+    if let Some(address) = address_of(app, upstream) {
+        let engine = app.engines.engine(address);
+        engine.cancel(&generation_name(live, attempt)).await;
     }
 }
+
+/// Cancels an attempt without waiting: a paused engine would begin it when it resumes.
+pub(super) fn cancel_in_background(
+    app: &Arc<App>,
+    live: &Arc<Live>,
+    attempt: AttemptId,
+    upstream: &UpstreamName,
+) {
+    let (app, live, upstream) = (Arc::clone(app), Arc::clone(live), upstream.clone());
+    tokio::spawn(async move { cancel(&app, &live, attempt, &upstream).await });
+}
+
+fn address_of(app: &App, upstream: &UpstreamName) -> Option<SocketAddr> {
+    lock(&app.view).upstream(upstream).map(|u| u.address)
+}
+
+fn generation_name(live: &Live, attempt: AttemptId) -> String {
+    let AttemptId {
+        term,
+        opener,
+        number,
+    } = attempt;
+    format!("{}#{term}.{opener:x}.{number}", live.key)
+}
--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -3,14 +3,19 @@
 //! [`table`] owns the answers of this router and what it holds for others; each file has one job.
 
 mod attempt;
+mod attempt_log;
 mod directory;
 mod failure;
 mod live;
 mod open;
 mod outbox;
 mod outbox_state;
+mod quiet;
+mod race;
 mod run;
+mod seek;
 pub(crate) mod table;
+mod tries;
 
 pub use directory::Directory;
 pub use live::{End, Live, Reader, Reading, Spec};
--- a/crates/daemon/cloverpier_daemon/src/answers/run.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/run.rs
@@ -1,29 +1,27 @@
 //! Runs a generation to its end, through as many attempts as it takes.
 //!
-//! One task a generation; [`super::attempt`] carries out one attempt. An attempt that may have run ends a
-//! generation that may not be repeated.
+//! One task a generation; [`super::race`] carries out the attempts that run at the same time. An attempt
+//! that may have run ends a generation that may not be repeated.
 
 use crate::admission::{choose, log_choice, nobody, release};
-use crate::answers::attempt::{attempt_or_call_back, cancel, cancel_given_up, on_failed, resume};
-use crate::answers::failure::{Failure, Over};
+use crate::answers::attempt::{Attempt, cancel_current};
+use crate::answers::failure::Over;
 use crate::answers::live::{End, Live};
+use crate::answers::race::Race;
+use crate::answers::tries::{Tries, not_repeated};
 use crate::app::App;
 use crate::crashes::{self, Admitted, Turn};
 use crate::error::{ApiError, Run};
 use cloverpier_answer::TokenSource;
-use cloverpier_core::{UpstreamName, hash_of, lock};
-use cloverpier_crashes::{Admission, LossCause};
-use cloverpier_route::{Choice, Chosen, RouteRequest};
+use cloverpier_core::lock;
+use cloverpier_crashes::Admission;
+use cloverpier_route::{CONTINUE_WITHIN, Choice, Chosen};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// How long an answer waits for an engine that can continue it.
-const GO_ON_WITHIN: Duration = Duration::from_secs(20);
-/// Pause between two looks for one.
+/// Pause between two looks for an engine that can continue an answer.
 const GO_ON_PAUSE: Duration = Duration::from_millis(50);
-/// Attempts in a row without a token after which an answer is given up.
-const BARREN: u32 = 8;
 
 /// How a generation starts.
 #[derive(Debug)]
@@ -54,7 +52,7 @@
         Start::TakenOver(source) => {
             // The earlier owner may have had it run.
             tries.may_have_run = true;
-            match go_on_there(app, live, source).await {
+            match go_on_there(app, live, &mut tries, source).await {
                 GoOn::Ended => return,
                 GoOn::Elsewhere => None,
             }
@@ -79,13 +77,14 @@
             continue;
         };
         turn.iter().for_each(Turn::on_sent);
-        if try_at(app, live, &mut tries, chosen).await == Tried::Ended {
+        let attempt = Attempt::order(app, live, &chosen, turn);
+        if run_attempts(app, live, &mut tries, attempt).await == Tried::Ended {
             return;
         }
     }
 }
 
-/// What one attempt did to its generation.
+/// What attempts did to their generation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Tried {
     /// It is over.
@@ -94,13 +93,15 @@
     Failed,
 }
 
-/// One attempt, whose turn it is, and what follows from its end.
-async fn try_at(app: &Arc<App>, live: &Arc<Live>, tries: &mut Tries, chosen: Chosen) -> Tried {
-    let begun = app.now();
+/// An attempt, those that run beside it while it is silent, and what follows from their end.
+async fn run_attempts(
+    app: &Arc<App>,
+    live: &Arc<Live>,
+    tries: &mut Tries,
+    first: Attempt<'_>,
+) -> Tried {
     let before = live.look(|s| s.answer.len());
-    let over = attempt_or_call_back(app, live, &chosen).await;
-    release(app, &chosen);
-    let failure = match over {
+    let failure = match race_or_call_back(app, live, tries, first).await {
         Over::Failed(failure) => failure,
         Over::Stopped => {
             tries.may_have_run = true;
@@ -108,57 +109,37 @@
             return Tried::Ended;
         }
         over => {
-            conclude(app, live, &chosen.upstream, &over).await;
+            conclude(app, live, &over).await;
             return Tried::Ended;
         }
     };
-    on_failed(app, live, &chosen.upstream, failure);
-    on_loss(app, live, &chosen.upstream, failure, begun);
     let progressed = live.look(|s| s.answer.len()) > before;
-    if let Some(error) = tries.after_failure(app, live, failure, progressed) {
+    if let Some(error) = tries.after_last(app, live, failure, progressed) {
         live.end(End::Failed(error), app.now());
         return Tried::Ended;
     }
-    tries.failed.push(chosen.upstream);
     Tried::Failed
 }
 
-/// What a generation's attempts have come to.
-#[derive(Debug, Default)]
-struct Tries {
-    /// Engines that failed it.
-    failed: Vec<UpstreamName>,
-    /// Attempts in a row without a token.
-    barren: u32,
-    /// Whether an engine may have run it.
-    may_have_run: bool,
-}
-
-impl Tries {
-    /// Counts an attempt that failed; the error where no other may follow.
-    fn after_failure(
-        &mut self,
-        app: &App,
-        live: &Live,
-        failure: Failure,
-        progressed: bool,
-    ) -> Option<ApiError> {
-        self.may_have_run |= failure.may_have_run();
-        if failure.may_have_run() && !live.spec.repeatable {
-            return Some(not_repeated());
-        }
-        self.barren = if progressed { 0 } else { self.barren + 1 };
-        (self.barren >= BARREN).then(|| self.error(nobody(app, &live.spec.service)))
-    }
-
-    /// An error that ends the generation, true to whether it ran.
-    fn error(&self, error: ApiError) -> ApiError {
-        if self.may_have_run {
-            error.with_run(Run::Unknown)
-        } else {
-            error
-        }
+/// The attempts, which are called back if their content is stopped before the first token.
+async fn race_or_call_back(
+    app: &Arc<App>,
+    live: &Arc<Live>,
+    tries: &mut Tries,
+    first: Attempt<'_>,
+) -> Over {
+    let before = live.look(|s| s.answer.len());
+    let has_progress = || live.look(|s| s.answer.len()) > before;
+    let race = Race::new(app, live, tries, first);
+    let over = tokio::select! {
+        over = race.run() => over,
+        () = crashes::called_back(app, live.spec.content_key(), has_progress) => Over::Stopped,
+    };
+    if matches!(over, Over::Stopped) {
+        // Engines run on for a while without a reader, and this one must not begin.
+        cancel_current(app, live).await;
     }
+    over
 }
 
 fn end_stopped(app: &App, live: &Live, tries: &Tries) {
@@ -167,24 +148,6 @@
     live.end(End::Failed(error), app.now());
 }
 
-/// Records an attempt that was lost at an engine, and cancels one that was given up there.
-fn on_loss(
-    app: &Arc<App>,
-    live: &Arc<Live>,
-    upstream: &UpstreamName,
-    failure: Failure,
-    begun: Instant,
-) {
-    let Some(loss) = failure.loss() else {
-        return;
-    };
-    let ran_for = app.now().saturating_duration_since(begun);
-    crashes::on_lost(app, &live.spec.content(), upstream, loss, ran_for);
-    if loss == LossCause::UpstreamSilent {
-        cancel_given_up(app, live, upstream);
-    }
-}
-
 /// Whether an answer of another router has to go on at another engine.
 enum GoOn {
     Ended,
@@ -195,11 +158,17 @@
 ///
 /// What may not be repeated goes on nowhere else: the earlier owner has
 /// dispatched it.
-async fn go_on_there(app: &Arc<App>, live: &Arc<Live>, source: Option<TokenSource>) -> GoOn {
-    if let Some(source) = source {
-        let over = resume(app, live, &source).await;
-        if let Some(over) = over.filter(|o| !matches!(o, Over::Failed(_))) {
-            conclude(app, live, &source.upstream, &over).await;
+async fn go_on_there(
+    app: &Arc<App>,
+    live: &Arc<Live>,
+    tries: &mut Tries,
+    source: Option<TokenSource>,
+) -> GoOn {
+    let attempt = source.and_then(|source| Attempt::resume(app, live, &source));
+    if let Some(attempt) = attempt {
+        let over = race_or_call_back(app, live, tries, attempt).await;
+        if !matches!(over, Over::Failed(_)) {
+            conclude(app, live, &over).await;
             return GoOn::Ended;
         }
     }
@@ -210,19 +179,17 @@
     GoOn::Ended
 }
 
-fn not_repeated() -> ApiError {
-    ApiError::unknown("the engine failed and the request may not be repeated")
-}
-
-async fn conclude(app: &Arc<App>, live: &Arc<Live>, upstream: &UpstreamName, over: &Over) {
+async fn conclude(app: &Arc<App>, live: &Arc<Live>, over: &Over) {
     match over {
         Over::Finished => {
-            lock(&app.view).on_success(upstream);
+            if let Some(source) = live.look(|s| s.source.clone()) {
+                lock(&app.view).on_success(&source.upstream);
+            }
             crashes::on_completed(app, &live.spec.content());
             app.metrics.count("answer.finished", 1);
         }
         Over::Abandoned => {
-            cancel(app, live, upstream).await;
+            cancel_current(app, live).await;
             let error = ApiError::unknown("no caller read the answer");
             live.end(End::Failed(error), app.now());
         }
@@ -231,21 +198,18 @@
     }
 }
 
-/// Finds an engine for an answer that has to go on: ahead of new work, full ones included.
+/// Finds an engine for an answer that has to go on.
 async fn go_on_at(
     app: &App,
     live: &Live,
     tries: &Tries,
     apart: Option<u64>,
 ) -> Result<Chosen, ApiError> {
-    let until = app.now() + GO_ON_WITHIN;
-    let mut ask = RouteRequest::new(live.spec.service.clone());
-    ask.prefix = Some(hash_of(&live.spec.prompt));
-    ask.failed = tries.failed.clone();
-    ask.overcommit = true;
-    ask.isolation_key = apart;
+    let until = app.now() + CONTINUE_WITHIN;
+    let mut request = tries.request_for_rest(live);
+    request.isolation_key = apart;
     loop {
-        if let Choice::Chosen(chosen) = choose(app, &ask) {
+        if let Choice::Chosen(chosen) = choose(app, &request) {
             log_choice(app, live.key.as_str(), &live.spec.service, &chosen);
             return Ok(chosen);
         }
--- a/crates/daemon/cloverpier_daemon/src/loads.rs
+++ b/crates/daemon/cloverpier_daemon/src/loads.rs
@@ -55,9 +55,11 @@
 }
 
 async fn ask(app: Arc<App>, name: UpstreamName, address: SocketAddr) {
+    lock(&app.view).on_load_query(&name, app.now());
     let Ok(EngineLoad { load, statement }) = app.engines.engine(address).load().await else {
         return;
     };
+    lock(&app.view).on_load_response(&name);
     let now = app.now();
     let age = Duration::from_millis(load.age_ms);
     let report = LoadReport {
--- a/crates/daemon/cloverpier_daemon/tests/silences.rs
+++ b/crates/daemon/cloverpier_daemon/tests/silences.rs
@@ -7,7 +7,7 @@
 
 use cloverpier_daemon_standin::check_speech;
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{KEY, Site};
 use tokio::task::JoinHandle;
 
@@ -166,3 +166,66 @@
     assert_eq!(status, 200, "{answer}");
     assert_eq!(site.runs("k").await, 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_not_begun_again_while_all_engines_stand_still() {
+    let site = site().await;
+    // Longer than a busy machine takes to let the engines stand still one after the other.
+    configure(&site, 8 * SILENCE_MS).await;
+    let asked: Vec<_> = (0..9)
+        .map(|i| generate(&site, 0, &format!("k{i}"), true))
+        .collect();
+    site.until("each engine to run some", || async {
+        let mut decoded = Vec::new();
+        for i in ALL {
+            decoded.push(site.engine_count(i, "decoded").await);
+        }
+        decoded.iter().all(|tokens| *tokens >= 10)
+    })
+    .await;
+    site.freeze_engines(&ALL, true).await;
+    tokio::time::sleep(SHORT).await;
+    // Later, an engine that goes on before the others may be sent their answers.
+    let begun = site.started_at_all().await;
+    site.freeze_engines(&ALL, false).await;
+    for task in asked {
+        let answer = task.await.unwrap();
+        assert!(is_whole(&answer), "{} {}", answer.0, answer.1["error"]);
+    }
+    assert_eq!(begun, 9);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_go_on_elsewhere_when_their_silent_engine_dies() {
+    let mut site = site().await;
+    let asked: Vec<_> = (0..6)
+        .map(|i| generate(&site, 0, &format!("k{i}"), true))
+        .collect();
+    until_decoded(&site, 60).await;
+    site.freeze_engines(&ALL, true).await;
+    tokio::time::sleep(SHORT / 2).await;
+    site.engines[0].kill();
+    site.freeze_engines(&ALL[1..], false).await;
+    for task in asked {
+        let answer = task.await.unwrap();
+        assert!(is_whole(&answer), "{} {}", answer.0, answer.1["error"]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_that_may_run_once_ends_at_once_when_its_silent_engine_dies() {
+    let mut site = site().await;
+    let asked = generate(&site, 0, "once", false);
+    until_decoded(&site, 20).await;
+    site.freeze_engines(&ALL, true).await;
+    tokio::time::sleep(SHORT / 2).await;
+    assert!(!asked.is_finished(), "its engine lives");
+    let died = Instant::now();
+    for engine in &mut site.engines {
+        engine.kill();
+    }
+    let (status, answer) = asked.await.unwrap();
+    assert_eq!(status, 502, "{answer}");
+    assert_eq!(answer["error"]["run"], "unknown", "{answer}");
+    assert!(died.elapsed() < Duration::from_secs(10), "{answer}");
+}
--- a/crates/daemon/cloverpier_route/src/signs_of_life.rs
+++ b/crates/daemon/cloverpier_route/src/signs_of_life.rs
@@ -61,8 +61,9 @@
         self.unanswered = None;
     }
 
-    /// Whether the upstream seems to stand still. `limit` is how long it may send nothing to any of the
-    /// streams.
+    /// Whether the upstream seems to stand still. `limit` is the stall timeout of the one that asks: half
+    /// of it without an event of any stream is enough here, as upstreams that pause together do not begin
+    /// at the same instant.
     pub(crate) fn is_silent(&self, limit: Duration, now: Instant) -> bool {
         let is_older = |at: Instant, age| now.saturating_duration_since(at) >= age;
         let has_silent_attempt = self.silent_at > self.heard_at
@@ -70,7 +71,7 @@
                 .silent_at
                 .is_some_and(|at| !is_older(at, SILENCE_LIFETIME));
         let has_silent_streams =
-            self.streaming > 0 && self.heard_at.is_some_and(|at| is_older(at, limit));
+            self.streaming > 0 && self.heard_at.is_some_and(|at| is_older(at, limit / 2));
         let leaves_queries = self.unanswered.is_some_and(|queries| {
             is_older(queries.since, LATE_LOAD_RESPONSE)
                 && !is_older(queries.last, LOAD_QUERY_LIFETIME)
--- a/crates/daemon/cloverpier_route/src/silence.rs
+++ b/crates/daemon/cloverpier_route/src/silence.rs
@@ -6,8 +6,8 @@
 //! - **Answer.** [`SilenceStep`].
 //! - **Reason.** Silence does not distinguish a pause from a death, and engines pause together. So silence
 //!   alone ends no attempt before [`CONTINUE_WITHIN`]: the attempt at the silent engine goes on until
-//!   another engine has sent an event. Another engine is tried only if it shows signs of life, as a prompt
-//!   is read again there. A generation that may run once stays where it is.
+//!   another engine has taken the answer on. Another engine is tried only if it shows signs of life, as a
+//!   prompt is read again there. A generation that may run once stays where it is.
 
 use crate::choose::{Choice, Chosen, RouteRequest};
 use crate::view::{MAX_TRACKED, UpstreamEntry, UpstreamView};
