Keep a silent call of cloverpierd at its server, and try others beside it

Callers saw a call that may be repeated run again at its only server: an attempt was given up after 10 s without an answer, and the next one went to the same server as a last resort. Three such attempts ended the call.

Now the first attempt goes on. After 10 s the decision of silent answers (cloverpier_route) gives another server that has it not, has not just failed and does not stand still, if there is one; the first answer counts. Calls that may run once keep their deadline of 10 s. Places are given back also where a caller goes away.

--- a/crates/daemon/cloverpier_daemon/src/answers/attempt.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/attempt.rs
@@ -9,6 +9,7 @@
 use crate::answers::quiet::QuietTime;
 use crate::app::App;
 use crate::crashes::Turn;
+use crate::silence_log::Silent;
 use crate::statements;
 use cloverpier_answer::{AttemptId, TokenSource};
 use cloverpier_core::{UpstreamName, lock};
@@ -18,6 +19,7 @@
 };
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,6 +28,15 @@
 /// How often a stream reports at most that its engine has sent something.
 const HEARD_PERIOD: Duration = Duration::from_millis(20);
 
+#[derive(Serialize)]
+struct AttemptOver<'a> {
+    request: &'a str,
+    attempt: AttemptId,
+    upstream: &'a UpstreamName,
+    why: Failure,
+    tokens: u64,
+}
+
 /// What arrives from an engine.
 pub(super) enum Heard {
     /// It has accepted the order.
@@ -253,6 +264,28 @@
         !self.is_resumed || matches!(self.order, Order::Open(_))
     }
 
+    /// The silence of its engine, for the log.
+    pub fn silent(&self, now: Instant) -> Silent<'_> {
+        Silent {
+            request: self.live.key.as_str(),
+            upstream: &self.upstream,
+            silent_for: self.quiet.quiet_for(now),
+        }
+    }
+
+    /// Logs and counts its failure.
+    pub fn log_failure(&self, why: Failure) {
+        let line = AttemptOver {
+            request: self.live.key.as_str(),
+            attempt: self.id,
+            upstream: &self.upstream,
+            why,
+            tokens: self.live.look(|s| s.answer.len()),
+        };
+        self.app.metrics.count("attempt.failed", 1);
+        self.app.log.warn("attempt.failed", &line);
+    }
+
     /// Lets others with the same content have their turn.
     pub fn end_turn(&mut self) {
         self.turn = None;
--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -3,7 +3,6 @@
 //! [`table`] owns the answers of this router and what it holds for others; each file has one job.
 
 mod attempt;
-mod attempt_log;
 mod directory;
 mod failure;
 mod live;
--- a/crates/daemon/cloverpier_daemon/src/answers/race.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/race.rs
@@ -7,21 +7,21 @@
 //! [`super::run`] decides what follows when all have failed.
 
 use crate::answers::attempt::{Attempt, Heard, cancel_in_background};
-use crate::answers::attempt_log;
 use crate::answers::failure::{Failure, Over};
 use crate::answers::live::Live;
 use crate::answers::outbox::send_news;
-use crate::answers::seek::{Seeking, seek};
+use crate::answers::seek::seek;
 use crate::answers::tries::Tries;
 use crate::app::App;
 use crate::crashes;
+use crate::seeking::{Seeking, sought};
 use cloverpier_answer::{AttemptId, FinishReason, TokenOutcome};
 use cloverpier_core::{UpstreamName, lock};
 use cloverpier_crashes::LossCause;
 use cloverpier_route::{KeepReason, SilenceStep, SilentAnswer};
 use cloverpier_upstream::EngineEvent;
 use futures_util::FutureExt;
-use std::future::{Future, pending, poll_fn};
+use std::future::{Future, poll_fn};
 use std::pin::pin;
 use std::sync::Arc;
 use std::task::Poll;
@@ -40,7 +40,7 @@
     /// In the order in which they were sent; empty only once the race is over.
     attempts: Vec<Attempt<'a>>,
     /// Sends the rest of the answer to a further engine.
-    seeking: Option<Seeking<'a>>,
+    seeking: Seeking<'a, Option<Attempt<'a>>>,
     /// Why the answer stays where it is, as it was last logged in this silence.
     kept: Option<KeepReason>,
 }
@@ -112,13 +112,14 @@
 
     /// Ends older attempts that have sent nothing, now that another engine has accepted the order.
     fn on_accepted(&mut self, index: usize) {
+        let now = self.app.now();
         let newer = self.attempts.split_off(index);
         let (sending, silent): (Vec<_>, Vec<_>) =
             self.attempts.drain(..).partition(|a| a.has_sent());
         self.attempts = sending;
         self.attempts.extend(newer);
         if let (Some(from), Some(to)) = (silent.first(), self.attempts.first()) {
-            attempt_log::moved(self.app, self.live, from, &to.upstream);
+            from.silent(now).moved(self.app, &to.upstream);
         }
         for attempt in silent {
             self.hand_over(attempt);
@@ -143,11 +144,9 @@
         };
         let older = std::mem::take(&mut self.attempts);
         if let Some(silent) = older.first() {
-            attempt_log::moved(self.app, self.live, silent, &winner.upstream);
+            silent.silent(now).moved(self.app, &winner.upstream);
         } else if winner.quiet.is_over(now) {
-            let silent_for = winner.quiet.quiet_for(now);
-            let (upstream, in_vain) = (&winner.upstream, newer.len());
-            attempt_log::outlived(self.app, self.live, upstream, silent_for, in_vain);
+            winner.silent(now).outlived(self.app, newer.len());
         }
         for attempt in older {
             let failure = attempt.silence();
@@ -231,7 +230,7 @@
             return;
         }
         if let Some(attempt) = self.attempts.first() {
-            attempt_log::kept(self.app, self.live, attempt, reason);
+            attempt.silent(self.app.now()).kept(self.app, reason);
         }
     }
 
@@ -252,7 +251,8 @@
     fn on_sought(&mut self, sought: Option<Attempt<'a>>) -> Option<Over> {
         self.seeking = None;
         if let (Some(first), Some(attempt)) = (self.attempts.first(), &sought) {
-            attempt_log::tried_also(self.app, self.live, first, &attempt.upstream);
+            let silent = first.silent(self.app.now());
+            silent.tried_also(self.app, &attempt.upstream);
         }
         self.attempts.extend(sought);
         None
@@ -263,7 +263,7 @@
         let attempts = std::mem::take(&mut self.attempts);
         let mut failure = Failure::Silent;
         if let Some(first) = attempts.first() {
-            attempt_log::expired(self.app, self.live, first, attempts.len());
+            first.silent(self.app.now()).expired(self.app);
             failure = first.silence();
         }
         for attempt in attempts {
@@ -295,7 +295,7 @@
         if !attempt.counts_against_engine() {
             return;
         }
-        attempt_log::failed(app, live, &attempt, failure);
+        attempt.log_failure(failure);
         let Some(loss) = failure.loss() else {
             return;
         };
@@ -328,13 +328,6 @@
     .await
 }
 
-async fn sought<'a>(seeking: &mut Option<Seeking<'a>>) -> Option<Attempt<'a>> {
-    match seeking {
-        Some(seeking) => seeking.await,
-        None => pending().await,
-    }
-}
-
 fn accept(live: &Live, attempt: AttemptId, event: EngineEvent) -> TokenOutcome {
     live.change(|s| match event {
         EngineEvent::Token { offset, text } => s.answer.on_token(attempt, offset, text),
--- a/crates/daemon/cloverpier_daemon/src/answers/seek.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/seek.rs
@@ -9,13 +9,9 @@
 use cloverpier_core::UpstreamName;
 use cloverpier_crashes::Admission;
 use cloverpier_route::{RouteRequest, SilenceStep, SilentAnswer};
-use futures_util::future::BoxFuture;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A search that gives an attempt, if one may be made.
-pub(super) type Seeking<'a> = BoxFuture<'a, Option<Attempt<'a>>>;
-
 /// Sends the rest of a silent answer to a further engine, once its content may be sent and if there is
 /// one; `limit` is the stall timeout.
 pub(super) async fn seek<'a>(
--- a/crates/daemon/cloverpier_daemon/src/lib.rs
+++ b/crates/daemon/cloverpier_daemon/src/lib.rs
@@ -27,6 +27,8 @@
 pub mod parts;
 pub mod plain;
 pub mod resume;
+pub mod seeking;
+pub mod silence_log;
 pub mod statements;
 pub mod stop;
 pub mod web;
--- a/crates/daemon/cloverpier_daemon/src/plain.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain/mod.rs
@@ -1,8 +1,10 @@
 //! Calls to plain services: repeatable ones, and ones that run at most once.
 //!
-//! A repeatable call goes to several upstreams; one that runs at most once is claimed first
+//! A repeatable call goes to several upstreams ([`repeatable`]); one that runs at most once is claimed first
 //! ([`crate::claims`]) and goes on only where no byte can have been received.
 
+mod repeatable;
+
 use crate::admission::{choose, log_choice, nobody, release};
 use crate::app::App;
 use crate::claims::{self, Written};
@@ -26,8 +28,6 @@
 /// members.
 const KEEP_BODY: usize = 64 << 10;
 
-/// When a caller should retry after none of its service's upstreams answered.
-const ALL_FAILED_RETRY: Duration = Duration::from_secs(1);
 /// The least pause before a retry when the key could not be stored.
 const MIN_NOT_WRITTEN_RETRY_MS: u64 = 100;
 
@@ -55,7 +55,7 @@
     repeatable: bool,
 ) -> Result<PlainResponse, ApiError> {
     if repeatable {
-        call_repeatable(app, service, key, req).await
+        repeatable::call(app, service, key, req).await
     } else {
         call_once(app, service, key, req).await
     }
@@ -76,13 +76,19 @@
     }
 }
 
-/// A place for a call, and its turn, if its content may do harm.
+/// A place for a call, and its turn, if its content may do harm. Both last as long as this.
 struct Placed<'a> {
+    app: &'a App,
     chosen: Chosen,
-    /// Lasts as long as the call.
     _turn: Option<Turn<'a>>,
 }
 
+impl Drop for Placed<'_> {
+    fn drop(&mut self) {
+        release(self.app, &self.chosen);
+    }
+}
+
 /// Takes a place for a call, which is to be sent at once, unless its content ends upstreams.
 async fn place<'a>(
     app: &'a App,
@@ -101,16 +107,27 @@
     // Lookups are over at once: they never wait in line.
     ask.overcommit = true;
     match choose(app, &ask) {
-        Choice::Chosen(chosen) => {
-            log_choice(app, key.as_str(), service, &chosen);
-            turn.iter().for_each(Turn::on_sent);
-            let _turn = turn;
-            Ok(Placed { chosen, _turn })
-        }
+        Choice::Chosen(chosen) => Ok(placed(app, service, key, chosen, turn)),
         Choice::Full | Choice::NoneAvailable => Err(nobody(app, service)),
     }
 }
 
+fn placed<'a>(
+    app: &'a App,
+    service: &ServiceName,
+    key: &RequestKey,
+    chosen: Chosen,
+    turn: Option<Turn<'a>>,
+) -> Placed<'a> {
+    log_choice(app, key.as_str(), service, &chosen);
+    turn.iter().for_each(Turn::on_sent);
+    Placed {
+        app,
+        chosen,
+        _turn: turn,
+    }
+}
+
 async fn try_at(
     app: &Arc<App>,
     content: &RequestContent<'_>,
@@ -140,43 +157,9 @@
             }
         }
     }
-    release(app, chosen);
     result
 }
 
-async fn call_repeatable(
-    app: &Arc<App>,
-    service: &ServiceName,
-    key: &RequestKey,
-    req: &PlainCall,
-) -> Result<PlainResponse, ApiError> {
-    let content = content(service, key, req);
-    let content_key = ContentKey::of(&content);
-    let mut failed = Vec::new();
-    let mut may_have_run = false;
-    for _ in 0..TRIES {
-        let placed = place(app, service, key, content_key, &failed).await;
-        let Placed { chosen, _turn } = placed.map_err(|error| {
-            if may_have_run {
-                error.with_run(Run::Unknown)
-            } else {
-                error
-            }
-        })?;
-        match try_at(app, &content, &chosen, req).await {
-            Ok(answer) => return Ok(answer),
-            // `try_at` has counted it; the next try goes elsewhere.
-            Err(error) => {
-                may_have_run |= matches!(error, PlainError::NoResponse { .. });
-                failed.push(chosen.upstream);
-            }
-        }
-    }
-    let message = format!("no upstream of {service} answered");
-    let error = ApiError::busy("upstream_failed", message, ALL_FAILED_RETRY);
-    Err(error.with_run(Run::Unknown))
-}
-
 fn body_digest(req: &PlainCall) -> u64 {
     let body = String::from_utf8_lossy(&req.body);
     hash_of(&format!("{} {}\n{body}", req.method, req.path))
@@ -212,21 +195,24 @@
     let mut failed = Vec::new();
     for _ in 0..TRIES {
         let placed = place(&app, &service, &written.key, content_key, &failed).await;
-        let Placed { chosen, _turn } = match placed {
+        let placed = match placed {
             Ok(placed) => placed,
             Err(error) => {
                 claims::release(&app, &written).await;
                 return Err(error);
             }
         };
-        match try_at(&app, &content, &chosen, &req).await {
+        let result = try_at(&app, &content, &placed.chosen, &req).await;
+        let upstream = placed.chosen.upstream.clone();
+        drop(placed);
+        match result {
             Ok(answer) => {
                 let outcome = Outcome::Done(stored(&answer));
                 claims::settle(&app, &written, &outcome).await;
                 return Ok(answer);
             }
             // No byte can have reached it: another one may be tried.
-            Err(PlainError::NotReached { .. }) => failed.push(chosen.upstream),
+            Err(PlainError::NotReached { .. }) => failed.push(upstream),
             Err(PlainError::NoResponse { .. }) => {
                 claims::settle(&app, &written, &Outcome::Unknown).await;
                 return Err(ApiError::unknown(
--- a/crates/daemon/cloverpier_daemon/tests/silences.rs
+++ b/crates/daemon/cloverpier_daemon/tests/silences.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use cloverpier_config::{Repeatable, Service};
 use cloverpier_daemon_standin::check_speech;
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
@@ -47,6 +48,13 @@
     tokio::spawn(site.post_raw_to(router, "/v1/completions", &headers, &body.to_string()))
 }
 
+async fn let_calls_be_repeated(site: &Site) {
+    let mut intent = site.intent();
+    let status = Service::plain(Repeatable::All);
+    intent.services.insert("status".into(), status);
+    site.configure(&intent).await;
+}
+
 /// Waits until the engines have made so many tokens, all together.
 async fn until_decoded(site: &Site, tokens: u64) {
     site.until("tokens to be made", || async {
@@ -156,10 +164,7 @@
         ("Idempotency-Key", "k"),
         ("Cloverpier-Repeatable", "true"),
     ];
-    let mut intent = site.intent();
-    let status = cloverpier_config::Service::plain(cloverpier_config::Repeatable::All);
-    intent.services.insert("status".into(), status);
-    site.configure(&intent).await;
+    let_calls_be_repeated(&site).await;
     site.service.pause(PAUSE);
     let call = site.post_raw("/services/status/runs/17", &headers, "look");
     let (status, answer) = call.await;
@@ -229,3 +234,26 @@
     assert_eq!(answer["error"]["run"], "unknown", "{answer}");
     assert!(died.elapsed() < Duration::from_secs(10), "{answer}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_to_a_paused_server_are_answered_by_another_before_it_goes_on() {
+    /// Longer than it takes to count as silent.
+    const PAUSE: Duration = Duration::from_secs(14);
+    let mut site = site().await;
+    site.add_service();
+    let_calls_be_repeated(&site).await;
+    let auth = format!("Bearer {KEY}");
+    site.service.pause(PAUSE);
+    let paused = Instant::now();
+    let calls = (0..6).map(|i| {
+        let key = format!("k{i}");
+        let headers = [("Authorization", auth.as_str()), ("Idempotency-Key", &key)];
+        tokio::spawn(site.post_raw("/services/status/runs/17", &headers, "look"))
+    });
+    let calls: Vec<_> = calls.collect();
+    for call in calls {
+        let (status, answer) = call.await.unwrap();
+        assert_eq!(status, 200, "{answer}");
+    }
+    assert!(paused.elapsed() < PAUSE, "the paused server has gone on");
+}
