Ask a silent engine of cloverpierd for a generation that it had accepted

Callers would see a generation that may run once end after 20 s though its engine had gone on, where only the connection was lost without a word; and wait 20 s where another process listens at the address. Cause: since silence ends no attempt, only bytes on its own connection did.

An engine that had accepted a generation and is silent for 2 s beyond the timeout is asked for it again from the last token on, every 2 s. A stream takes the place of the former one. A refused connection, or an engine that does not hold it, is proof and ends the attempt at once. A host that does not respond proves nothing, and neither does an engine that has not accepted the order yet.

--- a/crates/daemon/cloverpier_daemon/src/answers/attempt.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/attempt.rs
@@ -4,27 +4,30 @@
 //! which tokens count.
 
 use crate::admission::release_at;
-use crate::answers::failure::{Failure, said_of, start_failure};
+use crate::answers::failure::{Failure, proof_of, said_of, start_failure};
 use crate::answers::live::Live;
+use crate::answers::order::{
+    Arrived, Order, Starting, address_of, arrives, event_of, generate_at, generation_name,
+    resume_at,
+};
 use crate::answers::quiet::QuietTime;
 use crate::app::App;
 use crate::crashes::Turn;
+use crate::seeking::{Seeking, sought};
 use crate::silence_log::Silent;
 use crate::statements;
 use cloverpier_answer::{AttemptId, TokenSource};
 use cloverpier_core::{UpstreamName, lock};
 use cloverpier_route::{Chosen, StallTimeout};
-use cloverpier_upstream::{
-    EngineEvent, EventStream, GenerateBody, GenerationBody, StartError, StreamError,
-};
-use futures_util::FutureExt;
-use futures_util::future::BoxFuture;
+use cloverpier_upstream::{EngineEvent, EventStream, StartError};
 use serde::Serialize;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
 
+/// How long a silence lasts beyond its timeout until the engine is asked for its generation, and how long
+/// until it is asked again: longer than most pauses.
+const ASK_AFTER: Duration = Duration::from_secs(2);
 /// How often a stream reports at most that its engine has sent something.
 const HEARD_PERIOD: Duration = Duration::from_millis(20);
 
@@ -44,14 +47,6 @@
     Event(EngineEvent),
 }
 
-/// What was sent to an engine.
-enum Order {
-    /// Its answer has not begun.
-    Sent(BoxFuture<'static, Result<EventStream, StartError>>),
-    /// Its events arrive.
-    Open(EventStream),
-}
-
 /// A place at an engine, which is given back when this is dropped.
 struct Place<'a> {
     app: &'a Arc<App>,
@@ -92,6 +87,9 @@
     is_resumed: bool,
     place: Place<'a>,
     heard_at: Instant,
+    /// The question to the silent engine for its generation.
+    asking: Seeking<'static, Result<EventStream, StartError>>,
+    asked_at: Option<Instant>,
     turn: Option<Turn<'a>>,
 }
 
@@ -128,17 +126,7 @@
         id: AttemptId,
         turn: Option<Turn<'a>>,
     ) -> Self {
-        let body = GenerateBody {
-            generation: generation_name(live, id),
-            model: live.spec.model.clone(),
-            prompt: Arc::clone(&live.spec.prompt),
-            prefix: live.look(|s| s.answer.tokens_from(0).to_vec()),
-            max_tokens: live.spec.max_tokens,
-            priority: live.spec.priority,
-            adapter: live.spec.adapter.clone(),
-        };
-        let engine = app.engines.engine(chosen.address);
-        let start = async move { engine.generate(&body).await }.boxed();
+        let start = generate_at(app, live, id, chosen.address);
         Self {
             turn,
             ..Self::new(app, live, id, chosen.upstream.clone(), start)
@@ -149,12 +137,7 @@
     pub fn resume(app: &'a Arc<App>, live: &'a Arc<Live>, source: &TokenSource) -> Option<Self> {
         let address = address_of(app, &source.upstream)?;
         let offset = live.look(|s| s.answer.len());
-        let body = GenerationBody {
-            generation: generation_name(live, source.attempt),
-            offset,
-        };
-        let engine = app.engines.engine(address);
-        let start = async move { engine.resume(&body).await }.boxed();
+        let start = resume_at(app, live, source.attempt, address);
         let now = app.now();
         lock(&app.view).on_started(&source.upstream, None, now);
         live.change(|s| s.answer.adopt_attempt(source.attempt));
@@ -177,7 +160,7 @@
         live: &'a Arc<Live>,
         id: AttemptId,
         upstream: UpstreamName,
-        start: BoxFuture<'static, Result<EventStream, StartError>>,
+        start: Starting,
     ) -> Self {
         let now = app.now();
         Self {
@@ -199,25 +182,68 @@
                 is_beside: false,
             },
             heard_at: now,
+            asking: None,
+            asked_at: None,
             turn: None,
         }
     }
 
     /// Waits for what arrives next. Nothing is lost if the wait is dropped.
     pub async fn next(&mut self) -> Result<Heard, Failure> {
-        let started = match &mut self.order {
-            Order::Sent(start) => start.await,
-            Order::Open(stream) => return event_of(stream.next().await).map(Heard::Event),
-        };
-        if let Some(said) = said_of(&started) {
-            statements::hear(self.app, &self.upstream, said);
+        loop {
+            let arrived = tokio::select! {
+                biased;
+                arrived = arrives(&mut self.order) => arrived,
+                answered = sought(&mut self.asking) => {
+                    self.on_answered(answered)?;
+                    continue;
+                }
+            };
+            let started = match arrived {
+                Arrived::Event(event) => return event_of(event).map(Heard::Event),
+                Arrived::Start(started) => started,
+            };
+            if let Some(said) = said_of(&started) {
+                statements::hear(self.app, &self.upstream, said);
+            }
+            let stream = started.map_err(|error| start_failure(&error))?;
+            if self.is_resumed {
+                self.app.metrics.count("attempt.resumed", 1);
+            }
+            self.order = Order::Open(stream);
+            return Ok(Heard::Accepted);
         }
-        let stream = started.map_err(|error| start_failure(&error))?;
-        if self.is_resumed {
-            self.app.metrics.count("attempt.resumed", 1);
+    }
+
+    /// Asks the silent engine for its generation from the last token on, if it has accepted it: the process
+    /// or the connection may be gone. Not within a pause as they are common, for all to go on at once.
+    pub fn ask_for_it(&mut self, now: Instant) {
+        let is_accepted = matches!(self.order, Order::Open(_));
+        let is_due = self.quiet.quiet_for(now) >= self.quiet.limit() + ASK_AFTER;
+        let is_recent = self.asked_at.is_some_and(|at| now < at + ASK_AFTER);
+        if !is_accepted || !is_due || is_recent || self.asking.is_some() {
+            return;
         }
-        self.order = Order::Open(stream);
-        Ok(Heard::Accepted)
+        let Some(address) = address_of(self.app, &self.upstream) else {
+            return;
+        };
+        self.asked_at = Some(now);
+        self.asking = Some(resume_at(self.app, self.live, self.id, address));
+    }
+
+    /// Takes the answer of the engine. A stream takes the place of the former one, whose connection may be
+    /// lost.
+    fn on_answered(&mut self, answered: Result<EventStream, StartError>) -> Result<(), Failure> {
+        self.asking = None;
+        match answered {
+            Ok(stream) => self.order = Order::Open(stream),
+            Err(error) => {
+                if let Some(failure) = proof_of(&error) {
+                    return Err(failure);
+                }
+            }
+        }
+        Ok(())
     }
 
     /// Whether a further event has arrived.
@@ -241,6 +267,7 @@
     /// Records that an event has arrived.
     pub fn on_event(&mut self, now: Instant) {
         self.quiet.on_event(now);
+        self.asking = None;
         if !std::mem::replace(&mut self.place.is_streaming, true) {
             lock(&self.app.view).on_streaming(&self.upstream, now);
             self.heard_at = now;
@@ -301,15 +328,6 @@
     live.change(|s| s.source = Some(TokenSource { upstream, attempt }));
 }
 
-fn event_of(event: Result<Option<EngineEvent>, StreamError>) -> Result<EngineEvent, Failure> {
-    match event {
-        Ok(Some(event)) => Ok(event),
-        Ok(None) => Err(Failure::Closed),
-        Err(StreamError::ConnectionBroken { .. }) => Err(Failure::ConnectionBroken),
-        Err(StreamError::InvalidLine { .. } | StreamError::LineTooLong) => Err(Failure::Unreadable),
-    }
-}
-
 /// Cancels the answer's current attempt at its engine, which runs on for a while without a reader.
 pub(super) async fn cancel_current(app: &App, live: &Live) {
     let Some(source) = live.look(|s| s.source.clone()) else {
@@ -335,16 +353,3 @@
     let (app, live, upstream) = (Arc::clone(app), Arc::clone(live), upstream.clone());
     tokio::spawn(async move { cancel(&app, &live, attempt, &upstream).await });
 }
-
-fn address_of(app: &App, upstream: &UpstreamName) -> Option<SocketAddr> {
-    lock(&app.view).upstream(upstream).map(|u| u.address)
-}
-
-fn generation_name(live: &Live, attempt: AttemptId) -> String {
-    let AttemptId {
-        term,
-        opener,
-        number,
-    } = attempt;
-    format!("{}#{term}.{opener:x}.{number}", live.key)
-}
--- a/crates/daemon/cloverpier_daemon/src/answers/failure.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/failure.rs
@@ -5,6 +5,9 @@
 use cloverpier_upstream::{EventStream, StartError, UpstreamStatement};
 use serde::Serialize;
 
+/// The status of an engine that does not hold a generation.
+const NOT_HELD: u16 = 404;
+
 /// Why an attempt is over.
 #[derive(Debug)]
 pub(super) enum Over {
@@ -37,9 +40,18 @@
     TokensMissing,
     #[serde(rename = "silent")]
     Silent,
+    #[serde(rename = "its process is gone")]
+    Gone,
+    #[serde(rename = "not known to its engine any more")]
+    Forgotten,
 }
 
 impl Failure {
+    /// Whether the attempt ended as nothing arrived, and nothing else is known against it.
+    pub fn is_silence(self) -> bool {
+        matches!(self, Self::NoAnswer | Self::Silent)
+    }
+
     /// Whether the engine may have run the generation.
     pub fn may_have_run(self) -> bool {
         !matches!(self, Self::NotReached | Self::Refused)
@@ -51,12 +63,27 @@
             Self::BrokenBeforeStream | Self::Closed | Self::ConnectionBroken => {
                 Some(LossCause::ConnectionBroken)
             }
-            Self::NoAnswer | Self::Silent => Some(LossCause::UpstreamSilent),
+            // The process ended at an unknown time of the silence.
+            Self::NoAnswer | Self::Silent | Self::Gone | Self::Forgotten => {
+                Some(LossCause::UpstreamSilent)
+            }
             Self::NotReached | Self::Refused | Self::Unreadable | Self::TokensMissing => None,
         }
     }
 }
 
+/// What a silent engine's answer to the question for its generation proves against the attempt there;
+/// `None` for nothing.
+pub(super) fn proof_of(error: &StartError) -> Option<Failure> {
+    match error {
+        StartError::NotReached { .. } if error.is_connection_refused() => Some(Failure::Gone),
+        StartError::Refused { status, .. } if *status == NOT_HELD => Some(Failure::Forgotten),
+        StartError::NotReached { .. }
+        | StartError::Refused { .. }
+        | StartError::OutcomeUnknown { .. } => None,
+    }
+}
+
 /// What an engine says of itself in its answer to an order, if it answered.
 pub(super) fn said_of(started: &Result<EventStream, StartError>) -> Option<&UpstreamStatement> {
     match started {
--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -7,6 +7,7 @@
 mod failure;
 mod live;
 mod open;
+mod order;
 mod outbox;
 mod outbox_state;
 mod quiet;
--- a/crates/daemon/cloverpier_daemon/src/answers/race.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/race.rs
@@ -188,6 +188,9 @@
             return None;
         }
         self.report_silence(now);
+        for attempt in &mut self.attempts {
+            attempt.ask_for_it(now);
+        }
         if self.seeking.is_some() {
             return None;
         }
@@ -300,7 +303,7 @@
             return;
         };
         report_lost(app, live, &mut attempt, loss);
-        if loss == LossCause::UpstreamSilent {
+        if failure.is_silence() {
             cancel_in_background(app, live, attempt.id, &attempt.upstream);
         }
     }
--- a/crates/daemon/cloverpier_daemon/src/answers/tries.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/tries.rs
@@ -6,7 +6,6 @@
 use crate::app::App;
 use crate::error::{ApiError, Run};
 use cloverpier_core::{UpstreamName, hash_of};
-use cloverpier_crashes::LossCause;
 use cloverpier_route::RouteRequest;
 
 /// Attempts in a row that ended without a token, after which an answer is given up.
@@ -43,8 +42,7 @@
         }
         self.barren = if progressed { 0 } else { self.barren + 1 };
         // An attempt ends for silence only once the time to continue its answer is over.
-        let is_late = failure.loss() == Some(LossCause::UpstreamSilent);
-        let is_over = is_late || self.barren >= BARREN;
+        let is_over = failure.is_silence() || self.barren >= BARREN;
         is_over.then(|| self.error(nobody(app, &live.spec.service)))
     }
 
--- a/crates/daemon/cloverpier_upstream/src/engine.rs
+++ b/crates/daemon/cloverpier_upstream/src/engine.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -54,6 +55,21 @@
         !matches!(self, Self::OutcomeUnknown { .. })
     }
 
+    /// Whether no process listens at the engine's address. A host that does not respond proves nothing.
+    pub fn is_connection_refused(&self) -> bool {
+        let Self::NotReached { source } = self else {
+            return false;
+        };
+        let mut cause = std::error::Error::source(source);
+        while let Some(error) = cause {
+            if let Some(error) = error.downcast_ref::<io::Error>() {
+                return error.kind() == io::ErrorKind::ConnectionRefused;
+            }
+            cause = error.source();
+        }
+        false
+    }
+
     /// The announcements in the engine's response; `None` if no response arrived.
     pub fn statement(&self) -> Option<&UpstreamStatement> {
         match self {
