Tell callers to come back where a silent router may have their answer

Callers of a generation that may run once saw 502 outcome_unknown, or 503 not_written with run not-run although an engine ran it, when their router had died and the holder of its copy stood still for 1.2 s as they came back without an event id. Cause: a member that did not say in 300 ms where the copy is, or a holder that did not seal in 600 ms, counted as one without it; the claim of the key, which was dispatched before, then decided the answer for good.

Opening an answer now says whether such a member did not reply. A claim that is refused then gives 503 answer_unreachable, or not_written with run unknown; the caller finds the answer once the holder goes on. A key that was never dispatched is claimed and begun as before.

--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -19,7 +19,7 @@
 
 pub use directory::Directory;
 pub use live::{End, Live, Reader, Reading, Spec};
-pub use open::{Opened, open};
+pub use open::{NewAnswer, Opened, open, unreachable};
 pub use run::{Start, spawn};
 
 use crate::app::App;
--- a/crates/daemon/cloverpier_daemon/src/answers/open.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/open.rs
@@ -38,11 +38,17 @@
         /// Tokens that the caller has.
         offset: u64,
     },
-    /// Nothing is known of it: it is new, in this term.
-    New {
-        /// The first term that no other router uses.
-        term: u64,
-    },
+    /// Nothing is known of it.
+    New(NewAnswer),
+}
+
+/// An answer of which nothing is known.
+#[derive(Clone, Copy, Debug)]
+pub struct NewAnswer {
+    /// The first term that no other router uses.
+    pub term: u64,
+    /// Whether a member that may know of it did not reply.
+    pub may_be_elsewhere: bool,
 }
 
 #[derive(Serialize)]
@@ -75,14 +81,20 @@
         return Ok(Opened::Here { live, offset });
     }
     if !retry {
-        return Ok(Opened::New { term: 1 });
+        return Ok(Opened::New(NewAnswer {
+            term: 1,
+            may_be_elsewhere: false,
+        }));
     }
-    let holders = holders_of(app, key, last).await;
-    let sealed = seal_all(app, key, &holders).await?;
+    let located = holders_of(app, key, last).await;
+    let sealed = seal_all(app, key, &located.holders).await?;
     let Some(held) = sealed.held else {
         return match last {
             Some(last) if last.tokens > 0 => Err(not_found(sealed.has_missing_replies)),
-            _ => Ok(Opened::New { term: sealed.term }),
+            _ => Ok(Opened::New(NewAnswer {
+                term: sealed.term,
+                may_be_elsewhere: sealed.has_missing_replies || located.has_missing_replies,
+            })),
         };
     };
     check_body(held.body_digest, body)?;
@@ -98,7 +110,7 @@
     let live = app.answers.get(key)?;
     if !live.is_useless() && live.spec.copies > 0 {
         let term = live.look(|s| s.answer.term());
-        let mut holders = holders_of(app, key, None).await;
+        let mut holders = holders_of(app, key, None).await.holders;
         holders.extend(live.look(|s| s.copy.holder().cloned()));
         let replies = holders.iter().map(|h| seal(app, key, term, h));
         let replies = join_all(replies).await;
@@ -135,6 +147,11 @@
     }
 }
 
+/// The error for a key that was dispatched before, while a member that may know its answer is silent.
+pub fn unreachable() -> ApiError {
+    not_found(true)
+}
+
 /// The rest of an answer isn't known here: it may be found again, or it is lost.
 fn not_found(may_come_back: bool) -> ApiError {
     if may_come_back {
@@ -147,8 +164,15 @@
     error.at("Last-Event-ID").with_run(Run::Unknown)
 }
 
+/// Members that may hold a copy.
+struct Located {
+    holders: BTreeSet<MemberId>,
+    /// Whether a member that keeps notes of where copies are did not answer.
+    has_missing_replies: bool,
+}
+
 /// Members that may hold a copy: as the caller says, as the directory says, and this one.
-async fn holders_of(app: &App, key: &RequestKey, last: Option<&EventId>) -> BTreeSet<MemberId> {
+async fn holders_of(app: &App, key: &RequestKey, last: Option<&EventId>) -> Located {
     let mut holders = BTreeSet::new();
     holders.extend(last.and_then(|l| l.holder.clone()));
     holders.extend(lock(&app.answers.directory).holder(key));
@@ -158,12 +182,17 @@
     let others = asked(&list, key);
     let others = others.iter().filter(|id| **id != app.me.id);
     let replies = others.map(|id| app.ask(id, &request, ASK_TIMEOUT));
+    let mut has_missing_replies = false;
     for reply in join_all(replies).await {
-        if let Some(PeerReply::Located { holder }) = reply {
-            holders.extend(holder);
+        match reply {
+            Some(PeerReply::Located { holder }) => holders.extend(holder),
+            Some(_) | None => has_missing_replies = true,
         }
     }
-    holders
+    Located {
+        holders,
+        has_missing_replies,
+    }
 }
 
 struct Sealed {
--- a/crates/daemon/cloverpier_daemon/src/web/completions.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/completions.rs
@@ -4,7 +4,9 @@
 //! charged, placed, claimed if it may not be repeated, and started; then its answer is read.
 
 use crate::admission::log_choice;
-use crate::answers::{End, Live, Opened, Reader, Reading, Spec, Start, open, spawn};
+use crate::answers::{
+    End, Live, NewAnswer, Opened, Reader, Reading, Spec, Start, open, spawn, unreachable,
+};
 use crate::app::App;
 use crate::claims;
 use crate::crashes::{self, Admitted};
@@ -108,7 +110,7 @@
     let opened = open(app, &keyed.key, ask.body, &spec, last.as_ref(), keyed.given).await?;
     let (live, offset) = match opened {
         Opened::Here { live, offset } => (live, offset),
-        Opened::New { term } => (begin(app, &caller, &keyed, &ask, spec, term).await?, 0),
+        Opened::New(new) => (begin(app, &caller, &keyed, &ask, spec, new).await?, 0),
     };
     Ok(Ready {
         reader: live.read(offset, app.timers.clone()),
@@ -142,7 +144,7 @@
     keyed: &Keyed,
     ask: &Completion,
     spec: Spec,
-    term: u64,
+    new: NewAnswer,
 ) -> Result<Arc<Live>, ApiError> {
     let content = spec.content_key();
     // Each attempt takes its own turn.
@@ -155,10 +157,10 @@
         && let Err(refusal) = claims::claim(app, &keyed.key, ask.body).await
     {
         lock(&app.view).on_ended(&chosen.upstream);
-        return Err(refused(refusal));
+        return Err(refused(refusal, new.may_be_elsewhere));
     }
     log_choice(app, keyed.key.as_str(), &ask.service, &chosen);
-    let answer = OwnedResponse::new(term, app.opener());
+    let answer = OwnedResponse::new(new.term, app.opener());
     let live = Live::new(keyed.key.clone(), ask.body, spec, answer, app.now());
     match register(app, &live) {
         Registered::New => {
@@ -217,9 +219,15 @@
     Registered::New
 }
 
-fn refused(refusal: Refusal) -> ApiError {
+/// The error of a claim that was refused. Where a member that may know of the answer is silent, an earlier
+/// request may have begun it: it can be found there later.
+fn refused(refusal: Refusal, may_be_elsewhere: bool) -> ApiError {
     match refusal {
+        Refusal::NotWritten { retry_ms } if may_be_elsewhere => {
+            crate::plain::not_written(retry_ms).with_run(Run::Unknown)
+        }
         Refusal::NotWritten { retry_ms } => crate::plain::not_written(retry_ms),
+        Refusal::Taken(_) if may_be_elsewhere => unreachable(),
         Refusal::Taken(_) => {
             ApiError::unknown("the request was sent before and may not be repeated")
         }
--- a/crates/daemon/cloverpier_daemon/tests/silences.rs
+++ b/crates/daemon/cloverpier_daemon/tests/silences.rs
@@ -257,3 +257,45 @@
     }
     assert!(paused.elapsed() < PAUSE, "the paused server has gone on");
 }
+
+/// The index of the router that holds the copy of a stream, by its first event.
+async fn holder_of(mut stream: reqwest::Response) -> usize {
+    let mut text = String::new();
+    while !text.contains("\n\n") {
+        let chunk = stream.chunk().await.unwrap().expect("a first event");
+        text.push_str(&String::from_utf8_lossy(&chunk));
+    }
+    let id = text.lines().find_map(|line| line.strip_prefix("id: "));
+    let holder = id.and_then(|id| id.split('.').nth(2));
+    let vm = holder.and_then(|member| member.strip_prefix("vm-")?.split('~').next());
+    vm.and_then(|vm| vm.parse::<usize>().ok()).unwrap() - 1
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_that_may_run_once_is_found_again_after_its_copys_holder_stood_still() {
+    let mut site = site().await;
+    let holder = holder_of(site.stream_once(0, "once", TOKENS).await).await;
+    let other = 3 - holder;
+    site.routers[holder].process.pause(SHORT);
+    site.routers[0].process.kill();
+    let until = Instant::now() + Duration::from_secs(20);
+    let text = loop {
+        let answer = site.stream_once(other, "once", TOKENS).await;
+        let status = answer.status().as_u16();
+        let text = answer.text().await.unwrap();
+        if status == 200 {
+            break text;
+        }
+        let told: Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(
+            (status, &told["error"]["run"]),
+            (503, &json!("unknown")),
+            "{text}"
+        );
+        assert!(Instant::now() < until, "{text}");
+        tokio::time::sleep(SHORT / 4).await;
+    };
+    let whole = format!("\"completion_tokens\":{TOKENS}");
+    assert!(text.contains("[DONE]") && text.contains(&whole), "{text}");
+    assert_eq!(site.started_at_all().await, 1);
+}
--- a/crates/daemon/cloverpier_daemon/tests/support/mod.rs
+++ b/crates/daemon/cloverpier_daemon/tests/support/mod.rs
@@ -351,6 +351,18 @@
         }
     }
 
+    /// Asks a router for a stream that may run once.
+    pub async fn stream_once(&self, router: usize, key: &str, tokens: u64) -> reqwest::Response {
+        let url = format!("http://{}/v1/completions", self.routers[router].callers_at);
+        let body = serde_json::json!({
+            "model": "drafts", "prompt": "once", "max_tokens": tokens, "stream": true,
+        });
+        let req = self.http.post(url).bearer_auth(KEY).body(body.to_string());
+        let req = req.header("Idempotency-Key", key);
+        let req = req.header("Cloverpier-Repeatable", "false");
+        req.send().await.unwrap()
+    }
+
     /// Runs of a request key at the plain service.
     pub async fn runs(&self, key: &str) -> u64 {
         let url = format!("http://{}/standin/counts", self.service.address);
