--- a/tools/src/scenarios/basic.rs
+++ b/tools/src/scenarios/basic.rs
@@ -12,6 +12,8 @@
 const TOKENS: u32 = 160;
 /// By then all generations run, and none has ended.
 const FAULT_AFTER: Duration = Duration::from_millis(1_600);
+/// How long all engines pause: beyond the silence that a service allows.
+const PAUSE: Duration = Duration::from_millis(1_300);
 
 /// The fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +28,8 @@
     EngineFrozen,
     /// The same, with the bound on silence learned from each stream.
     EngineFrozenAdaptive,
+    /// The processes of all engines stand still for a while and go on.
+    EnginesPaused,
     /// A router is killed.
     RouterKilled,
     /// Both are killed at once.
@@ -103,6 +107,7 @@
             };
             fleet.engine_faults(0, &freeze).await;
         }
+        Kind::EnginesPaused => pause_engines(fleet).await,
         Kind::RouterKilled => fleet.routers[last].process.kill(),
         Kind::EngineAndRouterKilled => {
             fleet.routers[last].process.kill();
@@ -120,10 +125,24 @@
     Vec::new()
 }
 
+async fn pause_engines(fleet: &mut Fleet) {
+    for engine in &mut fleet.engines {
+        engine.process.freeze();
+    }
+    tokio::time::sleep(PAUSE).await;
+    for engine in &mut fleet.engines {
+        engine.process.wake();
+    }
+}
+
 async fn own_counts(fleet: &Fleet, kind: Kind, outcomes: &[Outcome], figures: &mut Figures) {
     let counts = fleet.engine_counts().await;
     let resumed: u64 = counts.iter().map(|c| c.resumed).sum();
     figures.count("streams_resumed", resumed);
+    if kind == Kind::EnginesPaused {
+        let begun: u64 = counts.iter().map(|c| c.started).sum();
+        figures.count("generations_begun", begun);
+    }
     if kind == Kind::Drain {
         let stayed = outcomes
             .iter()
--- a/tools/src/scenarios/mod.rs
+++ b/tools/src/scenarios/mod.rs
@@ -66,6 +66,11 @@
         "the same, silence learned",
         basic::Kind::EngineFrozenAdaptive,
     ),
+    basic_scenario(
+        "engines-paused",
+        "all engines pause mid-output for longer than they may be silent, and go on",
+        basic::Kind::EnginesPaused,
+    ),
     basic_scenario(
         "router-killed",
         "a router dies mid-output",
