--- a/crates/daemon/cloverpier_daemon/src/answers/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/mod.rs
@@ -7,14 +7,19 @@
 mod failure;
 mod live;
 mod open;
+mod order;
 mod outbox;
 mod outbox_state;
+mod quiet;
+mod race;
 mod run;
+mod seek;
 pub(crate) mod table;
+mod tries;
 
 pub use directory::Directory;
 pub use live::{End, Live, Reader, Reading, Spec};
-pub use open::{Opened, open};
+pub use open::{NewAnswer, Opened, open, unreachable};
 pub use run::{Start, spawn};
 
 use crate::app::App;
