Let the soak pause sound upstreams and check that no router ends their answers

Routers ended streams at engines that were silent for a second and sound. No soak silenced upstreams while other streams ran, and its checks excused whatever broke off beside any harm.

Change: silences of one, some and all upstreams (answering and frozen, 0.2 to 4 s, in series), with changes, signals, kills and freezes of routers, deaths of engines and silence of the store between them, and the check "lost": a request that ends early without a whole answer although nothing harmed the upstreams that had it. It takes the harms from the soak's own log, the runs from the ledger and the ends from the callers.

--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -54,6 +54,8 @@
     pub refused_last: HashSet<String>,
     /// Requests that an upstream took and never answered, or not to the end, as it is mute.
     pub unanswered: HashSet<String>,
+    /// Upstreams that treated a request wrongly, by a fault that they were given.
+    pub faults_met: HashMap<String, HashSet<UpstreamName>>,
     /// Upstreams that each request reached, in order.
     pub reached: HashMap<String, Vec<UpstreamName>>,
     /// The headers that each request had when it ran last, by name.
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -228,6 +228,9 @@
     let mut state = lock(state);
     let fault = next_fault(&mut state);
     record_run(&state, head, &id, &upstream, &names);
+    if fault.is_some() {
+        note_fault(&state, &id, &upstream);
+    }
     if fault == Some(Fault::Mute) {
         lock(&state.ledger).unanswered.insert(id.clone());
     }
@@ -260,6 +263,12 @@
     (roll < share).then_some(fault)
 }
 
+fn note_fault(state: &State, id: &str, upstream: &Upstream) {
+    let mut ledger = lock(&state.ledger);
+    let upstreams = ledger.faults_met.entry(id.to_owned()).or_default();
+    upstreams.insert(upstream.name.clone());
+}
+
 /// Writes a run into the ledger.
 fn record_run(state: &State, head: &Head, id: &str, upstream: &Upstream, names: &HeaderNames) {
     let id = id.to_owned();
--- a/tools/src/bin/soak.rs
+++ b/tools/src/bin/soak.rs
@@ -34,6 +34,9 @@
     /// have no account flood, no streams burst and no engine turn slow, as the kept seeds do
     #[argh(switch, long = "without-load")]
     without_load: bool,
+    /// have no sound upstream fall silent for a while, as the kept seeds do
+    #[argh(switch, long = "without-pauses")]
+    without_pauses: bool,
     /// have all requests carry one body under load, as they do without it
     #[argh(switch, long = "equal-bodies")]
     equal_bodies: bool,
@@ -104,6 +107,7 @@
         with_statements: !args.without_statements,
         with_limits: !args.without_limits,
         with_load: !args.without_load,
+        with_pauses: !args.without_pauses,
         with_equal_bodies: args.equal_bodies,
         with_crashes: args.crashes,
     };
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -24,6 +24,7 @@
 use cloverpier_router_standin::store::StoreStandIn;
 use cloverpier_router_standin::upstream::EngineSpec;
 use cloverpier_timers::Timers;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -159,6 +160,8 @@
     /// The words spoken.
     pub names: HeaderNames,
     spec: SiteSpec,
+    /// The shortest time-out that any configuration had, by the prefix of a route.
+    shortest_timeouts: BTreeMap<String, Duration>,
     starts: u64,
     /// Upstreams that a request has crashed.
     crashed: Vec<Crash>,
@@ -178,6 +181,7 @@
             ledger: Arc::new(Mutex::new(Ledger::default())),
             upstreams: Vec::new(),
             routers: Vec::new(),
+            shortest_timeouts: BTreeMap::new(),
             starts: 0,
             crashed: Vec::new(),
             api: ApiStandIn::start(API_SHAPES, |_, _| 0).await?,
@@ -190,7 +194,7 @@
         if let Some(engine) = site.spec.engine {
             configuration::add_load(&mut site.configuration, engine.memory_tokens);
         }
-        site.store.put_configuration(&site.configuration);
+        site.put_configuration();
         for index in 0..site.spec.engines + site.spec.plain {
             site.add_upstream(index).await?;
         }
@@ -236,9 +240,25 @@
     pub fn change_configuration(&mut self, change: impl FnOnce(&mut Configuration)) {
         change(&mut self.configuration);
         self.configuration.version += 3;
+        self.put_configuration();
+    }
+
+    fn put_configuration(&mut self) {
+        for route in &self.configuration.routes {
+            let shortest = self.shortest_timeouts.entry(route.prefix.clone());
+            let shortest = shortest.or_insert(route.timeout);
+            *shortest = route.timeout.min(*shortest);
+        }
         self.store.put_configuration(&self.configuration);
     }
 
+    /// The shortest time-out that any configuration had for a path; none where no route begins it.
+    pub fn shortest_timeout(&self, path: &str) -> Duration {
+        let mut routes = self.shortest_timeouts.iter();
+        let of_path = routes.find(|(prefix, _)| path.starts_with(prefix.as_str()));
+        of_path.map_or(Duration::ZERO, |(_, timeout)| *timeout)
+    }
+
     /// A request that the first configuration allows.
     pub fn request(&self, id: &str, path: &str) -> CallerRequest {
         let is_stream = [STREAM_PATH, FIXED_STREAM_PATH, LATER_PATH].contains(&path);
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -7,6 +7,7 @@
 use cloverpier_adapter_standin::{
     ROLLOUTS, cache_shape, load_shape, rollout_order, rollout_state, with_start,
 };
+use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::UpstreamStart;
 use cloverpier_router_standin::link::{Harm, Link};
 use cloverpier_router_standin::upstream::{UpstreamSpec, UpstreamStandIn};
@@ -148,6 +149,13 @@
         Ok(())
     }
 
+    /// Whether an upstream is or was the one at a position: a crash gives it another name, with the same beginning.
+    pub fn is_upstream_at(name: &UpstreamName, index: usize) -> bool {
+        let number = name.as_str().strip_prefix("server-");
+        let number = number.and_then(|rest| rest.split('-').next());
+        number.and_then(|number| number.parse().ok()) == Some(index)
+    }
+
     /// Begins the end of an upstream: its connections close, and new ones are harmed.
     fn begin_end(&mut self, index: usize) {
         let (harm, _) = self.spec.crashed_port.harm();
--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -6,15 +6,18 @@
 mod checks;
 mod crashes;
 mod floods;
+mod harm_log;
 mod harms;
 mod inject;
 mod limits;
 mod load;
+mod lost;
 mod overload;
 mod persistent;
 mod plan;
 mod planned_stops;
 mod processes;
+mod silences;
 mod site_changes;
 mod statements;
 
@@ -24,6 +27,7 @@
     Action, Injection, Size, draw_injections, draw_limits, draw_pauses, draw_statements,
     draw_versions,
 };
+pub use silences::draw_silences;
 
 use crate::process::bin_dir;
 use crate::router_site::{Site, SiteSpec};
@@ -65,11 +69,16 @@
     pub with_load: bool,
     /// Whether the requests of such a load have one body; without load they always do.
     pub with_equal_bodies: bool,
+    /// Whether sound upstreams fall silent for a while, one, some and all at once.
+    pub with_pauses: bool,
     /// Whether a request crashes upstreams while they pause, in place of all other harm, of which some takes away
     /// what is known of the request.
     pub with_crashes: bool,
 }
 
+/// Pause between the events of a stream where upstreams fall silent: many streams are under way as they do.
+const SILENCED_EVENT_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Sets the random numbers of roll-outs and starts apart from those of the other harms.
 const VERSIONS_SEED: u64 = 0x7665_7273;
 
@@ -82,6 +91,9 @@
 /// And those of load.
 const LOAD_SEED: u64 = 0x6c6f_6164;
 
+/// And those of silences.
+const SILENCES_SEED: u64 = 0x7369_6c65;
+
 /// When upstreams say that their first start was, as a Unix time in milliseconds.
 const FIRST_BORN_MS: u64 = 1_790_000_000_000;
 
@@ -108,7 +120,7 @@
     let has_equal_bodies = !spec.with_load || spec.with_equal_bodies;
     let mut load = Load::start(&site, &injections, has_equal_bodies, rng.fork());
     let repeats = spec.with_crashes.then(|| Repeats::start(&site, rng.fork()));
-    let disturbed = inject::play(&mut site, &injections, &mut report).await?;
+    let harms = inject::play(&mut site, &injections, &mut report).await?;
     if let Some(repeats) = repeats {
         repeats.stop().await;
     }
@@ -117,14 +129,18 @@
     check_recovery(&site, &mut report).await;
     let played = Played {
         injections: &injections,
-        disturbed: &disturbed,
+        disturbed: &harms.routers,
     };
     checks::check_requests(&site, &sent, played, &mut report);
     load.persistent.check(&site, &sent, &mut report);
     checks::check_exposure(&site, &mut report);
-    statements::check_statements(&site, &sent, &injections, &disturbed, &mut report);
-    limits::check_limits(&site, &sent, &disturbed, &mut report);
+    statements::check_statements(&site, &sent, &injections, &harms.routers, &mut report);
+    limits::check_limits(&site, &sent, &harms.routers, &mut report);
     crashes::check_crashes(&site, &sent, &mut report);
+    // What a request crashes is in no log of harms.
+    if !spec.with_crashes {
+        lost::check_lost(&site, &sent, &harms, &mut report);
+    }
     Ok(report)
 }
 
@@ -150,6 +166,10 @@
         let mut rng = fastrand::Rng::with_seed(spec.seed ^ LOAD_SEED);
         injections.extend(draw_load(&mut rng, size, spec.length));
     }
+    if spec.with_pauses {
+        let mut rng = fastrand::Rng::with_seed(spec.seed ^ SILENCES_SEED);
+        injections.extend(draw_silences(&mut rng, size, spec.length));
+    }
     injections.sort_by_key(|injection| injection.at);
     injections
 }
@@ -170,6 +190,10 @@
     site.engine = is_under_load.then(overload::engine_spec);
     site.orders_streams = is_under_load;
     site.crashed_by = spec.with_crashes.then_some(crashes::CRASHING);
+    // Load is drawn for engines with short streams.
+    if spec.with_pauses && !spec.with_load {
+        site.event_interval = SILENCED_EVENT_INTERVAL;
+    }
     let with_starts = spec.with_versions || spec.with_crashes;
     site.upstream_start = with_starts.then(|| UpstreamStart {
         version: "v1".into(),
--- a/tools/src/soak/harms.rs
+++ b/tools/src/soak/harms.rs
@@ -1,69 +1,51 @@
 //! How each harm begins and ends.
 
+use super::harm_log::{Disturbance, HarmLog};
 use super::plan::Action;
-use super::site_changes::{toggle_many_routes, toggle_route};
+use super::site_changes::{toggle_many_routes, toggle_route, toggle_timeouts};
 use crate::process::Process;
 use crate::router_site::Site;
 use cloverpier_router_standin::link::Harm;
 use cloverpier_router_standin::store::StoreFault;
 use std::io;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Share of the requests that an upstream at fault treats wrongly.
 const FAULT_SHARE: f64 = 0.3;
 /// The pace of an engine that nothing slows, in percent.
 pub const USUAL_PACE: u32 = 100;
 
-/// How a router was disturbed, and when.
-#[derive(Clone, Copy, Debug)]
-pub struct Disturbed {
-    /// The router.
-    pub router: usize,
-    /// From when on.
-    pub from: Instant,
-    /// Until when; later effects included.
-    pub until: Instant,
-    /// What was done to it.
-    pub disturbance: Disturbance,
-}
-
-/// What is done to a router's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Disturbance {
-    /// It is stopped as planned, which must cut nothing.
-    Stop,
-    /// It is killed.
-    Kill,
-    /// It stands still.
-    Freeze,
-}
-
 /// Begins a harm; false when it doesn't fit what goes on.
-pub fn begin(site: &mut Site, action: &Action, disturbed: &mut Vec<Disturbed>) -> bool {
+pub fn begin(site: &mut Site, action: &Action, harms: &mut HarmLog) -> bool {
+    harms.begin_upstream(action, Instant::now());
     match action {
-        Action::StopRouter(router) => {
-            return disturb(site, *router, Disturbance::Stop, disturbed, |process| {
-                process.terminate();
-            });
-        }
+        Action::StopRouter(router) => disturb(site, *router, Disturbance::Stop, harms, |process| {
+            process.terminate();
+        }),
         Action::KillRouter(router) => {
-            let is_running = disturb(site, *router, Disturbance::Kill, disturbed, Process::kill);
+            let is_running = disturb(site, *router, Disturbance::Kill, harms, Process::kill);
             site.routers[*router].process = None;
-            return is_running;
+            is_running
         }
         Action::FreezeRouter(router) => {
-            return disturb(
-                site,
-                *router,
-                Disturbance::Freeze,
-                disturbed,
-                Process::freeze,
-            );
-        }
-        Action::ReloadRouter(router) => match &site.routers[*router].process {
-            Some(process) => process.hang_up(),
-            None => return false,
-        },
+            disturb(site, *router, Disturbance::Freeze, harms, Process::freeze)
+        }
+        Action::ReloadRouter(router) => {
+            let process = &site.routers[*router].process;
+            process.as_ref().map(Process::hang_up).is_some()
+        }
+        // It has no end, and is played apart.
+        Action::RollOut(_) => false,
+        other => {
+            begin_outside_routers(site, other);
+            true
+        }
+    }
+}
+
+/// Begins a harm to what surrounds the routers.
+fn begin_outside_routers(site: &mut Site, action: &Action) {
+    match action {
         Action::HarmStoreLink(router, harm) => site.routers[*router].store_link.set_harm(*harm),
         Action::CrashUpstream(upstream) | Action::StartAgain(upstream) => {
             site.crash_upstream(*upstream);
@@ -77,6 +59,7 @@
         }
         Action::HarmUpstreamLink(upstream, harm) => site.upstreams[*upstream].link.set_harm(*harm),
         Action::PauseUpstream(upstream) => site.pause_upstream(*upstream, true),
+        Action::PauseWork(upstream) => site.upstreams[*upstream].stand_in.set_paused(true),
         Action::ResetConnections(upstream) => site.upstreams[*upstream].link.cut_connections(),
         Action::UpstreamFault(upstream, fault) => {
             let fault = Some((*fault, FAULT_SHARE));
@@ -85,18 +68,21 @@
         Action::SlowDown(upstream, percent) => {
             site.upstreams[*upstream].stand_in.set_pace(*percent);
         }
-        // The callers of the load know by themselves when it begins and ends.
-        Action::Flood(_) | Action::Burst(_) => {}
         Action::StoreFault(fault) => site.store.set_fault(*fault),
         Action::ForgetHistory => site.store.forget_history(),
         Action::ChangeConfiguration => site.change_configuration(|c| {
             toggle_route(c);
             toggle_many_routes(c);
         }),
-        // It has no end, and is played apart.
-        Action::RollOut(_) => return false,
+        Action::ChangeTimeouts => site.change_configuration(toggle_timeouts),
+        // The callers of the load know by themselves when it begins and ends.
+        Action::Flood(_) | Action::Burst(_) => {}
+        Action::StopRouter(_)
+        | Action::KillRouter(_)
+        | Action::FreezeRouter(_)
+        | Action::ReloadRouter(_)
+        | Action::RollOut(_) => {}
     }
-    true
 }
 
 /// Acts on a router's process, and notes that the router is disturbed from now on; `false` where
@@ -105,20 +91,13 @@
     site: &mut Site,
     router: usize,
     disturbance: Disturbance,
-    disturbed: &mut Vec<Disturbed>,
+    harms: &mut HarmLog,
     act: impl FnOnce(&mut Process),
 ) -> bool {
     let Some(process) = &mut site.routers[router].process else {
         return false;
     };
-    let now = Instant::now();
-    disturbed.push(Disturbed {
-        router,
-        from: now,
-        // Until the harm ends; moved back then.
-        until: now + Duration::from_secs(3_600),
-        disturbance,
-    });
+    harms.begin_router(router, disturbance, Instant::now());
     act(process);
     true
 }
@@ -128,27 +107,39 @@
     site: &mut Site,
     action: &Action,
     struck: Option<u32>,
-    disturbed: &mut [Disturbed],
+    harms: &mut HarmLog,
 ) -> io::Result<bool> {
+    let from = Instant::now();
     match action {
         Action::StopRouter(router) => {
             if !restart_stopped(site, *router, struck)? {
                 return Ok(false);
             }
-            over(disturbed, *router);
+            harms.end_router(*router, Instant::now());
         }
         Action::KillRouter(router) => {
             if site.routers[*router].process.is_none() {
                 site.start_router(*router)?;
             }
-            over(disturbed, *router);
+            harms.end_router(*router, Instant::now());
         }
         Action::FreezeRouter(router) => {
             if let Some(process) = &mut site.routers[*router].process {
                 process.wake();
             }
-            over(disturbed, *router);
+            harms.end_router(*router, Instant::now());
         }
+        other => {
+            end_outside_routers(site, other).await?;
+            harms.end_upstream(other, from, Instant::now());
+        }
+    }
+    Ok(true)
+}
+
+/// Ends a harm to what surrounds the routers.
+async fn end_outside_routers(site: &mut Site, action: &Action) -> io::Result<()> {
+    match action {
         Action::HarmStoreLink(router, _) => site.routers[*router].store_link.set_harm(Harm::None),
         Action::CrashUpstream(upstream) | Action::Leave(upstream) => {
             site.restart_upstream(*upstream).await?;
@@ -160,6 +151,7 @@
             site.upstreams[*upstream].link.set_harm(Harm::None);
         }
         Action::PauseUpstream(upstream) => site.pause_upstream(*upstream, false),
+        Action::PauseWork(upstream) => site.upstreams[*upstream].stand_in.set_paused(false),
         Action::UpstreamFault(upstream, _) => {
             site.upstreams[*upstream].stand_in.set_random_fault(None);
         }
@@ -167,15 +159,19 @@
             site.upstreams[*upstream].stand_in.set_pace(USUAL_PACE);
         }
         Action::StoreFault(_) => site.store.set_fault(StoreFault::None),
-        Action::ReloadRouter(_)
+        Action::StopRouter(_)
+        | Action::KillRouter(_)
+        | Action::FreezeRouter(_)
+        | Action::ReloadRouter(_)
         | Action::Flood(_)
         | Action::Burst(_)
         | Action::ResetConnections(_)
         | Action::ForgetHistory
         | Action::ChangeConfiguration
+        | Action::ChangeTimeouts
         | Action::RollOut(_) => {}
     }
-    Ok(true)
+    Ok(())
 }
 
 /// Starts a router again that was told to stop; false while it has not ended by itself yet.
@@ -196,10 +192,3 @@
 pub fn has_ended(process: &mut Process) -> bool {
     process.has_ended()
 }
-
-fn over(disturbed: &mut [Disturbed], router: usize) {
-    let now = Instant::now();
-    for entry in disturbed.iter_mut().filter(|d| d.router == router) {
-        entry.until = entry.until.min(now);
-    }
-}
--- a/tools/src/soak/inject.rs
+++ b/tools/src/soak/inject.rs
@@ -1,7 +1,8 @@
 //! Plays the harms of a run: begins each in time, and ends it when it is due.
 
 use super::checks::Report;
-use super::harms::{Disturbed, USUAL_PACE, begin, end, has_ended};
+use super::harm_log::HarmLog;
+use super::harms::{USUAL_PACE, begin, end, has_ended};
 use super::plan::{Action, Injection};
 use super::processes::ProcessCheck;
 use super::site_changes::roll_out;
@@ -27,21 +28,21 @@
     process: Option<u32>,
 }
 
-/// Plays the harms; returns how routers were disturbed.
+/// Plays the harms; returns what was harmed, and when.
 pub async fn play(
     site: &mut Site,
     injections: &[Injection],
     report: &mut Report,
-) -> io::Result<Vec<Disturbed>> {
+) -> io::Result<HarmLog> {
     let start = Instant::now();
     let mut running: Vec<Running> = Vec::new();
-    let mut disturbed = Vec::new();
+    let mut harms = HarmLog::default();
     let mut processes = ProcessCheck::default();
     for injection in injections {
         while start.elapsed() < injection.at {
             tokio::time::sleep(STEP).await;
             processes.look(site, report, |id| is_stopping(&running, id));
-            end_due(site, &mut running, &mut disturbed, report).await?;
+            end_due(site, &mut running, &mut harms, report).await?;
         }
         if let Action::RollOut(plan) = &injection.action {
             report.count(injection.action.name());
@@ -49,7 +50,7 @@
             continue;
         }
         let until = Instant::now() + injection.lasts;
-        if begin(site, &injection.action, &mut disturbed) {
+        if begin(site, &injection.action, &mut harms) {
             report.count(injection.action.name());
             running.push(Running {
                 until,
@@ -61,9 +62,9 @@
     while !running.is_empty() {
         tokio::time::sleep(STEP).await;
         processes.look(site, report, |id| is_stopping(&running, id));
-        end_due(site, &mut running, &mut disturbed, report).await?;
+        end_due(site, &mut running, &mut harms, report).await?;
     }
-    Ok(disturbed)
+    Ok(harms)
 }
 
 /// Whether a process was told to end.
@@ -83,7 +84,7 @@
 async fn end_due(
     site: &mut Site,
     running: &mut Vec<Running>,
-    disturbed: &mut [Disturbed],
+    harms: &mut HarmLog,
     report: &mut Report,
 ) -> io::Result<()> {
     site.play_crashes(CRASH_RETURN).await?;
@@ -93,7 +94,7 @@
         .partition(|r| r.until <= now);
     *running = rest;
     for harm in due {
-        if !end(site, &harm.action, harm.process, disturbed).await? {
+        if !end(site, &harm.action, harm.process, harms).await? {
             if now > harm.until + STOP_PATIENCE {
                 report.violation("stop", &format!("{:?} doesn't end", harm.action));
                 if let Action::StopRouter(router) = harm.action {
@@ -127,6 +128,7 @@
     for upstream in &site.upstreams {
         upstream.link.set_harm(Harm::None);
         upstream.stand_in.set_random_fault(None);
+        upstream.stand_in.set_paused(false);
         upstream.stand_in.ask_to_wait(None);
         upstream.stand_in.limit(None);
         upstream.stand_in.set_pace(USUAL_PACE);
--- a/tools/src/soak/limits.rs
+++ b/tools/src/soak/limits.rs
@@ -1,7 +1,7 @@
 //! What must hold of upstreams that limit themselves, seen by upstreams.
 
 use super::checks::Report;
-use super::harms::{Disturbance, Disturbed};
+use super::harm_log::{Disturbance, Disturbed};
 use super::load::Sent;
 use crate::router_site::Site;
 use cloverpier_core::{UpstreamName, lock};
--- a/tools/src/soak/plan.rs
+++ b/tools/src/soak/plan.rs
@@ -81,6 +81,10 @@
     Limit(usize, f64),
     /// An upstream stands still.
     PauseUpstream(usize),
+    /// An upstream does no work on requests, and answers questions.
+    PauseWork(usize),
+    /// The time-outs of routes change.
+    ChangeTimeouts,
     /// One client account sends so many streams a second beside all others.
     Flood(u32),
     /// So many less urgent streams a second come beside all others.
@@ -130,6 +134,8 @@
             Self::AskToWait(..) => "upstream wanted nothing",
             Self::Limit(..) => "upstream limited itself",
             Self::PauseUpstream(_) => "upstream paused",
+            Self::PauseWork(_) => "upstream's work paused",
+            Self::ChangeTimeouts => "time-outs changed",
             Self::Flood(_) => "account flooded",
             Self::Burst(_) => "less urgent streams burst",
             Self::SlowDown(..) => "engine turned slow",
--- a/tools/src/soak/planned_stops.rs
+++ b/tools/src/soak/planned_stops.rs
@@ -1,7 +1,7 @@
 //! What must hold of routers that are stopped as planned: they cut nothing that its upstream would have answered.
 
 use super::checks::Report;
-use super::harms::{Disturbance, Disturbed};
+use super::harm_log::{Disturbance, Disturbed};
 use super::load::Sent;
 use super::plan::Injection;
 use super::statements::with_harmed_links;
--- a/tools/src/soak/site_changes.rs
+++ b/tools/src/soak/site_changes.rs
@@ -6,6 +6,7 @@
 use cloverpier_router_policy::prelude::{Configuration, Route};
 use cloverpier_router_standin::ledger::Fault;
 use std::io;
+use std::time::Duration;
 
 /// The version that is rolled out; the others say that they run `v1`.
 const NEW_VERSION: &str = "v2";
@@ -14,6 +15,12 @@
 /// Routes that make a configuration large: as many as the users' largest change adds.
 const MANY_ROUTES: usize = 1_400;
 
+/// The time-out of each other configuration, in place of the one that it had before.
+const CHANGED_TIMEOUTS: [(Duration, Duration); 2] = [
+    (Duration::from_secs(20), Duration::from_secs(15)),
+    (Duration::from_secs(3), Duration::from_millis(2_500)),
+];
+
 /// Adds a version's upstreams and orders its roll-out.
 pub async fn roll_out(site: &mut Site, plan: RolloutPlan) -> io::Result<PlayedRollout> {
     let service = if plan.is_of_engines { ENGINES } else { PLAIN };
@@ -58,3 +65,16 @@
         ..route
     }));
 }
+
+/// Shortens the time-outs of all routes, or sets them back.
+pub fn toggle_timeouts(configuration: &mut Configuration) {
+    for route in &mut configuration.routes {
+        for (usual, short) in CHANGED_TIMEOUTS {
+            if route.timeout == usual {
+                route.timeout = short;
+            } else if route.timeout == short {
+                route.timeout = usual;
+            }
+        }
+    }
+}
--- a/tools/src/soak/statements.rs
+++ b/tools/src/soak/statements.rs
@@ -1,7 +1,7 @@
 //! What must hold of upstreams that say that they leave or want nothing, seen by callers and upstreams.
 
 use super::checks::Report;
-use super::harms::Disturbed;
+use super::harm_log::Disturbed;
 use super::load::Sent;
 use super::plan::{Action, Injection};
 use crate::router_site::Site;
