--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -33,7 +33,8 @@
 use crate::router_site::{Site, SiteSpec};
 use cloverpier_router_policy::prelude::UpstreamStart;
 use crashes::Repeats;
-use load::Load;
+use harm_log::HarmLog;
+use load::{Load, Sent};
 use planned_stops::Played;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -127,21 +128,45 @@
     let sent = load.stop().await;
     inject::heal(&mut site).await?;
     check_recovery(&site, &mut report).await;
-    let played = Played {
+    let found = Found {
+        sent: &sent,
         injections: &injections,
-        disturbed: &harms.routers,
+        harms: &harms,
     };
-    checks::check_requests(&site, &sent, played, &mut report);
+    check(spec, &site, found, &mut report);
     load.persistent.check(&site, &sent, &mut report);
-    checks::check_exposure(&site, &mut report);
-    statements::check_statements(&site, &sent, &injections, &harms.routers, &mut report);
-    limits::check_limits(&site, &sent, &harms.routers, &mut report);
-    crashes::check_crashes(&site, &sent, &mut report);
+    Ok(report)
+}
+
+/// What a run left for the checks.
+#[derive(Clone, Copy)]
+struct Found<'a> {
+    sent: &'a [Sent],
+    injections: &'a [Injection],
+    harms: &'a HarmLog,
+}
+
+/// Checks what must hold of all requests of a run.
+fn check(spec: &SoakSpec, site: &Site, found: Found<'_>, report: &mut Report) {
+    let Found {
+        sent,
+        injections,
+        harms,
+    } = found;
+    let disturbed = &harms.routers;
+    let played = Played {
+        injections,
+        disturbed,
+    };
+    checks::check_requests(site, sent, played, report);
+    checks::check_exposure(site, report);
+    statements::check_statements(site, sent, injections, disturbed, report);
+    limits::check_limits(site, sent, disturbed, report);
+    crashes::check_crashes(site, sent, report);
     // What a request crashes is in no log of harms.
     if !spec.with_crashes {
-        lost::check_lost(&site, &sent, &harms, &mut report);
+        lost::check_lost(site, sent, harms, report);
     }
-    Ok(report)
 }
 
 /// Draws what is done to a site.
--- a/tools/src/soak/persistent.rs
+++ b/tools/src/soak/persistent.rs
@@ -91,41 +91,28 @@
     rng: &mut fastrand::Rng,
     stopped: &watch::Receiver<bool>,
 ) -> PersistentStream {
-    let mut stream = PersistentStream {
-        asked: Instant::now(),
-        refusals: Vec::new(),
-        has_only_refusals: true,
-        served: false,
-        name,
-    };
     let first = CallerRequest {
-        prompt: Some(format!("prompt-{}", stream.name)),
-        body: callers.body_of(&stream.name),
+        prompt: Some(format!("prompt-{name}")),
+        body: callers.body_of(&name),
         ..template.clone()
     };
+    let mut stream = PersistentStream::new(name);
     let mut request = first.clone();
     let mut last_until = None;
     for attempt in 1.. {
         request.id = format!("{}-{attempt}", stream.name);
         let ended = callers.send(&request, rng).await;
-        match &ended.outcome {
-            Outcome::Whole => {
-                stream.served = true;
-                return stream;
-            }
-            Outcome::Status(503, told) => {
-                stream.note_refusal();
-                // What began may not be able to go on; anew it can.
+        match stream.after(&ended.outcome) {
+            NextTry::None => break,
+            NextTry::Anew(wait) => {
                 request = first.clone();
-                tokio::time::sleep(return_after(told.as_deref())).await;
+                tokio::time::sleep(wait).await;
             }
-            outcome => {
-                stream.has_only_refusals = false;
-                if let Outcome::Broken(_) = outcome {
-                    request = request.resumed("", &ended);
-                }
+            NextTry::Resumed => {
+                request = request.resumed("", &ended);
                 tokio::time::sleep(PAUSE).await;
             }
+            NextTry::Same => tokio::time::sleep(PAUSE).await,
         }
         if *stopped.borrow() {
             let until = *last_until.get_or_insert_with(|| Instant::now() + LAST_TRIES);
@@ -137,7 +124,52 @@
     stream
 }
 
+/// How a caller asks for its stream the next time.
+enum NextTry {
+    /// It does not: the stream was served.
+    None,
+    /// From its beginning, after so long.
+    Anew(Duration),
+    /// From the last event that it has.
+    Resumed,
+    /// As before.
+    Same,
+}
+
 impl PersistentStream {
+    fn new(name: String) -> Self {
+        Self {
+            name,
+            asked: Instant::now(),
+            refusals: Vec::new(),
+            has_only_refusals: true,
+            served: false,
+        }
+    }
+
+    /// Notes what came of a try.
+    fn after(&mut self, outcome: &Outcome) -> NextTry {
+        match outcome {
+            Outcome::Whole => {
+                self.served = true;
+                NextTry::None
+            }
+            // What began may not be able to go on; anew it can.
+            Outcome::Status(503, told) => {
+                self.note_refusal();
+                NextTry::Anew(return_after(told.as_deref()))
+            }
+            Outcome::Broken(_) => {
+                self.has_only_refusals = false;
+                NextTry::Resumed
+            }
+            _ => {
+                self.has_only_refusals = false;
+                NextTry::Same
+            }
+        }
+    }
+
     fn note_refusal(&mut self) {
         if self.has_only_refusals {
             self.refusals.push(Instant::now());
