--- a/tools/src/bin/soak.rs
+++ b/tools/src/bin/soak.rs
@@ -37,7 +37,7 @@
     /// have no sound upstream fall silent for a while, as the kept seeds do
     #[argh(switch, long = "without-pauses")]
     without_pauses: bool,
-    /// have all requests carry one body under load, as they do without it
+    /// have all requests carry one body under load and pauses, as they do without them
     #[argh(switch, long = "equal-bodies")]
     equal_bodies: bool,
     /// have a request crash upstreams while they pause, and do no other harm
@@ -86,6 +86,7 @@
         if report.violations.is_empty() {
             std::fs::remove_dir_all(&report.dir)?;
         } else {
+            write_violations(&report)?;
             broken.push(seed);
         }
         if args.replay.is_some() || Instant::now() >= until {
@@ -96,6 +97,15 @@
     }
 }
 
+/// Writes all violations beside the logs: a report tells the first ones.
+fn write_violations(report: &Report) -> std::io::Result<()> {
+    let lines = report.violations.iter();
+    let lines: String = lines
+        .map(|v| format!("{}: {}\n", v.check, v.found))
+        .collect();
+    std::fs::write(report.dir.join("violations.txt"), lines)
+}
+
 async fn run_seed(args: &Args, seed: u64) -> std::io::Result<Report> {
     let spec = SoakSpec {
         seed,
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -17,6 +17,7 @@
 use cloverpier_adapter_standin::{API_SHAPES, store_shapes, token_counts};
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_standin::answers::EVENTS;
 use cloverpier_router_standin::api::ApiStandIn;
 use cloverpier_router_standin::caller::{CallerRequest, Outcome, call};
 use cloverpier_router_standin::ledger::{Ledger, SharedLedger};
@@ -277,6 +278,12 @@
         }
     }
 
+    /// How long a whole stream takes, by the pauses between its events.
+    pub fn stream_duration(&self) -> Duration {
+        let events = u32::try_from(EVENTS).unwrap_or(u32::MAX);
+        self.spec.event_interval * events
+    }
+
     /// Whether engines have bounded memory and speed.
     pub fn is_under_load(&self) -> bool {
         self.spec.engine.is_some()
--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -17,6 +17,7 @@
 mod plan;
 mod planned_stops;
 mod processes;
+mod recovery;
 mod silences;
 mod site_changes;
 mod statements;
@@ -38,14 +39,10 @@
 use planned_stops::Played;
 use std::io;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Routers have to serve again this long after the last harm.
-const RECOVERY: Duration = Duration::from_secs(20);
 /// Routers have to be ready this long after their start.
 const START: Duration = Duration::from_secs(30);
-/// Requests that are asked of each router after the last harm.
-const LAST_REQUESTS: usize = 6;
 
 /// One run of the soak.
 #[derive(Clone, Debug)]
@@ -68,7 +65,7 @@
     pub with_limits: bool,
     /// Whether one client account floods, less urgent streams burst and engines turn slow.
     pub with_load: bool,
-    /// Whether the requests of such a load have one body; without load they always do.
+    /// Whether requests have one body where there is load or upstreams fall silent; without both they always do.
     pub with_equal_bodies: bool,
     /// Whether sound upstreams fall silent for a while, one, some and all at once.
     pub with_pauses: bool,
@@ -78,7 +75,7 @@
 }
 
 /// Pause between the events of a stream where upstreams fall silent: many streams are under way as they do.
-const SILENCED_EVENT_INTERVAL: Duration = Duration::from_millis(40);
+const SILENCED_EVENT_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Sets the random numbers of roll-outs and starts apart from those of the other harms.
 const VERSIONS_SEED: u64 = 0x7665_7273;
@@ -118,7 +115,8 @@
         report.violation("start", "the fronts aren't ready in time");
         return Ok(report);
     }
-    let has_equal_bodies = !spec.with_load || spec.with_equal_bodies;
+    // Where upstreams that crash serve one body alone and end nothing meanwhile, it counts as the cause.
+    let has_equal_bodies = !(spec.with_load || spec.with_pauses) || spec.with_equal_bodies;
     let mut load = Load::start(&site, &injections, has_equal_bodies, rng.fork());
     let repeats = spec.with_crashes.then(|| Repeats::start(&site, rng.fork()));
     let harms = inject::play(&mut site, &injections, &mut report).await?;
@@ -127,7 +125,7 @@
     }
     let sent = load.stop().await;
     inject::heal(&mut site).await?;
-    check_recovery(&site, &mut report).await;
+    recovery::check_recovery(&site, &mut report).await;
     let found = Found {
         sent: &sent,
         injections: &injections,
@@ -154,10 +152,7 @@
         harms,
     } = found;
     let disturbed = &harms.routers;
-    let played = Played {
-        injections,
-        disturbed,
-    };
+    let played = Played { injections, harms };
     checks::check_requests(site, sent, played, report);
     checks::check_exposure(site, report);
     statements::check_statements(site, sent, injections, disturbed, report);
@@ -226,26 +221,3 @@
     });
     Ok(site)
 }
-
-/// Every router serves again once all harm is over.
-async fn check_recovery(site: &Site, report: &mut Report) {
-    let until = Instant::now() + RECOVERY;
-    for router in 0..site.routers.len() {
-        let mut served = 0;
-        let mut asked = 0;
-        while served < LAST_REQUESTS {
-            asked += 1;
-            let request = site.request(&format!("last-{router}-{asked}"), load::path_at(asked));
-            let outcome = site.call(router, &request).await;
-            if outcome == cloverpier_router_standin::caller::Outcome::Whole {
-                served += 1;
-            } else if Instant::now() > until {
-                let what = format!("front {router} doesn't serve again: {outcome:?}");
-                report.violation("recovery", &what);
-                return;
-            } else {
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
--- a/tools/src/soak/harm_log.rs
+++ b/tools/src/soak/harm_log.rs
@@ -1,6 +1,6 @@
 //! What was harmed in a run, and when: the checks' own record.
 //!
-//! A pause of an upstream is not in it: one that is silent for a while and then goes on is sound.
+//! A silence of an upstream is no harm to it: one that is silent for a while and then goes on is sound.
 
 use super::plan::Action;
 use crate::router_site::{GRACE, Site};
@@ -37,20 +37,37 @@
     Freeze,
 }
 
-/// A harm to an upstream that may end what runs there.
+/// A span of time in which something was done to an upstream.
 #[derive(Clone, Copy, Debug)]
-struct HarmedUpstream {
+struct UpstreamSpan {
     upstream: usize,
     from: Instant,
     until: Instant,
 }
 
+impl UpstreamSpan {
+    /// Whether it concerns an upstream and overlaps a span of time.
+    fn overlaps(&self, upstream: &UpstreamName, from: Instant, until: Instant) -> bool {
+        Site::is_upstream_at(upstream, self.upstream) && self.from <= until && self.until >= from
+    }
+}
+
+/// Ends the first span of an upstream that goes on.
+fn end_first(spans: &mut [UpstreamSpan], upstream: usize, now: Instant) {
+    let goes_on = |span: &&mut UpstreamSpan| span.upstream == upstream && span.until > now;
+    if let Some(span) = spans.iter_mut().find(goes_on) {
+        span.until = now;
+    }
+}
+
 /// The harms of a run.
 #[derive(Clone, Debug, Default)]
 pub struct HarmLog {
     /// How routers were disturbed.
     pub routers: Vec<Disturbed>,
-    upstreams: Vec<HarmedUpstream>,
+    /// What may have ended the work of upstreams.
+    upstreams: Vec<UpstreamSpan>,
+    silences: Vec<UpstreamSpan>,
 }
 
 impl HarmLog {
@@ -71,44 +88,55 @@
         }
     }
 
-    /// Notes the beginning of what may end the work of an upstream.
+    /// Notes that something is done to an upstream from now on.
     pub fn begin_upstream(&mut self, action: &Action, now: Instant) {
-        if let Some((upstream, lasts)) = harm_at_begin(action) {
-            self.upstreams.push(HarmedUpstream {
-                upstream,
-                from: now,
-                until: now + lasts,
-            });
+        let span = |upstream, lasts| UpstreamSpan {
+            upstream,
+            from: now,
+            until: now + lasts,
+        };
+        match effect(action) {
+            Effect::MayEnd(upstream, lasts) => self.upstreams.push(span(upstream, lasts)),
+            Effect::Silences(upstream) => self.silences.push(span(upstream, OPEN_END)),
+            Effect::EndsLast(_) | Effect::None => {}
         }
     }
 
     /// Notes the end of it, which took from `from` until now.
     pub fn end_upstream(&mut self, action: &Action, from: Instant, now: Instant) {
-        if let Action::Leave(upstream) = *action {
-            self.upstreams.push(HarmedUpstream {
+        match effect(action) {
+            Effect::MayEnd(upstream, _) => end_first(&mut self.upstreams, upstream, now),
+            Effect::Silences(upstream) => end_first(&mut self.silences, upstream, now),
+            Effect::EndsLast(upstream) => self.upstreams.push(UpstreamSpan {
                 upstream,
                 from,
                 until: now,
-            });
-            return;
-        }
-        let Some((upstream, _)) = harm_at_begin(action) else {
-            return;
-        };
-        let open = |harm: &&mut HarmedUpstream| harm.upstream == upstream && harm.until > now;
-        if let Some(harm) = self.upstreams.iter_mut().find(open) {
-            harm.until = now;
+            }),
+            Effect::None => {}
         }
     }
 
-    /// Whether nothing but pauses happened to an upstream in a span of time.
+    /// Whether an upstream was at most silent in a span of time.
     pub fn was_sound(&self, upstream: &UpstreamName, from: Instant, until: Instant) -> bool {
         let mut harms = self.upstreams.iter();
-        !harms.any(|harm| {
-            Site::is_upstream_at(upstream, harm.upstream)
-                && harm.from <= until
-                && harm.until >= from
-        })
+        !harms.any(|harm| harm.overlaps(upstream, from, until))
+    }
+
+    /// How much of a span of time an upstream was silent.
+    pub fn silence_of(&self, upstream: &UpstreamName, from: Instant, until: Instant) -> Duration {
+        let silences = self.silences.iter();
+        let silences = silences.filter(|silence| silence.overlaps(upstream, from, until));
+        let mut spans: Vec<(Instant, Instant)> = silences
+            .map(|silence| (silence.from.max(from), silence.until.min(until)))
+            .collect();
+        spans.sort_unstable();
+        let mut counted_until = from;
+        let mut silent = Duration::ZERO;
+        for (begin, end) in spans {
+            silent += end.saturating_duration_since(begin.max(counted_until));
+            counted_until = counted_until.max(end);
+        }
+        silent
     }
 
     /// Whether a router could have answered all the time what it got at `at`: it was not killed, nor at the end of its
@@ -125,16 +153,28 @@
     }
 }
 
-/// The upstream whose work a harm may end as it begins, and for how long, if nothing ends it before.
-fn harm_at_begin(action: &Action) -> Option<(usize, Duration)> {
+/// What an action does to what runs at an upstream.
+enum Effect {
+    /// It may end it as it begins, and for so long, if nothing ends it before.
+    MayEnd(usize, Duration),
+    /// It ends it at its own end.
+    EndsLast(usize),
+    /// It delays it.
+    Silences(usize),
+    None,
+}
+
+fn effect(action: &Action) -> Effect {
     match *action {
         Action::CrashUpstream(upstream) | Action::StartAgain(upstream) => {
-            Some((upstream, OPEN_END))
+            Effect::MayEnd(upstream, OPEN_END)
         }
-        // Silence of a link is a pause.
-        Action::HarmUpstreamLink(_, Harm::Silence) => None,
-        Action::HarmUpstreamLink(upstream, _) => Some((upstream, OPEN_END)),
-        Action::ResetConnections(upstream) => Some((upstream, Duration::ZERO)),
-        _ => None,
+        Action::ResetConnections(upstream) => Effect::MayEnd(upstream, Duration::ZERO),
+        Action::Leave(upstream) => Effect::EndsLast(upstream),
+        Action::PauseUpstream(upstream)
+        | Action::PauseWork(upstream)
+        | Action::HarmUpstreamLink(upstream, Harm::Silence) => Effect::Silences(upstream),
+        Action::HarmUpstreamLink(upstream, _) => Effect::MayEnd(upstream, OPEN_END),
+        _ => Effect::None,
     }
 }
--- a/tools/src/soak/planned_stops.rs
+++ b/tools/src/soak/planned_stops.rs
@@ -1,7 +1,7 @@
 //! What must hold of routers that are stopped as planned: they cut nothing that its upstream would have answered.
 
 use super::checks::Report;
-use super::harm_log::{Disturbance, Disturbed};
+use super::harm_log::{Disturbance, Disturbed, HarmLog};
 use super::load::Sent;
 use super::plan::Injection;
 use super::statements::with_harmed_links;
@@ -18,6 +18,10 @@
 const LAST_ANSWERED: Duration = Duration::from_secs(3);
 /// A stream that was sent this many times has had its upstreams at fault.
 const MOST_SENDS: usize = 4;
+/// A stream may take this many times as long as the pauses between its events.
+const DURATION_FACTOR: f64 = 1.25;
+/// What a call takes at most, and what a stream takes besides.
+const CALL_DURATION: Duration = Duration::from_millis(100);
 /// The window of the retry budget: the routers' default.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 
@@ -26,8 +30,8 @@
 pub struct Played<'a> {
     /// The plan.
     pub injections: &'a [Injection],
-    /// How routers were disturbed.
-    pub disturbed: &'a [Disturbed],
+    /// What was harmed, and when.
+    pub harms: &'a HarmLog,
 }
 
 /// Checks the requests of a run that were broken off.
@@ -38,16 +42,15 @@
     played: Played<'_>,
     report: &mut Report,
 ) {
-    let Played {
-        injections,
-        disturbed,
-    } = played;
+    let Played { injections, harms } = played;
+    let disturbed = &harms.routers;
     let retries = || Retries::new(site.routers.len(), sent, ledger, injections);
     let load = site.is_under_load().then(retries);
     let broken = sent
         .iter()
         .filter(|one| matches!(one.outcome, Outcome::Broken(_)));
-    for one in broken.filter(|one| is_own_fault(one, ledger, disturbed)) {
+    let broken = broken.filter(|one| is_own_fault(one, ledger, disturbed));
+    for one in broken.filter(|one| !was_silence_waited_for(site, one, ledger, harms)) {
         let is_by_load = |retries: &Retries| {
             let was_refused = ledger.refused_last.contains(&one.request.id);
             was_refused
@@ -101,6 +104,23 @@
     ledger.stopped.contains(&sent.request.id) && is_at_end_of_grace(sent, disturbed)
 }
 
+/// The same for a request whose upstream was silent for so long that what was left of the time was not enough.
+fn was_silence_waited_for(site: &Site, sent: &Sent, ledger: &Ledger, harms: &HarmLog) -> bool {
+    let reached = ledger.reached.get(&sent.request.id).into_iter().flatten();
+    let silences = reached.map(|name| harms.silence_of(name, sent.at, sent.ended));
+    let silent = silences.max().unwrap_or_default();
+    let took = sent.ended.saturating_duration_since(sent.at);
+    let awake = took.saturating_sub(silent);
+    let is_stream = sent.request.prompt.is_some();
+    let usual = if is_stream {
+        site.stream_duration()
+    } else {
+        Duration::ZERO
+    };
+    let is_too_short = awake < usual.mul_f64(DURATION_FACTOR) + CALL_DURATION;
+    silent > Duration::ZERO && is_too_short && is_at_end_of_grace(sent, &harms.routers)
+}
+
 fn is_at_end_of_grace(sent: &Sent, disturbed: &[Disturbed]) -> bool {
     let mut stops = disturbed.iter().filter(|d| d.router == sent.router);
     stops
