--- a/tools/src/soak/harm_log.rs
+++ b/tools/src/soak/harm_log.rs
@@ -81,9 +81,21 @@
         });
     }
 
-    /// Notes that all that was done to a router is over.
+    /// Notes that a router goes on that stood still; a stop of it may go on, too.
+    pub fn end_freeze(&mut self, router: usize, now: Instant) {
+        self.end(router, now, |entry| {
+            entry.disturbance == Disturbance::Freeze
+        });
+    }
+
+    /// Notes that a process serves in the place of a router's former one: all that was done to that is over.
     pub fn end_router(&mut self, router: usize, now: Instant) {
-        for entry in self.routers.iter_mut().filter(|d| d.router == router) {
+        self.end(router, now, |_| true);
+    }
+
+    fn end(&mut self, router: usize, now: Instant, is_over: impl Fn(&Disturbed) -> bool) {
+        let of_router = self.routers.iter_mut().filter(|d| d.router == router);
+        for entry in of_router.filter(|entry| is_over(entry)) {
             entry.until = entry.until.min(now);
         }
     }
--- a/tools/src/soak/harms.rs
+++ b/tools/src/soak/harms.rs
@@ -127,7 +127,7 @@
             if let Some(process) = &mut site.routers[*router].process {
                 process.wake();
             }
-            harms.end_router(*router, Instant::now());
+            harms.end_freeze(*router, Instant::now());
         }
         other => {
             end_outside_routers(site, other).await?;
