Judge no end beside the kill of another router as lost

What a killed router carries is lost with it. The check passes over requests that end within 0.3 s after the kill of any router.

--- a/tools/src/soak/harm_log.rs
+++ b/tools/src/soak/harm_log.rs
@@ -10,6 +10,8 @@
 
 /// Longer than any run: the end of a harm that goes on.
 const OPEN_END: Duration = Duration::from_secs(3_600);
+/// The end of a process ends within this time what others carry through it.
+const END_NOTICED: Duration = Duration::from_millis(300);
 /// A process that was started again is still coming up for so long.
 const AFTERMATH: Duration = Duration::from_millis(500);
 
@@ -163,6 +165,13 @@
             Disturbance::Freeze => false,
         })
     }
+
+    /// Whether a router was killed shortly before a moment, so that what another one sent through it broke off.
+    pub fn was_router_killed_before(&self, at: Instant) -> bool {
+        let kills = self.routers.iter();
+        let mut kills = kills.filter(|d| d.disturbance == Disturbance::Kill);
+        kills.any(|kill| kill.from <= at && at <= kill.from + END_NOTICED)
+    }
 }
 
 /// What an action does to what runs at an upstream.
--- a/tools/src/soak/lost.rs
+++ b/tools/src/soak/lost.rs
@@ -24,7 +24,11 @@
         }
     }
     let early = sent.iter().filter(|one| is_ended_early(site, one));
-    for one in early.filter(|one| harms.could_answer(one.router, one.at, one.ended)) {
+    let could_end_well = |one: &&Sent| {
+        harms.could_answer(one.router, one.at, one.ended)
+            && !harms.was_router_killed_before(one.ended)
+    };
+    for one in early.filter(could_end_well) {
         let arrivals = arrivals.get(one.request.id.as_str());
         let arrivals = arrivals.map_or(&[][..], Vec::as_slice);
         if let Some(upstream) = sound_upstream(one, arrivals, &ledger, harms) {
