Judge no cut after the grace period as one of a planned stop

The platform kills a process at the end of its grace period of 5 s, so nothing that ends later was cut by a planned stop. Ends before it are judged as before.

--- a/tools/src/soak/planned_stops.rs
+++ b/tools/src/soak/planned_stops.rs
@@ -89,9 +89,18 @@
     is_only_planned
         && is_repeatable
         && has_one_upstream
+        && !is_past_grace(sent, disturbed)
         && !was_upstream_waited_for(sent, ledger, disturbed)
 }
 
+/// Whether the grace period was over when a request ended: a router that stands still as it is told to stop begins to
+/// stop later, and the platform kills it meanwhile.
+fn is_past_grace(sent: &Sent, disturbed: &[Disturbed]) -> bool {
+    let of_router = disturbed.iter().filter(|d| d.router == sent.router);
+    let mut stops = of_router.filter(|d| d.disturbance == Disturbance::Stop);
+    stops.any(|stop| (stop.from + GRACE..=stop.until + AFTERMATH).contains(&sent.ended))
+}
+
 /// Whether a request was cut where the process had to end: its upstream never answered, and was
 /// waited for until the last sixth of the time that the stop had.
 fn was_upstream_waited_for(sent: &Sent, ledger: &Ledger, disturbed: &[Disturbed]) -> bool {
