--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -18,6 +18,7 @@
 use cloverpier_adapter_standin::{API_SHAPES, store_shapes, token_counts};
 use cloverpier_router::HeaderNames;
 use cloverpier_router_policy::prelude::*;
+use cloverpier_router_standin::answers::EVENTS;
 use cloverpier_router_standin::api::ApiStandIn;
 use cloverpier_router_standin::caller::{CallerRequest, Outcome, call};
 use cloverpier_router_standin::ledger::{Ledger, SharedLedger};
@@ -25,6 +26,7 @@
 use cloverpier_router_standin::store::StoreStandIn;
 use cloverpier_router_standin::upstream::EngineSpec;
 use cloverpier_timers::Timers;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -166,6 +168,8 @@
     /// The words spoken.
     pub names: HeaderNames,
     spec: SiteSpec,
+    /// The shortest time-out that any configuration had, by the prefix of a route.
+    shortest_timeouts: BTreeMap<String, Duration>,
     starts: u64,
     /// Upstreams that a request has crashed.
     crashed: Vec<Crash>,
@@ -185,6 +189,7 @@
             ledger: Arc::new(Mutex::new(Ledger::default())),
             upstreams: Vec::new(),
             routers: Vec::new(),
+            shortest_timeouts: BTreeMap::new(),
             starts: 0,
             crashed: Vec::new(),
             api: ApiStandIn::start(API_SHAPES, |_, _| 0).await?,
@@ -197,7 +202,7 @@
         if let Some(engine) = site.spec.engine {
             configuration::add_load(&mut site.configuration, engine.memory_tokens);
         }
-        site.store.put_configuration(&site.configuration);
+        site.put_configuration();
         for index in 0..site.spec.engines + site.spec.plain {
             site.add_upstream(index).await?;
         }
@@ -242,9 +247,25 @@
     pub fn change_configuration(&mut self, change: impl FnOnce(&mut Configuration)) {
         change(&mut self.configuration);
         self.configuration.version += 3;
+        self.put_configuration();
+    }
+
+    fn put_configuration(&mut self) {
+        for route in &self.configuration.routes {
+            let shortest = self.shortest_timeouts.entry(route.prefix.clone());
+            let shortest = shortest.or_insert(route.timeout);
+            *shortest = route.timeout.min(*shortest);
+        }
         self.store.put_configuration(&self.configuration);
     }
 
+    /// The shortest time-out that any configuration had for a path; none where no route begins it.
+    pub fn shortest_timeout(&self, path: &str) -> Duration {
+        let mut routes = self.shortest_timeouts.iter();
+        let of_path = routes.find(|(prefix, _)| path.starts_with(prefix.as_str()));
+        of_path.map_or(Duration::ZERO, |(_, timeout)| *timeout)
+    }
+
     /// A request that the first configuration allows.
     pub fn request(&self, id: &str, path: &str) -> CallerRequest {
         let is_stream = [STREAM_PATH, FIXED_STREAM_PATH, LATER_PATH].contains(&path);
@@ -263,6 +284,12 @@
         }
     }
 
+    /// How long a whole stream takes, by the pauses between its events.
+    pub fn stream_duration(&self) -> Duration {
+        let events = u32::try_from(EVENTS).unwrap_or(u32::MAX);
+        self.spec.event_interval * events
+    }
+
     /// Whether engines have bounded memory and speed.
     pub fn is_under_load(&self) -> bool {
         self.spec.engine.is_some()
--- a/tools/src/soak.rs
+++ b/tools/src/soak.rs
@@ -6,15 +6,19 @@
 mod checks;
 mod crashes;
 mod floods;
+mod harm_log;
 mod harms;
 mod inject;
 mod limits;
 mod load;
+mod lost;
 mod overload;
 mod persistent;
 mod plan;
 mod planned_stops;
 mod processes;
+mod recovery;
+mod silences;
 mod site_changes;
 mod statements;
 
@@ -24,23 +28,21 @@
     Action, Injection, Size, draw_injections, draw_limits, draw_pauses, draw_statements,
     draw_versions,
 };
+pub use silences::draw_silences;
 
 use crate::process::bin_dir;
 use crate::router_site::{Site, SiteSpec};
 use cloverpier_router_policy::prelude::UpstreamStart;
 use crashes::Repeats;
-use load::Load;
+use harm_log::HarmLog;
+use load::{Load, Sent};
 use planned_stops::Played;
 use std::io;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Routers have to serve again this long after the last harm.
-const RECOVERY: Duration = Duration::from_secs(20);
 /// Routers have to be ready this long after their start.
 const START: Duration = Duration::from_secs(30);
-/// Requests that are asked of each router after the last harm.
-const LAST_REQUESTS: usize = 6;
 
 /// One run of the soak.
 #[derive(Clone, Debug)]
@@ -63,13 +65,18 @@
     pub with_limits: bool,
     /// Whether one client account floods, less urgent streams burst and engines turn slow.
     pub with_load: bool,
-    /// Whether the requests of such a load have one body; without load they always do.
+    /// Whether requests have one body where there is load or upstreams fall silent; without both they always do.
     pub with_equal_bodies: bool,
+    /// Whether sound upstreams fall silent for a while, one, some and all at once.
+    pub with_pauses: bool,
     /// Whether a request crashes upstreams while they pause, in place of all other harm, of which some takes away
     /// what is known of the request.
     pub with_crashes: bool,
 }
 
+/// Pause between the events of a stream where upstreams fall silent: many streams are under way as they do.
+const SILENCED_EVENT_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Sets the random numbers of roll-outs and starts apart from those of the other harms.
 const VERSIONS_SEED: u64 = 0x7665_7273;
 
@@ -82,6 +89,9 @@
 /// And those of load.
 const LOAD_SEED: u64 = 0x6c6f_6164;
 
+/// And those of silences.
+const SILENCES_SEED: u64 = 0x7369_6c65;
+
 /// When upstreams say that their first start was, as a Unix time in milliseconds.
 const FIRST_BORN_MS: u64 = 1_790_000_000_000;
 
@@ -105,29 +115,55 @@
         report.violation("start", "the fronts aren't ready in time");
         return Ok(report);
     }
-    let has_equal_bodies = !spec.with_load || spec.with_equal_bodies;
+    // Where upstreams that crash serve one body alone and end nothing meanwhile, it counts as the cause.
+    let has_equal_bodies = !(spec.with_load || spec.with_pauses) || spec.with_equal_bodies;
     let mut load = Load::start(&site, &injections, has_equal_bodies, rng.fork());
     let repeats = spec.with_crashes.then(|| Repeats::start(&site, rng.fork()));
-    let disturbed = inject::play(&mut site, &injections, &mut report).await?;
+    let harms = inject::play(&mut site, &injections, &mut report).await?;
     if let Some(repeats) = repeats {
         repeats.stop().await;
     }
     let sent = load.stop().await;
     inject::heal(&mut site).await?;
-    check_recovery(&site, &mut report).await;
-    let played = Played {
+    recovery::check_recovery(&site, &mut report).await;
+    let found = Found {
+        sent: &sent,
         injections: &injections,
-        disturbed: &disturbed,
+        harms: &harms,
     };
-    checks::check_requests(&site, &sent, played, &mut report);
+    check(spec, &site, found, &mut report);
     load.persistent.check(&site, &sent, &mut report);
-    checks::check_exposure(&site, &mut report);
-    statements::check_statements(&site, &sent, &injections, &disturbed, &mut report);
-    limits::check_limits(&site, &sent, &disturbed, &mut report);
-    crashes::check_crashes(&site, &sent, &mut report);
     Ok(report)
 }
 
+/// What a run left for the checks.
+#[derive(Clone, Copy)]
+struct Found<'a> {
+    sent: &'a [Sent],
+    injections: &'a [Injection],
+    harms: &'a HarmLog,
+}
+
+/// Checks what must hold of all requests of a run.
+fn check(spec: &SoakSpec, site: &Site, found: Found<'_>, report: &mut Report) {
+    let Found {
+        sent,
+        injections,
+        harms,
+    } = found;
+    let disturbed = &harms.routers;
+    let played = Played { injections, harms };
+    checks::check_requests(site, sent, played, report);
+    checks::check_exposure(site, report);
+    statements::check_statements(site, sent, injections, disturbed, report);
+    limits::check_limits(site, sent, disturbed, report);
+    crashes::check_crashes(site, sent, report);
+    // What a request crashes is in no log of harms.
+    if !spec.with_crashes {
+        lost::check_lost(site, sent, harms, report);
+    }
+}
+
 /// Draws what is done to a site.
 fn draw(spec: &SoakSpec, rng: &mut fastrand::Rng, size: Size) -> Vec<Injection> {
     if spec.with_crashes {
@@ -150,6 +186,10 @@
         let mut rng = fastrand::Rng::with_seed(spec.seed ^ LOAD_SEED);
         injections.extend(draw_load(&mut rng, size, spec.length));
     }
+    if spec.with_pauses {
+        let mut rng = fastrand::Rng::with_seed(spec.seed ^ SILENCES_SEED);
+        injections.extend(draw_silences(&mut rng, size, spec.length));
+    }
     injections.sort_by_key(|injection| injection.at);
     injections
 }
@@ -170,6 +210,10 @@
     site.engine = is_under_load.then(overload::engine_spec);
     site.orders_streams = is_under_load;
     site.crashed_by = spec.with_crashes.then_some(crashes::CRASHING);
+    // Load is drawn for engines with short streams.
+    if spec.with_pauses && !spec.with_load {
+        site.event_interval = SILENCED_EVENT_INTERVAL;
+    }
     let with_starts = spec.with_versions || spec.with_crashes;
     site.upstream_start = with_starts.then(|| UpstreamStart {
         version: "v1".into(),
@@ -177,26 +221,3 @@
     });
     Ok(site)
 }
-
-/// Every router serves again once all harm is over.
-async fn check_recovery(site: &Site, report: &mut Report) {
-    let until = Instant::now() + RECOVERY;
-    for router in 0..site.routers.len() {
-        let mut served = 0;
-        let mut asked = 0;
-        while served < LAST_REQUESTS {
-            asked += 1;
-            let request = site.request(&format!("last-{router}-{asked}"), load::path_at(asked));
-            let outcome = site.call(router, &request).await;
-            if outcome == cloverpier_router_standin::caller::Outcome::Whole {
-                served += 1;
-            } else if Instant::now() > until {
-                let what = format!("front {router} doesn't serve again: {outcome:?}");
-                report.violation("recovery", &what);
-                return;
-            } else {
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
