--- a/crates/router/cloverpier_router_policy/src/silence.rs
+++ b/crates/router/cloverpier_router_policy/src/silence.rs
@@ -144,7 +144,7 @@
             return SilenceStep::WaitFor(CHECK_PERIOD);
         };
         if !self.is_stream {
-            return self.of_plain_request(next);
+            return self.move_if_alive(next);
         }
         match self.sign {
             SilenceSign::PathLost => SilenceStep::Move,
@@ -153,15 +153,6 @@
         }
     }
 
-    /// Another upstream begins a plain request anew at little cost, so it gets the request unless nobody responds at all.
-    fn of_plain_request(&self, next: NextUpstream) -> SilenceStep {
-        if self.evidence.scope() == SilenceScope::Service {
-            self.move_if_alive(next)
-        } else {
-            SilenceStep::Move
-        }
-    }
-
     /// A single connection that does not come up is no reason to leave an upstream that has just sent something.
     fn when_unreachable(&self, next: NextUpstream) -> SilenceStep {
         let evidence = &self.evidence;
--- a/crates/router/cloverpier_router_policy/tests/silence.rs
+++ b/crates/router/cloverpier_router_policy/tests/silence.rs
@@ -249,18 +249,18 @@
 }
 
 #[test]
-fn a_plain_request_leaves_a_silent_server_unless_nobody_responds() {
+fn a_plain_request_leaves_a_silent_server_for_one_that_responds() {
     let plain = SilentAttempt {
-        next: next_after(0, false),
+        next: next_after(0, true),
         late_after: None,
         is_stream: false,
         ..STALLED
     };
     assert_eq!(plain.step(), SilenceStep::Move);
-    let nobody_responds = SilentAttempt {
-        evidence: SHARED,
+    let unproven = SilentAttempt {
+        next: next_after(0, false),
         ..plain
     };
-    let step = nobody_responds.step();
+    let step = unproven.step();
     assert!(matches!(step, SilenceStep::ProbeNext(_)), "{step:?}");
 }
