--- a/crates/daemon/cloverpier_daemon/src/answers/race.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/race.rs
@@ -116,11 +116,11 @@
         let newer = self.attempts.split_off(index);
         let (sending, silent): (Vec<_>, Vec<_>) =
             self.attempts.drain(..).partition(|a| a.has_sent());
-        self.attempts = sending;
-        self.attempts.extend(newer);
-        if let (Some(from), Some(to)) = (silent.first(), self.attempts.first()) {
+        if let (Some(from), Some(to)) = (silent.first(), newer.first()) {
             from.silent(now).moved(self.app, &to.upstream);
         }
+        self.attempts = sending;
+        self.attempts.extend(newer);
         for attempt in silent {
             self.hand_over(attempt);
         }
