--- a/crates/standins/cloverpier_router_standin/src/socket_owner.rs
+++ b/crates/standins/cloverpier_router_standin/src/socket_owner.rs
@@ -1,16 +1,16 @@
-//! Which process has opened a TCP connection of this machine.
+//! Which process has opened a TCP connection of this machine, or which party a simulated one.
 //!
 //! Looks up the opener's socket once, by [`crate::socket_diag`], and searches Linux's tables of open files for the
 //! socket, so that a link can treat the connections of one process differently. Owns what is known of one connection.
 
 use crate::socket_diag::socket_inode;
 use cloverpier_core::lock;
+use cloverpier_net::{TcpStream, remote_party};
 use std::collections::HashMap;
 use std::fs;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
-use tokio::net::TcpStream;
 
 /// The opener of an accepted connection. Clones share what is known of it.
 #[derive(Clone, Debug)]
@@ -20,12 +20,20 @@
 
 #[derive(Debug)]
 struct Connection {
-    /// The inode of the opener's socket; `None` if the opener had closed the socket by the time of the lookup.
-    inode: Option<u32>,
+    opener: Opener,
     /// Whether a process has opened the connection, by the process's number.
     known: Mutex<HashMap<u32, bool>>,
 }
 
+/// What is known of the opener once a connection is accepted.
+#[derive(Debug)]
+enum Opener {
+    /// The party that has opened a simulated connection.
+    Party(u32),
+    /// The inode of the opener's socket; `None` if the opener had closed the socket by the time of the lookup.
+    Socket(Option<u32>),
+}
+
 impl SocketOwner {
     /// Looks up the opener of a connection that a listener has accepted.
     ///
@@ -33,26 +41,31 @@
     ///
     /// The connection has ended, or the system does not tell who opened the connection.
     pub fn of_accepted(stream: &TcpStream) -> io::Result<Self> {
-        // The remote address of the accepted end is the local address of the opener's end.
-        let (local, remote) = (ipv4(stream.peer_addr()?)?, ipv4(stream.local_addr()?)?);
-        let connection = Connection {
-            inode: socket_inode(local, remote)?,
-            known: Mutex::default(),
+        let opener = match remote_party(stream) {
+            Some(party) => Opener::Party(party),
+            // The remote address of the accepted end is the local address of the opener's end.
+            None => Opener::Socket(socket_inode(
+                ipv4(stream.peer_addr()?)?,
+                ipv4(stream.local_addr()?)?,
+            )?),
         };
+        let known = Mutex::default();
         Ok(Self {
-            connection: Arc::new(connection),
+            connection: Arc::new(Connection { opener, known }),
         })
     }
 
-    /// Whether the process with this number has opened the connection. The first result for a process is kept.
+    /// Whether the process with this number has opened the connection. The first result for a process is kept. The number
+    /// of a party stands for a process on simulated connections.
     pub fn is(&self, process: u32) -> bool {
-        let Connection { inode, known } = &*self.connection;
-        let Some(inode) = inode else {
-            return false;
+        let inode = match self.connection.opener {
+            Opener::Party(party) => return party == process,
+            Opener::Socket(None) => return false,
+            Opener::Socket(Some(inode)) => inode,
         };
-        *lock(known)
+        *lock(&self.connection.known)
             .entry(process)
-            .or_insert_with(|| has_socket(process, *inode))
+            .or_insert_with(|| has_socket(process, inode))
     }
 }
 
