--- a/crates/standins/cloverpier_router_standin/src/lib.rs
+++ b/crates/standins/cloverpier_router_standin/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ledger;
 pub mod link;
 mod moment;
+mod socket_diag;
 mod socket_owner;
 pub mod store;
 pub mod upstream;
