Let streams that make progress outlast a restart that is known late

Since the review's mends, failures by a restart said "the server has ended", and two tests expect "the server is silent", as logs and callers had it; both failures have that text again.

--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -9,6 +9,7 @@
 use crate::router::Router;
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::Upstream;
+use cloverpier_router_policy::silence::QUIET_AFTER;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -20,6 +21,8 @@
 pub(crate) enum LossSign {
     /// The process of the upstream has ended: no attempt there can go on.
     ProcessGone,
+    /// The upstream is known to have restarted. Attempts that make progress run at the new process.
+    Restarted,
     /// The upstream was declared dead because it does not respond. It may go on after a pause.
     Unreachable,
     /// Nothing arrives over this path, while the upstream responds over another one.
@@ -98,13 +101,21 @@
     }
 
     /// Why an attempt that last made progress at `last_progress` seems lost; `None` if it does not. The end of the
-    /// process counts for all attempts. Any other sign counts until the upstream is heard again, and only for attempts
-    /// that were under way by then.
-    pub fn loss_sign(&self, last_progress: Instant) -> Option<LossSign> {
+    /// process counts for all attempts; a restart, which is known some time after it, for those that are silent. Any other
+    /// sign counts until the upstream is heard again, and only for attempts that were under way by then.
+    pub fn loss_sign(&self, last_progress: Instant, now: Instant) -> Option<LossSign> {
         let (sign, at) = self.lost.get()?;
-        let is_heard = sign == LossSign::Unreachable && self.last_heard.get() > Some(at);
-        let is_current = at >= last_progress && !is_heard;
-        (sign == LossSign::ProcessGone || is_current).then_some(sign)
+        let was_under_way = at >= last_progress;
+        let is_current = match sign {
+            LossSign::ProcessGone => true,
+            LossSign::Restarted => {
+                let silent = now.saturating_duration_since(last_progress);
+                was_under_way && silent >= QUIET_AFTER
+            }
+            LossSign::Unreachable => was_under_way && self.last_heard.get() <= Some(at),
+            LossSign::PathLost => was_under_way,
+        };
+        is_current.then_some(sign)
     }
 
     /// The path over which the upstream has responded since the present probe over this one was sent; `None` without
@@ -233,14 +244,14 @@
         entries.for_each(|health| health.on_lost(LossSign::Unreachable, now));
     }
 
-    /// Ends all attempts at an upstream whose process has ended, and returns the new entry for this router's own path.
-    /// The time of the last own response is kept.
-    pub fn end_all(&self, upstream: &Upstream, now: Instant) -> Rc<UpstreamHealth> {
+    /// Marks all attempts at an upstream whose process has ended, or which has restarted, and returns the new entry for
+    /// this router's own path. The time of the last own response is kept.
+    pub fn end_all(&self, upstream: &Upstream, sign: LossSign, now: Instant) -> Rc<UpstreamHealth> {
         let last_own_response = self.last_own_response(&upstream.name);
         let ended = self.by_upstream.borrow_mut().remove(&upstream.name);
         // An upstream without entries has no attempts to end.
         for health in ended.unwrap_or_default().values() {
-            health.on_lost(LossSign::ProcessGone, now);
+            health.on_lost(sign, now);
         }
         let health = self.of(upstream, Via::Direct, now);
         health.last_own_response.set(last_own_response);
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -296,7 +296,7 @@
 fn end_attempts(router: &Router, upstream: &Upstream, is_new: bool, now: Instant) {
     let health = router.health.of(upstream, Via::Direct, now);
     if is_new || !health.is_for_next_incarnation.get() {
-        let new_health = router.health.end_all(upstream, now);
+        let new_health = router.health.end_all(upstream, LossSign::ProcessGone, now);
         new_health.is_for_next_incarnation.set(true);
     }
 }
--- a/crates/router/cloverpier_router/src/restart.rs
+++ b/crates/router/cloverpier_router/src/restart.rs
@@ -6,6 +6,7 @@
 
 use crate::connection::Via;
 use crate::crashes::record;
+use crate::health::LossSign;
 use crate::router::Router;
 use crate::upstream_log::log_upstream_change;
 use cloverpier_core::UpstreamName;
@@ -47,7 +48,7 @@
     // After a refused connection, the attempts and connections since then belong to the new incarnation already.
     if !health.is_for_next_incarnation.replace(false) {
         router.pool.borrow_mut().close_all(name);
-        router.health.end_all(upstream, now);
+        router.health.end_all(upstream, LossSign::Restarted, now);
     }
     let mut locations = router.prompts.locations.borrow_mut();
     locations.remove_upstream(UpstreamKey::of(name));
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -136,8 +136,10 @@
         return Err(AttemptFailure::Stopped);
     }
     liveness.on_wakeup(now);
-    let sign = match health.loss_sign(liveness.last_progress()) {
-        Some(LossSign::ProcessGone) => return Err(AttemptFailure::UpstreamDead),
+    let sign = match health.loss_sign(liveness.last_progress(), now) {
+        Some(LossSign::ProcessGone | LossSign::Restarted) => {
+            return Err(AttemptFailure::UpstreamDead);
+        }
         Some(LossSign::Unreachable) => Some(SilenceSign::Unreachable),
         Some(LossSign::PathLost) => Some(SilenceSign::PathLost),
         None => None,
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -226,8 +226,7 @@
             Self::VersionNotConfirmed => {
                 f.write_str("the server has restarted, perhaps with another version")
             }
-            Self::UpstreamDead => f.write_str("the server has ended"),
-            Self::UpstreamSilent => f.write_str("the server is silent"),
+            Self::UpstreamDead | Self::UpstreamSilent => f.write_str("the server is silent"),
             Self::PathLost => f.write_str("the server is silent here, and a peer reaches it"),
             Self::Stalled => f.write_str("the answer is stuck at a living server"),
             Self::Stopped => f.write_str("the request ends the servers that run it"),
