Do not take the first event after a shared pause for a response that hangs

Callers: a stream was moved, and its prompt read again, a millisecond after its paused engine went on: another stream there had its event first, so that this one seemed to hang alone.

An attempt hangs alone only for as long as its upstream has responded to others since it last paused (QUIET_AFTER).

`next_step` and `SilenceWatch::step` are split.

--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -40,6 +40,8 @@
     /// When a part of a valid response of the upstream itself last arrived; `None` before the first. Unlike
     /// `last_activity`, responses of another process at the same address do not count.
     pub last_own_response: Cell<Option<Instant>>,
+    /// Since when the upstream has sent parts of its own responses without a long pause; `None` before the first.
+    pub responding_since: Cell<Option<Instant>>,
     /// When the probe in flight was sent, or the first one if it is a repetition; `None` without a probe.
     pub probing_since: Cell<Option<Instant>>,
     /// Whether a probe waits for a permit, because the upstream limits its request rate.
@@ -71,6 +73,7 @@
             probe_connection: RefCell::default(),
             last_activity: Cell::new(now),
             last_own_response: Cell::new(None),
+            responding_since: Cell::new(None),
             probing_since: Cell::new(None),
             probe_awaits_permit: Cell::new(false),
             reached_otherwise: Cell::new(None),
@@ -90,7 +93,11 @@
 
     /// Records that a part of a valid response of the upstream itself arrived.
     fn on_own_response(&self, now: Instant) {
-        self.last_own_response.set(Some(now));
+        let is_pause = |at| now.saturating_duration_since(at) >= QUIET_AFTER;
+        let last = self.last_own_response.replace(Some(now));
+        if last.is_none_or(is_pause) || self.responding_since.get().is_none() {
+            self.responding_since.set(Some(now));
+        }
         self.on_heard(now);
     }
 
@@ -223,6 +230,14 @@
         entries.map(|h| h.last_activity.get()).max()
     }
 
+    /// Since when the upstream has sent parts of its own responses over a path without a long pause; the longest of all
+    /// paths.
+    pub fn responding_since(&self, upstream: &UpstreamName) -> Option<Instant> {
+        let table = self.by_upstream.borrow();
+        let entries = table.get(upstream)?.values();
+        entries.filter_map(|h| h.responding_since.get()).min()
+    }
+
     /// When data last arrived from the upstream over any path; `None` before the first.
     pub fn last_heard(&self, upstream: &UpstreamName) -> Option<Instant> {
         let table = self.by_upstream.borrow();
--- a/crates/router/cloverpier_router/src/silence.rs
+++ b/crates/router/cloverpier_router/src/silence.rs
@@ -2,7 +2,7 @@
 //!
 //! `cloverpier_router_policy::silence` decides; [`crate::wait`] asks while nothing arrives. Relies on [`crate::health`] for
 //! the times of upstreams' last signs of life, and on [`crate::next_attempt`] for the upstream that would take the request
-//! on. A [`SilenceWatch`] owns whether the silence of its attempt was logged.
+//! on. A [`SilenceWatch`] owns which upstream was probed last for its attempt, and whether the silence was logged.
 
 use crate::connection::Via;
 use crate::decision_log::{AttemptKept, SilentAttemptFields, ms};
@@ -78,15 +78,25 @@
         let Some(evidence) = evidence(router, upstream, sign, last_progress, now) else {
             return SilenceOutcome::KeepFor(QUIET_AFTER);
         };
+        self.step_by(sign, evidence, last_progress, now)
+    }
+
+    /// Decides by what is known of the silence.
+    fn step_by(
+        &self,
+        sign: SilenceSign,
+        evidence: SilenceEvidence,
+        last_progress: Instant,
+        now: Instant,
+    ) -> SilenceOutcome {
         // A full engine would refuse the request, which helps nobody while its own engine may go on.
         let overcommit = evidence.without_progress >= UNPROVEN_AFTER;
         let candidate = self.next.candidate(overcommit, now);
+        let next = candidate.as_ref();
         let attempt = SilentAttempt {
             sign,
             evidence,
-            next: candidate
-                .as_ref()
-                .map(|c| self.next_upstream(c, last_progress, now)),
+            next: next.map(|next| self.next_upstream(next, last_progress, now)),
             stall_after: self.stall_after,
             late_after: self.late_after,
             moves: self.moves,
@@ -216,9 +226,11 @@
     let table = router.upstreams.borrow();
     let service = &table.get(upstream)?.upstream.service;
     let since = heard_since(router.has_engines(service), last_progress, now);
+    let age = |at: Instant| now.saturating_duration_since(at);
     let mut evidence = SilenceEvidence {
-        without_progress: now.saturating_duration_since(last_progress),
-        upstream_silent: heard_at(upstream).map(|at| now.saturating_duration_since(at)),
+        without_progress: age(last_progress),
+        upstream_silent: heard_at(upstream).map(age),
+        upstream_responding: router.health.responding_since(upstream).map(age),
         others_awaited: 0,
         others_heard: 0,
     };
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -124,19 +124,11 @@
     liveness: &mut Liveness,
     now: Instant,
 ) -> Result<WaitAction, AttemptFailure> {
-    let AwaitedUpstream {
-        router,
-        upstream,
-        health,
-        deadline,
-        stop,
-        watches,
-    } = awaited;
-    if stop.is_some_and(CancelSignal::is_cancelled) {
+    if awaited.stop.is_some_and(CancelSignal::is_cancelled) {
         return Err(AttemptFailure::Stopped);
     }
     liveness.on_wakeup(now);
-    let sign = match health.loss_sign(liveness.last_progress(), now) {
+    let sign = match awaited.health.loss_sign(liveness.last_progress(), now) {
         Some(LossSign::ProcessGone | LossSign::Restarted) => {
             return Err(AttemptFailure::UpstreamDead);
         }
@@ -144,30 +136,48 @@
         Some(LossSign::PathLost) => Some(SilenceSign::PathLost),
         None => None,
     };
-    if now >= *deadline {
+    if now >= awaited.deadline {
         return Err(AttemptFailure::DeadlinePassedSent);
     }
-    if let Some(sign) = sign {
-        let wait = keep_or_end(watches.silence, sign, liveness, now)?;
-        let wake_at = liveness.expect_wakeup_at((now + wait).min(*deadline));
-        return Ok(WaitAction::WaitUntil(wake_at));
+    match sign {
+        Some(sign) => while_lost(awaited, sign, liveness, now),
+        None => while_silent(awaited, liveness, now),
     }
+}
+
+/// Lets an attempt that seems lost wait on, or ends it.
+fn while_lost(
+    awaited: &AwaitedUpstream<'_>,
+    sign: SilenceSign,
+    liveness: &mut Liveness,
+    now: Instant,
+) -> Result<WaitAction, AttemptFailure> {
+    let wait = keep_or_end(awaited.watches.silence, sign, liveness, now)?;
+    let wake_at = (now + wait).min(awaited.deadline);
+    Ok(WaitAction::WaitUntil(liveness.expect_wakeup_at(wake_at)))
+}
+
+/// Waits for an attempt whose upstream has not been declared dead, and probes the upstream if that is due.
+fn while_silent(
+    awaited: &AwaitedUpstream<'_>,
+    liveness: &mut Liveness,
+    now: Instant,
+) -> Result<WaitAction, AttemptFailure> {
+    let (router, upstream, health) = (awaited.router, awaited.upstream, awaited.health);
     let probing_since = health.probing_since.get();
     liveness.hold_probes_until(earliest_probe(router, upstream, health, now));
     match liveness.step(health.last_activity.get(), probing_since, now) {
-        LivenessStep::WaitUntil(at) => Ok(WaitAction::WaitUntil(at.min(*deadline))),
+        LivenessStep::WaitUntil(at) => Ok(WaitAction::WaitUntil(at.min(awaited.deadline))),
         LivenessStep::Probe => {
             probe::probe(router, upstream, health, now);
             Ok(WaitAction::Reevaluate)
         }
         LivenessStep::UpstreamDead => {
             let sign = probe::on_unanswered_probe(router, upstream, health, now);
-            let wait = keep_or_end(watches.silence, sign, liveness, now)?;
-            let wake_at = liveness.expect_wakeup_at((now + wait).min(*deadline));
-            Ok(WaitAction::WaitUntil(wake_at))
+            while_lost(awaited, sign, liveness, now)
         }
         LivenessStep::Stalled => {
-            let further = while_stalled(*watches, liveness, now)?;
+            let further = while_stalled(awaited.watches, liveness, now)?;
             liveness.extend_stall(further, now);
             Ok(WaitAction::Reevaluate)
         }
--- a/crates/router/cloverpier_router_policy/src/silence.rs
+++ b/crates/router/cloverpier_router_policy/src/silence.rs
@@ -47,6 +47,9 @@
     pub without_progress: Duration,
     /// The time since the upstream sent anything that counts to this router; `None` if it never has.
     pub upstream_silent: Option<Duration>,
+    /// The time for which the upstream has responded to requests of this router without a long pause; `None` if it never
+    /// has.
+    pub upstream_responding: Option<Duration>,
     /// Number of other upstreams of the service from which this router expects something: a plain response, or the next
     /// event of a stream.
     pub others_awaited: usize,
@@ -68,6 +71,13 @@
 }
 
 impl SilenceEvidence {
+    /// The time for which the upstream has responded to other requests while this attempt made no progress. Requests that
+    /// were silent with their whole upstream go on one after the other.
+    fn silent_alone(&self) -> Duration {
+        let responding = self.upstream_responding.unwrap_or_default();
+        responding.min(self.without_progress)
+    }
+
     /// What the evidence shows to be silent.
     pub fn scope(&self) -> SilenceScope {
         if self
@@ -171,19 +181,19 @@
         if self.moves >= MAX_MOVES {
             return SilenceStep::WaitFor(CHECK_PERIOD);
         }
-        let is_shared = self.evidence.scope() == SilenceScope::Service && !next.has_progressed;
-        let move_after = if is_shared {
-            self.stall_after * HANG_FACTOR
-        } else if self.is_in_time_at(next) {
-            Duration::ZERO
-        } else if self.evidence.scope() == SilenceScope::Attempt {
-            self.stall_after
+        let scope = self.evidence.scope();
+        let (silent, move_after) = if scope == SilenceScope::Service && !next.has_progressed {
+            let hangs_after = self.stall_after * HANG_FACTOR;
+            (self.evidence.without_progress, hangs_after)
+        } else if scope == SilenceScope::Attempt {
+            (self.evidence.silent_alone(), self.timeout_alone(next))
         } else {
-            // A silence of unknown cause is expected to last as long again as it has lasted.
-            let predicted = next.predicted.unwrap_or(self.stall_after);
-            self.stall_after.max(predicted.mul_f64(CLEARLY_SOONER))
+            (
+                self.evidence.without_progress,
+                self.timeout_beside_others(next),
+            )
         };
-        let left = move_after.saturating_sub(self.evidence.without_progress);
+        let left = move_after.saturating_sub(silent);
         if left.is_zero() {
             self.move_if_alive(next)
         } else {
@@ -191,6 +201,25 @@
         }
     }
 
+    /// The time for which the response may hang at an upstream that responds to other requests.
+    fn timeout_alone(&self, next: NextUpstream) -> Duration {
+        if self.is_in_time_at(next) {
+            QUIET_AFTER
+        } else {
+            self.stall_after
+        }
+    }
+
+    /// The time for which the upstream may be silent while others respond. A silence of unknown cause is expected to last
+    /// as long again as it has lasted.
+    fn timeout_beside_others(&self, next: NextUpstream) -> Duration {
+        if self.is_in_time_at(next) {
+            return Duration::ZERO;
+        }
+        let predicted = next.predicted.unwrap_or(self.stall_after);
+        self.stall_after.max(predicted.mul_f64(CLEARLY_SOONER))
+    }
+
     /// Moves the request if the next upstream has shown that it lives, or if nothing has for too long.
     fn move_if_alive(&self, next: NextUpstream) -> SilenceStep {
         if next.has_responded || self.evidence.without_progress >= UNPROVEN_AFTER {
--- a/crates/router/cloverpier_router_policy/tests/silence.rs
+++ b/crates/router/cloverpier_router_policy/tests/silence.rs
@@ -12,6 +12,7 @@
 const SILENT: SilenceEvidence = SilenceEvidence {
     without_progress: Duration::from_millis(1_000),
     upstream_silent: Some(Duration::from_millis(1_000)),
+    upstream_responding: Some(Duration::from_secs(60)),
     others_awaited: 3,
     others_heard: 3,
 };
@@ -264,3 +265,17 @@
     let step = unproven.step();
     assert!(matches!(step, SilenceStep::ProbeNext(_)), "{step:?}");
 }
+
+#[test]
+fn a_response_that_paused_with_its_engine_stays_when_others_there_go_on_first() {
+    let resumed = |ms| SilentAttempt {
+        evidence: SilenceEvidence {
+            upstream_silent: Some(Duration::from_millis(1)),
+            upstream_responding: Some(Duration::from_millis(ms)),
+            ..SILENT
+        },
+        ..STALLED
+    };
+    assert!(matches!(resumed(1).step(), SilenceStep::WaitFor(_)));
+    assert_eq!(resumed(1_000).step(), SilenceStep::Move);
+}
