--- a/review/standins/site_standins.py
+++ b/review/standins/site_standins.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -20,6 +21,9 @@
 KEY = "key-of-tenant-one"
 
 
+_given = set()
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
@@ -40,16 +44,19 @@
 
 
 def free_ports(count):
-    """Ports of 127.0.0.1 on which nobody listens."""
-    held = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        held.append(s)
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
+    """Ports of 127.0.0.1 on which nobody listens, below those that the system gives to outgoing connections."""
+    found = []
+    while len(found) < count:
+        port = random.randrange(18000, 32000)
+        with socket.socket() as tried:
+            try:
+                tried.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found and port not in _given:
+            found.append(port)
+            _given.add(port)
+    return found
 
 
 async def read_head(reader):
