--- a/crates/router/cloverpier_router/src/choice_log.rs
+++ b/crates/router/cloverpier_router/src/choice_log.rs
@@ -98,6 +98,9 @@
             began_version: inputs.began_version.map(StreamVersion::as_str),
             from_replica: inputs.from_replica,
             is_isolated: inputs.is_isolated,
+            listing: state
+                .map(UpstreamState::listing)
+                .filter(|listing| *listing != Listing::Listed),
             leaving: exclusions.leaving,
             waiting: exclusions.waiting,
             limited: limited.limited,
--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -84,6 +84,9 @@
     /// then.
     #[serde(rename = "apart")]
     pub is_isolated: bool,
+    /// How the upstream stands with the platform's list, if it is not listed or leaves.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub listing: Option<Listing>,
     /// Number of upstreams of the service that were excluded because they announced that they are leaving.
     pub leaving: usize,
     /// Number of upstreams of the service that were excluded because they requested a pause (`Retry-After`).
--- a/crates/router/cloverpier_router/src/decision_log/versions.rs
+++ b/crates/router/cloverpier_router/src/decision_log/versions.rs
@@ -29,6 +29,34 @@
     pub from: &'a str,
 }
 
+/// A watch of the store ended with a response.
+#[derive(Serialize)]
+pub(crate) struct WatchAnswered<'a> {
+    /// The watched data.
+    pub name: &'a str,
+    /// The revision from which the watch began, and the one up to which the response contains all changes.
+    pub after: u64,
+    pub revision: u64,
+    /// Number of changes in the response.
+    pub changes: usize,
+    /// Milliseconds from the call to its response.
+    pub waited_ms: u64,
+}
+
+/// An upstream left the platform's list, or its entry announces that it will.
+#[derive(Serialize)]
+pub(crate) struct UpstreamDeparted<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    pub address: String,
+    pub reason: Departure,
+    /// The revision of the list by which this router learned of it.
+    #[serde(rename = "fleet_revision")]
+    pub upstreams_revision: u64,
+    /// The peer that sent the change, or the store.
+    pub from: &'a str,
+}
+
 /// A newer version of the configuration or of the list of upstreams was fetched from a peer.
 #[derive(Serialize)]
 pub(crate) struct VersionFetched<'a> {
--- a/crates/router/cloverpier_router/src/list_confirmation.rs
+++ b/crates/router/cloverpier_router/src/list_confirmation.rs
@@ -4,10 +4,11 @@
 //! that was read soon after the start, may be out of date. Owns no state: `store_view` has the time of the last
 //! confirmation.
 
-use crate::decision_log::log_named_event;
+use crate::decision_log::{WatchAnswered, log_named_event, ms_since};
 use crate::gossip::broadcast_upstream_changes;
 use crate::router::Router;
 use crate::source::{ConfigurationSource, MixedServiceMarks, SourceError, UpstreamChanges};
+use crate::store_view::WatchedData;
 use crate::stream_origins::marks::read_marks;
 use crate::upstream_updates::{apply_upstream_changes, readable_changes};
 use std::rc::Rc;
@@ -24,6 +25,14 @@
     // The list was complete when the store received the poll, and not necessarily when it responds.
     let sent_at = router.now();
     let changes = source.poll_upstreams(revision, wait).await?;
+    let line = WatchAnswered {
+        name: WatchedData::Upstreams.name(),
+        after: revision,
+        revision: changes.revision,
+        changes: changes.changes.len(),
+        waited_ms: ms_since(sent_at, router.now()),
+    };
+    router.log.info("watch.answered", &line);
     let revision = apply_changes(router, changes);
     router.store.on_list_confirmed(sent_at);
     Ok(revision)
--- a/crates/router/cloverpier_router/src/upstream_updates.rs
+++ b/crates/router/cloverpier_router/src/upstream_updates.rs
@@ -4,7 +4,7 @@
 //! This module carries out the consequences for restarted upstreams, roll-outs and the revision in force.
 //! Owns no state.
 
-use crate::decision_log::log_named_event;
+use crate::decision_log::{UpstreamDeparted, log_named_event};
 use crate::restart;
 use crate::router::Router;
 use crate::source::{EntryChange, UnreadableEntry, UpstreamChanges, UpstreamList};
@@ -23,6 +23,7 @@
     drop(table);
     restart::on_restarted(router, &applied.restarted, now);
     record_versions(router, now);
+    log_departures(router, &applied, list.revision, from);
     if applied.is_new {
         router.store.on_upstreams_received(now);
         log_version(router, WatchedData::Upstreams, list.revision, from);
@@ -57,11 +58,26 @@
     drop(table);
     restart::on_restarted(router, &applied.restarted, now);
     record_versions(router, now);
+    log_departures(router, &applied, changes.revision, from);
     if applied.is_new {
         log_version(router, WatchedData::Upstreams, changes.revision, from);
     }
 }
 
+/// Logs the upstreams that an update has taken off the list or shows as about to leave.
+fn log_departures(router: &Router, applied: &AppliedUpdate, revision: u64, from: &str) {
+    for (upstream, departure) in &applied.departed {
+        let line = UpstreamDeparted {
+            upstream: upstream.name.as_str(),
+            address: upstream.address.to_string(),
+            reason: *departure,
+            upstreams_revision: revision,
+            from,
+        };
+        router.log.info("server.departed", &line);
+    }
+}
+
 /// Logs all unreadable entries in one line, with the name and reason of the first.
 fn log_unreadable(router: &Router, entries: &[UnreadableEntry]) {
     let Some(first) = entries.first() else { return };
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -150,10 +150,12 @@
         OriginRecord, StreamKey, StreamOrigin, StreamVersion, VersionHistory, VersionsReport,
     };
     pub use crate::upstream::{
-        IncarnationNumber, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamStart,
-        UpstreamState,
+        IncarnationNumber, Listing, StartOrder, Upstream, UpstreamChange, UpstreamKey,
+        UpstreamStart, UpstreamState,
+    };
+    pub use crate::upstream_table::{
+        AppliedUpdate, Departure, ExclusionCounts, ServiceWait, UpstreamTable,
     };
-    pub use crate::upstream_table::{AppliedUpdate, ExclusionCounts, ServiceWait, UpstreamTable};
 }
 
 pub use prelude::*;
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -141,6 +141,18 @@
     }
 }
 
+/// How an upstream stands with the platform's list and its own announcements, as logged with a choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Listing {
+    /// It is listed, or expected to be, and has not announced that it leaves.
+    Listed,
+    /// Its entry was removed without an announcement.
+    Vanished,
+    /// It has announced that it leaves, in its entry or in a response.
+    Leaving,
+}
+
 /// The state that a router keeps for one upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamState {
@@ -347,6 +359,17 @@
         self.delisted_at.is_none() && self.may_still_serve()
     }
 
+    /// How the upstream stands with the platform's list and its own announcements.
+    pub fn listing(&self) -> Listing {
+        if self.is_leaving() {
+            return Listing::Leaving;
+        }
+        match self.delisted_at {
+            Some(_) => Listing::Vanished,
+            None => Listing::Listed,
+        }
+    }
+
     /// Whether the upstream's entry had already been removed from the platform's list at `at`.
     pub fn was_delisted_at(&self, at: Instant) -> bool {
         self.delisted_at.is_some_and(|removed| removed <= at)
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -24,6 +24,7 @@
 };
 use addresses::AddressIndex;
 use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName};
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -76,6 +77,18 @@
     pub is_new: bool,
     /// Upstreams that the update shows to have restarted under the same name.
     pub restarted: Vec<Upstream>,
+    /// Upstreams that were listed and ready before the update and are not any more.
+    pub departed: Vec<(Upstream, Departure)>,
+}
+
+/// How an upstream left the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Departure {
+    /// Its entry announces that it is about to leave.
+    Draining,
+    /// Its entry was removed.
+    Removed,
 }
 
 impl UpstreamTable {
@@ -196,7 +209,8 @@
             return AppliedUpdate::default();
         }
         let is_first = self.revision == 0;
-        let restarted = self.apply_all(self.changes_to_match(upstreams), revision, now);
+        let changes = self.changes_to_match(upstreams);
+        let applied = self.apply_all(changes, revision, now);
         if is_first {
             // The changes before the first list are unknown.
             self.changes.clear();
@@ -204,10 +218,7 @@
         }
         self.trim_changes();
         self.delist_missing(now);
-        AppliedUpdate {
-            is_new: true,
-            restarted,
-        }
+        applied
     }
 
     /// The changes that turn the table into a whole list. A list that is read again, for example
@@ -239,31 +250,45 @@
         if revision <= self.revision {
             return AppliedUpdate::default();
         }
-        let restarted = self.apply_all(changes, revision, now);
+        let applied = self.apply_all(changes, revision, now);
         self.trim_changes();
         self.delist_missing(now);
         self.forget_delisted(now);
-        AppliedUpdate {
-            is_new: true,
-            restarted,
-        }
+        applied
     }
 
-    /// Applies changes and keeps them for peers; returns the upstreams that restarted under the same
-    /// name.
+    /// Applies changes and keeps them for peers.
     fn apply_all(
         &mut self,
         changes: Vec<UpstreamChange>,
         revision: u64,
         now: Instant,
-    ) -> Vec<Upstream> {
-        let mut restarted = Vec::new();
+    ) -> AppliedUpdate {
+        let mut applied = AppliedUpdate {
+            is_new: true,
+            ..AppliedUpdate::default()
+        };
         for change in changes {
+            applied.departed.extend(self.departure(&change));
             self.changes.push_back((revision, change.clone()));
-            restarted.extend(self.apply(change, now));
+            applied.restarted.extend(self.apply(change, now));
         }
         self.revision = revision;
-        restarted
+        applied
+    }
+
+    /// The upstream that a change takes off the list of those that are listed and ready; `None` for any other change.
+    fn departure(&self, change: &UpstreamChange) -> Option<(Upstream, Departure)> {
+        let (name, departure) = match change {
+            UpstreamChange::Listed(upstream) if upstream.draining => {
+                (&upstream.name, Departure::Draining)
+            }
+            UpstreamChange::Listed(_) => return None,
+            UpstreamChange::Gone(name) => (name, Departure::Removed),
+        };
+        let state = self.upstreams.get(name)?;
+        let was_ready = state.delisted_at.is_none() && !state.upstream.draining;
+        was_ready.then(|| (state.upstream.clone(), departure))
     }
 
     /// Marks successors as removed that the list still does not contain although the store has been
