An entry removed while the store is well ends the last resort at once

Cause: where none of a service's upstreams is listed, those whose entries had vanished were tried for RELIST_WINDOW, 2 s, counted from when this router learned of it; the allowed time is 2 s from the removal. The window is meant for entries that expire while the store is away, and no router asked whether it had been away. Change: the table is told while neither this router nor a peer reaches the store, once one of them has since the start. A removal that is learned then, or up to 2 s later, may be an expired entry and keeps the last resort; any other removal means that the upstream leaves. Such a removal was made at most 2 s after the end of the outage, when the store does not count as stable, so its acknowledgement binds nobody. Callers are refused at once, not run, as where a service has no upstream. The two tests of the policy on outages say now that there is one, which their names say; one more holds the other case.

--- a/crates/router/cloverpier_router/src/store_events.rs
+++ b/crates/router/cloverpier_router/src/store_events.rs
@@ -97,6 +97,9 @@
     if router.store.set_contact(has_contact) && !has_contact {
         router.stream_origins.refresh_now();
     }
+    if router.store.has_lost_contact() {
+        router.upstreams.borrow_mut().on_store_away(now);
+    }
     let role = watcher_role(&own, &peers);
     let previous = router.store.set_role(role);
     if previous == role {
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -76,6 +76,8 @@
     confirmation_requested: Notify,
     /// Whether this router or a peer reached the store when the watcher roles were last decided.
     has_contact: Cell<bool>,
+    /// Whether this router or a peer has reached the store since the start of this router.
+    has_had_contact: Cell<bool>,
     /// Whether the last call for the configuration failed, and no ping succeeded since.
     configuration_fails: Cell<bool>,
     /// Whether the last call for the upstreams failed, and no ping succeeded since.
@@ -108,6 +110,7 @@
             confirmation_ended: Notify::new(),
             confirmation_requested: Notify::new(),
             has_contact: Cell::new(true),
+            has_had_contact: Cell::new(false),
             configuration_fails: Cell::new(false),
             upstreams_fail: Cell::new(false),
             rollouts_fail: Cell::new(false),
@@ -254,8 +257,15 @@
         self.has_contact.get()
     }
 
+    /// Whether this router or a peer has reached the store since the start of this router, and none does any more.
+    pub fn has_lost_contact(&self) -> bool {
+        self.has_had_contact.get() && !self.has_contact.get()
+    }
+
     /// Records whether this router or a peer reaches the store; returns whether one did before.
     pub fn set_contact(&self, has_contact: bool) -> bool {
+        self.has_had_contact
+            .set(self.has_had_contact.get() || has_contact);
         self.has_contact.replace(has_contact)
     }
 
--- a/crates/router/cloverpier_router_policy/src/choice/candidates.rs
+++ b/crates/router/cloverpier_router_policy/src/choice/candidates.rs
@@ -23,8 +23,9 @@
 /// Where no upstream is usable there is one group, the first of these that is not empty:
 ///
 /// 5. all listed upstreams, including suspected ones;
-/// 6. upstreams whose entries vanished within [`crate::suspicion::RELIST_WINDOW`], where no upstream of the
-///    service is listed: an outage of the store removes the entries of running upstreams, too;
+/// 6. upstreams whose entries expired in an outage of the store within [`crate::suspicion::RELIST_WINDOW`], where no
+///    upstream of the service is listed: such an outage removes the entries of running upstreams, too. An entry that
+///    is removed while the store is reachable means that its upstream leaves;
 /// 7. upstreams that announced within [`crate::leaving::LAST_RESORT_PERIOD`] that they leave, as they still
 ///    serve requests.
 ///
@@ -92,8 +93,7 @@
     if !listed.is_empty() {
         return listed;
     }
-    let may_be_back =
-        |s: &UpstreamState| s.may_still_serve() && s.was_delisted_recently(demand.now);
+    let may_be_back = |s: &UpstreamState| s.may_still_serve() && s.has_expired_recently(demand.now);
     let vanished = filtered(of_service, may_be_back);
     if !vanished.is_empty() {
         return vanished;
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -172,8 +172,11 @@
     /// `Some` until the platform's list contains an upstream that was added as a successor
     /// ([`crate::successor`]).
     pub(crate) not_yet_listed: Option<NotYetListed>,
-    /// When the upstream's entry was removed from the platform's list; `None` while it is listed.
+    /// When this router learned that the upstream's entry was removed from the platform's list; `None` while it is
+    /// listed.
     pub(crate) delisted_at: Option<Instant>,
+    /// Whether the entry may have expired in an outage of the store, so that the upstream may be listed again.
+    may_be_relisted: bool,
     /// Whether another process was observed or listed at the upstream's address.
     pub(crate) replaced: bool,
     /// Set while this router suspects that the upstream is dead.
@@ -230,6 +233,7 @@
             not_yet_listed: None,
             is_version_confirmed: true,
             delisted_at: None,
+            may_be_relisted: false,
             replaced: false,
             suspicion: None,
             unanswered_since: None,
@@ -305,6 +309,14 @@
         self.not_yet_listed = None;
     }
 
+    /// Marks the upstream as no longer listed. `may_have_expired` is whether an outage of the store may be the reason.
+    pub(crate) fn on_removed(&mut self, may_have_expired: bool, now: Instant) {
+        if self.delisted_at.is_none() {
+            self.delisted_at = Some(now);
+            self.may_be_relisted = may_have_expired;
+        }
+    }
+
     /// Whether the platform's list determines the software version of the newest known incarnation. False for an upstream
     /// that is not listed yet, of which the version is assumed ([`crate::successor`]), and for one that has restarted
     /// since its entry was written.
@@ -405,11 +417,11 @@
             || (self.not_yet_listed.is_some() && (self.replaced || is_dead))
     }
 
-    /// Whether the upstream's entry was removed so recently that an outage of the platform's store
-    /// may be the cause and a running upstream may register again.
-    pub fn was_delisted_recently(&self, now: Instant) -> bool {
-        self.delisted_at
-            .is_some_and(|at| now.saturating_duration_since(at) <= RELIST_WINDOW)
+    /// Whether the upstream's entry expired in an outage of the platform's store, so recently that a running upstream
+    /// may register again.
+    pub fn has_expired_recently(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) <= RELIST_WINDOW;
+        self.may_be_relisted && self.delisted_at.is_some_and(is_recent)
     }
 
     /// Whether another process was observed or listed at the upstream's address.
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -18,7 +18,7 @@
 use crate::load::{Load, PeerLoad};
 use crate::silence::UNRESPONSIVE_FOR;
 use crate::stream_version::history::VersionCounts;
-use crate::suspicion::DataCentreCounts;
+use crate::suspicion::{DataCentreCounts, EXPIRY_WINDOW};
 use crate::upstream::{
     NotYetListed, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamState,
 };
@@ -68,6 +68,8 @@
     version_counts: VersionCounts,
     /// The services of the configuration in force; `None` until a configuration is known.
     services: Option<HashSet<ServiceName>>,
+    /// When the platform's store was last known to be unreachable; `None` if it has been reachable since the start.
+    store_away_at: Option<Instant>,
 }
 
 /// The effect of applying a whole list of upstreams, or a batch of changes, to the table.
@@ -198,6 +200,18 @@
         }
     }
 
+    /// Records that neither this router nor a peer reaches the platform's store at present.
+    pub fn on_store_away(&mut self, now: Instant) {
+        self.store_away_at = Some(now);
+    }
+
+    /// Whether an entry that is found removed now may belong to a running upstream that could not renew it, because
+    /// the store is away or was until recently.
+    fn may_have_expired(&self, now: Instant) -> bool {
+        self.store_away_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= EXPIRY_WINDOW)
+    }
+
     /// Applies a whole list. Ignores the list if its revision is older than the table's.
     pub fn apply_list(
         &mut self,
@@ -297,7 +311,7 @@
         for state in self.upstreams.values_mut() {
             let not_yet_listed = state.not_yet_listed.as_mut();
             if not_yet_listed.is_some_and(|mark| mark.on_list_without_upstream(now)) {
-                state.delisted_at.get_or_insert(now);
+                state.on_removed(false, now);
             }
         }
     }
@@ -325,8 +339,9 @@
         match change {
             UpstreamChange::Listed(upstream) => self.apply_entry(upstream),
             UpstreamChange::Gone(name) => {
+                let may_have_expired = self.may_have_expired(now);
                 if let Some(state) = self.upstreams.get_mut(&name) {
-                    state.delisted_at.get_or_insert(now);
+                    state.on_removed(may_have_expired, now);
                 }
                 None
             }
--- a/crates/router/cloverpier_router_policy/tests/upstreams.rs
+++ b/crates/router/cloverpier_router_policy/tests/upstreams.rs
@@ -93,14 +93,32 @@
     let now = Instant::now();
     let mut table = table_of(&["one", "two"], now);
     let gone = ["one", "two"].map(|name| UpstreamChange::Gone(name.into()));
-    table.apply_changes(gone.to_vec(), 2, now);
-    assert!(choose_at(&table, &[], now + Duration::from_millis(1_900)).is_some());
+    table.on_store_away(now);
+    let learned = now + Duration::from_millis(1_900);
+    table.apply_changes(gone.to_vec(), 2, learned);
+    assert!(choose_at(&table, &[], learned + Duration::from_millis(1_900)).is_some());
+}
+
+#[test]
+fn upstreams_get_no_requests_after_their_removal_while_the_store_is_reachable() {
+    let now = Instant::now();
+    let long_ago = now.checked_sub(Duration::from_millis(2_100)).unwrap();
+    for store_away_at in [None, Some(long_ago)] {
+        let mut table = table_of(&["one", "two"], now);
+        if let Some(at) = store_away_at {
+            table.on_store_away(at);
+        }
+        let gone = ["one", "two"].map(|name| UpstreamChange::Gone(name.into()));
+        table.apply_changes(gone.to_vec(), 2, now);
+        assert_eq!(choose_at(&table, &[], now), None);
+    }
 }
 
 #[test]
 fn upstreams_get_no_requests_two_seconds_after_their_removal_even_if_all_were_removed() {
     let now = Instant::now();
     let mut table = table_of(&["one", "two"], now);
+    table.on_store_away(now);
     let gone = ["one", "two"].map(|name| UpstreamChange::Gone(name.into()));
     table.apply_changes(gone.to_vec(), 2, now);
     let later = now + Duration::from_millis(2_100);
