News of upstreams is asked of another peer soon, and not over a connection that was long idle

Cause: such a router learns of a leaving by one fetch at a time, over a connection to each peer that it keeps without end, and waits 0.8 s for each answer. Where open connections went silent without a reset, it met a dead one at peer after peer, 0.9 s each, though the trouble was long over. Change: a connection is used again only within 0.5 s of its last fetch, and where no copy of the upstreams has come after 150 ms another peer is asked beside, up to three at once; the first answer counts. A configuration may be large, so one copy of it is under way at a time, as before.

--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -1,7 +1,8 @@
 //! Fetches of newer configurations and lists of upstreams from other routers over HTTP.
 //!
 //! One loop fetches configurations and another one upstreams, so that neither waits for the other. Each loop
-//! owns its connections to peers and the results of its last fetches.
+//! owns its connections to peers and the results of its last fetches. A peer whose copy of the upstreams does not
+//! arrive soon is not waited for alone: another peer is asked beside it, and the first answer counts.
 //! `cloverpier_router_policy::version_fetch` decides from which peer to fetch, and when;
 //! [`crate::peer_serve`] serves the requests, and [`crate::peer_messages`] defines the replies.
 
@@ -21,16 +22,20 @@
 use cloverpier_core::jitter;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_fetch::{
-    COMPARE_PERIOD, FAILURE_PAUSE, FetchSources, FetchStep, LARGE_FLEET_COMPARE_PERIOD,
-    REMOTE_FETCH_DELAY, STALL_TIMEOUT, STORE_HEAD_START, UPSTREAM_FETCH_PAUSE,
+    COMPARE_PERIOD, FAILURE_PAUSE, FetchSources, FetchStep, HEDGE_DELAY,
+    LARGE_FLEET_COMPARE_PERIOD, MAX_CONCURRENT_FETCHES, REMOTE_FETCH_DELAY, REUSE_WINDOW,
+    STALL_TIMEOUT, STORE_HEAD_START, UPSTREAM_FETCH_PAUSE,
 };
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::StatusCode;
 use hyper::header::{ACCEPT, ACCEPT_ENCODING, HeaderMap, HeaderValue};
 use snafu::{ResultExt, Snafu};
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The fetch of a newer version from a peer failed.
 #[derive(Debug, Snafu)]
@@ -87,6 +92,32 @@
     }
 }
 
+/// The client for fetches from one peer.
+struct PeerClient {
+    http: Rc<HttpClient>,
+    /// When the last fetch from the peer began.
+    used_at: Instant,
+}
+
+/// A fetch from a peer that has ended.
+struct EndedFetch {
+    peer: SocketAddr,
+    /// From the first byte of the request to the end.
+    took: Duration,
+    /// The size of the reply's body in bytes.
+    result: Result<usize, FetchError>,
+}
+
+/// What a fetch brought.
+enum FetchOutcome {
+    /// A newer version, which is in force now.
+    Newer,
+    /// A refusal with a time, as the peer's link is busy.
+    Busy,
+    /// Nothing.
+    Failed,
+}
+
 /// The state of the loop that fetches one kind of data.
 struct Fetcher {
     router: Rc<Router>,
@@ -95,7 +126,7 @@
     /// The peers that are avoided after a failed fetch or a refusal.
     sources: FetchSources,
     /// One client for each peer, removed when a fetch from the peer fails.
-    clients: HashMap<SocketAddr, Rc<HttpClient>>,
+    clients: HashMap<SocketAddr, PeerClient>,
     /// Whether the last fetch failed; a refusal does not count.
     is_failing: bool,
 }
@@ -124,6 +155,11 @@
     }
 
     fn next_step(&mut self) -> FetchStep {
+        self.next_step_beside(&[])
+    }
+
+    /// The next step while fetches from the peers in `asked` are under way.
+    fn next_step_beside(&mut self, asked: &[SocketAddr]) -> FetchStep {
         let router = &self.router;
         let (now, timeout) = (router.now(), router.peer_timeout());
         let version = |peer: &PeerEntry| match self.watched {
@@ -134,17 +170,15 @@
         let peers = router
             .peers
             .versions(version, own_data_centre, now, timeout);
+        let others = peers.into_iter().filter(|p| !asked.contains(&p.peer));
         let mut rng = router.rng.borrow_mut();
         self.sources
-            .step(self.current_version(), peers, now, &mut rng)
+            .step(self.current_version(), others, now, &mut rng)
     }
 
     /// The version of the configuration, or the revision of the upstreams, in force at this router.
     fn current_version(&self) -> u64 {
-        match self.watched {
-            WatchedData::Configuration => self.router.store.configuration_version(),
-            WatchedData::Upstreams => self.router.upstreams.borrow().revision(),
-        }
+        current_version(&self.router, self.watched)
     }
 
     /// Waits for a random time between `wait` and twice as long, because all routers that the busy peers
@@ -154,30 +188,97 @@
         self.router.timers.sleep(spread).await;
     }
 
+    /// Fetches from a peer, and from further ones beside it while no copy has arrived, until one has or all fetches
+    /// have failed.
     async fn fetch_from(&mut self, peer: SocketAddr) {
-        let began = self.router.now();
-        let current_version = self.current_version();
-        let fetched = match self.watched {
-            WatchedData::Configuration => self.fetch_configuration(peer).await,
-            WatchedData::Upstreams => self.fetch_upstreams(peer).await,
-        };
-        let fetched = fetched.and_then(|bytes| {
-            let is_newer = self.current_version() > current_version;
-            is_newer.then_some(bytes).ok_or(FetchError::NotNewer)
-        });
+        let mut asked = vec![peer];
+        let mut has_failed = false;
+        let mut fetches = FuturesUnordered::new();
+        fetches.push(self.begin_fetch(peer));
+        let timers = self.router.timers.clone();
+        while !fetches.is_empty() {
+            let may_ask_another =
+                self.watched == WatchedData::Upstreams && asked.len() < MAX_CONCURRENT_FETCHES;
+            tokio::select! {
+                Some(ended) = fetches.next() => match self.on_ended(ended) {
+                    FetchOutcome::Newer => return,
+                    FetchOutcome::Busy => {}
+                    FetchOutcome::Failed => has_failed = true,
+                },
+                () = timers.sleep(HEDGE_DELAY), if may_ask_another => {
+                    if let FetchStep::Fetch(other) = self.next_step_beside(&asked) {
+                        asked.push(other);
+                        fetches.push(self.begin_fetch(other));
+                    }
+                }
+            }
+        }
+        if has_failed {
+            timers.sleep(FAILURE_PAUSE).await;
+        }
+    }
+
+    /// Begins a fetch from a peer, which applies what it brings.
+    fn begin_fetch(&mut self, peer: SocketAddr) -> impl Future<Output = EndedFetch> + use<> {
+        let client = self.client(peer);
+        let (router, watched) = (Rc::clone(&self.router), self.watched);
+        async move {
+            let began = router.now();
+            let known = current_version(&router, watched);
+            let fetched = match watched {
+                WatchedData::Configuration => fetch_configuration(&router, &client, peer).await,
+                WatchedData::Upstreams => fetch_upstreams(&router, &client, peer).await,
+            };
+            let result = fetched.and_then(|bytes| {
+                let is_newer = current_version(&router, watched) > known;
+                is_newer.then_some(bytes).ok_or(FetchError::NotNewer)
+            });
+            let took = router.now().saturating_duration_since(began);
+            EndedFetch { peer, took, result }
+        }
+    }
+
+    /// The client for a peer. One whose connection was not used for a while is replaced: it may have gone silent.
+    fn client(&mut self, peer: SocketAddr) -> Rc<HttpClient> {
         let now = self.router.now();
-        let took = now.saturating_duration_since(began);
-        match fetched {
-            Ok(bytes) => self.on_fetched(peer, bytes, took),
+        let is_fresh =
+            |client: &PeerClient| now.saturating_duration_since(client.used_at) < REUSE_WINDOW;
+        let kept = self
+            .clients
+            .get_mut(&peer)
+            .filter(|client| is_fresh(client));
+        if let Some(client) = kept {
+            client.used_at = now;
+            return Rc::clone(&client.http);
+        }
+        let timers = self.router.timers.clone();
+        let http = Rc::new(HttpClient::new(peer, STALL_TIMEOUT, timers));
+        let client = PeerClient {
+            http: Rc::clone(&http),
+            used_at: now,
+        };
+        self.clients.insert(peer, client);
+        http
+    }
+
+    /// Records the end of a fetch.
+    fn on_ended(&mut self, ended: EndedFetch) -> FetchOutcome {
+        let EndedFetch { peer, took, result } = ended;
+        match result {
+            Ok(bytes) => {
+                self.on_fetched(peer, bytes, took);
+                FetchOutcome::Newer
+            }
             Err(FetchError::Busy { wait }) => {
                 self.router.metrics.version_fetches.count("busy");
-                self.sources.on_busy(peer, wait, now);
+                self.sources.on_busy(peer, wait, self.router.now());
+                FetchOutcome::Busy
             }
             Err(error) => {
                 self.clients.remove(&peer);
-                self.sources.on_failed(peer, now);
+                self.sources.on_failed(peer, self.router.now());
                 self.on_failed(peer, &error, took);
-                self.router.timers.sleep(FAILURE_PAUSE).await;
+                FetchOutcome::Failed
             }
         }
     }
@@ -211,67 +312,79 @@
         };
         self.router.log.info("peer.fetch_failed", &line);
     }
+}
 
-    /// Fetches and applies the configuration; returns the size of the reply's body in bytes.
-    async fn fetch_configuration(&mut self, peer: SocketAddr) -> Result<usize, FetchError> {
-        let mut headers = HeaderMap::new();
-        headers.insert(ACCEPT_ENCODING, HeaderValue::from_static(GZIP));
-        let response = self.get(peer, CONFIGURATION_PATH, headers).await?;
-        let bytes = response.body.len();
-        let encoding = encoding_of(&response.headers);
-        let configuration = ConfigurationWithCopies::from_copy(response.body, encoding).await;
-        let configuration = configuration.context(CodecSnafu)?;
-        apply_configuration(&self.router, configuration, &format!("peer {peer}"));
-        Ok(bytes)
+/// The version of the configuration, or the revision of the upstreams, in force at a router.
+fn current_version(router: &Router, watched: WatchedData) -> u64 {
+    match watched {
+        WatchedData::Configuration => router.store.configuration_version(),
+        WatchedData::Upstreams => router.upstreams.borrow().revision(),
     }
+}
 
-    /// Fetches and applies changes of upstreams, or the whole list if this router has none; returns the size
-    /// of the reply's body in bytes.
-    async fn fetch_upstreams(&mut self, peer: SocketAddr) -> Result<usize, FetchError> {
-        let path = if self.router.store.has_upstreams() {
-            format!("{UPSTREAMS_PATH}?after={}", self.current_version())
-        } else {
-            UPSTREAMS_PATH.to_owned()
-        };
-        let mut headers = HeaderMap::new();
-        let form = HeaderValue::from_static(UPSTREAMS_WITH_STARTS);
-        headers.insert(ACCEPT, form);
-        headers.insert(ACCEPT_ENCODING, HeaderValue::from_static(GZIP));
-        let response = self.get(peer, &path, headers).await?;
-        let reply = match encoding_of(&response.headers) {
-            CopyEncoding::Plain => decode(&response.body),
-            CopyEncoding::Compressed => decompress(&response.body).and_then(|b| decode(&b)),
-        };
-        let reply = reply.context(CodecSnafu)?;
-        apply_upstreams_reply(&self.router, reply, &format!("peer {peer}"));
-        Ok(response.body.len())
-    }
+/// Fetches and applies the configuration; returns the size of the reply's body in bytes.
+async fn fetch_configuration(
+    router: &Router,
+    client: &HttpClient,
+    peer: SocketAddr,
+) -> Result<usize, FetchError> {
+    let mut headers = HeaderMap::new();
+    headers.insert(ACCEPT_ENCODING, HeaderValue::from_static(GZIP));
+    let response = get(client, CONFIGURATION_PATH, headers).await?;
+    let bytes = response.body.len();
+    let encoding = encoding_of(&response.headers);
+    let configuration = ConfigurationWithCopies::from_copy(response.body, encoding).await;
+    let configuration = configuration.context(CodecSnafu)?;
+    apply_configuration(router, configuration, &format!("peer {peer}"));
+    Ok(bytes)
+}
 
-    async fn get(
-        &mut self,
-        peer: SocketAddr,
-        path: &str,
-        headers: HeaderMap,
-    ) -> Result<HttpResponse, FetchError> {
-        let client = self.clients.entry(peer);
-        let timers = self.router.timers.clone();
-        let client =
-            client.or_insert_with(|| Rc::new(HttpClient::new(peer, STALL_TIMEOUT, timers)));
-        let bounds = DownloadTimeouts {
-            head: STALL_TIMEOUT,
-            stall: STALL_TIMEOUT,
-        };
-        let never = std::future::pending();
-        let response = client.download(path, headers, bounds, never).await;
-        let response = response.context(CallSnafu)?;
-        match response.status {
-            StatusCode::OK => Ok(response),
-            StatusCode::SERVICE_UNAVAILABLE => BusySnafu {
-                wait: retry_delay(&response.headers),
-            }
-            .fail(),
-            status => StatusSnafu { status }.fail(),
+/// Fetches and applies changes of upstreams, or the whole list if this router has none; returns the size
+/// of the reply's body in bytes.
+async fn fetch_upstreams(
+    router: &Router,
+    client: &HttpClient,
+    peer: SocketAddr,
+) -> Result<usize, FetchError> {
+    let path = if router.store.has_upstreams() {
+        let revision = router.upstreams.borrow().revision();
+        format!("{UPSTREAMS_PATH}?after={revision}")
+    } else {
+        UPSTREAMS_PATH.to_owned()
+    };
+    let mut headers = HeaderMap::new();
+    let form = HeaderValue::from_static(UPSTREAMS_WITH_STARTS);
+    headers.insert(ACCEPT, form);
+    headers.insert(ACCEPT_ENCODING, HeaderValue::from_static(GZIP));
+    let response = get(client, &path, headers).await?;
+    let reply = match encoding_of(&response.headers) {
+        CopyEncoding::Plain => decode(&response.body),
+        CopyEncoding::Compressed => decompress(&response.body).and_then(|b| decode(&b)),
+    };
+    let reply = reply.context(CodecSnafu)?;
+    apply_upstreams_reply(router, reply, &format!("peer {peer}"));
+    Ok(response.body.len())
+}
+
+async fn get(
+    client: &HttpClient,
+    path: &str,
+    headers: HeaderMap,
+) -> Result<HttpResponse, FetchError> {
+    let bounds = DownloadTimeouts {
+        head: STALL_TIMEOUT,
+        stall: STALL_TIMEOUT,
+    };
+    let never = std::future::pending();
+    let response = client.download(path, headers, bounds, never).await;
+    let response = response.context(CallSnafu)?;
+    match response.status {
+        StatusCode::OK => Ok(response),
+        StatusCode::SERVICE_UNAVAILABLE => BusySnafu {
+            wait: retry_delay(&response.headers),
         }
+        .fail(),
+        status => StatusSnafu { status }.fail(),
     }
 }
 
--- a/crates/router/cloverpier_router_policy/src/version_fetch.rs
+++ b/crates/router/cloverpier_router_policy/src/version_fetch.rs
@@ -14,6 +14,9 @@
 //! Traffic between data centres is expensive in a large fleet. So a router prefers peers in its own data
 //! centre. It fetches a list of upstreams from another data centre only after [`REMOTE_FETCH_DELAY`].
 //!
+//! A peer that does not hand over its upstreams soon may stand still: another one is asked beside it after
+//! [`HEDGE_DELAY`]. A configuration may be large and take longer, so only one copy of it is under way.
+//!
 //! Configuration and upstreams are fetched separately: the change of a leaving upstream is a few bytes and
 //! must not wait for a configuration.
 
@@ -27,6 +30,14 @@
 /// A fetch fails when no bytes arrive for this long. Its total time is not bounded, because such a bound
 /// could keep a large configuration from ever arriving over a shared link.
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a router waits for a copy of the upstreams from a peer before it asks another peer beside it. The peer may
+/// stand still, or the path to it, and the news of a leaving upstream must not wait for [`STALL_TIMEOUT`].
+pub const HEDGE_DELAY: Duration = Duration::from_millis(150);
+/// Maximum number of peers from which a router fetches the same news at once.
+pub const MAX_CONCURRENT_FETCHES: usize = 3;
+/// How long after a fetch its connection is used for another one. An open connection may go silent without a reset,
+/// which shows only when an answer is missing.
+pub const REUSE_WINDOW: Duration = Duration::from_millis(500);
 /// Interval at which a router of a small fleet compares its versions with those of its peers, even if no
 /// heartbeat reported a newer one.
 pub const COMPARE_PERIOD: Duration = Duration::from_millis(500);
