A peer inside a gap that a whole list has bridged gets the list, not the difference to another table

A peer that had heard of an upstream in between, which is gone by then, is told nothing of the removal and has the newest revision, so it sends there from then on and asks nobody. The table now keeps the ranges that a list has bridged; who stands inside one fetches the whole list. The new test was red before (changes_after(11) gave no changes); open: the same second-hand, where a peer passes on such a difference that it was given (the message does not say what it was made from).

--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -32,6 +32,9 @@
 /// changes as upstreams are kept. A peer that is further behind fetches the whole list, which is no
 /// larger than the missing changes.
 const MIN_CHANGES_KEPT: usize = 1_024;
+/// Maximum number of ranges that are kept of revisions that a whole list has passed. A peer that is further behind
+/// fetches the whole list.
+const MAX_PASSED_RANGES: usize = 64;
 /// How long the state of an upstream is kept after its entry was removed: longer than
 /// [`crate::suspicion::RELIST_WINDOW`], in which the entry may return, and longer than most requests
 /// that are in flight there.
@@ -58,6 +61,9 @@
     changes: VecDeque<(u64, UpstreamChange)>,
     /// `changes` contains every change after this revision.
     changes_since: u64,
+    /// Ranges of revisions that this router has passed by reading the whole list again, from the revision before to that
+    /// of the list. What happened in between is known only as the difference between the two.
+    passed_by_list: VecDeque<(u64, u64)>,
     /// Upstreams of whose pace peers have to be told.
     pace_news: BTreeSet<UpstreamKey>,
     /// Services of which an upstream has stated its pace.
@@ -223,12 +229,15 @@
             return AppliedUpdate::default();
         }
         let is_first = self.revision == 0;
+        let former_revision = self.revision;
         let changes = self.changes_to_match(upstreams);
         let applied = self.apply_all(changes, revision, now);
         if is_first {
             // The changes before the first list are unknown.
             self.changes.clear();
             self.changes_since = revision;
+        } else {
+            self.passed_by_list.push_back((former_revision, revision));
         }
         self.trim_changes();
         self.delist_missing(now);
@@ -323,11 +332,22 @@
                 self.changes_since = revision;
             }
         }
+        let since = self.changes_since;
+        self.passed_by_list.retain(|(_, to)| *to > since);
+        while self.passed_by_list.len() > MAX_PASSED_RANGES {
+            if let Some((_, to)) = self.passed_by_list.pop_front() {
+                self.changes_since = self.changes_since.max(to);
+            }
+        }
     }
 
-    /// The changes after a revision; `None` if some of them are no longer kept.
+    /// The changes after a revision; `None` if some of them are not known or no longer kept.
+    ///
+    /// A peer whose revision this router has passed by reading the whole list again may know upstreams that were listed
+    /// and removed in between, of which the changes say nothing.
     pub fn changes_after(&self, revision: u64) -> Option<Vec<UpstreamChange>> {
-        if revision < self.changes_since {
+        let is_inside = |(from, to): &(u64, u64)| *from < revision && revision < *to;
+        if revision < self.changes_since || self.passed_by_list.iter().any(is_inside) {
             return None;
         }
         let newer = self.changes.iter().filter(|(at, _)| *at > revision);
--- a/crates/router/cloverpier_router_policy/tests/versions.rs
+++ b/crates/router/cloverpier_router_policy/tests/versions.rs
@@ -100,9 +100,8 @@
     assert_eq!(pacing.step(62_500, link, later), CopyStep::Refuse(ms(100)));
 }
 
-#[test]
-fn a_second_list_is_available_to_peers_as_changes() {
-    let upstream = |name: &str, port: u16| Upstream {
+fn upstream(name: &str, port: u16) -> Upstream {
+    Upstream {
         name: cloverpier_core::UpstreamName::new(name),
         service: cloverpier_core::ServiceName::new("drafts"),
         address: peer(port),
@@ -110,7 +109,11 @@
         slots: 64,
         draining: false,
         start: None,
-    };
+    }
+}
+
+#[test]
+fn a_second_list_is_available_to_peers_as_changes() {
     let now = Instant::now();
     let mut table = UpstreamTable::default();
     let first_list = vec![upstream("one", 1), upstream("two", 2), upstream("three", 3)];
@@ -137,6 +140,25 @@
     assert_eq!(table.changes_after(20), Some(Vec::new()));
 }
 
+#[test]
+fn a_peer_that_knows_more_than_the_list_before_gets_the_second_list_whole() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    table.apply_list(vec![upstream("one", 1)], 10, now);
+    // The watch of this router is deaf. A peer hears that "two" is listed, at 12; it is removed at 19.
+    table.apply_list(vec![upstream("one", 1)], 20, now);
+    assert_eq!(table.changes_after(10), Some(Vec::new()));
+    for inside in [11, 12, 19] {
+        assert_eq!(table.changes_after(inside), None, "{inside}");
+    }
+    let listed = vec![UpstreamChange::Listed(upstream("three", 3))];
+    table.apply_changes(listed.clone(), 25, now);
+    assert_eq!(table.changes_after(12), None);
+    assert_eq!(table.changes_after(20), Some(listed.clone()));
+    // The changes of a watch are complete from wherever a peer stands.
+    assert_eq!(table.changes_after(22), Some(listed));
+}
+
 #[test]
 fn a_peer_in_the_same_data_centre_is_preferred() {
     let mut fetch = FetchHarness::new();
