A successor that a reachable store doesn't list is used for a second, not until the list changes

A process found at a dead upstream's address is used before its entry is known. It counted as removed only once two list versions had come without it, 2 s apart; on a quiet store none comes, so one whose entry came and went while the watches were deaf, or that is leaving and was never known here, got requests without end. Now the time of a reachable store counts: 1 s, or the 2 s that the platform gives upstreams to register after an outage, from its end. Two tests of the policy; the first one can't be stated on the code before, which asks no clock.

--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -247,6 +247,7 @@
     let ttl = load_ttl(router.peer_timeout());
     let mut table = router.upstreams.borrow_mut();
     table.peer_load.remove_expired(now, ttl);
+    table.expire_unlisted(router.store.has_contact(), now);
     router.peers.remove_expired(now);
     router.list_copies.borrow_mut().remove_expired(now);
 }
--- a/crates/router/cloverpier_router_policy/src/suspicion.rs
+++ b/crates/router/cloverpier_router_policy/src/suspicion.rs
@@ -53,6 +53,9 @@
 /// Time within which running upstreams whose entries expired during an outage of the platform's store
 /// are listed again after the outage: the platform guarantees two seconds.
 pub const RELIST_WINDOW: Duration = Duration::from_millis(2_000);
+/// How long a successor is used that a reachable store does not list. A starting upstream registers at once, and the news
+/// of an entry takes half a second.
+pub(crate) const UNLISTED_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time after an outage of the platform's store within which a router learns of the entries that expired during the
 /// outage. An entry that is found removed later was removed while the store was reachable, so its upstream leaves.
 pub(crate) const EXPIRY_WINDOW: Duration = Duration::from_millis(2_000);
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -13,7 +13,7 @@
 use crate::load::Load;
 use crate::pace::Pace;
 use crate::silence::{UNRESPONSIVE_AFTER, UNRESPONSIVE_FOR};
-use crate::suspicion::{PEER_SUSPICION_TTL, RELIST_WINDOW, Suspicion};
+use crate::suspicion::{PEER_SUSPICION_TTL, RELIST_WINDOW, Suspicion, UNLISTED_PERIOD};
 use cloverpier_core::{
     DataCentre, ServiceName, SoftwareVersion, UpstreamName, WaitPeriod, hash_of,
 };
@@ -128,6 +128,10 @@
     /// When the first list version without the upstream arrived. From then on the store is
     /// reachable and the upstream is expected to register.
     missing_since: Option<Instant>,
+    /// Since when the store has been reachable without a break, as far as was seen; `None` while it is not.
+    reachable_since: Option<Instant>,
+    /// Whether the store was unreachable at some time since the upstream was added.
+    was_away: bool,
 }
 
 impl NotYetListed {
@@ -139,6 +143,23 @@
         let since = *self.missing_since.get_or_insert(now);
         now.saturating_duration_since(since) > RELIST_WINDOW
     }
+
+    /// Records whether the store is reachable at present. Returns whether the upstream counts as removed: a reachable
+    /// store lists a running upstream soon, and one whose entry came and went unseen is never listed again.
+    pub fn on_store_contact(&mut self, is_reachable: bool, now: Instant) -> bool {
+        if !is_reachable {
+            self.was_away = true;
+            self.reachable_since = None;
+            return false;
+        }
+        let since = *self.reachable_since.get_or_insert(now);
+        let allowed = if self.was_away {
+            RELIST_WINDOW
+        } else {
+            UNLISTED_PERIOD
+        };
+        now.saturating_duration_since(since) > allowed
+    }
 }
 
 /// How an upstream stands with the platform's list and its own announcements, as logged with a choice.
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -325,6 +325,17 @@
         }
     }
 
+    /// Marks successors as removed that a reachable store has not listed for too long. To be called periodically;
+    /// `is_reachable` is whether this router or a peer reaches the store at present.
+    pub fn expire_unlisted(&mut self, is_reachable: bool, now: Instant) {
+        for state in self.upstreams.values_mut() {
+            let not_yet_listed = state.not_yet_listed.as_mut();
+            if not_yet_listed.is_some_and(|mark| mark.on_store_contact(is_reachable, now)) {
+                state.on_removed(false, now);
+            }
+        }
+    }
+
     fn trim_changes(&mut self) {
         let kept = self.upstreams.len().max(MIN_CHANGES_KEPT);
         while self.changes.len() > kept {
--- a/crates/router/cloverpier_router_policy/tests/successor.rs
+++ b/crates/router/cloverpier_router_policy/tests/successor.rs
@@ -145,6 +145,35 @@
     assert!(!is_usable(&table, "next"));
 }
 
+#[test]
+fn a_successor_that_a_reachable_store_does_not_list_gets_no_requests_for_long() {
+    let now = Instant::now();
+    let mut table = table(now);
+    table.add_successor(&"former".into(), upstream("next", 9_000));
+    for passed in [0, 1_000] {
+        table.expire_unlisted(true, now + ms(passed));
+        assert!(is_usable(&table, "next"), "{passed}");
+    }
+    table.expire_unlisted(true, now + ms(1_001));
+    assert!(!is_usable(&table, "next"));
+}
+
+#[test]
+fn a_successor_has_two_seconds_to_register_after_an_outage_of_the_store() {
+    let now = Instant::now();
+    let mut table = table(now);
+    table.add_successor(&"former".into(), upstream("next", 9_000));
+    table.expire_unlisted(true, now);
+    table.expire_unlisted(false, now + ms(250));
+    table.expire_unlisted(false, now + ms(9_000));
+    for passed in [9_250, 11_250] {
+        table.expire_unlisted(true, now + ms(passed));
+        assert!(is_usable(&table, "next"), "{passed}");
+    }
+    table.expire_unlisted(true, now + ms(11_251));
+    assert!(!is_usable(&table, "next"));
+}
+
 #[test]
 fn a_successor_that_is_listed_later_is_sent_to_peers_with_the_list() {
     let now = Instant::now();
