The store keeps a record of each service's versions, so that one listed version proves nothing by itself

Callers saw: streams taken up after all routers were killed were answered 200 and joined from two versions. Cause: a router without a past took 'no mark in the store' for 'there was no other version'. A mark was set after the second version was listed, by a timer of 0.5 s; if all routers die before, and the engines of one version end with them, nothing is left that tells. Class: the absence of evidence counted as evidence. A router that starts takes recorded versions for listed ones. A new version begins no streams for a second, in which the record is written. The marks stay, for the release before. Open: a store that turns the record's writes away until a version begins streams, which dies then.

--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -137,7 +137,7 @@
     pub use crate::source::{
         ConfigurationChange, ConfigurationSource, EntryChange, Freshness, MixedServiceMarks,
         PagePosition, RolloutChange, RolloutChanges, RolloutStatus, SourceError, StatusWriteResult,
-        StoredRollout, UnreadableEntry, UpstreamChanges, UpstreamList, UpstreamPage,
+        StoredRollout, UnreadableEntry, UpstreamChanges, UpstreamList, UpstreamPage, VersionRecord,
     };
     pub use crate::start::{StartError, run_router};
     pub use crate::wire_names::{HeaderNames, Paths, ResponseParts, TokenCounts, WireNames};
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -8,6 +8,7 @@
 use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_router_policy::prelude::*;
 use snafu::Snafu;
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::time::Duration;
 
@@ -230,8 +231,31 @@
     ) -> impl Future<Output = Result<StatusWriteResult, SourceError>>;
 }
 
-/// Marks in the platform's store, one for each service that has had upstreams of several software versions recently.
+/// The software versions of a service that may have begun the streams of its callers, as the platform's store keeps them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionRecord {
+    /// The service.
+    pub service: ServiceName,
+    /// All versions that were listed for as long as a stream may last.
+    pub versions: BTreeSet<StreamVersion>,
+    /// The revision of the stored record; `None` for a record that is not stored yet.
+    pub revision: Option<u64>,
+}
+
+/// What the platform's store keeps of the software versions that services have had recently: a mark for each service that
+/// has had several, and a record of the versions of each service.
 pub trait MixedServiceMarks {
+    /// Reads the records of all services.
+    fn read_version_records(&self)
+    -> impl Future<Output = Result<Vec<VersionRecord>, SourceError>>;
+
+    /// Writes a record if the stored one still has the revision that `record` names, or if there is none and it names none.
+    /// Returns the new revision; `None` if the stored record is another one.
+    fn write_version_record(
+        &self,
+        record: &VersionRecord,
+    ) -> impl Future<Output = Result<Option<u64>, SourceError>>;
+
     /// Reads the services that are marked.
     ///
     /// # Errors
--- a/crates/router/cloverpier_router/src/stream_origins/marks.rs
+++ b/crates/router/cloverpier_router/src/stream_origins/marks.rs
@@ -1,41 +1,61 @@
-//! Marks in the platform's store for the services that have had upstreams of several software versions.
+//! What the platform's store keeps of the software versions of services, for routers that start.
 //!
 //! A router that has just started has the list of upstreams and not its past. If all routers were killed at the same
-//! time, no peer has the past either, and without the marks no router could prove that a service has had one version for
-//! longer than any stream lasts. The routers that watch the store write a mark when a service gets a second version, and
-//! remove it when the service has had one for long enough. Nothing is written while all services have one version. Owns
-//! no state: `cloverpier_router_policy::stream_version::history` has it.
+//! time, no peer has the past either. So the routers that watch the store keep a record there of the versions that each
+//! service has, or has had for as long as a stream may last. It is written when a version is listed for the first time, and
+//! when a version has not been listed for long enough; on other days nothing is written. A router that starts takes the
+//! recorded versions for listed ones, so that one listed version proves nothing while the record names another.
+//!
+//! Services that have had several versions have a mark besides, which releases without records rely on. Owns no state:
+//! `cloverpier_router_policy::stream_version::history` has it.
 
 use crate::decision_log::log_named_event;
 use crate::router::Router;
-use crate::source::{MixedServiceMarks, SourceError};
+use crate::source::{MixedServiceMarks, SourceError, VersionRecord};
 use cloverpier_core::ServiceName;
-use std::collections::BTreeSet;
+use cloverpier_router_policy::prelude::StreamVersion;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How often a watcher compares the marks with the versions that are listed.
+/// How often a watcher compares marks and records with the versions that are listed, if no new version wakes it.
 const MARK_PERIOD: Duration = Duration::from_millis(500);
 
-/// Reads the marks, unless this router has read them before. A failure is logged, and the next call reads them.
+/// Reads marks and records, unless this router has read them before. A failure is logged, and the next call reads them.
 pub(crate) async fn read_marks(router: &Router, source: &impl MixedServiceMarks) {
     if router.version_history.borrow().knows_past() {
         return;
     }
+    let records = match source.read_version_records().await {
+        Ok(records) => records,
+        Err(error) => return log_failure(router, "read", &error),
+    };
     match source.read_marks().await {
         Ok(marked) => {
+            let now = router.now();
             let mut history = router.version_history.borrow_mut();
-            history.on_marks_read(&marked, router.now());
+            for record in records {
+                history.on_versions_recorded(&record.service, record.versions, now);
+            }
+            history.on_marks_read(&marked, now);
         }
         Err(error) => log_failure(router, "read", &error),
     }
 }
 
-/// Writes and removes marks while this router watches the store, until the process ends.
+/// Writes and removes marks, and writes records, while this router watches the store, until the process ends.
 pub(crate) async fn keep_marks(router: Rc<Router>, source: Rc<impl MixedServiceMarks>) {
     let mut keeper = MarkKeeper::default();
+    let mut records = RecordKeeper::default();
     loop {
-        router.timers.sleep(MARK_PERIOD).await;
+        tokio::select! {
+            () = router.timers.sleep(MARK_PERIOD) => {}
+            () = router.stream_origins.version_listed() => {}
+        }
+        records.observe(&router);
+        if may_write(&router) && watches_already(&router) {
+            records.write(&router, &*source).await;
+        }
         let mixed = mixed_services(&router);
         keeper.seen_mixed.extend(mixed.iter().cloned());
         if may_write(&router) {
@@ -93,6 +113,96 @@
     }
 }
 
+/// The task's knowledge of the records in the store.
+#[derive(Debug, Default)]
+struct RecordKeeper {
+    /// The stored records as last read or written; `None` before the first read, and after another router's write.
+    stored: Option<HashMap<ServiceName, VersionRecord>>,
+    /// All versions that this router has known of each service. Those that it has forgotten may leave the record.
+    seen: HashMap<ServiceName, BTreeSet<StreamVersion>>,
+}
+
+impl RecordKeeper {
+    fn observe(&mut self, router: &Router) {
+        let history = router.version_history.borrow();
+        for service in resumable_services(router) {
+            let seen = self.seen.entry(service.clone()).or_default();
+            seen.extend(history.versions(&service));
+        }
+    }
+
+    async fn write(&mut self, router: &Router, source: &impl MixedServiceMarks) {
+        if let Err(error) = self.try_write(router, source).await {
+            log_failure(router, "record", &error);
+        }
+    }
+
+    async fn try_write(
+        &mut self,
+        router: &Router,
+        source: &impl MixedServiceMarks,
+    ) -> Result<(), SourceError> {
+        if self.stored.is_none() {
+            let records = source.read_version_records().await?.into_iter();
+            self.stored = Some(records.map(|r| (r.service.clone(), r)).collect());
+        }
+        for service in resumable_services(router) {
+            let Some(record) = self.changed_record(router, &service) else {
+                continue;
+            };
+            match source.write_version_record(&record).await? {
+                Some(revision) => {
+                    let revision = Some(revision);
+                    let stored = self.stored.get_or_insert_default();
+                    stored.insert(service, VersionRecord { revision, ..record });
+                }
+                None => {
+                    self.stored = None;
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The record of a service as it should be; `None` if the stored one is so. It keeps versions that this router has
+    /// never known, as another router may have recorded them just now.
+    fn changed_record(&self, router: &Router, service: &ServiceName) -> Option<VersionRecord> {
+        let current = router.version_history.borrow().versions(service);
+        let stored = self.stored.as_ref()?.get(service);
+        let recorded = stored.map_or_else(BTreeSet::new, |record| record.versions.clone());
+        let seen = self.seen.get(service);
+        let is_over =
+            |v: &StreamVersion| !current.contains(v) && seen.is_some_and(|seen| seen.contains(v));
+        let kept = recorded.iter().filter(|version| !is_over(version));
+        let versions: BTreeSet<StreamVersion> = kept.chain(&current).cloned().collect();
+        let is_changed = versions != recorded && !versions.is_empty();
+        is_changed.then(|| VersionRecord {
+            service: service.clone(),
+            versions,
+            revision: stored.and_then(|record| record.revision),
+        })
+    }
+}
+
+/// The configured services whose streams callers may resume.
+fn resumable_services(router: &Router) -> Vec<ServiceName> {
+    let Some(configuration) = router.store.configuration() else {
+        return Vec::new();
+    };
+    let services = configuration.unindexed().services.iter();
+    let resumable = services.filter(|s| configuration.has_resumable_streams(&s.name));
+    resumable.map(|service| service.name.clone()).collect()
+}
+
+/// Whether the routers that watch the store have been decided since the start of this router.
+fn watches_already(router: &Router) -> bool {
+    router
+        .store
+        .watches_from()
+        .is_some_and(|at| router.now() >= at)
+}
+
 /// Whether this router watches the store, reaches it, and has read the marks.
 fn may_write(router: &Router) -> bool {
     let store = &router.store;
--- a/crates/router/cloverpier_router/src/stream_origins/mod.rs
+++ b/crates/router/cloverpier_router/src/stream_origins/mod.rs
@@ -9,7 +9,7 @@
 //! | finds out which version began a stream that a caller resumes | [`lookup`] |
 //! | handles the messages of peers | [`serve`] |
 //! | messages that wait for replies | [`pending`] |
-//! | informs routers that start later of the services that had several versions | [`marks`] |
+//! | informs routers that start later of the versions that services had | [`marks`] |
 //!
 //! [`StreamOrigins`] owns the records that this router holds, the streams that it relays, and the messages that wait for
 //! replies.
@@ -51,6 +51,8 @@
     queries: PendingMessages<(SocketAddr, LookupReply)>,
     /// Wakes the task that sends the records of all relayed streams.
     refresh_due: Notify,
+    /// Wakes the task that records versions in the store.
+    version_listed: Notify,
 }
 
 impl StreamOrigins {
@@ -63,6 +65,7 @@
             unacknowledged: PendingMessages::new(first_number),
             queries: PendingMessages::new(first_number),
             refresh_due: Notify::new(),
+            version_listed: Notify::new(),
         }
     }
 
@@ -70,6 +73,18 @@
     pub fn refresh_now(&self) {
         self.refresh_due.notify_one();
     }
+
+    /// Handles a version of a service that was not listed before: streams that began without a record need one from now
+    /// on, and the store has to know the version.
+    pub fn on_version_listed(&self) {
+        self.refresh_now();
+        self.version_listed.notify_one();
+    }
+
+    /// Waits until a version is listed that was not before.
+    pub async fn version_listed(&self) {
+        self.version_listed.notified().await;
+    }
 }
 
 /// Keeps the record of a relayed stream at its holders until it is dropped.
--- a/crates/router/cloverpier_router/src/upstream_updates.rs
+++ b/crates/router/cloverpier_router/src/upstream_updates.rs
@@ -95,7 +95,6 @@
     let mut history = router.version_history.borrow_mut();
     let has_new = history.on_listed(table.version_counts(), table.revision(), now);
     if has_new {
-        // Streams that began without a record need one from now on.
-        router.stream_origins.refresh_now();
+        router.stream_origins.on_version_listed();
     }
 }
--- a/crates/router/cloverpier_router_policy/src/stream_version/history.rs
+++ b/crates/router/cloverpier_router_policy/src/stream_version/history.rs
@@ -9,7 +9,9 @@
 //!   [`MAX_CONFIRMATION_AGE`], and each router lets a new version begin no streams for [`NEW_VERSION_HOLD`], which is
 //!   longer, unless all routers that it knows have reported a list with that version. The claim also needs the past: no
 //!   other version may have served within [`STREAM_LIFETIME`]. A router that has just started does not know the past,
-//!   and learns it from other routers or from marks in the store.
+//!   and learns it from other routers, or from the store, which keeps a record of the versions of each service. A version that
+//!   is in the record counts as listed until recently. A service without a record has had no streams, because its record is
+//!   written as soon as its upstreams are listed.
 //!
 //! [`VersionHistory`] owns the versions of each service with the times at which they were listed.
 
@@ -18,7 +20,7 @@
 use crate::upstream::Upstream;
 use cloverpier_core::{ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Longer than any stream lasts, with all requests by which its caller resumes it. Routes allow 25 s.
@@ -30,6 +32,9 @@
 /// How long a newly listed version begins no streams: longer than [`MAX_CONFIRMATION_AGE`], by more than a datagram
 /// with a claim is under way.
 pub const NEW_VERSION_HOLD: Duration = MAX_CONFIRMATION_AGE.saturating_add(Duration::from_secs(1));
+/// How long a newly listed version begins no streams even if all routers know it: the time in which the routers that watch
+/// the store record it there, with a call that fails and is repeated. If all routers die, that record is what is left.
+pub const RECORD_TIME: Duration = Duration::from_secs(1);
 /// How long a newly listed version without an order of a roll-out receives no requests. The store's watches return
 /// within about 10 ms, and all peers have the order within three heartbeats (0.2 s each by default); the rest is for a
 /// call that fails and is repeated.
@@ -177,6 +182,31 @@
         self.knows_past = true;
     }
 
+    /// Records the versions of a service by the store's record, as if they were listed now: until recently they may have
+    /// been, before this router's first list.
+    pub fn on_versions_recorded(
+        &mut self,
+        service: &ServiceName,
+        versions: impl IntoIterator<Item = StreamVersion>,
+        now: Instant,
+    ) {
+        let known = self.services.entry(service.clone()).or_default();
+        for version in versions {
+            let unlisted = VersionTimes {
+                first: None,
+                last: now,
+            };
+            known.versions.entry(version).or_insert(unlisted);
+        }
+    }
+
+    /// The versions of a service that are listed, or were within [`STREAM_LIFETIME`].
+    pub fn versions(&self, service: &ServiceName) -> BTreeSet<StreamVersion> {
+        let known = self.services.get(service);
+        let versions = known.into_iter().flat_map(|known| known.versions.keys());
+        versions.cloned().collect()
+    }
+
     /// Whether the store's marks have been read.
     pub fn knows_past(&self) -> bool {
         self.knows_past
@@ -233,7 +263,8 @@
         let is_held = |first: &FirstListing| {
             let is_recent = now.saturating_duration_since(first.at) < NEW_VERSION_HOLD;
             let is_known_to_all = lowest_peer_revision.is_some_and(|r| r >= first.revision);
-            is_recent && !is_known_to_all
+            let is_recorded = now.saturating_duration_since(first.at) >= RECORD_TIME;
+            is_recent && !(is_known_to_all && is_recorded)
         };
         self.first_listings(service)
             .filter(|(_, first)| is_held(first))
--- a/crates/router/cloverpier_router_policy/tests/stream_records.rs
+++ b/crates/router/cloverpier_router_policy/tests/stream_records.rs
@@ -5,7 +5,7 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::store_watch::ReadyPeer;
 use cloverpier_router_policy::stream_version::history::{
-    MAX_CONFIRMATION_AGE, NEW_VERSION_HOLD, STREAM_LIFETIME, VersionCounts,
+    MAX_CONFIRMATION_AGE, NEW_VERSION_HOLD, RECORD_TIME, STREAM_LIFETIME, VersionCounts,
 };
 use cloverpier_router_policy::stream_version::holders::{HOLDERS, HolderCandidates};
 use cloverpier_router_policy::stream_version::lookup::{
@@ -107,14 +107,40 @@
 }
 
 #[test]
-fn a_version_that_all_routers_have_reported_is_not_held() {
+fn a_version_that_all_routers_have_reported_is_held_until_the_store_can_have_its_record() {
     let now = Instant::now();
     let mut history = settled(now);
     history.on_listed(&list(&[("v1", 4), ("v2", 1)]), 11, now);
-    let held = |lowest| history.held_for_streams(&service(), lowest, now);
-    assert_eq!(held(None), [version("v2")]);
-    assert_eq!(held(Some(10)), [version("v2")]);
-    assert!(held(Some(11)).is_empty());
+    let held = |lowest, at| history.held_for_streams(&service(), lowest, at);
+    let before = now + RECORD_TIME - Duration::from_millis(1);
+    for at in [now, before] {
+        assert_eq!(held(Some(11), at), [version("v2")]);
+    }
+    let after = now + RECORD_TIME;
+    assert_eq!(held(None, after), [version("v2")]);
+    assert_eq!(held(Some(10), after), [version("v2")]);
+    assert!(held(Some(11), after).is_empty());
+}
+
+#[test]
+fn one_listed_version_proves_nothing_while_the_store_has_another_one_on_record() {
+    let now = Instant::now();
+    for (recorded, is_proven) in [
+        (vec!["v1"], true),
+        (vec!["v2"], false),
+        (vec!["v2", "v1"], false),
+    ] {
+        let mut history = VersionHistory::default();
+        history.on_listed(&list(&[("v1", 4)]), 11, now);
+        let versions = recorded.iter().map(|name| version(name));
+        history.on_versions_recorded(&service(), versions, now);
+        history.on_marks_read(&[], now);
+        assert_eq!(proves(&history, now, now), is_proven, "{recorded:?}");
+        // A recorded version counts as long as a stream may last.
+        let later = now + STREAM_LIFETIME;
+        history.on_listed(&list(&[("v1", 4)]), 11, later);
+        assert!(proves(&history, later, later), "{recorded:?}");
+    }
 }
 
 #[test]
