--- a/crates/standins/cloverpier_router_standin/src/answers.rs
+++ b/crates/standins/cloverpier_router_standin/src/answers.rs
@@ -34,6 +34,23 @@
     Reset,
     /// Says nothing more.
     Hang,
+    /// Repeats these bytes until the other side closes.
+    Repeat(&'static [u8]),
+}
+
+/// A line of a head that never ends.
+pub(crate) const ENDLESS_LINE: &[u8] = b"x-more: and more, and more, and more, and more\r\n";
+/// A part of a body that never ends.
+pub(crate) const ENDLESS_TEXT: &[u8] = &[b'x'; 16 * 1024];
+/// An event of a stream that never ends.
+const ENDLESS_EVENT: &[u8] = b"data: and more\n\n";
+
+/// Writes the same bytes until the other side closes.
+pub(crate) async fn repeat(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<bool> {
+    let many = bytes.repeat((64 * 1024 / bytes.len()).max(1));
+    loop {
+        stream.write_all(&many).await?;
+    }
 }
 
 /// Answers a plain request; false when the connection is to end.
@@ -54,6 +71,7 @@
             std::future::pending::<()>().await;
             Ok(false)
         }
+        Then::Repeat(bytes) => repeat(stream, bytes).await,
     }
 }
 
@@ -88,6 +106,24 @@
             (answer, Then::Keep)
         }
         Some(Fault::Unsigned) => (answer_bytes(200, &with(&id), body.as_bytes()), Then::Keep),
+        Some(Fault::EndlessHead) => {
+            let line = b"HTTP/1.1 200 OK\r\n".to_vec();
+            (line, Then::Repeat(ENDLESS_LINE))
+        }
+        Some(Fault::EndlessBody) => {
+            let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", header_lines(&signed));
+            (head.into_bytes(), Then::Repeat(ENDLESS_TEXT))
+        }
+        Some(Fault::EndlessFailure) => {
+            let lines = header_lines(&signed);
+            let head = format!("HTTP/1.1 500 Status\r\n{lines}\r\n");
+            (head.into_bytes(), Then::Repeat(ENDLESS_TEXT))
+        }
+        Some(Fault::EndlessEvents) => {
+            let lines = header_lines(&signed);
+            let head = format!("HTTP/1.1 200 OK\r\n{lines}content-type: text/event-stream\r\n\r\n");
+            (head.into_bytes(), Then::Repeat(ENDLESS_EVENT))
+        }
         Some(Fault::Surplus) => {
             let surplus = answer_bytes(200, &[wrong_id, signature], b"more");
             ([whole(), surplus].concat(), Then::Keep)
--- a/crates/standins/cloverpier_router_standin/src/caller.rs
+++ b/crates/standins/cloverpier_router_standin/src/caller.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::timeout;
 
 /// A request of a caller.
@@ -108,6 +108,30 @@
     StreamOutcome { outcome, origin }
 }
 
+/// Sends a request over a new connection, and reads whatever comes until the connection ends; returns how many bytes came,
+/// and `None` where it does not end within `patience`.
+pub async fn read_to_end(
+    router: SocketAddr,
+    names: &HeaderNames,
+    request: &CallerRequest,
+    patience: Duration,
+) -> Option<usize> {
+    let reading = async {
+        let mut stream = TcpStream::connect(router).await.ok()?;
+        let text = request_text(names, request);
+        stream.write_all(text.as_bytes()).await.ok()?;
+        let (mut count, mut bytes) = (0, vec![0; 64 * 1024]);
+        loop {
+            match stream.read(&mut bytes).await {
+                // A reset ends the connection, too.
+                Ok(0) | Err(_) => return Some(count),
+                Ok(read) => count += read,
+            }
+        }
+    };
+    timeout(patience, reading).await.ok().flatten()
+}
+
 /// A connection that a caller keeps for plain requests.
 #[derive(Debug)]
 pub struct KeptConnection {
--- a/crates/standins/cloverpier_router_standin/src/ledger.rs
+++ b/crates/standins/cloverpier_router_standin/src/ledger.rs
@@ -31,6 +31,14 @@
     Fail,
     /// Its answer has no length and ends with the connection, in the middle.
     ResetUnframed,
+    /// The head of its answer never ends.
+    EndlessHead,
+    /// The body of its answer never ends; of a stream, in one event.
+    EndlessBody,
+    /// The same, of a failure of its own.
+    EndlessFailure,
+    /// Its stream never ends, in whole events.
+    EndlessEvents,
 }
 
 /// What the upstreams of a test did, in one place.
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -36,6 +36,15 @@
     pub may_wait: u32,
 }
 
+/// The part of an answer that never ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// The head.
+    Head,
+    /// The body.
+    Body,
+}
+
 /// A running upstream; it ends with its owner.
 #[derive(Debug)]
 pub struct UpstreamStandIn {
@@ -228,6 +237,11 @@
         lock(&self.state).stated_load = stated;
     }
 
+    /// Has its answers to questions, such as health checks, never end; `None` ends that.
+    pub fn set_endless_questions(&self, endless: Option<Endless>) {
+        lock(&self.state).endless_questions = endless;
+    }
+
     /// Has it do no work on requests, or go on. Meanwhile it answers questions, and nothing that it would write for a
     /// request is written; it does not notice that callers leave.
     pub fn set_paused(&self, is_paused: bool) {
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -1,9 +1,12 @@
 //! How an upstream answers its connections: questions, refusals, runs.
 
+use super::Endless;
 use super::Engine;
 use super::engine::{Place, StreamDemand};
 use super::state::{State, note_run};
-use crate::answers::{answer_plainly, asked_length, stream_events, write_answer};
+use crate::answers::{
+    ENDLESS_LINE, ENDLESS_TEXT, answer_plainly, asked_length, repeat, stream_events, write_answer,
+};
 use crate::http::{Head, read_body, read_head};
 use crate::ledger::{CrashingArrival, Fault, Said, SharedLedger};
 use crate::moment::now;
@@ -14,6 +17,7 @@
 use std::io;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::watch;
 
 /// Says for how many seconds an upstream wants nothing.
@@ -192,14 +196,27 @@
         std::future::pending::<()>().await;
     }
     match &asked.prompt {
-        // A failure of its own is no stream.
-        Some(prompt) if asked.fault != Some(Fault::Fail) => {
+        // A failure of its own is no stream, and what never ends is none that was asked for.
+        Some(prompt) if !is_unlike_a_stream(asked.fault) => {
             stream_events(stream, asked, prompt).await
         }
         _ => answer_plainly(stream, asked).await,
     }
 }
 
+fn is_unlike_a_stream(fault: Option<Fault>) -> bool {
+    matches!(
+        fault,
+        Some(
+            Fault::Fail
+                | Fault::EndlessHead
+                | Fault::EndlessBody
+                | Fault::EndlessFailure
+                | Fault::EndlessEvents
+        )
+    )
+}
+
 /// Answers a question, such as a health check.
 async fn answer_question(
     stream: &mut TcpStream,
@@ -212,6 +229,18 @@
         names.responding_upstream.to_string(),
         upstream.name.to_string(),
     );
+    let endless = lock(state).endless_questions;
+    match endless {
+        Some(Endless::Head) => {
+            stream.write_all(b"HTTP/1.1 200 OK\r\n").await?;
+            return repeat(stream, ENDLESS_LINE).await;
+        }
+        Some(Endless::Body) => {
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await?;
+            return repeat(stream, ENDLESS_TEXT).await;
+        }
+        None => {}
+    }
     let (headers, body) = {
         let state = lock(state);
         let headers = [vec![named], state.say(None)].concat();
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -2,7 +2,7 @@
 
 use super::engine::StreamDemand;
 use super::serve::Asked;
-use super::{Brittle, CacheShape, Engine, LoadShape, UpstreamSpec};
+use super::{Brittle, CacheShape, Endless, Engine, LoadShape, UpstreamSpec};
 use crate::http::Head;
 use crate::ledger::{Arrival, Fault, RoomRefusal, Said, SharedLedger, Statement};
 use crate::moment::now;
@@ -50,6 +50,8 @@
     pub(super) brittle: Option<Brittle>,
     /// What it states of its load in all its answers, whether it can be read or not.
     pub(super) stated_load: Option<String>,
+    /// What of its answers to questions never ends; `None` where all of them do.
+    pub(super) endless_questions: Option<Endless>,
     /// Requests that it runs or that wait there.
     pub(super) running: u32,
     /// How long it works on a request before it answers.
@@ -204,6 +206,7 @@
             recent: VecDeque::new(),
             brittle: None,
             stated_load: None,
+            endless_questions: None,
             running: 0,
             work: Duration::ZERO,
             is_paused: watch::Sender::new(false),
