Every answer of an upstream has a bound in bytes and in time

Callers saw (stand-ins with real processes): an endless 500 was passed on to callers of plain requests though another upstream was sound, held streams until their time was up (half of 12 got 504 after 10 s), and an endless plain answer went on beyond the request's time. Routers held up to 318 MB for answers to probes and queries, of 110 MB that they have. Cause: bodies were collected whatever their length, in four places; the rest of an answer over 256 KiB was passed on without a deadline. Change: answers to probes, checks and queries may have 1 MiB, error answers to streams 64 KiB, answers of the store and of peers 8 MiB; a longer one fails the call as 'the answer is longer than N bytes' and closes its connection. A plain failure over 256 KiB fails its attempt, so the request goes on elsewhere where it may. What is passed on as it arrives ends at the request's deadline. A server that floods probes counts as one without an answer: its attempts and checks decide, as for a silent one. Heads had their bound already (32 KiB).

--- a/crates/router/cloverpier_router/src/engine_query.rs
+++ b/crates/router/cloverpier_router/src/engine_query.rs
@@ -7,14 +7,13 @@
 use crate::call_kind::CallKind;
 use crate::connection::{Connection, describe_error};
 use crate::health;
-use crate::http_client::{CallError, HttpResponse, get_request};
+use crate::http_client::{CallError, HttpResponse, MAX_QUERY_RESPONSE, get_request, read_body};
 use crate::reachability::connect as reachability;
 use crate::router::Router;
 use crate::send::return_to_pool;
 use crate::statements::Call;
 use cloverpier_router_policy::connection_reuse::CONNECT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
-use http_body_util::BodyExt;
 use std::rc::Rc;
 
 /// An engine's response to a query.
@@ -32,7 +31,8 @@
 ///
 /// # Errors
 ///
-/// [`CallError::Connect`] if no connection could be opened, [`CallError::Broken`] if the connection broke.
+/// [`CallError::Connect`] if no connection could be opened, [`CallError::Broken`] if the connection broke,
+/// [`CallError::TooLong`] if the response does not end.
 pub(crate) async fn query_engine(
     router: &Rc<Router>,
     engine: &Upstream,
@@ -52,14 +52,14 @@
             Err(send_error) => return Err(connection_broken(&send_error.error)),
         };
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|e| connection_broken(&e))?;
+        let body = read_body(body, MAX_QUERY_RESPONSE).await?;
         let now = router.now();
         let health = router.health.of(engine, connection.via, now);
         health::on_heard(router, &engine.name, &health, now);
         let http_response = HttpResponse {
             status: head.status,
             headers: head.headers,
-            body: body.to_bytes(),
+            body,
         };
         let call = Call {
             upstream: engine,
--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -7,7 +7,7 @@
 use crate::wire_names::ResponseParts;
 use bytes::{Bytes, BytesMut};
 use cloverpier_timers::{Elapsed, Timers};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
@@ -19,6 +19,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Maximum length in bytes of an upstream's response to a probe, a check or a query. The longest one lists the prompts in an
+/// engine's cache.
+pub(crate) const MAX_QUERY_RESPONSE: usize = 1024 * 1024;
+/// Maximum length in bytes of a response of the store or of a peer. A value in the store holds a megabyte, and a page of
+/// entries about as much.
+const MAX_DOWNLOAD: usize = 8 * 1024 * 1024;
+
 /// Why a call has no complete response. Log lines contain the messages as reasons, and tests match them.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -34,6 +41,12 @@
         /// The HTTP library's error and its causes.
         reason: String,
     },
+    /// The response is longer than the call accepts.
+    #[snafu(display("the answer is longer than {limit} bytes"))]
+    TooLong {
+        /// The maximum length of the body in bytes.
+        limit: usize,
+    },
     /// The response did not arrive within the timeout.
     #[snafu(display("no answer in time"))]
     TimedOut,
@@ -154,6 +167,12 @@
             if let Ok(chunk) = frame.into_data() {
                 buffer.extend_from_slice(&chunk);
             }
+            if buffer.len() > MAX_DOWNLOAD {
+                return TooLongSnafu {
+                    limit: MAX_DOWNLOAD,
+                }
+                .fail();
+            }
         }
         Ok(self.finish(connection, head, buffer.freeze()))
     }
@@ -208,8 +227,8 @@
     async fn buffered_response(&self, request: BufferedRequest) -> Result<HttpResponse, CallError> {
         let (connection, response) = self.send(request).await?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|e| connection_broken(&e))?;
-        Ok(self.finish(connection, head, body.to_bytes()))
+        let body = read_body(body, MAX_DOWNLOAD).await?;
+        Ok(self.finish(connection, head, body))
     }
 
     async fn send(
@@ -273,14 +292,26 @@
     let sent = connection.send(get_request(path, address)?).await;
     let response = sent.map_err(|failure| connection_broken(&failure.error))?;
     let (head, body) = response.into_parts();
-    let body = body.collect().await.map_err(|e| connection_broken(&e))?;
     Ok(HttpResponse {
         status: head.status,
         headers: head.headers,
-        body: body.to_bytes(),
+        body: read_body(body, MAX_QUERY_RESPONSE).await?,
     })
 }
 
+/// Reads a whole body into memory.
+///
+/// # Errors
+///
+/// [`CallError::TooLong`] if it is longer than `limit` bytes, [`CallError::Broken`] if the connection broke.
+pub(crate) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallError> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => TooLongSnafu { limit }.fail(),
+        Err(error) => Err(connection_broken(error.as_ref())),
+    }
+}
+
 /// Creates a `GET` request with a `Host` header and without a body.
 pub(crate) fn get_request(path: &str, address: SocketAddr) -> Result<BufferedRequest, CallError> {
     let request = Request::builder()
@@ -290,7 +321,7 @@
     request.map_err(|e| connection_broken(&e))
 }
 
-fn connection_broken(error: &dyn std::error::Error) -> CallError {
+fn connection_broken(error: &(dyn std::error::Error + 'static)) -> CallError {
     CallError::Broken {
         reason: describe_error(error),
     }
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -32,6 +32,7 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::Measure;
 use cloverpier_router_policy::tried_upstreams::TriedUpstreams;
+use cloverpier_timers::Timers;
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -334,8 +335,17 @@
             liveness.on_event(self.router.now());
             let is_reserved = reservation.try_grow(data.len());
             buffer.extend_from_slice(&data);
-            if buffer.len() > MAX_BUFFERED_BYTES || !is_reserved {
+            let is_too_long = buffer.len() > MAX_BUFFERED_BYTES;
+            if is_too_long && head.status.is_server_error() {
+                // Another upstream may serve the request, as long as the caller has no byte of this response.
+                return Err(AttemptFailure::ErrorResponseBroken {
+                    error: "the error response does not end".to_owned(),
+                });
+            }
+            if is_too_long || !is_reserved {
                 let rest = StreamedRest {
+                    timers: self.router.timers.clone(),
+                    deadline: self.request.deadline,
                     buffered: Some((buffer.freeze(), reservation)),
                     body,
                     _connection: connection,
@@ -433,8 +443,10 @@
 }
 
 /// A response body that does not fit into the buffer: the bytes that are buffered already, and the rest, which is
-/// forwarded as it arrives.
+/// forwarded as it arrives until the request's deadline.
 struct StreamedRest {
+    timers: Timers,
+    deadline: Instant,
     buffered: Option<(Bytes, BufferReservation)>,
     body: Incoming,
     _connection: Connection,
@@ -449,7 +461,14 @@
             if let Some((buffered, _reservation)) = rest.buffered.take() {
                 return Some((Ok(buffered), Some(rest)));
             }
-            match rest.body.frame().await? {
+            if rest.timers.now() >= rest.deadline {
+                return Some((Err(IncompleteResponse), None));
+            }
+            let next = rest.timers.timeout_at(rest.deadline, rest.body.frame());
+            let Ok(frame) = next.await else {
+                return Some((Err(IncompleteResponse), None));
+            };
+            match frame? {
                 Ok(frame) => {
                     // A frame without data contains trailers, which are not forwarded.
                     let bytes = frame.into_data().unwrap_or_default();
--- a/crates/router/cloverpier_router/src/stream/open.rs
+++ b/crates/router/cloverpier_router/src/stream/open.rs
@@ -10,6 +10,7 @@
 use crate::crashes::admission::Admitted;
 use crate::crashes::{admission, resolution};
 use crate::first_event_watch::FirstEventWatch;
+use crate::http_client::read_body;
 use crate::load_guard::LoadGuard;
 use crate::outcome::RequestFailure;
 use crate::prompt_search::find_prompt;
@@ -23,10 +24,11 @@
 use cloverpier_router_policy::replica::Replica;
 use cloverpier_router_policy::silence::first_check_between_events;
 use cloverpier_router_policy::stream_version::UPSTREAM_RETURN_WAIT;
-use http_body_util::BodyExt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Maximum length in bytes of an upstream's error response to a stream request.
+const MAX_ERROR_RESPONSE: usize = 64 * 1024;
 /// How often a stream without an upstream of its version looks for one.
 const VERSION_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -240,9 +242,9 @@
             return Ok(opened);
         }
         let (timers, deadline) = (&self.router.timers, self.request.deadline);
-        let collected = timers.timeout_at(deadline, opened.body.collect()).await;
-        let body = match collected {
-            Ok(Ok(body)) => body.to_bytes(),
+        let reading = read_body(opened.body, MAX_ERROR_RESPONSE);
+        let body = match timers.timeout_at(deadline, reading).await {
+            Ok(Ok(body)) => body,
             Ok(Err(e)) => {
                 let error = e.to_string();
                 return Err(AttemptFailure::ErrorResponseBroken { error });
