--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -310,6 +310,12 @@
             UpstreamChange::Gone(name) => (name, Departure::Removed),
         };
         let state = self.upstreams.get(name)?;
+        let is_outdated = change
+            .listed()
+            .is_some_and(|u| state.compare_start(u.start_time_ms()) == StartOrder::Older);
+        if is_outdated {
+            return None;
+        }
         let was_ready = state.delisted_at.is_none() && !state.upstream.draining;
         was_ready.then(|| (state.upstream.clone(), departure))
     }
