A request counts as in flight until its answer is handed to the operating system

Cause: such a request counted until the answer was complete in memory, so a router took itself for idle 3.5 s after SIGTERM. Change: the body holds the count, and hands it to the connection when it is taken; the connection drops it when the HTTP library flushes, which it does once it has written all it holds.

--- a/crates/router/cloverpier_router/src/body.rs
+++ b/crates/router/cloverpier_router/src/body.rs
@@ -4,11 +4,14 @@
 //! before the end of the response, so that the caller can't mistake a truncated response for a complete one.
 
 use crate::buffer_reservation::BufferReservation;
+use crate::lifecycle::InFlightGuard;
 use bytes::Bytes;
+use cloverpier_core::lock;
 use futures_util::{Stream, StreamExt};
 use hyper::body::{Frame, SizeHint};
 use std::fmt;
 use std::pin::Pin;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
 /// The error of a body that could not be completed.
@@ -44,12 +47,34 @@
     }
 }
 
+/// The requests whose responses a connection has taken and not handed to the operating system yet. The HTTP library takes
+/// only connections that may be sent between threads, though this one stays in its thread.
+pub(crate) type Unsent = Arc<Mutex<Vec<InFlightGuard>>>;
+
+/// A body whose request counts as in flight until the connection has sent it.
+pub(crate) struct CountedBody {
+    body: ResponseBody,
+    in_flight: Option<InFlightGuard>,
+    /// Where the request counts once the connection has taken the whole body; `None` until the connection is known.
+    unsent: Option<Unsent>,
+}
+
+impl Drop for CountedBody {
+    fn drop(&mut self) {
+        if let (Some(unsent), Some(in_flight)) = (&self.unsent, self.in_flight.take()) {
+            lock(unsent).push(in_flight);
+        }
+    }
+}
+
 /// The body of a response.
 pub(crate) enum ResponseBody {
     /// The whole body is in memory.
     Buffered(BufferedBody),
     /// The body arrives in chunks while it is sent.
     Streamed(ChunkStream),
+    /// Either of them, counted.
+    Counted(Box<CountedBody>),
 }
 
 impl ResponseBody {
@@ -77,6 +102,22 @@
         }
     }
 
+    /// Counts a request as in flight until its response is sent.
+    pub fn counted(self, in_flight: InFlightGuard) -> Self {
+        Self::Counted(Box::new(CountedBody {
+            body: self,
+            in_flight: Some(in_flight),
+            unsent: None,
+        }))
+    }
+
+    /// Sets the connection by which a counted body is sent.
+    pub fn set_unsent(&mut self, unsent: &Unsent) {
+        if let Self::Counted(counted) = self {
+            counted.unsent = Some(Arc::clone(unsent));
+        }
+    }
+
     /// Creates a body from a stream of chunks.
     pub fn streamed(
         stream: impl Stream<Item = Result<Bytes, IncompleteResponse>> + 'static,
@@ -99,6 +140,7 @@
                 let chunk = stream.poll_next_unpin(cx);
                 chunk.map(|c| c.map(|r| r.map(Frame::data)))
             }
+            Self::Counted(counted) => Pin::new(&mut counted.body).poll_frame(cx),
         }
     }
 
@@ -106,6 +148,7 @@
         match self {
             Self::Buffered(body) => body.rest.is_empty(),
             Self::Streamed(_) => false,
+            Self::Counted(counted) => counted.body.is_end_stream(),
         }
     }
 
@@ -113,6 +156,7 @@
         match self {
             Self::Buffered(body) => SizeHint::with_exact(body.rest.len() as u64),
             Self::Streamed(_) => SizeHint::default(),
+            Self::Counted(counted) => counted.body.size_hint(),
         }
     }
 }
--- a/crates/router/cloverpier_router/src/lifecycle.rs
+++ b/crates/router/cloverpier_router/src/lifecycle.rs
@@ -1,12 +1,13 @@
 //! The lifecycle of this process: its start, its shutdown, and the requests for which the shutdown waits.
 //!
 //! Owns the time of the termination signal, the number of requests in flight and the durations of recent streams. An
-//! [`InFlightGuard`] counts a request; [`crate::web`] holds the guard of a streamed response until the last byte is
-//! passed to the connection. `cloverpier_router_policy::lifecycle` decides when a router that shuts down may exit.
+//! [`InFlightGuard`] counts a request; the body of its response ([`crate::body`]) and then the caller's connection
+//! ([`crate::caller_stream`]) hold the guard until the last byte is handed to the operating system. `cloverpier_router_policy::lifecycle` decides when a router that shuts down may exit.
 
 use cloverpier_router_policy::lifecycle::{StreamDurations, accepts_plain, accepts_streams};
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// The lifecycle state of this process.
@@ -15,7 +16,7 @@
     incarnation: u64,
     started_at: Instant,
     shutdown_since: Cell<Option<Instant>>,
-    in_flight: Rc<Cell<usize>>,
+    in_flight: Arc<AtomicUsize>,
     stream_durations: RefCell<StreamDurations>,
 }
 
@@ -26,7 +27,7 @@
             incarnation,
             started_at: now,
             shutdown_since: Cell::new(None),
-            in_flight: Rc::default(),
+            in_flight: Arc::default(),
             stream_durations: RefCell::default(),
         }
     }
@@ -76,25 +77,24 @@
 
     /// The number of requests in flight.
     pub fn in_flight(&self) -> usize {
-        self.in_flight.get()
+        self.in_flight.load(Ordering::Relaxed)
     }
 }
 
 /// Counts one request as in flight until it is dropped.
 #[derive(Debug)]
-pub(crate) struct InFlightGuard(Rc<Cell<usize>>);
+pub(crate) struct InFlightGuard(Arc<AtomicUsize>);
 
 impl InFlightGuard {
     /// Increments the number of requests in flight.
     pub fn begin(lifecycle: &Lifecycle) -> Self {
-        let count = &lifecycle.in_flight;
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
+        lifecycle.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(&lifecycle.in_flight))
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -4,7 +4,7 @@
 //! handler. The handler for peers is in [`crate::peer_serve`]. `cloverpier_router_policy::lifecycle` decides
 //! whether a router that shuts down accepts a request. Owns no state.
 
-use crate::body::ResponseBody;
+use crate::body::{ResponseBody, Unsent};
 use crate::buffer_reservation::BufferReservation;
 use crate::caller_stream::CallerStream;
 use crate::crashes::block_changes;
@@ -20,7 +20,6 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::refusal::Refusal;
 use cloverpier_timers::Timers;
-use futures_util::Stream;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
@@ -31,9 +30,8 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Pause before a retry to listen at an address that is in use, and after a failed accept.
@@ -103,13 +101,20 @@
         // hyper's timer for a request's head also runs while the connection is idle.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER));
+    let unsent = Unsent::default();
+    let responses = Arc::clone(&unsent);
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(remote);
         let response = handle(Rc::clone(&router), request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let unsent = Arc::clone(&responses);
+        async move {
+            let mut response = response.await;
+            response.body_mut().set_unsent(&unsent);
+            Ok::<_, Infallible>(response)
+        }
     });
     // An error closes this connection only, so it is ignored.
-    let stream = TokioIo::new(CallerStream(stream));
+    let stream = TokioIo::new(CallerStream::new(stream, unsent));
     let _ = server
         .serve_connection(stream, service)
         .with_upgrades()
@@ -132,10 +137,7 @@
         response.headers_mut().insert(CONNECTION, close);
     }
     let reservation = BufferReservation::new(&router.buffer_memory, BufferKind::Response);
-    count_until_sent(
-        response.map(|body| body.with_reservation(reservation)),
-        in_flight,
-    )
+    response.map(|body| body.with_reservation(reservation).counted(in_flight))
 }
 
 /// Relays an admitted request, or refuses one that may not end before this router exits.
@@ -163,32 +165,6 @@
     }
 }
 
-/// Counts a request as in flight until the last byte of its streamed response is passed to the connection. A
-/// request whose response is buffered counts only until this function returns.
-fn count_until_sent(response: ServerResponse, in_flight: InFlightGuard) -> ServerResponse {
-    response.map(|body| match body {
-        ResponseBody::Streamed(stream) => ResponseBody::Streamed(Box::pin(CountedStream {
-            stream,
-            _in_flight: in_flight,
-        })),
-        buffered => buffered,
-    })
-}
-
-/// A stream that counts as a request in flight until it is dropped.
-struct CountedStream<S> {
-    stream: S,
-    _in_flight: InFlightGuard,
-}
-
-impl<S: Stream + Unpin> Stream for CountedStream<S> {
-    type Item = S::Item;
-
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<S::Item>> {
-        Pin::new(&mut self.stream).poll_next(cx)
-    }
-}
-
 /// Handles a readiness check: 200 if this router accepts callers' requests, else 503.
 pub(crate) async fn handle_readiness(
     router: Rc<Router>,
