A process at a dead upstream's address is judged by when bytes arrived, and loses its assumed service by its entry

Two causes: the time at which the engine's last bytes were read was taken for the time at which they arrived, which a pause, or a caller that reads slowly, puts seconds apart; and an entry that names another service left the upstream in the index of the assumed one. An entry moves the upstream to its own service.

--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -40,6 +40,8 @@
     /// When a part of a valid response of the upstream itself last arrived; `None` before the first. Unlike
     /// `last_activity`, responses of another process at the same address do not count.
     pub last_own_response: Cell<Option<Instant>>,
+    /// The earliest time at which that part can have arrived; it may have been read later. `None` before the first.
+    last_own_arrival: Cell<Option<Instant>>,
     /// Since when the upstream has sent parts of its own responses without a long pause; `None` before the first.
     pub responding_since: Cell<Option<Instant>>,
     /// When the probe in flight was sent, or the first one if it is a repetition; `None` without a probe.
@@ -73,6 +75,7 @@
             probe_connection: RefCell::default(),
             last_activity: Cell::new(now),
             last_own_response: Cell::new(None),
+            last_own_arrival: Cell::new(None),
             responding_since: Cell::new(None),
             probing_since: Cell::new(None),
             probe_awaits_permit: Cell::new(false),
@@ -92,7 +95,10 @@
     }
 
     /// Records that a part of a valid response of the upstream itself arrived.
-    fn on_own_response(&self, now: Instant) {
+    fn on_own_response(&self, earliest_arrival: Instant, now: Instant) {
+        let last_arrival = self.last_own_arrival.get();
+        self.last_own_arrival
+            .set(last_arrival.max(Some(earliest_arrival)));
         let is_pause = |at| now.saturating_duration_since(at) >= QUIET_AFTER;
         let last = self.last_own_response.replace(Some(now));
         if last.is_none_or(is_pause) || self.responding_since.get().is_none() {
@@ -145,9 +151,10 @@
     router: &Router,
     upstream: &UpstreamName,
     health: &UpstreamHealth,
+    earliest_arrival: Instant,
     now: Instant,
 ) {
-    health.on_own_response(now);
+    health.on_own_response(earliest_arrival, now);
     on_probe_answered(router, upstream, health);
 }
 
@@ -212,6 +219,14 @@
         entries.filter_map(|h| h.last_own_response.get()).max()
     }
 
+    /// The earliest time at which the part of a valid response that was read last can have arrived, over any path; `None`
+    /// before the first.
+    pub fn last_own_arrival(&self, upstream: &UpstreamName) -> Option<Instant> {
+        let table = self.by_upstream.borrow();
+        let entries = table.get(upstream)?.values();
+        entries.filter_map(|h| h.last_own_arrival.get()).max()
+    }
+
     /// When a part of a valid response last arrived over this router's own path from one of the upstreams; `None`
     /// before the first.
     pub fn last_heard_directly<'a>(
@@ -263,6 +278,7 @@
     /// this router's own path. The time of the last own response is kept.
     pub fn end_all(&self, upstream: &Upstream, sign: LossSign, now: Instant) -> Rc<UpstreamHealth> {
         let last_own_response = self.last_own_response(&upstream.name);
+        let last_own_arrival = self.last_own_arrival(&upstream.name);
         let ended = self.by_upstream.borrow_mut().remove(&upstream.name);
         // An upstream without entries has no attempts to end.
         for health in ended.unwrap_or_default().values() {
@@ -270,6 +286,7 @@
         }
         let health = self.of(upstream, Via::Direct, now);
         health.last_own_response.set(last_own_response);
+        health.last_own_arrival.set(last_own_arrival);
         health
     }
 
@@ -282,6 +299,7 @@
         };
         let health = UpstreamHealth::new(via, now);
         health.last_own_response.set(lost.last_own_response.get());
+        health.last_own_arrival.set(lost.last_own_arrival.get());
         entries.insert(via, Rc::new(health));
         drop(table);
         lost.on_lost(LossSign::PathLost, now);
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -109,7 +109,8 @@
         match frame {
             Some(Ok(frame)) => {
                 let (name, now) = (&current.upstream.name, self.router.now());
-                health::on_own_response(&self.router, name, &current.health, now);
+                let arrival = current.liveness.earliest_arrival();
+                health::on_own_response(&self.router, name, &current.health, arrival, now);
                 // A frame without data holds trailers, which are not passed on.
                 let data = frame.into_data().unwrap_or_default();
                 let pushed = self.splitter.push(&data);
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -17,7 +17,7 @@
 /// Makes the checks of a dead upstream more frequent while its successor can still be accepted. Does nothing
 /// if no response of the upstream to a request has arrived here.
 pub(crate) fn schedule_successor_checks(router: &Router, upstream: &Upstream) {
-    let Some(last_response) = router.health.last_own_response(&upstream.name) else {
+    let Some(last_response) = router.health.last_own_arrival(&upstream.name) else {
         return;
     };
     let until = successor_deadline(last_response, router.settings().address_reuse);
@@ -80,7 +80,7 @@
     responding_name: Option<&UpstreamName>,
 ) -> Option<Upstream> {
     let now = router.now();
-    let last_response = router.health.last_own_response(&predecessor.name)?;
+    let last_response = router.health.last_own_arrival(&predecessor.name)?;
     let name = responding_name?;
     must_be_same_service(last_response, now, router.settings().address_reuse).then(|| Upstream {
         name: name.clone(),
--- a/crates/router/cloverpier_router_policy/src/successor.rs
+++ b/crates/router/cloverpier_router_policy/src/successor.rs
@@ -3,7 +3,8 @@
 //! - **Question.** A check of a dead upstream gets a response from a process with another name, its
 //!   possible *successor*. May the successor get requests of the service before the platform's list
 //!   contains it?
-//! - **Inputs.** When data from the dead process, the *predecessor*, last arrived. Only its responses to
+//! - **Inputs.** When data from the dead process, the *predecessor*, last arrived, at the earliest: a router that was
+//!   paused, or whose caller reads slowly, reads it later. Only its responses to
 //!   requests count: a probe may already have been answered by the successor. When the response to the
 //!   check arrived. How long the platform withholds an address from other services after the process
 //!   there has ended.
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -396,6 +396,7 @@
             return None;
         }
         let (name, old_address) = (upstream.name.clone(), state.upstream.address);
+        let old_service = state.upstream.service.clone();
         if state.not_yet_listed.is_none() {
             self.version_counts.remove(&state.upstream);
         }
@@ -405,7 +406,12 @@
             .leaving_upstreams
             .since(state.key, state.start_time_ms());
         let restarted = (order == StartOrder::Newer).then(|| state.upstream.clone());
-        let new_address = state.upstream.address;
+        let (new_address, new_service) = (state.upstream.address, state.upstream.service.clone());
+        if new_service != old_service {
+            self.remove_from_service(&old_service, &name);
+            let of_service = self.by_service.entry(new_service).or_default();
+            of_service.push(name.clone());
+        }
         if new_address != old_address {
             self.by_address.remove(old_address, &name);
             self.by_address.add(new_address, name);
@@ -413,6 +419,12 @@
         restarted
     }
 
+    fn remove_from_service(&mut self, service: &ServiceName, name: &UpstreamName) {
+        if let Some(names) = self.by_service.get_mut(service) {
+            names.retain(|n| n != name);
+        }
+    }
+
     /// Sets the services of the configuration in force.
     ///
     /// An entry of a service that is not configured does not mark the upstream at the same address
@@ -508,8 +520,6 @@
         }
         self.by_key.remove(&state.key);
         self.by_address.remove(state.upstream.address, name);
-        if let Some(names) = self.by_service.get_mut(&state.upstream.service) {
-            names.retain(|n| n != name);
-        }
+        self.remove_from_service(&state.upstream.service, name);
     }
 }
--- a/crates/router/cloverpier_router_policy/tests/successor.rs
+++ b/crates/router/cloverpier_router_policy/tests/successor.rs
@@ -128,6 +128,25 @@
     }
 }
 
+#[test]
+fn a_successor_that_is_listed_for_another_service_is_no_upstream_of_the_assumed_one() {
+    let now = Instant::now();
+    let mut table = table(now);
+    table.add_successor(&"former".into(), upstream("next", 9_000));
+    let entry = Upstream {
+        service: ServiceName::new("lookups"),
+        ..upstream("next", 9_000)
+    };
+    table.apply_changes(vec![UpstreamChange::Listed(entry)], 2, now);
+    let has_next = |service: &str| {
+        let service = ServiceName::new(service);
+        let mut of_service = table.of_service(&service);
+        of_service.any(|s| s.upstream.name.as_str() == "next")
+    };
+    assert!(!has_next("drafts"));
+    assert!(has_next("lookups"));
+}
+
 #[test]
 fn a_successor_that_is_not_listed_in_time_counts_as_removed() {
     let now = Instant::now();
