cloverpierd: answers of engines to load queries and of plain services have a bound in bytes

A report may have 64 KiB, an answer 32 MiB; a longer answer counts as one that may have run, as a broken one. Lines of an engine's stream had their bound (1 MiB). Open: answers of the platform's API and of peers are still collected whole (cloverpier_object_api, cloverpier_peer, cloverpier_client).

--- a/crates/daemon/cloverpier_daemon/src/plain/repeatable.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain/repeatable.rs
@@ -160,7 +160,7 @@
             }
             // `try_at` has counted it; the next try goes elsewhere.
             Err(error) => {
-                progress.may_have_run |= matches!(error, PlainError::NoResponse { .. });
+                progress.may_have_run |= !matches!(error, PlainError::NotReached { .. });
                 at.map(|at| progress.sent.remove(at));
                 progress.failed.push(ended.upstream);
                 None
--- a/crates/daemon/cloverpier_upstream/src/engine.rs
+++ b/crates/daemon/cloverpier_upstream/src/engine.rs
@@ -3,6 +3,7 @@
 //! An error of a call distinguishes whether the engine may have run the generation. Owns the
 //! connections to engines, which are reused.
 
+use crate::body::{BodyError, read_body};
 use crate::statement::UpstreamStatement;
 use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
 use bytes::{Bytes, BytesMut};
@@ -24,6 +25,32 @@
 /// fails the stream.
 const MAX_LINE_BYTES: usize = 1 << 20;
 
+/// Maximum length of an engine's load report in bytes.
+const MAX_LOAD_BYTES: usize = 64 << 10;
+
+/// The reason why an engine's load is not known.
+#[derive(Debug, Snafu)]
+pub enum LoadError {
+    /// The engine did not answer in time, or not with a success.
+    #[snafu(display("{source}"))]
+    NoAnswer {
+        /// The error of the HTTP client.
+        source: reqwest::Error,
+    },
+    /// The answer did not end.
+    #[snafu(display("{source}"))]
+    Body {
+        /// Why not.
+        source: BodyError,
+    },
+    /// The answer is no load report.
+    #[snafu(display("unreadable load report: {source}"))]
+    Unreadable {
+        /// The error of the JSON library.
+        source: serde_json::Error,
+    },
+}
+
 /// The reason why a generation was not started or resumed.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -193,13 +220,16 @@
     ///
     /// # Errors
     ///
-    /// The error of the HTTP client, if no valid response arrives within 800 ms. The caller must not
-    /// take an engine without a response for idle.
-    pub async fn load(&self) -> Result<EngineLoad, reqwest::Error> {
+    /// [`LoadError`], if no valid response arrives within 800 ms. The caller must not take an engine without a
+    /// response for idle.
+    pub async fn load(&self) -> Result<EngineLoad, LoadError> {
         let req = self.http.get(format!("{}/v1/load", self.base));
-        let res = req.timeout(QUERY_TIMEOUT).send().await?;
+        let res = req.timeout(QUERY_TIMEOUT).send().await;
+        let res = res.context(NoAnswerSnafu)?;
         let mut statement = UpstreamStatement::from_response(&res);
-        let load: LoadBody = res.error_for_status()?.json().await?;
+        let res = res.error_for_status().context(NoAnswerSnafu)?;
+        let body = read_body(res, MAX_LOAD_BYTES).await.context(BodySnafu)?;
+        let load: LoadBody = serde_json::from_slice(&body).context(UnreadableSnafu)?;
         statement.is_leaving |= load.leaving;
         Ok(EngineLoad { load, statement })
     }
--- a/crates/daemon/cloverpier_upstream/src/lib.rs
+++ b/crates/daemon/cloverpier_upstream/src/lib.rs
@@ -18,6 +18,7 @@
 //! # }
 //! ```
 
+mod body;
 mod engine;
 mod plain;
 mod statement;
@@ -25,7 +26,10 @@
 
 /// All public types and functions, for a glob import.
 pub mod prelude {
-    pub use crate::engine::{Engine, EngineLoad, EnginePool, EventStream, StartError, StreamError};
+    pub use crate::body::BodyError;
+    pub use crate::engine::{
+        Engine, EngineLoad, EnginePool, EventStream, LoadError, StartError, StreamError,
+    };
     pub use crate::plain::{PlainCall, PlainError, PlainResponse, call_plain};
     pub use crate::statement::UpstreamStatement;
     pub use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
--- a/crates/daemon/cloverpier_upstream/src/plain.rs
+++ b/crates/daemon/cloverpier_upstream/src/plain.rs
@@ -4,6 +4,7 @@
 //! passes in an HTTP client that doesn't reuse connections: if the service closes an idle connection
 //! while a request is being sent, it is uncertain whether the request arrived.
 
+use crate::body::{BodyError, read_body};
 use crate::statement::UpstreamStatement;
 use bytes::Bytes;
 use reqwest::{Client, Method};
@@ -12,6 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Maximum length of a plain service's response in bytes: the whole response is in memory.
+const MAX_PLAIN_BYTES: usize = 32 << 20;
+
 /// A call as the router forwards it to the service.
 #[derive(Clone, Debug)]
 pub struct PlainCall {
@@ -58,6 +62,12 @@
         /// The error of the HTTP client.
         source: reqwest::Error,
     },
+    /// The response is longer than the router holds: the call may have been executed.
+    #[snafu(display("the response from the server is longer than {limit} bytes"))]
+    TooLong {
+        /// The maximum length in bytes.
+        limit: usize,
+    },
 }
 
 impl PlainError {
@@ -101,10 +111,11 @@
     let kind = res.headers().get("Content-Type");
     // A content type that is not ASCII text is omitted from the response.
     let content_type = kind.and_then(|v| v.to_str().ok()).map(Arc::from);
-    let body = res
-        .bytes()
-        .await
-        .map_err(|source| PlainError::NoResponse { source })?;
+    let body = read_body(res, MAX_PLAIN_BYTES).await;
+    let body = body.map_err(|error| match error {
+        BodyError::Broken { source } => PlainError::NoResponse { source },
+        BodyError::TooLong { limit } => PlainError::TooLong { limit },
+    })?;
     Ok(PlainResponse {
         status,
         content_type,
