A watch of the store waits 0.8 s and is given up after 1.2 s, so that a deaf one is noticed in time

A watch that the store accepted and answered never was waited for 7.5 s; if all watchers have such a one, as when a store drops its history just after it has cut them, nobody knows of a leaving meanwhile. Change: WATCH_WAIT 0.8 s (6 s before) and 0.4 s for the answer (1.5 s before); no pause after an answer without changes, unless it came at once. How old the store's confirmation of a list may be for a proof of one version stays 7.5 s, and so does the hold of new versions. Ways weighed: a second call that asks for changes without waiting (each second, beside the watch) costs as many calls and needs two cursors. Cost: each of the three watchers makes 2.5 calls a second for both lists, 0.3 before.

--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -176,6 +176,7 @@
             let current_revision = router.upstreams.borrow().revision();
             revision = revision.map(|at| at.max(current_revision));
         }
+        let (began, known_revision) = (router.now(), router.upstreams.borrow().revision());
         let result = match revision {
             None => read_upstreams(&router, &*source, &mut backoff, random).await,
             Some(at) => tokio::select! {
@@ -190,7 +191,12 @@
                 backoff.on_success(&router);
                 revision = Some(at);
                 confirm_first_list(&router, &*source, at).await;
-                router.timers.sleep(UPSTREAM_WATCH_PAUSE).await;
+                let is_changed = router.upstreams.borrow().revision() != known_revision;
+                // A store that cuts its watches at once must not be called without a pause.
+                let is_cut = router.now() < began + UPSTREAM_WATCH_PAUSE;
+                if is_changed || is_cut {
+                    router.timers.sleep(UPSTREAM_WATCH_PAUSE).await;
+                }
             }
             Err(error) => {
                 revision = None;
--- a/crates/router/cloverpier_router_policy/src/store_watch.rs
+++ b/crates/router/cloverpier_router_policy/src/store_watch.rs
@@ -37,12 +37,15 @@
 
 /// Pause after the first failed call to the store; each further failure doubles it, up to [`max_backoff`].
 pub const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
-/// How long one watch waits at the store for changes. It also bounds the delay of changes by a watch that a
-/// store accepted but will never complete.
-pub const WATCH_WAIT: Duration = Duration::from_secs(6);
+/// How long one watch waits at the store for changes. With [`WATCH_GRACE`], it bounds the delay of changes by a watch that
+/// the store accepted and that hears nothing: pings show that the store responds, and not that a watch does. The strictest
+/// limit for the news of a leaving upstream is 2 s.
+pub const WATCH_WAIT: Duration = Duration::from_millis(800);
+/// How long the response to a watch may take beyond [`WATCH_WAIT`].
+pub const WATCH_GRACE: Duration = Duration::from_millis(400);
 /// Timeout for a connection to the store, and for the store's response beyond the wait that a watch requests.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Pause after each read of upstreams, so that one call reads all changes that happen close together.
+/// Pause after each change of the upstreams, so that one call reads all changes that happen close together.
 pub const UPSTREAM_WATCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// How long a router waits after it first received configuration and upstreams before it may watch the store:
--- a/crates/router/cloverpier_router_policy/src/stream_version/history.rs
+++ b/crates/router/cloverpier_router_policy/src/stream_version/history.rs
@@ -16,7 +16,6 @@
 //! [`VersionHistory`] owns the versions of each service with the times at which they were listed.
 
 use super::StreamVersion;
-use crate::store_watch::{STORE_TIMEOUT, WATCH_WAIT};
 use crate::upstream::Upstream;
 use cloverpier_core::{ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
@@ -25,10 +24,9 @@
 
 /// Longer than any stream lasts, with all requests by which its caller resumes it. Routes allow 25 s.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(60);
-/// How old the store's confirmation of a list may be for a claim that its service has one version. Three watches, each
-/// of which is answered after [`WATCH_WAIT`] at the latest, confirm the list more often than that.
-pub const MAX_CONFIRMATION_AGE: Duration =
-    Duration::from_millis((WATCH_WAIT.as_millis() + STORE_TIMEOUT.as_millis()) as u64);
+/// How old the store's confirmation of a list may be for a claim that its service has one version. Watches confirm the list
+/// each second; the rest is for outages of the store, during which streams can still be resumed.
+pub const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(7_500);
 /// How long a newly listed version begins no streams: longer than [`MAX_CONFIRMATION_AGE`], by more than a datagram
 /// with a claim is under way.
 pub const NEW_VERSION_HOLD: Duration = MAX_CONFIRMATION_AGE.saturating_add(Duration::from_secs(1));
