--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -115,6 +115,7 @@
 mod store_view;
 mod stream;
 mod stream_origins;
+mod streamed_rest;
 mod successors;
 mod suspect_checks;
 mod suspension;
--- a/crates/router/cloverpier_router/src/plain.rs
+++ b/crates/router/cloverpier_router/src/plain.rs
@@ -5,10 +5,9 @@
 //! forwarded as it arrives. [`PlainRelay`] owns the attempts of one request.
 
 use crate::attempt_message::AttemptHeaders;
-use crate::body::{IncompleteResponse, ResponseBody};
+use crate::body::ResponseBody;
 use crate::buffer_reservation::BufferReservation;
 use crate::choice_log::{ChoiceInputs, log_choice};
-use crate::connection::Connection;
 use crate::crashes::abandoned::AbandonGuard;
 use crate::crashes::{admission, record, resolution};
 use crate::decision_log::RequestEnd;
@@ -24,6 +23,7 @@
 use crate::send::{OpenResponse, return_to_pool, send};
 use crate::silence::SilenceWatch;
 use crate::singleton;
+use crate::streamed_rest::StreamedRest;
 use crate::wait::{AttemptWatches, AwaitedUpstream, wait_while_alive};
 use bytes::{Bytes, BytesMut};
 use cloverpier_crashes::Admission;
@@ -32,23 +32,15 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::Measure;
 use cloverpier_router_policy::tried_upstreams::TriedUpstreams;
-use cloverpier_timers::{Elapsed, Timers};
-use futures_util::stream::unfold;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Maximum length in bytes of a response body that is buffered completely; a longer one is forwarded as it arrives.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
-/// How long the next part of a long response is awaited at least, also after the request's deadline. An upstream that has
-/// the rest ready sends it at once, when the caller has read the part before.
-const LATE_FRAME_WAIT: Duration = Duration::from_millis(200);
-/// The most bytes of a response that are still forwarded after the request's deadline.
-const MAX_LATE_BYTES: u64 = 16 * 1024 * 1024;
-
 /// Relays a plain request to an upstream, and retries it at others as far as the route's retry rule, the maximum
 /// number of attempts and the retry budget allow.
 pub(crate) async fn relay_plain(router: &Rc<Router>, request: &Rc<RelayRequest>) -> ServerResponse {
@@ -447,53 +439,3 @@
         }),
     }
 }
-
-/// A response body that does not fit into the buffer: the bytes that are buffered already, and the rest, which is
-/// forwarded as it arrives.
-///
-/// A caller that reads slowly gets the rest also after the request's deadline, as long as the upstream has it ready. A
-/// response that stands still then, or has no end in sight, ends there.
-struct StreamedRest {
-    timers: Timers,
-    deadline: Instant,
-    buffered: Option<(Bytes, BufferReservation)>,
-    body: Incoming,
-    _connection: Connection,
-    _load: LoadGuard,
-}
-
-impl StreamedRest {
-    fn into_stream(self) -> impl futures_util::Stream<Item = Result<Bytes, IncompleteResponse>> {
-        unfold(Some(self), |state| async move {
-            let mut rest = state?;
-            // The reservation ends here, as the caller's connection takes over the buffered bytes.
-            if let Some((buffered, _reservation)) = rest.buffered.take() {
-                return Some((Ok(buffered), Some(rest)));
-            }
-            match rest.next_frame().await? {
-                Ok(frame) => {
-                    // A frame without data contains trailers, which are not forwarded.
-                    let bytes = frame.into_data().unwrap_or_default();
-                    Some((Ok(bytes), Some(rest)))
-                }
-                // The response has begun, so the only way to report the failure is to close the caller's connection.
-                Err(IncompleteResponse) => Some((Err(IncompleteResponse), None)),
-            }
-        })
-    }
-
-    /// The next part of the body; `None` at its end.
-    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, IncompleteResponse>> {
-        let now = self.timers.now();
-        let is_late = now >= self.deadline;
-        let rest = self.body.size_hint().exact();
-        if is_late && rest.is_none_or(|bytes| bytes > MAX_LATE_BYTES) {
-            return Some(Err(IncompleteResponse));
-        }
-        let until = self.deadline.max(now + LATE_FRAME_WAIT);
-        match self.timers.timeout_at(until, self.body.frame()).await {
-            Ok(frame) => frame.map(|frame| frame.map_err(|_| IncompleteResponse)),
-            Err(Elapsed) => Some(Err(IncompleteResponse)),
-        }
-    }
-}
--- a/crates/router/cloverpier_router/src/stream_origins/marks.rs
+++ b/crates/router/cloverpier_router/src/stream_origins/marks.rs
@@ -9,12 +9,12 @@
 //! Services that have had several versions have a mark besides, which releases without records rely on. Owns no state:
 //! `cloverpier_router_policy::stream_version::history` has it.
 
+use super::version_records::RecordKeeper;
 use crate::decision_log::log_named_event;
 use crate::router::Router;
-use crate::source::{MixedServiceMarks, SourceError, VersionRecord};
+use crate::source::{MixedServiceMarks, SourceError};
 use cloverpier_core::ServiceName;
-use cloverpier_router_policy::prelude::StreamVersion;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -53,8 +53,11 @@
             () = router.stream_origins.version_listed() => {}
         }
         records.observe(&router);
-        if may_write(&router) && watches_already(&router) {
-            records.write(&router, &*source).await;
+        if may_write(&router)
+            && watches_already(&router)
+            && let Err(error) = records.write(&router, &*source).await
+        {
+            log_failure(&router, "record", &error);
         }
         let mixed = mixed_services(&router);
         keeper.seen_mixed.extend(mixed.iter().cloned());
@@ -113,80 +116,8 @@
     }
 }
 
-/// The task's knowledge of the records in the store.
-#[derive(Debug, Default)]
-struct RecordKeeper {
-    /// The stored records as last read or written; `None` before the first read, and after another router's write.
-    stored: Option<HashMap<ServiceName, VersionRecord>>,
-    /// All versions that this router has known of each service. Those that it has forgotten may leave the record.
-    seen: HashMap<ServiceName, BTreeSet<StreamVersion>>,
-}
-
-impl RecordKeeper {
-    fn observe(&mut self, router: &Router) {
-        let history = router.version_history.borrow();
-        for service in resumable_services(router) {
-            let seen = self.seen.entry(service.clone()).or_default();
-            seen.extend(history.versions(&service));
-        }
-    }
-
-    async fn write(&mut self, router: &Router, source: &impl MixedServiceMarks) {
-        if let Err(error) = self.try_write(router, source).await {
-            log_failure(router, "record", &error);
-        }
-    }
-
-    async fn try_write(
-        &mut self,
-        router: &Router,
-        source: &impl MixedServiceMarks,
-    ) -> Result<(), SourceError> {
-        if self.stored.is_none() {
-            let records = source.read_version_records().await?.into_iter();
-            self.stored = Some(records.map(|r| (r.service.clone(), r)).collect());
-        }
-        for service in resumable_services(router) {
-            let Some(record) = self.changed_record(router, &service) else {
-                continue;
-            };
-            match source.write_version_record(&record).await? {
-                Some(revision) => {
-                    let revision = Some(revision);
-                    let stored = self.stored.get_or_insert_default();
-                    stored.insert(service, VersionRecord { revision, ..record });
-                }
-                None => {
-                    self.stored = None;
-                    return Ok(());
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// The record of a service as it should be; `None` if the stored one is so. It keeps versions that this router has
-    /// never known, as another router may have recorded them just now.
-    fn changed_record(&self, router: &Router, service: &ServiceName) -> Option<VersionRecord> {
-        let current = router.version_history.borrow().versions(service);
-        let stored = self.stored.as_ref()?.get(service);
-        let recorded = stored.map_or_else(BTreeSet::new, |record| record.versions.clone());
-        let seen = self.seen.get(service);
-        let is_over =
-            |v: &StreamVersion| !current.contains(v) && seen.is_some_and(|seen| seen.contains(v));
-        let kept = recorded.iter().filter(|version| !is_over(version));
-        let versions: BTreeSet<StreamVersion> = kept.chain(&current).cloned().collect();
-        let is_changed = versions != recorded && !versions.is_empty();
-        is_changed.then(|| VersionRecord {
-            service: service.clone(),
-            versions,
-            revision: stored.and_then(|record| record.revision),
-        })
-    }
-}
-
 /// The configured services whose streams callers may resume.
-fn resumable_services(router: &Router) -> Vec<ServiceName> {
+pub(super) fn resumable_services(router: &Router) -> Vec<ServiceName> {
     let Some(configuration) = router.store.configuration() else {
         return Vec::new();
     };
--- a/crates/router/cloverpier_router/src/stream_origins/mod.rs
+++ b/crates/router/cloverpier_router/src/stream_origins/mod.rs
@@ -9,7 +9,7 @@
 //! | finds out which version began a stream that a caller resumes | [`lookup`] |
 //! | handles the messages of peers | [`serve`] |
 //! | messages that wait for replies | [`pending`] |
-//! | informs routers that start later of the versions that services had | [`marks`] |
+//! | informs routers that start later of the versions that services had | [`marks`], [`version_records`] |
 //!
 //! [`StreamOrigins`] owns the records that this router holds, the streams that it relays, and the messages that wait for
 //! replies.
@@ -18,6 +18,7 @@
 pub(crate) mod marks;
 mod pending;
 pub(crate) mod serve;
+mod version_records;
 pub(crate) mod write;
 
 use cloverpier_router_policy::prelude::*;
