A stream whose events never end gets 64 KiB at most after its deadline

Cause: data that is ready takes precedence over the deadline, so that a pause of the process ends nothing that has arrived; with events without an end something is always ready, as soon as the machine is slow enough. Change: what is read after the deadline is counted, and 64 KiB of it are passed on at most.

--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -163,6 +163,8 @@
     /// When the last event before an interruption arrived, or when the failed attempt was sent if it had no
     /// events; `None` while the stream is not interrupted.
     interrupted_since: Option<Instant>,
+    /// Bytes that were read after the request's deadline.
+    late_bytes: usize,
     /// Counts the stream for its client account while an engine has it or is about to get it; `None` while it waits.
     in_flight: Option<InFlightStream>,
     /// Whether the stream, which has been interrupted, goes to an engine without room, because its turn did not come.
@@ -205,6 +207,7 @@
             head: None,
             error_response: None,
             interrupted_since: None,
+            late_bytes: 0,
             in_flight: None,
             skips_turn: false,
             is_ended: false,
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -15,6 +15,10 @@
 use http_body_util::BodyExt;
 use std::time::Instant;
 
+/// The most bytes of a stream that are passed on after the request's deadline. What has arrived takes precedence over a
+/// deadline that has passed during a pause of this process, but a stream without an end has something ready always.
+const MAX_LATE_BYTES: usize = 64 * 1024;
+
 /// The result of a wait for bytes.
 pub(super) enum Received {
     /// Bytes arrived and were added to the splitter; they may not complete an event.
@@ -113,6 +117,12 @@
                 health::on_own_response(&self.router, name, &current.health, arrival, now);
                 // A frame without data holds trailers, which are not passed on.
                 let data = frame.into_data().unwrap_or_default();
+                if now >= self.request.deadline {
+                    self.late_bytes += data.len();
+                }
+                if self.late_bytes > MAX_LATE_BYTES {
+                    return Err(AttemptFailure::DeadlinePassedSent);
+                }
                 let pushed = self.splitter.push(&data);
                 pushed.map_err(|EventError::TooLong| AttemptFailure::EventTooLong)?;
                 self.check_version()?;
