A log line for each judgement on a process at a dead upstream's address, with its inputs

review/1 beside load breaks ROUTE now and then, and the logs did not tell whether the dead upstream's last bytes were taken for too young, the address was withheld too short, or a peer was wrong. The line has when the last bytes were read, when they can have been sent at the earliest, and the outcome.

--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -5,6 +5,24 @@
 use cloverpier_crashes::{Admission, DiscardReason};
 use serde::Serialize;
 
+/// Another process responded at the address of a dead upstream, and this router judged whether it must belong to the
+/// same service.
+#[derive(Serialize)]
+pub(crate) struct SuccessorJudged<'a> {
+    /// The dead upstream.
+    #[serde(rename = "server")]
+    pub predecessor: &'a str,
+    /// The name of the process that responded; `None` if it stated none.
+    pub responder: Option<&'a str>,
+    /// Milliseconds since this router last read a part of the dead upstream's responses; `None` if it read none.
+    pub read_ago_ms: Option<u64>,
+    /// Milliseconds since the earliest time at which the dead upstream can have sent that part; `None` if there is none.
+    pub sent_ago_ms: Option<u64>,
+    /// For how many milliseconds after the end of a process its address is withheld from other services.
+    pub address_reuse_ms: u64,
+    pub is_same_service: bool,
+}
+
 /// This router recorded that an upstream crashed while it was running a request of this router.
 #[derive(Serialize)]
 pub(crate) struct CrashRecorded {
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -6,6 +6,7 @@
 //! [`crate::health`] for the time of the predecessor's last response. Owns no state.
 
 use crate::crashes::record;
+use crate::decision_log::{SuccessorJudged, ms, ms_since};
 use crate::outbox::Recipients;
 use crate::peer_messages::{PeerMessage, ReplacedUpstream, Successor};
 use crate::router::Router;
@@ -79,10 +80,9 @@
     predecessor: &Upstream,
     responding_name: Option<&UpstreamName>,
 ) -> Option<Upstream> {
-    let now = router.now();
-    let last_response = router.health.last_own_arrival(&predecessor.name)?;
-    let name = responding_name?;
-    must_be_same_service(last_response, now, router.settings().address_reuse).then(|| Upstream {
+    let is_same_service = judge(router, predecessor, responding_name);
+    let name = responding_name.filter(|_| is_same_service)?;
+    Some(Upstream {
         name: name.clone(),
         draining: false,
         start: UpstreamStart::of_successor(predecessor),
@@ -90,6 +90,30 @@
     })
 }
 
+/// Decides whether the process that responds at the predecessor's address must belong to its service, and logs the
+/// decision with its inputs.
+fn judge(
+    router: &Router,
+    predecessor: &Upstream,
+    responding_name: Option<&UpstreamName>,
+) -> bool {
+    let now = router.now();
+    let address_reuse = router.settings().address_reuse;
+    let last_read = router.health.last_own_response(&predecessor.name);
+    let last_sent = router.health.last_own_arrival(&predecessor.name);
+    let is_same_service = last_sent.is_some_and(|at| must_be_same_service(at, now, address_reuse));
+    let line = SuccessorJudged {
+        predecessor: predecessor.name.as_str(),
+        responder: responding_name.map(UpstreamName::as_str),
+        read_ago_ms: last_read.map(|at| ms_since(at, now)),
+        sent_ago_ms: last_sent.map(|at| ms_since(at, now)),
+        address_reuse_ms: ms(address_reuse),
+        is_same_service,
+    };
+    router.log.info("successor.judged", &line);
+    is_same_service
+}
+
 /// Adds a successor that a peer has reported, with the version of the predecessor if that is known here.
 pub(crate) fn on_peer_successor(router: &Router, successor: Successor) {
     let table = router.upstreams.borrow();
