--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -92,11 +92,7 @@
 
 /// Decides whether the process that responds at the predecessor's address must belong to its service, and logs the
 /// decision with its inputs.
-fn judge(
-    router: &Router,
-    predecessor: &Upstream,
-    responding_name: Option<&UpstreamName>,
-) -> bool {
+fn judge(router: &Router, predecessor: &Upstream, responding_name: Option<&UpstreamName>) -> bool {
     let now = router.now();
     let address_reuse = router.settings().address_reuse;
     let last_read = router.health.last_own_response(&predecessor.name);
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -261,8 +261,30 @@
         !self.crashed.is_empty() || self.upstreams.iter().any(|u| u.stand_in.has_crashed())
     }
 
+    /// Starts an upstream of the plain service at the address of a crashed one, under another name. The store still lists
+    /// the crashed one, and not the new one.
+    ///
+    /// # Errors
+    ///
+    /// Its port is taken.
+    pub async fn start_plain_in_place_of(&mut self, index: usize) -> io::Result<()> {
+        self.starts += 1;
+        let spec = &mut self.upstreams[index].spec;
+        spec.name = format!("server-{index}-{}", self.starts);
+        spec.service = PLAIN.to_owned();
+        self.launch(index).await
+    }
+
     /// Starts an upstream by its present description, at its address, and lists it.
     async fn relaunch(&mut self, index: usize) -> io::Result<()> {
+        self.launch(index).await?;
+        let listed = self.upstreams[index].stand_in.listed();
+        self.store.put_upstream(&listed);
+        Ok(())
+    }
+
+    /// Starts an upstream by its present description, at its address.
+    async fn launch(&mut self, index: usize) -> io::Result<()> {
         let upstream = &mut self.upstreams[index];
         let (spec, at) = (upstream.spec.clone(), Some(upstream.address));
         let ledger = Arc::clone(&self.ledger);
@@ -271,9 +293,7 @@
             .stand_in
             .set_listed_address(upstream.link.address());
         upstream.link.set_harm(Harm::None);
-        upstream.link.reopen().await?;
-        self.store.put_upstream(&upstream.stand_in.listed());
-        Ok(())
+        upstream.link.reopen().await
     }
 
     /// Orders that a service moves to a version.
