Only a call that a dead upstream has answered proves that it lived, not when its bytes were read

Cause: the time of the engine's last sign of life was worked out from how long this process had waited for its bytes; bytes that lay in the socket and were read in pieces counted as sent after the pause. How long one process waits says nothing of when another one lived; bytes also wait in a paused peer that relays them, and on a path that is cut and heals. Change: the proof is the time at which the last call was sent to that address that the upstream has answered under its own name: a valid response to a request, or an answer to a question that names it. The proof holds for the address it was got at. Liveness keeps no time of arrival.

--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -16,8 +16,9 @@
     pub responder: Option<&'a str>,
     /// Milliseconds since this router last read a part of the dead upstream's responses; `None` if it read none.
     pub read_ago_ms: Option<u64>,
-    /// Milliseconds since the earliest time at which the dead upstream can have sent that part; `None` if there is none.
-    pub sent_ago_ms: Option<u64>,
+    /// Milliseconds since the last call was sent that the dead upstream has answered under its name; `None` if it has
+    /// answered none. It decides.
+    pub proven_alive_ago_ms: Option<u64>,
     /// For how many milliseconds after the end of a process its address is withheld from other services.
     pub address_reuse_ms: u64,
     pub is_same_service: bool,
--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -12,6 +12,7 @@
 use cloverpier_router_policy::silence::QUIET_AFTER;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -29,6 +30,15 @@
     PathLost,
 }
 
+/// A call that an upstream has answered under its own name, by which its process ran after the call was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ProofOfLife {
+    /// When the call was sent.
+    pub call_sent_at: Instant,
+    /// The address to which it was sent.
+    pub address: SocketAddr,
+}
+
 /// The observed activity of one upstream over one path.
 #[derive(Debug)]
 pub(crate) struct UpstreamHealth {
@@ -40,8 +50,9 @@
     /// When a part of a valid response of the upstream itself last arrived; `None` before the first. Unlike
     /// `last_activity`, responses of another process at the same address do not count.
     pub last_own_response: Cell<Option<Instant>>,
-    /// The earliest time at which that part can have arrived; it may have been read later. `None` before the first.
-    last_own_arrival: Cell<Option<Instant>>,
+    /// The latest proof that the upstream's process ran; `None` before the first. When its bytes were read is none: they may
+    /// have waited for long.
+    proof_of_life: Cell<Option<ProofOfLife>>,
     /// Since when the upstream has sent parts of its own responses without a long pause; `None` before the first.
     pub responding_since: Cell<Option<Instant>>,
     /// When the probe in flight was sent, or the first one if it is a repetition; `None` without a probe.
@@ -75,7 +86,7 @@
             probe_connection: RefCell::default(),
             last_activity: Cell::new(now),
             last_own_response: Cell::new(None),
-            last_own_arrival: Cell::new(None),
+            proof_of_life: Cell::new(None),
             responding_since: Cell::new(None),
             probing_since: Cell::new(None),
             probe_awaits_permit: Cell::new(false),
@@ -95,10 +106,7 @@
     }
 
     /// Records that a part of a valid response of the upstream itself arrived.
-    fn on_own_response(&self, earliest_arrival: Instant, now: Instant) {
-        let last_arrival = self.last_own_arrival.get();
-        self.last_own_arrival
-            .set(last_arrival.max(Some(earliest_arrival)));
+    fn on_own_response(&self, now: Instant) {
         let is_pause = |at| now.saturating_duration_since(at) >= QUIET_AFTER;
         let last = self.last_own_response.replace(Some(now));
         if last.is_none_or(is_pause) || self.responding_since.get().is_none() {
@@ -107,6 +115,14 @@
         self.on_heard(now);
     }
 
+    /// Records that the upstream has answered a call under its own name.
+    pub fn on_proof_of_life(&self, proof: ProofOfLife) {
+        let is_later = |last: ProofOfLife| last.call_sent_at <= proof.call_sent_at;
+        if self.proof_of_life.get().is_none_or(is_later) {
+            self.proof_of_life.set(Some(proof));
+        }
+    }
+
     /// Records that data arrived from the upstream's address.
     fn on_heard(&self, now: Instant) {
         self.last_heard.set(Some(now));
@@ -151,10 +167,9 @@
     router: &Router,
     upstream: &UpstreamName,
     health: &UpstreamHealth,
-    earliest_arrival: Instant,
     now: Instant,
 ) {
-    health.on_own_response(earliest_arrival, now);
+    health.on_own_response(now);
     on_probe_answered(router, upstream, health);
 }
 
@@ -219,12 +234,18 @@
         entries.filter_map(|h| h.last_own_response.get()).max()
     }
 
-    /// The earliest time at which the part of a valid response that was read last can have arrived, over any path; `None`
-    /// before the first.
-    pub fn last_own_arrival(&self, upstream: &UpstreamName) -> Option<Instant> {
+    /// When the last call was sent to the upstream at its present address that it has answered under its own name, over any
+    /// path: its process ran there at that time or later. `None` before the first.
+    pub fn proven_alive_at(&self, upstream: &Upstream) -> Option<Instant> {
+        let proof = self.last_proof_of_life(&upstream.name)?;
+        (proof.address == upstream.address).then_some(proof.call_sent_at)
+    }
+
+    fn last_proof_of_life(&self, upstream: &UpstreamName) -> Option<ProofOfLife> {
         let table = self.by_upstream.borrow();
         let entries = table.get(upstream)?.values();
-        entries.filter_map(|h| h.last_own_arrival.get()).max()
+        let proofs = entries.filter_map(|h| h.proof_of_life.get());
+        proofs.max_by_key(|proof| proof.call_sent_at)
     }
 
     /// When a part of a valid response last arrived over this router's own path from one of the upstreams; `None`
@@ -275,10 +296,10 @@
     }
 
     /// Marks all attempts at an upstream whose process has ended, or which has restarted, and returns the new entry for
-    /// this router's own path. The time of the last own response is kept.
+    /// this router's own path. The last own response and the proof of life are kept.
     pub fn end_all(&self, upstream: &Upstream, sign: LossSign, now: Instant) -> Rc<UpstreamHealth> {
         let last_own_response = self.last_own_response(&upstream.name);
-        let last_own_arrival = self.last_own_arrival(&upstream.name);
+        let proof_of_life = self.last_proof_of_life(&upstream.name);
         let ended = self.by_upstream.borrow_mut().remove(&upstream.name);
         // An upstream without entries has no attempts to end.
         for health in ended.unwrap_or_default().values() {
@@ -286,11 +307,11 @@
         }
         let health = self.of(upstream, Via::Direct, now);
         health.last_own_response.set(last_own_response);
-        health.last_own_arrival.set(last_own_arrival);
+        health.proof_of_life.set(proof_of_life);
         health
     }
 
-    /// Marks the attempts at an upstream over a lost path as possibly lost. The time of the last own response is kept.
+    /// Marks the attempts at an upstream over a lost path as possibly lost. The last own response and the proof of life are kept.
     pub fn end_path(&self, upstream: &Upstream, via: Via, now: Instant) {
         let mut table = self.by_upstream.borrow_mut();
         let entries = table.entry(upstream.name.clone()).or_default();
@@ -299,7 +320,7 @@
         };
         let health = UpstreamHealth::new(via, now);
         health.last_own_response.set(lost.last_own_response.get());
-        health.last_own_arrival.set(lost.last_own_arrival.get());
+        health.proof_of_life.set(lost.proof_of_life.get());
         entries.insert(via, Rc::new(health));
         drop(table);
         lost.on_lost(LossSign::PathLost, now);
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -181,10 +181,8 @@
 ) -> Result<OpenResponse, AttemptFailure> {
     let (head, body) = response.into_parts();
     check_head(router, &sent, &head, &connection)?;
-    // An upstream rejects a request that names another upstream, so a valid response is from this upstream.
     let (name, now) = (&sent.upstream.name, router.now());
-    // The response arrived after the request was sent, and may have been read later than it arrived.
-    health::on_own_response(router, name, &sent.health, sent.sent_at, now);
+    health::on_own_response(router, name, &sent.health, now);
     record::on_request_response(router, sent.upstream, sent.sent_at);
     if let Some(limit) = announced_idle_timeout(&head.headers) {
         connection.idle_timeout = limit;
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -9,6 +9,7 @@
 use crate::call_kind::CallKind;
 use crate::connection::Connection;
 use crate::decision_log::log_named_event;
+use crate::health::ProofOfLife;
 use crate::leaving_reports;
 use crate::limit_reports;
 use crate::pace_reports;
@@ -58,6 +59,10 @@
     ) -> AppliedStatement {
         let statement = (self.wire_names.statement)(&response);
         let sender = sender_of_query_response(&call.upstream.name, &statement);
+        // Any process at the address answers a query, so only the name tells which one did.
+        if statement.name.as_ref() == Some(&call.upstream.name) {
+            record_proof_of_life(self, call);
+        }
         let start_order = apply_statement(self, call, &statement, sender, false);
         AppliedStatement {
             statement,
@@ -79,11 +84,25 @@
             body: None,
         });
         let sender = sender_of_request_response(&call.upstream.name, &statement, validity);
+        // An upstream rejects a request that names another one, so a valid response is the addressee's.
+        if validity.is_ok() {
+            record_proof_of_life(self, call);
+        }
         apply_statement(self, call, &statement, sender, validity.is_ok());
         statement
     }
 }
 
+/// Records that the upstream of a call has answered it.
+fn record_proof_of_life(router: &Router, call: Call<'_>) {
+    let via = call.connection.via;
+    let health = router.health.of(call.upstream, via, router.now());
+    health.on_proof_of_life(ProofOfLife {
+        call_sent_at: call.sent,
+        address: call.upstream.address,
+    });
+}
+
 /// Applies a statement to its sender. `was_executed` is whether the sender executed a request, so that its
 /// response would contain a rate limit if there were one. A statement of an earlier process than the newest
 /// known one is ignored.
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -113,8 +113,7 @@
         match frame {
             Some(Ok(frame)) => {
                 let (name, now) = (&current.upstream.name, self.router.now());
-                let arrival = current.liveness.earliest_arrival();
-                health::on_own_response(&self.router, name, &current.health, arrival, now);
+                health::on_own_response(&self.router, name, &current.health, now);
                 // A frame without data holds trailers, which are not passed on.
                 let data = frame.into_data().unwrap_or_default();
                 if now >= self.request.deadline {
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -3,7 +3,7 @@
 //! A successor is a process that responds under another name at the address of a dead upstream, its
 //! predecessor. `cloverpier_router_policy::successor` decides whether it must belong to the same service.
 //! This module adds such a process to the table of upstreams and applies the reports of peers. Relies on
-//! [`crate::health`] for the time of the predecessor's last response. Owns no state.
+//! [`crate::health`] for the proof that the predecessor lived. Owns no state.
 
 use crate::crashes::record;
 use crate::decision_log::{SuccessorJudged, ms, ms_since};
@@ -16,12 +16,12 @@
 use cloverpier_router_policy::successor::{must_be_same_service, successor_deadline};
 
 /// Makes the checks of a dead upstream more frequent while its successor can still be accepted. Does nothing
-/// if no response of the upstream to a request has arrived here.
+/// if the upstream has answered nothing here.
 pub(crate) fn schedule_successor_checks(router: &Router, upstream: &Upstream) {
-    let Some(last_response) = router.health.last_own_arrival(&upstream.name) else {
+    let Some(proven_alive_at) = router.health.proven_alive_at(upstream) else {
         return;
     };
-    let until = successor_deadline(last_response, router.settings().address_reuse);
+    let until = successor_deadline(proven_alive_at, router.settings().address_reuse);
     let mut table = router.upstreams.borrow_mut();
     table.check_frequently_until(&upstream.name, until);
 }
@@ -96,13 +96,14 @@
     let now = router.now();
     let address_reuse = router.settings().address_reuse;
     let last_read = router.health.last_own_response(&predecessor.name);
-    let last_sent = router.health.last_own_arrival(&predecessor.name);
-    let is_same_service = last_sent.is_some_and(|at| must_be_same_service(at, now, address_reuse));
+    let proven_alive = router.health.proven_alive_at(predecessor);
+    let is_same_service =
+        proven_alive.is_some_and(|at| must_be_same_service(at, now, address_reuse));
     let line = SuccessorJudged {
         predecessor: predecessor.name.as_str(),
         responder: responding_name.map(UpstreamName::as_str),
         read_ago_ms: last_read.map(|at| ms_since(at, now)),
-        sent_ago_ms: last_sent.map(|at| ms_since(at, now)),
+        proven_alive_ago_ms: proven_alive.map(|at| ms_since(at, now)),
         address_reuse_ms: ms(address_reuse),
         is_same_service,
     };
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -67,18 +67,15 @@
 ) -> Result<T, AttemptFailure> {
     let mut response = pin!(response);
     let (router, health) = (awaited.router, awaited.health);
-    let mut waits_since = None;
     loop {
         let declared_dead = health.declared_dead.notified();
         let now = router.now();
         // Data that has already arrived takes precedence over timeouts, which may have passed while this process
         // was paused.
         if let Some(value) = poll_immediate(&mut response).await {
-            liveness.on_data(waits_since, now);
             health.on_activity(now);
             return Ok(value);
         }
-        waits_since.get_or_insert(now);
         let wake_at = match next_step(awaited, liveness, now)? {
             WaitAction::WaitUntil(at) => at,
             WaitAction::Reevaluate => continue,
@@ -86,9 +83,7 @@
         tokio::select! {
             biased;
             value = &mut response => {
-                let now = router.now();
-                liveness.on_data(waits_since, now);
-                health.on_activity(now);
+                health.on_activity(router.now());
                 return Ok(value);
             }
             () = declared_dead => {}
--- a/crates/router/cloverpier_router_policy/src/liveness.rs
+++ b/crates/router/cloverpier_router_policy/src/liveness.rs
@@ -17,9 +17,6 @@
 
 use std::time::{Duration, Instant};
 
-/// A wait for data of this length shows that this router had read all that had arrived before. The HTTP library hands over
-/// what is in the socket within less, also after a pause of this process.
-const CAUGHT_UP_AFTER: Duration = Duration::from_millis(10);
 /// A timer that fires later than this shows that this process was paused (the VM was frozen or the
 /// process had no CPU), so the silence is no evidence against the upstream.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(150);
@@ -83,9 +80,6 @@
     stalled_again_at: Option<Instant>,
     /// The upstream must not be probed before this time; `None` if it may be probed now.
     no_probe_before: Option<Instant>,
-    /// When this router last had read all that had arrived; what is read now arrived later. When it is read may be
-    /// seconds after that, if this process was paused or the caller reads slowly.
-    caught_up_at: Instant,
 }
 
 impl Liveness {
@@ -98,24 +92,9 @@
             paused_until: now,
             stalled_again_at: None,
             no_probe_before: None,
-            caught_up_at: now,
         }
     }
 
-    /// Records that data was read, for which this router has waited since `waits_since`; `None` if it was there at once.
-    /// After a long enough wait, all that had arrived before was read when the wait began.
-    pub fn on_data(&mut self, waits_since: Option<Instant>, now: Instant) {
-        let is_long = |since: &Instant| now.saturating_duration_since(*since) >= CAUGHT_UP_AFTER;
-        if let Some(since) = waits_since.filter(is_long) {
-            self.caught_up_at = since;
-        }
-    }
-
-    /// The earliest time at which the bytes that were read last can have arrived.
-    pub fn earliest_arrival(&self) -> Instant {
-        self.caught_up_at
-    }
-
     /// Delays probes until the given time, because the upstream accepts none earlier
     /// ([`cloverpier_core::wait`]) or a probe still waits for its permit. `None` allows probes at any time.
     pub fn hold_probes_until(&mut self, earliest: Option<Instant>) {
