A request that waited for a permit is not sent to an upstream whose entry names another service or address since

It was chosen for the upstream as it was known then, which may have been an assumption on a dead upstream's successor. One test of the policy; it can't be stated on the code before, which asks by name alone.

--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -218,11 +218,10 @@
         peer_timeout(interval, self.peers.count())
     }
 
-    /// Whether requests may still be sent to an upstream.
+    /// Whether requests for which an upstream was chosen may still be sent to it.
     pub(crate) fn is_usable(&self, upstream: &Upstream) -> bool {
         let table = self.upstreams.borrow();
-        let state = table.get(&upstream.name);
-        state.is_some_and(|state| state.is_usable(self.now()))
+        table.is_still_usable(upstream, self.now())
     }
 
     /// Whether the upstreams of a service are model engines, by the configuration in force.
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -158,6 +158,15 @@
         down.map(|(data_centre, _)| data_centre).collect()
     }
 
+    /// Whether requests for which an upstream was chosen, as it was known then, may still be sent to it. Its entry may name
+    /// another service since, if it was assumed to be a successor, or another address.
+    pub fn is_still_usable(&self, chosen: &Upstream, now: Instant) -> bool {
+        let is_as_chosen =
+            |known: &Upstream| known.service == chosen.service && known.address == chosen.address;
+        let state = self.get(&chosen.name);
+        state.is_some_and(|state| is_as_chosen(&state.upstream) && state.is_usable(now))
+    }
+
     /// Number of a service's listed upstreams that run a software version and can serve requests.
     pub fn count_of_version(&self, service: &ServiceName, version: &SoftwareVersion) -> usize {
         let listed = self.of_service(service).filter(|s| s.is_listed());
--- a/crates/router/cloverpier_router_policy/tests/successor.rs
+++ b/crates/router/cloverpier_router_policy/tests/successor.rs
@@ -127,6 +127,24 @@
     assert!(has_next("lookups"));
 }
 
+/// Guards against requests that wait for a permit of an assumed successor while its entry arrives.
+#[test]
+fn a_request_that_was_chosen_for_an_assumed_successor_is_not_sent_once_its_entry_differs() {
+    let now = Instant::now();
+    let mut table = table(now);
+    let chosen = upstream("next", 9_000);
+    table.add_successor(&"former".into(), chosen.clone());
+    assert!(table.is_still_usable(&chosen, now));
+    let of_other_service = Upstream {
+        service: ServiceName::new("lookups"),
+        ..chosen.clone()
+    };
+    for (revision, entry) in [(2, of_other_service), (3, upstream("next", 9_002))] {
+        table.apply_changes(vec![UpstreamChange::Listed(entry)], revision, now);
+        assert!(!table.is_still_usable(&chosen, now), "revision {revision}");
+    }
+}
+
 #[test]
 fn a_successor_that_is_not_listed_in_time_counts_as_removed() {
     let now = Instant::now();
