While the store is away, upstreams are asked for new proofs that they run

Change: while neither this router nor a peer reaches the store, each upstream is asked at the health path, where it names itself, once its proof is 300 ms old; one router asks, its limiter.

--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -222,7 +222,7 @@
 
 /// Handles the response to a probe. `responder` is the upstream's name in the response; if the name is another one,
 /// another process has the upstream's address. `None` counts as the upstream's own.
-fn on_probe_response(
+pub(crate) fn on_probe_response(
     router: &Router,
     upstream: &Upstream,
     health: &UpstreamHealth,
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -13,6 +13,7 @@
 use crate::peer_fetch;
 use crate::peer_reports;
 use crate::peer_serve;
+use crate::proof_renewal;
 use crate::reachability::{checks, update_gauge};
 use crate::rollout_steps;
 use crate::router::Router;
@@ -87,6 +88,7 @@
     spawn_local(suspension::watch_resumes(Rc::clone(&router)));
     spawn_local(suspect_checks::check_suspects(Rc::clone(&router)));
     spawn_local(checks::check_lost_paths(Rc::clone(&router)));
+    spawn_local(proof_renewal::renew_proofs(Rc::clone(&router)));
     spawn_local(resolution::resolve_lost_attempts(Rc::clone(&router)));
     spawn_local(remove_stale_state(Rc::clone(&router), log_progress));
     spawn_local(refresh_records(Rc::clone(&router)));
--- a/crates/router/cloverpier_router/src/upstream_limits/limiter.rs
+++ b/crates/router/cloverpier_router/src/upstream_limits/limiter.rs
@@ -6,12 +6,19 @@
 use super::{UpstreamLimits, limited_upstream};
 use crate::peer_messages::{LimiterReply, LimiterRequest, PeerMessage};
 use cloverpier_router_policy::permit::{LimitedUpstream, LimiterMap, PermitReply};
-use cloverpier_router_policy::prelude::{UpstreamKey, UpstreamState, UpstreamTable};
+use cloverpier_router_policy::prelude::{Upstream, UpstreamKey, UpstreamState, UpstreamTable};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 impl UpstreamLimits {
+    /// Whether this router is the limiter of an upstream, by its record of the fleet.
+    pub fn is_own_limiter(&self, upstream: &Upstream) -> bool {
+        let now = self.deps.timers.now();
+        let permits = self.permits.borrow();
+        permits.limiter_of(limited_upstream(upstream), now) == Some(self.deps.own_address)
+    }
+
     /// Replies to another router's permit request. `state` is `None` if the upstream is not in this router's table.
     ///
     /// If another router is the limiter, this router probes that one: the sender may have passed it over as
--- a/crates/router/cloverpier_router_policy/src/successor.rs
+++ b/crates/router/cloverpier_router_policy/src/successor.rs
@@ -6,7 +6,8 @@
 //! - **Inputs.** When a call was sent to the dead process, the *predecessor*, that it has answered under its own name.
 //!   When the response to the check was read. How long the platform withholds an address from other services after the
 //!   process there has ended.
-//! - **Answer.** [`must_be_same_service`]; how often a dead upstream is checked until then.
+//! - **Answer.** [`must_be_same_service`]; how often a dead upstream is checked until then; when a live one is asked for a
+//!   new proof ([`is_proof_renewal_due`]).
 //! - **Why.** An engine that crashes is back after about a second under another name. During an outage of
 //!   the platform's store it cannot register, so when two data centres crash during such an outage, half
 //!   of the engines run but are unknown to routers. The conclusion is safe: a process that answers a call
@@ -24,9 +25,26 @@
 
 use std::time::{Duration, Instant};
 
+/// Age of the last proof that an upstream ran from which it is asked for another one while the store is away. An engine is
+/// back about a second after its end; the proof must still count then.
+const PROOF_RENEWAL_AGE: Duration = Duration::from_millis(300);
+/// Interval at which upstreams whose proof is too old are looked for.
+pub const PROOF_RENEWAL_PERIOD: Duration = Duration::from_millis(200);
 /// Interval between checks of a dead upstream while its successor can still be accepted.
 pub(crate) const SUCCESSOR_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
+/// Whether an upstream is asked for a new proof that it runs, so that its successor can be told if it ends while the
+/// platform's store is away. `proven_alive_at` and `address_reuse` are those of [`successor_deadline`]; `None` without a
+/// proof.
+pub fn is_proof_renewal_due(
+    proven_alive_at: Option<Instant>,
+    address_reuse: Duration,
+    now: Instant,
+) -> bool {
+    let is_old = |at| now.saturating_duration_since(at) >= PROOF_RENEWAL_AGE;
+    !address_reuse.is_zero() && proven_alive_at.is_none_or(is_old)
+}
+
 /// Until when a response at a dead process's address must come from the same service.
 ///
 /// `proven_alive_at` is when the last call was sent to that address that the dead process has answered. `address_reuse` is
