--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -122,8 +122,9 @@
     }
 }
 
-/// Marks an upstream that a router uses although the platform's list does not contain it yet.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Marks an upstream that the platform's list does not contain yet. It gets requests only if the store was unreachable at
+/// some time since it was found: otherwise the store lists it soon, and nothing has to be assumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NotYetListed {
     /// When the first list version without the upstream arrived. From then on the store is
     /// reachable and the upstream is expected to register.
@@ -135,6 +136,15 @@
 }
 
 impl NotYetListed {
+    /// Marks an upstream that is found now. `is_away` is whether the store is unreachable at present.
+    pub fn new(is_away: bool) -> Self {
+        Self {
+            missing_since: None,
+            reachable_since: None,
+            was_away: is_away,
+        }
+    }
+
     /// Records a list version that does not contain the upstream.
     ///
     /// Returns whether the upstream counts as removed: a running upstream registers within
@@ -387,9 +397,10 @@
     }
 
     /// Whether the upstream may serve requests and its entry was not removed. A successor counts as
-    /// listed before its entry arrives.
+    /// listed before its entry arrives, if the store can't or couldn't list it.
     pub fn is_listed(&self) -> bool {
-        self.delisted_at.is_none() && self.may_still_serve()
+        let is_assumed_or_listed = self.not_yet_listed.is_none_or(|mark| mark.was_away);
+        self.delisted_at.is_none() && self.may_still_serve() && is_assumed_or_listed
     }
 
     /// How the upstream stands with the platform's list and its own announcements.
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -76,6 +76,8 @@
     services: Option<HashSet<ServiceName>>,
     /// When the platform's store was last known to be unreachable; `None` if it has been reachable since the start.
     store_away_at: Option<Instant>,
+    /// Whether neither this router nor a peer reached the store when that was last recorded.
+    is_store_away: bool,
 }
 
 /// The effect of applying a whole list of upstreams, or a batch of changes, to the table.
@@ -343,6 +345,7 @@
     /// Marks successors as removed that a reachable store has not listed for too long. To be called periodically;
     /// `is_reachable` is whether this router or a peer reaches the store at present.
     pub fn expire_unlisted(&mut self, is_reachable: bool, now: Instant) {
+        self.is_store_away = !is_reachable;
         for state in self.upstreams.values_mut() {
             let not_yet_listed = state.not_yet_listed.as_mut();
             if not_yet_listed.is_some_and(|mark| mark.on_store_contact(is_reachable, now)) {
@@ -454,7 +457,7 @@
     }
 
     /// Adds an upstream that took over the address of `predecessor` and that the platform's list does
-    /// not contain yet.
+    /// not contain yet. It gets requests before its entry arrives only if the store is unreachable now or later.
     ///
     /// Returns false, and changes nothing, if the upstream is known already or an upstream other than
     /// `predecessor` is known at the address and not replaced.
@@ -467,7 +470,7 @@
             return false;
         }
         let mut state = UpstreamState::new(upstream);
-        state.not_yet_listed = Some(NotYetListed::default());
+        state.not_yet_listed = Some(NotYetListed::new(self.is_store_away));
         self.insert(state);
         true
     }
