Upstreams without an entry in modules of their own; an unlisted one is no last resort either

One function declares an upstream dead whose host refuses. No logic changes, but that an unlisted upstream which may get no requests is not used as the last resort when it says that it leaves.

--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -182,9 +182,7 @@
         Err(error) if error.is_refused() => {
             router.metrics.probes.count("refused");
             if !end_path_if_reached_otherwise(router, upstream, health, sent).await {
-                let evidence = FailureEvidence::NoProcess;
-                let reason = "no process listens at its address";
-                declare_dead(router, upstream, evidence, reason, router.now());
+                on_no_process(router, upstream);
             }
         }
         Err(error) if error.is_break() => {
@@ -198,6 +196,13 @@
     ProbeOutcome::Finished
 }
 
+/// Declares an upstream dead whose host has refused a connection.
+pub(crate) fn on_no_process(router: &Router, upstream: &Upstream) {
+    let evidence = FailureEvidence::NoProcess;
+    let reason = "no process listens at its address";
+    declare_dead(router, upstream, evidence, reason, router.now());
+}
+
 /// Handles a probe that nothing has answered in time: the path of `health` is lost if the upstream was reached over
 /// another one, else the upstream is declared dead. Marks the attempts that wait accordingly, those with an entry that is
 /// not in the table any more, too, and returns the sign of their loss.
--- a/crates/router/cloverpier_router/src/proof_renewal.rs
+++ b/crates/router/cloverpier_router/src/proof_renewal.rs
@@ -8,7 +8,7 @@
 use crate::call_kind::CallKind;
 use crate::connection::{Connection, Via};
 use crate::http_client::{CallError, get_over};
-use crate::probe::{self, FailureEvidence};
+use crate::probe;
 use crate::reachability::connect;
 use crate::reachability::query::PathResponse;
 use crate::router::Router;
@@ -77,14 +77,7 @@
         Ok(Ok(answered)) => on_answer(router, upstream, answered, sent),
         Ok(Err(error)) if error.is_refused() => {
             router.metrics.probes.count("proof-refused");
-            let reason = "no process listens at its address";
-            probe::declare_dead(
-                router,
-                upstream,
-                FailureEvidence::NoProcess,
-                reason,
-                router.now(),
-            );
+            probe::on_no_process(router, upstream);
         }
         // Silence proves nothing; the upstream is asked again.
         Ok(Err(_)) | Err(_) => router.metrics.probes.count("proof-silent"),
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -13,7 +13,8 @@
 use crate::load::Load;
 use crate::pace::Pace;
 use crate::silence::{UNRESPONSIVE_AFTER, UNRESPONSIVE_FOR};
-use crate::suspicion::{PEER_SUSPICION_TTL, RELIST_WINDOW, Suspicion, UNLISTED_PERIOD};
+use crate::suspicion::{PEER_SUSPICION_TTL, RELIST_WINDOW, Suspicion};
+use crate::unlisted::NotYetListed;
 use cloverpier_core::{
     DataCentre, ServiceName, SoftwareVersion, UpstreamName, WaitPeriod, hash_of,
 };
@@ -122,56 +123,6 @@
     }
 }
 
-/// Marks an upstream that the platform's list does not contain yet. It gets requests only if the store was unreachable at
-/// some time since it was found: otherwise the store lists it soon, and nothing has to be assumed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct NotYetListed {
-    /// When the first list version without the upstream arrived. From then on the store is
-    /// reachable and the upstream is expected to register.
-    missing_since: Option<Instant>,
-    /// Since when the store has been reachable without a break, as far as was seen; `None` while it is not.
-    reachable_since: Option<Instant>,
-    /// Whether the store was unreachable at some time since the upstream was added.
-    was_away: bool,
-}
-
-impl NotYetListed {
-    /// Marks an upstream that is found now. `is_away` is whether the store is unreachable at present.
-    pub fn new(is_away: bool) -> Self {
-        Self {
-            missing_since: None,
-            reachable_since: None,
-            was_away: is_away,
-        }
-    }
-
-    /// Records a list version that does not contain the upstream.
-    ///
-    /// Returns whether the upstream counts as removed: a running upstream registers within
-    /// [`RELIST_WINDOW`] of the end of a store outage.
-    pub fn on_list_without_upstream(&mut self, now: Instant) -> bool {
-        let since = *self.missing_since.get_or_insert(now);
-        now.saturating_duration_since(since) > RELIST_WINDOW
-    }
-
-    /// Records whether the store is reachable at present. Returns whether the upstream counts as removed: a reachable
-    /// store lists a running upstream soon, and one whose entry came and went unseen is never listed again.
-    pub fn on_store_contact(&mut self, is_reachable: bool, now: Instant) -> bool {
-        if !is_reachable {
-            self.was_away = true;
-            self.reachable_since = None;
-            return false;
-        }
-        let since = *self.reachable_since.get_or_insert(now);
-        let allowed = if self.was_away {
-            RELIST_WINDOW
-        } else {
-            UNLISTED_PERIOD
-        };
-        now.saturating_duration_since(since) > allowed
-    }
-}
-
 /// How an upstream stands with the platform's list and its own announcements, as logged with a choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -399,8 +350,12 @@
     /// Whether the upstream may serve requests and its entry was not removed. A successor counts as
     /// listed before its entry arrives, if the store can't or couldn't list it.
     pub fn is_listed(&self) -> bool {
-        let is_assumed_or_listed = self.not_yet_listed.is_none_or(|mark| mark.was_away);
-        self.delisted_at.is_none() && self.may_still_serve() && is_assumed_or_listed
+        self.delisted_at.is_none() && self.may_still_serve() && self.is_listed_or_assumed()
+    }
+
+    /// Whether the upstream has an entry, or may get requests without one.
+    fn is_listed_or_assumed(&self) -> bool {
+        self.not_yet_listed.is_none_or(|mark| mark.may_serve())
     }
 
     /// How the upstream stands with the platform's list and its own announcements.
@@ -436,7 +391,8 @@
     pub(crate) fn is_last_resort(&self, now: Instant) -> bool {
         let is_recent = |at| now.saturating_duration_since(at) < LAST_RESORT_PERIOD;
         let announced = self.leaving.is_some_and(is_recent) && !self.upstream.draining;
-        announced && self.delisted_at.is_none() && !self.replaced
+        let has_entry = self.delisted_at.is_none() && self.is_listed_or_assumed();
+        announced && has_entry && !self.replaced
     }
 
     /// Whether the state can be dropped: the entry was removed more than `retention` ago. An
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -3,13 +3,14 @@
 //! Owns the state of each upstream, the revision of the platform's list up to which the table is
 //! current, and the latest changes, which peers request. Revisions only increase. The results of
 //! requests and checks are recorded by the `observations` module, statements of upstreams by
-//! `statements`. A restarted upstream has a new name or reports a later start time; in either case
+//! `statements`, upstreams that are not listed yet by `successors`. A restarted upstream has a new name or reports a later start time; in either case
 //! no observation of the previous process applies to it.
 
 mod addresses;
 mod observations;
 mod paces;
 mod statements;
+mod successors;
 
 pub use statements::{ExclusionCounts, ServiceWait};
 
@@ -19,9 +20,7 @@
 use crate::silence::UNRESPONSIVE_FOR;
 use crate::stream_version::history::VersionCounts;
 use crate::suspicion::{DataCentreCounts, EXPIRY_WINDOW};
-use crate::upstream::{
-    NotYetListed, StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamState,
-};
+use crate::upstream::{StartOrder, Upstream, UpstreamChange, UpstreamKey, UpstreamState};
 use addresses::AddressIndex;
 use cloverpier_core::{DataCentre, ServiceName, SoftwareVersion, UpstreamName};
 use serde::Serialize;
@@ -331,29 +330,6 @@
         was_ready.then(|| (state.upstream.clone(), departure))
     }
 
-    /// Marks successors as removed that the list still does not contain although the store has been
-    /// reachable for longer than [`crate::suspicion::RELIST_WINDOW`].
-    fn delist_missing(&mut self, now: Instant) {
-        for state in self.upstreams.values_mut() {
-            let not_yet_listed = state.not_yet_listed.as_mut();
-            if not_yet_listed.is_some_and(|mark| mark.on_list_without_upstream(now)) {
-                state.on_removed(false, now);
-            }
-        }
-    }
-
-    /// Marks successors as removed that a reachable store has not listed for too long. To be called periodically;
-    /// `is_reachable` is whether this router or a peer reaches the store at present.
-    pub fn expire_unlisted(&mut self, is_reachable: bool, now: Instant) {
-        self.is_store_away = !is_reachable;
-        for state in self.upstreams.values_mut() {
-            let not_yet_listed = state.not_yet_listed.as_mut();
-            if not_yet_listed.is_some_and(|mark| mark.on_store_contact(is_reachable, now)) {
-                state.on_removed(false, now);
-            }
-        }
-    }
-
     fn trim_changes(&mut self) {
         let kept = self.upstreams.len().max(MIN_CHANGES_KEPT);
         while self.changes.len() > kept {
@@ -456,25 +432,6 @@
         self.first_event_bounds.get(service).copied()
     }
 
-    /// Adds an upstream that took over the address of `predecessor` and that the platform's list does
-    /// not contain yet. It gets requests before its entry arrives only if the store is unreachable now or later.
-    ///
-    /// Returns false, and changes nothing, if the upstream is known already or an upstream other than
-    /// `predecessor` is known at the address and not replaced.
-    pub fn add_successor(&mut self, predecessor: &UpstreamName, upstream: Upstream) -> bool {
-        let is_known = self.upstreams.contains_key(&upstream.name);
-        let others = self.by_address.at(upstream.address).iter();
-        let others = others.filter(|name| *name != predecessor);
-        let mut states = others.filter_map(|name| self.upstreams.get(name));
-        if is_known || states.any(|s| !s.replaced) {
-            return false;
-        }
-        let mut state = UpstreamState::new(upstream);
-        state.not_yet_listed = Some(NotYetListed::new(self.is_store_away));
-        self.insert(state);
-        true
-    }
-
     fn insert(&mut self, mut state: UpstreamState) {
         self.apply_leaving_state(&mut state);
         let upstream = &state.upstream;
