A router asks 16 upstreams for proofs at most in 0.2 s, those with the oldest first

A router that has lost its peers is the limiter of all upstreams by its own record, and would have asked each of 820 every 0.3 s.

--- a/crates/router/cloverpier_router/src/proof_renewal.rs
+++ b/crates/router/cloverpier_router/src/proof_renewal.rs
@@ -17,7 +17,9 @@
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::connection_reuse::CONNECT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
-use cloverpier_router_policy::successor::{PROOF_RENEWAL_PERIOD, is_proof_renewal_due};
+use cloverpier_router_policy::successor::{
+    MAX_PROOF_RENEWALS, PROOF_RENEWAL_PERIOD, is_proof_renewal_due,
+};
 use cloverpier_router_policy::suspicion::CHECK_TIMEOUT;
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -46,7 +48,7 @@
     }
 }
 
-/// The upstreams that this router asks now.
+/// The upstreams that this router asks now, those with the oldest proofs first.
 fn due(router: &Router, awaited: &Awaited, now: Instant) -> Vec<Upstream> {
     let address_reuse = router.settings().address_reuse;
     let awaited = awaited.borrow();
@@ -57,9 +59,14 @@
             && router.upstream_limits.is_own_limiter(upstream)
             && router.is_usable(upstream)
     };
-    let mut listed = router.upstreams.borrow().listed();
-    listed.retain(is_due);
-    listed
+    let mut due = router.upstreams.borrow().listed();
+    due.retain(is_due);
+    due.sort_by_cached_key(|upstream| {
+        let proven_alive_at = router.health.proven_alive_at(upstream);
+        (proven_alive_at, upstream.name.clone())
+    });
+    due.truncate(MAX_PROOF_RENEWALS);
+    due
 }
 
 /// Asks an upstream at the health path of its service, at which upstreams name themselves.
--- a/crates/router/cloverpier_router_policy/src/successor.rs
+++ b/crates/router/cloverpier_router_policy/src/successor.rs
@@ -31,6 +31,9 @@
 const PROOF_RENEWAL_AGE: Duration = Duration::from_millis(300);
 /// Interval at which upstreams whose proof is too old are looked for.
 pub const PROOF_RENEWAL_PERIOD: Duration = Duration::from_millis(200);
+/// The most upstreams that one router asks in such an interval. Its share is a few; a router that has lost its peers is the
+/// only one that it knows, and all upstreams are its share.
+pub const MAX_PROOF_RENEWALS: usize = 16;
 /// Interval between checks of a dead upstream while its successor can still be accepted.
 pub(crate) const SUCCESSOR_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
