--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -76,7 +76,16 @@
     ///
     /// No port can be listened at.
     pub async fn start(to: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(any_loopback_port()).await?;
+        Self::start_at(any_loopback_port(), to).await
+    }
+
+    /// Starts a link at an address.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be listened at.
+    pub async fn start_at(at: SocketAddr, to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(at).await?;
         let address = listener.local_addr()?;
         let (harms, _) = watch::channel(Harms::default());
         let connections = Arc::new(Mutex::new(Vec::new()));
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -135,10 +135,11 @@
             },
         };
         let ledger = Arc::clone(&self.ledger);
-        let stand_in =
-            UpstreamStandIn::start(spec.clone(), None, self.names.clone(), ledger).await?;
-        let address = stand_in.listed().address;
-        let link = Link::start(address).await?;
+        // While an upstream is away, no outgoing connection may take its port or its link's.
+        let [address, of_link] = self.free_address_pair()?;
+        let names = self.names.clone();
+        let stand_in = UpstreamStandIn::start(spec.clone(), Some(address), names, ledger).await?;
+        let link = Link::start_at(of_link, address).await?;
         stand_in.set_listed_address(link.address());
         self.store.put_upstream(&stand_in.listed());
         self.upstreams.push(SiteUpstream {
@@ -150,6 +151,12 @@
         Ok(())
     }
 
+    fn free_address_pair(&self) -> io::Result<[SocketAddr; 2]> {
+        let addresses = (self.spec.free_addresses)(2)?;
+        let pair = <[SocketAddr; 2]>::try_from(addresses);
+        pair.map_err(|_| io::Error::other("not two addresses"))
+    }
+
     /// Whether an upstream is or was the one at a position: a crash gives it another name, with the same beginning.
     pub fn is_upstream_at(name: &UpstreamName, index: usize) -> bool {
         let number = name.as_str().strip_prefix("server-");
