A link of a test tries again where its port is taken for a moment

Cause, by reading: the search for free ports listens at each for a moment; a router that is started by another test just then inherits that socket between fork and exec, and keeps the port taken for that long. Upstreams tried again already, links did not.

--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -79,13 +79,14 @@
         Self::start_at(any_loopback_port(), to).await
     }
 
-    /// Starts a link at an address.
+    /// Starts a link at an address. A port that was just found free may be taken for a moment longer, by a process that is
+    /// about to start and has inherited the socket of that search.
     ///
     /// # Errors
     ///
     /// The address can't be listened at.
     pub async fn start_at(at: SocketAddr, to: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(at).await?;
+        let listener = bind_when_free(at).await?;
         let address = listener.local_addr()?;
         let (harms, _) = watch::channel(Harms::default());
         let connections = Arc::new(Mutex::new(Vec::new()));
