--- a/crates/router/cloverpier_router_policy/src/successor.rs
+++ b/crates/router/cloverpier_router_policy/src/successor.rs
@@ -16,8 +16,7 @@
 //!   read proves nothing: bytes wait in this host while this process is paused or its caller reads slowly, in a peer that
 //!   relays them and is paused, and on a path that is cut and works again. A name belongs to one
 //!   process, so the conclusion holds for as long as the name does: each request names the upstream
-//!   that it is for, and any other upstream rejects it. The platform's list takes precedence: while the store is reachable,
-//!   nothing is assumed, whichever router reports a successor; its entry for
+//!   that it is for, and any other upstream rejects it. The platform's list takes precedence: its entry for
 //!   the successor overrides the assumed one, and a successor that is still missing two seconds after the
 //!   store became reachable counts as removed.
 //!
--- a/crates/router/cloverpier_router_policy/src/unlisted.rs
+++ b/crates/router/cloverpier_router_policy/src/unlisted.rs
@@ -1,11 +1,11 @@
 //! How long an upstream may get requests that the platform's list does not contain yet.
 //!
-//! - **Question.** A successor was found at a dead upstream's address ([`crate::successor`]) and has no entry. Does it get
-//!   requests, and when does it count as removed?
+//! - **Question.** A successor was found at a dead upstream's address ([`crate::successor`]) and has no entry. Until when does
+//!   it get requests?
 //! - **Inputs.** Whether the store is reachable for this router or a peer, and the versions of the list that come without
 //!   the upstream, each with its time.
-//! - **Answer.** [`NotYetListed::may_serve`], and the results of the functions that record the inputs.
-//! - **Why.** A store that is reachable lists a running upstream soon, so that nothing has to be assumed. After an outage,
+//! - **Answer.** Whether it counts as removed, from the functions of `NotYetListed` that record the inputs.
+//! - **Why.** A store that is reachable lists a running upstream soon. After an outage,
 //!   upstreams need some time to register again.
 //!
 //! Owns the record of one upstream; the table of upstreams has one for each.
@@ -13,9 +13,8 @@
 use crate::suspicion::{RELIST_WINDOW, UNLISTED_PERIOD};
 use std::time::Instant;
 
-/// Marks an upstream that the platform's list does not contain yet. It gets requests only if the store was unreachable at
-/// some time since it was found: otherwise the store lists it soon, and nothing has to be assumed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Marks an upstream that a router uses although the platform's list does not contain it yet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct NotYetListed {
     /// When the first list version without the upstream arrived. From then on the store is
     /// reachable and the upstream is expected to register.
@@ -27,15 +26,6 @@
 }
 
 impl NotYetListed {
-    /// Marks an upstream that is found now. `is_away` is whether the store is unreachable at present.
-    pub fn new(is_away: bool) -> Self {
-        Self {
-            missing_since: None,
-            reachable_since: None,
-            was_away: is_away,
-        }
-    }
-
     /// Records a list version that does not contain the upstream.
     ///
     /// Returns whether the upstream counts as removed: a running upstream registers within
@@ -61,9 +51,4 @@
         };
         now.saturating_duration_since(since) > allowed
     }
-
-    /// Whether the upstream may get requests without an entry.
-    pub fn may_serve(&self) -> bool {
-        self.was_away
-    }
 }
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -348,14 +348,9 @@
     }
 
     /// Whether the upstream may serve requests and its entry was not removed. A successor counts as
-    /// listed before its entry arrives, if the store can't or couldn't list it.
+    /// listed before its entry arrives.
     pub fn is_listed(&self) -> bool {
-        self.delisted_at.is_none() && self.may_still_serve() && self.is_listed_or_assumed()
-    }
-
-    /// Whether the upstream has an entry, or may get requests without one.
-    fn is_listed_or_assumed(&self) -> bool {
-        self.not_yet_listed.is_none_or(|mark| mark.may_serve())
+        self.delisted_at.is_none() && self.may_still_serve()
     }
 
     /// How the upstream stands with the platform's list and its own announcements.
@@ -391,8 +386,7 @@
     pub(crate) fn is_last_resort(&self, now: Instant) -> bool {
         let is_recent = |at| now.saturating_duration_since(at) < LAST_RESORT_PERIOD;
         let announced = self.leaving.is_some_and(is_recent) && !self.upstream.draining;
-        let has_entry = self.delisted_at.is_none() && self.is_listed_or_assumed();
-        announced && has_entry && !self.replaced
+        announced && self.delisted_at.is_none() && !self.replaced
     }
 
     /// Whether the state can be dropped: the entry was removed more than `retention` ago. An
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -75,8 +75,6 @@
     services: Option<HashSet<ServiceName>>,
     /// When the platform's store was last known to be unreachable; `None` if it has been reachable since the start.
     store_away_at: Option<Instant>,
-    /// Whether neither this router nor a peer reached the store when that was last recorded.
-    is_store_away: bool,
 }
 
 /// The effect of applying a whole list of upstreams, or a batch of changes, to the table.
--- a/crates/router/cloverpier_router_policy/src/upstream_table/successors.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/successors.rs
@@ -11,7 +11,7 @@
 
 impl UpstreamTable {
     /// Adds an upstream that took over the address of `predecessor` and that the platform's list does
-    /// not contain yet. It gets requests before its entry arrives only if the store is unreachable now or later.
+    /// not contain yet.
     ///
     /// Returns false, and changes nothing, if the upstream is known already or an upstream other than
     /// `predecessor` is known at the address and not replaced.
@@ -24,7 +24,7 @@
             return false;
         }
         let mut state = UpstreamState::new(upstream);
-        state.not_yet_listed = Some(NotYetListed::new(self.is_store_away));
+        state.not_yet_listed = Some(NotYetListed::default());
         self.insert(state);
         true
     }
@@ -32,7 +32,6 @@
     /// Marks successors as removed that a reachable store has not listed for too long. To be called periodically;
     /// `is_reachable` is whether this router or a peer reaches the store at present.
     pub fn expire_unlisted(&mut self, is_reachable: bool, now: Instant) {
-        self.is_store_away = !is_reachable;
         for state in self.upstreams.values_mut() {
             let not_yet_listed = state.not_yet_listed.as_mut();
             if not_yet_listed.is_some_and(|mark| mark.on_store_contact(is_reachable, now)) {
