--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -41,7 +41,7 @@
 //! | is an upstream that does not respond dead, or is the path to it lost | [`path_evidence`] |
 //! | through which peer does a tunnel go | [`tunnel_peers`] |
 //! | does the process at a dead upstream's address belong to its service | [`successor`] |
-//! | does a process without an entry in the list get requests | [`unlisted`] |
+//! | until when does a process without an entry in the list get requests | [`unlisted`] |
 //! | what is reported to peers of requests that end upstreams | [`crash_reports`] |
 //! | which facts are sent to peers again | [`dissemination`] |
 //! | which routers do callers get | [`peers`] |
