Standard names for what successors need: liveness evidence, queries for it; three files by their own concerns

A newcomer met two words for one thing (proof, proof of life) that the field doesn't use, and asks beside queries. Now: LivenessEvidence, liveness_queries.rs, the log event successor.evaluated, the probe outcomes liveness-silent and liveness-refused; none of these names was released. Comments say what the code does, and lose no reason. No logic changes.

--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -5,11 +5,13 @@
 
 mod admission;
 mod coordination;
+mod crashes;
 mod upstreams;
 mod versions;
 
 pub(crate) use admission::*;
 pub(crate) use coordination::*;
+pub(crate) use crashes::*;
 pub(crate) use upstreams::*;
 pub(crate) use versions::*;
 
--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -1,108 +1,28 @@
-//! Log lines about the state of upstreams, and about request contents that crash upstreams.
+//! Log lines about the state of upstreams and of the paths to them.
 //!
 //! The names of events and fields are outer names; see the parent module. Owns no state.
 
-use cloverpier_crashes::{Admission, DiscardReason};
 use serde::Serialize;
 
-/// Another process responded at the address of a dead upstream, and this router judged whether it must belong to the
-/// same service.
+/// A process responded under another name at the address of a dead upstream, its predecessor. This router evaluated
+/// whether the process must belong to the same service.
 #[derive(Serialize)]
-pub(crate) struct SuccessorJudged<'a> {
-    /// The dead upstream.
+pub(crate) struct SuccessorEvaluated<'a> {
     #[serde(rename = "server")]
     pub predecessor: &'a str,
-    /// The name of the process that responded; `None` if it stated none.
+    /// The name of the process that responded; `None` if the response does not contain it.
     pub responder: Option<&'a str>,
-    /// Milliseconds since this router last read a part of the dead upstream's responses; `None` if it read none.
+    /// Milliseconds since this router read data of the predecessor's responses; `None` if it has read none. Not an input
+    /// of the decision.
     pub read_ago_ms: Option<u64>,
-    /// Milliseconds since the last call was sent that the dead upstream has answered under its name; `None` if it has
-    /// answered none. It decides.
+    /// Milliseconds since the sending of the latest call that has a response under the predecessor's name; `None` without
+    /// one.
     pub proven_alive_ago_ms: Option<u64>,
-    /// For how many milliseconds after the end of a process its address is withheld from other services.
+    /// For how many milliseconds after the end of a process the platform withholds its address from other services.
     pub address_reuse_ms: u64,
     pub is_same_service: bool,
 }
 
-/// This router recorded that an upstream crashed while it was running a request of this router.
-#[derive(Serialize)]
-pub(crate) struct CrashRecorded {
-    /// The key of the request's content.
-    pub content: String,
-    #[serde(rename = "server")]
-    pub upstream: String,
-    /// The start of the crashed process as a Unix time in milliseconds; 0 if the upstream does not report it.
-    #[serde(rename = "start_ms")]
-    pub start_time_ms: u64,
-    /// Number of other upstreams of the service that failed at about the same time; `None` if there were too many to
-    /// list.
-    #[serde(rename = "ended_beside")]
-    pub concurrent_failures: Option<usize>,
-    /// Whether a request with this content completed shortly before; the crash does not count against the content
-    /// then.
-    #[serde(rename = "ran_well")]
-    pub has_completed: bool,
-    /// Number of crashes that count against the content.
-    #[serde(rename = "ends")]
-    pub crash_count: usize,
-    /// The sum of the weights of these crashes, in thousandths. A crash has full weight (1000) if nothing but the
-    /// content explains it.
-    pub evidence: u32,
-    /// Milliseconds since the attempt was lost.
-    pub age_ms: u64,
-}
-
-/// An attempt was lost at an upstream, and no crash is recorded for it.
-#[derive(Serialize)]
-pub(crate) struct CrashDiscarded {
-    /// The key of the request's content.
-    pub content: String,
-    #[serde(rename = "server")]
-    pub upstream: String,
-    /// The start of the upstream's process as a Unix time in milliseconds; 0 if the upstream does not report it.
-    #[serde(rename = "start_ms")]
-    pub start_time_ms: u64,
-    pub reason: DiscardReason,
-    /// Milliseconds since the attempt was lost.
-    pub age_ms: u64,
-}
-
-/// A request was held until it was resolved whether its content crashed the upstreams at which attempts were lost.
-#[derive(Serialize)]
-pub(crate) struct RequestHeld<'a> {
-    /// The request id.
-    pub request: &'a str,
-    /// The key of the request's content.
-    pub content: String,
-    /// Number of crashes that count against the content.
-    #[serde(rename = "ends")]
-    pub crash_count: usize,
-    pub held_ms: u64,
-    /// Whether and how the request is sent after the wait.
-    pub admission: Admission,
-}
-
-/// A request content was blocked: requests with it are not sent to upstreams any more.
-#[derive(Serialize)]
-pub(crate) struct ContentBlocked<'a> {
-    /// The key of the blocked content.
-    pub content: String,
-    /// The crashed upstreams, and how long ago each of them crashed.
-    #[serde(rename = "ends")]
-    pub crashes: Vec<String>,
-    /// The source of the change, such as a peer or the settings.
-    pub from: &'a str,
-}
-
-/// A request content is not blocked any more.
-#[derive(Serialize)]
-pub(crate) struct ContentUnblocked<'a> {
-    /// The key of the unblocked content.
-    pub content: String,
-    /// The source of the change, such as a peer or the settings.
-    pub from: &'a str,
-}
-
 /// An upstream was suspected to be dead, found to be alive, replaced or restarted.
 #[derive(Serialize)]
 pub(crate) struct UpstreamStateChanged<'a> {
--- a/crates/router/cloverpier_router/src/health.rs
+++ b/crates/router/cloverpier_router/src/health.rs
@@ -30,9 +30,9 @@
     PathLost,
 }
 
-/// A call that an upstream has answered under its own name, by which its process ran after the call was sent.
+/// A call with a response under the upstream's own name: the upstream was running after the call was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct ProofOfLife {
+pub(crate) struct LivenessEvidence {
     /// When the call was sent.
     pub call_sent_at: Instant,
     /// The address to which it was sent.
@@ -50,9 +50,9 @@
     /// When a part of a valid response of the upstream itself last arrived; `None` before the first. Unlike
     /// `last_activity`, responses of another process at the same address do not count.
     pub last_own_response: Cell<Option<Instant>>,
-    /// The latest proof that the upstream's process ran; `None` before the first. When its bytes were read is none: they may
-    /// have waited for long.
-    proof_of_life: Cell<Option<ProofOfLife>>,
+    /// The latest evidence that the upstream was running; `None` before the first. The time at which data was read is no
+    /// evidence, as the data may have been in a buffer for long.
+    liveness_evidence: Cell<Option<LivenessEvidence>>,
     /// Since when the upstream has sent parts of its own responses without a long pause; `None` before the first.
     pub responding_since: Cell<Option<Instant>>,
     /// When the probe in flight was sent, or the first one if it is a repetition; `None` without a probe.
@@ -86,7 +86,7 @@
             probe_connection: RefCell::default(),
             last_activity: Cell::new(now),
             last_own_response: Cell::new(None),
-            proof_of_life: Cell::new(None),
+            liveness_evidence: Cell::new(None),
             responding_since: Cell::new(None),
             probing_since: Cell::new(None),
             probe_awaits_permit: Cell::new(false),
@@ -115,11 +115,11 @@
         self.on_heard(now);
     }
 
-    /// Records that the upstream has answered a call under its own name.
-    pub fn on_proof_of_life(&self, proof: ProofOfLife) {
-        let is_later = |last: ProofOfLife| last.call_sent_at <= proof.call_sent_at;
-        if self.proof_of_life.get().is_none_or(is_later) {
-            self.proof_of_life.set(Some(proof));
+    /// Records a call with a response under the upstream's own name.
+    pub fn on_liveness_evidence(&self, evidence: LivenessEvidence) {
+        let is_older = |last: LivenessEvidence| last.call_sent_at <= evidence.call_sent_at;
+        if self.liveness_evidence.get().is_none_or(is_older) {
+            self.liveness_evidence.set(Some(evidence));
         }
     }
 
@@ -234,18 +234,18 @@
         entries.filter_map(|h| h.last_own_response.get()).max()
     }
 
-    /// When the last call was sent to the upstream at its present address that it has answered under its own name, over any
-    /// path: its process ran there at that time or later. `None` before the first.
+    /// When the latest call was sent to the upstream's present address that has a response under its own name, over any
+    /// path: the upstream was running there at that time or later. `None` before the first.
     pub fn proven_alive_at(&self, upstream: &Upstream) -> Option<Instant> {
-        let proof = self.last_proof_of_life(&upstream.name)?;
-        (proof.address == upstream.address).then_some(proof.call_sent_at)
+        let evidence = self.last_evidence(&upstream.name)?;
+        (evidence.address == upstream.address).then_some(evidence.call_sent_at)
     }
 
-    fn last_proof_of_life(&self, upstream: &UpstreamName) -> Option<ProofOfLife> {
+    fn last_evidence(&self, upstream: &UpstreamName) -> Option<LivenessEvidence> {
         let table = self.by_upstream.borrow();
         let entries = table.get(upstream)?.values();
-        let proofs = entries.filter_map(|h| h.proof_of_life.get());
-        proofs.max_by_key(|proof| proof.call_sent_at)
+        let calls = entries.filter_map(|h| h.liveness_evidence.get());
+        calls.max_by_key(|call| call.call_sent_at)
     }
 
     /// When a part of a valid response last arrived over this router's own path from one of the upstreams; `None`
@@ -296,10 +296,10 @@
     }
 
     /// Marks all attempts at an upstream whose process has ended, or which has restarted, and returns the new entry for
-    /// this router's own path. The last own response and the proof of life are kept.
+    /// this router's own path. The last own response and the evidence are kept.
     pub fn end_all(&self, upstream: &Upstream, sign: LossSign, now: Instant) -> Rc<UpstreamHealth> {
         let last_own_response = self.last_own_response(&upstream.name);
-        let proof_of_life = self.last_proof_of_life(&upstream.name);
+        let liveness_evidence = self.last_evidence(&upstream.name);
         let ended = self.by_upstream.borrow_mut().remove(&upstream.name);
         // An upstream without entries has no attempts to end.
         for health in ended.unwrap_or_default().values() {
@@ -307,11 +307,11 @@
         }
         let health = self.of(upstream, Via::Direct, now);
         health.last_own_response.set(last_own_response);
-        health.proof_of_life.set(proof_of_life);
+        health.liveness_evidence.set(liveness_evidence);
         health
     }
 
-    /// Marks the attempts at an upstream over a lost path as possibly lost. The last own response and the proof of life are kept.
+    /// Marks the attempts at an upstream over a lost path as possibly lost. The last own response and the evidence are kept.
     pub fn end_path(&self, upstream: &Upstream, via: Via, now: Instant) {
         let mut table = self.by_upstream.borrow_mut();
         let entries = table.entry(upstream.name.clone()).or_default();
@@ -320,7 +320,7 @@
         };
         let health = UpstreamHealth::new(via, now);
         health.last_own_response.set(lost.last_own_response.get());
-        health.proof_of_life.set(lost.proof_of_life.get());
+        health.liveness_evidence.set(lost.liveness_evidence.get());
         entries.insert(via, Rc::new(health));
         drop(table);
         lost.on_lost(LossSign::PathLost, now);
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -14,7 +14,7 @@
 //! | queries for engines' load | `load_query`, `engine_query` |
 //! | versions that began streams | `stream_origins` |
 //! | requests that crash upstreams | `crashes`, `cancel_signal` |
-//! | upstreams' health | `health`, `probe`, `suspect_checks`, `reachability`, `successors`, `proof_renewal`, `restart`, `load_guard` |
+//! | upstreams' health | `health`, `probe`, `suspect_checks`, `reachability`, `successors`, `liveness_queries`, `restart`, `load_guard` |
 //! | upstreams' statements about themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits`, `brittle`, `pace_reports` |
 //! | tunnels to upstreams through peers | `tunnel` |
 //! | the store | `source`, `store_sync`, `list_confirmation`, `store_pings`, `store_view`, `store_events`, `upstream_updates` |
@@ -71,6 +71,7 @@
 mod limit_reports;
 mod list_confirmation;
 mod list_copies;
+mod liveness_queries;
 mod load_guard;
 mod load_query;
 mod metric_kinds;
@@ -89,7 +90,6 @@
 mod probe;
 mod prompt_search;
 mod prompts;
-mod proof_renewal;
 mod reachability;
 mod relay_request;
 mod request_headers;
--- a/crates/router/cloverpier_router/src/proof_renewal.rs
+++ b/crates/router/cloverpier_router/src/liveness_queries.rs
@@ -1,9 +1,9 @@
-//! Asks upstreams for new proofs that they run, while the platform's store is away.
+//! Queries upstreams for evidence that they are running, while the platform's store is unreachable.
 //!
-//! An upstream that ends then and comes back under another name can't be listed. Its successor is told by a call that the
-//! upstream has answered shortly before its end, and streams can run for long without another call. One router asks each
-//! upstream: its limiter, which the permits use, too. `cloverpier_router_policy::successor` decides which upstreams are
-//! asked. Owns the names of those whose answer is awaited.
+//! The store can't list an upstream that restarts under another name during an outage. Routers recognize it as a successor
+//! by recent evidence that its predecessor was running, and streams may run for long without another call. Each upstream
+//! is queried by its limiter, the router that also grants the permits for it. `cloverpier_router_policy::successor` decides
+//! which upstreams are due. Owns the names of the upstreams with a query in flight.
 
 use crate::call_kind::CallKind;
 use crate::connection::{Connection, Via};
@@ -18,7 +18,7 @@
 use cloverpier_router_policy::connection_reuse::CONNECT_TIMEOUT;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::successor::{
-    MAX_PROOF_RENEWALS, PROOF_RENEWAL_PERIOD, is_proof_renewal_due,
+    LIVENESS_QUERY_PERIOD, MAX_LIVENESS_QUERIES, is_liveness_query_due,
 };
 use cloverpier_router_policy::suspicion::CHECK_TIMEOUT;
 use std::cell::RefCell;
@@ -26,36 +26,36 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// The upstreams whose answer is awaited.
-type Awaited = Rc<RefCell<HashSet<UpstreamName>>>;
+/// The upstreams with a query in flight.
+type InFlight = Rc<RefCell<HashSet<UpstreamName>>>;
 
-/// Asks the upstreams whose proofs are too old, until the process ends.
-pub(crate) async fn renew_proofs(router: Rc<Router>) {
-    let awaited = Awaited::default();
+/// Queries the upstreams that are due while the store is unreachable. Runs until the process ends.
+pub(crate) async fn send_liveness_queries(router: Rc<Router>) {
+    let in_flight = InFlight::default();
     loop {
-        router.timers.sleep(PROOF_RENEWAL_PERIOD).await;
+        router.timers.sleep(LIVENESS_QUERY_PERIOD).await;
         if !router.store.has_lost_contact() {
             continue;
         }
-        for upstream in due(&router, &awaited, router.now()) {
-            awaited.borrow_mut().insert(upstream.name.clone());
-            let (router, awaited) = (Rc::clone(&router), Rc::clone(&awaited));
+        for upstream in due(&router, &in_flight, router.now()) {
+            in_flight.borrow_mut().insert(upstream.name.clone());
+            let (router, in_flight) = (Rc::clone(&router), Rc::clone(&in_flight));
             tokio::task::spawn_local(async move {
-                ask(&router, &upstream).await;
-                awaited.borrow_mut().remove(&upstream.name);
+                query(&router, &upstream).await;
+                in_flight.borrow_mut().remove(&upstream.name);
             });
         }
     }
 }
 
-/// The upstreams that this router asks now, those with the oldest proofs first.
-fn due(router: &Router, awaited: &Awaited, now: Instant) -> Vec<Upstream> {
+/// The upstreams that this router has to query, those with the oldest evidence first.
+fn due(router: &Router, in_flight: &InFlight, now: Instant) -> Vec<Upstream> {
     let address_reuse = router.settings().address_reuse;
-    let awaited = awaited.borrow();
+    let in_flight = in_flight.borrow();
     let is_due = |upstream: &Upstream| {
         let proven_alive_at = router.health.proven_alive_at(upstream);
-        is_proof_renewal_due(proven_alive_at, address_reuse, now)
-            && !awaited.contains(&upstream.name)
+        is_liveness_query_due(proven_alive_at, address_reuse, now)
+            && !in_flight.contains(&upstream.name)
             && router.upstream_limits.is_own_limiter(upstream)
             && router.is_usable(upstream)
     };
@@ -65,29 +65,29 @@
         let proven_alive_at = router.health.proven_alive_at(upstream);
         (proven_alive_at, upstream.name.clone())
     });
-    due.truncate(MAX_PROOF_RENEWALS);
+    due.truncate(MAX_LIVENESS_QUERIES);
     due
 }
 
-/// Asks an upstream at the health path of its service, at which upstreams name themselves.
-async fn ask(router: &Rc<Router>, upstream: &Upstream) {
+/// Queries an upstream at the health path, where its responses contain its name.
+async fn query(router: &Rc<Router>, upstream: &Upstream) {
     let configuration = router.store.configuration();
     let service = configuration.and_then(|c| c.service(&upstream.service).cloned());
-    // Without the service's configuration there is no health path to ask at.
+    // Without the service's configuration there is no health path.
     let Some(service) = service else { return };
     if !probe::acquire_probe_permit(router, upstream).await {
         return;
     }
     let sent = router.now();
-    let asking = get(router, upstream, &service.health_path);
-    match router.timers.timeout(CHECK_TIMEOUT, asking).await {
-        Ok(Ok(answered)) => on_answer(router, upstream, answered, sent),
+    let responding = get(router, upstream, &service.health_path);
+    match router.timers.timeout(CHECK_TIMEOUT, responding).await {
+        Ok(Ok(response)) => on_response(router, upstream, response, sent),
         Ok(Err(error)) if error.is_refused() => {
-            router.metrics.probes.count("proof-refused");
+            router.metrics.probes.count("liveness-refused");
             probe::on_no_process(router, upstream);
         }
-        // Silence proves nothing; the upstream is asked again.
-        Ok(Err(_)) | Err(_) => router.metrics.probes.count("proof-silent"),
+        // The upstream stays due, and is queried again.
+        Ok(Err(_)) | Err(_) => router.metrics.probes.count("liveness-silent"),
     }
 }
 
@@ -113,18 +113,18 @@
     opened.map_err(|source| CallError::Connect { source })
 }
 
-fn on_answer(router: &Rc<Router>, upstream: &Upstream, answered: PathResponse, sent: Instant) {
+fn on_response(router: &Rc<Router>, upstream: &Upstream, response: PathResponse, sent: Instant) {
     let call = Call {
         upstream,
         via: CallKind::Check,
         sent,
-        connection: &answered.connection,
+        connection: &response.connection,
     };
-    let applied = router.apply_query_statement(call, answered.response.parts());
+    let applied = router.apply_query_statement(call, response.response.parts());
     let health = router.health.of(upstream, Via::Direct, router.now());
     let responder = applied.statement.name.as_ref();
     probe::on_probe_response(router, upstream, &health, responder, sent);
     if responder == Some(&upstream.name) {
-        return_to_pool(router, upstream, answered.connection);
+        return_to_pool(router, upstream, response.connection);
     }
 }
--- a/crates/router/cloverpier_router/src/probe.rs
+++ b/crates/router/cloverpier_router/src/probe.rs
@@ -196,7 +196,7 @@
     ProbeOutcome::Finished
 }
 
-/// Declares an upstream dead whose host has refused a connection.
+/// Declares an upstream dead because its host refused a connection.
 pub(crate) fn on_no_process(router: &Router, upstream: &Upstream) {
     let evidence = FailureEvidence::NoProcess;
     let reason = "no process listens at its address";
--- a/crates/router/cloverpier_router/src/statements.rs
+++ b/crates/router/cloverpier_router/src/statements.rs
@@ -9,7 +9,7 @@
 use crate::call_kind::CallKind;
 use crate::connection::Connection;
 use crate::decision_log::log_named_event;
-use crate::health::ProofOfLife;
+use crate::health::LivenessEvidence;
 use crate::leaving_reports;
 use crate::limit_reports;
 use crate::pace_reports;
@@ -59,9 +59,9 @@
     ) -> AppliedStatement {
         let statement = (self.wire_names.statement)(&response);
         let sender = sender_of_query_response(&call.upstream.name, &statement);
-        // Any process at the address answers a query, so only the name tells which one did.
+        // Any process at the address responds to a query.
         if statement.name.as_ref() == Some(&call.upstream.name) {
-            record_proof_of_life(self, call);
+            record_liveness_evidence(self, call);
         }
         let start_order = apply_statement(self, call, &statement, sender, false);
         AppliedStatement {
@@ -86,18 +86,18 @@
         let sender = sender_of_request_response(&call.upstream.name, &statement, validity);
         // An upstream rejects a request that names another one, so a valid response is the addressee's.
         if validity.is_ok() {
-            record_proof_of_life(self, call);
+            record_liveness_evidence(self, call);
         }
         apply_statement(self, call, &statement, sender, validity.is_ok());
         statement
     }
 }
 
-/// Records that the upstream of a call has answered it.
-fn record_proof_of_life(router: &Router, call: Call<'_>) {
+/// Records that the response to a call is from the addressed upstream.
+fn record_liveness_evidence(router: &Router, call: Call<'_>) {
     let via = call.connection.via;
     let health = router.health.of(call.upstream, via, router.now());
-    health.on_proof_of_life(ProofOfLife {
+    health.on_liveness_evidence(LivenessEvidence {
         call_sent_at: call.sent,
         address: call.upstream.address,
     });
--- a/crates/router/cloverpier_router/src/successors.rs
+++ b/crates/router/cloverpier_router/src/successors.rs
@@ -3,10 +3,10 @@
 //! A successor is a process that responds under another name at the address of a dead upstream, its
 //! predecessor. `cloverpier_router_policy::successor` decides whether it must belong to the same service.
 //! This module adds such a process to the table of upstreams and applies the reports of peers. Relies on
-//! [`crate::health`] for the proof that the predecessor lived. Owns no state.
+//! [`crate::health`] for the evidence that the predecessor was running. Owns no state.
 
 use crate::crashes::record;
-use crate::decision_log::{SuccessorJudged, ms, ms_since};
+use crate::decision_log::{SuccessorEvaluated, ms, ms_since};
 use crate::outbox::Recipients;
 use crate::peer_messages::{PeerMessage, ReplacedUpstream, Successor};
 use crate::router::Router;
@@ -16,7 +16,7 @@
 use cloverpier_router_policy::successor::{must_be_same_service, successor_deadline};
 
 /// Makes the checks of a dead upstream more frequent while its successor can still be accepted. Does nothing
-/// if the upstream has answered nothing here.
+/// if this router has no response of the upstream.
 pub(crate) fn schedule_successor_checks(router: &Router, upstream: &Upstream) {
     let Some(proven_alive_at) = router.health.proven_alive_at(upstream) else {
         return;
@@ -80,7 +80,7 @@
     predecessor: &Upstream,
     responding_name: Option<&UpstreamName>,
 ) -> Option<Upstream> {
-    let is_same_service = judge(router, predecessor, responding_name);
+    let is_same_service = must_have_same_service(router, predecessor, responding_name);
     let name = responding_name.filter(|_| is_same_service)?;
     Some(Upstream {
         name: name.clone(),
@@ -92,14 +92,18 @@
 
 /// Decides whether the process that responds at the predecessor's address must belong to its service, and logs the
 /// decision with its inputs.
-fn judge(router: &Router, predecessor: &Upstream, responding_name: Option<&UpstreamName>) -> bool {
+fn must_have_same_service(
+    router: &Router,
+    predecessor: &Upstream,
+    responding_name: Option<&UpstreamName>,
+) -> bool {
     let now = router.now();
     let address_reuse = router.settings().address_reuse;
     let last_read = router.health.last_own_response(&predecessor.name);
     let proven_alive = router.health.proven_alive_at(predecessor);
     let is_same_service =
         proven_alive.is_some_and(|at| must_be_same_service(at, now, address_reuse));
-    let line = SuccessorJudged {
+    let line = SuccessorEvaluated {
         predecessor: predecessor.name.as_str(),
         responder: responding_name.map(UpstreamName::as_str),
         read_ago_ms: last_read.map(|at| ms_since(at, now)),
@@ -107,7 +111,7 @@
         address_reuse_ms: ms(address_reuse),
         is_same_service,
     };
-    router.log.info("successor.judged", &line);
+    router.log.info("successor.evaluated", &line);
     is_same_service
 }
 
--- a/crates/router/cloverpier_router_policy/src/unlisted.rs
+++ b/crates/router/cloverpier_router_policy/src/unlisted.rs
@@ -1,7 +1,7 @@
-//! How long an upstream may get requests that the platform's list does not contain yet.
+//! How long a successor may get requests that the platform's list does not contain yet.
 //!
-//! - **Question.** A successor was found at a dead upstream's address ([`crate::successor`]) and has no entry. Until when does
-//!   it get requests?
+//! - **Question.** A successor of a dead upstream was found ([`crate::successor`]) and has no entry in the list. Until when
+//!   does it get requests?
 //! - **Inputs.** Whether the store is reachable for this router or a peer, and the versions of the list that come without
 //!   the upstream, each with its time.
 //! - **Answer.** Whether it counts as removed, from the functions of `NotYetListed` that record the inputs.
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -157,8 +157,8 @@
         down.map(|(data_centre, _)| data_centre).collect()
     }
 
-    /// Whether requests for which an upstream was chosen, as it was known then, may still be sent to it. Its entry may name
-    /// another service since, if it was assumed to be a successor, or another address.
+    /// Whether requests may still be sent to an upstream that was chosen earlier. `chosen` is its entry at that time; a
+    /// successor's first entry may contain another service, and a restarted upstream's another address.
     pub fn is_still_usable(&self, chosen: &Upstream, now: Instant) -> bool {
         let is_as_chosen =
             |known: &Upstream| known.service == chosen.service && known.address == chosen.address;
--- a/crates/router/cloverpier_router_policy/tests/successor.rs
+++ b/crates/router/cloverpier_router_policy/tests/successor.rs
@@ -4,7 +4,7 @@
 use cloverpier_core::{DataCentre, ServiceName, UpstreamName};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::successor::{
-    is_proof_renewal_due, must_be_same_service, successor_deadline,
+    is_liveness_query_due, must_be_same_service, successor_deadline,
 };
 use quickcheck::quickcheck;
 use std::time::{Duration, Instant};
@@ -66,15 +66,15 @@
 }
 
 #[test]
-fn an_upstream_is_asked_for_a_new_proof_while_the_last_one_still_counts_for_long() {
+fn an_upstream_is_queried_while_its_evidence_is_still_recent() {
     let now = Instant::now();
-    let is_due = |age, reuse| is_proof_renewal_due(Some(now), reuse, now + ms(age));
+    let is_due = |age, reuse| is_liveness_query_due(Some(now), reuse, now + ms(age));
     assert!(!is_due(299, ADDRESS_REUSE));
     assert!(is_due(300, ADDRESS_REUSE));
-    assert!(is_proof_renewal_due(None, ADDRESS_REUSE, now));
-    // Without a time for which addresses are withheld, no proof is of use.
+    assert!(is_liveness_query_due(None, ADDRESS_REUSE, now));
+    // Without a time for which addresses are withheld, no successor is accepted.
     assert!(!is_due(300, Duration::ZERO));
-    assert!(!is_proof_renewal_due(None, Duration::ZERO, now));
+    assert!(!is_liveness_query_due(None, Duration::ZERO, now));
 }
 
 #[test]
--- a/tools/src/router_site.rs
+++ b/tools/src/router_site.rs
@@ -1,6 +1,7 @@
 //! Routers as real processes, before stand-ins for everything outside them.
 
 mod configuration;
+mod crashes;
 mod settings;
 mod upstreams;
 
@@ -9,8 +10,9 @@
     MAX_ATTEMPTS, PLAIN, SAFE_PATH, STREAM_PATH, UNSAFE_PATH, add_routes, remove_added_routes,
 };
 
-use upstreams::Crash;
-pub use upstreams::{CrashedPort, Return, SiteUpstream};
+use crashes::Crash;
+pub use crashes::{CrashedPort, Return};
+pub use upstreams::SiteUpstream;
 
 use crate::ports::free_addresses;
 use crate::process::Process;
--- a/tools/src/router_site/upstreams.rs
+++ b/tools/src/router_site/upstreams.rs
@@ -10,64 +10,15 @@
 use cloverpier_core::UpstreamName;
 use cloverpier_router_policy::prelude::UpstreamStart;
 use cloverpier_router_standin::link::{Harm, Link};
-use cloverpier_router_standin::now;
 use cloverpier_router_standin::upstream::{UpstreamSpec, UpstreamStandIn};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Requests that an engine says to work on at once.
 const ENGINE_SLOTS: u32 = 64;
 
-/// How an upstream that a request has crashed comes back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Return {
-    /// Under the name that it had, with a later start.
-    SameName(Duration),
-    /// Under a new name.
-    NewName(Duration),
-}
-
-impl Return {
-    fn after(self) -> Duration {
-        match self {
-            Self::SameName(after) | Self::NewName(after) => after,
-        }
-    }
-}
-
-/// What becomes of new connections to an upstream that has crashed, before its port refuses them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CrashedPort {
-    /// They are refused at once.
-    Refuses,
-    /// They come up and are reset for so long.
-    Resets(Duration),
-    /// Nothing answers for so long.
-    IsSilent(Duration),
-}
-
-impl CrashedPort {
-    /// How the link harms connections meanwhile, and for how long.
-    fn harm(self) -> (Harm, Duration) {
-        match self {
-            Self::Refuses => (Harm::ResetNew, Duration::ZERO),
-            Self::Resets(time) => (Harm::ResetNew, time),
-            Self::IsSilent(time) => (Harm::Silence, time),
-        }
-    }
-}
-
-/// An upstream that a request has crashed.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Crash {
-    upstream: usize,
-    /// When its port refuses; until then it does as [`CrashedPort`] says.
-    refuses_at: Instant,
-    returns_at: Instant,
-}
-
 /// One upstream behind its link.
 #[derive(Debug)]
 pub struct SiteUpstream {
@@ -75,7 +26,7 @@
     pub stand_in: UpstreamStandIn,
     /// The way to it.
     pub link: Link,
-    spec: UpstreamSpec,
+    pub(super) spec: UpstreamSpec,
     address: SocketAddr,
 }
 
@@ -114,8 +65,28 @@
         is_engine: bool,
         start: Option<UpstreamStart>,
     ) -> io::Result<()> {
+        let spec = self.upstream_spec(is_engine, start);
+        let ledger = Arc::clone(&self.ledger);
+        // While an upstream is away, no outgoing connection may take its port or its link's.
+        let [address, of_link] = self.free_address_pair()?;
+        let names = self.names.clone();
+        let stand_in = UpstreamStandIn::start(spec.clone(), Some(address), names, ledger).await?;
+        let link = Link::start_at(of_link, address).await?;
+        stand_in.set_listed_address(link.address());
+        self.store.put_upstream(&stand_in.listed());
+        self.upstreams.push(SiteUpstream {
+            stand_in,
+            link,
+            spec,
+            address,
+        });
+        Ok(())
+    }
+
+    /// The description of the next upstream.
+    fn upstream_spec(&self, is_engine: bool, start: Option<UpstreamStart>) -> UpstreamSpec {
         let index = self.upstreams.len();
-        let spec = UpstreamSpec {
+        UpstreamSpec {
             name: format!("server-{index}-0"),
             service: if is_engine { ENGINES } else { PLAIN }.to_owned(),
             data_centre: format!("hall-{}", index % 2),
@@ -133,22 +104,7 @@
             } else {
                 self.spec.plain_slots
             },
-        };
-        let ledger = Arc::clone(&self.ledger);
-        // While an upstream is away, no outgoing connection may take its port or its link's.
-        let [address, of_link] = self.free_address_pair()?;
-        let names = self.names.clone();
-        let stand_in = UpstreamStandIn::start(spec.clone(), Some(address), names, ledger).await?;
-        let link = Link::start_at(of_link, address).await?;
-        stand_in.set_listed_address(link.address());
-        self.store.put_upstream(&stand_in.listed());
-        self.upstreams.push(SiteUpstream {
-            stand_in,
-            link,
-            spec,
-            address,
-        });
-        Ok(())
+        }
     }
 
     fn free_address_pair(&self) -> io::Result<[SocketAddr; 2]> {
@@ -164,15 +120,6 @@
         number.and_then(|number| number.parse().ok()) == Some(index)
     }
 
-    /// Begins the end of an upstream: its connections close, and new ones are harmed.
-    fn begin_end(&mut self, index: usize) {
-        let (harm, _) = self.spec.crashed_port.harm();
-        let upstream = &mut self.upstreams[index];
-        upstream.link.set_harm(harm);
-        upstream.stand_in.stop();
-        upstream.link.cut_connections();
-    }
-
     /// Crashes an upstream: its connections close, its port refuses.
     pub fn crash_upstream(&mut self, index: usize) {
         let upstream = &mut self.upstreams[index];
@@ -209,42 +156,6 @@
         self.relaunch(index).await
     }
 
-    /// Ends the upstreams that a request has crashed, and starts those again whose time has come.
-    /// To be called every few milliseconds while such requests are sent.
-    ///
-    /// # Errors
-    ///
-    /// A port is taken.
-    pub async fn play_crashes(&mut self, back: Return) -> io::Result<()> {
-        let now = now();
-        let (_, closing) = self.spec.crashed_port.harm();
-        let is_down: Vec<usize> = self.crashed.iter().map(|crash| crash.upstream).collect();
-        for index in 0..self.upstreams.len() {
-            if !is_down.contains(&index) && self.upstreams[index].stand_in.has_crashed() {
-                self.begin_end(index);
-                self.crashed.push(Crash {
-                    upstream: index,
-                    refuses_at: now + closing,
-                    returns_at: now + back.after(),
-                });
-            }
-        }
-        for crash in self.crashed.clone() {
-            if crash.refuses_at <= now {
-                self.crash_upstream(crash.upstream);
-            }
-        }
-        let due = |crash: &Crash| crash.returns_at <= now;
-        let returning: Vec<Crash> = self.crashed.extract_if(.., |c| due(c)).collect();
-        for crash in returning {
-            match back {
-                Return::SameName(_) => self.start_upstream_again(crash.upstream).await?,
-                Return::NewName(_) => self.restart_upstream(crash.upstream).await?,
-            }
-        }
-        Ok(())
-    }
-
     /// Pauses the upstreams that run, or lets them go on: nothing that is sent to one or by it arrives
     /// before it goes on, and all of it does then.
     pub fn pause_upstreams(&self, is_paused: bool) {
@@ -257,17 +168,12 @@
     pub fn pause_upstream(&self, index: usize, is_paused: bool) {
         let harm = if is_paused { Harm::Silence } else { Harm::None };
         let upstream = &self.upstreams[index];
-        let has_ended = self.crashed.iter().any(|crash| crash.upstream == index);
+        let has_ended = self.is_down(index);
         if !has_ended && !upstream.stand_in.has_crashed() {
             upstream.link.set_harm(harm);
         }
     }
 
-    /// Whether an upstream that a request has crashed is not back yet.
-    pub fn is_any_crashed(&self) -> bool {
-        !self.crashed.is_empty() || self.upstreams.iter().any(|u| u.stand_in.has_crashed())
-    }
-
     /// Starts an upstream of the plain service at the address of a crashed one, under another name. The store still lists
     /// the crashed one, and not the new one.
     ///
