--- a/crates/router/cloverpier_router/src/lifecycle.rs
+++ b/crates/router/cloverpier_router/src/lifecycle.rs
@@ -2,7 +2,8 @@
 //!
 //! Owns the time of the termination signal, the number of requests in flight and the durations of recent streams. An
 //! [`InFlightGuard`] counts a request; the body of its response ([`crate::body`]) and then the caller's connection
-//! ([`crate::caller_stream`]) hold the guard until the last byte is handed to the operating system. `cloverpier_router_policy::lifecycle` decides when a router that shuts down may exit.
+//! ([`crate::caller_stream`]) hold the guard until the last byte is handed to the operating system.
+//! `cloverpier_router_policy::lifecycle` decides when a router that shuts down may exit.
 
 use cloverpier_router_policy::lifecycle::{StreamDurations, accepts_plain, accepts_streams};
 use std::cell::{Cell, RefCell};
--- a/crates/router/cloverpier_router/src/wait.rs
+++ b/crates/router/cloverpier_router/src/wait.rs
@@ -58,8 +58,8 @@
 ///
 /// # Errors
 ///
-/// [`AttemptFailure::UpstreamDead`], [`AttemptFailure::UpstreamSilent`], [`AttemptFailure::PathLost`], [`AttemptFailure::Stalled`], [`AttemptFailure::Stopped`] or
-/// [`AttemptFailure::DeadlinePassedSent`] if the wait ends before the future completes.
+/// [`AttemptFailure::UpstreamDead`], [`AttemptFailure::UpstreamSilent`], [`AttemptFailure::PathLost`],
+/// [`AttemptFailure::Stalled`], [`AttemptFailure::Stopped`] or [`AttemptFailure::DeadlinePassedSent`] if the wait ends before the future completes.
 pub(crate) async fn wait_while_alive<T>(
     awaited: &AwaitedUpstream<'_>,
     liveness: &mut Liveness,
--- a/crates/router/cloverpier_router_policy/src/liveness.rs
+++ b/crates/router/cloverpier_router_policy/src/liveness.rs
@@ -11,8 +11,8 @@
 //!   the prompt again. So silence leads to a probe, and only an unanswered probe to the decision
 //!   that the upstream is dead.
 //!
-//! What becomes of the request then is decided in [`crate::silence`]. [`Liveness`] owns the state of one waiting request. It relies on its caller to call
-//! [`Liveness::step`] at the times that it returns: a late call shows that this process itself was
+//! What becomes of the request then is decided in [`crate::silence`]. [`Liveness`] owns the state of one waiting request.
+//! It relies on its caller to call [`Liveness::step`] at the times that it returns: a late call shows that this process itself was
 //! paused.
 
 use std::time::{Duration, Instant};
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -3,8 +3,9 @@
 //! Owns the state of each upstream, the revision of the platform's list up to which the table is
 //! current, and the latest changes, which peers request. Revisions only increase. The results of
 //! requests and checks are recorded by the `observations` module, statements of upstreams by
-//! `statements`, upstreams that are not listed yet by `successors`. A restarted upstream has a new name or reports a later start time; in either case
-//! no observation of the previous process applies to it.
+//! `statements`, successors that are not listed yet by `successors`. A restarted upstream has a new
+//! name or reports a later start time; in either case no observation of the previous process applies
+//! to it.
 
 mod addresses;
 mod observations;
@@ -160,10 +161,10 @@
     /// Whether requests may still be sent to an upstream that was chosen earlier. `chosen` is its entry at that time; a
     /// successor's first entry may contain another service, and a restarted upstream's another address.
     pub fn is_still_usable(&self, chosen: &Upstream, now: Instant) -> bool {
-        let is_as_chosen =
-            |known: &Upstream| known.service == chosen.service && known.address == chosen.address;
+        let is_unchanged =
+            |entry: &Upstream| entry.service == chosen.service && entry.address == chosen.address;
         let state = self.get(&chosen.name);
-        state.is_some_and(|state| is_as_chosen(&state.upstream) && state.is_usable(now))
+        state.is_some_and(|state| is_unchanged(&state.upstream) && state.is_usable(now))
     }
 
     /// Number of a service's listed upstreams that run a software version and can serve requests.
