--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -42,17 +42,30 @@
 struct Harms {
     to_all: Harm,
     to_process: HashMap<u32, Harm>,
+    /// Connections of earlier generations are silent for good.
+    generation: u64,
 }
 
 impl Harms {
     /// The harm to a connection: that of its opener, if this one has any of its own.
-    fn harm_to(&self, owner: &SocketOwner) -> Harm {
+    fn harm_to(&self, connection: &Admitted) -> Harm {
+        if connection.generation < self.generation {
+            return Harm::Silence;
+        }
         let mut of_processes = self.to_process.iter();
-        let own = of_processes.find(|(process, _)| owner.is(**process));
+        let own = of_processes.find(|(process, _)| connection.owner.is(**process));
         own.map_or(self.to_all, |(_, harm)| *harm)
     }
 }
 
+/// A connection that was admitted, as far as the harm to it depends on it.
+#[derive(Clone, Debug)]
+struct Admitted {
+    owner: SocketOwner,
+    /// [`Harms::generation`] when it was admitted.
+    generation: u64,
+}
+
 /// A running link to an address; it ends with its owner.
 #[derive(Debug)]
 pub struct Link {
@@ -142,6 +155,11 @@
         });
     }
 
+    /// Silences all open connections for good, without a reset; those that are opened later are not harmed.
+    pub fn silence_open_connections(&self) {
+        self.harms.send_modify(|harms| harms.generation += 1);
+    }
+
     /// How many connections go through it.
     pub fn open_connections(&self) -> usize {
         let connections = lock(&self.connections);
@@ -175,17 +193,17 @@
 }
 
 /// The harm to a connection now.
-fn harm_now(harms: &mut watch::Receiver<Harms>, owner: &SocketOwner) -> Harm {
-    harms.borrow_and_update().harm_to(owner)
+fn harm_now(harms: &mut watch::Receiver<Harms>, connection: &Admitted) -> Harm {
+    harms.borrow_and_update().harm_to(connection)
 }
 
 /// Waits until the harm to a connection fulfils a condition; fails if the link ends before.
 async fn wait_for_harm(
     harms: &mut watch::Receiver<Harms>,
-    owner: &SocketOwner,
+    connection: &Admitted,
     condition: impl Fn(Harm) -> bool,
 ) -> Result<(), watch::error::RecvError> {
-    while !condition(harm_now(harms, owner)) {
+    while !condition(harm_now(harms, connection)) {
         harms.changed().await?;
     }
     Ok(())
@@ -197,23 +215,28 @@
     to: SocketAddr,
     mut harms: watch::Receiver<Harms>,
 ) -> io::Result<()> {
-    let owner = SocketOwner::of_accepted(&near)?;
-    let harm = harm_now(&mut harms, &owner);
+    let connection = Admitted {
+        owner: SocketOwner::of_accepted(&near)?,
+        generation: harms.borrow().generation,
+    };
+    let harm = harm_now(&mut harms, &connection);
     if matches!(harm, Harm::ResetNew | Harm::Reset) {
         return near.set_zero_linger();
     }
-    carry(near, to, harms, owner).await
+    carry(near, to, harms, connection).await
 }
 
 async fn carry(
     near: TcpStream,
     to: SocketAddr,
     mut harms: watch::Receiver<Harms>,
-    owner: SocketOwner,
+    connection: Admitted,
 ) -> io::Result<()> {
     // While it is silent nobody learns whether anything listens behind it; its owner may end meanwhile.
     let is_heard = |harm| harm != Harm::Silence;
-    let has_ended = wait_for_harm(&mut harms, &owner, is_heard).await.is_err();
+    let has_ended = wait_for_harm(&mut harms, &connection, is_heard)
+        .await
+        .is_err();
     if has_ended {
         return Ok(());
     }
@@ -229,9 +252,21 @@
     far.set_nodelay(true)?;
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = pass(near_read, far_write, harms.clone(), owner.clone(), false);
-    let back = pass(far_read, near_write, harms.clone(), owner.clone(), true);
-    let reset = wait_for_harm(&mut harms, &owner, |harm| harm == Harm::Reset);
+    let there = pass(
+        near_read,
+        far_write,
+        harms.clone(),
+        connection.clone(),
+        false,
+    );
+    let back = pass(
+        far_read,
+        near_write,
+        harms.clone(),
+        connection.clone(),
+        true,
+    );
+    let reset = wait_for_harm(&mut harms, &connection, |harm| harm == Harm::Reset);
     // The end of either direction ends both, as the end of a process would.
     tokio::select! {
         result = there => result,
@@ -244,7 +279,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut harms: watch::Receiver<Harms>,
-    owner: SocketOwner,
+    connection: Admitted,
     is_back: bool,
 ) -> io::Result<()> {
     let mut bytes = vec![0; 16 * 1024];
@@ -260,7 +295,7 @@
             }
         };
         loop {
-            match harm_now(&mut harms, &owner) {
+            match harm_now(&mut harms, &connection) {
                 Harm::None | Harm::ResetNew | Harm::Reset => break,
                 Harm::CutBack if !is_back => break,
                 Harm::Delay(by) => {
--- a/crates/standins/cloverpier_router_standin/src/store/mod.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/mod.rs
@@ -66,6 +66,8 @@
     Waits,
     /// It answers reads and leaves watches without an answer, whatever has changed.
     SilentToWatches,
+    /// Watches hear of no change. They end when their wait is over, without one, at the revision of that moment.
+    DeafWatches,
 }
 
 #[derive(Debug, Default)]
--- a/crates/standins/cloverpier_router_standin/src/store/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/serve.rs
@@ -60,7 +60,9 @@
         // What the store does at the moment of the answer counts, as for a watch.
         let fault = lock(&shared.state).fault;
         match fault {
-            StoreFault::None | StoreFault::Waits => write(&mut stream, shared, answer).await?,
+            StoreFault::None | StoreFault::Waits | StoreFault::DeafWatches => {
+                write(&mut stream, shared, answer).await?
+            }
             StoreFault::Busy => write(&mut stream, shared, Answer::empty(503)).await?,
             StoreFault::SilentToWatches if !is_watch => write(&mut stream, shared, answer).await?,
             StoreFault::Silent | StoreFault::SilentToWatches => {
@@ -144,18 +146,27 @@
     let until = tokio::time::Instant::now() + wait;
     loop {
         let waiting = shared.changed.notified();
+        if lock(&shared.state).fault == StoreFault::DeafWatches {
+            tokio::time::sleep_until(until).await;
+            return no_changes(shared);
+        }
         if let Some(found) = changes(shared, kind, after) {
             return found;
         }
         if lock(&shared.state).fault != StoreFault::None
             || tokio::time::timeout_at(until, waiting).await.is_err()
         {
-            let revision = lock(&shared.state).objects.revision;
-            return Answer(200, (shared.shapes.events)(&[], revision));
+            return no_changes(shared);
         }
     }
 }
 
+/// The answer to a watch whose wait is over.
+fn no_changes(shared: &Shared) -> Answer {
+    let revision = lock(&shared.state).objects.revision;
+    Answer(200, (shared.shapes.events)(&[], revision))
+}
+
 fn changes(shared: &Shared, kind: &str, after: u64) -> Option<Answer> {
     let objects = &lock(&shared.state).objects;
     match objects.changes(kind, after) {
