A watch continues from what it has content of, not from the revision of an empty answer

What callers saw: requests of routers in touch reached upstreams whose leaving the store had acknowledged more than 2 s before. Cause: a watch that the store does not wake ends with no changes and the store's present revision; the next one began at that revision and never brought the change. Since watches wait 0.8 s, one can begin and end within a second in which watches hear nothing. Class: a revision taken for the contents below it. Why it works: an empty answer moves the position only 5 s later (watch_position); until then each watch asks for the same changes again, at no further call.

--- a/crates/router/cloverpier_router/src/list_confirmation.rs
+++ b/crates/router/cloverpier_router/src/list_confirmation.rs
@@ -14,14 +14,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Polls the store for changes since a revision and applies them, which confirms the list. Returns the new revision.
-/// `wait` is how long the store may delay its response until there is a change.
+/// Polls the store for changes since a revision and applies them, which confirms the list. `wait` is how long the store may delay its response until there is a change.
 pub(crate) async fn poll_list(
     router: &Router,
     source: &impl ConfigurationSource,
     revision: u64,
     wait: Duration,
-) -> Result<u64, SourceError> {
+) -> Result<Polled, SourceError> {
     // The list was complete when the store received the poll, and not necessarily when it responds.
     let sent_at = router.now();
     let changes = source.poll_upstreams(revision, wait).await?;
@@ -33,9 +32,36 @@
         waited_ms: ms_since(sent_at, router.now()),
     };
     router.log.info("watch.answered", &line);
-    let revision = apply_changes(router, changes);
+    let polled = apply_changes(router, changes);
     router.store.on_list_confirmed(sent_at);
-    Ok(revision)
+    Ok(polled)
+}
+
+/// The result of a poll or a read of the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Polled {
+    /// Changes, or a whole list: the content of all revisions up to this one is in force.
+    Content(u64),
+    /// No changes, and the store's revision.
+    NoChanges(u64),
+}
+
+impl Polled {
+    /// The result of a response with or without content.
+    pub fn new(has_content: bool, revision: u64) -> Self {
+        if has_content {
+            Self::Content(revision)
+        } else {
+            Self::NoChanges(revision)
+        }
+    }
+
+    /// The store's revision.
+    pub fn revision(self) -> u64 {
+        match self {
+            Self::Content(revision) | Self::NoChanges(revision) => revision,
+        }
+    }
 }
 
 /// Reads the marks of mixed services and confirms the list, unless both have been done before. `revision` is that of the
@@ -75,19 +101,21 @@
     }
 }
 
-/// Applies the changes that a watch returned, and sends them to peers; returns their revision.
-fn apply_changes(router: &Router, changes: UpstreamChanges) -> u64 {
+/// Applies the changes that a watch returned, and sends them to peers.
+fn apply_changes(router: &Router, changes: UpstreamChanges) -> Polled {
     let revision = changes.revision;
     let count = changes.changes.len();
-    if count > 0 {
-        let from = format!("store, {count} changes");
-        let current_revision = router.upstreams.borrow().revision();
-        let readable = readable_changes(&changes);
-        apply_upstream_changes(router, changes, &from);
-        // If peers can't be sent the changes, they are notified of the revision and fetch the changes.
-        if !broadcast_upstream_changes(router, current_revision, revision, readable) {
-            router.peers.outbox.schedule_heartbeat();
-        }
+    let polled = Polled::new(count > 0, revision);
+    if count == 0 {
+        return polled;
+    }
+    let from = format!("store, {count} changes");
+    let current_revision = router.upstreams.borrow().revision();
+    let readable = readable_changes(&changes);
+    apply_upstream_changes(router, changes, &from);
+    // If peers can't be sent the changes, they are notified of the revision and fetch the changes.
+    if !broadcast_upstream_changes(router, current_revision, revision, readable) {
+        router.peers.outbox.schedule_heartbeat();
     }
-    revision
+    polled
 }
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -97,6 +97,8 @@
 pub struct ConfigurationChange {
     /// The newest configuration; `None` if the store has none, or if a watch ended without a new one.
     pub configuration: Option<Configuration>,
+    /// Whether the response had content: that of a read always has, that of a watch if there were changes.
+    pub has_content: bool,
     /// The store's revision up to which the configuration was read.
     pub revision: u64,
 }
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -10,7 +10,7 @@
 //! shutdown of an upstream go unnoticed.
 
 use crate::configuration_copies::ConfigurationWithCopies;
-use crate::list_confirmation::{confirm_first_list, poll_list};
+use crate::list_confirmation::{Polled, confirm_first_list, poll_list};
 use crate::rollout_store::{apply_change, read_orders};
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, MixedServiceMarks, SourceError};
@@ -26,9 +26,10 @@
 use cloverpier_router_policy::store_watch::{
     INITIAL_BACKOFF, UPSTREAM_WATCH_PAUSE, WATCH_WAIT, may_call,
 };
+use cloverpier_router_policy::watch_position::WatchPosition;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The source of versions that were read from the store, in log lines.
 pub(crate) const FROM_STORE: &str = "store";
@@ -119,26 +120,27 @@
 /// Reads and watches the configuration until the process ends.
 pub(crate) async fn watch_configuration(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(StoreLoop::Data(WatchedData::Configuration));
-    let mut revision: Option<u64> = None;
+    let mut position: Option<WatchPosition> = None;
     let random = router.rng.borrow_mut().f64();
     loop {
         wait_for_first_read(&router, random, |store| store.configuration().is_some()).await;
         if router.store.configuration().is_some() {
             wait_until_may_watch(&router).await;
         }
-        let change = match revision {
+        let change = match position {
             None => source.read_configuration().await,
-            Some(at) => {
+            Some(position) => {
                 let watch_cancelled = router.store.watches_restarted();
                 source
-                    .poll_configuration(at, WATCH_WAIT, watch_cancelled)
+                    .poll_configuration(position.after(), WATCH_WAIT, watch_cancelled)
                     .await
             }
         };
         match change {
             Ok(change) => {
                 backoff.on_success(&router);
-                revision = Some(change.revision);
+                let polled = Polled::new(change.has_content, change.revision);
+                advance(&mut position, polled, router.now());
                 if let Some(configuration) = change.configuration {
                     apply_from_store(&router, configuration).await;
                 }
@@ -146,7 +148,7 @@
             // The watch was cancelled, because the store may have dropped it. The next call starts a new one.
             Err(SourceError::Cancelled) => {}
             Err(error) => {
-                revision = None;
+                position = None;
                 backoff.after_failure(&router, &error).await;
             }
         }
@@ -167,31 +169,35 @@
     source: Rc<impl ConfigurationSource + MixedServiceMarks>,
 ) {
     let mut backoff = Backoff::new(StoreLoop::Data(WatchedData::Upstreams));
-    let mut revision: Option<u64> = None;
+    let mut position: Option<WatchPosition> = None;
     let random = router.rng.borrow_mut().f64();
     loop {
         wait_for_first_read(&router, random, StoreView::has_upstreams).await;
         if router.store.has_upstreams() {
             wait_until_may_watch(&router).await;
             // Peers may have delivered newer changes than the last watch.
-            let current_revision = router.upstreams.borrow().revision();
-            revision = revision.map(|at| at.max(current_revision));
+            if let Some(position) = &mut position {
+                position.on_content(router.upstreams.borrow().revision());
+            }
         }
         let (began, known_revision) = (router.now(), router.upstreams.borrow().revision());
-        let result = match revision {
-            None => read_upstreams(&router, &*source, &mut backoff, random).await,
-            Some(at) => tokio::select! {
-                polled = poll_list(&router, &*source, at, WATCH_WAIT) => polled.map(Some),
+        let result = match position {
+            None => {
+                let read = read_upstreams(&router, &*source, &mut backoff, random).await;
+                read.map(|revision| revision.map(Polled::Content))
+            }
+            Some(position) => tokio::select! {
+                polled = poll_list(&router, &*source, position.after(), WATCH_WAIT) => polled.map(Some),
                 () = router.store.watches_restarted() => continue,
             },
         };
         match result {
             // The read was abandoned, as a peer has delivered the list or this router stopped watching.
             Ok(None) => {}
-            Ok(Some(at)) => {
+            Ok(Some(polled)) => {
                 backoff.on_success(&router);
-                revision = Some(at);
-                confirm_first_list(&router, &*source, at).await;
+                advance(&mut position, polled, router.now());
+                confirm_first_list(&router, &*source, polled.revision()).await;
                 let is_changed = router.upstreams.borrow().revision() != known_revision;
                 // A store that cuts its watches at once must not be called without a pause.
                 let is_cut = router.now() < began + UPSTREAM_WATCH_PAUSE;
@@ -200,44 +206,56 @@
                 }
             }
             Err(error) => {
-                revision = None;
+                position = None;
                 backoff.after_failure(&router, &error).await;
             }
         }
     }
 }
 
+/// Moves the position of a watch on by a response; the first response sets it.
+fn advance(position: &mut Option<WatchPosition>, polled: Polled, now: Instant) {
+    match (polled, position.as_mut()) {
+        (Polled::NoChanges(revision), Some(position)) => position.on_no_changes(revision, now),
+        (polled, _) => *position = Some(WatchPosition::after_content(polled.revision())),
+    }
+}
+
 /// Reads and watches the orders of roll-outs until the process ends. Returns at once if the settings don't
 /// enable roll-outs.
 pub(crate) async fn watch_rollouts(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     let mut backoff = Backoff::new(StoreLoop::Rollouts);
-    let mut revision: Option<u64> = None;
+    let mut position: Option<WatchPosition> = None;
     if router.exposure_bounds().is_none() {
         return;
     }
     loop {
         wait_until_may_watch(&router).await;
-        let result = match revision {
-            None => read_orders(&router, &*source, Freshness::Newest).await,
-            Some(at) => tokio::select! {
-                changes = source.poll_rollouts(at, WATCH_WAIT) => {
+        let result = match position {
+            None => {
+                let read = read_orders(&router, &*source, Freshness::Newest).await;
+                read.map(Polled::Content)
+            }
+            Some(position) => tokio::select! {
+                changes = source.poll_rollouts(position.after(), WATCH_WAIT) => {
                     changes.map(|changes| {
+                        let polled = Polled::new(!changes.changes.is_empty(), changes.revision);
                         for change in changes.changes {
                             apply_change(&router, change, FROM_STORE);
                         }
-                        changes.revision
+                        polled
                     })
                 }
                 () = router.store.watches_restarted() => continue,
             },
         };
         match result {
-            Ok(at) => {
+            Ok(polled) => {
                 backoff.on_success(&router);
-                revision = Some(at);
+                advance(&mut position, polled, router.now());
             }
             Err(error) => {
-                revision = None;
+                position = None;
                 backoff.after_failure(&router, &error).await;
             }
         }
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -124,6 +124,7 @@
 pub mod upstream_table;
 pub mod version_fetch;
 pub mod version_serving;
+pub mod watch_position;
 pub mod watcher_reports;
 
 /// The types that users of the crate need most; functions and constants are imported from their modules.
--- a/crates/standins/cloverpier_router_standin/src/store/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/serve.rs
@@ -61,7 +61,7 @@
         let fault = lock(&shared.state).fault;
         match fault {
             StoreFault::None | StoreFault::Waits | StoreFault::DeafWatches => {
-                write(&mut stream, shared, answer).await?
+                write(&mut stream, shared, answer).await?;
             }
             StoreFault::Busy => write(&mut stream, shared, Answer::empty(503)).await?,
             StoreFault::SilentToWatches if !is_watch => write(&mut stream, shared, answer).await?,
