A failure from a router's time as a watcher does not count once it watches no more

Cause: a call that failed while the router replaced a watcher left it marked as failing; as a standby it repeats no call, so the mark stays, and a router that fails does not read the store. Class: an old sign taken for the present. Why it works: the marks count while the router watches, when calls are repeated and clear them.

--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -193,8 +193,12 @@
         self.last_success.get()
     }
 
-    /// Whether the last call of any loop or the last ping failed.
+    /// Whether the last call of any loop or the last ping failed. False while this router does not watch the store: nothing
+    /// repeats the call that failed then, so that its failure would count for good.
     pub fn is_failing(&self) -> bool {
+        if !self.role().watches() {
+            return false;
+        }
         let watches = [
             &self.configuration_fails,
             &self.upstreams_fail,
