A router that hears from no watcher reads the store itself, instead of taking silence for "no change"

What callers saw: requests to leaving upstreams by several routers, none of which logs a failed call. Cause: a router that does not watch relies on three others; when these fall silent together it goes on by its list until a peer counts as dead (1.1 s), a new choice is made (0.2 s) and its successor has pinged and read; each further loss begins anew. Class: what has not been said counts as evidence. Why it works: each heartbeat of a watcher that reaches the store and has no newer list proves the own list; 0.7 s without one lead to a read of the changes, whoever else is lost. Pauses between reads double up to 3 s while nothing proves the list. Fleets of more than 96 peers keep their way, in which few heartbeats reach each router: open. The line list.unproven says since when nobody has shown the list to be the newest.

--- a/crates/router/cloverpier_router/src/decision_log/versions.rs
+++ b/crates/router/cloverpier_router/src/decision_log/versions.rs
@@ -96,6 +96,15 @@
     pub known_ms: u64,
 }
 
+/// Neither the store nor a router that watches it has shown for a while that the list of upstreams in force is the newest.
+#[derive(Serialize)]
+pub(crate) struct ListUnproven {
+    /// The revision of the list.
+    pub revision: u64,
+    /// Milliseconds since it was last shown to be the newest; `None` if it never was.
+    pub proven_ms_ago: Option<u64>,
+}
+
 /// A copy of the configuration was sent to a peer.
 #[derive(Serialize)]
 pub(crate) struct VersionServed<'a> {
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -70,6 +70,7 @@
 mod leaving_reports;
 mod lifecycle;
 mod limit_reports;
+mod list_checks;
 mod list_confirmation;
 mod list_copies;
 mod liveness_queries;
--- /dev/null
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -0,0 +1,130 @@
+//! Reads changes of upstreams from the store while nobody shows that this router's list is the newest.
+//!
+//! `cloverpier_router_policy::list_evidence` decides when. [`ListChecks`] owns the evidence; `list_confirmation` and
+//! `peer_reports` record it. Routers of a large fleet do not read: too few reports of watchers reach each of them.
+
+use crate::decision_log::{ListUnproven, log_named_event, ms_since};
+use crate::router::Router;
+use crate::source::ConfigurationSource;
+use crate::store_reads::read_newer;
+use crate::store_view::WatchedData;
+use cloverpier_core::jitter;
+use cloverpier_router_policy::list_evidence::{ListEvidence, READ_SPREAD, is_proof};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// The evidence that this router's list is the newest.
+#[derive(Debug, Default)]
+pub(crate) struct ListChecks {
+    /// `None` before the first list.
+    evidence: Cell<Option<ListEvidence>>,
+    /// Wakes the task for a read without a wait.
+    doubted: Notify,
+}
+
+impl ListChecks {
+    /// When the list was last shown to be the newest; `None` before the first list.
+    pub fn proven_at(&self) -> Option<Instant> {
+        self.evidence.get().map(|evidence| evidence.proven_at())
+    }
+
+    /// Records that the list was shown to be the newest at `at`.
+    pub fn on_proof(&self, at: Instant) {
+        let mut evidence = self.evidence.get().unwrap_or(ListEvidence::new(at));
+        evidence.on_proof(at);
+        self.evidence.set(Some(evidence));
+    }
+
+    /// Has the store read at once, because a peer knows something of an upstream that the list does not contain.
+    pub fn on_doubt(&self) {
+        self.doubted.notify_one();
+    }
+
+    fn on_read(&self, now: Instant) {
+        let mut evidence = self.evidence.get().unwrap_or(ListEvidence::new(now));
+        evidence.on_read(now);
+        self.evidence.set(Some(evidence));
+    }
+}
+
+/// Records what a peer's heartbeat shows of this router's list.
+pub(crate) fn on_peer_report(
+    router: &Router,
+    store_age: Option<Duration>,
+    revision: u64,
+    now: Instant,
+) {
+    let own_revision = router.upstreams.borrow().revision();
+    if is_proof(store_age, revision, own_revision) {
+        router.list_checks.on_proof(now);
+    }
+}
+
+/// How often a router that is not to read looks whether it is.
+const IDLE_PERIOD: Duration = Duration::from_millis(500);
+/// Minimum pause between two reads that doubts cause.
+const DOUBT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads the store whenever the evidence is too old, or a peer's word raises a doubt, until the process ends.
+pub(crate) async fn check_list(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
+    loop {
+        let checks = &router.list_checks;
+        let due = checks.evidence.get().filter(|_| is_checking(&router));
+        let watches = router.store.role().watches();
+        let due = due.map_or(router.now() + IDLE_PERIOD, |evidence| {
+            evidence.read_at(watches)
+        });
+        tokio::select! {
+            () = router.timers.sleep_until(due) => {
+                if !is_unproven(&router) {
+                    continue;
+                }
+                // Other routers lack evidence since the same moment.
+                let spread = jitter(&mut router.rng.borrow_mut(), READ_SPREAD);
+                router.timers.sleep(spread).await;
+                if is_unproven(&router) {
+                    log_unproven(&router);
+                    read(&router, &*source).await;
+                }
+            }
+            () = checks.doubted.notified() => {
+                read(&router, &*source).await;
+                router.timers.sleep(DOUBT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Whether this router reads the store without evidence.
+fn is_checking(router: &Router) -> bool {
+    router.store.is_serving() && !router.peers.is_large()
+}
+
+fn is_unproven(router: &Router) -> bool {
+    let watches = router.store.role().watches();
+    let evidence = router.list_checks.evidence.get();
+    let is_overdue = |evidence: ListEvidence| router.now() >= evidence.read_at(watches);
+    is_checking(router) && evidence.is_some_and(is_overdue)
+}
+
+async fn read(router: &Router, source: &impl ConfigurationSource) {
+    if !router.store.is_serving() {
+        return;
+    }
+    router.list_checks.on_read(router.now());
+    if let Err(error) = read_newer(router, source, WatchedData::Upstreams).await {
+        let what = WatchedData::Upstreams.name();
+        log_named_event(&router.log, "version.unread", what, &error.to_string());
+    }
+}
+
+fn log_unproven(router: &Router) {
+    let proven_at = router.list_checks.proven_at();
+    let line = ListUnproven {
+        revision: router.upstreams.borrow().revision(),
+        proven_ms_ago: proven_at.map(|at| ms_since(at, router.now())),
+    };
+    router.log.info("list.unproven", &line);
+}
--- a/crates/router/cloverpier_router/src/list_confirmation.rs
+++ b/crates/router/cloverpier_router/src/list_confirmation.rs
@@ -12,7 +12,7 @@
 use crate::stream_origins::marks::read_marks;
 use crate::upstream_updates::{apply_upstream_changes, readable_changes};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Polls the store for changes since a revision and applies them, which confirms the list. `wait` is how long the store may delay its response until there is a change.
 pub(crate) async fn poll_list(
@@ -33,10 +33,16 @@
     };
     router.log.info("watch.answered", &line);
     let polled = apply_changes(router, changes);
-    router.store.on_list_confirmed(sent_at);
+    on_list_confirmed(router, sent_at);
     Ok(polled)
 }
 
+/// Records that the store has confirmed the list of upstreams, in the response to a call that was sent at `sent_at`.
+pub(crate) fn on_list_confirmed(router: &Router, sent_at: Instant) {
+    router.store.on_list_confirmed(sent_at);
+    router.list_checks.on_proof(sent_at);
+}
+
 /// The result of a poll or a read of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Polled {
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -12,6 +12,7 @@
 use crate::gossip::{self, member_of};
 use crate::leaving_reports;
 use crate::limit_reports;
+use crate::list_checks;
 use crate::pace_reports;
 use crate::peer_messages::{Change, Heartbeat, LimiterRequest, LoadReport, PeerMessage, decode};
 use crate::rollouts;
@@ -126,6 +127,11 @@
     }
     apply_reports(router, &heartbeat, now);
     let has_newer_upstreams = heartbeat.upstreams_revision > router.upstreams.borrow().revision();
+    let store_age = heartbeat
+        .store_age_ms
+        .map(u64::from)
+        .map(Duration::from_millis);
+    list_checks::on_peer_report(router, store_age, heartbeat.upstreams_revision, now);
     let has_newer_configuration =
         heartbeat.configuration_version > router.store.configuration_version();
     router
@@ -143,9 +149,7 @@
         last_heartbeat: now,
         configuration_version: heartbeat.configuration_version,
         upstreams_revision: heartbeat.upstreams_revision,
-        store_age: heartbeat
-            .store_age_ms
-            .map(|ms| Duration::from_millis(ms.into())),
+        store_age,
         budget_use: heartbeat.budget_use,
     };
     record_entry(router, heartbeat.sender, entry, now);
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -35,6 +35,7 @@
 use crate::datagrams::Datagrams;
 use crate::health::HealthTable;
 use crate::lifecycle::Lifecycle;
+use crate::list_checks::ListChecks;
 use crate::list_copies::ListCopies;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -113,6 +114,7 @@
     /// The memory that the buffered bodies of all requests and responses take.
     pub(crate) buffer_memory: Rc<RefCell<BufferMemory>>,
     pub(crate) list_copies: RefCell<ListCopies>,
+    pub(crate) list_checks: ListChecks,
     pub(crate) lifecycle: Lifecycle,
 }
 
@@ -181,6 +183,7 @@
             copy_pacing: RefCell::new(CopyPacing::default()),
             buffer_memory: Rc::new(RefCell::new(BufferMemory::for_vm(settings.memory_bytes))),
             list_copies: RefCell::default(),
+            list_checks: ListChecks::default(),
             lifecycle,
             timers,
             rng: RefCell::new(rng),
--- a/crates/router/cloverpier_router/src/start.rs
+++ b/crates/router/cloverpier_router/src/start.rs
@@ -9,6 +9,7 @@
 use crate::crashes::resolution;
 use crate::decision_log::log_named_event;
 use crate::heartbeats;
+use crate::list_checks;
 use crate::list_confirmation;
 use crate::liveness_queries;
 use crate::peer_fetch;
@@ -119,6 +120,8 @@
     let (router, source) = handles();
     spawn_local(list_confirmation::confirm_on_request(router, source));
     let (router, source) = handles();
+    spawn_local(list_checks::check_list(router, source));
+    let (router, source) = handles();
     spawn_local(keep_marks(router, source));
     let (router, source) = handles();
     spawn_local(store_pings::ping_store(router, source));
--- a/crates/router/cloverpier_router/src/store_reads.rs
+++ b/crates/router/cloverpier_router/src/store_reads.rs
@@ -3,7 +3,7 @@
 //! `cloverpier_router_policy::overdue_version` decides when, and [`crate::peer_fetch`] calls. Routers that watch the store
 //! read it in [`crate::store_sync`]. Owns no state.
 
-use crate::list_confirmation::poll_list;
+use crate::list_confirmation::{on_list_confirmed, poll_list};
 use crate::rollout_store::read_orders;
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, SourceError};
@@ -63,7 +63,7 @@
     let sent_at = router.now();
     let list = read_list(router, source, Freshness::Newest, None, || true).await?;
     if let Some(list) = list {
-        router.store.on_list_confirmed(sent_at);
+        on_list_confirmed(router, sent_at);
         apply_upstream_list(router, list, FROM_STORE);
     }
     Ok(())
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -10,7 +10,7 @@
 //! shutdown of an upstream go unnoticed.
 
 use crate::configuration_copies::ConfigurationWithCopies;
-use crate::list_confirmation::{Polled, confirm_first_list, poll_list};
+use crate::list_confirmation::{Polled, confirm_first_list, on_list_confirmed, poll_list};
 use crate::rollout_store::{apply_change, read_orders};
 use crate::router::Router;
 use crate::source::{ConfigurationSource, Freshness, MixedServiceMarks, SourceError};
@@ -296,7 +296,7 @@
         return Ok(None);
     };
     if freshness == Freshness::Newest {
-        router.store.on_list_confirmed(sent_at);
+        on_list_confirmed(router, sent_at);
     }
     if is_startup && has_several_versions(&list.upstreams) {
         // The orders that were read may be out of date and lack the one in progress.
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -94,6 +94,7 @@
 pub mod leaving;
 pub mod lifecycle;
 pub mod limit;
+pub mod list_evidence;
 pub mod liveness;
 pub mod load;
 pub mod load_query;
