A peer's word that an upstream leaves is news: the store is read at once

The answer to a request for a tunnel ended that search and was forgotten. Now a router that hears it reads the changes from the store, at most each 0.2 s. By reading of the code and the record; no test of its own shows it.

--- a/crates/router/cloverpier_router/src/tunnel/open.rs
+++ b/crates/router/cloverpier_router/src/tunnel/open.rs
@@ -153,6 +153,9 @@
             }
             TunnelOutcome::Failed(failure) => {
                 on_peer_failed(router, &upstream.service, peer, failure);
+                if failure == PeerFailure::UpstreamLeaves {
+                    router.list_checks.on_doubt();
+                }
                 error = TunnelError::Unreachable;
                 if is_conclusive(PeerAnswer::Failed(failure)) {
                     break;
