An idle connection to the store is used again within a second only

Cause: a router that seldom calls the store keeps its connection for ever; one that has gone silent costs its first ping 0.5 s, and the next one comes 0.5 to 1 s later. Watchers call each 0.25 to 0.8 s and keep their connections.

--- a/crates/router/cloverpier_router/src/http_client.rs
+++ b/crates/router/cloverpier_router/src/http_client.rs
@@ -17,7 +17,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum length in bytes of an upstream's response to a probe, a check or a query. The longest one lists the prompts in an
 /// engine's cache.
@@ -107,13 +107,25 @@
     pub stall: Duration,
 }
 
-/// An HTTP client for one address. It reuses one connection; calls that overlap open connections of their own.
+/// How long an idle connection is kept for the next call. One that was open may have gone silent without a reset, which
+/// shows only when a response is missing; periodic calls are more frequent than this.
+const IDLE_LIMIT: Duration = Duration::from_secs(1);
+
+/// An HTTP client for one address. It reuses one connection for calls that follow each other within a second; calls that
+/// overlap open connections of their own.
 #[derive(Debug)]
 pub struct HttpClient {
     address: SocketAddr,
     connect_timeout: Duration,
     timers: Timers,
-    idle: RefCell<Option<Connection>>,
+    idle: RefCell<Option<IdleConnection>>,
+}
+
+/// A connection after a call.
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    since: Instant,
 }
 
 impl HttpClient {
@@ -243,7 +255,10 @@
 
     /// Keeps the connection for the next call and returns the complete response.
     fn finish(&self, connection: Connection, head: Parts, body: Bytes) -> HttpResponse {
-        *self.idle.borrow_mut() = Some(connection);
+        *self.idle.borrow_mut() = Some(IdleConnection {
+            connection,
+            since: self.timers.now(),
+        });
         HttpResponse {
             status: head.status,
             headers: head.headers,
@@ -253,12 +268,15 @@
 
     async fn take_or_open(&self) -> Result<Connection, CallError> {
         let idle = self.idle.borrow_mut().take();
-        if let Some(mut connection) = idle
-            && connection.wait_until_ready().await
+        let now = self.timers.now();
+        let is_recent =
+            |idle: &IdleConnection| now.saturating_duration_since(idle.since) <= IDLE_LIMIT;
+        if let Some(mut idle) = idle.filter(is_recent)
+            && idle.connection.wait_until_ready().await
         {
-            return Ok(connection);
+            return Ok(idle.connection);
         }
-        // The client reuses the connection until it is closed, so it needs no idle timeout.
+        // The limit above applies, and not an idle timeout of the connection.
         let opened = Connection::open(
             self.address,
             self.connect_timeout,
