A router whose role is to watch fetches changes of upstreams from a peer after 0.1 s, not 0.4 s

A router that hears of a newer list and has the role of a watcher gave its own watch 0.4 s. It may not have begun to watch, as when it is to replace a lost one, so that this link came on top of all others of the chain. Configurations keep 0.4 s, as they may be long. A random pause between watches was tried beside it and taken back: the_next_start_of_an_upstream_is_not_bound_by_its_limit was red with it, as one router learns of a change 0.1 s before the others.

--- a/crates/router/cloverpier_router/src/peer_fetch.rs
+++ b/crates/router/cloverpier_router/src/peer_fetch.rs
@@ -22,9 +22,9 @@
 use cloverpier_router_policy::overdue_version::{Patience, WantedVersion};
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::version_fetch::{
-    COMPARE_PERIOD, FAILURE_PAUSE, FetchSources, FetchStep, HEDGE_DELAY,
+    COMPARE_PERIOD, CONFIGURATION_HEAD_START, FAILURE_PAUSE, FetchSources, FetchStep, HEDGE_DELAY,
     LARGE_FLEET_COMPARE_PERIOD, MAX_CONCURRENT_FETCHES, REMOTE_FETCH_DELAY, REUSE_WINDOW,
-    STALL_TIMEOUT, STORE_HEAD_START, UPSTREAM_FETCH_PAUSE,
+    STALL_TIMEOUT, UPSTREAM_FETCH_PAUSE, UPSTREAM_HEAD_START,
 };
 use cloverpier_timers::Timers;
 use futures_util::future::LocalBoxFuture;
@@ -60,7 +60,11 @@
             () = router.timers.sleep(compare_period(router)) => {}
         }
         if router.store.role().watches() && router.store.is_serving() {
-            router.timers.sleep(STORE_HEAD_START).await;
+            let head_start = match watched {
+                WatchedData::Configuration => CONFIGURATION_HEAD_START,
+                WatchedData::Upstreams => UPSTREAM_HEAD_START,
+            };
+            router.timers.sleep(head_start).await;
         }
         fetcher.fetch_until_current().await;
     }
--- a/crates/router/cloverpier_router_policy/src/version_fetch.rs
+++ b/crates/router/cloverpier_router_policy/src/version_fetch.rs
@@ -24,9 +24,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How long a router that watches the store waits for the store to deliver a version before it fetches the
-/// version from a peer.
-pub const STORE_HEAD_START: Duration = Duration::from_millis(400);
+/// How long a router that watches the store waits for the store to deliver a configuration before it fetches the
+/// configuration from a peer.
+pub const CONFIGURATION_HEAD_START: Duration = Duration::from_millis(400);
+/// The same for changes of upstreams, which are short. A router whose role is to watch may not have begun to.
+pub const UPSTREAM_HEAD_START: Duration = Duration::from_millis(100);
 /// A fetch fails when no bytes arrive for this long. Its total time is not bounded, because such a bound
 /// could keep a large configuration from ever arriving over a shared link.
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(800);
