A confirmation of the list counts for the version of a stream only at a router in step

Cause: such a router takes the store's confirmation of its list, up to 7.5 s old, for a proof that its service has one version; a new version begins no streams for 8.5 s, but not where the former one leaves. A request that waits in its sockets is answered before any news is read. Class: what has not been said counts as evidence. Not covered: a group of routers that is cut off together from the store and the others.

--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -31,9 +31,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// If a sending interval starts later than planned by more than this, the process was paused, and the silence
-/// of other routers is no evidence that they have failed.
-const PAUSE_THRESHOLD: Duration = Duration::from_millis(300);
 /// How long after its start a router has received most members of a large fleet.
 const MEMBER_DISCOVERY_TIME: Duration = Duration::from_secs(4);
 /// Interval at which a router of a large fleet decides its watcher role after [`MEMBER_DISCOVERY_TIME`].
@@ -83,20 +80,25 @@
             self.next_seeds = now + SEED_PERIOD;
         }
         if now >= self.next_period {
-            self.begin_period(now);
-            self.next_period = now + period(&self.router);
+            let next_period = now + period(&self.router);
+            let mut in_step = self.router.in_step.get();
+            let was_paused = in_step.on_period(now, next_period);
+            self.router.in_step.set(in_step);
+            self.begin_period(now, was_paused);
+            self.next_period = next_period;
         } else if self.router.peers.outbox.take_heartbeat_due() {
             send_early_heartbeats(&self.router, now);
         }
     }
 
-    fn begin_period(&mut self, now: Instant) {
+    /// `was_paused` is whether this process was paused before, so that the silence of other routers is no evidence that they
+    /// have failed.
+    fn begin_period(&mut self, now: Instant, was_paused: bool) {
         let router = &self.router;
         remove_expired(router, now);
         if self.roles.is_due(router, now) {
             decide_watcher_role(router, now);
         }
-        let was_paused = now.saturating_duration_since(self.next_period) > PAUSE_THRESHOLD;
         send_period(router, &mut self.rotation, was_paused, now);
         crash_reports::repeat(router, now);
         leaving_reports::repeat(router, now);
--- a/crates/router/cloverpier_router/src/peers.rs
+++ b/crates/router/cloverpier_router/src/peers.rs
@@ -214,6 +214,13 @@
         (!self.is_large()).then_some(lowest)
     }
 
+    /// The highest revision of the list of upstreams that a live peer has reported; `None` without a live peer.
+    pub fn newest_live_list(&self, now: Instant, timeout: Duration) -> Option<u64> {
+        let table = self.table.borrow();
+        let live = table.live(now, timeout);
+        live.map(|(_, entry)| entry.upstreams_revision).max()
+    }
+
     /// The addresses of all recorded peers, dead ones included.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         if self.is_large() {
--- a/crates/router/cloverpier_router/src/router.rs
+++ b/crates/router/cloverpier_router/src/router.rs
@@ -59,6 +59,7 @@
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::reachability::Reachability;
 use cloverpier_router_policy::rollout::schedule::ExposureBounds;
+use cloverpier_router_policy::stream_version::in_step::{Fleet, InStep};
 use cloverpier_router_policy::version_serving::CopyPacing;
 use cloverpier_settings::RouterSettings;
 use cloverpier_timers::Timers;
@@ -115,6 +116,8 @@
     pub(crate) buffer_memory: Rc<RefCell<BufferMemory>>,
     pub(crate) list_copies: RefCell<ListCopies>,
     pub(crate) list_checks: ListChecks,
+    /// What this router knows of its own pauses and of its contact with peers.
+    pub(crate) in_step: Cell<InStep>,
     pub(crate) lifecycle: Lifecycle,
 }
 
@@ -184,6 +187,7 @@
             buffer_memory: Rc::new(RefCell::new(BufferMemory::for_vm(settings.memory_bytes))),
             list_copies: RefCell::default(),
             list_checks: ListChecks::default(),
+            in_step: Cell::default(),
             lifecycle,
             timers,
             rng: RefCell::new(rng),
@@ -191,6 +195,23 @@
         }
     }
 
+    /// When the store confirmed the list of upstreams, if that still proves which versions serve; `None` otherwise.
+    pub(crate) fn trusted_confirmation(&self, now: Instant) -> Option<Instant> {
+        let fleet = match self.peers.count() {
+            0 => Fleet::Alone,
+            _ if self.peers.is_large() => Fleet::Large,
+            _ => Fleet::Small,
+        };
+        let own_revision = self.upstreams.borrow().revision();
+        let newest = self.peers.newest_live_list(now, self.peer_timeout());
+        let has_newer_list = newest.is_some_and(|revision| revision > own_revision);
+        let in_step = self.in_step.get();
+        let confirmed_at = self.store.list_confirmed_at()?;
+        in_step
+            .trusts(confirmed_at, fleet, has_newer_list, now)
+            .then_some(confirmed_at)
+    }
+
     /// The present moment on the router's clock.
     pub(crate) fn now(&self) -> Instant {
         self.timers.now()
--- a/crates/router/cloverpier_router/src/stream_origins/lookup.rs
+++ b/crates/router/cloverpier_router/src/stream_origins/lookup.rs
@@ -62,7 +62,7 @@
     let history = router.version_history.borrow();
     LookupReply {
         origin: stream.and_then(|key| records.get(key, now)).cloned(),
-        versions: history.report(service, router.store.list_confirmed_at(), now),
+        versions: history.report(service, router.trusted_confirmation(now), now),
     }
 }
 
--- a/crates/router/cloverpier_router_policy/src/stream_version/mod.rs
+++ b/crates/router/cloverpier_router_policy/src/stream_version/mod.rs
@@ -25,6 +25,7 @@
 
 pub mod history;
 pub mod holders;
+pub mod in_step;
 pub mod lookup;
 pub mod records;
 
