A caller waits for the list where its stream's version is recorded and missing in an old list

What callers saw: after a router had stood still, half of the streams that resumed there were refused for good, though their version served: the record named it, and the router's list, of before the pause, did not contain it. Cause: "none of the version is listed" was concluded from a list that nothing showed to be recent. Now the list is read, for 0.5 s at most, before that is concluded, if no confirmation of it counts.

--- a/crates/router/cloverpier_router/src/list_checks.rs
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -10,6 +10,7 @@
 use crate::store_view::WatchedData;
 use cloverpier_core::jitter;
 use cloverpier_router_policy::list_evidence::{ListEvidence, READ_SPREAD, is_proof};
+use cloverpier_timers::Timers;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,6 +23,8 @@
     evidence: Cell<Option<ListEvidence>>,
     /// Wakes the task for a read without a wait.
     doubted: Notify,
+    /// Wakes what waits for the end of a read.
+    read_ended: Notify,
 }
 
 impl ListChecks {
@@ -42,6 +45,14 @@
         self.doubted.notify_one();
     }
 
+    /// Has the store read at once, and waits until a read has ended, with or without success; for `timeout` at most.
+    pub async fn wait_for_read(&self, timers: &Timers, timeout: Duration) {
+        let ended = self.read_ended.notified();
+        self.on_doubt();
+        // After the timeout, the list stays what it is.
+        let _ = timers.timeout(timeout, ended).await;
+    }
+
     fn on_read(&self, now: Instant) {
         let mut evidence = self.evidence.get().unwrap_or(ListEvidence::new(now));
         evidence.on_read(now);
@@ -118,6 +129,7 @@
         let what = WatchedData::Upstreams.name();
         log_named_event(&router.log, "version.unread", what, &error.to_string());
     }
+    router.list_checks.read_ended.notify_waiters();
 }
 
 fn log_unproven(router: &Router) {
--- a/crates/router/cloverpier_router/src/stream_origins/lookup.rs
+++ b/crates/router/cloverpier_router/src/stream_origins/lookup.rs
@@ -21,6 +21,8 @@
 
 /// How long a lookup waits for the store while this router starts; the store responds within about 10 ms.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
+/// How long the caller of a stream waits at most while a list that lacks the stream's version is read anew.
+const LIST_READ_WAIT: Duration = Duration::from_millis(500);
 
 /// A stream that a caller resumes.
 #[derive(Clone, Copy, Debug)]
@@ -48,9 +50,23 @@
     let mut search = Search::new(router, stream);
     let result = search.run().await;
     search.log(&result, began_at);
+    if let Ok(origin) = &result
+        && is_list_outdated(router, stream.service, origin)
+    {
+        let checks = &router.list_checks;
+        checks.wait_for_read(&router.timers, LIST_READ_WAIT).await;
+    }
     result
 }
 
+/// Whether a stream began at a version that this router's list does not contain, and nothing shows that the list is recent.
+fn is_list_outdated(router: &Router, service: &ServiceName, origin: &StreamOrigin) -> bool {
+    let version = origin.version.as_ref().and_then(StreamVersion::name);
+    let table = router.upstreams.borrow();
+    let is_missing = version.is_some_and(|name| table.count_of_version(service, name) == 0);
+    is_missing && router.trusted_confirmation(router.now()).is_none()
+}
+
 /// The record of a stream at this router, and the versions of a service that its list has contained.
 pub(super) fn own_reply(
     router: &Router,
