A lost history is one fact: the list is read at once, whichever loop learned of it

The record: a watch of the configuration is told that the store has lost its history 0.78 s before three watches of upstreams are. Each loop learned of it by itself, and a watch from before the loss may hear nothing meanwhile. Now the list of upstreams is read as soon as any loop of the router is told, and a doubt (this, or a peer's word that an upstream leaves) leads to the whole list, as such a store may name no changes. By reading of the code and the record; no test of its own shows it.

--- a/crates/router/cloverpier_router/src/list_checks.rs
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -5,13 +5,14 @@
 
 use crate::decision_log::{ListUnproven, log_named_event, ms_since};
 use crate::router::Router;
-use crate::source::ConfigurationSource;
-use crate::store_reads::read_newer;
+use crate::source::{ConfigurationSource, SourceError};
+use crate::store_reads::{read_newer, read_whole_list};
 use crate::store_view::WatchedData;
 use cloverpier_core::jitter;
 use cloverpier_router_policy::list_evidence::{ListEvidence, READ_SPREAD, is_proof};
 use cloverpier_timers::Timers;
 use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -40,7 +41,8 @@
         self.evidence.set(Some(evidence));
     }
 
-    /// Has the store read at once, because a peer knows something of an upstream that the list does not contain.
+    /// Has the whole list read at once, because something shows that this router may have missed changes: a peer knows of a
+    /// leaving that the list does not contain, or the store has lost its history.
     pub fn on_doubt(&self) {
         self.doubted.notify_one();
     }
@@ -97,11 +99,13 @@
                 router.timers.sleep(spread).await;
                 if is_unproven(&router) {
                     log_unproven(&router);
-                    read(&router, &*source).await;
+                    let read = read_newer(&router, &*source, WatchedData::Upstreams);
+                    finish(&router, read).await;
                 }
             }
             () = checks.doubted.notified() => {
-                read(&router, &*source).await;
+                // Not the changes alone: a store that has lost its history may name none.
+                finish(&router, read_whole_list(&router, &*source)).await;
                 router.timers.sleep(DOUBT_PAUSE).await;
             }
         }
@@ -120,12 +124,13 @@
     is_checking(router) && evidence.is_some_and(is_overdue)
 }
 
-async fn read(router: &Router, source: &impl ConfigurationSource) {
+/// Carries out a read of the store, once this router serves.
+async fn finish(router: &Router, read: impl Future<Output = Result<(), SourceError>>) {
     if !router.store.is_serving() {
         return;
     }
     router.list_checks.on_read(router.now());
-    if let Err(error) = read_newer(router, source, WatchedData::Upstreams).await {
+    if let Err(error) = read.await {
         let what = WatchedData::Upstreams.name();
         log_named_event(&router.log, "version.unread", what, &error.to_string());
     }
--- a/crates/router/cloverpier_router/src/store_reads.rs
+++ b/crates/router/cloverpier_router/src/store_reads.rs
@@ -56,7 +56,12 @@
     }
 }
 
-async fn read_whole_list(
+/// Reads and applies the whole list of upstreams.
+///
+/// # Errors
+///
+/// [`SourceError`] if a call to the store failed.
+pub(crate) async fn read_whole_list(
     router: &Router,
     source: &impl ConfigurationSource,
 ) -> Result<(), SourceError> {
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -61,6 +61,10 @@
     pub(crate) async fn after_failure(&mut self, router: &Router, error: &SourceError) {
         router.metrics.store_calls.count("failed");
         on_store_call_failed(router, self.store_loop, &error.to_string());
+        if matches!(error, SourceError::HistoryLost) {
+            // The watches of the other loops may hear nothing any more.
+            router.list_checks.on_doubt();
+        }
         let pause = jitter(&mut router.rng.borrow_mut(), self.pause);
         self.pause = (self.pause * 2).min(max_store_backoff(router));
         tokio::select! {
