--- a/crates/router/cloverpier_router/src/list_checks.rs
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -17,6 +17,11 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// How often a router that is not to read looks whether it is.
+const IDLE_PERIOD: Duration = Duration::from_millis(500);
+/// Minimum pause between two reads that doubts cause.
+const DOUBT_PAUSE: Duration = Duration::from_millis(200);
+
 /// The evidence that this router's list is the newest.
 #[derive(Debug, Default)]
 pub(crate) struct ListChecks {
@@ -75,57 +80,48 @@
     }
 }
 
-/// How often a router that is not to read looks whether it is.
-const IDLE_PERIOD: Duration = Duration::from_millis(500);
-/// Minimum pause between two reads that doubts cause.
-const DOUBT_PAUSE: Duration = Duration::from_millis(200);
-
 /// Reads the store whenever the evidence is too old, or a peer's word raises a doubt, until the process ends.
 pub(crate) async fn check_list(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     loop {
-        let checks = &router.list_checks;
-        let due = checks.evidence.get().filter(|_| is_checking(&router));
-        let watches = router.store.role().watches();
-        let due = due.map_or(router.now() + IDLE_PERIOD, |evidence| {
-            evidence.read_at(watches)
-        });
+        let due = read_at(&router).unwrap_or(router.now() + IDLE_PERIOD);
         tokio::select! {
-            () = router.timers.sleep_until(due) => {
-                if !is_unproven(&router) {
-                    continue;
-                }
-                // Other routers lack evidence since the same moment.
-                let spread = jitter(&mut router.rng.borrow_mut(), READ_SPREAD);
-                router.timers.sleep(spread).await;
-                if is_unproven(&router) {
-                    log_unproven(&router);
-                    let read = read_newer(&router, &*source, WatchedData::Upstreams);
-                    finish(&router, read).await;
-                }
-            }
-            () = checks.doubted.notified() => {
+            () = router.timers.sleep_until(due) => read_if_unproven(&router, &*source).await,
+            () = router.list_checks.doubted.notified() => {
                 // Not the changes alone: a store that has lost its history may name none.
-                finish(&router, read_whole_list(&router, &*source)).await;
+                carry_out(&router, read_whole_list(&router, &*source)).await;
                 router.timers.sleep(DOUBT_PAUSE).await;
             }
         }
     }
 }
 
-/// Whether this router reads the store without evidence.
-fn is_checking(router: &Router) -> bool {
-    router.store.is_serving() && !router.peers.is_large()
+/// When this router reads the store if no evidence arrives before; `None` if it does not read without evidence.
+fn read_at(router: &Router) -> Option<Instant> {
+    let reads = router.store.is_serving() && !router.peers.is_large();
+    let evidence = router.list_checks.evidence.get().filter(|_| reads);
+    evidence.map(|evidence| evidence.read_at(router.store.role().watches()))
 }
 
 fn is_unproven(router: &Router) -> bool {
-    let watches = router.store.role().watches();
-    let evidence = router.list_checks.evidence.get();
-    let is_overdue = |evidence: ListEvidence| router.now() >= evidence.read_at(watches);
-    is_checking(router) && evidence.is_some_and(is_overdue)
+    read_at(router).is_some_and(|at| router.now() >= at)
+}
+
+/// Reads the changes, unless evidence has arrived meanwhile.
+async fn read_if_unproven(router: &Router, source: &impl ConfigurationSource) {
+    if !is_unproven(router) {
+        return;
+    }
+    // Other routers lack evidence since the same moment.
+    let spread = jitter(&mut router.rng.borrow_mut(), READ_SPREAD);
+    router.timers.sleep(spread).await;
+    if is_unproven(router) {
+        log_unproven(router);
+        carry_out(router, read_newer(router, source, WatchedData::Upstreams)).await;
+    }
 }
 
 /// Carries out a read of the store, once this router serves.
-async fn finish(router: &Router, read: impl Future<Output = Result<(), SourceError>>) {
+async fn carry_out(router: &Router, read: impl Future<Output = Result<(), SourceError>>) {
     if !router.store.is_serving() {
         return;
     }
