A moment without watchers is no outage of the store

Cause: such a router finds no fresh watcher among heartbeats of before, for some milliseconds; that counted as an outage, and an entry that is found removed within 2 s after an outage may have expired, so that its upstream is a last resort for 2 s from the router's own knowledge. The same as all watchers read anew after a lost history. Class: a time is counted from the router's knowledge, on evidence of before. Why it works: an outage counts once nobody has reached the store for 0.5 s as far as the router knows; entries expire after several renewals of an upstream.

--- a/crates/router/cloverpier_router/src/store_events.rs
+++ b/crates/router/cloverpier_router/src/store_events.rs
@@ -12,6 +12,7 @@
 use cloverpier_router_policy::store_watch::{
     OwnWatcherState, fresh_watchers, max_backoff, watcher_role,
 };
+use cloverpier_router_policy::suspicion::MIN_OUTAGE;
 use std::time::{Duration, Instant};
 
 /// Applies a configuration if it is newer than the one in force. Peers are notified at once, as they can
@@ -94,10 +95,11 @@
         is_fresh: router.store.is_fresh(now),
     };
     let has_contact = own.is_fresh || !fresh_watchers(&peers).is_empty();
-    if router.store.set_contact(has_contact) && !has_contact {
+    if router.store.set_contact(has_contact, now) && !has_contact {
         router.stream_origins.refresh_now();
     }
-    if router.store.has_lost_contact() {
+    let lost_for = router.store.contact_lost_for(now);
+    if lost_for.is_some_and(|lost_for| lost_for >= MIN_OUTAGE) {
         router.upstreams.borrow_mut().on_store_away(now);
     }
     let role = watcher_role(&own, &peers);
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -11,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// A kind of data that routers read from the store, watch there, and fetch from each other.
@@ -80,6 +80,8 @@
     has_contact: Cell<bool>,
     /// Whether this router or a peer has reached the store since the start of this router.
     has_had_contact: Cell<bool>,
+    /// Since when neither this router nor a peer has reached the store, after one had; `None` while one does.
+    contact_lost_since: Cell<Option<Instant>>,
     /// Whether the last call for the configuration failed, and no ping succeeded since.
     configuration_fails: Cell<bool>,
     /// Whether the last call for the upstreams failed, and no ping succeeded since.
@@ -114,6 +116,7 @@
             confirmation_requested: Notify::new(),
             has_contact: Cell::new(true),
             has_had_contact: Cell::new(false),
+            contact_lost_since: Cell::new(None),
             configuration_fails: Cell::new(false),
             upstreams_fail: Cell::new(false),
             rollouts_fail: Cell::new(false),
@@ -276,13 +279,22 @@
 
     /// Whether this router or a peer has reached the store since the start of this router, and none does any more.
     pub fn has_lost_contact(&self) -> bool {
-        self.has_had_contact.get() && !self.has_contact.get()
+        self.contact_lost_since.get().is_some()
+    }
+
+    /// For how long neither this router nor a peer has reached the store, after one had; `None` while one does.
+    pub fn contact_lost_for(&self, now: Instant) -> Option<Duration> {
+        let since = self.contact_lost_since.get()?;
+        Some(now.saturating_duration_since(since))
     }
 
     /// Records whether this router or a peer reaches the store; returns whether one did before.
-    pub fn set_contact(&self, has_contact: bool) -> bool {
+    pub fn set_contact(&self, has_contact: bool, now: Instant) -> bool {
         self.has_had_contact
             .set(self.has_had_contact.get() || has_contact);
+        let is_lost = self.has_had_contact.get() && !has_contact;
+        let since = self.contact_lost_since.get().unwrap_or(now);
+        self.contact_lost_since.set(is_lost.then_some(since));
         self.has_contact.replace(has_contact)
     }
 
--- a/crates/router/cloverpier_router_policy/src/suspicion.rs
+++ b/crates/router/cloverpier_router_policy/src/suspicion.rs
@@ -53,6 +53,10 @@
 /// Time within which running upstreams whose entries expired during an outage of the platform's store
 /// are listed again after the outage: the platform guarantees two seconds.
 pub const RELIST_WINDOW: Duration = Duration::from_millis(2_000);
+/// How long nobody must have reached the store, as far as this router knows, before entries may expire: upstreams renew
+/// theirs, and one expires after several renewals are missed. A router that stood still, or whose watchers all read the
+/// store again after it lost its history, misses it for less.
+pub const MIN_OUTAGE: Duration = Duration::from_millis(500);
 /// How long a successor is used that a reachable store does not list. A starting upstream registers at once, and the news
 /// of an entry takes half a second.
 pub(crate) const UNLISTED_PERIOD: Duration = Duration::from_millis(1_000);
