--- a/crates/router/cloverpier_router/src/list_checks.rs
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -1,7 +1,9 @@
-//! Reads changes of upstreams from the store while nobody shows that this router's list is the newest.
+//! Reads changes of upstreams from the store while nobody shows that this router's list is the newest, and the whole list
+//! when something shows that it is not.
 //!
 //! `cloverpier_router_policy::list_evidence` decides when. [`ListChecks`] owns the evidence; `list_confirmation` and
-//! `peer_reports` record it. Routers of a large fleet do not read: too few reports of watchers reach each of them.
+//! `peer_reports` record it. Routers of a large fleet read only on such a doubt: too few reports of watchers reach each of
+//! them to count as evidence.
 
 use crate::decision_log::{ListUnproven, log_named_event, ms_since};
 use crate::router::Router;
--- a/crates/router/cloverpier_router/src/list_confirmation.rs
+++ b/crates/router/cloverpier_router/src/list_confirmation.rs
@@ -14,7 +14,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Polls the store for changes since a revision and applies them, which confirms the list. `wait` is how long the store may delay its response until there is a change.
+/// Polls the store for changes since a revision and applies them, which confirms the list. `wait` is how long the store may
+/// delay its response until there is a change.
 pub(crate) async fn poll_list(
     router: &Router,
     source: &impl ConfigurationSource,
--- a/crates/router/cloverpier_router_policy/src/stream_version/history.rs
+++ b/crates/router/cloverpier_router_policy/src/stream_version/history.rs
@@ -210,8 +210,8 @@
         self.knows_past
     }
 
-    /// The report on the versions of a service. `confirmed_at` is when the store confirmed the list in force; `None` if this router
-    /// does not watch the store.
+    /// The report on the versions of a service. `confirmed_at` is when the store confirmed the list in force; `None` if it never
+    /// did, or if that does not count any more ([`super::in_step`]).
     pub fn report(
         &self,
         service: &ServiceName,
