--- a/crates/router/cloverpier_router/src/list_checks.rs
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -43,6 +43,7 @@
 
     /// Records that the list was shown to be the newest at `at`.
     pub fn on_proof(&self, at: Instant) {
+        // The first proof begins the evidence.
         let mut evidence = self.evidence.get().unwrap_or(ListEvidence::new(at));
         evidence.on_proof(at);
         self.evidence.set(Some(evidence));
@@ -63,6 +64,7 @@
     }
 
     fn on_read(&self, now: Instant) {
+        // A doubt may lead to a read before the first proof.
         let mut evidence = self.evidence.get().unwrap_or(ListEvidence::new(now));
         evidence.on_read(now);
         self.evidence.set(Some(evidence));
@@ -85,6 +87,7 @@
 /// Reads the store whenever the evidence is too old, or a peer's word raises a doubt, until the process ends.
 pub(crate) async fn check_list(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     loop {
+        // A router that does not read now looks again later.
         let due = read_at(&router).unwrap_or(router.now() + IDLE_PERIOD);
         tokio::select! {
             () = router.timers.sleep_until(due) => read_if_unproven(&router, &*source).await,
--- a/crates/router/cloverpier_router/src/store_view.rs
+++ b/crates/router/cloverpier_router/src/store_view.rs
@@ -293,6 +293,7 @@
         self.has_had_contact
             .set(self.has_had_contact.get() || has_contact);
         let is_lost = self.has_had_contact.get() && !has_contact;
+        // Contact that was there until now is lost from now on.
         let since = self.contact_lost_since.get().unwrap_or(now);
         self.contact_lost_since.set(is_lost.then_some(since));
         self.has_contact.replace(has_contact)
--- a/crates/router/cloverpier_router_policy/src/stream_version/in_step.rs
+++ b/crates/router/cloverpier_router_policy/src/stream_version/in_step.rs
@@ -5,9 +5,9 @@
 //!   peer was last heard; whether a peer has reported a newer list.
 //! - **Result.** Whether the confirmation counts.
 //! - **Why.** Other routers may use a version that has joined since, where the former one leaves. A router that runs and
-//!   hears its peers learns of it within milliseconds. One that stood still, or is cut off, answers by the list from before:
+//!   hears its peers learns of it within milliseconds. One that was paused, or is partitioned, uses its earlier list:
 //!   after a pause, requests that wait in its sockets are read before any news. So a confirmation from before a pause does
-//!   not count, and without word from peers only a recent one does; the store is asked anew.
+//!   not count, and without messages of peers only a recent one does; the store is asked anew.
 //!
 //! [`InStep`] owns what a router knows of itself.
 
