Requested reads and messages of peers, in place of doubts and what is heard; names and comments only

A doubt was a read that is requested, and a router that hears a peer gets a message of it: the field's words say so. Renamed within list_checks, its two callers and in_step; no behaviour changed.

--- a/crates/router/cloverpier_router/src/list_checks.rs
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -2,7 +2,7 @@
 //! when something shows that it is not.
 //!
 //! `cloverpier_router_policy::list_evidence` decides when. [`ListChecks`] owns the evidence; `list_confirmation` and
-//! `peer_reports` record it. Routers of a large fleet read only on such a doubt: too few reports of watchers reach each of
+//! `peer_reports` record it. Routers of a large fleet only do the latter: too few reports of watchers reach each of
 //! them to count as evidence.
 
 use crate::decision_log::{ListUnproven, log_named_event, ms_since};
@@ -21,8 +21,8 @@
 
 /// How often a router that is not to read looks whether it is.
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
-/// Minimum pause between two reads that doubts cause.
-const DOUBT_PAUSE: Duration = Duration::from_millis(200);
+/// Minimum pause between two requested reads.
+const REQUESTED_READ_PAUSE: Duration = Duration::from_millis(200);
 
 /// The evidence that this router's list is the newest.
 #[derive(Debug, Default)]
@@ -30,7 +30,7 @@
     /// `None` before the first list.
     evidence: Cell<Option<ListEvidence>>,
     /// Wakes the task for a read without a wait.
-    doubted: Notify,
+    read_requested: Notify,
     /// Wakes what waits for the end of a read.
     read_ended: Notify,
 }
@@ -51,20 +51,20 @@
 
     /// Has the whole list read at once, because something shows that this router may have missed changes: a peer knows of a
     /// leaving that the list does not contain, or the store has lost its history.
-    pub fn on_doubt(&self) {
-        self.doubted.notify_one();
+    pub fn request_read(&self) {
+        self.read_requested.notify_one();
     }
 
     /// Has the store read at once, and waits until a read has ended, with or without success; for `timeout` at most.
     pub async fn wait_for_read(&self, timers: &Timers, timeout: Duration) {
         let ended = self.read_ended.notified();
-        self.on_doubt();
+        self.request_read();
         // After the timeout, the list stays what it is.
         let _ = timers.timeout(timeout, ended).await;
     }
 
     fn on_read(&self, now: Instant) {
-        // A doubt may lead to a read before the first proof.
+        // A read may be requested before the first proof.
         let mut evidence = self.evidence.get().unwrap_or(ListEvidence::new(now));
         evidence.on_read(now);
         self.evidence.set(Some(evidence));
@@ -84,17 +84,17 @@
     }
 }
 
-/// Reads the store whenever the evidence is too old, or a peer's word raises a doubt, until the process ends.
+/// Reads the store whenever the evidence is too old, or a read is requested, until the process ends.
 pub(crate) async fn check_list(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     loop {
         // A router that does not read now looks again later.
         let due = read_at(&router).unwrap_or(router.now() + IDLE_PERIOD);
         tokio::select! {
             () = router.timers.sleep_until(due) => read_if_unproven(&router, &*source).await,
-            () = router.list_checks.doubted.notified() => {
+            () = router.list_checks.read_requested.notified() => {
                 // Not the changes alone: a store that has lost its history may name none.
                 carry_out(&router, read_whole_list(&router, &*source)).await;
-                router.timers.sleep(DOUBT_PAUSE).await;
+                router.timers.sleep(REQUESTED_READ_PAUSE).await;
             }
         }
     }
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -54,7 +54,7 @@
 
 fn on_message(router: &Rc<Router>, message: PeerMessage, now: Instant) {
     let mut in_step = router.in_step.get();
-    in_step.on_heard(now);
+    in_step.on_message(now);
     router.in_step.set(in_step);
     match message {
         PeerMessage::Heartbeat(heartbeat) => on_heartbeat(router, heartbeat, now),
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -63,7 +63,7 @@
         on_store_call_failed(router, self.store_loop, &error.to_string());
         if matches!(error, SourceError::HistoryLost) {
             // The watches of the other loops may hear nothing any more.
-            router.list_checks.on_doubt();
+            router.list_checks.request_read();
         }
         let pause = jitter(&mut router.rng.borrow_mut(), self.pause);
         self.pause = (self.pause * 2).min(max_store_backoff(router));
--- a/crates/router/cloverpier_router/src/tunnel/open.rs
+++ b/crates/router/cloverpier_router/src/tunnel/open.rs
@@ -154,7 +154,7 @@
             TunnelOutcome::Failed(failure) => {
                 on_peer_failed(router, &upstream.service, peer, failure);
                 if failure == PeerFailure::UpstreamLeaves {
-                    router.list_checks.on_doubt();
+                    router.list_checks.request_read();
                 }
                 error = TunnelError::Unreachable;
                 if is_conclusive(PeerAnswer::Failed(failure)) {
--- a/crates/router/cloverpier_router_policy/src/list_evidence.rs
+++ b/crates/router/cloverpier_router_policy/src/list_evidence.rs
@@ -6,7 +6,7 @@
 //! - **Result.** A time.
 //! - **Why.** A router learns of changes from the routers that watch the store. Their silence does not show that nothing
 //!   has changed: they may be dead, paused or partitioned. Until others replace them a second and more passes, and
-//!   those may be lost in turn. So a router that hears from none of them soon reads the store itself. If the store does
+//!   those may be lost in turn. So a router without a report from any of them soon reads the store itself. If the store does
 //!   not respond either, the pauses between such reads grow.
 //!
 //! [`ListEvidence`] owns the state of one router.
--- a/crates/router/cloverpier_router_policy/src/stream_version/in_step.rs
+++ b/crates/router/cloverpier_router_policy/src/stream_version/in_step.rs
@@ -2,11 +2,11 @@
 //!
 //! - **Question.** May this router conclude from the store's last confirmation of its list that a service has one version?
 //! - **Inputs.** When the store confirmed the list; when this router's tasks last ran; when its last pause ended; when a
-//!   peer was last heard; whether a peer has reported a newer list.
+//!   peer last sent a message; whether a peer has reported a newer list.
 //! - **Result.** Whether the confirmation counts.
 //! - **Why.** Other routers may use a version that has joined since, where the former one leaves. A router that runs and
-//!   hears its peers learns of it within milliseconds. One that was paused, or is partitioned, uses its earlier list:
-//!   after a pause, requests that wait in its sockets are read before any news. So a confirmation from before a pause does
+//!   receives its peers' messages learns of it within milliseconds. One that was paused, or is partitioned, uses its earlier list:
+//!   after a pause, requests that wait in its sockets are read before any message of a peer. So a confirmation from before a pause does
 //!   not count, and without messages of peers only a recent one does; the store is asked anew.
 //!
 //! [`InStep`] owns what a router knows of itself.
@@ -27,8 +27,8 @@
     next_period: Option<Instant>,
     /// When the last pause of this process was noticed; `None` without one.
     resumed_at: Option<Instant>,
-    /// When a peer was last heard; `None` before the first message.
-    heard_at: Option<Instant>,
+    /// When a peer last sent a message; `None` before the first message.
+    last_message_at: Option<Instant>,
 }
 
 /// A fleet as far as the silence of peers depends on it.
@@ -54,8 +54,8 @@
     }
 
     /// Records a message of a peer.
-    pub fn on_heard(&mut self, now: Instant) {
-        self.heard_at = Some(now);
+    pub fn on_message(&mut self, now: Instant) {
+        self.last_message_at = Some(now);
     }
 
     /// Whether the store's confirmation of the list at `confirmed_at` counts. `has_newer_list` is whether a live peer has
@@ -75,7 +75,7 @@
         let is_after_pause = self.resumed_at.is_none_or(|at| confirmed_at >= at);
         let is_in_touch = fleet == Fleet::Alone
             || is_recent(confirmed_at)
-            || self.heard_at.is_some_and(is_recent);
+            || self.last_message_at.is_some_and(is_recent);
         !self.is_paused(now) && is_after_pause && is_in_touch && !has_newer_list
     }
 
--- a/crates/router/cloverpier_router_policy/tests/in_step.rs
+++ b/crates/router/cloverpier_router_policy/tests/in_step.rs
@@ -11,7 +11,7 @@
 fn running(now: Instant) -> InStep {
     let mut in_step = InStep::default();
     in_step.on_period(now, now + PERIOD);
-    in_step.on_heard(now);
+    in_step.on_message(now);
     in_step
 }
 
@@ -29,7 +29,7 @@
     let resumed = start + PERIOD + PAUSE_THRESHOLD + Duration::from_millis(1);
     assert!(!in_step.trusts(start, Fleet::Small, false, resumed));
     assert!(in_step.on_period(resumed, resumed + PERIOD));
-    in_step.on_heard(resumed);
+    in_step.on_message(resumed);
     assert!(!in_step.trusts(start, Fleet::Small, false, resumed));
     assert!(in_step.trusts(resumed, Fleet::Small, false, resumed));
 }
