--- a/crates/router/cloverpier_router/src/choice_log.rs
+++ b/crates/router/cloverpier_router/src/choice_log.rs
@@ -10,6 +10,9 @@
 use cloverpier_router_policy::prelude::*;
 use std::time::{Duration, Instant};
 
+/// A proof of the list that is older than this is logged with each choice.
+const RECENT_PROOF: Duration = Duration::from_secs(1);
+
 /// The inputs of a choice that the log line contains in addition to the request and the chosen upstream.
 pub(crate) struct ChoiceInputs<'a> {
     /// The number of the attempt, from 1. Earlier attempts that did not reach an upstream do not count.
@@ -111,6 +114,12 @@
                 .store
                 .newer_list_known_since()
                 .map(|since| ms_since(since, inputs.now)),
+            list_proven_ms: router
+                .list_checks
+                .proven_at()
+                .map(|at| inputs.now.saturating_duration_since(at))
+                .filter(|age| *age > RECENT_PROOF)
+                .map(ms),
             age_ms: ms_since(request.arrived, inputs.now),
         },
     );
--- a/crates/router/cloverpier_router/src/decision_log.rs
+++ b/crates/router/cloverpier_router/src/decision_log.rs
@@ -105,6 +105,9 @@
     /// Milliseconds for which a newer list has been known to exist that this router does not have.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub newer_list_known_ms: Option<u64>,
+    /// Milliseconds since the list was last shown to be the newest, if that was not recently.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub list_proven_ms: Option<u64>,
     /// Milliseconds since the request arrived.
     pub age_ms: u64,
 }
--- a/crates/router/cloverpier_router/src/decision_log/upstreams.rs
+++ b/crates/router/cloverpier_router/src/decision_log/upstreams.rs
@@ -57,6 +57,15 @@
     pub unreachable_ms: u64,
 }
 
+/// A direct connection to an upstream came up, but not soon: a peer was asked for a tunnel meanwhile.
+#[derive(Serialize)]
+pub(crate) struct ConnectionSlow<'a> {
+    #[serde(rename = "server")]
+    pub upstream: &'a str,
+    /// Milliseconds from the attempt to connect until the connection was up.
+    pub took_ms: u64,
+}
+
 /// This router does not reach an upstream, and a peer does; new connections go through peers.
 #[derive(Serialize)]
 pub(crate) struct PathLost<'a> {
--- a/crates/router/cloverpier_router/src/decision_log/versions.rs
+++ b/crates/router/cloverpier_router/src/decision_log/versions.rs
@@ -3,6 +3,7 @@
 //!
 //! The names of events and fields are outer names; see the parent module. Owns no state.
 
+use cloverpier_router_policy::list_digest::ListDigest;
 use cloverpier_router_policy::prelude::*;
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -105,6 +106,18 @@
     pub proven_ms_ago: Option<u64>,
 }
 
+/// A whole list of upstreams that was read from the store differs from the list in force.
+#[derive(Serialize)]
+pub(crate) struct ListCorrected {
+    /// The revision of the list in force, and that of the list that was read.
+    pub former_revision: u64,
+    pub revision: u64,
+    /// Number of entries that differ.
+    pub changes: usize,
+    /// The digest of the list after the read.
+    pub digest: ListDigest,
+}
+
 /// A copy of the configuration was sent to a peer.
 #[derive(Serialize)]
 pub(crate) struct VersionServed<'a> {
--- a/crates/router/cloverpier_router/src/reachability/connect.rs
+++ b/crates/router/cloverpier_router/src/reachability/connect.rs
@@ -7,6 +7,7 @@
 use super::on_path_lost;
 use super::trial::begin_trial;
 use crate::connection::{Connection, Via};
+use crate::decision_log::{ConnectionSlow, ms};
 use crate::router::Router;
 use crate::tunnel::open::{TunnelError, open, open_in_trial};
 use cloverpier_router_policy::connection_reuse::DEFAULT_IDLE_TIMEOUT;
@@ -75,12 +76,23 @@
         Ok(Err(error)) => tunnel.await.map_err(|_| error)?,
         Err(Elapsed) => first_to_open(direct, tunnel).await?,
     };
+    let took = router.now().saturating_duration_since(started);
     if connection.via != Via::Direct {
         on_path_lost(router, upstream, connection.via, started);
+    } else if took > FALLBACK_DELAY {
+        log_slow(router, upstream, took);
     }
     Ok(connection)
 }
 
+fn log_slow(router: &Router, upstream: &Upstream, took: Duration) {
+    let line = ConnectionSlow {
+        upstream: upstream.name.as_str(),
+        took_ms: ms(took),
+    };
+    router.log.info("connection.slow", &line);
+}
+
 /// Opens a tunnel within `timeout`, unless the upstream counts as dead.
 async fn open_if_path_suspected(
     router: &Rc<Router>,
--- a/crates/router/cloverpier_router/src/upstream_updates.rs
+++ b/crates/router/cloverpier_router/src/upstream_updates.rs
@@ -4,11 +4,12 @@
 //! This module carries out the consequences for restarted upstreams, roll-outs and the revision in force.
 //! Owns no state.
 
-use crate::decision_log::{UpstreamDeparted, log_named_event};
+use crate::decision_log::{ListCorrected, UpstreamDeparted, log_named_event};
 use crate::restart;
 use crate::router::Router;
 use crate::source::{EntryChange, UnreadableEntry, UpstreamChanges, UpstreamList};
 use crate::store_events::log_version;
+use crate::store_sync::FROM_STORE;
 use crate::store_view::WatchedData;
 use cloverpier_router_policy::prelude::*;
 use std::time::Instant;
@@ -19,8 +20,12 @@
     log_unreadable(router, &list.unreadable);
     let now = router.now();
     let mut table = router.upstreams.borrow_mut();
+    let former_revision = table.revision();
     let applied = table.apply_list(list.upstreams, list.revision, now);
     drop(table);
+    if from == FROM_STORE && former_revision > 0 && applied.changes > 0 {
+        log_correction(router, former_revision, &applied);
+    }
     restart::on_restarted(router, &applied.restarted, now);
     record_versions(router, now);
     log_departures(router, &applied, list.revision, from);
@@ -64,6 +69,18 @@
     }
 }
 
+/// Logs that a whole list from the store differs from the list that was in force.
+fn log_correction(router: &Router, former_revision: u64, applied: &AppliedUpdate) {
+    let table = router.upstreams.borrow();
+    let line = ListCorrected {
+        former_revision,
+        revision: table.revision(),
+        changes: applied.changes,
+        digest: table.digest(),
+    };
+    router.log.info("list.corrected", &line);
+}
+
 /// Logs the upstreams that an update has taken off the list or shows as about to leave.
 fn log_departures(router: &Router, applied: &AppliedUpdate, revision: u64, from: &str) {
     for (upstream, departure) in &applied.departed {
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -17,6 +17,7 @@
 
 use crate::first_event::PromptRates;
 use crate::leaving::LeavingUpstreams;
+use crate::list_digest::ListDigest;
 use crate::load::{Load, PeerLoad};
 use crate::silence::UNRESPONSIVE_FOR;
 use crate::stream_version::history::VersionCounts;
@@ -83,6 +84,8 @@
 pub struct AppliedUpdate {
     /// False if the update was ignored because its revision was out of date.
     pub is_new: bool,
+    /// Number of entries that the update has added, changed or removed.
+    pub changes: usize,
     /// Upstreams that the update shows to have restarted under the same name.
     pub restarted: Vec<Upstream>,
     /// Upstreams that were listed and ready before the update and are not any more.
@@ -117,9 +120,18 @@
 
     /// The entries of all upstreams in the platform's list, in the form that is sent to peers.
     pub fn listed(&self) -> Vec<Upstream> {
+        self.entries().cloned().collect()
+    }
+
+    /// The digest of the platform's list as this router has it.
+    pub fn digest(&self) -> ListDigest {
+        ListDigest::of(self.entries())
+    }
+
+    fn entries(&self) -> impl Iterator<Item = &Upstream> {
         let is_listed = |s: &&UpstreamState| s.delisted_at.is_none() && s.not_yet_listed.is_none();
         let listed = self.upstreams.values().filter(is_listed);
-        listed.map(|s| s.upstream.clone()).collect()
+        listed.map(|s| &s.upstream)
     }
 
     /// Returns an upstream's state; `None` if the upstream is unknown or was forgotten.
@@ -298,6 +310,7 @@
     ) -> AppliedUpdate {
         let mut applied = AppliedUpdate {
             is_new: true,
+            changes: changes.len(),
             ..AppliedUpdate::default()
         };
         for change in changes {
