--- a/crates/standins/cloverpier_router_standin/src/store/mod.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/mod.rs
@@ -68,6 +68,8 @@
     SilentToWatches,
     /// Watches hear of no change. They end when their wait is over, without one, at the revision of that moment.
     DeafWatches,
+    /// Watches never hear of what changes now, and of later changes they do.
+    UntoldChanges,
 }
 
 #[derive(Debug, Default)]
@@ -75,6 +77,8 @@
     objects: Objects,
     /// What it may come back from.
     copy: Option<Objects>,
+    /// What stale reads return, under the present revision; `None` while they return what is there.
+    stale: Option<Objects>,
     /// How often it came back from an older copy.
     era: u64,
     fault: StoreFault,
@@ -83,6 +87,21 @@
     targets: Vec<String>,
 }
 
+impl State {
+    /// Has watches never hear of the last change of a kind, if the store's fault is that.
+    fn on_changed(&mut self, kind: &str) {
+        if self.fault == StoreFault::UntoldChanges {
+            self.objects.forget_last_change(kind);
+        }
+    }
+
+    /// What a read of a list returns.
+    fn read(&self, is_stale: bool) -> &Objects {
+        let stale = self.stale.as_ref().filter(|_| is_stale);
+        stale.unwrap_or(&self.objects)
+    }
+}
+
 /// A running store; it ends with its owner.
 #[derive(Debug)]
 pub struct StoreStandIn {
@@ -194,16 +213,28 @@
 
     /// Stores an object of any kind, its content as a JSON text that need not be readable.
     pub fn put_object(&self, kind: &str, name: &str, spec: &str) {
-        lock(&self.state).objects.put(kind, name, spec.to_owned());
+        let mut state = lock(&self.state);
+        state.objects.put(kind, name, spec.to_owned());
+        state.on_changed(kind);
+        drop(state);
         self.changed.notify_waiters();
     }
 
     /// Takes an object of any kind away.
     pub fn remove_object(&self, kind: &str, name: &str) {
-        lock(&self.state).objects.remove(kind, name);
+        let mut state = lock(&self.state);
+        state.objects.remove(kind, name);
+        state.on_changed(kind);
+        drop(state);
         self.changed.notify_waiters();
     }
 
+    /// From now on stale reads return what is there now, under the revision that the store has when they are answered.
+    pub fn hold_stale_reads(&self) {
+        let mut state = lock(&self.state);
+        state.stale = Some(state.objects.clone());
+    }
+
     /// Makes a copy of everything, to come back from.
     pub fn make_copy(&self) {
         let mut state = lock(&self.state);
--- a/crates/standins/cloverpier_router_standin/src/store/objects.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/objects.rs
@@ -39,6 +39,8 @@
     List {
         /// The kind.
         kind: String,
+        /// Whether the answer may be old.
+        is_stale: bool,
     },
     /// The changes of a kind after a revision.
     Watch {
@@ -248,6 +250,13 @@
         }
     }
 
+    /// Forgets the last change of a kind alone: watches are told of those before and after it.
+    pub fn forget_last_change(&mut self, kind: &str) {
+        if let Some(kind) = self.kinds.get_mut(kind) {
+            kind.log.pop();
+        }
+    }
+
     fn store(&mut self, kind: &str, object: StoredObject) {
         let kind = self.kinds.entry(kind.to_owned()).or_default();
         let objects = &mut kind.objects;
--- a/crates/standins/cloverpier_router_standin/src/store/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/serve.rs
@@ -60,7 +60,10 @@
         // What the store does at the moment of the answer counts, as for a watch.
         let fault = lock(&shared.state).fault;
         match fault {
-            StoreFault::None | StoreFault::Waits | StoreFault::DeafWatches => {
+            StoreFault::None
+            | StoreFault::Waits
+            | StoreFault::DeafWatches
+            | StoreFault::UntoldChanges => {
                 write(&mut stream, shared, answer).await?;
             }
             StoreFault::Busy => write(&mut stream, shared, Answer::empty(503)).await?,
@@ -88,10 +91,10 @@
 async fn answer(call: Option<StoreCall>, shared: &Shared) -> Answer {
     match call {
         None => Answer::empty(404),
-        Some(StoreCall::List { kind }) => {
-            let objects = &lock(&shared.state).objects;
-            let list = (shared.shapes.list)(&objects.list(&kind), objects.revision);
-            Answer(200, list)
+        Some(StoreCall::List { kind, is_stale }) => {
+            let state = lock(&shared.state);
+            let objects = state.read(is_stale).list(&kind);
+            Answer(200, (shared.shapes.list)(&objects, state.objects.revision))
         }
         Some(StoreCall::Get { kind, name }) => {
             let objects = &lock(&shared.state).objects;
@@ -153,7 +156,8 @@
         if let Some(found) = changes(shared, kind, after) {
             return found;
         }
-        if lock(&shared.state).fault != StoreFault::None
+        let fault = lock(&shared.state).fault;
+        if !matches!(fault, StoreFault::None | StoreFault::UntoldChanges)
             || tokio::time::timeout_at(until, waiting).await.is_err()
         {
             return no_changes(shared);
