--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -140,8 +140,8 @@
         HolderCall, LeaseRecord, RecordWriteResult, ServiceScaling, SingletonPlatform, StoredRecord,
     };
     pub use crate::source::{
-        ConfigurationChange, ConfigurationSource, EntryChange, Freshness, MixedServiceMarks,
-        PagePosition, RolloutChange, RolloutChanges, RolloutStatus, SourceError, StatusWriteResult,
+        ConfigurationChange, ConfigurationSource, EntryChange, MixedServiceMarks, PagePosition,
+        RolloutChange, RolloutChanges, RolloutStatus, SourceError, StatusWriteResult,
         StoredRollout, UnreadableEntry, UpstreamChanges, UpstreamList, UpstreamPage, VersionRecord,
     };
     pub use crate::start::{StartError, run_router};
--- a/crates/router/cloverpier_router/src/list_confirmation.rs
+++ b/crates/router/cloverpier_router/src/list_confirmation.rs
@@ -1,7 +1,7 @@
 //! Confirms with the store that this router's list of upstreams is recent.
 //!
-//! A recent list with one version of a service proves which version began its streams; a list that peers delivered, or
-//! that was read soon after the start, may be out of date. Owns no state: `store_view` has the time of the last
+//! A recent list with one version of a service proves which version began its streams; a list that peers delivered
+//! may be out of date. Owns no state: `store_view` has the time of the last
 //! confirmation.
 
 use crate::decision_log::{WatchAnswered, log_named_event, ms_since};
--- a/crates/router/cloverpier_router/src/rollout_store.rs
+++ b/crates/router/cloverpier_router/src/rollout_store.rs
@@ -10,7 +10,7 @@
 use crate::rollouts::apply_views;
 use crate::router::Router;
 use crate::source::{
-    ConfigurationSource, Freshness, RolloutChange, RolloutStatus, SourceError, StatusWriteResult,
+    ConfigurationSource, RolloutChange, RolloutStatus, SourceError, StatusWriteResult,
     StoredRollout,
 };
 use cloverpier_core::ServiceName;
@@ -210,9 +210,8 @@
 pub(crate) async fn read_orders(
     router: &Router,
     source: &impl ConfigurationSource,
-    freshness: Freshness,
 ) -> Result<u64, SourceError> {
-    let read = source.read_rollouts(freshness).await?;
+    let read = source.read_rollouts().await?;
     let is_listed = |stored: &StoredRollout| {
         let mut changes = read.changes.iter();
         changes.any(|c| matches!(c, RolloutChange::Stored(s) if s.name == stored.name))
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -165,16 +165,6 @@
     Withdrawn,
 }
 
-/// How recent the state of the store has to be that a read returns.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Freshness {
-    /// The current state of the store.
-    Newest,
-    /// A state that may be seconds old. The returned revision is that of the returned entries, so a watch from that
-    /// revision returns all later changes.
-    MayBeStale,
-}
-
 /// The platform's store of configuration, upstreams and roll-out orders.
 pub trait ConfigurationSource {
     /// Reads the current configuration.
@@ -197,10 +187,10 @@
     /// Checks that the store responds within `timeout`, by the cheapest call that it offers.
     fn ping(&self, timeout: Duration) -> impl Future<Output = Result<(), SourceError>>;
 
-    /// Reads a page of the list of upstreams. `at` is the position from the page before; `None` reads the first page.
+    /// Reads a page of the present list of upstreams. `at` is the position from the page before; `None` reads the first
+    /// page.
     fn read_upstreams(
         &self,
-        freshness: Freshness,
         at: Option<&PagePosition>,
     ) -> impl Future<Output = Result<UpstreamPage, SourceError>>;
 
@@ -211,11 +201,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<UpstreamChanges, SourceError>>;
 
-    /// Reads all roll-out orders.
-    fn read_rollouts(
-        &self,
-        freshness: Freshness,
-    ) -> impl Future<Output = Result<RolloutChanges, SourceError>>;
+    /// Reads all present roll-out orders.
+    fn read_rollouts(&self) -> impl Future<Output = Result<RolloutChanges, SourceError>>;
 
     /// Waits up to `wait` for changes of roll-out orders after a revision. Returns no changes if there are none by
     /// then.
--- a/crates/router/cloverpier_router/src/store_list.rs
+++ b/crates/router/cloverpier_router/src/store_list.rs
@@ -6,9 +6,7 @@
 //! no state.
 
 use crate::router::Router;
-use crate::source::{
-    ConfigurationSource, Freshness, PagePosition, SourceError, UpstreamList, UpstreamPage,
-};
+use crate::source::{ConfigurationSource, PagePosition, SourceError, UpstreamList, UpstreamPage};
 use crate::store_sync::Backoff;
 
 /// Reads the list. Without a `backoff`, a later page is not read again after a failure. Returns `None` if `is_wanted` becomes false before the last page, as when a peer has
@@ -21,11 +19,10 @@
 pub(crate) async fn read_list(
     router: &Router,
     source: &impl ConfigurationSource,
-    freshness: Freshness,
     mut backoff: Option<&mut Backoff>,
     is_wanted: impl Fn() -> bool,
 ) -> Result<Option<UpstreamList>, SourceError> {
-    let first = source.read_upstreams(freshness, None).await?;
+    let first = source.read_upstreams(None).await?;
     let mut list = UpstreamList {
         upstreams: first.upstreams,
         unreadable: first.unreadable,
@@ -37,7 +34,7 @@
         if !is_wanted() {
             return Ok(None);
         }
-        match source.read_upstreams(freshness, Some(&at)).await {
+        match source.read_upstreams(Some(&at)).await {
             Ok(page) => next = append(&mut list, page)?,
             Err(error) => {
                 let is_repeated = matches!(error, SourceError::Unavailable { .. });
--- a/crates/router/cloverpier_router/src/store_reads.rs
+++ b/crates/router/cloverpier_router/src/store_reads.rs
@@ -6,7 +6,7 @@
 use crate::list_confirmation::{on_list_confirmed, poll_list};
 use crate::rollout_store::read_orders;
 use crate::router::Router;
-use crate::source::{ConfigurationSource, Freshness, SourceError};
+use crate::source::{ConfigurationSource, SourceError};
 use crate::store_list::read_list;
 use crate::store_sync::{FROM_STORE, apply_from_store};
 use crate::store_view::WatchedData;
@@ -47,7 +47,7 @@
 ) -> Result<(), SourceError> {
     if router.exposure_bounds().is_some() {
         // A router that has a new version's upstreams must already limit the requests that go there.
-        read_orders(router, source, Freshness::Newest).await?;
+        read_orders(router, source).await?;
     }
     let revision = router.upstreams.borrow().revision();
     match poll_list(router, source, revision, Duration::ZERO).await {
@@ -66,7 +66,7 @@
     source: &impl ConfigurationSource,
 ) -> Result<(), SourceError> {
     let sent_at = router.now();
-    let list = read_list(router, source, Freshness::Newest, None, || true).await?;
+    let list = read_list(router, source, None, || true).await?;
     if let Some(list) = list {
         on_list_confirmed(router, sent_at);
         apply_upstream_list(router, list, FROM_STORE);
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -13,7 +13,7 @@
 use crate::list_confirmation::{Polled, confirm_first_list, on_list_confirmed, poll_list};
 use crate::rollout_store::{apply_change, read_orders};
 use crate::router::Router;
-use crate::source::{ConfigurationSource, Freshness, MixedServiceMarks, SourceError};
+use crate::source::{ConfigurationSource, MixedServiceMarks, SourceError};
 use crate::store_events::{
     apply_configuration, max_store_backoff, on_store_call_failed, on_store_call_succeeded,
 };
@@ -22,12 +22,11 @@
 use crate::upstream_updates::apply_upstream_list;
 use cloverpier_core::jitter;
 use cloverpier_router_policy::first_read::{FirstRead, StartupState, first_read};
-use cloverpier_router_policy::prelude::{Configuration, Upstream};
+use cloverpier_router_policy::prelude::Configuration;
 use cloverpier_router_policy::store_watch::{
     INITIAL_BACKOFF, UPSTREAM_WATCH_PAUSE, WATCH_WAIT, may_call,
 };
 use cloverpier_router_policy::watch_position::WatchPosition;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -237,7 +236,7 @@
         wait_until_may_watch(&router).await;
         let result = match position {
             None => {
-                let read = read_orders(&router, &*source, Freshness::Newest).await;
+                let read = read_orders(&router, &*source).await;
                 read.map(Polled::Content)
             }
             Some(position) => tokio::select! {
@@ -271,54 +270,32 @@
 ///
 /// After the start, the orders of roll-outs are read first, because a router that has a new version's
 /// upstreams must already limit the requests that go there.
-///
-/// After the start, the list may be out of date: such a read costs a tenth of an up-to-date one, and peers
-/// and the watch deliver later changes. After a failed call the list replaces a watch that may have missed
-/// changes, so the list must be up to date.
 async fn read_upstreams(
     router: &Router,
     source: &impl ConfigurationSource,
     backoff: &mut Backoff,
     random: f64,
 ) -> Result<Option<u64>, SourceError> {
-    let freshness = if router.store.has_upstreams() {
-        Freshness::Newest
-    } else {
-        Freshness::MayBeStale
-    };
-    let is_startup = freshness == Freshness::MayBeStale && router.exposure_bounds().is_some();
-    if is_startup {
-        read_orders(router, source, freshness).await?;
+    let is_startup = !router.store.has_upstreams();
+    if is_startup && router.exposure_bounds().is_some() {
+        read_orders(router, source).await?;
     }
-    let is_wanted = || match freshness {
-        Freshness::MayBeStale => !router.store.has_upstreams() && is_first_read_due(router, random),
-        Freshness::Newest => may_call(router.store.role(), router.store.is_fresh(router.now())),
+    let is_wanted = || {
+        if is_startup {
+            !router.store.has_upstreams() && is_first_read_due(router, random)
+        } else {
+            may_call(router.store.role(), router.store.is_fresh(router.now()))
+        }
     };
     let sent_at = router.now();
-    let list = read_list(router, source, freshness, Some(backoff), is_wanted).await?;
+    let list = read_list(router, source, Some(backoff), is_wanted).await?;
     let Some(list) = list else {
         return Ok(None);
     };
-    if freshness == Freshness::Newest {
-        on_list_confirmed(router, sent_at);
-    }
-    if is_startup && has_several_versions(&list.upstreams) {
-        // The orders that were read may be out of date and lack the one in progress.
-        read_orders(router, source, Freshness::Newest).await?;
-    }
+    on_list_confirmed(router, sent_at);
     let revision = list.revision;
-    router
-        .store
-        .set_confirming(freshness == Freshness::MayBeStale);
+    // Whether services had several versions before is read next.
+    router.store.set_confirming(is_startup);
     apply_upstream_list(router, list, FROM_STORE);
     Ok(Some(revision))
 }
-
-/// Whether upstreams of one service have different software versions, as during a roll-out.
-fn has_several_versions(upstreams: &[Upstream]) -> bool {
-    let mut first = HashMap::new();
-    upstreams.iter().any(|upstream| {
-        let version = upstream.version();
-        *first.entry(&upstream.service).or_insert(version) != version
-    })
-}
