--- a/crates/router/cloverpier_router/src/decision_log/versions.rs
+++ b/crates/router/cloverpier_router/src/decision_log/versions.rs
@@ -97,12 +97,12 @@
     pub known_ms: u64,
 }
 
-/// Neither the store nor a router that watches it has shown for a while that the list of upstreams in force is the newest.
+/// Nothing has shown for a while that the list of upstreams in force lacks no change.
 #[derive(Serialize)]
 pub(crate) struct ListUnproven {
     /// The revision of the list.
     pub revision: u64,
-    /// Milliseconds since it was last shown to be the newest; `None` if it never was.
+    /// Milliseconds since it was last shown to be complete; `None` if it never was.
     pub proven_ms_ago: Option<u64>,
 }
 
@@ -118,6 +118,19 @@
     pub digest: ListDigest,
 }
 
+/// A peer has read another list of upstreams from the store than this router has.
+#[derive(Serialize)]
+pub(crate) struct ListDiffers {
+    pub peer: String,
+    /// The revisions and digests of both lists.
+    pub revision: u64,
+    pub peer_revision: u64,
+    pub digest: ListDigest,
+    pub peer_digest: ListDigest,
+    /// Milliseconds since the peer's list was read.
+    pub read_ms_ago: u32,
+}
+
 /// A copy of the configuration was sent to a peer.
 #[derive(Serialize)]
 pub(crate) struct VersionServed<'a> {
--- a/crates/router/cloverpier_router/src/heartbeats.rs
+++ b/crates/router/cloverpier_router/src/heartbeats.rs
@@ -12,6 +12,7 @@
 use crate::gossip;
 use crate::leaving_reports;
 use crate::limit_reports;
+use crate::list_checks;
 use crate::outbox::Recipients;
 use crate::pace_reports;
 use crate::peer_messages::{Change, Heartbeat, LoadReport, PeerMessage};
@@ -84,6 +85,9 @@
             let mut in_step = self.router.in_step.get();
             let was_paused = in_step.on_period(now, next_period);
             self.router.in_step.set(in_step);
+            if was_paused {
+                self.router.list_checks.request_read();
+            }
             self.begin_period(now, was_paused);
             self.next_period = next_period;
         } else if self.router.peers.outbox.take_heartbeat_due() {
@@ -193,6 +197,18 @@
         let peers = rotation.next_peers(peers, serves_peers);
         send_heartbeat(router, &peers, MENTIONED_PEERS, now);
     }
+    send_list_report(router, now);
+}
+
+/// Sends the report of this router's list to all peers, in a large fleet to some.
+fn send_list_report(router: &Router, now: Instant) {
+    let peers = router.peers.addresses();
+    let peers = if router.peers.is_large() {
+        version_recipients(peers, false, &mut router.rng.borrow_mut())
+    } else {
+        peers
+    };
+    list_checks::send_report(router, &peers, now);
 }
 
 /// Sends heartbeats or gossip to some peers at once, because a version or the reported store age has changed.
@@ -208,6 +224,7 @@
         let peers = version_recipients(peers, serves_peers, &mut router.rng.borrow_mut());
         send_heartbeat(router, &peers, MENTIONED_PEERS, now);
     }
+    send_list_report(router, now);
 }
 
 /// Waits for the next sending interval, or until a message is queued.
--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -17,7 +17,7 @@
 //! | upstreams' health | `health`, `probe`, `suspect_checks`, `reachability`, `successors`, `liveness_queries`, `restart`, `load_guard` |
 //! | upstreams' statements about themselves | `statements`, `leaving_reports`, `limit_reports`, `upstream_limits`, `brittle`, `pace_reports` |
 //! | tunnels to upstreams through peers | `tunnel` |
-//! | the store | `source`, `store_sync`, `list_confirmation`, `store_pings`, `store_view`, `store_events`, `upstream_updates` |
+//! | the store | `source`, `store_sync`, `list_checks`, `list_confirmation`, `store_pings`, `store_view`, `store_events`, `upstream_updates` |
 //! | roll-outs of new versions | `rollout_state`, `rollouts`, `rollout_steps`, `rollout_store` |
 //! | work that only one router at a time does | `singleton` |
 //! | other routers | `peers`, `outbox`, `datagrams`, `heartbeats`, `gossip`, `peer_reports`, `peer_fetch`, `peer_serve`, `list_copies`, `configuration_copies`, [`peer_messages`] |
--- a/crates/router/cloverpier_router/src/list_checks.rs
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -1,20 +1,24 @@
-//! Reads changes of upstreams from the store while nobody shows that this router's list is the newest, and the whole list
-//! when something shows that it is not.
+//! Reads the list of upstreams from the store while nothing shows that this router's list lacks no change, and when something
+//! shows that it does.
 //!
-//! `cloverpier_router_policy::list_evidence` decides when. [`ListChecks`] owns the evidence; `list_confirmation` and
-//! `peer_reports` record it. Routers of a large fleet only do the latter: too few reports of watchers reach each of
-//! them to count as evidence.
+//! `cloverpier_router_policy::list_evidence` decides when, and what the reports of peers show. [`ListChecks`] owns the evidence;
+//! `list_confirmation` records this router's own readings. In a large fleet only the routers that watch the store read without
+//! evidence, as too few of their reports reach each of the others.
 
-use crate::decision_log::{ListUnproven, log_named_event, ms_since};
+use crate::decision_log::{ListDiffers, ListUnproven, log_named_event, ms_since};
+use crate::list_confirmation::on_list_confirmed;
+use crate::peer_messages::{ListReportMessage, PeerMessage};
 use crate::router::Router;
-use crate::source::{ConfigurationSource, SourceError};
-use crate::store_reads::{read_newer, read_whole_list};
+use crate::source::ConfigurationSource;
+use crate::store_reads::read_whole_list;
 use crate::store_view::WatchedData;
 use cloverpier_core::jitter;
-use cloverpier_router_policy::list_evidence::{ListEvidence, READ_SPREAD, is_proof};
+use cloverpier_router_policy::list_evidence::{
+    ListEvidence, ListReport, OwnList, READ_SPREAD, ReportMeaning, meaning,
+};
 use cloverpier_timers::Timers;
 use std::cell::Cell;
-use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -24,7 +28,7 @@
 /// Minimum pause between two requested reads.
 const REQUESTED_READ_PAUSE: Duration = Duration::from_millis(200);
 
-/// The evidence that this router's list is the newest.
+/// The evidence that this router's list lacks no change.
 #[derive(Debug, Default)]
 pub(crate) struct ListChecks {
     /// `None` before the first list.
@@ -36,21 +40,25 @@
 }
 
 impl ListChecks {
-    /// When the list was last shown to be the newest; `None` before the first list.
+    /// When the list was last shown to be complete; `None` if it never was.
     pub fn proven_at(&self) -> Option<Instant> {
-        self.evidence.get().map(|evidence| evidence.proven_at())
+        self.evidence.get()?.proven_at()
     }
 
-    /// Records that the list was shown to be the newest at `at`.
-    pub fn on_proof(&self, at: Instant) {
-        // The first proof begins the evidence.
-        let mut evidence = self.evidence.get().unwrap_or(ListEvidence::new(at));
-        evidence.on_proof(at);
+    /// Records that a list was received, which counts for the first one.
+    pub fn on_list_received(&self, now: Instant) {
+        let evidence = self.evidence.get().unwrap_or(ListEvidence::new(now));
         self.evidence.set(Some(evidence));
     }
 
-    /// Has the whole list read at once, because something shows that this router may have missed changes: a peer knows of a
-    /// leaving that the list does not contain, or the store has lost its history.
+    /// Records that the list lacks no change before `at`.
+    pub fn on_proof(&self, at: Instant) {
+        self.update(at, |evidence| evidence.on_proof(at));
+    }
+
+    /// Has the list read at once, because something shows that this router may have missed changes: a peer knows of a
+    /// leaving that the list does not contain, or has read another list, this process was paused, or the store has lost its
+    /// history.
     pub fn request_read(&self) {
         self.read_requested.notify_one();
     }
@@ -64,26 +72,74 @@
     }
 
     fn on_read(&self, now: Instant) {
-        // A read may be requested before the first proof.
+        self.update(now, |evidence| evidence.on_read(now));
+    }
+
+    fn update(&self, now: Instant, change: impl FnOnce(&mut ListEvidence)) {
         let mut evidence = self.evidence.get().unwrap_or(ListEvidence::new(now));
-        evidence.on_read(now);
+        change(&mut evidence);
         self.evidence.set(Some(evidence));
     }
 }
 
-/// Records what a peer's heartbeat shows of this router's list.
-pub(crate) fn on_peer_report(
-    router: &Router,
-    store_age: Option<Duration>,
-    revision: u64,
-    now: Instant,
-) {
-    let own_revision = router.upstreams.borrow().revision();
-    if is_proof(store_age, revision, own_revision) {
-        router.list_checks.on_proof(now);
+/// Sends peers the report of this router's list, if this router watches the store and its list was shown to be complete.
+pub(crate) fn send_report(router: &Router, peers: &[SocketAddr], now: Instant) {
+    let proven_at = router.list_checks.proven_at();
+    let Some(proven_at) = proven_at.filter(|_| router.store.role().watches()) else {
+        return;
+    };
+    let age = now.saturating_duration_since(proven_at);
+    let table = router.upstreams.borrow();
+    let report = ListReport {
+        revision: table.revision(),
+        digest: table.digest(),
+        read_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    };
+    drop(table);
+    let sender = router.settings().listen.peers;
+    let message = PeerMessage::ListReport(ListReportMessage { sender, report });
+    router.datagrams.send(&message, peers);
+}
+
+/// Applies a peer's report of its list.
+pub(crate) fn on_report(router: &Router, message: &ListReportMessage, now: Instant) {
+    // A report that was received during a pause of this process is older than it says.
+    if router.in_step.get().is_paused(now) || !router.store.has_upstreams() {
+        return;
+    }
+    let own = own_list(router);
+    match meaning(&own, &message.report, now) {
+        ReportMeaning::Complete(at) => on_list_confirmed(router, at),
+        ReportMeaning::Differs => {
+            log_difference(router, &own, message);
+            router.list_checks.request_read();
+        }
+        ReportMeaning::Nothing => {}
+    }
+}
+
+fn own_list(router: &Router) -> OwnList {
+    let table = router.upstreams.borrow();
+    OwnList {
+        revision: table.revision(),
+        digest: table.digest(),
+        changed_at: table.changed_at(),
+        proven_at: router.list_checks.proven_at(),
     }
 }
 
+fn log_difference(router: &Router, own: &OwnList, message: &ListReportMessage) {
+    let line = ListDiffers {
+        peer: message.sender.to_string(),
+        revision: own.revision,
+        peer_revision: message.report.revision,
+        digest: own.digest,
+        peer_digest: message.report.digest,
+        read_ms_ago: message.report.read_age_ms,
+    };
+    router.log.info("list.differs", &line);
+}
+
 /// Reads the store whenever the evidence is too old, or a read is requested, until the process ends.
 pub(crate) async fn check_list(router: Rc<Router>, source: Rc<impl ConfigurationSource>) {
     loop {
@@ -92,8 +148,7 @@
         tokio::select! {
             () = router.timers.sleep_until(due) => read_if_unproven(&router, &*source).await,
             () = router.list_checks.read_requested.notified() => {
-                // Not the changes alone: a store that has lost its history may name none.
-                carry_out(&router, read_whole_list(&router, &*source)).await;
+                read(&router, &*source).await;
                 router.timers.sleep(REQUESTED_READ_PAUSE).await;
             }
         }
@@ -102,16 +157,17 @@
 
 /// When this router reads the store if no evidence arrives before; `None` if it does not read without evidence.
 fn read_at(router: &Router) -> Option<Instant> {
-    let reads = router.store.is_serving() && !router.peers.is_large();
-    let evidence = router.list_checks.evidence.get().filter(|_| reads);
-    evidence.map(|evidence| evidence.read_at(router.store.role().watches()))
+    let watches = router.store.role().watches();
+    let reads = router.store.is_serving() && (watches || !router.peers.is_large());
+    let evidence = router.list_checks.evidence.get().filter(|_| reads)?;
+    Some(evidence.read_at(watches, router.upstreams.borrow().len()))
 }
 
 fn is_unproven(router: &Router) -> bool {
     read_at(router).is_some_and(|at| router.now() >= at)
 }
 
-/// Reads the changes, unless evidence has arrived meanwhile.
+/// Reads the list, unless evidence has arrived meanwhile.
 async fn read_if_unproven(router: &Router, source: &impl ConfigurationSource) {
     if !is_unproven(router) {
         return;
@@ -120,18 +176,20 @@
     let spread = jitter(&mut router.rng.borrow_mut(), READ_SPREAD);
     router.timers.sleep(spread).await;
     if is_unproven(router) {
-        log_unproven(router);
-        carry_out(router, read_newer(router, source, WatchedData::Upstreams)).await;
+        if !router.store.role().watches() {
+            log_unproven(router);
+        }
+        read(router, source).await;
     }
 }
 
-/// Carries out a read of the store, once this router serves.
-async fn carry_out(router: &Router, read: impl Future<Output = Result<(), SourceError>>) {
+/// Reads the list, once this router serves.
+async fn read(router: &Router, source: &impl ConfigurationSource) {
     if !router.store.is_serving() {
         return;
     }
     router.list_checks.on_read(router.now());
-    if let Err(error) = read.await {
+    if let Err(error) = read_whole_list(router, source).await {
         let what = WatchedData::Upstreams.name();
         log_named_event(&router.log, "version.unread", what, &error.to_string());
     }
--- a/crates/router/cloverpier_router/src/list_confirmation.rs
+++ b/crates/router/cloverpier_router/src/list_confirmation.rs
@@ -8,21 +8,21 @@
 use crate::gossip::broadcast_upstream_changes;
 use crate::router::Router;
 use crate::source::{ConfigurationSource, MixedServiceMarks, SourceError, UpstreamChanges};
+use crate::store_reads::read_whole_list;
 use crate::store_view::WatchedData;
 use crate::stream_origins::marks::read_marks;
 use crate::upstream_updates::{apply_upstream_changes, readable_changes};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Polls the store for changes since a revision and applies them, which confirms the list. `wait` is how long the store may
-/// delay its response until there is a change.
+/// Polls the store for changes since a revision and applies them. `wait` is how long the store may delay its response until
+/// there is a change. The response does not show that the list is complete.
 pub(crate) async fn poll_list(
     router: &Router,
     source: &impl ConfigurationSource,
     revision: u64,
     wait: Duration,
 ) -> Result<Polled, SourceError> {
-    // The list was complete when the store received the poll, and not necessarily when it responds.
     let sent_at = router.now();
     let changes = source.poll_upstreams(revision, wait).await?;
     let line = WatchAnswered {
@@ -33,15 +33,13 @@
         waited_ms: ms_since(sent_at, router.now()),
     };
     router.log.info("watch.answered", &line);
-    let polled = apply_changes(router, changes);
-    on_list_confirmed(router, sent_at);
-    Ok(polled)
+    Ok(apply_changes(router, changes))
 }
 
-/// Records that the store has confirmed the list of upstreams, in the response to a call that was sent at `sent_at`.
-pub(crate) fn on_list_confirmed(router: &Router, sent_at: Instant) {
-    router.store.on_list_confirmed(sent_at);
-    router.list_checks.on_proof(sent_at);
+/// Records that the list of upstreams lacks no change before `at`.
+pub(crate) fn on_list_confirmed(router: &Router, at: Instant) {
+    router.store.on_list_confirmed(at);
+    router.list_checks.on_proof(at);
 }
 
 /// The result of a poll or a read of the list.
@@ -71,16 +69,14 @@
     }
 }
 
-/// Reads the marks of mixed services and confirms the list, unless both have been done before. `revision` is that of the
-/// list.
+/// Reads the marks of mixed services and confirms the list, unless both have been done before.
 pub(crate) async fn confirm_first_list(
     router: &Router,
     source: &(impl ConfigurationSource + MixedServiceMarks),
-    revision: u64,
 ) {
     read_marks(router, source).await;
     if router.store.list_confirmed_at().is_none() {
-        confirm_list(router, source, revision).await;
+        confirm_list(router, source).await;
     }
     router.store.set_confirming(false);
 }
@@ -93,16 +89,15 @@
 ) {
     loop {
         router.store.confirmation_requested().await;
-        let revision = router.upstreams.borrow().revision();
         read_marks(&router, &*source).await;
-        confirm_list(&router, &*source, revision).await;
+        confirm_list(&router, &*source).await;
         router.store.set_confirming(false);
     }
 }
 
-async fn confirm_list(router: &Router, source: &impl ConfigurationSource, revision: u64) {
-    if let Err(error) = poll_list(router, source, revision, Duration::ZERO).await {
-        // The next watch reports the failure if it lasts.
+async fn confirm_list(router: &Router, source: &impl ConfigurationSource) {
+    if let Err(error) = read_whole_list(router, source).await {
+        // The next read reports the failure if it lasts.
         let reason = error.to_string();
         log_named_event(&router.log, "list.unconfirmed", "servers", &reason);
     }
--- a/crates/router/cloverpier_router/src/list_copies.rs
+++ b/crates/router/cloverpier_router/src/list_copies.rs
@@ -52,6 +52,11 @@
         self.copies.insert(key, copy);
     }
 
+    /// Removes all copies.
+    pub fn clear(&mut self) {
+        self.copies.clear();
+    }
+
     /// Removes copies that are older than a second.
     pub fn remove_expired(&mut self, now: Instant) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < LIST_COPY_TTL;
--- a/crates/router/cloverpier_router/src/peer_messages.rs
+++ b/crates/router/cloverpier_router/src/peer_messages.rs
@@ -21,6 +21,7 @@
 use cloverpier_crashes::ContentReport;
 use cloverpier_router_policy::admission::ServiceDemand;
 use cloverpier_router_policy::limit::LimitReport;
+use cloverpier_router_policy::list_evidence::ListReport;
 use cloverpier_router_policy::pace::PaceReport;
 use cloverpier_router_policy::permit::{PermitReply, PermitRequest};
 use cloverpier_router_policy::prelude::*;
@@ -100,6 +101,15 @@
     pub budget_use: Vec<(ServiceKey, BudgetUse)>,
 }
 
+/// The list of upstreams that the sender has, and when it was read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListReportMessage {
+    /// The sender's address for peers.
+    pub sender: SocketAddr,
+    /// The report.
+    pub report: ListReport,
+}
+
 /// Changes of a router's load and suspicions since its last message, sent between heartbeats.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -344,6 +354,9 @@
     /// Sent to all peers of a small fleet at each heartbeat interval while streams wait for engines at any router.
     #[serde(rename = "Admission")]
     AdmissionReport(AdmissionReport),
+    /// Sent with each heartbeat by a router that watches the store. A router of a release without it ignores it.
+    #[serde(rename = "List")]
+    ListReport(ListReportMessage),
 }
 
 impl PeerMessage {
@@ -361,7 +374,7 @@
             Self::LeaseUpdate(_) => "lease",
             Self::Gossip(_) => "gossip",
             Self::MembersRequest(_) | Self::Members(_) => "members",
-            Self::UpstreamUpdate(_) => "upstreams",
+            Self::UpstreamUpdate(_) | Self::ListReport(_) => "upstreams",
             Self::LimitReports(_) => "limits",
             Self::LimiterRequest(_) | Self::LimiterReply(_) => "permits",
             Self::FullUpstream(_) => "full",
--- a/crates/router/cloverpier_router/src/peer_reports.rs
+++ b/crates/router/cloverpier_router/src/peer_reports.rs
@@ -85,6 +85,7 @@
         PeerMessage::Members(members) => gossip::on_members(router, members, now),
         PeerMessage::UpstreamUpdate(update) => gossip::on_upstream_update(router, update),
         PeerMessage::FleetReport(report) => singleton::on_report(router, report, now),
+        PeerMessage::ListReport(message) => list_checks::on_report(router, &message, now),
         PeerMessage::LeaseUpdate(update) => singleton::on_lease_update(router, &update, now),
     }
 }
@@ -134,7 +135,6 @@
         .store_age_ms
         .map(u64::from)
         .map(Duration::from_millis);
-    list_checks::on_peer_report(router, store_age, heartbeat.upstreams_revision, now);
     let has_newer_configuration =
         heartbeat.configuration_version > router.store.configuration_version();
     router
--- a/crates/router/cloverpier_router/src/store_reads.rs
+++ b/crates/router/cloverpier_router/src/store_reads.rs
@@ -6,12 +6,12 @@
 use crate::list_confirmation::{on_list_confirmed, poll_list};
 use crate::rollout_store::read_orders;
 use crate::router::Router;
-use crate::source::{ConfigurationSource, SourceError};
+use crate::source::{ConfigurationSource, SourceError, UpstreamList};
 use crate::store_list::read_list;
 use crate::store_sync::{FROM_STORE, apply_from_store};
 use crate::store_view::WatchedData;
 use crate::upstream_updates::apply_upstream_list;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Reads the configuration or the changes of upstreams from the store, and applies what is newer.
 ///
@@ -40,7 +40,8 @@
     Ok(())
 }
 
-/// Reads the changes since the list in force, or the whole list if the store does not have these changes any more.
+/// Reads the list of upstreams. In a large fleet, only the changes since the list in force: many routers may read at once, and
+/// the store's link does not carry so many copies.
 async fn read_upstreams(
     router: &Router,
     source: &impl ConfigurationSource,
@@ -49,6 +50,9 @@
         // A router that has a new version's upstreams must already limit the requests that go there.
         read_orders(router, source).await?;
     }
+    if !router.peers.is_large() {
+        return read_whole_list(router, source).await;
+    }
     let revision = router.upstreams.borrow().revision();
     match poll_list(router, source, revision, Duration::ZERO).await {
         Err(SourceError::HistoryLost) => read_whole_list(router, source).await,
@@ -68,8 +72,26 @@
     let sent_at = router.now();
     let list = read_list(router, source, None, || true).await?;
     if let Some(list) = list {
-        on_list_confirmed(router, sent_at);
-        apply_upstream_list(router, list, FROM_STORE);
+        apply_read_list(router, list, sent_at);
     }
     Ok(())
 }
+
+/// Applies a whole list that the store returned to a call which was sent at `sent_at`, unless newer changes have arrived
+/// meanwhile. A list with the entries that are in force already keeps its revision, so that peers don't fetch it.
+pub(crate) fn apply_read_list(router: &Router, list: UpstreamList, sent_at: Instant) {
+    let table = router.upstreams.borrow();
+    let is_outdated = list.revision < table.revision();
+    let is_in_force = router.store.has_upstreams() && table.has_same_entries(&list.upstreams);
+    drop(table);
+    if is_outdated {
+        return;
+    }
+    if !is_in_force {
+        apply_upstream_list(router, list, FROM_STORE);
+        // Copies of the same revision may lack what was read.
+        router.list_copies.borrow_mut().clear();
+        router.peers.outbox.schedule_heartbeat();
+    }
+    on_list_confirmed(router, sent_at);
+}
--- a/crates/router/cloverpier_router/src/store_sync.rs
+++ b/crates/router/cloverpier_router/src/store_sync.rs
@@ -10,7 +10,7 @@
 //! shutdown of an upstream go unnoticed.
 
 use crate::configuration_copies::ConfigurationWithCopies;
-use crate::list_confirmation::{Polled, confirm_first_list, on_list_confirmed, poll_list};
+use crate::list_confirmation::{Polled, confirm_first_list, poll_list};
 use crate::rollout_store::{apply_change, read_orders};
 use crate::router::Router;
 use crate::source::{ConfigurationSource, MixedServiceMarks, SourceError};
@@ -18,8 +18,8 @@
     apply_configuration, max_store_backoff, on_store_call_failed, on_store_call_succeeded,
 };
 use crate::store_list::read_list;
+use crate::store_reads::apply_read_list;
 use crate::store_view::{StoreLoop, StoreView, WatchedData};
-use crate::upstream_updates::apply_upstream_list;
 use cloverpier_core::jitter;
 use cloverpier_router_policy::first_read::{FirstRead, StartupState, first_read};
 use cloverpier_router_policy::prelude::Configuration;
@@ -200,7 +200,7 @@
             Ok(Some(polled)) => {
                 backoff.on_success(&router);
                 advance(&mut position, polled, router.now());
-                confirm_first_list(&router, &*source, polled.revision()).await;
+                confirm_first_list(&router, &*source).await;
                 let is_changed = router.upstreams.borrow().revision() != known_revision;
                 // A store that cuts its watches at once must not be called without a pause.
                 let is_cut = router.now() < began + UPSTREAM_WATCH_PAUSE;
@@ -292,10 +292,9 @@
     let Some(list) = list else {
         return Ok(None);
     };
-    on_list_confirmed(router, sent_at);
     let revision = list.revision;
     // Whether services had several versions before is read next.
     router.store.set_confirming(is_startup);
-    apply_upstream_list(router, list, FROM_STORE);
+    apply_read_list(router, list, sent_at);
     Ok(Some(revision))
 }
--- a/crates/router/cloverpier_router/src/upstream_updates.rs
+++ b/crates/router/cloverpier_router/src/upstream_updates.rs
@@ -31,6 +31,7 @@
     log_departures(router, &applied, list.revision, from);
     if applied.is_new {
         router.store.on_upstreams_received(now);
+        router.list_checks.on_list_received(now);
         log_version(router, WatchedData::Upstreams, list.revision, from);
     }
 }
--- a/crates/router/cloverpier_router/tests/peer_messages.rs
+++ b/crates/router/cloverpier_router/tests/peer_messages.rs
@@ -8,6 +8,8 @@
 use cloverpier_router::peer_messages::*;
 use cloverpier_router_policy::heartbeat::MAX_DATAGRAM;
 use cloverpier_router_policy::leaving::split_into_messages;
+use cloverpier_router_policy::list_digest::ListDigest;
+use cloverpier_router_policy::list_evidence::ListReport;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::rollout::evidence::{
     Arm, EvidenceKey, EvidenceReport, Measure, ResponseCounts, RouteKey, SentCounts,
@@ -299,6 +301,19 @@
     assert_is_golden("leavings", &message);
 }
 
+#[test]
+fn a_list_report() {
+    let message = PeerMessage::ListReport(ListReportMessage {
+        sender: address(7104),
+        report: ListReport {
+            revision: 530,
+            digest: ListDigest::default(),
+            read_age_ms: 250,
+        },
+    });
+    assert_is_golden("list_report", &message);
+}
+
 #[test]
 fn the_longest_leaving_reports_fit_into_a_datagram() {
     let longest = LeavingReport {
--- a/crates/router/cloverpier_router_policy/src/lib.rs
+++ b/crates/router/cloverpier_router_policy/src/lib.rs
@@ -54,7 +54,7 @@
 //! | from which peer are newer versions fetched | [`version_fetch`] |
 //! | when is a newer version read from the store instead | [`overdue_version`] |
 //! | does a peer get a copy of the configuration now | [`version_serving`] |
-//! | do two routers have the same list of upstreams | [`list_digest`] |
+//! | does the list of upstreams lack a change; do two routers have the same | [`list_evidence`], [`list_digest`] |
 //! | is this router ready; may it exit | [`lifecycle`] |
 //! | which software versions get requests during a roll-out, and how it ends | [`rollout`] |
 //! | what does one router at a time do for all, and which one | [`singleton`] |
--- a/crates/router/cloverpier_router_policy/src/list_evidence.rs
+++ b/crates/router/cloverpier_router_policy/src/list_evidence.rs
@@ -1,37 +1,101 @@
-//! Evidence that a router's list of upstreams is the newest one, and reads of the store without it.
+//! Evidence that a router's list of upstreams lacks no change, and reads of the store without it.
 //!
-//! - **Question.** When does a router read changes of upstreams from the store, beside the watches?
-//! - **Inputs.** When the store or a router that watches it last showed that the list is the newest; whether a peer knows
-//!   of a leaving that the list does not contain.
-//! - **Result.** A time.
-//! - **Why.** A router learns of changes from the routers that watch the store. Their silence does not show that nothing
-//!   has changed: they may be dead, paused or partitioned. Until others replace them a second and more passes, and
-//!   those may be lost in turn. So a router without a report from any of them soon reads the store itself. If the store does
-//!   not respond either, the pauses between such reads grow.
+//! - **Question.** When does a router read the list of upstreams from the store? What does a report of a peer's list show?
+//! - **Inputs.** When the list was last shown to be complete; the role and the size of the list; a peer's revision, the digest
+//!   of its list, and the age of the reading on which that list rests.
+//! - **Result.** A time; a [`ReportMeaning`].
+//! - **Why.** Only a reading of the list shows what is in it. A revision that peers agree on, a watch that ends without changes and a
+//!   ping that is answered show that others are in touch, and not that this router was told of all changes. So one of the
+//!   routers that watch the store reads the list in turn, and tells all others when it was read and which list it has. A
+//!   router with the same list has a proof. One with another list, or without a proof for a while, reads the store itself.
+//!
+//! A reading shows that no change before it is missing. What watches tell afterwards is added to the list, and does not make
+//! the reading younger.
 //!
 //! [`ListEvidence`] owns the state of one router.
 
+use crate::list_digest::ListDigest;
+use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
-/// How long the report of a router that watches the store counts: three heartbeats, of which two may be lost, and what
-/// datagrams take.
-pub const EVIDENCE_TTL: Duration = Duration::from_millis(700);
-/// The same for the own calls of a router that watches the store: a watch waits 0.8 s, after a pause of 0.3 s.
-pub const WATCHER_EVIDENCE_TTL: Duration = Duration::from_millis(1_500);
+/// How old the last reading of the list may be before a router that watches the store reads it.
+pub const READ_PERIOD: Duration = Duration::from_millis(500);
+/// The same for other routers: a period, the spread, a reading and two heartbeats of which one may be lost.
+pub const EVIDENCE_TTL: Duration = Duration::from_millis(1_000);
 /// Time over which the reads of routers are spread that lack evidence since the same moment.
 pub const READ_SPREAD: Duration = Duration::from_millis(100);
+/// Number of entries that a reading of one call returns; longer lists are read less often.
+const ENTRIES_PER_CALL: usize = 500;
 /// Pause after the first read without evidence; each read that fails doubles it.
 const READ_PAUSE: Duration = Duration::from_millis(400);
 /// Maximum pause between two reads.
 const MAX_READ_PAUSE: Duration = Duration::from_secs(3);
-/// The oldest last call to the store with which a watcher's report shows that it reaches the store: three pings.
-const MAX_WATCHER_AGE: Duration = Duration::from_millis(800);
+
+/// What a router that watches the store reports of its list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListReport {
+    /// The revision of the list.
+    pub revision: u64,
+    /// The digest of the list.
+    pub digest: ListDigest,
+    /// Milliseconds since the call was sent that read the list; no change before it is missing.
+    pub read_age_ms: u32,
+}
+
+impl ListReport {
+    /// When the list was read, for a report that has just arrived.
+    pub fn read_at(&self, now: Instant) -> Option<Instant> {
+        now.checked_sub(Duration::from_millis(self.read_age_ms.into()))
+    }
+}
+
+/// This router's list, as far as the meaning of a report depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnList {
+    /// Its revision.
+    pub revision: u64,
+    /// Its digest.
+    pub digest: ListDigest,
+    /// When its entries last changed; `None` if they never did.
+    pub changed_at: Option<Instant>,
+    /// When it was last shown to be complete; `None` if it never was.
+    pub proven_at: Option<Instant>,
+}
+
+/// What a report shows of this router's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportMeaning {
+    /// It lacks no change before this time.
+    Complete(Instant),
+    /// It differs from the one that the peer has read, and was not changed since.
+    Differs,
+    /// Nothing: the peer has a newer list, which is fetched, or has read its list before this one changed.
+    Nothing,
+}
+
+/// What a report that has just arrived shows of this router's list.
+pub fn meaning(own: &OwnList, report: &ListReport, now: Instant) -> ReportMeaning {
+    let Some(read_at) = report.read_at(now) else {
+        return ReportMeaning::Nothing;
+    };
+    if own.digest == report.digest {
+        return ReportMeaning::Complete(read_at);
+    }
+    let is_later = own.changed_at.max(own.proven_at) < Some(read_at);
+    if is_later && report.revision <= own.revision {
+        ReportMeaning::Differs
+    } else {
+        ReportMeaning::Nothing
+    }
+}
 
 /// The evidence of one router.
 #[derive(Clone, Copy, Debug)]
 pub struct ListEvidence {
-    /// When the list was last shown to be the newest.
-    proven_at: Instant,
+    /// When this router received its first list.
+    since: Instant,
+    /// When the list was last shown to be complete; `None` if it never was.
+    proven_at: Option<Instant>,
     /// The earliest time of the next read.
     read_from: Instant,
     pause: Duration,
@@ -41,31 +105,31 @@
     /// A router that has just received its first list.
     pub fn new(now: Instant) -> Self {
         Self {
-            proven_at: now,
+            since: now,
+            proven_at: None,
             read_from: now,
             pause: READ_PAUSE,
         }
     }
 
-    /// When the list was last shown to be the newest.
-    pub fn proven_at(&self) -> Instant {
+    /// When the list was last shown to be complete; `None` if it never was.
+    pub fn proven_at(&self) -> Option<Instant> {
         self.proven_at
     }
 
-    /// Records that the store or a watcher has shown the list to be the newest at `at`.
+    /// Records that the list lacks no change before `at`.
     pub fn on_proof(&mut self, at: Instant) {
-        self.proven_at = self.proven_at.max(at);
+        self.proven_at = self.proven_at.max(Some(at));
         self.pause = READ_PAUSE;
     }
 
-    /// When the store is read if no evidence arrives before. `watches` is whether this router watches the store itself.
-    pub fn read_at(&self, watches: bool) -> Instant {
-        let ttl = if watches {
-            WATCHER_EVIDENCE_TTL
-        } else {
-            EVIDENCE_TTL
-        };
-        (self.proven_at + ttl).max(self.read_from)
+    /// When the store is read if no evidence arrives before. `watches` is whether this router watches the store, and
+    /// `entries` the length of the list.
+    pub fn read_at(&self, watches: bool, entries: usize) -> Instant {
+        let ttl = if watches { READ_PERIOD } else { EVIDENCE_TTL };
+        let calls = u32::try_from(entries / ENTRIES_PER_CALL).unwrap_or(u32::MAX);
+        let ttl = ttl.saturating_mul(calls.saturating_add(1));
+        (self.proven_at.unwrap_or(self.since) + ttl).max(self.read_from)
     }
 
     /// Records that a read of the store begins.
@@ -74,10 +138,3 @@
         self.pause = (self.pause * 2).min(MAX_READ_PAUSE);
     }
 }
-
-/// Whether a peer's report shows that this router's list is the newest: the peer watches the store and has reached it, and
-/// has no newer list. `store_age` is the time since the peer's last successful call to the store; `None` if it does not
-/// watch.
-pub fn is_proof(store_age: Option<Duration>, peer_revision: u64, own_revision: u64) -> bool {
-    store_age.is_some_and(|age| age <= MAX_WATCHER_AGE) && peer_revision <= own_revision
-}
--- a/crates/router/cloverpier_router_policy/src/stream_version/in_step.rs
+++ b/crates/router/cloverpier_router_policy/src/stream_version/in_step.rs
@@ -80,7 +80,7 @@
     }
 
     /// Whether the periodic work is so late that the process must have been paused.
-    fn is_paused(&self, now: Instant) -> bool {
+    pub fn is_paused(&self, now: Instant) -> bool {
         self.next_period
             .is_some_and(|due| now.saturating_duration_since(due) > PAUSE_THRESHOLD)
     }
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -58,6 +58,9 @@
     /// The bounds on the predicted first event of new streams, by service; see [`Self::first_event_bound`].
     first_event_bounds: HashMap<ServiceName, Duration>,
     revision: u64,
+    digest: ListDigest,
+    /// When an entry was last added, changed or removed.
+    changed_at: Option<Instant>,
     /// The latest changes to the list, each with the list's revision after its batch of changes.
     changes: VecDeque<(u64, UpstreamChange)>,
     /// `changes` contains every change after this revision.
@@ -125,7 +128,21 @@
 
     /// The digest of the platform's list as this router has it.
     pub fn digest(&self) -> ListDigest {
-        ListDigest::of(self.entries())
+        self.digest
+    }
+
+    /// When an entry of the platform's list was last added, changed or removed; `None` before the first list.
+    pub fn changed_at(&self) -> Option<Instant> {
+        self.changed_at
+    }
+
+    /// Whether a whole list has the same entries as the table.
+    pub fn has_same_entries(&self, upstreams: &[Upstream]) -> bool {
+        let is_known = |upstream: &Upstream| {
+            let known = self.upstreams.get(&upstream.name);
+            known.is_some_and(|s| s.delisted_at.is_none() && !s.has_new_entry(upstream))
+        };
+        upstreams.len() == self.entries().count() && upstreams.iter().all(is_known)
     }
 
     fn entries(&self) -> impl Iterator<Item = &Upstream> {
@@ -319,6 +336,10 @@
             applied.restarted.extend(self.apply(change, now));
         }
         self.revision = revision;
+        if applied.changes > 0 {
+            self.digest = ListDigest::of(self.entries());
+            self.changed_at = Some(now);
+        }
         applied
     }
 
