--- a/crates/router/cloverpier_router/src/suspect_checks.rs
+++ b/crates/router/cloverpier_router/src/suspect_checks.rs
@@ -1,6 +1,7 @@
 //! Checks upstreams that were declared dead and are suspected since.
 //!
-//! A response under the upstream's name clears the suspicion. `cloverpier_router_policy::suspicion` decides when checks
+//! A response under the upstream's name clears the suspicion; of one that was listed again after it had left, only a
+//! success does, by which it says that it serves. `cloverpier_router_policy::suspicion` decides when checks
 //! are sent and what a response means. Owns no state; the table of upstreams holds the suspicions.
 
 use crate::call_kind::CallKind;
@@ -82,6 +83,9 @@
             successors::on_name_mismatch(&router, &upstream, said.name.as_ref());
         }
         CheckResult::Alive => {
+            if checked.response.status.is_success() {
+                router.upstreams.borrow_mut().on_serving(&upstream.name);
+            }
             let via = checked.connection.via;
             let health = router.health.of(&upstream, via, router.now());
             health::on_heard(&router, &upstream.name, &health, router.now());
--- a/crates/router/cloverpier_router/src/upstream_updates.rs
+++ b/crates/router/cloverpier_router/src/upstream_updates.rs
@@ -11,6 +11,7 @@
 use crate::store_events::log_version;
 use crate::store_sync::FROM_STORE;
 use crate::store_view::WatchedData;
+use crate::upstream_log::log_upstream_change;
 use cloverpier_router_policy::prelude::*;
 use std::time::Instant;
 
@@ -29,6 +30,7 @@
     restart::on_restarted(router, &applied.restarted, now);
     record_versions(router, now);
     log_departures(router, &applied, list.revision, from);
+    check_returned(router, &applied.returned);
     if applied.is_new {
         router.store.on_upstreams_received(now);
         router.list_checks.on_list_received(now);
@@ -65,6 +67,7 @@
     restart::on_restarted(router, &applied.restarted, now);
     record_versions(router, now);
     log_departures(router, &applied, changes.revision, from);
+    check_returned(router, &applied.returned);
     if applied.is_new {
         log_version(router, WatchedData::Upstreams, changes.revision, from);
     }
@@ -82,6 +85,15 @@
     router.log.info("list.corrected", &line);
 }
 
+/// Has upstreams checked that are listed again after they had left.
+fn check_returned(router: &Router, returned: &[Upstream]) {
+    for upstream in returned {
+        let reason = "its entry lists it again after it had left; it is checked first";
+        log_upstream_change(&router.log, "server.suspected", upstream, reason, 0);
+        router.suspicion_added.notify_one();
+    }
+}
+
 /// Logs the upstreams that an update has taken off the list or shows as about to leave.
 fn log_departures(router: &Router, applied: &AppliedUpdate, revision: u64, from: &str) {
     for (upstream, departure) in &applied.departed {
--- a/crates/router/cloverpier_router_policy/src/upstream.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream.rs
@@ -114,6 +114,14 @@
 }
 
 impl UpstreamChange {
+    /// The name of the upstream.
+    pub fn name(&self) -> &UpstreamName {
+        match self {
+            Self::Listed(upstream) => &upstream.name,
+            Self::Gone(name) => name,
+        }
+    }
+
     /// The added or changed entry; `None` for a removal.
     pub fn listed(&self) -> Option<&Upstream> {
         match self {
@@ -159,6 +167,9 @@
     pub(crate) delisted_at: Option<Instant>,
     /// Whether the entry may have expired in an outage of the store, so that the upstream may be listed again.
     may_be_relisted: bool,
+    /// Whether the entry says that the upstream serves, after it had said that the upstream leaves or was removed, and the
+    /// upstream has not confirmed that. A write of before may have been carried out late.
+    pub(crate) is_return_unconfirmed: bool,
     /// Whether another process was observed or listed at the upstream's address.
     pub(crate) replaced: bool,
     /// Set while this router suspects that the upstream is dead.
@@ -216,6 +227,7 @@
             is_version_confirmed: true,
             delisted_at: None,
             may_be_relisted: false,
+            is_return_unconfirmed: false,
             replaced: false,
             suspicion: None,
             unanswered_since: None,
@@ -284,6 +296,7 @@
         let is_of_later_start = listed.start_time_ms() > self.upstream.start_time_ms();
         let is_first_entry = is_of_later_start || self.not_yet_listed.is_some();
         let is_same_version = listed.version() == self.upstream.version();
+        self.is_return_unconfirmed |= !is_first_entry && !listed.draining && self.has_departed();
         self.is_version_confirmed =
             is_first_entry || (self.is_version_confirmed && is_same_version);
         self.upstream = listed;
@@ -291,6 +304,12 @@
         self.not_yet_listed = None;
     }
 
+    /// Whether the entry has said that the upstream leaves, or was removed though the store was reachable.
+    fn has_departed(&self) -> bool {
+        let was_removed = self.delisted_at.is_some() && !self.may_be_relisted;
+        self.upstream.draining || was_removed
+    }
+
     /// Marks the upstream as no longer listed. `may_have_expired` is whether an outage of the store may be the reason.
     pub(crate) fn on_removed(&mut self, may_have_expired: bool, now: Instant) {
         if self.delisted_at.is_none() {
@@ -329,6 +348,7 @@
         self.latency_ms = 0.0;
         self.known_pace = Pace::default();
         self.replaced = false;
+        self.is_return_unconfirmed = false;
         self.suspicion = None;
         self.unanswered_since = None;
         self.peer_suspected_at = None;
@@ -376,10 +396,10 @@
         self.delisted_at.is_some_and(|removed| removed <= at)
     }
 
-    /// False if the upstream is leaving or another process has its address. A missing entry alone
-    /// does not count, as an outage of the platform's store can cause it.
+    /// False if the upstream is leaving, its entry alone says that it has returned, or another process has its address. A
+    /// missing entry alone does not count, as an outage of the platform's store can cause it.
     pub fn may_still_serve(&self) -> bool {
-        !self.is_leaving() && !self.replaced
+        !self.is_leaving() && !self.is_return_unconfirmed && !self.replaced
     }
 
     /// Whether the upstream has announced that it leaves, in its entry or in a response.
@@ -393,7 +413,8 @@
     pub(crate) fn is_last_resort(&self, now: Instant) -> bool {
         let is_recent = |at| now.saturating_duration_since(at) < LAST_RESORT_PERIOD;
         let announced = self.leaving.is_some_and(is_recent) && !self.upstream.draining;
-        announced && self.delisted_at.is_none() && !self.replaced
+        let may_serve = !self.is_return_unconfirmed && !self.replaced;
+        announced && self.delisted_at.is_none() && may_serve
     }
 
     /// Whether the state can be dropped: the entry was removed more than `retention` ago. An
--- a/crates/router/cloverpier_router_policy/src/upstream_table.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table.rs
@@ -91,6 +91,8 @@
     pub changes: usize,
     /// Upstreams that the update shows to have restarted under the same name.
     pub restarted: Vec<Upstream>,
+    /// Upstreams that the update lists again after they had left, which are to be checked before they get requests.
+    pub returned: Vec<Upstream>,
     /// Upstreams that were listed and ready before the update and are not any more.
     pub departed: Vec<(Upstream, Departure)>,
 }
@@ -333,7 +335,9 @@
         for change in changes {
             applied.departed.extend(self.departure(&change));
             self.changes.push_back((revision, change.clone()));
+            let name = change.name().clone();
             applied.restarted.extend(self.apply(change, now));
+            applied.returned.extend(self.begin_return_check(&name, now));
         }
         self.revision = revision;
         if applied.changes > 0 {
--- a/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
+++ b/crates/router/cloverpier_router_policy/src/upstream_table/observations.rs
@@ -67,6 +67,25 @@
         true
     }
 
+    /// Has an upstream checked whose entry alone says that it has returned. Returns it, unless it is checked already.
+    pub(super) fn begin_return_check(
+        &mut self,
+        name: &UpstreamName,
+        now: Instant,
+    ) -> Option<Upstream> {
+        let state = self.upstreams.get(name);
+        let upstream = state.filter(|s| s.is_return_unconfirmed && s.delisted_at.is_none())?;
+        let upstream = upstream.upstream.clone();
+        self.suspect(name, now).then_some(upstream)
+    }
+
+    /// Records that an upstream has said, in answer to a check, that it serves.
+    pub fn on_serving(&mut self, name: &UpstreamName) {
+        if let Some(state) = self.upstreams.get_mut(name) {
+            state.is_return_unconfirmed = false;
+        }
+    }
+
     /// Makes checks of a suspected upstream more frequent until the given moment, so that a successor
     /// at its address is found while [`crate::successor`] can still accept it.
     pub fn check_frequently_until(&mut self, name: &UpstreamName, until: Instant) {
@@ -107,6 +126,7 @@
             return false;
         };
         state.suspicion = None;
+        state.is_return_unconfirmed = false;
         !std::mem::replace(&mut state.replaced, true)
     }
 
@@ -134,9 +154,13 @@
     }
 
     /// Clears the suspicion of an upstream that responded to a check; returns how long it was
-    /// suspected, or `None` if it was not.
+    /// suspected, or `None` if it was not, or if it has yet to confirm that it has returned.
     pub fn on_alive(&mut self, name: &UpstreamName, now: Instant) -> Option<Duration> {
-        let suspicion = self.upstreams.get_mut(name)?.suspicion.take()?;
+        let state = self.upstreams.get_mut(name)?;
+        if state.is_return_unconfirmed {
+            return None;
+        }
+        let suspicion = state.suspicion.take()?;
         Some(now.saturating_duration_since(suspicion.since))
     }
 
--- a/crates/router/cloverpier_router_policy/tests/addresses.rs
+++ b/crates/router/cloverpier_router_policy/tests/addresses.rs
@@ -53,7 +53,7 @@
         }
         known.iter().all(|(name, (_, is_replaced))| {
             let state = table.get(&upstream(*name, 0).name).unwrap();
-            state.may_still_serve() != *is_replaced
+            state.is_replaced() == *is_replaced
         })
     }
 }
--- a/crates/router/cloverpier_router_policy/tests/upstreams.rs
+++ b/crates/router/cloverpier_router_policy/tests/upstreams.rs
@@ -131,6 +131,53 @@
     assert_eq!(choose_at(&table, &[], later).as_deref(), Some("two"));
 }
 
+/// Lists an upstream again after a change that took it off the list.
+fn table_after_return(leaving: UpstreamChange, now: Instant) -> (UpstreamTable, AppliedUpdate) {
+    let mut table = table_of(&["one"], now);
+    table.apply_changes(vec![leaving], 2, now);
+    let listed = UpstreamChange::Listed(upstream("one", 1));
+    let applied = table.apply_changes(vec![listed], 3, now);
+    (table, applied)
+}
+
+fn drained() -> UpstreamChange {
+    UpstreamChange::Listed(Upstream {
+        draining: true,
+        ..upstream("one", 1)
+    })
+}
+
+#[test]
+fn an_entry_alone_does_not_bring_an_upstream_back_that_had_left() {
+    let now = Instant::now();
+    let gone = UpstreamChange::Gone(UpstreamName::new("one"));
+    for leaving in [drained(), gone] {
+        let (mut table, applied) = table_after_return(leaving, now);
+        let name = UpstreamName::new("one");
+        assert_eq!(applied.returned, [upstream("one", 1)]);
+        assert_eq!(choose(&table, &[]), None);
+        assert_eq!(table.start_due_checks(now), [upstream("one", 1)]);
+        assert_eq!(table.on_alive(&name, now), None, "it may answer and leave");
+        assert_eq!(choose(&table, &[]), None);
+        table.on_serving(&name);
+        assert!(table.on_alive(&name, now).is_some());
+        assert_eq!(choose(&table, &[]).as_deref(), Some("one"));
+    }
+}
+
+#[test]
+fn an_entry_that_expired_in_an_outage_of_the_store_brings_its_upstream_back_at_once() {
+    let now = Instant::now();
+    let mut table = table_of(&["one"], now);
+    table.on_store_away(now);
+    let gone = UpstreamChange::Gone(UpstreamName::new("one"));
+    table.apply_changes(vec![gone], 2, now);
+    let listed = UpstreamChange::Listed(upstream("one", 1));
+    let applied = table.apply_changes(vec![listed], 3, now);
+    assert_eq!(applied.returned, []);
+    assert_eq!(choose(&table, &[]).as_deref(), Some("one"));
+}
+
 #[test]
 fn a_replaced_upstream_is_never_chosen() {
     let now = Instant::now();
--- a/crates/standins/cloverpier_router_standin/src/upstream.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream.rs
@@ -237,6 +237,11 @@
         lock(&self.state).stated_load = stated;
     }
 
+    /// Has it answer questions, such as health checks, with 503, as one that leaves does.
+    pub fn fail_questions(&self) {
+        lock(&self.state).fails_questions = true;
+    }
+
     /// Has its answers to questions, such as health checks, never end; `None` ends that.
     pub fn set_endless_questions(&self, endless: Option<Endless>) {
         lock(&self.state).endless_questions = endless;
--- a/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/serve.rs
@@ -248,7 +248,12 @@
         let headers = [vec![named], state.say(None)].concat();
         (headers, answer_to_question(&state, head))
     };
-    write_answer(stream, 200, &headers, body.as_bytes()).await?;
+    let status = if lock(state).fails_questions {
+        503
+    } else {
+        200
+    };
+    write_answer(stream, status, &headers, body.as_bytes()).await?;
     Ok(true)
 }
 
--- a/crates/standins/cloverpier_router_standin/src/upstream/state.rs
+++ b/crates/standins/cloverpier_router_standin/src/upstream/state.rs
@@ -52,6 +52,8 @@
     pub(super) stated_load: Option<String>,
     /// What of its answers to questions never ends; `None` where all of them do.
     pub(super) endless_questions: Option<Endless>,
+    /// Whether its answers to questions have the status 503.
+    pub(super) fails_questions: bool,
     /// Requests that it runs or that wait there.
     pub(super) running: u32,
     /// How long it works on a request before it answers.
@@ -207,6 +209,7 @@
             brittle: None,
             stated_load: None,
             endless_questions: None,
+            fails_questions: false,
             running: 0,
             work: Duration::ZERO,
             is_paused: watch::Sender::new(false),
