--- a/crates/router/cloverpier_router/src/tunnel/framing.rs
+++ b/crates/router/cloverpier_router/src/tunnel/framing.rs
@@ -15,7 +15,7 @@
 /// Maximum number of bytes in a frame that this release sends. Receivers accept longer ones.
 const MAX_FRAME_BYTES: usize = 16 * 1024;
 
-/// Passes all bytes of `from` on to `to` in frames, and ends with an empty frame.
+/// Passes all bytes of `from` on to `to` in frames, and ends with an empty frame. Calls `on_bytes` when bytes have arrived.
 ///
 /// # Errors
 ///
@@ -23,10 +23,12 @@
 pub(super) async fn send_frames(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
+    on_bytes: impl Fn(),
 ) -> io::Result<()> {
     let mut buf = vec![0; HEADER_BYTES + MAX_FRAME_BYTES];
     loop {
         let count = from.read(&mut buf[HEADER_BYTES..]).await?;
+        on_bytes();
         // The buffer is far shorter than the largest number that the header can hold.
         let header = (count as u32).to_be_bytes();
         buf[..HEADER_BYTES].copy_from_slice(&header);
--- a/crates/router/cloverpier_router/src/tunnel/serve.rs
+++ b/crates/router/cloverpier_router/src/tunnel/serve.rs
@@ -1,7 +1,8 @@
 //! Serves tunnels for peers: opens a connection to the upstream and passes the bytes of both directions on.
 //!
 //! Only routers that this router knows as peers get a tunnel, and only to upstreams of its own list that it reaches
-//! itself and that don't leave. Counts each tunnel as in flight, so that a shutdown lets the requests in it end; peers close their idle
+//! itself and that don't leave. Nor does an open tunnel carry a new request to one that leaves: the router at its origin may
+//! not know of it, or this process stood still with the bytes. Counts each tunnel as in flight, so that a shutdown lets the requests in it end; peers close their idle
 //! tunnels once this router's heartbeat reports the shutdown. The state is in [`super::Tunnels`].
 
 use super::framing::send_frames;
@@ -30,11 +31,15 @@
 use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// Maximum number of bytes that are read from the origin of a tunnel before they are passed on.
 const FORWARD_BUFFER: usize = 64 * 1024;
 
+/// How long a request in a tunnel waits after a pause of this process until the list is read.
+const PAUSE_READ_WAIT: Duration = Duration::from_millis(300);
+
 /// Counts one served tunnel until it is dropped.
 struct ServedGuard {
     served: Rc<Cell<usize>>,
@@ -84,7 +89,13 @@
     match result {
         Ok(stream) => {
             router.metrics.tunnels.count("served");
-            tokio::task::spawn_local(carry(router, upgrade, stream, tunnel));
+            let upstream = UpstreamName::from(name.as_str());
+            let carried = CarriedTunnel {
+                router,
+                upstream,
+                id: tunnel,
+            };
+            tokio::task::spawn_local(carried.carry(upgrade, stream));
             switching_response()
         }
         Err(failure) => {
@@ -132,55 +143,97 @@
     })
 }
 
-/// Passes bytes on until either side closes its connection, and then closes both.
-async fn carry(router: Rc<Router>, upgrade: OnUpgrade, upstream: TcpStream, tunnel: String) {
-    let guard = ServedGuard::begin(&router);
-    let opened_at = router.now();
-    let result = match upgrade.await {
-        Ok(origin) => pass(origin, upstream).await,
-        Err(error) => Err(io::Error::other(error)),
-    };
-    drop(guard);
-    let line = TunnelClosed {
-        tunnel: &tunnel,
-        error: result.err().map(|error| error.to_string()),
-        open_ms: ms_since(opened_at, router.now()),
-    };
-    router.log.info("tunnel.closed", &line);
+/// Whether bytes from the origin begin a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Exchange {
+    /// They do: the upstream has sent something since the last bytes from the origin, or there were none.
+    Begins,
+    /// They belong to a request that was passed on in part.
+    UnderWay,
 }
 
-async fn pass(origin: Upgraded, mut upstream: TcpStream) -> io::Result<()> {
-    let (from_origin, to_origin) = tokio::io::split(TokioIo::new(origin));
-    let (from_upstream, to_upstream) = upstream.split();
-    tokio::select! {
-        sent = forward(from_origin, to_upstream) => {
-            // The origin has closed the tunnel, which cancels what the upstream still does.
-            upstream.set_zero_linger()?;
-            sent
+/// A tunnel that this router carries for a peer.
+struct CarriedTunnel {
+    router: Rc<Router>,
+    upstream: UpstreamName,
+    /// The id in log lines of both routers.
+    id: String,
+}
+
+impl CarriedTunnel {
+    /// Passes bytes on until either side closes its connection, and then closes both.
+    async fn carry(self, upgrade: OnUpgrade, upstream: TcpStream) {
+        let guard = ServedGuard::begin(&self.router);
+        let opened_at = self.router.now();
+        let result = match upgrade.await {
+            Ok(origin) => self.pass(origin, upstream).await,
+            Err(error) => Err(io::Error::other(error)),
+        };
+        drop(guard);
+        let line = TunnelClosed {
+            tunnel: &self.id,
+            error: result.err().map(|error| error.to_string()),
+            open_ms: ms_since(opened_at, self.router.now()),
+        };
+        self.router.log.info("tunnel.closed", &line);
+    }
+
+    async fn pass(&self, origin: Upgraded, mut upstream: TcpStream) -> io::Result<()> {
+        let exchange = Cell::new(Exchange::Begins);
+        let (from_origin, to_origin) = tokio::io::split(TokioIo::new(origin));
+        let (from_upstream, to_upstream) = upstream.split();
+        let on_response = || exchange.set(Exchange::Begins);
+        tokio::select! {
+            sent = self.forward(from_origin, to_upstream, &exchange) => {
+                // The origin has closed the tunnel, which cancels what the upstream still does.
+                upstream.set_zero_linger()?;
+                sent
+            }
+            received = send_frames(from_upstream, to_origin, on_response) => received,
         }
-        received = send_frames(from_upstream, to_origin) => received,
     }
-}
 
-/// Passes bytes on until the origin closes the tunnel. Bytes that are read together with that end are discarded: they were
-/// received while this process was paused, and the origin has abandoned the request.
-async fn forward(
-    mut from: impl AsyncRead + Unpin,
-    mut to: impl AsyncWrite + Unpin,
-) -> io::Result<()> {
-    let mut buf = BytesMut::with_capacity(FORWARD_BUFFER);
-    while from.read_buf(&mut buf).await? > 0 {
-        while buf.len() < FORWARD_BUFFER {
-            match poll_immediate(from.read_buf(&mut buf)).await {
-                None => break,
-                Some(Ok(count)) if count > 0 => {}
-                Some(ended) => return ended.map(|_| ()),
+    /// Passes bytes on until the origin closes the tunnel, or begins a request although the upstream leaves. Bytes that are
+    /// read together with the end are discarded: they were received while this process was paused, and the origin has
+    /// abandoned the request.
+    async fn forward(
+        &self,
+        mut from: impl AsyncRead + Unpin,
+        mut to: impl AsyncWrite + Unpin,
+        exchange: &Cell<Exchange>,
+    ) -> io::Result<()> {
+        let mut buf = BytesMut::with_capacity(FORWARD_BUFFER);
+        while from.read_buf(&mut buf).await? > 0 {
+            if exchange.replace(Exchange::UnderWay) == Exchange::Begins
+                && !self.may_carry_request().await
+            {
+                return Err(io::Error::other(ServeFailure::UpstreamLeaves.name()));
+            }
+            while buf.len() < FORWARD_BUFFER {
+                match poll_immediate(from.read_buf(&mut buf)).await {
+                    None => break,
+                    Some(Ok(count)) if count > 0 => {}
+                    Some(ended) => return ended.map(|_| ()),
+                }
             }
+            to.write_all(&buf).await?;
+            buf.clear();
+        }
+        Ok(())
+    }
+
+    /// Whether the upstream may get a request that the origin sends now. After a pause of this process, the list is read
+    /// first.
+    async fn may_carry_request(&self) -> bool {
+        let router = &self.router;
+        let proven_at = router.list_checks.proven_at();
+        let in_step = router.in_step.get();
+        if in_step.is_list_from_before_pause(proven_at, router.now()) {
+            let checks = &router.list_checks;
+            checks.wait_for_read(&router.timers, PAUSE_READ_WAIT).await;
         }
-        to.write_all(&buf).await?;
-        buf.clear();
+        router.may_get_requests(&self.upstream)
     }
-    Ok(())
 }
 
 fn switching_response() -> ServerResponse {
--- a/crates/router/cloverpier_router_policy/src/stream_version/in_step.rs
+++ b/crates/router/cloverpier_router_policy/src/stream_version/in_step.rs
@@ -20,6 +20,9 @@
 /// By how much a router's periodic work is late after a pause, at least.
 pub const PAUSE_THRESHOLD: Duration = Duration::from_millis(300);
 
+/// How long after a pause of this process its list is read before requests of peers are passed on by it.
+const PAUSE_EFFECT: Duration = Duration::from_secs(2);
+
 /// What a router knows of its own pauses and of its contact with peers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct InStep {
@@ -79,6 +82,16 @@
         !self.is_paused(now) && is_after_pause && is_in_touch && !has_newer_list
     }
 
+    /// Whether this process was paused after its list was shown to be complete at `proven_at`, so that requests which waited
+    /// in its sockets are read by an earlier list. A pause counts for [`PAUSE_EFFECT`].
+    pub fn is_list_from_before_pause(&self, proven_at: Option<Instant>, now: Instant) -> bool {
+        let is_earlier = |resumed_at: Instant| {
+            let is_recent = now.saturating_duration_since(resumed_at) < PAUSE_EFFECT;
+            is_recent && proven_at.is_none_or(|at| at < resumed_at)
+        };
+        self.is_paused(now) || self.resumed_at.is_some_and(is_earlier)
+    }
+
     /// Whether the periodic work is so late that the process must have been paused.
     pub fn is_paused(&self, now: Instant) -> bool {
         self.next_period
