The routers that watch the store read the list one at a time

Change: a reading is told to the others that watch at once, and theirs are spread over 0.2 s; the period is 0.4 s, so that the mean time between two readings stays about 0.55 s and the longest is 0.6 s, as before.

--- a/crates/router/cloverpier_router/src/list_checks.rs
+++ b/crates/router/cloverpier_router/src/list_checks.rs
@@ -14,7 +14,7 @@
 use crate::store_view::WatchedData;
 use cloverpier_core::jitter;
 use cloverpier_router_policy::list_evidence::{
-    ListEvidence, ListReport, OwnList, READ_SPREAD, ReportMeaning, meaning,
+    ListEvidence, ListReport, OwnList, ReportMeaning, meaning, read_spread,
 };
 use cloverpier_timers::Timers;
 use std::cell::Cell;
@@ -173,7 +173,8 @@
         return;
     }
     // Other routers lack evidence since the same moment.
-    let spread = jitter(&mut router.rng.borrow_mut(), READ_SPREAD);
+    let spread = read_spread(router.store.role().watches());
+    let spread = jitter(&mut router.rng.borrow_mut(), spread);
     router.timers.sleep(spread).await;
     if is_unproven(router) {
         if !router.store.role().watches() {
@@ -194,6 +195,10 @@
         log_named_event(&router.log, "version.unread", what, &error.to_string());
     }
     router.list_checks.read_ended.notify_waiters();
+    // The others that watch need not read as well.
+    let now = router.now();
+    let watchers = router.peers.watchers(now, router.peer_timeout());
+    send_report(router, &watchers, now);
 }
 
 fn log_unproven(router: &Router) {
--- a/crates/router/cloverpier_router_policy/src/list_evidence.rs
+++ b/crates/router/cloverpier_router_policy/src/list_evidence.rs
@@ -19,11 +19,13 @@
 use std::time::{Duration, Instant};
 
 /// How old the last reading of the list may be before a router that watches the store reads it.
-pub const READ_PERIOD: Duration = Duration::from_millis(500);
+pub const READ_PERIOD: Duration = Duration::from_millis(400);
 /// The same for other routers: a period, the spread, a reading and two heartbeats of which one may be lost.
 pub const EVIDENCE_TTL: Duration = Duration::from_millis(1_000);
 /// Time over which the reads of routers are spread that lack evidence since the same moment.
-pub const READ_SPREAD: Duration = Duration::from_millis(100);
+const READ_SPREAD: Duration = Duration::from_millis(100);
+/// The same for the few routers that watch the store: long enough that the others hear of the first one's reading.
+const WATCHER_READ_SPREAD: Duration = Duration::from_millis(200);
 /// Number of entries that a reading of one call returns; longer lists are read less often.
 const ENTRIES_PER_CALL: usize = 500;
 /// Pause after the first read without evidence; each read that fails doubles it.
@@ -89,6 +91,15 @@
     }
 }
 
+/// The time over which this router's read is spread among those of others. `watches` is whether it watches the store.
+pub fn read_spread(watches: bool) -> Duration {
+    if watches {
+        WATCHER_READ_SPREAD
+    } else {
+        READ_SPREAD
+    }
+}
+
 /// The evidence of one router.
 #[derive(Clone, Copy, Debug)]
 pub struct ListEvidence {
