--- a/crates/router/cloverpier_router/src/gossip.rs
+++ b/crates/router/cloverpier_router/src/gossip.rs
@@ -267,16 +267,16 @@
     }
 }
 
-/// Queues changes that this router read from the store for all peers. Returns false without queueing them in
-/// a small fleet, if they don't fit into one datagram, or if there are orders of roll-outs: these have to
-/// arrive together with new upstreams, which only a fetch ensures.
+/// Queues changes that this router read from the store for all peers. Returns false without queueing them if they don't
+/// fit into one datagram, or if there are orders of roll-outs: these have to arrive together with new upstreams, which only
+/// a fetch ensures.
 pub(crate) fn broadcast_upstream_changes(
     router: &Router,
     after: u64,
     revision: u64,
     changes: Vec<UpstreamChange>,
 ) -> bool {
-    if !router.peers.is_large() || !router.rollouts.views().is_empty() {
+    if !router.rollouts.views().is_empty() {
         return false;
     }
     let update = UpstreamUpdate {
--- a/crates/router/cloverpier_router/src/list_confirmation.rs
+++ b/crates/router/cloverpier_router/src/list_confirmation.rs
@@ -115,8 +115,11 @@
     let current_revision = router.upstreams.borrow().revision();
     let readable = readable_changes(&changes);
     apply_upstream_changes(router, changes, &from);
-    // If peers can't be sent the changes, they are notified of the revision and fetch the changes.
-    if !broadcast_upstream_changes(router, current_revision, revision, readable) {
+    // In a small fleet the others that watch hear the same. If peers can't be sent the changes, they are notified of the
+    // revision and fetch the changes.
+    if !router.peers.is_large()
+        || !broadcast_upstream_changes(router, current_revision, revision, readable)
+    {
         router.peers.outbox.schedule_heartbeat();
     }
     polled
--- a/crates/router/cloverpier_router/src/store_reads.rs
+++ b/crates/router/cloverpier_router/src/store_reads.rs
@@ -3,6 +3,7 @@
 //! `cloverpier_router_policy::overdue_version` decides when, and [`crate::peer_fetch`] calls. Routers that watch the store
 //! read it in [`crate::store_sync`]. Owns no state.
 
+use crate::gossip::broadcast_upstream_changes;
 use crate::list_confirmation::{on_list_confirmed, poll_list};
 use crate::rollout_store::read_orders;
 use crate::router::Router;
@@ -81,7 +82,8 @@
 /// meanwhile. A list with the entries that are in force already keeps its revision, so that peers don't fetch it.
 pub(crate) fn apply_read_list(router: &Router, list: UpstreamList, sent_at: Instant) {
     let table = router.upstreams.borrow();
-    let is_outdated = list.revision < table.revision();
+    let former_revision = table.revision();
+    let is_outdated = list.revision < former_revision;
     let is_in_force = router.store.has_upstreams() && table.has_same_entries(&list.upstreams);
     drop(table);
     if is_outdated {
@@ -91,7 +93,20 @@
         apply_upstream_list(router, list, FROM_STORE);
         // Copies of the same revision may lack what was read.
         router.list_copies.borrow_mut().clear();
-        router.peers.outbox.schedule_heartbeat();
+        tell_peers(router, former_revision);
     }
     on_list_confirmed(router, sent_at);
 }
+
+/// Sends peers what a reading has changed since a revision: their watches may not have told them. Those that can't be sent the
+/// changes fetch them.
+fn tell_peers(router: &Router, former_revision: u64) {
+    let table = router.upstreams.borrow();
+    let (revision, changes) = (table.revision(), table.changes_after(former_revision));
+    drop(table);
+    // The first list is nobody's news.
+    if let Some(changes) = changes.filter(|changes| former_revision > 0 && !changes.is_empty()) {
+        broadcast_upstream_changes(router, former_revision, revision, changes);
+    }
+    router.peers.outbox.schedule_heartbeat();
+}
