--- a/crates/router/cloverpier_router_policy/src/watch_position.rs
+++ b/crates/router/cloverpier_router_policy/src/watch_position.rs
@@ -3,7 +3,8 @@
 //! - **Question.** After which revision does the next watch ask for changes?
 //! - **Inputs.** The revisions of the store's responses, with or without changes, and when they arrived.
 //! - **Result.** A revision.
-//! - **Why.** A response with changes, or a whole list, has the content of all revisions up to its own. A response without
+//! - **Why.** A response with changes, or a whole list, counts as the content of all revisions up to its own; readings of the
+//!   list ([`crate::list_evidence`]) bring what such a response left out. A response without
 //!   changes has none, and its revision proves nothing: a watch that the store did not wake ends with the store's present
 //!   revision and without the changes below it. A watch from that revision would never return them. So the position follows
 //!   such responses [`EMPTY_RESPONSE_LAG`] behind: until then, each further watch asks for the same changes again.
