--- a/crates/router/cloverpier_router/src/lib.rs
+++ b/crates/router/cloverpier_router/src/lib.rs
@@ -82,6 +82,7 @@
 mod outbox;
 mod outcome;
 mod pace_reports;
+mod page_cursor;
 mod peer_fetch;
 pub mod peer_messages;
 mod peer_reports;
@@ -135,6 +136,7 @@
 pub mod prelude {
     pub use crate::background::run_in_background;
     pub use crate::http_client::{CallError, DownloadTimeouts, HttpClient, HttpResponse};
+    pub use crate::page_cursor::{PageCursor, PageStep};
     pub use crate::router::Router;
     pub use crate::singleton::{
         HolderCall, LeaseRecord, RecordWriteResult, ServiceScaling, SingletonPlatform, StoredRecord,
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -58,7 +58,7 @@
 }
 
 /// The position at which a page of the list begins; only the adapter interprets the value.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PagePosition(pub String);
 
 /// One page of the list of upstreams.
--- a/crates/router/cloverpier_router/src/store_list.rs
+++ b/crates/router/cloverpier_router/src/store_list.rs
@@ -2,11 +2,12 @@
 //!
 //! A read of a later page that fails because the store is unavailable is repeated for this page only. A store
 //! under load, as when a whole fleet starts, rejects some of its calls; if each rejection restarted the list,
-//! a list of many pages would never be complete. [`crate::store_sync`] decides when this router reads. Owns
-//! no state.
+//! a list of many pages would never be complete. [`crate::page_cursor`] decides whether a list is whole, and
+//! [`crate::store_sync`] when this router reads. Owns no state.
 
+use crate::page_cursor::{PageCursor, PageStep};
 use crate::router::Router;
-use crate::source::{ConfigurationSource, PagePosition, SourceError, UpstreamList, UpstreamPage};
+use crate::source::{ConfigurationSource, SourceError, UpstreamList};
 use crate::store_sync::Backoff;
 
 /// Reads the list. Without a `backoff`, a later page is not read again after a failure. Returns `None` if `is_wanted` becomes false before the last page, as when a peer has
@@ -22,43 +23,34 @@
     mut backoff: Option<&mut Backoff>,
     is_wanted: impl Fn() -> bool,
 ) -> Result<Option<UpstreamList>, SourceError> {
-    let first = source.read_upstreams(None).await?;
-    let mut list = UpstreamList {
-        upstreams: first.upstreams,
-        unreadable: first.unreadable,
-        // The watch that follows starts here, and returns all changes since the first page.
-        revision: first.revision,
-    };
-    let mut next = first.next;
-    while let Some(at) = next {
-        if !is_wanted() {
+    let mut cursor = PageCursor::default();
+    let mut upstreams = Vec::new();
+    let mut unreadable = Vec::new();
+    loop {
+        let is_later = cursor.position().is_some();
+        if is_later && !is_wanted() {
             return Ok(None);
         }
-        match source.read_upstreams(Some(&at)).await {
-            Ok(page) => next = append(&mut list, page)?,
+        let page = match source.read_upstreams(cursor.position()).await {
+            Ok(page) => page,
             Err(error) => {
-                let is_repeated = matches!(error, SourceError::Unavailable { .. });
+                let is_repeated = is_later && matches!(error, SourceError::Unavailable { .. });
                 match backoff.as_mut().filter(|_| is_repeated) {
                     Some(backoff) => backoff.after_failure(router, &error).await,
                     None => return Err(error),
                 }
-                next = Some(at);
+                continue;
             }
+        };
+        let step = cursor.on_page(page.revision, page.next)?;
+        upstreams.extend(page.upstreams);
+        unreadable.extend(page.unreadable);
+        if step == PageStep::Complete {
+            return Ok(Some(UpstreamList {
+                upstreams,
+                unreadable,
+                revision: cursor.revision(),
+            }));
         }
     }
-    Ok(Some(list))
-}
-
-/// Appends a page; returns the position of the next one, or `None` after the last.
-fn append(
-    list: &mut UpstreamList,
-    page: UpstreamPage,
-) -> Result<Option<PagePosition>, SourceError> {
-    // A page with an older revision shows that the store was restored from an older state.
-    if page.revision < list.revision {
-        return Err(SourceError::HistoryLost);
-    }
-    list.upstreams.extend(page.upstreams);
-    list.unreadable.extend(page.unreadable);
-    Ok(page.next)
 }
--- a/crates/standins/cloverpier_router_standin/src/store/mod.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/mod.rs
@@ -25,8 +25,8 @@
     pub call: fn(&str, &str, &str) -> Option<StoreCall>,
     /// Writes an object.
     pub object: fn(&StoredObject) -> String,
-    /// Writes a list at a revision.
-    pub list: fn(&[StoredObject], u64) -> String,
+    /// Writes a page of a list at a revision, and whether another one follows.
+    pub list: fn(&[StoredObject], u64, bool) -> String,
     /// Writes changes up to a revision.
     pub events: fn(&[StoredEvent], u64) -> String,
     /// The content of an upstream's entry.
@@ -77,6 +77,8 @@
     objects: Objects,
     /// What it may come back from.
     copy: Option<Objects>,
+    /// The most objects of a page; `None` where a list is one page.
+    page_limit: Option<usize>,
     /// What stale reads return, under the present revision; `None` while they return what is there.
     stale: Option<Objects>,
     /// How often it came back from an older copy.
@@ -95,6 +97,11 @@
         }
     }
 
+    /// The most objects of a page.
+    fn page_limit(&self) -> usize {
+        self.page_limit.unwrap_or(usize::MAX)
+    }
+
     /// What a read of a list returns.
     fn read(&self, is_stale: bool) -> &Objects {
         let stale = self.stale.as_ref().filter(|_| is_stale);
@@ -200,6 +207,11 @@
         self.change(kinds.configuration, kinds.configuration_name, Some(spec));
     }
 
+    /// Has it answer reads of lists in pages of so many objects at most.
+    pub fn set_page_limit(&self, objects: usize) {
+        lock(&self.state).page_limit = Some(objects);
+    }
+
     /// Lets it misbehave, or not any more.
     pub fn set_fault(&self, fault: StoreFault) {
         lock(&self.state).fault = fault;
--- a/crates/standins/cloverpier_router_standin/src/store/objects.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/objects.rs
@@ -35,10 +35,12 @@
 /// A call, as the platform's shapes read it.
 #[derive(Clone, Debug)]
 pub enum StoreCall {
-    /// All objects of a kind.
+    /// The objects of a kind, or a page of them.
     List {
         /// The kind.
         kind: String,
+        /// The name after which the page begins; `None` for the first one.
+        after: Option<String>,
         /// Whether the answer may be old.
         is_stale: bool,
     },
@@ -143,6 +145,14 @@
         kind.map_or_else(Vec::new, |k| k.objects.values().cloned().collect())
     }
 
+    /// The objects of a kind after a name, `limit` at most, and whether others follow.
+    pub fn page(&self, kind: &str, after: Option<&str>, limit: usize) -> (Vec<StoredObject>, bool) {
+        let objects = self.list(kind).into_iter();
+        let mut rest = objects.filter(|o| after.is_none_or(|after| o.name.as_str() > after));
+        let page = rest.by_ref().take(limit).collect();
+        (page, rest.next().is_some())
+    }
+
     /// An object.
     pub fn get(&self, kind: &str, name: &str) -> Option<&StoredObject> {
         self.kinds.get(kind)?.objects.get(name)
--- a/crates/standins/cloverpier_router_standin/src/store/serve.rs
+++ b/crates/standins/cloverpier_router_standin/src/store/serve.rs
@@ -91,10 +91,16 @@
 async fn answer(call: Option<StoreCall>, shared: &Shared) -> Answer {
     match call {
         None => Answer::empty(404),
-        Some(StoreCall::List { kind, is_stale }) => {
+        Some(StoreCall::List {
+            kind,
+            after,
+            is_stale,
+        }) => {
             let state = lock(&shared.state);
-            let objects = state.read(is_stale).list(&kind);
-            Answer(200, (shared.shapes.list)(&objects, state.objects.revision))
+            let objects = state.read(is_stale);
+            let (page, has_more) = objects.page(&kind, after.as_deref(), state.page_limit());
+            let revision = state.objects.revision;
+            Answer(200, (shared.shapes.list)(&page, revision, has_more))
         }
         Some(StoreCall::Get { kind, name }) => {
             let objects = &lock(&shared.state).objects;
