--- a/crates/daemon/cloverpier_client/src/operator.rs
+++ b/crates/daemon/cloverpier_client/src/operator.rs
@@ -4,6 +4,7 @@
 //! outcome is unknown; a confirmation can be repeated to find out. Owns only the HTTP client.
 
 use cloverpier_config::{Intent, Plan};
+use cloverpier_core::url_encoded;
 use reqwest::{Client, RequestBuilder};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -115,8 +116,8 @@
     ///
     /// [`OperatorError::Refused`] if there is no plan of this id; [`OperatorError::Unreachable`].
     pub async fn show(&self, id: &str) -> Result<PlanReport, OperatorError> {
-        self.send(self.http.get(format!("{}/plans/{id}", self.base)))
-            .await
+        let url = format!("{}/plans/{}", self.base, url_encoded(id));
+        self.send(self.http.get(url)).await
     }
 
     /// Applies a plan, and waits up to 5 s until all routers act on the resulting version.
@@ -128,7 +129,7 @@
     /// [`OperatorError::Refused`] if another operator changed an item of the plan, the result is
     /// invalid, or it is unknown whether the plan took effect; [`OperatorError::Unreachable`].
     pub async fn confirm(&self, id: &str) -> Result<ConfirmReport, OperatorError> {
-        let url = format!("{}/plans/{id}/confirm", self.base);
+        let url = format!("{}/plans/{}/confirm", self.base, url_encoded(id));
         self.send(self.http.post(url)).await
     }
 
@@ -171,7 +172,7 @@
     ///
     /// [`OperatorError`].
     pub async fn leave(&self, upstream: &str) -> Result<Value, OperatorError> {
-        let url = format!("{}/upstreams/{upstream}/leave", self.base);
+        let url = format!("{}/upstreams/{}/leave", self.base, url_encoded(upstream));
         self.send(self.http.post(url)).await
     }
 
--- a/crates/daemon/cloverpier_object_api/src/client.rs
+++ b/crates/daemon/cloverpier_object_api/src/client.rs
@@ -5,6 +5,7 @@
 //! (`platform/`) implements and only reads from.
 
 use crate::wire::{ObjectBody, StoredObject, VersionBody};
+use cloverpier_core::url_encoded;
 use reqwest::{Client, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -90,6 +91,16 @@
         }
     }
 
+    /// The URL of an object. Slashes divide a key into the segments of a path.
+    fn object_url(&self, key: &str) -> String {
+        let mut url = format!("{}/objects", self.base);
+        for segment in key.split('/') {
+            url.push('/');
+            url.extend(url_encoded(segment));
+        }
+        url
+    }
+
     /// Reads an object; `None` if there is no object under the key.
     ///
     /// # Errors
@@ -99,8 +110,7 @@
         &self,
         key: &str,
     ) -> Result<Option<VersionedObject<T>>, ReadError> {
-        let url = format!("{}/objects/{key}", self.base);
-        let req = self.http.get(url).timeout(CALL_TIMEOUT);
+        let req = self.http.get(self.object_url(key)).timeout(CALL_TIMEOUT);
         let res = req.send().await.context(UnavailableSnafu)?;
         read_object(key, res).await
     }
@@ -121,10 +131,7 @@
         wait: Duration,
     ) -> Result<Option<VersionedObject<T>>, ReadError> {
         let wait_ms = wait.as_millis();
-        let url = format!(
-            "{}/objects/{key}?after={after}&wait_ms={wait_ms}",
-            self.base
-        );
+        let url = format!("{}?after={after}&wait_ms={wait_ms}", self.object_url(key));
         let req = self.http.get(url).timeout(wait + CALL_TIMEOUT);
         let res = req.send().await.context(UnavailableSnafu)?;
         read_object(key, res).await
@@ -148,8 +155,11 @@
             reason: e.to_string(),
         })?;
         let body = ObjectBody { if_version, value };
-        let url = format!("{}/objects/{key}", self.base);
-        let req = self.http.put(url).timeout(CALL_TIMEOUT).json(&body);
+        let req = self
+            .http
+            .put(self.object_url(key))
+            .timeout(CALL_TIMEOUT)
+            .json(&body);
         let res = req.send().await.map_err(classify_send_error)?;
         let status = res.status();
         match status {
--- a/crates/shared/cloverpier_core/src/lib.rs
+++ b/crates/shared/cloverpier_core/src/lib.rs
@@ -1,4 +1,5 @@
-//! Names, clocks, secrets, digests, rendezvous hashing and wait periods of upstreams, for the crates of both programs.
+//! Names, clocks, secrets, digests, rendezvous hashing, URL encoding and wait periods of upstreams, for the crates of both
+//! programs.
 //!
 //! Decision functions get the time and the random number generator as arguments, so that decisions can be
 //! replayed. Only [`SystemClock`] and [`wall_ms`] read the clocks of the machine.
@@ -19,6 +20,7 @@
 mod secret;
 mod sync;
 mod token_digest;
+mod url_encoding;
 pub mod wait;
 mod wide_digest;
 
@@ -33,6 +35,7 @@
     pub use crate::secret::{KeyDigest, Secret, same_secret};
     pub use crate::sync::lock;
     pub use crate::token_digest::TokenDigest;
+    pub use crate::url_encoding::url_encoded;
     pub use crate::wait::{WaitPeriod, parse_retry_after};
     pub use crate::wide_digest::wide_digest;
 }
