--- a/crates/daemon/cloverpier_daemon/src/web/services.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/services.rs
@@ -42,6 +42,11 @@
     let ServiceKind::Plain { repeatable: rule } = config.kind else {
         return Err(ApiError::field("service", "expected a plain service"));
     };
+    let path = path_within_service(req.uri().path());
+    if has_dot_segment(&path) {
+        let message = "expected a path without segments that are '.' or '..'";
+        return Err(ApiError::field("path", message));
+    }
     let method = Method::from_bytes(req.method().as_str().as_bytes())
         .map_err(|_| ApiError::field("method", "expected an HTTP method"))?;
     let may_repeat = plain::may_repeat(rule, &method, repeatable(req)?);
@@ -54,12 +59,10 @@
     app.admission
         .charge(app, &caller.name, &caller.account, 0)
         .await?;
-    // Without a rest of the path, the root is called.
-    let rest = req.param::<String>("rest").unwrap_or_default();
     let query = req.uri().query().map(|q| format!("?{q}"));
     let call = PlainCall {
         method,
-        path: format!("/{rest}{}", query.unwrap_or_default()),
+        path: format!("{path}{}", query.unwrap_or_default()),
         content_type: req.header::<String>("Content-Type"),
         key: keyed.key.to_string(),
         body,
@@ -68,6 +71,26 @@
     plain::call(app, &service, &keyed.key, &call, may_repeat).await
 }
 
+/// The path within the service, as the caller encoded it. The route's parameters are decoded, and would name another path.
+fn path_within_service(path: &str) -> String {
+    let after_segment = |path: &str| {
+        let path = path.trim_start_matches('/');
+        // Without a rest of the path, the root is called.
+        path.split_once('/').map_or("", |(_, rest)| rest).to_owned()
+    };
+    let path = after_segment(path);
+    format!("/{}", after_segment(&path))
+}
+
+/// Whether a path holds a segment that an HTTP client resolves, so that the service would get another path.
+fn has_dot_segment(path: &str) -> bool {
+    let is_dots = |segment: &str| {
+        let segment = segment.to_ascii_lowercase().replace("%2e", ".");
+        segment == "." || segment == ".."
+    };
+    path.split('/').any(is_dots)
+}
+
 fn render(res: &mut Response, answer: PlainResponse) {
     let status = StatusCode::from_u16(answer.status);
     // A status that does not exist is the upstream's fault.
