Links of the stand-ins pass a reset on that a write has met

Cause: a link passed a reset on where a read met it. Where a write met it first, the write took the connection's error and both ends were closed cleanly: an answer without a length that an upstream reset during an upload reached the router as a whole one.

Change: both ends are reset after an error of either direction. No check is changed; the stand-in is truer to the network.

--- a/crates/standins/cloverpier_router_standin/src/link.rs
+++ b/crates/standins/cloverpier_router_standin/src/link.rs
@@ -250,50 +250,50 @@
     };
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
+    let (mut near_read, mut near_write) = near.into_split();
+    let (mut far_read, mut far_write) = far.into_split();
     let there = pass(
-        near_read,
-        far_write,
+        &mut near_read,
+        &mut far_write,
         harms.clone(),
         connection.clone(),
         false,
     );
     let back = pass(
-        far_read,
-        near_write,
+        &mut far_read,
+        &mut near_write,
         harms.clone(),
         connection.clone(),
         true,
     );
     let reset = wait_for_harm(&mut harms, &connection, |harm| harm == Harm::Reset);
     // The end of either direction ends both, as the end of a process would.
-    tokio::select! {
+    let ended = tokio::select! {
         result = there => result,
         result = back => result,
         _ = reset => Ok(()),
+    };
+    if ended.is_err() {
+        // A reset goes on as a reset, never as a clean end, whether a read or a write has met it.
+        for half in [near_write, far_write] {
+            set_zero_linger(&half)?;
+            // Dropping the half would end its direction cleanly first.
+            half.forget();
+        }
     }
+    ended
 }
 
 async fn pass(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     mut harms: watch::Receiver<Harms>,
     connection: Admitted,
     is_back: bool,
 ) -> io::Result<()> {
     let mut bytes = vec![0; 16 * 1024];
     loop {
-        let count = match from.read(&mut bytes).await {
-            Ok(count) => count,
-            Err(e) => {
-                // A reset goes on as a reset, never as a clean end.
-                set_zero_linger(&to)?;
-                // Dropping the half would end its direction cleanly first.
-                to.forget();
-                return Err(e);
-            }
-        };
+        let count = from.read(&mut bytes).await?;
         loop {
             match harm_now(&mut harms, &connection) {
                 Harm::None | Harm::ResetNew | Harm::Reset => break,
