--- a/crates/daemon/cloverpier_daemon/src/answers/failure.rs
+++ b/crates/daemon/cloverpier_daemon/src/answers/failure.rs
@@ -80,6 +80,7 @@
         StartError::Refused { status, .. } if *status == NOT_HELD => Some(Failure::Forgotten),
         StartError::NotReached { .. }
         | StartError::Refused { .. }
+        | StartError::InvalidHead { .. }
         | StartError::OutcomeUnknown { .. } => None,
     }
 }
@@ -97,6 +98,8 @@
     match error {
         StartError::NotReached { .. } => Failure::NotReached,
         StartError::Refused { .. } => Failure::Refused,
-        StartError::OutcomeUnknown { .. } => Failure::BrokenBeforeStream,
+        StartError::InvalidHead { .. } | StartError::OutcomeUnknown { .. } => {
+            Failure::BrokenBeforeStream
+        }
     }
 }
--- a/crates/daemon/cloverpier_daemon/src/plain/mod.rs
+++ b/crates/daemon/cloverpier_daemon/src/plain/mod.rs
@@ -213,7 +213,11 @@
             }
             // No byte can have reached it: another one may be tried.
             Err(PlainError::NotReached { .. }) => failed.push(upstream),
-            Err(PlainError::NoResponse { .. } | PlainError::TooLong { .. }) => {
+            Err(
+                PlainError::NoResponse { .. }
+                | PlainError::InvalidHead { .. }
+                | PlainError::TooLong { .. },
+            ) => {
                 claims::settle(&app, &written, &Outcome::Unknown).await;
                 return Err(ApiError::unknown(
                     "the upstream did not answer; it may have run the call",
--- a/crates/daemon/cloverpier_upstream/src/engine.rs
+++ b/crates/daemon/cloverpier_upstream/src/engine.rs
@@ -4,6 +4,7 @@
 //! connections to engines, which are reused.
 
 use crate::body::{BodyError, read_body};
+use crate::head::{HeadError, check_head};
 use crate::statement::UpstreamStatement;
 use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
 use bytes::{Bytes, BytesMut};
@@ -68,6 +69,12 @@
         /// The announcements in the response's headers.
         statement: UpstreamStatement,
     },
+    /// The response has a head that no response may have: the generation may have run.
+    #[snafu(display("no valid response from the engine: {source}"))]
+    InvalidHead {
+        /// What is wrong.
+        source: HeadError,
+    },
     /// The request failed after the engine may have received it: the generation may have run.
     #[snafu(display("the request to the engine failed: {source}"))]
     OutcomeUnknown {
@@ -79,7 +86,7 @@
 impl StartError {
     /// Whether it is certain that this call did not start the generation.
     pub fn not_run(&self) -> bool {
-        !matches!(self, Self::OutcomeUnknown { .. })
+        !matches!(self, Self::OutcomeUnknown { .. } | Self::InvalidHead { .. })
     }
 
     /// Whether no process listens at the engine's address. A host that does not respond proves nothing.
@@ -101,7 +108,9 @@
     pub fn statement(&self) -> Option<&UpstreamStatement> {
         match self {
             Self::Refused { statement, .. } => Some(statement),
-            Self::NotReached { .. } | Self::OutcomeUnknown { .. } => None,
+            Self::NotReached { .. } | Self::InvalidHead { .. } | Self::OutcomeUnknown { .. } => {
+                None
+            }
         }
     }
 }
@@ -195,6 +204,7 @@
             .post(format!("{}/v1/{call}", self.base))
             .json(body);
         let res = req.send().await.map_err(classify_send_error)?;
+        check_head(&res).context(InvalidHeadSnafu)?;
         if res.status() != StatusCode::OK {
             return RefusedSnafu {
                 status: res.status().as_u16(),
--- a/crates/daemon/cloverpier_upstream/src/lib.rs
+++ b/crates/daemon/cloverpier_upstream/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod body;
 mod engine;
+mod head;
 mod plain;
 mod statement;
 mod wire;
@@ -30,6 +31,7 @@
     pub use crate::engine::{
         Engine, EngineLoad, EnginePool, EventStream, LoadError, StartError, StreamError,
     };
+    pub use crate::head::HeadError;
     pub use crate::plain::{PlainCall, PlainError, PlainResponse, call_plain};
     pub use crate::statement::UpstreamStatement;
     pub use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
--- a/crates/daemon/cloverpier_upstream/src/plain.rs
+++ b/crates/daemon/cloverpier_upstream/src/plain.rs
@@ -5,10 +5,11 @@
 //! while a request is being sent, it is uncertain whether the request arrived.
 
 use crate::body::{BodyError, read_body};
+use crate::head::{HeadError, check_head};
 use crate::statement::UpstreamStatement;
 use bytes::Bytes;
 use reqwest::{Client, Method};
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,6 +63,12 @@
         /// The error of the HTTP client.
         source: reqwest::Error,
     },
+    /// The response has a head that no response may have: the call may have been executed.
+    #[snafu(display("no valid response from the server: {source}"))]
+    InvalidHead {
+        /// What is wrong.
+        source: HeadError,
+    },
     /// The response is longer than the router holds: the call may have been executed.
     #[snafu(display("the response from the server is longer than {limit} bytes"))]
     TooLong {
@@ -106,6 +113,7 @@
             PlainError::NoResponse { source }
         }
     })?;
+    check_head(&res).context(InvalidHeadSnafu)?;
     let status = res.status().as_u16();
     let statement = UpstreamStatement::from_response(&res);
     let kind = res.headers().get("Content-Type");
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -19,7 +19,11 @@
 use cloverpier_crashes::LossCause;
 use std::fmt;
 use std::io;
+use std::ops::RangeInclusive;
 
+/// Statuses that end an exchange (RFC 9110, 15). One below is interim, or switches to a protocol that no request asks for;
+/// one above is none.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// HTTP status "421 Misdirected Request" (RFC 9110, 15.5.20): another process has the upstream's address.
 const MISDIRECTED: u16 = 421;
 /// HTTP status "503 Service Unavailable" (RFC 9110, 15.6.4): the upstream has no room for the request.
@@ -79,6 +83,11 @@
     RequestIdMismatch,
     /// Another process responded at the upstream's address (status 421).
     Misdirected,
+    /// The response has a status that no response to a request may have.
+    InvalidStatus {
+        /// The status.
+        status: u16,
+    },
     /// The upstream declared that it did not run the request.
     NotRun {
         /// The HTTP status of the response.
@@ -151,6 +160,7 @@
             Self::UpstreamError { .. } => AttemptOutcome::Failed,
             Self::BrokenBeforeResponse { .. }
             | Self::RequestIdMismatch
+            | Self::InvalidStatus { .. }
             | Self::Unsigned
             | Self::ContentEncoded
             | Self::ResponseBroken { .. }
@@ -221,6 +231,7 @@
             | Self::ErrorResponseBroken { error } => f.write_str(error),
             Self::RequestIdMismatch => f.write_str("an answer to another request"),
             Self::Misdirected => f.write_str("another server answers there"),
+            Self::InvalidStatus { status } => write!(f, "an answer with the status {status}"),
             Self::NotRun { status } => write!(f, "refused with {status}"),
             Self::Unsigned => f.write_str("an unsigned success"),
             Self::ContentEncoded => f.write_str("an encoded answer"),
@@ -262,6 +273,10 @@
     if !is_for_request {
         return Err(AttemptFailure::RequestIdMismatch);
     }
+    if !FINAL_STATUSES.contains(&head.status) {
+        let status = head.status;
+        return Err(AttemptFailure::InvalidStatus { status });
+    }
     if head.status == MISDIRECTED {
         return Err(AttemptFailure::Misdirected);
     }
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
@@ -207,6 +207,7 @@
         | AttemptFailure::RequestIdMismatch
         | AttemptFailure::Unsigned
         | AttemptFailure::ContentEncoded
+        | AttemptFailure::InvalidStatus { .. }
         | AttemptFailure::EndedInsideEvent
         | AttemptFailure::EndedBeforeEvent
         | AttemptFailure::EventTooLong
--- a/crates/router/cloverpier_router_policy/tests/responses.rs
+++ b/crates/router/cloverpier_router_policy/tests/responses.rs
@@ -45,6 +45,20 @@
     assert_eq!(outcome(error), None);
 }
 
+#[test]
+fn a_status_that_ends_no_exchange_leaves_the_outcome_unknown() {
+    for status in [100, 101, 199, 600, 999] {
+        for is_marked_not_run in [false, true] {
+            let odd = ResponseHead {
+                status,
+                is_marked_not_run,
+                ..VALID_SUCCESS
+            };
+            assert_eq!(outcome(odd), Some(AttemptOutcome::Unknown), "{status}");
+        }
+    }
+}
+
 #[test]
 fn a_response_to_another_request_leaves_the_outcome_unknown() {
     let other = ResponseHead {
