--- a/crates/daemon/cloverpier_upstream/tests/odd_answers.rs
+++ b/crates/daemon/cloverpier_upstream/tests/odd_answers.rs
@@ -42,11 +42,15 @@
             format!("{ok}{length}{line}\r\n\r\n"),
         ]
     });
-    status_lines.into_iter().chain(lines).collect()
+    let codings = ["gzip", "identity", "gzip, chunked", "deflate"];
+    let codings =
+        codings.map(|coding| format!("HTTP/1.1 200 OK\r\ntransfer-encoding: {coding}\r\n\r\n"));
+    let heads = status_lines.into_iter().chain(lines);
+    heads.chain(codings).collect()
 }
 
 /// Starts an upstream that answers the first bytes of each connection with `answer`.
-async fn upstream(answer: Vec<u8>, resets: bool) -> SocketAddr {
+async fn upstream(answer: Vec<u8>, closes: bool) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -54,19 +58,19 @@
             let answer = answer.clone();
             tokio::spawn(async move {
                 // A connection that breaks concerns nobody else.
-                let _ = serve(stream, &answer, resets).await;
+                let _ = serve(stream, &answer, closes).await;
             });
         }
     });
     address
 }
 
-async fn serve(mut stream: TcpStream, answer: &[u8], resets: bool) -> std::io::Result<()> {
+async fn serve(mut stream: TcpStream, answer: &[u8], closes: bool) -> std::io::Result<()> {
     let mut buf = [0; 4 << 10];
     stream.read(&mut buf).await?;
     stream.write_all(answer).await?;
-    if resets {
-        // Bytes of the upload are unread, so that the end of the connection is a reset.
+    if closes {
+        // While bytes of an upload are unread, that is a reset.
         return Ok(());
     }
     while stream.read(&mut buf).await? > 0 {}
@@ -87,7 +91,7 @@
 #[tokio::test]
 async fn a_plain_answer_with_an_odd_head_is_none_and_may_have_run() {
     for head in odd_heads() {
-        let address = upstream(format!("{head}{{}}").into_bytes(), false).await;
+        let address = upstream(format!("{head}{{}}").into_bytes(), true).await;
         let result = call_plain(&Client::new(), address, &call(Vec::new())).await;
         let is_none = matches!(
             result,
@@ -109,7 +113,7 @@
         adapter: None,
     };
     for head in odd_heads() {
-        let address = upstream(format!("{head}{{}}").into_bytes(), false).await;
+        let address = upstream(format!("{head}{{}}").into_bytes(), true).await;
         let engine = EnginePool::new().engine(address);
         let started = engine.generate(&body).await.err();
         let may_have_run = started.as_ref().is_some_and(|error| !error.not_run());
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -29,12 +29,15 @@
 use cloverpier_router_policy::prelude::*;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_ENCODING;
+use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use std::io;
 use std::rc::Rc;
 use std::time::Instant;
 
+/// The transfer coding that the HTTP library undoes.
+const CHUNKED: &[u8] = b"chunked";
+
 /// A response whose head has arrived and is valid, and whose body follows.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
@@ -249,10 +252,18 @@
         is_first_on_connection,
         is_marked_not_run: head.headers.contains_key(&names.not_run),
         is_signed: head.headers.contains_key(&names.signature),
+        is_transfer_coded: is_transfer_coded(&head.headers),
         is_encoded: head.headers.contains_key(CONTENT_ENCODING),
     }
 }
 
+/// Whether a body has a transfer coding besides chunks, which the HTTP library undoes.
+fn is_transfer_coded(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING);
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(CHUNKED);
+    !codings.iter().all(is_chunked)
+}
+
 /// Handles a response of another process at the upstream's address. If that process states another name than the
 /// upstream's, the upstream is gone, and all idle connections to it are closed.
 fn on_misdirected(router: &Router, upstream: &Upstream, statement: &UpstreamStatement) {
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -54,6 +54,8 @@
     pub is_marked_not_run: bool,
     /// Whether the response has a signature header; the signature itself is not verified here.
     pub is_signed: bool,
+    /// Whether the body has a transfer coding besides chunks.
+    pub is_transfer_coded: bool,
     /// Whether the body has a content encoding, although no caller asked for one.
     pub is_encoded: bool,
 }
@@ -83,6 +85,8 @@
     RequestIdMismatch,
     /// Another process responded at the upstream's address (status 421).
     Misdirected,
+    /// The body has a transfer coding besides chunks, which is not undone here, so that the bytes are not those of the body.
+    TransferCoded,
     /// The response has a status that no response to a request may have.
     InvalidStatus {
         /// The status.
@@ -161,6 +165,7 @@
             Self::BrokenBeforeResponse { .. }
             | Self::RequestIdMismatch
             | Self::InvalidStatus { .. }
+            | Self::TransferCoded
             | Self::Unsigned
             | Self::ContentEncoded
             | Self::ResponseBroken { .. }
@@ -232,6 +237,7 @@
             Self::RequestIdMismatch => f.write_str("an answer to another request"),
             Self::Misdirected => f.write_str("another server answers there"),
             Self::InvalidStatus { status } => write!(f, "an answer with the status {status}"),
+            Self::TransferCoded => f.write_str("an answer in a transfer coding"),
             Self::NotRun { status } => write!(f, "refused with {status}"),
             Self::Unsigned => f.write_str("an unsigned success"),
             Self::ContentEncoded => f.write_str("an encoded answer"),
@@ -284,6 +290,9 @@
         let status = head.status;
         return Err(AttemptFailure::NotRun { status });
     }
+    if head.is_transfer_coded {
+        return Err(AttemptFailure::TransferCoded);
+    }
     let is_success = (200..300).contains(&head.status);
     if is_success && !head.is_signed {
         return Err(AttemptFailure::Unsigned);
--- a/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
+++ b/crates/router/cloverpier_router_policy/src/rollout/evidence/own.rs
@@ -208,6 +208,7 @@
         | AttemptFailure::Unsigned
         | AttemptFailure::ContentEncoded
         | AttemptFailure::InvalidStatus { .. }
+        | AttemptFailure::TransferCoded
         | AttemptFailure::EndedInsideEvent
         | AttemptFailure::EndedBeforeEvent
         | AttemptFailure::EventTooLong
--- a/crates/router/cloverpier_router_policy/tests/responses.rs
+++ b/crates/router/cloverpier_router_policy/tests/responses.rs
@@ -17,6 +17,7 @@
     is_first_on_connection: false,
     is_marked_not_run: false,
     is_signed: true,
+    is_transfer_coded: false,
     is_encoded: false,
 };
 
@@ -59,6 +60,18 @@
     }
 }
 
+#[test]
+fn a_body_in_a_transfer_coding_counts_as_none_whatever_the_status() {
+    for status in [200, 404, 500] {
+        let coded = ResponseHead {
+            status,
+            is_transfer_coded: true,
+            ..VALID_SUCCESS
+        };
+        assert_eq!(outcome(coded), Some(AttemptOutcome::Unknown), "{status}");
+    }
+}
+
 #[test]
 fn a_response_to_another_request_leaves_the_outcome_unknown() {
     let other = ResponseHead {
