--- a/crates/router/cloverpier_router/src/buffer_reservation.rs
+++ b/crates/router/cloverpier_router/src/buffer_reservation.rs
@@ -36,6 +36,14 @@
         is_reserved
     }
 
+    /// Changes the reservation to `bytes`. Returns false, and changes nothing, if the limit for all bodies would be exceeded.
+    pub fn try_resize(&mut self, bytes: usize) -> bool {
+        let released = self.bytes.saturating_sub(bytes as u64);
+        self.memory.borrow_mut().release(released);
+        self.bytes -= released;
+        self.try_grow(bytes - self.bytes as usize)
+    }
+
     /// Reserves `bytes` more for data that is in memory already, even beyond the limit for all bodies.
     pub fn grow(&mut self, bytes: usize) {
         let bytes = bytes as u64;
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::admission::InFlightStream;
 use crate::body::{IncompleteResponse, ResponseBody};
+use crate::buffer_reservation::BufferReservation;
 use crate::connection::Connection;
 use crate::crashes::abandoned::AbandonGuard;
 use crate::crashes::admission::Admitted;
@@ -38,6 +39,7 @@
 use crate::stream_origins::RelayedStreamGuard;
 use bytes::Bytes;
 use cloverpier_crashes::LossCause;
+use cloverpier_router_policy::buffer_memory::BufferKind;
 use cloverpier_router_policy::prelude::*;
 use cloverpier_router_policy::replica::Replica;
 use cloverpier_router_policy::tried_upstreams::TriedUpstreams;
@@ -147,6 +149,8 @@
     /// The replica of the KV cache of the last attempt that failed; `None` if there is none.
     replica: Option<Replica>,
     splitter: EventSplitter,
+    /// The buffer memory of `splitter`.
+    event_reservation: BufferReservation,
     /// The id of the last event that was passed on, or at first the one from which the caller resumes.
     last_event: Option<u64>,
     progress: StreamProgress,
@@ -201,6 +205,7 @@
             abandon_guard: None,
             replica: None,
             splitter: EventSplitter::default(),
+            event_reservation: BufferReservation::new(&router.buffer_memory, BufferKind::Event),
             last_event: request.last_event,
             progress: StreamProgress::default(),
             origin: request.stream.origin.clone().and_then(Result::ok),
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -124,6 +124,10 @@
                 }
                 let pushed = self.splitter.push(&data);
                 pushed.map_err(|EventError::TooLong| AttemptFailure::EventTooLong)?;
+                // Each of many streams at once may hold an event that does not end.
+                if !self.event_reservation.try_resize(self.splitter.memory()) {
+                    return Err(AttemptFailure::EventTooLong);
+                }
                 self.check_version()?;
                 Ok(Received::Bytes)
             }
@@ -177,6 +181,8 @@
     /// Ends an attempt that failed. Dropping its connection cancels the request at the upstream.
     pub(super) fn abandon_current(&mut self, failure: &AttemptFailure) {
         self.splitter = EventSplitter::default();
+        // Less memory can always be reserved.
+        self.event_reservation.try_resize(0);
         let Some(current) = self.current.take() else {
             return;
         };
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -125,7 +125,8 @@
     EndedInsideEvent,
     /// An event stream without a length ended with its connection before its first event.
     EndedBeforeEvent,
-    /// An event is longer than an event may be ([`crate::events::EventError::TooLong`]).
+    /// An event is longer than an event may be ([`crate::events::EventError::TooLong`]), or than the memory that is left for
+    /// all callers together ([`crate::buffer_memory`]).
     EventTooLong,
     /// No upstream runs the stream at present.
     NoCurrentUpstream,
--- a/crates/router/cloverpier_router_policy/src/buffer_memory.rs
+++ b/crates/router/cloverpier_router_policy/src/buffer_memory.rs
@@ -8,7 +8,7 @@
 //!   can be requested from another upstream. Slow callers and upstreams keep these bytes in memory for long. A
 //!   limit on each body does not limit their sum, and a process that exceeds its VM's memory is killed with all
 //!   requests that it serves. So all bodies together get a fraction of the memory. Beyond it, a response is
-//!   passed on as it arrives, and a request is refused before it has run.
+//!   passed on as it arrives, a request is refused before it has run, and an upstream whose event does not end is left.
 //!
 //! [`BufferMemory`] owns the sum of the buffered bytes. Relies on its user to release what was reserved.
 
@@ -20,6 +20,8 @@
 const BODIES_FRACTION: f64 = 0.6;
 /// A request body up to this length is always buffered, whatever the sum is; most bodies are shorter.
 const SHORT_BODY_BYTES: u64 = 16 * 1024;
+/// The bytes of a stream up to this length are always buffered: what one read brings, and the event that it goes on with.
+const SHORT_EVENT_BYTES: u64 = 64 * 1024;
 
 /// The kind of body that bytes belong to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,8 @@
     Body,
     /// The bytes of a response that have not been passed on to the caller.
     Response,
+    /// The bytes of a stream that do not form a whole event yet.
+    Event,
 }
 
 /// The sum of the buffered bytes of one router, and its limit.
@@ -51,10 +55,14 @@
     pub fn try_reserve(&mut self, bytes: u64, own: u64, kind: BufferKind) -> bool {
         let limit = match kind {
             BufferKind::Body => (self.limit as f64 * BODIES_FRACTION) as u64,
-            BufferKind::Response => self.limit,
+            BufferKind::Response | BufferKind::Event => self.limit,
         };
-        let is_short_body = kind == BufferKind::Body && own + bytes <= SHORT_BODY_BYTES;
-        if !is_short_body && self.reserved + bytes > limit {
+        let is_short = match kind {
+            BufferKind::Body => own + bytes <= SHORT_BODY_BYTES,
+            BufferKind::Response => false,
+            BufferKind::Event => own + bytes <= SHORT_EVENT_BYTES,
+        };
+        if !is_short && self.reserved + bytes > limit {
             return false;
         }
         self.reserve(bytes);
--- a/crates/router/cloverpier_router_policy/src/events.rs
+++ b/crates/router/cloverpier_router_policy/src/events.rs
@@ -73,6 +73,11 @@
         Some(StreamEvent { bytes, id })
     }
 
+    /// The memory in bytes that the buffer takes.
+    pub fn memory(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Whether the buffer contains bytes that have not been returned as an event.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/router/cloverpier_router_policy/tests/buffer_memory.rs
+++ b/crates/router/cloverpier_router_policy/tests/buffer_memory.rs
@@ -32,3 +32,16 @@
         "a body of 20,000 bytes is not short"
     );
 }
+
+#[test]
+fn the_part_of_an_event_is_buffered_while_it_is_short_or_memory_is_left() {
+    let mut memory = BufferMemory::for_vm(4_000_000);
+    assert!(memory.try_reserve(1_000_000, 0, BufferKind::Response));
+    assert!(memory.try_reserve(60_000, 0, BufferKind::Event));
+    assert!(
+        !memory.try_reserve(10_000, 60_000, BufferKind::Event),
+        "70,000 bytes are not short"
+    );
+    memory.release(1_000_000);
+    assert!(memory.try_reserve(10_000, 60_000, BufferKind::Event));
+}
