--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -129,7 +129,7 @@
     let in_flight = InFlightGuard::begin(&router.lifecycle);
     let now = router.now();
     let mut response = match receive_request(&router, request, now).await {
-        Ok(request) => relay(&router, Rc::new(request), now).await,
+        Ok(request) => relay(&router, Rc::new(request)).await,
         Err(response) => response,
     };
     if router.lifecycle.is_shutting_down() {
@@ -141,10 +141,11 @@
 }
 
 /// Relays an admitted request, or refuses one that may not end before this router exits.
-async fn relay(router: &Rc<Router>, request: Rc<RelayRequest>, now: Instant) -> ServerResponse {
-    router.on_request(&request.service.name, now);
+async fn relay(router: &Rc<Router>, request: Rc<RelayRequest>) -> ServerResponse {
+    router.on_request(&request.service.name, request.arrived);
     block_changes::track_request(router, &request);
-    if !may_end_before_exit(router, &request, now) {
+    // The shutdown may have gone on while the body arrived.
+    if !may_end_before_exit(router, &request, router.now()) {
         return refusal_response("this router stops", Refusal::Stopping);
     }
     if request.route.streaming {
