--- a/crates/router/cloverpier_router_policy/src/lifecycle.rs
+++ b/crates/router/cloverpier_router_policy/src/lifecycle.rs
@@ -28,9 +28,13 @@
 /// Maximum time after its termination signal during which a router accepts new streams. After it, about 5 s of a
 /// grace period of 8 s are left, and callers have requested other addresses.
 const STREAM_ACCEPTANCE_PERIOD: Duration = Duration::from_millis(2_500);
+/// Fraction of the grace period after which no new stream is accepted while it is not known how long streams last.
+const STREAM_ACCEPTANCE_FRACTION: f64 = 5.0 / 16.0;
 /// Time after its termination signal during which a router accepts all plain requests. After it, callers have requested
 /// other addresses, and a request that is cut at the end of the grace period was taken needlessly.
 const PLAIN_ACCEPTANCE_PERIOD: Duration = Duration::from_secs(3);
+/// Fraction of the grace period after which this time is over, too: a short one has to leave requests time to end.
+const PLAIN_ACCEPTANCE_FRACTION: f64 = 3.0 / 8.0;
 /// Number of recent streams whose durations are kept.
 const RECENT_STREAMS: usize = 20;
 /// A new stream is expected to last at most this many times as long as the longest recent one, so that a stream
@@ -115,7 +119,10 @@
         return true;
     };
     let left = grace.saturating_sub(EXIT_MARGIN).saturating_sub(passed);
-    let ends_in_time = expected.is_none_or(|expected| expected <= left);
+    let ends_in_time = match expected {
+        Some(expected) => expected <= left,
+        None => passed <= grace.mul_f64(STREAM_ACCEPTANCE_FRACTION),
+    };
     passed <= STREAM_ACCEPTANCE_PERIOD && ends_in_time
 }
 
@@ -127,7 +134,8 @@
         return true;
     };
     let until_exit = grace.saturating_sub(EXIT_MARGIN).saturating_sub(passed);
-    passed <= PLAIN_ACCEPTANCE_PERIOD || time_left <= until_exit
+    let period = PLAIN_ACCEPTANCE_PERIOD.min(grace.mul_f64(PLAIN_ACCEPTANCE_FRACTION));
+    passed <= period || time_left <= until_exit
 }
 
 /// Whether a router may exit that received its termination signal `stopping_for` ago. `in_flight` is the number
