--- a/crates/daemon/cloverpier_upstream/src/body.rs
+++ b/crates/daemon/cloverpier_body/src/lib.rs
@@ -1,6 +1,6 @@
-//! Bodies of responses, read up to a bound: an upstream in trouble may send bytes without end.
+//! Bodies of responses, read up to a bound: an upstream, a peer or a platform in trouble may send bytes without end.
 //!
-//! Owns no state.
+//! All clients of `cloverpierd` read whole bodies with [`read_body`]. Owns no state.
 
 use bytes::{Bytes, BytesMut};
 use reqwest::Response;
@@ -28,7 +28,7 @@
 /// # Errors
 ///
 /// [`BodyError`]; the connection is closed then.
-pub(crate) async fn read_body(mut res: Response, limit: usize) -> Result<Bytes, BodyError> {
+pub async fn read_body(mut res: Response, limit: usize) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
     while let Some(chunk) = res.chunk().await.context(BrokenSnafu)? {
         body.extend_from_slice(&chunk);
--- a/crates/daemon/cloverpier_daemon/src/web/peers.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/peers.rs
@@ -11,7 +11,7 @@
 use cloverpier_core::{MemberId, RequestKey, lock, same_secret};
 use cloverpier_member::Member;
 use cloverpier_peer::{
-    CopyLocation, PEER_HEADER, PeerReply, PeerRequest, Versions, decode, encode,
+    CopyLocation, MAX_MESSAGE, PEER_HEADER, PeerReply, PeerRequest, Versions, decode, encode,
 };
 use cloverpier_record::{ClaimId, Outcome, Slot};
 use salvo::http::StatusCode;
@@ -21,9 +21,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The largest message of a peer, in bytes: more than a configuration of 35,000 accounts (7 MB,
-/// docs/CAPACITY.md).
-const MAX_MESSAGE: usize = 32 << 20;
 /// How long a silent member may take to answer a probe for another one.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
--- a/crates/daemon/cloverpier_object_api/src/client.rs
+++ b/crates/daemon/cloverpier_object_api/src/client.rs
@@ -5,6 +5,7 @@
 //! (`platform/`) implements and only reads from.
 
 use crate::wire::{ObjectBody, StoredObject, VersionBody};
+use cloverpier_body::{BodyError, read_body};
 use cloverpier_core::url_encoded;
 use reqwest::{Client, Response, StatusCode};
 use serde::Serialize;
@@ -17,14 +18,40 @@
 /// watch may take this much longer than its requested wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum length in bytes of an answer. A value holds a megabyte, which escapes can make several times as long.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// The reason why a call has no complete and valid response.
+#[derive(Debug, Snafu)]
+pub enum AnswerError {
+    /// The connection failed, or the timeout passed.
+    #[snafu(display("{source}"))]
+    NoAnswer {
+        /// The error of the HTTP client.
+        source: reqwest::Error,
+    },
+    /// The body is not complete, or too long.
+    #[snafu(display("{source}"))]
+    Body {
+        /// Why not.
+        source: BodyError,
+    },
+    /// The body is not the JSON of a response to the call.
+    #[snafu(display("the answer can't be read: {source}"))]
+    Invalid {
+        /// The error of the JSON parser.
+        source: serde_json::Error,
+    },
+}
+
 /// The reason why a read or a watch failed.
 #[derive(Debug, Snafu)]
 pub enum ReadError {
     /// No complete and valid response arrived before the timeout.
     #[snafu(display("the platform is unavailable: {source}"))]
     Unavailable {
-        /// The error of the HTTP client.
-        source: reqwest::Error,
+        /// Why not.
+        source: AnswerError,
     },
     /// The platform responded with a status other than 200, 304 and 404.
     #[snafu(display("the platform answered {status}"))]
@@ -61,8 +88,8 @@
     /// No complete and valid response arrived: the update may or may not have taken effect.
     #[snafu(display("the answer to the update was lost: {source}"))]
     OutcomeUnknown {
-        /// The error of the HTTP client.
-        source: reqwest::Error,
+        /// Why.
+        source: AnswerError,
     },
 }
 
@@ -111,7 +138,8 @@
         key: &str,
     ) -> Result<Option<VersionedObject<T>>, ReadError> {
         let req = self.http.get(self.object_url(key)).timeout(CALL_TIMEOUT);
-        let res = req.send().await.context(UnavailableSnafu)?;
+        let res = req.send().await.context(NoAnswerSnafu);
+        let res = res.context(UnavailableSnafu)?;
         read_object(key, res).await
     }
 
@@ -133,7 +161,8 @@
         let wait_ms = wait.as_millis();
         let url = format!("{}?after={after}&wait_ms={wait_ms}", self.object_url(key));
         let req = self.http.get(url).timeout(wait + CALL_TIMEOUT);
-        let res = req.send().await.context(UnavailableSnafu)?;
+        let res = req.send().await.context(NoAnswerSnafu);
+        let res = res.context(UnavailableSnafu)?;
         read_object(key, res).await
     }
 
@@ -164,11 +193,11 @@
         let status = res.status();
         match status {
             StatusCode::OK => {
-                let body: VersionBody = res.json().await.context(OutcomeUnknownSnafu)?;
+                let body: VersionBody = read_json(res).await.context(OutcomeUnknownSnafu)?;
                 Ok(body.version)
             }
             StatusCode::CONFLICT => {
-                let body: VersionBody = res.json().await.context(OutcomeUnknownSnafu)?;
+                let body: VersionBody = read_json(res).await.context(OutcomeUnknownSnafu)?;
                 ConflictSnafu {
                     version: body.version,
                 }
@@ -196,7 +225,7 @@
             .fail();
         }
     }
-    let stored: StoredObject = res.json().await.context(UnavailableSnafu)?;
+    let stored: StoredObject = read_json(res).await.context(UnavailableSnafu)?;
     let value = serde_json::from_value(stored.value).context(InvalidValueSnafu { key })?;
     Ok(Some(VersionedObject {
         version: stored.version,
@@ -204,6 +233,12 @@
     }))
 }
 
+/// Reads the body of an answer.
+async fn read_json<T: DeserializeOwned>(res: Response) -> Result<T, AnswerError> {
+    let body = read_body(res, MAX_ANSWER).await.context(BodySnafu)?;
+    serde_json::from_slice(&body).context(InvalidSnafu)
+}
+
 /// A write that failed before a connection was established did not take effect; the outcome of any
 /// other failed write is unknown.
 fn classify_send_error(source: reqwest::Error) -> WriteError {
@@ -212,5 +247,6 @@
             reason: source.to_string(),
         };
     }
+    let source = AnswerError::NoAnswer { source };
     WriteError::OutcomeUnknown { source }
 }
--- a/crates/daemon/cloverpier_object_api/src/lib.rs
+++ b/crates/daemon/cloverpier_object_api/src/lib.rs
@@ -21,7 +21,7 @@
 
 /// All public types, for a glob import.
 pub mod prelude {
-    pub use crate::client::{PlatformClient, ReadError, VersionedObject, WriteError};
+    pub use crate::client::{AnswerError, PlatformClient, ReadError, VersionedObject, WriteError};
     pub use crate::wire::{ObjectBody, StoredObject, VersionBody};
 }
 
--- a/crates/daemon/cloverpier_peer/src/client.rs
+++ b/crates/daemon/cloverpier_peer/src/client.rs
@@ -5,6 +5,7 @@
 //! take the first as a sign that no router process runs at the address.
 
 use crate::message::{CodecError, PeerReply, PeerRequest, decode, encode};
+use cloverpier_body::{BodyError, read_body};
 use cloverpier_core::Secret;
 use reqwest::{Client, StatusCode};
 use snafu::{ResultExt, Snafu};
@@ -22,6 +23,10 @@
 /// Timeout of connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Maximum length in bytes of a message between routers, a request or a reply: more than a configuration of 35,000 accounts
+/// (7 MB, docs/CAPACITY.md).
+pub const MAX_MESSAGE: usize = 32 << 20;
+
 /// The request header with the secret that all routers share; a peer rejects a request without the
 /// right one.
 pub const PEER_HEADER: &str = "cloverpier-peer";
@@ -35,6 +40,12 @@
         /// The error of the HTTP client.
         source: reqwest::Error,
     },
+    /// The reply is not complete, or too long.
+    #[snafu(display("no whole reply from the peer: {source}"))]
+    IncompleteReply {
+        /// Why not.
+        source: BodyError,
+    },
     /// The peer sent a status other than 200, such as 401 for a wrong secret or 400 for a request
     /// that it can't decode.
     #[snafu(display("the peer rejected the request with status {status}"))]
@@ -134,7 +145,8 @@
             }
             .fail();
         }
-        let body = res.bytes().await.context(NoReplySnafu)?;
+        let body = read_body(res, MAX_MESSAGE).await;
+        let body = body.context(IncompleteReplySnafu)?;
         let received = &traffic.received;
         received.fetch_add(body.len() as u64, Ordering::Relaxed);
         Ok(decode(&body)?)
--- a/crates/daemon/cloverpier_peer/src/lib.rs
+++ b/crates/daemon/cloverpier_peer/src/lib.rs
@@ -16,7 +16,7 @@
 
 /// All public types and functions, for a glob import.
 pub mod prelude {
-    pub use crate::client::{PEER_HEADER, PeerClient, PeerError, Traffic};
+    pub use crate::client::{MAX_MESSAGE, PEER_HEADER, PeerClient, PeerError, Traffic};
     pub use crate::message::{
         CodecError, CopyLocation, Guest, PeerReply, PeerRequest, Versions, decode, encode,
     };
--- a/crates/daemon/cloverpier_upstream/src/engine.rs
+++ b/crates/daemon/cloverpier_upstream/src/engine.rs
@@ -3,11 +3,11 @@
 //! An error of a call distinguishes whether the engine may have run the generation. Owns the
 //! connections to engines, which are reused.
 
-use crate::body::{BodyError, read_body};
 use crate::head::{HeadError, check_head};
 use crate::statement::UpstreamStatement;
 use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
 use bytes::{Bytes, BytesMut};
+use cloverpier_body::{BodyError, read_body};
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
 use reqwest::{Client, Response, StatusCode};
--- a/crates/daemon/cloverpier_upstream/src/lib.rs
+++ b/crates/daemon/cloverpier_upstream/src/lib.rs
@@ -18,7 +18,6 @@
 //! # }
 //! ```
 
-mod body;
 mod engine;
 mod head;
 mod plain;
@@ -27,7 +26,6 @@
 
 /// All public types and functions, for a glob import.
 pub mod prelude {
-    pub use crate::body::BodyError;
     pub use crate::engine::{
         Engine, EngineLoad, EnginePool, EventStream, LoadError, StartError, StreamError,
     };
@@ -35,6 +33,7 @@
     pub use crate::plain::{PlainCall, PlainError, PlainResponse, call_plain};
     pub use crate::statement::UpstreamStatement;
     pub use crate::wire::{EngineEvent, GenerateBody, GenerationBody, LoadBody};
+    pub use cloverpier_body::BodyError;
 }
 
 pub use prelude::*;
--- a/crates/daemon/cloverpier_upstream/src/plain.rs
+++ b/crates/daemon/cloverpier_upstream/src/plain.rs
@@ -4,10 +4,10 @@
 //! passes in an HTTP client that doesn't reuse connections: if the service closes an idle connection
 //! while a request is being sent, it is uncertain whether the request arrived.
 
-use crate::body::{BodyError, read_body};
 use crate::head::{HeadError, check_head};
 use crate::statement::UpstreamStatement;
 use bytes::Bytes;
+use cloverpier_body::{BodyError, read_body};
 use reqwest::{Client, Method};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
