--- a/crates/daemon/cloverpier_upstream/src/head.rs
+++ b/crates/daemon/cloverpier_upstream/src/head.rs
@@ -2,16 +2,10 @@
 //!
 //! Owns no state.
 
+use cloverpier_core::{is_final_status, is_transfer_coding_left};
 use reqwest::Response;
 use reqwest::header::TRANSFER_ENCODING;
 use snafu::Snafu;
-use std::ops::RangeInclusive;
-
-/// Statuses that end an exchange (RFC 9110, 15). One below is interim, or switches to a protocol that no request asks for;
-/// one above is none.
-const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
-/// The transfer coding that the HTTP library undoes.
-const CHUNKED: &[u8] = b"chunked";
 
 /// The reason why a head is that of no answer. The call may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -34,11 +28,11 @@
 /// [`HeadError`].
 pub(crate) fn check_head(res: &Response) -> Result<(), HeadError> {
     let status = res.status().as_u16();
-    if !FINAL_STATUSES.contains(&status) {
+    if !is_final_status(status) {
         return InvalidStatusSnafu { status }.fail();
     }
     let mut codings = res.headers().get_all(TRANSFER_ENCODING).iter();
-    if !codings.all(|coding| coding.as_bytes().eq_ignore_ascii_case(CHUNKED)) {
+    if codings.any(|coding| is_transfer_coding_left(coding.as_bytes())) {
         return TransferCodedSnafu.fail();
     }
     Ok(())
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -20,7 +20,7 @@
 use crate::statements::Call;
 use crate::successors;
 use crate::wait::{AttemptWatches, AwaitedUpstream, wait_while_alive};
-use cloverpier_core::ServiceName;
+use cloverpier_core::{ServiceName, is_transfer_coding_left};
 use cloverpier_router_policy::attempt_failure::{
     RequestIdMatch, ResponseHead, check_response, may_mean_process_gone,
 };
@@ -29,15 +29,12 @@
 use cloverpier_router_policy::prelude::*;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_ENCODING, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use std::io;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// The transfer coding that the HTTP library undoes.
-const CHUNKED: &[u8] = b"chunked";
-
 /// A response whose head has arrived and is valid, and whose body follows.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
@@ -257,11 +254,10 @@
     }
 }
 
-/// Whether a body has a transfer coding besides chunks, which the HTTP library undoes.
+/// Whether a body has a transfer coding besides chunks.
 fn is_transfer_coded(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(TRANSFER_ENCODING);
-    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(CHUNKED);
-    !codings.iter().all(is_chunked)
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    codings.any(|coding| is_transfer_coding_left(coding.as_bytes()))
 }
 
 /// Handles a response of another process at the upstream's address. If that process states another name than the
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -116,18 +116,7 @@
                 health::on_own_response(&self.router, name, &current.health, now);
                 // A frame without data holds trailers, which are not passed on.
                 let data = frame.into_data().unwrap_or_default();
-                if now >= self.request.deadline {
-                    self.late_bytes += data.len();
-                }
-                if self.late_bytes > MAX_LATE_BYTES {
-                    return Err(AttemptFailure::DeadlinePassedSent);
-                }
-                let pushed = self.splitter.push(&data);
-                pushed.map_err(|EventError::TooLong| AttemptFailure::EventTooLong)?;
-                // Each of many streams at once may hold an event that does not end.
-                if !self.event_reservation.try_resize(self.splitter.memory()) {
-                    return Err(AttemptFailure::EventTooLong);
-                }
+                self.add_to_events(&data, now)?;
                 self.check_version()?;
                 Ok(Received::Bytes)
             }
@@ -139,6 +128,23 @@
         }
     }
 
+    /// Adds bytes of the response to those that form no whole event yet.
+    fn add_to_events(&mut self, data: &[u8], now: Instant) -> Result<(), AttemptFailure> {
+        if now >= self.request.deadline {
+            self.late_bytes += data.len();
+        }
+        if self.late_bytes > MAX_LATE_BYTES {
+            return Err(AttemptFailure::DeadlinePassedSent);
+        }
+        let pushed = self.splitter.push(data);
+        pushed.map_err(|EventError::TooLong| AttemptFailure::EventTooLong)?;
+        // Many streams at once may each hold an event that does not end.
+        if !self.event_reservation.try_resize(self.splitter.memory()) {
+            return Err(AttemptFailure::EventTooLong);
+        }
+        Ok(())
+    }
+
     /// Checks the regular end of a response. Nothing tells a whole response that ends with its connection from one that was
     /// cut, so a stream that ends so before its first event counts as cut.
     fn at_end(&self, ends_with_connection: bool) -> Result<Received, AttemptFailure> {
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -16,14 +16,11 @@
 //! Relies only on the values passed in and owns no state.
 
 use crate::attempts::AttemptOutcome;
+use cloverpier_core::is_final_status;
 use cloverpier_crashes::LossCause;
 use std::fmt;
 use std::io;
-use std::ops::RangeInclusive;
 
-/// Statuses that end an exchange (RFC 9110, 15). One below is interim, or switches to a protocol that no request asks for;
-/// one above is none.
-const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// HTTP status "421 Misdirected Request" (RFC 9110, 15.5.20): another process has the upstream's address.
 const MISDIRECTED: u16 = 421;
 /// HTTP status "503 Service Unavailable" (RFC 9110, 15.6.4): the upstream has no room for the request.
@@ -280,7 +277,7 @@
     if !is_for_request {
         return Err(AttemptFailure::RequestIdMismatch);
     }
-    if !FINAL_STATUSES.contains(&head.status) {
+    if !is_final_status(head.status) {
         let status = head.status;
         return Err(AttemptFailure::InvalidStatus { status });
     }
--- a/crates/shared/cloverpier_core/src/lib.rs
+++ b/crates/shared/cloverpier_core/src/lib.rs
@@ -1,5 +1,5 @@
-//! Names, clocks, secrets, digests, rendezvous hashing, URL encoding and wait periods of upstreams, for the crates of both
-//! programs.
+//! Names, clocks, secrets, digests, rendezvous hashing, URL encoding, rules on heads of responses and wait periods of
+//! upstreams, for the crates of both programs.
 //!
 //! Decision functions get the time and the random number generator as arguments, so that decisions can be
 //! replayed. Only [`SystemClock`] and [`wall_ms`] read the clocks of the machine.
@@ -17,6 +17,7 @@
 mod clock;
 mod name;
 mod rendezvous;
+mod response_head;
 mod secret;
 mod sync;
 mod token_digest;
@@ -32,6 +33,7 @@
         SoftwareVersion, UpstreamName, VmName,
     };
     pub use crate::rendezvous::{hash_of, jitter, rendezvous_rank};
+    pub use crate::response_head::{is_final_status, is_transfer_coding_left};
     pub use crate::secret::{KeyDigest, Secret, same_secret};
     pub use crate::sync::lock;
     pub use crate::token_digest::TokenDigest;
