--- a/crates/daemon/cloverpier_body/src/lib.rs
+++ b/crates/daemon/cloverpier_body/src/lib.rs
@@ -1,4 +1,4 @@
-//! Bodies of responses, read up to a bound: an upstream, a peer or a platform in trouble may send bytes without end.
+//! Reads response bodies up to a maximum length, because a faulty upstream, peer or platform may send endless bytes.
 //!
 //! All clients of `cloverpierd` read whole bodies with [`read_body`]. Owns no state.
 
--- a/crates/daemon/cloverpier_daemon/src/web/services.rs
+++ b/crates/daemon/cloverpier_daemon/src/web/services.rs
@@ -71,7 +71,7 @@
     plain::call(app, &service, &keyed.key, &call, may_repeat).await
 }
 
-/// The path within the service, as the caller encoded it. The route's parameters are decoded, and would name another path.
+/// The path within the service, encoded as the caller sent it. The route's parameters are decoded, so they can't be used.
 fn path_within_service(path: &str) -> String {
     let after_segment = |path: &str| {
         let path = path.trim_start_matches('/');
@@ -82,7 +82,7 @@
     format!("/{}", after_segment(&path))
 }
 
-/// Whether a path holds a segment that an HTTP client resolves, so that the service would get another path.
+/// Whether a path has a segment that the HTTP client would resolve, so that the service would receive a different path.
 fn has_dot_segment(path: &str) -> bool {
     let is_dots = |segment: &str| {
         let segment = segment.to_ascii_lowercase().replace("%2e", ".");
--- a/crates/daemon/cloverpier_object_api/src/client.rs
+++ b/crates/daemon/cloverpier_object_api/src/client.rs
@@ -18,7 +18,7 @@
 /// watch may take this much longer than its requested wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Maximum length in bytes of an answer. A value holds a megabyte, which escapes can make several times as long.
+/// Maximum length of a response in bytes. A value has up to 1 MB, and JSON escapes can multiply its length.
 const MAX_ANSWER: usize = 8 << 20;
 
 /// The reason why a call has no complete and valid response.
@@ -30,7 +30,7 @@
         /// The error of the HTTP client.
         source: reqwest::Error,
     },
-    /// The body is not complete, or too long.
+    /// The body is incomplete or too long.
     #[snafu(display("{source}"))]
     Body {
         /// Why not.
--- a/crates/daemon/cloverpier_upstream/src/head.rs
+++ b/crates/daemon/cloverpier_upstream/src/head.rs
@@ -1,4 +1,4 @@
-//! Heads that no answer may have: an upstream in trouble may send one that the HTTP library takes.
+//! Checks of response heads beyond those of the HTTP library.
 //!
 //! Owns no state.
 
@@ -7,16 +7,16 @@
 use reqwest::header::TRANSFER_ENCODING;
 use snafu::Snafu;
 
-/// The reason why a head is that of no answer. The call may have run.
+/// The reason why a response head is invalid. The call may have been executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum HeadError {
-    /// The status does not end an exchange.
+    /// The status is not final.
     #[snafu(display("an answer with the status {status}"))]
     InvalidStatus {
         /// The status.
         status: u16,
     },
-    /// The body has a transfer coding besides chunks, which the HTTP library does not undo.
+    /// The body has a transfer coding that the HTTP library does not decode.
     #[snafu(display("an answer in a transfer coding"))]
     TransferCoded,
 }
--- a/crates/router/cloverpier_router/src/page_cursor.rs
+++ b/crates/router/cloverpier_router/src/page_cursor.rs
@@ -1,22 +1,21 @@
-//! Follows a list of the platform's store from page to page, to its end.
+//! Pagination of the lists in the platform's store.
 //!
-//! A list is whole only once its last page was read. A page after which the list would go on where it went on before leads
-//! nowhere: the store, or a proxy before it, took the position for another one. [`PageCursor`] owns the positions that it
-//! was given.
+//! A list is complete only after the last page was read. If a page points to a position that was read before, the store or a
+//! proxy has misread a position, and the list would never end. [`PageCursor`] owns the positions of the pages read so far.
 
 use crate::source::{PagePosition, SourceError};
 use std::collections::HashSet;
 
-/// What follows after a page.
+/// The next step after a page.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PageStep {
-    /// The page at [`PageCursor::position`] is to be read next.
+    /// Read the page at [`PageCursor::position`].
     Continue,
-    /// The list is whole.
+    /// The page was the last one.
     Complete,
 }
 
-/// The place in a list that is read page by page; the default is before the first page.
+/// The position in a paginated list; the default is before the first page.
 #[derive(Clone, Debug, Default)]
 pub struct PageCursor {
     revision: u64,
@@ -25,24 +24,23 @@
 }
 
 impl PageCursor {
-    /// Where the page begins that is to be read; `None` for the first page.
+    /// The position of the next page to read; `None` for the first page.
     pub fn position(&self) -> Option<&PagePosition> {
         self.position.as_ref()
     }
 
-    /// The store's revision of the first page; 0 before it was read. A watch from this revision also returns the changes that
-    /// were made while the other pages were read.
+    /// The store's revision of the first page; 0 before the first page was read. A watch from this revision also returns the
+    /// changes that were made while the other pages were read.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// Moves on after a page that was read at a revision; `next` is where it says that the next one begins, `None` on the
-    /// last page.
+    /// Records a page that was read at `revision`. `next` is the position of the page after it, `None` on the last page.
     ///
     /// # Errors
     ///
-    /// [`SourceError::HistoryLost`] if the page is older than the first one, which shows that the store was restored from an
-    /// older state. [`SourceError::Malformed`] if the list does not go on.
+    /// [`SourceError::HistoryLost`] if the page is older than the first page, which shows that the store was restored from an
+    /// older state. [`SourceError::Malformed`] if `next` was read before.
     pub fn on_page(
         &mut self,
         revision: u64,
@@ -58,7 +56,7 @@
             return Ok(PageStep::Complete);
         };
         if !self.former.insert(next.clone()) {
-            let reason = format!("the list does not go on after {:?}", next.0);
+            let reason = format!("the list repeats the page after {:?}", next.0);
             return Err(SourceError::Malformed { reason });
         }
         self.position = Some(next);
--- a/crates/router/cloverpier_router/src/send.rs
+++ b/crates/router/cloverpier_router/src/send.rs
@@ -254,7 +254,7 @@
     }
 }
 
-/// Whether a body has a transfer coding besides chunks.
+/// Whether the HTTP library leaves a transfer coding of the body in place.
 fn is_transfer_coded(headers: &HeaderMap) -> bool {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     codings.any(|coding| is_transfer_coding_left(coding.as_bytes()))
--- a/crates/router/cloverpier_router/src/stream/mod.rs
+++ b/crates/router/cloverpier_router/src/stream/mod.rs
@@ -149,7 +149,7 @@
     /// The replica of the KV cache of the last attempt that failed; `None` if there is none.
     replica: Option<Replica>,
     splitter: EventSplitter,
-    /// The buffer memory of `splitter`.
+    /// The reserved memory of `splitter`.
     event_reservation: BufferReservation,
     /// The id of the last event that was passed on, or at first the one from which the caller resumes.
     last_event: Option<u64>,
--- a/crates/router/cloverpier_router/src/stream/receive.rs
+++ b/crates/router/cloverpier_router/src/stream/receive.rs
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Adds bytes of the response to those that form no whole event yet.
+    /// Adds received bytes to the event splitter, and reserves memory for incomplete events.
     fn add_to_events(&mut self, data: &[u8], now: Instant) -> Result<(), AttemptFailure> {
         if now >= self.request.deadline {
             self.late_bytes += data.len();
@@ -138,7 +138,7 @@
         }
         let pushed = self.splitter.push(data);
         pushed.map_err(|EventError::TooLong| AttemptFailure::EventTooLong)?;
-        // Many streams at once may each hold an event that does not end.
+        // A faulty upstream can send endless events to many streams at once.
         if !self.event_reservation.try_resize(self.splitter.memory()) {
             return Err(AttemptFailure::EventTooLong);
         }
--- a/crates/router/cloverpier_router/src/web.rs
+++ b/crates/router/cloverpier_router/src/web.rs
@@ -144,7 +144,7 @@
 async fn relay(router: &Rc<Router>, request: Rc<RelayRequest>) -> ServerResponse {
     router.on_request(&request.service.name, request.arrived);
     block_changes::track_request(router, &request);
-    // The shutdown may have gone on while the body arrived.
+    // The body may have arrived long after the head, so the current time counts.
     if !may_end_before_exit(router, &request, router.now()) {
         return refusal_response("this router stops", Refusal::Stopping);
     }
--- a/crates/router/cloverpier_router_policy/src/attempt_failure.rs
+++ b/crates/router/cloverpier_router_policy/src/attempt_failure.rs
@@ -51,7 +51,7 @@
     pub is_marked_not_run: bool,
     /// Whether the response has a signature header; the signature itself is not verified here.
     pub is_signed: bool,
-    /// Whether the body has a transfer coding besides chunks.
+    /// Whether the body has a transfer coding that is not decoded.
     pub is_transfer_coded: bool,
     /// Whether the body has a content encoding, although no caller asked for one.
     pub is_encoded: bool,
@@ -82,9 +82,9 @@
     RequestIdMismatch,
     /// Another process responded at the upstream's address (status 421).
     Misdirected,
-    /// The body has a transfer coding besides chunks, which is not undone here, so that the bytes are not those of the body.
+    /// The body has a transfer coding that is not decoded here, so the received bytes are not the body.
     TransferCoded,
-    /// The response has a status that no response to a request may have.
+    /// The response has no final status.
     InvalidStatus {
         /// The status.
         status: u16,
@@ -122,8 +122,8 @@
     EndedInsideEvent,
     /// An event stream without a length ended with its connection before its first event.
     EndedBeforeEvent,
-    /// An event is longer than an event may be ([`crate::events::EventError::TooLong`]), or than the memory that is left for
-    /// all callers together ([`crate::buffer_memory`]).
+    /// An event exceeds the maximum length ([`crate::events::EventError::TooLong`]) or the buffer memory that is available
+    /// ([`crate::buffer_memory`]).
     EventTooLong,
     /// No upstream runs the stream at present.
     NoCurrentUpstream,
--- a/crates/router/cloverpier_router_policy/src/buffer_memory.rs
+++ b/crates/router/cloverpier_router_policy/src/buffer_memory.rs
@@ -8,7 +8,7 @@
 //!   can be requested from another upstream. Slow callers and upstreams keep these bytes in memory for long. A
 //!   limit on each body does not limit their sum, and a process that exceeds its VM's memory is killed with all
 //!   requests that it serves. So all bodies together get a fraction of the memory. Beyond it, a response is
-//!   passed on as it arrives, a request is refused before it has run, and an upstream whose event does not end is left.
+//!   passed on as it arrives, a request is refused before it has run, and an attempt fails whose event does not end.
 //!
 //! [`BufferMemory`] owns the sum of the buffered bytes. Relies on its user to release what was reserved.
 
@@ -20,7 +20,7 @@
 const BODIES_FRACTION: f64 = 0.6;
 /// A request body up to this length is always buffered, whatever the sum is; most bodies are shorter.
 const SHORT_BODY_BYTES: u64 = 16 * 1024;
-/// The bytes of a stream up to this length are always buffered: what one read brings, and the event that it goes on with.
+/// Incomplete events up to this length are always buffered, which covers the bytes of one read and a usual event.
 const SHORT_EVENT_BYTES: u64 = 64 * 1024;
 
 /// The kind of body that bytes belong to.
@@ -30,7 +30,7 @@
     Body,
     /// The bytes of a response that have not been passed on to the caller.
     Response,
-    /// The bytes of a stream that do not form a whole event yet.
+    /// The bytes of an incomplete event of a stream.
     Event,
 }
 
--- a/crates/router/cloverpier_router_policy/src/lifecycle.rs
+++ b/crates/router/cloverpier_router_policy/src/lifecycle.rs
@@ -28,12 +28,13 @@
 /// Maximum time after its termination signal during which a router accepts new streams. After it, about 5 s of a
 /// grace period of 8 s are left, and callers have requested other addresses.
 const STREAM_ACCEPTANCE_PERIOD: Duration = Duration::from_millis(2_500);
-/// Fraction of the grace period after which no new stream is accepted while it is not known how long streams last.
+/// Fraction of the grace period in which new streams are accepted while their usual duration is unknown.
 const STREAM_ACCEPTANCE_FRACTION: f64 = 5.0 / 16.0;
 /// Time after its termination signal during which a router accepts all plain requests. After it, callers have requested
 /// other addresses, and a request that is cut at the end of the grace period was taken needlessly.
 const PLAIN_ACCEPTANCE_PERIOD: Duration = Duration::from_secs(3);
-/// Fraction of the grace period after which this time is over, too: a short one has to leave requests time to end.
+/// Maximum fraction of the grace period in which a router accepts all plain requests, so that they can end within a short
+/// grace period.
 const PLAIN_ACCEPTANCE_FRACTION: f64 = 3.0 / 8.0;
 /// Number of recent streams whose durations are kept.
 const RECENT_STREAMS: usize = 20;
--- a/crates/shared/cloverpier_core/src/url_encoding.rs
+++ b/crates/shared/cloverpier_core/src/url_encoding.rs
@@ -1,18 +1,18 @@
-//! Text as a part of a URL.
+//! Percent-encoding of text in URLs.
 //!
-//! Names and keys come from other parties, and any character may stand in them. One that means something in a URL makes a path
-//! of another object, or none at all. Owns no state.
+//! Names and keys come from other parties and can contain any character. Unencoded reserved characters would change the meaning
+//! of a URL or make it invalid. Owns no state.
 
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 
-/// All but the unreserved characters (RFC 3986, 2.3).
+/// All characters except the unreserved ones (RFC 3986, 2.3).
 const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
     .remove(b'.')
     .remove(b'_')
     .remove(b'~');
 
-/// Encodes text that stands in one segment of a path or in one value of a query.
+/// Encodes text for use as a path segment or a query value.
 ///
 /// ```
 /// let path = format!("/plans/{}", cloverpier_core::url_encoded("vm#1"));
