--- a/crates/daemon/cloverpier_body/src/lib.rs
+++ b/crates/daemon/cloverpier_body/src/lib.rs
@@ -1,6 +1,6 @@
 //! Reads response bodies up to a maximum length, because a faulty upstream, peer or platform may send endless bytes.
 //!
-//! All clients of `cloverpierd` read whole bodies with [`read_body`]. Owns no state.
+//! The daemon's clients of upstreams, peers and the platform read whole bodies with [`read_body`]. Owns no state.
 
 use bytes::{Bytes, BytesMut};
 use reqwest::Response;
--- a/crates/daemon/cloverpier_upstream/src/head.rs
+++ b/crates/daemon/cloverpier_upstream/src/head.rs
@@ -1,6 +1,6 @@
-//! Checks of response heads beyond those of the HTTP library.
+//! Checks of response heads beyond those of the HTTP library, for engines and plain services.
 //!
-//! Owns no state.
+//! Relies on `cloverpier_core` for the rules. Owns no state.
 
 use cloverpier_core::{is_final_status, is_transfer_coding_left};
 use reqwest::Response;
--- a/crates/router/cloverpier_router/src/source.rs
+++ b/crates/router/cloverpier_router/src/source.rs
@@ -3,7 +3,8 @@
 //!
 //! The adapter of a platform implements [`ConfigurationSource`] and translates between the platform's objects and the
 //! types of this module; [`crate::store_sync`] and [`crate::rollout_store`] call it. Each method makes one call to
-//! the store and returns its result; retries and pauses are the callers' responsibility. Owns no state.
+//! the store, or one for each page of a list that it returns as a whole; retries and pauses are the callers' responsibility.
+//! Owns no state.
 
 use cloverpier_core::{ServiceName, UpstreamName};
 use cloverpier_router_policy::prelude::*;
--- a/crates/router/cloverpier_router_policy/src/lifecycle.rs
+++ b/crates/router/cloverpier_router_policy/src/lifecycle.rs
@@ -110,7 +110,8 @@
 /// Whether a router accepts a new stream. During a shutdown it does while the stream can be expected to end
 /// within the grace period: another router serves a refused stream, but would have to resume one that is cut.
 /// `stopping_for` is the time since the termination signal, `None` before it; `expected` is the longest time
-/// that a new stream is expected to last, `None` if no stream has been completed yet.
+/// that a new stream is expected to last, `None` if no stream has been completed yet; streams are then accepted for a
+/// fraction of the grace period.
 pub fn accepts_streams(
     stopping_for: Option<Duration>,
     expected: Option<Duration>,
--- a/crates/shared/cloverpier_core/src/response_head.rs
+++ b/crates/shared/cloverpier_core/src/response_head.rs
@@ -1,6 +1,7 @@
 //! Checks of the heads of HTTP responses that HTTP libraries leave to their users.
 //!
-//! Owns no state.
+//! Both programs reject responses that fail them, because the status or the body would not be what the upstream sent. Owns no
+//! state.
 
 use std::ops::RangeInclusive;
 
